--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,2 @@
+//! The operators' command.
 fn main() {}
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -1,1 +1,2 @@
+//! The daemon.
 fn main() {}
