Core vocabulary, peer protocol, callers' and operators' interfaces

Cause: the parts are built side by side and need one vocabulary: ids, log positions, session token, refusal and retry reasons, statements, the configuration document with its verification, and the messages between hosts. No decision is taken yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,18 @@
-//! placeholder
+//! Every decision of bergamotvale, as plain state machines.
+//!
+//! Nothing in this crate reads a clock, opens a socket or starts a thread. A machine is a struct
+//! with `new`; each of its methods takes an event and the time at which it happened, and answers
+//! with the actions that the caller has to carry out. Randomness comes from a seeded source that
+//! is passed in. The crates round this one supply sockets, timers and storage.
+
+pub mod config;
+pub mod error;
+pub mod id;
+pub mod log;
+pub mod peer;
+pub mod refusal;
+pub mod retry;
+pub mod session;
+pub mod statement;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/core/src/peer.rs
@@ -0,0 +1,152 @@
+//! What hosts say to each other, as plain data.
+//!
+//! The `wire` crate carries these over RPC; the machines of this crate produce and consume them.
+
+use crate::config::{Change, Document};
+use crate::id::{
+    AccountId, FailureDomainId, HostId, Incarnation, ServiceId, TargetId, TransactionId, Version,
+};
+use crate::log::{Position, Term};
+use crate::refusal::Refusal;
+use crate::session::Token;
+use crate::statement::{Rows, Statement};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A host as the platform's list and its peers know it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its id.
+    pub host: HostId,
+    /// Its present run.
+    pub incarnation: Incarnation,
+    /// Where peers reach it.
+    pub peer_address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Whether it is on its way out.
+    pub leaving: bool,
+}
+
+/// What a host tells a peer at each heartbeat, and is told back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Sender.
+    pub member: Member,
+    /// Version of the configuration that it acts on.
+    pub version: Version,
+    /// Version of the member table that it acts on.
+    pub members_version: Version,
+    /// Age of its knowledge of the platform's store; none when it never had any.
+    pub store_age: Option<Duration>,
+    /// Highest version that it heard announced and knows no outcome of.
+    pub announced: Option<Version>,
+    /// What it holds against primaries, by service.
+    pub opinions: BTreeMap<ServiceId, Opinion>,
+}
+
+/// What a host sees of a group's primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Opinion {
+    /// The primary that it means.
+    pub primary: TargetId,
+    /// Its term.
+    pub term: Term,
+    /// Time for which it has been failing; zero when it works.
+    pub failing: Duration,
+    /// Last confirmed position that the host saw.
+    pub confirmed: Position,
+}
+
+/// Notice that a version is about to be written to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Who writes it.
+    pub host: HostId,
+    /// The version.
+    pub version: Version,
+}
+
+/// A configuration passed between hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// The edits of one version.
+    Change(Change),
+    /// The document whole.
+    Whole(Document),
+}
+
+/// Asks for rate tokens of a client account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenRequest {
+    /// Borrower.
+    pub host: HostId,
+    /// Whose rate.
+    pub account: AccountId,
+    /// Tokens wanted.
+    pub count: u32,
+    /// Version of the configuration that the borrower acts on.
+    pub version: Version,
+}
+
+/// Asks for connection slots to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotRequest {
+    /// Borrower.
+    pub host: HostId,
+    /// Service of the target.
+    pub service: ServiceId,
+    /// The target.
+    pub target: TargetId,
+    /// Slots wanted, or given back.
+    pub count: u32,
+}
+
+/// What an owner of a transaction is asked to do.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Step {
+    /// Runs a statement.
+    Run(Statement),
+    /// Commits.
+    Commit,
+    /// Rolls back.
+    Rollback,
+}
+
+/// A step of a transaction, forwarded to the host that owns it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Forward {
+    /// The transaction.
+    pub transaction: TransactionId,
+    /// Client account of the key that came with the step.
+    pub account: AccountId,
+    /// The step.
+    pub step: Step,
+    /// Time that the caller has left.
+    pub timeout: Duration,
+}
+
+/// The owner's answer to a forwarded step.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// Rows, or the refusal.
+    pub result: Result<Rows, Refusal>,
+    /// Position to merge into the session token; given by a commit.
+    pub position: Option<(ServiceId, Position)>,
+}
+
+impl Outcome {
+    /// An outcome that advances no token.
+    pub fn new(result: Result<Rows, Refusal>) -> Outcome {
+        Outcome { result, position: None }
+    }
+
+    /// Merges the outcome's position into `token`.
+    pub fn advance(&self, token: &mut Token) {
+        if let Some((service, position)) = self.position {
+            token.observe(service, position);
+        }
+    }
+}
