Host skeleton: settings, logs, counters, callers' listener, one read and one write

Cause: the parts need one host to be wired into. The daemon binds its listeners, reads the configuration from the platform, probes targets, serves reads and writes on the primary and acknowledges a write after the group confirmed it. Replicas, retries, transactions and peers are not there yet. The path itself has not run against a database group yet.

--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -1,2 +1,73 @@
-//! The daemon.
-fn main() {}
+//! `bergamotvaled`, the daemon of one host.
+//!
+//! Exit status: 0 after a graceful stop, 1 when the host cannot run, 2 when the settings do not
+//! hold.
+
+use anyhow::Context;
+use bergamotvale_host::daemon::Daemon;
+use bergamotvale_host::logging;
+use bergamotvale_host::settings::Settings;
+use clap::{Arg, ArgAction, Command, value_parser};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_SETTINGS: u8 = 2;
+
+fn command() -> Command {
+    Command::new("bergamotvaled")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("A host of bergamotvale, the database proxy with session consistency")
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("Settings of this host, YAML"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Verifies the settings and exits"),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let path: &PathBuf = matches.get_one("config").expect("clap requires it");
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("{fault}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{}: settings hold", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(settings: Settings) -> anyhow::Result<()> {
+    let _control = logging::Control::new(&settings.log).context("cannot start logging")?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let daemon = Daemon::start(settings).await.context("cannot start the host")?;
+    tokio::select! {
+        _ = terminate.recv() => log::info!("SIGTERM: stopping"),
+        _ = interrupt.recv() => log::info!("SIGINT: stopping"),
+    }
+    daemon.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/host/src/platform.rs
@@ -0,0 +1,151 @@
+//! Client of the platform's table service, object store and list of hosts.
+
+use crate::error::Result;
+use crate::settings::Settings;
+use bergamotvale_core::config::Document;
+use bergamotvale_core::id::Version;
+use reqwest::StatusCode;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+
+/// Row that names the configuration in force.
+pub const CONFIG_ROW: &str = "config.current";
+/// Tells the platform which host calls.
+const HOST_HEADER: &str = "bergamotvale-host";
+
+/// Client of the platform.
+pub struct Client {
+    http: reqwest::Client,
+    base: String,
+    host: String,
+}
+
+/// A row of the table service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Its key.
+    pub key: String,
+    /// Its version; 0 when it is absent.
+    pub version: u64,
+    /// Its value.
+    #[serde(default)]
+    pub value: Value,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Check {
+    /// Row.
+    pub key: String,
+    /// Version that it must have.
+    pub version: u64,
+}
+
+/// A row to be written.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Put {
+    /// Row.
+    pub key: String,
+    /// Its new value.
+    pub value: Value,
+}
+
+/// A transaction over rows: all or nothing.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Transaction {
+    /// Conditions.
+    pub checks: Vec<Check>,
+    /// Rows to write.
+    pub puts: Vec<Put>,
+    /// Rows to delete.
+    pub deletes: Vec<String>,
+}
+
+/// How a transaction went.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// It took effect; the rows with their new versions.
+    Done(Vec<Row>),
+    /// A check failed; the rows as they are.
+    Conflict(Vec<Row>),
+}
+
+/// What the row of the configuration says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Current {
+    /// Version in force.
+    pub version: Version,
+    /// Digest under which the object store has the document.
+    pub digest: String,
+}
+
+#[derive(Deserialize)]
+struct Rows {
+    rows: Vec<Row>,
+}
+
+impl Client {
+    /// A client with the deadline of the settings.
+    pub fn new(settings: &Settings) -> Result<Client> {
+        let http = reqwest::Client::builder().timeout(settings.platform.timeout).build()?;
+        let base = format!("http://{}", settings.platform.address);
+        Ok(Client { http, base, host: settings.host.to_string() })
+    }
+
+    /// The row under `key`.
+    pub async fn row(&self, key: &str) -> Result<Option<Row>> {
+        let request = self.http.get(format!("{}/table/rows/{key}", self.base));
+        let response = request.header(HOST_HEADER, &self.host).send().await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(response.error_for_status()?.json().await?))
+    }
+
+    /// Runs `transaction`. An error leaves it open whether it took effect.
+    pub async fn transact(&self, transaction: &Transaction) -> Result<Answer> {
+        let request = self.http.post(format!("{}/table/transactions", self.base));
+        let response = request.header(HOST_HEADER, &self.host).json(transaction).send().await?;
+        if response.status() == StatusCode::CONFLICT {
+            return Ok(Answer::Conflict(response.json::<Rows>().await?.rows));
+        }
+        Ok(Answer::Done(response.error_for_status()?.json::<Rows>().await?.rows))
+    }
+
+    /// Stores `body` under its digest, which is returned.
+    pub async fn put_object(&self, body: Vec<u8>) -> Result<String> {
+        let digest = hex(&Sha256::digest(&body));
+        let request = self.http.put(format!("{}/objects/{digest}", self.base));
+        let request = request.header(HOST_HEADER, &self.host).body(body);
+        request.send().await?.error_for_status()?;
+        Ok(digest)
+    }
+
+    /// The object under `digest`.
+    pub async fn object(&self, digest: &str) -> Result<Vec<u8>> {
+        let request = self.http.get(format!("{}/objects/{digest}", self.base));
+        let response = request.header(HOST_HEADER, &self.host).send().await?.error_for_status()?;
+        Ok(response.bytes().await?.to_vec())
+    }
+
+    /// The configuration in force, if there is one newer than `known`.
+    pub async fn document(&self, known: Version) -> Result<Option<Document>> {
+        let Some(row) = self.row(CONFIG_ROW).await? else { return Ok(None) };
+        let Ok(current) = serde_json::from_value::<Current>(row.value) else { return Ok(None) };
+        if current.version <= known {
+            return Ok(None);
+        }
+        let body = self.object(&current.digest).await?;
+        Ok(serde_json::from_slice(&body).ok())
+    }
+}
+
+/// Lower-case hexadecimal.
+pub fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::with_capacity(2 * bytes.len()), |mut text, byte| {
+        write!(text, "{byte:02x}").expect("writing to a string does not fail");
+        text
+    })
+}
--- /dev/null
+++ b/crates/host/src/shared.rs
@@ -0,0 +1,67 @@
+//! What the tasks of one host share.
+
+use crate::clock::Clock;
+use crate::error::Result;
+use crate::metric::Registry;
+use crate::platform;
+use crate::settings::Settings;
+use crate::target::Pools;
+use bergamotvale_core::config::Document;
+use bergamotvale_core::id::Incarnation;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
+
+/// One host of the fleet.
+pub struct Host {
+    /// Its settings, with the addresses that it really listens on.
+    pub settings: Settings,
+    /// Its present run.
+    pub incarnation: Incarnation,
+    /// Monotone time.
+    pub clock: Clock,
+    /// Counters and gauges.
+    pub metric: Registry,
+    /// The platform's service.
+    pub platform: platform::Client,
+    /// Connections to the targets, and what is known of them.
+    pub pools: Pools,
+    /// The configuration in force here.
+    pub document: watch::Sender<Arc<Document>>,
+    /// Whether the host is stopping.
+    pub stopping: watch::Sender<bool>,
+}
+
+impl Host {
+    /// A host that has not started its tasks.
+    pub fn new(settings: Settings) -> Result<Host> {
+        let platform = platform::Client::new(&settings)?;
+        let metric = Registry::new(settings.metrics.statsd)?;
+        Ok(Host {
+            incarnation: incarnation(),
+            clock: Clock::new(),
+            metric,
+            platform,
+            pools: Pools::new(),
+            document: watch::Sender::new(Arc::new(Document::default())),
+            stopping: watch::Sender::new(false),
+            settings,
+        })
+    }
+
+    /// The configuration in force here.
+    pub fn document(&self) -> Arc<Document> {
+        self.document.borrow().clone()
+    }
+
+    /// Whether the host is stopping.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+}
+
+/// Wall-clock microseconds: only tells runs of one host apart, enters no decision about time.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
+}
