Rates: parts derived from the members, loans between hosts, and the check over all windows

Cause: local limiters overshoot, fixed parts refuse wrongly, an owner by hashing is two owners while views differ. Before: none. The check fails on hosts that each count the whole rate.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,11 +8,15 @@
 pub mod config;
 pub mod error;
 pub mod id;
+pub mod invariant;
 pub mod log;
 pub mod peer;
+pub mod rate;
 pub mod refusal;
+pub mod rendezvous;
 pub mod retry;
 pub mod session;
+pub mod share;
 pub mod statement;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/core/src/rate/meter.rs
@@ -0,0 +1,291 @@
+//! Admission of requests against the rates of their client accounts.
+//!
+//! A request takes a token of its host's bucket. Without one it waits for a loan, at most
+//! [`MAX_WAIT`] and only while some peer may have tokens; a peer that had none is not asked again
+//! for [`DRY_TIME`]. A host whose tokens run low asks ahead, so that most requests do not wait.
+
+use super::bucket::{Amount, Bucket, MICRO};
+use crate::id::{AccountId, HostId, Time};
+use crate::share::Part;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Time that a request may wait for a loan.
+pub const MAX_WAIT: Duration = Duration::from_millis(60);
+/// Time for which a peer without tokens is not asked again.
+pub const DRY_TIME: Duration = Duration::from_millis(15);
+/// Time that a loan should last at the present demand.
+const HORIZON: Duration = Duration::from_millis(50);
+/// Time constant of the demand estimate.
+const DEMAND_WINDOW: Duration = Duration::from_millis(500);
+/// Requests of one client account that may wait for a loan.
+const MAX_WAITING: u32 = 1024;
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// Admitted; a token was taken.
+    Admit,
+    /// Waits for a loan; decide again when one arrived, and at this time at the latest.
+    Wait(Time),
+    /// Refused; asking again makes sense after this time.
+    Refuse(Duration),
+}
+
+/// A loan to ask for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ask {
+    /// Whose tokens.
+    pub account: AccountId,
+    /// Whom to ask.
+    pub peer: HostId,
+    /// Tokens wanted.
+    pub count: u32,
+}
+
+/// Rates of all client accounts at one host.
+#[derive(Debug, Clone)]
+pub struct Meter {
+    settle: Duration,
+    lending: bool,
+    peers: BTreeSet<HostId>,
+    accounts: BTreeMap<AccountId, State>,
+}
+
+#[derive(Debug, Clone)]
+struct State {
+    rate: Part,
+    burst: Part,
+    bucket: Bucket,
+    waiting: u32,
+    demand: Demand,
+    lenders: BTreeMap<HostId, Lender>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Lender {
+    asked: bool,
+    dry_until: Time,
+}
+
+/// Requests a second, as an exponential average.
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    per_second: f64,
+    at: Time,
+}
+
+impl Demand {
+    fn note(&mut self, now: Time) {
+        let window = DEMAND_WINDOW.as_secs_f64();
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.per_second = self.per_second * (-elapsed / window).exp() + 1.0 / window;
+        self.at = now;
+    }
+
+    /// Requests expected within `span`.
+    fn within(&self, span: Duration) -> u32 {
+        (self.per_second * span.as_secs_f64()).ceil() as u32
+    }
+}
+
+impl Meter {
+    /// No client account yet. `settle` is the lifetime of authority with its margin; without
+    /// `lending` every host has its fixed part.
+    pub fn new(settle: Duration, lending: bool) -> Meter {
+        Meter { settle, lending, peers: BTreeSet::new(), accounts: BTreeMap::new() }
+    }
+
+    /// Sets whom loans are asked of.
+    pub fn set_peers(&mut self, peers: BTreeSet<HostId>) {
+        for state in self.accounts.values_mut() {
+            state.lenders.retain(|host, _| peers.contains(host));
+        }
+        self.peers = peers;
+    }
+
+    /// Sets this host's part of an account's rate, per second, and burst, in micro-tokens.
+    pub fn set_part(&mut self, account: AccountId, rate: Amount, burst: Amount, now: Time) {
+        let settle = self.settle;
+        let state = self.accounts.entry(account).or_insert_with(|| State::new(settle, now));
+        state.rate.update(rate, now);
+        state.burst.update(burst, now);
+        state.refresh(now);
+    }
+
+    /// Forgets accounts that are not in `known`.
+    pub fn retain(&mut self, known: impl Fn(AccountId) -> bool) {
+        self.accounts.retain(|account, _| known(*account));
+    }
+
+    /// Takes up parts that have come into force; to be called a few times a second.
+    pub fn tick(&mut self, now: Time) {
+        for state in self.accounts.values_mut() {
+            state.refresh(now);
+        }
+    }
+
+    /// Decides about a request that has just come.
+    pub fn request(&mut self, account: AccountId, now: Time) -> Decision {
+        let Some(state) = self.accounts.get_mut(&account) else {
+            return Decision::Refuse(MAX_WAIT);
+        };
+        state.demand.note(now);
+        state.refresh(now);
+        // Waiting requests go first: an arrival must not pass them.
+        if state.waiting == 0 && state.bucket.take(now) {
+            return Decision::Admit;
+        }
+        let may_come = self.lending && state.may_come(&self.peers, now);
+        if !may_come || state.waiting >= MAX_WAITING {
+            return state.refuse(now);
+        }
+        state.waiting += 1;
+        Decision::Wait(now + MAX_WAIT)
+    }
+
+    /// Decides again about a request that waits since before `until`.
+    pub fn retry(&mut self, account: AccountId, until: Time, now: Time) -> Decision {
+        let Some(state) = self.accounts.get_mut(&account) else {
+            return Decision::Refuse(MAX_WAIT);
+        };
+        state.refresh(now);
+        if state.bucket.take(now) {
+            state.waiting = state.waiting.saturating_sub(1);
+            return Decision::Admit;
+        }
+        if now < until && state.may_come(&self.peers, now) {
+            return Decision::Wait(until);
+        }
+        state.waiting = state.waiting.saturating_sub(1);
+        state.refuse(now)
+    }
+
+    /// A request that waited is gone with its caller.
+    pub fn abandon(&mut self, account: AccountId) {
+        if let Some(state) = self.accounts.get_mut(&account) {
+            state.waiting = state.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Loans to ask for now; each is marked as asked until [`Meter::receive`].
+    pub fn asks(&mut self, account: AccountId, now: Time) -> Vec<Ask> {
+        if !self.lending {
+            return Vec::new();
+        }
+        let Some(state) = self.accounts.get_mut(&account) else { return Vec::new() };
+        state.refresh(now);
+        let missing = state.missing(now);
+        if missing == 0 {
+            return Vec::new();
+        }
+        let ready: Vec<HostId> =
+            self.peers.iter().copied().filter(|peer| state.is_ready(*peer, now)).collect();
+        let each = missing.div_ceil(u32::try_from(ready.len()).unwrap_or(1).max(1));
+        for peer in &ready {
+            state.lenders.entry(*peer).or_default().asked = true;
+        }
+        ready.into_iter().map(|peer| Ask { account, peer, count: each }).collect()
+    }
+
+    /// Takes the answer to an ask sent at `asked`; no answer counts as zero.
+    pub fn receive(&mut self, ask: Ask, count: u32, asked: Time, now: Time) {
+        let Some(state) = self.accounts.get_mut(&ask.account) else { return };
+        let lender = state.lenders.entry(ask.peer).or_default();
+        lender.asked = false;
+        if count == 0 {
+            lender.dry_until = now + DRY_TIME;
+        }
+        if count > 0 {
+            state.bucket.receive(count, state.waiting, asked, now);
+        }
+    }
+
+    /// Drops borrowed tokens that no waiting request took.
+    pub fn settle(&mut self, account: AccountId) {
+        if let Some(state) = self.accounts.get_mut(&account) {
+            state.bucket.settle();
+        }
+    }
+
+    /// Lends tokens to a peer: half of what is here, more when there is little demand.
+    pub fn lend(&mut self, account: AccountId, count: u32, now: Time) -> u32 {
+        let Some(state) = self.accounts.get_mut(&account) else { return 0 };
+        if !self.lending || state.waiting > 0 {
+            return 0;
+        }
+        state.refresh(now);
+        let tokens = state.bucket.tokens(now);
+        let kept = state.demand_now(now).min(tokens / 2);
+        state.bucket.lend(count.min(tokens - kept), now)
+    }
+
+    /// Part of rate, per second, and burst of an account at this host, in micro-tokens.
+    pub fn part(&self, account: AccountId) -> (Amount, Amount) {
+        self.accounts.get(&account).map(|state| state.bucket.part()).unwrap_or_default()
+    }
+}
+
+impl State {
+    fn new(settle: Duration, now: Time) -> State {
+        State {
+            rate: Part::new(settle),
+            burst: Part::new(settle),
+            bucket: Bucket::new(now),
+            waiting: 0,
+            demand: Demand { per_second: 0.0, at: now },
+            lenders: BTreeMap::new(),
+        }
+    }
+
+    fn refresh(&mut self, now: Time) {
+        let part = (self.rate.usable(now), self.burst.usable(now));
+        if part != self.bucket.part() {
+            self.bucket.set_part(part.0, part.1, now);
+        }
+    }
+
+    /// Whether a token may come in time: by a loan, or by the bucket's own part of the rate.
+    fn may_come(&mut self, peers: &BTreeSet<HostId>, now: Time) -> bool {
+        let asked = self.lenders.values().any(|lender| lender.asked);
+        asked || peers.iter().any(|peer| self.is_ready(*peer, now)) || self.refills_in_time(now)
+    }
+
+    /// Whether the requests that wait, and one more, get tokens of the bucket's own in time.
+    fn refills_in_time(&mut self, now: Time) -> bool {
+        let rate = self.bucket.part().0;
+        let next = self.bucket.next_token(now);
+        let behind = Duration::from_micros(micro(self.waiting) * MICRO / rate.max(1));
+        next.is_some_and(|next| next + behind <= MAX_WAIT)
+    }
+
+    fn is_ready(&self, peer: HostId, now: Time) -> bool {
+        let lender = self.lenders.get(&peer).copied().unwrap_or_default();
+        !lender.asked && lender.dry_until <= now
+    }
+
+    fn demand_now(&self, now: Time) -> u32 {
+        let mut demand = self.demand;
+        let elapsed = now.saturating_sub(demand.at).as_secs_f64();
+        demand.per_second *= (-elapsed / DEMAND_WINDOW.as_secs_f64()).exp();
+        demand.within(HORIZON)
+    }
+
+    /// Tokens to borrow: for those that wait, and ahead when the level is low.
+    fn missing(&mut self, now: Time) -> u32 {
+        let tokens = self.bucket.tokens(now);
+        let ahead = self.demand_now(now);
+        let short = ahead.saturating_sub(tokens).min(self.bucket.room());
+        let low = self.waiting > 0 || tokens < ahead.div_ceil(2);
+        if low { self.waiting + short } else { 0 }
+    }
+
+    fn refuse(&mut self, now: Time) -> Decision {
+        Decision::Refuse(self.bucket.next_token(now).unwrap_or(Duration::from_secs(1)))
+    }
+}
+
+/// Micro-tokens in `count` tokens.
+pub fn micro(count: u32) -> Amount {
+    u64::from(count) * MICRO
+}
--- /dev/null
+++ b/crates/core/src/rate/mod.rs
@@ -0,0 +1,39 @@
+//! Rates of client accounts, counted over all hosts together.
+//!
+//! Each holder of a client account has a part of its rate and burst, see [`crate::share`], in a
+//! token [`bucket`]. Hosts lend tokens to each other: the lender takes them out of its bucket
+//! before it answers, the borrower counts them only if the answer is quick. A lost answer loses
+//! tokens and never mints any. [`meter`] decides whether a request is admitted, waits for a loan
+//! or is refused.
+
+pub mod bucket;
+pub mod meter;
+
+pub use bucket::Bucket;
+pub use meter::Meter;
+
+use crate::config::Account;
+use crate::id::{AccountId, HostId};
+use crate::rendezvous::Subject;
+use crate::share;
+use bucket::{Amount, MICRO};
+use std::collections::BTreeSet;
+
+/// Hosts among which the rate of one client account is divided, at most.
+///
+/// Others borrow. A part of a burst is whole tokens, so there are no more holders than those.
+pub const MAX_HOLDERS: usize = 16;
+
+/// Part of an account's rate, per second, and burst that `host` has, in micro-tokens.
+pub fn part(
+    id: AccountId,
+    account: &Account,
+    members: &BTreeSet<HostId>,
+    host: HostId,
+) -> (Amount, Amount) {
+    let holders = MAX_HOLDERS.min(account.burst as usize);
+    let subject = Subject::Rate(id.into());
+    let rate = share::part(u64::from(account.rate) * MICRO, members, host, subject, holders);
+    let burst = share::part(account.burst.into(), members, host, subject, holders) * MICRO;
+    (rate, burst)
+}
--- /dev/null
+++ b/crates/core/src/rendezvous.rs
@@ -0,0 +1,49 @@
+//! Rendezvous hashing: every host names the same few hosts for a subject, without talking.
+//!
+//! SipHash with fixed keys, so that builds of different versions agree.
+
+use crate::id::HostId;
+use siphasher::sip::SipHasher13;
+use std::collections::BTreeSet;
+use std::hash::Hasher;
+
+/// What a choice of hosts is for; keeps equal ids of different kinds apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Subject {
+    /// Holders of shares of a client account's rate.
+    Rate(u64),
+    /// Holders of connection shares of a target.
+    Connection(u64),
+    /// Hosts that watch a service.
+    Watch(u64),
+    /// Hosts that read the platform's store for others.
+    Store(u64),
+}
+
+impl Subject {
+    fn parts(self) -> (u8, u64) {
+        match self {
+            Subject::Rate(id) => (0, id),
+            Subject::Connection(id) => (1, id),
+            Subject::Watch(id) => (2, id),
+            Subject::Store(id) => (3, id),
+        }
+    }
+}
+
+/// The first `count` of `hosts` for `subject`, best first.
+pub fn choose(hosts: &BTreeSet<HostId>, subject: Subject, count: usize) -> Vec<HostId> {
+    let mut ranked: Vec<HostId> = hosts.iter().copied().collect();
+    ranked.sort_by_key(|host| std::cmp::Reverse((weight(*host, subject), *host)));
+    ranked.truncate(count);
+    ranked
+}
+
+fn weight(host: HostId, subject: Subject) -> u64 {
+    let (kind, id) = subject.parts();
+    let mut hasher = SipHasher13::new();
+    hasher.write_u8(kind);
+    hasher.write_u64(id);
+    hasher.write_u32(host);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/core/src/share.rs
@@ -0,0 +1,67 @@
+//! Division of a total between hosts, so that the parts never sum to more.
+//!
+//! Every host derives its part from the members that the platform records: no part is negotiated
+//! and none is stored. A part that shrinks does so at once. A part that grows waits until
+//! every other host has seen the same members or has lost its authority, which takes the lifetime
+//! of authority, since nobody acts on older knowledge than that. Until then a host uses the least
+//! of its old and new parts; so, at any time, the parts in use sum to no more than the total.
+
+use crate::id::{HostId, Time};
+use crate::rendezvous::{self, Subject};
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Part of `total` that `host` has among the first `holders` of `members` for `subject`.
+///
+/// What does not divide goes, one each, to the first holders.
+pub fn part(
+    total: u64,
+    members: &BTreeSet<HostId>,
+    host: HostId,
+    subject: Subject,
+    holders: usize,
+) -> u64 {
+    let chosen = rendezvous::choose(members, subject, holders);
+    let Some(rank) = chosen.iter().position(|h| *h == host) else { return 0 };
+    let count = chosen.len() as u64;
+    total / count + u64::from((rank as u64) < total % count)
+}
+
+/// A part over time: shrinks at once, grows after the old division is out of force.
+#[derive(Debug, Clone)]
+pub struct Part {
+    settle: Duration,
+    current: u64,
+    replaced: VecDeque<Replaced>,
+}
+
+/// A part that other hosts may still count on.
+#[derive(Debug, Clone, Copy)]
+struct Replaced {
+    value: u64,
+    until: Time,
+}
+
+impl Part {
+    /// Nothing yet. `settle` is the lifetime of authority with its margin.
+    pub fn new(settle: Duration) -> Part {
+        Part { settle, current: 0, replaced: VecDeque::new() }
+    }
+
+    /// Notes the part under the newest members.
+    pub fn update(&mut self, value: u64, now: Time) {
+        if value == self.current {
+            return;
+        }
+        self.replaced.push_back(Replaced { value: self.current, until: now + self.settle });
+        self.current = value;
+    }
+
+    /// Part that may be used.
+    pub fn usable(&mut self, now: Time) -> u64 {
+        while self.replaced.front().is_some_and(|old| old.until <= now) {
+            self.replaced.pop_front();
+        }
+        self.replaced.iter().map(|old| old.value).fold(self.current, u64::min)
+    }
+}
