--- /dev/null
+++ b/crates/standin/src/group/row.rs
@@ -0,0 +1,289 @@
+//! Types of parameters and results, and their two formats on the wire.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use rusqlite::types::Value;
+
+use super::database::Outcome;
+use super::sqlstate::{self, Error, Result};
+
+/// Number of a type in the protocol.
+pub(crate) type Oid = u32;
+
+const BOOL: Oid = 16;
+const BYTEA: Oid = 17;
+const INT8: Oid = 20;
+const INT2: Oid = 21;
+const INT4: Oid = 23;
+const TEXT: Oid = 25;
+const OID: Oid = 26;
+const FLOAT4: Oid = 700;
+const FLOAT8: Oid = 701;
+const UNKNOWN: Oid = 705;
+const BPCHAR: Oid = 1042;
+const VARCHAR: Oid = 1043;
+
+/// Format of a value on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Format {
+    /// As text.
+    Text,
+    /// As the type's binary form.
+    Binary,
+}
+
+/// Type of a result column.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// `int8`.
+    Integer,
+    /// `float8`.
+    Float,
+    /// `bool`.
+    Bool,
+    /// `text`.
+    Text,
+    /// `bytea`.
+    Bytes,
+}
+
+/// One column of a result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Column {
+    /// Its name.
+    pub(crate) name: String,
+    /// Its type, if the column's declaration tells it.
+    pub(crate) kind: Option<Kind>,
+}
+
+impl Column {
+    /// A column with its declared type.
+    pub(crate) fn new(name: &str, declared: Option<&str>) -> Self {
+        Column { name: name.to_owned(), kind: declared.and_then(declared_kind) }
+    }
+
+    /// A column of a known type.
+    pub(crate) fn with_kind(name: &str, kind: Kind) -> Self {
+        Column { name: name.to_owned(), kind: Some(kind) }
+    }
+
+    /// Its type on the wire; text where nothing tells it.
+    pub(crate) fn oid(&self) -> Oid {
+        match self.kind.unwrap_or(Kind::Text) {
+            Kind::Integer => INT8,
+            Kind::Float => FLOAT8,
+            Kind::Bool => BOOL,
+            Kind::Text => TEXT,
+            Kind::Bytes => BYTEA,
+        }
+    }
+
+    /// Length of its type on the wire; -1 where it varies.
+    pub(crate) fn size(&self) -> i16 {
+        match self.kind.unwrap_or(Kind::Text) {
+            Kind::Integer | Kind::Float => 8,
+            Kind::Bool => 1,
+            Kind::Text | Kind::Bytes => -1,
+        }
+    }
+}
+
+fn declared_kind(declared: &str) -> Option<Kind> {
+    let declared = declared.to_ascii_lowercase();
+    let has = |part: &str| declared.contains(part);
+    if has("bool") {
+        Some(Kind::Bool)
+    } else if has("int") || has("serial") {
+        Some(Kind::Integer)
+    } else if has("real") || has("float") || has("double") {
+        Some(Kind::Float)
+    } else if has("char") || has("text") || has("clob") {
+        Some(Kind::Text)
+    } else if has("bytea") || has("blob") {
+        Some(Kind::Bytes)
+    } else {
+        None
+    }
+}
+
+/// Gives a column without a declared type the type of its first value.
+pub(crate) fn infer(outcome: &mut Outcome) {
+    for (at, column) in outcome.columns.iter_mut().enumerate() {
+        if column.kind.is_none() {
+            column.kind = outcome.rows.iter().find_map(|row| value_kind(&row[at]));
+        }
+    }
+}
+
+fn value_kind(value: &Value) -> Option<Kind> {
+    match value {
+        Value::Null => None,
+        Value::Integer(_) => Some(Kind::Integer),
+        Value::Real(_) => Some(Kind::Float),
+        Value::Text(_) => Some(Kind::Text),
+        Value::Blob(_) => Some(Kind::Bytes),
+    }
+}
+
+/// Reads a parameter.
+pub(crate) fn decode(oid: Oid, format: Format, bytes: Option<&Bytes>) -> Result<Value> {
+    let Some(bytes) = bytes else { return Ok(Value::Null) };
+    match format {
+        Format::Binary => decode_binary(oid, bytes),
+        Format::Text => decode_text(oid, bytes),
+    }
+}
+
+fn decode_binary(oid: Oid, bytes: &[u8]) -> Result<Value> {
+    let value = match oid {
+        INT2 => Value::Integer(i16::from_be_bytes(array(bytes)?).into()),
+        INT4 => Value::Integer(i32::from_be_bytes(array(bytes)?).into()),
+        OID => Value::Integer(u32::from_be_bytes(array(bytes)?).into()),
+        INT8 => Value::Integer(i64::from_be_bytes(array(bytes)?)),
+        FLOAT4 => Value::Real(f32::from_be_bytes(array(bytes)?).into()),
+        FLOAT8 => Value::Real(f64::from_be_bytes(array(bytes)?)),
+        BOOL => Value::Integer(i64::from(array::<1>(bytes)?[0] != 0)),
+        BYTEA => Value::Blob(bytes.to_vec()),
+        0 | TEXT | VARCHAR | BPCHAR | UNKNOWN => Value::Text(text(bytes)?),
+        _ => return Err(Error::new(sqlstate::UNSUPPORTED, format!("parameter of type {oid}"))),
+    };
+    Ok(value)
+}
+
+fn decode_text(oid: Oid, bytes: &[u8]) -> Result<Value> {
+    let text = text(bytes)?;
+    let value = match oid {
+        INT2 | INT4 | INT8 | OID => Value::Integer(parse(&text)?),
+        FLOAT4 | FLOAT8 => Value::Real(parse(&text)?),
+        BOOL => Value::Integer(parse_bool(&text)?.into()),
+        BYTEA => Value::Blob(parse_bytes(&text)?),
+        _ => Value::Text(text),
+    };
+    Ok(value)
+}
+
+fn array<const N: usize>(bytes: &[u8]) -> Result<[u8; N]> {
+    bytes.try_into().map_err(|_| invalid("length of a binary parameter"))
+}
+
+fn text(bytes: &[u8]) -> Result<String> {
+    String::from_utf8(bytes.to_vec()).map_err(|_| invalid("text is not UTF-8"))
+}
+
+fn parse<T: std::str::FromStr>(text: &str) -> Result<T> {
+    text.trim().parse().map_err(|_| invalid(text))
+}
+
+fn parse_bool(text: &str) -> Result<bool> {
+    match text.trim().to_ascii_lowercase().as_str() {
+        "t" | "true" | "on" | "1" | "yes" => Ok(true),
+        "f" | "false" | "off" | "0" | "no" => Ok(false),
+        _ => Err(invalid(text)),
+    }
+}
+
+fn parse_bytes(text: &str) -> Result<Vec<u8>> {
+    let digits = text.strip_prefix("\\x").ok_or_else(|| invalid(text))?;
+    let pairs = digits.as_bytes().chunks(2);
+    pairs.map(|pair| hex(pair).ok_or_else(|| invalid(text))).collect()
+}
+
+fn hex(pair: &[u8]) -> Option<u8> {
+    let pair = std::str::from_utf8(pair).ok()?;
+    u8::from_str_radix(pair, 16).ok().filter(|_| pair.len() == 2)
+}
+
+fn invalid(text: &str) -> Error {
+    Error::new(sqlstate::INVALID_TEXT, format!("invalid input: {text}"))
+}
+
+/// Writes a result row: each value with its length.
+pub(crate) fn encode(columns: &[Column], formats: &[Format], row: &[Value]) -> Result<BytesMut> {
+    let mut data = BytesMut::new();
+    for (at, (column, value)) in columns.iter().zip(row).enumerate() {
+        if *value == Value::Null {
+            data.put_i32(-1);
+            continue;
+        }
+        let kind = column.kind.unwrap_or(Kind::Text);
+        let bytes = match format_at(formats, at) {
+            Format::Binary => encode_binary(kind, value)?,
+            Format::Text => encode_text(kind, value)?,
+        };
+        data.put_i32(bytes.len() as i32);
+        data.put_slice(&bytes);
+    }
+    Ok(data)
+}
+
+/// Format of a column: none given means text, one given holds for all.
+pub(crate) fn format_at(formats: &[Format], at: usize) -> Format {
+    match formats {
+        [] => Format::Text,
+        [one] => *one,
+        many => many.get(at).copied().unwrap_or(Format::Text),
+    }
+}
+
+fn encode_binary(kind: Kind, value: &Value) -> Result<Vec<u8>> {
+    let bytes = match kind {
+        Kind::Integer => integer(value)?.to_be_bytes().to_vec(),
+        Kind::Float => float(value)?.to_be_bytes().to_vec(),
+        Kind::Bool => vec![u8::from(integer(value)? != 0)],
+        Kind::Text => plain(value)?.into_bytes(),
+        Kind::Bytes => raw(value)?,
+    };
+    Ok(bytes)
+}
+
+fn encode_text(kind: Kind, value: &Value) -> Result<Vec<u8>> {
+    let text = match kind {
+        Kind::Integer => integer(value)?.to_string(),
+        Kind::Float => float(value)?.to_string(),
+        Kind::Bool => if integer(value)? != 0 { "t" } else { "f" }.to_owned(),
+        Kind::Text => plain(value)?,
+        Kind::Bytes => hex_text(&raw(value)?),
+    };
+    Ok(text.into_bytes())
+}
+
+fn hex_text(bytes: &[u8]) -> String {
+    let digits = bytes.iter().map(|byte| format!("{byte:02x}"));
+    std::iter::once("\\x".to_owned()).chain(digits).collect()
+}
+
+fn integer(value: &Value) -> Result<i64> {
+    match value {
+        Value::Integer(value) => Ok(*value),
+        Value::Real(value) if value.fract() == 0.0 => Ok(*value as i64),
+        _ => Err(mismatch(value)),
+    }
+}
+
+fn float(value: &Value) -> Result<f64> {
+    match value {
+        Value::Integer(value) => Ok(*value as f64),
+        Value::Real(value) => Ok(*value),
+        _ => Err(mismatch(value)),
+    }
+}
+
+fn plain(value: &Value) -> Result<String> {
+    match value {
+        Value::Integer(value) => Ok(value.to_string()),
+        Value::Real(value) => Ok(value.to_string()),
+        Value::Text(value) => Ok(value.clone()),
+        _ => Err(mismatch(value)),
+    }
+}
+
+fn raw(value: &Value) -> Result<Vec<u8>> {
+    match value {
+        Value::Text(value) => Ok(value.clone().into_bytes()),
+        Value::Blob(value) => Ok(value.clone()),
+        _ => Err(mismatch(value)),
+    }
+}
+
+fn mismatch(value: &Value) -> Error {
+    Error::new(sqlstate::MISMATCH, format!("{} does not fit its column", value.data_type()))
+}
