Data path decisions: routing, acknowledgement, at most once, retries, transactions

Machines without I/O: a read from the choice of a target to the verified answer, a write from the lease to the acknowledgement, and the owner's table of interactive transactions.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,14 +5,24 @@
 //! with the actions that the caller has to carry out. Randomness comes from a seeded source that
 //! is passed in. The crates round this one supply sockets, timers and storage.
 
+pub mod ack;
 pub mod config;
 pub mod error;
 pub mod id;
+pub mod idempotency;
 pub mod log;
+pub mod outlier;
 pub mod peer;
+pub mod progress;
+pub mod read;
 pub mod refusal;
 pub mod retry;
+pub mod route;
 pub mod session;
+pub mod sql;
+pub mod sqlstate;
 pub mod statement;
+pub mod transaction;
+pub mod write;
 
 pub use error::{Error, Result};
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -1,7 +1,14 @@
 //! Retries of requests that are safe to send again.
+//!
+//! A retry stays within the caller's deadline, each try within a deadline of its own, and all of a
+//! client account's retries at a service within a budget that its requests earn: when everything
+//! fails, retries add a fifth to the load and no more.
 
+use crate::id::{AccountId, ServiceId, Time};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Why a request was sent again; each has a counter of its own.
 #[derive(
@@ -38,3 +45,133 @@
         Reason::WritesHeld,
     ];
 }
+
+/// Share of requests that may be sent again, over time.
+const BUDGET_RATIO: f64 = 0.2;
+/// Retries that a budget holds at most.
+const BUDGET_CAPACITY: f64 = 20.0;
+/// Retries a second that a budget gains without any request, so that rare callers may retry too.
+const BUDGET_REFILL: f64 = 1.0;
+
+/// How a request is tried again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Policy {
+    /// Time for one try, inside the caller's deadline.
+    pub try_timeout: Duration,
+    /// Delay before the first retry.
+    pub base: Duration,
+    /// Longest delay before a retry.
+    pub cap: Duration,
+    /// Tries of one request.
+    pub max_tries: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            try_timeout: Duration::from_millis(500),
+            base: Duration::from_millis(10),
+            cap: Duration::from_millis(200),
+            max_tries: 32,
+        }
+    }
+}
+
+impl Policy {
+    /// When a try that starts at `now` is given up.
+    pub fn try_deadline(&self, now: Time, deadline: Time) -> Time {
+        deadline.min(now + self.try_timeout)
+    }
+
+    /// Delay before retry number `retry` (from 1), jittered over its upper half by `draw`.
+    pub fn delay(&self, retry: u32, draw: u64) -> Duration {
+        let doublings = retry.saturating_sub(1).min(16);
+        let full = self.cap.min(self.base * (1 << doublings));
+        let half = full / 2;
+        let fraction = (draw >> 11) as f64 / (1u64 << 53) as f64;
+        half + half.mul_f64(fraction)
+    }
+}
+
+/// A seeded source of draws.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Jitter {
+    state: u64,
+}
+
+impl Jitter {
+    /// A source that starts at `seed`.
+    pub fn new(seed: u64) -> Jitter {
+        Jitter { state: seed }
+    }
+
+    /// The next draw, by SplitMix64.
+    pub fn draw(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.state;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+}
+
+impl Reason {
+    /// Whether a retry takes from the budget.
+    ///
+    /// A target that was merely behind, or that holds writes back for a planned promotion, is
+    /// healthy: such retries are bounded by the deadline and their delays alone.
+    pub fn is_budgeted(self) -> bool {
+        !matches!(self, Reason::NotFresh | Reason::WritesHeld)
+    }
+}
+
+/// Retries that one client account has left at one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Budget {
+    tokens: f64,
+    refilled: Time,
+}
+
+impl Budget {
+    fn refill(&mut self, now: Time) {
+        let elapsed = now.saturating_sub(self.refilled).as_secs_f64();
+        self.tokens = BUDGET_CAPACITY.min(self.tokens + elapsed * BUDGET_REFILL);
+        self.refilled = now;
+    }
+}
+
+/// Retry budgets by service and client account.
+#[derive(Debug, Clone, Default)]
+pub struct Budgets {
+    budgets: BTreeMap<(ServiceId, AccountId), Budget>,
+}
+
+impl Budgets {
+    /// Every budget full.
+    pub fn new() -> Budgets {
+        Budgets::default()
+    }
+
+    /// Notes a new request, which earns a part of a retry.
+    pub fn deposit(&mut self, service: ServiceId, account: AccountId, now: Time) {
+        let budget = self.budget(service, account, now);
+        budget.tokens = BUDGET_CAPACITY.min(budget.tokens + BUDGET_RATIO);
+    }
+
+    /// Takes a retry; false when the budget is spent.
+    pub fn withdraw(&mut self, service: ServiceId, account: AccountId, now: Time) -> bool {
+        let budget = self.budget(service, account, now);
+        if budget.tokens < 1.0 {
+            return false;
+        }
+        budget.tokens -= 1.0;
+        true
+    }
+
+    fn budget(&mut self, service: ServiceId, account: AccountId, now: Time) -> &mut Budget {
+        let full = Budget { tokens: BUDGET_CAPACITY, refilled: now };
+        let budget = self.budgets.entry((service, account)).or_insert(full);
+        budget.refill(now);
+        budget
+    }
+}
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,209 @@
+//! Choice of a target for a read, and the check of what it answered.
+//!
+//! What is known of a target's position is a memory: the target may have been rebuilt since, or
+//! its connection may lead to another. So [`candidates`] only orders the targets, and [`verify`]
+//! judges the position that the connection itself answered, in the same round trip and before the
+//! statement's snapshot. Only a verified answer goes to the caller.
+
+use crate::id::{FailureDomainId, TargetId, Time};
+use crate::log::Position;
+use crate::statement::Freshness;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Requests in flight that a target of the host's own failure domain may have more than another.
+const LOCAL_PREFERENCE: u32 = 2;
+
+/// What a target does in its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes writes.
+    Primary,
+    /// Follows the primary.
+    Replica,
+    /// Is being rebuilt; serves nothing.
+    Rebuilding,
+}
+
+/// What is remembered of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct View {
+    /// Its role.
+    pub role: Role,
+    /// Position that it had applied.
+    pub applied: Position,
+    /// Age of its data when it was observed.
+    pub age: Duration,
+    /// When it was observed.
+    pub observed: Time,
+    /// Requests of this host in flight on it.
+    pub in_flight: u32,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Whether its failures have taken it out for now.
+    pub ejected: bool,
+    /// Whether it may receive no new work.
+    pub draining: bool,
+}
+
+/// What a read asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    /// Position that the session has seen.
+    pub token: Option<Position>,
+    /// Stated freshness.
+    pub freshness: Freshness,
+}
+
+/// Bounds on the age of what is served without a stated age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Age of a primary's authority, so that a primary that was cut off serves nothing as fresh.
+    pub primary_age: Duration,
+    /// Age of a replica's data in a read that only carries a session token.
+    pub session_age: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { primary_age: Duration::from_secs(1), session_age: Duration::from_secs(5) }
+    }
+}
+
+/// What a target said of itself on the connection that served the read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// Position applied before the statement's snapshot.
+    pub applied: Position,
+    /// Highest position that it knows to be on a majority.
+    pub confirmed: Position,
+    /// Age of its data.
+    pub age: Duration,
+}
+
+/// What a verified read advances the session to, or why it may not be served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Serve; the token's new position, if any.
+    Serve(Option<Position>),
+    /// The target does not cover the token.
+    Behind,
+    /// The target's data is too old.
+    Old,
+}
+
+impl Demand {
+    /// Whether only the primary may serve it: it carries neither a token nor an age.
+    pub fn needs_primary(&self) -> bool {
+        self.token.is_none() && self.freshness == Freshness::Session
+    }
+
+    fn bound(&self, role: Role, bounds: &Bounds) -> Duration {
+        match self.freshness {
+            Freshness::MaxAge(age) => age,
+            Freshness::Session if role == Role::Primary => bounds.primary_age,
+            Freshness::Session => bounds.session_age,
+        }
+    }
+}
+
+/// How promising a target is; the order of the variants is the order of choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Promise {
+    /// It was seen to cover the demand.
+    Known,
+    /// It should cover the demand by now, by its lag.
+    Expected,
+    /// The primary, which holds everything.
+    Primary,
+    /// It was behind when it was last seen.
+    Unlikely,
+    /// It fails its work; the last resort.
+    Ejected,
+}
+
+/// Targets for a read, best first; `draw` breaks ties.
+pub fn candidates(
+    demand: &Demand,
+    views: &BTreeMap<TargetId, View>,
+    home: FailureDomainId,
+    bounds: &Bounds,
+    now: Time,
+    draw: u64,
+) -> Vec<TargetId> {
+    let primary = views.values().find(|view| view.role == Role::Primary);
+    let mut ranked: Vec<_> = views
+        .iter()
+        .filter(|(_, view)| is_eligible(demand, view))
+        .map(|(id, view)| {
+            let promise = promise(demand, view, primary, bounds, now);
+            let distance = if view.failure_domain == home { 0 } else { LOCAL_PREFERENCE };
+            let tie = (draw ^ u64::from(*id)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            (promise, view.in_flight + distance, tie, *id)
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, _, _, id)| id).collect()
+}
+
+/// Judges the position that a target of `role` answered on the connection that served the read.
+pub fn verify(demand: &Demand, role: Role, answer: &Answer, bounds: &Bounds) -> Verdict {
+    if demand.token.is_some_and(|token| !answer.applied.covers(token)) {
+        return Verdict::Behind;
+    }
+    if answer.age > demand.bound(role, bounds) {
+        return Verdict::Old;
+    }
+    Verdict::Serve(demand.token.max(acknowledged(answer)))
+}
+
+/// The highest position that the answer proves to be both seen and acknowledged.
+///
+/// A target whose log ends in an older term than the confirmed one may hold a tail past the fork;
+/// its position proves nothing.
+fn acknowledged(answer: &Answer) -> Option<Position> {
+    if answer.applied.term < answer.confirmed.term || answer.confirmed == Position::default() {
+        return None;
+    }
+    Some(answer.applied.min(answer.confirmed))
+}
+
+fn is_eligible(demand: &Demand, view: &View) -> bool {
+    match view.role {
+        // A draining primary still holds the writes until another is promoted.
+        Role::Primary => true,
+        Role::Replica => !view.draining && !demand.needs_primary(),
+        Role::Rebuilding => false,
+    }
+}
+
+fn promise(
+    demand: &Demand,
+    view: &View,
+    primary: Option<&View>,
+    bounds: &Bounds,
+    now: Time,
+) -> Promise {
+    if view.ejected {
+        return Promise::Ejected;
+    }
+    if view.role == Role::Primary {
+        return Promise::Primary;
+    }
+    if view.age > demand.bound(view.role, bounds) {
+        return Promise::Unlikely;
+    }
+    let Some(token) = demand.token else { return Promise::Known };
+    if view.applied.covers(token) {
+        return Promise::Known;
+    }
+    // What the primary held longer ago than the replica's lag should have arrived.
+    let arrived = primary.is_some_and(|primary| {
+        primary.applied.covers(token) && now.saturating_sub(primary.observed) >= view.age
+    });
+    if arrived { Promise::Expected } else { Promise::Unlikely }
+}
