Data path cases: each fault at each step of read, write, transaction, retry

Found and mended: COMMIT of an interactive transaction was leased again after a superseded answer, although its statements lie with the caller. Each check is shown to fail: on hand-made traces, and in the search with a false confirmation, without a unique key, and with an unsaid COMMIT.

--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -25,6 +25,7 @@
     service: ServiceId,
     account: AccountId,
     digest: Option<String>,
+    is_whole: bool,
     deadline: Time,
     policy: Policy,
     jitter: Jitter,
@@ -107,6 +108,7 @@
             service,
             account,
             digest,
+            is_whole: true,
             deadline,
             policy: Policy::default(),
             jitter: Jitter::new(seed),
@@ -123,7 +125,9 @@
     /// Its first action is [`Action::Commit`].
     pub fn new_commit(service: ServiceId, account: AccountId, deadline: Time, seed: u64) -> Write {
         let write = Write::new(service, account, None, deadline, seed);
-        Write { state: State::Committing, point: Point::StatementSent, ..write }
+        // Its statements lie with the caller alone, so that it cannot be run again.
+        let point = Point::StatementSent;
+        Write { is_whole: false, state: State::Committing, point, ..write }
     }
 
     /// The same write under `policy`.
@@ -361,7 +365,7 @@
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        let spent = self.tries >= self.policy.max_tries;
+        let spent = !self.is_whole || self.tries >= self.policy.max_tries;
         if spent || retry.is_budgeted() && !budgets.withdraw(self.service, self.account, now) {
             return self.give_up(reason, "no retry is left");
         }
--- /dev/null
+++ b/crates/core/tests/checks.rs
@@ -0,0 +1,66 @@
+//! Each check of the data path fails on a trace that breaks its invariant.
+
+#[allow(dead_code, reason = "not every test uses all of it")]
+mod common;
+
+use bergamotvale_core::log::Position;
+use bergamotvale_core::refusal::{Reason, Refusal};
+use bergamotvale_core::sqlstate::Failure;
+use bergamotvale_core::write::{Action, Event};
+use common::write::{Step, acknowledged_is_confirmed, not_run_is_true, unkeyed_is_sent_once};
+use std::time::Duration;
+
+fn position() -> Position {
+    common::position("3.10")
+}
+
+fn refused() -> Step {
+    Step::Action(Action::Refuse(Refusal::new(Reason::ConnectionLost, "lost")))
+}
+
+#[test]
+fn acknowledgement_without_confirmation_is_seen() {
+    let trace = [Step::Action(Action::Acknowledge(Some(position())))];
+    assert!(acknowledged_is_confirmed(&trace).is_err());
+}
+
+#[test]
+fn acknowledgement_by_a_later_term_is_seen() {
+    let later = Step::Event(Event::Confirmed(common::position("4.11")));
+    let trace = [later, Step::Action(Action::Replay("first".into(), position()))];
+    assert!(acknowledged_is_confirmed(&trace).is_err());
+}
+
+#[test]
+fn false_not_run_is_seen() {
+    let trace = [
+        Step::Action(Action::Commit),
+        Step::Sent,
+        Step::Event(Event::Failed(Failure::Target, "58030".into())),
+        refused(),
+    ];
+    assert!(not_run_is_true(&trace).is_err());
+}
+
+#[test]
+fn denied_commit_may_say_not_run() {
+    let trace = [
+        Step::Action(Action::Commit),
+        Step::Sent,
+        Step::Event(Event::Failed(Failure::Superseded, "BV001".into())),
+        refused(),
+    ];
+    assert!(not_run_is_true(&trace).is_ok());
+}
+
+#[test]
+fn unkeyed_write_sent_again_is_seen() {
+    let trace = [
+        Step::Action(Action::Execute),
+        Step::Sent,
+        Step::Event(Event::ConnectionLost),
+        Step::Action(Action::Lease(Duration::ZERO, None)),
+        Step::Action(Action::Execute),
+    ];
+    assert!(unkeyed_is_sent_once(&trace).is_err());
+}
--- /dev/null
+++ b/crates/core/tests/read.rs
@@ -0,0 +1,185 @@
+//! Faults at each step of a read.
+
+#[allow(dead_code, reason = "not every test uses all of it")]
+mod common;
+
+use bergamotvale_core::id::{FailureDomainId, TargetId, Time};
+use bergamotvale_core::log::Position;
+use bergamotvale_core::read::{Action, Event, Read};
+use bergamotvale_core::refusal::{Reason, Refusal};
+use bergamotvale_core::retry::Budgets;
+use bergamotvale_core::route::{self, Answer, Bounds, Demand, Role, View};
+use bergamotvale_core::sqlstate::Failure;
+use bergamotvale_core::statement::Freshness;
+use common::{case, position};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    #[serde(rename = "fault")]
+    _fault: String,
+    #[serde(rename = "step")]
+    _step: String,
+    given: Given,
+    events: Vec<Happening>,
+    expect: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Given {
+    token: Option<String>,
+    max_age_ms: Option<u64>,
+    timeout_ms: u64,
+    #[serde(default)]
+    home: FailureDomainId,
+    targets: BTreeMap<TargetId, Target>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Target {
+    role: Role,
+    applied: String,
+    #[serde(default)]
+    age_ms: u64,
+    #[serde(default)]
+    in_flight: u32,
+    #[serde(default)]
+    failure_domain: FailureDomainId,
+    #[serde(default)]
+    ejected: bool,
+    #[serde(default)]
+    draining: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Happening {
+    at: u64,
+    on: String,
+    role: Option<Role>,
+    applied: Option<String>,
+    confirmed: Option<String>,
+    #[serde(default)]
+    age_ms: u64,
+    state: Option<String>,
+    reason: Option<Reason>,
+}
+
+impl Given {
+    fn demand(&self) -> Demand {
+        let age = self.max_age_ms.map(Duration::from_millis);
+        Demand {
+            token: self.token.as_deref().map(position),
+            freshness: age.map_or(Freshness::Session, Freshness::MaxAge),
+        }
+    }
+
+    fn candidates(&self, now: Time) -> Vec<TargetId> {
+        let views = self.targets.iter().map(|(id, target)| (*id, view(target))).collect();
+        route::candidates(&self.demand(), &views, self.home, &Bounds::default(), now, 0)
+    }
+}
+
+fn view(target: &Target) -> View {
+    View {
+        role: target.role,
+        applied: position(&target.applied),
+        age: Duration::from_millis(target.age_ms),
+        observed: Duration::ZERO,
+        in_flight: target.in_flight,
+        failure_domain: target.failure_domain,
+        ejected: target.ejected,
+        draining: target.draining,
+    }
+}
+
+fn answer(happening: &Happening) -> Answer {
+    let applied = position(happening.applied.as_deref().expect("an applied position"));
+    let confirmed = happening.confirmed.as_deref().map_or(applied, position);
+    Answer { applied, confirmed, age: Duration::from_millis(happening.age_ms) }
+}
+
+fn event(given: &Given, happening: &Happening, now: Time) -> Event {
+    let reason = || happening.reason.unwrap_or(Reason::ConnectionRefused);
+    match happening.on.as_str() {
+        "choose" => Event::Candidates(given.candidates(now)),
+        "answered" => Event::Answered(happening.role.unwrap_or(Role::Replica), answer(happening)),
+        "failed" => {
+            let code = happening.state.as_deref().expect("an SQLSTATE");
+            Event::Failed(Failure::new(code), code.into())
+        }
+        "no_connection" => Event::NoConnection(reason()),
+        "connection_lost" => Event::ConnectionLost,
+        "timed_out" => Event::TimedOut,
+        "denied" => Event::Denied(Refusal::new(reason(), "denied")),
+        other => panic!("unknown event {other}"),
+    }
+}
+
+fn describe(action: &Action) -> String {
+    match action {
+        Action::Choose(_) => "choose".into(),
+        Action::Try(target, _, None) => format!("try {target}"),
+        Action::Try(target, _, Some(reason)) => format!("try {target}: {reason}"),
+        Action::Serve(Some(position)) => format!("serve {position}"),
+        Action::Serve(None) => "serve".into(),
+        Action::Refuse(refusal) => format!("refuse {}, ran {}", refusal.reason, refusal.ran),
+    }
+}
+
+/// What is served covers the token, is fresh enough, and advances the token to nothing that is
+/// unseen or unconfirmed.
+fn verify_served(given: &Given, served: Option<Position>, answer: &Answer) -> Result<(), String> {
+    let token = given.token.as_deref().map(position);
+    if token.is_some_and(|token| answer.applied < token) {
+        return Err(format!("{} does not cover the token", answer.applied));
+    }
+    if given.max_age_ms.is_some_and(|age| answer.age > Duration::from_millis(age)) {
+        return Err(format!("data of age {:?}", answer.age));
+    }
+    let unproven = served > token && served > Some(answer.applied.min(answer.confirmed));
+    if unproven { Err(format!("token advanced to {served:?}")) } else { Ok(()) }
+}
+
+fn run(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = case(path)?;
+    let deadline = Duration::from_millis(case.given.timeout_ms);
+    let mut read = Read::new(1, 1, case.given.demand(), deadline, 7);
+    let mut budgets = Budgets::new();
+    let mut actions = Vec::new();
+
+    for happening in &case.events {
+        let now = Duration::from_millis(happening.at);
+        let action = read.on(event(&case.given, happening, now), &mut budgets, now);
+        if let Action::Serve(served) = &action {
+            verify_served(&case.given, *served, &answer(happening))?;
+        }
+        actions.push(describe(&action));
+    }
+
+    assert_eq!(actions, case.expect);
+    verify_the_check(&case.given)
+}
+
+/// The check itself fails on an answer behind the token, too old, or of an unconfirmed position.
+fn verify_the_check(given: &Given) -> datatest_stable::Result<()> {
+    let age = Duration::from_secs(3600);
+    let behind = Answer { applied: position("0.1"), confirmed: position("0.1"), age };
+    if given.token.is_some() || given.max_age_ms.is_some() {
+        assert!(verify_served(given, None, &behind).is_err());
+    }
+    let fresh =
+        Answer { applied: position("9.9"), confirmed: position("9.8"), age: Duration::ZERO };
+    assert!(verify_served(given, Some(position("9.9")), &fresh).is_err());
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/cases/read", pattern = r"\.yaml$" },
+}
--- /dev/null
+++ b/crates/core/tests/search.rs
@@ -0,0 +1,259 @@
+//! Seeded search over writes against a small model of a group that loses answers, connections and
+//! primaries.
+
+#[allow(dead_code, reason = "not every test uses all of it")]
+mod common;
+
+use bergamotvale_core::idempotency::Row;
+use bergamotvale_core::log::Position;
+use bergamotvale_core::refusal::{Ran, Reason};
+use bergamotvale_core::retry::Budgets;
+use bergamotvale_core::sqlstate::Failure;
+use bergamotvale_core::write::{Action, Event, Write};
+use common::write::{Step, acknowledged_is_confirmed, not_run_is_true, unkeyed_is_sent_once};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+
+const SEEDS: u64 = 20_000;
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// A way in which the model or its driver breaks the rules on purpose.
+#[derive(Clone, Copy, PartialEq)]
+enum Defect {
+    None,
+    /// The group says that everything is confirmed.
+    FalseConfirmation,
+    /// The database lets two rows with one idempotency key in.
+    NoUniqueKey,
+    /// The driver forgets to say that COMMIT was sent.
+    CommitUnsaid,
+}
+
+/// An entry of the log: whether the write under test made it.
+#[derive(Clone, Copy)]
+struct Entry {
+    position: Position,
+    is_ours: bool,
+}
+
+/// The log of the present primary, and that of one that was superseded and does not know.
+struct Group {
+    rng: StdRng,
+    defect: Defect,
+    term: u64,
+    log: Vec<Entry>,
+    confirmed: usize,
+    fork: Option<(u64, Vec<Entry>)>,
+    is_on_fork: bool,
+    is_open: bool,
+}
+
+impl Group {
+    fn new(seed: u64, defect: Defect) -> Group {
+        let first = Entry { position: Position::new(1, 1), is_ours: false };
+        Group {
+            rng: StdRng::seed_from_u64(seed),
+            defect,
+            term: 1,
+            log: vec![first],
+            confirmed: 1,
+            fork: None,
+            is_on_fork: false,
+            is_open: false,
+        }
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    /// Promotes: everything confirmed survives, and of the rest a part.
+    fn promote(&mut self) {
+        let kept = self.rng.random_range(self.confirmed..=self.log.len());
+        self.fork = Some((self.term, self.log.clone()));
+        self.log.truncate(kept);
+        self.term += 1;
+        self.append(false);
+        self.confirmed = self.log.len();
+        self.is_on_fork = self.is_open;
+    }
+
+    fn append(&mut self, is_ours: bool) -> Position {
+        let position = Position::new(self.term, self.log.len() as u64 + 1);
+        self.log.push(Entry { position, is_ours });
+        position
+    }
+
+    /// The log behind the leased connection, with its term.
+    fn leased(&mut self) -> (u64, &mut Vec<Entry>) {
+        match &mut self.fork {
+            Some((term, log)) if self.is_on_fork => (*term, log),
+            _ => (self.term, &mut self.log),
+        }
+    }
+
+    fn lease(&mut self) -> Event {
+        if self.chance(20) {
+            return Event::NoConnection(Reason::NoPrimary);
+        }
+        self.is_on_fork = self.fork.is_some() && self.chance(20);
+        self.is_open = true;
+        Event::Leased
+    }
+
+    fn execute(&mut self, keyed: bool) -> Event {
+        if self.chance(20) {
+            return self.fail();
+        }
+        let unique = keyed && self.defect != Defect::NoUniqueKey;
+        if unique && self.leased().1.iter().any(|entry| entry.is_ours) {
+            return Event::Conflict;
+        }
+        Event::Executed
+    }
+
+    fn commit(&mut self) -> Event {
+        if self.chance(15) {
+            return self.fail();
+        }
+        if self.is_on_fork && self.chance(50) {
+            return Event::Failed(Failure::Superseded, "BV001".into());
+        }
+        let (term, log) = self.leased();
+        let position = Position::new(term, log.len() as u64 + 1);
+        log.push(Entry { position, is_ours: true });
+        self.is_open = false;
+        match self.chance(30) {
+            true => self.lose(),
+            false => Event::Committed(Some(position)),
+        }
+    }
+
+    fn confirm(&mut self, position: Position) -> Event {
+        if self.defect == Defect::FalseConfirmation {
+            return Event::Confirmed(position);
+        }
+        if self.chance(20) {
+            return self.lose();
+        }
+        if position.term < self.term {
+            return Event::Failed(Failure::Superseded, "BV001".into());
+        }
+        self.confirmed = self.rng.random_range(self.confirmed..=self.log.len());
+        Event::Confirmed(self.log[self.confirmed - 1].position)
+    }
+
+    fn look_up(&mut self) -> Event {
+        if self.chance(20) {
+            return self.lose();
+        }
+        let (_, log) = self.leased();
+        let row = Row { digest: "digest".into(), outcome: "first".into() };
+        let found = log.iter().any(|entry| entry.is_ours).then_some(row);
+        let last = log[log.len() - 1].position;
+        Event::Found(found, last)
+    }
+
+    fn fail(&mut self) -> Event {
+        let codes = ["BV002", "25006", "58030", "23514", "53300"];
+        let code = codes[self.rng.random_range(0..codes.len())];
+        match self.chance(50) {
+            true => self.lose(),
+            false => Event::Failed(Failure::new(code), code.into()),
+        }
+    }
+
+    fn lose(&mut self) -> Event {
+        self.is_open = false;
+        if self.chance(50) { Event::ConnectionLost } else { Event::TimedOut }
+    }
+
+    fn event(&mut self, action: &Action, keyed: bool) -> Option<Event> {
+        if self.chance(10) {
+            self.promote();
+        }
+        Some(match action {
+            Action::Lease(..) => self.lease(),
+            Action::Execute => self.execute(keyed),
+            Action::Commit => self.commit(),
+            Action::Confirm(position, _) => self.confirm(*position),
+            Action::Lookup => self.look_up(),
+            Action::Acknowledge(_) | Action::Replay(..) | Action::Refuse(_) => return None,
+        })
+    }
+}
+
+fn time_after(action: &Action, now: Duration) -> Duration {
+    match action {
+        Action::Lease(at, _) | Action::Confirm(_, at) => now.max(*at) + Duration::from_millis(5),
+        _ => now + Duration::from_millis(5),
+    }
+}
+
+fn run(seed: u64, defect: Defect) -> Result<(), String> {
+    let keyed = seed.is_multiple_of(2);
+    let mut group = Group::new(seed, defect);
+    let mut write = Write::new(1, 1, keyed.then(|| "digest".to_owned()), DEADLINE, seed);
+    let mut budgets = Budgets::new();
+    let mut now = Duration::ZERO;
+    let mut action = write.start(Duration::ZERO, now);
+    let mut trace = vec![Step::Action(action.clone())];
+    while let Some(event) = group.event(&action, keyed) {
+        let unsaid = defect == Defect::CommitUnsaid && action == Action::Commit;
+        if matches!(action, Action::Execute | Action::Commit) && !unsaid {
+            write.sent();
+            trace.push(Step::Sent);
+        }
+        now = time_after(&action, now);
+        trace.push(Step::Event(event.clone()));
+        action = write.on(event, &mut budgets, now);
+        trace.push(Step::Action(action.clone()));
+    }
+    group.promote();
+    judge(&group, &action, &trace, keyed).map_err(|fault| format!("seed {seed}: {fault}"))
+}
+
+fn judge(group: &Group, last: &Action, trace: &[Step], keyed: bool) -> Result<(), String> {
+    let runs = group.log.iter().filter(|entry| entry.is_ours).count();
+    if runs > 1 {
+        return Err(format!("ran {runs} times"));
+    }
+    let is_acknowledged = matches!(last, Action::Acknowledge(_) | Action::Replay(..));
+    if is_acknowledged && runs == 0 {
+        return Err("acknowledged and lost".into());
+    }
+    if matches!(last, Action::Refuse(refusal) if refusal.ran == Ran::No) && runs > 0 {
+        return Err("ran, and refused as not run".into());
+    }
+    acknowledged_is_confirmed(trace)?;
+    not_run_is_true(trace)?;
+    if keyed { Ok(()) } else { unkeyed_is_sent_once(trace) }
+}
+
+fn first_fault(defect: Defect) -> Option<String> {
+    (0..SEEDS).find_map(|seed| run(seed, defect).err())
+}
+
+#[test]
+fn no_seed_breaks_an_invariant() {
+    assert_eq!(first_fault(Defect::None), None);
+}
+
+#[test]
+fn false_confirmation_is_seen() {
+    let fault = first_fault(Defect::FalseConfirmation).expect("a fault");
+    assert!(fault.contains("acknowledged and lost"), "{fault}");
+}
+
+#[test]
+fn missing_unique_key_is_seen() {
+    let fault = first_fault(Defect::NoUniqueKey).expect("a fault");
+    assert!(fault.contains("ran 2 times"), "{fault}");
+}
+
+#[test]
+fn unsaid_commit_is_seen() {
+    let fault = first_fault(Defect::CommitUnsaid).expect("a fault");
+    assert!(fault.contains("not run"), "{fault}");
+}
--- /dev/null
+++ b/crates/core/tests/transaction.rs
@@ -0,0 +1,111 @@
+//! Faults at each step of an interactive transaction.
+
+#[allow(dead_code, reason = "not every test uses all of it")]
+mod common;
+
+use bergamotvale_core::id::{AccountId, KeyId, Time, TransactionId};
+use bergamotvale_core::refusal::Refusal;
+use bergamotvale_core::transaction::{End, Limits, Step, Table, owner};
+use common::case;
+use serde::Deserialize;
+use std::path::Path;
+use std::time::Duration;
+
+const HOST: u32 = 3;
+const SERVICE: u32 = 1;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    #[serde(rename = "fault")]
+    _fault: String,
+    #[serde(rename = "step")]
+    _step: String,
+    given: Given,
+    events: Vec<Happening>,
+    expect: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Given {
+    idle_ms: u64,
+    total_ms: u64,
+    per_account: usize,
+}
+
+/// An event; `id` counts the transactions of the case from 1.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Happening {
+    at: u64,
+    on: String,
+    id: Option<u32>,
+    account: Option<AccountId>,
+    key: Option<KeyId>,
+}
+
+fn id(happening: &Happening) -> TransactionId {
+    (u64::from(HOST) << 32) | u64::from(happening.id.unwrap_or(1))
+}
+
+fn result<T>(result: Result<T, Refusal>) -> String {
+    match result {
+        Ok(_) => "admitted".into(),
+        Err(refusal) => format!("refuse {}, ran {}", refusal.reason, refusal.ran),
+    }
+}
+
+fn closed(ids: &[TransactionId]) -> String {
+    format!("close {}", ids.len())
+}
+
+fn apply(table: &mut Table, happening: &Happening, now: Time) -> String {
+    let account = happening.account.unwrap_or(1);
+    let key = happening.key.unwrap_or(1);
+    let end = |table: &mut Table, end| {
+        table.end(id(happening), end);
+        "ended".to_owned()
+    };
+    match happening.on.as_str() {
+        "begin" => {
+            let begun = table.begin(account, key, SERVICE, now);
+            assert!(begun.as_ref().is_ok_and(|id| owner(*id) == HOST) || begun.is_err());
+            result(begun)
+        }
+        "run" => result(table.start(id(happening), account, Step::Run, now)),
+        "commit" => result(table.start(id(happening), account, Step::Commit, now)),
+        "rollback" => result(table.start(id(happening), account, Step::Rollback, now)),
+        "answered" => format!("goes on: {}", table.finish(id(happening), now)),
+        "committed" => end(table, End::Committed),
+        "rolled_back" => end(table, End::RolledBack),
+        "lost_commit" => end(table, End::Unknown),
+        "sweep" => closed(&table.expire(now)),
+        "withdraw" => closed(&table.withdraw(key)),
+        "stop" => closed(&table.stop()),
+        other => panic!("unknown event {other}"),
+    }
+}
+
+fn run(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = case(path)?;
+    let limits = Limits {
+        idle: Duration::from_millis(case.given.idle_ms),
+        total: Duration::from_millis(case.given.total_ms),
+        per_account: case.given.per_account,
+    };
+    let mut table = Table::new(HOST, 1, limits);
+
+    let results = case
+        .events
+        .iter()
+        .map(|event| apply(&mut table, event, Duration::from_millis(event.at)))
+        .collect::<Vec<_>>();
+
+    assert_eq!(results, case.expect);
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/cases/transaction", pattern = r"\.yaml$" },
+}
