Detection, promotion and planned promotion as machines of the core

A primary is deposed by a majority of the group's watching hosts, or where too few can be heard, by a majority of the group's targets that lost it too.

Opinion gains its holder's verdict, because the threshold depends on what the holder saw. SlotRequest gains a sequence and counts totals, so that a late request cannot give back what a newer one holds.

--- /dev/null
+++ b/crates/core/src/detect.rs
@@ -0,0 +1,375 @@
+//! Whether a group's primary has failed.
+//!
+//! One [`Detector`] per group and host. Its evidence is the answers to probes and the outcomes of
+//! work, since a target may answer probes and fail its work. A host that has seen the primary
+//! fail for the threshold of the [`Cause`] holds it failed, and tells the group's other watchers.
+//! The primary is deposed when a majority of the watchers hold it failed, or, where too few of
+//! them can be heard, when a majority of the group's own targets have lost it too: such a primary
+//! can have nothing confirmed any more.
+//!
+//! A host that was itself stalled has seen nothing: [`Detector::tick`] notices and discards what
+//! it gathered. Nothing here decides what is safe; that is the terms' business (see
+//! [`crate::promotion`]). A wrong verdict costs availability only.
+
+use crate::group::{Role, Status, majority};
+use crate::id::{HostId, TargetId, Time};
+use crate::log::{Position, Term};
+use crate::peer::Opinion;
+use derive_more::Display;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Why a primary counts as failing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Cause {
+    /// It leaves probes unanswered.
+    Silent,
+    /// It refuses connections.
+    Refused,
+    /// It answers probes and fails its work.
+    Poisoned,
+    /// No majority of the group acknowledges it.
+    Isolated,
+    /// No target is the primary of the highest term.
+    Leaderless,
+}
+
+/// How long each sign must last, and how often hosts look.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Time between two calls of [`Detector::tick`].
+    pub tick: Duration,
+    /// A gap between ticks that shows that this host was stalled.
+    pub stall: Duration,
+    /// Unanswered probes.
+    pub silent: Duration,
+    /// Refused connections.
+    pub refused: Duration,
+    /// Failed work with answered probes.
+    pub poisoned: Duration,
+    /// A primary that no majority acknowledges.
+    pub isolated: Duration,
+    /// No primary of the highest term.
+    pub leaderless: Duration,
+    /// Age of the replicas' data that shows that they too have lost the primary.
+    pub abandoned: Duration,
+    /// Time for which a status or a peer's opinion counts.
+    pub recent: Duration,
+}
+
+/// Failures of work in a row that make a target poisoned.
+pub const POISONED_FAILURES: u32 = 3;
+/// Age of a primary's acknowledgement below which it is usual.
+pub const ISOLATED_FLOOR: Duration = Duration::from_millis(400);
+/// Refusals in a row that show that nothing listens.
+pub const REFUSALS: u32 = 2;
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            tick: Duration::from_millis(50),
+            stall: Duration::from_millis(300),
+            silent: Duration::from_millis(1_200),
+            refused: Duration::from_millis(300),
+            poisoned: Duration::from_millis(1_200),
+            isolated: Duration::from_millis(1_200),
+            leaderless: Duration::from_millis(700),
+            abandoned: Duration::from_millis(1_500),
+            recent: Duration::from_millis(1_500),
+        }
+    }
+}
+
+impl Settings {
+    fn threshold(&self, cause: Cause) -> Duration {
+        match cause {
+            Cause::Silent => self.silent,
+            Cause::Refused => self.refused,
+            Cause::Poisoned => self.poisoned,
+            Cause::Isolated => self.isolated,
+            Cause::Leaderless => self.leaderless,
+        }
+    }
+}
+
+/// A run of one kind of failure.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    since: Time,
+    count: u32,
+}
+
+/// What is known of one target.
+#[derive(Debug, Clone, Default)]
+pub struct Health {
+    /// Its last answer.
+    pub status: Option<Status>,
+    /// When that answer came.
+    pub answered: Time,
+    asked: Option<Time>,
+    refused: Option<Run>,
+    failed: Option<Run>,
+}
+
+impl Health {
+    /// Whether its last probe was answered, and nothing has gone wrong since.
+    pub fn works(&self) -> bool {
+        self.status.is_some() && self.refused.is_none() && self.failed.is_none()
+    }
+
+    fn forget_failures(&mut self) {
+        self.asked = None;
+        self.refused = None;
+        self.failed = None;
+    }
+}
+
+/// What the caller has to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Tell the other watchers at once.
+    Tell(Opinion),
+    /// The primary of `term` is to be replaced.
+    Depose {
+        /// Its term, or the highest one granted where it has no primary.
+        term: Term,
+    },
+}
+
+/// Judges one group's primary.
+#[derive(Debug)]
+pub struct Detector {
+    host: HostId,
+    settings: Settings,
+    watchers: BTreeSet<HostId>,
+    targets: BTreeMap<TargetId, Health>,
+    opinions: BTreeMap<HostId, (Time, Opinion)>,
+    leaderless: Option<(Term, Time)>,
+    ticked: Option<Time>,
+    told: Option<Opinion>,
+}
+
+impl Detector {
+    /// A detector that knows nothing yet.
+    pub fn new(
+        host: HostId,
+        targets: impl IntoIterator<Item = TargetId>,
+        settings: Settings,
+    ) -> Detector {
+        Detector {
+            host,
+            settings,
+            watchers: BTreeSet::from([host]),
+            targets: targets.into_iter().map(|id| (id, Health::default())).collect(),
+            opinions: BTreeMap::new(),
+            leaderless: None,
+            ticked: None,
+            told: None,
+        }
+    }
+
+    /// Sets the hosts whose opinions count.
+    pub fn set_watchers(&mut self, watchers: BTreeSet<HostId>) {
+        self.watchers = watchers;
+    }
+
+    /// What is known of each target.
+    pub fn targets(&self) -> &BTreeMap<TargetId, Health> {
+        &self.targets
+    }
+
+    /// The primary of the highest term that any target or peer speaks of.
+    pub fn primary(&self) -> Option<(TargetId, Term)> {
+        let own = self.leader().map(|(id, status)| (id, status.entry.term));
+        let peers = self.opinions.values().map(|(_, opinion)| opinion);
+        let told = peers.filter(|opinion| !opinion.failed);
+        let told = told.map(|opinion| (opinion.primary, opinion.term));
+        own.into_iter().chain(told).max_by_key(|(_, term)| *term)
+    }
+
+    /// A probe was sent.
+    pub fn asked(&mut self, now: Time, target: TargetId) {
+        if let Some(health) = self.targets.get_mut(&target) {
+            health.asked.get_or_insert(now);
+        }
+    }
+
+    /// A probe was answered.
+    pub fn answered(&mut self, now: Time, target: TargetId, status: Status) {
+        if let Some(health) = self.targets.get_mut(&target) {
+            health.status = Some(status);
+            health.answered = now;
+            health.asked = None;
+            health.refused = None;
+        }
+    }
+
+    /// Nothing listens at the target's address, or it reset the connection.
+    pub fn refused(&mut self, now: Time, target: TargetId) {
+        if let Some(health) = self.targets.get_mut(&target) {
+            extend(&mut health.refused, now);
+        }
+    }
+
+    /// The target is alive but has no connection free: no evidence either way.
+    pub fn crowded(&mut self, target: TargetId) {
+        if let Some(health) = self.targets.get_mut(&target) {
+            health.asked = None;
+            health.refused = None;
+        }
+    }
+
+    /// Work on the target ended, well or by the target's own fault.
+    ///
+    /// Errors that are the caller's fault count as well done.
+    pub fn worked(&mut self, now: Time, target: TargetId, well: bool) {
+        let Some(health) = self.targets.get_mut(&target) else { return };
+        if well {
+            health.failed = None;
+        } else {
+            extend(&mut health.failed, now);
+        }
+    }
+
+    /// A peer told its opinion.
+    pub fn heard(&mut self, now: Time, host: HostId, opinion: Opinion) {
+        let newer = self.opinions.get(&host).is_none_or(|(_, known)| known.term <= opinion.term);
+        if newer {
+            self.opinions.insert(host, (now, opinion));
+        }
+    }
+
+    /// Time passes: notices stalls of this host, changes of opinion and failed primaries.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        self.discard_after_stall(now);
+        self.note_leaderless(now);
+        let Some(opinion) = self.opinion(now) else { return Vec::new() };
+        let mut actions = Vec::new();
+        let told = self.told.map(|told| (told.term, told.failed));
+        if told != Some((opinion.term, opinion.failed)) {
+            self.told = Some(opinion);
+            actions.push(Action::Tell(opinion));
+        }
+        if opinion.failed && self.is_deposed(now, opinion.term) {
+            actions.push(Action::Depose { term: opinion.term });
+        }
+        actions
+    }
+
+    /// What this host holds against the primary; none before it knows the group.
+    pub fn opinion(&self, now: Time) -> Option<Opinion> {
+        let (primary, term) = self.subject()?;
+        let worst = self
+            .signs(now)
+            .into_iter()
+            .max_by_key(|(cause, time)| (*time >= self.settings.threshold(*cause), *time));
+        let confirmed = self.confirmed();
+        let (failed, failing) = match worst {
+            Some((cause, time)) => (time >= self.settings.threshold(cause), time),
+            None => (false, Duration::ZERO),
+        };
+        Some(Opinion { primary, term, failing, failed, confirmed })
+    }
+
+    /// Each present sign of failure and how long it has lasted.
+    pub fn signs(&self, now: Time) -> BTreeMap<Cause, Duration> {
+        let mut signs = BTreeMap::new();
+        if let Some((_, since)) = self.leaderless {
+            signs.insert(Cause::Leaderless, now.saturating_sub(since));
+            return signs;
+        }
+        let Some((id, status)) = self.leader() else { return signs };
+        let health = &self.targets[&id];
+        if let Some(asked) = health.asked {
+            signs.insert(Cause::Silent, now.saturating_sub(asked));
+        }
+        if let Some(run) = health.refused.filter(|run| run.count >= REFUSALS) {
+            signs.insert(Cause::Refused, now.saturating_sub(run.since));
+        }
+        if let Some(run) = health.failed.filter(|run| run.count >= POISONED_FAILURES) {
+            signs.insert(Cause::Poisoned, now.saturating_sub(run.since));
+        }
+        if status.age >= ISOLATED_FLOOR {
+            signs.insert(Cause::Isolated, status.age);
+        }
+        signs
+    }
+
+    fn leader(&self) -> Option<(TargetId, Status)> {
+        let statuses = self.targets.iter().filter_map(|(id, health)| Some((*id, health.status?)));
+        statuses.filter(|(_, status)| status.leads()).max_by_key(|(_, status)| status.entry.term)
+    }
+
+    /// Highest term that any target has granted.
+    pub fn accepted(&self) -> Term {
+        let statuses = self.targets.values().filter_map(|health| health.status);
+        statuses.map(|status| status.accepted).max().unwrap_or(0)
+    }
+
+    fn subject(&self) -> Option<(TargetId, Term)> {
+        if let Some((term, _)) = self.leaderless {
+            let last = self.leader().map(|(id, _)| id);
+            return Some((last.unwrap_or_default(), term));
+        }
+        self.leader().map(|(id, status)| (id, status.entry.term))
+    }
+
+    fn confirmed(&self) -> Position {
+        let statuses = self.targets.values().filter_map(|health| health.status);
+        statuses.map(|status| status.confirmed).max().unwrap_or_default()
+    }
+
+    fn discard_after_stall(&mut self, now: Time) {
+        let last = self.ticked.replace(now);
+        if last.is_none_or(|last| now.saturating_sub(last) <= self.settings.stall) {
+            return;
+        }
+        self.targets.values_mut().for_each(Health::forget_failures);
+        self.opinions.clear();
+        self.leaderless = None;
+    }
+
+    fn note_leaderless(&mut self, now: Time) {
+        let accepted = self.accepted();
+        let led = self.leader().is_some_and(|(_, status)| status.entry.term >= accepted);
+        let known = self.targets.values().filter(|health| health.status.is_some()).count();
+        if led || known < majority(self.targets.len()) {
+            self.leaderless = None;
+        } else if self.leaderless.is_none_or(|(term, _)| term != accepted) {
+            self.leaderless = Some((accepted, now));
+        }
+    }
+
+    fn is_deposed(&self, now: Time, term: Term) -> bool {
+        self.is_outvoted(now, term) || self.is_abandoned(now)
+    }
+
+    /// Whether a majority of the watchers hold the primary of `term` failed.
+    fn is_outvoted(&self, now: Time, term: Term) -> bool {
+        let recent = |at: Time| now.saturating_sub(at) <= self.settings.recent;
+        let peers = self.watchers.iter().filter(|host| **host != self.host);
+        let opinions = peers.filter_map(|host| self.opinions.get(host));
+        let against = opinions.filter(|(at, o)| recent(*at) && o.failed && o.term == term).count();
+        let own = usize::from(self.watchers.contains(&self.host));
+        against + own >= majority(self.watchers.len())
+    }
+
+    /// Whether a majority of the group's targets say that they have lost their primary.
+    fn is_abandoned(&self, now: Time) -> bool {
+        let lost = self.targets.values().filter(|health| self.has_lost_primary(now, health));
+        lost.count() >= majority(self.targets.len())
+    }
+
+    fn has_lost_primary(&self, now: Time, health: &Health) -> bool {
+        let recent = now.saturating_sub(health.answered) <= self.settings.recent;
+        let lost =
+            |status: Status| status.role == Role::Replica && status.age >= self.settings.abandoned;
+        recent && health.asked.is_none() && health.status.is_some_and(lost)
+    }
+}
+
+fn extend(run: &mut Option<Run>, now: Time) {
+    let run = run.get_or_insert(Run { since: now, count: 0 });
+    run.count += 1;
+}
--- /dev/null
+++ b/crates/core/src/handover.rs
@@ -0,0 +1,186 @@
+//! Planned promotion: moves a group's primary to a chosen target and loses no request.
+//!
+//! The primary is held, which lets running transactions end and turns new writes away as not run;
+//! hosts keep those and send them again. Once the candidate holds the primary's last entry, and
+//! that entry is confirmed and no longer moves, the ordinary promotion runs with the candidate preferred. Until the
+//! fence every step can be taken back by releasing the hold, and the hold ends by itself when the
+//! host that set it dies. From the fence on the promotion has to be carried through, by this host
+//! or by any other that finds the group without a primary.
+
+use crate::group::Status;
+use crate::id::{TargetId, Time};
+use crate::log::{Position, Term};
+use derive_more::Display;
+use std::time::Duration;
+
+/// Time after which the primary takes writes again by itself.
+pub const HOLD: Duration = Duration::from_millis(1_500);
+/// Time for the candidate to hold all that the primary wrote.
+pub const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which the primary's last entry must stay the same.
+pub const SETTLE: Duration = Duration::from_millis(60);
+/// Time between two looks at both.
+pub const POLL: Duration = Duration::from_millis(20);
+
+/// Why a planned promotion was taken back; nothing has changed then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Abort {
+    /// The primary is not the one that the plan names.
+    Superseded,
+    /// The primary did not let itself be held.
+    NotHeld,
+    /// The candidate did not catch up in time.
+    NotCaughtUp,
+}
+
+/// What the caller has to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Turn writes away at `target` for `time`; zero releases.
+    Hold {
+        /// The primary.
+        target: TargetId,
+        /// How long.
+        time: Duration,
+    },
+    /// Ask `target` for its last entry.
+    Look {
+        /// Whom to ask.
+        target: TargetId,
+    },
+    /// Promote `candidate` over the primary of `term`.
+    Promote {
+        /// The candidate.
+        candidate: TargetId,
+        /// The primary's term.
+        term: Term,
+    },
+    /// Taken back.
+    Aborted {
+        /// Why.
+        reason: Abort,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Holding,
+    CatchingUp,
+    Ended,
+}
+
+/// One planned promotion, up to the fence.
+#[derive(Debug)]
+pub struct Handover {
+    primary: TargetId,
+    term: Term,
+    candidate: TargetId,
+    state: State,
+    started: Time,
+    looked: Time,
+    last: Option<(Time, Position)>,
+    reached: Position,
+    confirmed: Position,
+}
+
+impl Handover {
+    /// Starts to move the primary of `term` to `candidate`.
+    pub fn new(
+        now: Time,
+        primary: TargetId,
+        term: Term,
+        candidate: TargetId,
+    ) -> (Handover, Vec<Action>) {
+        let handover = Handover {
+            primary,
+            term,
+            candidate,
+            state: State::Holding,
+            started: now,
+            looked: now,
+            last: None,
+            reached: Position::default(),
+            confirmed: Position::default(),
+        };
+        (handover, vec![Action::Hold { target: primary, time: HOLD }])
+    }
+
+    /// Whether it has come to an end, one way or the other.
+    pub fn is_ended(&self) -> bool {
+        self.state == State::Ended
+    }
+
+    /// The primary answered the hold, or could not be asked.
+    pub fn held(&mut self, now: Time, entry: Option<Position>) -> Vec<Action> {
+        if self.state != State::Holding {
+            return Vec::new();
+        }
+        match entry {
+            None => self.abort(Abort::NotHeld),
+            Some(_) => {
+                self.state = State::CatchingUp;
+                self.look(now)
+            }
+        }
+    }
+
+    /// `target` told its status.
+    pub fn looked(&mut self, now: Time, target: TargetId, status: &Status) -> Vec<Action> {
+        if self.state != State::CatchingUp {
+            return Vec::new();
+        }
+        if target == self.candidate {
+            self.reached = self.reached.max(status.entry);
+        }
+        if target == self.primary {
+            if !status.leads() || status.entry.term != self.term {
+                return self.abort(Abort::Superseded);
+            }
+            self.confirmed = status.confirmed;
+            if self.last.is_none_or(|(_, known)| known != status.entry) {
+                self.last = Some((now, status.entry));
+            }
+        }
+        self.advance(now)
+    }
+
+    /// Time passes: looks again, and gives up at the bound.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        if self.is_ended() {
+            return Vec::new();
+        }
+        if now.saturating_sub(self.started) >= CATCH_UP_TIMEOUT {
+            let reason =
+                if self.state == State::Holding { Abort::NotHeld } else { Abort::NotCaughtUp };
+            return self.abort(reason);
+        }
+        if self.state == State::CatchingUp && now.saturating_sub(self.looked) >= POLL {
+            return self.look(now);
+        }
+        Vec::new()
+    }
+
+    fn look(&mut self, now: Time) -> Vec<Action> {
+        self.looked = now;
+        [self.primary, self.candidate].map(|target| Action::Look { target }).to_vec()
+    }
+
+    fn advance(&mut self, now: Time) -> Vec<Action> {
+        let Some((since, entry)) = self.last else { return Vec::new() };
+        let settled = now.saturating_sub(since) >= SETTLE;
+        if !settled || self.reached < entry || self.confirmed < entry {
+            return Vec::new();
+        }
+        self.state = State::Ended;
+        vec![Action::Promote { candidate: self.candidate, term: self.term }]
+    }
+
+    fn abort(&mut self, reason: Abort) -> Vec<Action> {
+        self.state = State::Ended;
+        vec![
+            Action::Hold { target: self.primary, time: Duration::ZERO },
+            Action::Aborted { reason },
+        ]
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,13 +6,19 @@
 //! is passed in. The crates round this one supply sockets, timers and storage.
 
 pub mod config;
+pub mod detect;
 pub mod error;
+pub mod group;
+pub mod handover;
 pub mod id;
 pub mod log;
 pub mod peer;
+pub mod promotion;
+pub mod random;
 pub mod refusal;
 pub mod retry;
 pub mod session;
 pub mod statement;
+pub mod watch;
 
 pub use error::{Error, Result};
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -56,6 +56,8 @@
     pub term: Term,
     /// Time for which it has been failing; zero when it works.
     pub failing: Duration,
+    /// Whether that is long enough, for what the host sees, to hold it failed.
+    pub failed: bool,
     /// Last confirmed position that the host saw.
     pub confirmed: Position,
 }
@@ -91,7 +93,7 @@
     pub version: Version,
 }
 
-/// Asks for connection slots to a target.
+/// Asks for connection slots to a target, or gives them back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotRequest {
     /// Borrower.
@@ -100,8 +102,10 @@
     pub service: ServiceId,
     /// The target.
     pub target: TargetId,
-    /// Slots wanted, or given back.
+    /// Slots that the borrower wants to hold, or still holds, from this lender in all.
     pub count: u32,
+    /// Grows with each request of the borrower, also over its restarts.
+    pub sequence: u64,
 }
 
 /// What an owner of a transaction is asked to do.
