Failover driver: probes, peer review and promotions over control connections

Each target has a control connection of its own; one task a service ticks the core's machines and carries out their actions. Work reports its outcomes through Pools::worked; heartbeats carry Failover::opinions and bring Failover::heard.

The default of policy.failover_after rises from 600 ms to 1.2 s, because a primary that pauses for 1 s must stay primary; a refused connection needs a quarter of it.

--- a/crates/core/src/detect.rs
+++ b/crates/core/src/detect.rs
@@ -15,6 +15,7 @@
 use crate::id::{HostId, TargetId, Time};
 use crate::log::{Position, Term};
 use crate::peer::Opinion;
+use crate::promotion::Deposed;
 use derive_more::Display;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -67,21 +68,28 @@
 
 impl Default for Settings {
     fn default() -> Settings {
+        Settings::new(Duration::from_millis(1_200))
+    }
+}
+
+impl Settings {
+    /// Settings that depose a primary which has given no sign of life for `after`.
+    ///
+    /// Where nothing listens any more, a fraction of it is enough.
+    pub fn new(after: Duration) -> Settings {
         Settings {
             tick: Duration::from_millis(50),
             stall: Duration::from_millis(300),
-            silent: Duration::from_millis(1_200),
-            refused: Duration::from_millis(300),
-            poisoned: Duration::from_millis(1_200),
-            isolated: Duration::from_millis(1_200),
-            leaderless: Duration::from_millis(700),
-            abandoned: Duration::from_millis(1_500),
+            silent: after,
+            refused: after / 4,
+            poisoned: after,
+            isolated: after,
+            leaderless: after / 2,
+            abandoned: after + after / 4,
             recent: Duration::from_millis(1_500),
         }
     }
-}
 
-impl Settings {
     fn threshold(&self, cause: Cause) -> Duration {
         match cause {
             Cause::Silent => self.silent,
@@ -130,11 +138,8 @@
 pub enum Action {
     /// Tell the other watchers at once.
     Tell(Opinion),
-    /// The primary of `term` is to be replaced.
-    Depose {
-        /// Its term, or the highest one granted where it has no primary.
-        term: Term,
-    },
+    /// A primary is to be replaced.
+    Depose(Deposed),
 }
 
 /// Judges one group's primary.
@@ -252,7 +257,7 @@
             actions.push(Action::Tell(opinion));
         }
         if opinion.failed && self.is_deposed(now, opinion.term) {
-            actions.push(Action::Depose { term: opinion.term });
+            actions.push(Action::Depose(self.deposed(&opinion)));
         }
         actions
     }
@@ -304,7 +309,7 @@
     /// Highest term that any target has granted.
     pub fn accepted(&self) -> Term {
         let statuses = self.targets.values().filter_map(|health| health.status);
-        statuses.map(|status| status.accepted).max().unwrap_or(0)
+        statuses.map(|status| status.accepted_term).max().unwrap_or(0)
     }
 
     fn subject(&self) -> Option<(TargetId, Term)> {
@@ -341,6 +346,11 @@
         }
     }
 
+    fn deposed(&self, opinion: &Opinion) -> Deposed {
+        let avoid = self.leaderless.is_none().then_some(opinion.primary);
+        Deposed { term: opinion.term, avoid, preferred: None }
+    }
+
     fn is_deposed(&self, now: Time, term: Term) -> bool {
         self.is_outvoted(now, term) || self.is_abandoned(now)
     }
--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -25,7 +25,7 @@
     /// What it does.
     pub role: Role,
     /// Highest term that it has granted.
-    pub accepted: Term,
+    pub accepted_term: Term,
     /// Last entry of its log.
     pub entry: Position,
     /// Last entry that its reads see.
@@ -43,7 +43,7 @@
 impl Status {
     /// Whether it is the primary of the highest term that it knows.
     pub fn leads(&self) -> bool {
-        self.role == Role::Primary && self.accepted == self.entry.term
+        self.role == Role::Primary && self.accepted_term == self.entry.term
     }
 }
 
--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -106,6 +106,8 @@
     pub term: Term,
     /// A target that is not to be chosen while the others suffice.
     pub avoid: Option<TargetId>,
+    /// A target to choose among equals.
+    pub preferred: Option<TargetId>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -113,7 +115,6 @@
     term: Term,
     promoter: PromoterId,
     deposed: Deposed,
-    preferred: Option<TargetId>,
     started: Time,
     sent: Time,
 }
@@ -163,13 +164,13 @@
     pub fn plan(&mut self, now: Time, term: Term, preferred: TargetId) -> Vec<Action> {
         self.accepted = self.accepted.max(term);
         self.attempts = 0;
-        self.start(now, Deposed { term, avoid: None }, Some(preferred))
+        self.start(now, Deposed { term, avoid: None, preferred: Some(preferred) })
     }
 
     /// A target told its status.
     pub fn observe(&mut self, now: Time, status: &Status) {
-        let raised = status.accepted > self.accepted;
-        self.accepted = self.accepted.max(status.accepted);
+        let raised = status.accepted_term > self.accepted;
+        self.accepted = self.accepted.max(status.accepted_term);
         let led = status.leads().then_some(status.entry.term);
         match &mut self.state {
             State::Waiting { deposed, .. } if led.is_some_and(|term| term > deposed.term) => {
@@ -233,20 +234,20 @@
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         match &self.state {
             State::Idle => Vec::new(),
-            State::Waiting { until, deposed } if now >= *until => self.start(now, *deposed, None),
+            State::Waiting { until, deposed } if now >= *until => self.start(now, *deposed),
             State::Waiting { .. } => Vec::new(),
             State::Fencing { .. } => self.tick_fencing(now),
             State::Promoting { .. } => self.tick_promoting(now),
         }
     }
 
-    fn start(&mut self, now: Time, deposed: Deposed, preferred: Option<TargetId>) -> Vec<Action> {
+    fn start(&mut self, now: Time, deposed: Deposed) -> Vec<Action> {
         self.accepted += 1;
         let host = i64::from(self.host) & ((1 << (63 - RANDOM_BITS)) - 1);
         let random = self.random.below(1 << RANDOM_BITS) as PromoterId;
         let promoter = (host << RANDOM_BITS) | random;
         let term = self.accepted;
-        let attempt = Attempt { term, promoter, deposed, preferred, started: now, sent: now };
+        let attempt = Attempt { term, promoter, deposed, started: now, sent: now };
         self.attempts += 1;
         self.state = State::Fencing { attempt, answers: BTreeMap::new(), enough: None };
         fence(self.targets.keys().copied(), attempt)
@@ -305,7 +306,7 @@
         if !all && now.saturating_sub(since) < grace {
             return Vec::new();
         }
-        let Some(target) = choose(&self.targets, &granters, attempt.preferred) else {
+        let Some(target) = choose(&self.targets, &granters, attempt.deposed.preferred) else {
             return self.back_off(now);
         };
         let attempt = Attempt { started: now, sent: now, ..*attempt };
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -1,10 +1,10 @@
 //! Runs one host: binds its listeners, starts its tasks, stops them in order.
 
 use crate::error::Result;
+use crate::failover;
 use crate::front;
 use crate::settings::Settings;
 use crate::shared::Host;
-use crate::target::probe;
 use std::net::TcpListener;
 use std::sync::Arc;
 use tokio::task::JoinSet;
@@ -26,7 +26,7 @@
         load_document(&host).await;
         let front = front::start(host.clone(), callers)?;
         let mut tasks = JoinSet::new();
-        tasks.spawn(probe::run(host.clone()));
+        tasks.spawn(failover::driver::run(host.clone()));
         tasks.spawn(follow_document(host.clone()));
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
         Ok(Daemon { host, front, tasks })
--- /dev/null
+++ b/crates/host/src/failover/planned.rs
@@ -0,0 +1,146 @@
+//! Planned promotions: drives the core's [`Handover`] and then the promoter.
+
+use super::driver;
+use crate::shared::Host;
+use bergamotvale_core::handover::{self, Abort, Handover};
+use bergamotvale_core::id::{ServiceId, TargetId, Time};
+use bergamotvale_core::log::Term;
+use derive_more::{Display, Error};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time for the whole of a planned promotion.
+pub const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why a planned promotion did not come to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum Failure {
+    /// The service has no known primary, or no such target.
+    #[display("no such service, target or primary")]
+    Unknown,
+    /// Another planned promotion of the group runs.
+    #[display("another planned promotion runs")]
+    Busy,
+    /// Taken back; nothing has changed.
+    #[display("taken back: {_0}")]
+    Aborted(#[error(not(source))] Abort),
+    /// Another target than the candidate became primary.
+    #[display("target {_0} became primary")]
+    Other(#[error(not(source))] TargetId),
+    /// Not known to have ended in time; the group decides by itself.
+    #[display("not ended in time")]
+    TimedOut,
+}
+
+/// A planned promotion under way.
+pub(crate) struct Running {
+    handover: Handover,
+    reply: oneshot::Sender<Result<(TargetId, Term), Failure>>,
+    started: Time,
+}
+
+/// Makes `candidate` the primary of `service`; answers its term.
+pub async fn promote(
+    host: &Arc<Host>,
+    service: ServiceId,
+    candidate: TargetId,
+) -> Result<Term, Failure> {
+    let (reply, answer) = oneshot::channel();
+    let now = host.clock.now();
+    let started = host.failover.with(service, |group| {
+        let (primary, term) = group.detector.primary().ok_or(Failure::Unknown)?;
+        if !group.controls.contains_key(&candidate) {
+            return Err(Failure::Unknown);
+        }
+        if primary == candidate {
+            return Ok((Some(term), Vec::new()));
+        }
+        if group.planned.is_some() || !group.promoter.is_idle() {
+            return Err(Failure::Busy);
+        }
+        let (handover, actions) = Handover::new(now, primary, term, candidate);
+        group.planned = Some(Running { handover, reply, started: now });
+        Ok((None, actions))
+    });
+    let (already, actions) = started.unwrap_or(Err(Failure::Unknown))?;
+    if let Some(term) = already {
+        return Ok(term);
+    }
+    carry_out(host, service, actions);
+    let (target, term) = answer.await.unwrap_or(Err(Failure::TimedOut))?;
+    if target == candidate { Ok(term) } else { Err(Failure::Other(target)) }
+}
+
+pub(crate) fn tick(host: &Arc<Host>, service: ServiceId) {
+    let now = host.clock.now();
+    let actions = host.failover.with(service, |group| {
+        let running = group.planned.as_mut()?;
+        if now.saturating_sub(running.started) < TIMEOUT {
+            return Some(running.handover.tick(now));
+        }
+        let running = group.planned.take()?;
+        // The caller may have gone; the group's state does not depend on its hearing this.
+        let _ = running.reply.send(Err(Failure::TimedOut));
+        None
+    });
+    carry_out(host, service, actions.flatten().unwrap_or_default());
+}
+
+/// A promotion of `service` has ended with `target` as the primary.
+pub(crate) fn done(host: &Host, service: ServiceId, target: TargetId, term: Term) {
+    let running = host.failover.with(service, |group| group.planned.take());
+    if let Some(running) = running.flatten() {
+        let _ = running.reply.send(Ok((target, term)));
+    }
+}
+
+fn carry_out(host: &Arc<Host>, service: ServiceId, actions: Vec<handover::Action>) {
+    for action in actions {
+        match action {
+            handover::Action::Hold { target, time } => {
+                tokio::spawn(hold(host.clone(), service, target, time));
+            }
+            handover::Action::Look { target } => {
+                tokio::spawn(look(host.clone(), service, target));
+            }
+            handover::Action::Promote { candidate, term } => {
+                let now = host.clock.now();
+                let plan = host.failover.with(service, |g| g.promoter.plan(now, term, candidate));
+                driver::carry_out(host, service, plan.unwrap_or_default());
+            }
+            handover::Action::Aborted { reason } => {
+                let running = host.failover.with(service, |group| group.planned.take());
+                if let Some(running) = running.flatten() {
+                    let _ = running.reply.send(Err(Failure::Aborted(reason)));
+                }
+            }
+        }
+    }
+}
+
+async fn hold(host: Arc<Host>, service: ServiceId, target: TargetId, time: Duration) {
+    let control = host.failover.with(service, |group| group.controls.get(&target).cloned());
+    let Some(control) = control.flatten() else { return };
+    let entry = control.hold(&host.settings, time).await.ok().flatten();
+    if time.is_zero() {
+        return;
+    }
+    let now = host.clock.now();
+    let actions = host.failover.with(service, |group| {
+        group.planned.as_mut().map(|running| running.handover.held(now, entry))
+    });
+    carry_out(&host, service, actions.flatten().unwrap_or_default());
+}
+
+async fn look(host: Arc<Host>, service: ServiceId, target: TargetId) {
+    let control = host.failover.with(service, |group| group.controls.get(&target).cloned());
+    let Some(control) = control.flatten() else { return };
+    let Ok(status) = control.status(&host.settings).await else { return };
+    let now = host.clock.now();
+    let actions = host.failover.with(service, |group| {
+        group.answered(now, target, status);
+        group.planned.as_mut().map(|running| running.handover.looked(now, target, &status))
+    });
+    carry_out(&host, service, actions.flatten().unwrap_or_default());
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 pub mod error;
 pub mod exec;
+pub mod failover;
 pub mod front;
 pub mod logging;
 pub mod metric;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -368,7 +368,7 @@
             connections: Connections::Shared,
             slots: Slots::Fair,
             failover: Failover::Review,
-            failover_after: Duration::from_millis(600),
+            failover_after: Duration::from_millis(1200),
             probe: Duration::from_millis(150),
             ejection: true,
             retries: true,
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::error::Result;
+use crate::failover::Failover;
 use crate::metric::Registry;
 use crate::platform;
 use crate::settings::Settings;
@@ -24,6 +25,8 @@
     pub metric: Registry,
     /// The platform's service.
     pub platform: platform::Client,
+    /// What is known of the groups' primaries.
+    pub failover: Arc<Failover>,
     /// Connections to the targets, and what is known of them.
     pub pools: Pools,
     /// The configuration in force here.
@@ -37,12 +40,15 @@
     pub fn new(settings: Settings) -> Result<Host> {
         let platform = platform::Client::new(&settings)?;
         let metric = Registry::new(settings.metrics.statsd)?;
+        let incarnation = incarnation();
+        let failover = Arc::new(Failover::new(&settings, incarnation));
         Ok(Host {
-            incarnation: incarnation(),
+            incarnation,
             clock: Clock::new(),
             metric,
             platform,
-            pools: Pools::new(),
+            pools: Pools::new(failover.clone()),
+            failover,
             document: watch::Sender::new(Arc::new(Document::default())),
             stopping: watch::Sender::new(false),
             settings,
--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -6,46 +6,18 @@
 pub mod connection;
 pub mod probe;
 
+use crate::failover::{Failover, driver};
 use crate::shared::Host;
+pub use bergamotvale_core::group::{Role, Status};
 use bergamotvale_core::id::{AccountId, ServiceId, TargetId, Time};
-use bergamotvale_core::log::{Position, Term};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use connection::Connection;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 /// A target of a service.
 pub type Key = (ServiceId, TargetId);
 
-/// Part that a target plays in its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Role {
-    /// Takes writes.
-    Primary,
-    /// Follows.
-    Replica,
-    /// Catches up from nothing.
-    Rebuilding,
-}
-
-/// What a target said of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Status {
-    /// Its part.
-    pub role: Role,
-    /// Highest term that it accepted.
-    pub accepted_term: Term,
-    /// Last entry of its log.
-    pub entry: Position,
-    /// Last entry that its data show.
-    pub applied: Position,
-    /// Highest entry that it knows on a majority.
-    pub confirmed: Position,
-    /// How old its data may be.
-    pub age: Duration,
-}
-
 /// What is known of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct View {
@@ -57,13 +29,13 @@
 
 /// Connections of one host to all targets.
 pub struct Pools {
+    failover: Arc<Failover>,
     state: Mutex<State>,
 }
 
 #[derive(Default)]
 struct State {
     idle: BTreeMap<Key, Vec<Connection>>,
-    views: BTreeMap<Key, View>,
 }
 
 /// A connection with its one owner; closed on drop unless given back clean.
@@ -74,10 +46,9 @@
 }
 
 impl Pools {
-    /// No connection and no view.
-    #[allow(clippy::new_without_default, reason = "construction is by `new` throughout")]
-    pub fn new() -> Pools {
-        Pools { state: Mutex::default() }
+    /// No connection yet.
+    pub fn new(failover: Arc<Failover>) -> Pools {
+        Pools { failover, state: Mutex::default() }
     }
 
     /// Leases a connection to a target for work of `account`.
@@ -98,16 +69,25 @@
 
     /// What is known of the targets of `service`.
     pub fn views(&self, service: ServiceId) -> BTreeMap<TargetId, View> {
-        let state = self.lock();
-        let of_service = state.views.iter().filter(|((s, _), _)| *s == service);
-        of_service.map(|((_, target), view)| (*target, *view)).collect()
+        self.failover.views(service)
     }
 
     /// Target that says, in the highest term, that it is the primary.
     pub fn primary(&self, service: ServiceId) -> Option<TargetId> {
-        let views = self.views(service);
-        let primaries = views.iter().filter(|(_, view)| view.status.role == Role::Primary);
-        primaries.max_by_key(|(_, view)| view.status.accepted_term).map(|(target, _)| *target)
+        self.failover.primary(service).map(|(target, _)| target)
+    }
+
+    /// Work on a target ended, well or by the target's own fault.
+    ///
+    /// A timeout, a broken connection and an internal error are the target's fault; an error for
+    /// the statement's sake is not, and counts as well done.
+    pub fn worked(&self, now: Time, key: Key, well: bool) {
+        self.failover.worked(now, key, well);
+    }
+
+    /// A target said that it is no longer the primary: looks at the group at once.
+    pub fn superseded(&self, host: &Arc<Host>, service: ServiceId) {
+        driver::probe_all(host, service);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
--- a/crates/host/src/target/probe.rs
+++ b/crates/host/src/target/probe.rs
@@ -1,70 +1,171 @@
-//! Asks each target for its status at a fixed period.
+//! The control connection of each target: probes, and the steps of promotions.
+//!
+//! A target's control connection is apart from the leased ones, so that a promotion does not wait
+//! behind callers. Its exchanges may overlap: they are answered in order. One that does not come
+//! back in time takes the connection with it, and the next exchange opens another.
 
-use super::{Key, Role, Status, View, connection::Connection};
-use crate::error::Result;
-use crate::shared::Host;
-use bergamotvale_core::log::Position;
-use std::collections::BTreeMap;
+use super::connection::Connection;
+use super::{Role, Status};
+use crate::error::{Error, Result};
+use crate::settings::Settings;
+use bergamotvale_core::group::Answer;
+use bergamotvale_core::id::PromoterId;
+use bergamotvale_core::log::{Position, Term};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Mutex;
 use tokio_postgres::Row;
+use tokio_postgres::error::SqlState;
+use tokio_postgres::types::{ToSql, Type};
 
 const STATUS: &str = "SELECT * FROM group_status()";
+const FENCE: &str = "SELECT * FROM group_fence($1, $2)";
+const PROMOTE: &str = "SELECT * FROM group_promote($1, $2)";
+const HOLD: &str = "SELECT * FROM group_hold($1)";
 
-/// Probes all targets until the host stops.
-pub async fn run(host: Arc<Host>) {
-    let mut connections = BTreeMap::new();
-    let mut ticks = tokio::time::interval(host.settings.policy.probe);
-    loop {
-        ticks.tick().await;
-        for (key, address) in addresses(&host) {
-            let probe = probe(&host, key, address, &mut connections);
-            if tokio::time::timeout(host.settings.timeouts.connect, probe).await.is_err() {
-                connections.remove(&key);
-            }
+/// Why a target did not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing came back in time.
+    Silent,
+    /// Nothing listens, or the connection was reset.
+    Refused,
+    /// It is alive but has no connection free.
+    Crowded,
+    /// It answered with an error.
+    Failed,
+}
+
+/// The control connection to one target.
+pub struct Control {
+    address: SocketAddr,
+    connection: Mutex<Option<Arc<Connection>>>,
+}
+
+impl Control {
+    /// A control connection that is not open yet.
+    pub fn new(address: SocketAddr) -> Control {
+        Control { address, connection: Mutex::new(None) }
+    }
+
+    /// Where the target listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks for the target's status.
+    pub async fn status(&self, settings: &Settings) -> std::result::Result<Status, Failure> {
+        let row = self.exchange(settings, STATUS, &[]).await?;
+        status(&row).map_err(|_| Failure::Failed)
+    }
+
+    /// Asks the target for a term.
+    pub async fn fence(
+        &self,
+        settings: &Settings,
+        term: Term,
+        promoter: PromoterId,
+    ) -> std::result::Result<Answer, Failure> {
+        let row = self.exchange(settings, FENCE, &[signed(term), promoter]).await?;
+        answer(&row, "granted").map_err(|_| Failure::Failed)
+    }
+
+    /// Asks the target to become the primary of a term.
+    pub async fn promote(
+        &self,
+        settings: &Settings,
+        term: Term,
+        promoter: PromoterId,
+    ) -> std::result::Result<Answer, Failure> {
+        let row = self.exchange(settings, PROMOTE, &[signed(term), promoter]).await?;
+        answer(&row, "promoted").map_err(|_| Failure::Failed)
+    }
+
+    /// Lets the target turn writes away for `time`; answers its last entry once it does.
+    pub async fn hold(
+        &self,
+        settings: &Settings,
+        time: Duration,
+    ) -> std::result::Result<Option<Position>, Failure> {
+        let row = self.exchange(settings, HOLD, &[signed(millis(time))]).await?;
+        let held: bool = row.try_get("held").map_err(|_| Failure::Failed)?;
+        let entry = position(&row, "entry_term", "entry_index").map_err(|_| Failure::Failed)?;
+        Ok(held.then_some(entry))
+    }
+
+    async fn exchange(
+        &self,
+        settings: &Settings,
+        sql: &str,
+        params: &[i64],
+    ) -> std::result::Result<Row, Failure> {
+        let timeout = settings.timeouts.connect;
+        let connection = self.connection(settings).await.map_err(|e| failure(&e))?;
+        let params: Vec<(&(dyn ToSql + Sync), Type)> =
+            params.iter().map(|p| (p as &(dyn ToSql + Sync), Type::INT8)).collect();
+        let query = connection.client().query_typed_one(sql, &params);
+        let answer = connection.exchange(timeout, query).await;
+        if answer.is_err() {
+            self.forget(&connection).await;
         }
+        answer.map_err(|e| failure(&e))
     }
-}
 
-fn addresses(host: &Host) -> Vec<(Key, std::net::SocketAddr)> {
-    let document = host.document();
-    let services = document.services.iter();
-    services
-        .flat_map(|(service, s)| {
-            s.targets.iter().map(|(t, target)| ((*service, *t), target.address))
-        })
-        .collect()
+    async fn connection(&self, settings: &Settings) -> Result<Arc<Connection>> {
+        let mut slot = self.connection.lock().await;
+        if let Some(connection) = slot.as_ref().filter(|c| !c.client().is_closed()) {
+            return Ok(connection.clone());
+        }
+        let connection = Arc::new(Connection::open(self.address, settings).await?);
+        *slot = Some(connection.clone());
+        Ok(connection)
+    }
+
+    async fn forget(&self, connection: &Arc<Connection>) {
+        let mut slot = self.connection.lock().await;
+        if slot.as_ref().is_some_and(|known| Arc::ptr_eq(known, connection)) {
+            *slot = None;
+        }
+    }
 }
 
-async fn probe(
-    host: &Host,
-    key: Key,
-    address: std::net::SocketAddr,
-    connections: &mut BTreeMap<Key, Connection>,
-) {
-    let at = host.clock.now();
-    let connection = match connections.remove(&key) {
-        Some(connection) => connection,
-        None => match Connection::open(address, &host.settings).await {
-            Ok(connection) => connection,
-            Err(_) => return,
+/// What kind of failure an error is.
+pub fn failure(error: &Error) -> Failure {
+    match error {
+        Error::Io(e) if e.kind() == std::io::ErrorKind::TimedOut => Failure::Silent,
+        Error::Io(_) => Failure::Refused,
+        Error::Target(e) => match e.code() {
+            Some(code) if *code == SqlState::TOO_MANY_CONNECTIONS => Failure::Crowded,
+            Some(_) => Failure::Failed,
+            None => Failure::Refused,
         },
-    };
-    if let Ok(status) = ask(&connection).await {
-        host.pools.lock().views.insert(key, View { status, at });
-        connections.insert(key, connection);
+        _ => Failure::Failed,
     }
 }
 
-async fn ask(connection: &Connection) -> Result<Status> {
-    let row = connection.client().query_typed_one(STATUS, &[]).await?;
+fn status(row: &Row) -> Result<Status> {
+    let primary: i64 = row.try_get("primary")?;
     Ok(Status {
         role: role(row.try_get("role")?),
-        accepted_term: unsigned(&row, "accepted_term")?,
-        entry: position(&row, "entry_term", "entry_index")?,
-        applied: position(&row, "applied_term", "applied_index")?,
-        confirmed: position(&row, "confirmed_term", "confirmed_index")?,
-        age: Duration::from_millis(unsigned(&row, "age_ms")?),
+        accepted_term: unsigned(row, "accepted_term")?,
+        entry: position(row, "entry_term", "entry_index")?,
+        applied: position(row, "applied_term", "applied_index")?,
+        confirmed: position(row, "confirmed_term", "confirmed_index")?,
+        age: Duration::from_millis(unsigned(row, "age_ms")?),
+        primary: primary.try_into().ok(),
+        term_start: unsigned(row, "term_start")?,
+    })
+}
+
+fn answer(row: &Row, granted: &str) -> Result<Answer> {
+    let columns = row.columns().iter();
+    let names_voter = columns.into_iter().any(|column| column.name() == "voter");
+    Ok(Answer {
+        granted: row.try_get(granted)?,
+        accepted: unsigned(row, "accepted_term")?,
+        entry: position(row, "entry_term", "entry_index")?,
+        voter: if names_voter { row.try_get("voter")? } else { true },
     })
 }
 
@@ -85,3 +186,11 @@
     let value: i64 = row.try_get(column)?;
     Ok(u64::try_from(value).unwrap_or(0))
 }
+
+fn signed(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
