--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,16 +8,19 @@
 pub mod config;
 pub mod detect;
 pub mod error;
+pub mod fair;
 pub mod group;
 pub mod handover;
 pub mod id;
 pub mod log;
 pub mod peer;
+pub mod pool;
 pub mod promotion;
 pub mod random;
 pub mod refusal;
 pub mod retry;
 pub mod session;
+pub mod slot;
 pub mod statement;
 pub mod watch;
 
