--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,14 +7,21 @@
 
 pub mod ack;
 pub mod config;
+pub mod detect;
 pub mod error;
+pub mod fair;
+pub mod group;
+pub mod handover;
 pub mod id;
 pub mod idempotency;
 pub mod invariant;
 pub mod log;
 pub mod outlier;
 pub mod peer;
+pub mod pool;
 pub mod progress;
+pub mod promotion;
+pub mod random;
 pub mod rate;
 pub mod read;
 pub mod refusal;
@@ -23,10 +30,12 @@
 pub mod route;
 pub mod session;
 pub mod share;
+pub mod slot;
 pub mod sql;
 pub mod sqlstate;
 pub mod statement;
 pub mod transaction;
+pub mod watch;
 pub mod write;
 
 pub use error::{Error, Result};
