Authority, distribution, membership, plans, keys and store policy as core machines

One fleet row with one epoch carries configuration version, digest and member table, so that authority, removal and configuration follow one rule. Heartbeat and Update name the epoch.

--- /dev/null
+++ b/crates/core/src/change.rs
@@ -0,0 +1,158 @@
+//! One attempt to move the fleet row to its next epoch.
+//!
+//! Steps: announce the epoch until enough voters noted it, write conditionally, and, when the
+//! answer is lost, read back before anything is said. A repeated conditional write is idempotent:
+//! it succeeds once, and afterwards the row names its author.
+
+use crate::authority::announcement_quorum;
+use crate::distribute::{Author, Row};
+use crate::id::{Epoch, HostId, Time};
+use derive_more::Display;
+use std::collections::BTreeSet;
+
+/// What the caller has to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Announce the epoch to these voters.
+    Announce(BTreeSet<HostId>),
+    /// Write the row, on condition that the base row is unchanged.
+    Write,
+    /// Read the row.
+    ReadBack,
+    /// Say the outcome.
+    Finish(Outcome),
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Outcome {
+    /// The row is the accepted one.
+    #[display("accepted")]
+    Accepted,
+    /// Another change of the base row was accepted; this one never will be.
+    #[display("overtaken by another change")]
+    Overtaken,
+    /// The write was never sent.
+    #[display("not written")]
+    NotWritten,
+    /// The write may or may not take effect.
+    #[display("outcome unknown")]
+    Unknown,
+}
+
+/// What came of a conditional write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// It took effect.
+    Accepted,
+    /// The row had changed; as it is now.
+    Conflict(Option<Box<Row>>),
+    /// It certainly did not take effect.
+    Refused,
+    /// No answer.
+    Lost,
+}
+
+/// An attempt.
+#[derive(Debug, Clone)]
+pub struct Writer {
+    row: Row,
+    author: Author,
+    voters: BTreeSet<HostId>,
+    noted: BTreeSet<HostId>,
+    deadline: Time,
+    sent: bool,
+}
+
+impl Writer {
+    /// An attempt to write `row`, whose base epoch had `voters`.
+    pub fn new(row: Row, author: Author, voters: BTreeSet<HostId>, deadline: Time) -> Writer {
+        let noted = BTreeSet::new();
+        Writer { row, author, voters, noted, deadline, sent: false }
+    }
+
+    /// The row to write.
+    pub fn row(&self) -> &Row {
+        &self.row
+    }
+
+    /// Begins.
+    pub fn start(&self) -> Action {
+        self.announce_or_write()
+    }
+
+    /// A voter noted the epoch.
+    pub fn noted(&mut self, host: HostId) {
+        if self.voters.contains(&host) {
+            self.noted.insert(host);
+        }
+    }
+
+    /// A host already knows this or a higher epoch.
+    pub fn overtaken(&self, epoch: Epoch) -> Option<Action> {
+        (epoch >= self.row.epoch && !self.sent).then(|| self.finish(Outcome::Overtaken))
+    }
+
+    /// A round of announcements ended.
+    pub fn announced(&self, now: Time) -> Action {
+        if now >= self.deadline && !self.enough() {
+            return self.finish(Outcome::NotWritten);
+        }
+        self.announce_or_write()
+    }
+
+    /// The conditional write came back.
+    pub fn written(&mut self, now: Time, reply: Reply) -> Action {
+        match reply {
+            Reply::Accepted => self.finish(Outcome::Accepted),
+            Reply::Conflict(row) => self.judge(now, row.as_deref()),
+            Reply::Refused if now >= self.deadline => self.give_up(),
+            Reply::Refused => Action::Write,
+            Reply::Lost => {
+                self.sent = true;
+                Action::ReadBack
+            }
+        }
+    }
+
+    /// The row was read; none when the read failed.
+    pub fn read(&self, now: Time, row: Option<&Row>) -> Action {
+        match row {
+            Some(row) if row.epoch >= self.row.epoch => self.judge(now, Some(row)),
+            _ if now >= self.deadline => self.give_up(),
+            Some(_) => Action::Write,
+            None => Action::ReadBack,
+        }
+    }
+
+    fn announce_or_write(&self) -> Action {
+        if self.enough() {
+            return Action::Write;
+        }
+        Action::Announce(self.voters.difference(&self.noted).copied().collect())
+    }
+
+    fn enough(&self) -> bool {
+        self.voters.is_empty() || self.noted.len() >= announcement_quorum(self.voters.len())
+    }
+
+    fn judge(&self, now: Time, row: Option<&Row>) -> Action {
+        let Some(row) = row else {
+            return if now >= self.deadline { self.give_up() } else { Action::ReadBack };
+        };
+        match row.authors.get(&self.row.epoch) {
+            Some(author) if *author == self.author => self.finish(Outcome::Accepted),
+            Some(_) => self.finish(Outcome::Overtaken),
+            None if !self.sent => self.finish(Outcome::Overtaken),
+            None => self.finish(Outcome::Unknown),
+        }
+    }
+
+    fn give_up(&self) -> Action {
+        self.finish(if self.sent { Outcome::Unknown } else { Outcome::NotWritten })
+    }
+
+    fn finish(&self, outcome: Outcome) -> Action {
+        Action::Finish(outcome)
+    }
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -24,6 +24,8 @@
 pub type RequestId = u64;
 /// A version of the configuration.
 pub type Version = u64;
+/// A version of the fleet row: grows with each change of configuration or of members.
+pub type Epoch = u64;
 /// A plan of a planned change.
 pub type PlanId = u64;
 /// A candidate for a group's term: unique to one attempt of one host.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,14 +5,21 @@
 //! with the actions that the caller has to carry out. Randomness comes from a seeded source that
 //! is passed in. The crates round this one supply sockets, timers and storage.
 
+pub mod authority;
+pub mod change;
 pub mod config;
+pub mod distribute;
 pub mod error;
 pub mod id;
+pub mod key;
 pub mod log;
+pub mod member;
 pub mod peer;
+pub mod plan;
 pub mod refusal;
 pub mod retry;
 pub mod session;
 pub mod statement;
+pub mod store;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/core/src/member.rs
@@ -0,0 +1,285 @@
+//! Who belongs to the fleet, and who is still there.
+//!
+//! Three sources are joined. The member table of the fleet row says who may hold shares and vote;
+//! it changes only by conditional writes. The platform's list says who started or is leaving, a
+//! second or more late. Heartbeats say who answers now. A host is proposed for removal when no
+//! host that answers hears it and one of two facts is there: its address refuses connections, or
+//! it is off the platform's list. A host that merely cannot reach its peers stays: it reads the
+//! store, so that it keeps its authority and its shares.
+//!
+//! With few peers every host probes all of them. With more, the hosts form a ring in pseudo-random
+//! order on which each watches a fixed number of successors, so that all watchers of a host watch
+//! or hear each other; and a tree rooted in the voters along which proofs of authority travel.
+
+use crate::id::{Epoch, FailureDomainId, HostId, Incarnation, Time, Version};
+use crate::peer::{Heartbeat, Member};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Time between rounds of heartbeats.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
+/// Peers that a host watches; with no more peers than that, all.
+pub const WATCHED: usize = 8;
+/// Hosts that take their proofs of authority from the same host of the tree.
+pub const TREE_ARITY: usize = 16;
+/// Hosts of the tree from which each host takes its proofs.
+pub const SOURCES: usize = 2;
+/// Silence after which a peer is suspected.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(1500);
+/// Silence after which a suspected peer that is off the list, or refuses connections, is removed.
+pub const REMOVE_AFTER: Duration = Duration::from_secs(2);
+/// Voters of an epoch.
+pub const VOTERS: usize = 9;
+/// Hosts of one failure domain that poll the store.
+pub const POLLERS_PER_DOMAIN: usize = 2;
+
+/// What a failed probe says about a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No answer in time: it may be alive behind a partition.
+    Timeout,
+    /// Its address refuses connections: the process is gone.
+    Refused,
+}
+
+/// What is known of one peer.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Latest identity.
+    pub member: Member,
+    /// Time of its last answer, or when this host began to look.
+    pub last_heard: Time,
+    /// Whether it ever answered.
+    pub heard: bool,
+    /// Epoch that it last said it acts on.
+    pub epoch: Epoch,
+    /// Configuration version that it last said it acts on.
+    pub version: Version,
+    /// Hosts that it does not hear.
+    pub silent: BTreeSet<HostId>,
+    refused: bool,
+}
+
+/// One host's view of its peers.
+#[derive(Debug, Clone)]
+pub struct View {
+    own: HostId,
+    peers: BTreeMap<HostId, Peer>,
+    recorded: BTreeMap<HostId, Incarnation>,
+    listed: Option<BTreeMap<HostId, Incarnation>>,
+    voters: Vec<HostId>,
+    watched: usize,
+}
+
+impl View {
+    /// Knows nobody yet.
+    pub fn new(own: HostId) -> View {
+        View {
+            own,
+            peers: BTreeMap::new(),
+            recorded: BTreeMap::new(),
+            listed: None,
+            voters: Vec::new(),
+            watched: WATCHED,
+        }
+    }
+
+    /// The same view with another number of watched peers.
+    pub fn with_watched(mut self, watched: usize) -> View {
+        self.watched = watched;
+        self
+    }
+
+    /// Takes the member table of an adopted epoch.
+    pub fn record(&mut self, now: Time, members: &BTreeMap<HostId, Member>) {
+        self.recorded = members.iter().map(|(id, m)| (*id, m.incarnation)).collect();
+        self.voters = voters(members).into_keys().collect();
+        for member in members.values() {
+            self.meet(now, member);
+        }
+        self.forget();
+    }
+
+    /// Takes the platform's list.
+    pub fn list(&mut self, now: Time, list: &[Member]) {
+        self.listed = Some(list.iter().map(|m| (m.host, m.incarnation)).collect());
+        for member in list {
+            self.meet(now, member);
+        }
+        self.forget();
+    }
+
+    /// Takes a peer's heartbeat or its answer to one.
+    pub fn heard(&mut self, now: Time, heartbeat: &Heartbeat) {
+        self.meet(now, &heartbeat.member);
+        let Some(peer) = self.peers.get_mut(&heartbeat.member.host) else { return };
+        if peer.member.incarnation != heartbeat.member.incarnation {
+            return;
+        }
+        peer.member.leaving = heartbeat.member.leaving;
+        peer.last_heard = peer.last_heard.max(now);
+        peer.heard = true;
+        peer.refused = false;
+        peer.epoch = peer.epoch.max(heartbeat.epoch);
+        peer.version = peer.version.max(heartbeat.version);
+        peer.silent.clone_from(&heartbeat.silent);
+    }
+
+    /// Takes a failed probe.
+    pub fn failed(&mut self, host: HostId, failure: Failure) {
+        if let Some(peer) = self.peers.get_mut(&host) {
+            peer.refused = failure == Failure::Refused;
+        }
+    }
+
+    /// Peers by id.
+    pub fn peers(&self) -> &BTreeMap<HostId, Peer> {
+        &self.peers
+    }
+
+    /// Peers to probe in each round.
+    pub fn probes(&self) -> Vec<Member> {
+        let mut chosen = self.watched_by(self.own);
+        if self.peers.len() > self.watched {
+            chosen.extend(self.sources());
+            chosen.remove(&self.own);
+        }
+        chosen
+            .iter()
+            .filter_map(|host| self.peers.get(host))
+            .map(|peer| peer.member.clone())
+            .collect()
+    }
+
+    /// Recorded peers that this host does not hear.
+    pub fn silent(&self, now: Time) -> BTreeSet<HostId> {
+        self.silent_for(now, SUSPECT_AFTER)
+    }
+
+    /// Recorded peers to remove from the member table.
+    pub fn removals(&self, now: Time) -> BTreeSet<HostId> {
+        let mut silent = self.silent_for(now, REMOVE_AFTER);
+        silent.retain(|host| self.certainly_gone(*host) && self.heard_by_nobody(now, *host));
+        silent
+    }
+
+    fn silent_for(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
+        let quiet = |peer: &Peer| now.saturating_sub(peer.last_heard) >= time;
+        let mut silent = self.watched_by(self.own);
+        silent.retain(|host| self.recorded.contains_key(host));
+        silent.retain(|host| self.peers.get(host).is_some_and(quiet));
+        silent
+    }
+
+    fn certainly_gone(&self, host: HostId) -> bool {
+        let refused = self.peers.get(&host).is_some_and(|peer| peer.refused);
+        let unlisted = self
+            .listed
+            .as_ref()
+            .is_some_and(|listed| listed.get(&host) != self.recorded.get(&host));
+        refused || unlisted
+    }
+
+    /// Whether every live watcher of `host` misses it too.
+    fn heard_by_nobody(&self, now: Time, host: HostId) -> bool {
+        let live = |peer: &&Peer| now.saturating_sub(peer.last_heard) < SUSPECT_AFTER && peer.heard;
+        let others = self.peers.values().filter(|peer| peer.member.host != host);
+        others
+            .filter(live)
+            .filter(|peer| self.watched_by(peer.member.host).contains(&host))
+            .all(|peer| peer.silent.contains(&host))
+    }
+
+    /// The hosts that follow `watcher` on the ring.
+    fn watched_by(&self, watcher: HostId) -> BTreeSet<HostId> {
+        let mut ring: Vec<HostId> = self.peers.keys().copied().chain([self.own]).collect();
+        ring.sort_by_key(|host| (weight(*host), *host));
+        let start = ring.iter().position(|host| *host == watcher).map_or(0, |index| index + 1);
+        let count = self.watched.min(ring.len() - 1);
+        ring.iter().cycle().skip(start).take(count).copied().collect()
+    }
+
+    /// The hosts above this one in the tree of proofs; for a voter, the other voters.
+    fn sources(&self) -> Vec<HostId> {
+        if self.voters.contains(&self.own) {
+            return self.voters.clone();
+        }
+        let mut rest: Vec<HostId> = self.peers.keys().copied().chain([self.own]).collect();
+        rest.retain(|host| !self.voters.contains(host));
+        rest.sort_by_key(|host| (weight(*host), *host));
+        let Some(index) = rest.iter().position(|host| *host == self.own) else {
+            return Vec::new();
+        };
+        let order: Vec<HostId> = self.voters.iter().chain(&rest).copied().collect();
+        let parent = index / TREE_ARITY;
+        let above = (self.voters.len() + index).max(1);
+        (0..SOURCES).map(|n| order[(parent + n) % above]).collect()
+    }
+
+    /// Adds a peer, or replaces an earlier run of it.
+    fn meet(&mut self, now: Time, member: &Member) {
+        if member.host == self.own {
+            return;
+        }
+        let newer = |peer: &Peer| member.incarnation > peer.member.incarnation;
+        if self.peers.get(&member.host).is_none_or(newer) {
+            let peer = Peer {
+                member: member.clone(),
+                last_heard: now,
+                heard: false,
+                epoch: 0,
+                version: 0,
+                silent: BTreeSet::new(),
+                refused: false,
+            };
+            self.peers.insert(member.host, peer);
+        }
+    }
+
+    /// Drops peers that are neither recorded nor listed.
+    fn forget(&mut self) {
+        let Some(listed) = &self.listed else { return };
+        let recorded = &self.recorded;
+        self.peers.retain(|host, _| recorded.contains_key(host) || listed.contains_key(host));
+    }
+}
+
+/// Voters of an epoch with these members: at most [`VOTERS`], spread over failure domains.
+///
+/// Depends on nothing but the members, so that every host computes the same.
+pub fn voters(members: &BTreeMap<HostId, Member>) -> BTreeMap<HostId, Incarnation> {
+    let staying = || members.values().filter(|member| !member.leaving);
+    let mut ranked: Vec<(usize, u64, &Member)> = Vec::new();
+    let mut seats: BTreeMap<FailureDomainId, usize> = BTreeMap::new();
+    let mut by_weight: Vec<&Member> = staying().collect();
+    if by_weight.is_empty() {
+        by_weight = members.values().collect();
+    }
+    by_weight.sort_by_key(|member| weight(member.host));
+    for member in by_weight {
+        let seat = seats.entry(member.failure_domain).or_default();
+        ranked.push((*seat, weight(member.host), member));
+        *seat += 1;
+    }
+    ranked.sort_by_key(|(seat, weight, member)| (*seat, *weight, member.host));
+    ranked.iter().take(VOTERS).map(|(_, _, m)| (m.host, m.incarnation)).collect()
+}
+
+/// Whether `own` is among the hosts of its failure domain that poll the store.
+pub fn polls(members: &BTreeMap<HostId, Member>, own: HostId, per_domain: usize) -> bool {
+    let Some(member) = members.get(&own) else { return true };
+    let rank = members
+        .values()
+        .filter(|other| other.failure_domain == member.failure_domain)
+        .filter(|other| (weight(other.host), other.host) < (weight(own), own))
+        .count();
+    rank < per_domain
+}
+
+/// Pseudo-random weight of a host.
+fn weight(host: HostId) -> u64 {
+    let mut mixed = u64::from(host).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -3,15 +3,17 @@
 //! The `wire` crate carries these over RPC; the machines of this crate produce and consume them.
 
 use crate::config::{Change, Document};
+use crate::distribute::Row;
 use crate::id::{
-    AccountId, FailureDomainId, HostId, Incarnation, ServiceId, TargetId, TransactionId, Version,
+    AccountId, Epoch, FailureDomainId, HostId, Incarnation, ServiceId, TargetId, TransactionId,
+    Version,
 };
 use crate::log::{Position, Term};
 use crate::refusal::Refusal;
 use crate::session::Token;
 use crate::statement::{Rows, Statement};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,12 +39,14 @@
     pub member: Member,
     /// Version of the configuration that it acts on.
     pub version: Version,
-    /// Version of the member table that it acts on.
-    pub members_version: Version,
-    /// Age of its knowledge of the platform's store; none when it never had any.
-    pub store_age: Option<Duration>,
-    /// Highest version that it heard announced and knows no outcome of.
-    pub announced: Option<Version>,
+    /// Epoch of the fleet row that it acts on.
+    pub epoch: Epoch,
+    /// Age of its proof that no higher epoch was accepted; none when it never had one.
+    pub age: Option<Duration>,
+    /// Highest epoch that it heard announced and knows no outcome of.
+    pub announced: Option<Epoch>,
+    /// Hosts that it has not heard for a while.
+    pub silent: BTreeSet<HostId>,
     /// What it holds against primaries, by service.
     pub opinions: BTreeMap<ServiceId, Opinion>,
 }
@@ -60,18 +64,31 @@
     pub confirmed: Position,
 }
 
-/// Notice that a version is about to be written to the store.
+/// Notice that an epoch is about to be written to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Who writes it.
     pub host: HostId,
-    /// The version.
-    pub version: Version,
+    /// The epoch.
+    pub epoch: Epoch,
+}
+
+/// An accepted epoch passed between hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Host from which it spreads.
+    pub origin: HostId,
+    /// The fleet row as accepted.
+    pub row: Row,
+    /// What turns the receiver's document into the row's.
+    pub body: Body,
 }
 
-/// A configuration passed between hosts.
+/// The configuration that comes with an epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Update {
+pub enum Body {
+    /// The configuration did not change.
+    None,
     /// The edits of one version.
     Change(Change),
     /// The document whole.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,7 @@
 //! The RPC service that each host offers to its peers.
 
 use crate::error::Result;
-use bergamotvale_core::id::Version;
+use bergamotvale_core::id::Epoch;
 use bergamotvale_core::peer::{
     Announcement, Forward, Heartbeat, Outcome, SlotRequest, TokenRequest, Update,
 };
@@ -17,12 +17,12 @@
 pub trait Peer {
     /// Exchanges heartbeats.
     async fn beat(heartbeat: Heartbeat) -> Heartbeat;
-    /// Notes that a version is about to be written; says whether it was still unknown here.
+    /// Notes that an epoch is about to be written; says whether it was still unknown here.
     async fn announce(announcement: Announcement) -> bool;
-    /// Takes an update; answers with the version in force here afterwards.
-    async fn push(update: Update) -> Version;
-    /// Gives what leads from `version` to the one in force here; none when there is nothing newer.
-    async fn fetch(version: Version) -> Option<Update>;
+    /// Takes an update; answers with the epoch in force here afterwards.
+    async fn push(update: Update) -> Epoch;
+    /// Gives what leads from `epoch` to the one in force here; none when there is nothing newer.
+    async fn fetch(epoch: Epoch) -> Option<Update>;
     /// Lends rate tokens; answers with the number lent.
     async fn lend_tokens(request: TokenRequest) -> u32;
     /// Lends connection slots for a lease; answers with the number lent.
