--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod session;
 pub mod statement;
 pub mod store;
+pub mod upkeep;
 
 pub use error::{Error, Result};
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -156,13 +156,23 @@
         self.silent_for(now, SUSPECT_AFTER)
     }
 
-    /// Recorded peers to remove from the member table.
-    pub fn removals(&self, now: Time) -> BTreeSet<HostId> {
-        let mut silent = self.silent_for(now, REMOVE_AFTER);
+    /// Recorded peers that have been gone for `time`.
+    pub fn gone(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
+        let mut silent = self.silent_for(now, time);
         silent.retain(|host| self.certainly_gone(*host) && self.heard_by_nobody(now, *host));
         silent
     }
 
+    /// Recorded peers with a smaller id that answer.
+    pub fn rank(&self, now: Time) -> u32 {
+        let before = self.peers.range(..self.own).map(|(_, peer)| peer);
+        before.filter(|peer| self.answers(now, peer)).count() as u32
+    }
+
+    fn answers(&self, now: Time, peer: &Peer) -> bool {
+        peer.heard && now.saturating_sub(peer.last_heard) < SUSPECT_AFTER
+    }
+
     fn silent_for(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
         let quiet = |peer: &Peer| now.saturating_sub(peer.last_heard) >= time;
         let mut silent = self.watched_by(self.own);
@@ -182,10 +192,9 @@
 
     /// Whether every live watcher of `host` misses it too.
     fn heard_by_nobody(&self, now: Time, host: HostId) -> bool {
-        let live = |peer: &&Peer| now.saturating_sub(peer.last_heard) < SUSPECT_AFTER && peer.heard;
         let others = self.peers.values().filter(|peer| peer.member.host != host);
         others
-            .filter(live)
+            .filter(|peer| self.answers(now, peer))
             .filter(|peer| self.watched_by(peer.member.host).contains(&host))
             .all(|peer| peer.silent.contains(&host))
     }
--- /dev/null
+++ b/crates/core/tests/fleet/mod.rs
@@ -0,0 +1,297 @@
+//! A fleet of the core's machines over a fake store and a fake network, with a manual clock.
+#![allow(dead_code)]
+
+pub(crate) mod checker;
+pub(crate) mod node;
+
+use bergamotvale_core::config::{Account, Document, Key, KeyState, Service, Target, TargetState};
+use bergamotvale_core::distribute::{Author, Row};
+use bergamotvale_core::id::{Epoch, HostId, Time};
+use bergamotvale_core::peer::{Heartbeat, Member, Update};
+use node::Node;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub(crate) const STEP: Duration = Duration::from_millis(10);
+pub(crate) const KEYS: u64 = 64;
+
+/// Deliberate defects, to show that the checkers can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Defect {
+    SkipAnnouncement,
+    LateAnswerOverwrites,
+    ForgetNote,
+    NeverLapse,
+    AnyIncarnationVotes,
+    SayAcceptedWhenLost,
+    InForceAtOnce,
+}
+
+/// What travels; `Store` messages go to and from the store.
+#[derive(Debug, Clone)]
+pub(crate) enum Message {
+    Beat { sent: Time, heartbeat: Heartbeat },
+    BeatAnswer { sent: Time, heartbeat: Heartbeat },
+    Announce { attempt: u64, epoch: Epoch },
+    Noted { attempt: u64, above: bool, epoch: Epoch },
+    Push(Update),
+    Fetch { epoch: Epoch, version: u64 },
+    Read { attempt: Option<u64>, sent: Time },
+    Found { attempt: Option<u64>, sent: Time, row: Option<(Row, Document)> },
+    Write { attempt: u64, row: Row, document: Document },
+    Written { attempt: u64, accepted: bool, row: Option<Row> },
+}
+
+/// The fake table service.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) row: Option<(Row, Document)>,
+    pub(crate) accepted: BTreeMap<Epoch, (Time, Author)>,
+    pub(crate) down: bool,
+    pub(crate) delay: Duration,
+    pub(crate) lose_answers: u32,
+    pub(crate) cut: BTreeSet<HostId>,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) now: Time,
+    pub(crate) nodes: BTreeMap<HostId, Node>,
+    pub(crate) store: Store,
+    pub(crate) cut: BTreeSet<(HostId, HostId)>,
+    pub(crate) defects: BTreeSet<Defect>,
+    pub(crate) random: StdRng,
+    pub(crate) violations: Vec<String>,
+    pub(crate) history: checker::History,
+    queue: BTreeMap<(Time, u64), (Option<HostId>, Option<HostId>, Message)>,
+    sequence: u64,
+}
+
+pub(crate) fn member(host: HostId, incarnation: u64) -> Member {
+    Member {
+        host,
+        incarnation,
+        peer_address: format!("127.0.0.1:{}", 7000 + host).parse().unwrap(),
+        failure_domain: (host % 3) as u16,
+        leaving: false,
+    }
+}
+
+/// One service, one client account, [`KEYS`] keys.
+pub(crate) fn document() -> Document {
+    let target = |n: u16| Target {
+        address: format!("127.0.0.1:{}", 5000 + n).parse().unwrap(),
+        failure_domain: n,
+        connections: 20,
+        state: TargetState::Active,
+    };
+    let service = Service {
+        name: "orders".to_owned(),
+        targets: (0..3).map(|n| (n, target(n))).collect(),
+        retention: Duration::from_secs(60),
+    };
+    let account =
+        Account { name: "loom".to_owned(), rate: 100, burst: 50, weight: 1, services: [1].into() };
+    let key =
+        Key { account: 1, salt: "0".repeat(64), digest: "1".repeat(64), state: KeyState::Active };
+    Document {
+        version: 1,
+        services: [(1, service)].into(),
+        accounts: [(1, account)].into(),
+        keys: (1..=KEYS).map(|id| (id, key.clone())).collect(),
+        routes: BTreeMap::new(),
+    }
+}
+
+impl Fleet {
+    pub(crate) fn new(hosts: u32, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            now: Duration::ZERO,
+            nodes: BTreeMap::new(),
+            store: Store { delay: STEP, ..Store::default() },
+            cut: BTreeSet::new(),
+            defects: BTreeSet::new(),
+            random: StdRng::seed_from_u64(seed),
+            violations: Vec::new(),
+            history: checker::History::default(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+        };
+        for host in 1..=hosts {
+            fleet.start(host);
+        }
+        fleet
+    }
+
+    pub(crate) fn with_defect(mut self, defect: Defect) -> Fleet {
+        self.defects.insert(defect);
+        self
+    }
+
+    /// Starts a host, or a new run of it.
+    pub(crate) fn start(&mut self, host: HostId) {
+        let incarnation = self.now.as_millis() as u64 + 1;
+        self.nodes.insert(host, Node::new(member(host, incarnation), self.now, &self.defects));
+    }
+
+    /// Ends a run at once.
+    pub(crate) fn kill(&mut self, host: HostId) {
+        self.nodes.remove(&host);
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until `done`, at most `time`; says whether it came about.
+    pub(crate) fn run_until(
+        &mut self,
+        time: Duration,
+        mut done: impl FnMut(&mut Fleet) -> bool,
+    ) -> bool {
+        let end = self.now + time;
+        while self.now < end {
+            if done(self) {
+                return true;
+            }
+            self.step();
+        }
+        done(self)
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.now += STEP;
+        checker::check(self);
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let ((_, _), (from, to, message)) = entry.remove_entry();
+            self.deliver(from, to, message);
+        }
+        let hosts: Vec<HostId> = self.nodes.keys().copied().collect();
+        for host in hosts {
+            let now = self.now;
+            let node = self.nodes.get_mut(&host).unwrap();
+            if node.paused {
+                continue;
+            }
+            let sends = node.tick(now);
+            self.send_all(host, sends);
+        }
+        checker::check(self);
+    }
+
+    pub(crate) fn send_all(&mut self, from: HostId, sends: Vec<(Option<HostId>, Message)>) {
+        for (to, message) in sends {
+            let delay = if to.is_none() { self.store.delay } else { STEP };
+            self.send(Some(from), to, delay, message);
+        }
+    }
+
+    fn send(
+        &mut self,
+        from: Option<HostId>,
+        to: Option<HostId>,
+        delay: Duration,
+        message: Message,
+    ) {
+        let jitter = Duration::from_millis(self.random.random_range(0..20));
+        let slow = self.random.random_bool(0.01);
+        let extra =
+            if slow { Duration::from_millis(self.random.random_range(0..3000)) } else { jitter };
+        self.sequence += 1;
+        self.queue.insert((self.now + delay + extra, self.sequence), (from, to, message));
+    }
+
+    fn deliver(&mut self, from: Option<HostId>, to: Option<HostId>, message: Message) {
+        match (from, to) {
+            (Some(from), None) => self.serve(from, message),
+            (from, Some(to)) => {
+                let cut = match from {
+                    Some(from) => self.cut.contains(&(from.min(to), from.max(to))),
+                    None => self.store.cut.contains(&to),
+                };
+                if !cut {
+                    self.hand_over(from, to, message);
+                }
+            }
+            (None, None) => {}
+        }
+    }
+
+    fn hand_over(&mut self, from: Option<HostId>, to: HostId, message: Message) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&to) else {
+            if let Some(sender) = from.and_then(|from| self.nodes.get_mut(&from)) {
+                sender.refused(to);
+            }
+            return;
+        };
+        if node.paused {
+            node.held_back.push((from, message));
+            return;
+        }
+        let sends = node.take(now, from, message);
+        self.send_all(to, sends);
+    }
+
+    fn serve(&mut self, from: HostId, message: Message) {
+        if self.store.down || self.store.cut.contains(&from) {
+            return;
+        }
+        let answer = match message {
+            Message::Read { attempt, sent } => {
+                Message::Found { attempt, sent, row: self.store.row.clone() }
+            }
+            Message::Write { attempt, row, document } => {
+                let accepted = self.accept(&row, document);
+                let row = self.store.row.as_ref().map(|(row, _)| row.clone());
+                Message::Written { attempt, accepted, row }
+            }
+            _ => return,
+        };
+        let write = matches!(answer, Message::Written { accepted: true, .. });
+        if write && self.store.lose_answers > 0 {
+            self.store.lose_answers -= 1;
+            return;
+        }
+        let delay = self.store.delay;
+        self.send(None, Some(from), delay, answer);
+    }
+
+    fn accept(&mut self, row: &Row, document: Document) -> bool {
+        let current = self.store.row.as_ref().map_or(0, |(row, _)| row.epoch);
+        if row.epoch != current + 1 {
+            return false;
+        }
+        self.store.accepted.insert(row.epoch, (self.now, row.authors[&row.epoch]));
+        self.store.row = Some((row.clone(), document));
+        true
+    }
+
+    /// Resumes a paused host; what waited for it comes at once.
+    pub(crate) fn resume(&mut self, host: HostId) {
+        let Some(node) = self.nodes.get_mut(&host) else { return };
+        if !node.paused {
+            return;
+        }
+        node.paused = false;
+        let held_back = std::mem::take(&mut node.held_back);
+        checker::check(self);
+        for (from, message) in held_back {
+            self.hand_over(from, host, message);
+        }
+    }
+
+    pub(crate) fn cut_off(&mut self, host: HostId) {
+        let others: Vec<HostId> = self.nodes.keys().copied().filter(|h| *h != host).collect();
+        for other in others {
+            self.cut.insert((host.min(other), host.max(other)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fleet/node.rs
@@ -0,0 +1,314 @@
+//! One host of the fake fleet: the driver round the core's machines.
+
+use super::{Defect, Message};
+use bergamotvale_core::authority::Holder;
+use bergamotvale_core::change::{Action, Outcome, Reply, Writer};
+use bergamotvale_core::config::{Document, Edit};
+use bergamotvale_core::distribute::{self, Author, Replica, Row, Spread};
+use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::member::{self, Failure, HEARTBEAT_PERIOD, View};
+use bergamotvale_core::peer::{Body, Heartbeat, Member, Update};
+use bergamotvale_core::{key, store, upkeep};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const ROUND: Duration = Duration::from_millis(200);
+
+type Sends = Vec<(Option<HostId>, Message)>;
+
+pub(crate) struct Attempt {
+    pub(crate) number: u64,
+    pub(crate) writer: Writer,
+    pub(crate) document: Document,
+    pub(crate) body: Body,
+    timer: Time,
+    writing: bool,
+}
+
+pub(crate) struct Node {
+    pub(crate) member: Member,
+    pub(crate) holder: Holder,
+    pub(crate) replica: Replica,
+    pub(crate) view: View,
+    pub(crate) spread: Spread,
+    pub(crate) paused: bool,
+    pub(crate) held_back: Vec<(Option<HostId>, Message)>,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) outcomes: BTreeMap<u64, (Row, Outcome)>,
+    pub(crate) defects: BTreeSet<Defect>,
+    pub(crate) wanted: Vec<Vec<Edit>>,
+    pub(crate) stopped: bool,
+    last_wanted: Option<u64>,
+    number: u64,
+    next_beat: Time,
+    next_poll: Time,
+}
+
+impl Node {
+    pub(crate) fn new(member: Member, now: Time, defects: &BTreeSet<Defect>) -> Node {
+        let mut holder = Holder::new(member.host, member.incarnation);
+        if defects.contains(&Defect::NeverLapse) {
+            holder = holder.with_validity(Duration::from_secs(3600));
+        }
+        Node {
+            holder,
+            replica: Replica::new(),
+            view: View::new(member.host),
+            spread: Spread::new(),
+            paused: false,
+            held_back: Vec::new(),
+            attempt: None,
+            outcomes: BTreeMap::new(),
+            defects: defects.clone(),
+            wanted: Vec::new(),
+            stopped: false,
+            last_wanted: None,
+            number: 0,
+            next_beat: now,
+            next_poll: now,
+            member,
+        }
+    }
+
+    /// Whether the host acts on its epoch.
+    pub(crate) fn acts(&self, now: Time) -> bool {
+        !self.paused && self.holder.held(now)
+    }
+
+    /// Whether a caller's key works here.
+    pub(crate) fn serves(&self, now: Time, id: u64) -> bool {
+        self.acts(now) && !self.member.leaving && key::active(self.replica.document(), id)
+    }
+
+    /// Outcome of the latest change that was asked for here.
+    pub(crate) fn outcome(&self) -> Option<Outcome> {
+        self.last_wanted.and_then(|n| self.outcomes.get(&n)).map(|(_, outcome)| *outcome)
+    }
+
+    pub(crate) fn heartbeat(&self, now: Time) -> Heartbeat {
+        Heartbeat {
+            member: self.member.clone(),
+            version: self.replica.row().version,
+            epoch: self.holder.epoch(),
+            age: self.holder.age(now),
+            announced: self.holder.announced().filter(|_| !self.has(Defect::ForgetNote)),
+            silent: self.view.silent(now),
+            opinions: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn refused(&mut self, host: HostId) {
+        self.view.failed(host, Failure::Refused);
+    }
+
+    pub(crate) fn tick(&mut self, now: Time) -> Sends {
+        let mut sends = Sends::new();
+        if self.stopped {
+            return sends;
+        }
+        if now >= self.next_beat {
+            self.next_beat = now + HEARTBEAT_PERIOD;
+            let heartbeat = self.heartbeat(now);
+            let beat = Message::Beat { sent: now, heartbeat };
+            sends.extend(self.view.probes().iter().map(|m| (Some(m.host), beat.clone())));
+        }
+        if now >= self.next_poll {
+            self.next_poll = now + store::POLL_PERIOD;
+            sends.push((None, Message::Read { attempt: None, sent: now }));
+        }
+        self.begin(now);
+        sends.extend(self.timers(now));
+        sends
+    }
+
+    pub(crate) fn take(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
+        match message {
+            Message::Beat { sent, heartbeat } => {
+                self.view.heard(now, &heartbeat);
+                let answer = Message::BeatAnswer { sent, heartbeat: self.heartbeat(now) };
+                let mut sends = vec![(from, answer)];
+                sends.extend(self.catch_up(from, &heartbeat));
+                sends
+            }
+            Message::BeatAnswer { sent, heartbeat } => {
+                self.view.heard(now, &heartbeat);
+                let mut answer = heartbeat.clone();
+                let recorded = self.replica.row().members.get(&heartbeat.member.host);
+                if let Some(m) = recorded.filter(|_| self.has(Defect::AnyIncarnationVotes)) {
+                    answer.member.incarnation = m.incarnation;
+                    answer.epoch = self.holder.epoch();
+                }
+                self.holder.answered(sent, &answer);
+                self.spread.confirmed(heartbeat.member.host, heartbeat.epoch);
+                self.catch_up(from, &heartbeat)
+            }
+            Message::Announce { attempt, epoch } => {
+                let above = self.holder.announce(now, epoch);
+                vec![(from, Message::Noted { attempt, above, epoch: self.holder.epoch() })]
+            }
+            Message::Push(update) => self.adopt(now, update.origin, update.row, update.body),
+            Message::Fetch { epoch, version } => {
+                let update = self.replica.update(self.member.host, epoch, version);
+                update.map(|update| (from, Message::Push(update))).into_iter().collect()
+            }
+            Message::Found { attempt: None, sent, row } => self.found(now, sent, row),
+            other => self.advance(now, from, other),
+        }
+    }
+
+    fn has(&self, defect: Defect) -> bool {
+        self.defects.contains(&defect)
+    }
+
+    fn catch_up(&self, from: Option<HostId>, heartbeat: &Heartbeat) -> Sends {
+        let (epoch, version) = (self.holder.epoch(), self.replica.row().version);
+        if heartbeat.epoch <= epoch {
+            return Sends::new();
+        }
+        vec![(from, Message::Fetch { epoch, version })]
+    }
+
+    fn found(&mut self, now: Time, sent: Time, found: Option<(Row, Document)>) -> Sends {
+        let Some((row, document)) = found else {
+            return Sends::new();
+        };
+        self.holder.read(sent, row.epoch);
+        if self.has(Defect::LateAnswerOverwrites) && row.epoch < self.replica.row().epoch {
+            self.replica = Replica::new();
+        }
+        self.adopt(now, self.member.host, row, Body::Whole(document))
+    }
+
+    fn adopt(&mut self, now: Time, origin: HostId, row: Row, body: Body) -> Sends {
+        if self.replica.take(row.clone(), body.clone()).is_err() {
+            return Sends::new();
+        }
+        self.holder.adopt(row.epoch, &row.members, member::voters(&row.members));
+        self.view.record(now, &row.members);
+        self.spread.accepted(now, &row, self.member.host);
+        let own = self.member.host;
+        let children = distribute::children(&row.members, origin, own, distribute::FAN_OUT);
+        let update = Update { origin, row, body };
+        if origin == own && self.attempt.is_none() {
+            return Sends::new();
+        }
+        children.into_iter().map(|to| (Some(to), Message::Push(update.clone()))).collect()
+    }
+
+    /// Starts an attempt when one is due.
+    fn begin(&mut self, now: Time) {
+        if self.attempt.is_some() || (self.replica.row().epoch == 0 && self.next_poll == now) {
+            return;
+        }
+        let row = self.replica.row();
+        let own = (self.member.host, self.member.incarnation);
+        let author = Author { host: own.0, incarnation: own.1, attempt: self.number + 1 };
+        let next = row.successor(author);
+        let duty = upkeep::duty(now, &self.member, &self.holder, &self.view, row);
+        let (row, document, body) = if let Some(duty) = duty {
+            (duty.apply(next, &self.member), self.replica.document().clone(), Body::None)
+        } else if let Some(edits) = self.wanted.pop() {
+            let Ok((change, document)) = self.replica.propose(edits) else { return };
+            self.last_wanted = Some(self.number + 1);
+            (next.with_config(change.version, "digest"), document, Body::Change(change))
+        } else {
+            return;
+        };
+        let (row, document, body) = if row.epoch == 1 && row.version == 0 {
+            (row.with_config(1, "digest"), super::document(), Body::Whole(super::document()))
+        } else {
+            (row, document, body)
+        };
+        self.number += 1;
+        let base = member::voters(&self.replica.row().members);
+        let voters = base.into_keys().collect();
+        let writer = Writer::new(row, author, voters, now + store::CHANGE_TIMEOUT);
+        let number = self.number;
+        self.attempt = Some(Attempt { number, writer, document, body, timer: now, writing: false });
+    }
+
+    fn timers(&mut self, now: Time) -> Sends {
+        let Some(attempt) = &mut self.attempt else { return Sends::new() };
+        if now < attempt.timer {
+            return Sends::new();
+        }
+        let action = if attempt.writing {
+            attempt.writer.written(now, Reply::Lost)
+        } else if self.defects.contains(&Defect::SkipAnnouncement) {
+            Action::Write
+        } else {
+            attempt.writer.announced(now)
+        };
+        self.perform(now, action)
+    }
+
+    /// Moves the attempt on with an answer that belongs to it.
+    fn advance(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
+        let Some(attempt) = &mut self.attempt else { return Sends::new() };
+        let action = match message {
+            Message::Noted { attempt: number, above, epoch } if number == attempt.number => {
+                if above {
+                    attempt.writer.noted(from.unwrap());
+                }
+                attempt.writer.overtaken(epoch)
+            }
+            Message::Written { attempt: number, accepted, row } if number == attempt.number => {
+                let reply =
+                    if accepted { Reply::Accepted } else { Reply::Conflict(row.map(Box::new)) };
+                Some(attempt.writer.written(now, reply))
+            }
+            Message::Found { attempt: Some(number), row, .. } if number == attempt.number => {
+                Some(attempt.writer.read(now, row.as_ref().map(|(row, _)| row)))
+            }
+            _ => None,
+        };
+        action.map(|action| self.perform(now, action)).unwrap_or_default()
+    }
+
+    fn perform(&mut self, now: Time, action: Action) -> Sends {
+        let Some(attempt) = &mut self.attempt else { return Sends::new() };
+        let number = attempt.number;
+        let row = attempt.writer.row().clone();
+        match action {
+            Action::Announce(voters) => {
+                attempt.timer = now + ROUND;
+                if voters.contains(&self.member.host) && self.holder.announce(now, row.epoch) {
+                    attempt.writer.noted(self.member.host);
+                }
+                let message = Message::Announce { attempt: number, epoch: row.epoch };
+                let others = voters.into_iter().filter(|v| *v != self.member.host);
+                others.map(|voter| (Some(voter), message.clone())).collect()
+            }
+            Action::Write => {
+                attempt.writing = true;
+                attempt.timer = now + store::WRITE_TIMEOUT;
+                let document = attempt.document.clone();
+                vec![(None, Message::Write { attempt: number, row, document })]
+            }
+            Action::ReadBack => {
+                attempt.timer = now + store::READ_TIMEOUT;
+                vec![(None, Message::Read { attempt: Some(number), sent: now })]
+            }
+            Action::Finish(outcome) => self.finish(now, outcome),
+        }
+    }
+
+    fn finish(&mut self, now: Time, outcome: Outcome) -> Sends {
+        let attempt = self.attempt.as_ref().unwrap();
+        let row = attempt.writer.row().clone();
+        let said = match outcome {
+            Outcome::Unknown | Outcome::Overtaken if self.has(Defect::SayAcceptedWhenLost) => {
+                Outcome::Accepted
+            }
+            other => other,
+        };
+        self.outcomes.insert(attempt.number, (row.clone(), said));
+        let body = attempt.body.clone();
+        let sends = match outcome {
+            Outcome::Accepted => self.adopt(now, self.member.host, row, body),
+            _ => Sends::new(),
+        };
+        self.attempt = None;
+        sends
+    }
+}
