--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -1,5 +1,5 @@
 //! A fleet of the core's machines over a fake store and a fake network, with a manual clock.
-#![allow(dead_code)]
+#![allow(dead_code, clippy::unwrap_used, reason = "shared by several test binaries")]
 
 pub(crate) mod checker;
 pub(crate) mod node;
@@ -55,6 +55,9 @@
     pub(crate) cut: BTreeSet<HostId>,
 }
 
+/// Sender, receiver (none for the store) and message.
+type Envelope = (Option<HostId>, Option<HostId>, Message);
+
 pub(crate) struct Fleet {
     pub(crate) now: Time,
     pub(crate) nodes: BTreeMap<HostId, Node>,
@@ -64,7 +67,7 @@
     pub(crate) random: StdRng,
     pub(crate) violations: Vec<String>,
     pub(crate) history: checker::History,
-    queue: BTreeMap<(Time, u64), (Option<HostId>, Option<HostId>, Message)>,
+    queue: BTreeMap<(Time, u64), Envelope>,
     sequence: u64,
 }
 
