Operators' command line and the two clients

The command had no grammar and nothing could speak to a host. clap's builder declares the commands; a key is never an argument.

--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,230 @@
+//! Results on standard output: tables for people, or one JSON document.
+
+use crate::args::Output;
+use crate::client::report::{Audit, Plan, Status};
+use crate::error::{Error, Result};
+use serde::Serialize;
+use std::fmt::Write;
+use std::io::Write as _;
+
+/// Spaces between two columns.
+const GUTTER: usize = 2;
+
+/// Prints `result`, for people through `render`.
+pub fn print<T>(output: Output, result: &T, render: fn(&T) -> String) -> Result<()>
+where
+    T: Serialize + ?Sized,
+{
+    let text = match output {
+        Output::Human => render(result),
+        Output::Json => json(result)?,
+    };
+    let mut stdout = std::io::stdout().lock();
+    writeln!(stdout, "{}", text.trim_end())?;
+    Ok(())
+}
+
+/// `value` as indented JSON.
+pub fn json<T: Serialize + ?Sized>(value: &T) -> Result<String> {
+    serde_json::to_string_pretty(value).map_err(|error| Error::Io(error.into()))
+}
+
+/// Lines up `rows` under `header`; every cell but the last is padded.
+pub fn table(header: &[&str], rows: &[Vec<String>]) -> String {
+    let widths = widths(header, rows);
+    let mut text = line(header.iter().copied(), &widths);
+    for row in rows {
+        text.push_str(&line(row.iter().map(String::as_str), &widths));
+    }
+    text
+}
+
+fn widths(header: &[&str], rows: &[Vec<String>]) -> Vec<usize> {
+    let mut widths: Vec<usize> = header.iter().map(|cell| cell.chars().count()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = cell.chars().count().max(*width);
+        }
+    }
+    widths
+}
+
+fn line<'a>(cells: impl Iterator<Item = &'a str>, widths: &[usize]) -> String {
+    let mut text = String::new();
+    for (cell, width) in cells.zip(widths) {
+        text.push_str(cell);
+        let padding = width - cell.chars().count() + GUTTER;
+        text.push_str(&" ".repeat(padding));
+    }
+    format!("{}\n", text.trim_end())
+}
+
+/// The fleet, for people.
+pub fn status(status: &Status) -> String {
+    let mut text = summary(status);
+    text.push('\n');
+    text.push_str(&members(status));
+    text.push('\n');
+    text.push_str(&targets(status));
+    text.push('\n');
+    text.push_str(&accounts(status));
+    text
+}
+
+fn summary(status: &Status) -> String {
+    let authority = if status.authority.held { "held" } else { "lapsed" };
+    let by = status.authority.by.as_deref().unwrap_or("nobody");
+    let mut text = String::new();
+    let _ = writeln!(text, "host {} incarnation {}", status.host, status.incarnation);
+    let _ = writeln!(text, "configuration {}, authority {authority} by {by}", status.version);
+    let change = &status.change;
+    let _ =
+        writeln!(text, "accepted {}, in force everywhere: {}", change.accepted, change.in_force);
+    text
+}
+
+fn members(status: &Status) -> String {
+    let rows: Vec<_> = status
+        .members
+        .iter()
+        .map(|member| {
+            vec![
+                member.host.to_string(),
+                member.incarnation.to_string(),
+                member.version.to_string(),
+                if member.leaving { "leaving" } else { "live" }.to_owned(),
+                maybe(member.last_heard_ms),
+            ]
+        })
+        .collect();
+    table(&["HOST", "INCARNATION", "VERSION", "STATE", "HEARD MS AGO"], &rows)
+}
+
+fn targets(status: &Status) -> String {
+    let mut rows = Vec::new();
+    for service in &status.services {
+        for target in &service.targets {
+            let is_primary = service.primary == Some(target.target);
+            let role = if is_primary { "primary" } else { "replica" };
+            rows.push(vec![
+                service.name.clone(),
+                target.target.to_string(),
+                target.role.clone().unwrap_or_else(|| role.to_owned()),
+                service.term.to_string(),
+                target.state.clone(),
+                health(target.healthy, target.ejected).to_owned(),
+                maybe(target.age_ms),
+                text(&target.applied),
+            ]);
+        }
+    }
+    let header = ["SERVICE", "TARGET", "ROLE", "TERM", "STATE", "HEALTH", "AGE MS", "APPLIED"];
+    table(&header, &rows)
+}
+
+fn health(healthy: bool, ejected: bool) -> &'static str {
+    match (healthy, ejected) {
+        (_, true) => "ejected",
+        (true, false) => "good",
+        (false, false) => "failing",
+    }
+}
+
+fn accounts(status: &Status) -> String {
+    let rows: Vec<_> = status
+        .accounts
+        .iter()
+        .map(|account| {
+            vec![
+                account.name.clone(),
+                account.rate.to_string(),
+                account.burst.to_string(),
+                format!("{:.1}", account.held_rate),
+                format!("{:.1}", account.held_burst),
+            ]
+        })
+        .collect();
+    table(&["ACCOUNT", "RATE", "BURST", "HELD RATE", "HELD BURST"], &rows)
+}
+
+/// A plan with its steps, for people.
+pub fn plan(plan: &Plan) -> String {
+    let mut out = String::new();
+    let _ = writeln!(out, "plan {} ({}), from version {}", plan.id, plan.state, plan.version);
+    let _ = writeln!(out, "intent {}", plan.intent);
+    if let Some(operator) = &plan.confirmed_by {
+        let _ = writeln!(out, "confirmed by {operator}");
+    }
+    let rows: Vec<_> = plan
+        .steps
+        .iter()
+        .map(|step| {
+            vec![
+                step.number.to_string(),
+                step.state.to_string(),
+                step.command.clone(),
+                text(&step.touches),
+                text(&step.check),
+                step.detail.clone().unwrap_or_default(),
+            ]
+        })
+        .collect();
+    out.push_str(&table(&["STEP", "STATE", "COMMAND", "TOUCHES", "CHECK", "DETAIL"], &rows));
+    out
+}
+
+/// A plan that waits for confirmation, for people.
+pub fn proposal(proposal: &Plan) -> String {
+    format!(
+        "{}\nNothing has changed. To carry it out: bergamotvale confirm {}\n",
+        plan(proposal),
+        proposal.id
+    )
+}
+
+/// Plans, for people.
+pub fn plans(plans: &[Plan]) -> String {
+    let rows: Vec<_> = plans
+        .iter()
+        .map(|plan| {
+            vec![
+                plan.id.to_string(),
+                plan.state.to_string(),
+                plan.version.to_string(),
+                plan.confirmed_by.clone().unwrap_or_default(),
+                plan.intent.to_string(),
+            ]
+        })
+        .collect();
+    table(&["PLAN", "STATE", "VERSION", "CONFIRMED BY", "INTENT"], &rows)
+}
+
+/// What operators did, for people.
+pub fn audit(audit: &Audit) -> String {
+    let rows: Vec<_> = audit
+        .entries
+        .iter()
+        .map(|entry| {
+            vec![
+                text(&entry.at),
+                entry.operator.clone(),
+                entry.action.clone(),
+                maybe(entry.plan),
+                entry.outcome.clone(),
+            ]
+        })
+        .collect();
+    table(&["AT", "OPERATOR", "ACTION", "PLAN", "OUTCOME"], &rows)
+}
+
+fn maybe<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
+
+/// A string without its quotes, anything else as JSON.
+fn text(value: &serde_json::Value) -> String {
+    match value.as_str() {
+        Some(text) => text.to_owned(),
+        None => value.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,142 @@
+//! Carries out a command line.
+
+use crate::args::{Access, Command, Invocation, Output, grammar};
+use crate::client::intent::Intent;
+use crate::client::operator::Client;
+use crate::client::report::{Plan, State};
+use crate::error::{Error, Result};
+use crate::{client, output};
+use bergamotvale_core::id::PlanId;
+use clap_complete::Shell;
+use std::path::Path;
+use std::time::Duration;
+
+/// Time that a confirmed plan is waited for.
+const PLAN_TIMEOUT: Duration = Duration::from_secs(300);
+
+/// Carries out `invocation` and prints its result.
+pub async fn run(invocation: Invocation) -> Result<()> {
+    let output = invocation.output;
+    let access = invocation.access;
+    match invocation.command {
+        Command::Status => {
+            let status = connect(&access)?.status().await?;
+            output::print(output, &status, output::status)
+        }
+        Command::Propose { intent, yes } => propose(&access, output, &intent, yes).await,
+        Command::Confirm { plan, wait } => confirm(&access, output, plan, wait).await,
+        Command::Plans(None) => {
+            let plans = connect(&access)?.plans().await?;
+            output::print(output, plans.as_slice(), output::plans)
+        }
+        Command::Plans(Some(plan)) => {
+            let plan = connect(&access)?.plan(plan).await?;
+            output::print(output, &plan, output::plan)
+        }
+        Command::KeyIssue(account) => {
+            let issued = connect(&access)?.issue_key(&account).await?;
+            output::print(output, &issued, |issued| {
+                format!("key {}\n{}\nIt is not shown again.", issued.key_id, issued.key)
+            })
+        }
+        Command::KeyWithdraw(key) => {
+            let accepted = connect(&access)?.withdraw_key(key).await?;
+            output::print(output, &accepted, |accepted| format!("accepted {accepted}"))
+        }
+        Command::ConfigPut(file) => {
+            let document = read_document(&file)?;
+            connect(&access)?.put_config(document).await
+        }
+        Command::ConfigShow => {
+            let document = connect(&access)?.config().await?;
+            output::print(output, &document, |document| {
+                serde_yaml_ng::to_string(document).unwrap_or_else(|_| document.to_string())
+            })
+        }
+        Command::Audit => {
+            let audit = connect(&access)?.audit().await?;
+            output::print(output, &audit, output::audit)
+        }
+        Command::LogLevel(level) => connect(&access)?.set_log_level(&level).await,
+        Command::Completions(shell) => {
+            completions(shell);
+            Ok(())
+        }
+        Command::Try { .. } | Command::Bench(_) => {
+            Err(Error::Usage("not part of this build".to_owned()))
+        }
+    }
+}
+
+async fn propose(access: &Access, output: Output, intent: &Intent, yes: bool) -> Result<()> {
+    let client = connect(access)?;
+    let plan = client.propose(intent).await?;
+    if !yes {
+        return output::print(output, &plan, output::proposal);
+    }
+    client.confirm(plan.id).await?;
+    finish(&client, output, plan.id).await
+}
+
+async fn confirm(access: &Access, output: Output, plan: PlanId, wait: bool) -> Result<()> {
+    let client = connect(access)?;
+    let confirmed = client.confirm(plan).await?;
+    if !wait {
+        return output::print(output, &confirmed, output::plan);
+    }
+    finish(&client, output, plan).await
+}
+
+async fn finish(client: &Client, output: Output, plan: PlanId) -> Result<()> {
+    let ended: Plan = client.wait(plan, PLAN_TIMEOUT).await?;
+    output::print(output, &ended, output::plan)?;
+    if ended.state == State::Failed {
+        return Err(Error::Verdict(format!("plan {plan}")));
+    }
+    Ok(())
+}
+
+fn connect(access: &Access) -> Result<Client> {
+    let key = operator_key(access.key_file.as_deref())?;
+    let mut builder = client::http();
+    if let Some(ca) = &access.ca {
+        builder = builder.tls_certs_only([certificate(ca)?]);
+    }
+    let client = Client::new(builder.build()?, access.host, &key);
+    Ok(if access.ca.is_some() { client.with_tls() } else { client })
+}
+
+fn certificate(file: &Path) -> Result<reqwest::Certificate> {
+    let pem = read_file(file)?;
+    reqwest::Certificate::from_pem(pem.as_bytes())
+        .map_err(|error| Error::Usage(format!("{}: {error}", file.display())))
+}
+
+fn operator_key(file: Option<&Path>) -> Result<String> {
+    let text = match file {
+        Some(file) => read_file(file)?,
+        None => std::env::var(grammar::KEY_VARIABLE).unwrap_or_default(),
+    };
+    let key = text.trim();
+    if key.is_empty() {
+        let variable = grammar::KEY_VARIABLE;
+        return Err(Error::Usage(format!("no operator key: give --key-file or set {variable}")));
+    }
+    Ok(key.to_owned())
+}
+
+fn read_document(file: &Path) -> Result<serde_json::Value> {
+    let text = read_file(file)?;
+    serde_yaml_ng::from_str(&text)
+        .map_err(|error| Error::Usage(format!("{}: {error}", file.display())))
+}
+
+fn read_file(file: &Path) -> Result<String> {
+    std::fs::read_to_string(file)
+        .map_err(|error| Error::Usage(format!("{}: {error}", file.display())))
+}
+
+fn completions(shell: Shell) {
+    let mut command = grammar::command();
+    clap_complete::generate(shell, &mut command, "bergamotvale", &mut std::io::stdout());
+}
--- /dev/null
+++ b/crates/cli/tests/client.rs
@@ -0,0 +1,149 @@
+//! The clients against canned answers.
+
+use bergamotvale_cli::client;
+use bergamotvale_cli::client::caller::{Client, Failure, Operation, Request};
+use bergamotvale_cli::client::intent::Intent;
+use bergamotvale_cli::client::problem::Problem;
+use bergamotvale_cli::client::value;
+use bergamotvale_core::refusal::{Ran, Reason};
+use bergamotvale_core::statement::{Statement, Value};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const ROWS: &str = r#"{"columns":[{"name":"n","type":"int8"}],"rows":[[7]],"affected":0}"#;
+
+/// A listener that answers its first connection with `answer` and closes it.
+async fn canned(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept");
+        let mut buffer = [0; 4096];
+        let _ = stream.read(&mut buffer).await;
+        let _ = stream.write_all(answer.as_bytes()).await;
+    });
+    address
+}
+
+fn response(status: &str, headers: &str, length: usize, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+fn client(address: SocketAddr) -> Client {
+    Client::new(client::http().build().expect("client"), address)
+}
+
+fn read() -> Request {
+    let statement = Statement { sql: "SELECT 7".to_owned(), params: Vec::new() };
+    Request::new(Operation::Read("orders".to_owned(), statement)).with_key("bv_1_secret")
+}
+
+#[tokio::test]
+async fn whole_answer_carries_session_and_target() {
+    let headers = "bergamotvale-session: 1;1=3.9\r\nbergamotvale-target: 2 replica\r\n";
+    let address = canned(response("200 OK", headers, ROWS.len(), ROWS)).await;
+
+    let answer = client(address).send(&read()).await.expect("answer");
+
+    assert_eq!(answer.rows.rows, vec![vec![Value::Int(7)]]);
+    assert_eq!(answer.session.map(|token| token.to_string()).as_deref(), Some("1;1=3.9"));
+    assert!(answer.served.expect("served").replica);
+    assert!(!answer.replayed);
+}
+
+#[tokio::test]
+async fn cut_answer_leaves_the_outcome_open() {
+    let address = canned(response("200 OK", "", ROWS.len() + 10, ROWS)).await;
+
+    let failure = client(address).send(&read()).await.expect_err("cut");
+
+    assert!(matches!(failure, Failure::Cut(_)), "{failure}");
+    assert_eq!(failure.ran(), Ran::Unknown);
+}
+
+#[tokio::test]
+async fn refused_connection_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    drop(listener);
+
+    let failure = client(address).send(&read()).await.expect_err("unsent");
+
+    assert!(matches!(failure, Failure::Unsent(_)), "{failure}");
+    assert_eq!(failure.ran(), Ran::No);
+}
+
+#[tokio::test]
+async fn refusal_is_typed() {
+    let body = r#"{"type":"urn:bergamotvale:refusal:rate_exceeded","title":"t","status":429,"detail":"d","reason":"rate_exceeded","ran":"no"}"#;
+    let address = canned(response("429 X", "retry-after: 2\r\n", body.len(), body)).await;
+
+    let failure = client(address).send(&read()).await.expect_err("refusal");
+
+    let Failure::Refused(problem) = failure else { panic!("{failure}") };
+    assert_eq!(problem.known_reason(), Some(Reason::RateExceeded));
+    assert_eq!(problem.ran, Some(Ran::No));
+    assert_eq!(problem.retry_after, Some(Duration::from_secs(2)));
+}
+
+#[test]
+fn refusal_without_a_promise_is_unknown() {
+    let problem = Problem::new(502, None, b"<html>bad gateway</html>");
+
+    assert_eq!(Failure::from(problem).ran(), Ran::Unknown);
+}
+
+#[test]
+fn every_reason_is_known_by_its_text() {
+    for reason in Reason::ALL {
+        let body = format!(r#"{{"reason":"{reason}","ran":"no"}}"#);
+
+        let problem = Problem::new(503, None, body.as_bytes());
+
+        assert_eq!(problem.known_reason(), Some(reason));
+    }
+}
+
+#[test]
+fn parameters_travel_as_documented() {
+    let params = vec![
+        Value::Null,
+        Value::Bool(true),
+        Value::Int(-3),
+        Value::Float(0.5),
+        Value::Text("a".to_owned()),
+        Value::Bytes(vec![0, 255]),
+    ];
+
+    let body = value::statement_body(&Statement { sql: "S".to_owned(), params });
+
+    let expected = r#"{"params":[null,true,-3,0.5,"a",{"bytes":"AP8="}],"sql":"S"}"#;
+    assert_eq!(body.to_string(), expected);
+}
+
+#[test]
+fn row_of_another_width_is_no_result() {
+    let body = br#"{"columns":[{"name":"n","type":"int8"}],"rows":[[7,8]],"affected":0}"#;
+
+    assert_eq!(value::rows(body), None);
+}
+
+#[test]
+fn intents_travel_as_documented() {
+    let intent = Intent::Rotate { account: "mill".to_owned(), key_id: 17 };
+
+    let body = serde_json::to_string(&intent).expect("json");
+
+    assert_eq!(body, r#"{"rotate":{"account":"mill","key_id":17}}"#);
+}
+
+proptest! {
+    #[test]
+    fn foreign_bodies_are_no_panic(body in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = value::rows(&body);
+        let _ = Problem::new(500, None, &body).to_string();
+    }
+}
