--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 //! that talks to a host goes through [`client`].
 
 pub mod args;
+pub mod bench;
 pub mod client;
 pub mod error;
 pub mod output;
--- /dev/null
+++ b/crates/cli/tests/admission.rs
@@ -0,0 +1,58 @@
+//! The oracle over every window against a plain count of all of them.
+
+use bergamotvale_cli::bench::admission::{self, Bucket, Span};
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// Counts every window, one by one.
+fn excess_of_all_windows(spans: &[Span], rate: f64, burst: f64) -> f64 {
+    let mut worst = 0.0_f64;
+    for first in spans {
+        for last in spans.iter().filter(|last| last.ended >= first.sent) {
+            let lies_within = |span: &&Span| span.sent >= first.sent && span.ended <= last.ended;
+            let held = spans.iter().filter(lies_within).count() as f64;
+            let length = (last.ended - first.sent).as_secs_f64();
+            worst = worst.max(held - burst - rate * length);
+        }
+    }
+    worst
+}
+
+fn span() -> impl Strategy<Value = Span> {
+    (0..3_000_u64, 0..400_u64).prop_map(|(sent, length)| Span {
+        sent: Duration::from_millis(sent),
+        ended: Duration::from_millis(sent + length),
+    })
+}
+
+proptest! {
+    #[test]
+    fn oracle_agrees_with_all_windows(
+        spans in proptest::collection::vec(span(), 0..60),
+        rate in 1..40_u32,
+        burst in 1..10_u32,
+    ) {
+        let (rate, burst) = (f64::from(rate), f64::from(burst));
+
+        let fast = admission::excess(&spans, rate, burst);
+
+        let plain = excess_of_all_windows(&spans, rate, burst);
+        prop_assert!((fast - plain).abs() < 1e-6, "{fast} against {plain}");
+    }
+
+    #[test]
+    fn ideal_limiter_keeps_the_rate(
+        mut times in proptest::collection::vec(0..3_000_u64, 0..200),
+        rate in 1..40_u32,
+        burst in 1..10_u32,
+    ) {
+        times.sort_unstable();
+        let mut bucket = Bucket::new(f64::from(rate), f64::from(burst));
+        let sent = times.into_iter().map(Duration::from_millis);
+
+        let admitted: Vec<_> = sent.filter(|time| bucket.take(*time)).collect();
+
+        let spans: Vec<_> = admitted.iter().map(|t| Span { sent: *t, ended: *t }).collect();
+        prop_assert_eq!(admission::excess(&spans, f64::from(rate), f64::from(burst)), 0.0);
+    }
+}
