--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod exec;
 pub mod failover;
 pub mod front;
+pub mod limit;
 pub mod logging;
 pub mod metric;
 pub mod platform;
