--- a/crates/standin/src/group/control.rs
+++ b/crates/standin/src/group/control.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::sqlstate::{self, Error, Result};
-use super::sync::lock;
+use crate::sync::lock;
 
 /// How often a waiting statement looks whether it should end.
 pub(crate) const LOOK_PERIOD: Duration = Duration::from_millis(2);
--- a/crates/standin/src/group/executor.rs
+++ b/crates/standin/src/group/executor.rs
@@ -18,9 +18,9 @@
 use super::row::{self, Column, Kind};
 use super::sqlstate::{self, Error, Result};
 use super::statement::{self, Command, Setting};
-use super::sync::lock;
 use super::target::Target;
 use super::writer::Transaction;
+use crate::sync::lock;
 
 /// Transaction of a connection, as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/standin/src/group/function.rs
+++ b/crates/standin/src/group/function.rs
@@ -11,8 +11,8 @@
 use super::sqlstate::{self, Error, Result};
 use super::state::{Role, State};
 use super::statement::Call;
-use super::sync::lock;
 use super::target::Target;
+use crate::sync::lock;
 
 const STATUS: [&str; 11] = [
     "role",
--- a/crates/standin/src/group/listener.rs
+++ b/crates/standin/src/group/listener.rs
@@ -1,12 +1,9 @@
-//! The listening socket of a target and the start of its connections.
-//!
-//! A second socket stays bound to the same port without listening, so that the port is kept while
-//! the target is down and connections to it are refused.
+//! Accepts the connections of a target and goes through their start.
 
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicI32, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use pgwire::messages::response::SslResponse;
@@ -15,17 +12,14 @@
     PgWireBackendMessage as Backend, PgWireFrontendMessage as Frontend,
     SslNegotiationMetaMessage as Negotiation,
 };
-use socket2::{Domain, Protocol, Socket, Type};
 
 use super::control::Control;
 use super::session::Session;
 use super::sqlstate::{self, Error};
-use super::sync::lock;
 use super::target::{Handle, Target};
 use super::wire::Wire;
+use crate::port::Port;
 
-/// Connections that wait to be accepted.
-const BACKLOG: i32 = 1024;
 /// How often a stopped listener looks whether it may go on.
 const LOOK_PERIOD: Duration = Duration::from_millis(2);
 /// Stack of a connection's thread.
@@ -33,63 +27,14 @@
 
 static NEXT_PID: AtomicI32 = AtomicI32::new(1);
 
-/// Port of a target.
-#[derive(Debug)]
-pub(crate) struct Listener {
-    /// Address that stays the same over restarts.
-    pub(crate) address: SocketAddr,
-    _reserved: Socket,
-    socket: Mutex<Option<Arc<Socket>>>,
-}
-
-impl Listener {
-    /// Listens on an address; port 0 takes a free one.
-    pub(crate) fn new(address: SocketAddr) -> io::Result<Self> {
-        let reserved = bound(address)?;
-        let address = reserved.local_addr()?.as_socket().expect("the socket is an IP socket");
-        let listener = Listener { address, _reserved: reserved, socket: Mutex::new(None) };
-        listener.open()?;
-        Ok(listener)
-    }
-
-    /// Takes connections.
-    pub(crate) fn open(&self) -> io::Result<()> {
-        let socket = bound(self.address)?;
-        socket.listen(BACKLOG)?;
-        *lock(&self.socket) = Some(Arc::new(socket));
-        Ok(())
-    }
-
-    /// Refuses connections.
-    pub(crate) fn close(&self) {
-        if let Some(socket) = lock(&self.socket).take() {
-            // Ends a running accept; the socket may be closed already.
-            let _ = socket.shutdown(std::net::Shutdown::Both);
-        }
-    }
-
-    fn accept(&self) -> Option<TcpStream> {
-        let socket = lock(&self.socket).clone()?;
-        let (stream, _) = socket.accept().ok()?;
-        Some(stream.into())
-    }
-}
-
-fn bound(address: SocketAddr) -> io::Result<Socket> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    Ok(socket)
-}
-
 /// Accepts connections of a target until its group ends.
-pub(crate) fn run(target: &Arc<Target>, listener: &Listener) {
+pub(crate) fn run(target: &Arc<Target>, port: &Port) {
     while !target.group.ended() {
         if !target.switches.answers() {
             std::thread::sleep(LOOK_PERIOD);
             continue;
         }
-        match listener.accept() {
+        match port.accept() {
             Some(stream) => spawn(target.clone(), stream),
             None => std::thread::sleep(LOOK_PERIOD),
         }
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -18,7 +18,6 @@
 mod shared;
 mod state;
 mod statement;
-mod sync;
 mod target;
 mod wire;
 mod writer;
@@ -34,10 +33,10 @@
 pub use self::log::{Entry, Index, Position, Term};
 
 use self::control::Control;
-use self::listener::Listener;
 use self::shared::Shared;
 use self::state::State;
-use self::sync::lock;
+use crate::port::Port;
+use crate::sync::lock;
 
 /// Time between two heartbeats of a primary.
 const HEARTBEAT: Duration = Duration::from_millis(20);
@@ -98,7 +97,7 @@
 #[derive(Clone)]
 pub struct Target {
     inner: Arc<target::Target>,
-    listener: Arc<Listener>,
+    port: Arc<Port>,
 }
 
 impl Group {
@@ -121,7 +120,7 @@
     fn spawn(&mut self, number: usize) -> crate::Result<()> {
         let target = self.targets[number].clone();
         let (messages, data) = (target.inner.clone(), target.inner.clone());
-        let accept = move || listener::run(&target.inner, &target.listener);
+        let accept = move || listener::run(&target.inner, &target.port);
         self.thread(format!("accept-{number}"), accept)?;
         self.thread(format!("messages-{number}"), move || replication::run(&messages))?;
         self.thread(format!("apply-{number}"), move || replication::apply(&data))
@@ -170,10 +169,10 @@
     fn new(number: usize, options: &Options, shared: &Arc<Shared>) -> crate::Result<Self> {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let address = options.addresses.get(number).copied().unwrap_or(loopback);
-        let listener = Arc::new(Listener::new(address)?);
+        let port = Arc::new(Port::new(address)?);
         let state = State::new(number, options.targets, schema(options));
         let inner = Arc::new(target::Target::new(number, shared.clone(), state)?);
-        Ok(Target { inner, listener })
+        Ok(Target { inner, port })
     }
 
     /// Number in the group.
@@ -183,13 +182,13 @@
 
     /// Address of the target.
     pub fn address(&self) -> SocketAddr {
-        self.listener.address
+        self.port.address
     }
 
     /// Takes the target down at once: connections drop, new ones are refused.
     pub fn kill(&self) {
         self.inner.kill();
-        self.listener.close();
+        self.port.close();
     }
 
     /// Starts a killed target again with its durable state.
@@ -198,7 +197,7 @@
             return Ok(());
         }
         self.inner.restart()?;
-        Ok(self.listener.open()?)
+        Ok(self.port.open()?)
     }
 
     /// Freezes the target: it answers nobody, new connections wait unaccepted.
--- a/crates/standin/src/group/replication.rs
+++ b/crates/standin/src/group/replication.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use super::log::{Entry, Index, Position, Term};
-use super::sync::lock;
 use super::target::Target;
+use crate::sync::lock;
 
 /// Messages that one inbox holds; more are dropped, as by a full socket.
 const INBOX_LIMIT: usize = 65_536;
--- a/crates/standin/src/group/shared.rs
+++ b/crates/standin/src/group/shared.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::time::Duration;
 
-use super::sync::lock;
 use super::target::Target;
+use crate::sync::lock;
 
 /// Links and settings of a group.
 #[derive(Debug)]
--- a/crates/standin/src/group/target.rs
+++ b/crates/standin/src/group/target.rs
@@ -17,8 +17,8 @@
 use super::shared::Shared;
 use super::sqlstate::{self, Error, Result};
 use super::state::{Promoter, Role, State};
-use super::sync::lock;
 use super::writer::{Transaction, Writer};
+use crate::sync::lock;
 
 /// Entries applied under one lock.
 const APPLY_BATCH: usize = 64;
--- a/crates/standin/src/group/writer.rs
+++ b/crates/standin/src/group/writer.rs
@@ -9,7 +9,7 @@
 use super::database::{Database, Outcome};
 use super::log::{Statement, Term};
 use super::sqlstate::Result;
-use super::sync::lock;
+use crate::sync::lock;
 
 /// Working copy of a primary's data, and who may use it.
 pub(crate) struct Writer {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,5 +6,10 @@
 
 pub mod error;
 pub mod group;
+pub mod link;
+pub mod platform;
+
+mod port;
+mod sync;
 
 pub use error::{Error, Result};
