Leases from a pool per target, within a share that moves to demand

acquire waits in the core's fair queue; a lease that is dropped closes its connection and cancels what runs on it. The share of each target follows from the members and from loans; control connections are set aside first.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -120,6 +120,13 @@
         self.connections.values().filter(busy).count()
     }
 
+    /// Connections that the pool could do without, now that nobody waits for them.
+    pub fn spare(&self) -> usize {
+        let idle = self.count(|state| matches!(state, State::Idle { .. }));
+        let needed = self.size() - idle + self.queue.len();
+        self.limit.saturating_sub(needed)
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -22,11 +22,11 @@
 use std::time::Duration;
 
 /// Time for which a loan holds, as the lender counts it.
-pub const LEASE: Duration = Duration::from_millis(2_000);
+pub const LEASE: Duration = Duration::from_millis(1_000);
 /// By how much the borrower's lease is shorter: covers clocks that run at different speeds.
-pub const LEASE_GUARD: Duration = Duration::from_millis(100);
+pub const LEASE_GUARD: Duration = Duration::from_millis(50);
 /// Age of a loan at which the borrower asks for it again.
-pub const RENEW_AFTER: Duration = Duration::from_millis(700);
+pub const RENEW_AFTER: Duration = Duration::from_millis(350);
 
 /// Time that a growing part waits, given the lifetime of authority.
 pub fn settle(authority: Duration) -> Duration {
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::front;
 use crate::settings::Settings;
 use crate::shared::Host;
+use crate::target;
 use std::net::TcpListener;
 use std::sync::Arc;
 use tokio::task::JoinSet;
@@ -27,6 +28,7 @@
         let front = front::start(host.clone(), callers)?;
         let mut tasks = JoinSet::new();
         tasks.spawn(failover::driver::run(host.clone()));
+        tasks.spawn(target::share::run(host.clone()));
         tasks.spawn(follow_document(host.clone()));
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
         Ok(Daemon { host, front, tasks })
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// The live hosts, as last set.
+    pub fn members(&self) -> BTreeMap<HostId, FailureDomainId> {
+        self.lock().members.clone()
+    }
+
     /// What this host holds against primaries, for its heartbeats.
     pub fn opinions(&self, now: Time) -> BTreeMap<ServiceId, Opinion> {
         let state = self.lock();
--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -1,17 +1,30 @@
 //! Connections to the targets, and what is known of the targets.
 //!
-//! [`Pools::acquire`] leases a connection to one owner at a time; [`Pools::views`] tells what the
-//! probes last saw.
+//! What the rest of the host needs:
+//! - [`Pools::acquire`] leases a connection to one owner at a time. The owner runs its exchanges
+//!   through [`Lease::exchange`] and ends with [`Lease::release_clean`] when nothing is left on the
+//!   connection; every other end closes it and cancels what runs on it. A lease that is refused
+//!   has sent nothing.
+//! - [`Pools::views`] and [`Pools::primary`] tell what the targets last said of themselves.
+//! - [`Pools::worked`] takes the outcome of work, [`Pools::superseded`] the news that a target is
+//!   no longer the primary.
+//! - [`Pools::lend`], [`Pools::take_back`], [`Pools::wants`] and [`Pools::granted`] are the two
+//!   sides of loans between hosts; [`Pools::vouch`] says how long this host has authority.
 
 pub mod connection;
+pub mod lease;
+pub mod pool;
 pub mod probe;
+pub mod share;
 
 use crate::failover::{Failover, driver};
 use crate::shared::Host;
 pub use bergamotvale_core::group::{Role, Status};
-use bergamotvale_core::id::{AccountId, ServiceId, TargetId, Time};
-use bergamotvale_core::refusal::{Reason, Refusal};
-use connection::Connection;
+use bergamotvale_core::id::{AccountId, HostId, ServiceId, TargetId, Time};
+use bergamotvale_core::peer::SlotRequest;
+use bergamotvale_core::refusal::Refusal;
+pub use lease::Lease;
+use share::{Asked, Want};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
@@ -23,48 +36,32 @@
 pub struct View {
     /// What it last said.
     pub status: Status,
-    /// When it was asked.
+    /// When it said so.
     pub at: Time,
 }
 
 /// Connections of one host to all targets.
 pub struct Pools {
     failover: Arc<Failover>,
-    state: Mutex<State>,
-}
-
-#[derive(Default)]
-struct State {
-    idle: BTreeMap<Key, Vec<Connection>>,
-}
-
-/// A connection with its one owner; closed on drop unless given back clean.
-pub struct Lease {
-    key: Key,
-    connection: Option<Connection>,
-    host: Arc<Host>,
+    vouched_until: Mutex<Time>,
+    pub(crate) inner: pool::Pools,
 }
 
 impl Pools {
     /// No connection yet.
     pub fn new(failover: Arc<Failover>) -> Pools {
-        Pools { failover, state: Mutex::default() }
+        Pools { failover, vouched_until: Mutex::default(), inner: pool::Pools::default() }
     }
 
-    /// Leases a connection to a target for work of `account`.
+    /// Leases a connection to a target for work of `account`; waits at most until `deadline`.
     pub async fn acquire(
         &self,
         host: &Arc<Host>,
         key: Key,
-        _account: AccountId,
-        _deadline: Time,
+        account: AccountId,
+        deadline: Time,
     ) -> Result<Lease, Refusal> {
-        let idle = self.lock().idle.entry(key).or_default().pop();
-        let connection = match idle {
-            Some(connection) => connection,
-            None => open(host, key).await?,
-        };
-        Ok(Lease { key, connection: Some(connection), host: host.clone() })
+        pool::acquire(host, key, account, deadline).await
     }
 
     /// What is known of the targets of `service`.
@@ -90,30 +87,33 @@
         driver::probe_all(host, service);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of the lock panics")
+    /// This host has authority over its shares until `until`.
+    pub fn vouch(&self, until: Time) {
+        *self.vouched_until.lock().expect("no holder of the lock panics") = until;
     }
-}
 
-impl Lease {
-    /// The connection.
-    pub fn client(&self) -> &tokio_postgres::Client {
-        self.connection.as_ref().expect("held until the lease ends").client()
+    /// Until when this host has authority over its shares.
+    pub fn vouched_until(&self) -> Time {
+        *self.vouched_until.lock().expect("no holder of the lock panics")
     }
 
-    /// Gives the connection back; the owner vouches that nothing is left on it.
-    pub fn release_clean(mut self) {
-        if let Some(connection) = self.connection.take() {
-            self.host.pools.lock().idle.entry(self.key).or_default().push(connection);
-        }
+    /// A peer asks for slots; answers the total that it holds from this host now.
+    pub fn lend(&self, host: &Arc<Host>, request: &SlotRequest) -> u32 {
+        share::lend(host, request)
     }
-}
 
-async fn open(host: &Arc<Host>, key: Key) -> Result<Connection, Refusal> {
-    let document = host.document();
-    let target = document.services.get(&key.0).and_then(|s| s.targets.get(&key.1));
-    let target = target.ok_or_else(|| Refusal::new(Reason::NotFound, "no such target"))?;
-    Connection::open(target.address, &host.settings)
-        .await
-        .map_err(|e| Refusal::new(Reason::ConnectionRefused, e.to_string()))
+    /// A peer gave slots back.
+    pub fn take_back(&self, host: &Arc<Host>, request: &SlotRequest) {
+        share::take_back(host, request);
+    }
+
+    /// Requests to send to `peers` now; each loan is answered through [`Pools::granted`].
+    pub fn wants(&self, host: &Host, peers: &[HostId]) -> Vec<(Want, Option<Asked>)> {
+        share::wants(host, peers)
+    }
+
+    /// A peer answered a request for a loan, or did not.
+    pub fn granted(&self, host: &Arc<Host>, asked: &Asked, total: Option<u32>) {
+        share::granted(host, asked, total);
+    }
 }
