--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -43,7 +43,7 @@
 /// Connections of one host to all targets.
 pub struct Pools {
     failover: Arc<Failover>,
-    vouched_until: Mutex<Time>,
+    vouched_until: Mutex<Option<Time>>,
     pub(crate) inner: pool::Pools,
 }
 
@@ -89,12 +89,13 @@
 
     /// This host has authority over its shares until `until`.
     pub fn vouch(&self, until: Time) {
-        *self.vouched_until.lock().expect("no holder of the lock panics") = until;
+        *self.vouched_until.lock().expect("no holder of the lock panics") = Some(until);
     }
 
-    /// Until when this host has authority over its shares.
+    /// Until when this host has authority over its shares; without end where nobody ever said.
     pub fn vouched_until(&self) -> Time {
-        *self.vouched_until.lock().expect("no holder of the lock panics")
+        let until = *self.vouched_until.lock().expect("no holder of the lock panics");
+        until.unwrap_or(Time::MAX)
     }
 
     /// A peer asks for slots; answers the total that it holds from this host now.
