--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// The live hosts, as last set.
+    pub fn members(&self) -> BTreeMap<HostId, FailureDomainId> {
+        self.lock().members.clone()
+    }
+
     /// What this host holds against primaries, for its heartbeats.
     pub fn opinions(&self, now: Time) -> BTreeMap<ServiceId, Opinion> {
         let state = self.lock();
@@ -198,12 +203,11 @@
     ) {
         let chosen = match self.policy.failover {
             settings::Failover::Review => watch::choose(service, members, watch::WATCHERS),
-            settings::Failover::Single | settings::Failover::Off => BTreeSet::from([self.host]),
+            settings::Failover::Single | settings::Failover::Off => vec![self.host],
         };
-        let order = watch::ranking(u64::from(service), chosen.iter().copied());
-        let rank = order.iter().position(|host| *host == self.host).unwrap_or(order.len());
+        let rank = chosen.iter().position(|host| *host == self.host).unwrap_or(chosen.len());
         group.rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        group.detector.set_watchers(chosen);
+        group.detector.set_watchers(chosen.into_iter().collect());
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
