--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -36,8 +36,8 @@
     let settings = &host.settings;
     let app = App::new()
         .with_state(host.clone())
-        .at("/v1/services/:service/read", post(handler_service(read)))
-        .at("/v1/services/:service/write", post(handler_service(write)))
+        .at("/v1/services/{service}/read", post(handler_service(read)))
+        .at("/v1/services/{service}/write", post(handler_service(write)))
         .finish();
     let mut server = HttpServer::serve(app)
         .disable_signal()
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -129,6 +129,17 @@
         Ok(response.bytes().await?.to_vec())
     }
 
+    /// Stores `document` as the first configuration.
+    pub async fn seed(&self, document: &Document) -> Result<Answer> {
+        let body = serde_json::to_vec(document).expect("a document is JSON");
+        let digest = self.put_object(body).await?;
+        let current = Current { version: document.version, digest };
+        let value = serde_json::to_value(current).expect("plain data is JSON");
+        let checks = vec![Check { key: CONFIG_ROW.into(), version: 0 }];
+        let puts = vec![Put { key: CONFIG_ROW.into(), value }];
+        self.transact(&Transaction { checks, puts, deletes: Vec::new() }).await
+    }
+
     /// The configuration in force, if there is one newer than `known`.
     pub async fn document(&self, known: Version) -> Result<Option<Document>> {
         let Some(row) = self.row(CONFIG_ROW).await? else { return Ok(None) };
