standin: followers apart from the state, streaming results, tests of all faults

A rejected follower now names its last entry that may match, so that the primary goes back by whole terms instead of from index 1. Large results leave in pieces and can be canceled meanwhile. A paused target no longer greets a connection that it accepted just before the pause; a connection that starts while its target is killed is not registered. 'not authorized' of SQLite is 0A000 (a test met XX000).

--- a/crates/standin/src/group/database.rs
+++ b/crates/standin/src/group/database.rs
@@ -29,7 +29,7 @@
 /// Pages copied at once.
 const COPY_PAGES: i32 = -1;
 /// Functions whose value changes from target to target.
-const VARYING: [&str; 11] = [
+const VARYING: [&str; 14] = [
     "random",
     "randomblob",
     "date",
@@ -41,6 +41,9 @@
     "timediff",
     "sqlite_version",
     "sqlite_source_id",
+    "changes",
+    "total_changes",
+    "last_insert_rowid",
 ];
 
 /// What a statement gave.
--- a/crates/standin/src/group/executor.rs
+++ b/crates/standin/src/group/executor.rs
@@ -83,7 +83,6 @@
     pub(crate) fn run(&mut self, sql: &str, params: &[Value]) -> Result<Answer> {
         self.control.start(self.timeout);
         let answer = self.dispatch(sql, params);
-        self.control.finish();
         if answer.is_err() {
             self.fail();
         }
--- a/crates/standin/src/group/function.rs
+++ b/crates/standin/src/group/function.rs
@@ -12,7 +12,7 @@
 use super::state::{Role, State};
 use super::statement::Call;
 use super::target::Target;
-use crate::sync::lock;
+use crate::sync::{self, lock};
 
 const STATUS: [&str; 11] = [
     "role",
@@ -175,8 +175,7 @@
                 int(entry.index),
             ]);
         }
-        let wait = target.changed.wait_timeout(state, left.min(10 * LOOK_PERIOD));
-        state = wait.expect("no panic while the state is locked").0;
+        state = sync::wait(&target.changed, state, left.min(10 * LOOK_PERIOD));
     }
 }
 
--- a/crates/standin/src/group/listener.rs
+++ b/crates/standin/src/group/listener.rs
@@ -24,6 +24,8 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(2);
 /// Stack of a connection's thread.
 const STACK: usize = 1 << 20;
+/// How long the start of a connection may take.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
 
 static NEXT_PID: AtomicI32 = AtomicI32::new(1);
 
@@ -64,6 +66,7 @@
     let pid = NEXT_PID.fetch_add(1, Ordering::Relaxed);
     let secret = pid.wrapping_mul(0x9E37_79B1_u32 as i32);
     std::thread::sleep(target.group.connect_delay);
+    pass(target)?;
     let handle = Handle::new(control.clone(), secret, wire.stream()?);
     if !target.register(pid, handle) {
         let error = Error::new(sqlstate::TOO_MANY_CONNECTIONS, "too many connections");
@@ -76,17 +79,30 @@
     result
 }
 
+/// Waits while the target does not answer.
+fn pass(target: &Target) -> io::Result<()> {
+    while !target.switches.answers() {
+        if !target.switches.running() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        std::thread::sleep(LOOK_PERIOD);
+    }
+    Ok(())
+}
+
 /// Goes through the start of a connection; false when it was only a cancel request.
 fn negotiate(target: &Target, wire: &mut Wire) -> io::Result<bool> {
     wire.expect(true, true);
-    while let Some(message) = wire.message()? {
+    while let Some(message) = wire.message(START_TIMEOUT)? {
         match message {
             Frontend::SslNegotiation(Negotiation::None) => wire.expect(false, true),
             Frontend::SslNegotiation(_) => {
+                pass(target)?;
                 wire.send(Backend::SslResponse(SslResponse::Refuse));
                 wire.flush()?;
             }
             Frontend::CancelRequest(request) => {
+                pass(target)?;
                 cancel(target, request.pid, &request.secret_key);
                 return Ok(false);
             }
--- a/crates/standin/src/group/log.rs
+++ b/crates/standin/src/group/log.rs
@@ -76,6 +76,12 @@
         self.entries.partition_point(|entry| entry.position.term < term) as Index + 1
     }
 
+    /// Last index that is at or before a place, by its index and by its term.
+    pub fn last_before(&self, position: Position) -> Index {
+        let in_term = self.entries.partition_point(|entry| entry.position.term <= position.term);
+        position.index.min(in_term as Index)
+    }
+
     /// At most `limit` entries from an index on.
     pub fn range(&self, from: Index, limit: usize) -> Vec<Arc<Entry>> {
         let skip = usize::try_from(from - 1).unwrap_or(0);
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -10,6 +10,7 @@
 mod control;
 mod database;
 mod executor;
+mod followers;
 mod function;
 mod listener;
 mod replication;
--- a/crates/standin/src/group/replication.rs
+++ b/crates/standin/src/group/replication.rs
@@ -10,7 +10,7 @@
 
 use super::log::{Entry, Index, Position, Term};
 use super::target::Target;
-use crate::sync::lock;
+use crate::sync::{lock, wait};
 
 /// Messages that one inbox holds; more are dropped, as by a full socket.
 const INBOX_LIMIT: usize = 65_536;
@@ -51,8 +51,8 @@
     pub(crate) accepted_term: Term,
     /// Index up to which the logs are equal, if they matched.
     pub(crate) matched: Option<Index>,
-    /// Where to go on otherwise.
-    pub(crate) hint: Index,
+    /// Last entry of the follower that may match, otherwise.
+    pub(crate) last: Position,
     /// Whether the follower's acknowledgement counts.
     pub(crate) voter: bool,
     /// Time of sending of the message that is answered.
@@ -117,8 +117,7 @@
                 queue.woken = false;
                 return queue.arrived(now);
             }
-            let wait = self.changed.wait_timeout(queue, until - now);
-            queue = wait.expect("no panic while the inbox is locked").0;
+            queue = wait(&self.changed, queue, until - now);
         }
     }
 }
@@ -218,8 +217,7 @@
     while !target.group.ended() {
         let state = lock(&target.state);
         if !target.switches.passes() || !state.behind() {
-            let wait = target.changed.wait_timeout(state, IDLE_PERIOD);
-            drop(wait);
+            drop(wait(&target.changed, state, IDLE_PERIOD));
             continue;
         }
         drop(state);
--- a/crates/standin/src/group/row.rs
+++ b/crates/standin/src/group/row.rs
@@ -5,6 +5,7 @@
 
 use super::database::Outcome;
 use super::sqlstate::{self, Error, Result};
+use super::statement;
 
 /// Number of a type in the protocol.
 pub(crate) type Oid = u32;
@@ -124,6 +125,17 @@
     }
 }
 
+/// Types of a statement's parameters: those given, else text, or `int8` of a group function.
+pub(crate) fn parameter_types(sql: &str, given: &[Oid]) -> Vec<Oid> {
+    let call = matches!(statement::parse(sql), Ok(statement::Command::Call(_)));
+    let default = if call { INT8 } else { TEXT };
+    let mut types = given.to_vec();
+    types.iter_mut().filter(|oid| **oid == 0).for_each(|oid| *oid = default);
+    let count = statement::parameter_count(sql);
+    types.resize(types.len().max(count), default);
+    types
+}
+
 /// Reads a parameter.
 pub(crate) fn decode(oid: Oid, format: Format, bytes: Option<&Bytes>) -> Result<Value> {
     let Some(bytes) = bytes else { return Ok(Value::Null) };
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::From;
 use pgwire::messages::data::ParameterDescription;
 use pgwire::messages::extendedquery::{
     Bind, BindComplete, CloseComplete, Describe, Execute, Parse, ParseComplete, PortalSuspended,
@@ -21,7 +22,7 @@
 
 use super::control::Control;
 use super::executor::{Answer, Executor, Status};
-use super::row::{self, Format, Oid};
+use super::row::{self, Column, Format, Oid};
 use super::sqlstate::{self, Error};
 use super::statement;
 use super::target::Target;
@@ -48,6 +49,7 @@
 struct Prepared {
     sql: String,
     types: Vec<Oid>,
+    described: Option<Vec<Column>>,
 }
 
 struct Portal {
@@ -55,11 +57,21 @@
     sql: String,
     params: Vec<Value>,
     formats: Vec<Format>,
+    described: Option<Vec<Column>>,
     answer: Option<Answer>,
     sent: usize,
 }
 
-type Failure = Result<(), Error>;
+/// Why a message could not be handled to its end.
+#[derive(Debug, From)]
+enum Stop {
+    /// The statement failed; the connection goes on.
+    Statement(Error),
+    /// The connection has ended.
+    Connection(io::Error),
+}
+
+type Step = Result<(), Stop>;
 
 impl Session {
     /// A session on a connection that has been admitted.
@@ -88,11 +100,8 @@
                 Frontend::Sync(_) => self.synchronise()?,
                 Frontend::Flush(_) => self.flush()?,
                 message if !self.skipping => {
-                    if let Err(error) = self.extended(message) {
-                        self.executor.fail();
-                        self.wire.error(&error, "ERROR");
-                        self.skipping = true;
-                    }
+                    let step = self.extended(message);
+                    self.skipping = self.settle(step)?;
                 }
                 _ => {}
             }
@@ -102,6 +111,19 @@
         }
     }
 
+    /// Answers a failed statement; true when there was one.
+    fn settle(&mut self, step: Step) -> io::Result<bool> {
+        match step {
+            Ok(()) => Ok(false),
+            Err(Stop::Connection(error)) => Err(error),
+            Err(Stop::Statement(error)) => {
+                self.executor.fail();
+                self.wire.error(&error, "ERROR");
+                Ok(true)
+            }
+        }
+    }
+
     fn next(&mut self) -> io::Result<Option<Frontend>> {
         loop {
             if let Some(message) = self.wire.decode()? {
@@ -179,45 +201,59 @@
         if let Err(error) = self.executor.synchronise() {
             self.wire.error(&error, "ERROR");
         }
-        self.skipping = false;
-        self.portals.clear();
-        self.ready();
-        self.flush()
+        if self.executor.status() == Status::Idle {
+            self.portals.clear();
+        }
+        self.end()
     }
 
     fn simple(&mut self, text: &str) -> io::Result<()> {
-        if let Err(error) = self.simple_statements(text) {
-            self.executor.fail();
-            self.wire.error(&error, "ERROR");
-        }
+        let step = self.simple_statements(text);
+        self.settle(step)?;
+        self.end()
+    }
+
+    /// Ends what a synchronisation point or a simple query ends.
+    fn end(&mut self) -> io::Result<()> {
+        self.control.finish();
         self.skipping = false;
         self.ready();
         self.flush()
     }
 
     /// The last statement's tag leaves only after the implicit transaction has ended well.
-    fn simple_statements(&mut self, text: &str) -> Failure {
+    fn simple_statements(&mut self, text: &str) -> Step {
         let parts = statement::split(text);
         if parts.is_empty() {
             self.wire.send(Backend::EmptyQueryResponse(EmptyQueryResponse::new()));
         }
         for (at, sql) in parts.iter().enumerate() {
-            let answer = self.executor.run(sql, &[])?;
-            let columns = &answer.outcome.columns;
-            if !columns.is_empty() {
-                self.wire.send(wire::describe(columns, &[]));
+            let Answer { outcome, tag } = self.executor.run(sql, &[])?;
+            if !outcome.columns.is_empty() {
+                self.wire.send(wire::describe(&outcome.columns, &[]));
             }
-            let rows = &answer.outcome.rows;
-            rows.iter().try_for_each(|row| self.wire.row(columns, &[], row))?;
+            self.rows(&outcome.columns, &[], &outcome.rows)?;
             if at + 1 == parts.len() {
                 self.executor.synchronise()?;
             }
-            self.wire.send(Backend::CommandComplete(CommandComplete::new(answer.tag)));
+            self.wire.send(Backend::CommandComplete(CommandComplete::new(tag)));
+        }
+        Ok(())
+    }
+
+    /// Sends rows, as long as the statement is not to end.
+    fn rows(&mut self, columns: &[Column], formats: &[Format], rows: &[Vec<Value>]) -> Step {
+        for row in rows {
+            self.wire.row(columns, formats, row)?;
+            if self.wire.output.len() >= OUTPUT_LIMIT {
+                self.flush()?;
+                self.control.check()?;
+            }
         }
         Ok(())
     }
 
-    fn extended(&mut self, message: Frontend) -> Failure {
+    fn extended(&mut self, message: Frontend) -> Step {
         match message {
             Frontend::Parse(parse) => self.parse(parse),
             Frontend::Bind(bind) => self.bind(bind)?,
@@ -232,18 +268,18 @@
                 }
                 self.wire.send(Backend::CloseComplete(CloseComplete::new()));
             }
-            _ => return Err(Error::new(sqlstate::PROTOCOL, "unexpected message")),
+            _ => return Err(Error::new(sqlstate::PROTOCOL, "unexpected message").into()),
         }
         Ok(())
     }
 
     fn parse(&mut self, parse: Parse) {
-        let prepared = Prepared { sql: parse.query, types: parse.type_oids };
+        let prepared = Prepared { sql: parse.query, types: parse.type_oids, described: None };
         self.statements.insert(parse.name.unwrap_or_default(), prepared);
         self.wire.send(Backend::ParseComplete(ParseComplete::new()));
     }
 
-    fn bind(&mut self, bind: Bind) -> Failure {
+    fn bind(&mut self, bind: Bind) -> Step {
         let statement = bind.statement_name.unwrap_or_default();
         let prepared = self.statements.get(&statement).ok_or_else(|| unknown(&statement))?;
         let codes = formats(&bind.parameter_format_codes);
@@ -255,6 +291,7 @@
             params: params.collect::<Result<Vec<Value>, Error>>()?,
             formats: formats(&bind.result_column_format_codes),
             sql: prepared.sql.clone(),
+            described: prepared.described.clone(),
             statement,
             answer: None,
             sent: 0,
@@ -266,13 +303,13 @@
 
     /// A statement that is bound already is run now, so that its values tell the types that no
     /// declaration gives.
-    fn describe(&mut self, describe: &Describe) -> Failure {
+    fn describe(&mut self, describe: &Describe) -> Step {
         let name = describe.name.clone().unwrap_or_default();
         if describe.target_type != TARGET_STATEMENT {
             return self.describe_portal(&name);
         }
         let prepared = self.statements.get(&name).ok_or_else(|| unknown(&name))?;
-        let types = parameter_types(prepared);
+        let types = row::parameter_types(&prepared.sql, &prepared.types);
         self.wire.send(Backend::ParameterDescription(ParameterDescription::new(types.clone())));
         let bound = self.portals.iter().find(|(_, portal)| portal.statement == name);
         if let Some((portal, _)) = bound {
@@ -282,10 +319,13 @@
         let sql = prepared.sql.clone();
         let columns = self.executor.describe(&sql, types.len())?;
         self.wire.columns(&columns, &[]);
+        if let Some(prepared) = self.statements.get_mut(&name) {
+            prepared.described = Some(columns);
+        }
         Ok(())
     }
 
-    fn describe_portal(&mut self, name: &str) -> Failure {
+    fn describe_portal(&mut self, name: &str) -> Step {
         let portal = self.portals.get_mut(name).ok_or_else(|| unknown(name))?;
         run(&mut self.executor, portal)?;
         let columns = portal.answer.as_ref().map(|answer| answer.outcome.columns.as_slice());
@@ -293,35 +333,46 @@
         Ok(())
     }
 
-    fn execute(&mut self, execute: &Execute) -> Failure {
+    fn execute(&mut self, execute: &Execute) -> Step {
         let name = execute.name.clone().unwrap_or_default();
-        let portal = self.portals.get_mut(&name).ok_or_else(|| unknown(&name))?;
-        run(&mut self.executor, portal)?;
-        let Some(answer) = &portal.answer else { return Ok(()) };
-        if answer.tag.is_empty() {
+        let mut portal = self.portals.remove(&name).ok_or_else(|| unknown(&name))?;
+        run(&mut self.executor, &mut portal)?;
+        self.fetch(&mut portal, execute.max_rows)?;
+        self.portals.insert(name, portal);
+        Ok(())
+    }
+
+    /// Sends the next rows of a portal, all of them where `limit` is 0.
+    fn fetch(&mut self, portal: &mut Portal, limit: i32) -> Step {
+        let Some(Answer { outcome, tag }) = &portal.answer else { return Ok(()) };
+        if tag.is_empty() {
             self.wire.send(Backend::EmptyQueryResponse(EmptyQueryResponse::new()));
             return Ok(());
         }
-        let rows = &answer.outcome.rows[portal.sent..];
-        let limit = usize::try_from(execute.max_rows).ok().filter(|limit| *limit > 0);
+        let rows = &outcome.rows[portal.sent..];
+        let limit = usize::try_from(limit).ok().filter(|limit| *limit > 0);
         let count = limit.map_or(rows.len(), |limit| limit.min(rows.len()));
-        for row in &rows[..count] {
-            self.wire.row(&answer.outcome.columns, &portal.formats, row)?;
-        }
+        self.rows(&outcome.columns, &portal.formats, &rows[..count])?;
         portal.sent += count;
         if limit == Some(count) {
             self.wire.send(Backend::PortalSuspended(PortalSuspended::new()));
         } else {
-            self.wire.send(Backend::CommandComplete(CommandComplete::new(answer.tag.clone())));
+            self.wire.send(Backend::CommandComplete(CommandComplete::new(tag.clone())));
         }
         Ok(())
     }
 }
 
-fn run(executor: &mut Executor, portal: &mut Portal) -> Failure {
-    if portal.answer.is_none() {
-        portal.answer = Some(executor.run(&portal.sql, &portal.params)?);
+/// Runs a portal, once. Columns that were described before keep their types.
+fn run(executor: &mut Executor, portal: &mut Portal) -> Step {
+    if portal.answer.is_some() {
+        return Ok(());
     }
+    let mut answer = executor.run(&portal.sql, &portal.params)?;
+    if let Some(described) = portal.described.take() {
+        answer.outcome.columns = described;
+    }
+    portal.answer = Some(answer);
     Ok(())
 }
 
@@ -337,16 +388,3 @@
 fn timed_out(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
 }
-
-/// Types of a statement's parameters: those given, else text, or `int8` of a group function.
-fn parameter_types(prepared: &Prepared) -> Vec<Oid> {
-    const INT8: Oid = 20;
-    const TEXT: Oid = 25;
-    let call = matches!(statement::parse(&prepared.sql), Ok(statement::Command::Call(_)));
-    let default = if call { INT8 } else { TEXT };
-    let mut types = prepared.types.clone();
-    types.iter_mut().filter(|oid| **oid == 0).for_each(|oid| *oid = default);
-    let count = statement::parameter_count(&prepared.sql);
-    types.resize(types.len().max(count), default);
-    types
-}
--- a/crates/standin/src/group/sqlstate.rs
+++ b/crates/standin/src/group/sqlstate.rs
@@ -102,7 +102,8 @@
 
 /// SQLite tells these apart by their message alone.
 fn message_code(message: &str) -> Code {
-    const CODES: [(&str, Code); 8] = [
+    const CODES: [(&str, Code); 9] = [
+        ("not authorized", UNSUPPORTED),
         ("no such table", UNKNOWN_TABLE),
         ("no such column", UNKNOWN_COLUMN),
         ("has no column named", UNKNOWN_COLUMN),
--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -12,6 +12,7 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
+use super::followers::Followers;
 use super::log::{Index, Log, Position, Statement, Term};
 use super::replication::{Append, Reply};
 
@@ -32,16 +33,6 @@
     Rebuilding,
 }
 
-/// What a primary knows of one follower.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Progress {
-    matched: Index,
-    next: Index,
-    voter: bool,
-    incarnation: u64,
-    acknowledged: Option<Instant>,
-}
-
 /// State of the primary that a replica reaches by applying its log up to an index.
 #[derive(Clone, Copy, Debug)]
 struct Mark {
@@ -82,7 +73,7 @@
     pub(crate) primary: Option<usize>,
     /// New write transactions are refused until then.
     pub(crate) held_until: Option<Instant>,
-    progress: Vec<Progress>,
+    followers: Followers,
     authority: Option<Instant>,
     fresh: Option<Instant>,
     marks: VecDeque<Mark>,
@@ -119,7 +110,7 @@
             confirmed,
             primary: Some(0),
             held_until: None,
-            progress: new_progress(size, confirmed.index),
+            followers: Followers::new(size, confirmed.index),
             authority: None,
             fresh: None,
             marks: VecDeque::new(),
@@ -147,7 +138,7 @@
 
     /// Forgets what does not last over a restart.
     pub(crate) fn restart(&mut self) {
-        self.progress = new_progress(self.size, self.log.last().index);
+        self.followers = Followers::new(self.size, self.log.last().index);
         self.authority = None;
         self.fresh = None;
         self.marks.clear();
@@ -198,7 +189,7 @@
         self.authority = None;
         self.fresh = None;
         self.marks.clear();
-        self.progress = new_progress(self.size, self.log.last().index);
+        self.followers = Followers::new(self.size, self.log.last().index);
         self.log.append(self.term, Vec::new())
     }
 
@@ -217,14 +208,14 @@
 
     /// Whether a follower lacks entries that were not sent yet.
     pub(crate) fn pending(&self, follower: usize) -> bool {
-        self.progress[follower].next <= self.log.last().index
+        self.followers.next(follower) <= self.log.last().index
     }
 
     /// Next message for a follower.
     pub(crate) fn message(&mut self, follower: usize, now: Instant) -> Append {
-        let next = self.progress[follower].next;
+        let next = self.followers.next(follower);
         let entries = self.log.range(next, BATCH);
-        self.progress[follower].next = next + entries.len() as Index;
+        self.followers.set_next(follower, next + entries.len() as Index);
         Append {
             from: self.number,
             term: self.term,
@@ -241,12 +232,11 @@
     pub(crate) fn receive(&mut self, append: &Append) -> (Reply, Effect) {
         let mut effect = Effect::default();
         if append.term < self.accepted_term || self.leads_in(append.term) {
-            return (self.reply(append, None, self.log.last().index), effect);
+            return (self.reply(append, None), effect);
         }
         effect.restart = self.follow(append);
         if !self.log.contains(append.previous) {
-            let hint = self.hint(append.previous.index);
-            return (self.reply(append, None, hint), effect);
+            return (self.reply(append, None), effect);
         }
         effect.restart |= self.take(append);
         effect.changed = true;
@@ -255,7 +245,7 @@
         if matched == append.last {
             self.catch_up(append);
         }
-        (self.reply(append, Some(matched), matched), effect)
+        (self.reply(append, Some(matched)), effect)
     }
 
     /// Takes a follower's answer; true when more is confirmed than before.
@@ -263,23 +253,12 @@
         if !self.leads_in(reply.term) || reply.accepted_term > self.term {
             return false;
         }
-        let progress = &mut self.progress[reply.from];
-        if reply.incarnation < progress.incarnation {
+        if !self.followers.acknowledge(reply) {
             return false;
         }
-        if reply.incarnation > progress.incarnation {
-            progress.matched = 0;
-            progress.acknowledged = None;
-            progress.incarnation = reply.incarnation;
-        }
-        progress.voter = reply.voter;
-        progress.acknowledged = progress.acknowledged.max(Some(reply.sent_at));
-        match reply.matched {
-            Some(matched) => {
-                progress.matched = progress.matched.max(matched);
-                progress.next = progress.next.max(matched + 1);
-            }
-            None => progress.next = reply.hint + 1,
+        if reply.matched.is_none() {
+            let next = self.log.last_before(reply.last) + 1;
+            self.followers.set_next(reply.from, next);
         }
         self.recount(now)
     }
@@ -325,14 +304,14 @@
         was_primary
     }
 
-    /// Where the sender should go on: before the whole term that does not match.
-    fn hint(&self, mismatch: Index) -> Index {
-        let last = self.log.last().index;
-        if mismatch > last {
-            return last;
+    /// Last entry that may match the sender's log: at the place of its message, or before the
+    /// whole term of an entry there that the sender can't have.
+    fn last_match(&self, previous: Position) -> Position {
+        let here = self.log.position(previous.index.min(self.log.last().index));
+        if here.index < previous.index || here.term < previous.term {
+            return here;
         }
-        let term = self.log.position(mismatch).term;
-        self.log.term_start(term) - 1
+        self.log.position(self.log.term_start(here.term) - 1)
     }
 
     /// Takes the entries; true when applied ones had to be dropped.
@@ -377,14 +356,14 @@
         }
     }
 
-    fn reply(&self, append: &Append, matched: Option<Index>, hint: Index) -> Reply {
+    fn reply(&self, append: &Append, matched: Option<Index>) -> Reply {
         Reply {
             from: self.number,
             incarnation: self.incarnation,
             term: append.term,
             accepted_term: self.accepted_term,
             matched,
-            hint,
+            last: self.last_match(append.previous),
             voter: self.voter,
             sent_at: append.sent_at,
         }
@@ -392,22 +371,12 @@
 
     /// Counts voters again; true when more is confirmed than before.
     fn recount(&mut self, now: Instant) -> bool {
-        let needed = self.size / 2;
-        let mut indices = vec![self.log.last().index];
-        let mut times = vec![Some(now)];
-        for (number, progress) in self.progress.iter().enumerate() {
-            if number != self.number && progress.voter {
-                indices.push(progress.matched);
-                times.push(progress.acknowledged);
-            }
-        }
-        if indices.len() <= needed {
+        let last = self.log.last().index;
+        let Some(majority) = self.followers.majority(self.number, last, now) else {
             return false;
-        }
-        indices.sort_unstable_by(|a, b| b.cmp(a));
-        times.sort_unstable_by(|a, b| b.cmp(a));
-        self.authority = self.authority.max(times[needed]);
-        let position = self.log.position(indices[needed]);
+        };
+        self.authority = self.authority.max(majority.acknowledged);
+        let position = self.log.position(majority.matched);
         let grown = position.term == self.term && position > self.confirmed;
         if grown {
             self.confirmed = position;
@@ -415,9 +384,3 @@
         grown
     }
 }
-
-fn new_progress(size: usize, last: Index) -> Vec<Progress> {
-    let progress =
-        Progress { matched: 0, next: last + 1, voter: false, incarnation: 0, acknowledged: None };
-    vec![progress; size]
-}
--- a/crates/standin/src/group/target.rs
+++ b/crates/standin/src/group/target.rs
@@ -295,9 +295,13 @@
         self.changed.notify_all();
     }
 
-    /// Registers a connection; false when the limit is reached.
+    /// Registers a connection; false when the limit is reached or the target is down.
     pub(crate) fn register(&self, pid: i32, handle: Handle) -> bool {
         let mut connections = lock(&self.connections);
+        if !self.switches.running() {
+            handle.control.close();
+            return false;
+        }
         if connections.len() as u64 >= self.connection_limit.load(Ordering::SeqCst) {
             return false;
         }
--- a/crates/standin/src/group/wire.rs
+++ b/crates/standin/src/group/wire.rs
@@ -41,12 +41,12 @@
     }
 
     /// Reads until a message is complete; none when the caller has closed.
-    pub(crate) fn message(&mut self) -> io::Result<Option<Frontend>> {
+    pub(crate) fn message(&mut self, timeout: Duration) -> io::Result<Option<Frontend>> {
         loop {
             if let Some(message) = self.decode()? {
                 return Ok(Some(message));
             }
-            if self.receive(None)? == 0 {
+            if self.receive(Some(timeout))? == 0 {
                 return Ok(None);
             }
         }
--- a/crates/standin/src/group/writer.rs
+++ b/crates/standin/src/group/writer.rs
@@ -9,7 +9,7 @@
 use super::database::{Database, Outcome};
 use super::log::{Statement, Term};
 use super::sqlstate::Result;
-use crate::sync::lock;
+use crate::sync::{lock, wait};
 
 /// Working copy of a primary's data, and who may use it.
 pub(crate) struct Writer {
@@ -71,8 +71,7 @@
         let mut queue = lock(&self.queue);
         while queue.waiting.front() != Some(&ticket) {
             control.check()?;
-            let wait = self.released.wait_timeout(queue, LOOK_PERIOD);
-            queue = wait.expect("no panic while the queue is locked").0;
+            queue = wait(&self.released, queue, LOOK_PERIOD);
         }
         Ok(())
     }
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -96,11 +96,12 @@
     const PROMOTER: i64 = 77;
     for target in fenced {
         let client = connect(group.addresses()[*target]).await;
-        let fence = call(&client, "fence", &[term, PROMOTER]).await.unwrap();
+        let fence = call(&client, "fence", &[term, PROMOTER]).await.expect("the call is answered");
         assert!(fence.flag("granted"));
     }
     let client = connect(group.addresses()[chosen]).await;
-    let promotion = call(&client, "promote", &[term, PROMOTER]).await.unwrap();
+    let promotion =
+        call(&client, "promote", &[term, PROMOTER]).await.expect("the call is answered");
     assert!(promotion.flag("promoted"));
 }
 
--- /dev/null
+++ b/crates/standin/tests/group_faults.rs
@@ -0,0 +1,248 @@
+//! Faults of a group's targets.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use bergamotvale_standin::group::{Options, Position};
+use common::{call, code, connect, eventually, insert, start, start_with, try_connect};
+use tokio::time::timeout;
+use tokio_postgres::Client;
+
+/// Time in which a target that answers at all does answer.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Time in which a target that does not answer is watched.
+const WATCH: Duration = Duration::from_millis(200);
+
+async fn probe(client: &Client) -> bool {
+    client.query_typed("SELECT 1", &[]).await.is_ok()
+}
+
+async fn silent(client: &Client) -> bool {
+    timeout(WATCH, probe(client)).await.is_err()
+}
+
+async fn answers(client: &Client) -> bool {
+    timeout(PATIENCE, probe(client)).await.unwrap_or(false)
+}
+
+#[tokio::test]
+async fn killed_target_refuses_until_its_restart() {
+    let group = start();
+    let address = group.addresses()[0];
+    let client = connect(address).await;
+    insert(&client, 1).await.unwrap();
+    client.batch_execute("BEGIN; INSERT INTO bolts (id) VALUES (2)").await.unwrap();
+
+    group.target(0).kill();
+    eventually("the connection is closed", || client.is_closed()).await;
+    let refused = try_connect(address).await;
+    group.target(0).restart().unwrap();
+    let client = connect(address).await;
+    insert(&client, 3).await.unwrap();
+
+    assert!(refused.is_err());
+    let rows = client.query_typed("SELECT id FROM bolts ORDER BY id", &[]).await.unwrap();
+    let ids: Vec<i64> = rows.iter().map(|row| row.get(0)).collect();
+    assert_eq!(ids, [1, 3]);
+    assert_eq!(group.addresses()[0], address);
+}
+
+#[tokio::test]
+async fn killed_target_is_refused_again_and_again() {
+    let group = start();
+    let address = group.addresses()[2];
+
+    for _ in 0..20 {
+        group.target(2).kill();
+        assert!(try_connect(address).await.is_err());
+        group.target(2).restart().unwrap();
+        assert!(answers(&connect(address).await).await);
+    }
+}
+
+#[tokio::test]
+async fn paused_target_answers_after_the_pause() {
+    let group = start();
+    let client = connect(group.addresses()[0]).await;
+
+    group.target(0).pause();
+    let silent = silent(&client).await;
+    let waiting = tokio::spawn(connect(group.addresses()[0]));
+    tokio::time::sleep(WATCH).await;
+    let waits = !waiting.is_finished();
+    group.target(0).resume();
+
+    assert!(silent);
+    assert!(waits);
+    assert!(answers(&client).await);
+    assert!(answers(&waiting.await.unwrap()).await);
+}
+
+#[tokio::test]
+async fn cut_callers_wait_while_replication_goes_on() {
+    let group = start();
+    let primary = connect(group.addresses()[0]).await;
+    let replica = connect(group.addresses()[1]).await;
+    group.target(2).kill();
+
+    group.target(1).cut_callers(true);
+    let silent = silent(&replica).await;
+    insert(&primary, 1).await.unwrap();
+    let confirmed = call(&primary, "confirmed", &[1, 2, 20_000]).await.unwrap();
+    group.target(1).cut_callers(false);
+
+    assert!(silent);
+    assert_eq!(confirmed.get("confirmed_index"), 2);
+    assert!(answers(&replica).await);
+}
+
+#[tokio::test]
+async fn partitioned_replica_stays_behind_and_catches_up() {
+    let group = start();
+    let client = connect(group.addresses()[0]).await;
+
+    group.target(2).partition(&[0]);
+    insert(&client, 1).await.unwrap();
+    call(&client, "confirmed", &[1, 2, 20_000]).await.unwrap();
+    let behind = group.target(2).applied();
+    group.target(2).heal();
+
+    assert_eq!(behind, 1);
+    eventually("the replica has caught up", || group.target(2).applied() == 2).await;
+}
+
+#[tokio::test]
+async fn silent_connections_stay_silent_and_new_ones_work() {
+    let idle_timeout = Duration::from_millis(300);
+    let group = start_with(Options { idle_timeout, ..Options::default() });
+    let old = connect(group.addresses()[0]).await;
+    old.batch_execute("BEGIN; INSERT INTO bolts (id) VALUES (1)").await.unwrap();
+
+    group.target(0).silence_connections();
+    let new = connect(group.addresses()[0]).await;
+
+    assert!(silent(&old).await);
+    assert!(!old.is_closed());
+    assert!(answers(&new).await);
+    assert_eq!(insert(&new, 1).await.unwrap(), 1);
+    assert!(silent(&old).await);
+}
+
+#[tokio::test]
+async fn poisoned_target_passes_probes_and_fails_work() {
+    let group = start();
+    let client = connect(group.addresses()[0]).await;
+
+    group.target(0).poison(true);
+    let probed = probe(&client).await && call(&client, "status", &[]).await.is_ok();
+    let read = client.query_typed("SELECT id FROM bolts", &[]).await.unwrap_err();
+    let write = insert(&client, 1).await.unwrap_err();
+    group.target(0).poison(false);
+
+    assert!(probed);
+    assert_eq!(code(&read), "58030");
+    assert_eq!(code(&write), "58030");
+    assert_eq!(insert(&client, 1).await.unwrap(), 1);
+}
+
+#[tokio::test]
+async fn lagging_replica_applies_late_and_says_its_age() {
+    const LAG: Duration = Duration::from_millis(400);
+    let group = start();
+    let primary = connect(group.addresses()[0]).await;
+    let replica = connect(group.addresses()[1]).await;
+
+    group.target(1).set_lag(LAG);
+    insert(&primary, 1).await.unwrap();
+    let written = Instant::now();
+    eventually("the replica has applied", || group.target(1).applied() == 2).await;
+    let late = written.elapsed();
+    let age = call(&replica, "position", &[]).await.unwrap().get("age_ms");
+
+    assert!(late >= LAG - Duration::from_millis(50), "applied after {late:?}");
+    assert!(age >= LAG.as_millis() as i64, "the age is {age} ms");
+}
+
+#[tokio::test]
+async fn healthy_replica_is_fresh() {
+    let group = start();
+    let replica = connect(group.addresses()[1]).await;
+    let limit = 5_000;
+
+    let mut age = i64::MAX;
+    let deadline = Instant::now() + PATIENCE;
+    while age > limit && Instant::now() < deadline {
+        age = call(&replica, "position", &[]).await.unwrap().get("age_ms");
+    }
+
+    assert!(age <= limit, "the age is {age} ms");
+}
+
+#[tokio::test]
+async fn connections_over_the_limit_are_refused() {
+    let group = start_with(Options { connection_limit: 2, ..Options::default() });
+    let address = group.addresses()[0];
+    let first = connect(address).await;
+    let _second = connect(address).await;
+
+    let refused = try_connect(address).await.expect_err("the third is refused");
+    drop(first);
+    eventually("the connection is given back", || group.target(0).connections() == 1).await;
+    let third = try_connect(address).await;
+
+    assert_eq!(code(&refused), "53300");
+    assert!(third.is_ok());
+}
+
+#[tokio::test]
+async fn delays_are_kept() {
+    const DELAY: Duration = Duration::from_millis(30);
+    let options = Options {
+        connect_delay: DELAY,
+        network_delay: DELAY,
+        replication_delay: DELAY,
+        ..Options::default()
+    };
+    let group = start_with(options);
+
+    let start = Instant::now();
+    let client = connect(group.addresses()[0]).await;
+    let connected = start.elapsed();
+    insert(&client, 1).await.unwrap();
+    let written = start.elapsed() - connected;
+    call(&client, "confirmed", &[1, 2, 20_000]).await.unwrap();
+    let confirmed = start.elapsed() - connected;
+
+    assert!(connected >= DELAY, "connected after {connected:?}");
+    assert!(written >= 2 * DELAY, "written after {written:?}");
+    assert!(confirmed >= 4 * DELAY, "confirmed after {confirmed:?}");
+}
+
+#[tokio::test]
+async fn rebuilt_target_closes_its_connections_and_comes_back() {
+    let group = start();
+    let primary = connect(group.addresses()[0]).await;
+    insert(&primary, 1).await.unwrap();
+    let replica = connect(group.addresses()[1]).await;
+
+    group.target(1).rebuild();
+    eventually("the connection is closed", || replica.is_closed()).await;
+    let whole = || group.target(1).applied() == 2;
+    eventually("the target has caught up", whole).await;
+
+    assert_eq!(group.target(1).log(), group.target(0).log());
+    assert_eq!(group.target(1).rows("SELECT id FROM bolts").unwrap().len(), 1);
+}
+
+#[tokio::test]
+async fn group_of_one_confirms_by_itself() {
+    let group = start_with(Options { targets: 1, ..Options::default() });
+    let client = connect(group.addresses()[0]).await;
+
+    insert(&client, 1).await.unwrap();
+    let confirmed = call(&client, "confirmed", &[1, 2, 0]).await.unwrap();
+
+    assert_eq!(confirmed.get("confirmed_index"), 2);
+    assert_eq!(group.target(0).confirmed(), Position { term: 1, index: 2 });
+}
