--- /dev/null
+++ b/crates/core/src/slot.rs
@@ -0,0 +1,193 @@
+//! Shares of a target's connections between hosts.
+//!
+//! Each host has a part of the target's limit, which follows from the members (see
+//! [`crate::share`]), and lends slots of it to others for [`LEASE`]. The sum of what all hosts may
+//! use stays within the limit at any instant, whatever messages and pauses do:
+//!
+//! - The lender deducts before it answers, and counts the lease from then; the borrower counts it
+//!   from before it asked, and a little shorter. So the borrower's lease has always ended before
+//!   the lender's. A request names the total that the borrower wants to hold, and a sequence
+//!   number, so that late and repeated messages never leave the borrower with more than the lender
+//!   has deducted. Borrowed slots are not lent on.
+//! - A part that grows does so only once every loan out of the old division has ended as well:
+//!   the time that it waits is [`settle`], the lifetime of authority and that of a loan.
+//! - A host without authority uses nothing.
+//!
+//! Where the limit is below the number of hosts, some have no part and live on loans.
+
+use crate::id::{HostId, Incarnation, Time};
+use crate::peer::SlotRequest;
+use crate::share::Part;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time for which a loan holds, as the lender counts it.
+pub const LEASE: Duration = Duration::from_millis(1_000);
+/// By how much the borrower's lease is shorter: covers clocks that run at different speeds.
+pub const LEASE_GUARD: Duration = Duration::from_millis(50);
+/// Age of a loan at which the borrower asks for it again.
+pub const RENEW_AFTER: Duration = Duration::from_millis(350);
+
+/// Time that a growing part waits, given the lifetime of authority.
+pub fn settle(authority: Duration) -> Duration {
+    authority + LEASE + LEASE_GUARD
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Loan {
+    count: u32,
+    until: Time,
+}
+
+/// A request for a loan that is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    /// Whom.
+    pub lender: HostId,
+    /// When it was sent.
+    pub at: Time,
+    /// Total that this host wants to hold from the lender.
+    pub total: u32,
+    /// Its sequence number.
+    pub sequence: u64,
+}
+
+/// One host's part of one target's connections.
+#[derive(Debug)]
+pub struct Ledger {
+    part: Part,
+    vouched_until: Time,
+    lent: BTreeMap<HostId, Vec<Loan>>,
+    heard: BTreeMap<HostId, u64>,
+    borrowed: BTreeMap<HostId, Vec<Loan>>,
+    returned: BTreeMap<HostId, u64>,
+    sequence: u64,
+}
+
+impl Ledger {
+    /// A ledger without a part. `settle` is the time that a growing part waits.
+    pub fn new(incarnation: Incarnation, settle: Duration) -> Ledger {
+        Ledger {
+            part: Part::new(settle),
+            vouched_until: Time::ZERO,
+            lent: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            borrowed: BTreeMap::new(),
+            returned: BTreeMap::new(),
+            // Grows over restarts, since an incarnation is later than all that one run can count.
+            sequence: incarnation,
+        }
+    }
+
+    /// This host's part under the newest members.
+    pub fn set_part(&mut self, now: Time, part: u32) {
+        self.part.update(u64::from(part), now);
+    }
+
+    /// This host has authority until `until`.
+    pub fn vouch(&mut self, until: Time) {
+        self.vouched_until = self.vouched_until.max(until);
+    }
+
+    /// Connections that this host may hold now.
+    pub fn usable(&mut self, now: Time) -> u32 {
+        if now >= self.vouched_until {
+            return 0;
+        }
+        self.unlent(now) + held(&self.borrowed, now)
+    }
+
+    /// Slots that this host holds from others now.
+    pub fn borrowed(&self, now: Time) -> BTreeMap<HostId, u32> {
+        totals(&self.borrowed, now)
+    }
+
+    /// Slots that others hold from this host now.
+    pub fn lent(&self, now: Time) -> BTreeMap<HostId, u32> {
+        totals(&self.lent, now)
+    }
+
+    /// Lenders whose loan is to be asked for again.
+    pub fn due(&self, now: Time) -> Vec<HostId> {
+        let soon = now + (LEASE - LEASE_GUARD - RENEW_AFTER);
+        let held = self.borrowed.iter().filter(|(_, loans)| most(loans, now) > 0);
+        let due = held.filter(|(_, loans)| most(loans, soon) < most(loans, now));
+        due.map(|(lender, _)| *lender).collect()
+    }
+
+    /// Asks `lender` for loans of `total` in all.
+    pub fn ask(&mut self, now: Time, lender: HostId, total: u32) -> Asked {
+        self.sequence += 1;
+        Asked { lender, at: now, total, sequence: self.sequence }
+    }
+
+    /// The lender answered: this host holds `total` from it for the rest of the lease.
+    pub fn granted(&mut self, now: Time, asked: Asked, total: u32) {
+        let returned = self.returned.get(&asked.lender).copied().unwrap_or(0);
+        if asked.sequence < returned {
+            return;
+        }
+        let until = asked.at + (LEASE - LEASE_GUARD);
+        let loans = self.borrowed.entry(asked.lender).or_default();
+        loans.retain(|loan| loan.until > now);
+        loans.push(Loan { count: total.min(asked.total), until });
+    }
+
+    /// Gives loans back down to `total`; what is above must be closed already.
+    pub fn give_back(&mut self, lender: HostId, total: u32) -> u64 {
+        self.sequence += 1;
+        self.returned.insert(lender, self.sequence);
+        clip(self.borrowed.entry(lender).or_default(), total);
+        self.sequence
+    }
+
+    /// A peer asks for loans; `spare` is how many more slots this host can do without.
+    pub fn lend(&mut self, now: Time, request: &SlotRequest, spare: u32) -> u32 {
+        let free = match now < self.vouched_until {
+            true => spare.min(self.unlent(now)),
+            false => 0,
+        };
+        let heard = self.heard.entry(request.host).or_insert(0);
+        *heard = request.sequence.max(*heard);
+        let loans = self.lent.entry(request.host).or_default();
+        loans.retain(|loan| loan.until > now);
+        let total = request.count.min(most(loans, now) + free);
+        loans.push(Loan { count: total, until: now + LEASE });
+        total
+    }
+
+    /// A peer has given loans back.
+    pub fn take_back(&mut self, request: &SlotRequest) {
+        let heard = self.heard.get(&request.host).copied().unwrap_or(0);
+        if request.sequence < heard {
+            return;
+        }
+        self.heard.insert(request.host, request.sequence);
+        if let Some(loans) = self.lent.get_mut(&request.host) {
+            clip(loans, request.count);
+        }
+    }
+
+    fn unlent(&mut self, now: Time) -> u32 {
+        let part = u32::try_from(self.part.usable(now)).unwrap_or(u32::MAX);
+        part.saturating_sub(held(&self.lent, now))
+    }
+}
+
+fn totals(loans: &BTreeMap<HostId, Vec<Loan>>, now: Time) -> BTreeMap<HostId, u32> {
+    let totals = loans.iter().map(|(host, loans)| (*host, most(loans, now)));
+    totals.filter(|(_, total)| *total > 0).collect()
+}
+
+fn held(loans: &BTreeMap<HostId, Vec<Loan>>, now: Time) -> u32 {
+    loans.values().map(|loans| most(loans, now)).sum()
+}
+
+/// The highest total among loans that still hold; each new one repeats what the old ones gave.
+fn most(loans: &[Loan], now: Time) -> u32 {
+    loans.iter().filter(|loan| loan.until > now).map(|loan| loan.count).max().unwrap_or(0)
+}
+
+fn clip(loans: &mut [Loan], total: u32) {
+    loans.iter_mut().for_each(|loan| loan.count = loan.count.min(total));
+}
