Bench: scenarios, seeded arrivals, load generator, faults, and a whole system in one process

The load generator sends each operation when it is due and records every request; the way to the hosts is a pause on either side, so that no relay's threads enter the figures. A caller picks hosts by the platform's lagging list. The stand-in's group exports the value type that its rows are made of.

--- a/crates/cli/src/bench/history.rs
+++ b/crates/cli/src/bench/history.rs
@@ -284,9 +284,18 @@
         self.attempts.last()
     }
 
-    /// Time from when it was due until it ended.
+    /// The attempt that settled it: the first that was answered, else the last.
+    pub fn settled(&self) -> Option<&Attempt> {
+        if self.kind == Kind::Transaction {
+            return self.last();
+        }
+        let is_answered = |attempt: &&Attempt| attempt.verdict() == Verdict::Acknowledged;
+        self.attempts.iter().find(is_answered).or_else(|| self.last())
+    }
+
+    /// Time from when it was due until it was settled.
     pub fn latency(&self) -> Option<Duration> {
-        self.last().map(|attempt| attempt.ended.saturating_sub(self.scheduled))
+        self.settled().map(|attempt| attempt.ended.saturating_sub(self.scheduled))
     }
 
     /// An earlier attempt of unknown outcome keeps a later "not run" unknown.
--- /dev/null
+++ b/crates/cli/src/bench/load.rs
@@ -0,0 +1,352 @@
+//! The load generator: sends each operation when it is due, whatever became of the others.
+//!
+//! The way between callers and hosts is a pause on either side of a request; times are taken at
+//! the caller's end of it. Like the platform's balancer, a caller sends to hosts that the
+//! platform's list names, and to another when a connection can't be made.
+
+use crate::bench::arrival::Arrival;
+use crate::bench::balancer::Balancer;
+use crate::bench::history::{Attempt, Kind, Op, Outcome, Seen, Step, Verdict};
+use crate::bench::progress::Progress;
+use crate::bench::session::Session;
+use crate::client::caller::{Answer, Client, Failure, Operation, Request};
+use bergamotvale_core::statement::{Statement, Value};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Statements of the schema that the load works on.
+pub const SCHEMA: [&str; 2] = [
+    "CREATE TABLE bolts (op BIGINT NOT NULL, account BIGINT NOT NULL, session BIGINT NOT NULL, \
+     seq BIGINT NOT NULL)",
+    "CREATE INDEX bolts_of_session ON bolts (session, seq)",
+];
+/// Leaves the row of a write.
+const INSERT: &str = "INSERT INTO bolts (op, account, session, seq) VALUES ($1, $2, $3, $4)";
+/// Reads the last write of a session, with the number of the operation that asks.
+const SELECT: &str =
+    "SELECT CAST($1 AS BIGINT) AS op, COALESCE(MAX(seq), 0) AS seq FROM bolts WHERE session = $2";
+/// Time after the caller's timeout at which an answer is given up.
+const ANSWER_MARGIN: Duration = Duration::from_secs(1);
+/// Requests of a keyed write whose outcome stays unknown.
+const MAX_TRIES: usize = 5;
+/// Time before an operation of unknown outcome is asked about again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+/// Operations on their way at once; more are recorded as not sent.
+const MAX_OUTSTANDING: usize = 10_000;
+
+/// What the load runs against and with.
+pub struct Setup {
+    /// Callers by account and host.
+    pub callers: Vec<Vec<Client>>,
+    /// Keys by account.
+    pub keys: Vec<String>,
+    /// Names of the services.
+    pub services: Vec<String>,
+    /// Sessions.
+    pub sessions: usize,
+    /// Time that callers wait.
+    pub timeout: Duration,
+    /// Age that aged reads accept.
+    pub max_age: Duration,
+    /// Way between callers and hosts.
+    pub way: Duration,
+    /// Hosts that take requests.
+    pub balancer: Balancer,
+}
+
+/// A running load.
+struct Load {
+    setup: Setup,
+    start: Instant,
+    sessions: Vec<Mutex<Session>>,
+    progress: Arc<Progress>,
+}
+
+/// Sends `arrivals` from `start` on; answers when all of them have ended.
+pub async fn run(
+    setup: Setup,
+    arrivals: Vec<Arrival>,
+    start: Instant,
+    progress: Arc<Progress>,
+) -> Vec<Op> {
+    let sessions = (0..setup.sessions).map(|_| Mutex::default()).collect();
+    let load = Arc::new(Load { setup, start, sessions, progress });
+    let mut running = JoinSet::new();
+    let mut ops = Vec::with_capacity(arrivals.len());
+    for arrival in arrivals {
+        tokio::time::sleep_until(start + arrival.at).await;
+        while let Some(ended) = running.try_join_next() {
+            ops.extend(ended);
+        }
+        if running.len() >= MAX_OUTSTANDING {
+            ops.push(load.drop_arrival(&arrival));
+            continue;
+        }
+        let load = load.clone();
+        running.spawn(async move { load.operate(arrival).await });
+    }
+    while let Some(ended) = running.join_next().await {
+        ops.extend(ended);
+    }
+    ops.sort_by_key(|op| op.id);
+    ops
+}
+
+impl Load {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn session(&self, arrival: &Arrival) -> MutexGuard<'_, Session> {
+        let session = &self.sessions[arrival.session as usize];
+        session.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn drop_arrival(&self, arrival: &Arrival) -> Op {
+        let now = self.now();
+        let outcome = Outcome::Unsent;
+        let attempt =
+            Attempt { step: Step::Whole, host: arrival.host, sent: now, ended: now, outcome };
+        Op { attempts: vec![attempt], ..new_op(arrival) }
+    }
+
+    async fn operate(&self, arrival: Arrival) -> Op {
+        self.progress.begin();
+        let mut op = new_op(&arrival);
+        match arrival.kind {
+            Kind::KeyedWrite => self.keyed_write(&arrival, &mut op).await,
+            Kind::UnkeyedWrite => self.unkeyed_write(&arrival, &mut op).await,
+            Kind::SessionRead => self.session_read(&arrival, &mut op).await,
+            Kind::AgedRead => self.aged_read(&arrival, &mut op).await,
+            Kind::Transaction => self.transaction(&arrival, &mut op).await,
+            Kind::Foreign => self.foreign(&arrival, &mut op).await,
+        }
+        self.progress.end(&op);
+        op
+    }
+
+    async fn keyed_write(&self, arrival: &Arrival, op: &mut Op) {
+        let seq = self.session(arrival).next_seq(arrival.service);
+        // Keys of different accounts are alike on purpose.
+        let key = format!("write-{}-{seq}", arrival.place);
+        let request = self.write(arrival, seq).with_idempotency_key(&key);
+        for place in 0..MAX_TRIES {
+            let host = if place % 2 == 0 { arrival.host } else { arrival.other_host };
+            self.send_write(arrival, op, host, &request, seq).await;
+            if op.verdict() != Verdict::Unknown {
+                break;
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+        if arrival.repeats && op.verdict() == Verdict::Acknowledged {
+            self.send_write(arrival, op, arrival.other_host, &request, seq).await;
+        }
+    }
+
+    async fn unkeyed_write(&self, arrival: &Arrival, op: &mut Op) {
+        let seq = self.session(arrival).next_seq(arrival.service);
+        let request = self.write(arrival, seq);
+        self.send_write(arrival, op, arrival.host, &request, seq).await;
+    }
+
+    async fn send_write(
+        &self,
+        arrival: &Arrival,
+        op: &mut Op,
+        host: usize,
+        request: &Request,
+        seq: u64,
+    ) {
+        let answer = self.send(arrival, op, host, Step::Whole, request).await;
+        if answer.is_some() {
+            self.session(arrival).acknowledge(arrival.service, seq, self.now());
+        }
+    }
+
+    async fn session_read(&self, arrival: &Arrival, op: &mut Op) {
+        let (request, floor) = {
+            let session = self.session(arrival);
+            let request = self.read(arrival).with_session(session.token());
+            (request, session.floor(arrival.service, self.now()))
+        };
+        op.floor = floor;
+        let answer = self.send(arrival, op, arrival.host, Step::Whole, &request).await;
+        op.seen = answer.as_ref().and_then(seen);
+    }
+
+    async fn aged_read(&self, arrival: &Arrival, op: &mut Op) {
+        let request = self.read(arrival).with_max_age(self.setup.max_age);
+        // Everything that was acknowledged longer ago than the age has to be there.
+        let since = self.now().checked_sub(self.setup.max_age);
+        op.floor = since.and_then(|since| self.session(arrival).floor(arrival.service, since));
+        let answer = self.send(arrival, op, arrival.host, Step::Whole, &request).await;
+        op.seen = answer.as_ref().and_then(seen);
+    }
+
+    async fn transaction(&self, arrival: &Arrival, op: &mut Op) {
+        let seq = self.session(arrival).next_seq(arrival.service);
+        let begin = self.request(arrival, Operation::Begin(self.service(arrival)));
+        let Some(begun) = self.send(arrival, op, arrival.host, Step::Begin, &begin).await else {
+            return;
+        };
+        let id = begun.transaction.unwrap_or_default();
+        let run = self.request(arrival, Operation::Run(id.clone(), insert(arrival, seq)));
+        let ran = self.send(arrival, op, arrival.host, Step::Run, &run).await;
+        if ran.is_none() {
+            let rollback = self.request(arrival, Operation::Rollback(id));
+            // The host ends the transaction by itself when this is lost.
+            let _ = self.setup.callers[arrival.account][arrival.host].send(&rollback).await;
+            return;
+        }
+        let commit = self.request(arrival, Operation::Commit(id));
+        let committed = self.send(arrival, op, arrival.other_host, Step::Commit, &commit).await;
+        if committed.is_some() {
+            self.session(arrival).acknowledge(arrival.service, seq, self.now());
+        }
+    }
+
+    /// A write under the key id of another account, and with a secret that is not its own.
+    async fn foreign(&self, arrival: &Arrival, op: &mut Op) {
+        let own = &self.setup.keys[arrival.account];
+        let other = &self.setup.keys[(arrival.account + 1) % self.setup.keys.len()];
+        let operation = Operation::Write(self.service(arrival), insert(arrival, 0));
+        let request = self.request(arrival, operation).with_key(&crossed(other, own));
+        self.send(arrival, op, arrival.host, Step::Whole, &request).await;
+    }
+
+    fn service(&self, arrival: &Arrival) -> String {
+        self.setup.services[arrival.service].clone()
+    }
+
+    fn request(&self, arrival: &Arrival, operation: Operation) -> Request {
+        let key = &self.setup.keys[arrival.account];
+        Request::new(operation).with_key(key).with_timeout(self.setup.timeout)
+    }
+
+    fn write(&self, arrival: &Arrival, seq: u64) -> Request {
+        self.request(arrival, Operation::Write(self.service(arrival), insert(arrival, seq)))
+    }
+
+    fn read(&self, arrival: &Arrival) -> Request {
+        let params = vec![int(arrival.id), int(u64::from(arrival.session))];
+        let statement = Statement { sql: SELECT.to_owned(), params };
+        self.request(arrival, Operation::Read(self.service(arrival), statement))
+    }
+
+    /// Sends a request and records it; a connection that can't be made is tried elsewhere once,
+    /// except for the steps of a transaction that has begun.
+    async fn send(
+        &self,
+        arrival: &Arrival,
+        op: &mut Op,
+        host: usize,
+        step: Step,
+        request: &Request,
+    ) -> Option<Answer> {
+        let host = self.setup.balancer.pick(host);
+        let answer = self.attempt(arrival, op, host, step, request).await;
+        let is_unsent = op.last().is_some_and(|last| last.outcome == Outcome::Unsent);
+        if !is_unsent {
+            return answer;
+        }
+        let next = self.setup.balancer.pick(host + 1);
+        self.attempt(arrival, op, next, step, request).await
+    }
+
+    async fn attempt(
+        &self,
+        arrival: &Arrival,
+        op: &mut Op,
+        host: usize,
+        step: Step,
+        request: &Request,
+    ) -> Option<Answer> {
+        let sent = self.now();
+        let client = &self.setup.callers[arrival.account][host];
+        let limit = self.setup.timeout + ANSWER_MARGIN;
+        let result = match tokio::time::timeout(limit, self.travel(client, request)).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Cut("no answer in time".to_owned())),
+        };
+        let ended = self.now();
+        if let Ok(Answer { session: Some(token), .. }) = &result {
+            self.session(arrival).merge(token);
+        }
+        op.attempts.push(Attempt { step, host, sent, ended, outcome: outcome(&result) });
+        result.ok()
+    }
+
+    async fn travel(&self, client: &Client, request: &Request) -> Result<Answer, Failure> {
+        if self.setup.way.is_zero() {
+            return client.send(request).await;
+        }
+        tokio::time::sleep(self.setup.way).await;
+        let result = client.send(request).await;
+        tokio::time::sleep(self.setup.way).await;
+        result
+    }
+}
+
+fn new_op(arrival: &Arrival) -> Op {
+    Op {
+        id: arrival.id,
+        account: arrival.account,
+        session: arrival.session,
+        service: arrival.service,
+        kind: arrival.kind,
+        scheduled: arrival.at,
+        attempts: Vec::new(),
+        floor: None,
+        seen: None,
+    }
+}
+
+fn insert(arrival: &Arrival, seq: u64) -> Statement {
+    let params = vec![
+        int(arrival.id),
+        int(arrival.account as u64),
+        int(u64::from(arrival.session)),
+        int(seq),
+    ];
+    Statement { sql: INSERT.to_owned(), params }
+}
+
+fn int(number: u64) -> Value {
+    Value::Int(i64::try_from(number).unwrap_or(i64::MAX))
+}
+
+/// The id of `key` with the secret of `other`.
+fn crossed(key: &str, other: &str) -> String {
+    let id = key.rsplit_once('_').map_or(key, |(id, _)| id);
+    let secret = other.rsplit_once('_').map_or(other, |(_, secret)| secret);
+    format!("{id}_{secret}")
+}
+
+fn outcome(result: &Result<Answer, Failure>) -> Outcome {
+    match result {
+        Ok(answer) => Outcome::Done {
+            replica: answer.served.as_ref().map(|served| served.replica),
+            replayed: answer.replayed,
+        },
+        Err(failure @ Failure::Refused(problem)) => {
+            Outcome::Refused { reason: problem.known_reason(), ran: failure.ran() }
+        }
+        Err(Failure::Unsent(_)) => Outcome::Unsent,
+        Err(Failure::Cut(_)) => Outcome::Cut,
+    }
+}
+
+fn seen(answer: &Answer) -> Option<Seen> {
+    let row = answer.rows.rows.first()?;
+    Some(Seen { op: number(row.first()?)?, seq: number(row.get(1)?)? })
+}
+
+fn number(value: &Value) -> Option<u64> {
+    match value {
+        Value::Int(number) => u64::try_from(*number).ok(),
+        Value::Text(text) => text.parse().ok(),
+        _ => None,
+    }
+}
--- a/crates/cli/src/bench/measure.rs
+++ b/crates/cli/src/bench/measure.rs
@@ -153,7 +153,7 @@
 }
 
 fn served_by_replica(op: &Op) -> Option<bool> {
-    match op.last()?.outcome {
+    match op.settled()?.outcome {
         Outcome::Done { replica, .. } => replica,
         _ => None,
     }
@@ -175,7 +175,7 @@
 fn gap(history: &History, fault: &Fault, service: ServiceIndex) -> Option<Duration> {
     let good = || {
         let ops = history.ops.iter().filter(move |op| op.service == service && op.kind.writes());
-        ops.filter(|op| op.verdict() == Verdict::Acknowledged).filter_map(Op::last)
+        ops.filter(|op| op.verdict() == Verdict::Acknowledged).filter_map(Op::settled)
     };
     let before = good().map(|attempt| attempt.ended).filter(|ended| *ended <= fault.begun).max();
     let after = good().filter(|attempt| attempt.sent >= fault.done).map(|a| a.ended).min();
@@ -289,7 +289,7 @@
 fn timeline(history: &History) -> Vec<Point> {
     let mut points: Vec<Point> = Vec::new();
     for op in history.ops.iter().filter(|op| op.kind != Kind::Foreign) {
-        let Some(last) = op.last() else { continue };
+        let Some(last) = op.settled() else { continue };
         let place = (last.ended.as_micros() / TIMELINE_STEP.as_micros()) as usize;
         while points.len() <= place {
             let at_s = points.len() as f64 * TIMELINE_STEP.as_secs_f64();
@@ -302,7 +302,7 @@
 
 impl Point {
     fn add(&mut self, op: &Op) {
-        let Some(last) = op.last() else { return };
+        let Some(last) = op.settled() else { return };
         if op.verdict() == Verdict::Acknowledged {
             self.answered += 1;
             self.writes += u64::from(op.kind.writes());
--- a/crates/cli/src/bench/mod.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -1,10 +1,19 @@
 //! Open-loop load against a whole system, and what it measured.
 //!
-//! [`scenario`] says what to run, [`arrival`] draws every operation ahead from a seed, the load
-//! generator sends them when they are due, whatever became of the ones before, and writes a
-//! [`history`]. [`check`] and [`measure`] judge the history; [`report`] prints it.
+//! [`scenario`] says what to run, [`arrival`] draws every operation ahead from a seed, [`load`]
+//! sends them when they are due, whatever became of the ones before, and writes a [`history`].
+//! [`check`] and [`measure`] judge the history.
 
 pub mod admission;
+pub mod arrival;
+pub mod balancer;
 pub mod check;
+pub mod fault;
 pub mod history;
+pub mod load;
 pub mod measure;
+pub mod progress;
+pub mod remains;
+pub mod scenario;
+pub mod session;
+pub mod variant;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod error;
 pub mod output;
 pub mod run;
+pub mod system;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/cli/src/system.rs
@@ -0,0 +1,294 @@
+//! A whole system in this process: platform, database groups and hosts on loopback.
+//!
+//! [`Plan`] says what to bring up, [`System`] is it running. Each part keeps its address when it
+//! is stopped and started again. Keys come from a seed: the system lives no longer than the
+//! process and listens on loopback only.
+
+use crate::client;
+use crate::client::caller::{self, Operation, Request};
+use crate::client::operator;
+use crate::error::{Error, Result};
+use bergamotvale_core::config::{
+    Account, Document, Key, KeyState, Route, Service, Target, TargetState,
+};
+use bergamotvale_core::id::{AccountId, FailureDomainId, HostId, KeyId, ServiceId, TargetId};
+use bergamotvale_core::statement::Statement;
+use bergamotvale_host::auth;
+use bergamotvale_host::daemon::Daemon;
+use bergamotvale_host::platform::{Answer, CONFIG_ROW, Check, Current, Put, Transaction};
+use bergamotvale_host::settings::{Listen, Operator, Policy, Settings};
+use bergamotvale_standin::group::{self, Group};
+use bergamotvale_standin::platform;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time that the system may take to serve its first requests.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between two looks whether it does.
+const START_PERIOD: Duration = Duration::from_millis(50);
+/// Time for which an outcome stays known under its idempotency key.
+const RETENTION: Duration = Duration::from_secs(3600);
+/// Name of the system's operator.
+const OPERATOR: &str = "operator";
+/// Bytes of a secret.
+const SECRET_BYTES: usize = 16;
+
+/// What to bring up.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Seed of the keys.
+    pub seed: u64,
+    /// Number of hosts.
+    pub hosts: usize,
+    /// Failure domains that hosts and targets are spread over.
+    pub failure_domains: FailureDomainId,
+    /// Database groups with their names.
+    pub groups: Vec<(String, group::Options)>,
+    /// Client accounts; each gets one key.
+    pub accounts: Vec<Account>,
+    /// Routes open to all.
+    pub routes: BTreeMap<String, Route>,
+    /// How hosts decide.
+    pub policy: Policy,
+    /// Threads of each host that serve callers.
+    pub workers: usize,
+}
+
+/// A running system; dropping it ends it.
+pub struct System {
+    /// The platform.
+    pub platform: platform::Server,
+    /// Database groups, by the place of their service.
+    pub groups: Vec<Group>,
+    /// Hosts.
+    pub hosts: Vec<Host>,
+    /// The configuration that it started with.
+    pub document: Document,
+    /// Keys, by the place of their account.
+    pub keys: Vec<String>,
+    /// The operator's key.
+    pub operator_key: String,
+    http: reqwest::Client,
+}
+
+/// A host of the system.
+pub struct Host {
+    /// Its settings, with the addresses that it listens on.
+    pub settings: Settings,
+    daemon: Option<Daemon>,
+}
+
+impl System {
+    /// Brings up `plan` and waits until every host serves every service.
+    pub async fn start(plan: Plan) -> Result<System> {
+        let mut rng = StdRng::seed_from_u64(plan.seed);
+        let platform = platform::Server::start(platform::Options::default()).map_err(start)?;
+        let groups = start_groups(&plan)?;
+        let (document, keys) = document(&plan, &groups, &mut rng);
+        let secret = secret(&mut rng);
+        let operators = vec![operator(&secret, &mut rng)];
+        let mut system = System {
+            platform,
+            groups,
+            hosts: Vec::new(),
+            document,
+            keys,
+            operator_key: format!("op_{OPERATOR}_{secret}"),
+            http: client::http().build()?,
+        };
+        system.store_document(&plan).await?;
+        for place in 0..plan.hosts {
+            let settings = settings(&plan, place, system.platform.address(), &operators);
+            system.hosts.push(Host::start(settings).await?);
+        }
+        system.wait_until_served().await?;
+        Ok(system)
+    }
+
+    /// A caller of the host at `place`, over connections of its own.
+    pub fn caller(&self, place: usize) -> caller::Client {
+        caller::Client::new(self.http.clone(), self.hosts[place].settings.listen.callers)
+    }
+
+    /// The operator at the host at `place`.
+    pub fn operator(&self, place: usize) -> operator::Client {
+        let address = self.hosts[place].settings.listen.operators;
+        operator::Client::new(self.http.clone(), address, &self.operator_key)
+    }
+
+    /// The primary of the group at `service`, if one leads.
+    pub fn primary(&self, service: usize) -> Option<usize> {
+        let targets = self.groups[service].targets().iter();
+        let leading = targets.filter(|target| target.leads());
+        leading.max_by_key(|target| target.accepted_term()).map(group::Target::number)
+    }
+
+    /// Stops every host, then the rest.
+    pub async fn stop(mut self) {
+        for host in &mut self.hosts {
+            host.stop().await;
+        }
+    }
+
+    async fn store_document(&self, plan: &Plan) -> Result<()> {
+        let settings = settings(plan, 0, self.platform.address(), &[]);
+        let client = bergamotvale_host::platform::Client::new(&settings).map_err(start)?;
+        let body = serde_json::to_vec(&self.document).map_err(start)?;
+        let digest = client.put_object(body).await.map_err(start)?;
+        let current = Current { version: self.document.version, digest };
+        let transaction = Transaction {
+            checks: vec![Check { key: CONFIG_ROW.to_owned(), version: 0 }],
+            puts: vec![Put {
+                key: CONFIG_ROW.to_owned(),
+                value: serde_json::to_value(&current).map_err(start)?,
+            }],
+            deletes: Vec::new(),
+        };
+        match client.transact(&transaction).await.map_err(start)? {
+            Answer::Done(_) => Ok(()),
+            Answer::Conflict(_) => Err(start("the platform holds a configuration already")),
+        }
+    }
+
+    async fn wait_until_served(&self) -> Result<()> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        for host in 0..self.hosts.len() {
+            for (id, service) in &self.document.services {
+                let key = self.key_for(*id).ok_or_else(|| start("a service without account"))?;
+                let statement = Statement { sql: "SELECT 1".to_owned(), params: Vec::new() };
+                let operation = Operation::Read(service.name.clone(), statement);
+                let request = Request::new(operation).with_key(key);
+                self.wait_for(host, &request, deadline).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn wait_for(&self, host: usize, request: &Request, deadline: Instant) -> Result<()> {
+        loop {
+            let failure = match self.caller(host).send(request).await {
+                Ok(_) => return Ok(()),
+                Err(failure) => failure,
+            };
+            if Instant::now() > deadline {
+                return Err(start(format!("host {host} does not serve: {failure}")));
+            }
+            tokio::time::sleep(START_PERIOD).await;
+        }
+    }
+
+    /// Key of an account that may use `service`.
+    fn key_for(&self, service: ServiceId) -> Option<&str> {
+        let mut accounts = self.document.accounts.values();
+        let place = accounts.position(|account| account.services.contains(&service))?;
+        self.keys.get(place).map(String::as_str)
+    }
+}
+
+impl Host {
+    async fn start(settings: Settings) -> Result<Host> {
+        let daemon = Daemon::start(settings).await.map_err(start)?;
+        Ok(Host { settings: daemon.host.settings.clone(), daemon: Some(daemon) })
+    }
+
+    /// Whether it runs.
+    pub fn is_running(&self) -> bool {
+        self.daemon.is_some()
+    }
+
+    /// Stops it as planned; ends when what ran has ended.
+    pub async fn stop(&mut self) {
+        if let Some(daemon) = self.daemon.take() {
+            daemon.stop().await;
+        }
+    }
+
+    /// Starts it again where it was.
+    pub async fn restart(&mut self) -> Result<()> {
+        if self.daemon.is_none() {
+            self.daemon = Some(Daemon::start(self.settings.clone()).await.map_err(start)?);
+        }
+        Ok(())
+    }
+
+    /// Takes the daemon out, to be stopped apart.
+    pub fn take(&mut self) -> Option<Daemon> {
+        self.daemon.take()
+    }
+}
+
+fn start(error: impl ToString) -> Error {
+    Error::Start(error.to_string())
+}
+
+fn start_groups(plan: &Plan) -> Result<Vec<Group>> {
+    let options = plan.groups.iter().map(|(_, options)| options.clone());
+    options.map(|options| Group::start(options).map_err(start)).collect()
+}
+
+fn settings(plan: &Plan, place: usize, platform: SocketAddr, operators: &[Operator]) -> Settings {
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listen = Listen { callers: free, operators: free, peers: free };
+    let failure_domain = place as FailureDomainId % plan.failure_domains;
+    let mut settings = Settings::new(place as HostId + 1, failure_domain, listen, platform);
+    settings.operators = operators.to_vec();
+    settings.policy = plan.policy.clone();
+    settings.workers = plan.workers;
+    settings
+}
+
+/// The configuration and the keys of its accounts, in the order of the accounts.
+fn document(plan: &Plan, groups: &[Group], rng: &mut StdRng) -> (Document, Vec<String>) {
+    let mut document = Document { version: 1, ..Document::default() };
+    for (place, (group, (name, options))) in groups.iter().zip(&plan.groups).enumerate() {
+        let service = service(plan, group, name, options);
+        document.services.insert(place as ServiceId + 1, service);
+    }
+    let mut keys = Vec::new();
+    for (place, account) in plan.accounts.iter().enumerate() {
+        let (account_id, key_id) = (place as AccountId + 1, place as KeyId + 1);
+        document.accounts.insert(account_id, account.clone());
+        let secret = secret(rng);
+        document.keys.insert(key_id, key(account_id, &secret, rng));
+        keys.push(format!("bv_{key_id}_{secret}"));
+    }
+    document.routes = plan.routes.clone();
+    (document, keys)
+}
+
+fn service(plan: &Plan, group: &Group, name: &str, options: &group::Options) -> Service {
+    let target = |(place, address): (usize, SocketAddr)| {
+        let target = Target {
+            address,
+            failure_domain: place as FailureDomainId % plan.failure_domains,
+            connections: options.connection_limit as u32,
+            state: TargetState::Active,
+        };
+        (place as TargetId, target)
+    };
+    let targets = group.addresses().into_iter().enumerate().map(target).collect();
+    Service { name: name.to_owned(), targets, retention: RETENTION }
+}
+
+fn key(account: AccountId, secret: &str, rng: &mut StdRng) -> Key {
+    let salt = salt(rng);
+    let digest = auth::digest(&salt, secret);
+    Key { account, salt, digest, state: KeyState::Active }
+}
+
+fn operator(secret: &str, rng: &mut StdRng) -> Operator {
+    let salt = salt(rng);
+    let digest = auth::digest(&salt, secret);
+    Operator { name: OPERATOR.to_owned(), salt, digest }
+}
+
+fn salt(rng: &mut StdRng) -> String {
+    bergamotvale_host::platform::hex(&rng.random::<[u8; 32]>())
+}
+
+fn secret(rng: &mut StdRng) -> String {
+    bergamotvale_host::platform::hex(&rng.random::<[u8; SECRET_BYTES]>())
+}
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -28,7 +28,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use rusqlite::types::Value;
+pub use rusqlite::types::Value;
 
 pub use self::log::{Entry, Index, Position, Term};
 
