Host: reads by position, writes at most once, transactions, forwarding, streamed results

The front parses headers and limits, runs the work on the host's runtime and ends it when the caller goes away; the framework itself looks at a connection only after the answer, so accepted sockets are watched through a second handle.

--- a/crates/core/src/transaction.rs
+++ b/crates/core/src/transaction.rs
@@ -7,7 +7,7 @@
 
 use crate::id::{AccountId, HostId, KeyId, ServiceId, Time, TransactionId};
 use crate::refusal::{Ran, Reason, Refusal};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Bits of a transaction's id that count within its host.
@@ -186,6 +186,16 @@
         self.roll_back(|_| true)
     }
 
+    /// Service of an open transaction.
+    pub fn service(&self, id: TransactionId) -> Option<ServiceId> {
+        self.open.get(&id).map(|entry| entry.service)
+    }
+
+    /// Keys behind the open transactions.
+    pub fn keys(&self) -> BTreeSet<KeyId> {
+        self.open.values().map(|entry| entry.key).collect()
+    }
+
     /// Whether the transaction goes on.
     pub fn is_open(&self, id: TransactionId) -> bool {
         self.open.contains_key(&id)
--- a/crates/host/src/auth.rs
+++ b/crates/host/src/auth.rs
@@ -48,6 +48,11 @@
     hex(&hash.finalize())
 }
 
+/// The secret part of a presented key.
+pub fn secret(presented: &str) -> Option<&str> {
+    split(presented).map(|(_, secret)| secret)
+}
+
 fn split(presented: &str) -> Option<(KeyId, &str)> {
     let (id, secret) = presented.strip_prefix(PREFIX)?.split_once('_')?;
     Some((id.parse().ok()?, secret))
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -1,10 +1,10 @@
 //! Runs one host: binds its listeners, starts its tasks, stops them in order.
 
 use crate::error::Result;
-use crate::front;
 use crate::settings::Settings;
 use crate::shared::Host;
 use crate::target::probe;
+use crate::{exec, front};
 use std::net::TcpListener;
 use std::sync::Arc;
 use tokio::task::JoinSet;
@@ -28,6 +28,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(probe::run(host.clone()));
         tasks.spawn(follow_document(host.clone()));
+        tasks.spawn(exec::transaction::run(host.clone()));
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
         Ok(Daemon { host, front, tasks })
     }
--- /dev/null
+++ b/crates/host/src/exec/outcome.rs
@@ -0,0 +1,120 @@
+//! The table of outcomes in each service's database.
+
+use super::exchange::Loss;
+use super::value::{self, Fault};
+use bergamotvale_core::id::AccountId;
+use bergamotvale_core::idempotency::{self, Row};
+use bergamotvale_core::log::Position;
+use bergamotvale_core::statement::Rows;
+use postgres_types::{ToSql, Type};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio_postgres::Client;
+
+/// SQLSTATE of a missing table.
+const NO_TABLE: &str = "42P01";
+/// Rows that one pruning removes at most.
+const PRUNE_ROWS: i64 = 2000;
+/// Bytes of an encoded outcome.
+pub const MAX_BYTES: usize = 256 * 1024;
+
+const CREATE: &str = "CREATE TABLE IF NOT EXISTS bergamotvale_outcomes (\
+    account bigint NOT NULL, key text NOT NULL, digest text NOT NULL, outcome text NOT NULL, \
+    at bigint NOT NULL, PRIMARY KEY (account, key))";
+const INSERT: &str = "INSERT INTO bergamotvale_outcomes (account, key, digest, outcome, at) \
+    VALUES ($1, $2, $3, '', $4)";
+const UPDATE: &str =
+    "UPDATE bergamotvale_outcomes SET outcome = $3 WHERE account = $1 AND key = $2";
+const SELECT: &str =
+    "SELECT digest, outcome FROM bergamotvale_outcomes WHERE account = $1 AND key = $2";
+const PRUNE: &str = "DELETE FROM bergamotvale_outcomes WHERE (account, key) IN \
+    (SELECT account, key FROM bergamotvale_outcomes WHERE at < $1 LIMIT $2)";
+const STATUS: &str = "SELECT * FROM group_status()";
+
+/// Identity of a row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Id {
+    /// Client account.
+    pub account: AccountId,
+    /// Idempotency key.
+    pub key: String,
+    /// Digest of the request.
+    pub digest: String,
+}
+
+/// Whether the failure is that the table is not there yet.
+pub fn is_missing(loss: &Loss) -> bool {
+    matches!(loss, Loss::Failed(code, _) if code == NO_TABLE)
+}
+
+/// Makes the table, in a transaction of its own.
+pub async fn create(client: &Client) -> Result<(), tokio_postgres::Error> {
+    let script = format!("BEGIN READ WRITE; {CREATE}; COMMIT");
+    client.batch_execute(&script).await
+}
+
+/// Claims the key, inside the write's transaction.
+pub async fn insert(client: &Client, id: &Id) -> Result<u64, tokio_postgres::Error> {
+    let (account, at) = (i64::from(id.account), i64::try_from(unix_time().as_secs()).unwrap_or(0));
+    let params: [(&(dyn ToSql + Sync), Type); 4] = [
+        (&account, Type::INT8),
+        (&id.key, Type::TEXT),
+        (&id.digest, Type::TEXT),
+        (&at, Type::INT8),
+    ];
+    client.execute_typed(INSERT, &params).await
+}
+
+/// Writes the outcome into the claimed row.
+pub async fn update(client: &Client, id: &Id, outcome: &str) -> Result<u64, tokio_postgres::Error> {
+    let account = i64::from(id.account);
+    let params: [(&(dyn ToSql + Sync), Type); 3] =
+        [(&account, Type::INT8), (&id.key, Type::TEXT), (&outcome, Type::TEXT)];
+    client.execute_typed(UPDATE, &params).await
+}
+
+/// The row, and the last entry of the log, which is at or past the row's own.
+pub async fn find(
+    client: &Client,
+    id: &Id,
+) -> Result<(Option<Row>, Position), tokio_postgres::Error> {
+    let account = i64::from(id.account);
+    let params: [(&(dyn ToSql + Sync), Type); 2] = [(&account, Type::INT8), (&id.key, Type::TEXT)];
+    let row = client.query_typed_opt(SELECT, &params);
+    let status = client.query_typed_one(STATUS, &[]);
+    let (row, status) = futures::try_join!(row, status)?;
+    let row = match row {
+        Some(row) => Some(Row { digest: row.try_get(0)?, outcome: row.try_get(1)? }),
+        None => None,
+    };
+    let entry = (status.try_get::<_, i64>("entry_term")?, status.try_get::<_, i64>("entry_index")?);
+    Ok((row, Position::new(entry.0.unsigned_abs(), entry.1.unsigned_abs())))
+}
+
+/// Removes some rows that are older than `retention`.
+pub async fn prune(client: &Client, retention: Duration) -> Result<u64, tokio_postgres::Error> {
+    let before = idempotency::prune_before(unix_time(), retention);
+    let params: [(&(dyn ToSql + Sync), Type); 2] =
+        [(&before, Type::INT8), (&PRUNE_ROWS, Type::INT8)];
+    client.batch_execute("BEGIN READ WRITE").await?;
+    let pruned = client.execute_typed(PRUNE, &params).await?;
+    client.batch_execute("COMMIT").await?;
+    Ok(pruned)
+}
+
+/// The text that is stored for `rows`.
+pub fn encode(rows: &Rows) -> Result<String, Fault> {
+    let text = serde_json::to_string(rows)?;
+    if text.len() > MAX_BYTES {
+        return Err(format!("the outcome is over {MAX_BYTES} bytes").into());
+    }
+    Ok(text)
+}
+
+/// The rows behind a stored text.
+pub fn decode(text: &str) -> Result<Rows, value::Fault> {
+    Ok(serde_json::from_str(text)?)
+}
+
+fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/host/src/exec/permit.rs
@@ -0,0 +1,58 @@
+//! Whether a caller may still do what it does.
+//!
+//! Asked when a request arrives and again right before its bytes leave for a target, so that a key
+//! withdrawn in between stops the request.
+
+use crate::auth::{self, Identity};
+use crate::shared::Host;
+use bergamotvale_core::id::{AccountId, KeyId, ServiceId};
+use bergamotvale_core::refusal::{Reason, Refusal};
+
+/// On whose behalf a statement runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Caller {
+    /// The client account of a key.
+    Key(Identity),
+    /// Anyone, on a route open to all; the client account that pays for it.
+    Open(String, AccountId),
+    /// A client account whose key another host has checked.
+    Peer(AccountId),
+}
+
+impl Caller {
+    /// Client account that it runs for.
+    pub fn account(&self) -> AccountId {
+        match self {
+            Caller::Key(identity) => identity.account,
+            Caller::Open(_, account) | Caller::Peer(account) => *account,
+        }
+    }
+
+    /// The key, when this host has checked one.
+    pub fn key(&self) -> Option<KeyId> {
+        match self {
+            Caller::Key(identity) => Some(identity.key),
+            Caller::Open(..) | Caller::Peer(_) => None,
+        }
+    }
+}
+
+/// Says whether `caller` may use `service` now.
+pub fn verify(host: &Host, caller: &Caller, service: ServiceId) -> Result<(), Refusal> {
+    let document = host.document();
+    match caller {
+        Caller::Key(identity) if !auth::stands(&document, *identity) => {
+            return Err(Refusal::new(Reason::KeyWithdrawn, "the key was withdrawn"));
+        }
+        Caller::Open(route, _) if !document.routes.contains_key(route) => {
+            return Err(Refusal::new(Reason::NotFound, "no such route"));
+        }
+        Caller::Open(..) => return Ok(()),
+        Caller::Key(_) | Caller::Peer(_) => {}
+    }
+    let account = document.accounts.get(&caller.account());
+    if !account.is_some_and(|account| account.services.contains(&service)) {
+        return Err(Refusal::new(Reason::NotAllowed, "the client account may not use it"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/host/src/exec/state.rs
@@ -0,0 +1,132 @@
+//! What the requests of one host share.
+
+use super::{confirm, transaction};
+use crate::settings::Settings;
+use crate::target::Key;
+use bergamotvale_core::id::{HostId, Incarnation, ServiceId, TargetId, Time};
+use bergamotvale_core::idempotency::Running;
+use bergamotvale_core::outlier;
+use bergamotvale_core::retry::{Budgets, Jitter};
+use bergamotvale_wire::peer::PeerClient;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+
+/// State of the data path of one host.
+pub struct State {
+    /// Waits for confirmation.
+    pub confirm: confirm::Waits,
+    /// Transactions that this host owns.
+    pub transactions: transaction::Owned,
+    budgets: Mutex<Budgets>,
+    running: Mutex<Running>,
+    outliers: Mutex<BTreeMap<ServiceId, outlier::Group>>,
+    in_flight: Mutex<BTreeMap<Key, u32>>,
+    jitter: Mutex<Jitter>,
+    peers: Mutex<BTreeMap<HostId, PeerClient>>,
+    keyed_writes: AtomicU64,
+}
+
+/// A request in flight on a target.
+pub struct Flight<'a> {
+    state: &'a State,
+    key: Key,
+}
+
+impl State {
+    /// State of a host that has served nothing.
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> State {
+        State {
+            confirm: confirm::Waits::new(),
+            transactions: transaction::Owned::new(settings, incarnation),
+            budgets: Mutex::default(),
+            running: Mutex::default(),
+            outliers: Mutex::default(),
+            in_flight: Mutex::default(),
+            jitter: Mutex::new(Jitter::new(settings.policy.seed ^ u64::from(settings.host))),
+            peers: Mutex::default(),
+            keyed_writes: AtomicU64::new(0),
+        }
+    }
+
+    /// Retry budgets.
+    pub fn budgets(&self) -> MutexGuard<'_, Budgets> {
+        lock(&self.budgets)
+    }
+
+    /// Idempotency keys in use here.
+    pub fn running(&self) -> MutexGuard<'_, Running> {
+        lock(&self.running)
+    }
+
+    /// A new seed.
+    pub fn seed(&self) -> u64 {
+        lock(&self.jitter).draw()
+    }
+
+    /// Connection to a peer, if there is one.
+    pub fn peer(&self, host: HostId) -> Option<PeerClient> {
+        lock(&self.peers).get(&host).cloned()
+    }
+
+    /// Keeps a connection to a peer.
+    pub fn remember_peer(&self, host: HostId, client: PeerClient) {
+        lock(&self.peers).insert(host, client);
+    }
+
+    /// Drops the connection to a peer.
+    pub fn forget_peer(&self, host: HostId) {
+        lock(&self.peers).remove(&host);
+    }
+
+    /// Counts a write with an idempotency key; answers with their number.
+    pub fn keyed_write(&self) -> u64 {
+        self.keyed_writes.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Notes a request that leaves for a target, until the result is dropped.
+    pub fn fly(&self, key: Key) -> Flight<'_> {
+        *lock(&self.in_flight).entry(key).or_default() += 1;
+        Flight { state: self, key }
+    }
+
+    /// Requests in flight on a target.
+    pub fn in_flight(&self, key: Key) -> u32 {
+        lock(&self.in_flight).get(&key).copied().unwrap_or(0)
+    }
+
+    /// Notes how a target did its work.
+    pub fn worked(&self, (service, target): Key, well: bool) {
+        let mut outliers = lock(&self.outliers);
+        let group = outliers.entry(service).or_insert_with(new_group);
+        if well { group.succeeded(target) } else { group.failed(target) }
+    }
+
+    /// Replicas of `service` that are out at present; begins and ends ejections when it is time.
+    pub fn ejected(&self, service: ServiceId, replicas: &[TargetId], now: Time) -> Vec<TargetId> {
+        let mut outliers = lock(&self.outliers);
+        let group = outliers.entry(service).or_insert_with(new_group);
+        for target in group.sweep(replicas, now) {
+            log::warn!("target {target} of service {service} fails its work and is passed over");
+        }
+        replicas.iter().copied().filter(|target| group.is_ejected(*target)).collect()
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        let mut in_flight = lock(&self.state.in_flight);
+        if let Some(count) = in_flight.get_mut(&self.key) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
+/// Locks `mutex`.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
+}
+
+fn new_group() -> outlier::Group {
+    outlier::Group::new(outlier::Policy::default())
+}
--- a/crates/host/src/exec/value.rs
+++ b/crates/host/src/exec/value.rs
@@ -1,31 +1,68 @@
-//! Values between the core's plain data and the database's binary form.
+//! Values between the core's plain data and the database's forms.
 
-use crate::error::Result;
 use bergamotvale_core::statement::{Column, Rows, Statement, Value};
-use postgres_types::{ToSql, Type};
+use bytes::BytesMut;
+use postgres_types::{Format, FromSql, IsNull, ToSql, Type, to_sql_checked};
+use std::error::Error;
 use tokio_postgres::Row;
 
+/// What is wrong with a result.
+pub type Fault = Box<dyn Error + Sync + Send>;
+
+/// A parameter; text goes untyped, so that the database infers its type from where it stands.
+#[derive(Debug)]
+pub struct Param<'a>(&'a Value);
+
+impl ToSql for Param<'_> {
+    fn to_sql(&self, kind: &Type, out: &mut BytesMut) -> Result<IsNull, Fault> {
+        match self.0 {
+            Value::Null => return Ok(IsNull::Yes),
+            Value::Text(text) => out.extend_from_slice(text.as_bytes()),
+            Value::Bool(value) => return value.to_sql(kind, out),
+            Value::Int(value) => return value.to_sql(kind, out),
+            Value::Float(value) => return value.to_sql(kind, out),
+            Value::Bytes(value) => return value.to_sql(kind, out),
+        }
+        Ok(IsNull::No)
+    }
+
+    fn accepts(_: &Type) -> bool {
+        true
+    }
+
+    fn encode_format(&self, _: &Type) -> Format {
+        match self.0 {
+            Value::Null | Value::Text(_) => Format::Text,
+            Value::Bool(_) | Value::Int(_) | Value::Float(_) | Value::Bytes(_) => Format::Binary,
+        }
+    }
+
+    to_sql_checked!();
+}
+
 /// Bound parameters with the types that they are sent as.
-pub fn bind(statement: &Statement) -> Vec<(&(dyn ToSql + Sync), Type)> {
-    statement.params.iter().map(bind_one).collect()
+pub fn bind(statement: &Statement) -> Vec<(Param<'_>, Type)> {
+    statement.params.iter().map(|value| (Param(value), kind(value))).collect()
 }
 
-fn bind_one(value: &Value) -> (&(dyn ToSql + Sync), Type) {
+fn kind(value: &Value) -> Type {
     match value {
-        Value::Null => (&None::<String>, Type::TEXT),
-        Value::Bool(v) => (v, Type::BOOL),
-        Value::Int(v) => (v, Type::INT8),
-        Value::Float(v) => (v, Type::FLOAT8),
-        Value::Text(v) => (v, Type::TEXT),
-        Value::Bytes(v) => (v, Type::BYTEA),
+        Value::Null | Value::Text(_) => Type::UNKNOWN,
+        Value::Bool(_) => Type::BOOL,
+        Value::Int(_) => Type::INT8,
+        Value::Float(_) => Type::FLOAT8,
+        Value::Bytes(_) => Type::BYTEA,
     }
 }
 
-/// The rows as plain data.
-pub fn decode(rows: &[Row], affected: u64) -> Result<Rows> {
-    let columns = rows.first().map(columns).unwrap_or_default();
-    let rows = rows.iter().map(cells).collect::<Result<_>>()?;
-    Ok(Rows { columns, rows, affected })
+/// Adds a row to `rows`; the first one brings the columns.
+pub fn push(rows: &mut Rows, row: &Row) -> Result<(), Fault> {
+    if rows.columns.is_empty() {
+        rows.columns = columns(row);
+    }
+    let cells = (0..row.len()).map(|index| cell(row, index)).collect::<Result<_, _>>()?;
+    rows.rows.push(cells);
+    Ok(())
 }
 
 fn columns(row: &Row) -> Vec<Column> {
@@ -35,21 +72,54 @@
         .collect()
 }
 
-fn cells(row: &Row) -> Result<Vec<Value>> {
-    (0..row.len()).map(|index| cell(row, index)).collect()
-}
-
-fn cell(row: &Row, index: usize) -> Result<Value> {
-    let kind = row.columns()[index].type_().clone();
-    let value = match kind {
+fn cell(row: &Row, index: usize) -> Result<Value, Fault> {
+    let value = match *row.columns()[index].type_() {
         Type::BOOL => row.try_get::<_, Option<bool>>(index)?.map(Value::Bool),
         Type::INT2 => row.try_get::<_, Option<i16>>(index)?.map(|v| Value::Int(v.into())),
         Type::INT4 => row.try_get::<_, Option<i32>>(index)?.map(|v| Value::Int(v.into())),
         Type::INT8 => row.try_get::<_, Option<i64>>(index)?.map(Value::Int),
-        Type::FLOAT4 => row.try_get::<_, Option<f32>>(index)?.map(|v| Value::Float(v.into())),
-        Type::FLOAT8 => row.try_get::<_, Option<f64>>(index)?.map(Value::Float),
+        Type::FLOAT4 => row.try_get::<_, Option<f32>>(index)?.map(|v| float(v.into())),
+        Type::FLOAT8 => row.try_get::<_, Option<f64>>(index)?.map(float),
         Type::BYTEA => row.try_get::<_, Option<Vec<u8>>>(index)?.map(Value::Bytes),
+        Type::UUID => row.try_get::<_, Option<Uuid>>(index)?.map(|v| Value::Text(v.0)),
+        Type::JSON | Type::JSONB => {
+            row.try_get::<_, Option<Json>>(index)?.map(|v| Value::Text(v.0))
+        }
         _ => row.try_get::<_, Option<String>>(index)?.map(Value::Text),
     };
     Ok(value.unwrap_or(Value::Null))
 }
+
+/// JSON has no number for what is not finite.
+fn float(value: f64) -> Value {
+    if value.is_finite() { Value::Float(value) } else { Value::Text(value.to_string()) }
+}
+
+struct Uuid(String);
+
+impl<'a> FromSql<'a> for Uuid {
+    fn from_sql(_: &Type, raw: &'a [u8]) -> Result<Uuid, Fault> {
+        let raw: [u8; 16] = raw.try_into()?;
+        let hex: String = raw.iter().map(|byte| format!("{byte:02x}")).collect();
+        let parts = [&hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..]];
+        Ok(Uuid(parts.join("-")))
+    }
+
+    fn accepts(kind: &Type) -> bool {
+        *kind == Type::UUID
+    }
+}
+
+struct Json(String);
+
+impl<'a> FromSql<'a> for Json {
+    fn from_sql(kind: &Type, raw: &'a [u8]) -> Result<Json, Fault> {
+        // The binary form of `jsonb` is a version byte and the text.
+        let text = if *kind == Type::JSONB { raw.get(1..).unwrap_or_default() } else { raw };
+        Ok(Json(std::str::from_utf8(text)?.to_owned()))
+    }
+
+    fn accepts(kind: &Type) -> bool {
+        [Type::JSON, Type::JSONB].contains(kind)
+    }
+}
--- a/crates/host/src/front/body.rs
+++ b/crates/host/src/front/body.rs
@@ -3,11 +3,13 @@
 use crate::exec::Answer;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use bergamotvale_core::session::Token;
 use bergamotvale_core::statement::{Rows, Statement, Value};
 use serde::Deserialize;
 use serde_json::json;
-use xitca_web::http::WebResponse;
-use xitca_web::http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+pub use xitca_web::http::header::CONTENT_TYPE;
+use xitca_web::http::header::{HeaderMap, HeaderName, HeaderValue};
+use xitca_web::http::{StatusCode, WebResponse};
 
 /// Token of the caller's session.
 pub const SESSION: HeaderName = HeaderName::from_static("bergamotvale-session");
@@ -15,7 +17,8 @@
 pub const TARGET: HeaderName = HeaderName::from_static("bergamotvale-target");
 /// Whether the outcome is an earlier one.
 pub const REPLAYED: HeaderName = HeaderName::from_static("bergamotvale-replayed");
-const CONTENT: HeaderValue = HeaderValue::from_static("application/json");
+/// Media type of results.
+pub const CONTENT: HeaderValue = HeaderValue::from_static("application/json");
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -54,13 +57,17 @@
     STANDARD.decode(text).map(Value::Bytes).map_err(|e| e.to_string())
 }
 
-/// The answer that carries a result.
+/// The answer that carries a whole result.
 pub fn response(answer: &Answer) -> WebResponse {
-    let mut response = WebResponse::new(rows(&answer.rows).to_string().into());
+    with_headers(WebResponse::new(rows(&answer.rows).into()), answer)
+}
+
+/// The headers of an answer.
+pub fn with_headers(mut response: WebResponse, answer: &Answer) -> WebResponse {
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, CONTENT);
     let role = if answer.primary { "primary" } else { "replica" };
-    insert(headers, SESSION, &answer.token.to_string());
+    session(headers, &answer.token);
     insert(headers, TARGET, &format!("{} {role}", answer.target));
     if answer.replayed {
         insert(headers, REPLAYED, "true");
@@ -68,19 +75,46 @@
     response
 }
 
-fn insert(headers: &mut xitca_web::http::HeaderMap, name: HeaderName, text: &str) {
-    let value = HeaderValue::try_from(text).expect("tokens and ids are visible ASCII");
-    headers.insert(name, value);
+/// The answer to a request that has no rows, with a token where it advances one.
+pub fn plain(status: StatusCode, body: &serde_json::Value, token: Option<&Token>) -> WebResponse {
+    let mut response = WebResponse::new(body.to_string().into());
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, CONTENT);
+    if let Some(token) = token {
+        session(response.headers_mut(), token);
+    }
+    response
 }
 
-fn rows(rows: &Rows) -> serde_json::Value {
+/// The result's beginning with its first rows; `]` and the number of rows touched are to follow.
+pub fn opening(rows: &Rows) -> String {
     let columns = rows.columns.iter().map(|c| json!({"name": c.name, "type": c.kind}));
-    let cells = rows.rows.iter().map(|row| row.iter().map(cell).collect::<Vec<_>>());
-    json!({
-        "columns": columns.collect::<Vec<_>>(),
-        "rows": cells.collect::<Vec<_>>(),
-        "affected": rows.affected,
-    })
+    let columns = serde_json::Value::from(columns.collect::<Vec<_>>());
+    let cells: Vec<_> = rows.rows.iter().map(|row| line(row)).collect();
+    format!("{{\"columns\":{columns},\"rows\":[{}", cells.join(","))
+}
+
+/// Further rows.
+pub fn continuation(rows: &Rows) -> String {
+    rows.rows.iter().map(|row| format!(",{}", line(row))).collect()
+}
+
+/// The rows of a result as a JSON value.
+pub fn rows(rows: &Rows) -> String {
+    format!("{}],\"affected\":{}}}", opening(rows), rows.affected)
+}
+
+fn line(row: &[Value]) -> String {
+    serde_json::Value::from(row.iter().map(cell).collect::<Vec<_>>()).to_string()
+}
+
+fn session(headers: &mut HeaderMap, token: &Token) {
+    insert(headers, SESSION, &token.to_string());
+}
+
+fn insert(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    let value = HeaderValue::try_from(text).expect("tokens and ids are visible ASCII");
+    headers.insert(name, value);
 }
 
 fn cell(value: &Value) -> serde_json::Value {
--- /dev/null
+++ b/crates/host/src/front/gone.rs
@@ -0,0 +1,130 @@
+//! Tells when a caller has closed its connection.
+//!
+//! The HTTP framework looks at a connection again only after the answer. So each accepted socket
+//! is watched through a second handle on it: a request whose caller is gone ends at once, which
+//! cancels its statement. The second handle keeps the socket open after the framework has dropped
+//! its own; whoever cuts a connection on purpose has to say so by [`Callers::cut`].
+
+use crate::exec::state::lock;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::{Arc, Mutex};
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use xitca_io::net::Stream;
+use xitca_server::net::{IntoListener, Listen};
+
+/// Connected callers by their address.
+#[derive(Clone)]
+pub struct Callers {
+    connections: Arc<Mutex<BTreeMap<SocketAddr, Connection>>>,
+    runtime: Handle,
+}
+
+struct Connection {
+    socket: std::net::TcpStream,
+    is_gone: watch::Sender<bool>,
+}
+
+/// A listening socket whose connections are watched.
+pub struct Watched {
+    listener: std::net::TcpListener,
+    callers: Callers,
+}
+
+/// The same inside the server's threads.
+pub struct Accepting {
+    listener: TcpListener,
+    callers: Callers,
+}
+
+impl Callers {
+    /// Nobody is connected; the watching runs on `runtime`.
+    pub fn new(runtime: Handle) -> Callers {
+        Callers { connections: Arc::default(), runtime }
+    }
+
+    /// Waits until the caller at `address` has closed its connection.
+    pub async fn gone(&self, address: SocketAddr) {
+        let watched = lock(&self.connections).get(&address).map(|c| c.is_gone.subscribe());
+        if let Some(mut is_gone) = watched {
+            // The sender goes away with the connection.
+            drop(is_gone.wait_for(|is_gone| *is_gone).await);
+        }
+    }
+
+    /// Cuts the connection of the caller at `address`, so that an unfinished answer is seen to be.
+    pub fn cut(&self, address: SocketAddr) {
+        if let Some(connection) = lock(&self.connections).remove(&address) {
+            // It may be closed already.
+            drop(connection.socket.shutdown(Shutdown::Both));
+        }
+    }
+
+    /// Cuts all connections that are left.
+    pub fn cut_all(&self) {
+        for (_, connection) in std::mem::take(&mut *lock(&self.connections)) {
+            drop(connection.socket.shutdown(Shutdown::Both));
+        }
+    }
+
+    fn watch(&self, stream: &std::net::TcpStream, address: SocketAddr) -> io::Result<()> {
+        let socket = stream.try_clone()?;
+        let watched = stream.try_clone()?;
+        let connection = Connection { socket, is_gone: watch::Sender::new(false) };
+        lock(&self.connections).insert(address, connection);
+        let callers = self.clone();
+        self.runtime.spawn(async move {
+            if let Err(error) = closed(watched).await {
+                log::debug!("caller {address}: {error}");
+            }
+            if let Some(connection) = lock(&callers.connections).remove(&address) {
+                connection.is_gone.send_replace(true);
+            }
+        });
+        Ok(())
+    }
+}
+
+/// Waits until the other end has closed the connection.
+async fn closed(stream: std::net::TcpStream) -> io::Result<()> {
+    let stream = TcpStream::from_std(stream)?;
+    loop {
+        if stream.ready(Interest::READABLE).await?.is_read_closed() {
+            return Ok(());
+        }
+        // The data is the server's to read: forget it and wait for the next event.
+        let nothing = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+        drop(stream.try_io(Interest::READABLE, nothing));
+    }
+}
+
+impl Watched {
+    /// Watches the connections of `listener`.
+    pub fn new(listener: std::net::TcpListener, callers: Callers) -> Watched {
+        Watched { listener, callers }
+    }
+}
+
+impl IntoListener for Watched {
+    type Listener = Accepting;
+
+    fn into_listener(self) -> io::Result<Accepting> {
+        self.listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(self.listener)?;
+        Ok(Accepting { listener, callers: self.callers })
+    }
+}
+
+impl Listen for Accepting {
+    async fn accept(&self) -> io::Result<Stream> {
+        let (stream, address) = self.listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let stream = stream.into_std()?;
+        self.callers.watch(&stream, address)?;
+        Ok(Stream::Tcp(stream, address))
+    }
+}
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -1,50 +1,75 @@
 //! The callers' listener.
+//!
+//! Handlers read the request, the work itself runs on the host's runtime. It ends with the
+//! request: when the caller goes away, whatever still runs for it is dropped, its connection to
+//! the target closed and its statement cancelled.
 
 pub mod body;
+pub mod gone;
 pub mod problem;
 pub mod request;
+mod route;
+pub mod stream;
 
 use crate::error::Result;
-use crate::exec::{self, Answer};
 use crate::shared::Host;
 use bergamotvale_core::refusal::{Reason, Refusal};
-use request::Request;
+use gone::{Callers, Watched};
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use tokio::runtime::Handle;
 use xitca_web::handler::handler_service;
-use xitca_web::handler::params::Params;
 use xitca_web::http::WebResponse;
-use xitca_web::route::post;
+use xitca_web::http::header::{CONNECTION, HeaderValue};
+use xitca_web::route::{get, post};
 use xitca_web::{App, HttpServer, WebContext};
 
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
 /// A running listener.
 pub struct Listener {
     /// Where it listens.
     pub address: SocketAddr,
+    callers: Callers,
     handle: xitca_server::ServerHandle,
     task: tokio::task::JoinHandle<()>,
 }
 
 /// State of the application's handlers.
-type State = Arc<Host>;
+#[derive(Clone)]
+pub struct State {
+    /// The host.
+    pub host: Arc<Host>,
+    callers: Callers,
+    runtime: Handle,
+}
+
 type Context<'a> = WebContext<'a, State>;
 
 /// Starts serving callers on `listener`.
 pub fn start(host: Arc<Host>, listener: TcpListener) -> Result<Listener> {
     let address = listener.local_addr()?;
     let settings = &host.settings;
+    let runtime = Handle::current();
+    let callers = Callers::new(runtime.clone());
+    let state = State { host: host.clone(), callers: callers.clone(), runtime };
     let app = App::new()
-        .with_state(host.clone())
-        .at("/v1/services/:service/read", post(handler_service(read)))
-        .at("/v1/services/:service/write", post(handler_service(write)))
+        .with_state(state)
+        .at("/v1/services/:service/read", post(handler_service(route::read)))
+        .at("/v1/services/:service/write", post(handler_service(route::write)))
+        .at("/v1/services/:service/transactions", post(handler_service(route::begin)))
+        .at("/v1/transactions/:id/run", post(handler_service(route::run)))
+        .at("/v1/transactions/:id/commit", post(handler_service(route::commit)))
+        .at("/v1/transactions/:id/rollback", post(handler_service(route::rollback)))
+        .at("/v1/open/:route", get(handler_service(route::open)))
         .finish();
     let mut server = HttpServer::serve(app)
         .disable_signal()
         .worker_threads(settings.workers)
         .keep_alive_timeout(settings.limits.idle)
         .request_head_timeout(settings.limits.header_time)
-        .listen(listener)?
+        .listen(Watched::new(listener, callers.clone()))?
         .run();
     let handle = server.handle()?;
     let task = tokio::spawn(async move {
@@ -52,7 +77,7 @@
             log::error!("callers' listener ended: {error}");
         }
     });
-    Ok(Listener { address, handle, task })
+    Ok(Listener { address, callers, handle, task })
 }
 
 impl Listener {
@@ -60,49 +85,49 @@
     pub async fn stop(self) {
         self.handle.stop(true);
         drop(self.task.await);
+        self.callers.cut_all();
     }
 }
 
-async fn read(ctx: &Context<'_>, Params(service): Params<String>) -> WebResponse {
-    respond(ctx, service, |host, r| async move {
-        exec::read::run(&host, r.account, r.service, &r.statement, r.token, r.deadline).await
-    })
-    .await
-}
+/// Work that ends when it is no longer waited for.
+struct Work<T>(tokio::task::JoinHandle<T>);
 
-async fn write(ctx: &Context<'_>, Params(service): Params<String>) -> WebResponse {
-    respond(ctx, service, |host, r| async move {
-        exec::write::run(&host, r.account, r.service, &r.statement, r.token, r.deadline).await
-    })
-    .await
+impl<T> Drop for Work<T> {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
-async fn respond<F, Fut>(ctx: &Context<'_>, service: String, run: F) -> WebResponse
-where
-    F: FnOnce(Arc<Host>, Request) -> Fut,
-    Fut: Future<Output = std::result::Result<Answer, Refusal>>,
-{
-    let host = ctx.state().clone();
-    let answer = match admit(ctx, &host, &service).await {
-        Ok(request) => run(host.clone(), request).await,
-        Err(refusal) => Err(refusal),
-    };
-    match answer {
-        Ok(answer) => body::response(&answer),
-        Err(refusal) => {
-            host.metric.refusal(refusal.reason);
-            problem::response(&refusal)
+/// Runs `work` on the host's runtime until it is done or the caller is gone.
+async fn attend<T: Send + 'static>(
+    ctx: &Context<'_>,
+    work: impl Future<Output = std::result::Result<T, Refusal>> + Send + 'static,
+) -> std::result::Result<T, Refusal> {
+    let state = ctx.state();
+    let address = *ctx.req().body().socket_addr();
+    let mut work = Work(state.runtime.spawn(work));
+    let done = tokio::select! {
+        done = &mut work.0 => done,
+        () = state.callers.gone(address) => {
+            state.host.metric.count("caller.gone");
+            return Err(Refusal::new(Reason::DeadlineExceeded, "the caller is gone"));
         }
-    }
+    };
+    done.unwrap_or_else(|error| {
+        log::error!("a request failed inside: {error}");
+        let refusal = Refusal::new(Reason::ConnectionLost, "internal fault");
+        Err(refusal.with_ran(bergamotvale_core::refusal::Ran::Unknown))
+    })
 }
 
-async fn admit(
-    ctx: &Context<'_>,
-    host: &Host,
-    service: &str,
-) -> std::result::Result<Request, Refusal> {
+/// The answer to a request, or its refusal; closes the connection while the host stops.
+fn respond(host: &Host, answer: std::result::Result<WebResponse, Refusal>) -> WebResponse {
+    let mut response = answer.unwrap_or_else(|refusal| {
+        host.metric.refusal(refusal.reason);
+        problem::response(&refusal)
+    });
     if host.is_stopping() {
-        return Err(Refusal::new(Reason::Stopping, "this host is stopping"));
+        response.headers_mut().insert(CONNECTION, CLOSE);
     }
-    request::parse(ctx, host, service).await
+    response
 }
--- a/crates/host/src/front/request.rs
+++ b/crates/host/src/front/request.rs
@@ -1,61 +1,124 @@
 //! A caller's request, read from headers and body.
 
 use super::{Context, body};
-use crate::auth;
+use crate::auth::{self, Identity};
+use crate::exec::{Caller, Job};
 use crate::shared::Host;
-use bergamotvale_core::id::{AccountId, ServiceId, Time};
+use bergamotvale_core::id::{ServiceId, Time};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use bergamotvale_core::session::Token;
-use bergamotvale_core::statement::Statement;
+use bergamotvale_core::statement::{Freshness, Statement};
+use bergamotvale_core::{idempotency, sql};
 use std::pin::pin;
 use std::time::Duration;
 use xitca_web::body::BodyExt;
 use xitca_web::http::HeaderMap;
 
-/// A request that may be run.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Request {
-    /// Client account of the key that came with it.
-    pub account: AccountId,
-    /// Service that it is for.
-    pub service: ServiceId,
-    /// Its statement.
-    pub statement: Statement,
-    /// What its session has seen.
-    pub token: Token,
-    /// When its caller stops waiting.
-    pub deadline: Time,
+const AUTHORIZATION: &str = "authorization";
+const SESSION: &str = "bergamotvale-session";
+const MAX_AGE: &str = "bergamotvale-max-age";
+const TIMEOUT: &str = "bergamotvale-timeout";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Who asks, with the key as it was presented.
+pub struct Presented {
+    /// Whom the key speaks for.
+    pub identity: Identity,
+    text: String,
 }
 
-/// Reads and checks a request for the service called `name`.
-pub async fn parse(ctx: &Context<'_>, host: &Host, name: &str) -> Result<Request, Refusal> {
-    let document = host.document();
+/// The key that came with a request.
+pub fn identify(ctx: &Context<'_>, host: &Host) -> Result<Presented, Refusal> {
     let headers = ctx.req().headers();
-    let presented = text(headers, "authorization")?.and_then(|v| v.strip_prefix("Bearer "));
+    let size: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if size > host.settings.limits.headers {
+        let detail = format!("headers over {} bytes", host.settings.limits.headers);
+        return Err(Refusal::new(Reason::TooLarge, detail));
+    }
+    let presented = text(headers, AUTHORIZATION)?.and_then(|v| v.strip_prefix("Bearer "));
     let presented = presented.ok_or_else(|| Refusal::new(Reason::KeyUnknown, "no key"))?;
-    let identity =
-        auth::identify(&document, presented).map_err(|r| Refusal::new(r, "the key is refused"))?;
+    let identity = auth::identify(&host.document(), presented)
+        .map_err(|reason| Refusal::new(reason, "the key is refused"))?;
+    Ok(Presented { identity, text: presented.to_owned() })
+}
+
+/// Service called `name`, if the client account may use it.
+pub fn service(host: &Host, identity: Identity, name: &str) -> Result<ServiceId, Refusal> {
+    let document = host.document();
     let service = document.service_named(name);
     let service = service.ok_or_else(|| Refusal::new(Reason::NotFound, "no such service"))?;
-    let allowed = document.accounts.get(&identity.account);
-    if !allowed.is_some_and(|account| account.services.contains(&service)) {
+    let account = document.accounts.get(&identity.account);
+    if !account.is_some_and(|account| account.services.contains(&service)) {
         return Err(Refusal::new(Reason::NotAllowed, "the client account may not use it"));
     }
-    let token = match text(headers, "bergamotvale-session")? {
-        Some(token) => token.parse().map_err(|_| malformed("session token"))?,
-        None => Token::new(),
-    };
-    let deadline = host.clock.now() + timeout(headers, host)?;
-    let body = read_body(ctx, host.settings.limits.body).await?;
+    Ok(service)
+}
+
+/// Reads and checks a request with a statement for the service called `name`.
+pub async fn job(ctx: &Context<'_>, host: &Host, name: &str) -> Result<Job, Refusal> {
+    let presented = identify(ctx, host)?;
+    let service = service(host, presented.identity, name)?;
+    let headers = ctx.req().headers();
+    let deadline = deadline(headers, host)?;
+    let token = token(headers)?;
+    let freshness = freshness(headers)?;
+    let idempotency_key = idempotency_key(headers)?;
+    let statement = statement(ctx, host, &presented).await?;
+    let caller = Caller::Key(presented.identity);
+    Ok(Job { caller, service, statement, token, freshness, idempotency_key, deadline })
+}
+
+/// The statement in the body, checked.
+pub async fn statement(
+    ctx: &Context<'_>,
+    host: &Host,
+    presented: &Presented,
+) -> Result<Statement, Refusal> {
+    let limits = &host.settings.limits;
+    let body = read_body(ctx, limits.body).await?;
     let statement = body::statement(&body).map_err(|e| Refusal::new(Reason::Malformed, e))?;
-    Ok(Request { account: identity.account, service, statement, token, deadline })
+    if statement.sql.len() > limits.statement {
+        let detail = format!("statement over {} bytes", limits.statement);
+        return Err(Refusal::new(Reason::TooLarge, detail));
+    }
+    let secret = auth::secret(&presented.text).unwrap_or(&presented.text);
+    if sql::contains(&statement, secret) {
+        let detail = "the statement contains the key that came with it";
+        return Err(Refusal::new(Reason::KeyInStatement, detail));
+    }
+    sql::verify(&statement.sql)?;
+    Ok(statement)
+}
+
+/// What the session has seen.
+pub fn token(headers: &HeaderMap) -> Result<Token, Refusal> {
+    match text(headers, SESSION)? {
+        Some(token) => token.parse().map_err(|_| malformed(SESSION)),
+        None => Ok(Token::new()),
+    }
 }
 
-fn timeout(headers: &HeaderMap, host: &Host) -> Result<Duration, Refusal> {
+/// When the caller stops waiting.
+pub fn deadline(headers: &HeaderMap, host: &Host) -> Result<Time, Refusal> {
     let timeouts = &host.settings.timeouts;
-    let Some(stated) = text(headers, "bergamotvale-timeout")? else { return Ok(timeouts.request) };
-    let stated = humantime::parse_duration(stated).map_err(|_| malformed("timeout"))?;
-    Ok(stated.min(timeouts.request_ceiling))
+    let stated = duration(headers, TIMEOUT)?.unwrap_or(timeouts.request);
+    Ok(host.clock.now() + stated.min(timeouts.request_ceiling))
+}
+
+fn freshness(headers: &HeaderMap) -> Result<Freshness, Refusal> {
+    let age = duration(headers, MAX_AGE)?;
+    Ok(age.map_or(Freshness::Session, Freshness::MaxAge))
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    let Some(key) = text(headers, IDEMPOTENCY_KEY)? else { return Ok(None) };
+    idempotency::verify(key)?;
+    Ok(Some(key.to_owned()))
+}
+
+fn duration(headers: &HeaderMap, name: &str) -> Result<Option<Duration>, Refusal> {
+    let Some(stated) = text(headers, name)? else { return Ok(None) };
+    humantime::parse_duration(stated).map(Some).map_err(|_| malformed(name))
 }
 
 async fn read_body(ctx: &Context<'_>, limit: usize) -> Result<Vec<u8>, Refusal> {
@@ -72,8 +135,12 @@
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
-    value.to_str().map(Some).map_err(|_| malformed("header"))
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(malformed(name));
+    }
+    value.to_str().map(Some).map_err(|_| malformed(name))
 }
 
 fn malformed(what: &str) -> Refusal {
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -3,11 +3,12 @@
 use crate::error::Result;
 use crate::settings::Settings;
 use bergamotvale_core::config::Document;
-use bergamotvale_core::id::Version;
+use bergamotvale_core::id::{HostId, Version};
 use reqwest::StatusCode;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use sha2::{Digest, Sha256};
+use std::net::SocketAddr;
 
 /// Row that names the configuration in force.
 pub const CONFIG_ROW: &str = "config.current";
@@ -85,6 +86,17 @@
     rows: Vec<Row>,
 }
 
+#[derive(Deserialize)]
+struct Hosts {
+    hosts: Vec<Listed>,
+}
+
+#[derive(Deserialize)]
+struct Listed {
+    host: HostId,
+    peer_address: SocketAddr,
+}
+
 impl Client {
     /// A client with the deadline of the settings.
     pub fn new(settings: &Settings) -> Result<Client> {
@@ -129,6 +141,15 @@
         Ok(response.bytes().await?.to_vec())
     }
 
+    /// Where the platform's list says that peers reach `host`.
+    pub async fn peer_address(&self, host: HostId) -> Result<Option<SocketAddr>> {
+        let request = self.http.get(format!("{}/hosts", self.base));
+        let response = request.header(HOST_HEADER, &self.host).send().await?;
+        let listed: Hosts = response.error_for_status()?.json().await?;
+        let found = listed.hosts.into_iter().find(|listed| listed.host == host);
+        Ok(found.map(|listed| listed.peer_address))
+    }
+
     /// The configuration in force, if there is one newer than `known`.
     pub async fn document(&self, known: Version) -> Result<Option<Document>> {
         let Some(row) = self.row(CONFIG_ROW).await? else { return Ok(None) };
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::error::Result;
+use crate::exec;
 use crate::metric::Registry;
 use crate::platform;
 use crate::settings::Settings;
@@ -26,6 +27,8 @@
     pub platform: platform::Client,
     /// Connections to the targets, and what is known of them.
     pub pools: Pools,
+    /// What the requests share.
+    pub data: exec::State,
     /// The configuration in force here.
     pub document: watch::Sender<Arc<Document>>,
     /// Whether the host is stopping.
@@ -37,8 +40,10 @@
     pub fn new(settings: Settings) -> Result<Host> {
         let platform = platform::Client::new(&settings)?;
         let metric = Registry::new(settings.metrics.statsd)?;
+        let incarnation = incarnation();
         Ok(Host {
-            incarnation: incarnation(),
+            incarnation,
+            data: exec::State::new(&settings, incarnation),
             clock: Clock::new(),
             metric,
             platform,
