--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -3,8 +3,7 @@
 use crate::error::Result;
 use crate::settings::Settings;
 use crate::shared::Host;
-use crate::target::probe;
-use crate::{exec, front};
+use crate::{exec, failover, front, target};
 use std::net::TcpListener;
 use std::sync::Arc;
 use tokio::task::JoinSet;
@@ -26,7 +25,8 @@
         load_document(&host).await;
         let front = front::start(host.clone(), callers)?;
         let mut tasks = JoinSet::new();
-        tasks.spawn(probe::run(host.clone()));
+        tasks.spawn(failover::driver::run(host.clone()));
+        tasks.spawn(target::share::run(host.clone()));
         tasks.spawn(follow_document(host.clone()));
         tasks.spawn(exec::transaction::run(host.clone()));
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
--- a/crates/host/src/exec/confirm.rs
+++ b/crates/host/src/exec/confirm.rs
@@ -5,12 +5,12 @@
 //! No write holds a slot of the pool while it waits, and a queue for the pool delays no
 //! acknowledgement.
 
+use super::exchange::position;
 use super::exchange::{self, Loss};
 use super::state::lock;
 use crate::shared::Host;
 use crate::target::Key;
 use crate::target::connection::Connection;
-use crate::target::probe::position;
 use bergamotvale_core::ack::{self, Lag, Verdict};
 use bergamotvale_core::id::Time;
 use bergamotvale_core::log::Position;
@@ -137,8 +137,8 @@
     fn failed(&self, loss: &Loss, term: u64) {
         let event = match loss {
             Loss::Failed(code, detail) => Event::Failed(Failure::new(code), detail.clone()),
-            Loss::ConnectionLost | Loss::Unusable(_) => Event::ConnectionLost,
             Loss::TimedOut => Event::TimedOut,
+            _ => Event::ConnectionLost,
         };
         let concerns_term = matches!(event, Event::Failed(Failure::Superseded, _));
         let mut state = lock(&self.state);
--- a/crates/host/src/exec/outcome.rs
+++ b/crates/host/src/exec/outcome.rs
@@ -5,6 +5,7 @@
 use bergamotvale_core::id::AccountId;
 use bergamotvale_core::idempotency::{self, Row};
 use bergamotvale_core::log::Position;
+use bergamotvale_core::sqlstate::UNIQUE_VIOLATION;
 use bergamotvale_core::statement::Rows;
 use postgres_types::{ToSql, Type};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -41,11 +42,6 @@
     pub digest: String,
 }
 
-/// Whether the failure is that the table is not there yet.
-pub fn is_missing(loss: &Loss) -> bool {
-    matches!(loss, Loss::Failed(code, _) if code == NO_TABLE)
-}
-
 /// Makes the table, in a transaction of its own.
 pub async fn create(client: &Client) -> Result<(), tokio_postgres::Error> {
     let script = format!("BEGIN READ WRITE; {CREATE}; COMMIT");
@@ -53,7 +49,7 @@
 }
 
 /// Claims the key, inside the write's transaction.
-pub async fn insert(client: &Client, id: &Id) -> Result<u64, tokio_postgres::Error> {
+pub async fn insert(client: &Client, id: &Id) -> Result<(), Loss> {
     let (account, at) = (i64::from(id.account), i64::try_from(unix_time().as_secs()).unwrap_or(0));
     let params: [(&(dyn ToSql + Sync), Type); 4] = [
         (&account, Type::INT8),
@@ -61,7 +57,12 @@
         (&id.digest, Type::TEXT),
         (&at, Type::INT8),
     ];
-    client.execute_typed(INSERT, &params).await
+    match client.execute_typed(INSERT, &params).await.map_err(Loss::from) {
+        Ok(_) => Ok(()),
+        Err(Loss::Failed(code, _)) if code == UNIQUE_VIOLATION => Err(Loss::Conflict),
+        Err(Loss::Failed(code, _)) if code == NO_TABLE => Err(Loss::NoTable),
+        Err(loss) => Err(loss),
+    }
 }
 
 /// Writes the outcome into the claimed row.
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -1,11 +1,11 @@
 //! Single read-only statements.
 
+use super::exchange::position;
 use super::exchange::{self, Loss};
 use super::{Answer, Job, permit, value};
 use crate::settings::{Defect, Reads};
 use crate::shared::Host;
-use crate::target::probe::position;
-use crate::target::{self, Lease};
+use crate::target::Lease;
 use bergamotvale_core::config::TargetState;
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::read::{Action, Event, Read};
@@ -147,11 +147,10 @@
 }
 
 /// A target that still takes itself for the primary, in a term that was passed, serves nothing.
-fn present_role(role: target::Role, is_primary: bool) -> Role {
+fn present_role(role: Role, is_primary: bool) -> Role {
     match role {
-        target::Role::Primary if is_primary => Role::Primary,
-        target::Role::Replica => Role::Replica,
-        target::Role::Primary | target::Role::Rebuilding => Role::Rebuilding,
+        Role::Primary if !is_primary => Role::Rebuilding,
+        role => role,
     }
 }
 
@@ -169,7 +168,7 @@
     let lease = lease.map_err(|refusal| Event::NoConnection(refusal.reason))?;
     permit::verify(host, &job.caller, job.service).map_err(Event::Denied)?;
     let result = exchange(host, job, lease, until).await;
-    host.data.worked(key, !result.as_ref().is_err_and(Loss::is_target_fault));
+    exchange::worked(host, key, result.as_ref().err());
     result.map_err(event)
 }
 
@@ -188,8 +187,9 @@
         // Joined and not tried: whatever fails, every answer is read.
         let (mode, position, rows) = futures::join!(mode, position, rows);
         mode?;
-        Ok((position?, rows))
+        Ok::<_, tokio_postgres::Error>((position?, rows))
     };
+    lease.start();
     let (before, rows) = exchange::until(host, until, work).await?;
     let answer = answer(&before).map_err(|_| Loss::ConnectionLost)?;
     let stream = match rows {
@@ -197,6 +197,7 @@
         Err(error) => {
             let loss = Loss::from(error);
             if matches!(loss, Loss::Failed(..)) {
+                lease.settle();
                 lease.release_clean();
             }
             return Err(loss);
@@ -251,6 +252,7 @@
 
     /// Gives the connection back after the end of the answer.
     pub fn finish(self) {
+        self.lease.settle();
         self.lease.release_clean();
     }
 }
@@ -273,7 +275,7 @@
     match loss {
         Loss::Unusable(refusal) => Event::Denied(refusal),
         Loss::Failed(code, detail) => Event::Failed(Failure::new(&code), detail),
-        Loss::ConnectionLost => Event::ConnectionLost,
+        Loss::ConnectionLost | Loss::Conflict | Loss::NoTable => Event::ConnectionLost,
         Loss::TimedOut => Event::TimedOut,
     }
 }
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -4,6 +4,7 @@
 //! here, idle, or in the hands of the one step that runs. Whatever ends a transaction but an
 //! answered COMMIT or ROLLBACK drops the connection, and the target rolls back.
 
+use super::exchange::position;
 use super::exchange::{self, Loss};
 use super::state::lock;
 use super::write::{collect, commit};
@@ -11,7 +12,6 @@
 use crate::auth::Identity;
 use crate::settings::Settings;
 use crate::shared::Host;
-use crate::target::probe::position;
 use crate::target::{Key, Lease};
 use bergamotvale_core::id::{HostId, Incarnation, ServiceId, Time, TransactionId};
 use bergamotvale_core::log::Position;
@@ -222,7 +222,7 @@
     let stop = stop.ok_or_else(|| lost("the transaction has ended"))?;
     loop {
         let result = tokio::select! {
-            result = exchange(host, &live.lease, statement, deadline) => result,
+            result = run_on(host, &live.lease, statement, deadline) => result,
             () = stop.notified() => return Err(lost("the transaction was ended")),
         };
         let loss = match result {
@@ -315,20 +315,20 @@
         }
         Err(Loss::Failed(code, detail)) => Event::Failed(Failure::new(&code), detail),
         Err(Loss::TimedOut) => Event::TimedOut,
-        Err(Loss::ConnectionLost | Loss::Unusable(_)) => Event::ConnectionLost,
+        Err(_) => Event::ConnectionLost,
     }
 }
 
 async fn roll_back(host: &Host, live: Live, deadline: Time) -> Result<Rows, Refusal> {
     let rollback = live.lease.client().batch_execute(ROLLBACK);
-    if exchange::until(host, deadline, rollback).await.is_ok() {
+    if exchange::run(host, &live.lease, deadline, rollback).await.is_ok() {
         live.lease.release_clean();
     }
     // Where the answer is lost the connection is closed, which rolls back too.
     Ok(Rows::default())
 }
 
-async fn exchange(
+async fn run_on(
     host: &Host,
     lease: &Lease,
     statement: &Statement,
@@ -338,14 +338,13 @@
     let rows = lease.client().query_typed_raw(&statement.sql, params);
     let limit = host.settings.limits.result;
     let work = async { collect(rows.await?, limit).await };
-    let until = host.clock.instant(deadline).into();
-    tokio::time::timeout_at(until, work).await.unwrap_or(Err(Loss::TimedOut))
+    exchange::run(host, lease, deadline, work).await
 }
 
 /// The refusal of a step that failed; the transaction is rolled back.
-async fn failed(host: &Host, live: Live, loss: Loss, deadline: Time) -> Refusal {
+async fn failed(host: &Arc<Host>, live: Live, loss: Loss, deadline: Time) -> Refusal {
     let key = live.target;
-    host.data.worked(key, !loss.is_target_fault());
+    exchange::worked(host, key, Some(&loss));
     match loss {
         Loss::Failed(code, detail) => {
             // The refusal is the same whether the rollback is answered or the connection closed.
@@ -357,7 +356,9 @@
             };
             Refusal::new(reason, format!("{detail}; the transaction was rolled back"))
         }
-        Loss::ConnectionLost => Refusal::new(Reason::ConnectionLost, ROLLED_BACK),
+        Loss::ConnectionLost | Loss::Conflict | Loss::NoTable => {
+            Refusal::new(Reason::ConnectionLost, ROLLED_BACK)
+        }
         Loss::TimedOut => Refusal::new(Reason::DeadlineExceeded, ROLLED_BACK),
         Loss::Unusable(refusal) => refusal,
     }
@@ -404,7 +405,7 @@
         begin.and(before)
     };
     let lost = |loss: Loss| Refusal::new(Reason::ConnectionLost, format!("{loss:?}"));
-    let before = exchange::until(host, deadline, work).await.map_err(lost)?;
+    let before = exchange::run(host, &lease, deadline, work).await.map_err(lost)?;
     let before = position(&before, "term", "index").unwrap_or_default();
     Ok(Live { lease, target, before, is_fresh: true })
 }
--- a/crates/host/src/exec/write.rs
+++ b/crates/host/src/exec/write.rs
@@ -1,18 +1,18 @@
 //! Single writes, each in a transaction of its own.
 
+use super::exchange::position;
 use super::exchange::{self, Loss};
 use super::outcome::{self, Id};
 use super::read::unusable;
 use super::{Answer, Job, permit, value};
 use crate::settings::Defect;
 use crate::shared::Host;
-use crate::target::probe::position;
 use crate::target::{Key, Lease};
 use bergamotvale_core::id::{AccountId, Time};
 use bergamotvale_core::idempotency;
 use bergamotvale_core::log::Position;
 use bergamotvale_core::refusal::{Ran, Reason, Refusal};
-use bergamotvale_core::sqlstate::{Failure, UNIQUE_VIOLATION};
+use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::statement::Rows;
 use bergamotvale_core::write::{Action, Event, Write};
 use futures::StreamExt;
@@ -147,29 +147,27 @@
         let until = self.write.exchange_deadline(self.host.clock.now());
         self.write.sent();
         let mut result = self.statement(&lease, until).await;
-        if self.id.is_some() && result.as_ref().is_err_and(|(_, loss)| outcome::is_missing(loss)) {
+        if result == Err(Loss::NoTable) {
             result = self.create_and_repeat(&lease, until).await;
         }
-        self.host
-            .data
-            .worked(self.target, !result.as_ref().is_err_and(|(_, loss)| loss.is_target_fault()));
+        exchange::worked(self.host, self.target, result.as_ref().err());
         match result {
             Ok(()) => {
                 self.lease = Some(lease);
                 Event::Executed
             }
-            Err((is_insert, loss)) => self.failed(lease, is_insert, loss, until).await,
+            Err(loss) => self.failed(lease, loss, until).await,
         }
     }
 
-    /// Sends BEGIN, the idempotency row and the statement in one round trip; an error says whether
-    /// it came from the row.
-    async fn statement(&mut self, lease: &Lease, until: Time) -> Result<(), (bool, Loss)> {
+    /// Sends BEGIN, the idempotency row and the statement in one round trip.
+    async fn statement(&mut self, lease: &Lease, until: Time) -> Result<(), Loss> {
         let client = lease.client();
         let params = value::bind(&self.job.statement);
+        let limit = self.host.settings.limits.result;
         let insert = async {
             match &self.id {
-                Some(id) => outcome::insert(client, id).await.map(drop),
+                Some(id) => outcome::insert(client, id).await,
                 None => Ok(()),
             }
         };
@@ -181,48 +179,42 @@
                 insert,
                 client.query_typed_raw(&self.job.statement.sql, params),
             );
-            let before = begin.and(before).map_err(|e| (false, Loss::from(e)))?;
-            insert.map_err(|e| (true, Loss::from(e)))?;
-            let rows = rows.map_err(|e| (false, Loss::from(e)))?;
-            Ok((before, rows))
-        };
-        let limit = self.host.settings.limits.result;
-        let work = async {
-            let (before, rows) = work.await?;
-            let rows = collect(rows, limit).await.map_err(|loss| (false, loss))?;
-            Ok::<_, (bool, Loss)>((before, rows))
+            begin?;
+            let before = before?;
+            insert?;
+            let rows = collect(rows?, limit).await?;
+            Ok::<_, Loss>((before, rows))
         };
-        let deadline = self.host.clock.instant(until).into();
-        let (before, rows) = tokio::time::timeout_at(deadline, work)
-            .await
-            .unwrap_or(Err((false, Loss::TimedOut)))?;
+        let (before, rows) = exchange::run(self.host, lease, until, work).await?;
         self.before = position(&before, "term", "index").unwrap_or_default();
         self.rows = rows;
         Ok(())
     }
 
-    async fn create_and_repeat(&mut self, lease: &Lease, until: Time) -> Result<(), (bool, Loss)> {
+    async fn create_and_repeat(&mut self, lease: &Lease, until: Time) -> Result<(), Loss> {
         let create = async {
             lease.client().batch_execute(ROLLBACK).await?;
             outcome::create(lease.client()).await
         };
-        exchange::until(self.host, until, create).await.map_err(|loss| (false, loss))?;
+        exchange::run(self.host, lease, until, create).await?;
         self.statement(lease, until).await
     }
 
     /// Rolls back after an error, so that the connection is clean.
-    async fn failed(&mut self, lease: Lease, is_insert: bool, loss: Loss, until: Time) -> Event {
-        let Loss::Failed(code, detail) = loss else { return event(loss) };
+    async fn failed(&mut self, lease: Lease, loss: Loss, until: Time) -> Event {
+        if !matches!(loss, Loss::Failed(..) | Loss::Conflict) {
+            return event(loss);
+        }
         let rollback = lease.client().batch_execute(ROLLBACK);
-        let is_clean = exchange::until(self.host, until, rollback).await.is_ok();
-        if is_insert && code == UNIQUE_VIOLATION {
+        let is_clean = exchange::run(self.host, &lease, until, rollback).await.is_ok();
+        if loss == Loss::Conflict {
             self.lease = is_clean.then_some(lease);
             return Event::Conflict;
         }
         if is_clean {
             lease.release_clean();
         }
-        Event::Failed(Failure::new(&code), detail)
+        event(loss)
     }
 
     async fn commit(&mut self) -> Event {
@@ -247,7 +239,10 @@
                 lease.release_clean();
                 Event::Committed(position)
             }
-            Err(loss) => event(loss),
+            Err(loss) => {
+                exchange::worked(self.host, self.target, Some(&loss));
+                event(loss)
+            }
         }
     }
 
@@ -265,7 +260,7 @@
             return Event::ConnectionLost;
         };
         let until = self.write.exchange_deadline(self.host.clock.now());
-        match exchange::until(self.host, until, outcome::find(lease.client(), id)).await {
+        match exchange::run(self.host, &lease, until, outcome::find(lease.client(), id)).await {
             Ok((row, position)) => {
                 lease.release_clean();
                 Event::Found(row, position)
@@ -302,7 +297,7 @@
     let Some(retention) = host.document().services.get(&key.0).map(|s| s.retention) else { return };
     let until = host.clock.now() + PRUNE_TIMEOUT;
     let Ok(lease) = host.pools.acquire(&host, key, account, until).await else { return };
-    match exchange::until(&host, until, outcome::prune(lease.client(), retention)).await {
+    match exchange::run(&host, &lease, until, outcome::prune(lease.client(), retention)).await {
         Ok(count) => {
             lease.release_clean();
             host.metric.add("outcome.pruned", i64::try_from(count).unwrap_or(i64::MAX));
@@ -336,9 +331,9 @@
         // Where the row fails, COMMIT is answered as a rollback.
         let updated = updated?;
         committed?;
-        Ok((updated, entry))
+        Ok::<_, tokio_postgres::Error>((updated, entry))
     };
-    let (updated, entry) = exchange::until(host, until, work).await?;
+    let (updated, entry) = exchange::run(host, lease, until, work).await?;
     // COMMIT was answered: an error from here on denies nothing.
     let entry = entry.map_err(|_| Loss::ConnectionLost)?;
     let entry = position(&entry, "term", "index").map_err(|_| Loss::ConnectionLost)?;
@@ -370,7 +365,8 @@
 fn event(loss: Loss) -> Event {
     match loss {
         Loss::Failed(code, detail) => Event::Failed(Failure::new(&code), detail),
-        Loss::ConnectionLost => Event::ConnectionLost,
+        Loss::Conflict => Event::Conflict,
+        Loss::ConnectionLost | Loss::NoTable => Event::ConnectionLost,
         Loss::TimedOut => Event::TimedOut,
         Loss::Unusable(refusal) => Event::Denied(refusal),
     }
