--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -1,11 +1,9 @@
 //! Runs one host: binds its listeners, starts its tasks, stops them in order.
 
 use crate::error::Result;
-use crate::failover;
-use crate::front;
 use crate::settings::Settings;
 use crate::shared::Host;
-use crate::target;
+use crate::{exec, failover, front, target};
 use std::net::TcpListener;
 use std::sync::Arc;
 use tokio::task::JoinSet;
@@ -30,6 +28,7 @@
         tasks.spawn(failover::driver::run(host.clone()));
         tasks.spawn(target::share::run(host.clone()));
         tasks.spawn(follow_document(host.clone()));
+        tasks.spawn(exec::transaction::run(host.clone()));
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
         Ok(Daemon { host, front, tasks })
     }
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::error::Result;
+use crate::exec;
 use crate::failover::Failover;
 use crate::metric::Registry;
 use crate::platform;
@@ -29,6 +30,8 @@
     pub failover: Arc<Failover>,
     /// Connections to the targets, and what is known of them.
     pub pools: Pools,
+    /// What the requests share.
+    pub data: exec::State,
     /// The configuration in force here.
     pub document: watch::Sender<Arc<Document>>,
     /// Whether the host is stopping.
@@ -44,6 +47,7 @@
         let failover = Arc::new(Failover::new(&settings, incarnation));
         Ok(Host {
             incarnation,
+            data: exec::State::new(&settings, incarnation),
             clock: Clock::new(),
             metric,
             platform,
