Detection cases; a peer's word on the primary counts only without any doubt

A host that saw a fence and no primary told peers its last known primary under the fenced term, and they would have sent writes there. Such an opinion now always carries a doubt, and only opinions without one name a primary.

--- a/crates/core/src/detect.rs
+++ b/crates/core/src/detect.rs
@@ -63,6 +63,10 @@
 pub const POISONED_FAILURES: u32 = 3;
 /// Age of a primary's acknowledgement below which it is usual.
 pub const ISOLATED_FLOOR: Duration = Duration::from_millis(400);
+/// Time for which any probe may take.
+pub const SILENT_FLOOR: Duration = Duration::from_millis(200);
+/// Shortest time for which a group counts as without a primary.
+const LEADERLESS_FLOOR: Duration = Duration::from_millis(1);
 /// Refusals in a row that show that nothing listens.
 pub const REFUSALS: u32 = 2;
 
@@ -185,6 +189,8 @@
     }
 
     /// The primary of the highest term that any target or peer speaks of.
+    ///
+    /// A peer's word counts while it holds nothing at all against that primary.
     pub fn primary(&self) -> Option<(TargetId, Term)> {
         let own = self.leader().map(|(id, status)| (id, status.entry.term));
         let peers = self.opinions.values().map(|(_, opinion)| opinion);
@@ -251,8 +257,8 @@
         self.note_leaderless(now);
         let Some(opinion) = self.opinion(now) else { return Vec::new() };
         let mut actions = Vec::new();
-        let told = self.told.map(|told| (told.term, told.failed));
-        if told != Some((opinion.term, opinion.failed)) {
+        let gist = |opinion: &Opinion| (opinion.primary, opinion.term, opinion.failed);
+        if self.told.as_ref().map(gist) != Some(gist(&opinion)) {
             self.told = Some(opinion);
             actions.push(Action::Tell(opinion));
         }
@@ -281,12 +287,14 @@
     pub fn signs(&self, now: Time) -> BTreeMap<Cause, Duration> {
         let mut signs = BTreeMap::new();
         if let Some((_, since)) = self.leaderless {
-            signs.insert(Cause::Leaderless, now.saturating_sub(since));
+            let time = now.saturating_sub(since).max(LEADERLESS_FLOOR);
+            signs.insert(Cause::Leaderless, time);
             return signs;
         }
         let Some((id, status)) = self.leader() else { return signs };
         let health = &self.targets[&id];
-        if let Some(asked) = health.asked {
+        let silent = |asked: &Time| now.saturating_sub(*asked) >= SILENT_FLOOR;
+        if let Some(asked) = health.asked.filter(silent) {
             signs.insert(Cause::Silent, now.saturating_sub(asked));
         }
         if let Some(run) = health.refused.filter(|run| run.count >= REFUSALS) {
--- /dev/null
+++ b/crates/core/tests/detection.rs
@@ -0,0 +1,176 @@
+//! Cases of detection: what deposes a primary, and what must not.
+
+#[allow(dead_code, reason = "not every test uses all of it")]
+mod common;
+
+use bergamotvale_core::detect::{Action, Detector, Settings};
+use bergamotvale_core::group::{Role, Status};
+use bergamotvale_core::id::{HostId, TargetId, Time};
+use bergamotvale_core::log::{Position, Term};
+use bergamotvale_core::peer::Opinion;
+use common::{case, position};
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+use std::time::Duration;
+
+const HOST: HostId = 1;
+const TICK_MS: u64 = 50;
+const PROBE_MS: u64 = 150;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    #[serde(rename = "fault")]
+    _fault: String,
+    #[serde(rename = "step")]
+    _step: String,
+    given: Given,
+    events: Vec<Happening>,
+    expect: Vec<String>,
+    /// The primary that the host knows at the end, and its term.
+    #[serde(default)]
+    primary: Option<(TargetId, Term)>,
+}
+
+/// How targets answer their probes; target 0 is the primary of term 1.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Given {
+    watchers: BTreeSet<HostId>,
+    until_ms: u64,
+    targets: BTreeMap<TargetId, Vec<Span>>,
+}
+
+/// From `from_ms` on the target does this.
+#[derive(Deserialize, Clone)]
+#[serde(deny_unknown_fields)]
+struct Span {
+    #[serde(default)]
+    from_ms: u64,
+    answers: String,
+    #[serde(default)]
+    accepted: Option<Term>,
+    #[serde(default)]
+    entry: Option<String>,
+    #[serde(default)]
+    age_ms: u64,
+    /// The age grows from `from_ms` on.
+    #[serde(default)]
+    ageing: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Happening {
+    at: u64,
+    on: String,
+    #[serde(default)]
+    until: Option<u64>,
+    #[serde(default)]
+    hosts: Vec<HostId>,
+    #[serde(default)]
+    term: Option<Term>,
+    #[serde(default)]
+    well: bool,
+}
+
+fn millis(time: u64) -> Time {
+    Duration::from_millis(time)
+}
+
+fn status(span: &Span, now: u64) -> Status {
+    let entry = span.entry.as_deref().map_or(Position::new(1, 5), position);
+    let age = span.age_ms + if span.ageing { now - span.from_ms } else { 0 };
+    Status {
+        role: if span.answers == "primary" { Role::Primary } else { Role::Replica },
+        accepted_term: span.accepted.unwrap_or(entry.term),
+        entry,
+        applied: entry,
+        confirmed: entry,
+        age: millis(age),
+        primary: Some(0),
+        term_start: 1,
+    }
+}
+
+fn probe(detector: &mut Detector, now: u64, id: TargetId, spans: &[Span]) {
+    let span = spans.iter().rfind(|span| span.from_ms <= now).expect("one starts at 0");
+    detector.asked(millis(now), id);
+    match span.answers.as_str() {
+        "silent" => {}
+        "refused" => detector.refused(millis(now), id),
+        "crowded" => detector.crowded(id),
+        _ => detector.answered(millis(now), id, status(span, now)),
+    }
+}
+
+fn happen(detector: &mut Detector, event: &Happening) {
+    let now = millis(event.at);
+    match event.on.as_str() {
+        "against" | "doubt" | "for" => {
+            let failed = event.on == "against";
+            let failing = match event.on.as_str() {
+                "against" => millis(1_200),
+                "doubt" => millis(1),
+                _ => Duration::ZERO,
+            };
+            let term = event.term.unwrap_or(1);
+            let confirmed = Position::default();
+            for host in &event.hosts {
+                let opinion = Opinion { primary: 0, term, failing, failed, confirmed };
+                detector.heard(now, *host, opinion);
+            }
+        }
+        "work" => detector.worked(now, 0, event.well),
+        "stall" => {}
+        other => panic!("unknown event {other}"),
+    }
+}
+
+fn stalled(events: &[Happening], now: u64) -> bool {
+    let stalls = events.iter().filter(|event| event.on == "stall");
+    stalls.into_iter().any(|stall| stall.at <= now && stall.until.is_some_and(|end| now < end))
+}
+
+fn run(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = case(path)?;
+    let targets = case.given.targets.keys().copied();
+    let mut detector = Detector::new(HOST, targets, Settings::default());
+    detector.set_watchers(case.given.watchers.clone());
+
+    let mut lines = Vec::new();
+    for now in (0..=case.given.until_ms).step_by(TICK_MS as usize) {
+        if stalled(&case.events, now) {
+            continue;
+        }
+        let due = case.events.iter().filter(|e| e.at <= now && now < e.at + TICK_MS);
+        due.for_each(|event| happen(&mut detector, event));
+        if now % PROBE_MS == 0 {
+            for (id, spans) in &case.given.targets {
+                probe(&mut detector, now, *id, spans);
+            }
+        }
+        for action in detector.tick(millis(now)) {
+            let line = match action {
+                Action::Tell(opinion) if opinion.failed => format!("{now}: failed"),
+                Action::Tell(_) => format!("{now}: works"),
+                Action::Depose(deposed) => format!("{now}: depose term {}", deposed.term),
+            };
+            let deposing = lines.last().is_some_and(|last: &String| last.contains("depose"));
+            if !(deposing && line.contains("depose")) {
+                lines.push(line);
+            }
+        }
+    }
+
+    assert_eq!(lines, case.expect);
+    if case.primary.is_some() {
+        assert_eq!(detector.primary(), case.primary);
+    }
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/cases/detection", pattern = r"\.yaml$" },
+}
--- a/crates/core/tests/group/mod.rs
+++ b/crates/core/tests/group/mod.rs
@@ -191,7 +191,9 @@
             let target = Target { up: true, ..Target::default() };
             self.targets.insert(id, target);
             // Its connections end with it: what it acknowledged before counts no more.
-            self.targets.values_mut().for_each(|target| drop(target.holds.remove(&id)));
+            for target in self.targets.values_mut() {
+                target.holds.remove(&id);
+            }
             return true;
         }
         false
