--- a/crates/standin/src/group/target.rs
+++ b/crates/standin/src/group/target.rs
@@ -17,8 +17,8 @@
 use super::shared::Shared;
 use super::sqlstate::{self, Error, Result};
 use super::state::{Promoter, Role, State};
-use super::sync::lock;
 use super::writer::{Transaction, Writer};
+use crate::sync::lock;
 
 /// Entries applied under one lock.
 const APPLY_BATCH: usize = 64;
@@ -295,9 +295,13 @@
         self.changed.notify_all();
     }
 
-    /// Registers a connection; false when the limit is reached.
+    /// Registers a connection; false when the limit is reached or the target is down.
     pub(crate) fn register(&self, pid: i32, handle: Handle) -> bool {
         let mut connections = lock(&self.connections);
+        if !self.switches.running() {
+            handle.control.close();
+            return false;
+        }
         if connections.len() as u64 >= self.connection_limit.load(Ordering::SeqCst) {
             return false;
         }
