--- a/crates/core/src/detect.rs
+++ b/crates/core/src/detect.rs
@@ -194,7 +194,7 @@
     pub fn primary(&self) -> Option<(TargetId, Term)> {
         let own = self.leader().map(|(id, status)| (id, status.entry.term));
         let peers = self.opinions.values().map(|(_, opinion)| opinion);
-        let told = peers.filter(|opinion| !opinion.failed);
+        let told = peers.filter(|opinion| opinion.failing.is_zero());
         let told = told.map(|opinion| (opinion.primary, opinion.term));
         own.into_iter().chain(told).max_by_key(|(_, term)| *term)
     }
