--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -53,6 +53,17 @@
     Lost,
 }
 
+/// What may have become of the conditional write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Write {
+    /// None was sent, or each that was sent is known to have failed.
+    Unsent,
+    /// One is on its way.
+    Sent,
+    /// One was sent and its answer lost.
+    Lost,
+}
+
 /// An attempt.
 #[derive(Debug, Clone)]
 pub struct Writer {
@@ -61,14 +72,14 @@
     voters: BTreeSet<HostId>,
     noted: BTreeSet<HostId>,
     deadline: Time,
-    sent: bool,
+    write: Write,
 }
 
 impl Writer {
     /// An attempt to write `row`, whose base epoch had `voters`.
     pub fn new(row: Row, author: Author, voters: BTreeSet<HostId>, deadline: Time) -> Writer {
         let noted = BTreeSet::new();
-        Writer { row, author, voters, noted, deadline, sent: false }
+        Writer { row, author, voters, noted, deadline, write: Write::Unsent }
     }
 
     /// The row to write.
@@ -77,7 +88,7 @@
     }
 
     /// Begins.
-    pub fn start(&self) -> Action {
+    pub fn start(&mut self) -> Action {
         self.announce_or_write()
     }
 
@@ -89,14 +100,17 @@
     }
 
     /// A host already knows this or a higher epoch.
+    ///
+    /// Says something about this attempt only while its own write cannot be that epoch.
     pub fn overtaken(&self, epoch: Epoch) -> Option<Action> {
-        (epoch >= self.row.epoch && !self.sent).then(|| self.finish(Outcome::Overtaken))
+        let overtaken = epoch >= self.row.epoch && self.write == Write::Unsent;
+        overtaken.then_some(Action::Finish(Outcome::Overtaken))
     }
 
     /// A round of announcements ended.
-    pub fn announced(&self, now: Time) -> Action {
+    pub fn announced(&mut self, now: Time) -> Action {
         if now >= self.deadline && !self.enough() {
-            return self.finish(Outcome::NotWritten);
+            return Action::Finish(Outcome::NotWritten);
         }
         self.announce_or_write()
     }
@@ -104,34 +118,45 @@
     /// The conditional write came back.
     pub fn written(&mut self, now: Time, reply: Reply) -> Action {
         match reply {
-            Reply::Accepted => self.finish(Outcome::Accepted),
+            Reply::Accepted => Action::Finish(Outcome::Accepted),
             Reply::Conflict(row) => self.judge(now, row.as_deref()),
-            Reply::Refused if now >= self.deadline => self.give_up(),
-            Reply::Refused => Action::Write,
+            Reply::Refused => {
+                if self.write == Write::Sent {
+                    self.write = Write::Unsent;
+                }
+                if now >= self.deadline { self.give_up() } else { self.send() }
+            }
             Reply::Lost => {
-                self.sent = true;
+                self.write = Write::Lost;
                 Action::ReadBack
             }
         }
     }
 
     /// The row was read; none when the read failed.
-    pub fn read(&self, now: Time, row: Option<&Row>) -> Action {
+    pub fn read(&mut self, now: Time, row: Option<&Row>) -> Action {
         match row {
             Some(row) if row.epoch >= self.row.epoch => self.judge(now, Some(row)),
             _ if now >= self.deadline => self.give_up(),
-            Some(_) => Action::Write,
+            Some(_) => self.send(),
             None => Action::ReadBack,
         }
     }
 
-    fn announce_or_write(&self) -> Action {
+    fn announce_or_write(&mut self) -> Action {
         if self.enough() {
-            return Action::Write;
+            return self.send();
         }
         Action::Announce(self.voters.difference(&self.noted).copied().collect())
     }
 
+    fn send(&mut self) -> Action {
+        if self.write == Write::Unsent {
+            self.write = Write::Sent;
+        }
+        Action::Write
+    }
+
     fn enough(&self) -> bool {
         self.voters.is_empty() || self.noted.len() >= announcement_quorum(self.voters.len())
     }
@@ -140,19 +165,19 @@
         let Some(row) = row else {
             return if now >= self.deadline { self.give_up() } else { Action::ReadBack };
         };
-        match row.authors.get(&self.row.epoch) {
-            Some(author) if *author == self.author => self.finish(Outcome::Accepted),
-            Some(_) => self.finish(Outcome::Overtaken),
-            None if !self.sent => self.finish(Outcome::Overtaken),
-            None => self.finish(Outcome::Unknown),
-        }
+        let outcome = match row.authors.get(&self.row.epoch) {
+            Some(author) if *author == self.author => Outcome::Accepted,
+            Some(_) => Outcome::Overtaken,
+            None if self.write != Write::Lost => Outcome::Overtaken,
+            None => Outcome::Unknown,
+        };
+        Action::Finish(outcome)
     }
 
     fn give_up(&self) -> Action {
-        self.finish(if self.sent { Outcome::Unknown } else { Outcome::NotWritten })
-    }
-
-    fn finish(&self, outcome: Outcome) -> Action {
-        Action::Finish(outcome)
+        Action::Finish(match self.write {
+            Write::Unsent => Outcome::NotWritten,
+            Write::Sent | Write::Lost => Outcome::Unknown,
+        })
     }
 }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -13,6 +13,7 @@
 
 use crate::id::{Epoch, FailureDomainId, HostId, Incarnation, Time, Version};
 use crate::peer::{Heartbeat, Member};
+use crate::rendezvous::{Subject, weight};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -33,6 +34,9 @@
 /// Hosts of one failure domain that poll the store.
 pub const POLLERS_PER_DOMAIN: usize = 2;
 
+/// Order of hosts on the ring, among voters and among pollers.
+const RING: Subject = Subject::Store(0);
+
 /// What a failed probe says about a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -202,7 +206,7 @@
     /// The hosts that follow `watcher` on the ring.
     fn watched_by(&self, watcher: HostId) -> BTreeSet<HostId> {
         let mut ring: Vec<HostId> = self.peers.keys().copied().chain([self.own]).collect();
-        ring.sort_by_key(|host| (weight(*host), *host));
+        ring.sort_by_key(|host| (weight(*host, RING), *host));
         let start = ring.iter().position(|host| *host == watcher).map_or(0, |index| index + 1);
         let count = self.watched.min(ring.len() - 1);
         ring.iter().cycle().skip(start).take(count).copied().collect()
@@ -215,7 +219,7 @@
         }
         let mut rest: Vec<HostId> = self.peers.keys().copied().chain([self.own]).collect();
         rest.retain(|host| !self.voters.contains(host));
-        rest.sort_by_key(|host| (weight(*host), *host));
+        rest.sort_by_key(|host| (weight(*host, RING), *host));
         let Some(index) = rest.iter().position(|host| *host == self.own) else {
             return Vec::new();
         };
@@ -264,10 +268,10 @@
     if by_weight.is_empty() {
         by_weight = members.values().collect();
     }
-    by_weight.sort_by_key(|member| weight(member.host));
+    by_weight.sort_by_key(|member| weight(member.host, RING));
     for member in by_weight {
         let seat = seats.entry(member.failure_domain).or_default();
-        ranked.push((*seat, weight(member.host), member));
+        ranked.push((*seat, weight(member.host, RING), member));
         *seat += 1;
     }
     ranked.sort_by_key(|(seat, weight, member)| (*seat, *weight, member.host));
@@ -280,15 +284,7 @@
     let rank = members
         .values()
         .filter(|other| other.failure_domain == member.failure_domain)
-        .filter(|other| (weight(other.host), other.host) < (weight(own), own))
+        .filter(|other| (weight(other.host, RING), other.host) < (weight(own, RING), own))
         .count();
     rank < per_domain
 }
-
-/// Pseudo-random weight of a host.
-fn weight(host: HostId) -> u64 {
-    let mut mixed = u64::from(host).wrapping_add(0x9e37_79b9_7f4a_7c15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -39,7 +39,8 @@
     ranked
 }
 
-fn weight(host: HostId, subject: Subject) -> u64 {
+/// Pseudo-random weight of a host for `subject`; the highest is chosen first.
+pub fn weight(host: HostId, subject: Subject) -> u64 {
     let (kind, id) = subject.parts();
     let mut hasher = SipHasher13::new();
     hasher.write_u8(kind);
