--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,26 +5,45 @@
 //! with the actions that the caller has to carry out. Randomness comes from a seeded source that
 //! is passed in. The crates round this one supply sockets, timers and storage.
 
+pub mod ack;
 pub mod authority;
 pub mod change;
 pub mod config;
+pub mod detect;
 pub mod distribute;
 pub mod error;
+pub mod fair;
+pub mod group;
+pub mod handover;
 pub mod id;
+pub mod idempotency;
 pub mod invariant;
 pub mod key;
 pub mod log;
 pub mod member;
+pub mod outlier;
 pub mod peer;
 pub mod plan;
+pub mod pool;
+pub mod progress;
+pub mod promotion;
+pub mod random;
 pub mod rate;
+pub mod read;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
+pub mod route;
 pub mod session;
 pub mod share;
+pub mod slot;
+pub mod sql;
+pub mod sqlstate;
 pub mod statement;
 pub mod store;
+pub mod transaction;
 pub mod upkeep;
+pub mod watch;
+pub mod write;
 
 pub use error::{Error, Result};
--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -1,139 +1,120 @@
 //! Connections to the targets, and what is known of the targets.
 //!
-//! [`Pools::acquire`] leases a connection to one owner at a time; [`Pools::views`] tells what the
-//! probes last saw.
+//! What the rest of the host needs:
+//! - [`Pools::acquire`] leases a connection to one owner at a time. The owner runs its exchanges
+//!   through [`Lease::exchange`] and ends with [`Lease::release_clean`] when nothing is left on the
+//!   connection; every other end closes it and cancels what runs on it. A lease that is refused
+//!   has sent nothing.
+//! - [`Pools::views`] and [`Pools::primary`] tell what the targets last said of themselves.
+//! - [`Pools::worked`] takes the outcome of work, [`Pools::superseded`] the news that a target is
+//!   no longer the primary.
+//! - [`Pools::lend`], [`Pools::take_back`], [`Pools::wants`] and [`Pools::granted`] are the two
+//!   sides of loans between hosts; [`Pools::vouch`] says how long this host has authority.
 
 pub mod connection;
+pub mod lease;
+pub mod pool;
 pub mod probe;
+pub mod share;
 
+use crate::failover::{Failover, driver};
 use crate::shared::Host;
-use bergamotvale_core::id::{AccountId, ServiceId, TargetId, Time};
-use bergamotvale_core::log::{Position, Term};
-use bergamotvale_core::refusal::{Reason, Refusal};
-use connection::Connection;
+pub use bergamotvale_core::group::{Role, Status};
+use bergamotvale_core::id::{AccountId, HostId, ServiceId, TargetId, Time};
+use bergamotvale_core::peer::SlotRequest;
+use bergamotvale_core::refusal::Refusal;
+pub use lease::Lease;
+use share::{Asked, Want};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 /// A target of a service.
 pub type Key = (ServiceId, TargetId);
 
-/// Part that a target plays in its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Role {
-    /// Takes writes.
-    Primary,
-    /// Follows.
-    Replica,
-    /// Catches up from nothing.
-    Rebuilding,
-}
-
-/// What a target said of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Status {
-    /// Its part.
-    pub role: Role,
-    /// Highest term that it accepted.
-    pub accepted_term: Term,
-    /// Last entry of its log.
-    pub entry: Position,
-    /// Last entry that its data show.
-    pub applied: Position,
-    /// Highest entry that it knows on a majority.
-    pub confirmed: Position,
-    /// How old its data may be.
-    pub age: Duration,
-}
-
 /// What is known of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct View {
     /// What it last said.
     pub status: Status,
-    /// When it was asked.
+    /// When it said so.
     pub at: Time,
 }
 
 /// Connections of one host to all targets.
 pub struct Pools {
-    state: Mutex<State>,
-}
-
-#[derive(Default)]
-struct State {
-    idle: BTreeMap<Key, Vec<Connection>>,
-    views: BTreeMap<Key, View>,
-}
-
-/// A connection with its one owner; closed on drop unless given back clean.
-pub struct Lease {
-    key: Key,
-    connection: Option<Connection>,
-    host: Arc<Host>,
+    failover: Arc<Failover>,
+    vouched_until: Mutex<Option<Time>>,
+    pub(crate) inner: pool::Pools,
 }
 
 impl Pools {
-    /// No connection and no view.
-    #[allow(clippy::new_without_default, reason = "construction is by `new` throughout")]
-    pub fn new() -> Pools {
-        Pools { state: Mutex::default() }
+    /// No connection yet.
+    pub fn new(failover: Arc<Failover>) -> Pools {
+        Pools { failover, vouched_until: Mutex::default(), inner: pool::Pools::default() }
     }
 
-    /// Leases a connection to a target for work of `account`.
+    /// Leases a connection to a target for work of `account`; waits at most until `deadline`.
     pub async fn acquire(
         &self,
         host: &Arc<Host>,
         key: Key,
-        _account: AccountId,
-        _deadline: Time,
+        account: AccountId,
+        deadline: Time,
     ) -> Result<Lease, Refusal> {
-        let idle = self.lock().idle.entry(key).or_default().pop();
-        let connection = match idle {
-            Some(connection) => connection,
-            None => open(host, key).await?,
-        };
-        Ok(Lease { key, connection: Some(connection), host: host.clone() })
+        pool::acquire(host, key, account, deadline).await
     }
 
     /// What is known of the targets of `service`.
     pub fn views(&self, service: ServiceId) -> BTreeMap<TargetId, View> {
-        let state = self.lock();
-        let of_service = state.views.iter().filter(|((s, _), _)| *s == service);
-        of_service.map(|((_, target), view)| (*target, *view)).collect()
+        self.failover.views(service)
     }
 
     /// Target that says, in the highest term, that it is the primary.
     pub fn primary(&self, service: ServiceId) -> Option<TargetId> {
-        let views = self.views(service);
-        let primaries = views.iter().filter(|(_, view)| view.status.role == Role::Primary);
-        primaries.max_by_key(|(_, view)| view.status.accepted_term).map(|(target, _)| *target)
+        self.failover.primary(service).map(|(target, _)| target)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of the lock panics")
+    /// Work on a target ended, well or by the target's own fault.
+    ///
+    /// A timeout, a broken connection and an internal error are the target's fault; an error for
+    /// the statement's sake is not, and counts as well done.
+    pub fn worked(&self, now: Time, key: Key, well: bool) {
+        self.failover.worked(now, key, well);
     }
-}
 
-impl Lease {
-    /// The connection.
-    pub fn client(&self) -> &tokio_postgres::Client {
-        self.connection.as_ref().expect("held until the lease ends").client()
+    /// A target said that it is no longer the primary: looks at the group at once.
+    pub fn superseded(&self, host: &Arc<Host>, service: ServiceId) {
+        driver::probe_all(host, service);
     }
 
-    /// Gives the connection back; the owner vouches that nothing is left on it.
-    pub fn release_clean(mut self) {
-        if let Some(connection) = self.connection.take() {
-            self.host.pools.lock().idle.entry(self.key).or_default().push(connection);
-        }
+    /// This host has authority over its shares until `until`.
+    pub fn vouch(&self, until: Time) {
+        *self.vouched_until.lock().expect("no holder of the lock panics") = Some(until);
+    }
+
+    /// Until when this host has authority over its shares; without end where nobody ever said.
+    pub fn vouched_until(&self) -> Time {
+        let until = *self.vouched_until.lock().expect("no holder of the lock panics");
+        until.unwrap_or(Time::MAX)
+    }
+
+    /// A peer asks for slots; answers the total that it holds from this host now.
+    pub fn lend(&self, host: &Arc<Host>, request: &SlotRequest) -> u32 {
+        share::lend(host, request)
     }
-}
 
-async fn open(host: &Arc<Host>, key: Key) -> Result<Connection, Refusal> {
-    let document = host.document();
-    let target = document.services.get(&key.0).and_then(|s| s.targets.get(&key.1));
-    let target = target.ok_or_else(|| Refusal::new(Reason::NotFound, "no such target"))?;
-    Connection::open(target.address, &host.settings)
-        .await
-        .map_err(|e| Refusal::new(Reason::ConnectionRefused, e.to_string()))
+    /// A peer gave slots back.
+    pub fn take_back(&self, host: &Arc<Host>, request: &SlotRequest) {
+        share::take_back(host, request);
+    }
+
+    /// Requests to send to `peers` now; each loan is answered through [`Pools::granted`].
+    pub fn wants(&self, host: &Host, peers: &[HostId]) -> Vec<(Want, Option<Asked>)> {
+        share::wants(host, peers)
+    }
+
+    /// A peer answered a request for a loan, or did not.
+    pub fn granted(&self, host: &Arc<Host>, asked: &Asked, total: Option<u32>) {
+        share::granted(host, asked, total);
+    }
 }
--- a/crates/standin/src/group/executor.rs
+++ b/crates/standin/src/group/executor.rs
@@ -18,9 +18,9 @@
 use super::row::{self, Column, Kind};
 use super::sqlstate::{self, Error, Result};
 use super::statement::{self, Command, Setting};
-use super::sync::lock;
 use super::target::Target;
 use super::writer::Transaction;
+use crate::sync::lock;
 
 /// Transaction of a connection, as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,7 +83,6 @@
     pub(crate) fn run(&mut self, sql: &str, params: &[Value]) -> Result<Answer> {
         self.control.start(self.timeout);
         let answer = self.dispatch(sql, params);
-        self.control.finish();
         if answer.is_err() {
             self.fail();
         }
