--- a/crates/cli/src/args/grammar.rs
+++ b/crates/cli/src/args/grammar.rs
@@ -23,8 +23,8 @@
   2  a command line, file or setting that can't be used
   3  the host can't be reached
 
-Nothing changes before a plan is confirmed: promote, drain, restore, rate and key rotate print a
-plan, and `bergamotvale confirm ID` carries it out.";
+Nothing changes before a plan is confirmed: promote, drain, rate and key rotate print a plan, and
+`bergamotvale confirm ID` carries it out.";
 
 /// The whole grammar.
 pub fn command() -> Command {
@@ -78,7 +78,7 @@
             .about("States an intent and prints its plan; changes nothing")
             .subcommand_required(true)
             .disable_help_subcommand(true)
-            .subcommands([promote(), drain(), restore(), rotate("rotate"), rate()]),
+            .subcommands([promote(), drain(), rotate(), rate()]),
         Command::new("confirm")
             .about("Confirms a plan, which is then carried out")
             .arg(plan_id().required(true))
@@ -86,7 +86,6 @@
         Command::new("plans").about("Lists plans with their progress").arg(plan_id()),
         promote().arg(yes()),
         drain().arg(yes().global(true)),
-        restore().arg(yes()),
         rate().arg(yes()),
     ]
 }
@@ -98,7 +97,7 @@
             .about("Issues, withdraws and rotates client accounts' keys")
             .subcommand_required(true)
             .disable_help_subcommand(true)
-            .subcommands([issue(), withdraw(), rotate("rotate").arg(yes())]),
+            .subcommands([issue(), withdraw(), rotate().arg(yes())]),
         Command::new("config")
             .about("Puts the first configuration, or shows the one in force")
             .subcommand_required(true)
@@ -134,10 +133,20 @@
 }
 
 fn promote() -> Command {
+    let away = Arg::new("away-from")
+        .long("away-from")
+        .value_name("TARGET")
+        .help("Takes the replica that lags least, other than this target")
+        .value_parser(value_parser!(TargetId));
     Command::new("promote")
         .about("Makes a target its service's primary; no request is lost")
+        .override_usage(
+            "bergamotvale promote [OPTIONS] <SERVICE> <TARGET>\n       \
+             bergamotvale promote [OPTIONS] <SERVICE> --away-from <TARGET>",
+        )
         .arg(service())
-        .arg(target())
+        .arg(target().required(false).required_unless_present("away-from"))
+        .arg(away.conflicts_with("target"))
 }
 
 fn drain() -> Command {
@@ -145,7 +154,13 @@
         .about("Takes a target or a host out of service; no request is cut")
         .subcommand_required(true)
         .disable_help_subcommand(true)
-        .subcommand(Command::new("target").about("Drains a target").arg(service()).arg(target()))
+        .subcommand(
+            Command::new("target")
+                .about("Drains a target")
+                .arg(service())
+                .arg(target())
+                .arg(flag("restore", "Gives the drained target new work again")),
+        )
         .subcommand(
             Command::new("host").about("Drains a host").arg(
                 Arg::new("id")
@@ -157,15 +172,8 @@
         )
 }
 
-fn restore() -> Command {
-    Command::new("restore")
-        .about("Gives a drained target new work again")
-        .arg(service())
-        .arg(target())
-}
-
-fn rotate(name: &'static str) -> Command {
-    Command::new(name)
+fn rotate() -> Command {
+    Command::new("rotate")
         .about("Issues a new key and withdraws an old one")
         .arg(account())
         .arg(key_id())
@@ -175,20 +183,17 @@
     Command::new("rate")
         .about("Sets a client account's rate and burst over all hosts")
         .arg(account())
-        .arg(
-            Arg::new("rate")
-                .value_name("RATE")
-                .required(true)
-                .help("Requests a second")
-                .value_parser(value_parser!(u32).range(1..)),
-        )
-        .arg(
-            Arg::new("burst")
-                .value_name("BURST")
-                .required(true)
-                .help("Requests above the rate at once")
-                .value_parser(value_parser!(u32).range(1..)),
-        )
+        .arg(positive("rate", "Requests a second"))
+        .arg(positive("burst", "Requests above the rate at once"))
+}
+
+fn positive(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .required(true)
+        .help(help)
+        .value_parser(value_parser!(u32).range(1..))
 }
 
 fn issue() -> Command {
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -5,8 +5,8 @@
 
 pub mod grammar;
 
-use crate::client::intent::Intent;
-use bergamotvale_core::id::{KeyId, PlanId};
+use bergamotvale_core::id::{KeyId, PlanId, TargetId};
+use bergamotvale_core::plan::Intent;
 use clap::ArgMatches;
 use clap_complete::Shell;
 use std::ffi::OsString;
@@ -56,6 +56,15 @@
         /// Whether to confirm the plan and wait for its end.
         yes: bool,
     },
+    /// Promotes the replica that lags least, other than a target.
+    PromoteAway {
+        /// Name of the service.
+        service: String,
+        /// The target that is not to be primary.
+        target: TargetId,
+        /// Whether to confirm the plan and wait for its end.
+        yes: bool,
+    },
     /// Confirms a plan.
     Confirm {
         /// The plan.
@@ -138,10 +147,9 @@
     let (name, matches) = matches.subcommand().expect("clap requires a command");
     match name {
         "status" => Command::Status,
-        "plan" => propose(nested_intent(matches), false),
-        "promote" => propose(promote(matches), matches.get_flag("yes")),
+        "plan" => plan(matches),
+        "promote" => promote(matches, matches.get_flag("yes")),
         "drain" => propose(drain(matches), matches.get_flag("yes")),
-        "restore" => propose(restore(matches), matches.get_flag("yes")),
         "rate" => propose(rate(matches), matches.get_flag("yes")),
         "confirm" => {
             Command::Confirm { plan: required(matches, "plan"), wait: matches.get_flag("wait") }
@@ -162,37 +170,33 @@
     Command::Propose { intent, yes }
 }
 
-fn nested_intent(matches: &ArgMatches) -> Intent {
+fn plan(matches: &ArgMatches) -> Command {
     let (name, matches) = matches.subcommand().expect("clap requires an intent");
     match name {
-        "promote" => promote(matches),
-        "drain" => drain(matches),
-        "restore" => restore(matches),
-        "rotate" => rotate(matches),
-        "rate" => rate(matches),
-        other => unreachable!("clap accepts no intent {other}"),
+        "promote" => promote(matches, false),
+        "drain" => propose(drain(matches), false),
+        "rotate" => propose(rotate(matches), false),
+        _ => propose(rate(matches), false),
     }
 }
 
-fn promote(matches: &ArgMatches) -> Intent {
-    Intent::Promote { service: required(matches, "service"), target: required(matches, "target") }
+fn promote(matches: &ArgMatches, yes: bool) -> Command {
+    let service = required(matches, "service");
+    match optional(matches, "away-from") {
+        Some(target) => Command::PromoteAway { service, target, yes },
+        None => propose(Intent::Promote { service, target: required(matches, "target") }, yes),
+    }
 }
 
 fn drain(matches: &ArgMatches) -> Intent {
     let (name, matches) = matches.subcommand().expect("clap requires what to drain");
-    match name {
-        "host" => Intent::DrainHost { host: required(matches, "id") },
-        _ => Intent::DrainTarget {
-            service: required(matches, "service"),
-            target: required(matches, "target"),
-        },
+    if name == "host" {
+        return Intent::DrainHost { host: required(matches, "id") };
     }
-}
-
-fn restore(matches: &ArgMatches) -> Intent {
-    Intent::RestoreTarget {
-        service: required(matches, "service"),
-        target: required(matches, "target"),
+    let (service, target) = (required(matches, "service"), required(matches, "target"));
+    match matches.get_flag("restore") {
+        true => Intent::RestoreTarget { service, target },
+        false => Intent::DrainTarget { service, target },
     }
 }
 
--- a/crates/cli/src/client/mod.rs
+++ b/crates/cli/src/client/mod.rs
@@ -4,7 +4,6 @@
 //! outcome open is told apart from a refusal that promises "not run".
 
 pub mod caller;
-pub mod intent;
 pub mod operator;
 pub mod problem;
 pub mod report;
--- a/crates/cli/src/client/operator.rs
+++ b/crates/cli/src/client/operator.rs
@@ -1,10 +1,10 @@
 //! Client of the operators' interface.
 
-use crate::client::intent::Intent;
 use crate::client::problem::Problem;
-use crate::client::report::{Audit, Issued, Metrics, Plan, State, Status};
+use crate::client::report::{Audit, Issued, Metrics, Status};
 use crate::error::{Error, Result};
 use bergamotvale_core::id::{KeyId, PlanId};
+use bergamotvale_core::plan::{Intent, Plan, State};
 use reqwest::Method;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
--- a/crates/cli/src/client/report.rs
+++ b/crates/cli/src/client/report.rs
@@ -1,6 +1,6 @@
 //! What the operators' interface answers, as plain data.
 //!
-//! Fields that a newer host adds are passed over.
+//! Fields that a newer host adds are passed over. Plans are those of [`bergamotvale_core::plan`].
 
 use bergamotvale_core::id::{
     AccountId, HostId, Incarnation, KeyId, PlanId, ServiceId, TargetId, Version,
@@ -135,61 +135,6 @@
     pub key: String,
 }
 
-/// A plan.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Plan {
-    /// Its number.
-    pub id: PlanId,
-    /// Version of the configuration that it was made from.
-    pub version: Version,
-    /// What it is for.
-    pub intent: serde_json::Value,
-    /// How far it is.
-    pub state: State,
-    /// Its steps, in order.
-    pub steps: Vec<Step>,
-    /// Operator who confirmed it.
-    #[serde(default)]
-    pub confirmed_by: Option<String>,
-}
-
-/// How far a plan or a step is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-#[display(rename_all = "snake_case")]
-pub enum State {
-    /// Waits for confirmation.
-    Proposed,
-    /// Confirmed, not begun.
-    Confirmed,
-    /// Not begun.
-    Pending,
-    /// Under way.
-    Running,
-    /// Done.
-    Done,
-    /// Failed.
-    Failed,
-}
-
-/// A step of a plan.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Step {
-    /// Its place.
-    pub number: u32,
-    /// Command line that does the same by hand.
-    pub command: String,
-    /// What it touches.
-    pub touches: serde_json::Value,
-    /// What must hold.
-    pub check: serde_json::Value,
-    /// How far it is.
-    pub state: State,
-    /// What happened.
-    #[serde(default)]
-    pub detail: Option<String>,
-}
-
 /// What operators did.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Audit {
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,8 +1,9 @@
 //! Results on standard output: tables for people, or one JSON document.
 
 use crate::args::Output;
-use crate::client::report::{Audit, Plan, Status};
+use crate::client::report::{Audit, Status};
 use crate::error::{Error, Result};
+use bergamotvale_core::plan::{Intent, Plan};
 use serde::Serialize;
 use std::fmt::Write;
 use std::io::Write as _;
@@ -151,7 +152,7 @@
 pub fn plan(plan: &Plan) -> String {
     let mut out = String::new();
     let _ = writeln!(out, "plan {} ({}), from version {}", plan.id, plan.state, plan.version);
-    let _ = writeln!(out, "intent {}", plan.intent);
+    let _ = writeln!(out, "intent: {}", intent(&plan.intent));
     if let Some(operator) = &plan.confirmed_by {
         let _ = writeln!(out, "confirmed by {operator}");
     }
@@ -163,9 +164,9 @@
                 step.number.to_string(),
                 step.state.to_string(),
                 step.command.clone(),
-                text(&step.touches),
-                text(&step.check),
-                step.detail.clone().unwrap_or_default(),
+                step.touches.clone(),
+                step.check.clone(),
+                step.detail.clone(),
             ]
         })
         .collect();
@@ -173,6 +174,22 @@
     out
 }
 
+/// An intent as it is typed.
+fn intent(intent: &Intent) -> String {
+    match intent {
+        Intent::Promote { service, target } => format!("promote {service} {target}"),
+        Intent::DrainTarget { service, target } => format!("drain target {service} {target}"),
+        Intent::RestoreTarget { service, target } => {
+            format!("drain target {service} {target} --restore")
+        }
+        Intent::DrainHost { host } => format!("drain host {host}"),
+        Intent::Rotate { account, key_id } => format!("rotate {account} {key_id}"),
+        Intent::Rate { account, rate, burst } => {
+            format!("rate {account} --rate {rate} --burst {burst}")
+        }
+    }
+}
+
 /// A plan that waits for confirmation, for people.
 pub fn proposal(proposal: &Plan) -> String {
     format!(
@@ -192,7 +209,7 @@
                 plan.state.to_string(),
                 plan.version.to_string(),
                 plan.confirmed_by.clone().unwrap_or_default(),
-                plan.intent.to_string(),
+                intent(&plan.intent),
             ]
         })
         .collect();
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,12 +1,12 @@
 //! Carries out a command line.
 
 use crate::args::{Access, Command, Invocation, Output, grammar};
-use crate::client::intent::Intent;
 use crate::client::operator::Client;
-use crate::client::report::{Plan, State};
+use crate::client::report::{Service, Target};
 use crate::error::{Error, Result};
 use crate::{client, output};
-use bergamotvale_core::id::PlanId;
+use bergamotvale_core::id::{PlanId, TargetId};
+use bergamotvale_core::plan::{Intent, Plan, State};
 use clap_complete::Shell;
 use std::path::Path;
 use std::time::Duration;
@@ -24,6 +24,14 @@
             output::print(output, &status, output::status)
         }
         Command::Propose { intent, yes } => propose(&access, output, &intent, yes).await,
+        Command::PromoteAway { service, target, yes } => {
+            let status = connect(&access)?.status().await?;
+            let found = status.services.iter().find(|known| known.name == service);
+            let target = found.and_then(|service| successor(service, target)).ok_or_else(|| {
+                Error::Verdict(format!("service {service} has no other healthy target"))
+            })?;
+            propose(&access, output, &Intent::Promote { service, target }, yes).await
+        }
         Command::Confirm { plan, wait } => confirm(&access, output, plan, wait).await,
         Command::Plans(None) => {
             let plans = connect(&access)?.plans().await?;
@@ -78,6 +86,18 @@
     finish(&client, output, plan.id).await
 }
 
+/// The primary if it is not `target`, else the healthy replica that lags least.
+fn successor(service: &Service, target: TargetId) -> Option<TargetId> {
+    if let Some(primary) = service.primary.filter(|primary| *primary != target) {
+        return Some(primary);
+    }
+    let fits = |other: &&Target| {
+        other.target != target && other.healthy && !other.ejected && other.state == "active"
+    };
+    let replicas = service.targets.iter().filter(fits);
+    replicas.min_by_key(|replica| replica.age_ms.unwrap_or(u64::MAX)).map(|other| other.target)
+}
+
 async fn confirm(access: &Access, output: Output, plan: PlanId, wait: bool) -> Result<()> {
     let client = connect(access)?;
     let confirmed = client.confirm(plan).await?;
--- a/crates/cli/tests/client.rs
+++ b/crates/cli/tests/client.rs
@@ -2,9 +2,9 @@
 
 use bergamotvale_cli::client;
 use bergamotvale_cli::client::caller::{Client, Failure, Operation, Request};
-use bergamotvale_cli::client::intent::Intent;
 use bergamotvale_cli::client::problem::Problem;
 use bergamotvale_cli::client::value;
+use bergamotvale_core::plan::Intent;
 use bergamotvale_core::refusal::{Ran, Reason};
 use bergamotvale_core::statement::{Statement, Value};
 use proptest::prelude::*;
