try: the mill's story with a verdict a step

Each step provokes its fault: a bolt logged while both replicas lag, reads while one lacks the bolt, writes offered to a primary that is cut off from its group, a withdrawn key on connections that were open before, requests under way on a host that drains. Targets are read past the hosts.

Exit status 1 and the steps are named.

--- a/crates/cli/src/bench/remains.rs
+++ b/crates/cli/src/bench/remains.rs
@@ -40,7 +40,8 @@
     Ok(())
 }
 
-fn is_caught_up(group: &Group) -> bool {
+/// Whether every target holds and has applied the same log.
+pub fn is_caught_up(group: &Group) -> bool {
     let ends: Vec<_> = group.targets().iter().map(|target| target.log().last().copied()).collect();
     let is_same = ends.windows(2).all(|pair| pair[0] == pair[1]);
     let is_applied = group
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod output;
 pub mod run;
 pub mod system;
+pub mod trial;
 
 pub use error::{Error, Result};
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -4,7 +4,7 @@
 use crate::client::operator::Client;
 use crate::client::report::{Service, Target};
 use crate::error::{Error, Result};
-use crate::{client, output};
+use crate::{client, output, trial};
 use bergamotvale_core::id::{PlanId, TargetId};
 use bergamotvale_core::plan::{Intent, Plan, State};
 use clap_complete::Shell;
@@ -70,9 +70,8 @@
             completions(shell);
             Ok(())
         }
-        Command::Try { .. } | Command::Bench(_) => {
-            Err(Error::Usage("not part of this build".to_owned()))
-        }
+        Command::Try { keep } => trial::run(output, keep).await,
+        Command::Bench(_) => Err(Error::Usage("not part of this build".to_owned())),
     }
 }
 
