Host side of the fleet: platform client behind a gate, peer service, heartbeats, distribution, members

The platform client bounds, counts and judges its calls; a lost write is told from one that was certainly not made. The fleet row moves by announcement, conditional write and read-back; epochs are pushed and fetched. Loans of tokens and slots are asked for through the same connections.

--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -157,7 +157,8 @@
         Action::Write
     }
 
-    fn enough(&self) -> bool {
+    /// Whether enough voters noted the epoch.
+    pub fn enough(&self) -> bool {
         self.voters.is_empty() || self.noted.len() >= announcement_quorum(self.voters.len())
     }
 
--- a/crates/core/src/distribute.rs
+++ b/crates/core/src/distribute.rs
@@ -28,8 +28,9 @@
 
 /// The fleet row of the platform's table.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Row {
-    /// Grows by one with each accepted write of the row.
+    /// Grows by one with each accepted write of the row; 0 in one that no host has written.
     pub epoch: Epoch,
     /// Version of the configuration.
     pub version: Version,
@@ -235,6 +236,12 @@
         Spread { validity: authority::VALIDITY, accepted: BTreeMap::new(), in_force: (0, 0) }
     }
 
+    /// The same with another lifetime of authority.
+    pub fn with_validity(mut self, validity: Duration) -> Spread {
+        self.validity = validity;
+        self
+    }
+
     /// Takes a row that this host adopted at `now`.
     pub fn accepted(&mut self, now: Time, row: &Row, own: HostId) {
         let waiting = row
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -2,10 +2,14 @@
 
 use crate::error::Result;
 use crate::failover;
+use crate::fleet::{beat, follow, loan, upkeep};
 use crate::front;
+use crate::peer;
 use crate::settings::Settings;
 use crate::shared::Host;
 use crate::target;
+use bergamotvale_core::id::Time;
+use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::sync::Arc;
 use tokio::task::JoinSet;
@@ -23,13 +27,25 @@
     pub async fn start(mut settings: Settings) -> Result<Daemon> {
         crate::settings::verify(&settings)?;
         let callers = bind(&mut settings.listen.callers)?;
+        let peers = bind(&mut settings.listen.peers)?;
         let host = Arc::new(Host::new(settings)?);
-        load_document(&host).await;
+        // Shares are for recorded members only; this host is none yet.
+        host.pools.vouch(Time::ZERO);
+        host.failover.set_members(BTreeMap::new());
         let front = front::start(host.clone(), callers)?;
         let mut tasks = JoinSet::new();
         tasks.spawn(failover::driver::run(host.clone()));
         tasks.spawn(target::share::run(host.clone()));
-        tasks.spawn(follow_document(host.clone()));
+        peers.set_nonblocking(true)?;
+        tasks.spawn(peer::server::run(host.clone(), tokio::net::TcpListener::from_std(peers)?));
+        tasks.spawn(follow::run(host.clone()));
+        tasks.spawn(follow::list(host.clone()));
+        tasks.spawn(beat::run(host.clone()));
+        tasks.spawn(upkeep::run(host.clone()));
+        tasks.spawn(loan::tokens(host.clone()));
+        tasks.spawn(loan::slots(host.clone()));
+        let limited = host.clone();
+        tasks.spawn(async move { limited.limiter.run().await });
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
         Ok(Daemon { host, front, tasks })
     }
@@ -48,19 +64,3 @@
     *address = listener.local_addr()?;
     Ok(listener)
 }
-
-async fn follow_document(host: Arc<Host>) {
-    let mut ticks = tokio::time::interval(host.settings.platform.period);
-    loop {
-        ticks.tick().await;
-        load_document(&host).await;
-    }
-}
-
-async fn load_document(host: &Host) {
-    match host.platform.document(host.document().version).await {
-        Ok(Some(document)) => drop(host.document.send_replace(Arc::new(document))),
-        Ok(None) => {}
-        Err(error) => log::warn!("cannot read the configuration: {error}"),
-    }
-}
--- a/crates/host/src/error.rs
+++ b/crates/host/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of a host that concern no single request.
 
 use crate::settings;
+use bergamotvale_core::store;
 use derive_more::{Display, Error, From};
 
 /// What can keep a host from working.
@@ -20,6 +21,17 @@
     #[display("platform: {_0}")]
     #[from]
     Platform(reqwest::Error),
+    /// A row or document of the platform cannot be read.
+    #[display("platform: {_0}")]
+    #[from]
+    Malformed(serde_json::Error),
+    /// A call to the platform was not made.
+    #[display("platform: calls are {_0}")]
+    #[from]
+    Gate(#[error(not(source))] store::Refusal),
+    /// Another host failed.
+    #[from]
+    Peer(bergamotvale_wire::Error),
     /// A target failed.
     #[display("target: {_0}")]
     #[from]
--- /dev/null
+++ b/crates/host/src/fleet/follow.rs
@@ -0,0 +1,84 @@
+//! Reads of the platform: the fleet row, the document, the list of hosts.
+
+use crate::error::Result;
+use crate::platform::{CONFIG_ROW, Listed};
+use crate::shared::Host;
+use bergamotvale_core::distribute::Row;
+use bergamotvale_core::peer::{Body, Update};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{MissedTickBehavior, interval};
+
+/// Time between two entries in the platform's list of hosts.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// Polls the fleet row until the task is dropped.
+pub async fn run(host: Arc<Host>) {
+    let mut ticks = interval(host.settings.platform.period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if !host.fleet.polls() && host.authority() {
+            continue;
+        }
+        if let Err(error) = read(&host).await {
+            log::debug!("cannot read the fleet row: {error}");
+            host.metric.count("platform.poll_failures");
+        }
+    }
+}
+
+/// Reads the fleet row and moves to it. Answers the row's version in the table, and the row.
+pub async fn read(host: &Arc<Host>) -> Result<(u64, Row)> {
+    let sent = host.clock.now();
+    let found = host.platform.row(CONFIG_ROW).await?;
+    let version = found.as_ref().map_or(0, |row| row.version);
+    let row: Row = match found {
+        Some(found) => serde_json::from_value(found.value)?,
+        None => Row::default(),
+    };
+    host.fleet.read(sent, row.epoch);
+    if row.epoch > host.fleet.epoch() {
+        move_to(host, row.clone()).await?;
+    }
+    host.vouch();
+    Ok((version, row))
+}
+
+async fn move_to(host: &Arc<Host>, row: Row) -> Result<()> {
+    let known = host.fleet.row().version;
+    let body =
+        if row.version == known { Body::None } else { Body::Whole(document(host, &row).await?) };
+    host.adopt(Update { origin: host.settings.host, row, body });
+    Ok(())
+}
+
+/// The document that `row` names.
+pub(super) async fn document(
+    host: &Host,
+    row: &Row,
+) -> Result<bergamotvale_core::config::Document> {
+    let body = host.platform.object(&row.digest).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// Keeps this host on the platform's list, and follows it, until the task is dropped.
+pub async fn list(host: Arc<Host>) {
+    let mut ticks = interval(LIST_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if let Err(error) = exchange(&host).await {
+            log::debug!("platform's list of hosts: {error}");
+        }
+    }
+}
+
+async fn exchange(host: &Host) -> Result<()> {
+    let entry = Listed::new(&host.fleet.own(), host.settings.listen.callers);
+    host.platform.put_host(&entry).await?;
+    let hosts = host.platform.hosts().await?;
+    let members: Vec<_> = hosts.iter().filter_map(Listed::member).collect();
+    host.fleet.listed(host.clock.now(), &members);
+    Ok(())
+}
--- /dev/null
+++ b/crates/host/src/fleet/mod.rs
@@ -0,0 +1,327 @@
+//! This host's part in the fleet: membership, configuration, authority.
+//!
+//! [`Fleet`] keeps the core's machines behind one lock. [`beat`] exchanges heartbeats, [`follow`]
+//! reads the platform, [`push`] spreads what was accepted, [`change`] writes the fleet row,
+//! [`upkeep`] makes the changes that hosts make on their own, and [`loan`] asks peers for tokens
+//! and connection slots.
+
+pub mod beat;
+pub mod change;
+pub mod follow;
+pub mod loan;
+pub mod push;
+pub mod upkeep;
+
+use crate::settings::Settings;
+use crate::shared::Host;
+use bergamotvale_core::authority::{Holder, Source};
+use bergamotvale_core::config::Document;
+use bergamotvale_core::distribute::{Replica, Row, Spread};
+use bergamotvale_core::id::{Epoch, HostId, Incarnation, Time, Version};
+use bergamotvale_core::key;
+use bergamotvale_core::member::{self, Failure, View};
+use bergamotvale_core::peer::{Heartbeat, Member, Update};
+use bergamotvale_core::upkeep::{Duty, duty};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// What this host knows of the fleet.
+pub struct Fleet {
+    validity: Duration,
+    fan_out: usize,
+    state: Mutex<State>,
+    epoch: watch::Sender<Epoch>,
+    turn: tokio::sync::Mutex<u64>,
+}
+
+struct State {
+    own: Member,
+    holder: Holder,
+    replica: Replica,
+    view: View,
+    spread: Spread,
+    adopted: Time,
+}
+
+/// This host's authority, as operators see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether it may act.
+    pub held: bool,
+    /// Age of its newest proof.
+    pub age: Option<Duration>,
+    /// Where that comes from.
+    pub source: Option<Source>,
+}
+
+/// A member as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// Who.
+    pub member: Member,
+    /// Version that it last said it acts on.
+    pub version: Version,
+    /// Time since it was last heard; none if it never was.
+    pub silence: Option<Duration>,
+}
+
+impl Fleet {
+    /// Knows nobody yet.
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Fleet {
+        let own = Member {
+            host: settings.host,
+            incarnation,
+            peer_address: settings.listen.peers,
+            failure_domain: settings.failure_domain,
+            leaving: false,
+        };
+        let validity = settings.policy.authority;
+        let state = State {
+            holder: Holder::new(own.host, incarnation).with_validity(validity),
+            replica: Replica::new(),
+            view: View::new(own.host).with_watched(settings.policy.fan_out),
+            spread: Spread::new().with_validity(validity),
+            adopted: Time::ZERO,
+            own,
+        };
+        Fleet {
+            validity,
+            fan_out: settings.policy.fan_out,
+            state: Mutex::new(state),
+            epoch: watch::Sender::new(0),
+            turn: tokio::sync::Mutex::new(0),
+        }
+    }
+
+    /// This host as its peers know it.
+    pub fn own(&self) -> Member {
+        self.lock().own.clone()
+    }
+
+    /// Says from now on that this host is leaving.
+    pub fn leave(&self) {
+        self.lock().own.leaving = true;
+    }
+
+    /// Epoch in force here.
+    pub fn epoch(&self) -> Epoch {
+        self.lock().replica.row().epoch
+    }
+
+    /// Follows the epoch in force here.
+    pub fn epochs(&self) -> watch::Receiver<Epoch> {
+        self.epoch.subscribe()
+    }
+
+    /// The fleet row in force here.
+    pub fn row(&self) -> Row {
+        self.lock().replica.row().clone()
+    }
+
+    /// Time at which the row in force here was adopted.
+    pub fn adopted(&self) -> Time {
+        self.lock().adopted
+    }
+
+    /// Whether this host may act on what it knows.
+    pub fn held(&self, now: Time) -> bool {
+        self.lock().holder.held(now)
+    }
+
+    /// This host's authority.
+    pub fn standing(&self, now: Time) -> Standing {
+        let state = self.lock();
+        Standing {
+            held: state.holder.held(now),
+            age: state.holder.age(now),
+            source: state.holder.source(now),
+        }
+    }
+
+    /// Time at which the present authority ends.
+    pub fn held_until(&self, now: Time) -> Option<Time> {
+        let state = self.lock();
+        let age = state.holder.age(now).filter(|_| state.holder.recorded())?;
+        Some(now.saturating_sub(age) + self.validity)
+    }
+
+    /// Epoch and configuration version that every live host acts on.
+    pub fn in_force(&self, now: Time) -> (Epoch, Version) {
+        self.lock().spread.in_force(now)
+    }
+
+    /// Recorded members with what is seen of them; this host first.
+    pub fn members(&self, now: Time) -> Vec<Seen> {
+        let state = self.lock();
+        let row = state.replica.row();
+        let seen = |member: &Member| {
+            if member.host == state.own.host {
+                let silence = Some(Duration::ZERO);
+                return Seen { member: state.own.clone(), version: row.version, silence };
+            }
+            let peer = state.view.peers().get(&member.host);
+            let silence = peer.filter(|p| p.heard).map(|p| now.saturating_sub(p.last_heard));
+            let mut member = member.clone();
+            member.leaving |= peer.is_some_and(|p| p.member.leaving);
+            Seen { member, version: peer.map_or(0, |p| p.version), silence }
+        };
+        row.members.values().map(seen).collect()
+    }
+
+    /// Notes that `epoch` is about to be written; says whether it was still unknown here.
+    pub fn announce(&self, now: Time, epoch: Epoch) -> bool {
+        self.lock().holder.announce(now, epoch)
+    }
+
+    /// What leads from `epoch` and `version` to those in force here.
+    pub fn update(&self, epoch: Epoch, version: Version) -> Option<Update> {
+        let state = self.lock();
+        state.replica.update(state.own.host, epoch, version)
+    }
+
+    /// A read of the store, sent at `sent`, found `epoch`.
+    fn read(&self, sent: Time, epoch: Epoch) {
+        self.lock().holder.read(sent, epoch);
+    }
+
+    /// A peer answered a heartbeat that was sent at `sent`.
+    fn answered(&self, now: Time, sent: Time, answer: &Heartbeat) {
+        let mut state = self.lock();
+        state.view.heard(now, answer);
+        state.holder.answered(sent, answer);
+        state.spread.confirmed(answer.member.host, answer.epoch);
+    }
+
+    fn confirmed(&self, host: HostId, epoch: Epoch) {
+        self.lock().spread.confirmed(host, epoch);
+    }
+
+    fn failed(&self, host: HostId, failure: Failure) {
+        self.lock().view.failed(host, failure);
+    }
+
+    fn listed(&self, now: Time, list: &[Member]) {
+        self.lock().view.list(now, list);
+    }
+
+    fn probes(&self) -> Vec<Member> {
+        self.lock().view.probes()
+    }
+
+    /// Whether this host is among those that poll the store.
+    pub fn polls(&self) -> bool {
+        let state = self.lock();
+        let members = &state.replica.row().members;
+        member::polls(members, state.own.host, member::POLLERS_PER_DOMAIN)
+    }
+
+    fn duty(&self, now: Time) -> Option<Duty> {
+        let state = self.lock();
+        duty(now, &state.own, &state.holder, &state.view, state.replica.row())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl Host {
+    /// Whether this host may act on the shared state now.
+    pub fn authority(&self) -> bool {
+        self.fleet.held(self.clock.now())
+    }
+
+    /// Whether the key still works and this host may say so; to be asked right before any byte of
+    /// a request leaves for a target.
+    pub fn key_stands(&self, id: bergamotvale_core::id::KeyId) -> bool {
+        let ignored =
+            self.settings.policy.defects.contains(&crate::settings::Defect::IgnoreWithdrawal);
+        ignored || (self.authority() && key::active(&self.document(), id))
+    }
+
+    /// This host's heartbeat.
+    pub fn heartbeat(&self) -> Heartbeat {
+        let now = self.clock.now();
+        let opinions = self.failover.opinions(now);
+        let state = self.fleet.lock();
+        Heartbeat {
+            member: state.own.clone(),
+            version: state.replica.row().version,
+            epoch: state.holder.epoch(),
+            age: state.holder.age(now),
+            announced: state.holder.announced(),
+            silent: state.view.silent(now),
+            opinions,
+        }
+    }
+
+    /// Takes a peer's heartbeat.
+    pub fn heard(self: &Arc<Host>, heartbeat: &Heartbeat) {
+        let now = self.clock.now();
+        self.fleet.lock().view.heard(now, heartbeat);
+        self.took(now, heartbeat);
+    }
+
+    /// What follows from any heartbeat, sent or answered.
+    fn took(self: &Arc<Host>, now: Time, heartbeat: &Heartbeat) {
+        self.peers.meet(&heartbeat.member);
+        self.failover.heard(now, heartbeat.member.host, &heartbeat.opinions);
+        if heartbeat.epoch > self.fleet.epoch() {
+            push::catch_up(self, heartbeat.member.host);
+        }
+    }
+
+    /// Moves to the update's epoch if it is higher; says whether it did.
+    pub fn adopt(self: &Arc<Host>, update: Update) -> bool {
+        let now = self.clock.now();
+        let Update { origin, row, body } = update;
+        let document = {
+            let mut state = self.fleet.lock();
+            if let Err(fault) = state.replica.take(row.clone(), body.clone()) {
+                log::debug!("epoch {} not taken: {fault}", row.epoch);
+                return false;
+            }
+            let State { holder, view, spread, own, .. } = &mut *state;
+            holder.adopt(row.epoch, &row.members, member::voters(&row.members));
+            view.record(now, &row.members);
+            spread.accepted(now, &row, own.host);
+            state.adopted = now;
+            // Published under the lock, so that no lower version is published after a higher one.
+            let document = Arc::new(state.replica.document().clone());
+            self.document.send_if_modified(|current| {
+                let newer = current.version < document.version;
+                if newer {
+                    *current = document.clone();
+                }
+                newer
+            });
+            document
+        };
+        log::info!("epoch {} with configuration {} in force here", row.epoch, row.version);
+        self.divide(&row.members, &document);
+        self.fleet.epoch.send_replace(row.epoch);
+        push::spread(self, Update { origin, row, body });
+        true
+    }
+
+    /// Tells the users of shares who the members are.
+    fn divide(&self, members: &BTreeMap<HostId, Member>, document: &Document) {
+        for member in members.values().filter(|m| m.host != self.settings.host) {
+            self.peers.meet(member);
+        }
+        let domains = members.values().map(|m| (m.host, m.failure_domain)).collect();
+        self.failover.set_members(domains);
+        let staying = members.values().filter(|m| !m.leaving).map(|m| m.host);
+        let staying: BTreeSet<HostId> = staying.collect();
+        self.limiter.divide(document, &staying, self.settings.host);
+        self.vouch();
+    }
+
+    /// Tells the connection pools until when they may use their shares.
+    fn vouch(&self) {
+        let until = self.fleet.held_until(self.clock.now());
+        self.pools.vouch(until.unwrap_or(Time::ZERO));
+    }
+}
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -1,6 +1,16 @@
 //! Client of the platform's table service, object store and list of hosts.
+//!
+//! Every call passes a gate (see [`bergamotvale_core::store`]) and has a deadline. A failed write
+//! is either certainly not done, or lost: [`is_lost`] tells which, and a lost one has to be read
+//! back before anything is said of it.
 
-use crate::error::Result;
+mod call;
+mod hosts;
+
+pub use call::Traffic;
+pub use hosts::Listed;
+
+use crate::error::{Error, Result};
 use crate::settings::Settings;
 use bergamotvale_core::config::Document;
 use bergamotvale_core::id::Version;
@@ -19,6 +29,7 @@
     http: reqwest::Client,
     base: String,
     host: String,
+    calls: call::Calls,
 }
 
 /// A row of the table service.
@@ -90,43 +101,53 @@
     pub fn new(settings: &Settings) -> Result<Client> {
         let http = reqwest::Client::builder().timeout(settings.platform.timeout).build()?;
         let base = format!("http://{}", settings.platform.address);
-        Ok(Client { http, base, host: settings.host.to_string() })
+        let calls = call::Calls::new();
+        Ok(Client { http, base, host: settings.host.to_string(), calls })
+    }
+
+    /// Calls made so far.
+    pub fn traffic(&self) -> Traffic {
+        self.calls.traffic()
     }
 
     /// The row under `key`.
     pub async fn row(&self, key: &str) -> Result<Option<Row>> {
         let request = self.http.get(format!("{}/table/rows/{key}", self.base));
-        let response = request.header(HOST_HEADER, &self.host).send().await?;
+        let response = self.read(request).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        Ok(Some(response.error_for_status()?.json().await?))
+        Ok(Some(response.json().await?))
     }
 
-    /// Runs `transaction`. An error leaves it open whether it took effect.
+    /// Rows whose key begins with `prefix`, in order of key.
+    pub async fn rows(&self, prefix: &str) -> Result<Vec<Row>> {
+        let request = self.http.get(format!("{}/table/rows?prefix={prefix}", self.base));
+        Ok(self.read(request).await?.json::<Rows>().await?.rows)
+    }
+
+    /// Runs `transaction`. See [`is_lost`] for what an error means.
     pub async fn transact(&self, transaction: &Transaction) -> Result<Answer> {
         let request = self.http.post(format!("{}/table/transactions", self.base));
-        let response = request.header(HOST_HEADER, &self.host).json(transaction).send().await?;
+        let response = self.write(request.json(transaction)).await?;
         if response.status() == StatusCode::CONFLICT {
             return Ok(Answer::Conflict(response.json::<Rows>().await?.rows));
         }
-        Ok(Answer::Done(response.error_for_status()?.json::<Rows>().await?.rows))
+        Ok(Answer::Done(response.json::<Rows>().await?.rows))
     }
 
     /// Stores `body` under its digest, which is returned.
     pub async fn put_object(&self, body: Vec<u8>) -> Result<String> {
         let digest = hex(&Sha256::digest(&body));
         let request = self.http.put(format!("{}/objects/{digest}", self.base));
-        let request = request.header(HOST_HEADER, &self.host).body(body);
-        request.send().await?.error_for_status()?;
+        self.write(request.body(body)).await?;
         Ok(digest)
     }
 
     /// The object under `digest`.
     pub async fn object(&self, digest: &str) -> Result<Vec<u8>> {
         let request = self.http.get(format!("{}/objects/{digest}", self.base));
-        let response = request.header(HOST_HEADER, &self.host).send().await?.error_for_status()?;
-        Ok(response.bytes().await?.to_vec())
+        Ok(self.read(request).await?.bytes().await?.to_vec())
     }
 
     /// Stores `document` as the first configuration.
@@ -152,6 +173,15 @@
     }
 }
 
+/// Whether a write that failed with `error` may have taken effect all the same.
+pub fn is_lost(error: &Error) -> bool {
+    match error {
+        Error::Platform(error) => !error.is_connect() && !error.is_status(),
+        Error::Gate(_) => false,
+        _ => true,
+    }
+}
+
 /// Lower-case hexadecimal.
 pub fn hex(bytes: &[u8]) -> String {
     use std::fmt::Write;
--- /dev/null
+++ b/crates/host/src/platform/call.rs
@@ -0,0 +1,102 @@
+//! One call to the platform: admitted, counted, judged.
+
+use super::{Client, HOST_HEADER};
+use crate::clock::Clock;
+use crate::error::Result;
+use bergamotvale_core::store::Gate;
+use reqwest::{RequestBuilder, Response, StatusCode};
+use serde::Serialize;
+use std::sync::{Mutex, MutexGuard};
+
+/// Calls made so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Traffic {
+    /// Reads of rows, objects and the list of hosts.
+    pub reads: u64,
+    /// Transactions, objects stored and entries of the list of hosts.
+    pub writes: u64,
+    /// Calls without an answer, or answered with an outage.
+    pub failures: u64,
+    /// Calls that the gate did not admit.
+    pub refused: u64,
+}
+
+/// Gate and counts.
+pub(super) struct Calls {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    gate: Gate,
+    traffic: Traffic,
+}
+
+/// An admitted call; failed unless said otherwise.
+struct Pass<'a> {
+    calls: &'a Calls,
+    answered: bool,
+}
+
+impl Calls {
+    pub(super) fn new() -> Calls {
+        Calls { clock: Clock::new(), state: Mutex::default() }
+    }
+
+    pub(super) fn traffic(&self) -> Traffic {
+        self.lock().traffic
+    }
+
+    fn admit(&self, write: bool) -> Result<Pass<'_>> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let Err(refusal) = state.gate.admit(now) {
+            state.traffic.refused += 1;
+            return Err(refusal.into());
+        }
+        match write {
+            true => state.traffic.writes += 1,
+            false => state.traffic.reads += 1,
+        }
+        Ok(Pass { calls: self, answered: false })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl Drop for Pass<'_> {
+    fn drop(&mut self) {
+        let now = self.calls.clock.now();
+        let mut state = self.calls.lock();
+        if self.answered {
+            state.gate.succeeded();
+        } else {
+            state.gate.failed(now);
+            state.traffic.failures += 1;
+        }
+    }
+}
+
+impl Client {
+    pub(super) async fn read(&self, request: RequestBuilder) -> Result<Response> {
+        self.call(request, false).await
+    }
+
+    pub(super) async fn write(&self, request: RequestBuilder) -> Result<Response> {
+        self.call(request, true).await
+    }
+
+    async fn call(&self, request: RequestBuilder, write: bool) -> Result<Response> {
+        let mut pass = self.calls.admit(write)?;
+        let response = request.header(HOST_HEADER, &self.host).send().await?;
+        let status = response.status();
+        pass.answered = !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS;
+        if matches!(status, StatusCode::CONFLICT | StatusCode::NOT_FOUND) {
+            return Ok(response);
+        }
+        Ok(response.error_for_status()?)
+    }
+}
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -3,15 +3,19 @@
 use crate::clock::Clock;
 use crate::error::Result;
 use crate::failover::Failover;
+use crate::fleet::Fleet;
+use crate::limit::Limiter;
 use crate::metric::Registry;
+use crate::peer::Peers;
 use crate::platform;
 use crate::settings::Settings;
 use crate::target::Pools;
 use bergamotvale_core::config::Document;
 use bergamotvale_core::id::Incarnation;
-use std::sync::Arc;
+use bergamotvale_core::rate::meter::Ask;
+use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// One host of the fleet.
 pub struct Host {
@@ -25,6 +29,14 @@
     pub metric: Registry,
     /// The platform's service.
     pub platform: platform::Client,
+    /// What is known of the fleet.
+    pub fleet: Fleet,
+    /// Connections to the other hosts.
+    pub peers: Peers,
+    /// Rates of the client accounts.
+    pub limiter: Limiter,
+    /// Loans of rate tokens to ask for; taken by the task that asks.
+    pub asks: Mutex<Option<mpsc::UnboundedReceiver<Ask>>>,
     /// What is known of the groups' primaries.
     pub failover: Arc<Failover>,
     /// Connections to the targets, and what is known of them.
@@ -41,10 +53,16 @@
         let platform = platform::Client::new(&settings)?;
         let metric = Registry::new(settings.metrics.statsd)?;
         let incarnation = incarnation();
+        let clock = Clock::new();
+        let (limiter, asks) = Limiter::new(&settings.policy, clock);
         let failover = Arc::new(Failover::new(&settings, incarnation));
         Ok(Host {
+            fleet: Fleet::new(&settings, incarnation),
+            peers: Peers::new(),
             incarnation,
-            clock: Clock::new(),
+            clock,
+            limiter,
+            asks: Mutex::new(Some(asks)),
             metric,
             platform,
             pools: Pools::new(failover.clone()),
