--- a/crates/host/src/exec/state.rs
+++ b/crates/host/src/exec/state.rs
@@ -3,11 +3,10 @@
 use super::{confirm, transaction};
 use crate::settings::Settings;
 use crate::target::Key;
-use bergamotvale_core::id::{HostId, Incarnation, ServiceId, TargetId, Time};
+use bergamotvale_core::id::{Incarnation, ServiceId, TargetId, Time};
 use bergamotvale_core::idempotency::Running;
 use bergamotvale_core::outlier;
 use bergamotvale_core::retry::{Budgets, Jitter};
-use bergamotvale_wire::peer::PeerClient;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -23,7 +22,6 @@
     outliers: Mutex<BTreeMap<ServiceId, outlier::Group>>,
     in_flight: Mutex<BTreeMap<Key, u32>>,
     jitter: Mutex<Jitter>,
-    peers: Mutex<BTreeMap<HostId, PeerClient>>,
     keyed_writes: AtomicU64,
 }
 
@@ -44,7 +42,6 @@
             outliers: Mutex::default(),
             in_flight: Mutex::default(),
             jitter: Mutex::new(Jitter::new(settings.policy.seed ^ u64::from(settings.host))),
-            peers: Mutex::default(),
             keyed_writes: AtomicU64::new(0),
         }
     }
@@ -64,21 +61,6 @@
         lock(&self.jitter).draw()
     }
 
-    /// Connection to a peer, if there is one.
-    pub fn peer(&self, host: HostId) -> Option<PeerClient> {
-        lock(&self.peers).get(&host).cloned()
-    }
-
-    /// Keeps a connection to a peer.
-    pub fn remember_peer(&self, host: HostId, client: PeerClient) {
-        lock(&self.peers).insert(host, client);
-    }
-
-    /// Drops the connection to a peer.
-    pub fn forget_peer(&self, host: HostId) {
-        lock(&self.peers).remove(&host);
-    }
-
     /// Counts a write with an idempotency key; answers with their number.
     pub fn keyed_write(&self) -> u64 {
         self.keyed_writes.fetch_add(1, Ordering::Relaxed) + 1
