--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -245,7 +245,7 @@
         self.inner.set_lag(lag);
     }
 
-    /// Loses all durable state; the target comes back empty as `rebuilding`.
+    /// Loses the log and the data; the target comes back empty as `rebuilding`, without a vote.
     pub fn rebuild(&self) {
         self.inner.rebuild();
     }
@@ -290,6 +290,11 @@
         lock(&self.inner.state).leads()
     }
 
+    /// Whether the target's grants and acknowledgements count.
+    pub fn votes(&self) -> bool {
+        lock(&self.inner.state).voter
+    }
+
     /// Rows of a query on the committed data, past all faults.
     pub fn rows(&self, sql: &str) -> crate::Result<Vec<Vec<Value>>> {
         let control = Arc::new(Control::default());
--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -5,8 +5,7 @@
 //! one only, where the entry before them matches; an entry counts as confirmed once a majority of
 //! voters holds it in the term of the primary that wrote it.
 //!
-//! Invariants: `accepted_term` never falls, save by a rebuild, which also takes the vote away; a
-//! target grants a term to one promoter only; a primary whose accepted term has passed its own
+//! Invariants: `accepted_term` never falls; a target grants a term to one promoter only; a primary whose accepted term has passed its own
 //! term neither appends nor confirms.
 
 use std::collections::VecDeque;
@@ -117,17 +116,18 @@
         }
     }
 
-    /// Loses everything, as a replaced machine does.
+    /// Loses the log and the vote, as a replaced machine does. The accepted term and its grant
+    /// stay: a target that forgot them could grant one term twice.
     pub(crate) fn rebuild(&mut self, now: Instant) {
-        let incarnation = self.incarnation + 1;
         let empty = State::new(self.number, self.size, Vec::new());
         *self = State {
             log: Log::default(),
-            accepted_term: 0,
+            accepted_term: self.accepted_term,
+            granted: self.granted,
             role: Role::Rebuilding,
             term: 0,
             voter: false,
-            incarnation,
+            incarnation: self.incarnation + 1,
             rebuilt_at: Some(now),
             rewound: true,
             confirmed: Position::default(),
--- a/crates/standin/src/group/target.rs
+++ b/crates/standin/src/group/target.rs
@@ -283,7 +283,7 @@
         Ok(())
     }
 
-    /// Loses all data, as a replaced machine does.
+    /// Loses the log and the data, as a replaced machine does.
     pub(crate) fn rebuild(&self) {
         let mut database = lock(&self.database);
         let mut state = lock(&self.state);
--- a/crates/standin/tests/group_terms.rs
+++ b/crates/standin/tests/group_terms.rs
@@ -153,22 +153,30 @@
     let rebuilt = connect(group.addresses()[2]).await;
 
     let status = call(&rebuilt, "status", &[]).await.unwrap();
-    let fence = call(&rebuilt, "fence", &[1, 10]).await.unwrap();
-    let promotion = call(&rebuilt, "promote", &[1, 10]).await.unwrap();
+    let fence = call(&rebuilt, "fence", &[2, 77]).await.unwrap();
+    let promotion = call(&rebuilt, "promote", &[2, 77]).await.unwrap();
+    promote(&group, &[0, 1], 0, 2).await;
+    group.target(2).heal();
 
     assert_eq!((status.role().as_str(), status.get("entry_index")), ("rebuilding", 0));
     assert!(fence.flag("granted") && !fence.flag("voter"));
     assert!(!promotion.flag("promoted"));
-    group.target(2).heal();
-    replicated(&group, at(1, 2)).await;
-    let voter = async || call(&rebuilt, "status", &[]).await.unwrap().role() == "replica";
-    for _ in 0..2_000 {
-        if voter().await {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    panic!("the rebuilt target did not get its vote back");
+    eventually("the target votes", || group.target(2).votes()).await;
+    assert_eq!(group.target(2).log(), [at(1, 1), at(1, 2), at(2, 3)]);
+    assert_eq!(call(&rebuilt, "status", &[]).await.unwrap().role(), "replica");
+}
+
+#[tokio::test]
+async fn rebuilt_target_grants_no_term_twice() {
+    let group = start();
+    let client = connect(group.addresses()[2]).await;
+    call(&client, "fence", &[2, 10]).await.unwrap();
+
+    group.target(2).rebuild();
+    let rebuilt = connect(group.addresses()[2]).await;
+    let other = call(&rebuilt, "fence", &[2, 11]).await.unwrap();
+
+    assert!(!other.flag("granted"));
 }
 
 #[tokio::test]
