Host data path over the pool's leases, with integration tests against the stand-in

Found and mended: routes were written in a syntax that the router no longer takes; an unread body closed the connection without saying so, and the next request on it was lost; the server's runtime was dropped inside another one; a session left read-only refused writes where BEGIN READ WRITE does not override it. The first write that waits for confirmation hands its connection over, so that waits need no slot of their own.

--- a/crates/host/src/exec/confirm.rs
+++ b/crates/host/src/exec/confirm.rs
@@ -2,17 +2,16 @@
 //!
 //! All waits of one host for one target share one connection, which asks for the lowest position
 //! that is still waited for; the answer names the highest confirmed one and so settles all below.
-//! No write holds a slot of the pool while it waits, and a queue for the pool delays no
-//! acknowledgement.
+//! The first write to wait hands its own connection over, so that no acknowledgement queues for a
+//! slot; the others give theirs back to the pool before they wait.
 
 use super::exchange::position;
 use super::exchange::{self, Loss};
 use super::state::lock;
 use crate::shared::Host;
-use crate::target::Key;
-use crate::target::connection::Connection;
+use crate::target::{Key, Lease};
 use bergamotvale_core::ack::{self, Lag, Verdict};
-use bergamotvale_core::id::Time;
+use bergamotvale_core::id::{AccountId, Time};
 use bergamotvale_core::log::Position;
 use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::write::Event;
@@ -27,8 +26,8 @@
 const ASK: Duration = Duration::from_millis(100);
 /// Time beyond it after which the connection counts as silent.
 const SILENCE: Duration = Duration::from_millis(400);
-/// Time after which a connection that nobody needs is closed.
-const IDLE: Duration = Duration::from_secs(10);
+/// Time after which a connection that nobody needs goes back to the pool.
+const IDLE: Duration = Duration::from_millis(100);
 
 /// The waits of one host.
 #[derive(Default)]
@@ -48,10 +47,14 @@
     waiters: BTreeMap<(Position, u64), Waiter>,
     sequence: u64,
     is_asking: bool,
+    /// Handed over by a write, for the task to take.
+    offered: Option<Lease>,
+    is_connected: bool,
     lag: Lag,
 }
 
 struct Waiter {
+    account: AccountId,
     until: Time,
     answer: oneshot::Sender<Event>,
 }
@@ -64,9 +67,22 @@
     }
 
     /// Waits until `position` is confirmed or known not to be, at most until the given time.
-    pub async fn wait(&self, host: &Arc<Host>, key: Key, position: Position, until: Time) -> Event {
+    ///
+    /// `lease` is a clean connection to the target that the caller no longer needs.
+    pub async fn wait(
+        &self,
+        host: &Arc<Host>,
+        key: Key,
+        account: AccountId,
+        position: Position,
+        lease: Option<Lease>,
+        until: Time,
+    ) -> Event {
         let waiting = self.waiting(key);
-        let answer = waiting.enter(position, host.clock.now(), until);
+        let answer = waiting.enter(position, account, host.clock.now(), until);
+        if let Some(lease) = lease.filter(|lease| lease.key() == key) {
+            waiting.offer(lease);
+        }
         waiting.ask(host, key);
         let deadline = host.clock.instant(until).into();
         match tokio::time::timeout_at(deadline, answer).await {
@@ -94,16 +110,41 @@
 }
 
 impl Waiting {
-    fn enter(&self, position: Position, now: Time, until: Time) -> oneshot::Receiver<Event> {
+    fn enter(
+        &self,
+        position: Position,
+        account: AccountId,
+        now: Time,
+        until: Time,
+    ) -> oneshot::Receiver<Event> {
         let (sender, receiver) = oneshot::channel();
         let mut state = lock(&self.state);
         state.lag.written(position, now);
         state.sequence += 1;
         let sequence = state.sequence;
-        state.waiters.insert((position, sequence), Waiter { until, answer: sender });
+        state.waiters.insert((position, sequence), Waiter { account, until, answer: sender });
         receiver
     }
 
+    /// Takes the connection for the task, or gives it back when the task has one.
+    fn offer(&self, lease: Lease) {
+        let mut state = lock(&self.state);
+        if state.is_connected || state.offered.is_some() {
+            drop(state);
+            lease.release_clean();
+        } else {
+            state.offered = Some(lease);
+        }
+    }
+
+    fn take_offered(&self) -> Option<Lease> {
+        lock(&self.state).offered.take()
+    }
+
+    fn set_connected(&self, is_connected: bool) {
+        lock(&self.state).is_connected = is_connected;
+    }
+
     /// Makes sure that a task asks for what is waited for.
     fn ask(self: &Arc<Self>, host: &Arc<Host>, key: Key) {
         let was_asking = std::mem::replace(&mut lock(&self.state).is_asking, true);
@@ -114,13 +155,13 @@
         }
     }
 
-    /// The lowest position that someone still waits for, and the time of the last who waits.
-    fn next(&self, now: Time) -> Option<(Position, Time)> {
+    /// The lowest position that someone still waits for, who that is, and until when anyone waits.
+    fn next(&self, now: Time) -> Option<Question> {
         let mut state = lock(&self.state);
         state.waiters.retain(|_, waiter| !waiter.answer.is_closed() && waiter.until > now);
-        let (position, _) = *state.waiters.keys().next()?;
         let until = state.waiters.values().map(|waiter| waiter.until).max()?;
-        Some((position, until))
+        let ((position, _), waiter) = state.waiters.first_key_value()?;
+        Some(Question { position: *position, account: waiter.account, until })
     }
 
     fn confirmed(&self, confirmed: Position, now: Time) {
@@ -155,56 +196,78 @@
     fn rest(&self) -> bool {
         let mut state = lock(&self.state);
         state.is_asking = !state.waiters.is_empty();
+        state.is_connected &= state.is_asking;
         !state.is_asking
     }
 }
 
+/// What is asked next.
+#[derive(Debug, Clone, Copy)]
+struct Question {
+    position: Position,
+    account: AccountId,
+    until: Time,
+}
+
 async fn run(waiting: Arc<Waiting>, host: Arc<Host>, key: Key) {
-    let mut connection = None;
+    let mut lease = None;
     loop {
-        let Some((position, until)) = waiting.next(host.clock.now()) else {
+        let Some(question) = waiting.next(host.clock.now()) else {
             let woken = tokio::time::timeout(IDLE, waiting.wake.notified()).await;
             if woken.is_err() && waiting.rest() {
-                return;
+                break;
             }
             continue;
         };
-        match ask(&host, key, &mut connection, position, until).await {
+        if lease.is_none() {
+            lease = waiting.take_offered();
+        }
+        let result = ask(&host, key, &mut lease, question).await;
+        waiting.set_connected(lease.is_some());
+        match result {
             Ok(confirmed) => waiting.confirmed(confirmed, host.clock.now()),
-            Err(loss) => {
-                connection = None;
-                waiting.failed(&loss, position.term);
-            }
+            Err(loss) => waiting.failed(&loss, question.position.term),
         }
     }
+    if let Some(lease) = lease.or_else(|| waiting.take_offered()) {
+        lease.release_clean();
+    }
 }
 
+/// Asks over the connection in `lease`, which is gone when it fails.
 async fn ask(
     host: &Arc<Host>,
     key: Key,
-    connection: &mut Option<Connection>,
-    wanted: Position,
-    until: Time,
+    lease: &mut Option<Lease>,
+    question: Question,
 ) -> Result<Position, Loss> {
-    let open = match connection.take() {
+    let open = match lease.take() {
         Some(open) => open,
-        None => open(host, key).await?,
+        None => acquire(host, key, question).await?,
     };
     let now = host.clock.now();
-    let wait = ASK.min(until.saturating_sub(now));
+    let wait = ASK.min(question.until.saturating_sub(now));
+    let wanted = question.position;
     let numbers = [wanted.term, wanted.index, wait.as_millis() as u64];
     let [term, index, millis] = numbers.map(|n| i64::try_from(n).unwrap_or(i64::MAX));
     let params: [(&(dyn ToSql + Sync), Type); 3] =
         [(&term, Type::INT8), (&index, Type::INT8), (&millis, Type::INT8)];
     let work = open.client().query_typed_one(CONFIRMED, &params);
-    let row = exchange::until(host, now + wait + SILENCE, work).await?;
-    *connection = Some(open);
+    let row = match exchange::run(host, &open, now + wait + SILENCE, work).await {
+        Ok(row) => row,
+        Err(loss) => {
+            exchange::worked(host, key, Some(&loss));
+            if matches!(loss, Loss::Failed(..)) {
+                open.release_clean();
+            }
+            return Err(loss);
+        }
+    };
+    *lease = Some(open);
     position(&row, "confirmed_term", "confirmed_index").map_err(|_| Loss::ConnectionLost)
 }
 
-async fn open(host: &Arc<Host>, (service, target): Key) -> Result<Connection, Loss> {
-    let document = host.document();
-    let target = document.services.get(&service).and_then(|s| s.targets.get(&target));
-    let address = target.ok_or(Loss::ConnectionLost)?.address;
-    Connection::open(address, &host.settings).await.map_err(|_| Loss::ConnectionLost)
+async fn acquire(host: &Arc<Host>, key: Key, question: Question) -> Result<Lease, Loss> {
+    let lease = host.pools.acquire(host, key, question.account, question.until).await;
+    lease.map_err(|_| Loss::ConnectionLost)
 }
--- a/crates/host/src/exec/outcome.rs
+++ b/crates/host/src/exec/outcome.rs
@@ -44,8 +44,9 @@
 
 /// Makes the table, in a transaction of its own.
 pub async fn create(client: &Client) -> Result<(), tokio_postgres::Error> {
-    let script = format!("BEGIN READ WRITE; {CREATE}; COMMIT");
-    client.batch_execute(&script).await
+    client.batch_execute("BEGIN READ WRITE").await?;
+    client.batch_execute(CREATE).await?;
+    client.batch_execute("COMMIT").await
 }
 
 /// Claims the key, inside the write's transaction.
@@ -96,6 +97,7 @@
     let before = idempotency::prune_before(unix_time(), retention);
     let params: [(&(dyn ToSql + Sync), Type); 2] =
         [(&before, Type::INT8), (&PRUNE_ROWS, Type::INT8)];
+    client.batch_execute("SET default_transaction_read_only = off").await?;
     client.batch_execute("BEGIN READ WRITE").await?;
     let pruned = client.execute_typed(PRUNE, &params).await?;
     client.batch_execute("COMMIT").await?;
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -26,6 +26,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
+const READ_WRITE: &str = "SET default_transaction_read_only = off";
 const BEGIN: &str = "BEGIN READ WRITE";
 const COMMITTED: &str = "SELECT * FROM group_commit()";
 const ROLLBACK: &str = "ROLLBACK";
@@ -267,6 +268,7 @@
     let target = live.target;
     let before = live.before;
     let mut lease = Some(live.lease);
+    let mut spare = None;
     let mut write = Write::new_commit(service, caller.account(), deadline, host.data.seed());
     let mut action = Action::Commit;
     loop {
@@ -275,7 +277,9 @@
                 Some(lease) => {
                     running.end = Some(End::Unknown);
                     write.sent();
-                    committed(host, lease, before, deadline).await
+                    let (event, clean) = committed(host, lease, before, deadline).await;
+                    spare = clean;
+                    event
                 }
                 None => Event::ConnectionLost,
             },
@@ -283,9 +287,14 @@
                 running.end = Some(End::Committed);
                 tokio::time::sleep_until(host.clock.instant(at).into()).await;
                 let until = write.exchange_deadline(host.clock.now());
-                host.data.confirm.wait(host, target, position, until).await
+                let account = caller.account();
+                let lease = spare.take();
+                host.data.confirm.wait(host, target, account, position, lease, until).await
             }
             Action::Acknowledge(position) => {
+                if let Some(lease) = spare {
+                    lease.release_clean();
+                }
                 running.end = Some(End::Committed);
                 host.metric.count("transaction.committed");
                 let mut outcome = Outcome::new(Ok(Rows::default()));
@@ -307,16 +316,20 @@
     }
 }
 
-async fn committed(host: &Host, lease: Lease, before: Position, deadline: Time) -> Event {
-    match commit(host, &lease, None, before, deadline).await {
-        Ok(position) => {
-            lease.release_clean();
-            Event::Committed(position)
-        }
+/// Sends COMMIT; the connection comes back when it is clean.
+async fn committed(
+    host: &Host,
+    lease: Lease,
+    before: Position,
+    deadline: Time,
+) -> (Event, Option<Lease>) {
+    let event = match commit(host, &lease, None, before, deadline).await {
+        Ok(position) => return (Event::Committed(position), Some(lease)),
         Err(Loss::Failed(code, detail)) => Event::Failed(Failure::new(&code), detail),
         Err(Loss::TimedOut) => Event::TimedOut,
         Err(_) => Event::ConnectionLost,
-    }
+    };
+    (event, None)
 }
 
 async fn roll_back(host: &Host, live: Live, deadline: Time) -> Result<Rows, Refusal> {
@@ -399,10 +412,11 @@
     permit::verify(host, caller, service)?;
     let client = lease.client();
     let work = async {
+        let mode = client.batch_execute(READ_WRITE);
         let begin = client.batch_execute(BEGIN);
         let before = client.query_typed_one(COMMITTED, &[]);
-        let (begin, before) = futures::join!(begin, before);
-        begin.and(before)
+        let (mode, begin, before) = futures::join!(mode, begin, before);
+        mode.and(begin).and(before)
     };
     let lost = |loss: Loss| Refusal::new(Reason::ConnectionLost, format!("{loss:?}"));
     let before = exchange::run(host, &lease, deadline, work).await.map_err(lost)?;
--- a/crates/host/src/exec/write.rs
+++ b/crates/host/src/exec/write.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+const READ_WRITE: &str = "SET default_transaction_read_only = off";
 const BEGIN: &str = "BEGIN READ WRITE";
 const COMMIT: &str = "COMMIT";
 const ROLLBACK: &str = "ROLLBACK";
@@ -41,6 +42,8 @@
     /// Entry of the connection's last commit before this write.
     before: Position,
     rows: Rows,
+    /// Whether a transaction is open on the leased connection.
+    is_open: bool,
 }
 
 /// Leaves the idempotency keys in use when the write has ended, however.
@@ -84,7 +87,17 @@
         let write = Write::new(job.service, account, digest, job.deadline, seed);
         let target = (job.service, 0);
         let before = Position::default();
-        Task { host, job, id, write, lease: None, target, before, rows: Rows::default() }
+        Task {
+            host,
+            job,
+            id,
+            write,
+            lease: None,
+            target,
+            before,
+            rows: Rows::default(),
+            is_open: false,
+        }
     }
 
     async fn run(mut self) -> Result<Answer, Refusal> {
@@ -112,9 +125,24 @@
             };
             let now = self.host.clock.now();
             action = self.write.on(event, &mut self.host.data.budgets(), now);
+            let keeps = matches!(
+                action,
+                Action::Execute | Action::Commit | Action::Lookup | Action::Confirm(..)
+            );
+            if !keeps {
+                self.give_back();
+            }
         }
     }
 
+    /// Gives a connection back after a COMMIT or a lookup that needs no confirmation.
+    fn give_back(&mut self) {
+        if let Some(lease) = self.lease.take_if(|_| !self.is_open) {
+            lease.release_clean();
+        }
+        self.lease = None;
+    }
+
     /// Leases a connection to the primary, at the given time or as soon as there is another one.
     async fn lease(&mut self, at: Time) -> Event {
         self.lease = None;
@@ -154,6 +182,7 @@
         match result {
             Ok(()) => {
                 self.lease = Some(lease);
+                self.is_open = true;
                 Event::Executed
             }
             Err(loss) => self.failed(lease, loss, until).await,
@@ -173,13 +202,14 @@
         };
         let work = async {
             // Joined and not tried: whatever fails, every answer is read.
-            let (begin, before, insert, rows) = futures::join!(
+            let (mode, begin, before, insert, rows) = futures::join!(
+                client.batch_execute(READ_WRITE),
                 client.batch_execute(BEGIN),
                 client.query_typed_one(COMMITTED, &[]),
                 insert,
                 client.query_typed_raw(&self.job.statement.sql, params),
             );
-            begin?;
+            mode.and(begin)?;
             let before = before?;
             insert?;
             let rows = collect(rows?, limit).await?;
@@ -236,7 +266,8 @@
         let row = row.as_ref().map(|(id, outcome)| (*id, outcome.as_str()));
         match commit(self.host, &lease, row, self.before, until).await {
             Ok(position) => {
-                lease.release_clean();
+                self.lease = Some(lease);
+                self.is_open = false;
                 Event::Committed(position)
             }
             Err(loss) => {
@@ -252,7 +283,10 @@
         }
         tokio::time::sleep_until(self.host.clock.instant(at).into()).await;
         let until = self.write.exchange_deadline(self.host.clock.now());
-        self.host.data.confirm.wait(self.host, self.target, position, until).await
+        let account = self.job.caller.account();
+        let lease = self.lease.take();
+        let waits = &self.host.data.confirm;
+        waits.wait(self.host, self.target, account, position, lease, until).await
     }
 
     async fn look_up(&mut self) -> Event {
@@ -262,7 +296,7 @@
         let until = self.write.exchange_deadline(self.host.clock.now());
         match exchange::run(self.host, &lease, until, outcome::find(lease.client(), id)).await {
             Ok((row, position)) => {
-                lease.release_clean();
+                self.lease = Some(lease);
                 Event::Found(row, position)
             }
             Err(loss) => event(loss),
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -19,6 +19,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use xitca_web::body::RequestBody;
 use xitca_web::handler::handler_service;
 use xitca_web::http::WebResponse;
 use xitca_web::http::header::{CONNECTION, HeaderValue};
@@ -33,7 +35,7 @@
     pub address: SocketAddr,
     callers: Callers,
     handle: xitca_server::ServerHandle,
-    task: tokio::task::JoinHandle<()>,
+    ended: oneshot::Receiver<()>,
 }
 
 /// State of the application's handlers.
@@ -56,13 +58,13 @@
     let state = State { host: host.clone(), callers: callers.clone(), runtime };
     let app = App::new()
         .with_state(state)
-        .at("/v1/services/:service/read", post(handler_service(route::read)))
-        .at("/v1/services/:service/write", post(handler_service(route::write)))
-        .at("/v1/services/:service/transactions", post(handler_service(route::begin)))
-        .at("/v1/transactions/:id/run", post(handler_service(route::run)))
-        .at("/v1/transactions/:id/commit", post(handler_service(route::commit)))
-        .at("/v1/transactions/:id/rollback", post(handler_service(route::rollback)))
-        .at("/v1/open/:route", get(handler_service(route::open)))
+        .at("/v1/services/{service}/read", post(handler_service(route::read)))
+        .at("/v1/services/{service}/write", post(handler_service(route::write)))
+        .at("/v1/services/{service}/transactions", post(handler_service(route::begin)))
+        .at("/v1/transactions/{id}/run", post(handler_service(route::run)))
+        .at("/v1/transactions/{id}/commit", post(handler_service(route::commit)))
+        .at("/v1/transactions/{id}/rollback", post(handler_service(route::rollback)))
+        .at("/v1/open/{route}", get(handler_service(route::open)))
         .finish();
     let mut server = HttpServer::serve(app)
         .disable_signal()
@@ -72,19 +74,29 @@
         .listen(Watched::new(listener, callers.clone()))?
         .run();
     let handle = server.handle()?;
-    let task = tokio::spawn(async move {
-        if let Err(error) = server.await {
+    let (sender, ended) = oneshot::channel::<()>();
+    // The server brings a runtime of its own, which may only be dropped on a plain thread.
+    let wait = move || {
+        if let Err(error) = server.wait() {
             log::error!("callers' listener ended: {error}");
         }
-    });
-    Ok(Listener { address, callers, handle, task })
+        drop(sender);
+    };
+    std::thread::Builder::new().name("callers".to_owned()).spawn(wait)?;
+    Ok(Listener { address, callers, handle, ended })
 }
 
 impl Listener {
     /// Stops the listener after what runs has finished.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.handle.stop(true);
-        drop(self.task.await);
+        drop((&mut self.ended).await);
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.handle.stop(false);
         self.callers.cut_all();
     }
 }
@@ -120,13 +132,17 @@
     })
 }
 
-/// The answer to a request, or its refusal; closes the connection while the host stops.
-fn respond(host: &Host, answer: std::result::Result<WebResponse, Refusal>) -> WebResponse {
+/// The answer to a request, or its refusal; says where the connection closes after it.
+fn respond(ctx: &Context<'_>, answer: std::result::Result<WebResponse, Refusal>) -> WebResponse {
+    let host = &ctx.state().host;
+    let is_partly_read = answer.as_ref().is_err_and(|r| r.reason == Reason::TooLarge);
     let mut response = answer.unwrap_or_else(|refusal| {
         host.metric.refusal(refusal.reason);
         problem::response(&refusal)
     });
-    if host.is_stopping() {
+    // The framework closes a connection on which a body was left unread.
+    let is_unread = !matches!(&*ctx.body_borrow_mut(), RequestBody::None);
+    if host.is_stopping() || is_unread || is_partly_read {
         response.headers_mut().insert(CONNECTION, CLOSE);
     }
     response
--- a/crates/host/src/front/request.rs
+++ b/crates/host/src/front/request.rs
@@ -121,6 +121,11 @@
     humantime::parse_duration(stated).map(Some).map_err(|_| malformed(name))
 }
 
+/// Reads a body that says nothing.
+pub async fn discard(ctx: &Context<'_>, host: &Host) -> Result<(), Refusal> {
+    read_body(ctx, host.settings.limits.body).await.map(drop)
+}
+
 async fn read_body(ctx: &Context<'_>, limit: usize) -> Result<Vec<u8>, Refusal> {
     let mut body = pin!(std::mem::take(&mut *ctx.body_borrow_mut()));
     let mut bytes = Vec::new();
--- a/crates/host/src/front/route.rs
+++ b/crates/host/src/front/route.rs
@@ -18,16 +18,15 @@
         Ok(job) => serve_read(ctx, job).await,
         Err(refusal) => Err(refusal),
     };
-    respond(host, answer)
+    respond(ctx, answer)
 }
 
 pub(super) async fn open(ctx: &Context<'_>, Params(route): Params<String>) -> WebResponse {
-    let host = &ctx.state().host;
     let answer = match open_job(ctx, &route) {
         Ok(job) => serve_read(ctx, job).await,
         Err(refusal) => Err(refusal),
     };
-    respond(host, answer)
+    respond(ctx, answer)
 }
 
 fn open_job(ctx: &Context<'_>, name: &str) -> Result<Job, Refusal> {
@@ -64,7 +63,7 @@
         Ok(job) => serve_write(ctx, job).await,
         Err(refusal) => Err(refusal),
     };
-    respond(host, answer)
+    respond(ctx, answer)
 }
 
 async fn serve_write(ctx: &Context<'_>, job: Job) -> Result<WebResponse, Refusal> {
@@ -75,8 +74,7 @@
 }
 
 pub(super) async fn begin(ctx: &Context<'_>, Params(service): Params<String>) -> WebResponse {
-    let host = &ctx.state().host;
-    respond(host, serve_begin(ctx, &service).await)
+    respond(ctx, serve_begin(ctx, &service).await)
 }
 
 async fn serve_begin(ctx: &Context<'_>, service: &str) -> Result<WebResponse, Refusal> {
@@ -87,6 +85,7 @@
     let identity = request::identify(ctx, &host)?.identity;
     let service = request::service(&host, identity, service)?;
     let deadline = request::deadline(ctx.req().headers(), &host)?;
+    request::discard(ctx, &host).await?;
     let begin = async move { exec::transaction::begin(&host, identity, service, deadline).await };
     let id = attend(ctx, begin).await?;
     let body = json!({"transaction": format!("{id:016x}")});
@@ -94,8 +93,7 @@
 }
 
 pub(super) async fn run(ctx: &Context<'_>, Params(id): Params<String>) -> WebResponse {
-    let host = &ctx.state().host;
-    respond(host, serve_run(ctx, &id).await)
+    respond(ctx, serve_run(ctx, &id).await)
 }
 
 async fn serve_run(ctx: &Context<'_>, id: &str) -> Result<WebResponse, Refusal> {
@@ -113,13 +111,11 @@
 }
 
 pub(super) async fn commit(ctx: &Context<'_>, Params(id): Params<String>) -> WebResponse {
-    let host = &ctx.state().host;
-    respond(host, serve_end(ctx, &id, Step::Commit).await)
+    respond(ctx, serve_end(ctx, &id, Step::Commit).await)
 }
 
 pub(super) async fn rollback(ctx: &Context<'_>, Params(id): Params<String>) -> WebResponse {
-    let host = &ctx.state().host;
-    respond(host, serve_end(ctx, &id, Step::Rollback).await)
+    respond(ctx, serve_end(ctx, &id, Step::Rollback).await)
 }
 
 async fn serve_end(ctx: &Context<'_>, id: &str, end: Step) -> Result<WebResponse, Refusal> {
@@ -128,6 +124,7 @@
     let id = transaction(id)?;
     let headers = ctx.req().headers();
     let deadline = request::deadline(headers, host)?;
+    request::discard(ctx, host).await?;
     let mut token = request::token(headers)?;
     let outcome = step(ctx, id, Caller::Key(identity), end, deadline).await?;
     outcome.advance(&mut token);
--- /dev/null
+++ b/crates/host/tests/common/mod.rs
@@ -0,0 +1,297 @@
+//! One database group, one platform and hosts in this process.
+
+use bergamotvale_core::config::{Account, Document, Key, KeyState, Route, Service, Target};
+use bergamotvale_core::config::{Edit, TargetState};
+use bergamotvale_host::auth;
+use bergamotvale_host::daemon::Daemon;
+use bergamotvale_host::platform::{CONFIG_ROW, Check, Client, Current, Put, Transaction};
+use bergamotvale_host::settings::{Listen, Settings};
+use bergamotvale_standin::group::{Group, Options};
+use bergamotvale_standin::platform::Server;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub(crate) const SERVICE: u32 = 1;
+pub(crate) const ACCOUNT: u32 = 1;
+pub(crate) const OTHER_ACCOUNT: u32 = 2;
+pub(crate) const KEY: &str = "bv_1_s3cret-of-the-mill";
+pub(crate) const OTHER_KEY: &str = "bv_2_s3cret-of-the-glove";
+/// Time within which anything that should happen has happened.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+
+const SALT: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+const SCHEMA: &str = "CREATE TABLE bolts (id bigint PRIMARY KEY, metres bigint NOT NULL)";
+
+/// Everything that a test needs; dropping it ends it.
+pub(crate) struct Fixture {
+    pub(crate) group: Group,
+    pub(crate) platform: Server,
+    pub(crate) http: reqwest::Client,
+    document: Document,
+}
+
+/// One host with its address.
+pub(crate) struct Host {
+    pub(crate) daemon: Daemon,
+    pub(crate) address: SocketAddr,
+    http: reqwest::Client,
+}
+
+/// A request under construction.
+pub(crate) struct Call {
+    request: reqwest::RequestBuilder,
+    sql: String,
+    params: Vec<Value>,
+}
+
+/// An answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: BTreeMap<String, String>,
+    pub(crate) body: Value,
+}
+
+impl Fixture {
+    pub(crate) async fn new() -> Fixture {
+        Fixture::with_options(Options::default()).await
+    }
+
+    pub(crate) async fn with_options(options: Options) -> Fixture {
+        let schema = vec![SCHEMA.to_owned()];
+        // Hosts that do not know each other each take the whole limit of the configuration.
+        let connection_limit = 100;
+        let group = Group::start(Options { schema, connection_limit, ..options }).expect("a group");
+        let platform = Server::start(Default::default()).expect("a platform");
+        let document = document(&group.addresses());
+        let fixture = Fixture { group, platform, http: reqwest::Client::new(), document };
+        fixture.publish(0).await;
+        fixture
+    }
+
+    /// A host that knows its configuration and the group's primary.
+    pub(crate) async fn host(&self, id: u32) -> Host {
+        self.host_with(id, |_| ()).await
+    }
+
+    pub(crate) async fn host_with(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
+        let mut settings = settings(id, self.platform.address());
+        change(&mut settings);
+        let daemon = Daemon::start(settings).await.expect("a host");
+        let address = daemon.host.settings.listen.callers;
+        let host = Host { daemon, address, http: self.http.clone() };
+        until("a primary is known", || host.daemon.host.pools.primary(SERVICE).is_some()).await;
+        let views = || host.daemon.host.pools.views(SERVICE).len() == 3;
+        until("all targets are known", views).await;
+        host.warm_up().await;
+        host
+    }
+
+    /// Withdraws a key in the configuration.
+    pub(crate) async fn withdraw(&mut self, id: u64) {
+        let mut key = self.document.keys[&id].clone();
+        key.state = KeyState::Withdrawn;
+        let known = self.document.version;
+        let edits = vec![Edit::PutKey(id, key)];
+        let change = bergamotvale_core::config::Change { version: known + 1, edits };
+        self.document = self.document.with_change(&change).expect("a document that holds");
+        self.publish(known).await;
+    }
+
+    async fn publish(&self, known: u64) {
+        let client = Client::new(&settings(99, self.platform.address())).expect("a client");
+        let body = serde_json::to_vec(&self.document).expect("a document");
+        let digest = client.put_object(body).await.expect("a stored document");
+        let current = Current { version: self.document.version, digest };
+        let row = client.row(CONFIG_ROW).await.expect("a row").map_or(0, |row| row.version);
+        assert!(known == 0 || row > 0);
+        let transaction = Transaction {
+            checks: vec![Check { key: CONFIG_ROW.into(), version: row }],
+            puts: vec![Put { key: CONFIG_ROW.into(), value: json!(current) }],
+            deletes: Vec::new(),
+        };
+        client.transact(&transaction).await.expect("a configuration in force");
+    }
+
+    /// Number of the present primary.
+    pub(crate) fn primary(&self) -> usize {
+        let leads = |target: &&bergamotvale_standin::group::Target| target.leads();
+        let targets = self.group.targets().iter().filter(leads);
+        let highest = targets.max_by_key(|target| target.accepted_term());
+        highest.expect("a primary").number()
+    }
+
+    /// Rows of a query on the present primary, past all faults.
+    pub(crate) fn rows(&self, sql: &str) -> Vec<Vec<rusqlite::types::Value>> {
+        self.group.target(self.primary()).rows(sql).expect("rows")
+    }
+
+    /// How many bolts the group has.
+    pub(crate) fn bolts(&self) -> usize {
+        self.rows("SELECT id FROM bolts").len()
+    }
+}
+
+impl Host {
+    /// Waits until the host may hold connections to all targets.
+    async fn warm_up(&self) {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        while self.read("SELECT 1").send().await.status != 200 {
+            assert!(tokio::time::Instant::now() < deadline, "the host serves no read");
+        }
+    }
+
+    pub(crate) fn call(&self, path: &str) -> Call {
+        let request = self.http.post(format!("http://{}{path}", self.address));
+        let request = request.header("authorization", format!("Bearer {KEY}"));
+        Call { request, sql: String::new(), params: Vec::new() }
+    }
+
+    pub(crate) fn read(&self, sql: &str) -> Call {
+        self.call("/v1/services/mill/read").with_sql(sql)
+    }
+
+    pub(crate) fn write(&self, sql: &str) -> Call {
+        self.call("/v1/services/mill/write").with_sql(sql)
+    }
+
+    pub(crate) async fn begin(&self) -> String {
+        let answer = self.call("/v1/services/mill/transactions").send().await;
+        assert_eq!(answer.status, 201, "{answer:?}");
+        answer.body["transaction"].as_str().expect("an id").to_owned()
+    }
+
+    pub(crate) fn step(&self, id: &str, step: &str) -> Call {
+        self.call(&format!("/v1/transactions/{id}/{step}"))
+    }
+
+    pub(crate) fn counter(&self, name: &str) -> i64 {
+        let snapshot = self.daemon.host.metric.snapshot();
+        snapshot.counters.get(name).copied().unwrap_or(0)
+    }
+}
+
+impl Call {
+    pub(crate) fn with_sql(mut self, sql: &str) -> Call {
+        self.sql = sql.to_owned();
+        self
+    }
+
+    pub(crate) fn with_param(mut self, value: Value) -> Call {
+        self.params.push(value);
+        self
+    }
+
+    pub(crate) fn with_header(mut self, name: &str, value: &str) -> Call {
+        self.request = self.request.header(name, value);
+        self
+    }
+
+    pub(crate) fn with_key(mut self, key: &str) -> Call {
+        let (client, request) = self.request.build_split();
+        let mut request = request.expect("a request");
+        let value = format!("Bearer {key}").parse().expect("a header");
+        request.headers_mut().insert("authorization", value);
+        self.request = reqwest::RequestBuilder::from_parts(client, request);
+        self
+    }
+
+    pub(crate) async fn send(self) -> Answer {
+        self.try_send().await.expect("an answer")
+    }
+
+    pub(crate) async fn try_send(self) -> reqwest::Result<Answer> {
+        let body = json!({"sql": self.sql, "params": self.params});
+        let response = self.request.json(&body).send().await?;
+        let status = response.status().as_u16();
+        let headers = response.headers().iter();
+        let headers = headers
+            .map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned()))
+            .collect();
+        let body = response.json().await?;
+        Ok(Answer { status, headers, body })
+    }
+}
+
+impl Answer {
+    pub(crate) fn reason(&self) -> &str {
+        self.body["reason"].as_str().unwrap_or("none")
+    }
+
+    pub(crate) fn ran(&self) -> &str {
+        self.body["ran"].as_str().unwrap_or("none")
+    }
+
+    pub(crate) fn session(&self) -> &str {
+        &self.headers["bergamotvale-session"]
+    }
+
+    pub(crate) fn target(&self) -> &str {
+        &self.headers["bergamotvale-target"]
+    }
+
+    /// Asserts that the request was answered with its result.
+    pub(crate) fn ok(self) -> Answer {
+        assert_eq!(self.status, 200, "{self:?}");
+        self
+    }
+}
+
+/// Waits until `holds`.
+pub(crate) async fn until(what: &str, holds: impl Fn() -> bool) {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(tokio::time::Instant::now() < deadline, "in vain: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn settings(id: u32, platform: SocketAddr) -> Settings {
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listen = Listen { callers: free, operators: free, peers: free };
+    let mut settings = Settings::new(id, 0, listen, platform);
+    settings.policy.seed = 7;
+    settings
+}
+
+fn document(addresses: &[SocketAddr]) -> Document {
+    let targets = addresses.iter().enumerate().map(|(number, address)| {
+        let target = Target {
+            address: *address,
+            failure_domain: number as u16,
+            connections: 20,
+            state: TargetState::Active,
+        };
+        (number as u16, target)
+    });
+    let service =
+        Service { name: "mill".into(), targets: targets.collect(), retention: PATIENCE * 100 };
+    let account = |name: &str| Account {
+        name: name.into(),
+        rate: 100_000,
+        burst: 100_000,
+        weight: 1,
+        services: BTreeSet::from([SERVICE]),
+    };
+    let key = |account, text: &str| Key {
+        account,
+        salt: SALT.into(),
+        digest: auth::digest(SALT, auth::secret(text).expect("a secret")),
+        state: KeyState::Active,
+    };
+    let route = Route {
+        service: SERVICE,
+        sql: "SELECT count(*) AS bolts FROM bolts".into(),
+        max_age: Duration::from_secs(5),
+        account: ACCOUNT,
+    };
+    Document {
+        version: 1,
+        services: BTreeMap::from([(SERVICE, service)]),
+        accounts: BTreeMap::from([(ACCOUNT, account("mill")), (OTHER_ACCOUNT, account("glove"))]),
+        keys: BTreeMap::from([(1, key(ACCOUNT, KEY)), (2, key(OTHER_ACCOUNT, OTHER_KEY))]),
+        routes: BTreeMap::from([("stock".into(), route)]),
+    }
+}
