--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,5 +10,7 @@
 pub mod error;
 pub mod output;
 pub mod run;
+pub mod system;
+pub mod trial;
 
 pub use error::{Error, Result};
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -10,6 +10,7 @@
 mod control;
 mod database;
 mod executor;
+mod followers;
 mod function;
 mod listener;
 mod replication;
@@ -28,7 +29,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use rusqlite::types::Value;
+pub use rusqlite::types::Value;
 
 pub use self::log::{Entry, Index, Position, Term};
 
