--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -7,7 +7,9 @@
 mod service;
 mod store;
 
+use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -21,6 +23,7 @@
 use self::service::Service;
 use self::store::Store;
 use crate::link::Relay;
+use crate::sync::lock;
 
 /// How long an idle connection stays open.
 const KEEP_ALIVE: Duration = Duration::from_secs(300);
@@ -36,10 +39,14 @@
     pub fault: Fault,
 }
 
+/// Ends the threads of a server.
+type Stop = Box<dyn FnOnce() + Send>;
+
 /// A running platform; dropping it ends it.
 pub struct Server {
     faults: Faults,
-    stop: Option<Box<dyn FnOnce() + Send>>,
+    store: Arc<Mutex<Store>>,
+    stop: Option<Stop>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -53,34 +60,13 @@
         let faults = Faults::new(options.fault, front);
         faults.set(|fault| fault.refuse = refuse)?;
         let store = Arc::new(Mutex::new(Store::default()));
-        let service = Service { faults: faults.clone(), store };
-        let (ready, started) = std::sync::mpsc::channel();
-        let run = move || {
-            let server = App::new()
-                .at("/{*path}", handler_service(service::handle))
-                .with_state(service)
-                .serve()
-                .disable_signal()
-                .worker_threads(WORKERS)
-                .keep_alive_timeout(KEEP_ALIVE)
-                .request_head_timeout(KEEP_ALIVE)
-                .listen(listener);
-            let mut server = match server {
-                Ok(server) => server.run(),
-                Err(error) => return drop(ready.send(Err(error))),
-            };
-            let handle = server.handle();
-            // The starter waits for this message.
-            let _ = ready.send(handle);
-            if let Err(error) = server.wait() {
-                log::error!("platform: {error}");
-            }
-        };
+        let service = Service { faults: faults.clone(), store: store.clone() };
+        let (ready, started) = channel();
+        let run = move || serve(listener, service, &ready);
         let thread = std::thread::Builder::new().name("platform".to_owned()).spawn(run)?;
-        let gone = std::io::Error::other("the platform's thread has ended");
-        let handle = started.recv().map_err(|_| gone)??;
-        let stop = Box::new(move || handle.stop(false));
-        Ok(Server { faults, stop: Some(stop), thread: Some(thread) })
+        let gone = io::Error::other("the platform's thread has ended");
+        let stop = started.recv().map_err(|_| gone)??;
+        Ok(Server { faults, store, stop: Some(stop), thread: Some(thread) })
     }
 
     /// Address to connect to.
@@ -98,6 +84,11 @@
         self.faults.clone()
     }
 
+    /// Rows whose key starts with a prefix, past all faults.
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        lock(&self.store).rows(prefix).into_iter().cloned().collect()
+    }
+
     /// Ends the platform.
     pub fn stop(self) {
         drop(self);
@@ -120,3 +111,26 @@
         }
     }
 }
+
+/// Serves until the server is stopped; says first how to stop it, or why there is nothing to.
+fn serve(listener: TcpListener, service: Service, ready: &Sender<io::Result<Stop>>) {
+    let server = App::new()
+        .at("/{*path}", handler_service(service::handle))
+        .with_state(service)
+        .serve()
+        .disable_signal()
+        .worker_threads(WORKERS)
+        .keep_alive_timeout(KEEP_ALIVE)
+        .request_head_timeout(KEEP_ALIVE)
+        .listen(listener);
+    let mut running = match server {
+        Ok(server) => server.run(),
+        Err(error) => return drop(ready.send(Err(error))),
+    };
+    let stop = running.handle().map(|handle| -> Stop { Box::new(move || handle.stop(false)) });
+    // The starter waits for this message.
+    let _ = ready.send(stop);
+    if let Err(error) = running.wait() {
+        log::error!("platform: {error}");
+    }
+}
--- a/crates/standin/tests/group_terms.rs
+++ b/crates/standin/tests/group_terms.rs
@@ -58,6 +58,21 @@
     assert!(!lower.flag("granted"));
 }
 
+#[tokio::test]
+async fn replica_takes_no_entries_of_lower_terms() {
+    let group = start();
+    let primary = connect(group.addresses()[0]).await;
+    let replica = connect(group.addresses()[1]).await;
+    call(&replica, "fence", &[2, 10]).await.unwrap();
+
+    insert(&primary, 1).await.unwrap();
+    call(&primary, "confirmed", &[1, 2, 20_000]).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    assert_eq!(group.target(2).log(), [at(1, 1), at(1, 2)]);
+    assert_eq!(group.target(1).log(), [at(1, 1)]);
+}
+
 #[tokio::test]
 async fn promotion_needs_the_grant() {
     let group = start();
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -109,6 +109,7 @@
     let url = format!("{}/table/rows?prefix=b.", server.url());
     let rows: Value = client.get(url).send().await.unwrap().json().await.unwrap();
     assert_eq!(rows["rows"][0]["key"], "b.2");
+    assert_eq!(server.rows("b.")[0].value, 2);
     assert_eq!(rows["rows"].as_array().unwrap().len(), 1);
 }
 
