--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -15,7 +15,7 @@
 use bergamotvale_core::statement::Statement;
 use bergamotvale_host::auth;
 use bergamotvale_host::daemon::Daemon;
-use bergamotvale_host::platform::{Answer, CONFIG_ROW, Check, Current, Put, Transaction};
+use bergamotvale_host::fleet::change;
 use bergamotvale_host::settings::{Listen, Operator, Policy, Settings};
 use bergamotvale_standin::group::{self, Group};
 use bergamotvale_standin::platform;
@@ -99,11 +99,11 @@
             operator_key: format!("op_{OPERATOR}_{secret}"),
             http: client::http().build()?,
         };
-        system.store_document(&plan).await?;
         for place in 0..plan.hosts {
             let settings = settings(&plan, place, system.platform.address(), &operators);
             system.hosts.push(Host::start(settings).await?);
         }
+        system.found().await?;
         system.wait_until_served().await?;
         Ok(system)
     }
@@ -133,23 +133,16 @@
         }
     }
 
-    async fn store_document(&self, plan: &Plan) -> Result<()> {
-        let settings = settings(plan, 0, self.platform.address(), &[]);
-        let client = bergamotvale_host::platform::Client::new(&settings).map_err(start)?;
-        let body = serde_json::to_vec(&self.document).map_err(start)?;
-        let digest = client.put_object(body).await.map_err(start)?;
-        let current = Current { version: self.document.version, digest };
-        let transaction = Transaction {
-            checks: vec![Check { key: CONFIG_ROW.to_owned(), version: 0 }],
-            puts: vec![Put {
-                key: CONFIG_ROW.to_owned(),
-                value: serde_json::to_value(&current).map_err(start)?,
-            }],
-            deletes: Vec::new(),
-        };
-        match client.transact(&transaction).await.map_err(start)? {
-            Answer::Done(_) => Ok(()),
-            Answer::Conflict(_) => Err(start("the platform holds a configuration already")),
+    /// Publishes the first configuration, once a host may.
+    async fn found(&self) -> Result<()> {
+        let daemon = self.hosts[0].daemon.as_ref().ok_or_else(|| start("no host runs"))?;
+        let deadline = Instant::now() + START_TIMEOUT;
+        loop {
+            match change::found(&daemon.host, self.document.clone()).await {
+                Ok(_) => return Ok(()),
+                Err(fault) if Instant::now() > deadline => return Err(start(fault)),
+                Err(_) => tokio::time::sleep(START_PERIOD).await,
+            }
         }
     }
 
--- a/crates/host/src/target/connection.rs
+++ b/crates/host/src/target/connection.rs
@@ -48,15 +48,25 @@
         self.dirty.load(Ordering::Acquire) || self.client.is_closed()
     }
 
+    /// An exchange starts: dirty from now on.
+    pub fn start(&self) {
+        self.dirty.store(true, Ordering::Release);
+    }
+
+    /// The whole answer of the exchange is here.
+    pub fn settle(&self) {
+        self.dirty.store(false, Ordering::Release);
+    }
+
     /// Runs `work` on the connection; dirty unless it ends within `timeout`.
     pub async fn exchange<T>(
         &self,
         timeout: Duration,
         work: impl Future<Output = std::result::Result<T, tokio_postgres::Error>>,
     ) -> Result<T> {
-        self.dirty.store(true, Ordering::Release);
+        self.start();
         let answer = tokio::time::timeout(timeout, work).await.map_err(|_| timed_out())?;
-        self.dirty.store(false, Ordering::Release);
+        self.settle();
         Ok(answer?)
     }
 }
