--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -19,6 +19,9 @@
 use crate::sqlstate::Failure;
 use std::time::Duration;
 
+/// Part of the time left that the statement of a keyed write leaves for another try.
+const KEPT_PART: u32 = 4;
+
 /// A write under way.
 #[derive(Debug, Clone)]
 pub struct Write {
@@ -148,11 +151,18 @@
 
     /// When the exchange that starts at `now` is given up.
     ///
-    /// The statement of a write has the caller's whole time: giving up on one that runs only
-    /// makes a second one wait behind it.
+    /// Without an idempotency key nothing can be tried again, so that statement and COMMIT have
+    /// the caller's whole time. With one, COMMIT has the time of a try, and the statement leaves
+    /// [`KEPT_PART`] of the time for another: a connection that went silent is found out only by
+    /// giving up on it.
     pub fn exchange_deadline(&self, now: Time) -> Time {
         match self.state {
             State::Confirming(_) | State::LookingUp => self.policy.try_deadline(now, self.deadline),
+            State::Committing if self.is_keyed() => self.policy.try_deadline(now, self.deadline),
+            State::Executing if self.is_keyed() => {
+                let left = self.deadline.saturating_sub(now);
+                self.deadline - left / KEPT_PART
+            }
             State::Leasing | State::Executing | State::Committing => self.deadline,
         }
     }
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -143,12 +143,22 @@
 
 const ACTIVE: bergamotvale_core::config::KeyState = bergamotvale_core::config::KeyState::Active;
 
-/// Sweeps over the open transactions until the host stops.
+/// Ends what is open when the sweeping ends, however.
+struct Sweeper(Arc<Host>);
+
+impl Drop for Sweeper {
+    fn drop(&mut self) {
+        self.0.data.transactions.stop();
+    }
+}
+
+/// Sweeps over the open transactions until the host stops, and then ends them.
 pub async fn run(host: Arc<Host>) {
+    let sweeper = Sweeper(host);
     let mut ticks = tokio::time::interval(SWEEP);
     loop {
         ticks.tick().await;
-        host.data.transactions.sweep(&host);
+        sweeper.0.data.transactions.sweep(&sweeper.0);
     }
 }
 
