--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -6,8 +6,9 @@
 //!   connection; every other end closes it and cancels what runs on it. A lease that is refused
 //!   has sent nothing.
 //! - [`Pools::views`] and [`Pools::primary`] tell what the targets last said of themselves.
-//! - [`Pools::worked`] takes the outcome of work, [`Pools::superseded`] the news that a target is
-//!   no longer the primary.
+//! - [`Lease::exchange`] reports how it ended as a sign of the target's health. For work that does
+//!   not go through it, [`Pools::worked`] takes the outcome, and [`Pools::superseded`] the news that
+//!   a target is no longer the primary.
 //! - [`Pools::lend`], [`Pools::take_back`], [`Pools::wants`] and [`Pools::granted`] are the two
 //!   sides of loans between hosts; [`Pools::vouch`] says how long this host has authority.
 
