A primary is judged by its own term, and slow statements depose nobody

Signs now count from when the primary was first seen; failures count while they go on; a timeout only makes the target suspect, and the probes then try it with work of their own.

Idle connections that the other end has closed are dropped before a request can get them. The tests write in an open loop on the common fixture.

--- a/crates/core/src/detect.rs
+++ b/crates/core/src/detect/mod.rs
@@ -8,134 +8,30 @@
 //! can have nothing confirmed any more.
 //!
 //! A host that was itself stalled has seen nothing: [`Detector::tick`] notices and discards what
-//! it gathered. Nothing here decides what is safe; that is the terms' business (see
+//! it gathered. Nothing counts that is older than the primary's own term, so that a new primary is
+//! judged by what it does itself. Work that timed out does not count, since the statement may be
+//! slow; but it makes the target suspect, and the caller tries it with work of its own.
+//! Nothing here decides what is safe; that is the terms' business (see
 //! [`crate::promotion`]). A wrong verdict costs availability only.
 
+mod health;
+mod settings;
+
+pub use health::Health;
+pub use settings::{Cause, Settings};
+
 use crate::group::{Role, Status, majority};
 use crate::id::{HostId, TargetId, Time};
 use crate::log::{Position, Term};
 use crate::peer::Opinion;
 use crate::promotion::Deposed;
-use derive_more::Display;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Why a primary counts as failing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
-#[display(rename_all = "snake_case")]
-pub enum Cause {
-    /// It leaves probes unanswered.
-    Silent,
-    /// It refuses connections.
-    Refused,
-    /// It answers probes and fails its work.
-    Poisoned,
-    /// No majority of the group acknowledges it.
-    Isolated,
-    /// No target is the primary of the highest term.
-    Leaderless,
-}
-
-/// How long each sign must last, and how often hosts look.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// Time between two calls of [`Detector::tick`].
-    pub tick: Duration,
-    /// A gap between ticks that shows that this host was stalled.
-    pub stall: Duration,
-    /// Unanswered probes.
-    pub silent: Duration,
-    /// Refused connections.
-    pub refused: Duration,
-    /// Failed work with answered probes.
-    pub poisoned: Duration,
-    /// A primary that no majority acknowledges.
-    pub isolated: Duration,
-    /// No primary of the highest term.
-    pub leaderless: Duration,
-    /// Age of the replicas' data that shows that they too have lost the primary.
-    pub abandoned: Duration,
-    /// Time for which a status or a peer's opinion counts.
-    pub recent: Duration,
-}
-
-/// Failures of work in a row that make a target poisoned.
-pub const POISONED_FAILURES: u32 = 3;
 /// Age of a primary's acknowledgement below which it is usual.
 pub const ISOLATED_FLOOR: Duration = Duration::from_millis(400);
-/// Time for which any probe may take.
-pub const SILENT_FLOOR: Duration = Duration::from_millis(200);
 /// Shortest time for which a group counts as without a primary.
 const LEADERLESS_FLOOR: Duration = Duration::from_millis(1);
-/// Refusals in a row that show that nothing listens.
-pub const REFUSALS: u32 = 2;
-
-impl Default for Settings {
-    fn default() -> Settings {
-        Settings::new(Duration::from_millis(1_200))
-    }
-}
-
-impl Settings {
-    /// Settings that depose a primary which has given no sign of life for `after`.
-    ///
-    /// Where nothing listens any more, a fraction of it is enough.
-    pub fn new(after: Duration) -> Settings {
-        Settings {
-            tick: Duration::from_millis(50),
-            stall: Duration::from_millis(300),
-            silent: after,
-            refused: after / 4,
-            poisoned: after,
-            isolated: after,
-            leaderless: after / 2,
-            abandoned: after + after / 4,
-            recent: Duration::from_millis(1_500),
-        }
-    }
-
-    fn threshold(&self, cause: Cause) -> Duration {
-        match cause {
-            Cause::Silent => self.silent,
-            Cause::Refused => self.refused,
-            Cause::Poisoned => self.poisoned,
-            Cause::Isolated => self.isolated,
-            Cause::Leaderless => self.leaderless,
-        }
-    }
-}
-
-/// A run of one kind of failure.
-#[derive(Debug, Clone, Copy)]
-struct Run {
-    since: Time,
-    count: u32,
-}
-
-/// What is known of one target.
-#[derive(Debug, Clone, Default)]
-pub struct Health {
-    /// Its last answer.
-    pub status: Option<Status>,
-    /// When that answer came.
-    pub answered: Time,
-    asked: Option<Time>,
-    refused: Option<Run>,
-    failed: Option<Run>,
-}
-
-impl Health {
-    /// Whether its last probe was answered, and nothing has gone wrong since.
-    pub fn works(&self) -> bool {
-        self.status.is_some() && self.refused.is_none() && self.failed.is_none()
-    }
-
-    fn forget_failures(&mut self) {
-        self.asked = None;
-        self.refused = None;
-        self.failed = None;
-    }
-}
 
 /// What the caller has to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -155,6 +51,7 @@
     targets: BTreeMap<TargetId, Health>,
     opinions: BTreeMap<HostId, (Time, Opinion)>,
     leaderless: Option<(Term, Time)>,
+    led: Option<(Term, Time)>,
     ticked: Option<Time>,
     told: Option<Opinion>,
 }
@@ -173,6 +70,7 @@
             targets: targets.into_iter().map(|id| (id, Health::default())).collect(),
             opinions: BTreeMap::new(),
             leaderless: None,
+            led: None,
             ticked: None,
             told: None,
         }
@@ -202,32 +100,35 @@
     /// A probe was sent.
     pub fn asked(&mut self, now: Time, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.asked.get_or_insert(now);
+            health.asked(now);
         }
     }
 
     /// A probe was answered.
     pub fn answered(&mut self, now: Time, target: TargetId, status: Status) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.status = Some(status);
-            health.answered = now;
-            health.asked = None;
-            health.refused = None;
+            health.answer(now, status);
         }
     }
 
     /// Nothing listens at the target's address, or it reset the connection.
     pub fn refused(&mut self, now: Time, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
-            extend(&mut health.refused, now);
+            health.refuse(now);
         }
     }
 
     /// The target is alive but has no connection free: no evidence either way.
     pub fn crowded(&mut self, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.asked = None;
-            health.refused = None;
+            health.crowd();
+        }
+    }
+
+    /// Work on the target timed out, which may be the statement's fault: no evidence by itself.
+    pub fn suspect(&mut self, target: TargetId) {
+        if let Some(health) = self.targets.get_mut(&target) {
+            health.suspected = true;
         }
     }
 
@@ -235,11 +136,8 @@
     ///
     /// Errors that are the caller's fault count as well done.
     pub fn worked(&mut self, now: Time, target: TargetId, well: bool) {
-        let Some(health) = self.targets.get_mut(&target) else { return };
-        if well {
-            health.failed = None;
-        } else {
-            extend(&mut health.failed, now);
+        if let Some(health) = self.targets.get_mut(&target) {
+            health.work(now, well);
         }
     }
 
@@ -255,6 +153,7 @@
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         self.discard_after_stall(now);
         self.note_leaderless(now);
+        self.note_leader(now);
         let Some(opinion) = self.opinion(now) else { return Vec::new() };
         let mut actions = Vec::new();
         let gist = |opinion: &Opinion| (opinion.primary, opinion.term, opinion.failed);
@@ -293,18 +192,19 @@
         }
         let Some((id, status)) = self.leader() else { return signs };
         let health = &self.targets[&id];
-        let silent = |asked: &Time| now.saturating_sub(*asked) >= SILENT_FLOOR;
-        if let Some(asked) = health.asked.filter(silent) {
-            signs.insert(Cause::Silent, now.saturating_sub(asked));
+        let led = self.led.map_or(now, |(_, since)| since);
+        let lasting = |since: Time| now.saturating_sub(since.max(led));
+        if let Some(asked) = health.silent_since(now) {
+            signs.insert(Cause::Silent, lasting(asked));
         }
-        if let Some(run) = health.refused.filter(|run| run.count >= REFUSALS) {
-            signs.insert(Cause::Refused, now.saturating_sub(run.since));
+        if let Some(since) = health.refusing_since() {
+            signs.insert(Cause::Refused, lasting(since));
         }
-        if let Some(run) = health.failed.filter(|run| run.count >= POISONED_FAILURES) {
-            signs.insert(Cause::Poisoned, now.saturating_sub(run.since));
+        if let Some(since) = health.failing_since(now, self.settings.recent) {
+            signs.insert(Cause::Poisoned, lasting(since));
         }
         if status.age >= ISOLATED_FLOOR {
-            signs.insert(Cause::Isolated, status.age);
+            signs.insert(Cause::Isolated, status.age.min(now.saturating_sub(led)));
         }
         signs
     }
@@ -359,6 +259,16 @@
         Deposed { term: opinion.term, avoid, preferred: None }
     }
 
+    /// A new primary starts without a record.
+    fn note_leader(&mut self, now: Time) {
+        let Some((id, status)) = self.leader() else { return };
+        let term = status.entry.term;
+        if self.led.is_none_or(|(known, _)| known != term) {
+            self.led = Some((term, now));
+            self.targets.entry(id).or_default().forget_work();
+        }
+    }
+
     fn is_deposed(&self, now: Time, term: Term) -> bool {
         self.is_outvoted(now, term) || self.is_abandoned(now)
     }
@@ -383,11 +293,6 @@
         let recent = now.saturating_sub(health.answered) <= self.settings.recent;
         let lost =
             |status: Status| status.role == Role::Replica && status.age >= self.settings.abandoned;
-        recent && health.asked.is_none() && health.status.is_some_and(lost)
+        recent && !health.is_waiting() && health.status.is_some_and(lost)
     }
 }
-
-fn extend(run: &mut Option<Run>, now: Time) {
-    let run = run.get_or_insert(Run { since: now, count: 0 });
-    run.count += 1;
-}
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -205,6 +205,15 @@
         vec![self.close(connection)].into_iter().chain(self.dispatch(now)).collect()
     }
 
+    /// The other end closed a connection that was nobody's.
+    pub fn lost(&mut self, now: Time, connection: ConnectionId) -> Vec<Action> {
+        if !matches!(self.state(connection), Some(State::Idle { .. })) {
+            return Vec::new();
+        }
+        self.connections.remove(&connection);
+        self.dispatch(now)
+    }
+
     /// The owner of a connection is done with it; `clean` says that nothing is left on it.
     pub fn released(&mut self, now: Time, connection: ConnectionId, clean: bool) -> Vec<Action> {
         let Some(State::Leased { since, charge }) = self.state(connection) else {
--- a/crates/core/tests/detection.rs
+++ b/crates/core/tests/detection.rs
@@ -72,6 +72,8 @@
     #[serde(default)]
     term: Option<Term>,
     #[serde(default)]
+    target: TargetId,
+    #[serde(default)]
     well: bool,
 }
 
@@ -122,7 +124,8 @@
                 detector.heard(now, *host, opinion);
             }
         }
-        "work" => detector.worked(now, 0, event.well),
+        "work" => detector.worked(now, event.target, event.well),
+        "timed_out" => detector.suspect(event.target),
         "stall" => {}
         other => panic!("unknown event {other}"),
     }
--- a/crates/host/src/exec/exchange.rs
+++ b/crates/host/src/exec/exchange.rs
@@ -103,7 +103,10 @@
 pub fn worked(host: &Arc<Host>, key: Key, loss: Option<&Loss>) {
     let well = !loss.is_some_and(Loss::is_target_fault);
     host.data.worked(key, well);
-    host.pools.worked(host.clock.now(), key, well);
+    match loss {
+        Some(Loss::TimedOut) => host.pools.timed_out(key),
+        _ => host.pools.worked(host.clock.now(), key, well),
+    }
     if loss.is_some_and(Loss::is_superseded) {
         host.pools.superseded(host, key.0);
     }
--- a/crates/host/src/failover/driver.rs
+++ b/crates/host/src/failover/driver.rs
@@ -94,10 +94,24 @@
 async fn probe(host: Arc<Host>, service: ServiceId, target: TargetId, control: Arc<Control>) {
     let answer = control.status(&host.settings).await;
     let now = host.clock.now();
+    let suspected = host.failover.with(service, |group| {
+        if let Ok(status) = answer {
+            group.answered(now, target, status);
+        }
+        answer.is_ok() && group.detector.targets()[&target].suspected
+    });
+    let worked = match suspected {
+        Some(true) => control.work(&host.settings).await,
+        _ => Ok(()),
+    };
+    let now = host.clock.now();
     host.failover.with(service, |group| {
         group.probing.remove(&target);
+        if let Err(Failure::Silent | Failure::Failed) = worked {
+            group.detector.worked(now, target, false);
+        }
         match answer {
-            Ok(status) => group.answered(now, target, status),
+            Ok(_) => {}
             Err(Failure::Refused) => group.detector.refused(now, target),
             Err(Failure::Crowded) => group.detector.crowded(target),
             Err(Failure::Failed) => group.detector.worked(now, target, false),
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Work on a target timed out: the next probes try it with work of their own.
+    pub fn suspect(&self, (service, target): Key) {
+        if let Some(group) = self.lock().groups.get_mut(&service) {
+            group.detector.suspect(target);
+        }
+    }
+
     /// What the targets of `service` last said.
     pub fn views(&self, service: ServiceId) -> BTreeMap<TargetId, View> {
         let state = self.lock();
--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -1,14 +1,13 @@
 //! Connections to the targets, and what is known of the targets.
 //!
 //! What the rest of the host needs:
-//! - [`Pools::acquire`] leases a connection to one owner at a time. The owner runs its exchanges
-//!   through [`Lease::exchange`] and ends with [`Lease::release_clean`] when nothing is left on the
-//!   connection; every other end closes it and cancels what runs on it. A lease that is refused
-//!   has sent nothing.
+//! - [`Pools::acquire`] leases a connection to one owner at a time. The owner marks its exchanges
+//!   with [`Lease::start`] and [`Lease::settle`], and ends with [`Lease::release_clean`] when
+//!   nothing is left on the connection; every other end closes it and cancels what runs on it. A
+//!   lease that is refused has sent nothing.
 //! - [`Pools::views`] and [`Pools::primary`] tell what the targets last said of themselves.
-//! - [`Lease::exchange`] reports how it ended as a sign of the target's health. For work that does
-//!   not go through it, [`Pools::worked`] takes the outcome, and [`Pools::superseded`] the news that
-//!   a target is no longer the primary.
+//! - [`Pools::worked`] and [`Pools::timed_out`] take outcomes of work, [`Pools::superseded`] the news that a target is
+//!   no longer the primary.
 //! - [`Pools::lend`], [`Pools::take_back`], [`Pools::wants`] and [`Pools::granted`] are the two
 //!   sides of loans between hosts; [`Pools::vouch`] says how long this host has authority.
 
@@ -77,17 +76,27 @@
 
     /// Work on a target ended, well or by the target's own fault.
     ///
-    /// A timeout, a broken connection and an internal error are the target's fault; an error for
-    /// the statement's sake is not, and counts as well done.
+    /// A broken connection and an internal error are the target's fault; an error for the
+    /// statement's sake is not, and counts as well done.
     pub fn worked(&self, now: Time, key: Key, well: bool) {
         self.failover.worked(now, key, well);
     }
 
+    /// Work on a target timed out, which may be the statement's fault.
+    pub fn timed_out(&self, key: Key) {
+        self.failover.suspect(key);
+    }
+
     /// A target said that it is no longer the primary: looks at the group at once.
     pub fn superseded(&self, host: &Arc<Host>, service: ServiceId) {
         driver::probe_all(host, service);
     }
 
+    /// Connections that this host may hold to a target.
+    pub fn share(&self, key: Key) -> usize {
+        self.inner.with(key, |entry| entry.pool.limit()).unwrap_or(0)
+    }
+
     /// This host has authority over its shares until `until`.
     pub fn vouch(&self, until: Time) {
         *self.vouched_until.lock().expect("no holder of the lock panics") = Some(until);
--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -11,7 +11,7 @@
 use bergamotvale_core::config::Target;
 use bergamotvale_core::fair::{Order, Queue, Waiter};
 use bergamotvale_core::id::{AccountId, RequestId, Time};
-use bergamotvale_core::pool::{Action, ConnectionId, Pool, Refused, Settings};
+use bergamotvale_core::pool::{Action, ConnectionId, Pool, Refused, Settings, State as Stage};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use bergamotvale_core::slot::{self, Ledger};
 use std::collections::BTreeMap;
@@ -98,6 +98,23 @@
         }
     }
 
+    /// Drops the idle connections that the other end has closed.
+    pub(crate) fn drop_closed(&mut self, now: Time) -> Vec<Action> {
+        let closed: Vec<ConnectionId> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.is_dirty())
+            .map(|(id, _)| *id)
+            .filter(|id| matches!(self.pool.state(*id), Some(Stage::Idle { .. })))
+            .collect();
+        let mut actions = Vec::new();
+        for id in closed {
+            self.connections.remove(&id);
+            actions.extend(self.pool.lost(now, id));
+        }
+        actions
+    }
+
     /// Lets the pool hold what the ledger allows now.
     pub(crate) fn apply_share(&mut self, now: Time) -> Vec<Action> {
         let usable = self.ledger.usable(now) as usize;
@@ -128,7 +145,9 @@
         entry.waiting.insert(request, sender);
         let now = host.clock.now();
         let waiter = Waiter { request, account, weight, deadline };
-        (request, entry.pool.acquire(now, waiter))
+        let mut actions = entry.drop_closed(now);
+        actions.extend(entry.pool.acquire(now, waiter));
+        (request, actions)
     };
     perform(host, key, actions);
     let _place = Place { host: host.clone(), key, request };
--- a/crates/host/src/target/probe.rs
+++ b/crates/host/src/target/probe.rs
@@ -20,6 +20,7 @@
 use tokio_postgres::types::{ToSql, Type};
 
 const STATUS: &str = "SELECT * FROM group_status()";
+const WORK: &str = "SELECT 1 + 1 AS work";
 const FENCE: &str = "SELECT * FROM group_fence($1, $2)";
 const PROMOTE: &str = "SELECT * FROM group_promote($1, $2)";
 const HOLD: &str = "SELECT * FROM group_hold($1)";
@@ -60,6 +61,11 @@
         status(&row).map_err(|_| Failure::Failed)
     }
 
+    /// Gives the target a trifle of work, which one that fails its work does not get done.
+    pub async fn work(&self, settings: &Settings) -> std::result::Result<(), Failure> {
+        self.exchange(settings, WORK, &[]).await.map(drop)
+    }
+
     /// Asks the target for a term.
     pub async fn fence(
         &self,
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -82,7 +82,8 @@
     let now = host.clock.now();
     let actions = host.pools.inner.with(key, |entry| {
         entry.pool.set_warm(WARM);
-        let mut actions = entry.apply_share(now);
+        let mut actions = entry.drop_closed(now);
+        actions.extend(entry.apply_share(now));
         actions.extend(entry.pool.tick(now));
         actions
     });
--- a/crates/host/tests/failover/mod.rs
+++ b/crates/host/tests/failover/mod.rs
@@ -1,137 +1,113 @@
-//! A fleet whose hosts hear each other, and a caller that writes all the time.
+//! A fleet, and callers that write all the time.
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses the part that it needs")]
 
-use crate::support::{Fleet, KEY, PATIENCE, SERVICE, fleet_with};
-use bergamotvale_core::id::HostId;
+use crate::common::{Fixture, Host, KEY, PATIENCE, SERVICE};
 use bergamotvale_host::settings::Settings;
-use bergamotvale_host::shared::Host;
+use bergamotvale_standin::group::{Options, Value as Cell};
+use futures::future::join_all;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
-use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
 /// Hosts of a fleet.
 pub const HOSTS: u32 = 4;
-/// Time between two heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(250);
-/// Time that the caller waits for one answer.
+/// Connections to each target that every host has in the end.
+const SHARE: usize = 4;
+/// Time that a caller lets the host try.
 const TIMEOUT: &str = "1s";
 /// Time after which the caller gives up by itself.
-const GIVE_UP: Duration = Duration::from_secs(2);
-const WRITERS: usize = 4;
-
-/// A fleet whose hosts know each other and exchange opinions.
-pub struct Watched {
-    pub fleet: Fleet,
-    tasks: JoinSet<()>,
+const GIVE_UP: Duration = Duration::from_secs(3);
+/// Time between two writes of the callers together.
+const PERIOD: Duration = Duration::from_millis(5);
+
+/// A fleet that serves.
+pub struct Fleet {
+    pub fixture: Fixture,
+    pub hosts: Vec<Host>,
 }
 
-/// Starts a fleet that serves writes.
-pub async fn watched() -> Watched {
-    watched_with(|_| {}).await
+/// Starts a fleet of hosts that know each other.
+pub async fn fleet() -> Fleet {
+    fleet_with(Options::default(), |_| ()).await
 }
 
-/// The same with changed settings.
-pub async fn watched_with(change: impl Fn(&mut Settings)) -> Watched {
-    let fleet = fleet_with(HOSTS, change).await;
-    let hosts: Vec<Arc<Host>> = fleet.daemons.iter().map(|d| d.host.clone()).collect();
-    let domain = |host: &Arc<Host>| (host.settings.host, host.settings.failure_domain);
-    let members: BTreeMap<HostId, u16> = hosts.iter().map(domain).collect();
-    let mut tasks = JoinSet::new();
-    for host in &hosts {
-        host.failover.set_members(members.clone());
-        tasks.spawn(gossip(host.clone(), hosts.clone()));
-    }
-    let watched = Watched { fleet, tasks };
-    for host in &hosts {
-        until("a primary is known and has connections", || async {
-            let now = host.clock.now();
-            let deadline = now + Duration::from_millis(200);
-            let Some(primary) = host.pools.primary(1) else { return false };
-            host.pools.acquire(host, (1, primary), 1, deadline).await.is_ok()
-        })
-        .await;
-    }
-    watched
-}
-
-/// Tells the other hosts what `host` holds against primaries: in time and at once.
-async fn gossip(host: Arc<Host>, peers: Vec<Arc<Host>>) {
-    loop {
-        let opinions = host.failover.opinions(host.clock.now());
-        for peer in peers.iter().filter(|peer| peer.settings.host != host.settings.host) {
-            peer.failover.heard(peer.clock.now(), host.settings.host, &opinions);
-        }
-        tokio::select! {
-            () = tokio::time::sleep(HEARTBEAT) => {}
-            () = host.failover.changed() => {}
-        }
-    }
+/// The same with another group and changed settings.
+pub async fn fleet_with(options: Options, change: fn(&mut Settings)) -> Fleet {
+    let fixture = Fixture::with_options(options).await;
+    let mut hosts = vec![fixture.host_with(1, change).await];
+    hosts.extend(join_all((2..=HOSTS).map(|id| fixture.host_with(id, change))).await);
+    let fleet = Fleet { fixture, hosts };
+    let all = |host: &Host| host.daemon.host.failover.members().len() == HOSTS as usize;
+    until("all hosts know each other", || fleet.hosts.iter().all(all)).await;
+    let shares =
+        |host: &Host| (0..3).all(|id| host.daemon.host.pools.share((SERVICE, id)) >= SHARE);
+    until("all hosts have their shares", || fleet.hosts.iter().all(shares)).await;
+    fleet
 }
 
 /// Waits until `holds`.
-pub async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
     let start = Instant::now();
-    while !holds().await {
+    while !holds() {
         assert!(start.elapsed() < PATIENCE, "never: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
 
-impl Watched {
+impl Fleet {
     /// Number of the target that the hosts take for the primary, once they all agree.
     pub async fn primary(&self) -> usize {
         let agreed = || {
-            let mut seen = self.fleet.daemons.iter().map(|d| d.host.pools.primary(1));
+            let mut seen = self.hosts.iter().map(|h| h.daemon.host.pools.primary(SERVICE));
             let first = seen.next().flatten()?;
-            seen.all(|other| other == Some(first)).then_some(usize::from(first))
+            let agree = seen.all(|other| other == Some(first));
+            let leads = self.fixture.group.target(usize::from(first)).leads();
+            (agree && leads).then_some(usize::from(first))
         };
-        until("all hosts know one primary", || async {
-            agreed().is_some_and(|primary| self.fleet.group.target(primary).leads())
-        })
-        .await;
+        until("all hosts know one primary", || agreed().is_some()).await;
         agreed().expect("they agree")
     }
 
     /// Promotions that the hosts have carried out.
     pub fn promotions(&self) -> i64 {
-        let counters = self.fleet.daemons.iter().map(|d| d.host.metric.snapshot().counters);
-        counters.filter_map(|c| c.get("failover.promotions").copied()).sum()
+        self.hosts.iter().map(|host| host.counter("failover.promotions")).sum()
     }
 
-    /// Stops all hosts.
-    pub async fn stop(mut self) {
-        self.tasks.shutdown().await;
-        // Kept-alive connections of the callers would hold the hosts up.
-        self.fleet.http = reqwest::Client::new();
-        self.fleet.stop().await;
+    /// Waits until every target has accepted the same term.
+    pub async fn settled(&self) {
+        let terms = || {
+            let targets = self.fixture.group.targets().iter();
+            targets.map(|target| target.accepted_term()).collect::<BTreeSet<_>>()
+        };
+        until("all targets follow one term", || terms().len() == 1).await;
     }
 
     /// Starts callers that write one row after the other, on all hosts in turn.
     pub fn writers(&self) -> Writers {
-        let hosts: Vec<SocketAddr> = (0..HOSTS as usize).map(|n| self.fleet.callers(n)).collect();
+        let hosts: Vec<SocketAddr> = self.hosts.iter().map(|host| host.address).collect();
         let log = Arc::new(Mutex::new(Log::default()));
         let mut tasks = JoinSet::new();
-        for writer in 0..WRITERS {
-            tasks.spawn(write(writer, hosts.clone(), self.fleet.http.clone(), log.clone()));
-        }
+        tasks.spawn(write_all(hosts, self.fixture.http.clone(), log.clone()));
         Writers { log, tasks }
     }
 
     /// Rows that the present primary holds.
-    pub async fn stored(&self) -> BTreeSet<String> {
+    pub async fn stored(&self) -> BTreeSet<i64> {
         let primary = self.primary().await;
-        let rows = self.fleet.group.target(primary).rows("SELECT id FROM bolts");
-        let rows = rows.expect("the primary has the table").into_iter().flatten();
-        rows.map(|value| match value {
-            bergamotvale_standin::group::Value::Text(text) => text,
-            other => panic!("{other:?} is no id"),
-        })
-        .collect()
+        let rows = self.fixture.group.target(primary).rows("SELECT id FROM bolts");
+        let cells = rows.expect("the primary has the table").into_iter().flatten();
+        cells.map(id).collect()
+    }
+}
+
+fn id(cell: Cell) -> i64 {
+    match cell {
+        Cell::Integer(id) => id,
+        other => panic!("{other:?} is no id"),
     }
 }
 
@@ -139,11 +115,11 @@
 #[derive(Default)]
 pub struct Log {
     /// Acknowledged ones, with the time of the answer.
-    pub acknowledged: Vec<(Instant, String)>,
+    pub acknowledged: Vec<(Instant, i64)>,
     /// Refused ones, by reason and whether they ran.
     pub refused: BTreeMap<String, u32>,
     /// Ids of writes that were refused as not run.
-    pub not_run: BTreeSet<String>,
+    pub not_run: BTreeSet<i64>,
 }
 
 /// Callers that write.
@@ -156,19 +132,11 @@
     /// Waits until `count` more writes have been acknowledged.
     pub async fn progress(&self, count: usize) {
         let before = self.lock().acknowledged.len();
-        until("writes are acknowledged", || async {
-            self.lock().acknowledged.len() >= before + count
-        })
-        .await;
-    }
-
-    /// Time from the last acknowledged write before `fault` to the first after it.
-    pub fn gap(&self, fault: Instant) -> Option<Duration> {
-        let log = self.lock();
-        let times = || log.acknowledged.iter().map(|(at, _)| *at);
-        let last = times().filter(|at| *at <= fault).max()?;
-        let first = times().filter(|at| *at > fault + SETTLED).min()?;
-        Some(first - last)
+        let start = Instant::now();
+        while self.lock().acknowledged.len() < before + count {
+            assert!(start.elapsed() < PATIENCE, "writes are refused: {:?}", self.lock().refused);
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
     }
 
     /// The longest time without an acknowledged write.
@@ -185,49 +153,49 @@
         std::mem::take(&mut *self.lock())
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Log> {
+    fn lock(&self) -> MutexGuard<'_, Log> {
         self.log.lock().expect("no writer panics")
     }
 }
 
-/// Time after a fault in which answers of before may still arrive.
-const SETTLED: Duration = Duration::from_millis(20);
-
-async fn write(writer: usize, hosts: Vec<SocketAddr>, http: reqwest::Client, log: Arc<Mutex<Log>>) {
-    for number in 0.. {
-        let host = hosts[(writer + number) % hosts.len()];
-        let id = format!("{writer}-{number}");
-        let body = json!({"sql": "INSERT INTO bolts (id, lot) VALUES ($1, $2)", "params": [id, 7]});
-        let url = format!("http://{host}/v1/services/{SERVICE}/write");
-        let request = http.post(url).json(&body).bearer_auth(KEY).timeout(GIVE_UP);
-        let answer = request.header("bergamotvale-timeout", TIMEOUT).send().await;
-        let at = Instant::now();
-        let (status, body) = match answer {
-            Ok(response) => {
-                let status = response.status().as_u16();
-                (status, response.json().await.unwrap_or(json!({})))
-            }
-            Err(_) => (0, json!({})),
-        };
-        let taken = log.lock().expect("no writer panics").note(at, id, status, &body);
-        if !taken {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
+/// Sends a write every [`PERIOD`], whatever became of those before.
+async fn write_all(hosts: Vec<SocketAddr>, http: reqwest::Client, log: Arc<Mutex<Log>>) {
+    let mut ticks = tokio::time::interval(PERIOD);
+    let mut writes = JoinSet::new();
+    for id in 0.. {
+        ticks.tick().await;
+        let host = hosts[id as usize % hosts.len()];
+        writes.spawn(write(id, host, http.clone(), log.clone()));
+        while writes.try_join_next().is_some() {}
     }
 }
 
+async fn write(id: i64, host: SocketAddr, http: reqwest::Client, log: Arc<Mutex<Log>>) {
+    let body = json!({"sql": "INSERT INTO bolts (id, metres) VALUES ($1, 7)", "params": [id]});
+    let request = http.post(format!("http://{host}/v1/services/mill/write")).json(&body);
+    let request = request.bearer_auth(KEY).timeout(GIVE_UP);
+    let answer = request.header("bergamotvale-timeout", TIMEOUT).send().await;
+    let at = Instant::now();
+    let (status, body) = match answer {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            (status, response.json().await.unwrap_or(json!({})))
+        }
+        Err(_) => (0, json!({})),
+    };
+    log.lock().expect("no writer panics").note(at, id, status, &body);
+}
+
 impl Log {
-    /// Notes one answer; says whether the write was acknowledged.
-    fn note(&mut self, at: Instant, id: String, status: u16, body: &Value) -> bool {
+    /// Notes one answer.
+    fn note(&mut self, at: Instant, id: i64, status: u16, body: &Value) {
         if status == 200 {
-            self.acknowledged.push((at, id));
-            return true;
+            return self.acknowledged.push((at, id));
         }
         let text = |name: &str| body[name].as_str().unwrap_or("none").to_owned();
         *self.refused.entry(format!("{}/{}", text("reason"), text("ran"))).or_default() += 1;
         if text("ran") == "no" {
             self.not_run.insert(id);
         }
-        false
     }
 }
--- a/crates/host/tests/failover_promotion.rs
+++ b/crates/host/tests/failover_promotion.rs
@@ -1,179 +1,215 @@
 //! Failovers of real connections: hosts, a database group and callers that write.
 
+mod common;
 mod failover;
-mod support;
 
-use failover::{Watched, Writers, until, watched};
+use bergamotvale_host::failover::planned;
+use common::SERVICE;
+use failover::{Fleet, Log, Writers, fleet, until};
 use std::time::{Duration, Instant};
 
 /// Longest time without a write that any fault may cause.
 const CEILING: Duration = Duration::from_secs(7);
 
 /// What must hold after every fault: no acknowledged write lost, no false "not run".
-async fn verify(watched: Watched, writers: Writers) {
+async fn verify(fleet: &Fleet, writers: Writers) -> Log {
     let longest = writers.longest_gap();
     let log = writers.end().await;
-    let stored = watched.stored().await;
+    let stored = fleet.stored().await;
 
+    println!("longest gap {longest:?}, refused {:?}", log.refused);
     let lost: Vec<_> = log.acknowledged.iter().filter(|(_, id)| !stored.contains(id)).collect();
     assert!(lost.is_empty(), "lost {lost:?}");
     let false_not_run: Vec<_> = log.not_run.intersection(&stored).collect();
     assert!(false_not_run.is_empty(), "ran all the same: {false_not_run:?}");
     assert!(longest < CEILING, "no write for {longest:?}: {:?}", log.refused);
-    println!("longest gap {longest:?}, refused {:?}", log.refused);
-    watched.stop().await;
+    log
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_primary() {
-    let watched = watched().await;
-    let writers = watched.writers();
-    writers.progress(20).await;
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
 
-    watched.fleet.group.target(0).kill();
-    writers.progress(20).await;
+    fleet.fixture.group.target(0).kill();
+    writers.progress(100).await;
 
-    assert_ne!(watched.primary().await, 0);
-    assert!(watched.promotions() >= 1);
-    verify(watched, writers).await;
+    assert_ne!(fleet.primary().await, 0);
+    assert!(fleet.promotions() >= 1);
+    verify(&fleet, writers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn primary_cut_off_from_all() {
-    let watched = watched().await;
-    let writers = watched.writers();
-    writers.progress(20).await;
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
 
-    let primary = watched.fleet.group.target(0);
+    let primary = fleet.fixture.group.target(0);
     primary.partition(&[1, 2]);
     primary.cut_callers(true);
-    writers.progress(20).await;
+    writers.progress(100).await;
     primary.heal();
     primary.cut_callers(false);
-    until("the old primary follows", || async {
-        let views = watched.fleet.daemons[0].host.pools.views(1);
-        views[&0].status.accepted_term > 1 && !watched.fleet.group.target(0).leads()
-    })
-    .await;
+    fleet.settled().await;
 
-    verify(watched, writers).await;
+    assert!(!primary.leads());
+    verify(&fleet, writers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn primary_partitioned_with_one_replica() {
-    let watched = watched().await;
-    let writers = watched.writers();
-    writers.progress(20).await;
+async fn replica_cut_off() {
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
+
+    // The primary keeps replica 1 and so its majority.
+    fleet.fixture.group.target(2).partition(&[0, 1]);
+    writers.progress(800).await;
+
+    assert_eq!(fleet.promotions(), 0);
+    assert_eq!(fleet.primary().await, 0);
+    verify(&fleet, writers).await;
+}
 
-    // The primary keeps replica 1 and so its majority; replica 2 is alone.
-    watched.fleet.group.target(2).partition(&[0, 1]);
-    writers.progress(200).await;
+#[tokio::test(flavor = "multi_thread")]
+async fn primary_cut_off_from_its_replicas_only() {
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
+
+    fleet.fixture.group.target(0).partition(&[1, 2]);
+    writers.progress(100).await;
 
-    assert_eq!(watched.promotions(), 0);
-    assert_eq!(watched.primary().await, 0);
-    verify(watched, writers).await;
+    assert_ne!(fleet.primary().await, 0);
+    verify(&fleet, writers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn primary_cut_off_from_its_replicas_only() {
-    let watched = watched().await;
-    let writers = watched.writers();
-    writers.progress(20).await;
+async fn poisoned_primary() {
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
 
-    watched.fleet.group.target(0).partition(&[1, 2]);
-    writers.progress(20).await;
+    fleet.fixture.group.target(0).poison(true);
+    writers.progress(100).await;
 
-    assert_ne!(watched.primary().await, 0);
-    verify(watched, writers).await;
+    assert_ne!(fleet.primary().await, 0);
+    verify(&fleet, writers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn store_down_during_promotion() {
-    let watched = watched().await;
-    let writers = watched.writers();
-    writers.progress(20).await;
-
-    let down = |fault: &mut bergamotvale_standin::platform::Fault| fault.hang = true;
-    watched.fleet.platform.faults().set(down).expect("the platform hangs");
-    watched.fleet.group.target(0).kill();
-    writers.progress(20).await;
-
-    assert_ne!(watched.primary().await, 0);
-    verify(watched, writers).await;
+async fn store_silent_during_promotion() {
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
+
+    let hang = |fault: &mut bergamotvale_standin::platform::Fault| fault.hang = true;
+    fleet.fixture.platform.faults().set(hang).expect("the platform hangs");
+    fleet.fixture.group.target(0).kill();
+    writers.progress(100).await;
+
+    assert_ne!(fleet.primary().await, 0);
+    verify(&fleet, writers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn replica_rebuilt_before_the_primary_dies() {
-    let watched = watched().await;
-    let writers = watched.writers();
-    writers.progress(20).await;
-
-    watched.fleet.group.target(1).rebuild();
-    until("the rebuilt target votes again", || async {
-        let views = watched.fleet.daemons[0].host.pools.views(1);
-        let status = views[&1].status;
-        status.role == bergamotvale_host::target::Role::Replica && status.entry.index > 20
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
+
+    let rebuilt = fleet.fixture.group.target(1);
+    rebuilt.rebuild();
+    until("the rebuilt target has caught up", || {
+        let view = fleet.hosts[0].daemon.host.pools.views(SERVICE)[&1];
+        let replica = view.status.role == bergamotvale_host::target::Role::Replica;
+        replica && rebuilt.log().len() > 100
     })
     .await;
-    watched.fleet.group.target(0).kill();
-    writers.progress(20).await;
+    fleet.fixture.group.target(0).kill();
+    writers.progress(100).await;
 
-    assert_ne!(watched.primary().await, 0);
-    verify(watched, writers).await;
+    assert_ne!(fleet.primary().await, 0);
+    verify(&fleet, writers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn target_restarts_faster_than_the_probe() {
-    let watched = watched().await;
-    let writers = watched.writers();
-    writers.progress(20).await;
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
 
-    let primary = watched.fleet.group.target(0);
+    let primary = fleet.fixture.group.target(0);
     primary.kill();
     primary.restart().expect("the address is still there");
-    writers.progress(40).await;
+    writers.progress(100).await;
 
-    verify(watched, writers).await;
+    verify(&fleet, writers).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_second_pauses_promote_nobody() {
-    let watched = watched().await;
-    let writers = watched.writers();
-    writers.progress(20).await;
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
 
     for _ in 0..3 {
-        let primary = watched.fleet.group.target(0);
+        let primary = fleet.fixture.group.target(0);
         primary.pause();
         tokio::time::sleep(Duration::from_secs(1)).await;
         primary.resume();
-        writers.progress(20).await;
+        writers.progress(100).await;
     }
 
-    assert_eq!(watched.promotions(), 0);
-    assert_eq!(watched.primary().await, 0);
-    verify(watched, writers).await;
+    assert_eq!(fleet.promotions(), 0);
+    assert_eq!(fleet.primary().await, 0);
+    verify(&fleet, writers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_statements_promote_nobody() {
+    let fleet = fleet().await;
+
+    for _ in 0..6 {
+        let slow = fleet.hosts[0].write("SELECT pg_sleep(5)");
+        slow.with_header("bergamotvale-timeout", "600ms").send().await;
+    }
+
+    assert_eq!(fleet.promotions(), 0);
+    assert_eq!(fleet.primary().await, 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn failovers_one_after_the_other() {
-    let watched = watched().await;
-    let writers = watched.writers();
+    let fleet = fleet().await;
+    let writers = fleet.writers();
     for _ in 0..3 {
-        writers.progress(20).await;
-        let fault = Instant::now();
-        let primary = watched.primary().await;
-        watched.fleet.group.target(primary).kill();
-        writers.progress(20).await;
-        println!("gap {:?}", writers.gap(fault));
-        watched.fleet.group.target(primary).restart().expect("the address is still there");
-        until("it follows", || async {
-            let views = watched.fleet.daemons[0].host.pools.views(1);
-            let accepted = views.values().map(|view| view.status.accepted_term);
-            accepted.clone().max() == accepted.min()
-        })
-        .await;
+        writers.progress(100).await;
+        let primary = fleet.fixture.group.target(fleet.primary().await);
+        primary.kill();
+        writers.progress(100).await;
+        primary.restart().expect("the address is still there");
+        fleet.settled().await;
     }
 
-    verify(watched, writers).await;
+    verify(&fleet, writers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_promotion_loses_no_request() {
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    writers.progress(100).await;
+
+    let start = Instant::now();
+    let moved = planned::promote(&fleet.hosts[2].daemon.host, SERVICE, 2).await;
+    println!("planned promotion took {:?}", start.elapsed());
+    writers.progress(200).await;
+
+    assert_eq!(moved, Ok(2));
+    assert_eq!(fleet.primary().await, 2);
+    let log = verify(&fleet, writers).await;
+    assert_eq!(log.refused, Default::default());
 }
