--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -1,13 +1,10 @@
 //! Runs one host: binds its listeners, starts its tasks, stops them in order.
 
 use crate::error::Result;
-use crate::failover;
 use crate::fleet::{beat, follow, loan, upkeep};
-use crate::front;
-use crate::peer;
 use crate::settings::Settings;
 use crate::shared::Host;
-use crate::target;
+use crate::{exec, failover, front, peer, target};
 use bergamotvale_core::id::Time;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -46,6 +43,7 @@
         tasks.spawn(loan::slots(host.clone()));
         let limited = host.clone();
         tasks.spawn(async move { limited.limiter.run().await });
+        tasks.spawn(exec::transaction::run(host.clone()));
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
         Ok(Daemon { host, front, tasks })
     }
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -18,7 +18,6 @@
 use bergamotvale_core::config::Document;
 use bergamotvale_core::distribute::{Replica, Row, Spread};
 use bergamotvale_core::id::{Epoch, HostId, Incarnation, Time, Version};
-use bergamotvale_core::key;
 use bergamotvale_core::member::{self, Failure, View};
 use bergamotvale_core::peer::{Heartbeat, Member, Update};
 use bergamotvale_core::upkeep::{Duty, duty};
@@ -233,14 +232,6 @@
         self.fleet.held(self.clock.now())
     }
 
-    /// Whether the key still works and this host may say so; to be asked right before any byte of
-    /// a request leaves for a target.
-    pub fn key_stands(&self, id: bergamotvale_core::id::KeyId) -> bool {
-        let ignored =
-            self.settings.policy.defects.contains(&crate::settings::Defect::IgnoreWithdrawal);
-        ignored || (self.authority() && key::active(&self.document(), id))
-    }
-
     /// This host's heartbeat.
     pub fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
--- a/crates/host/src/peer/server.rs
+++ b/crates/host/src/peer/server.rs
@@ -1,11 +1,11 @@
 //! What this host does for its peers.
 
+use crate::exec;
 use crate::shared::Host;
 use bergamotvale_core::id::{Epoch, Version};
 use bergamotvale_core::peer::{
     Announcement, Forward, Heartbeat, Outcome, SlotRequest, TokenRequest, Update,
 };
-use bergamotvale_core::refusal::{Reason, Refusal};
 use bergamotvale_wire::peer::{self, Peer};
 use futures::StreamExt;
 use std::sync::Arc;
@@ -83,8 +83,6 @@
     }
 
     async fn forward(self, _: Context, forward: Forward) -> Outcome {
-        log::debug!("transaction {} is not here", forward.transaction);
-        let refusal = Refusal::new(Reason::TransactionLost, "no such transaction on this host");
-        Outcome::new(Err(refusal))
+        exec::forward::serve(&self.host, forward).await
     }
 }
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -160,17 +160,6 @@
         let puts = vec![Put { key: CONFIG_ROW.into(), value }];
         self.transact(&Transaction { checks, puts, deletes: Vec::new() }).await
     }
-
-    /// The configuration in force, if there is one newer than `known`.
-    pub async fn document(&self, known: Version) -> Result<Option<Document>> {
-        let Some(row) = self.row(CONFIG_ROW).await? else { return Ok(None) };
-        let Ok(current) = serde_json::from_value::<Current>(row.value) else { return Ok(None) };
-        if current.version <= known {
-            return Ok(None);
-        }
-        let body = self.object(&current.digest).await?;
-        Ok(serde_json::from_slice(&body).ok())
-    }
 }
 
 /// Whether a write that failed with `error` may have taken effect all the same.
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::error::Result;
+use crate::exec;
 use crate::failover::Failover;
 use crate::fleet::Fleet;
 use crate::limit::Limiter;
@@ -41,6 +42,8 @@
     pub failover: Arc<Failover>,
     /// Connections to the targets, and what is known of them.
     pub pools: Pools,
+    /// What the requests share.
+    pub data: exec::State,
     /// The configuration in force here.
     pub document: watch::Sender<Arc<Document>>,
     /// Whether the host is stopping.
@@ -63,6 +66,7 @@
             clock,
             limiter,
             asks: Mutex::new(Some(asks)),
+            data: exec::State::new(&settings, incarnation),
             metric,
             platform,
             pools: Pools::new(failover.clone()),
