Operators' listener, plans and their runner, graceful leave

Every call is authenticated against the settings' digests and logged with its operator. A plan is confirmed by one transaction over its row and the configuration's row. Steps are idempotent; a host takes a plan over once its runner is no member and one lifetime of authority has passed. Requests are refused as authority_lapsed before the key is looked at when the host may not act.

--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -194,6 +194,8 @@
     pub runner: Option<Runner>,
     /// Key to issue.
     pub issued: Option<Issued>,
+    /// Random number of the confirmation, by which a lost answer is told from another's.
+    pub confirmation: u64,
 }
 
 /// Why there is no plan for an intent.
@@ -243,7 +245,7 @@
         version: Version,
         operator: &str,
         runner: Runner,
-        issued: Option<Issued>,
+        confirmation: u64,
     ) -> Result<Record, Refusal> {
         if self.plan.state != State::Proposed {
             return Err(Refusal::Confirmed);
@@ -255,10 +257,16 @@
         next.plan.state = State::Confirmed;
         next.plan.confirmed_by = Some(operator.to_owned());
         next.runner = Some(runner);
-        next.issued = issued;
+        next.confirmation = confirmation;
         Ok(next)
     }
 
+    /// The record with the key that it is to issue.
+    pub fn with_issued(mut self, issued: Issued) -> Record {
+        self.issued = Some(issued);
+        self
+    }
+
     /// Whether a confirmation has to make a key.
     pub fn issues_key(&self) -> bool {
         self.operations.iter().any(|operation| matches!(operation, Operation::IssueKey(_)))
--- a/crates/core/src/plan/outline.rs
+++ b/crates/core/src/plan/outline.rs
@@ -23,7 +23,14 @@
     };
     let version = document.version;
     let plan = Plan { id, version, intent, state: State::Proposed, steps, confirmed_by: None };
-    Ok(Record { plan, operations, base: row.digest.clone(), runner: None, issued: None })
+    Ok(Record {
+        plan,
+        operations,
+        base: row.digest.clone(),
+        runner: None,
+        issued: None,
+        confirmation: 0,
+    })
 }
 
 type Steps = (Vec<Step>, Vec<Operation>);
--- /dev/null
+++ b/crates/host/src/admin/status.rs
@@ -0,0 +1,118 @@
+//! What a host tells operators of itself and of what it sees.
+
+use crate::shared::Host;
+use bergamotvale_core::config::Service;
+use bergamotvale_core::id::{ServiceId, TargetId, Time};
+use serde_json::{Value, json};
+
+/// Probe periods without an answer after which a target is shown as not healthy.
+const MISSED_PROBES: u32 = 4;
+
+pub(super) fn status(host: &Host) -> Value {
+    let now = host.clock.now();
+    let document = host.document();
+    let standing = host.fleet.standing(now);
+    let row = host.fleet.row();
+    let (_, in_force) = host.fleet.in_force(now);
+    let services = document.services.iter();
+    json!({
+        "host": host.settings.host,
+        "incarnation": host.incarnation,
+        "version": row.version,
+        "epoch": row.epoch,
+        "authority": {
+            "held": standing.held,
+            "age_ms": standing.age.map(|age| age.as_millis() as u64),
+            "by": standing.source.map(|source| source.to_string()),
+        },
+        "members": members(host, now),
+        "services": services.map(|(id, service)| show(host, now, *id, service)).collect::<Vec<_>>(),
+        "accounts": accounts(host),
+        "change": { "accepted": row.version, "in_force": in_force },
+    })
+}
+
+/// Counters and gauges, the platform's traffic among them.
+pub(super) fn metrics(host: &Host) -> Value {
+    let mut snapshot = host.metric.snapshot();
+    let traffic = host.platform.traffic();
+    let counts = [
+        ("platform.reads", traffic.reads),
+        ("platform.writes", traffic.writes),
+        ("platform.failures", traffic.failures),
+        ("platform.not_admitted", traffic.refused),
+    ];
+    for (name, count) in counts {
+        snapshot.counters.insert(name.to_owned(), i64::try_from(count).unwrap_or(i64::MAX));
+    }
+    json!(snapshot)
+}
+
+fn members(host: &Host, now: Time) -> Vec<Value> {
+    let members = host.fleet.members(now).into_iter();
+    members
+        .map(|seen| {
+            json!({
+                "host": seen.member.host,
+                "incarnation": seen.member.incarnation,
+                "version": seen.version,
+                "leaving": seen.member.leaving,
+                "last_heard_ms": seen.silence.map(|time| time.as_millis() as u64),
+            })
+        })
+        .collect()
+}
+
+fn show(host: &Host, now: Time, id: ServiceId, service: &Service) -> Value {
+    let primary = host.failover.primary(id);
+    let targets = service.targets.keys().map(|target| show_target(host, now, id, *target, service));
+    json!({
+        "service": id,
+        "name": service.name,
+        "primary": primary.map(|(target, _)| target),
+        "term": primary.map_or(0, |(_, term)| term),
+        "targets": targets.collect::<Vec<_>>(),
+    })
+}
+
+fn show_target(
+    host: &Host,
+    now: Time,
+    id: ServiceId,
+    target: TargetId,
+    service: &Service,
+) -> Value {
+    let views = host.failover.views(id);
+    let view = views.get(&target);
+    let missed = host.settings.policy.probe * MISSED_PROBES;
+    let healthy = view.is_some_and(|view| now.saturating_sub(view.at) <= missed);
+    let targets: Vec<TargetId> = service.targets.keys().copied().collect();
+    let ejected = host.data.ejected(id, &targets, now).contains(&target);
+    json!({
+        "target": target,
+        "role": view.map(|view| format!("{:?}", view.status.role).to_lowercase()),
+        "state": service.targets[&target].state,
+        "healthy": healthy,
+        "age_ms": view.map(|view| view.status.age.as_millis() as u64),
+        "applied": view.map(|view| view.status.applied.to_string()),
+        "ejected": ejected,
+    })
+}
+
+fn accounts(host: &Host) -> Vec<Value> {
+    let document = host.document();
+    let accounts = document.accounts.iter();
+    accounts
+        .map(|(id, account)| {
+            let (held_rate, held_burst) = host.limiter.part(*id);
+            json!({
+                "account": id,
+                "name": account.name,
+                "rate": account.rate,
+                "burst": account.burst,
+                "held_rate": held_rate,
+                "held_burst": held_burst,
+            })
+        })
+        .collect()
+}
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -1,10 +1,10 @@
 //! Runs one host: binds its listeners, starts its tasks, stops them in order.
 
 use crate::error::Result;
-use crate::fleet::{beat, follow, loan, upkeep};
+use crate::fleet::{beat, follow, leave, loan, upkeep};
 use crate::settings::Settings;
 use crate::shared::Host;
-use crate::{exec, failover, front, peer, target};
+use crate::{admin, exec, failover, front, peer, target};
 use bergamotvale_core::id::Time;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -16,6 +16,7 @@
     /// What its tasks share.
     pub host: Arc<Host>,
     front: front::Listener,
+    admin: admin::Listener,
     tasks: JoinSet<()>,
 }
 
@@ -25,11 +26,13 @@
         crate::settings::verify(&settings)?;
         let callers = bind(&mut settings.listen.callers)?;
         let peers = bind(&mut settings.listen.peers)?;
+        let operators = bind(&mut settings.listen.operators)?;
         let host = Arc::new(Host::new(settings)?);
         // Shares are for recorded members only; this host is none yet.
         host.pools.vouch(Time::ZERO);
         host.failover.set_members(BTreeMap::new());
         let front = front::start(host.clone(), callers)?;
+        let admin = admin::start(host.clone(), operators)?;
         let mut tasks = JoinSet::new();
         tasks.spawn(failover::driver::run(host.clone()));
         tasks.spawn(target::share::run(host.clone()));
@@ -39,19 +42,35 @@
         tasks.spawn(follow::list(host.clone()));
         tasks.spawn(beat::run(host.clone()));
         tasks.spawn(upkeep::run(host.clone()));
+        tasks.spawn(admin::runner::watch(host.clone()));
         tasks.spawn(loan::tokens(host.clone()));
         tasks.spawn(loan::slots(host.clone()));
         let limited = host.clone();
         tasks.spawn(async move { limited.limiter.run().await });
         tasks.spawn(exec::transaction::run(host.clone()));
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
-        Ok(Daemon { host, front, tasks })
+        Ok(Daemon { host, front, admin, tasks })
     }
 
-    /// Takes no new work, finishes what runs, then ends.
+    /// Waits until the host is told to leave the fleet.
+    pub async fn told_to_leave(&self) {
+        let mut leaving = self.host.leaving.subscribe();
+        // The sender lives as long as the host.
+        drop(leaving.wait_for(|leaving| *leaving).await);
+    }
+
+    /// Leaves the platform's list, serves on until others have seen that, then takes no new work,
+    /// finishes what runs, hands its shares over and ends.
     pub async fn stop(mut self) {
-        self.host.stopping.send_replace(true);
+        let host = self.host.clone();
+        leave::announce(&host).await;
+        tokio::time::sleep(host.settings.timeouts.linger).await;
+        host.stopping.send_replace(true);
+        let timeout = host.settings.timeouts.stop;
+        leave::finish(&host, timeout).await;
         self.front.stop().await;
+        leave::hand_over(&host).await;
+        self.admin.stop().await;
         self.tasks.shutdown().await;
     }
 }
--- a/crates/host/src/exec/permit.rs
+++ b/crates/host/src/exec/permit.rs
@@ -43,10 +43,7 @@
 
 /// Says whether `caller` may use `service` now.
 pub fn verify(host: &Host, caller: &Caller, service: ServiceId) -> Result<(), Refusal> {
-    if !host.authority() {
-        let detail = "this host's copy of keys and rates is too old to act on";
-        return Err(Refusal::new(Reason::AuthorityLapsed, detail).with_retry_after(LAPSE_RETRY));
-    }
+    authority(host)?;
     let document = host.document();
     match caller {
         Caller::Key(identity) if !auth::stands(&document, *identity) => {
@@ -64,3 +61,12 @@
     }
     Ok(())
 }
+
+/// Says whether this host may act on its copy of the shared state now.
+pub fn authority(host: &Host) -> Result<(), Refusal> {
+    if host.authority() {
+        return Ok(());
+    }
+    let detail = "this host's copy of keys and rates is too old to act on";
+    Err(Refusal::new(Reason::AuthorityLapsed, detail).with_retry_after(LAPSE_RETRY))
+}
--- a/crates/host/src/fleet/follow.rs
+++ b/crates/host/src/fleet/follow.rs
@@ -75,8 +75,10 @@
 }
 
 async fn exchange(host: &Host) -> Result<()> {
-    let entry = Listed::new(&host.fleet.own(), host.settings.listen.callers);
-    host.platform.put_host(&entry).await?;
+    let own = host.fleet.own();
+    if !own.leaving {
+        host.platform.put_host(&Listed::new(&own, host.settings.listen.callers)).await?;
+    }
     let hosts = host.platform.hosts().await?;
     let members: Vec<_> = hosts.iter().filter_map(Listed::member).collect();
     host.fleet.listed(host.clock.now(), &members);
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod beat;
 pub mod change;
 pub mod follow;
+pub mod leave;
 pub mod loan;
 pub mod push;
 pub mod upkeep;
@@ -290,6 +291,11 @@
             });
             document
         };
+        let own = row.members.get(&self.settings.host);
+        if own.is_some_and(|m| m.leaving && m.incarnation == self.incarnation) {
+            self.fleet.leave();
+            self.leaving.send_replace(true);
+        }
         log::info!("epoch {} with configuration {} in force here", row.epoch, row.version);
         self.divide(&row.members, &document);
         self.fleet.epoch.send_replace(row.epoch);
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -126,7 +126,7 @@
         host.metric.refusal(refusal.reason);
         problem::response(&refusal)
     });
-    if host.is_stopping() {
+    if host.is_stopping() || *host.leaving.borrow() {
         response.headers_mut().insert(CONNECTION, CLOSE);
     }
     response
--- a/crates/host/src/front/request.rs
+++ b/crates/host/src/front/request.rs
@@ -2,7 +2,7 @@
 
 use super::{Context, body};
 use crate::auth::{self, Identity};
-use crate::exec::{Caller, Job};
+use crate::exec::{Caller, Job, permit};
 use crate::shared::Host;
 use bergamotvale_core::id::{ServiceId, Time};
 use bergamotvale_core::refusal::{Reason, Refusal};
@@ -35,6 +35,7 @@
         let detail = format!("headers over {} bytes", host.settings.limits.headers);
         return Err(Refusal::new(Reason::TooLarge, detail));
     }
+    permit::authority(host)?;
     let presented = text(headers, AUTHORIZATION)?.and_then(|v| v.strip_prefix("Bearer "));
     let presented = presented.ok_or_else(|| Refusal::new(Reason::KeyUnknown, "no key"))?;
     let identity = auth::identify(&host.document(), presented)
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`daemon::Daemon`] runs one host; a process may run several, which `bergamotvale try` does.
 //! [`shared::Host`] is what the tasks of one host share.
 
+pub mod admin;
 pub mod auth;
 pub mod clock;
 pub mod daemon;
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -60,11 +60,13 @@
 
 #[tokio::main]
 async fn run(settings: Settings) -> anyhow::Result<()> {
-    let _control = logging::Control::new(&settings.log).context("cannot start logging")?;
+    let control = logging::Control::new(&settings.log).context("cannot start logging")?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let daemon = Daemon::start(settings).await.context("cannot start the host")?;
+    drop(daemon.host.log_control.set(control));
     tokio::select! {
+        () = daemon.told_to_leave() => log::info!("told to leave: stopping"),
         _ = terminate.recv() => log::info!("SIGTERM: stopping"),
         _ = interrupt.recv() => log::info!("SIGINT: stopping"),
     }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::unit::{Size, Span};
 use bergamotvale_core::id::{FailureDomainId, HostId};
+use bergamotvale_core::plan;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
@@ -173,6 +174,12 @@
     /// Finishing what runs while the host stops.
     #[serde_as(as = "Span")]
     pub stop: Duration,
+    /// Serving on after the host left the platform's list, which others see late.
+    #[serde_as(as = "Span")]
+    pub linger: Duration,
+    /// Time for which the old and the new key both work during a rotation.
+    #[serde_as(as = "Span")]
+    pub key_overlap: Duration,
 }
 
 /// How decisions are taken; the defaults are what the project stands for, the others baselines.
@@ -356,6 +363,8 @@
             transaction_total: Duration::from_secs(30),
             peer: Duration::from_millis(500),
             stop: Duration::from_secs(15),
+            linger: Duration::from_secs(2),
+            key_overlap: plan::KEY_OVERLAP,
         }
     }
 }
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::failover::Failover;
 use crate::fleet::Fleet;
 use crate::limit::Limiter;
+use crate::logging;
 use crate::metric::Registry;
 use crate::peer::Peers;
 use crate::platform;
@@ -14,7 +15,7 @@
 use bergamotvale_core::config::Document;
 use bergamotvale_core::id::Incarnation;
 use bergamotvale_core::rate::meter::Ask;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
 
@@ -48,6 +49,10 @@
     pub document: watch::Sender<Arc<Document>>,
     /// Whether the host is stopping.
     pub stopping: watch::Sender<bool>,
+    /// Whether the host was told to leave the fleet, by a signal or by a plan.
+    pub leaving: watch::Sender<bool>,
+    /// Level of the log; none in a process that logs by other means.
+    pub log_control: OnceLock<logging::Control>,
 }
 
 impl Host {
@@ -73,6 +78,8 @@
             failover,
             document: watch::Sender::new(Arc::new(Document::default())),
             stopping: watch::Sender::new(false),
+            leaving: watch::Sender::new(false),
+            log_control: OnceLock::new(),
             settings,
         })
     }
