--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -36,6 +36,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(failover::driver::run(host.clone()));
         tasks.spawn(target::share::run(host.clone()));
+        tasks.spawn(exec::transaction::run(host.clone()));
         peers.set_nonblocking(true)?;
         tasks.spawn(peer::server::run(host.clone(), tokio::net::TcpListener::from_std(peers)?));
         tasks.spawn(follow::run(host.clone()));
@@ -47,7 +48,6 @@
         tasks.spawn(loan::slots(host.clone()));
         let limited = host.clone();
         tasks.spawn(async move { limited.limiter.run().await });
-        tasks.spawn(exec::transaction::run(host.clone()));
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
         Ok(Daemon { host, front, admin, tasks })
     }
--- a/crates/host/src/exec/forward.rs
+++ b/crates/host/src/exec/forward.rs
@@ -28,12 +28,12 @@
     let timeout_there = timeout.saturating_sub(WAY_BACK);
     let forward = Forward { transaction: id, account, step, timeout: timeout_there };
     host.metric.count("transaction.forwarded");
-    let call = |client: PeerClient, context| async move { client.forward(context, forward).await };
+    let call = |peer: PeerClient, context| async move { peer.forward(context, forward).await };
     host.peers.call(owner, timeout, call).await.map_err(|fault| {
         let refusal = Refusal::new(Reason::PeerUnreachable, fault.to_string());
         // Only COMMIT takes effect by itself; without it the owner rolls back in the end.
-        let sent = matches!(fault, Fault::Call(_));
-        refusal.with_ran(if is_commit && sent { Ran::Unknown } else { Ran::No })
+        let may_have_run = is_commit && matches!(fault, Fault::Call(_));
+        refusal.with_ran(if may_have_run { Ran::Unknown } else { Ran::No })
     })
 }
 
--- a/crates/host/src/exec/permit.rs
+++ b/crates/host/src/exec/permit.rs
@@ -3,9 +3,9 @@
 //! Asked when a request arrives and again right before its bytes leave for a target, so that a key
 //! withdrawn in between stops the request.
 
-use crate::auth::{self, Identity};
+use crate::auth::Identity;
 use crate::shared::Host;
-use bergamotvale_core::id::{AccountId, KeyId, ServiceId};
+use bergamotvale_core::id::{AccountId, KeyId, ServiceId, Time};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use std::time::Duration;
 
@@ -41,12 +41,17 @@
     }
 }
 
+/// Waits until the rate of the caller's client account admits one more request.
+pub async fn admit(host: &Host, caller: &Caller, deadline: Time) -> Result<(), Refusal> {
+    host.limiter.admit(caller.account(), deadline).await
+}
+
 /// Says whether `caller` may use `service` now.
 pub fn verify(host: &Host, caller: &Caller, service: ServiceId) -> Result<(), Refusal> {
     authority(host)?;
     let document = host.document();
     match caller {
-        Caller::Key(identity) if !auth::stands(&document, *identity) => {
+        Caller::Key(identity) if !host.key_stands(identity.key) => {
             return Err(Refusal::new(Reason::KeyWithdrawn, "the key was withdrawn"));
         }
         Caller::Open(route, _) if !document.routes.contains_key(route) => {
--- a/crates/host/src/peer/mod.rs
+++ b/crates/host/src/peer/mod.rs
@@ -10,7 +10,7 @@
 use bergamotvale_core::peer::Member;
 use bergamotvale_wire::peer::{self, PeerClient};
 use derive_more::{Display, Error};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -54,6 +54,7 @@
 #[derive(Default)]
 pub struct Peers {
     links: Mutex<BTreeMap<HostId, Link>>,
+    cut: Mutex<BTreeSet<HostId>>,
 }
 
 struct Link {
@@ -85,6 +86,11 @@
         self.lock().retain(|host, _| known(*host));
     }
 
+    /// Loses every call to these peers, as a partition would; for tests.
+    pub fn set_cut(&self, cut: BTreeSet<HostId>) {
+        *self.cut.lock().expect("no holder of the lock panics") = cut;
+    }
+
     /// Calls `host`, at most for `timeout`.
     pub async fn call<T, F, Fut>(
         &self,
@@ -96,6 +102,10 @@
         F: FnOnce(PeerClient, Context) -> Fut,
         Fut: Future<Output = std::result::Result<T, RpcError>>,
     {
+        if self.cut.lock().expect("no holder of the lock panics").contains(&host) {
+            tokio::time::sleep(timeout).await;
+            return Err(Fault::Call(RpcError::DeadlineExceeded));
+        }
         let (client, incarnation) = self.client(host, timeout).await?;
         let answer = call(client, peer::context(timeout)).await;
         self.ended(host, incarnation, answer.as_ref().err());
--- a/crates/host/src/peer/server.rs
+++ b/crates/host/src/peer/server.rs
@@ -1,6 +1,6 @@
 //! What this host does for its peers.
 
-use crate::exec;
+use crate::exec::forward;
 use crate::shared::Host;
 use bergamotvale_core::id::{Epoch, Version};
 use bergamotvale_core::peer::{
@@ -83,6 +83,6 @@
     }
 
     async fn forward(self, _: Context, forward: Forward) -> Outcome {
-        exec::forward::serve(&self.host, forward).await
+        forward::serve(&self.host, forward).await
     }
 }
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -12,8 +12,6 @@
 
 use crate::error::{Error, Result};
 use crate::settings::Settings;
-use bergamotvale_core::config::Document;
-use bergamotvale_core::id::Version;
 use reqwest::StatusCode;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -82,15 +80,6 @@
     Conflict(Vec<Row>),
 }
 
-/// What the row of the configuration says.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Current {
-    /// Version in force.
-    pub version: Version,
-    /// Digest under which the object store has the document.
-    pub digest: String,
-}
-
 #[derive(Deserialize)]
 struct Rows {
     rows: Vec<Row>,
@@ -149,17 +138,6 @@
         let request = self.http.get(format!("{}/objects/{digest}", self.base));
         Ok(self.read(request).await?.bytes().await?.to_vec())
     }
-
-    /// Stores `document` as the first configuration.
-    pub async fn seed(&self, document: &Document) -> Result<Answer> {
-        let body = serde_json::to_vec(document).expect("a document is JSON");
-        let digest = self.put_object(body).await?;
-        let current = Current { version: document.version, digest };
-        let value = serde_json::to_value(current).expect("plain data is JSON");
-        let checks = vec![Check { key: CONFIG_ROW.into(), version: 0 }];
-        let puts = vec![Put { key: CONFIG_ROW.into(), value }];
-        self.transact(&Transaction { checks, puts, deletes: Vec::new() }).await
-    }
 }
 
 /// Whether a write that failed with `error` may have taken effect all the same.
