--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -8,16 +8,17 @@
 pub mod beat;
 pub mod change;
 pub mod follow;
+pub mod leave;
 pub mod loan;
 pub mod push;
 pub mod upkeep;
 
-use crate::settings::Settings;
+use crate::settings::{Defect, Settings};
 use crate::shared::Host;
 use bergamotvale_core::authority::{Holder, Source};
 use bergamotvale_core::config::Document;
 use bergamotvale_core::distribute::{Replica, Row, Spread};
-use bergamotvale_core::id::{Epoch, HostId, Incarnation, Time, Version};
+use bergamotvale_core::id::{Epoch, HostId, Incarnation, KeyId, Time, Version};
 use bergamotvale_core::key;
 use bergamotvale_core::member::{self, Failure, View};
 use bergamotvale_core::peer::{Heartbeat, Member, Update};
@@ -235,9 +236,8 @@
 
     /// Whether the key still works and this host may say so; to be asked right before any byte of
     /// a request leaves for a target.
-    pub fn key_stands(&self, id: bergamotvale_core::id::KeyId) -> bool {
-        let ignored =
-            self.settings.policy.defects.contains(&crate::settings::Defect::IgnoreWithdrawal);
+    pub fn key_stands(&self, id: KeyId) -> bool {
+        let ignored = self.settings.policy.defects.contains(&Defect::IgnoreWithdrawal);
         ignored || (self.authority() && key::active(&self.document(), id))
     }
 
@@ -299,6 +299,11 @@
             });
             document
         };
+        let own = row.members.get(&self.settings.host);
+        if own.is_some_and(|m| m.leaving && m.incarnation == self.incarnation) {
+            self.fleet.leave();
+            self.leaving.send_replace(true);
+        }
         log::info!("epoch {} with configuration {} in force here", row.epoch, row.version);
         self.divide(&row.members, &document);
         self.fleet.epoch.send_replace(row.epoch);
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -169,7 +169,8 @@
     });
     // The framework closes a connection on which a body was left unread.
     let is_unread = !matches!(&*ctx.body_borrow_mut(), RequestBody::None);
-    if host.is_stopping() || is_unread || is_partly_read {
+    let is_leaving = host.is_stopping() || *host.leaving.borrow();
+    if is_leaving || is_unread || is_partly_read {
         response.headers_mut().insert(CONNECTION, CLOSE);
     }
     response
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -257,7 +257,7 @@
     let listen = Listen { callers: free, operators: free, peers: free };
     let mut settings = Settings::new(id, 0, listen, platform);
     settings.policy.seed = 7;
-    settings.timeouts.leave = Duration::ZERO;
+    settings.timeouts.linger = Duration::ZERO;
     settings
 }
 
--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -1,6 +1,5 @@
 //! Faults in the middle of reads, writes and transactions.
 
-#[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
 
 use bergamotvale_host::settings::{Defect, Failover, Settings};
