--- a/crates/core/src/authority.rs
+++ b/crates/core/src/authority.rs
@@ -35,12 +35,14 @@
 pub const VALIDITY: Duration = Duration::from_millis(1500);
 
 /// Where the present proof comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Source {
-    /// The platform's table, read here or by a peer.
+    /// A read of the platform's table.
     Store,
+    /// A peer's proof.
+    Peer,
     /// A majority of the voters.
     Voters,
 }
@@ -53,7 +55,7 @@
     epoch: Epoch,
     recorded: bool,
     voters: BTreeMap<HostId, Incarnation>,
-    proven: Option<Time>,
+    proven: Option<(Time, Source)>,
     pending: Option<Proof>,
     confirmed: BTreeMap<HostId, Time>,
     noted: Option<Note>,
@@ -132,14 +134,14 @@
         self.confirmed.clear();
         self.noted = self.noted.filter(|note| note.epoch > epoch);
         if let Some(proof) = self.pending.take_if(|proof| proof.epoch <= epoch) {
-            self.prove(proof.at);
+            self.prove(proof.at, Source::Store);
         }
     }
 
     /// Takes the epoch that a read of the store, sent at `sent`, found.
     pub fn read(&mut self, sent: Time, epoch: Epoch) {
         if epoch <= self.epoch {
-            self.prove(sent);
+            self.prove(sent, Source::Store);
         } else if self.pending.is_none_or(|pending| pending.epoch <= epoch) {
             self.pending = Some(Proof { epoch, at: sent });
         }
@@ -151,7 +153,7 @@
             return;
         }
         if let Some(at) = answer.age.and_then(|age| sent.checked_sub(age)) {
-            self.prove(at);
+            self.prove(at, Source::Peer);
         }
         let host = answer.member.host;
         let recorded = self.voters.get(&host) == Some(&answer.member.incarnation);
@@ -190,20 +192,20 @@
 
     /// Age of the newest proof.
     pub fn age(&self, now: Time) -> Option<Duration> {
-        self.proven.max(self.voted(now)).map(|at| now.saturating_sub(at))
+        self.newest(now).map(|(at, _)| now.saturating_sub(at))
     }
 
     /// Where the newest proof comes from.
     pub fn source(&self, now: Time) -> Option<Source> {
-        if !self.held(now) {
-            return None;
-        }
-        let fresh = self.proven.is_some_and(|at| now.saturating_sub(at) <= self.validity);
-        Some(if fresh { Source::Store } else { Source::Voters })
+        self.newest(now).filter(|_| self.held(now)).map(|(_, source)| source)
+    }
+
+    fn newest(&self, now: Time) -> Option<(Time, Source)> {
+        self.proven.max(self.voted(now).map(|at| (at, Source::Voters)))
     }
 
-    fn prove(&mut self, at: Time) {
-        self.proven = self.proven.max(Some(at));
+    fn prove(&mut self, at: Time, source: Source) {
+        self.proven = self.proven.max(Some((at, source)));
     }
 
     /// Time by which a majority of the voters had confirmed the epoch.
--- a/crates/host/src/admin/mod.rs
+++ b/crates/host/src/admin/mod.rs
@@ -158,9 +158,9 @@
 }
 
 impl Listener {
-    /// Stops the listener after what runs has finished.
+    /// Stops the listener; what an operator's call began is carried out all the same.
     pub async fn stop(self) {
-        self.handle.stop(true);
+        self.handle.stop(false);
         drop(self.task.await);
     }
 }
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -68,7 +68,7 @@
         host.stopping.send_replace(true);
         let timeout = host.settings.timeouts.stop;
         leave::finish(&host, timeout).await;
-        self.front.stop().await;
+        self.front.stop(timeout).await;
         leave::hand_over(&host).await;
         self.admin.stop().await;
         self.tasks.shutdown().await;
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -9,15 +9,18 @@
 pub mod problem;
 pub mod request;
 mod route;
+pub mod serving;
 pub mod stream;
 
 use crate::error::Result;
 use crate::shared::Host;
 use bergamotvale_core::refusal::{Reason, Refusal};
 use gone::{Callers, Watched};
+use serving::Serving;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::runtime::Handle;
 use xitca_web::handler::handler_service;
 use xitca_web::http::WebResponse;
@@ -32,6 +35,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     callers: Callers,
+    serving: Serving,
     handle: xitca_server::ServerHandle,
     task: tokio::task::JoinHandle<()>,
 }
@@ -42,6 +46,7 @@
     /// The host.
     pub host: Arc<Host>,
     callers: Callers,
+    serving: Serving,
     runtime: Handle,
 }
 
@@ -53,7 +58,9 @@
     let settings = &host.settings;
     let runtime = Handle::current();
     let callers = Callers::new(runtime.clone());
-    let state = State { host: host.clone(), callers: callers.clone(), runtime };
+    let serving = Serving::new();
+    let state =
+        State { host: host.clone(), callers: callers.clone(), serving: serving.clone(), runtime };
     let app = App::new()
         .with_state(state)
         .at("/v1/services/{service}/read", post(handler_service(route::read)))
@@ -63,6 +70,7 @@
         .at("/v1/transactions/{id}/commit", post(handler_service(route::commit)))
         .at("/v1/transactions/{id}/rollback", post(handler_service(route::rollback)))
         .at("/v1/open/{route}", get(handler_service(route::open)))
+        .enclosed_fn(serving::counted)
         .finish();
     let mut server = HttpServer::serve(app)
         .disable_signal()
@@ -77,13 +85,18 @@
             log::error!("callers' listener ended: {error}");
         }
     });
-    Ok(Listener { address, callers, handle, task })
+    Ok(Listener { address, callers, serving, handle, task })
 }
 
 impl Listener {
-    /// Stops the listener after what runs has finished.
-    pub async fn stop(self) {
-        self.handle.stop(true);
+    /// Stops the listener once every request is answered, at the latest after `timeout`.
+    ///
+    /// Idle connections are closed at once.
+    pub async fn stop(self, timeout: Duration) {
+        if !self.serving.idle(timeout).await {
+            log::warn!("requests are still being served past the stop timeout: cut");
+        }
+        self.handle.stop(false);
         drop(self.task.await);
         self.callers.cut_all();
     }
--- a/crates/host/src/front/route.rs
+++ b/crates/host/src/front/route.rs
@@ -47,7 +47,7 @@
 }
 
 async fn serve_read(ctx: &Context<'_>, job: Job) -> Result<WebResponse, Refusal> {
-    let State { host, callers, .. } = ctx.state();
+    let State { host, callers, serving, .. } = ctx.state();
     permit::verify(host, &job.caller, job.service)?;
     permit::admit(host, &job.caller, job.deadline).await?;
     let (worker, work) = (host.clone(), job.clone());
@@ -55,7 +55,7 @@
     let (answer, rest) = attend(ctx, read).await?;
     let Some(rest) = rest else { return Ok(body::response(&answer)) };
     let caller = (callers.clone(), *ctx.req().body().socket_addr());
-    let body = stream::body(host.clone(), caller, job, &answer, rest);
+    let body = stream::body(host.clone(), caller, serving.begin(), job, &answer, rest);
     Ok(body::with_headers(WebResponse::new(body), &answer))
 }
 
--- a/crates/host/src/front/stream.rs
+++ b/crates/host/src/front/stream.rs
@@ -5,6 +5,7 @@
 
 use super::body;
 use super::gone::Callers;
+use super::serving::Served;
 use crate::exec::read::Rest;
 use crate::exec::{Answer, Job};
 use crate::shared::Host;
@@ -23,18 +24,21 @@
     job: Job,
     rest: Option<Rest>,
     first: Option<String>,
+    /// Counts the request until its last part is sent.
+    _served: Served,
 }
 
 /// The body of a long result.
 pub fn body(
     host: Arc<Host>,
     (callers, address): (Callers, SocketAddr),
+    served: Served,
     job: Job,
     answer: &Answer,
     rest: Rest,
 ) -> ResponseBody {
     let first = Some(body::opening(&answer.rows));
-    let stream = Stream { host, callers, address, job, rest: Some(rest), first };
+    let stream = Stream { host, callers, address, job, rest: Some(rest), first, _served: served };
     let parts = futures::stream::unfold(stream, |mut stream| async move {
         let part = stream.next().await?;
         Some((part, stream))
--- a/crates/host/tests/fleet_authority.rs
+++ b/crates/host/tests/fleet_authority.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use bergamotvale_core::authority::Source;
 use serde_json::json;
 use support::operator::{ALICE, four};
 use support::{KEY, OTHER_KEY};
@@ -62,11 +63,11 @@
     fleet.ask_until(1, OTHER_KEY, 200, "").await;
 
     fleet.platform.faults().set(|fault| fault.outage = true).expect("a fault");
-    let by_voters = || {
+    let by_peers = || {
         let standing = fleet.daemons[1].host.fleet.standing(fleet.daemons[1].host.clock.now());
-        standing.held && standing.source.is_some_and(|source| source.to_string() == "voters")
+        standing.held && standing.source.is_some_and(|source| source != Source::Store)
     };
-    fleet.wait("authority by the voters", by_voters).await;
+    fleet.wait("authority without the store", by_peers).await;
     let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
 
     assert_eq!((status, &body["reason"]), (503, &json!("unavailable")), "{body}");
