--- a/crates/host/src/admin/mod.rs
+++ b/crates/host/src/admin/mod.rs
@@ -18,6 +18,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use tokio::runtime::Handle;
+use tokio::sync::oneshot;
 use xitca_web::body::BodyExt;
 use xitca_web::handler::handler_service;
 use xitca_web::handler::params::Params;
@@ -35,7 +36,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     handle: xitca_server::ServerHandle,
-    task: tokio::task::JoinHandle<()>,
+    ended: oneshot::Receiver<()>,
 }
 
 /// State of the application's handlers.
@@ -149,19 +150,29 @@
         .listen(listener)?
         .run();
     let handle = server.handle()?;
-    let task = tokio::spawn(async move {
-        if let Err(error) = server.await {
+    let (sender, ended) = oneshot::channel::<()>();
+    // The server brings a runtime of its own, which may only be dropped on a plain thread.
+    let wait = move || {
+        if let Err(error) = server.wait() {
             log::error!("operators' listener ended: {error}");
         }
-    });
-    Ok(Listener { address, handle, task })
+        drop(sender);
+    };
+    std::thread::Builder::new().name("operators".to_owned()).spawn(wait)?;
+    Ok(Listener { address, handle, ended })
 }
 
 impl Listener {
     /// Stops the listener; what an operator's call began is carried out all the same.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
+        self.handle.stop(false);
+        drop((&mut self.ended).await);
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
         self.handle.stop(false);
-        drop(self.task.await);
     }
 }
 
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::error::Result;
 use crate::fleet::{beat, follow, leave, loan, upkeep};
-use crate::settings::Settings;
+use crate::settings::{Defect, Settings};
 use crate::shared::Host;
 use crate::{admin, exec, failover, front, peer, target};
 use bergamotvale_core::id::Time;
@@ -52,6 +52,11 @@
         Ok(Daemon { host, front, admin, tasks })
     }
 
+    /// Callers' requests under way.
+    pub fn requests(&self) -> u32 {
+        self.front.requests()
+    }
+
     /// Waits until the host is told to leave the fleet.
     pub async fn told_to_leave(&self) {
         let mut leaving = self.host.leaving.subscribe();
@@ -59,16 +64,21 @@
         drop(leaving.wait_for(|leaving| *leaving).await);
     }
 
-    /// Leaves the platform's list, serves on until others have seen that, then takes no new work,
-    /// finishes what runs, hands its shares over and ends.
+    /// Leaves the platform's list, takes no new work, finishes what runs, hands its shares over
+    /// and ends.
+    ///
+    /// For a while it still takes requests, closing each connection after its answer, since the
+    /// balancer learns late that the host leaves.
     pub async fn stop(mut self) {
         let host = self.host.clone();
-        leave::announce(&host).await;
-        tokio::time::sleep(host.settings.timeouts.linger).await;
         host.stopping.send_replace(true);
-        let timeout = host.settings.timeouts.stop;
-        leave::finish(&host, timeout).await;
-        self.front.stop(timeout).await;
+        if host.settings.policy.defects.contains(&Defect::AbruptStop) {
+            return;
+        }
+        leave::announce(&host).await;
+        tokio::time::sleep(host.settings.timeouts.leave).await;
+        leave::finish(&host, host.settings.timeouts.stop).await;
+        self.front.stop(host.settings.timeouts.stop).await;
         leave::hand_over(&host).await;
         self.admin.stop().await;
         self.tasks.shutdown().await;
--- a/crates/host/src/front/gone.rs
+++ b/crates/host/src/front/gone.rs
@@ -1,4 +1,4 @@
-//! Tells when a caller has closed its connection.
+//! The callers' connections: who is gone, who waits for an answer, who is quiet.
 //!
 //! The HTTP framework looks at a connection again only after the answer. So each accepted socket
 //! is watched through a second handle on it: a request whose caller is gone ends at once, which
@@ -10,6 +10,7 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
@@ -27,6 +28,23 @@
 struct Connection {
     socket: std::net::TcpStream,
     is_gone: watch::Sender<bool>,
+    requests: u32,
+    quiet_since: Instant,
+}
+
+/// A request under way on a connection, until it is dropped.
+pub struct Busy {
+    callers: Callers,
+    address: SocketAddr,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        if let Some(connection) = lock(&self.callers.connections).get_mut(&self.address) {
+            connection.requests -= 1;
+            connection.quiet_since = Instant::now();
+        }
+    }
 }
 
 /// A listening socket whose connections are watched.
@@ -47,6 +65,30 @@
         Callers { connections: Arc::default(), runtime }
     }
 
+    /// Notes that the caller at `address` waits for an answer.
+    pub fn enter(&self, address: SocketAddr) -> Busy {
+        if let Some(connection) = lock(&self.connections).get_mut(&address) {
+            connection.requests += 1;
+        }
+        Busy { callers: self.clone(), address }
+    }
+
+    /// Requests under way.
+    pub fn requests(&self) -> u32 {
+        lock(&self.connections).values().map(|connection| connection.requests).sum()
+    }
+
+    /// Closes the connections on which nothing has happened for `time`; answers how many are left.
+    pub fn close_quiet(&self, time: Duration) -> usize {
+        let mut connections = lock(&self.connections);
+        let is_quiet = |c: &Connection| c.requests == 0 && c.quiet_since.elapsed() >= time;
+        let quiet = connections.extract_if(.., |_, connection| is_quiet(connection));
+        for (_, connection) in quiet.collect::<Vec<_>>() {
+            drop(connection.socket.shutdown(Shutdown::Both));
+        }
+        connections.len()
+    }
+
     /// Waits until the caller at `address` has closed its connection.
     pub async fn gone(&self, address: SocketAddr) {
         let watched = lock(&self.connections).get(&address).map(|c| c.is_gone.subscribe());
@@ -74,7 +116,12 @@
     fn watch(&self, stream: &std::net::TcpStream, address: SocketAddr) -> io::Result<()> {
         let socket = stream.try_clone()?;
         let watched = stream.try_clone()?;
-        let connection = Connection { socket, is_gone: watch::Sender::new(false) };
+        let connection = Connection {
+            socket,
+            is_gone: watch::Sender::new(false),
+            requests: 0,
+            quiet_since: Instant::now(),
+        };
         lock(&self.connections).insert(address, connection);
         let callers = self.clone();
         self.runtime.spawn(async move {
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -9,25 +9,28 @@
 pub mod problem;
 pub mod request;
 mod route;
-pub mod serving;
 pub mod stream;
 
 use crate::error::Result;
 use crate::shared::Host;
 use bergamotvale_core::refusal::{Reason, Refusal};
 use gone::{Callers, Watched};
-use serving::Serving;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use xitca_web::body::RequestBody;
 use xitca_web::handler::handler_service;
 use xitca_web::http::WebResponse;
 use xitca_web::http::header::{CONNECTION, HeaderValue};
 use xitca_web::route::{get, post};
+use xitca_web::service::Service;
 use xitca_web::{App, HttpServer, WebContext};
 
+/// Time without a request after which a stopping host closes a connection.
+const QUIET: Duration = Duration::from_millis(200);
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 /// A running listener.
@@ -35,9 +38,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     callers: Callers,
-    serving: Serving,
     handle: xitca_server::ServerHandle,
-    task: tokio::task::JoinHandle<()>,
+    ended: oneshot::Receiver<()>,
 }
 
 /// State of the application's handlers.
@@ -46,7 +48,6 @@
     /// The host.
     pub host: Arc<Host>,
     callers: Callers,
-    serving: Serving,
     runtime: Handle,
 }
 
@@ -58,9 +59,7 @@
     let settings = &host.settings;
     let runtime = Handle::current();
     let callers = Callers::new(runtime.clone());
-    let serving = Serving::new();
-    let state =
-        State { host: host.clone(), callers: callers.clone(), serving: serving.clone(), runtime };
+    let state = State { host: host.clone(), callers: callers.clone(), runtime };
     let app = App::new()
         .with_state(state)
         .at("/v1/services/{service}/read", post(handler_service(route::read)))
@@ -70,7 +69,7 @@
         .at("/v1/transactions/{id}/commit", post(handler_service(route::commit)))
         .at("/v1/transactions/{id}/rollback", post(handler_service(route::rollback)))
         .at("/v1/open/{route}", get(handler_service(route::open)))
-        .enclosed_fn(serving::counted)
+        .enclosed_fn(attended)
         .finish();
     let mut server = HttpServer::serve(app)
         .disable_signal()
@@ -80,28 +79,55 @@
         .listen(Watched::new(listener, callers.clone()))?
         .run();
     let handle = server.handle()?;
-    let task = tokio::spawn(async move {
-        if let Err(error) = server.await {
+    let (sender, ended) = oneshot::channel::<()>();
+    // The server brings a runtime of its own, which may only be dropped on a plain thread.
+    let wait = move || {
+        if let Err(error) = server.wait() {
             log::error!("callers' listener ended: {error}");
         }
-    });
-    Ok(Listener { address, callers, serving, handle, task })
+        drop(sender);
+    };
+    std::thread::Builder::new().name("callers".to_owned()).spawn(wait)?;
+    Ok(Listener { address, callers, handle, ended })
 }
 
 impl Listener {
-    /// Stops the listener once every request is answered, at the latest after `timeout`.
-    ///
-    /// Idle connections are closed at once.
-    pub async fn stop(self, timeout: Duration) {
-        if !self.serving.idle(timeout).await {
-            log::warn!("requests are still being served past the stop timeout: cut");
+    /// Requests under way.
+    pub fn requests(&self) -> u32 {
+        self.callers.requests()
+    }
+
+    /// Accepts no more connections and closes each that is quiet, until none is left or `limit`
+    /// has passed; what runs then is cut.
+    pub async fn stop(mut self, limit: Duration) {
+        let end = Instant::now() + limit;
+        self.handle.stop(true);
+        while self.callers.close_quiet(QUIET) > 0 && Instant::now() < end {
+            tokio::time::sleep(QUIET / 2).await;
         }
         self.handle.stop(false);
-        drop(self.task.await);
         self.callers.cut_all();
+        drop((&mut self.ended).await);
     }
 }
 
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.handle.stop(false);
+        self.callers.cut_all();
+    }
+}
+
+/// Notes the request as under way until its answer is there.
+async fn attended<S, T, E>(service: &S, ctx: Context<'_>) -> std::result::Result<T, E>
+where
+    S: for<'r> Service<Context<'r>, Response = T, Error = E>,
+{
+    let address = *ctx.req().body().socket_addr();
+    let _busy = ctx.state().callers.enter(address);
+    service.call(ctx).await
+}
+
 /// Work that ends when it is no longer waited for.
 struct Work<T>(tokio::task::JoinHandle<T>);
 
@@ -133,13 +159,17 @@
     })
 }
 
-/// The answer to a request, or its refusal; closes the connection while the host stops.
-fn respond(host: &Host, answer: std::result::Result<WebResponse, Refusal>) -> WebResponse {
+/// The answer to a request, or its refusal; says where the connection closes after it.
+fn respond(ctx: &Context<'_>, answer: std::result::Result<WebResponse, Refusal>) -> WebResponse {
+    let host = &ctx.state().host;
+    let is_partly_read = answer.as_ref().is_err_and(|r| r.reason == Reason::TooLarge);
     let mut response = answer.unwrap_or_else(|refusal| {
         host.metric.refusal(refusal.reason);
         problem::response(&refusal)
     });
-    if host.is_stopping() || *host.leaving.borrow() {
+    // The framework closes a connection on which a body was left unread.
+    let is_unread = !matches!(&*ctx.body_borrow_mut(), RequestBody::None);
+    if host.is_stopping() || *host.leaving.borrow() || is_unread || is_partly_read {
         response.headers_mut().insert(CONNECTION, CLOSE);
     }
     response
--- a/crates/host/src/front/stream.rs
+++ b/crates/host/src/front/stream.rs
@@ -4,8 +4,7 @@
 //! connection is cut before the last chunk, so that no caller takes a part for the whole.
 
 use super::body;
-use super::gone::Callers;
-use super::serving::Served;
+use super::gone::{Busy, Callers};
 use crate::exec::read::Rest;
 use crate::exec::{Answer, Job};
 use crate::shared::Host;
@@ -24,21 +23,20 @@
     job: Job,
     rest: Option<Rest>,
     first: Option<String>,
-    /// Counts the request until its last part is sent.
-    _served: Served,
+    _busy: Busy,
 }
 
 /// The body of a long result.
 pub fn body(
     host: Arc<Host>,
     (callers, address): (Callers, SocketAddr),
-    served: Served,
     job: Job,
     answer: &Answer,
     rest: Rest,
 ) -> ResponseBody {
     let first = Some(body::opening(&answer.rows));
-    let stream = Stream { host, callers, address, job, rest: Some(rest), first, _served: served };
+    let _busy = callers.enter(address);
+    let stream = Stream { host, callers, address, job, rest: Some(rest), first, _busy };
     let parts = futures::stream::unfold(stream, |mut stream| async move {
         let part = stream.next().await?;
         Some((part, stream))
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -171,12 +171,12 @@
     /// A call to another host.
     #[serde_as(as = "Span")]
     pub peer: Duration,
+    /// Taking requests all the same after the host began to leave.
+    #[serde_as(as = "Span")]
+    pub leave: Duration,
     /// Finishing what runs while the host stops.
     #[serde_as(as = "Span")]
     pub stop: Duration,
-    /// Serving on after the host left the platform's list, which others see late.
-    #[serde_as(as = "Span")]
-    pub linger: Duration,
     /// Time for which the old and the new key both work during a rotation.
     #[serde_as(as = "Span")]
     pub key_overlap: Duration,
@@ -362,8 +362,8 @@
             transaction_idle: Duration::from_secs(5),
             transaction_total: Duration::from_secs(30),
             peer: Duration::from_millis(500),
+            leave: Duration::from_secs(2),
             stop: Duration::from_secs(15),
-            linger: Duration::from_secs(2),
             key_overlap: plan::KEY_OVERLAP,
         }
     }
