--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -72,7 +72,7 @@
         if host.settings.policy.defects.contains(&Defect::AbruptStop) {
             return;
         }
-        tokio::time::sleep(host.settings.timeouts.linger).await;
+        tokio::time::sleep(host.settings.timeouts.leave).await;
         host.stopping.send_replace(true);
         let timeout = host.settings.timeouts.stop;
         leave::finish(&host, timeout).await;
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -82,11 +82,7 @@
     }
 
     pub(crate) async fn host_with(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
-        let mut settings = settings(id, self.platform.address());
-        change(&mut settings);
-        let daemon = Daemon::start(settings).await.expect("a host");
-        let address = daemon.host.settings.listen.callers;
-        let host = Host { daemon, address, http: self.http.clone() };
+        let host = self.bare_host(id, change).await;
         self.found(&host.daemon.host).await;
         until("a primary is known", || host.daemon.host.pools.primary(SERVICE).is_some()).await;
         let views = || host.daemon.host.pools.views(SERVICE).len() == 3;
@@ -95,6 +91,20 @@
         host
     }
 
+    /// A host that has only just started.
+    pub(crate) async fn bare_host(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
+        let mut settings = settings(id, self.platform.address());
+        change(&mut settings);
+        let daemon = Daemon::start(settings).await.expect("a host");
+        let address = daemon.host.settings.listen.callers;
+        Host { daemon, address, http: self.http.clone() }
+    }
+
+    /// The configuration that the first host publishes.
+    pub(crate) fn document(&self) -> &Document {
+        &self.document
+    }
+
     /// Publishes the configuration through the first host, once that may.
     async fn found(&self, host: &Arc<shared::Host>) {
         if self.publisher.lock().expect("no panic").is_some() {
@@ -257,7 +267,7 @@
     let listen = Listen { callers: free, operators: free, peers: free };
     let mut settings = Settings::new(id, 0, listen, platform);
     settings.policy.seed = 7;
-    settings.timeouts.linger = Duration::ZERO;
+    settings.timeouts.leave = Duration::ZERO;
     settings
 }
 
