--- a/crates/host/src/front/route.rs
+++ b/crates/host/src/front/route.rs
@@ -48,6 +48,7 @@
 async fn serve_read(ctx: &Context<'_>, job: Job) -> Result<WebResponse, Refusal> {
     let State { host, callers, .. } = ctx.state();
     permit::verify(host, &job.caller, job.service)?;
+    permit::admit(host, &job.caller, job.deadline).await?;
     let (worker, work) = (host.clone(), job.clone());
     let read = async move { exec::read::run(&worker, work).await };
     let (answer, rest) = attend(ctx, read).await?;
@@ -69,6 +70,7 @@
 async fn serve_write(ctx: &Context<'_>, job: Job) -> Result<WebResponse, Refusal> {
     let host = ctx.state().host.clone();
     permit::verify(&host, &job.caller, job.service)?;
+    permit::admit(&host, &job.caller, job.deadline).await?;
     let answer = attend(ctx, async move { exec::write::run(&host, job).await }).await?;
     Ok(body::response(&answer))
 }
@@ -86,6 +88,7 @@
     let service = request::service(&host, identity, service)?;
     let deadline = request::deadline(ctx.req().headers(), &host)?;
     request::discard(ctx, &host).await?;
+    permit::admit(&host, &Caller::Key(identity), deadline).await?;
     let begin = async move { exec::transaction::begin(&host, identity, service, deadline).await };
     let id = attend(ctx, begin).await?;
     let body = json!({"transaction": format!("{id:016x}")});
@@ -103,6 +106,7 @@
     let deadline = request::deadline(ctx.req().headers(), host)?;
     let statement = request::statement(ctx, host, &presented).await?;
     let caller = Caller::Key(presented.identity);
+    permit::admit(host, &caller, deadline).await?;
     let outcome = step(ctx, id, caller, Step::Run(statement), deadline).await?;
     let rows = outcome.result?;
     let mut response = WebResponse::new(body::rows(&rows).into());
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -1,14 +1,21 @@
 //! Client of the platform's table service, object store and list of hosts.
+//!
+//! Every call passes a gate (see [`bergamotvale_core::store`]) and has a deadline. A failed write
+//! is either certainly not done, or lost: [`is_lost`] tells which, and a lost one has to be read
+//! back before anything is said of it.
 
-use crate::error::Result;
+mod call;
+mod hosts;
+
+pub use call::Traffic;
+pub use hosts::Listed;
+
+use crate::error::{Error, Result};
 use crate::settings::Settings;
-use bergamotvale_core::config::Document;
-use bergamotvale_core::id::{HostId, Version};
 use reqwest::StatusCode;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use sha2::{Digest, Sha256};
-use std::net::SocketAddr;
 
 /// Row that names the configuration in force.
 pub const CONFIG_ROW: &str = "config.current";
@@ -20,6 +27,7 @@
     http: reqwest::Client,
     base: String,
     host: String,
+    calls: call::Calls,
 }
 
 /// A row of the table service.
@@ -72,104 +80,72 @@
     Conflict(Vec<Row>),
 }
 
-/// What the row of the configuration says.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Current {
-    /// Version in force.
-    pub version: Version,
-    /// Digest under which the object store has the document.
-    pub digest: String,
-}
-
 #[derive(Deserialize)]
 struct Rows {
     rows: Vec<Row>,
 }
 
-#[derive(Deserialize)]
-struct Hosts {
-    hosts: Vec<Listed>,
-}
-
-#[derive(Deserialize)]
-struct Listed {
-    host: HostId,
-    peer_address: SocketAddr,
-}
-
 impl Client {
     /// A client with the deadline of the settings.
     pub fn new(settings: &Settings) -> Result<Client> {
         let http = reqwest::Client::builder().timeout(settings.platform.timeout).build()?;
         let base = format!("http://{}", settings.platform.address);
-        Ok(Client { http, base, host: settings.host.to_string() })
+        let calls = call::Calls::new();
+        Ok(Client { http, base, host: settings.host.to_string(), calls })
+    }
+
+    /// Calls made so far.
+    pub fn traffic(&self) -> Traffic {
+        self.calls.traffic()
     }
 
     /// The row under `key`.
     pub async fn row(&self, key: &str) -> Result<Option<Row>> {
         let request = self.http.get(format!("{}/table/rows/{key}", self.base));
-        let response = request.header(HOST_HEADER, &self.host).send().await?;
+        let response = self.read(request).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        Ok(Some(response.error_for_status()?.json().await?))
+        Ok(Some(response.json().await?))
+    }
+
+    /// Rows whose key begins with `prefix`, in order of key.
+    pub async fn rows(&self, prefix: &str) -> Result<Vec<Row>> {
+        let request = self.http.get(format!("{}/table/rows?prefix={prefix}", self.base));
+        Ok(self.read(request).await?.json::<Rows>().await?.rows)
     }
 
-    /// Runs `transaction`. An error leaves it open whether it took effect.
+    /// Runs `transaction`. See [`is_lost`] for what an error means.
     pub async fn transact(&self, transaction: &Transaction) -> Result<Answer> {
         let request = self.http.post(format!("{}/table/transactions", self.base));
-        let response = request.header(HOST_HEADER, &self.host).json(transaction).send().await?;
+        let response = self.write(request.json(transaction)).await?;
         if response.status() == StatusCode::CONFLICT {
             return Ok(Answer::Conflict(response.json::<Rows>().await?.rows));
         }
-        Ok(Answer::Done(response.error_for_status()?.json::<Rows>().await?.rows))
+        Ok(Answer::Done(response.json::<Rows>().await?.rows))
     }
 
     /// Stores `body` under its digest, which is returned.
     pub async fn put_object(&self, body: Vec<u8>) -> Result<String> {
         let digest = hex(&Sha256::digest(&body));
         let request = self.http.put(format!("{}/objects/{digest}", self.base));
-        let request = request.header(HOST_HEADER, &self.host).body(body);
-        request.send().await?.error_for_status()?;
+        self.write(request.body(body)).await?;
         Ok(digest)
     }
 
     /// The object under `digest`.
     pub async fn object(&self, digest: &str) -> Result<Vec<u8>> {
         let request = self.http.get(format!("{}/objects/{digest}", self.base));
-        let response = request.header(HOST_HEADER, &self.host).send().await?.error_for_status()?;
-        Ok(response.bytes().await?.to_vec())
-    }
-
-    /// Stores `document` as the first configuration.
-    pub async fn seed(&self, document: &Document) -> Result<Answer> {
-        let body = serde_json::to_vec(document).expect("a document is JSON");
-        let digest = self.put_object(body).await?;
-        let current = Current { version: document.version, digest };
-        let value = serde_json::to_value(current).expect("plain data is JSON");
-        let checks = vec![Check { key: CONFIG_ROW.into(), version: 0 }];
-        let puts = vec![Put { key: CONFIG_ROW.into(), value }];
-        self.transact(&Transaction { checks, puts, deletes: Vec::new() }).await
-    }
-
-    /// Where the platform's list says that peers reach `host`.
-    pub async fn peer_address(&self, host: HostId) -> Result<Option<SocketAddr>> {
-        let request = self.http.get(format!("{}/hosts", self.base));
-        let response = request.header(HOST_HEADER, &self.host).send().await?;
-        let listed: Hosts = response.error_for_status()?.json().await?;
-        let found = listed.hosts.into_iter().find(|listed| listed.host == host);
-        Ok(found.map(|listed| listed.peer_address))
+        Ok(self.read(request).await?.bytes().await?.to_vec())
     }
+}
 
-    /// The configuration in force, if there is one newer than `known`.
-    pub async fn document(&self, known: Version) -> Result<Option<Document>> {
-        let Some(row) = self.row(CONFIG_ROW).await? else { return Ok(None) };
-        let Ok(current) = serde_json::from_value::<Current>(row.value) else { return Ok(None) };
-        if current.version <= known {
-            return Ok(None);
-        }
-        let body = self.object(&current.digest).await?;
-        Ok(serde_json::from_slice(&body).ok())
+/// Whether a write that failed with `error` may have taken effect all the same.
+pub fn is_lost(error: &Error) -> bool {
+    match error {
+        Error::Platform(error) => !error.is_connect() && !error.is_status(),
+        Error::Gate(_) => false,
+        _ => true,
     }
 }
 
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use bergamotvale_core::config::{Edit, TargetState};
 use bergamotvale_host::auth;
 use bergamotvale_host::daemon::Daemon;
-use bergamotvale_host::platform::{CONFIG_ROW, Check, Client, Current, Put, Transaction};
+use bergamotvale_host::fleet::change;
 use bergamotvale_host::settings::{Listen, Settings};
 use bergamotvale_standin::group::{Group, Options};
 use bergamotvale_standin::platform::Server;
@@ -66,9 +66,7 @@
         let group = Group::start(Options { schema, connection_limit, ..options }).expect("a group");
         let platform = Server::start(Default::default()).expect("a platform");
         let document = document(&group.addresses());
-        let fixture = Fixture { group, platform, http: reqwest::Client::new(), document };
-        fixture.publish(0).await;
-        fixture
+        Fixture { group, platform, http: reqwest::Client::new(), document }
     }
 
     /// A host that knows its configuration and the group's primary.
@@ -82,6 +80,7 @@
         let daemon = Daemon::start(settings).await.expect("a host");
         let address = daemon.host.settings.listen.callers;
         let host = Host { daemon, address, http: self.http.clone() };
+        self.found(&host).await;
         until("a primary is known", || host.daemon.host.pools.primary(SERVICE).is_some()).await;
         let views = || host.daemon.host.pools.views(SERVICE).len() == 3;
         until("all targets are known", views).await;
@@ -89,30 +88,26 @@
         host
     }
 
-    /// Withdraws a key in the configuration.
-    pub(crate) async fn withdraw(&mut self, id: u64) {
-        let mut key = self.document.keys[&id].clone();
-        key.state = KeyState::Withdrawn;
-        let known = self.document.version;
-        let edits = vec![Edit::PutKey(id, key)];
-        let change = bergamotvale_core::config::Change { version: known + 1, edits };
-        self.document = self.document.with_change(&change).expect("a document that holds");
-        self.publish(known).await;
+    /// Publishes the first configuration, unless it is there.
+    async fn found(&self, host: &Host) {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        while let Err(fault) = change::found(&host.daemon.host, self.document.clone()).await {
+            if host.daemon.host.document().version > 0 {
+                return;
+            }
+            assert!(tokio::time::Instant::now() < deadline, "no configuration: {fault}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
     }
 
-    async fn publish(&self, known: u64) {
-        let client = Client::new(&settings(99, self.platform.address())).expect("a client");
-        let body = serde_json::to_vec(&self.document).expect("a document");
-        let digest = client.put_object(body).await.expect("a stored document");
-        let current = Current { version: self.document.version, digest };
-        let row = client.row(CONFIG_ROW).await.expect("a row").map_or(0, |row| row.version);
-        assert!(known == 0 || row > 0);
-        let transaction = Transaction {
-            checks: vec![Check { key: CONFIG_ROW.into(), version: row }],
-            puts: vec![Put { key: CONFIG_ROW.into(), value: json!(current) }],
-            deletes: Vec::new(),
+    /// Withdraws a key in the configuration.
+    pub(crate) async fn withdraw(&self, host: &Host, id: u64) {
+        let withdraw = |document: &Document| {
+            let mut key = document.keys[&id].clone();
+            key.state = KeyState::Withdrawn;
+            Ok(vec![Edit::PutKey(id, key)])
         };
-        client.transact(&transaction).await.expect("a configuration in force");
+        change::publish(&host.daemon.host, withdraw).await.expect("a change");
     }
 
     /// Number of the present primary.
--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -326,12 +326,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_ends_its_transactions() {
-    let mut fixture = Fixture::new().await;
+    let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
     let id = host.begin().await;
     host.step(&id, "run").with_sql("INSERT INTO bolts VALUES (1, 40)").send().await.ok();
 
-    fixture.withdraw(1).await;
+    fixture.withdraw(&host, 1).await;
     until("the transaction is ended", || host.daemon.host.data.transactions.is_empty()).await;
     let step = host.step(&id, "commit").send().await;
     let read = host.read(COUNT).send().await;
@@ -359,6 +359,24 @@
     assert_eq!(fixture.bolts(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_transaction_goes_on_through_another_host() {
+    let fixture = Fixture::new().await;
+    let first = fixture.host(1).await;
+    let second = fixture.host(2).await;
+    let id = first.begin().await;
+
+    let insert = second.step(&id, "run").with_sql("INSERT INTO bolts VALUES (1, 40)");
+    insert.send().await.ok();
+    let foreign = second.step(&id, "commit").with_key(common::OTHER_KEY).send().await;
+    let committed = second.step(&id, "commit").send().await.ok();
+    let read = second.read(COUNT).with_header("bergamotvale-session", committed.session());
+
+    assert_eq!(read.send().await.ok().body["rows"], json!([[1]]));
+    assert_eq!((foreign.status, foreign.reason()), (403, "transaction_foreign"));
+    assert_eq!(second.counter("transaction.forwarded"), 3);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_transaction_dies_with_its_host() {
     let fixture = Fixture::new().await;
