Planned stop: idle connections are closed, busy ones told, transactions drained

Connections that are idle for 500 ms lose their reading side, so that a request that has arrived is still answered; open transactions are finished through other hosts.

--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -56,6 +56,7 @@
     pub async fn stop(mut self) {
         self.host.stopping.send_replace(true);
         self.front.stop().await;
+        exec::transaction::drain(&self.host).await;
         self.tasks.shutdown().await;
     }
 }
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -162,6 +162,15 @@
     }
 }
 
+/// Waits until every transaction has ended, its steps coming from peers, or the time to stop is
+/// over.
+pub async fn drain(host: &Host) {
+    let deadline = host.clock.now() + host.settings.timeouts.stop;
+    while !host.data.transactions.is_empty() && host.clock.now() < deadline {
+        tokio::time::sleep(BEGIN_AGAIN).await;
+    }
+}
+
 /// Begins a transaction.
 pub async fn begin(
     host: &Arc<Host>,
--- a/crates/host/src/front/gone.rs
+++ b/crates/host/src/front/gone.rs
@@ -10,6 +10,7 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
@@ -27,6 +28,24 @@
 struct Connection {
     socket: std::net::TcpStream,
     is_gone: watch::Sender<bool>,
+    /// Requests under way.
+    requests: u32,
+    /// When the last one began or ended.
+    used: Instant,
+    /// Whether this host takes no further request on it.
+    is_closing: bool,
+}
+
+/// A request under way on a connection.
+pub struct Request {
+    callers: Callers,
+    address: SocketAddr,
+}
+
+impl Drop for Request {
+    fn drop(&mut self) {
+        self.callers.count(self.address, |requests| requests.saturating_sub(1));
+    }
 }
 
 /// A listening socket whose connections are watched.
@@ -47,6 +66,33 @@
         Callers { connections: Arc::default(), runtime }
     }
 
+    /// Notes a request of the caller at `address`, until the result is dropped.
+    pub fn request(&self, address: SocketAddr) -> Request {
+        self.count(address, |requests| requests + 1);
+        Request { callers: self.clone(), address }
+    }
+
+    fn count(&self, address: SocketAddr, change: impl FnOnce(u32) -> u32) {
+        if let Some(connection) = lock(&self.connections).get_mut(&address) {
+            connection.requests = change(connection.requests);
+            connection.used = Instant::now();
+        }
+    }
+
+    /// Takes no further request on connections that have been idle for `idle`.
+    ///
+    /// A request that has arrived already is still read and answered.
+    pub fn close_idle(&self, idle: Duration) {
+        for connection in lock(&self.connections).values_mut() {
+            let is_idle = connection.requests == 0 && connection.used.elapsed() >= idle;
+            if is_idle && !connection.is_closing {
+                connection.is_closing = true;
+                // It may be closed already.
+                drop(connection.socket.shutdown(Shutdown::Read));
+            }
+        }
+    }
+
     /// Waits until the caller at `address` has closed its connection.
     pub async fn gone(&self, address: SocketAddr) {
         let watched = lock(&self.connections).get(&address).map(|c| c.is_gone.subscribe());
@@ -74,21 +120,39 @@
     fn watch(&self, stream: &std::net::TcpStream, address: SocketAddr) -> io::Result<()> {
         let socket = stream.try_clone()?;
         let watched = stream.try_clone()?;
-        let connection = Connection { socket, is_gone: watch::Sender::new(false) };
+        let connection = Connection {
+            socket,
+            is_gone: watch::Sender::new(false),
+            requests: 0,
+            used: Instant::now(),
+            is_closing: false,
+        };
         lock(&self.connections).insert(address, connection);
         let callers = self.clone();
         self.runtime.spawn(async move {
             if let Err(error) = closed(watched).await {
                 log::debug!("caller {address}: {error}");
             }
-            if let Some(connection) = lock(&callers.connections).remove(&address) {
-                connection.is_gone.send_replace(true);
-            }
+            callers.closed(address);
         });
         Ok(())
     }
 }
 
+impl Callers {
+    /// The connection's reading side is closed, by the caller or by this host.
+    fn closed(&self, address: SocketAddr) {
+        let mut connections = lock(&self.connections);
+        let Some(connection) = connections.get(&address) else { return };
+        if connection.is_closing && connection.requests > 0 {
+            // A request came just before this host closed: it goes on unwatched.
+            return;
+        }
+        connection.is_gone.send_replace(true);
+        connections.remove(&address);
+    }
+}
+
 /// Waits until the other end has closed the connection.
 async fn closed(stream: std::net::TcpStream) -> io::Result<()> {
     let stream = TcpStream::from_std(stream)?;
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -18,6 +18,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use xitca_web::body::RequestBody;
@@ -27,6 +28,10 @@
 use xitca_web::route::{get, post};
 use xitca_web::{App, HttpServer, WebContext};
 
+/// Time between two looks for idle connections while the listener stops.
+const IDLE_SWEEP: Duration = Duration::from_millis(25);
+/// Time without a request after which a connection counts as idle while the listener stops.
+const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(500);
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 /// A running listener.
@@ -88,9 +93,18 @@
 
 impl Listener {
     /// Stops the listener after what runs has finished.
+    ///
+    /// Callers that are busy hear of it by `connection: close`; connections that stay idle are
+    /// closed, so that they hold nothing up.
     pub async fn stop(mut self) {
         self.handle.stop(true);
-        drop((&mut self.ended).await);
+        let mut ticks = tokio::time::interval(IDLE_SWEEP);
+        loop {
+            tokio::select! {
+                _ = &mut self.ended => return,
+                _ = ticks.tick() => self.callers.close_idle(IDLE_BEFORE_CLOSE),
+            }
+        }
     }
 }
 
@@ -117,6 +131,7 @@
 ) -> std::result::Result<T, Refusal> {
     let state = ctx.state();
     let address = *ctx.req().body().socket_addr();
+    let _request = state.callers.request(address);
     let mut work = Work(state.runtime.spawn(work));
     let done = tokio::select! {
         done = &mut work.0 => done,
--- a/crates/host/src/front/stream.rs
+++ b/crates/host/src/front/stream.rs
@@ -4,7 +4,7 @@
 //! connection is cut before the last chunk, so that no caller takes a part for the whole.
 
 use super::body;
-use super::gone::Callers;
+use super::gone::{Callers, Request};
 use crate::exec::read::Rest;
 use crate::exec::{Answer, Job};
 use crate::shared::Host;
@@ -22,6 +22,7 @@
     address: SocketAddr,
     job: Job,
     rest: Option<Rest>,
+    _request: Request,
     first: Option<String>,
 }
 
@@ -34,7 +35,8 @@
     rest: Rest,
 ) -> ResponseBody {
     let first = Some(body::opening(&answer.rows));
-    let stream = Stream { host, callers, address, job, rest: Some(rest), first };
+    let _request = callers.request(address);
+    let stream = Stream { host, callers, address, job, rest: Some(rest), _request, first };
     let parts = futures::stream::unfold(stream, |mut stream| async move {
         let part = stream.next().await?;
         Some((part, stream))
--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -423,3 +423,27 @@
 
     assert!(host.counter("retry.target_failed") > 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_nothing() {
+    let fixture = Fixture::new().await;
+    let first = fixture.host(1).await;
+    let second = fixture.host(2).await;
+    let id = first.begin().await;
+    let slow = "INSERT INTO bolts (id, metres) SELECT 1, length(pg_sleep(1))";
+    let running = tokio::spawn(second.write(slow).send());
+    until("the statement runs", || second.daemon.host.data.in_flight((1, 0)) > 0).await;
+    let commit = first.step(&id, "commit").with_header("bergamotvale-timeout", "9s");
+    let begun = second.begin().await;
+
+    let stopping = tokio::spawn(second.daemon.stop());
+    let answer = running.await.expect("an answer").ok();
+    let step = first.step(&begun, "run").with_sql("SELECT 1").send().await;
+    let rolled_back = first.step(&begun, "rollback").send().await;
+    stopping.await.expect("a stop");
+
+    assert_eq!(answer.headers["connection"], "close");
+    assert_eq!((step.status, rolled_back.status), (200, 200), "{step:?}");
+    commit.send().await.ok();
+    assert_eq!(fixture.bolts(), 1);
+}
