--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -18,7 +18,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use xitca_web::body::RequestBody;
@@ -26,11 +26,12 @@
 use xitca_web::http::WebResponse;
 use xitca_web::http::header::{CONNECTION, HeaderValue};
 use xitca_web::route::{get, post};
-use xitca_web::service::Service;
 use xitca_web::{App, HttpServer, WebContext};
 
-/// Time without a request after which a stopping host closes a connection.
-const QUIET: Duration = Duration::from_millis(200);
+/// Time between two looks for idle connections while the listener stops.
+const IDLE_SWEEP: Duration = Duration::from_millis(25);
+/// Time without a request after which a connection counts as idle while the listener stops.
+const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(500);
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 /// A running listener.
@@ -69,7 +70,6 @@
         .at("/v1/transactions/{id}/commit", post(handler_service(route::commit)))
         .at("/v1/transactions/{id}/rollback", post(handler_service(route::rollback)))
         .at("/v1/open/{route}", get(handler_service(route::open)))
-        .enclosed_fn(attended)
         .finish();
     let mut server = HttpServer::serve(app)
         .disable_signal()
@@ -97,17 +97,22 @@
         self.callers.requests()
     }
 
-    /// Accepts no more connections and closes each that is quiet, until none is left or `limit`
-    /// has passed; what runs then is cut.
+    /// Stops the listener after what runs has finished, or cuts it after `limit`.
+    ///
+    /// Callers that are busy hear of it by `connection: close`; connections that stay idle are
+    /// closed, so that they hold nothing up.
     pub async fn stop(mut self, limit: Duration) {
-        let end = Instant::now() + limit;
         self.handle.stop(true);
-        while self.callers.close_quiet(QUIET) > 0 && Instant::now() < end {
-            tokio::time::sleep(QUIET / 2).await;
+        let mut ticks = tokio::time::interval(IDLE_SWEEP);
+        let end = tokio::time::sleep(limit);
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                _ = &mut self.ended => return,
+                () = &mut end => return,
+                _ = ticks.tick() => self.callers.close_idle(IDLE_BEFORE_CLOSE),
+            }
         }
-        self.handle.stop(false);
-        self.callers.cut_all();
-        drop((&mut self.ended).await);
     }
 }
 
@@ -118,16 +123,6 @@
     }
 }
 
-/// Notes the request as under way until its answer is there.
-async fn attended<S, T, E>(service: &S, ctx: Context<'_>) -> std::result::Result<T, E>
-where
-    S: for<'r> Service<Context<'r>, Response = T, Error = E>,
-{
-    let address = *ctx.req().body().socket_addr();
-    let _busy = ctx.state().callers.enter(address);
-    service.call(ctx).await
-}
-
 /// Work that ends when it is no longer waited for.
 struct Work<T>(tokio::task::JoinHandle<T>);
 
@@ -144,6 +139,7 @@
 ) -> std::result::Result<T, Refusal> {
     let state = ctx.state();
     let address = *ctx.req().body().socket_addr();
+    let _request = state.callers.request(address);
     let mut work = Work(state.runtime.spawn(work));
     let done = tokio::select! {
         done = &mut work.0 => done,
@@ -169,8 +165,7 @@
     });
     // The framework closes a connection on which a body was left unread.
     let is_unread = !matches!(&*ctx.body_borrow_mut(), RequestBody::None);
-    let is_leaving = host.is_stopping() || *host.leaving.borrow();
-    if is_leaving || is_unread || is_partly_read {
+    if host.is_stopping() || *host.leaving.borrow() || is_unread || is_partly_read {
         response.headers_mut().insert(CONNECTION, CLOSE);
     }
     response
