bench: runs a load scenario, reports measures, compares plain variants

Table, JSON and one HTML page with inline plots; the worst-served account on top; the run fails on any count that must be nil and on a goal that is not kept. bench/mill.yaml holds the mill's places, services and accounts.

--- a/crates/cli/src/bench/mod.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`scenario`] says what to run, [`arrival`] draws every operation ahead from a seed, [`load`]
 //! sends them when they are due, whatever became of the ones before, and writes a [`history`].
-//! [`check`] and [`measure`] judge the history.
+//! [`check`] and [`measure`] judge the history, [`report`] and [`html`] show it; [`run`] does all of it.
 
 pub mod admission;
 pub mod arrival;
@@ -10,10 +10,14 @@
 pub mod check;
 pub mod fault;
 pub mod history;
+pub mod html;
 pub mod load;
 pub mod measure;
+pub mod plot;
 pub mod progress;
 pub mod remains;
+pub mod report;
+pub mod run;
 pub mod scenario;
 pub mod session;
 pub mod variant;
--- /dev/null
+++ b/crates/cli/src/bench/report.rs
@@ -0,0 +1,289 @@
+//! The report of a bench: the three measures first, the worst-served account on top.
+
+use crate::bench::measure::{self, Measures};
+use crate::bench::scenario::{Goals, Scenario};
+use crate::bench::variant::Variant;
+use crate::output::table;
+use bergamotvale_core::refusal::Reason;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::Path;
+
+/// Everything that a bench reports.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// Name of the scenario.
+    pub scenario: String,
+    /// Seed that was used.
+    pub seed: u64,
+    /// Commit of the working tree, when it is a clone.
+    pub commit: Option<String>,
+    /// Build profile.
+    pub profile: &'static str,
+    /// The project's run first, then the plain variants.
+    pub runs: Vec<Run>,
+    /// Goals that the first run did not keep.
+    pub broken: Vec<String>,
+}
+
+/// A variant and what was measured of it.
+#[derive(Debug, Clone, Serialize)]
+pub struct Run {
+    /// Its name.
+    pub name: &'static str,
+    /// What it does.
+    pub about: &'static str,
+    /// What was measured.
+    pub measures: Measures,
+}
+
+impl Run {
+    /// A run of `variant`.
+    pub fn new(variant: Variant, measures: Measures) -> Run {
+        Run { name: variant.name, about: variant.about, measures }
+    }
+}
+
+impl Report {
+    /// A report; the first of `runs` is judged by the scenario's goals.
+    pub fn new(scenario: &Scenario, seed: u64, runs: Vec<Run>) -> Report {
+        let broken =
+            runs.first().map_or_else(Vec::new, |run| broken(&scenario.goals, &run.measures));
+        Report {
+            scenario: scenario.name.clone(),
+            seed,
+            commit: commit(Path::new(".")),
+            profile: if cfg!(debug_assertions) { "debug" } else { "release" },
+            runs,
+            broken,
+        }
+    }
+}
+
+/// Goals, and rules without exception, that `measures` do not keep.
+pub fn broken(goals: &Goals, measures: &Measures) -> Vec<String> {
+    let counts = measures.findings.counts().into_iter();
+    let mut broken: Vec<String> = counts
+        .filter(|(_, count)| *count > 0)
+        .map(|(rule, count)| format!("{rule}: {count}"))
+        .collect();
+    if let Some(goal) = goals.gap {
+        let goal = goal.as_secs_f64() * 1e3;
+        match measure::gap_summary(&measures.gaps) {
+            None if measures.gaps.is_empty() => {}
+            None => broken.push("a failover gap has no end".to_owned()),
+            Some((_, worst)) if worst > goal => {
+                broken.push(format!("failover gap {worst:.0} ms is above {goal:.0} ms"));
+            }
+            Some(_) => {}
+        }
+    }
+    let worst_share = measures.accounts.first().map_or(1.0, |account| account.share);
+    if let Some(goal) = goals.worst_share.filter(|goal| worst_share < *goal) {
+        broken.push(format!("worst-served account {worst_share:.4} is below {goal:.4}"));
+    }
+    if let Some(goal) = goals.replica_share.filter(|goal| measures.replica_share < *goal) {
+        broken.push(format!("replica share {:.3} is below {goal:.3}", measures.replica_share));
+    }
+    let wrongful = measures.wrongful.values().sum::<u64>();
+    if let Some(goal) = goals.wrongful.filter(|goal| wrongful > *goal) {
+        broken.push(format!("wrongful refusals {wrongful} are above {goal}"));
+    }
+    broken
+}
+
+/// The commit that `folder` has checked out, read from its files.
+fn commit(folder: &Path) -> Option<String> {
+    let git = folder.join(".git");
+    let git = match std::fs::read_to_string(&git) {
+        Ok(link) => link.trim().strip_prefix("gitdir: ")?.into(),
+        Err(_) => git,
+    };
+    let head = std::fs::read_to_string(git.join("HEAD")).ok()?;
+    let Some(name) = head.trim().strip_prefix("ref: ") else { return Some(head.trim().to_owned()) };
+    let common = std::fs::read_to_string(git.join("commondir")).unwrap_or_else(|_| ".".to_owned());
+    let reference = git.join(common.trim()).join(name);
+    Some(std::fs::read_to_string(reference).ok()?.trim().to_owned())
+}
+
+/// The report for people.
+pub fn human(report: &Report) -> String {
+    let mut out = String::new();
+    let commit = report.commit.as_deref().unwrap_or("unknown");
+    let _ = writeln!(
+        out,
+        "scenario {}, seed {}, commit {commit}, {} build",
+        report.scenario, report.seed, report.profile
+    );
+    if let Some(run) = report.runs.first() {
+        out.push_str(&measures(&run.measures));
+    }
+    if report.runs.len() > 1 {
+        out.push_str("\nAgainst plain variants (ratio to bergamotvale):\n");
+        out.push_str(&variants(&report.runs));
+    }
+    match report.broken.is_empty() {
+        true => out.push_str("\nEvery goal is kept.\n"),
+        false => {
+            let _ = writeln!(out, "\nNot kept: {}", report.broken.join("; "));
+        }
+    }
+    out
+}
+
+fn measures(measures: &Measures) -> String {
+    let mut out = String::new();
+    let _ = writeln!(out, "{} operations, {} answered", measures.offered, measures.answered);
+    let _ = writeln!(out, "\nReads from replicas: {:.1} %", measures.replica_share * 100.0);
+    out.push_str(&gaps(measures));
+    out.push_str("\nAccounts, worst served first:\n");
+    out.push_str(&accounts(measures));
+    out.push_str("\nRefused although within the rate:\n");
+    out.push_str(&wrongful(&measures.wrongful, measures.failed));
+    out.push_str("\nLatency from the due time, ms:\n");
+    out.push_str(&latency(measures));
+    let _ = writeln!(out, "\nWrites of unknown outcome: {}", measures.unknown);
+    out.push_str("Must be nil:\n");
+    for (rule, count) in measures.findings.counts() {
+        let _ = writeln!(out, "  {count:>6}  {rule}");
+    }
+    out
+}
+
+fn gaps(measures: &Measures) -> String {
+    let mut out = String::new();
+    match measure::gap_summary(&measures.gaps) {
+        None if measures.gaps.is_empty() => out.push_str("Failover gap: no fault took a primary\n"),
+        None => out.push_str("Failover gap: at least one has no end\n"),
+        Some((median, worst)) => {
+            let count = measures.gaps.len();
+            let _ = writeln!(
+                out,
+                "Failover gap: median {median:.0} ms, worst {worst:.0} ms of {count}"
+            );
+        }
+    }
+    for gap in &measures.gaps {
+        let text = gap.gap_ms.map_or("no end".to_owned(), |gap| format!("{gap:.0} ms"));
+        let _ = writeln!(out, "  {:<28} {text}", gap.fault);
+    }
+    out
+}
+
+fn accounts(measures: &Measures) -> String {
+    let rows: Vec<_> = measures
+        .accounts
+        .iter()
+        .map(|account| {
+            vec![
+                account.name.clone(),
+                format!("{:.2} %", account.share * 100.0),
+                account.offered.to_string(),
+                account.within.to_string(),
+                account.good.to_string(),
+                account.wrongful.to_string(),
+                format!("{:.1}", account.excess),
+                format!("{:.1}", account.p99_ms),
+            ]
+        })
+        .collect();
+    let header =
+        ["ACCOUNT", "SERVED", "OFFERED", "WITHIN", "GOOD", "WRONGFUL", "ABOVE RATE", "P99 MS"];
+    table(&header, &rows)
+}
+
+fn wrongful(reasons: &BTreeMap<Reason, u64>, failed: u64) -> String {
+    let mut out = String::new();
+    for (reason, count) in reasons {
+        let _ = writeln!(out, "  {count:>6}  {reason}");
+    }
+    let _ = writeln!(out, "  {failed:>6}  without a whole answer or a known reason");
+    out
+}
+
+fn latency(measures: &Measures) -> String {
+    let rows: Vec<_> = measures
+        .latency
+        .iter()
+        .map(|(kind, latency)| {
+            vec![
+                kind.to_string(),
+                latency.count.to_string(),
+                format!("{:.2}", latency.p50_ms),
+                format!("{:.2}", latency.p90_ms),
+                format!("{:.2}", latency.p99_ms),
+                format!("{:.2}", latency.p999_ms),
+                format!("{:.2}", latency.max_ms),
+            ]
+        })
+        .collect();
+    table(&["KIND", "COUNT", "P50", "P90", "P99", "P99.9", "MAX"], &rows)
+}
+
+/// Figures by which variants are compared.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Figures {
+    /// Share of reads from replicas.
+    pub replica_share: f64,
+    /// Longest failover gap, ms; none without faults or without an end.
+    pub worst_gap_ms: Option<f64>,
+    /// Share of the worst-served account.
+    pub worst_share: f64,
+    /// Wrongful refusals and requests without answer.
+    pub wrongful: f64,
+    /// Operations that broke a rule without exception.
+    pub broken: usize,
+}
+
+impl Figures {
+    /// The figures of `measures`.
+    pub fn new(measures: &Measures) -> Figures {
+        let wrongful = measures.wrongful.values().sum::<u64>() + measures.failed;
+        Figures {
+            replica_share: measures.replica_share,
+            worst_gap_ms: measure::gap_summary(&measures.gaps).map(|(_, worst)| worst),
+            worst_share: measures.accounts.first().map_or(1.0, |account| account.share),
+            wrongful: wrongful as f64,
+            broken: measures.findings.counts().iter().map(|(_, count)| count).sum(),
+        }
+    }
+}
+
+fn variants(runs: &[Run]) -> String {
+    let Some(first) = runs.first() else { return String::new() };
+    let base = Figures::new(&first.measures);
+    let rows: Vec<_> = runs.iter().map(|run| variant(run, base)).collect();
+    let header = ["VARIANT", "REPLICA SHARE", "WORST GAP MS", "WORST SERVED", "WRONGFUL", "BROKEN"];
+    table(&header, &rows)
+}
+
+fn variant(run: &Run, base: Figures) -> Vec<String> {
+    let figures = Figures::new(&run.measures);
+    let gap = match (figures.worst_gap_ms, base.worst_gap_ms) {
+        (Some(gap), Some(base)) => format!("{gap:.0} ({})", ratio(gap, base)),
+        (Some(gap), None) => format!("{gap:.0}"),
+        (None, _) if run.measures.gaps.is_empty() => "-".to_owned(),
+        (None, _) => "no end".to_owned(),
+    };
+    vec![
+        run.name.to_owned(),
+        format!(
+            "{:.3} ({})",
+            figures.replica_share,
+            ratio(figures.replica_share, base.replica_share)
+        ),
+        gap,
+        format!("{:.4} ({})", figures.worst_share, ratio(figures.worst_share, base.worst_share)),
+        format!("{:.0} ({})", figures.wrongful, ratio(figures.wrongful, base.wrongful)),
+        figures.broken.to_string(),
+    ]
+}
+
+/// `value` as a multiple of `base`.
+fn ratio(value: f64, base: f64) -> String {
+    if base == 0.0 {
+        return if value == 0.0 { "1.00x".to_owned() } else { "from 0".to_owned() };
+    }
+    format!("{:.2}x", value / base)
+}
--- /dev/null
+++ b/crates/cli/src/bench/run.rs
@@ -0,0 +1,192 @@
+//! Runs a scenario: brings the system up, loads it, sets faults, measures what was recorded.
+
+use crate::args::{Bench, Output};
+use crate::bench::arrival;
+use crate::bench::balancer::Balancer;
+use crate::bench::fault::{self, Driver};
+use crate::bench::history::{self, History};
+use crate::bench::load::{self, Setup};
+use crate::bench::measure::{self, Measures};
+use crate::bench::progress::Progress;
+use crate::bench::report::{self, Report, Run};
+use crate::bench::scenario::Scenario;
+use crate::bench::variant::{self, Variant};
+use crate::bench::{html, remains};
+use crate::client;
+use crate::client::caller::Client;
+use crate::error::{Error, Result};
+use crate::output;
+use crate::system::{Plan, System};
+use bergamotvale_core::config::Account;
+use bergamotvale_core::id::ServiceId;
+use bergamotvale_host::settings::Defect;
+use bergamotvale_standin::group;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// Time between the system's start and the first arrival.
+const SETTLE: Duration = Duration::from_millis(500);
+/// Threads of each host that serve callers.
+const WORKERS: usize = 1;
+/// Time that hosts may take to stop after a run.
+const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Runs `bench` as it was typed, prints the report and fails when a goal is not kept.
+pub async fn run(bench: &Bench, output: Output) -> Result<()> {
+    let scenario = Scenario::read(&bench.scenario)?;
+    let seed = bench.seed.unwrap_or(scenario.seed);
+    let mut variants = vec![variant::FULL];
+    if bench.baseline {
+        variants.extend(scenario.baselines.iter().filter_map(|name| variant::named(name)));
+    }
+    let mut runs = Vec::new();
+    for variant in variants {
+        let measures = run_variant(&scenario, seed, variant, &BTreeSet::new()).await?;
+        runs.push(Run::new(variant, measures));
+    }
+    let report = Report::new(&scenario, seed, runs);
+    output::print(output, &report, report::human)?;
+    write(bench.json.as_deref(), || output::json(&report))?;
+    write(bench.html.as_deref(), || Ok(html::page(&report)))?;
+    match report.broken.is_empty() {
+        true => Ok(()),
+        false => Err(Error::Verdict(report.broken.join("; "))),
+    }
+}
+
+fn write(path: Option<&Path>, text: impl Fn() -> Result<String>) -> Result<()> {
+    if let Some(path) = path {
+        std::fs::write(path, text()?)?;
+    }
+    Ok(())
+}
+
+/// Runs one variant of `scenario` and measures it.
+pub async fn run_variant(
+    scenario: &Scenario,
+    seed: u64,
+    variant: Variant,
+    defects: &BTreeSet<Defect>,
+) -> Result<Measures> {
+    let history = record(scenario, seed, variant, defects).await?;
+    Ok(measure::measure(&history, scenario.on_time))
+}
+
+/// Runs one variant of `scenario` and records it.
+pub async fn record(
+    scenario: &Scenario,
+    seed: u64,
+    variant: Variant,
+    defects: &BTreeSet<Defect>,
+) -> Result<History> {
+    let mut system = System::start(plan(scenario, seed, variant, defects)).await?;
+    set_lags(&system, scenario);
+    let progress = Arc::new(Progress::default());
+    let setup = setup(&system, scenario)?;
+    let platform = system.platform.address();
+    let following = setup.balancer.clone().follow(client::http().build()?, platform);
+    let printing = progress.clone().print(format!("{} {}", scenario.name, variant.name));
+    let helpers = [tokio::spawn(following), tokio::spawn(printing)];
+    let arrivals = arrival::draw(scenario, seed);
+    let start = Instant::now() + SETTLE;
+    let loading = tokio::spawn(load::run(setup, arrivals, start, progress.clone()));
+    let faults = Driver::new(&mut system, scenario, start, progress).run().await;
+    let ops = loading.await.map_err(|error| Error::Start(error.to_string()))?;
+    helpers.iter().for_each(JoinHandle::abort);
+    fault::heal_all(&system)?;
+    let remains = remains::read(&system).await?;
+    stop(system).await;
+    let accounts = scenario.accounts.iter().map(|account| history::Account {
+        name: account.name.clone(),
+        rate: f64::from(account.rate),
+        burst: f64::from(account.burst),
+    });
+    Ok(History {
+        accounts: accounts.collect(),
+        services: scenario.services.iter().map(|service| service.name.clone()).collect(),
+        ops,
+        faults: faults?,
+        remains,
+    })
+}
+
+async fn stop(system: System) {
+    if tokio::time::timeout(STOP_TIMEOUT, system.stop()).await.is_err() {
+        log::warn!("hosts still run {STOP_TIMEOUT:?} after they were stopped");
+    }
+}
+
+fn plan(scenario: &Scenario, seed: u64, variant: Variant, defects: &BTreeSet<Defect>) -> Plan {
+    let mut policy = scenario.policy.clone();
+    (variant.edit)(&mut policy);
+    policy.defects = defects.clone();
+    let groups = scenario.services.iter().map(|service| {
+        let options = group::Options {
+            targets: service.targets,
+            replication_delay: scenario.places.between_domains,
+            network_delay: scenario.places.between_domains,
+            connect_delay: service.connect,
+            connection_limit: u64::from(service.connections),
+            schema: load::SCHEMA.map(str::to_owned).to_vec(),
+            ..group::Options::default()
+        };
+        (service.name.clone(), options)
+    });
+    let accounts = scenario.accounts.iter().map(|account| Account {
+        name: account.name.clone(),
+        rate: account.rate,
+        burst: account.burst,
+        weight: account.weight,
+        services: scenario
+            .services_of(account)
+            .into_iter()
+            .map(|place| place as ServiceId + 1)
+            .collect(),
+    });
+    Plan {
+        seed,
+        hosts: scenario.places.hosts,
+        failure_domains: scenario.places.failure_domains,
+        groups: groups.collect(),
+        accounts: accounts.collect(),
+        routes: BTreeMap::new(),
+        policy,
+        workers: WORKERS,
+    }
+}
+
+fn set_lags(system: &System, scenario: &Scenario) {
+    for (group, service) in system.groups.iter().zip(&scenario.services) {
+        for target in group.targets() {
+            target.set_lag(service.lag);
+        }
+    }
+}
+
+/// Each account's callers share connections of their own.
+fn setup(system: &System, scenario: &Scenario) -> Result<Setup> {
+    let mut callers = Vec::new();
+    for _ in &scenario.accounts {
+        let http = client::http().build()?;
+        let hosts = system.hosts.iter();
+        let clients =
+            hosts.map(|host| Client::new(http.clone(), host.settings.listen.callers)).collect();
+        callers.push(clients);
+    }
+    let hosts = system.hosts.iter().map(|host| host.settings.host.to_string()).collect();
+    let sessions: u32 = scenario.accounts.iter().map(|account| account.sessions).sum();
+    Ok(Setup {
+        callers,
+        keys: system.keys.clone(),
+        services: scenario.services.iter().map(|service| service.name.clone()).collect(),
+        sessions: sessions as usize,
+        timeout: scenario.timeout,
+        max_age: scenario.max_age,
+        way: scenario.places.to_clients,
+        balancer: Balancer::new(hosts),
+    })
+}
--- a/crates/cli/src/bench/scenario.rs
+++ b/crates/cli/src/bench/scenario.rs
@@ -3,6 +3,7 @@
 //! Unknown fields and wrong units are found while reading, what cannot hold by [`verify`].
 
 use crate::bench::history::Kind;
+use crate::bench::variant;
 use crate::error::{Error, Result};
 use bergamotvale_host::settings::Policy;
 use bergamotvale_host::unit::Span;
@@ -265,6 +266,7 @@
     verify_services(scenario)?;
     verify_accounts(scenario)?;
     verify_mix(scenario)?;
+    verify_baselines(scenario)?;
     scenario.faults.iter().enumerate().try_for_each(|(place, fault)| {
         verify_fault(scenario, fault).map_err(|error| format!("faults[{place}].{error}"))
     })
@@ -349,6 +351,13 @@
     }
 }
 
+fn verify_baselines(scenario: &Scenario) -> Verdict {
+    match scenario.baselines.iter().find(|name| variant::named(name).is_none()) {
+        Some(name) => fault("baselines", format!("there is no variant {name}")),
+        None => Ok(()),
+    }
+}
+
 fn verify_fault(scenario: &Scenario, set: &Fault) -> Verdict {
     if set.at > scenario.duration {
         return fault("at", "is after the end");
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -4,7 +4,7 @@
 use crate::client::operator::Client;
 use crate::client::report::{Service, Target};
 use crate::error::{Error, Result};
-use crate::{client, output, trial};
+use crate::{bench, client, output, trial};
 use bergamotvale_core::id::{PlanId, TargetId};
 use bergamotvale_core::plan::{Intent, Plan, State};
 use clap_complete::Shell;
@@ -71,7 +71,7 @@
             Ok(())
         }
         Command::Try { keep } => trial::run(output, keep).await,
-        Command::Bench(_) => Err(Error::Usage("not part of this build".to_owned())),
+        Command::Bench(bench) => bench::run::run(&bench, output).await,
     }
 }
 
--- /dev/null
+++ b/crates/cli/tests/scenarios.rs
@@ -0,0 +1,69 @@
+//! Scenario files: those of `bench/` hold, and each mistake is named with its place.
+
+use bergamotvale_cli::bench::scenario::Scenario;
+use bergamotvale_cli::bench::{arrival, html, report, variant};
+use serde::Deserialize;
+use std::path::Path;
+
+/// The scenario that each mistake is made in.
+const BASE: &str = include_str!("../../../bench/mill.yaml");
+
+/// A mistake: a text of the base scenario, what stands in its place, and the error.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Mistake {
+    replace: String,
+    with: String,
+    error: String,
+}
+
+fn mistake(path: &Path) -> datatest_stable::Result<()> {
+    let case: Mistake = serde_yaml_ng::from_str(&std::fs::read_to_string(path)?)?;
+    assert!(BASE.contains(&case.replace), "the base scenario has changed");
+    let text = BASE.replacen(&case.replace, &case.with, 1);
+
+    let error = Scenario::parse(&text).expect_err("a mistake");
+
+    assert!(error.contains(&case.error), "{error}");
+    Ok(())
+}
+
+/// Runs of the same seed are alike, and load stays within what the scenario states.
+fn shipped(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    if !text.contains("mix:") {
+        return Ok(());
+    }
+    let scenario = Scenario::parse(&text)?;
+
+    let arrivals = arrival::draw(&scenario, 7);
+
+    assert_eq!(arrivals, arrival::draw(&scenario, 7));
+    assert_ne!(arrivals, arrival::draw(&scenario, 8));
+    assert!(arrivals.windows(2).all(|pair| pair[0].at <= pair[1].at));
+    for (place, account) in scenario.accounts.iter().enumerate() {
+        let sent = arrivals.iter().filter(|arrival| arrival.account == place).count() as f64;
+        let expected = account.load * scenario.duration.as_secs_f64();
+        let deviation = (sent - expected).abs() / expected.max(1.0).sqrt();
+        assert!(deviation < 6.0, "{} sends {sent}, not {expected}", account.name);
+    }
+    assert!(scenario.places.hosts == 1 || arrivals.iter().all(|a| a.host != a.other_host));
+    page_needs_nothing_else(&scenario);
+    Ok(())
+}
+
+fn page_needs_nothing_else(scenario: &Scenario) {
+    let history = Default::default();
+    let measures = bergamotvale_cli::bench::measure::measure(&history, scenario.on_time);
+    let runs = vec![report::Run::new(variant::FULL, measures)];
+
+    let page = html::page(&report::Report::new(scenario, 1, runs));
+
+    assert!(page.contains("<svg"));
+    assert!(!page.contains("http") && !page.contains("src=") && !page.contains("href="));
+}
+
+datatest_stable::harness! {
+    { test = mistake, root = "tests/scenarios", pattern = r"\.yaml$" },
+    { test = shipped, root = "../../bench", pattern = r"\.yaml$" },
+}
