--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -5,30 +5,16 @@
 //! judges the position that the connection itself answered, in the same round trip and before the
 //! statement's snapshot. Only a verified answer goes to the caller.
 
+pub use crate::group::Role;
 use crate::id::{FailureDomainId, TargetId, Time};
 use crate::log::Position;
 use crate::statement::Freshness;
-use derive_more::Display;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Requests in flight that a target of the host's own failure domain may have more than another.
 const LOCAL_PREFERENCE: u32 = 2;
 
-/// What a target does in its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-#[display(rename_all = "snake_case")]
-pub enum Role {
-    /// Takes writes.
-    Primary,
-    /// Follows the primary.
-    Replica,
-    /// Is being rebuilt; serves nothing.
-    Rebuilding,
-}
-
 /// What is remembered of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct View {
--- a/crates/host/src/target/lease.rs
+++ b/crates/host/src/target/lease.rs
@@ -47,6 +47,17 @@
         self.connection().exchange(timeout, work).await
     }
 
+    /// An exchange starts that may outlast a call; dropping the lease before it is settled cancels
+    /// the statement.
+    pub fn start(&self) {
+        self.connection().start();
+    }
+
+    /// The whole answer of the exchange is here.
+    pub fn settle(&self) {
+        self.connection().settle();
+    }
+
     /// Gives the connection back; the owner vouches that no transaction and no answer is left on
     /// it. One with an exchange that did not end is closed all the same.
     pub fn release_clean(mut self) {
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use bergamotvale_core::config::{Account, Document, Key, KeyState, Service, Target, TargetState};
 use bergamotvale_host::auth;
 use bergamotvale_host::daemon::Daemon;
+use bergamotvale_host::fleet::change;
 use bergamotvale_host::settings::{Listen, Settings};
 use bergamotvale_standin::group::{self, Group};
 use bergamotvale_standin::platform;
@@ -48,13 +49,13 @@
     let options = group::Options { schema, ..group::Options::default() };
     let group = Group::start(options).expect("group starts");
     let platform = platform::Server::start(platform::Options::default()).expect("platform starts");
-    seed(platform.address(), &document(&group.addresses())).await;
     let mut daemons = Vec::new();
     for host in 1..=hosts {
         let mut settings = settings(host, platform.address());
         change(&mut settings);
         daemons.push(Daemon::start(settings).await.expect("host starts"));
     }
+    found(&daemons[0], document(&group.addresses())).await;
     let http = reqwest::Client::new();
     Fleet { platform, group, daemons, http }
 }
@@ -100,9 +101,13 @@
     Key { account, salt: SALT.into(), digest, state: KeyState::Active }
 }
 
-async fn seed(platform: SocketAddr, document: &Document) {
-    let client = bergamotvale_host::platform::Client::new(&settings(0, platform)).expect("client");
-    client.seed(document).await.expect("the platform takes the configuration");
+/// Publishes the first configuration, once the host may.
+async fn found(daemon: &Daemon, document: Document) {
+    let start = Instant::now();
+    while let Err(fault) = change::found(&daemon.host, document.clone()).await {
+        assert!(start.elapsed() < PATIENCE, "no first configuration: {fault}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
 }
 
 impl Fleet {
