--- /dev/null
+++ b/crates/cli/src/bench/cost/external.rs
@@ -0,0 +1,57 @@
+//! Statements through a daemon in a process of its own.
+//!
+//! The bench starts the stand-ins, writes the daemon's settings and waits for whoever runs the
+//! bench to start it; no process starts another.
+
+use super::Scenario;
+use super::process;
+use super::statement::{self, Cost};
+use crate::error::{Error, Result};
+use crate::system::System;
+use std::net::TcpListener;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Time that the daemon may take to be started.
+const START_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time between two looks whether it is.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Measures the daemon whose settings are written to `folder`.
+pub async fn measure(scenario: &Scenario, folder: &Path) -> Result<Cost> {
+    let mut system = System::prepare(statement::plan(scenario.seed, 1, 1, 1)).await?;
+    let mut settings = system.settings(0);
+    settings.listen.callers.set_port(free_port()?);
+    settings.listen.operators.set_port(free_port()?);
+    settings.listen.peers.set_port(free_port()?);
+    let text = serde_yaml_ng::to_string(&settings)
+        .map_err(|error| Error::Start(format!("settings: {error}")))?;
+    std::fs::create_dir_all(folder)?;
+    let (file, pid_file) = (folder.join("host1.yaml"), folder.join("host1.pid"));
+    std::fs::write(&file, text)?;
+    eprintln!(
+        "start it: bergamotvaled --config {} & echo $! > {}",
+        file.display(),
+        pid_file.display()
+    );
+    let pid = wait_for_pid(&pid_file).await?;
+    system.adopt_host(settings).await?;
+    let used = || process::used(pid);
+    statement::compare(scenario, &system, 0, used, "the daemon's process").await
+}
+
+fn free_port() -> Result<u16> {
+    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?.port())
+}
+
+async fn wait_for_pid(file: &Path) -> Result<u32> {
+    let deadline = Instant::now() + START_TIMEOUT;
+    while Instant::now() < deadline {
+        let text = std::fs::read_to_string(file).unwrap_or_default();
+        if let Ok(pid) = text.trim().parse() {
+            return Ok(pid);
+        }
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+    Err(Error::Start(format!("no process id in {}", file.display())))
+}
--- a/crates/cli/src/bench/mod.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -8,6 +8,7 @@
 pub mod arrival;
 pub mod balancer;
 pub mod check;
+pub mod cost;
 pub mod fault;
 pub mod history;
 pub mod html;
--- a/crates/cli/src/bench/report.rs
+++ b/crates/cli/src/bench/report.rs
@@ -94,7 +94,7 @@
 }
 
 /// The commit that `folder` has checked out, read from its files.
-fn commit(folder: &Path) -> Option<String> {
+pub fn commit(folder: &Path) -> Option<String> {
     let git = folder.join(".git");
     let git = match std::fs::read_to_string(&git) {
         Ok(link) => link.trim().strip_prefix("gitdir: ")?.into(),
--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -11,7 +11,7 @@
 use crate::bench::report::{self, Report, Run};
 use crate::bench::scenario::Scenario;
 use crate::bench::variant::{self, Variant};
-use crate::bench::{html, remains};
+use crate::bench::{cost, html, remains};
 use crate::client;
 use crate::client::caller::Client;
 use crate::error::{Error, Result};
@@ -37,7 +37,12 @@
 
 /// Runs `bench` as it was typed, prints the report and fails when a goal is not kept.
 pub async fn run(bench: &Bench, output: Output) -> Result<()> {
-    let scenario = Scenario::read(&bench.scenario)?;
+    let text = std::fs::read_to_string(&bench.scenario);
+    let text = text.map_err(|error| named(&bench.scenario, error))?;
+    if is_cost(&text) {
+        return cost::run(&text, bench, output).await;
+    }
+    let scenario = Scenario::parse(&text).map_err(|error| named(&bench.scenario, error))?;
     let seed = bench.seed.unwrap_or(scenario.seed);
     let mut variants = vec![variant::FULL];
     if bench.baseline {
@@ -58,6 +63,16 @@
     }
 }
 
+fn named(path: &Path, error: impl std::fmt::Display) -> Error {
+    Error::Usage(format!("{}: {error}", path.display()))
+}
+
+/// Whether the scenario in `text` is one of cost: it states statements in place of a mix.
+fn is_cost(text: &str) -> bool {
+    let document = serde_yaml_ng::from_str::<serde_yaml_ng::Value>(text);
+    document.is_ok_and(|document| document.get("statements").is_some())
+}
+
 fn write(path: Option<&Path>, text: impl Fn() -> Result<String>) -> Result<()> {
     if let Some(path) = path {
         std::fs::write(path, text()?)?;
--- a/crates/cli/src/bench/scenario.rs
+++ b/crates/cli/src/bench/scenario.rs
@@ -4,13 +4,11 @@
 
 use crate::bench::history::Kind;
 use crate::bench::variant;
-use crate::error::{Error, Result};
 use bergamotvale_host::settings::Policy;
 use bergamotvale_host::unit::Span;
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::Path;
 use std::time::Duration;
 
 /// Longest run.
@@ -231,13 +229,6 @@
 }
 
 impl Scenario {
-    /// Reads and verifies the scenario in `path`.
-    pub fn read(path: &Path) -> Result<Scenario> {
-        let named = |error: String| Error::Usage(format!("{}: {error}", path.display()));
-        let text = std::fs::read_to_string(path).map_err(|error| named(error.to_string()))?;
-        Scenario::parse(&text).map_err(named)
-    }
-
     /// Reads and verifies the scenario in `text`.
     pub fn parse(text: &str) -> std::result::Result<Scenario, String> {
         let scenario: Scenario = serde_yaml_ng::from_str(text).map_err(|e| e.to_string())?;
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -24,6 +24,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
 
 /// Time that the system may take to serve its first requests.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -72,6 +73,8 @@
     /// The operator's key.
     pub operator_key: String,
     http: reqwest::Client,
+    operators: Vec<Operator>,
+    plan: Plan,
 }
 
 /// A host of the system.
@@ -84,13 +87,20 @@
 impl System {
     /// Brings up `plan` and waits until every host serves every service.
     pub async fn start(plan: Plan) -> Result<System> {
+        let mut system = System::prepare(plan).await?;
+        system.start_hosts(None).await?;
+        Ok(system)
+    }
+
+    /// Brings up what is outside of the hosts: platform and groups.
+    pub async fn prepare(plan: Plan) -> Result<System> {
         let mut rng = StdRng::seed_from_u64(plan.seed);
         let platform = platform::Server::start(platform::Options::default()).map_err(start)?;
         let groups = start_groups(&plan)?;
         let (document, keys) = document(&plan, &groups, &mut rng);
         let secret = secret(&mut rng);
         let operators = vec![operator(&secret, &mut rng)];
-        let mut system = System {
+        Ok(System {
             platform,
             groups,
             hosts: Vec::new(),
@@ -98,14 +108,31 @@
             keys,
             operator_key: format!("op_{OPERATOR}_{secret}"),
             http: client::http().build()?,
-        };
-        for place in 0..plan.hosts {
-            let settings = settings(&plan, place, system.platform.address(), &operators);
-            system.hosts.push(Host::start(settings).await?);
+            operators,
+            plan,
+        })
+    }
+
+    /// Starts the hosts, on a runtime of their own if one is given, and waits until they serve.
+    pub async fn start_hosts(&mut self, runtime: Option<&Handle>) -> Result<()> {
+        for place in 0..self.plan.hosts {
+            let settings = self.settings(place);
+            self.hosts.push(Host::start(settings, runtime).await?);
         }
-        system.found().await?;
-        system.wait_until_served().await?;
-        Ok(system)
+        self.found().await?;
+        self.wait_until_served().await
+    }
+
+    /// Takes in a host that runs in another process, and waits until it serves.
+    pub async fn adopt_host(&mut self, settings: Settings) -> Result<()> {
+        self.hosts.push(Host { settings, daemon: None });
+        self.found().await?;
+        self.wait_until_served().await
+    }
+
+    /// Settings of the host at `place`, on free ports.
+    pub fn settings(&self, place: usize) -> Settings {
+        settings(&self.plan, place, self.platform.address(), &self.operators)
     }
 
     /// A caller of the host at `place`, over connections of its own.
@@ -135,17 +162,29 @@
 
     /// Publishes the first configuration, once a host may.
     async fn found(&self) -> Result<()> {
-        let daemon = self.hosts[0].daemon.as_ref().ok_or_else(|| start("no host runs"))?;
         let deadline = Instant::now() + START_TIMEOUT;
         loop {
-            match change::found(&daemon.host, self.document.clone()).await {
-                Ok(_) => return Ok(()),
-                Err(fault) if Instant::now() > deadline => return Err(start(fault)),
+            match self.try_found().await {
+                Ok(()) => return Ok(()),
+                Err(error) if Instant::now() > deadline => return Err(error),
                 Err(_) => tokio::time::sleep(START_PERIOD).await,
             }
         }
     }
 
+    async fn try_found(&self) -> Result<()> {
+        match self.hosts[0].daemon.as_ref() {
+            Some(daemon) => {
+                let founded = change::found(&daemon.host, self.document.clone()).await;
+                founded.map(drop).map_err(start)
+            }
+            None => {
+                let document = serde_json::to_value(&self.document).map_err(start)?;
+                self.operator(0).put_config(document).await
+            }
+        }
+    }
+
     async fn wait_until_served(&self) -> Result<()> {
         let deadline = Instant::now() + START_TIMEOUT;
         for host in 0..self.hosts.len() {
@@ -182,11 +221,20 @@
 }
 
 impl Host {
-    async fn start(settings: Settings) -> Result<Host> {
-        let daemon = Daemon::start(settings).await.map_err(start)?;
+    async fn start(settings: Settings, runtime: Option<&Handle>) -> Result<Host> {
+        let starting = Daemon::start(settings);
+        let daemon = match runtime {
+            Some(runtime) => runtime.spawn(starting).await.map_err(start)?.map_err(start)?,
+            None => starting.await.map_err(start)?,
+        };
         Ok(Host { settings: daemon.host.settings.clone(), daemon: Some(daemon) })
     }
 
+    /// Where it serves callers.
+    pub fn address(&self) -> SocketAddr {
+        self.settings.listen.callers
+    }
+
     /// Whether it runs.
     pub fn is_running(&self) -> bool {
         self.daemon.is_some()
--- /dev/null
+++ b/crates/cli/tests/cost.rs
@@ -0,0 +1,92 @@
+//! Cost: lines through points, goals, and the scenario that is shipped.
+
+use bergamotvale_cli::bench::cost::slope::{self, Line};
+use bergamotvale_cli::bench::cost::{self, Goals, Scenario, connection, process, statement};
+use bergamotvale_cli::bench::measure;
+use std::time::Duration;
+
+const SHIPPED: &str = include_str!("../../../bench/cost.yaml");
+
+fn goals() -> Goals {
+    Goals {
+        cpu: Duration::from_micros(50),
+        latency: Duration::from_micros(250),
+        connection: 16 * 1024,
+    }
+}
+
+fn statement_cost(cpu_micros: f64, added_micros: f64) -> statement::Cost {
+    let latency = measure::summary(&measure::histogram());
+    statement::Cost {
+        statements: 1,
+        cpu_micros,
+        added_micros,
+        through: latency.clone(),
+        direct: latency,
+        counted: "threads of the host",
+    }
+}
+
+fn connection_cost(bytes: f64) -> connection::Cost {
+    connection::Cost { points: Vec::new(), bytes }
+}
+
+#[test]
+fn line_through_points() {
+    let line = slope::fit(&[(0.0, 5.0), (1.0, 7.0), (4.0, 13.0)]);
+
+    assert_eq!(line, Line { base: 5.0, slope: 2.0 });
+}
+
+#[test]
+fn points_at_one_place_have_no_slope() {
+    let line = slope::fit(&[(3.0, 4.0), (3.0, 6.0)]);
+
+    assert_eq!(line, Line { base: 5.0, slope: 0.0 });
+}
+
+#[test]
+fn cost_at_its_goals_is_kept() {
+    let broken =
+        cost::broken(&goals(), &statement_cost(50.0, 250.0), Some(&connection_cost(16384.0)));
+
+    assert_eq!(broken, Vec::<String>::new());
+}
+
+#[test]
+fn each_goal_can_be_broken() {
+    let broken =
+        cost::broken(&goals(), &statement_cost(50.1, 250.5), Some(&connection_cost(16385.0)));
+
+    assert_eq!(broken.len(), 3, "{broken:?}");
+}
+
+#[test]
+fn shipped_scenario_states_the_goals() {
+    let scenario = Scenario::parse(SHIPPED).expect("a scenario");
+
+    assert_eq!(scenario.goals, goals());
+}
+
+#[test]
+fn unknown_field_is_named() {
+    let text = SHIPPED.replace("idle_connections", "idle_conections");
+
+    let error = Scenario::parse(&text).expect_err("an unknown field");
+
+    assert!(error.contains("idle_conections"), "{error}");
+}
+
+#[test]
+fn working_thread_uses_its_time() {
+    let before = process::used(std::process::id()).expect("threads");
+    let mut sum = 0_u64;
+    for number in 0..20_000_000_u64 {
+        sum = std::hint::black_box(sum.wrapping_add(number));
+    }
+
+    let after = process::used(std::process::id()).expect("threads");
+
+    assert!(after > before);
+    assert!(process::resident().expect("memory") > 0);
+}
