--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -53,6 +53,9 @@
 /// Retries a second that a budget gains without any request, so that rare callers may retry too.
 const BUDGET_REFILL: f64 = 1.0;
 
+/// Tries of full length that fit into a caller's time.
+const TRIES_WITHIN_DEADLINE: u32 = 4;
+
 /// How a request is tried again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
@@ -79,8 +82,11 @@
 
 impl Policy {
     /// When a try that starts at `now` is given up.
+    ///
+    /// A caller that gives more time has slower statements: a try may take a fixed part of it.
     pub fn try_deadline(&self, now: Time, deadline: Time) -> Time {
-        deadline.min(now + self.try_timeout)
+        let part = deadline.saturating_sub(now) / TRIES_WITHIN_DEADLINE;
+        deadline.min(now + part.max(self.try_timeout))
     }
 
     /// Delay before retry number `retry` (from 1), jittered over its upper half by `draw`.
--- a/crates/host/src/front/stream.rs
+++ b/crates/host/src/front/stream.rs
@@ -4,7 +4,7 @@
 //! connection is cut before the last chunk, so that no caller takes a part for the whole.
 
 use super::body;
-use super::gone::Callers;
+use super::gone::{Busy, Callers};
 use crate::exec::read::Rest;
 use crate::exec::{Answer, Job};
 use crate::shared::Host;
@@ -23,6 +23,7 @@
     job: Job,
     rest: Option<Rest>,
     first: Option<String>,
+    _busy: Busy,
 }
 
 /// The body of a long result.
@@ -34,7 +35,8 @@
     rest: Rest,
 ) -> ResponseBody {
     let first = Some(body::opening(&answer.rows));
-    let stream = Stream { host, callers, address, job, rest: Some(rest), first };
+    let _busy = callers.enter(address);
+    let stream = Stream { host, callers, address, job, rest: Some(rest), first, _busy };
     let parts = futures::stream::unfold(stream, |mut stream| async move {
         let part = stream.next().await?;
         Some((part, stream))
--- /dev/null
+++ b/crates/host/tests/fleet_authority.rs
@@ -0,0 +1,115 @@
+//! Authority over the shared state while hosts are cut off and the platform fails.
+
+mod support;
+
+use serde_json::json;
+use support::operator::{ALICE, four};
+use support::{KEY, OTHER_KEY};
+
+const WITHDRAW_OTHER: &str = "keys/2/withdraw";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_cut_off_from_the_store_goes_on_and_hears_of_a_withdrawal() {
+    let fleet = four().await;
+    fleet.ask_until(3, OTHER_KEY, 200, "").await;
+
+    fleet.cut_store(3, true);
+    let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
+
+    assert_eq!(status, 200, "{body}");
+    fleet.ask_until(3, OTHER_KEY, 401, "key_withdrawn").await;
+    fleet.ask_until(3, KEY, 200, "").await;
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_cut_off_from_its_peers_goes_on_and_reads_of_a_withdrawal() {
+    let fleet = four().await;
+    fleet.ask_until(3, OTHER_KEY, 200, "").await;
+
+    fleet.cut_peers(3, true);
+    let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
+
+    assert_eq!(status, 200, "{body}");
+    fleet.ask_until(3, OTHER_KEY, 401, "key_withdrawn").await;
+    fleet.ask_until(3, KEY, 200, "").await;
+    fleet.cut_peers(3, false);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_cut_off_from_both_refuses_everyone_until_it_is_back() {
+    let fleet = four().await;
+    fleet.ask_until(3, OTHER_KEY, 200, "").await;
+
+    fleet.cut_peers(3, true);
+    fleet.cut_store(3, true);
+    let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
+
+    assert_eq!(status, 200, "{body}");
+    fleet.ask_until(3, OTHER_KEY, 503, "authority_lapsed").await;
+    fleet.ask_until(3, KEY, 503, "authority_lapsed").await;
+    fleet.cut_peers(3, false);
+    fleet.cut_store(3, false);
+    fleet.ask_until(3, OTHER_KEY, 401, "key_withdrawn").await;
+    fleet.ask_until(3, KEY, 200, "").await;
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_fleet_serves_while_the_store_is_down_and_changes_nothing() {
+    let fleet = four().await;
+    fleet.ask_until(1, OTHER_KEY, 200, "").await;
+
+    fleet.platform.faults().set(|fault| fault.outage = true).expect("a fault");
+    let by_voters = || {
+        let standing = fleet.daemons[1].host.fleet.standing(fleet.daemons[1].host.clock.now());
+        standing.held && standing.source.is_some_and(|source| source.to_string() == "voters")
+    };
+    fleet.wait("authority by the voters", by_voters).await;
+    let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
+
+    assert_eq!((status, &body["reason"]), (503, &json!("unavailable")), "{body}");
+    for host in 0..4 {
+        fleet.ask_until(host, OTHER_KEY, 200, "").await;
+    }
+    fleet.platform.faults().set(|fault| fault.outage = false).expect("no fault");
+    let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
+    assert_eq!(status, 200, "{body}");
+    fleet.ask_until(2, OTHER_KEY, 401, "key_withdrawn").await;
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_store_blocks_no_heartbeat() {
+    let fleet = four().await;
+
+    fleet.platform.faults().set(|fault| fault.hang = true).expect("a fault");
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+
+    assert!(fleet.daemons.iter().all(|daemon| daemon.host.authority()));
+    fleet.platform.faults().set(|fault| fault.hang = false).expect("no fault");
+    let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
+    assert_eq!(status, 200, "{body}");
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_host_leaves_and_its_next_run_joins() {
+    let mut fleet = four().await;
+
+    let stopped = fleet.daemons.remove(3);
+    stopped.stop().await;
+    let three = || fleet.daemons.iter().all(|d| d.host.fleet.row().members.len() == 3);
+    fleet.wait("three members", three).await;
+    let mut settings = support::settings(4, fleet.platform.address());
+    support::operator::operated(&mut settings);
+    let again = bergamotvale_host::daemon::Daemon::start(settings).await.expect("host starts");
+    fleet.daemons.push(again);
+
+    fleet.settle().await;
+    fleet.ask_until(3, KEY, 200, "").await;
+    let status = fleet.operate(3, ALICE, reqwest::Method::GET, "status", None).await.1;
+    assert_eq!(status["members"].as_array().map(Vec::len), Some(4), "{status}");
+    fleet.stop().await;
+}
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses the part that it needs")]
 
+pub mod operator;
+
 use bergamotvale_core::config::{Account, Document, Key, KeyState, Service, Target, TargetState};
 use bergamotvale_host::auth;
 use bergamotvale_host::daemon::Daemon;
