--- a/crates/cli/src/bench/scenario.rs
+++ b/crates/cli/src/bench/scenario.rs
@@ -3,13 +3,12 @@
 //! Unknown fields and wrong units are found while reading, what cannot hold by [`verify`].
 
 use crate::bench::history::Kind;
-use crate::error::{Error, Result};
+use crate::bench::variant;
 use bergamotvale_host::settings::Policy;
 use bergamotvale_host::unit::Span;
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::Path;
 use std::time::Duration;
 
 /// Longest run.
@@ -230,13 +229,6 @@
 }
 
 impl Scenario {
-    /// Reads and verifies the scenario in `path`.
-    pub fn read(path: &Path) -> Result<Scenario> {
-        let named = |error: String| Error::Usage(format!("{}: {error}", path.display()));
-        let text = std::fs::read_to_string(path).map_err(|error| named(error.to_string()))?;
-        Scenario::parse(&text).map_err(named)
-    }
-
     /// Reads and verifies the scenario in `text`.
     pub fn parse(text: &str) -> std::result::Result<Scenario, String> {
         let scenario: Scenario = serde_yaml_ng::from_str(text).map_err(|e| e.to_string())?;
@@ -265,6 +257,7 @@
     verify_services(scenario)?;
     verify_accounts(scenario)?;
     verify_mix(scenario)?;
+    verify_baselines(scenario)?;
     scenario.faults.iter().enumerate().try_for_each(|(place, fault)| {
         verify_fault(scenario, fault).map_err(|error| format!("faults[{place}].{error}"))
     })
@@ -349,6 +342,13 @@
     }
 }
 
+fn verify_baselines(scenario: &Scenario) -> Verdict {
+    match scenario.baselines.iter().find(|name| variant::named(name).is_none()) {
+        Some(name) => fault("baselines", format!("there is no variant {name}")),
+        None => Ok(()),
+    }
+}
+
 fn verify_fault(scenario: &Scenario, set: &Fault) -> Verdict {
     if set.at > scenario.duration {
         return fault("at", "is after the end");
