--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::unit::{Size, Span};
 use bergamotvale_core::id::{FailureDomainId, HostId};
+use bergamotvale_core::plan;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
@@ -176,6 +177,9 @@
     /// Finishing what runs while the host stops.
     #[serde_as(as = "Span")]
     pub stop: Duration,
+    /// Time for which the old and the new key both work during a rotation.
+    #[serde_as(as = "Span")]
+    pub key_overlap: Duration,
 }
 
 /// How decisions are taken; the defaults are what the project stands for, the others baselines.
@@ -360,6 +364,7 @@
             peer: Duration::from_millis(500),
             leave: Duration::from_secs(2),
             stop: Duration::from_secs(15),
+            key_overlap: plan::KEY_OVERLAP,
         }
     }
 }
--- a/crates/host/tests/data_basic.rs
+++ b/crates/host/tests/data_basic.rs
@@ -1,6 +1,5 @@
 //! Reads, writes and transactions end to end, without faults.
 
-#[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
 
 use common::{Fixture, OTHER_KEY};
--- /dev/null
+++ b/crates/host/tests/fleet_change.rs
@@ -0,0 +1,296 @@
+//! Changes by operators: races, lost answers, nonsense, plans, and who may make them.
+
+mod common;
+mod fleet;
+
+use bergamotvale_core::config::KeyState;
+use bergamotvale_host::shared::Host;
+use common::{Fixture, KEY, OTHER_KEY};
+use fleet::{ALICE, BRUNO, Fleet, four};
+use reqwest::Method;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+fn lose(fleet: &Fleet, answers: u64) {
+    fleet.fault(|fault| fault.lose = answers);
+}
+
+async fn one_without_configuration() -> Fleet {
+    let fixture = Fixture::new().await;
+    let host = fixture.bare_host(1, fleet::operated).await;
+    let fleet = Fleet { fixture, hosts: vec![host] };
+    fleet.settle().await;
+    fleet
+}
+
+async fn propose(fleet: &Fleet, intent: Value) -> Value {
+    let (status, plan) = fleet.post_as_alice(0, "plans", intent).await;
+    assert_eq!(status, 201, "{plan}");
+    assert_eq!(plan["state"], "proposed");
+    plan
+}
+
+fn confirmation(plan: &Value) -> String {
+    format!("plans/{}/confirm", plan["id"])
+}
+
+fn rate(rate: u32) -> Value {
+    json!({"rate": {"account": "mill", "rate": rate, "burst": 900}})
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_issued_and_withdrawn_though_every_answer_is_lost_once() {
+    let fleet = four().await;
+
+    lose(&fleet, 2);
+    let (status, issued) = fleet.post_as_alice(1, "keys", json!({"account": "mill"})).await;
+    assert_eq!(status, 201, "{issued}");
+    let key = issued["key"].as_str().expect("shown once").to_owned();
+    fleet.ask_until(2, &key, 200, "").await;
+    lose(&fleet, 1);
+    let path = format!("keys/{}/withdraw", issued["key_id"]);
+    let (status, body) = fleet.post_as_alice(3, &path, json!({})).await;
+
+    assert_eq!(status, 200, "{body}");
+    let version = body["accepted"].clone();
+    assert_eq!(version, json!(3), "one version a change, none twice");
+    for host in 0..4 {
+        fleet.ask_until(host, &key, 401, "key_withdrawn").await;
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plan_runs_to_its_end_though_answers_are_lost() {
+    let fleet = four().await;
+
+    lose(&fleet, 1);
+    let plan = propose(&fleet, rate(700)).await;
+    lose(&fleet, 3);
+    let (status, body) = fleet.post_as_alice(2, &confirmation(&plan), json!({})).await;
+    assert_eq!(status, 200, "{body}");
+    let ended = fleet.plan_ended(1, &plan["id"]).await;
+
+    assert_eq!(ended["state"], "done", "{ended}");
+    assert_eq!(ended["confirmed_by"], "alice");
+    let rates = || fleet.all().all(|host| host.document().accounts[&1].rate == 700);
+    fleet.wait("the rate on every host", rates).await;
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_and_many_tries_one_confirms() {
+    let fleet = four().await;
+    let plan = propose(&fleet, rate(800)).await;
+    let path = confirmation(&plan);
+
+    let tries = (0..8).map(|n| {
+        let key = if n % 2 == 0 { ALICE } else { BRUNO };
+        fleet.operate(n % 4, key, Method::POST, &path, None)
+    });
+    let answers = futures::future::join_all(tries).await;
+
+    let won = answers.iter().filter(|(status, _)| *status == 200).count();
+    let lost = answers.iter().filter(|(status, body)| {
+        *status == 409 && (body["reason"] == "confirmed" || body["reason"] == "stale")
+    });
+    assert_eq!((won, lost.count()), (1, 7), "{answers:?}");
+    fleet.plan_ended(0, &plan["id"]).await;
+    let (status, body) = fleet.post_as_alice(0, &path, json!({})).await;
+    assert_eq!((status, &body["reason"]), (409, &json!("confirmed")));
+    let audit = fleet.get_as_alice(3, "audit").await;
+    let entries = audit["entries"].as_array().expect("entries");
+    let confirmed = entries.iter().filter(|entry| entry["action"] == "confirm");
+    assert_eq!(confirmed.count(), 1, "{audit}");
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_conflicting_plans_one_wins_and_the_other_shows_what_changed() {
+    let fleet = four().await;
+    let first = propose(&fleet, rate(500)).await;
+    let second = propose(&fleet, rate(600)).await;
+
+    let (status, _) = fleet.post_as_alice(0, &confirmation(&first), json!({})).await;
+    assert_eq!(status, 200);
+    fleet.plan_ended(0, &first["id"]).await;
+    let (status, body) = fleet.post_as_alice(1, &confirmation(&second), json!({})).await;
+
+    assert_eq!((status, &body["reason"]), (409, &json!("stale")), "{body}");
+    assert_eq!(body["changed"], json!(["version 1 is now 2", "client account 1"]));
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rotation_overlaps_and_withdraws_the_old_key() {
+    let fleet = four().await;
+    let plan = propose(&fleet, json!({"rotate": {"account": "mill", "key_id": 1}})).await;
+
+    let (status, body) = fleet.post_as_alice(0, &confirmation(&plan), json!({})).await;
+    assert_eq!(status, 200, "{body}");
+    let new = body["issued"]["key"].as_str().expect("shown once").to_owned();
+    fleet.ask_until(1, &new, 200, "").await;
+    let ended = fleet.plan_ended(2, &plan["id"]).await;
+
+    assert_eq!(ended["state"], "done", "{ended}");
+    fleet.ask_until(3, KEY, 401, "key_withdrawn").await;
+    fleet.ask_until(3, &new, 200, "").await;
+    fleet.ask_until(3, OTHER_KEY, 200, "").await;
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plan_goes_on_after_its_runner_is_gone() {
+    let fleet = four().await;
+    let plan = propose(&fleet, json!({"rotate": {"account": "mill", "key_id": 1}})).await;
+    // The runner stops between two steps: it can neither write its progress nor be heard.
+    let (status, body) = fleet.post_as_alice(3, &confirmation(&plan), json!({})).await;
+    assert_eq!(status, 200, "{body}");
+    fleet.cut_store(3, true);
+    fleet.cut_peers(3, true);
+
+    let ended = fleet.plan_ended(0, &plan["id"]).await;
+
+    assert_eq!(ended["state"], "done", "{ended}");
+    let withdrawn = |host: &Arc<Host>| host.document().keys[&1].state == KeyState::Withdrawn;
+    fleet.wait("the old key withdrawn", || fleet.all().take(3).all(withdrawn)).await;
+    let keys: BTreeSet<u64> = fleet.host(0).document().keys.keys().copied().collect();
+    assert_eq!(keys.len(), 3, "one new key, not one a runner");
+    fleet.cut_store(3, false);
+    fleet.cut_peers(3, false);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_target_stays_drained_until_restored() {
+    let fleet = four().await;
+    let primary = || fleet.host(0).pools.primary(1);
+    fleet.wait("a primary", || primary().is_some()).await;
+    let target = (primary().expect("just seen") + 1) % 3;
+
+    for (intent, state) in [("drain_target", "draining"), ("restore_target", "active")] {
+        let intent = json!({ intent: {"service": "mill", "target": target} });
+        let plan = propose(&fleet, intent).await;
+        let (status, body) = fleet.post_as_alice(1, &confirmation(&plan), json!({})).await;
+        assert_eq!(status, 200, "{body}");
+        let ended = fleet.plan_ended(0, &plan["id"]).await;
+
+        assert_eq!(ended["state"], "done", "{ended}");
+        let is_so = |host: &Arc<Host>| {
+            host.document().services[&1].targets[&target].state.to_string() == state
+        };
+        fleet.wait(state, || fleet.all().all(is_so)).await;
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_host_is_told_to_leave() {
+    let mut fleet = four().await;
+    let plan = propose(&fleet, json!({"drain_host": {"host": 4}})).await;
+    let (status, body) = fleet.post_as_alice(0, &confirmation(&plan), json!({})).await;
+    assert_eq!(status, 200, "{body}");
+
+    let leaving = fleet.hosts.remove(3).daemon;
+    leaving.told_to_leave().await;
+    leaving.stop().await;
+
+    let ended = fleet.plan_ended(0, &plan["id"]).await;
+    assert_eq!(ended["state"], "done", "{ended}");
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nonsense_is_refused_and_changes_nothing() {
+    let fleet = four().await;
+    let version = fleet.host(0).fleet.row().version;
+    let intents = [
+        json!({"rate": {"account": "mill", "rate": 0, "burst": 1}}),
+        json!({"rate": {"account": "nobody", "rate": 1, "burst": 1}}),
+        json!({"rate": {"account": "mill", "rate": -1, "burst": 1}}),
+        json!({"promote": {"service": "mill", "target": 9}}),
+        json!({"promote": {"service": "none", "target": 0}}),
+        json!({"rotate": {"account": "mill", "key_id": 2}}),
+        json!({"drain_host": {"host": 17}}),
+        json!({"explode": {}}),
+        json!({"rate": {"account": "mill", "rate": 1, "burst": 1, "weight": 1}}),
+        json!([]),
+    ];
+
+    for intent in intents {
+        let (status, body) = fleet.post_as_alice(0, "plans", intent.clone()).await;
+        assert!(matches!(status, 400 | 422), "{intent}: {status} {body}");
+    }
+    let (status, _) = fleet.post_as_alice(0, "keys", json!({"account": "nobody"})).await;
+    assert_eq!(status, 404);
+    let whole = serde_json::to_value(fleet.host(0).document().as_ref()).expect("JSON");
+    let (status, body) = fleet.operate(0, ALICE, Method::PUT, "config", Some(whole)).await;
+    assert_eq!((status, &body["reason"]), (409, &json!("exists")));
+
+    assert_eq!(fleet.host(0).fleet.row().version, version);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_first_configuration_that_cannot_hold_is_refused() {
+    let fleet = one_without_configuration().await;
+    let good = serde_json::to_value(fleet.fixture.document()).expect("JSON");
+    let spoil = |path: &str, value: Value| {
+        let mut document = good.clone();
+        *document.pointer_mut(path).expect(path) = value;
+        document
+    };
+    let nonsense = [
+        spoil("/accounts/1/rate", json!(0)),
+        spoil("/accounts/2/name", json!("mill")),
+        spoil("/accounts/1/services", json!([7])),
+        spoil("/keys/1/account", json!(9)),
+        spoil("/keys/1/digest", json!("short")),
+        spoil("/services/1/targets", json!({})),
+        spoil("/services/1/targets/0/connections", json!(0)),
+        spoil("/services/1/retention", json!("long")),
+        spoil("/routes", json!([])),
+        json!({"version": 1}),
+        json!("services"),
+    ];
+
+    for document in nonsense {
+        let (status, body) =
+            fleet.operate(0, ALICE, Method::PUT, "config", Some(document.clone())).await;
+        assert_eq!(status, 400, "{document}: {body}");
+    }
+    let (status, body) = fleet.operate(0, ALICE, Method::PUT, "config", Some(good)).await;
+
+    assert_eq!((status, &body["accepted"]), (200, &json!(1)), "{body}");
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nobody_operates_without_a_key_of_an_operator() {
+    let fleet = four().await;
+    let calls = [
+        (Method::GET, "status"),
+        (Method::GET, "metrics"),
+        (Method::PUT, "log-level"),
+        (Method::GET, "config"),
+        (Method::PUT, "config"),
+        (Method::POST, "keys"),
+        (Method::POST, "keys/1/withdraw"),
+        (Method::GET, "plans"),
+        (Method::POST, "plans"),
+        (Method::GET, "plans/1"),
+        (Method::POST, "plans/1/confirm"),
+        (Method::GET, "audit"),
+    ];
+
+    for (method, path) in calls {
+        for key in ["", KEY, "op_alice_", "op_alice_wrong", "op_carol_secret-of-alice"] {
+            let (status, body) = fleet.operate(0, key, method.clone(), path, None).await;
+            assert_eq!((status, &body["reason"]), (401, &json!("unauthorized")), "{path} {key}");
+        }
+    }
+    fleet.ask_until(0, KEY, 200, "").await;
+    assert_eq!(fleet.ask(0, ALICE).await.0, 401, "an operator's key is no caller's");
+    fleet.stop().await;
+}
