--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -170,22 +170,33 @@
     }
 
     /// A target told its status.
-    pub fn observe(&mut self, now: Time, status: &Status) {
+    pub fn observe(&mut self, now: Time, status: &Status) -> Vec<Action> {
         let raised = status.accepted_term > self.accepted;
         self.accepted = self.accepted.max(status.accepted_term);
         let led = status.leads().then_some(status.entry.term);
-        match &mut self.state {
-            State::Waiting { deposed, .. } if led.is_some_and(|term| term > deposed.term) => {
-                self.state = State::Idle;
+        let (term, ended) = match &mut self.state {
+            State::Idle => return Vec::new(),
+            State::Waiting { deposed, until } => {
+                if raised {
+                    *until = (*until).max(now + PATIENCE);
+                }
+                (deposed.term + 1, None)
             }
-            State::Waiting { until, .. } if raised => *until = (*until).max(now + PATIENCE),
-            State::Fencing { attempt, .. } | State::Promoting { attempt, .. }
-                if led.is_some_and(|term| term >= attempt.term) =>
-            {
-                self.state = State::Idle;
+            State::Fencing { attempt, .. } => {
+                (attempt.term, Some(Action::Failed { term: attempt.term }))
+            }
+            State::Promoting { attempt, target } if led == Some(attempt.term) => {
+                (attempt.term, Some(Action::Done { target: *target, term: attempt.term }))
             }
-            _ => {}
+            State::Promoting { attempt, .. } => {
+                (attempt.term, Some(Action::Failed { term: attempt.term }))
+            }
+        };
+        if led.is_none_or(|led| led < term) {
+            return Vec::new();
         }
+        self.state = State::Idle;
+        ended.into_iter().collect()
     }
 
     /// `target` answered the fence for `term`, or could not be asked.
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -93,10 +93,7 @@
         "tick" => promoter.tick(now),
         "fenced" => promoter.fenced(now, target, term, answer(happening, term)),
         "promoted" => promoter.promoted(now, target, term, answer(happening, term)),
-        "observe" => {
-            promoter.observe(now, &status(happening, term));
-            Vec::new()
-        }
+        "observe" => promoter.observe(now, &status(happening, term)),
         other => panic!("unknown event {other}"),
     }
 }
--- a/crates/core/tests/promotion_search.rs
+++ b/crates/core/tests/promotion_search.rs
@@ -186,7 +186,8 @@
     fn observe(&mut self, target: TargetId) {
         let by = self.random.below(u64::from(PROMOTERS)) as usize;
         let status = status(&self.group.targets[&target]);
-        self.promoters[by].0.observe(self.now, &status);
+        let actions = self.promoters[by].0.observe(self.now, &status);
+        self.take(by, actions);
     }
 
     fn pause(&mut self) {
--- a/crates/host/src/failover/driver.rs
+++ b/crates/host/src/failover/driver.rs
@@ -94,15 +94,16 @@
 async fn probe(host: Arc<Host>, service: ServiceId, target: TargetId, control: Arc<Control>) {
     let answer = control.status(&host.settings).await;
     let now = host.clock.now();
-    let suspected = host.failover.with(service, |group| {
-        if let Ok(status) = answer {
-            group.answered(now, target, status);
-        }
-        answer.is_ok() && group.detector.targets()[&target].suspected
+    let noted = host.failover.with(service, |group| {
+        let status = answer.ok()?;
+        let actions = group.answered(now, target, status);
+        Some((actions, group.detector.targets()[&target].suspected))
     });
+    let (actions, suspected) = noted.flatten().unwrap_or_default();
+    carry_out(&host, service, actions);
     let worked = match suspected {
-        Some(true) => control.work(&host.settings).await,
-        _ => Ok(()),
+        true => control.work(&host.settings).await,
+        false => Ok(()),
     };
     let now = host.clock.now();
     host.failover.with(service, |group| {
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -17,7 +17,7 @@
 use bergamotvale_core::id::{FailureDomainId, HostId, ServiceId, TargetId, Time};
 use bergamotvale_core::log::Term;
 use bergamotvale_core::peer::Opinion;
-use bergamotvale_core::promotion::{Candidate, Promoter};
+use bergamotvale_core::promotion::{self, Candidate, Promoter};
 use bergamotvale_core::random::{Source, mix};
 use bergamotvale_core::watch;
 use std::collections::{BTreeMap, BTreeSet};
@@ -224,9 +224,14 @@
 
 impl Group {
     /// A target answered a probe.
-    pub(crate) fn answered(&mut self, now: Time, target: TargetId, status: Status) {
+    pub(crate) fn answered(
+        &mut self,
+        now: Time,
+        target: TargetId,
+        status: Status,
+    ) -> Vec<promotion::Action> {
         self.detector.answered(now, target, status);
-        self.promoter.observe(now, &status);
+        self.promoter.observe(now, &status)
     }
 }
 
--- a/crates/host/src/failover/planned.rs
+++ b/crates/host/src/failover/planned.rs
@@ -38,6 +38,10 @@
     handover: Handover,
     reply: oneshot::Sender<Result<(TargetId, Term), Failure>>,
     started: Time,
+    /// Term of the primary that it replaces.
+    term: Term,
+    /// Whether the promoter has taken over.
+    promoting: bool,
 }
 
 /// Makes `candidate` the primary of `service`; answers its term.
@@ -60,7 +64,7 @@
             return Err(Failure::Busy);
         }
         let (handover, actions) = Handover::new(now, primary, term, candidate);
-        group.planned = Some(Running { handover, reply, started: now });
+        group.planned = Some(Running { handover, reply, started: now, term, promoting: false });
         Ok((None, actions))
     });
     let (already, actions) = started.unwrap_or(Err(Failure::Unknown))?;
@@ -76,12 +80,16 @@
     let now = host.clock.now();
     let actions = host.failover.with(service, |group| {
         let running = group.planned.as_mut()?;
-        if now.saturating_sub(running.started) < TIMEOUT {
+        let late = now.saturating_sub(running.started) >= TIMEOUT;
+        let over = running.promoting && group.promoter.is_idle();
+        if !late && !over {
             return Some(running.handover.tick(now));
         }
         let running = group.planned.take()?;
+        // Another host's promotion may have come first.
+        let primary = group.detector.primary().filter(|(_, term)| *term > running.term);
         // The caller may have gone; the group's state does not depend on its hearing this.
-        let _ = running.reply.send(Err(Failure::TimedOut));
+        let _ = running.reply.send(primary.ok_or(Failure::TimedOut));
         None
     });
     carry_out(host, service, actions.flatten().unwrap_or_default());
@@ -106,8 +114,12 @@
             }
             handover::Action::Promote { candidate, term } => {
                 let now = host.clock.now();
-                let plan = host.failover.with(service, |g| g.promoter.plan(now, term, candidate));
-                driver::carry_out(host, service, plan.unwrap_or_default());
+                let plan = host.failover.with(service, |group| {
+                    let running = group.planned.as_mut()?;
+                    running.promoting = true;
+                    Some(group.promoter.plan(now, term, candidate))
+                });
+                driver::carry_out(host, service, plan.flatten().unwrap_or_default());
             }
             handover::Action::Aborted { reason } => {
                 let running = host.failover.with(service, |group| group.planned.take());
@@ -139,8 +151,11 @@
     let Ok(status) = control.status(&host.settings).await else { return };
     let now = host.clock.now();
     let actions = host.failover.with(service, |group| {
-        group.answered(now, target, status);
-        group.planned.as_mut().map(|running| running.handover.looked(now, target, &status))
+        let ended = group.answered(now, target, status);
+        let running = group.planned.as_mut();
+        (ended, running.map(|running| running.handover.looked(now, target, &status)))
     });
-    carry_out(&host, service, actions.flatten().unwrap_or_default());
+    let Some((ended, actions)) = actions else { return };
+    driver::carry_out(&host, service, ended);
+    carry_out(&host, service, actions.unwrap_or_default());
 }
