--- /dev/null
+++ b/crates/core/tests/connection.rs
@@ -0,0 +1,127 @@
+//! Cases of a pool's connections and of the queue for them.
+
+#[allow(dead_code, reason = "not every test uses all of it")]
+mod common;
+
+use bergamotvale_core::fair::{Queue, Waiter};
+use bergamotvale_core::id::{AccountId, RequestId, Time};
+use bergamotvale_core::pool::{Action, ConnectionId, Pool, Refused, Settings};
+use common::case;
+use serde::Deserialize;
+use std::path::Path;
+use std::time::Duration;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    #[serde(rename = "fault")]
+    _fault: String,
+    #[serde(rename = "step")]
+    _step: String,
+    given: Given,
+    events: Vec<Happening>,
+    expect: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Given {
+    limit: usize,
+    #[serde(default = "bound")]
+    queue: usize,
+    #[serde(default)]
+    warm: usize,
+}
+
+fn bound() -> usize {
+    100
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Happening {
+    at: u64,
+    on: String,
+    #[serde(default)]
+    request: RequestId,
+    #[serde(default)]
+    account: AccountId,
+    #[serde(default = "one")]
+    weight: u32,
+    #[serde(default = "later")]
+    deadline: u64,
+    #[serde(default)]
+    connection: ConnectionId,
+    #[serde(default)]
+    clean: bool,
+    #[serde(default)]
+    limit: usize,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn later() -> u64 {
+    1_000_000
+}
+
+fn millis(time: u64) -> Time {
+    Duration::from_millis(time)
+}
+
+fn apply(pool: &mut Pool, event: &Happening) -> Vec<Action> {
+    let now = millis(event.at);
+    let id = event.connection;
+    match event.on.as_str() {
+        "acquire" => {
+            let (request, account, weight) = (event.request, event.account, event.weight);
+            let waiter = Waiter { request, account, weight, deadline: millis(event.deadline) };
+            pool.acquire(now, waiter)
+        }
+        "cancel" => {
+            pool.cancel(event.request);
+            Vec::new()
+        }
+        "opened" => pool.opened(now, id),
+        "unreachable" => pool.not_opened(now, id, Refused::Unreachable),
+        "crowded" => pool.not_opened(now, id, Refused::Crowded),
+        "checked" => pool.checked(now, id, event.clean),
+        "released" => pool.released(now, id, event.clean),
+        "lost" => pool.lost(now, id),
+        "closed" => pool.closed(now, id),
+        "limit" => pool.set_limit(now, event.limit),
+        "tick" => pool.tick(now),
+        other => panic!("unknown event {other}"),
+    }
+}
+
+fn line(at: u64, action: &Action) -> String {
+    match action {
+        Action::Open(id) => format!("{at}: open {id}"),
+        Action::Close(id) => format!("{at}: close {id}"),
+        Action::Check(id) => format!("{at}: check {id}"),
+        Action::Lease(request, id) => format!("{at}: lease {id} to {request}"),
+        Action::Refuse(request, reason) => format!("{at}: refuse {request}, {reason}"),
+    }
+}
+
+fn run(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = case(path)?;
+    let queue = Queue::new(case.given.queue);
+    let mut pool = Pool::new(case.given.limit, queue, Settings::default());
+    pool.set_warm(case.given.warm);
+
+    let mut lines = Vec::new();
+    for event in &case.events {
+        let actions = apply(&mut pool, event);
+        lines.extend(actions.iter().map(|action| line(event.at, action)));
+    }
+
+    assert_eq!(lines, case.expect);
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/cases/connection", pattern = r"\.yaml$" },
+}
