Silence is told from slowness; waiting for a slot is no refusal while time is left

A read whose statement took over 500 ms was given up on every target in turn: the limit of a try now bounds only the first sign of the target, which the position or BEGIN in front of the statement brings. Cause found by the test of a planned stop under a read of 1 s. A connection whose reading side a stopping host has closed still answers a request that came just before.

--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -50,8 +50,8 @@
 pub enum Action {
     /// Rank the targets after a delay.
     Choose(Time),
-    /// Send to the target, until the given time; with the reason when it is a retry.
-    Try(TargetId, Time, Option<retry::Reason>),
+    /// Send to the target; with the reason when it is a retry.
+    Try(TargetId, Option<retry::Reason>),
     /// Serve the answer; the token's new position.
     Serve(Option<Position>),
     /// Refuse.
@@ -99,8 +99,8 @@
             Event::Candidates(targets) => self.choose(targets, now),
             Event::Answered(role, answer) => self.answered(role, &answer, budgets, now),
             Event::Failed(failure, detail) => self.failed(failure, detail, budgets, now),
-            Event::NoConnection(reason @ (Reason::QueueTimeout | Reason::QueueFull)) => {
-                Action::Refuse(Refusal::new(reason, "no connection came free in time"))
+            Event::NoConnection(Reason::QueueFull) => {
+                Action::Refuse(Refusal::new(Reason::QueueFull, "no connection comes free in time"))
             }
             Event::NoConnection(reason) => {
                 self.again(retry::Reason::ConnectionRefused, reason, budgets, now)
@@ -115,10 +115,20 @@
         }
     }
 
+    /// When a try that starts at `now` is given up without a first sign of the target.
+    pub fn sign_deadline(&self, now: Time) -> Time {
+        self.policy.try_deadline(now, self.deadline)
+    }
+
+    /// When a try that starts at `now` is given up, sign or not.
+    pub fn work_deadline(&self, now: Time) -> Time {
+        self.policy.work_deadline(now, self.deadline)
+    }
+
     fn choose(&mut self, targets: Vec<TargetId>, now: Time) -> Action {
         self.queue = targets.into();
         match self.queue.pop_front() {
-            Some(target) if now < self.deadline => self.attempt(target, None, now),
+            Some(target) if now < self.deadline => self.attempt(target, None),
             Some(_) => self.expired(),
             None => {
                 self.last = self.last.or(Some(Reason::NoPrimary));
@@ -127,9 +137,9 @@
         }
     }
 
-    fn attempt(&mut self, target: TargetId, reason: Option<retry::Reason>, now: Time) -> Action {
+    fn attempt(&mut self, target: TargetId, reason: Option<retry::Reason>) -> Action {
         self.tries += 1;
-        Action::Try(target, self.policy.try_deadline(now, self.deadline), reason)
+        Action::Try(target, reason)
     }
 
     fn answered(
@@ -179,7 +189,7 @@
             return self.expired();
         }
         match self.queue.pop_front() {
-            Some(target) => self.attempt(target, Some(reason), now),
+            Some(target) => self.attempt(target, Some(reason)),
             None => self.wait(now),
         }
     }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -56,7 +56,7 @@
 /// How a request is tried again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
-    /// Time for one try, inside the caller's deadline.
+    /// Time in which a healthy target gives its first sign, or answers a short question.
     pub try_timeout: Duration,
     /// Delay before the first retry.
     pub base: Duration,
@@ -78,11 +78,17 @@
 }
 
 impl Policy {
-    /// When a try that starts at `now` is given up.
+    /// When a try that starts at `now` is given up without a first sign.
     pub fn try_deadline(&self, now: Time, deadline: Time) -> Time {
         deadline.min(now + self.try_timeout)
     }
 
+    /// When a statement that was begun at `now`, and may take its time, is given up for another try.
+    pub fn work_deadline(&self, now: Time, deadline: Time) -> Time {
+        let half = deadline.saturating_sub(now) / 2;
+        deadline.min(now + half.max(self.try_timeout))
+    }
+
     /// Delay before retry number `retry` (from 1), jittered over its upper half by `draw`.
     pub fn delay(&self, retry: u32, draw: u64) -> Duration {
         let doublings = retry.saturating_sub(1).min(16);
--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -149,6 +149,11 @@
         Action::Lease(now, None)
     }
 
+    /// When an exchange that starts at `now` is given up without a first sign of the target.
+    pub fn sign_deadline(&self, now: Time) -> Time {
+        self.policy.try_deadline(now, self.deadline)
+    }
+
     /// When the exchange that starts at `now` is given up.
     ///
     /// Without an idempotency key nothing can be tried again, so that statement and COMMIT have
--- a/crates/host/src/front/gone.rs
+++ b/crates/host/src/front/gone.rs
@@ -1,4 +1,4 @@
-//! Tells when a caller has closed its connection.
+//! The callers' connections: who is gone, who waits for an answer, who is quiet.
 //!
 //! The HTTP framework looks at a connection again only after the answer. So each accepted socket
 //! is watched through a second handle on it: a request whose caller is gone ends at once, which
@@ -28,23 +28,22 @@
 struct Connection {
     socket: std::net::TcpStream,
     is_gone: watch::Sender<bool>,
-    /// Requests under way.
     requests: u32,
-    /// When the last one began or ended.
-    used: Instant,
-    /// Whether this host takes no further request on it.
-    is_closing: bool,
+    quiet_since: Instant,
 }
 
-/// A request under way on a connection.
-pub struct Request {
+/// A request under way on a connection, until it is dropped.
+pub struct Busy {
     callers: Callers,
     address: SocketAddr,
 }
 
-impl Drop for Request {
+impl Drop for Busy {
     fn drop(&mut self) {
-        self.callers.count(self.address, |requests| requests.saturating_sub(1));
+        if let Some(connection) = lock(&self.callers.connections).get_mut(&self.address) {
+            connection.requests -= 1;
+            connection.quiet_since = Instant::now();
+        }
     }
 }
 
@@ -66,39 +65,39 @@
         Callers { connections: Arc::default(), runtime }
     }
 
-    /// Notes a request of the caller at `address`, until the result is dropped.
-    pub fn request(&self, address: SocketAddr) -> Request {
-        self.count(address, |requests| requests + 1);
-        Request { callers: self.clone(), address }
-    }
-
-    fn count(&self, address: SocketAddr, change: impl FnOnce(u32) -> u32) {
+    /// Notes that the caller at `address` waits for an answer.
+    pub fn enter(&self, address: SocketAddr) -> Busy {
         if let Some(connection) = lock(&self.connections).get_mut(&address) {
-            connection.requests = change(connection.requests);
-            connection.used = Instant::now();
+            connection.requests += 1;
         }
+        Busy { callers: self.clone(), address }
     }
 
-    /// Takes no further request on connections that have been idle for `idle`.
-    ///
-    /// A request that has arrived already is still read and answered.
-    pub fn close_idle(&self, idle: Duration) {
-        for connection in lock(&self.connections).values_mut() {
-            let is_idle = connection.requests == 0 && connection.used.elapsed() >= idle;
-            if is_idle && !connection.is_closing {
-                connection.is_closing = true;
-                // It may be closed already.
-                drop(connection.socket.shutdown(Shutdown::Read));
-            }
+    /// Requests under way.
+    pub fn requests(&self) -> u32 {
+        lock(&self.connections).values().map(|connection| connection.requests).sum()
+    }
+
+    /// Closes the connections on which nothing has happened for `time`; answers how many are left.
+    pub fn close_quiet(&self, time: Duration) -> usize {
+        let mut connections = lock(&self.connections);
+        let is_quiet = |c: &Connection| c.requests == 0 && c.quiet_since.elapsed() >= time;
+        let quiet = connections.extract_if(.., |_, connection| is_quiet(connection));
+        for (_, connection) in quiet.collect::<Vec<_>>() {
+            // The reading side alone: a request that has just arrived is still answered.
+            drop(connection.socket.shutdown(Shutdown::Read));
         }
+        connections.len()
     }
 
     /// Waits until the caller at `address` has closed its connection.
     pub async fn gone(&self, address: SocketAddr) {
         let watched = lock(&self.connections).get(&address).map(|c| c.is_gone.subscribe());
-        if let Some(mut is_gone) = watched {
+        match watched {
             // The sender goes away with the connection.
-            drop(is_gone.wait_for(|is_gone| *is_gone).await);
+            Some(mut is_gone) => drop(is_gone.wait_for(|is_gone| *is_gone).await),
+            // Its request came just before this host closed the reading side: it goes unwatched.
+            None => std::future::pending().await,
         }
     }
 
@@ -124,8 +123,7 @@
             socket,
             is_gone: watch::Sender::new(false),
             requests: 0,
-            used: Instant::now(),
-            is_closing: false,
+            quiet_since: Instant::now(),
         };
         lock(&self.connections).insert(address, connection);
         let callers = self.clone();
@@ -133,26 +131,14 @@
             if let Err(error) = closed(watched).await {
                 log::debug!("caller {address}: {error}");
             }
-            callers.closed(address);
+            if let Some(connection) = lock(&callers.connections).remove(&address) {
+                connection.is_gone.send_replace(true);
+            }
         });
         Ok(())
     }
 }
 
-impl Callers {
-    /// The connection's reading side is closed, by the caller or by this host.
-    fn closed(&self, address: SocketAddr) {
-        let mut connections = lock(&self.connections);
-        let Some(connection) = connections.get(&address) else { return };
-        if connection.is_closing && connection.requests > 0 {
-            // A request came just before this host closed: it goes on unwatched.
-            return;
-        }
-        connection.is_gone.send_replace(true);
-        connections.remove(&address);
-    }
-}
-
 /// Waits until the other end has closed the connection.
 async fn closed(stream: std::net::TcpStream) -> io::Result<()> {
     let stream = TcpStream::from_std(stream)?;
