--- a/crates/host/src/exec/permit.rs
+++ b/crates/host/src/exec/permit.rs
@@ -7,6 +7,10 @@
 use crate::shared::Host;
 use bergamotvale_core::id::{AccountId, KeyId, ServiceId, Time};
 use bergamotvale_core::refusal::{Reason, Refusal};
+use std::time::Duration;
+
+/// Time after which a host may have its authority back.
+const LAPSE_RETRY: Duration = Duration::from_secs(1);
 
 /// On whose behalf a statement runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,10 +48,7 @@
 
 /// Says whether `caller` may use `service` now.
 pub fn verify(host: &Host, caller: &Caller, service: ServiceId) -> Result<(), Refusal> {
-    if !host.authority() {
-        let detail = "this host has lost touch with the shared state";
-        return Err(Refusal::new(Reason::AuthorityLapsed, detail));
-    }
+    authority(host)?;
     let document = host.document();
     match caller {
         Caller::Key(identity) if !host.key_stands(identity.key) => {
@@ -65,3 +66,12 @@
     }
     Ok(())
 }
+
+/// Says whether this host may act on its copy of the shared state now.
+pub fn authority(host: &Host) -> Result<(), Refusal> {
+    if host.authority() {
+        return Ok(());
+    }
+    let detail = "this host's copy of keys and rates is too old to act on";
+    Err(Refusal::new(Reason::AuthorityLapsed, detail).with_retry_after(LAPSE_RETRY))
+}
--- a/crates/host/src/front/gone.rs
+++ b/crates/host/src/front/gone.rs
@@ -1,4 +1,4 @@
-//! The callers' connections: who is gone, who waits for an answer, who is quiet.
+//! Tells when a caller has closed its connection.
 //!
 //! The HTTP framework looks at a connection again only after the answer. So each accepted socket
 //! is watched through a second handle on it: a request whose caller is gone ends at once, which
@@ -28,22 +28,23 @@
 struct Connection {
     socket: std::net::TcpStream,
     is_gone: watch::Sender<bool>,
+    /// Requests under way.
     requests: u32,
-    quiet_since: Instant,
+    /// When the last one began or ended.
+    used: Instant,
+    /// Whether this host takes no further request on it.
+    is_closing: bool,
 }
 
-/// A request under way on a connection, until it is dropped.
-pub struct Busy {
+/// A request under way on a connection.
+pub struct Request {
     callers: Callers,
     address: SocketAddr,
 }
 
-impl Drop for Busy {
+impl Drop for Request {
     fn drop(&mut self) {
-        if let Some(connection) = lock(&self.callers.connections).get_mut(&self.address) {
-            connection.requests -= 1;
-            connection.quiet_since = Instant::now();
-        }
+        self.callers.count(self.address, |requests| requests.saturating_sub(1));
     }
 }
 
@@ -65,39 +66,44 @@
         Callers { connections: Arc::default(), runtime }
     }
 
-    /// Notes that the caller at `address` waits for an answer.
-    pub fn enter(&self, address: SocketAddr) -> Busy {
-        if let Some(connection) = lock(&self.connections).get_mut(&address) {
-            connection.requests += 1;
-        }
-        Busy { callers: self.clone(), address }
+    /// Notes a request of the caller at `address`, until the result is dropped.
+    pub fn request(&self, address: SocketAddr) -> Request {
+        self.count(address, |requests| requests + 1);
+        Request { callers: self.clone(), address }
     }
 
-    /// Requests under way.
+    /// Requests under way on all connections.
     pub fn requests(&self) -> u32 {
         lock(&self.connections).values().map(|connection| connection.requests).sum()
     }
 
-    /// Closes the connections on which nothing has happened for `time`; answers how many are left.
-    pub fn close_quiet(&self, time: Duration) -> usize {
-        let mut connections = lock(&self.connections);
-        let is_quiet = |c: &Connection| c.requests == 0 && c.quiet_since.elapsed() >= time;
-        let quiet = connections.extract_if(.., |_, connection| is_quiet(connection));
-        for (_, connection) in quiet.collect::<Vec<_>>() {
-            // The reading side alone: a request that has just arrived is still answered.
-            drop(connection.socket.shutdown(Shutdown::Read));
+    fn count(&self, address: SocketAddr, change: impl FnOnce(u32) -> u32) {
+        if let Some(connection) = lock(&self.connections).get_mut(&address) {
+            connection.requests = change(connection.requests);
+            connection.used = Instant::now();
+        }
+    }
+
+    /// Takes no further request on connections that have been idle for `idle`.
+    ///
+    /// A request that has arrived already is still read and answered.
+    pub fn close_idle(&self, idle: Duration) {
+        for connection in lock(&self.connections).values_mut() {
+            let is_idle = connection.requests == 0 && connection.used.elapsed() >= idle;
+            if is_idle && !connection.is_closing {
+                connection.is_closing = true;
+                // It may be closed already.
+                drop(connection.socket.shutdown(Shutdown::Read));
+            }
         }
-        connections.len()
     }
 
     /// Waits until the caller at `address` has closed its connection.
     pub async fn gone(&self, address: SocketAddr) {
         let watched = lock(&self.connections).get(&address).map(|c| c.is_gone.subscribe());
-        match watched {
+        if let Some(mut is_gone) = watched {
             // The sender goes away with the connection.
-            Some(mut is_gone) => drop(is_gone.wait_for(|is_gone| *is_gone).await),
-            // Its request came just before this host closed the reading side: it goes unwatched.
-            None => std::future::pending().await,
+            drop(is_gone.wait_for(|is_gone| *is_gone).await);
         }
     }
 
@@ -123,7 +129,8 @@
             socket,
             is_gone: watch::Sender::new(false),
             requests: 0,
-            quiet_since: Instant::now(),
+            used: Instant::now(),
+            is_closing: false,
         };
         lock(&self.connections).insert(address, connection);
         let callers = self.clone();
@@ -131,14 +138,26 @@
             if let Err(error) = closed(watched).await {
                 log::debug!("caller {address}: {error}");
             }
-            if let Some(connection) = lock(&callers.connections).remove(&address) {
-                connection.is_gone.send_replace(true);
-            }
+            callers.closed(address);
         });
         Ok(())
     }
 }
 
+impl Callers {
+    /// The connection's reading side is closed, by the caller or by this host.
+    fn closed(&self, address: SocketAddr) {
+        let mut connections = lock(&self.connections);
+        let Some(connection) = connections.get(&address) else { return };
+        if connection.is_closing && connection.requests > 0 {
+            // A request came just before this host closed: it goes on unwatched.
+            return;
+        }
+        connection.is_gone.send_replace(true);
+        connections.remove(&address);
+    }
+}
+
 /// Waits until the other end has closed the connection.
 async fn closed(stream: std::net::TcpStream) -> io::Result<()> {
     let stream = TcpStream::from_std(stream)?;
--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -325,12 +325,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_ends_its_transactions() {
-    let mut fixture = Fixture::new().await;
+    let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
     let id = host.begin().await;
     host.step(&id, "run").with_sql("INSERT INTO bolts VALUES (1, 40)").send().await.ok();
 
-    fixture.withdraw(1).await;
+    fixture.withdraw(&host, 1).await;
     until("the transaction is ended", || host.daemon.host.data.transactions.is_empty()).await;
     let step = host.step(&id, "commit").send().await;
     let read = host.read(COUNT).send().await;
