--- a/crates/core/src/outlier.rs
+++ b/crates/core/src/outlier.rs
@@ -4,7 +4,9 @@
 //! After some failures in a row a replica leaves the choice for a time that doubles with each
 //! ejection. The ceiling keeps a common cause from ejecting everything: never more than half of a
 //! group's replicas, and never the last target. The scheme and its ceiling follow "Ready, Running,
-//! and Serving Nothing but 500s"; `docs/design/retries.md` has the comparison.
+//! and Serving Nothing but 500s"; `docs/design/retries.md` has the comparison. A target that fails
+//! and stays in because of the ceiling is under suspicion for the time of a first ejection: it is
+//! chosen after the primary, which may be the one target that works.
 
 use crate::id::{TargetId, Time};
 use std::collections::BTreeMap;
@@ -40,6 +42,8 @@
     failures: u32,
     ejections: u32,
     until: Option<Time>,
+    /// When it last failed.
+    failed: Time,
     /// Since when it has not been out, nor been forgiven an ejection.
     calm: Time,
 }
@@ -66,8 +70,16 @@
     }
 
     /// Notes work that the target failed.
-    pub fn failed(&mut self, target: TargetId) {
-        self.records.entry(target).or_default().failures += 1;
+    pub fn failed(&mut self, target: TargetId, now: Time) {
+        let record = self.records.entry(target).or_default();
+        record.failures += 1;
+        record.failed = now;
+    }
+
+    /// Whether the target fails its work and is in only because of the ceiling.
+    pub fn is_suspect(&self, target: TargetId) -> bool {
+        let is_due = |r: &Record| r.until.is_none() && r.failures >= self.policy.threshold;
+        self.records.get(&target).is_some_and(is_due)
     }
 
     /// Whether the target is out at present.
@@ -93,6 +105,10 @@
                 record.failures = 0;
                 record.calm = now;
             }
+            let is_old = now.saturating_sub(record.failed) >= self.policy.base;
+            if record.until.is_none() && record.failures >= self.policy.threshold && is_old {
+                record.failures = 0;
+            }
             let is_calm = record.until.is_none() && record.failures == 0;
             if is_calm && now.saturating_sub(record.calm) >= self.policy.cap {
                 record.ejections = record.ejections.saturating_sub(1);
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -32,6 +32,8 @@
     pub failure_domain: FailureDomainId,
     /// Whether its failures have taken it out for now.
     pub ejected: bool,
+    /// Whether it fails its work, but is not taken out.
+    pub suspect: bool,
     /// Whether it may receive no new work.
     pub draining: bool,
 }
@@ -106,7 +108,7 @@
     Expected,
     /// The primary, which holds everything.
     Primary,
-    /// It was behind when it was last seen.
+    /// It was behind when it was last seen, or fails its work.
     Unlikely,
     /// It fails its work; the last resort.
     Ejected,
@@ -180,7 +182,7 @@
     if view.role == Role::Primary {
         return Promise::Primary;
     }
-    if view.age > demand.bound(view.role, bounds) {
+    if view.suspect || view.age > demand.bound(view.role, bounds) {
         return Promise::Unlikely;
     }
     let Some(token) = demand.token else { return Promise::Known };
--- a/crates/core/tests/read.rs
+++ b/crates/core/tests/read.rs
@@ -54,6 +54,8 @@
     #[serde(default)]
     ejected: bool,
     #[serde(default)]
+    suspect: bool,
+    #[serde(default)]
     draining: bool,
 }
 
@@ -95,6 +97,7 @@
         in_flight: target.in_flight,
         failure_domain: target.failure_domain,
         ejected: target.ejected,
+        suspect: target.suspect,
         draining: target.draining,
     }
 }
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -80,11 +80,16 @@
             }
             "delays" => return Some(self.delays(happening.times)),
             "succeeded" => self.group.succeeded(target),
-            "failed" => self.group.failed(target),
+            "failed" => self.group.failed(target, now),
             "sweep" => {
                 self.group.sweep(&self.replicas, now);
                 let out = self.replicas.iter().filter(|target| self.group.is_ejected(**target));
-                return Some(format!("out {:?}", out.collect::<Vec<_>>()));
+                let suspects =
+                    self.replicas.iter().filter(|target| self.group.is_suspect(**target));
+                let suspects = suspects.collect::<Vec<_>>();
+                let out = format!("out {:?}", out.collect::<Vec<_>>());
+                let suffix = format!(", suspect {suspects:?}");
+                return Some(if suspects.is_empty() { out } else { out + &suffix });
             }
             "written" => self.lag.written(at(), now),
             "confirmed" => self.lag.confirmed(at(), now),
--- a/crates/host/src/admin/status.rs
+++ b/crates/host/src/admin/status.rs
@@ -86,8 +86,10 @@
     let view = views.get(&target);
     let missed = host.settings.policy.probe * MISSED_PROBES;
     let healthy = view.is_some_and(|view| now.saturating_sub(view.at) <= missed);
-    let targets: Vec<TargetId> = service.targets.keys().copied().collect();
-    let ejected = host.data.ejected(id, &targets, now).contains(&target);
+    let primary = host.pools.primary(id);
+    let replicas = service.targets.keys().copied().filter(|id| Some(*id) != primary);
+    let targets: Vec<TargetId> = replicas.collect();
+    let ejected = host.data.standings(id, &targets, now).get(&target).is_some_and(|s| s.ejected);
     json!({
         "target": target,
         "role": view.map(|view| format!("{:?}", view.status.role).to_lowercase()),
--- a/crates/host/src/exec/exchange.rs
+++ b/crates/host/src/exec/exchange.rs
@@ -127,8 +127,9 @@
 /// Notes how a target did its work, for ejection and for failover.
 pub fn worked(host: &Arc<Host>, key: Key, loss: Option<&Loss>) {
     let well = !loss.is_some_and(Loss::is_target_fault);
-    host.data.worked(key, well);
-    host.pools.worked(host.clock.now(), key, well);
+    let now = host.clock.now();
+    host.data.worked(key, well, now);
+    host.pools.worked(now, key, well);
     if loss.is_some_and(Loss::is_superseded) {
         host.pools.superseded(host, key.0);
     }
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -125,12 +125,13 @@
     let primary = host.pools.primary(job.service);
     let known = host.pools.views(job.service);
     let replicas: Vec<_> = known.keys().copied().filter(|id| Some(*id) != primary).collect();
-    let ejected = match host.settings.policy.ejection {
-        true => host.data.ejected(job.service, &replicas, now),
-        false => Vec::new(),
+    let standings = match host.settings.policy.ejection {
+        true => host.data.standings(job.service, &replicas, now),
+        false => BTreeMap::new(),
     };
     let views = known.iter().filter_map(|(id, seen)| {
         let target = service.targets.get(id)?;
+        let standing = standings.get(id).copied().unwrap_or_default();
         let view = View {
             role: present_role(seen.status.role, Some(*id) == primary),
             applied: seen.status.applied,
@@ -138,7 +139,8 @@
             observed: seen.at,
             in_flight: host.data.in_flight((job.service, *id)),
             failure_domain: target.failure_domain,
-            ejected: ejected.contains(id),
+            ejected: standing.ejected,
+            suspect: standing.suspect,
             draining: target.state == TargetState::Draining,
         };
         Some((*id, view))
--- a/crates/host/src/exec/state.rs
+++ b/crates/host/src/exec/state.rs
@@ -25,6 +25,15 @@
     keyed_writes: AtomicU64,
 }
 
+/// What a target's work says about it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// It is out for now.
+    pub ejected: bool,
+    /// It fails, but is in.
+    pub suspect: bool,
+}
+
 /// A request in flight on a target.
 pub struct Flight<'a> {
     state: &'a State,
@@ -78,20 +87,29 @@
     }
 
     /// Notes how a target did its work.
-    pub fn worked(&self, (service, target): Key, well: bool) {
+    pub fn worked(&self, (service, target): Key, well: bool, now: Time) {
         let mut outliers = lock(&self.outliers);
         let group = outliers.entry(service).or_insert_with(new_group);
-        if well { group.succeeded(target) } else { group.failed(target) }
+        if well { group.succeeded(target) } else { group.failed(target, now) }
     }
 
-    /// Replicas of `service` that are out at present; begins and ends ejections when it is time.
-    pub fn ejected(&self, service: ServiceId, replicas: &[TargetId], now: Time) -> Vec<TargetId> {
+    /// Standing of the `replicas` of `service`; begins and ends ejections when it is time.
+    pub fn standings(
+        &self,
+        service: ServiceId,
+        replicas: &[TargetId],
+        now: Time,
+    ) -> BTreeMap<TargetId, Standing> {
         let mut outliers = lock(&self.outliers);
         let group = outliers.entry(service).or_insert_with(new_group);
         for target in group.sweep(replicas, now) {
             log::warn!("target {target} of service {service} fails its work and is passed over");
         }
-        replicas.iter().copied().filter(|target| group.is_ejected(*target)).collect()
+        let standing = |target: &TargetId| Standing {
+            ejected: group.is_ejected(*target),
+            suspect: group.is_suspect(*target),
+        };
+        replicas.iter().map(|target| (*target, standing(target))).collect()
     }
 }
 
