--- a/crates/host/src/exec/write.rs
+++ b/crates/host/src/exec/write.rs
@@ -200,22 +200,27 @@
                 None => Ok(()),
             }
         };
-        let work = async {
-            // Joined and not tried: whatever fails, every answer is read.
-            let (mode, begin, before, insert, rows) = futures::join!(
+        let sign = async {
+            let (mode, begin, before) = futures::join!(
                 client.batch_execute(READ_WRITE),
                 client.batch_execute(BEGIN),
                 client.query_typed_one(COMMITTED, &[]),
-                insert,
-                client.query_typed_raw(&self.job.statement.sql, params),
             );
-            mode.and(begin)?;
-            let before = before?;
+            mode.and(begin).and(before)
+        };
+        let work = async {
+            // Joined and not tried: whatever fails, every answer is read.
+            let rows = client.query_typed_raw(&self.job.statement.sql, params);
+            let (insert, rows) = futures::join!(insert, rows);
             insert?;
-            let rows = collect(rows?, limit).await?;
-            Ok::<_, Loss>((before, rows))
+            collect(rows?, limit).await
         };
-        let (before, rows) = exchange::run(self.host, lease, until, work).await?;
+        let limits = (self.write.sign_deadline(self.host.clock.now()), until);
+        let both = Box::pin(async {
+            let (before, rows) = exchange::signed(self.host, limits, sign, Box::pin(work)).await?;
+            Ok::<_, Loss>((before, rows?))
+        });
+        let (before, rows) = exchange::run(self.host, lease, until, both).await?;
         self.before = position(&before, "term", "index").unwrap_or_default();
         self.rows = rows;
         Ok(())
