--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -64,21 +64,19 @@
         drop(leaving.wait_for(|leaving| *leaving).await);
     }
 
-    /// Leaves the platform's list, takes no new work, finishes what runs, hands its shares over
-    /// and ends.
-    ///
-    /// For a while it still takes requests, closing each connection after its answer, since the
-    /// balancer learns late that the host leaves.
+    /// Leaves the platform's list, serves on until others have seen that, then takes no new work,
+    /// finishes what runs, hands its shares over and ends.
     pub async fn stop(mut self) {
         let host = self.host.clone();
-        host.stopping.send_replace(true);
+        leave::announce(&host).await;
         if host.settings.policy.defects.contains(&Defect::AbruptStop) {
             return;
         }
-        leave::announce(&host).await;
         tokio::time::sleep(host.settings.timeouts.leave).await;
-        leave::finish(&host, host.settings.timeouts.stop).await;
-        self.front.stop(host.settings.timeouts.stop).await;
+        host.stopping.send_replace(true);
+        let timeout = host.settings.timeouts.stop;
+        leave::finish(&host, timeout).await;
+        self.front.stop(timeout).await;
         leave::hand_over(&host).await;
         self.admin.stop().await;
         self.tasks.shutdown().await;
