--- /dev/null
+++ b/crates/core/tests/drain.rs
@@ -0,0 +1,8 @@
+//! Draining targets and hosts, and restoring them.
+
+mod fleet;
+mod plan;
+
+datatest_stable::harness! {
+    { test = plan::run, root = "tests/cases/drain", pattern = r"\.yaml$" },
+}
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod checker;
 pub(crate) mod node;
+pub(crate) mod script;
 
 use bergamotvale_core::config::{Account, Document, Key, KeyState, Service, Target, TargetState};
 use bergamotvale_core::distribute::{Author, Row};
--- a/crates/core/tests/fleet/node.rs
+++ b/crates/core/tests/fleet/node.rs
@@ -21,8 +21,10 @@
     pub(crate) writer: Writer,
     pub(crate) document: Document,
     pub(crate) body: Body,
+    /// What was wanted; wanted again when another change comes first.
+    edits: Option<Vec<Edit>>,
     timer: Time,
-    writing: bool,
+    pub(crate) writing: bool,
 }
 
 pub(crate) struct Node {
@@ -116,6 +118,7 @@
             self.next_poll = now + store::POLL_PERIOD;
             sends.push((None, Message::Read { attempt: None, sent: now }));
         }
+        self.stopped = self.member.leaving && !self.holder.recorded();
         self.begin(now);
         sends.extend(self.timers(now));
         sends
@@ -205,9 +208,14 @@
         let author = Author { host: own.0, incarnation: own.1, attempt: self.number + 1 };
         let next = row.successor(author);
         let duty = upkeep::duty(now, &self.member, &self.holder, &self.view, row);
+        let mut wanted = None;
         let (row, document, body) = if let Some(duty) = duty {
             (duty.apply(next, &self.member), self.replica.document().clone(), Body::None)
+        } else if self.member.leaving && row.members.contains_key(&self.member.host) {
+            let document = self.replica.document().clone();
+            (next.without_member(self.member.host), document, Body::None)
         } else if let Some(edits) = self.wanted.pop() {
+            wanted = Some(edits.clone());
             let Ok((change, document)) = self.replica.propose(edits) else { return };
             self.last_wanted = Some(self.number + 1);
             (next.with_config(change.version, "digest"), document, Body::Change(change))
@@ -224,7 +232,9 @@
         let voters = base.into_keys().collect();
         let writer = Writer::new(row, author, voters, now + store::CHANGE_TIMEOUT);
         let number = self.number;
-        self.attempt = Some(Attempt { number, writer, document, body, timer: now, writing: false });
+        let edits = wanted;
+        let (timer, writing) = (now, false);
+        self.attempt = Some(Attempt { number, writer, document, body, edits, timer, writing });
     }
 
     fn timers(&mut self, now: Time) -> Sends {
@@ -304,6 +314,9 @@
         };
         self.outcomes.insert(attempt.number, (row.clone(), said));
         let body = attempt.body.clone();
+        if outcome == Outcome::Overtaken {
+            self.wanted.extend(attempt.edits.clone());
+        }
         let sends = match outcome {
             Outcome::Accepted => self.adopt(now, self.member.host, row, body),
             _ => Sends::new(),
--- /dev/null
+++ b/crates/core/tests/fleet/script.rs
@@ -0,0 +1,256 @@
+//! Runs a case: a fault at a step of a protocol, against the checkers and what the case expects.
+
+use super::Fleet;
+use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::key;
+use serde::Deserialize;
+use std::path::Path;
+use std::time::Duration;
+
+/// Time in which the fleet forms.
+const START: Duration = Duration::from_secs(3);
+/// The key that cases withdraw.
+const KEY: u64 = 7;
+const SEED: u64 = 11;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    fault: String,
+    step: String,
+    given: Given,
+    events: Vec<Event>,
+    expect: Expect,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Given {
+    hosts: u32,
+    /// Time that the case runs, ms.
+    time: u64,
+}
+
+/// Happens at a time after the start, or once a step is reached.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Event {
+    at: Option<u64>,
+    when: Option<Step>,
+    on: Action,
+    host: Option<HostId>,
+    value: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Step {
+    Announced,
+    Written,
+    Accepted,
+    Spread,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Action {
+    Withdraw,
+    CutStore,
+    CutPeers,
+    Heal,
+    StoreDown,
+    StoreUp,
+    StoreSlow,
+    LoseAnswers,
+    Pause,
+    Resume,
+    Kill,
+    Start,
+    Leave,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Expect {
+    /// Outcomes that the publisher may report; none when it may be gone.
+    outcome: Option<Vec<String>>,
+    /// Time after acceptance within which no host serves the key, ms.
+    key_dead_within: Option<u64>,
+    /// Time after acceptance within which the change is said to be in force everywhere, ms.
+    in_force_within: Option<u64>,
+    /// Time after its start within which the last host to start serves, ms.
+    joined_within: Option<u64>,
+    /// Members in the end.
+    members: Vec<HostId>,
+    /// Hosts that act in the end.
+    acting: Vec<HostId>,
+    /// Configuration version of those hosts in the end.
+    version: u64,
+}
+
+struct Run {
+    fleet: Fleet,
+    publisher: HostId,
+    key_served: Option<Time>,
+    accepted: Option<Time>,
+    in_force: Option<Time>,
+    started: Option<(HostId, Time)>,
+    joined: Option<Time>,
+}
+
+pub(crate) fn run(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = serde_yaml_ng::from_str(&std::fs::read_to_string(path)?)?;
+    let mut fleet = Fleet::new(case.given.hosts, SEED);
+    fleet.run(START);
+    let mut run = Run {
+        fleet,
+        publisher: 1,
+        key_served: None,
+        accepted: None,
+        in_force: None,
+        started: None,
+        joined: None,
+    };
+
+    run.play(&case);
+
+    run.verify(&case).map_err(|text| format!("{} at {}: {text}", case.fault, case.step).into())
+}
+
+impl Run {
+    fn play(&mut self, case: &Case) {
+        let start = self.fleet.now;
+        let mut waiting: Vec<&Event> = case.events.iter().collect();
+        while self.fleet.now < start + Duration::from_millis(case.given.time) {
+            let passed = self.fleet.now - start;
+            let (due, later): (Vec<_>, Vec<_>) =
+                waiting.into_iter().partition(|event| self.is_due(event, passed));
+            due.into_iter().for_each(|event| self.perform(event));
+            waiting = later;
+            self.fleet.step();
+            self.observe();
+        }
+        assert!(waiting.is_empty(), "never due: {waiting:?}");
+    }
+
+    fn is_due(&self, event: &Event, passed: Duration) -> bool {
+        let at = event.at.is_none_or(|at| passed >= Duration::from_millis(at));
+        at && event.when.is_none_or(|step| self.reached(step))
+    }
+
+    fn reached(&self, step: Step) -> bool {
+        let publisher = self.fleet.nodes.get(&self.publisher);
+        let attempt = publisher.and_then(|node| node.attempt.as_ref());
+        match step {
+            Step::Announced => attempt.is_some(),
+            Step::Written => attempt.is_some_and(|attempt| attempt.writing),
+            Step::Accepted => self.accepted.is_some(),
+            Step::Spread => self.holders().any(|host| host != self.publisher),
+        }
+    }
+
+    fn holders(&self) -> impl Iterator<Item = HostId> {
+        let nodes = self.fleet.nodes.iter();
+        nodes.filter(|(_, node)| node.replica.row().version >= 2).map(|(host, _)| *host)
+    }
+
+    fn perform(&mut self, event: &Event) {
+        let host = event.host.unwrap_or(self.publisher);
+        let value = event.value.unwrap_or(0);
+        let fleet = &mut self.fleet;
+        match event.on {
+            Action::Withdraw => {
+                self.publisher = host;
+                let node = fleet.nodes.get_mut(&host).expect("the publisher runs");
+                let edit = key::withdraw(node.replica.document(), KEY).expect("a key");
+                node.wanted.push(vec![edit]);
+            }
+            Action::CutStore => drop(fleet.store.cut.insert(host)),
+            Action::CutPeers => fleet.cut_off(host),
+            Action::Heal => {
+                fleet.store.cut.clear();
+                fleet.cut.clear();
+            }
+            Action::StoreDown => fleet.store.down = true,
+            Action::StoreUp => fleet.store.down = false,
+            Action::StoreSlow => fleet.store.delay = Duration::from_millis(value),
+            Action::LoseAnswers => fleet.store.lose_answers = value as u32,
+            Action::Pause => fleet.nodes.get_mut(&host).expect("it runs").paused = true,
+            Action::Resume => fleet.resume(host),
+            Action::Kill => fleet.kill(host),
+            Action::Start => {
+                fleet.start(host);
+                self.started = Some((host, fleet.now));
+            }
+            Action::Leave => fleet.nodes.get_mut(&host).expect("it runs").member.leaving = true,
+        }
+    }
+
+    fn observe(&mut self) {
+        let now = self.fleet.now;
+        let stored = self.fleet.store.row.as_ref().map_or(0, |(row, _)| row.version);
+        if stored >= 2 {
+            self.accepted.get_or_insert(now);
+        }
+        if self.fleet.nodes.values().any(|node| node.serves(now, KEY)) {
+            self.key_served = Some(now);
+        }
+        let live = self.fleet.nodes.values_mut().filter(|node| !node.paused);
+        if live.map(|node| node.spread.in_force(now).1).max() >= Some(2) {
+            self.in_force.get_or_insert(now);
+        }
+        let joined = |(host, _): (HostId, Time)| {
+            self.fleet.nodes.get(&host).is_some_and(|node| node.acts(now))
+        };
+        if self.joined.is_none() && self.started.is_some_and(joined) {
+            self.joined = Some(now);
+        }
+    }
+
+    fn verify(&self, case: &Case) -> Result<(), String> {
+        let expect = &case.expect;
+        if let Some(violation) = self.fleet.violations.first() {
+            return Err(violation.clone());
+        }
+        let outcome = self.fleet.nodes.get(&self.publisher).and_then(|node| node.outcome());
+        if let Some(allowed) = &expect.outcome {
+            let got = outcome.map_or("none".to_owned(), |outcome| outcome.to_string());
+            hold(allowed.contains(&got), || format!("outcome {got}"))?;
+        }
+        let since =
+            |at: Option<Time>, start: Option<Time>| at.zip(start).map(|(a, s)| a - s.min(a));
+        within("key served", since(self.key_served, self.accepted), expect.key_dead_within)?;
+        within("in force", since(self.in_force, self.accepted), expect.in_force_within)?;
+        let started = self.started.map(|(_, at)| at);
+        hold(expect.in_force_within.is_none() || self.in_force.is_some(), || {
+            "not in force".into()
+        })?;
+        hold(expect.joined_within.is_none() || self.joined.is_some(), || "not joined".into())?;
+        within("joined", since(self.joined, started), expect.joined_within)?;
+        self.verify_end(expect)
+    }
+
+    fn verify_end(&self, expect: &Expect) -> Result<(), String> {
+        let now = self.fleet.now;
+        let row = self.fleet.store.row.as_ref().map(|(row, _)| row.clone()).unwrap_or_default();
+        let members: Vec<HostId> = row.members.keys().copied().collect();
+        hold(members == expect.members, || format!("members {members:?}"))?;
+        let acting = self.fleet.nodes.iter().filter(|(_, node)| node.acts(now));
+        let acting: Vec<HostId> = acting.map(|(host, _)| *host).collect();
+        hold(acting == expect.acting, || format!("acting {acting:?}"))?;
+        for host in acting {
+            let version = self.fleet.nodes[&host].replica.row().version;
+            hold(version == expect.version, || format!("host {host} has version {version}"))?;
+        }
+        Ok(())
+    }
+}
+
+fn within(what: &str, took: Option<Duration>, limit: Option<u64>) -> Result<(), String> {
+    let Some(limit) = limit.map(Duration::from_millis) else { return Ok(()) };
+    hold(took.unwrap_or_default() <= limit, || format!("{what} took {took:?}"))
+}
+
+fn hold(condition: bool, text: impl FnOnce() -> String) -> Result<(), String> {
+    if condition { Ok(()) } else { Err(text()) }
+}
