A system's hosts run as the daemon's program runs them; all of them stop at once

A host that a plan told to leave never ended in process, since only the program listened. Answers of commit and rollback carry no rows.

--- a/crates/cli/src/bench/fault.rs
+++ b/crates/cli/src/bench/fault.rs
@@ -128,8 +128,8 @@
     }
 
     fn stop_host(&mut self, host: usize) {
-        if let Some(daemon) = self.system.hosts[host].take() {
-            self.stopping.insert(host, tokio::spawn(daemon.stop()));
+        if let Some(stopping) = self.system.hosts[host].begin_stop() {
+            self.stopping.insert(host, stopping);
         }
     }
 
--- a/crates/cli/src/client/caller.rs
+++ b/crates/cli/src/client/caller.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Whether its answer has no rows.
+    fn ends_transaction(&self) -> bool {
+        matches!(self.operation, Operation::Commit(_) | Operation::Rollback(_))
+    }
+
     fn statement(&self) -> Option<&Statement> {
         match &self.operation {
             Operation::Read(_, statement)
@@ -196,6 +201,7 @@
         let headers = response.headers().clone();
         let body = response.bytes().await.map_err(|error| Failure::Cut(error.to_string()))?;
         match status {
+            200 if request.ends_transaction() => Ok(headers_only(&headers)),
             200 => answer(&headers, &body),
             201 => begun(&headers, &body),
             _ => Err(Problem::new(status, retry_after(&headers), &body).into()),
@@ -244,7 +250,6 @@
 fn answer(headers: &HeaderMap, body: &[u8]) -> Result<Answer, Failure> {
     let rows = match value::rows(body) {
         Some(rows) => rows,
-        None if body.is_empty() => Rows::default(),
         None => return Err(Failure::Cut("the body is not a whole result".to_owned())),
     };
     Ok(Answer { rows, ..headers_only(headers) })
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -23,8 +23,11 @@
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 /// Time that the system may take to serve its first requests.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -81,7 +84,14 @@
 pub struct Host {
     /// Its settings, with the addresses that it listens on.
     pub settings: Settings,
-    daemon: Option<Daemon>,
+    running: Option<Running>,
+}
+
+/// A daemon of this process, run as its program runs it.
+struct Running {
+    host: Arc<bergamotvale_host::shared::Host>,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
 }
 
 impl System {
@@ -125,7 +135,7 @@
 
     /// Takes in a host that runs in another process, and waits until it serves.
     pub async fn adopt_host(&mut self, settings: Settings) -> Result<()> {
-        self.hosts.push(Host { settings, daemon: None });
+        self.hosts.push(Host { settings, running: None });
         self.found().await?;
         self.wait_until_served().await
     }
@@ -155,9 +165,11 @@
 
     /// Stops every host, then the rest.
     pub async fn stop(mut self) {
-        for host in &mut self.hosts {
+        let hosts = std::mem::take(&mut self.hosts);
+        futures::future::join_all(hosts.into_iter().map(|mut host| async move {
             host.stop().await;
-        }
+        }))
+        .await;
     }
 
     /// Publishes the first configuration, once a host may.
@@ -173,9 +185,9 @@
     }
 
     async fn try_found(&self) -> Result<()> {
-        match self.hosts[0].daemon.as_ref() {
-            Some(daemon) => {
-                let founded = change::found(&daemon.host, self.document.clone()).await;
+        match self.hosts[0].running.as_ref() {
+            Some(running) => {
+                let founded = change::found(&running.host, self.document.clone()).await;
                 founded.map(drop).map_err(start)
             }
             None => {
@@ -222,12 +234,8 @@
 
 impl Host {
     async fn start(settings: Settings, runtime: Option<&Handle>) -> Result<Host> {
-        let starting = Daemon::start(settings);
-        let daemon = match runtime {
-            Some(runtime) => runtime.spawn(starting).await.map_err(start)?.map_err(start)?,
-            None => starting.await.map_err(start)?,
-        };
-        Ok(Host { settings: daemon.host.settings.clone(), daemon: Some(daemon) })
+        let running = run(settings, runtime).await?;
+        Ok(Host { settings: running.host.settings.clone(), running: Some(running) })
     }
 
     /// Where it serves callers.
@@ -237,28 +245,48 @@
 
     /// Whether it runs.
     pub fn is_running(&self) -> bool {
-        self.daemon.is_some()
+        self.running.as_ref().is_some_and(|running| !running.task.is_finished())
     }
 
     /// Stops it as planned; ends when what ran has ended.
     pub async fn stop(&mut self) {
-        if let Some(daemon) = self.daemon.take() {
-            daemon.stop().await;
+        if let Some(stopping) = self.begin_stop() {
+            // A host that was told to leave may have ended already.
+            drop(stopping.await);
         }
     }
 
+    /// Begins to stop it as planned; the handle ends when what ran has ended.
+    pub fn begin_stop(&mut self) -> Option<JoinHandle<()>> {
+        let Running { stop, task, .. } = self.running.take()?;
+        // Nobody listens when it was told to leave before.
+        let _ = stop.send(());
+        Some(task)
+    }
+
     /// Starts it again where it was.
     pub async fn restart(&mut self) -> Result<()> {
-        if self.daemon.is_none() {
-            self.daemon = Some(Daemon::start(self.settings.clone()).await.map_err(start)?);
+        if self.running.is_none() {
+            self.running = Some(run(self.settings.clone(), None).await?);
         }
         Ok(())
     }
+}
 
-    /// Takes the daemon out, to be stopped apart.
-    pub fn take(&mut self) -> Option<Daemon> {
-        self.daemon.take()
-    }
+/// Runs a daemon until it is stopped or told to leave, as its program does.
+async fn run(settings: Settings, runtime: Option<&Handle>) -> Result<Running> {
+    let runtime = runtime.cloned().unwrap_or_else(Handle::current);
+    let daemon = runtime.spawn(Daemon::start(settings)).await.map_err(start)?.map_err(start)?;
+    let host = daemon.host.clone();
+    let (stop, stopped) = oneshot::channel();
+    let task = runtime.spawn(async move {
+        tokio::select! {
+            () = daemon.told_to_leave() => {}
+            _ = stopped => {}
+        }
+        daemon.stop().await;
+    });
+    Ok(Running { host, stop, task })
 }
 
 fn start(error: impl ToString) -> Error {
