--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -8,13 +8,11 @@
 use bergamotvale_host::daemon::Daemon;
 use bergamotvale_host::fleet::change;
 use bergamotvale_host::settings::{Listen, Settings};
-use bergamotvale_host::shared;
 use bergamotvale_standin::group::{Group, Options};
 use bergamotvale_standin::platform::Server;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 pub(crate) const SERVICE: u32 = 1;
@@ -34,8 +32,6 @@
     pub(crate) platform: Server,
     pub(crate) http: reqwest::Client,
     document: Document,
-    /// The host that has published the configuration.
-    publisher: Mutex<Option<Arc<shared::Host>>>,
 }
 
 /// One host with its address.
@@ -72,8 +68,7 @@
         let group = Group::start(Options { schema, connection_limit, ..options }).expect("a group");
         let platform = Server::start(Default::default()).expect("a platform");
         let document = document(&group.addresses());
-        let http = reqwest::Client::new();
-        Fixture { group, platform, http, document, publisher: Mutex::default() }
+        Fixture { group, platform, http: reqwest::Client::new(), document }
     }
 
     /// A host that knows its configuration and the group's primary.
@@ -82,12 +77,8 @@
     }
 
     pub(crate) async fn host_with(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
-        let mut settings = settings(id, self.platform.address());
-        change(&mut settings);
-        let daemon = Daemon::start(settings).await.expect("a host");
-        let address = daemon.host.settings.listen.callers;
-        let host = Host { daemon, address, http: self.http.clone() };
-        self.found(&host.daemon.host).await;
+        let host = self.bare_host(id, change).await;
+        self.found(&host).await;
         until("a primary is known", || host.daemon.host.pools.primary(SERVICE).is_some()).await;
         let views = || host.daemon.host.pools.views(SERVICE).len() == 3;
         until("all targets are known", views).await;
@@ -95,28 +86,40 @@
         host
     }
 
-    /// Publishes the configuration through the first host, once that may.
-    async fn found(&self, host: &Arc<shared::Host>) {
-        if self.publisher.lock().expect("no panic").is_some() {
-            return;
-        }
+    /// A host that has only just started.
+    pub(crate) async fn bare_host(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
+        let mut settings = settings(id, self.platform.address());
+        change(&mut settings);
+        let daemon = Daemon::start(settings).await.expect("a host");
+        let address = daemon.host.settings.listen.callers;
+        Host { daemon, address, http: self.http.clone() }
+    }
+
+    /// The configuration that the first host publishes.
+    pub(crate) fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Publishes the first configuration, unless it is there.
+    async fn found(&self, host: &Host) {
         let deadline = tokio::time::Instant::now() + PATIENCE;
-        while let Err(fault) = change::found(host, self.document.clone()).await {
+        while let Err(fault) = change::found(&host.daemon.host, self.document.clone()).await {
+            if host.daemon.host.document().version > 0 {
+                return;
+            }
             assert!(tokio::time::Instant::now() < deadline, "no configuration: {fault}");
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        *self.publisher.lock().expect("no panic") = Some(host.clone());
     }
 
     /// Withdraws a key in the configuration.
-    pub(crate) async fn withdraw(&mut self, id: u64) {
-        let publisher = self.publisher.lock().expect("no panic").clone().expect("a host");
-        let withdrawn = |document: &Document| {
+    pub(crate) async fn withdraw(&self, host: &Host, id: u64) {
+        let withdraw = |document: &Document| {
             let mut key = document.keys[&id].clone();
             key.state = KeyState::Withdrawn;
             Ok(vec![Edit::PutKey(id, key)])
         };
-        change::publish(&publisher, withdrawn).await.expect("a configuration in force");
+        change::publish(&host.daemon.host, withdraw).await.expect("a change");
     }
 
     /// Number of the present primary.
@@ -257,7 +260,7 @@
     let listen = Listen { callers: free, operators: free, peers: free };
     let mut settings = Settings::new(id, 0, listen, platform);
     settings.policy.seed = 7;
-    settings.timeouts.linger = Duration::ZERO;
+    settings.timeouts.leave = Duration::ZERO;
     settings
 }
 
