--- a/crates/host/src/auth.rs
+++ b/crates/host/src/auth.rs
@@ -23,16 +23,22 @@
 
 /// The identity behind `presented`, the text after `Bearer`.
 pub fn identify(document: &Document, presented: &str) -> Result<Identity, Reason> {
+    let identity = holder(document, presented)?;
+    match stands(document, identity) {
+        true => Ok(identity),
+        false => Err(Reason::KeyWithdrawn),
+    }
+}
+
+/// The identity behind `presented`, whether or not its key still works.
+pub fn holder(document: &Document, presented: &str) -> Result<Identity, Reason> {
     let (id, secret) = split(presented).ok_or(Reason::KeyUnknown)?;
     let key = document.keys.get(&id).ok_or(Reason::KeyUnknown)?;
     let digest = digest(&key.salt, secret);
     if !bool::from(digest.as_bytes().ct_eq(key.digest.as_bytes())) {
         return Err(Reason::KeyUnknown);
     }
-    match key.state {
-        KeyState::Active => Ok(Identity { key: id, account: key.account }),
-        KeyState::Withdrawn => Err(Reason::KeyWithdrawn),
-    }
+    Ok(Identity { key: id, account: key.account })
 }
 
 /// Whether `identity` still stands in `document`.
--- a/crates/host/src/failover/driver.rs
+++ b/crates/host/src/failover/driver.rs
@@ -6,10 +6,12 @@
 
 use super::planned;
 use crate::platform::{Put, Transaction};
-use crate::settings::Failover as Policy;
+use crate::settings::{Defect, Failover as Policy};
 use crate::shared::Host;
 use crate::target::probe::{Control, Failure};
-use bergamotvale_core::id::{ServiceId, TargetId};
+use bergamotvale_core::group::Answer;
+use bergamotvale_core::id::{PromoterId, ServiceId, TargetId};
+use bergamotvale_core::log::Term;
 use bergamotvale_core::{detect, promotion};
 use serde_json::json;
 use std::sync::Arc;
@@ -133,8 +135,11 @@
     let control = host.failover.with(service, |group| group.controls.get(&target).cloned());
     let Some(control) = control.flatten() else { return };
     let fencing = matches!(action, promotion::Action::Fence { .. });
+    let unfenced = host.settings.policy.defects.contains(&Defect::SkipFence);
     let answer = match fencing {
+        true if unfenced => pretend_grant(&host, &control, term).await,
         true => control.fence(&host.settings, term, promoter).await,
+        false if unfenced => promote_unfenced(&host, &control, term, promoter).await,
         false => control.promote(&host.settings, term, promoter).await,
     };
     log::debug!("service {service}: {action:?}: {answer:?}");
@@ -146,6 +151,23 @@
     carry_out(&host, service, actions.unwrap_or_default());
 }
 
+/// The deliberate defect: a grant that the target was not asked for.
+async fn pretend_grant(host: &Host, control: &Control, term: Term) -> Result<Answer, Failure> {
+    let status = control.status(&host.settings).await?;
+    Ok(Answer { granted: true, accepted: term, entry: status.entry, voter: true })
+}
+
+/// The deliberate defect: only the target that is promoted grants the term.
+async fn promote_unfenced(
+    host: &Host,
+    control: &Control,
+    term: Term,
+    promoter: PromoterId,
+) -> Result<Answer, Failure> {
+    control.fence(&host.settings, term, promoter).await?;
+    control.promote(&host.settings, term, promoter).await
+}
+
 fn done(host: &Arc<Host>, service: ServiceId, target: TargetId, term: u64) {
     host.metric.count("failover.promotions");
     log::info!("service {service}: target {target} is the primary of term {term}");
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -318,9 +318,9 @@
         }
         let domains = members.values().map(|m| (m.host, m.failure_domain)).collect();
         self.failover.set_members(domains);
-        let staying = members.values().filter(|m| !m.leaving).map(|m| m.host);
-        let staying: BTreeSet<HostId> = staying.collect();
-        self.limiter.divide(document, &staying, self.settings.host);
+        // A leaving host keeps its part: callers come until they have seen that it leaves.
+        let hosts: BTreeSet<HostId> = members.keys().copied().collect();
+        self.limiter.divide(document, &hosts, self.settings.host);
         self.vouch();
     }
 
--- a/crates/host/src/front/request.rs
+++ b/crates/host/src/front/request.rs
@@ -3,6 +3,7 @@
 use super::{Context, body};
 use crate::auth::{self, Identity};
 use crate::exec::{Caller, Job, permit};
+use crate::settings::Defect;
 use crate::shared::Host;
 use bergamotvale_core::id::{ServiceId, Time};
 use bergamotvale_core::refusal::{Reason, Refusal};
@@ -38,7 +39,9 @@
     permit::authority(host)?;
     let presented = text(headers, AUTHORIZATION)?.and_then(|v| v.strip_prefix("Bearer "));
     let presented = presented.ok_or_else(|| Refusal::new(Reason::KeyUnknown, "no key"))?;
-    let identity = auth::identify(&host.document(), presented)
+    let ignored = host.settings.policy.defects.contains(&Defect::IgnoreWithdrawal);
+    let identify = if ignored { auth::holder } else { auth::identify };
+    let identity = identify(&host.document(), presented)
         .map_err(|reason| Refusal::new(reason, "the key is refused"))?;
     Ok(Presented { identity, text: presented.to_owned() })
 }
