Checks of the thirteen invariants in one place

The checks stood in the load tool, in single tests, or nowhere. core::invariant now has each as a pure function over plain records, with a table from invariant to check. tests/invariants.rs shows each pass on a good history and fail on a broken one.

The load tool's own checkers of lost, repeated, falsely refused, stale, mixed and foreign operations work on its recorded operations and still state those rules a second time; moving them is left until its modules are at rest.

--- /dev/null
+++ b/crates/core/tests/invariants.rs
@@ -0,0 +1,208 @@
+//! Each check of the thirteen invariants passes on a good history and fails on a broken one.
+
+use bergamotvale_core::id::Time;
+use bergamotvale_core::invariant::account::{self, Run, Use};
+use bergamotvale_core::invariant::answer::{self, Answer, End, Request};
+use bergamotvale_core::invariant::change::{self, Act};
+use bergamotvale_core::invariant::session::{self, Event, Seen};
+use bergamotvale_core::invariant::target::{self, Statement};
+use bergamotvale_core::invariant::write::{self, Verdict, Write};
+use bergamotvale_core::invariant::{Broken, admission};
+use bergamotvale_core::log::Position;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const BOUND: Duration = Duration::from_secs(3);
+
+fn secs(seconds: u64) -> Time {
+    Duration::from_secs(seconds)
+}
+
+fn acknowledged(op: u64, session: u64, index: u64) -> Event {
+    let seen = Seen::Acknowledged(Position::new(2, index));
+    Event { op, session, service: 1, seen }
+}
+
+fn read(op: u64, session: u64, index: u64) -> Event {
+    Event { seen: Seen::Read(Position::new(2, index)), ..acknowledged(op, session, 0) }
+}
+
+#[test]
+fn stale_session_read_is_seen() {
+    let good = [acknowledged(1, 1, 5), read(2, 1, 5), read(3, 2, 4)];
+    let other_service = [acknowledged(1, 1, 5), Event { service: 2, ..read(2, 1, 1) }];
+    let broken = [acknowledged(1, 1, 5), read(2, 1, 4)];
+
+    assert_eq!(session::verify(&good), Ok(()));
+    assert_eq!(session::verify(&other_service), Ok(()));
+    assert_eq!(session::verify(&broken), Err(Broken::StaleRead { op: 2 }));
+}
+
+#[test]
+fn read_on_a_fork_of_a_lower_term_is_seen() {
+    let on_fork = Event { seen: Seen::Read(Position::new(1, 99)), ..read(2, 1, 0) };
+
+    let verdict = session::verify(&[acknowledged(1, 1, 5), on_fork]);
+
+    assert_eq!(verdict, Err(Broken::StaleRead { op: 2 }));
+}
+
+fn write(verdict: Verdict, effects: [usize; 3]) -> Write {
+    Write { op: 7, verdict, effects: (0..).zip(effects).collect() }
+}
+
+#[test]
+fn lost_write_is_seen() {
+    let good = [write(Verdict::Acknowledged, [1; 3]), write(Verdict::Unknown, [0; 3])];
+    let broken = [write(Verdict::Acknowledged, [1, 0, 1])];
+
+    assert_eq!(write::verify_kept(&good), Ok(()));
+    assert_eq!(write::verify_kept(&broken), Err(Broken::LostWrite { op: 7 }));
+}
+
+#[test]
+fn acknowledgements_of_two_primaries_are_seen() {
+    let good = [(1, 0), (1, 0), (2, 1), (1, 0)];
+    let broken = [(1, 0), (2, 1), (2, 2)];
+
+    assert_eq!(write::verify_terms(&good), Ok(()));
+    assert_eq!(write::verify_terms(&broken), Err(Broken::SplitTerm { term: 2 }));
+}
+
+#[test]
+fn false_not_run_is_seen() {
+    let good = [write(Verdict::NotRun, [0; 3]), write(Verdict::Unknown, [1; 3])];
+    let broken = [write(Verdict::NotRun, [0, 0, 1])];
+
+    assert_eq!(write::verify_not_run(&good), Ok(()));
+    assert_eq!(write::verify_not_run(&broken), Err(Broken::FalseNotRun { op: 7 }));
+}
+
+#[test]
+fn repeated_write_is_seen() {
+    let good = [write(Verdict::Unknown, [1; 3])];
+    let broken = [write(Verdict::Unknown, [2; 3])];
+
+    assert_eq!(write::verify_once(&good), Ok(()));
+    assert_eq!(write::verify_once(&broken), Err(Broken::RepeatedWrite { op: 7 }));
+}
+
+fn statement(connection: u64, transaction: u64, ends: bool) -> Statement {
+    let text = "INSERT INTO bolts VALUES (1)".into();
+    Statement { at: secs(1), target: 0, connection, transaction, ends, text }
+}
+
+#[test]
+fn mixed_transactions_are_seen() {
+    let good = [statement(1, 1, false), statement(2, 2, true), statement(1, 1, true)];
+    let reused = [statement(1, 1, true), statement(1, 2, true)];
+    let shared = [statement(1, 1, false), statement(1, 2, true)];
+    let spread = [statement(1, 1, false), statement(2, 1, true)];
+
+    assert_eq!(target::verify_unmixed(&good), Ok(()));
+    assert_eq!(target::verify_unmixed(&reused), Ok(()));
+    assert_eq!(target::verify_unmixed(&shared), Err(Broken::MixedTransactions { transaction: 2 }));
+    assert_eq!(target::verify_unmixed(&spread), Err(Broken::MixedTransactions { transaction: 1 }));
+}
+
+#[test]
+fn key_in_a_statement_is_seen() {
+    let good = [statement(1, 1, true)];
+    let broken = [Statement { text: "SELECT 's3cret'".into(), ..statement(1, 1, true) }];
+
+    assert_eq!(target::verify_keyless(&good, &["s3cret"]), Ok(()));
+    assert_eq!(target::verify_keyless(&broken, &["s3cret"]), Err(Broken::KeySeen { target: 0 }));
+}
+
+#[test]
+fn new_work_on_a_leaving_target_is_seen() {
+    let leaving = BTreeMap::from([(0, secs(2))]);
+    let late = |transaction| Statement { at: secs(9), ..statement(1, transaction, true) };
+    let good = [statement(1, 1, false), late(1)];
+    let broken = [statement(1, 1, true), late(2)];
+
+    assert_eq!(target::verify_leaving(&good, &leaving, BOUND), Ok(()));
+    assert_eq!(
+        target::verify_leaving(&broken, &leaving, BOUND),
+        Err(Broken::WorkWhileLeaving { target: 0 })
+    );
+}
+
+#[test]
+fn request_for_another_account_is_seen() {
+    let run = Run { op: 4, presented: Some(1), account: 1, is_open: false };
+    let good = [run, Run { presented: None, is_open: true, ..run }];
+    let foreign = [Run { account: 2, ..run }];
+    let keyless = [Run { presented: None, ..run }];
+
+    assert_eq!(account::verify_owner(&good), Ok(()));
+    assert_eq!(account::verify_owner(&foreign), Err(Broken::WrongAccount { op: 4 }));
+    assert_eq!(account::verify_owner(&keyless), Err(Broken::WrongAccount { op: 4 }));
+}
+
+#[test]
+fn use_of_a_withdrawn_key_is_seen() {
+    let withdrawn = BTreeMap::from([(1, secs(10))]);
+    let good = [Use { key: 1, at: secs(13) }, Use { key: 2, at: secs(90) }];
+    let broken = [Use { key: 1, at: secs(14) }];
+
+    assert_eq!(account::verify_withdrawn(&good, &withdrawn, BOUND), Ok(()));
+    assert_eq!(
+        account::verify_withdrawn(&broken, &withdrawn, BOUND),
+        Err(Broken::WithdrawnKey { key: 1 })
+    );
+}
+
+#[test]
+fn admission_above_the_rate_is_seen() {
+    let good = [secs(0), secs(0), secs(1), secs(2)];
+    let broken = [secs(0), secs(0), secs(0)];
+
+    assert_eq!(admission::verify(&good, 1, 2), Ok(()));
+    assert_eq!(admission::verify(&broken, 1, 2).map_err(|excess| excess.number), Err(2));
+}
+
+#[test]
+fn wrong_answer_is_seen() {
+    let answer = Answer { op: 3, of: 3, sent_rows: 2, received_rows: 2 };
+    let foreign = Answer { of: 4, ..answer };
+    let part = Answer { received_rows: 1, ..answer };
+
+    assert_eq!(answer::verify_whole(&[answer]), Ok(()));
+    assert_eq!(answer::verify_whole(&[foreign]), Err(Broken::WrongAnswer { op: 3 }));
+    assert_eq!(answer::verify_whole(&[part]), Err(Broken::WrongAnswer { op: 3 }));
+}
+
+#[test]
+fn request_cut_by_a_planned_stop_is_seen() {
+    let stopping = BTreeMap::from([(1, secs(5))]);
+    let cut = Request { op: 6, host: 1, ended: secs(6), end: End::Cut };
+    let good = [
+        Request { end: End::Answered, ..cut },
+        Request { end: End::Unsent, ..cut },
+        Request { host: 2, ..cut },
+        Request { ended: secs(4), ..cut },
+    ];
+
+    assert_eq!(answer::verify_uncut(&good, &stopping), Ok(()));
+    assert_eq!(answer::verify_uncut(&[cut], &stopping), Err(Broken::CutRequest { op: 6 }));
+}
+
+#[test]
+fn reverted_or_late_configuration_is_seen() {
+    let accepted = BTreeMap::from([(1, secs(0)), (2, secs(10))]);
+    let act = |host, at, version| Act { host, at: secs(at), version };
+    let good = [act(1, 11, 1), act(2, 11, 2), act(1, 13, 1), act(1, 14, 2)];
+    let reverted = [act(1, 11, 2), act(1, 12, 1)];
+    let late = [act(1, 14, 1)];
+
+    assert_eq!(change::verify(&good, &accepted, BOUND), Ok(()));
+    assert_eq!(
+        change::verify(&reverted, &accepted, BOUND),
+        Err(Broken::Reverted { host: 1, version: 1 })
+    );
+    assert_eq!(
+        change::verify(&late, &accepted, BOUND),
+        Err(Broken::NotInForce { host: 1, version: 1 })
+    );
+}
