Search over two and three faults at a time

tests/combined.rs drives the write and read machines, the promoters and the fake group together: four sessions on three hosts, keyed writes repeated on other hosts, COMMITs that arrive after their host has given up, targets cut, killed and rebuilt. The group of the promotion search now knows what is confirmed and commits given values.

A false confirmation, an ignored token, a missing unique key and an unsaid COMMIT are each found.

--- /dev/null
+++ b/crates/core/tests/combined.rs
@@ -0,0 +1,86 @@
+//! Two and three faults at a time: sessions that write and read through hosts, over a group that
+//! is cut, killed, rebuilt and promoted.
+//!
+//! `BERGAMOTVALE_SEED` and `BERGAMOTVALE_RUNS` choose other seeds and more of them.
+
+mod group;
+mod world;
+
+use std::env;
+use world::{Defect, Tally, World};
+
+const SEED: u64 = 1;
+const RUNS: u64 = 3_000;
+const DEFECT_RUNS: u64 = 3_000;
+
+fn setting(name: &str, default: u64) -> u64 {
+    match env::var(name) {
+        Ok(text) => text.parse().unwrap_or_else(|_| panic!("{name} is a number")),
+        Err(_) => default,
+    }
+}
+
+/// The first seed that breaks an invariant, and what the runs did.
+fn search(first: u64, runs: u64, defect: Defect) -> (Option<String>, Tally) {
+    let mut tally = Tally::default();
+    for seed in first..first.saturating_add(runs) {
+        let mut world = World::new(seed, defect);
+        let verdict = world.run();
+        tally.add(&world.tally());
+        if let Err(broken) = verdict {
+            let faults = world.faults();
+            return (Some(format!("BERGAMOTVALE_SEED={seed}: {broken}; faults: {faults}")), tally);
+        }
+    }
+    (None, tally)
+}
+
+#[test]
+fn no_seed_breaks_an_invariant() {
+    let (first, runs) = (setting("BERGAMOTVALE_SEED", SEED), setting("BERGAMOTVALE_RUNS", RUNS));
+
+    let (broken, tally) = search(first, runs, Defect::None);
+
+    println!("{runs} runs from seed {first}: {tally:?}");
+    assert_eq!(broken, None);
+}
+
+/// The runs reach what they are meant to reach.
+#[test]
+fn runs_are_not_idle() {
+    let (_, tally) = search(SEED, 300, Defect::None);
+
+    assert!(tally.acknowledged > 1_000, "{tally:?}");
+    assert!(tally.replayed > 10, "{tally:?}");
+    assert!(tally.unknown > 100, "{tally:?}");
+    assert!(tally.not_run > 10, "{tally:?}");
+    assert!(tally.served > 1_000, "{tally:?}");
+    assert!(tally.promotions > 100, "{tally:?}");
+}
+
+/// Some seed shows the defect by the check that is there for it.
+fn found(defect: Defect, words: &str) {
+    let shows = |seed| World::new(seed, defect).run().is_err_and(|b| b.to_string().contains(words));
+
+    assert!((SEED..SEED + DEFECT_RUNS).any(shows), "{defect:?} was not found");
+}
+
+#[test]
+fn false_confirmation_is_found() {
+    found(Defect::FalseConfirmation, "is lost");
+}
+
+#[test]
+fn ignored_token_is_found() {
+    found(Defect::IgnoredToken, "misses a write");
+}
+
+#[test]
+fn missing_unique_key_is_found() {
+    found(Defect::NoUniqueKey, "more than once");
+}
+
+#[test]
+fn unsaid_commit_is_found() {
+    found(Defect::CommitUnsaid, "as not run");
+}
--- a/crates/core/tests/group/mod.rs
+++ b/crates/core/tests/group/mod.rs
@@ -1,4 +1,5 @@
 //! A small database group for seeded searches: targets with terms, logs and lost messages.
+#![allow(dead_code, reason = "not every test uses all of it")]
 
 use bergamotvale_core::group::{Answer, majority};
 use bergamotvale_core::id::{PromoterId, TargetId};
@@ -20,6 +21,8 @@
     pub(crate) leads: Option<Term>,
     pub(crate) voter: bool,
     pub(crate) up: bool,
+    /// Highest position that it knows to be on a majority.
+    pub(crate) confirmed: Position,
     /// On a primary: what each follower is known to hold in this term.
     holds: BTreeMap<TargetId, usize>,
     /// On a primary: writes that wait for a majority, by the length of log that has them.
@@ -29,7 +32,7 @@
 /// A copy of a primary's log on its way to a follower, or its acknowledgement.
 #[derive(Debug, Clone)]
 pub(crate) enum Message {
-    Append { from: TargetId, to: TargetId, term: Term, log: Vec<Entry> },
+    Append { from: TargetId, to: TargetId, term: Term, log: Vec<Entry>, confirmed: Position },
     Held { from: TargetId, to: TargetId, term: Term, length: usize },
 }
 
@@ -48,6 +51,17 @@
         Position::new(term, self.log.len() as u64)
     }
 
+    /// On a primary of a group of `count`: highest entry of its term that a majority holds.
+    fn on_majority(&self, count: usize) -> Option<Position> {
+        let term = self.leads?;
+        let mut lengths: Vec<usize> = self.holds.values().copied().collect();
+        lengths.push(self.log.len());
+        lengths.sort_unstable();
+        let length = *lengths.iter().rev().nth(majority(count) - 1)?;
+        let entry = self.log.get(length.checked_sub(1)?)?;
+        (entry.term == term).then(|| Position::new(term, length as u64))
+    }
+
     fn answer(&self, granted: bool) -> Answer {
         Answer { granted, accepted: self.accepted, entry: self.entry(), voter: self.voter }
     }
@@ -99,24 +113,38 @@
 
     /// A caller writes on a target that holds itself the primary.
     pub(crate) fn write(&mut self, id: TargetId) {
-        let Some(target) = self.targets.get_mut(&id).filter(|target| target.up) else { return };
-        let Some(term) = target.leads else { return };
-        let entry = Entry { term, value: self.next };
-        self.next += 1;
+        if self.commit(id, self.next).is_some() {
+            self.next += 1;
+        }
+    }
+
+    /// Commits `value` on a target that holds itself the primary; answers with its position.
+    pub(crate) fn commit(&mut self, id: TargetId, value: u64) -> Option<Position> {
+        let target = self.targets.get_mut(&id).filter(|target| target.up)?;
+        let entry = Entry { term: target.leads?, value };
         target.log.push(entry);
         target.waiting.insert(target.log.len(), entry);
+        Some(target.entry())
     }
 
     /// What a primary sends to a follower now.
     pub(crate) fn append(&self, from: TargetId, to: TargetId) -> Option<Message> {
         let source = &self.targets[&from];
         let term = source.leads.filter(|_| source.up && from != to)?;
-        Some(Message::Append { from, to, term, log: source.log.clone() })
+        let (log, confirmed) = (source.log.clone(), source.confirmed);
+        Some(Message::Append { from, to, term, log, confirmed })
     }
 
     pub(crate) fn deliver(&mut self, message: Message) -> Option<Message> {
         match message {
-            Message::Append { from, to, term, log } => self.follow(from, to, term, log),
+            Message::Append { from, to, term, log, confirmed } => {
+                let held = self.follow(from, to, term, log);
+                if held.is_some() {
+                    let target = self.targets.get_mut(&to).expect("it held the log");
+                    target.confirmed = confirmed.max(target.confirmed);
+                }
+                held
+            }
             Message::Held { from, to, term, length } => {
                 self.held(from, to, term, length);
                 None
@@ -163,6 +191,7 @@
         }
         let known = primary.holds.entry(from).or_insert(0);
         *known = length.max(*known);
+        primary.confirmed = primary.confirmed.max(primary.on_majority(count).unwrap_or_default());
         let waiting = std::mem::take(&mut primary.waiting);
         for (length, entry) in waiting {
             let holders = 1 + primary.holds.values().filter(|known| **known >= length).count();
--- /dev/null
+++ b/crates/core/tests/world/mod.rs
@@ -0,0 +1,381 @@
+//! A world of sessions, hosts and one group under a schedule of faults.
+#![allow(unreachable_pub, reason = "a module of one test")]
+
+mod fault;
+mod promoter;
+mod request;
+mod session;
+
+use crate::group::{Entry, Group, Message};
+use bergamotvale_core::id::{HostId, TargetId, Time};
+use bergamotvale_core::invariant::write::{self, Verdict};
+use bergamotvale_core::invariant::{Broken, OpId};
+use bergamotvale_core::log::Position;
+use bergamotvale_core::random::Source;
+use bergamotvale_core::retry::Budgets;
+use fault::{Fault, Kind};
+use promoter::Promotions;
+use session::Session;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub const HOSTS: HostId = 3;
+pub const TARGETS: TargetId = 3;
+const SESSIONS: u64 = 4;
+const RUN: Duration = Duration::from_secs(6);
+const STEP: Duration = Duration::from_millis(10);
+/// Rounds of replication after which a healed group has caught up.
+const HEALING_ROUNDS: u32 = 6;
+
+/// A deliberate defect, to show that the checks can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Defect {
+    None,
+    /// The group says that everything is confirmed.
+    FalseConfirmation,
+    /// Reads don't look at the session's token.
+    IgnoredToken,
+    /// The database lets two rows with one idempotency key in.
+    NoUniqueKey,
+    /// The host forgets that it sent COMMIT.
+    CommitUnsaid,
+}
+
+/// What runs did.
+#[derive(Debug, Default)]
+pub struct Tally {
+    pub acknowledged: u64,
+    pub replayed: u64,
+    pub unknown: u64,
+    pub not_run: u64,
+    pub served: u64,
+    pub promotions: u64,
+}
+
+impl Tally {
+    pub fn add(&mut self, other: &Tally) {
+        self.acknowledged += other.acknowledged;
+        self.replayed += other.replayed;
+        self.unknown += other.unknown;
+        self.not_run += other.not_run;
+        self.served += other.served;
+        self.promotions += other.promotions;
+    }
+}
+
+/// A transaction that is open on a target, under the term in which it began.
+#[derive(Debug, Clone, Copy)]
+pub struct Open {
+    pub attempt: u64,
+    pub op: OpId,
+    pub term: u64,
+}
+
+/// One run of a host.
+pub struct Host {
+    pub budgets: Budgets,
+    pub primary: Option<TargetId>,
+    pub paused_until: Time,
+    pub run: u64,
+}
+
+/// What sessions and hosts see of the world.
+pub struct Scene {
+    pub now: Time,
+    pub random: Source,
+    pub defect: Defect,
+    pub group: Group,
+    pub hosts: BTreeMap<HostId, Host>,
+    pub open: BTreeMap<TargetId, Vec<Open>>,
+    /// COMMITs on their way whose host has given up.
+    pub late: Vec<(TargetId, Open)>,
+    pub faults: Vec<Fault>,
+    pub tally: Tally,
+    pub writes: BTreeMap<OpId, Option<Verdict>>,
+    pub broken: Option<Broken>,
+    pub next: u64,
+}
+
+pub struct World {
+    scene: Scene,
+    sessions: Vec<Session>,
+    promotions: Promotions,
+    messages: Vec<Message>,
+}
+
+impl Scene {
+    /// A number that was not used before.
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    pub fn any_target(&mut self) -> TargetId {
+        self.random.below(TARGETS.into()) as TargetId
+    }
+
+    pub fn any_host(&mut self) -> HostId {
+        self.random.below(HOSTS.into()) as HostId
+    }
+
+    pub fn is_active(&self, wanted: impl Fn(&Kind) -> bool) -> bool {
+        self.faults.iter().any(|fault| fault.is_active(self.now) && wanted(&fault.kind))
+    }
+
+    /// Whether `host` does not reach `target`.
+    pub fn is_cut(&self, host: HostId, target: TargetId) -> bool {
+        self.is_active(|kind| match kind {
+            Kind::CutFromHosts(cut) | Kind::CutOff(cut) => *cut == target,
+            Kind::CutLink(h, t) => (*h, *t) == (host, target),
+            _ => false,
+        })
+    }
+
+    /// Whether an answer is lost after its effect.
+    pub fn loses_answer(&mut self) -> bool {
+        let chance = if self.is_active(|kind| *kind == Kind::AnswersLost) { 400 } else { 5 };
+        self.random.chance(chance)
+    }
+
+    pub fn entries(&self, target: TargetId) -> &[Entry] {
+        &self.group.targets[&target].log
+    }
+
+    pub fn has(&self, target: TargetId, op: OpId) -> bool {
+        self.entries(target).iter().any(|entry| entry.value == op)
+    }
+
+    /// Ends the open transactions of a target, and COMMITs on their way to it.
+    pub fn close(&mut self, target: TargetId) {
+        self.open.remove(&target);
+        self.late.retain(|(to, _)| *to != target);
+    }
+
+    /// Commits an open transaction; none when it or its term is gone.
+    pub fn commit(&mut self, target: TargetId, open: Open) -> Option<Position> {
+        let transactions = self.open.entry(target).or_default();
+        let at = transactions.iter().position(|other| other.attempt == open.attempt)?;
+        let open = transactions.remove(at);
+        if self.group.targets[&target].leads != Some(open.term) {
+            return None;
+        }
+        self.group.commit(target, open.op)
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, defect: Defect) -> World {
+        let mut random = Source::new(seed);
+        let faults = fault::schedule(&mut random);
+        let host = |_| Host {
+            budgets: Budgets::new(),
+            primary: Some(0),
+            paused_until: Time::ZERO,
+            run: 0,
+        };
+        let scene = Scene {
+            now: Time::ZERO,
+            random,
+            defect,
+            group: Group::new(TARGETS),
+            hosts: (0..HOSTS).map(|id| (id, host(id))).collect(),
+            open: BTreeMap::new(),
+            late: Vec::new(),
+            faults,
+            tally: Tally::default(),
+            writes: BTreeMap::new(),
+            broken: None,
+            next: 0,
+        };
+        let sessions = (0..SESSIONS).map(|_| Session::new()).collect();
+        World { scene, sessions, promotions: Promotions::new(seed), messages: Vec::new() }
+    }
+
+    pub fn faults(&self) -> String {
+        let faults = self.scene.faults.iter();
+        faults.map(Fault::to_string).collect::<Vec<_>>().join(", ")
+    }
+
+    pub fn tally(&self) -> Tally {
+        let mut tally = Tally::default();
+        tally.add(&self.scene.tally);
+        tally.promotions = self.promotions.done;
+        tally
+    }
+
+    /// Runs to the end; answers with the first invariant that broke.
+    pub fn run(&mut self) -> Result<(), Broken> {
+        while self.scene.now < RUN && self.scene.broken.is_none() {
+            self.step();
+        }
+        if let Some(broken) = &self.scene.broken {
+            return Err(broken.clone());
+        }
+        self.heal();
+        self.judge()
+    }
+
+    fn step(&mut self) {
+        self.scene.now += self.scene.random.time_below(STEP);
+        self.strike();
+        match self.scene.random.below(100) {
+            0..=44 => self.advance(),
+            45..=59 => self.replicate(),
+            60..=79 => self.deliver(),
+            80..=84 => self.observe(),
+            85..=86 => self.late_commit(),
+            87 => self.reap(),
+            _ => self.promotions.step(&mut self.scene),
+        }
+    }
+
+    fn advance(&mut self) {
+        let at = self.scene.random.below(SESSIONS) as usize;
+        self.sessions[at].advance(&mut self.scene);
+    }
+
+    fn replicate(&mut self) {
+        let (from, to) = (self.scene.any_target(), self.scene.any_target());
+        let lags = self.scene.is_active(|kind| *kind == Kind::Lag(to));
+        if !lags && !self.is_apart(from, to) {
+            self.messages.extend(self.scene.group.append(from, to));
+        }
+    }
+
+    fn is_apart(&self, one: TargetId, other: TargetId) -> bool {
+        self.scene.is_active(|kind| match kind {
+            Kind::CutFromTargets(cut) | Kind::CutOff(cut) => *cut == one || *cut == other,
+            _ => false,
+        })
+    }
+
+    /// Delivers a message of any age, unless it is lost.
+    fn deliver(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let at = self.scene.random.below(self.messages.len() as u64) as usize;
+        let message = self.messages.swap_remove(at);
+        let (Message::Append { from, to, .. } | Message::Held { from, to, .. }) = message;
+        if !self.is_apart(from, to) && !self.scene.random.chance(30) {
+            let reply = self.scene.group.deliver(message);
+            self.messages.extend(reply);
+        }
+    }
+
+    /// A host learns which primary of those that it reaches has the highest term.
+    fn observe(&mut self) {
+        let id = self.scene.any_host();
+        let reached = (0..TARGETS).filter(|target| !self.scene.is_cut(id, *target));
+        let targets = reached.map(|target| (target, &self.scene.group.targets[&target]));
+        let primaries = targets.filter(|(_, target)| target.up && target.leads.is_some());
+        let primary = primaries.max_by_key(|(_, target)| target.leads).map(|(id, _)| id);
+        let host = self.scene.hosts.get_mut(&id).expect("one of the hosts");
+        if host.paused_until <= self.scene.now && primary.is_some() {
+            host.primary = primary;
+        }
+    }
+
+    /// A COMMIT arrives whose host has given up.
+    fn late_commit(&mut self) {
+        if let Some((target, open)) = self.scene.late.pop() {
+            self.scene.commit(target, open);
+        }
+    }
+
+    /// A target notices that a connection is gone and rolls its transaction back.
+    fn reap(&mut self) {
+        let target = self.scene.any_target();
+        let used: BTreeSet<u64> = self.sessions.iter().filter_map(Session::attempt).collect();
+        let late: BTreeSet<u64> = self.scene.late.iter().map(|(_, open)| open.attempt).collect();
+        let open = self.scene.open.entry(target).or_default();
+        open.retain(|open| used.contains(&open.attempt) || late.contains(&open.attempt));
+    }
+
+    /// Begins the faults that are due and happen at once.
+    fn strike(&mut self) {
+        for fault in fault::due(&mut self.scene) {
+            match fault.kind {
+                Kind::Killed(target) => {
+                    self.scene.group.kill(target);
+                    self.scene.close(target);
+                }
+                Kind::Rebuilt(target) => self.rebuild(target),
+                Kind::HostDies(host) => self.restart_host(host),
+                Kind::HostPaused(host) => {
+                    let host = self.scene.hosts.get_mut(&host).expect("one of the hosts");
+                    host.paused_until = fault.until;
+                }
+                _ => {}
+            }
+        }
+        for target in fault::restarts(&mut self.scene) {
+            self.scene.group.restart(target);
+        }
+    }
+
+    fn rebuild(&mut self, id: TargetId) {
+        if !self.scene.group.targets[&id].up || !self.scene.group.rebuild(id) {
+            return;
+        }
+        self.scene.close(id);
+        self.messages.retain(|message| {
+            let (Message::Append { from, to, .. } | Message::Held { from, to, .. }) = message;
+            *from != id && *to != id
+        });
+    }
+
+    fn restart_host(&mut self, id: HostId) {
+        let host = self.scene.hosts.get_mut(&id).expect("one of the hosts");
+        host.run += 1;
+        host.budgets = Budgets::new();
+        self.promotions.restart(id, host.run);
+        for session in &mut self.sessions {
+            session.host_died(id, &mut self.scene);
+        }
+    }
+
+    /// Ends all faults, promotes, and lets the group catch up.
+    fn heal(&mut self) {
+        self.scene.faults.clear();
+        for session in &mut self.sessions {
+            session.end(&mut self.scene);
+        }
+        while !self.scene.late.is_empty() {
+            self.late_commit();
+        }
+        for target in 0..TARGETS {
+            self.scene.group.restart(target);
+        }
+        self.promotions.finish(&mut self.scene);
+        for _ in 0..HEALING_ROUNDS {
+            for (from, to) in (0..TARGETS).flat_map(|from| (0..TARGETS).map(move |to| (from, to))) {
+                let append = self.scene.group.append(from, to);
+                let held = append.and_then(|append| self.scene.group.deliver(append));
+                held.and_then(|held| self.scene.group.deliver(held));
+            }
+        }
+    }
+
+    fn judge(&self) -> Result<(), Broken> {
+        let writes: Vec<_> =
+            self.scene.writes.iter().map(|(op, verdict)| self.record(*op, *verdict)).collect();
+        write::verify_kept(&writes)?;
+        write::verify_once(&writes)?;
+        write::verify_not_run(&writes)?;
+        let terms = self.scene.group.acknowledgers.iter();
+        let acknowledged: Vec<_> = terms
+            .flat_map(|(term, targets)| targets.iter().map(|target| (*term, *target)))
+            .collect();
+        write::verify_terms(&acknowledged)
+    }
+
+    fn record(&self, op: OpId, verdict: Option<Verdict>) -> write::Write {
+        let count = |target| {
+            let entries = self.scene.entries(target).iter();
+            entries.filter(|entry| entry.value == op).count()
+        };
+        let effects = (0..TARGETS).map(|target| (target, count(target))).collect();
+        write::Write { op, verdict: verdict.unwrap_or(Verdict::Unknown), effects }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/world/promoter.rs
@@ -0,0 +1,171 @@
+//! The promoters of all hosts, with calls that are lost, late or cut.
+
+use super::{HOSTS, Scene, TARGETS};
+use bergamotvale_core::group::Answer;
+use bergamotvale_core::id::{HostId, TargetId};
+use bergamotvale_core::promotion::{Action, Candidate, Deposed, Promoter};
+use bergamotvale_core::random::Source;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Most rounds of the promotion at the end.
+const FINISH_ROUNDS: u32 = 10_000;
+
+struct Call {
+    host: HostId,
+    run: u64,
+    action: Action,
+    /// What came back, once it did.
+    answer: Option<Option<Answer>>,
+}
+
+pub struct Promotions {
+    seed: u64,
+    promoters: BTreeMap<HostId, (u64, Promoter)>,
+    calls: Vec<Call>,
+    pub done: u64,
+}
+
+fn promoter(host: HostId, seed: u64) -> Promoter {
+    let candidates = (0..TARGETS).map(|id| (id, Candidate::default())).collect();
+    Promoter::new(host, candidates, Source::new(seed))
+}
+
+impl Promotions {
+    pub fn new(seed: u64) -> Promotions {
+        let promoters = (0..HOSTS).map(|host| (host, (0, promoter(host, seed ^ u64::from(host)))));
+        Promotions { seed, promoters: promoters.collect(), calls: Vec::new(), done: 0 }
+    }
+
+    /// A new run of a host knows nothing of the attempts of the one before.
+    pub fn restart(&mut self, host: HostId, run: u64) {
+        let seed = self.seed ^ u64::from(host) ^ (run << 32);
+        self.promoters.insert(host, (run, promoter(host, seed)));
+    }
+
+    pub fn step(&mut self, scene: &mut Scene) {
+        match scene.random.below(10) {
+            0 => self.depose(scene),
+            1..=4 => self.carry(scene),
+            5..=7 => self.hear(scene),
+            _ => self.tick(scene),
+        }
+    }
+
+    /// A host that sees no healthy primary deposes it; now and then one does so wrongly.
+    fn depose(&mut self, scene: &mut Scene) {
+        let host = scene.any_host();
+        let Some(primary) = scene.hosts[&host].primary else { return };
+        let target = &scene.group.targets[&primary];
+        let is_well = target.up && target.leads.is_some() && !scene.is_cut(host, primary);
+        let (term, wrongly) = (target.accepted, scene.random.chance(50));
+        if is_well && !wrongly || scene.hosts[&host].paused_until > scene.now {
+            return;
+        }
+        let deposed = Deposed { term, avoid: None, preferred: None };
+        let promoter = &mut self.promoters.get_mut(&host).expect("one of the hosts").1;
+        if promoter.is_idle() {
+            promoter.depose(scene.now, deposed, host);
+        }
+    }
+
+    fn tick(&mut self, scene: &mut Scene) {
+        let host = scene.any_host();
+        if scene.hosts[&host].paused_until <= scene.now {
+            let now = scene.now;
+            let actions = self.promoters.get_mut(&host).expect("one of the hosts").1.tick(now);
+            self.take(host, actions);
+        }
+    }
+
+    /// A call reaches its target, or is lost.
+    fn carry(&mut self, scene: &mut Scene) {
+        let waiting = |call: &Call| call.answer.is_none();
+        let Some(at) = pick(&mut scene.random, &self.calls, waiting) else { return };
+        let call = &self.calls[at];
+        let (target, host) = (target_of(&call.action), call.host);
+        if scene.is_cut(host, target) || scene.random.chance(20) {
+            self.calls[at].answer = Some(None);
+            return;
+        }
+        let answer = match call.action {
+            Action::Fence { target, term, promoter } => scene.group.fence(target, term, promoter),
+            Action::Promote { target, term, promoter } => {
+                scene.group.promote(target, term, promoter)
+            }
+            Action::Done { .. } | Action::Failed { .. } => None,
+        };
+        let lost = scene.loses_answer();
+        self.calls[at].answer = Some(answer.filter(|_| !lost));
+    }
+
+    /// A host hears the answer to one of its calls, or that none came.
+    fn hear(&mut self, scene: &mut Scene) {
+        let now = scene.now;
+        let hosts = &scene.hosts;
+        let ready = |call: &Call| call.answer.is_some() && hosts[&call.host].paused_until <= now;
+        let Some(at) = pick(&mut scene.random, &self.calls, ready) else { return };
+        let Call { host, run, action, answer } = self.calls.swap_remove(at);
+        let (current, promoter) = self.promoters.get_mut(&host).expect("one of the hosts");
+        if *current != run {
+            return;
+        }
+        let answer = answer.flatten();
+        let actions = match action {
+            Action::Fence { target, term, .. } => promoter.fenced(now, target, term, answer),
+            Action::Promote { target, term, .. } => promoter.promoted(now, target, term, answer),
+            Action::Done { .. } | Action::Failed { .. } => Vec::new(),
+        };
+        self.take(host, actions);
+    }
+
+    fn take(&mut self, host: HostId, actions: Vec<Action>) {
+        let run = self.promoters[&host].0;
+        for action in actions {
+            match action {
+                Action::Done { .. } => self.done += 1,
+                Action::Failed { .. } => {}
+                action => self.calls.push(Call { host, run, action, answer: None }),
+            }
+        }
+    }
+
+    /// Promotes once more, without faults, so that one log survives.
+    pub fn finish(&mut self, scene: &mut Scene) {
+        self.calls.clear();
+        for host in 0..HOSTS {
+            let run = self.promoters[&host].0 + 1;
+            self.restart(host, run);
+            scene.hosts.get_mut(&host).expect("one of the hosts").paused_until = Duration::ZERO;
+        }
+        let terms = scene.group.targets.values().map(|target| target.accepted);
+        let term = terms.max().expect("a group has targets");
+        let deposed = Deposed { term, avoid: None, preferred: None };
+        let promoter = &mut self.promoters.get_mut(&0).expect("one of the hosts").1;
+        promoter.depose(scene.now, deposed, 0);
+        let done = self.done;
+        for _ in 0..FINISH_ROUNDS {
+            scene.now += Duration::from_millis(5);
+            self.tick(scene);
+            self.carry(scene);
+            self.hear(scene);
+            if self.done > done {
+                return;
+            }
+        }
+        panic!("a healed group can be promoted");
+    }
+}
+
+fn target_of(action: &Action) -> TargetId {
+    match action {
+        Action::Fence { target, .. } | Action::Promote { target, .. } => *target,
+        Action::Done { .. } | Action::Failed { .. } => 0,
+    }
+}
+
+fn pick(random: &mut Source, calls: &[Call], wanted: impl Fn(&Call) -> bool) -> Option<usize> {
+    let places: Vec<usize> = (0..calls.len()).filter(|at| wanted(&calls[*at])).collect();
+    let chosen = random.below(places.len() as u64) as usize;
+    places.get(chosen).copied()
+}
--- /dev/null
+++ b/crates/core/tests/world/request.rs
@@ -0,0 +1,310 @@
+//! One request on one host: the core's machine, and what the world answers to its actions.
+
+use super::{Defect, Open, Scene};
+use bergamotvale_core::group::Role;
+use bergamotvale_core::id::{HostId, TargetId, Time};
+use bergamotvale_core::idempotency::Row;
+use bergamotvale_core::invariant::{Broken, OpId};
+use bergamotvale_core::log::Position;
+use bergamotvale_core::read::{self, Read};
+use bergamotvale_core::refusal::{Ran, Reason};
+use bergamotvale_core::route::{Answer, Demand};
+use bergamotvale_core::sqlstate::Failure;
+use bergamotvale_core::statement::Freshness;
+use bergamotvale_core::write::{self, Write};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const SERVICE: u32 = 1;
+const ACCOUNT: u32 = 1;
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A request under way.
+pub struct Request {
+    pub op: OpId,
+    pub host: HostId,
+    pub attempt: u64,
+    target: TargetId,
+    pub left: u32,
+    pub keyed: bool,
+    pub work: Work,
+    /// Whether what was read misses an acknowledged write of the session.
+    misses: bool,
+    /// What the host hears, and when.
+    hears: Option<(Time, Heard)>,
+}
+
+pub enum Work {
+    Write(Box<Write>, write::Action),
+    Read(Box<Read>, read::Action),
+}
+
+pub enum Heard {
+    Write(write::Event),
+    Read(read::Event),
+}
+
+/// How a request ended for its caller.
+pub enum End {
+    Acknowledged(Option<Position>),
+    Refused(Ran),
+    Served(Option<Position>),
+}
+
+impl Request {
+    pub fn write(op: OpId, host: HostId, keyed: bool, left: u32, scene: &mut Scene) -> Request {
+        let digest = keyed.then(|| "digest".to_owned());
+        let seed = scene.random.bits();
+        let mut write = Write::new(SERVICE, ACCOUNT, digest, scene.now + TIMEOUT, seed);
+        let action = write.start(Duration::ZERO, scene.now);
+        let work = Work::Write(Box::new(write), action);
+        let attempt = scene.number();
+        Request { op, host, attempt, target: 0, left, keyed, work, misses: false, hears: None }
+    }
+
+    pub fn read(op: OpId, host: HostId, token: Option<Position>, scene: &mut Scene) -> Request {
+        let token = token.filter(|_| scene.defect != Defect::IgnoredToken);
+        let demand = Demand { token, freshness: Freshness::Session };
+        let read = Read::new(SERVICE, ACCOUNT, demand, scene.now + TIMEOUT, scene.random.bits());
+        let work = Work::Read(Box::new(read), read::Action::Choose(scene.now));
+        let attempt = scene.number();
+        Request {
+            op,
+            host,
+            attempt,
+            target: 0,
+            left: 1,
+            keyed: false,
+            work,
+            misses: false,
+            hears: None,
+        }
+    }
+
+    pub fn advance(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) -> Option<End> {
+        if let Some((at, heard)) = self.hears.take() {
+            if at > scene.now {
+                self.hears = Some((at, heard));
+                return None;
+            }
+            self.hear(heard, scene);
+            return self.end(scene);
+        }
+        if self.due() <= scene.now {
+            self.act(scene, acknowledged);
+        }
+        None
+    }
+
+    /// When the present action may be carried out.
+    fn due(&self) -> Time {
+        match &self.work {
+            Work::Write(_, write::Action::Lease(at, _) | write::Action::Confirm(_, at)) => *at,
+            Work::Read(_, read::Action::Choose(at)) => *at,
+            _ => Time::ZERO,
+        }
+    }
+
+    fn hear(&mut self, heard: Heard, scene: &mut Scene) {
+        let now = scene.now;
+        let budgets = &mut scene.hosts.get_mut(&self.host).expect("one of the hosts").budgets;
+        match (&mut self.work, heard) {
+            (Work::Write(write, action), Heard::Write(event)) => {
+                *action = write.on(event, budgets, now);
+            }
+            (Work::Read(read, action), Heard::Read(event)) => {
+                *action = read.on(event, budgets, now);
+            }
+            _ => unreachable!("each kind hears its own events"),
+        }
+    }
+
+    fn end(&self, scene: &mut Scene) -> Option<End> {
+        match &self.work {
+            Work::Write(_, write::Action::Acknowledge(position)) => {
+                Some(End::Acknowledged(*position))
+            }
+            Work::Write(_, write::Action::Replay(_, position)) => {
+                scene.tally.replayed += 1;
+                Some(End::Acknowledged(Some(*position)))
+            }
+            Work::Write(_, write::Action::Refuse(refusal))
+            | Work::Read(_, read::Action::Refuse(refusal)) => Some(End::Refused(refusal.ran)),
+            Work::Read(_, read::Action::Serve(position)) => {
+                if self.misses {
+                    scene.broken = Some(Broken::StaleRead { op: self.op });
+                }
+                Some(End::Served(*position))
+            }
+            _ => None,
+        }
+    }
+
+    /// Carries the present action out; what the host hears of it may be late.
+    fn act(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) {
+        let heard = match &self.work {
+            Work::Read(_, action) => {
+                let action = action.clone();
+                let (at, event) = self.act_read(&action, scene);
+                self.misses = acknowledged.iter().any(|op| !scene.has(self.target, *op));
+                (at, Heard::Read(event))
+            }
+            Work::Write(_, action) => {
+                let action = action.clone();
+                let (at, event) = self.act_write(&action, scene);
+                (at, Heard::Write(event))
+            }
+        };
+        self.hears = Some(heard);
+    }
+
+    fn act_read(&mut self, action: &read::Action, scene: &mut Scene) -> (Time, read::Event) {
+        match action {
+            read::Action::Try(target, until, _) => {
+                self.target = *target;
+                self.try_read(*target, *until, scene)
+            }
+            _ => (scene.now, read::Event::Candidates(shuffled(scene))),
+        }
+    }
+
+    fn try_read(&self, id: TargetId, until: Time, scene: &mut Scene) -> (Time, read::Event) {
+        let now = scene.now;
+        if scene.is_cut(self.host, id) || scene.loses_answer() {
+            return (until, read::Event::TimedOut);
+        }
+        let target = &scene.group.targets[&id];
+        if !target.up {
+            return (now, read::Event::ConnectionLost);
+        }
+        let role = if target.leads.is_some() { Role::Primary } else { Role::Replica };
+        let (applied, confirmed) = (target.entry(), target.confirmed);
+        let answer = Answer { applied, confirmed, age: Duration::ZERO };
+        (now, read::Event::Answered(role, answer))
+    }
+
+    fn act_write(&mut self, action: &write::Action, scene: &mut Scene) -> (Time, write::Event) {
+        match action {
+            write::Action::Lease(..) => (scene.now, self.lease(scene)),
+            write::Action::Execute => self.execute(scene),
+            write::Action::Commit => self.commit(scene),
+            write::Action::Confirm(position, _) => self.confirm(*position, scene),
+            _ => self.look_up(scene),
+        }
+    }
+
+    fn machine(&mut self) -> &mut Write {
+        match &mut self.work {
+            Work::Write(write, _) => write,
+            Work::Read(..) => unreachable!("a write"),
+        }
+    }
+
+    fn lease(&mut self, scene: &mut Scene) -> write::Event {
+        // Each lease is a new connection, and so a transaction of its own.
+        self.attempt = scene.number();
+        let Some(target) = scene.hosts[&self.host].primary else {
+            return write::Event::NoConnection(Reason::NoPrimary);
+        };
+        self.target = target;
+        if scene.is_cut(self.host, target) || !scene.group.targets[&target].up {
+            return write::Event::NoConnection(Reason::ConnectionRefused);
+        }
+        write::Event::Leased
+    }
+
+    fn execute(&mut self, scene: &mut Scene) -> (Time, write::Event) {
+        let now = scene.now;
+        let deadline = self.machine().exchange_deadline(now);
+        self.machine().sent();
+        if scene.is_cut(self.host, self.target) {
+            return (deadline, write::Event::TimedOut);
+        }
+        let event = self.insert(scene);
+        if scene.loses_answer() { (deadline, write::Event::TimedOut) } else { (now, event) }
+    }
+
+    fn insert(&self, scene: &mut Scene) -> write::Event {
+        let target = &scene.group.targets[&self.target];
+        if !target.up {
+            return write::Event::ConnectionLost;
+        }
+        let Some(term) = target.leads else {
+            return write::Event::Failed(Failure::Superseded, "25006".into());
+        };
+        let unique = self.keyed && scene.defect != Defect::NoUniqueKey;
+        if unique && scene.has(self.target, self.op) {
+            return write::Event::Conflict;
+        }
+        let open = scene.open.entry(self.target).or_default();
+        if unique && open.iter().any(|open| open.op == self.op) {
+            return write::Event::Failed(Failure::Locked, "55P03".into());
+        }
+        open.push(Open { attempt: self.attempt, op: self.op, term });
+        write::Event::Executed
+    }
+
+    fn commit(&mut self, scene: &mut Scene) -> (Time, write::Event) {
+        let now = scene.now;
+        let deadline = self.machine().exchange_deadline(now);
+        if scene.defect != Defect::CommitUnsaid {
+            self.machine().sent();
+        }
+        let open = scene.open.entry(self.target).or_default();
+        let open = open.iter().find(|open| open.attempt == self.attempt).copied();
+        let Some(open) = open else { return (now, write::Event::ConnectionLost) };
+        if scene.is_cut(self.host, self.target) {
+            if scene.random.chance(500) {
+                scene.late.push((self.target, open));
+            }
+            return (deadline, write::Event::TimedOut);
+        }
+        let event = match scene.commit(self.target, open) {
+            Some(position) => write::Event::Committed(Some(position)),
+            None => write::Event::Failed(Failure::Superseded, "BV001".into()),
+        };
+        if scene.loses_answer() { (deadline, write::Event::TimedOut) } else { (now, event) }
+    }
+
+    /// Asks the primary that the host knows now.
+    fn confirm(&mut self, position: Position, scene: &mut Scene) -> (Time, write::Event) {
+        let now = scene.now;
+        let deadline = self.machine().exchange_deadline(now);
+        let asked = scene.hosts[&self.host].primary.unwrap_or(self.target);
+        if scene.is_cut(self.host, asked) || scene.loses_answer() {
+            return (deadline, write::Event::TimedOut);
+        }
+        let target = &scene.group.targets[&asked];
+        let event = match target.leads {
+            _ if !target.up => write::Event::ConnectionLost,
+            _ if scene.defect == Defect::FalseConfirmation => write::Event::Confirmed(position),
+            Some(term) if term == position.term => write::Event::Confirmed(target.confirmed),
+            _ => write::Event::Failed(Failure::Superseded, "BV001".into()),
+        };
+        (now, event)
+    }
+
+    fn look_up(&mut self, scene: &mut Scene) -> (Time, write::Event) {
+        let now = scene.now;
+        let deadline = self.machine().exchange_deadline(now);
+        if scene.is_cut(self.host, self.target) || scene.loses_answer() {
+            return (deadline, write::Event::TimedOut);
+        }
+        let target = &scene.group.targets[&self.target];
+        if !target.up {
+            return (now, write::Event::ConnectionLost);
+        }
+        let row = Row { digest: "digest".into(), outcome: "first".into() };
+        let found = scene.has(self.target, self.op).then_some(row);
+        (now, write::Event::Found(found, target.entry()))
+    }
+}
+
+fn shuffled(scene: &mut Scene) -> Vec<TargetId> {
+    let mut targets: Vec<TargetId> = scene.group.targets.keys().copied().collect();
+    for last in (1..targets.len()).rev() {
+        let other = scene.random.below(last as u64 + 1) as usize;
+        targets.swap(last, other);
+    }
+    targets
+}
--- /dev/null
+++ b/crates/core/tests/world/session.rs
@@ -0,0 +1,116 @@
+//! A caller's session: writes, repeats and reads through any host, one request at a time.
+
+use super::Scene;
+use super::request::{End, Request, Work};
+use bergamotvale_core::id::HostId;
+use bergamotvale_core::invariant::OpId;
+use bergamotvale_core::invariant::write::Verdict;
+use bergamotvale_core::log::Position;
+use bergamotvale_core::refusal::Ran;
+use std::collections::BTreeSet;
+
+/// Requests that a caller makes for one keyed write.
+const ATTEMPTS: u32 = 3;
+
+pub struct Session {
+    token: Option<Position>,
+    acknowledged: BTreeSet<OpId>,
+    request: Option<Request>,
+    /// A keyed write to be asked again, and the attempts left.
+    again: Option<(OpId, u32)>,
+}
+
+impl Session {
+    pub fn new() -> Session {
+        Session { token: None, acknowledged: BTreeSet::new(), request: None, again: None }
+    }
+
+    /// The attempt whose connection is in use.
+    pub fn attempt(&self) -> Option<u64> {
+        self.request.as_ref().map(|request| request.attempt)
+    }
+
+    pub fn advance(&mut self, scene: &mut Scene) {
+        let Some(mut request) = self.request.take() else {
+            self.request = Some(self.begin(scene));
+            return;
+        };
+        if scene.hosts[&request.host].paused_until <= scene.now
+            && let Some(end) = request.advance(scene, &self.acknowledged)
+        {
+            self.ended(&request, end, scene);
+            return;
+        }
+        self.request = Some(request);
+    }
+
+    /// The host of the request under way is gone: its caller knows nothing.
+    pub fn host_died(&mut self, host: HostId, scene: &mut Scene) {
+        if let Some(request) = self.request.take_if(|request| request.host == host)
+            && matches!(request.work, Work::Write(..))
+        {
+            self.ended(&request, End::Refused(Ran::Unknown), scene);
+        }
+    }
+
+    /// The run is over: the caller of the request under way learns nothing.
+    pub fn end(&mut self, scene: &mut Scene) {
+        if let Some(request) = self.request.take()
+            && matches!(request.work, Work::Write(..))
+        {
+            self.ended(&request, End::Refused(Ran::Unknown), scene);
+        }
+    }
+
+    fn begin(&mut self, scene: &mut Scene) -> Request {
+        let host = scene.any_host();
+        if let Some((op, left)) = self.again.take() {
+            return Request::write(op, host, true, left, scene);
+        }
+        let op = scene.number();
+        match scene.random.below(4) {
+            0 | 1 => Request::write(op, host, true, ATTEMPTS, scene),
+            2 => Request::write(op, host, false, 1, scene),
+            _ => Request::read(op, host, self.token, scene),
+        }
+    }
+
+    fn ended(&mut self, request: &Request, end: End, scene: &mut Scene) {
+        let op = request.op;
+        match end {
+            End::Served(position) => {
+                self.token = self.token.max(position);
+                scene.tally.served += 1;
+            }
+            End::Acknowledged(position) => {
+                self.token = self.token.max(position);
+                self.acknowledged.insert(op);
+                scene.tally.acknowledged += 1;
+                scene.writes.insert(op, Some(Verdict::Acknowledged));
+            }
+            End::Refused(_) if matches!(request.work, Work::Read(..)) => {}
+            End::Refused(ran) => self.refused(request, ran, scene),
+        }
+    }
+
+    fn refused(&mut self, request: &Request, ran: Ran, scene: &mut Scene) {
+        let verdict = match ran {
+            Ran::No => Verdict::NotRun,
+            Ran::Unknown => Verdict::Unknown,
+        };
+        match verdict {
+            Verdict::NotRun => scene.tally.not_run += 1,
+            _ => scene.tally.unknown += 1,
+        }
+        // "Not run" speaks of one attempt: the write is not run only if all of them are.
+        let known = scene.writes.entry(request.op).or_insert(None);
+        *known = match *known {
+            None => Some(verdict),
+            Some(Verdict::NotRun) if verdict == Verdict::NotRun => Some(Verdict::NotRun),
+            Some(_) => Some(Verdict::Unknown),
+        };
+        if request.keyed && request.left > 1 {
+            self.again = Some((request.op, request.left - 1));
+        }
+    }
+}
