Rates: a host without a part keeps a loan for those that wait

Cause: the bucket cut its level to its own capacity at each look, so a host whose part is nil dropped every borrowed token before the waiting requests could take it; and each answer made it ask for the whole need again. Excess is dropped when the first loan in it reaches its lifetime, which keeps the bound: the lender keeps that room free for longer.

--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -2,8 +2,9 @@
 //!
 //! Invariant: the level and the tokens lent within [`LOAN_LIFETIME`] together never exceed the
 //! part of the burst. A borrower counts a loan only within that lifetime after it asked, and the
-//! lender deducted later than that, so tokens on their way stand in exactly one account. Summed
-//! over hosts, the usable tokens never exceed the burst.
+//! lender deducted later than that, so tokens on their way stand in exactly one account. What the
+//! borrower's own capacity cannot hold is for requests that wait, and is dropped at the end of that
+//! lifetime. Summed over hosts, the usable tokens never exceed the burst.
 
 use crate::id::Time;
 use std::collections::VecDeque;
@@ -25,6 +26,8 @@
     level: Amount,
     at: Time,
     lent: VecDeque<Loan>,
+    /// End of the first loan that stands above the capacity.
+    excess_until: Time,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -36,7 +39,7 @@
 impl Bucket {
     /// An empty bucket: an earlier run of this host may have just spent its part.
     pub fn new(now: Time) -> Bucket {
-        Bucket { rate: 0, burst: 0, level: 0, at: now, lent: VecDeque::new() }
+        Bucket { rate: 0, burst: 0, level: 0, at: now, lent: VecDeque::new(), excess_until: now }
     }
 
     /// Sets the part of rate, per second, and burst from `now` on.
@@ -78,6 +81,9 @@
             return false;
         }
         self.refill(now);
+        let until = asked + LOAN_LIFETIME;
+        let has_excess = self.level > self.capacity();
+        self.excess_until = if has_excess { self.excess_until.min(until) } else { until };
         let room = self.capacity() + u64::from(waiting) * MICRO;
         self.level = (self.level + u64::from(count) * MICRO).min(room);
         true
@@ -127,6 +133,9 @@
             self.lent.pop_front();
         }
         self.grow(now);
+        if now > self.excess_until {
+            self.settle();
+        }
     }
 
     fn grow(&mut self, until: Time) {
@@ -135,7 +144,8 @@
         let gained = u128::from(self.rate) * u128::from(micros) / u128::from(MICRO);
         let gained = Amount::try_from(gained).unwrap_or(Amount::MAX);
         if gained > 0 || self.rate == 0 {
-            self.level = self.level.saturating_add(gained).min(self.capacity());
+            let grown = self.level.saturating_add(gained).min(self.capacity());
+            self.level = self.level.max(grown);
             self.at = self.at.max(until);
         }
     }
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -64,7 +64,8 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Lender {
-    asked: bool,
+    /// Tokens asked for and not answered yet.
+    asked: u32,
     dry_until: Time,
 }
 
@@ -183,7 +184,7 @@
             self.peers.iter().copied().filter(|peer| state.is_ready(*peer, now)).collect();
         let each = missing.div_ceil(u32::try_from(ready.len()).unwrap_or(1).max(1));
         for peer in &ready {
-            state.lenders.entry(*peer).or_default().asked = true;
+            state.lenders.entry(*peer).or_default().asked = each;
         }
         ready.into_iter().map(|peer| Ask { account, peer, count: each }).collect()
     }
@@ -192,7 +193,7 @@
     pub fn receive(&mut self, ask: Ask, count: u32, asked: Time, now: Time) {
         let Some(state) = self.accounts.get_mut(&ask.account) else { return };
         let lender = state.lenders.entry(ask.peer).or_default();
-        lender.asked = false;
+        lender.asked = 0;
         if count == 0 {
             lender.dry_until = now + DRY_TIME;
         }
@@ -247,7 +248,7 @@
 
     /// Whether a token may come in time: by a loan, or by the bucket's own part of the rate.
     fn may_come(&mut self, peers: &BTreeSet<HostId>, now: Time) -> bool {
-        let asked = self.lenders.values().any(|lender| lender.asked);
+        let asked = self.lenders.values().any(|lender| lender.asked > 0);
         asked || peers.iter().any(|peer| self.is_ready(*peer, now)) || self.refills_in_time(now)
     }
 
@@ -261,7 +262,7 @@
 
     fn is_ready(&self, peer: HostId, now: Time) -> bool {
         let lender = self.lenders.get(&peer).copied().unwrap_or_default();
-        !lender.asked && lender.dry_until <= now
+        lender.asked == 0 && lender.dry_until <= now
     }
 
     fn demand_now(&self, now: Time) -> u32 {
@@ -277,7 +278,8 @@
         let ahead = self.demand_now(now);
         let short = ahead.saturating_sub(tokens).min(self.bucket.room());
         let low = self.waiting > 0 || tokens < ahead.div_ceil(2);
-        if low { self.waiting + short } else { 0 }
+        let asked: u32 = self.lenders.values().map(|lender| lender.asked).sum();
+        if low { (self.waiting + short).saturating_sub(asked) } else { 0 }
     }
 
     fn refuse(&mut self, now: Time) -> Decision {
