--- a/crates/core/tests/world/request.rs
+++ b/crates/core/tests/world/request.rs
@@ -143,9 +143,9 @@
     /// Carries the present action out; what the host hears of it may be late.
     fn act(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) {
         let heard = match &self.work {
-            Work::Read(_, action) => {
-                let action = action.clone();
-                let (at, event) = self.act_read(&action, scene);
+            Work::Read(read, action) => {
+                let (until, action) = (read.sign_deadline(scene.now), action.clone());
+                let (at, event) = self.act_read(&action, until, scene);
                 self.misses = acknowledged.iter().any(|op| !scene.has(self.target, *op));
                 (at, Heard::Read(event))
             }
@@ -158,11 +158,16 @@
         self.hears = Some(heard);
     }
 
-    fn act_read(&mut self, action: &read::Action, scene: &mut Scene) -> (Time, read::Event) {
+    fn act_read(
+        &mut self,
+        action: &read::Action,
+        until: Time,
+        scene: &mut Scene,
+    ) -> (Time, read::Event) {
         match action {
-            read::Action::Try(target, until, _) => {
+            read::Action::Try(target, _) => {
                 self.target = *target;
-                self.try_read(*target, *until, scene)
+                self.try_read(*target, until, scene)
             }
             _ => (scene.now, read::Event::Candidates(shuffled(scene))),
         }
