--- a/crates/core/tests/slot_search.rs
+++ b/crates/core/tests/slot_search.rs
@@ -69,7 +69,7 @@
             random: Source::new(seed),
             defect,
             limit,
-            churn: if seed % 2 == 0 { SELDOM } else { OFTEN },
+            churn: if seed.is_multiple_of(2) { SELDOM } else { OFTEN },
             now: Time::ZERO,
             hosts,
             paused: BTreeMap::new(),
