--- a/crates/host/src/exec/exchange.rs
+++ b/crates/host/src/exec/exchange.rs
@@ -6,7 +6,9 @@
 use bergamotvale_core::log::Position;
 use bergamotvale_core::refusal::Refusal;
 use bergamotvale_core::sqlstate::Failure;
+use futures::future::{Either, select};
 use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 use tokio_postgres::Row;
 
@@ -83,6 +85,29 @@
     result
 }
 
+/// Sends `sign` and `work` at once. `sign` asks what a healthy target answers at once, so that a
+/// connection that went silent is told from a statement that takes its time.
+pub async fn signed<S, T>(
+    host: &Host,
+    (sign_by, work_by): (Time, Time),
+    sign: impl Future<Output = Result<S, tokio_postgres::Error>>,
+    work: impl Future<Output = T>,
+) -> Result<(S, T), Loss> {
+    let (sign, work) = (pin!(sign), pin!(work));
+    let deadline = host.clock.instant(sign_by).into();
+    // Polled in order: what `sign` sends goes first.
+    match tokio::time::timeout_at(deadline, select(sign, work)).await {
+        Err(_) => Err(Loss::ConnectionLost),
+        Ok(Either::Left((signed, work))) => {
+            let signed = signed?;
+            let deadline = host.clock.instant(work_by).into();
+            let done = tokio::time::timeout_at(deadline, work).await;
+            Ok((signed, done.map_err(|_| Loss::TimedOut)?))
+        }
+        Ok(Either::Right((done, sign))) => Ok((until(host, sign_by, sign).await?, done)),
+    }
+}
+
 /// Waits for `work` until the given time.
 pub async fn until<T, E>(
     host: &Host,
@@ -102,10 +127,11 @@
 /// Notes how a target did its work, for ejection and for failover.
 pub fn worked(host: &Arc<Host>, key: Key, loss: Option<&Loss>) {
     let well = !loss.is_some_and(Loss::is_target_fault);
-    host.data.worked(key, well);
+    let now = host.clock.now();
+    host.data.worked(key, well, now);
     match loss {
         Some(Loss::TimedOut) => host.pools.timed_out(key),
-        _ => host.pools.worked(host.clock.now(), key, well),
+        _ => host.pools.worked(now, key, well),
     }
     if loss.is_some_and(Loss::is_superseded) {
         host.pools.superseded(host, key.0);
