In force everywhere waits for hosts that cannot confirm

A host that an epoch removes, or that came and went in epochs never seen here, may act on an older epoch until its authority has lapsed; 'in force' could be said before. Now such an epoch, and every later one, waits for one lifetime of authority. Found by reading; two tests.

--- a/crates/core/src/distribute.rs
+++ b/crates/core/src/distribute.rs
@@ -16,7 +16,7 @@
 use crate::peer::{Body, Member, Update};
 use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Peers to which one host pushes an update.
@@ -221,7 +221,9 @@
 struct Accepted {
     version: Version,
     known: Time,
-    waiting: BTreeMap<HostId, Incarnation>,
+    waiting: BTreeSet<(HostId, Incarnation)>,
+    /// Whether hosts that cannot confirm may act on an older epoch.
+    has_strangers: bool,
 }
 
 impl Default for Spread {
@@ -242,21 +244,26 @@
         self
     }
 
-    /// Takes a row that this host adopted at `now`.
-    pub fn accepted(&mut self, now: Time, row: &Row, own: HostId) {
-        let waiting = row
-            .members
-            .iter()
-            .filter(|(host, _)| **host != own)
-            .map(|(host, member)| (*host, member.incarnation))
-            .collect();
-        self.accepted.insert(row.epoch, Accepted { version: row.version, known: now, waiting });
+    /// Takes a row that this host moved to at `now`, from `previous`.
+    ///
+    /// A host that the row no longer has cannot confirm it, and may act on an older epoch until
+    /// its authority has lapsed. So may one that was added and removed in epochs that this host
+    /// never saw.
+    pub fn accepted(&mut self, now: Time, row: &Row, previous: &Row, own: HostId) {
+        let of = |row: &Row| -> BTreeSet<(HostId, Incarnation)> {
+            let members = row.members.values().filter(|member| member.host != own);
+            members.map(|member| (member.host, member.incarnation)).collect()
+        };
+        let waiting = of(row);
+        let has_strangers = row.epoch > previous.epoch + 1 || !of(previous).is_subset(&waiting);
+        let accepted = Accepted { version: row.version, known: now, waiting, has_strangers };
+        self.accepted.insert(row.epoch, accepted);
     }
 
-    /// Takes word that `host` acts on `epoch`.
-    pub fn confirmed(&mut self, host: HostId, epoch: Epoch) {
+    /// Takes word that a run of a host acts on `epoch`.
+    pub fn confirmed(&mut self, host: HostId, incarnation: Incarnation, epoch: Epoch) {
         for accepted in self.accepted.range_mut(..=epoch).map(|(_, accepted)| accepted) {
-            accepted.waiting.remove(&host);
+            accepted.waiting.remove(&(host, incarnation));
         }
     }
 
@@ -265,13 +272,14 @@
     /// A host that has not confirmed an epoch one validity after its acceptance has lost its
     /// authority over the older one.
     pub fn in_force(&mut self, now: Time) -> (Epoch, Version) {
-        let validity = self.validity;
+        let lapsed = |accepted: &Accepted| now.saturating_sub(accepted.known) > self.validity;
         let done = self
             .accepted
             .iter()
-            .rev()
-            .find(|(_, a)| a.waiting.is_empty() || now.saturating_sub(a.known) > validity)
-            .map(|(epoch, accepted)| (*epoch, accepted.version));
+            .take_while(|(_, accepted)| !accepted.has_strangers || lapsed(accepted))
+            .filter(|(_, accepted)| accepted.waiting.is_empty() || lapsed(accepted))
+            .map(|(epoch, accepted)| (*epoch, accepted.version))
+            .last();
         if let Some(done) = done {
             self.in_force = done;
             self.accepted.retain(|epoch, _| *epoch > done.0);
--- /dev/null
+++ b/crates/core/tests/distribute.rs
@@ -0,0 +1,121 @@
+//! The tree of pushes, what is in force, and the constant cost of membership in a large fleet.
+
+mod fleet;
+
+use bergamotvale_core::authority::{self, VALIDITY};
+use bergamotvale_core::distribute::{FAN_OUT, Row, Spread, children};
+use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::member::{self, SOURCES, VOTERS, View, WATCHED};
+use bergamotvale_core::peer::Member;
+use fleet::member;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+const LARGE: u32 = 3600;
+const NOW: Time = Duration::from_secs(100);
+
+fn members(count: u32) -> BTreeMap<HostId, Member> {
+    (1..=count).map(|host| (host, member(host, 1))).collect()
+}
+
+fn row(epoch: u64, hosts: &[HostId]) -> Row {
+    let members = hosts.iter().map(|host| (*host, member(*host, 1))).collect();
+    Row { epoch, version: epoch, members, ..Row::default() }
+}
+
+#[test]
+fn the_tree_reaches_each_host_once_in_few_steps() {
+    for (count, origin) in [(4, 3), (17, 1), (LARGE, 1777)] {
+        let members = members(count);
+        let mut reached = BTreeSet::from([origin]);
+        let mut queue = VecDeque::from([(origin, 0)]);
+        let mut deepest = 0;
+
+        while let Some((host, depth)) = queue.pop_front() {
+            for child in children(&members, origin, host, FAN_OUT) {
+                assert!(reached.insert(child), "{child} reached twice");
+                queue.push_back((child, depth + 1));
+                deepest = deepest.max(depth + 1);
+            }
+        }
+
+        assert_eq!(reached.len(), count as usize);
+        assert!(deepest <= if count == LARGE { 3 } else { 1 }, "{deepest} steps");
+    }
+}
+
+#[test]
+fn every_majority_of_voters_meets_every_announcement_quorum() {
+    for voters in 1..=VOTERS {
+        let quorum = authority::announcement_quorum(voters);
+
+        assert!(authority::majority(voters) + quorum > voters);
+        assert!(quorum <= voters);
+    }
+}
+
+#[test]
+fn a_host_probes_a_constant_number_of_peers() {
+    let members = members(LARGE);
+    let mut probed: BTreeMap<HostId, usize> = BTreeMap::new();
+    for own in (1..=LARGE).step_by(101) {
+        let mut view = View::new(own);
+        view.record(NOW, &members);
+
+        let probes = view.probes();
+
+        assert!(probes.len() <= WATCHED + VOTERS.max(SOURCES), "{} probes", probes.len());
+        probes.iter().for_each(|member| *probed.entry(member.host).or_default() += 1);
+    }
+    assert!(probed.values().all(|count| *count <= WATCHED + VOTERS + SOURCES));
+    assert_eq!(member::voters(&members).len(), VOTERS);
+}
+
+#[test]
+fn four_hosts_are_a_full_mesh() {
+    let mut view = View::new(2);
+    view.record(NOW, &members(4));
+
+    let probed: Vec<HostId> = view.probes().iter().map(|member| member.host).collect();
+
+    assert_eq!(probed, [1, 3, 4]);
+}
+
+#[test]
+fn an_epoch_is_in_force_once_every_member_confirmed_it() {
+    let mut spread = Spread::new();
+    spread.accepted(NOW, &row(5, &[1, 2, 3]), &row(4, &[1, 2, 3]), 1);
+    assert_eq!(spread.in_force(NOW), (0, 0));
+
+    spread.confirmed(2, 1, 5);
+    spread.confirmed(3, 0, 5);
+    assert_eq!(spread.in_force(NOW), (0, 0), "another run of host 3 is not host 3");
+    spread.confirmed(3, 1, 6);
+
+    assert_eq!(spread.in_force(NOW), (5, 5));
+}
+
+#[test]
+fn an_epoch_that_removes_a_host_is_in_force_once_its_authority_has_lapsed() {
+    for previous in [row(4, &[1, 2, 3]), row(3, &[1, 2])] {
+        let mut spread = Spread::new();
+        spread.accepted(NOW, &row(5, &[1, 2]), &previous, 1);
+        spread.confirmed(2, 1, 5);
+
+        assert_eq!(spread.in_force(NOW + VALIDITY), (0, 0));
+
+        assert_eq!(spread.in_force(NOW + VALIDITY + Duration::from_millis(1)), (5, 5));
+    }
+}
+
+#[test]
+fn a_later_epoch_waits_for_the_host_that_an_earlier_one_removed() {
+    let mut spread = Spread::new();
+    spread.accepted(NOW, &row(5, &[1, 2]), &row(4, &[1, 2, 3]), 1);
+    spread.accepted(NOW, &row(6, &[1, 2]), &row(5, &[1, 2]), 1);
+    spread.confirmed(2, 1, 6);
+
+    assert_eq!(spread.in_force(NOW + VALIDITY), (0, 0));
+
+    assert_eq!(spread.in_force(NOW + VALIDITY + Duration::from_millis(1)), (6, 6));
+}
--- a/crates/core/tests/fleet/node.rs
+++ b/crates/core/tests/fleet/node.rs
@@ -142,7 +142,8 @@
                     answer.epoch = self.holder.epoch();
                 }
                 self.holder.answered(sent, &answer);
-                self.spread.confirmed(heartbeat.member.host, heartbeat.epoch);
+                let member = &heartbeat.member;
+                self.spread.confirmed(member.host, member.incarnation, heartbeat.epoch);
                 self.catch_up(from, &heartbeat)
             }
             Message::Announce { attempt, epoch } => {
@@ -183,12 +184,13 @@
     }
 
     fn adopt(&mut self, now: Time, origin: HostId, row: Row, body: Body) -> Sends {
+        let previous = self.replica.row().clone();
         if self.replica.take(row.clone(), body.clone()).is_err() {
             return Sends::new();
         }
         self.holder.adopt(row.epoch, &row.members, member::voters(&row.members));
         self.view.record(now, &row.members);
-        self.spread.accepted(now, &row, self.member.host);
+        self.spread.accepted(now, &row, &previous, self.member.host);
         let own = self.member.host;
         let children = distribute::children(&row.members, origin, own, distribute::FAN_OUT);
         let update = Update { origin, row, body };
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -192,11 +192,13 @@
         let mut state = self.lock();
         state.view.heard(now, answer);
         state.holder.answered(sent, answer);
-        state.spread.confirmed(answer.member.host, answer.epoch);
+        let Member { host, incarnation, .. } = answer.member;
+        state.spread.confirmed(host, incarnation, answer.epoch);
     }
 
-    fn confirmed(&self, host: HostId, epoch: Epoch) {
-        self.lock().spread.confirmed(host, epoch);
+    /// The recorded run of `host` answered a push with `epoch`.
+    fn confirmed(&self, host: HostId, incarnation: Incarnation, epoch: Epoch) {
+        self.lock().spread.confirmed(host, incarnation, epoch);
     }
 
     fn failed(&self, host: HostId, failure: Failure) {
@@ -279,6 +281,7 @@
         let Update { origin, row, body } = update;
         let document = {
             let mut state = self.fleet.lock();
+            let previous = state.replica.row().clone();
             if let Err(fault) = state.replica.take(row.clone(), body.clone()) {
                 log::debug!("epoch {} not taken: {fault}", row.epoch);
                 return false;
@@ -286,7 +289,7 @@
             let State { holder, view, spread, own, .. } = &mut *state;
             holder.adopt(row.epoch, &row.members, member::voters(&row.members));
             view.record(now, &row.members);
-            spread.accepted(now, &row, own.host);
+            spread.accepted(now, &row, &previous, own.host);
             state.adopted = now;
             // Published under the lock, so that no lower version is published after a higher one.
             let document = Arc::new(state.replica.document().clone());
--- a/crates/host/src/fleet/push.rs
+++ b/crates/host/src/fleet/push.rs
@@ -26,7 +26,7 @@
         client.push(context, Update::clone(&update)).await
     };
     match host.peers.call(peer, TIMEOUT, call).await {
-        Ok(epoch) => host.fleet.confirmed(peer, epoch),
+        Ok((incarnation, epoch)) => host.fleet.confirmed(peer, incarnation, epoch),
         Err(fault) => log::debug!("push to host {peer}: {fault}"),
     }
 }
--- a/crates/host/src/peer/server.rs
+++ b/crates/host/src/peer/server.rs
@@ -2,7 +2,7 @@
 
 use crate::exec::forward;
 use crate::shared::Host;
-use bergamotvale_core::id::{Epoch, Version};
+use bergamotvale_core::id::{Epoch, Incarnation, Version};
 use bergamotvale_core::peer::{
     Announcement, Forward, Heartbeat, Outcome, SlotRequest, TokenRequest, Update,
 };
@@ -55,9 +55,9 @@
         self.host.fleet.announce(self.host.clock.now(), announcement.epoch)
     }
 
-    async fn push(self, _: Context, update: Update) -> Epoch {
+    async fn push(self, _: Context, update: Update) -> (Incarnation, Epoch) {
         self.host.adopt(update);
-        self.host.fleet.epoch()
+        (self.host.incarnation, self.host.fleet.epoch())
     }
 
     async fn fetch(self, _: Context, epoch: Epoch, version: Version) -> Option<Update> {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,7 @@
 //! The RPC service that each host offers to its peers.
 
 use crate::error::Result;
-use bergamotvale_core::id::{Epoch, Version};
+use bergamotvale_core::id::{Epoch, Incarnation, Version};
 use bergamotvale_core::peer::{
     Announcement, Forward, Heartbeat, Outcome, SlotRequest, TokenRequest, Update,
 };
@@ -23,8 +23,8 @@
     async fn beat(heartbeat: Heartbeat) -> Heartbeat;
     /// Notes that an epoch is about to be written; says whether it was still unknown here.
     async fn announce(announcement: Announcement) -> bool;
-    /// Takes an update; answers with the epoch in force here afterwards.
-    async fn push(update: Update) -> Epoch;
+    /// Takes an update; answers with this run of the host and the epoch in force here afterwards.
+    async fn push(update: Update) -> (Incarnation, Epoch);
     /// Gives what leads from `epoch` and `version` to those in force here, if they are higher.
     async fn fetch(epoch: Epoch, version: Version) -> Option<Update>;
     /// Lends rate tokens; answers with the number lent.
