--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -53,13 +53,10 @@
 /// Retries a second that a budget gains without any request, so that rare callers may retry too.
 const BUDGET_REFILL: f64 = 1.0;
 
-/// Tries of full length that fit into a caller's time.
-const TRIES_WITHIN_DEADLINE: u32 = 4;
-
 /// How a request is tried again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
-    /// Time for one try, inside the caller's deadline.
+    /// Time in which a healthy target gives its first sign, or answers a short question.
     pub try_timeout: Duration,
     /// Delay before the first retry.
     pub base: Duration,
@@ -81,12 +78,15 @@
 }
 
 impl Policy {
-    /// When a try that starts at `now` is given up.
-    ///
-    /// A caller that gives more time has slower statements: a try may take a fixed part of it.
+    /// When a try that starts at `now` is given up without a first sign.
     pub fn try_deadline(&self, now: Time, deadline: Time) -> Time {
-        let part = deadline.saturating_sub(now) / TRIES_WITHIN_DEADLINE;
-        deadline.min(now + part.max(self.try_timeout))
+        deadline.min(now + self.try_timeout)
+    }
+
+    /// When a statement that was begun at `now`, and may take its time, is given up for another try.
+    pub fn work_deadline(&self, now: Time, deadline: Time) -> Time {
+        let half = deadline.saturating_sub(now) / 2;
+        deadline.min(now + half.max(self.try_timeout))
     }
 
     /// Delay before retry number `retry` (from 1), jittered over its upper half by `draw`.
--- a/crates/core/tests/read.rs
+++ b/crates/core/tests/read.rs
@@ -54,6 +54,8 @@
     #[serde(default)]
     ejected: bool,
     #[serde(default)]
+    suspect: bool,
+    #[serde(default)]
     draining: bool,
 }
 
@@ -95,6 +97,7 @@
         in_flight: target.in_flight,
         failure_domain: target.failure_domain,
         ejected: target.ejected,
+        suspect: target.suspect,
         draining: target.draining,
     }
 }
@@ -125,8 +128,8 @@
 fn describe(action: &Action) -> String {
     match action {
         Action::Choose(_) => "choose".into(),
-        Action::Try(target, _, None) => format!("try {target}"),
-        Action::Try(target, _, Some(reason)) => format!("try {target}: {reason}"),
+        Action::Try(target, None) => format!("try {target}"),
+        Action::Try(target, Some(reason)) => format!("try {target}: {reason}"),
         Action::Serve(Some(position)) => format!("serve {position}"),
         Action::Serve(None) => "serve".into(),
         Action::Refuse(refusal) => format!("refuse {}, ran {}", refusal.reason, refusal.ran),
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -56,12 +56,12 @@
                 tokio::time::sleep_until(host.clock.instant(at).into()).await;
                 Event::Candidates(candidates(host, &job, &demand))
             }
-            Action::Try(id, until, reason) => {
+            Action::Try(id, reason) => {
                 if let Some(reason) = reason {
                     host.metric.retry(reason);
                 }
                 target = (id, role(host, &job, id));
-                match attempt(host, &job, target, until).await {
+                match attempt(host, &job, id, &read).await {
                     Ok((answer, found)) => {
                         served = Some(found);
                         Event::Answered(target.1, answer)
@@ -125,12 +125,13 @@
     let primary = host.pools.primary(job.service);
     let known = host.pools.views(job.service);
     let replicas: Vec<_> = known.keys().copied().filter(|id| Some(*id) != primary).collect();
-    let ejected = match host.settings.policy.ejection {
-        true => host.data.ejected(job.service, &replicas, now),
-        false => Vec::new(),
+    let standings = match host.settings.policy.ejection {
+        true => host.data.standings(job.service, &replicas, now),
+        false => BTreeMap::new(),
     };
     let views = known.iter().filter_map(|(id, seen)| {
         let target = service.targets.get(id)?;
+        let standing = standings.get(id).copied().unwrap_or_default();
         let view = View {
             role: present_role(seen.status.role, Some(*id) == primary),
             applied: seen.status.applied,
@@ -138,7 +139,8 @@
             observed: seen.at,
             in_flight: host.data.in_flight((job.service, *id)),
             failure_domain: target.failure_domain,
-            ejected: ejected.contains(id),
+            ejected: standing.ejected,
+            suspect: standing.suspect,
             draining: target.state == TargetState::Draining,
         };
         Some((*id, view))
@@ -158,16 +160,19 @@
 async fn attempt(
     host: &Arc<Host>,
     job: &Job,
-    (target, _): (TargetId, Role),
-    until: Time,
+    target: TargetId,
+    read: &Read,
 ) -> Result<(route::Answer, Served), Event> {
     let key = (job.service, target);
     let _flight = host.data.fly(key);
     let account = job.caller.account();
-    let lease = host.pools.acquire(host, key, account, until).await;
+    let wait_until = read.work_deadline(host.clock.now());
+    let lease = host.pools.acquire(host, key, account, wait_until).await;
     let lease = lease.map_err(|refusal| Event::NoConnection(refusal.reason))?;
     permit::verify(host, &job.caller, job.service).map_err(Event::Denied)?;
-    let result = exchange(host, job, lease, until).await;
+    let now = host.clock.now();
+    let limits = (read.sign_deadline(now), read.work_deadline(now));
+    let result = exchange(host, job, lease, limits).await;
     exchange::worked(host, key, result.as_ref().err());
     result.map_err(event)
 }
@@ -176,21 +181,19 @@
     host: &Host,
     job: &Job,
     lease: Lease,
-    until: Time,
+    limits: (Time, Time),
 ) -> Result<(route::Answer, Served), Loss> {
     let client = lease.client();
     let params = value::bind(&job.statement);
-    let work = async {
+    let sign = async {
         let mode = client.batch_execute(READ_ONLY);
         let position = client.query_typed_one(POSITION, &[]);
-        let rows = client.query_typed_raw(&job.statement.sql, params);
-        // Joined and not tried: whatever fails, every answer is read.
-        let (mode, position, rows) = futures::join!(mode, position, rows);
-        mode?;
-        Ok::<_, tokio_postgres::Error>((position?, rows))
+        let (mode, position) = futures::join!(mode, position);
+        mode.and(position)
     };
+    let rows = client.query_typed_raw(&job.statement.sql, params);
     lease.start();
-    let (before, rows) = exchange::until(host, until, work).await?;
+    let (before, rows) = exchange::signed(host, limits, sign, rows).await?;
     let answer = answer(&before).map_err(|_| Loss::ConnectionLost)?;
     let stream = match rows {
         Ok(stream) => stream,
@@ -206,7 +209,7 @@
     let deadline = job.deadline;
     let left = host.settings.limits.result;
     let mut rest = Rest { lease, stream: Box::pin(stream), deadline, left };
-    match rest.next(host, STREAM_AFTER, until).await {
+    match rest.next(host, STREAM_AFTER, limits.1).await {
         Ok((rows, true)) => {
             rest.finish();
             Ok((answer, Served { rows, rest: None }))
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -17,7 +17,7 @@
 use bergamotvale_core::id::{FailureDomainId, HostId, ServiceId, TargetId, Time};
 use bergamotvale_core::log::Term;
 use bergamotvale_core::peer::Opinion;
-use bergamotvale_core::promotion::{Candidate, Promoter};
+use bergamotvale_core::promotion::{self, Candidate, Promoter};
 use bergamotvale_core::random::{Source, mix};
 use bergamotvale_core::watch;
 use std::collections::{BTreeMap, BTreeSet};
@@ -36,6 +36,7 @@
 #[derive(Default)]
 struct State {
     members: BTreeMap<HostId, FailureDomainId>,
+    generation: u64,
     groups: BTreeMap<ServiceId, Group>,
 }
 
@@ -57,7 +58,7 @@
             host: settings.host,
             incarnation,
             policy: settings.policy.clone(),
-            state: Mutex::new(State { members, groups: BTreeMap::new() }),
+            state: Mutex::new(State { members, generation: 0, groups: BTreeMap::new() }),
             changed: Notify::new(),
         }
     }
@@ -69,7 +70,8 @@
             return;
         }
         state.members = members;
-        let State { members, groups } = &mut *state;
+        state.generation += 1;
+        let State { members, groups, .. } = &mut *state;
         for (service, group) in groups {
             self.set_watchers(members, *service, group);
         }
@@ -80,6 +82,11 @@
         self.lock().members.clone()
     }
 
+    /// Changes of the live hosts that this host has seen.
+    pub fn generation(&self) -> u64 {
+        self.lock().generation
+    }
+
     /// What this host holds against primaries, for its heartbeats.
     pub fn opinions(&self, now: Time) -> BTreeMap<ServiceId, Opinion> {
         let state = self.lock();
@@ -111,6 +118,13 @@
         }
     }
 
+    /// Work on a target timed out: the next probes try it with work of their own.
+    pub fn suspect(&self, (service, target): Key) {
+        if let Some(group) = self.lock().groups.get_mut(&service) {
+            group.detector.suspect(target);
+        }
+    }
+
     /// What the targets of `service` last said.
     pub fn views(&self, service: ServiceId) -> BTreeMap<TargetId, View> {
         let state = self.lock();
@@ -151,7 +165,7 @@
     /// Follows the configuration; answers the services that are new.
     pub(crate) fn follow(&self, services: &BTreeMap<ServiceId, Service>) -> Vec<ServiceId> {
         let mut state = self.lock();
-        let State { members, groups } = &mut *state;
+        let State { members, groups, .. } = &mut *state;
         groups.retain(|id, _| services.contains_key(id));
         let mut new = Vec::new();
         for (id, service) in services {
@@ -217,9 +231,14 @@
 
 impl Group {
     /// A target answered a probe.
-    pub(crate) fn answered(&mut self, now: Time, target: TargetId, status: Status) {
+    pub(crate) fn answered(
+        &mut self,
+        now: Time,
+        target: TargetId,
+        status: Status,
+    ) -> Vec<promotion::Action> {
         self.detector.answered(now, target, status);
-        self.promoter.observe(now, &status);
+        self.promoter.observe(now, &status)
     }
 }
 
