Planned promotions: hosts wait, with what runs on the primary ended, before it is held

The planner now tells all hosts, which send the primary nothing new and say when they use it no more; work that does not end within a second takes the plan back.

--- a/crates/core/src/detect/mod.rs
+++ b/crates/core/src/detect/mod.rs
@@ -179,7 +179,7 @@
             Some((cause, time)) => (time >= self.settings.threshold(cause), time),
             None => (false, Duration::ZERO),
         };
-        Some(Opinion { primary, term, failing, failed, confirmed })
+        Some(Opinion { primary, term, failing, failed, confirmed, hold: None, busy: 0 })
     }
 
     /// Each present sign of failure and how long it has lasted.
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -1,7 +1,8 @@
 //! Planned promotion: moves a group's primary to a chosen target and loses no request.
 //!
-//! The primary is held, which lets running transactions end and turns new writes away as not run;
-//! hosts keep those and send them again. Once the candidate holds the primary's last entry, and
+//! First every host stops sending the primary anything new and lets what runs there end; requests
+//! wait in the hosts. Then the primary itself is held, which turns away, as not run, the writes of
+//! a host that did not hear. Once the candidate holds the primary's last entry, and
 //! that entry is confirmed and no longer moves, the ordinary promotion runs with the candidate preferred. Until the
 //! fence every step can be taken back by releasing the hold, and the hold ends by itself when the
 //! host that set it dies. From the fence on the promotion has to be carried through, by this host
@@ -15,7 +16,11 @@
 
 /// Time after which the primary takes writes again by itself.
 pub const HOLD: Duration = Duration::from_millis(1_500);
-/// Time for the candidate to hold all that the primary wrote.
+/// Time for which hosts send the primary nothing new.
+pub const GATE: Duration = Duration::from_millis(2_500);
+/// Time for work on the primary to end.
+pub const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for the candidate to hold all that the primary wrote, once it is held.
 pub const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for which the primary's last entry must stay the same.
 pub const SETTLE: Duration = Duration::from_millis(60);
@@ -26,6 +31,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
 pub enum Abort {
+    /// Work on the primary did not end in time.
+    NotDrained,
     /// The primary is not the one that the plan names.
     Superseded,
     /// The primary did not let itself be held.
@@ -65,6 +72,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
+    Draining,
     Holding,
     CatchingUp,
     Ended,
@@ -86,24 +94,28 @@
 
 impl Handover {
     /// Starts to move the primary of `term` to `candidate`.
-    pub fn new(
-        now: Time,
-        primary: TargetId,
-        term: Term,
-        candidate: TargetId,
-    ) -> (Handover, Vec<Action>) {
-        let handover = Handover {
+    pub fn new(now: Time, primary: TargetId, term: Term, candidate: TargetId) -> Handover {
+        Handover {
             primary,
             term,
             candidate,
-            state: State::Holding,
+            state: State::Draining,
             started: now,
             looked: now,
             last: None,
             reached: Position::default(),
             confirmed: Position::default(),
-        };
-        (handover, vec![Action::Hold { target: primary, time: HOLD }])
+        }
+    }
+
+    /// No host uses the primary any more.
+    pub fn drained(&mut self, now: Time) -> Vec<Action> {
+        if self.state != State::Draining {
+            return Vec::new();
+        }
+        self.state = State::Holding;
+        self.started = now;
+        vec![Action::Hold { target: self.primary, time: HOLD }]
     }
 
     /// Whether it has come to an end, one way or the other.
@@ -150,9 +162,12 @@
         if self.is_ended() {
             return Vec::new();
         }
-        if now.saturating_sub(self.started) >= CATCH_UP_TIMEOUT {
-            let reason =
-                if self.state == State::Holding { Abort::NotHeld } else { Abort::NotCaughtUp };
+        let (timeout, reason) = match self.state {
+            State::Draining => (DRAIN_TIMEOUT, Abort::NotDrained),
+            State::Holding => (CATCH_UP_TIMEOUT, Abort::NotHeld),
+            State::CatchingUp | State::Ended => (CATCH_UP_TIMEOUT, Abort::NotCaughtUp),
+        };
+        if now.saturating_sub(self.started) >= timeout {
             return self.abort(reason);
         }
         if self.state == State::CatchingUp && now.saturating_sub(self.looked) >= POLL {
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -64,6 +64,11 @@
     pub failed: bool,
     /// Last confirmed position that the host saw.
     pub confirmed: Position,
+    /// The host whose planned promotion of the group this host waits for, sending the primary
+    /// nothing new.
+    pub hold: Option<HostId>,
+    /// Connections to the primary that this host still uses meanwhile.
+    pub busy: u32,
 }
 
 /// Notice that an epoch is about to be written to the store.
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -120,6 +120,11 @@
         self.connections.values().filter(busy).count()
     }
 
+    /// Connections that have an owner.
+    pub fn leased(&self) -> usize {
+        self.count(|state| matches!(state, State::Leased { .. }))
+    }
+
     /// Connections that the pool could do without, now that nobody waits for them.
     pub fn spare(&self) -> usize {
         let idle = self.count(|state| matches!(state, State::Idle { .. }));
--- a/crates/core/tests/detection.rs
+++ b/crates/core/tests/detection.rs
@@ -120,7 +120,8 @@
             let term = event.term.unwrap_or(1);
             let confirmed = Position::default();
             for host in &event.hosts {
-                let opinion = Opinion { primary: 0, term, failing, failed, confirmed };
+                let opinion =
+                    Opinion { primary: 0, term, failing, failed, confirmed, hold: None, busy: 0 };
                 detector.heard(now, *host, opinion);
             }
         }
--- /dev/null
+++ b/crates/host/src/failover/hold.rs
@@ -0,0 +1,100 @@
+//! Waiting for a planned promotion: this host sends the primary nothing new.
+//!
+//! The host that runs the promotion says so in its opinions; the others follow at once, say in
+//! theirs how many connections to the primary they still use, and go on when the planner no longer
+//! says so, when there is a primary of a higher term, or when [`GATE`] has passed.
+
+use super::{Failover, Group};
+use crate::target::Key;
+use bergamotvale_core::handover::GATE;
+use bergamotvale_core::id::{HostId, ServiceId, TargetId, Time};
+use bergamotvale_core::log::Term;
+use bergamotvale_core::peer::Opinion;
+use std::collections::BTreeSet;
+
+/// A planned promotion that this host waits for.
+#[derive(Debug, Clone)]
+pub(crate) struct Hold {
+    /// The host that runs it.
+    pub(crate) planner: HostId,
+    primary: TargetId,
+    term: Term,
+    since: Time,
+    /// Connections to the primary in use here; unknown ones count as many.
+    pub(crate) busy: u32,
+    /// Peers that use none any more.
+    drained: BTreeSet<HostId>,
+}
+
+impl Hold {
+    /// A hold by `planner` of the primary of `term`.
+    pub(crate) fn new(now: Time, planner: HostId, primary: TargetId, term: Term) -> Hold {
+        Hold { planner, primary, term, since: now, busy: u32::MAX, drained: BTreeSet::new() }
+    }
+
+    /// Whether neither this host nor any of `peers` uses the primary.
+    pub(crate) fn is_drained(&self, mut peers: impl Iterator<Item = HostId>) -> bool {
+        self.busy == 0 && peers.all(|peer| self.drained.contains(&peer))
+    }
+}
+
+impl Group {
+    /// Follows what a peer says of a planned promotion; says whether this host started to wait.
+    pub(super) fn follow_hold(&mut self, now: Time, host: HostId, opinion: &Opinion) -> bool {
+        if let Some(hold) = &mut self.hold {
+            if opinion.hold == Some(hold.planner) && opinion.busy == 0 {
+                hold.drained.insert(host);
+            }
+            if host == hold.planner && opinion.hold != Some(host) {
+                self.hold = None;
+            }
+            return false;
+        }
+        let primary = self.detector.primary();
+        let held = opinion.hold == Some(host) && primary == Some((opinion.primary, opinion.term));
+        if held {
+            self.hold = Some(Hold::new(now, host, opinion.primary, opinion.term));
+        }
+        held
+    }
+
+    fn is_held(&self, now: Time, target: TargetId) -> bool {
+        let Some(hold) = &self.hold else { return false };
+        let passed = self.detector.primary().is_some_and(|(_, term)| term > hold.term);
+        hold.primary == target && !passed && now.saturating_sub(hold.since) < GATE
+    }
+}
+
+impl Failover {
+    /// Whether nothing new is to be sent to a target, since it is being replaced by plan.
+    pub fn is_held(&self, now: Time, (service, target): Key) -> bool {
+        self.with(service, |group| group.is_held(now, target)).unwrap_or(false)
+    }
+
+    /// The target of `service` whose use has to be reported by [`Failover::used`].
+    pub(crate) fn held_target(&self, now: Time, service: ServiceId) -> Option<TargetId> {
+        self.with(service, |group| {
+            let hold = group.hold.as_ref()?;
+            let target = hold.primary;
+            if !group.is_held(now, target) {
+                group.hold = None;
+                return None;
+            }
+            Some(target)
+        })
+        .flatten()
+    }
+
+    /// So many connections to the held target of `service` are in use here.
+    pub(crate) fn used(&self, service: ServiceId, busy: u32) {
+        let changed = self.with(service, |group| {
+            let hold = group.hold.as_mut()?;
+            let changed = (hold.busy == 0) != (busy == 0);
+            hold.busy = busy;
+            changed.then_some(())
+        });
+        if changed.flatten().is_some() {
+            self.notify_peers();
+        }
+    }
+}
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -7,6 +7,7 @@
 //! [`Failover::heard`].
 
 pub mod driver;
+pub mod hold;
 pub mod planned;
 
 use crate::settings::{self, Settings};
@@ -45,6 +46,7 @@
     pub(crate) detector: Detector,
     pub(crate) promoter: Promoter,
     pub(crate) planned: Option<planned::Running>,
+    pub(crate) hold: Option<hold::Hold>,
     pub(crate) controls: BTreeMap<TargetId, Arc<Control>>,
     pub(crate) probing: BTreeSet<TargetId>,
     pub(crate) rank: u32,
@@ -91,7 +93,7 @@
     pub fn opinions(&self, now: Time) -> BTreeMap<ServiceId, Opinion> {
         let state = self.lock();
         let groups = state.groups.iter();
-        groups.filter_map(|(id, group)| Some((*id, group.detector.opinion(now)?))).collect()
+        groups.filter_map(|(id, group)| Some((*id, group.opinion(now)?))).collect()
     }
 
     /// Waits until an opinion has changed in a way that peers should hear at once.
@@ -105,6 +107,9 @@
         for (service, opinion) in opinions {
             if let Some(group) = state.groups.get_mut(service) {
                 group.detector.heard(now, host, *opinion);
+                if group.follow_hold(now, host, opinion) {
+                    self.notify_peers();
+                }
             }
         }
     }
@@ -203,6 +208,7 @@
             detector: Detector::new(self.host, candidates.keys().copied(), settings),
             promoter: Promoter::new(self.host, candidates, random),
             planned: None,
+            hold: None,
             controls: addresses.into_iter().map(|(t, a)| (t, Arc::new(Control::new(a)))).collect(),
             probing: BTreeSet::new(),
             rank: 0,
@@ -230,6 +236,15 @@
 }
 
 impl Group {
+    /// What this host holds against the primary, and whether it waits for a planned promotion.
+    fn opinion(&self, now: Time) -> Option<Opinion> {
+        let opinion = self.detector.opinion(now)?;
+        Some(match &self.hold {
+            Some(hold) => Opinion { hold: Some(hold.planner), busy: hold.busy, ..opinion },
+            None => opinion,
+        })
+    }
+
     /// A target answered a probe.
     pub(crate) fn answered(
         &mut self,
--- a/crates/host/src/failover/planned.rs
+++ b/crates/host/src/failover/planned.rs
@@ -1,9 +1,10 @@
 //! Planned promotions: drives the core's [`Handover`] and then the promoter.
 
 use super::driver;
+use super::hold::Hold;
 use crate::shared::Host;
 use bergamotvale_core::handover::{self, Abort, Handover};
-use bergamotvale_core::id::{ServiceId, TargetId, Time};
+use bergamotvale_core::id::{HostId, ServiceId, TargetId, Time};
 use bergamotvale_core::log::Term;
 use derive_more::{Display, Error};
 use std::sync::Arc;
@@ -58,33 +59,42 @@
             return Err(Failure::Unknown);
         }
         if primary == candidate {
-            return Ok((Some(term), Vec::new()));
+            return Ok(Some(term));
         }
         if group.planned.is_some() || !group.promoter.is_idle() {
             return Err(Failure::Busy);
         }
-        let (handover, actions) = Handover::new(now, primary, term, candidate);
+        let handover = Handover::new(now, primary, term, candidate);
         group.planned = Some(Running { handover, reply, started: now, term, promoting: false });
-        Ok((None, actions))
+        group.hold = Some(Hold::new(now, host.settings.host, primary, term));
+        Ok(None)
     });
-    let (already, actions) = started.unwrap_or(Err(Failure::Unknown))?;
-    if let Some(term) = already {
+    if let Some(term) = started.unwrap_or(Err(Failure::Unknown))? {
         return Ok(term);
     }
-    carry_out(host, service, actions);
+    host.failover.notify_peers();
     let (target, term) = answer.await.unwrap_or(Err(Failure::TimedOut))?;
     if target == candidate { Ok(term) } else { Err(Failure::Other(target)) }
 }
 
 pub(crate) fn tick(host: &Arc<Host>, service: ServiceId) {
     let now = host.clock.now();
+    let (own, members) = (host.settings.host, host.failover.members());
+    let members: Vec<HostId> = members.into_keys().collect();
     let actions = host.failover.with(service, |group| {
         let running = group.planned.as_mut()?;
         let late = now.saturating_sub(running.started) >= TIMEOUT;
         let over = running.promoting && group.promoter.is_idle();
         if !late && !over {
-            return Some(running.handover.tick(now));
+            let others = members.iter().copied().filter(|member| *member != own);
+            let drained = group.hold.as_ref().is_some_and(|hold| hold.is_drained(others));
+            let mut actions = running.handover.tick(now);
+            if drained {
+                actions.extend(running.handover.drained(now));
+            }
+            return Some(actions);
         }
+        group.hold = None;
         let running = group.planned.take()?;
         // Another host's promotion may have come first.
         let primary = group.detector.primary().filter(|(_, term)| *term > running.term);
@@ -97,7 +107,11 @@
 
 /// A promotion of `service` has ended with `target` as the primary.
 pub(crate) fn done(host: &Host, service: ServiceId, target: TargetId, term: Term) {
-    let running = host.failover.with(service, |group| group.planned.take());
+    let running = host.failover.with(service, |group| {
+        let running = group.planned.take()?;
+        group.hold = None;
+        Some(running)
+    });
     if let Some(running) = running.flatten() {
         let _ = running.reply.send(Ok((target, term)));
     }
@@ -122,7 +136,11 @@
                 driver::carry_out(host, service, plan.flatten().unwrap_or_default());
             }
             handover::Action::Aborted { reason } => {
-                let running = host.failover.with(service, |group| group.planned.take());
+                let running = host.failover.with(service, |group| {
+                    group.hold = None;
+                    group.planned.take()
+                });
+                host.failover.notify_peers();
                 if let Some(running) = running.flatten() {
                     let _ = running.reply.send(Err(Failure::Aborted(reason)));
                 }
--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -22,6 +22,8 @@
 
 /// Time that the other end of an idle connection has to give a sign of life.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between two looks whether a planned promotion has ended.
+const LOOK: Duration = Duration::from_millis(5);
 const CHECK: &str = "SELECT 1";
 
 /// State of all pools.
@@ -132,6 +134,13 @@
     let document = host.document();
     let target = document.services.get(&key.0).and_then(|s| s.targets.get(&key.1));
     let target = target.ok_or_else(|| Refusal::new(Reason::NotFound, "no such target"))?;
+    let gone = host.failover.primary(key.0);
+    while host.failover.is_held(host.clock.now(), key) && host.clock.now() < deadline {
+        tokio::time::sleep(LOOK).await;
+    }
+    if host.failover.primary(key.0) != gone {
+        return Err(Refusal::new(Reason::WritesHeld, "the primary was replaced by plan"));
+    }
     let weight = document.accounts.get(&account).map_or(1, |account| account.weight);
     host.pools.inner.ensure(host, key, target);
     let (sender, receiver) = oneshot::channel();
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -89,6 +89,10 @@
         actions
     });
     pool::perform(host, key, actions.unwrap_or_default());
+    if host.failover.held_target(now, key.0) == Some(key.1) {
+        let busy = host.pools.inner.with(key, |entry| entry.pool.leased()).unwrap_or(0);
+        host.failover.used(key.0, u32::try_from(busy).unwrap_or(u32::MAX));
+    }
 }
 
 /// A peer asks for slots; answers the total that it holds from this host now.
