--- a/crates/core/tests/authority.rs
+++ b/crates/core/tests/authority.rs
@@ -124,3 +124,36 @@
 fn a_premature_in_force_is_found() {
     found(Defect::InForceAtOnce, "said in force");
 }
+
+#[test]
+fn four_hosts_go_on_through_ten_minutes_without_the_store() {
+    let mut fleet = Fleet::new(4, 5);
+    fleet.run(Duration::from_secs(3));
+
+    fleet.store.down = true;
+    for second in 0..600 {
+        fleet.run(Duration::from_secs(1));
+        assert!(fleet.nodes.values().all(|node| node.acts(fleet.now)), "lapsed after {second} s");
+    }
+    fleet.store.down = false;
+    withdraw(&mut fleet, 2);
+    fleet.run(Duration::from_secs(2));
+
+    let versions: Vec<u64> = fleet.nodes.values().map(|n| n.replica.row().version).collect();
+    assert_eq!(versions, [2, 2, 2, 2]);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_minority_without_the_store_lapses_and_a_majority_goes_on() {
+    let mut fleet = Fleet::new(4, 6);
+    fleet.run(Duration::from_secs(3));
+
+    fleet.store.down = true;
+    fleet.cut_off(4);
+    fleet.run(Duration::from_secs(5));
+
+    let acting: Vec<u32> =
+        fleet.nodes.iter().filter(|(_, n)| n.acts(fleet.now)).map(|(id, _)| *id).collect();
+    assert_eq!(acting, [1, 2, 3]);
+}
--- a/crates/host/tests/fleet/mod.rs
+++ b/crates/host/tests/fleet/mod.rs
@@ -16,6 +16,7 @@
 /// Keys of the two operators of every fleet.
 pub(crate) const ALICE: &str = "op_alice_secret-of-alice";
 pub(crate) const BRUNO: &str = "op_bruno_secret-of-bruno";
+const LEAVE: Duration = Duration::from_millis(50);
 const SALT: &str = "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100";
 
 /// Settings with both operators, quick to stop and to rotate.
@@ -26,7 +27,7 @@
         let digest = auth::digest(SALT, secret);
         settings.operators.push(Operator { name: name.into(), salt: SALT.into(), digest });
     }
-    settings.timeouts.leave = Duration::from_millis(50);
+    settings.timeouts.leave = LEAVE;
     settings.timeouts.key_overlap = Duration::from_millis(300);
 }
 
@@ -38,8 +39,17 @@
 
 /// A fleet of four whose hosts all have authority and serve.
 pub(crate) async fn four() -> Fleet {
+    four_with_leave(LEAVE).await
+}
+
+/// The same with hosts that serve on for this long after they began to leave.
+pub(crate) async fn four_with_leave(leave: Duration) -> Fleet {
     let fixture = Fixture::new().await;
-    let starts = (1..=4).map(|id| fixture.host_with(id, operated));
+    let change = |settings: &mut Settings| {
+        operated(settings);
+        settings.timeouts.leave = leave;
+    };
+    let starts = (1..=4).map(|id| fixture.host_with(id, change));
     let hosts = futures::future::join_all(starts).await;
     let fleet = Fleet { fixture, hosts };
     fleet.settle().await;
