Combined search: a rebuilt target stands by its grant; a found seed as a case

Cause: the fake's rebuilt target forgot the terms that it had granted. It rejoined the old primary and acknowledged for it, after the promoter had counted its grant.

Ruled out: the write and read machines, which acted rightly on what they were told.

--- a/crates/core/tests/combined.rs
+++ b/crates/core/tests/combined.rs
@@ -45,6 +45,13 @@
     assert_eq!(broken, None);
 }
 
+/// Found by a wider search while a rebuilt target of the fake forgot the terms that it had granted:
+/// it acknowledged for the primary that its own grant was about to depose.
+#[test]
+fn a_rebuilt_target_stands_by_its_grant() {
+    assert_eq!(search(1_056_676, 1, Defect::None).0, None);
+}
+
 /// The runs reach what they are meant to reach.
 #[test]
 fn runs_are_not_idle() {
--- a/crates/core/tests/group/mod.rs
+++ b/crates/core/tests/group/mod.rs
@@ -228,6 +228,17 @@
         false
     }
 
+    /// The same, but it keeps apart what it granted, as the targets of the platform do.
+    pub(crate) fn rebuild_data(&mut self, id: TargetId) -> bool {
+        let Target { accepted, promoter, .. } = self.targets[&id];
+        let done = self.rebuild(id);
+        if done {
+            let target = self.targets.get_mut(&id).expect("a target of the group");
+            (target.accepted, target.promoter) = (accepted, promoter);
+        }
+        done
+    }
+
     /// An acknowledged entry that the primary of the highest term lacks.
     pub(crate) fn lost(&self) -> Option<Entry> {
         let primaries = self.targets.values().filter(|target| target.leads.is_some());
--- a/crates/core/tests/world/promoter.rs
+++ b/crates/core/tests/world/promoter.rs
@@ -90,6 +90,8 @@
         }
         let answer = match call.action {
             Action::Fence { target, term, promoter } => scene.group.fence(target, term, promoter),
+            // A target that is being rebuilt does not become the primary.
+            Action::Promote { target, .. } if !scene.group.targets[&target].voter => None,
             Action::Promote { target, term, promoter } => {
                 scene.group.promote(target, term, promoter)
             }
