Fuzzing of what comes from outside; a connection that closes without a word is known red

All with fixed seeds and without persistence files.

One fault: a POST with a body that no handler takes is answered 404 or 405 without `connection: close`, then the host closes, so that the next request on a kept connection is cut. It showed as a flaky failure of the live test on kept connections; that test now uses a connection each, and a test of its own names the fault, known red. Ruled out: the body is not read as another request.

--- /dev/null
+++ b/crates/host/tests/outside.rs
@@ -0,0 +1,279 @@
+//! What comes from outside, in any form: a value or a clear error, never a panic.
+
+mod common;
+
+use bergamotvale_core::config::{self, Document};
+use bergamotvale_core::distribute;
+use bergamotvale_host::auth;
+use bergamotvale_host::front::body;
+use bergamotvale_host::platform::{Listed, Row};
+use bergamotvale_host::settings::Settings;
+use common::{Fixture, KEY};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{RngSeed, TestRunner};
+use serde_json::{Value, json};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const SETTINGS: &str = "host: 1
+failure_domain: 2
+listen:
+  callers: 127.0.0.1:7100
+  operators: 127.0.0.1:7101
+  peers: 127.0.0.1:7102
+platform:
+  address: 127.0.0.1:7000
+timeouts:
+  request: 1s
+limits:
+  body: 64KiB
+";
+/// Requests that the live host gets.
+const REQUESTS: usize = 300;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 1_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(13),
+        ..ProptestConfig::default()
+    }
+}
+
+/// Any JSON value of a few levels.
+fn value() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        any::<String>().prop_map(Value::from),
+    ];
+    leaf.prop_recursive(3, 24, 5, |inner| {
+        let name = prop_oneof![any::<String>(), Just("bytes".to_owned()), Just("1".to_owned())];
+        prop_oneof![
+            vec(inner.clone(), 0..5).prop_map(Value::from),
+            vec((name, inner), 0..5).prop_map(|fields| Value::Object(fields.into_iter().collect())),
+        ]
+    })
+}
+
+/// The rows and entries that the platform holds for hosts.
+fn kept() -> Vec<Value> {
+    let account = json!({"name": "mill", "rate": 10, "burst": 5, "weight": 1, "services": []});
+    let member = json!({"host": 1, "incarnation": 3, "peer_address": "127.0.0.1:7102",
+        "failure_domain": 2, "leaving": false});
+    let author = json!({"host": 1, "incarnation": 3, "attempt": 1});
+    vec![
+        json!({"version": 1, "services": {}, "accounts": {"1": account}, "keys": {}, "routes": {}}),
+        json!({"epoch": 4, "version": 1, "digest": "", "members": {"1": member},
+            "authors": {"4": author}}),
+        json!({"key": "config.current", "version": 7, "value": {}}),
+        json!({"host": "1", "incarnation": 3, "address": "127.0.0.1:7100",
+            "peer_address": "127.0.0.1:7102", "failure_domain": "2", "state": "live"}),
+    ]
+}
+
+/// Puts `new` in the place of the value that `at` chooses.
+fn replace(value: &mut Value, at: Index, new: Value) {
+    let mut places = 0;
+    count(value, &mut places);
+    let mut left = at.index(places);
+    put(value, &mut left, &mut Some(new));
+}
+
+fn count(value: &Value, places: &mut usize) {
+    *places += 1;
+    match value {
+        Value::Array(items) => items.iter().for_each(|item| count(item, places)),
+        Value::Object(fields) => fields.values().for_each(|field| count(field, places)),
+        _ => {}
+    }
+}
+
+fn put(value: &mut Value, left: &mut usize, new: &mut Option<Value>) {
+    if *left == 0
+        && let Some(new) = new.take()
+    {
+        *value = new;
+        return;
+    }
+    *left = left.saturating_sub(1);
+    match value {
+        Value::Array(items) => items.iter_mut().for_each(|item| put(item, left, new)),
+        Value::Object(fields) => fields.values_mut().for_each(|field| put(field, left, new)),
+        _ => {}
+    }
+}
+
+/// Reads `value` as everything that the platform may answer with.
+fn read_as_all(value: &Value) {
+    if let Ok(document) = serde_json::from_value::<Document>(value.clone()) {
+        drop(config::verify(&document));
+    }
+    drop(serde_json::from_value::<distribute::Row>(value.clone()));
+    drop(serde_json::from_value::<Row>(value.clone()));
+    if let Ok(listed) = serde_json::from_value::<Listed>(value.clone()) {
+        let member = listed.member();
+        assert!(member.is_none_or(|member| member.host.to_string().len() <= listed.host.len()));
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_settings_are_read_or_refused(
+        text in any::<String>(),
+        at in any::<Index>(),
+        cut in any::<Index>(),
+        new in prop_oneof![any::<String>(), "[0-9a-zA-Z:{}\\[\\]&*!|> -]{0,12}"],
+    ) {
+        let (at, cut) = (at.index(SETTINGS.len()), cut.index(SETTINGS.len()));
+        let changed = format!("{}{new}{}", &SETTINGS[..at], &SETTINGS[at.max(cut)..]);
+
+        for text in [text, changed] {
+            if let Err(fault) = Settings::parse(&text) {
+                prop_assert!(!fault.to_string().is_empty());
+            }
+        }
+    }
+
+    #[test]
+    fn any_body_is_read_or_refused(bytes in vec(any::<u8>(), 0..400), value in value()) {
+        drop(body::statement(&bytes));
+        drop(body::statement(value.to_string().as_bytes()));
+        let statement = json!({"sql": "SELECT $1", "params": [value]});
+
+        if let Err(detail) = body::statement(statement.to_string().as_bytes()) {
+            prop_assert!(!detail.is_empty());
+        }
+    }
+
+    #[test]
+    fn any_key_is_judged(text in prop_oneof![any::<String>(), "bv_[0-9]{0,24}_?[ -~]{0,20}"]) {
+        prop_assert!(auth::identify(&Document::default(), &text).is_err());
+        let secret = auth::secret(&text);
+        prop_assert!(secret.is_none_or(|secret| text.ends_with(secret)));
+    }
+
+    #[test]
+    fn any_answer_of_the_platform_is_read_or_refused(value in value(), at in any::<Index>()) {
+        read_as_all(&value);
+        for mut kept in kept() {
+            replace(&mut kept, at, value.clone());
+            read_as_all(&kept);
+        }
+    }
+}
+
+/// The unchanged values are read, so that the changed ones are near to them.
+#[test]
+fn kept_values_are_valid() {
+    let [document, row, table_row, listed] = kept().try_into().expect("four of them");
+
+    let document: Document = serde_json::from_value(document).expect("a document");
+    let row: distribute::Row = serde_json::from_value(row).expect("a fleet row");
+    let table_row: Row = serde_json::from_value(table_row).expect("a row");
+    let listed: Listed = serde_json::from_value(listed).expect("an entry");
+
+    assert_eq!(config::verify(&document), Ok(()));
+    assert_eq!((row.epoch, table_row.version), (4, 7));
+    assert!(listed.member().is_some());
+    assert!(Settings::parse(SETTINGS).is_ok());
+}
+
+fn header() -> impl Strategy<Value = (String, String)> {
+    let name = prop::sample::select(vec![
+        "bergamotvale-session",
+        "bergamotvale-max-age",
+        "bergamotvale-timeout",
+        "idempotency-key",
+        "content-type",
+    ]);
+    let value = prop_oneof![
+        "[ -~]{0,60}",
+        "[0-9]{1,25}(ns|us|ms|s|m|h|days|years)",
+        "1;[0-9]{1,25}=[0-9.]{0,40}"
+    ];
+    (name.prop_map(str::to_owned), value)
+}
+
+/// Whatever a caller sends is answered, a refusal gives its reason, and the host goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn any_request_is_answered() {
+    let fixture = Fixture::new().await;
+    let host = fixture.host(1).await;
+    // A connection each: what a kept connection sees is the next test's matter.
+    let builder = reqwest::Client::builder().pool_max_idle_per_host(0);
+    let http = builder.build().expect("a client");
+    let mut runner = TestRunner::deterministic();
+    let call = prop::sample::select(vec![
+        "services/mill/read",
+        "services/mill/write",
+        "services/mill/transactions",
+        "transactions/0/run",
+        "transactions/ffffffffffffffffff/commit",
+        "services/%00/read",
+        "open/%ff",
+    ]);
+    let body = prop_oneof![
+        vec(any::<u8>(), 0..300),
+        value().prop_map(|value| value.to_string().into_bytes()),
+        value().prop_map(|value| json!({"sql": "SELECT $1", "params": [value]}).to_string().into()),
+    ];
+    let request = (call, vec(header(), 0..4), body);
+
+    for number in 0..REQUESTS {
+        let tree = request.new_tree(&mut runner).expect("a request");
+        let (path, headers, body) = tree.current();
+        let url = format!("http://{}/v1/{path}", host.address);
+        let mut call = http.post(url).bearer_auth(KEY);
+        for (name, value) in &headers {
+            call = call.header(name, value);
+        }
+        let answer =
+            call.body(body).send().await.unwrap_or_else(|e| panic!("{number}: {headers:?}: {e:?}"));
+        let status = answer.status().as_u16();
+        let text = answer.text().await.unwrap_or_else(|e| panic!("{number}: {e}"));
+        assert_ne!(status, 500, "{number}: {path} {headers:?}: {text}");
+        if status >= 400 && status != 405 && !text.is_empty() {
+            let problem: Value = serde_json::from_str(&text).expect("a problem document");
+            assert!(problem["reason"].is_string(), "{number}: {path} {headers:?}: {text}");
+        }
+    }
+
+    host.read("SELECT count(*) FROM bolts").send().await.ok();
+}
+
+/// The first answer on a new connection to a request with a body, and whether the host then closed.
+async fn ask(address: std::net::SocketAddr, path: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let request = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody");
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") && answer.len() < 4096 {
+        answer.push(stream.read_u8().await.expect("an answer"));
+    }
+    let read = tokio::time::timeout(Duration::from_secs(2), stream.read_u8()).await;
+    let answer = String::from_utf8(answer).expect("a head is ASCII").to_lowercase();
+    (answer, matches!(read, Ok(Err(_))))
+}
+
+/// A caller must not send its next request on a connection that the host is about to close.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_closes_says_so() {
+    let fixture = Fixture::new().await;
+    let host = fixture.host(1).await;
+
+    for path in ["/nowhere", "/v1/open/stock", "/v1/services/mill/read/x"] {
+        let (answer, closed) = ask(host.address, path).await;
+        let says_so = answer.contains("connection: close");
+        assert!(says_so || !closed, "{path}: closed without a word after {answer}");
+    }
+}
