--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -446,3 +446,24 @@
     commit.send().await.ok();
     assert_eq!(fixture.bolts(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_and_keyed_writes_outlive_connections_that_went_silent() {
+    let fixture = Fixture::new().await;
+    let host = fixture.host(1).await;
+
+    for id in 0..5 {
+        let warm =
+            (0..6).map(|_| host.read(COUNT).with_header("bergamotvale-max-age", "5s").send());
+        futures::future::join_all(warm).await;
+        for target in fixture.group.targets() {
+            target.silence_connections();
+        }
+        let write =
+            host.write(INSERT).with_param(json!(id)).with_header("bergamotvale-timeout", "8s");
+        let write = write.with_header("idempotency-key", &format!("bolt-{id}")).send().await.ok();
+        let read = host.read(COUNT).with_header("bergamotvale-session", write.session());
+        let read = read.with_header("bergamotvale-timeout", "8s").send().await.ok();
+        assert_eq!(read.body["rows"], json!([[id + 1]]));
+    }
+}
