--- a/crates/wire/tests/garbage.rs
+++ b/crates/wire/tests/garbage.rs
@@ -39,8 +39,8 @@
         true
     }
 
-    async fn push(self, _: Context, _: Update) -> Epoch {
-        7
+    async fn push(self, _: Context, _: Update) -> (Epoch, Version) {
+        (7, 7)
     }
 
     async fn fetch(self, _: Context, _: Epoch, _: Version) -> Option<Update> {
