--- a/crates/cli/src/bench/cost/control.rs
+++ b/crates/cli/src/bench/cost/control.rs
@@ -3,7 +3,7 @@
 use super::Scenario;
 use super::process;
 use super::slope::{self, Line as Fit};
-use super::statement::{self, host_runtime, start_apart};
+use super::statement::{self, Runtime, start_apart};
 use crate::error::Result;
 use crate::output::table;
 use crate::system::System;
@@ -92,7 +92,7 @@
 }
 
 async fn point(scenario: &Scenario, at: usize, size: Size) -> Result<Point> {
-    let runtime = host_runtime()?;
+    let runtime = Runtime::new()?;
     let plan = statement::plan(scenario.seed, size.hosts, size.accounts, size.groups);
     let (system, others) = start_apart(plan, &runtime).await?;
     tokio::time::sleep(SETTLE).await;
@@ -109,7 +109,6 @@
         platform_calls: (calls(&system) - calls_before) as f64 / seconds,
     };
     system.stop().await;
-    runtime.shutdown_background();
     Ok(point)
 }
 
--- a/crates/cli/src/bench/cost/statement.rs
+++ b/crates/cli/src/bench/cost/statement.rs
@@ -18,6 +18,7 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
 use tokio_postgres::NoTls;
 use tokio_postgres::types::Type;
 
@@ -86,32 +87,45 @@
 
 /// Measures a host in this process, on threads of its own.
 pub async fn measure(scenario: &Scenario) -> Result<Cost> {
-    let runtime = host_runtime()?;
+    let runtime = Runtime::new()?;
     let plan = plan(scenario.seed, 1, 1, 1);
     let (system, others) = start_apart(plan, &runtime).await?;
     let used = || process::hosts_used(&others);
     let cost = compare(scenario, &system, 0, used, "threads of the host").await;
     system.stop().await;
-    runtime.shutdown_background();
     cost
 }
 
-/// A runtime whose threads are told apart by name.
-pub fn host_runtime() -> Result<tokio::runtime::Runtime> {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    Ok(builder.thread_name(process::HOST_THREAD).worker_threads(2).enable_all().build()?)
+/// A runtime whose threads are told apart by name; dropping it waits for nobody.
+pub struct Runtime(Option<tokio::runtime::Runtime>);
+
+impl Runtime {
+    /// A runtime for hosts.
+    pub fn new() -> Result<Runtime> {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        builder.thread_name(process::HOST_THREAD).worker_threads(2).enable_all();
+        Ok(Runtime(Some(builder.build()?)))
+    }
+
+    fn handle(&self) -> Option<&Handle> {
+        self.0.as_ref().map(tokio::runtime::Runtime::handle)
+    }
+}
+
+impl Drop for Runtime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 /// Starts `plan` with its hosts on `runtime`; the threads that are not its hosts' come with it.
-pub async fn start_apart(
-    plan: Plan,
-    runtime: &tokio::runtime::Runtime,
-) -> Result<(System, Threads)> {
+pub async fn start_apart(plan: Plan, runtime: &Runtime) -> Result<(System, Threads)> {
     let mut system = System::prepare(plan).await?;
-    let runtime_threads = |thread: &process::Thread| thread.name == process::HOST_THREAD;
     let mut others = process::threads(std::process::id())?;
-    others.retain(|_, thread| !runtime_threads(thread));
-    system.start_hosts(Some(runtime.handle())).await?;
+    others.retain(|_, thread| thread.name != process::HOST_THREAD);
+    system.start_hosts(runtime.handle()).await?;
     Ok((system, others))
 }
 
--- a/crates/cli/src/bench/scenario.rs
+++ b/crates/cli/src/bench/scenario.rs
@@ -338,6 +338,9 @@
 fn verify_mix(scenario: &Scenario) -> Verdict {
     match scenario.mix.values().sum::<u32>() {
         0 => fault("mix", "must name at least one kind with a share above zero"),
+        _ if scenario.mix.contains_key(&Kind::Foreign) && scenario.accounts.len() < 2 => {
+            fault("mix", "foreign requests need a second account")
+        }
         _ => Ok(()),
     }
 }
