--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -162,7 +162,8 @@
 
     /// A request that had its turn has ended after holding a connection for `held`.
     pub fn ended(&mut self, charge: Charge, held: Duration) {
-        let mean = self.mean.unwrap_or(held);
+        // Rises from nothing, so that a few slow requests do not turn others away.
+        let mean = self.mean.unwrap_or_default();
         self.mean = Some((mean * (MEAN_SHARE - 1) + held) / MEAN_SHARE);
         if let Some(account) = self.accounts.get_mut(&charge.account) {
             account.tag += scaled(held, account.weight) - scaled(charge.advance, account.weight);
