--- a/crates/host/tests/fleet/mod.rs
+++ b/crates/host/tests/fleet/mod.rs
@@ -12,10 +12,12 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Keys of the two operators of every fleet.
 pub(crate) const ALICE: &str = "op_alice_secret-of-alice";
 pub(crate) const BRUNO: &str = "op_bruno_secret-of-bruno";
+const LEAVE: Duration = Duration::from_millis(50);
 const SALT: &str = "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100";
 
 /// Settings with both operators, quick to stop and to rotate.
@@ -26,22 +28,46 @@
         let digest = auth::digest(SALT, secret);
         settings.operators.push(Operator { name: name.into(), salt: SALT.into(), digest });
     }
-    settings.timeouts.leave = Duration::from_millis(50);
+    settings.timeouts.leave = LEAVE;
     settings.timeouts.key_overlap = Duration::from_millis(300);
 }
 
+/// Fleets that run at once in one test binary; more starve each other on a busy machine.
+static TURNS: Semaphore = Semaphore::const_new(2);
+
 /// Hosts in order of id from 1.
 pub(crate) struct Fleet {
+    _turn: SemaphorePermit<'static>,
     pub(crate) fixture: Fixture,
     pub(crate) hosts: Vec<Host>,
 }
 
 /// A fleet of four whose hosts all have authority and serve.
 pub(crate) async fn four() -> Fleet {
+    four_with_leave(LEAVE).await
+}
+
+/// One host without configuration.
+pub(crate) async fn bare() -> Fleet {
+    let turn = TURNS.acquire().await.expect("never closed");
+    let fixture = Fixture::new().await;
+    let host = fixture.bare_host(1, operated).await;
+    let fleet = Fleet { _turn: turn, fixture, hosts: vec![host] };
+    fleet.settle().await;
+    fleet
+}
+
+/// The same with hosts that serve on for this long after they began to leave.
+pub(crate) async fn four_with_leave(leave: Duration) -> Fleet {
+    let turn = TURNS.acquire().await.expect("never closed");
     let fixture = Fixture::new().await;
-    let starts = (1..=4).map(|id| fixture.host_with(id, operated));
+    let change = |settings: &mut Settings| {
+        operated(settings);
+        settings.timeouts.leave = leave;
+    };
+    let starts = (1..=4).map(|id| fixture.host_with(id, change));
     let hosts = futures::future::join_all(starts).await;
-    let fleet = Fleet { fixture, hosts };
+    let fleet = Fleet { _turn: turn, fixture, hosts };
     fleet.settle().await;
     fleet
 }
