--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -58,6 +58,11 @@
 pub fn start(host: Arc<Host>, listener: TcpListener) -> Result<Listener> {
     let address = listener.local_addr()?;
     let settings = &host.settings;
+    if settings.tls.is_some() {
+        // Serving plain text instead would show callers' keys.
+        let fault = "tls: the callers' listener does not serve TLS yet";
+        return Err(std::io::Error::other(fault).into());
+    }
     let runtime = Handle::current();
     let callers = Callers::new(runtime.clone());
     let state = State { host: host.clone(), callers: callers.clone(), runtime };
