--- a/crates/cli/tests/defects.rs
+++ b/crates/cli/tests/defects.rs
@@ -7,6 +7,7 @@
 use bergamotvale_host::settings::Defect;
 use std::collections::BTreeSet;
 use std::time::Duration;
+use tokio::sync::Mutex;
 
 const SEED: u64 = 5;
 
@@ -33,7 +34,11 @@
     Scenario::parse(&text).expect("a scenario")
 }
 
+/// One system at a time: several starve each other, and then no rule is put to the test.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 async fn findings(scenario: &Scenario, defects: &[Defect]) -> Findings {
+    let _turn = TURN.lock().await;
     let defects = BTreeSet::from_iter(defects.iter().copied());
     let history = run::record(scenario, SEED, variant::FULL, &defects).await.expect("a history");
     check::check(&history)
--- a/crates/cli/tests/trial.rs
+++ b/crates/cli/tests/trial.rs
@@ -3,8 +3,13 @@
 use bergamotvale_cli::trial::{self, Options, Verdict};
 use bergamotvale_host::settings::Defect;
 use std::collections::BTreeSet;
+use tokio::sync::Mutex;
+
+/// One system at a time: several starve each other.
+static TURN: Mutex<()> = Mutex::const_new(());
 
 async fn tell(defects: &[Defect]) -> Vec<Verdict> {
+    let _turn = TURN.lock().await;
     let options = Options { keep: false, defects: BTreeSet::from_iter(defects.iter().copied()) };
     let mut print = |verdict: &Verdict| println!("{verdict:?}");
     trial::tell(&options, &mut print).await.expect("the system starts")
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -114,6 +114,15 @@
         state.refresh(now);
     }
 
+    /// Notes that a division of the rates was missed.
+    pub fn interrupt(&mut self, now: Time) {
+        for state in self.accounts.values_mut() {
+            state.rate.interrupt(now);
+            state.burst.interrupt(now);
+            state.refresh(now);
+        }
+    }
+
     /// Forgets accounts that are not in `known`.
     pub fn retain(&mut self, known: impl Fn(AccountId) -> bool) {
         self.accounts.retain(|account, _| known(*account));
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -57,6 +57,13 @@
         self.current = value;
     }
 
+    /// Notes that a division was missed, in which this host may have had nothing.
+    ///
+    /// Others may have grown under it, so nothing is used until it is out of force.
+    pub fn interrupt(&mut self, now: Time) {
+        self.replaced.push_back(Replaced { value: 0, until: now + self.settle });
+    }
+
     /// Part that may be used.
     pub fn usable(&mut self, now: Time) -> u64 {
         while self.replaced.front().is_some_and(|old| old.until <= now) {
--- /dev/null
+++ b/crates/core/tests/share.rs
@@ -0,0 +1,39 @@
+//! Parts over time, also of a host that misses a division.
+
+use bergamotvale_core::share::Part;
+use std::time::Duration;
+
+const SETTLE: Duration = Duration::from_millis(1600);
+const MOMENT: Duration = Duration::from_millis(1);
+
+fn settled(value: u64) -> Part {
+    let mut part = Part::new(SETTLE);
+    part.update(value, Duration::ZERO);
+    part
+}
+
+#[test]
+fn a_part_grows_late_and_shrinks_at_once() {
+    let mut part = settled(10);
+    let change = SETTLE * 2;
+
+    part.update(20, change);
+    let grown = [part.usable(change), part.usable(change + SETTLE)];
+    part.update(5, change + SETTLE);
+    let shrunk = part.usable(change + SETTLE);
+
+    assert_eq!((grown, shrunk), ([10, 20], 5));
+}
+
+#[test]
+fn a_missed_division_leaves_nothing_until_it_is_out_of_force() {
+    let mut part = settled(10);
+    let learned = SETTLE * 2;
+
+    part.interrupt(learned);
+    part.update(10, learned);
+    let usable = [part.usable(learned), part.usable(learned + SETTLE - MOMENT)];
+    let after = part.usable(learned + SETTLE);
+
+    assert_eq!((usable, after), ([0, 0], 10));
+}
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -16,7 +16,6 @@
 use crate::settings::{Defect, Settings};
 use crate::shared::Host;
 use bergamotvale_core::authority::{Holder, Source};
-use bergamotvale_core::config::Document;
 use bergamotvale_core::distribute::{Replica, Row, Spread};
 use bergamotvale_core::id::{Epoch, HostId, Incarnation, KeyId, Time, Version};
 use bergamotvale_core::key;
@@ -279,7 +278,7 @@
     pub fn adopt(self: &Arc<Host>, update: Update) -> bool {
         let now = self.clock.now();
         let Update { origin, row, body } = update;
-        let document = {
+        {
             let mut state = self.fleet.lock();
             let previous = state.replica.row().clone();
             if let Err(fault) = state.replica.take(row.clone(), body.clone()) {
@@ -300,30 +299,33 @@
                 }
                 newer
             });
-            document
-        };
+            // Under the lock too: an older division must not replace a newer one.
+            if previous.epoch > 0 && row.epoch > previous.epoch + 1 {
+                self.limiter.interrupt();
+            }
+            // A leaving host keeps its part: callers come until they have seen that it leaves.
+            let hosts: BTreeSet<HostId> = row.members.keys().copied().collect();
+            self.limiter.divide(&document, &hosts, self.settings.host);
+        }
         let own = row.members.get(&self.settings.host);
         if own.is_some_and(|m| m.leaving && m.incarnation == self.incarnation) {
             self.fleet.leave();
             self.leaving.send_replace(true);
         }
         log::info!("epoch {} with configuration {} in force here", row.epoch, row.version);
-        self.divide(&row.members, &document);
+        self.divide(&row.members);
         self.fleet.epoch.send_replace(row.epoch);
         push::spread(self, Update { origin, row, body });
         true
     }
 
-    /// Tells the users of shares who the members are.
-    fn divide(&self, members: &BTreeMap<HostId, Member>, document: &Document) {
+    /// Tells peers' connections, failover and pools who the members are.
+    fn divide(&self, members: &BTreeMap<HostId, Member>) {
         for member in members.values().filter(|m| m.host != self.settings.host) {
             self.peers.meet(member);
         }
         let domains = members.values().map(|m| (m.host, m.failure_domain)).collect();
         self.failover.set_members(domains);
-        // A leaving host keeps its part: callers come until they have seen that it leaves.
-        let hosts: BTreeSet<HostId> = members.keys().copied().collect();
-        self.limiter.divide(document, &hosts, self.settings.host);
         self.vouch();
     }
 
--- a/crates/host/src/limit.rs
+++ b/crates/host/src/limit.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Notes that a division was missed: members or configuration skipped an epoch here.
+    pub fn interrupt(&self) {
+        let now = self.clock.now();
+        self.lock().meter.interrupt(now);
+    }
+
     /// Waits until a request of `account` is admitted.
     pub async fn admit(&self, account: AccountId, deadline: Time) -> Result<(), Refusal> {
         let mut decision = self.decide(account, |meter, now| meter.request(account, now));
