--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::fleet::{beat, follow, loan, upkeep};
 use crate::front;
 use crate::peer;
-use crate::settings::Settings;
+use crate::settings::{Defect, Settings};
 use crate::shared::Host;
 use crate::target;
 use bergamotvale_core::id::Time;
@@ -52,10 +52,24 @@
         Ok(Daemon { host, front, tasks })
     }
 
+    /// Callers' requests under way.
+    pub fn requests(&self) -> u32 {
+        self.front.requests()
+    }
+
     /// Takes no new work, finishes what runs, then ends.
+    ///
+    /// For a while it still takes requests, closing each connection after its answer, since the
+    /// balancer learns late that the host leaves.
     pub async fn stop(mut self) {
+        let timeouts = &self.host.settings.timeouts;
         self.host.stopping.send_replace(true);
-        self.front.stop().await;
+        self.host.fleet.leave();
+        if self.host.settings.policy.defects.contains(&Defect::AbruptStop) {
+            return;
+        }
+        tokio::time::sleep(timeouts.leave).await;
+        self.front.stop(timeouts.stop).await;
         self.tasks.shutdown().await;
     }
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -170,6 +170,9 @@
     /// A call to another host.
     #[serde_as(as = "Span")]
     pub peer: Duration,
+    /// Taking requests all the same after the host began to leave.
+    #[serde_as(as = "Span")]
+    pub leave: Duration,
     /// Finishing what runs while the host stops.
     #[serde_as(as = "Span")]
     pub stop: Duration,
@@ -355,6 +358,7 @@
             transaction_idle: Duration::from_secs(5),
             transaction_total: Duration::from_secs(30),
             peer: Duration::from_millis(500),
+            leave: Duration::from_secs(2),
             stop: Duration::from_secs(15),
         }
     }
--- a/crates/host/tests/path.rs
+++ b/crates/host/tests/path.rs
@@ -1,18 +1,35 @@
-//! The whole path: a caller's write and read through a host to a database group.
+//! The whole path: a caller's write and read through two hosts to a database group.
 
-mod support;
+mod common;
 
+use common::Fixture;
 use serde_json::json;
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_session_reads_its_write() {
-    let fleet = support::fleet(1).await;
+async fn a_session_reads_its_write_on_another_host() {
+    let fixture = Fixture::new().await;
+    let first = fixture.host(1).await;
+    let second = fixture.host(2).await;
 
-    let written = fleet.write_until_taken(0, "bolt-1").await;
-    let token = written.token.clone().expect("a write advances the session");
-    let read = fleet.read(0, "bolt-1", &token).await;
+    let write = first.write("INSERT INTO bolts (id, metres) VALUES (1, 7)");
+    let written = write.with_header("idempotency-key", "bolt-1").send().await.ok();
+    let read = second.read("SELECT metres FROM bolts WHERE id = 1");
+    let read = read.with_header("bergamotvale-session", written.session()).send().await.ok();
 
-    assert_eq!(written.status, 200, "{written:?}");
     assert_eq!(read.body["rows"], json!([[7]]), "{read:?}");
-    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_waits_for_requests_and_for_no_idle_connection() {
+    let fixture = Fixture::new().await;
+    let host = fixture.host(1).await;
+    let slow = host.read("SELECT pg_sleep(1)").with_header("bergamotvale-timeout", "20s");
+    let running = tokio::spawn(slow.send());
+    common::until("the statement runs", || host.daemon.requests() > 0).await;
+
+    host.daemon.stop().await;
+    let answer = running.await.expect("no panic");
+
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.headers["connection"], "close", "{answer:?}");
 }
