Lost COMMIT answers are a fault of the stand-in, not a race of the test

Cause: the bench check of doubled unkeyed writes, and four tests of data_faults, killed or silenced a primary and hoped that an answer to COMMIT was on its way.

Change: `Target::lose_answers(n)` lets the next n commits take effect and silences their connections before the answer; scenarios name it `lost_answers`.

--- a/crates/cli/src/bench/fault.rs
+++ b/crates/cli/src/bench/fault.rs
@@ -171,6 +171,7 @@
         FaultKind::Silence => target.silence_connections(),
         FaultKind::Poison => target.poison(true),
         FaultKind::Lag => target.set_lag(fault.delay.unwrap_or_default()),
+        FaultKind::LostAnswers => target.lose_answers(u64::MAX),
         FaultKind::Rebuild => target.rebuild(),
         FaultKind::StopHost
         | FaultKind::StoreDown
@@ -190,6 +191,7 @@
         }
         FaultKind::Poison => target.poison(false),
         FaultKind::Lag => target.set_lag(lag),
+        FaultKind::LostAnswers => target.lose_answers(0),
         _ => {}
     }
     Ok(())
@@ -202,6 +204,7 @@
         target.heal();
         target.cut_callers(false);
         target.poison(false);
+        target.lose_answers(0);
         target.set_lag(Duration::ZERO);
         target.restart().map_err(broken)?;
     }
--- a/crates/cli/src/bench/scenario.rs
+++ b/crates/cli/src/bench/scenario.rs
@@ -176,6 +176,8 @@
     Poison,
     /// The target falls behind by `delay`.
     Lag,
+    /// Commits take effect and are not answered.
+    LostAnswers,
     /// The target loses its data.
     Rebuild,
     /// The host is stopped as planned and started again when the fault ends.
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -235,6 +235,11 @@
         }
     }
 
+    /// The next `count` commits take effect, and their connections go silent before the answer.
+    pub fn lose_answers(&self, count: u64) {
+        self.inner.switches.lose_answers(count);
+    }
+
     /// Every statement fails but group functions and `SELECT 1`.
     pub fn poison(&self, poisoned: bool) {
         self.inner.switches.poisoned.store(poisoned, Ordering::SeqCst);
--- a/crates/standin/src/group/target.rs
+++ b/crates/standin/src/group/target.rs
@@ -32,6 +32,8 @@
     pub(crate) callers_cut: AtomicBool,
     /// Statements fail while probes pass.
     pub(crate) poisoned: AtomicBool,
+    /// Commits to come whose connection goes silent after the effect.
+    lost_answers: AtomicU64,
 }
 
 impl Switches {
@@ -60,6 +62,17 @@
         self.paused.store(paused, Ordering::SeqCst);
     }
 
+    /// The next `count` commits take effect and are not answered.
+    pub(crate) fn lose_answers(&self, count: u64) {
+        self.lost_answers.store(count, Ordering::SeqCst);
+    }
+
+    /// Whether the answer to this commit is lost; counts it.
+    fn loses_answer(&self) -> bool {
+        let less = |count: u64| count.checked_sub(1);
+        self.lost_answers.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok()
+    }
+
     /// Takes the target down or up.
     pub(crate) fn set_running(&self, running: bool) {
         self.stopped.store(!running, Ordering::SeqCst);
@@ -220,6 +233,9 @@
         working.control("COMMIT")?;
         let position = state.append(statements, Instant::now());
         state.set_applied(position.index);
+        if self.switches.loses_answer() {
+            control.silence();
+        }
         drop(state);
         self.changed.notify_all();
         self.inbox.wake();
