Front: what no handler takes is a problem document and says where the connection closes

Cause: a path or method without a handler was answered by the framework, bare and without `connection: close`; the framework then closes a connection whose body it has not read, which cut the kept connection's next request. The operators' listener had the same fault with every refusal before the body was read.

One middleware round both listeners now turns the framework's 404, 405 and malformed paths into problem documents with `reason` and `ran`, `allow` kept, and sets `connection: close` wherever the body is left unread. A body over its limit counts as unread by going back into the request, so the special case for `too_large` is gone.

New: what_no_handler_takes_is_a_problem_document.

--- a/crates/host/src/admin/mod.rs
+++ b/crates/host/src/admin/mod.rs
@@ -9,13 +9,14 @@
 
 use crate::error::Result;
 use crate::fleet::change;
+use crate::front::unrouted;
 use crate::shared::Host;
 use bergamotvale_core::plan as core_plan;
 use derive_more::{Display, Error, From};
 use serde_json::{Value, json};
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
@@ -141,6 +142,7 @@
         .at("/v1/plans/{id}", get(handler_service(get_plan)))
         .at("/v1/plans/{id}/confirm", post(handler_service(post_confirm)))
         .at("/v1/audit", get(handler_service(get_audit)))
+        .enclosed_fn(unrouted::settle)
         .finish();
     let mut server = HttpServer::serve(app)
         .disable_signal()
@@ -279,11 +281,13 @@
 }
 
 async fn read_body(ctx: &Context<'_>) -> std::result::Result<Vec<u8>, Fault> {
-    let mut body = pin!(std::mem::take(&mut *ctx.body_borrow_mut()));
+    let mut body = std::mem::take(&mut *ctx.body_borrow_mut());
     let mut bytes = Vec::new();
-    while let Some(chunk) = body.as_mut().data().await {
+    while let Some(chunk) = Pin::new(&mut body).data().await {
         let chunk = chunk.map_err(|_| Fault::Malformed("the body cannot be read".to_owned()))?;
         if bytes.len() + chunk.len() > MAX_BODY_BYTES {
+            // What is left of it is seen to be unread.
+            *ctx.body_borrow_mut() = body;
             return Err(Fault::Malformed(format!("body over {MAX_BODY_BYTES} bytes")));
         }
         bytes.extend_from_slice(&chunk);
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -10,6 +10,7 @@
 pub mod request;
 mod route;
 pub mod stream;
+pub mod unrouted;
 
 use crate::error::Result;
 use crate::shared::Host;
@@ -21,10 +22,10 @@
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
-use xitca_web::body::RequestBody;
+use unrouted::CLOSE;
 use xitca_web::handler::handler_service;
 use xitca_web::http::WebResponse;
-use xitca_web::http::header::{CONNECTION, HeaderValue};
+use xitca_web::http::header::CONNECTION;
 use xitca_web::route::{get, post};
 use xitca_web::{App, HttpServer, WebContext};
 
@@ -32,7 +33,6 @@
 const IDLE_SWEEP: Duration = Duration::from_millis(25);
 /// Time without a request after which a connection counts as idle while the listener stops.
 const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(500);
-const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 /// A running listener.
 pub struct Listener {
@@ -75,6 +75,7 @@
         .at("/v1/transactions/{id}/commit", post(handler_service(route::commit)))
         .at("/v1/transactions/{id}/rollback", post(handler_service(route::rollback)))
         .at("/v1/open/{route}", get(handler_service(route::open)))
+        .enclosed_fn(unrouted::settle)
         .finish();
     let mut server = HttpServer::serve(app)
         .disable_signal()
@@ -160,17 +161,14 @@
     })
 }
 
-/// The answer to a request, or its refusal; says where the connection closes after it.
+/// The answer to a request, or its refusal; a host that stops closes the connection after it.
 fn respond(ctx: &Context<'_>, answer: std::result::Result<WebResponse, Refusal>) -> WebResponse {
     let host = &ctx.state().host;
-    let is_partly_read = answer.as_ref().is_err_and(|r| r.reason == Reason::TooLarge);
     let mut response = answer.unwrap_or_else(|refusal| {
         host.metric.refusal(refusal.reason);
         problem::response(&refusal)
     });
-    // The framework closes a connection on which a body was left unread.
-    let is_unread = !matches!(&*ctx.body_borrow_mut(), RequestBody::None);
-    if host.is_stopping() || *host.leaving.borrow() || is_unread || is_partly_read {
+    if host.is_stopping() || *host.leaving.borrow() {
         response.headers_mut().insert(CONNECTION, CLOSE);
     }
     response
--- a/crates/host/src/front/problem.rs
+++ b/crates/host/src/front/problem.rs
@@ -9,7 +9,11 @@
 
 /// The answer that carries `refusal`.
 pub fn response(refusal: &Refusal) -> WebResponse {
-    let status = status(refusal.reason);
+    with_status(refusal, status(refusal.reason))
+}
+
+/// The answer that carries `refusal`, with a status code of its own.
+pub fn with_status(refusal: &Refusal, status: StatusCode) -> WebResponse {
     let document = json!({
         "type": format!("urn:bergamotvale:refusal:{}", refusal.reason),
         "title": refusal.reason.to_string(),
--- a/crates/host/src/front/request.rs
+++ b/crates/host/src/front/request.rs
@@ -10,7 +10,7 @@
 use bergamotvale_core::session::Token;
 use bergamotvale_core::statement::{Freshness, Statement};
 use bergamotvale_core::{idempotency, sql};
-use std::pin::pin;
+use std::pin::Pin;
 use std::time::Duration;
 use xitca_web::body::BodyExt;
 use xitca_web::http::HeaderMap;
@@ -131,11 +131,13 @@
 }
 
 async fn read_body(ctx: &Context<'_>, limit: usize) -> Result<Vec<u8>, Refusal> {
-    let mut body = pin!(std::mem::take(&mut *ctx.body_borrow_mut()));
+    let mut body = std::mem::take(&mut *ctx.body_borrow_mut());
     let mut bytes = Vec::new();
-    while let Some(chunk) = body.as_mut().data().await {
+    while let Some(chunk) = Pin::new(&mut body).data().await {
         let chunk = chunk.map_err(|_| malformed("body"))?;
         if bytes.len() + chunk.len() > limit {
+            // What is left of it is seen to be unread.
+            *ctx.body_borrow_mut() = body;
             return Err(Refusal::new(Reason::TooLarge, format!("body over {limit} bytes")));
         }
         bytes.extend_from_slice(&chunk);
--- a/crates/host/tests/outside.rs
+++ b/crates/host/tests/outside.rs
@@ -209,9 +209,8 @@
 async fn any_request_is_answered() {
     let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
-    // A connection each: what a kept connection sees is the next test's matter.
-    let builder = reqwest::Client::builder().pool_max_idle_per_host(0);
-    let http = builder.build().expect("a client");
+    // Connections are kept: one that the host closes has to say so before.
+    let http = reqwest::Client::new();
     let mut runner = TestRunner::deterministic();
     let call = prop::sample::select(vec![
         "services/mill/read",
@@ -242,9 +241,10 @@
         let status = answer.status().as_u16();
         let text = answer.text().await.unwrap_or_else(|e| panic!("{number}: {e}"));
         assert_ne!(status, 500, "{number}: {path} {headers:?}: {text}");
-        if status >= 400 && status != 405 && !text.is_empty() {
+        if status >= 400 {
             let problem: Value = serde_json::from_str(&text).expect("a problem document");
             assert!(problem["reason"].is_string(), "{number}: {path} {headers:?}: {text}");
+            assert!(problem["ran"].is_string(), "{number}: {path} {headers:?}: {text}");
         }
     }
 
@@ -271,9 +271,50 @@
     let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
 
-    for path in ["/nowhere", "/v1/open/stock", "/v1/services/mill/read/x"] {
-        let (answer, closed) = ask(host.address, path).await;
+    let operators = host.daemon.host.settings.listen.operators;
+    let calls = [
+        (host.address, "/nowhere"),
+        (host.address, "/v1/open/stock"),
+        (host.address, "/v1/services/mill/read/x"),
+        (host.address, "/v1/services/mill/read"),
+        (operators, "/nowhere"),
+        (operators, "/v1/status"),
+        (operators, "/v1/keys"),
+        (operators, "/v1/keys/x/withdraw"),
+    ];
+
+    for (address, path) in calls {
+        let (answer, closed) = ask(address, path).await;
         let says_so = answer.contains("connection: close");
         assert!(says_so || !closed, "{path}: closed without a word after {answer}");
     }
 }
+
+/// A path or method that nobody serves is refused like anything else.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_handler_takes_is_a_problem_document() {
+    let fixture = Fixture::new().await;
+    let host = fixture.host(1).await;
+    let operators = host.daemon.host.settings.listen.operators;
+    let cases = [
+        (host.address, "nowhere", 404, "not_found"),
+        (host.address, "open/stock", 405, "not_found"),
+        (operators, "nowhere", 404, "not_found"),
+        (operators, "status", 405, "not_found"),
+        (operators, "keys/x/withdraw", 400, "malformed"),
+    ];
+
+    for (address, path, status, reason) in cases {
+        let answer = fixture.http.post(format!("http://{address}/v1/{path}")).body("body").send();
+        let answer = answer.await.expect("an answer");
+        let headers = answer.headers().clone();
+        let seen = answer.status().as_u16();
+        let problem: Value = answer.json().await.expect("a problem document");
+
+        assert_eq!((seen, &problem["reason"]), (status, &json!(reason)), "{path}: {problem}");
+        assert_eq!(problem["ran"], json!("no"), "{path}: {problem}");
+        assert_eq!(problem["status"], json!(status), "{path}: {problem}");
+        assert_eq!(headers["content-type"], "application/problem+json", "{path}");
+        assert_eq!(headers.contains_key("allow"), status == 405, "{path}");
+    }
+}
