Results: columns without rows, exact numbers and moments, a refusal that names the column

Cause: the columns of a result came with its first row, so an empty one had none; numeric, date and timestamp columns failed with the driver's text, as did any other type.

The driver's stream does not show the target's row description where no row follows. Ruled out: preparing every statement first, which costs each one a round trip. Instead an empty result asks the target for the description, within the statement's own deadline and, for writes, inside its transaction, before the outcome is stored: a replay carries the same columns. A write without RETURNING is spared the question; an empty read costs one more round trip.

numeric, date, timestamp and timestamptz are decoded to PostgreSQL's own text (ISO, UTC). A string parameter goes untyped and so takes their type, as before. Any other type is refused as statement_failed with column and type, and the write is rolled back.

Stand-in group: declared numeric, moments, uuid, json and interval in both wire formats, as the tests need them. SQLite keeps a number of more than 15 digits only roughly, so long numbers are tested on the binary form.

--- a/crates/host/src/exec/mod.rs
+++ b/crates/host/src/exec/mod.rs
@@ -5,6 +5,7 @@
 //! connections and tell them what came back.
 
 pub mod confirm;
+pub mod exact;
 pub mod exchange;
 pub mod forward;
 pub mod outcome;
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -210,7 +210,9 @@
     let left = host.settings.limits.result;
     let mut rest = Rest { lease, stream: Box::pin(stream), deadline, left };
     match rest.next(host, STREAM_AFTER, limits.1).await {
-        Ok((rows, true)) => {
+        Ok((mut rows, true)) => {
+            let described = value::describe(rest.lease.client(), &job.statement, &mut rows);
+            exchange::until(host, limits.1, described).await?;
             rest.finish();
             Ok((answer, Served { rows, rest: None }))
         }
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -360,7 +360,7 @@
     let params = value::bind(statement);
     let rows = lease.client().query_typed_raw(&statement.sql, params);
     let limit = host.settings.limits.result;
-    let work = async { collect(rows.await?, limit).await };
+    let work = async { collect(lease.client(), statement, rows.await?, limit).await };
     exchange::run(host, lease, deadline, work).await
 }
 
--- a/crates/host/src/exec/value.rs
+++ b/crates/host/src/exec/value.rs
@@ -1,14 +1,19 @@
 //! Values between the core's plain data and the database's forms.
 
+use super::exact::Exact;
 use bergamotvale_core::statement::{Column, Rows, Statement, Value};
 use bytes::BytesMut;
 use postgres_types::{Format, FromSql, IsNull, ToSql, Type, to_sql_checked};
 use std::error::Error;
-use tokio_postgres::Row;
+use tokio_postgres::{Client, Row};
 
 /// What is wrong with a result.
 pub type Fault = Box<dyn Error + Sync + Send>;
 
+/// First words of statements that have no result unless they are `RETURNING` one.
+const PLAIN: [&str; 8] =
+    ["alter", "create", "delete", "drop", "insert", "merge", "truncate", "update"];
+
 /// A parameter; text goes untyped, so that the database infers its type from where it stands.
 #[derive(Debug)]
 pub struct Param<'a>(&'a Value);
@@ -58,15 +63,36 @@
 /// Adds a row to `rows`; the first one brings the columns.
 pub fn push(rows: &mut Rows, row: &Row) -> Result<(), Fault> {
     if rows.columns.is_empty() {
-        rows.columns = columns(row);
+        rows.columns = columns(row.columns());
     }
     let cells = (0..row.len()).map(|index| cell(row, index)).collect::<Result<_, _>>()?;
     rows.rows.push(cells);
     Ok(())
 }
 
-fn columns(row: &Row) -> Vec<Column> {
-    let columns = row.columns().iter();
+/// Gives a result without rows its columns, which the target is asked for.
+pub async fn describe(
+    client: &Client,
+    statement: &Statement,
+    rows: &mut Rows,
+) -> Result<(), tokio_postgres::Error> {
+    if !rows.columns.is_empty() || !may_return(&statement.sql) {
+        return Ok(());
+    }
+    let kinds: Vec<Type> = statement.params.iter().map(kind).collect();
+    rows.columns = columns(client.prepare_typed(&statement.sql, &kinds).await?.columns());
+    Ok(())
+}
+
+/// Whether a statement may have a result; a plain write is spared the question.
+fn may_return(sql: &str) -> bool {
+    let sql = sql.trim_start().to_ascii_lowercase();
+    let first = sql.split(|c: char| !c.is_ascii_alphabetic()).next().unwrap_or_default();
+    !PLAIN.contains(&first) || sql.contains("returning")
+}
+
+fn columns(columns: &[tokio_postgres::Column]) -> Vec<Column> {
+    let columns = columns.iter();
     columns
         .map(|c| Column { name: c.name().to_owned(), kind: c.type_().name().to_owned() })
         .collect()
@@ -85,11 +111,21 @@
         Type::JSON | Type::JSONB => {
             row.try_get::<_, Option<Json>>(index)?.map(|v| Value::Text(v.0))
         }
-        _ => row.try_get::<_, Option<String>>(index)?.map(Value::Text),
+        Type::NUMERIC | Type::DATE | Type::TIMESTAMP | Type::TIMESTAMPTZ => {
+            row.try_get::<_, Option<Exact>>(index)?.map(|v| Value::Text(v.0))
+        }
+        ref kind if <String as FromSql>::accepts(kind) => {
+            row.try_get::<_, Option<String>>(index)?.map(Value::Text)
+        }
+        ref kind => return Err(refused(row.columns()[index].name(), kind)),
     };
     Ok(value.unwrap_or(Value::Null))
 }
 
+fn refused(column: &str, kind: &Type) -> Fault {
+    format!("column {column}: the type {kind} is not answered; cast it to text").into()
+}
+
 /// JSON has no number for what is not finite.
 fn float(value: f64) -> Value {
     if value.is_finite() { Value::Float(value) } else { Value::Text(value.to_string()) }
--- a/crates/host/src/exec/write.rs
+++ b/crates/host/src/exec/write.rs
@@ -13,7 +13,7 @@
 use bergamotvale_core::log::Position;
 use bergamotvale_core::refusal::{Ran, Reason, Refusal};
 use bergamotvale_core::sqlstate::Failure;
-use bergamotvale_core::statement::Rows;
+use bergamotvale_core::statement::{Rows, Statement};
 use bergamotvale_core::write::{Action, Event, Write};
 use futures::StreamExt;
 use std::sync::Arc;
@@ -213,7 +213,7 @@
             let rows = client.query_typed_raw(&self.job.statement.sql, params);
             let (insert, rows) = futures::join!(insert, rows);
             insert?;
-            collect(rows?, limit).await
+            collect(client, &self.job.statement, rows?, limit).await
         };
         let limits = (self.write.sign_deadline(self.host.clock.now()), until);
         let both = Box::pin(async {
@@ -384,7 +384,12 @@
 }
 
 /// Reads a whole result of at most `limit` bytes.
-pub(super) async fn collect(stream: tokio_postgres::RowStream, limit: usize) -> Result<Rows, Loss> {
+pub(super) async fn collect(
+    client: &tokio_postgres::Client,
+    statement: &Statement,
+    stream: tokio_postgres::RowStream,
+    limit: usize,
+) -> Result<Rows, Loss> {
     let mut stream = std::pin::pin!(stream);
     let mut rows = Rows::default();
     let mut size = 0;
@@ -398,6 +403,7 @@
         value::push(&mut rows, &row).map_err(unusable)?;
     }
     rows.affected = stream.rows_affected().unwrap_or(0);
+    value::describe(client, statement, &mut rows).await?;
     Ok(rows)
 }
 
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -100,6 +100,11 @@
         &self.document
     }
 
+    /// The same, to be changed before there is a host.
+    pub(crate) fn document_mut(&mut self) -> &mut Document {
+        &mut self.document
+    }
+
     /// Publishes the first configuration, unless it is there.
     async fn found(&self, host: &Host) {
         let deadline = tokio::time::Instant::now() + PATIENCE;
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -9,6 +9,7 @@
 
 mod control;
 mod database;
+mod exact;
 mod executor;
 mod followers;
 mod function;
--- a/crates/standin/src/group/row.rs
+++ b/crates/standin/src/group/row.rs
@@ -4,6 +4,7 @@
 use rusqlite::types::Value;
 
 use super::database::Outcome;
+use super::exact;
 use super::sqlstate::{self, Error, Result};
 use super::statement;
 
@@ -17,11 +18,19 @@
 const INT4: Oid = 23;
 const TEXT: Oid = 25;
 const OID: Oid = 26;
+const JSON: Oid = 114;
 const FLOAT4: Oid = 700;
 const FLOAT8: Oid = 701;
 const UNKNOWN: Oid = 705;
 const BPCHAR: Oid = 1042;
 const VARCHAR: Oid = 1043;
+const DATE: Oid = 1082;
+const TIMESTAMP: Oid = 1114;
+const TIMESTAMPTZ: Oid = 1184;
+const INTERVAL: Oid = 1186;
+const NUMERIC: Oid = 1700;
+const UUID: Oid = 2950;
+const JSONB: Oid = 3802;
 
 /// Format of a value on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +54,8 @@
     Text,
     /// `bytea`.
     Bytes,
+    /// A type whose values are kept as text; its number.
+    Exact(Oid),
 }
 
 /// One column of a result.
@@ -75,6 +86,7 @@
             Kind::Bool => BOOL,
             Kind::Text => TEXT,
             Kind::Bytes => BYTEA,
+            Kind::Exact(oid) => oid,
         }
     }
 
@@ -84,12 +96,33 @@
             Kind::Integer | Kind::Float => 8,
             Kind::Bool => 1,
             Kind::Text | Kind::Bytes => -1,
+            Kind::Exact(DATE) => 4,
+            Kind::Exact(TIMESTAMP | TIMESTAMPTZ) => 8,
+            Kind::Exact(UUID | INTERVAL) => 16,
+            Kind::Exact(_) => -1,
         }
     }
 }
 
+/// Beginnings of declared types whose values are kept as text, the longer ones first.
+const EXACT: [(&str, Oid); 9] = [
+    ("numeric", NUMERIC),
+    ("timestamp with time zone", TIMESTAMPTZ),
+    ("timestamptz", TIMESTAMPTZ),
+    ("timestamp", TIMESTAMP),
+    ("date", DATE),
+    ("interval", INTERVAL),
+    ("uuid", UUID),
+    ("jsonb", JSONB),
+    ("json", JSON),
+];
+
 fn declared_kind(declared: &str) -> Option<Kind> {
     let declared = declared.to_ascii_lowercase();
+    let exact = EXACT.iter().find(|(name, _)| declared.starts_with(name));
+    if let Some((_, oid)) = exact {
+        return Some(Kind::Exact(*oid));
+    }
     let has = |part: &str| declared.contains(part);
     if has("bool") {
         Some(Kind::Bool)
@@ -243,6 +276,12 @@
         Kind::Bool => vec![u8::from(integer(value)? != 0)],
         Kind::Text => plain(value)?.into_bytes(),
         Kind::Bytes => raw(value)?,
+        Kind::Exact(NUMERIC) => exact::numeric(&plain(value)?)?,
+        Kind::Exact(DATE) => exact::date(&plain(value)?)?,
+        Kind::Exact(TIMESTAMP | TIMESTAMPTZ) => exact::timestamp(&plain(value)?)?,
+        Kind::Exact(UUID) => exact::uuid(&plain(value)?)?,
+        Kind::Exact(JSONB) => exact::jsonb(&plain(value)?),
+        Kind::Exact(_) => plain(value)?.into_bytes(),
     };
     Ok(bytes)
 }
@@ -252,7 +291,7 @@
         Kind::Integer => integer(value)?.to_string(),
         Kind::Float => float(value)?.to_string(),
         Kind::Bool => if integer(value)? != 0 { "t" } else { "f" }.to_owned(),
-        Kind::Text => plain(value)?,
+        Kind::Text | Kind::Exact(_) => plain(value)?,
         Kind::Bytes => hex_text(&raw(value)?),
     };
     Ok(text.into_bytes())
