Fault matrix: cases for the cells that were open

Cause: 22 cells said open. The runner of plans knew neither targets nor a table that fails, and the fleet's cases published withdrawals of keys only.

The runner of plan and drain cases now drives the core's handover against targets that are cut off, silent, behind or busy without end, and its table can be down, or so slow that a call arrives after its caller gave up. It also says "nothing to do" where progress is written after a plan's end; that was dropped before. The fleet's cases can drain a target and bound how long any host that acts still gives it work.

28 new cases: plan step 10, drain 12, transaction 4, stop 1, detection 1. Four cells take existing cases or searches (share move under a slow store, join under silence, the write's half of two stop cells), three a reason (write and share move while the store is down; share move under racing operators: parts follow one document).

Found by reading, not run: a stop waits 15 s by default, while a caller may state a deadline of 30 s; a write that waits longer for its confirmation would be cut without an answer. Both stop cells say so and call that part open.

--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -4,5 +4,6 @@
 mod plan;
 
 datatest_stable::harness! {
-    { test = plan::run, root = "tests/cases/drain", pattern = r"\.yaml$" },
+    { test = plan::run, root = "tests/cases/drain", pattern = r"^(?!spread_).*\.yaml$" },
+    { test = fleet::script::run, root = "tests/cases/drain", pattern = r"^spread_.*\.yaml$" },
 }
--- a/crates/core/tests/fleet/script.rs
+++ b/crates/core/tests/fleet/script.rs
@@ -1,7 +1,8 @@
 //! Runs a case: a fault at a step of a protocol, against the checkers and what the case expects.
 
 use super::{Fleet, case};
-use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::config::{Document, Edit, TargetState};
+use bergamotvale_core::id::{HostId, ServiceId, TargetId, Time};
 use bergamotvale_core::key;
 use serde::Deserialize;
 use std::path::Path;
@@ -11,6 +12,8 @@
 const START: Duration = Duration::from_secs(3);
 /// The key that cases withdraw.
 const KEY: u64 = 7;
+/// The target that cases drain.
+const TARGET: (ServiceId, TargetId) = (1, 1);
 const SEED: u64 = 11;
 
 type Case = case::Case<Given, Event, Expect>;
@@ -47,6 +50,7 @@
 #[serde(rename_all = "snake_case")]
 enum Action {
     Withdraw,
+    DrainTarget,
     CutStore,
     CutPeers,
     Heal,
@@ -68,6 +72,8 @@
     outcome: Option<Vec<String>>,
     /// Time after acceptance within which no host serves the key, ms.
     key_dead_within: Option<u64>,
+    /// Time after acceptance within which no host gives the drained target work, ms.
+    target_idle_within: Option<u64>,
     /// Time after acceptance within which the change is said to be in force everywhere, ms.
     in_force_within: Option<u64>,
     /// Time after its start within which the last host to start serves, ms.
@@ -84,6 +90,7 @@
     fleet: Fleet,
     publisher: HostId,
     key_served: Option<Time>,
+    target_used: Option<Time>,
     accepted: Option<Time>,
     in_force: Option<Time>,
     started: Option<(HostId, Time)>,
@@ -98,6 +105,7 @@
         fleet,
         publisher: 1,
         key_served: None,
+        target_used: None,
         accepted: None,
         in_force: None,
         started: None,
@@ -151,10 +159,14 @@
         let value = event.value.unwrap_or(0);
         let fleet = &mut self.fleet;
         match event.on {
-            Action::Withdraw => {
+            Action::Withdraw | Action::DrainTarget => {
                 self.publisher = host;
                 let node = fleet.nodes.get_mut(&host).expect("the publisher runs");
-                let edit = key::withdraw(node.replica.document(), KEY).expect("a key");
+                let document = node.replica.document();
+                let edit = match event.on {
+                    Action::Withdraw => key::withdraw(document, KEY).expect("a key"),
+                    _ => drain(document),
+                };
                 node.wanted.push(vec![edit]);
             }
             Action::CutStore => drop(fleet.store.cut.insert(host)),
@@ -187,6 +199,9 @@
         if self.fleet.nodes.values().any(|node| node.serves(now, KEY)) {
             self.key_served = Some(now);
         }
+        if self.fleet.nodes.values().any(|node| node.acts(now) && uses(node.replica.document())) {
+            self.target_used = Some(now);
+        }
         let live = self.fleet.nodes.values_mut().filter(|node| !node.paused);
         if live.map(|node| node.spread.in_force(now).1).max() >= Some(2) {
             self.in_force.get_or_insert(now);
@@ -212,6 +227,11 @@
         let since =
             |at: Option<Time>, start: Option<Time>| at.zip(start).map(|(a, s)| a - s.min(a));
         within("key served", since(self.key_served, self.accepted), expect.key_dead_within)?;
+        let used = since(self.target_used, self.accepted);
+        hold(expect.target_idle_within.is_none() || self.accepted.is_some(), || {
+            "not accepted".into()
+        })?;
+        within("target used", used, expect.target_idle_within)?;
         within("in force", since(self.in_force, self.accepted), expect.in_force_within)?;
         let started = self.started.map(|(_, at)| at);
         hold(expect.in_force_within.is_none() || self.in_force.is_some(), || {
@@ -238,6 +258,21 @@
     }
 }
 
+/// The edit that drains [`TARGET`].
+fn drain(document: &Document) -> Edit {
+    let (service, target) = TARGET;
+    let mut next = document.services[&service].clone();
+    next.targets.get_mut(&target).expect("a target").state = TargetState::Draining;
+    Edit::PutService(service, next)
+}
+
+/// Whether a host that acts on `document` gives [`TARGET`] work.
+fn uses(document: &Document) -> bool {
+    let (service, target) = TARGET;
+    let service = document.services.get(&service);
+    service.is_some_and(|service| service.targets[&target].state == TargetState::Active)
+}
+
 fn within(what: &str, took: Option<Duration>, limit: Option<u64>) -> Result<(), String> {
     let Some(limit) = limit.map(Duration::from_millis) else { return Ok(()) };
     hold(took.unwrap_or_default() <= limit, || format!("{what} took {took:?}"))
--- /dev/null
+++ b/crates/core/tests/plan/targets.rs
@@ -0,0 +1,100 @@
+//! Targets under a plan's promotion step: drives the core's handover against them.
+
+use bergamotvale_core::group::{Role, Status};
+use bergamotvale_core::handover::{Action, Handover, POLL};
+use bergamotvale_core::id::{TargetId, Time};
+use bergamotvale_core::log::{Position, Term};
+use serde::Deserialize;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+const TERM: Term = 1;
+/// Last index that the primary has written.
+const INDEX: u64 = 9;
+/// Time by which every handover has ended, one way or the other.
+const BOUND: Time = Duration::from_secs(3);
+
+/// How the targets answer.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Targets {
+    primary: TargetId,
+    /// Target that the primary's work goes to.
+    candidate: TargetId,
+    /// New connections to them are refused.
+    cut_off: BTreeSet<TargetId>,
+    /// They accept and never answer.
+    silent: BTreeSet<TargetId>,
+    /// Statements on the primary that never end.
+    stuck: bool,
+    /// They lack the primary's last entry.
+    behind: BTreeSet<TargetId>,
+}
+
+impl Targets {
+    /// Moves the primary off `target`, if it is there.
+    pub(crate) fn move_off(&self, target: TargetId) -> String {
+        if self.primary != target {
+            return "another target is the primary".to_owned();
+        }
+        self.promote(self.candidate)
+    }
+
+    /// Hands the primary's work over to `candidate`; says how it ended.
+    pub(crate) fn promote(&self, candidate: TargetId) -> String {
+        let mut handover = Handover::new(Time::ZERO, self.primary, TERM, candidate);
+        let mut now = Time::ZERO;
+        let mut held = false;
+        let mut due = VecDeque::new();
+        if !self.stuck {
+            due.extend(handover.drained(now));
+        }
+        while now < BOUND {
+            while let Some(action) = due.pop_front() {
+                match action {
+                    Action::Hold { time: Duration::ZERO, .. } => held = false,
+                    Action::Hold { target, .. } if self.cut_off.contains(&target) => {
+                        due.extend(handover.held(now, None));
+                    }
+                    Action::Hold { target, .. } if self.silent.contains(&target) => held = true,
+                    Action::Hold { target, .. } => {
+                        held = true;
+                        due.extend(handover.held(now, Some(self.status(target).entry)));
+                    }
+                    Action::Look { target } if !self.answers(target) => {}
+                    Action::Look { target } => {
+                        due.extend(handover.looked(now, target, &self.status(target)));
+                    }
+                    Action::Promote { candidate, term } => {
+                        return format!("promote {candidate} over term {term}");
+                    }
+                    Action::Aborted { reason } if held => return format!("{reason}, still held"),
+                    Action::Aborted { reason } => return format!("taken back: {reason}"),
+                }
+            }
+            now += POLL;
+            due.extend(handover.tick(now));
+        }
+        "never ended".to_owned()
+    }
+
+    fn answers(&self, target: TargetId) -> bool {
+        !self.cut_off.contains(&target) && !self.silent.contains(&target)
+    }
+
+    fn status(&self, target: TargetId) -> Status {
+        let index = if self.behind.contains(&target) { INDEX - 1 } else { INDEX };
+        let entry = Position::new(TERM, index);
+        let role = if target == self.primary { Role::Primary } else { Role::Replica };
+        Status {
+            role,
+            accepted_term: TERM,
+            entry,
+            applied: entry,
+            confirmed: entry,
+            age: Duration::ZERO,
+            primary: Some(self.primary),
+            term_start: 1,
+        }
+    }
+}
