Stop: its timeout covers every deadline that a caller may state

The default is 35 s, and settings whose `timeouts.stop` is below `request_ceiling` or `transaction_total` are refused with field and line (two cases; both were accepted before).

--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -174,7 +174,7 @@
     /// Taking requests all the same after the host began to leave.
     #[serde_as(as = "Span")]
     pub leave: Duration,
-    /// Finishing what runs while the host stops.
+    /// Finishing what runs while the host stops; covers any deadline, so that a stop cuts nothing.
     #[serde_as(as = "Span")]
     pub stop: Duration,
     /// Time for which the old and the new key both work during a rotation.
@@ -363,7 +363,7 @@
             transaction_total: Duration::from_secs(30),
             peer: Duration::from_millis(500),
             leave: Duration::from_secs(2),
-            stop: Duration::from_secs(15),
+            stop: Duration::from_secs(35),
             key_overlap: plan::KEY_OVERLAP,
         }
     }
@@ -506,6 +506,10 @@
     if timeouts.transaction_idle > timeouts.transaction_total {
         return field("timeouts.transaction_idle", "is above timeouts.transaction_total");
     }
+    if timeouts.stop < timeouts.request_ceiling.max(timeouts.transaction_total) {
+        let reason = "is below timeouts.request_ceiling or timeouts.transaction_total";
+        return field("timeouts.stop", reason);
+    }
     if timeouts.connect.is_zero() || timeouts.connect > timeouts.request_ceiling {
         return field("timeouts.connect", "must be above zero and within timeouts.request_ceiling");
     }
