Core: one generator, and one place where failure domains take turns

Cause: SplitMix64 stood in random::Source and again in retry::Jitter; watch and member each wrote out the same ranking in which failure domains take turns. (The weight itself had one place already: rendezvous::weight.)

Jitter is gone, its users take Source, whose sequence is the same. rendezvous::take_turns ranks for both watchers and voters. The rand crate was ruled out: its generators don't promise the same sequence over versions, and seeds stand in cases and regressions.

Ruled out: that a choice changes.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -11,9 +11,9 @@
 //! order on which each watches a fixed number of successors, so that all watchers of a host watch
 //! or hear each other; and a tree rooted in the voters along which proofs of authority travel.
 
-use crate::id::{Epoch, FailureDomainId, HostId, Incarnation, Time, Version};
+use crate::id::{Epoch, HostId, Incarnation, Time, Version};
 use crate::peer::{Heartbeat, Member};
-use crate::rendezvous::{Subject, weight};
+use crate::rendezvous::{self, Subject, weight};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -262,20 +262,14 @@
 /// Depends on nothing but the members, so that every host computes the same.
 pub fn voters(members: &BTreeMap<HostId, Member>) -> BTreeMap<HostId, Incarnation> {
     let staying = || members.values().filter(|member| !member.leaving);
-    let mut ranked: Vec<(usize, u64, &Member)> = Vec::new();
-    let mut seats: BTreeMap<FailureDomainId, usize> = BTreeMap::new();
     let mut by_weight: Vec<&Member> = staying().collect();
     if by_weight.is_empty() {
         by_weight = members.values().collect();
     }
-    by_weight.sort_by_key(|member| weight(member.host, RING));
-    for member in by_weight {
-        let seat = seats.entry(member.failure_domain).or_default();
-        ranked.push((*seat, weight(member.host, RING), member));
-        *seat += 1;
-    }
-    ranked.sort_by_key(|(seat, weight, member)| (*seat, *weight, member.host));
-    ranked.iter().take(VOTERS).map(|(_, _, m)| (m.host, m.incarnation)).collect()
+    by_weight.sort_by_key(|member| (weight(member.host, RING), member.host));
+    let ranked = by_weight.into_iter().map(|member| (member.host, member.failure_domain));
+    let chosen = rendezvous::take_turns(ranked).into_iter().take(VOTERS);
+    chosen.map(|host| (host, members[&host].incarnation)).collect()
 }
 
 /// Whether `own` is among the hosts of its failure domain that poll the store.
--- a/crates/core/src/random.rs
+++ b/crates/core/src/random.rs
@@ -7,7 +7,7 @@
 const GAMMA: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// A seeded generator.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Source {
     state: u64,
 }
--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -5,8 +5,9 @@
 
 use crate::id::{AccountId, ServiceId, TargetId, Time};
 use crate::log::Position;
+use crate::random::Source;
 use crate::refusal::{Ran, Reason, Refusal};
-use crate::retry::{self, Budgets, Jitter, Policy};
+use crate::retry::{self, Budgets, Policy};
 use crate::route::{self, Answer, Bounds, Demand, Role, Verdict};
 use crate::sqlstate::Failure;
 use std::collections::VecDeque;
@@ -20,7 +21,7 @@
     deadline: Time,
     policy: Policy,
     bounds: Bounds,
-    jitter: Jitter,
+    jitter: Source,
     queue: VecDeque<TargetId>,
     tries: u32,
     last: Option<Reason>,
@@ -74,7 +75,7 @@
             deadline,
             policy: Policy::default(),
             bounds: Bounds::default(),
-            jitter: Jitter::new(seed),
+            jitter: Source::new(seed),
             queue: VecDeque::new(),
             tries: 0,
             last: None,
@@ -195,7 +196,7 @@
     }
 
     fn wait(&mut self, now: Time) -> Action {
-        let delay = self.policy.delay(self.tries.max(1), self.jitter.draw());
+        let delay = self.policy.delay(self.tries.max(1), self.jitter.bits());
         if now + delay >= self.deadline {
             return self.expired();
         }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -2,9 +2,9 @@
 //!
 //! SipHash with fixed keys, so that builds of different versions agree.
 
-use crate::id::HostId;
+use crate::id::{FailureDomainId, HostId};
 use siphasher::sip::SipHasher13;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 
 /// What a choice of hosts is for; keeps equal ids of different kinds apart.
@@ -39,6 +39,20 @@
     ranked
 }
 
+/// The same hosts, so ordered that failure domains take turns; each keeps its own order.
+pub fn take_turns(ranked: impl IntoIterator<Item = (HostId, FailureDomainId)>) -> Vec<HostId> {
+    let mut taken: BTreeMap<FailureDomainId, usize> = BTreeMap::new();
+    let mut turns = Vec::new();
+    for (host, domain) in ranked {
+        let turn = taken.entry(domain).or_insert(0);
+        turns.push((*turn, host));
+        *turn += 1;
+    }
+    // Stable: within a turn the rank decides.
+    turns.sort_by_key(|(turn, _)| *turn);
+    turns.into_iter().map(|(_, host)| host).collect()
+}
+
 /// Pseudo-random weight of a host for `subject`; the highest is chosen first.
 pub fn weight(host: HostId, subject: Subject) -> u64 {
     let (kind, id) = subject.parts();
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -99,28 +99,6 @@
     }
 }
 
-/// A seeded source of draws.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Jitter {
-    state: u64,
-}
-
-impl Jitter {
-    /// A source that starts at `seed`.
-    pub fn new(seed: u64) -> Jitter {
-        Jitter { state: seed }
-    }
-
-    /// The next draw, by SplitMix64.
-    pub fn draw(&mut self) -> u64 {
-        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.state;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
-}
-
 impl Reason {
     /// Whether a retry takes from the budget.
     ///
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -19,13 +19,7 @@
 ) -> Vec<HostId> {
     let hosts: BTreeSet<HostId> = members.keys().copied().collect();
     let ranked = rendezvous::choose(&hosts, Subject::Watch(u64::from(service)), hosts.len());
-    let mut taken: BTreeMap<FailureDomainId, usize> = BTreeMap::new();
-    let mut turns: Vec<(usize, usize, HostId)> = Vec::new();
-    for (rank, host) in ranked.into_iter().enumerate() {
-        let turn = taken.entry(members[&host]).or_insert(0);
-        turns.push((*turn, rank, host));
-        *turn += 1;
-    }
-    turns.sort_unstable();
-    turns.into_iter().map(|(_, _, host)| host).take(count).collect()
+    let mut chosen = rendezvous::take_turns(ranked.into_iter().map(|host| (host, members[&host])));
+    chosen.truncate(count);
+    chosen
 }
--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -14,8 +14,9 @@
 use crate::idempotency::{self, Decision, Row};
 use crate::log::Position;
 use crate::progress::Point;
+use crate::random::Source;
 use crate::refusal::{Ran, Reason, Refusal};
-use crate::retry::{self, Budgets, Jitter, Policy};
+use crate::retry::{self, Budgets, Policy};
 use crate::sqlstate::Failure;
 use std::time::Duration;
 
@@ -31,7 +32,7 @@
     is_whole: bool,
     deadline: Time,
     policy: Policy,
-    jitter: Jitter,
+    jitter: Source,
     state: State,
     point: Point,
     ran: Ran,
@@ -114,7 +115,7 @@
             is_whole: true,
             deadline,
             policy: Policy::default(),
-            jitter: Jitter::new(seed),
+            jitter: Source::new(seed),
             state: State::Leasing,
             point: Point::Unsent,
             ran: Ran::No,
@@ -252,7 +253,7 @@
 
     fn confirm_later(&mut self, position: Position, now: Time) -> Action {
         self.tries += 1;
-        let at = now + self.policy.delay(self.tries, self.jitter.draw());
+        let at = now + self.policy.delay(self.tries, self.jitter.bits());
         if at >= self.deadline {
             return self.give_up(Reason::DeadlineExceeded, "not confirmed in time");
         }
@@ -388,7 +389,7 @@
     }
 
     fn later(&mut self, retry: retry::Reason, reason: Reason, now: Time) -> Action {
-        let at = now + self.policy.delay(self.tries, self.jitter.draw());
+        let at = now + self.policy.delay(self.tries, self.jitter.bits());
         self.tries += 1;
         if at >= self.deadline {
             return self.give_up(reason, "the time that the caller gave has run out");
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -6,7 +6,8 @@
 use bergamotvale_core::ack::Lag;
 use bergamotvale_core::id::{AccountId, TargetId, Time};
 use bergamotvale_core::outlier::{self, Group};
-use bergamotvale_core::retry::{Budgets, Jitter, Policy};
+use bergamotvale_core::random::Source;
+use bergamotvale_core::retry::{Budgets, Policy};
 use common::{case, position};
 use serde::Deserialize;
 use std::path::Path;
@@ -43,7 +44,7 @@
     budgets: Budgets,
     group: Group,
     lag: Lag,
-    jitter: Jitter,
+    jitter: Source,
     replicas: Vec<TargetId>,
 }
 
@@ -53,7 +54,7 @@
             budgets: Budgets::new(),
             group: Group::new(outlier::Policy::default()),
             lag: Lag::new(),
-            jitter: Jitter::new(7),
+            jitter: Source::new(7),
             replicas: given.replicas.clone(),
         }
     }
@@ -94,7 +95,7 @@
         let policy = Policy::default();
         for retry in 1..=retries {
             let step = policy.cap.min(policy.base * 2u32.pow(retry - 1));
-            let delay = policy.delay(retry, self.jitter.draw());
+            let delay = policy.delay(retry, self.jitter.bits());
             assert!(delay >= step / 2 && delay <= step, "retry {retry} after {delay:?}");
         }
         "delays hold".into()
--- a/crates/host/src/exec/state.rs
+++ b/crates/host/src/exec/state.rs
@@ -6,7 +6,8 @@
 use bergamotvale_core::id::{Incarnation, ServiceId, TargetId, Time};
 use bergamotvale_core::idempotency::Running;
 use bergamotvale_core::outlier;
-use bergamotvale_core::retry::{Budgets, Jitter};
+use bergamotvale_core::random::Source;
+use bergamotvale_core::retry::Budgets;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -21,7 +22,7 @@
     running: Mutex<Running>,
     outliers: Mutex<BTreeMap<ServiceId, outlier::Group>>,
     in_flight: Mutex<BTreeMap<Key, u32>>,
-    jitter: Mutex<Jitter>,
+    jitter: Mutex<Source>,
     keyed_writes: AtomicU64,
 }
 
@@ -50,7 +51,7 @@
             running: Mutex::default(),
             outliers: Mutex::default(),
             in_flight: Mutex::default(),
-            jitter: Mutex::new(Jitter::new(settings.policy.seed ^ u64::from(settings.host))),
+            jitter: Mutex::new(Source::new(settings.policy.seed ^ u64::from(settings.host))),
             keyed_writes: AtomicU64::new(0),
         }
     }
@@ -67,7 +68,7 @@
 
     /// A new seed.
     pub fn seed(&self) -> u64 {
-        lock(&self.jitter).draw()
+        lock(&self.jitter).bits()
     }
 
     /// Counts a write with an idempotency key; answers with their number.
