Planned promotions: a case for each fault at each step

The steps up to the fence had no cases of their own. Sixteen now: the whole course, work that does not end, a primary that dies before and after the hold, a late answer to the hold, a candidate that lags, dies or is rebuilt, an unconfirmed tail, a commit after the hold, other promotions that come first, a planner that dies, and late answers after the fence.

candidate_rebuilt failed on the code before: the machine kept the highest position that the candidate had ever told, and so took a candidate whose position had gone back for caught up (promoted at 80 ms instead of 120 ms). The promoter would still have chosen by the fenced positions, so that nothing was lost, but another target could have become primary. Now the last answer counts.

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -143,7 +143,8 @@
             return Vec::new();
         }
         if target == self.candidate {
-            self.reached = self.reached.max(status.entry);
+            // The last answer counts alone: a target that was rebuilt has gone back.
+            self.reached = status.entry;
         }
         if target == self.primary {
             if !status.leads() || status.entry.term != self.term {
--- /dev/null
+++ b/crates/core/tests/handover.rs
@@ -0,0 +1,103 @@
+//! Cases of planned promotions, up to the fence: each fault at each step.
+
+#[allow(dead_code, reason = "not every test uses all of it")]
+mod common;
+
+use bergamotvale_core::group::{Role, Status};
+use bergamotvale_core::handover::{Action, Handover};
+use bergamotvale_core::id::{TargetId, Time};
+use bergamotvale_core::log::{Position, Term};
+use common::{case, position};
+use serde::Deserialize;
+use std::path::Path;
+use std::time::Duration;
+
+const PRIMARY: TargetId = 0;
+const CANDIDATE: TargetId = 1;
+const TERM: Term = 1;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    #[serde(rename = "fault")]
+    _fault: String,
+    #[serde(rename = "step")]
+    _step: String,
+    events: Vec<Happening>,
+    expect: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Happening {
+    at: u64,
+    on: String,
+    target: Option<TargetId>,
+    #[serde(default)]
+    leads: bool,
+    entry: Option<String>,
+    confirmed: Option<String>,
+}
+
+fn status(happening: &Happening) -> Status {
+    let place = |text: &Option<String>| text.as_deref().map(position);
+    let entry = place(&happening.entry).expect("a status has an entry");
+    Status {
+        role: if happening.leads { Role::Primary } else { Role::Replica },
+        accepted_term: entry.term,
+        entry,
+        applied: entry,
+        confirmed: place(&happening.confirmed).unwrap_or(Position::default()),
+        age: Duration::ZERO,
+        primary: None,
+        term_start: 0,
+    }
+}
+
+fn apply(handover: &mut Handover, happening: &Happening) -> Vec<Action> {
+    let now: Time = Duration::from_millis(happening.at);
+    match happening.on.as_str() {
+        "drained" => handover.drained(now),
+        "held" => handover.held(now, happening.entry.as_deref().map(position)),
+        "looked" => {
+            let target = happening.target.expect("somebody was asked");
+            handover.looked(now, target, &status(happening))
+        }
+        "tick" => handover.tick(now),
+        "restart" => {
+            *handover = Handover::new(now, PRIMARY, TERM, CANDIDATE);
+            Vec::new()
+        }
+        other => panic!("unknown event {other}"),
+    }
+}
+
+fn line(at: u64, action: &Action) -> String {
+    match action {
+        Action::Hold { target, time } if time.is_zero() => format!("{at}: release {target}"),
+        Action::Hold { target, time } => {
+            format!("{at}: hold {target} for {} ms", time.as_millis())
+        }
+        Action::Look { target } => format!("{at}: look {target}"),
+        Action::Promote { candidate, term } => format!("{at}: promote {candidate} over {term}"),
+        Action::Aborted { reason } => format!("{at}: aborted {reason}"),
+    }
+}
+
+fn run(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = case(path)?;
+    let mut handover = Handover::new(Duration::ZERO, PRIMARY, TERM, CANDIDATE);
+
+    let mut lines = Vec::new();
+    for event in &case.events {
+        let actions = apply(&mut handover, event);
+        lines.extend(actions.iter().map(|action| line(event.at, action)));
+    }
+
+    assert_eq!(lines, case.expect);
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/cases/handover", pattern = r"\.yaml$" },
+}
