bench: a cost point has a deadline, and one that fails leaves the others

The cost scenario was stopped at its point of 16 hosts and brought no report. A point now has deadlines for the fleet's start, the window's changes and its end; one that fails is reported with its reason and counts as not kept, and the lines are fitted through the others. At most 64 hosts in one process, 256 before. Each point counts the bytes of the loopback interface, less what it carried just before, which stands beside it.

Ruled out: counting in the peers' calls, since the platform's and the targets' traffic would be missing; the process's own I/O counters, since they leave out what goes through recv and send.

No figures yet: the scenario has still to be run with this.

--- a/crates/cli/src/bench/cost/mod.rs
+++ b/crates/cli/src/bench/cost/mod.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 
 /// Most hosts in one process.
-const MAX_HOSTS: usize = 256;
+const MAX_HOSTS: usize = 64;
 /// Most idle connections.
 const MAX_CONNECTIONS: usize = 8_000;
 
@@ -144,7 +144,7 @@
         None => {
             let statement = statement::measure(&scenario).await?;
             let connection = connection::measure(&scenario).await?;
-            let control = control::measure(&scenario).await?;
+            let control = control::measure(&scenario).await;
             Report::new(&scenario, statement, Some(connection), control)
         }
     };
@@ -169,7 +169,11 @@
             scenario: scenario.name.clone(),
             profile: if cfg!(debug_assertions) { "debug" } else { "release" },
             commit: crate::bench::report::commit(std::path::Path::new(".")),
-            broken: broken(&scenario.goals, &statement, connection.as_ref()),
+            broken: [
+                broken(&scenario.goals, &statement, connection.as_ref()),
+                control::unmeasured(&control),
+            ]
+            .concat(),
             statement,
             connection,
             control,
--- a/crates/cli/src/bench/cost/process.rs
+++ b/crates/cli/src/bench/cost/process.rs
@@ -66,3 +66,11 @@
     let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
     kib.map(|kib| kib * 1024).ok_or_else(|| std::io::Error::other("no VmRSS"))
 }
+
+/// Bytes that the loopback interface has carried, headers included, by whichever process.
+pub fn loopback_bytes() -> std::io::Result<u64> {
+    let devices = std::fs::read_to_string("/proc/self/net/dev")?;
+    let line = devices.lines().find_map(|line| line.trim_start().strip_prefix("lo:"));
+    let bytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    bytes.ok_or_else(|| std::io::Error::other("no loopback interface"))
+}
--- a/crates/cli/tests/cost.rs
+++ b/crates/cli/tests/cost.rs
@@ -1,7 +1,9 @@
 //! Cost: lines through points, goals, and the scenario that is shipped.
 
 use bergamotvale_cli::bench::cost::slope::{self, Line};
-use bergamotvale_cli::bench::cost::{self, Goals, Scenario, connection, process, statement};
+use bergamotvale_cli::bench::cost::{
+    self, Goals, Scenario, connection, control, process, statement,
+};
 use bergamotvale_cli::bench::measure;
 use std::time::Duration;
 
@@ -31,6 +33,41 @@
     connection::Cost { points: Vec::new(), bytes }
 }
 
+fn point(at: usize, cpu: f64) -> control::Point {
+    control::Point { at, cpu, resident: 0.0, platform_calls: 0.0, bytes: 0.0, background: 0.0 }
+}
+
+#[test]
+fn failed_point_is_named_and_the_rest_is_fitted() {
+    let failed = vec![control::Failure { at: 16, reason: "too late".to_owned() }];
+
+    let line = control::fit("hosts", vec![point(4, 10.0), point(8, 18.0)], failed);
+
+    assert_eq!(line.cpu, Line { base: 2.0, slope: 2.0 });
+    assert_eq!(control::unmeasured(&[line]), ["16 hosts: too late"]);
+}
+
+#[test]
+fn more_hosts_than_one_process_carries_are_refused() {
+    let text = SHIPPED.replace("32, 64]", "32, 65]");
+
+    let error = Scenario::parse(&text).expect_err("too many hosts");
+
+    assert!(error.contains("control.hosts"), "{error}");
+}
+
+#[test]
+fn loopback_traffic_is_counted() {
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let before = process::loopback_bytes().expect("an interface");
+
+    let address = socket.local_addr().expect("an address");
+    let sent = socket.send_to(&[0; 1_000], address).expect("room for a packet");
+
+    let carried = process::loopback_bytes().expect("an interface") - before;
+    assert!(carried >= sent as u64, "{carried}");
+}
+
 #[test]
 fn line_through_points() {
     let line = slope::fit(&[(0.0, 5.0), (1.0, 7.0), (4.0, 13.0)]);
