bench: what is not served well by cause and phase; plots with marked axes and faults

A refusal inside a failover gap and one in steady state were the same number, so that a bound of none in steady state could not be judged. Each wrongful refusal, late answer and missing answer now counts under steady state, a gap of its own service, or the 2 s after a gap or another fault, and each account states its share in steady state apart. A fault that takes no primary away has no gap: what comes more than 2 s after it began is steady state, which is the stricter reading.

The page: latency on a scale of tens against shares named in percent, where it was linear with marks at 0.8 and 1.6 nines; faults as upright lines over time; six legends fit.

--- a/crates/cli/src/bench/admission.rs
+++ b/crates/cli/src/bench/admission.rs
@@ -6,6 +6,7 @@
 //! limiter: one bucket over all hosts, charged with what was really let through.
 
 use crate::bench::history::{AccountIndex, Attempt, History, Kind, Op, Outcome, Step, Verdict};
+use crate::bench::phase::{Count, Phase, Phases};
 use bergamotvale_core::refusal::{Ran, Reason};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -33,12 +34,13 @@
     ops.flat_map(|op| {
         let paid = |attempt: &&Attempt| matches!(attempt.step, Step::Whole | Step::Begin);
         let attempts = op.attempts.iter().filter(paid).enumerate();
-        attempts.map(|(place, attempt)| Charge { attempt, is_first: place == 0 })
+        attempts.map(move |(place, attempt)| Charge { op, attempt, is_first: place == 0 })
     })
 }
 
 /// A request that the account's rate pays for.
 struct Charge<'a> {
+    op: &'a Op,
     attempt: &'a Attempt,
     /// Whether it is its operation's first, not a repeat.
     is_first: bool,
@@ -165,31 +167,35 @@
     pub offered: u64,
     /// Operations that the ideal limiter would have let through, had it decided alone.
     pub within: u64,
+    /// Of those, the ones in steady state.
+    pub within_steady: u64,
     /// Refusals of requests for which there was a token, or which may have run, by reason.
-    pub wrongful: BTreeMap<Reason, u64>,
+    pub wrongful: BTreeMap<Reason, Count>,
     /// Requests without a whole answer or a known reason.
-    pub failed: u64,
+    pub failed: Count,
 }
 
 /// Plays the ideal limiter over the requests of an account.
-pub fn wrongful(history: &History, account: AccountIndex) -> Account {
+pub fn wrongful(history: &History, phases: &Phases, account: AccountIndex) -> Account {
     let known = &history.accounts[account];
     let mut charges: Vec<_> = charged(history, account).collect();
     charges.sort_by_key(|charge| charge.attempt.sent);
     let mut alone = Bucket::new(known.rate, known.burst);
     let mut real = Bucket::new(known.rate, known.burst);
     let mut found = Account::default();
-    for Charge { attempt, is_first } in charges {
-        let is_within = alone.take(attempt.sent);
+    for Charge { op, attempt, is_first } in charges {
+        let phase = phases.of(op, attempt);
+        let is_within = alone.take(attempt.sent) && is_first;
         found.offered += u64::from(is_first);
-        found.within += u64::from(is_first && is_within);
-        found.judge(attempt, &mut real);
+        found.within += u64::from(is_within);
+        found.within_steady += u64::from(is_within && phase == Phase::Steady);
+        found.judge(attempt, phase, &mut real);
     }
     found
 }
 
 impl Account {
-    fn judge(&mut self, attempt: &Attempt, bucket: &mut Bucket) {
+    fn judge(&mut self, attempt: &Attempt, phase: Phase, bucket: &mut Bucket) {
         if attempt.verdict() != Verdict::NotRun {
             bucket.charge(attempt.sent);
         }
@@ -197,14 +203,14 @@
             Outcome::Done { .. } => {}
             Outcome::Refused { reason: Some(reason), ran: Ran::No } => {
                 if bucket.take(attempt.sent) {
-                    *self.wrongful.entry(reason).or_default() += 1;
+                    self.wrongful.entry(reason).or_default().add(phase);
                 }
             }
             Outcome::Refused { reason: Some(reason), .. } => {
-                *self.wrongful.entry(reason).or_default() += 1;
+                self.wrongful.entry(reason).or_default().add(phase);
             }
             Outcome::Refused { reason: None, .. } | Outcome::Cut | Outcome::Unsent => {
-                self.failed += 1;
+                self.failed.add(phase);
             }
         }
     }
--- a/crates/cli/src/bench/html.rs
+++ b/crates/cli/src/bench/html.rs
@@ -1,7 +1,7 @@
 //! The report as one HTML page that needs nothing else: styles and plots are inline.
 
 use crate::bench::measure::Measures;
-use crate::bench::plot::{self, Series};
+use crate::bench::plot::{self, Axis, Series};
 use crate::bench::report::{self, Report, Run};
 use std::fmt::Write;
 
@@ -55,7 +55,10 @@
         series("refused over rate", |point| point.over_rate),
         series("refused otherwise", |point| point.refused),
     ];
-    plot::lines("Operations per quarter second", "s", "operations", &lines)
+    let values = lines.iter().flat_map(|line| &line.points).map(|point| point.1);
+    let x = Axis::even("time since the start, s", points.iter().map(|point| point.at_s));
+    let y = Axis::even("operations", values);
+    plot::lines("Operations per quarter second, with the faults", &x, &y, &lines, &measures.faults)
 }
 
 fn latency(measures: &Measures) -> String {
@@ -64,10 +67,20 @@
         .iter()
         .map(|(kind, latency)| Series {
             name: kind.to_string(),
-            points: latency.curve.iter().map(|(share, millis)| (nines(*share), *millis)).collect(),
+            points: latency.curve.iter().map(|(share, ms)| (nines(*share), tens(*ms))).collect(),
         })
         .collect();
-    plot::lines("Latency from the due time", "nines of the operations", "ms", &curves)
+    let x = Axis::marked(
+        "share of the operations below",
+        &["0 %", "90 %", "99 %", "99.9 %", "99.99 %"],
+    );
+    let y = Axis::marked("ms, by tens", &["0.1", "1", "10", "100", "1,000", "10,000"]);
+    plot::lines("Latency from the due time", &x, &y, &curves, &[])
+}
+
+/// 0.1 ms is 0, 1 ms is 1, 10 ms is 2 and so on, up to the last mark.
+fn tens(millis: f64) -> f64 {
+    (millis.max(0.1).log10() + 1.0).min(5.0)
 }
 
 /// 0.9 is 1, 0.99 is 2 and so on, so that the tail takes its room.
--- a/crates/cli/src/bench/measure.rs
+++ b/crates/cli/src/bench/measure.rs
@@ -5,6 +5,7 @@
 use crate::bench::history::{
     AccountIndex, Fault, History, Kind, Op, Outcome, ServiceIndex, Verdict,
 };
+use crate::bench::phase::{self, Count, Phases};
 use bergamotvale_core::refusal::Reason;
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -18,6 +19,14 @@
 /// Width of a point of the time line.
 const TIMELINE_STEP: Duration = Duration::from_millis(250);
 
+/// Why a request was not served well: a refusal's reason, [`LATE`] or [`NO_ANSWER`].
+pub type Cause = String;
+
+/// Answered, but not on time.
+pub const LATE: &str = "late";
+/// Without a whole answer or a known reason.
+pub const NO_ANSWER: &str = "no_answer";
+
 /// Everything that is reported about one run.
 #[derive(Debug, Clone, Serialize)]
 pub struct Measures {
@@ -33,6 +42,8 @@
     pub accounts: Vec<Account>,
     /// Refusals of requests within their account's rate, by reason.
     pub wrongful: BTreeMap<Reason, u64>,
+    /// Requests within the rate that were not served well, by cause and phase.
+    pub missed: BTreeMap<Cause, Count>,
     /// Requests without a whole answer or a known reason.
     pub failed: u64,
     /// Writes of unknown outcome.
@@ -43,6 +54,8 @@
     pub findings: Findings,
     /// Operations over time.
     pub timeline: Vec<Point>,
+    /// Faults with the time at which they began, s.
+    pub faults: Vec<(f64, String)>,
 }
 
 /// Time without a good write round a fault.
@@ -68,6 +81,8 @@
     pub good: u64,
     /// Share of the requests within the rate that were answered correctly and on time.
     pub share: f64,
+    /// Share of those in steady state that were neither refused wrongfully nor late or unanswered.
+    pub steady_share: f64,
     /// Most requests above rate and burst in any window.
     pub excess: f64,
     /// Refusals within the rate.
@@ -114,21 +129,26 @@
 /// Measures `history`; an answer is on time within `on_time` of the moment at which it was due.
 pub fn measure(history: &History, on_time: Duration) -> Measures {
     let findings = check::check(history);
+    let phases = Phases::new(history);
+    let indexes = 0..history.accounts.len();
     let admissions: Vec<_> =
-        (0..history.accounts.len()).map(|account| admission::wrongful(history, account)).collect();
+        indexes.clone().map(|account| admission::wrongful(history, &phases, account)).collect();
+    let late: Vec<_> = indexes.map(|account| late(history, &phases, account, on_time)).collect();
     let writes = history.ops.iter().filter(|op| op.kind.writes());
     Measures {
         offered: history.ops.len() as u64,
         answered: count(&history.ops, |op| op.verdict() == Verdict::Acknowledged),
         replica_share: replica_share(history),
         gaps: gaps(history),
-        accounts: accounts(history, &findings, &admissions, on_time),
-        wrongful: merge(admissions.iter().map(|account| &account.wrongful)),
-        failed: admissions.iter().map(|account| account.failed).sum(),
+        accounts: accounts(history, &findings, &admissions, &late, on_time),
+        wrongful: wrongful(&admissions),
+        missed: missed(&admissions, &late),
+        failed: admissions.iter().map(|account| account.failed.total()).sum(),
         unknown: writes.filter(|op| op.verdict() == Verdict::Unknown).count() as u64,
         latency: latencies(history),
         findings,
         timeline: timeline(history),
+        faults: history.faults.iter().map(|f| (f.begun.as_secs_f64(), f.name.clone())).collect(),
     }
 }
 
@@ -136,14 +156,39 @@
     ops.iter().filter(|op| holds(op)).count() as u64
 }
 
-fn merge<'a>(maps: impl Iterator<Item = &'a BTreeMap<Reason, u64>>) -> BTreeMap<Reason, u64> {
+fn wrongful(admissions: &[admission::Account]) -> BTreeMap<Reason, u64> {
     let mut sum = BTreeMap::new();
-    for (reason, count) in maps.flatten() {
-        *sum.entry(*reason).or_default() += count;
+    for (reason, count) in admissions.iter().flat_map(|account| &account.wrongful) {
+        *sum.entry(*reason).or_default() += count.total();
     }
     sum
 }
 
+fn missed(admissions: &[admission::Account], late: &[Count]) -> BTreeMap<Cause, Count> {
+    let refused = admissions.iter().flat_map(|account| &account.wrongful);
+    let refused = refused.map(|(reason, count)| (reason.to_string(), *count));
+    let late = late.iter().map(|count| (LATE.to_owned(), *count));
+    let failed = admissions.iter().map(|account| (NO_ANSWER.to_owned(), account.failed));
+    let mut sum = BTreeMap::<Cause, Count>::new();
+    for (cause, count) in refused.chain(late).chain(failed).filter(|(_, c)| c.total() > 0) {
+        sum.entry(cause).or_default().merge(count);
+    }
+    sum
+}
+
+/// Answers of an account that were not on time.
+fn late(history: &History, phases: &Phases, account: AccountIndex, on_time: Duration) -> Count {
+    let ops = history.ops.iter().filter(|op| op.account == account && op.kind != Kind::Foreign);
+    let answered = ops.filter(|op| op.verdict() == Verdict::Acknowledged);
+    let is_late = |op: &&Op| op.latency().is_some_and(|latency| latency > on_time);
+    let mut count = Count::default();
+    for op in answered.filter(is_late) {
+        let ended = op.settled().map_or(op.scheduled, |attempt| attempt.ended);
+        count.add(phases.at(op.service, op.scheduled, ended));
+    }
+    count
+}
+
 /// Share of answered reads that a replica served; 0 without answered reads.
 pub fn replica_share(history: &History) -> f64 {
     let reads = history.ops.iter().filter(|op| op.kind.reads());
@@ -178,7 +223,7 @@
         ops.filter(|op| op.verdict() == Verdict::Acknowledged).filter_map(Op::settled)
     };
     let before = good().map(|attempt| attempt.ended).filter(|ended| *ended <= fault.begun).max();
-    let after = good().filter(|attempt| attempt.sent >= fault.done).map(|a| a.ended).min();
+    let after = phase::first_good(history, fault, service);
     Some(after?.saturating_sub(before.unwrap_or(fault.begun)))
 }
 
@@ -194,17 +239,32 @@
     history: &History,
     findings: &Findings,
     admissions: &[admission::Account],
+    late: &[Count],
     on_time: Duration,
 ) -> Vec<Account> {
     let mut accounts: Vec<_> = admissions
         .iter()
+        .zip(late)
         .enumerate()
-        .map(|(index, admission)| account(history, findings, admission, index, on_time))
+        .map(|(index, (admission, late))| {
+            let steady_share = steady_share(admission, *late);
+            let known = account(history, findings, admission, index, on_time);
+            Account { steady_share, ..known }
+        })
         .collect();
     accounts.sort_by(|a, b| a.share.total_cmp(&b.share));
     accounts
 }
 
+fn steady_share(admission: &admission::Account, late: Count) -> f64 {
+    let refused: u64 = admission.wrongful.values().map(|count| count.steady).sum();
+    let missed = refused + late.steady + admission.failed.steady;
+    match admission.within_steady {
+        0 => 1.0,
+        within => within.saturating_sub(missed) as f64 / within as f64,
+    }
+}
+
 fn account(
     history: &History,
     findings: &Findings,
@@ -225,8 +285,9 @@
         within,
         good,
         share,
+        steady_share: 1.0,
         excess: admission::excess(&spans, known.rate, known.burst),
-        wrongful: admission.wrongful.values().sum(),
+        wrongful: admission.wrongful.values().map(|count| count.total()).sum(),
         p99_ms: latency(answered).p99_ms,
     }
 }
--- a/crates/cli/src/bench/mod.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -14,6 +14,7 @@
 pub mod html;
 pub mod load;
 pub mod measure;
+pub mod phase;
 pub mod plot;
 pub mod progress;
 pub mod remains;
--- a/crates/cli/src/bench/plot.rs
+++ b/crates/cli/src/bench/plot.rs
@@ -8,9 +8,11 @@
 const LEFT: f64 = 60.0;
 const BOTTOM: f64 = 40.0;
 const TOP: f64 = 46.0;
-const RIGHT: f64 = 16.0;
+const RIGHT: f64 = 30.0;
 /// Marks on an axis.
 const TICKS: u32 = 5;
+/// Rows for the names of upright lines.
+const NAME_ROWS: usize = 4;
 const BAR_HEIGHT: f64 = 22.0;
 const BAR_LEFT: f64 = 140.0;
 const COLOURS: [&str; 6] = ["#1f6f8b", "#b5532a", "#5a7d2a", "#7a4b94", "#8a6d1d", "#444444"];
@@ -24,19 +26,47 @@
     pub points: Vec<(f64, f64)>,
 }
 
-/// A plot of lines from zero on both axes.
-pub fn lines(title: &str, x_name: &str, y_name: &str, series: &[Series]) -> String {
-    let points = || series.iter().flat_map(|series| &series.points);
-    let x_max = ceiling(points().map(|point| point.0));
-    let y_max = ceiling(points().map(|point| point.1));
+/// An axis that starts at zero.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Axis {
+    /// What it shows, with its unit.
+    pub name: String,
+    /// Marks with their text, in order; the last ends the axis.
+    pub marks: Vec<(f64, String)>,
+}
+
+impl Axis {
+    /// An axis with even marks up to the highest of `values`.
+    pub fn even(name: &str, values: impl Iterator<Item = f64>) -> Axis {
+        let max = ceiling(values);
+        let place = |tick: u32| max * f64::from(tick) / f64::from(TICKS);
+        let marks = (0..=TICKS).map(|tick| (place(tick), short(place(tick)))).collect();
+        Axis { name: name.to_owned(), marks }
+    }
+
+    /// An axis with one mark after the other, from 0.
+    pub fn marked(name: &str, marks: &[&str]) -> Axis {
+        let marks = marks.iter().enumerate();
+        let marks = marks.map(|(place, text)| (place as f64, (*text).to_owned())).collect();
+        Axis { name: name.to_owned(), marks }
+    }
+
+    fn max(&self) -> f64 {
+        self.marks.last().map_or(1.0, |mark| mark.0)
+    }
+}
+
+/// A plot of lines, with upright lines at named places of x.
+pub fn lines(title: &str, x: &Axis, y: &Axis, series: &[Series], at: &[(f64, String)]) -> String {
     let mut out = open(title, HEIGHT);
-    axes(&mut out, (x_name, x_max), (y_name, y_max));
+    axes(&mut out, x, y);
+    uprights(&mut out, x, at);
     for (place, series) in series.iter().enumerate() {
         let colour = COLOURS[place % COLOURS.len()];
         let path: Vec<_> = series
             .points
             .iter()
-            .map(|(x, y)| format!("{:.1},{:.1}", across(*x, x_max), down(*y, y_max)))
+            .map(|point| format!("{:.1},{:.1}", across(point.0, x.max()), down(point.1, y.max())))
             .collect();
         let path = path.join(" ");
         let _ = writeln!(
@@ -49,6 +79,23 @@
     out
 }
 
+/// Names stand one below the other, so that those of close places can be read.
+fn uprights(out: &mut String, axis: &Axis, at: &[(f64, String)]) {
+    for (place, (value, name)) in at.iter().enumerate() {
+        let x = across(value.min(axis.max()), axis.max());
+        let y = TOP + 12.0 + 12.0 * (place % NAME_ROWS) as f64;
+        let _ = writeln!(
+            out,
+            "<line x1=\"{x:.1}\" x2=\"{x:.1}\" y1=\"{TOP}\" y2=\"{:.1}\" stroke=\"#999\" \
+             stroke-dasharray=\"3 3\"/><text x=\"{:.1}\" y=\"{y:.1}\" font-size=\"10\" \
+             fill=\"#666\">{}</text>",
+            HEIGHT - BOTTOM,
+            x + 3.0,
+            escape(name)
+        );
+    }
+}
+
 /// Horizontal bars of shares from 0 to 1.
 pub fn bars(title: &str, bars: &[(String, f64)]) -> String {
     let height = TOP + BAR_HEIGHT * bars.len() as f64 + RIGHT;
@@ -84,36 +131,41 @@
     )
 }
 
-fn axes(out: &mut String, (x_name, x_max): (&str, f64), (y_name, y_max): (&str, f64)) {
+fn axes(out: &mut String, x_axis: &Axis, y_axis: &Axis) {
     let (floor, end) = (HEIGHT - BOTTOM, WIDTH - RIGHT);
-    for tick in 0..=TICKS {
-        let share = f64::from(tick) / f64::from(TICKS);
-        let (x, y) = (across(share, 1.0), down(share, 1.0));
+    for (value, text) in &y_axis.marks {
+        let y = down(*value, y_axis.max());
         let _ = writeln!(
             out,
             "<line x1=\"{LEFT}\" x2=\"{end}\" y1=\"{y:.1}\" y2=\"{y:.1}\" stroke=\"#ddd\"/>\
-             <text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>\
-             <text x=\"{x:.1}\" y=\"{:.1}\" text-anchor=\"middle\">{}</text>",
+             <text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>",
             LEFT - 6.0,
             y + 4.0,
-            short(share * y_max),
+            escape(text)
+        );
+    }
+    for (value, text) in &x_axis.marks {
+        let _ = writeln!(
+            out,
+            "<text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"middle\">{}</text>",
+            across(*value, x_axis.max()),
             floor + 16.0,
-            short(share * x_max)
+            escape(text)
         );
     }
     let _ = writeln!(
         out,
         "<text x=\"{end}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>\
-         <text x=\"{LEFT}\" y=\"{:.1}\">{}</text>",
+         <text x=\"0\" y=\"{:.1}\">{}</text>",
         floor + 34.0,
-        escape(x_name),
+        escape(&x_axis.name),
         TOP - 8.0,
-        escape(y_name)
+        escape(&y_axis.name)
     );
 }
 
 fn legend(out: &mut String, place: usize, colour: &str, name: &str) {
-    let x = LEFT + 90.0 + 150.0 * place as f64;
+    let x = LEFT + 100.0 + 125.0 * place as f64;
     let y = TOP - 12.0;
     let _ = writeln!(
         out,
--- a/crates/cli/src/bench/report.rs
+++ b/crates/cli/src/bench/report.rs
@@ -1,10 +1,10 @@
 //! The report of a bench: the three measures first, the worst-served account on top.
 
 use crate::bench::measure::{self, Measures};
+use crate::bench::phase::Count;
 use crate::bench::scenario::{Goals, Scenario};
 use crate::bench::variant::Variant;
 use crate::output::table;
-use bergamotvale_core::refusal::Reason;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -139,8 +139,8 @@
     out.push_str(&gaps(measures));
     out.push_str("\nAccounts, worst served first:\n");
     out.push_str(&accounts(measures));
-    out.push_str("\nRefused although within the rate:\n");
-    out.push_str(&wrongful(&measures.wrongful, measures.failed));
+    out.push_str("\nWithin the rate and not served well, by cause and phase:\n");
+    out.push_str(&missed(&measures.missed));
     out.push_str("\nLatency from the due time, ms:\n");
     out.push_str(&latency(measures));
     let _ = writeln!(out, "\nWrites of unknown outcome: {}", measures.unknown);
@@ -179,6 +179,7 @@
             vec![
                 account.name.clone(),
                 format!("{:.2} %", account.share * 100.0),
+                format!("{:.2} %", account.steady_share * 100.0),
                 account.offered.to_string(),
                 account.within.to_string(),
                 account.good.to_string(),
@@ -188,18 +189,32 @@
             ]
         })
         .collect();
-    let header =
-        ["ACCOUNT", "SERVED", "OFFERED", "WITHIN", "GOOD", "WRONGFUL", "ABOVE RATE", "P99 MS"];
+    let header = [
+        "ACCOUNT",
+        "SERVED",
+        "STEADY",
+        "OFFERED",
+        "WITHIN",
+        "GOOD",
+        "WRONGFUL",
+        "ABOVE RATE",
+        "P99 MS",
+    ];
     table(&header, &rows)
 }
 
-fn wrongful(reasons: &BTreeMap<Reason, u64>, failed: u64) -> String {
-    let mut out = String::new();
-    for (reason, count) in reasons {
-        let _ = writeln!(out, "  {count:>6}  {reason}");
-    }
-    let _ = writeln!(out, "  {failed:>6}  without a whole answer or a known reason");
-    out
+fn missed(causes: &BTreeMap<measure::Cause, Count>) -> String {
+    let row = |name: &str, count: Count| {
+        let numbers = [count.steady, count.gap, count.after, count.total()];
+        let mut row = vec![name.to_owned()];
+        row.extend(numbers.map(|number| number.to_string()));
+        row
+    };
+    let mut sum = Count::default();
+    causes.values().for_each(|count| sum.merge(*count));
+    let mut rows: Vec<_> = causes.iter().map(|(cause, count)| row(cause, *count)).collect();
+    rows.push(row("all", sum));
+    table(&["CAUSE", "STEADY", "GAP", "AFTER", "ALL"], &rows)
 }
 
 fn latency(measures: &Measures) -> String {
--- a/crates/cli/tests/histories.rs
+++ b/crates/cli/tests/histories.rs
@@ -4,6 +4,7 @@
 
 use bergamotvale_cli::bench::check::{self, Findings};
 use bergamotvale_cli::bench::history::History;
+use bergamotvale_cli::bench::phase::Count;
 use bergamotvale_cli::bench::{admission, measure};
 use bergamotvale_core::refusal::Reason;
 use serde::Deserialize;
@@ -25,6 +26,10 @@
     /// Wrongful refusals by reason.
     #[serde(default)]
     wrongful: BTreeMap<Reason, u64>,
+    /// Requests not served well, by cause and phase.
+    missed: Option<BTreeMap<measure::Cause, Count>>,
+    /// Steady share of the worst-served account.
+    steady_share: Option<f64>,
     /// Failover gaps, ms.
     #[serde(default)]
     gaps: Vec<Option<f64>>,
@@ -47,6 +52,12 @@
     assert_eq!(measures.wrongful, case.wrongful);
     let gaps: Vec<_> = measures.gaps.iter().map(|gap| gap.gap_ms).collect();
     assert_eq!(gaps, case.gaps);
+    if let Some(missed) = case.missed {
+        assert_eq!(measures.missed, missed);
+    }
+    if let Some(share) = case.steady_share {
+        assert_eq!(measures.accounts[0].steady_share, share);
+    }
     if let Some(shares) = case.shares {
         let seen: Vec<_> = measures.accounts.iter().map(|a| (a.name.clone(), a.share)).collect();
         assert_eq!(seen, shares);
