Planned promotions: the drain misses no request, and the hold lasts until the new primary is known

Three ways past the drain, found by reading: the planner dropped its hold when the promoter was done, before its own probes had shown it the new primary, and its peers with it, so that all went back to the old primary, which was about to drop its connections; a request could pass the look at the hold and enter the pool after the host had said that it used nothing; requests that waited for a connection did not count as use, and a peer that said 0 once counted as drained for ever.

Now the planner holds on until its own opinion names a working primary of a higher term; the hold is asked under the pool's lock; waiting requests count; a peer that uses the primary again is not drained. A host that waits for another's plan answers busy to a plan of its own. A hold starts only from a planner that holds nothing against the primary, since it may mean one that it does not know. The planner gives the promoter's answer 100 ms to come in before it reports another outcome.

--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -67,7 +67,7 @@
     /// The host whose planned promotion of the group this host waits for, sending the primary
     /// nothing new.
     pub hold: Option<HostId>,
-    /// Connections to the primary that this host still uses meanwhile.
+    /// Requests of this host that still use the primary meanwhile, or wait to.
     pub busy: u32,
 }
 
--- a/crates/host/src/failover/hold.rs
+++ b/crates/host/src/failover/hold.rs
@@ -1,8 +1,10 @@
 //! Waiting for a planned promotion: this host sends the primary nothing new.
 //!
 //! The host that runs the promotion says so in its opinions; the others follow at once, say in
-//! theirs how many connections to the primary they still use, and go on when the planner no longer
-//! says so, when there is a primary of a higher term, or when [`GATE`] has passed.
+//! theirs how many requests still use the primary or wait for a connection to it, and go on when
+//! the planner no longer says so, when there is a primary of a higher term, or when [`GATE`] has
+//! passed. The planner says so until its own probes have shown it the new primary, and tells that
+//! in the same opinion: a host that went on without knowing it would go on with the old one.
 
 use super::{Failover, Group};
 use crate::target::Key;
@@ -20,7 +22,7 @@
     primary: TargetId,
     term: Term,
     since: Time,
-    /// Connections to the primary in use here; unknown ones count as many.
+    /// Requests that use the primary or wait to; unknown ones count as many.
     pub(crate) busy: u32,
     /// Peers that use none any more.
     drained: BTreeSet<HostId>,
@@ -32,6 +34,11 @@
         Hold { planner, primary, term, since: now, busy: u32::MAX, drained: BTreeSet::new() }
     }
 
+    /// Whether `opinion` names a primary of a higher term that works.
+    fn is_followed(&self, opinion: &Opinion) -> bool {
+        opinion.term > self.term && opinion.failing.is_zero()
+    }
+
     /// Whether neither this host nor any of `peers` uses the primary.
     pub(crate) fn is_drained(&self, mut peers: impl Iterator<Item = HostId>) -> bool {
         self.busy == 0 && peers.all(|peer| self.drained.contains(&peer))
@@ -44,6 +51,8 @@
         if let Some(hold) = &mut self.hold {
             if opinion.hold == Some(hold.planner) && opinion.busy == 0 {
                 hold.drained.insert(host);
+            } else {
+                hold.drained.remove(&host);
             }
             if host == hold.planner && opinion.hold != Some(host) {
                 self.hold = None;
@@ -51,14 +60,37 @@
             return false;
         }
         let primary = self.detector.primary();
-        let held = opinion.hold == Some(host) && primary == Some((opinion.primary, opinion.term));
+        // A planner that holds anything against the primary may mean one that it does not know yet.
+        let held = opinion.hold == Some(host)
+            && opinion.failing.is_zero()
+            && primary == Some((opinion.primary, opinion.term));
         if held {
             self.hold = Some(Hold::new(now, host, opinion.primary, opinion.term));
         }
         held
     }
 
-    fn is_held(&self, now: Time, target: TargetId) -> bool {
+    /// What this host tells of the hold with `opinion`; nothing once that names the next primary.
+    pub(super) fn with_hold(&self, opinion: Opinion) -> Opinion {
+        match &self.hold {
+            Some(hold) if !hold.is_followed(&opinion) => {
+                Opinion { hold: Some(hold.planner), busy: hold.busy, ..opinion }
+            }
+            _ => opinion,
+        }
+    }
+
+    /// Forgets the hold once this host can tell its peers of the primary that follows.
+    fn end_hold(&mut self, now: Time) {
+        let Some(hold) = &self.hold else { return };
+        let opinion = self.detector.opinion(now);
+        let followed = opinion.is_some_and(|opinion| hold.is_followed(&opinion));
+        if followed || now.saturating_sub(hold.since) >= GATE {
+            self.hold = None;
+        }
+    }
+
+    pub(super) fn is_held(&self, now: Time, target: TargetId) -> bool {
         let Some(hold) = &self.hold else { return false };
         let passed = self.detector.primary().is_some_and(|(_, term)| term > hold.term);
         hold.primary == target && !passed && now.saturating_sub(hold.since) < GATE
@@ -77,7 +109,7 @@
             let hold = group.hold.as_ref()?;
             let target = hold.primary;
             if !group.is_held(now, target) {
-                group.hold = None;
+                group.end_hold(now);
                 return None;
             }
             Some(target)
@@ -85,7 +117,7 @@
         .flatten()
     }
 
-    /// So many connections to the held target of `service` are in use here.
+    /// So many requests use the held target of `service` here, or wait to.
     pub(crate) fn used(&self, service: ServiceId, busy: u32) {
         let changed = self.with(service, |group| {
             let hold = group.hold.as_mut()?;
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -239,10 +239,7 @@
     /// What this host holds against the primary, and whether it waits for a planned promotion.
     fn opinion(&self, now: Time) -> Option<Opinion> {
         let opinion = self.detector.opinion(now)?;
-        Some(match &self.hold {
-            Some(hold) => Opinion { hold: Some(hold.planner), busy: hold.busy, ..opinion },
-            None => opinion,
-        })
+        Some(self.with_hold(opinion))
     }
 
     /// A target answered a probe.
--- a/crates/host/src/failover/planned.rs
+++ b/crates/host/src/failover/planned.rs
@@ -14,6 +14,9 @@
 /// Time for the whole of a planned promotion.
 pub const TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for the end of the promoter's work to be told.
+const GRACE: Duration = Duration::from_millis(100);
+
 /// Why a planned promotion did not come to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum Failure {
@@ -41,8 +44,8 @@
     started: Time,
     /// Term of the primary that it replaces.
     term: Term,
-    /// Whether the promoter has taken over.
-    promoting: bool,
+    /// When the promoter was last seen at work, once it has taken over.
+    promoting: Option<Time>,
 }
 
 /// Makes `candidate` the primary of `service`; answers its term.
@@ -61,11 +64,12 @@
         if primary == candidate {
             return Ok(Some(term));
         }
-        if group.planned.is_some() || !group.promoter.is_idle() {
+        let held = group.is_held(now, primary);
+        if held || group.planned.is_some() || !group.promoter.is_idle() {
             return Err(Failure::Busy);
         }
         let handover = Handover::new(now, primary, term, candidate);
-        group.planned = Some(Running { handover, reply, started: now, term, promoting: false });
+        group.planned = Some(Running { handover, reply, started: now, term, promoting: None });
         group.hold = Some(Hold::new(now, host.settings.host, primary, term));
         Ok(None)
     });
@@ -84,7 +88,10 @@
     let actions = host.failover.with(service, |group| {
         let running = group.planned.as_mut()?;
         let late = now.saturating_sub(running.started) >= TIMEOUT;
-        let over = running.promoting && group.promoter.is_idle();
+        if !group.promoter.is_idle() {
+            running.promoting = running.promoting.map(|_| now);
+        }
+        let over = running.promoting.is_some_and(|at| now.saturating_sub(at) >= GRACE);
         if !late && !over {
             let others = members.iter().copied().filter(|member| *member != own);
             let drained = group.hold.as_ref().is_some_and(|hold| hold.is_drained(others));
@@ -94,7 +101,6 @@
             }
             return Some(actions);
         }
-        group.hold = None;
         let running = group.planned.take()?;
         // Another host's promotion may have come first.
         let primary = group.detector.primary().filter(|(_, term)| *term > running.term);
@@ -107,11 +113,8 @@
 
 /// A promotion of `service` has ended with `target` as the primary.
 pub(crate) fn done(host: &Host, service: ServiceId, target: TargetId, term: Term) {
-    let running = host.failover.with(service, |group| {
-        let running = group.planned.take()?;
-        group.hold = None;
-        Some(running)
-    });
+    // The hold goes on until this host has seen the new primary.
+    let running = host.failover.with(service, |group| group.planned.take());
     if let Some(running) = running.flatten() {
         let _ = running.reply.send(Ok((target, term)));
     }
@@ -130,7 +133,7 @@
                 let now = host.clock.now();
                 let plan = host.failover.with(service, |group| {
                     let running = group.planned.as_mut()?;
-                    running.promoting = true;
+                    running.promoting = Some(now);
                     Some(group.promoter.plan(now, term, candidate))
                 });
                 driver::carry_out(host, service, plan.flatten().unwrap_or_default());
--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Requests that have a connection or wait for one.
+    pub(crate) fn in_use(&self) -> usize {
+        self.pool.leased() + self.pool.waiting()
+    }
+
     /// Drops the idle connections that the other end has closed.
     pub(crate) fn drop_closed(&mut self, now: Time) -> Vec<Action> {
         let closed: Vec<ConnectionId> = self
@@ -134,29 +139,23 @@
     let document = host.document();
     let target = document.services.get(&key.0).and_then(|s| s.targets.get(&key.1));
     let target = target.ok_or_else(|| Refusal::new(Reason::NotFound, "no such target"))?;
-    let gone = host.failover.primary(key.0);
-    while host.failover.is_held(host.clock.now(), key) && host.clock.now() < deadline {
-        tokio::time::sleep(LOOK).await;
-    }
-    if host.failover.primary(key.0) != gone {
-        return Err(Refusal::new(Reason::WritesHeld, "the primary was replaced by plan"));
-    }
+    let primary = host.failover.primary(key.0);
     let weight = document.accounts.get(&account).map_or(1, |account| account.weight);
     host.pools.inner.ensure(host, key, target);
     let (sender, receiver) = oneshot::channel();
-    let (request, actions) = {
-        let mut state = host.pools.inner.lock();
-        state.requests += 1;
-        let request = state.requests;
-        let Some(entry) = state.targets.get_mut(&key) else {
-            return Err(Refusal::new(Reason::NotFound, "no such target"));
-        };
-        entry.waiting.insert(request, sender);
-        let now = host.clock.now();
-        let waiter = Waiter { request, account, weight, deadline };
-        let mut actions = entry.drop_closed(now);
-        actions.extend(entry.pool.acquire(now, waiter));
-        (request, actions)
+    let mut sender = Some(sender);
+    let (request, actions) = loop {
+        let waiter = |request| Waiter { request, account, weight, deadline };
+        if let Some(entered) = enter(host, key, waiter, &mut sender)? {
+            break entered;
+        }
+        if host.clock.now() >= deadline {
+            return Err(refusal(Reason::QueueTimeout));
+        }
+        tokio::time::sleep(LOOK).await;
+        if host.failover.primary(key.0) != primary {
+            return Err(Refusal::new(Reason::WritesHeld, "the primary was replaced by plan"));
+        }
     };
     perform(host, key, actions);
     let _place = Place { host: host.clone(), key, request };
@@ -168,6 +167,30 @@
     }
 }
 
+/// Puts a request into the queue, unless its target is held.
+fn enter(
+    host: &Host,
+    key: Key,
+    waiter: impl FnOnce(RequestId) -> Waiter,
+    sender: &mut Option<oneshot::Sender<Result<Lease, Reason>>>,
+) -> Result<Option<(RequestId, Vec<Action>)>, Refusal> {
+    let mut state = host.pools.inner.lock();
+    let now = host.clock.now();
+    // Asked under the lock: who counts what is in use after a hold began misses nobody.
+    if host.failover.is_held(now, key) {
+        return Ok(None);
+    }
+    state.requests += 1;
+    let request = state.requests;
+    let Some(entry) = state.targets.get_mut(&key) else {
+        return Err(Refusal::new(Reason::NotFound, "no such target"));
+    };
+    entry.waiting.extend(sender.take().map(|sender| (request, sender)));
+    let mut actions = entry.drop_closed(now);
+    actions.extend(entry.pool.acquire(now, waiter(request)));
+    Ok(Some((request, actions)))
+}
+
 /// A request's place in the queue; leaves it on drop.
 struct Place {
     host: Arc<Host>,
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -90,7 +90,7 @@
     });
     pool::perform(host, key, actions.unwrap_or_default());
     if host.failover.held_target(now, key.0) == Some(key.1) {
-        let busy = host.pools.inner.with(key, |entry| entry.pool.leased()).unwrap_or(0);
+        let busy = host.pools.inner.with(key, |entry| entry.in_use()).unwrap_or(0);
         host.failover.used(key.0, u32::try_from(busy).unwrap_or(u32::MAX));
     }
 }
