Operators' command: a rotation shows its new key; usage lines of the commands under `plan`

Cause: the interface answers a confirmed rotation with `issued`, and the client read the answer as a bare plan, so the new key was lost for good.

`plan promote` had the usage text of `promote`.

--- a/crates/cli/src/args/grammar.rs
+++ b/crates/cli/src/args/grammar.rs
@@ -78,13 +78,13 @@
             .about("States an intent and prints its plan; changes nothing")
             .subcommand_required(true)
             .disable_help_subcommand(true)
-            .subcommands([promote(), drain(), rotate(), rate()]),
+            .subcommands([promote("bergamotvale plan"), drain(), rotate(), rate()]),
         Command::new("confirm")
             .about("Confirms a plan, which is then carried out")
             .arg(plan_id().required(true))
             .arg(flag("wait", "Waits until the plan is done or has failed")),
         Command::new("plans").about("Lists plans with their progress").arg(plan_id()),
-        promote().arg(yes()),
+        promote("bergamotvale").arg(yes()),
         drain().arg(yes().global(true)),
         rate().arg(yes()),
     ]
@@ -132,7 +132,8 @@
     ]
 }
 
-fn promote() -> Command {
+/// `parent` is what is typed before the command's own name.
+fn promote(parent: &str) -> Command {
     let away = Arg::new("away-from")
         .long("away-from")
         .value_name("TARGET")
@@ -140,10 +141,10 @@
         .value_parser(value_parser!(TargetId));
     Command::new("promote")
         .about("Makes a target its service's primary; no request is lost")
-        .override_usage(
-            "bergamotvale promote [OPTIONS] <SERVICE> <TARGET>\n       \
-             bergamotvale promote [OPTIONS] <SERVICE> --away-from <TARGET>",
-        )
+        .override_usage(format!(
+            "{parent} promote [OPTIONS] <SERVICE> <TARGET>\n       \
+             {parent} promote [OPTIONS] <SERVICE> --away-from <TARGET>",
+        ))
         .arg(service())
         .arg(target().required(false).required_unless_present("away-from"))
         .arg(away.conflicts_with("target"))
--- a/crates/cli/src/client/operator.rs
+++ b/crates/cli/src/client/operator.rs
@@ -1,7 +1,7 @@
 //! Client of the operators' interface.
 
 use crate::client::problem::Problem;
-use crate::client::report::{Audit, Issued, Metrics, Status};
+use crate::client::report::{Audit, Confirmed, Issued, Metrics, Status};
 use crate::error::{Error, Result};
 use bergamotvale_core::id::{KeyId, PlanId};
 use bergamotvale_core::plan::{Intent, Plan, State};
@@ -90,8 +90,8 @@
         self.call(Method::GET, &format!("/v1/plans/{plan}"), None).await
     }
 
-    /// Confirms a plan.
-    pub async fn confirm(&self, plan: PlanId) -> Result<Plan> {
+    /// Confirms a plan; a key that it issues is answered this once.
+    pub async fn confirm(&self, plan: PlanId) -> Result<Confirmed> {
         self.call(Method::POST, &format!("/v1/plans/{plan}/confirm"), None).await
     }
 
--- a/crates/cli/src/client/report.rs
+++ b/crates/cli/src/client/report.rs
@@ -5,6 +5,7 @@
 use bergamotvale_core::id::{
     AccountId, HostId, Incarnation, KeyId, PlanId, ServiceId, TargetId, Version,
 };
+use bergamotvale_core::plan::Plan;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -135,6 +136,17 @@
     pub key: String,
 }
 
+/// A plan that was confirmed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Confirmed {
+    /// The plan.
+    #[serde(flatten)]
+    pub plan: Plan,
+    /// The key that it issues.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub issued: Option<Issued>,
+}
+
 /// What operators did.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Audit {
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,7 +1,7 @@
 //! Results on standard output: tables for people, or one JSON document.
 
 use crate::args::Output;
-use crate::client::report::{Audit, Status};
+use crate::client::report::{Audit, Confirmed, Issued, Status};
 use crate::error::{Error, Result};
 use bergamotvale_core::plan::{Intent, Plan};
 use serde::Serialize;
@@ -174,6 +174,17 @@
     out
 }
 
+/// A confirmed plan with the key that it issues, for people.
+pub fn confirmed(confirmed: &Confirmed) -> String {
+    let key = confirmed.issued.as_ref().map(issued).unwrap_or_default();
+    format!("{}{key}", plan(&confirmed.plan))
+}
+
+/// A new key, for people.
+pub fn issued(issued: &Issued) -> String {
+    format!("key {}\n{}\nIt is not shown again.\n", issued.key_id, issued.key)
+}
+
 /// An intent as it is typed.
 fn intent(intent: &Intent) -> String {
     match intent {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -2,11 +2,11 @@
 
 use crate::args::{Access, Command, Invocation, Output, grammar};
 use crate::client::operator::Client;
-use crate::client::report::{Service, Target};
+use crate::client::report::{Confirmed, Service, Target};
 use crate::error::{Error, Result};
 use crate::{bench, client, output, trial};
 use bergamotvale_core::id::{PlanId, TargetId};
-use bergamotvale_core::plan::{Intent, Plan, State};
+use bergamotvale_core::plan::{Intent, State};
 use clap_complete::Shell;
 use std::path::Path;
 use std::time::Duration;
@@ -43,9 +43,7 @@
         }
         Command::KeyIssue(account) => {
             let issued = connect(&access)?.issue_key(&account).await?;
-            output::print(output, &issued, |issued| {
-                format!("key {}\n{}\nIt is not shown again.", issued.key_id, issued.key)
-            })
+            output::print(output, &issued, output::issued)
         }
         Command::KeyWithdraw(key) => {
             let accepted = connect(&access)?.withdraw_key(key).await?;
@@ -81,8 +79,8 @@
     if !yes {
         return output::print(output, &plan, output::proposal);
     }
-    client.confirm(plan.id).await?;
-    finish(&client, output, plan.id).await
+    let confirmed = client.confirm(plan.id).await?;
+    finish(&client, output, confirmed).await
 }
 
 /// The primary if it is not `target`, else the healthy replica that lags least.
@@ -101,16 +99,22 @@
     let client = connect(access)?;
     let confirmed = client.confirm(plan).await?;
     if !wait {
-        return output::print(output, &confirmed, output::plan);
+        return output::print(output, &confirmed, output::confirmed);
     }
-    finish(&client, output, plan).await
+    finish(&client, output, confirmed).await
 }
 
-async fn finish(client: &Client, output: Output, plan: PlanId) -> Result<()> {
-    let ended: Plan = client.wait(plan, PLAN_TIMEOUT).await?;
-    output::print(output, &ended, output::plan)?;
-    if ended.state == State::Failed {
-        return Err(Error::Verdict(format!("plan {plan}")));
+async fn finish(client: &Client, output: Output, mut confirmed: Confirmed) -> Result<()> {
+    let ended = client.wait(confirmed.plan.id, PLAN_TIMEOUT).await;
+    if let Ok(plan) = &ended {
+        confirmed.plan = plan.clone();
+    }
+    // A new key is shown this once, so also where the plan's end is not known.
+    if ended.is_ok() || confirmed.issued.is_some() {
+        output::print(output, &confirmed, output::confirmed)?;
+    }
+    if ended?.state == State::Failed {
+        return Err(Error::Verdict(format!("plan {}", confirmed.plan.id)));
     }
     Ok(())
 }
--- a/crates/cli/tests/client.rs
+++ b/crates/cli/tests/client.rs
@@ -2,8 +2,10 @@
 
 use bergamotvale_cli::client;
 use bergamotvale_cli::client::caller::{Client, Failure, Operation, Request};
+use bergamotvale_cli::client::operator;
 use bergamotvale_cli::client::problem::Problem;
 use bergamotvale_cli::client::value;
+use bergamotvale_cli::output;
 use bergamotvale_core::plan::Intent;
 use bergamotvale_core::refusal::{Ran, Reason};
 use bergamotvale_core::statement::{Statement, Value};
@@ -140,6 +142,42 @@
     assert_eq!(body, r#"{"rotate":{"account":"mill","key_id":17}}"#);
 }
 
+const ROTATION: &str = r#"{"id":5,"version":3,"intent":{"rotate":{"account":"mill","key_id":17}},
+    "state":"confirmed","steps":[{"number":1,"command":"c","touches":"t","check":"k",
+    "state":"pending","detail":""}],"confirmed_by":"alice",
+    "issued":{"key_id":18,"key":"bv_18_new"}}"#;
+
+#[tokio::test]
+async fn a_rotation_shows_its_new_key() {
+    let address = canned(response("200 OK", "", ROTATION.len(), ROTATION)).await;
+    let http = client::http().build().expect("client");
+
+    let confirmed = operator::Client::new(http, address, "op_alice_s").confirm(5).await;
+
+    let confirmed = confirmed.expect("a confirmed plan");
+    let shown = output::confirmed(&confirmed);
+    assert!(shown.starts_with("plan 5 (confirmed)"), "{shown}");
+    assert!(shown.ends_with("key 18\nbv_18_new\nIt is not shown again.\n"), "{shown}");
+    let json = output::json(&confirmed).expect("json");
+    let json: serde_json::Value = serde_json::from_str(&json).expect("one document");
+    assert_eq!(json, serde_json::from_str::<serde_json::Value>(ROTATION).expect("json"));
+}
+
+#[tokio::test]
+async fn a_plan_without_a_new_key_shows_none() {
+    let mut answer: serde_json::Value = serde_json::from_str(ROTATION).expect("json");
+    answer.as_object_mut().expect("an object").remove("issued");
+    let body = answer.to_string();
+    let address = canned(response("200 OK", "", body.len(), &body)).await;
+    let http = client::http().build().expect("client");
+
+    let confirmed = operator::Client::new(http, address, "op_alice_s").confirm(5).await;
+
+    let confirmed = confirmed.expect("a confirmed plan");
+    assert!(!output::confirmed(&confirmed).contains("shown again"));
+    assert!(!output::json(&confirmed).expect("json").contains("issued"));
+}
+
 proptest! {
     #[test]
     fn foreign_bodies_are_no_panic(body in proptest::collection::vec(any::<u8>(), 0..400)) {
