Rates: a lender fills a loan's room again as soon as the borrower asks anew

A lender kept the room of each loan for 100 ms, so that an account which lives on loans had that much less burst, which showed as refusals beyond the theory over a death and at the full rate. A borrower asks a peer again only after the answer before was taken or given up, and now only while nothing stands above its capacity; so its next ask says that the loans before have arrived or are lost. Asks carry a sequence number, answers to earlier ones are lost, and an ask that was overtaken ends nothing. The request between peers has the number too.

The fake fleet gives asks up, so that they overtake each other; a direct test shows that only a newer ask ends a loan.

--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -113,6 +113,8 @@
     pub count: u32,
     /// Version of the configuration that the borrower acts on.
     pub version: Version,
+    /// Number among the borrower's asks; grows over its runs.
+    pub sequence: u64,
 }
 
 /// Asks for connection slots to a target, or gives them back.
--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -4,9 +4,10 @@
 //! part of the burst. A borrower counts a loan only within that lifetime after it asked, and the
 //! lender deducted later than that, so tokens on their way stand in exactly one account. What the
 //! borrower's own capacity cannot hold is for requests that wait, and is dropped at the end of that
-//! lifetime. Summed over hosts, the usable tokens never exceed the burst.
+//! lifetime. A lender that knows sooner that a loan has arrived or is lost ends it with
+//! [`Bucket::arrived`]. Summed over hosts, the usable tokens never exceed the burst.
 
-use crate::id::Time;
+use crate::id::{HostId, Time};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -32,6 +33,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Loan {
+    borrower: HostId,
     amount: Amount,
     until: Time,
 }
@@ -61,17 +63,30 @@
     }
 
     /// Takes up to `count` whole tokens out for a borrower.
-    pub fn lend(&mut self, count: u32, now: Time) -> u32 {
+    pub fn lend(&mut self, borrower: HostId, count: u32, now: Time) -> u32 {
         self.refill(now);
         let lent = u64::from(count).min(self.level / MICRO);
         if lent == 0 {
             return 0;
         }
         self.level -= lent * MICRO;
-        self.lent.push_back(Loan { amount: lent * MICRO, until: now + LOAN_LIFETIME });
+        let until = now + LOAN_LIFETIME;
+        self.lent.push_back(Loan { borrower, amount: lent * MICRO, until });
         u32::try_from(lent).expect("not above a count that is a u32")
     }
 
+    /// All loans to `borrower` have arrived, within its own capacity, or are lost.
+    pub fn arrived(&mut self, borrower: HostId, now: Time) {
+        self.refill(now);
+        self.lent.retain(|loan| loan.borrower != borrower);
+    }
+
+    /// Whether loans stand here above the capacity, for requests that wait.
+    pub fn has_excess(&mut self, now: Time) -> bool {
+        self.refill(now);
+        self.level > self.capacity()
+    }
+
     /// Adds a loan asked for at `asked`; what exceeds the capacity is lost.
     ///
     /// `waiting` tokens may be taken at once and so do not have to fit. Answers whether the loan
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -3,9 +3,15 @@
 //! A request takes a token of its host's bucket. Without one it waits for a loan, at most
 //! [`MAX_WAIT`] and only while some peer may have tokens; a peer that had none is not asked again
 //! for [`DRY_TIME`]. A host whose tokens run low asks ahead, so that most requests do not wait.
+//!
+//! A borrower asks a peer again only after the answer before it was taken or given up, and only
+//! while no borrowed token stands above its capacity. So an ask tells the lender that all earlier
+//! loans to this borrower have arrived or are lost, and that it may fill their room again. Asks
+//! carry a sequence number: one that was overtaken tells nothing.
 
 use super::bucket::{Amount, Bucket, MICRO};
 use crate::id::{AccountId, HostId, Time};
+use crate::peer::TokenRequest;
 use crate::share::Part;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -41,6 +47,8 @@
     pub peer: HostId,
     /// Tokens wanted.
     pub count: u32,
+    /// Number among this run's asks.
+    pub sequence: u64,
 }
 
 /// Rates of all client accounts at one host.
@@ -50,6 +58,7 @@
     lending: bool,
     peers: BTreeSet<HostId>,
     accounts: BTreeMap<AccountId, State>,
+    sequence: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -60,12 +69,16 @@
     waiting: u32,
     demand: Demand,
     lenders: BTreeMap<HostId, Lender>,
+    /// Highest sequence number heard of each borrower.
+    heard: BTreeMap<HostId, u64>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Lender {
     /// Tokens asked for and not answered yet.
     asked: u32,
+    /// Number of the last ask; an answer to an earlier one is lost.
+    sequence: u64,
     dry_until: Time,
 }
 
@@ -94,7 +107,7 @@
     /// No client account yet. `settle` is the lifetime of authority with its margin; without
     /// `lending` every host has its fixed part.
     pub fn new(settle: Duration, lending: bool) -> Meter {
-        Meter { settle, lending, peers: BTreeSet::new(), accounts: BTreeMap::new() }
+        Meter { settle, lending, peers: BTreeSet::new(), accounts: BTreeMap::new(), sequence: 0 }
     }
 
     /// Sets whom loans are asked of.
@@ -192,16 +205,24 @@
         let ready: Vec<HostId> =
             self.peers.iter().copied().filter(|peer| state.is_ready(*peer, now)).collect();
         let each = missing.div_ceil(u32::try_from(ready.len()).unwrap_or(1).max(1));
-        for peer in &ready {
-            state.lenders.entry(*peer).or_default().asked = each;
+        let mut asks = Vec::new();
+        for peer in ready {
+            self.sequence += 1;
+            let lender = state.lenders.entry(peer).or_default();
+            lender.asked = each;
+            lender.sequence = self.sequence;
+            asks.push(Ask { account, peer, count: each, sequence: self.sequence });
         }
-        ready.into_iter().map(|peer| Ask { account, peer, count: each }).collect()
+        asks
     }
 
     /// Takes the answer to an ask sent at `asked`; no answer counts as zero.
     pub fn receive(&mut self, ask: Ask, count: u32, asked: Time, now: Time) {
         let Some(state) = self.accounts.get_mut(&ask.account) else { return };
         let lender = state.lenders.entry(ask.peer).or_default();
+        if lender.sequence != ask.sequence {
+            return;
+        }
         lender.asked = 0;
         if count == 0 {
             lender.dry_until = now + DRY_TIME;
@@ -219,15 +240,16 @@
     }
 
     /// Lends tokens to a peer: half of what is here, more when there is little demand.
-    pub fn lend(&mut self, account: AccountId, count: u32, now: Time) -> u32 {
-        let Some(state) = self.accounts.get_mut(&account) else { return 0 };
+    pub fn lend(&mut self, request: &TokenRequest, now: Time) -> u32 {
+        let Some(state) = self.accounts.get_mut(&request.account) else { return 0 };
+        state.refresh(now);
+        state.hear(request, now);
         if !self.lending || state.waiting > 0 {
             return 0;
         }
-        state.refresh(now);
         let tokens = state.bucket.tokens(now);
         let kept = state.demand_now(now).min(tokens / 2);
-        state.bucket.lend(count.min(tokens - kept), now)
+        state.bucket.lend(request.host, request.count.min(tokens - kept), now)
     }
 
     /// Part of rate, per second, and burst of an account at this host, in micro-tokens.
@@ -245,6 +267,16 @@
             waiting: 0,
             demand: Demand { per_second: 0.0, at: now },
             lenders: BTreeMap::new(),
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// Ends the loans that the borrower had before this ask, unless the ask was overtaken.
+    fn hear(&mut self, request: &TokenRequest, now: Time) {
+        let heard = self.heard.entry(request.host).or_default();
+        if request.sequence > *heard {
+            *heard = request.sequence;
+            self.bucket.arrived(request.host, now);
         }
     }
 
@@ -283,6 +315,10 @@
 
     /// Tokens to borrow: for those that wait, and ahead when the level is low.
     fn missing(&mut self, now: Time) -> u32 {
+        // An ask would end loans that still stand above the capacity.
+        if self.bucket.has_excess(now) {
+            return 0;
+        }
         let tokens = self.bucket.tokens(now);
         let ahead = self.demand_now(now);
         let short = ahead.saturating_sub(tokens).min(self.bucket.room());
--- a/crates/core/tests/meters/mod.rs
+++ b/crates/core/tests/meters/mod.rs
@@ -4,6 +4,7 @@
 use bergamotvale_core::config::Account;
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::invariant::admission;
+use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::rate::meter::{Ask, Decision};
 use bergamotvale_core::rate::{self, Meter};
 use rand::rngs::SmallRng;
@@ -32,6 +33,8 @@
     pub(crate) delay: Duration,
     /// Lenders whose answers are lost after they took effect.
     pub(crate) mute: BTreeSet<HostId>,
+    /// Time after which a borrower gives an ask up, if it does; the ask travels on.
+    pub(crate) give_up: Option<Duration>,
 }
 
 pub(crate) struct Host {
@@ -47,6 +50,7 @@
     pub(crate) asked: Time,
     pub(crate) arrives: Time,
     pub(crate) answer: Option<u32>,
+    pub(crate) given_up: bool,
 }
 
 impl Fleet {
@@ -67,6 +71,7 @@
             loss: 0.0,
             delay: Duration::from_millis(1),
             mute: BTreeSet::new(),
+            give_up: None,
         }
     }
 
@@ -113,7 +118,9 @@
     pub(crate) fn ask(&mut self, id: HostId, now: Time) {
         for ask in self.host(id).meter.asks(ACCOUNT, now) {
             let arrives = now + self.random_delay();
-            self.calls.push(Call { ask, borrower: id, asked: now, arrives, answer: None });
+            let (borrower, asked) = (id, now);
+            let (answer, given_up) = (None, false);
+            self.calls.push(Call { ask, borrower, asked, arrives, answer, given_up });
         }
     }
 
@@ -134,8 +141,26 @@
         }
     }
 
+    /// Borrowers that run give up what they asked for too long ago.
+    fn give_up(&mut self, now: Time) {
+        let Some(time) = self.give_up else { return };
+        let mut calls = std::mem::take(&mut self.calls);
+        for call in calls.iter_mut().filter(|call| !call.given_up && call.asked + time <= now) {
+            let borrower = self.hosts.get(&call.borrower);
+            if borrower.is_some_and(|host| host.paused_until <= now) {
+                call.given_up = true;
+                self.receive(call, 0, now);
+            }
+        }
+        self.calls.append(&mut calls);
+    }
+
     pub(crate) fn deliver(&mut self, now: Time) {
+        self.give_up(now);
         for call in std::mem::take(&mut self.calls) {
+            if call.given_up && call.answer.is_some() {
+                continue;
+            }
             let at = if call.answer.is_none() { call.ask.peer } else { call.borrower };
             let Some(host) = self.hosts.get(&at) else {
                 self.fail(&call, now);
@@ -160,7 +185,9 @@
     }
 
     pub(crate) fn lend(&mut self, mut call: Call, now: Time) {
-        let lent = self.host(call.ask.peer).meter.lend(ACCOUNT, call.ask.count, now);
+        let Ask { account, peer, count, sequence } = call.ask;
+        let request = TokenRequest { host: call.borrower, account, count, version: 1, sequence };
+        let lent = self.host(peer).meter.lend(&request, now);
         call.answer = Some(lent);
         call.arrives = now + self.random_delay();
         if self.mute.contains(&call.ask.peer) {
--- a/crates/core/tests/rate.rs
+++ b/crates/core/tests/rate.rs
@@ -3,7 +3,10 @@
 mod meters;
 
 use bergamotvale_core::id::{HostId, Time};
-use meters::{AUTHORITY, Fleet, SETTLE, fresh_host};
+use bergamotvale_core::peer::TokenRequest;
+use bergamotvale_core::rate::Meter;
+use bergamotvale_core::rate::meter::micro;
+use meters::{ACCOUNT, AUTHORITY, Fleet, SETTLE, fresh_host};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use std::time::Duration;
@@ -79,6 +82,57 @@
     }
 }
 
+/// Slow links on which asks overtake each other, since borrowers give up and ask again.
+fn overtaken(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(4, 400, 160, seed);
+    fleet.loss = 0.2;
+    fleet.delay = Duration::from_millis(25);
+    fleet.give_up = Some(Duration::from_millis(60));
+    fleet.learn_members(Time::ZERO);
+    fleet.drive(Time::ZERO, SETTLE * 3, 0.0, any_host);
+    fleet.drive(SETTLE * 3, SETTLE * 5, 2_000.0, |random| {
+        if random.random_bool(0.9) { 1 } else { random.random_range(2..=4) }
+    });
+    fleet
+}
+
+#[test]
+fn asks_that_are_overtaken_end_no_loan() {
+    for seed in 0..20 {
+        let fleet = overtaken(seed);
+
+        fleet.verify().unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+    }
+}
+
+/// A lender with a full part of 20 tokens that has just lent all of them in answer to ask 2.
+fn lender_without_tokens(now: Time) -> Meter {
+    let mut meter = Meter::new(SETTLE, true);
+    meter.set_part(ACCOUNT, micro(100), micro(20), now - SETTLE * 2);
+    meter.tick(now - SETTLE);
+    assert_eq!(meter.lend(&ask(1, 2), now), 20);
+    meter
+}
+
+fn ask(host: HostId, sequence: u64) -> TokenRequest {
+    TokenRequest { host, account: ACCOUNT, count: 20, version: 1, sequence }
+}
+
+#[test]
+fn only_a_newer_ask_says_that_a_loan_has_arrived() {
+    let (start, later) = (SETTLE * 3, SETTLE * 3 + Duration::from_millis(50));
+    let lent = [("overtaken", 1, 0), ("repeated", 2, 0), ("newer", 3, 4)].map(|case| {
+        let mut meter = lender_without_tokens(start);
+        let at_once = meter.lend(&ask(1, case.1), start);
+        (case, at_once, meter.lend(&ask(2, 1), later))
+    });
+
+    for ((name, _, expected), at_once, lent) in lent {
+        assert_eq!(at_once, 0, "{name}");
+        assert!(lent >= expected && (expected > 0 || lent == 0), "{name}: {lent}");
+    }
+}
+
 #[test]
 fn the_check_catches_a_limiter_that_counts_alone() {
     let mut fleet = Fleet::new(4, 100, 40, 1);
--- a/crates/host/src/fleet/loan.rs
+++ b/crates/host/src/fleet/loan.rs
@@ -31,6 +31,7 @@
         account: ask.account,
         count: ask.count,
         version: host.document().version,
+        sequence: host.incarnation + ask.sequence,
     };
     let asked = host.clock.now();
     let call =
--- a/crates/host/src/limit.rs
+++ b/crates/host/src/limit.rs
@@ -7,6 +7,7 @@
 use crate::settings::{Defect, Policy, Rates};
 use bergamotvale_core::config::Document;
 use bergamotvale_core::id::{AccountId, HostId, Time};
+use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::rate::meter::{Ask, Decision, micro};
 use bergamotvale_core::rate::{self, Meter};
 use bergamotvale_core::refusal::{Reason, Refusal};
@@ -98,9 +99,9 @@
     }
 
     /// Lends tokens to a peer.
-    pub fn lend(&self, account: AccountId, count: u32) -> u32 {
+    pub fn lend(&self, request: &TokenRequest) -> u32 {
         let now = self.clock.now();
-        self.lock().meter.lend(account, count, now)
+        self.lock().meter.lend(request, now)
     }
 
     /// Takes the answer to an ask sent at `asked`; none counts as zero.
--- a/crates/host/src/peer/server.rs
+++ b/crates/host/src/peer/server.rs
@@ -68,7 +68,7 @@
         if !self.host.authority() || self.host.is_stopping() {
             return 0;
         }
-        self.host.limiter.lend(request.account, request.count)
+        self.host.limiter.lend(&request)
     }
 
     async fn lend_slots(self, _: Context, request: SlotRequest) -> u32 {
--- a/crates/wire/tests/garbage.rs
+++ b/crates/wire/tests/garbage.rs
@@ -78,7 +78,7 @@
 /// The server still answers a peer.
 async fn is_well(address: SocketAddr) {
     let client = peer::connect(address, PATIENCE).await.expect("a connection");
-    let request = TokenRequest { host: 1, account: 1, count: 3, version: 1 };
+    let request = TokenRequest { host: 1, account: 1, count: 3, version: 1, sequence: 1 };
     let lent = client.lend_tokens(peer::context(PATIENCE), request).await;
     assert_eq!(lent.expect("an answer"), 3);
 }
@@ -200,7 +200,7 @@
 
     for _ in 0..CASES {
         let client = peer::connect(address, PATIENCE).await.expect("a connection");
-        let request = TokenRequest { host: 1, account: 1, count: 3, version: 1 };
+        let request = TokenRequest { host: 1, account: 1, count: 3, version: 1, sequence: 1 };
         let lent = client.lend_tokens(peer::context(PATIENCE), request).await;
         assert!(lent.is_err(), "{lent:?}");
     }
