--- a/crates/cli/tests/cost.rs
+++ b/crates/cli/tests/cost.rs
@@ -56,6 +56,18 @@
     assert!(error.contains("control.hosts"), "{error}");
 }
 
+/// Below half of a target's connections, each host has room for its control connection and a part.
+#[test]
+fn fleet_of_any_size_has_connections_to_serve_with() {
+    for hosts in [1, 4, 16, 64] {
+        let plan = statement::plan(1, hosts, 1, 1);
+
+        let limit = plan.groups[0].1.connection_limit;
+
+        assert!(limit >= 4 * hosts as u64, "{limit} for {hosts}");
+    }
+}
+
 #[test]
 fn loopback_traffic_is_counted() {
     let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
