bench: bytes of a control point count only while others leave the interface alone

The interface is now watched before and after, and a point has no bytes where others sent more than a twentieth of what the fleet did.

--- a/crates/cli/src/bench/cost/control.rs
+++ b/crates/cli/src/bench/cost/control.rs
@@ -4,8 +4,9 @@
 //! go on; lines are fitted through the points that were measured.
 //!
 //! Bytes are those of the loopback interface, headers included: peers, platform and targets alike,
-//! each packet once. Whatever else sends there meanwhile is in them, so each point also states what
-//! the interface carried just before its fleet was started.
+//! each packet once. Whatever else sends there meanwhile would be in them, so the interface is
+//! watched before a fleet starts and after it ended; where others sent more than a small share, the
+//! point has no bytes.
 
 use super::Scenario;
 use super::process::{self, Threads};
@@ -32,8 +33,10 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time that a fleet may take to end.
 const STOP_TIMEOUT: Duration = Duration::from_secs(15);
-/// Time over which the interface is watched before a fleet is started.
+/// Time over which the interface is watched before a fleet starts and after it ended.
 const BACKGROUND: Duration = Duration::from_secs(1);
+/// Most that others may send, as a share of what the fleet does.
+const BACKGROUND_SHARE: f64 = 0.05;
 
 /// One point: a fleet without load.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
@@ -46,9 +49,9 @@
     pub resident: f64,
     /// Calls of the platform a second by the whole fleet.
     pub platform_calls: f64,
-    /// Bytes a second on the loopback interface by one host, less the background.
-    pub bytes: f64,
-    /// Bytes a second on the interface before the fleet was started, in all.
+    /// Bytes a second on the loopback interface by one host; none when others sent too.
+    pub bytes: Option<f64>,
+    /// Bytes a second that others sent on the interface before and after, the higher.
     pub background: f64,
 }
 
@@ -76,8 +79,8 @@
     pub resident: Fit,
     /// Calls of the platform a second by the whole fleet.
     pub platform_calls: Fit,
-    /// Bytes a second on the loopback interface by one host.
-    pub bytes: Fit,
+    /// Bytes a second on the loopback interface by one host; none without two points.
+    pub bytes: Option<Fit>,
 }
 
 /// Size of a fleet, and changes while it is measured.
@@ -128,12 +131,14 @@
         let points: Vec<_> = points.iter().map(|point| (point.at as f64, value(point))).collect();
         slope::fit(&points)
     };
+    let bytes = points.iter().filter_map(|point| Some((point.at as f64, point.bytes?)));
+    let bytes: Vec<_> = bytes.collect();
     Line {
         varied,
         cpu: fit(|point| point.cpu),
         resident: fit(|point| point.resident),
         platform_calls: fit(|point| point.platform_calls),
-        bytes: fit(|point| point.bytes),
+        bytes: (bytes.len() > 1).then(|| slope::fit(&bytes)),
         points,
         failed,
     }
@@ -158,17 +163,23 @@
         eprintln!("cost: hosts still run {STOP_TIMEOUT:?} after they were stopped");
     }
     let hosts = size.hosts as f64;
+    let background = background.max(self::background().await?);
     let bytes = after.bytes.saturating_sub(before.bytes) as f64 / seconds;
     Ok(Point {
         at,
         cpu: after.used.saturating_sub(before.used).as_secs_f64() * 1e6 / seconds / hosts,
         resident,
         platform_calls: after.calls.saturating_sub(before.calls) as f64 / seconds,
-        bytes: (bytes - background).max(0.0) / hosts,
+        bytes: own_bytes(bytes, background).map(|bytes| bytes / hosts),
         background,
     })
 }
 
+/// Bytes a second of the fleet, if others sent no more than a small share of them.
+pub fn own_bytes(all: f64, background: f64) -> Option<f64> {
+    (background <= all * BACKGROUND_SHARE).then_some(all)
+}
+
 /// What was used so far.
 struct Reading {
     used: Duration,
@@ -226,7 +237,7 @@
                 format!("{:.0}", point.cpu),
                 format!("{:.1}", point.resident / 1048576.0),
                 format!("{:.1}", point.platform_calls),
-                format!("{:.0}", point.bytes),
+                point.bytes.map_or("-".to_owned(), |bytes| format!("{bytes:.0}")),
                 format!("{:.0}", point.background),
             ]);
         }
@@ -235,7 +246,7 @@
             format!("{:+.1}", line.cpu.slope),
             format!("{:+.3}", line.resident.slope / 1048576.0),
             format!("{:+.2}", line.platform_calls.slope),
-            format!("{:+.1}", line.bytes.slope),
+            line.bytes.map_or("-".to_owned(), |fit| format!("{:+.1}", fit.slope)),
             String::new(),
         ]);
     }
@@ -245,7 +256,7 @@
         "MIB, WHOLE PROCESS",
         "PLATFORM CALLS/S",
         "BYTES/S A HOST",
-        "BACKGROUND BYTES/S",
+        "OTHERS' BYTES/S",
     ];
     let mut out = table(&header, &rows);
     for failure in unmeasured(lines) {
--- a/crates/cli/tests/cost.rs
+++ b/crates/cli/tests/cost.rs
@@ -34,7 +34,7 @@
 }
 
 fn point(at: usize, cpu: f64) -> control::Point {
-    control::Point { at, cpu, resident: 0.0, platform_calls: 0.0, bytes: 0.0, background: 0.0 }
+    control::Point { at, cpu, resident: 0.0, platform_calls: 0.0, bytes: None, background: 0.0 }
 }
 
 #[test]
@@ -47,6 +47,14 @@
     assert_eq!(control::unmeasured(&[line]), ["16 hosts: too late"]);
 }
 
+#[test]
+fn bytes_count_only_while_others_are_quiet() {
+    let quiet = control::own_bytes(100_000.0, 5_000.0);
+    let busy = control::own_bytes(100_000.0, 5_001.0);
+
+    assert_eq!((quiet, busy), (Some(100_000.0), None));
+}
+
 #[test]
 fn more_hosts_than_one_process_carries_are_refused() {
     let text = SHIPPED.replace("32, 64]", "32, 65]");
