--- a/crates/cli/tests/cost.rs
+++ b/crates/cli/tests/cost.rs
@@ -34,7 +34,7 @@
 }
 
 fn point(at: usize, cpu: f64) -> control::Point {
-    control::Point { at, cpu, resident: 0.0, platform_calls: 0.0, bytes: 0.0, background: 0.0 }
+    control::Point { at, cpu, resident: 0.0, platform_calls: 0.0, bytes: None, background: 0.0 }
 }
 
 #[test]
@@ -47,6 +47,14 @@
     assert_eq!(control::unmeasured(&[line]), ["16 hosts: too late"]);
 }
 
+#[test]
+fn bytes_count_only_while_others_are_quiet() {
+    let quiet = control::own_bytes(100_000.0, 5_000.0);
+    let busy = control::own_bytes(100_000.0, 5_001.0);
+
+    assert_eq!((quiet, busy), (Some(100_000.0), None));
+}
+
 #[test]
 fn more_hosts_than_one_process_carries_are_refused() {
     let text = SHIPPED.replace("32, 64]", "32, 65]");
@@ -56,6 +64,18 @@
     assert!(error.contains("control.hosts"), "{error}");
 }
 
+/// Below half of a target's connections, each host has room for its control connection and a part.
+#[test]
+fn fleet_of_any_size_has_connections_to_serve_with() {
+    for hosts in [1, 4, 16, 64] {
+        let plan = statement::plan(1, hosts, 1, 1);
+
+        let limit = plan.groups[0].1.connection_limit;
+
+        assert!(limit >= 4 * hosts as u64, "{limit} for {hosts}");
+    }
+}
+
 #[test]
 fn loopback_traffic_is_counted() {
     let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
