Combined faults: a seed that breaks an invariant is shrunk

Cause: a failing seed was printed with all its faults; and where an invariant broke only in the final judgement, with none, since healing had cleared them by then.

Now faults are left out and the run is ended earlier as long as an invariant still breaks; seed, what broke and the least are printed.

New tests: a broken seed is shrunk to what still breaks and to no fault less; a seed that holds is not.

--- a/crates/core/tests/combined.rs
+++ b/crates/core/tests/combined.rs
@@ -1,12 +1,14 @@
 //! Two and three faults at a time: sessions that write and read through hosts, over a group that
 //! is cut, killed, rebuilt and promoted.
 //!
-//! `BERGAMOTVALE_SEED` and `BERGAMOTVALE_RUNS` choose other seeds and more of them.
+//! `BERGAMOTVALE_SEED` and `BERGAMOTVALE_RUNS` choose other seeds and more of them. A seed that breaks
+//! an invariant is shrunk: what is printed is the least that still breaks one.
 
 mod group;
 mod world;
 
 use std::env;
+use world::shrink::shrink;
 use world::{Defect, Tally, World};
 
 const SEED: u64 = 1;
@@ -28,8 +30,8 @@
         let verdict = world.run();
         tally.add(&world.tally());
         if let Err(broken) = verdict {
-            let faults = world.faults();
-            return (Some(format!("BERGAMOTVALE_SEED={seed}: {broken}; faults: {faults}")), tally);
+            let least = shrink(seed, defect).expect("it breaks again");
+            return (Some(format!("BERGAMOTVALE_SEED={seed}: {broken}; {least}")), tally);
         }
     }
     (None, tally)
@@ -72,6 +74,31 @@
     assert!((SEED..SEED + DEFECT_RUNS).any(shows), "{defect:?} was not found");
 }
 
+/// A seed that shows a defect is shrunk to what still shows it, and to no less.
+#[test]
+fn a_broken_seed_is_shrunk() {
+    let defect = Defect::FalseConfirmation;
+    let seed = (SEED..SEED + DEFECT_RUNS).find(|seed| World::new(*seed, defect).run().is_err());
+    let seed = seed.expect("the defect shows");
+
+    let least = shrink(seed, defect).expect("it breaks");
+
+    assert_eq!(least.replay().run(), Err(least.broken.clone()));
+    let whole = World::new(seed, defect);
+    assert!(least.end < whole.end(), "{least}");
+    assert!(!least.kept.is_empty() && least.kept.len() < whole.fault_count(), "{least}");
+    for left_out in &least.kept {
+        let kept: Vec<_> = least.kept.iter().copied().filter(|kept| kept != left_out).collect();
+        let fewer = World::new(seed, defect).with_faults(&kept).with_end(least.end).run();
+        assert_eq!(fewer, Ok(()), "{least}");
+    }
+}
+
+#[test]
+fn a_seed_that_holds_is_not_shrunk() {
+    assert!(shrink(SEED, Defect::None).is_none());
+}
+
 #[test]
 fn false_confirmation_is_found() {
     found(Defect::FalseConfirmation, "is lost");
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -5,6 +5,7 @@
 mod promoter;
 mod request;
 mod session;
+pub mod shrink;
 
 use crate::group::{Entry, Group, Message};
 use bergamotvale_core::id::{HostId, TargetId, Time};
@@ -101,6 +102,7 @@
     sessions: Vec<Session>,
     promotions: Promotions,
     messages: Vec<Message>,
+    end: Time,
 }
 
 impl Scene {
@@ -188,7 +190,32 @@
             next: 0,
         };
         let sessions = (0..SESSIONS).map(|_| Session::new()).collect();
-        World { scene, sessions, promotions: Promotions::new(seed), messages: Vec::new() }
+        let promotions = Promotions::new(seed);
+        World { scene, sessions, promotions, messages: Vec::new(), end: RUN }
+    }
+
+    /// The same world, of whose faults only those at the places `kept` happen.
+    pub fn with_faults(mut self, kept: &[usize]) -> World {
+        let faults = std::mem::take(&mut self.scene.faults).into_iter().enumerate();
+        let left = faults.filter(|(place, _)| kept.contains(place));
+        self.scene.faults = left.map(|(_, fault)| fault).collect();
+        self
+    }
+
+    /// The same world, which ends at `end`.
+    pub fn with_end(mut self, end: Time) -> World {
+        self.end = end;
+        self
+    }
+
+    /// Faults of the run.
+    pub fn fault_count(&self) -> usize {
+        self.scene.faults.len()
+    }
+
+    /// When it ends.
+    pub fn end(&self) -> Time {
+        self.end
     }
 
     pub fn faults(&self) -> String {
@@ -205,7 +232,7 @@
 
     /// Runs to the end; answers with the first invariant that broke.
     pub fn run(&mut self) -> Result<(), Broken> {
-        while self.scene.now < RUN && self.scene.broken.is_none() {
+        while self.scene.now < self.end && self.scene.broken.is_none() {
             self.step();
         }
         if let Some(broken) = &self.scene.broken {
