Bench: judges histories by the core's invariants where they mean the same

Cause: check.rs wrote out again what core::invariant checks, and admission.rs had a bucket of its own.

Lost, duplicated and false "not run" writes, mixed answers and wrong accounts are now put into the core's records and judged by verify_kept, verify_once, verify_not_run, verify_whole and verify_owner, record by record, since the core names only the first offender and the bench lists all. The ideal limiter is the core's Bucket, which gained admit and takes fractions. Left as they were, since they mean something else: stale reads (judged by what the session knew when it sent, not by log positions) and the excess over windows (spans of time, not instants).

--- a/crates/cli/src/bench/admission.rs
+++ b/crates/cli/src/bench/admission.rs
@@ -6,6 +6,7 @@
 //! limiter: one bucket over all hosts, charged with what was really let through.
 
 use crate::bench::history::{AccountIndex, Attempt, History, Kind, Op, Outcome, Step, Verdict};
+use bergamotvale_core::invariant::admission::Bucket;
 use bergamotvale_core::refusal::{Ran, Reason};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -120,44 +121,6 @@
     }
 }
 
-/// A bucket over all hosts.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Bucket {
-    rate: f64,
-    burst: f64,
-    level: f64,
-    at: Duration,
-}
-
-impl Bucket {
-    /// A full bucket at the start of the run.
-    pub fn new(rate: f64, burst: f64) -> Bucket {
-        Bucket { rate, burst, level: burst, at: Duration::ZERO }
-    }
-
-    /// Takes a token if there is one.
-    pub fn take(&mut self, now: Duration) -> bool {
-        self.refill(now);
-        let there = self.level >= 1.0;
-        if there {
-            self.level -= 1.0;
-        }
-        there
-    }
-
-    /// Charges a token whether there is one or not; what is owed is paid back first.
-    pub fn charge(&mut self, now: Duration) {
-        self.refill(now);
-        self.level -= 1.0;
-    }
-
-    fn refill(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.level = self.burst.min(self.level + passed * self.rate);
-        self.at = self.at.max(now);
-    }
-}
-
 /// How an account's requests went against the ideal limiter.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Account {
@@ -180,7 +143,7 @@
     let mut real = Bucket::new(known.rate, known.burst);
     let mut found = Account::default();
     for Charge { attempt, is_first } in charges {
-        let is_within = alone.take(attempt.sent);
+        let is_within = alone.admit(attempt.sent);
         found.offered += u64::from(is_first);
         found.within += u64::from(is_first && is_within);
         found.judge(attempt, &mut real);
@@ -191,12 +154,12 @@
 impl Account {
     fn judge(&mut self, attempt: &Attempt, bucket: &mut Bucket) {
         if attempt.verdict() != Verdict::NotRun {
-            bucket.charge(attempt.sent);
+            bucket.take(attempt.sent);
         }
         match attempt.outcome {
             Outcome::Done { .. } => {}
             Outcome::Refused { reason: Some(reason), ran: Ran::No } => {
-                if bucket.take(attempt.sent) {
+                if bucket.admit(attempt.sent) {
                     *self.wrongful.entry(reason).or_default() += 1;
                 }
             }
--- a/crates/cli/src/bench/check.rs
+++ b/crates/cli/src/bench/check.rs
@@ -1,12 +1,18 @@
 //! What may never happen, checked on a recorded history.
 //!
 //! Each checker is a pure function over a [`History`] and answers with the operations that broke
-//! its rule. All of them must come back empty on every run, whatever faults were set.
+//! its rule. All of them must come back empty on every run, whatever faults were set. Where a rule is
+//! one of the core's invariants, the history is put into the core's records and judged there, record
+//! by record, since the core names only the first that breaks one. The rest differs: reads are judged
+//! by what their session knew when they were sent, and admissions by spans of time.
 
 use crate::bench::admission;
 use crate::bench::history::{AccountIndex, History, Kind, Mark, Op, OpId, Verdict};
+use bergamotvale_core::id::{AccountId, TargetId};
+use bergamotvale_core::invariant::{Broken, account, answer, write};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::slice;
 
 /// Operations that broke each rule.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,23 +73,17 @@
 
 /// Acknowledged writes that at least one target of their service lacks.
 pub fn lost(history: &History) -> BTreeSet<OpId> {
-    let acknowledged = writes(history).filter(|op| op.verdict() == Verdict::Acknowledged);
-    acknowledged
-        .filter(|op| marks(history, op).any(|mark| mark.is_none()))
-        .map(|op| op.id)
-        .collect()
+    breaking(records(history), write::verify_kept, |write| write.op)
 }
 
 /// Writes with more than one row on any target.
 pub fn duplicated(history: &History) -> BTreeSet<OpId> {
-    let repeated = |op: &&Op| marks(history, op).flatten().any(|mark| mark.count > 1);
-    writes(history).filter(repeated).map(|op| op.id).collect()
+    breaking(records(history), write::verify_once, |write| write.op)
 }
 
 /// Writes that every attempt called not run, and that left a row nevertheless.
 pub fn false_not_run(history: &History) -> BTreeSet<OpId> {
-    let not_run = writes(history).filter(|op| op.verdict() == Verdict::NotRun);
-    not_run.filter(|op| marks(history, op).flatten().next().is_some()).map(|op| op.id).collect()
+    breaking(records(history), write::verify_not_run, |write| write.op)
 }
 
 /// Reads of `kind` whose answer lies below what they had to see.
@@ -99,19 +99,23 @@
 pub fn mixed(history: &History) -> BTreeSet<OpId> {
     let answered =
         history.ops.iter().filter(|op| op.kind.reads() && op.verdict() == Verdict::Acknowledged);
-    answered.filter(|op| op.seen.is_none_or(|seen| seen.op != op.id)).map(|op| op.id).collect()
+    let answers = answered.map(|op| answer::Answer {
+        op: op.id,
+        of: op.seen.map_or(op.id, |seen| seen.op),
+        sent_rows: 1,
+        received_rows: op.seen.iter().len(),
+    });
+    breaking(answers, answer::verify_whole, |answer| answer.op)
 }
 
 /// Foreign requests that were answered, and rows under another account or of no known write.
 pub fn wrong_account(history: &History) -> BTreeSet<OpId> {
     let answered = |op: &&Op| op.kind == Kind::Foreign && op.verdict() == Verdict::Acknowledged;
-    let mut found: BTreeSet<_> = history.ops.iter().filter(answered).map(|op| op.id).collect();
+    let foreign = history.ops.iter().filter(answered).map(|op| run(op.id, None, op.account));
     let owners: BTreeMap<_, _> = writes(history).map(|op| (op.id, op.account)).collect();
-    for remains in &history.remains {
-        let strange = |(id, mark): &(&OpId, &Mark)| owners.get(*id) != Some(&mark.account);
-        found.extend(remains.rows.iter().filter(strange).map(|(id, _)| *id));
-    }
-    found
+    let rows = history.remains.iter().flat_map(|remains| &remains.rows);
+    let left = rows.map(|(id, mark)| run(*id, owners.get(id).copied(), mark.account));
+    breaking(foreign.chain(left), account::verify_owner, |run| run.op)
 }
 
 /// Accounts above rate and burst in some window.
@@ -124,6 +128,39 @@
     above.map(|(index, _)| index).collect()
 }
 
+/// Records that break `rule`, each by itself.
+fn breaking<T>(
+    records: impl Iterator<Item = T>,
+    rule: impl Fn(&[T]) -> Result<(), Broken>,
+    id: impl Fn(&T) -> OpId,
+) -> BTreeSet<OpId> {
+    records.filter(|record| rule(slice::from_ref(record)).is_err()).map(|r| id(&r)).collect()
+}
+
+/// An operation that ran for `account`; `owner` is that of the key that came with it.
+fn run(op: OpId, owner: Option<AccountIndex>, account: AccountIndex) -> account::Run {
+    let id = |index: AccountIndex| index as AccountId;
+    account::Run { op, presented: owner.map(id), account: id(account), is_open: false }
+}
+
+/// Every write, with what each target of its service holds of it.
+fn records(history: &History) -> impl Iterator<Item = write::Write> + '_ {
+    writes(history).map(|op| {
+        let effects = (0 as TargetId..).zip(marks(history, op).map(effects)).collect();
+        let verdict = match op.verdict() {
+            Verdict::Acknowledged => write::Verdict::Acknowledged,
+            Verdict::NotRun => write::Verdict::NotRun,
+            Verdict::Unknown => write::Verdict::Unknown,
+        };
+        write::Write { op: op.id, verdict, effects }
+    })
+}
+
+/// Rows of a mark; a mark that is there stands for one at least.
+fn effects(mark: Option<&Mark>) -> usize {
+    mark.map_or(0, |mark| mark.count.max(1) as usize)
+}
+
 fn writes(history: &History) -> impl Iterator<Item = &Op> {
     history.ops.iter().filter(|op| op.kind.writes())
 }
--- a/crates/cli/tests/admission.rs
+++ b/crates/cli/tests/admission.rs
@@ -1,6 +1,7 @@
 //! The oracle over every window against a plain count of all of them.
 
-use bergamotvale_cli::bench::admission::{self, Bucket, Span};
+use bergamotvale_cli::bench::admission::{self, Span};
+use bergamotvale_core::invariant::admission::Bucket;
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -50,7 +51,7 @@
         let mut bucket = Bucket::new(f64::from(rate), f64::from(burst));
         let sent = times.into_iter().map(Duration::from_millis);
 
-        let admitted: Vec<_> = sent.filter(|time| bucket.take(*time)).collect();
+        let admitted: Vec<_> = sent.filter(|time| bucket.admit(*time)).collect();
 
         let spans: Vec<_> = admitted.iter().map(|t| Span { sent: *t, ended: *t }).collect();
         prop_assert_eq!(admission::excess(&spans, f64::from(rate), f64::from(burst)), 0.0);
--- a/crates/core/src/invariant/admission.rs
+++ b/crates/core/src/invariant/admission.rs
@@ -30,8 +30,9 @@
 
 impl Bucket {
     /// A full bucket.
-    pub fn new(rate: u32, burst: u32) -> Bucket {
-        Bucket { rate: rate.into(), burst: burst.into(), level: burst.into(), at: Duration::ZERO }
+    pub fn new(rate: impl Into<f64>, burst: impl Into<f64>) -> Bucket {
+        let (rate, burst) = (rate.into(), burst.into());
+        Bucket { rate, burst, level: burst, at: Duration::ZERO }
     }
 
     /// Level at `now`.
@@ -42,6 +43,15 @@
         self.level
     }
 
+    /// Takes a token if there is one.
+    pub fn admit(&mut self, now: Time) -> bool {
+        let there = self.level(now) >= 1.0;
+        if there {
+            self.level -= 1.0;
+        }
+        there
+    }
+
     /// Takes a token, also below zero; answers the level after.
     pub fn take(&mut self, now: Time) -> f64 {
         self.level = self.level(now) - 1.0;
