--- a/crates/cli/src/bench/admission.rs
+++ b/crates/cli/src/bench/admission.rs
@@ -7,6 +7,7 @@
 
 use crate::bench::history::{AccountIndex, Attempt, History, Kind, Op, Outcome, Step, Verdict};
 use crate::bench::phase::{Count, Phase, Phases};
+use bergamotvale_core::invariant::admission::Bucket;
 use bergamotvale_core::refusal::{Ran, Reason};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -122,44 +123,6 @@
     }
 }
 
-/// A bucket over all hosts.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Bucket {
-    rate: f64,
-    burst: f64,
-    level: f64,
-    at: Duration,
-}
-
-impl Bucket {
-    /// A full bucket at the start of the run.
-    pub fn new(rate: f64, burst: f64) -> Bucket {
-        Bucket { rate, burst, level: burst, at: Duration::ZERO }
-    }
-
-    /// Takes a token if there is one.
-    pub fn take(&mut self, now: Duration) -> bool {
-        self.refill(now);
-        let there = self.level >= 1.0;
-        if there {
-            self.level -= 1.0;
-        }
-        there
-    }
-
-    /// Charges a token whether there is one or not; what is owed is paid back first.
-    pub fn charge(&mut self, now: Duration) {
-        self.refill(now);
-        self.level -= 1.0;
-    }
-
-    fn refill(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.level = self.burst.min(self.level + passed * self.rate);
-        self.at = self.at.max(now);
-    }
-}
-
 /// How an account's requests went against the ideal limiter.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Account {
@@ -185,7 +148,7 @@
     let mut found = Account::default();
     for Charge { op, attempt, is_first } in charges {
         let phase = phases.of(op, attempt);
-        let is_within = alone.take(attempt.sent) && is_first;
+        let is_within = alone.admit(attempt.sent) && is_first;
         found.offered += u64::from(is_first);
         found.within += u64::from(is_within);
         found.within_steady += u64::from(is_within && phase == Phase::Steady);
@@ -197,12 +160,12 @@
 impl Account {
     fn judge(&mut self, attempt: &Attempt, phase: Phase, bucket: &mut Bucket) {
         if attempt.verdict() != Verdict::NotRun {
-            bucket.charge(attempt.sent);
+            bucket.take(attempt.sent);
         }
         match attempt.outcome {
             Outcome::Done { .. } => {}
             Outcome::Refused { reason: Some(reason), ran: Ran::No } => {
-                if bucket.take(attempt.sent) {
+                if bucket.admit(attempt.sent) {
                     self.wrongful.entry(reason).or_default().add(phase);
                 }
             }
