Failover: requests that wait for a cut-off primary go on with the next one

The connections of a primary that is cut off stay taken by statements that wait for their own timeouts, and whoever was queued behind them waited on at that target until its deadline, though a new primary was there after 1.5 s. Ruled out: the fair queue's order, which decides among waiting requests only.

A request in the queue of a primary now looks every 20 ms whether that primary was replaced, and then tries again with the next one. Nothing of it was sent, so unkeyed writes do so too.

--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -10,7 +10,8 @@
 use crate::shared::Host;
 use bergamotvale_core::config::Target;
 use bergamotvale_core::fair::{Order, Queue, Waiter};
-use bergamotvale_core::id::{AccountId, RequestId, Time};
+use bergamotvale_core::id::{AccountId, RequestId, TargetId, Time};
+use bergamotvale_core::log::Term;
 use bergamotvale_core::pool::{Action, ConnectionId, Pool, Refused, Settings, State as Stage};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use bergamotvale_core::slot::{self, Ledger};
@@ -22,6 +23,8 @@
 
 /// Time that the other end of an idle connection has to give a sign of life.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between two looks of a waiting request whether its primary was replaced.
+const REPLACED_LOOK: Duration = Duration::from_millis(20);
 /// Time between two looks whether a planned promotion has ended.
 const LOOK: Duration = Duration::from_millis(5);
 const CHECK: &str = "SELECT 1";
@@ -159,11 +162,34 @@
     };
     perform(host, key, actions);
     let _place = Place { host: host.clone(), key, request };
-    let left = deadline.saturating_sub(host.clock.now());
-    match tokio::time::timeout(left, receiver).await {
-        Ok(Ok(Ok(lease))) => Ok(lease),
-        Ok(Ok(Err(reason))) => Err(refusal(reason)),
-        Ok(Err(_)) | Err(_) => Err(refusal(Reason::QueueTimeout)),
+    let led = primary.filter(|(target, _)| *target == key.1);
+    granted(host, key, led, deadline, receiver).await
+}
+
+/// Waits in the queue; leaves it when the primary that it is for, if any, is replaced.
+///
+/// The connections of a primary that is cut off stay taken until their owners give up, so that
+/// whoever waits on for one misses the new primary.
+async fn granted(
+    host: &Host,
+    key: Key,
+    led: Option<(TargetId, Term)>,
+    deadline: Time,
+    mut receiver: oneshot::Receiver<Result<Lease, Reason>>,
+) -> Result<Lease, Refusal> {
+    loop {
+        let left = deadline.saturating_sub(host.clock.now());
+        let time = if led.is_some() { left.min(REPLACED_LOOK) } else { left };
+        match tokio::time::timeout(time, &mut receiver).await {
+            Ok(Ok(Ok(lease))) => return Ok(lease),
+            Ok(Ok(Err(reason))) => return Err(refusal(reason)),
+            Ok(Err(_)) => return Err(refusal(Reason::QueueTimeout)),
+            Err(_) if left.is_zero() => return Err(refusal(Reason::QueueTimeout)),
+            Err(_) if led.is_some() && host.failover.primary(key.0) != led => {
+                return Err(Refusal::new(Reason::Superseded, "the primary was replaced"));
+            }
+            Err(_) => {}
+        }
     }
 }
 
--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bergamotvale_host::settings::{Defect, Failover, Settings};
-use common::{Answer, Call, Fixture, Host, KEY, until};
+use common::{Answer, Call, Fixture, Host, KEY, SERVICE, until};
 use serde_json::json;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -115,6 +115,35 @@
     assert_eq!(fixture.bolts(), 0);
 }
 
+/// The connections of a primary that is cut off stay taken for longer than a request may wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_for_a_cut_off_primary_go_on_with_the_next_one() {
+    let fixture = Fixture::new().await;
+    let host = fixture.host_with(1, alone).await;
+    let primary = fixture.group.target(0);
+    let limit = host.daemon.host.pools.share((SERVICE, 0));
+    let taken = || host.daemon.host.data.in_flight((SERVICE, 0)) as usize;
+    let slow = || host.write(SLOW_INSERT).with_header("bergamotvale-timeout", "30s").try_send();
+    let fillers: Vec<_> = (0..limit).map(|_| tokio::spawn(slow())).collect();
+    until("all connections are taken", || taken() >= limit).await;
+
+    primary.partition(&[1, 2]);
+    primary.cut_callers(true);
+    let insert = |id| host.write(INSERT).with_param(json!(id));
+    let insert = |id| insert(id).with_header("bergamotvale-timeout", "12s").send();
+    let waiting: Vec<_> = (100..110).map(|id| tokio::spawn(insert(id))).collect();
+
+    for request in waiting {
+        request.await.expect("an answer").ok();
+    }
+    assert_ne!(fixture.primary(), 0);
+    assert_eq!(fixture.bolts(), 10);
+    assert_eq!(host.counter("refusal.queue_timeout"), 0);
+    for filler in fillers {
+        filler.abort();
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn cut_off_primary_gets_no_write_acknowledged() {
     let fixture = Fixture::new().await;
