Tests: a caller that stays silent loses its connection

No fault was found on the plain listeners: silent from the start, within a head, and after an answer, the connection ends on both.

--- a/crates/host/tests/outside.rs
+++ b/crates/host/tests/outside.rs
@@ -8,7 +8,7 @@
 use bergamotvale_host::front::body;
 use bergamotvale_host::platform::{Listed, Row};
 use bergamotvale_host::settings::Settings;
-use common::{Fixture, KEY};
+use common::{Fixture, KEY, PATIENCE};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::Index;
@@ -318,3 +318,26 @@
         assert_eq!(headers.contains_key("allow"), status == 405, "{path}");
     }
 }
+
+/// A caller that stays silent, at the start or within a head, loses its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_closed() {
+    let fixture = Fixture::new().await;
+    let quick = |settings: &mut Settings| {
+        settings.limits.idle = Duration::from_secs(1);
+        settings.limits.header_time = Duration::from_secs(1);
+    };
+    let host = fixture.host_with(1, quick).await;
+    let operators = host.daemon.host.settings.listen.operators;
+
+    for address in [host.address, operators] {
+        for beginning in ["", "GET /v1/open/stock HT", "GET /nowhere HTTP/1.1\r\nhost: a\r\n\r\n"] {
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            stream.write_all(beginning.as_bytes()).await.expect("sent");
+            let mut answer = Vec::new();
+            let ended = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+
+            assert!(ended.is_ok(), "{address} keeps the connection after {beginning:?}");
+        }
+    }
+}
