Connections: parts grow after 1.55 s, and a missed member table is noticed

A new host lived on loans for 2.55 s, since a loan could outlive the authority of its lender and so the division it was taken from. Now a lender lends only while its authority outlives the loan; a growing part waits for the lifetime of authority and 50 ms. A loan holds 0.8 s instead of 1 s, so that proofs up to 0.7 s old suffice for lending, and is renewed after 0.25 s.

The host counted the member tables that it had seen itself, so that a table it had missed went unnoticed, and it read members, count and end of authority one after the other, so that an old part could be used on new authority. share::Count takes epochs: a skipped one counts as a missed division.

Two hosts' real sockets under a missed table were not tried.

--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -6,7 +6,7 @@
 //! of authority, since nobody acts on older knowledge than that. Until then a host uses the least
 //! of its old and new parts; so, at any time, the parts in use sum to no more than the total.
 
-use crate::id::{HostId, Time};
+use crate::id::{Epoch, HostId, Time};
 use crate::rendezvous::{self, Subject};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
@@ -27,6 +27,37 @@
     total / count + u64::from((rank as u64) < total % count)
 }
 
+/// Counts the divisions that a host goes through, so that one that it missed shows.
+///
+/// A division follows from the epoch's members. Whoever skips an epoch may have missed one.
+#[derive(Debug, Clone, Default)]
+pub struct Count {
+    epoch: Epoch,
+    members: BTreeSet<HostId>,
+    generation: u64,
+}
+
+impl Count {
+    /// Takes the members of `epoch`.
+    pub fn adopt(&mut self, epoch: Epoch, members: &BTreeSet<HostId>) {
+        let missed = self.epoch > 0 && epoch > self.epoch + 1;
+        let changed = self.members != *members;
+        self.generation += if missed { 2 } else { u64::from(changed) };
+        self.epoch = epoch;
+        self.members.clone_from(members);
+    }
+
+    /// Divisions so far, counting one that may have been missed.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Members among whom to divide.
+    pub fn members(&self) -> &BTreeSet<HostId> {
+        &self.members
+    }
+}
+
 /// A part over time: shrinks at once, grows after the old division is out of force.
 #[derive(Debug, Clone)]
 pub struct Part {
--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -9,8 +9,8 @@
 //!   the lender's. A request names the total that the borrower wants to hold, and a sequence
 //!   number, so that late and repeated messages never leave the borrower with more than the lender
 //!   has deducted. Borrowed slots are not lent on.
-//! - A part that grows does so only once every loan out of the old division has ended as well:
-//!   the time that it waits is [`settle`], the lifetime of authority and that of a loan.
+//! - A lender lends only while its authority outlives the loan, so no loan out of an old division
+//!   outlives that division. A part that grows waits for that: [`settle`].
 //! - A host without authority uses nothing.
 //!
 //! Where the limit is below the number of hosts, some have no part and live on loans.
@@ -22,15 +22,15 @@
 use std::time::Duration;
 
 /// Time for which a loan holds, as the lender counts it.
-pub const LEASE: Duration = Duration::from_millis(1_000);
+pub const LEASE: Duration = Duration::from_millis(800);
 /// By how much the borrower's lease is shorter: covers clocks that run at different speeds.
 pub const LEASE_GUARD: Duration = Duration::from_millis(50);
 /// Age of a loan at which the borrower asks for it again.
-pub const RENEW_AFTER: Duration = Duration::from_millis(350);
+pub const RENEW_AFTER: Duration = Duration::from_millis(250);
 
 /// Time that a growing part waits, given the lifetime of authority.
 pub fn settle(authority: Duration) -> Duration {
-    authority + LEASE + LEASE_GUARD
+    authority + LEASE_GUARD
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -153,8 +153,9 @@
     pub fn lend(&mut self, now: Time, request: &SlotRequest, spare: u32) -> u32 {
         let heard = self.heard.entry(request.host).or_insert(0);
         *heard = request.sequence.max(*heard);
-        // What this host may lend at all: a part that has shrunk renews no loan beyond it.
-        let part = if now < self.vouched_until { self.part(now) } else { 0 };
+        // What this host may lend at all: a part that has shrunk renews no loan beyond it, and a
+        // loan that outlived the authority could outlive the division that it is taken from.
+        let part = if now + LEASE <= self.vouched_until { self.part(now) } else { 0 };
         let loans = self.lent.remove(&request.host).unwrap_or_default();
         let (known, others) = (most(&loans, now), held(&self.lent, now));
         let free = spare.min(part.saturating_sub(known + others));
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -1,6 +1,7 @@
 //! Parts over time, also of a host that misses a division.
 
-use bergamotvale_core::share::Part;
+use bergamotvale_core::share::{Count, Part};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 const SETTLE: Duration = Duration::from_millis(1600);
@@ -37,3 +38,17 @@
 
     assert_eq!((usable, after), ([0, 0], 10));
 }
+
+#[test]
+fn a_skipped_epoch_counts_as_a_missed_division() {
+    let (three, four) = (BTreeSet::from([1, 2, 3]), BTreeSet::from([1, 2, 3, 4]));
+    let steps = [(5, &four), (6, &four), (7, &three), (9, &three), (11, &four)];
+    let mut count = Count::default();
+
+    let generations = steps.map(|(epoch, members)| {
+        count.adopt(epoch, members);
+        count.generation()
+    });
+
+    assert_eq!(generations, [1, 1, 2, 4, 6]);
+}
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -5,7 +5,6 @@
 use crate::settings::{Defect, Settings};
 use crate::shared::Host;
 use crate::{admin, exec, failover, front, peer, target};
-use bergamotvale_core::id::Time;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -29,7 +28,6 @@
         let operators = bind(&mut settings.listen.operators)?;
         let host = Arc::new(Host::new(settings)?);
         // Shares are for recorded members only; this host is none yet.
-        host.pools.vouch(Time::ZERO);
         host.failover.set_members(BTreeMap::new());
         let front = front::start(host.clone(), callers)?;
         let admin = admin::start(host.clone(), operators)?;
--- a/crates/host/src/fleet/beat.rs
+++ b/crates/host/src/fleet/beat.rs
@@ -24,7 +24,6 @@
             _ = ticks.tick() => {}
             () = host.failover.changed() => {}
         }
-        host.vouch();
         for member in host.fleet.probes() {
             host.peers.meet(&member);
             if begin(&outstanding, member.host) {
@@ -58,7 +57,6 @@
             let now = host.clock.now();
             host.fleet.answered(now, sent, &answer);
             host.took(now, &answer);
-            host.vouch();
         }
         Err(fault) => {
             log::debug!("heartbeat to host {peer}: {fault}");
--- a/crates/host/src/fleet/follow.rs
+++ b/crates/host/src/fleet/follow.rs
@@ -41,7 +41,6 @@
     if row.epoch > host.fleet.epoch() {
         move_to(host, row.clone()).await?;
     }
-    host.vouch();
     Ok((version, row))
 }
 
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 use bergamotvale_core::key;
 use bergamotvale_core::member::{self, Failure, View};
 use bergamotvale_core::peer::{Heartbeat, Member, Update};
+use bergamotvale_core::share::Count;
 use bergamotvale_core::upkeep::{Duty, duty};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -42,9 +43,21 @@
     replica: Replica,
     view: View,
     spread: Spread,
+    divisions: Count,
     adopted: Time,
 }
 
+/// Among whom connections are divided, and how long this host may act on that.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Division {
+    /// Recorded members.
+    pub members: BTreeSet<HostId>,
+    /// Count of divisions, see [`Count`].
+    pub generation: u64,
+    /// End of the present authority.
+    pub until: Time,
+}
+
 /// This host's authority, as operators see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Standing {
@@ -83,6 +96,7 @@
             replica: Replica::new(),
             view: View::new(own.host).with_watched(settings.policy.fan_out),
             spread: Spread::new().with_validity(validity),
+            divisions: Count::default(),
             adopted: Time::ZERO,
             own,
         };
@@ -140,11 +154,17 @@
         }
     }
 
-    /// Time at which the present authority ends.
-    pub fn held_until(&self, now: Time) -> Option<Time> {
+    /// The division in force here.
+    ///
+    /// Members and authority are of one epoch: those of an older one must not be used for longer.
+    pub fn division(&self, now: Time) -> Division {
         let state = self.lock();
-        let age = state.holder.age(now).filter(|_| state.holder.recorded())?;
-        Some(now.saturating_sub(age) + self.validity)
+        let age = state.holder.age(now).filter(|_| state.holder.recorded());
+        Division {
+            members: state.divisions.members().clone(),
+            generation: state.divisions.generation(),
+            until: age.map_or(Time::ZERO, |age| now.saturating_sub(age) + self.validity),
+        }
     }
 
     /// Epoch and configuration version that every live host acts on.
@@ -305,6 +325,7 @@
             }
             // A leaving host keeps its part: callers come until they have seen that it leaves.
             let hosts: BTreeSet<HostId> = row.members.keys().copied().collect();
+            state.divisions.adopt(row.epoch, &hosts);
             self.limiter.divide(&document, &hosts, self.settings.host);
         }
         let own = row.members.get(&self.settings.host);
@@ -319,19 +340,12 @@
         true
     }
 
-    /// Tells peers' connections, failover and pools who the members are.
+    /// Tells peers' connections, and failover who the members are.
     fn divide(&self, members: &BTreeMap<HostId, Member>) {
         for member in members.values().filter(|m| m.host != self.settings.host) {
             self.peers.meet(member);
         }
         let domains = members.values().map(|m| (m.host, m.failure_domain)).collect();
         self.failover.set_members(domains);
-        self.vouch();
-    }
-
-    /// Tells the connection pools until when they may use their shares.
-    fn vouch(&self) {
-        let until = self.fleet.held_until(self.clock.now());
-        self.pools.vouch(until.unwrap_or(Time::ZERO));
     }
 }
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -43,10 +43,8 @@
 }
 
 fn follow(host: &Host, document: &Document) {
-    let members: BTreeSet<HostId> = host.failover.members().into_keys().collect();
     let now = host.clock.now();
-    let until = host.pools.vouched_until();
-    let generation = host.failover.generation();
+    let division = host.fleet.division(now);
     host.pools.inner.retain(|(service, target)| {
         let service = document.services.get(service);
         service.is_some_and(|service| service.targets.contains_key(target))
@@ -55,10 +53,10 @@
         for (target_id, target) in &service.targets {
             let key = (*service_id, *target_id);
             host.pools.inner.ensure(host, key, target);
-            let part = part(host, key, target, &members);
+            let part = part(host, key, target, &division.members);
             host.pools.inner.with(key, |entry| {
-                entry.ledger.vouch(until);
-                entry.ledger.set_part(now, generation, part);
+                entry.ledger.vouch(division.until);
+                entry.ledger.set_part(now, division.generation, part);
             });
         }
     }
