TLS for the callers' and the operators' listener

Cause: settings named a certificate and a host that had one refused to start.

The framework's `bind_rustls` takes an address and binds it itself. The callers' listener has to watch its connections (a caller that is gone, a result that is cut, idle ones at a stop), so that call was ruled out; the same parts behind it (`xitca-http`, in the tree already) are put together in front::serve.

After a failed handshake the framework drops its socket without a shutdown, and the host's second handle kept the connection open: a plain caller on a TLS port waited over 10 s. Each TLS connection that ends with an error is now cut.

--- a/crates/host/src/admin/mod.rs
+++ b/crates/host/src/admin/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::error::Result;
 use crate::fleet::change;
-use crate::front::unrouted;
+use crate::front::{serve, unrouted};
 use crate::shared::Host;
 use bergamotvale_core::plan as core_plan;
 use derive_more::{Display, Error, From};
@@ -26,7 +26,7 @@
 use xitca_web::http::header::{CONTENT_TYPE, HeaderValue};
 use xitca_web::http::{StatusCode, WebResponse};
 use xitca_web::route::{get, post, put};
-use xitca_web::{App, HttpServer, WebContext};
+use xitca_web::{App, WebContext};
 
 /// Bytes of a request's body.
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -127,8 +127,9 @@
 /// Starts serving operators on `listener`.
 pub fn start(host: Arc<Host>, listener: TcpListener) -> Result<Listener> {
     let address = listener.local_addr()?;
-    let idle = host.settings.limits.idle;
-    let header_time = host.settings.limits.header_time;
+    let limits = &host.settings.limits;
+    let bounds = serve::Bounds { workers: 1, idle: limits.idle, header_time: limits.header_time };
+    let tls = host.settings.tls.for_operators()?;
     let state = State { host, runtime: Handle::current() };
     let app = App::new()
         .with_state(state)
@@ -144,13 +145,7 @@
         .at("/v1/audit", get(handler_service(get_audit)))
         .enclosed_fn(unrouted::settle)
         .finish();
-    let mut server = HttpServer::serve(app)
-        .disable_signal()
-        .worker_threads(1)
-        .keep_alive_timeout(idle)
-        .request_head_timeout(header_time)
-        .listen(listener)?
-        .run();
+    let mut server = serve::run(app, listener, (tls, |_| ()), &bounds);
     let handle = server.handle()?;
     let (sender, ended) = oneshot::channel::<()>();
     // The server brings a runtime of its own, which may only be dropped on a plain thread.
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -9,6 +9,7 @@
 pub mod problem;
 pub mod request;
 mod route;
+pub mod serve;
 pub mod stream;
 pub mod unrouted;
 
@@ -27,7 +28,7 @@
 use xitca_web::http::WebResponse;
 use xitca_web::http::header::CONNECTION;
 use xitca_web::route::{get, post};
-use xitca_web::{App, HttpServer, WebContext};
+use xitca_web::{App, WebContext};
 
 /// Time between two looks for idle connections while the listener stops.
 const IDLE_SWEEP: Duration = Duration::from_millis(25);
@@ -58,11 +59,7 @@
 pub fn start(host: Arc<Host>, listener: TcpListener) -> Result<Listener> {
     let address = listener.local_addr()?;
     let settings = &host.settings;
-    if settings.tls.is_some() {
-        // Serving plain text instead would show callers' keys.
-        let fault = "tls: the callers' listener does not serve TLS yet";
-        return Err(std::io::Error::other(fault).into());
-    }
+    let tls = settings.tls.for_callers()?;
     let runtime = Handle::current();
     let callers = Callers::new(runtime.clone());
     let state = State { host: host.clone(), callers: callers.clone(), runtime };
@@ -77,13 +74,14 @@
         .at("/v1/open/{route}", get(handler_service(route::open)))
         .enclosed_fn(unrouted::settle)
         .finish();
-    let mut server = HttpServer::serve(app)
-        .disable_signal()
-        .worker_threads(settings.workers)
-        .keep_alive_timeout(settings.limits.idle)
-        .request_head_timeout(settings.limits.header_time)
-        .listen(Watched::new(listener, callers.clone()))?
-        .run();
+    let bounds = serve::Bounds {
+        workers: settings.workers,
+        idle: settings.limits.idle,
+        header_time: settings.limits.header_time,
+    };
+    let failed = callers.clone();
+    let tls = (tls, move |address| failed.cut(address));
+    let mut server = serve::run(app, Watched::new(listener, callers.clone()), tls, &bounds);
     let handle = server.handle()?;
     let (sender, ended) = oneshot::channel::<()>();
     // The server brings a runtime of its own, which may only be dropped on a plain thread.
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -5,16 +5,19 @@
 //! the configuration that the platform keeps.
 
 mod place;
+mod tls;
 
 use crate::unit::{Size, Span};
 use bergamotvale_core::id::{FailureDomainId, HostId};
 use bergamotvale_core::plan;
 use derive_more::{Display, Error};
+use rustls::ServerConfig;
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Settings of a host.
@@ -27,9 +30,9 @@
     pub failure_domain: FailureDomainId,
     /// Where it listens.
     pub listen: Listen,
-    /// Certificate for the callers' listener; plain HTTP without.
+    /// Certificates of the listeners; plain HTTP without.
     #[serde(default)]
-    pub tls: Option<Tls>,
+    pub tls: Tls,
     /// The platform's service.
     pub platform: Platform,
     /// Login to the targets.
@@ -70,10 +73,20 @@
     pub peers: SocketAddr,
 }
 
+/// Certificates of the listeners.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tls {
+    /// The callers' listener.
+    pub callers: Option<Identity>,
+    /// The operators' listener.
+    pub operators: Option<Identity>,
+}
+
 /// Files of a TLS identity, PEM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Tls {
+pub struct Identity {
     /// Certificate chain.
     pub certificate: PathBuf,
     /// Private key.
@@ -434,7 +447,7 @@
             host,
             failure_domain,
             listen,
-            tls: None,
+            tls: Tls::default(),
             platform: Platform {
                 address: platform,
                 timeout: default_platform_timeout(),
@@ -480,6 +493,7 @@
     verify_addresses(settings)?;
     verify_times(settings)?;
     verify_sizes(settings)?;
+    verify_tls(&settings.tls)?;
     verify_operators(&settings.operators)
 }
 
@@ -541,6 +555,37 @@
     Ok(())
 }
 
+fn verify_tls(tls: &Tls) -> Result<(), Fault> {
+    tls.for_callers()?;
+    tls.for_operators().map(drop)
+}
+
+/// What a listener serves TLS with; `fields` are those of certificate and key.
+fn load(
+    identity: Option<&Identity>,
+    fields: [&'static str; 2],
+) -> Result<Option<Arc<ServerConfig>>, Fault> {
+    let Some(identity) = identity else { return Ok(None) };
+    let (field, reason) = match tls::load(identity) {
+        Ok(config) => return Ok(Some(config)),
+        Err(tls::Fault::Certificate(reason)) => (fields[0], reason),
+        Err(tls::Fault::Key(reason)) => (fields[1], reason),
+    };
+    Err(Fault::Field { field, reason, line: None })
+}
+
+impl Tls {
+    /// What the callers' listener serves with.
+    pub fn for_callers(&self) -> Result<Option<Arc<ServerConfig>>, Fault> {
+        load(self.callers.as_ref(), ["tls.callers.certificate", "tls.callers.key"])
+    }
+
+    /// What the operators' listener serves with.
+    pub fn for_operators(&self) -> Result<Option<Arc<ServerConfig>>, Fault> {
+        load(self.operators.as_ref(), ["tls.operators.certificate", "tls.operators.key"])
+    }
+}
+
 fn verify_operators(operators: &[Operator]) -> Result<(), Fault> {
     let mut names = BTreeSet::new();
     for operator in operators {
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -38,6 +38,7 @@
 pub(crate) struct Host {
     pub(crate) daemon: Daemon,
     pub(crate) address: SocketAddr,
+    scheme: &'static str,
     http: reqwest::Client,
 }
 
@@ -90,9 +91,10 @@
     pub(crate) async fn bare_host(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
         let mut settings = settings(id, self.platform.address());
         change(&mut settings);
+        let scheme = if settings.tls.callers.is_some() { "https" } else { "http" };
         let daemon = Daemon::start(settings).await.expect("a host");
         let address = daemon.host.settings.listen.callers;
-        Host { daemon, address, http: self.http.clone() }
+        Host { daemon, address, scheme, http: self.http.clone() }
     }
 
     /// The configuration that the first host publishes.
@@ -160,7 +162,7 @@
     }
 
     pub(crate) fn call(&self, path: &str) -> Call {
-        let request = self.http.post(format!("http://{}{path}", self.address));
+        let request = self.http.post(format!("{}://{}{path}", self.scheme, self.address));
         let request = request.header("authorization", format!("Bearer {KEY}"));
         Call { request, sql: String::new(), params: Vec::new() }
     }
