Merge TLS for the callers' and the operators' listener

The identity's loading stands in `settings::tls` beside the split modules. The header test of tests/limits.rs also shortened the idle time, so that its client's kept connection could be closed under its last request (seen once); each test shortens its own limit only.

--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -11,14 +11,16 @@
 mod platform;
 mod policy;
 mod report;
+mod tls;
 mod verify;
 
 pub use access::{Login, Operator};
 pub use limits::{Limits, Timeouts};
-pub use listen::{Listen, Tls};
+pub use listen::Listen;
 pub use platform::Platform;
 pub use policy::{Connections, Defect, Failover, Policy, Rates, Reads, Slots};
 pub use report::{Format, Log, Metrics};
+pub use tls::{Identity, Tls};
 pub use verify::{Fault, verify};
 
 use bergamotvale_core::id::{FailureDomainId, HostId};
@@ -36,9 +38,9 @@
     pub failure_domain: FailureDomainId,
     /// Where it listens.
     pub listen: Listen,
-    /// Certificate for the callers' listener; plain HTTP without.
+    /// Certificates of the listeners; plain HTTP without.
     #[serde(default)]
-    pub tls: Option<Tls>,
+    pub tls: Tls,
     /// The platform's service.
     pub platform: Platform,
     /// Login to the targets.
@@ -83,7 +85,7 @@
             host,
             failure_domain,
             listen,
-            tls: None,
+            tls: Tls::default(),
             platform: Platform::new(platform),
             login: Login::default(),
             operators: Vec::new(),
--- a/crates/host/src/settings/verify.rs
+++ b/crates/host/src/settings/verify.rs
@@ -1,6 +1,6 @@
 //! What settings cannot hold although they can be read.
 
-use super::{Operator, Settings};
+use super::{Operator, Settings, tls};
 use derive_more::{Display, Error};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -37,6 +37,7 @@
     verify_addresses(settings)?;
     verify_times(settings)?;
     verify_sizes(settings)?;
+    tls::verify(&settings.tls)?;
     verify_operators(&settings.operators)
 }
 
--- a/crates/host/tests/limits.rs
+++ b/crates/host/tests/limits.rs
@@ -23,11 +23,6 @@
     settings.limits.result = RESULT;
 }
 
-fn impatient(settings: &mut Settings) {
-    settings.limits.idle = SHORT;
-    settings.limits.header_time = SHORT;
-}
-
 /// Everything that the host sends until it closes the connection.
 async fn read_to_close(stream: &mut TcpStream) -> String {
     let mut text = Vec::new();
@@ -82,7 +77,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idle_connection_is_closed() {
     let fixture = Fixture::new().await;
-    let host = fixture.host_with(1, impatient).await;
+    let host = fixture.host_with(1, |settings| settings.limits.idle = SHORT).await;
     let mut stream = connect(&host).await;
 
     let request = "GET /v1/open/stock HTTP/1.1\r\nhost: mill\r\n\r\n";
@@ -95,7 +90,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn headers_that_take_too_long_are_refused() {
     let fixture = Fixture::new().await;
-    let host = fixture.host_with(1, impatient).await;
+    let host = fixture.host_with(1, |settings| settings.limits.header_time = SHORT).await;
     let mut stream = connect(&host).await;
 
     let begun = format!("POST /v1/services/mill/write HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n");
