Membership: few hosts a failure domain read the platform's list

Every host read and wrote the platform's list each second: 400 writes a second at 400 hosts. The list is now read by those that poll the store, two a failure domain, and by whoever misses a peer and needs it as evidence; all four at four hosts. An entry is renewed every 2 s, as the list drops a host after 5 s. Entries stay each host's own, so they remain what breaks first, at about 800 hosts.

Since a list may now be old, it counts as evidence for 3 s only: a host recorded after an old list was read is not on it and would have counted as gone. A test shows both, another counts the readers at 3,600 hosts.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -34,6 +34,9 @@
 /// Hosts of one failure domain that poll the store.
 pub const POLLERS_PER_DOMAIN: usize = 2;
 
+/// Time for which the platform's list counts as evidence.
+pub const LIST_LIFETIME: Duration = Duration::from_secs(3);
+
 /// Order of hosts on the ring, among voters and among pollers.
 const RING: Subject = Subject::Store(0);
 
@@ -64,13 +67,20 @@
     refused: bool,
 }
 
+/// The platform's list as last read.
+#[derive(Debug, Clone)]
+struct List {
+    at: Time,
+    runs: BTreeMap<HostId, Incarnation>,
+}
+
 /// One host's view of its peers.
 #[derive(Debug, Clone)]
 pub struct View {
     own: HostId,
     peers: BTreeMap<HostId, Peer>,
     recorded: BTreeMap<HostId, Incarnation>,
-    listed: Option<BTreeMap<HostId, Incarnation>>,
+    listed: Option<List>,
     voters: Vec<HostId>,
     watched: usize,
 }
@@ -106,7 +116,8 @@
 
     /// Takes the platform's list.
     pub fn list(&mut self, now: Time, list: &[Member]) {
-        self.listed = Some(list.iter().map(|m| (m.host, m.incarnation)).collect());
+        let runs = list.iter().map(|m| (m.host, m.incarnation)).collect();
+        self.listed = Some(List { at: now, runs });
         for member in list {
             self.meet(now, member);
         }
@@ -163,10 +174,16 @@
     /// Recorded peers that have been gone for `time`.
     pub fn gone(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
         let mut silent = self.silent_for(now, time);
-        silent.retain(|host| self.certainly_gone(*host) && self.heard_by_nobody(now, *host));
+        silent.retain(|host| self.certainly_gone(now, *host) && self.heard_by_nobody(now, *host));
         silent
     }
 
+    /// Whether to read the platform's list: the task of those that poll, and of whoever misses a
+    /// peer and so needs the list as evidence.
+    pub fn reads_list(&self, now: Time, members: &BTreeMap<HostId, Member>) -> bool {
+        polls(members, self.own, POLLERS_PER_DOMAIN) || !self.silent(now).is_empty()
+    }
+
     /// Recorded peers with a smaller id that answer.
     pub fn rank(&self, now: Time) -> u32 {
         let before = self.peers.range(..self.own).map(|(_, peer)| peer);
@@ -185,12 +202,12 @@
         silent
     }
 
-    fn certainly_gone(&self, host: HostId) -> bool {
+    fn certainly_gone(&self, now: Time, host: HostId) -> bool {
         let refused = self.peers.get(&host).is_some_and(|peer| peer.refused);
-        let unlisted = self
-            .listed
-            .as_ref()
-            .is_some_and(|listed| listed.get(&host) != self.recorded.get(&host));
+        // A host that was recorded after an old list was read is not on that list.
+        let listed = self.listed.as_ref();
+        let listed = listed.filter(|list| now.saturating_sub(list.at) < LIST_LIFETIME);
+        let unlisted = listed.is_some_and(|list| list.runs.get(&host) != self.recorded.get(&host));
         refused || unlisted
     }
 
@@ -251,9 +268,9 @@
 
     /// Drops peers that are neither recorded nor listed.
     fn forget(&mut self) {
-        let Some(listed) = &self.listed else { return };
+        let Some(List { runs, .. }) = &self.listed else { return };
         let recorded = &self.recorded;
-        self.peers.retain(|host, _| recorded.contains_key(host) || listed.contains_key(host));
+        self.peers.retain(|host, _| recorded.contains_key(host) || runs.contains_key(host));
     }
 }
 
--- a/crates/core/tests/distribute.rs
+++ b/crates/core/tests/distribute.rs
@@ -5,7 +5,9 @@
 use bergamotvale_core::authority::{self, VALIDITY};
 use bergamotvale_core::distribute::{FAN_OUT, Row, Spread, children};
 use bergamotvale_core::id::{HostId, Time};
-use bergamotvale_core::member::{self, SOURCES, VOTERS, View, WATCHED};
+use bergamotvale_core::member::{
+    self, LIST_LIFETIME, POLLERS_PER_DOMAIN, REMOVE_AFTER, SOURCES, VOTERS, View, WATCHED,
+};
 use bergamotvale_core::peer::Member;
 use fleet::member;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -81,6 +83,51 @@
     assert_eq!(probed, [1, 3, 4]);
 }
 
+/// A view whose recorded peers all answered at `NOW`.
+fn view_of(own: HostId, members: &BTreeMap<HostId, Member>) -> View {
+    let mut view = View::new(own);
+    view.record(NOW, members);
+    view
+}
+
+#[test]
+fn few_hosts_a_failure_domain_read_the_platforms_list() {
+    let domains = |members: &BTreeMap<HostId, Member>| {
+        members.values().map(|member| member.failure_domain).collect::<BTreeSet<_>>().len()
+    };
+    let members = members(LARGE);
+    let polls = |host: &&HostId| member::polls(&members, **host, POLLERS_PER_DOMAIN);
+    let (pollers, others): (Vec<&HostId>, Vec<&HostId>) = members.keys().partition(polls);
+
+    let reads = |host: HostId, now| view_of(host, &members).reads_list(now, &members);
+
+    assert_eq!(pollers.len(), POLLERS_PER_DOMAIN * domains(&members));
+    assert!(pollers.iter().all(|host| reads(**host, NOW)));
+    assert!(others.iter().step_by(101).all(|host| !reads(**host, NOW)));
+    assert!(reads(*others[0], NOW + REMOVE_AFTER), "whoever misses a peer needs the list");
+}
+
+#[test]
+fn four_hosts_all_read_the_platforms_list() {
+    let members = members(4);
+
+    assert!(members.keys().all(|host| view_of(*host, &members).reads_list(NOW, &members)));
+}
+
+#[test]
+fn an_old_list_is_no_evidence_that_a_host_is_gone() {
+    let mut view = view_of(1, &members(2));
+    view.list(NOW, &[]);
+    let later = NOW + LIST_LIFETIME;
+
+    let fresh = view.gone(NOW + REMOVE_AFTER, REMOVE_AFTER);
+    let old = view.gone(later, REMOVE_AFTER);
+    view.list(later, &[]);
+    let again = view.gone(later, REMOVE_AFTER);
+
+    assert_eq!((fresh, old, again), ([2].into(), BTreeSet::new(), [2].into()));
+}
+
 #[test]
 fn an_epoch_is_in_force_once_every_member_confirmed_it() {
     let mut spread = Spread::new();
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -38,6 +38,7 @@
         peers.set_nonblocking(true)?;
         tasks.spawn(peer::server::run(host.clone(), tokio::net::TcpListener::from_std(peers)?));
         tasks.spawn(follow::run(host.clone()));
+        tasks.spawn(follow::enter(host.clone()));
         tasks.spawn(follow::list(host.clone()));
         tasks.spawn(beat::run(host.clone()));
         tasks.spawn(upkeep::run(host.clone()));
--- a/crates/host/src/fleet/follow.rs
+++ b/crates/host/src/fleet/follow.rs
@@ -9,8 +9,10 @@
 use std::time::Duration;
 use tokio::time::{MissedTickBehavior, interval};
 
-/// Time between two entries in the platform's list of hosts.
+/// Time between two looks at the platform's list of hosts.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two entries in it; it drops a host after 5 s without one.
+const ENTRY_PERIOD: Duration = Duration::from_secs(2);
 
 /// Polls the fleet row until the task is dropped.
 pub async fn run(host: Arc<Host>) {
@@ -61,23 +63,39 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
-/// Keeps this host on the platform's list, and follows it, until the task is dropped.
+/// Keeps this host on the platform's list until the task is dropped.
+pub async fn enter(host: Arc<Host>) {
+    let mut ticks = interval(ENTRY_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let own = host.fleet.own();
+        if own.leaving {
+            continue;
+        }
+        let listed = Listed::new(&own, host.settings.listen.callers);
+        if let Err(error) = host.platform.put_host(&listed).await {
+            log::debug!("entry in the platform's list of hosts: {error}");
+        }
+    }
+}
+
+/// Follows the platform's list, as far as it is this host's task, until the task is dropped.
 pub async fn list(host: Arc<Host>) {
     let mut ticks = interval(LIST_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        if let Err(error) = exchange(&host).await {
+        if !host.fleet.reads_list(host.clock.now()) {
+            continue;
+        }
+        if let Err(error) = read_list(&host).await {
             log::debug!("platform's list of hosts: {error}");
         }
     }
 }
 
-async fn exchange(host: &Host) -> Result<()> {
-    let own = host.fleet.own();
-    if !own.leaving {
-        host.platform.put_host(&Listed::new(&own, host.settings.listen.callers)).await?;
-    }
+async fn read_list(host: &Host) -> Result<()> {
     let hosts = host.platform.hosts().await?;
     let members: Vec<_> = hosts.iter().filter_map(Listed::member).collect();
     host.fleet.listed(host.clock.now(), &members);
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -239,6 +239,12 @@
         member::polls(members, state.own.host, member::POLLERS_PER_DOMAIN)
     }
 
+    /// Whether this host has to read the platform's list now.
+    fn reads_list(&self, now: Time) -> bool {
+        let state = self.lock();
+        state.view.reads_list(now, &state.replica.row().members)
+    }
+
     fn duty(&self, now: Time) -> Option<Duty> {
         let state = self.lock();
         duty(now, &state.own, &state.holder, &state.view, state.replica.row())
