Clocks that jump: what rests on them, tested

Monotone time that leaps, as a stopped process sees it, ends authority and the connection share at once and yields no more of a rate than the burst. The wall clock numbers the runs of a host; a run that a set back clock numbers lower has no authority and changes nothing, so it serves nothing until started later. A test reads the sources: no clock in the core, the wall clock in four files of the host.

First tries failed by the fixture: a time below zero, and a lone host, which is its own majority.

--- /dev/null
+++ b/crates/core/tests/clock.rs
@@ -0,0 +1,100 @@
+//! Clocks that jump: a process that was stopped sees its monotone time leap, and the wall clock,
+//! which only numbers the runs of a host, may be set back between two runs.
+
+mod fleet;
+
+use bergamotvale_core::authority::{Holder, VALIDITY};
+use bergamotvale_core::distribute::Row;
+use bergamotvale_core::id::Time;
+use bergamotvale_core::member::{self, View};
+use bergamotvale_core::rate::Meter;
+use bergamotvale_core::rate::meter::{Decision, micro};
+use bergamotvale_core::slot::{self, Ledger};
+use bergamotvale_core::upkeep::duty;
+use fleet::member;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const START: Time = Duration::from_secs(100);
+const LEAP: Duration = Duration::from_secs(3600);
+const MOMENT: Duration = Duration::from_millis(1);
+const BURST: u32 = 20;
+
+fn row() -> Row {
+    // A lone host would be the majority of the voters that confirm it.
+    let members = (1..=3).map(|host| (host, member(host, 5))).collect();
+    Row { epoch: 1, members, ..Row::default() }
+}
+
+/// The holder of a run of host 1 that reads, at `START`, a row that records run 5.
+fn holder(run: u64) -> Holder {
+    let row = row();
+    let mut holder = Holder::new(1, run);
+    holder.adopt(row.epoch, &row.members, member::voters(&row.members));
+    holder.read(START, row.epoch);
+    holder
+}
+
+#[test]
+fn a_leap_ends_authority_and_what_rests_on_it() {
+    let holder = holder(5);
+    let mut ledger = Ledger::new(5, slot::settle(VALIDITY));
+    ledger.set_part(Time::ZERO, 1, 10);
+    ledger.vouch(START + VALIDITY);
+
+    let before = (holder.held(START + VALIDITY), ledger.usable(START + VALIDITY - MOMENT));
+    let after = (holder.held(START + LEAP), ledger.usable(START + LEAP));
+
+    assert_eq!((before, after), ((true, 10), (false, 0)));
+}
+
+#[test]
+fn a_leap_yields_no_more_than_the_burst() {
+    let mut meter = Meter::new(VALIDITY, false);
+    meter.set_part(7, micro(100), micro(BURST), START);
+    meter.tick(START + VALIDITY);
+
+    let now = START + LEAP;
+    let admitted = (0..BURST * 2).filter(|_| meter.request(7, now) == Decision::Admit).count();
+
+    assert_eq!(admitted, BURST as usize);
+}
+
+#[test]
+fn a_run_that_a_set_back_wall_clock_numbers_lower_takes_nothing_over() {
+    let (mut view, row, older) = (View::new(1), row(), member(1, 4));
+    view.record(START, &row.members);
+
+    let holder = holder(older.incarnation);
+
+    assert!(!holder.held(START));
+    assert_eq!(duty(START, &older, &holder, &view, &row), None);
+}
+
+fn sources(directory: &Path) -> Vec<PathBuf> {
+    let entries = std::fs::read_dir(directory).expect("a directory of sources");
+    let paths = entries.map(|entry| entry.expect("an entry").path());
+    paths.flat_map(|path| if path.is_dir() { sources(&path) } else { vec![path] }).collect()
+}
+
+/// Files below `directory` that name one of `clocks`.
+fn readers(directory: &str, clocks: &[&str]) -> Vec<String> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join(directory);
+    let mut found = Vec::new();
+    for path in sources(&root) {
+        let text = std::fs::read_to_string(&path).expect("a text");
+        if clocks.iter().any(|clock| text.contains(clock)) {
+            let relative = path.strip_prefix(&root).expect("below the root");
+            found.push(relative.to_string_lossy().into_owned());
+        }
+    }
+    found.sort();
+    found
+}
+
+#[test]
+fn the_core_reads_no_clock_and_the_host_reads_the_wall_clock_in_known_places() {
+    assert_eq!(readers("src", &["SystemTime", "Instant"]), [""; 0]);
+    let known = ["admin/audit.rs", "admin/plan.rs", "exec/outcome.rs", "shared.rs"];
+    assert_eq!(readers("../host/src", &["SystemTime"]), known);
+}
