--- a/crates/cli/tests/scenarios.rs
+++ b/crates/cli/tests/scenarios.rs
@@ -60,6 +60,7 @@
     let page = html::page(&report::Report::new(scenario, 1, runs));
 
     assert!(page.contains("<svg"));
+    assert!(page.contains("time since the start, s") && page.contains("ms, by tens"));
     assert!(!page.contains("http") && !page.contains("src=") && !page.contains("href="));
 }
 
