Confirmation waits give back the connection that they have no use for

Cause: a write offers its connection to the task that asks for confirmations. If the task was just leasing one of its own, the offered one was stored, never used, and left behind when the task ended: leased for ever, a slot lost, and a later planned promotion of that target taken back as NotDrained (seen: Ok, Ok, then NotDrained twice, in 1 of 4 runs of two fleets at once, load 20 to 25). Found by reading; that it was the cause of those two is likely, not shown. The task now gives it back as soon as it has its own, and takes what was offered along when it ends.

planned_promotions_one_after_the_other_lose_no_request is new.

--- a/crates/host/src/exec/confirm.rs
+++ b/crates/host/src/exec/confirm.rs
@@ -137,12 +137,15 @@
         }
     }
 
-    fn take_offered(&self) -> Option<Lease> {
-        lock(&self.state).offered.take()
+    /// Notes whether the task has a connection; answers the offered one if it has no use for it.
+    fn set_connected(&self, is_connected: bool) -> Option<Lease> {
+        let mut state = lock(&self.state);
+        state.is_connected = is_connected;
+        state.offered.take_if(|_| is_connected)
     }
 
-    fn set_connected(&self, is_connected: bool) {
-        lock(&self.state).is_connected = is_connected;
+    fn take_offered(&self) -> Option<Lease> {
+        lock(&self.state).offered.take()
     }
 
     /// Makes sure that a task asks for what is waited for.
@@ -192,15 +195,21 @@
         }
     }
 
-    /// Ends the task unless someone came meanwhile.
-    fn rest(&self) -> bool {
+    /// Ends the task unless someone came meanwhile; what was offered to it goes with it.
+    fn rest(&self) -> Option<Rest> {
         let mut state = lock(&self.state);
         state.is_asking = !state.waiters.is_empty();
         state.is_connected &= state.is_asking;
-        !state.is_asking
+        let is_over = !state.is_asking;
+        is_over.then(|| Rest { offered: state.offered.take() })
     }
 }
 
+/// What is left of a task that has ended.
+struct Rest {
+    offered: Option<Lease>,
+}
+
 /// What is asked next.
 #[derive(Debug, Clone, Copy)]
 struct Question {
@@ -211,11 +220,13 @@
 
 async fn run(waiting: Arc<Waiting>, host: Arc<Host>, key: Key) {
     let mut lease = None;
-    loop {
+    let rest = loop {
         let Some(question) = waiting.next(host.clock.now()) else {
             let woken = tokio::time::timeout(IDLE, waiting.wake.notified()).await;
-            if woken.is_err() && waiting.rest() {
-                break;
+            if woken.is_err()
+                && let Some(rest) = waiting.rest()
+            {
+                break rest;
             }
             continue;
         };
@@ -223,15 +234,15 @@
             lease = waiting.take_offered();
         }
         let result = ask(&host, key, &mut lease, question).await;
-        waiting.set_connected(lease.is_some());
+        if let Some(unused) = waiting.set_connected(lease.is_some()) {
+            unused.release_clean();
+        }
         match result {
             Ok(confirmed) => waiting.confirmed(confirmed, host.clock.now()),
             Err(loss) => waiting.failed(&loss, question.position.term),
         }
-    }
-    if let Some(lease) = lease.or_else(|| waiting.take_offered()) {
-        lease.release_clean();
-    }
+    };
+    [lease, rest.offered].into_iter().flatten().for_each(Lease::release_clean);
 }
 
 /// Asks over the connection in `lease`, which is gone when it fails.
--- a/crates/host/tests/failover_promotion.rs
+++ b/crates/host/tests/failover_promotion.rs
@@ -213,3 +213,23 @@
     let log = verify(&fleet, writers).await;
     assert_eq!(log.refused, Default::default());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_promotions_one_after_the_other_lose_no_request() {
+    let fleet = fleet().await;
+    let writers = fleet.writers();
+    let mut moved = Vec::new();
+
+    // Every host runs one, and every target is left and taken.
+    for (host, candidate) in [(0, 1), (1, 2), (2, 0), (3, 1)] {
+        writers.progress(100).await;
+        let host = &fleet.hosts[host].daemon.host;
+        moved.push(planned::promote(host, SERVICE, candidate).await);
+        fleet.settled().await;
+    }
+    writers.progress(100).await;
+
+    assert_eq!(moved, [Ok(2), Ok(3), Ok(4), Ok(5)]);
+    let log = verify(&fleet, writers).await;
+    assert_eq!(log.refused, Default::default());
+}
