Share of reads by replicas, of those that state an age of a second or more

Counters read.share.replica and read.share.primary: reads that state 1 s or more while a replica that takes work is that fresh for sure.

--- a/crates/cli/src/bench/measure.rs
+++ b/crates/cli/src/bench/measure.rs
@@ -27,6 +27,8 @@
     pub answered: u64,
     /// Share of answered reads that replicas served.
     pub replica_share: f64,
+    /// The same of reads that stated an age.
+    pub aged_replica_share: f64,
     /// Failover gaps, one a fault that took a primary away.
     pub gaps: Vec<Gap>,
     /// Client accounts, the worst served first.
@@ -120,7 +122,8 @@
     Measures {
         offered: history.ops.len() as u64,
         answered: count(&history.ops, |op| op.verdict() == Verdict::Acknowledged),
-        replica_share: replica_share(history),
+        replica_share: replica_share(history, Kind::reads),
+        aged_replica_share: replica_share(history, |kind| kind == Kind::AgedRead),
         gaps: gaps(history),
         accounts: accounts(history, &findings, &admissions, on_time),
         wrongful: merge(admissions.iter().map(|account| &account.wrongful)),
@@ -144,9 +147,9 @@
     sum
 }
 
-/// Share of answered reads that a replica served; 0 without answered reads.
-pub fn replica_share(history: &History) -> f64 {
-    let reads = history.ops.iter().filter(|op| op.kind.reads());
+/// Share of answered reads of some kinds that a replica served; 0 without answered ones.
+fn replica_share(history: &History, counts: impl Fn(Kind) -> bool) -> f64 {
+    let reads = history.ops.iter().filter(|op| counts(op.kind));
     let roles: Vec<bool> = reads.filter_map(served_by_replica).collect();
     let by_replicas = roles.iter().filter(|replica| **replica).count();
     if roles.is_empty() { 0.0 } else { by_replicas as f64 / roles.len() as f64 }
--- a/crates/cli/src/bench/report.rs
+++ b/crates/cli/src/bench/report.rs
@@ -135,7 +135,8 @@
 fn measures(measures: &Measures) -> String {
     let mut out = String::new();
     let _ = writeln!(out, "{} operations, {} answered", measures.offered, measures.answered);
-    let _ = writeln!(out, "\nReads from replicas: {:.1} %", measures.replica_share * 100.0);
+    let shares = [measures.replica_share, measures.aged_replica_share].map(|share| share * 100.0);
+    let _ = writeln!(out, "\nReads from replicas: {:.1} %; aged: {:.1} %", shares[0], shares[1]);
     out.push_str(&gaps(measures));
     out.push_str("\nAccounts, worst served first:\n");
     out.push_str(&accounts(measures));
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -12,6 +12,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Least stated age of a read that counts towards the replicas' share.
+pub const SHARE_AGE: Duration = Duration::from_secs(1);
 /// Requests in flight that a target of the host's own failure domain may have more than another.
 const LOCAL_PREFERENCE: u32 = 2;
 
@@ -138,6 +140,15 @@
     ranked.into_iter().map(|(_, _, _, id)| id).collect()
 }
 
+/// Whether replicas should serve the read: it states an age of [`SHARE_AGE`] or more, and at least
+/// one replica that takes work is that fresh for sure.
+pub fn counts_for_share(demand: &Demand, views: &BTreeMap<TargetId, View>, now: Time) -> bool {
+    let Freshness::MaxAge(age) = demand.freshness else { return false };
+    let is_fresh = |view: &View| view.age.saturating_add(now.saturating_sub(view.observed)) <= age;
+    let mut replicas = views.values().filter(|view| view.role == Role::Replica && !view.draining);
+    age >= SHARE_AGE && replicas.any(is_fresh)
+}
+
 /// Judges the position that a target of `role` answered on the connection that served the read.
 pub fn verify(demand: &Demand, role: Role, answer: &Answer, bounds: &Bounds) -> Verdict {
     if demand.token.is_some_and(|token| !answer.applied.covers(token)) {
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -48,6 +48,7 @@
     let mut read = Read::new(job.service, account, demand, job.deadline, host.data.seed());
     let mut served = None;
     let mut target = (0, Role::Replica);
+    let shared = route::counts_for_share(&demand, &views(host, &job, now), now);
     let mut event = Event::Candidates(candidates(host, &job, &demand));
     loop {
         let action = read.on(event, &mut host.data.budgets(), host.clock.now());
@@ -71,6 +72,9 @@
             }
             Action::Serve(position) => {
                 let served = served.ok_or_else(internal)?;
+                if shared {
+                    host.metric.count(&format!("read.share.{}", target.1));
+                }
                 return Ok(serve(host, job, target, position, served));
             }
             Action::Refuse(refusal) => return Err(refusal),
