Remove what only tests called

`rate::Meter::settle` was called by the fake fleet alone, so that it dropped borrowed tokens at another time than hosts do; without it the fake does as hosts do.

--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -105,7 +105,7 @@
     }
 
     /// Drops what does not fit once the waiting requests have taken theirs.
-    pub fn settle(&mut self) {
+    fn settle(&mut self) {
         self.level = self.level.min(self.capacity());
     }
 
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -232,13 +232,6 @@
         }
     }
 
-    /// Drops borrowed tokens that no waiting request took.
-    pub fn settle(&mut self, account: AccountId) {
-        if let Some(state) = self.accounts.get_mut(&account) {
-            state.bucket.settle();
-        }
-    }
-
     /// Lends tokens to a peer: half of what is here, more when there is little demand.
     pub fn lend(&mut self, request: &TokenRequest, now: Time) -> u32 {
         let Some(state) = self.accounts.get_mut(&request.account) else { return 0 };
--- a/crates/core/tests/meters/mod.rs
+++ b/crates/core/tests/meters/mod.rs
@@ -200,7 +200,6 @@
     pub(crate) fn receive(&mut self, call: &Call, count: u32, now: Time) {
         self.host(call.borrower).meter.receive(call.ask, count, call.asked, now);
         self.retry_waiting(call.borrower, now);
-        self.host(call.borrower).meter.settle(ACCOUNT);
     }
 
     pub(crate) fn retry_waiting(&mut self, id: HostId, now: Time) {
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -37,7 +37,6 @@
 #[derive(Default)]
 struct State {
     members: BTreeMap<HostId, FailureDomainId>,
-    generation: u64,
     groups: BTreeMap<ServiceId, Group>,
 }
 
@@ -60,7 +59,7 @@
             host: settings.host,
             incarnation,
             policy: settings.policy.clone(),
-            state: Mutex::new(State { members, generation: 0, groups: BTreeMap::new() }),
+            state: Mutex::new(State { members, groups: BTreeMap::new() }),
             changed: Notify::new(),
         }
     }
@@ -72,8 +71,7 @@
             return;
         }
         state.members = members;
-        state.generation += 1;
-        let State { members, groups, .. } = &mut *state;
+        let State { members, groups } = &mut *state;
         for (service, group) in groups {
             self.set_watchers(members, *service, group);
         }
@@ -84,11 +82,6 @@
         self.lock().members.clone()
     }
 
-    /// Changes of the live hosts that this host has seen.
-    pub fn generation(&self) -> u64 {
-        self.lock().generation
-    }
-
     /// What this host holds against primaries, for its heartbeats.
     pub fn opinions(&self, now: Time) -> BTreeMap<ServiceId, Opinion> {
         let state = self.lock();
