--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -160,16 +160,11 @@
         Some(Turn { request: waiter.request, charge: Charge { account: id, advance } })
     }
 
-    /// A request that had its turn has ended after holding a connection for `held`; `clean` says
-    /// that the connection can be used again.
-    pub fn ended(&mut self, charge: Charge, held: Duration, clean: bool) {
-        // How long a connection that broke was held tells of its end, not of the work: what waits
-        // for a primary that is cut off goes on with the next one.
-        if clean {
-            // Rises from nothing, so that a few slow requests do not turn others away.
-            let mean = self.mean.unwrap_or_default();
-            self.mean = Some((mean * (MEAN_SHARE - 1) + held) / MEAN_SHARE);
-        }
+    /// A request that had its turn has ended after holding a connection for `held`.
+    pub fn ended(&mut self, charge: Charge, held: Duration) {
+        // Rises from nothing, so that a few slow requests do not turn others away.
+        let mean = self.mean.unwrap_or_default();
+        self.mean = Some((mean * (MEAN_SHARE - 1) + held) / MEAN_SHARE);
         if let Some(account) = self.accounts.get_mut(&charge.account) {
             account.tag += scaled(held, account.weight) - scaled(charge.advance, account.weight);
             account.running = account.running.saturating_sub(1);
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -224,7 +224,7 @@
         let Some(State::Leased { since, charge }) = self.state(connection) else {
             return Vec::new();
         };
-        self.queue.ended(charge, now.saturating_sub(since), clean);
+        self.queue.ended(charge, now.saturating_sub(since));
         if clean {
             return self.settle(now, connection);
         }
