One look at the targets a read, one rule for missed epochs, one place for listener bounds

Found on reading the change again; behaviour stays as it is. - Every read built the views of all its service's targets twice, once to rank them and once to see whether it counts for the replicas' share. It builds them once now, and both take the same. - That an epoch was skipped stood in `share::Count` for connections and again in the host for rates. `Count::adopt` says so, and the host asks it; the share test expects its answer too. - Both listeners made their bounds of the same limits by hand: `serve::Bounds::new`.

No speed was measured.

--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -38,13 +38,14 @@
 }
 
 impl Count {
-    /// Takes the members of `epoch`.
-    pub fn adopt(&mut self, epoch: Epoch, members: &BTreeSet<HostId>) {
+    /// Takes the members of `epoch`; says whether a division may have been missed.
+    pub fn adopt(&mut self, epoch: Epoch, members: &BTreeSet<HostId>) -> bool {
         let missed = self.epoch > 0 && epoch > self.epoch + 1;
         let changed = self.members != *members;
         self.generation += if missed { 2 } else { u64::from(changed) };
         self.epoch = epoch;
         self.members.clone_from(members);
+        missed
     }
 
     /// Divisions so far, counting one that may have been missed.
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -45,10 +45,10 @@
     let steps = [(5, &four), (6, &four), (7, &three), (9, &three), (11, &four)];
     let mut count = Count::default();
 
-    let generations = steps.map(|(epoch, members)| {
-        count.adopt(epoch, members);
-        count.generation()
+    let counted = steps.map(|(epoch, members)| {
+        let missed = count.adopt(epoch, members);
+        (count.generation(), missed)
     });
 
-    assert_eq!(generations, [1, 1, 2, 4, 6]);
+    assert_eq!(counted, [(1, false), (1, false), (2, false), (4, true), (6, true)]);
 }
--- a/crates/host/src/admin/mod.rs
+++ b/crates/host/src/admin/mod.rs
@@ -127,8 +127,7 @@
 /// Starts serving operators on `listener`.
 pub fn start(host: Arc<Host>, listener: TcpListener) -> Result<Listener> {
     let address = listener.local_addr()?;
-    let limits = &host.settings.limits;
-    let bounds = serve::Bounds { workers: 1, idle: limits.idle, header_time: limits.header_time };
+    let bounds = serve::Bounds::new(1, &host.settings.limits);
     let tls = host.settings.tls.for_operators()?;
     let state = State { host, runtime: Handle::current() };
     let app = App::new()
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -48,14 +48,16 @@
     let mut read = Read::new(job.service, account, demand, job.deadline, host.data.seed());
     let mut served = None;
     let mut target = (0, Role::Replica);
-    let shared = route::counts_for_share(&demand, &views(host, &job, now), now);
-    let mut event = Event::Candidates(candidates(host, &job, &demand));
+    let seen = views(host, &job, now);
+    let shared = route::counts_for_share(&demand, &seen, now);
+    let mut event = Event::Candidates(rank(host, &demand, seen, now));
     loop {
         let action = read.on(event, &mut host.data.budgets(), host.clock.now());
         event = match action {
             Action::Choose(at) => {
                 tokio::time::sleep_until(host.clock.instant(at).into()).await;
-                Event::Candidates(candidates(host, &job, &demand))
+                let now = host.clock.now();
+                Event::Candidates(rank(host, &demand, views(host, &job, now), now))
             }
             Action::Try(id, reason) => {
                 if let Some(reason) = reason {
@@ -109,9 +111,12 @@
     demand
 }
 
-fn candidates(host: &Host, job: &Job, demand: &Demand) -> Vec<TargetId> {
-    let now = host.clock.now();
-    let mut views = views(host, job, now);
+fn rank(
+    host: &Host,
+    demand: &Demand,
+    mut views: BTreeMap<TargetId, View>,
+    now: Time,
+) -> Vec<TargetId> {
     if host.settings.policy.reads == Reads::Primary {
         views.retain(|_, view| view.role == Role::Primary);
     }
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -326,12 +326,11 @@
                 newer
             });
             // Under the lock too: an older division must not replace a newer one.
-            if previous.epoch > 0 && row.epoch > previous.epoch + 1 {
-                self.limiter.interrupt();
-            }
             // A leaving host keeps its part: callers come until they have seen that it leaves.
             let hosts: BTreeSet<HostId> = row.members.keys().copied().collect();
-            state.divisions.adopt(row.epoch, &hosts);
+            if state.divisions.adopt(row.epoch, &hosts) {
+                self.limiter.interrupt();
+            }
             self.limiter.divide(&document, &hosts, self.settings.host);
         }
         let own = row.members.get(&self.settings.host);
@@ -346,7 +345,7 @@
         true
     }
 
-    /// Tells peers' connections, and failover who the members are.
+    /// Tells peers' connections and failover who the members are.
     fn divide(&self, members: &BTreeMap<HostId, Member>) {
         for member in members.values().filter(|m| m.host != self.settings.host) {
             self.peers.meet(member);
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -74,11 +74,7 @@
         .at("/v1/open/{route}", get(handler_service(route::open)))
         .enclosed_fn(unrouted::settle)
         .finish();
-    let bounds = serve::Bounds {
-        workers: settings.workers,
-        idle: settings.limits.idle,
-        header_time: settings.limits.header_time,
-    };
+    let bounds = serve::Bounds::new(settings.workers, &settings.limits);
     let failed = callers.clone();
     let tls = (tls, move |address| failed.cut(address));
     let mut server = serve::run(app, Watched::new(listener, callers.clone()), tls, &bounds);
--- a/crates/host/src/front/serve.rs
+++ b/crates/host/src/front/serve.rs
@@ -3,6 +3,7 @@
 //! The framework's own server takes TLS only together with an address to bind, which leaves no
 //! place for a listener that watches its connections; so its parts are put together here.
 
+use crate::settings::Limits;
 use rustls::ServerConfig;
 use std::fmt::Debug;
 use std::net::SocketAddr;
@@ -29,6 +30,13 @@
     pub header_time: Duration,
 }
 
+impl Bounds {
+    /// The bounds of a listener with so many threads.
+    pub fn new(workers: usize, limits: &Limits) -> Bounds {
+        Bounds { workers, idle: limits.idle, header_time: limits.header_time }
+    }
+}
+
 /// Serves `app` on `listener`; `failed` hears of each TLS connection that ended with an error.
 pub fn run<S, L, B, F>(
     app: S,
