Failover tests: what must hold stands once

failover_promotion and failover_races each wrote out that no acknowledged write is lost and no "not run" is false; failover_gap checked only the first. `Log::verify` asserts both for all three. A second `until`, a copy of the common one, is gone.

--- a/crates/host/tests/failover/mod.rs
+++ b/crates/host/tests/failover/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses the part that it needs")]
 
-use crate::common::{Fixture, Host, KEY, PATIENCE, SERVICE};
+use crate::common::{Fixture, Host, KEY, PATIENCE, SERVICE, until};
 use bergamotvale_host::settings::Settings;
 use bergamotvale_standin::group::{Options, Value as Cell};
 use futures::future::join_all;
@@ -73,15 +73,6 @@
     fleet_with(Options::default(), |settings| settings.policy.failover_after = STEADY).await
 }
 
-/// Waits until `holds`.
-pub async fn until(what: &str, holds: impl Fn() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < PATIENCE, "never: {what}");
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 impl Fleet {
     /// Number of the target that the hosts take for the primary, once they all agree.
     pub async fn primary(&self) -> usize {
@@ -243,6 +234,15 @@
 }
 
 impl Log {
+    /// What must hold after every fault: no acknowledged write lost, no false "not run".
+    pub fn verify(&self, stored: &BTreeSet<i64>) {
+        let is_lost = |write: &&(Instant, i64)| !stored.contains(&write.1);
+        let lost: Vec<_> = self.acknowledged.iter().filter(is_lost).collect();
+        assert!(lost.is_empty(), "lost {lost:?}");
+        let false_not_run: Vec<_> = self.not_run.intersection(stored).collect();
+        assert!(false_not_run.is_empty(), "ran all the same: {false_not_run:?}");
+    }
+
     /// Notes one answer.
     fn note(&mut self, at: Instant, id: i64, status: u16, body: &Value) {
         if status == 200 {
--- a/crates/host/tests/failover_gap.rs
+++ b/crates/host/tests/failover_gap.rs
@@ -32,7 +32,7 @@
     let gap = writers.longest_gap();
     let log = writers.end().await;
     let stored = fleet.stored().await;
-    assert!(log.acknowledged.iter().all(|(_, id)| stored.contains(id)), "a write is lost");
+    log.verify(&stored);
     (gap, format!("{:?}", log.refused))
 }
 
--- a/crates/host/tests/failover_promotion.rs
+++ b/crates/host/tests/failover_promotion.rs
@@ -4,24 +4,21 @@
 mod failover;
 
 use bergamotvale_host::failover::planned;
-use common::SERVICE;
-use failover::{Fleet, Log, Writers, fleet, lenient_fleet, steady_fleet, until};
+use common::{SERVICE, until};
+use failover::{Fleet, Log, Writers, fleet, lenient_fleet, steady_fleet};
 use std::time::{Duration, Instant};
 
 /// Longest time without a write that any fault may cause.
 const CEILING: Duration = Duration::from_secs(7);
 
-/// What must hold after every fault: no acknowledged write lost, no false "not run".
+/// What must hold after every fault.
 async fn verify(fleet: &Fleet, writers: Writers) -> Log {
     let longest = writers.longest_gap();
     let log = writers.end().await;
     let stored = fleet.stored().await;
 
     println!("longest gap {longest:?}, refused {:?}", log.refused);
-    let lost: Vec<_> = log.acknowledged.iter().filter(|(_, id)| !stored.contains(id)).collect();
-    assert!(lost.is_empty(), "lost {lost:?}");
-    let false_not_run: Vec<_> = log.not_run.intersection(&stored).collect();
-    assert!(false_not_run.is_empty(), "ran all the same: {false_not_run:?}");
+    log.verify(&stored);
     assert!(longest < CEILING, "no write for {longest:?}: {:?}", log.refused);
     log
 }
--- a/crates/host/tests/failover_races.rs
+++ b/crates/host/tests/failover_races.rs
@@ -87,10 +87,7 @@
     let stored = fleet.stored().await;
 
     println!("leaders {leaders:?}, refused {:?}", log.refused);
-    let lost: Vec<_> = log.acknowledged.iter().filter(|(_, id)| !stored.contains(id)).collect();
-    assert!(lost.is_empty(), "lost {lost:?}");
-    let false_not_run: Vec<_> = log.not_run.intersection(&stored).collect();
-    assert!(false_not_run.is_empty(), "ran all the same: {false_not_run:?}");
+    log.verify(&stored);
     assert!(leaders.values().all(|leaders| leaders.len() == 1), "{leaders:?}");
 }
 
