--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pool;
 pub mod progress;
 pub mod promotion;
+pub mod proxy;
 pub mod random;
 pub mod rate;
 pub mod read;
--- /dev/null
+++ b/crates/core/src/proxy/lease.rs
@@ -0,0 +1,253 @@
+//! How long a host may act on its copy of the table of groups and members.
+//!
+//! Each change of the table has a revision. A host holds the lease while it can prove that, at
+//! most [`Terms::validity`] ago, no revision above its own existed. Proofs come from
+//!
+//! - the platform: a read sent at `s` that showed nothing newer proves `s`;
+//! - a peer at the same revision: its own proof from the platform, with its age;
+//! - a majority of the members, each at this revision. A writer has changed the table before it
+//!   tells anybody, so this alone is not proof; it counts only while the platform itself was heard,
+//!   directly or through peers, within [`Terms::vouch_limit`].
+//!
+//! A writer that wants to know when nobody acts on older revisions any more asks [`Lease::in_force`].
+//! It holds once every member has confirmed the revision; or, with silent members, once enough have
+//! confirmed that no majority without them is left, plus the validity; or once the vouch limit and
+//! the validity have passed since the write.
+//!
+//! Times count the time that a machine was suspended, so that a host which wakes up knows that its
+//! lease has ended.
+
+use crate::id::{HostId, Incarnation, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Number of a change of the table.
+pub type Revision = u64;
+
+/// A host as the table records it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Whether an earlier run of the same host was recorded when this one entered.
+    pub is_restart: bool,
+}
+
+/// Time limits of a lease.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// Age at which a proof ends.
+    pub validity: Duration,
+    /// Time for which members may vouch for each other without word from the platform.
+    pub vouch_limit: Duration,
+    /// Added to each wait for the end of others' leases: clocks differ a little in speed.
+    pub guard: Duration,
+}
+
+/// What a peer's heartbeat says of its lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouch {
+    /// The peer.
+    pub host: HostId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Revision that it knows.
+    pub revision: Revision,
+    /// Revision below which nothing of it is under way any more.
+    pub settled: Revision,
+    /// Age of its proof from the platform when it sent this.
+    pub proof_age: Option<Duration>,
+}
+
+/// What was heard of a peer, with the time at which it certainly still held.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    vouch: Vouch,
+    at: Time,
+}
+
+/// One host's lease.
+#[derive(Debug)]
+pub struct Lease {
+    own: (HostId, Incarnation),
+    terms: Terms,
+    revision: Revision,
+    members: BTreeMap<HostId, Member>,
+    entered: BTreeMap<HostId, Time>,
+    platform_proof: Option<Time>,
+    heard: BTreeMap<HostId, Heard>,
+}
+
+impl Lease {
+    /// A host that has not read the table yet.
+    pub fn new(host: HostId, incarnation: Incarnation, terms: Terms) -> Lease {
+        Lease {
+            own: (host, incarnation),
+            terms,
+            revision: 0,
+            members: BTreeMap::new(),
+            entered: BTreeMap::new(),
+            platform_proof: None,
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// Time limits.
+    pub fn terms(&self) -> Terms {
+        self.terms
+    }
+
+    /// Revision of this host's copy.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Recorded members.
+    pub fn members(&self) -> &BTreeMap<HostId, Member> {
+        &self.members
+    }
+
+    /// Takes a newer copy of the table.
+    pub fn adopt(&mut self, now: Time, revision: Revision, members: BTreeMap<HostId, Member>) {
+        if revision < self.revision {
+            return;
+        }
+        if revision > self.revision {
+            self.platform_proof = None;
+        }
+        self.revision = revision;
+        for (host, member) in &members {
+            if !self.members.contains_key(host) && !member.is_restart {
+                self.entered.insert(*host, now);
+            }
+        }
+        self.heard.retain(|host, _| members.contains_key(host));
+        self.members = members;
+    }
+
+    /// A read of the table, sent at `sent`, showed nothing above `revision`.
+    pub fn prove(&mut self, sent: Time, revision: Revision) {
+        if revision == self.revision {
+            self.platform_proof = self.platform_proof.max(Some(sent));
+        }
+    }
+
+    /// Takes a peer's heartbeat that cannot have been made before `made`.
+    pub fn hear(&mut self, made: Time, vouch: Vouch) {
+        if vouch.revision == self.revision
+            && let Some(at) = vouch.proof_age.and_then(|age| made.checked_sub(age))
+        {
+            self.platform_proof = self.platform_proof.max(Some(at));
+        }
+        let heard = self.heard.entry(vouch.host).or_insert(Heard { vouch, at: made });
+        if made >= heard.at {
+            *heard = Heard { vouch, at: made };
+        }
+    }
+
+    /// Age of the newest proof from the platform, directly or through peers.
+    pub fn proof_age(&self, now: Time) -> Option<Duration> {
+        self.platform_proof.map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether this host may act on its copy.
+    pub fn is_held(&self, now: Time) -> bool {
+        let (host, incarnation) = self.own;
+        let is_recorded = self.members.get(&host).is_some_and(|m| m.incarnation == incarnation);
+        let Some(age) = self.proof_age(now) else { return false };
+        if !is_recorded {
+            return false;
+        }
+        age <= self.terms.validity || (age <= self.terms.vouch_limit && self.is_vouched(now))
+    }
+
+    /// Peers heard of within `within`.
+    pub fn peers_alive(&self, now: Time, within: Duration) -> Vec<HostId> {
+        let fresh = |heard: &Heard| now.saturating_sub(heard.at) <= within;
+        self.heard.iter().filter(|(_, heard)| fresh(heard)).map(|(host, _)| *host).collect()
+    }
+
+    /// Whether a majority of the members, with this host, was at this revision lately.
+    fn is_vouched(&self, now: Time) -> bool {
+        let agrees = |host: &HostId| {
+            self.heard.get(host).is_some_and(|heard| {
+                self.is_current_run(host, heard.vouch.incarnation)
+                    && heard.vouch.revision == self.revision
+                    && now.saturating_sub(heard.at) <= self.terms.validity
+            })
+        };
+        let others = self.members.keys().filter(|host| **host != self.own.0);
+        let count = 1 + others.filter(|host| agrees(host)).count();
+        count >= majority(self.members.len())
+    }
+
+    fn is_current_run(&self, host: &HostId, incarnation: Incarnation) -> bool {
+        self.members.get(host).is_some_and(|member| member.incarnation == incarnation)
+    }
+
+    /// Whether `host` has confirmed `revision` and has nothing older under way.
+    fn has_settled(&self, host: &HostId, revision: Revision) -> bool {
+        self.heard.get(host).is_some_and(|heard| {
+            self.is_current_run(host, heard.vouch.incarnation) && heard.vouch.settled >= revision
+        })
+    }
+
+    /// Whether every member has confirmed `revision`.
+    pub fn is_settled_everywhere(&self, revision: Revision) -> bool {
+        let mut others = self.members.keys().filter(|host| **host != self.own.0);
+        others.all(|host| self.has_settled(host, revision))
+    }
+
+    /// Whether no majority is left that could vouch for a revision below `revision`.
+    pub fn is_majority_settled(&self, now: Time, revision: Revision) -> bool {
+        let recent = self.terms.vouch_limit + self.terms.validity;
+        let is_new = |host: &HostId| {
+            self.entered.get(host).is_some_and(|at| now.saturating_sub(*at) < recent)
+        };
+        let others = self.members.keys().filter(|host| **host != self.own.0);
+        let settled = others.filter(|host| !is_new(host) && self.has_settled(host, revision));
+        let count = settled.count() + usize::from(!is_new(&self.own.0));
+        count > self.members.len() - majority(self.members.len())
+    }
+}
+
+/// A wait until nobody acts on revisions below one that was written.
+#[derive(Debug, Clone, Copy)]
+pub struct Wait {
+    revision: Revision,
+    written: Time,
+    majority_since: Option<Time>,
+}
+
+impl Wait {
+    /// For `revision`, whose write was confirmed at `written`.
+    pub fn new(revision: Revision, written: Time) -> Wait {
+        Wait { revision, written, majority_since: None }
+    }
+
+    /// Whether nobody acts on an older revision any more.
+    pub fn is_over(&mut self, lease: &Lease, now: Time) -> bool {
+        if lease.is_settled_everywhere(self.revision) {
+            return true;
+        }
+        if self.majority_since.is_none() && lease.is_majority_settled(now, self.revision) {
+            self.majority_since = Some(now);
+        }
+        let terms = lease.terms();
+        let validity = terms.validity + terms.guard;
+        let since_write = now.saturating_sub(self.written);
+        let majority = self.majority_since.is_some_and(|at| now.saturating_sub(at) >= validity);
+        majority || since_write >= validity + terms.vouch_limit
+    }
+}
+
+/// Members that make a majority of `members`.
+pub fn majority(members: usize) -> usize {
+    members / 2 + 1
+}
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -31,9 +31,20 @@
     members: &BTreeSet<HostId>,
     host: HostId,
 ) -> (Amount, Amount) {
-    let holders = MAX_HOLDERS.min(account.burst as usize);
+    part_of(id, account.rate, account.burst, members, host)
+}
+
+/// As [`part`], of a rate, per second, and a burst given as such.
+pub fn part_of(
+    id: AccountId,
+    rate: u32,
+    burst: u32,
+    members: &BTreeSet<HostId>,
+    host: HostId,
+) -> (Amount, Amount) {
+    let holders = MAX_HOLDERS.min(burst as usize);
     let subject = Subject::Rate(id.into());
-    let rate = share::part(u64::from(account.rate) * MICRO, members, host, subject, holders);
-    let burst = share::part(account.burst.into(), members, host, subject, holders) * MICRO;
+    let rate = share::part(u64::from(rate) * MICRO, members, host, subject, holders);
+    let burst = share::part(burst.into(), members, host, subject, holders) * MICRO;
     (rate, burst)
 }
--- a/crates/host/src/logging.rs
+++ b/crates/host/src/logging.rs
@@ -10,6 +10,9 @@
 use log4rs::encode::pattern::PatternEncoder;
 
 const APPENDER: &str = "stderr";
+const EVENTS: &str = "stdout";
+/// Events are JSON lines already.
+const EVENT_PATTERN: &str = "{m}{n}";
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)} {l:5} {t} {m}{n}";
 /// Libraries that log more than operators need.
 const QUIET: [&str; 4] = ["tarpc", "hyper_util", "reqwest", "tokio_postgres"];
@@ -49,3 +52,15 @@
         .build(Root::builder().appender(APPENDER).build(level))
         .expect("the appender that the root names was added above")
 }
+
+/// Starts writing the events of a session host, as they are, to standard output.
+pub fn start_events() -> Result<()> {
+    let encoder = Box::new(PatternEncoder::new(EVENT_PATTERN));
+    let appender = ConsoleAppender::builder().target(Target::Stdout).encoder(encoder).build();
+    let config = Config::builder()
+        .appender(Appender::builder().build(EVENTS, Box::new(appender)))
+        .build(Root::builder().appender(EVENTS).build(LevelFilter::Info))
+        .expect("the appender that the root names was added above");
+    log4rs::init_config(config)?;
+    Ok(())
+}
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -5,10 +5,10 @@
 
 use anyhow::Context;
 use bergamotvale_host::daemon::Daemon;
-use bergamotvale_host::logging;
 use bergamotvale_host::settings::Settings;
+use bergamotvale_host::{logging, sessions};
 use clap::{Arg, ArgAction, Command, value_parser};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -27,6 +27,12 @@
                 .required(true)
                 .help("Settings of this host, YAML"),
         )
+        .arg(
+            Arg::new("sessions")
+                .long("sessions")
+                .action(ArgAction::SetTrue)
+                .help("Serves sessions over the line protocol; the settings are a session host's"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -38,6 +44,10 @@
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let path: &PathBuf = matches.get_one("config").expect("clap requires it");
+    let check = matches.get_flag("check");
+    if matches.get_flag("sessions") {
+        return run_sessions(path, check);
+    }
     let settings = match Settings::read(path) {
         Ok(settings) => settings,
         Err(fault) => {
@@ -45,7 +55,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    if matches.get_flag("check") {
+    if check {
         println!("{}: settings hold", path.display());
         return ExitCode::SUCCESS;
     }
@@ -58,6 +68,31 @@
     }
 }
 
+/// Runs a host of sessions, or only verifies its settings.
+fn run_sessions(path: &Path, check: bool) -> ExitCode {
+    let settings = match sessions::settings::Settings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error:#}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if check {
+        println!("{}: settings hold", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let result = logging::start_events()
+        .context("cannot start logging")
+        .and_then(|()| sessions::run::run(settings, path));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
 #[tokio::main]
 async fn run(settings: Settings) -> anyhow::Result<()> {
     let control = logging::Control::new(&settings.log).context("cannot start logging")?;
--- /dev/null
+++ b/crates/host/src/sessions/follow.rs
@@ -0,0 +1,358 @@
+//! Copies of the platform's tables, each kept up to date by one feed.
+//!
+//! A feed reads its whole table once and then waits for changes, for a short time each, so that
+//! every answer also proves that the platform is in reach. After a lost history it reads the table
+//! again. A copy never goes back.
+
+use super::boot_clock;
+use super::event::{Event, millis};
+use super::state::Host;
+use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::proxy::directory::Directory;
+use bergamotvale_core::proxy::lease::{Member, Revision};
+use bergamotvale_core::proxy::record::Record;
+use bergamotvale_platform::store::{Change, Row, Rows, Store};
+use bergamotvale_platform::{Error, Result, catalog, directory};
+use bytes::Bytes;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Table of the groups' records and the members.
+pub const TABLE: &str = "bergamotvale";
+/// Prefix of the keys of members' rows.
+const MEMBER: &str = "host.";
+/// Prefix of the keys of groups' rows.
+const GROUP: &str = "group.";
+/// Time that a feed of records waits for changes: an answer proves the lease.
+const LEASE_WAIT: Duration = Duration::from_millis(350);
+/// Time that other feeds wait for changes.
+const WAIT: Duration = Duration::from_millis(2500);
+/// Time beyond its wait in which a call has to be answered.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Time after the store is back in which entries that lapsed meanwhile are kept.
+const LAPSE: Duration = Duration::from_millis(2500);
+/// Time without the store from which on entries may have lapsed.
+const OUTAGE: Duration = Duration::from_millis(1500);
+
+/// Key of a member's row.
+pub fn member_key(host: HostId) -> String {
+    format!("{MEMBER}{host}")
+}
+
+/// Key of a group's row.
+pub fn group_key(service: &str) -> String {
+    format!("{GROUP}{service}")
+}
+
+/// One feed.
+struct Feed {
+    store: Store,
+    table: &'static str,
+    wait: Duration,
+    revision: Option<u64>,
+    lost_since: Option<Time>,
+    answered: Time,
+}
+
+/// What one step of a feed brought.
+struct News {
+    rows: Vec<Row>,
+    /// Whether `rows` is the whole table.
+    is_whole: bool,
+    /// When the question was sent.
+    sent: Time,
+}
+
+impl Feed {
+    fn new(host: &Host, table: &'static str, wait: Duration) -> Feed {
+        let store = Store::new(host.settings.store);
+        let answered = boot_clock::now();
+        Feed { store, table, wait, revision: None, lost_since: None, answered }
+    }
+
+    /// Waits for the next news; retries until the store answers.
+    async fn next(&mut self, host: &Host) -> News {
+        loop {
+            let sent = boot_clock::now();
+            match self.ask().await {
+                Ok((rows, is_whole)) => {
+                    self.note_answer(host);
+                    self.revision = Some(rows.revision);
+                    return News { rows: rows.rows, is_whole, sent };
+                }
+                Err(Error::HistoryGone) => {
+                    host.journal.count("feed_history_gone");
+                    self.revision = None;
+                }
+                Err(error) => {
+                    self.note_failure(host, &error);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn ask(&mut self) -> Result<(Rows, bool)> {
+        match self.revision {
+            None => Ok((self.store.read(self.table, CALL_TIMEOUT).await?, true)),
+            Some(revision) => {
+                let follow = self.store.follow(self.table, revision, self.wait, CALL_TIMEOUT);
+                Ok((follow.await?, false))
+            }
+        }
+    }
+
+    fn note_answer(&mut self, host: &Host) {
+        let now = boot_clock::now();
+        if let Some(since) = self.lost_since.take() {
+            let after_ms = millis(now.saturating_sub(since));
+            host.journal.write(&Event::DependencyRegained { dependency: self.table, after_ms });
+        }
+        self.answered = now;
+    }
+
+    fn note_failure(&mut self, host: &Host, error: &Error) {
+        host.journal.count("feed_failures");
+        if self.lost_since.is_none() {
+            self.lost_since = Some(boot_clock::now());
+            let error = error.to_string();
+            host.journal.write(&Event::DependencyLost { dependency: self.table, error: &error });
+        }
+    }
+}
+
+/// Follows the configuration.
+pub async fn catalog(host: Rc<Host>) {
+    let mut feed = Feed::new(&host, catalog::TABLE, WAIT);
+    loop {
+        let news = feed.next(&host).await;
+        for row in news.rows.iter().filter(|row| row.key == catalog::KEY) {
+            if let Some(value) = &row.value {
+                adopt_catalog(&host, value);
+            }
+        }
+    }
+}
+
+fn adopt_catalog(host: &Host, value: &Bytes) {
+    let (catalog, odd) = match catalog::decode(value) {
+        Ok(decoded) => decoded,
+        Err(error) => return log_unreadable(host, catalog::TABLE, catalog::KEY, &error),
+    };
+    for route in odd {
+        let error = Error::Unreadable("kind of route".into());
+        log_unreadable(host, catalog::TABLE, &route, &error);
+    }
+    if catalog.version <= host.catalog.borrow().version {
+        return;
+    }
+    let (version, routes, accounts) =
+        (catalog.version, catalog.routes.len(), catalog.accounts.len());
+    host.journal.write(&Event::Configured { version, routes, accounts });
+    *host.catalog.borrow_mut() = Rc::new(catalog);
+    divide(host);
+    host.changed.notify_waiters();
+}
+
+/// Divides the accounts' rates anew.
+fn divide(host: &Host) {
+    let members: BTreeSet<HostId> = host.lease.borrow().members().keys().copied().collect();
+    let catalog = host.catalog.borrow().clone();
+    host.quota.divide(boot_clock::now(), host.id, &members, &catalog);
+}
+
+fn log_unreadable(host: &Host, table: &str, key: &str, error: &Error) {
+    host.journal.count("rows_unreadable");
+    host.journal.write(&Event::RowUnreadable { table, key, error: &error.to_string() });
+}
+
+/// Follows the targets' entries.
+pub async fn directory(host: Rc<Host>) {
+    let mut feed = Feed::new(&host, directory::TABLE, WAIT);
+    let lapsed: Rc<RefCell<BTreeSet<String>>> = Rc::default();
+    let mut keep_until = Time::ZERO;
+    loop {
+        let since = feed.answered;
+        let news = feed.next(&host).await;
+        let now = boot_clock::now();
+        if now.saturating_sub(since) > OUTAGE + feed.wait {
+            keep_until = now + LAPSE;
+        }
+        let is_lapse = now < keep_until;
+        adopt_entries(&host, &news, is_lapse, &lapsed);
+        if is_lapse && !lapsed.borrow().is_empty() {
+            tokio::task::spawn_local(drop_lapsed(host.clone(), lapsed.clone()));
+        }
+        host.changed.notify_waiters();
+    }
+}
+
+fn adopt_entries(host: &Host, news: &News, is_lapse: bool, lapsed: &RefCell<BTreeSet<String>>) {
+    let mut entries: Directory = host.directory.borrow().clone();
+    let mut gone: BTreeSet<String> = BTreeSet::new();
+    if news.is_whole {
+        gone = entries.keys().cloned().collect();
+    }
+    for row in &news.rows {
+        gone.remove(&row.key);
+        let Some(value) = &row.value else {
+            gone.insert(row.key.clone());
+            continue;
+        };
+        lapsed.borrow_mut().remove(&row.key);
+        match directory::decode(&row.key, value) {
+            Ok(entry) => {
+                let known = entries.get(&row.key);
+                if known.is_none_or(|k| k.is_leaving != entry.is_leaving || k.born != entry.born) {
+                    host.journal.write(&Event::Target {
+                        target: &entry.name,
+                        service: &entry.service,
+                        view: "listed",
+                        leaving: entry.is_leaving,
+                    });
+                }
+                entries.insert(row.key.clone(), entry);
+            }
+            // Entries that were good before hold; one that never was names no target.
+            Err(error) => log_unreadable(host, directory::TABLE, &row.key, &error),
+        }
+    }
+    for name in gone {
+        if is_lapse {
+            lapsed.borrow_mut().insert(name);
+        } else if let Some(entry) = entries.remove(&name) {
+            log_gone(host, &entry.name, &entry.service);
+        }
+    }
+    *host.directory.borrow_mut() = entries;
+}
+
+fn log_gone(host: &Host, target: &str, service: &str) {
+    host.journal.write(&Event::Target { target, service, view: "gone", leaving: false });
+}
+
+/// Drops the entries that have not come back after an outage of the store.
+async fn drop_lapsed(host: Rc<Host>, lapsed: Rc<RefCell<BTreeSet<String>>>) {
+    tokio::time::sleep(LAPSE).await;
+    for name in std::mem::take(&mut *lapsed.borrow_mut()) {
+        if let Some(entry) = host.directory.borrow_mut().remove(&name) {
+            log_gone(&host, &entry.name, &entry.service);
+        }
+    }
+    host.changed.notify_waiters();
+}
+
+/// A copy of the table of records and members.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    /// Rows by key.
+    pub rows: BTreeMap<String, (Bytes, Revision)>,
+    /// Revision of the newest change.
+    pub revision: Revision,
+}
+
+/// Follows the table of records and members; its answers prove the lease.
+pub async fn table(host: Rc<Host>) {
+    let mut feed = Feed::new(&host, TABLE, LEASE_WAIT);
+    loop {
+        let news = feed.next(&host).await;
+        {
+            let mut table = host.peers.table.borrow_mut();
+            if news.is_whole {
+                table.rows.clear();
+            }
+            for row in news.rows {
+                table.revision = table.revision.max(row.revision);
+                match row.value {
+                    Some(value) => drop(table.rows.insert(row.key, (value, row.revision))),
+                    None => drop(table.rows.remove(&row.key)),
+                }
+            }
+        }
+        adopt_table(&host);
+        let revision = host.peers.table.borrow().revision;
+        host.lease.borrow_mut().prove(news.sent, revision);
+        host.holds_lease();
+        host.changed.notify_waiters();
+    }
+}
+
+/// Acts on the present copy of the table.
+pub fn adopt_table(host: &Host) {
+    let table = host.peers.table.borrow().clone();
+    let known = host.lease.borrow().revision();
+    if table.revision == known && known > 0 {
+        return;
+    }
+    let mut members: BTreeMap<HostId, Member> = BTreeMap::new();
+    let mut records: Vec<(String, Record, Revision)> = Vec::new();
+    for (key, (value, revision)) in &table.rows {
+        if let Some(id) = key.strip_prefix(MEMBER) {
+            match (id.parse(), serde_json::from_slice(value)) {
+                (Ok(id), Ok(member)) => drop(members.insert(id, member)),
+                _ => log_unreadable(host, TABLE, key, &Error::Unreadable("member".into())),
+            }
+        } else if let Some(service) = key.strip_prefix(GROUP) {
+            match serde_json::from_slice(value) {
+                Ok(record) => records.push((service.to_owned(), record, *revision)),
+                Err(error) => log_unreadable(host, TABLE, key, &error.into()),
+            }
+        }
+    }
+    let changed = *host.lease.borrow().members() != members;
+    // Records go first: a revision counts as known only once nothing older is used.
+    for (service, record, revision) in records {
+        host.adopt_record(&service, record, revision);
+    }
+    let now = boot_clock::now();
+    host.lease.borrow_mut().adopt(now, table.revision, members);
+    if changed {
+        let count = host.lease.borrow().members().len();
+        host.journal.write(&Event::Members { count, revision: table.revision });
+        divide(host);
+    }
+    host.peers.beat_now.notify_one();
+}
+
+/// Writes this host's member row, until the store has it.
+pub async fn join(host: &Host) {
+    let mut store = Store::new(host.settings.store);
+    loop {
+        match write_member(host, &mut store).await {
+            Ok(_) => return,
+            Err(error) => {
+                log::warn!("cannot enter the table of members, trying again: {error}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn write_member(host: &Host, store: &mut Store) -> Result<Revision> {
+    let key = member_key(host.id);
+    let before = store.read(TABLE, CALL_TIMEOUT).await?;
+    let is_restart = before.rows.iter().any(|row| row.key == key);
+    let member = Member {
+        incarnation: host.incarnation,
+        address: host.settings.listen.peers,
+        domain: host.settings.domain.clone(),
+        is_restart,
+    };
+    let value = Some(Bytes::from(serde_json::to_vec(&member)?));
+    let change = Change { table: TABLE, key: &key, expected: None, value };
+    store.change(change, CALL_TIMEOUT).await
+}
+
+/// Removes a member's row if it is still the one that `host` knows.
+pub async fn remove_member(host: &Host, member: HostId, timeout: Duration) -> Result<()> {
+    let key = member_key(member);
+    let known = host.peers.table.borrow().rows.get(&key).map(|(_, revision)| *revision);
+    let Some(expected) = known else { return Ok(()) };
+    let mut store = Store::new(host.settings.store);
+    let change = Change { table: TABLE, key: &key, expected: Some(expected), value: None };
+    store.change(change, timeout).await.map(drop)
+}
--- /dev/null
+++ b/crates/host/src/sessions/http.rs
@@ -0,0 +1,54 @@
+//! Answers the balancer's question and serves metrics.
+
+use super::state::Host;
+use super::upkeep;
+use bergamotvale_platform::ready;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+
+/// Serves one listener until the process ends.
+pub async fn serve(host: Rc<Host>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::task::spawn_local(connection(host.clone(), stream))),
+            Err(error) => {
+                log::warn!("a connection to the HTTP listener failed: {error}");
+                tokio::time::sleep(super::run::ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(host: Rc<Host>, stream: TcpStream) {
+    let answer = service_fn(|request: Request<hyper::body::Incoming>| {
+        let response = respond(&host, request.uri().path());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), answer)
+        .await;
+    if let Err(error) = served {
+        log::debug!("an HTTP connection ended: {error}");
+    }
+}
+
+fn respond(host: &Host, path: &str) -> Response<Full<Bytes>> {
+    let (status, body) = match path {
+        ready::PATH if upkeep::is_ready(host) => (StatusCode::OK, String::new()),
+        ready::PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        METRICS => (StatusCode::OK, host.journal.counters()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/host/src/sessions/mod.rs
@@ -0,0 +1,25 @@
+//! The host of sessions over open connections.
+//!
+//! One thread runs everything: callers' sessions ([`caller`]), the work they ask for ([`work`],
+//! [`transaction`]), connections to targets ([`connection`], [`pool`]), the copies of the
+//! platform's tables ([`follow`]), heartbeats between hosts ([`peer`]), promotions ([`promote`])
+//! and the upkeep of all that ([`upkeep`]). [`state::Host`] is what they share; [`run`] starts and
+//! stops them.
+
+pub mod boot_clock;
+pub mod caller;
+pub mod connection;
+pub mod event;
+pub mod follow;
+pub mod http;
+pub mod peer;
+pub mod pool;
+pub mod promote;
+pub mod quota;
+pub mod run;
+pub mod settings;
+pub mod state;
+pub mod target;
+pub mod transaction;
+pub mod upkeep;
+pub mod work;
--- /dev/null
+++ b/crates/host/src/sessions/pool.rs
@@ -0,0 +1,245 @@
+//! Connections to one target, shared by this host's sessions.
+//!
+//! Each connection belongs to one client account. A session takes an idle one of its account,
+//! opens a new one while the host's share of the target's limit lasts, replaces the one of another
+//! account that was idle longest, or waits. Who waits is served by priority, then by order.
+
+use super::connection::{Connection, Failure};
+use super::state::Host;
+use super::target::Target;
+use bergamotvale_core::proxy::directory::Entry;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Connections of a target's limit that no host uses: connections of hosts that vanished still
+/// count there for a few seconds.
+const RESERVE: u32 = 1;
+
+/// Connections to one target.
+#[derive(Debug, Default)]
+pub struct Lane {
+    idle: Vec<Connection>,
+    open: u32,
+    limit: u32,
+    waiting: BTreeMap<(u32, u64), Waiter>,
+    next: u64,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    account: String,
+    sender: oneshot::Sender<Grant>,
+}
+
+/// What somebody who waited gets.
+#[derive(Debug)]
+enum Grant {
+    /// A connection of the same account.
+    Connection(Connection),
+    /// Leave to open one.
+    Room,
+}
+
+/// How a wish for a connection was met.
+enum Offer {
+    Connection(Connection),
+    Room,
+    Wait(oneshot::Receiver<Grant>),
+}
+
+impl Lane {
+    /// Whether an idle connection of the account is there.
+    pub fn has_idle(&self, account: &str) -> bool {
+        self.idle.iter().any(|connection| connection.account == account)
+    }
+
+    /// Whether a connection may be opened, also in place of an idle one.
+    pub fn has_room(&self) -> bool {
+        self.open < self.limit || !self.idle.is_empty()
+    }
+
+    /// Account of some idle connection.
+    pub fn idle_account(&self) -> Option<&str> {
+        self.idle.last().map(|connection| connection.account.as_str())
+    }
+
+    /// Connections that are open or being opened.
+    pub fn open(&self) -> u32 {
+        self.open
+    }
+
+    /// Closes all idle connections: the target is gone.
+    pub fn clear(&mut self) {
+        self.open -= u32::try_from(self.idle.len()).unwrap_or(self.open);
+        self.idle.clear();
+    }
+
+    fn take_idle(&mut self, account: &str) -> Option<Connection> {
+        while let Some(index) = self.idle.iter().rposition(|c| c.account == account) {
+            let connection = self.idle.remove(index);
+            if !connection.is_stale() {
+                return Some(connection);
+            }
+            self.open -= 1;
+        }
+        None
+    }
+
+    fn offer(&mut self, account: &str, priority: u32) -> Offer {
+        if let Some(connection) = self.take_idle(account) {
+            return Offer::Connection(connection);
+        }
+        if self.open < self.limit {
+            self.open += 1;
+            return Offer::Room;
+        }
+        if !self.idle.is_empty() {
+            // The longest idle one stands first. Its place goes to the new one.
+            drop(self.idle.remove(0));
+            return Offer::Room;
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert((priority, self.next), Waiter { account: account.to_owned(), sender });
+        self.next += 1;
+        Offer::Wait(receiver)
+    }
+
+    /// Takes a connection back, for the first that waits or to rest.
+    fn give_back(&mut self, connection: Connection) {
+        if self.open > self.limit {
+            self.open -= 1;
+            return;
+        }
+        let mut connection = connection;
+        while let Some(waiter) = self.next_waiter(&connection.account) {
+            if waiter.account != connection.account {
+                drop(connection);
+                return self.give_room_to(waiter);
+            }
+            match waiter.sender.send(Grant::Connection(connection)) {
+                Ok(()) => return,
+                Err(Grant::Connection(back)) => connection = back,
+                Err(Grant::Room) => return,
+            }
+        }
+        self.idle.push(connection);
+    }
+
+    /// A connection is gone: somebody who waits may open another.
+    fn give_room(&mut self) {
+        if self.open > self.limit {
+            self.open -= 1;
+            return;
+        }
+        match self.waiting.pop_first() {
+            Some((_, waiter)) => self.give_room_to(waiter),
+            None => self.open -= 1,
+        }
+    }
+
+    fn give_room_to(&mut self, waiter: Waiter) {
+        if waiter.sender.send(Grant::Room).is_err() {
+            self.give_room();
+        }
+    }
+
+    /// The first that waits; of equal priority, one of the same account first.
+    fn next_waiter(&mut self, account: &str) -> Option<Waiter> {
+        let (first, _) = self.waiting.first_key_value()?;
+        let first = *first;
+        let same = self.waiting.iter().find(|(key, w)| key.0 == first.0 && w.account == account);
+        let key = same.map_or(first, |(key, _)| *key);
+        self.waiting.remove(&key)
+    }
+}
+
+/// A connection in use; dropped without [`Leased::give_back`], it is closed.
+pub struct Leased {
+    /// Its target.
+    pub target: Rc<Target>,
+    connection: Option<Connection>,
+}
+
+impl Leased {
+    /// The connection.
+    pub fn connection(&mut self) -> &mut Connection {
+        self.connection.as_mut().expect("only giving back takes it out")
+    }
+
+    /// Returns the connection, which is in a clean state, for other sessions.
+    pub fn give_back(mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.target.lane.borrow_mut().give_back(connection);
+        }
+    }
+}
+
+impl Drop for Leased {
+    fn drop(&mut self) {
+        if self.connection.take().is_some() {
+            self.target.lane.borrow_mut().give_room();
+        }
+    }
+}
+
+/// Leave to open a connection, given up when dropped.
+struct Room {
+    target: Rc<Target>,
+    used: bool,
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        if !self.used {
+            self.target.lane.borrow_mut().give_room();
+        }
+    }
+}
+
+/// Whom a connection is for.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// Client account.
+    pub account: &'a str,
+    /// 0 goes first.
+    pub priority: u32,
+    /// Time until which to wait.
+    pub until: Instant,
+}
+
+/// Takes a connection to a target.
+pub async fn acquire(host: &Host, entry: &Entry, wish: Wish<'_>) -> Result<Leased, Failure> {
+    let target = host.targets.get(&entry.name);
+    set_limit(host, &target, &entry.service);
+    let offer = target.lane.borrow_mut().offer(wish.account, wish.priority);
+    let grant = match offer {
+        Offer::Connection(connection) => Grant::Connection(connection),
+        Offer::Room => Grant::Room,
+        Offer::Wait(receiver) => {
+            host.journal.count("connection_waits");
+            match tokio::time::timeout_at(wish.until, receiver).await {
+                Ok(Ok(grant)) => grant,
+                Ok(Err(_)) | Err(_) => return Err(Failure::Late),
+            }
+        }
+    };
+    match grant {
+        Grant::Connection(connection) => Ok(Leased { target, connection: Some(connection) }),
+        Grant::Room => {
+            let mut room = Room { target: target.clone(), used: false };
+            let connection =
+                Connection::open(host, &target, entry, wish.account, wish.until).await?;
+            room.used = true;
+            Ok(Leased { target, connection: Some(connection) })
+        }
+    }
+}
+
+/// Brings the host's share of the target's limit up to date.
+fn set_limit(host: &Host, target: &Target, service: &str) {
+    let total = host.catalog.borrow().groups.get(service).map_or(1, |g| g.connection_limit);
+    let members = u32::try_from(host.lease.borrow().members().len()).unwrap_or(u32::MAX);
+    target.lane.borrow_mut().limit = (total.saturating_sub(RESERVE) / members.max(1)).max(1);
+}
--- /dev/null
+++ b/crates/host/src/sessions/run.rs
@@ -0,0 +1,142 @@
+//! Starts and stops a session host.
+
+use super::event::Event;
+use super::settings::Settings;
+use super::state::Host;
+use super::{caller, follow, http, peer, promote, upkeep};
+use anyhow::Context;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::Instant;
+
+/// Pause after an accept that failed, for example for want of descriptors.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time after the signal to stop in which the balancer certainly has noticed.
+const NOTICE: Duration = Duration::from_millis(2400);
+/// Time over which idle sessions are closed.
+const SPREAD: Duration = Duration::from_millis(1200);
+/// Left of the grace period when the process ends.
+const RESERVE: Duration = Duration::from_millis(900);
+/// Time in which the store has to take the host out of the members at the end.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between looks at whether all sessions have ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a host until it is told to stop.
+pub fn run(settings: Settings, path: &Path) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    LocalSet::new().block_on(&runtime, serve(settings, path))
+}
+
+/// Number of this run of the host: later runs have higher ones unless the clock was set back, and
+/// no two are the same.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or_default()
+}
+
+async fn serve(settings: Settings, path: &Path) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let callers = bind(settings.listen.callers).await?;
+    let readiness = bind(settings.listen.readiness).await?;
+    let metrics = bind(settings.listen.metrics).await?;
+    let host = Host::new(settings, incarnation());
+    host.journal.write(&Event::Started {
+        host: &host.settings.name,
+        domain: &host.settings.domain,
+        incarnation: host.incarnation,
+    });
+    spawn_local(receive_datagrams(host.clone()));
+    spawn_local(follow::catalog(host.clone()));
+    spawn_local(follow::directory(host.clone()));
+    spawn_local(follow::table(host.clone()));
+    spawn_local(peer::beat(host.clone()));
+    spawn_local(promote::watch(host.clone()));
+    spawn_local(upkeep::run(host.clone()));
+    spawn_local(http::serve(host.clone(), readiness));
+    spawn_local(http::serve(host.clone(), metrics));
+    spawn_local(accept(host.clone(), callers));
+    let entering = host.clone();
+    spawn_local(async move { follow::join(&entering).await });
+    wait_for_stop(&host, path, &mut terminate, &mut reload).await;
+    stop(&host).await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address}"))
+}
+
+async fn receive_datagrams(host: Rc<Host>) {
+    if let Err(error) = peer::receive(host).await {
+        log::error!("cannot hear other hosts: {error}");
+    }
+}
+
+async fn accept(host: Rc<Host>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(spawn_local(caller::serve(host.clone(), stream))),
+            Err(error) => {
+                log::warn!("a caller's connection failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn wait_for_stop(host: &Host, path: &Path, terminate: &mut Signal, reload: &mut Signal) {
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = reload.recv() => read_again(host, path),
+        }
+    }
+}
+
+/// Reads the settings file again. Addresses and names stay those of the start.
+fn read_again(host: &Host, path: &Path) {
+    let outcome = match Settings::read(path) {
+        Ok(settings) if settings == host.settings => "unchanged".to_owned(),
+        Ok(_) => "changed; in force after the next start".to_owned(),
+        Err(error) => format!("refused, the former settings stay: {error:#}"),
+    };
+    host.journal.write(&Event::SettingsRead { outcome: &outcome });
+}
+
+/// Stops: not ready at once, serves until the balancer has noticed, closes idle sessions one after
+/// the other, lets transactions end, leaves the members.
+async fn stop(host: &Rc<Host>) {
+    let began = Instant::now();
+    host.stopping.set(true);
+    host.journal.write(&Event::Stopping { sessions: host.sessions.get() });
+    tokio::time::sleep(NOTICE).await;
+    close_idle(host).await;
+    let until = began + host.settings.times.grace.saturating_sub(RESERVE);
+    while host.sessions.get() > 0 && Instant::now() < until {
+        tokio::time::sleep(LOOK).await;
+    }
+    if let Err(error) = follow::remove_member(host, host.id, LEAVE_TIMEOUT).await {
+        log::info!("not taken out of the members: {error}");
+    }
+    host.journal.write(&Event::Stopped { sessions: host.sessions.get() });
+}
+
+async fn close_idle(host: &Host) {
+    let count = u32::try_from(host.sessions.get()).unwrap_or(u32::MAX);
+    let pause = SPREAD / count.max(1);
+    for _ in 0..count {
+        host.peers.closing.admit_one();
+        tokio::time::sleep(pause).await;
+    }
+    host.peers.closing.open();
+}
--- /dev/null
+++ b/crates/host/src/sessions/work.rs
@@ -0,0 +1,407 @@
+//! Runs single statements at targets.
+
+use super::connection::{Bounds, Failure, is_clean};
+use super::event::Event;
+use super::pool::{Leased, Wish, acquire};
+use super::state::{Absence, Host, Primary};
+use bergamotvale_core::id::Time;
+use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, decide};
+use bergamotvale_core::proxy::catalog::Consistency;
+use bergamotvale_core::proxy::directory::{Entry, TargetName, of_service};
+use bergamotvale_core::proxy::evidence::View;
+use bergamotvale_core::proxy::floor::{Observation, Position};
+use bergamotvale_core::proxy::select::{self, Candidate};
+use bergamotvale_core::proxy::session::Values;
+use bergamotvale_core::proxy::statement::Shape;
+use bergamotvale_platform::line::{self, Answer, End};
+use bergamotvale_platform::text;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Taken off a route's staleness bound: the time between choosing the floor and the first byte.
+const FLOOR_MARGIN: Duration = Duration::from_millis(60);
+/// Time of an exchange without work within the failure domain.
+const NEAR: Duration = Duration::from_micros(800);
+/// The same between failure domains.
+const FAR: Duration = Duration::from_millis(4);
+/// Silence after which a read is tried on another target.
+const READ_TRY: Duration = Duration::from_millis(450);
+/// Time between looks at whether a group has its primary back.
+const PRIMARY_LOOK: Duration = Duration::from_millis(100);
+
+/// What a statement needs to know of its session and route.
+#[derive(Debug, Clone)]
+pub struct Context {
+    /// Service that it runs at.
+    pub service: String,
+    /// Freshness of its reads.
+    pub consistency: Consistency,
+    /// 0 goes first.
+    pub priority: u32,
+    /// Name of the client account, as targets are told.
+    pub account: String,
+    /// The session's last commit.
+    pub last_commit: Option<Position>,
+}
+
+/// A statement ready to be sent.
+#[derive(Debug, Clone)]
+pub struct Task {
+    /// Its id.
+    pub id: String,
+    /// Its text; prepared statements go by the name of their shape.
+    pub text: String,
+    /// Shape that has to be prepared.
+    pub shape: Option<Shape>,
+    /// Time by which it has to be answered.
+    pub until: Instant,
+}
+
+/// A statement that was not answered with success.
+#[derive(Debug, Clone)]
+pub struct Refused {
+    /// What the caller is told.
+    pub code: Code,
+    /// Why, for the log.
+    pub reason: &'static str,
+    /// The target that was tried last.
+    pub target: TargetName,
+}
+
+impl Refused {
+    /// Of a statement that reached no target.
+    pub fn new(code: Code, reason: &'static str) -> Refused {
+        Refused { code, reason, target: String::new() }
+    }
+
+    /// The same refusal after a try at `target`.
+    pub fn with_target(mut self, target: &TargetName) -> Refused {
+        self.target.clone_from(target);
+        self
+    }
+}
+
+/// Word for a failure in logs.
+pub fn word(failure: Failure) -> &'static str {
+    match failure {
+        Failure::Refused(_) => "target_refused",
+        Failure::Lost => "connection_lost",
+        Failure::Late => "no_answer_in_time",
+        Failure::Superseded => "superseded",
+    }
+}
+
+/// Outcome of a failure for the choice of the answer.
+pub fn outcome(failure: Failure) -> Outcome {
+    match failure {
+        Failure::Refused(code) => Outcome::Refused(code),
+        Failure::Lost | Failure::Late | Failure::Superseded => Outcome::Lost,
+    }
+}
+
+/// Where a read goes.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// The target.
+    pub entry: Entry,
+    /// Position that its log must have.
+    pub floor: Option<Position>,
+    /// The primary that the read rests on, if it does.
+    pub primary: Option<Primary>,
+}
+
+/// Lowest position that a read under this context may see; none if none is known.
+pub fn floor(host: &Host, context: &Context) -> Option<Position> {
+    let bound = match context.consistency {
+        Consistency::Primary => return None,
+        Consistency::Bounded(bound) | Consistency::ReadYourWrites(bound) => bound,
+    };
+    let histories = host.histories.borrow();
+    let history = histories.get(&context.service)?;
+    let bounded = history.bounded(host.now(), bound.saturating_sub(FLOOR_MARGIN))?;
+    let own = match context.consistency {
+        Consistency::ReadYourWrites(_) => context.last_commit.map(|p| history.session(p)),
+        _ => None,
+    };
+    Some(own.map_or(bounded, |own| own.max(bounded)))
+}
+
+/// Chooses the target for a read, but for those in `tried`.
+pub fn place(host: &Host, context: &Context, tried: &[TargetName]) -> Result<Place, Absence> {
+    let Some(floor) = floor(host, context) else {
+        return primary_place(host, &context.service);
+    };
+    let directory = host.directory.borrow();
+    let leader = host.records.borrow().get(&context.service).map(|s| s.record.primary.clone());
+    let candidates: Vec<Candidate> = of_service(&directory, &context.service)
+        .filter(|entry| !entry.is_leaving)
+        .filter(|entry| host.targets.view(&entry.name) != View::Lost)
+        .map(|entry| candidate(host, context, entry, leader.as_ref()))
+        .collect();
+    let chosen = select::choose(&candidates, floor, tried).ok_or(Absence::Lost)?;
+    let entry = directory.get(&chosen.name).cloned().ok_or(Absence::Lost)?;
+    Ok(Place { entry, floor: Some(floor), primary: None })
+}
+
+fn primary_place(host: &Host, service: &str) -> Result<Place, Absence> {
+    let primary = host.primary(service)?;
+    let entry = host.directory.borrow().get(&primary.target).cloned().ok_or(Absence::Lost)?;
+    Ok(Place { entry, floor: None, primary: Some(primary) })
+}
+
+fn candidate(
+    host: &Host,
+    context: &Context,
+    entry: &Entry,
+    leader: Option<&TargetName>,
+) -> Candidate {
+    let target = host.targets.get(&entry.name);
+    let lane = target.lane.borrow();
+    Candidate {
+        name: entry.name.clone(),
+        distance: if entry.domain == host.settings.domain { NEAR } else { FAR },
+        in_flight: target.in_flight.get(),
+        slots: entry.slots,
+        work: target.work(),
+        has_connection: lane.has_idle(&context.account),
+        has_room: lane.has_room(),
+        position: target.position(),
+        is_primary: leader == Some(&entry.name),
+    }
+}
+
+/// Waits until this host may use the group's primary, at most until `until`.
+pub async fn wait_primary(host: &Host, service: &str, until: Instant) -> Result<Place, Absence> {
+    loop {
+        match primary_place(host, service) {
+            Ok(place) => return Ok(place),
+            Err(absence) if Instant::now() >= until => return Err(absence),
+            Err(_) => host.wait_change(until.min(Instant::now() + PRIMARY_LOOK)).await,
+        }
+    }
+}
+
+/// Waits until a read has a target, at most until `until`.
+pub async fn wait_place(
+    host: &Host,
+    context: &Context,
+    tried: &[TargetName],
+    until: Instant,
+) -> Result<Place, Absence> {
+    loop {
+        match place(host, context, tried) {
+            Ok(place) => return Ok(place),
+            Err(absence) if Instant::now() >= until => return Err(absence),
+            Err(_) => host.wait_change(until.min(Instant::now() + PRIMARY_LOOK)).await,
+        }
+    }
+}
+
+/// Notes what an answer of the leased primary, to a question sent at `sent`, says of its log.
+pub fn observe(host: &Host, service: &str, sent: Time, answer: &Answer) {
+    let Some(position) = answer.position else { return };
+    let mut histories = host.histories.borrow_mut();
+    let history = histories.entry(service.to_owned()).or_default();
+    history.observe(host.now(), Observation { at: sent, position });
+}
+
+/// Runs a read that belongs to no transaction.
+pub async fn read(
+    host: &Rc<Host>,
+    context: &Context,
+    values: &Values,
+    task: &Task,
+) -> Result<Answer, Refused> {
+    let mut tried = Vec::new();
+    let mut last = Refused::new(Code::Busy, "no_target");
+    loop {
+        let place = match wait_place(host, context, &tried, task.until).await {
+            Ok(place) => place,
+            Err(_) if !tried.is_empty() => return Err(last),
+            Err(absence) => return Err(Refused::new(Code::Busy, absence.word())),
+        };
+        match read_at(host, context, values, task, &place).await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => {
+                let code = decide(Effect::None, false, Sent::Maybe, outcome(failure));
+                last = Refused::new(code, word(failure)).with_target(&place.entry.name);
+                if !may_retry(failure) || Instant::now() >= task.until {
+                    return Err(last);
+                }
+                host.journal.count("read_retries");
+                host.journal.write(&Event::Retried {
+                    request: &task.id,
+                    target: &place.entry.name,
+                    reason: word(failure),
+                });
+                if place.primary.is_none() {
+                    tried.push(place.entry.name);
+                } else {
+                    host.wait_change(Instant::now() + Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Whether a read that failed so may run elsewhere.
+fn may_retry(failure: Failure) -> bool {
+    match failure {
+        Failure::Refused(code) => code.is_not_run(),
+        Failure::Lost | Failure::Late | Failure::Superseded => true,
+    }
+}
+
+async fn read_at(
+    host: &Rc<Host>,
+    context: &Context,
+    values: &Values,
+    task: &Task,
+    place: &Place,
+) -> Result<Answer, Failure> {
+    let try_until = if place.primary.is_some() {
+        task.until
+    } else {
+        task.until.min(Instant::now() + READ_TRY)
+    };
+    let wish = Wish { account: &context.account, priority: context.priority, until: try_until };
+    let mut leased = acquire(host, &place.entry, wish).await?;
+    let fence = place.primary.as_ref().map(|p| (context.service.as_str(), p.fence));
+    let guard = fence.map(|(service, fence)| host.use_primary(service, fence));
+    let bounds = Bounds { until: try_until, fence };
+    let target = leased.target.clone();
+    let shape = task.shape.as_ref();
+    leased.connection().match_session(host, &target, values, shape, bounds).await?;
+    // Waiting for the connection took time: the floor is that of now, the lease too.
+    let floor = if place.primary.is_some() { None } else { floor(host, context) };
+    if place.primary.is_none() && floor.is_none() {
+        leased.give_back();
+        return Err(Failure::Superseded);
+    }
+    if let Some((service, fence)) = fence
+        && !host.is_current(service, fence)
+    {
+        leased.give_back();
+        return Err(Failure::Superseded);
+    }
+    let message = line::query(&task.id, &text::after(floor, &task.text));
+    let sent = host.now();
+    let answer = leased.connection().exchange(host, &target, &message, 1, bounds).await?;
+    drop(guard);
+    if let Some((service, fence)) = fence
+        && host.is_current(service, fence)
+    {
+        observe(host, service, sent, &answer);
+    }
+    finish(host, leased, answer, sent)
+}
+
+/// Gives the connection back if it is clean, and tells success from refusal.
+fn finish(host: &Host, leased: Leased, answer: Answer, sent: Time) -> Result<Answer, Failure> {
+    let target = leased.target.clone();
+    if is_clean(&answer) {
+        leased.give_back();
+    }
+    match answer.end {
+        End::Done => {
+            target.note_work(host.now().saturating_sub(sent));
+            Ok(answer)
+        }
+        End::Error(code) => {
+            host.journal.count(&format!("target_refused_{code}"));
+            Err(Failure::Refused(code))
+        }
+        End::Ready => Err(Failure::Lost),
+    }
+}
+
+/// Runs a write that belongs to no transaction.
+pub async fn write(
+    host: &Rc<Host>,
+    context: &Context,
+    values: &Values,
+    task: &Task,
+) -> Result<Answer, Refused> {
+    loop {
+        let waited = wait_primary(host, &context.service, task.until).await;
+        let place = waited.map_err(|absence| Refused::new(Code::Busy, absence.word()))?;
+        let mut sent = Sent::No;
+        let failure = match write_at(host, context, values, task, &place, &mut sent).await {
+            Ok(answer) => return Ok(answer),
+            Err(Failed::Exchange(failure)) => failure,
+            Err(Failed::Unproven) => {
+                let code = decide(Effect::Lasting, false, sent, Outcome::Unproven);
+                return Err(Refused::new(code, "lease_lapsed").with_target(&place.entry.name));
+            }
+        };
+        let not_run = match failure {
+            Failure::Refused(code) => code.is_not_run(),
+            _ => sent == Sent::No,
+        };
+        if failure == Failure::Refused(Code::ReadOnly) {
+            host.targets.get(&place.entry.name).depose();
+        }
+        if !not_run || Instant::now() + PRIMARY_LOOK >= task.until {
+            let code = decide(Effect::Lasting, false, sent, outcome(failure));
+            return Err(Refused::new(code, word(failure)).with_target(&place.entry.name));
+        }
+        host.journal.count("write_retries");
+        host.wait_change(Instant::now() + Duration::from_millis(20)).await;
+    }
+}
+
+/// Why a write was not answered with success.
+#[derive(Debug, Clone, Copy)]
+pub enum Failed {
+    /// The exchange failed.
+    Exchange(Failure),
+    /// It succeeded at a target that may no longer have been the primary.
+    Unproven,
+}
+
+impl From<Failure> for Failed {
+    fn from(failure: Failure) -> Failed {
+        Failed::Exchange(failure)
+    }
+}
+
+async fn write_at(
+    host: &Rc<Host>,
+    context: &Context,
+    values: &Values,
+    task: &Task,
+    place: &Place,
+    progress: &mut Sent,
+) -> Result<Answer, Failed> {
+    let Some(primary) = &place.primary else { return Err(Failure::Superseded.into()) };
+    let service = context.service.as_str();
+    let wish = Wish { account: &context.account, priority: context.priority, until: task.until };
+    let mut leased = acquire(host, &place.entry, wish).await?;
+    let _guard = host.use_primary(service, primary.fence);
+    let bounds = Bounds { until: task.until, fence: Some((service, primary.fence)) };
+    let target = leased.target.clone();
+    let shape = task.shape.as_ref();
+    leased.connection().match_session(host, &target, values, shape, bounds).await?;
+    if !host.is_current(service, primary.fence) {
+        leased.give_back();
+        return Err(Failure::Superseded.into());
+    }
+    let message = line::query(&task.id, &task.text);
+    let sent = host.now();
+    *progress = Sent::Maybe;
+    let answer = leased.connection().exchange(host, &target, &message, 1, bounds).await?;
+    if host.is_current(service, primary.fence) {
+        observe(host, service, sent, &answer);
+    } else if answer.end == End::Done && !may_acknowledge(host, service) {
+        return Err(Failed::Unproven);
+    }
+    Ok(finish(host, leased, answer, sent)?)
+}
+
+/// Whether a commit at a primary that is being replaced may be acknowledged: the promotion waits
+/// for this host as long as it holds the lease and the commit is registered as under way.
+pub fn may_acknowledge(host: &Host, service: &str) -> bool {
+    let under_way = host.records.borrow().get(service).is_some_and(|s| !s.record.established);
+    under_way && host.holds_lease()
+}
