Sessions: refuse what the queue cannot serve, one prover of the lease, stand-ins and tests

Cause: requests waited in full queues until their time was over; each host polled the store three times a second for its lease; hosts without a configuration answered that a database does not exist.

Change: a wish for a connection is refused when the queue cannot meet it within the latency target; one host proves the lease for all; unconfigured hosts answer busy. Stand-ins of the store and of targets that speak lines, and tests of the path, of faults, of the codec and of the core.

--- /dev/null
+++ b/crates/core/tests/proxy_answers.rs
@@ -0,0 +1,105 @@
+//! Answers that are true: every way a statement can end, and what the caller is told.
+
+use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, decide};
+use bergamotvale_core::proxy::session::{Held, Session, Step};
+use bergamotvale_core::proxy::statement::{Access, Shape};
+
+const OUTCOMES: [Outcome; 12] = [
+    Outcome::Refused(Code::Busy),
+    Outcome::Refused(Code::Aborted),
+    Outcome::Refused(Code::Lagging),
+    Outcome::Refused(Code::ReadOnly),
+    Outcome::Refused(Code::Timeout),
+    Outcome::Refused(Code::Failed),
+    Outcome::Refused(Code::UnknownStatement),
+    Outcome::Refused(Code::TooManyConnections),
+    Outcome::Lost,
+    Outcome::Unproven,
+    Outcome::NotTried,
+    Outcome::NotFresh,
+];
+
+#[test]
+fn what_may_be_kept_is_never_promised_away() {
+    for outcome in [Outcome::Lost, Outcome::Unproven] {
+        for in_transaction in [false, true] {
+            let code = decide(Effect::Lasting, in_transaction, Sent::Maybe, outcome);
+            assert_eq!(code, Code::Unknown, "{outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn what_reached_no_target_is_a_promise() {
+    for effect in [Effect::None, Effect::Lasting] {
+        for in_transaction in [false, true] {
+            for outcome in [Outcome::Lost, Outcome::NotTried, Outcome::NotFresh] {
+                let code = decide(effect, in_transaction, Sent::No, outcome);
+                assert!(code.is_promise(), "{effect:?} {outcome:?} {code}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_read_that_was_lost_is_a_promise() {
+    assert_eq!(decide(Effect::None, false, Sent::Maybe, Outcome::Lost), Code::Busy);
+    assert_eq!(decide(Effect::None, true, Sent::Maybe, Outcome::Lost), Code::Aborted);
+}
+
+#[test]
+fn callers_never_hear_of_names_that_they_did_not_choose() {
+    for outcome in OUTCOMES {
+        for in_transaction in [false, true] {
+            let code = decide(Effect::None, in_transaction, Sent::Maybe, outcome);
+            assert_ne!(code, Code::UnknownStatement);
+            assert_ne!(code, Code::Malformed);
+        }
+    }
+}
+
+fn shape(text: &str) -> Shape {
+    Shape { access: Access::Read, text: text.into() }
+}
+
+#[test]
+fn a_connection_is_brought_to_the_sessions_values_and_no_others() {
+    let mut held = Held::default();
+    held.apply(&Step::Set("zone".into(), "a".into()));
+    held.apply(&Step::Prepare(shape("q")));
+    let mut session = Session::default();
+    session.values.insert("unit".into(), "m".into());
+    let steps = held.steps(&session.values, Some(&shape("q")));
+    let expected = [Step::Reset, Step::Set("unit".into(), "m".into()), Step::Prepare(shape("q"))];
+    assert_eq!(steps, expected);
+}
+
+#[test]
+fn a_connection_that_matches_needs_no_step() {
+    let mut held = Held::default();
+    held.apply(&Step::Set("unit".into(), "m".into()));
+    held.apply(&Step::Prepare(shape("q")));
+    let values = held.values.clone();
+    assert!(held.steps(&values, Some(&shape("q"))).is_empty());
+    let steps = held.steps(&values, Some(&shape("p")));
+    assert_eq!(steps, [Step::Prepare(shape("p"))]);
+}
+
+#[test]
+fn after_any_steps_the_connection_holds_just_the_sessions_values() {
+    let names = ["a", "b", "c"];
+    for before in 0..8_u32 {
+        for after in 0..8_u32 {
+            let values = |bits: u32, value: &str| {
+                let set = (0..3).filter(|i| bits & (1 << i) != 0);
+                set.map(|i| (names[i as usize].to_owned(), value.to_owned())).collect()
+            };
+            let mut held = Held { values: values(before, "1"), ..Held::default() };
+            let wanted = values(after, "2");
+            for step in held.steps(&wanted, None) {
+                held.apply(&step);
+            }
+            assert_eq!(held.values, wanted);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/proxy_failover.rs
@@ -0,0 +1,189 @@
+//! When a primary is replaced, by whom and by which target.
+
+use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::proxy::directory::{Directory, Entry, Role, TargetName};
+use bergamotvale_core::proxy::evidence::{Evidence, REFUSED, SILENCE, View};
+use bergamotvale_core::proxy::failover::{Cause, Facts, Watch};
+use bergamotvale_core::proxy::floor::Position;
+use bergamotvale_core::proxy::record::Record;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SERVICE: &str = "orders";
+
+fn ms(millis: u64) -> Time {
+    Duration::from_millis(millis)
+}
+
+fn entry(name: &str, role: Role) -> Entry {
+    Entry {
+        name: name.into(),
+        service: SERVICE.into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: "a".into(),
+        slots: 3,
+        is_leaving: false,
+        role,
+        born: 1,
+    }
+}
+
+/// A group with primary `p` and replicas `r` and `s`, of which `s` has more of the log.
+struct World {
+    record: Record,
+    directory: Directory,
+    views: BTreeMap<TargetName, View>,
+    peers: BTreeMap<HostId, View>,
+    positions: BTreeMap<TargetName, Position>,
+}
+
+impl World {
+    fn new() -> World {
+        let entries =
+            [entry("p", Role::Primary), entry("r", Role::Replica), entry("s", Role::Replica)];
+        let directory: Directory = entries.into_iter().map(|e| (e.name.clone(), e)).collect();
+        let position = |number| Position { term: 1, number };
+        World {
+            record: Record::first(&directory, SERVICE, 1).unwrap(),
+            directory,
+            views: BTreeMap::new(),
+            peers: [(2, View::Alive), (3, View::Alive), (4, View::Alive)].into(),
+            positions: [("r".into(), position(5)), ("s".into(), position(9))].into(),
+        }
+    }
+
+    fn facts(&self) -> Facts<'_> {
+        Facts {
+            service: SERVICE,
+            record: &self.record,
+            directory: &self.directory,
+            views: &self.views,
+            peers: &self.peers,
+            positions: &self.positions,
+        }
+    }
+
+    fn lose(&mut self, hosts: &[HostId]) {
+        self.views.insert("p".into(), View::Lost);
+        for host in hosts {
+            self.peers.insert(*host, View::Lost);
+        }
+    }
+
+    fn decide(&self, watch: &mut Watch, at: u64, rank: usize) -> Option<(Cause, String)> {
+        watch.decide(ms(at), rank, &self.facts()).map(|change| (change.cause, change.candidate))
+    }
+}
+
+#[test]
+fn a_healthy_primary_stays() {
+    assert_eq!(World::new().decide(&mut Watch::default(), 0, 0), None);
+}
+
+#[test]
+fn a_primary_that_only_this_host_has_lost_stays() {
+    let mut world = World::new();
+    world.lose(&[]);
+    assert_eq!(world.decide(&mut Watch::default(), 0, 0), None);
+}
+
+#[test]
+fn a_primary_that_most_have_lost_is_replaced_by_the_replica_with_most_of_the_log() {
+    let mut world = World::new();
+    world.lose(&[2, 3]);
+    let found = world.decide(&mut Watch::default(), 0, 0);
+    assert_eq!(found, Some((Cause::Lost, "s".into())));
+}
+
+#[test]
+fn hosts_act_in_the_order_of_their_rank() {
+    let mut world = World::new();
+    world.lose(&[2, 3, 4]);
+    let mut watch = Watch::default();
+    assert_eq!(world.decide(&mut watch, 0, 1), None);
+    assert_eq!(world.decide(&mut watch, 149, 1), None);
+    assert!(world.decide(&mut watch, 150, 1).is_some());
+}
+
+#[test]
+fn a_primary_that_leaves_is_replaced_as_planned_work() {
+    let mut world = World::new();
+    world.directory.get_mut("p").unwrap().is_leaving = true;
+    let (cause, candidate) = world.decide(&mut Watch::default(), 0, 0).unwrap();
+    assert_eq!(cause, Cause::Leaving);
+    let record = world.record.promote(&candidate, 1, true);
+    assert!(record.planned && !record.established);
+    assert_eq!((record.fence, record.previous.as_deref()), (2, Some("p")));
+}
+
+#[test]
+fn a_primary_that_is_gone_from_the_directory_is_replaced() {
+    let mut world = World::new();
+    world.directory.remove("p");
+    assert_eq!(world.decide(&mut Watch::default(), 0, 0), Some((Cause::Lost, "s".into())));
+}
+
+#[test]
+fn neither_leaving_nor_lost_replicas_are_promoted() {
+    let mut world = World::new();
+    world.lose(&[2, 3, 4]);
+    world.views.insert("s".into(), View::Lost);
+    assert_eq!(world.decide(&mut Watch::default(), 0, 0), Some((Cause::Lost, "r".into())));
+    world.directory.get_mut("r").unwrap().is_leaving = true;
+    assert_eq!(world.decide(&mut Watch::default(), 0, 0), None);
+}
+
+#[test]
+fn a_promotion_under_way_is_left_alone_until_it_is_stuck() {
+    let mut world = World::new();
+    world.record = world.record.promote(&"r".into(), 2, false);
+    let mut watch = Watch::default();
+    assert_eq!(world.decide(&mut watch, 0, 0), None);
+    assert_eq!(world.decide(&mut watch, 3999, 0), None);
+    // The candidate that was named goes first: it may lead already.
+    assert_eq!(world.decide(&mut watch, 4000, 0), Some((Cause::Stuck, "r".into())));
+}
+
+#[test]
+fn a_promotion_whose_candidate_is_lost_goes_on_with_another() {
+    let mut world = World::new();
+    world.record = world.record.promote(&"s".into(), 2, false);
+    world.views.insert("s".into(), View::Lost);
+    assert_eq!(world.decide(&mut Watch::default(), 0, 0), Some((Cause::Stuck, "r".into())));
+}
+
+#[test]
+fn two_primaries_in_the_directory_make_no_first_record() {
+    let mut world = World::new();
+    world.directory.get_mut("r").unwrap().role = Role::Primary;
+    assert_eq!(Record::first(&world.directory, SERVICE, 1), None);
+}
+
+#[test]
+fn silence_counts_only_after_a_question() {
+    let mut evidence = Evidence::default();
+    assert_eq!(evidence.view(ms(60_000)), View::Alive);
+    evidence.ask(ms(1000));
+    assert_eq!(evidence.view(ms(1000) + SILENCE - ms(1)), View::Alive);
+    assert_eq!(evidence.view(ms(1000) + SILENCE), View::Lost);
+    evidence.answer(ms(2000), false);
+    assert_eq!(evidence.view(ms(60_000)), View::Alive);
+}
+
+#[test]
+fn an_answer_to_one_question_leaves_the_others_open() {
+    let mut evidence = Evidence::default();
+    evidence.ask(ms(0));
+    evidence.answer(ms(600), true);
+    assert_eq!(evidence.view(ms(900)), View::Alive);
+    assert_eq!(evidence.view(ms(600) + SILENCE), View::Lost);
+}
+
+#[test]
+fn refused_connections_count_soon_and_one_sign_of_life_clears_them() {
+    let mut evidence = Evidence::default();
+    evidence.fail(ms(0));
+    assert_eq!(evidence.view(REFUSED), View::Lost);
+    evidence.answer(ms(200), false);
+    assert_eq!(evidence.view(ms(900)), View::Alive);
+}
--- a/crates/host/src/sessions/caller.rs
+++ b/crates/host/src/sessions/caller.rs
@@ -54,6 +54,7 @@
     /// Context of the open transaction, or of the last operation.
     context: Option<Context>,
     statement_timeout: Duration,
+    latency_target: Duration,
 }
 
 /// What a statement came to: the bytes of the answer.
@@ -91,9 +92,12 @@
             return None;
         }
     };
-    let denial = host.catalog.borrow().authorize(&database, &key).err();
-    if let Some(denial) = denial {
-        let (code, reason) = denial_code(denial);
+    let refused = match host.catalog.borrow().clone() {
+        // Without a configuration nothing is known of routes and keys, and nothing is said of them.
+        catalog if catalog.version == 0 => Some((Code::Busy, "the host is not configured yet")),
+        catalog => catalog.authorize(&database, &key).err().map(denial_code),
+    };
+    if let Some((code, reason)) = refused {
         host.journal.count(&format!("sessions_refused_{code}"));
         host.journal.write(&Event::SessionClosed { database: &database, reason });
         drop(writer.write_all(&line::refusal(code, reason)).await);
@@ -110,6 +114,7 @@
         last_commit: None,
         context: None,
         statement_timeout: Duration::ZERO,
+        latency_target: Duration::ZERO,
     })
 }
 
@@ -277,6 +282,7 @@
             _ => None,
         };
         self.statement_timeout = grant.route.statement_timeout;
+        self.latency_target = grant.route.latency_target;
         self.context = Some(Context {
             service: service.clone(),
             consistency: grant.route.consistency,
@@ -433,7 +439,13 @@
         shape: Option<bergamotvale_core::proxy::statement::Shape>,
     ) -> Task {
         let limit = self.statement_timeout.saturating_sub(ANSWER_MARGIN);
-        Task { id: id.to_owned(), text, shape, until: Instant::now() + limit }
+        Task {
+            id: id.to_owned(),
+            text,
+            shape,
+            until: Instant::now() + limit,
+            patience: self.latency_target.min(limit),
+        }
     }
 
     /// Notes where the session's own commits end, for its later reads.
--- a/crates/host/src/sessions/connection.rs
+++ b/crates/host/src/sessions/connection.rs
@@ -41,6 +41,8 @@
     Late,
     /// The group's primary is being replaced.
     Superseded,
+    /// So many wait for a connection that it could not come in time.
+    Full,
 }
 
 /// What ends an exchange before its answer.
--- a/crates/host/src/sessions/event.rs
+++ b/crates/host/src/sessions/event.rs
@@ -15,6 +15,8 @@
 
 /// Lines about requests that are written in one second at most.
 const LINES_PER_SECOND: u32 = 40;
+/// Of these, lines about retries.
+const RETRIES_PER_SECOND: u32 = 5;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Something that on-call engineers want to know.
@@ -113,7 +115,7 @@
 impl Journal {
     /// Writes an event, unless it is one of too many.
     pub fn write(&self, event: &Event<'_>) {
-        if event.is_frequent() && !self.admit() {
+        if event.is_frequent() && !self.admit(event) {
             self.left_out.set(self.left_out.get() + 1);
             return;
         }
@@ -125,14 +127,19 @@
         }
     }
 
-    fn admit(&self) -> bool {
+    fn admit(&self, event: &Event<'_>) -> bool {
         let now = boot_clock::now();
         if now.saturating_sub(self.second.get()) >= SECOND {
             self.second.set(now);
             self.lines.set(0);
         }
-        self.lines.set(self.lines.get() + 1);
-        self.lines.get() <= LINES_PER_SECOND
+        let limit = match event {
+            Event::Retried { .. } => RETRIES_PER_SECOND,
+            _ => LINES_PER_SECOND,
+        };
+        let is_admitted = self.lines.get() < limit;
+        self.lines.set(self.lines.get() + u32::from(is_admitted));
+        is_admitted
     }
 
     /// Counts something under a name.
--- a/crates/host/src/sessions/follow.rs
+++ b/crates/host/src/sessions/follow.rs
@@ -25,10 +25,14 @@
 const MEMBER: &str = "host.";
 /// Prefix of the keys of groups' rows.
 const GROUP: &str = "group.";
-/// Time that a feed of records waits for changes: an answer proves the lease.
-const LEASE_WAIT: Duration = Duration::from_millis(350);
+/// Time that the feed of records waits for changes at the host that proves the lease for others.
+const LEASE_WAIT: Duration = Duration::from_millis(250);
+/// Age of the lease's proof at which a host stops relying on the one that proves it for others.
+const PROOF_LIMIT: Duration = Duration::from_millis(900);
+/// Time between looks at the age of the proof.
+const PROOF_LOOK: Duration = Duration::from_millis(100);
 /// Time that other feeds wait for changes.
-const WAIT: Duration = Duration::from_millis(2500);
+const WAIT: Duration = Duration::from_millis(4000);
 /// Time beyond its wait in which a call has to be answered.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after a call that failed.
@@ -259,7 +263,11 @@
 pub async fn table(host: Rc<Host>) {
     let mut feed = Feed::new(&host, TABLE, LEASE_WAIT);
     loop {
-        let news = feed.next(&host).await;
+        feed.wait = if is_prover(&host) { LEASE_WAIT } else { WAIT };
+        let news = tokio::select! {
+            news = feed.next(&host) => news,
+            () = proof_grows_old(&host), if feed.wait == WAIT => continue,
+        };
         {
             let mut table = host.peers.table.borrow_mut();
             if news.is_whole {
@@ -281,6 +289,25 @@
     }
 }
 
+/// Whether this host proves the lease for others, or has to do it for itself.
+fn is_prover(host: &Host) -> bool {
+    let now = boot_clock::now();
+    let lease = host.lease.borrow();
+    let is_old = lease.proof_age(now).is_none_or(|age| age > PROOF_LIMIT);
+    is_old || lease.peers_alive(now, PROOF_LIMIT).iter().all(|peer| *peer > host.id)
+}
+
+/// Waits until the proof that peers pass on is too old to rely on.
+async fn proof_grows_old(host: &Host) {
+    loop {
+        tokio::time::sleep(PROOF_LOOK).await;
+        let age = host.lease.borrow().proof_age(boot_clock::now());
+        if age.is_none_or(|age| age > PROOF_LIMIT) {
+            return;
+        }
+    }
+}
+
 /// Acts on the present copy of the table.
 pub fn adopt_table(host: &Host) {
     let table = host.peers.table.borrow().clone();
--- a/crates/host/src/sessions/pool.rs
+++ b/crates/host/src/sessions/pool.rs
@@ -10,6 +10,7 @@
 use bergamotvale_core::proxy::directory::Entry;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -47,6 +48,7 @@
     Connection(Connection),
     Room,
     Wait(oneshot::Receiver<Grant>),
+    Full,
 }
 
 impl Lane {
@@ -76,6 +78,12 @@
         self.idle.clear();
     }
 
+    /// Time that somebody who joins the queue now will wait, given the mean time of a statement.
+    fn expected_wait(&self, work: Duration) -> Duration {
+        let ahead = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX).saturating_add(1);
+        work.saturating_mul(ahead) / self.limit.max(1)
+    }
+
     fn take_idle(&mut self, account: &str) -> Option<Connection> {
         while let Some(index) = self.idle.iter().rposition(|c| c.account == account) {
             let connection = self.idle.remove(index);
@@ -87,7 +95,9 @@
         None
     }
 
-    fn offer(&mut self, account: &str, priority: u32) -> Offer {
+    /// Meets a wish at once, or queues it if it may be met within `patience`.
+    fn offer(&mut self, wish: &Wish<'_>, work: Duration) -> Offer {
+        let Wish { account, priority, .. } = *wish;
         if let Some(connection) = self.take_idle(account) {
             return Offer::Connection(connection);
         }
@@ -100,6 +110,9 @@
             drop(self.idle.remove(0));
             return Offer::Room;
         }
+        if self.expected_wait(work) > wish.patience {
+            return Offer::Full;
+        }
         let (sender, receiver) = oneshot::channel();
         self.waiting.insert((priority, self.next), Waiter { account: account.to_owned(), sender });
         self.next += 1;
@@ -207,16 +220,22 @@
     pub priority: u32,
     /// Time until which to wait.
     pub until: Instant,
+    /// Time that waiting may be expected to take; beyond it the wish is refused at once.
+    pub patience: Duration,
 }
 
 /// Takes a connection to a target.
 pub async fn acquire(host: &Host, entry: &Entry, wish: Wish<'_>) -> Result<Leased, Failure> {
     let target = host.targets.get(&entry.name);
     set_limit(host, &target, &entry.service);
-    let offer = target.lane.borrow_mut().offer(wish.account, wish.priority);
+    let offer = target.lane.borrow_mut().offer(&wish, target.work());
     let grant = match offer {
         Offer::Connection(connection) => Grant::Connection(connection),
         Offer::Room => Grant::Room,
+        Offer::Full => {
+            host.journal.count("queue_full");
+            return Err(Failure::Full);
+        }
         Offer::Wait(receiver) => {
             host.journal.count("connection_waits");
             match tokio::time::timeout_at(wish.until, receiver).await {
--- a/crates/host/src/sessions/transaction.rs
+++ b/crates/host/src/sessions/transaction.rs
@@ -5,7 +5,7 @@
 //! is answered as rolled back.
 
 use super::connection::{Bounds, Failure, is_clean};
-use super::pool::{Leased, Wish, acquire};
+use super::pool::{Leased, acquire};
 use super::state::{Host, Use};
 use super::work::{self, Context, Place, Refused, Task, outcome, word};
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, decide};
@@ -138,7 +138,8 @@
                 Ok(open) => self.open = Some(open),
                 Err(failure) => {
                     last = Refused::new(Code::Aborted, word(failure)).with_target(&name);
-                    if Instant::now() + BEGIN_PAUSE >= task.until {
+                    let is_full = failure == Failure::Full && rests_on_primary;
+                    if is_full || Instant::now() + BEGIN_PAUSE >= task.until {
                         return Err(last);
                     }
                     host.journal.count("begin_retries");
@@ -165,8 +166,7 @@
         place: Place,
     ) -> Result<Open, Failure> {
         let service = context.service.as_str();
-        let wish =
-            Wish { account: &context.account, priority: context.priority, until: task.until };
+        let wish = context.wish(task.until, task.patience);
         let mut leased = acquire(host, &place.entry, wish).await?;
         let fence = place.primary.as_ref().map(|p| (service, p.fence));
         let guard = fence.map(|(service, fence)| host.use_primary(service, fence));
--- a/crates/host/src/sessions/upkeep.rs
+++ b/crates/host/src/sessions/upkeep.rs
@@ -163,7 +163,7 @@
 /// Sends a statement of the host's own to a target.
 async fn ask(host: &Host, entry: &Entry, text: &str, until: Instant) -> Result<Answer, Failure> {
     let account = any_account(host, entry);
-    let wish = Wish { account: &account, priority: OWN_PRIORITY, until };
+    let wish = Wish { account: &account, priority: OWN_PRIORITY, until, patience: PROBE_TIMEOUT };
     let mut leased = acquire(host, entry, wish).await?;
     let target = leased.target.clone();
     let message = line::query(line::OWN_ID, text);
--- a/crates/host/src/sessions/work.rs
+++ b/crates/host/src/sessions/work.rs
@@ -45,6 +45,13 @@
     pub last_commit: Option<Position>,
 }
 
+impl Context {
+    /// The wish for a connection.
+    pub fn wish(&self, until: Instant, patience: Duration) -> Wish<'_> {
+        Wish { account: &self.account, priority: self.priority, until, patience }
+    }
+}
+
 /// A statement ready to be sent.
 #[derive(Debug, Clone)]
 pub struct Task {
@@ -56,6 +63,8 @@
     pub shape: Option<Shape>,
     /// Time by which it has to be answered.
     pub until: Instant,
+    /// Time that it may be expected to wait for a connection.
+    pub patience: Duration,
 }
 
 /// A statement that was not answered with success.
@@ -89,6 +98,7 @@
         Failure::Lost => "connection_lost",
         Failure::Late => "no_answer_in_time",
         Failure::Superseded => "superseded",
+        Failure::Full => "queue_full",
     }
 }
 
@@ -97,6 +107,7 @@
     match failure {
         Failure::Refused(code) => Outcome::Refused(code),
         Failure::Lost | Failure::Late | Failure::Superseded => Outcome::Lost,
+        Failure::Full => Outcome::NotTried,
     }
 }
 
@@ -226,7 +237,8 @@
             Err(failure) => {
                 let code = decide(Effect::None, false, Sent::Maybe, outcome(failure));
                 last = Refused::new(code, word(failure)).with_target(&place.entry.name);
-                if !may_retry(failure) || Instant::now() >= task.until {
+                let is_full = failure == Failure::Full && place.primary.is_some();
+                if !may_retry(failure) || is_full || Instant::now() >= task.until {
                     return Err(last);
                 }
                 host.journal.count("read_retries");
@@ -249,7 +261,7 @@
 fn may_retry(failure: Failure) -> bool {
     match failure {
         Failure::Refused(code) => code.is_not_run(),
-        Failure::Lost | Failure::Late | Failure::Superseded => true,
+        Failure::Lost | Failure::Late | Failure::Superseded | Failure::Full => true,
     }
 }
 
@@ -265,7 +277,7 @@
     } else {
         task.until.min(Instant::now() + READ_TRY)
     };
-    let wish = Wish { account: &context.account, priority: context.priority, until: try_until };
+    let wish = context.wish(try_until, task.patience);
     let mut leased = acquire(host, &place.entry, wish).await?;
     let fence = place.primary.as_ref().map(|p| (context.service.as_str(), p.fence));
     let guard = fence.map(|(service, fence)| host.use_primary(service, fence));
@@ -342,7 +354,8 @@
         if failure == Failure::Refused(Code::ReadOnly) {
             host.targets.get(&place.entry.name).depose();
         }
-        if !not_run || Instant::now() + PRIMARY_LOOK >= task.until {
+        let is_full = failure == Failure::Full;
+        if !not_run || is_full || Instant::now() + PRIMARY_LOOK >= task.until {
             let code = decide(Effect::Lasting, false, sent, outcome(failure));
             return Err(Refused::new(code, word(failure)).with_target(&place.entry.name));
         }
@@ -376,7 +389,7 @@
 ) -> Result<Answer, Failed> {
     let Some(primary) = &place.primary else { return Err(Failure::Superseded.into()) };
     let service = context.service.as_str();
-    let wish = Wish { account: &context.account, priority: context.priority, until: task.until };
+    let wish = context.wish(task.until, task.patience);
     let mut leased = acquire(host, &place.entry, wish).await?;
     let _guard = host.use_primary(service, primary.fence);
     let bounds = Bounds { until: task.until, fence: Some((service, primary.fence)) };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod error;
 pub mod group;
+pub mod lines;
 pub mod link;
 pub mod platform;
 
--- /dev/null
+++ b/crates/standin/src/lines/session.rs
@@ -0,0 +1,245 @@
+//! One connection to a target.
+
+use super::group::{Target, Values};
+use crate::sync::lock;
+use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_core::proxy::directory::Role;
+use bergamotvale_core::proxy::floor::Position;
+use bergamotvale_core::proxy::statement::{Access, Shape};
+use bergamotvale_platform::line::{self, OWN_ID, State};
+use bergamotvale_platform::served::line::{Command, TargetServerCodec, ToTarget, decode};
+use bergamotvale_platform::served::line::{done, error, status_row};
+use bytes::{Bytes, BytesMut};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::codec::Decoder;
+
+/// Time that a statement works.
+const WORK: Duration = Duration::from_millis(2);
+
+/// A transaction that is open on a connection.
+#[derive(Debug)]
+struct Transaction {
+    read_only: bool,
+    writes: Vec<(String, String)>,
+}
+
+/// State of one connection.
+#[derive(Debug)]
+struct Session {
+    target: Arc<Target>,
+    account: String,
+    values: Values,
+    prepared: BTreeMap<String, Shape>,
+    transaction: Option<Transaction>,
+}
+
+/// Takes connections on a thread of its own, and serves them on the runtime that runs this.
+pub(super) fn accept(target: Arc<Target>) {
+    let runtime = tokio::runtime::Handle::current();
+    std::thread::spawn(move || {
+        while let Some(stream) = target.accept() {
+            let target = target.clone();
+            runtime.spawn(async move {
+                if let Err(error) = serve(target, stream).await {
+                    log::debug!("a connection to a stand-in target ended: {error}");
+                }
+            });
+        }
+    });
+}
+
+async fn serve(target: Arc<Target>, stream: std::net::TcpStream) -> std::io::Result<()> {
+    stream.set_nonblocking(true)?;
+    let stream = TcpStream::from_std(stream)?;
+    stream.set_nodelay(true)?;
+    lock(&target.state).open += 1;
+    let ends = target.ends.notified();
+    let result = tokio::select! {
+        result = converse(target.clone(), stream) => result,
+        () = ends => Ok(()),
+    };
+    lock(&target.state).open -= 1;
+    result
+}
+
+async fn converse(target: Arc<Target>, mut stream: TcpStream) -> std::io::Result<()> {
+    let mut codec = TargetServerCodec::default();
+    let mut buffer = BytesMut::new();
+    let mut session: Option<Session> = None;
+    loop {
+        while let Ok(Some(request)) = codec.decode(&mut buffer) {
+            let Some(answer) = take(&target, &mut session, decode(request)).await else {
+                return Ok(());
+            };
+            stream.write_all(&answer).await?;
+        }
+        if stream.read_buf(&mut buffer).await? == 0 {
+            return Ok(());
+        }
+    }
+}
+
+/// Takes one message; none ends the connection, or loses the answer with it.
+async fn take(
+    target: &Arc<Target>,
+    session: &mut Option<Session>,
+    message: ToTarget,
+) -> Option<Bytes> {
+    match (message, session) {
+        (ToTarget::Connect { service, account, target: name }, session @ None) => {
+            let is_meant = service == target.service && name.is_none_or(|n| n == target.name);
+            if !is_meant {
+                return Some(line::refusal(Code::Misrouted, &target.name));
+            }
+            *session = Some(Session {
+                target: target.clone(),
+                account,
+                values: Values::new(),
+                prepared: BTreeMap::new(),
+                transaction: None,
+            });
+            let position = lock(&target.state).position();
+            Some(Bytes::from(line::ready(State::Idle, Some(position))))
+        }
+        (ToTarget::Query { id, after, command }, Some(session)) => {
+            session.run(&id, after, command).await
+        }
+        _ => None,
+    }
+}
+
+impl Session {
+    fn state(&self) -> State {
+        if self.transaction.is_some() { State::Open } else { State::Idle }
+    }
+
+    fn position(&self) -> Position {
+        lock(&self.target.state).position()
+    }
+
+    fn done(&self, rows: &[String]) -> Option<Bytes> {
+        let signature = format!("{}.{}", self.target.name, self.account);
+        Some(done(rows, &signature, self.state(), self.position()))
+    }
+
+    fn error(&self, code: Code) -> Option<Bytes> {
+        Some(error(code, &self.target.name, self.state(), self.position()))
+    }
+
+    async fn run(
+        &mut self,
+        id: &str,
+        after: Option<Position>,
+        command: Option<Command>,
+    ) -> Option<Bytes> {
+        if after.is_some_and(|after| self.position() < after) {
+            return self.error(Code::Lagging);
+        }
+        let Some(command) = command else { return self.error(Code::Malformed) };
+        match command {
+            Command::Read(_) | Command::Write(..) | Command::Execute(..) if id == OWN_ID => {
+                self.error(Code::Malformed)
+            }
+            Command::Begin { read_only } => self.begin(read_only),
+            Command::Commit => self.commit().await,
+            Command::Rollback => {
+                self.transaction = None;
+                self.done(&[])
+            }
+            Command::Read(item) => self.read(&item).await,
+            Command::Write(item, data) => self.write(item, data).await,
+            Command::Execute(name, item, data) => match self.prepared.get(&name) {
+                None => self.error(Code::UnknownStatement),
+                Some(shape) if shape.access == Access::Read => self.read(&item).await,
+                Some(_) => self.write(item, data).await,
+            },
+            Command::Set(name, value) => {
+                self.values.insert(name, value);
+                self.done(&[])
+            }
+            Command::Prepare(name, shape) => {
+                self.prepared.insert(name, shape);
+                self.done(&[])
+            }
+            Command::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+                self.done(&[])
+            }
+            Command::Status => self.status(),
+            Command::Demote(fence) => {
+                self.demote(fence);
+                self.status()
+            }
+        }
+    }
+
+    fn status(&self) -> Option<Bytes> {
+        let row = {
+            let state = lock(&self.target.state);
+            status_row(state.role, state.term, state.position(), 0, state.open)
+        };
+        self.done(&[row])
+    }
+
+    fn demote(&self, fence: u64) {
+        let mut state = lock(&self.target.state);
+        if state.term < fence {
+            state.role = Role::Replica;
+        }
+    }
+
+    fn begin(&mut self, read_only: bool) -> Option<Bytes> {
+        if !read_only && !self.target.is_primary() {
+            return self.error(Code::ReadOnly);
+        }
+        self.transaction = Some(Transaction { read_only, writes: Vec::new() });
+        self.done(&[])
+    }
+
+    async fn read(&self, item: &str) -> Option<Bytes> {
+        tokio::time::sleep(WORK).await;
+        // The values show in the rows, so that callers can tell whose session they got.
+        let values: Vec<String> = self.values.iter().map(|(k, v)| format!("{k}={v}")).collect();
+        let own = self.transaction.iter().flat_map(|t| t.writes.iter().rev());
+        let written = own.filter(|(name, _)| name == item).map(|(_, data)| data.clone()).next();
+        let data = written.or_else(|| self.target.read(item)).unwrap_or_default();
+        self.done(&[format!("{data}|{}", values.join(","))])
+    }
+
+    async fn write(&mut self, item: String, data: String) -> Option<Bytes> {
+        tokio::time::sleep(WORK).await;
+        if !self.target.is_primary() || self.transaction.as_ref().is_some_and(|t| t.read_only) {
+            return self.error(Code::ReadOnly);
+        }
+        if let Some(transaction) = &mut self.transaction {
+            transaction.writes.push((item, data));
+            return self.done(&[]);
+        }
+        self.keep(vec![(item, data)])
+    }
+
+    async fn commit(&mut self) -> Option<Bytes> {
+        tokio::time::sleep(WORK).await;
+        match self.transaction.take() {
+            None => self.error(Code::Malformed),
+            Some(transaction) if transaction.writes.is_empty() => self.done(&[]),
+            Some(transaction) => self.keep(transaction.writes),
+        }
+    }
+
+    /// Commits; none loses the answer.
+    fn keep(&self, writes: Vec<(String, String)>) -> Option<Bytes> {
+        if self.target.commit(writes).is_none() {
+            return self.error(Code::ReadOnly);
+        }
+        if lock(&self.target.state).loses_commit_answers {
+            return None;
+        }
+        self.done(&[])
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lines/store.rs
@@ -0,0 +1,233 @@
+//! The table service: rows with revisions, conditional writes, feeds, and its troubles.
+
+use super::group::Group;
+use crate::sync::lock;
+use bergamotvale_platform::served::store::{Call, RowKey, decode, encode};
+use bergamotvale_platform::store::Row;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// What is wrong with the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Outage {
+    /// Nothing.
+    #[default]
+    None,
+    /// It takes calls and never answers.
+    Silent,
+    /// It refuses every call and does nothing.
+    Busy,
+    /// Each answer takes this long.
+    Slow(Duration),
+    /// Writes are done and not answered.
+    LosesAnswers,
+}
+
+/// A row's value and the revision that wrote it.
+type Stored = (Option<Bytes>, u64);
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<RowKey, Stored>,
+    revision: u64,
+    /// Changes up to this one are no longer known.
+    forgotten: u64,
+    outage: Outage,
+}
+
+/// The table service.
+#[derive(Debug, Default)]
+pub struct Store {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl Store {
+    /// Writes or removes a row without a condition; answers with the revision.
+    pub fn write(&self, table: &str, key: &str, value: Option<Bytes>) -> u64 {
+        let mut state = lock(&self.state);
+        state.revision += 1;
+        let revision = state.revision;
+        state.rows.insert((table.to_owned(), key.to_owned()), (value, revision));
+        drop(state);
+        self.changed.notify_waiters();
+        revision
+    }
+
+    /// Value of a row.
+    pub fn value(&self, table: &str, key: &str) -> Option<Bytes> {
+        let state = lock(&self.state);
+        state.rows.get(&(table.to_owned(), key.to_owned())).and_then(|row| row.0.clone())
+    }
+
+    /// Brings trouble, or ends it.
+    pub fn set_outage(&self, outage: Outage) {
+        lock(&self.state).outage = outage;
+    }
+
+    /// Forgets the history so far: feeds have to read their tables afresh.
+    pub fn forget(&self) {
+        let mut state = lock(&self.state);
+        state.forgotten = state.revision;
+        state.revision += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    fn outage(&self) -> Outage {
+        lock(&self.state).outage
+    }
+
+    fn change(
+        &self,
+        expected: &[(RowKey, u64)],
+        writes: Vec<(RowKey, Bytes)>,
+        removals: Vec<RowKey>,
+    ) -> Option<u64> {
+        let mut state = lock(&self.state);
+        let holds = |(key, revision): &(RowKey, u64)| {
+            let live = state.rows.get(key).filter(|row| row.0.is_some());
+            live.map_or(0, |row| row.1) == *revision
+        };
+        if !expected.iter().all(holds) {
+            return None;
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        for (key, value) in writes {
+            state.rows.insert(key, (Some(value), revision));
+        }
+        for key in removals {
+            state.rows.insert(key, (None, revision));
+        }
+        drop(state);
+        self.changed.notify_waiters();
+        Some(revision)
+    }
+
+    /// Rows of a table changed after `after`; removed ones only where `with_removed` says so.
+    fn rows(&self, table: &str, after: u64, with_removed: bool) -> (Vec<Row>, u64) {
+        let state = lock(&self.state);
+        let mut rows: Vec<Row> = state
+            .rows
+            .iter()
+            .filter(|((name, _), (value, revision))| {
+                name == table && *revision > after && (with_removed || value.is_some())
+            })
+            .map(|((_, key), (value, revision))| Row {
+                key: key.clone(),
+                value: value.clone(),
+                revision: *revision,
+            })
+            .collect();
+        if with_removed {
+            rows.sort_by_key(|row| row.revision);
+        }
+        (rows, state.revision)
+    }
+
+    fn has_forgotten(&self, after: u64) -> bool {
+        after < lock(&self.state).forgotten
+    }
+
+    async fn follow(&self, table: &str, after: u64, wait: Duration) -> Option<Bytes> {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if self.has_forgotten(after) {
+                return None;
+            }
+            let (rows, revision) = self.rows(table, after, true);
+            if !rows.is_empty() || Instant::now() >= until {
+                return Some(encode(table, &rows, revision));
+            }
+            // Either something changed or the wait is over; the loop tells.
+            drop(tokio::time::timeout_at(until, changed).await);
+        }
+    }
+}
+
+/// Serves the platform's calls until the runtime ends.
+pub(super) async fn serve(store: Arc<Store>, groups: Vec<Arc<Group>>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let (store, groups) = (store.clone(), groups.clone());
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let (store, groups) = (store.clone(), groups.clone());
+                async move { answer(&store, &groups, request).await }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("a connection to the stand-in store ended: {error}");
+            }
+        });
+    }
+}
+
+type Answer = Result<Response<Full<Bytes>>, hyper::Error>;
+
+async fn answer(store: &Store, groups: &[Arc<Group>], request: Request<Incoming>) -> Answer {
+    match store.outage() {
+        Outage::Silent => std::future::pending().await,
+        Outage::Busy => return Ok(response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())),
+        Outage::Slow(time) => tokio::time::sleep(time).await,
+        Outage::None | Outage::LosesAnswers => {}
+    }
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await?.to_bytes();
+    let query = parts.uri.query().unwrap_or_default();
+    let Some(call) = decode(parts.uri.path(), query, &body) else {
+        return Ok(response(StatusCode::NOT_FOUND, Bytes::new()));
+    };
+    let is_write = matches!(call, Call::Change { .. });
+    let response = carry_out(store, groups, call).await;
+    if is_write && store.outage() == Outage::LosesAnswers {
+        std::future::pending().await
+    }
+    Ok(response)
+}
+
+async fn carry_out(store: &Store, groups: &[Arc<Group>], call: Call) -> Response<Full<Bytes>> {
+    match call {
+        Call::Read { table, from } => {
+            let (mut rows, revision) = store.rows(&table, 0, false);
+            rows.retain(|row| row.key >= from);
+            response(StatusCode::OK, encode(&table, &rows, revision))
+        }
+        Call::Follow { table, after, wait } => match store.follow(&table, after, wait).await {
+            Some(body) => response(StatusCode::OK, body),
+            None => response(StatusCode::GONE, Bytes::new()),
+        },
+        Call::Change { expected, writes, removals } => {
+            match store.change(&expected, writes, removals) {
+                Some(revision) => response(StatusCode::OK, encode("", &[], revision)),
+                None => response(StatusCode::PRECONDITION_FAILED, encode("", &[], 0)),
+            }
+        }
+        Call::Promote { service, target } => {
+            let group = groups.iter().find(|group| group.service == service);
+            match group {
+                Some(group) if group.promote(&target) => response(StatusCode::OK, Bytes::new()),
+                _ => response(StatusCode::CONFLICT, Bytes::new()),
+            }
+        }
+    }
+}
+
+fn response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
