Sessions: rates over restarts, a reserve of connections, sooner evidence, targets chosen by their pace

A restarted host waited 1.26 s for its own part of the rates as if it were new, and began with an empty bucket. Targets counted the connections of hosts that had lost power for 3 s more, so that those that came back found no room and tried again and again.

Change: a host whose row stood in the table has its part at once and begins with a quarter of the permitted overage; half of it widens the parts; tokens of operations that reached no target go back. Hosts use 60% of a target's connections. Silence counts after 450 ms instead of 700.

--- a/crates/core/src/proxy/evidence.rs
+++ b/crates/core/src/proxy/evidence.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 /// Silence after a question that makes a target suspect.
-pub const SILENCE: Duration = Duration::from_millis(700);
+pub const SILENCE: Duration = Duration::from_millis(450);
 /// Silence after a question at which a second one, on a new connection, should check for life.
-pub const DOUBT: Duration = Duration::from_millis(250);
+pub const DOUBT: Duration = Duration::from_millis(150);
 /// Time for which refused or broken connections without any sign of life make a target suspect.
 pub const REFUSED: Duration = Duration::from_millis(150);
 
--- a/crates/core/src/proxy/select.rs
+++ b/crates/core/src/proxy/select.rs
@@ -38,7 +38,7 @@
     /// Expected time until the answer, as far as it differs between targets.
     pub fn cost(&self, floor: Position) -> Duration {
         let queue = self.work * self.in_flight / self.slots.max(1);
-        let mut cost = self.distance + queue;
+        let mut cost = self.distance + self.work + queue;
         if !self.has_connection {
             cost += CONNECT;
         }
--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -52,6 +52,13 @@
         self.level = self.level.min(self.capacity());
     }
 
+    /// Adds tokens that no part of the rate gave, as far as they fit.
+    pub fn add(&mut self, amount: Amount, now: Time) {
+        self.refill(now);
+        let filled = self.level.saturating_add(amount).min(self.capacity());
+        self.level = self.level.max(filled);
+    }
+
     /// Takes one token.
     pub fn take(&mut self, now: Time) -> bool {
         self.refill(now);
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -127,6 +127,40 @@
         state.refresh(now);
     }
 
+    /// As [`Meter::set_part`]; an account that is new here has its part at once, with `opening`
+    /// micro-tokens.
+    ///
+    /// For a host that had the same part before, or an account that is new to all hosts. What
+    /// `opening` adds to the account's burst, summed over hosts and runs, is the caller's to bound.
+    pub fn open_part(
+        &mut self,
+        account: AccountId,
+        rate: Amount,
+        burst: Amount,
+        opening: Amount,
+        now: Time,
+    ) {
+        let settle = self.settle;
+        let state = self.accounts.entry(account).or_insert_with(|| {
+            let mut state = State::new(settle, now);
+            state.rate = Part::with_value(settle, rate);
+            state.burst = Part::with_value(settle, burst);
+            state.refresh(now);
+            state.bucket.add(opening, now);
+            state
+        });
+        state.rate.update(rate, now);
+        state.burst.update(burst, now);
+        state.refresh(now);
+    }
+
+    /// Puts the token of a request back that was admitted and then certainly did not run.
+    pub fn put_back(&mut self, account: AccountId, now: Time) {
+        if let Some(state) = self.accounts.get_mut(&account) {
+            state.bucket.add(MICRO, now);
+        }
+    }
+
     /// Notes that a division of the rates was missed.
     pub fn interrupt(&mut self, now: Time) {
         for state in self.accounts.values_mut() {
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -80,6 +80,11 @@
         Part { settle, current: 0, replaced: VecDeque::new() }
     }
 
+    /// A part that this host had under the same members before, so that it holds at once.
+    pub fn with_value(settle: Duration, value: u64) -> Part {
+        Part { settle, current: value, replaced: VecDeque::new() }
+    }
+
     /// Notes the part under the newest members.
     pub fn update(&mut self, value: u64, now: Time) {
         if value == self.current {
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -175,7 +175,7 @@
     let mut evidence = Evidence::default();
     evidence.ask(ms(0));
     evidence.answer(ms(600), true);
-    assert_eq!(evidence.view(ms(900)), View::Alive);
+    assert_eq!(evidence.view(ms(599) + SILENCE), View::Alive);
     assert_eq!(evidence.view(ms(600) + SILENCE), View::Lost);
 }
 
--- a/crates/host/src/sessions/caller.rs
+++ b/crates/host/src/sessions/caller.rs
@@ -379,7 +379,12 @@
                 }
                 self.pass_on(id, &answer, arrived, State::Idle)
             }
-            Err(refused) => self.refuse(id, &refused, arrived, State::Idle),
+            Err(refused) => {
+                if refused.target.is_empty() {
+                    quota::put_back(&self.host, &context.account);
+                }
+                self.refuse(id, &refused, arrived, State::Idle)
+            }
         }
     }
 
--- a/crates/host/src/sessions/follow.rs
+++ b/crates/host/src/sessions/follow.rs
@@ -165,8 +165,12 @@
 /// Divides the accounts' rates anew.
 fn divide(host: &Host) {
     let members: BTreeSet<HostId> = host.lease.borrow().members().keys().copied().collect();
+    if !members.contains(&host.id) {
+        return;
+    }
     let catalog = host.catalog.borrow().clone();
-    host.quota.divide(boot_clock::now(), host.id, &members, &catalog);
+    let (now, has_part) = (boot_clock::now(), host.was_member.get());
+    host.quota.divide(now, host.id, &members, &catalog, has_part, &host.settings.rates);
 }
 
 fn log_unreadable(host: &Host, table: &str, key: &str, error: &Error) {
@@ -331,6 +335,9 @@
         }
     }
     let changed = *host.lease.borrow().members() != members;
+    if known == 0 {
+        host.was_member.set(members.contains_key(&host.id));
+    }
     // Records go first: a revision counts as known only once nothing older is used.
     for (service, record, revision) in records {
         host.adopt_record(&service, record, revision);
--- a/crates/host/src/sessions/peer.rs
+++ b/crates/host/src/sessions/peer.rs
@@ -356,6 +356,8 @@
         .map(|(key, (value, revision))| (key.clone(), value.to_vec(), *revision))
         .collect();
     host.peers.send(&Message::Table { revision: table.revision, rows }, address);
+    // The proof that goes with the new revision travels in the heartbeat.
+    host.peers.beat_now.notify_one();
 }
 
 /// Sends heartbeats until the process ends.
--- a/crates/host/src/sessions/pool.rs
+++ b/crates/host/src/sessions/pool.rs
@@ -7,6 +7,7 @@
 use super::connection::{Connection, Failure};
 use super::state::Host;
 use super::target::Target;
+use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::directory::Entry;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -14,9 +15,11 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Connections of a target's limit that no host uses: connections of hosts that vanished still
-/// count there for a few seconds.
-const RESERVE: u32 = 1;
+/// Percentage of a target's limit that the hosts use together. Connections of hosts that vanished
+/// count at the target for a few seconds, in which the hosts that come back need others.
+const USED_PERCENT: u32 = 60;
+/// Time for which a host opens no further connections after the target had too many.
+const FULL_TIME: Duration = Duration::from_millis(150);
 
 /// Connections to one target.
 #[derive(Debug, Default)]
@@ -26,6 +29,7 @@
     limit: u32,
     waiting: BTreeMap<(u32, u64), Waiter>,
     next: u64,
+    full_until: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -59,7 +63,13 @@
 
     /// Whether a connection may be opened, also in place of an idle one.
     pub fn has_room(&self) -> bool {
-        self.open < self.limit || !self.idle.is_empty()
+        self.may_open() || !self.idle.is_empty()
+    }
+
+    /// Whether another connection may be opened. One may always be tried where there is none.
+    fn may_open(&self) -> bool {
+        let is_full = self.full_until.is_some_and(|until| Instant::now() < until);
+        self.open < self.limit && (self.open == 0 || !is_full)
     }
 
     /// Account of some idle connection.
@@ -101,7 +111,7 @@
         if let Some(connection) = self.take_idle(account) {
             return Offer::Connection(connection);
         }
-        if self.open < self.limit {
+        if self.may_open() {
             self.open += 1;
             return Offer::Room;
         }
@@ -248,8 +258,12 @@
         Grant::Connection(connection) => Ok(Leased { target, connection: Some(connection) }),
         Grant::Room => {
             let mut room = Room { target: target.clone(), used: false };
-            let connection =
-                Connection::open(host, &target, entry, wish.account, wish.until).await?;
+            let opened = Connection::open(host, &target, entry, wish.account, wish.until).await;
+            if matches!(opened, Err(Failure::Refused(Code::TooManyConnections))) {
+                let until = Instant::now() + FULL_TIME;
+                target.lane.borrow_mut().full_until = Some(until);
+            }
+            let connection = opened?;
             room.used = true;
             Ok(Leased { target, connection: Some(connection) })
         }
@@ -260,5 +274,6 @@
 fn set_limit(host: &Host, target: &Target, service: &str) {
     let total = host.catalog.borrow().groups.get(service).map_or(1, |g| g.connection_limit);
     let members = u32::try_from(host.lease.borrow().members().len()).unwrap_or(u32::MAX);
-    target.lane.borrow_mut().limit = (total.saturating_sub(RESERVE) / members.max(1)).max(1);
+    let used = total * USED_PERCENT / 100;
+    target.lane.borrow_mut().limit = (used / members.max(1)).max(1);
 }
--- a/crates/host/src/sessions/quota.rs
+++ b/crates/host/src/sessions/quota.rs
@@ -1,9 +1,11 @@
 //! Rates of client accounts at this host.
 
 use super::boot_clock;
+use super::settings::Rates;
 use super::state::Host;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::proxy::catalog::{Account, Catalog};
+use bergamotvale_core::rate::bucket::{Amount, MICRO};
 use bergamotvale_core::rate::meter::{Decision, Meter};
 use bergamotvale_core::rate::part_of;
 use siphasher::sip::SipHasher13;
@@ -12,6 +14,11 @@
 use std::hash::Hasher;
 use std::time::Duration;
 
+/// Share of what a rate may be exceeded by that is given out on purpose; the rest covers what
+/// hosts count differently while shares move.
+const MARGIN_USED: f64 = 0.5;
+/// Share of it that all hosts together begin with.
+const OPENING_SHARE: f64 = 0.25;
 /// Time between two looks of a request that waits for a loan.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -35,7 +42,18 @@
     }
 
     /// Divides the configured rates among the members.
-    pub fn divide(&self, now: Time, own: HostId, members: &BTreeSet<HostId>, catalog: &Catalog) {
+    ///
+    /// `has_part` says that this host, perhaps in an earlier run, had its part already, so that
+    /// accounts that are new here have theirs at once.
+    pub fn divide(
+        &self,
+        now: Time,
+        own: HostId,
+        members: &BTreeSet<HostId>,
+        catalog: &Catalog,
+        has_part: bool,
+        rates: &Rates,
+    ) {
         let mut meter = self.meter.borrow_mut();
         meter.set_peers(members.iter().copied().filter(|host| *host != own).collect());
         let known: BTreeSet<AccountId> = catalog.accounts.keys().map(|n| account_id(n)).collect();
@@ -43,12 +61,30 @@
         for account in catalog.accounts.values() {
             let id = account_id(&account.name);
             let (rate, burst) = part_of(id, account.rate, account.burst, members, own);
-            meter.set_part(id, rate, burst, now);
+            let (rate, burst) = (widen(rate, rates), widen(burst, rates));
+            if has_part {
+                meter.open_part(id, rate, burst, opening(account, members.len(), rates), now);
+            } else {
+                meter.set_part(id, rate, burst, now);
+            }
         }
         meter.tick(now);
     }
 }
 
+/// A part of a rate or burst with the share of the permitted overage that is given out.
+fn widen(amount: Amount, rates: &Rates) -> Amount {
+    amount + (amount as f64 * rates.overage * MARGIN_USED) as Amount
+}
+
+/// Tokens with which a host begins, so that callers who come back to hosts that have just started
+/// are served. Two starts of all hosts within one window stay within what is permitted.
+fn opening(account: &Account, members: usize, rates: &Rates) -> Amount {
+    let in_window = f64::from(account.rate) * rates.window.as_secs_f64() + f64::from(account.burst);
+    let margin = in_window * rates.overage + f64::from(rates.slack);
+    (margin * OPENING_SHARE / members.max(1) as f64 * MICRO as f64) as Amount
+}
+
 /// Takes a token of the account's rate, waiting for a loan for a moment if need be.
 ///
 /// The error is the time after which asking again makes sense.
@@ -68,3 +104,9 @@
         }
     }
 }
+
+/// Puts the token of an operation back that reached no target.
+pub fn put_back(host: &Host, account: &str) {
+    let now = boot_clock::now();
+    host.quota.meter.borrow_mut().put_back(account_id(account), now);
+}
--- a/crates/host/src/sessions/settings.rs
+++ b/crates/host/src/sessions/settings.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Settings of one host.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the host, as the platform knows it.
@@ -24,6 +24,8 @@
     pub promotion: SocketAddr,
     /// Time limits.
     pub times: Times,
+    /// What rates may be exceeded by.
+    pub rates: Rates,
     /// File descriptors that the process may open.
     pub descriptors: u32,
 }
@@ -56,6 +58,20 @@
     pub grace: Duration,
 }
 
+/// What a client account's rate may be exceeded by, over all hosts, in any window.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rates {
+    /// Length of the window, in seconds.
+    #[serde_as(as = "DurationSeconds<u64>")]
+    pub window: Duration,
+    /// Fraction of rate and burst.
+    pub overage: f64,
+    /// Operations.
+    pub slack: u32,
+}
+
 impl Settings {
     /// Reads the file at `path`. The error names file, field and line.
     pub fn read(path: &Path) -> anyhow::Result<Settings> {
--- a/crates/host/src/sessions/state.rs
+++ b/crates/host/src/sessions/state.rs
@@ -103,6 +103,8 @@
     pub sessions: Cell<usize>,
     /// Wakes whoever waits for a change of any of this.
     pub changed: Notify,
+    /// Whether the members' table held this host, from an earlier run, when this run first read it.
+    pub was_member: Cell<bool>,
     lease_known: Cell<bool>,
 }
 
@@ -131,6 +133,7 @@
             stopping: Cell::new(false),
             sessions: Cell::new(0),
             changed: Notify::new(),
+            was_member: Cell::new(false),
             lease_known: Cell::new(false),
             settings,
         })
--- a/crates/host/tests/sessions/mod.rs
+++ b/crates/host/tests/sessions/mod.rs
@@ -80,6 +80,7 @@
             "store": platform,
             "promotion": platform,
             "times": {"drain": 7000, "grace": 6},
+            "rates": {"window": 5, "overage": 0.1, "slack": 20},
             "descriptors": 1000,
         });
         let path = folder.join("settings.yaml");
