Members keep the time at which they entered; a stuck promotion after all hosts restarted

A host that had just started took every member that it read for new, so that no set of them could break up a majority, and waited out the vouch limit.

Change: a member's row carries the platform's time at which the host entered, which later runs take over. A host whose row others removed enters again. Silent members are removed after 15 s.

Tests: hosts_that_were_all_restarted_settle_a_promotion_without_the_vouch_limit.

--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -19,6 +19,7 @@
 
 use crate::id::{HostId, Incarnation, Time};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,6 +28,7 @@
 pub type Revision = u64;
 
 /// A host as the table records it.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Its run.
@@ -35,8 +37,11 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: String,
-    /// Whether an earlier run of the same host was recorded when this one entered.
-    pub is_restart: bool,
+    /// When the host entered the table, on the platform's clock. A run that finds the row of an
+    /// earlier run of the same host takes its time over.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "entered_ms")]
+    pub entered: Duration,
 }
 
 /// Time limits of a lease.
@@ -79,7 +84,8 @@
     terms: Terms,
     revision: Revision,
     members: BTreeMap<HostId, Member>,
-    entered: BTreeMap<HostId, Time>,
+    /// The platform's clock, and when it was read.
+    platform_clock: Option<(Time, Duration)>,
     platform_proof: Option<Time>,
     heard: BTreeMap<HostId, Heard>,
 }
@@ -92,7 +98,7 @@
             terms,
             revision: 0,
             members: BTreeMap::new(),
-            entered: BTreeMap::new(),
+            platform_clock: None,
             platform_proof: None,
             heard: BTreeMap::new(),
         }
@@ -114,7 +120,7 @@
     }
 
     /// Takes a newer copy of the table.
-    pub fn adopt(&mut self, now: Time, revision: Revision, members: BTreeMap<HostId, Member>) {
+    pub fn adopt(&mut self, revision: Revision, members: BTreeMap<HostId, Member>) {
         if revision < self.revision {
             return;
         }
@@ -122,15 +128,20 @@
             self.platform_proof = None;
         }
         self.revision = revision;
-        for (host, member) in &members {
-            if !self.members.contains_key(host) && !member.is_restart {
-                self.entered.insert(*host, now);
-            }
-        }
         self.heard.retain(|host, _| members.contains_key(host));
         self.members = members;
     }
 
+    /// Notes the platform's clock, read at `now`.
+    pub fn note_clock(&mut self, now: Time, platform: Duration) {
+        self.platform_clock = Some((now, platform));
+    }
+
+    /// The platform's clock now; none before it was read.
+    pub fn platform_now(&self, now: Time) -> Option<Duration> {
+        self.platform_clock.map(|(at, platform)| platform + now.saturating_sub(at))
+    }
+
     /// A read of the table, sent at `sent`, showed nothing above `revision`.
     pub fn prove(&mut self, sent: Time, revision: Revision) {
         if revision == self.revision {
@@ -207,8 +218,10 @@
     /// Whether no majority is left that could vouch for a revision below `revision`.
     pub fn is_majority_settled(&self, now: Time, revision: Revision) -> bool {
         let recent = self.terms.vouch_limit + self.terms.validity;
+        let Some(platform_now) = self.platform_now(now) else { return false };
         let is_new = |host: &HostId| {
-            self.entered.get(host).is_some_and(|at| now.saturating_sub(*at) < recent)
+            let entered = self.members.get(host).map(|member| member.entered);
+            entered.is_none_or(|entered| platform_now.saturating_sub(entered) < recent)
         };
         let others = self.members.keys().filter(|host| **host != self.own.0);
         let settled = others.filter(|host| !is_new(host) && self.has_settled(host, revision));
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -19,7 +19,7 @@
     Entry {
         name: name.into(),
         service: SERVICE.into(),
-        address: "127.0.0.1:1".parse().unwrap(),
+        address: "127.0.0.1:1".parse().expect("an address"),
         domain: "a".into(),
         slots: 3,
         is_leaving: false,
@@ -44,7 +44,7 @@
         let directory: Directory = entries.into_iter().map(|e| (e.name.clone(), e)).collect();
         let position = |number| Position { term: 1, number };
         World {
-            record: Record::first(&directory, SERVICE, 1).unwrap(),
+            record: Record::first(&directory, SERVICE, 1).expect("one primary"),
             directory,
             views: BTreeMap::new(),
             peers: [(2, View::Alive), (3, View::Alive), (4, View::Alive)].into(),
--- a/crates/core/tests/proxy_lease.rs
+++ b/crates/core/tests/proxy_lease.rs
@@ -15,18 +15,22 @@
     Duration::from_millis(millis)
 }
 
-fn member(incarnation: u64, is_restart: bool) -> Member {
-    let address = "127.0.0.1:1".parse().unwrap();
-    Member { incarnation, address, domain: "a".into(), is_restart }
+/// The platform's clock when the tests' time is 0.
+const PLATFORM: Duration = Duration::from_secs(3600);
+
+fn member(incarnation: u64, entered: Duration) -> Member {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    Member { incarnation, address, domain: "a".into(), entered }
 }
 
 fn members(count: HostId) -> BTreeMap<HostId, Member> {
-    (1..=count).map(|host| (host, member(1, true))).collect()
+    (1..=count).map(|host| (host, member(1, ms(0)))).collect()
 }
 
 fn lease(count: HostId) -> Lease {
     let mut lease = Lease::new(1, 1, TERMS);
-    lease.adopt(ms(0), 5, members(count));
+    lease.adopt(5, members(count));
+    lease.note_clock(ms(0), PLATFORM);
     lease
 }
 
@@ -54,7 +58,7 @@
 fn a_newer_revision_ends_the_proof_of_the_older() {
     let mut lease = lease(4);
     lease.prove(ms(100), 5);
-    lease.adopt(ms(200), 6, members(4));
+    lease.adopt(6, members(4));
     assert!(!lease.is_held(ms(200)));
     lease.prove(ms(200), 6);
     assert!(lease.is_held(ms(200)));
@@ -73,7 +77,7 @@
 #[test]
 fn a_host_that_the_table_does_not_record_holds_nothing() {
     let mut lease = Lease::new(1, 2, TERMS);
-    lease.adopt(ms(0), 5, members(4));
+    lease.adopt(5, members(4));
     lease.prove(ms(0), 5);
     assert!(!lease.is_held(ms(0)));
 }
@@ -158,11 +162,40 @@
 fn a_member_that_has_just_entered_does_not_break_up_a_majority() {
     let mut lease = lease(3);
     let mut with_new = members(3);
-    with_new.insert(4, member(1, false));
-    lease.adopt(ms(0), 6, with_new);
+    with_new.insert(4, member(1, PLATFORM));
+    lease.adopt(6, with_new);
     // 2 and 3 may still vouch for each other under the table without 4.
     lease.hear(ms(10), vouch(4, 6, None));
     assert!(!lease.is_majority_settled(ms(10), 6));
     lease.hear(ms(20), vouch(2, 6, None));
     assert!(lease.is_majority_settled(ms(20), 6));
 }
+
+/// Pattern: half of the hosts back at once, beside one that is gone for good.
+#[test]
+fn hosts_that_were_all_restarted_settle_a_promotion_without_the_vouch_limit() {
+    let mut lease = Lease::new(1, 2, TERMS);
+    let mut table = members(5);
+    for host in 1..=4 {
+        // They come back one by one and take the time of their earlier run over.
+        table.insert(host, member(2, ms(0)));
+        lease.adopt(5 + u64::from(host), table.clone());
+    }
+    lease.note_clock(ms(0), PLATFORM);
+    let mut wait = Wait::new(9, ms(0));
+    for host in 2..=4 {
+        lease.hear(ms(100), Vouch { incarnation: 2, ..vouch(host, 9, None) });
+    }
+    assert!(!wait.is_over(&lease, ms(100)));
+    assert!(wait.is_over(&lease, ms(1150)));
+}
+
+#[test]
+fn without_the_platforms_clock_every_member_counts_as_new() {
+    let mut lease = Lease::new(1, 1, TERMS);
+    lease.adopt(5, members(3));
+    lease.hear(ms(10), vouch(2, 5, None));
+    lease.hear(ms(10), vouch(3, 5, None));
+    assert!(!lease.is_majority_settled(ms(10), 5));
+    assert!(lease.is_settled_everywhere(5));
+}
--- a/crates/host/src/sessions/caller.rs
+++ b/crates/host/src/sessions/caller.rs
@@ -37,7 +37,7 @@
     /// None.
     Idle,
     /// Open.
-    Open(Transaction),
+    Open(Box<Transaction>),
     /// It has failed; `told` says whether the caller knows.
     Failed { told: bool },
 }
@@ -300,7 +300,7 @@
         if let Err(reply) = self.admit(id, arrived).await {
             return reply;
         }
-        self.phase = Phase::Open(Transaction::new(read_only));
+        self.phase = Phase::Open(Box::new(Transaction::new(read_only)));
         line::done(State::Open)
     }
 
--- a/crates/host/src/sessions/follow.rs
+++ b/crates/host/src/sessions/follow.rs
@@ -69,6 +69,8 @@
     is_whole: bool,
     /// When the question was sent.
     sent: Time,
+    /// The platform's clock when it answered.
+    platform_now: Duration,
 }
 
 impl Feed {
@@ -86,7 +88,8 @@
                 Ok((rows, is_whole)) => {
                     self.note_answer(host);
                     self.revision = Some(rows.revision);
-                    return News { rows: rows.rows, is_whole, sent };
+                    let Rows { rows, now: platform_now, .. } = rows;
+                    return News { rows, is_whole, sent, platform_now };
                 }
                 Err(Error::HistoryGone) => {
                     host.journal.count("feed_history_gone");
@@ -287,7 +290,12 @@
         }
         adopt_table(&host);
         let revision = host.peers.table.borrow().revision;
-        host.lease.borrow_mut().prove(news.sent, revision);
+        {
+            let mut lease = host.lease.borrow_mut();
+            lease.note_clock(boot_clock::now(), news.platform_now);
+            lease.prove(news.sent, revision);
+        }
+        join_again(&host);
         host.holds_lease();
         host.changed.notify_waiters();
     }
@@ -342,8 +350,7 @@
     for (service, record, revision) in records {
         host.adopt_record(&service, record, revision);
     }
-    let now = boot_clock::now();
-    host.lease.borrow_mut().adopt(now, table.revision, members);
+    host.lease.borrow_mut().adopt(table.revision, members);
     if changed {
         let count = host.lease.borrow().members().len();
         host.journal.write(&Event::Members { count, revision: table.revision });
@@ -352,12 +359,28 @@
     host.peers.beat_now.notify_one();
 }
 
+/// Enters again if others, who had not heard of this host for long, have removed its row.
+fn join_again(host: &Rc<Host>) {
+    let is_member = host.lease.borrow().members().contains_key(&host.id);
+    if is_member || host.stopping.get() || !host.has_joined.replace(false) {
+        return;
+    }
+    host.journal.count("joined_again");
+    let host = host.clone();
+    tokio::task::spawn_local(async move { join(&host).await });
+}
+
 /// Writes this host's member row, until the store has it.
 pub async fn join(host: &Host) {
     let mut store = Store::new(host.settings.store);
     loop {
         match write_member(host, &mut store).await {
-            Ok(_) => return,
+            Ok(revision) => {
+                // The feed may not have shown it yet.
+                wait_for_revision(host, revision).await;
+                host.has_joined.set(true);
+                return;
+            }
             Err(error) => {
                 log::warn!("cannot enter the table of members, trying again: {error}");
                 tokio::time::sleep(PAUSE).await;
@@ -366,15 +389,23 @@
     }
 }
 
+async fn wait_for_revision(host: &Host, revision: Revision) {
+    while host.lease.borrow().revision() < revision {
+        host.changed.notified().await;
+    }
+}
+
 async fn write_member(host: &Host, store: &mut Store) -> Result<Revision> {
     let key = member_key(host.id);
     let before = store.read(TABLE, CALL_TIMEOUT).await?;
-    let is_restart = before.rows.iter().any(|row| row.key == key);
+    let earlier = before.rows.iter().find(|row| row.key == key);
+    let earlier: Option<Member> =
+        earlier.and_then(|row| row.value.as_ref()).and_then(|v| serde_json::from_slice(v).ok());
     let member = Member {
         incarnation: host.incarnation,
         address: host.settings.listen.peers,
         domain: host.settings.domain.clone(),
-        is_restart,
+        entered: earlier.map_or(before.now, |member| member.entered),
     };
     let value = Some(Bytes::from(serde_json::to_vec(&member)?));
     let change = Change { table: TABLE, key: &key, expected: None, value };
--- a/crates/host/src/sessions/state.rs
+++ b/crates/host/src/sessions/state.rs
@@ -105,6 +105,8 @@
     pub changed: Notify,
     /// Whether the members' table held this host, from an earlier run, when this run first read it.
     pub was_member: Cell<bool>,
+    /// Whether this run's row has been seen in the members' table.
+    pub has_joined: Cell<bool>,
     lease_known: Cell<bool>,
 }
 
@@ -134,6 +136,7 @@
             sessions: Cell::new(0),
             changed: Notify::new(),
             was_member: Cell::new(false),
+            has_joined: Cell::new(false),
             lease_known: Cell::new(false),
             settings,
         })
--- a/crates/host/src/sessions/upkeep.rs
+++ b/crates/host/src/sessions/upkeep.rs
@@ -26,8 +26,8 @@
 const OBSERVE_AFTER: Duration = Duration::from_millis(400);
 /// Time in which a probe has to be answered.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Silence of a member after which its row is removed.
-const MEMBER_LIMIT: Duration = Duration::from_secs(25);
+/// Silence of a member after which its row is removed: longer than others could vouch for it.
+const MEMBER_LIMIT: Duration = Duration::from_secs(15);
 /// Priority of the host's own statements: ahead of callers'.
 const OWN_PRIORITY: u32 = 0;
 /// Account under which probes connect where no client account is configured.
--- a/crates/host/tests/sessions_faults.rs
+++ b/crates/host/tests/sessions/faults.rs
@@ -1,15 +1,13 @@
 //! Sessions under faults: primaries that die or leave, a store in trouble, hosts that are killed,
 //! paused and stopped.
 
-mod sessions;
-
+use crate::fixture::{Caller, Fleet, KEY, OLD, PATIENCE, Process, STRICT, eventually};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_platform::line::{End, State};
 use bergamotvale_platform::served::caller;
 use bergamotvale_platform::text;
 use bergamotvale_standin::lines::Outage;
 use rustix::process::Signal;
-use sessions::{Caller, Fleet, KEY, OLD, PATIENCE, Process, STRICT, eventually};
 use std::time::{Duration, Instant};
 
 /// Writes until one succeeds; each that does not has to be a promise or of unknown outcome.
@@ -114,6 +112,8 @@
 fn a_store_that_refuses_or_forgets_does_no_harm() {
     let fleet = Fleet::start(2);
     let mut session = fleet.session(0, STRICT);
+    // The group's first record needs the store.
+    session.done(&caller::write("bolt", "first"), State::Idle);
     for outage in [Outage::Busy, Outage::Slow(Duration::from_millis(200)), Outage::None] {
         fleet.system.store.set_outage(outage);
         fleet.system.store.forget();
--- a/crates/host/tests/sessions/mod.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -61,6 +61,14 @@
     listener.local_addr().expect("an address")
 }
 
+/// Where a process writes its events: a file that outlives it if the variable names a folder.
+fn log(folder: &std::path::Path) -> Stdio {
+    let Some(kept) = std::env::var_os("BERGAMOTVALE_TEST_LOGS") else { return Stdio::null() };
+    let name = folder.file_name().expect("the folder has a name");
+    let file = std::fs::File::create(PathBuf::from(kept).join(name)).expect("a log file");
+    Stdio::from(file)
+}
+
 impl Process {
     /// Starts host `number`. Hosts go by their addresses, so each has its own on loopback.
     pub(crate) fn start(number: u8, platform: SocketAddr) -> Process {
@@ -90,7 +98,7 @@
             .arg("--sessions")
             .arg("--config")
             .arg(&path)
-            .stdout(Stdio::null())
+            .stdout(log(&folder))
             .stderr(Stdio::null())
             .spawn()
             .expect("the daemon starts");
--- /dev/null
+++ b/crates/host/tests/sessions/main.rs
@@ -0,0 +1,5 @@
+//! Session hosts as real processes over the line-protocol stand-ins.
+
+mod faults;
+mod fixture;
+mod path;
--- a/crates/host/tests/sessions_path.rs
+++ b/crates/host/tests/sessions/path.rs
@@ -1,14 +1,12 @@
 //! The whole path of sessions without faults: values, prepared statements, transactions, routes,
 //! keys, rates, bad input.
 
-mod sessions;
-
+use crate::fixture::{self, Caller, Fleet, KEY, OLD, OTHER_KEY, OWN, STRICT, eventually};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::statement::{Access, Shape};
 use bergamotvale_platform::line::{End, State};
 use bergamotvale_platform::served::caller;
 use bergamotvale_platform::text;
-use sessions::{Caller, Fleet, KEY, OLD, OTHER_KEY, OWN, STRICT, eventually};
 
 #[test]
 fn a_write_is_seen_at_once_where_reads_see_every_commit() {
@@ -108,7 +106,7 @@
 
 #[test]
 fn a_transaction_that_rests_too_long_is_rolled_back_and_its_caller_is_told() {
-    let mut catalog = sessions::catalog();
+    let mut catalog = fixture::catalog();
     catalog.transaction_idle_limit = std::time::Duration::from_millis(300);
     let fleet = Fleet::start_with(1, catalog);
     let mut one = fleet.session(0, STRICT);
@@ -162,7 +160,7 @@
 
 #[test]
 fn an_account_over_its_rate_is_refused_and_others_are_not() {
-    let mut catalog = sessions::catalog();
+    let mut catalog = fixture::catalog();
     let mill = catalog.accounts.get_mut("mill").expect("the account");
     (mill.rate, mill.burst) = (5, 5);
     let fleet = Fleet::start_with(2, catalog);
--- a/crates/standin/src/lines/store.rs
+++ b/crates/standin/src/lines/store.rs
@@ -17,6 +17,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Age of the store's clock at its start.
+const AGE: Duration = Duration::from_secs(3600);
+
 /// What is wrong with the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Outage {
@@ -46,10 +49,18 @@
 }
 
 /// The table service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Store {
     state: Mutex<State>,
     changed: Notify,
+    started: std::time::Instant,
+}
+
+impl Default for Store {
+    fn default() -> Store {
+        let started = std::time::Instant::now();
+        Store { state: Mutex::default(), changed: Notify::new(), started }
+    }
 }
 
 impl Store {
@@ -84,6 +95,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Its steady clock. It starts an hour late, as one of a platform that has run for a while.
+    fn now(&self) -> Duration {
+        AGE + self.started.elapsed()
+    }
+
     fn outage(&self) -> Outage {
         lock(&self.state).outage
     }
@@ -149,7 +165,7 @@
             }
             let (rows, revision) = self.rows(table, after, true);
             if !rows.is_empty() || Instant::now() >= until {
-                return Some(encode(table, &rows, revision));
+                return Some(encode(table, &rows, revision, self.now()));
             }
             // Either something changed or the wait is over; the loop tells.
             drop(tokio::time::timeout_at(until, changed).await);
@@ -204,7 +220,7 @@
         Call::Read { table, from } => {
             let (mut rows, revision) = store.rows(&table, 0, false);
             rows.retain(|row| row.key >= from);
-            response(StatusCode::OK, encode(&table, &rows, revision))
+            response(StatusCode::OK, encode(&table, &rows, revision, store.now()))
         }
         Call::Follow { table, after, wait } => match store.follow(&table, after, wait).await {
             Some(body) => response(StatusCode::OK, body),
@@ -212,8 +228,8 @@
         },
         Call::Change { expected, writes, removals } => {
             match store.change(&expected, writes, removals) {
-                Some(revision) => response(StatusCode::OK, encode("", &[], revision)),
-                None => response(StatusCode::PRECONDITION_FAILED, encode("", &[], 0)),
+                Some(revision) => response(StatusCode::OK, encode("", &[], revision, store.now())),
+                None => response(StatusCode::PRECONDITION_FAILED, encode("", &[], 0, store.now())),
             }
         }
         Call::Promote { service, target } => {
