Sessions in a package of their own; 80% of a target's connections in use, waits by account

Change: hosts use 80% of the limit, divided with its remainder; somebody whose account has the connection that comes free may pass others for 60 ms.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod metric;
 pub mod peer;
 pub mod platform;
-pub mod sessions;
 pub mod settings;
 pub mod shared;
 pub mod target;
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -5,8 +5,9 @@
 
 use anyhow::Context;
 use bergamotvale_host::daemon::Daemon;
+use bergamotvale_host::logging;
 use bergamotvale_host::settings::Settings;
-use bergamotvale_host::{logging, sessions};
+use bergamotvale_sessions as sessions;
 use clap::{Arg, ArgAction, Command, value_parser};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/crates/host/src/sessions/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -1,10 +1,10 @@
 //! One caller's session: reads statements, keeps what the session has set, answers.
 
-use super::event::{Event, millis};
-use super::quota;
-use super::state::Host;
-use super::transaction::Transaction;
-use super::work::{self, Context, Refused, Task};
+use crate::event::{Event, millis};
+use crate::quota;
+use crate::state::Host;
+use crate::transaction::Transaction;
+use crate::work::{self, Context, Refused, Task};
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Denial};
--- a/crates/host/src/sessions/connection.rs
+++ b/crates/sessions/src/connection.rs
@@ -3,8 +3,8 @@
 //! A connection on which an exchange failed is closed with a reset, so that bytes that are held up
 //! on the way do not reach the target later.
 
-use super::state::Host;
-use super::target::Target;
+use crate::state::Host;
+use crate::target::Target;
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::directory::Entry;
 use bergamotvale_core::proxy::evidence::View;
--- a/crates/host/src/sessions/event.rs
+++ b/crates/sessions/src/event.rs
@@ -3,7 +3,7 @@
 //! The volume is bounded: beyond [`LINES_PER_SECOND`] events of requests are counted and left out,
 //! and the next line that is written carries the count. Changes of belief are always written.
 
-use super::boot_clock;
+use crate::boot_clock;
 use bergamotvale_core::id::{Time, Version};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::lease::Revision;
--- a/crates/host/src/sessions/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -4,9 +4,9 @@
 //! every answer also proves that the platform is in reach. After a lost history it reads the table
 //! again. A copy never goes back.
 
-use super::boot_clock;
-use super::event::{Event, millis};
-use super::state::Host;
+use crate::boot_clock;
+use crate::event::{Event, millis};
+use crate::state::Host;
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::Directory;
 use bergamotvale_core::proxy::lease::{Member, Revision};
--- a/crates/host/src/sessions/http.rs
+++ b/crates/sessions/src/http.rs
@@ -1,7 +1,7 @@
 //! Answers the balancer's question and serves metrics.
 
-use super::state::Host;
-use super::upkeep;
+use crate::state::Host;
+use crate::upkeep;
 use bergamotvale_platform::ready;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -22,7 +22,7 @@
             Ok((stream, _)) => drop(tokio::task::spawn_local(connection(host.clone(), stream))),
             Err(error) => {
                 log::warn!("a connection to the HTTP listener failed: {error}");
-                tokio::time::sleep(super::run::ACCEPT_PAUSE).await;
+                tokio::time::sleep(crate::run::ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/host/src/sessions/mod.rs
+++ b/crates/sessions/src/lib.rs
@@ -1,4 +1,4 @@
-//! The host of sessions over open connections.
+//! A host of sessions over open connections.
 //!
 //! One thread runs everything: callers' sessions ([`caller`]), the work they ask for ([`work`],
 //! [`transaction`]), connections to targets ([`connection`], [`pool`]), the copies of the
--- a/crates/host/src/sessions/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -5,9 +5,9 @@
 //! came: so the receiver knows a time before which the heartbeat cannot have been made, and all ages
 //! in it err upwards.
 
-use super::boot_clock;
-use super::follow::{self, Table};
-use super::state::Host;
+use crate::boot_clock;
+use crate::follow::{self, Table};
+use crate::state::Host;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::proxy::evidence::View;
--- a/crates/host/src/sessions/pool.rs
+++ b/crates/sessions/src/pool.rs
@@ -4,12 +4,16 @@
 //! opens a new one while the host's share of the target's limit lasts, replaces the one of another
 //! account that was idle longest, or waits. Who waits is served by priority, then by order.
 
-use super::connection::{Connection, Failure};
-use super::state::Host;
-use super::target::Target;
+use crate::connection::{Connection, Failure};
+use crate::state::Host;
+use crate::target::{Target, hash};
+use bergamotvale_core::id::{HostId, Version};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::directory::Entry;
-use std::collections::BTreeMap;
+use bergamotvale_core::proxy::lease::Revision;
+use bergamotvale_core::rendezvous::Subject;
+use bergamotvale_core::share::part;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -17,7 +21,9 @@
 
 /// Percentage of a target's limit that the hosts use together. Connections of hosts that vanished
 /// count at the target for a few seconds, in which the hosts that come back need others.
-const USED_PERCENT: u32 = 60;
+const USED_PERCENT: u32 = 80;
+/// Time for which somebody who waits may be passed by others whose account has a connection.
+const PASS_LIMIT: Duration = Duration::from_millis(60);
 /// Time for which a host opens no further connections after the target had too many.
 const FULL_TIME: Duration = Duration::from_millis(150);
 
@@ -30,11 +36,14 @@
     waiting: BTreeMap<(u32, u64), Waiter>,
     next: u64,
     full_until: Option<Instant>,
+    /// Revision of the members and version of the configuration that the limit follows from.
+    basis: Option<(Revision, Version)>,
 }
 
 #[derive(Debug)]
 struct Waiter {
     account: String,
+    since: Instant,
     sender: oneshot::Sender<Grant>,
 }
 
@@ -124,7 +133,10 @@
             return Offer::Full;
         }
         let (sender, receiver) = oneshot::channel();
-        self.waiting.insert((priority, self.next), Waiter { account: account.to_owned(), sender });
+        self.waiting.insert(
+            (priority, self.next),
+            Waiter { account: account.to_owned(), since: Instant::now(), sender },
+        );
         self.next += 1;
         Offer::Wait(receiver)
     }
@@ -168,11 +180,15 @@
         }
     }
 
-    /// The first that waits; of equal priority, one of the same account first.
+    /// Who is served next. One of the same account goes ahead of others of its priority, since a
+    /// connection for another account takes a slot's time to open, but not for long.
     fn next_waiter(&mut self, account: &str) -> Option<Waiter> {
-        let (first, _) = self.waiting.first_key_value()?;
+        let (first, waiter) = self.waiting.first_key_value()?;
         let first = *first;
-        let same = self.waiting.iter().find(|(key, w)| key.0 == first.0 && w.account == account);
+        let may_pass = waiter.since.elapsed() < PASS_LIMIT;
+        let is_next =
+            |(key, waiter): &(&(u32, u64), &Waiter)| key.0 == first.0 && waiter.account == account;
+        let same = self.waiting.iter().find(is_next).filter(|_| may_pass);
         let key = same.map_or(first, |(key, _)| *key);
         self.waiting.remove(&key)
     }
@@ -272,8 +288,16 @@
 
 /// Brings the host's share of the target's limit up to date.
 fn set_limit(host: &Host, target: &Target, service: &str) {
+    let basis = (host.lease.borrow().revision(), host.catalog.borrow().version);
+    if target.lane.borrow().basis == Some(basis) {
+        return;
+    }
     let total = host.catalog.borrow().groups.get(service).map_or(1, |g| g.connection_limit);
-    let members = u32::try_from(host.lease.borrow().members().len()).unwrap_or(u32::MAX);
-    let used = total * USED_PERCENT / 100;
-    target.lane.borrow_mut().limit = (used / members.max(1)).max(1);
+    let members: BTreeSet<HostId> = host.lease.borrow().members().keys().copied().collect();
+    let used = u64::from(total * USED_PERCENT / 100);
+    let subject = Subject::Connection(hash(&target.name));
+    let part = part(used, &members, host.id, subject, members.len());
+    let mut lane = target.lane.borrow_mut();
+    lane.limit = u32::try_from(part).unwrap_or(u32::MAX).max(1);
+    lane.basis = Some(basis);
 }
--- a/crates/host/src/sessions/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -1,12 +1,13 @@
 //! Replaces primaries: watches every group, and carries out the promotions that this host wins.
 
-use super::boot_clock;
-use super::connection::Failure;
-use super::event::{Event, millis};
-use super::follow::{CALL_TIMEOUT, TABLE, group_key};
-use super::peer;
-use super::state::{Host, LEASE, Stored};
-use super::upkeep;
+use crate::boot_clock;
+use crate::connection::Failure;
+use crate::event::{Event, millis};
+use crate::follow::{CALL_TIMEOUT, TABLE, group_key};
+use crate::peer;
+use crate::state::{Host, LEASE, Stored};
+use crate::target::hash;
+use crate::upkeep;
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Entry, Role, TargetName};
 use bergamotvale_core::proxy::evidence::View;
@@ -19,10 +20,8 @@
 use bergamotvale_platform::store::{self, Store};
 use bergamotvale_platform::text::Status;
 use bytes::Bytes;
-use siphasher::sip::SipHasher13;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -99,13 +98,11 @@
 
 /// This host's place among those that are alive, for a group.
 fn rank(host: &Host, service: &str) -> usize {
-    let mut hasher = SipHasher13::new();
-    hasher.write(service.as_bytes());
     let now = boot_clock::now();
     let mut alive: BTreeSet<HostId> =
         host.lease.borrow().peers_alive(now, PEER_LIMIT).into_iter().collect();
     alive.insert(host.id);
-    let ranked = choose(&alive, Subject::Watch(hasher.finish()), alive.len());
+    let ranked = choose(&alive, Subject::Watch(hash(service)), alive.len());
     ranked.iter().position(|id| *id == host.id).unwrap_or_default()
 }
 
--- a/crates/host/src/sessions/quota.rs
+++ b/crates/sessions/src/quota.rs
@@ -1,17 +1,16 @@
 //! Rates of client accounts at this host.
 
-use super::boot_clock;
-use super::settings::Rates;
-use super::state::Host;
+use crate::boot_clock;
+use crate::settings::Rates;
+use crate::state::Host;
+use crate::target::hash;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::proxy::catalog::{Account, Catalog};
 use bergamotvale_core::rate::bucket::{Amount, MICRO};
 use bergamotvale_core::rate::meter::{Decision, Meter};
 use bergamotvale_core::rate::part_of;
-use siphasher::sip::SipHasher13;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::hash::Hasher;
 use std::time::Duration;
 
 /// Share of what a rate may be exceeded by that is given out on purpose; the rest covers what
@@ -30,9 +29,7 @@
 
 /// Id under which hosts speak of a client account to each other.
 pub fn account_id(name: &str) -> AccountId {
-    let mut hasher = SipHasher13::new();
-    hasher.write(name.as_bytes());
-    hasher.finish() as AccountId
+    hash(name) as AccountId
 }
 
 impl Quota {
--- a/crates/host/src/sessions/run.rs
+++ b/crates/sessions/src/run.rs
@@ -1,9 +1,9 @@
 //! Starts and stops a session host.
 
-use super::event::Event;
-use super::settings::Settings;
-use super::state::Host;
-use super::{caller, follow, http, peer, promote, upkeep};
+use crate::event::Event;
+use crate::settings::Settings;
+use crate::state::Host;
+use crate::{caller, follow, http, peer, promote, upkeep};
 use anyhow::Context;
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/host/src/sessions/state.rs
+++ b/crates/sessions/src/state.rs
@@ -1,11 +1,11 @@
 //! What the tasks of one host share.
 
-use super::boot_clock;
-use super::event::{Event, Journal, millis};
-use super::peer::Peers;
-use super::quota::Quota;
-use super::settings::Settings;
-use super::target::Targets;
+use crate::boot_clock;
+use crate::event::{Event, Journal, millis};
+use crate::peer::Peers;
+use crate::quota::Quota;
+use crate::settings::Settings;
+use crate::target::Targets;
 use bergamotvale_core::id::{HostId, Incarnation, Time};
 use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_core::proxy::directory::{Directory, TargetName};
--- a/crates/host/src/sessions/target.rs
+++ b/crates/sessions/src/target.rs
@@ -1,13 +1,15 @@
 //! What this host knows of each target from its own work.
 
-use super::boot_clock;
-use super::pool::Lane;
+use crate::boot_clock;
+use crate::pool::Lane;
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::directory::TargetName;
 use bergamotvale_core::proxy::evidence::{Evidence, View};
 use bergamotvale_core::proxy::floor::Position;
+use siphasher::sip::SipHasher13;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -105,6 +107,13 @@
     }
 }
 
+/// A number for a name, the same on every host.
+pub fn hash(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
+
 /// All targets that this host has met.
 #[derive(Debug, Default)]
 pub struct Targets {
--- a/crates/host/src/sessions/transaction.rs
+++ b/crates/sessions/src/transaction.rs
@@ -4,10 +4,10 @@
 //! was sent, closing the connection rolls everything back, so that a transaction which cannot go on
 //! is answered as rolled back.
 
-use super::connection::{Bounds, Failure, is_clean};
-use super::pool::{Leased, acquire};
-use super::state::{Host, Use};
-use super::work::{self, Context, Place, Refused, Task, outcome, word};
+use crate::connection::{Bounds, Failure, is_clean};
+use crate::pool::{Leased, acquire};
+use crate::state::{Host, Use};
+use crate::work::{self, Context, Place, Refused, Task, outcome, word};
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, decide};
 use bergamotvale_core::proxy::catalog::Consistency;
 use bergamotvale_core::proxy::session::Values;
--- a/crates/host/src/sessions/upkeep.rs
+++ b/crates/sessions/src/upkeep.rs
@@ -1,13 +1,13 @@
 //! What has to be looked after all the time: signs of life of targets, observations of primaries,
 //! members that are gone, parts of rates, readiness.
 
-use super::boot_clock;
-use super::connection::{Bounds, Connection, Failure, is_clean};
-use super::event::{Event, millis};
-use super::follow;
-use super::pool::{Wish, acquire};
-use super::state::Host;
-use super::work;
+use crate::boot_clock;
+use crate::connection::{Bounds, Connection, Failure, is_clean};
+use crate::event::{Event, millis};
+use crate::follow;
+use crate::pool::{Wish, acquire};
+use crate::state::Host;
+use crate::work;
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::Entry;
 use bergamotvale_core::proxy::evidence::View;
--- a/crates/host/src/sessions/work.rs
+++ b/crates/sessions/src/work.rs
@@ -1,9 +1,9 @@
 //! Runs single statements at targets.
 
-use super::connection::{Bounds, Failure, is_clean};
-use super::event::Event;
-use super::pool::{Leased, Wish, acquire};
-use super::state::{Absence, Host, Primary};
+use crate::connection::{Bounds, Failure, is_clean};
+use crate::event::Event;
+use crate::pool::{Leased, Wish, acquire};
+use crate::state::{Absence, Host, Primary};
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, decide};
 use bergamotvale_core::proxy::catalog::Consistency;
