Promotions: the effect of a call is waited for, and an old primary does not pass for a new one

Change: a record names the highest term seen, which the candidate has to exceed, unless it still says that it leads 2 s after the platform took the call; a host that has made a call has not settled later records until the effect is known.

--- a/crates/core/src/proxy/floor.rs
+++ b/crates/core/src/proxy/floor.rs
@@ -87,6 +87,11 @@
         self.observations.back().copied()
     }
 
+    /// Highest term that an observation was made in; 0 before the first.
+    pub fn term(&self) -> Term {
+        self.term_start.term
+    }
+
     /// Lowest position that covers all commits acknowledged more than `bound` before `now`.
     pub fn bounded(&self, now: Time, bound: Duration) -> Option<Position> {
         let since = now.saturating_sub(bound);
--- a/crates/core/src/proxy/record.rs
+++ b/crates/core/src/proxy/record.rs
@@ -27,7 +27,9 @@
     pub holder: HostId,
     /// Whether the primary was seen to lead.
     pub established: bool,
-    /// Term in which it leads; 0 while unknown.
+    /// Term in which it leads; while not established, the term before, which it has to exceed. A
+    /// target that led then and has not heard of its successor still holds itself to be the
+    /// primary. 0 while unknown.
     pub term: Term,
     /// Whether the primary before still works, so that its open work is waited for.
     pub planned: bool,
@@ -52,8 +54,15 @@
         })
     }
 
-    /// The promotion of `candidate` that follows this record.
-    pub fn promote(&self, candidate: &TargetName, holder: HostId, planned: bool) -> Record {
+    /// The promotion of `candidate` that follows this record; `seen` is the highest term that any
+    /// target of the group was seen in, 0 if none was.
+    pub fn promote(
+        &self,
+        candidate: &TargetName,
+        holder: HostId,
+        planned: bool,
+        seen: Term,
+    ) -> Record {
         let previous =
             if self.established { Some(self.primary.clone()) } else { self.previous.clone() };
         Record {
@@ -62,11 +71,16 @@
             previous,
             holder,
             established: false,
-            term: 0,
+            term: self.term.max(seen),
             planned: planned && self.established,
         }
     }
 
+    /// Whether a target that holds itself to be the primary of `term` leads by this promotion.
+    pub fn is_led_in(&self, term: Term) -> bool {
+        term > self.term
+    }
+
     /// The same record once the candidate was seen to lead in `term`.
     pub fn establish(&self, term: Term) -> Record {
         Record { established: true, term, ..self.clone() }
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -111,7 +111,7 @@
     world.directory.get_mut("p").unwrap().is_leaving = true;
     let (cause, candidate) = world.decide(&mut Watch::default(), 0, 0).unwrap();
     assert_eq!(cause, Cause::Leaving);
-    let record = world.record.promote(&candidate, 1, true);
+    let record = world.record.promote(&candidate, 1, true, 1);
     assert!(record.planned && !record.established);
     assert_eq!((record.fence, record.previous.as_deref()), (2, Some("p")));
 }
@@ -136,7 +136,7 @@
 #[test]
 fn a_promotion_under_way_is_left_alone_until_it_is_stuck() {
     let mut world = World::new();
-    world.record = world.record.promote(&"r".into(), 2, false);
+    world.record = world.record.promote(&"r".into(), 2, false, 1);
     let mut watch = Watch::default();
     assert_eq!(world.decide(&mut watch, 0, 0), None);
     assert_eq!(world.decide(&mut watch, 3999, 0), None);
@@ -147,7 +147,7 @@
 #[test]
 fn a_promotion_whose_candidate_is_lost_goes_on_with_another() {
     let mut world = World::new();
-    world.record = world.record.promote(&"s".into(), 2, false);
+    world.record = world.record.promote(&"s".into(), 2, false, 1);
     world.views.insert("s".into(), View::Lost);
     assert_eq!(world.decide(&mut Watch::default(), 0, 0), Some((Cause::Stuck, "r".into())));
 }
@@ -187,3 +187,18 @@
     evidence.answer(ms(200), false);
     assert_eq!(evidence.view(ms(900)), View::Alive);
 }
+
+/// Found by the search in proxy_search, seed 21: a primary that died, was replaced and came back
+/// was promoted again, and counted as leading while it still was the primary of its old term.
+#[test]
+fn a_candidate_that_still_leads_an_older_term_does_not_lead_by_its_promotion() {
+    let world = World::new();
+    let first = world.record.promote(&"s".into(), 2, false, 1).establish(2);
+    let second = first.promote(&"p".into(), 3, false, 2);
+    assert!(!second.is_led_in(1));
+    assert!(!second.is_led_in(2));
+    assert!(second.is_led_in(3));
+    // Whoever goes on with it keeps the term that has to be exceeded.
+    let resumed = second.promote(&"p".into(), 4, false, 0);
+    assert!(!resumed.is_led_in(2));
+}
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -9,11 +9,11 @@
 use crate::target::hash;
 use crate::upkeep;
 use bergamotvale_core::id::{HostId, Time};
-use bergamotvale_core::proxy::directory::{Entry, Role, TargetName};
+use bergamotvale_core::proxy::directory::{Entry, Role, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::failover::{Cause, Change, Facts, Watch};
 use bergamotvale_core::proxy::lease::{Revision, Wait};
-use bergamotvale_core::proxy::record::Record;
+use bergamotvale_core::proxy::record::{Record, Term};
 use bergamotvale_core::rendezvous::{Subject, choose};
 use bergamotvale_platform::Error;
 use bergamotvale_platform::promote::promote;
@@ -38,6 +38,8 @@
 const PROMOTE_PAUSE: Duration = Duration::from_millis(100);
 /// Time in which a promoted target has to lead.
 const LEAD_LIMIT: Duration = Duration::from_secs(3);
+/// Time after which a call that the platform took has had its effect.
+const TAKEN_EFFECT: Duration = Duration::from_secs(2);
 /// Time that a planned promotion waits for its candidate to catch up.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(600);
 /// Time in which the result of a conditional write that was not answered shows in the feed.
@@ -115,7 +117,8 @@
         }
         Due::Change(stored, change) => {
             let planned = change.cause == Cause::Leaving;
-            let record = stored.record.promote(&change.candidate, host.id, planned);
+            let seen = seen_term(host, service);
+            let record = stored.record.promote(&change.candidate, host.id, planned, seen);
             let run = Run { host, service, record, cause: change.cause, began: boot_clock::now() };
             host.journal.count(&format!("promotions_begun_{}", change.cause));
             run.all(stored.revision).await;
@@ -123,6 +126,15 @@
     }
 }
 
+/// Highest term that this host has seen a target of the group in.
+fn seen_term(host: &Host, service: &str) -> Term {
+    let observed = host.histories.borrow().get(service).map_or(0, |history| history.term());
+    let positions = host.targets.positions();
+    let directory = host.directory.borrow();
+    let terms = of_service(&directory, service).filter_map(|entry| positions.get(&entry.name));
+    terms.map(|position| position.term).max().unwrap_or_default().max(observed)
+}
+
 /// Writes a record under the condition that its row has revision `expected`.
 async fn write_record(
     host: &Host,
@@ -157,6 +169,8 @@
         } else {
             self.demote_previous();
         }
+        // Until the effect of the call is known, this host has not settled any later record.
+        let _pending = self.host.use_primary(self.service, self.record.fence);
         if !self.call().await {
             return;
         }
@@ -309,11 +323,16 @@
     }
 
     /// Waits until the candidate says that it leads.
+    ///
+    /// One that led an older term says so too. It leads by this promotion once its term is higher
+    /// than all that were seen, or if it says so long after the platform took the call: then it was
+    /// the primary already.
     async fn wait_leads(&self) -> Option<Status> {
-        let until = Instant::now() + LEAD_LIMIT;
-        while Instant::now() < until {
+        let called = Instant::now();
+        while called.elapsed() < LEAD_LIMIT {
             if let Ok(status) = self.status(&self.record.primary).await
                 && status.role == Role::Primary
+                && (self.record.is_led_in(status.term) || called.elapsed() >= TAKEN_EFFECT)
             {
                 return Some(status);
             }
