A host is ready once its parts of the rates are in force

Which hosts counted as restarted also hung on whether the feed or the join was first.

The test's processes have addresses of their own: one run had failed on a port that was taken.

--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -9,7 +9,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -56,11 +56,6 @@
     next: u32,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 /// Where a process writes its events: a file that outlives it if the variable names a folder.
 fn log(folder: &std::path::Path) -> Stdio {
     let Some(kept) = std::env::var_os("BERGAMOTVALE_TEST_LOGS") else { return Stdio::null() };
@@ -70,15 +65,17 @@
 }
 
 impl Process {
-    /// Starts host `number`. Hosts go by their addresses, so each has its own on loopback.
+    /// Starts host `number` of a fleet. Hosts go by their addresses.
     pub(crate) fn start(number: u8, platform: SocketAddr) -> Process {
+        let [high, low] = platform.port().to_be_bytes();
         let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
         let name = format!("bergamotvale-sessions-{}-{serial}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
-        let mut peers = free_address();
-        peers.set_ip([127, 0, 0, number].into());
+        // An address of loopback for each process, so that no port is taken by chance.
+        let address = |port| SocketAddr::from(([127, high, low, number], port));
+        let (callers, readiness, metrics, peers) =
+            (address(7001), address(7002), address(7003), address(7004));
         let settings = json!({
             "name": format!("host-{number}"),
             "domain": "a",
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -173,6 +173,9 @@
     }
     let catalog = host.catalog.borrow().clone();
     let (now, has_part) = (boot_clock::now(), host.was_member.get());
+    if host.member_since.get().is_none() {
+        host.member_since.set(Some(now));
+    }
     host.quota.divide(now, host.id, &members, &catalog, has_part, &host.settings.rates);
 }
 
@@ -301,6 +304,14 @@
     }
 }
 
+/// Notes that the table holds a row of an earlier run of this host: its parts of the rates are this
+/// run's.
+fn note_earlier_run(host: &Host, row: Option<&Member>) {
+    if row.is_some_and(|row| row.incarnation != host.incarnation) {
+        host.was_member.set(true);
+    }
+}
+
 /// Whether this host proves the lease for others, or has to do it for itself.
 fn is_prover(host: &Host) -> bool {
     let now = boot_clock::now();
@@ -343,9 +354,7 @@
         }
     }
     let changed = *host.lease.borrow().members() != members;
-    if known == 0 {
-        host.was_member.set(members.contains_key(&host.id));
-    }
+    note_earlier_run(host, members.get(&host.id));
     // Records go first: a revision counts as known only once nothing older is used.
     for (service, record, revision) in records {
         host.adopt_record(&service, record, revision);
@@ -401,6 +410,7 @@
     let earlier = before.rows.iter().find(|row| row.key == key);
     let earlier: Option<Member> =
         earlier.and_then(|row| row.value.as_ref()).and_then(|v| serde_json::from_slice(v).ok());
+    note_earlier_run(host, earlier.as_ref());
     let member = Member {
         incarnation: host.incarnation,
         address: host.settings.listen.peers,
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -103,8 +103,10 @@
     pub sessions: Cell<usize>,
     /// Wakes whoever waits for a change of any of this.
     pub changed: Notify,
-    /// Whether the members' table held this host, from an earlier run, when this run first read it.
+    /// Whether the members' table held a row of an earlier run of this host.
     pub was_member: Cell<bool>,
+    /// When this run first had a part of the rates.
+    pub member_since: Cell<Option<Time>>,
     /// Whether this run's row has been seen in the members' table.
     pub has_joined: Cell<bool>,
     lease_known: Cell<bool>,
@@ -136,6 +138,7 @@
             sessions: Cell::new(0),
             changed: Notify::new(),
             was_member: Cell::new(false),
+            member_since: Cell::new(None),
             has_joined: Cell::new(false),
             lease_known: Cell::new(false),
             settings,
@@ -175,6 +178,14 @@
         Ok(Primary { target: target.clone(), fence: stored.record.fence })
     }
 
+    /// Whether the host's parts of the rates are in force: at once for one that had them in an
+    /// earlier run, else once all others have made room.
+    pub fn has_parts(&self) -> bool {
+        let settle = LEASE.validity + LEASE.guard;
+        let since = self.member_since.get();
+        since.is_some_and(|at| self.was_member.get() || self.now().saturating_sub(at) >= settle)
+    }
+
     /// Whether `fence` still is the newest that this host knows for the group, and the lease holds.
     pub fn is_current(&self, service: &str, fence: Fence) -> bool {
         self.fence(service) == fence && self.holds_lease()
--- a/crates/sessions/src/upkeep.rs
+++ b/crates/sessions/src/upkeep.rs
@@ -53,7 +53,7 @@
 /// Whether the host may take new sessions.
 pub fn is_ready(host: &Host) -> bool {
     let is_configured = host.catalog.borrow().version > 0 && !host.directory.borrow().is_empty();
-    is_configured && !host.stopping.get() && host.holds_lease()
+    is_configured && host.has_parts() && !host.stopping.get() && host.holds_lease()
 }
 
 fn log_readiness(host: &Host, known: &mut bool) {
