--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -67,19 +67,13 @@
             Some(entry) if entry.is_leaving => Some(Cause::Leaving),
             Some(_) => match own {
                 View::Alive => None,
-                View::Lost if self.most_agree(own) => Some(Cause::Lost),
-                View::Deposed if self.most_agree(own) => Some(Cause::Deposed),
-                _ => None,
+                _ if works_elsewhere(self.peers) => None,
+                View::Lost => Some(Cause::Lost),
+                View::Deposed => Some(Cause::Deposed),
             },
         }
     }
 
-    /// Whether at least half of the live peers see no working primary either.
-    fn most_agree(&self, _own: View) -> bool {
-        let against = self.peers.values().filter(|view| **view == View::Alive).count();
-        2 * against <= self.peers.len()
-    }
-
     fn view(&self, target: &TargetName) -> View {
         self.views.get(target).copied().unwrap_or_default()
     }
@@ -101,6 +95,13 @@
     }
 }
 
+/// Whether a primary that this host has lost still works for more than half of its live peers, so
+/// that it stays and callers are served there rather than here.
+pub fn works_elsewhere(peers: &BTreeMap<HostId, View>) -> bool {
+    let alive = peers.values().filter(|view| **view == View::Alive).count();
+    2 * alive > peers.len()
+}
+
 /// Waits of one host before it acts on one group.
 #[derive(Debug, Default)]
 pub struct Watch {
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -3,7 +3,7 @@
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Directory, Entry, Role, TargetName};
 use bergamotvale_core::proxy::evidence::{Evidence, REFUSED, SILENCE, View};
-use bergamotvale_core::proxy::failover::{Cause, Facts, Watch};
+use bergamotvale_core::proxy::failover::{Cause, Facts, Watch, works_elsewhere};
 use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::record::Record;
 use std::collections::BTreeMap;
@@ -202,3 +202,16 @@
     let resumed = second.promote(&"p".into(), 4, false, 0);
     assert!(!resumed.is_led_in(2));
 }
+
+/// Pattern: primary cut off from some hosts. Their callers are sent elsewhere at once.
+#[test]
+fn a_primary_that_more_than_half_of_the_peers_reach_works_elsewhere() {
+    let views = |alive: u32, lost: u32| {
+        let alive = (0..alive).map(|host| (host, View::Alive));
+        alive.chain((100..100 + lost).map(|host| (host, View::Lost))).collect()
+    };
+    assert!(works_elsewhere(&views(2, 1)));
+    assert!(!works_elsewhere(&views(1, 1)));
+    assert!(!works_elsewhere(&views(0, 3)));
+    assert!(!works_elsewhere(&views(0, 0)));
+}
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -360,12 +360,16 @@
     host.peers.beat_now.notify_one();
 }
 
+/// Time between heartbeats: a host sends about as many datagrams a second in a fleet of any size.
+pub fn interval(host: &Host) -> Duration {
+    let count = host.lease.borrow().members().len();
+    INTERVAL * u32::try_from(count.div_ceil(FEW).max(1)).unwrap_or(1)
+}
+
 /// Sends heartbeats until the process ends.
 pub async fn beat(host: Rc<Host>) {
     loop {
-        let count = host.lease.borrow().members().len();
-        let interval = INTERVAL * u32::try_from(count.div_ceil(FEW).max(1)).unwrap_or(1);
-        drop(tokio::time::timeout(interval, host.peers.beat_now.notified()).await);
+        drop(tokio::time::timeout(interval(&host), host.peers.beat_now.notified()).await);
         send_beats(&host);
     }
 }
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -30,8 +30,6 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Time between steps of a wait inside a promotion.
 const STEP: Duration = Duration::from_millis(15);
-/// Time within which a peer has to have been heard of to have a say.
-const PEER_LIMIT: Duration = Duration::from_millis(700);
 /// Time in which the platform has to answer a promotion call.
 const PROMOTE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause before a promotion call that failed is made again.
@@ -91,7 +89,7 @@
         record: &stored.record,
         directory: &directory,
         views: &host.targets.views(),
-        peers: &host.peers.views(service, stored.record.fence, PEER_LIMIT),
+        peers: &host.peers.views(service, stored.record.fence, host.peer_limit()),
         positions: &host.targets.positions(),
     };
     let change = watch.decide(boot_clock::now(), rank(host, service), &facts)?;
@@ -102,7 +100,7 @@
 fn rank(host: &Host, service: &str) -> usize {
     let now = boot_clock::now();
     let mut alive: BTreeSet<HostId> =
-        host.lease.borrow().peers_alive(now, PEER_LIMIT).into_iter().collect();
+        host.lease.borrow().peers_alive(now, host.peer_limit()).into_iter().collect();
     alive.insert(host.id);
     let ranked = choose(&alive, Subject::Watch(hash(service)), alive.len());
     ranked.iter().position(|id| *id == host.id).unwrap_or_default()
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::boot_clock;
 use crate::event::{Event, Journal, millis};
-use crate::peer::Peers;
+use crate::peer::{self, Peers};
 use crate::quota::Quota;
 use crate::settings::Settings;
 use crate::target::Targets;
@@ -10,6 +10,7 @@
 use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_core::proxy::directory::{Directory, TargetName};
 use bergamotvale_core::proxy::evidence::View;
+use bergamotvale_core::proxy::failover::works_elsewhere;
 use bergamotvale_core::proxy::floor::History;
 use bergamotvale_core::proxy::lease::{Lease, Revision, Terms};
 use bergamotvale_core::proxy::record::{Fence, Record};
@@ -27,6 +28,11 @@
     guard: Duration::from_millis(60),
 };
 
+/// Heartbeats that a peer may miss before it has no say.
+const MISSED_BEATS: u32 = 3;
+/// Time that a heartbeat may be on its way.
+const BEAT_DELAY: Duration = Duration::from_millis(100);
+
 /// A group's record with the revision that wrote it.
 #[derive(Debug, Clone)]
 pub struct Stored {
@@ -186,6 +192,16 @@
         since.is_some_and(|at| self.was_member.get() || self.now().saturating_sub(at) >= settle)
     }
 
+    /// Whether the group's primary, lost here, works for most of the other hosts.
+    pub fn works_elsewhere(&self, service: &str) -> bool {
+        works_elsewhere(&self.peers.views(service, self.fence(service), self.peer_limit()))
+    }
+
+    /// Time within which a peer has to have been heard of to have a say.
+    pub fn peer_limit(&self) -> Duration {
+        peer::interval(self) * MISSED_BEATS + BEAT_DELAY
+    }
+
     /// Whether `fence` still is the newest that this host knows for the group, and the lease holds.
     pub fn is_current(&self, service: &str, fence: Fence) -> bool {
         self.fence(service) == fence && self.holds_lease()
--- a/crates/sessions/src/work.rs
+++ b/crates/sessions/src/work.rs
@@ -27,6 +27,8 @@
 const FAR: Duration = Duration::from_millis(4);
 /// Silence after which a read is tried on another target.
 const READ_TRY: Duration = Duration::from_millis(450);
+/// Time for which a lease that lapsed is waited for; a host that has lost touch is no use.
+const LEASE_PATIENCE: Duration = Duration::from_millis(250);
 /// Time between looks at whether a group has its primary back.
 const PRIMARY_LOOK: Duration = Duration::from_millis(100);
 
@@ -183,13 +185,34 @@
 }
 
 /// Waits until this host may use the group's primary, at most until `until`.
+///
+/// What is not to be expected in time is not waited for: callers ask other hosts.
 pub async fn wait_primary(host: &Host, service: &str, until: Instant) -> Result<Place, Absence> {
+    wait_for(host, service, until, || primary_place(host, service)).await
+}
+
+async fn wait_for(
+    host: &Host,
+    service: &str,
+    until: Instant,
+    place: impl Fn() -> Result<Place, Absence>,
+) -> Result<Place, Absence> {
+    let began = Instant::now();
     loop {
-        match primary_place(host, service) {
+        let absence = match place() {
             Ok(place) => return Ok(place),
-            Err(absence) if Instant::now() >= until => return Err(absence),
-            Err(_) => host.wait_change(until.min(Instant::now() + PRIMARY_LOOK)).await,
+            Err(absence) => absence,
+        };
+        let limit = match absence {
+            Absence::Promoting => until,
+            Absence::Lost if host.works_elsewhere(service) => began,
+            Absence::Lost => until,
+            Absence::NoLease => until.min(began + LEASE_PATIENCE),
+        };
+        if Instant::now() >= limit {
+            return Err(absence);
         }
+        host.wait_change(limit.min(Instant::now() + PRIMARY_LOOK)).await;
     }
 }
 
@@ -200,13 +223,7 @@
     tried: &[TargetName],
     until: Instant,
 ) -> Result<Place, Absence> {
-    loop {
-        match place(host, context, tried) {
-            Ok(place) => return Ok(place),
-            Err(absence) if Instant::now() >= until => return Err(absence),
-            Err(_) => host.wait_change(until.min(Instant::now() + PRIMARY_LOOK)).await,
-        }
-    }
+    wait_for(host, &context.service, until, || place(host, context, tried)).await
 }
 
 /// Notes what an answer of the leased primary, to a question sent at `sent`, says of its log.
