A leaving primary without a successor gets no work after its drain; settings tested

Change: a target that has said for the drain time less one second that it leaves is no primary to use. The settings of a session host have tests; try says which interface it shows.

--- a/crates/cli/src/trial/mod.rs
+++ b/crates/cli/src/trial/mod.rs
@@ -67,8 +67,15 @@
     }
 }
 
+/// Which face of the product the story shows.
+const SHOWN: &str =
+    "the HTTP interface over PostgreSQL targets; for session hosts see docs/SESSIONS.md";
+
 /// Runs the story and prints its verdicts; fails naming the steps whose verdict does not hold.
 pub async fn run(output: Output, keep: bool) -> Result<()> {
+    if output == Output::Human {
+        println!("{SHOWN}");
+    }
     let options = Options { keep, ..Options::default() };
     let mut report = |verdict: &Verdict| {
         if output == Output::Human {
--- a/crates/host/tests/sessions/faults.rs
+++ b/crates/host/tests/sessions/faults.rs
@@ -218,3 +218,24 @@
     assert!(!host.is_ready());
     assert_eq!(Caller::connect(host.callers, STRICT, KEY).err(), Some(Code::Busy));
 }
+
+#[test]
+fn a_primary_that_leaves_without_a_successor_gets_no_work_after_its_drain() {
+    let fleet = Fleet::start(1);
+    let group = fleet.system.groups[0].clone();
+    let primary = group.primary();
+    let mut session = fleet.session(0, STRICT);
+    session.done(&caller::write("bolt", "0"), State::Idle);
+    for target in group.targets.iter().filter(|target| target.name != primary.name) {
+        target.crash();
+    }
+    primary.leave();
+    let left = Instant::now();
+    while left.elapsed() < Duration::from_secs(7) {
+        session.run(&caller::write("bolt", "1"));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let count = primary.count_writes("bolt");
+    assert_eq!(session.refused(&caller::write("bolt", "2")), (Code::Busy, State::Idle));
+    assert_eq!(primary.count_writes("bolt"), count);
+}
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -242,9 +242,19 @@
             log_gone(host, &entry.name, &entry.service);
         }
     }
+    note_leaving(host, &entries);
     *host.directory.borrow_mut() = entries;
 }
 
+/// Notes since when targets leave.
+fn note_leaving(host: &Host, entries: &Directory) {
+    let mut since = host.leaving_since.borrow_mut();
+    since.retain(|name, _| entries.get(name).is_some_and(|entry| entry.is_leaving));
+    for entry in entries.values().filter(|entry| entry.is_leaving) {
+        since.entry(entry.name.clone()).or_insert_with(boot_clock::now);
+    }
+}
+
 fn log_gone(host: &Host, target: &str, service: &str) {
     host.journal.write(&Event::Target { target, service, view: "gone", leaving: false });
 }
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -28,6 +28,9 @@
     guard: Duration::from_millis(60),
 };
 
+/// Time before the end of a target's drain at which it gets no more work: statements take time to
+/// reach it.
+const DRAIN_MARGIN: Duration = Duration::from_millis(1000);
 /// Heartbeats that a peer may miss before it has no say.
 const MISSED_BEATS: u32 = 3;
 /// Time that a heartbeat may be on its way.
@@ -87,6 +90,8 @@
     pub catalog: RefCell<Rc<Catalog>>,
     /// The targets.
     pub directory: RefCell<Directory>,
+    /// When targets that leave were first seen to say so.
+    pub leaving_since: RefCell<BTreeMap<TargetName, Time>>,
     /// The groups' records.
     pub records: RefCell<BTreeMap<String, Stored>>,
     /// The lease on the records and the members.
@@ -131,6 +136,7 @@
             journal: Journal::default(),
             catalog: RefCell::default(),
             directory: RefCell::default(),
+            leaving_since: RefCell::default(),
             records: RefCell::default(),
             lease: RefCell::new(Lease::new(id, incarnation, LEASE)),
             histories: RefCell::default(),
@@ -177,8 +183,8 @@
             return Err(Absence::Promoting);
         }
         let target = &stored.record.primary;
-        if !self.directory.borrow().contains_key(target) || self.targets.view(target) == View::Lost
-        {
+        let is_listed = self.directory.borrow().contains_key(target);
+        if !is_listed || self.has_drained(target) || self.targets.view(target) == View::Lost {
             return Err(Absence::Lost);
         }
         Ok(Primary { target: target.clone(), fence: stored.record.fence })
@@ -192,6 +198,13 @@
         since.is_some_and(|at| self.was_member.get() || self.now().saturating_sub(at) >= settle)
     }
 
+    /// Whether a target said so long ago that it leaves that it may get no more work.
+    fn has_drained(&self, target: &TargetName) -> bool {
+        let limit = self.settings.times.drain.saturating_sub(DRAIN_MARGIN);
+        let since = self.leaving_since.borrow().get(target).copied();
+        since.is_some_and(|at| self.now().saturating_sub(at) >= limit)
+    }
+
     /// Whether the group's primary, lost here, works for most of the other hosts.
     pub fn works_elsewhere(&self, service: &str) -> bool {
         works_elsewhere(&self.peers.views(service, self.fence(service), self.peer_limit()))
--- /dev/null
+++ b/crates/sessions/tests/settings.rs
@@ -0,0 +1,67 @@
+//! Settings of a session host: good, odd, missing and unknown fields.
+
+use bergamotvale_sessions::settings::Settings;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const GOOD: &str = r#"
+name: "front-1"
+domain: "shed-a"
+listen:
+  callers: "10.1.0.26:8465"
+  readiness: "10.1.0.26:8460"
+  peers: "10.1.0.26:7560"
+  metrics: "10.1.0.26:9464"
+store: "10.200.1.7:8466"
+promotion: "10.200.0.2:8466"
+times:
+  drain: 7000
+  grace: 6
+rates:
+  window: 5
+  overage: 0.1
+  slack: 20
+descriptors: 6300
+"#;
+
+/// Reads `text` as a settings file; the error as it is shown.
+fn read(name: &str, text: &str) -> Result<Settings, String> {
+    let file = format!("bergamotvale-settings-{}-{name}.yaml", std::process::id());
+    let path: PathBuf = std::env::temp_dir().join(file);
+    std::fs::write(&path, text).expect("the file is written");
+    let settings = Settings::read(&path).map_err(|error| format!("{error:#}"));
+    std::fs::remove_file(&path).expect("the file is there");
+    settings
+}
+
+#[test]
+fn good_settings_hold() {
+    let settings = read("good", GOOD).expect("they hold");
+    assert_eq!(settings.times.grace, Duration::from_secs(6));
+    assert_eq!(settings.times.drain, Duration::from_millis(7000));
+    assert_eq!(settings.rates.slack, 20);
+}
+
+#[test]
+fn a_fault_names_its_field_and_line() {
+    let cases = [
+        ("unknown", GOOD.replace("descriptors", "descriptor"), "descriptor"),
+        ("missing", GOOD.replace("store: \"10.200.1.7:8466\"\n", ""), "store"),
+        ("address", GOOD.replace("10.1.0.26:8465", "10.1.0.26"), "listen.callers"),
+        ("unit", GOOD.replace("grace: 6", "grace: \"6 s\""), "times.grace"),
+        ("negative", GOOD.replace("slack: 20", "slack: -1"), "rates.slack"),
+        ("not_yaml", "{".to_owned(), "line"),
+        ("empty", String::new(), "does not hold"),
+    ];
+    for (name, text, found) in cases {
+        let error = read(name, &text).expect_err(name);
+        assert!(error.contains(found), "{name}: {error}");
+        assert!(error.contains(".yaml"), "{name}: {error}");
+    }
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let error = Settings::read(&PathBuf::from("/nowhere/local.yaml")).expect_err("no file");
+    assert!(format!("{error:#}").contains("/nowhere/local.yaml"));
+}
