--- /dev/null
+++ b/crates/core/tests/rate_restart.rs
@@ -0,0 +1,107 @@
+//! Rates when hosts come back: parts that hold at once, tokens to begin with, tokens given back.
+
+use bergamotvale_core::id::{AccountId, HostId, Time};
+use bergamotvale_core::rate::bucket::{Amount, MICRO};
+use bergamotvale_core::rate::meter::{Decision, Meter};
+use bergamotvale_core::rate::part_of;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const ACCOUNT: AccountId = 7;
+const RATE: u32 = 120;
+const BURST: u32 = 120;
+const HOSTS: HostId = 4;
+const SETTLE: Duration = Duration::from_millis(1260);
+/// Tokens that each host begins with.
+const OPENING: Amount = 6 * MICRO;
+
+fn ms(millis: u64) -> Time {
+    Duration::from_millis(millis)
+}
+
+fn parts(host: HostId) -> (Amount, Amount) {
+    let members: BTreeSet<HostId> = (1..=HOSTS).collect();
+    part_of(ACCOUNT, RATE, BURST, &members, host)
+}
+
+/// A host that comes back and had its part before.
+fn restarted(host: HostId, now: Time) -> Meter {
+    let (rate, burst) = parts(host);
+    let mut meter = Meter::new(SETTLE, false);
+    meter.open_part(ACCOUNT, rate, burst, OPENING, now);
+    meter
+}
+
+fn admits(meter: &mut Meter, now: Time) -> bool {
+    meter.request(ACCOUNT, now) == Decision::Admit
+}
+
+/// Pattern: all hosts back at once, callers with them.
+#[test]
+fn hosts_that_come_back_serve_at_once() {
+    for host in 1..=HOSTS {
+        let mut meter = restarted(host, ms(0));
+        let admitted = (0..20).filter(|_| admits(&mut meter, ms(0))).count();
+        assert_eq!(admitted, 6, "host {host}");
+        // A quarter of the rate: one token in a thirtieth of a second.
+        assert!(admits(&mut meter, ms(40)), "host {host}");
+    }
+}
+
+/// Pattern: all hosts back at once, a hot account with them.
+#[test]
+fn two_restarts_in_one_window_stay_within_what_is_permitted() {
+    let mut admitted = 0;
+    for host in 1..=HOSTS {
+        // It had spent its burst, runs, dies, comes back, dies and comes back again.
+        for (from, until) in [(0, 1500), (2000, 3000), (3500, 5000)] {
+            let mut meter = restarted(host, ms(from));
+            admitted += (from..until).filter(|at| admits(&mut meter, ms(*at))).count();
+        }
+    }
+    let window = 5.0;
+    let permitted = (f64::from(RATE) * window + f64::from(BURST)) * 1.1 + 20.0;
+    assert!(admitted as f64 <= permitted, "{admitted} of {permitted}");
+}
+
+#[test]
+fn a_host_that_is_new_waits_until_the_others_have_made_room() {
+    let (rate, burst) = parts(1);
+    let mut meter = Meter::new(SETTLE, false);
+    meter.set_part(ACCOUNT, rate, burst, ms(0));
+    assert!(!admits(&mut meter, ms(1200)));
+    meter.tick(SETTLE);
+    assert!(admits(&mut meter, SETTLE + ms(100)));
+}
+
+#[test]
+fn a_part_that_grows_after_the_start_waits_like_any_other() {
+    let mut meter = restarted(1, ms(0));
+    let (rate, burst) = parts(1);
+    meter.open_part(ACCOUNT, 2 * rate, 2 * burst, OPENING, ms(10));
+    meter.tick(ms(20));
+    assert_eq!(meter.part(ACCOUNT), (rate, burst));
+    meter.tick(ms(10) + SETTLE);
+    assert_eq!(meter.part(ACCOUNT), (2 * rate, 2 * burst));
+}
+
+/// Pattern: lost primary with full queues. What reached no target costs no token.
+#[test]
+fn a_token_that_is_put_back_serves_another_request() {
+    let mut meter = restarted(1, ms(0));
+    while admits(&mut meter, ms(0)) {}
+    meter.put_back(ACCOUNT, ms(0));
+    assert!(admits(&mut meter, ms(0)));
+    assert!(!admits(&mut meter, ms(0)));
+}
+
+#[test]
+fn tokens_put_back_do_not_exceed_the_part_of_the_burst() {
+    let mut meter = restarted(1, ms(0));
+    for _ in 0..1000 {
+        meter.put_back(ACCOUNT, ms(0));
+    }
+    let (_, burst) = parts(1);
+    let admitted = (0..1000).filter(|_| admits(&mut meter, ms(0))).count();
+    assert_eq!(admitted as u64, burst / MICRO);
+}
