Revert refusing at once where a primary works for other hosts

Callers' retries stay within a failure domain, whose other host was cut off too, and were spent at once; a request that is held is served late once the primary has been replaced.

Change: requests for a lost primary are held within their time again.

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -96,7 +96,7 @@
 }
 
 /// Whether a primary that this host has lost still works for more than half of its live peers, so
-/// that it stays and callers are served there rather than here.
+/// that it stays.
 pub fn works_elsewhere(peers: &BTreeMap<HostId, View>) -> bool {
     let alive = peers.values().filter(|view| **view == View::Alive).count();
     2 * alive > peers.len()
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -203,7 +203,7 @@
     assert!(!resumed.is_led_in(2));
 }
 
-/// Pattern: primary cut off from some hosts. Their callers are sent elsewhere at once.
+/// Pattern: primary cut off from some hosts.
 #[test]
 fn a_primary_that_more_than_half_of_the_peers_reach_works_elsewhere() {
     let views = |alive: u32, lost: u32| {
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -10,7 +10,6 @@
 use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_core::proxy::directory::{Directory, TargetName};
 use bergamotvale_core::proxy::evidence::View;
-use bergamotvale_core::proxy::failover::works_elsewhere;
 use bergamotvale_core::proxy::floor::History;
 use bergamotvale_core::proxy::lease::{Lease, Revision, Terms};
 use bergamotvale_core::proxy::record::{Fence, Record};
@@ -205,11 +204,6 @@
         since.is_some_and(|at| self.now().saturating_sub(at) >= limit)
     }
 
-    /// Whether the group's primary, lost here, works for most of the other hosts.
-    pub fn works_elsewhere(&self, service: &str) -> bool {
-        works_elsewhere(&self.peers.views(service, self.fence(service), self.peer_limit()))
-    }
-
     /// Time within which a peer has to have been heard of to have a say.
     pub fn peer_limit(&self) -> Duration {
         peer::interval(self) * MISSED_BEATS + BEAT_DELAY
--- a/crates/sessions/src/work.rs
+++ b/crates/sessions/src/work.rs
@@ -186,14 +186,13 @@
 
 /// Waits until this host may use the group's primary, at most until `until`.
 ///
-/// What is not to be expected in time is not waited for: callers ask other hosts.
+/// A lease that has lapsed is waited for only shortly: callers ask other hosts.
 pub async fn wait_primary(host: &Host, service: &str, until: Instant) -> Result<Place, Absence> {
-    wait_for(host, service, until, || primary_place(host, service)).await
+    wait_for(host, until, || primary_place(host, service)).await
 }
 
 async fn wait_for(
     host: &Host,
-    service: &str,
     until: Instant,
     place: impl Fn() -> Result<Place, Absence>,
 ) -> Result<Place, Absence> {
@@ -204,9 +203,7 @@
             Err(absence) => absence,
         };
         let limit = match absence {
-            Absence::Promoting => until,
-            Absence::Lost if host.works_elsewhere(service) => began,
-            Absence::Lost => until,
+            Absence::Promoting | Absence::Lost => until,
             Absence::NoLease => until.min(began + LEASE_PATIENCE),
         };
         if Instant::now() >= limit {
@@ -223,7 +220,7 @@
     tried: &[TargetName],
     until: Instant,
 ) -> Result<Place, Absence> {
-    wait_for(host, &context.service, until, || place(host, context, tried)).await
+    wait_for(host, until, || place(host, context, tried)).await
 }
 
 /// Notes what an answer of the leased primary, to a question sent at `sent`, says of its log.
