--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -10,7 +10,7 @@
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Denial};
 use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::session::Session;
-use bergamotvale_core::proxy::statement::{Access, Statement};
+use bergamotvale_core::proxy::statement::{Access, Shape, Statement};
 use bergamotvale_platform::line::{self, Answer, CallerCodec, End, Request, State};
 use bergamotvale_platform::text;
 use bytes::Bytes;
@@ -57,7 +57,7 @@
     latency_target: Duration,
 }
 
-/// What a statement came to: the bytes of the answer.
+/// Bytes of the answer to a statement.
 type Reply = Bytes;
 
 /// Serves one connection until it ends.
@@ -354,7 +354,7 @@
         id: &str,
         text: String,
         access: Access,
-        shape: Option<bergamotvale_core::proxy::statement::Shape>,
+        shape: Option<Shape>,
         arrived: Time,
     ) -> Reply {
         if matches!(self.phase, Phase::Open(_)) {
@@ -392,7 +392,7 @@
         &mut self,
         id: &str,
         text: String,
-        shape: Option<bergamotvale_core::proxy::statement::Shape>,
+        shape: Option<Shape>,
         arrived: Time,
     ) -> Reply {
         if self.is_key_withdrawn() {
@@ -437,12 +437,7 @@
         self.refuse(id, &Refused::new(code, reason), arrived, state)
     }
 
-    fn task(
-        &self,
-        id: &str,
-        text: String,
-        shape: Option<bergamotvale_core::proxy::statement::Shape>,
-    ) -> Task {
+    fn task(&self, id: &str, text: String, shape: Option<Shape>) -> Task {
         let limit = self.statement_timeout.saturating_sub(ANSWER_MARGIN);
         Task {
             id: id.to_owned(),
