Stand-ins: limits of the store and of targets, writes that are done late

Cause: the stand-ins lacked what the issue asks of them: a store that takes few calls a second, writes that are not answered and done later, targets with slots, a queue and a limit of connections.

Change: Outage::LateWrites and Outage::Limited, slots and connection limits of targets, three tests of the daemon over them.

--- a/crates/host/tests/sessions/faults.rs
+++ b/crates/host/tests/sessions/faults.rs
@@ -239,3 +239,47 @@
     assert_eq!(session.refused(&caller::write("bolt", "2")), (Code::Busy, State::Idle));
     assert_eq!(primary.count_writes("bolt"), count);
 }
+
+#[test]
+fn a_record_written_late_does_no_harm() {
+    let fleet = Fleet::start(2);
+    let group = fleet.system.groups[0].clone();
+    let old = group.primary();
+    let mut session = fleet.session(0, STRICT);
+    session.done(&caller::write("bolt", "1"), State::Idle);
+    fleet.system.store.set_outage(Outage::LateWrites(Duration::from_millis(900)));
+    old.crash();
+    std::thread::sleep(Duration::from_millis(600));
+    fleet.system.store.set_outage(Outage::None);
+    write_until_done(&mut session, "bolt", "2");
+    std::thread::sleep(Duration::from_millis(1500));
+    write_until_done(&mut session, "bolt", "3");
+    assert_ne!(group.primary().name, old.name);
+    assert_eq!(session.row(&caller::read("bolt")).0, "3");
+}
+
+#[test]
+fn a_store_that_takes_few_calls_is_enough() {
+    let fleet = Fleet::start(2);
+    let mut session = fleet.session(0, STRICT);
+    session.done(&caller::write("bolt", "0"), State::Idle);
+    fleet.system.store.set_outage(Outage::Limited(6));
+    for number in 0..60 {
+        session.done(&caller::write("bolt", &number.to_string()), State::Idle);
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
+#[test]
+fn a_target_that_takes_few_connections_serves_all_sessions() {
+    let fleet = Fleet::start(2);
+    for target in &fleet.system.groups[0].targets {
+        target.set_connection_limit(2);
+    }
+    let mut sessions: Vec<Caller> = (0..12).map(|i| fleet.session(i % 2, STRICT)).collect();
+    for round in 0..5 {
+        for session in &mut sessions {
+            write_until_done(session, "bolt", &round.to_string());
+        }
+    }
+}
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -10,14 +10,19 @@
 use bergamotvale_platform::{directory, served};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 /// Targets of a group.
 const TARGETS: usize = 3;
 /// Statements that a target runs at once.
 const SLOTS: u32 = 3;
+/// Statements that wait for a slot at most; more are refused.
+const QUEUE: u32 = 24;
+/// Connections that a target takes unless it is set.
+const CONNECTIONS: u32 = 21;
 /// Time between the call and the moment at which the target leads.
 const PROMOTE_TIME: Duration = Duration::from_millis(100);
 /// Time between two steps of replication.
@@ -45,6 +50,8 @@
     pub(super) is_leaving: bool,
     pub(super) is_dark: bool,
     pub(super) loses_commit_answers: bool,
+    /// Connections that it takes.
+    pub(super) connection_limit: u32,
     lag: Duration,
     sequence: u64,
     born: u64,
@@ -74,6 +81,9 @@
     pub service: String,
     pub(super) state: Mutex<State>,
     pub(super) ends: Notify,
+    /// Slots for statements that work.
+    pub(super) slots: Semaphore,
+    queued: AtomicU32,
     port: Port,
     store: Arc<Store>,
 }
@@ -206,6 +216,7 @@
             is_leaving: false,
             is_dark: false,
             loses_commit_answers: false,
+            connection_limit: CONNECTIONS,
             lag: LAG,
             sequence: 0,
             born: u64::try_from(born.as_millis()).unwrap_or_default(),
@@ -215,6 +226,8 @@
             service: service.into(),
             state: Mutex::new(state),
             ends: Notify::new(),
+            slots: Semaphore::new(SLOTS as usize),
+            queued: AtomicU32::new(0),
             port: Port::new(SocketAddr::from(([127, 0, 0, 1], 0)))?,
             store,
         })
@@ -259,6 +272,22 @@
         lock(&self.state).loses_commit_answers = loses;
     }
 
+    /// Takes this many connections from now on.
+    pub fn set_connection_limit(&self, limit: u32) {
+        lock(&self.state).connection_limit = limit;
+    }
+
+    /// Waits for a slot; none if too many wait already.
+    pub(super) async fn slot(&self) -> Option<SemaphorePermit<'_>> {
+        if self.queued.fetch_add(1, Ordering::Relaxed) >= QUEUE + SLOTS {
+            self.queued.fetch_sub(1, Ordering::Relaxed);
+            return None;
+        }
+        let permit = self.slots.acquire().await.ok();
+        self.queued.fetch_sub(1, Ordering::Relaxed);
+        permit
+    }
+
     /// Makes a replica lag by this much.
     pub fn set_lag(&self, lag: Duration) {
         lock(&self.state).lag = lag;
--- a/crates/standin/src/lines/session.rs
+++ b/crates/standin/src/lines/session.rs
@@ -95,6 +95,13 @@
             if !is_meant {
                 return Some(line::refusal(Code::Misrouted, &target.name));
             }
+            let is_full = {
+                let state = lock(&target.state);
+                state.open > state.connection_limit
+            };
+            if is_full {
+                return Some(line::refusal(Code::TooManyConnections, &target.name));
+            }
             *session = Some(Session {
                 target: target.clone(),
                 account,
@@ -202,6 +209,7 @@
     }
 
     async fn read(&self, item: &str) -> Option<Bytes> {
+        let Some(_slot) = self.target.slot().await else { return self.error(Code::Busy) };
         tokio::time::sleep(WORK).await;
         // The values show in the rows, so that callers can tell whose session they got.
         let values: Vec<String> = self.values.iter().map(|(k, v)| format!("{k}={v}")).collect();
@@ -212,6 +220,8 @@
     }
 
     async fn write(&mut self, item: String, data: String) -> Option<Bytes> {
+        let target = self.target.clone();
+        let Some(_slot) = target.slot().await else { return self.error(Code::Busy) };
         tokio::time::sleep(WORK).await;
         if !self.target.is_primary() || self.transaction.as_ref().is_some_and(|t| t.read_only) {
             return self.error(Code::ReadOnly);
@@ -224,6 +234,8 @@
     }
 
     async fn commit(&mut self) -> Option<Bytes> {
+        let target = self.target.clone();
+        let Some(_slot) = target.slot().await else { return self.error(Code::Busy) };
         tokio::time::sleep(WORK).await;
         match self.transaction.take() {
             None => self.error(Code::Malformed),
--- a/crates/standin/src/lines/store.rs
+++ b/crates/standin/src/lines/store.rs
@@ -34,6 +34,10 @@
     Slow(Duration),
     /// Writes are done and not answered.
     LosesAnswers,
+    /// Writes are not answered and done this much later, if their condition still holds.
+    LateWrites(Duration),
+    /// It takes this many calls in a second and refuses more.
+    Limited(u32),
 }
 
 /// A row's value and the revision that wrote it.
@@ -46,6 +50,8 @@
     /// Changes up to this one are no longer known.
     forgotten: u64,
     outage: Outage,
+    /// The present second of the store's life and the calls in it.
+    second: (u64, u32),
 }
 
 /// The table service.
@@ -100,6 +106,17 @@
         AGE + self.started.elapsed()
     }
 
+    /// Counts a call; says whether it is one too many for its second.
+    fn is_over(&self, limit: u32) -> bool {
+        let second = self.started.elapsed().as_secs();
+        let mut state = lock(&self.state);
+        if state.second.0 != second {
+            state.second = (second, 0);
+        }
+        state.second.1 += 1;
+        state.second.1 > limit
+    }
+
     fn outage(&self) -> Outage {
         lock(&self.state).outage
     }
@@ -194,12 +211,15 @@
 
 type Answer = Result<Response<Full<Bytes>>, hyper::Error>;
 
-async fn answer(store: &Store, groups: &[Arc<Group>], request: Request<Incoming>) -> Answer {
+async fn answer(store: &Arc<Store>, groups: &[Arc<Group>], request: Request<Incoming>) -> Answer {
     match store.outage() {
         Outage::Silent => std::future::pending().await,
         Outage::Busy => return Ok(response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())),
         Outage::Slow(time) => tokio::time::sleep(time).await,
-        Outage::None | Outage::LosesAnswers => {}
+        Outage::Limited(limit) if store.is_over(limit) => {
+            return Ok(response(StatusCode::TOO_MANY_REQUESTS, Bytes::new()));
+        }
+        Outage::None | Outage::LosesAnswers | Outage::LateWrites(_) | Outage::Limited(_) => {}
     }
     let (parts, body) = request.into_parts();
     let body = body.collect().await?.to_bytes();
@@ -208,6 +228,15 @@
         return Ok(response(StatusCode::NOT_FOUND, Bytes::new()));
     };
     let is_write = matches!(call, Call::Change { .. });
+    if let (true, Outage::LateWrites(delay)) = (is_write, store.outage()) {
+        let (store, groups) = (store.clone(), groups.to_vec());
+        // In a task of its own: the write is done although its caller gives up.
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            carry_out(&store, &groups, call).await
+        });
+        return std::future::pending().await;
+    }
     let response = carry_out(store, groups, call).await;
     if is_write && store.outage() == Outage::LosesAnswers {
         std::future::pending().await
