Processes of the tests have loopback addresses of their own

The test looked for free ports, gave them up and let the daemon bind them; the session tests, which did the same, had failed in that way before.

Change: each process binds fixed ports on a loopback address of its own.

--- a/crates/host/tests/process/mod.rs
+++ b/crates/host/tests/process/mod.rs
@@ -6,7 +6,7 @@
 use bergamotvale_standin::platform;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -43,9 +43,12 @@
     pub(crate) body: Value,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// Addresses of loopback for the process with this serial number alone: a port that is free when it
+/// is looked for may be taken, by an outgoing connection for one, before the daemon binds it.
+fn addresses(serial: u32) -> [SocketAddr; 3] {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let last = u8::try_from(serial % 250 + 1).expect("at most 250");
+    [7101, 7102, 7103].map(|port| SocketAddr::from(([127, high, low, last], port)))
 }
 
 impl Process {
@@ -54,7 +57,7 @@
         let name = format!("bergamotvale-test-{}-{serial}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let [callers, operators, peers] = [free_address(), free_address(), free_address()];
+        let [callers, operators, peers] = addresses(serial);
         let secret = OPERATOR.rsplit('_').next().expect("a key has three parts");
         let settings = json!({
             "host": host,
