--- a/crates/core/src/proxy/answer.rs
+++ b/crates/core/src/proxy/answer.rs
@@ -1,7 +1,7 @@
 //! What a caller is told when its statement was not answered with success.
 //!
-//! [`decide`] is the only place that turns how far a statement got, and what came back, into a
-//! code. A code for which [`Code::is_promise`] holds says that nothing of the caller's operation
+//! [`response_code`] is the only place that turns how far a statement got, and what came back, into a
+//! code. A code for which [`Code::guarantees_no_effect`] holds says that nothing of the caller's operation
 //! is kept; it is given only where that is certain.
 
 use derive_more::Display;
@@ -42,7 +42,7 @@
 
 impl Code {
     /// Whether the code says that nothing is kept.
-    pub fn is_promise(self) -> bool {
+    pub fn guarantees_no_effect(self) -> bool {
         matches!(
             self,
             Code::Busy
@@ -90,25 +90,27 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
     /// The target answered with an error.
-    Refused(Code),
+    Error(Code),
     /// The connection broke or stayed silent.
-    Lost,
+    NoResponse,
     /// Success, but the host could not show that the target still was the primary.
-    Unproven,
+    Unverified,
     /// The host did not try: no capacity, no time, no authority.
-    NotTried,
+    NotAttempted,
     /// No target was fresh enough.
     NotFresh,
 }
 
 /// Code for a statement that got as far as `sent` and ended with `outcome`.
-pub fn decide(effect: Effect, in_transaction: bool, sent: Sent, outcome: Outcome) -> Code {
+pub fn response_code(effect: Effect, in_transaction: bool, sent: Sent, outcome: Outcome) -> Code {
     let may_be_kept = effect == Effect::Lasting && sent == Sent::Maybe;
     match outcome {
-        Outcome::Refused(Code::UnknownStatement | Code::Malformed) => rolled_back(in_transaction),
-        Outcome::Refused(code) => code,
-        Outcome::Lost | Outcome::Unproven if may_be_kept => Code::Unknown,
-        Outcome::Lost | Outcome::Unproven | Outcome::NotTried => rolled_back(in_transaction),
+        Outcome::Error(Code::UnknownStatement | Code::Malformed) => rolled_back(in_transaction),
+        Outcome::Error(code) => code,
+        Outcome::NoResponse | Outcome::Unverified if may_be_kept => Code::Unknown,
+        Outcome::NoResponse | Outcome::Unverified | Outcome::NotAttempted => {
+            rolled_back(in_transaction)
+        }
         Outcome::NotFresh if in_transaction => Code::Aborted,
         Outcome::NotFresh => Code::Lagging,
     }
--- a/crates/core/src/proxy/catalog.rs
+++ b/crates/core/src/proxy/catalog.rs
@@ -68,7 +68,7 @@
     /// Name of the client account that holds a key.
     pub keys: BTreeMap<String, String>,
     /// Time for which a transaction may rest between statements.
-    pub transaction_idle_limit: Duration,
+    pub transaction_idle_timeout: Duration,
 }
 
 /// Why a caller may not use a database.
--- a/crates/core/src/proxy/directory.rs
+++ b/crates/core/src/proxy/directory.rs
@@ -7,7 +7,7 @@
 /// A target's own name; unique among all targets.
 pub type TargetName = String;
 /// Start of a target's process, in milliseconds of the Unix epoch; tells its runs apart.
-pub type Born = u64;
+pub type StartTime = u64;
 
 /// What a target holds itself to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -37,7 +37,7 @@
     /// What it holds itself to be.
     pub role: Role,
     /// Its run.
-    pub born: Born,
+    pub start_time: StartTime,
 }
 
 /// All targets by name.
--- a/crates/core/src/proxy/evidence.rs
+++ b/crates/core/src/proxy/evidence.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 /// Silence after a question that makes a target suspect.
-pub const SILENCE: Duration = Duration::from_millis(450);
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Silence after a question at which a second one, on a new connection, should check for life.
-pub const DOUBT: Duration = Duration::from_millis(150);
+pub const PROBE_DELAY: Duration = Duration::from_millis(150);
 /// Time for which refused or broken connections without any sign of life make a target suspect.
-pub const REFUSED: Duration = Duration::from_millis(150);
+pub const FAILURE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// One host's view of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -30,41 +30,42 @@
 /// What one host has seen of one target.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Evidence {
-    asked: Option<Time>,
-    broken: Option<Time>,
-    deposed: Option<Time>,
+    pending_since: Option<Time>,
+    failing_since: Option<Time>,
+    deposed_since: Option<Time>,
 }
 
 impl Evidence {
     /// A question was sent.
-    pub fn ask(&mut self, now: Time) {
-        self.asked.get_or_insert(now);
+    pub fn record_request(&mut self, now: Time) {
+        self.pending_since.get_or_insert(now);
     }
 
-    /// Bytes arrived; `is_waiting` says whether other questions are still open.
-    pub fn answer(&mut self, now: Time, is_waiting: bool) {
-        self.asked = is_waiting.then_some(now);
-        self.broken = None;
+    /// Bytes arrived; `has_pending` says whether other questions are still open.
+    pub fn record_response(&mut self, now: Time, has_pending: bool) {
+        self.pending_since = has_pending.then_some(now);
+        self.failing_since = None;
     }
 
     /// A connection was refused or reset.
-    pub fn fail(&mut self, now: Time) {
-        self.broken.get_or_insert(now);
+    pub fn record_connection_failure(&mut self, now: Time) {
+        self.failing_since.get_or_insert(now);
     }
 
     /// The target said that it takes no writes.
-    pub fn depose(&mut self, now: Time) {
-        self.deposed.get_or_insert(now);
+    pub fn record_deposed(&mut self, now: Time) {
+        self.deposed_since.get_or_insert(now);
     }
 
     /// The target took a write, or was made the primary again.
-    pub fn lead(&mut self) {
-        self.deposed = None;
+    pub fn clear_deposed(&mut self) {
+        self.deposed_since = None;
     }
 
     /// Whether a question has been open for long, or connections break.
-    pub fn is_silent(&self, now: Time) -> bool {
-        self.broken.is_some() || self.asked.is_some_and(|at| now.saturating_sub(at) >= DOUBT)
+    pub fn needs_probe(&self, now: Time) -> bool {
+        self.failing_since.is_some()
+            || self.pending_since.is_some_and(|at| now.saturating_sub(at) >= PROBE_DELAY)
     }
 
     /// The view at `now`.
@@ -72,9 +73,11 @@
         let passed = |since: Option<Time>, limit: Duration| {
             since.is_some_and(|at| now.saturating_sub(at) >= limit)
         };
-        if passed(self.asked, SILENCE) || passed(self.broken, REFUSED) {
+        if passed(self.pending_since, RESPONSE_TIMEOUT)
+            || passed(self.failing_since, FAILURE_TIMEOUT)
+        {
             View::Lost
-        } else if passed(self.deposed, REFUSED) {
+        } else if passed(self.deposed_since, FAILURE_TIMEOUT) {
             View::Deposed
         } else {
             View::Alive
--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -1,6 +1,6 @@
 //! When a group's primary is replaced, and by whom.
 //!
-//! Every host looks at the same facts and may act; a conditional write of the record lets one of
+//! Every host looks at the same snapshot and may act; a conditional write of the record lets one of
 //! them through. Hosts act in an order of rank, so that they rarely collide.
 
 use super::directory::{Directory, Entry, TargetName, of_service};
@@ -35,7 +35,7 @@
 
 /// A replacement that is due.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Change {
+pub struct Replacement {
     /// Why.
     pub cause: Cause,
     /// The target to promote.
@@ -44,7 +44,7 @@
 
 /// What is known of one group.
 #[derive(Debug)]
-pub struct Facts<'a> {
+pub struct Snapshot<'a> {
     /// The service.
     pub service: &'a str,
     /// Its record.
@@ -54,15 +54,15 @@
     /// This host's view of each target.
     pub views: &'a BTreeMap<TargetName, View>,
     /// Live peers' views of the recorded primary.
-    pub peers: &'a BTreeMap<HostId, View>,
+    pub peer_views: &'a BTreeMap<HostId, View>,
     /// Positions that targets were last seen at.
     pub positions: &'a BTreeMap<TargetName, Position>,
     /// Whether the record's holder may be carrying its promotion out: it is alive, and not this
     /// host, or this host is at it.
-    pub is_carried_out: bool,
+    pub is_holder_active: bool,
 }
 
-impl Facts<'_> {
+impl Snapshot<'_> {
     /// Why the primary should be replaced, if it should.
     pub fn cause(&self) -> Option<Cause> {
         let own = self.view(&self.record.primary);
@@ -72,7 +72,7 @@
             Some(entry) if entry.is_leaving => Some(Cause::Leaving),
             Some(_) => match own {
                 View::Alive => None,
-                _ if works_elsewhere(self.peers) => None,
+                _ if is_reachable_by_majority(self.peer_views) => None,
                 View::Lost => Some(Cause::Lost),
                 View::Deposed => Some(Cause::Deposed),
             },
@@ -102,29 +102,34 @@
 
 /// Whether a primary that this host has lost still works for more than half of its live peers, so
 /// that it stays.
-pub fn works_elsewhere(peers: &BTreeMap<HostId, View>) -> bool {
-    let alive = peers.values().filter(|view| **view == View::Alive).count();
-    2 * alive > peers.len()
+pub fn is_reachable_by_majority(peer_views: &BTreeMap<HostId, View>) -> bool {
+    let alive = peer_views.values().filter(|view| **view == View::Alive).count();
+    2 * alive > peer_views.len()
 }
 
 /// Waits of one host before it acts on one group.
 #[derive(Debug, Default)]
-pub struct Watch {
+pub struct Monitor {
     since: Option<(Cause, Time)>,
     record: Option<(u64, bool, Time)>,
 }
 
-impl Watch {
+impl Monitor {
     /// Says what to do now; `rank` is this host's place among those that may act.
-    pub fn decide(&mut self, now: Time, rank: usize, facts: &Facts<'_>) -> Option<Change> {
-        let record = facts.record;
+    pub fn decide(
+        &mut self,
+        now: Time,
+        rank: usize,
+        snapshot: &Snapshot<'_>,
+    ) -> Option<Replacement> {
+        let record = snapshot.record;
         let age = self.record_age(now, record);
         let cause = if record.established {
-            facts.cause()
+            snapshot.cause()
         } else {
-            let lost = facts.directory.get(&record.primary).is_none_or(|e| e.is_leaving)
-                || facts.view(&record.primary) == View::Lost;
-            let limit = if facts.is_carried_out { PROMOTION_LIMIT } else { ABANDONED_LIMIT };
+            let lost = snapshot.directory.get(&record.primary).is_none_or(|e| e.is_leaving)
+                || snapshot.view(&record.primary) == View::Lost;
+            let limit = if snapshot.is_holder_active { PROMOTION_LIMIT } else { ABANDONED_LIMIT };
             (age >= limit || lost).then_some(Cause::Stuck)
         };
         let Some(cause) = cause else {
@@ -140,7 +145,7 @@
         if now.saturating_sub(since) < patience {
             return None;
         }
-        facts.candidate().map(|entry| Change { cause, candidate: entry.name.clone() })
+        snapshot.candidate().map(|entry| Replacement { cause, candidate: entry.name.clone() })
     }
 
     fn record_age(&mut self, now: Time, record: &Record) -> Duration {
--- a/crates/core/src/proxy/floor.rs
+++ b/crates/core/src/proxy/floor.rs
@@ -93,14 +93,14 @@
     }
 
     /// Lowest position that covers all commits acknowledged more than `bound` before `now`.
-    pub fn bounded(&self, now: Time, bound: Duration) -> Option<Position> {
+    pub fn bounded_floor(&self, now: Time, bound: Duration) -> Option<Position> {
         let since = now.saturating_sub(bound);
         let index = self.observations.partition_point(|o| o.at < since);
         self.observations.get(index).map(|o| o.position)
     }
 
     /// What a session that saw `position` has to see now.
-    pub fn session(&self, position: Position) -> Position {
+    pub fn session_floor(&self, position: Position) -> Position {
         if position.term < self.term_start.term { self.term_start } else { position }
     }
 }
--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -1,17 +1,17 @@
 //! How long a host may act on its copy of the table of groups and members.
 //!
 //! Each change of the table has a revision. A host holds the lease while it can prove that, at
-//! most [`Terms::validity`] ago, no revision above its own existed. Proofs come from
+//! most [`Limits::validity`] ago, no revision above its own existed. Proofs come from
 //!
 //! - the platform: a read sent at `s` that showed nothing newer proves `s`;
 //! - a peer at the same revision: its own proof from the platform, with its age;
 //! - a majority of the members, each at this revision. A writer has changed the table before it
 //!   tells anybody, so this alone is not proof; it counts only while the platform itself was heard,
-//!   directly or through peers, within [`Terms::vouch_limit`].
+//!   directly or through peers, within [`Limits::max_attested_age`].
 //!
-//! A writer that wants to know when nobody acts on older revisions any more keeps a [`Wait`].
+//! A writer that wants to know when nobody acts on older revisions any more keeps a [`Barrier`].
 //! It is over once every member has confirmed the revision; or, with silent members, once enough have
-//! confirmed that no majority without them is left, plus the validity; or once the vouch limit and
+//! confirmed that no majority without them is left, plus the validity; or once the attestation limit and
 //! the validity have passed since the write.
 //!
 //! Times count the time that a machine was suspended, so that a host which wakes up knows that its
@@ -46,18 +46,18 @@
 
 /// Time limits of a lease.
 #[derive(Debug, Clone, Copy)]
-pub struct Terms {
+pub struct Limits {
     /// Age at which a proof ends.
     pub validity: Duration,
     /// Time for which members may vouch for each other without word from the platform.
-    pub vouch_limit: Duration,
+    pub max_attested_age: Duration,
     /// Added to each wait for the end of others' leases: clocks differ a little in speed.
-    pub guard: Duration,
+    pub clock_drift_margin: Duration,
 }
 
 /// What a peer's heartbeat says of its lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Vouch {
+pub struct Attestation {
     /// The peer.
     pub host: HostId,
     /// Its run.
@@ -65,15 +65,17 @@
     /// Revision that it knows.
     pub revision: Revision,
     /// Revision below which nothing of it is under way any more.
-    pub settled: Revision,
+    #[serde(rename = "settled")]
+    pub quiesced: Revision,
     /// Age of its proof from the platform when it sent this.
-    pub proof_age: Option<Duration>,
+    #[serde(rename = "proof_age")]
+    pub renewal_age: Option<Duration>,
 }
 
 /// What was heard of a peer, with the time at which it certainly still held.
 #[derive(Debug, Clone, Copy)]
-struct Heard {
-    vouch: Vouch,
+struct Received {
+    attestation: Attestation,
     at: Time,
 }
 
@@ -81,32 +83,32 @@
 #[derive(Debug)]
 pub struct Lease {
     own: (HostId, Incarnation),
-    terms: Terms,
+    limits: Limits,
     revision: Revision,
     members: BTreeMap<HostId, Member>,
     /// The platform's clock, and when it was read.
     platform_clock: Option<(Time, Duration)>,
-    platform_proof: Option<Time>,
-    heard: BTreeMap<HostId, Heard>,
+    renewed_at: Option<Time>,
+    received: BTreeMap<HostId, Received>,
 }
 
 impl Lease {
     /// A host that has not read the table yet.
-    pub fn new(host: HostId, incarnation: Incarnation, terms: Terms) -> Lease {
+    pub fn new(host: HostId, incarnation: Incarnation, limits: Limits) -> Lease {
         Lease {
             own: (host, incarnation),
-            terms,
+            limits,
             revision: 0,
             members: BTreeMap::new(),
             platform_clock: None,
-            platform_proof: None,
-            heard: BTreeMap::new(),
+            renewed_at: None,
+            received: BTreeMap::new(),
         }
     }
 
     /// Time limits.
-    pub fn terms(&self) -> Terms {
-        self.terms
+    pub fn limits(&self) -> Limits {
+        self.limits
     }
 
     /// Revision of this host's copy.
@@ -125,15 +127,15 @@
             return;
         }
         if revision > self.revision {
-            self.platform_proof = None;
+            self.renewed_at = None;
         }
         self.revision = revision;
-        self.heard.retain(|host, _| members.contains_key(host));
+        self.received.retain(|host, _| members.contains_key(host));
         self.members = members;
     }
 
     /// Notes the platform's clock, read at `now`.
-    pub fn note_clock(&mut self, now: Time, platform: Duration) {
+    pub fn set_platform_clock(&mut self, now: Time, platform: Duration) {
         self.platform_clock = Some((now, platform));
     }
 
@@ -143,54 +145,60 @@
     }
 
     /// A read of the table, sent at `sent`, showed nothing above `revision`.
-    pub fn prove(&mut self, sent: Time, revision: Revision) {
+    pub fn renew(&mut self, sent: Time, revision: Revision) {
         if revision == self.revision {
-            self.platform_proof = self.platform_proof.max(Some(sent));
+            self.renewed_at = self.renewed_at.max(Some(sent));
         }
     }
 
     /// Takes a peer's heartbeat that cannot have been made before `made`.
-    pub fn hear(&mut self, made: Time, vouch: Vouch) {
-        if vouch.revision == self.revision
-            && let Some(at) = vouch.proof_age.and_then(|age| made.checked_sub(age))
+    pub fn record_attestation(&mut self, made: Time, attestation: Attestation) {
+        if attestation.revision == self.revision
+            && let Some(at) = attestation.renewal_age.and_then(|age| made.checked_sub(age))
         {
-            self.platform_proof = self.platform_proof.max(Some(at));
+            self.renewed_at = self.renewed_at.max(Some(at));
         }
-        let heard = self.heard.entry(vouch.host).or_insert(Heard { vouch, at: made });
-        if made >= heard.at {
-            *heard = Heard { vouch, at: made };
+        let received =
+            self.received.entry(attestation.host).or_insert(Received { attestation, at: made });
+        if made >= received.at {
+            *received = Received { attestation, at: made };
         }
     }
 
     /// Age of the newest proof from the platform, directly or through peers.
-    pub fn proof_age(&self, now: Time) -> Option<Duration> {
-        self.platform_proof.map(|at| now.saturating_sub(at))
+    pub fn renewal_age(&self, now: Time) -> Option<Duration> {
+        self.renewed_at.map(|at| now.saturating_sub(at))
     }
 
     /// Whether this host may act on its copy.
     pub fn is_held(&self, now: Time) -> bool {
         let (host, incarnation) = self.own;
         let is_recorded = self.members.get(&host).is_some_and(|m| m.incarnation == incarnation);
-        let Some(age) = self.proof_age(now) else { return false };
+        let Some(age) = self.renewal_age(now) else { return false };
         if !is_recorded {
             return false;
         }
-        age <= self.terms.validity || (age <= self.terms.vouch_limit && self.is_vouched(now))
+        age <= self.limits.validity
+            || (age <= self.limits.max_attested_age && self.is_attested(now))
     }
 
     /// Peers heard of within `within`.
-    pub fn peers_alive(&self, now: Time, within: Duration) -> Vec<HostId> {
-        let fresh = |heard: &Heard| now.saturating_sub(heard.at) <= within;
-        self.heard.iter().filter(|(_, heard)| fresh(heard)).map(|(host, _)| *host).collect()
+    pub fn live_peers(&self, now: Time, within: Duration) -> Vec<HostId> {
+        let fresh = |received: &Received| now.saturating_sub(received.at) <= within;
+        self.received
+            .iter()
+            .filter(|(_, received)| fresh(received))
+            .map(|(host, _)| *host)
+            .collect()
     }
 
     /// Whether a majority of the members, with this host, was at this revision lately.
-    fn is_vouched(&self, now: Time) -> bool {
+    fn is_attested(&self, now: Time) -> bool {
         let agrees = |host: &HostId| {
-            self.heard.get(host).is_some_and(|heard| {
-                self.is_current_run(host, heard.vouch.incarnation)
-                    && heard.vouch.revision == self.revision
-                    && now.saturating_sub(heard.at) <= self.terms.validity
+            self.received.get(host).is_some_and(|received| {
+                self.is_current_incarnation(host, received.attestation.incarnation)
+                    && received.attestation.revision == self.revision
+                    && now.saturating_sub(received.at) <= self.limits.validity
             })
         };
         let others = self.members.keys().filter(|host| **host != self.own.0);
@@ -198,33 +206,34 @@
         count >= majority(self.members.len())
     }
 
-    fn is_current_run(&self, host: &HostId, incarnation: Incarnation) -> bool {
+    fn is_current_incarnation(&self, host: &HostId, incarnation: Incarnation) -> bool {
         self.members.get(host).is_some_and(|member| member.incarnation == incarnation)
     }
 
     /// Whether `host` has confirmed `revision` and has nothing older under way.
-    fn has_settled(&self, host: &HostId, revision: Revision) -> bool {
-        self.heard.get(host).is_some_and(|heard| {
-            self.is_current_run(host, heard.vouch.incarnation) && heard.vouch.settled >= revision
+    fn has_quiesced(&self, host: &HostId, revision: Revision) -> bool {
+        self.received.get(host).is_some_and(|received| {
+            self.is_current_incarnation(host, received.attestation.incarnation)
+                && received.attestation.quiesced >= revision
         })
     }
 
     /// Whether every member has confirmed `revision`.
-    pub fn is_settled_everywhere(&self, revision: Revision) -> bool {
+    pub fn has_quiesced_everywhere(&self, revision: Revision) -> bool {
         let mut others = self.members.keys().filter(|host| **host != self.own.0);
-        others.all(|host| self.has_settled(host, revision))
+        others.all(|host| self.has_quiesced(host, revision))
     }
 
     /// Whether no majority is left that could vouch for a revision below `revision`.
-    pub fn is_majority_settled(&self, now: Time, revision: Revision) -> bool {
-        let recent = self.terms.vouch_limit + self.terms.validity;
+    pub fn has_majority_quiesced(&self, now: Time, revision: Revision) -> bool {
+        let recent = self.limits.max_attested_age + self.limits.validity;
         let Some(platform_now) = self.platform_now(now) else { return false };
         let is_new = |host: &HostId| {
             let entered = self.members.get(host).map(|member| member.entered);
             entered.is_none_or(|entered| platform_now.saturating_sub(entered) < recent)
         };
         let others = self.members.keys().filter(|host| **host != self.own.0);
-        let settled = others.filter(|host| !is_new(host) && self.has_settled(host, revision));
+        let settled = others.filter(|host| !is_new(host) && self.has_quiesced(host, revision));
         let count = settled.count() + usize::from(!is_new(&self.own.0));
         count > self.members.len() - majority(self.members.len())
     }
@@ -232,31 +241,32 @@
 
 /// A wait until nobody acts on revisions below one that was written.
 #[derive(Debug, Clone, Copy)]
-pub struct Wait {
+pub struct Barrier {
     revision: Revision,
     written: Time,
-    majority_since: Option<Time>,
+    majority_quiesced_at: Option<Time>,
 }
 
-impl Wait {
+impl Barrier {
     /// For `revision`, whose write was confirmed at `written`.
-    pub fn new(revision: Revision, written: Time) -> Wait {
-        Wait { revision, written, majority_since: None }
+    pub fn new(revision: Revision, written: Time) -> Barrier {
+        Barrier { revision, written, majority_quiesced_at: None }
     }
 
     /// Whether nobody acts on an older revision any more.
-    pub fn is_over(&mut self, lease: &Lease, now: Time) -> bool {
-        if lease.is_settled_everywhere(self.revision) {
+    pub fn has_passed(&mut self, lease: &Lease, now: Time) -> bool {
+        if lease.has_quiesced_everywhere(self.revision) {
             return true;
         }
-        if self.majority_since.is_none() && lease.is_majority_settled(now, self.revision) {
-            self.majority_since = Some(now);
+        if self.majority_quiesced_at.is_none() && lease.has_majority_quiesced(now, self.revision) {
+            self.majority_quiesced_at = Some(now);
         }
-        let terms = lease.terms();
-        let validity = terms.validity + terms.guard;
+        let limits = lease.limits();
+        let validity = limits.validity + limits.clock_drift_margin;
         let since_write = now.saturating_sub(self.written);
-        let majority = self.majority_since.is_some_and(|at| now.saturating_sub(at) >= validity);
-        majority || since_write >= validity + terms.vouch_limit
+        let majority =
+            self.majority_quiesced_at.is_some_and(|at| now.saturating_sub(at) >= validity);
+        majority || since_write >= validity + limits.max_attested_age
     }
 }
 
--- a/crates/core/src/proxy/record.rs
+++ b/crates/core/src/proxy/record.rs
@@ -83,7 +83,7 @@
     }
 
     /// Whether a target that holds itself to be the primary of `term` leads by this promotion.
-    pub fn is_led_in(&self, term: Term) -> bool {
+    pub fn accepts_term(&self, term: Term) -> bool {
         term > self.term
     }
 
--- a/crates/core/src/proxy/select.rs
+++ b/crates/core/src/proxy/select.rs
@@ -17,17 +17,17 @@
     /// Its name.
     pub name: TargetName,
     /// Time of an exchange without work.
-    pub distance: Duration,
+    pub round_trip: Duration,
     /// Statements of this host that run or wait there.
     pub in_flight: u32,
     /// Statements that it runs at once.
     pub slots: u32,
     /// Mean time of a statement there.
-    pub work: Duration,
+    pub statement_time: Duration,
     /// Whether an idle connection of the client account is at hand.
     pub has_connection: bool,
     /// Whether another connection may be had at all.
-    pub has_room: bool,
+    pub can_connect: bool,
     /// Position it was last seen at.
     pub position: Position,
     /// Whether it is the primary.
@@ -37,13 +37,13 @@
 impl Candidate {
     /// Expected time until the answer, as far as it differs between targets.
     pub fn cost(&self, floor: Position) -> Duration {
-        let queue = self.work * self.in_flight / self.slots.max(1);
-        let mut cost = self.distance + self.work + queue;
+        let queue = self.statement_time * self.in_flight / self.slots.max(1);
+        let mut cost = self.round_trip + self.statement_time + queue;
         if !self.has_connection {
             cost += CONNECT;
         }
-        if !self.has_connection && !self.has_room {
-            cost += self.work;
+        if !self.has_connection && !self.can_connect {
+            cost += self.statement_time;
         }
         // Of one that was not heard of yet nothing is known, and the primary cannot serve all.
         let is_known = self.position != Position::default();
--- a/crates/core/src/proxy/session.rs
+++ b/crates/core/src/proxy/session.rs
@@ -23,7 +23,7 @@
 
 /// What a connection to a target holds.
 #[derive(Debug, Clone, Default)]
-pub struct Held {
+pub struct ConnectionState {
     /// Values set there.
     pub values: Values,
     /// Shapes prepared there.
@@ -41,7 +41,7 @@
     Prepare(Shape),
 }
 
-impl Held {
+impl ConnectionState {
     /// Steps that make the connection hold `values` and, where one is needed, `shape`.
     pub fn steps(&self, values: &Values, shape: Option<&Shape>) -> Vec<Step> {
         let mut steps = Vec::new();
@@ -65,7 +65,7 @@
     /// Notes that the target has confirmed a step.
     pub fn apply(&mut self, step: &Step) {
         match step {
-            Step::Reset => *self = Held::default(),
+            Step::Reset => *self = ConnectionState::default(),
             Step::Set(name, value) => {
                 self.values.insert(name.clone(), value.clone());
             }
--- a/crates/core/src/proxy/survey.rs
+++ b/crates/core/src/proxy/survey.rs
@@ -34,13 +34,13 @@
     }
 
     /// A replica has stopped receiving.
-    pub fn stop(&mut self, replica: &TargetName, position: Position) {
+    pub fn record_stopped(&mut self, replica: &TargetName, position: Position) {
         self.stopped.insert(replica.clone(), position);
     }
 
     /// The primary before has stepped down. One that has less than it had once has lost its log
     /// and says nothing of what was acknowledged.
-    pub fn depose(&mut self, primary: &TargetName, position: Position) {
+    pub fn record_deposed(&mut self, primary: &TargetName, position: Position) {
         if position >= self.reached {
             self.deposed = Some((primary.clone(), position));
         }
@@ -58,7 +58,7 @@
 
     /// The target that has most of the log, `named` among equals; none before the survey is
     /// complete.
-    pub fn best(&self, named: &TargetName) -> Option<&TargetName> {
+    pub fn most_advanced(&self, named: &TargetName) -> Option<&TargetName> {
         if !self.is_complete() {
             return None;
         }
--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -8,9 +8,9 @@
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Denial, Route};
 use bergamotvale_core::proxy::directory::{Directory, Entry, Role, TargetName};
 use bergamotvale_core::proxy::evidence::{Evidence, View};
-use bergamotvale_core::proxy::failover::{Facts, Watch};
+use bergamotvale_core::proxy::failover::{Monitor, Snapshot};
 use bergamotvale_core::proxy::floor::{History, Observation, Position};
-use bergamotvale_core::proxy::lease::{Lease, Member, Terms, Vouch, Wait};
+use bergamotvale_core::proxy::lease::{Attestation, Barrier, Lease, Limits, Member};
 use bergamotvale_core::proxy::record::Record;
 use common::case;
 use serde::Deserialize;
@@ -81,8 +81,8 @@
     views: BTreeMap<TargetName, View>,
     peers: BTreeMap<HostId, View>,
     positions: BTreeMap<TargetName, Position>,
-    is_carried_out: bool,
-    watch: Watch,
+    is_holder_active: bool,
+    watch: Monitor,
 }
 
 fn entry(name: &str, role: Role) -> (TargetName, Entry) {
@@ -94,7 +94,7 @@
         slots: 3,
         is_leaving: false,
         role,
-        born: 1,
+        start_time: 1,
     };
     (name.into(), entry)
 }
@@ -111,8 +111,8 @@
             views: BTreeMap::new(),
             peers: given.peers.iter().map(|host| (*host, View::Alive)).collect(),
             positions: given.positions.iter().map(|(name, n)| (name.clone(), at(n))).collect(),
-            is_carried_out: true,
-            watch: Watch::default(),
+            is_holder_active: true,
+            watch: Monitor::default(),
         }
     }
 
@@ -127,17 +127,17 @@
             Failover::Promote { target, planned } => {
                 self.record = self.record.promote(target, 1, *planned, 1);
             }
-            Failover::Abandoned => self.is_carried_out = false,
+            Failover::Abandoned => self.is_holder_active = false,
             Failover::Established { term } => self.record = self.record.establish(*term),
             Failover::Look { rank } => {
-                let facts = Facts {
+                let facts = Snapshot {
                     service: SERVICE,
                     record: &self.record,
                     directory: &self.directory,
                     views: &self.views,
-                    peers: &self.peers,
+                    peer_views: &self.peers,
                     positions: &self.positions,
-                    is_carried_out: self.is_carried_out,
+                    is_holder_active: self.is_holder_active,
                 };
                 let change = self.watch.decide(ms(at), *rank, &facts);
                 let said = change.map(|c| format!("{} {}", c.cause, c.candidate));
@@ -158,10 +158,10 @@
 
 // Leases: host 1 of a few.
 
-const TERMS: Terms = Terms {
+const TERMS: Limits = Limits {
     validity: Duration::from_millis(1000),
-    vouch_limit: Duration::from_millis(10_000),
-    guard: Duration::from_millis(50),
+    max_attested_age: Duration::from_millis(10_000),
+    clock_drift_margin: Duration::from_millis(50),
 };
 /// The platform's clock at the beginning: all members entered long ago.
 const PLATFORM: Duration = Duration::from_secs(3600);
@@ -209,7 +209,7 @@
 struct Holder {
     lease: Lease,
     hosts: HostId,
-    wait: Option<Wait>,
+    wait: Option<Barrier>,
 }
 
 fn members(hosts: HostId, runs: &BTreeMap<HostId, u64>) -> BTreeMap<HostId, Member> {
@@ -226,32 +226,32 @@
     fn new(given: &Members) -> Holder {
         let mut lease = Lease::new(1, 1, TERMS);
         lease.adopt(given.revision, members(given.hosts, &BTreeMap::new()));
-        lease.note_clock(Time::ZERO, PLATFORM);
+        lease.set_platform_clock(Time::ZERO, PLATFORM);
         Holder { lease, hosts: given.hosts, wait: None }
     }
 
     fn apply(&mut self, at: u64, event: &Leased) -> Option<String> {
         let now = ms(at);
         match event {
-            Leased::Prove { revision } => self.lease.prove(now, *revision),
+            Leased::Prove { revision } => self.lease.renew(now, *revision),
             Leased::Hear { host, revision, settled, proof_age, run } => {
-                let vouch = Vouch {
+                let vouch = Attestation {
                     host: *host,
                     incarnation: *run,
                     revision: *revision,
-                    settled: settled.unwrap_or(*revision),
-                    proof_age: proof_age.map(ms),
+                    quiesced: settled.unwrap_or(*revision),
+                    renewal_age: proof_age.map(ms),
                 };
-                self.lease.hear(now, vouch);
+                self.lease.record_attestation(now, vouch);
             }
             Leased::Adopt { revision, runs } => {
                 self.lease.adopt(*revision, members(self.hosts, runs));
             }
-            Leased::Wrote { revision } => self.wait = Some(Wait::new(*revision, now)),
+            Leased::Wrote { revision } => self.wait = Some(Barrier::new(*revision, now)),
             Leased::Look => {
                 let held = if self.lease.is_held(now) { "held" } else { "lapsed" };
                 let lease = &self.lease;
-                let force = self.wait.as_mut().map(|wait| wait.is_over(lease, now));
+                let force = self.wait.as_mut().map(|wait| wait.has_passed(lease, now));
                 let force = force.map_or("", |over| if over { ", in force" } else { ", waits" });
                 return Some(format!("{at}: {held}{force}"));
             }
@@ -292,7 +292,7 @@
         let mut history = History::default();
         let mut seen = Vec::new();
         for At { at, event } in &case.events {
-            let floor = history.bounded(ms(*at), ms(case.given.bound));
+            let floor = history.bounded_floor(ms(*at), ms(case.given.bound));
             match *event {
                 Read::Seen { sent, term, number } => {
                     let position = Position { term, number };
@@ -303,7 +303,7 @@
                     seen.push(format!("{at}: {said}"));
                 }
                 Read::Session { term, number } => {
-                    let own = history.session(Position { term, number });
+                    let own = history.session_floor(Position { term, number });
                     let said = floor.map(|floor| floor.max(own).to_string());
                     seen.push(format!("{at}: {}", said.as_deref().unwrap_or("none")));
                 }
@@ -340,11 +340,11 @@
         for At { at, event } in &case.events {
             let now = ms(*at);
             match event {
-                Sign::Ask => evidence.ask(now),
-                Sign::Answer { open } => evidence.answer(now, *open),
-                Sign::Fail => evidence.fail(now),
-                Sign::Depose => evidence.depose(now),
-                Sign::Lead => evidence.lead(),
+                Sign::Ask => evidence.record_request(now),
+                Sign::Answer { open } => evidence.record_response(now, *open),
+                Sign::Fail => evidence.record_connection_failure(now),
+                Sign::Depose => evidence.record_deposed(now),
+                Sign::Lead => evidence.clear_deposed(),
                 Sign::Look => seen.push(format!("{at}: {:?}", evidence.view(now))),
             }
         }
--- a/crates/core/tests/proxy_answers.rs
+++ b/crates/core/tests/proxy_answers.rs
@@ -1,29 +1,29 @@
 //! Answers that are true: every way a statement can end, and what the caller is told.
 
-use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, decide};
-use bergamotvale_core::proxy::session::{Held, Session, Step};
+use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
+use bergamotvale_core::proxy::session::{ConnectionState, Session, Step};
 use bergamotvale_core::proxy::statement::{Access, Shape};
 
 const OUTCOMES: [Outcome; 12] = [
-    Outcome::Refused(Code::Busy),
-    Outcome::Refused(Code::Aborted),
-    Outcome::Refused(Code::Lagging),
-    Outcome::Refused(Code::ReadOnly),
-    Outcome::Refused(Code::Timeout),
-    Outcome::Refused(Code::Failed),
-    Outcome::Refused(Code::UnknownStatement),
-    Outcome::Refused(Code::TooManyConnections),
-    Outcome::Lost,
-    Outcome::Unproven,
-    Outcome::NotTried,
+    Outcome::Error(Code::Busy),
+    Outcome::Error(Code::Aborted),
+    Outcome::Error(Code::Lagging),
+    Outcome::Error(Code::ReadOnly),
+    Outcome::Error(Code::Timeout),
+    Outcome::Error(Code::Failed),
+    Outcome::Error(Code::UnknownStatement),
+    Outcome::Error(Code::TooManyConnections),
+    Outcome::NoResponse,
+    Outcome::Unverified,
+    Outcome::NotAttempted,
     Outcome::NotFresh,
 ];
 
 #[test]
 fn what_may_be_kept_is_never_promised_away() {
-    for outcome in [Outcome::Lost, Outcome::Unproven] {
+    for outcome in [Outcome::NoResponse, Outcome::Unverified] {
         for in_transaction in [false, true] {
-            let code = decide(Effect::Lasting, in_transaction, Sent::Maybe, outcome);
+            let code = response_code(Effect::Lasting, in_transaction, Sent::Maybe, outcome);
             assert_eq!(code, Code::Unknown, "{outcome:?}");
         }
     }
@@ -33,9 +33,9 @@
 fn what_reached_no_target_is_a_promise() {
     for effect in [Effect::None, Effect::Lasting] {
         for in_transaction in [false, true] {
-            for outcome in [Outcome::Lost, Outcome::NotTried, Outcome::NotFresh] {
-                let code = decide(effect, in_transaction, Sent::No, outcome);
-                assert!(code.is_promise(), "{effect:?} {outcome:?} {code}");
+            for outcome in [Outcome::NoResponse, Outcome::NotAttempted, Outcome::NotFresh] {
+                let code = response_code(effect, in_transaction, Sent::No, outcome);
+                assert!(code.guarantees_no_effect(), "{effect:?} {outcome:?} {code}");
             }
         }
     }
@@ -43,15 +43,15 @@
 
 #[test]
 fn a_read_that_was_lost_is_a_promise() {
-    assert_eq!(decide(Effect::None, false, Sent::Maybe, Outcome::Lost), Code::Busy);
-    assert_eq!(decide(Effect::None, true, Sent::Maybe, Outcome::Lost), Code::Aborted);
+    assert_eq!(response_code(Effect::None, false, Sent::Maybe, Outcome::NoResponse), Code::Busy);
+    assert_eq!(response_code(Effect::None, true, Sent::Maybe, Outcome::NoResponse), Code::Aborted);
 }
 
 #[test]
 fn callers_never_hear_of_names_that_they_did_not_choose() {
     for outcome in OUTCOMES {
         for in_transaction in [false, true] {
-            let code = decide(Effect::None, in_transaction, Sent::Maybe, outcome);
+            let code = response_code(Effect::None, in_transaction, Sent::Maybe, outcome);
             assert_ne!(code, Code::UnknownStatement);
             assert_ne!(code, Code::Malformed);
         }
@@ -64,7 +64,7 @@
 
 #[test]
 fn a_connection_is_brought_to_the_sessions_values_and_no_others() {
-    let mut held = Held::default();
+    let mut held = ConnectionState::default();
     held.apply(&Step::Set("zone".into(), "a".into()));
     held.apply(&Step::Prepare(shape("q")));
     let mut session = Session::default();
@@ -76,7 +76,7 @@
 
 #[test]
 fn a_connection_that_matches_needs_no_step() {
-    let mut held = Held::default();
+    let mut held = ConnectionState::default();
     held.apply(&Step::Set("unit".into(), "m".into()));
     held.apply(&Step::Prepare(shape("q")));
     let values = held.values.clone();
@@ -94,7 +94,8 @@
                 let set = (0..3).filter(|i| bits & (1 << i) != 0);
                 set.map(|i| (names[i as usize].to_owned(), value.to_owned())).collect()
             };
-            let mut held = Held { values: values(before, "1"), ..Held::default() };
+            let mut held =
+                ConnectionState { values: values(before, "1"), ..ConnectionState::default() };
             let wanted = values(after, "2");
             for step in held.steps(&wanted, None) {
                 held.apply(&step);
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -2,8 +2,8 @@
 
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Directory, Entry, Role, TargetName};
-use bergamotvale_core::proxy::evidence::{Evidence, REFUSED, SILENCE, View};
-use bergamotvale_core::proxy::failover::{Cause, Facts, Watch, works_elsewhere};
+use bergamotvale_core::proxy::evidence::{Evidence, FAILURE_TIMEOUT, RESPONSE_TIMEOUT, View};
+use bergamotvale_core::proxy::failover::{Cause, Monitor, Snapshot, is_reachable_by_majority};
 use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::record::Record;
 use std::collections::BTreeMap;
@@ -24,7 +24,7 @@
         slots: 3,
         is_leaving: false,
         role,
-        born: 1,
+        start_time: 1,
     }
 }
 
@@ -52,15 +52,15 @@
         }
     }
 
-    fn facts(&self) -> Facts<'_> {
-        Facts {
+    fn facts(&self) -> Snapshot<'_> {
+        Snapshot {
             service: SERVICE,
             record: &self.record,
             directory: &self.directory,
             views: &self.views,
-            peers: &self.peers,
+            peer_views: &self.peers,
             positions: &self.positions,
-            is_carried_out: true,
+            is_holder_active: true,
         }
     }
 
@@ -71,28 +71,28 @@
         }
     }
 
-    fn decide(&self, watch: &mut Watch, at: u64, rank: usize) -> Option<(Cause, String)> {
+    fn decide(&self, watch: &mut Monitor, at: u64, rank: usize) -> Option<(Cause, String)> {
         watch.decide(ms(at), rank, &self.facts()).map(|change| (change.cause, change.candidate))
     }
 }
 
 #[test]
 fn a_healthy_primary_stays() {
-    assert_eq!(World::new().decide(&mut Watch::default(), 0, 0), None);
+    assert_eq!(World::new().decide(&mut Monitor::default(), 0, 0), None);
 }
 
 #[test]
 fn a_primary_that_only_this_host_has_lost_stays() {
     let mut world = World::new();
     world.lose(&[]);
-    assert_eq!(world.decide(&mut Watch::default(), 0, 0), None);
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), None);
 }
 
 #[test]
 fn a_primary_that_most_have_lost_is_replaced_by_the_replica_with_most_of_the_log() {
     let mut world = World::new();
     world.lose(&[2, 3]);
-    let found = world.decide(&mut Watch::default(), 0, 0);
+    let found = world.decide(&mut Monitor::default(), 0, 0);
     assert_eq!(found, Some((Cause::Lost, "s".into())));
 }
 
@@ -100,7 +100,7 @@
 fn hosts_act_in_the_order_of_their_rank() {
     let mut world = World::new();
     world.lose(&[2, 3, 4]);
-    let mut watch = Watch::default();
+    let mut watch = Monitor::default();
     assert_eq!(world.decide(&mut watch, 0, 1), None);
     assert_eq!(world.decide(&mut watch, 149, 1), None);
     assert!(world.decide(&mut watch, 150, 1).is_some());
@@ -110,7 +110,7 @@
 fn a_primary_that_leaves_is_replaced_as_planned_work() {
     let mut world = World::new();
     world.directory.get_mut("p").unwrap().is_leaving = true;
-    let (cause, candidate) = world.decide(&mut Watch::default(), 0, 0).unwrap();
+    let (cause, candidate) = world.decide(&mut Monitor::default(), 0, 0).unwrap();
     assert_eq!(cause, Cause::Leaving);
     let record = world.record.promote(&candidate, 1, true, 1);
     assert!(record.planned && !record.established);
@@ -121,7 +121,7 @@
 fn a_primary_that_is_gone_from_the_directory_is_replaced() {
     let mut world = World::new();
     world.directory.remove("p");
-    assert_eq!(world.decide(&mut Watch::default(), 0, 0), Some((Cause::Lost, "s".into())));
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), Some((Cause::Lost, "s".into())));
 }
 
 #[test]
@@ -129,16 +129,16 @@
     let mut world = World::new();
     world.lose(&[2, 3, 4]);
     world.views.insert("s".into(), View::Lost);
-    assert_eq!(world.decide(&mut Watch::default(), 0, 0), Some((Cause::Lost, "r".into())));
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), Some((Cause::Lost, "r".into())));
     world.directory.get_mut("r").unwrap().is_leaving = true;
-    assert_eq!(world.decide(&mut Watch::default(), 0, 0), None);
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), None);
 }
 
 #[test]
 fn a_promotion_under_way_is_left_alone_until_it_is_stuck() {
     let mut world = World::new();
     world.record = world.record.promote(&"r".into(), 2, false, 1);
-    let mut watch = Watch::default();
+    let mut watch = Monitor::default();
     assert_eq!(world.decide(&mut watch, 0, 0), None);
     assert_eq!(world.decide(&mut watch, 3999, 0), None);
     // The candidate that was named goes first: it may lead already.
@@ -150,7 +150,7 @@
     let mut world = World::new();
     world.record = world.record.promote(&"s".into(), 2, false, 1);
     world.views.insert("s".into(), View::Lost);
-    assert_eq!(world.decide(&mut Watch::default(), 0, 0), Some((Cause::Stuck, "r".into())));
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), Some((Cause::Stuck, "r".into())));
 }
 
 #[test]
@@ -164,28 +164,28 @@
 fn silence_counts_only_after_a_question() {
     let mut evidence = Evidence::default();
     assert_eq!(evidence.view(ms(60_000)), View::Alive);
-    evidence.ask(ms(1000));
-    assert_eq!(evidence.view(ms(1000) + SILENCE - ms(1)), View::Alive);
-    assert_eq!(evidence.view(ms(1000) + SILENCE), View::Lost);
-    evidence.answer(ms(2000), false);
+    evidence.record_request(ms(1000));
+    assert_eq!(evidence.view(ms(1000) + RESPONSE_TIMEOUT - ms(1)), View::Alive);
+    assert_eq!(evidence.view(ms(1000) + RESPONSE_TIMEOUT), View::Lost);
+    evidence.record_response(ms(2000), false);
     assert_eq!(evidence.view(ms(60_000)), View::Alive);
 }
 
 #[test]
 fn an_answer_to_one_question_leaves_the_others_open() {
     let mut evidence = Evidence::default();
-    evidence.ask(ms(0));
-    evidence.answer(ms(600), true);
-    assert_eq!(evidence.view(ms(599) + SILENCE), View::Alive);
-    assert_eq!(evidence.view(ms(600) + SILENCE), View::Lost);
+    evidence.record_request(ms(0));
+    evidence.record_response(ms(600), true);
+    assert_eq!(evidence.view(ms(599) + RESPONSE_TIMEOUT), View::Alive);
+    assert_eq!(evidence.view(ms(600) + RESPONSE_TIMEOUT), View::Lost);
 }
 
 #[test]
 fn refused_connections_count_soon_and_one_sign_of_life_clears_them() {
     let mut evidence = Evidence::default();
-    evidence.fail(ms(0));
-    assert_eq!(evidence.view(REFUSED), View::Lost);
-    evidence.answer(ms(200), false);
+    evidence.record_connection_failure(ms(0));
+    assert_eq!(evidence.view(FAILURE_TIMEOUT), View::Lost);
+    evidence.record_response(ms(200), false);
     assert_eq!(evidence.view(ms(900)), View::Alive);
 }
 
@@ -196,12 +196,12 @@
     let world = World::new();
     let first = world.record.promote(&"s".into(), 2, false, 1).establish(2);
     let second = first.promote(&"p".into(), 3, false, 2);
-    assert!(!second.is_led_in(1));
-    assert!(!second.is_led_in(2));
-    assert!(second.is_led_in(3));
+    assert!(!second.accepts_term(1));
+    assert!(!second.accepts_term(2));
+    assert!(second.accepts_term(3));
     // Whoever goes on with it keeps the term that has to be exceeded.
     let resumed = second.promote(&"p".into(), 4, false, 0);
-    assert!(!resumed.is_led_in(2));
+    assert!(!resumed.accepts_term(2));
 }
 
 /// Pattern: primary cut off from some hosts.
@@ -211,8 +211,8 @@
         let alive = (0..alive).map(|host| (host, View::Alive));
         alive.chain((100..100 + lost).map(|host| (host, View::Lost))).collect()
     };
-    assert!(works_elsewhere(&views(2, 1)));
-    assert!(!works_elsewhere(&views(1, 1)));
-    assert!(!works_elsewhere(&views(0, 3)));
-    assert!(!works_elsewhere(&views(0, 0)));
+    assert!(is_reachable_by_majority(&views(2, 1)));
+    assert!(!is_reachable_by_majority(&views(1, 1)));
+    assert!(!is_reachable_by_majority(&views(0, 3)));
+    assert!(!is_reachable_by_majority(&views(0, 0)));
 }
--- a/crates/core/tests/proxy_lease.rs
+++ b/crates/core/tests/proxy_lease.rs
@@ -1,14 +1,14 @@
 //! Leases: proofs, vouching, and the wait until nobody acts on an older revision.
 
 use bergamotvale_core::id::{HostId, Time};
-use bergamotvale_core::proxy::lease::{Lease, Member, Terms, Vouch, Wait};
+use bergamotvale_core::proxy::lease::{Attestation, Barrier, Lease, Limits, Member};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-const TERMS: Terms = Terms {
+const TERMS: Limits = Limits {
     validity: Duration::from_millis(1000),
-    vouch_limit: Duration::from_millis(10_000),
-    guard: Duration::from_millis(50),
+    max_attested_age: Duration::from_millis(10_000),
+    clock_drift_margin: Duration::from_millis(50),
 };
 
 fn ms(millis: u64) -> Time {
@@ -30,19 +30,25 @@
 fn lease(count: HostId) -> Lease {
     let mut lease = Lease::new(1, 1, TERMS);
     lease.adopt(5, members(count));
-    lease.note_clock(ms(0), PLATFORM);
+    lease.set_platform_clock(ms(0), PLATFORM);
     lease
 }
 
-fn vouch(host: HostId, revision: u64, proof_age: Option<u64>) -> Vouch {
-    Vouch { host, incarnation: 1, revision, settled: revision, proof_age: proof_age.map(ms) }
+fn vouch(host: HostId, revision: u64, proof_age: Option<u64>) -> Attestation {
+    Attestation {
+        host,
+        incarnation: 1,
+        revision,
+        quiesced: revision,
+        renewal_age: proof_age.map(ms),
+    }
 }
 
 #[test]
 fn a_read_of_the_platform_proves_from_when_it_was_sent() {
     let mut lease = lease(4);
     assert!(!lease.is_held(ms(0)));
-    lease.prove(ms(100), 5);
+    lease.renew(ms(100), 5);
     assert!(lease.is_held(ms(1100)));
     assert!(!lease.is_held(ms(1101)));
 }
@@ -50,26 +56,26 @@
 #[test]
 fn a_read_that_shows_a_newer_revision_proves_nothing() {
     let mut lease = lease(4);
-    lease.prove(ms(100), 6);
+    lease.renew(ms(100), 6);
     assert!(!lease.is_held(ms(100)));
 }
 
 #[test]
 fn a_newer_revision_ends_the_proof_of_the_older() {
     let mut lease = lease(4);
-    lease.prove(ms(100), 5);
+    lease.renew(ms(100), 5);
     lease.adopt(6, members(4));
     assert!(!lease.is_held(ms(200)));
-    lease.prove(ms(200), 6);
+    lease.renew(ms(200), 6);
     assert!(lease.is_held(ms(200)));
 }
 
 #[test]
 fn a_peers_proof_counts_with_its_age_and_only_at_the_same_revision() {
     let mut lease = lease(4);
-    lease.hear(ms(500), vouch(2, 4, Some(100)));
+    lease.record_attestation(ms(500), vouch(2, 4, Some(100)));
     assert!(!lease.is_held(ms(500)));
-    lease.hear(ms(500), vouch(2, 5, Some(100)));
+    lease.record_attestation(ms(500), vouch(2, 5, Some(100)));
     assert!(lease.is_held(ms(1400)));
     assert!(!lease.is_held(ms(1401)));
 }
@@ -78,18 +84,18 @@
 fn a_host_that_the_table_does_not_record_holds_nothing() {
     let mut lease = Lease::new(1, 2, TERMS);
     lease.adopt(5, members(4));
-    lease.prove(ms(0), 5);
+    lease.renew(ms(0), 5);
     assert!(!lease.is_held(ms(0)));
 }
 
 #[test]
 fn a_majority_vouches_while_the_store_is_away_for_a_bounded_time() {
     let mut lease = lease(4);
-    lease.prove(ms(0), 5);
+    lease.renew(ms(0), 5);
     for at in [3000, 9500, 10_500] {
-        lease.hear(ms(at), vouch(2, 5, None));
+        lease.record_attestation(ms(at), vouch(2, 5, None));
         assert!(!lease.is_held(ms(at)), "two of four are no majority");
-        lease.hear(ms(at), vouch(3, 5, None));
+        lease.record_attestation(ms(at), vouch(3, 5, None));
         assert_eq!(lease.is_held(ms(at)), at < 10_000);
     }
 }
@@ -97,65 +103,65 @@
 #[test]
 fn a_host_that_knows_of_a_newer_revision_does_not_vouch() {
     let mut lease = lease(3);
-    lease.prove(ms(0), 5);
-    lease.hear(ms(3000), vouch(2, 5, None));
+    lease.renew(ms(0), 5);
+    lease.record_attestation(ms(3000), vouch(2, 5, None));
     assert!(lease.is_held(ms(3000)));
-    lease.hear(ms(3100), vouch(2, 6, None));
+    lease.record_attestation(ms(3100), vouch(2, 6, None));
     assert!(!lease.is_held(ms(3100)));
 }
 
 #[test]
 fn an_earlier_run_of_a_host_does_not_vouch() {
     let mut lease = lease(3);
-    lease.prove(ms(0), 5);
-    lease.hear(ms(3000), Vouch { incarnation: 9, ..vouch(2, 5, None) });
+    lease.renew(ms(0), 5);
+    lease.record_attestation(ms(3000), Attestation { incarnation: 9, ..vouch(2, 5, None) });
     assert!(!lease.is_held(ms(3000)));
 }
 
 #[test]
 fn a_heartbeat_that_arrives_late_does_not_replace_a_later_one() {
     let mut lease = lease(3);
-    lease.prove(ms(0), 5);
-    lease.hear(ms(3100), vouch(2, 6, None));
-    lease.hear(ms(3000), vouch(2, 5, None));
+    lease.renew(ms(0), 5);
+    lease.record_attestation(ms(3100), vouch(2, 6, None));
+    lease.record_attestation(ms(3000), vouch(2, 5, None));
     assert!(!lease.is_held(ms(3100)));
 }
 
 #[test]
 fn a_wait_ends_at_once_when_every_member_has_settled() {
     let mut lease = lease(3);
-    let mut wait = Wait::new(5, ms(100));
-    lease.hear(ms(120), vouch(2, 5, None));
-    assert!(!wait.is_over(&lease, ms(120)));
-    lease.hear(ms(125), vouch(3, 5, None));
-    assert!(wait.is_over(&lease, ms(125)));
+    let mut wait = Barrier::new(5, ms(100));
+    lease.record_attestation(ms(120), vouch(2, 5, None));
+    assert!(!wait.has_passed(&lease, ms(120)));
+    lease.record_attestation(ms(125), vouch(3, 5, None));
+    assert!(wait.has_passed(&lease, ms(125)));
 }
 
 #[test]
 fn a_peer_with_older_work_under_way_is_waited_for() {
     let mut lease = lease(2);
-    let mut wait = Wait::new(5, ms(100));
-    lease.hear(ms(120), Vouch { settled: 4, ..vouch(2, 5, None) });
-    assert!(!wait.is_over(&lease, ms(120)));
+    let mut wait = Barrier::new(5, ms(100));
+    lease.record_attestation(ms(120), Attestation { quiesced: 4, ..vouch(2, 5, None) });
+    assert!(!wait.has_passed(&lease, ms(120)));
 }
 
 #[test]
 fn with_a_silent_host_the_wait_takes_the_validity_from_the_majoritys_word() {
     let mut lease = lease(4);
-    let mut wait = Wait::new(5, ms(100));
-    lease.hear(ms(300), vouch(2, 5, None));
+    let mut wait = Barrier::new(5, ms(100));
+    lease.record_attestation(ms(300), vouch(2, 5, None));
     // Two of four have settled: the other two are no majority.
-    assert!(!wait.is_over(&lease, ms(300)));
-    assert!(!wait.is_over(&lease, ms(1349)));
-    assert!(wait.is_over(&lease, ms(1350)));
+    assert!(!wait.has_passed(&lease, ms(300)));
+    assert!(!wait.has_passed(&lease, ms(1349)));
+    assert!(wait.has_passed(&lease, ms(1350)));
 }
 
 #[test]
 fn with_a_silent_majority_the_wait_takes_the_vouch_limit_and_the_validity() {
     let lease = lease(4);
-    let mut wait = Wait::new(5, ms(100));
-    assert!(!wait.is_over(&lease, ms(11_149)));
-    assert!(wait.is_over(&lease, ms(11_150)));
+    let mut wait = Barrier::new(5, ms(100));
+    assert!(!wait.has_passed(&lease, ms(11_149)));
+    assert!(wait.has_passed(&lease, ms(11_150)));
 }
 
 #[test]
@@ -165,10 +171,10 @@
     with_new.insert(4, member(1, PLATFORM));
     lease.adopt(6, with_new);
     // 2 and 3 may still vouch for each other under the table without 4.
-    lease.hear(ms(10), vouch(4, 6, None));
-    assert!(!lease.is_majority_settled(ms(10), 6));
-    lease.hear(ms(20), vouch(2, 6, None));
-    assert!(lease.is_majority_settled(ms(20), 6));
+    lease.record_attestation(ms(10), vouch(4, 6, None));
+    assert!(!lease.has_majority_quiesced(ms(10), 6));
+    lease.record_attestation(ms(20), vouch(2, 6, None));
+    assert!(lease.has_majority_quiesced(ms(20), 6));
 }
 
 /// Pattern: half of the hosts back at once, beside one that is gone for good.
@@ -181,21 +187,21 @@
         table.insert(host, member(2, ms(0)));
         lease.adopt(5 + u64::from(host), table.clone());
     }
-    lease.note_clock(ms(0), PLATFORM);
-    let mut wait = Wait::new(9, ms(0));
+    lease.set_platform_clock(ms(0), PLATFORM);
+    let mut wait = Barrier::new(9, ms(0));
     for host in 2..=4 {
-        lease.hear(ms(100), Vouch { incarnation: 2, ..vouch(host, 9, None) });
+        lease.record_attestation(ms(100), Attestation { incarnation: 2, ..vouch(host, 9, None) });
     }
-    assert!(!wait.is_over(&lease, ms(100)));
-    assert!(wait.is_over(&lease, ms(1150)));
+    assert!(!wait.has_passed(&lease, ms(100)));
+    assert!(wait.has_passed(&lease, ms(1150)));
 }
 
 #[test]
 fn without_the_platforms_clock_every_member_counts_as_new() {
     let mut lease = Lease::new(1, 1, TERMS);
     lease.adopt(5, members(3));
-    lease.hear(ms(10), vouch(2, 5, None));
-    lease.hear(ms(10), vouch(3, 5, None));
-    assert!(!lease.is_majority_settled(ms(10), 5));
-    assert!(lease.is_settled_everywhere(5));
+    lease.record_attestation(ms(10), vouch(2, 5, None));
+    lease.record_attestation(ms(10), vouch(3, 5, None));
+    assert!(!lease.has_majority_quiesced(ms(10), 5));
+    assert!(lease.has_quiesced_everywhere(5));
 }
--- a/crates/core/tests/proxy_reads.rs
+++ b/crates/core/tests/proxy_reads.rs
@@ -24,23 +24,23 @@
 #[test]
 fn the_oldest_observation_within_the_bound_is_the_floor() {
     let history = history(&[(0, at(1, 1)), (500, at(1, 5)), (1000, at(1, 9))]);
-    assert_eq!(history.bounded(ms(1200), ms(1000)), Some(at(1, 5)));
-    assert_eq!(history.bounded(ms(1500), ms(1000)), Some(at(1, 5)));
-    assert_eq!(history.bounded(ms(1501), ms(1000)), Some(at(1, 9)));
+    assert_eq!(history.bounded_floor(ms(1200), ms(1000)), Some(at(1, 5)));
+    assert_eq!(history.bounded_floor(ms(1500), ms(1000)), Some(at(1, 5)));
+    assert_eq!(history.bounded_floor(ms(1501), ms(1000)), Some(at(1, 9)));
 }
 
 #[test]
 fn without_an_observation_within_the_bound_there_is_no_floor() {
     let history = history(&[(0, at(1, 1))]);
-    assert_eq!(history.bounded(ms(2000), ms(1000)), None);
-    assert_eq!(History::default().bounded(ms(0), ms(1000)), None);
+    assert_eq!(history.bounded_floor(ms(2000), ms(1000)), None);
+    assert_eq!(History::default().bounded_floor(ms(0), ms(1000)), None);
 }
 
 #[test]
 fn a_session_that_saw_an_erased_position_waits_for_the_new_terms_start() {
     let history = history(&[(0, at(1, 90)), (1000, at(2, 3)), (1100, at(2, 7))]);
-    assert_eq!(history.session(at(1, 95)), at(2, 3));
-    assert_eq!(history.session(at(2, 5)), at(2, 5));
+    assert_eq!(history.session_floor(at(1, 95)), at(2, 3));
+    assert_eq!(history.session_floor(at(2, 5)), at(2, 5));
 }
 
 #[test]
@@ -58,7 +58,7 @@
         if now % 7 == 0 || now % 31 < 3 {
             history.observe(ms(now), Observation { at: ms(now), position: at(1, now) });
         }
-        if let Some(floor) = history.bounded(ms(now), ms(300)) {
+        if let Some(floor) = history.bounded_floor(ms(now), ms(300)) {
             let acknowledged = now.saturating_sub(300);
             assert!(floor.number >= acknowledged, "at {now}: {floor} misses {acknowledged}");
         }
@@ -68,12 +68,12 @@
 fn candidate(name: &str) -> Candidate {
     Candidate {
         name: name.into(),
-        distance: ms(1),
+        round_trip: ms(1),
         in_flight: 0,
         slots: 3,
-        work: ms(24),
+        statement_time: ms(24),
         has_connection: true,
-        has_room: true,
+        can_connect: true,
         position: at(1, 10),
         is_primary: false,
     }
@@ -82,7 +82,7 @@
 #[test]
 fn a_read_stays_near_until_the_queue_there_costs_more() {
     let near = candidate("near");
-    let far = Candidate { distance: ms(4), ..candidate("far") };
+    let far = Candidate { round_trip: ms(4), ..candidate("far") };
     let chosen = |near: &Candidate| {
         choose(&[near.clone(), far.clone()], at(1, 1), &[]).unwrap().name.clone()
     };
--- a/crates/core/tests/proxy_search.rs
+++ b/crates/core/tests/proxy_search.rs
@@ -9,7 +9,7 @@
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::proxy::floor::{History, Observation, Position};
-use bergamotvale_core::proxy::lease::{Lease, Member, Terms, Vouch, Wait};
+use bergamotvale_core::proxy::lease::{Attestation, Barrier, Lease, Limits, Member};
 use bergamotvale_core::rate::bucket::{Amount, LOAN_LIFETIME, MICRO};
 use bergamotvale_core::rate::meter::{Ask, Decision, Meter, micro};
 use bergamotvale_core::rate::part_of;
@@ -20,10 +20,10 @@
 
 const HOSTS: HostId = 4;
 const TARGETS: usize = 3;
-const TERMS: Terms = Terms {
+const TERMS: Limits = Limits {
     validity: Duration::from_millis(300),
-    vouch_limit: Duration::from_millis(900),
-    guard: Duration::from_millis(20),
+    max_attested_age: Duration::from_millis(900),
+    clock_drift_margin: Duration::from_millis(20),
 };
 /// Longest delay of a message that is not lost.
 const MAX_DELAY: u64 = 40;
@@ -92,7 +92,7 @@
 
 #[derive(Debug, Clone)]
 enum Message {
-    Beat { from: HostId, vouch: Vouch, echo: Option<(u64, Time)>, number: u64, row: Row },
+    Beat { from: HostId, vouch: Attestation, echo: Option<(u64, Time)>, number: u64, row: Row },
     Read { to: HostId, sent: Time, row: Row, members: BTreeMap<HostId, Member> },
     Call { host: HostId, fence: u64, target: usize, sent: Time },
     Borrow { from: HostId, ask: Ask, asked: Time },
@@ -108,7 +108,7 @@
     sent: BTreeMap<u64, Time>,
     number: u64,
     heard: BTreeMap<HostId, (u64, u64, Time)>,
-    promotion: Option<(Row, Wait)>,
+    promotion: Option<(Row, Barrier)>,
     /// Record under which a call was made whose effect may still come, and until when.
     calling: Option<(Row, Time)>,
     /// Fence of the last call that the platform took, and when.
@@ -129,7 +129,7 @@
         Defect::CountsAlone => (micro(RATE), micro(BURST)),
         _ => part_of(ACCOUNT, (RATE, BURST), &members, id, HOSTS as usize),
     };
-    let mut meter = Meter::new(TERMS.validity + TERMS.guard, true);
+    let mut meter = Meter::new(TERMS.validity + TERMS.clock_drift_margin, true);
     meter.set_peers(members.into_iter().filter(|peer| *peer != id).collect());
     meter.open_part(ACCOUNT, rate, burst, OPENING, now);
     meter
@@ -487,12 +487,12 @@
         host.number += 1;
         let number = host.number;
         host.sent.insert(number, now);
-        let vouch = Vouch {
+        let vouch = Attestation {
             host: id,
             incarnation: host.incarnation,
             revision: host.lease.revision(),
-            settled: host.settled(now, defect),
-            proof_age: host.lease.proof_age(now),
+            quiesced: host.settled(now, defect),
+            renewal_age: host.lease.renewal_age(now),
         };
         let heard = host.heard.clone();
         for peer in (0..HOSTS).filter(|peer| *peer != id) {
@@ -515,8 +515,8 @@
                     host.row = Some(row);
                     host.lease.adopt(row.revision, members);
                 }
-                host.lease.note_clock(now, platform + Duration::from_secs(60));
-                host.lease.prove(sent, row.revision);
+                host.lease.set_platform_clock(now, platform + Duration::from_secs(60));
+                host.lease.renew(sent, row.revision);
             }
             Message::Beat { from, vouch, echo, number, row } => {
                 let is_later = host
@@ -529,7 +529,7 @@
                 if let Some((echoed, delay)) = echo
                     && let Some(sent) = host.sent.get(&echoed)
                 {
-                    host.lease.hear(*sent + delay, vouch);
+                    host.lease.record_attestation(*sent + delay, vouch);
                 }
                 // Word that the candidate leads, under the same revision.
                 if let Some(known) = &mut host.row
@@ -557,7 +557,7 @@
                 return;
             }
             let own = host.settled(now, defect) >= mine.revision;
-            let over = wait.is_over(&host.lease, now);
+            let over = wait.has_passed(&host.lease, now);
             let in_force = defect == Defect::DoesNotWait || (own && over);
             if !in_force || !holds {
                 host.promotion = Some((mine, wait));
@@ -603,7 +603,7 @@
         let host = self.host(id);
         host.row = Some(written);
         host.lease.adopt(written.revision, members);
-        host.promotion = Some((written, Wait::new(written.revision, now)));
+        host.promotion = Some((written, Barrier::new(written.revision, now)));
     }
 
     /// The primary that a host would use now.
@@ -650,7 +650,7 @@
     /// A read that may be old, at any target whose log covers the floor.
     fn read_replica(&mut self, id: HostId) {
         let now = ms(self.now);
-        let Some(floor) = self.hosts[id as usize].history.bounded(now, BOUND) else { return };
+        let Some(floor) = self.hosts[id as usize].history.bounded_floor(now, BOUND) else { return };
         let index = self.rng.random_range(0..TARGETS);
         let target = &self.targets[index];
         let last = target.log.last().copied().unwrap_or_default();
--- a/crates/core/tests/survey.rs
+++ b/crates/core/tests/survey.rs
@@ -41,10 +41,16 @@
     let mut seen = Vec::new();
     for event in &case.events {
         match event {
-            Happening::Stopped { target, position: at } => survey.stop(target, position(*at)),
-            Happening::Deposed { target, position: at } => survey.depose(target, position(*at)),
+            Happening::Stopped { target, position: at } => {
+                survey.record_stopped(target, position(*at))
+            }
+            Happening::Deposed { target, position: at } => {
+                survey.record_deposed(target, position(*at))
+            }
             Happening::Look => {
-                seen.push(survey.best(named).cloned().unwrap_or_else(|| "none".to_owned()));
+                seen.push(
+                    survey.most_advanced(named).cloned().unwrap_or_else(|| "none".to_owned()),
+                );
             }
         }
     }
--- a/crates/host/tests/sessions/faults.rs
+++ b/crates/host/tests/sessions/faults.rs
@@ -17,7 +17,7 @@
         match session.run(&caller::write(item, data)).end {
             End::Done => return,
             End::Error(code) => {
-                assert!(code.is_promise() || code == Code::Unknown, "{code}");
+                assert!(code.guarantees_no_effect() || code == Code::Unknown, "{code}");
             }
             End::Ready => panic!("an answer without an end"),
         }
@@ -169,7 +169,7 @@
     let answer = paused.run(&caller::read("bolt"));
     match answer.end {
         End::Done => assert!(answer.first_row().is_some_and(|row| row.starts_with("2|"))),
-        end => assert!(matches!(end, End::Error(code) if code.is_promise()), "{end:?}"),
+        end => assert!(matches!(end, End::Error(code) if code.guarantees_no_effect()), "{end:?}"),
     }
 }
 
@@ -333,7 +333,7 @@
     std::thread::sleep(Duration::from_secs(6));
     assert!(!replicas[0].is_primary(), "a replica without an acknowledged commit was promoted");
     let (code, _) = session.refused(&caller::write("bolt", "2"));
-    assert!(code.is_promise(), "{code}");
+    assert!(code.guarantees_no_effect(), "{code}");
 }
 
 /// Found by the soak, seed 8: a dead target's longer log, which had gone another way, passed for a
--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -206,7 +206,7 @@
         groups: [(SERVICE.into(), Group { connection_limit: 21, sync_replicas: 0 })].into(),
         accounts: ["mill", "shop"].into_iter().map(|n| (n.to_owned(), account(n))).collect(),
         keys: [(KEY.into(), "mill".into()), (OTHER_KEY.into(), "shop".into())].into(),
-        transaction_idle_limit: Duration::from_secs(3),
+        transaction_idle_timeout: Duration::from_secs(3),
     }
 }
 
--- a/crates/host/tests/sessions/path.rs
+++ b/crates/host/tests/sessions/path.rs
@@ -107,7 +107,7 @@
 #[test]
 fn a_transaction_that_rests_too_long_is_rolled_back_and_its_caller_is_told() {
     let mut catalog = fixture::catalog();
-    catalog.transaction_idle_limit = std::time::Duration::from_millis(300);
+    catalog.transaction_idle_timeout = std::time::Duration::from_millis(300);
     let fleet = Fleet::start_with(1, catalog);
     let mut one = fleet.session(0, STRICT);
     one.done(caller::begin(false), State::Open);
--- a/crates/host/tests/sessions/soak/caller.rs
+++ b/crates/host/tests/sessions/soak/caller.rs
@@ -98,7 +98,7 @@
 fn note(world: &World, item: &str, number: u64, answer: Option<&Answer>) {
     match answer.map(|answer| answer.end) {
         Some(End::Done) => world.ledger.acknowledge(item, number),
-        Some(End::Error(code)) if code.is_promise() => world.ledger.refuse(item, number),
+        Some(End::Error(code)) if code.guarantees_no_effect() => world.ledger.refuse(item, number),
         _ => world.ledger.lose(),
     }
 }
--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -179,7 +179,7 @@
     /// Time at which the open transaction is ended unless the caller goes on.
     fn transaction_limit(&mut self) -> Option<Instant> {
         let Phase::Open(transaction) = &mut self.phase else { return None };
-        let rest = self.host.catalog.borrow().transaction_idle_limit;
+        let rest = self.host.catalog.borrow().transaction_idle_timeout;
         let idle = transaction.rested_since + rest;
         let service = self.context.as_ref().map_or("", |context| context.service.as_str());
         let ends = transaction.ends_at(&self.host, service);
--- a/crates/sessions/src/connection.rs
+++ b/crates/sessions/src/connection.rs
@@ -9,7 +9,7 @@
 use bergamotvale_core::proxy::directory::Entry;
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::record::Fence;
-use bergamotvale_core::proxy::session::{Held, Step, Values};
+use bergamotvale_core::proxy::session::{ConnectionState, Step, Values};
 use bergamotvale_core::proxy::statement::Shape;
 use bergamotvale_platform::line::{self, Answer, End, State, TargetCodec};
 use bergamotvale_platform::text;
@@ -60,7 +60,7 @@
     /// Client account that it belongs to.
     pub account: String,
     /// What earlier sessions left on it.
-    pub held: Held,
+    pub held: ConnectionState,
     stream: TcpStream,
     buffer: BytesMut,
     codec: TargetCodec,
@@ -101,7 +101,7 @@
         let stream = open_stream(entry.address).await.map_err(|_| Failure::Lost)?;
         let mut connection = Connection {
             account: account.to_owned(),
-            held: Held::default(),
+            held: ConnectionState::default(),
             stream,
             buffer: BytesMut::with_capacity(READ_SIZE),
             codec: TargetCodec::default(),
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -134,7 +134,9 @@
         match directory::decode(&row.key, value) {
             Ok(entry) => {
                 let known = entries.get(&row.key);
-                if known.is_none_or(|k| k.is_leaving != entry.is_leaving || k.born != entry.born) {
+                if known.is_none_or(|k| {
+                    k.is_leaving != entry.is_leaving || k.start_time != entry.start_time
+                }) {
                     host.journal.write(&Event::Target {
                         target: &entry.name,
                         service: &entry.service,
@@ -218,8 +220,8 @@
         let revision = host.peers.table.borrow().revision;
         {
             let mut lease = host.lease.borrow_mut();
-            lease.note_clock(boot_clock::now(), news.platform_now);
-            lease.prove(news.sent, revision);
+            lease.set_platform_clock(boot_clock::now(), news.platform_now);
+            lease.renew(news.sent, revision);
         }
         join_again(&host);
         host.holds_lease();
@@ -229,20 +231,20 @@
 
 /// Whether this host proves the lease for others, or has to do it for itself.
 pub fn is_prover(host: &Host) -> bool {
-    let age = host.lease.borrow().proof_age(boot_clock::now());
+    let age = host.lease.borrow().renewal_age(boot_clock::now());
     age.is_none_or(|age| age > PROOF_LIMIT) || is_lowest(host)
 }
 
 /// Whether this host has the lowest id of those that are alive.
 pub fn is_lowest(host: &Host) -> bool {
-    let alive = host.lease.borrow().peers_alive(boot_clock::now(), PROOF_LIMIT);
+    let alive = host.lease.borrow().live_peers(boot_clock::now(), PROOF_LIMIT);
     alive.iter().all(|peer| *peer > host.id)
 }
 
 /// Notes that the store is away if neither this host nor a peer has heard of it for long.
 pub fn note_outage(host: &Host, heard: &mut Time) {
     let now = boot_clock::now();
-    let proof_age = host.lease.borrow().proof_age(now);
+    let proof_age = host.lease.borrow().renewal_age(now);
     *heard = proof_age.map_or(*heard, |age| now.saturating_sub(age).max(*heard));
     if now.saturating_sub(*heard) > OUTAGE {
         host.store_away_at.set(now);
@@ -253,7 +255,7 @@
 async fn proof_grows_old(host: &Host) {
     loop {
         tokio::time::sleep(PROOF_LOOK).await;
-        let age = host.lease.borrow().proof_age(boot_clock::now());
+        let age = host.lease.borrow().renewal_age(boot_clock::now());
         if age.is_none_or(|age| age > PROOF_LIMIT) {
             return;
         }
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -12,7 +12,7 @@
 use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::{Observation, Position};
-use bergamotvale_core::proxy::lease::{Revision, Vouch};
+use bergamotvale_core::proxy::lease::{Attestation, Revision};
 use bergamotvale_core::proxy::record::{Fence, Term};
 use bergamotvale_core::rate::meter::Ask;
 use bytes::Bytes;
@@ -62,7 +62,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Beat {
     /// The sender's lease.
-    pub vouch: Vouch,
+    pub vouch: Attestation,
     /// Number of this heartbeat among the sender's.
     pub number: u64,
     /// Number of the receiver's last heartbeat, and how long ago it came.
@@ -322,7 +322,7 @@
         host.peers.note_change(*source, *revision);
     }
     let Some(made) = host.peers.made_after(beat.echo) else { return };
-    host.lease.borrow_mut().hear(made, beat.vouch);
+    host.lease.borrow_mut().record_attestation(made, beat.vouch);
     for (service, word) in beat.groups {
         take_word(host, &service, &word, made, now);
     }
@@ -413,12 +413,12 @@
     let settled = host.settled();
     let (vouch, members) = {
         let lease = host.lease.borrow();
-        let vouch = Vouch {
+        let vouch = Attestation {
             host: host.id,
             incarnation: host.incarnation,
             revision: lease.revision(),
-            settled,
-            proof_age: lease.proof_age(now),
+            quiesced: settled,
+            renewal_age: lease.renewal_age(now),
         };
         (vouch, lease.members().clone())
     };
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -12,8 +12,8 @@
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Entry, Role, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
-use bergamotvale_core::proxy::failover::{Cause, Change, Facts, Watch};
-use bergamotvale_core::proxy::lease::{Revision, Wait};
+use bergamotvale_core::proxy::failover::{Cause, Monitor, Replacement, Snapshot};
+use bergamotvale_core::proxy::lease::{Barrier, Revision};
 use bergamotvale_core::proxy::record::{Record, Term};
 use bergamotvale_core::rendezvous::{Subject, choose};
 use bergamotvale_platform::Error;
@@ -48,7 +48,7 @@
 
 /// Looks at all groups until the process ends.
 pub async fn watch(host: Rc<Host>) {
-    let mut watches: BTreeMap<String, Watch> = BTreeMap::new();
+    let mut watches: BTreeMap<String, Monitor> = BTreeMap::new();
     let running: Rc<RefCell<BTreeSet<String>>> = Rc::default();
     loop {
         tokio::time::sleep(LOOK).await;
@@ -77,32 +77,32 @@
     /// The group has no record yet.
     First(Record),
     /// Its primary has to be replaced.
-    Change(Stored, Change),
+    Change(Stored, Replacement),
 }
 
-fn due(host: &Host, service: &str, watch: &mut Watch) -> Option<Due> {
+fn due(host: &Host, service: &str, watch: &mut Monitor) -> Option<Due> {
     let stored = host.records.borrow().get(service).cloned();
     let directory = host.directory.borrow();
     let Some(stored) = stored else {
         let is_first = rank(host, service) == 0;
         return Record::first(&directory, service, host.id).filter(|_| is_first).map(Due::First);
     };
-    let facts = Facts {
+    let snapshot = Snapshot {
         service,
         record: &stored.record,
         directory: &directory,
         views: &host.targets.views(),
-        peers: &host.peers.views(service, stored.record.fence, host.peer_limit()),
+        peer_views: &host.peers.views(service, stored.record.fence, host.peer_limit()),
         positions: &host.targets.positions(),
-        is_carried_out: is_alive(host, stored.record.holder),
+        is_holder_active: is_alive(host, stored.record.holder),
     };
-    let change = watch.decide(boot_clock::now(), rank(host, service), &facts)?;
+    let change = watch.decide(boot_clock::now(), rank(host, service), &snapshot)?;
     Some(Due::Change(stored.clone(), change))
 }
 
 /// Whether another host is alive. This one is not at the work of a group that it looks at.
 fn is_alive(host: &Host, other: HostId) -> bool {
-    let alive = host.lease.borrow().peers_alive(boot_clock::now(), host.peer_limit());
+    let alive = host.lease.borrow().live_peers(boot_clock::now(), host.peer_limit());
     alive.contains(&other)
 }
 
@@ -110,7 +110,7 @@
 fn rank(host: &Host, service: &str) -> usize {
     let now = boot_clock::now();
     let mut alive: BTreeSet<HostId> =
-        host.lease.borrow().peers_alive(now, host.peer_limit()).into_iter().collect();
+        host.lease.borrow().live_peers(now, host.peer_limit()).into_iter().collect();
     alive.insert(host.id);
     let ranked = choose(&alive, Subject::Watch(hash(service)), alive.len());
     ranked.iter().position(|id| *id == host.id).unwrap_or_default()
@@ -307,14 +307,14 @@
 
     /// Waits until no host uses the primary before.
     async fn wait_in_force(&self, revision: Revision) -> bool {
-        let mut wait = Wait::new(revision, boot_clock::now());
+        let mut wait = Barrier::new(revision, boot_clock::now());
         loop {
             let own = self.host.settled() >= revision;
-            let others = wait.is_over(&self.host.lease.borrow(), boot_clock::now());
+            let others = wait.has_passed(&self.host.lease.borrow(), boot_clock::now());
             if own && others {
                 return self.is_mine();
             }
-            let limit = LEASE.validity + LEASE.vouch_limit + LEASE.guard * 2;
+            let limit = LEASE.validity + LEASE.max_attested_age + LEASE.clock_drift_margin * 2;
             if boot_clock::now().saturating_sub(self.began) > limit {
                 return false;
             }
@@ -394,7 +394,7 @@
         while called.elapsed() < LEAD_LIMIT {
             if let Ok(status) = self.status(&self.record.primary).await
                 && status.role == Role::Primary
-                && (self.record.is_led_in(status.term) || called.elapsed() >= TAKEN_EFFECT)
+                && (self.record.accepts_term(status.term) || called.elapsed() >= TAKEN_EFFECT)
             {
                 return Some(status);
             }
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -12,7 +12,7 @@
 use bergamotvale_core::proxy::directory::{Directory, TargetName};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::History;
-use bergamotvale_core::proxy::lease::{Lease, Revision, Terms};
+use bergamotvale_core::proxy::lease::{Lease, Limits, Revision};
 use bergamotvale_core::proxy::record::{Fence, Record};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -22,10 +22,10 @@
 use tokio::sync::Notify;
 
 /// Limits of the lease on the table of groups and members.
-pub const LEASE: Terms = Terms {
+pub const LEASE: Limits = Limits {
     validity: Duration::from_millis(1200),
-    vouch_limit: Duration::from_secs(12),
-    guard: Duration::from_millis(60),
+    max_attested_age: Duration::from_secs(12),
+    clock_drift_margin: Duration::from_millis(60),
 };
 
 /// Time before the end of a target's drain at which it gets no more work: statements take time to
@@ -147,7 +147,7 @@
             histories: RefCell::default(),
             targets: Targets::default(),
             peers: Peers::default(),
-            quota: Quota::new(LEASE.validity + LEASE.guard),
+            quota: Quota::new(LEASE.validity + LEASE.clock_drift_margin),
             uses: RefCell::default(),
             next_use: Cell::new(0),
             settled: Cell::new(0),
@@ -168,7 +168,7 @@
         let now = boot_clock::now();
         let (held, revision, age) = {
             let lease = self.lease.borrow();
-            (lease.is_held(now), lease.revision(), lease.proof_age(now))
+            (lease.is_held(now), lease.revision(), lease.renewal_age(now))
         };
         if self.lease_known.replace(held) != held {
             self.metrics.count(if held { "lease_gained" } else { "lease_lost" });
@@ -199,7 +199,7 @@
     /// Whether the host's parts of the rates are in force: at once for one that had them in an
     /// earlier run, else once all others have made room.
     pub fn has_parts(&self) -> bool {
-        let settle = LEASE.validity + LEASE.guard;
+        let settle = LEASE.validity + LEASE.clock_drift_margin;
         let since = self.member_since.get();
         since.is_some_and(|at| self.was_member.get() || self.now().saturating_sub(at) >= settle)
     }
--- a/crates/sessions/src/status.rs
+++ b/crates/sessions/src/status.rs
@@ -120,7 +120,7 @@
         lease: LeaseState {
             held,
             revision: lease.revision(),
-            proof_age_ms: lease.proof_age(now).map(millis),
+            proof_age_ms: lease.renewal_age(now).map(millis),
         },
         members: lease.members().keys().copied().collect(),
         groups: groups(host),
--- a/crates/sessions/src/survey.rs
+++ b/crates/sessions/src/survey.rs
@@ -37,7 +37,7 @@
         if !survey.is_complete() {
             depose(host, record, &mut survey).await;
         }
-        if let Some(best) = survey.best(&record.primary) {
+        if let Some(best) = survey.most_advanced(&record.primary) {
             return Some(best.clone());
         }
         if Instant::now() >= limit {
@@ -62,7 +62,7 @@
     });
     for (entry, answer) in join_all(asked).await {
         match answer {
-            Ok(status) => survey.stop(&entry.name, status.received),
+            Ok(status) => survey.record_stopped(&entry.name, status.received),
             Err(failure) => log::info!("{} does not stop receiving: {failure:?}", entry.name),
         }
     }
@@ -73,7 +73,7 @@
     let Some(entry) = host.directory.borrow().get(previous).cloned() else { return };
     let until = Instant::now() + ANSWER_TIMEOUT;
     match upkeep::demote(host, &entry, record.next_term(), until).await {
-        Ok(status) => survey.depose(previous, status.received),
+        Ok(status) => survey.record_deposed(previous, status.received),
         Err(failure) => log::info!("{previous} does not step down: {failure:?}"),
     }
 }
--- a/crates/sessions/src/target.rs
+++ b/crates/sessions/src/target.rs
@@ -46,7 +46,7 @@
 
     /// A question was sent.
     pub fn ask(&self) {
-        self.evidence.borrow_mut().ask(boot_clock::now());
+        self.evidence.borrow_mut().record_request(boot_clock::now());
         self.in_flight.set(self.in_flight.get() + 1);
     }
 
@@ -58,22 +58,22 @@
     /// Bytes arrived.
     pub fn answer(&self) {
         let is_waiting = self.in_flight.get() > 1;
-        self.evidence.borrow_mut().answer(boot_clock::now(), is_waiting);
+        self.evidence.borrow_mut().record_response(boot_clock::now(), is_waiting);
     }
 
     /// A connection was refused or broke.
     pub fn fail(&self) {
-        self.evidence.borrow_mut().fail(boot_clock::now());
+        self.evidence.borrow_mut().record_connection_failure(boot_clock::now());
     }
 
     /// It said that it takes no writes.
     pub fn depose(&self) {
-        self.evidence.borrow_mut().depose(boot_clock::now());
+        self.evidence.borrow_mut().record_deposed(boot_clock::now());
     }
 
     /// It is the primary.
     pub fn lead(&self) {
-        self.evidence.borrow_mut().lead();
+        self.evidence.borrow_mut().clear_deposed();
     }
 
     /// Whether it is alive, in this host's view.
@@ -83,7 +83,7 @@
 
     /// Whether a question has been open for so long that its life should be checked.
     pub fn is_silent(&self, now: Time) -> bool {
-        self.evidence.borrow().is_silent(now)
+        self.evidence.borrow().needs_probe(now)
     }
 
     /// Position that it was last seen at.
--- a/crates/sessions/src/transaction.rs
+++ b/crates/sessions/src/transaction.rs
@@ -8,7 +8,7 @@
 use crate::pool::{Leased, acquire};
 use crate::state::{Host, Use};
 use crate::work::{self, Context, Place, Refused, Task, outcome, word};
-use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, decide};
+use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::catalog::Consistency;
 use bergamotvale_core::proxy::session::Values;
 use bergamotvale_platform::line::{self, Answer, End, State};
@@ -238,14 +238,14 @@
         let failure = match result {
             Ok(answer) if effect == Effect::Lasting && answer.end == End::Done && !may_go_on => {
                 self.open = None;
-                let code = decide(effect, true, Sent::Maybe, Outcome::Unproven);
+                let code = response_code(effect, true, Sent::Maybe, Outcome::Unverified);
                 return Err(Refused::new(code, "lease_lapsed").with_target(&target.name));
             }
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
         self.open = None;
-        let code = decide(effect, true, Sent::Maybe, outcome(failure));
+        let code = response_code(effect, true, Sent::Maybe, outcome(failure));
         Err(Refused::new(code, word(failure)).with_target(&target.name))
     }
 }
--- a/crates/sessions/src/upkeep.rs
+++ b/crates/sessions/src/upkeep.rs
@@ -65,7 +65,7 @@
         return;
     }
     *known = ready;
-    let proof_age_ms = host.lease.borrow().proof_age(boot_clock::now()).map(millis);
+    let proof_age_ms = host.lease.borrow().renewal_age(boot_clock::now()).map(millis);
     host.journal.write(&Event::Ready {
         ready,
         lease: host.holds_lease(),
--- a/crates/sessions/src/work.rs
+++ b/crates/sessions/src/work.rs
@@ -5,7 +5,7 @@
 use crate::pool::{Leased, Wish, acquire};
 use crate::state::{Absence, Host, Primary};
 use bergamotvale_core::id::Time;
-use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, decide};
+use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::catalog::Consistency;
 use bergamotvale_core::proxy::directory::{Entry, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
@@ -107,9 +107,9 @@
 /// Outcome of a failure for the choice of the answer.
 pub fn outcome(failure: Failure) -> Outcome {
     match failure {
-        Failure::Refused(code) => Outcome::Refused(code),
-        Failure::Lost | Failure::Late | Failure::Superseded => Outcome::Lost,
-        Failure::Full => Outcome::NotTried,
+        Failure::Refused(code) => Outcome::Error(code),
+        Failure::Lost | Failure::Late | Failure::Superseded => Outcome::NoResponse,
+        Failure::Full => Outcome::NotAttempted,
     }
 }
 
@@ -132,9 +132,9 @@
     };
     let histories = host.histories.borrow();
     let history = histories.get(&context.service)?;
-    let bounded = history.bounded(host.now(), bound.saturating_sub(FLOOR_MARGIN))?;
+    let bounded = history.bounded_floor(host.now(), bound.saturating_sub(FLOOR_MARGIN))?;
     let own = match context.consistency {
-        Consistency::ReadYourWrites(_) => context.last_commit.map(|p| history.session(p)),
+        Consistency::ReadYourWrites(_) => context.last_commit.map(|p| history.session_floor(p)),
         _ => None,
     };
     Some(own.map_or(bounded, |own| own.max(bounded)))
@@ -173,12 +173,12 @@
     let lane = target.lane.borrow();
     Candidate {
         name: entry.name.clone(),
-        distance: if entry.domain == host.settings.domain { NEAR } else { FAR },
+        round_trip: if entry.domain == host.settings.domain { NEAR } else { FAR },
         in_flight: target.in_flight.get(),
         slots: entry.slots,
-        work: target.work(),
+        statement_time: target.work(),
         has_connection: lane.has_idle(&context.account),
-        has_room: lane.has_room(),
+        can_connect: lane.has_room(),
         position: target.position(),
         is_primary: leader == Some(&entry.name),
     }
@@ -249,7 +249,7 @@
         match read_at(host, context, values, task, &place).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => {
-                let code = decide(Effect::None, false, Sent::Maybe, outcome(failure));
+                let code = response_code(Effect::None, false, Sent::Maybe, outcome(failure));
                 last = Refused::new(code, word(failure)).with_target(&place.entry.name);
                 let is_full = failure == Failure::Full && place.primary.is_some();
                 if !may_retry(failure) || is_full || Instant::now() >= task.until {
@@ -357,7 +357,7 @@
             Ok(answer) => return Ok(answer),
             Err(Failed::Exchange(failure)) => failure,
             Err(Failed::Unproven) => {
-                let code = decide(Effect::Lasting, false, sent, Outcome::Unproven);
+                let code = response_code(Effect::Lasting, false, sent, Outcome::Unverified);
                 return Err(Refused::new(code, "lease_lapsed").with_target(&place.entry.name));
             }
         };
@@ -370,7 +370,7 @@
         }
         let is_full = failure == Failure::Full;
         if !not_run || is_full || Instant::now() + PRIMARY_LOOK >= task.until {
-            let code = decide(Effect::Lasting, false, sent, outcome(failure));
+            let code = response_code(Effect::Lasting, false, sent, outcome(failure));
             return Err(Refused::new(code, word(failure)).with_target(&place.entry.name));
         }
         host.metrics.count("write_retries");
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -296,7 +296,7 @@
                 slots: SLOTS,
                 is_leaving: state.is_leaving,
                 role: state.role,
-                born: state.born,
+                start_time: state.born,
             };
             (entry, state.sequence)
         };
