--- a/crates/core/src/ack.rs
+++ b/crates/core/src/ack.rs
@@ -11,9 +11,9 @@
 /// Unconfirmed positions remembered for a group.
 const MAX_PENDING: usize = 256;
 /// Time for which a past confirmation says something about the next one.
-const SAMPLE_LIFE: Duration = Duration::from_secs(1);
+const MAX_SAMPLE_AGE: Duration = Duration::from_secs(1);
 /// Weight of the past in the smoothed delay, in eighths.
-const SMOOTHING: u32 = 7;
+const SMOOTHING_WEIGHT: u32 = 7;
 
 /// What a confirmed position says about a written one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,7 +57,7 @@
     }
 
     /// Notes that the primary's log reached `position`.
-    pub fn written(&mut self, position: Position, now: Time) {
+    pub fn record_written(&mut self, position: Position, now: Time) {
         if self.confirmed.covers(position) {
             return;
         }
@@ -69,7 +69,7 @@
     }
 
     /// Notes that `position` is on a majority.
-    pub fn confirmed(&mut self, position: Position, now: Time) {
+    pub fn record_confirmed(&mut self, position: Position, now: Time) {
         if position <= self.confirmed {
             return;
         }
@@ -91,20 +91,20 @@
     }
 
     /// Least time that a write begun at `now` has to expect until its confirmation.
-    pub fn expected(&self, now: Time) -> Duration {
+    pub fn expected_delay(&self, now: Time) -> Duration {
         let waiting = self.pending.front().map_or(Duration::ZERO, |p| now.saturating_sub(p.seen));
-        let recent = self.sampled.is_some_and(|at| now.saturating_sub(at) <= SAMPLE_LIFE);
+        let recent = self.sampled.is_some_and(|at| now.saturating_sub(at) <= MAX_SAMPLE_AGE);
         if recent { waiting.max(self.smoothed) } else { waiting }
     }
 
     /// Whether a write begun at `now` can be confirmed by `deadline`.
-    pub fn is_reachable(&self, now: Time, deadline: Time) -> bool {
-        now + self.expected(now) < deadline
+    pub fn can_confirm_by(&self, now: Time, deadline: Time) -> bool {
+        now + self.expected_delay(now) < deadline
     }
 
     fn sample(&mut self, delay: Duration, now: Time) {
         self.smoothed = match self.sampled {
-            Some(_) => (self.smoothed * SMOOTHING + delay) / (SMOOTHING + 1),
+            Some(_) => (self.smoothed * SMOOTHING_WEIGHT + delay) / (SMOOTHING_WEIGHT + 1),
             None => delay,
         };
         self.sampled = Some(now);
--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -35,7 +35,7 @@
 
 /// A request whose turn it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Turn {
+pub struct Grant {
     /// The request.
     pub request: RequestId,
     /// What it is charged until its end is known.
@@ -48,7 +48,7 @@
     /// Who pays.
     pub account: AccountId,
     /// Holding time charged in advance.
-    pub advance: Duration,
+    pub estimate: Duration,
 }
 
 /// Order in which accounts are served.
@@ -72,7 +72,7 @@
 #[derive(Debug)]
 pub struct Queue {
     order: Order,
-    bound: usize,
+    max_per_account: usize,
     virtual_time: i128,
     arrivals: u64,
     mean: Option<Duration>,
@@ -80,11 +80,11 @@
 }
 
 impl Queue {
-    /// An empty queue that holds at most `bound` requests of one account.
-    pub fn new(bound: usize) -> Queue {
+    /// An empty queue that holds at most `max_per_account` requests of one account.
+    pub fn new(max_per_account: usize) -> Queue {
         Queue {
             order: Order::Fair,
-            bound,
+            max_per_account,
             virtual_time: 0,
             arrivals: 0,
             mean: None,
@@ -111,7 +111,9 @@
     /// Queues a request for one of `slots` connections, unless it would wait in vain.
     pub fn push(&mut self, now: Time, waiter: Waiter, slots: usize) -> Result<(), Reason> {
         let waiting = self.accounts.get(&waiter.account).map_or(0, |a| a.waiting.len());
-        if waiting >= self.bound || now + self.expected_wait(&waiter, slots) > waiter.deadline {
+        if waiting >= self.max_per_account
+            || now + self.expected_wait(&waiter, slots) > waiter.deadline
+        {
             return Err(Reason::QueueFull);
         }
         self.arrivals += 1;
@@ -140,7 +142,7 @@
     }
 
     /// Takes the next request.
-    pub fn pop(&mut self) -> Option<Turn> {
+    pub fn pop(&mut self) -> Option<Grant> {
         let virtual_time = self.virtual_time;
         let waiting = self.accounts.iter().filter_map(|(id, account)| {
             let (arrival, _) = account.waiting.front()?;
@@ -151,31 +153,31 @@
             Some((start, *arrival, *id))
         });
         let (start, _, id) = waiting.min()?;
-        let advance = self.mean.unwrap_or_default();
+        let estimate = self.mean.unwrap_or_default();
         let account = self.accounts.get_mut(&id).expect("it has a waiting request");
         let (_, waiter) = account.waiting.pop_front().expect("it has a waiting request");
-        account.tag = start + scaled(advance, account.weight);
+        account.tag = start + scaled(estimate, account.weight);
         account.running += 1;
         self.virtual_time = start.max(virtual_time);
-        Some(Turn { request: waiter.request, charge: Charge { account: id, advance } })
+        Some(Grant { request: waiter.request, charge: Charge { account: id, estimate } })
     }
 
     /// A request that had its turn has ended after holding a connection for `held`.
-    pub fn ended(&mut self, charge: Charge, held: Duration) {
+    pub fn record_end(&mut self, charge: Charge, held: Duration) {
         // Rises from nothing, so that a few slow requests do not turn others away.
         let mean = self.mean.unwrap_or_default();
         self.mean = Some((mean * (MEAN_SHARE - 1) + held) / MEAN_SHARE);
         if let Some(account) = self.accounts.get_mut(&charge.account) {
-            account.tag += scaled(held, account.weight) - scaled(charge.advance, account.weight);
+            account.tag += scaled(held, account.weight) - scaled(charge.estimate, account.weight);
             account.running = account.running.saturating_sub(1);
         }
         self.prune();
     }
 
     /// A request that had its turn got no connection: nothing is charged.
-    pub fn unused(&mut self, charge: Charge) {
+    pub fn refund(&mut self, charge: Charge) {
         if let Some(account) = self.accounts.get_mut(&charge.account) {
-            account.tag -= scaled(charge.advance, account.weight);
+            account.tag -= scaled(charge.estimate, account.weight);
             account.running = account.running.saturating_sub(1);
         }
     }
--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -49,7 +49,7 @@
 
 /// Answer to `group_fence()` and `group_promote()`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
+pub struct TermResponse {
     /// Whether it did what it was asked.
     pub granted: bool,
     /// Highest term that it has granted.
--- a/crates/core/src/idempotency.rs
+++ b/crates/core/src/idempotency.rs
@@ -85,18 +85,18 @@
 
 /// Requests with an idempotency key that run on this host now.
 #[derive(Debug, Clone, Default)]
-pub struct Running {
+pub struct InFlight {
     keys: BTreeSet<(ServiceId, AccountId, String)>,
 }
 
-impl Running {
+impl InFlight {
     /// Nothing runs.
-    pub fn new() -> Running {
-        Running::default()
+    pub fn new() -> InFlight {
+        InFlight::default()
     }
 
     /// Enters a request; refused while another one with its key runs here.
-    pub fn enter(
+    pub fn start(
         &mut self,
         service: ServiceId,
         account: AccountId,
@@ -110,7 +110,7 @@
     }
 
     /// Removes a request that has ended.
-    pub fn leave(&mut self, service: ServiceId, account: AccountId, key: &str) {
+    pub fn finish(&mut self, service: ServiceId, account: AccountId, key: &str) {
         self.keys.remove(&(service, account, key.to_owned()));
     }
 }
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -17,7 +17,7 @@
 ///
 /// Has no `Debug` or `Display`, so that it cannot reach a log by accident.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub struct Presented<'a> {
+pub struct Credential<'a> {
     /// Which key.
     pub id: KeyId,
     /// The secret.
@@ -25,7 +25,7 @@
 }
 
 /// Takes a key's text apart.
-pub fn parse(text: &str) -> Option<Presented<'_>> {
+pub fn parse(text: &str) -> Option<Credential<'_>> {
     if text.len() > MAX_TEXT_BYTES {
         return None;
     }
@@ -39,7 +39,7 @@
     }
     let id = id.parse().ok()?;
     let secret = fields.next().filter(|secret| !secret.is_empty())?;
-    Some(Presented { id, secret })
+    Some(Credential { id, secret })
 }
 
 /// The text of a key.
@@ -68,6 +68,6 @@
 }
 
 /// Whether `id` works.
-pub fn active(document: &Document, id: KeyId) -> bool {
+pub fn is_active(document: &Document, id: KeyId) -> bool {
     document.keys.get(&id).is_some_and(|key| key.state == KeyState::Active)
 }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -285,7 +285,7 @@
     }
     by_weight.sort_by_key(|member| (weight(member.host, RING), member.host));
     let ranked = by_weight.into_iter().map(|member| (member.host, member.failure_domain));
-    let chosen = rendezvous::take_turns(ranked).into_iter().take(VOTERS);
+    let chosen = rendezvous::interleave_domains(ranked).into_iter().take(VOTERS);
     chosen.map(|host| (host, members[&host].incarnation)).collect()
 }
 
--- a/crates/core/src/outlier.rs
+++ b/crates/core/src/outlier.rs
@@ -16,22 +16,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
     /// Failures in a row after which a target is ejected.
-    pub threshold: u32,
+    pub failure_threshold: u32,
     /// Time between sweeps, in which ejections begin and end.
-    pub sweep: Duration,
+    pub sweep_interval: Duration,
     /// Length of the first ejection.
-    pub base: Duration,
+    pub base_ejection: Duration,
     /// Longest ejection.
-    pub cap: Duration,
+    pub max_ejection: Duration,
 }
 
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
-            threshold: 5,
-            sweep: Duration::from_millis(250),
-            base: Duration::from_secs(2),
-            cap: Duration::from_secs(60),
+            failure_threshold: 5,
+            sweep_interval: Duration::from_millis(250),
+            base_ejection: Duration::from_secs(2),
+            max_ejection: Duration::from_secs(60),
         }
     }
 }
@@ -50,27 +50,27 @@
 
 /// The replicas of one group, as this host's work finds them.
 #[derive(Debug, Clone)]
-pub struct Group {
+pub struct Detector {
     policy: Policy,
     records: BTreeMap<TargetId, Record>,
     swept: Time,
 }
 
-impl Group {
+impl Detector {
     /// A group with nothing held against anyone.
-    pub fn new(policy: Policy) -> Group {
-        Group { policy, records: BTreeMap::new(), swept: Time::ZERO }
+    pub fn new(policy: Policy) -> Detector {
+        Detector { policy, records: BTreeMap::new(), swept: Time::ZERO }
     }
 
     /// Notes work that the target did, or failed through the caller's own fault.
-    pub fn succeeded(&mut self, target: TargetId) {
+    pub fn record_success(&mut self, target: TargetId) {
         if let Some(record) = self.records.get_mut(&target) {
             record.failures = 0;
         }
     }
 
     /// Notes work that the target failed.
-    pub fn failed(&mut self, target: TargetId, now: Time) {
+    pub fn record_failure(&mut self, target: TargetId, now: Time) {
         let record = self.records.entry(target).or_default();
         record.failures += 1;
         record.failed = now;
@@ -78,7 +78,7 @@
 
     /// Whether the target fails its work and is in only because of the ceiling.
     pub fn is_suspect(&self, target: TargetId) -> bool {
-        let is_due = |r: &Record| r.until.is_none() && r.failures >= self.policy.threshold;
+        let is_due = |r: &Record| r.until.is_none() && r.failures >= self.policy.failure_threshold;
         self.records.get(&target).is_some_and(is_due)
     }
 
@@ -89,7 +89,7 @@
 
     /// Begins and ends ejections among `replicas`; answers with those newly ejected.
     pub fn sweep(&mut self, replicas: &[TargetId], now: Time) -> Vec<TargetId> {
-        if now.saturating_sub(self.swept) < self.policy.sweep {
+        if now.saturating_sub(self.swept) < self.policy.sweep_interval {
             return Vec::new();
         }
         self.swept = now;
@@ -105,12 +105,13 @@
                 record.failures = 0;
                 record.calm = now;
             }
-            let is_old = now.saturating_sub(record.failed) >= self.policy.base;
-            if record.until.is_none() && record.failures >= self.policy.threshold && is_old {
+            let is_old = now.saturating_sub(record.failed) >= self.policy.base_ejection;
+            if record.until.is_none() && record.failures >= self.policy.failure_threshold && is_old
+            {
                 record.failures = 0;
             }
             let is_calm = record.until.is_none() && record.failures == 0;
-            if is_calm && now.saturating_sub(record.calm) >= self.policy.cap {
+            if is_calm && now.saturating_sub(record.calm) >= self.policy.max_ejection {
                 record.ejections = record.ejections.saturating_sub(1);
                 record.calm = now;
             }
@@ -125,11 +126,12 @@
         worst.sort_unstable_by(|a, b| b.cmp(a));
         for (failures, target) in worst {
             let record = self.records.entry(target).or_default();
-            if failures < self.policy.threshold || record.until.is_some() || out >= ceiling {
+            if failures < self.policy.failure_threshold || record.until.is_some() || out >= ceiling
+            {
                 continue;
             }
-            let length = self.policy.base * (1 << record.ejections.min(16));
-            record.until = Some(now + length.min(self.policy.cap));
+            let length = self.policy.base_ejection * (1 << record.ejections.min(16));
+            record.until = Some(now + length.min(self.policy.max_ejection));
             record.ejections += 1;
             out += 1;
             ejected.push(target);
--- a/crates/core/src/plan/edit.rs
+++ b/crates/core/src/plan/edit.rs
@@ -19,7 +19,7 @@
                 let Issued { key_id, salt, digest } = issued.clone();
                 key::issue(document, key_id, *account, salt, digest)
             }),
-            Operation::WithdrawKey(id) if key::active(document, *id) => {
+            Operation::WithdrawKey(id) if key::is_active(document, *id) => {
                 key::withdraw(document, *id)
             }
             _ => None,
--- a/crates/core/src/plan/outline.rs
+++ b/crates/core/src/plan/outline.rs
@@ -153,7 +153,7 @@
 fn rotate(document: &Document, account: &str, key_id: KeyId) -> Result<Steps, Fault> {
     let id = find_account(document, account)?;
     let holds = document.keys.get(&key_id).is_some_and(|key| key.account == id);
-    if !holds || !key::active(document, key_id) {
+    if !holds || !key::is_active(document, key_id) {
         return Err(Fault::NoKey(key_id));
     }
     let both = format!("keys of client account {account}");
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -21,17 +21,17 @@
     /// Idle time after which a connection is checked before use.
     pub check_after: Duration,
     /// Longest idle time.
-    pub idle: Duration,
+    pub max_idle: Duration,
     /// Pause after the target refused a connection for want of room.
-    pub crowded: Duration,
+    pub full_retry_delay: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
             check_after: Duration::from_millis(500),
-            idle: Duration::from_secs(30),
-            crowded: Duration::from_millis(50),
+            max_idle: Duration::from_secs(30),
+            full_retry_delay: Duration::from_millis(50),
         }
     }
 }
@@ -76,11 +76,11 @@
 
 /// Why a connection could not be opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refused {
+pub enum OpenError {
     /// The target cannot be reached.
     Unreachable,
     /// The target has no room just now.
-    Crowded,
+    TargetFull,
 }
 
 /// Connections of one host to one target.
@@ -92,7 +92,7 @@
     next: ConnectionId,
     connections: BTreeMap<ConnectionId, State>,
     queue: Queue,
-    crowded_until: Time,
+    full_until: Time,
 }
 
 impl Pool {
@@ -105,7 +105,7 @@
             next: 0,
             connections: BTreeMap::new(),
             queue,
-            crowded_until: Time::ZERO,
+            full_until: Time::ZERO,
         }
     }
 
@@ -180,20 +180,20 @@
     }
 
     /// A connection could not be opened.
-    pub fn not_opened(
+    pub fn open_failed(
         &mut self,
         now: Time,
         connection: ConnectionId,
-        refused: Refused,
+        refused: OpenError,
     ) -> Vec<Action> {
         self.connections.remove(&connection);
-        if refused == Refused::Crowded {
-            self.crowded_until = now + self.settings.crowded;
+        if refused == OpenError::TargetFull {
+            self.full_until = now + self.settings.full_retry_delay;
             return Vec::new();
         }
         let turn = self.queue.pop();
         if let Some(turn) = turn {
-            self.queue.unused(turn.charge);
+            self.queue.refund(turn.charge);
         }
         let refusal = turn.map(|t| Action::Refuse(t.request, Reason::ConnectionRefused));
         refusal.into_iter().chain(self.dispatch(now)).collect()
@@ -211,7 +211,7 @@
     }
 
     /// The other end closed a connection that was nobody's.
-    pub fn lost(&mut self, now: Time, connection: ConnectionId) -> Vec<Action> {
+    pub fn disconnected(&mut self, now: Time, connection: ConnectionId) -> Vec<Action> {
         if !matches!(self.state(connection), Some(State::Idle { .. })) {
             return Vec::new();
         }
@@ -224,7 +224,7 @@
         let Some(State::Leased { since, charge }) = self.state(connection) else {
             return Vec::new();
         };
-        self.queue.ended(charge, now.saturating_sub(since));
+        self.queue.record_end(charge, now.saturating_sub(since));
         if clean {
             return self.settle(now, connection);
         }
@@ -244,7 +244,7 @@
             late.map(|request| Action::Refuse(request, Reason::QueueTimeout)).collect();
         actions.extend(self.close_idle(now));
         actions.extend(self.dispatch(now));
-        while self.size() < self.warm.min(self.limit) && now >= self.crowded_until {
+        while self.size() < self.warm.min(self.limit) && now >= self.full_until {
             actions.push(self.open());
         }
         actions
@@ -278,7 +278,7 @@
             if let Some((connection, _)) = self.freshest() {
                 self.connections.insert(connection, State::Checking);
                 actions.push(Action::Check(connection));
-            } else if self.size() < self.limit && now >= self.crowded_until {
+            } else if self.size() < self.limit && now >= self.full_until {
                 actions.push(self.open());
             } else {
                 break;
@@ -304,7 +304,7 @@
     }
 
     fn close_idle(&mut self, now: Time) -> Vec<Action> {
-        let Some(before) = now.checked_sub(self.settings.idle) else { return Vec::new() };
+        let Some(before) = now.checked_sub(self.settings.max_idle) else { return Vec::new() };
         let idle = self.idle_since(before);
         idle.into_iter().map(|id| self.close(id)).collect()
     }
--- a/crates/core/src/progress.rs
+++ b/crates/core/src/progress.rs
@@ -9,7 +9,7 @@
 
 /// The last point that a try of a write may have passed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Point {
+pub enum Stage {
     /// No byte has been handed to a connection.
     Unsent,
     /// The statement may have reached the target; COMMIT has not.
@@ -18,17 +18,17 @@
     CommitSent,
 }
 
-impl Point {
+impl Stage {
     /// What a refusal at this point may say, when no answer tells more.
     pub fn ran(self) -> Ran {
         match self {
-            Point::Unsent | Point::StatementSent => Ran::No,
-            Point::CommitSent => Ran::Unknown,
+            Stage::Unsent | Stage::StatementSent => Ran::No,
+            Stage::CommitSent => Ran::Unknown,
         }
     }
 
     /// Whether a write without an idempotency key may be sent again from here.
     pub fn is_unsent(self) -> bool {
-        self == Point::Unsent
+        self == Stage::Unsent
     }
 }
--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -19,7 +19,7 @@
 //! step, and a promoter that wakes late finds its term outdated. Starts are staggered by rank and
 //! repeated with a random backoff, so that promoters rarely meet.
 
-use crate::group::{Answer, Status, majority};
+use crate::group::{Status, TermResponse, majority};
 use crate::id::{FailureDomainId, HostId, PromoterId, TargetId, Time};
 use crate::log::Term;
 use crate::random::Source;
@@ -96,9 +96,19 @@
 #[derive(Debug, Clone)]
 enum State {
     Idle,
-    Waiting { until: Time, deposed: Deposed },
-    Fencing { attempt: Attempt, answers: BTreeMap<TargetId, Option<Answer>>, enough: Option<Time> },
-    Promoting { attempt: Attempt, target: TargetId },
+    Waiting {
+        until: Time,
+        deposed: Deposed,
+    },
+    Fencing {
+        attempt: Attempt,
+        answers: BTreeMap<TargetId, Option<TermResponse>>,
+        enough: Option<Time>,
+    },
+    Promoting {
+        attempt: Attempt,
+        target: TargetId,
+    },
 }
 
 /// The primary that is to be replaced.
@@ -205,7 +215,7 @@
         now: Time,
         target: TargetId,
         term: Term,
-        answer: Option<Answer>,
+        answer: Option<TermResponse>,
     ) -> Vec<Action> {
         self.note(answer);
         let State::Fencing { attempt, answers, .. } = &mut self.state else { return Vec::new() };
@@ -225,7 +235,7 @@
         now: Time,
         target: TargetId,
         term: Term,
-        answer: Option<Answer>,
+        answer: Option<TermResponse>,
     ) -> Vec<Action> {
         self.note(answer);
         let State::Promoting { attempt, target: chosen } = self.state else { return Vec::new() };
@@ -333,13 +343,13 @@
         vec![Action::Failed { term }]
     }
 
-    fn note(&mut self, answer: Option<Answer>) {
+    fn note(&mut self, answer: Option<TermResponse>) {
         self.accepted = self.accepted.max(answer.map_or(0, |answer| answer.accepted));
     }
 }
 
 /// Whether `answer` counts for a majority.
-fn counts(answer: &Answer) -> bool {
+fn counts(answer: &TermResponse) -> bool {
     answer.granted && answer.voter
 }
 
@@ -348,15 +358,17 @@
     targets.map(|target| Action::Fence { target, term, promoter }).collect()
 }
 
-fn granters(answers: &BTreeMap<TargetId, Option<Answer>>) -> BTreeMap<TargetId, Answer> {
+fn granters(
+    answers: &BTreeMap<TargetId, Option<TermResponse>>,
+) -> BTreeMap<TargetId, TermResponse> {
     let answers = answers.iter().filter_map(|(id, answer)| Some((*id, (*answer)?)));
     answers.filter(|(_, answer)| counts(answer)).collect()
 }
 
 fn without(
-    granters: &BTreeMap<TargetId, Answer>,
+    granters: &BTreeMap<TargetId, TermResponse>,
     avoid: Option<TargetId>,
-) -> BTreeMap<TargetId, Answer> {
+) -> BTreeMap<TargetId, TermResponse> {
     let kept = granters.iter().filter(|(id, _)| Some(**id) != avoid);
     kept.map(|(id, answer)| (*id, *answer)).collect()
 }
@@ -366,7 +378,7 @@
 /// `granters` has to be a majority; any majority will do.
 pub fn choose(
     targets: &BTreeMap<TargetId, Candidate>,
-    granters: &BTreeMap<TargetId, Answer>,
+    granters: &BTreeMap<TargetId, TermResponse>,
     preferred: Option<TargetId>,
 ) -> Option<TargetId> {
     let highest = granters.values().map(|answer| answer.entry).max()?;
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -13,7 +13,7 @@
 use super::bucket::{Amount, Bucket, MICRO};
 use crate::id::{AccountId, HostId, Time};
 use crate::peer::TokenRequest;
-use crate::share::Part;
+use crate::share::Share;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -64,8 +64,8 @@
 
 #[derive(Debug, Clone)]
 struct State {
-    rate: Part,
-    burst: Part,
+    rate: Share,
+    burst: Share,
     bucket: Bucket,
     /// Who may have tokens; all peers if empty.
     holders: BTreeSet<HostId>,
@@ -155,8 +155,8 @@
         let settle = self.settle;
         let state = self.accounts.entry(account).or_insert_with(|| {
             let mut state = State::new(settle, now);
-            state.rate = Part::with_value(settle, rate);
-            state.burst = Part::with_value(settle, burst);
+            state.rate = Share::with_value(settle, rate);
+            state.burst = Share::with_value(settle, burst);
             state.refresh(now);
             state.bucket.add(opening, now);
             state
@@ -176,8 +176,8 @@
     /// Notes that a division of the rates was missed.
     pub fn interrupt(&mut self, now: Time) {
         for state in self.accounts.values_mut() {
-            state.rate.interrupt(now);
-            state.burst.interrupt(now);
+            state.rate.record_missed_division(now);
+            state.burst.record_missed_division(now);
             state.refresh(now);
         }
     }
@@ -300,8 +300,8 @@
 impl State {
     fn new(settle: Duration, now: Time) -> State {
         State {
-            rate: Part::new(settle),
-            burst: Part::new(settle),
+            rate: Share::new(settle),
+            burst: Share::new(settle),
             bucket: Bucket::new(now),
             holders: BTreeSet::new(),
             waiting: 0,
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -55,7 +55,7 @@
 ) -> (Amount, Amount) {
     let holders = limit.min(burst as usize);
     let subject = Subject::Rate(id.into());
-    let rate = share::part(u64::from(rate) * MICRO, members, host, subject, holders);
-    let burst = share::part(burst.into(), members, host, subject, holders) * MICRO;
+    let rate = share::share_of(u64::from(rate) * MICRO, members, host, subject, holders);
+    let burst = share::share_of(burst.into(), members, host, subject, holders) * MICRO;
     (rate, burst)
 }
--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -1,14 +1,14 @@
 //! One read, from the choice of a target to the answer.
 //!
 //! A read changes nothing and may be sent again wherever that helps; it is bounded by the caller's
-//! deadline, by a number of tries and by the retry budget.
+//! deadline, by a number of attempts and by the retry budget.
 
 use crate::id::{AccountId, ServiceId, TargetId, Time};
 use crate::log::Position;
 use crate::random::Source;
 use crate::refusal::{Ran, Reason, Refusal};
 use crate::retry::{self, Budgets, Policy};
-use crate::route::{self, Answer, Bounds, Demand, Role, Verdict};
+use crate::route::{self, Bounds, Report, Requirement, Role, Verdict};
 use crate::sqlstate::Failure;
 use std::collections::VecDeque;
 
@@ -17,13 +17,13 @@
 pub struct Read {
     service: ServiceId,
     account: AccountId,
-    demand: Demand,
+    demand: Requirement,
     deadline: Time,
     policy: Policy,
     bounds: Bounds,
     jitter: Source,
     queue: VecDeque<TargetId>,
-    tries: u32,
+    attempts: u32,
     last: Option<Reason>,
 }
 
@@ -33,7 +33,7 @@
     /// Targets, in order of choice; also the answer to [`Action::Choose`].
     Candidates(Vec<TargetId>),
     /// A target in `role` answered.
-    Answered(Role, Answer),
+    Answered(Role, Report),
     /// The target answered with an error.
     Failed(Failure, String),
     /// No connection could be had.
@@ -52,7 +52,7 @@
     /// Rank the targets after a delay.
     Choose(Time),
     /// Send to the target; with the reason when it is a retry.
-    Try(TargetId, Option<retry::Reason>),
+    Attempt(TargetId, Option<retry::Reason>),
     /// Serve the answer; the token's new position.
     Serve(Option<Position>),
     /// Refuse.
@@ -64,7 +64,7 @@
     pub fn new(
         service: ServiceId,
         account: AccountId,
-        demand: Demand,
+        demand: Requirement,
         deadline: Time,
         seed: u64,
     ) -> Read {
@@ -77,7 +77,7 @@
             bounds: Bounds::default(),
             jitter: Source::new(seed),
             queue: VecDeque::new(),
-            tries: 0,
+            attempts: 0,
             last: None,
         }
     }
@@ -117,13 +117,13 @@
     }
 
     /// When a try that starts at `now` is given up without a first sign of the target.
-    pub fn sign_deadline(&self, now: Time) -> Time {
-        self.policy.try_deadline(now, self.deadline)
+    pub fn first_response_deadline(&self, now: Time) -> Time {
+        self.policy.attempt_deadline(now, self.deadline)
     }
 
     /// When a try that starts at `now` is given up, sign or not.
-    pub fn work_deadline(&self, now: Time) -> Time {
-        self.policy.work_deadline(now, self.deadline)
+    pub fn statement_deadline(&self, now: Time) -> Time {
+        self.policy.statement_deadline(now, self.deadline)
     }
 
     fn choose(&mut self, targets: Vec<TargetId>, now: Time) -> Action {
@@ -139,20 +139,20 @@
     }
 
     fn attempt(&mut self, target: TargetId, reason: Option<retry::Reason>) -> Action {
-        self.tries += 1;
-        Action::Try(target, reason)
+        self.attempts += 1;
+        Action::Attempt(target, reason)
     }
 
     fn answered(
         &mut self,
         role: Role,
-        answer: &Answer,
+        answer: &Report,
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
         match route::verify(&self.demand, role, answer, &self.bounds) {
             Verdict::Serve(position) => Action::Serve(position),
-            Verdict::Behind | Verdict::Old => {
+            Verdict::Behind | Verdict::Stale => {
                 self.again(retry::Reason::NotFresh, Reason::NotFresh, budgets, now)
             }
         }
@@ -185,7 +185,7 @@
         if now >= self.deadline {
             return self.expired();
         }
-        let spent = self.tries >= self.policy.max_tries;
+        let spent = self.attempts >= self.policy.max_attempts;
         if spent || reason.is_budgeted() && !budgets.withdraw(self.service, self.account, now) {
             return self.expired();
         }
@@ -196,7 +196,7 @@
     }
 
     fn wait(&mut self, now: Time) -> Action {
-        let delay = self.policy.delay(self.tries.max(1), self.jitter.bits());
+        let delay = self.policy.retry_delay(self.attempts.max(1), self.jitter.bits());
         if now + delay >= self.deadline {
             return self.expired();
         }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -40,7 +40,9 @@
 }
 
 /// The same hosts, so ordered that failure domains take turns; each keeps its own order.
-pub fn take_turns(ranked: impl IntoIterator<Item = (HostId, FailureDomainId)>) -> Vec<HostId> {
+pub fn interleave_domains(
+    ranked: impl IntoIterator<Item = (HostId, FailureDomainId)>,
+) -> Vec<HostId> {
     let mut taken: BTreeMap<FailureDomainId, usize> = BTreeMap::new();
     let mut turns = Vec::new();
     for (host, domain) in ranked {
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -57,44 +57,44 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
     /// Time in which a healthy target gives its first sign, or answers a short question.
-    pub try_timeout: Duration,
+    pub attempt_timeout: Duration,
     /// Delay before the first retry.
-    pub base: Duration,
+    pub base_delay: Duration,
     /// Longest delay before a retry.
-    pub cap: Duration,
+    pub max_delay: Duration,
     /// Tries of one request.
-    pub max_tries: u32,
+    pub max_attempts: u32,
 }
 
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
-            try_timeout: Duration::from_millis(500),
-            base: Duration::from_millis(10),
-            cap: Duration::from_millis(200),
-            max_tries: 32,
+            attempt_timeout: Duration::from_millis(500),
+            base_delay: Duration::from_millis(10),
+            max_delay: Duration::from_millis(200),
+            max_attempts: 32,
         }
     }
 }
 
 impl Policy {
     /// When a try that starts at `now` is given up without a first sign.
-    pub fn try_deadline(&self, now: Time, deadline: Time) -> Time {
-        deadline.min(now + self.try_timeout)
+    pub fn attempt_deadline(&self, now: Time, deadline: Time) -> Time {
+        deadline.min(now + self.attempt_timeout)
     }
 
     /// When a statement that was begun at `now`, and may take its time, is given up for another try.
-    pub fn work_deadline(&self, now: Time, deadline: Time) -> Time {
+    pub fn statement_deadline(&self, now: Time, deadline: Time) -> Time {
         let half = deadline.saturating_sub(now) / 2;
-        deadline.min(now + half.max(self.try_timeout))
+        deadline.min(now + half.max(self.attempt_timeout))
     }
 
-    /// Delay before retry number `retry` (from 1), jittered over its upper half by `draw`.
-    pub fn delay(&self, retry: u32, draw: u64) -> Duration {
+    /// Delay before retry number `retry` (from 1), jittered over its upper half by `random`.
+    pub fn retry_delay(&self, retry: u32, random: u64) -> Duration {
         let doublings = retry.saturating_sub(1).min(16);
-        let full = self.cap.min(self.base * (1 << doublings));
+        let full = self.max_delay.min(self.base_delay * (1 << doublings));
         let half = full / 2;
-        let fraction = (draw >> 11) as f64 / (1u64 << 53) as f64;
+        let fraction = (random >> 11) as f64 / (1u64 << 53) as f64;
         half + half.mul_f64(fraction)
     }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Least stated age of a read that counts towards the replicas' share.
-pub const SHARE_AGE: Duration = Duration::from_secs(1);
+pub const MIN_REPLICA_SHARE_AGE: Duration = Duration::from_secs(1);
 /// Requests in flight that a target of the host's own failure domain may have more than another.
 const LOCAL_PREFERENCE: u32 = 2;
 
@@ -42,7 +42,7 @@
 
 /// What a read asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Demand {
+pub struct Requirement {
     /// Position that the session has seen.
     pub token: Option<Position>,
     /// Stated freshness.
@@ -66,7 +66,7 @@
 
 /// What a target said of itself on the connection that served the read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Answer {
+pub struct Report {
     /// Position applied before the statement's snapshot.
     pub applied: Position,
     /// Highest position that it knows to be on a majority.
@@ -83,10 +83,10 @@
     /// The target does not cover the token.
     Behind,
     /// The target's data is too old.
-    Old,
+    Stale,
 }
 
-impl Demand {
+impl Requirement {
     /// Whether only the primary may serve it: it carries neither a token nor an age.
     pub fn needs_primary(&self) -> bool {
         self.token.is_none() && self.freshness == Freshness::Session
@@ -103,7 +103,7 @@
 
 /// How promising a target is; the order of the variants is the order of choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Promise {
+enum Preference {
     /// It was seen to cover the demand.
     Known,
     /// It should cover the demand by now, by its lag.
@@ -116,46 +116,50 @@
     Ejected,
 }
 
-/// Targets for a read, best first; `draw` breaks ties.
+/// Targets for a read, best first; `random` breaks ties.
 pub fn candidates(
-    demand: &Demand,
+    demand: &Requirement,
     views: &BTreeMap<TargetId, View>,
     home: FailureDomainId,
     bounds: &Bounds,
     now: Time,
-    draw: u64,
+    random: u64,
 ) -> Vec<TargetId> {
     let primary = views.values().find(|view| view.role == Role::Primary);
     let mut ranked: Vec<_> = views
         .iter()
         .filter(|(_, view)| is_eligible(demand, view))
         .map(|(id, view)| {
-            let promise = promise(demand, view, primary, bounds, now);
+            let preference = preference(demand, view, primary, bounds, now);
             let distance = if view.failure_domain == home { 0 } else { LOCAL_PREFERENCE };
-            let tie = (draw ^ u64::from(*id)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            (promise, view.in_flight + distance, tie, *id)
+            let tie = (random ^ u64::from(*id)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            (preference, view.in_flight + distance, tie, *id)
         })
         .collect();
     ranked.sort_unstable();
     ranked.into_iter().map(|(_, _, _, id)| id).collect()
 }
 
-/// Whether replicas should serve the read: it states an age of [`SHARE_AGE`] or more, and at least
+/// Whether replicas should serve the read: it states an age of [`MIN_REPLICA_SHARE_AGE`] or more, and at least
 /// one replica that takes work is that fresh for sure.
-pub fn counts_for_share(demand: &Demand, views: &BTreeMap<TargetId, View>, now: Time) -> bool {
+pub fn counts_towards_replica_share(
+    demand: &Requirement,
+    views: &BTreeMap<TargetId, View>,
+    now: Time,
+) -> bool {
     let Freshness::MaxAge(age) = demand.freshness else { return false };
     let is_fresh = |view: &View| view.age.saturating_add(now.saturating_sub(view.observed)) <= age;
     let mut replicas = views.values().filter(|view| view.role == Role::Replica && !view.draining);
-    age >= SHARE_AGE && replicas.any(is_fresh)
+    age >= MIN_REPLICA_SHARE_AGE && replicas.any(is_fresh)
 }
 
 /// Judges the position that a target of `role` answered on the connection that served the read.
-pub fn verify(demand: &Demand, role: Role, answer: &Answer, bounds: &Bounds) -> Verdict {
+pub fn verify(demand: &Requirement, role: Role, answer: &Report, bounds: &Bounds) -> Verdict {
     if demand.token.is_some_and(|token| !answer.applied.covers(token)) {
         return Verdict::Behind;
     }
     if answer.age > demand.bound(role, bounds) {
-        return Verdict::Old;
+        return Verdict::Stale;
     }
     Verdict::Serve(demand.token.max(acknowledged(answer)))
 }
@@ -164,14 +168,14 @@
 ///
 /// A target whose log ends in an older term than the confirmed one may hold a tail past the fork;
 /// its position proves nothing.
-fn acknowledged(answer: &Answer) -> Option<Position> {
+fn acknowledged(answer: &Report) -> Option<Position> {
     if answer.applied.term < answer.confirmed.term || answer.confirmed == Position::default() {
         return None;
     }
     Some(answer.applied.min(answer.confirmed))
 }
 
-fn is_eligible(demand: &Demand, view: &View) -> bool {
+fn is_eligible(demand: &Requirement, view: &View) -> bool {
     match view.role {
         // A draining primary still holds the writes until another is promoted.
         Role::Primary => true,
@@ -180,29 +184,29 @@
     }
 }
 
-fn promise(
-    demand: &Demand,
+fn preference(
+    demand: &Requirement,
     view: &View,
     primary: Option<&View>,
     bounds: &Bounds,
     now: Time,
-) -> Promise {
+) -> Preference {
     if view.ejected {
-        return Promise::Ejected;
+        return Preference::Ejected;
     }
     if view.role == Role::Primary {
-        return Promise::Primary;
+        return Preference::Primary;
     }
     if view.suspect || view.age > demand.bound(view.role, bounds) {
-        return Promise::Unlikely;
+        return Preference::Unlikely;
     }
-    let Some(token) = demand.token else { return Promise::Known };
+    let Some(token) = demand.token else { return Preference::Known };
     if view.applied.covers(token) {
-        return Promise::Known;
+        return Preference::Known;
     }
     // What the primary held longer ago than the replica's lag should have arrived.
     let arrived = primary.is_some_and(|primary| {
         primary.applied.covers(token) && now.saturating_sub(primary.observed) >= view.age
     });
-    if arrived { Promise::Expected } else { Promise::Unlikely }
+    if arrived { Preference::Expected } else { Preference::Unlikely }
 }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -11,10 +11,10 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Part of `total` that `host` has among the first `holders` of `members` for `subject`.
+/// Share of `total` that `host` has among the first `holders` of `members` for `subject`.
 ///
 /// What does not divide goes, one each, to the first holders.
-pub fn part(
+pub fn share_of(
     total: u64,
     members: &BTreeSet<HostId>,
     host: HostId,
@@ -31,13 +31,13 @@
 ///
 /// A division follows from the epoch's members. Whoever skips an epoch may have missed one.
 #[derive(Debug, Clone, Default)]
-pub struct Count {
+pub struct DivisionCounter {
     epoch: Epoch,
     members: BTreeSet<HostId>,
     generation: u64,
 }
 
-impl Count {
+impl DivisionCounter {
     /// Takes the members of `epoch`; says whether a division may have been missed.
     pub fn adopt(&mut self, epoch: Epoch, members: &BTreeSet<HostId>) -> bool {
         let missed = self.epoch > 0 && epoch > self.epoch + 1;
@@ -61,7 +61,7 @@
 
 /// A part over time: shrinks at once, grows after the old division is out of force.
 #[derive(Debug, Clone)]
-pub struct Part {
+pub struct Share {
     settle: Duration,
     current: u64,
     replaced: VecDeque<Replaced>,
@@ -74,15 +74,15 @@
     until: Time,
 }
 
-impl Part {
+impl Share {
     /// Nothing yet. `settle` is the lifetime of authority with its margin.
-    pub fn new(settle: Duration) -> Part {
-        Part { settle, current: 0, replaced: VecDeque::new() }
+    pub fn new(settle: Duration) -> Share {
+        Share { settle, current: 0, replaced: VecDeque::new() }
     }
 
     /// A part that this host had under the same members before, so that it holds at once.
-    pub fn with_value(settle: Duration, value: u64) -> Part {
-        Part { settle, current: value, replaced: VecDeque::new() }
+    pub fn with_value(settle: Duration, value: u64) -> Share {
+        Share { settle, current: value, replaced: VecDeque::new() }
     }
 
     /// Notes the part under the newest members.
@@ -97,11 +97,11 @@
     /// Notes that a division was missed, in which this host may have had nothing.
     ///
     /// Others may have grown under it, so nothing is used until it is out of force.
-    pub fn interrupt(&mut self, now: Time) {
+    pub fn record_missed_division(&mut self, now: Time) {
         self.replaced.push_back(Replaced { value: 0, until: now + self.settle });
     }
 
-    /// Part that may be used.
+    /// Share that may be used.
     pub fn usable(&mut self, now: Time) -> u64 {
         while self.replaced.front().is_some_and(|old| old.until <= now) {
             self.replaced.pop_front();
--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -1,7 +1,7 @@
 //! Shares of a target's connections between hosts.
 //!
 //! Each host has a part of the target's limit, which follows from the members (see
-//! [`crate::share`]), and lends slots of it to others for [`LEASE`]. The sum of what all hosts may
+//! [`crate::share`]), and lends slots of it to others for [`LOAN_LEASE`]. The sum of what all hosts may
 //! use stays within the limit at any instant, whatever messages and pauses do:
 //!
 //! - The lender deducts before it answers, and counts the lease from then; the borrower counts it
@@ -10,27 +10,27 @@
 //!   number, so that late and repeated messages never leave the borrower with more than the lender
 //!   has deducted. Borrowed slots are not lent on.
 //! - A lender lends only while its authority outlives the loan, so no loan out of an old division
-//!   outlives that division. A part that grows waits for that: [`settle`].
+//!   outlives that division. A part that grows waits for that: [`growth_delay`].
 //! - A host without authority uses nothing.
 //!
 //! Where the limit is below the number of hosts, some have no part and live on loans.
 
 use crate::id::{HostId, Incarnation, Time};
 use crate::peer::SlotRequest;
-use crate::share::Part;
+use crate::share::Share;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Time for which a loan holds, as the lender counts it.
-pub const LEASE: Duration = Duration::from_millis(800);
+pub const LOAN_LEASE: Duration = Duration::from_millis(800);
 /// By how much the borrower's lease is shorter: covers clocks that run at different speeds.
-pub const LEASE_GUARD: Duration = Duration::from_millis(50);
+pub const CLOCK_DRIFT_MARGIN: Duration = Duration::from_millis(50);
 /// Age of a loan at which the borrower asks for it again.
 pub const RENEW_AFTER: Duration = Duration::from_millis(250);
 
 /// Time that a growing part waits, given the lifetime of authority.
-pub fn settle(authority: Duration) -> Duration {
-    authority + LEASE_GUARD
+pub fn growth_delay(authority: Duration) -> Duration {
+    authority + CLOCK_DRIFT_MARGIN
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,11 +41,11 @@
 
 /// A request for a loan that is under way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Asked {
+pub struct LoanRequest {
     /// Whom.
     pub lender: HostId,
     /// When it was sent.
-    pub at: Time,
+    pub sent_at: Time,
     /// Total that this host wants to hold from the lender.
     pub total: u32,
     /// Its sequence number.
@@ -55,7 +55,7 @@
 /// One host's part of one target's connections.
 #[derive(Debug)]
 pub struct Ledger {
-    part: Part,
+    part: Share,
     generation: u64,
     vouched_until: Time,
     lent: BTreeMap<HostId, Vec<Loan>>,
@@ -69,7 +69,7 @@
     /// A ledger without a part. `settle` is the time that a growing part waits.
     pub fn new(incarnation: Incarnation, settle: Duration) -> Ledger {
         Ledger {
-            part: Part::new(settle),
+            part: Share::new(settle),
             generation: 0,
             vouched_until: Time::ZERO,
             lent: BTreeMap::new(),
@@ -84,7 +84,7 @@
     /// This host's part under the newest members, whose table has had `generation` changes.
     ///
     /// Under a table that this host has missed it may have had no part, and others its slots.
-    pub fn set_part(&mut self, now: Time, generation: u64, part: u32) {
+    pub fn set_share(&mut self, now: Time, generation: u64, part: u32) {
         if generation > self.generation + 1 {
             self.part.update(0, now);
         }
@@ -93,7 +93,7 @@
     }
 
     /// This host has authority until `until`.
-    pub fn vouch(&mut self, until: Time) {
+    pub fn extend_authority(&mut self, until: Time) {
         self.vouched_until = self.vouched_until.max(until);
     }
 
@@ -116,33 +116,33 @@
     }
 
     /// Lenders whose loan is to be asked for again.
-    pub fn due(&self, now: Time) -> Vec<HostId> {
-        let soon = now + (LEASE - LEASE_GUARD - RENEW_AFTER);
+    pub fn loans_to_renew(&self, now: Time) -> Vec<HostId> {
+        let soon = now + (LOAN_LEASE - CLOCK_DRIFT_MARGIN - RENEW_AFTER);
         let held = self.borrowed.iter().filter(|(_, loans)| most(loans, now) > 0);
         let due = held.filter(|(_, loans)| most(loans, soon) < most(loans, now));
         due.map(|(lender, _)| *lender).collect()
     }
 
     /// Asks `lender` for loans of `total` in all.
-    pub fn ask(&mut self, now: Time, lender: HostId, total: u32) -> Asked {
+    pub fn request_loan(&mut self, now: Time, lender: HostId, total: u32) -> LoanRequest {
         self.sequence += 1;
-        Asked { lender, at: now, total, sequence: self.sequence }
+        LoanRequest { lender, sent_at: now, total, sequence: self.sequence }
     }
 
     /// The lender answered: this host holds `total` from it for the rest of the lease.
-    pub fn granted(&mut self, now: Time, asked: Asked, total: u32) {
+    pub fn record_grant(&mut self, now: Time, asked: LoanRequest, total: u32) {
         let returned = self.returned.get(&asked.lender).copied().unwrap_or(0);
         if asked.sequence < returned {
             return;
         }
-        let until = asked.at + (LEASE - LEASE_GUARD);
+        let until = asked.sent_at + (LOAN_LEASE - CLOCK_DRIFT_MARGIN);
         let loans = self.borrowed.entry(asked.lender).or_default();
         loans.retain(|loan| loan.until > now);
         loans.push(Loan { count: total.min(asked.total), until });
     }
 
     /// Gives loans back down to `total`; what is above must be closed already.
-    pub fn give_back(&mut self, lender: HostId, total: u32) -> u64 {
+    pub fn return_loans(&mut self, lender: HostId, total: u32) -> u64 {
         self.sequence += 1;
         self.returned.insert(lender, self.sequence);
         clip(self.borrowed.entry(lender).or_default(), total);
@@ -155,19 +155,19 @@
         *heard = request.sequence.max(*heard);
         // What this host may lend at all: a part that has shrunk renews no loan beyond it, and a
         // loan that outlived the authority could outlive the division that it is taken from.
-        let part = if now + LEASE <= self.vouched_until { self.part(now) } else { 0 };
+        let part = if now + LOAN_LEASE <= self.vouched_until { self.part(now) } else { 0 };
         let loans = self.lent.remove(&request.host).unwrap_or_default();
         let (known, others) = (most(&loans, now), held(&self.lent, now));
         let free = spare.min(part.saturating_sub(known + others));
         let total = request.count.min(known + free).min(part.saturating_sub(others));
         let mut loans: Vec<Loan> = loans.into_iter().filter(|loan| loan.until > now).collect();
-        loans.push(Loan { count: total, until: now + LEASE });
+        loans.push(Loan { count: total, until: now + LOAN_LEASE });
         self.lent.insert(request.host, loans);
         total
     }
 
     /// A peer has given loans back.
-    pub fn take_back(&mut self, request: &SlotRequest) {
+    pub fn record_return(&mut self, request: &SlotRequest) {
         let heard = self.heard.get(&request.host).copied().unwrap_or(0);
         if request.sequence < heard {
             return;
--- a/crates/core/src/sql.rs
+++ b/crates/core/src/sql.rs
@@ -75,7 +75,7 @@
 }
 
 /// Whether `secret` occurs in the statement or one of its parameters.
-pub fn contains(statement: &Statement, secret: &str) -> bool {
+pub fn contains_secret(statement: &Statement, secret: &str) -> bool {
     let is_in = |bytes: &[u8]| bytes.windows(secret.len()).any(|w| w == secret.as_bytes());
     let in_param = |value: &Value| match value {
         Value::Text(text) => is_in(text.as_bytes()),
--- a/crates/core/src/sqlstate.rs
+++ b/crates/core/src/sqlstate.rs
@@ -63,7 +63,7 @@
     /// Whether an error with this cause, in answer to COMMIT, proves that nothing was committed.
     ///
     /// A target that fails in the middle of a commit may have written it already.
-    pub fn is_proof_of_rollback(self) -> bool {
+    pub fn proves_rollback(self) -> bool {
         matches!(self, Failure::Caller | Failure::Superseded | Failure::Held)
     }
 
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -14,13 +14,13 @@
 /// Time within which a change is accepted or given up.
 pub const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between polls of the fleet row.
-pub const POLL_PERIOD: Duration = Duration::from_millis(500);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Calls in flight at once.
 pub const MAX_IN_FLIGHT: usize = 16;
 /// Failures in a row that open the breaker.
-pub const FAILURES: u32 = 5;
+pub const BREAKER_THRESHOLD: u32 = 5;
 /// Time between probes while the breaker is open.
-pub const PROBE_PERIOD: Duration = Duration::from_millis(500);
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Why a call was not admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
@@ -59,38 +59,38 @@
         self
     }
 
-    /// Admits a call; each admitted call has to be ended by `succeeded` or `failed`.
+    /// Admits a call; each admitted call has to be ended by `record_success` or `record_failure`.
     pub fn admit(&mut self, now: Time) -> Result<(), Refusal> {
         if self.in_flight >= self.max_in_flight {
             return Err(Refusal::Full);
         }
-        if self.open() {
+        if self.is_open() {
             if now < self.next_probe {
                 return Err(Refusal::Open);
             }
-            self.next_probe = now + PROBE_PERIOD;
+            self.next_probe = now + PROBE_INTERVAL;
         }
         self.in_flight += 1;
         Ok(())
     }
 
     /// A call was answered.
-    pub fn succeeded(&mut self) {
+    pub fn record_success(&mut self) {
         self.in_flight -= 1;
         self.failures = 0;
     }
 
     /// A call was not answered, or answered with an outage.
-    pub fn failed(&mut self, now: Time) {
+    pub fn record_failure(&mut self, now: Time) {
         self.in_flight -= 1;
         self.failures = self.failures.saturating_add(1);
-        if self.failures == FAILURES {
-            self.next_probe = now + PROBE_PERIOD;
+        if self.failures == BREAKER_THRESHOLD {
+            self.next_probe = now + PROBE_INTERVAL;
         }
     }
 
     /// Whether the store has been failing.
-    pub fn open(&self) -> bool {
-        self.failures >= FAILURES
+    pub fn is_open(&self) -> bool {
+        self.failures >= BREAKER_THRESHOLD
     }
 }
--- a/crates/core/src/transaction.rs
+++ b/crates/core/src/transaction.rs
@@ -121,7 +121,7 @@
     }
 
     /// Admits a step of `account`; answers with the service.
-    pub fn start(
+    pub fn start_step(
         &mut self,
         id: TransactionId,
         account: AccountId,
@@ -151,7 +151,7 @@
     }
 
     /// Notes that a statement was answered; false when the transaction has ended meanwhile.
-    pub fn finish(&mut self, id: TransactionId, now: Time) -> bool {
+    pub fn finish_step(&mut self, id: TransactionId, now: Time) -> bool {
         let Some(entry) = self.open.get_mut(&id) else { return false };
         entry.state = State::Idle;
         entry.active = now;
@@ -171,18 +171,18 @@
     }
 
     /// Ends the transactions that are over a limit; their connections are to be closed at once.
-    pub fn expire(&mut self, now: Time) -> Vec<TransactionId> {
+    pub fn roll_back_expired(&mut self, now: Time) -> Vec<TransactionId> {
         let limits = self.limits;
         self.roll_back(|entry| is_over(entry, &limits, now))
     }
 
     /// The same for the transactions of a withdrawn key.
-    pub fn withdraw(&mut self, key: KeyId) -> Vec<TransactionId> {
+    pub fn roll_back_key(&mut self, key: KeyId) -> Vec<TransactionId> {
         self.roll_back(|entry| entry.key == key)
     }
 
     /// The same for every transaction, when the host stops.
-    pub fn stop(&mut self) -> Vec<TransactionId> {
+    pub fn roll_back_all(&mut self) -> Vec<TransactionId> {
         self.roll_back(|_| true)
     }
 
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -19,7 +19,8 @@
 ) -> Vec<HostId> {
     let hosts: BTreeSet<HostId> = members.keys().copied().collect();
     let ranked = rendezvous::choose(&hosts, Subject::Watch(u64::from(service)), hosts.len());
-    let mut chosen = rendezvous::take_turns(ranked.into_iter().map(|host| (host, members[&host])));
+    let mut chosen =
+        rendezvous::interleave_domains(ranked.into_iter().map(|host| (host, members[&host])));
     chosen.truncate(count);
     chosen
 }
--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -1,8 +1,8 @@
 //! One write, from the lease of a connection to the acknowledgement.
 //!
 //! The machine is told what was handed to the connection and what came back, and keeps the last
-//! point that the write may have passed over all its tries. A refusal says `Ran::No` only while
-//! no try has passed the point where the target alone knows. A write without an idempotency key is
+//! stage that the write may have passed over all its attempts. A refusal says `Ran::No` only while
+//! no try has passed the stage where the target alone knows. A write without an idempotency key is
 //! sent again only while no byte of it was sent, or where the target itself answered that it did
 //! not run; one with a key also after a loss, since its row lets one try commit.
 //!
@@ -13,7 +13,7 @@
 use crate::id::{AccountId, ServiceId, Time};
 use crate::idempotency::{self, Decision, Row};
 use crate::log::Position;
-use crate::progress::Point;
+use crate::progress::Stage;
 use crate::random::Source;
 use crate::refusal::{Ran, Reason, Refusal};
 use crate::retry::{self, Budgets, Policy};
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 /// Part of the time left that the statement of a keyed write leaves for another try.
-const KEPT_PART: u32 = 4;
+const RETRY_RESERVE_DIVISOR: u32 = 4;
 
 /// A write under way.
 #[derive(Debug, Clone)]
@@ -34,9 +34,9 @@
     policy: Policy,
     jitter: Source,
     state: State,
-    point: Point,
+    stage: Stage,
     ran: Ran,
-    tries: u32,
+    attempts: u32,
     replay: Option<String>,
 }
 
@@ -117,9 +117,9 @@
             policy: Policy::default(),
             jitter: Source::new(seed),
             state: State::Leasing,
-            point: Point::Unsent,
+            stage: Stage::Unsent,
             ran: Ran::No,
-            tries: 1,
+            attempts: 1,
             replay: None,
         }
     }
@@ -130,8 +130,8 @@
     pub fn new_commit(service: ServiceId, account: AccountId, deadline: Time, seed: u64) -> Write {
         let write = Write::new(service, account, None, deadline, seed);
         // Its statements lie with the caller alone, so that it cannot be run again.
-        let point = Point::StatementSent;
-        Write { is_whole: false, state: State::Committing, point, ..write }
+        let stage = Stage::StatementSent;
+        Write { is_whole: false, state: State::Committing, stage, ..write }
     }
 
     /// The same write under `policy`.
@@ -151,23 +151,27 @@
     }
 
     /// When an exchange that starts at `now` is given up without a first sign of the target.
-    pub fn sign_deadline(&self, now: Time) -> Time {
-        self.policy.try_deadline(now, self.deadline)
+    pub fn first_response_deadline(&self, now: Time) -> Time {
+        self.policy.attempt_deadline(now, self.deadline)
     }
 
     /// When the exchange that starts at `now` is given up.
     ///
     /// Without an idempotency key nothing can be tried again, so that statement and COMMIT have
     /// the caller's whole time. With one, COMMIT has the time of a try, and the statement leaves
-    /// [`KEPT_PART`] of the time for another: a connection that went silent is found out only by
+    /// [`RETRY_RESERVE_DIVISOR`] of the time for another: a connection that went silent is found out only by
     /// giving up on it.
     pub fn exchange_deadline(&self, now: Time) -> Time {
         match self.state {
-            State::Confirming(_) | State::LookingUp => self.policy.try_deadline(now, self.deadline),
-            State::Committing if self.is_keyed() => self.policy.try_deadline(now, self.deadline),
+            State::Confirming(_) | State::LookingUp => {
+                self.policy.attempt_deadline(now, self.deadline)
+            }
+            State::Committing if self.is_keyed() => {
+                self.policy.attempt_deadline(now, self.deadline)
+            }
             State::Executing if self.is_keyed() => {
                 let left = self.deadline.saturating_sub(now);
-                self.deadline - left / KEPT_PART
+                self.deadline - left / RETRY_RESERVE_DIVISOR
             }
             State::Leasing | State::Executing | State::Committing => self.deadline,
         }
@@ -210,18 +214,18 @@
             (_, Event::TimedOut) => {
                 self.lost(retry::Reason::TryTimeout, Reason::DeadlineExceeded, budgets, now)
             }
-            (state, event) => unreachable_event(state, &event, self.ran.max(self.point.ran())),
+            (state, event) => unreachable_event(state, &event, self.ran.max(self.stage.ran())),
         }
     }
 
     /// Notes that the next bytes of the present state are about to reach the connection.
     ///
     /// Called before BEGIN with the statement, and before COMMIT; never after the fact.
-    pub fn sent(&mut self) {
-        self.point = match self.state {
-            State::Executing => Point::StatementSent,
-            State::Committing => Point::CommitSent,
-            _ => self.point,
+    pub fn record_sent(&mut self) {
+        self.stage = match self.state {
+            State::Executing => Stage::StatementSent,
+            State::Committing => Stage::CommitSent,
+            _ => self.stage,
         };
     }
 
@@ -242,7 +246,7 @@
     fn look_up(&mut self) -> Action {
         self.state = State::LookingUp;
         // The transaction was rolled back; the question changes nothing.
-        self.point = Point::Unsent;
+        self.stage = Stage::Unsent;
         Action::Lookup
     }
 
@@ -252,8 +256,8 @@
     }
 
     fn confirm_later(&mut self, position: Position, now: Time) -> Action {
-        self.tries += 1;
-        let at = now + self.policy.delay(self.tries, self.jitter.bits());
+        self.attempts += 1;
+        let at = now + self.policy.retry_delay(self.attempts, self.jitter.bits());
         if at >= self.deadline {
             return self.give_up(Reason::DeadlineExceeded, "not confirmed in time");
         }
@@ -326,7 +330,7 @@
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        self.point = Point::Unsent;
+        self.stage = Stage::Unsent;
         match failure {
             Failure::Locked if self.is_keyed() => {
                 self.give_up(Reason::IdempotencyInProgress, "the same request is running")
@@ -351,7 +355,7 @@
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        if failure.is_proof_of_rollback() {
+        if failure.proves_rollback() {
             return self.failed(failure, detail, budgets, now);
         }
         self.lost(retry::Reason::TargetFailed, Reason::ConnectionLost, budgets, now)
@@ -365,9 +369,9 @@
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        let is_sent = !self.point.is_unsent();
-        self.ran = self.ran.max(self.point.ran());
-        self.point = Point::Unsent;
+        let is_sent = !self.stage.is_unsent();
+        self.ran = self.ran.max(self.stage.ran());
+        self.stage = Stage::Unsent;
         if is_sent && !self.is_keyed() {
             return self.give_up(reason, "the target's answer was lost");
         }
@@ -381,7 +385,7 @@
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        let spent = !self.is_whole || self.tries >= self.policy.max_tries;
+        let spent = !self.is_whole || self.attempts >= self.policy.max_attempts;
         if spent || retry.is_budgeted() && !budgets.withdraw(self.service, self.account, now) {
             return self.give_up(reason, "no retry is left");
         }
@@ -389,8 +393,8 @@
     }
 
     fn later(&mut self, retry: retry::Reason, reason: Reason, now: Time) -> Action {
-        let at = now + self.policy.delay(self.tries, self.jitter.bits());
-        self.tries += 1;
+        let at = now + self.policy.retry_delay(self.attempts, self.jitter.bits());
+        self.attempts += 1;
         if at >= self.deadline {
             return self.give_up(reason, "the time that the caller gave has run out");
         }
@@ -403,7 +407,7 @@
     }
 
     fn refuse(&self, refusal: Refusal) -> Action {
-        Action::Refuse(refusal.with_ran(self.ran.max(self.point.ran())))
+        Action::Refuse(refusal.with_ran(self.ran.max(self.stage.ran())))
     }
 }
 
--- a/crates/core/tests/clock.rs
+++ b/crates/core/tests/clock.rs
@@ -38,9 +38,9 @@
 #[test]
 fn a_leap_ends_authority_and_what_rests_on_it() {
     let holder = holder(5);
-    let mut ledger = Ledger::new(5, slot::settle(VALIDITY));
-    ledger.set_part(Time::ZERO, 1, 10);
-    ledger.vouch(START + VALIDITY);
+    let mut ledger = Ledger::new(5, slot::growth_delay(VALIDITY));
+    ledger.set_share(Time::ZERO, 1, 10);
+    ledger.extend_authority(START + VALIDITY);
 
     let before = (holder.held(START + VALIDITY), ledger.usable(START + VALIDITY - MOMENT));
     let after = (holder.held(START + LEAP), ledger.usable(START + LEAP));
--- a/crates/core/tests/common/write.rs
+++ b/crates/core/tests/common/write.rs
@@ -42,7 +42,7 @@
             Step::Action(action) => commit_due = *action == Action::Commit,
             Step::Sent => may_have_run |= commit_due,
             Step::Event(Event::Failed(failure, _)) if commit_due => {
-                may_have_run &= !failure.is_proof_of_rollback();
+                may_have_run &= !failure.proves_rollback();
             }
             Step::Event(_) => {}
         }
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -5,7 +5,7 @@
 
 use bergamotvale_core::fair::{Queue, Waiter};
 use bergamotvale_core::id::{AccountId, RequestId, Time};
-use bergamotvale_core::pool::{Action, ConnectionId, Pool, Refused, Settings};
+use bergamotvale_core::pool::{Action, ConnectionId, OpenError, Pool, Settings};
 use common::case;
 use serde::Deserialize;
 use std::path::Path;
@@ -74,11 +74,11 @@
             Vec::new()
         }
         "opened" => pool.opened(now, id),
-        "unreachable" => pool.not_opened(now, id, Refused::Unreachable),
-        "crowded" => pool.not_opened(now, id, Refused::Crowded),
+        "unreachable" => pool.open_failed(now, id, OpenError::Unreachable),
+        "crowded" => pool.open_failed(now, id, OpenError::TargetFull),
         "checked" => pool.checked(now, id, event.clean),
         "released" => pool.released(now, id, event.clean),
-        "lost" => pool.lost(now, id),
+        "lost" => pool.disconnected(now, id),
         "closed" => pool.closed(now, id),
         "limit" => pool.set_limit(now, event.limit),
         "tick" => pool.tick(now),
--- a/crates/core/tests/fleet/node.rs
+++ b/crates/core/tests/fleet/node.rs
@@ -79,7 +79,7 @@
 
     /// Whether a caller's key works here.
     pub(crate) fn serves(&self, now: Time, id: u64) -> bool {
-        self.acts(now) && !self.member.leaving && key::active(self.replica.document(), id)
+        self.acts(now) && !self.member.leaving && key::is_active(self.replica.document(), id)
     }
 
     /// Outcome of the latest change that was asked for here.
@@ -115,7 +115,7 @@
             sends.extend(self.view.probes().iter().map(|m| (Some(m.host), beat.clone())));
         }
         if now >= self.next_poll {
-            self.next_poll = now + store::POLL_PERIOD;
+            self.next_poll = now + store::POLL_INTERVAL;
             sends.push((None, Message::Read { attempt: None, sent: now }));
         }
         self.stopped = self.member.leaving && !self.holder.recorded();
--- a/crates/core/tests/group/mod.rs
+++ b/crates/core/tests/group/mod.rs
@@ -1,7 +1,7 @@
 //! A small database group for seeded searches: targets with terms, logs and lost messages.
 #![allow(dead_code, reason = "not every test uses all of it")]
 
-use bergamotvale_core::group::{Answer, majority};
+use bergamotvale_core::group::{TermResponse, majority};
 use bergamotvale_core::id::{PromoterId, TargetId};
 use bergamotvale_core::log::{Position, Term};
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,8 +62,8 @@
         (entry.term == term).then(|| Position::new(term, length as u64))
     }
 
-    fn answer(&self, granted: bool) -> Answer {
-        Answer { granted, accepted: self.accepted, entry: self.entry(), voter: self.voter }
+    fn answer(&self, granted: bool) -> TermResponse {
+        TermResponse { granted, accepted: self.accepted, entry: self.entry(), voter: self.voter }
     }
 }
 
@@ -84,7 +84,7 @@
         id: TargetId,
         term: Term,
         promoter: PromoterId,
-    ) -> Option<Answer> {
+    ) -> Option<TermResponse> {
         let target = self.targets.get_mut(&id).filter(|target| target.up)?;
         let again = term == target.accepted && target.promoter == Some(promoter);
         let granted = term > target.accepted || again;
@@ -101,7 +101,7 @@
         id: TargetId,
         term: Term,
         promoter: PromoterId,
-    ) -> Option<Answer> {
+    ) -> Option<TermResponse> {
         let target = self.targets.get_mut(&id).filter(|target| target.up)?;
         let granted = target.accepted == term && target.promoter == Some(promoter);
         if granted && target.leads != Some(term) {
--- a/crates/core/tests/outside.rs
+++ b/crates/core/tests/outside.rs
@@ -99,7 +99,7 @@
             false => Statement { sql: "SELECT $1".into(), params: vec![Value::Text(text)] },
         };
 
-        prop_assert!(sql::contains(&statement, &secret));
+        prop_assert!(sql::contains_secret(&statement, &secret));
     }
 
     #[test]
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
 
-use bergamotvale_core::group::{Answer, Role, Status};
+use bergamotvale_core::group::{Role, Status, TermResponse};
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::log::{Position, Term};
 use bergamotvale_core::promotion::{Action, Candidate, Deposed, Promoter};
@@ -45,9 +45,9 @@
     voter: Option<bool>,
 }
 
-fn answer(happening: &Happening, term: Term) -> Option<Answer> {
+fn answer(happening: &Happening, term: Term) -> Option<TermResponse> {
     let granted = happening.granted?;
-    Some(Answer {
+    Some(TermResponse {
         granted,
         accepted: happening.accepted.unwrap_or(term),
         entry: happening.entry.as_deref().map(position).unwrap_or_default(),
--- a/crates/core/tests/promotion_search.rs
+++ b/crates/core/tests/promotion_search.rs
@@ -5,7 +5,7 @@
 
 mod group;
 
-use bergamotvale_core::group::{Answer, Role, Status};
+use bergamotvale_core::group::{Role, Status, TermResponse};
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::log::Position;
 use bergamotvale_core::promotion::{Action, Candidate, Deposed, Promoter};
@@ -37,7 +37,7 @@
     group: Group,
     promoters: Vec<(Promoter, Time)>,
     requests: Vec<(usize, Action)>,
-    answers: Vec<(usize, Action, Option<Answer>)>,
+    answers: Vec<(usize, Action, Option<TermResponse>)>,
     messages: Vec<Message>,
     now: Time,
     promotions: u32,
@@ -144,13 +144,13 @@
         if self.defect == Defect::SharedPromoter { 1 } else { promoter }
     }
 
-    fn distort(&self, answer: Answer, before: &Target) -> Answer {
+    fn distort(&self, answer: TermResponse, before: &Target) -> TermResponse {
         match self.defect {
             Defect::ChooseByAccepted => {
                 let entry = Position::new(before.accepted, answer.entry.index);
-                Answer { entry, ..answer }
+                TermResponse { entry, ..answer }
             }
-            Defect::CountRebuilding => Answer { voter: true, ..answer },
+            Defect::CountRebuilding => TermResponse { voter: true, ..answer },
             Defect::None | Defect::RepeatFence | Defect::SharedPromoter => answer,
         }
     }
--- a/crates/core/tests/read.rs
+++ b/crates/core/tests/read.rs
@@ -8,7 +8,7 @@
 use bergamotvale_core::read::{Action, Event, Read};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use bergamotvale_core::retry::Budgets;
-use bergamotvale_core::route::{self, Answer, Bounds, Demand, Role, View};
+use bergamotvale_core::route::{self, Bounds, Report, Requirement, Role, View};
 use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::statement::Freshness;
 use common::{case, position};
@@ -64,9 +64,9 @@
 }
 
 impl Given {
-    fn demand(&self) -> Demand {
+    fn demand(&self) -> Requirement {
         let age = self.max_age_ms.map(Duration::from_millis);
-        Demand {
+        Requirement {
             token: self.token.as_deref().map(position),
             freshness: age.map_or(Freshness::Session, Freshness::MaxAge),
         }
@@ -92,10 +92,10 @@
     }
 }
 
-fn answer(happening: &Happening) -> Answer {
+fn answer(happening: &Happening) -> Report {
     let applied = position(happening.applied.as_deref().expect("an applied position"));
     let confirmed = happening.confirmed.as_deref().map_or(applied, position);
-    Answer { applied, confirmed, age: Duration::from_millis(happening.age_ms) }
+    Report { applied, confirmed, age: Duration::from_millis(happening.age_ms) }
 }
 
 fn event(given: &Given, happening: &Happening, now: Time) -> Event {
@@ -118,8 +118,8 @@
 fn describe(action: &Action) -> String {
     match action {
         Action::Choose(_) => "choose".into(),
-        Action::Try(target, None) => format!("try {target}"),
-        Action::Try(target, Some(reason)) => format!("try {target}: {reason}"),
+        Action::Attempt(target, None) => format!("try {target}"),
+        Action::Attempt(target, Some(reason)) => format!("try {target}: {reason}"),
         Action::Serve(Some(position)) => format!("serve {position}"),
         Action::Serve(None) => "serve".into(),
         Action::Refuse(refusal) => format!("refuse {}, ran {}", refusal.reason, refusal.ran),
@@ -128,7 +128,7 @@
 
 /// What is served covers the token, is fresh enough, and advances the token to nothing that is
 /// unseen or unconfirmed.
-fn verify_served(given: &Given, served: Option<Position>, answer: &Answer) -> Result<(), String> {
+fn verify_served(given: &Given, served: Option<Position>, answer: &Report) -> Result<(), String> {
     let token = given.token.as_deref().map(position);
     if token.is_some_and(|token| answer.applied < token) {
         return Err(format!("{} does not cover the token", answer.applied));
@@ -166,12 +166,12 @@
 /// The check itself fails on an answer behind the token, too old, or of an unconfirmed position.
 fn verify_the_check(given: &Given) -> datatest_stable::Result<()> {
     let age = Duration::from_secs(3600);
-    let behind = Answer { applied: position("0.1"), confirmed: position("0.1"), age };
+    let behind = Report { applied: position("0.1"), confirmed: position("0.1"), age };
     if given.token.is_some() || given.max_age_ms.is_some() {
         assert!(verify_served(given, None, &behind).is_err());
     }
     let fresh =
-        Answer { applied: position("9.9"), confirmed: position("9.8"), age: Duration::ZERO };
+        Report { applied: position("9.9"), confirmed: position("9.8"), age: Duration::ZERO };
     assert!(verify_served(given, Some(position("9.9")), &fresh).is_err());
     Ok(())
 }
--- a/crates/core/tests/read_share.rs
+++ b/crates/core/tests/read_share.rs
@@ -2,7 +2,7 @@
 
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::log::Position;
-use bergamotvale_core::route::{Demand, Role, View, counts_for_share};
+use bergamotvale_core::route::{Requirement, Role, View, counts_towards_replica_share};
 use bergamotvale_core::statement::Freshness;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -27,7 +27,7 @@
 
 fn counts(freshness: Freshness, view: View) -> bool {
     let views = BTreeMap::<TargetId, View>::from([(1, view)]);
-    counts_for_share(&Demand { token: None, freshness }, &views, NOW)
+    counts_towards_replica_share(&Requirement { token: None, freshness }, &views, NOW)
 }
 
 #[test]
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -5,7 +5,7 @@
 
 use bergamotvale_core::ack::Lag;
 use bergamotvale_core::id::{AccountId, TargetId, Time};
-use bergamotvale_core::outlier::{self, Group};
+use bergamotvale_core::outlier::{self, Detector};
 use bergamotvale_core::random::Source;
 use bergamotvale_core::retry::{Budgets, Policy};
 use common::{case, position};
@@ -42,7 +42,7 @@
 
 struct Fixture {
     budgets: Budgets,
-    group: Group,
+    group: Detector,
     lag: Lag,
     jitter: Source,
     replicas: Vec<TargetId>,
@@ -52,7 +52,7 @@
     fn new(given: &Given) -> Fixture {
         Fixture {
             budgets: Budgets::new(),
-            group: Group::new(outlier::Policy::default()),
+            group: Detector::new(outlier::Policy::default()),
             lag: Lag::new(),
             jitter: Source::new(7),
             replicas: given.replicas.clone(),
@@ -70,8 +70,8 @@
                 return Some(if allowed { "retry" } else { "spent" }.into());
             }
             "delays" => return Some(self.delays(happening.times)),
-            "succeeded" => self.group.succeeded(target),
-            "failed" => self.group.failed(target, now),
+            "succeeded" => self.group.record_success(target),
+            "failed" => self.group.record_failure(target, now),
             "sweep" => {
                 self.group.sweep(&self.replicas, now);
                 let out = self.replicas.iter().filter(|target| self.group.is_ejected(**target));
@@ -82,9 +82,9 @@
                 let suffix = format!(", suspect {suspects:?}");
                 return Some(if suspects.is_empty() { out } else { out + &suffix });
             }
-            "written" => self.lag.written(at(), now),
-            "confirmed" => self.lag.confirmed(at(), now),
-            "lag" => return Some(format!("lag {:?}", self.lag.expected(now))),
+            "written" => self.lag.record_written(at(), now),
+            "confirmed" => self.lag.record_confirmed(at(), now),
+            "lag" => return Some(format!("lag {:?}", self.lag.expected_delay(now))),
             other => panic!("unknown event {other}"),
         }
         None
@@ -94,8 +94,8 @@
     fn delays(&mut self, retries: u32) -> String {
         let policy = Policy::default();
         for retry in 1..=retries {
-            let step = policy.cap.min(policy.base * 2u32.pow(retry - 1));
-            let delay = policy.delay(retry, self.jitter.bits());
+            let step = policy.max_delay.min(policy.base_delay * 2u32.pow(retry - 1));
+            let delay = policy.retry_delay(retry, self.jitter.bits());
             assert!(delay >= step / 2 && delay <= step, "retry {retry} after {delay:?}");
         }
         "delays hold".into()
--- a/crates/core/tests/search.rs
+++ b/crates/core/tests/search.rs
@@ -202,7 +202,7 @@
     while let Some(event) = group.event(&action, keyed) {
         let unsaid = defect == Defect::CommitUnsaid && action == Action::Commit;
         if matches!(action, Action::Execute | Action::Commit) && !unsaid {
-            write.sent();
+            write.record_sent();
             trace.push(Step::Sent);
         }
         now = time_after(&action, now);
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -1,14 +1,14 @@
 //! Parts over time, also of a host that misses a division.
 
-use bergamotvale_core::share::{Count, Part};
+use bergamotvale_core::share::{DivisionCounter, Share};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 const SETTLE: Duration = Duration::from_millis(1600);
 const MOMENT: Duration = Duration::from_millis(1);
 
-fn settled(value: u64) -> Part {
-    let mut part = Part::new(SETTLE);
+fn settled(value: u64) -> Share {
+    let mut part = Share::new(SETTLE);
     part.update(value, Duration::ZERO);
     part
 }
@@ -31,7 +31,7 @@
     let mut part = settled(10);
     let learned = SETTLE * 2;
 
-    part.interrupt(learned);
+    part.record_missed_division(learned);
     part.update(10, learned);
     let usable = [part.usable(learned), part.usable(learned + SETTLE - MOMENT)];
     let after = part.usable(learned + SETTLE);
@@ -43,7 +43,7 @@
 fn a_skipped_epoch_counts_as_a_missed_division() {
     let (three, four) = (BTreeSet::from([1, 2, 3]), BTreeSet::from([1, 2, 3, 4]));
     let steps = [(5, &four), (6, &four), (7, &three), (9, &three), (11, &four)];
-    let mut count = Count::default();
+    let mut count = DivisionCounter::default();
 
     let counted = steps.map(|(epoch, members)| {
         let missed = count.adopt(epoch, members);
--- a/crates/core/tests/slot.rs
+++ b/crates/core/tests/slot.rs
@@ -5,7 +5,7 @@
 
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::peer::SlotRequest;
-use bergamotvale_core::slot::{Asked, Ledger};
+use bergamotvale_core::slot::{Ledger, LoanRequest};
 use common::case;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -55,7 +55,7 @@
 #[derive(Default)]
 struct World {
     hosts: BTreeMap<HostId, Ledger>,
-    asked: BTreeMap<String, (Asked, SlotRequest)>,
+    asked: BTreeMap<String, (LoanRequest, SlotRequest)>,
     returns: BTreeMap<String, (HostId, SlotRequest)>,
     totals: BTreeMap<String, u32>,
 }
@@ -69,8 +69,8 @@
         let mut world = World::default();
         for (host, part) in &given.parts {
             let mut ledger = Ledger::new(1, SETTLE);
-            ledger.set_part(Time::ZERO, 1, *part);
-            ledger.vouch(START * 10);
+            ledger.set_share(Time::ZERO, 1, *part);
+            ledger.extend_authority(START * 10);
             world.hosts.insert(*host, ledger);
         }
         world
@@ -85,7 +85,7 @@
         let name = event.name.clone();
         match event.on.as_str() {
             "ask" => {
-                let asked = self.host(event.host).ask(now, event.lender, event.total);
+                let asked = self.host(event.host).request_loan(now, event.lender, event.total);
                 let request = request(event.host, event.total, asked.sequence);
                 self.asked.insert(name, (asked, request));
             }
@@ -97,19 +97,21 @@
             "granted" => {
                 let (asked, request) = self.asked[&name];
                 let total = self.totals[&name];
-                self.host(request.host).granted(now, asked, total);
+                self.host(request.host).record_grant(now, asked, total);
             }
             "give_back" => {
-                let sequence = self.host(event.host).give_back(event.lender, event.total);
+                let sequence = self.host(event.host).return_loans(event.lender, event.total);
                 let request = request(event.host, event.total, sequence);
                 self.returns.insert(name, (event.lender, request));
             }
             "take_back" => {
                 let (lender, request) = self.returns[&name];
-                self.host(lender).take_back(&request);
+                self.host(lender).record_return(&request);
+            }
+            "part" => self.host(event.host).set_share(now, event.generation, event.total),
+            "vouch" => {
+                self.host(event.host).extend_authority(START + Duration::from_millis(event.until))
             }
-            "part" => self.host(event.host).set_part(now, event.generation, event.total),
-            "vouch" => self.host(event.host).vouch(START + Duration::from_millis(event.until)),
             "look" => {
                 let usable = |ledger: &mut Ledger| ledger.usable(now).to_string();
                 let all: Vec<String> = self.hosts.values_mut().map(usable).collect();
--- a/crates/core/tests/slot_search.rs
+++ b/crates/core/tests/slot_search.rs
@@ -8,8 +8,8 @@
 use bergamotvale_core::peer::SlotRequest;
 use bergamotvale_core::random::Source;
 use bergamotvale_core::rendezvous::Subject;
-use bergamotvale_core::share::{self, Count};
-use bergamotvale_core::slot::{Asked, LEASE, Ledger, settle};
+use bergamotvale_core::share::{self, DivisionCounter};
+use bergamotvale_core::slot::{LOAN_LEASE, Ledger, LoanRequest, growth_delay};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -38,8 +38,8 @@
 
 #[derive(Debug, Clone, Copy)]
 enum Message {
-    Ask { to: HostId, asked: Asked, request: SlotRequest },
-    Answer { to: HostId, asked: Asked, total: u32 },
+    Ask { to: HostId, asked: LoanRequest, request: SlotRequest },
+    Answer { to: HostId, asked: LoanRequest, total: u32 },
     Return { to: HostId, request: SlotRequest },
 }
 
@@ -54,7 +54,7 @@
     paused: BTreeMap<HostId, Time>,
     epoch: Epoch,
     members: BTreeSet<HostId>,
-    seen: BTreeMap<HostId, Count>,
+    seen: BTreeMap<HostId, DivisionCounter>,
     messages: Vec<Message>,
     lent: u32,
 }
@@ -63,7 +63,7 @@
     fn new(seed: u64, limit: u32, defect: Defect) -> World {
         let settle = match defect {
             Defect::GrowAtOnce => Duration::ZERO,
-            _ => settle(AUTHORITY),
+            _ => growth_delay(AUTHORITY),
         };
         let hosts = (1..=HOSTS).map(|host| (host, Ledger::new(1, settle))).collect();
         let mut world = World {
@@ -76,7 +76,7 @@
             paused: BTreeMap::new(),
             epoch: 1,
             members: (1..=HOSTS).collect(),
-            seen: (1..=HOSTS).map(|host| (host, Count::default())).collect(),
+            seen: (1..=HOSTS).map(|host| (host, DivisionCounter::default())).collect(),
             messages: Vec::new(),
             lent: 0,
         };
@@ -106,7 +106,7 @@
     fn refresh(&mut self, host: HostId) {
         let subject = Subject::Connection(1);
         let part = match self.members.contains(&host) {
-            true => share::part(u64::from(self.limit), &self.members, host, subject, 64),
+            true => share::share_of(u64::from(self.limit), &self.members, host, subject, 64),
             false => 0,
         };
         let seen = self.seen.get_mut(&host).expect("a host of the world");
@@ -117,8 +117,8 @@
         seen.adopt(epoch, &self.members);
         let generation = seen.generation();
         let ledger = self.hosts.get_mut(&host).expect("a host of the world");
-        ledger.set_part(self.now, generation, part as u32);
-        ledger.vouch(self.now + AUTHORITY);
+        ledger.set_share(self.now, generation, part as u32);
+        ledger.extend_authority(self.now + AUTHORITY);
     }
 
     fn request(host: HostId, count: u32, sequence: u64) -> SlotRequest {
@@ -132,7 +132,7 @@
         }
         let total = self.random.below(u64::from(self.limit) + 1) as u32;
         let ledger = self.hosts.get_mut(&host).expect("a host of the world");
-        let asked = ledger.ask(self.now, lender, total);
+        let asked = ledger.request_loan(self.now, lender, total);
         let request = World::request(host, total, asked.sequence);
         self.messages.push(Message::Ask { to: lender, asked, request });
     }
@@ -141,7 +141,7 @@
         let ledger = self.hosts.get_mut(&host).expect("a host of the world");
         let Some((lender, held)) = ledger.borrowed(self.now).into_iter().next() else { return };
         let total = self.random.below(u64::from(held)) as u32;
-        let sequence = ledger.give_back(lender, total);
+        let sequence = ledger.return_loans(lender, total);
         let request = World::request(host, total, sequence);
         self.messages.push(Message::Return { to: lender, request });
     }
@@ -178,20 +178,21 @@
                 self.messages.push(Message::Answer { to: request.host, asked, total });
             }
             Message::Answer { asked, total, .. } => {
-                let at = if self.defect == Defect::LeaseFromAnswer { now } else { asked.at };
-                ledger.granted(now, Asked { at, ..asked }, total);
+                let sent_at =
+                    if self.defect == Defect::LeaseFromAnswer { now } else { asked.sent_at };
+                ledger.record_grant(now, LoanRequest { sent_at, ..asked }, total);
             }
             Message::Return { mut request, .. } => {
                 if self.defect == Defect::LateReturn {
                     request.sequence = u64::MAX;
                 }
-                ledger.take_back(&request);
+                ledger.record_return(&request);
             }
         }
     }
 
     fn pause(&mut self, host: HostId) {
-        let time = self.random.time_below(LEASE * 4);
+        let time = self.random.time_below(LOAN_LEASE * 4);
         self.paused.insert(host, self.now + time);
     }
 
--- a/crates/core/tests/sql.rs
+++ b/crates/core/tests/sql.rs
@@ -59,10 +59,16 @@
     let statement = |sql: &str, param| Statement { sql: sql.into(), params: vec![param] };
     let clean = Value::Text("bolt".into());
 
-    assert!(sql::contains(&statement("SELECT 'bv_1_s3cret'", clean.clone()), "s3cret"));
-    assert!(sql::contains(&statement("SELECT $1", Value::Text("xs3cretx".into())), "s3cret"));
-    assert!(sql::contains(&statement("SELECT $1", Value::Bytes(b"s3cret".into())), "s3cret"));
-    assert!(!sql::contains(&statement("SELECT $1", clean), "s3cret"));
+    assert!(sql::contains_secret(&statement("SELECT 'bv_1_s3cret'", clean.clone()), "s3cret"));
+    assert!(sql::contains_secret(
+        &statement("SELECT $1", Value::Text("xs3cretx".into())),
+        "s3cret"
+    ));
+    assert!(sql::contains_secret(
+        &statement("SELECT $1", Value::Bytes(b"s3cret".into())),
+        "s3cret"
+    ));
+    assert!(!sql::contains_secret(&statement("SELECT $1", clean), "s3cret"));
 }
 
 #[test]
--- a/crates/core/tests/transaction.rs
+++ b/crates/core/tests/transaction.rs
@@ -63,16 +63,16 @@
             assert!(begun.as_ref().is_ok_and(|id| owner(*id) == HOST) || begun.is_err());
             result(begun)
         }
-        "run" => result(table.start(id(happening), account, Step::Run, now)),
-        "commit" => result(table.start(id(happening), account, Step::Commit, now)),
-        "rollback" => result(table.start(id(happening), account, Step::Rollback, now)),
-        "answered" => format!("goes on: {}", table.finish(id(happening), now)),
+        "run" => result(table.start_step(id(happening), account, Step::Run, now)),
+        "commit" => result(table.start_step(id(happening), account, Step::Commit, now)),
+        "rollback" => result(table.start_step(id(happening), account, Step::Rollback, now)),
+        "answered" => format!("goes on: {}", table.finish_step(id(happening), now)),
         "committed" => end(table, End::Committed),
         "rolled_back" => end(table, End::RolledBack),
         "lost_commit" => end(table, End::Unknown),
-        "sweep" => closed(&table.expire(now)),
-        "withdraw" => closed(&table.withdraw(key)),
-        "stop" => closed(&table.stop()),
+        "sweep" => closed(&table.roll_back_expired(now)),
+        "withdraw" => closed(&table.roll_back_key(key)),
+        "stop" => closed(&table.roll_back_all()),
         other => panic!("unknown event {other}"),
     }
 }
--- a/crates/core/tests/world/promoter.rs
+++ b/crates/core/tests/world/promoter.rs
@@ -1,7 +1,7 @@
 //! The promoters of all hosts, with calls that are lost, late or cut.
 
 use super::{HOSTS, Scene, TARGETS};
-use bergamotvale_core::group::Answer;
+use bergamotvale_core::group::TermResponse;
 use bergamotvale_core::id::{HostId, TargetId};
 use bergamotvale_core::promotion::{Action, Candidate, Deposed, Promoter};
 use bergamotvale_core::random::Source;
@@ -16,7 +16,7 @@
     run: u64,
     action: Action,
     /// What came back, once it did.
-    answer: Option<Option<Answer>>,
+    answer: Option<Option<TermResponse>>,
 }
 
 pub struct Promotions {
--- a/crates/core/tests/world/request.rs
+++ b/crates/core/tests/world/request.rs
@@ -8,7 +8,7 @@
 use bergamotvale_core::log::Position;
 use bergamotvale_core::read::{self, Read};
 use bergamotvale_core::refusal::{Ran, Reason};
-use bergamotvale_core::route::{Answer, Demand};
+use bergamotvale_core::route::{Report, Requirement};
 use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::statement::Freshness;
 use bergamotvale_core::write::{self, Write};
@@ -64,7 +64,7 @@
 
     pub fn read(op: OpId, host: HostId, token: Option<Position>, scene: &mut Scene) -> Request {
         let token = token.filter(|_| scene.defect != Defect::IgnoredToken);
-        let demand = Demand { token, freshness: Freshness::Session };
+        let demand = Requirement { token, freshness: Freshness::Session };
         let read = Read::new(SERVICE, ACCOUNT, demand, scene.now + TIMEOUT, scene.random.bits());
         let work = Work::Read(Box::new(read), read::Action::Choose(scene.now));
         let attempt = scene.number();
@@ -144,7 +144,7 @@
     fn act(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) {
         let heard = match &self.work {
             Work::Read(read, action) => {
-                let (until, action) = (read.sign_deadline(scene.now), action.clone());
+                let (until, action) = (read.first_response_deadline(scene.now), action.clone());
                 let (at, event) = self.act_read(&action, until, scene);
                 self.misses = acknowledged.iter().any(|op| !scene.has(self.target, *op));
                 (at, Heard::Read(event))
@@ -165,7 +165,7 @@
         scene: &mut Scene,
     ) -> (Time, read::Event) {
         match action {
-            read::Action::Try(target, _) => {
+            read::Action::Attempt(target, _) => {
                 self.target = *target;
                 self.try_read(*target, until, scene)
             }
@@ -184,7 +184,7 @@
         }
         let role = if target.leads.is_some() { Role::Primary } else { Role::Replica };
         let (applied, confirmed) = (target.entry(), target.confirmed);
-        let answer = Answer { applied, confirmed, age: Duration::ZERO };
+        let answer = Report { applied, confirmed, age: Duration::ZERO };
         (now, read::Event::Answered(role, answer))
     }
 
@@ -221,7 +221,7 @@
     fn execute(&mut self, scene: &mut Scene) -> (Time, write::Event) {
         let now = scene.now;
         let deadline = self.machine().exchange_deadline(now);
-        self.machine().sent();
+        self.machine().record_sent();
         if scene.is_cut(self.host, self.target) {
             return (deadline, write::Event::TimedOut);
         }
@@ -253,7 +253,7 @@
         let now = scene.now;
         let deadline = self.machine().exchange_deadline(now);
         if scene.defect != Defect::CommitUnsaid {
-            self.machine().sent();
+            self.machine().record_sent();
         }
         let open = scene.open.entry(self.target).or_default();
         let open = open.iter().find(|open| open.attempt == self.attempt).copied();
--- a/crates/core/tests/write.rs
+++ b/crates/core/tests/write.rs
@@ -104,7 +104,7 @@
     for happening in &case.events {
         let now = Duration::from_millis(happening.at);
         let Some(event) = event(happening) else {
-            write.sent();
+            write.record_sent();
             trace.push(Step::Sent);
             continue;
         };
--- a/crates/host/src/admin/config.rs
+++ b/crates/host/src/admin/config.rs
@@ -99,7 +99,7 @@
         return Err(Fault::NotFound);
     }
     let accepted = change::publish(host, |document| {
-        let edit = key::active(document, id).then(|| key::withdraw(document, id)).flatten();
+        let edit = key::is_active(document, id).then(|| key::withdraw(document, id)).flatten();
         Ok(edit.into_iter().collect())
     })
     .await?;
--- a/crates/host/src/exec/confirm.rs
+++ b/crates/host/src/exec/confirm.rs
@@ -98,10 +98,10 @@
         let mut state = lock(&waiting.state);
         // The probes go on when writes are refused, so that a refusal never feeds on itself.
         if let Some(view) = host.pools.views(key.0).get(&key.1) {
-            state.lag.written(view.status.entry, view.at);
-            state.lag.confirmed(view.status.confirmed, view.at);
+            state.lag.record_written(view.status.entry, view.at);
+            state.lag.record_confirmed(view.status.confirmed, view.at);
         }
-        state.lag.expected(now)
+        state.lag.expected_delay(now)
     }
 
     fn waiting(&self, key: Key) -> Arc<Waiting> {
@@ -119,7 +119,7 @@
     ) -> oneshot::Receiver<Event> {
         let (sender, receiver) = oneshot::channel();
         let mut state = lock(&self.state);
-        state.lag.written(position, now);
+        state.lag.record_written(position, now);
         state.sequence += 1;
         let sequence = state.sequence;
         state.waiters.insert((position, sequence), Waiter { account, until, answer: sender });
@@ -169,7 +169,7 @@
 
     fn confirmed(&self, confirmed: Position, now: Time) {
         let mut state = lock(&self.state);
-        state.lag.confirmed(confirmed, now);
+        state.lag.record_confirmed(confirmed, now);
         let is_settled = |position| ack::verify(position, confirmed) != Verdict::Pending;
         let settled = state.waiters.extract_if(.., |(position, _), _| is_settled(*position));
         for (_, waiter) in settled.collect::<Vec<_>>() {
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -10,7 +10,7 @@
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::read::{Action, Event, Read};
 use bergamotvale_core::refusal::{Reason, Refusal};
-use bergamotvale_core::route::{self, Bounds, Demand, Role, View};
+use bergamotvale_core::route::{self, Bounds, Requirement, Role, View};
 use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::statement::{Freshness, Rows};
 use futures::StreamExt;
@@ -49,7 +49,7 @@
     let mut served = None;
     let mut target = (0, Role::Replica);
     let seen = views(host, &job, now);
-    let shared = route::counts_for_share(&demand, &seen, now);
+    let shared = route::counts_towards_replica_share(&demand, &seen, now);
     let mut event = Event::Candidates(rank(host, &demand, seen, now));
     loop {
         let action = read.on(event, &mut host.data.budgets(), host.clock.now());
@@ -59,7 +59,7 @@
                 let now = host.clock.now();
                 Event::Candidates(rank(host, &demand, views(host, &job, now), now))
             }
-            Action::Try(id, reason) => {
+            Action::Attempt(id, reason) => {
                 if let Some(reason) = reason {
                     host.metric.retry(reason);
                 }
@@ -103,17 +103,17 @@
     (Answer { rows: served.rows, token, target, primary, replayed: false }, served.rest)
 }
 
-fn demand(host: &Host, job: &Job) -> Demand {
-    let demand = Demand { token: job.token.position(job.service), freshness: job.freshness };
+fn demand(host: &Host, job: &Job) -> Requirement {
+    let demand = Requirement { token: job.token.position(job.service), freshness: job.freshness };
     if host.settings.policy.defects.contains(&Defect::IgnoreToken) {
-        return Demand { token: None, freshness: Freshness::MaxAge(Duration::MAX) };
+        return Requirement { token: None, freshness: Freshness::MaxAge(Duration::MAX) };
     }
     demand
 }
 
 fn rank(
     host: &Host,
-    demand: &Demand,
+    demand: &Requirement,
     mut views: BTreeMap<TargetId, View>,
     now: Time,
 ) -> Vec<TargetId> {
@@ -171,16 +171,16 @@
     job: &Job,
     target: TargetId,
     read: &Read,
-) -> Result<(route::Answer, Served), Event> {
+) -> Result<(route::Report, Served), Event> {
     let key = (job.service, target);
     let _flight = host.data.fly(key);
     let account = job.caller.account();
-    let wait_until = read.work_deadline(host.clock.now());
+    let wait_until = read.statement_deadline(host.clock.now());
     let lease = host.pools.acquire(host, key, account, wait_until).await;
     let lease = lease.map_err(|refusal| Event::NoConnection(refusal.reason))?;
     permit::verify(host, &job.caller, job.service).map_err(Event::Denied)?;
     let now = host.clock.now();
-    let limits = (read.sign_deadline(now), read.work_deadline(now));
+    let limits = (read.first_response_deadline(now), read.statement_deadline(now));
     let result = exchange(host, job, lease, limits).await;
     exchange::worked(host, key, result.as_ref().err());
     result.map_err(event)
@@ -191,7 +191,7 @@
     job: &Job,
     lease: Lease,
     limits: (Time, Time),
-) -> Result<(route::Answer, Served), Loss> {
+) -> Result<(route::Report, Served), Loss> {
     let client = lease.client();
     let params = value::bind(&job.statement);
     let sign = async {
@@ -276,9 +276,9 @@
     Loss::Unusable(Refusal::new(Reason::StatementFailed, fault.to_string()))
 }
 
-fn answer(row: &tokio_postgres::Row) -> crate::Result<route::Answer> {
+fn answer(row: &tokio_postgres::Row) -> crate::Result<route::Report> {
     let age: i64 = row.try_get("age_ms")?;
-    Ok(route::Answer {
+    Ok(route::Report {
         applied: position(row, "applied_term", "applied_index")?,
         confirmed: position(row, "confirmed_term", "confirmed_index")?,
         age: Duration::from_millis(age.unsigned_abs()),
--- a/crates/host/src/exec/state.rs
+++ b/crates/host/src/exec/state.rs
@@ -4,7 +4,7 @@
 use crate::settings::Settings;
 use crate::target::Key;
 use bergamotvale_core::id::{Incarnation, ServiceId, TargetId, Time};
-use bergamotvale_core::idempotency::Running;
+use bergamotvale_core::idempotency::InFlight;
 use bergamotvale_core::outlier;
 use bergamotvale_core::random::Source;
 use bergamotvale_core::retry::Budgets;
@@ -19,8 +19,8 @@
     /// Transactions that this host owns.
     pub transactions: transaction::Owned,
     budgets: Mutex<Budgets>,
-    running: Mutex<Running>,
-    outliers: Mutex<BTreeMap<ServiceId, outlier::Group>>,
+    running: Mutex<InFlight>,
+    outliers: Mutex<BTreeMap<ServiceId, outlier::Detector>>,
     in_flight: Mutex<BTreeMap<Key, u32>>,
     jitter: Mutex<Source>,
     keyed_writes: AtomicU64,
@@ -62,7 +62,7 @@
     }
 
     /// Idempotency keys in use here.
-    pub fn running(&self) -> MutexGuard<'_, Running> {
+    pub fn running(&self) -> MutexGuard<'_, InFlight> {
         lock(&self.running)
     }
 
@@ -91,7 +91,7 @@
     pub fn worked(&self, (service, target): Key, well: bool, now: Time) {
         let mut outliers = lock(&self.outliers);
         let group = outliers.entry(service).or_insert_with(new_group);
-        if well { group.succeeded(target) } else { group.failed(target, now) }
+        if well { group.record_success(target) } else { group.record_failure(target, now) }
     }
 
     /// Standing of the `replicas` of `service`; begins and ends ejections when it is time.
@@ -128,6 +128,6 @@
     mutex.lock().expect("no holder of the lock panics")
 }
 
-fn new_group() -> outlier::Group {
-    outlier::Group::new(outlier::Policy::default())
+fn new_group() -> outlier::Detector {
+    outlier::Detector::new(outlier::Policy::default())
 }
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -113,7 +113,7 @@
     fn keep(&self, id: TransactionId, live: Live, now: Time) -> bool {
         // The table's lock is held, so that no sweep comes between the two.
         let mut table = lock(&self.table);
-        let goes_on = table.finish(id, now);
+        let goes_on = table.finish_step(id, now);
         if goes_on {
             lock(&self.live).insert(id, live);
         }
@@ -123,11 +123,11 @@
     fn sweep(&self, host: &Host) {
         let document = host.document();
         let mut table = lock(&self.table);
-        let mut ended = table.expire(host.clock.now());
+        let mut ended = table.roll_back_expired(host.clock.now());
         for key in table.keys() {
             let stands = document.keys.get(&key).is_some_and(|k| k.state == ACTIVE);
             if !stands {
-                ended.extend(table.withdraw(key));
+                ended.extend(table.roll_back_key(key));
             }
         }
         drop(table);
@@ -136,7 +136,7 @@
 
     /// Ends every transaction.
     pub fn stop(&self) {
-        let ended = lock(&self.table).stop();
+        let ended = lock(&self.table).roll_back_all();
         self.close(ended);
     }
 }
@@ -199,7 +199,7 @@
     };
     let owned = &host.data.transactions;
     let now = host.clock.now();
-    let started = lock(&owned.table).start(id, caller.account(), kind, now);
+    let started = lock(&owned.table).start_step(id, caller.account(), kind, now);
     let service = match started {
         Ok(service) => service,
         Err(refusal) => return Outcome::new(Err(refusal)),
@@ -286,7 +286,7 @@
             Action::Commit => match lease.take() {
                 Some(lease) => {
                     running.end = Some(End::Unknown);
-                    write.sent();
+                    write.record_sent();
                     let (event, clean) = committed(host, lease, before, deadline).await;
                     spare = clean;
                     event
--- a/crates/host/src/exec/write.rs
+++ b/crates/host/src/exec/write.rs
@@ -56,7 +56,7 @@
     fn drop(&mut self) {
         if let Some(key) = &self.job.idempotency_key {
             let account = self.job.caller.account();
-            self.host.data.running().leave(self.job.service, account, key);
+            self.host.data.running().finish(self.job.service, account, key);
         }
     }
 }
@@ -65,7 +65,7 @@
 pub async fn run(host: &Arc<Host>, job: Job) -> Result<Answer, Refusal> {
     let account = job.caller.account();
     if let Some(key) = &job.idempotency_key {
-        host.data.running().enter(job.service, account, key)?;
+        host.data.running().start(job.service, account, key)?;
     }
     let _entered = Entered { host, job: &job };
     host.data.budgets().deposit(job.service, account, host.clock.now());
@@ -173,7 +173,7 @@
         let Some(lease) = self.lease.take() else { return Event::ConnectionLost };
         let _flight = self.host.data.fly(self.target);
         let until = self.write.exchange_deadline(self.host.clock.now());
-        self.write.sent();
+        self.write.record_sent();
         let mut result = self.statement(&lease, until).await;
         if result == Err(Loss::NoTable) {
             result = self.create_and_repeat(&lease, until).await;
@@ -215,7 +215,7 @@
             insert?;
             collect(client, &self.job.statement, rows?, limit).await
         };
-        let limits = (self.write.sign_deadline(self.host.clock.now()), until);
+        let limits = (self.write.first_response_deadline(self.host.clock.now()), until);
         let both = Box::pin(async {
             let (before, rows) = exchange::signed(self.host, limits, sign, Box::pin(work)).await?;
             Ok::<_, Loss>((before, rows?))
@@ -267,7 +267,7 @@
             None => None,
         };
         let until = self.write.exchange_deadline(self.host.clock.now());
-        self.write.sent();
+        self.write.record_sent();
         let row = row.as_ref().map(|(id, outcome)| (*id, outcome.as_str()));
         match commit(self.host, &lease, row, self.before, until).await {
             Ok(position) => {
--- a/crates/host/src/failover/driver.rs
+++ b/crates/host/src/failover/driver.rs
@@ -9,7 +9,7 @@
 use crate::settings::{Defect, Failover as Policy};
 use crate::shared::Host;
 use crate::target::probe::{Control, Failure};
-use bergamotvale_core::group::Answer;
+use bergamotvale_core::group::TermResponse;
 use bergamotvale_core::id::{PromoterId, ServiceId, TargetId};
 use bergamotvale_core::log::Term;
 use bergamotvale_core::{detect, promotion};
@@ -167,9 +167,13 @@
 }
 
 /// The deliberate defect: a grant that the target was not asked for.
-async fn pretend_grant(host: &Host, control: &Control, term: Term) -> Result<Answer, Failure> {
+async fn pretend_grant(
+    host: &Host,
+    control: &Control,
+    term: Term,
+) -> Result<TermResponse, Failure> {
     let status = control.status(&host.settings).await?;
-    Ok(Answer { granted: true, accepted: term, entry: status.entry, voter: true })
+    Ok(TermResponse { granted: true, accepted: term, entry: status.entry, voter: true })
 }
 
 /// The deliberate defect: only the target that is promoted grants the term.
@@ -178,7 +182,7 @@
     control: &Control,
     term: Term,
     promoter: PromoterId,
-) -> Result<Answer, Failure> {
+) -> Result<TermResponse, Failure> {
     control.fence(&host.settings, term, promoter).await?;
     control.promote(&host.settings, term, promoter).await
 }
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 use bergamotvale_core::key;
 use bergamotvale_core::member::{self, Failure, View};
 use bergamotvale_core::peer::{Heartbeat, Member, Update};
-use bergamotvale_core::share::Count;
+use bergamotvale_core::share::DivisionCounter;
 use bergamotvale_core::upkeep::{Duty, duty};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -43,7 +43,7 @@
     replica: Replica,
     view: View,
     spread: Spread,
-    divisions: Count,
+    divisions: DivisionCounter,
     adopted: Time,
 }
 
@@ -96,7 +96,7 @@
             replica: Replica::new(),
             view: View::new(own.host).with_watched(settings.policy.fan_out),
             spread: Spread::new().with_validity(validity),
-            divisions: Count::default(),
+            divisions: DivisionCounter::default(),
             adopted: Time::ZERO,
             own,
         };
@@ -265,7 +265,7 @@
     /// a request leaves for a target.
     pub fn key_stands(&self, id: KeyId) -> bool {
         let ignored = self.settings.policy.defects.contains(&Defect::IgnoreWithdrawal);
-        ignored || (self.authority() && key::active(&self.document(), id))
+        ignored || (self.authority() && key::is_active(&self.document(), id))
     }
 
     /// This host's heartbeat.
--- a/crates/host/src/front/request.rs
+++ b/crates/host/src/front/request.rs
@@ -86,7 +86,7 @@
         return Err(Refusal::new(Reason::TooLarge, detail));
     }
     let secret = auth::secret(&presented.text).unwrap_or(&presented.text);
-    if sql::contains(&statement, secret) {
+    if sql::contains_secret(&statement, secret) {
         let detail = "the statement contains the key that came with it";
         return Err(Refusal::new(Reason::KeyInStatement, detail));
     }
--- a/crates/host/src/platform/call.rs
+++ b/crates/host/src/platform/call.rs
@@ -72,9 +72,9 @@
         let now = self.calls.clock.now();
         let mut state = self.calls.lock();
         if self.answered {
-            state.gate.succeeded();
+            state.gate.record_success();
         } else {
-            state.gate.failed(now);
+            state.gate.record_failure(now);
             state.traffic.failures += 1;
         }
     }
--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -12,7 +12,7 @@
 use bergamotvale_core::fair::{Order, Queue, Waiter};
 use bergamotvale_core::id::{AccountId, RequestId, TargetId, Time};
 use bergamotvale_core::log::Term;
-use bergamotvale_core::pool::{Action, ConnectionId, Pool, Refused, Settings, State as Stage};
+use bergamotvale_core::pool::{Action, ConnectionId, OpenError, Pool, Settings, State as Stage};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use bergamotvale_core::slot::{self, Ledger};
 use std::collections::BTreeMap;
@@ -90,7 +90,7 @@
             crate::settings::Slots::Arrival => Order::Arrival,
         };
         let queue = Queue::new(host.settings.limits.queue).with_order(order);
-        let settle = slot::settle(host.settings.policy.authority);
+        let settle = slot::growth_delay(host.settings.policy.authority);
         Entry {
             pool: Pool::new(0, queue, Settings::default()),
             ledger: Ledger::new(host.incarnation, settle),
@@ -120,7 +120,7 @@
         let mut actions = Vec::new();
         for id in closed {
             self.connections.remove(&id);
-            actions.extend(self.pool.lost(now, id));
+            actions.extend(self.pool.disconnected(now, id));
         }
         actions
     }
@@ -263,11 +263,11 @@
         }
         Err(error) => {
             let refused = match failure(&error) {
-                Failure::Crowded => Refused::Crowded,
-                _ => Refused::Unreachable,
+                Failure::Crowded => OpenError::TargetFull,
+                _ => OpenError::Unreachable,
             };
             host.metric.count("target.not_opened");
-            entry.pool.not_opened(now, connection, refused)
+            entry.pool.open_failed(now, connection, refused)
         }
     });
 }
--- a/crates/host/src/target/probe.rs
+++ b/crates/host/src/target/probe.rs
@@ -8,7 +8,7 @@
 use super::{Role, Status};
 use crate::error::{Error, Result};
 use crate::settings::Settings;
-use bergamotvale_core::group::Answer;
+use bergamotvale_core::group::TermResponse;
 use bergamotvale_core::id::PromoterId;
 use bergamotvale_core::log::{Position, Term};
 use std::net::SocketAddr;
@@ -72,7 +72,7 @@
         settings: &Settings,
         term: Term,
         promoter: PromoterId,
-    ) -> std::result::Result<Answer, Failure> {
+    ) -> std::result::Result<TermResponse, Failure> {
         let row = self.exchange(settings, FENCE, &[signed(term), promoter]).await?;
         answer(&row, "granted").map_err(|_| Failure::Failed)
     }
@@ -83,7 +83,7 @@
         settings: &Settings,
         term: Term,
         promoter: PromoterId,
-    ) -> std::result::Result<Answer, Failure> {
+    ) -> std::result::Result<TermResponse, Failure> {
         let row = self.exchange(settings, PROMOTE, &[signed(term), promoter]).await?;
         answer(&row, "promoted").map_err(|_| Failure::Failed)
     }
@@ -164,10 +164,10 @@
     })
 }
 
-fn answer(row: &Row, granted: &str) -> Result<Answer> {
+fn answer(row: &Row, granted: &str) -> Result<TermResponse> {
     let columns = row.columns().iter();
     let names_voter = columns.into_iter().any(|column| column.name() == "voter");
-    Ok(Answer {
+    Ok(TermResponse {
         granted: row.try_get(granted)?,
         accepted: unsigned(row, "accepted_term")?,
         entry: position(row, "entry_term", "entry_index")?,
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -55,8 +55,8 @@
             host.pools.inner.ensure(host, key, target);
             let part = part(host, key, target, &division.members);
             host.pools.inner.with(key, |entry| {
-                entry.ledger.vouch(division.until);
-                entry.ledger.set_part(now, division.generation, part);
+                entry.ledger.extend_authority(division.until);
+                entry.ledger.set_share(now, division.generation, part);
             });
         }
     }
@@ -65,7 +65,7 @@
 fn part(host: &Host, key: Key, target: &Target, members: &BTreeSet<HostId>) -> u32 {
     let subject = Subject::Connection(u64::from(key.0) << u16::BITS | u64::from(key.1));
     let total = target.connections - control_slots(target.connections, members.len());
-    let part = share::part(u64::from(total), members, host.settings.host, subject, HOLDERS);
+    let part = share::share_of(u64::from(total), members, host.settings.host, subject, HOLDERS);
     u32::try_from(part).unwrap_or(u32::MAX)
 }
 
@@ -117,7 +117,7 @@
     let key = (request.service, request.target);
     let now = host.clock.now();
     let actions = host.pools.inner.with(key, |entry| {
-        entry.ledger.take_back(request);
+        entry.ledger.record_return(request);
         entry.apply_share(now)
     });
     pool::perform(host, key, actions.unwrap_or_default());
@@ -150,7 +150,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asked {
     key: Key,
-    asked: bergamotvale_core::slot::Asked,
+    asked: bergamotvale_core::slot::LoanRequest,
 }
 
 fn want(
@@ -168,11 +168,11 @@
         sequence,
     };
     if let Some((lender, total)) = idle_loan(entry, now) {
-        let sequence = entry.ledger.give_back(lender, total);
+        let sequence = entry.ledger.return_loans(lender, total);
         return vec![(Want::Return(lender, request(total, sequence)), None)];
     }
     let mut totals: Vec<(HostId, u32)> = Vec::new();
-    for lender in entry.ledger.due(now) {
+    for lender in entry.ledger.loans_to_renew(now) {
         totals.push((lender, entry.ledger.borrowed(now)[&lender]));
     }
     let short = entry.pool.waiting().saturating_sub(entry.pool.limit() - busy(entry));
@@ -187,7 +187,7 @@
     totals
         .into_iter()
         .map(|(lender, total)| {
-            let asked = entry.ledger.ask(now, lender, total);
+            let asked = entry.ledger.request_loan(now, lender, total);
             let want = Want::Borrow(lender, request(total, asked.sequence));
             (want, Some(Asked { key, asked }))
         })
@@ -220,7 +220,7 @@
     let actions = host.pools.inner.with(asked.key, |entry| {
         entry.asking = false;
         if let Some(total) = total {
-            entry.ledger.granted(now, asked.asked, total);
+            entry.ledger.record_grant(now, asked.asked, total);
         }
         entry.apply_share(now)
     });
--- a/crates/sessions/src/pool.rs
+++ b/crates/sessions/src/pool.rs
@@ -12,7 +12,7 @@
 use bergamotvale_core::proxy::directory::Entry;
 use bergamotvale_core::proxy::lease::Revision;
 use bergamotvale_core::rendezvous::Subject;
-use bergamotvale_core::share::part;
+use bergamotvale_core::share::share_of;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -306,7 +306,7 @@
     let members: BTreeSet<HostId> = host.lease.borrow().members().keys().copied().collect();
     let used = u64::from(total * USED_PERCENT / 100);
     let subject = Subject::Connection(hash(&target.name));
-    let part = part(used, &members, host.id, subject, members.len());
+    let part = share_of(used, &members, host.id, subject, members.len());
     let mut lane = target.lane.borrow_mut();
     lane.limit = u32::try_from(part).unwrap_or(u32::MAX).max(1);
     lane.basis = Some(basis);
