--- a/crates/core/src/authority.rs
+++ b/crates/core/src/authority.rs
@@ -113,7 +113,7 @@
     }
 
     /// Whether this run of the host is in the epoch's member table.
-    pub fn recorded(&self) -> bool {
+    pub fn is_recorded(&self) -> bool {
         self.recorded
     }
 
@@ -134,26 +134,26 @@
         self.confirmed.clear();
         self.noted = self.noted.filter(|note| note.epoch > epoch);
         if let Some(proof) = self.pending.take_if(|proof| proof.epoch <= epoch) {
-            self.prove(proof.at, Source::Store);
+            self.renew(proof.at, Source::Store);
         }
     }
 
     /// Takes the epoch that a read of the store, sent at `sent`, found.
-    pub fn read(&mut self, sent: Time, epoch: Epoch) {
+    pub fn record_read(&mut self, sent: Time, epoch: Epoch) {
         if epoch <= self.epoch {
-            self.prove(sent, Source::Store);
+            self.renew(sent, Source::Store);
         } else if self.pending.is_none_or(|pending| pending.epoch <= epoch) {
             self.pending = Some(Proof { epoch, at: sent });
         }
     }
 
     /// Takes a peer's answer to a heartbeat that was sent at `sent`.
-    pub fn answered(&mut self, sent: Time, answer: &Heartbeat) {
+    pub fn record_answer(&mut self, sent: Time, answer: &Heartbeat) {
         if answer.epoch > self.epoch {
             return;
         }
         if let Some(at) = answer.age.and_then(|age| sent.checked_sub(age)) {
-            self.prove(at, Source::Peer);
+            self.renew(at, Source::Peer);
         }
         let host = answer.member.host;
         let recorded = self.voters.get(&host) == Some(&answer.member.incarnation);
@@ -164,7 +164,7 @@
     }
 
     /// Notes that `epoch` is about to be written; says whether it lies above this host's.
-    pub fn announce(&mut self, now: Time, epoch: Epoch) -> bool {
+    pub fn record_announcement(&mut self, now: Time, epoch: Epoch) -> bool {
         if epoch <= self.epoch {
             return false;
         }
@@ -181,35 +181,35 @@
     }
 
     /// Time since which an announcement's outcome has been unknown here.
-    pub fn unsettled_since(&self) -> Option<Time> {
+    pub fn unresolved_since(&self) -> Option<Time> {
         self.noted.map(|note| note.since)
     }
 
     /// Whether this host may act on its epoch.
-    pub fn held(&self, now: Time) -> bool {
+    pub fn is_held(&self, now: Time) -> bool {
         self.recorded && self.age(now).is_some_and(|age| age <= self.validity)
     }
 
     /// Age of the newest proof.
     pub fn age(&self, now: Time) -> Option<Duration> {
-        self.newest(now).map(|(at, _)| now.saturating_sub(at))
+        self.latest_renewal(now).map(|(at, _)| now.saturating_sub(at))
     }
 
     /// Where the newest proof comes from.
     pub fn source(&self, now: Time) -> Option<Source> {
-        self.newest(now).filter(|_| self.held(now)).map(|(_, source)| source)
+        self.latest_renewal(now).filter(|_| self.is_held(now)).map(|(_, source)| source)
     }
 
-    fn newest(&self, now: Time) -> Option<(Time, Source)> {
-        self.proven.max(self.voted(now).map(|at| (at, Source::Voters)))
+    fn latest_renewal(&self, now: Time) -> Option<(Time, Source)> {
+        self.proven.max(self.renewed_by_voters(now).map(|at| (at, Source::Voters)))
     }
 
-    fn prove(&mut self, at: Time, source: Source) {
+    fn renew(&mut self, at: Time, source: Source) {
         self.proven = self.proven.max(Some((at, source)));
     }
 
     /// Time by which a majority of the voters had confirmed the epoch.
-    fn voted(&self, now: Time) -> Option<Time> {
+    fn renewed_by_voters(&self, now: Time) -> Option<Time> {
         let (host, incarnation) = self.own;
         let mut times: Vec<Time> = self.confirmed.values().copied().collect();
         if self.voters.get(&host) == Some(&incarnation) {
--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -93,7 +93,7 @@
     }
 
     /// A voter noted the epoch.
-    pub fn noted(&mut self, host: HostId) {
+    pub fn record_acknowledgement(&mut self, host: HostId) {
         if self.voters.contains(&host) {
             self.noted.insert(host);
         }
@@ -102,24 +102,24 @@
     /// A host already knows this or a higher epoch.
     ///
     /// Says something about this attempt only while its own write cannot be that epoch.
-    pub fn overtaken(&self, epoch: Epoch) -> Option<Action> {
+    pub fn observe_epoch(&self, epoch: Epoch) -> Option<Action> {
         let overtaken = epoch >= self.row.epoch && self.write == Write::Unsent;
         overtaken.then_some(Action::Finish(Outcome::Overtaken))
     }
 
     /// A round of announcements ended.
-    pub fn announced(&mut self, now: Time) -> Action {
-        if now >= self.deadline && !self.enough() {
+    pub fn finish_announcements(&mut self, now: Time) -> Action {
+        if now >= self.deadline && !self.has_quorum() {
             return Action::Finish(Outcome::NotWritten);
         }
         self.announce_or_write()
     }
 
     /// The conditional write came back.
-    pub fn written(&mut self, now: Time, reply: Reply) -> Action {
+    pub fn record_write(&mut self, now: Time, reply: Reply) -> Action {
         match reply {
             Reply::Accepted => Action::Finish(Outcome::Accepted),
-            Reply::Conflict(row) => self.judge(now, row.as_deref()),
+            Reply::Conflict(row) => self.conclude(now, row.as_deref()),
             Reply::Refused => {
                 if self.write == Write::Sent {
                     self.write = Write::Unsent;
@@ -134,9 +134,9 @@
     }
 
     /// The row was read; none when the read failed.
-    pub fn read(&mut self, now: Time, row: Option<&Row>) -> Action {
+    pub fn record_read(&mut self, now: Time, row: Option<&Row>) -> Action {
         match row {
-            Some(row) if row.epoch >= self.row.epoch => self.judge(now, Some(row)),
+            Some(row) if row.epoch >= self.row.epoch => self.conclude(now, Some(row)),
             _ if now >= self.deadline => self.give_up(),
             Some(_) => self.send(),
             None => Action::ReadBack,
@@ -144,7 +144,7 @@
     }
 
     fn announce_or_write(&mut self) -> Action {
-        if self.enough() {
+        if self.has_quorum() {
             return self.send();
         }
         Action::Announce(self.voters.difference(&self.noted).copied().collect())
@@ -158,11 +158,11 @@
     }
 
     /// Whether enough voters noted the epoch.
-    pub fn enough(&self) -> bool {
+    pub fn has_quorum(&self) -> bool {
         self.voters.is_empty() || self.noted.len() >= announcement_quorum(self.voters.len())
     }
 
-    fn judge(&self, now: Time, row: Option<&Row>) -> Action {
+    fn conclude(&self, now: Time, row: Option<&Row>) -> Action {
         let Some(row) = row else {
             return if now >= self.deadline { self.give_up() } else { Action::ReadBack };
         };
--- a/crates/core/src/detect/mod.rs
+++ b/crates/core/src/detect/mod.rs
@@ -24,22 +24,22 @@
 use crate::id::{HostId, TargetId, Time};
 use crate::log::{Position, Term};
 use crate::peer::Opinion;
-use crate::promotion::Deposed;
+use crate::promotion::Replacement;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Age of a primary's acknowledgement below which it is usual.
-pub const ISOLATED_FLOOR: Duration = Duration::from_millis(400);
+pub const MIN_ISOLATED_AGE: Duration = Duration::from_millis(400);
 /// Shortest time for which a group counts as without a primary.
-const LEADERLESS_FLOOR: Duration = Duration::from_millis(1);
+const MIN_LEADERLESS_TIME: Duration = Duration::from_millis(1);
 
 /// What the caller has to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
     /// Tell the other watchers at once.
-    Tell(Opinion),
+    SendOpinion(Opinion),
     /// A primary is to be replaced.
-    Depose(Deposed),
+    ReplacePrimary(Replacement),
 }
 
 /// Judges one group's primary.
@@ -98,30 +98,30 @@
     }
 
     /// A probe was sent.
-    pub fn asked(&mut self, now: Time, target: TargetId) {
+    pub fn record_probe_sent(&mut self, now: Time, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.asked(now);
+            health.record_probe_sent(now);
         }
     }
 
     /// A probe was answered.
-    pub fn answered(&mut self, now: Time, target: TargetId, status: Status) {
+    pub fn record_probe_answer(&mut self, now: Time, target: TargetId, status: Status) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.answer(now, status);
+            health.record_probe_answer(now, status);
         }
     }
 
     /// Nothing listens at the target's address, or it reset the connection.
-    pub fn refused(&mut self, now: Time, target: TargetId) {
+    pub fn record_probe_refused(&mut self, now: Time, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.refuse(now);
+            health.record_refusal(now);
         }
     }
 
     /// The target is alive but has no connection free: no evidence either way.
-    pub fn crowded(&mut self, target: TargetId) {
+    pub fn record_probe_overloaded(&mut self, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.crowd();
+            health.record_overload();
         }
     }
 
@@ -135,14 +135,14 @@
     /// Work on the target ended, well or by the target's own fault.
     ///
     /// Errors that are the caller's fault count as well done.
-    pub fn worked(&mut self, now: Time, target: TargetId, well: bool) {
+    pub fn record_work(&mut self, now: Time, target: TargetId, well: bool) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.work(now, well);
+            health.record_work(now, well);
         }
     }
 
     /// A peer told its opinion.
-    pub fn heard(&mut self, now: Time, host: HostId, opinion: Opinion) {
+    pub fn record_opinion(&mut self, now: Time, host: HostId, opinion: Opinion) {
         let newer = self.opinions.get(&host).is_none_or(|(_, known)| known.term <= opinion.term);
         if newer {
             self.opinions.insert(host, (now, opinion));
@@ -152,17 +152,17 @@
     /// Time passes: notices stalls of this host, changes of opinion and failed primaries.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         self.discard_after_stall(now);
-        self.note_leaderless(now);
-        self.note_leader(now);
+        self.update_leaderless(now);
+        self.update_leader(now);
         let Some(opinion) = self.opinion(now) else { return Vec::new() };
         let mut actions = Vec::new();
         let gist = |opinion: &Opinion| (opinion.primary, opinion.term, opinion.failed);
         if self.told.as_ref().map(gist) != Some(gist(&opinion)) {
             self.told = Some(opinion);
-            actions.push(Action::Tell(opinion));
+            actions.push(Action::SendOpinion(opinion));
         }
-        if opinion.failed && self.is_deposed(now, opinion.term) {
-            actions.push(Action::Depose(self.deposed(&opinion)));
+        if opinion.failed && self.should_replace(now, opinion.term) {
+            actions.push(Action::ReplacePrimary(self.replacement(&opinion)));
         }
         actions
     }
@@ -186,7 +186,7 @@
     pub fn signs(&self, now: Time) -> BTreeMap<Cause, Duration> {
         let mut signs = BTreeMap::new();
         if let Some((_, since)) = self.leaderless {
-            let time = now.saturating_sub(since).max(LEADERLESS_FLOOR);
+            let time = now.saturating_sub(since).max(MIN_LEADERLESS_TIME);
             signs.insert(Cause::Leaderless, time);
             return signs;
         }
@@ -203,7 +203,7 @@
         if let Some(since) = health.failing_since(now, self.settings.recent) {
             signs.insert(Cause::Poisoned, lasting(since));
         }
-        if status.age >= ISOLATED_FLOOR {
+        if status.age >= MIN_ISOLATED_AGE {
             signs.insert(Cause::Isolated, status.age.min(now.saturating_sub(led)));
         }
         signs
@@ -243,7 +243,7 @@
         self.leaderless = None;
     }
 
-    fn note_leaderless(&mut self, now: Time) {
+    fn update_leaderless(&mut self, now: Time) {
         let accepted = self.accepted();
         let led = self.leader().is_some_and(|(_, status)| status.entry.term >= accepted);
         let known = self.targets.values().filter(|health| health.status.is_some()).count();
@@ -254,13 +254,13 @@
         }
     }
 
-    fn deposed(&self, opinion: &Opinion) -> Deposed {
+    fn replacement(&self, opinion: &Opinion) -> Replacement {
         let avoid = self.leaderless.is_none().then_some(opinion.primary);
-        Deposed { term: opinion.term, avoid, preferred: None }
+        Replacement { term: opinion.term, avoid, preferred: None }
     }
 
     /// A new primary starts without a record.
-    fn note_leader(&mut self, now: Time) {
+    fn update_leader(&mut self, now: Time) {
         let Some((id, status)) = self.leader() else { return };
         let term = status.entry.term;
         if self.led.is_none_or(|(known, _)| known != term) {
@@ -269,12 +269,12 @@
         }
     }
 
-    fn is_deposed(&self, now: Time, term: Term) -> bool {
-        self.is_outvoted(now, term) || self.is_abandoned(now)
+    fn should_replace(&self, now: Time, term: Term) -> bool {
+        self.has_majority_against(now, term) || self.is_abandoned(now)
     }
 
     /// Whether a majority of the watchers hold the primary of `term` failed.
-    fn is_outvoted(&self, now: Time, term: Term) -> bool {
+    fn has_majority_against(&self, now: Time, term: Term) -> bool {
         let recent = |at: Time| now.saturating_sub(at) <= self.settings.recent;
         let peers = self.watchers.iter().filter(|host| **host != self.host);
         let opinions = peers.filter_map(|host| self.opinions.get(host));
@@ -290,7 +290,7 @@
     }
 
     fn has_lost_primary(&self, now: Time, health: &Health) -> bool {
-        let recent = now.saturating_sub(health.answered) <= self.settings.recent;
+        let recent = now.saturating_sub(health.answered_at) <= self.settings.recent;
         let lost =
             |status: Status| status.role == Role::Replica && status.age >= self.settings.abandoned;
         recent && !health.is_waiting() && health.status.is_some_and(lost)
--- a/crates/core/src/distribute.rs
+++ b/crates/core/src/distribute.rs
@@ -7,7 +7,7 @@
 //!
 //! After acceptance the row is pushed along a tree of bounded fan-out over the members. What the
 //! push misses, anti-entropy mends: heartbeats name epochs, and a host that sees a higher one
-//! fetches it. [`Spread`] says when an epoch is in force everywhere, which is another fact than
+//! fetches it. [`Adoption`] says when an epoch is in force everywhere, which is another fact than
 //! its acceptance.
 
 use crate::authority;
@@ -22,9 +22,9 @@
 /// Peers to which one host pushes an update.
 pub const FAN_OUT: usize = 16;
 /// Epochs whose author a row remembers.
-pub const AUTHORS: usize = 32;
+pub const MAX_AUTHORS: usize = 32;
 /// Changes that a replica keeps to bring others up to date.
-pub const CHANGES: usize = 32;
+pub const MAX_CHANGES: usize = 32;
 
 /// The fleet row of the platform's table.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,7 +59,7 @@
         let mut next = self.clone();
         next.epoch += 1;
         next.authors.insert(next.epoch, author);
-        while next.authors.len() > AUTHORS {
+        while next.authors.len() > MAX_AUTHORS {
             next.authors.pop_first();
         }
         next
@@ -124,13 +124,13 @@
     }
 
     /// Moves to a higher epoch.
-    pub fn take(&mut self, row: Row, body: Body) -> Result<(), Fault> {
+    pub fn adopt(&mut self, row: Row, body: Body) -> Result<(), Fault> {
         if row.epoch <= self.row.epoch || row.version < self.document.version {
             return Err(Fault::Stale);
         }
         if row.version > self.document.version {
             self.document = self.next_document(row.version, &body)?;
-            self.remember(body);
+            self.keep_change(body);
         }
         self.row = row;
         Ok(())
@@ -177,11 +177,11 @@
         }
     }
 
-    fn remember(&mut self, body: Body) {
+    fn keep_change(&mut self, body: Body) {
         if let Body::Change(change) = body {
             self.changes.insert(change.version, change);
         }
-        while self.changes.len() > CHANGES {
+        while self.changes.len() > MAX_CHANGES {
             self.changes.pop_first();
         }
     }
@@ -211,7 +211,7 @@
 
 /// How far an accepted epoch has come.
 #[derive(Debug, Clone)]
-pub struct Spread {
+pub struct Adoption {
     validity: Duration,
     accepted: BTreeMap<Epoch, Accepted>,
     in_force: (Epoch, Version),
@@ -223,23 +223,23 @@
     known: Time,
     waiting: BTreeSet<(HostId, Incarnation)>,
     /// Whether hosts that cannot confirm may act on an older epoch.
-    has_strangers: bool,
+    has_unlisted_hosts: bool,
 }
 
-impl Default for Spread {
-    fn default() -> Spread {
-        Spread::new()
+impl Default for Adoption {
+    fn default() -> Adoption {
+        Adoption::new()
     }
 }
 
-impl Spread {
+impl Adoption {
     /// Nothing accepted yet.
-    pub fn new() -> Spread {
-        Spread { validity: authority::VALIDITY, accepted: BTreeMap::new(), in_force: (0, 0) }
+    pub fn new() -> Adoption {
+        Adoption { validity: authority::VALIDITY, accepted: BTreeMap::new(), in_force: (0, 0) }
     }
 
     /// The same with another lifetime of authority.
-    pub fn with_validity(mut self, validity: Duration) -> Spread {
+    pub fn with_validity(mut self, validity: Duration) -> Adoption {
         self.validity = validity;
         self
     }
@@ -249,19 +249,24 @@
     /// A host that the row no longer has cannot confirm it, and may act on an older epoch until
     /// its authority has lapsed. So may one that was added and removed in epochs that this host
     /// never saw.
-    pub fn accepted(&mut self, now: Time, row: &Row, previous: &Row, own: HostId) {
+    pub fn record_accepted(&mut self, now: Time, row: &Row, previous: &Row, own: HostId) {
         let of = |row: &Row| -> BTreeSet<(HostId, Incarnation)> {
             let members = row.members.values().filter(|member| member.host != own);
             members.map(|member| (member.host, member.incarnation)).collect()
         };
         let waiting = of(row);
         let has_strangers = row.epoch > previous.epoch + 1 || !of(previous).is_subset(&waiting);
-        let accepted = Accepted { version: row.version, known: now, waiting, has_strangers };
+        let accepted = Accepted {
+            version: row.version,
+            known: now,
+            waiting,
+            has_unlisted_hosts: has_strangers,
+        };
         self.accepted.insert(row.epoch, accepted);
     }
 
     /// Takes word that a run of a host acts on `epoch`.
-    pub fn confirmed(&mut self, host: HostId, incarnation: Incarnation, epoch: Epoch) {
+    pub fn record_confirmed(&mut self, host: HostId, incarnation: Incarnation, epoch: Epoch) {
         for accepted in self.accepted.range_mut(..=epoch).map(|(_, accepted)| accepted) {
             accepted.waiting.remove(&(host, incarnation));
         }
@@ -276,7 +281,7 @@
         let done = self
             .accepted
             .iter()
-            .take_while(|(_, accepted)| !accepted.has_strangers || lapsed(accepted))
+            .take_while(|(_, accepted)| !accepted.has_unlisted_hosts || lapsed(accepted))
             .filter(|(_, accepted)| accepted.waiting.is_empty() || lapsed(accepted))
             .map(|(epoch, accepted)| (*epoch, accepted.version))
             .last();
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -15,17 +15,17 @@
 use std::time::Duration;
 
 /// Time after which the primary takes writes again by itself.
-pub const HOLD: Duration = Duration::from_millis(1_500);
+pub const PRIMARY_HOLD_DURATION: Duration = Duration::from_millis(1_500);
 /// Time for which hosts send the primary nothing new.
-pub const GATE: Duration = Duration::from_millis(2_500);
+pub const HOST_HOLD_DURATION: Duration = Duration::from_millis(2_500);
 /// Time for work on the primary to end.
 pub const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for the candidate to hold all that the primary wrote, once it is held.
 pub const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for which the primary's last entry must stay the same.
-pub const SETTLE: Duration = Duration::from_millis(60);
+pub const STABLE_ENTRY_DURATION: Duration = Duration::from_millis(60);
 /// Time between two looks at both.
-pub const POLL: Duration = Duration::from_millis(20);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a planned promotion was taken back; nothing has changed then.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -52,7 +52,7 @@
         time: Duration,
     },
     /// Ask `target` for its last entry.
-    Look {
+    ReadStatus {
         /// Whom to ask.
         target: TargetId,
     },
@@ -109,13 +109,13 @@
     }
 
     /// No host uses the primary any more.
-    pub fn drained(&mut self, now: Time) -> Vec<Action> {
+    pub fn record_drained(&mut self, now: Time) -> Vec<Action> {
         if self.state != State::Draining {
             return Vec::new();
         }
         self.state = State::Holding;
         self.started = now;
-        vec![Action::Hold { target: self.primary, time: HOLD }]
+        vec![Action::Hold { target: self.primary, time: PRIMARY_HOLD_DURATION }]
     }
 
     /// Whether it has come to an end, one way or the other.
@@ -124,7 +124,7 @@
     }
 
     /// The primary answered the hold, or could not be asked.
-    pub fn held(&mut self, now: Time, entry: Option<Position>) -> Vec<Action> {
+    pub fn record_hold(&mut self, now: Time, entry: Option<Position>) -> Vec<Action> {
         if self.state != State::Holding {
             return Vec::new();
         }
@@ -132,13 +132,13 @@
             None => self.abort(Abort::NotHeld),
             Some(_) => {
                 self.state = State::CatchingUp;
-                self.look(now)
+                self.poll(now)
             }
         }
     }
 
     /// `target` told its status.
-    pub fn looked(&mut self, now: Time, target: TargetId, status: &Status) -> Vec<Action> {
+    pub fn record_status(&mut self, now: Time, target: TargetId, status: &Status) -> Vec<Action> {
         if self.state != State::CatchingUp {
             return Vec::new();
         }
@@ -171,20 +171,20 @@
         if now.saturating_sub(self.started) >= timeout {
             return self.abort(reason);
         }
-        if self.state == State::CatchingUp && now.saturating_sub(self.looked) >= POLL {
-            return self.look(now);
+        if self.state == State::CatchingUp && now.saturating_sub(self.looked) >= POLL_INTERVAL {
+            return self.poll(now);
         }
         Vec::new()
     }
 
-    fn look(&mut self, now: Time) -> Vec<Action> {
+    fn poll(&mut self, now: Time) -> Vec<Action> {
         self.looked = now;
-        [self.primary, self.candidate].map(|target| Action::Look { target }).to_vec()
+        [self.primary, self.candidate].map(|target| Action::ReadStatus { target }).to_vec()
     }
 
     fn advance(&mut self, now: Time) -> Vec<Action> {
         let Some((since, entry)) = self.last else { return Vec::new() };
-        let settled = now.saturating_sub(since) >= SETTLE;
+        let settled = now.saturating_sub(since) >= STABLE_ENTRY_DURATION;
         if !settled || self.reached < entry || self.confirmed < entry {
             return Vec::new();
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod invariant;
 pub mod key;
 pub mod log;
+pub mod maintenance;
 pub mod member;
 pub mod outlier;
 pub mod peer;
@@ -43,7 +44,6 @@
 pub mod statement;
 pub mod store;
 pub mod transaction;
-pub mod upkeep;
 pub mod watch;
 pub mod write;
 
--- a/crates/core/src/upkeep.rs
+++ b/crates/core/src/maintenance.rs
@@ -14,13 +14,13 @@
 use std::time::Duration;
 
 /// Age at which an announcement is settled.
-pub const SETTLE_AFTER: Duration = Duration::from_secs(2);
+pub const MAX_ANNOUNCEMENT_AGE: Duration = Duration::from_secs(2);
 /// Time by which each rank waits longer than the one before.
-pub const TURN: Duration = Duration::from_millis(400);
+pub const RANK_DELAY: Duration = Duration::from_millis(400);
 
 /// A change that is due.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Duty {
+pub enum Task {
     /// Record this run of this host, or that it is leaving.
     Record,
     /// Remove hosts that are gone.
@@ -30,30 +30,30 @@
 }
 
 /// What the host `own` should change now, if anything.
-pub fn duty(now: Time, own: &Member, holder: &Holder, view: &View, row: &Row) -> Option<Duty> {
+pub fn due_task(now: Time, own: &Member, holder: &Holder, view: &View, row: &Row) -> Option<Task> {
     let recorded = row.members.get(&own.host);
     if recorded.is_some_and(|member| member.incarnation > own.incarnation) {
         return None;
     }
     if recorded != Some(own) && !(recorded.is_none() && own.leaving) {
-        return Some(Duty::Record);
+        return Some(Task::Record);
     }
-    let wait = TURN * view.rank(now);
-    let gone = view.gone(now, REMOVE_AFTER + wait);
+    let wait = RANK_DELAY * view.rank(now);
+    let gone = view.removable(now, REMOVE_AFTER + wait);
     if !gone.is_empty() {
-        return Some(Duty::Remove(gone));
+        return Some(Task::Remove(gone));
     }
-    let since = holder.unsettled_since()?;
-    (now.saturating_sub(since) >= SETTLE_AFTER + wait).then_some(Duty::Settle)
+    let since = holder.unresolved_since()?;
+    (now.saturating_sub(since) >= MAX_ANNOUNCEMENT_AGE + wait).then_some(Task::Settle)
 }
 
-impl Duty {
+impl Task {
     /// `next` with the change made.
     pub fn apply(&self, next: Row, own: &Member) -> Row {
         match self {
-            Duty::Record => next.with_member(own.clone()),
-            Duty::Remove(hosts) => hosts.iter().fold(next, |row, host| row.without_member(*host)),
-            Duty::Settle => next,
+            Task::Record => next.with_member(own.clone()),
+            Task::Remove(hosts) => hosts.iter().fold(next, |row, host| row.without_member(*host)),
+            Task::Settle => next,
         }
     }
 }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -20,22 +20,22 @@
 /// Time between rounds of heartbeats.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
 /// Peers that a host watches; with no more peers than that, all.
-pub const WATCHED: usize = 8;
+pub const WATCHED_PEERS: usize = 8;
 /// Hosts that take their proofs of authority from the same host of the tree.
 pub const TREE_ARITY: usize = 16;
 /// Hosts of the tree from which each host takes its proofs.
-pub const SOURCES: usize = 2;
+pub const TREE_PARENTS: usize = 2;
 /// Silence after which a peer is suspected.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1500);
 /// Silence after which a suspected peer that is off the list, or refuses connections, is removed.
 pub const REMOVE_AFTER: Duration = Duration::from_secs(2);
 /// Voters of an epoch.
-pub const VOTERS: usize = 9;
+pub const MAX_VOTERS: usize = 9;
 /// Hosts of one failure domain that poll the store.
 pub const POLLERS_PER_DOMAIN: usize = 2;
 
 /// Time for which the platform's list counts as evidence.
-pub const LIST_LIFETIME: Duration = Duration::from_secs(3);
+pub const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
 /// Order of hosts on the ring, among voters and among pollers.
 const RING: Subject = Subject::Store(0);
@@ -55,9 +55,9 @@
     /// Latest identity.
     pub member: Member,
     /// Time of its last answer, or when this host began to look.
-    pub last_heard: Time,
+    pub last_received: Time,
     /// Whether it ever answered.
-    pub heard: bool,
+    pub has_answered: bool,
     /// Epoch that it last said it acts on.
     pub epoch: Epoch,
     /// Configuration version that it last said it acts on.
@@ -94,7 +94,7 @@
             recorded: BTreeMap::new(),
             listed: None,
             voters: Vec::new(),
-            watched: WATCHED,
+            watched: WATCHED_PEERS,
         }
     }
 
@@ -105,35 +105,35 @@
     }
 
     /// Takes the member table of an adopted epoch.
-    pub fn record(&mut self, now: Time, members: &BTreeMap<HostId, Member>) {
+    pub fn record_members(&mut self, now: Time, members: &BTreeMap<HostId, Member>) {
         self.recorded = members.iter().map(|(id, m)| (*id, m.incarnation)).collect();
         self.voters = voters(members).into_keys().collect();
         for member in members.values() {
-            self.meet(now, member);
+            self.add_peer(now, member);
         }
-        self.forget();
+        self.drop_unknown_peers();
     }
 
     /// Takes the platform's list.
-    pub fn list(&mut self, now: Time, list: &[Member]) {
+    pub fn record_platform_list(&mut self, now: Time, list: &[Member]) {
         let runs = list.iter().map(|m| (m.host, m.incarnation)).collect();
         self.listed = Some(List { at: now, runs });
         for member in list {
-            self.meet(now, member);
+            self.add_peer(now, member);
         }
-        self.forget();
+        self.drop_unknown_peers();
     }
 
     /// Takes a peer's heartbeat or its answer to one.
-    pub fn heard(&mut self, now: Time, heartbeat: &Heartbeat) {
-        self.meet(now, &heartbeat.member);
+    pub fn record_heartbeat(&mut self, now: Time, heartbeat: &Heartbeat) {
+        self.add_peer(now, &heartbeat.member);
         let Some(peer) = self.peers.get_mut(&heartbeat.member.host) else { return };
         if peer.member.incarnation != heartbeat.member.incarnation {
             return;
         }
         peer.member.leaving = heartbeat.member.leaving;
-        peer.last_heard = peer.last_heard.max(now);
-        peer.heard = true;
+        peer.last_received = peer.last_received.max(now);
+        peer.has_answered = true;
         peer.refused = false;
         peer.epoch = peer.epoch.max(heartbeat.epoch);
         peer.version = peer.version.max(heartbeat.version);
@@ -141,7 +141,7 @@
     }
 
     /// Takes a failed probe.
-    pub fn failed(&mut self, host: HostId, failure: Failure) {
+    pub fn record_probe_failure(&mut self, host: HostId, failure: Failure) {
         if let Some(peer) = self.peers.get_mut(&host) {
             peer.refused = failure == Failure::Refused;
         }
@@ -156,7 +156,7 @@
     pub fn probes(&self) -> Vec<Member> {
         let mut chosen = self.watched_by(self.own);
         if self.peers.len() > self.watched {
-            chosen.extend(self.sources());
+            chosen.extend(self.tree_parents());
             chosen.remove(&self.own);
         }
         chosen
@@ -172,50 +172,52 @@
     }
 
     /// Recorded peers that have been gone for `time`.
-    pub fn gone(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
+    pub fn removable(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
         let mut silent = self.silent_for(now, time);
-        silent.retain(|host| self.certainly_gone(now, *host) && self.heard_by_nobody(now, *host));
+        silent.retain(|host| {
+            self.is_known_stopped(now, *host) && self.is_missed_by_all_watchers(now, *host)
+        });
         silent
     }
 
     /// Whether to read the platform's list: the task of those that poll, and of whoever misses a
     /// peer and so needs the list as evidence.
     pub fn reads_list(&self, now: Time, members: &BTreeMap<HostId, Member>) -> bool {
-        polls(members, self.own, POLLERS_PER_DOMAIN) || !self.silent(now).is_empty()
+        is_poller(members, self.own, POLLERS_PER_DOMAIN) || !self.silent(now).is_empty()
     }
 
     /// Recorded peers with a smaller id that answer.
     pub fn rank(&self, now: Time) -> u32 {
         let before = self.peers.range(..self.own).map(|(_, peer)| peer);
-        before.filter(|peer| self.answers(now, peer)).count() as u32
+        before.filter(|peer| self.is_answering(now, peer)).count() as u32
     }
 
-    fn answers(&self, now: Time, peer: &Peer) -> bool {
-        peer.heard && now.saturating_sub(peer.last_heard) < SUSPECT_AFTER
+    fn is_answering(&self, now: Time, peer: &Peer) -> bool {
+        peer.has_answered && now.saturating_sub(peer.last_received) < SUSPECT_AFTER
     }
 
     fn silent_for(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
-        let quiet = |peer: &Peer| now.saturating_sub(peer.last_heard) >= time;
+        let quiet = |peer: &Peer| now.saturating_sub(peer.last_received) >= time;
         let mut silent = self.watched_by(self.own);
         silent.retain(|host| self.recorded.contains_key(host));
         silent.retain(|host| self.peers.get(host).is_some_and(quiet));
         silent
     }
 
-    fn certainly_gone(&self, now: Time, host: HostId) -> bool {
+    fn is_known_stopped(&self, now: Time, host: HostId) -> bool {
         let refused = self.peers.get(&host).is_some_and(|peer| peer.refused);
         // A host that was recorded after an old list was read is not on that list.
         let listed = self.listed.as_ref();
-        let listed = listed.filter(|list| now.saturating_sub(list.at) < LIST_LIFETIME);
+        let listed = listed.filter(|list| now.saturating_sub(list.at) < MAX_LIST_AGE);
         let unlisted = listed.is_some_and(|list| list.runs.get(&host) != self.recorded.get(&host));
         refused || unlisted
     }
 
     /// Whether every live watcher of `host` misses it too.
-    fn heard_by_nobody(&self, now: Time, host: HostId) -> bool {
+    fn is_missed_by_all_watchers(&self, now: Time, host: HostId) -> bool {
         let others = self.peers.values().filter(|peer| peer.member.host != host);
         others
-            .filter(|peer| self.answers(now, peer))
+            .filter(|peer| self.is_answering(now, peer))
             .filter(|peer| self.watched_by(peer.member.host).contains(&host))
             .all(|peer| peer.silent.contains(&host))
     }
@@ -230,7 +232,7 @@
     }
 
     /// The hosts above this one in the tree of proofs; for a voter, the other voters.
-    fn sources(&self) -> Vec<HostId> {
+    fn tree_parents(&self) -> Vec<HostId> {
         if self.voters.contains(&self.own) {
             return self.voters.clone();
         }
@@ -243,11 +245,11 @@
         let order: Vec<HostId> = self.voters.iter().chain(&rest).copied().collect();
         let parent = index / TREE_ARITY;
         let above = (self.voters.len() + index).max(1);
-        (0..SOURCES).map(|n| order[(parent + n) % above]).collect()
+        (0..TREE_PARENTS).map(|n| order[(parent + n) % above]).collect()
     }
 
     /// Adds a peer, or replaces an earlier run of it.
-    fn meet(&mut self, now: Time, member: &Member) {
+    fn add_peer(&mut self, now: Time, member: &Member) {
         if member.host == self.own {
             return;
         }
@@ -255,8 +257,8 @@
         if self.peers.get(&member.host).is_none_or(newer) {
             let peer = Peer {
                 member: member.clone(),
-                last_heard: now,
-                heard: false,
+                last_received: now,
+                has_answered: false,
                 epoch: 0,
                 version: 0,
                 silent: BTreeSet::new(),
@@ -267,7 +269,7 @@
     }
 
     /// Drops peers that are neither recorded nor listed.
-    fn forget(&mut self) {
+    fn drop_unknown_peers(&mut self) {
         let Some(List { runs, .. }) = &self.listed else { return };
         let recorded = &self.recorded;
         self.peers.retain(|host, _| recorded.contains_key(host) || runs.contains_key(host));
@@ -285,12 +287,12 @@
     }
     by_weight.sort_by_key(|member| (weight(member.host, RING), member.host));
     let ranked = by_weight.into_iter().map(|member| (member.host, member.failure_domain));
-    let chosen = rendezvous::take_turns(ranked).into_iter().take(VOTERS);
+    let chosen = rendezvous::take_turns(ranked).into_iter().take(MAX_VOTERS);
     chosen.map(|host| (host, members[&host].incarnation)).collect()
 }
 
 /// Whether `own` is among the hosts of its failure domain that poll the store.
-pub fn polls(members: &BTreeMap<HostId, Member>, own: HostId, per_domain: usize) -> bool {
+pub fn is_poller(members: &BTreeMap<HostId, Member>, own: HostId, per_domain: usize) -> bool {
     let Some(member) = members.get(&own) else { return true };
     let rank = members
         .values()
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -15,7 +15,7 @@
 mod edit;
 mod outline;
 
-pub use edit::changed;
+pub use edit::differences;
 pub use outline::propose;
 
 /// Time for which an old and a new key both work during a rotation.
@@ -273,18 +273,18 @@
     }
 
     /// Whether it has steps to run.
-    pub fn unfinished(&self) -> bool {
+    pub fn is_unfinished(&self) -> bool {
         matches!(self.plan.state, State::Confirmed | State::Running)
     }
 
     /// Whether its runner is no member any more, so that another host may continue it.
     ///
     /// Sound only for a host whose `row` was adopted one validity of authority ago.
-    pub fn abandoned(&self, row: &Row) -> bool {
+    pub fn is_abandoned(&self, row: &Row) -> bool {
         let member = |runner: Runner| {
             row.members.get(&runner.host).is_some_and(|m| m.incarnation == runner.incarnation)
         };
-        self.unfinished() && !self.runner.is_some_and(member)
+        self.is_unfinished() && !self.runner.is_some_and(member)
     }
 
     /// The record once `runner` took it over.
@@ -294,8 +294,8 @@
     }
 
     /// The step to run next, with its operation.
-    pub fn next(&self) -> Option<(usize, &Operation)> {
-        if !self.unfinished() {
+    pub fn next_step(&self) -> Option<(usize, &Operation)> {
+        if !self.is_unfinished() {
             return None;
         }
         let index = self.plan.steps.iter().position(|step| step.state != Progress::Done)?;
--- a/crates/core/src/plan/edit.rs
+++ b/crates/core/src/plan/edit.rs
@@ -67,7 +67,7 @@
 }
 
 /// What differs between two documents, as text for operators; names no digest.
-pub fn changed(old: &Document, new: &Document) -> Vec<String> {
+pub fn differences(old: &Document, new: &Document) -> Vec<String> {
     let mut found = Vec::new();
     let mut compare = |kind: &str, name: String, same: bool| {
         if !same {
--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -27,23 +27,23 @@
 use std::time::Duration;
 
 /// Delay between the starts of hosts that follow each other in rank.
-pub const STAGGER: Duration = Duration::from_millis(150);
+pub const RANK_START_DELAY: Duration = Duration::from_millis(150);
 /// Time between two sendings of an unanswered request to become primary.
-pub const RESEND: Duration = Duration::from_millis(150);
+pub const RESEND_INTERVAL: Duration = Duration::from_millis(150);
 /// Time for grants beyond the majority, which may allow a better choice.
-pub const GRACE: Duration = Duration::from_millis(40);
+pub const EXTRA_GRANTS_WAIT: Duration = Duration::from_millis(40);
 /// The same while the majority counts the target that is being replaced.
-pub const GRACE_FOR_OTHERS: Duration = Duration::from_millis(400);
+pub const OTHER_MAJORITY_WAIT: Duration = Duration::from_millis(400);
 /// Longest time to gather grants.
 pub const FENCE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest time for the chosen target to become primary.
 pub const PROMOTE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time that another host's promotion gets to come to its end.
-pub const PATIENCE: Duration = Duration::from_millis(400);
+pub const OTHER_PROMOTION_WAIT: Duration = Duration::from_millis(400);
 /// First bound of the random backoff; doubles with each attempt.
-pub const BACKOFF: Duration = Duration::from_millis(100);
+pub const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Doublings of the backoff.
-pub const BACKOFF_DOUBLINGS: u32 = 3;
+pub const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 /// Bits of a promoter id that are random; the rest is the host.
 const RANDOM_BITS: u32 = 39;
 
@@ -55,7 +55,7 @@
     /// Whether it is leaving.
     pub draining: bool,
     /// Hosts in its failure domain.
-    pub hosts_near: u32,
+    pub hosts_in_domain: u32,
 }
 
 /// What the caller has to do.
@@ -96,14 +96,14 @@
 #[derive(Debug, Clone)]
 enum State {
     Idle,
-    Waiting { until: Time, deposed: Deposed },
+    Waiting { until: Time, deposed: Replacement },
     Fencing { attempt: Attempt, answers: BTreeMap<TargetId, Option<Answer>>, enough: Option<Time> },
     Promoting { attempt: Attempt, target: TargetId },
 }
 
 /// The primary that is to be replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Deposed {
+pub struct Replacement {
     /// Its term, or the highest one granted where there is no primary.
     pub term: Term,
     /// A target that is not to be chosen while the others suffice.
@@ -116,7 +116,7 @@
 struct Attempt {
     term: Term,
     promoter: PromoterId,
-    deposed: Deposed,
+    deposed: Replacement,
     started: Time,
     sent: Time,
 }
@@ -153,24 +153,24 @@
     }
 
     /// A primary is to be replaced; this host is `rank` in the order of starts.
-    pub fn depose(&mut self, now: Time, deposed: Deposed, rank: u32) {
+    pub fn replace_primary(&mut self, now: Time, deposed: Replacement, rank: u32) {
         self.accepted = self.accepted.max(deposed.term);
         if self.is_idle() {
             self.attempts = 0;
-            let until = now + STAGGER * rank;
+            let until = now + RANK_START_DELAY * rank;
             self.state = State::Waiting { until, deposed };
         }
     }
 
     /// A planned promotion of `preferred`, whose log holds all that the primary of `term` wrote.
-    pub fn plan(&mut self, now: Time, term: Term, preferred: TargetId) -> Vec<Action> {
+    pub fn start_planned(&mut self, now: Time, term: Term, preferred: TargetId) -> Vec<Action> {
         self.accepted = self.accepted.max(term);
         self.attempts = 0;
-        self.start(now, Deposed { term, avoid: None, preferred: Some(preferred) })
+        self.start(now, Replacement { term, avoid: None, preferred: Some(preferred) })
     }
 
     /// A target told its status.
-    pub fn observe(&mut self, now: Time, status: &Status) -> Vec<Action> {
+    pub fn record_status(&mut self, now: Time, status: &Status) -> Vec<Action> {
         let raised = status.accepted_term > self.accepted;
         self.accepted = self.accepted.max(status.accepted_term);
         let led = status.leads().then_some(status.entry.term);
@@ -178,7 +178,7 @@
             State::Idle => return Vec::new(),
             State::Waiting { deposed, until } => {
                 if raised {
-                    *until = (*until).max(now + PATIENCE);
+                    *until = (*until).max(now + OTHER_PROMOTION_WAIT);
                 }
                 (deposed.term + 1, None)
             }
@@ -200,14 +200,14 @@
     }
 
     /// `target` answered the fence for `term`, or could not be asked.
-    pub fn fenced(
+    pub fn record_fence(
         &mut self,
         now: Time,
         target: TargetId,
         term: Term,
         answer: Option<Answer>,
     ) -> Vec<Action> {
-        self.note(answer);
+        self.record_accepted_term(answer);
         let State::Fencing { attempt, answers, .. } = &mut self.state else { return Vec::new() };
         if attempt.term != term || !self.targets.contains_key(&target) {
             return Vec::new();
@@ -220,14 +220,14 @@
     }
 
     /// `target` answered the request to become primary of `term`, or could not be asked.
-    pub fn promoted(
+    pub fn record_promotion(
         &mut self,
         now: Time,
         target: TargetId,
         term: Term,
         answer: Option<Answer>,
     ) -> Vec<Action> {
-        self.note(answer);
+        self.record_accepted_term(answer);
         let State::Promoting { attempt, target: chosen } = self.state else { return Vec::new() };
         if attempt.term != term || chosen != target {
             return Vec::new();
@@ -253,7 +253,7 @@
         }
     }
 
-    fn start(&mut self, now: Time, deposed: Deposed) -> Vec<Action> {
+    fn start(&mut self, now: Time, deposed: Replacement) -> Vec<Action> {
         self.accepted += 1;
         let host = i64::from(self.host) & ((1 << (63 - RANDOM_BITS)) - 1);
         let random = self.random.below(1 << RANDOM_BITS) as PromoterId;
@@ -278,7 +278,7 @@
         if now.saturating_sub(attempt.started) >= PROMOTE_TIMEOUT {
             return self.back_off(now);
         }
-        if now.saturating_sub(attempt.sent) < RESEND {
+        if now.saturating_sub(attempt.sent) < RESEND_INTERVAL {
             return Vec::new();
         }
         attempt.sent = now;
@@ -291,7 +291,8 @@
         let State::Fencing { attempt, answers, enough } = &mut self.state else {
             return Vec::new();
         };
-        let refusals = answers.values().flatten().filter(|answer| !counts(answer)).count();
+        let refusals =
+            answers.values().flatten().filter(|answer| !counts_for_majority(answer)).count();
         let needed = majority(self.targets.len());
         if self.targets.len() - refusals < needed {
             return self.back_off(now);
@@ -303,9 +304,9 @@
         }
         let others = without(&granters, attempt.deposed.avoid);
         let (granters, grace) = match others.len() >= needed {
-            true => (others, GRACE),
-            false if attempt.deposed.avoid.is_some() => (granters, GRACE_FOR_OTHERS),
-            false => (granters, GRACE),
+            true => (others, EXTRA_GRANTS_WAIT),
+            false if attempt.deposed.avoid.is_some() => (granters, OTHER_MAJORITY_WAIT),
+            false => (granters, EXTRA_GRANTS_WAIT),
         };
         let since = *enough.get_or_insert(now);
         if !all && now.saturating_sub(since) < grace {
@@ -326,20 +327,20 @@
         };
         let (term, deposed) = (attempt.term, attempt.deposed);
         let overtaken = self.accepted > term;
-        let doublings = self.attempts.min(BACKOFF_DOUBLINGS);
-        let jitter = self.random.time_below(BACKOFF * (1 << doublings));
-        let patience = if overtaken { PATIENCE } else { Duration::ZERO };
+        let doublings = self.attempts.min(MAX_BACKOFF_DOUBLINGS);
+        let jitter = self.random.time_below(INITIAL_BACKOFF * (1 << doublings));
+        let patience = if overtaken { OTHER_PROMOTION_WAIT } else { Duration::ZERO };
         self.state = State::Waiting { until: now + patience + jitter, deposed };
         vec![Action::Failed { term }]
     }
 
-    fn note(&mut self, answer: Option<Answer>) {
+    fn record_accepted_term(&mut self, answer: Option<Answer>) {
         self.accepted = self.accepted.max(answer.map_or(0, |answer| answer.accepted));
     }
 }
 
 /// Whether `answer` counts for a majority.
-fn counts(answer: &Answer) -> bool {
+fn counts_for_majority(answer: &Answer) -> bool {
     answer.granted && answer.voter
 }
 
@@ -350,7 +351,7 @@
 
 fn granters(answers: &BTreeMap<TargetId, Option<Answer>>) -> BTreeMap<TargetId, Answer> {
     let answers = answers.iter().filter_map(|(id, answer)| Some((*id, (*answer)?)));
-    answers.filter(|(_, answer)| counts(answer)).collect()
+    answers.filter(|(_, answer)| counts_for_majority(answer)).collect()
 }
 
 fn without(
@@ -373,6 +374,6 @@
     let equals = granters.iter().filter(|(_, answer)| answer.entry == highest);
     equals.map(|(id, _)| *id).max_by_key(|id| {
         let candidate = targets.get(id).copied().unwrap_or_default();
-        (Some(*id) == preferred, !candidate.draining, candidate.hosts_near)
+        (Some(*id) == preferred, !candidate.draining, candidate.hosts_in_domain)
     })
 }
--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -5,7 +5,7 @@
 //! lender deducted later than that, so tokens on their way stand in exactly one account. What the
 //! borrower's own capacity cannot hold is for requests that wait, and is dropped at the end of that
 //! lifetime. A lender that knows sooner that a loan has arrived or is lost ends it with
-//! [`Bucket::arrived`]. Summed over hosts, the usable tokens never exceed the burst.
+//! [`Bucket::end_loans`]. Summed over hosts, the usable tokens never exceed the burst.
 
 use crate::id::{HostId, Time};
 use std::collections::VecDeque;
@@ -45,7 +45,7 @@
     }
 
     /// Sets the part of rate, per second, and burst from `now` on.
-    pub fn set_part(&mut self, rate: Amount, burst: Amount, now: Time) {
+    pub fn set_share(&mut self, rate: Amount, burst: Amount, now: Time) {
         self.refill(now);
         self.rate = rate;
         self.burst = burst;
@@ -83,7 +83,7 @@
     }
 
     /// All loans to `borrower` have arrived, within its own capacity, or are lost.
-    pub fn arrived(&mut self, borrower: HostId, now: Time) {
+    pub fn end_loans(&mut self, borrower: HostId, now: Time) {
         self.refill(now);
         self.lent.retain(|loan| loan.borrower != borrower);
     }
@@ -112,7 +112,7 @@
     }
 
     /// Drops what does not fit once the waiting requests have taken theirs.
-    fn settle(&mut self) {
+    fn drop_excess(&mut self) {
         self.level = self.level.min(self.capacity());
     }
 
@@ -128,7 +128,7 @@
     }
 
     /// Part of rate, per second, and burst.
-    pub fn part(&self) -> (Amount, Amount) {
+    pub fn share(&self) -> (Amount, Amount) {
         (self.rate, self.burst)
     }
 
@@ -156,7 +156,7 @@
         }
         self.grow(now);
         if now > self.excess_until {
-            self.settle();
+            self.drop_excess();
         }
     }
 
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -1,8 +1,8 @@
 //! Admission of requests against the rates of their client accounts.
 //!
 //! A request takes a token of its host's bucket. Without one it waits for a loan, at most
-//! [`MAX_WAIT`] and only while some peer may have tokens; a peer that had none is not asked again
-//! for [`DRY_TIME`]. A host whose tokens run low asks ahead, so that most requests do not wait. It
+//! [`MAX_LOAN_WAIT`] and only while some peer may have tokens; a peer that had none is not asked again
+//! for [`LENDER_RETRY_DELAY`]. A host whose tokens run low asks ahead, so that most requests do not wait. It
 //! asks no more peers than it can keep tokens of: what neither waits for nor fits is lost to all.
 //!
 //! A borrower asks a peer again only after the answer before it was taken or given up, and only
@@ -18,11 +18,11 @@
 use std::time::Duration;
 
 /// Time that a request may wait for a loan.
-pub const MAX_WAIT: Duration = Duration::from_millis(60);
+pub const MAX_LOAN_WAIT: Duration = Duration::from_millis(60);
 /// Time for which a peer without tokens is not asked again.
-pub const DRY_TIME: Duration = Duration::from_millis(15);
+pub const LENDER_RETRY_DELAY: Duration = Duration::from_millis(15);
 /// Time that a loan should last at the present demand.
-const HORIZON: Duration = Duration::from_millis(50);
+const BORROW_HORIZON: Duration = Duration::from_millis(50);
 /// Time constant of the demand estimate.
 const DEMAND_WINDOW: Duration = Duration::from_millis(500);
 /// Requests of one client account that may wait for a loan.
@@ -41,7 +41,7 @@
 
 /// A loan to ask for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Ask {
+pub struct LoanRequest {
     /// Whose tokens.
     pub account: AccountId,
     /// Whom to ask.
@@ -82,7 +82,7 @@
     asked: u32,
     /// Number of the last ask; an answer to an earlier one is lost.
     sequence: u64,
-    dry_until: Time,
+    retry_at: Time,
     /// Whether the last answer brought tokens.
     gave: bool,
 }
@@ -95,7 +95,7 @@
 }
 
 impl Demand {
-    fn note(&mut self, now: Time) {
+    fn record(&mut self, now: Time) {
         let window = DEMAND_WINDOW.as_secs_f64();
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.per_second = self.per_second * (-elapsed / window).exp() + 1.0 / window;
@@ -131,7 +131,7 @@
     }
 
     /// Sets this host's part of an account's rate, per second, and burst, in micro-tokens.
-    pub fn set_part(&mut self, account: AccountId, rate: Amount, burst: Amount, now: Time) {
+    pub fn set_share(&mut self, account: AccountId, rate: Amount, burst: Amount, now: Time) {
         let settle = self.settle;
         let state = self.accounts.entry(account).or_insert_with(|| State::new(settle, now));
         state.rate.update(rate, now);
@@ -139,12 +139,12 @@
         state.refresh(now);
     }
 
-    /// As [`Meter::set_part`]; an account that is new here has its part at once, with `opening`
+    /// As [`Meter::set_share`]; an account that is new here has its part at once, with `opening`
     /// micro-tokens.
     ///
     /// For a host that had the same part before, or an account that is new to all hosts. What
     /// `opening` adds to the account's burst, summed over hosts and runs, is the caller's to bound.
-    pub fn open_part(
+    pub fn open_share(
         &mut self,
         account: AccountId,
         rate: Amount,
@@ -167,14 +167,14 @@
     }
 
     /// Puts the token of a request back that was admitted and then certainly did not run.
-    pub fn put_back(&mut self, account: AccountId, now: Time) {
+    pub fn refund(&mut self, account: AccountId, now: Time) {
         if let Some(state) = self.accounts.get_mut(&account) {
             state.bucket.add(MICRO, now);
         }
     }
 
     /// Notes that a division of the rates was missed.
-    pub fn interrupt(&mut self, now: Time) {
+    pub fn record_missed_division(&mut self, now: Time) {
         for state in self.accounts.values_mut() {
             state.rate.interrupt(now);
             state.burst.interrupt(now);
@@ -197,33 +197,33 @@
     /// Decides about a request that has just come.
     pub fn request(&mut self, account: AccountId, now: Time) -> Decision {
         let Some(state) = self.accounts.get_mut(&account) else {
-            return Decision::Refuse(MAX_WAIT);
+            return Decision::Refuse(MAX_LOAN_WAIT);
         };
-        state.demand.note(now);
+        state.demand.record(now);
         state.refresh(now);
         // Waiting requests go first: an arrival must not pass them.
         if state.waiting == 0 && state.bucket.take(now) {
             return Decision::Admit;
         }
-        let may_come = self.lending && state.may_come(&self.peers, now);
+        let may_come = self.lending && state.may_get_token(&self.peers, now);
         if !may_come || state.waiting >= MAX_WAITING {
             return state.refuse(now);
         }
         state.waiting += 1;
-        Decision::Wait(now + MAX_WAIT)
+        Decision::Wait(now + MAX_LOAN_WAIT)
     }
 
     /// Decides again about a request that waits since before `until`.
     pub fn retry(&mut self, account: AccountId, until: Time, now: Time) -> Decision {
         let Some(state) = self.accounts.get_mut(&account) else {
-            return Decision::Refuse(MAX_WAIT);
+            return Decision::Refuse(MAX_LOAN_WAIT);
         };
         state.refresh(now);
         if state.bucket.take(now) {
             state.waiting = state.waiting.saturating_sub(1);
             return Decision::Admit;
         }
-        if now < until && state.may_come(&self.peers, now) {
+        if now < until && state.may_get_token(&self.peers, now) {
             return Decision::Wait(until);
         }
         state.waiting = state.waiting.saturating_sub(1);
@@ -238,13 +238,13 @@
     }
 
     /// Loans to ask for now; each is marked as asked until [`Meter::receive`].
-    pub fn asks(&mut self, account: AccountId, now: Time) -> Vec<Ask> {
+    pub fn loan_requests(&mut self, account: AccountId, now: Time) -> Vec<LoanRequest> {
         if !self.lending {
             return Vec::new();
         }
         let Some(state) = self.accounts.get_mut(&account) else { return Vec::new() };
         state.refresh(now);
-        let missing = state.missing(now);
+        let missing = state.tokens_to_borrow(now);
         if missing == 0 {
             return Vec::new();
         }
@@ -256,13 +256,13 @@
             let lender = state.lenders.entry(peer).or_default();
             lender.asked = each;
             lender.sequence = self.sequence;
-            asks.push(Ask { account, peer, count: each, sequence: self.sequence });
+            asks.push(LoanRequest { account, peer, count: each, sequence: self.sequence });
         }
         asks
     }
 
     /// Takes the answer to an ask sent at `asked`; no answer counts as zero.
-    pub fn receive(&mut self, ask: Ask, count: u32, asked: Time, now: Time) {
+    pub fn receive(&mut self, ask: LoanRequest, count: u32, asked: Time, now: Time) {
         let Some(state) = self.accounts.get_mut(&ask.account) else { return };
         let lender = state.lenders.entry(ask.peer).or_default();
         if lender.sequence != ask.sequence {
@@ -271,7 +271,7 @@
         lender.asked = 0;
         lender.gave = count > 0;
         if count == 0 {
-            lender.dry_until = now + DRY_TIME;
+            lender.retry_at = now + LENDER_RETRY_DELAY;
         }
         if count > 0 {
             state.bucket.receive(count, state.waiting, asked, now);
@@ -282,7 +282,7 @@
     pub fn lend(&mut self, request: &TokenRequest, now: Time) -> u32 {
         let Some(state) = self.accounts.get_mut(&request.account) else { return 0 };
         state.refresh(now);
-        state.hear(request, now);
+        state.record_request(request, now);
         if !self.lending || state.waiting > 0 {
             return 0;
         }
@@ -292,8 +292,8 @@
     }
 
     /// Part of rate, per second, and burst of an account at this host, in micro-tokens.
-    pub fn part(&self, account: AccountId) -> (Amount, Amount) {
-        self.accounts.get(&account).map(|state| state.bucket.part()).unwrap_or_default()
+    pub fn share(&self, account: AccountId) -> (Amount, Amount) {
+        self.accounts.get(&account).map(|state| state.bucket.share()).unwrap_or_default()
     }
 }
 
@@ -312,29 +312,29 @@
     }
 
     /// Ends the loans that the borrower had before this ask, unless the ask was overtaken.
-    fn hear(&mut self, request: &TokenRequest, now: Time) {
+    fn record_request(&mut self, request: &TokenRequest, now: Time) {
         let heard = self.heard.entry(request.host).or_default();
         if request.sequence > *heard {
             *heard = request.sequence;
-            self.bucket.arrived(request.host, now);
+            self.bucket.end_loans(request.host, now);
         }
     }
 
     fn refresh(&mut self, now: Time) {
         let part = (self.rate.usable(now), self.burst.usable(now));
-        if part != self.bucket.part() {
-            self.bucket.set_part(part.0, part.1, now);
+        if part != self.bucket.share() {
+            self.bucket.set_share(part.0, part.1, now);
         }
     }
 
     /// Whether a token may come in time: by a loan, or by the bucket's own part of the rate.
-    fn may_come(&mut self, peers: &BTreeSet<HostId>, now: Time) -> bool {
+    fn may_get_token(&mut self, peers: &BTreeSet<HostId>, now: Time) -> bool {
         let asked = self.lenders.values().any(|lender| lender.asked > 0);
-        asked || self.ready(peers, now).next().is_some() || self.refills_in_time(now)
+        asked || self.ready_lenders(peers, now).next().is_some() || self.refills_in_time(now)
     }
 
     /// Peers that may have tokens and can be asked now.
-    fn ready(&self, peers: &BTreeSet<HostId>, now: Time) -> impl Iterator<Item = HostId> {
+    fn ready_lenders(&self, peers: &BTreeSet<HostId>, now: Time) -> impl Iterator<Item = HostId> {
         let may_have = |peer: &&HostId| self.holders.is_empty() || self.holders.contains(*peer);
         peers.iter().filter(may_have).copied().filter(move |peer| self.is_ready(*peer, now))
     }
@@ -342,7 +342,7 @@
     /// Whom to ask: those that gave last time first, then in turns, as many as this host can keep
     /// tokens of.
     fn lenders_to_ask(&self, peers: &BTreeSet<HostId>, turn: u64, now: Time) -> Vec<HostId> {
-        let mut ready: Vec<HostId> = self.ready(peers, now).collect();
+        let mut ready: Vec<HostId> = self.ready_lenders(peers, now).collect();
         let count = ready.len();
         if count == 0 {
             return ready;
@@ -356,26 +356,26 @@
 
     /// Whether the requests that wait, and one more, get tokens of the bucket's own in time.
     fn refills_in_time(&mut self, now: Time) -> bool {
-        let rate = self.bucket.part().0;
+        let rate = self.bucket.share().0;
         let next = self.bucket.next_token(now);
         let behind = Duration::from_micros(micro(self.waiting) * MICRO / rate.max(1));
-        next.is_some_and(|next| next + behind <= MAX_WAIT)
+        next.is_some_and(|next| next + behind <= MAX_LOAN_WAIT)
     }
 
     fn is_ready(&self, peer: HostId, now: Time) -> bool {
         let lender = self.lenders.get(&peer).copied().unwrap_or_default();
-        lender.asked == 0 && lender.dry_until <= now
+        lender.asked == 0 && lender.retry_at <= now
     }
 
     fn demand_now(&self, now: Time) -> u32 {
         let mut demand = self.demand;
         let elapsed = now.saturating_sub(demand.at).as_secs_f64();
         demand.per_second *= (-elapsed / DEMAND_WINDOW.as_secs_f64()).exp();
-        demand.within(HORIZON)
+        demand.within(BORROW_HORIZON)
     }
 
     /// Tokens to borrow: for those that wait, and ahead when the level is low.
-    fn missing(&mut self, now: Time) -> u32 {
+    fn tokens_to_borrow(&mut self, now: Time) -> u32 {
         // An ask would end loans that still stand above the capacity.
         if self.bucket.has_excess(now) {
             return 0;
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -25,13 +25,13 @@
 pub const MAX_HOLDERS: usize = 16;
 
 /// Part of an account's rate, per second, and burst that `host` has, in micro-tokens.
-pub fn part(
+pub fn account_share(
     id: AccountId,
     account: &Account,
     members: &BTreeSet<HostId>,
     host: HostId,
 ) -> (Amount, Amount) {
-    part_of(id, (account.rate, account.burst), members, host, MAX_HOLDERS)
+    rate_share(id, (account.rate, account.burst), members, host, MAX_HOLDERS)
 }
 
 /// Hosts that have parts of an account with this burst, `limit` at most.
@@ -46,7 +46,7 @@
 }
 
 /// As [`part`], of a rate, per second, and a burst given as such, among `limit` hosts at most.
-pub fn part_of(
+pub fn rate_share(
     id: AccountId,
     (rate, burst): (u32, u32),
     members: &BTreeSet<HostId>,
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Hosts that watch a group where there are more.
-pub const WATCHERS: usize = 5;
+pub const MAX_WATCHERS: usize = 5;
 
 /// The hosts that watch `service`, at most `count`, best first.
 pub fn choose(
--- a/crates/core/tests/clock.rs
+++ b/crates/core/tests/clock.rs
@@ -6,11 +6,11 @@
 use bergamotvale_core::authority::{Holder, VALIDITY};
 use bergamotvale_core::distribute::Row;
 use bergamotvale_core::id::Time;
+use bergamotvale_core::maintenance::due_task;
 use bergamotvale_core::member::{self, View};
 use bergamotvale_core::rate::Meter;
 use bergamotvale_core::rate::meter::{Decision, micro};
 use bergamotvale_core::slot::{self, Ledger};
-use bergamotvale_core::upkeep::duty;
 use fleet::member;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -31,7 +31,7 @@
     let row = row();
     let mut holder = Holder::new(1, run);
     holder.adopt(row.epoch, &row.members, member::voters(&row.members));
-    holder.read(START, row.epoch);
+    holder.record_read(START, row.epoch);
     holder
 }
 
@@ -42,8 +42,8 @@
     ledger.set_part(Time::ZERO, 1, 10);
     ledger.vouch(START + VALIDITY);
 
-    let before = (holder.held(START + VALIDITY), ledger.usable(START + VALIDITY - MOMENT));
-    let after = (holder.held(START + LEAP), ledger.usable(START + LEAP));
+    let before = (holder.is_held(START + VALIDITY), ledger.usable(START + VALIDITY - MOMENT));
+    let after = (holder.is_held(START + LEAP), ledger.usable(START + LEAP));
 
     assert_eq!((before, after), ((true, 10), (false, 0)));
 }
@@ -51,7 +51,7 @@
 #[test]
 fn a_leap_yields_no_more_than_the_burst() {
     let mut meter = Meter::new(VALIDITY, false);
-    meter.set_part(7, micro(100), micro(BURST), START);
+    meter.set_share(7, micro(100), micro(BURST), START);
     meter.tick(START + VALIDITY);
 
     let now = START + LEAP;
@@ -63,12 +63,12 @@
 #[test]
 fn a_run_that_a_set_back_wall_clock_numbers_lower_takes_nothing_over() {
     let (mut view, row, older) = (View::new(1), row(), member(1, 4));
-    view.record(START, &row.members);
+    view.record_members(START, &row.members);
 
     let holder = holder(older.incarnation);
 
-    assert!(!holder.held(START));
-    assert_eq!(duty(START, &older, &holder, &view, &row), None);
+    assert!(!holder.is_held(START));
+    assert_eq!(due_task(START, &older, &holder, &view, &row), None);
 }
 
 fn sources(directory: &Path) -> Vec<PathBuf> {
--- a/crates/core/tests/detection.rs
+++ b/crates/core/tests/detection.rs
@@ -85,12 +85,12 @@
 
 fn probe(detector: &mut Detector, now: u64, id: TargetId, spans: &[Span]) {
     let span = spans.iter().rfind(|span| span.from_ms <= now).expect("one starts at 0");
-    detector.asked(millis(now), id);
+    detector.record_probe_sent(millis(now), id);
     match span.answers.as_str() {
         "silent" => {}
-        "refused" => detector.refused(millis(now), id),
-        "crowded" => detector.crowded(id),
-        _ => detector.answered(millis(now), id, status(span, now)),
+        "refused" => detector.record_probe_refused(millis(now), id),
+        "crowded" => detector.record_probe_overloaded(id),
+        _ => detector.record_probe_answer(millis(now), id, status(span, now)),
     }
 }
 
@@ -109,10 +109,10 @@
             for host in &event.hosts {
                 let opinion =
                     Opinion { primary: 0, term, failing, failed, confirmed, hold: None, busy: 0 };
-                detector.heard(now, *host, opinion);
+                detector.record_opinion(now, *host, opinion);
             }
         }
-        "work" => detector.worked(now, event.target, event.well),
+        "work" => detector.record_work(now, event.target, event.well),
         "timed_out" => detector.suspect(event.target),
         "primary" | "stall" => {}
         other => panic!("unknown event {other}"),
@@ -151,9 +151,9 @@
         }
         for action in detector.tick(millis(now)) {
             let line = match action {
-                Action::Tell(opinion) if opinion.failed => format!("{now}: failed"),
-                Action::Tell(_) => format!("{now}: works"),
-                Action::Depose(deposed) => format!("{now}: depose term {}", deposed.term),
+                Action::SendOpinion(opinion) if opinion.failed => format!("{now}: failed"),
+                Action::SendOpinion(_) => format!("{now}: works"),
+                Action::ReplacePrimary(deposed) => format!("{now}: depose term {}", deposed.term),
             };
             let deposing = lines.last().is_some_and(|last: &String| last.contains("depose"));
             if !(deposing && line.contains("depose")) {
--- a/crates/core/tests/distribute.rs
+++ b/crates/core/tests/distribute.rs
@@ -3,10 +3,11 @@
 mod fleet;
 
 use bergamotvale_core::authority::{self, VALIDITY};
-use bergamotvale_core::distribute::{FAN_OUT, Row, Spread, children};
+use bergamotvale_core::distribute::{Adoption, FAN_OUT, Row, children};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::member::{
-    self, LIST_LIFETIME, POLLERS_PER_DOMAIN, REMOVE_AFTER, SOURCES, VOTERS, View, WATCHED,
+    self, MAX_LIST_AGE, MAX_VOTERS, POLLERS_PER_DOMAIN, REMOVE_AFTER, TREE_PARENTS, View,
+    WATCHED_PEERS,
 };
 use bergamotvale_core::peer::Member;
 use fleet::member;
@@ -48,7 +49,7 @@
 
 #[test]
 fn every_majority_of_voters_meets_every_announcement_quorum() {
-    for voters in 1..=VOTERS {
+    for voters in 1..=MAX_VOTERS {
         let quorum = authority::announcement_quorum(voters);
 
         assert!(authority::majority(voters) + quorum > voters);
@@ -62,21 +63,25 @@
     let mut probed: BTreeMap<HostId, usize> = BTreeMap::new();
     for own in (1..=LARGE).step_by(101) {
         let mut view = View::new(own);
-        view.record(NOW, &members);
+        view.record_members(NOW, &members);
 
         let probes = view.probes();
 
-        assert!(probes.len() <= WATCHED + VOTERS.max(SOURCES), "{} probes", probes.len());
+        assert!(
+            probes.len() <= WATCHED_PEERS + MAX_VOTERS.max(TREE_PARENTS),
+            "{} probes",
+            probes.len()
+        );
         probes.iter().for_each(|member| *probed.entry(member.host).or_default() += 1);
     }
-    assert!(probed.values().all(|count| *count <= WATCHED + VOTERS + SOURCES));
-    assert_eq!(member::voters(&members).len(), VOTERS);
+    assert!(probed.values().all(|count| *count <= WATCHED_PEERS + MAX_VOTERS + TREE_PARENTS));
+    assert_eq!(member::voters(&members).len(), MAX_VOTERS);
 }
 
 #[test]
 fn four_hosts_are_a_full_mesh() {
     let mut view = View::new(2);
-    view.record(NOW, &members(4));
+    view.record_members(NOW, &members(4));
 
     let probed: Vec<HostId> = view.probes().iter().map(|member| member.host).collect();
 
@@ -86,7 +91,7 @@
 /// A view whose recorded peers all answered at `NOW`.
 fn view_of(own: HostId, members: &BTreeMap<HostId, Member>) -> View {
     let mut view = View::new(own);
-    view.record(NOW, members);
+    view.record_members(NOW, members);
     view
 }
 
@@ -96,7 +101,7 @@
         members.values().map(|member| member.failure_domain).collect::<BTreeSet<_>>().len()
     };
     let members = members(LARGE);
-    let polls = |host: &&HostId| member::polls(&members, **host, POLLERS_PER_DOMAIN);
+    let polls = |host: &&HostId| member::is_poller(&members, **host, POLLERS_PER_DOMAIN);
     let (pollers, others): (Vec<&HostId>, Vec<&HostId>) = members.keys().partition(polls);
 
     let reads = |host: HostId, now| view_of(host, &members).reads_list(now, &members);
@@ -117,27 +122,27 @@
 #[test]
 fn an_old_list_is_no_evidence_that_a_host_is_gone() {
     let mut view = view_of(1, &members(2));
-    view.list(NOW, &[]);
-    let later = NOW + LIST_LIFETIME;
+    view.record_platform_list(NOW, &[]);
+    let later = NOW + MAX_LIST_AGE;
 
-    let fresh = view.gone(NOW + REMOVE_AFTER, REMOVE_AFTER);
-    let old = view.gone(later, REMOVE_AFTER);
-    view.list(later, &[]);
-    let again = view.gone(later, REMOVE_AFTER);
+    let fresh = view.removable(NOW + REMOVE_AFTER, REMOVE_AFTER);
+    let old = view.removable(later, REMOVE_AFTER);
+    view.record_platform_list(later, &[]);
+    let again = view.removable(later, REMOVE_AFTER);
 
     assert_eq!((fresh, old, again), ([2].into(), BTreeSet::new(), [2].into()));
 }
 
 #[test]
 fn an_epoch_is_in_force_once_every_member_confirmed_it() {
-    let mut spread = Spread::new();
-    spread.accepted(NOW, &row(5, &[1, 2, 3]), &row(4, &[1, 2, 3]), 1);
+    let mut spread = Adoption::new();
+    spread.record_accepted(NOW, &row(5, &[1, 2, 3]), &row(4, &[1, 2, 3]), 1);
     assert_eq!(spread.in_force(NOW), (0, 0));
 
-    spread.confirmed(2, 1, 5);
-    spread.confirmed(3, 0, 5);
+    spread.record_confirmed(2, 1, 5);
+    spread.record_confirmed(3, 0, 5);
     assert_eq!(spread.in_force(NOW), (0, 0), "another run of host 3 is not host 3");
-    spread.confirmed(3, 1, 6);
+    spread.record_confirmed(3, 1, 6);
 
     assert_eq!(spread.in_force(NOW), (5, 5));
 }
@@ -145,9 +150,9 @@
 #[test]
 fn an_epoch_that_removes_a_host_is_in_force_once_its_authority_has_lapsed() {
     for previous in [row(4, &[1, 2, 3]), row(3, &[1, 2])] {
-        let mut spread = Spread::new();
-        spread.accepted(NOW, &row(5, &[1, 2]), &previous, 1);
-        spread.confirmed(2, 1, 5);
+        let mut spread = Adoption::new();
+        spread.record_accepted(NOW, &row(5, &[1, 2]), &previous, 1);
+        spread.record_confirmed(2, 1, 5);
 
         assert_eq!(spread.in_force(NOW + VALIDITY), (0, 0));
 
@@ -157,10 +162,10 @@
 
 #[test]
 fn a_later_epoch_waits_for_the_host_that_an_earlier_one_removed() {
-    let mut spread = Spread::new();
-    spread.accepted(NOW, &row(5, &[1, 2]), &row(4, &[1, 2, 3]), 1);
-    spread.accepted(NOW, &row(6, &[1, 2]), &row(5, &[1, 2]), 1);
-    spread.confirmed(2, 1, 6);
+    let mut spread = Adoption::new();
+    spread.record_accepted(NOW, &row(5, &[1, 2]), &row(4, &[1, 2, 3]), 1);
+    spread.record_accepted(NOW, &row(6, &[1, 2]), &row(5, &[1, 2]), 1);
+    spread.record_confirmed(2, 1, 6);
 
     assert_eq!(spread.in_force(NOW + VALIDITY), (0, 0));
 
--- a/crates/core/tests/fleet/node.rs
+++ b/crates/core/tests/fleet/node.rs
@@ -4,11 +4,11 @@
 use bergamotvale_core::authority::Holder;
 use bergamotvale_core::change::{Action, Outcome, Reply, Writer};
 use bergamotvale_core::config::{Document, Edit};
-use bergamotvale_core::distribute::{self, Author, Replica, Row, Spread};
+use bergamotvale_core::distribute::{self, Adoption, Author, Replica, Row};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::member::{self, Failure, HEARTBEAT_PERIOD, View};
 use bergamotvale_core::peer::{Body, Heartbeat, Member, Update};
-use bergamotvale_core::{key, store, upkeep};
+use bergamotvale_core::{key, maintenance, store};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -32,7 +32,7 @@
     pub(crate) holder: Holder,
     pub(crate) replica: Replica,
     pub(crate) view: View,
-    pub(crate) spread: Spread,
+    pub(crate) spread: Adoption,
     pub(crate) paused: bool,
     pub(crate) held_back: Vec<Envelope>,
     pub(crate) attempt: Option<Attempt>,
@@ -56,7 +56,7 @@
             holder,
             replica: Replica::new(),
             view: View::new(member.host),
-            spread: Spread::new(),
+            spread: Adoption::new(),
             paused: false,
             held_back: Vec::new(),
             attempt: None,
@@ -74,7 +74,7 @@
 
     /// Whether the host acts on its epoch.
     pub(crate) fn acts(&self, now: Time) -> bool {
-        !self.paused && self.holder.held(now)
+        !self.paused && self.holder.is_held(now)
     }
 
     /// Whether a caller's key works here.
@@ -100,7 +100,7 @@
     }
 
     pub(crate) fn refused(&mut self, host: HostId) {
-        self.view.failed(host, Failure::Refused);
+        self.view.record_probe_failure(host, Failure::Refused);
     }
 
     pub(crate) fn tick(&mut self, now: Time) -> Sends {
@@ -118,7 +118,7 @@
             self.next_poll = now + store::POLL_PERIOD;
             sends.push((None, Message::Read { attempt: None, sent: now }));
         }
-        self.stopped = self.member.leaving && !self.holder.recorded();
+        self.stopped = self.member.leaving && !self.holder.is_recorded();
         self.begin(now);
         sends.extend(self.timers(now));
         sends
@@ -127,27 +127,27 @@
     pub(crate) fn take(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
         match message {
             Message::Beat { sent, heartbeat } => {
-                self.view.heard(now, &heartbeat);
+                self.view.record_heartbeat(now, &heartbeat);
                 let answer = Message::BeatAnswer { sent, heartbeat: self.heartbeat(now) };
                 let mut sends = vec![(from, answer)];
                 sends.extend(self.catch_up(from, &heartbeat));
                 sends
             }
             Message::BeatAnswer { sent, heartbeat } => {
-                self.view.heard(now, &heartbeat);
+                self.view.record_heartbeat(now, &heartbeat);
                 let mut answer = heartbeat.clone();
                 let recorded = self.replica.row().members.get(&heartbeat.member.host);
                 if let Some(m) = recorded.filter(|_| self.has(Defect::AnyIncarnationVotes)) {
                     answer.member.incarnation = m.incarnation;
                     answer.epoch = self.holder.epoch();
                 }
-                self.holder.answered(sent, &answer);
+                self.holder.record_answer(sent, &answer);
                 let member = &heartbeat.member;
-                self.spread.confirmed(member.host, member.incarnation, heartbeat.epoch);
+                self.spread.record_confirmed(member.host, member.incarnation, heartbeat.epoch);
                 self.catch_up(from, &heartbeat)
             }
             Message::Announce { attempt, epoch } => {
-                let above = self.holder.announce(now, epoch);
+                let above = self.holder.record_announcement(now, epoch);
                 vec![(from, Message::Noted { attempt, above, epoch: self.holder.epoch() })]
             }
             Message::Push(update) => self.adopt(now, update.origin, update.row, update.body),
@@ -176,7 +176,7 @@
         let Some((row, document)) = found else {
             return Sends::new();
         };
-        self.holder.read(sent, row.epoch);
+        self.holder.record_read(sent, row.epoch);
         if self.has(Defect::LateAnswerOverwrites) && row.epoch < self.replica.row().epoch {
             self.replica = Replica::new();
         }
@@ -185,12 +185,12 @@
 
     fn adopt(&mut self, now: Time, origin: HostId, row: Row, body: Body) -> Sends {
         let previous = self.replica.row().clone();
-        if self.replica.take(row.clone(), body.clone()).is_err() {
+        if self.replica.adopt(row.clone(), body.clone()).is_err() {
             return Sends::new();
         }
         self.holder.adopt(row.epoch, &row.members, member::voters(&row.members));
-        self.view.record(now, &row.members);
-        self.spread.accepted(now, &row, &previous, self.member.host);
+        self.view.record_members(now, &row.members);
+        self.spread.record_accepted(now, &row, &previous, self.member.host);
         let own = self.member.host;
         let children = distribute::children(&row.members, origin, own, distribute::FAN_OUT);
         let update = Update { origin, row, body };
@@ -209,7 +209,7 @@
         let own = (self.member.host, self.member.incarnation);
         let author = Author { host: own.0, incarnation: own.1, attempt: self.number + 1 };
         let next = row.successor(author);
-        let duty = upkeep::duty(now, &self.member, &self.holder, &self.view, row);
+        let duty = maintenance::due_task(now, &self.member, &self.holder, &self.view, row);
         let mut wanted = None;
         let (row, document, body) = if let Some(duty) = duty {
             (duty.apply(next, &self.member), self.replica.document().clone(), Body::None)
@@ -245,11 +245,11 @@
             return Sends::new();
         }
         let action = if attempt.writing {
-            attempt.writer.written(now, Reply::Lost)
+            attempt.writer.record_write(now, Reply::Lost)
         } else if self.defects.contains(&Defect::SkipAnnouncement) {
             Action::Write
         } else {
-            attempt.writer.announced(now)
+            attempt.writer.finish_announcements(now)
         };
         self.perform(now, action)
     }
@@ -260,17 +260,17 @@
         let action = match message {
             Message::Noted { attempt: number, above, epoch } if number == attempt.number => {
                 if above {
-                    attempt.writer.noted(from.unwrap());
+                    attempt.writer.record_acknowledgement(from.unwrap());
                 }
-                attempt.writer.overtaken(epoch)
+                attempt.writer.observe_epoch(epoch)
             }
             Message::Written { attempt: number, accepted, row } if number == attempt.number => {
                 let reply =
                     if accepted { Reply::Accepted } else { Reply::Conflict(row.map(Box::new)) };
-                Some(attempt.writer.written(now, reply))
+                Some(attempt.writer.record_write(now, reply))
             }
             Message::Found { attempt: Some(number), row, .. } if number == attempt.number => {
-                Some(attempt.writer.read(now, row.as_ref().map(|(row, _)| row)))
+                Some(attempt.writer.record_read(now, row.as_ref().map(|(row, _)| row)))
             }
             _ => None,
         };
@@ -284,8 +284,10 @@
         match action {
             Action::Announce(voters) => {
                 attempt.timer = now + ROUND;
-                if voters.contains(&self.member.host) && self.holder.announce(now, row.epoch) {
-                    attempt.writer.noted(self.member.host);
+                if voters.contains(&self.member.host)
+                    && self.holder.record_announcement(now, row.epoch)
+                {
+                    attempt.writer.record_acknowledgement(self.member.host);
                 }
                 let message = Message::Announce { attempt: number, epoch: row.epoch };
                 let others = voters.into_iter().filter(|v| *v != self.member.host);
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -56,11 +56,11 @@
 fn apply(handover: &mut Handover, given: &Given, happening: &Happening) -> Vec<Action> {
     let now: Time = Duration::from_millis(happening.at);
     match happening.on.as_str() {
-        "drained" => handover.drained(now),
-        "held" => handover.held(now, happening.entry.as_deref().map(position)),
+        "drained" => handover.record_drained(now),
+        "held" => handover.record_hold(now, happening.entry.as_deref().map(position)),
         "looked" => {
             let target = happening.target.expect("somebody was asked");
-            handover.looked(now, target, &status(happening))
+            handover.record_status(now, target, &status(happening))
         }
         "tick" => handover.tick(now),
         "restart" => {
@@ -77,7 +77,7 @@
         Action::Hold { target, time } => {
             format!("{at}: hold {target} for {} ms", time.as_millis())
         }
-        Action::Look { target } => format!("{at}: look {target}"),
+        Action::ReadStatus { target } => format!("{at}: look {target}"),
         Action::Promote { candidate, term } => format!("{at}: promote {candidate} over {term}"),
         Action::Aborted { reason } => format!("{at}: aborted {reason}"),
     }
--- a/crates/core/tests/meters/mod.rs
+++ b/crates/core/tests/meters/mod.rs
@@ -5,7 +5,7 @@
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::invariant::admission;
 use bergamotvale_core::peer::TokenRequest;
-use bergamotvale_core::rate::meter::{Ask, Decision};
+use bergamotvale_core::rate::meter::{Decision, LoanRequest};
 use bergamotvale_core::rate::{self, Meter};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -47,7 +47,7 @@
 }
 
 pub(crate) struct Call {
-    pub(crate) ask: Ask,
+    pub(crate) ask: LoanRequest,
     pub(crate) borrower: HostId,
     pub(crate) asked: Time,
     pub(crate) arrives: Time,
@@ -91,13 +91,14 @@
     pub(crate) fn learn_members_at(&mut self, id: HostId, now: Time) {
         let Account { rate, burst, .. } = self.account;
         let holders = rate::holders(ACCOUNT, burst, &self.members, self.holders);
-        let (rate, burst) = rate::part_of(ACCOUNT, (rate, burst), &self.members, id, self.holders);
+        let (rate, burst) =
+            rate::rate_share(ACCOUNT, (rate, burst), &self.members, id, self.holders);
         let whole = (rate::meter::micro(self.account.rate), rate::meter::micro(self.account.burst));
         let peers = self.members.iter().copied().filter(|peer| *peer != id).collect();
         let host = self.host(id);
         let (rate, burst) = if host.local_only { whole } else { (rate, burst) };
         host.meter.set_peers(peers);
-        host.meter.set_part(ACCOUNT, rate, burst, now);
+        host.meter.set_share(ACCOUNT, rate, burst, now);
         host.meter.set_holders(ACCOUNT, holders);
     }
 
@@ -105,9 +106,9 @@
     /// tokens.
     pub(crate) fn restart(&mut self, id: HostId, opening: u32, now: Time) {
         let total = (self.account.rate, self.account.burst);
-        let (rate, burst) = rate::part_of(ACCOUNT, total, &self.members, id, self.holders);
+        let (rate, burst) = rate::rate_share(ACCOUNT, total, &self.members, id, self.holders);
         let mut host = fresh_host();
-        host.meter.open_part(ACCOUNT, rate, burst, rate::meter::micro(opening), now);
+        host.meter.open_share(ACCOUNT, rate, burst, rate::meter::micro(opening), now);
         self.hosts.insert(id, host);
         self.learn_members_at(id, now);
     }
@@ -133,7 +134,7 @@
     }
 
     pub(crate) fn ask(&mut self, id: HostId, now: Time) {
-        for ask in self.host(id).meter.asks(ACCOUNT, now) {
+        for ask in self.host(id).meter.loan_requests(ACCOUNT, now) {
             let arrives = now + self.random_delay();
             let (borrower, asked) = (id, now);
             let (answer, given_up) = (None, false);
@@ -202,7 +203,7 @@
     }
 
     pub(crate) fn lend(&mut self, mut call: Call, now: Time) {
-        let Ask { account, peer, count, sequence } = call.ask;
+        let LoanRequest { account, peer, count, sequence } = call.ask;
         let request = TokenRequest { host: call.borrower, account, count, version: 1, sequence };
         let lent = self.host(peer).meter.lend(&request, now);
         call.answer = Some(lent);
--- a/crates/core/tests/plan/mod.rs
+++ b/crates/core/tests/plan/mod.rs
@@ -117,7 +117,7 @@
     let row = Row { epoch: 1, members, ..Row::default() }.with_config(1, "digest");
     let record = plan::propose(9, &document, &row, given.intent.clone())?;
     let mut replica = Replica::new();
-    replica.take(row, Body::Whole(document)).expect("the first epoch");
+    replica.adopt(row, Body::Whole(document)).expect("the first epoch");
     let targets = given.targets.clone();
     Ok(Table { version: 1, record, replica, down: false, late: Vec::new(), targets })
 }
@@ -157,7 +157,7 @@
         Action::Perform => carry_out(table, &record, false),
         Action::PerformSlow => carry_out(table, &record, true),
         Action::Finish | Action::FinishLost | Action::FinishSlow | Action::Fail => {
-            let Some((index, _)) = record.next() else { return "nothing to do".to_owned() };
+            let Some((index, _)) = record.next_step() else { return "nothing to do".to_owned() };
             let failed = matches!(event.on, Action::Fail);
             let progress = if failed { Progress::Failed } else { Progress::Done };
             let lost = matches!(event.on, Action::FinishLost);
@@ -170,7 +170,7 @@
             answer(copies, table, host, stored, lost)
         }
         Action::TakeOver => {
-            if !record.abandoned(table.replica.row()) {
+            if !record.is_abandoned(table.replica.row()) {
                 return "not abandoned".to_owned();
             }
             let stored = store(table, version, &record.with_runner(runner));
@@ -225,7 +225,7 @@
 
 /// Does what the step that is next asks for.
 fn carry_out(table: &mut Table, record: &Record, slow: bool) -> String {
-    let Some((_, operation)) = record.next() else { return "nothing to do".to_owned() };
+    let Some((_, operation)) = record.next_step() else { return "nothing to do".to_owned() };
     match operation {
         Operation::Promote(_, target) => return table.targets.promote(*target),
         Operation::MovePrimary(_, target) => return table.targets.move_off(*target),
@@ -256,12 +256,12 @@
     let (change, document) = table.replica.propose(edits).expect("it holds");
     let mut row = table.replica.row().clone().with_config(document.version, "digest");
     row.epoch += 1;
-    table.replica.take(row, Body::Change(change)).expect("the next epoch");
+    table.replica.adopt(row, Body::Change(change)).expect("the next epoch");
 }
 
 fn remove(table: &mut Table, host: HostId) -> String {
     let mut row = table.replica.row().clone().without_member(host);
     row.epoch += 1;
-    table.replica.take(row, Body::None).expect("the next epoch");
+    table.replica.adopt(row, Body::None).expect("the next epoch");
     "removed".to_owned()
 }
--- a/crates/core/tests/plan/targets.rs
+++ b/crates/core/tests/plan/targets.rs
@@ -1,7 +1,7 @@
 //! Targets under a plan's promotion step: drives the core's handover against them.
 
 use bergamotvale_core::group::{Role, Status};
-use bergamotvale_core::handover::{Action, Handover, POLL};
+use bergamotvale_core::handover::{Action, Handover, POLL_INTERVAL};
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::log::{Position, Term};
 use serde::Deserialize;
@@ -47,23 +47,23 @@
         let mut held = false;
         let mut due = VecDeque::new();
         if !self.stuck {
-            due.extend(handover.drained(now));
+            due.extend(handover.record_drained(now));
         }
         while now < BOUND {
             while let Some(action) = due.pop_front() {
                 match action {
                     Action::Hold { time: Duration::ZERO, .. } => held = false,
                     Action::Hold { target, .. } if self.cut_off.contains(&target) => {
-                        due.extend(handover.held(now, None));
+                        due.extend(handover.record_hold(now, None));
                     }
                     Action::Hold { target, .. } if self.silent.contains(&target) => held = true,
                     Action::Hold { target, .. } => {
                         held = true;
-                        due.extend(handover.held(now, Some(self.status(target).entry)));
+                        due.extend(handover.record_hold(now, Some(self.status(target).entry)));
                     }
-                    Action::Look { target } if !self.answers(target) => {}
-                    Action::Look { target } => {
-                        due.extend(handover.looked(now, target, &self.status(target)));
+                    Action::ReadStatus { target } if !self.answers(target) => {}
+                    Action::ReadStatus { target } => {
+                        due.extend(handover.record_status(now, target, &self.status(target)));
                     }
                     Action::Promote { candidate, term } => {
                         return format!("promote {candidate} over term {term}");
@@ -72,7 +72,7 @@
                     Action::Aborted { reason } => return format!("taken back: {reason}"),
                 }
             }
-            now += POLL;
+            now += POLL_INTERVAL;
             due.extend(handover.tick(now));
         }
         "never ended".to_owned()
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -6,7 +6,7 @@
 use bergamotvale_core::group::{Answer, Role, Status};
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::log::{Position, Term};
-use bergamotvale_core::promotion::{Action, Candidate, Deposed, Promoter};
+use bergamotvale_core::promotion::{Action, Candidate, Promoter, Replacement};
 use bergamotvale_core::random::Source;
 use common::{case, position};
 use serde::Deserialize;
@@ -75,15 +75,15 @@
     let target = happening.target.unwrap_or(0);
     match happening.on.as_str() {
         "depose" => {
-            let deposed = Deposed { term, avoid: given.avoid, preferred: None };
-            promoter.depose(now, deposed, given.rank);
+            let deposed = Replacement { term, avoid: given.avoid, preferred: None };
+            promoter.replace_primary(now, deposed, given.rank);
             Vec::new()
         }
-        "plan" => promoter.plan(now, term, target),
+        "plan" => promoter.start_planned(now, term, target),
         "tick" => promoter.tick(now),
-        "fenced" => promoter.fenced(now, target, term, answer(happening, term)),
-        "promoted" => promoter.promoted(now, target, term, answer(happening, term)),
-        "observe" => promoter.observe(now, &status(happening, term)),
+        "fenced" => promoter.record_fence(now, target, term, answer(happening, term)),
+        "promoted" => promoter.record_promotion(now, target, term, answer(happening, term)),
+        "observe" => promoter.record_status(now, &status(happening, term)),
         other => panic!("unknown event {other}"),
     }
 }
@@ -101,7 +101,7 @@
     let candidate = |id: TargetId| Candidate {
         failure_domain: id,
         draining: case.given.draining.contains(&id),
-        hosts_near: u32::from(case.given.near.contains(&id)),
+        hosts_in_domain: u32::from(case.given.near.contains(&id)),
     };
     let candidates = (0..case.given.targets).map(|id| (id, candidate(id))).collect();
     let mut promoter = Promoter::new(HOST, candidates, Source::new(SEED));
--- a/crates/core/tests/promotion_search.rs
+++ b/crates/core/tests/promotion_search.rs
@@ -8,7 +8,7 @@
 use bergamotvale_core::group::{Answer, Role, Status};
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::log::Position;
-use bergamotvale_core::promotion::{Action, Candidate, Deposed, Promoter};
+use bergamotvale_core::promotion::{Action, Candidate, Promoter, Replacement};
 use bergamotvale_core::random::Source;
 use group::{Group, Message, Target};
 use std::time::Duration;
@@ -160,8 +160,10 @@
         let now = self.now;
         let promoter = &mut self.promoters[by].0;
         let actions = match action {
-            Action::Fence { target, term, .. } => promoter.fenced(now, target, term, answer),
-            Action::Promote { target, term, .. } => promoter.promoted(now, target, term, answer),
+            Action::Fence { target, term, .. } => promoter.record_fence(now, target, term, answer),
+            Action::Promote { target, term, .. } => {
+                promoter.record_promotion(now, target, term, answer)
+            }
             Action::Done { .. } | Action::Failed { .. } => Vec::new(),
         };
         self.take(by, actions);
@@ -171,8 +173,8 @@
         let by = self.random.below(u64::from(PROMOTERS)) as usize;
         let term = self.random.below(4);
         let avoid = self.random.chance(300).then_some(0);
-        let deposed = Deposed { term, avoid, preferred: None };
-        self.promoters[by].0.depose(self.now, deposed, by as u32);
+        let deposed = Replacement { term, avoid, preferred: None };
+        self.promoters[by].0.replace_primary(self.now, deposed, by as u32);
     }
 
     fn tick(&mut self) {
@@ -186,7 +188,7 @@
     fn observe(&mut self, target: TargetId) {
         let by = self.random.below(u64::from(PROMOTERS)) as usize;
         let status = status(&self.group.targets[&target]);
-        let actions = self.promoters[by].0.observe(self.now, &status);
+        let actions = self.promoters[by].0.record_status(self.now, &status);
         self.take(by, actions);
     }
 
--- a/crates/core/tests/proxy_search.rs
+++ b/crates/core/tests/proxy_search.rs
@@ -11,8 +11,8 @@
 use bergamotvale_core::proxy::floor::{History, Observation, Position};
 use bergamotvale_core::proxy::lease::{Lease, Member, Terms, Vouch, Wait};
 use bergamotvale_core::rate::bucket::{Amount, LOAN_LIFETIME, MICRO};
-use bergamotvale_core::rate::meter::{Ask, Decision, Meter, micro};
-use bergamotvale_core::rate::part_of;
+use bergamotvale_core::rate::meter::{Decision, LoanRequest, Meter, micro};
+use bergamotvale_core::rate::rate_share;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -95,8 +95,8 @@
     Beat { from: HostId, vouch: Vouch, echo: Option<(u64, Time)>, number: u64, row: Row },
     Read { to: HostId, sent: Time, row: Row, members: BTreeMap<HostId, Member> },
     Call { host: HostId, fence: u64, target: usize, sent: Time },
-    Borrow { from: HostId, ask: Ask, asked: Time },
-    Loan { ask: Ask, asked: Time, count: u32 },
+    Borrow { from: HostId, ask: LoanRequest, asked: Time },
+    Loan { ask: LoanRequest, asked: Time, count: u32 },
 }
 
 struct Host {
@@ -117,7 +117,7 @@
     next_read: Time,
     meter: Meter,
     /// Loans asked for that were not answered yet.
-    asks: Vec<(Ask, Time)>,
+    asks: Vec<(LoanRequest, Time)>,
     /// Requests that wait for a loan, and until when.
     waiting: Vec<Time>,
 }
@@ -127,11 +127,11 @@
     let members: BTreeSet<HostId> = (0..HOSTS).collect();
     let (rate, burst) = match defect {
         Defect::CountsAlone => (micro(RATE), micro(BURST)),
-        _ => part_of(ACCOUNT, (RATE, BURST), &members, id, HOSTS as usize),
+        _ => rate_share(ACCOUNT, (RATE, BURST), &members, id, HOSTS as usize),
     };
     let mut meter = Meter::new(TERMS.validity + TERMS.guard, true);
     meter.set_peers(members.into_iter().filter(|peer| *peer != id).collect());
-    meter.open_part(ACCOUNT, rate, burst, OPENING, now);
+    meter.open_share(ACCOUNT, rate, burst, OPENING, now);
     meter
 }
 
@@ -439,7 +439,7 @@
         let now = ms(self.now);
         let host = self.host(id);
         host.meter.tick(now);
-        let late = |(_, asked): &mut (Ask, Time)| *asked + LOAN_LIFETIME < now;
+        let late = |(_, asked): &mut (LoanRequest, Time)| *asked + LOAN_LIFETIME < now;
         for (ask, asked) in host.asks.extract_if(.., late).collect::<Vec<_>>() {
             host.meter.receive(ask, 0, asked, now);
         }
@@ -447,21 +447,21 @@
             let decision = self.host(id).meter.retry(ACCOUNT, until, now);
             self.settle(id, decision);
         }
-        for ask in self.host(id).meter.asks(ACCOUNT, now) {
+        for ask in self.host(id).meter.loan_requests(ACCOUNT, now) {
             self.host(id).asks.push((ask, now));
             self.send(ask.peer, Message::Borrow { from: id, ask, asked: now });
         }
     }
 
-    fn lend(&mut self, id: HostId, borrower: HostId, ask: Ask, asked: Time) {
-        let Ask { account, count, sequence, .. } = ask;
+    fn lend(&mut self, id: HostId, borrower: HostId, ask: LoanRequest, asked: Time) {
+        let LoanRequest { account, count, sequence, .. } = ask;
         let request = TokenRequest { host: borrower, account, count, version: 1, sequence };
         let now = ms(self.now);
         let count = self.host(id).meter.lend(&request, now);
         self.send(borrower, Message::Loan { ask, asked, count });
     }
 
-    fn borrow(&mut self, id: HostId, ask: Ask, asked: Time, count: u32) {
+    fn borrow(&mut self, id: HostId, ask: LoanRequest, asked: Time, count: u32) {
         let now = ms(self.now);
         let host = self.host(id);
         let known = host.asks.len();
--- a/crates/core/tests/rate.rs
+++ b/crates/core/tests/rate.rs
@@ -108,7 +108,7 @@
 /// A lender with a full part of 20 tokens that has just lent all of them in answer to ask 2.
 fn lender_without_tokens(now: Time) -> Meter {
     let mut meter = Meter::new(SETTLE, true);
-    meter.set_part(ACCOUNT, micro(100), micro(20), now - SETTLE * 2);
+    meter.set_share(ACCOUNT, micro(100), micro(20), now - SETTLE * 2);
     meter.tick(now - SETTLE);
     assert_eq!(meter.lend(&ask(1, 2), now), 20);
     meter
--- a/crates/core/tests/rate_restart.rs
+++ b/crates/core/tests/rate_restart.rs
@@ -3,7 +3,7 @@
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::rate::bucket::{Amount, MICRO};
 use bergamotvale_core::rate::meter::{Decision, Meter};
-use bergamotvale_core::rate::part_of;
+use bergamotvale_core::rate::rate_share;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -21,14 +21,14 @@
 
 fn parts(host: HostId) -> (Amount, Amount) {
     let members: BTreeSet<HostId> = (1..=HOSTS).collect();
-    part_of(ACCOUNT, (RATE, BURST), &members, host, 4)
+    rate_share(ACCOUNT, (RATE, BURST), &members, host, 4)
 }
 
 /// A host that comes back and had its part before.
 fn restarted(host: HostId, now: Time) -> Meter {
     let (rate, burst) = parts(host);
     let mut meter = Meter::new(SETTLE, false);
-    meter.open_part(ACCOUNT, rate, burst, OPENING, now);
+    meter.open_share(ACCOUNT, rate, burst, OPENING, now);
     meter
 }
 
@@ -68,7 +68,7 @@
 fn a_host_that_is_new_waits_until_the_others_have_made_room() {
     let (rate, burst) = parts(1);
     let mut meter = Meter::new(SETTLE, false);
-    meter.set_part(ACCOUNT, rate, burst, ms(0));
+    meter.set_share(ACCOUNT, rate, burst, ms(0));
     assert!(!admits(&mut meter, ms(1200)));
     meter.tick(SETTLE);
     assert!(admits(&mut meter, SETTLE + ms(100)));
@@ -78,11 +78,11 @@
 fn a_part_that_grows_after_the_start_waits_like_any_other() {
     let mut meter = restarted(1, ms(0));
     let (rate, burst) = parts(1);
-    meter.open_part(ACCOUNT, 2 * rate, 2 * burst, OPENING, ms(10));
+    meter.open_share(ACCOUNT, 2 * rate, 2 * burst, OPENING, ms(10));
     meter.tick(ms(20));
-    assert_eq!(meter.part(ACCOUNT), (rate, burst));
+    assert_eq!(meter.share(ACCOUNT), (rate, burst));
     meter.tick(ms(10) + SETTLE);
-    assert_eq!(meter.part(ACCOUNT), (2 * rate, 2 * burst));
+    assert_eq!(meter.share(ACCOUNT), (2 * rate, 2 * burst));
 }
 
 /// Pattern: lost primary with full queues. What reached no target costs no token.
@@ -90,7 +90,7 @@
 fn a_token_that_is_put_back_serves_another_request() {
     let mut meter = restarted(1, ms(0));
     while admits(&mut meter, ms(0)) {}
-    meter.put_back(ACCOUNT, ms(0));
+    meter.refund(ACCOUNT, ms(0));
     assert!(admits(&mut meter, ms(0)));
     assert!(!admits(&mut meter, ms(0)));
 }
@@ -99,7 +99,7 @@
 fn tokens_put_back_do_not_exceed_the_part_of_the_burst() {
     let mut meter = restarted(1, ms(0));
     for _ in 0..1000 {
-        meter.put_back(ACCOUNT, ms(0));
+        meter.refund(ACCOUNT, ms(0));
     }
     let (_, burst) = parts(1);
     let admitted = (0..1000).filter(|_| admits(&mut meter, ms(0))).count();
--- a/crates/core/tests/world/promoter.rs
+++ b/crates/core/tests/world/promoter.rs
@@ -3,7 +3,7 @@
 use super::{HOSTS, Scene, TARGETS};
 use bergamotvale_core::group::Answer;
 use bergamotvale_core::id::{HostId, TargetId};
-use bergamotvale_core::promotion::{Action, Candidate, Deposed, Promoter};
+use bergamotvale_core::promotion::{Action, Candidate, Promoter, Replacement};
 use bergamotvale_core::random::Source;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -62,10 +62,10 @@
         if is_well && !wrongly || scene.hosts[&host].paused_until > scene.now {
             return;
         }
-        let deposed = Deposed { term, avoid: None, preferred: None };
+        let deposed = Replacement { term, avoid: None, preferred: None };
         let promoter = &mut self.promoters.get_mut(&host).expect("one of the hosts").1;
         if promoter.is_idle() {
-            promoter.depose(scene.now, deposed, host);
+            promoter.replace_primary(scene.now, deposed, host);
         }
     }
 
@@ -114,8 +114,10 @@
         }
         let answer = answer.flatten();
         let actions = match action {
-            Action::Fence { target, term, .. } => promoter.fenced(now, target, term, answer),
-            Action::Promote { target, term, .. } => promoter.promoted(now, target, term, answer),
+            Action::Fence { target, term, .. } => promoter.record_fence(now, target, term, answer),
+            Action::Promote { target, term, .. } => {
+                promoter.record_promotion(now, target, term, answer)
+            }
             Action::Done { .. } | Action::Failed { .. } => Vec::new(),
         };
         self.take(host, actions);
@@ -142,9 +144,9 @@
         }
         let terms = scene.group.targets.values().map(|target| target.accepted);
         let term = terms.max().expect("a group has targets");
-        let deposed = Deposed { term, avoid: None, preferred: None };
+        let deposed = Replacement { term, avoid: None, preferred: None };
         let promoter = &mut self.promoters.get_mut(&0).expect("one of the hosts").1;
-        promoter.depose(scene.now, deposed, 0);
+        promoter.replace_primary(scene.now, deposed, 0);
         let done = self.done;
         for _ in 0..FINISH_ROUNDS {
             scene.now += Duration::from_millis(5);
--- a/crates/host/src/admin/plan.rs
+++ b/crates/host/src/admin/plan.rs
@@ -124,7 +124,7 @@
     let versions = format!("version {} is now {}", record.plan.version, row.version);
     let mut changed = vec![versions];
     if let Some(old) = old {
-        changed.extend(plan::changed(&old, &host.document()));
+        changed.extend(plan::differences(&old, &host.document()));
     }
     Fault::Stale(changed)
 }
--- a/crates/host/src/admin/runner.rs
+++ b/crates/host/src/admin/runner.rs
@@ -48,7 +48,7 @@
 async fn take_over(host: &Arc<Host>, records: Vec<(u64, Record)>) {
     let row = host.fleet.row();
     for (version, record) in records {
-        if !record.abandoned(&row) {
+        if !record.is_abandoned(&row) {
             continue;
         }
         let id = record.plan.id;
@@ -72,7 +72,9 @@
         if record.runner != Some(own(&host)) {
             return;
         }
-        let Some((index, operation)) = record.next().map(|(i, o)| (i, o.clone())) else { return };
+        let Some((index, operation)) = record.next_step().map(|(i, o)| (i, o.clone())) else {
+            return;
+        };
         let running = record.clone().with_progress(index, Progress::Running, "");
         let Some(next) = write(&host, version, &running, None).await else { return };
         version = next;
--- a/crates/host/src/failover/driver.rs
+++ b/crates/host/src/failover/driver.rs
@@ -62,14 +62,14 @@
     let promotions = host.failover.with(service, |group| {
         for action in group.detector.tick(now) {
             match action {
-                detect::Action::Tell(opinion) => {
+                detect::Action::SendOpinion(opinion) => {
                     log::info!("service {service}: {opinion:?}");
                     host.failover.notify_peers();
                 }
-                detect::Action::Depose(deposed) if !off && group.planned.is_none() => {
-                    group.promoter.depose(now, deposed, group.rank);
+                detect::Action::ReplacePrimary(deposed) if !off && group.planned.is_none() => {
+                    group.promoter.replace_primary(now, deposed, group.rank);
                 }
-                detect::Action::Depose(_) => {}
+                detect::Action::ReplacePrimary(_) => {}
             }
         }
         group.promoter.tick(now)
@@ -85,7 +85,7 @@
         let controls = group.controls.clone();
         let due = controls.into_iter().filter(|(id, _)| group.probing.insert(*id));
         let due: Vec<_> = due.collect();
-        due.iter().for_each(|(id, _)| group.detector.asked(now, *id));
+        due.iter().for_each(|(id, _)| group.detector.record_probe_sent(now, *id));
         due
     });
     for (target, control) in due.unwrap_or_default() {
@@ -111,13 +111,13 @@
     host.failover.with(service, |group| {
         group.probing.remove(&target);
         if let Err(Failure::Silent | Failure::Failed) = worked {
-            group.detector.worked(now, target, false);
+            group.detector.record_work(now, target, false);
         }
         match answer {
             Ok(_) => {}
-            Err(Failure::Refused) => group.detector.refused(now, target),
-            Err(Failure::Crowded) => group.detector.crowded(target),
-            Err(Failure::Failed) => group.detector.worked(now, target, false),
+            Err(Failure::Refused) => group.detector.record_probe_refused(now, target),
+            Err(Failure::Crowded) => group.detector.record_probe_overloaded(target),
+            Err(Failure::Failed) => group.detector.record_work(now, target, false),
             Err(Failure::Silent) => {}
         }
     });
@@ -160,8 +160,8 @@
     log::debug!("service {service}: {action:?}: {answer:?}");
     let now = host.clock.now();
     let actions = host.failover.with(service, |group| match fencing {
-        true => group.promoter.fenced(now, target, term, answer.ok()),
-        false => group.promoter.promoted(now, target, term, answer.ok()),
+        true => group.promoter.record_fence(now, target, term, answer.ok()),
+        false => group.promoter.record_promotion(now, target, term, answer.ok()),
     });
     carry_out(&host, service, actions.unwrap_or_default());
 }
--- a/crates/host/src/failover/hold.rs
+++ b/crates/host/src/failover/hold.rs
@@ -2,13 +2,13 @@
 //!
 //! The host that runs the promotion says so in its opinions; the others follow at once, say in
 //! theirs how many requests still use the primary or wait for a connection to it, and go on when
-//! the planner no longer says so, when there is a primary of a higher term, or when [`GATE`] has
+//! the planner no longer says so, when there is a primary of a higher term, or when [`HOST_HOLD_DURATION`] has
 //! passed. The planner says so until its own probes have shown it the new primary, and tells that
 //! in the same opinion: a host that went on without knowing it would go on with the old one.
 
 use super::{Failover, Group};
 use crate::target::Key;
-use bergamotvale_core::handover::GATE;
+use bergamotvale_core::handover::HOST_HOLD_DURATION;
 use bergamotvale_core::id::{HostId, ServiceId, TargetId, Time};
 use bergamotvale_core::log::Term;
 use bergamotvale_core::peer::Opinion;
@@ -85,7 +85,7 @@
         let Some(hold) = &self.hold else { return };
         let opinion = self.detector.opinion(now);
         let followed = opinion.is_some_and(|opinion| hold.is_followed(&opinion));
-        if followed || now.saturating_sub(hold.since) >= GATE {
+        if followed || now.saturating_sub(hold.since) >= HOST_HOLD_DURATION {
             self.hold = None;
         }
     }
@@ -93,7 +93,7 @@
     pub(super) fn is_held(&self, now: Time, target: TargetId) -> bool {
         let Some(hold) = &self.hold else { return false };
         let passed = self.detector.primary().is_some_and(|(_, term)| term > hold.term);
-        hold.primary == target && !passed && now.saturating_sub(hold.since) < GATE
+        hold.primary == target && !passed && now.saturating_sub(hold.since) < HOST_HOLD_DURATION
     }
 }
 
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -99,7 +99,7 @@
         let mut state = self.lock();
         for (service, opinion) in opinions {
             if let Some(group) = state.groups.get_mut(service) {
-                group.detector.heard(now, host, *opinion);
+                group.detector.record_opinion(now, host, *opinion);
                 if group.follow_hold(now, host, opinion) {
                     self.notify_peers();
                 }
@@ -112,7 +112,7 @@
     /// An error that the database gives for the statement's sake counts as well done.
     pub fn worked(&self, now: Time, (service, target): Key, well: bool) {
         if let Some(group) = self.lock().groups.get_mut(&service) {
-            group.detector.worked(now, target, well);
+            group.detector.record_work(now, target, well);
         }
     }
 
@@ -130,7 +130,7 @@
         let targets = group.detector.targets().iter();
         targets
             .filter_map(|(id, health)| {
-                Some((*id, View { status: health.status?, at: health.answered }))
+                Some((*id, View { status: health.status?, at: health.answered_at }))
             })
             .collect()
     }
@@ -215,7 +215,7 @@
         group: &mut Group,
     ) {
         let chosen = match self.policy.failover {
-            settings::Failover::Review => watch::choose(service, members, watch::WATCHERS),
+            settings::Failover::Review => watch::choose(service, members, watch::MAX_WATCHERS),
             settings::Failover::Single | settings::Failover::Off => vec![self.host],
         };
         let rank = chosen.iter().position(|host| *host == self.host).unwrap_or(chosen.len());
@@ -242,8 +242,8 @@
         target: TargetId,
         status: Status,
     ) -> Vec<promotion::Action> {
-        self.detector.answered(now, target, status);
-        self.promoter.observe(now, &status)
+        self.detector.record_probe_answer(now, target, status);
+        self.promoter.record_status(now, &status)
     }
 }
 
@@ -258,7 +258,7 @@
             let candidate = Candidate {
                 failure_domain: target.failure_domain,
                 draining: target.state == TargetState::Draining,
-                hosts_near: u32::try_from(near(target.failure_domain)).unwrap_or(u32::MAX),
+                hosts_in_domain: u32::try_from(near(target.failure_domain)).unwrap_or(u32::MAX),
             };
             (*id, candidate)
         })
--- a/crates/host/src/failover/planned.rs
+++ b/crates/host/src/failover/planned.rs
@@ -97,7 +97,7 @@
             let drained = group.hold.as_ref().is_some_and(|hold| hold.is_drained(others));
             let mut actions = running.handover.tick(now);
             if drained {
-                actions.extend(running.handover.drained(now));
+                actions.extend(running.handover.record_drained(now));
             }
             return Some(actions);
         }
@@ -126,7 +126,7 @@
             handover::Action::Hold { target, time } => {
                 tokio::spawn(hold(host.clone(), service, target, time));
             }
-            handover::Action::Look { target } => {
+            handover::Action::ReadStatus { target } => {
                 tokio::spawn(look(host.clone(), service, target));
             }
             handover::Action::Promote { candidate, term } => {
@@ -134,7 +134,7 @@
                 let plan = host.failover.with(service, |group| {
                     let running = group.planned.as_mut()?;
                     running.promoting = Some(now);
-                    Some(group.promoter.plan(now, term, candidate))
+                    Some(group.promoter.start_planned(now, term, candidate))
                 });
                 driver::carry_out(host, service, plan.flatten().unwrap_or_default());
             }
@@ -161,7 +161,7 @@
     }
     let now = host.clock.now();
     let actions = host.failover.with(service, |group| {
-        group.planned.as_mut().map(|running| running.handover.held(now, entry))
+        group.planned.as_mut().map(|running| running.handover.record_hold(now, entry))
     });
     carry_out(&host, service, actions.flatten().unwrap_or_default());
 }
@@ -174,7 +174,7 @@
     let actions = host.failover.with(service, |group| {
         let ended = group.answered(now, target, status);
         let running = group.planned.as_mut();
-        (ended, running.map(|running| running.handover.looked(now, target, &status)))
+        (ended, running.map(|running| running.handover.record_status(now, target, &status)))
     });
     let Some((ended, actions)) = actions else { return };
     driver::carry_out(&host, service, ended);
--- a/crates/host/src/fleet/change.rs
+++ b/crates/host/src/fleet/change.rs
@@ -181,14 +181,14 @@
                 if reply == Reply::Refused {
                     tokio::time::sleep(ROUND).await;
                 }
-                writer.written(host.clock.now(), reply)
+                writer.record_write(host.clock.now(), reply)
             }
             Action::ReadBack => {
                 let row = read_back(host).await;
                 if row.is_none() {
                     tokio::time::sleep(ROUND).await;
                 }
-                writer.read(host.clock.now(), row.as_ref())
+                writer.record_read(host.clock.now(), row.as_ref())
             }
         };
     }
@@ -204,16 +204,16 @@
         if voter != own {
             calls.spawn(announce_to(host.clone(), voter, announcement));
         } else if host.fleet.announce(host.clock.now(), epoch) {
-            writer.noted(own);
+            writer.record_acknowledgement(own);
         } else {
             return Action::Finish(Outcome::Overtaken);
         }
     }
-    while !writer.enough() {
+    while !writer.has_quorum() {
         match calls.join_next().await {
-            Some(Ok((voter, Some(true)))) => writer.noted(voter),
+            Some(Ok((voter, Some(true)))) => writer.record_acknowledgement(voter),
             Some(Ok((_, Some(false)))) => {
-                if let Some(action) = writer.overtaken(epoch) {
+                if let Some(action) = writer.observe_epoch(epoch) {
                     return action;
                 }
             }
@@ -225,7 +225,7 @@
         }
     }
     calls.detach_all();
-    writer.announced(host.clock.now())
+    writer.finish_announcements(host.clock.now())
 }
 
 async fn announce_to(
--- a/crates/host/src/fleet/loan.rs
+++ b/crates/host/src/fleet/loan.rs
@@ -4,7 +4,7 @@
 use crate::target::share::{Asked, Want};
 use bergamotvale_core::id::HostId;
 use bergamotvale_core::peer::{SlotRequest, TokenRequest};
-use bergamotvale_core::rate::meter::Ask;
+use bergamotvale_core::rate::meter::LoanRequest;
 use bergamotvale_wire::peer::PeerClient;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +25,7 @@
     }
 }
 
-async fn borrow_tokens(host: Arc<Host>, ask: Ask) {
+async fn borrow_tokens(host: Arc<Host>, ask: LoanRequest) {
     let request = TokenRequest {
         host: host.settings.host,
         account: ask.account,
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -16,13 +16,13 @@
 use crate::settings::{Defect, Settings};
 use crate::shared::Host;
 use bergamotvale_core::authority::{Holder, Source};
-use bergamotvale_core::distribute::{Replica, Row, Spread};
+use bergamotvale_core::distribute::{Adoption, Replica, Row};
 use bergamotvale_core::id::{Epoch, HostId, Incarnation, KeyId, Time, Version};
 use bergamotvale_core::key;
+use bergamotvale_core::maintenance::{Task, due_task};
 use bergamotvale_core::member::{self, Failure, View};
 use bergamotvale_core::peer::{Heartbeat, Member, Update};
 use bergamotvale_core::share::Count;
-use bergamotvale_core::upkeep::{Duty, duty};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -42,7 +42,7 @@
     holder: Holder,
     replica: Replica,
     view: View,
-    spread: Spread,
+    spread: Adoption,
     divisions: Count,
     adopted: Time,
 }
@@ -95,7 +95,7 @@
             holder: Holder::new(own.host, incarnation).with_validity(validity),
             replica: Replica::new(),
             view: View::new(own.host).with_watched(settings.policy.fan_out),
-            spread: Spread::new().with_validity(validity),
+            spread: Adoption::new().with_validity(validity),
             divisions: Count::default(),
             adopted: Time::ZERO,
             own,
@@ -141,14 +141,14 @@
 
     /// Whether this host may act on what it knows.
     pub fn held(&self, now: Time) -> bool {
-        self.lock().holder.held(now)
+        self.lock().holder.is_held(now)
     }
 
     /// This host's authority.
     pub fn standing(&self, now: Time) -> Standing {
         let state = self.lock();
         Standing {
-            held: state.holder.held(now),
+            held: state.holder.is_held(now),
             age: state.holder.age(now),
             source: state.holder.source(now),
         }
@@ -159,7 +159,7 @@
     /// Members and authority are of one epoch: those of an older one must not be used for longer.
     pub fn division(&self, now: Time) -> Division {
         let state = self.lock();
-        let age = state.holder.age(now).filter(|_| state.holder.recorded());
+        let age = state.holder.age(now).filter(|_| state.holder.is_recorded());
         Division {
             members: state.divisions.members().clone(),
             generation: state.divisions.generation(),
@@ -182,7 +182,8 @@
                 return Seen { member: state.own.clone(), version: row.version, silence };
             }
             let peer = state.view.peers().get(&member.host);
-            let silence = peer.filter(|p| p.heard).map(|p| now.saturating_sub(p.last_heard));
+            let silence =
+                peer.filter(|p| p.has_answered).map(|p| now.saturating_sub(p.last_received));
             let mut member = member.clone();
             member.leaving |= peer.is_some_and(|p| p.member.leaving);
             Seen { member, version: peer.map_or(0, |p| p.version), silence }
@@ -192,7 +193,7 @@
 
     /// Notes that `epoch` is about to be written; says whether it was still unknown here.
     pub fn announce(&self, now: Time, epoch: Epoch) -> bool {
-        self.lock().holder.announce(now, epoch)
+        self.lock().holder.record_announcement(now, epoch)
     }
 
     /// What leads from `epoch` and `version` to those in force here.
@@ -203,29 +204,29 @@
 
     /// A read of the store, sent at `sent`, found `epoch`.
     fn read(&self, sent: Time, epoch: Epoch) {
-        self.lock().holder.read(sent, epoch);
+        self.lock().holder.record_read(sent, epoch);
     }
 
     /// A peer answered a heartbeat that was sent at `sent`.
     fn answered(&self, now: Time, sent: Time, answer: &Heartbeat) {
         let mut state = self.lock();
-        state.view.heard(now, answer);
-        state.holder.answered(sent, answer);
+        state.view.record_heartbeat(now, answer);
+        state.holder.record_answer(sent, answer);
         let Member { host, incarnation, .. } = answer.member;
-        state.spread.confirmed(host, incarnation, answer.epoch);
+        state.spread.record_confirmed(host, incarnation, answer.epoch);
     }
 
     /// The recorded run of `host` answered a push with `epoch`.
     fn confirmed(&self, host: HostId, incarnation: Incarnation, epoch: Epoch) {
-        self.lock().spread.confirmed(host, incarnation, epoch);
+        self.lock().spread.record_confirmed(host, incarnation, epoch);
     }
 
     fn failed(&self, host: HostId, failure: Failure) {
-        self.lock().view.failed(host, failure);
+        self.lock().view.record_probe_failure(host, failure);
     }
 
     fn listed(&self, now: Time, list: &[Member]) {
-        self.lock().view.list(now, list);
+        self.lock().view.record_platform_list(now, list);
     }
 
     fn probes(&self) -> Vec<Member> {
@@ -236,7 +237,7 @@
     pub fn polls(&self) -> bool {
         let state = self.lock();
         let members = &state.replica.row().members;
-        member::polls(members, state.own.host, member::POLLERS_PER_DOMAIN)
+        member::is_poller(members, state.own.host, member::POLLERS_PER_DOMAIN)
     }
 
     /// Whether this host has to read the platform's list now.
@@ -245,9 +246,9 @@
         state.view.reads_list(now, &state.replica.row().members)
     }
 
-    fn duty(&self, now: Time) -> Option<Duty> {
+    fn duty(&self, now: Time) -> Option<Task> {
         let state = self.lock();
-        duty(now, &state.own, &state.holder, &state.view, state.replica.row())
+        due_task(now, &state.own, &state.holder, &state.view, state.replica.row())
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -287,7 +288,7 @@
     /// Takes a peer's heartbeat.
     pub fn heard(self: &Arc<Host>, heartbeat: &Heartbeat) {
         let now = self.clock.now();
-        self.fleet.lock().view.heard(now, heartbeat);
+        self.fleet.lock().view.record_heartbeat(now, heartbeat);
         self.took(now, heartbeat);
     }
 
@@ -307,14 +308,14 @@
         {
             let mut state = self.fleet.lock();
             let previous = state.replica.row().clone();
-            if let Err(fault) = state.replica.take(row.clone(), body.clone()) {
+            if let Err(fault) = state.replica.adopt(row.clone(), body.clone()) {
                 log::debug!("epoch {} not taken: {fault}", row.epoch);
                 return false;
             }
             let State { holder, view, spread, own, .. } = &mut *state;
             holder.adopt(row.epoch, &row.members, member::voters(&row.members));
-            view.record(now, &row.members);
-            spread.accepted(now, &row, &previous, own.host);
+            view.record_members(now, &row.members);
+            spread.record_accepted(now, &row, &previous, own.host);
             state.adopted = now;
             // Published under the lock, so that no lower version is published after a higher one.
             let document = Arc::new(state.replica.document().clone());
--- a/crates/host/src/limit.rs
+++ b/crates/host/src/limit.rs
@@ -8,7 +8,7 @@
 use bergamotvale_core::config::Document;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::peer::TokenRequest;
-use bergamotvale_core::rate::meter::{Ask, Decision, micro};
+use bergamotvale_core::rate::meter::{Decision, LoanRequest, micro};
 use bergamotvale_core::rate::{self, Meter};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,7 +27,7 @@
     clock: Clock,
     whole_rate: bool,
     state: Mutex<State>,
-    asks: mpsc::UnboundedSender<Ask>,
+    asks: mpsc::UnboundedSender<LoanRequest>,
 }
 
 struct State {
@@ -52,7 +52,7 @@
 
 impl Limiter {
     /// A limiter without client accounts, and the loans that it wants asked for.
-    pub fn new(policy: &Policy, clock: Clock) -> (Limiter, mpsc::UnboundedReceiver<Ask>) {
+    pub fn new(policy: &Policy, clock: Clock) -> (Limiter, mpsc::UnboundedReceiver<LoanRequest>) {
         let (asks, receiver) = mpsc::unbounded_channel();
         let lending = policy.rates == Rates::Escrow;
         let meter = Meter::new(policy.authority + SETTLE_MARGIN, lending);
@@ -70,16 +70,16 @@
         for (id, account) in &document.accounts {
             let (rate, burst) = match self.whole_rate {
                 true => (micro(account.rate), micro(account.burst)),
-                false => rate::part(*id, account, members, own),
+                false => rate::account_share(*id, account, members, own),
             };
-            state.meter.set_part(*id, rate, burst, now);
+            state.meter.set_share(*id, rate, burst, now);
         }
     }
 
     /// Notes that a division was missed: members or configuration skipped an epoch here.
     pub fn interrupt(&self) {
         let now = self.clock.now();
-        self.lock().meter.interrupt(now);
+        self.lock().meter.record_missed_division(now);
     }
 
     /// Waits until a request of `account` is admitted.
@@ -105,7 +105,7 @@
     }
 
     /// Takes the answer to an ask sent at `asked`; none counts as zero.
-    pub fn receive(&self, ask: Ask, count: Option<u32>, asked: Time) {
+    pub fn receive(&self, ask: LoanRequest, count: Option<u32>, asked: Time) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.meter.receive(ask, count.unwrap_or(0), asked, now);
@@ -114,7 +114,7 @@
 
     /// Part of rate, per second, and burst of `account` at this host, in whole tokens.
     pub fn part(&self, account: AccountId) -> (u64, u64) {
-        let (rate, burst) = self.lock().meter.part(account);
+        let (rate, burst) = self.lock().meter.share(account);
         (rate / rate::bucket::MICRO, burst / rate::bucket::MICRO)
     }
 
@@ -152,7 +152,7 @@
     }
 
     fn ask(&self, state: &mut State, account: AccountId, now: Time) {
-        for ask in state.meter.asks(account, now) {
+        for ask in state.meter.loan_requests(account, now) {
             if self.asks.send(ask).is_err() {
                 log::debug!("nobody asks for loans any more: the host is stopping");
             }
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -14,7 +14,7 @@
 use crate::target::Pools;
 use bergamotvale_core::config::Document;
 use bergamotvale_core::id::Incarnation;
-use bergamotvale_core::rate::meter::Ask;
+use bergamotvale_core::rate::meter::LoanRequest;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
@@ -38,7 +38,7 @@
     /// Rates of the client accounts.
     pub limiter: Limiter,
     /// Loans of rate tokens to ask for; taken by the task that asks.
-    pub asks: Mutex<Option<mpsc::UnboundedReceiver<Ask>>>,
+    pub asks: Mutex<Option<mpsc::UnboundedReceiver<LoanRequest>>>,
     /// What is known of the groups' primaries.
     pub failover: Arc<Failover>,
     /// Connections to the targets, and what is known of them.
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -14,7 +14,7 @@
 use bergamotvale_core::proxy::floor::{Observation, Position};
 use bergamotvale_core::proxy::lease::{Revision, Vouch};
 use bergamotvale_core::proxy::record::{Fence, Term};
-use bergamotvale_core::rate::meter::Ask;
+use bergamotvale_core::rate::meter::LoanRequest;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -121,7 +121,7 @@
     number: Cell<u64>,
     sent: RefCell<VecDeque<(u64, Time)>>,
     newest: RefCell<BTreeMap<Source, Revision>>,
-    asks: RefCell<BTreeMap<(AccountId, HostId), (Ask, Time)>>,
+    asks: RefCell<BTreeMap<(AccountId, HostId), (LoanRequest, Time)>>,
 }
 
 /// A door that opens once for some, then for all.
@@ -186,10 +186,10 @@
     pub fn ask_loans(&self, host: &Host, account: AccountId) {
         let now = boot_clock::now();
         self.expire_asks(host, now);
-        let asks = host.quota.meter.borrow_mut().asks(account, now);
+        let asks = host.quota.meter.borrow_mut().loan_requests(account, now);
         for ask in asks {
             self.asks.borrow_mut().insert((ask.account, ask.peer), (ask, now));
-            let Ask { account, count, sequence, peer } = ask;
+            let LoanRequest { account, count, sequence, peer } = ask;
             let message = Message::Ask { host: host.id, account, count, sequence };
             if let Some(address) = address(host, peer) {
                 self.send(&message, address);
--- a/crates/sessions/src/quota.rs
+++ b/crates/sessions/src/quota.rs
@@ -8,7 +8,7 @@
 use bergamotvale_core::proxy::catalog::{Account, Catalog};
 use bergamotvale_core::rate::bucket::{Amount, MICRO};
 use bergamotvale_core::rate::meter::{Decision, Meter};
-use bergamotvale_core::rate::{holders, part_of};
+use bergamotvale_core::rate::{holders, rate_share};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -61,14 +61,14 @@
         for account in catalog.accounts.values() {
             let id = account_id(&account.name);
             let total = (account.rate, account.burst);
-            let (rate, burst) = part_of(id, total, members, own, HOLDERS);
+            let (rate, burst) = rate_share(id, total, members, own, HOLDERS);
             let (rate, burst) = (widen(rate, rates), widen(burst, rates));
             let holders = holders(id, account.burst, members, HOLDERS);
             if has_part {
                 let opening = opening(account, holders.len(), rates);
-                meter.open_part(id, rate, burst, opening, now);
+                meter.open_share(id, rate, burst, opening, now);
             } else {
-                meter.set_part(id, rate, burst, now);
+                meter.set_share(id, rate, burst, now);
             }
             meter.set_holders(id, holders);
         }
@@ -112,5 +112,5 @@
 /// Puts the token of an operation back that reached no target.
 pub fn put_back(host: &Host, account: &str) {
     let now = boot_clock::now();
-    host.quota.meter.borrow_mut().put_back(account_id(account), now);
+    host.quota.meter.borrow_mut().refund(account_id(account), now);
 }
--- a/crates/sessions/src/status.rs
+++ b/crates/sessions/src/status.rs
@@ -169,7 +169,7 @@
     let catalog = host.catalog.borrow();
     let meter = host.quota.meter.borrow();
     let states = catalog.accounts.values().map(|account| {
-        let (rate, burst) = meter.part(account_id(&account.name));
+        let (rate, burst) = meter.share(account_id(&account.name));
         let state = AccountState {
             rate: account.rate,
             rate_part: rate as f64 / MICRO as f64,
