rename: accessors and faults of the stand-in group's targets

group::Target: cut_callers -> set_callers_blocked lose_answers -> drop_commit_responses poison -> set_poisoned connections -> connection_count log -> log_positions confirmed -> confirmed_position applied -> applied_index leads -> is_primary votes -> is_voter rows -> query

--- a/crates/cli/src/bench/fault.rs
+++ b/crates/cli/src/bench/fault.rs
@@ -166,12 +166,12 @@
         FaultKind::Partition => target.partition(&others),
         FaultKind::Isolate => {
             target.partition(&others);
-            target.cut_callers(true);
+            target.set_callers_blocked(true);
         }
         FaultKind::Silence => target.silence_connections(),
-        FaultKind::Poison => target.poison(true),
+        FaultKind::Poison => target.set_poisoned(true),
         FaultKind::Lag => target.set_lag(fault.delay.unwrap_or_default()),
-        FaultKind::LostAnswers => target.lose_answers(u64::MAX),
+        FaultKind::LostAnswers => target.drop_commit_responses(u64::MAX),
         FaultKind::Rebuild => target.rebuild(),
         FaultKind::StopHost
         | FaultKind::StoreDown
@@ -187,11 +187,11 @@
         FaultKind::Partition => target.heal(),
         FaultKind::Isolate => {
             target.heal();
-            target.cut_callers(false);
+            target.set_callers_blocked(false);
         }
-        FaultKind::Poison => target.poison(false),
+        FaultKind::Poison => target.set_poisoned(false),
         FaultKind::Lag => target.set_lag(lag),
-        FaultKind::LostAnswers => target.lose_answers(0),
+        FaultKind::LostAnswers => target.drop_commit_responses(0),
         _ => {}
     }
     Ok(())
@@ -202,9 +202,9 @@
     for target in system.groups.iter().flat_map(|group| group.targets()) {
         target.resume();
         target.heal();
-        target.cut_callers(false);
-        target.poison(false);
-        target.lose_answers(0);
+        target.set_callers_blocked(false);
+        target.set_poisoned(false);
+        target.drop_commit_responses(0);
         target.set_lag(Duration::ZERO);
         target.restart().map_err(broken)?;
     }
--- a/crates/cli/src/bench/remains.rs
+++ b/crates/cli/src/bench/remains.rs
@@ -20,7 +20,7 @@
     for (service, group) in system.groups.iter().enumerate() {
         catch_up(service, group).await?;
         for target in group.targets() {
-            let rows = target.rows(COUNT).map_err(|error| Error::Start(error.to_string()))?;
+            let rows = target.query(COUNT).map_err(|error| Error::Start(error.to_string()))?;
             let rows = rows.iter().filter_map(|row| mark(row)).collect::<BTreeMap<_, _>>();
             remains.push(Remains { service, target: target.number(), rows });
         }
@@ -42,13 +42,14 @@
 
 /// Whether every target holds and has applied the same log.
 pub fn is_caught_up(group: &Group) -> bool {
-    let ends: Vec<_> = group.targets().iter().map(|target| target.log().last().copied()).collect();
+    let ends: Vec<_> =
+        group.targets().iter().map(|target| target.log_positions().last().copied()).collect();
     let is_same = ends.windows(2).all(|pair| pair[0] == pair[1]);
     let is_applied = group
         .targets()
         .iter()
         .zip(&ends)
-        .all(|(target, end)| end.is_some_and(|end| target.applied() >= end.index));
+        .all(|(target, end)| end.is_some_and(|end| target.applied_index() >= end.index));
     is_same && is_applied
 }
 
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -159,7 +159,7 @@
     /// The primary of the group at `service`, if one leads.
     pub fn primary(&self, service: usize) -> Option<usize> {
         let targets = self.groups[service].targets().iter();
-        let leading = targets.filter(|target| target.leads());
+        let leading = targets.filter(|target| target.is_primary());
         leading.max_by_key(|target| target.accepted_term()).map(group::Target::number)
     }
 
--- a/crates/cli/src/trial/bolt.rs
+++ b/crates/cli/src/trial/bolt.rs
@@ -35,7 +35,7 @@
     let service = story.service_id(ORDERS);
     let Some(position) = token.and_then(|token| token.position(service)) else { return 0 };
     let holds = |target: &&bergamotvale_standin::group::Target| {
-        let mut log = target.log().into_iter();
+        let mut log = target.log_positions().into_iter();
         log.any(|entry| (entry.term, entry.index) == (position.term as i64, position.index as i64))
     };
     story.system.groups[ORDERS].targets().iter().filter(holds).count()
--- a/crates/cli/src/trial/failover.rs
+++ b/crates/cli/src/trial/failover.rs
@@ -163,7 +163,7 @@
     let begun = Instant::now();
     while begun.elapsed() < GAP_CEILING {
         let is_new = |target: &&bergamotvale_standin::group::Target| {
-            target.leads() && target.accepted_term() > first_term
+            target.is_primary() && target.accepted_term() > first_term
         };
         if let Some(new) = targets.iter().find(is_new) {
             let term = new.accepted_term();
--- a/crates/cli/src/trial/story.rs
+++ b/crates/cli/src/trial/story.rs
@@ -157,7 +157,7 @@
     ) -> std::result::Result<u64, String> {
         let sql = format!("SELECT COUNT(*) FROM bolts WHERE number = {bolt}");
         let target = self.system.groups[service].target(target);
-        let rows = target.rows(&sql).map_err(|error| error.to_string())?;
+        let rows = target.query(&sql).map_err(|error| error.to_string())?;
         match rows.first().and_then(|row| row.first()) {
             Some(group::Value::Integer(count)) => Ok(count.unsigned_abs()),
             other => Err(format!("the target counted {other:?}")),
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -131,7 +131,7 @@
 
     /// Number of the present primary.
     pub(crate) fn primary(&self) -> usize {
-        let leads = |target: &&bergamotvale_standin::group::Target| target.leads();
+        let leads = |target: &&bergamotvale_standin::group::Target| target.is_primary();
         let targets = self.group.targets().iter().filter(leads);
         let highest = targets.max_by_key(|target| target.accepted_term());
         highest.expect("a primary").number()
@@ -139,7 +139,7 @@
 
     /// Rows of a query on the present primary, past all faults.
     pub(crate) fn rows(&self, sql: &str) -> Vec<Vec<rusqlite::types::Value>> {
-        self.group.target(self.primary()).rows(sql).expect("rows")
+        self.group.target(self.primary()).query(sql).expect("rows")
     }
 
     /// How many bolts the group has.
--- a/crates/host/tests/data_ejection.rs
+++ b/crates/host/tests/data_ejection.rs
@@ -27,7 +27,7 @@
 async fn poisoned(ejection: bool) -> Cost {
     let fixture = Fixture::new().await;
     let host = fixture.host_with(1, |settings| settings.policy.ejection = ejection).await;
-    fixture.group.target(1).poison(true);
+    fixture.group.target(1).set_poisoned(true);
     // Past the first sweep.
     for _ in 0..40 {
         host.read(COUNT).with_header("bergamotvale-max-age", "5s").send().await;
@@ -51,8 +51,8 @@
 async fn all_replicas_poisoned_leave_the_primary() {
     let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
-    fixture.group.target(1).poison(true);
-    fixture.group.target(2).poison(true);
+    fixture.group.target(1).set_poisoned(true);
+    fixture.group.target(2).set_poisoned(true);
 
     let mut served = 0;
     for _ in 0..READS {
--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -42,7 +42,7 @@
 /// A write whose answer to COMMIT is lost after the effect.
 async fn lose_commit_answer(fixture: &Fixture, host: &Host, key: Option<&str>) -> Answer {
     with_one_bolt(host).await;
-    fixture.group.target(0).lose_answers(1);
+    fixture.group.target(0).drop_commit_responses(1);
     next_bolt(host, key).send().await
 }
 
@@ -86,7 +86,7 @@
     let second = fixture.host(2).await;
     let first = fixture.host_with(1, |settings| settings.policy.retries = false).await;
     with_one_bolt(&first).await;
-    fixture.group.target(0).lose_answers(1);
+    fixture.group.target(0).drop_commit_responses(1);
     let sending = tokio::spawn(next_bolt(&first, Some("bolt-1")).try_send());
     until("the write is committed", || fixture.bolts() == 2).await;
     drop(first);
@@ -128,7 +128,7 @@
     until("all connections are taken", || taken() >= limit).await;
 
     primary.partition(&[1, 2]);
-    primary.cut_callers(true);
+    primary.set_callers_blocked(true);
     let insert = |id| host.write(INSERT).with_param(json!(id));
     let insert = |id| insert(id).with_header("bergamotvale-timeout", "12s").send();
     let waiting: Vec<_> = (100..110).map(|id| tokio::spawn(insert(id))).collect();
@@ -171,7 +171,8 @@
     assert_eq!((stale.status, stale.reason()), (503, "not_fresh"));
 
     fixture.group.target(0).heal();
-    until("writes are confirmed again", || fixture.group.target(0).confirmed().index > 2).await;
+    until("writes are confirmed again", || fixture.group.target(0).confirmed_position().index > 2)
+        .await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     host.write(INSERT).with_param(json!(9)).send().await.ok();
 }
@@ -190,7 +191,7 @@
     let answer = host.write(INSERT).with_param(json!(1)).send().await;
 
     assert_eq!(answer.status, 200);
-    assert_eq!(fixture.group.target(1).rows("SELECT id FROM bolts").expect("rows").len(), 0);
+    assert_eq!(fixture.group.target(1).query("SELECT id FROM bolts").expect("rows").len(), 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -424,7 +425,7 @@
     let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
 
-    fixture.group.target(1).poison(true);
+    fixture.group.target(1).set_poisoned(true);
     for _ in 0..40 {
         let read = host.read(COUNT).with_header("bergamotvale-max-age", "5s").send().await.ok();
         assert_ne!(read.target(), "1 replica");
--- a/crates/host/tests/failover/mod.rs
+++ b/crates/host/tests/failover/mod.rs
@@ -80,7 +80,7 @@
             let mut seen = self.hosts.iter().map(|h| h.daemon.host.pools.primary(SERVICE));
             let first = seen.next().flatten()?;
             let agree = seen.all(|other| other == Some(first));
-            let leads = self.fixture.group.target(usize::from(first)).leads();
+            let leads = self.fixture.group.target(usize::from(first)).is_primary();
             (agree && leads).then_some(usize::from(first))
         };
         until("all hosts know one primary", || agreed().is_some()).await;
@@ -126,7 +126,7 @@
     /// Rows that the present primary holds.
     pub async fn stored(&self) -> BTreeSet<i64> {
         let primary = self.primary().await;
-        let rows = self.fixture.group.target(primary).rows("SELECT id FROM bolts");
+        let rows = self.fixture.group.target(primary).query("SELECT id FROM bolts");
         let cells = rows.expect("the primary has the table").into_iter().flatten();
         cells.map(id).collect()
     }
--- a/crates/host/tests/failover_gap.rs
+++ b/crates/host/tests/failover_gap.rs
@@ -61,7 +61,7 @@
     measure("cut off", |fleet, primary| {
         let target = fleet.fixture.group.target(primary);
         target.partition(&[0, 1, 2]);
-        target.cut_callers(true);
+        target.set_callers_blocked(true);
     })
     .await;
 }
@@ -75,7 +75,8 @@
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "takes minutes; a measurement"]
 async fn poisoned() {
-    measure("poisoned", |fleet, primary| fleet.fixture.group.target(primary).poison(true)).await;
+    measure("poisoned", |fleet, primary| fleet.fixture.group.target(primary).set_poisoned(true))
+        .await;
 }
 
 /// Pauses of a second at the settings' defaults depose nobody.
--- a/crates/host/tests/failover_promotion.rs
+++ b/crates/host/tests/failover_promotion.rs
@@ -45,13 +45,13 @@
 
     let primary = fleet.fixture.group.target(0);
     primary.partition(&[1, 2]);
-    primary.cut_callers(true);
+    primary.set_callers_blocked(true);
     writers.progress(100).await;
     primary.heal();
-    primary.cut_callers(false);
+    primary.set_callers_blocked(false);
     fleet.settled().await;
 
-    assert!(!primary.leads());
+    assert!(!primary.is_primary());
     verify(&fleet, writers).await;
 }
 
@@ -89,7 +89,7 @@
     let writers = fleet.writers();
     writers.progress(100).await;
 
-    fleet.fixture.group.target(0).poison(true);
+    fleet.fixture.group.target(0).set_poisoned(true);
     writers.progress(100).await;
 
     assert_ne!(fleet.primary().await, 0);
@@ -121,7 +121,7 @@
     rebuilt.rebuild();
     // The target itself is asked: what hosts know of it may be older than the rebuild, and without
     // its vote the last replica alone is no majority.
-    until("the rebuilt target counts again", || rebuilt.votes()).await;
+    until("the rebuilt target counts again", || rebuilt.is_voter()).await;
     fleet.fixture.group.target(0).kill();
     writers.progress(100).await;
 
--- a/crates/host/tests/failover_races.rs
+++ b/crates/host/tests/failover_races.rs
@@ -63,7 +63,7 @@
     loop {
         for target in fleet.fixture.group.targets() {
             let term = target.accepted_term();
-            let leads = target.leads();
+            let leads = target.is_primary();
             // A term that moved meanwhile says nothing of who leads it.
             if leads && target.accepted_term() == term {
                 leaders.entry(term).or_default().insert(target.number());
--- a/crates/host/tests/process/mod.rs
+++ b/crates/host/tests/process/mod.rs
@@ -253,11 +253,11 @@
 
     /// Bolts on the present primary, by how often each is there.
     pub(crate) fn bolts(&self, id: &str) -> usize {
-        let leads = |target: &&group::Target| target.leads();
+        let leads = |target: &&group::Target| target.is_primary();
         let primaries = self.group.targets().iter().filter(leads);
         let primary = primaries.max_by_key(|target| target.accepted_term()).expect("a primary");
         let query = format!("SELECT id FROM bolts WHERE id = '{id}'");
-        primary.rows(&query).expect("rows").len()
+        primary.query(&query).expect("rows").len()
     }
 
     /// Whether the platform lists the host as live.
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -225,8 +225,8 @@
     }
 
     /// Cuts all callers off, or lets them in again; other targets still reach the target.
-    pub fn cut_callers(&self, cut: bool) {
-        self.inner.switches.callers_cut.store(cut, Ordering::SeqCst);
+    pub fn set_callers_blocked(&self, blocked: bool) {
+        self.inner.switches.callers_cut.store(blocked, Ordering::SeqCst);
     }
 
     /// Open connections go silent for good, both ways; new ones work.
@@ -237,12 +237,12 @@
     }
 
     /// The next `count` commits take effect, and their connections go silent before the answer.
-    pub fn lose_answers(&self, count: u64) {
+    pub fn drop_commit_responses(&self, count: u64) {
         self.inner.switches.lose_answers(count);
     }
 
     /// Every statement fails but group functions and `SELECT 1`.
-    pub fn poison(&self, poisoned: bool) {
+    pub fn set_poisoned(&self, poisoned: bool) {
         self.inner.switches.poisoned.store(poisoned, Ordering::SeqCst);
     }
 
@@ -262,12 +262,12 @@
     }
 
     /// Open connections.
-    pub fn connections(&self) -> usize {
+    pub fn connection_count(&self) -> usize {
         lock(&self.inner.connections).len()
     }
 
     /// Places of all entries in the log.
-    pub fn log(&self) -> Vec<Position> {
+    pub fn log_positions(&self) -> Vec<Position> {
         lock(&self.inner.state).log.positions()
     }
 
@@ -277,7 +277,7 @@
     }
 
     /// Highest entry that the target knows as confirmed.
-    pub fn confirmed(&self) -> Position {
+    pub fn confirmed_position(&self) -> Position {
         lock(&self.inner.state).confirmed
     }
 
@@ -287,22 +287,22 @@
     }
 
     /// Index up to which the data holds the log.
-    pub fn applied(&self) -> Index {
+    pub fn applied_index(&self) -> Index {
         lock(&self.inner.state).applied
     }
 
     /// Whether the target is the primary of its accepted term.
-    pub fn leads(&self) -> bool {
+    pub fn is_primary(&self) -> bool {
         lock(&self.inner.state).leads()
     }
 
     /// Whether the target's grants and acknowledgements count.
-    pub fn votes(&self) -> bool {
+    pub fn is_voter(&self) -> bool {
         lock(&self.inner.state).voter
     }
 
     /// Rows of a query on the committed data, past all faults.
-    pub fn rows(&self, sql: &str) -> crate::Result<Vec<Vec<Value>>> {
+    pub fn query(&self, sql: &str) -> crate::Result<Vec<Vec<Value>>> {
         let control = Arc::new(Control::default());
         let outcome = lock(&self.inner.database).run(sql, &[], &control)?;
         Ok(outcome.rows)
--- a/crates/standin/tests/group_faults.rs
+++ b/crates/standin/tests/group_faults.rs
@@ -86,11 +86,11 @@
     let replica = connect(group.addresses()[1]).await;
     group.target(2).kill();
 
-    group.target(1).cut_callers(true);
+    group.target(1).set_callers_blocked(true);
     let silent = silent(&replica).await;
     insert(&primary, 1).await.unwrap();
     let confirmed = call(&primary, "confirmed", &[1, 2, 20_000]).await.unwrap();
-    group.target(1).cut_callers(false);
+    group.target(1).set_callers_blocked(false);
 
     assert!(silent);
     assert_eq!(confirmed.get("confirmed_index"), 2);
@@ -105,11 +105,11 @@
     group.target(2).partition(&[0]);
     insert(&client, 1).await.unwrap();
     call(&client, "confirmed", &[1, 2, 20_000]).await.unwrap();
-    let behind = group.target(2).applied();
+    let behind = group.target(2).applied_index();
     group.target(2).heal();
 
     assert_eq!(behind, 1);
-    eventually("the replica has caught up", || group.target(2).applied() == 2).await;
+    eventually("the replica has caught up", || group.target(2).applied_index() == 2).await;
 }
 
 #[tokio::test]
@@ -134,11 +134,11 @@
     let group = start();
     let client = connect(group.addresses()[0]).await;
 
-    group.target(0).poison(true);
+    group.target(0).set_poisoned(true);
     let probed = probe(&client).await && call(&client, "status", &[]).await.is_ok();
     let read = client.query_typed("SELECT id FROM bolts", &[]).await.unwrap_err();
     let write = insert(&client, 1).await.unwrap_err();
-    group.target(0).poison(false);
+    group.target(0).set_poisoned(false);
 
     assert!(probed);
     assert_eq!(code(&read), "58030");
@@ -152,17 +152,17 @@
     let first = connect(group.addresses()[0]).await;
     let second = connect(group.addresses()[0]).await;
 
-    group.target(0).lose_answers(1);
+    group.target(0).drop_commit_responses(1);
     let lost = timeout(WATCH, insert(&first, 1)).await;
     eventually("the commit takes effect", || {
-        group.target(0).rows("SELECT id FROM bolts").unwrap().len() == 1
+        group.target(0).query("SELECT id FROM bolts").unwrap().len() == 1
     })
     .await;
     insert(&second, 2).await.unwrap();
 
     assert!(lost.is_err());
     assert!(silent(&first).await);
-    assert_eq!(group.target(0).rows("SELECT id FROM bolts").unwrap().len(), 2);
+    assert_eq!(group.target(0).query("SELECT id FROM bolts").unwrap().len(), 2);
 }
 
 #[tokio::test]
@@ -175,7 +175,7 @@
     group.target(1).set_lag(LAG);
     let written = Instant::now();
     insert(&primary, 1).await.unwrap();
-    eventually("the replica has applied", || group.target(1).applied() == 2).await;
+    eventually("the replica has applied", || group.target(1).applied_index() == 2).await;
     let late = written.elapsed();
     let age = call(&replica, "position", &[]).await.unwrap().get("age_ms");
 
@@ -207,7 +207,7 @@
 
     let refused = try_connect(address).await.expect_err("the third is refused");
     drop(first);
-    eventually("the connection is given back", || group.target(0).connections() == 1).await;
+    eventually("the connection is given back", || group.target(0).connection_count() == 1).await;
     let third = try_connect(address).await;
     group.target(0).set_connection_limit(3);
     let fourth = try_connect(address).await;
@@ -250,11 +250,11 @@
 
     group.target(1).rebuild();
     eventually("the connection is closed", || replica.is_closed()).await;
-    let whole = || group.target(1).applied() == 2;
+    let whole = || group.target(1).applied_index() == 2;
     eventually("the target has caught up", whole).await;
 
-    assert_eq!(group.target(1).log(), group.target(0).log());
-    assert_eq!(group.target(1).rows("SELECT id FROM bolts").unwrap().len(), 1);
+    assert_eq!(group.target(1).log_positions(), group.target(0).log_positions());
+    assert_eq!(group.target(1).query("SELECT id FROM bolts").unwrap().len(), 1);
 }
 
 #[tokio::test]
@@ -266,5 +266,5 @@
     let confirmed = call(&client, "confirmed", &[1, 2, 0]).await.unwrap();
 
     assert_eq!(confirmed.get("confirmed_index"), 2);
-    assert_eq!(group.target(0).confirmed(), Position { term: 1, index: 2 });
+    assert_eq!(group.target(0).confirmed_position(), Position { term: 1, index: 2 });
 }
--- a/crates/standin/tests/group_load.rs
+++ b/crates/standin/tests/group_load.rs
@@ -41,7 +41,7 @@
     futures::future::join_all(reads).await;
     let read = started.elapsed();
     let entries = CLIENTS * WRITES + 1;
-    let whole = || group.targets().iter().all(|target| target.applied() == entries);
+    let whole = || group.targets().iter().all(|target| target.applied_index() == entries);
     eventually("the replicas have applied all", whole).await;
     let started = Instant::now();
     group.target(2).rebuild();
@@ -53,7 +53,7 @@
     println!("replayed entries/s {:.0}", rate(entries, started.elapsed()));
     for target in group.targets() {
         assert_eq!(
-            target.rows("SELECT count(*) FROM bolts").unwrap()[0][0],
+            target.query("SELECT count(*) FROM bolts").unwrap()[0][0],
             (CLIENTS * WRITES).into()
         );
     }
--- a/crates/standin/tests/group_safety.rs
+++ b/crates/standin/tests/group_safety.rs
@@ -100,7 +100,7 @@
         4 | 5 => target.resume(),
         6 => target.partition(&[next(random) % TARGETS]),
         7 => target.heal(),
-        8 if group.targets().iter().all(|target| target.votes()) => target.rebuild(),
+        8 if group.targets().iter().all(|target| target.is_voter()) => target.rebuild(),
         _ => {
             *term += 1;
             promote(group, *term, PATIENCE).await;
@@ -145,12 +145,12 @@
             break last;
         }
     };
-    let logs = || group.targets().iter().map(|target| target.log()).collect::<Vec<_>>();
+    let logs = || group.targets().iter().map(|target| target.log_positions()).collect::<Vec<_>>();
     let equal = || logs().windows(2).all(|pair| pair[0] == pair[1]);
     eventually("the logs are equal", equal).await;
 
-    let log = group.target(last).log();
-    let rows = group.target(last).rows("SELECT id FROM bolts").expect("the query runs");
+    let log = group.target(last).log_positions();
+    let rows = group.target(last).query("SELECT id FROM bolts").expect("the query runs");
     let confirmed = confirmed.lock().expect("no writer panics");
     for (id, position) in confirmed.iter() {
         assert!(log.contains(position), "seed {seed}: entry {position} of row {id} is lost");
--- a/crates/standin/tests/group_sql.rs
+++ b/crates/standin/tests/group_sql.rs
@@ -99,7 +99,7 @@
 
     assert_eq!(code(&failure), "23505");
     assert_eq!(count(&client).await, 0);
-    assert_eq!(group.target(0).log().len(), 1);
+    assert_eq!(group.target(0).log_positions().len(), 1);
 }
 
 #[tokio::test]
@@ -114,7 +114,7 @@
     let after = count(&reader).await;
 
     assert_eq!((inside, outside, after), (1, 0, 1));
-    assert_eq!(group.target(0).log().len(), 2);
+    assert_eq!(group.target(0).log_positions().len(), 2);
 }
 
 #[tokio::test]
@@ -315,5 +315,5 @@
 
     let client = connect(group.addresses()[0]).await;
     assert_eq!(count(&client).await, CLIENTS * WRITES);
-    assert_eq!(group.target(0).log().len() as i64, 1 + CLIENTS * WRITES);
+    assert_eq!(group.target(0).log_positions().len() as i64, 1 + CLIENTS * WRITES);
 }
--- a/crates/standin/tests/group_terms.rs
+++ b/crates/standin/tests/group_terms.rs
@@ -19,7 +19,9 @@
 async fn replicated(group: &Group, position: Position) {
     let everywhere = || {
         let mut targets = group.targets().iter();
-        targets.all(|target| target.applied() >= position.index && target.log().contains(&position))
+        targets.all(|target| {
+            target.applied_index() >= position.index && target.log_positions().contains(&position)
+        })
     };
     eventually("the entry is applied everywhere", everywhere).await;
 }
@@ -69,8 +71,8 @@
     call(&primary, "confirmed", &[1, 2, 20_000]).await.unwrap();
     tokio::time::sleep(Duration::from_millis(100)).await;
 
-    assert_eq!(group.target(2).log(), [at(1, 1), at(1, 2)]);
-    assert_eq!(group.target(1).log(), [at(1, 1)]);
+    assert_eq!(group.target(2).log_positions(), [at(1, 1), at(1, 2)]);
+    assert_eq!(group.target(1).log_positions(), [at(1, 1)]);
 }
 
 #[tokio::test]
@@ -88,7 +90,7 @@
     assert!(!lower.flag("promoted"));
     assert!(granted.flag("promoted"));
     assert!(again.flag("promoted"));
-    assert_eq!(group.target(1).log(), [at(1, 1), at(2, 2)]);
+    assert_eq!(group.target(1).log_positions(), [at(1, 1), at(2, 2)]);
 }
 
 #[tokio::test]
@@ -106,8 +108,8 @@
     assert_eq!(code(&commit), "BV001");
     assert_eq!(code(&write), "BV001");
     assert_eq!(code(&wait), "BV001");
-    assert_eq!(group.target(0).log(), [at(1, 1)]);
-    assert!(group.target(0).rows("SELECT id FROM bolts").unwrap().is_empty());
+    assert_eq!(group.target(0).log_positions(), [at(1, 1)]);
+    assert!(group.target(0).query("SELECT id FROM bolts").unwrap().is_empty());
 }
 
 #[tokio::test]
@@ -130,7 +132,7 @@
     assert_eq!(unconfirmed.get("confirmed_index"), 2);
     assert_eq!(confirmed.get("confirmed_index"), 4);
     replicated(&group, at(2, 4)).await;
-    assert_eq!(group.target(0).log(), [at(1, 1), at(1, 2), at(2, 3), at(2, 4)]);
+    assert_eq!(group.target(0).log_positions(), [at(1, 1), at(1, 2), at(2, 3), at(2, 4)]);
     eventually("the old primary's connections are closed", || old.is_closed()).await;
     let rejoined = connect(group.addresses()[0]).await;
     let rows = rejoined.query_typed("SELECT id FROM bolts ORDER BY id", &[]).await.unwrap();
@@ -176,8 +178,8 @@
     assert_eq!((status.role().as_str(), status.get("entry_index")), ("rebuilding", 0));
     assert!(fence.flag("granted") && !fence.flag("voter"));
     assert!(!promotion.flag("promoted"));
-    eventually("the target votes", || group.target(2).votes()).await;
-    assert_eq!(group.target(2).log(), [at(1, 1), at(1, 2), at(2, 3)]);
+    eventually("the target votes", || group.target(2).is_voter()).await;
+    assert_eq!(group.target(2).log_positions(), [at(1, 1), at(1, 2), at(2, 3)]);
     assert_eq!(call(&rebuilt, "status", &[]).await.unwrap().role(), "replica");
 }
 
@@ -202,7 +204,8 @@
     group.target(2).rebuild();
     insert(&client, 1).await.unwrap();
 
-    eventually("the rebuilt target holds the log", || group.target(2).log().len() == 2).await;
+    eventually("the rebuilt target holds the log", || group.target(2).log_positions().len() == 2)
+        .await;
     let wait = call(&client, "confirmed", &[1, 2, 300]).await.unwrap();
 
     assert_eq!(wait.get("confirmed_index"), 1);
