--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -98,7 +98,8 @@
     Idle,
     Waiting {
         until: Time,
-        deposed: Replacement },
+        deposed: Replacement,
+    },
     Fencing {
         attempt: Attempt,
         answers: BTreeMap<TargetId, Option<TermResponse>>,
