--- a/crates/standin/src/group/database.rs
+++ b/crates/standin/src/group/database.rs
@@ -1,9 +1,9 @@
-//! The data of a target: SQLite in memory.
+//! The data of a target, an in-memory SQLite database.
 //!
-//! A target has its committed data, which reads use and log entries are applied to, and as a
-//! primary a second copy in which the one running write transaction works. The log carries the
-//! statements of a transaction; applying them again gives the same data on every target, because
-//! functions that depend on time or chance are refused.
+//! Each target has a database of its committed data, which serves reads and to which log entries
+//! are applied. A primary has a second copy in which the running write transaction executes. The
+//! log replicates statements; they produce the same data on every target because functions that
+//! are not deterministic are rejected.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,16 +20,15 @@
 use super::row::Column;
 use super::sqlstate::{self, Error, Result};
 
-/// Virtual machine steps between two looks at cancel requests and deadlines.
-const PROGRESS_STEPS: i32 = 1_000;
-/// Statements that stay prepared.
-const PREPARED: usize = 256;
-/// Bytes of one result.
-const RESULT_LIMIT: usize = 256 << 20;
-/// Pages copied at once.
-const COPY_PAGES: i32 = -1;
-/// Functions whose value changes from target to target.
-const VARYING: [&str; 14] = [
+/// SQLite virtual machine steps between two checks for an interruption.
+const PROGRESS_HANDLER_STEPS: i32 = 1_000;
+/// Capacity of the prepared statement cache.
+const MAX_CACHED_STATEMENTS: usize = 256;
+const MAX_RESULT_BYTES: usize = 256 << 20;
+/// A negative number copies all pages in one step.
+const BACKUP_PAGES_PER_STEP: i32 = -1;
+/// Functions whose value may differ between targets.
+const NONDETERMINISTIC_FUNCTIONS: [&str; 14] = [
     "random",
     "randomblob",
     "date",
@@ -46,62 +45,60 @@
     "last_insert_rowid",
 ];
 
-/// What a statement gave.
+/// Result of a statement.
 #[derive(Debug, Default)]
 pub(crate) struct Outcome {
-    /// Columns of the result; none for a statement that returns no rows.
+    /// Columns of the result; empty for a statement that returns no rows.
     pub(crate) columns: Vec<Column>,
-    /// Rows.
     pub(crate) rows: Vec<Vec<Value>>,
-    /// Rows that a write touched.
+    /// Number of rows that a write changed.
     pub(crate) affected: u64,
-    /// Whether the statement could change data.
-    pub(crate) wrote: bool,
+    /// Whether the statement could change data, by SQLite's analysis.
+    pub(crate) is_write: bool,
 }
 
-/// One SQLite database in memory.
+/// An in-memory SQLite database.
 pub(crate) struct Database {
     connection: Connection,
-    current: Arc<control::Slot>,
+    current: Arc<control::Current>,
     replaying: Arc<AtomicBool>,
 }
 
 impl Database {
-    /// An empty database.
     pub(crate) fn new() -> rusqlite::Result<Self> {
         let connection = Connection::open_in_memory()?;
-        let current = Arc::new(control::Slot::default());
+        let current = Arc::new(control::Current::default());
         let replaying = Arc::new(AtomicBool::new(false));
-        connection.set_prepared_statement_cache_capacity(PREPARED);
+        connection.set_prepared_statement_cache_capacity(MAX_CACHED_STATEMENTS);
         connection.execute_batch("PRAGMA foreign_keys = ON; PRAGMA temp_store = MEMORY;")?;
-        let slot = current.clone();
-        connection.progress_handler(PROGRESS_STEPS, Some(move || slot.ends()))?;
+        let interrupts = current.clone();
+        connection
+            .progress_handler(PROGRESS_HANDLER_STEPS, Some(move || interrupts.is_interrupted()))?;
         connection.authorizer(Some(authorize))?;
         add_sleep(&connection, current.clone(), replaying.clone())?;
         Ok(Database { connection, current, replaying })
     }
 
-    /// A copy of another database.
+    /// Copies all data into a new database.
     pub(crate) fn copy(&self) -> rusqlite::Result<Self> {
         let mut copy = Database::new()?;
         let backup = Backup::new(&self.connection, &mut copy.connection)?;
-        backup.step(COPY_PAGES)?;
+        backup.step(BACKUP_PAGES_PER_STEP)?;
         drop(backup);
         Ok(copy)
     }
 
-    /// Whether a statement only reads.
-    pub(crate) fn reads(&self, sql: &str) -> Result<bool> {
+    pub(crate) fn is_read_only(&self, sql: &str) -> Result<bool> {
         Ok(self.prepare(sql)?.readonly())
     }
 
-    /// Columns of a statement's result, by what is declared.
+    /// Columns of a statement's result, with the types that table declarations give.
     pub(crate) fn describe(&self, sql: &str) -> Result<Vec<Column>> {
         let statement = self.prepare(sql)?;
         Ok(columns(&statement))
     }
 
-    /// Runs one statement for a connection.
+    /// Runs a statement of a connection, which `control` can interrupt.
     pub(crate) fn run(
         &self,
         sql: &str,
@@ -111,10 +108,10 @@
         self.current.set(Some(control.clone()));
         let outcome = self.execute(sql, params);
         self.current.set(None);
-        outcome.map_err(|error| control.explain(error))
+        outcome.map_err(|error| control.interruption_cause(error))
     }
 
-    /// Applies the statements of a log entry, all or none.
+    /// Applies the statements of a log entry in one transaction.
     pub(crate) fn replay(&self, statements: &[Statement]) -> Result<()> {
         if statements.is_empty() {
             return Ok(());
@@ -126,18 +123,18 @@
     }
 
     fn replay_all(&self, statements: &[Statement]) -> Result<()> {
-        self.control("BEGIN")?;
+        self.run_transaction_command("BEGIN")?;
         for statement in statements {
             if let Err(error) = self.execute(&statement.sql, &statement.params) {
-                self.control("ROLLBACK")?;
+                self.run_transaction_command("ROLLBACK")?;
                 return Err(error);
             }
         }
-        self.control("COMMIT")
+        self.run_transaction_command("COMMIT")
     }
 
     /// Runs `BEGIN`, `COMMIT` or `ROLLBACK`.
-    pub(crate) fn control(&self, command: &str) -> Result<()> {
+    pub(crate) fn run_transaction_command(&self, command: &str) -> Result<()> {
         Ok(self.connection.prepare_cached(command)?.raw_execute().map(|_| ())?)
     }
 
@@ -152,14 +149,14 @@
 
     fn execute(&self, sql: &str, params: &[Value]) -> Result<Outcome> {
         let mut statement = self.prepare(sql)?;
-        bind(&mut statement, params)?;
+        bind_parameters(&mut statement, params)?;
         let mut outcome = Outcome {
             columns: columns(&statement),
-            wrote: !statement.readonly(),
+            is_write: !statement.readonly(),
             ..Outcome::default()
         };
-        fetch(&mut statement, &mut outcome)?;
-        if outcome.wrote {
+        fetch_rows(&mut statement, &mut outcome)?;
+        if outcome.is_write {
             outcome.affected = self.connection.changes();
         }
         Ok(outcome)
@@ -171,34 +168,36 @@
     columns.iter().map(|column| Column::new(column.name(), column.decl_type())).collect()
 }
 
-/// Binds `$n` by its number; SQLite itself counts parameters by first use.
-fn bind(statement: &mut rusqlite::Statement<'_>, params: &[Value]) -> Result<()> {
-    for slot in 1..=statement.parameter_count() {
-        let name = statement.parameter_name(slot).unwrap_or("?");
+/// Binds each `$n` to parameter n, because SQLite numbers parameters by their first use.
+fn bind_parameters(statement: &mut rusqlite::Statement<'_>, params: &[Value]) -> Result<()> {
+    for index in 1..=statement.parameter_count() {
+        let name = statement.parameter_name(index).unwrap_or("?");
         let number = parameter_number(name)?;
         let value = params.get(number - 1).ok_or_else(|| {
             Error::new(sqlstate::PROTOCOL, format!("there is no parameter ${number}"))
         })?;
-        statement.raw_bind_parameter(slot, value)?;
+        statement.raw_bind_parameter(index, value)?;
     }
     Ok(())
 }
 
-/// SQLite takes a cast into the name: `$1::int8`.
+/// Number of a parameter by its SQLite name, which includes a cast: `$1::int8`.
 fn parameter_number(name: &str) -> Result<usize> {
     let digits = name.strip_prefix('$').map(|rest| rest.split(':').next().unwrap_or(rest));
     let number = digits.and_then(|digits| digits.parse().ok()).filter(|number| *number > 0);
     number.ok_or_else(|| Error::new(sqlstate::SYNTAX, format!("parameter {name} is not $n")))
 }
 
-fn fetch(statement: &mut rusqlite::Statement<'_>, outcome: &mut Outcome) -> Result<()> {
-    let width = outcome.columns.len();
+fn fetch_rows(statement: &mut rusqlite::Statement<'_>, outcome: &mut Outcome) -> Result<()> {
+    let column_count = outcome.columns.len();
     let mut size = 0;
     let mut rows = statement.raw_query();
     while let Some(row) = rows.next()? {
-        let values = (0..width).map(|at| row.get(at)).collect::<rusqlite::Result<Vec<Value>>>()?;
+        let values = (0..column_count)
+            .map(|index| row.get(index))
+            .collect::<rusqlite::Result<Vec<Value>>>()?;
         size += values.iter().map(value_size).sum::<usize>();
-        if size > RESULT_LIMIT {
+        if size > MAX_RESULT_BYTES {
             return Err(Error::new(sqlstate::TOO_LARGE, "the result is too large"));
         }
         outcome.rows.push(values);
@@ -217,46 +216,48 @@
 
 fn authorize(context: AuthContext<'_>) -> Authorization {
     match context.action {
-        AuthAction::Function { function_name } if varies(function_name) => Authorization::Deny,
+        AuthAction::Function { function_name } if is_nondeterministic(function_name) => {
+            Authorization::Deny
+        }
         AuthAction::Attach { .. } | AuthAction::Detach { .. } => Authorization::Deny,
-        AuthAction::Pragma { pragma_name, .. } => allow_pragma(pragma_name),
+        AuthAction::Pragma { pragma_name, .. } => authorize_pragma(pragma_name),
         _ => Authorization::Allow,
     }
 }
 
-fn varies(function: &str) -> bool {
-    VARYING.iter().any(|name| function.eq_ignore_ascii_case(name))
+fn is_nondeterministic(function: &str) -> bool {
+    NONDETERMINISTIC_FUNCTIONS.iter().any(|name| function.eq_ignore_ascii_case(name))
         || function.to_ascii_lowercase().starts_with("current_")
 }
 
-fn allow_pragma(name: &str) -> Authorization {
+fn authorize_pragma(name: &str) -> Authorization {
     match name {
         "foreign_keys" | "temp_store" => Authorization::Allow,
         _ => Authorization::Deny,
     }
 }
 
-/// `pg_sleep(seconds)` as in PostgreSQL; applying the log does not sleep again.
+/// Adds `pg_sleep(seconds)` as in PostgreSQL; it does not sleep when the log is applied.
 fn add_sleep(
     connection: &Connection,
-    current: Arc<control::Slot>,
+    current: Arc<control::Current>,
     replaying: Arc<AtomicBool>,
 ) -> rusqlite::Result<()> {
     connection.create_scalar_function("pg_sleep", 1, FunctionFlags::SQLITE_UTF8, move |context| {
         let seconds: f64 = context.get(0)?;
-        if !replaying.load(Ordering::Relaxed) && !current.sleep(duration(seconds)) {
-            return Err(interrupted());
+        if !replaying.load(Ordering::Relaxed) && !current.sleep(duration_from_secs(seconds)) {
+            return Err(interrupt_error());
         }
         Ok(String::new())
     })
 }
 
-/// Seconds as a duration; nonsense is none at all.
-pub(crate) fn duration(seconds: f64) -> Duration {
+/// Seconds as a duration; zero if negative, too large or not a number.
+pub(crate) fn duration_from_secs(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::ZERO)
 }
 
-fn interrupted() -> rusqlite::Error {
+fn interrupt_error() -> rusqlite::Error {
     let failure =
         ffi::Error { code: ErrorCode::OperationInterrupted, extended_code: ffi::SQLITE_INTERRUPT };
     rusqlite::Error::SqliteFailure(failure, None)
--- a/crates/standin/src/group/followers.rs
+++ b/crates/standin/src/group/followers.rs
@@ -1,12 +1,12 @@
-//! What a primary knows of its followers: how far their logs match its own, whether they count,
-//! and when they last answered.
+//! Replication progress of a primary's followers: how far their logs match the primary's, whether
+//! they are voters, and when they last acknowledged it.
 
 use std::time::Instant;
 
 use super::log::Index;
 use super::replication::Reply;
 
-/// Followers by target number; the primary's own place stays unused.
+/// Progress of the followers, indexed by target number; the primary's own element is unused.
 #[derive(Debug)]
 pub(crate) struct Followers {
     list: Vec<Follower>,
@@ -14,80 +14,86 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Follower {
-    matched: Index,
-    next: Index,
+    match_index: Index,
+    next_index: Index,
     voter: bool,
     incarnation: u64,
-    acknowledged: Option<Instant>,
+    acknowledged_at: Option<Instant>,
 }
 
-/// What a majority has.
+/// Log index and time that a majority of the group has reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Majority {
-    /// Index that each of its logs reaches.
-    pub(crate) matched: Index,
-    /// Latest time at which each of it is known to have followed.
-    pub(crate) acknowledged: Option<Instant>,
+    /// Index up to which the log of each member of the majority matches the primary's.
+    pub(crate) match_index: Index,
+    /// Latest time at which each member of the majority is known to have followed the primary: the
+    /// send time of a message that it acknowledged. None when one of them never has.
+    pub(crate) acknowledged_at: Option<Instant>,
 }
 
 impl Followers {
-    /// Followers of whom nothing is known; they are sent what comes after `last`.
-    pub(crate) fn new(size: usize, last: Index) -> Self {
+    /// Followers without any reply yet; sending starts after `last_index`.
+    pub(crate) fn new(size: usize, last_index: Index) -> Self {
         let follower = Follower {
-            matched: 0,
-            next: last + 1,
+            match_index: 0,
+            next_index: last_index + 1,
             voter: false,
             incarnation: 0,
-            acknowledged: None,
+            acknowledged_at: None,
         };
         Followers { list: vec![follower; size] }
     }
 
-    /// First index to send to a follower.
-    pub(crate) fn next(&self, follower: usize) -> Index {
-        self.list[follower].next
+    /// Index of the next entry to send to a follower.
+    pub(crate) fn next_index(&self, follower: usize) -> Index {
+        self.list[follower].next_index
     }
 
-    /// Entries before an index are on their way to a follower, or must be sent again from it on.
-    pub(crate) fn set_next(&mut self, follower: usize, next: Index) {
-        self.list[follower].next = next;
+    /// Sets the next entry to send: after a send, or back to an earlier one to resend from there.
+    pub(crate) fn set_next_index(&mut self, follower: usize, next_index: Index) {
+        self.list[follower].next_index = next_index;
     }
 
-    /// Takes a follower's answer; false when it is from before the follower's last rebuild.
-    pub(crate) fn acknowledge(&mut self, reply: &Reply) -> bool {
+    /// Records a follower's reply; false when it was sent before the follower's last rebuild.
+    pub(crate) fn record_reply(&mut self, reply: &Reply) -> bool {
         let follower = &mut self.list[reply.from];
         if reply.incarnation < follower.incarnation {
             return false;
         }
         if reply.incarnation > follower.incarnation {
             follower.incarnation = reply.incarnation;
-            follower.matched = 0;
-            follower.acknowledged = None;
+            follower.match_index = 0;
+            follower.acknowledged_at = None;
         }
         follower.voter = reply.voter;
-        follower.acknowledged = follower.acknowledged.max(Some(reply.sent_at));
-        if let Some(matched) = reply.matched {
-            follower.matched = follower.matched.max(matched);
-            follower.next = follower.next.max(matched + 1);
+        follower.acknowledged_at = follower.acknowledged_at.max(Some(reply.sent_at));
+        if let Some(match_index) = reply.match_index {
+            follower.match_index = follower.match_index.max(match_index);
+            follower.next_index = follower.next_index.max(match_index + 1);
         }
         true
     }
 
-    /// What the primary, whose log ends at `last`, and the voters that follow it have as a
-    /// majority of the group.
-    pub(crate) fn majority(&self, primary: usize, last: Index, now: Instant) -> Option<Majority> {
-        let needed = self.list.len() / 2;
-        let mut indices = vec![last];
-        let mut times = vec![Some(now)];
+    /// Progress of a majority of the group, which consists of the primary, whose log ends at
+    /// `last_index`, and voting followers; none if the voters don't form one.
+    pub(crate) fn majority(
+        &self,
+        primary: usize,
+        last_index: Index,
+        now: Instant,
+    ) -> Option<Majority> {
+        let majority_rank = self.list.len() / 2;
+        let mut match_indices = vec![last_index];
+        let mut acknowledgement_times = vec![Some(now)];
         for (number, follower) in self.list.iter().enumerate() {
             if number != primary && follower.voter {
-                indices.push(follower.matched);
-                times.push(follower.acknowledged);
+                match_indices.push(follower.match_index);
+                acknowledgement_times.push(follower.acknowledged_at);
             }
         }
-        indices.sort_unstable_by(|a, b| b.cmp(a));
-        times.sort_unstable_by(|a, b| b.cmp(a));
-        let matched = *indices.get(needed)?;
-        Some(Majority { matched, acknowledged: times[needed] })
+        match_indices.sort_unstable_by(|a, b| b.cmp(a));
+        acknowledgement_times.sort_unstable_by(|a, b| b.cmp(a));
+        let match_index = *match_indices.get(majority_rank)?;
+        Some(Majority { match_index, acknowledged_at: acknowledgement_times[majority_rank] })
     }
 }
--- a/crates/standin/src/group/function.rs
+++ b/crates/standin/src/group/function.rs
@@ -1,10 +1,11 @@
-//! The group functions: status, fencing, promotion, and waiting for a majority.
+//! The `group_` functions that a target offers over SQL: status, fencing, promotion, holding
+//! writes, and waiting for a majority.
 
 use std::time::{Duration, Instant};
 
 use rusqlite::types::Value;
 
-use super::control::{Control, LOOK_PERIOD};
+use super::control::{Control, INTERRUPT_POLL_INTERVAL};
 use super::database::Outcome;
 use super::log::{Index, Position, Term};
 use super::row::{Column, Kind};
@@ -14,7 +15,7 @@
 use super::target::Target;
 use crate::sync::{self, lock};
 
-const STATUS: [&str; 11] = [
+const STATUS_COLUMNS: [&str; 11] = [
     "role",
     "accepted_term",
     "entry_term",
@@ -27,46 +28,47 @@
     "primary",
     "term_start",
 ];
-const POSITION: [&str; 5] =
+const POSITION_COLUMNS: [&str; 5] =
     ["applied_term", "applied_index", "age_ms", "confirmed_term", "confirmed_index"];
-const CONFIRMED: [&str; 4] = ["confirmed_term", "confirmed_index", "entry_term", "entry_index"];
-const COMMIT: [&str; 2] = ["term", "index"];
-const FENCE: [&str; 5] = ["granted", "accepted_term", "entry_term", "entry_index", "voter"];
-const PROMOTE: [&str; 4] = ["promoted", "accepted_term", "entry_term", "entry_index"];
-const HOLD: [&str; 3] = ["held", "entry_term", "entry_index"];
-const TEXTS: [&str; 1] = ["role"];
-const FLAGS: [&str; 4] = ["granted", "voter", "promoted", "held"];
-
-/// Columns of a group function and the number of its arguments.
+const CONFIRMED_COLUMNS: [&str; 4] =
+    ["confirmed_term", "confirmed_index", "entry_term", "entry_index"];
+const COMMIT_COLUMNS: [&str; 2] = ["term", "index"];
+const FENCE_COLUMNS: [&str; 5] = ["granted", "accepted_term", "entry_term", "entry_index", "voter"];
+const PROMOTE_COLUMNS: [&str; 4] = ["promoted", "accepted_term", "entry_term", "entry_index"];
+const HOLD_COLUMNS: [&str; 3] = ["held", "entry_term", "entry_index"];
+const TEXT_COLUMNS: [&str; 1] = ["role"];
+const BOOL_COLUMNS: [&str; 4] = ["granted", "voter", "promoted", "held"];
+
+/// Result columns of a group function and the number of its arguments.
 pub(crate) fn describe(name: &str) -> Result<(Vec<Column>, usize)> {
     let (names, arguments): (&[&str], usize) = match name {
-        "status" => (&STATUS, 0),
-        "position" => (&POSITION, 0),
-        "confirmed" => (&CONFIRMED, 3),
-        "commit" => (&COMMIT, 0),
-        "fence" => (&FENCE, 2),
-        "promote" => (&PROMOTE, 2),
-        "hold" => (&HOLD, 1),
-        _ => return Err(unknown(name)),
+        "status" => (&STATUS_COLUMNS, 0),
+        "position" => (&POSITION_COLUMNS, 0),
+        "confirmed" => (&CONFIRMED_COLUMNS, 3),
+        "commit" => (&COMMIT_COLUMNS, 0),
+        "fence" => (&FENCE_COLUMNS, 2),
+        "promote" => (&PROMOTE_COLUMNS, 2),
+        "hold" => (&HOLD_COLUMNS, 1),
+        _ => return Err(unknown_function(name)),
     };
     Ok((names.iter().map(|name| column(name)).collect(), arguments))
 }
 
 fn column(name: &str) -> Column {
     let kind = match name {
-        name if TEXTS.contains(&name) => Kind::Text,
-        name if FLAGS.contains(&name) => Kind::Bool,
+        name if TEXT_COLUMNS.contains(&name) => Kind::Text,
+        name if BOOL_COLUMNS.contains(&name) => Kind::Bool,
         _ => Kind::Integer,
     };
     Column::with_kind(name, kind)
 }
 
-fn unknown(name: &str) -> Error {
+fn unknown_function(name: &str) -> Error {
     let message = format!("function group_{name} with these arguments does not exist");
     Error::new(sqlstate::UNKNOWN_FUNCTION, message)
 }
 
-/// Runs a group function; `committed` is the connection's last commit.
+/// Runs a group function; `committed` is the position of the connection's last commit.
 pub(crate) fn call(
     target: &Target,
     control: &Control,
@@ -75,23 +77,23 @@
     committed: Position,
 ) -> Result<Outcome> {
     let (columns, arity) = describe(&call.name)?;
-    let given = call.arguments.iter().map(|argument| argument.integer(params));
-    let given = given.collect::<Result<Vec<i64>>>()?;
-    if given.len() != arity {
-        return Err(unknown(&call.name));
+    let arguments = call.arguments.iter().map(|argument| argument.integer(params));
+    let arguments = arguments.collect::<Result<Vec<i64>>>()?;
+    if arguments.len() != arity {
+        return Err(unknown_function(&call.name));
     }
-    let row = match (call.name.as_str(), given.as_slice()) {
+    let row = match (call.name.as_str(), arguments.as_slice()) {
         ("status", []) => status(target),
         ("position", []) => position(target),
         ("confirmed", [term, index, wait]) => {
             let wanted = Position { term: *term, index: *index };
-            confirmed(target, control, wanted, milliseconds(*wait))?
+            wait_confirmed(target, control, wanted, milliseconds(*wait))?
         }
-        ("commit", []) => vec![int(committed.term), int(committed.index)],
+        ("commit", []) => vec![integer(committed.term), integer(committed.index)],
         ("fence", [term, promoter]) => fence(target, *term, *promoter),
         ("promote", [term, promoter]) => promote(target, *term, *promoter)?,
         ("hold", [wait]) => hold(target, milliseconds(*wait)),
-        _ => return Err(unknown(&call.name)),
+        _ => return Err(unknown_function(&call.name)),
     };
     Ok(Outcome { columns, rows: vec![row], ..Outcome::default() })
 }
@@ -100,30 +102,30 @@
     Duration::from_millis(count.try_into().unwrap_or(0))
 }
 
-fn int(value: i64) -> Value {
+fn integer(value: i64) -> Value {
     Value::Integer(value)
 }
 
-fn flag(value: bool) -> Value {
+fn boolean(value: bool) -> Value {
     Value::Integer(value.into())
 }
 
 fn status(target: &Target) -> Vec<Value> {
     let state = lock(&target.state);
-    let entry = state.log.last();
-    let applied = state.log.position(state.applied);
+    let entry = state.log.last_position();
+    let applied = state.log.position_at(state.applied);
     vec![
         Value::Text(role_name(state.role).to_owned()),
-        int(state.accepted_term),
-        int(entry.term),
-        int(entry.index),
-        int(applied.term),
-        int(applied.index),
-        int(state.confirmed.term),
-        int(state.confirmed.index),
-        int(state.age_ms(Instant::now())),
-        int(state.primary.map_or(-1, |primary| primary as i64)),
-        int(term_start(&state, entry.term)),
+        integer(state.accepted_term),
+        integer(entry.term),
+        integer(entry.index),
+        integer(applied.term),
+        integer(applied.index),
+        integer(state.confirmed.term),
+        integer(state.confirmed.index),
+        integer(state.age_ms(Instant::now())),
+        integer(state.primary.map_or(-1, |primary| primary as i64)),
+        integer(term_start(&state, entry.term)),
     ]
 }
 
@@ -141,17 +143,17 @@
 
 fn position(target: &Target) -> Vec<Value> {
     let state = lock(&target.state);
-    let applied = state.log.position(state.applied);
+    let applied = state.log.position_at(state.applied);
     vec![
-        int(applied.term),
-        int(applied.index),
-        int(state.age_ms(Instant::now())),
-        int(state.confirmed.term),
-        int(state.confirmed.index),
+        integer(applied.term),
+        integer(applied.index),
+        integer(state.age_ms(Instant::now())),
+        integer(state.confirmed.term),
+        integer(state.confirmed.index),
     ]
 }
 
-fn confirmed(
+fn wait_confirmed(
     target: &Target,
     control: &Control,
     wanted: Position,
@@ -160,22 +162,22 @@
     let deadline = Instant::now() + wait;
     let mut state = lock(&target.state);
     loop {
-        control.check()?;
-        if !state.leads_in(wanted.term) {
+        control.check_interrupts()?;
+        if !state.is_primary_in(wanted.term) {
             let message = format!("not the primary of term {}", wanted.term);
             return Err(Error::new(sqlstate::SUPERSEDED, message));
         }
-        let left = deadline.saturating_duration_since(Instant::now());
-        if state.confirmed >= wanted || left.is_zero() {
-            let (entry, confirmed) = (state.log.last(), state.confirmed);
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if state.confirmed >= wanted || remaining.is_zero() {
+            let (entry, confirmed) = (state.log.last_position(), state.confirmed);
             return Ok(vec![
-                int(confirmed.term),
-                int(confirmed.index),
-                int(entry.term),
-                int(entry.index),
+                integer(confirmed.term),
+                integer(confirmed.index),
+                integer(entry.term),
+                integer(entry.index),
             ]);
         }
-        state = sync::wait(&target.changed, state, left.min(10 * LOOK_PERIOD));
+        state = sync::wait(&target.changed, state, remaining.min(10 * INTERRUPT_POLL_INTERVAL));
     }
 }
 
@@ -183,29 +185,34 @@
     let mut state = lock(&target.state);
     let granted = state.fence(term, promoter);
     target.changed.notify_all();
-    let entry = state.log.last();
+    let entry = state.log.last_position();
     vec![
-        flag(granted),
-        int(state.accepted_term),
-        int(entry.term),
-        int(entry.index),
-        flag(state.voter),
+        boolean(granted),
+        integer(state.accepted_term),
+        integer(entry.term),
+        integer(entry.index),
+        boolean(state.voter),
     ]
 }
 
 fn promote(target: &Target, term: Term, promoter: i64) -> Result<Vec<Value>> {
     let promoted = target.promote(term, promoter)?;
     let state = lock(&target.state);
-    let entry = state.log.last();
-    Ok(vec![flag(promoted), int(state.accepted_term), int(entry.term), int(entry.index)])
+    let entry = state.log.last_position();
+    Ok(vec![
+        boolean(promoted),
+        integer(state.accepted_term),
+        integer(entry.term),
+        integer(entry.index),
+    ])
 }
 
 fn hold(target: &Target, wait: Duration) -> Vec<Value> {
     let mut state = lock(&target.state);
-    let held = state.leads();
+    let held = state.is_primary();
     if held {
-        state.held_until = (!wait.is_zero()).then(|| Instant::now() + wait);
+        state.hold_deadline = (!wait.is_zero()).then(|| Instant::now() + wait);
     }
-    let entry = state.log.last();
-    vec![flag(held), int(entry.term), int(entry.index)]
+    let entry = state.log.last_position();
+    vec![boolean(held), integer(entry.term), integer(entry.index)]
 }
--- a/crates/standin/src/group/listener.rs
+++ b/crates/standin/src/group/listener.rs
@@ -1,4 +1,4 @@
-//! Accepts the connections of a target and goes through their start.
+//! Accepts the connections of a target and performs their startup handshake.
 
 use std::io;
 use std::net::TcpStream;
@@ -16,43 +16,43 @@
 use super::control::Control;
 use super::session::Session;
 use super::sqlstate::{self, Error};
-use super::target::{Handle, Target};
+use super::target::{ConnectionHandle, Target};
 use super::wire::Wire;
 use crate::port::Port;
 
-/// How often a stopped listener looks whether it may go on.
-const LOOK_PERIOD: Duration = Duration::from_millis(2);
-/// Stack of a connection's thread.
-const STACK: usize = 1 << 20;
-/// How long the start of a connection may take.
-const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often a thread checks for new connections and for the end of a fault.
+const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(2);
+const CONNECTION_STACK_BYTES: usize = 1 << 20;
+/// Longest wait for the next message of the startup handshake.
+const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
 
 static NEXT_PID: AtomicI32 = AtomicI32::new(1);
 
 /// Accepts connections of a target until its group ends.
 pub(crate) fn run(target: &Arc<Target>, port: &Port) {
-    while !target.group.ended() {
-        if !target.switches.answers() {
-            std::thread::sleep(LOOK_PERIOD);
+    while !target.group.has_ended() {
+        if !target.faults.serves_callers() {
+            std::thread::sleep(FAULT_POLL_INTERVAL);
             continue;
         }
         match port.accept() {
-            Some(stream) => spawn(target.clone(), stream),
-            None => std::thread::sleep(LOOK_PERIOD),
+            Some(stream) => spawn_connection(target.clone(), stream),
+            None => std::thread::sleep(FAULT_POLL_INTERVAL),
         }
     }
 }
 
-fn spawn(target: Arc<Target>, stream: TcpStream) {
+fn spawn_connection(target: Arc<Target>, stream: TcpStream) {
     let name = format!("target-{}", target.number);
     let serve = move || {
         if let Err(error) = serve(&target, stream) {
-            log::debug!("target {}: connection: {error}", target.number);
+            log::debug!("target {}: connection failed: {error}", target.number);
         }
     };
-    let thread = std::thread::Builder::new().name(name).stack_size(STACK).spawn(serve);
+    let thread =
+        std::thread::Builder::new().name(name).stack_size(CONNECTION_STACK_BYTES).spawn(serve);
     if let Err(error) = thread {
-        log::error!("no thread for a connection: {error}");
+        log::error!("failed to spawn a thread for a connection, which is dropped: {error}");
     }
 }
 
@@ -66,48 +66,49 @@
     let pid = NEXT_PID.fetch_add(1, Ordering::Relaxed);
     let secret = pid.wrapping_mul(0x9E37_79B1_u32 as i32);
     std::thread::sleep(target.group.connect_delay);
-    pass(target)?;
-    let handle = Handle::new(control.clone(), secret, wire.stream()?);
+    wait_until_available(target)?;
+    let handle = ConnectionHandle::new(control.clone(), secret, wire.clone_stream()?);
     if !target.register(pid, handle) {
         let error = Error::new(sqlstate::TOO_MANY_CONNECTIONS, "too many connections");
-        wire.error(&error, "FATAL");
+        wire.send_error(&error, "FATAL");
         return wire.flush();
     }
-    greet(&mut wire, pid, secret);
+    send_startup_response(&mut wire, pid, secret);
     let result = Session::new(target.clone(), control, wire).serve();
     target.unregister(pid);
     result
 }
 
-/// Waits while the target does not answer.
-fn pass(target: &Target) -> io::Result<()> {
-    while !target.switches.answers() {
-        if !target.switches.running() {
+/// Waits while a fault keeps the target from serving callers; fails if the target is down.
+fn wait_until_available(target: &Target) -> io::Result<()> {
+    while !target.faults.serves_callers() {
+        if !target.faults.is_running() {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        std::thread::sleep(LOOK_PERIOD);
+        std::thread::sleep(FAULT_POLL_INTERVAL);
     }
     Ok(())
 }
 
-/// Goes through the start of a connection; false when it was only a cancel request.
+/// Performs the startup handshake; false when there is no session to serve, as after a cancel
+/// request.
 fn negotiate(target: &Target, wire: &mut Wire) -> io::Result<bool> {
-    wire.expect(true, true);
-    while let Some(message) = wire.message(START_TIMEOUT)? {
+    wire.expect_startup(true, true);
+    while let Some(message) = wire.read_message(STARTUP_TIMEOUT)? {
         match message {
-            Frontend::SslNegotiation(Negotiation::None) => wire.expect(false, true),
+            Frontend::SslNegotiation(Negotiation::None) => wire.expect_startup(false, true),
             Frontend::SslNegotiation(_) => {
-                pass(target)?;
+                wait_until_available(target)?;
                 wire.send(Backend::SslResponse(SslResponse::Refuse));
                 wire.flush()?;
             }
             Frontend::CancelRequest(request) => {
-                pass(target)?;
-                cancel(target, request.pid, &request.secret_key);
+                wait_until_available(target)?;
+                cancel_statement(target, request.pid, &request.secret_key);
                 return Ok(false);
             }
             Frontend::Startup(_) => {
-                wire.expect(false, false);
+                wire.expect_startup(false, false);
                 return Ok(true);
             }
             _ => return Ok(false),
@@ -116,7 +117,7 @@
     Ok(false)
 }
 
-fn cancel(target: &Target, pid: i32, secret: &SecretKey) {
+fn cancel_statement(target: &Target, pid: i32, secret: &SecretKey) {
     let secret = match secret {
         SecretKey::I32(secret) => Some(*secret),
         SecretKey::Bytes(bytes) => bytes.as_ref().try_into().ok().map(i32::from_be_bytes),
@@ -126,7 +127,7 @@
     }
 }
 
-fn greet(wire: &mut Wire, pid: i32, secret: i32) {
+fn send_startup_response(wire: &mut Wire, pid: i32, secret: i32) {
     const PARAMETERS: [(&str, &str); 4] = [
         ("server_version", "16.0"),
         ("server_encoding", "UTF8"),
--- a/crates/standin/src/group/log.rs
+++ b/crates/standin/src/group/log.rs
@@ -1,107 +1,108 @@
-//! The log of a target: one entry for each write transaction.
+//! The replicated log of a target, with one entry for each write transaction.
 
 use std::sync::Arc;
 
 use derive_more::Display;
 use rusqlite::types::Value;
 
-/// Number of a primary's reign.
+/// Number of a promotion; each term has at most one primary.
 pub type Term = i64;
-/// Place in the log; the first entry has 1.
+/// Index in the log, counted from 1.
 pub type Index = i64;
 
-/// Place of an entry: its term, then its index.
+/// Position of an entry, ordered by term, then by index. (0, 0) precedes all entries.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord)]
 #[display("({term}, {index})")]
 pub struct Position {
-    /// Term that the entry was written in.
+    /// Term of the primary that wrote the entry.
     pub term: Term,
-    /// Place in the log, going on over terms.
+    /// Index in the log; it continues across terms.
     pub index: Index,
 }
 
 /// One statement with its bound parameters.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Statement {
-    /// Text with `$1` parameters.
+    /// Text with parameters `$1`, `$2` and so on.
     pub sql: String,
-    /// Values of the parameters, in order of their number.
+    /// Values of the parameters; the first is `$1`.
     pub params: Vec<Value>,
 }
 
-/// One write transaction; a promotion writes one without statements.
+/// One write transaction. A promotion appends an entry without statements.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    /// Place of the entry.
+    /// Term and index of the entry.
     pub position: Position,
-    /// Statements that succeeded, in order.
+    /// Statements that succeeded, in order of execution.
     pub statements: Vec<Statement>,
 }
 
-/// Entries from index 1, without gaps, in ascending terms.
+/// Entries from index 1 on, without gaps; their terms never decrease.
 #[derive(Clone, Debug, Default)]
 pub struct Log {
     entries: Vec<Arc<Entry>>,
 }
 
 impl Log {
-    /// Place of the last entry; (0, 0) when empty.
-    pub fn last(&self) -> Position {
+    /// Position of the last entry; (0, 0) when the log is empty.
+    pub fn last_position(&self) -> Position {
         self.entries.last().map_or(Position::default(), |entry| entry.position)
     }
 
-    /// Entry at an index.
+    /// Entry at an index; none outside the log.
     pub fn get(&self, index: Index) -> Option<&Arc<Entry>> {
         let offset = usize::try_from(index - 1).ok()?;
         self.entries.get(offset)
     }
 
-    /// Place of the entry at an index; (0, 0) where there is none.
-    pub fn position(&self, index: Index) -> Position {
+    /// Position of the entry at an index; (0, 0) outside the log.
+    pub fn position_at(&self, index: Index) -> Position {
         self.get(index).map_or(Position::default(), |entry| entry.position)
     }
 
-    /// Whether this log holds the entry of a place, and so all before it.
+    /// Whether this log holds the entry at a position, and therefore all entries before it.
     pub fn contains(&self, position: Position) -> bool {
-        self.position(position.index) == position
+        self.position_at(position.index) == position
     }
 
-    /// Places of all entries.
+    /// Positions of all entries, in order.
     pub fn positions(&self) -> Vec<Position> {
         self.entries.iter().map(|entry| entry.position).collect()
     }
 
-    /// Index of the first entry of a term that has entries.
+    /// Index of the first entry of a term; if the term has none, the index where it would be.
     pub fn term_start(&self, term: Term) -> Index {
         self.entries.partition_point(|entry| entry.position.term < term) as Index + 1
     }
 
-    /// Last index that is at or before a place, by its index and by its term.
-    pub fn last_before(&self, position: Position) -> Index {
-        let in_term = self.entries.partition_point(|entry| entry.position.term <= position.term);
-        position.index.min(in_term as Index)
+    /// Last index that is at most the position's index and whose entry's term is at most the
+    /// position's term; 0 if there is none.
+    pub fn last_index_up_to(&self, position: Position) -> Index {
+        let up_to_term = self.entries.partition_point(|entry| entry.position.term <= position.term);
+        position.index.min(up_to_term as Index)
     }
 
-    /// At most `limit` entries from an index on.
+    /// At most `limit` entries, starting at index `from`.
     pub fn range(&self, from: Index, limit: usize) -> Vec<Arc<Entry>> {
         let skip = usize::try_from(from - 1).unwrap_or(0);
         self.entries.iter().skip(skip).take(limit).cloned().collect()
     }
 
-    /// Appends at the next index and returns the place.
+    /// Appends an entry at the next index and returns its position.
     pub fn append(&mut self, term: Term, statements: Vec<Statement>) -> Position {
-        let position = Position { term, index: self.last().index + 1 };
+        let position = Position { term, index: self.last_position().index + 1 };
         self.entries.push(Arc::new(Entry { position, statements }));
         position
     }
 
-    /// Takes an entry of another log, which follows the last one.
+    /// Appends an entry received from another target; its index must be the next one.
     pub fn push(&mut self, entry: Arc<Entry>) {
-        debug_assert_eq!(entry.position.index, self.last().index + 1);
+        debug_assert_eq!(entry.position.index, self.last_position().index + 1);
         self.entries.push(entry);
     }
 
-    /// Drops all entries after an index.
+    /// Drops all entries after index `last`.
     pub fn truncate(&mut self, last: Index) {
         self.entries.truncate(usize::try_from(last).unwrap_or(0));
     }
--- a/crates/standin/src/group/row.rs
+++ b/crates/standin/src/group/row.rs
@@ -1,14 +1,14 @@
-//! Types of parameters and results, and their two formats on the wire.
+//! Types of parameters and result columns, and their text and binary wire formats.
 
 use bytes::{BufMut, Bytes, BytesMut};
 use rusqlite::types::Value;
 
+use super::binary;
 use super::database::Outcome;
-use super::exact;
 use super::sqlstate::{self, Error, Result};
 use super::statement;
 
-/// Number of a type in the protocol.
+/// Object identifier of a PostgreSQL type.
 pub(crate) type Oid = u32;
 
 const BOOL: Oid = 16;
@@ -32,12 +32,10 @@
 const UUID: Oid = 2950;
 const JSONB: Oid = 3802;
 
-/// Format of a value on the wire.
+/// Wire format of a value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Format {
-    /// As text.
     Text,
-    /// As the type's binary form.
     Binary,
 }
 
@@ -54,31 +52,28 @@
     Text,
     /// `bytea`.
     Bytes,
-    /// A type whose values are kept as text; its number.
-    Exact(Oid),
+    /// The type with this identifier, whose values SQLite stores as text.
+    StoredAsText(Oid),
 }
 
-/// One column of a result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Column {
-    /// Its name.
     pub(crate) name: String,
-    /// Its type, if the column's declaration tells it.
+    /// None if the column has no declared type.
     pub(crate) kind: Option<Kind>,
 }
 
 impl Column {
-    /// A column with its declared type.
+    /// A column with the type that its table declares, if any.
     pub(crate) fn new(name: &str, declared: Option<&str>) -> Self {
         Column { name: name.to_owned(), kind: declared.and_then(declared_kind) }
     }
 
-    /// A column of a known type.
     pub(crate) fn with_kind(name: &str, kind: Kind) -> Self {
         Column { name: name.to_owned(), kind: Some(kind) }
     }
 
-    /// Its type on the wire; text where nothing tells it.
+    /// Type identifier on the wire; `text` if the type is unknown.
     pub(crate) fn oid(&self) -> Oid {
         match self.kind.unwrap_or(Kind::Text) {
             Kind::Integer => INT8,
@@ -86,26 +81,26 @@
             Kind::Bool => BOOL,
             Kind::Text => TEXT,
             Kind::Bytes => BYTEA,
-            Kind::Exact(oid) => oid,
+            Kind::StoredAsText(oid) => oid,
         }
     }
 
-    /// Length of its type on the wire; -1 where it varies.
+    /// Size in bytes of the type on the wire; -1 if it varies.
     pub(crate) fn size(&self) -> i16 {
         match self.kind.unwrap_or(Kind::Text) {
             Kind::Integer | Kind::Float => 8,
             Kind::Bool => 1,
             Kind::Text | Kind::Bytes => -1,
-            Kind::Exact(DATE) => 4,
-            Kind::Exact(TIMESTAMP | TIMESTAMPTZ) => 8,
-            Kind::Exact(UUID | INTERVAL) => 16,
-            Kind::Exact(_) => -1,
+            Kind::StoredAsText(DATE) => 4,
+            Kind::StoredAsText(TIMESTAMP | TIMESTAMPTZ) => 8,
+            Kind::StoredAsText(UUID | INTERVAL) => 16,
+            Kind::StoredAsText(_) => -1,
         }
     }
 }
 
-/// Beginnings of declared types whose values are kept as text, the longer ones first.
-const EXACT: [(&str, Oid); 9] = [
+/// Prefixes of declared types whose values are stored as text; a prefix of another comes after it.
+const TEXT_STORED_TYPES: [(&str, Oid); 9] = [
     ("numeric", NUMERIC),
     ("timestamp with time zone", TIMESTAMPTZ),
     ("timestamptz", TIMESTAMPTZ),
@@ -119,9 +114,9 @@
 
 fn declared_kind(declared: &str) -> Option<Kind> {
     let declared = declared.to_ascii_lowercase();
-    let exact = EXACT.iter().find(|(name, _)| declared.starts_with(name));
-    if let Some((_, oid)) = exact {
-        return Some(Kind::Exact(*oid));
+    let text_stored = TEXT_STORED_TYPES.iter().find(|(name, _)| declared.starts_with(name));
+    if let Some((_, oid)) = text_stored {
+        return Some(Kind::StoredAsText(*oid));
     }
     let has = |part: &str| declared.contains(part);
     if has("bool") {
@@ -139,11 +134,11 @@
     }
 }
 
-/// Gives a column without a declared type the type of its first value.
-pub(crate) fn infer(outcome: &mut Outcome) {
-    for (at, column) in outcome.columns.iter_mut().enumerate() {
+/// Gives each column without a type the type of its first value that is not null.
+pub(crate) fn infer_kinds(outcome: &mut Outcome) {
+    for (index, column) in outcome.columns.iter_mut().enumerate() {
         if column.kind.is_none() {
-            column.kind = outcome.rows.iter().find_map(|row| value_kind(&row[at]));
+            column.kind = outcome.rows.iter().find_map(|row| value_kind(&row[index]));
         }
     }
 }
@@ -158,7 +153,8 @@
     }
 }
 
-/// Types of a statement's parameters: those given, else text, or `int8` of a group function.
+/// Types of a statement's parameters: the given ones; otherwise `text`, or `int8` for a group
+/// function.
 pub(crate) fn parameter_types(sql: &str, given: &[Oid]) -> Vec<Oid> {
     let call = matches!(statement::parse(sql), Ok(statement::Command::Call(_)));
     let default = if call { INT8 } else { TEXT };
@@ -169,7 +165,7 @@
     types
 }
 
-/// Reads a parameter.
+/// Decodes a parameter; without bytes it is null.
 pub(crate) fn decode(oid: Oid, format: Format, bytes: Option<&Bytes>) -> Result<Value> {
     let Some(bytes) = bytes else { return Ok(Value::Null) };
     match format {
@@ -189,7 +185,12 @@
         BOOL => Value::Integer(i64::from(array::<1>(bytes)?[0] != 0)),
         BYTEA => Value::Blob(bytes.to_vec()),
         0 | TEXT | VARCHAR | BPCHAR | UNKNOWN => Value::Text(text(bytes)?),
-        _ => return Err(Error::new(sqlstate::UNSUPPORTED, format!("parameter of type {oid}"))),
+        _ => {
+            return Err(Error::new(
+                sqlstate::UNSUPPORTED,
+                format!("parameters of type {oid} are not supported"),
+            ));
+        }
     };
     Ok(value)
 }
@@ -200,57 +201,57 @@
         INT2 | INT4 | INT8 | OID => Value::Integer(parse(&text)?),
         FLOAT4 | FLOAT8 => Value::Real(parse(&text)?),
         BOOL => Value::Integer(parse_bool(&text)?.into()),
-        BYTEA => Value::Blob(parse_bytes(&text)?),
+        BYTEA => Value::Blob(parse_bytea(&text)?),
         _ => Value::Text(text),
     };
     Ok(value)
 }
 
 fn array<const N: usize>(bytes: &[u8]) -> Result<[u8; N]> {
-    bytes.try_into().map_err(|_| invalid("length of a binary parameter"))
+    bytes.try_into().map_err(|_| invalid_input("binary parameter has the wrong length"))
 }
 
 fn text(bytes: &[u8]) -> Result<String> {
-    String::from_utf8(bytes.to_vec()).map_err(|_| invalid("text is not UTF-8"))
+    String::from_utf8(bytes.to_vec()).map_err(|_| invalid_input("text is not UTF-8"))
 }
 
 fn parse<T: std::str::FromStr>(text: &str) -> Result<T> {
-    text.trim().parse().map_err(|_| invalid(text))
+    text.trim().parse().map_err(|_| invalid_input(text))
 }
 
 fn parse_bool(text: &str) -> Result<bool> {
     match text.trim().to_ascii_lowercase().as_str() {
         "t" | "true" | "on" | "1" | "yes" => Ok(true),
         "f" | "false" | "off" | "0" | "no" => Ok(false),
-        _ => Err(invalid(text)),
+        _ => Err(invalid_input(text)),
     }
 }
 
-fn parse_bytes(text: &str) -> Result<Vec<u8>> {
-    let digits = text.strip_prefix("\\x").ok_or_else(|| invalid(text))?;
+fn parse_bytea(text: &str) -> Result<Vec<u8>> {
+    let digits = text.strip_prefix("\\x").ok_or_else(|| invalid_input(text))?;
     let pairs = digits.as_bytes().chunks(2);
-    pairs.map(|pair| hex(pair).ok_or_else(|| invalid(text))).collect()
+    pairs.map(|pair| parse_hex_byte(pair).ok_or_else(|| invalid_input(text))).collect()
 }
 
-fn hex(pair: &[u8]) -> Option<u8> {
+fn parse_hex_byte(pair: &[u8]) -> Option<u8> {
     let pair = std::str::from_utf8(pair).ok()?;
     u8::from_str_radix(pair, 16).ok().filter(|_| pair.len() == 2)
 }
 
-fn invalid(text: &str) -> Error {
+fn invalid_input(text: &str) -> Error {
     Error::new(sqlstate::INVALID_TEXT, format!("invalid input: {text}"))
 }
 
-/// Writes a result row: each value with its length.
+/// Encodes a result row: each value with its length, -1 for null.
 pub(crate) fn encode(columns: &[Column], formats: &[Format], row: &[Value]) -> Result<BytesMut> {
     let mut data = BytesMut::new();
-    for (at, (column, value)) in columns.iter().zip(row).enumerate() {
+    for (index, (column, value)) in columns.iter().zip(row).enumerate() {
         if *value == Value::Null {
             data.put_i32(-1);
             continue;
         }
         let kind = column.kind.unwrap_or(Kind::Text);
-        let bytes = match format_at(formats, at) {
+        let bytes = match format_at(formats, index) {
             Format::Binary => encode_binary(kind, value)?,
             Format::Text => encode_text(kind, value)?,
         };
@@ -260,81 +261,81 @@
     Ok(data)
 }
 
-/// Format of a column: none given means text, one given holds for all.
-pub(crate) fn format_at(formats: &[Format], at: usize) -> Format {
+/// Format of a column. An empty list means text for all columns; a single format applies to all.
+pub(crate) fn format_at(formats: &[Format], index: usize) -> Format {
     match formats {
         [] => Format::Text,
-        [one] => *one,
-        many => many.get(at).copied().unwrap_or(Format::Text),
+        [format] => *format,
+        many => many.get(index).copied().unwrap_or(Format::Text),
     }
 }
 
 fn encode_binary(kind: Kind, value: &Value) -> Result<Vec<u8>> {
     let bytes = match kind {
-        Kind::Integer => integer(value)?.to_be_bytes().to_vec(),
-        Kind::Float => float(value)?.to_be_bytes().to_vec(),
-        Kind::Bool => vec![u8::from(integer(value)? != 0)],
-        Kind::Text => plain(value)?.into_bytes(),
-        Kind::Bytes => raw(value)?,
-        Kind::Exact(NUMERIC) => exact::numeric(&plain(value)?)?,
-        Kind::Exact(DATE) => exact::date(&plain(value)?)?,
-        Kind::Exact(TIMESTAMP | TIMESTAMPTZ) => exact::timestamp(&plain(value)?)?,
-        Kind::Exact(UUID) => exact::uuid(&plain(value)?)?,
-        Kind::Exact(JSONB) => exact::jsonb(&plain(value)?),
-        Kind::Exact(_) => plain(value)?.into_bytes(),
+        Kind::Integer => to_integer(value)?.to_be_bytes().to_vec(),
+        Kind::Float => to_float(value)?.to_be_bytes().to_vec(),
+        Kind::Bool => vec![u8::from(to_integer(value)? != 0)],
+        Kind::Text => to_text(value)?.into_bytes(),
+        Kind::Bytes => to_bytes(value)?,
+        Kind::StoredAsText(NUMERIC) => binary::numeric(&to_text(value)?)?,
+        Kind::StoredAsText(DATE) => binary::date(&to_text(value)?)?,
+        Kind::StoredAsText(TIMESTAMP | TIMESTAMPTZ) => binary::timestamp(&to_text(value)?)?,
+        Kind::StoredAsText(UUID) => binary::uuid(&to_text(value)?)?,
+        Kind::StoredAsText(JSONB) => binary::jsonb(&to_text(value)?),
+        Kind::StoredAsText(_) => to_text(value)?.into_bytes(),
     };
     Ok(bytes)
 }
 
 fn encode_text(kind: Kind, value: &Value) -> Result<Vec<u8>> {
     let text = match kind {
-        Kind::Integer => integer(value)?.to_string(),
-        Kind::Float => float(value)?.to_string(),
-        Kind::Bool => if integer(value)? != 0 { "t" } else { "f" }.to_owned(),
-        Kind::Text | Kind::Exact(_) => plain(value)?,
-        Kind::Bytes => hex_text(&raw(value)?),
+        Kind::Integer => to_integer(value)?.to_string(),
+        Kind::Float => to_float(value)?.to_string(),
+        Kind::Bool => if to_integer(value)? != 0 { "t" } else { "f" }.to_owned(),
+        Kind::Text | Kind::StoredAsText(_) => to_text(value)?,
+        Kind::Bytes => format_bytea(&to_bytes(value)?),
     };
     Ok(text.into_bytes())
 }
 
-fn hex_text(bytes: &[u8]) -> String {
+fn format_bytea(bytes: &[u8]) -> String {
     let digits = bytes.iter().map(|byte| format!("{byte:02x}"));
     std::iter::once("\\x".to_owned()).chain(digits).collect()
 }
 
-fn integer(value: &Value) -> Result<i64> {
+fn to_integer(value: &Value) -> Result<i64> {
     match value {
         Value::Integer(value) => Ok(*value),
         Value::Real(value) if value.fract() == 0.0 => Ok(*value as i64),
-        _ => Err(mismatch(value)),
+        _ => Err(type_mismatch(value)),
     }
 }
 
-fn float(value: &Value) -> Result<f64> {
+fn to_float(value: &Value) -> Result<f64> {
     match value {
         Value::Integer(value) => Ok(*value as f64),
         Value::Real(value) => Ok(*value),
-        _ => Err(mismatch(value)),
+        _ => Err(type_mismatch(value)),
     }
 }
 
-fn plain(value: &Value) -> Result<String> {
+fn to_text(value: &Value) -> Result<String> {
     match value {
         Value::Integer(value) => Ok(value.to_string()),
         Value::Real(value) => Ok(value.to_string()),
         Value::Text(value) => Ok(value.clone()),
-        _ => Err(mismatch(value)),
+        _ => Err(type_mismatch(value)),
     }
 }
 
-fn raw(value: &Value) -> Result<Vec<u8>> {
+fn to_bytes(value: &Value) -> Result<Vec<u8>> {
     match value {
         Value::Text(value) => Ok(value.clone().into_bytes()),
         Value::Blob(value) => Ok(value.clone()),
-        _ => Err(mismatch(value)),
+        _ => Err(type_mismatch(value)),
     }
 }
 
-fn mismatch(value: &Value) -> Error {
+fn type_mismatch(value: &Value) -> Error {
     Error::new(sqlstate::MISMATCH, format!("{} does not fit its column", value.data_type()))
 }
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -1,8 +1,8 @@
-//! One connection of a target: the PostgreSQL protocol over a socket, on a thread of its own.
+//! PostgreSQL protocol session of one connection, on a thread of its own.
 //!
-//! Answers are collected and leave together, after each synchronisation point and whenever the
-//! input has run out. Faults act at two gates, before a message is handled and before answers
-//! leave, so that a paused target neither works nor speaks.
+//! Responses are buffered and sent together: after each `Sync` and whenever no input is left.
+//! Faults take effect at two points, before a message is handled and before responses are sent, so
+//! that a paused target neither executes statements nor responds.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -21,21 +21,22 @@
 use rusqlite::types::Value;
 
 use super::control::Control;
-use super::executor::{Answer, Executor, Status};
+use super::executor::{Executor, Response, Status};
 use super::row::{self, Column, Format, Oid};
 use super::sqlstate::{self, Error};
 use super::statement;
 use super::target::Target;
 use super::wire::{self, Wire};
 
-/// How often a stopped connection looks whether it may go on.
-const GATE_PERIOD: Duration = Duration::from_millis(1);
-/// Answers leave once they are this long.
-const OUTPUT_LIMIT: usize = 64 << 10;
+/// How often a blocked connection checks for the end of a fault.
+const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// Buffered responses are sent once they have this size.
+const OUTPUT_FLUSH_BYTES: usize = 64 << 10;
 
-const TARGET_STATEMENT: u8 = b'S';
+/// Marks a prepared statement, rather than a portal, in `Describe` and `Close`.
+const STATEMENT_TARGET_TYPE: u8 = b'S';
 
-/// One connection after its start.
+/// A connection whose startup handshake has finished.
 pub(crate) struct Session {
     target: Arc<Target>,
     control: Arc<Control>,
@@ -43,7 +44,7 @@
     wire: Wire,
     statements: BTreeMap<String, Prepared>,
     portals: BTreeMap<String, Portal>,
-    skipping: bool,
+    skipping_to_sync: bool,
 }
 
 struct Prepared {
@@ -58,23 +59,23 @@
     params: Vec<Value>,
     formats: Vec<Format>,
     described: Option<Vec<Column>>,
-    answer: Option<Answer>,
-    sent: usize,
+    response: Option<Response>,
+    rows_sent: usize,
 }
 
-/// Why a message could not be handled to its end.
+/// Why the handling of a message failed.
 #[derive(Debug, From)]
-enum Stop {
-    /// The statement failed; the connection goes on.
+enum MessageError {
+    /// The statement failed; the connection stays open.
     Statement(Error),
-    /// The connection has ended.
+    /// The connection failed.
     Connection(io::Error),
 }
 
-type Step = Result<(), Stop>;
+type MessageResult = Result<(), MessageError>;
 
 impl Session {
-    /// A session on a connection that has been admitted.
+    /// A session on a connection that is registered with the target.
     pub(crate) fn new(target: Arc<Target>, control: Arc<Control>, wire: Wire) -> Self {
         let executor = Executor::new(target.clone(), control.clone());
         Session {
@@ -84,96 +85,97 @@
             wire,
             statements: BTreeMap::new(),
             portals: BTreeMap::new(),
-            skipping: false,
+            skipping_to_sync: false,
         }
     }
 
-    /// Serves until either end closes.
+    /// Serves the connection until the caller or the target closes it.
     pub(crate) fn serve(&mut self) -> io::Result<()> {
-        self.ready();
+        self.send_ready();
         loop {
-            let Some(message) = self.next()? else { return Ok(()) };
-            self.pass()?;
+            let Some(message) = self.next_message()? else { return Ok(()) };
+            self.wait_until_available()?;
             match message {
                 Frontend::Terminate(_) => return Ok(()),
-                Frontend::Query(query) => self.simple(&query.query)?,
-                Frontend::Sync(_) => self.synchronise()?,
+                Frontend::Query(query) => self.handle_simple_query(&query.query)?,
+                Frontend::Sync(_) => self.handle_sync()?,
                 Frontend::Flush(_) => self.flush()?,
-                message if !self.skipping => {
-                    let step = self.extended(message);
-                    self.skipping = self.settle(step)?;
+                message if !self.skipping_to_sync => {
+                    let result = self.handle_extended(message);
+                    self.skipping_to_sync = self.report_failure(result)?;
                 }
                 _ => {}
             }
-            if self.wire.output.len() >= OUTPUT_LIMIT {
+            if self.wire.output.len() >= OUTPUT_FLUSH_BYTES {
                 self.flush()?;
             }
         }
     }
 
-    /// Answers a failed statement; true when there was one.
-    fn settle(&mut self, step: Step) -> io::Result<bool> {
-        match step {
+    /// Sends the error of a failed statement; true when there was one.
+    fn report_failure(&mut self, result: MessageResult) -> io::Result<bool> {
+        match result {
             Ok(()) => Ok(false),
-            Err(Stop::Connection(error)) => Err(error),
-            Err(Stop::Statement(error)) => {
+            Err(MessageError::Connection(error)) => Err(error),
+            Err(MessageError::Statement(error)) => {
                 self.executor.fail();
-                self.wire.error(&error, "ERROR");
+                self.wire.send_error(&error, "ERROR");
                 Ok(true)
             }
         }
     }
 
-    fn next(&mut self) -> io::Result<Option<Frontend>> {
+    fn next_message(&mut self) -> io::Result<Option<Frontend>> {
         loop {
             if let Some(message) = self.wire.decode()? {
                 return Ok(Some(message));
             }
             self.flush()?;
-            let idle = self.executor.busy().then_some(self.target.group.idle_timeout);
+            let idle = self.executor.has_transaction().then_some(self.target.group.idle_timeout);
             match self.wire.receive(idle) {
                 Ok(0) => return Ok(None),
-                Ok(_) => self.wire.delay_next(self.target.group.network_delay),
-                Err(error) if timed_out(&error) => return self.idle_out(),
+                Ok(_) => self.wire.delay_request(self.target.group.network_delay),
+                Err(error) if timed_out(&error) => return self.end_idle_transaction(),
                 Err(error) => return Err(error),
             }
-            self.pass()?;
+            self.wait_until_available()?;
         }
     }
 
-    fn idle_out(&mut self) -> io::Result<Option<Frontend>> {
-        self.executor.abandon();
+    fn end_idle_transaction(&mut self) -> io::Result<Option<Frontend>> {
+        self.executor.roll_back();
         let message = "terminating connection due to idle-in-transaction timeout";
-        self.wire.error(&Error::new(sqlstate::IDLE_TIMEOUT, message), "FATAL");
+        self.wire.send_error(&Error::new(sqlstate::IDLE_TIMEOUT, message), "FATAL");
         self.flush()?;
         Ok(None)
     }
 
-    /// Waits while the target does not answer; a silent connection never goes on.
-    fn pass(&mut self) -> io::Result<()> {
+    /// Waits while a fault keeps the target from serving callers; fails if the connection is closed
+    /// or, after discarding its input, if it is silent.
+    fn wait_until_available(&mut self) -> io::Result<()> {
         loop {
-            if self.control.closed() {
+            if self.control.is_closed() {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            if self.control.silent() {
-                self.swallow()?;
+            if self.control.is_silent() {
+                self.discard_input()?;
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            if self.target.switches.answers() {
+            if self.target.faults.serves_callers() {
                 return Ok(());
             }
-            std::thread::sleep(GATE_PERIOD);
+            std::thread::sleep(FAULT_POLL_INTERVAL);
         }
     }
 
-    /// Reads and drops everything until the caller closes; an open transaction ends by its idle
-    /// timeout.
-    fn swallow(&mut self) -> io::Result<()> {
+    /// Reads and discards all input until the caller closes the connection; an open transaction is
+    /// rolled back after the idle timeout.
+    fn discard_input(&mut self) -> io::Result<()> {
         loop {
             match self.wire.receive(Some(self.target.group.idle_timeout)) {
                 Ok(0) => return Ok(()),
                 Ok(_) => self.wire.input.clear(),
-                Err(error) if timed_out(&error) => self.executor.abandon(),
+                Err(error) if timed_out(&error) => self.executor.roll_back(),
                 Err(error) => return Err(error),
             }
         }
@@ -183,12 +185,12 @@
         if self.wire.output.is_empty() {
             return Ok(());
         }
-        self.wire.delay(self.target.group.network_delay);
-        self.pass()?;
+        self.wire.delay_response(self.target.group.network_delay);
+        self.wait_until_available()?;
         self.wire.flush()
     }
 
-    fn ready(&mut self) {
+    fn send_ready(&mut self) {
         let status = match self.executor.status() {
             Status::Idle => TransactionStatus::Idle,
             Status::Open => TransactionStatus::Transaction,
@@ -197,71 +199,77 @@
         self.wire.send(Backend::ReadyForQuery(ReadyForQuery::new(status)));
     }
 
-    fn synchronise(&mut self) -> io::Result<()> {
-        if let Err(error) = self.executor.synchronise() {
-            self.wire.error(&error, "ERROR");
+    fn handle_sync(&mut self) -> io::Result<()> {
+        if let Err(error) = self.executor.end_implicit_transaction() {
+            self.wire.send_error(&error, "ERROR");
         }
         if self.executor.status() == Status::Idle {
             self.portals.clear();
         }
-        self.end()
+        self.finish_exchange()
     }
 
-    fn simple(&mut self, text: &str) -> io::Result<()> {
-        let step = self.simple_statements(text);
-        self.settle(step)?;
-        self.end()
+    fn handle_simple_query(&mut self, text: &str) -> io::Result<()> {
+        let result = self.run_simple_query(text);
+        self.report_failure(result)?;
+        self.finish_exchange()
     }
 
-    /// Ends what a synchronisation point or a simple query ends.
-    fn end(&mut self) -> io::Result<()> {
+    /// Completes a `Sync` or a simple query.
+    fn finish_exchange(&mut self) -> io::Result<()> {
         self.control.finish();
-        self.skipping = false;
-        self.ready();
+        self.skipping_to_sync = false;
+        self.send_ready();
         self.flush()
     }
 
-    /// The last statement's tag leaves only after the implicit transaction has ended well.
-    fn simple_statements(&mut self, text: &str) -> Step {
-        let parts = statement::split(text);
-        if parts.is_empty() {
+    /// Runs the statements of a simple query. The last command tag is sent only after the implicit
+    /// transaction has committed.
+    fn run_simple_query(&mut self, text: &str) -> MessageResult {
+        let statements = statement::split_statements(text);
+        if statements.is_empty() {
             self.wire.send(Backend::EmptyQueryResponse(EmptyQueryResponse::new()));
         }
-        for (at, sql) in parts.iter().enumerate() {
-            let Answer { outcome, tag } = self.executor.run(sql, &[])?;
+        for (index, sql) in statements.iter().enumerate() {
+            let Response { outcome, tag } = self.executor.run(sql, &[])?;
             if !outcome.columns.is_empty() {
-                self.wire.send(wire::describe(&outcome.columns, &[]));
+                self.wire.send(wire::row_description(&outcome.columns, &[]));
             }
-            self.rows(&outcome.columns, &[], &outcome.rows)?;
-            if at + 1 == parts.len() {
-                self.executor.synchronise()?;
+            self.send_rows(&outcome.columns, &[], &outcome.rows)?;
+            if index + 1 == statements.len() {
+                self.executor.end_implicit_transaction()?;
             }
             self.wire.send(Backend::CommandComplete(CommandComplete::new(tag)));
         }
         Ok(())
     }
 
-    /// Sends rows, as long as the statement is not to end.
-    fn rows(&mut self, columns: &[Column], formats: &[Format], rows: &[Vec<Value>]) -> Step {
+    /// Sends rows, unless the statement is interrupted.
+    fn send_rows(
+        &mut self,
+        columns: &[Column],
+        formats: &[Format],
+        rows: &[Vec<Value>],
+    ) -> MessageResult {
         for row in rows {
-            self.wire.row(columns, formats, row)?;
-            if self.wire.output.len() >= OUTPUT_LIMIT {
+            self.wire.send_row(columns, formats, row)?;
+            if self.wire.output.len() >= OUTPUT_FLUSH_BYTES {
                 self.flush()?;
-                self.control.check()?;
+                self.control.check_interrupts()?;
             }
         }
         Ok(())
     }
 
-    fn extended(&mut self, message: Frontend) -> Step {
+    fn handle_extended(&mut self, message: Frontend) -> MessageResult {
         match message {
-            Frontend::Parse(parse) => self.parse(parse),
-            Frontend::Bind(bind) => self.bind(bind)?,
-            Frontend::Describe(describe) => self.describe(&describe)?,
-            Frontend::Execute(execute) => self.execute(&execute)?,
+            Frontend::Parse(parse) => self.handle_parse(parse),
+            Frontend::Bind(bind) => self.handle_bind(bind)?,
+            Frontend::Describe(describe) => self.handle_describe(&describe)?,
+            Frontend::Execute(execute) => self.handle_execute(&execute)?,
             Frontend::Close(close) => {
                 let name = close.name.unwrap_or_default();
-                if close.target_type == TARGET_STATEMENT {
+                if close.target_type == STATEMENT_TARGET_TYPE {
                     self.statements.remove(&name);
                 } else {
                     self.portals.remove(&name);
@@ -273,42 +281,42 @@
         Ok(())
     }
 
-    fn parse(&mut self, parse: Parse) {
+    fn handle_parse(&mut self, parse: Parse) {
         let prepared = Prepared { sql: parse.query, types: parse.type_oids, described: None };
         self.statements.insert(parse.name.unwrap_or_default(), prepared);
         self.wire.send(Backend::ParseComplete(ParseComplete::new()));
     }
 
-    fn bind(&mut self, bind: Bind) -> Step {
+    fn handle_bind(&mut self, bind: Bind) -> MessageResult {
         let statement = bind.statement_name.unwrap_or_default();
-        let prepared = self.statements.get(&statement).ok_or_else(|| unknown(&statement))?;
-        let codes = formats(&bind.parameter_format_codes);
-        let params = bind.parameters.iter().enumerate().map(|(at, bytes)| {
-            let oid = prepared.types.get(at).copied().unwrap_or(0);
-            row::decode(oid, row::format_at(&codes, at), bytes.as_ref())
+        let prepared = self.statements.get(&statement).ok_or_else(|| unknown_name(&statement))?;
+        let parameter_formats = decode_formats(&bind.parameter_format_codes);
+        let params = bind.parameters.iter().enumerate().map(|(index, bytes)| {
+            let oid = prepared.types.get(index).copied().unwrap_or(0);
+            row::decode(oid, row::format_at(&parameter_formats, index), bytes.as_ref())
         });
         let portal = Portal {
             params: params.collect::<Result<Vec<Value>, Error>>()?,
-            formats: formats(&bind.result_column_format_codes),
+            formats: decode_formats(&bind.result_column_format_codes),
             sql: prepared.sql.clone(),
             described: prepared.described.clone(),
             statement,
-            answer: None,
-            sent: 0,
+            response: None,
+            rows_sent: 0,
         };
         self.portals.insert(bind.portal_name.unwrap_or_default(), portal);
         self.wire.send(Backend::BindComplete(BindComplete::new()));
         Ok(())
     }
 
-    /// A statement that is bound already is run now, so that its values tell the types that no
-    /// declaration gives.
-    fn describe(&mut self, describe: &Describe) -> Step {
+    /// Describes a statement or portal. If the statement is already bound, its portal is run first,
+    /// so that values give the types that table declarations leave open.
+    fn handle_describe(&mut self, describe: &Describe) -> MessageResult {
         let name = describe.name.clone().unwrap_or_default();
-        if describe.target_type != TARGET_STATEMENT {
+        if describe.target_type != STATEMENT_TARGET_TYPE {
             return self.describe_portal(&name);
         }
-        let prepared = self.statements.get(&name).ok_or_else(|| unknown(&name))?;
+        let prepared = self.statements.get(&name).ok_or_else(|| unknown_name(&name))?;
         let types = row::parameter_types(&prepared.sql, &prepared.types);
         self.wire.send(Backend::ParameterDescription(ParameterDescription::new(types.clone())));
         let bound = self.portals.iter().find(|(_, portal)| portal.statement == name);
@@ -318,42 +326,42 @@
         }
         let sql = prepared.sql.clone();
         let columns = self.executor.describe(&sql, types.len())?;
-        self.wire.columns(&columns, &[]);
+        self.wire.send_description(&columns, &[]);
         if let Some(prepared) = self.statements.get_mut(&name) {
             prepared.described = Some(columns);
         }
         Ok(())
     }
 
-    fn describe_portal(&mut self, name: &str) -> Step {
-        let portal = self.portals.get_mut(name).ok_or_else(|| unknown(name))?;
-        run(&mut self.executor, portal)?;
-        let columns = portal.answer.as_ref().map(|answer| answer.outcome.columns.as_slice());
-        self.wire.columns(columns.unwrap_or_default(), &portal.formats);
+    fn describe_portal(&mut self, name: &str) -> MessageResult {
+        let portal = self.portals.get_mut(name).ok_or_else(|| unknown_name(name))?;
+        run_portal(&mut self.executor, portal)?;
+        let columns = portal.response.as_ref().map(|response| response.outcome.columns.as_slice());
+        self.wire.send_description(columns.unwrap_or_default(), &portal.formats);
         Ok(())
     }
 
-    fn execute(&mut self, execute: &Execute) -> Step {
+    fn handle_execute(&mut self, execute: &Execute) -> MessageResult {
         let name = execute.name.clone().unwrap_or_default();
-        let mut portal = self.portals.remove(&name).ok_or_else(|| unknown(&name))?;
-        run(&mut self.executor, &mut portal)?;
-        self.fetch(&mut portal, execute.max_rows)?;
+        let mut portal = self.portals.remove(&name).ok_or_else(|| unknown_name(&name))?;
+        run_portal(&mut self.executor, &mut portal)?;
+        self.send_portal_rows(&mut portal, execute.max_rows)?;
         self.portals.insert(name, portal);
         Ok(())
     }
 
-    /// Sends the next rows of a portal, all of them where `limit` is 0.
-    fn fetch(&mut self, portal: &mut Portal, limit: i32) -> Step {
-        let Some(Answer { outcome, tag }) = &portal.answer else { return Ok(()) };
+    /// Sends the next rows of a portal, at most `limit` of them; 0 means all.
+    fn send_portal_rows(&mut self, portal: &mut Portal, limit: i32) -> MessageResult {
+        let Some(Response { outcome, tag }) = &portal.response else { return Ok(()) };
         if tag.is_empty() {
             self.wire.send(Backend::EmptyQueryResponse(EmptyQueryResponse::new()));
             return Ok(());
         }
-        let rows = &outcome.rows[portal.sent..];
+        let rows = &outcome.rows[portal.rows_sent..];
         let limit = usize::try_from(limit).ok().filter(|limit| *limit > 0);
         let count = limit.map_or(rows.len(), |limit| limit.min(rows.len()));
-        self.rows(&outcome.columns, &portal.formats, &rows[..count])?;
-        portal.sent += count;
+        self.send_rows(&outcome.columns, &portal.formats, &rows[..count])?;
+        portal.rows_sent += count;
         if limit == Some(count) {
             self.wire.send(Backend::PortalSuspended(PortalSuspended::new()));
         } else {
@@ -363,24 +371,24 @@
     }
 }
 
-/// Runs a portal, once. Columns that were described before keep their types.
-fn run(executor: &mut Executor, portal: &mut Portal) -> Step {
-    if portal.answer.is_some() {
+/// Runs a portal, unless it has run already. Columns that were described keep their types.
+fn run_portal(executor: &mut Executor, portal: &mut Portal) -> MessageResult {
+    if portal.response.is_some() {
         return Ok(());
     }
-    let mut answer = executor.run(&portal.sql, &portal.params)?;
+    let mut response = executor.run(&portal.sql, &portal.params)?;
     if let Some(described) = portal.described.take() {
-        answer.outcome.columns = described;
+        response.outcome.columns = described;
     }
-    portal.answer = Some(answer);
+    portal.response = Some(response);
     Ok(())
 }
 
-fn unknown(name: &str) -> Error {
+fn unknown_name(name: &str) -> Error {
     Error::new("26000", format!("statement or portal \"{name}\" does not exist"))
 }
 
-fn formats(codes: &[i16]) -> Vec<Format> {
+fn decode_formats(codes: &[i16]) -> Vec<Format> {
     let format = |code: &i16| if *code == 1 { Format::Binary } else { Format::Text };
     codes.iter().map(format).collect()
 }
--- a/crates/standin/src/group/shared.rs
+++ b/crates/standin/src/group/shared.rs
@@ -1,4 +1,4 @@
-//! What the targets of a group share: delays, links and each other.
+//! State that the targets of a group share: settings, partitions, and references to each other.
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,85 +8,86 @@
 use super::target::Target;
 use crate::sync::lock;
 
-/// Links and settings of a group.
+/// Shared state of a group.
 #[derive(Debug)]
 pub(crate) struct Shared {
-    /// Delay one way between targets.
+    /// One-way delay between targets.
     pub(crate) replication_delay: Duration,
-    /// Time between two heartbeats of a primary.
-    pub(crate) heartbeat: Duration,
-    /// Connections of a target, at first.
+    /// Interval between two heartbeats of a primary.
+    pub(crate) heartbeat_interval: Duration,
+    /// Initial maximum number of connections of a target.
     pub(crate) connection_limit: u64,
-    /// Delay of a new connection.
+    /// Delay added to the setup of a connection.
     pub(crate) connect_delay: Duration,
-    /// Delay one way between a target and its callers.
+    /// One-way delay between a target and its callers.
     pub(crate) network_delay: Duration,
-    /// How long a transaction may be idle.
+    /// Time after which an idle transaction is rolled back and its connection closed.
     pub(crate) idle_timeout: Duration,
     targets: OnceLock<Vec<Weak<Target>>>,
-    cuts: Mutex<BTreeSet<(usize, usize)>>,
+    /// Pairs of target numbers, the lower one first.
+    partitioned_links: Mutex<BTreeSet<(usize, usize)>>,
     ended: AtomicBool,
 }
 
 impl Shared {
-    /// Settings of a group whose targets are not known yet.
+    /// Shared state without targets; `set_targets` adds them.
     pub(crate) fn new(options: &super::Options) -> Self {
         Shared {
             replication_delay: options.replication_delay,
-            heartbeat: options.heartbeat,
+            heartbeat_interval: options.heartbeat_interval,
             connection_limit: options.connection_limit,
             connect_delay: options.connect_delay,
             network_delay: options.network_delay,
             idle_timeout: options.idle_timeout,
             targets: OnceLock::new(),
-            cuts: Mutex::default(),
+            partitioned_links: Mutex::default(),
             ended: AtomicBool::new(false),
         }
     }
 
-    /// Makes the targets known to each other, once.
+    /// Sets the targets; must be called once.
     pub(crate) fn set_targets(&self, targets: &[Arc<Target>]) {
         let weak = targets.iter().map(Arc::downgrade).collect();
         self.targets.set(weak).expect("targets are set once");
     }
 
-    /// Targets in the group.
+    /// Number of targets in the group.
     pub(crate) fn size(&self) -> usize {
         self.targets.get().map_or(0, Vec::len)
     }
 
-    /// A target, while the group lives.
+    /// A target by number; none once the group is dropped.
     pub(crate) fn target(&self, number: usize) -> Option<Arc<Target>> {
         self.targets.get()?.get(number)?.upgrade()
     }
 
-    /// Whether the link between two targets is cut.
-    pub(crate) fn cut(&self, a: usize, b: usize) -> bool {
-        lock(&self.cuts).contains(&(a.min(b), a.max(b)))
+    /// Whether two targets are partitioned from each other.
+    pub(crate) fn is_partitioned(&self, a: usize, b: usize) -> bool {
+        lock(&self.partitioned_links).contains(&(a.min(b), a.max(b)))
     }
 
-    /// Cuts or heals the link between two targets, both ways.
-    pub(crate) fn set_cut(&self, a: usize, b: usize, cut: bool) {
+    /// Partitions two targets from each other, in both directions, or ends that.
+    pub(crate) fn set_partitioned(&self, a: usize, b: usize, partitioned: bool) {
         let link = (a.min(b), a.max(b));
-        let mut cuts = lock(&self.cuts);
-        if cut {
-            cuts.insert(link);
+        let mut partitioned_links = lock(&self.partitioned_links);
+        if partitioned {
+            partitioned_links.insert(link);
         } else {
-            cuts.remove(&link);
+            partitioned_links.remove(&link);
         }
     }
 
-    /// Heals all links of a target.
+    /// Ends all partitions of a target.
     pub(crate) fn heal(&self, target: usize) {
-        lock(&self.cuts).retain(|link| link.0 != target && link.1 != target);
+        lock(&self.partitioned_links).retain(|link| link.0 != target && link.1 != target);
     }
 
-    /// Whether the group has ended.
-    pub(crate) fn ended(&self) -> bool {
+    /// Whether the group's threads must exit.
+    pub(crate) fn has_ended(&self) -> bool {
         self.ended.load(Ordering::SeqCst)
     }
 
-    /// Ends the group's threads.
+    /// Makes the group's threads exit.
     pub(crate) fn end(&self) {
         self.ended.store(true, Ordering::SeqCst);
     }
--- a/crates/standin/src/group/sqlstate.rs
+++ b/crates/standin/src/group/sqlstate.rs
@@ -1,43 +1,43 @@
-//! Failures of a statement as its caller sees them: a SQLSTATE and a message.
+//! Errors of statements as reported to callers: a SQLSTATE and a message.
 
 use derive_more::{Display, Error};
 use rusqlite::ErrorCode;
 use rusqlite::ffi;
 
-/// Five-character code of the failure.
+/// Five-character SQLSTATE code.
 pub type Code = &'static str;
 
-/// The target has been superseded; nothing was committed.
+/// The target is no longer the primary of the accepted term; nothing was committed.
 pub const SUPERSEDED: Code = "BV001";
-/// The primary holds new write transactions; nothing was run.
+/// New write transactions are on hold at the primary; the statement was not run.
 pub const HELD: Code = "BV002";
-/// A write on a target or session that only reads.
+/// A write on a replica, or in a read-only session or transaction.
 pub const READ_ONLY: Code = "25006";
-/// A statement in a transaction that has failed.
+/// A statement in a failed transaction.
 pub const ABORTED: Code = "25P02";
-/// A transaction was idle for too long.
+/// A transaction exceeded the idle timeout.
 pub const IDLE_TIMEOUT: Code = "25P03";
-/// A cancel request or the statement timeout ended the statement.
+/// A cancel request or the statement timeout interrupted the statement.
 pub const CANCELED: Code = "57014";
-/// The target is going down.
+/// The connection was closed by the target, which was killed, demoted or rebuilt.
 pub const SHUTDOWN: Code = "57P01";
-/// The target's connections are used up.
+/// The target's connection limit is reached.
 pub const TOO_MANY_CONNECTIONS: Code = "53300";
-/// A result is larger than the target may hold.
+/// The result exceeds the size limit.
 pub const TOO_LARGE: Code = "54000";
-/// The protocol was not kept.
+/// The caller violated the protocol.
 pub const PROTOCOL: Code = "08P01";
-/// A parameter or value does not fit its type.
+/// A parameter or value can't be parsed as its type.
 pub const INVALID_TEXT: Code = "22P02";
-/// A value does not fit its column's type.
+/// A value can't be converted to its column's type.
 pub const MISMATCH: Code = "42804";
-/// Something that the stand-in does not do.
+/// The stand-in does not support the statement, function or parameter type.
 pub const UNSUPPORTED: Code = "0A000";
-/// No such function.
+/// The function does not exist, or not with these arguments.
 pub const UNKNOWN_FUNCTION: Code = "42883";
-/// The statement cannot be parsed.
+/// The statement can't be parsed.
 pub const SYNTAX: Code = "42601";
-/// Disk of a poisoned target.
+/// Simulated disk failure of a poisoned target.
 pub const IO: Code = "58030";
 const UNKNOWN_TABLE: Code = "42P01";
 const UNKNOWN_COLUMN: Code = "42703";
@@ -48,21 +48,21 @@
 const CHECK: Code = "23514";
 const INTERNAL: Code = "XX000";
 
-/// Failure of one statement.
+/// Error of a statement.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 #[display("{code}: {message}")]
 pub struct Error {
     /// SQLSTATE.
     pub code: Code,
-    /// For people.
+    /// Human-readable message.
     pub message: String,
 }
 
-/// Result of one statement.
+/// Result of a statement.
 pub type Result<T> = std::result::Result<T, Error>;
 
 impl Error {
-    /// A failure with its code.
+    /// An error with a SQLSTATE and a message.
     pub fn new(code: Code, message: impl Into<String>) -> Self {
         Error { code, message: message.into() }
     }
@@ -100,7 +100,7 @@
     }
 }
 
-/// SQLite tells these apart by their message alone.
+/// Code of an error that SQLite distinguishes only by its message.
 fn message_code(message: &str) -> Code {
     const CODES: [(&str, Code); 9] = [
         ("not authorized", UNSUPPORTED),
--- a/crates/standin/src/group/statement.rs
+++ b/crates/standin/src/group/statement.rs
@@ -1,5 +1,5 @@
-//! What a statement asks of a target: plain SQL, transaction control, settings, or one of the
-//! group functions.
+//! Classification of statements: SQL for SQLite, transaction control, settings, or a call of a
+//! group function.
 
 use std::time::Duration;
 
@@ -7,27 +7,27 @@
 
 use super::sqlstate::{self, Error, Result};
 
-/// A statement by what it does.
+/// A parsed statement.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Command {
-    /// Nothing but spaces and comments.
+    /// Only whitespace, semicolons and comments.
     Empty,
-    /// Starts a transaction.
+    /// `BEGIN` or `START TRANSACTION`.
     Begin {
-        /// It may not write.
+        /// `READ ONLY`: the transaction rejects writes.
         read_only: bool,
     },
-    /// Ends the transaction.
+    /// `COMMIT` or `END`.
     Commit,
-    /// Gives the transaction up.
+    /// `ROLLBACK` or `ABORT`.
     Rollback,
-    /// Changes a setting of the session.
+    /// `SET`, `RESET`, `DISCARD` or `DEALLOCATE`.
     Set(Setting),
-    /// A group function.
+    /// `SELECT * FROM group_...(...)`.
     Call(Call),
     /// `SELECT pg_sleep(x)`.
     Sleep(Argument),
-    /// Anything for SQLite.
+    /// Any other statement, which SQLite executes.
     Sql,
 }
 
@@ -36,32 +36,31 @@
 pub(crate) enum Setting {
     /// `default_transaction_read_only`.
     ReadOnly(bool),
-    /// `statement_timeout`; none is no limit.
+    /// `statement_timeout`; none means no timeout.
     Timeout(Option<Duration>),
-    /// Any other, without effect.
+    /// Any other setting; it has no effect.
     Other,
 }
 
-/// A group function with its arguments.
+/// A call of a group function.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Call {
-    /// Name without `group_`.
+    /// Function name without the prefix `group_`.
     pub(crate) name: String,
-    /// Arguments.
     pub(crate) arguments: Vec<Argument>,
 }
 
-/// An argument: a number or a parameter.
+/// An argument of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Argument {
-    /// Written in the statement.
+    /// A literal number.
     Number(f64),
-    /// `$n`, from 1.
+    /// A parameter `$n`; n starts at 1.
     Parameter(usize),
 }
 
 impl Argument {
-    /// Its value as an integer.
+    /// Evaluates the argument as an integer.
     pub(crate) fn integer(self, params: &[Value]) -> Result<i64> {
         match self.value(params)? {
             Value::Integer(value) => Ok(value),
@@ -71,7 +70,7 @@
         }
     }
 
-    /// Its value as a float.
+    /// Evaluates the argument as a float.
     pub(crate) fn float(self, params: &[Value]) -> Result<f64> {
         match self.value(params)? {
             Value::Integer(value) => Ok(value as f64),
@@ -95,9 +94,9 @@
     Error::new(sqlstate::INVALID_TEXT, "the argument is not a number")
 }
 
-/// Tells what a statement asks for.
+/// Parses one statement as far as needed to classify it.
 pub(crate) fn parse(sql: &str) -> Result<Command> {
-    let text = strip(sql).to_ascii_lowercase();
+    let text = strip_comments(sql).to_ascii_lowercase();
     let words: Vec<&str> = text.split_whitespace().collect();
     let read_only = text.contains("read only");
     let command = match words.as_slice() {
@@ -105,27 +104,27 @@
         ["begin", ..] | ["start", "transaction", ..] => Command::Begin { read_only },
         ["commit", ..] | ["end", ..] => Command::Commit,
         ["rollback", "to", ..] | ["savepoint", ..] | ["release", ..] => {
-            return Err(Error::new(sqlstate::UNSUPPORTED, "savepoints"));
+            return Err(Error::new(sqlstate::UNSUPPORTED, "savepoints are not supported"));
         }
         ["rollback", ..] | ["abort", ..] => Command::Rollback,
-        ["set", rest @ ..] => Command::Set(setting(&rest.join(" "))?),
+        ["set", rest @ ..] => Command::Set(parse_setting(&rest.join(" "))?),
         ["reset" | "discard" | "deallocate", ..] => Command::Set(Setting::Other),
         ["pragma" | "attach" | "detach" | "vacuum" | "reindex" | "analyze", ..] => {
             return Err(Error::new(sqlstate::SYNTAX, format!("syntax error at {}", words[0])));
         }
-        ["select", ..] => select(&text)?,
+        ["select", ..] => parse_select(&text)?,
         _ => Command::Sql,
     };
     Ok(command)
 }
 
-/// The command tag that ends the answer.
-pub(crate) fn tag(sql: &str, wrote: bool, affected: u64, rows: usize) -> String {
-    let text = strip(sql).to_ascii_uppercase();
+/// Command tag of a completed statement.
+pub(crate) fn command_tag(sql: &str, is_write: bool, affected: u64, rows: usize) -> String {
+    let text = strip_comments(sql).to_ascii_uppercase();
     let mut words = text.split_whitespace();
     let first = words.next().unwrap_or_default();
     match first {
-        _ if !wrote => format!("SELECT {rows}"),
+        _ if !is_write => format!("SELECT {rows}"),
         "INSERT" | "REPLACE" => format!("INSERT 0 {affected}"),
         "UPDATE" | "DELETE" => format!("{first} {affected}"),
         "WITH" => format!("UPDATE {affected}"),
@@ -133,14 +132,14 @@
     }
 }
 
-fn select(text: &str) -> Result<Command> {
+fn parse_select(text: &str) -> Result<Command> {
     if let Some(call) = text.strip_prefix("select * from group_") {
-        let (name, arguments) = call_parts(call)
+        let (name, arguments) = parse_call(call)
             .ok_or_else(|| Error::new(sqlstate::SYNTAX, "syntax error in a group function"))?;
         return Ok(Command::Call(Call { name, arguments }));
     }
     if let Some(call) = text.strip_prefix("select pg_sleep") {
-        let parts = call_parts(&format!("pg_sleep{call}"));
+        let parts = parse_call(&format!("pg_sleep{call}"));
         if let Some((_, arguments)) = parts
             && let [argument] = arguments.as_slice()
         {
@@ -150,18 +149,18 @@
     Ok(Command::Sql)
 }
 
-/// Name and arguments of `name(a, b)`, if it is nothing more.
-fn call_parts(text: &str) -> Option<(String, Vec<Argument>)> {
+/// Name and arguments of a call `name(a, b)`; none for anything else.
+fn parse_call(text: &str) -> Option<(String, Vec<Argument>)> {
     let (name, rest) = text.split_once('(')?;
     let inner = rest.trim().strip_suffix(')')?.trim();
     if inner.is_empty() {
         return Some((name.trim().to_owned(), Vec::new()));
     }
-    let arguments = inner.split(',').map(|part| argument(part.trim()));
+    let arguments = inner.split(',').map(|part| parse_argument(part.trim()));
     Some((name.trim().to_owned(), arguments.collect::<Option<Vec<Argument>>>()?))
 }
 
-fn argument(text: &str) -> Option<Argument> {
+fn parse_argument(text: &str) -> Option<Argument> {
     let text = text.split("::").next().unwrap_or(text).trim();
     match text.strip_prefix('$') {
         Some(number) => number.parse().ok().filter(|number| *number > 0).map(Argument::Parameter),
@@ -169,18 +168,18 @@
     }
 }
 
-fn setting(text: &str) -> Result<Setting> {
+fn parse_setting(text: &str) -> Result<Setting> {
     let text = text.strip_prefix("session ").unwrap_or(text);
     let text = text.replace(" to ", "=").replace(['\'', ' '], "");
     let (name, value) = text.split_once('=').unwrap_or((&text, ""));
     match name {
-        "default_transaction_read_only" => Ok(Setting::ReadOnly(read_only(value)?)),
-        "statement_timeout" => Ok(Setting::Timeout(timeout(value)?)),
+        "default_transaction_read_only" => Ok(Setting::ReadOnly(parse_switch(value)?)),
+        "statement_timeout" => Ok(Setting::Timeout(parse_timeout(value)?)),
         _ => Ok(Setting::Other),
     }
 }
 
-fn read_only(value: &str) -> Result<bool> {
+fn parse_switch(value: &str) -> Result<bool> {
     match value {
         "on" | "true" | "1" => Ok(true),
         "off" | "false" | "0" => Ok(false),
@@ -188,7 +187,7 @@
     }
 }
 
-fn timeout(value: &str) -> Result<Option<Duration>> {
+fn parse_timeout(value: &str) -> Result<Option<Duration>> {
     let (digits, unit) = match value.strip_suffix("ms") {
         Some(digits) => (digits, 1),
         None => match value.strip_suffix('s') {
@@ -201,11 +200,11 @@
 }
 
 fn invalid_setting(value: &str) -> Error {
-    Error::new("22023", format!("invalid value of a setting: {value}"))
+    Error::new("22023", format!("invalid value for a setting: {value}"))
 }
 
-/// Takes spaces, semicolons and comments off both ends.
-fn strip(sql: &str) -> &str {
+/// Strips leading comments, trailing semicolons, and whitespace at both ends.
+fn strip_comments(sql: &str) -> &str {
     let mut text = sql.trim().trim_end_matches([';', ' ', '\n', '\t', '\r']);
     loop {
         let rest = match (text.starts_with("--"), text.starts_with("/*")) {
@@ -217,8 +216,8 @@
     }
 }
 
-/// Splits the text of a simple query into statements.
-pub(crate) fn split(sql: &str) -> Vec<&str> {
+/// Splits the text of a simple query into statements and drops the empty ones.
+pub(crate) fn split_statements(sql: &str) -> Vec<&str> {
     let mut parts = Vec::new();
     let mut start = 0;
     let mut scan = Scan::Plain;
@@ -246,19 +245,21 @@
         at += 1;
     }
     parts.push(&sql[start..]);
-    parts.retain(|part| !strip(part).is_empty());
+    parts.retain(|part| !strip_comments(part).is_empty());
     parts
 }
 
 #[derive(Clone, Copy)]
+/// Lexical context of a byte; `Line` and `Block` are comments.
 enum Scan {
     Plain,
+    /// Between two of these quote bytes.
     Quote(u8),
     Line,
     Block,
 }
 
-/// Highest number of a `$n` parameter outside quotes.
+/// Highest number of a `$n` parameter outside single quotes; 0 if there is none.
 pub(crate) fn parameter_count(sql: &str) -> usize {
     let unquoted = sql.split('\'').step_by(2);
     let numbers = unquoted.flat_map(|part| part.split('$').skip(1)).map(leading_number);
--- a/crates/standin/src/group/target.rs
+++ b/crates/standin/src/group/target.rs
@@ -1,8 +1,7 @@
-//! One target of a group: its state, its data and its connections.
+//! One target of a group: its replication state, its data and its connections.
 //!
-//! Locks are taken in this order: the writer's copy, the committed data, the state, the
-//! connections. A commit holds the first three, so that the check of the term and the append are
-//! one step.
+//! Lock order: the writer's copy, the committed data, the state, the connections. A commit holds
+//! the first three, so that the check of the term and the append are atomic.
 
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpStream};
@@ -20,101 +19,93 @@
 use super::writer::{Transaction, Writer};
 use crate::sync::lock;
 
-/// Entries applied under one lock.
-const APPLY_BATCH: usize = 64;
+/// Bounds how long the data and the state stay locked while entries are applied.
+const MAX_APPLY_BATCH_ENTRIES: usize = 64;
 
-/// Faults of a target that are on or off.
+/// Injected faults of a target.
 #[derive(Debug, Default)]
-pub(crate) struct Switches {
+pub(crate) struct Faults {
     stopped: AtomicBool,
     paused: AtomicBool,
-    /// Callers reach the target no more; other targets do.
-    pub(crate) callers_cut: AtomicBool,
-    /// Statements fail while probes pass.
+    /// Callers are partitioned from the target; other targets are not.
+    pub(crate) callers_blocked: AtomicBool,
+    /// Statements fail with an I/O error, while group functions and `SELECT 1` succeed.
     pub(crate) poisoned: AtomicBool,
-    /// Commits to come whose connection goes silent after the effect.
-    lost_answers: AtomicU64,
+    /// Number of coming commits whose response is dropped after they took effect.
+    commit_responses_to_drop: AtomicU64,
 }
 
-impl Switches {
-    /// Whether the target is up.
-    pub(crate) fn running(&self) -> bool {
+impl Faults {
+    /// Whether the target is up, possibly paused.
+    pub(crate) fn is_running(&self) -> bool {
         !self.stopped.load(Ordering::SeqCst)
     }
 
-    /// Whether the target is frozen.
-    pub(crate) fn paused(&self) -> bool {
+    pub(crate) fn is_paused(&self) -> bool {
         self.paused.load(Ordering::SeqCst)
     }
 
-    /// Whether the target works at all.
-    pub(crate) fn passes(&self) -> bool {
-        self.running() && !self.paused()
+    /// Whether the target is up and not paused.
+    pub(crate) fn is_active(&self) -> bool {
+        self.is_running() && !self.is_paused()
     }
 
-    /// Whether the target answers its callers.
-    pub(crate) fn answers(&self) -> bool {
-        self.passes() && !self.callers_cut.load(Ordering::SeqCst)
+    /// Whether the target is active and its callers can reach it.
+    pub(crate) fn serves_callers(&self) -> bool {
+        self.is_active() && !self.callers_blocked.load(Ordering::SeqCst)
     }
 
-    /// Freezes or thaws.
     pub(crate) fn set_paused(&self, paused: bool) {
         self.paused.store(paused, Ordering::SeqCst);
     }
 
-    /// The next `count` commits take effect and are not answered.
-    pub(crate) fn lose_answers(&self, count: u64) {
-        self.lost_answers.store(count, Ordering::SeqCst);
+    /// Drops the responses of the next `count` commits, which still take effect.
+    pub(crate) fn drop_commit_responses(&self, count: u64) {
+        self.commit_responses_to_drop.store(count, Ordering::SeqCst);
     }
 
-    /// Whether the answer to this commit is lost; counts it.
-    fn loses_answer(&self) -> bool {
-        let less = |count: u64| count.checked_sub(1);
-        self.lost_answers.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok()
+    /// Whether to drop the response of this commit; decrements the count.
+    fn take_response_drop(&self) -> bool {
+        let decrement = |count: u64| count.checked_sub(1);
+        self.commit_responses_to_drop
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, decrement)
+            .is_ok()
     }
 
-    /// Takes the target down or up.
     pub(crate) fn set_running(&self, running: bool) {
         self.stopped.store(!running, Ordering::SeqCst);
     }
 }
 
-/// A connection as others see it.
+/// Handle by which other threads close or cancel a connection.
 #[derive(Debug)]
-pub(crate) struct Handle {
-    /// Ends its statement.
+pub(crate) struct ConnectionHandle {
     pub(crate) control: Arc<Control>,
-    /// Secret of its cancel requests.
+    /// Secret that a cancel request must carry.
     pub(crate) secret: i32,
     stream: TcpStream,
 }
 
-/// One target.
 pub(crate) struct Target {
-    /// Number in the group.
     pub(crate) number: usize,
-    /// What the targets of the group share.
     pub(crate) group: Arc<Shared>,
-    /// Terms and log.
     pub(crate) state: Mutex<State>,
-    /// Notified when the state has changed.
+    /// Notified when `state` has changed.
     pub(crate) changed: Condvar,
-    /// Messages of other targets.
     pub(crate) inbox: Inbox,
-    /// Faults.
-    pub(crate) switches: Switches,
-    /// Committed data.
+    pub(crate) faults: Faults,
+    /// Committed data, which reads use and the log is applied to.
     pub(crate) database: Mutex<Database>,
-    /// Connections by process id.
-    pub(crate) connections: Mutex<BTreeMap<i32, Handle>>,
-    /// Most connections.
+    /// Open connections by process id.
+    pub(crate) connections: Mutex<BTreeMap<i32, ConnectionHandle>>,
+    /// Maximum number of open connections.
     pub(crate) connection_limit: AtomicU64,
     writer: Mutex<Option<Arc<Writer>>>,
     lag: Mutex<Duration>,
 }
 
 impl Target {
-    /// A target with its first state applied.
+    /// A target whose data holds the schema, the first entry of the log.
     pub(crate) fn new(number: usize, group: Arc<Shared>, state: State) -> crate::Result<Self> {
         let connection_limit = AtomicU64::new(group.connection_limit);
         let target = Target {
@@ -123,18 +114,18 @@
             state: Mutex::new(state),
             changed: Condvar::new(),
             inbox: Inbox::default(),
-            switches: Switches::default(),
+            faults: Faults::default(),
             database: Mutex::new(Database::new()?),
             connections: Mutex::default(),
             connection_limit,
             writer: Mutex::new(None),
             lag: Mutex::default(),
         };
-        target.apply_first()?;
+        target.apply_schema()?;
         Ok(target)
     }
 
-    fn apply_first(&self) -> crate::Result<()> {
+    fn apply_schema(&self) -> crate::Result<()> {
         let database = lock(&self.database);
         let mut state = lock(&self.state);
         if let Some(entry) = state.log.get(1) {
@@ -147,72 +138,76 @@
         Ok(())
     }
 
-    /// Sends to another target.
+    /// Sends a message to another target; dropped if the link is partitioned or the target down.
     pub(crate) fn send(&self, to: usize, message: Message) {
-        if self.group.cut(self.number, to) {
+        if self.group.is_partitioned(self.number, to) {
             return;
         }
         let Some(target) = self.group.target(to) else { return };
-        if target.switches.running() {
+        if target.faults.is_running() {
             let lag = *lock(&target.lag);
-            target.inbox.put(Instant::now() + self.group.replication_delay + lag, message);
+            target.inbox.deliver(Instant::now() + self.group.replication_delay + lag, message);
         }
     }
 
-    /// Delays what arrives from other targets.
+    /// Delays messages that arrive from other targets.
     pub(crate) fn set_lag(&self, lag: Duration) {
         *lock(&self.lag) = lag;
     }
 
-    /// Applies some entries to the data.
-    pub(crate) fn apply_some(&self) {
+    /// Applies the next entries of the log to the data.
+    pub(crate) fn apply_next_batch(&self) {
         let mut database = lock(&self.database);
         let mut state = lock(&self.state);
-        self.apply_batch(&mut database, &mut state, APPLY_BATCH);
+        self.apply_batch(&mut database, &mut state, MAX_APPLY_BATCH_ENTRIES);
         drop(state);
         self.changed.notify_all();
     }
 
     fn apply_batch(&self, database: &mut Database, state: &mut State, limit: usize) {
-        if state.rewound {
+        if state.must_reapply {
             *database = Database::new().expect("SQLite in memory opens");
-            state.rewound = false;
+            state.must_reapply = false;
             state.applied = 0;
         }
         let entries = state.log.range(state.applied + 1, limit);
         for entry in entries {
             if let Err(error) = database.replay(&entry.statements) {
-                log::error!("target {}: entry {}: {error}", self.number, entry.position);
+                log::error!(
+                    "target {}: failed to apply entry {}, which is skipped: {error}",
+                    self.number,
+                    entry.position
+                );
             }
             state.set_applied(entry.position.index);
         }
     }
 
-    /// Begins a write transaction, when it is its turn.
-    pub(crate) fn begin(&self, control: &Control) -> Result<Transaction> {
-        let term = self.writable()?;
+    /// Waits for earlier write transactions, then begins one.
+    pub(crate) fn begin_write(&self, control: &Control) -> Result<Transaction> {
+        let term = self.writable_term()?;
         let writer = lock(&self.writer).clone();
         let writer = writer.ok_or_else(|| Error::new(sqlstate::SUPERSEDED, "not a primary"))?;
-        writer.begin(term, control, || self.writable().map(|_| ()))
+        writer.begin(term, control, || self.writable_term().map(|_| ()))
     }
 
-    /// Term that a new write transaction belongs to.
-    fn writable(&self) -> Result<Term> {
+    /// Term of a new write transaction, or why the target accepts none.
+    fn writable_term(&self) -> Result<Term> {
         let state = lock(&self.state);
         if state.role != Role::Primary {
             let message = "cannot execute a write on a target that is not the primary";
             return Err(Error::new(sqlstate::READ_ONLY, message));
         }
-        if !state.leads() {
+        if !state.is_primary() {
             return Err(superseded(&state));
         }
-        if state.held(Instant::now()) {
+        if state.is_held(Instant::now()) {
             return Err(Error::new(sqlstate::HELD, "new write transactions are held; not run"));
         }
         Ok(state.term)
     }
 
-    /// Commits, unless the target was superseded since.
+    /// Commits, unless the target was superseded after the transaction began.
     pub(crate) fn commit(
         &self,
         mut transaction: Transaction,
@@ -220,20 +215,20 @@
     ) -> Result<Position> {
         let writer = transaction.writer.clone();
         let statements = std::mem::take(&mut transaction.statements);
-        let working = lock(&writer.database);
+        let writer_copy = lock(&writer.database);
         let committed = lock(&self.database);
         let mut state = lock(&self.state);
-        if control.closed() || !self.switches.running() {
+        if control.is_closed() || !self.faults.is_running() {
             return Err(Error::new(sqlstate::SHUTDOWN, "the connection is closed"));
         }
-        if !state.leads_in(transaction.term) {
+        if !state.is_primary_in(transaction.term) {
             return Err(superseded(&state));
         }
         committed.replay(&statements)?;
-        working.control("COMMIT")?;
+        writer_copy.run_transaction_command("COMMIT")?;
         let position = state.append(statements, Instant::now());
         state.set_applied(position.index);
-        if self.switches.loses_answer() {
+        if self.faults.take_response_drop() {
             control.silence();
         }
         drop(state);
@@ -242,14 +237,15 @@
         Ok(position)
     }
 
-    /// Becomes primary of a term that was granted to the promoter.
+    /// Becomes the primary of a term; false if it is not granted to the promoter or the target has
+    /// no vote. Idempotent.
     pub(crate) fn promote(&self, term: Term, promoter: Promoter) -> Result<bool> {
         let mut database = lock(&self.database);
         let mut state = lock(&self.state);
-        if !state.may_promote(term, promoter) {
+        if !state.can_promote(term, promoter) {
             return Ok(false);
         }
-        if state.leads_in(term) {
+        if state.is_primary_in(term) {
             return Ok(true);
         }
         self.apply_batch(&mut database, &mut state, usize::MAX);
@@ -264,30 +260,29 @@
         Ok(true)
     }
 
-    /// Ends all connections.
     pub(crate) fn close_connections(&self) {
         for handle in lock(&self.connections).values() {
             handle.control.close();
-            // The peer may have closed it already.
+            // Fails if the peer has closed the connection already.
             let _ = handle.stream.shutdown(Shutdown::Both);
         }
     }
 
-    /// Stops at once: connections drop, messages on their way are lost.
+    /// Stops the target: closes its connections and drops messages in flight to it.
     pub(crate) fn kill(&self) {
         let state = lock(&self.state);
-        self.switches.set_running(false);
+        self.faults.set_running(false);
         drop(state);
         self.close_connections();
         self.inbox.clear();
         self.changed.notify_all();
     }
 
-    /// Starts again with what is durable.
+    /// Starts a stopped target with its durable state.
     pub(crate) fn restart(&self) -> Result<()> {
         let database = lock(&self.database);
         let mut state = lock(&self.state);
-        if self.switches.running() {
+        if self.faults.is_running() {
             return Ok(());
         }
         state.restart();
@@ -295,11 +290,11 @@
             *lock(&self.writer) = Some(Arc::new(Writer::new(database.copy()?)));
         }
         self.inbox.clear();
-        self.switches.set_running(true);
+        self.faults.set_running(true);
         Ok(())
     }
 
-    /// Loses the log and the data, as a replaced machine does.
+    /// Clears the log and the data, as when a server is replaced.
     pub(crate) fn rebuild(&self) {
         let mut database = lock(&self.database);
         let mut state = lock(&self.state);
@@ -312,9 +307,9 @@
     }
 
     /// Registers a connection; false when the limit is reached or the target is down.
-    pub(crate) fn register(&self, pid: i32, handle: Handle) -> bool {
+    pub(crate) fn register(&self, pid: i32, handle: ConnectionHandle) -> bool {
         let mut connections = lock(&self.connections);
-        if !self.switches.running() {
+        if !self.faults.is_running() {
             handle.control.close();
             return false;
         }
@@ -325,12 +320,11 @@
         true
     }
 
-    /// Forgets a connection.
     pub(crate) fn unregister(&self, pid: i32) {
         lock(&self.connections).remove(&pid);
     }
 
-    /// Ends the statement that a connection runs.
+    /// Cancels the running statement of a connection, if the secret is right.
     pub(crate) fn cancel(&self, pid: i32, secret: i32) {
         let connections = lock(&self.connections);
         if let Some(handle) = connections.get(&pid).filter(|handle| handle.secret == secret) {
@@ -339,10 +333,9 @@
     }
 }
 
-impl Handle {
-    /// What others need of a connection.
+impl ConnectionHandle {
     pub(crate) fn new(control: Arc<Control>, secret: i32, stream: TcpStream) -> Self {
-        Handle { control, secret, stream }
+        ConnectionHandle { control, secret, stream }
     }
 }
 
--- a/crates/standin/src/group/wire.rs
+++ b/crates/standin/src/group/wire.rs
@@ -1,4 +1,4 @@
-//! Socket, buffers and codec of a connection.
+//! Message transport of a connection: socket, buffers and protocol codec.
 
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
@@ -15,33 +15,34 @@
 use super::row::{self, Column, Format};
 use super::sqlstate::{Error, Result};
 
-const READ_SIZE: usize = 64 << 10;
+const READ_BUFFER_BYTES: usize = 64 << 10;
 
-/// Socket, buffers and codec of a connection.
+/// Reads and writes protocol messages on a socket, with a simulated network delay.
 pub(crate) struct Wire {
     stream: TcpStream,
-    /// Received and not decoded yet.
+    /// Received bytes that are not decoded yet.
     pub(crate) input: BytesMut,
-    /// Not sent yet.
+    /// Encoded responses that are not sent yet.
     pub(crate) output: BytesMut,
     context: DecodeContext,
-    delayed: bool,
+    response_delayed: bool,
 }
 
 impl Wire {
-    /// A connection that has not started yet.
+    /// A connection before its startup handshake.
     pub(crate) fn new(stream: TcpStream) -> Self {
         Wire {
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
             context: DecodeContext::default(),
-            delayed: false,
+            response_delayed: false,
         }
     }
 
-    /// Reads until a message is complete; none when the caller has closed.
-    pub(crate) fn message(&mut self, timeout: Duration) -> io::Result<Option<Frontend>> {
+    /// Reads the next message; none when the caller has closed the connection. `timeout` bounds
+    /// each read from the socket.
+    pub(crate) fn read_message(&mut self, timeout: Duration) -> io::Result<Option<Frontend>> {
         loop {
             if let Some(message) = self.decode()? {
                 return Ok(Some(message));
@@ -52,47 +53,48 @@
         }
     }
 
-    /// What kind of message comes next.
-    pub(crate) fn expect(&mut self, ssl: bool, startup: bool) {
+    /// Tells the codec whether an SSL request or a startup message may come next.
+    pub(crate) fn expect_startup(&mut self, ssl: bool, startup: bool) {
         self.context.awaiting_frontend_ssl = ssl;
         self.context.awaiting_frontend_startup = startup;
     }
 
-    /// Delays what was received; its answers will be too.
-    pub(crate) fn delay_next(&mut self, delay: Duration) {
+    /// Delays received messages; the first response to them is delayed as well.
+    pub(crate) fn delay_request(&mut self, delay: Duration) {
         std::thread::sleep(delay);
-        self.delayed = false;
+        self.response_delayed = false;
     }
 
-    /// Delays the first of the answers to what was received.
-    pub(crate) fn delay(&mut self, delay: Duration) {
-        if !self.delayed {
+    /// Delays the responses to received messages, once for each call of `delay_request`.
+    pub(crate) fn delay_response(&mut self, delay: Duration) {
+        if !self.response_delayed {
             std::thread::sleep(delay);
         }
-        self.delayed = true;
+        self.response_delayed = true;
     }
 
-    /// Takes the next complete message.
+    /// Decodes the next message; none if it is not complete yet.
     pub(crate) fn decode(&mut self) -> io::Result<Option<Frontend>> {
         Frontend::decode(&mut self.input, &self.context).map_err(io::Error::other)
     }
 
-    /// Reads what has come, for at most a time.
+    /// Reads the available bytes and returns their number; 0 when the caller has closed the
+    /// connection. Fails when nothing arrives within the timeout.
     pub(crate) fn receive(&mut self, timeout: Option<Duration>) -> io::Result<usize> {
-        let mut buffer = [0; READ_SIZE];
+        let mut buffer = [0; READ_BUFFER_BYTES];
         self.stream.set_read_timeout(timeout)?;
         let count = self.stream.read(&mut buffer)?;
         self.input.extend_from_slice(&buffer[..count]);
         Ok(count)
     }
 
-    /// Adds a message to the answers.
+    /// Buffers a response.
     pub(crate) fn send(&mut self, message: Backend) {
         message.encode(&mut self.output).expect("messages of this server can be encoded");
     }
 
-    /// Adds an error to the answers.
-    pub(crate) fn error(&mut self, error: &Error, severity: &str) {
+    /// Buffers an error response.
+    pub(crate) fn send_error(&mut self, error: &Error, severity: &str) {
         let fields = vec![
             (b'S', severity.to_owned()),
             (b'V', severity.to_owned()),
@@ -102,17 +104,17 @@
         self.send(Backend::ErrorResponse(ErrorResponse::new(fields)));
     }
 
-    /// Adds the description of a result.
-    pub(crate) fn columns(&mut self, columns: &[Column], formats: &[Format]) {
+    /// Buffers the description of a result, which may have no columns.
+    pub(crate) fn send_description(&mut self, columns: &[Column], formats: &[Format]) {
         if columns.is_empty() {
             self.send(Backend::NoData(NoData::new()));
         } else {
-            self.send(describe(columns, formats));
+            self.send(row_description(columns, formats));
         }
     }
 
-    /// Adds a row of a result.
-    pub(crate) fn row(
+    /// Buffers a row of a result.
+    pub(crate) fn send_row(
         &mut self,
         columns: &[Column],
         formats: &[Format],
@@ -123,22 +125,22 @@
         Ok(())
     }
 
-    /// Sends the answers.
+    /// Sends the buffered responses.
     pub(crate) fn flush(&mut self) -> io::Result<()> {
         let output = self.output.split();
         self.stream.write_all(&output)
     }
 
-    /// A second handle on the socket.
-    pub(crate) fn stream(&self) -> io::Result<TcpStream> {
+    /// A second handle to the socket.
+    pub(crate) fn clone_stream(&self) -> io::Result<TcpStream> {
         self.stream.try_clone()
     }
 }
 
-/// Describes the columns of a result.
-pub(crate) fn describe(columns: &[Column], formats: &[Format]) -> Backend {
-    let field = |(at, column): (usize, &Column)| {
-        let format = i16::from(row::format_at(formats, at) == Format::Binary);
+/// Row description message for the columns of a result.
+pub(crate) fn row_description(columns: &[Column], formats: &[Format]) -> Backend {
+    let field = |(index, column): (usize, &Column)| {
+        let format = i16::from(row::format_at(formats, index) == Format::Binary);
         FieldDescription::new(column.name.clone(), 0, 0, column.oid(), column.size(), -1, format)
     };
     let fields = columns.iter().enumerate().map(field).collect();
--- a/crates/standin/src/group/writer.rs
+++ b/crates/standin/src/group/writer.rs
@@ -1,19 +1,19 @@
-//! The one write transaction that a primary runs at a time.
+//! Write transactions of a primary, which run one at a time.
 //!
-//! Others wait in order of arrival; the connection limit bounds their number.
+//! Waiting transactions are queued in order of arrival; the connection limit bounds their number.
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Condvar, Mutex};
 
-use super::control::{Control, LOOK_PERIOD};
+use super::control::{Control, INTERRUPT_POLL_INTERVAL};
 use super::database::{Database, Outcome};
 use super::log::{Statement, Term};
 use super::sqlstate::Result;
 use crate::sync::{lock, wait};
 
-/// Working copy of a primary's data, and who may use it.
+/// Copy of a primary's data in which write transactions run, and the queue for it.
 pub(crate) struct Writer {
-    /// The copy.
+    /// Committed data plus the changes of the running transaction.
     pub(crate) database: Mutex<Database>,
     queue: Mutex<Queue>,
     released: Condvar,
@@ -21,29 +21,29 @@
 
 #[derive(Default)]
 struct Queue {
+    /// Tickets; the first one belongs to the running transaction.
     waiting: VecDeque<u64>,
     sequence: u64,
 }
 
-/// A write transaction; dropped before its commit it is rolled back.
+/// A write transaction; dropping it before its commit rolls it back.
 pub(crate) struct Transaction {
-    /// The copy that it works in.
     pub(crate) writer: Arc<Writer>,
-    /// Term of the primary when it began.
+    /// Term of the primary when the transaction began.
     pub(crate) term: Term,
-    /// Statements that succeeded so far.
+    /// Writes that succeeded so far; they become the log entry.
     pub(crate) statements: Vec<Statement>,
     ticket: u64,
 }
 
 impl Writer {
-    /// A writer over a copy of the committed data.
+    /// `database` is a copy of the committed data.
     pub(crate) fn new(database: Database) -> Self {
         let database = Mutex::new(database);
         Writer { database, queue: Mutex::default(), released: Condvar::new() }
     }
 
-    /// Waits for the turn and begins; `check` may refuse until then.
+    /// Waits for the transaction's turn and begins it, unless `check` fails then.
     pub(crate) fn begin(
         self: &Arc<Self>,
         term: Term,
@@ -53,9 +53,9 @@
         let ticket = self.enqueue();
         let statements = Vec::new();
         let transaction = Transaction { writer: self.clone(), term, statements, ticket };
-        self.wait(ticket, control)?;
+        self.wait_for_turn(ticket, control)?;
         check()?;
-        lock(&self.database).control("BEGIN")?;
+        lock(&self.database).run_transaction_command("BEGIN")?;
         Ok(transaction)
     }
 
@@ -67,11 +67,11 @@
         ticket
     }
 
-    fn wait(&self, ticket: u64, control: &Control) -> Result<()> {
+    fn wait_for_turn(&self, ticket: u64, control: &Control) -> Result<()> {
         let mut queue = lock(&self.queue);
         while queue.waiting.front() != Some(&ticket) {
-            control.check()?;
-            queue = wait(&self.released, queue, LOOK_PERIOD);
+            control.check_interrupts()?;
+            queue = wait(&self.released, queue, INTERRUPT_POLL_INTERVAL);
         }
         Ok(())
     }
@@ -84,7 +84,6 @@
 }
 
 impl Transaction {
-    /// Runs a statement in the transaction.
     pub(crate) fn run(
         &mut self,
         sql: &str,
@@ -92,25 +91,25 @@
         control: &Arc<Control>,
     ) -> Result<Outcome> {
         let outcome = lock(&self.writer.database).run(sql, params, control)?;
-        if outcome.wrote {
+        if outcome.is_write {
             self.statements.push(Statement { sql: sql.to_owned(), params: params.to_vec() });
         }
         Ok(outcome)
     }
 
-    fn holds_turn(&self) -> bool {
+    fn is_at_front(&self) -> bool {
         lock(&self.writer.queue).waiting.front() == Some(&self.ticket)
     }
 }
 
 impl Drop for Transaction {
     fn drop(&mut self) {
-        if self.holds_turn() {
+        if self.is_at_front() {
             let database = lock(&self.writer.database);
             if database.in_transaction()
-                && let Err(error) = database.control("ROLLBACK")
+                && let Err(error) = database.run_transaction_command("ROLLBACK")
             {
-                log::error!("rollback: {error}");
+                log::error!("failed to roll back a write transaction: {error}");
             }
         }
         self.writer.release(self.ticket);
--- a/crates/standin/tests/group_faults.rs
+++ b/crates/standin/tests/group_faults.rs
@@ -1,4 +1,5 @@
-//! Faults of a group's targets.
+//! Effect of each fault that tests can inject into a target, and that the target works again once
+//! the fault has ended.
 
 mod common;
 
@@ -9,21 +10,21 @@
 use tokio::time::timeout;
 use tokio_postgres::Client;
 
-/// Time in which a target that answers at all does answer.
-const PATIENCE: Duration = Duration::from_secs(60);
-/// Time in which a target that does not answer is watched.
-const WATCH: Duration = Duration::from_millis(200);
+/// Longest wait for the response of a target that is expected to respond.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a target must not respond to count as silent.
+const SILENCE_PERIOD: Duration = Duration::from_millis(200);
 
-async fn probe(client: &Client) -> bool {
+async fn probe_succeeds(client: &Client) -> bool {
     client.query_typed("SELECT 1", &[]).await.is_ok()
 }
 
-async fn silent(client: &Client) -> bool {
-    timeout(WATCH, probe(client)).await.is_err()
+async fn is_silent(client: &Client) -> bool {
+    timeout(SILENCE_PERIOD, probe_succeeds(client)).await.is_err()
 }
 
-async fn answers(client: &Client) -> bool {
-    timeout(PATIENCE, probe(client)).await.unwrap_or(false)
+async fn responds(client: &Client) -> bool {
+    timeout(RESPONSE_TIMEOUT, probe_succeeds(client)).await.unwrap_or(false)
 }
 
 #[tokio::test]
@@ -57,7 +58,7 @@
         group.target(2).kill();
         assert!(try_connect(address).await.is_err());
         group.target(2).restart().unwrap();
-        assert!(answers(&connect(address).await).await);
+        assert!(responds(&connect(address).await).await);
     }
 }
 
@@ -67,16 +68,16 @@
     let client = connect(group.addresses()[0]).await;
 
     group.target(0).pause();
-    let silent = silent(&client).await;
+    let silent = is_silent(&client).await;
     let waiting = tokio::spawn(connect(group.addresses()[0]));
-    tokio::time::sleep(WATCH).await;
+    tokio::time::sleep(SILENCE_PERIOD).await;
     let waits = !waiting.is_finished();
     group.target(0).resume();
 
     assert!(silent);
     assert!(waits);
-    assert!(answers(&client).await);
-    assert!(answers(&waiting.await.unwrap()).await);
+    assert!(responds(&client).await);
+    assert!(responds(&waiting.await.unwrap()).await);
 }
 
 #[tokio::test]
@@ -87,14 +88,14 @@
     group.target(2).kill();
 
     group.target(1).set_callers_blocked(true);
-    let silent = silent(&replica).await;
+    let silent = is_silent(&replica).await;
     insert(&primary, 1).await.unwrap();
     let confirmed = call(&primary, "confirmed", &[1, 2, 20_000]).await.unwrap();
     group.target(1).set_callers_blocked(false);
 
     assert!(silent);
     assert_eq!(confirmed.get("confirmed_index"), 2);
-    assert!(answers(&replica).await);
+    assert!(responds(&replica).await);
 }
 
 #[tokio::test]
@@ -122,11 +123,11 @@
     group.target(0).silence_connections();
     let new = connect(group.addresses()[0]).await;
 
-    assert!(silent(&old).await);
+    assert!(is_silent(&old).await);
     assert!(!old.is_closed());
-    assert!(answers(&new).await);
+    assert!(responds(&new).await);
     assert_eq!(insert(&new, 1).await.unwrap(), 1);
-    assert!(silent(&old).await);
+    assert!(is_silent(&old).await);
 }
 
 #[tokio::test]
@@ -135,7 +136,7 @@
     let client = connect(group.addresses()[0]).await;
 
     group.target(0).set_poisoned(true);
-    let probed = probe(&client).await && call(&client, "status", &[]).await.is_ok();
+    let probed = probe_succeeds(&client).await && call(&client, "status", &[]).await.is_ok();
     let read = client.query_typed("SELECT id FROM bolts", &[]).await.unwrap_err();
     let write = insert(&client, 1).await.unwrap_err();
     group.target(0).set_poisoned(false);
@@ -153,7 +154,7 @@
     let second = connect(group.addresses()[0]).await;
 
     group.target(0).drop_commit_responses(1);
-    let lost = timeout(WATCH, insert(&first, 1)).await;
+    let lost = timeout(SILENCE_PERIOD, insert(&first, 1)).await;
     eventually("the commit takes effect", || {
         group.target(0).query("SELECT id FROM bolts").unwrap().len() == 1
     })
@@ -161,7 +162,7 @@
     insert(&second, 2).await.unwrap();
 
     assert!(lost.is_err());
-    assert!(silent(&first).await);
+    assert!(is_silent(&first).await);
     assert_eq!(group.target(0).query("SELECT id FROM bolts").unwrap().len(), 2);
 }
 
@@ -187,15 +188,15 @@
 async fn healthy_replica_is_fresh() {
     let group = start();
     let replica = connect(group.addresses()[1]).await;
-    let limit = 5_000;
+    let max_age_ms = 5_000;
 
     let mut age = i64::MAX;
-    let deadline = Instant::now() + PATIENCE;
-    while age > limit && Instant::now() < deadline {
+    let deadline = Instant::now() + RESPONSE_TIMEOUT;
+    while age > max_age_ms && Instant::now() < deadline {
         age = call(&replica, "position", &[]).await.unwrap().get("age_ms");
     }
 
-    assert!(age <= limit, "the age is {age} ms");
+    assert!(age <= max_age_ms, "the age is {age} ms");
 }
 
 #[tokio::test]
@@ -250,8 +251,8 @@
 
     group.target(1).rebuild();
     eventually("the connection is closed", || replica.is_closed()).await;
-    let whole = || group.target(1).applied_index() == 2;
-    eventually("the target has caught up", whole).await;
+    let caught_up = || group.target(1).applied_index() == 2;
+    eventually("the target has caught up", caught_up).await;
 
     assert_eq!(group.target(1).log_positions(), group.target(0).log_positions());
     assert_eq!(group.target(1).query("SELECT id FROM bolts").unwrap().len(), 1);
--- a/crates/standin/tests/group_load.rs
+++ b/crates/standin/tests/group_load.rs
@@ -1,4 +1,4 @@
-//! Load on a group: many short statements, a long log.
+//! Many short statements on a group, then the replay of the long log by a rebuilt target.
 
 mod common;
 
@@ -10,7 +10,7 @@
 
 const CLIENTS: i64 = 16;
 
-/// Prints the rates it sees; how fast the machine is decides no verdict.
+/// Prints the measured rates. The result doesn't depend on them, since they vary by machine.
 #[tokio::test(flavor = "multi_thread")]
 async fn short_statements_and_replay() {
     const WRITES: i64 = 250;
@@ -41,11 +41,11 @@
     futures::future::join_all(reads).await;
     let read = started.elapsed();
     let entries = CLIENTS * WRITES + 1;
-    let whole = || group.targets().iter().all(|target| target.applied_index() == entries);
-    eventually("the replicas have applied all", whole).await;
+    let all_applied = || group.targets().iter().all(|target| target.applied_index() == entries);
+    eventually("the replicas have applied all", all_applied).await;
     let started = Instant::now();
     group.target(2).rebuild();
-    eventually("the rebuilt target has applied all", whole).await;
+    eventually("the rebuilt target has applied all", all_applied).await;
 
     let rate = |count: i64, time: std::time::Duration| count as f64 / time.as_secs_f64();
     println!("writes/s {:.0}", rate(CLIENTS * WRITES, written));
--- a/crates/standin/tests/group_sql.rs
+++ b/crates/standin/tests/group_sql.rs
@@ -1,4 +1,5 @@
-//! Statements of a group over a PostgreSQL client.
+//! SQL behavior of a group as seen by a PostgreSQL client: types, transactions, errors,
+//! cancellation and portals.
 
 mod common;
 
@@ -15,7 +16,7 @@
     rows.expect("the count is answered")[0].get(0)
 }
 
-/// The single number of a query.
+/// First column of a query's first row.
 async fn number(client: &Client, sql: &str) -> Result<i64, Error> {
     client.query_typed(sql, &[]).await.map(|rows| rows[0].get(0))
 }
@@ -135,10 +136,10 @@
 #[tokio::test]
 async fn closed_connection_rolls_back() {
     let group = start();
-    let gone = connect(group.addresses()[0]).await;
-    gone.batch_execute("BEGIN; INSERT INTO bolts (id) VALUES (1)").await.unwrap();
+    let closed = connect(group.addresses()[0]).await;
+    closed.batch_execute("BEGIN; INSERT INTO bolts (id) VALUES (1)").await.unwrap();
 
-    drop(gone);
+    drop(closed);
     let client = connect(group.addresses()[0]).await;
     insert(&client, 1).await.unwrap();
 
@@ -210,7 +211,7 @@
     for sql in ["SELECT pg_sleep(3600)", "SELECT 1 WHERE pg_sleep(3600) = ''", endless] {
         let token = client.cancel_token();
         let cancel = async {
-            // The request is repeated, since one that comes too early ends nothing.
+            // Repeat the request, since one that arrives before the statement starts has no effect.
             loop {
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 token.cancel_query(NoTls).await.unwrap();
@@ -230,12 +231,12 @@
     let client = connect(group.addresses()[0]).await;
 
     client.batch_execute("SET statement_timeout = 30").await.unwrap();
-    let late = number(&client, "SELECT pg_sleep(3600)").await.unwrap_err();
+    let timed_out = number(&client, "SELECT pg_sleep(3600)").await.unwrap_err();
     client.batch_execute("SET statement_timeout = '0'").await.unwrap();
-    let fine = client.batch_execute("SELECT pg_sleep(0.06)").await;
+    let short_sleep = client.batch_execute("SELECT pg_sleep(0.06)").await;
 
-    assert_eq!(code(&late), "57014");
-    assert!(fine.is_ok());
+    assert_eq!(code(&timed_out), "57014");
+    assert!(short_sleep.is_ok());
 }
 
 #[tokio::test]
--- a/crates/standin/tests/group_terms.rs
+++ b/crates/standin/tests/group_terms.rs
@@ -1,4 +1,5 @@
-//! Terms, fencing, promotion and replication of a group.
+//! Terms, fencing, promotion and replication of a group: a superseded primary must not commit, a
+//! term must have one promoter, and confirmation must need a majority of voters.
 
 mod common;
 
@@ -11,19 +12,20 @@
     Position { term, index }
 }
 
-/// Cuts target 0 off from both others.
+/// Partitions target 0 from both others.
 fn isolate(group: &Group) {
     group.target(0).partition(&[1, 2]);
 }
 
-async fn replicated(group: &Group, position: Position) {
-    let everywhere = || {
+/// Waits until all targets have applied the log up to the entry at a position.
+async fn wait_replicated(group: &Group, position: Position) {
+    let applied_everywhere = || {
         let mut targets = group.targets().iter();
         targets.all(|target| {
             target.applied_index() >= position.index && target.log_positions().contains(&position)
         })
     };
-    eventually("the entry is applied everywhere", everywhere).await;
+    eventually("the entry is applied everywhere", applied_everywhere).await;
 }
 
 #[tokio::test]
@@ -37,7 +39,7 @@
 
     assert_eq!((commit.get("term"), commit.get("index")), (1, 2));
     assert_eq!((confirmed.get("confirmed_term"), confirmed.get("confirmed_index")), (1, 2));
-    replicated(&group, at(1, 2)).await;
+    wait_replicated(&group, at(1, 2)).await;
     let replica = connect(group.addresses()[2]).await;
     let rows = replica.query_typed("SELECT id FROM bolts", &[]).await.unwrap();
     assert_eq!(rows[0].get::<_, i64>(0), 1);
@@ -117,7 +119,7 @@
     let group = start();
     let old = connect(group.addresses()[0]).await;
     insert(&old, 1).await.unwrap();
-    replicated(&group, at(1, 2)).await;
+    wait_replicated(&group, at(1, 2)).await;
     isolate(&group);
     insert(&old, 2).await.unwrap();
     insert(&old, 3).await.unwrap();
@@ -131,7 +133,7 @@
 
     assert_eq!(unconfirmed.get("confirmed_index"), 2);
     assert_eq!(confirmed.get("confirmed_index"), 4);
-    replicated(&group, at(2, 4)).await;
+    wait_replicated(&group, at(2, 4)).await;
     assert_eq!(group.target(0).log_positions(), [at(1, 1), at(1, 2), at(2, 3), at(2, 4)]);
     eventually("the old primary's connections are closed", || old.is_closed()).await;
     let rejoined = connect(group.addresses()[0]).await;
@@ -164,7 +166,7 @@
     let group = start();
     let client = connect(group.addresses()[0]).await;
     insert(&client, 1).await.unwrap();
-    replicated(&group, at(1, 2)).await;
+    wait_replicated(&group, at(1, 2)).await;
     group.target(2).partition(&[0, 1]);
     group.target(2).rebuild();
     let rebuilt = connect(group.addresses()[2]).await;
@@ -231,17 +233,18 @@
 
 #[tokio::test]
 async fn age_grows_on_a_primary_that_is_cut_off() {
-    let group = start_with(Options { heartbeat: Duration::from_millis(10), ..Options::default() });
+    let group =
+        start_with(Options { heartbeat_interval: Duration::from_millis(10), ..Options::default() });
     let client = connect(group.addresses()[0]).await;
     let replica = connect(group.addresses()[1]).await;
 
     isolate(&group);
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let cut_off = call(&client, "position", &[]).await.unwrap().get("age_ms");
-    let stale = call(&replica, "position", &[]).await.unwrap().get("age_ms");
+    let isolated_age_ms = call(&client, "position", &[]).await.unwrap().get("age_ms");
+    let replica_age_ms = call(&replica, "position", &[]).await.unwrap().get("age_ms");
 
-    assert!(cut_off >= 300, "the primary's age is {cut_off} ms");
-    assert!(stale >= 300, "the replica's age is {stale} ms");
+    assert!(isolated_age_ms >= 300, "the primary's age is {isolated_age_ms} ms");
+    assert!(replica_age_ms >= 300, "the replica's age is {replica_age_ms} ms");
 }
 
 #[tokio::test]
