Document private state of the stand-in group's sessions and replication

Adds the meaning of described columns, portals and freshness times; the writer of an open transaction is named transaction_writer, the length of a hold duration. Reworded the panic texts of an in-memory database that does not open and, in the tests, of a refused connection.

--- a/crates/standin/src/group/executor.rs
+++ b/crates/standin/src/group/executor.rs
@@ -120,8 +120,9 @@
     /// If table declarations leave a type open, runs a read with null parameters and takes the
     /// types of the first values.
     fn describe_sql(&mut self, sql: &str, params: usize) -> Result<Vec<Column>> {
-        let writer_copy = self.transaction.as_ref().map(|transaction| transaction.writer.clone());
-        let database = match &writer_copy {
+        let transaction_writer =
+            self.transaction.as_ref().map(|transaction| transaction.writer.clone());
+        let database = match &transaction_writer {
             Some(writer) => lock(&writer.database),
             None => lock(&self.target.database),
         };
--- a/crates/standin/src/group/function.rs
+++ b/crates/standin/src/group/function.rs
@@ -92,7 +92,7 @@
         ("commit", []) => vec![integer(committed.term), integer(committed.index)],
         ("fence", [term, promoter]) => fence(target, *term, *promoter),
         ("promote", [term, promoter]) => promote(target, *term, *promoter)?,
-        ("hold", [wait]) => hold(target, milliseconds(*wait)),
+        ("hold", [duration]) => hold(target, milliseconds(*duration)),
         _ => return Err(unknown_function(&call.name)),
     };
     Ok(Outcome { columns, rows: vec![row], ..Outcome::default() })
@@ -207,11 +207,11 @@
     ])
 }
 
-fn hold(target: &Target, wait: Duration) -> Vec<Value> {
+fn hold(target: &Target, duration: Duration) -> Vec<Value> {
     let mut state = lock(&target.state);
     let held = state.is_primary();
     if held {
-        state.hold_deadline = (!wait.is_zero()).then(|| Instant::now() + wait);
+        state.hold_deadline = (!duration.is_zero()).then(|| Instant::now() + duration);
     }
     let entry = state.log.last_position();
     vec![boolean(held), integer(entry.term), integer(entry.index)]
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -50,15 +50,18 @@
 struct Prepared {
     sql: String,
     types: Vec<Oid>,
+    /// Columns reported by the last `Describe`.
     described: Option<Vec<Column>>,
 }
 
 struct Portal {
+    /// Name of the prepared statement.
     statement: String,
     sql: String,
     params: Vec<Value>,
     formats: Vec<Format>,
     described: Option<Vec<Column>>,
+    /// None until the portal has run.
     response: Option<Response>,
     rows_sent: usize,
 }
--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -70,7 +70,9 @@
     /// New write transactions are refused before this time.
     pub(crate) hold_deadline: Option<Instant>,
     followers: Followers,
+    /// As a primary: latest time at which a majority is known to have followed this target.
     majority_acknowledged_at: Option<Instant>,
+    /// As a replica: the data holds all that was committed before this time.
     fresh_as_of: Option<Instant>,
     freshness_marks: VecDeque<FreshnessMark>,
 }
@@ -285,6 +287,7 @@
         age.and_then(|age| i64::try_from(age).ok()).unwrap_or(i64::MAX)
     }
 
+    /// `now` in a group of one target, which needs no acknowledgement.
     fn majority_acknowledged_by(&self, now: Instant) -> Option<Instant> {
         if self.size == 1 && self.is_primary() { Some(now) } else { self.majority_acknowledged_at }
     }
--- a/crates/standin/src/group/target.rs
+++ b/crates/standin/src/group/target.rs
@@ -77,7 +77,7 @@
     }
 }
 
-/// Handle by which other threads close or cancel a connection.
+/// Handle by which other threads close a connection or cancel its statement.
 #[derive(Debug)]
 pub(crate) struct ConnectionHandle {
     pub(crate) control: Arc<Control>,
@@ -166,7 +166,7 @@
 
     fn apply_batch(&self, database: &mut Database, state: &mut State, limit: usize) {
         if state.must_reapply {
-            *database = Database::new().expect("SQLite in memory opens");
+            *database = Database::new().expect("an in-memory SQLite database opens");
             state.must_reapply = false;
             state.applied = 0;
         }
--- a/crates/standin/src/group/wire.rs
+++ b/crates/standin/src/group/wire.rs
@@ -53,7 +53,7 @@
         }
     }
 
-    /// Tells the codec whether an SSL request or a startup message may come next.
+    /// Sets whether the codec accepts an SSL request or a startup message next.
     pub(crate) fn expect_startup(&mut self, ssl: bool, startup: bool) {
         self.context.awaiting_frontend_ssl = ssl;
         self.context.awaiting_frontend_startup = startup;
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -20,7 +20,7 @@
 
 /// Connects to a target that must accept the connection.
 pub(crate) async fn connect(address: SocketAddr) -> Client {
-    try_connect(address).await.expect("the target takes the connection")
+    try_connect(address).await.expect("the target accepts the connection")
 }
 
 /// Connects to a target; fails if it refuses the connection.
