rename: terms of the field for names of the adapter, the peer RPC and the stand-ins

Adapter (platform/): module served -> counterpart line::OWN_ID -> line::HOST_STATEMENT_ID line::MAX_MESSAGE -> line::MAX_MESSAGE_BYTES text::after -> text::with_floor text::parse -> text::parse_statement store::Store::follow -> store::Store::poll_changes Peer RPC (crates/wire): Peer::beat -> Peer::heartbeat (the binary encoding carries the index only) Stand-ins: lines::Outage::LosesAnswers -> LostWriteResponses lines::Outage::LateWrites -> DelayedWrites lines::Store::forget -> compact lines::Target::lose_commit_answers -> drop_commit_responses lines::Target::publish -> set_published_address lines::Target::leave -> mark_leaving link::Fault::cut -> blocked platform::Fault::cut -> blocked_hosts platform::Fault::lose -> lost_responses

--- a/crates/host/examples/in_force.rs
+++ b/crates/host/examples/in_force.rs
@@ -49,7 +49,7 @@
     for (name, delay, cut) in scenarios {
         let fault = |fault: &mut Fault| {
             fault.delay = delay;
-            fault.cut = cut;
+            fault.blocked_hosts = cut;
         };
         platform.faults().set(fault).map_err(|error| anyhow::anyhow!("{error}"))?;
         measure(name, &daemons).await?;
--- a/crates/host/src/fleet/beat.rs
+++ b/crates/host/src/fleet/beat.rs
@@ -49,7 +49,7 @@
     let heartbeat = host.heartbeat();
     let timeout = host.settings.timeouts.peer;
     let call = |client: bergamotvale_wire::peer::PeerClient, context| async move {
-        client.beat(context, heartbeat).await
+        client.heartbeat(context, heartbeat).await
     };
     let answer = host.peers.call(peer, timeout, call).await;
     match answer {
--- a/crates/host/src/peer/server.rs
+++ b/crates/host/src/peer/server.rs
@@ -46,7 +46,7 @@
 }
 
 impl Peer for Server {
-    async fn beat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
+    async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
         self.host.heard(&heartbeat);
         self.host.heartbeat()
     }
--- a/crates/host/tests/fleet/mod.rs
+++ b/crates/host/tests/fleet/mod.rs
@@ -166,8 +166,8 @@
     pub(crate) fn cut_store(&self, number: usize, cut: bool) {
         let name = (number + 1).to_string();
         self.fault(|fault| match cut {
-            true => drop(fault.cut.insert(name)),
-            false => drop(fault.cut.remove(&name)),
+            true => drop(fault.blocked_hosts.insert(name)),
+            false => drop(fault.blocked_hosts.remove(&name)),
         });
     }
 
--- a/crates/host/tests/fleet_change.rs
+++ b/crates/host/tests/fleet_change.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 fn lose(fleet: &Fleet, answers: u64) {
-    fleet.fault(|fault| fault.lose = answers);
+    fleet.fault(|fault| fault.lost_responses = answers);
 }
 
 async fn propose(fleet: &Fleet, intent: Value) -> Value {
--- a/crates/host/tests/sessions/faults.rs
+++ b/crates/host/tests/sessions/faults.rs
@@ -3,8 +3,8 @@
 
 use crate::fixture::{Caller, Fleet, KEY, OLD, PATIENCE, Process, STRICT, eventually};
 use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{End, State};
-use bergamotvale_platform::served::caller;
 use bergamotvale_platform::text;
 use bergamotvale_standin::lines::Outage;
 use rustix::process::Signal;
@@ -65,7 +65,7 @@
     let old = group.primary();
     let mut session = fleet.session(0, STRICT);
     session.done(&caller::write("bolt", "0"), State::Idle);
-    old.leave();
+    old.mark_leaving();
     let until = Instant::now() + Duration::from_secs(4);
     let mut number = 0;
     while Instant::now() < until {
@@ -83,12 +83,12 @@
     let primary = group.primary();
     let mut session = fleet.session(0, STRICT);
     session.row(&caller::read("bolt"));
-    primary.lose_commit_answers(true);
+    primary.drop_commit_responses(true);
     assert_eq!(session.refused(&caller::write("bolt", "1")), (Code::Unknown, State::Idle));
     session.done(caller::begin(false), State::Open);
     session.done(&caller::write("bolt", "2"), State::Open);
     assert_eq!(session.refused(text::COMMIT), (Code::Unknown, State::Idle));
-    primary.lose_commit_answers(false);
+    primary.drop_commit_responses(false);
     assert_eq!(primary.count_writes("bolt"), 2);
 }
 
@@ -116,7 +116,7 @@
     session.done(&caller::write("bolt", "first"), State::Idle);
     for outage in [Outage::Busy, Outage::Slow(Duration::from_millis(200)), Outage::None] {
         fleet.system.store.set_outage(outage);
-        fleet.system.store.forget();
+        fleet.system.store.compact();
         for number in 0..20 {
             session.done(&caller::write("bolt", &number.to_string()), State::Idle);
             std::thread::sleep(Duration::from_millis(20));
@@ -131,7 +131,7 @@
     let old = group.primary();
     let mut session = fleet.session(0, STRICT);
     session.done(&caller::write("bolt", "1"), State::Idle);
-    fleet.system.store.set_outage(Outage::LosesAnswers);
+    fleet.system.store.set_outage(Outage::LostWriteResponses);
     old.crash();
     write_until_done(&mut session, "bolt", "2");
     fleet.system.store.set_outage(Outage::None);
@@ -162,7 +162,7 @@
     other.done(&caller::write("bolt", "1"), State::Idle);
     paused.row(&caller::read("bolt"));
     fleet.hosts[2].signal(Signal::STOP);
-    group.primary().leave();
+    group.primary().mark_leaving();
     eventually("another target leads", || group.primary().name != "orders-0");
     write_until_done(&mut other, "bolt", "2");
     fleet.hosts[2].signal(Signal::CONT);
@@ -229,7 +229,7 @@
     for target in group.targets.iter().filter(|target| target.name != primary.name) {
         target.crash();
     }
-    primary.leave();
+    primary.mark_leaving();
     let left = Instant::now();
     while left.elapsed() < Duration::from_secs(7) {
         session.run(&caller::write("bolt", "1"));
@@ -247,7 +247,7 @@
     let old = group.primary();
     let mut session = fleet.session(0, STRICT);
     session.done(&caller::write("bolt", "1"), State::Idle);
-    fleet.system.store.set_outage(Outage::LateWrites(Duration::from_millis(900)));
+    fleet.system.store.set_outage(Outage::DelayedWrites(Duration::from_millis(900)));
     old.crash();
     std::thread::sleep(Duration::from_millis(600));
     fleet.system.store.set_outage(Outage::None);
--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -2,8 +2,8 @@
 
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Group, Route};
+use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{self, Answer, End, State, TargetCodec};
-use bergamotvale_platform::served::caller;
 use bergamotvale_sessions::status::Status;
 use bergamotvale_standin::lines::System;
 use bytes::BytesMut;
--- a/crates/host/tests/sessions/on_call.rs
+++ b/crates/host/tests/sessions/on_call.rs
@@ -2,8 +2,8 @@
 
 use crate::fixture::{Caller, Fleet, KEY, STRICT, catalog, eventually};
 use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{End, State};
-use bergamotvale_platform::served::caller;
 use bergamotvale_standin::lines::Outage;
 
 /// Whether some host has written a refusal with this reason.
@@ -41,7 +41,7 @@
     let primary = fleet.system.groups[0].primary();
     let mut session = fleet.session(0, STRICT);
     session.done(&caller::write("bolt", "1"), State::Idle);
-    primary.lose_commit_answers(true);
+    primary.drop_commit_responses(true);
     assert_eq!(session.refused(&caller::write("bolt", "2")).0, Code::Unknown);
     eventually("the line is written", || has_refused(&fleet, "connection_lost"));
     let refused = fleet.hosts[0].events("refused");
--- a/crates/host/tests/sessions/path.rs
+++ b/crates/host/tests/sessions/path.rs
@@ -4,8 +4,8 @@
 use crate::fixture::{self, Caller, Fleet, KEY, OLD, OTHER_KEY, OWN, STRICT, eventually};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::statement::{Access, Shape};
+use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{End, State};
-use bergamotvale_platform::served::caller;
 use bergamotvale_platform::text;
 
 #[test]
@@ -192,7 +192,7 @@
 fn a_line_over_the_limit_ends_the_session_and_nothing_else() {
     let fleet = Fleet::start(1);
     let mut one = fleet.session(0, STRICT);
-    one.send(&vec![b'x'; bergamotvale_platform::line::MAX_MESSAGE + 2]);
+    one.send(&vec![b'x'; bergamotvale_platform::line::MAX_MESSAGE_BYTES + 2]);
     assert!(one.receive().is_none());
     fleet.session(0, STRICT).row(&caller::read("lot"));
 }
--- a/crates/host/tests/sessions/soak/caller.rs
+++ b/crates/host/tests/sessions/soak/caller.rs
@@ -2,8 +2,8 @@
 
 use super::{READERS, WRITERS, World};
 use crate::fixture::{BOUND, Caller, KEY, OLD, OTHER_KEY, OWN, STRICT};
+use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{Answer, End};
-use bergamotvale_platform::served::caller;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
--- a/crates/host/tests/sessions/soak/mod.rs
+++ b/crates/host/tests/sessions/soak/mod.rs
@@ -59,7 +59,7 @@
         let relay = |target: &Arc<_>| {
             let target: &bergamotvale_standin::lines::Target = target;
             let relay = Relay::start(target.address()).expect("a relay");
-            target.publish(relay.address());
+            target.set_published_address(relay.address());
             relay
         };
         let target_links = group.targets.iter().map(relay).collect();
--- a/crates/host/tests/sessions/soak/trouble.rs
+++ b/crates/host/tests/sessions/soak/trouble.rs
@@ -154,15 +154,15 @@
         Fault::Killed(host) => hosts[usize::from(host)].signal(Signal::KILL),
         Fault::Stopping(host) => hosts[usize::from(host)].signal(Signal::TERM),
         Fault::Paused(host) => hosts[usize::from(host)].signal(Signal::STOP),
-        Fault::StoreCut(host) => set(world, host, |fault| fault.cut = true),
+        Fault::StoreCut(host) => set(world, host, |fault| fault.blocked = true),
         Fault::StoreRefused(host) => set(world, host, |fault| fault.refuse = true),
         Fault::Store => world.system.store.set_outage(outage(rng)),
         Fault::Crashed(target) => world.group.targets[target].crash(),
-        Fault::TargetCut(target) => set_target(world, target, |fault| fault.cut = true),
+        Fault::TargetCut(target) => set_target(world, target, |fault| fault.blocked = true),
         Fault::TargetSlow(target) => {
             set_target(world, target, |fault| fault.delay = Duration::from_millis(60));
         }
-        Fault::AnswersLost(target) => world.group.targets[target].lose_commit_answers(true),
+        Fault::AnswersLost(target) => world.group.targets[target].drop_commit_responses(true),
         Fault::Deaf(target) => world.group.targets[target].set_lag(DEAF_LAG),
     }
 }
@@ -172,8 +172,8 @@
         0 => Outage::Silent,
         1 => Outage::Busy,
         2 => Outage::Slow(Duration::from_millis(300)),
-        3 => Outage::LosesAnswers,
-        _ => Outage::LateWrites(Duration::from_millis(800)),
+        3 => Outage::LostWriteResponses,
+        _ => Outage::DelayedWrites(Duration::from_millis(800)),
     }
 }
 
@@ -219,17 +219,17 @@
         Fault::Paused(host) => {
             world.hosts.lock().expect("no thread failed")[usize::from(host)].signal(Signal::CONT);
         }
-        Fault::StoreCut(host) => set(world, host, |fault| fault.cut = false),
+        Fault::StoreCut(host) => set(world, host, |fault| fault.blocked = false),
         Fault::StoreRefused(host) => set(world, host, |fault| fault.refuse = false),
         Fault::Store => world.system.store.set_outage(Outage::None),
         Fault::Crashed(target) => {
             world.group.targets[target].restart().expect("the port is kept");
         }
-        Fault::TargetCut(target) => set_target(world, target, |fault| fault.cut = false),
+        Fault::TargetCut(target) => set_target(world, target, |fault| fault.blocked = false),
         Fault::TargetSlow(target) => {
             set_target(world, target, |fault| fault.delay = Duration::ZERO)
         }
-        Fault::AnswersLost(target) => world.group.targets[target].lose_commit_answers(false),
+        Fault::AnswersLost(target) => world.group.targets[target].drop_commit_responses(false),
         Fault::Deaf(target) => world.group.targets[target].set_lag(LAG),
     }
 }
--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -205,7 +205,7 @@
 
     async fn answer(&mut self, id: &str, text: &str) -> Reply {
         let arrived = self.host.now();
-        let Some(statement) = text::parse(text) else {
+        let Some(statement) = text::parse_statement(text) else {
             return line::error(Code::Malformed, "not a statement", self.state());
         };
         match statement {
--- a/crates/sessions/src/connection.rs
+++ b/crates/sessions/src/connection.rs
@@ -234,7 +234,7 @@
         step: &Step,
         bounds: Bounds<'_>,
     ) -> Result<(), Failure> {
-        let message = line::query(line::OWN_ID, &text::step(step));
+        let message = line::query(line::HOST_STATEMENT_ID, &text::step(step));
         let answer = self.exchange(host, target, &message, bounds).await?;
         match answer.end {
             End::Done => {
--- a/crates/sessions/src/feed.rs
+++ b/crates/sessions/src/feed.rs
@@ -127,7 +127,7 @@
                 // After a failure an early answer tells that the store is back.
                 let is_lost = self.lost_since.is_some();
                 let wait = if is_lost { self.wait.min(LOST_WAIT) } else { self.wait };
-                let follow = self.store.follow(self.table, revision, wait, CALL_TIMEOUT);
+                let follow = self.store.poll_changes(self.table, revision, wait, CALL_TIMEOUT);
                 Ok((follow.await?, false))
             }
         }
--- a/crates/sessions/src/transaction.rs
+++ b/crates/sessions/src/transaction.rs
@@ -104,7 +104,7 @@
         let Some(mut open) = self.open.take() else { return };
         let until = Instant::now() + HANDOVER_LIMIT;
         let target = open.leased.target.clone();
-        let message = line::query(line::OWN_ID, text::ROLLBACK);
+        let message = line::query(line::HOST_STATEMENT_ID, text::ROLLBACK);
         let bounds = Bounds { until, fence: None };
         let answer = open.leased.connection().exchange(host, &target, &message, bounds).await;
         if answer.is_ok_and(|answer| is_clean(&answer)) {
@@ -185,8 +185,8 @@
             leased.give_back();
             return Err(Failure::Superseded);
         }
-        let begin = text::after(floor, text::begin(self.read_only));
-        let message = line::query(line::OWN_ID, &begin);
+        let begin = text::with_floor(floor, text::begin(self.read_only));
+        let message = line::query(line::HOST_STATEMENT_ID, &begin);
         let sent = host.now();
         let answer = leased.connection().exchange(host, &target, &message, bounds).await?;
         if answer.end != End::Done || answer.state != State::Open {
--- a/crates/sessions/src/upkeep.rs
+++ b/crates/sessions/src/upkeep.rs
@@ -164,7 +164,7 @@
     let wish = Wish { account: &account, priority: OWN_PRIORITY, until, patience: PROBE_TIMEOUT };
     let mut leased = acquire(host, entry, wish).await?;
     let target = leased.target.clone();
-    let message = line::query(line::OWN_ID, text);
+    let message = line::query(line::HOST_STATEMENT_ID, text);
     let bounds = Bounds { until, fence: None };
     let answer = leased.connection().exchange(host, &target, &message, bounds).await?;
     if is_clean(&answer) {
--- a/crates/sessions/src/work.rs
+++ b/crates/sessions/src/work.rs
@@ -311,7 +311,7 @@
         leased.give_back();
         return Err(Failure::Superseded);
     }
-    let message = line::query(&task.id, &text::after(floor, &task.text));
+    let message = line::query(&task.id, &text::with_floor(floor, &task.text));
     let sent = host.now();
     let answer = leased.connection().exchange(host, &target, &message, bounds).await?;
     drop(guard);
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -7,7 +7,7 @@
 use bergamotvale_core::proxy::directory::{Entry, Role};
 use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::record::Term;
-use bergamotvale_platform::{directory, served};
+use bergamotvale_platform::{counterpart, directory};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
@@ -300,12 +300,12 @@
             };
             (entry, state.sequence)
         };
-        let value = served::rows::encode_entry(&entry, sequence);
+        let value = counterpart::rows::encode_entry(&entry, sequence);
         self.store.write(directory::TABLE, &self.name, Some(value));
     }
 
     /// Says that it is about to stop.
-    pub fn leave(&self) {
+    pub fn mark_leaving(&self) {
         lock(&self.state).is_leaving = true;
         self.register();
     }
@@ -331,7 +331,7 @@
     }
 
     /// Names another address in its entry: that of a relay before it.
-    pub fn publish(&self, address: SocketAddr) {
+    pub fn set_published_address(&self, address: SocketAddr) {
         *lock(&self.published) = address;
         self.register();
     }
@@ -342,7 +342,7 @@
     }
 
     /// Loses the answers to commits from now on; they take effect.
-    pub fn lose_commit_answers(&self, loses: bool) {
+    pub fn drop_commit_responses(&self, loses: bool) {
         lock(&self.state).loses_commit_answers = loses;
     }
 
--- a/crates/standin/src/lines/mod.rs
+++ b/crates/standin/src/lines/mod.rs
@@ -12,7 +12,7 @@
 pub use store::{Outage, Store};
 
 use bergamotvale_core::proxy::catalog::Catalog;
-use bergamotvale_platform::{catalog, served};
+use bergamotvale_platform::{catalog, counterpart};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -64,7 +64,7 @@
 
     /// Writes a configuration, as operators do.
     pub fn configure(&self, catalog: &Catalog) {
-        let value = served::rows::encode_catalog(catalog);
+        let value = counterpart::rows::encode_catalog(catalog);
         self.store.write(catalog::TABLE, catalog::KEY, Some(value));
     }
 }
--- a/crates/standin/src/lines/session.rs
+++ b/crates/standin/src/lines/session.rs
@@ -6,9 +6,9 @@
 use bergamotvale_core::proxy::directory::Role;
 use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::statement::{Access, Shape};
-use bergamotvale_platform::line::{self, OWN_ID, State};
-use bergamotvale_platform::served::line::{Command, TargetServerCodec, ToTarget, decode};
-use bergamotvale_platform::served::line::{done, error, status_row};
+use bergamotvale_platform::counterpart::line::{Command, TargetServerCodec, ToTarget, decode};
+use bergamotvale_platform::counterpart::line::{done, error, status_row};
+use bergamotvale_platform::line::{self, HOST_STATEMENT_ID, State};
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -151,7 +151,9 @@
         }
         let Some(command) = command else { return self.error(Code::Malformed) };
         match command {
-            Command::Read(_) | Command::Write(..) | Command::Execute(..) if id == OWN_ID => {
+            Command::Read(_) | Command::Write(..) | Command::Execute(..)
+                if id == HOST_STATEMENT_ID =>
+            {
                 self.error(Code::Malformed)
             }
             Command::Begin { read_only } => self.begin(read_only),
--- a/crates/standin/src/lines/store.rs
+++ b/crates/standin/src/lines/store.rs
@@ -2,7 +2,7 @@
 
 use super::group::Group;
 use crate::sync::lock;
-use bergamotvale_platform::served::store::{Call, RowKey, decode, encode};
+use bergamotvale_platform::counterpart::store::{Call, RowKey, decode, encode};
 use bergamotvale_platform::store::Row;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -33,9 +33,9 @@
     /// Each answer takes this long.
     Slow(Duration),
     /// Writes are done and not answered.
-    LosesAnswers,
+    LostWriteResponses,
     /// Writes are not answered and done this much later, if their condition still holds.
-    LateWrites(Duration),
+    DelayedWrites(Duration),
     /// It takes this many calls in a second and refuses more.
     Limited(u32),
 }
@@ -48,7 +48,7 @@
     rows: BTreeMap<RowKey, Stored>,
     revision: u64,
     /// Changes up to this one are no longer known.
-    forgotten: u64,
+    compacted: u64,
     outage: Outage,
     /// The present second of the store's life and the calls in it.
     second: (u64, u32),
@@ -93,9 +93,9 @@
     }
 
     /// Forgets the history so far: feeds have to read their tables afresh.
-    pub fn forget(&self) {
+    pub fn compact(&self) {
         let mut state = lock(&self.state);
-        state.forgotten = state.revision;
+        state.compacted = state.revision;
         state.revision += 1;
         drop(state);
         self.changed.notify_waiters();
@@ -170,7 +170,7 @@
     }
 
     fn has_forgotten(&self, after: u64) -> bool {
-        after < lock(&self.state).forgotten
+        after < lock(&self.state).compacted
     }
 
     async fn follow(&self, table: &str, after: u64, wait: Duration) -> Option<Bytes> {
@@ -219,7 +219,10 @@
         Outage::Limited(limit) if store.is_over(limit) => {
             return Ok(response(StatusCode::TOO_MANY_REQUESTS, Bytes::new()));
         }
-        Outage::None | Outage::LosesAnswers | Outage::LateWrites(_) | Outage::Limited(_) => {}
+        Outage::None
+        | Outage::LostWriteResponses
+        | Outage::DelayedWrites(_)
+        | Outage::Limited(_) => {}
     }
     let (parts, body) = request.into_parts();
     let body = body.collect().await?.to_bytes();
@@ -228,7 +231,7 @@
         return Ok(response(StatusCode::NOT_FOUND, Bytes::new()));
     };
     let is_write = matches!(call, Call::Change { .. });
-    if let (true, Outage::LateWrites(delay)) = (is_write, store.outage()) {
+    if let (true, Outage::DelayedWrites(delay)) = (is_write, store.outage()) {
         let (store, groups) = (store.clone(), groups.to_vec());
         // In a task of its own: the write is done although its caller gives up.
         tokio::spawn(async move {
@@ -238,7 +241,7 @@
         return std::future::pending().await;
     }
     let response = carry_out(store, groups, call).await;
-    if is_write && store.outage() == Outage::LosesAnswers {
+    if is_write && store.outage() == Outage::LostWriteResponses {
         std::future::pending().await
     }
     Ok(response)
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -35,7 +35,7 @@
     /// Delay of a chunk that was lost.
     pub stall: Duration,
     /// Nothing passes; what was sent passes once the cut is healed.
-    pub cut: bool,
+    pub blocked: bool,
     /// New connections are refused.
     pub refuse: bool,
 }
@@ -169,7 +169,7 @@
     }
 
     fn stopped(&self, life: &Life) -> bool {
-        let stopped = lock(&self.fault).cut || life.silent.load(Ordering::SeqCst);
+        let stopped = lock(&self.fault).blocked || life.silent.load(Ordering::SeqCst);
         stopped && !life.closed.load(Ordering::SeqCst) && !self.ended()
     }
 
--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -27,11 +27,11 @@
     /// No call is answered; those that wait are not carried out.
     pub hang: bool,
     /// Calls of these hosts are not answered.
-    pub cut: BTreeSet<HostId>,
+    pub blocked_hosts: BTreeSet<HostId>,
     /// Delay of each answer, half of it before the effect.
     pub delay: Duration,
     /// The answers of so many writes to come are lost after their effect.
-    pub lose: u64,
+    pub lost_responses: u64,
     /// How late the list of hosts is.
     pub hosts_lag: Duration,
     /// Writes a second; more are answered by 429.
@@ -46,9 +46,9 @@
             outage: false,
             refuse: false,
             hang: false,
-            cut: BTreeSet::new(),
+            blocked_hosts: BTreeSet::new(),
             delay: Duration::ZERO,
-            lose: 0,
+            lost_responses: 0,
             hosts_lag: HOSTS_LAG,
             write_rate: WRITE_RATE,
             read_rate: READ_RATE,
@@ -134,8 +134,8 @@
     /// Takes one of the answers that are to be lost.
     pub(crate) fn lose(&self) -> bool {
         let mut fault = lock(&self.inner.fault);
-        let lost = fault.lose > 0;
-        fault.lose = fault.lose.saturating_sub(1);
+        let lost = fault.lost_responses > 0;
+        fault.lost_responses = fault.lost_responses.saturating_sub(1);
         lost
     }
 }
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -113,7 +113,7 @@
         let mut hung = false;
         loop {
             let fault = self.faults.get();
-            let cut = host.is_some_and(|host| fault.cut.contains(host));
+            let cut = host.is_some_and(|host| fault.blocked_hosts.contains(host));
             if !fault.hang && !cut || fault.refuse {
                 return hung;
             }
--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -95,9 +95,9 @@
     let mut stream = connect(&relay).await;
     assert!(ping(&mut stream, PATIENCE).await);
 
-    relay.set(|fault| fault.cut = true).unwrap();
+    relay.set(|fault| fault.blocked = true).unwrap();
     let cut = ping(&mut stream, WATCH).await;
-    relay.set(|fault| fault.cut = false).unwrap();
+    relay.set(|fault| fault.blocked = false).unwrap();
 
     assert!(!cut);
     assert!(ping(&mut stream, PATIENCE).await);
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -52,7 +52,7 @@
 
 #[tokio::test]
 async fn lost_answer_has_taken_effect() {
-    let server = start(Fault { lose: 1, ..Fault::default() });
+    let server = start(Fault { lost_responses: 1, ..Fault::default() });
     let client = Client::new();
     let url = format!("{}/table/transactions", server.url());
     let body = json!({ "puts": [{ "key": "a", "value": "kept" }] });
@@ -164,7 +164,7 @@
 async fn cut_host_hangs_while_others_are_served() {
     let server = start(Fault::default());
     let faults = server.faults();
-    faults.set(|fault| _ = fault.cut.insert("h1".to_owned())).unwrap();
+    faults.set(|fault| _ = fault.blocked_hosts.insert("h1".to_owned())).unwrap();
     let client = Client::new();
     let call = |host: &str, wait: Duration| {
         let url = format!("{}/hosts", server.url());
@@ -172,7 +172,7 @@
     };
 
     let (cut, other) = (call("h1", WATCH).await, call("h2", PATIENCE).await);
-    faults.set(|fault| fault.cut.clear()).unwrap();
+    faults.set(|fault| fault.blocked_hosts.clear()).unwrap();
     let healed = call("h1", PATIENCE).await;
 
     assert!(cut.is_err_and(|error| error.is_timeout()));
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -20,7 +20,7 @@
 #[tarpc::service]
 pub trait Peer {
     /// Exchanges heartbeats.
-    async fn beat(heartbeat: Heartbeat) -> Heartbeat;
+    async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
     /// Notes that an epoch is about to be written; says whether it was still unknown here.
     async fn announce(announcement: Announcement) -> bool;
     /// Takes an update; answers with this run of the host and the epoch in force here afterwards.
--- a/crates/wire/tests/garbage.rs
+++ b/crates/wire/tests/garbage.rs
@@ -31,7 +31,7 @@
 struct Server;
 
 impl Peer for Server {
-    async fn beat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
+    async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
         heartbeat
     }
 
