--- a/crates/standin/src/lines/store.rs
+++ b/crates/standin/src/lines/store.rs
@@ -254,7 +254,7 @@
             rows.retain(|row| row.key >= from);
             response(StatusCode::OK, encode(&table, &rows, revision, store.now()))
         }
-        Call::Follow { table, after, wait } => match store.follow(&table, after, wait).await {
+        Call::PollChanges { table, after, wait } => match store.follow(&table, after, wait).await {
             Some(body) => response(StatusCode::OK, body),
             None => response(StatusCode::GONE, Bytes::new()),
         },
