--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -1,14 +1,14 @@
-//! Errors of the transport between hosts.
+//! Error type of calls between hosts.
 
 use derive_more::{Display, Error, From};
 
-/// What can go wrong between hosts.
+/// Failure of a connection or call to a peer.
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
-    /// The connection could not be made or broke.
+    /// The connection could not be established or failed.
     #[display("peer connection: {_0}")]
     Io(std::io::Error),
-    /// The call did not come back.
+    /// The call returned no response; the peer may have executed it.
     #[display("peer call: {_0}")]
     Rpc(tarpc::client::RpcError),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,6 @@
-//! The protocol between hosts: one RPC service over TCP.
+//! RPC interface between hosts: one service over TCP.
 //!
-//! The messages are the plain data of [`bergamotvale_core::peer`]; this crate only gives them a
-//! transport.
+//! The messages are the types of [`bergamotvale_core::peer`]; this crate adds only the transport.
 
 pub mod error;
 pub mod peer;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -13,35 +13,36 @@
 use tarpc::tokio_util::codec::length_delimited::LengthDelimitedCodec;
 use tokio::net::TcpStream;
 
-/// Bytes of one message.
+/// Size limit of one message.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
-/// What a host does for its peers.
+/// Calls that a host serves for its peers.
 #[tarpc::service]
 pub trait Peer {
     /// Exchanges heartbeats.
     async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
-    /// Notes that an epoch is about to be written; says whether it was still unknown here.
+    /// Announces an epoch before it is written; returns whether this host did not know it yet.
     async fn announce(announcement: Announcement) -> bool;
-    /// Takes an update; answers with this run of the host and the epoch in force here afterwards.
+    /// Receives an update; returns this host's incarnation and the epoch in force here afterwards.
     async fn push(update: Update) -> (Incarnation, Epoch);
-    /// Gives what leads from `epoch` and `version` to those in force here, if they are higher.
+    /// Returns the update from `epoch` and `version` to those in force here, `None` unless the latter
+    /// are higher.
     async fn fetch(epoch: Epoch, version: Version) -> Option<Update>;
-    /// Lends rate tokens; answers with the number lent.
+    /// Lends rate tokens; returns the number lent, possibly 0.
     async fn lend_tokens(request: TokenRequest) -> u32;
-    /// Lends connection slots for a lease; answers with the number lent.
+    /// Lends connection slots for a lease; returns the number lent, possibly 0.
     async fn lend_slots(request: SlotRequest) -> u32;
-    /// Takes lent connection slots back before their lease ends.
+    /// Returns borrowed connection slots to this host before their lease ends.
     async fn return_slots(request: SlotRequest) -> ();
-    /// Runs a step of a transaction that this host owns.
+    /// Runs a step of a transaction that is open on this host.
     async fn forward(forward: Forward) -> Outcome;
 }
 
-/// Transport of messages over a connection.
+/// Transport of length-delimited, bincode-encoded messages over a TCP connection.
 pub type Transport<Item, SinkItem> =
     tarpc::serde_transport::Transport<TcpStream, Item, SinkItem, Bincode<Item, SinkItem>>;
 
-/// Connects to the peer at `address`.
+/// Connects to the peer at `address` within `timeout`, and spawns the client's task.
 pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<PeerClient> {
     let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
         Ok(stream) => stream?,
@@ -51,14 +52,14 @@
     Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
 }
 
-/// The server's end of a connection.
+/// Server side of a connection from a peer.
 pub type PeerChannel = BaseChannel<
     PeerRequest,
     PeerResponse,
     Transport<ClientMessage<PeerRequest>, tarpc::Response<PeerResponse>>,
 >;
 
-/// Takes a connection that a peer has made.
+/// Accepts an established connection from a peer.
 pub fn accept(stream: TcpStream) -> Result<PeerChannel> {
     Ok(BaseChannel::with_defaults(transport(stream)?))
 }
@@ -74,7 +75,7 @@
     Ok(tarpc::serde_transport::new(codec.new_framed(stream), Bincode::default()))
 }
 
-/// A call's context that ends after `timeout`.
+/// Creates the context of a call, with a deadline `timeout` from now.
 pub fn context(timeout: Duration) -> tarpc::context::Context {
     let mut context = tarpc::context::current();
     context.deadline = std::time::Instant::now() + timeout;
