--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,8 +1,9 @@
-//! Stand-ins of what Bergamotvale meets outside: the platform and the database groups.
+//! Stand-ins (test doubles) of the systems that Bergamotvale depends on: the platform and the
+//! database groups.
 //!
-//! They speak the protocols of `docs/design/outside.md` on loopback and carry faults that tests,
-//! trials and benchmarks set at run time. Each runs on threads of its own, so that it never
-//! shares a runtime with what it is tested against. The daemon does not link this crate.
+//! They serve the protocols of `docs/design/outside.md` on loopback and inject faults that tests,
+//! trials and benchmarks set at run time. Each runs on its own threads, so that it never shares a
+//! runtime with the system under test. The daemon does not link this crate.
 
 pub mod error;
 pub mod group;
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -1,4 +1,4 @@
-//! A group of targets: one log a target, replication with lag, promotion, and their troubles.
+//! A group of targets: a log for each target, replication with lag, promotion, and faults.
 
 use super::session;
 use super::store::Store;
@@ -15,44 +15,44 @@
 use std::time::{Duration, SystemTime};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit, watch};
 
-/// Targets of a group.
+/// Number of targets of a group.
 const TARGETS: usize = 3;
-/// Statements that a target runs at once.
+/// Statements that a target runs concurrently.
 const SLOTS: u32 = 3;
-/// Statements that wait for a slot at most; more are refused.
-const QUEUE: u32 = 24;
-/// Connections that a target takes unless it is set.
-const CONNECTIONS: u32 = 21;
-/// Time between the call and the moment at which the target leads.
-const PROMOTE_TIME: Duration = Duration::from_millis(100);
-/// Time between two steps of replication.
-const REPLICATION_STEP: Duration = Duration::from_millis(2);
-/// Lag of replicas unless it is set.
-const LAG: Duration = Duration::from_millis(5);
+/// Maximum number of statements that wait for a slot; more are refused as busy.
+const MAX_QUEUED: u32 = 24;
+/// Default connection limit of a target.
+const DEFAULT_CONNECTION_LIMIT: u32 = 21;
+/// Time from the promotion call until the target is the primary.
+const PROMOTION_DELAY: Duration = Duration::from_millis(100);
+/// Interval between two replication steps.
+const REPLICATION_INTERVAL: Duration = Duration::from_millis(2);
+/// Default replication lag.
+const DEFAULT_LAG: Duration = Duration::from_millis(5);
 
 /// A commit in a target's log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Commit {
-    /// Its place.
+    /// Position of the commit in the log.
     pub position: Position,
-    /// Items and the data written.
+    /// Items and the data written to them, in order.
     pub writes: Vec<(String, String)>,
     at: std::time::Instant,
 }
 
-/// What a target holds.
+/// Mutable state of a target.
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) role: Role,
     pub(super) term: Term,
     pub(super) log: Vec<Commit>,
-    pub(super) open: u32,
+    pub(super) open_connections: u32,
     pub(super) is_leaving: bool,
-    pub(super) is_dark: bool,
-    pub(super) loses_commit_answers: bool,
-    /// Connections that it takes.
+    pub(super) is_crashed: bool,
+    pub(super) drops_commit_responses: bool,
+    /// Connections beyond this number are refused.
     pub(super) connection_limit: u32,
-    /// Term below which it receives nothing; 0 unless it was told so.
+    /// Primaries of terms below this one are ignored; 0 if replication is not paused.
     pub(super) paused_below: Term,
     lag: Duration,
     sequence: u64,
@@ -60,13 +60,13 @@
 }
 
 impl State {
-    /// Place of the last commit, or of the beginning of the term.
+    /// Position of the last commit, or the start of the term if there is no later commit.
     pub(super) fn position(&self) -> Position {
         let last = self.log.last().map_or_else(Position::default, |commit| commit.position);
         last.max(Position { term: self.term, number: 0 })
     }
 
-    /// Data of an item.
+    /// Data last written to an item.
     pub(super) fn read(&self, item: &str) -> Option<&str> {
         let writes = self.log.iter().rev().flat_map(|commit| commit.writes.iter().rev());
         let mut found = writes.filter(|(name, _)| name == item);
@@ -74,41 +74,41 @@
     }
 }
 
-/// One target.
+/// A target of a group: listener, log and faults.
 #[derive(Debug)]
 pub struct Target {
-    /// Its name.
+    /// Name of the target in the platform's directory.
     pub name: String,
-    /// Its service.
+    /// Service that the target belongs to.
     pub service: String,
     pub(super) state: Mutex<State>,
-    pub(super) ends: Notify,
+    pub(super) disconnects: Notify,
     restarts: Notify,
-    /// Slots for statements that work.
+    /// Slots for statements that read, write or commit.
     pub(super) slots: Semaphore,
     queued: AtomicU32,
     port: Port,
-    /// Address in its entry: its own, or that of a relay before it.
-    published: Mutex<SocketAddr>,
+    /// Address in the directory entry: the target's own, or that of a relay in front of it.
+    published_address: Mutex<SocketAddr>,
     store: Arc<Store>,
     sync_replicas: Arc<AtomicUsize>,
-    /// Commits of its log that enough replicas have received.
+    /// Number of commits of this log that enough replicas have received.
     replicated: watch::Sender<usize>,
 }
 
 /// A group of targets.
 #[derive(Debug)]
 pub struct Group {
-    /// Its service.
+    /// Service that the group serves.
     pub service: String,
-    /// Its targets.
+    /// Targets of the group; the first one is the initial primary.
     pub targets: Vec<Arc<Target>>,
     /// Replicas that must have received a commit before it is acknowledged.
     sync_replicas: Arc<AtomicUsize>,
 }
 
 impl Group {
-    /// A group whose first target leads term 1.
+    /// Creates a group whose first target is the primary of term 1.
     pub(super) fn new(service: &str, store: Arc<Store>) -> crate::Result<Group> {
         let sync_replicas = Arc::new(AtomicUsize::new(0));
         let target = |index: usize| {
@@ -124,7 +124,7 @@
         self.sync_replicas.store(count, Ordering::Relaxed);
     }
 
-    /// Starts listening and replicating, on the runtime that runs this.
+    /// Registers the targets and starts listening and replication on the current runtime.
     pub(super) fn serve(self: &Arc<Group>) {
         for target in &self.targets {
             target.register();
@@ -133,7 +133,7 @@
         tokio::spawn(replicate(self.clone()));
     }
 
-    /// The target that leads the highest term.
+    /// The primary of the highest term.
     pub fn primary(&self) -> Arc<Target> {
         let leads = |target: &&Arc<Target>| lock(&target.state).role == Role::Primary;
         let leaders = self.targets.iter().filter(leads);
@@ -141,19 +141,20 @@
         leader.unwrap_or(&self.targets[0]).clone()
     }
 
-    /// A target that does not lead.
+    /// A target that is a replica.
     pub fn replica(&self) -> Arc<Target> {
         let follows = |target: &&Arc<Target>| lock(&target.state).role == Role::Replica;
         let replica = self.targets.iter().find(follows);
         replica.unwrap_or(&self.targets[1]).clone()
     }
 
-    /// Makes a target lead the next term soon; false if it is not running.
+    /// Makes a target the primary of the next term after a delay; false if the target is unknown or
+    /// has crashed.
     pub(super) fn promote(self: &Arc<Group>, name: &str) -> bool {
         let Some(target) = self.targets.iter().find(|target| target.name == name).cloned() else {
             return false;
         };
-        if lock(&target.state).is_dark {
+        if lock(&target.state).is_crashed {
             return false;
         }
         if lock(&target.state).role == Role::Primary {
@@ -161,13 +162,13 @@
         }
         let group = self.clone();
         tokio::spawn(async move {
-            tokio::time::sleep(PROMOTE_TIME).await;
-            group.lead(&target);
+            tokio::time::sleep(PROMOTION_DELAY).await;
+            group.make_primary(&target);
         });
         true
     }
 
-    fn lead(&self, target: &Target) {
+    fn make_primary(&self, target: &Target) {
         let term = self.targets.iter().map(|t| lock(&t.state).term).max().unwrap_or_default();
         {
             let mut state = lock(&target.state);
@@ -180,12 +181,13 @@
         target.register();
     }
 
-    /// Brings every replica that is not deaf up to the primary, as far as its lag allows.
+    /// Brings every replica that has neither crashed nor paused up to the primary, as far as its lag
+    /// allows. Commits that the primary's log lacks are discarded.
     fn replicate_once(&self) {
         let primary = self.primary();
         let (term, log) = {
             let state = lock(&primary.state);
-            if state.is_dark {
+            if state.is_crashed {
                 return;
             }
             (state.term, state.log.clone())
@@ -193,7 +195,7 @@
         for target in self.targets.iter().filter(|target| target.name != primary.name) {
             let demoted = {
                 let mut state = lock(&target.state);
-                if state.is_dark || term < state.paused_below {
+                if state.is_crashed || term < state.paused_below {
                     continue;
                 }
                 let demoted = state.role == Role::Primary;
@@ -205,6 +207,7 @@
                     let from = common.min(due);
                     state.log.extend_from_slice(&log[from..due.max(from)]);
                 }
+                // A lag of a minute or more also keeps the primary's term from the replica.
                 if state.lag < Duration::from_secs(60) {
                     state.term = term;
                 }
@@ -215,14 +218,14 @@
             }
         }
         if self.sync_replicas.load(Ordering::Relaxed) > 0 {
-            self.note_replicated(&primary);
+            self.update_replicated(&primary);
         }
     }
 
-    /// Tells the primary how far enough replicas have received its log.
-    fn note_replicated(&self, primary: &Target) {
+    /// Updates how far enough replicas have received the primary's log.
+    fn update_replicated(&self, primary: &Target) {
         let log = lock(&primary.state).log.clone();
-        // A replica's log may have gone another way before this primary's term.
+        // Counts common commits only: a replica's log may have diverged in an earlier term.
         let received = |target: &Arc<Target>| {
             let state = lock(&target.state);
             log.iter().zip(&state.log).take_while(|(a, b)| a == b).count()
@@ -238,7 +241,7 @@
 
 async fn replicate(group: Arc<Group>) {
     loop {
-        tokio::time::sleep(REPLICATION_STEP).await;
+        tokio::time::sleep(REPLICATION_INTERVAL).await;
         group.replicate_once();
     }
 }
@@ -256,13 +259,13 @@
             role,
             term: 1,
             log: Vec::new(),
-            open: 0,
+            open_connections: 0,
             is_leaving: false,
-            is_dark: false,
-            loses_commit_answers: false,
-            connection_limit: CONNECTIONS,
+            is_crashed: false,
+            drops_commit_responses: false,
+            connection_limit: DEFAULT_CONNECTION_LIMIT,
             paused_below: 0,
-            lag: LAG,
+            lag: DEFAULT_LAG,
             sequence: 0,
             born: u64::try_from(born.as_millis()).unwrap_or_default(),
         };
@@ -271,11 +274,11 @@
             name: format!("{service}-{index}"),
             service: service.into(),
             state: Mutex::new(state),
-            ends: Notify::new(),
+            disconnects: Notify::new(),
             restarts: Notify::new(),
             slots: Semaphore::new(SLOTS as usize),
             queued: AtomicU32::new(0),
-            published: Mutex::new(port.address),
+            published_address: Mutex::new(port.address),
             port,
             store,
             sync_replicas,
@@ -283,7 +286,7 @@
         })
     }
 
-    /// Writes its entry into the platform's directory.
+    /// Writes the target's entry into the platform's directory.
     fn register(&self) {
         let (entry, sequence) = {
             let mut state = lock(&self.state);
@@ -291,7 +294,7 @@
             let entry = Entry {
                 name: self.name.clone(),
                 service: self.service.clone(),
-                address: *lock(&self.published),
+                address: *lock(&self.published_address),
                 domain: "a".into(),
                 slots: SLOTS,
                 is_leaving: state.is_leaving,
@@ -304,56 +307,58 @@
         self.store.write(directory::TABLE, &self.name, Some(value));
     }
 
-    /// Says that it is about to stop.
+    /// Marks the target as leaving in the directory.
     pub fn mark_leaving(&self) {
         lock(&self.state).is_leaving = true;
         self.register();
     }
 
-    /// Breaks all connections and refuses new ones; nobody is told.
+    /// Closes all connections and refuses new ones; the directory entry stays as it is.
     pub fn crash(&self) {
-        lock(&self.state).is_dark = true;
+        lock(&self.state).is_crashed = true;
         self.port.close();
-        self.ends.notify_waiters();
+        self.disconnects.notify_waiters();
     }
 
-    /// Comes back after a crash with its log; as a replica if another was promoted meanwhile.
+    /// Restarts a crashed target with its log; it becomes a replica if another target has been
+    /// promoted since.
     pub fn restart(self: &Arc<Target>) -> crate::Result<()> {
         self.port.open()?;
-        lock(&self.state).is_dark = false;
+        lock(&self.state).is_crashed = false;
         self.restarts.notify_one();
         Ok(())
     }
 
-    /// Address at which it listens.
+    /// Address on which the target listens.
     pub fn address(&self) -> SocketAddr {
         self.port.address
     }
 
-    /// Names another address in its entry: that of a relay before it.
+    /// Publishes another address in the directory entry, that of a relay in front of the target.
     pub fn set_published_address(&self, address: SocketAddr) {
-        *lock(&self.published) = address;
+        *lock(&self.published_address) = address;
         self.register();
     }
 
-    /// Waits until it comes back after a crash.
+    /// Waits until the target restarts after a crash.
     pub(super) async fn wait_restart(&self) {
         self.restarts.notified().await;
     }
 
-    /// Loses the answers to commits from now on; they take effect.
+    /// Sets whether the target closes a connection instead of answering a commit, which still takes
+    /// effect.
     pub fn drop_commit_responses(&self, loses: bool) {
-        lock(&self.state).loses_commit_answers = loses;
+        lock(&self.state).drops_commit_responses = loses;
     }
 
-    /// Takes this many connections from now on.
+    /// Sets the connection limit for new connections; open ones stay.
     pub fn set_connection_limit(&self, limit: u32) {
         lock(&self.state).connection_limit = limit;
     }
 
-    /// Waits for a slot; none if too many wait already.
-    pub(super) async fn slot(&self) -> Option<SemaphorePermit<'_>> {
-        if self.queued.fetch_add(1, Ordering::Relaxed) >= QUEUE + SLOTS {
+    /// Waits for a slot; `None` if too many statements are waiting.
+    pub(super) async fn acquire_slot(&self) -> Option<SemaphorePermit<'_>> {
+        if self.queued.fetch_add(1, Ordering::Relaxed) >= MAX_QUEUED + SLOTS {
             self.queued.fetch_sub(1, Ordering::Relaxed);
             return None;
         }
@@ -362,36 +367,37 @@
         permit
     }
 
-    /// Makes a replica lag by this much.
+    /// Sets the delay after which the target, as a replica, receives commits.
     pub fn set_lag(&self, lag: Duration) {
         lock(&self.state).lag = lag;
     }
 
-    /// Whether it holds itself to be the primary.
+    /// Whether the target considers itself the primary.
     pub fn is_primary(&self) -> bool {
         lock(&self.state).role == Role::Primary
     }
 
-    /// Data of an item in its log.
+    /// Data last written to an item, according to this target's log.
     pub fn read(&self, item: &str) -> Option<String> {
         lock(&self.state).read(item).map(str::to_owned)
     }
 
-    /// All data written to an item in its log, in order.
+    /// All data written to an item in this target's log, in order.
     pub fn history(&self, item: &str) -> Vec<String> {
         let state = lock(&self.state);
         let writes = state.log.iter().flat_map(|commit| &commit.writes);
         writes.filter(|(name, _)| name == item).map(|(_, data)| data.clone()).collect()
     }
 
-    /// Times that an item was written in its log.
+    /// Number of writes to an item in this target's log.
     pub fn count_writes(&self, item: &str) -> usize {
         let state = lock(&self.state);
         let writes = state.log.iter().flat_map(|commit| &commit.writes);
         writes.filter(|(name, _)| name == item).count()
     }
 
-    /// Appends a commit if it leads; answers with its place.
+    /// Appends a commit and returns its position; `None` if the target is not the primary. A commit
+    /// without writes changes nothing and returns the current position.
     pub(super) fn commit(&self, writes: Vec<(String, String)>) -> Option<Position> {
         let mut state = lock(&self.state);
         if state.role != Role::Primary {
@@ -406,13 +412,13 @@
         Some(position)
     }
 
-    /// Waits until enough replicas have received the log as it is now.
+    /// Waits until enough replicas have received the present log.
     pub(super) async fn wait_replicated(&self) {
         if self.sync_replicas.load(Ordering::Relaxed) == 0 {
             return;
         }
         let length = lock(&self.state).log.len();
-        // The sender lives as long as the target.
+        // Cannot fail: the sender lives as long as the target.
         drop(self.replicated.subscribe().wait_for(|received| *received >= length).await);
     }
 
@@ -424,11 +430,11 @@
         }
     }
 
-    /// Waits for a connection to its port; none once it has crashed.
+    /// Waits for a connection; `None` once the target has crashed.
     pub(super) fn accept(&self) -> Option<std::net::TcpStream> {
         self.port.accept()
     }
 }
 
-/// Values by name.
+/// Session values by name.
 pub(super) type Values = BTreeMap<String, String>;
--- a/crates/standin/src/lines/mod.rs
+++ b/crates/standin/src/lines/mod.rs
@@ -1,8 +1,8 @@
 //! Stand-ins for session hosts: the platform's table service and groups of targets that speak the
 //! line protocol.
 //!
-//! A [`System`] runs both on one thread of its own, with the faults of [`Store`] and [`Target`].
-//! Names and formats come from the adapter.
+//! A [`System`] runs both on a single thread, apart from the threads that accept connections to
+//! targets. [`Store`] and [`Target`] inject faults. Names and formats come from the adapter.
 
 mod group;
 mod session;
@@ -18,13 +18,13 @@
 use std::thread::JoinHandle;
 use tokio::sync::oneshot;
 
-/// A platform and its groups of targets; dropping it ends them.
+/// A platform and its groups of targets; dropping it stops them.
 pub struct System {
-    /// The table service.
+    /// The platform's table service.
     pub store: Arc<Store>,
-    /// The groups by service.
+    /// One group per service, in the order given at the start.
     pub groups: Vec<Arc<Group>>,
-    /// Address of the platform: table service and promotion call.
+    /// Address of the platform, for the table service and the promotion call.
     pub address: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -41,7 +41,7 @@
         for service in services {
             groups.push(Arc::new(Group::new(service, store.clone())?));
         }
-        let (stop, stopped) = oneshot::channel();
+        let (stop, stop_requested) = oneshot::channel();
         let (served_store, served_groups) = (store.clone(), groups.clone());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let thread = std::thread::spawn(move || {
@@ -53,16 +53,18 @@
                     Ok(listener) => {
                         tokio::spawn(store::serve(served_store, served_groups, listener));
                     }
-                    Err(error) => log::error!("the stand-in store does not serve: {error}"),
+                    Err(error) => log::error!(
+                        "stand-in store cannot use its listener and serves no calls: {error}"
+                    ),
                 }
-                // Either the system is dropped, which is the wish to stop, or it says so.
-                drop(stopped.await);
+                // An error means that the sender was dropped, which is a request to stop as well.
+                drop(stop_requested.await);
             });
         });
         Ok(System { store, groups, address, stop: Some(stop), thread: Some(thread) })
     }
 
-    /// Writes a configuration, as operators do.
+    /// Writes a configuration to the table, as operators do.
     pub fn configure(&self, catalog: &Catalog) {
         let value = counterpart::rows::encode_catalog(catalog);
         self.store.write(catalog::TABLE, catalog::KEY, Some(value));
@@ -72,7 +74,7 @@
 impl Drop for System {
     fn drop(&mut self) {
         if let Some(stop) = self.stop.take() {
-            // The thread may have ended already.
+            // The thread may have exited already.
             let _ = stop.send(());
         }
         if let Some(thread) = self.thread.take() {
--- a/crates/standin/src/lines/session.rs
+++ b/crates/standin/src/lines/session.rs
@@ -1,4 +1,4 @@
-//! One connection to a target.
+//! A connection to a target and its session state.
 
 use super::group::{Target, Values};
 use crate::sync::lock;
@@ -17,17 +17,17 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::Decoder;
 
-/// Time that a statement works.
-const WORK: Duration = Duration::from_millis(2);
+/// Execution time of a statement that occupies a slot.
+const EXECUTION_TIME: Duration = Duration::from_millis(2);
 
-/// A transaction that is open on a connection.
+/// An open transaction and its uncommitted writes.
 #[derive(Debug)]
 struct Transaction {
     read_only: bool,
     writes: Vec<(String, String)>,
 }
 
-/// State of one connection.
+/// Session state of one connection.
 #[derive(Debug)]
 struct Session {
     target: Arc<Target>,
@@ -37,7 +37,7 @@
     transaction: Option<Transaction>,
 }
 
-/// Takes connections on a thread of its own, and serves them on the runtime that runs this.
+/// Accepts connections on a separate thread and serves them on the current runtime.
 pub(super) fn accept(target: Arc<Target>) {
     let runtime = tokio::runtime::Handle::current();
     std::thread::spawn(move || {
@@ -46,7 +46,7 @@
                 let target = target.clone();
                 runtime.spawn(async move {
                     if let Err(error) = serve(target, stream).await {
-                        log::debug!("a connection to a stand-in target ended: {error}");
+                        log::debug!("connection to a stand-in target failed: {error}");
                     }
                 });
             }
@@ -59,23 +59,23 @@
     stream.set_nonblocking(true)?;
     let stream = TcpStream::from_std(stream)?;
     stream.set_nodelay(true)?;
-    lock(&target.state).open += 1;
-    let ends = target.ends.notified();
+    lock(&target.state).open_connections += 1;
+    let disconnects = target.disconnects.notified();
     let result = tokio::select! {
-        result = converse(target.clone(), stream) => result,
-        () = ends => Ok(()),
+        result = serve_messages(target.clone(), stream) => result,
+        () = disconnects => Ok(()),
     };
-    lock(&target.state).open -= 1;
+    lock(&target.state).open_connections -= 1;
     result
 }
 
-async fn converse(target: Arc<Target>, mut stream: TcpStream) -> std::io::Result<()> {
+async fn serve_messages(target: Arc<Target>, mut stream: TcpStream) -> std::io::Result<()> {
     let mut codec = TargetServerCodec::default();
     let mut buffer = BytesMut::new();
     let mut session: Option<Session> = None;
     loop {
         while let Ok(Some(request)) = codec.decode(&mut buffer) {
-            let Some(answer) = take(&target, &mut session, decode(request)).await else {
+            let Some(answer) = handle_message(&target, &mut session, decode(request)).await else {
                 return Ok(());
             };
             stream.write_all(&answer).await?;
@@ -86,21 +86,21 @@
     }
 }
 
-/// Takes one message; none ends the connection, or loses the answer with it.
-async fn take(
+/// Handles one message; `None` closes the connection without an answer.
+async fn handle_message(
     target: &Arc<Target>,
     session: &mut Option<Session>,
     message: ToTarget,
 ) -> Option<Bytes> {
     match (message, session) {
         (ToTarget::Connect { service, account, target: name }, session @ None) => {
-            let is_meant = service == target.service && name.is_none_or(|n| n == target.name);
-            if !is_meant {
+            let is_match = service == target.service && name.is_none_or(|n| n == target.name);
+            if !is_match {
                 return Some(line::refusal(Code::Misrouted, &target.name));
             }
             let is_full = {
                 let state = lock(&target.state);
-                state.open > state.connection_limit
+                state.open_connections > state.connection_limit
             };
             if is_full {
                 return Some(line::refusal(Code::TooManyConnections, &target.name));
@@ -197,7 +197,7 @@
     fn status(&self) -> Option<Bytes> {
         let row = {
             let state = lock(&self.target.state);
-            status_row(state.role, state.term, state.position(), 0, state.open)
+            status_row(state.role, state.term, state.position(), 0, state.open_connections)
         };
         self.done(&[row])
     }
@@ -218,9 +218,9 @@
     }
 
     async fn read(&self, item: &str) -> Option<Bytes> {
-        let Some(_slot) = self.target.slot().await else { return self.error(Code::Busy) };
-        tokio::time::sleep(WORK).await;
-        // The values show in the rows, so that callers can tell whose session they got.
+        let Some(_slot) = self.target.acquire_slot().await else { return self.error(Code::Busy) };
+        tokio::time::sleep(EXECUTION_TIME).await;
+        // Rows include the session values, so that tests detect a session with another one's state.
         let values: Vec<String> = self.values.iter().map(|(k, v)| format!("{k}={v}")).collect();
         let own = self.transaction.iter().flat_map(|t| t.writes.iter().rev());
         let written = own.filter(|(name, _)| name == item).map(|(_, data)| data.clone()).next();
@@ -230,8 +230,8 @@
 
     async fn write(&mut self, item: String, data: String) -> Option<Bytes> {
         let target = self.target.clone();
-        let Some(_slot) = target.slot().await else { return self.error(Code::Busy) };
-        tokio::time::sleep(WORK).await;
+        let Some(_slot) = target.acquire_slot().await else { return self.error(Code::Busy) };
+        tokio::time::sleep(EXECUTION_TIME).await;
         if !self.target.is_primary() || self.transaction.as_ref().is_some_and(|t| t.read_only) {
             return self.error(Code::ReadOnly);
         }
@@ -239,27 +239,27 @@
             transaction.writes.push((item, data));
             return self.done(&[]);
         }
-        self.keep(vec![(item, data)]).await
+        self.apply(vec![(item, data)]).await
     }
 
     async fn commit(&mut self) -> Option<Bytes> {
         let target = self.target.clone();
-        let Some(_slot) = target.slot().await else { return self.error(Code::Busy) };
-        tokio::time::sleep(WORK).await;
+        let Some(_slot) = target.acquire_slot().await else { return self.error(Code::Busy) };
+        tokio::time::sleep(EXECUTION_TIME).await;
         match self.transaction.take() {
             None => self.error(Code::Malformed),
             Some(transaction) if transaction.writes.is_empty() => self.done(&[]),
-            Some(transaction) => self.keep(transaction.writes).await,
+            Some(transaction) => self.apply(transaction.writes).await,
         }
     }
 
-    /// Commits; none loses the answer.
-    async fn keep(&self, writes: Vec<(String, String)>) -> Option<Bytes> {
+    /// Commits writes; `None` drops the answer after the commit has taken effect.
+    async fn apply(&self, writes: Vec<(String, String)>) -> Option<Bytes> {
         if self.target.commit(writes).is_none() {
             return self.error(Code::ReadOnly);
         }
         self.target.wait_replicated().await;
-        if lock(&self.target.state).loses_commit_answers {
+        if lock(&self.target.state).drops_commit_responses {
             return None;
         }
         self.done(&[])
--- a/crates/standin/src/lines/store.rs
+++ b/crates/standin/src/lines/store.rs
@@ -1,4 +1,4 @@
-//! The table service: rows with revisions, conditional writes, feeds, and its troubles.
+//! The platform's table service: rows with revisions, conditional writes, change feeds and faults.
 
 use super::group::Group;
 use crate::sync::lock;
@@ -17,44 +17,44 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Age of the store's clock at its start.
-const AGE: Duration = Duration::from_secs(3600);
+/// Reading of the store's clock at its start.
+const INITIAL_CLOCK: Duration = Duration::from_secs(3600);
 
-/// What is wrong with the store.
+/// Fault of the store; one applies at a time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Outage {
-    /// Nothing.
+    /// No fault.
     #[default]
     None,
-    /// It takes calls and never answers.
+    /// Calls are accepted, not executed and never answered.
     Silent,
-    /// It refuses every call and does nothing.
+    /// Every call is refused with status 503.
     Busy,
-    /// Each answer takes this long.
+    /// Calls are executed after this delay.
     Slow(Duration),
-    /// Writes are done and not answered.
+    /// Writes are executed and never answered.
     LostWriteResponses,
-    /// Writes are not answered and done this much later, if their condition still holds.
+    /// Writes are never answered, and executed after this delay if their condition still holds.
     DelayedWrites(Duration),
-    /// It takes this many calls in a second and refuses more.
+    /// Calls beyond this number per second are refused with status 429.
     Limited(u32),
 }
 
-/// A row's value and the revision that wrote it.
+/// Value of a row and the revision that wrote it; no value if the row was removed.
 type Stored = (Option<Bytes>, u64);
 
 #[derive(Debug, Default)]
 struct State {
     rows: BTreeMap<RowKey, Stored>,
     revision: u64,
-    /// Changes up to this one are no longer known.
-    compacted: u64,
+    /// Change history up to this revision has been discarded.
+    compacted_revision: u64,
     outage: Outage,
-    /// The present second of the store's life and the calls in it.
+    /// Current second since the start and the number of calls in it.
     second: (u64, u32),
 }
 
-/// The table service.
+/// A stand-in of the platform's table service.
 #[derive(Debug)]
 pub struct Store {
     state: Mutex<State>,
@@ -70,7 +70,7 @@
 }
 
 impl Store {
-    /// Writes or removes a row without a condition; answers with the revision.
+    /// Writes a row, or removes it if `value` is `None`, unconditionally; returns the new revision.
     pub fn write(&self, table: &str, key: &str, value: Option<Bytes>) -> u64 {
         let mut state = lock(&self.state);
         state.revision += 1;
@@ -81,33 +81,33 @@
         revision
     }
 
-    /// Value of a row.
+    /// Value of a row; `None` if there is no such row.
     pub fn value(&self, table: &str, key: &str) -> Option<Bytes> {
         let state = lock(&self.state);
         state.rows.get(&(table.to_owned(), key.to_owned())).and_then(|row| row.0.clone())
     }
 
-    /// Brings trouble, or ends it.
+    /// Sets the present fault; [`Outage::None`] ends it.
     pub fn set_outage(&self, outage: Outage) {
         lock(&self.state).outage = outage;
     }
 
-    /// Forgets the history so far: feeds have to read their tables afresh.
+    /// Discards the change history: feeds that follow it have to read their tables again.
     pub fn compact(&self) {
         let mut state = lock(&self.state);
-        state.compacted = state.revision;
+        state.compacted_revision = state.revision;
         state.revision += 1;
         drop(state);
         self.changed.notify_waiters();
     }
 
-    /// Its steady clock. It starts an hour late, as one of a platform that has run for a while.
+    /// Monotonic clock. It starts at an hour, like that of a platform that has been running.
     fn now(&self) -> Duration {
-        AGE + self.started.elapsed()
+        INITIAL_CLOCK + self.started.elapsed()
     }
 
-    /// Counts a call; says whether it is one too many for its second.
-    fn is_over(&self, limit: u32) -> bool {
+    /// Counts a call; returns whether it exceeds `limit` calls in the current second.
+    fn exceeds_rate(&self, limit: u32) -> bool {
         let second = self.started.elapsed().as_secs();
         let mut state = lock(&self.state);
         if state.second.0 != second {
@@ -148,7 +148,8 @@
         Some(revision)
     }
 
-    /// Rows of a table changed after `after`; removed ones only where `with_removed` says so.
+    /// Rows of a table that changed after `after`, and the current revision. With `with_removed`,
+    /// removed rows are included and rows are in order of revision, otherwise in order of key.
     fn rows(&self, table: &str, after: u64, with_removed: bool) -> (Vec<Row>, u64) {
         let state = lock(&self.state);
         let mut rows: Vec<Row> = state
@@ -169,28 +170,28 @@
         (rows, state.revision)
     }
 
-    fn has_forgotten(&self, after: u64) -> bool {
-        after < lock(&self.state).compacted
+    fn has_compacted(&self, after: u64) -> bool {
+        after < lock(&self.state).compacted_revision
     }
 
-    async fn follow(&self, table: &str, after: u64, wait: Duration) -> Option<Bytes> {
-        let until = Instant::now() + wait;
+    async fn poll(&self, table: &str, after: u64, wait: Duration) -> Option<Bytes> {
+        let deadline = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            if self.has_forgotten(after) {
+            if self.has_compacted(after) {
                 return None;
             }
             let (rows, revision) = self.rows(table, after, true);
-            if !rows.is_empty() || Instant::now() >= until {
+            if !rows.is_empty() || Instant::now() >= deadline {
                 return Some(encode(table, &rows, revision, self.now()));
             }
-            // Either something changed or the wait is over; the loop tells.
-            drop(tokio::time::timeout_at(until, changed).await);
+            // Ends on a change or at the deadline; the next iteration finds out which.
+            drop(tokio::time::timeout_at(deadline, changed).await);
         }
     }
 }
 
-/// Serves the platform's calls until the runtime ends.
+/// Serves the platform's calls until the runtime shuts down.
 pub(super) async fn serve(store: Arc<Store>, groups: Vec<Arc<Group>>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
@@ -198,25 +199,29 @@
         tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let (store, groups) = (store.clone(), groups.clone());
-                async move { answer(&store, &groups, request).await }
+                async move { handle_request(&store, &groups, request).await }
             });
             let connection = hyper::server::conn::http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
-                log::debug!("a connection to the stand-in store ended: {error}");
+                log::debug!("connection to the stand-in store failed: {error}");
             }
         });
     }
 }
 
-type Answer = Result<Response<Full<Bytes>>, hyper::Error>;
+type HandlerResult = Result<Response<Full<Bytes>>, hyper::Error>;
 
-async fn answer(store: &Arc<Store>, groups: &[Arc<Group>], request: Request<Incoming>) -> Answer {
+async fn handle_request(
+    store: &Arc<Store>,
+    groups: &[Arc<Group>],
+    request: Request<Incoming>,
+) -> HandlerResult {
     match store.outage() {
         Outage::Silent => std::future::pending().await,
         Outage::Busy => return Ok(response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())),
         Outage::Slow(time) => tokio::time::sleep(time).await,
-        Outage::Limited(limit) if store.is_over(limit) => {
+        Outage::Limited(limit) if store.exceeds_rate(limit) => {
             return Ok(response(StatusCode::TOO_MANY_REQUESTS, Bytes::new()));
         }
         Outage::None
@@ -233,28 +238,28 @@
     let is_write = matches!(call, Call::Change { .. });
     if let (true, Outage::DelayedWrites(delay)) = (is_write, store.outage()) {
         let (store, groups) = (store.clone(), groups.to_vec());
-        // In a task of its own: the write is done although its caller gives up.
+        // A separate task executes the write even if its client disconnects.
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
-            carry_out(&store, &groups, call).await
+            execute(&store, &groups, call).await
         });
         return std::future::pending().await;
     }
-    let response = carry_out(store, groups, call).await;
+    let response = execute(store, groups, call).await;
     if is_write && store.outage() == Outage::LostWriteResponses {
         std::future::pending().await
     }
     Ok(response)
 }
 
-async fn carry_out(store: &Store, groups: &[Arc<Group>], call: Call) -> Response<Full<Bytes>> {
+async fn execute(store: &Store, groups: &[Arc<Group>], call: Call) -> Response<Full<Bytes>> {
     match call {
         Call::Read { table, from } => {
             let (mut rows, revision) = store.rows(&table, 0, false);
             rows.retain(|row| row.key >= from);
             response(StatusCode::OK, encode(&table, &rows, revision, store.now()))
         }
-        Call::PollChanges { table, after, wait } => match store.follow(&table, after, wait).await {
+        Call::Poll { table, after, wait } => match store.poll(&table, after, wait).await {
             Some(body) => response(StatusCode::OK, body),
             None => response(StatusCode::GONE, Bytes::new()),
         },
--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -1,4 +1,4 @@
-//! Faults of the platform, rate ceilings included.
+//! Faults and rate limits of the platform stand-in.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
@@ -9,34 +9,34 @@
 
 use super::store::HostId;
 
-/// Writes a second.
+/// Default write limit, per second.
 const WRITE_RATE: u64 = 400;
-/// Reads a second.
+/// Default read limit, per second.
 const READ_RATE: u64 = 2_000;
-/// How late the list of hosts is.
+/// Default lag of the list of hosts.
 const HOSTS_LAG: Duration = Duration::from_secs(1);
 const SECOND: Duration = Duration::from_secs(1);
 
-/// What is wrong with the platform.
+/// Faults and limits that apply to the platform's calls.
 #[derive(Clone, Debug)]
 pub struct Fault {
-    /// Every call is answered by 503.
+    /// Every call is refused with status 503.
     pub outage: bool,
     /// New connections are refused, open ones closed.
     pub refuse: bool,
-    /// No call is answered; those that wait are not carried out.
+    /// Calls hang without effect; they fail with status 503 once this is unset.
     pub hang: bool,
-    /// Calls of these hosts are not answered.
+    /// Calls of these hosts hang, as with `hang`.
     pub blocked_hosts: BTreeSet<HostId>,
-    /// Delay of each answer, half of it before the effect.
+    /// Delay of each response, half of it before the call takes effect.
     pub delay: Duration,
-    /// The answers of so many writes to come are lost after their effect.
+    /// Number of next writes that take effect but get no response: their connections are closed.
     pub lost_responses: u64,
-    /// How late the list of hosts is.
+    /// Lag of the list of hosts behind its changes.
     pub hosts_lag: Duration,
-    /// Writes a second; more are answered by 429.
+    /// Writes per second; excess ones are refused with status 429.
     pub write_rate: u64,
-    /// Reads a second; more are answered by 429.
+    /// Reads per second; excess ones are refused with status 429.
     pub read_rate: u64,
 }
 
@@ -56,18 +56,18 @@
     }
 }
 
-/// Calls served since the start.
+/// Numbers of calls since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Count {
-    /// Reads.
+    /// Reads that were admitted.
     pub reads: u64,
-    /// Writes.
+    /// Writes that were admitted.
     pub writes: u64,
-    /// Calls over the rate ceiling.
+    /// Calls refused because of a rate limit.
     pub limited: u64,
 }
 
-/// Handle on the faults of a running platform.
+/// Handle to the faults and counters of a running platform; clones share them.
 #[derive(Clone)]
 pub struct Faults {
     inner: Arc<Inner>,
@@ -75,12 +75,12 @@
 
 struct Inner {
     fault: Mutex<Fault>,
-    meter: Mutex<Meter>,
+    limiter: Mutex<RateLimiter>,
     front: Relay,
 }
 
-/// Calls in the current second.
-struct Meter {
+/// Rate limiter with a fixed window of one second, and total counts.
+struct RateLimiter {
     since: Instant,
     reads: u64,
     writes: u64,
@@ -88,19 +88,21 @@
 }
 
 impl Faults {
-    /// Faults of a platform behind a relay.
+    /// Creates the faults of a platform behind the relay `front`.
     pub(crate) fn new(fault: Fault, front: Relay) -> Self {
-        let meter = Meter { since: Instant::now(), reads: 0, writes: 0, count: Count::default() };
-        let (fault, meter) = (Mutex::new(fault), Mutex::new(meter));
-        Faults { inner: Arc::new(Inner { fault, meter, front }) }
+        let limiter =
+            RateLimiter { since: Instant::now(), reads: 0, writes: 0, count: Count::default() };
+        let (fault, limiter) = (Mutex::new(fault), Mutex::new(limiter));
+        Faults { inner: Arc::new(Inner { fault, limiter, front }) }
     }
 
-    /// The faults as they are.
+    /// A copy of the present faults.
     pub fn get(&self) -> Fault {
         lock(&self.inner.fault).clone()
     }
 
-    /// Changes the faults.
+    /// Changes the faults and applies them to the relay; an error means that the port could not be
+    /// opened again.
     pub fn set(&self, change: impl FnOnce(&mut Fault)) -> crate::Result<()> {
         let mut fault = lock(&self.inner.fault);
         change(&mut fault);
@@ -113,26 +115,26 @@
         Ok(())
     }
 
-    /// Calls served since the start.
+    /// Numbers of calls since the start.
     pub fn count(&self) -> Count {
-        lock(&self.inner.meter).count
+        lock(&self.inner.limiter).count
     }
 
     pub(crate) fn front(&self) -> &Relay {
         &self.inner.front
     }
 
-    /// Counts a call; false when it is over the ceiling.
+    /// Counts a call; false if it exceeds its rate limit.
     pub(crate) fn admit(&self, write: bool, now: Instant) -> bool {
         let (write_rate, read_rate) = {
             let fault = lock(&self.inner.fault);
             (fault.write_rate, fault.read_rate)
         };
-        lock(&self.inner.meter).admit(write, write_rate, read_rate, now)
+        lock(&self.inner.limiter).admit(write, write_rate, read_rate, now)
     }
 
-    /// Takes one of the answers that are to be lost.
-    pub(crate) fn lose(&self) -> bool {
+    /// Consumes one of the lost responses; false if none is left.
+    pub(crate) fn take_lost_response(&self) -> bool {
         let mut fault = lock(&self.inner.fault);
         let lost = fault.lost_responses > 0;
         fault.lost_responses = fault.lost_responses.saturating_sub(1);
@@ -140,7 +142,7 @@
     }
 }
 
-impl Meter {
+impl RateLimiter {
     fn admit(&mut self, write: bool, write_rate: u64, read_rate: u64, now: Instant) -> bool {
         if now.saturating_duration_since(self.since) >= SECOND {
             self.since = now;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,7 +1,8 @@
-//! The platform over HTTP: a transactional table, an object store and a lagging list of hosts.
+//! Stand-in of the platform over HTTP: a transactional table, an object store and a lagging list of
+//! hosts.
 //!
-//! The server runs on threads of its own behind a relay, which can refuse connections and close
-//! one after its request has taken effect.
+//! The server runs on its own threads behind a relay, which can refuse connections and close a
+//! connection after its request has taken effect.
 
 mod fault;
 mod service;
@@ -25,24 +26,24 @@
 use crate::link::Relay;
 use crate::sync::lock;
 
-/// How long an idle connection stays open.
+/// Time after which an idle connection is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(300);
-/// Threads that serve requests.
+/// Number of threads that serve requests.
 const WORKERS: usize = 2;
 
-/// Settings of a platform.
+/// Settings of a platform stand-in.
 #[derive(Clone, Debug, Default)]
 pub struct Options {
-    /// Address to listen on; a free port of loopback where none is given.
+    /// Address to listen on; `None` selects a free loopback port.
     pub address: Option<SocketAddr>,
-    /// Faults from the start.
+    /// Initial faults.
     pub fault: Fault,
 }
 
-/// Ends the threads of a server.
+/// Stops the threads of a server.
 type Stop = Box<dyn FnOnce() + Send>;
 
-/// A running platform; dropping it ends it.
+/// A running platform; dropping it stops it.
 pub struct Server {
     faults: Faults,
     store: Arc<Mutex<Store>>,
@@ -64,32 +65,32 @@
         let (ready, started) = channel();
         let run = move || serve(listener, service, &ready);
         let thread = std::thread::Builder::new().name("platform".to_owned()).spawn(run)?;
-        let gone = io::Error::other("the platform's thread has ended");
-        let stop = started.recv().map_err(|_| gone)??;
+        let exited = io::Error::other("platform thread exited during its start");
+        let stop = started.recv().map_err(|_| exited)??;
         Ok(Server { faults, store, stop: Some(stop), thread: Some(thread) })
     }
 
-    /// Address to connect to.
+    /// Address of the relay, which clients connect to.
     pub fn address(&self) -> SocketAddr {
         self.faults.front().address()
     }
 
-    /// Base of the URLs.
+    /// Base URL, without a trailing slash.
     pub fn url(&self) -> String {
         format!("http://{}", self.address())
     }
 
-    /// Handle on the faults.
+    /// Handle to the faults and counters.
     pub fn faults(&self) -> Faults {
         self.faults.clone()
     }
 
-    /// Rows whose key starts with a prefix, past all faults.
+    /// Rows whose key starts with a prefix, regardless of faults.
     pub fn rows(&self, prefix: &str) -> Vec<Row> {
         lock(&self.store).rows(prefix).into_iter().cloned().collect()
     }
 
-    /// Ends the platform.
+    /// Stops the platform and waits for its threads.
     pub fn stop(self) {
         drop(self);
     }
@@ -97,9 +98,9 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
-        // The port stays closed, whoever still holds a handle on the faults.
+        // Closes the port explicitly, because clones of the fault handle keep the relay alive.
         if let Err(error) = self.faults.set(|fault| fault.refuse = true) {
-            log::error!("platform: {error}");
+            log::error!("cannot close the platform's port: {error}");
         }
         if let Some(stop) = self.stop.take() {
             stop();
@@ -107,12 +108,13 @@
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
-            log::error!("the platform's thread has panicked");
+            log::error!("platform thread panicked");
         }
     }
 }
 
-/// Serves until the server is stopped; says first how to stop it, or why there is nothing to.
+/// Serves until the server is stopped. First sends `ready` the function that stops it, or the error
+/// if it did not start.
 fn serve(listener: TcpListener, service: Service, ready: &Sender<io::Result<Stop>>) {
     let server = App::new()
         .at("/{*path}", handler_service(service::handle))
@@ -128,9 +130,9 @@
         Err(error) => return drop(ready.send(Err(error))),
     };
     let stop = running.handle().map(|handle| -> Stop { Box::new(move || handle.stop(false)) });
-    // The starter waits for this message.
+    // `Server::start` waits for this message.
     let _ = ready.send(stop);
     if let Err(error) = running.wait() {
-        log::error!("platform: {error}");
+        log::error!("platform server failed: {error}");
     }
 }
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -1,4 +1,4 @@
-//! The calls of the platform.
+//! Serves the platform's HTTP calls, with faults applied.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,23 +17,23 @@
 use super::store::{Host, Store, Transaction};
 use crate::sync::lock;
 
-/// Header in which a host says its name.
-const HOST: &str = "bergamotvale-host";
-/// Largest value of a row, as JSON.
-const VALUE_LIMIT: usize = 256 << 10;
-/// Largest body of a request.
-const BODY_LIMIT: usize = 64 << 20;
-/// How often a call that hangs looks whether it may end.
-const HANG_PERIOD: Duration = Duration::from_millis(10);
+/// Header that carries the name of the calling host.
+const HOST_HEADER: &str = "bergamotvale-host";
+/// Size limit of a row's value, encoded as JSON.
+const MAX_VALUE_BYTES: usize = 256 << 10;
+/// Size limit of a request body.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Interval at which a hanging call checks whether the fault has ended.
+const HANG_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// What the handlers share.
+/// State shared by all request handlers.
 #[derive(Clone)]
 pub(crate) struct Service {
     pub(crate) faults: Faults,
     pub(crate) store: Arc<Mutex<Store>>,
 }
 
-/// A call without its transport.
+/// A request, independent of the HTTP server.
 struct Call {
     method: Method,
     path: String,
@@ -41,7 +41,7 @@
     body: Bytes,
 }
 
-/// An answer without its transport.
+/// A response, independent of the HTTP server.
 struct Answer {
     status: StatusCode,
     body: Bytes,
@@ -58,13 +58,13 @@
     }
 }
 
-/// Serves a call with the faults that are set.
+/// Handles a request; closes its connection if the response is to be lost.
 pub(crate) async fn handle(context: &WebContext<'_, Service>) -> WebResponse {
     let service = context.state().clone();
-    let host = context.req().headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = context.req().headers().get(HOST_HEADER).and_then(|host| host.to_str().ok());
     let host = host.map(str::to_owned);
     let seen = *context.req().body().socket_addr();
-    let answer = match context.extract::<(Bytes, Limit<BODY_LIMIT>)>().await {
+    let answer = match context.extract::<(Bytes, Limit<MAX_BODY_BYTES>)>().await {
         Ok((body, _)) => service.serve(call(context, body), host.as_deref()).await,
         Err(_) => Some(Answer::error(StatusCode::PAYLOAD_TOO_LARGE)),
     };
@@ -88,9 +88,9 @@
 }
 
 impl Service {
-    /// Answers, or not when the answer is to be lost.
+    /// Executes a call under the present faults; `None` if the response is to be lost.
     async fn serve(&self, call: Call, host: Option<&str>) -> Option<Answer> {
-        if self.hang(host).await {
+        if self.wait_while_hanging(host).await {
             return Some(Answer::error(StatusCode::SERVICE_UNAVAILABLE));
         }
         let fault = self.faults.get();
@@ -102,27 +102,27 @@
         if !self.faults.admit(write, Instant::now()) {
             return Some(Answer::error(StatusCode::TOO_MANY_REQUESTS));
         }
-        let answer = self.answer(&call);
+        let answer = self.execute(&call);
         sleep(fault.delay / 2).await;
-        let lost = write && self.faults.lose();
+        let lost = write && self.faults.take_lost_response();
         (!lost).then_some(answer)
     }
 
-    /// Waits while calls hang; true when this one has.
-    async fn hang(&self, host: Option<&str>) -> bool {
+    /// Waits while calls of this host hang; true if this one did, which then must have no effect.
+    async fn wait_while_hanging(&self, host: Option<&str>) -> bool {
         let mut hung = false;
         loop {
             let fault = self.faults.get();
-            let cut = host.is_some_and(|host| fault.blocked_hosts.contains(host));
-            if !fault.hang && !cut || fault.refuse {
+            let blocked = host.is_some_and(|host| fault.blocked_hosts.contains(host));
+            if !fault.hang && !blocked || fault.refuse {
                 return hung;
             }
             hung = true;
-            sleep(HANG_PERIOD).await;
+            sleep(HANG_POLL_INTERVAL).await;
         }
     }
 
-    fn answer(&self, call: &Call) -> Answer {
+    fn execute(&self, call: &Call) -> Answer {
         let parts: Vec<&str> = call.path.trim_matches('/').split('/').collect();
         match (call.method.as_str(), parts.as_slice()) {
             ("POST", ["table", "transactions"]) => self.transaction(&call.body),
@@ -142,10 +142,10 @@
             return Answer::error(StatusCode::BAD_REQUEST);
         };
         let keys = transaction.puts.iter().map(|put| &put.key);
-        if !keys.chain(&transaction.deletes).all(|key| valid_key(key)) {
+        if !keys.chain(&transaction.deletes).all(|key| is_valid_key(key)) {
             return Answer::error(StatusCode::BAD_REQUEST);
         }
-        if transaction.puts.iter().any(|put| put.value.to_string().len() > VALUE_LIMIT) {
+        if transaction.puts.iter().any(|put| put.value.to_string().len() > MAX_VALUE_BYTES) {
             return Answer::error(StatusCode::PAYLOAD_TOO_LARGE);
         }
         match lock(&self.store).apply(transaction) {
@@ -207,13 +207,13 @@
     }
 }
 
-/// A value of the query; keys and prefixes need no decoding.
+/// Value of a query parameter, not decoded: keys and prefixes need no percent-encoding.
 fn query<'a>(call: &'a Call, name: &str) -> Option<&'a str> {
     let pairs = call.query.split('&').filter_map(|pair| pair.split_once('='));
     pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
-fn valid_key(key: &str) -> bool {
+fn is_valid_key(key: &str) -> bool {
     let valid = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "._-".contains(c);
     !key.is_empty() && key.chars().all(valid)
 }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,4 +1,4 @@
-//! What the platform keeps: rows, objects and the list of hosts.
+//! Data of the platform stand-in: rows, objects and the list of hosts.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -7,36 +7,36 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-/// Key of a row.
+/// Key of a row, unique in the table.
 pub type Key = String;
-/// Version of a row; 0 where there is none.
+/// Version of a row; 0 stands for an absent row.
 pub type Version = u64;
 /// Name of a host.
 pub type HostId = String;
 
-/// A host that says nothing for this long drops off the list.
-const SILENCE: Duration = Duration::from_secs(5);
-/// Earlier lists that are kept for those who see them late.
-const LISTS: usize = 4_096;
+/// Time without a registration after which a host is removed from the list.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum number of earlier host lists kept, for reads that lag.
+const MAX_LISTS: usize = 4_096;
 
-/// One row of the table.
+/// A row of the table.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
-    /// Its key.
+    /// Key of the row.
     pub key: Key,
-    /// Grows with each change of any row.
+    /// Version of the transaction that wrote the row; it grows over all rows.
     pub version: Version,
-    /// Any JSON.
+    /// Arbitrary JSON.
     pub value: Value,
 }
 
-/// A condition of a transaction.
+/// Condition of a transaction: a row must have a version.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Check {
     /// Key of the row.
     pub key: Key,
-    /// Version that it must have.
+    /// Version that the row must have; 0 if it must not exist.
     pub version: Version,
 }
 
@@ -46,15 +46,15 @@
 pub(crate) struct Put {
     /// Key of the row.
     pub key: Key,
-    /// Its new value.
+    /// New value.
     pub value: Value,
 }
 
-/// Changes that happen all or not at all.
+/// Changes that are applied atomically if all checks succeed.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct Transaction {
-    /// Conditions.
+    /// Conditions that must all hold.
     pub checks: Vec<Check>,
     /// Rows to write.
     pub puts: Vec<Put>,
@@ -67,24 +67,24 @@
 pub(crate) struct Written {
     /// Key of the row.
     pub key: Key,
-    /// Its version.
+    /// Its new version.
     pub version: Version,
 }
 
-/// Whether a host goes on.
+/// Lifecycle state that a host registers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Liveness {
-    /// It does.
+    /// The host serves.
     Live,
-    /// It is about to leave.
+    /// The host is about to leave.
     Leaving,
 }
 
-/// One host of the list.
+/// Registration of a host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Host {
-    /// Its name.
+    /// Name of the host.
     pub host: HostId,
     /// Grows with each start of the host.
     pub incarnation: u64,
@@ -92,13 +92,13 @@
     pub address: String,
     /// Address for other hosts.
     pub peer_address: String,
-    /// Where it stands.
+    /// Failure domain of the host.
     pub failure_domain: String,
-    /// Whether it goes on.
+    /// Lifecycle state.
     pub state: Liveness,
 }
 
-/// All that the platform keeps.
+/// All data of the platform.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     rows: BTreeMap<Key, Row>,
@@ -111,14 +111,15 @@
 #[derive(Debug)]
 struct Entry {
     host: Host,
-    heard_at: Instant,
+    registered_at: Instant,
 }
 
 impl Store {
-    /// Applies a transaction; otherwise the rows that failed their check, as they are.
+    /// Applies a transaction and returns the rows written. If checks fail, nothing is changed and
+    /// the error holds the present state of the rows that failed their check.
     pub(crate) fn apply(&mut self, transaction: Transaction) -> Result<Vec<Written>, Vec<Row>> {
         let checks = transaction.checks.iter();
-        let failed: Vec<Row> = checks.filter_map(|check| self.failed(check)).collect();
+        let failed: Vec<Row> = checks.filter_map(|check| self.failed_row(check)).collect();
         if !failed.is_empty() {
             return Err(failed);
         }
@@ -135,7 +136,7 @@
         Ok(written)
     }
 
-    fn failed(&self, check: &Check) -> Option<Row> {
+    fn failed_row(&self, check: &Check) -> Option<Row> {
         let row = self.rows.get(&check.key);
         if row.map_or(0, |row| row.version) == check.version {
             return None;
@@ -144,7 +145,7 @@
         Some(row.cloned().unwrap_or_else(absent))
     }
 
-    /// A row.
+    /// The row of a key; `None` if there is none.
     pub(crate) fn row(&self, key: &str) -> Option<&Row> {
         self.rows.get(key)
     }
@@ -155,17 +156,17 @@
         from.take_while(|(key, _)| key.starts_with(prefix)).map(|(_, row)| row).collect()
     }
 
-    /// Keeps an object.
+    /// Stores an object under its digest.
     pub(crate) fn put_object(&mut self, digest: String, bytes: Bytes) {
         self.objects.insert(digest, bytes);
     }
 
-    /// An object.
+    /// The object of a digest; `None` if there is none.
     pub(crate) fn object(&self, digest: &str) -> Option<Bytes> {
         self.objects.get(digest).cloned()
     }
 
-    /// A host says that it is there; false when a later incarnation of it has.
+    /// Registers a host or renews its registration; false if a later incarnation is registered.
     pub(crate) fn put_host(&mut self, host: Host, now: Instant) -> bool {
         self.expire(now);
         let known = self.hosts.get(&host.host).map(|entry| &entry.host);
@@ -173,14 +174,14 @@
             return false;
         }
         let changed = known != Some(&host);
-        self.hosts.insert(host.host.clone(), Entry { host, heard_at: now });
+        self.hosts.insert(host.host.clone(), Entry { host, registered_at: now });
         if changed {
-            self.record(now);
+            self.record_list(now);
         }
         true
     }
 
-    /// Takes a host off the list; false when this incarnation is not on it.
+    /// Removes a host from the list; false if this incarnation is not on it.
     pub(crate) fn delete_host(&mut self, host: &str, incarnation: u64, now: Instant) -> bool {
         self.expire(now);
         let known = self.hosts.get(host);
@@ -188,36 +189,37 @@
             return false;
         }
         self.hosts.remove(host);
-        self.record(now);
+        self.record_list(now);
         true
     }
 
-    /// The list as it was some time ago.
+    /// The list of hosts as of `lag` before `now`; empty if no list that old is kept.
     pub(crate) fn hosts(&mut self, now: Instant, lag: Duration) -> Vec<Host> {
         self.expire(now);
         let seen = self.lists.iter().rev().find(|(since, _)| *since + lag <= now);
         seen.map(|(_, list)| list.clone()).unwrap_or_default()
     }
 
-    /// Drops silent hosts, each at the time at which its silence had lasted long enough.
+    /// Removes hosts that have not renewed their registration. Each removal is recorded with the
+    /// time of its expiry, so that lagging reads see it when it happened.
     fn expire(&mut self, now: Instant) {
         loop {
-            let oldest = self.hosts.iter().min_by_key(|(_, entry)| entry.heard_at);
+            let oldest = self.hosts.iter().min_by_key(|(_, entry)| entry.registered_at);
             let Some((host, entry)) = oldest else { return };
-            let ends = entry.heard_at + SILENCE;
+            let ends = entry.registered_at + REGISTRATION_TIMEOUT;
             if ends > now {
                 return;
             }
             let host = host.clone();
             self.hosts.remove(&host);
-            self.record(ends);
+            self.record_list(ends);
         }
     }
 
-    fn record(&mut self, at: Instant) {
+    fn record_list(&mut self, at: Instant) {
         let list = self.hosts.values().map(|entry| entry.host.clone()).collect();
         self.lists.push_back((at, list));
-        if self.lists.len() > LISTS {
+        if self.lists.len() > MAX_LISTS {
             self.lists.pop_front();
         }
     }
--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -1,4 +1,4 @@
-//! The relay between two ends.
+//! The relay: delivery in order, and the effect of each fault on open and new connections.
 
 mod common;
 
@@ -10,10 +10,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-const PATIENCE: Duration = Duration::from_secs(60);
-const WATCH: Duration = Duration::from_millis(150);
+/// Time limit for exchanges that must succeed.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Time for which a blocked connection is observed.
+const OBSERVATION_TIME: Duration = Duration::from_millis(150);
 
-/// A relay to a server that sends back what it gets.
+/// Starts a relay to a server that echoes the bytes it receives.
 async fn echo() -> Relay {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
@@ -29,19 +31,20 @@
 }
 
 async fn connect(relay: &Relay) -> TcpStream {
-    let stream = TcpStream::connect(relay.address()).await.expect("the relay takes it");
+    let stream =
+        TcpStream::connect(relay.address()).await.expect("the relay accepts the connection");
     stream.set_nodelay(true).expect("the socket is open");
     stream
 }
 
-/// Sends a byte and reads it back, at most within a time.
-async fn ping(stream: &mut TcpStream, patience: Duration) -> bool {
+/// Sends a byte and reads it back; false if that fails or takes longer than `max_wait`.
+async fn ping(stream: &mut TcpStream, max_wait: Duration) -> bool {
     let mut byte = [0];
     let exchange = async {
         stream.write_all(&[7]).await?;
         stream.read_exact(&mut byte).await
     };
-    matches!(timeout(patience, exchange).await, Ok(Ok(_))) && byte == [7]
+    matches!(timeout(max_wait, exchange).await, Ok(Ok(_))) && byte == [7]
 }
 
 #[tokio::test]
@@ -66,7 +69,7 @@
     let mut stream = connect(&relay).await;
 
     let start = Instant::now();
-    assert!(ping(&mut stream, PATIENCE).await);
+    assert!(ping(&mut stream, MAX_WAIT).await);
 
     assert!(start.elapsed() >= 2 * DELAY);
 }
@@ -84,7 +87,7 @@
     let mut stream = connect(&relay).await;
 
     let start = Instant::now();
-    assert!(ping(&mut stream, PATIENCE).await);
+    assert!(ping(&mut stream, MAX_WAIT).await);
 
     assert!(start.elapsed() >= 2 * STALL);
 }
@@ -93,60 +96,60 @@
 async fn cut_holds_bytes_until_it_is_healed() {
     let relay = echo().await;
     let mut stream = connect(&relay).await;
-    assert!(ping(&mut stream, PATIENCE).await);
+    assert!(ping(&mut stream, MAX_WAIT).await);
 
     relay.set(|fault| fault.blocked = true).unwrap();
-    let cut = ping(&mut stream, WATCH).await;
+    let cut = ping(&mut stream, OBSERVATION_TIME).await;
     relay.set(|fault| fault.blocked = false).unwrap();
 
     assert!(!cut);
-    assert!(ping(&mut stream, PATIENCE).await);
+    assert!(ping(&mut stream, MAX_WAIT).await);
 }
 
 #[tokio::test]
 async fn silent_connection_never_passes_again() {
     let relay = echo().await;
     let mut old = connect(&relay).await;
-    assert!(ping(&mut old, PATIENCE).await);
+    assert!(ping(&mut old, MAX_WAIT).await);
 
     relay.silence();
     let mut new = connect(&relay).await;
 
-    assert!(!ping(&mut old, WATCH).await);
-    assert!(ping(&mut new, PATIENCE).await);
-    assert!(!ping(&mut old, WATCH).await);
+    assert!(!ping(&mut old, OBSERVATION_TIME).await);
+    assert!(ping(&mut new, MAX_WAIT).await);
+    assert!(!ping(&mut old, OBSERVATION_TIME).await);
 }
 
 #[tokio::test]
 async fn refusal_spares_open_connections() {
     let relay = echo().await;
     let mut open = connect(&relay).await;
-    assert!(ping(&mut open, PATIENCE).await);
+    assert!(ping(&mut open, MAX_WAIT).await);
 
     relay.set(|fault| fault.refuse = true).unwrap();
     let refused = TcpStream::connect(relay.address()).await;
-    let kept = ping(&mut open, PATIENCE).await;
+    let kept = ping(&mut open, MAX_WAIT).await;
     relay.set(|fault| fault.refuse = false).unwrap();
 
     assert!(refused.is_err());
     assert!(kept);
-    assert!(ping(&mut connect(&relay).await, PATIENCE).await);
+    assert!(ping(&mut connect(&relay).await, MAX_WAIT).await);
 }
 
 #[tokio::test]
 async fn reset_and_drop_close_connections() {
     let relay = echo().await;
     let mut first = connect(&relay).await;
-    assert!(ping(&mut first, PATIENCE).await);
+    assert!(ping(&mut first, MAX_WAIT).await);
 
     relay.reset();
-    let after_reset = timeout(PATIENCE, first.read_u8()).await.expect("the end is heard");
+    let after_reset = timeout(MAX_WAIT, first.read_u8()).await.expect("the connection ends");
     let mut second = connect(&relay).await;
-    assert!(ping(&mut second, PATIENCE).await);
-    eventually("the first is forgotten", || relay.connections() == 1).await;
+    assert!(ping(&mut second, MAX_WAIT).await);
+    eventually("the first connection is removed", || relay.connections() == 1).await;
     let address = relay.address();
     drop(relay);
-    let after_drop = timeout(PATIENCE, second.read_u8()).await.expect("the end is heard");
+    let after_drop = timeout(MAX_WAIT, second.read_u8()).await.expect("the connection ends");
 
     assert!(after_reset.is_err());
     assert!(after_drop.is_err());
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -1,4 +1,4 @@
-//! The platform over an HTTP client.
+//! The platform stand-in, called over HTTP: transactions, objects, the host list and each fault.
 
 use std::time::{Duration, Instant};
 
@@ -7,10 +7,10 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
-/// Time in which a call that is answered at all is answered.
-const PATIENCE: Duration = Duration::from_secs(60);
-/// Time in which a call that hangs is watched.
-const WATCH: Duration = Duration::from_millis(200);
+/// Time limit for calls that must be answered.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Time for which a hanging call is observed.
+const OBSERVATION_TIME: Duration = Duration::from_millis(200);
 
 fn start(fault: Fault) -> Server {
     Server::start(Options { fault, ..Options::default() }).expect("the platform starts")
@@ -171,9 +171,9 @@
         client.get(url).header("bergamotvale-host", host).timeout(wait).send()
     };
 
-    let (cut, other) = (call("h1", WATCH).await, call("h2", PATIENCE).await);
+    let (cut, other) = (call("h1", OBSERVATION_TIME).await, call("h2", MAX_WAIT).await);
     faults.set(|fault| fault.blocked_hosts.clear()).unwrap();
-    let healed = call("h1", PATIENCE).await;
+    let healed = call("h1", MAX_WAIT).await;
 
     assert!(cut.is_err_and(|error| error.is_timeout()));
     assert_eq!(other.unwrap().status(), StatusCode::OK);
@@ -187,9 +187,9 @@
     let url = format!("{}/table/transactions", server.url());
     let body = json!({ "puts": [{ "key": "a", "value": 1 }] });
 
-    let hung = client.post(url).json(&body).timeout(WATCH).send().await;
+    let hung = client.post(url).json(&body).timeout(OBSERVATION_TIME).send().await;
     server.faults().set(|fault| fault.hang = false).unwrap();
-    tokio::time::sleep(WATCH).await;
+    tokio::time::sleep(OBSERVATION_TIME).await;
 
     assert!(hung.is_err_and(|error| error.is_timeout()));
     assert_eq!(row(&client, &server, "a").await, None);
@@ -256,8 +256,8 @@
     assert!(kept == body);
 }
 
-/// Says that a host is there.
-async fn announce(client: &Client, server: &Server, host: &str, incarnation: u64) -> StatusCode {
+/// Registers a host.
+async fn register(client: &Client, server: &Server, host: &str, incarnation: u64) -> StatusCode {
     let body = json!({
         "host": host,
         "incarnation": incarnation,
@@ -270,7 +270,7 @@
     client.put(url).json(&body).send().await.expect("the platform answers").status()
 }
 
-async fn listed(client: &Client, server: &Server) -> Vec<String> {
+async fn list_hosts(client: &Client, server: &Server) -> Vec<String> {
     let url = format!("{}/hosts", server.url());
     let response = client.get(url).send().await.expect("the platform answers");
     let list: Value = response.json().await.expect("the answer is JSON");
@@ -278,10 +278,10 @@
     hosts.map(|host| host["host"].as_str().expect("a name is text").to_owned()).collect()
 }
 
-/// Waits until a host is on the list, or is not.
-async fn list_changes(client: &Client, server: &Server, host: &str, on: bool) -> bool {
-    let deadline = Instant::now() + PATIENCE;
-    while listed(client, server).await.iter().any(|listed| listed == host) != on {
+/// Waits until a host is on the list (`on`) or off it; false after [`MAX_WAIT`].
+async fn wait_for_listing(client: &Client, server: &Server, host: &str, on: bool) -> bool {
+    let deadline = Instant::now() + MAX_WAIT;
+    while list_hosts(client, server).await.iter().any(|listed| listed == host) != on {
         if Instant::now() > deadline {
             return false;
         }
@@ -297,10 +297,10 @@
     let client = Client::new();
     let start = Instant::now();
 
-    announce(&client, &server, "h1", 1).await;
-    let at_once = listed(&client, &server).await;
+    register(&client, &server, "h1", 1).await;
+    let at_once = list_hosts(&client, &server).await;
     let asked = start.elapsed();
-    let seen = list_changes(&client, &server, "h1", true).await;
+    let seen = wait_for_listing(&client, &server, "h1", true).await;
 
     assert!(at_once.is_empty() || asked >= LAG);
     assert!(seen);
@@ -311,11 +311,11 @@
 async fn host_leaves_by_word_and_by_silence() {
     let server = start(Fault { hosts_lag: Duration::ZERO, ..Fault::default() });
     let client = Client::new();
-    announce(&client, &server, "h1", 2).await;
-    announce(&client, &server, "h2", 1).await;
-    let both = listed(&client, &server).await;
+    register(&client, &server, "h1", 2).await;
+    register(&client, &server, "h2", 1).await;
+    let both = list_hosts(&client, &server).await;
 
-    let earlier = announce(&client, &server, "h1", 1).await;
+    let earlier = register(&client, &server, "h1", 1).await;
     let url = |incarnation| format!("{}/hosts/h1?incarnation={incarnation}", server.url());
     let wrong = client.delete(url(1)).send().await.unwrap().status();
     let right = client.delete(url(2)).send().await.unwrap().status();
@@ -323,16 +323,16 @@
     assert_eq!(both, ["h1", "h2"]);
     assert_eq!(earlier, StatusCode::CONFLICT);
     assert_eq!((wrong, right), (StatusCode::NOT_FOUND, StatusCode::OK));
-    assert!(list_changes(&client, &server, "h1", false).await, "h1 has left");
-    assert!(list_changes(&client, &server, "h2", false).await, "h2 is silent");
+    assert!(wait_for_listing(&client, &server, "h1", false).await, "h1 has left");
+    assert!(wait_for_listing(&client, &server, "h2", false).await, "h2 is silent");
 }
 
 #[tokio::test]
 async fn stop_closes_the_port_with_a_call_hanging() {
     let server = start(Fault { hang: true, ..Fault::default() });
     let url = format!("{}/hosts", server.url());
-    let hanging = tokio::spawn(Client::new().get(&url).timeout(PATIENCE).send());
-    tokio::time::sleep(WATCH).await;
+    let hanging = tokio::spawn(Client::new().get(&url).timeout(MAX_WAIT).send());
+    tokio::time::sleep(OBSERVATION_TIME).await;
 
     tokio::task::spawn_blocking(move || server.stop()).await.unwrap();
 
