Reword the decisions of session hosts

Doc comments of crates/core/src/proxy state what each item means, with units and when it is none; module heads say what the module decides. Private renames: KEPT -> OBSERVATION_RETENTION, SPACING -> MIN_OBSERVATION_SPACING, BEHIND -> LAG_PENALTY, PRIMARY -> PRIMARY_PENALTY, CONNECT -> CONNECT_TIME, RANK_STEP -> RANK_DELAY, PROMOTION_LIMIT -> PROMOTION_TIMEOUT, ABANDONED_LIMIT -> ABANDONED_PROMOTION_TIMEOUT, History::merge -> prune

--- a/crates/core/src/proxy/answer.rs
+++ b/crates/core/src/proxy/answer.rs
@@ -1,47 +1,47 @@
-//! What a caller is told when its statement was not answered with success.
+//! The error code that a caller gets when its statement did not succeed.
 //!
-//! [`response_code`] is the only place that turns how far a statement got, and what came back, into a
-//! code. A code for which [`Code::guarantees_no_effect`] holds says that nothing of the caller's operation
-//! is kept; it is given only where that is certain.
+//! [`response_code`] is the only place that maps how far a statement got, and its outcome, to a
+//! code. A code for which [`Code::guarantees_no_effect`] holds tells the caller that its operation
+//! has left no effect; it is given only where that is certain.
 
 use derive_more::Display;
 use serde::Serialize;
 
-/// Codes that callers know.
+/// Error codes that callers receive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Code {
     /// Not run: no capacity, no authority or no primary.
     Busy,
-    /// Rolled back.
+    /// The transaction was rolled back.
     Aborted,
     /// Not run: no target is fresh enough.
     Lagging,
     /// Not run: the target takes no writes.
     ReadOnly,
-    /// Not run: another target or service answered.
+    /// Not run: the connection reached another target or service than the intended one.
     Misrouted,
     /// Not run: the target has too many connections.
     TooManyConnections,
-    /// It may have taken effect.
+    /// The statement may have taken effect.
     Unknown,
-    /// It ran out of time at the target.
+    /// The statement timed out at the target.
     Timeout,
-    /// It ran and failed.
+    /// The statement ran and failed.
     Failed,
-    /// The statement cannot be read, or does not fit the session's state.
+    /// The statement cannot be parsed, or is not permitted in the session's state.
     Malformed,
-    /// No such database.
+    /// No route has the requested database name.
     UnknownDatabase,
-    /// No such key.
+    /// No client account holds the key.
     UnknownKey,
-    /// No prepared statement of this name.
+    /// The session or connection has no prepared statement of this name.
     UnknownStatement,
 }
 
 impl Code {
-    /// Whether the code says that nothing is kept.
+    /// Whether the code tells the caller that its operation has left no effect.
     pub fn guarantees_no_effect(self) -> bool {
         matches!(
             self,
@@ -54,7 +54,7 @@
         )
     }
 
-    /// Whether a target that answers this has not run the statement.
+    /// Whether a target that responds with this code has not run the statement.
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
@@ -68,16 +68,16 @@
     }
 }
 
-/// What a statement does to the data.
+/// Effect of a statement on the data once it has run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
-    /// Nothing: a read, or a statement inside a transaction that has not been committed.
+    /// None: a read, or a statement in a transaction that is not committed yet.
     None,
-    /// It is kept once it runs: a commit, or a write outside a transaction.
+    /// Lasting: a commit, or a write outside a transaction.
     Lasting,
 }
 
-/// How far the statement got.
+/// Whether a statement may have reached a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sent {
     /// No byte of it can have reached a target.
@@ -86,28 +86,31 @@
     Maybe,
 }
 
-/// What came back.
+/// How an attempt at a statement ended without success.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
-    /// The target answered with an error.
+    /// The target responded with an error.
     Error(Code),
-    /// The connection broke or stayed silent.
+    /// No response that can be used: the connection broke or timed out.
     NoResponse,
-    /// Success, but the host could not show that the target still was the primary.
+    /// The target reported success, but the host could not verify that it still was the primary.
     Unverified,
-    /// The host did not try: no capacity, no time, no authority.
+    /// The host made no attempt: no capacity, no time or no authority.
     NotAttempted,
-    /// No target was fresh enough.
+    /// No target has reached the floor of the read.
     NotFresh,
 }
 
-/// Code for a statement that got as far as `sent` and ended with `outcome`.
+/// Returns the code for a statement that got as far as `sent` and ended with `outcome`.
+///
+/// [`Code::UnknownStatement`] and [`Code::Malformed`] from a target are not passed on: they concern
+/// names and texts that the host chose, not the caller.
 pub fn response_code(effect: Effect, in_transaction: bool, sent: Sent, outcome: Outcome) -> Code {
-    let may_be_kept = effect == Effect::Lasting && sent == Sent::Maybe;
+    let may_have_effect = effect == Effect::Lasting && sent == Sent::Maybe;
     match outcome {
         Outcome::Error(Code::UnknownStatement | Code::Malformed) => rolled_back(in_transaction),
         Outcome::Error(code) => code,
-        Outcome::NoResponse | Outcome::Unverified if may_be_kept => Code::Unknown,
+        Outcome::NoResponse | Outcome::Unverified if may_have_effect => Code::Unknown,
         Outcome::NoResponse | Outcome::Unverified | Outcome::NotAttempted => {
             rolled_back(in_transaction)
         }
--- a/crates/core/src/proxy/catalog.rs
+++ b/crates/core/src/proxy/catalog.rs
@@ -1,63 +1,63 @@
-//! The shared configuration as sessions need it: routes, groups, client accounts and their keys.
+//! The shared configuration as sessions use it: routes, groups, client accounts and their keys.
 //!
-//! A catalog is immutable; a newer version replaces it as a whole and an older one never does.
+//! A catalog is immutable. A newer version replaces it as a whole; an older version never does.
 
 use crate::id::Version;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// What a route promises about the data that its reads see.
+/// Which commits the reads of a route are guaranteed to see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Consistency {
     /// Every acknowledged commit.
     Primary,
     /// Every commit acknowledged longer ago than the bound.
     Bounded(Duration),
-    /// As bounded, and every commit of the same session.
+    /// As [`Consistency::Bounded`], and every commit of the same session.
     ReadYourWrites(Duration),
 }
 
-/// What callers of one database may do and expect.
+/// Settings of one database as callers use it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
-    /// The service that serves the database.
+    /// Name of the service that serves the database.
     pub service: String,
-    /// Freshness of reads.
+    /// Which commits reads have to see.
     pub consistency: Consistency,
-    /// Time limit of one statement.
+    /// Maximum duration of one statement.
     pub statement_timeout: Duration,
-    /// Time within which callers hope for the answer to a whole operation.
+    /// Time within which callers should get the answer to a whole operation.
     pub latency_target: Duration,
-    /// 0 goes first.
+    /// Priority among routes; 0 is the highest.
     pub priority: u32,
-    /// Whether callers need no key.
+    /// Whether callers may use the database without a known key.
     pub is_public: bool,
 }
 
-/// One database group as configured.
+/// Configuration of one database group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Group {
-    /// Connections that one target takes, from all hosts together.
+    /// Maximum number of connections to one target, over all hosts.
     pub connection_limit: u32,
     /// Replicas that must have received a commit before it is acknowledged.
     pub sync_replicas: u32,
 }
 
-/// One client account.
+/// Name and rate limit of one client account.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Account {
-    /// Name that targets are told.
+    /// Name under which the account is known to targets.
     pub name: String,
-    /// Operations a second, over all hosts.
+    /// Maximum operations per second, over all hosts.
     pub rate: u32,
-    /// Operations at once, over all hosts.
+    /// Maximum operations in one burst, over all hosts.
     pub burst: u32,
 }
 
 /// One version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Catalog {
-    /// Its version.
+    /// Version of the configuration; 0 before one was read.
     pub version: Version,
     /// Routes by database name.
     pub routes: BTreeMap<String, Route>,
@@ -65,9 +65,9 @@
     pub groups: BTreeMap<String, Group>,
     /// Client accounts by name.
     pub accounts: BTreeMap<String, Account>,
-    /// Name of the client account that holds a key.
+    /// Names of client accounts by key.
     pub keys: BTreeMap<String, String>,
-    /// Time for which a transaction may rest between statements.
+    /// Maximum time between two statements of a transaction.
     pub transaction_idle_timeout: Duration,
 }
 
@@ -80,17 +80,19 @@
     UnknownKey,
 }
 
-/// What a caller may use.
+/// What a caller is authorized to use.
 #[derive(Debug, Clone, Copy)]
 pub struct Grant<'a> {
-    /// The route of the database.
+    /// Route of the requested database.
     pub route: &'a Route,
-    /// The client account; none on public routes without a known key.
+    /// Client account of the caller; none on a public route without a known key.
     pub account: Option<&'a Account>,
 }
 
 impl Catalog {
-    /// Finds the route and the client account of a caller.
+    /// Authorizes a caller that presents `key` to use `database`.
+    ///
+    /// Fails if no route has that name, or if the route is not public and the key is unknown.
     pub fn authorize(&self, database: &str, key: &str) -> Result<Grant<'_>, Denial> {
         let route = self.routes.get(database).ok_or(Denial::UnknownDatabase)?;
         let account = self.keys.get(key).and_then(|name| self.accounts.get(name));
--- a/crates/core/src/proxy/directory.rs
+++ b/crates/core/src/proxy/directory.rs
@@ -1,49 +1,49 @@
-//! The targets that exist, as they describe themselves.
+//! The targets that exist, as they describe themselves in the platform's directory.
 
 use derive_more::Display;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// A target's own name; unique among all targets.
+/// Name of a target; unique among the targets of all services.
 pub type TargetName = String;
-/// Start of a target's process, in milliseconds of the Unix epoch; tells its runs apart.
+/// Start of a target's process, in milliseconds since the Unix epoch; identifies its incarnation.
 pub type StartTime = u64;
 
-/// What a target holds itself to be.
+/// Role that a target reports for itself; it may not have learned of a newer primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
 pub enum Role {
-    /// It takes writes.
+    /// Takes writes.
     Primary,
-    /// It follows a primary.
+    /// Replicates the log of a primary.
     Replica,
 }
 
-/// One target.
+/// Directory entry of one target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
-    /// Its name.
+    /// Name of the target.
     pub name: TargetName,
-    /// The service that it belongs to.
+    /// Name of the service that it belongs to.
     pub service: String,
-    /// Where it listens.
+    /// Address on which it accepts connections.
     pub address: SocketAddr,
-    /// Its failure domain.
+    /// Name of its failure domain.
     pub domain: String,
-    /// Statements that it runs at once.
+    /// Number of statements that it runs concurrently.
     pub slots: u32,
-    /// Whether it is about to stop: it takes no new work.
+    /// Whether it is about to stop and takes no new work.
     pub is_leaving: bool,
-    /// What it holds itself to be.
+    /// Role that it reports for itself.
     pub role: Role,
-    /// Its run.
+    /// Start of its process; differs between incarnations.
     pub start_time: StartTime,
 }
 
-/// All targets by name.
+/// Entries of all targets by name.
 pub type Directory = BTreeMap<TargetName, Entry>;
 
-/// Targets of a service.
+/// Returns the entries of a service's targets, in the order of their names.
 pub fn of_service<'a>(
     directory: &'a Directory,
     service: &'a str,
--- a/crates/core/src/proxy/evidence.rs
+++ b/crates/core/src/proxy/evidence.rs
@@ -1,33 +1,34 @@
-//! Whether a target is alive, from what work on it shows.
+//! Whether a target is alive, judged from this host's own traffic with it.
 //!
-//! Any byte from a target is a sign of life. Silence counts only while something was asked; a
-//! refused connection counts at once, since the machine that refuses it is up and the target's
-//! process is not.
+//! Any byte from a target shows that it is alive. Silence counts only while a request is pending.
+//! A refused connection counts sooner, because the machine that refuses it is up and the target's
+//! process is not running.
 
 use crate::id::Time;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Silence after a question that makes a target suspect.
+/// Silence with a request pending after which a target counts as [`View::Lost`].
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(450);
-/// Silence after a question at which a second one, on a new connection, should check for life.
+/// Silence with a request pending after which a new connection should probe the target.
 pub const PROBE_DELAY: Duration = Duration::from_millis(150);
-/// Time for which refused or broken connections without any sign of life make a target suspect.
+/// Time after which failed connections, or responses that a target is not the primary, count unless
+/// the target has shown otherwise since the first of them.
 pub const FAILURE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// One host's view of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum View {
-    /// It answered the last question, or none was asked.
+    /// No request has been pending for too long, and connections work.
     #[default]
     Alive,
-    /// It stays silent, or refuses connections.
+    /// Unreachable: it does not respond, or connections fail.
     Lost,
-    /// It answers that it is not the primary.
+    /// It responds, but refuses writes because it is not the primary.
     Deposed,
 }
 
-/// What one host has seen of one target.
+/// What one host has observed of one target.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Evidence {
     pending_since: Option<Time>,
@@ -36,48 +37,48 @@
 }
 
 impl Evidence {
-    /// A question was sent.
+    /// Records that a request was sent.
     pub fn record_request(&mut self, now: Time) {
         self.pending_since.get_or_insert(now);
     }
 
-    /// Bytes arrived; `has_pending` says whether other questions are still open.
+    /// Records that bytes arrived; `has_pending` tells whether other requests are still pending.
     pub fn record_response(&mut self, now: Time, has_pending: bool) {
         self.pending_since = has_pending.then_some(now);
         self.failing_since = None;
     }
 
-    /// A connection was refused or reset.
+    /// Records that a connection was refused or reset.
     pub fn record_connection_failure(&mut self, now: Time) {
         self.failing_since.get_or_insert(now);
     }
 
-    /// The target said that it takes no writes.
+    /// Records that the target refused a write because it is not the primary.
     pub fn record_deposed(&mut self, now: Time) {
         self.deposed_since.get_or_insert(now);
     }
 
-    /// The target took a write, or was made the primary again.
+    /// Records that the target took a write, or was made the primary again.
     pub fn clear_deposed(&mut self) {
         self.deposed_since = None;
     }
 
-    /// Whether a question has been open for long, or connections break.
+    /// Whether a request has been pending for [`PROBE_DELAY`], or connections fail.
     pub fn needs_probe(&self, now: Time) -> bool {
         self.failing_since.is_some()
             || self.pending_since.is_some_and(|at| now.saturating_sub(at) >= PROBE_DELAY)
     }
 
-    /// The view at `now`.
+    /// This host's view of the target at `now`.
     pub fn view(&self, now: Time) -> View {
-        let passed = |since: Option<Time>, limit: Duration| {
-            since.is_some_and(|at| now.saturating_sub(at) >= limit)
+        let has_elapsed = |since: Option<Time>, timeout: Duration| {
+            since.is_some_and(|at| now.saturating_sub(at) >= timeout)
         };
-        if passed(self.pending_since, RESPONSE_TIMEOUT)
-            || passed(self.failing_since, FAILURE_TIMEOUT)
+        if has_elapsed(self.pending_since, RESPONSE_TIMEOUT)
+            || has_elapsed(self.failing_since, FAILURE_TIMEOUT)
         {
             View::Lost
-        } else if passed(self.deposed_since, FAILURE_TIMEOUT) {
+        } else if has_elapsed(self.deposed_since, FAILURE_TIMEOUT) {
             View::Deposed
         } else {
             View::Alive
--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -1,7 +1,7 @@
-//! When a group's primary is replaced, and by whom.
+//! When a group's primary is replaced, by which target, and which host acts first.
 //!
-//! Every host looks at the same snapshot and may act; a conditional write of the record lets one of
-//! them through. Hosts act in an order of rank, so that they rarely collide.
+//! Every host decides on its own; a conditional write of the group's record lets only one of them
+//! proceed. Hosts act in the order of their rank, so that their writes rarely conflict.
 
 use super::directory::{Directory, Entry, TargetName, of_service};
 use super::evidence::View;
@@ -12,65 +12,66 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time by which each rank waits longer than the one before.
-const RANK_STEP: Duration = Duration::from_millis(150);
-/// Time after which a promotion that has not ended is taken over.
-const PROMOTION_LIMIT: Duration = Duration::from_secs(4);
-/// The same if nobody is known to carry it out.
-const ABANDONED_LIMIT: Duration = Duration::from_millis(600);
+/// Additional delay of each rank over the one before.
+const RANK_DELAY: Duration = Duration::from_millis(150);
+/// Time after which another host takes over an unfinished promotion whose holder is active.
+const PROMOTION_TIMEOUT: Duration = Duration::from_secs(4);
+/// As [`PROMOTION_TIMEOUT`], but for a promotion that no live host is known to execute.
+const ABANDONED_PROMOTION_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Why a primary is replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
 pub enum Cause {
-    /// It is about to stop.
+    /// The primary has announced that it will stop.
     Leaving,
-    /// Most hosts get no answer from it, or it has left the directory.
+    /// The primary is unreachable for this host and not reached by more than half of its live
+    /// peers, or it is no longer in the directory.
     Lost,
-    /// It answers that it is not the primary.
+    /// The recorded primary responds that it is not the primary.
     Deposed,
-    /// A promotion did not end.
+    /// A promotion did not finish in time, or its candidate is unreachable or about to stop.
     Stuck,
 }
 
-/// A replacement that is due.
+/// A replacement of a group's primary that is due now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Replacement {
-    /// Why.
+    /// Why the primary is replaced.
     pub cause: Cause,
     /// The target to promote.
     pub candidate: TargetName,
 }
 
-/// What is known of one group.
+/// What this host knows of one group at the time of a decision.
 #[derive(Debug)]
 pub struct Snapshot<'a> {
-    /// The service.
+    /// Service that the group belongs to.
     pub service: &'a str,
-    /// Its record.
+    /// Current record of the group.
     pub record: &'a Record,
-    /// All targets.
+    /// Targets of all services.
     pub directory: &'a Directory,
-    /// This host's view of each target.
+    /// This host's view of each target; a target without one counts as alive.
     pub views: &'a BTreeMap<TargetName, View>,
     /// Live peers' views of the recorded primary.
     pub peer_views: &'a BTreeMap<HostId, View>,
-    /// Positions that targets were last seen at.
+    /// Last known log position of each target.
     pub positions: &'a BTreeMap<TargetName, Position>,
-    /// Whether the record's holder may be carrying its promotion out: it is alive, and not this
-    /// host, or this host is at it.
+    /// Whether the record's holder may be executing its promotion: it is another host that is
+    /// alive, or it is this host and the promotion is in progress here.
     pub is_holder_active: bool,
 }
 
 impl Snapshot<'_> {
-    /// Why the primary should be replaced, if it should.
+    /// Why an established primary should be replaced; none if it should stay.
     pub fn cause(&self) -> Option<Cause> {
-        let own = self.view(&self.record.primary);
+        let own_view = self.view(&self.record.primary);
         let entry = self.directory.get(&self.record.primary);
         match entry {
             None => Some(Cause::Lost),
             Some(entry) if entry.is_leaving => Some(Cause::Leaving),
-            Some(_) => match own {
+            Some(_) => match own_view {
                 View::Alive => None,
                 _ if is_reachable_by_majority(self.peer_views) => None,
                 View::Lost => Some(Cause::Lost),
@@ -83,7 +84,8 @@
         self.views.get(target).copied().unwrap_or_default()
     }
 
-    /// The replica to promote: the one that has most of the log, the present candidate if it may.
+    /// The target to promote, none if no target is fit: the one with the highest log position, or
+    /// the candidate of an unfinished promotion as long as that one is fit.
     pub fn candidate(&self) -> Option<&Entry> {
         let position = |entry: &Entry| self.positions.get(&entry.name).copied().unwrap_or_default();
         let is_fit = |entry: &&Entry| !entry.is_leaving && self.view(&entry.name) != View::Lost;
@@ -94,28 +96,30 @@
             })
             .filter(is_fit)
             .max_by_key(|entry| {
-                let is_named = !self.record.established && entry.name == self.record.primary;
-                (is_named, position(entry), std::cmp::Reverse(&entry.name))
+                let is_current = !self.record.established && entry.name == self.record.primary;
+                (is_current, position(entry), std::cmp::Reverse(&entry.name))
             })
     }
 }
 
-/// Whether a primary that this host has lost still works for more than half of its live peers, so
-/// that it stays.
+/// Whether more than half of this host's live peers reach the primary, so that it stays although
+/// this host does not reach it.
 pub fn is_reachable_by_majority(peer_views: &BTreeMap<HostId, View>) -> bool {
     let alive = peer_views.values().filter(|view| **view == View::Alive).count();
     2 * alive > peer_views.len()
 }
 
-/// Waits of one host before it acts on one group.
+/// Tracks on one host how long a group has needed a replacement, to delay the host by its rank.
 #[derive(Debug, Default)]
 pub struct Monitor {
-    since: Option<(Cause, Time)>,
-    record: Option<(u64, bool, Time)>,
+    cause_since: Option<(Cause, Time)>,
+    /// Fence of the last record, whether it was established, and when it was first seen.
+    record_since: Option<(u64, bool, Time)>,
 }
 
 impl Monitor {
-    /// Says what to do now; `rank` is this host's place among those that may act.
+    /// Returns the replacement that this host should make now, if any. `rank` is this host's
+    /// position, from 0, among the hosts that may act.
     pub fn decide(
         &mut self,
         now: Time,
@@ -127,37 +131,41 @@
         let cause = if record.established {
             snapshot.cause()
         } else {
-            let lost = snapshot.directory.get(&record.primary).is_none_or(|e| e.is_leaving)
+            let is_lost = snapshot.directory.get(&record.primary).is_none_or(|e| e.is_leaving)
                 || snapshot.view(&record.primary) == View::Lost;
-            let limit = if snapshot.is_holder_active { PROMOTION_LIMIT } else { ABANDONED_LIMIT };
-            (age >= limit || lost).then_some(Cause::Stuck)
+            let timeout = if snapshot.is_holder_active {
+                PROMOTION_TIMEOUT
+            } else {
+                ABANDONED_PROMOTION_TIMEOUT
+            };
+            (age >= timeout || is_lost).then_some(Cause::Stuck)
         };
         let Some(cause) = cause else {
-            self.since = None;
+            self.cause_since = None;
             return None;
         };
-        let since = match self.since {
+        let since = match self.cause_since {
             Some((known, since)) if known == cause => since,
             _ => now,
         };
-        self.since = Some((cause, since));
-        let patience = RANK_STEP * u32::try_from(rank).unwrap_or(u32::MAX);
-        if now.saturating_sub(since) < patience {
+        self.cause_since = Some((cause, since));
+        let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
+        if now.saturating_sub(since) < delay {
             return None;
         }
         snapshot.candidate().map(|entry| Replacement { cause, candidate: entry.name.clone() })
     }
 
     fn record_age(&mut self, now: Time, record: &Record) -> Duration {
-        match self.record {
+        match self.record_since {
             Some((fence, established, since))
                 if fence == record.fence && established == record.established =>
             {
                 now.saturating_sub(since)
             }
             _ => {
-                self.record = Some((record.fence, record.established, now));
-                self.since = None;
+                self.record_since = Some((record.fence, record.established, now));
+                self.cause_since = None;
                 Duration::ZERO
             }
         }
--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -1,21 +1,27 @@
-//! How long a host may act on its copy of the table of groups and members.
+//! The lease under which a host may act on its copy of the table of groups and members.
 //!
-//! Each change of the table has a revision. A host holds the lease while it can prove that, at
-//! most [`Limits::validity`] ago, no revision above its own existed. Proofs come from
+//! Every change of the table gets a new revision. A host holds the lease while it knows that no
+//! revision above its own existed at some time within the last [`Limits::validity`]. Three sources
+//! establish that:
 //!
-//! - the platform: a read sent at `s` that showed nothing newer proves `s`;
-//! - a peer at the same revision: its own proof from the platform, with its age;
-//! - a majority of the members, each at this revision. A writer has changed the table before it
-//!   tells anybody, so this alone is not proof; it counts only while the platform itself was heard,
-//!   directly or through peers, within [`Limits::max_attested_age`].
+//! - the platform: a read sent at `s` that showed nothing newer renews the lease as of `s`;
+//! - a peer at the same revision: its own renewal from the platform, dated back by the reported
+//!   age;
+//! - a majority of the members, all at this revision. A writer changes the table before it notifies
+//!   any host, so a majority alone does not rule out a newer revision. It counts only while the
+//!   last renewal from the platform, direct or through peers, is no older than
+//!   [`Limits::max_attested_age`].
 //!
-//! A writer that wants to know when nobody acts on older revisions any more keeps a [`Barrier`].
-//! It is over once every member has confirmed the revision; or, with silent members, once enough have
-//! confirmed that no majority without them is left, plus the validity; or once the attestation limit and
-//! the validity have passed since the write.
+//! A writer that has to know when no host acts on older revisions any more uses a [`Barrier`]. It
+//! is passed at the earliest of three points:
 //!
-//! Times count the time that a machine was suspended, so that a host which wakes up knows that its
-//! lease has ended.
+//! - every member has confirmed the revision;
+//! - if members are silent: so many have confirmed that the rest form no majority, and the validity
+//!   has passed since;
+//! - the maximum attested age plus the validity have passed since the write.
+//!
+//! Times come from a clock that also counts while the machine is suspended, so that a host that
+//! resumes finds its lease expired.
 
 use crate::id::{HostId, Incarnation, Time};
 use serde::{Deserialize, Serialize};
@@ -24,21 +30,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Number of a change of the table.
+/// Number of a change of the table; increases with each change.
 pub type Revision = u64;
 
 /// A host as the table records it.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
-    /// Its run.
+    /// Incarnation of the host process that is recorded.
     pub incarnation: Incarnation,
-    /// Where its peers reach it.
+    /// Address at which peers reach it.
     pub address: SocketAddr,
-    /// Its failure domain.
+    /// Name of its failure domain.
     pub domain: String,
-    /// When the host entered the table, on the platform's clock. A run that finds the row of an
-    /// earlier run of the same host takes its time over.
+    /// When the host entered the table, on the platform's clock. A new incarnation that finds the
+    /// row of an earlier one of the same host keeps that row's time.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "entered_ms")]
     pub entered: Duration,
@@ -47,53 +53,56 @@
 /// Time limits of a lease.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
-    /// Age at which a proof ends.
+    /// Maximum age of a renewal by the platform on which a host may act without a majority, and of
+    /// a peer's attestation that counts towards one.
     pub validity: Duration,
-    /// Time for which members may vouch for each other without word from the platform.
+    /// Maximum age of a renewal by the platform while a majority of the members attests the
+    /// revision.
     pub max_attested_age: Duration,
-    /// Added to each wait for the end of others' leases: clocks differ a little in speed.
+    /// Added to each wait for other hosts' leases to expire, because clocks differ slightly in
+    /// speed.
     pub clock_drift_margin: Duration,
 }
 
-/// What a peer's heartbeat says of its lease.
+/// State of a peer's lease as reported in its heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attestation {
-    /// The peer.
+    /// Host that sent the heartbeat.
     pub host: HostId,
-    /// Its run.
+    /// Incarnation that sent the heartbeat.
     pub incarnation: Incarnation,
-    /// Revision that it knows.
+    /// Revision of its copy of the table.
     pub revision: Revision,
-    /// Revision below which nothing of it is under way any more.
+    /// The host has adopted this revision and has no work in flight under an older one.
     #[serde(rename = "settled")]
     pub quiesced: Revision,
-    /// Age of its proof from the platform when it sent this.
+    /// Age of its last renewal by the platform when it sent the heartbeat; none before the first.
     #[serde(rename = "proof_age")]
     pub renewal_age: Option<Duration>,
 }
 
-/// What was heard of a peer, with the time at which it certainly still held.
+/// The latest attestation of a peer, with a time no later than that at which it was made.
 #[derive(Debug, Clone, Copy)]
 struct Received {
     attestation: Attestation,
     at: Time,
 }
 
-/// One host's lease.
+/// Lease of one host, with what it knows of its peers' leases.
 #[derive(Debug)]
 pub struct Lease {
     own: (HostId, Incarnation),
     limits: Limits,
     revision: Revision,
     members: BTreeMap<HostId, Member>,
-    /// The platform's clock, and when it was read.
+    /// When the platform's clock was read, and what it showed.
     platform_clock: Option<(Time, Duration)>,
     renewed_at: Option<Time>,
-    received: BTreeMap<HostId, Received>,
+    attestations: BTreeMap<HostId, Received>,
 }
 
 impl Lease {
-    /// A host that has not read the table yet.
+    /// Creates the lease of a host that has not read the table yet; it is not held.
     pub fn new(host: HostId, incarnation: Incarnation, limits: Limits) -> Lease {
         Lease {
             own: (host, incarnation),
@@ -102,26 +111,27 @@
             members: BTreeMap::new(),
             platform_clock: None,
             renewed_at: None,
-            received: BTreeMap::new(),
+            attestations: BTreeMap::new(),
         }
     }
 
-    /// Time limits.
+    /// The limits that the lease was created with.
     pub fn limits(&self) -> Limits {
         self.limits
     }
 
-    /// Revision of this host's copy.
+    /// Revision of this host's copy of the table; 0 before it was read.
     pub fn revision(&self) -> Revision {
         self.revision
     }
 
-    /// Recorded members.
+    /// Members that this host's copy of the table records.
     pub fn members(&self) -> &BTreeMap<HostId, Member> {
         &self.members
     }
 
-    /// Takes a newer copy of the table.
+    /// Replaces the copy of the table; an older revision is ignored. A newer one has to be renewed
+    /// before the lease is held again.
     pub fn adopt(&mut self, revision: Revision, members: BTreeMap<HostId, Member>) {
         if revision < self.revision {
             return;
@@ -130,28 +140,32 @@
             self.renewed_at = None;
         }
         self.revision = revision;
-        self.received.retain(|host, _| members.contains_key(host));
+        self.attestations.retain(|host, _| members.contains_key(host));
         self.members = members;
     }
 
-    /// Notes the platform's clock, read at `now`.
+    /// Records what the platform's clock showed at `now`.
     pub fn set_platform_clock(&mut self, now: Time, platform: Duration) {
         self.platform_clock = Some((now, platform));
     }
 
-    /// The platform's clock now; none before it was read.
+    /// Time on the platform's clock at `now`; none before the clock was read.
     pub fn platform_now(&self, now: Time) -> Option<Duration> {
         self.platform_clock.map(|(at, platform)| platform + now.saturating_sub(at))
     }
 
-    /// A read of the table, sent at `sent`, showed nothing above `revision`.
+    /// Renews the lease as of `sent`, when a read of the table was sent that showed nothing above
+    /// `revision`; ignored unless `revision` is that of this host's copy.
     pub fn renew(&mut self, sent: Time, revision: Revision) {
         if revision == self.revision {
             self.renewed_at = self.renewed_at.max(Some(sent));
         }
     }
 
-    /// Takes a peer's heartbeat that cannot have been made before `made`.
+    /// Records the attestation in a peer's heartbeat that cannot have been made before `made`.
+    ///
+    /// Its renewal by the platform renews this host's lease too if both are at the same revision.
+    /// An attestation that is older than the recorded one does not replace it.
     pub fn record_attestation(&mut self, made: Time, attestation: Attestation) {
         if attestation.revision == self.revision
             && let Some(at) = attestation.renewal_age.and_then(|age| made.checked_sub(age))
@@ -159,18 +173,19 @@
             self.renewed_at = self.renewed_at.max(Some(at));
         }
         let received =
-            self.received.entry(attestation.host).or_insert(Received { attestation, at: made });
+            self.attestations.entry(attestation.host).or_insert(Received { attestation, at: made });
         if made >= received.at {
             *received = Received { attestation, at: made };
         }
     }
 
-    /// Age of the newest proof from the platform, directly or through peers.
+    /// Age of the newest renewal by the platform, direct or through peers; none before the first.
     pub fn renewal_age(&self, now: Time) -> Option<Duration> {
         self.renewed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Whether this host may act on its copy.
+    /// Whether this host may act on its copy of the table: the table records its incarnation, and
+    /// the newest renewal is recent enough.
     pub fn is_held(&self, now: Time) -> bool {
         let (host, incarnation) = self.own;
         let is_recorded = self.members.get(&host).is_some_and(|m| m.incarnation == incarnation);
@@ -182,20 +197,21 @@
             || (age <= self.limits.max_attested_age && self.is_attested(now))
     }
 
-    /// Peers heard of within `within`.
+    /// Peers whose latest attestation is no older than `within`.
     pub fn live_peers(&self, now: Time, within: Duration) -> Vec<HostId> {
         let fresh = |received: &Received| now.saturating_sub(received.at) <= within;
-        self.received
+        self.attestations
             .iter()
             .filter(|(_, received)| fresh(received))
             .map(|(host, _)| *host)
             .collect()
     }
 
-    /// Whether a majority of the members, with this host, was at this revision lately.
+    /// Whether a majority of the members, this host included, was at this revision within the
+    /// validity.
     fn is_attested(&self, now: Time) -> bool {
         let agrees = |host: &HostId| {
-            self.received.get(host).is_some_and(|received| {
+            self.attestations.get(host).is_some_and(|received| {
                 self.is_current_incarnation(host, received.attestation.incarnation)
                     && received.attestation.revision == self.revision
                     && now.saturating_sub(received.at) <= self.limits.validity
@@ -210,21 +226,26 @@
         self.members.get(host).is_some_and(|member| member.incarnation == incarnation)
     }
 
-    /// Whether `host` has confirmed `revision` and has nothing older under way.
+    /// Whether `host` has adopted `revision` and has no work in flight under an older one.
     fn has_quiesced(&self, host: &HostId, revision: Revision) -> bool {
-        self.received.get(host).is_some_and(|received| {
+        self.attestations.get(host).is_some_and(|received| {
             self.is_current_incarnation(host, received.attestation.incarnation)
                 && received.attestation.quiesced >= revision
         })
     }
 
-    /// Whether every member has confirmed `revision`.
+    /// Whether every other member has quiesced at `revision`.
     pub fn has_quiesced_everywhere(&self, revision: Revision) -> bool {
         let mut others = self.members.keys().filter(|host| **host != self.own.0);
         others.all(|host| self.has_quiesced(host, revision))
     }
 
-    /// Whether no majority is left that could vouch for a revision below `revision`.
+    /// Whether so many members have quiesced at `revision` that the rest can form no majority that
+    /// attests an older one.
+    ///
+    /// Members that entered within the longest time for which a lease may last are not counted:
+    /// other hosts may still act on a table without them, in which a smaller number is a majority.
+    /// False before the platform's clock was read.
     pub fn has_majority_quiesced(&self, now: Time, revision: Revision) -> bool {
         let recent = self.limits.max_attested_age + self.limits.validity;
         let Some(platform_now) = self.platform_now(now) else { return false };
@@ -233,13 +254,14 @@
             entered.is_none_or(|entered| platform_now.saturating_sub(entered) < recent)
         };
         let others = self.members.keys().filter(|host| **host != self.own.0);
-        let settled = others.filter(|host| !is_new(host) && self.has_quiesced(host, revision));
-        let count = settled.count() + usize::from(!is_new(&self.own.0));
+        let quiesced = others.filter(|host| !is_new(host) && self.has_quiesced(host, revision));
+        let count = quiesced.count() + usize::from(!is_new(&self.own.0));
         count > self.members.len() - majority(self.members.len())
     }
 }
 
-/// A wait until nobody acts on revisions below one that was written.
+/// Barrier that is passed once no other host acts on a revision older than the one that was
+/// written.
 #[derive(Debug, Clone, Copy)]
 pub struct Barrier {
     revision: Revision,
@@ -248,12 +270,13 @@
 }
 
 impl Barrier {
-    /// For `revision`, whose write was confirmed at `written`.
+    /// Creates the barrier for `revision`, whose write was confirmed at `written`.
     pub fn new(revision: Revision, written: Time) -> Barrier {
         Barrier { revision, written, majority_quiesced_at: None }
     }
 
-    /// Whether nobody acts on an older revision any more.
+    /// Whether the barrier is passed. It has to be polled: the time from which a majority had
+    /// quiesced is taken from the calls.
     pub fn has_passed(&mut self, lease: &Lease, now: Time) -> bool {
         if lease.has_quiesced_everywhere(self.revision) {
             return true;
@@ -270,7 +293,7 @@
     }
 }
 
-/// Members that make a majority of `members`.
+/// Least number of hosts that is more than half of `members`.
 pub fn majority(members: usize) -> usize {
     members / 2 + 1
 }
--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -1,9 +1,10 @@
 //! Decisions of a host that serves sessions over open connections.
 //!
-//! A session is a caller's connection: it has values, prepared statements and at most one open
-//! transaction, all of which end with it. The targets behind it are groups with asynchronous
-//! replication that number their commits. These modules decide who may use which target, what a
-//! read may see, who is promoted and what a caller is told; the I/O is in the host crate.
+//! A session belongs to one caller's connection. It has values, prepared statements and at most one
+//! open transaction, all of which end with the connection. The targets that serve it form groups
+//! with asynchronous replication and numbered commits. These modules decide who may use which
+//! target, what a read may see, which target is promoted and what a caller is answered; the I/O is
+//! in the crate `bergamotvale-sessions`.
 
 pub mod answer;
 pub mod catalog;
--- a/crates/core/src/proxy/record.rs
+++ b/crates/core/src/proxy/record.rs
@@ -1,42 +1,43 @@
-//! Who leads a group, as all hosts agree on it through the platform's table.
+//! The record of a group's primary, on which all hosts agree through the platform's table.
 //!
-//! There is one record a service, changed by conditional writes only. A promotion starts with a
+//! Each service has one record, changed only by conditional writes. A promotion starts with a
 //! record that names the candidate under a higher fence and is not `established`; it ends with the
-//! same record established. The primary named before is out of use for every host from the moment
-//! at which that host learns of the higher fence, or loses its lease.
+//! same record, established. A host stops using the previous primary when it learns of the higher
+//! fence or its lease expires.
 
 use super::directory::{Directory, Role, TargetName, of_service};
 use crate::id::HostId;
 use serde::{Deserialize, Serialize};
 
-/// Number of a promotion; grows with each.
+/// Number of a promotion; increases with each.
 pub type Fence = u64;
-/// Term of a group's log.
+/// Term of a group's log; increases each time a target becomes the primary.
 pub type Term = u64;
 
-/// Record of one group.
+/// Primary of one group, or the promotion that is in progress.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Number of the promotion that this record describes.
     pub fence: Fence,
     /// The primary, or the candidate while not established.
     pub primary: TargetName,
-    /// The primary before this promotion.
+    /// The primary before this promotion; none in the first record.
     pub previous: Option<TargetName>,
-    /// Host that carries the promotion out.
+    /// Host that executes the promotion.
     pub holder: HostId,
-    /// Whether the primary was seen to lead.
+    /// Whether the promotion has finished: the target was seen to lead.
     pub established: bool,
-    /// Term in which it leads; while not established, the term before, which it has to exceed. A
-    /// target that led then and has not heard of its successor still holds itself to be the
-    /// primary. 0 while unknown.
+    /// Term in which the primary leads; 0 while unknown. While not established, the previous term,
+    /// which the candidate's term has to exceed: a target that led in it and has not learned of its
+    /// successor still reports itself as the primary.
     pub term: Term,
-    /// Whether the primary before still works, so that its open work is waited for.
+    /// Whether the previous primary still works, so that the promotion waits for its open work.
     pub planned: bool,
 }
 
 impl Record {
-    /// First record of a group: the only target that holds itself to be the primary.
+    /// Creates the first record of a group, which names the only target that reports itself as the
+    /// primary; none unless there is exactly one.
     pub fn first(directory: &Directory, service: &str, holder: HostId) -> Option<Record> {
         let mut primaries = of_service(directory, service).filter(|e| e.role == Role::Primary);
         let primary = primaries.next()?;
@@ -54,8 +55,8 @@
         })
     }
 
-    /// The promotion of `candidate` that follows this record; `seen` is the highest term that any
-    /// target of the group was seen in, 0 if none was.
+    /// Returns the record that starts the promotion of `candidate` and follows this one. `seen` is
+    /// the highest term observed at any target of the group, 0 if none was.
     pub fn promote(
         &self,
         candidate: &TargetName,
@@ -76,18 +77,19 @@
         }
     }
 
-    /// A term above all in which a target led before this promotion.
+    /// Returns a term above all in which a target led before this promotion.
     pub fn next_term(&self) -> Term {
-        // Where no term was seen yet, there have been fewer than promotions were begun.
+        // If no term was observed yet, there were fewer terms than promotions started.
         self.fence.max(self.term + 1)
     }
 
-    /// Whether a target that holds itself to be the primary of `term` leads by this promotion.
+    /// Whether a target that reports itself as the primary in `term` leads because of this
+    /// promotion.
     pub fn accepts_term(&self, term: Term) -> bool {
         term > self.term
     }
 
-    /// The same record once the candidate was seen to lead in `term`.
+    /// Returns this record as established, after the candidate was seen to lead in `term`.
     pub fn establish(&self, term: Term) -> Record {
         Record { established: true, term, ..self.clone() }
     }
--- a/crates/core/src/proxy/select.rs
+++ b/crates/core/src/proxy/select.rs
@@ -1,63 +1,66 @@
-//! Which target a read is sent to.
+//! Selects the target that a read is sent to, by the expected time until its answer.
 
 use super::directory::TargetName;
 use super::floor::Position;
 use std::time::Duration;
 
-/// Expected time of a new connection at a target, slot time included.
-const CONNECT: Duration = Duration::from_millis(14);
-/// Added for a target that was behind the floor when last heard of: it will likely refuse.
-const BEHIND: Duration = Duration::from_millis(60);
-/// Added for the primary, whose slots writes need.
-const PRIMARY: Duration = Duration::from_millis(3);
+/// Expected time to open a new connection to a target, including its wait for a slot there.
+const CONNECT_TIME: Duration = Duration::from_millis(14);
+/// Added for a target whose last known position is below the floor: it will likely refuse the read.
+const LAG_PENALTY: Duration = Duration::from_millis(60);
+/// Added for the primary, to keep its slots for writes.
+const PRIMARY_PENALTY: Duration = Duration::from_millis(3);
 
 /// One target that may serve a read.
 #[derive(Debug, Clone)]
 pub struct Candidate {
-    /// Its name.
+    /// Name of the target.
     pub name: TargetName,
-    /// Time of an exchange without work.
+    /// Round-trip time without the execution of a statement.
     pub round_trip: Duration,
-    /// Statements of this host that run or wait there.
+    /// Statements of this host that run or wait at the target.
     pub in_flight: u32,
-    /// Statements that it runs at once.
+    /// Number of statements that the target runs concurrently.
     pub slots: u32,
-    /// Mean time of a statement there.
+    /// Mean execution time of a statement at the target.
     pub statement_time: Duration,
-    /// Whether an idle connection of the client account is at hand.
+    /// Whether there is an idle connection for the client account.
     pub has_connection: bool,
-    /// Whether another connection may be had at all.
+    /// Whether the connection limit permits another connection.
     pub can_connect: bool,
-    /// Position it was last seen at.
+    /// Last known position of its log; the default value if none is known.
     pub position: Position,
     /// Whether it is the primary.
     pub is_primary: bool,
 }
 
 impl Candidate {
-    /// Expected time until the answer, as far as it differs between targets.
+    /// Expected time until the answer to a read that has to see `floor`, without what is the same
+    /// for all targets.
     pub fn cost(&self, floor: Position) -> Duration {
-        let queue = self.statement_time * self.in_flight / self.slots.max(1);
-        let mut cost = self.round_trip + self.statement_time + queue;
+        let queue_time = self.statement_time * self.in_flight / self.slots.max(1);
+        let mut cost = self.round_trip + self.statement_time + queue_time;
         if !self.has_connection {
-            cost += CONNECT;
+            cost += CONNECT_TIME;
         }
         if !self.has_connection && !self.can_connect {
             cost += self.statement_time;
         }
-        // Of one that was not heard of yet nothing is known, and the primary cannot serve all.
+        // No penalty while the position is unknown: otherwise the primary would get all reads,
+        // which it cannot serve.
         let is_known = self.position != Position::default();
         if !self.is_primary && is_known && self.position < floor {
-            cost += BEHIND;
+            cost += LAG_PENALTY;
         }
         if self.is_primary {
-            cost += PRIMARY;
+            cost += PRIMARY_PENALTY;
         }
         cost
     }
 }
 
-/// The cheapest target for a read that has to see `floor`, but for those in `tried`.
+/// Returns the candidate with the lowest cost for a read that has to see `floor`, leaving out those
+/// in `tried`; none if no other is left.
 pub fn choose<'a>(
     candidates: &'a [Candidate],
     floor: Position,
--- a/crates/core/src/proxy/session.rs
+++ b/crates/core/src/proxy/session.rs
@@ -1,15 +1,15 @@
-//! What a session has set and prepared, and how a connection is brought to match it.
+//! State of a session, and the steps that prepare a connection to a target for it.
 //!
-//! Sessions share the few connections to targets. A connection carries what earlier sessions left
-//! on it; before a statement runs, the connection is brought to the session's values, and the
-//! prepared statement that it needs is prepared there under a name that depends on its shape only.
-//! Values that the session has not set must not be set on the connection, which only a reset of
-//! the connection undoes.
+//! Sessions share a small number of connections to targets, and a connection still holds what
+//! earlier sessions set on it. Before a statement runs, the connection gets the session's values,
+//! and the prepared statement that it needs is prepared under a name that depends only on its
+//! shape. A value that the session has not set must not be set on the connection; only a reset of
+//! the connection removes one.
 
 use super::statement::Shape;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Values by name.
+/// Session values by name.
 pub type Values = BTreeMap<String, String>;
 
 /// State of one caller's session.
@@ -17,32 +17,33 @@
 pub struct Session {
     /// Values that the session has set.
     pub values: Values,
-    /// Prepared statements by the session's name.
+    /// Shapes of prepared statements by the name that the session gave them.
     pub prepared: BTreeMap<String, Shape>,
 }
 
-/// What a connection to a target holds.
+/// What a connection to a target holds from the sessions that used it.
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionState {
-    /// Values set there.
+    /// Values set on the connection.
     pub values: Values,
-    /// Shapes prepared there.
+    /// Shapes prepared on the connection.
     pub prepared: BTreeSet<Shape>,
 }
 
-/// One step that brings a connection to a session's state.
+/// One step that prepares a connection for a session.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
-    /// Drop all values and prepared statements.
+    /// Removes all values and prepared statements.
     Reset,
-    /// Set a value.
+    /// Sets the value of a name.
     Set(String, String),
-    /// Prepare a shape.
+    /// Prepares a shape.
     Prepare(Shape),
 }
 
 impl ConnectionState {
-    /// Steps that make the connection hold `values` and, where one is needed, `shape`.
+    /// Returns the steps after which the connection holds exactly `values` and, if given, has
+    /// `shape` prepared; empty if it already does.
     pub fn steps(&self, values: &Values, shape: Option<&Shape>) -> Vec<Step> {
         let mut steps = Vec::new();
         let needs_reset = self.values.keys().any(|name| !values.contains_key(name));
@@ -62,7 +63,7 @@
         steps
     }
 
-    /// Notes that the target has confirmed a step.
+    /// Updates the state after the target has confirmed a step.
     pub fn apply(&mut self, step: &Step) {
         match step {
             Step::Reset => *self = ConnectionState::default(),
--- a/crates/core/src/proxy/statement.rs
+++ b/crates/core/src/proxy/statement.rs
@@ -1,20 +1,20 @@
-//! Statements of a session.
+//! Statements that a caller can send in a session.
 
 /// Whether a prepared statement reads or writes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Access {
-    /// It reads.
+    /// Reads only.
     Read,
-    /// It writes.
+    /// Writes, so that only a primary can run it.
     Write,
 }
 
-/// One statement of a caller.
+/// One statement of a caller, as parsed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Statement {
     /// Opens a transaction.
     Begin {
-        /// Whether it only reads, so that a replica may run it.
+        /// Whether the transaction only reads, so that a replica may run it.
         read_only: bool,
     },
     /// Commits the open transaction.
@@ -27,37 +27,38 @@
     Write,
     /// Sets a value of the session.
     Set {
-        /// Its name.
+        /// Name of the value.
         name: String,
-        /// Its value.
+        /// The new value.
         value: String,
     },
-    /// Prepares a statement under a name of the session.
+    /// Prepares a statement under a name that is known only in the session.
     Prepare {
-        /// The session's name for it.
+        /// Name that the session gave the statement.
         name: String,
-        /// What it does.
+        /// Access and text of the statement.
         shape: Shape,
     },
     /// Runs a prepared statement.
     Execute {
-        /// The session's name for it.
+        /// Name that the session gave the statement.
         name: String,
-        /// The rest of the text: the item and the data.
+        /// The text after the name: the item and the data.
         arguments: String,
     },
-    /// Forgets a prepared statement.
+    /// Removes a prepared statement from the session.
     Deallocate {
-        /// The session's name for it.
+        /// Name that the session gave the statement.
         name: String,
     },
 }
 
-/// What a prepared statement does, whatever a session calls it.
+/// A prepared statement without the session's name for it, so that sessions that prepare the same
+/// statement share it on a connection.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Shape {
     /// Whether it writes.
     pub access: Access,
-    /// Its text.
+    /// Text of the statement.
     pub text: String,
 }
--- a/crates/core/src/proxy/survey.rs
+++ b/crates/core/src/proxy/survey.rs
@@ -1,63 +1,66 @@
-//! Which target holds every commit that a group's callers were told of.
+//! Finds the target to promote that has every commit acknowledged to a group's callers.
 //!
-//! In a group with synchronous replicas a commit is acknowledged once enough replicas have received
-//! it. Before another target is promoted, the primary must be kept from acknowledging more, and one
-//! that has all it did acknowledge must be found. Two ways do that: so many replicas have stopped
-//! receiving that too few are left for any acknowledgement, or the primary itself has stepped down.
-//! Positions are those at which the targets stopped, so they no longer change.
+//! In a group with synchronous replicas, a commit is acknowledged once enough replicas have
+//! received it. Before another target is promoted, the primary must be kept from acknowledging more
+//! commits, and a target must be found that has all acknowledged ones. Either of two things
+//! achieves that: so many replicas have stopped receiving that too few are left for an
+//! acknowledgement, or the primary itself has stepped down. A recorded position is the one at which
+//! a target stopped, so it no longer changes.
 
 use super::directory::TargetName;
 use super::floor::Position;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-/// Targets of a group that have stopped.
+/// What is known of the targets of a group that have stopped, while a promotion is prepared.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Survey {
-    /// Replicas that must have received a commit before it is acknowledged.
+    /// Number of replicas that must have received a commit before it is acknowledged.
     sync_replicas: usize,
-    /// Replicas of the group.
+    /// Number of replicas in the group, without the previous primary.
     replicas: usize,
-    /// Replicas that receive nothing more, with what they have.
+    /// Replicas that have stopped receiving, with their last position.
     stopped: BTreeMap<TargetName, Position>,
-    /// Position that the primary before is known to have reached.
+    /// Position that the previous primary is known to have reached.
     reached: Position,
-    /// The primary before, once it takes no more commits, with what it has.
+    /// The previous primary once it has stepped down, with its last position.
     deposed: Option<(TargetName, Position)>,
 }
 
 impl Survey {
-    /// A group of `replicas` besides its primary, none of which has stopped; the primary is known
-    /// to have reached a position.
+    /// Creates a survey of a group with `replicas` besides its primary, none of which has stopped.
+    /// The primary is known to have reached the position `reached`.
     pub fn new(sync_replicas: usize, replicas: usize, reached: Position) -> Survey {
         Survey { sync_replicas, replicas, stopped: BTreeMap::new(), reached, deposed: None }
     }
 
-    /// A replica has stopped receiving.
+    /// Records that a replica has stopped receiving at `position`.
     pub fn record_stopped(&mut self, replica: &TargetName, position: Position) {
         self.stopped.insert(replica.clone(), position);
     }
 
-    /// The primary before has stepped down. One that has less than it had once has lost its log
-    /// and says nothing of what was acknowledged.
+    /// Records that the previous primary has stepped down at `position`. Ignored if that is below
+    /// what it is known to have reached: it has lost its log, so its position does not show what
+    /// was acknowledged.
     pub fn record_deposed(&mut self, primary: &TargetName, position: Position) {
         if position >= self.reached {
             self.deposed = Some((primary.clone(), position));
         }
     }
 
-    /// Whether a replica has stopped.
+    /// Whether a replica was recorded as stopped.
     pub fn has_stopped(&self, replica: &TargetName) -> bool {
         self.stopped.contains_key(replica)
     }
 
-    /// Whether nothing more can be acknowledged, and all that was is held by a target that stopped.
+    /// Whether no more commits can be acknowledged, and every acknowledged one is at a target that
+    /// has stopped.
     pub fn is_complete(&self) -> bool {
         self.deposed.is_some() || self.stopped.len() + self.sync_replicas > self.replicas
     }
 
-    /// The target that has most of the log, `named` among equals; none before the survey is
-    /// complete.
+    /// Returns the stopped target with the highest position; none before the survey is complete.
+    /// Among equals it prefers `named`, then the first by name.
     pub fn most_advanced(&self, named: &TargetName) -> Option<&TargetName> {
         if !self.is_complete() {
             return None;
