--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -1,5 +1,5 @@
-//! Cases of the decisions of session hosts, a folder a machine: `failover`, `lease`, `floor`,
-//! `evidence`, `catalog`.
+//! File-driven cases of the decisions of session hosts, one folder per module: `failover`, `lease`,
+//! `floor`, `evidence` and `catalog`. (The cases in `survey` belong to the test of that name.)
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -22,7 +22,7 @@
     Duration::from_millis(millis)
 }
 
-/// An event at a time, in milliseconds.
+/// An event and its time in milliseconds.
 #[derive(Deserialize)]
 struct At<Event> {
     at: u64,
@@ -40,13 +40,13 @@
 #[serde(deny_unknown_fields)]
 struct Group {
     peers: Vec<HostId>,
-    /// Last numbers that replicas were seen at.
+    /// Last known commit number of each replica.
     positions: BTreeMap<TargetName, u64>,
 }
 
 #[derive(Deserialize)]
 #[serde(tag = "on", rename_all = "snake_case")]
-enum Failover {
+enum FailoverEvent {
     View {
         target: TargetName,
         view: View,
@@ -68,21 +68,21 @@
     Established {
         term: u64,
     },
-    /// Nobody is known to carry the promotion out.
+    /// No live host is known to execute the promotion.
     Abandoned,
     Look {
         rank: usize,
     },
 }
 
-struct Watched {
+struct WatchedGroup {
     record: Record,
     directory: Directory,
     views: BTreeMap<TargetName, View>,
     peers: BTreeMap<HostId, View>,
     positions: BTreeMap<TargetName, Position>,
     is_holder_active: bool,
-    watch: Monitor,
+    monitor: Monitor,
 }
 
 fn entry(name: &str, role: Role) -> (TargetName, Entry) {
@@ -99,38 +99,38 @@
     (name.into(), entry)
 }
 
-impl Watched {
-    fn new(given: &Group) -> Watched {
+impl WatchedGroup {
+    fn new(given: &Group) -> WatchedGroup {
         let directory: Directory =
             [entry("p", Role::Primary), entry("r", Role::Replica), entry("s", Role::Replica)]
                 .into();
         let at = |number: &u64| Position { term: 1, number: *number };
-        Watched {
+        WatchedGroup {
             record: Record::first(&directory, SERVICE, 1).expect("one primary"),
             directory,
             views: BTreeMap::new(),
             peers: given.peers.iter().map(|host| (*host, View::Alive)).collect(),
             positions: given.positions.iter().map(|(name, n)| (name.clone(), at(n))).collect(),
             is_holder_active: true,
-            watch: Monitor::default(),
+            monitor: Monitor::default(),
         }
     }
 
-    fn apply(&mut self, at: u64, event: &Failover) -> Option<String> {
+    fn apply(&mut self, at: u64, event: &FailoverEvent) -> Option<String> {
         match event {
-            Failover::View { target, view } => drop(self.views.insert(target.clone(), *view)),
-            Failover::Peer { host, view } => drop(self.peers.insert(*host, *view)),
-            Failover::Leaving { target } => {
+            FailoverEvent::View { target, view } => drop(self.views.insert(target.clone(), *view)),
+            FailoverEvent::Peer { host, view } => drop(self.peers.insert(*host, *view)),
+            FailoverEvent::Leaving { target } => {
                 self.directory.get_mut(target).expect("a target").is_leaving = true;
             }
-            Failover::Gone { target } => drop(self.directory.remove(target)),
-            Failover::Promote { target, planned } => {
+            FailoverEvent::Gone { target } => drop(self.directory.remove(target)),
+            FailoverEvent::Promote { target, planned } => {
                 self.record = self.record.promote(target, 1, *planned, 1);
             }
-            Failover::Abandoned => self.is_holder_active = false,
-            Failover::Established { term } => self.record = self.record.establish(*term),
-            Failover::Look { rank } => {
-                let facts = Snapshot {
+            FailoverEvent::Abandoned => self.is_holder_active = false,
+            FailoverEvent::Established { term } => self.record = self.record.establish(*term),
+            FailoverEvent::Look { rank } => {
+                let snapshot = Snapshot {
                     service: SERVICE,
                     record: &self.record,
                     directory: &self.directory,
@@ -139,9 +139,9 @@
                     positions: &self.positions,
                     is_holder_active: self.is_holder_active,
                 };
-                let change = self.watch.decide(ms(at), *rank, &facts);
-                let said = change.map(|c| format!("{} {}", c.cause, c.candidate));
-                return Some(format!("{at}: {}", said.as_deref().unwrap_or("none")));
+                let change = self.monitor.decide(ms(at), *rank, &snapshot);
+                let shown = change.map(|c| format!("{} {}", c.cause, c.candidate));
+                return Some(format!("{at}: {}", shown.as_deref().unwrap_or("none")));
             }
         }
         None
@@ -149,21 +149,21 @@
 }
 
 fn failover(path: &Path) -> datatest_stable::Result<()> {
-    case::check(path, |case: &Case<Group, Failover>| {
-        let mut watched = Watched::new(&case.given);
+    case::check(path, |case: &Case<Group, FailoverEvent>| {
+        let mut watched = WatchedGroup::new(&case.given);
         let events = case.events.iter();
         Ok(events.filter_map(|event| watched.apply(event.at, &event.event)).collect())
     })
 }
 
-// Leases: host 1 of a few.
+// Leases, from the point of view of host 1.
 
-const TERMS: Limits = Limits {
+const LIMITS: Limits = Limits {
     validity: Duration::from_millis(1000),
     max_attested_age: Duration::from_millis(10_000),
     clock_drift_margin: Duration::from_millis(50),
 };
-/// The platform's clock at the beginning: all members entered long ago.
+/// The platform's clock at time 0, so late that all members entered long ago.
 const PLATFORM: Duration = Duration::from_secs(3600);
 
 #[derive(Deserialize)]
@@ -175,41 +175,41 @@
 
 #[derive(Deserialize)]
 #[serde(tag = "on", rename_all = "snake_case")]
-enum Leased {
-    /// The platform shows nothing above a revision, to a question sent then.
+enum LeaseEvent {
+    /// A read sent at this time showed no revision above the given one.
     Prove {
         revision: u64,
     },
-    /// A heartbeat that was made then.
+    /// A heartbeat made at this time arrived.
     Hear {
         host: HostId,
         revision: u64,
         settled: Option<u64>,
         proof_age: Option<u64>,
-        #[serde(default = "first_run")]
+        #[serde(default = "first_incarnation")]
         run: u64,
     },
-    /// A newer table, with the runs of the hosts that are not in their first.
+    /// The host adopts a newer table. `runs` holds the incarnations that are not the first.
     Adopt {
         revision: u64,
         #[serde(default)]
         runs: BTreeMap<HostId, u64>,
     },
-    /// This host wrote a revision.
+    /// This host wrote a revision, and waits until it is in force.
     Wrote {
         revision: u64,
     },
     Look,
 }
 
-fn first_run() -> u64 {
+fn first_incarnation() -> u64 {
     1
 }
 
-struct Holder {
+struct LeaseHolder {
     lease: Lease,
     hosts: HostId,
-    wait: Option<Barrier>,
+    barrier: Option<Barrier>,
 }
 
 fn members(hosts: HostId, runs: &BTreeMap<HostId, u64>) -> BTreeMap<HostId, Member> {
@@ -222,38 +222,39 @@
     (1..=hosts).map(|host| (host, member(host))).collect()
 }
 
-impl Holder {
-    fn new(given: &Members) -> Holder {
-        let mut lease = Lease::new(1, 1, TERMS);
+impl LeaseHolder {
+    fn new(given: &Members) -> LeaseHolder {
+        let mut lease = Lease::new(1, 1, LIMITS);
         lease.adopt(given.revision, members(given.hosts, &BTreeMap::new()));
         lease.set_platform_clock(Time::ZERO, PLATFORM);
-        Holder { lease, hosts: given.hosts, wait: None }
+        LeaseHolder { lease, hosts: given.hosts, barrier: None }
     }
 
-    fn apply(&mut self, at: u64, event: &Leased) -> Option<String> {
+    fn apply(&mut self, at: u64, event: &LeaseEvent) -> Option<String> {
         let now = ms(at);
         match event {
-            Leased::Prove { revision } => self.lease.renew(now, *revision),
-            Leased::Hear { host, revision, settled, proof_age, run } => {
-                let vouch = Attestation {
+            LeaseEvent::Prove { revision } => self.lease.renew(now, *revision),
+            LeaseEvent::Hear { host, revision, settled, proof_age, run } => {
+                let attestation = Attestation {
                     host: *host,
                     incarnation: *run,
                     revision: *revision,
                     quiesced: settled.unwrap_or(*revision),
                     renewal_age: proof_age.map(ms),
                 };
-                self.lease.record_attestation(now, vouch);
+                self.lease.record_attestation(now, attestation);
             }
-            Leased::Adopt { revision, runs } => {
+            LeaseEvent::Adopt { revision, runs } => {
                 self.lease.adopt(*revision, members(self.hosts, runs));
             }
-            Leased::Wrote { revision } => self.wait = Some(Barrier::new(*revision, now)),
-            Leased::Look => {
+            LeaseEvent::Wrote { revision } => self.barrier = Some(Barrier::new(*revision, now)),
+            LeaseEvent::Look => {
                 let held = if self.lease.is_held(now) { "held" } else { "lapsed" };
                 let lease = &self.lease;
-                let force = self.wait.as_mut().map(|wait| wait.has_passed(lease, now));
-                let force = force.map_or("", |over| if over { ", in force" } else { ", waits" });
-                return Some(format!("{at}: {held}{force}"));
+                let in_force = self.barrier.as_mut().map(|barrier| barrier.has_passed(lease, now));
+                let in_force =
+                    in_force.map_or("", |passed| if passed { ", in force" } else { ", waits" });
+                return Some(format!("{at}: {held}{in_force}"));
             }
         }
         None
@@ -261,8 +262,8 @@
 }
 
 fn lease(path: &Path) -> datatest_stable::Result<()> {
-    case::check(path, |case: &Case<Members, Leased>| {
-        let mut holder = Holder::new(&case.given);
+    case::check(path, |case: &Case<Members, LeaseEvent>| {
+        let mut holder = LeaseHolder::new(&case.given);
         let events = case.events.iter();
         Ok(events.filter_map(|event| holder.apply(event.at, &event.event)).collect())
     })
@@ -278,34 +279,34 @@
 
 #[derive(Deserialize)]
 #[serde(tag = "on", rename_all = "snake_case")]
-enum Read {
-    /// The primary answered, to a question that was sent then.
+enum ReadEvent {
+    /// The primary responded to a request that was sent at `sent`.
     Seen { sent: u64, term: u64, number: u64 },
-    /// A read under the bound.
+    /// A read with the given staleness bound.
     Floor,
-    /// A read of a session that has committed.
+    /// A read of a session whose last commit is at this position.
     Session { term: u64, number: u64 },
 }
 
 fn floor(path: &Path) -> datatest_stable::Result<()> {
-    case::check(path, |case: &Case<Bound, Read>| {
+    case::check(path, |case: &Case<Bound, ReadEvent>| {
         let mut history = History::default();
         let mut seen = Vec::new();
         for At { at, event } in &case.events {
             let floor = history.bounded_floor(ms(*at), ms(case.given.bound));
             match *event {
-                Read::Seen { sent, term, number } => {
+                ReadEvent::Seen { sent, term, number } => {
                     let position = Position { term, number };
                     history.observe(ms(*at), Observation { at: ms(sent), position });
                 }
-                Read::Floor => {
-                    let said = floor.map_or_else(|| "none".to_owned(), |floor| floor.to_string());
-                    seen.push(format!("{at}: {said}"));
+                ReadEvent::Floor => {
+                    let shown = floor.map_or_else(|| "none".to_owned(), |floor| floor.to_string());
+                    seen.push(format!("{at}: {shown}"));
                 }
-                Read::Session { term, number } => {
+                ReadEvent::Session { term, number } => {
                     let own = history.session_floor(Position { term, number });
-                    let said = floor.map(|floor| floor.max(own).to_string());
-                    seen.push(format!("{at}: {}", said.as_deref().unwrap_or("none")));
+                    let shown = floor.map(|floor| floor.max(own).to_string());
+                    seen.push(format!("{at}: {}", shown.as_deref().unwrap_or("none")));
                 }
             }
         }
@@ -313,17 +314,17 @@
     })
 }
 
-// Evidence of a target's life.
+// Evidence of whether a target is alive.
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Nothing {}
+struct Empty {}
 
 #[derive(Deserialize)]
 #[serde(tag = "on", rename_all = "snake_case")]
-enum Sign {
+enum EvidenceEvent {
     Ask,
-    /// Bytes came; `open` says whether other questions are.
+    /// Bytes arrived; `open` tells whether other requests are still pending.
     Answer {
         open: bool,
     },
@@ -334,43 +335,43 @@
 }
 
 fn evidence(path: &Path) -> datatest_stable::Result<()> {
-    case::check(path, |case: &Case<Nothing, Sign>| {
+    case::check(path, |case: &Case<Empty, EvidenceEvent>| {
         let mut evidence = Evidence::default();
         let mut seen = Vec::new();
         for At { at, event } in &case.events {
             let now = ms(*at);
             match event {
-                Sign::Ask => evidence.record_request(now),
-                Sign::Answer { open } => evidence.record_response(now, *open),
-                Sign::Fail => evidence.record_connection_failure(now),
-                Sign::Depose => evidence.record_deposed(now),
-                Sign::Lead => evidence.clear_deposed(),
-                Sign::Look => seen.push(format!("{at}: {:?}", evidence.view(now))),
+                EvidenceEvent::Ask => evidence.record_request(now),
+                EvidenceEvent::Answer { open } => evidence.record_response(now, *open),
+                EvidenceEvent::Fail => evidence.record_connection_failure(now),
+                EvidenceEvent::Depose => evidence.record_deposed(now),
+                EvidenceEvent::Lead => evidence.clear_deposed(),
+                EvidenceEvent::Look => seen.push(format!("{at}: {:?}", evidence.view(now))),
             }
         }
         Ok(seen)
     })
 }
 
-// Who may use a database.
+// Authorization of callers for a database.
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Configured {
     /// Databases, and whether each is public.
     databases: BTreeMap<String, bool>,
-    /// Client accounts by key.
+    /// Names of client accounts by key.
     keys: BTreeMap<String, String>,
 }
 
 #[derive(Deserialize)]
 #[serde(tag = "on", rename_all = "snake_case")]
-enum Session {
+enum CallerEvent {
     /// A caller opens a session, or begins an operation in one.
     Asks { database: String, key: String },
     /// A newer configuration withdraws a key.
     Withdrawn { key: String },
-    /// A newer configuration takes a database away.
+    /// A newer configuration removes a database.
     Removed { database: String },
 }
 
@@ -394,20 +395,20 @@
 }
 
 fn catalog(path: &Path) -> datatest_stable::Result<()> {
-    case::check(path, |case: &Case<Configured, Session>| {
+    case::check(path, |case: &Case<Configured, CallerEvent>| {
         let mut catalog = configured(&case.given);
         let mut seen = Vec::new();
         for At { at, event } in &case.events {
             match event {
-                Session::Withdrawn { key } => drop(catalog.keys.remove(key)),
-                Session::Removed { database } => drop(catalog.routes.remove(database)),
-                Session::Asks { database, key } => {
-                    let said = match catalog.authorize(database, key) {
+                CallerEvent::Withdrawn { key } => drop(catalog.keys.remove(key)),
+                CallerEvent::Removed { database } => drop(catalog.routes.remove(database)),
+                CallerEvent::Asks { database, key } => {
+                    let shown = match catalog.authorize(database, key) {
                         Ok(grant) => grant.account.map_or("nobody", |account| &account.name),
                         Err(Denial::UnknownDatabase) => "no such database",
                         Err(Denial::UnknownKey) => "no such key",
                     };
-                    seen.push(format!("{at}: {said}"));
+                    seen.push(format!("{at}: {shown}"));
                 }
             }
         }
--- a/crates/core/tests/proxy_answers.rs
+++ b/crates/core/tests/proxy_answers.rs
@@ -1,4 +1,5 @@
-//! Answers that are true: every way a statement can end, and what the caller is told.
+//! Error codes for every way in which a statement can end, and the steps that prepare a shared
+//! connection for a session.
 
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::session::{ConnectionState, Session, Step};
@@ -64,24 +65,24 @@
 
 #[test]
 fn a_connection_is_brought_to_the_sessions_values_and_no_others() {
-    let mut held = ConnectionState::default();
-    held.apply(&Step::Set("zone".into(), "a".into()));
-    held.apply(&Step::Prepare(shape("q")));
+    let mut connection = ConnectionState::default();
+    connection.apply(&Step::Set("zone".into(), "a".into()));
+    connection.apply(&Step::Prepare(shape("q")));
     let mut session = Session::default();
     session.values.insert("unit".into(), "m".into());
-    let steps = held.steps(&session.values, Some(&shape("q")));
+    let steps = connection.steps(&session.values, Some(&shape("q")));
     let expected = [Step::Reset, Step::Set("unit".into(), "m".into()), Step::Prepare(shape("q"))];
     assert_eq!(steps, expected);
 }
 
 #[test]
 fn a_connection_that_matches_needs_no_step() {
-    let mut held = ConnectionState::default();
-    held.apply(&Step::Set("unit".into(), "m".into()));
-    held.apply(&Step::Prepare(shape("q")));
-    let values = held.values.clone();
-    assert!(held.steps(&values, Some(&shape("q"))).is_empty());
-    let steps = held.steps(&values, Some(&shape("p")));
+    let mut connection = ConnectionState::default();
+    connection.apply(&Step::Set("unit".into(), "m".into()));
+    connection.apply(&Step::Prepare(shape("q")));
+    let values = connection.values.clone();
+    assert!(connection.steps(&values, Some(&shape("q"))).is_empty());
+    let steps = connection.steps(&values, Some(&shape("p")));
     assert_eq!(steps, [Step::Prepare(shape("p"))]);
 }
 
@@ -94,13 +95,13 @@
                 let set = (0..3).filter(|i| bits & (1 << i) != 0);
                 set.map(|i| (names[i as usize].to_owned(), value.to_owned())).collect()
             };
-            let mut held =
+            let mut connection =
                 ConnectionState { values: values(before, "1"), ..ConnectionState::default() };
             let wanted = values(after, "2");
-            for step in held.steps(&wanted, None) {
-                held.apply(&step);
+            for step in connection.steps(&wanted, None) {
+                connection.apply(&step);
             }
-            assert_eq!(held.values, wanted);
+            assert_eq!(connection.values, wanted);
         }
     }
 }
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -1,4 +1,4 @@
-//! When a primary is replaced, by whom and by which target.
+//! When a group's primary is replaced, by which target, and which host acts first.
 
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Directory, Entry, Role, TargetName};
@@ -28,7 +28,7 @@
     }
 }
 
-/// A group with primary `p` and replicas `r` and `s`, of which `s` has more of the log.
+/// A group with primary `p` and replicas `r` and `s`; `s` has the higher log position.
 struct World {
     record: Record,
     directory: Directory,
@@ -52,7 +52,7 @@
         }
     }
 
-    fn facts(&self) -> Snapshot<'_> {
+    fn snapshot(&self) -> Snapshot<'_> {
         Snapshot {
             service: SERVICE,
             record: &self.record,
@@ -64,15 +64,17 @@
         }
     }
 
-    fn lose(&mut self, hosts: &[HostId]) {
+    fn set_unreachable(&mut self, peers: &[HostId]) {
         self.views.insert("p".into(), View::Lost);
-        for host in hosts {
+        for host in peers {
             self.peers.insert(*host, View::Lost);
         }
     }
 
-    fn decide(&self, watch: &mut Monitor, at: u64, rank: usize) -> Option<(Cause, String)> {
-        watch.decide(ms(at), rank, &self.facts()).map(|change| (change.cause, change.candidate))
+    fn decide(&self, monitor: &mut Monitor, at: u64, rank: usize) -> Option<(Cause, String)> {
+        monitor
+            .decide(ms(at), rank, &self.snapshot())
+            .map(|change| (change.cause, change.candidate))
     }
 }
 
@@ -84,14 +86,14 @@
 #[test]
 fn a_primary_that_only_this_host_has_lost_stays() {
     let mut world = World::new();
-    world.lose(&[]);
+    world.set_unreachable(&[]);
     assert_eq!(world.decide(&mut Monitor::default(), 0, 0), None);
 }
 
 #[test]
 fn a_primary_that_most_have_lost_is_replaced_by_the_replica_with_most_of_the_log() {
     let mut world = World::new();
-    world.lose(&[2, 3]);
+    world.set_unreachable(&[2, 3]);
     let found = world.decide(&mut Monitor::default(), 0, 0);
     assert_eq!(found, Some((Cause::Lost, "s".into())));
 }
@@ -99,11 +101,11 @@
 #[test]
 fn hosts_act_in_the_order_of_their_rank() {
     let mut world = World::new();
-    world.lose(&[2, 3, 4]);
-    let mut watch = Monitor::default();
-    assert_eq!(world.decide(&mut watch, 0, 1), None);
-    assert_eq!(world.decide(&mut watch, 149, 1), None);
-    assert!(world.decide(&mut watch, 150, 1).is_some());
+    world.set_unreachable(&[2, 3, 4]);
+    let mut monitor = Monitor::default();
+    assert_eq!(world.decide(&mut monitor, 0, 1), None);
+    assert_eq!(world.decide(&mut monitor, 149, 1), None);
+    assert!(world.decide(&mut monitor, 150, 1).is_some());
 }
 
 #[test]
@@ -127,7 +129,7 @@
 #[test]
 fn neither_leaving_nor_lost_replicas_are_promoted() {
     let mut world = World::new();
-    world.lose(&[2, 3, 4]);
+    world.set_unreachable(&[2, 3, 4]);
     world.views.insert("s".into(), View::Lost);
     assert_eq!(world.decide(&mut Monitor::default(), 0, 0), Some((Cause::Lost, "r".into())));
     world.directory.get_mut("r").unwrap().is_leaving = true;
@@ -138,11 +140,11 @@
 fn a_promotion_under_way_is_left_alone_until_it_is_stuck() {
     let mut world = World::new();
     world.record = world.record.promote(&"r".into(), 2, false, 1);
-    let mut watch = Monitor::default();
-    assert_eq!(world.decide(&mut watch, 0, 0), None);
-    assert_eq!(world.decide(&mut watch, 3999, 0), None);
-    // The candidate that was named goes first: it may lead already.
-    assert_eq!(world.decide(&mut watch, 4000, 0), Some((Cause::Stuck, "r".into())));
+    let mut monitor = Monitor::default();
+    assert_eq!(world.decide(&mut monitor, 0, 0), None);
+    assert_eq!(world.decide(&mut monitor, 3999, 0), None);
+    // The candidate of the unfinished promotion is preferred: it may lead already.
+    assert_eq!(world.decide(&mut monitor, 4000, 0), Some((Cause::Stuck, "r".into())));
 }
 
 #[test]
@@ -189,8 +191,9 @@
     assert_eq!(evidence.view(ms(900)), View::Alive);
 }
 
-/// Found by the search in proxy_search, seed 21: a primary that died, was replaced and came back
-/// was promoted again, and counted as leading while it still was the primary of its old term.
+/// Guards against taking a candidate as promoted while it still leads an older term: a primary
+/// that died, was replaced and returned was promoted again, and counted as leading although it was
+/// still the primary of its old term. Found by the search in proxy_search, seed 21.
 #[test]
 fn a_candidate_that_still_leads_an_older_term_does_not_lead_by_its_promotion() {
     let world = World::new();
@@ -199,12 +202,13 @@
     assert!(!second.accepts_term(1));
     assert!(!second.accepts_term(2));
     assert!(second.accepts_term(3));
-    // Whoever goes on with it keeps the term that has to be exceeded.
+    // A host that takes the promotion over keeps the term that has to be exceeded.
     let resumed = second.promote(&"p".into(), 4, false, 0);
     assert!(!resumed.accepts_term(2));
 }
 
-/// Pattern: primary cut off from some hosts.
+/// Fault: the primary is partitioned from some hosts, but more than half of the peers
+/// reach it, so that it stays.
 #[test]
 fn a_primary_that_more_than_half_of_the_peers_reach_works_elsewhere() {
     let views = |alive: u32, lost: u32| {
--- a/crates/core/tests/proxy_lease.rs
+++ b/crates/core/tests/proxy_lease.rs
@@ -1,11 +1,12 @@
-//! Leases: proofs, vouching, and the wait until nobody acts on an older revision.
+//! Leases: renewals, attestations, and the barrier that is passed once no host acts on an older
+//! revision.
 
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::lease::{Attestation, Barrier, Lease, Limits, Member};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-const TERMS: Limits = Limits {
+const LIMITS: Limits = Limits {
     validity: Duration::from_millis(1000),
     max_attested_age: Duration::from_millis(10_000),
     clock_drift_margin: Duration::from_millis(50),
@@ -15,7 +16,7 @@
     Duration::from_millis(millis)
 }
 
-/// The platform's clock when the tests' time is 0.
+/// The platform's clock at time 0 of the tests.
 const PLATFORM: Duration = Duration::from_secs(3600);
 
 fn member(incarnation: u64, entered: Duration) -> Member {
@@ -28,19 +29,19 @@
 }
 
 fn lease(count: HostId) -> Lease {
-    let mut lease = Lease::new(1, 1, TERMS);
+    let mut lease = Lease::new(1, 1, LIMITS);
     lease.adopt(5, members(count));
     lease.set_platform_clock(ms(0), PLATFORM);
     lease
 }
 
-fn vouch(host: HostId, revision: u64, proof_age: Option<u64>) -> Attestation {
+fn attestation(host: HostId, revision: u64, renewal_age: Option<u64>) -> Attestation {
     Attestation {
         host,
         incarnation: 1,
         revision,
         quiesced: revision,
-        renewal_age: proof_age.map(ms),
+        renewal_age: renewal_age.map(ms),
     }
 }
 
@@ -73,16 +74,16 @@
 #[test]
 fn a_peers_proof_counts_with_its_age_and_only_at_the_same_revision() {
     let mut lease = lease(4);
-    lease.record_attestation(ms(500), vouch(2, 4, Some(100)));
+    lease.record_attestation(ms(500), attestation(2, 4, Some(100)));
     assert!(!lease.is_held(ms(500)));
-    lease.record_attestation(ms(500), vouch(2, 5, Some(100)));
+    lease.record_attestation(ms(500), attestation(2, 5, Some(100)));
     assert!(lease.is_held(ms(1400)));
     assert!(!lease.is_held(ms(1401)));
 }
 
 #[test]
 fn a_host_that_the_table_does_not_record_holds_nothing() {
-    let mut lease = Lease::new(1, 2, TERMS);
+    let mut lease = Lease::new(1, 2, LIMITS);
     lease.adopt(5, members(4));
     lease.renew(ms(0), 5);
     assert!(!lease.is_held(ms(0)));
@@ -93,9 +94,9 @@
     let mut lease = lease(4);
     lease.renew(ms(0), 5);
     for at in [3000, 9500, 10_500] {
-        lease.record_attestation(ms(at), vouch(2, 5, None));
+        lease.record_attestation(ms(at), attestation(2, 5, None));
         assert!(!lease.is_held(ms(at)), "two of four are no majority");
-        lease.record_attestation(ms(at), vouch(3, 5, None));
+        lease.record_attestation(ms(at), attestation(3, 5, None));
         assert_eq!(lease.is_held(ms(at)), at < 10_000);
     }
 }
@@ -104,9 +105,9 @@
 fn a_host_that_knows_of_a_newer_revision_does_not_vouch() {
     let mut lease = lease(3);
     lease.renew(ms(0), 5);
-    lease.record_attestation(ms(3000), vouch(2, 5, None));
+    lease.record_attestation(ms(3000), attestation(2, 5, None));
     assert!(lease.is_held(ms(3000)));
-    lease.record_attestation(ms(3100), vouch(2, 6, None));
+    lease.record_attestation(ms(3100), attestation(2, 6, None));
     assert!(!lease.is_held(ms(3100)));
 }
 
@@ -114,7 +115,7 @@
 fn an_earlier_run_of_a_host_does_not_vouch() {
     let mut lease = lease(3);
     lease.renew(ms(0), 5);
-    lease.record_attestation(ms(3000), Attestation { incarnation: 9, ..vouch(2, 5, None) });
+    lease.record_attestation(ms(3000), Attestation { incarnation: 9, ..attestation(2, 5, None) });
     assert!(!lease.is_held(ms(3000)));
 }
 
@@ -122,46 +123,46 @@
 fn a_heartbeat_that_arrives_late_does_not_replace_a_later_one() {
     let mut lease = lease(3);
     lease.renew(ms(0), 5);
-    lease.record_attestation(ms(3100), vouch(2, 6, None));
-    lease.record_attestation(ms(3000), vouch(2, 5, None));
+    lease.record_attestation(ms(3100), attestation(2, 6, None));
+    lease.record_attestation(ms(3000), attestation(2, 5, None));
     assert!(!lease.is_held(ms(3100)));
 }
 
 #[test]
 fn a_wait_ends_at_once_when_every_member_has_settled() {
     let mut lease = lease(3);
-    let mut wait = Barrier::new(5, ms(100));
-    lease.record_attestation(ms(120), vouch(2, 5, None));
-    assert!(!wait.has_passed(&lease, ms(120)));
-    lease.record_attestation(ms(125), vouch(3, 5, None));
-    assert!(wait.has_passed(&lease, ms(125)));
+    let mut barrier = Barrier::new(5, ms(100));
+    lease.record_attestation(ms(120), attestation(2, 5, None));
+    assert!(!barrier.has_passed(&lease, ms(120)));
+    lease.record_attestation(ms(125), attestation(3, 5, None));
+    assert!(barrier.has_passed(&lease, ms(125)));
 }
 
 #[test]
 fn a_peer_with_older_work_under_way_is_waited_for() {
     let mut lease = lease(2);
-    let mut wait = Barrier::new(5, ms(100));
-    lease.record_attestation(ms(120), Attestation { quiesced: 4, ..vouch(2, 5, None) });
-    assert!(!wait.has_passed(&lease, ms(120)));
+    let mut barrier = Barrier::new(5, ms(100));
+    lease.record_attestation(ms(120), Attestation { quiesced: 4, ..attestation(2, 5, None) });
+    assert!(!barrier.has_passed(&lease, ms(120)));
 }
 
 #[test]
 fn with_a_silent_host_the_wait_takes_the_validity_from_the_majoritys_word() {
     let mut lease = lease(4);
-    let mut wait = Barrier::new(5, ms(100));
-    lease.record_attestation(ms(300), vouch(2, 5, None));
-    // Two of four have settled: the other two are no majority.
-    assert!(!wait.has_passed(&lease, ms(300)));
-    assert!(!wait.has_passed(&lease, ms(1349)));
-    assert!(wait.has_passed(&lease, ms(1350)));
+    let mut barrier = Barrier::new(5, ms(100));
+    lease.record_attestation(ms(300), attestation(2, 5, None));
+    // Two of four have quiesced: the other two form no majority.
+    assert!(!barrier.has_passed(&lease, ms(300)));
+    assert!(!barrier.has_passed(&lease, ms(1349)));
+    assert!(barrier.has_passed(&lease, ms(1350)));
 }
 
 #[test]
 fn with_a_silent_majority_the_wait_takes_the_vouch_limit_and_the_validity() {
     let lease = lease(4);
-    let mut wait = Barrier::new(5, ms(100));
-    assert!(!wait.has_passed(&lease, ms(11_149)));
-    assert!(wait.has_passed(&lease, ms(11_150)));
+    let mut barrier = Barrier::new(5, ms(100));
+    assert!(!barrier.has_passed(&lease, ms(11_149)));
+    assert!(barrier.has_passed(&lease, ms(11_150)));
 }
 
 #[test]
@@ -170,38 +171,43 @@
     let mut with_new = members(3);
     with_new.insert(4, member(1, PLATFORM));
     lease.adopt(6, with_new);
-    // 2 and 3 may still vouch for each other under the table without 4.
-    lease.record_attestation(ms(10), vouch(4, 6, None));
+    // 2 and 3 may still attest for each other under the table without 4.
+    lease.record_attestation(ms(10), attestation(4, 6, None));
     assert!(!lease.has_majority_quiesced(ms(10), 6));
-    lease.record_attestation(ms(20), vouch(2, 6, None));
+    lease.record_attestation(ms(20), attestation(2, 6, None));
     assert!(lease.has_majority_quiesced(ms(20), 6));
 }
 
-/// Pattern: half of the hosts back at once, beside one that is gone for good.
+/// Fault: all hosts but one restart, and the last never returns. Members that keep the time of
+/// their previous incarnation must not count as new, or a promotion waits for the maximum attested
+/// age.
 #[test]
 fn hosts_that_were_all_restarted_settle_a_promotion_without_the_vouch_limit() {
-    let mut lease = Lease::new(1, 2, TERMS);
+    let mut lease = Lease::new(1, 2, LIMITS);
     let mut table = members(5);
     for host in 1..=4 {
-        // They come back one by one and take the time of their earlier run over.
+        // They return one by one and keep the entry time of their previous incarnation.
         table.insert(host, member(2, ms(0)));
         lease.adopt(5 + u64::from(host), table.clone());
     }
     lease.set_platform_clock(ms(0), PLATFORM);
-    let mut wait = Barrier::new(9, ms(0));
+    let mut barrier = Barrier::new(9, ms(0));
     for host in 2..=4 {
-        lease.record_attestation(ms(100), Attestation { incarnation: 2, ..vouch(host, 9, None) });
+        lease.record_attestation(
+            ms(100),
+            Attestation { incarnation: 2, ..attestation(host, 9, None) },
+        );
     }
-    assert!(!wait.has_passed(&lease, ms(100)));
-    assert!(wait.has_passed(&lease, ms(1150)));
+    assert!(!barrier.has_passed(&lease, ms(100)));
+    assert!(barrier.has_passed(&lease, ms(1150)));
 }
 
 #[test]
 fn without_the_platforms_clock_every_member_counts_as_new() {
-    let mut lease = Lease::new(1, 1, TERMS);
+    let mut lease = Lease::new(1, 1, LIMITS);
     lease.adopt(5, members(3));
-    lease.record_attestation(ms(10), vouch(2, 5, None));
-    lease.record_attestation(ms(10), vouch(3, 5, None));
+    lease.record_attestation(ms(10), attestation(2, 5, None));
+    lease.record_attestation(ms(10), attestation(3, 5, None));
     assert!(!lease.has_majority_quiesced(ms(10), 5));
     assert!(lease.has_quiesced_everywhere(5));
 }
--- a/crates/core/tests/proxy_reads.rs
+++ b/crates/core/tests/proxy_reads.rs
@@ -1,4 +1,5 @@
-//! What a read may see, and where it is sent: floors over terms, replicas that lag or are deaf.
+//! Floors of reads across terms, and the selection of targets when replicas lag, receive nothing or
+//! have an unknown position.
 
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::floor::{History, Observation, Position};
@@ -52,7 +53,7 @@
 
 #[test]
 fn every_floor_covers_what_was_acknowledged_before_the_bound() {
-    // The primary commits one position a millisecond; it is asked at odd times.
+    // The primary commits one position per millisecond and is observed at irregular times.
     let mut history = History::default();
     for now in 0_u64..4000 {
         if now % 7 == 0 || now % 31 < 3 {
@@ -90,7 +91,7 @@
     assert_eq!(chosen(&Candidate { in_flight: 3, ..near }), "far");
 }
 
-/// Pattern: replicas deaf under load.
+/// Fault: replicas receive nothing under load.
 #[test]
 fn deaf_replicas_are_left_out_while_another_target_has_the_log() {
     let deaf = Candidate { position: at(1, 2), ..candidate("deaf") };
@@ -102,7 +103,8 @@
     assert_eq!(choose(&candidates, floor, &tried).unwrap().name, "deaf");
 }
 
-/// Pattern: all hosts back at once, none of which has heard of any replica.
+/// Fault: all hosts restart at once and know no position of any replica. Reads must still be
+/// distributed over all targets, because the primary cannot serve them all.
 #[test]
 fn replicas_that_were_not_heard_of_yet_take_their_part_of_the_reads() {
     let unknown = |name| Candidate { position: Position::default(), ..candidate(name) };
--- a/crates/core/tests/proxy_search.rs
+++ b/crates/core/tests/proxy_search.rs
@@ -1,10 +1,12 @@
-//! A seeded search over promotions, leases, reads and rates together.
+//! A seeded search over promotions, leases, reads and rate limits together.
 //!
-//! Hosts, a store and one group of targets on a manual clock. Messages are delayed and lost; hosts
-//! are paused, restarted and cut off from the store; primaries die; hosts promote, at times two
-//! at once, and promotion calls are late. A client account asks for several times its rate all the while,
-//! and hosts lend each other tokens. The invariants are checked on what targets and callers
-//! see. Each checker is shown to fail on a host that breaks the rule it guards.
+//! It simulates hosts, a store and one group of targets on a manual clock. Messages are delayed and
+//! lost. Hosts are paused, restarted and partitioned from the store. Primaries die; hosts promote
+//! other targets, sometimes two hosts at once, and promotion calls arrive late. A client account
+//! requests several times its rate throughout, and hosts lend each other tokens.
+//!
+//! The invariants are checked on what targets and callers observe. For each of them a test shows
+//! that the search finds a host that violates the rule behind it.
 
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::peer::TokenRequest;
@@ -20,59 +22,61 @@
 
 const HOSTS: HostId = 4;
 const TARGETS: usize = 3;
-const TERMS: Limits = Limits {
+const LIMITS: Limits = Limits {
     validity: Duration::from_millis(300),
     max_attested_age: Duration::from_millis(900),
     clock_drift_margin: Duration::from_millis(20),
 };
-/// Longest delay of a message that is not lost.
+/// Maximum delay of a message that is not lost, in milliseconds.
 const MAX_DELAY: u64 = 40;
-/// Time that a promotion call may take to arrive before it is given up and reset.
-const CALL_LIMIT: u64 = 100;
-/// Longest time from the arrival of a call until the target leads.
-const LEAD_TIME: u64 = 150;
-const BOUND: Duration = Duration::from_millis(200);
+/// Time in milliseconds after which a promotion call that has not arrived is cancelled.
+const CALL_TIMEOUT: u64 = 100;
+/// Maximum time from the arrival of a call until the target leads, in milliseconds.
+const MAX_PROMOTION_TIME: u64 = 150;
+const STALENESS_BOUND: Duration = Duration::from_millis(200);
 const STEPS: u64 = 3000;
 const ACCOUNT: AccountId = 7;
 const RATE: u32 = 40;
 const BURST: u32 = 40;
-/// Requests in multiples of the rate.
+/// Rate of requests as a multiple of the account's rate.
 const DEMAND: u64 = 5;
-/// Span in which admissions are counted.
+/// Window in which admissions are counted, in milliseconds.
 const WINDOW: u64 = 1000;
-/// Admissions permitted in a window: rate and burst, a tenth more, and twenty.
-const PERMITTED: usize = (RATE as usize + BURST as usize) * 11 / 10 + 20;
-/// Tokens with which a restarted host begins: a quarter of what is permitted beyond, over all hosts.
-const OPENING: Amount = 28 * MICRO / 4 / 4;
+/// Maximum admissions in a window: rate plus burst, plus a tenth of both, plus twenty.
+const MAX_ADMISSIONS: usize = (RATE as usize + BURST as usize) * 11 / 10 + 20;
+/// Initial tokens of a restarted host: over all hosts, a quarter of the admissions that are
+/// permitted beyond rate and burst.
+const INITIAL_TOKENS: Amount = 28 * MICRO / 4 / 4;
 
 fn ms(millis: u64) -> Time {
     Duration::from_millis(millis)
 }
 
-/// A rule that a host of the test breaks.
+/// The rule that every host of a run violates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Defect {
     None,
-    /// It uses primaries without the lease.
+    /// Uses primaries without holding the lease.
     IgnoresLease,
-    /// It promotes without waiting until its record is in force.
+    /// Promotes without waiting until its record is in force.
     DoesNotWait,
-    /// It takes a target's word for its role, whatever its term.
+    /// Trusts the role that a target reports, in whichever term.
     TrustsRoles,
-    /// It confirms newer revisions while a promotion call of its own may still take effect.
+    /// Confirms newer revisions while a promotion call of its own may still take effect.
     ForgetsCalls,
-    /// It counts observations from when the answer came.
+    /// Dates observations from the arrival of the response instead of the sending of the request.
     DatesObservationsLate,
-    /// It takes the whole of a client account's rate for its own.
+    /// Uses a client account's whole rate instead of its own share.
     CountsAlone,
 }
 
 impl Host {
-    /// Revision below which nothing of this host is under way.
-    fn settled(&self, now: Time, defect: Defect) -> u64 {
+    /// Revision that this host has adopted, with no work in flight under an older one.
+    fn quiesced(&self, now: Time, defect: Defect) -> u64 {
         let fence = self.row.map_or(0, |row| row.fence);
-        let calling = self.calling.filter(|(row, until)| now < *until && row.fence < fence);
-        match calling {
+        let call_in_flight =
+            self.call_in_flight.filter(|(row, until)| now < *until && row.fence < fence);
+        match call_in_flight {
             Some((row, _)) if defect != Defect::ForgetsCalls => row.revision,
             _ => self.lease.revision(),
         }
@@ -86,17 +90,41 @@
     fence: u64,
     primary: usize,
     established: bool,
-    /// Term of the primary, or the one that the candidate has to exceed.
+    /// Term of the primary; while not established, the one that the candidate has to exceed.
     term: u64,
 }
 
 #[derive(Debug, Clone)]
 enum Message {
-    Beat { from: HostId, vouch: Attestation, echo: Option<(u64, Time)>, number: u64, row: Row },
-    Read { to: HostId, sent: Time, row: Row, members: BTreeMap<HostId, Member> },
-    Call { host: HostId, fence: u64, target: usize, sent: Time },
-    Borrow { from: HostId, ask: Ask, asked: Time },
-    Loan { ask: Ask, asked: Time, count: u32 },
+    Heartbeat {
+        from: HostId,
+        attestation: Attestation,
+        echo: Option<(u64, Time)>,
+        number: u64,
+        row: Row,
+    },
+    Read {
+        to: HostId,
+        sent: Time,
+        row: Row,
+        members: BTreeMap<HostId, Member>,
+    },
+    Promote {
+        host: HostId,
+        fence: u64,
+        target: usize,
+        sent: Time,
+    },
+    Borrow {
+        from: HostId,
+        ask: Ask,
+        asked: Time,
+    },
+    Loan {
+        ask: Ask,
+        asked: Time,
+        count: u32,
+    },
 }
 
 struct Host {
@@ -104,34 +132,34 @@
     incarnation: u64,
     row: Option<Row>,
     paused_until: Time,
-    cut_until: Time,
+    partitioned_until: Time,
     sent: BTreeMap<u64, Time>,
     number: u64,
-    heard: BTreeMap<HostId, (u64, u64, Time)>,
+    last_heartbeats: BTreeMap<HostId, (u64, u64, Time)>,
     promotion: Option<(Row, Barrier)>,
-    /// Record under which a call was made whose effect may still come, and until when.
-    calling: Option<(Row, Time)>,
-    /// Fence of the last call that the platform took, and when.
-    called: Option<(u64, Time)>,
+    /// Record of a call that may still take effect, and the time until which it may.
+    call_in_flight: Option<(Row, Time)>,
+    /// Fence of the last call that the platform accepted, and when.
+    accepted_call: Option<(u64, Time)>,
     history: History,
     next_read: Time,
     meter: Meter,
-    /// Loans asked for that were not answered yet.
+    /// Loan requests in flight, and when they were sent.
     asks: Vec<(Ask, Time)>,
-    /// Requests that wait for a loan, and until when.
+    /// Deadlines of requests that wait for a loan.
     waiting: Vec<Time>,
 }
 
-/// A meter of a host that had its part before.
+/// Creates the meter of a host that had its share before.
 fn meter(id: HostId, now: Time, defect: Defect) -> Meter {
     let members: BTreeSet<HostId> = (0..HOSTS).collect();
     let (rate, burst) = match defect {
         Defect::CountsAlone => (micro(RATE), micro(BURST)),
         _ => part_of(ACCOUNT, (RATE, BURST), &members, id, HOSTS as usize),
     };
-    let mut meter = Meter::new(TERMS.validity + TERMS.clock_drift_margin, true);
+    let mut meter = Meter::new(LIMITS.validity + LIMITS.clock_drift_margin, true);
     meter.set_peers(members.into_iter().filter(|peer| *peer != id).collect());
-    meter.open_part(ACCOUNT, rate, burst, OPENING, now);
+    meter.open_part(ACCOUNT, rate, burst, INITIAL_TOKENS, now);
     meter
 }
 
@@ -145,24 +173,25 @@
 struct World {
     now: u64,
     rng: StdRng,
-    /// Randomness of requests and loans, apart so that seeds that found something keep their days.
+    /// Separate generator for requests and loans, so that seeds that have found a fault still
+    /// produce the same events.
     rate_rng: StdRng,
     defect: Defect,
-    /// Milliseconds that a host leaves another's promotion alone, in the mean.
-    patience: u64,
+    /// Mean time in milliseconds before a host takes over another host's promotion.
+    takeover_delay: u64,
     hosts: Vec<Host>,
     targets: Vec<Target>,
     row: Row,
     members: BTreeMap<HostId, Member>,
     messages: Vec<(u64, HostId, Message)>,
-    /// Promotions that the platform has taken, and when they take effect.
-    leads_at: Vec<(u64, usize)>,
-    /// Times at which requests of the account were admitted.
+    /// Promotions that the platform has accepted: when they take effect, and the target.
+    accepted_promotions: Vec<(u64, usize)>,
+    /// Times in milliseconds at which requests of the account were admitted.
     admitted: Vec<u64>,
-    /// Acknowledged commits, with the time of their acknowledgement.
+    /// Times at which commits were acknowledged, and the commits.
     acknowledged: Vec<(u64, Position)>,
     last_promotion: u64,
-    faults: Vec<String>,
+    violations: Vec<String>,
     served: u64,
     promotions: u64,
 }
@@ -177,17 +206,17 @@
         let members: BTreeMap<HostId, Member> = (0..HOSTS).map(|id| (id, member(1))).collect();
         let row = Row { revision: 1, fence: 1, primary: 0, established: true, term: 1 };
         let host = |id| Host {
-            lease: Lease::new(id, 1, TERMS),
+            lease: Lease::new(id, 1, LIMITS),
             incarnation: 1,
             row: None,
             paused_until: Time::ZERO,
-            cut_until: Time::ZERO,
+            partitioned_until: Time::ZERO,
             sent: BTreeMap::new(),
             number: 0,
-            heard: BTreeMap::new(),
+            last_heartbeats: BTreeMap::new(),
             promotion: None,
-            calling: None,
-            called: None,
+            call_in_flight: None,
+            accepted_call: None,
             history: History::default(),
             next_read: Time::ZERO,
             meter: meter(id, Time::ZERO, defect),
@@ -200,17 +229,17 @@
             rng: StdRng::seed_from_u64(seed),
             rate_rng: StdRng::seed_from_u64(seed),
             defect,
-            patience: if seed.is_multiple_of(2) { 400 } else { 50 },
+            takeover_delay: if seed.is_multiple_of(2) { 400 } else { 50 },
             hosts: (0..HOSTS).map(host).collect(),
             targets: (0..TARGETS).map(target).collect(),
             row,
             members,
             messages: Vec::new(),
-            leads_at: Vec::new(),
+            accepted_promotions: Vec::new(),
             admitted: Vec::new(),
             acknowledged: Vec::new(),
             last_promotion: 0,
-            faults: Vec::new(),
+            violations: Vec::new(),
             served: 0,
             promotions: 0,
         }
@@ -237,20 +266,20 @@
     }
 
     fn run(&mut self) {
-        while self.now < STEPS && self.faults.is_empty() {
+        while self.now < STEPS && self.violations.is_empty() {
             self.now += 1;
-            self.trouble();
+            self.inject_faults();
             self.deliver();
             self.replicate();
             for id in 0..HOSTS {
                 if self.is_awake(id) {
-                    self.act(id);
+                    self.step(id);
                 }
             }
         }
     }
 
-    fn trouble(&mut self) {
+    fn inject_faults(&mut self) {
         if self.chance(400) {
             let id = self.rng.random_range(0..HOSTS);
             let until = ms(self.now + self.rng.random_range(50..900));
@@ -259,12 +288,12 @@
         if self.chance(300) {
             let id = self.rng.random_range(0..HOSTS);
             let until = ms(self.now + self.rng.random_range(50..1500));
-            self.host(id).cut_until = until;
+            self.host(id).partitioned_until = until;
         }
         if self.chance(500) {
             let until = ms(self.now + self.rng.random_range(50..1200));
             for host in &mut self.hosts {
-                host.cut_until = until;
+                host.partitioned_until = until;
             }
         }
         if self.chance(700) {
@@ -287,18 +316,18 @@
         let (now, defect) = (ms(self.now), self.defect);
         let host = self.host(id);
         host.incarnation = incarnation;
-        host.lease = Lease::new(id, incarnation, TERMS);
+        host.lease = Lease::new(id, incarnation, LIMITS);
         host.row = None;
         host.promotion = None;
-        host.calling = None;
-        host.called = None;
+        host.call_in_flight = None;
+        host.accepted_call = None;
         host.history = History::default();
-        host.heard.clear();
+        host.last_heartbeats.clear();
         host.sent.clear();
         host.meter = meter(id, now, defect);
         host.asks.clear();
         host.waiting.clear();
-        // The new run is recorded before it reads, as a change of the table.
+        // The new incarnation is recorded, as a change of the table, before it reads.
         self.members.insert(id, member(incarnation));
         self.row.revision += 1;
     }
@@ -310,33 +339,39 @@
         self.messages.retain(|(at, ..)| *at > now);
         for (_, to, message) in due {
             match message {
-                Message::Call { host, fence, target, sent } => self.call(host, fence, target, sent),
+                Message::Promote { host, fence, target, sent } => {
+                    self.call(host, fence, target, sent)
+                }
                 message if !self.is_awake(to) => self.messages.push((now + 1, to, message)),
                 Message::Borrow { from, ask, asked } => {
                     self.with_rate_rng(|world| world.lend(to, from, ask, asked));
                 }
                 Message::Loan { ask, asked, count } => self.borrow(to, ask, asked, count),
-                message => self.take(to, message),
+                message => self.receive(to, message),
             }
         }
-        let due: Vec<usize> =
-            self.leads_at.iter().filter(|(at, _)| *at <= now).map(|(_, target)| *target).collect();
-        self.leads_at.retain(|(at, _)| *at > now);
+        let due: Vec<usize> = self
+            .accepted_promotions
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, target)| *target)
+            .collect();
+        self.accepted_promotions.retain(|(at, _)| *at > now);
         for target in due {
             self.lead(target);
         }
     }
 
-    /// The platform takes a promotion call, unless it was reset before it came.
+    /// The platform accepts a promotion call, unless it was cancelled before it arrived.
     fn call(&mut self, host: HostId, fence: u64, target: usize, sent: Time) {
-        let was_given_up = ms(self.now) > sent + ms(CALL_LIMIT);
-        if was_given_up || !self.targets[target].alive {
+        let was_cancelled = ms(self.now) > sent + ms(CALL_TIMEOUT);
+        if was_cancelled || !self.targets[target].alive {
             return;
         }
         let now = ms(self.now);
-        self.host(host).called = Some((fence, now));
-        let time = self.rng.random_range(20..=LEAD_TIME);
-        self.leads_at.push((self.now + time, target));
+        self.host(host).accepted_call = Some((fence, now));
+        let time = self.rng.random_range(20..=MAX_PROMOTION_TIME);
+        self.accepted_promotions.push((self.now + time, target));
     }
 
     fn lead(&mut self, target: usize) {
@@ -368,7 +403,7 @@
         }
         let (term, log) = (self.targets[leader].term, self.targets[leader].log.clone());
         for index in 0..TARGETS {
-            // A primary that was replaced goes on for a while before it hears of it.
+            // A primary that was replaced learns of it only after some time.
             let is_old_primary = self.targets[index].leads && index != leader;
             if is_old_primary && self.now < self.last_promotion + 1000 {
                 continue;
@@ -382,23 +417,23 @@
         }
     }
 
-    fn act(&mut self, id: HostId) {
+    fn step(&mut self, id: HostId) {
         let now = ms(self.now);
         if now >= self.hosts[id as usize].next_read {
             self.host(id).next_read = now + ms(60);
             self.read_store(id);
         }
         if self.now % 50 == u64::from(id) {
-            self.beat(id);
+            self.send_heartbeat(id);
         }
         self.promote(id);
         if self.chance(3) {
-            self.work(id);
+            self.use_primary(id);
         }
         if self.chance(6) {
             self.read_replica(id);
         }
-        self.with_rate_rng(|world| world.ask_rate(id));
+        self.with_rate_rng(|world| world.request_admission(id));
     }
 
     fn with_rate_rng(&mut self, act: impl FnOnce(&mut World)) {
@@ -407,17 +442,17 @@
         std::mem::swap(&mut self.rng, &mut self.rate_rng);
     }
 
-    /// Requests of the account over all hosts.
-    fn ask_rate(&mut self, id: HostId) {
+    /// Sends requests of the account, at a rate that applies over all hosts together.
+    fn request_admission(&mut self, id: HostId) {
         if self.chance(u64::from(HOSTS) * 1000 / (DEMAND * u64::from(RATE))) {
             let now = ms(self.now);
             let decision = self.host(id).meter.request(ACCOUNT, now);
-            self.settle(id, decision);
+            self.apply_decision(id, decision);
         }
-        self.go_on_waiting(id);
+        self.process_waiting(id);
     }
 
-    fn settle(&mut self, id: HostId, decision: Decision) {
+    fn apply_decision(&mut self, id: HostId, decision: Decision) {
         match decision {
             Decision::Admit => self.admit(id),
             Decision::Wait(until) => self.host(id).waiting.push(until),
@@ -429,13 +464,14 @@
         let now = self.now;
         self.admitted.push(now);
         let recent = self.admitted.iter().rev().take_while(|at| **at + WINDOW > now).count();
-        if recent > PERMITTED {
-            self.faults.push(format!("{now}: host {id} admits request {recent} of a window"));
+        if recent > MAX_ADMISSIONS {
+            self.violations
+                .push(format!("{now}: host {id} admits request {recent} within one window"));
         }
     }
 
-    /// Asks for loans, gives up those that are late, and decides about requests that wait.
-    fn go_on_waiting(&mut self, id: HostId) {
+    /// Requests loans, cancels those that are late, and retries requests that wait.
+    fn process_waiting(&mut self, id: HostId) {
         let now = ms(self.now);
         let host = self.host(id);
         host.meter.tick(now);
@@ -445,7 +481,7 @@
         }
         for until in std::mem::take(&mut self.host(id).waiting) {
             let decision = self.host(id).meter.retry(ACCOUNT, until, now);
-            self.settle(id, decision);
+            self.apply_decision(id, decision);
         }
         for ask in self.host(id).meter.asks(ACCOUNT, now) {
             self.host(id).asks.push((ask, now));
@@ -473,35 +509,35 @@
 
     fn read_store(&mut self, id: HostId) {
         let now = ms(self.now);
-        if self.hosts[id as usize].cut_until > now {
+        if self.hosts[id as usize].partitioned_until > now {
             return;
         }
         let (row, members) = (self.row, self.members.clone());
         self.send(id, Message::Read { to: id, sent: now, row, members });
     }
 
-    fn beat(&mut self, id: HostId) {
+    fn send_heartbeat(&mut self, id: HostId) {
         let (now, defect) = (ms(self.now), self.defect);
         let host = self.host(id);
         let Some(row) = host.row else { return };
         host.number += 1;
         let number = host.number;
         host.sent.insert(number, now);
-        let vouch = Attestation {
+        let attestation = Attestation {
             host: id,
             incarnation: host.incarnation,
             revision: host.lease.revision(),
-            quiesced: host.settled(now, defect),
+            quiesced: host.quiesced(now, defect),
             renewal_age: host.lease.renewal_age(now),
         };
-        let heard = host.heard.clone();
+        let last_heartbeats = host.last_heartbeats.clone();
         for peer in (0..HOSTS).filter(|peer| *peer != id) {
-            let echo = heard.get(&peer).map(|(_, number, at)| (*number, now - *at));
-            self.send(peer, Message::Beat { from: id, vouch, echo, number, row });
+            let echo = last_heartbeats.get(&peer).map(|(_, number, at)| (*number, now - *at));
+            self.send(peer, Message::Heartbeat { from: id, attestation, echo, number, row });
         }
     }
 
-    fn take(&mut self, id: HostId, message: Message) {
+    fn receive(&mut self, id: HostId, message: Message) {
         let now = ms(self.now);
         let platform = now;
         let host = &mut self.hosts[id as usize];
@@ -518,20 +554,19 @@
                 host.lease.set_platform_clock(now, platform + Duration::from_secs(60));
                 host.lease.renew(sent, row.revision);
             }
-            Message::Beat { from, vouch, echo, number, row } => {
-                let is_later = host
-                    .heard
-                    .get(&from)
-                    .is_none_or(|(run, known, _)| *run != vouch.incarnation || *known < number);
+            Message::Heartbeat { from, attestation, echo, number, row } => {
+                let is_later = host.last_heartbeats.get(&from).is_none_or(|(run, known, _)| {
+                    *run != attestation.incarnation || *known < number
+                });
                 if is_later {
-                    host.heard.insert(from, (vouch.incarnation, number, now));
+                    host.last_heartbeats.insert(from, (attestation.incarnation, number, now));
                 }
                 if let Some((echoed, delay)) = echo
                     && let Some(sent) = host.sent.get(&echoed)
                 {
-                    host.lease.record_attestation(*sent + delay, vouch);
+                    host.lease.record_attestation(*sent + delay, attestation);
                 }
-                // Word that the candidate leads, under the same revision.
+                // The peer reports that the candidate leads, under the same fence.
                 if let Some(known) = &mut host.row
                     && known.fence == row.fence
                     && row.established
@@ -539,58 +574,65 @@
                     (known.established, known.term) = (true, row.term);
                 }
             }
-            Message::Call { .. } | Message::Borrow { .. } | Message::Loan { .. } => {}
+            Message::Promote { .. } | Message::Borrow { .. } | Message::Loan { .. } => {}
         }
     }
 
-    /// Writes a promotion, waits until it is in force, calls, records.
+    /// Advances this host's promotion: writes the record, waits until it is in force, calls the
+    /// platform, and records the result.
     fn promote(&mut self, id: HostId) {
         let now = ms(self.now);
         let defect = self.defect;
-        let is_cut = self.hosts[id as usize].cut_until > now;
+        let is_partitioned = self.hosts[id as usize].partitioned_until > now;
         let host = &mut self.hosts[id as usize];
         let Some(row) = host.row else { return };
-        let holds = host.lease.is_held(now);
-        if let Some((mine, mut wait)) = host.promotion.take() {
-            let still = host.row.is_some_and(|r| r.fence == mine.fence);
-            if !still {
+        let holds_lease = host.lease.is_held(now);
+        if let Some((promoted, mut barrier)) = host.promotion.take() {
+            let is_current = host.row.is_some_and(|r| r.fence == promoted.fence);
+            if !is_current {
                 return;
             }
-            let own = host.settled(now, defect) >= mine.revision;
-            let over = wait.has_passed(&host.lease, now);
-            let in_force = defect == Defect::DoesNotWait || (own && over);
-            if !in_force || !holds {
-                host.promotion = Some((mine, wait));
+            let has_quiesced = host.quiesced(now, defect) >= promoted.revision;
+            let has_passed = barrier.has_passed(&host.lease, now);
+            let in_force = defect == Defect::DoesNotWait || (has_quiesced && has_passed);
+            if !in_force || !holds_lease {
+                host.promotion = Some((promoted, barrier));
                 return;
             }
-            let target = mine.primary;
+            let target = promoted.primary;
             let term = self.targets[target].term;
-            let called = self.hosts[id as usize].called.filter(|(fence, _)| *fence == mine.fence);
-            let is_settled = called.is_some_and(|(_, at)| now >= at + ms(3 * LEAD_TIME));
-            let is_led = defect == Defect::TrustsRoles || term > mine.term || is_settled;
-            if self.targets[target].leads && is_led {
+            let accepted_call =
+                self.hosts[id as usize].accepted_call.filter(|(fence, _)| *fence == promoted.fence);
+            let has_taken_effect =
+                accepted_call.is_some_and(|(_, at)| now >= at + ms(3 * MAX_PROMOTION_TIME));
+            let is_promoted =
+                defect == Defect::TrustsRoles || term > promoted.term || has_taken_effect;
+            if self.targets[target].leads && is_promoted {
                 if let Some(row) = &mut self.hosts[id as usize].row {
                     (row.established, row.term) = (true, term);
                 }
-                if !is_cut && self.row.fence == mine.fence {
+                if !is_partitioned && self.row.fence == promoted.fence {
                     (self.row.established, self.row.term) = (true, term);
                     self.row.revision += 1;
                 }
                 return;
             }
-            self.hosts[id as usize].promotion = Some((mine, wait));
+            self.hosts[id as usize].promotion = Some((promoted, barrier));
             if self.now.is_multiple_of(40) {
-                let until = now + ms(CALL_LIMIT + LEAD_TIME);
-                self.host(id).calling = Some((mine, until));
-                self.send(id, Message::Call { host: id, fence: mine.fence, target, sent: now });
+                let until = now + ms(CALL_TIMEOUT + MAX_PROMOTION_TIME);
+                self.host(id).call_in_flight = Some((promoted, until));
+                self.send(
+                    id,
+                    Message::Promote { host: id, fence: promoted.fence, target, sent: now },
+                );
             }
             return;
         }
         let is_dead = !self.targets[row.primary].alive || !self.targets[row.primary].leads;
-        // A promotion under way is left alone for a while; how long, differs between seeds.
-        let patience = if row.established { 10 } else { self.patience };
-        let may_write = holds && !is_cut && row.fence == self.row.fence;
-        if !may_write || !is_dead || !self.chance(patience) {
+        // A promotion in progress is not taken over at once; the delay differs between seeds.
+        let takeover_delay = if row.established { 10 } else { self.takeover_delay };
+        let may_write = holds_lease && !is_partitioned && row.fence == self.row.fence;
+        if !may_write || !is_dead || !self.chance(takeover_delay) {
             return;
         }
         let candidate = (row.primary + 1 + self.rng.random_range(0..TARGETS - 1)) % TARGETS;
@@ -606,8 +648,8 @@
         host.promotion = Some((written, Barrier::new(written.revision, now)));
     }
 
-    /// The primary that a host would use now.
-    fn usable(&self, id: HostId) -> Option<usize> {
+    /// The primary that a host would use now, if any.
+    fn usable_primary(&self, id: HostId) -> Option<usize> {
         let host = &self.hosts[id as usize];
         let row = host.row.filter(|row| row.established)?;
         let may = self.defect == Defect::IgnoresLease || host.lease.is_held(ms(self.now));
@@ -615,28 +657,33 @@
         (may && target.alive && target.leads).then_some(row.primary)
     }
 
-    /// A write, or a read that has to see every commit, at the primary that the host trusts.
-    fn work(&mut self, id: HostId) {
-        let Some(primary) = self.usable(id) else { return };
+    /// Runs a write, or a read that has to see every commit, at the primary that the host would
+    /// use.
+    fn use_primary(&mut self, id: HostId) {
+        let Some(primary) = self.usable_primary(id) else { return };
         self.served += 1;
         let newest = self.acknowledged.last().map(|(_, position)| *position);
         let target = &self.targets[primary];
         if newest.is_some_and(|newest| target.log.binary_search(&newest).is_err()) {
-            let found = format!("{}: host {id} reads an old log at target {primary}", self.now);
-            self.faults.push(found);
+            let violation = format!(
+                "{}: host {id} reads at target {primary}, which lacks an acknowledged commit",
+                self.now
+            );
+            self.violations.push(violation);
             return;
         }
         let is_newest = self.targets.iter().all(|t| !t.leads || t.term <= target.term);
         if !is_newest {
-            let found = format!("{}: host {id} commits at superseded {primary}", self.now);
-            self.faults.push(found);
+            let violation =
+                format!("{}: host {id} commits at superseded primary {primary}", self.now);
+            self.violations.push(violation);
             return;
         }
         let position = Position { term: target.term, number: self.now };
         self.targets[primary].log.push(position);
         self.acknowledged.push((self.now, position));
         let late = self.defect == Defect::DatesObservationsLate;
-        // The question was sent a while ago; its answer holds what the log held then.
+        // With the defect, the request was sent some time ago and its response shows the log then.
         let (at, seen) = if late {
             let before = self.targets[primary].log.iter().rev().nth(12).copied();
             (ms(self.now), before.unwrap_or(position))
@@ -647,10 +694,13 @@
         self.host(id).history.observe(now, Observation { at, position: seen });
     }
 
-    /// A read that may be old, at any target whose log covers the floor.
+    /// Runs a read with a staleness bound at any target whose log covers the floor.
     fn read_replica(&mut self, id: HostId) {
         let now = ms(self.now);
-        let Some(floor) = self.hosts[id as usize].history.bounded_floor(now, BOUND) else { return };
+        let Some(floor) = self.hosts[id as usize].history.bounded_floor(now, STALENESS_BOUND)
+        else {
+            return;
+        };
         let index = self.rng.random_range(0..TARGETS);
         let target = &self.targets[index];
         let last = target.log.last().copied().unwrap_or_default();
@@ -658,37 +708,39 @@
             return;
         }
         self.served += 1;
-        let due = self.now.saturating_sub(200);
-        let newest = self.acknowledged.iter().rev().find(|(at, _)| *at < due);
+        let cutoff = self.now.saturating_sub(200);
+        let newest = self.acknowledged.iter().rev().find(|(at, _)| *at < cutoff);
         let missed = newest.filter(|(_, position)| target.log.binary_search(position).is_err());
         if let Some((at, position)) = missed {
-            let found =
-                format!("{}: host {id} misses {position} of {at} at target {index}", self.now);
-            self.faults.push(found);
+            let violation = format!(
+                "{}: host {id} reads at target {index}, which lacks {position}, acknowledged at {at}",
+                self.now
+            );
+            self.violations.push(violation);
         }
     }
 }
 
-/// What a search came to.
+/// Result of a search: the first violation, and how much work was done.
 #[derive(Debug, Default)]
-struct Found {
-    fault: Option<String>,
+struct SearchResult {
+    violation: Option<String>,
     served: u64,
     promotions: u64,
     admitted: usize,
 }
 
-/// Runs seeds up to the first fault.
-fn search(seeds: std::ops::Range<u64>, defect: Defect) -> Found {
-    let mut found = Found::default();
+/// Runs the seeds up to the first violation.
+fn search(seeds: std::ops::Range<u64>, defect: Defect) -> SearchResult {
+    let mut found = SearchResult::default();
     for seed in seeds {
         let mut world = World::new(seed, defect);
         world.run();
         found.served += world.served;
         found.promotions += world.promotions;
         found.admitted += world.admitted.len();
-        if let Some(fault) = world.faults.first() {
-            found.fault = Some(format!("seed {seed}: {fault}"));
+        if let Some(violation) = world.violations.first() {
+            found.violation = Some(format!("seed {seed}: {violation}"));
             return found;
         }
     }
@@ -697,8 +749,8 @@
 
 #[test]
 fn no_host_uses_a_superseded_primary_or_an_old_log_or_exceeds_a_rate() {
-    let Found { fault, served, promotions, admitted } = search(0..150, Defect::None);
-    assert_eq!(fault, None);
+    let SearchResult { violation, served, promotions, admitted } = search(0..150, Defect::None);
+    assert_eq!(violation, None);
     assert!(served > 10_000, "only {served} statements were served");
     assert!(promotions > 60, "only {promotions} promotions");
     assert!(admitted > 10_000, "only {admitted} requests were admitted");
@@ -706,30 +758,30 @@
 
 #[test]
 fn a_host_that_ignores_its_lease_is_found() {
-    assert!(search(0..600, Defect::IgnoresLease).fault.is_some());
+    assert!(search(0..600, Defect::IgnoresLease).violation.is_some());
 }
 
 #[test]
 fn a_host_that_does_not_wait_is_found() {
-    assert!(search(0..600, Defect::DoesNotWait).fault.is_some());
+    assert!(search(0..600, Defect::DoesNotWait).violation.is_some());
 }
 
 #[test]
 fn a_host_that_trusts_roles_is_found() {
-    assert!(search(0..600, Defect::TrustsRoles).fault.is_some());
+    assert!(search(0..600, Defect::TrustsRoles).violation.is_some());
 }
 
 #[test]
 fn a_host_that_forgets_its_calls_is_found() {
-    assert!(search(0..600, Defect::ForgetsCalls).fault.is_some());
+    assert!(search(0..600, Defect::ForgetsCalls).violation.is_some());
 }
 
 #[test]
 fn a_host_that_dates_observations_late_is_found() {
-    assert!(search(0..600, Defect::DatesObservationsLate).fault.is_some());
+    assert!(search(0..600, Defect::DatesObservationsLate).violation.is_some());
 }
 
 #[test]
 fn a_host_that_counts_alone_is_found() {
-    assert!(search(0..600, Defect::CountsAlone).fault.is_some());
+    assert!(search(0..600, Defect::CountsAlone).violation.is_some());
 }
