--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -58,6 +58,7 @@
     Leaving {
         target: TargetName,
     },
+    /// A target is removed from the directory.
     Gone {
         target: TargetName,
     },
@@ -70,6 +71,7 @@
     },
     /// No live host is known to execute the promotion.
     Abandoned,
+    /// Shows what a host of this rank decides.
     Look {
         rank: usize,
     },
@@ -199,6 +201,7 @@
     Wrote {
         revision: u64,
     },
+    /// Shows whether the lease is held and, after a write, whether its revision is in force.
     Look,
 }
 
@@ -331,6 +334,7 @@
     Fail,
     Depose,
     Lead,
+    /// Shows the view of the target.
     Look,
 }
 
