--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -179,9 +179,7 @@
 #[serde(tag = "on", rename_all = "snake_case")]
 enum LeaseEvent {
     /// A read sent at this time showed no revision above the given one.
-    Prove {
-        revision: u64,
-    },
+    Prove { revision: u64 },
     /// A heartbeat made at this time arrived.
     Hear {
         host: HostId,
@@ -198,9 +196,7 @@
         runs: BTreeMap<HostId, u64>,
     },
     /// This host wrote a revision, and waits until it is in force.
-    Wrote {
-        revision: u64,
-    },
+    Wrote { revision: u64 },
     /// Shows whether the lease is held and, after a write, whether its revision is in force.
     Look,
 }
