--- a/crates/core/src/ack.rs
+++ b/crates/core/src/ack.rs
@@ -1,32 +1,32 @@
-//! When a write may be acknowledged, and when it is hopeless to begin one.
+//! Acknowledgement of writes: when a write is confirmed, and whether a new one can be in time.
 //!
-//! A position is acknowledged once a majority of the group holds it in the term it was written in.
-//! A later term may or may not have kept the entry; only its idempotency row can tell.
+//! A position may be acknowledged once a majority of the group has it in the term in which it was
+//! written. A later term may or may not have kept the entry; only its idempotency row can tell.
 
 use crate::id::Time;
 use crate::log::Position;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Unconfirmed positions remembered for a group.
+/// Maximum number of unconfirmed positions that are tracked for a group.
 const MAX_PENDING: usize = 256;
-/// Time for which a past confirmation says something about the next one.
+/// Age up to which the smoothed delay is used to predict the next confirmation.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(1);
-/// Weight of the past in the smoothed delay, in eighths.
+/// Weight of the previous value in the smoothed delay, in eighths.
 const SMOOTHING_WEIGHT: u32 = 7;
 
-/// What a confirmed position says about a written one.
+/// What a group's confirmed position implies for a written one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// It is on a majority in its own term.
+    /// A majority has it in the term in which it was written.
     Acknowledged,
-    /// It is not there yet.
+    /// It is not confirmed yet.
     Pending,
-    /// Its term has been passed: it may be in the log or not.
+    /// A later term has begun: the entry may or may not be in the log.
     Superseded,
 }
 
-/// Compares a written position with what the group has confirmed.
+/// Compares a written position with the highest one that the group has confirmed.
 pub fn verify(written: Position, confirmed: Position) -> Verdict {
     if confirmed.term > written.term {
         return Verdict::Superseded;
@@ -34,29 +34,30 @@
     if confirmed.covers(written) { Verdict::Acknowledged } else { Verdict::Pending }
 }
 
-/// A position seen on the primary and not yet confirmed.
+/// A position that the primary has written and a majority has not confirmed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Pending {
     position: Position,
-    seen: Time,
+    written_at: Time,
 }
 
-/// Delay between a write on a group's primary and its confirmation, as one host observes it.
+/// Confirmation lag of a group: the delay from a write on its primary to the confirmation by a
+/// majority, as observed by one host.
 #[derive(Debug, Clone, Default)]
 pub struct Lag {
     pending: VecDeque<Pending>,
     confirmed: Position,
-    smoothed: Duration,
-    sampled: Option<Time>,
+    smoothed_delay: Duration,
+    sampled_at: Option<Time>,
 }
 
 impl Lag {
-    /// A group of which nothing is known.
+    /// Starts without samples: the expected delay is zero until a write waits.
     pub fn new() -> Lag {
         Lag::default()
     }
 
-    /// Notes that the primary's log reached `position`.
+    /// Records that the primary's log reached `position`.
     pub fn record_written(&mut self, position: Position, now: Time) {
         if self.confirmed.covers(position) {
             return;
@@ -64,11 +65,11 @@
         let newest = self.pending.back().map(|pending| pending.position);
         let is_new = newest.is_none_or(|newest| position > newest);
         if is_new && self.pending.len() < MAX_PENDING {
-            self.pending.push_back(Pending { position, seen: now });
+            self.pending.push_back(Pending { position, written_at: now });
         }
     }
 
-    /// Notes that `position` is on a majority.
+    /// Records that a majority has `position`, and samples the delay of the oldest pending entry.
     pub fn record_confirmed(&mut self, position: Position, now: Time) {
         if position <= self.confirmed {
             return;
@@ -79,34 +80,35 @@
             if pending.position.term >= position.term && pending.position > position {
                 break;
             }
-            // Entries of a passed term are settled too, though not by a confirmation of theirs.
+            // Entries of an older term no longer wait, but were not confirmed in it: no sample.
             if pending.position.term == position.term {
-                oldest = oldest.or(Some(pending.seen));
+                oldest = oldest.or(Some(pending.written_at));
             }
             self.pending.pop_front();
         }
-        if let Some(seen) = oldest {
-            self.sample(now.saturating_sub(seen), now);
+        if let Some(written_at) = oldest {
+            self.record_delay(now.saturating_sub(written_at), now);
         }
     }
 
-    /// Least time that a write begun at `now` has to expect until its confirmation.
+    /// Minimum confirmation delay to expect for a write that starts at `now`.
     pub fn expected_delay(&self, now: Time) -> Duration {
-        let waiting = self.pending.front().map_or(Duration::ZERO, |p| now.saturating_sub(p.seen));
-        let recent = self.sampled.is_some_and(|at| now.saturating_sub(at) <= MAX_SAMPLE_AGE);
-        if recent { waiting.max(self.smoothed) } else { waiting }
+        let waiting =
+            self.pending.front().map_or(Duration::ZERO, |p| now.saturating_sub(p.written_at));
+        let is_recent = self.sampled_at.is_some_and(|at| now.saturating_sub(at) <= MAX_SAMPLE_AGE);
+        if is_recent { waiting.max(self.smoothed_delay) } else { waiting }
     }
 
-    /// Whether a write begun at `now` can be confirmed by `deadline`.
+    /// Whether a write that starts at `now` can be confirmed before `deadline`.
     pub fn can_confirm_by(&self, now: Time, deadline: Time) -> bool {
         now + self.expected_delay(now) < deadline
     }
 
-    fn sample(&mut self, delay: Duration, now: Time) {
-        self.smoothed = match self.sampled {
-            Some(_) => (self.smoothed * SMOOTHING_WEIGHT + delay) / (SMOOTHING_WEIGHT + 1),
+    fn record_delay(&mut self, delay: Duration, now: Time) {
+        self.smoothed_delay = match self.sampled_at {
+            Some(_) => (self.smoothed_delay * SMOOTHING_WEIGHT + delay) / (SMOOTHING_WEIGHT + 1),
             None => delay,
         };
-        self.sampled = Some(now);
+        self.sampled_at = Some(now);
     }
 }
--- a/crates/core/src/idempotency.rs
+++ b/crates/core/src/idempotency.rs
@@ -1,9 +1,9 @@
-//! Writes that run at most once.
+//! Idempotency of writes: a write with an idempotency key takes effect at most once.
 //!
-//! The outcome of a write with an idempotency key is a row of the same database, written in the
-//! same transaction as the write. The row's primary key is (client account, idempotency key), so
-//! that the database itself lets at most one of several tries commit; and it is in the log at the
-//! write's own position, so that a failover keeps or loses both together.
+//! The outcome of such a write is stored as a row of the same database, in the same transaction as
+//! the write. The row's primary key is (client account, idempotency key), so the database lets at
+//! most one of several attempts commit. The row is in the log at the write's own position, so a
+//! failover keeps or loses both together.
 
 use crate::id::{AccountId, ServiceId};
 use crate::refusal::{Reason, Refusal};
@@ -12,14 +12,14 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Table of outcomes in each service's database.
+/// Name of the table of outcomes in each service's database.
 pub const TABLE: &str = "bergamotvale_outcomes";
-/// Characters of an idempotency key.
+/// Maximum length of an idempotency key.
 pub const MAX_KEY_CHARS: usize = 128;
-/// Time beyond the retention for which a row stays, for hosts whose clocks differ.
+/// Time for which a row is kept beyond the retention, to allow for clock skew between hosts.
 pub const PRUNE_MARGIN: Duration = Duration::from_secs(3600);
 
-/// Digest over a request's content, hexadecimal.
+/// Hexadecimal SHA-256 digest of a request's content.
 pub type Digest = String;
 
 /// A row of the table of outcomes.
@@ -27,24 +27,24 @@
 pub struct Row {
     /// Digest of the request that wrote it.
     pub digest: Digest,
-    /// The outcome, encoded.
+    /// The encoded outcome, which is returned to a repeated request.
     pub outcome: String,
 }
 
 /// What to do with a repeated request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
-    /// No earlier try took effect: run it.
+    /// Run it: no earlier attempt took effect.
     Run,
-    /// Answer with the first outcome, once its position is confirmed in the present term.
+    /// Return the stored outcome, once its position is confirmed in the current term.
     Replay(String),
-    /// The key came with other content before.
+    /// The key was used before for a request with different content.
     Mismatch,
 }
 
-/// Decides from the row that was found under the request's key.
+/// Decides what to do with a request, given the row that was found under its key.
 ///
-/// A row stays in force until it is pruned, however old.
+/// A row is valid until it is pruned, regardless of its age.
 pub fn decide(row: Option<Row>, digest: &str) -> Decision {
     match row {
         None => Decision::Run,
@@ -53,25 +53,25 @@
     }
 }
 
-/// Says whether `key` can be an idempotency key.
+/// Checks that `key` is valid as an idempotency key.
 pub fn verify(key: &str) -> Result<(), Refusal> {
-    let visible = key.bytes().all(|byte| byte.is_ascii_graphic());
-    if key.is_empty() || key.len() > MAX_KEY_CHARS || !visible {
+    let is_visible = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if key.is_empty() || key.len() > MAX_KEY_CHARS || !is_visible {
         let detail = "idempotency-key must be 1 to 128 visible ASCII characters";
         return Err(Refusal::new(Reason::Malformed, detail));
     }
     Ok(())
 }
 
-/// Seconds since the Unix epoch before which rows may be pruned.
+/// Returns the time, in seconds since the Unix epoch, before which rows may be pruned.
 ///
-/// Wall-clock time decides only here, where a margin far above clock skew can be given.
+/// This is the only decision based on wall-clock time; [`PRUNE_MARGIN`] is far above clock skew.
 pub fn prune_before(unix_time: Duration, retention: Duration) -> i64 {
     let before = unix_time.saturating_sub(retention + PRUNE_MARGIN);
     i64::try_from(before.as_secs()).unwrap_or(i64::MAX)
 }
 
-/// Digest of a request's content.
+/// Computes the digest of a request's content: account, service, SQL text and parameters.
 pub fn digest(account: AccountId, service: ServiceId, statement: &Statement) -> Digest {
     let mut hasher = Sha256::new();
     hasher.update(account.to_be_bytes());
@@ -83,19 +83,19 @@
     hasher.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-/// Requests with an idempotency key that run on this host now.
+/// Requests with an idempotency key that are in flight on this host.
 #[derive(Debug, Clone, Default)]
 pub struct InFlight {
     keys: BTreeSet<(ServiceId, AccountId, String)>,
 }
 
 impl InFlight {
-    /// Nothing runs.
+    /// No request is in flight.
     pub fn new() -> InFlight {
         InFlight::default()
     }
 
-    /// Enters a request; refused while another one with its key runs here.
+    /// Records the start of a request; refused while another one with its key is in flight here.
     pub fn start(
         &mut self,
         service: ServiceId,
@@ -109,13 +109,14 @@
         Err(Refusal::new(Reason::IdempotencyInProgress, detail))
     }
 
-    /// Removes a request that has ended.
+    /// Records the end of a request, so that its key may be used again.
     pub fn finish(&mut self, service: ServiceId, account: AccountId, key: &str) {
         self.keys.remove(&(service, account, key.to_owned()));
     }
 }
 
-// Each field carries its kind and length, so that no two requests hash alike by concatenation.
+// Variable-length fields are prefixed with their length, and values with a tag of their type, so
+// that different requests don't hash alike by concatenation.
 fn update_bytes(hasher: &mut Sha256, bytes: &[u8]) {
     hasher.update((bytes.len() as u64).to_be_bytes());
     hasher.update(bytes);
--- a/crates/core/src/outlier.rs
+++ b/crates/core/src/outlier.rs
@@ -1,27 +1,28 @@
-//! Ejection of targets that answer their probes and fail their work.
+//! Outlier detection: ejection of targets that pass their probes but fail requests.
 //!
-//! A probe is a target's opinion of itself; the outcomes of real work are its callers' opinion.
-//! After some failures in a row a replica leaves the choice for a time that doubles with each
-//! ejection. The ceiling keeps a common cause from ejecting everything: never more than half of a
-//! group's replicas, and never the last target. The scheme and its ceiling follow "Ready, Running,
-//! and Serving Nothing but 500s"; `docs/design/retries.md` has the comparison. A target that fails
-//! and stays in because of the ceiling is under suspicion for the time of a first ejection: it is
-//! chosen after the primary, which may be the one target that works.
+//! A probe shows a target's health as the target itself reports it; the outcomes of requests show
+//! it as the callers see it. After several consecutive failures a replica is ejected, for a time
+//! that doubles with each ejection. A ceiling prevents a common cause from ejecting everything: at
+//! most half of a group's replicas are ejected, and never the last target. The scheme and its
+//! ceiling follow "Ready, Running, and Serving Nothing but 500s"; `docs/design/retries.md` has the
+//! comparison. A target that fails but is not ejected because of the ceiling is suspect for the
+//! length of a first ejection: it is chosen after the primary, which may be the only target that
+//! works.
 
 use crate::id::{TargetId, Time};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How targets are ejected.
+/// When targets are ejected, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
-    /// Failures in a row after which a target is ejected.
+    /// Number of consecutive failures after which a target is ejected.
     pub failure_threshold: u32,
-    /// Time between sweeps, in which ejections begin and end.
+    /// Time between sweeps; ejections begin and end only in a sweep.
     pub sweep_interval: Duration,
-    /// Length of the first ejection.
+    /// Length of the first ejection; doubles with each further one.
     pub base_ejection: Duration,
-    /// Longest ejection.
+    /// Maximum length of an ejection.
     pub max_ejection: Duration,
 }
 
@@ -36,63 +37,66 @@
     }
 }
 
-/// What is held against one target.
+/// Failures and ejections of one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct Record {
     failures: u32,
     ejections: u32,
-    until: Option<Time>,
-    /// When it last failed.
-    failed: Time,
-    /// Since when it has not been out, nor been forgiven an ejection.
-    calm: Time,
+    ejected_until: Option<Time>,
+    /// Time of its last failure.
+    last_failure: Time,
+    /// Time of its last readmission, or of the last decrement of `ejections`.
+    calm_since: Time,
 }
 
-/// The replicas of one group, as this host's work finds them.
+/// Detects outliers among the replicas of one group from the outcomes of this host's requests.
 #[derive(Debug, Clone)]
 pub struct Detector {
     policy: Policy,
     records: BTreeMap<TargetId, Record>,
-    swept: Time,
+    last_sweep: Time,
 }
 
 impl Detector {
-    /// A group with nothing held against anyone.
+    /// Creates a detector without recorded failures.
     pub fn new(policy: Policy) -> Detector {
-        Detector { policy, records: BTreeMap::new(), swept: Time::ZERO }
+        Detector { policy, records: BTreeMap::new(), last_sweep: Time::ZERO }
     }
 
-    /// Notes work that the target did, or failed through the caller's own fault.
+    /// Records a request that the target executed, or that failed because of the caller.
     pub fn record_success(&mut self, target: TargetId) {
         if let Some(record) = self.records.get_mut(&target) {
             record.failures = 0;
         }
     }
 
-    /// Notes work that the target failed.
+    /// Records a request that the target failed.
     pub fn record_failure(&mut self, target: TargetId, now: Time) {
         let record = self.records.entry(target).or_default();
         record.failures += 1;
-        record.failed = now;
+        record.last_failure = now;
     }
 
-    /// Whether the target fails its work and is in only because of the ceiling.
+    /// Whether the target fails requests, and is not ejected because of the ceiling.
     pub fn is_suspect(&self, target: TargetId) -> bool {
-        let is_due = |r: &Record| r.until.is_none() && r.failures >= self.policy.failure_threshold;
+        let is_due =
+            |r: &Record| r.ejected_until.is_none() && r.failures >= self.policy.failure_threshold;
         self.records.get(&target).is_some_and(is_due)
     }
 
-    /// Whether the target is out at present.
+    /// Whether the target is currently ejected.
     pub fn is_ejected(&self, target: TargetId) -> bool {
-        self.records.get(&target).is_some_and(|record| record.until.is_some())
+        self.records.get(&target).is_some_and(|record| record.ejected_until.is_some())
     }
 
-    /// Begins and ends ejections among `replicas`; answers with those newly ejected.
+    /// Begins and ends ejections among `replicas`; returns the newly ejected targets.
+    ///
+    /// Does nothing within `sweep_interval` of the previous sweep.
     pub fn sweep(&mut self, replicas: &[TargetId], now: Time) -> Vec<TargetId> {
-        if now.saturating_sub(self.swept) < self.policy.sweep_interval {
+        if now.saturating_sub(self.last_sweep) < self.policy.sweep_interval {
             return Vec::new();
         }
-        self.swept = now;
+        self.last_sweep = now;
         self.records.retain(|target, _| replicas.contains(target));
         self.readmit(now);
         self.eject(replicas.len(), now)
@@ -100,40 +104,46 @@
 
     fn readmit(&mut self, now: Time) {
         for record in self.records.values_mut() {
-            if record.until.is_some_and(|until| now >= until) {
-                record.until = None;
+            if record.ejected_until.is_some_and(|ejected_until| now >= ejected_until) {
+                record.ejected_until = None;
                 record.failures = 0;
-                record.calm = now;
+                record.calm_since = now;
             }
-            let is_old = now.saturating_sub(record.failed) >= self.policy.base_ejection;
-            if record.until.is_none() && record.failures >= self.policy.failure_threshold && is_old
+            let is_old = now.saturating_sub(record.last_failure) >= self.policy.base_ejection;
+            if record.ejected_until.is_none()
+                && record.failures >= self.policy.failure_threshold
+                && is_old
             {
                 record.failures = 0;
             }
-            let is_calm = record.until.is_none() && record.failures == 0;
-            if is_calm && now.saturating_sub(record.calm) >= self.policy.max_ejection {
+            let is_calm = record.ejected_until.is_none() && record.failures == 0;
+            if is_calm && now.saturating_sub(record.calm_since) >= self.policy.max_ejection {
                 record.ejections = record.ejections.saturating_sub(1);
-                record.calm = now;
+                record.calm_since = now;
             }
         }
     }
 
     fn eject(&mut self, replicas: usize, now: Time) -> Vec<TargetId> {
         let ceiling = replicas / 2;
-        let mut out = self.records.values().filter(|record| record.until.is_some()).count();
+        let mut ejected_count =
+            self.records.values().filter(|record| record.ejected_until.is_some()).count();
         let mut ejected = Vec::new();
-        let mut worst: Vec<_> = self.records.iter().map(|(id, r)| (r.failures, *id)).collect();
-        worst.sort_unstable_by(|a, b| b.cmp(a));
-        for (failures, target) in worst {
+        let mut worst_first: Vec<_> =
+            self.records.iter().map(|(id, r)| (r.failures, *id)).collect();
+        worst_first.sort_unstable_by(|a, b| b.cmp(a));
+        for (failures, target) in worst_first {
             let record = self.records.entry(target).or_default();
-            if failures < self.policy.failure_threshold || record.until.is_some() || out >= ceiling
+            if failures < self.policy.failure_threshold
+                || record.ejected_until.is_some()
+                || ejected_count >= ceiling
             {
                 continue;
             }
-            let length = self.policy.base_ejection * (1 << record.ejections.min(16));
-            record.until = Some(now + length.min(self.policy.max_ejection));
+            let duration = self.policy.base_ejection * (1 << record.ejections.min(16));
+            record.ejected_until = Some(now + duration.min(self.policy.max_ejection));
             record.ejections += 1;
-            out += 1;
+            ejected_count += 1;
             ejected.push(target);
         }
         ejected
--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -1,7 +1,7 @@
-//! One read, from the choice of a target to the answer.
+//! State machine of one read, from the choice of a target to the response.
 //!
-//! A read changes nothing and may be sent again wherever that helps; it is bounded by the caller's
-//! deadline, by a number of attempts and by the retry budget.
+//! A read has no effects, so it may be retried on any target. Retries are limited by the caller's
+//! deadline, the maximum number of attempts and the retry budget.
 
 use crate::id::{AccountId, ServiceId, TargetId, Time};
 use crate::log::Position;
@@ -12,153 +12,155 @@
 use crate::sqlstate::Failure;
 use std::collections::VecDeque;
 
-/// A read under way.
+/// A read in progress.
 #[derive(Debug, Clone)]
 pub struct Read {
     service: ServiceId,
     account: AccountId,
-    demand: Requirement,
+    requirement: Requirement,
     deadline: Time,
     policy: Policy,
     bounds: Bounds,
     jitter: Source,
-    queue: VecDeque<TargetId>,
+    candidates: VecDeque<TargetId>,
     attempts: u32,
-    last: Option<Reason>,
+    last_refusal: Option<Reason>,
 }
 
-/// What happened to a read.
+/// An event in the execution of a read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
-    /// Targets, in order of choice; also the answer to [`Action::Choose`].
+    /// Candidate targets, best first: the first event, and the response to [`Action::Choose`].
     Candidates(Vec<TargetId>),
-    /// A target in `role` answered.
+    /// A target returned a result; its role and the freshness that it reported.
     Answered(Role, Report),
-    /// The target answered with an error.
+    /// The target returned an error; its classification and text.
     Failed(Failure, String),
-    /// No connection could be had.
+    /// No connection could be obtained.
     NoConnection(Reason),
     /// The connection broke.
     ConnectionLost,
-    /// The try's deadline ran out.
+    /// The deadline of the attempt passed.
     TimedOut,
-    /// The key was withdrawn, or the host's authority lapsed.
+    /// The caller's key was withdrawn, or the host's authority expired.
     Denied(Refusal),
 }
 
-/// What to do next.
+/// The next step, which the caller of the state machine performs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
-    /// Rank the targets after a delay.
+    /// Rank the targets again at the given time.
     Choose(Time),
-    /// Send to the target; with the reason when it is a retry.
+    /// Send the read to the target; the reason if it is a retry.
     Attempt(TargetId, Option<retry::Reason>),
-    /// Serve the answer; the token's new position.
+    /// Return the result; the session token's new position, if any.
     Serve(Option<Position>),
-    /// Refuse.
+    /// End the read with this refusal.
     Refuse(Refusal),
 }
 
 impl Read {
-    /// A read for `account` that has to be answered by `deadline`.
+    /// Creates a read for `account` that has to be completed by `deadline`.
+    ///
+    /// `seed` drives the jitter of retry delays.
     pub fn new(
         service: ServiceId,
         account: AccountId,
-        demand: Requirement,
+        requirement: Requirement,
         deadline: Time,
         seed: u64,
     ) -> Read {
         Read {
             service,
             account,
-            demand,
+            requirement,
             deadline,
             policy: Policy::default(),
             bounds: Bounds::default(),
             jitter: Source::new(seed),
-            queue: VecDeque::new(),
+            candidates: VecDeque::new(),
             attempts: 0,
-            last: None,
+            last_refusal: None,
         }
     }
 
-    /// The same read under `policy`.
+    /// Sets the retry policy.
     pub fn with_policy(mut self, policy: Policy) -> Read {
         self.policy = policy;
         self
     }
 
-    /// The same read under `bounds`.
+    /// Sets the bounds on the age of served data.
     pub fn with_bounds(mut self, bounds: Bounds) -> Read {
         self.bounds = bounds;
         self
     }
 
-    /// Takes an event; answers with what to do.
+    /// Applies an event and returns the next action.
     pub fn on(&mut self, event: Event, budgets: &mut Budgets, now: Time) -> Action {
         match event {
             Event::Candidates(targets) => self.choose(targets, now),
-            Event::Answered(role, answer) => self.answered(role, &answer, budgets, now),
-            Event::Failed(failure, detail) => self.failed(failure, detail, budgets, now),
+            Event::Answered(role, report) => self.on_report(role, &report, budgets, now),
+            Event::Failed(failure, detail) => self.on_failure(failure, detail, budgets, now),
             Event::NoConnection(Reason::QueueFull) => {
-                Action::Refuse(Refusal::new(Reason::QueueFull, "no connection comes free in time"))
+                Action::Refuse(Refusal::new(Reason::QueueFull, "the connection queue is too long"))
             }
             Event::NoConnection(reason) => {
-                self.again(retry::Reason::ConnectionRefused, reason, budgets, now)
+                self.retry(retry::Reason::ConnectionRefused, reason, budgets, now)
             }
             Event::ConnectionLost => {
-                self.again(retry::Reason::ConnectionLost, Reason::ConnectionLost, budgets, now)
+                self.retry(retry::Reason::ConnectionLost, Reason::ConnectionLost, budgets, now)
             }
             Event::TimedOut => {
-                self.again(retry::Reason::TryTimeout, Reason::DeadlineExceeded, budgets, now)
+                self.retry(retry::Reason::TryTimeout, Reason::DeadlineExceeded, budgets, now)
             }
             Event::Denied(refusal) => Action::Refuse(refusal.with_ran(Ran::No)),
         }
     }
 
-    /// When a try that starts at `now` is given up without a first sign of the target.
+    /// Deadline for the first response of the target in an attempt that starts at `now`.
     pub fn first_response_deadline(&self, now: Time) -> Time {
         self.policy.attempt_deadline(now, self.deadline)
     }
 
-    /// When a try that starts at `now` is given up, sign or not.
+    /// Deadline for the complete result of an attempt that starts at `now`.
     pub fn statement_deadline(&self, now: Time) -> Time {
         self.policy.statement_deadline(now, self.deadline)
     }
 
     fn choose(&mut self, targets: Vec<TargetId>, now: Time) -> Action {
-        self.queue = targets.into();
-        match self.queue.pop_front() {
-            Some(target) if now < self.deadline => self.attempt(target, None),
-            Some(_) => self.expired(),
+        self.candidates = targets.into();
+        match self.candidates.pop_front() {
+            Some(target) if now < self.deadline => self.send(target, None),
+            Some(_) => self.refuse(),
             None => {
-                self.last = self.last.or(Some(Reason::NoPrimary));
-                self.wait(now)
+                self.last_refusal = self.last_refusal.or(Some(Reason::NoPrimary));
+                self.choose_later(now)
             }
         }
     }
 
-    fn attempt(&mut self, target: TargetId, reason: Option<retry::Reason>) -> Action {
+    fn send(&mut self, target: TargetId, reason: Option<retry::Reason>) -> Action {
         self.attempts += 1;
         Action::Attempt(target, reason)
     }
 
-    fn answered(
+    fn on_report(
         &mut self,
         role: Role,
-        answer: &Report,
+        report: &Report,
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        match route::verify(&self.demand, role, answer, &self.bounds) {
+        match route::verify(&self.requirement, role, report, &self.bounds) {
             Verdict::Serve(position) => Action::Serve(position),
             Verdict::Behind | Verdict::Stale => {
-                self.again(retry::Reason::NotFresh, Reason::NotFresh, budgets, now)
+                self.retry(retry::Reason::NotFresh, Reason::NotFresh, budgets, now)
             }
         }
     }
 
-    fn failed(
+    fn on_failure(
         &mut self,
         failure: Failure,
         detail: String,
@@ -166,45 +168,47 @@
         now: Time,
     ) -> Action {
         match failure.retry_reason() {
-            // A write in a read is the caller's own mistake, on any target.
+            // `Superseded` includes a write statement in a read, which fails on any target.
             None | Some(retry::Reason::Superseded) => {
                 Action::Refuse(Refusal::new(Reason::StatementFailed, detail))
             }
-            Some(reason) => self.again(reason, Reason::StatementFailed, budgets, now),
+            Some(reason) => self.retry(reason, Reason::StatementFailed, budgets, now),
         }
     }
 
-    fn again(
+    fn retry(
         &mut self,
         reason: retry::Reason,
         refusal: Reason,
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        self.last = Some(refusal);
+        self.last_refusal = Some(refusal);
         if now >= self.deadline {
-            return self.expired();
+            return self.refuse();
         }
-        let spent = self.attempts >= self.policy.max_attempts;
-        if spent || reason.is_budgeted() && !budgets.withdraw(self.service, self.account, now) {
-            return self.expired();
+        let is_exhausted = self.attempts >= self.policy.max_attempts;
+        if is_exhausted
+            || reason.is_budgeted() && !budgets.withdraw(self.service, self.account, now)
+        {
+            return self.refuse();
         }
-        match self.queue.pop_front() {
-            Some(target) => self.attempt(target, Some(reason)),
-            None => self.wait(now),
+        match self.candidates.pop_front() {
+            Some(target) => self.send(target, Some(reason)),
+            None => self.choose_later(now),
         }
     }
 
-    fn wait(&mut self, now: Time) -> Action {
+    fn choose_later(&mut self, now: Time) -> Action {
         let delay = self.policy.retry_delay(self.attempts.max(1), self.jitter.bits());
         if now + delay >= self.deadline {
-            return self.expired();
+            return self.refuse();
         }
         Action::Choose(now + delay)
     }
 
-    fn expired(&self) -> Action {
-        let reason = self.last.unwrap_or(Reason::DeadlineExceeded);
-        Action::Refuse(Refusal::new(reason, "no target could serve the read in time"))
+    fn refuse(&self) -> Action {
+        let reason = self.last_refusal.unwrap_or(Reason::DeadlineExceeded);
+        Action::Refuse(Refusal::new(reason, "no target could serve the read before the deadline"))
     }
 }
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -1,7 +1,7 @@
-//! Why a request was not answered with its result, and whether it ran.
+//! Refusals: why a request was not answered with its result, and whether it may have run.
 //!
-//! Every refusal reason has a counter of its own. `Ran::No` is a promise: no byte of the request
-//! has reached a target in a way that could take effect.
+//! Every reason has its own counter. `Ran::No` is a guarantee: no byte of the request has reached a
+//! target in a way that could take effect.
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
@@ -11,66 +11,66 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
-    /// It certainly did not run.
+    /// It did not run.
     #[display("no")]
     No,
-    /// It may have run; ask again with the same idempotency key.
+    /// It may have run; a retry with the same idempotency key is safe.
     #[display("unknown")]
     Unknown,
 }
 
-/// Reason of a refusal; stable, part of the callers' interface.
+/// Reason of a refusal. The names are part of the callers' interface and must not change.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
 )]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Reason {
-    /// No key, or one that no client account holds.
+    /// The request has no key, or a key that no client account has.
     KeyUnknown,
     /// The key was withdrawn.
     KeyWithdrawn,
-    /// The client account may not use this service.
+    /// The client account has no access to this service.
     NotAllowed,
-    /// No such service, route or transaction.
+    /// The service, route or transaction does not exist.
     NotFound,
-    /// The request cannot be read.
+    /// The request is invalid.
     Malformed,
-    /// Body, header, statement or result over its limit.
+    /// A body, header, statement or result is over its size limit.
     TooLarge,
-    /// A statement or parameter contains the presented key.
+    /// A statement or parameter contains the key of the request.
     KeyInStatement,
-    /// The client account is over its rate and burst.
+    /// The client account exceeded its rate and burst.
     RateExceeded,
-    /// No connection slot came free within the time left.
+    /// No connection slot became free before the deadline.
     QueueTimeout,
-    /// The queue is so long that the deadline cannot be met.
+    /// The queue is full, or so long that the deadline cannot be met.
     QueueFull,
-    /// This host's copy of the shared state is too old to act on.
+    /// This host's authority expired: its copy of the shared state is too old to act on.
     AuthorityLapsed,
     /// The host is stopping.
     Stopping,
     /// No primary is known, or it cannot be reached.
     NoPrimary,
-    /// Replication lag makes the confirmation deadline unreachable.
+    /// Replication lag is so high that the write cannot be confirmed before its deadline.
     ReplicationLag,
-    /// No target covers the session token or the stated age in time.
+    /// No target covered the session token, or was fresh enough, before the deadline.
     NotFresh,
     /// The group's primary changed while the request ran.
     Superseded,
-    /// The time that the caller gave has run out.
+    /// The caller's deadline passed.
     DeadlineExceeded,
     /// The connection to the target broke or went silent.
     ConnectionLost,
     /// The target refuses new connections.
     ConnectionRefused,
-    /// The database answered with an error of its own.
+    /// The database returned an error for the statement.
     StatementFailed,
-    /// The same idempotency key came with another request.
+    /// The idempotency key was used before with a different request.
     IdempotencyMismatch,
-    /// A request with the same idempotency key is running.
+    /// A request with the same idempotency key is in progress.
     IdempotencyInProgress,
-    /// The transaction ended: time limit, host loss or withdrawal.
+    /// The transaction has ended: time limit, loss of its host or withdrawal of its key.
     TransactionLost,
     /// The transaction belongs to another client account.
     TransactionForeign,
@@ -81,7 +81,7 @@
 }
 
 impl Reason {
-    /// Every reason, in order.
+    /// All reasons, in declaration order.
     pub const ALL: [Reason; 26] = [
         Reason::KeyUnknown,
         Reason::KeyWithdrawn,
@@ -112,33 +112,33 @@
     ];
 }
 
-/// A refusal as the caller sees it.
+/// A refusal, as it is returned to the caller.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error, Serialize, Deserialize)]
 #[display("{reason} (ran: {ran}): {detail}")]
 pub struct Refusal {
-    /// Why.
+    /// Why the request was refused.
     pub reason: Reason,
-    /// Whether it took effect.
+    /// Whether the request may have taken effect.
     pub ran: Ran,
-    /// One sentence for people; never contains a key.
+    /// Human-readable explanation in one sentence; never contains a key.
     pub detail: String,
-    /// When asking again makes sense.
+    /// Delay after which a retry may succeed, if known.
     pub retry_after: Option<Duration>,
 }
 
 impl Refusal {
-    /// A refusal of a request that did not run.
+    /// Creates a refusal of a request that did not run.
     pub fn new(reason: Reason, detail: impl Into<String>) -> Refusal {
         Refusal { reason, ran: Ran::No, detail: detail.into(), retry_after: None }
     }
 
-    /// The same refusal of a request that may have run.
+    /// Sets whether the request may have run.
     pub fn with_ran(mut self, ran: Ran) -> Refusal {
         self.ran = ran;
         self
     }
 
-    /// The same refusal with a time after which to ask again.
+    /// Sets the delay after which a retry may succeed.
     pub fn with_retry_after(mut self, after: Duration) -> Refusal {
         self.retry_after = Some(after);
         self
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -1,8 +1,8 @@
-//! Retries of requests that are safe to send again.
+//! Retry policy and retry budgets for requests that are safe to send again.
 //!
-//! A retry stays within the caller's deadline, each try within a deadline of its own, and all of a
-//! client account's retries at a service within a budget that its requests earn: when everything
-//! fails, retries add a fifth to the load and no more.
+//! Retries end at the caller's deadline, and each attempt has a timeout of its own. All retries of
+//! a client account at a service share a budget that its requests earn: if every request fails,
+//! retries add at most a fifth to the load.
 
 use crate::id::{AccountId, ServiceId, Time};
 use derive_more::Display;
@@ -10,22 +10,22 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Why a request was sent again; each has a counter of its own.
+/// Why a request was retried; each reason has its own counter.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
 )]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Reason {
-    /// The target did not cover the token or the stated age.
+    /// The target's data did not cover the session token, or was too old.
     NotFresh,
-    /// The connection broke, or went silent, before or during a repeatable request.
+    /// The connection broke or went silent, before or during a request that can be retried.
     ConnectionLost,
     /// The target refused a new connection.
     ConnectionRefused,
-    /// One try's deadline ran out.
+    /// The attempt timed out.
     TryTimeout,
-    /// The target failed the work itself.
+    /// The target failed to execute the request.
     TargetFailed,
     /// The target is no longer the primary.
     Superseded,
@@ -34,7 +34,7 @@
 }
 
 impl Reason {
-    /// Every reason, in order.
+    /// All reasons, in declaration order.
     pub const ALL: [Reason; 7] = [
         Reason::NotFresh,
         Reason::ConnectionLost,
@@ -46,23 +46,23 @@
     ];
 }
 
-/// Share of requests that may be sent again, over time.
+/// Retries that each new request adds to its budget.
 const BUDGET_RATIO: f64 = 0.2;
-/// Retries that a budget holds at most.
+/// Maximum number of retries that a budget can hold.
 const BUDGET_CAPACITY: f64 = 20.0;
-/// Retries a second that a budget gains without any request, so that rare callers may retry too.
+/// Retries per second that a budget gains without requests, so that infrequent callers can retry.
 const BUDGET_REFILL: f64 = 1.0;
 
-/// How a request is tried again.
+/// Timeouts, delays and number of attempts of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
-    /// Time in which a healthy target gives its first sign, or answers a short question.
+    /// Time in which a healthy target starts to respond, or answers a short query.
     pub attempt_timeout: Duration,
-    /// Delay before the first retry.
+    /// Delay before the first retry; doubles with each further one.
     pub base_delay: Duration,
-    /// Longest delay before a retry.
+    /// Maximum delay before a retry.
     pub max_delay: Duration,
-    /// Tries of one request.
+    /// Maximum number of attempts of one request, the first included.
     pub max_attempts: u32,
 }
 
@@ -78,18 +78,20 @@
 }
 
 impl Policy {
-    /// When a try that starts at `now` is given up without a first sign.
+    /// Deadline for the first response in an attempt that starts at `now`.
     pub fn attempt_deadline(&self, now: Time, deadline: Time) -> Time {
         deadline.min(now + self.attempt_timeout)
     }
 
-    /// When a statement that was begun at `now`, and may take its time, is given up for another try.
+    /// Deadline for the result of a statement that starts at `now`, and may run long.
+    ///
+    /// Leaves half of the time until `deadline` for another attempt.
     pub fn statement_deadline(&self, now: Time, deadline: Time) -> Time {
         let half = deadline.saturating_sub(now) / 2;
         deadline.min(now + half.max(self.attempt_timeout))
     }
 
-    /// Delay before retry number `retry` (from 1), jittered over its upper half by `random`.
+    /// Delay before retry number `retry`, counted from 1; `random` jitters its upper half.
     pub fn retry_delay(&self, retry: u32, random: u64) -> Duration {
         let doublings = retry.saturating_sub(1).min(16);
         let full = self.max_delay.min(self.base_delay * (1 << doublings));
@@ -100,27 +102,27 @@
 }
 
 impl Reason {
-    /// Whether a retry takes from the budget.
+    /// Whether a retry for this reason consumes budget.
     ///
-    /// A target that was merely behind, or that holds writes back for a planned promotion, is
-    /// healthy: such retries are bounded by the deadline and their delays alone.
+    /// A target that lags, or that holds writes for a planned promotion, is healthy: such retries
+    /// are limited only by the deadline and their delays.
     pub fn is_budgeted(self) -> bool {
         !matches!(self, Reason::NotFresh | Reason::WritesHeld)
     }
 }
 
-/// Retries that one client account has left at one service.
+/// Token bucket of the retries that one client account has left at one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Budget {
-    tokens: f64,
-    refilled: Time,
+    retries: f64,
+    refilled_at: Time,
 }
 
 impl Budget {
     fn refill(&mut self, now: Time) {
-        let elapsed = now.saturating_sub(self.refilled).as_secs_f64();
-        self.tokens = BUDGET_CAPACITY.min(self.tokens + elapsed * BUDGET_REFILL);
-        self.refilled = now;
+        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        self.retries = BUDGET_CAPACITY.min(self.retries + elapsed * BUDGET_REFILL);
+        self.refilled_at = now;
     }
 }
 
@@ -131,29 +133,29 @@
 }
 
 impl Budgets {
-    /// Every budget full.
+    /// Creates budgets that all start full.
     pub fn new() -> Budgets {
         Budgets::default()
     }
 
-    /// Notes a new request, which earns a part of a retry.
+    /// Records a new request, which adds [`BUDGET_RATIO`] to the budget.
     pub fn deposit(&mut self, service: ServiceId, account: AccountId, now: Time) {
         let budget = self.budget(service, account, now);
-        budget.tokens = BUDGET_CAPACITY.min(budget.tokens + BUDGET_RATIO);
+        budget.retries = BUDGET_CAPACITY.min(budget.retries + BUDGET_RATIO);
     }
 
-    /// Takes a retry; false when the budget is spent.
+    /// Takes one retry from the budget; false if less than one is left.
     pub fn withdraw(&mut self, service: ServiceId, account: AccountId, now: Time) -> bool {
         let budget = self.budget(service, account, now);
-        if budget.tokens < 1.0 {
+        if budget.retries < 1.0 {
             return false;
         }
-        budget.tokens -= 1.0;
+        budget.retries -= 1.0;
         true
     }
 
     fn budget(&mut self, service: ServiceId, account: AccountId, now: Time) -> &mut Budget {
-        let full = Budget { tokens: BUDGET_CAPACITY, refilled: now };
+        let full = Budget { retries: BUDGET_CAPACITY, refilled_at: now };
         let budget = self.budgets.entry((service, account)).or_insert(full);
         budget.refill(now);
         budget
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,9 +1,9 @@
-//! Choice of a target for a read, and the check of what it answered.
+//! Routing of reads: the choice of a target, and the check that its response is fresh enough.
 //!
-//! What is known of a target's position is a memory: the target may have been rebuilt since, or
-//! its connection may lead to another. So [`candidates`] only orders the targets, and [`verify`]
-//! judges the position that the connection itself answered, in the same round trip and before the
-//! statement's snapshot. Only a verified answer goes to the caller.
+//! A host's view of a target's position may be outdated: the target may have been rebuilt, or the
+//! connection may reach a different one. So [`candidates`] only ranks the targets, and [`verify`]
+//! checks the position that the target reports on the same connection, in the same round trip and
+//! before the statement's snapshot is taken. Only a verified result goes to the caller.
 
 pub use crate::group::Role;
 use crate::id::{FailureDomainId, TargetId, Time};
@@ -12,49 +12,51 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Least stated age of a read that counts towards the replicas' share.
+/// Smallest maximum age with which a read counts towards the replicas' share.
 pub const MIN_REPLICA_SHARE_AGE: Duration = Duration::from_secs(1);
-/// Requests in flight that a target of the host's own failure domain may have more than another.
+/// Additional requests in flight up to which a target of the host's failure domain is preferred.
 const LOCAL_PREFERENCE: u32 = 2;
 
-/// What is remembered of a target.
+/// The last observation of a target, and how this host currently uses it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct View {
-    /// Its role.
+    /// Its role in the group when it was observed.
     pub role: Role,
-    /// Position that it had applied.
+    /// Last log position that its reads saw.
     pub applied: Position,
     /// Age of its data when it was observed.
     pub age: Duration,
     /// When it was observed.
     pub observed: Time,
-    /// Requests of this host in flight on it.
+    /// Number of requests that this host has in flight on it.
     pub in_flight: u32,
-    /// Its failure domain.
+    /// The failure domain that it is in, compared with that of the host.
     pub failure_domain: FailureDomainId,
-    /// Whether its failures have taken it out for now.
+    /// Whether it is ejected because of its failures, see [`crate::outlier`].
     pub ejected: bool,
-    /// Whether it fails its work, but is not taken out.
+    /// Whether it fails requests but is not ejected because too many others are.
     pub suspect: bool,
-    /// Whether it may receive no new work.
+    /// Whether it must not receive new reads; a draining primary still does.
     pub draining: bool,
 }
 
-/// What a read asks for.
+/// How fresh the data for a read has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Requirement {
-    /// Position that the session has seen.
+    /// Position that the session has seen, and that the read has to cover.
     pub token: Option<Position>,
-    /// Stated freshness.
+    /// The freshness that the caller requested.
     pub freshness: Freshness,
 }
 
-/// Bounds on the age of what is served without a stated age.
+/// Bounds on the age of data for reads that don't state a maximum age.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
-    /// Age of a primary's authority, so that a primary that was cut off serves nothing as fresh.
+    /// Maximum time since a majority acknowledged the primary's term.
+    ///
+    /// Prevents a partitioned primary from serving its data as fresh.
     pub primary_age: Duration,
-    /// Age of a replica's data in a read that only carries a session token.
+    /// Maximum age of a replica's data for a read that only carries a session token.
     pub session_age: Duration,
 }
 
@@ -64,35 +66,35 @@
     }
 }
 
-/// What a target said of itself on the connection that served the read.
+/// What a target reported about itself on the connection that served the read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Report {
-    /// Position applied before the statement's snapshot.
+    /// Log position that was applied before the statement's snapshot was taken.
     pub applied: Position,
     /// Highest position that it knows to be on a majority.
     pub confirmed: Position,
-    /// Age of its data.
+    /// Age of its data; on a primary, time since a majority acknowledged its term.
     pub age: Duration,
 }
 
-/// What a verified read advances the session to, or why it may not be served.
+/// Whether a result may be served, and to which position it advances the session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// Serve; the token's new position, if any.
+    /// The result may be served; the session token's new position, if any.
     Serve(Option<Position>),
-    /// The target does not cover the token.
+    /// The target has not applied the position in the session token.
     Behind,
-    /// The target's data is too old.
+    /// The target's data is older than the read allows.
     Stale,
 }
 
 impl Requirement {
-    /// Whether only the primary may serve it: it carries neither a token nor an age.
+    /// Whether only the primary may serve the read: it carries neither a token nor a maximum age.
     pub fn needs_primary(&self) -> bool {
         self.token.is_none() && self.freshness == Freshness::Session
     }
 
-    fn bound(&self, role: Role, bounds: &Bounds) -> Duration {
+    fn max_age(&self, role: Role, bounds: &Bounds) -> Duration {
         match self.freshness {
             Freshness::MaxAge(age) => age,
             Freshness::Session if role == Role::Primary => bounds.primary_age,
@@ -101,24 +103,24 @@
     }
 }
 
-/// How promising a target is; the order of the variants is the order of choice.
+/// How likely a target can serve a read; the variants are in order of choice, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Preference {
-    /// It was seen to cover the demand.
+    /// Its last observation meets the requirement.
     Known,
-    /// It should cover the demand by now, by its lag.
+    /// It should meet the requirement by now, given its lag.
     Expected,
-    /// The primary, which holds everything.
+    /// The primary, which has every acknowledged entry.
     Primary,
-    /// It was behind when it was last seen, or fails its work.
+    /// It was behind when last observed, or it fails requests.
     Unlikely,
-    /// It fails its work; the last resort.
+    /// It is ejected; used only as the last resort.
     Ejected,
 }
 
-/// Targets for a read, best first; `random` breaks ties.
+/// Returns the targets that may serve a read, best first; `random` breaks ties.
 pub fn candidates(
-    demand: &Requirement,
+    requirement: &Requirement,
     views: &BTreeMap<TargetId, View>,
     home: FailureDomainId,
     bounds: &Bounds,
@@ -128,64 +130,66 @@
     let primary = views.values().find(|view| view.role == Role::Primary);
     let mut ranked: Vec<_> = views
         .iter()
-        .filter(|(_, view)| is_eligible(demand, view))
+        .filter(|(_, view)| is_eligible(requirement, view))
         .map(|(id, view)| {
-            let preference = preference(demand, view, primary, bounds, now);
-            let distance = if view.failure_domain == home { 0 } else { LOCAL_PREFERENCE };
+            let preference = preference(requirement, view, primary, bounds, now);
+            let penalty = if view.failure_domain == home { 0 } else { LOCAL_PREFERENCE };
             let tie = (random ^ u64::from(*id)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            (preference, view.in_flight + distance, tie, *id)
+            (preference, view.in_flight + penalty, tie, *id)
         })
         .collect();
     ranked.sort_unstable();
     ranked.into_iter().map(|(_, _, _, id)| id).collect()
 }
 
-/// Whether replicas should serve the read: it states an age of [`MIN_REPLICA_SHARE_AGE`] or more, and at least
-/// one replica that takes work is that fresh for sure.
+/// Whether the read counts towards the replicas' share, because replicas should serve it.
+///
+/// This is so if it states a maximum age of at least [`MIN_REPLICA_SHARE_AGE`], and at least one
+/// replica that takes reads is certainly that fresh.
 pub fn counts_towards_replica_share(
-    demand: &Requirement,
+    requirement: &Requirement,
     views: &BTreeMap<TargetId, View>,
     now: Time,
 ) -> bool {
-    let Freshness::MaxAge(age) = demand.freshness else { return false };
+    let Freshness::MaxAge(age) = requirement.freshness else { return false };
     let is_fresh = |view: &View| view.age.saturating_add(now.saturating_sub(view.observed)) <= age;
     let mut replicas = views.values().filter(|view| view.role == Role::Replica && !view.draining);
     age >= MIN_REPLICA_SHARE_AGE && replicas.any(is_fresh)
 }
 
-/// Judges the position that a target of `role` answered on the connection that served the read.
-pub fn verify(demand: &Requirement, role: Role, answer: &Report, bounds: &Bounds) -> Verdict {
-    if demand.token.is_some_and(|token| !answer.applied.covers(token)) {
+/// Checks the report of a target in `role` on the connection that served the read.
+pub fn verify(requirement: &Requirement, role: Role, report: &Report, bounds: &Bounds) -> Verdict {
+    if requirement.token.is_some_and(|token| !report.applied.covers(token)) {
         return Verdict::Behind;
     }
-    if answer.age > demand.bound(role, bounds) {
+    if report.age > requirement.max_age(role, bounds) {
         return Verdict::Stale;
     }
-    Verdict::Serve(demand.token.max(acknowledged(answer)))
+    Verdict::Serve(requirement.token.max(acknowledged(report)))
 }
 
-/// The highest position that the answer proves to be both seen and acknowledged.
+/// Returns the highest position that the report proves to be both visible and acknowledged.
 ///
-/// A target whose log ends in an older term than the confirmed one may hold a tail past the fork;
-/// its position proves nothing.
-fn acknowledged(answer: &Report) -> Option<Position> {
-    if answer.applied.term < answer.confirmed.term || answer.confirmed == Position::default() {
+/// None if the target's log ends in an older term than the confirmed position: it may end in
+/// entries that the newer term has discarded.
+fn acknowledged(report: &Report) -> Option<Position> {
+    if report.applied.term < report.confirmed.term || report.confirmed == Position::default() {
         return None;
     }
-    Some(answer.applied.min(answer.confirmed))
+    Some(report.applied.min(report.confirmed))
 }
 
-fn is_eligible(demand: &Requirement, view: &View) -> bool {
+fn is_eligible(requirement: &Requirement, view: &View) -> bool {
     match view.role {
-        // A draining primary still holds the writes until another is promoted.
+        // A draining primary still takes the writes until another target is promoted.
         Role::Primary => true,
-        Role::Replica => !view.draining && !demand.needs_primary(),
+        Role::Replica => !view.draining && !requirement.needs_primary(),
         Role::Rebuilding => false,
     }
 }
 
 fn preference(
-    demand: &Requirement,
+    requirement: &Requirement,
     view: &View,
     primary: Option<&View>,
     bounds: &Bounds,
@@ -197,16 +201,16 @@
     if view.role == Role::Primary {
         return Preference::Primary;
     }
-    if view.suspect || view.age > demand.bound(view.role, bounds) {
+    if view.suspect || view.age > requirement.max_age(view.role, bounds) {
         return Preference::Unlikely;
     }
-    let Some(token) = demand.token else { return Preference::Known };
+    let Some(token) = requirement.token else { return Preference::Known };
     if view.applied.covers(token) {
         return Preference::Known;
     }
-    // What the primary held longer ago than the replica's lag should have arrived.
-    let arrived = primary.is_some_and(|primary| {
+    // What the primary had applied longer ago than the replica's lag should have arrived.
+    let has_arrived = primary.is_some_and(|primary| {
         primary.applied.covers(token) && now.saturating_sub(primary.observed) >= view.age
     });
-    if arrived { Preference::Expected } else { Preference::Unlikely }
+    if has_arrived { Preference::Expected } else { Preference::Unlikely }
 }
--- a/crates/core/src/sqlstate.rs
+++ b/crates/core/src/sqlstate.rs
@@ -1,10 +1,13 @@
-//! What an error code of a target says about the work and about the target.
+//! Classification of the SQLSTATE codes that targets return.
+//!
+//! A code tells whether the statement can have taken effect, whether a retry can help, and whether
+//! the failure counts against the health of the target.
 
 use crate::retry;
 
-/// The group's own code: a primary whose term has been passed; nothing was committed.
+/// The primary's term has been superseded; nothing was committed. Specific to database groups.
 pub const SUPERSEDED: &str = "BV001";
-/// The group's own code: new write transactions are held; nothing ran.
+/// New write transactions are held; nothing ran. Specific to database groups.
 pub const WRITES_HELD: &str = "BV002";
 /// A write on a target that is not a primary.
 pub const READ_ONLY: &str = "25006";
@@ -12,20 +15,20 @@
 pub const UNIQUE_VIOLATION: &str = "23505";
 /// The statement was cancelled.
 pub const CANCELLED: &str = "57014";
-/// A lock could not be had in time.
+/// A lock could not be acquired in time.
 pub const LOCKED: &str = "55P03";
-/// The target has no connection left.
+/// The target has reached its connection limit.
 pub const TOO_MANY_CONNECTIONS: &str = "53300";
 /// An earlier statement of the transaction failed.
 pub const ABORTED: &str = "25P02";
 
-/// Classes whose errors are the target's own fault.
+/// SQLSTATE classes of errors that the target, not the caller, is responsible for.
 const TARGET_CLASSES: [&str; 6] = ["08", "53", "57", "58", "F0", "XX"];
 
-/// Who is at fault for a failed statement, and whether the statement can have taken effect.
+/// Cause of a failed statement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
-    /// The statement itself: syntax, constraint, missing table, conflict with another transaction.
+    /// The statement: syntax, constraint, missing table, conflict with another transaction.
     Caller,
     /// The target is no longer the primary, and committed nothing.
     Superseded,
@@ -33,11 +36,11 @@
     Held,
     /// The statement was cancelled.
     Cancelled,
-    /// A lock was not had in time.
+    /// A lock was not acquired in time.
     Locked,
-    /// The target refuses connections.
+    /// The target refuses connections because its limit is reached.
     Busy,
-    /// The target failed the work.
+    /// The target failed to execute the statement.
     Target,
 }
 
@@ -60,14 +63,14 @@
         matches!(self, Failure::Target | Failure::Busy)
     }
 
-    /// Whether an error with this cause, in answer to COMMIT, proves that nothing was committed.
+    /// Whether an error with this cause, in response to COMMIT, proves that nothing was committed.
     ///
-    /// A target that fails in the middle of a commit may have written it already.
+    /// A target that fails during a commit may already have written it.
     pub fn proves_rollback(self) -> bool {
         matches!(self, Failure::Caller | Failure::Superseded | Failure::Held)
     }
 
-    /// Reason to send the request again; none where the answer would be the same.
+    /// Reason to retry the request; `None` if a retry would fail in the same way.
     pub fn retry_reason(self) -> Option<retry::Reason> {
         match self {
             Failure::Caller | Failure::Cancelled | Failure::Locked => None,
--- a/crates/core/src/transaction.rs
+++ b/crates/core/src/transaction.rs
@@ -1,28 +1,28 @@
-//! Interactive transactions on the host that owns them.
+//! Table of the interactive transactions that a host owns.
 //!
 //! A transaction holds one connection of its host from begin to end. The table decides who may
-//! take a step and what a loss means; the host keeps the connections beside it. One step runs at a
-//! time. Every end but an answered COMMIT or ROLLBACK closes the connection, so that the target
-//! rolls back.
+//! execute a step and what a lost connection means for the transaction; the host keeps the
+//! connections. At most one step of a transaction runs at a time. Unless COMMIT or ROLLBACK was
+//! answered, the end of a transaction closes its connection, so that the target rolls back.
 
 use crate::id::{AccountId, HostId, KeyId, ServiceId, Time, TransactionId};
 use crate::refusal::{Ran, Reason, Refusal};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Bits of a transaction's id that count within its host.
+/// Number of low bits of a transaction's id that hold the counter of its host.
 const COUNTER_BITS: u32 = 32;
-/// Ended transactions of which the end is remembered.
+/// Maximum number of ended transactions whose end is kept to answer later steps.
 const MAX_ENDED: usize = 4096;
 
 /// Limits of a transaction.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
-    /// Time between two steps.
+    /// Maximum time without a running step.
     pub idle: Duration,
-    /// Time from begin to end.
+    /// Maximum time from begin to end.
     pub total: Duration,
-    /// Open transactions of one client account on a host.
+    /// Maximum number of open transactions of one client account on a host.
     pub per_account: usize,
 }
 
@@ -32,25 +32,25 @@
     }
 }
 
-/// A step that a caller asks for.
+/// A step of a transaction that a caller requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
-    /// Runs a statement.
+    /// Execute a statement.
     Run,
-    /// Commits.
+    /// Commit and end the transaction.
     Commit,
-    /// Rolls back.
+    /// Roll back and end the transaction.
     Rollback,
 }
 
 /// How a transaction ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
-    /// COMMIT was answered.
+    /// The target answered COMMIT with success.
     Committed,
     /// It was rolled back, or its connection was closed before COMMIT was sent.
     RolledBack,
-    /// The connection was lost after COMMIT was sent.
+    /// The connection was lost after COMMIT was sent, so it may have been committed.
     Unknown,
 }
 
@@ -67,40 +67,43 @@
     key: KeyId,
     service: ServiceId,
     state: State,
-    begun: Time,
-    active: Time,
+    begun_at: Time,
+    last_active: Time,
 }
 
-/// The transactions that a host owns.
+/// The open transactions that a host owns, and how recent ones ended.
 #[derive(Debug, Clone)]
 pub struct Table {
     host: HostId,
-    next: u32,
+    next_counter: u32,
     limits: Limits,
     open: BTreeMap<TransactionId, Entry>,
     ended: BTreeMap<TransactionId, (AccountId, End)>,
-    order: VecDeque<TransactionId>,
+    ended_order: VecDeque<TransactionId>,
 }
 
-/// The host that owns a transaction.
+/// Returns the host that owns a transaction, which is encoded in the id.
 pub fn owner(id: TransactionId) -> HostId {
     (id >> COUNTER_BITS) as HostId
 }
 
 impl Table {
-    /// No transaction; `first` is where the host starts to count, different in each of its runs.
+    /// Creates an empty table.
+    ///
+    /// `first` is the counter of the first id; it differs in each incarnation of the host, so that
+    /// ids of an earlier incarnation are not found here.
     pub fn new(host: HostId, first: u32, limits: Limits) -> Table {
         Table {
             host,
-            next: first,
+            next_counter: first,
             limits,
             open: BTreeMap::new(),
             ended: BTreeMap::new(),
-            order: VecDeque::new(),
+            ended_order: VecDeque::new(),
         }
     }
 
-    /// Begins a transaction.
+    /// Begins a transaction; refuses it if the client account has too many open ones.
     pub fn begin(
         &mut self,
         account: AccountId,
@@ -108,19 +111,23 @@
         service: ServiceId,
         now: Time,
     ) -> Result<TransactionId, Refusal> {
-        let held = self.open.values().filter(|entry| entry.account == account).count();
-        if held >= self.limits.per_account {
+        let open = self.open.values().filter(|entry| entry.account == account).count();
+        if open >= self.limits.per_account {
             let detail = "the client account has too many open transactions on this host";
             return Err(Refusal::new(Reason::QueueFull, detail));
         }
-        let id = (u64::from(self.host) << COUNTER_BITS) | u64::from(self.next);
-        self.next = self.next.wrapping_add(1);
-        let entry = Entry { account, key, service, state: State::Idle, begun: now, active: now };
+        let id = (u64::from(self.host) << COUNTER_BITS) | u64::from(self.next_counter);
+        self.next_counter = self.next_counter.wrapping_add(1);
+        let entry =
+            Entry { account, key, service, state: State::Idle, begun_at: now, last_active: now };
         self.open.insert(id, entry);
         Ok(id)
     }
 
-    /// Admits a step of `account`; answers with the service.
+    /// Starts a step for `account` and returns the transaction's service.
+    ///
+    /// Refuses the step if the transaction has ended or is over a limit, belongs to another
+    /// account, or is running another step.
     pub fn start_step(
         &mut self,
         id: TransactionId,
@@ -130,10 +137,10 @@
     ) -> Result<ServiceId, Refusal> {
         let limits = self.limits;
         let Some(entry) = self.open.get_mut(&id) else {
-            return Err(self.gone(id, account, step));
+            return Err(self.refuse_ended(id, account, step));
         };
         if entry.account != account {
-            return Err(foreign());
+            return Err(foreign_account());
         }
         match entry.state {
             State::Idle => {}
@@ -142,77 +149,79 @@
                 return Err(Refusal::new(Reason::Malformed, detail));
             }
         }
-        if is_over(entry, &limits, now) {
-            return Err(lost("the transaction is over its time limit"));
+        if exceeds_limits(entry, &limits, now) {
+            return Err(transaction_lost("the transaction exceeded its time limit"));
         }
         entry.state = if step == Step::Commit { State::Committing } else { State::Running };
-        entry.active = now;
+        entry.last_active = now;
         Ok(entry.service)
     }
 
-    /// Notes that a statement was answered; false when the transaction has ended meanwhile.
+    /// Records that a statement has completed; false if the transaction has ended meanwhile.
     pub fn finish_step(&mut self, id: TransactionId, now: Time) -> bool {
         let Some(entry) = self.open.get_mut(&id) else { return false };
         entry.state = State::Idle;
-        entry.active = now;
+        entry.last_active = now;
         true
     }
 
-    /// Removes a transaction that has ended.
+    /// Removes a transaction that has ended, and keeps how it ended for later steps.
     pub fn end(&mut self, id: TransactionId, end: End) {
         let Some(entry) = self.open.remove(&id) else { return };
         self.ended.insert(id, (entry.account, end));
-        self.order.push_back(id);
-        if self.order.len() > MAX_ENDED
-            && let Some(oldest) = self.order.pop_front()
+        self.ended_order.push_back(id);
+        if self.ended_order.len() > MAX_ENDED
+            && let Some(oldest) = self.ended_order.pop_front()
         {
             self.ended.remove(&oldest);
         }
     }
 
-    /// Ends the transactions that are over a limit; their connections are to be closed at once.
+    /// Ends the transactions that are over a limit, except those with a COMMIT in flight.
+    ///
+    /// The caller has to close the connections of the returned transactions immediately.
     pub fn roll_back_expired(&mut self, now: Time) -> Vec<TransactionId> {
         let limits = self.limits;
-        self.roll_back(|entry| is_over(entry, &limits, now))
+        self.roll_back(|entry| exceeds_limits(entry, &limits, now))
     }
 
-    /// The same for the transactions of a withdrawn key.
+    /// Ends the transactions of a withdrawn key, as [`Table::roll_back_expired`] does.
     pub fn roll_back_key(&mut self, key: KeyId) -> Vec<TransactionId> {
         self.roll_back(|entry| entry.key == key)
     }
 
-    /// The same for every transaction, when the host stops.
+    /// Ends all transactions when the host stops, as [`Table::roll_back_expired`] does.
     pub fn roll_back_all(&mut self) -> Vec<TransactionId> {
         self.roll_back(|_| true)
     }
 
-    /// Service of an open transaction.
+    /// Service of an open transaction; `None` if it is not open.
     pub fn service(&self, id: TransactionId) -> Option<ServiceId> {
         self.open.get(&id).map(|entry| entry.service)
     }
 
-    /// Keys behind the open transactions.
+    /// Keys with which the open transactions were begun_at.
     pub fn keys(&self) -> BTreeSet<KeyId> {
         self.open.values().map(|entry| entry.key).collect()
     }
 
-    /// Whether the transaction goes on.
+    /// Whether the transaction has begun_at and not ended.
     pub fn is_open(&self, id: TransactionId) -> bool {
         self.open.contains_key(&id)
     }
 
-    /// Open transactions.
+    /// Number of open transactions.
     pub fn len(&self) -> usize {
         self.open.len()
     }
 
-    /// Whether none is open.
+    /// Whether no transaction is open.
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
     }
 
     fn roll_back(&mut self, is_due: impl Fn(&Entry) -> bool) -> Vec<TransactionId> {
-        // A COMMIT in flight is left to its answer: closing now would only hide it.
+        // Wait for the response to a COMMIT in flight: closing the connection would hide the outcome.
         let is_due = |entry: &Entry| entry.state != State::Committing && is_due(entry);
         let due: Vec<_> = self.open.iter().filter(|(_, e)| is_due(e)).map(|(id, _)| *id).collect();
         for id in &due {
@@ -221,32 +230,33 @@
         due
     }
 
-    fn gone(&self, id: TransactionId, account: AccountId, step: Step) -> Refusal {
+    fn refuse_ended(&self, id: TransactionId, account: AccountId, step: Step) -> Refusal {
         match self.ended.get(&id) {
-            Some((owner, _)) if *owner != account => foreign(),
-            Some((_, End::RolledBack)) => lost("the transaction was rolled back"),
+            Some((owner, _)) if *owner != account => foreign_account(),
+            Some((_, End::RolledBack)) => transaction_lost("the transaction was rolled back"),
             Some((_, End::Committed)) if step == Step::Commit => {
-                lost("the transaction was committed before").with_ran(Ran::Unknown)
+                transaction_lost("the transaction was already committed").with_ran(Ran::Unknown)
             }
-            Some((_, End::Committed)) => lost("the transaction was committed before"),
-            // Of an earlier run of this host, or forgotten: a COMMIT may have been sent.
+            Some((_, End::Committed)) => transaction_lost("the transaction was already committed"),
+            // From an earlier incarnation of this host, or no longer kept: COMMIT may have been sent.
             Some((_, End::Unknown)) | None if step == Step::Commit => {
-                lost("the transaction's end is unknown").with_ran(Ran::Unknown)
+                transaction_lost("it is unknown whether the transaction was committed")
+                    .with_ran(Ran::Unknown)
             }
-            Some((_, End::Unknown)) | None => lost("the transaction has ended"),
+            Some((_, End::Unknown)) | None => transaction_lost("the transaction has ended"),
         }
     }
 }
 
-fn is_over(entry: &Entry, limits: &Limits, now: Time) -> bool {
-    let idle = entry.state == State::Idle && now.saturating_sub(entry.active) > limits.idle;
-    idle || now.saturating_sub(entry.begun) > limits.total
+fn exceeds_limits(entry: &Entry, limits: &Limits, now: Time) -> bool {
+    let idle = entry.state == State::Idle && now.saturating_sub(entry.last_active) > limits.idle;
+    idle || now.saturating_sub(entry.begun_at) > limits.total
 }
 
-fn lost(detail: &str) -> Refusal {
+fn transaction_lost(detail: &str) -> Refusal {
     Refusal::new(Reason::TransactionLost, detail)
 }
 
-fn foreign() -> Refusal {
+fn foreign_account() -> Refusal {
     Refusal::new(Reason::TransactionForeign, "the transaction belongs to another client account")
 }
--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -1,13 +1,18 @@
-//! One write, from the lease of a connection to the acknowledgement.
+//! State machine of one write, from leasing a connection to the acknowledgement.
 //!
-//! The machine is told what was handed to the connection and what came back, and keeps the last
-//! stage that the write may have passed over all its attempts. A refusal says `Ran::No` only while
-//! no try has passed the stage where the target alone knows. A write without an idempotency key is
-//! sent again only while no byte of it was sent, or where the target itself answered that it did
-//! not run; one with a key also after a loss, since its row lets one try commit.
+//! The caller reports what was sent on the connection and what came back. The state machine tracks
+//! how far any attempt may have got, and decides when to retry, when to acknowledge and what a
+//! refusal may claim:
 //!
-//! Once a try is of unknown outcome the request stays so until its row is found: an insert that
-//! succeeds on a superseded primary proves nothing about the present one.
+//! - A refusal carries `Ran::No` only while no attempt may have sent COMMIT; after that only the
+//!   target knows whether the write was committed.
+//! - A write without an idempotency key is retried only if no byte of it was sent, or if the target
+//!   itself reported that it did not run.
+//! - A write with an idempotency key is also retried after a lost connection: its outcome row lets
+//!   at most one attempt commit.
+//!
+//! Once an attempt has an unknown outcome, the request's outcome stays unknown until its row is
+//! found: an insert that succeeds on a superseded primary proves nothing about the current one.
 
 use crate::ack::{self, Verdict};
 use crate::id::{AccountId, ServiceId, Time};
@@ -20,16 +25,16 @@
 use crate::sqlstate::Failure;
 use std::time::Duration;
 
-/// Part of the time left that the statement of a keyed write leaves for another try.
+/// A keyed write's statement leaves the remaining time divided by this for another attempt.
 const RETRY_RESERVE_DIVISOR: u32 = 4;
 
-/// A write under way.
+/// A write in progress.
 #[derive(Debug, Clone)]
 pub struct Write {
     service: ServiceId,
     account: AccountId,
     digest: Option<String>,
-    is_whole: bool,
+    is_retryable: bool,
     deadline: Time,
     policy: Policy,
     jitter: Source,
@@ -49,58 +54,59 @@
     LookingUp,
 }
 
-/// What happened to a write.
+/// An event in the execution of a write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
-    /// A connection to the primary is leased.
+    /// A connection to the primary was leased.
     Leased,
-    /// No connection to a primary could be had.
+    /// No connection to a primary could be obtained.
     NoConnection(Reason),
-    /// The statement, and the idempotency row if any, were answered without error.
+    /// The statement, and the insert of the idempotency row if any, succeeded.
     Executed,
-    /// The row of the idempotency key exists already.
+    /// The insert of the idempotency row failed because the key's row already exists.
     Conflict,
-    /// The target answered with an error.
+    /// The target returned an error; its classification and text.
     Failed(Failure, String),
-    /// COMMIT was answered; the entry that it made, if it made one.
+    /// COMMIT succeeded; the position of its log entry, or `None` if it wrote nothing.
     Committed(Option<Position>),
-    /// The group's confirmed position was answered.
+    /// The group reported its confirmed position.
     Confirmed(Position),
-    /// The row under the idempotency key, and a position of the primary that includes it.
+    /// Result of [`Action::Lookup`]: the row, if any, and a primary position that includes it.
     Found(Option<Row>, Position),
     /// The connection broke.
     ConnectionLost,
-    /// The exchange's deadline ran out.
+    /// The deadline of the exchange passed, see [`Write::exchange_deadline`].
     TimedOut,
-    /// The key was withdrawn, or the host's authority lapsed.
+    /// The caller's key was withdrawn, or the host's authority expired.
     Denied(Refusal),
 }
 
-/// What to do next.
+/// The next step, which the caller of the state machine performs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
-    /// Lease a connection to the primary, not before the given time.
+    /// Lease a connection to the primary, not before the given time; the reason if it is a retry.
     Lease(Time, Option<retry::Reason>),
     /// Send BEGIN, the idempotency row and the statement, after checking authority.
     Execute,
     /// Send COMMIT, after checking authority.
     Commit,
-    /// Ask, from the given time on, whether the position is confirmed.
+    /// Query whether the position is confirmed, not before the given time.
     Confirm(Position, Time),
-    /// Read the row of the idempotency key, and then the primary's position.
+    /// Read the row of the idempotency key, then the primary's position.
     Lookup,
-    /// Acknowledge; the position to merge into the token.
+    /// Acknowledge the write; the position to merge into the session token, if it wrote any.
     Acknowledge(Option<Position>),
-    /// Answer with the first outcome of the same request.
+    /// Return the stored outcome of an earlier attempt, and its position.
     Replay(String, Position),
-    /// Refuse.
+    /// End the request with this refusal.
     Refuse(Refusal),
 }
 
 impl Write {
-    /// A write for `account` that has to be acknowledged by `deadline`.
+    /// Creates a write for `account` that has to be acknowledged by `deadline`.
     ///
-    /// `digest` is that of the request when it carries an idempotency key.
+    /// `digest` is the request's digest if it carries an idempotency key; `seed` drives the jitter
+    /// of retry delays.
     pub fn new(
         service: ServiceId,
         account: AccountId,
@@ -112,7 +118,7 @@
             service,
             account,
             digest,
-            is_whole: true,
+            is_retryable: true,
             deadline,
             policy: Policy::default(),
             jitter: Source::new(seed),
@@ -124,43 +130,45 @@
         }
     }
 
-    /// The COMMIT of an interactive transaction whose statements were answered.
+    /// Creates the COMMIT of an interactive transaction, all of whose statements have completed.
     ///
-    /// Its first action is [`Action::Commit`].
+    /// It starts at [`Action::Commit`]; [`Write::start`] is not called.
     pub fn new_commit(service: ServiceId, account: AccountId, deadline: Time, seed: u64) -> Write {
         let write = Write::new(service, account, None, deadline, seed);
-        // Its statements lie with the caller alone, so that it cannot be run again.
+        // Only the caller has the transaction's statements, so it can't be retried here.
         let stage = Stage::StatementSent;
-        Write { is_whole: false, state: State::Committing, stage, ..write }
+        Write { is_retryable: false, state: State::Committing, stage, ..write }
     }
 
-    /// The same write under `policy`.
+    /// Sets the retry policy.
     pub fn with_policy(mut self, policy: Policy) -> Write {
         self.policy = policy;
         self
     }
 
-    /// The first action, given the group's confirmation delay.
+    /// Returns the first action; `expected` is the group's current confirmation delay.
+    ///
+    /// Refuses the write if that delay alone exceeds the time left.
     pub fn start(&mut self, expected: Duration, now: Time) -> Action {
         if now + expected >= self.deadline {
-            let detail = "confirmation by a majority takes longer than the time left";
+            let detail = "replication lag exceeds the time left to confirm the write";
             let refusal = Refusal::new(Reason::ReplicationLag, detail);
             return Action::Refuse(refusal.with_retry_after(expected));
         }
         Action::Lease(now, None)
     }
 
-    /// When an exchange that starts at `now` is given up without a first sign of the target.
+    /// Deadline for the first response of the target in an exchange that starts at `now`.
     pub fn first_response_deadline(&self, now: Time) -> Time {
         self.policy.attempt_deadline(now, self.deadline)
     }
 
-    /// When the exchange that starts at `now` is given up.
+    /// Deadline of the exchange that starts at `now`.
     ///
-    /// Without an idempotency key nothing can be tried again, so that statement and COMMIT have
-    /// the caller's whole time. With one, COMMIT has the time of a try, and the statement leaves
-    /// [`RETRY_RESERVE_DIVISOR`] of the time for another: a connection that went silent is found out only by
-    /// giving up on it.
+    /// Without an idempotency key nothing can be retried, so the statement and COMMIT may use all
+    /// of the caller's time. With one, COMMIT is limited to the attempt timeout, and the statement
+    /// leaves a part of the time ([`RETRY_RESERVE_DIVISOR`]) for another attempt: a connection that
+    /// went silent can only be detected by a timeout.
     pub fn exchange_deadline(&self, now: Time) -> Time {
         match self.state {
             State::Confirming(_) | State::LookingUp => {
@@ -177,50 +185,51 @@
         }
     }
 
-    /// Takes an event; answers with what to do.
+    /// Applies an event and returns the next action.
     pub fn on(&mut self, event: Event, budgets: &mut Budgets, now: Time) -> Action {
         if let Event::Denied(refusal) = event {
             return self.refuse(refusal);
         }
         match (self.state, event) {
             (State::Leasing, Event::Leased) => self.execute(),
-            (State::Leasing, Event::NoConnection(reason)) => self.no_connection(reason, now),
+            (State::Leasing, Event::NoConnection(reason)) => self.on_no_connection(reason, now),
             (State::Executing, Event::Executed) => self.commit(),
             (State::Executing, Event::Conflict) => self.look_up(),
             (State::Executing | State::LookingUp, Event::Failed(failure, detail)) => {
-                self.failed(failure, detail, budgets, now)
+                self.on_failure(failure, detail, budgets, now)
             }
             (State::Committing, Event::Failed(failure, detail)) => {
-                self.commit_failed(failure, detail, budgets, now)
+                self.on_commit_failure(failure, detail, budgets, now)
             }
             (State::Committing, Event::Committed(Some(position))) => self.confirm(position, now),
             (State::Committing, Event::Committed(None)) => Action::Acknowledge(None),
             (State::Confirming(position), Event::Confirmed(confirmed)) => {
-                self.confirmed(position, confirmed, budgets, now)
+                self.on_confirmed(position, confirmed, budgets, now)
             }
             (State::Confirming(_), Event::Failed(Failure::Superseded, _)) => {
-                self.superseded(budgets, now)
+                self.on_superseded(budgets, now)
             }
             (State::Confirming(position), Event::Failed(..) | Event::NoConnection(_))
             | (State::Confirming(position), Event::ConnectionLost | Event::TimedOut) => {
-                self.confirm_later(position, now)
+                self.retry_confirm(position, now)
             }
             (State::LookingUp, Event::Found(row, position)) => {
-                self.found(row, position, budgets, now)
+                self.on_lookup(row, position, budgets, now)
             }
             (_, Event::ConnectionLost) => {
-                self.lost(retry::Reason::ConnectionLost, Reason::ConnectionLost, budgets, now)
+                self.on_lost(retry::Reason::ConnectionLost, Reason::ConnectionLost, budgets, now)
             }
             (_, Event::TimedOut) => {
-                self.lost(retry::Reason::TryTimeout, Reason::DeadlineExceeded, budgets, now)
+                self.on_lost(retry::Reason::TryTimeout, Reason::DeadlineExceeded, budgets, now)
             }
-            (state, event) => unreachable_event(state, &event, self.ran.max(self.stage.ran())),
+            (state, event) => unexpected_event(state, &event, self.ran.max(self.stage.ran())),
         }
     }
 
-    /// Notes that the next bytes of the present state are about to reach the connection.
+    /// Records that the bytes of the current state are about to be sent on the connection.
     ///
-    /// Called before BEGIN with the statement, and before COMMIT; never after the fact.
+    /// Must be called before BEGIN and the statement, and before COMMIT, are sent, never afterwards:
+    /// otherwise a loss in between would be reported as not run.
     pub fn record_sent(&mut self) {
         self.stage = match self.state {
             State::Executing => Stage::StatementSent,
@@ -245,7 +254,7 @@
 
     fn look_up(&mut self) -> Action {
         self.state = State::LookingUp;
-        // The transaction was rolled back; the question changes nothing.
+        // The transaction was rolled back, and the lookup only reads.
         self.stage = Stage::Unsent;
         Action::Lookup
     }
@@ -255,7 +264,7 @@
         Action::Confirm(position, now)
     }
 
-    fn confirm_later(&mut self, position: Position, now: Time) -> Action {
+    fn retry_confirm(&mut self, position: Position, now: Time) -> Action {
         self.attempts += 1;
         let at = now + self.policy.retry_delay(self.attempts, self.jitter.bits());
         if at >= self.deadline {
@@ -264,7 +273,7 @@
         Action::Confirm(position, at)
     }
 
-    fn confirmed(
+    fn on_confirmed(
         &mut self,
         position: Position,
         confirmed: Position,
@@ -278,19 +287,19 @@
             },
             Verdict::Pending if now < self.deadline => self.confirm(position, now),
             Verdict::Pending => self.give_up(Reason::DeadlineExceeded, "not confirmed in time"),
-            Verdict::Superseded => self.superseded(budgets, now),
+            Verdict::Superseded => self.on_superseded(budgets, now),
         }
     }
 
-    fn superseded(&mut self, budgets: &mut Budgets, now: Time) -> Action {
-        // A replay was someone's earlier write; this request itself has not run anew, but the
-        // earlier one may be in the log or not.
+    fn on_superseded(&mut self, budgets: &mut Budgets, now: Time) -> Action {
+        // Either this write, or the earlier one to be replayed, may or may not be in the log of
+        // the new term.
         self.ran = Ran::Unknown;
         self.replay = None;
-        self.lost(retry::Reason::Superseded, Reason::Superseded, budgets, now)
+        self.on_lost(retry::Reason::Superseded, Reason::Superseded, budgets, now)
     }
 
-    fn found(
+    fn on_lookup(
         &mut self,
         row: Option<Row>,
         position: Position,
@@ -300,7 +309,7 @@
         let digest = self.digest.clone().unwrap_or_default();
         match idempotency::decide(row, &digest) {
             Decision::Run => {
-                self.again(retry::Reason::ConnectionLost, Reason::ConnectionLost, budgets, now)
+                self.retry(retry::Reason::ConnectionLost, Reason::ConnectionLost, budgets, now)
             }
             Decision::Replay(outcome) => {
                 self.replay = Some(outcome);
@@ -308,22 +317,22 @@
                 self.confirm(position, now)
             }
             Decision::Mismatch => {
-                let detail = "the idempotency key came with another request before";
+                let detail = "the idempotency key was used before with a different request";
                 self.give_up(Reason::IdempotencyMismatch, detail)
             }
         }
     }
 
-    fn no_connection(&mut self, reason: Reason, now: Time) -> Action {
+    fn on_no_connection(&mut self, reason: Reason, now: Time) -> Action {
         let final_reasons = [Reason::QueueTimeout, Reason::QueueFull, Reason::Stopping];
         if final_reasons.contains(&reason) {
-            return self.give_up(reason, "no connection came free in time");
+            return self.give_up(reason, "no connection to the primary became available in time");
         }
-        // Nothing was sent: waiting for a primary is bounded by the deadline alone.
-        self.later(retry::Reason::ConnectionRefused, reason, now)
+        // Nothing was sent, so waiting for a primary is limited only by the deadline.
+        self.schedule_retry(retry::Reason::ConnectionRefused, reason, now)
     }
 
-    fn failed(
+    fn on_failure(
         &mut self,
         failure: Failure,
         detail: String,
@@ -333,22 +342,22 @@
         self.stage = Stage::Unsent;
         match failure {
             Failure::Locked if self.is_keyed() => {
-                self.give_up(Reason::IdempotencyInProgress, "the same request is running")
+                self.give_up(Reason::IdempotencyInProgress, "the same request is already running")
             }
             Failure::Superseded => {
-                self.again(retry::Reason::Superseded, Reason::Superseded, budgets, now)
+                self.retry(retry::Reason::Superseded, Reason::Superseded, budgets, now)
             }
             Failure::Held => {
-                self.again(retry::Reason::WritesHeld, Reason::WritesHeld, budgets, now)
+                self.retry(retry::Reason::WritesHeld, Reason::WritesHeld, budgets, now)
             }
             Failure::Target | Failure::Busy if self.is_keyed() => {
-                self.again(retry::Reason::TargetFailed, Reason::StatementFailed, budgets, now)
+                self.retry(retry::Reason::TargetFailed, Reason::StatementFailed, budgets, now)
             }
             _ => self.refuse(Refusal::new(Reason::StatementFailed, detail)),
         }
     }
 
-    fn commit_failed(
+    fn on_commit_failure(
         &mut self,
         failure: Failure,
         detail: String,
@@ -356,47 +365,48 @@
         now: Time,
     ) -> Action {
         if failure.proves_rollback() {
-            return self.failed(failure, detail, budgets, now);
+            return self.on_failure(failure, detail, budgets, now);
         }
-        self.lost(retry::Reason::TargetFailed, Reason::ConnectionLost, budgets, now)
+        self.on_lost(retry::Reason::TargetFailed, Reason::ConnectionLost, budgets, now)
     }
 
-    /// The try ended without an answer that tells.
-    fn lost(
+    /// Handles an attempt that ended without a response that tells whether it ran.
+    fn on_lost(
         &mut self,
         retry: retry::Reason,
         reason: Reason,
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        let is_sent = !self.stage.is_unsent();
+        let was_sent = !self.stage.is_unsent();
         self.ran = self.ran.max(self.stage.ran());
         self.stage = Stage::Unsent;
-        if is_sent && !self.is_keyed() {
-            return self.give_up(reason, "the target's answer was lost");
+        if was_sent && !self.is_keyed() {
+            return self.give_up(reason, "the target's response was lost");
         }
-        self.again(retry, reason, budgets, now)
+        self.retry(retry, reason, budgets, now)
     }
 
-    fn again(
+    fn retry(
         &mut self,
         retry: retry::Reason,
         reason: Reason,
         budgets: &mut Budgets,
         now: Time,
     ) -> Action {
-        let spent = !self.is_whole || self.attempts >= self.policy.max_attempts;
-        if spent || retry.is_budgeted() && !budgets.withdraw(self.service, self.account, now) {
-            return self.give_up(reason, "no retry is left");
+        let is_exhausted = !self.is_retryable || self.attempts >= self.policy.max_attempts;
+        if is_exhausted || retry.is_budgeted() && !budgets.withdraw(self.service, self.account, now)
+        {
+            return self.give_up(reason, "no attempts or retry budget left");
         }
-        self.later(retry, reason, now)
+        self.schedule_retry(retry, reason, now)
     }
 
-    fn later(&mut self, retry: retry::Reason, reason: Reason, now: Time) -> Action {
+    fn schedule_retry(&mut self, retry: retry::Reason, reason: Reason, now: Time) -> Action {
         let at = now + self.policy.retry_delay(self.attempts, self.jitter.bits());
         self.attempts += 1;
         if at >= self.deadline {
-            return self.give_up(reason, "the time that the caller gave has run out");
+            return self.give_up(reason, "the deadline leaves no time for another attempt");
         }
         self.state = State::Leasing;
         Action::Lease(at, Some(retry))
@@ -411,10 +421,11 @@
     }
 }
 
-/// An event that the state does not expect is a fault of the caller of this machine; the request
-/// ends without a claim.
-fn unreachable_event(state: State, event: &Event, ran: Ran) -> Action {
+/// Handles an event that is invalid in `state`, which is a bug in the caller of the state machine.
+///
+/// The request is refused with whatever is known about whether it ran.
+fn unexpected_event(state: State, event: &Event, ran: Ran) -> Action {
     let detail = format!("unexpected {event:?} while {state:?}");
     debug_assert!(false, "{detail}");
-    Action::Refuse(Refusal::new(Reason::ConnectionLost, "internal fault").with_ran(ran))
+    Action::Refuse(Refusal::new(Reason::ConnectionLost, "internal error").with_ran(ran))
 }
