--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -1,62 +1,62 @@
-//! Whose request gets the next free connection.
+//! Fair queue: which waiting request gets the next free connection.
 //!
 //! Start-time fair queuing between client accounts: each account has a tag in virtual time, which
-//! grows by the time that its requests hold connections, divided by its weight; the account with
-//! the lowest tag is served next. An account that waits is thus served its weighted max-min share
-//! of the connection time, what others leave unused goes to those who wait, and time that an
-//! account has not used earlier counts for nothing. The holding time is unknown when a request is
-//! served; it is charged as the mean of late, and corrected when the request ends.
+//! advances by the time that its requests hold connections, divided by its weight. The account with
+//! the lowest tag is served next. So each waiting account gets its weighted max-min share of the
+//! connection time, time that some accounts leave unused goes to the waiting ones, and an account
+//! gets no credit for time that it did not use earlier. The holding time is not known when a
+//! request is served: the recent mean is charged, and corrected when the request ends.
 //!
-//! A request that is certain to miss its deadline in the queue is refused on arrival, from the
-//! queue before it under this very order and the observed mean.
+//! A request that would miss its deadline in the queue is refused on arrival. The wait is estimated
+//! from the requests that would be served before it in this order, and the mean holding time.
 
 use crate::id::{AccountId, RequestId, Time};
 use crate::refusal::Reason;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Weight of the newest holding time in the mean, as a divisor.
-const MEAN_SHARE: u32 = 16;
-/// Virtual nanoseconds of one nanosecond at weight one.
+/// Divisor that gives the weight of the newest holding time in the mean.
+const MEAN_DIVISOR: u32 = 16;
+/// Virtual time units per nanosecond at weight one; keeps precision when divided by a weight.
 const SCALE: i128 = 1 << 10;
 
 /// A request that waits for a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Waiter {
-    /// The request.
+    /// The request that waits.
     pub request: RequestId,
-    /// Who pays.
+    /// The client account that is charged.
     pub account: AccountId,
-    /// The account's weight.
+    /// The account's weight; zero counts as one.
     pub weight: u32,
-    /// When waiting is of no use any more.
+    /// Time at which the request leaves the queue without a connection.
     pub deadline: Time,
 }
 
-/// A request whose turn it is.
+/// A request that gets the next connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grant {
-    /// The request.
+    /// The request that is served.
     pub request: RequestId,
-    /// What it is charged until its end is known.
+    /// What its account is charged until its actual holding time is known.
     pub charge: Charge,
 }
 
-/// What a running request was charged.
+/// The provisional charge of a request that holds a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Charge {
-    /// Who pays.
+    /// The client account that is charged.
     pub account: AccountId,
-    /// Holding time charged in advance.
+    /// Estimated holding time that was charged in advance.
     pub estimate: Duration,
 }
 
 /// Order in which accounts are served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Order {
-    /// Weighted max-min.
+    /// Weighted max-min fairness between accounts.
     Fair,
-    /// First come, first served.
+    /// First come, first served, regardless of the account.
     Arrival,
 }
 
@@ -80,7 +80,7 @@
 }
 
 impl Queue {
-    /// An empty queue that holds at most `max_per_account` requests of one account.
+    /// Creates an empty queue that holds at most `max_per_account` requests of one account.
     pub fn new(max_per_account: usize) -> Queue {
         Queue {
             order: Order::Fair,
@@ -92,13 +92,13 @@
         }
     }
 
-    /// The same queue with another order.
+    /// Sets the order in which accounts are served.
     pub fn with_order(mut self, order: Order) -> Queue {
         self.order = order;
         self
     }
 
-    /// Requests that wait.
+    /// Number of requests that wait.
     pub fn len(&self) -> usize {
         self.accounts.values().map(|account| account.waiting.len()).sum()
     }
@@ -108,7 +108,10 @@
         self.accounts.values().all(|account| account.waiting.is_empty())
     }
 
-    /// Queues a request for one of `slots` connections, unless it would wait in vain.
+    /// Queues a request for one of `slots` connections.
+    ///
+    /// Refuses it if its account has too many waiting requests, or if it is expected to wait beyond
+    /// its deadline.
     pub fn push(&mut self, now: Time, waiter: Waiter, slots: usize) -> Result<(), Reason> {
         let waiting = self.accounts.get(&waiter.account).map_or(0, |a| a.waiting.len());
         if waiting >= self.max_per_account
@@ -123,7 +126,7 @@
         Ok(())
     }
 
-    /// Time until `waiter` would be served, as far as the mean tells.
+    /// Estimated time until `waiter` would be served; zero until a holding time is known.
     pub fn expected_wait(&self, waiter: &Waiter, slots: usize) -> Duration {
         let Some(mean) = self.mean else { return Duration::ZERO };
         let own = self.accounts.get(&waiter.account).map_or(0, |a| a.waiting.len());
@@ -131,8 +134,8 @@
         let share = |account: &Account| match self.order {
             Order::Arrival => account.waiting.len(),
             Order::Fair => {
-                let turns = (own + 1) * account.weight as usize / waiter.weight.max(1) as usize;
-                account.waiting.len().min(turns)
+                let own_turns = (own + 1) * account.weight as usize / waiter.weight.max(1) as usize;
+                account.waiting.len().min(own_turns)
             }
         };
         let before: usize = own + others.map(|(_, account)| share(account)).sum::<usize>();
@@ -141,7 +144,7 @@
         mean.saturating_mul(before) / slots
     }
 
-    /// Takes the next request.
+    /// Removes the next request, and charges its account the mean holding time.
     pub fn pop(&mut self) -> Option<Grant> {
         let virtual_time = self.virtual_time;
         let waiting = self.accounts.iter().filter_map(|(id, account)| {
@@ -156,33 +159,34 @@
         let estimate = self.mean.unwrap_or_default();
         let account = self.accounts.get_mut(&id).expect("it has a waiting request");
         let (_, waiter) = account.waiting.pop_front().expect("it has a waiting request");
-        account.tag = start + scaled(estimate, account.weight);
+        account.tag = start + virtual_cost(estimate, account.weight);
         account.running += 1;
         self.virtual_time = start.max(virtual_time);
         Some(Grant { request: waiter.request, charge: Charge { account: id, estimate } })
     }
 
-    /// A request that had its turn has ended after holding a connection for `held`.
+    /// Records the end of a served request that held a connection for `held`; corrects its charge.
     pub fn record_end(&mut self, charge: Charge, held: Duration) {
-        // Rises from nothing, so that a few slow requests do not turn others away.
+        // Starts at zero, so that a few slow requests at first do not cause others to be refused.
         let mean = self.mean.unwrap_or_default();
-        self.mean = Some((mean * (MEAN_SHARE - 1) + held) / MEAN_SHARE);
+        self.mean = Some((mean * (MEAN_DIVISOR - 1) + held) / MEAN_DIVISOR);
         if let Some(account) = self.accounts.get_mut(&charge.account) {
-            account.tag += scaled(held, account.weight) - scaled(charge.estimate, account.weight);
+            account.tag +=
+                virtual_cost(held, account.weight) - virtual_cost(charge.estimate, account.weight);
             account.running = account.running.saturating_sub(1);
         }
         self.prune();
     }
 
-    /// A request that had its turn got no connection: nothing is charged.
+    /// Reverses the charge of a request that was taken from the queue but got no connection.
     pub fn refund(&mut self, charge: Charge) {
         if let Some(account) = self.accounts.get_mut(&charge.account) {
-            account.tag -= scaled(charge.estimate, account.weight);
+            account.tag -= virtual_cost(charge.estimate, account.weight);
             account.running = account.running.saturating_sub(1);
         }
     }
 
-    /// Removes the requests whose deadline has come.
+    /// Removes and returns the requests whose deadline has passed.
     pub fn expire(&mut self, now: Time) -> Vec<RequestId> {
         let mut expired = Vec::new();
         for account in self.accounts.values_mut() {
@@ -197,7 +201,7 @@
         expired
     }
 
-    /// Removes a request that waits no more; says whether it did wait.
+    /// Removes a request; true if it was waiting.
     pub fn cancel(&mut self, request: RequestId) -> bool {
         let before = self.len();
         for account in self.accounts.values_mut() {
@@ -206,7 +210,7 @@
         self.len() < before
     }
 
-    /// Forgets accounts that have nothing here and no debt.
+    /// Removes accounts without requests whose tag is not ahead of virtual time.
     fn prune(&mut self) {
         let virtual_time = self.virtual_time;
         self.accounts.retain(|_, account| {
@@ -215,7 +219,7 @@
     }
 }
 
-fn scaled(time: Duration, weight: u32) -> i128 {
+fn virtual_cost(time: Duration, weight: u32) -> i128 {
     let nanoseconds = i128::try_from(time.as_nanos()).unwrap_or(i128::MAX / SCALE);
     nanoseconds * SCALE / i128::from(weight.max(1))
 }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -1,37 +1,37 @@
-//! Small copyable ids for everything that is named between hosts.
+//! Compact ids for everything that hosts refer to in messages.
 //!
-//! Names that people read live in the configuration; the ids here index its tables.
+//! The configuration maps these ids to human-readable names.
 
 use std::time::Duration;
 
-/// A host of bergamotvale.
+/// Id of a host of bergamotvale.
 pub type HostId = u32;
-/// One run of a host: grows each time that the host starts.
+/// Incarnation of a host: increases each time that the host starts.
 pub type Incarnation = u64;
-/// A failure domain.
+/// Id of a failure domain: hosts and targets that may fail together.
 pub type FailureDomainId = u16;
-/// A client account.
+/// Id of a client account.
 pub type AccountId = u32;
-/// A key of a client account.
+/// Id of a client account's key.
 pub type KeyId = u64;
-/// A service: one database group and its callers' name for it.
+/// Id of a service: a database group under the name that callers use.
 pub type ServiceId = u32;
-/// A target within its service.
+/// Id of a target, unique within its service.
 pub type TargetId = u16;
-/// An interactive transaction; the high 32 bits are the host that owns it.
+/// Id of an interactive transaction; the high 32 bits are the id of the host that owns it.
 pub type TransactionId = u64;
-/// A request within its host.
+/// Id of a request, unique within its host.
 pub type RequestId = u64;
-/// A version of the configuration.
+/// Version number of the configuration.
 pub type Version = u64;
-/// A version of the fleet row: grows with each change of configuration or of members.
+/// Version number of the fleet row: increases with each change of configuration or members.
 pub type Epoch = u64;
-/// A plan of a planned change.
+/// Id of the plan of a planned change.
 pub type PlanId = u64;
-/// A candidate for a group's term: unique to one attempt of one host.
+/// Id of a promotion attempt for a group's term, unique to one attempt of one host.
 pub type PromoterId = i64;
 
-/// Monotone time since an epoch of the process's own.
+/// Monotonic time since a starting point that is private to the process.
 ///
-/// Wall-clock time never enters a decision.
+/// Decisions never use wall-clock time.
 pub type Time = Duration;
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -1,30 +1,30 @@
-//! Keys of client accounts: text form, issue, withdrawal.
+//! API keys of client accounts: text format, issue and withdrawal.
 //!
-//! Only the salted digest enters the configuration. The secret exists in the caller's hands, in
-//! the one answer that shows it, and in the request that presents it.
+//! The configuration holds only the salted digest. The secret is known to the caller, and is
+//! contained only in the response that issues the key and in requests that present it.
 
 use crate::config::{Document, Edit, Key, KeyState};
 use crate::id::{AccountId, KeyId};
 
 /// First field of a caller's key.
 const PREFIX: &str = "bv";
-/// Characters of a secret.
+/// Length of a secret in characters.
 pub const SECRET_CHARS: usize = 43;
-/// Most bytes of a key's text.
+/// Maximum length of a key's text in bytes.
 pub const MAX_TEXT_BYTES: usize = 128;
 
-/// A presented key, taken apart.
+/// A parsed key, as a request presents it.
 ///
-/// Has no `Debug` or `Display`, so that it cannot reach a log by accident.
+/// Implements neither `Debug` nor `Display`, so that it cannot be logged by accident.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub struct Credential<'a> {
-    /// Which key.
+    /// Id of the key, which is public.
     pub id: KeyId,
-    /// The secret.
+    /// The secret part, to be checked against the salted digest.
     pub secret: &'a str,
 }
 
-/// Takes a key's text apart.
+/// Parses a key's text; `None` if it is malformed.
 pub fn parse(text: &str) -> Option<Credential<'_>> {
     if text.len() > MAX_TEXT_BYTES {
         return None;
@@ -42,12 +42,12 @@
     Some(Credential { id, secret })
 }
 
-/// The text of a key.
+/// Formats a key as text; the inverse of [`parse`].
 pub fn format(id: KeyId, secret: &str) -> String {
     format!("{PREFIX}_{id}_{secret}")
 }
 
-/// The edit that issues a key by its digest; none when the id is taken.
+/// Creates the edit that issues a key by its digest; `None` if the id is already in use.
 pub fn issue(
     document: &Document,
     id: KeyId,
@@ -61,13 +61,13 @@
     Some(Edit::PutKey(id, Key { account, salt, digest, state: KeyState::Active }))
 }
 
-/// The edit that withdraws a key; none when there is no such key.
+/// Creates the edit that withdraws a key; `None` if there is no such key.
 pub fn withdraw(document: &Document, id: KeyId) -> Option<Edit> {
     let key = document.keys.get(&id)?;
     Some(Edit::PutKey(id, Key { state: KeyState::Withdrawn, ..key.clone() }))
 }
 
-/// Whether `id` works.
+/// Whether the key exists and has not been withdrawn.
 pub fn is_active(document: &Document, id: KeyId) -> bool {
     document.keys.get(&id).is_some_and(|key| key.state == KeyState::Active)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,9 +1,9 @@
-//! Every decision of bergamotvale, as plain state machines.
+//! The decision logic of bergamotvale, as state machines without I/O.
 //!
-//! Nothing in this crate reads a clock, opens a socket or starts a thread. A machine is a struct
-//! with `new`; each of its methods takes an event and the time at which it happened, and answers
-//! with the actions that the caller has to carry out. Randomness comes from a seeded source that
-//! is passed in. The crates round this one supply sockets, timers and storage.
+//! Nothing in this crate reads a clock, opens a socket or starts a thread. A state machine is a
+//! struct whose methods take an event and the time at which it occurred, and return the actions
+//! that the caller has to perform. Random numbers come from a generator whose seed is passed in.
+//! The other crates supply sockets, timers and storage.
 
 pub mod ack;
 pub mod authority;
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -1,18 +1,18 @@
-//! Positions in a database group's log.
+//! Positions in the replicated log of a database group.
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// A term of a database group; each has at most one primary.
+/// A term of a database group; each term has at most one primary.
 pub type Term = u64;
-/// Number of an entry in a group's log; grows over all terms.
+/// Number of an entry in a group's log; increases across terms.
 pub type Index = u64;
 
-/// An entry of a group's log.
+/// Position of an entry in a group's log.
 ///
-/// The order is lexicographic. A log whose last entry is at or past an acknowledged position holds
-/// that position: within a term there is one primary and so one log, and the primary of a higher
-/// term starts from a log that holds every acknowledged entry of the lower ones.
+/// Positions are ordered by term, then index. A log whose last entry is at or past an acknowledged
+/// position contains that entry: a term has one primary and so one log, and the primary of a higher
+/// term starts from a log that contains every acknowledged entry of the lower terms.
 #[derive(
     Debug,
     Clone,
@@ -31,17 +31,17 @@
 pub struct Position {
     /// Term in which the entry was written.
     pub term: Term,
-    /// Number of the entry.
+    /// Number of the entry, which is unique in its term.
     pub index: Index,
 }
 
 impl Position {
-    /// The entry `index` of `term`.
+    /// Creates the position of entry `index` in `term`.
     pub fn new(term: Term, index: Index) -> Position {
         Position { term, index }
     }
 
-    /// Whether a log that ends here holds `other`, an acknowledged entry.
+    /// Whether a log that ends here contains the acknowledged entry at `other`.
     pub fn covers(self, other: Position) -> bool {
         self >= other
     }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,10 +1,10 @@
-//! The connections of one host to one target.
+//! Connection pool of one host for one target.
 //!
-//! A connection has one owner at a time, and is closed unless its owner vouches that nothing is
-//! left on it. It counts against this host's share from before it is opened until it is known to
-//! be closed. One that has been idle for a while is checked before anybody gets it, since
-//! something between the two ends may have lost track of it; none stays idle for longer than such
-//! things usually remember.
+//! A connection has at most one owner, and is closed after use unless its owner reports that no
+//! state is left on it. It counts against this host's share from before it is opened until it is
+//! known to be closed. A connection that has been idle for a while is checked before it is leased,
+//! since a middlebox (a NAT gateway, a load balancer) may have dropped its state; none stays idle
+//! for longer than middleboxes usually keep that state.
 
 use crate::fair::{Charge, Queue, Waiter};
 use crate::id::{RequestId, Time};
@@ -12,17 +12,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Number of a connection within its pool; never used again.
+/// Number of a connection within its pool; never reused.
 pub type ConnectionId = u64;
 
-/// Times of a pool.
+/// Idle times and retry delay of a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
     /// Idle time after which a connection is checked before use.
     pub check_after: Duration,
-    /// Longest idle time.
+    /// Idle time after which a connection is closed.
     pub max_idle: Duration,
-    /// Pause after the target refused a connection for want of room.
+    /// Delay before a new connection is opened after the target reported that it is full.
     pub full_retry_delay: Duration,
 }
 
@@ -39,38 +39,38 @@
 /// State of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
-    /// Being opened.
+    /// The connection is being opened.
     Opening,
-    /// Nobody's, and clean when last used.
+    /// Unowned, and clean when it was released.
     Idle {
-        /// Since when.
+        /// When it was opened, checked or released.
         since: Time,
     },
-    /// Being checked.
+    /// The other end is being checked for a response.
     Checking,
-    /// Somebody's.
+    /// Owned by a request.
     Leased {
-        /// Since when.
+        /// When it was leased.
         since: Time,
-        /// What its owner was charged.
+        /// What the owner was charged for it in the queue.
         charge: Charge,
     },
-    /// Being closed.
+    /// Being closed; still counts against the share.
     Closing,
 }
 
-/// What the caller has to do.
+/// An operation that the caller of the pool has to perform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
-    /// Open a connection.
+    /// Open a connection, then call [`Pool::opened`] or [`Pool::open_failed`].
     Open(ConnectionId),
-    /// Close a connection, and say when that is done.
+    /// Close a connection, then call [`Pool::closed`].
     Close(ConnectionId),
-    /// Ask the other end of a connection for a sign of life.
+    /// Check that the other end of a connection responds, then call [`Pool::checked`].
     Check(ConnectionId),
-    /// Hand a connection to a request.
+    /// Give a connection to a request, which ends with [`Pool::released`].
     Lease(RequestId, ConnectionId),
-    /// Turn a request away.
+    /// Refuse a request; it gets no connection.
     Refuse(RequestId, Reason),
 }
 
@@ -79,86 +79,86 @@
 pub enum OpenError {
     /// The target cannot be reached.
     Unreachable,
-    /// The target has no room just now.
+    /// The target has reached its connection limit.
     TargetFull,
 }
 
-/// Connections of one host to one target.
+/// Connections of one host to one target, and the requests that wait for them.
 #[derive(Debug)]
 pub struct Pool {
     settings: Settings,
     limit: usize,
     warm: usize,
-    next: ConnectionId,
+    next_id: ConnectionId,
     connections: BTreeMap<ConnectionId, State>,
     queue: Queue,
     full_until: Time,
 }
 
 impl Pool {
-    /// A pool without connections that may open `limit`.
+    /// Creates an empty pool that may hold `limit` connections.
     pub fn new(limit: usize, queue: Queue, settings: Settings) -> Pool {
         Pool {
             settings,
             limit,
             warm: 0,
-            next: 0,
+            next_id: 0,
             connections: BTreeMap::new(),
             queue,
             full_until: Time::ZERO,
         }
     }
 
-    /// Connections that count against the share.
+    /// Number of connections that count against the share.
     pub fn size(&self) -> usize {
         self.connections.len()
     }
 
-    /// Connections that are leased or being closed.
+    /// Number of connections that are leased or being closed.
     pub fn busy(&self) -> usize {
         let busy = |state: &&State| matches!(state, State::Leased { .. } | State::Closing);
         self.connections.values().filter(busy).count()
     }
 
-    /// Connections that have an owner.
+    /// Number of connections that have an owner.
     pub fn leased(&self) -> usize {
         self.count(|state| matches!(state, State::Leased { .. }))
     }
 
-    /// Connections that the pool could do without, now that nobody waits for them.
+    /// Number of connections in the limit that are neither in use nor needed by waiting requests.
     pub fn spare(&self) -> usize {
         let idle = self.count(|state| matches!(state, State::Idle { .. }));
         let needed = self.size() - idle + self.queue.len();
         self.limit.saturating_sub(needed)
     }
 
-    /// Requests that wait.
+    /// Number of requests that wait for a connection.
     pub fn waiting(&self) -> usize {
         self.queue.len()
     }
 
-    /// Connections that the pool may hold.
+    /// Maximum number of connections that the pool may hold: this host's share.
     pub fn limit(&self) -> usize {
         self.limit
     }
 
-    /// State of a connection.
+    /// State of a connection; `None` once it is closed.
     pub fn state(&self, connection: ConnectionId) -> Option<State> {
         self.connections.get(&connection).copied()
     }
 
-    /// Sets the share; a lower one closes idle connections now and leased ones as they come back.
+    /// Sets the share. A lower one closes idle connections now, and leased ones on release.
     pub fn set_limit(&mut self, now: Time, limit: usize) -> Vec<Action> {
         self.limit = limit;
-        self.shrink().into_iter().chain(self.dispatch(now)).collect()
+        self.close_excess().into_iter().chain(self.dispatch(now)).collect()
     }
 
-    /// Sets the number of connections that are kept open without demand.
+    /// Sets the number of connections that [`Pool::tick`] keeps open without waiting requests.
     pub fn set_warm(&mut self, warm: usize) {
         self.warm = warm;
     }
 
-    /// A request wants a connection.
+    /// Queues a request for a connection, or refuses it.
     pub fn acquire(&mut self, now: Time, waiter: Waiter) -> Vec<Action> {
         match self.queue.push(now, waiter, self.limit) {
             Ok(()) => self.dispatch(now),
@@ -166,51 +166,54 @@
         }
     }
 
-    /// A request wants its connection no more; it must not have got one.
+    /// Removes a request from the queue; it must not have been given a connection.
     pub fn cancel(&mut self, request: RequestId) {
         self.queue.cancel(request);
     }
 
-    /// A connection was opened.
+    /// Records that a connection was opened.
     pub fn opened(&mut self, now: Time, connection: ConnectionId) -> Vec<Action> {
         if self.state(connection) != Some(State::Opening) {
             return vec![Action::Close(connection)];
         }
-        self.settle(now, connection)
+        self.make_idle(now, connection)
     }
 
-    /// A connection could not be opened.
+    /// Records that a connection could not be opened.
+    ///
+    /// If the target is unreachable, the next waiting request is refused; if it is full, the pool
+    /// opens no connection for `full_retry_delay`.
     pub fn open_failed(
         &mut self,
         now: Time,
         connection: ConnectionId,
-        refused: OpenError,
+        error: OpenError,
     ) -> Vec<Action> {
         self.connections.remove(&connection);
-        if refused == OpenError::TargetFull {
+        if error == OpenError::TargetFull {
             self.full_until = now + self.settings.full_retry_delay;
             return Vec::new();
         }
-        let turn = self.queue.pop();
-        if let Some(turn) = turn {
-            self.queue.refund(turn.charge);
+        let grant = self.queue.pop();
+        if let Some(grant) = grant {
+            self.queue.refund(grant.charge);
         }
-        let refusal = turn.map(|t| Action::Refuse(t.request, Reason::ConnectionRefused));
+        let refusal = grant.map(|t| Action::Refuse(t.request, Reason::ConnectionRefused));
         refusal.into_iter().chain(self.dispatch(now)).collect()
     }
 
-    /// The other end of a checked connection gave a sign of life, or did not in time.
+    /// Records whether the other end of a connection responded to a check in time.
     pub fn checked(&mut self, now: Time, connection: ConnectionId, alive: bool) -> Vec<Action> {
         if self.state(connection) != Some(State::Checking) {
             return Vec::new();
         }
         if alive {
-            return self.settle(now, connection);
+            return self.make_idle(now, connection);
         }
         vec![self.close(connection)].into_iter().chain(self.dispatch(now)).collect()
     }
 
-    /// The other end closed a connection that was nobody's.
+    /// Records that the other end closed an idle connection.
     pub fn disconnected(&mut self, now: Time, connection: ConnectionId) -> Vec<Action> {
         if !matches!(self.state(connection), Some(State::Idle { .. })) {
             return Vec::new();
@@ -219,29 +222,32 @@
         self.dispatch(now)
     }
 
-    /// The owner of a connection is done with it; `clean` says that nothing is left on it.
+    /// Ends the lease of a connection; it is reused only if `clean`: no state is left on it.
     pub fn released(&mut self, now: Time, connection: ConnectionId, clean: bool) -> Vec<Action> {
         let Some(State::Leased { since, charge }) = self.state(connection) else {
             return Vec::new();
         };
         self.queue.record_end(charge, now.saturating_sub(since));
         if clean {
-            return self.settle(now, connection);
+            return self.make_idle(now, connection);
         }
         vec![self.close(connection)].into_iter().chain(self.dispatch(now)).collect()
     }
 
-    /// A connection is closed.
+    /// Records that a connection is closed and no longer counts against the share.
     pub fn closed(&mut self, now: Time, connection: ConnectionId) -> Vec<Action> {
         self.connections.remove(&connection);
         self.dispatch(now)
     }
 
-    /// Time passes: turns late requests away, closes what idles, keeps the warm ones.
+    /// Performs timed maintenance, called periodically.
+    ///
+    /// Refuses requests whose deadline has passed, closes connections that were idle for too long
+    /// and opens connections up to the warm number.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
-        let late = self.queue.expire(now).into_iter();
+        let expired = self.queue.expire(now).into_iter();
         let mut actions: Vec<Action> =
-            late.map(|request| Action::Refuse(request, Reason::QueueTimeout)).collect();
+            expired.map(|request| Action::Refuse(request, Reason::QueueTimeout)).collect();
         actions.extend(self.close_idle(now));
         actions.extend(self.dispatch(now));
         while self.size() < self.warm.min(self.limit) && now >= self.full_until {
@@ -250,8 +256,8 @@
         actions
     }
 
-    /// A connection without an owner: kept if the share allows.
-    fn settle(&mut self, now: Time, connection: ConnectionId) -> Vec<Action> {
+    /// Makes a connection idle, or closes it if the pool is over its share.
+    fn make_idle(&mut self, now: Time, connection: ConnectionId) -> Vec<Action> {
         if self.size() > self.limit {
             return vec![self.close(connection)];
         }
@@ -259,23 +265,23 @@
         self.dispatch(now)
     }
 
-    /// Serves those who wait, as far as connections go.
+    /// Leases fresh idle connections to waiting requests; checks or opens others for the rest.
     fn dispatch(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
         while !self.queue.is_empty()
-            && let Some((connection, since)) = self.freshest()
+            && let Some((connection, since)) = self.most_recent_idle()
         {
             if now.saturating_sub(since) >= self.settings.check_after {
                 break;
             }
-            let Some(turn) = self.queue.pop() else { break };
-            let leased = State::Leased { since: now, charge: turn.charge };
+            let Some(grant) = self.queue.pop() else { break };
+            let leased = State::Leased { since: now, charge: grant.charge };
             self.connections.insert(connection, leased);
-            actions.push(Action::Lease(turn.request, connection));
+            actions.push(Action::Lease(grant.request, connection));
         }
-        let mut coming = self.count(|s| matches!(s, State::Opening | State::Checking));
-        while coming < self.queue.len() {
-            if let Some((connection, _)) = self.freshest() {
+        let mut pending = self.count(|s| matches!(s, State::Opening | State::Checking));
+        while pending < self.queue.len() {
+            if let Some((connection, _)) = self.most_recent_idle() {
                 self.connections.insert(connection, State::Checking);
                 actions.push(Action::Check(connection));
             } else if self.size() < self.limit && now >= self.full_until {
@@ -283,12 +289,12 @@
             } else {
                 break;
             }
-            coming += 1;
+            pending += 1;
         }
         actions
     }
 
-    fn freshest(&self) -> Option<(ConnectionId, Time)> {
+    fn most_recent_idle(&self) -> Option<(ConnectionId, Time)> {
         let idle = self.connections.iter().filter_map(|(id, state)| match state {
             State::Idle { since } => Some((*id, *since)),
             _ => None,
@@ -296,7 +302,7 @@
         idle.max_by_key(|(_, since)| *since)
     }
 
-    fn shrink(&mut self) -> Vec<Action> {
+    fn close_excess(&mut self) -> Vec<Action> {
         let closing = self.count(|state| matches!(state, State::Closing));
         let excess = (self.size() - closing).saturating_sub(self.limit);
         let idle = self.idle_since(Time::MAX);
@@ -318,8 +324,8 @@
     }
 
     fn open(&mut self) -> Action {
-        let connection = self.next;
-        self.next += 1;
+        let connection = self.next_id;
+        self.next_id += 1;
         self.connections.insert(connection, State::Opening);
         Action::Open(connection)
     }
@@ -329,7 +335,7 @@
         Action::Close(connection)
     }
 
-    fn count(&self, matching: impl Fn(&State) -> bool) -> usize {
-        self.connections.values().filter(|state| matching(state)).count()
+    fn count(&self, predicate: impl Fn(&State) -> bool) -> usize {
+        self.connections.values().filter(|state| predicate(state)).count()
     }
 }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -1,22 +1,22 @@
-//! Rendezvous hashing: every host names the same few hosts for a subject, without talking.
+//! Rendezvous hashing: every host chooses the same hosts for a subject, without communication.
 //!
-//! SipHash with fixed keys, so that builds of different versions agree.
+//! Uses SipHash with fixed keys, so that builds of different versions agree.
 
 use crate::id::{FailureDomainId, HostId};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 
-/// What a choice of hosts is for; keeps equal ids of different kinds apart.
+/// What hosts are chosen for; equal ids of different kinds give independent choices.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Subject {
-    /// Holders of shares of a client account's rate.
+    /// Holders of shares of a client account's rate, by account id.
     Rate(u64),
-    /// Holders of connection shares of a target.
+    /// Holders of shares of a target's connections.
     Connection(u64),
     /// Hosts that watch a service.
     Watch(u64),
-    /// Hosts that read the platform's store for others.
+    /// Hosts that read the platform's store on behalf of others.
     Store(u64),
 }
 
@@ -31,7 +31,7 @@
     }
 }
 
-/// The first `count` of `hosts` for `subject`, best first.
+/// Returns the `count` hosts with the highest weight for `subject`, highest first.
 pub fn choose(hosts: &BTreeSet<HostId>, subject: Subject, count: usize) -> Vec<HostId> {
     let mut ranked: Vec<HostId> = hosts.iter().copied().collect();
     ranked.sort_by_key(|host| std::cmp::Reverse((weight(*host, subject), *host)));
@@ -39,23 +39,26 @@
     ranked
 }
 
-/// The same hosts, so ordered that failure domains take turns; each keeps its own order.
+/// Reorders ranked hosts so that failure domains alternate.
+///
+/// The first hosts of all domains come first, then the second ones and so on; within a domain the
+/// order stays.
 pub fn interleave_domains(
     ranked: impl IntoIterator<Item = (HostId, FailureDomainId)>,
 ) -> Vec<HostId> {
-    let mut taken: BTreeMap<FailureDomainId, usize> = BTreeMap::new();
-    let mut turns = Vec::new();
+    let mut next_round: BTreeMap<FailureDomainId, usize> = BTreeMap::new();
+    let mut rounds = Vec::new();
     for (host, domain) in ranked {
-        let turn = taken.entry(domain).or_insert(0);
-        turns.push((*turn, host));
-        *turn += 1;
+        let round = next_round.entry(domain).or_insert(0);
+        rounds.push((*round, host));
+        *round += 1;
     }
-    // Stable: within a turn the rank decides.
-    turns.sort_by_key(|(turn, _)| *turn);
-    turns.into_iter().map(|(_, host)| host).collect()
+    // The sort is stable, so hosts of the same round stay in order of rank.
+    rounds.sort_by_key(|(round, _)| *round);
+    rounds.into_iter().map(|(_, host)| host).collect()
 }
 
-/// Pseudo-random weight of a host for `subject`; the highest is chosen first.
+/// Returns the pseudo-random weight of a host for `subject`; the highest is chosen first.
 pub fn weight(host: HostId, subject: Subject) -> u64 {
     let (kind, id) = subject.parts();
     let mut hasher = SipHasher13::new();
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -1,8 +1,8 @@
-//! The session token: what a caller has seen, carried by the caller.
+//! Session tokens: the log positions that a caller has seen, carried by the caller.
 //!
-//! A token names, per service, the position that the next read must cover. It grants nothing:
-//! forging one makes a read wait for a position, no more. It only ever names acknowledged
-//! positions, so that no failover can erase what a session waits for.
+//! For each service a token contains the position that the next read must cover. It grants no
+//! rights: a forged token can only make a read wait for a position. It contains only acknowledged
+//! positions, so a failover cannot lose an entry that a session waits for.
 
 use crate::error::{Error, Result};
 use crate::id::ServiceId;
@@ -11,43 +11,43 @@
 use std::fmt;
 use std::str::FromStr;
 
-/// First field of every token.
+/// Format version, which is the first field of every token.
 const FORMAT: &str = "1";
-/// Services that one token may name.
+/// Maximum number of services in a token.
 pub const MAX_SERVICES: usize = 64;
-/// Bytes of a token's text.
+/// Maximum length of a token's text in bytes.
 pub const MAX_TEXT_BYTES: usize = 4096;
 
-/// What a session has seen, per service.
+/// The position that a session has seen, for each service.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Token {
     positions: BTreeMap<ServiceId, Position>,
 }
 
 impl Token {
-    /// A token that names nothing.
+    /// Creates a token without positions.
     pub fn new() -> Token {
         Token::default()
     }
 
-    /// The same token with `position` of `service` merged in.
+    /// Merges `position` of `service` into the token, as [`Token::observe`] does.
     pub fn with_position(mut self, service: ServiceId, position: Position) -> Token {
         self.observe(service, position);
         self
     }
 
-    /// Position that a read of `service` must cover.
+    /// Position that a read of `service` must cover, if any.
     pub fn position(&self, service: ServiceId) -> Option<Position> {
         self.positions.get(&service).copied()
     }
 
-    /// Merges an acknowledged position by maximum.
+    /// Merges an acknowledged position: the higher one is kept.
     pub fn observe(&mut self, service: ServiceId, position: Position) {
         let known = self.positions.entry(service).or_insert(position);
         *known = position.max(*known);
     }
 
-    /// Merges another token by maximum.
+    /// Merges another token: for each service the higher position is kept.
     pub fn merge(&mut self, other: &Token) {
         for (service, position) in &other.positions {
             self.observe(*service, *position);
--- a/crates/core/src/sql.rs
+++ b/crates/core/src/sql.rs
@@ -1,10 +1,9 @@
-//! What callers' statements may not contain.
+//! Check of callers' statements for words that they must not contain.
 //!
 //! A statement runs inside a transaction that the host controls, on a connection that other
-//! callers use afterwards. It must therefore neither end the transaction, nor change the session,
-//! nor call the group's own functions, nor name the proxy's own tables. The scan sees words
-//! outside literals and comments; it is no parser, and rights on the database's own objects are
-//! the database's to enforce.
+//! callers use afterwards. So it must not end the transaction, change the database session, call
+//! the group's functions or name the proxy's tables. The check scans the words outside literals and
+//! comments; it is not a parser, and the database itself enforces access rights to its objects.
 
 use crate::refusal::{Reason, Refusal};
 use crate::statement::{Statement, Value};
@@ -38,7 +37,7 @@
     "set",
     "start",
 ];
-/// Words that are refused wherever they stand.
+/// Words that are refused at any position.
 const FORBIDDEN_ANYWHERE: [&str; 10] = [
     "dblink",
     "group_commit",
@@ -51,12 +50,12 @@
     "set_config",
     "unlisten",
 ];
-/// Beginnings of names of the proxy's own tables, and of locks that outlive a transaction.
+/// Prefixes of the names of the proxy's tables, and of locks that outlive a transaction.
 const FORBIDDEN_PREFIXES: [&str; 2] = ["bergamotvale_", "pg_advisory_"];
-/// Words after which `temp` or `temporary` makes an object that outlives a transaction.
+/// Words after which `temp` or `temporary` creates an object that outlives a transaction.
 const BEFORE_TEMPORARY: [&str; 5] = ["create", "global", "into", "local", "replace"];
 
-/// Says whether a caller may run `sql`.
+/// Checks that a caller may run `sql`.
 pub fn verify(sql: &str) -> Result<(), Refusal> {
     let words = words(sql)?;
     let Some(first) = words.first() else {
@@ -66,23 +65,26 @@
         return Err(malformed("the statement controls a transaction or a session"));
     }
     if words.windows(2).any(is_temporary) {
-        return Err(malformed("the statement makes a temporary object"));
+        return Err(malformed("the statement creates a temporary object"));
     }
     if words.iter().any(|word| is_forbidden(word)) {
-        return Err(malformed("the statement names what belongs to the database group"));
+        return Err(malformed(
+            "the statement uses a name that is reserved for the proxy or the database group",
+        ));
     }
     Ok(())
 }
 
-/// Whether `secret` occurs in the statement or one of its parameters.
+/// Whether `secret` occurs in the text of the statement or in one of its parameters.
 pub fn contains_secret(statement: &Statement, secret: &str) -> bool {
-    let is_in = |bytes: &[u8]| bytes.windows(secret.len()).any(|w| w == secret.as_bytes());
+    let contains_bytes = |bytes: &[u8]| bytes.windows(secret.len()).any(|w| w == secret.as_bytes());
     let in_param = |value: &Value| match value {
-        Value::Text(text) => is_in(text.as_bytes()),
-        Value::Bytes(bytes) => is_in(bytes),
+        Value::Text(text) => contains_bytes(text.as_bytes()),
+        Value::Bytes(bytes) => contains_bytes(bytes),
         Value::Null | Value::Bool(_) | Value::Int(_) | Value::Float(_) => false,
     };
-    !secret.is_empty() && (is_in(statement.sql.as_bytes()) || statement.params.iter().any(in_param))
+    !secret.is_empty()
+        && (contains_bytes(statement.sql.as_bytes()) || statement.params.iter().any(in_param))
 }
 
 fn is_forbidden(word: &str) -> bool {
@@ -95,23 +97,23 @@
         && ["temp", "temporary"].contains(&pair[1].as_str())
 }
 
-/// Words of `sql` outside literals and comments, in lower case; quoted names among them.
+/// Returns the words of `sql` outside literals and comments in lower case, quoted names included.
 fn words(sql: &str) -> Result<Vec<String>, Refusal> {
     let mut words = Vec::new();
     let mut rest = sql;
     while let Some(next) = rest.chars().next() {
         rest = if rest.starts_with("--") {
-            after(rest, "\n").unwrap_or("")
+            skip_past(rest, "\n").unwrap_or("")
         } else if rest.starts_with("/*") {
-            comment(rest)?
+            skip_comment(rest)?
         } else if next == '\'' {
-            literal(rest, false)?
+            skip_literal(rest, false)?
         } else if next == '"' {
-            quoted(rest, &mut words)?
+            read_quoted(rest, &mut words)?
         } else if next == '$' {
-            dollar(rest)?
+            skip_dollar(rest)?
         } else if is_word_start(next) {
-            word(rest, &mut words)?
+            read_word(rest, &mut words)?
         } else {
             &rest[next.len_utf8()..]
         };
@@ -119,30 +121,30 @@
     Ok(words)
 }
 
-fn word<'a>(text: &'a str, words: &mut Vec<String>) -> Result<&'a str, Refusal> {
+fn read_word<'a>(text: &'a str, words: &mut Vec<String>) -> Result<&'a str, Refusal> {
     let end = text.find(|c: char| !is_word_part(c)).unwrap_or(text.len());
     let (word, rest) = text.split_at(end);
     let word = word.to_lowercase();
     if word == "e" && rest.starts_with('\'') {
-        return literal(rest, true);
+        return skip_literal(rest, true);
     }
     if word == "u" && rest.starts_with('&') {
-        // Escapes could spell any name.
+        // An escaped identifier could spell any reserved name.
         return Err(malformed("Unicode escapes are not accepted"));
     }
     words.push(word);
     Ok(rest)
 }
 
-fn quoted<'a>(text: &'a str, words: &mut Vec<String>) -> Result<&'a str, Refusal> {
+fn read_quoted<'a>(text: &'a str, words: &mut Vec<String>) -> Result<&'a str, Refusal> {
     let body = &text[1..];
     let end = body.find('"').ok_or_else(unterminated)?;
     words.push(body[..end].to_lowercase());
     Ok(&body[end + 1..])
 }
 
-/// Past a literal; a doubled quote reads as a second literal right after the first.
-fn literal(text: &str, has_escapes: bool) -> Result<&str, Refusal> {
+/// Skips a string literal; without escapes, a doubled quote is read as two adjacent literals.
+fn skip_literal(text: &str, has_escapes: bool) -> Result<&str, Refusal> {
     let mut escaped = false;
     for (at, c) in text.char_indices().skip(1) {
         if escaped {
@@ -151,15 +153,15 @@
             escaped = true;
         } else if c == '\'' {
             let rest = &text[at + 1..];
-            let goes_on = has_escapes && rest.starts_with('\'');
-            return if goes_on { literal(rest, true) } else { Ok(rest) };
+            let continues = has_escapes && rest.starts_with('\'');
+            return if continues { skip_literal(rest, true) } else { Ok(rest) };
         }
     }
     Err(unterminated())
 }
 
-/// Past a dollar-quoted literal, a parameter or a lone dollar.
-fn dollar(text: &str) -> Result<&str, Refusal> {
+/// Skips a dollar-quoted literal, or the dollar of a parameter or on its own.
+fn skip_dollar(text: &str) -> Result<&str, Refusal> {
     let body = &text[1..];
     let end = body.find(|c: char| !is_word_part(c) || c == '$').unwrap_or(body.len());
     let is_tag = body[end..].starts_with('$') && !body.starts_with(|c: char| c.is_ascii_digit());
@@ -167,10 +169,10 @@
         return Ok(body);
     }
     let tag = &text[..end + 2];
-    after(&text[tag.len()..], tag).ok_or_else(unterminated)
+    skip_past(&text[tag.len()..], tag).ok_or_else(unterminated)
 }
 
-fn comment(text: &str) -> Result<&str, Refusal> {
+fn skip_comment(text: &str) -> Result<&str, Refusal> {
     let mut depth = 0u32;
     let mut rest = text;
     loop {
@@ -190,8 +192,8 @@
     }
 }
 
-fn after<'a>(text: &'a str, mark: &str) -> Option<&'a str> {
-    text.find(mark).map(|at| &text[at + mark.len()..])
+fn skip_past<'a>(text: &'a str, delimiter: &str) -> Option<&'a str> {
+    text.find(delimiter).map(|at| &text[at + delimiter.len()..])
 }
 
 fn is_word_start(c: char) -> bool {
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -1,9 +1,9 @@
-//! Statements, their bound parameters and their results, as plain data.
+//! Data types of statements, their bound parameters and their results.
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// A value of a parameter or of a result's cell.
+/// A value of a parameter or of a cell in a result.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Value {
@@ -21,40 +21,40 @@
     Bytes(Vec<u8>),
 }
 
-/// A statement with its typed parameters, which are bound and never spliced.
+/// A statement with typed parameters, which are bound and never inserted into the SQL text.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Statement {
-    /// SQL text with `$1` style parameters.
+    /// SQL text with numbered parameters (`$1`).
     pub sql: String,
-    /// Values for the parameters, in order.
+    /// Values of the parameters, in order.
     pub params: Vec<Value>,
 }
 
 /// A column of a result.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Column {
-    /// Name as the database gives it.
+    /// Name as the database returns it.
     pub name: String,
-    /// Type as PostgreSQL names it.
+    /// Name of the PostgreSQL type.
     pub kind: String,
 }
 
-/// A whole result.
+/// The complete result of a statement.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Rows {
     /// Columns, in order.
     pub columns: Vec<Column>,
-    /// Cells, a row after another.
+    /// Cells by row, in the order of `columns`.
     pub rows: Vec<Vec<Value>>,
-    /// Rows that a write touched.
+    /// Number of rows that a write affected.
     pub affected: u64,
 }
 
-/// How fresh a read has to be, besides covering its session token.
+/// How fresh the data for a read has to be, besides covering its session token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Freshness {
-    /// No age was stated: a target that covers the token, else the primary.
+    /// No maximum age: a target that covers the token; the primary if none does or without a token.
     Session,
-    /// Data at most this old.
+    /// The data must be at most this old.
     MaxAge(Duration),
 }
