--- a/crates/core/src/ack.rs
+++ b/crates/core/src/ack.rs
@@ -38,7 +38,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Pending {
     position: Position,
-    written_at: Time,
+    observed_at: Time,
 }
 
 /// Confirmation lag of a group: the delay from a write on its primary to the confirmation by a
@@ -65,7 +65,7 @@
         let newest = self.pending.back().map(|pending| pending.position);
         let is_new = newest.is_none_or(|newest| position > newest);
         if is_new && self.pending.len() < MAX_PENDING {
-            self.pending.push_back(Pending { position, written_at: now });
+            self.pending.push_back(Pending { position, observed_at: now });
         }
     }
 
@@ -82,19 +82,19 @@
             }
             // Entries of an older term no longer wait, but were not confirmed in it: no sample.
             if pending.position.term == position.term {
-                oldest = oldest.or(Some(pending.written_at));
+                oldest = oldest.or(Some(pending.observed_at));
             }
             self.pending.pop_front();
         }
-        if let Some(written_at) = oldest {
-            self.record_delay(now.saturating_sub(written_at), now);
+        if let Some(observed_at) = oldest {
+            self.record_delay(now.saturating_sub(observed_at), now);
         }
     }
 
     /// Minimum confirmation delay to expect for a write that starts at `now`.
     pub fn expected_delay(&self, now: Time) -> Duration {
         let waiting =
-            self.pending.front().map_or(Duration::ZERO, |p| now.saturating_sub(p.written_at));
+            self.pending.front().map_or(Duration::ZERO, |p| now.saturating_sub(p.observed_at));
         let is_recent = self.sampled_at.is_some_and(|at| now.saturating_sub(at) <= MAX_SAMPLE_AGE);
         if is_recent { waiting.max(self.smoothed_delay) } else { waiting }
     }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -1,6 +1,6 @@
 //! Compact ids for everything that hosts refer to in messages.
 //!
-//! The configuration maps these ids to human-readable names.
+//! The configuration contains the human-readable names; these ids are the keys of its tables.
 
 use std::time::Duration;
 
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -85,7 +85,8 @@
 
     /// Deadline for the result of a statement that starts at `now`, and may run long.
     ///
-    /// Leaves half of the time until `deadline` for another attempt.
+    /// Leaves half of the time until `deadline` for another attempt, but allows at least the
+    /// attempt timeout.
     pub fn statement_deadline(&self, now: Time, deadline: Time) -> Time {
         let half = deadline.saturating_sub(now) / 2;
         deadline.min(now + half.max(self.attempt_timeout))
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -36,7 +36,7 @@
     pub ejected: bool,
     /// Whether it fails requests but is not ejected because too many others are.
     pub suspect: bool,
-    /// Whether it must not receive new reads; a draining primary still does.
+    /// Whether it is draining: unless it is the primary, it receives no new work.
     pub draining: bool,
 }
 
@@ -170,8 +170,8 @@
 
 /// Returns the highest position that the report proves to be both visible and acknowledged.
 ///
-/// None if the target's log ends in an older term than the confirmed position: it may end in
-/// entries that the newer term has discarded.
+/// None if nothing is confirmed, or if the target's log ends in an older term than the confirmed
+/// position: it may then end in entries that the newer term has discarded.
 fn acknowledged(report: &Report) -> Option<Position> {
     if report.applied.term < report.confirmed.term || report.confirmed == Position::default() {
         return None;
--- a/crates/core/src/slot.rs
+++ b/crates/core/src/slot.rs
@@ -42,7 +42,7 @@
 /// A loan request in flight, as the borrower keeps it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoanRequest {
-    /// The host that is request to lend.
+    /// The host that is asked to lend.
     pub lender: HostId,
     /// When the request was sent; the borrower measures the lease from here.
     pub sent_at: Time,
@@ -133,7 +133,7 @@
 
     /// Records the lender's response: this host holds `total` slots for the rest of the lease.
     ///
-    /// Ignored if this host has last_returned loans to the lender after it sent the request.
+    /// Ignored if this host has returned loans to the lender after it sent the request.
     pub fn record_grant(&mut self, now: Time, request: LoanRequest, total: u32) {
         let last_returned = self.last_returned.get(&request.lender).copied().unwrap_or(0);
         if request.sequence < last_returned {
@@ -145,7 +145,7 @@
         loans.push(Loan { count: total.min(request.total), expires_at });
     }
 
-    /// Reduces the loans from `lender` to `total`; returns the sequence number of the return message.
+    /// Reduces the loans from `lender` to `total`; returns the sequence number of the message.
     ///
     /// The connections above `total` must be closed already.
     pub fn return_loans(&mut self, lender: HostId, total: u32) -> u64 {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -1,7 +1,7 @@
 //! Admission of calls to the platform's store: concurrency limit, timeouts and circuit breaker.
 //!
-//! A [`Gate`] admits calls. It limits the number in flight, and after consecutive failures it admits
-//! only one probe per interval until one succeeds. A call that is not admitted was not sent.
+//! A [`Gate`] admits calls. It limits the number in flight, and after consecutive failures it
+//! admits only one probe per interval until one succeeds. A call that is not admitted was not sent.
 
 use crate::id::Time;
 use derive_more::Display;
--- a/crates/core/src/transaction.rs
+++ b/crates/core/src/transaction.rs
@@ -221,7 +221,7 @@
     }
 
     fn roll_back(&mut self, is_due: impl Fn(&Entry) -> bool) -> Vec<TransactionId> {
-        // Wait for the response to a COMMIT in flight: closing the connection would hide the outcome.
+        // Leave a COMMIT in flight to its response: closing the connection would hide the outcome.
         let is_due = |entry: &Entry| entry.state != State::Committing && is_due(entry);
         let due: Vec<_> = self.open.iter().filter(|(_, e)| is_due(e)).map(|(id, _)| *id).collect();
         for id in &due {
@@ -238,7 +238,7 @@
                 transaction_lost("the transaction was already committed").with_ran(Ran::Unknown)
             }
             Some((_, End::Committed)) => transaction_lost("the transaction was already committed"),
-            // From an earlier incarnation of this host, or no longer kept: COMMIT may have been sent.
+            // From an earlier incarnation, or no longer kept: COMMIT may have been sent.
             Some((_, End::Unknown)) | None if step == Step::Commit => {
                 transaction_lost("it is unknown whether the transaction was committed")
                     .with_ran(Ran::Unknown)
--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -4,8 +4,8 @@
 //! how far any attempt may have got, and decides when to retry, when to acknowledge and what a
 //! refusal may claim:
 //!
-//! - A refusal carries `Ran::No` only while no attempt may have sent COMMIT; after that only the
-//!   target knows whether the write was committed.
+//! - A refusal carries `Ran::No` only while no attempt may have committed: once COMMIT is sent,
+//!   only the target knows.
 //! - A write without an idempotency key is retried only if no byte of it was sent, or if the target
 //!   itself reported that it did not run.
 //! - A write with an idempotency key is also retried after a lost connection: its outcome row lets
@@ -228,8 +228,8 @@
 
     /// Records that the bytes of the current state are about to be sent on the connection.
     ///
-    /// Must be called before BEGIN and the statement, and before COMMIT, are sent, never afterwards:
-    /// otherwise a loss in between would be reported as not run.
+    /// Must be called before BEGIN and the statement are sent, and before COMMIT is, never
+    /// afterwards: otherwise a loss in between would be reported as not run.
     pub fn record_sent(&mut self) {
         self.stage = match self.state {
             State::Executing => Stage::StatementSent,
--- a/crates/core/tests/clock.rs
+++ b/crates/core/tests/clock.rs
@@ -1,5 +1,5 @@
-//! Clocks that jump: a process that was stopped sees its monotone time leap, and the wall clock,
-//! which only numbers the runs of a host, may be set back between two runs.
+//! Clock jumps: monotonic time jumps forward in a process that was paused, and the wall clock,
+//! which only numbers a host's incarnations, may be set back between two incarnations.
 
 mod fleet;
 
@@ -16,20 +16,20 @@
 use std::time::Duration;
 
 const START: Time = Duration::from_secs(100);
-const LEAP: Duration = Duration::from_secs(3600);
-const MOMENT: Duration = Duration::from_millis(1);
+const JUMP: Duration = Duration::from_secs(3600);
+const ONE_MILLISECOND: Duration = Duration::from_millis(1);
 const BURST: u32 = 20;
 
 fn row() -> Row {
-    // A lone host would be the majority of the voters that confirm it.
+    // A single host would itself be a majority of the voters that confirm its authority.
     let members = (1..=3).map(|host| (host, member(host, 5))).collect();
     Row { epoch: 1, members, ..Row::default() }
 }
 
-/// The holder of a run of host 1 that reads, at `START`, a row that records run 5.
-fn holder(run: u64) -> Holder {
+/// The authority of `incarnation` of host 1, which reads a row with incarnation 5 at `START`.
+fn holder(incarnation: u64) -> Holder {
     let row = row();
-    let mut holder = Holder::new(1, run);
+    let mut holder = Holder::new(1, incarnation);
     holder.adopt(row.epoch, &row.members, member::voters(&row.members));
     holder.read(START, row.epoch);
     holder
@@ -42,8 +42,8 @@
     ledger.set_share(Time::ZERO, 1, 10);
     ledger.extend_authority(START + VALIDITY);
 
-    let before = (holder.held(START + VALIDITY), ledger.usable(START + VALIDITY - MOMENT));
-    let after = (holder.held(START + LEAP), ledger.usable(START + LEAP));
+    let before = (holder.held(START + VALIDITY), ledger.usable(START + VALIDITY - ONE_MILLISECOND));
+    let after = (holder.held(START + JUMP), ledger.usable(START + JUMP));
 
     assert_eq!((before, after), ((true, 10), (false, 0)));
 }
@@ -54,7 +54,7 @@
     meter.set_part(7, micro(100), micro(BURST), START);
     meter.tick(START + VALIDITY);
 
-    let now = START + LEAP;
+    let now = START + JUMP;
     let admitted = (0..BURST * 2).filter(|_| meter.request(7, now) == Decision::Admit).count();
 
     assert_eq!(admitted, BURST as usize);
@@ -77,7 +77,7 @@
     paths.flat_map(|path| if path.is_dir() { sources(&path) } else { vec![path] }).collect()
 }
 
-/// Files below `directory` that name one of `clocks`.
+/// Returns the files below `directory` that contain the name of one of `clocks`.
 fn readers(directory: &str, clocks: &[&str]) -> Vec<String> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join(directory);
     let mut found = Vec::new();
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -1,4 +1,4 @@
-//! Cases of a pool's connections and of the queue for them.
+//! Cases of a connection pool and its queue of waiting requests.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -11,25 +11,25 @@
 use std::path::Path;
 use std::time::Duration;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, TimedEvent>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Given {
     limit: usize,
-    #[serde(default = "bound")]
+    #[serde(default = "default_queue")]
     queue: usize,
     #[serde(default)]
     warm: usize,
 }
 
-fn bound() -> usize {
+fn default_queue() -> usize {
     100
 }
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct TimedEvent {
     at: u64,
     on: String,
     #[serde(default)]
@@ -38,7 +38,7 @@
     account: AccountId,
     #[serde(default = "one")]
     weight: u32,
-    #[serde(default = "later")]
+    #[serde(default = "default_deadline")]
     deadline: u64,
     #[serde(default)]
     connection: ConnectionId,
@@ -52,7 +52,7 @@
     1
 }
 
-fn later() -> u64 {
+fn default_deadline() -> u64 {
     1_000_000
 }
 
@@ -60,7 +60,7 @@
     Duration::from_millis(time)
 }
 
-fn apply(pool: &mut Pool, event: &Happening) -> Vec<Action> {
+fn apply(pool: &mut Pool, event: &TimedEvent) -> Vec<Action> {
     let now = millis(event.at);
     let id = event.connection;
     match event.on.as_str() {
@@ -86,7 +86,7 @@
     }
 }
 
-fn line(at: u64, action: &Action) -> String {
+fn describe(at: u64, action: &Action) -> String {
     match action {
         Action::Open(id) => format!("{at}: open {id}"),
         Action::Close(id) => format!("{at}: close {id}"),
@@ -104,7 +104,7 @@
     let mut lines = Vec::new();
     for event in &case.events {
         let actions = apply(&mut pool, event);
-        lines.extend(actions.iter().map(|action| line(event.at, action)));
+        lines.extend(actions.iter().map(|action| describe(event.at, action)));
     }
     Ok(lines)
 }
--- a/crates/core/tests/fairness.rs
+++ b/crates/core/tests/fairness.rs
@@ -1,4 +1,7 @@
-//! One account at five times its rate leaves the others theirs.
+//! Simulation of the fair queue: one account sends five times the rate of each other account.
+//!
+//! Guards against a queue that lets this account delay the others until their deadlines pass; the
+//! control with first come, first served shows that the load is high enough for that.
 
 use bergamotvale_core::fair::{Order, Queue, Waiter};
 use bergamotvale_core::id::{AccountId, RequestId, Time};
@@ -7,17 +10,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-const SLOTS: usize = 4;
+const CONNECTIONS: usize = 4;
 const ACCOUNTS: AccountId = 8;
-/// The account that sends five times its rate.
-const GREEDY: AccountId = 1;
-/// Requests a second of an account that keeps to its rate.
+/// The account that sends [`EXCESS`] times the rate of the others.
+const OVERLOADING: AccountId = 1;
+/// Requests per second of each other account.
 const RATE: u64 = 40;
 const EXCESS: u64 = 5;
-const HOLDING: Duration = Duration::from_millis(10);
-const PATIENCE: Duration = Duration::from_millis(500);
-const RUN: Duration = Duration::from_secs(60);
-const TICK: Duration = Duration::from_millis(5);
+const HOLDING_TIME: Duration = Duration::from_millis(10);
+const MAX_WAIT: Duration = Duration::from_millis(500);
+const SIMULATED_TIME: Duration = Duration::from_secs(60);
+const TICK_INTERVAL: Duration = Duration::from_millis(5);
 
 #[derive(Debug, Clone, Copy)]
 enum Event {
@@ -29,11 +32,11 @@
 
 #[derive(Debug, Default)]
 struct Score {
-    asked: u64,
+    requested: u64,
     served: u64,
 }
 
-struct World {
+struct Simulation {
     random: Source,
     pool: Pool,
     events: BTreeMap<(Time, u64), Event>,
@@ -42,30 +45,30 @@
     scores: BTreeMap<AccountId, Score>,
 }
 
-impl World {
-    fn new(order: Order) -> World {
+impl Simulation {
+    fn new(order: Order) -> Simulation {
         let queue = Queue::new(256).with_order(order);
-        let mut world = World {
+        let mut simulation = Simulation {
             random: Source::new(11),
-            pool: Pool::new(SLOTS, queue, Settings::default()),
+            pool: Pool::new(CONNECTIONS, queue, Settings::default()),
             events: BTreeMap::new(),
             sequence: 0,
             accounts: BTreeMap::new(),
             scores: BTreeMap::new(),
         };
-        (1..=ACCOUNTS).for_each(|account| world.at(Time::ZERO, Event::Arrives(account)));
-        world.at(Time::ZERO, Event::Tick);
-        world
+        (1..=ACCOUNTS).for_each(|account| simulation.schedule(Time::ZERO, Event::Arrives(account)));
+        simulation.schedule(Time::ZERO, Event::Tick);
+        simulation
     }
 
-    fn at(&mut self, time: Time, event: Event) {
+    fn schedule(&mut self, time: Time, event: Event) {
         self.sequence += 1;
         self.events.insert((time, self.sequence), event);
     }
 
     fn run(&mut self) {
         while let Some(((now, _), event)) = self.events.pop_first() {
-            if now >= RUN {
+            if now >= SIMULATED_TIME {
                 return;
             }
             let actions = match event {
@@ -73,24 +76,24 @@
                 Event::Opened(connection) => self.pool.opened(now, connection),
                 Event::Ends(request, connection) => self.end(now, request, connection),
                 Event::Tick => {
-                    self.at(now + TICK, Event::Tick);
+                    self.schedule(now + TICK_INTERVAL, Event::Tick);
                     self.pool.tick(now)
                 }
             };
-            self.carry_out(now, actions);
+            self.perform(now, actions);
         }
     }
 
     fn arrive(&mut self, now: Time, account: AccountId) -> Vec<Action> {
-        let rate = if account == GREEDY { RATE * EXCESS } else { RATE };
+        let rate = if account == OVERLOADING { RATE * EXCESS } else { RATE };
         let mean = Duration::from_secs(1) / rate as u32;
         let next = now + self.random.time_below(mean * 2);
-        self.at(next, Event::Arrives(account));
+        self.schedule(next, Event::Arrives(account));
         self.sequence += 1;
         let request = self.sequence;
         self.accounts.insert(request, account);
-        self.scores.entry(account).or_default().asked += 1;
-        let deadline = now + PATIENCE;
+        self.scores.entry(account).or_default().requested += 1;
+        let deadline = now + MAX_WAIT;
         self.pool.acquire(now, Waiter { request, account, weight: 1, deadline })
     }
 
@@ -100,24 +103,24 @@
         self.pool.released(now, connection, true)
     }
 
-    fn carry_out(&mut self, now: Time, actions: Vec<Action>) {
+    fn perform(&mut self, now: Time, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Open(id) => self.at(now + HOLDING, Event::Opened(id)),
+                Action::Open(id) => self.schedule(now + HOLDING_TIME, Event::Opened(id)),
                 Action::Lease(request, id) => {
-                    let held = HOLDING / 2 + self.random.time_below(HOLDING);
-                    self.at(now + held, Event::Ends(request, id));
+                    let held = HOLDING_TIME / 2 + self.random.time_below(HOLDING_TIME);
+                    self.schedule(now + held, Event::Ends(request, id));
                 }
                 Action::Check(_) | Action::Close(_) | Action::Refuse(..) => {}
             }
         }
     }
 
-    /// The worst share of requests served among the accounts that keep to their rate, in
-    /// thousandths.
-    fn worst(&self) -> u64 {
-        let others = self.scores.iter().filter(|(account, _)| **account != GREEDY);
-        let shares = others.map(|(_, score)| score.served * 1000 / score.asked);
+    /// Returns the lowest share of requests served, in thousandths, among the accounts within their
+    /// rate.
+    fn worst_share(&self) -> u64 {
+        let others = self.scores.iter().filter(|(account, _)| **account != OVERLOADING);
+        let shares = others.map(|(_, score)| score.served * 1000 / score.requested);
         shares.min().expect("there are other accounts")
     }
 
@@ -126,27 +129,28 @@
     }
 }
 
-fn run(order: Order) -> World {
-    let mut world = World::new(order);
-    world.run();
-    world
+fn run(order: Order) -> Simulation {
+    let mut simulation = Simulation::new(order);
+    simulation.run();
+    simulation
 }
 
 #[test]
 fn accounts_within_their_rate_are_served() {
-    let world = run(Order::Fair);
-    assert!(world.worst() >= 999, "{:?}", world.scores);
+    let simulation = run(Order::Fair);
+    assert!(simulation.worst_share() >= 999, "{:?}", simulation.scores);
 }
 
 #[test]
 fn no_slot_idles_while_someone_waits() {
-    let world = run(Order::Fair);
-    let capacity = RUN.as_millis() as u64 / HOLDING.as_millis() as u64 * SLOTS as u64;
-    assert!(world.served() * 100 >= capacity * 95, "{} of {capacity}", world.served());
+    let simulation = run(Order::Fair);
+    let capacity =
+        SIMULATED_TIME.as_millis() as u64 / HOLDING_TIME.as_millis() as u64 * CONNECTIONS as u64;
+    assert!(simulation.served() * 100 >= capacity * 95, "{} of {capacity}", simulation.served());
 }
 
 #[test]
 fn first_come_first_served_starves_them() {
-    let world = run(Order::Arrival);
-    assert!(world.worst() < 999, "{:?}", world.scores);
+    let simulation = run(Order::Arrival);
+    assert!(simulation.worst_share() < 999, "{:?}", simulation.scores);
 }
--- a/crates/core/tests/outside.rs
+++ b/crates/core/tests/outside.rs
@@ -1,4 +1,4 @@
-//! Texts from outside: an error or a value, never a panic, whatever they hold.
+//! Property tests of untrusted texts: any input gives a value or an error, never a panic.
 
 use bergamotvale_core::log::Position;
 use bergamotvale_core::session::{MAX_SERVICES, MAX_TEXT_BYTES, Token};
@@ -17,13 +17,13 @@
     }
 }
 
-/// Text made of what tokens are made of.
-fn nearly_token() -> impl Strategy<Value = String> {
+/// Random text from the characters of session tokens.
+fn token_like_text() -> impl Strategy<Value = String> {
     "1?(;[0-9]{0,12}=?[0-9]{0,22}[.;=]?[0-9]{0,22}){0,6}"
 }
 
-/// Text made of what statements are made of.
-fn nearly_sql() -> impl Strategy<Value = String> {
+/// Random text from fragments of SQL statements.
+fn sql_like_text() -> impl Strategy<Value = String> {
     let part = prop::sample::select(vec![
         "SELECT",
         "'",
@@ -72,14 +72,14 @@
     }
 
     #[test]
-    fn any_token_is_read_or_refused(text in prop_oneof![any::<String>(), nearly_token()]) {
+    fn any_token_is_read_or_refused(text in prop_oneof![any::<String>(), token_like_text()]) {
         if let Ok(token) = text.parse::<Token>() {
             prop_assert_eq!(token.to_string().parse::<Token>().ok(), Some(token));
         }
     }
 
     #[test]
-    fn any_statement_is_judged(sql in prop_oneof![any::<String>(), nearly_sql()]) {
+    fn any_statement_is_judged(sql in prop_oneof![any::<String>(), sql_like_text()]) {
         let verdict = sql::verify(&sql);
 
         let twice = sql::verify(&sql);
@@ -104,10 +104,10 @@
 
     #[test]
     fn idempotency_keys_are_short_and_visible(key in prop_oneof![any::<String>(), "[!-~]{0,200}"]) {
-        let holds = idempotency::verify(&key).is_ok();
+        let is_valid = idempotency::verify(&key).is_ok();
 
         let visible = key.bytes().all(|byte| (b'!'..=b'~').contains(&byte));
-        prop_assert_eq!(holds, visible && (1..=idempotency::MAX_KEY_CHARS).contains(&key.len()));
+        prop_assert_eq!(is_valid, visible && (1..=idempotency::MAX_KEY_CHARS).contains(&key.len()));
     }
 }
 
--- a/crates/core/tests/read.rs
+++ b/crates/core/tests/read.rs
@@ -1,4 +1,4 @@
-//! Faults at each step of a read.
+//! Cases of faults at each step of a read; every served result is checked for freshness.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -17,7 +17,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, TimedEvent>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,7 +51,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct TimedEvent {
     at: u64,
     on: String,
     role: Option<Role>,
@@ -64,7 +64,7 @@
 }
 
 impl Given {
-    fn demand(&self) -> Requirement {
+    fn requirement(&self) -> Requirement {
         let age = self.max_age_ms.map(Duration::from_millis);
         Requirement {
             token: self.token.as_deref().map(position),
@@ -74,7 +74,7 @@
 
     fn candidates(&self, now: Time) -> Vec<TargetId> {
         let views = self.targets.iter().map(|(id, target)| (*id, view(target))).collect();
-        route::candidates(&self.demand(), &views, self.home, &Bounds::default(), now, 0)
+        route::candidates(&self.requirement(), &views, self.home, &Bounds::default(), now, 0)
     }
 }
 
@@ -92,19 +92,19 @@
     }
 }
 
-fn answer(happening: &Happening) -> Report {
-    let applied = position(happening.applied.as_deref().expect("an applied position"));
-    let confirmed = happening.confirmed.as_deref().map_or(applied, position);
-    Report { applied, confirmed, age: Duration::from_millis(happening.age_ms) }
+fn report(event: &TimedEvent) -> Report {
+    let applied = position(event.applied.as_deref().expect("an applied position"));
+    let confirmed = event.confirmed.as_deref().map_or(applied, position);
+    Report { applied, confirmed, age: Duration::from_millis(event.age_ms) }
 }
 
-fn event(given: &Given, happening: &Happening, now: Time) -> Event {
-    let reason = || happening.reason.unwrap_or(Reason::ConnectionRefused);
-    match happening.on.as_str() {
+fn read_event(given: &Given, event: &TimedEvent, now: Time) -> Event {
+    let reason = || event.reason.unwrap_or(Reason::ConnectionRefused);
+    match event.on.as_str() {
         "choose" => Event::Candidates(given.candidates(now)),
-        "answered" => Event::Answered(happening.role.unwrap_or(Role::Replica), answer(happening)),
+        "answered" => Event::Answered(event.role.unwrap_or(Role::Replica), report(event)),
         "failed" => {
-            let code = happening.state.as_deref().expect("an SQLSTATE");
+            let code = event.state.as_deref().expect("an SQLSTATE");
             Event::Failed(Failure::new(code), code.into())
         }
         "no_connection" => Event::NoConnection(reason()),
@@ -126,36 +126,36 @@
     }
 }
 
-/// What is served covers the token, is fresh enough, and advances the token to nothing that is
-/// unseen or unconfirmed.
-fn verify_served(given: &Given, served: Option<Position>, answer: &Report) -> Result<(), String> {
+/// Checks that a served result covers the token and is fresh enough, and that the token advances
+/// only to a position that was visible and confirmed.
+fn verify_served(given: &Given, served: Option<Position>, report: &Report) -> Result<(), String> {
     let token = given.token.as_deref().map(position);
-    if token.is_some_and(|token| answer.applied < token) {
-        return Err(format!("{} does not cover the token", answer.applied));
+    if token.is_some_and(|token| report.applied < token) {
+        return Err(format!("{} does not cover the token", report.applied));
     }
-    if given.max_age_ms.is_some_and(|age| answer.age > Duration::from_millis(age)) {
-        return Err(format!("data of age {:?}", answer.age));
+    if given.max_age_ms.is_some_and(|age| report.age > Duration::from_millis(age)) {
+        return Err(format!("data of age {:?}", report.age));
     }
-    let unproven = served > token && served > Some(answer.applied.min(answer.confirmed));
-    if unproven { Err(format!("token advanced to {served:?}")) } else { Ok(()) }
+    let is_unproven = served > token && served > Some(report.applied.min(report.confirmed));
+    if is_unproven { Err(format!("token advanced to {served:?}")) } else { Ok(()) }
 }
 
 fn drive(case: &Case) -> datatest_stable::Result<Vec<String>> {
     let deadline = Duration::from_millis(case.given.timeout_ms);
-    let mut read = Read::new(1, 1, case.given.demand(), deadline, 7);
+    let mut read = Read::new(1, 1, case.given.requirement(), deadline, 7);
     let mut budgets = Budgets::new();
     let mut actions = Vec::new();
 
-    for happening in &case.events {
-        let now = Duration::from_millis(happening.at);
-        let action = read.on(event(&case.given, happening, now), &mut budgets, now);
+    for event in &case.events {
+        let now = Duration::from_millis(event.at);
+        let action = read.on(read_event(&case.given, event, now), &mut budgets, now);
         if let Action::Serve(served) = &action {
-            verify_served(&case.given, *served, &answer(happening))?;
+            verify_served(&case.given, *served, &report(event))?;
         }
         actions.push(describe(&action));
     }
 
-    verify_the_check(&case.given)?;
+    verify_check_fails(&case.given)?;
     Ok(actions)
 }
 
@@ -163,8 +163,8 @@
     case::check(path, drive)
 }
 
-/// The check itself fails on an answer behind the token, too old, or of an unconfirmed position.
-fn verify_the_check(given: &Given) -> datatest_stable::Result<()> {
+/// Checks that [`verify_served`] detects data behind the token, old data and unconfirmed positions.
+fn verify_check_fails(given: &Given) -> datatest_stable::Result<()> {
     let age = Duration::from_secs(3600);
     let behind = Report { applied: position("0.1"), confirmed: position("0.1"), age };
     if given.token.is_some() || given.max_age_ms.is_some() {
--- a/crates/core/tests/read_share.rs
+++ b/crates/core/tests/read_share.rs
@@ -1,4 +1,4 @@
-//! Which reads count towards the replicas' share.
+//! Which reads count towards the replicas' share: those for which a replica is fresh enough.
 
 use bergamotvale_core::id::{TargetId, Time};
 use bergamotvale_core::log::Position;
@@ -8,15 +8,15 @@
 use std::time::Duration;
 
 const NOW: Time = Time::from_secs(10);
-const SECOND: Freshness = Freshness::MaxAge(Duration::from_secs(1));
+const ONE_SECOND: Freshness = Freshness::MaxAge(Duration::from_secs(1));
 
-/// A target whose data was `age` old when it was seen, `before` ago.
-fn view(role: Role, age: Duration, before: Duration) -> View {
+/// A target whose data was `age` old when it was observed `since_observed` ago.
+fn view(role: Role, age: Duration, since_observed: Duration) -> View {
     View {
         role,
         applied: Position::new(1, 1),
         age,
-        observed: NOW - before,
+        observed: NOW - since_observed,
         in_flight: 0,
         failure_domain: 0,
         ejected: false,
@@ -33,11 +33,11 @@
 #[test]
 fn counts_while_a_replica_is_fresh_for_sure() {
     let millis = Duration::from_millis;
-    let replica = |age, before| view(Role::Replica, millis(age), millis(before));
+    let replica = |age, since_observed| view(Role::Replica, millis(age), millis(since_observed));
 
-    assert!(counts(SECOND, replica(600, 400)));
-    assert!(!counts(SECOND, replica(600, 401)));
-    assert!(!counts(SECOND, replica(1001, 0)));
+    assert!(counts(ONE_SECOND, replica(600, 400)));
+    assert!(!counts(ONE_SECOND, replica(600, 401)));
+    assert!(!counts(ONE_SECOND, replica(1001, 0)));
     assert!(counts(Freshness::MaxAge(millis(1500)), replica(1001, 0)));
 }
 
@@ -54,7 +54,7 @@
     let of = |role| view(role, Duration::ZERO, Duration::ZERO);
     let draining = View { draining: true, ..of(Role::Replica) };
 
-    assert!(!counts(SECOND, of(Role::Primary)));
-    assert!(!counts(SECOND, of(Role::Rebuilding)));
-    assert!(!counts(SECOND, draining));
+    assert!(!counts(ONE_SECOND, of(Role::Primary)));
+    assert!(!counts(ONE_SECOND, of(Role::Rebuilding)));
+    assert!(!counts(ONE_SECOND, draining));
 }
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -1,4 +1,4 @@
-//! Retry budgets, delays, ejection of failing targets and the observed confirmation delay.
+//! Cases of retry budgets, retry delays, ejection of failing targets and the confirmation delay.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -15,7 +15,7 @@
 
 const SERVICE: u32 = 1;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, TimedEvent>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -26,7 +26,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct TimedEvent {
     at: u64,
     on: String,
     account: Option<AccountId>,
@@ -42,7 +42,7 @@
 
 struct Fixture {
     budgets: Budgets,
-    group: Detector,
+    detector: Detector,
     lag: Lag,
     jitter: Source,
     replicas: Vec<TargetId>,
@@ -52,31 +52,31 @@
     fn new(given: &Given) -> Fixture {
         Fixture {
             budgets: Budgets::new(),
-            group: Detector::new(outlier::Policy::default()),
+            detector: Detector::new(outlier::Policy::default()),
             lag: Lag::new(),
             jitter: Source::new(7),
             replicas: given.replicas.clone(),
         }
     }
 
-    fn apply(&mut self, happening: &Happening, now: Time) -> Option<String> {
-        let account = happening.account.unwrap_or(1);
-        let target = happening.target.unwrap_or(1);
-        let at = || position(happening.position.as_deref().expect("a position"));
-        match happening.on.as_str() {
+    fn apply(&mut self, event: &TimedEvent, now: Time) -> Option<String> {
+        let account = event.account.unwrap_or(1);
+        let target = event.target.unwrap_or(1);
+        let at = || position(event.position.as_deref().expect("a position"));
+        match event.on.as_str() {
             "request" => self.budgets.deposit(SERVICE, account, now),
             "retry" => {
                 let allowed = self.budgets.withdraw(SERVICE, account, now);
                 return Some(if allowed { "retry" } else { "spent" }.into());
             }
-            "delays" => return Some(self.delays(happening.times)),
-            "succeeded" => self.group.record_success(target),
-            "failed" => self.group.record_failure(target, now),
+            "delays" => return Some(self.delays(event.times)),
+            "succeeded" => self.detector.record_success(target),
+            "failed" => self.detector.record_failure(target, now),
             "sweep" => {
-                self.group.sweep(&self.replicas, now);
-                let out = self.replicas.iter().filter(|target| self.group.is_ejected(**target));
+                self.detector.sweep(&self.replicas, now);
+                let out = self.replicas.iter().filter(|target| self.detector.is_ejected(**target));
                 let suspects =
-                    self.replicas.iter().filter(|target| self.group.is_suspect(**target));
+                    self.replicas.iter().filter(|target| self.detector.is_suspect(**target));
                 let suspects = suspects.collect::<Vec<_>>();
                 let out = format!("out {:?}", out.collect::<Vec<_>>());
                 let suffix = format!(", suspect {suspects:?}");
@@ -90,13 +90,13 @@
         None
     }
 
-    /// Each delay lies in the upper half of its step, and no step is over the cap.
+    /// Checks that each delay is in the upper half of its backoff, which is at most `max_delay`.
     fn delays(&mut self, retries: u32) -> String {
         let policy = Policy::default();
         for retry in 1..=retries {
-            let step = policy.max_delay.min(policy.base_delay * 2u32.pow(retry - 1));
+            let backoff = policy.max_delay.min(policy.base_delay * 2u32.pow(retry - 1));
             let delay = policy.retry_delay(retry, self.jitter.bits());
-            assert!(delay >= step / 2 && delay <= step, "retry {retry} after {delay:?}");
+            assert!(delay >= backoff / 2 && delay <= backoff, "retry {retry} after {delay:?}");
         }
         "delays hold".into()
     }
@@ -106,10 +106,10 @@
     let mut fixture = Fixture::new(&case.given);
 
     let mut results: Vec<String> = Vec::new();
-    for happening in &case.events {
-        let now = Duration::from_millis(happening.at);
-        for _ in 0..happening.times {
-            let result = fixture.apply(happening, now);
+    for event in &case.events {
+        let now = Duration::from_millis(event.at);
+        for _ in 0..event.times {
+            let result = fixture.apply(event, now);
             results.extend(result.filter(|result| results.last() != Some(result)));
         }
     }
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -1,40 +1,40 @@
-//! Parts over time, also of a host that misses a division.
+//! Growth and shrinking of shares over time, also on a host that misses a division.
 
 use bergamotvale_core::share::{DivisionCounter, Share};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-const SETTLE: Duration = Duration::from_millis(1600);
-const MOMENT: Duration = Duration::from_millis(1);
+const GROWTH_DELAY: Duration = Duration::from_millis(1600);
+const ONE_MILLISECOND: Duration = Duration::from_millis(1);
 
-fn settled(value: u64) -> Share {
-    let mut part = Share::new(SETTLE);
-    part.update(value, Duration::ZERO);
-    part
+fn usable_share(value: u64) -> Share {
+    let mut share = Share::new(GROWTH_DELAY);
+    share.update(value, Duration::ZERO);
+    share
 }
 
 #[test]
 fn a_part_grows_late_and_shrinks_at_once() {
-    let mut part = settled(10);
-    let change = SETTLE * 2;
+    let mut share = usable_share(10);
+    let change = GROWTH_DELAY * 2;
 
-    part.update(20, change);
-    let grown = [part.usable(change), part.usable(change + SETTLE)];
-    part.update(5, change + SETTLE);
-    let shrunk = part.usable(change + SETTLE);
+    share.update(20, change);
+    let grown = [share.usable(change), share.usable(change + GROWTH_DELAY)];
+    share.update(5, change + GROWTH_DELAY);
+    let shrunk = share.usable(change + GROWTH_DELAY);
 
     assert_eq!((grown, shrunk), ([10, 20], 5));
 }
 
 #[test]
 fn a_missed_division_leaves_nothing_until_it_is_out_of_force() {
-    let mut part = settled(10);
-    let learned = SETTLE * 2;
+    let mut share = usable_share(10);
+    let learned = GROWTH_DELAY * 2;
 
-    part.record_missed_division(learned);
-    part.update(10, learned);
-    let usable = [part.usable(learned), part.usable(learned + SETTLE - MOMENT)];
-    let after = part.usable(learned + SETTLE);
+    share.record_missed_division(learned);
+    share.update(10, learned);
+    let usable = [share.usable(learned), share.usable(learned + GROWTH_DELAY - ONE_MILLISECOND)];
+    let after = share.usable(learned + GROWTH_DELAY);
 
     assert_eq!((usable, after), ([0, 0], 10));
 }
--- a/crates/core/tests/slot.rs
+++ b/crates/core/tests/slot.rs
@@ -1,4 +1,4 @@
-//! Cases of loans between hosts.
+//! Cases of loans of connection slots between hosts.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -12,21 +12,21 @@
 use std::path::Path;
 use std::time::Duration;
 
-const SETTLE: Duration = Duration::from_millis(1_550);
+const GROWTH_DELAY: Duration = Duration::from_millis(1_550);
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, TimedEvent>;
 
-/// Parts of the hosts, in force since long ago.
+/// Shares of the hosts, all of which are usable when the events start.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Given {
     parts: BTreeMap<HostId, u32>,
 }
 
-/// An event; `name` stands for a request or a return that a later event delivers.
+/// An event; `name` identifies a request or a return that a later event delivers.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct TimedEvent {
     at: u64,
     on: String,
     #[serde(default)]
@@ -35,7 +35,7 @@
     lender: HostId,
     #[serde(default)]
     total: u32,
-    #[serde(default = "plenty")]
+    #[serde(default = "ample_spare")]
     spare: u32,
     #[serde(default)]
     name: String,
@@ -45,17 +45,17 @@
     until: u64,
 }
 
-fn plenty() -> u32 {
+fn ample_spare() -> u32 {
     100
 }
 
-/// Events start this long after the parts were set, so that they are in force.
+/// Delay from the setting of the shares to the first event, so that the shares are usable.
 const START: Duration = Duration::from_secs(10);
 
 #[derive(Default)]
 struct World {
     hosts: BTreeMap<HostId, Ledger>,
-    asked: BTreeMap<String, (LoanRequest, SlotRequest)>,
+    requests: BTreeMap<String, (LoanRequest, SlotRequest)>,
     returns: BTreeMap<String, (HostId, SlotRequest)>,
     totals: BTreeMap<String, u32>,
 }
@@ -68,7 +68,7 @@
     fn new(given: &Given) -> World {
         let mut world = World::default();
         for (host, part) in &given.parts {
-            let mut ledger = Ledger::new(1, SETTLE);
+            let mut ledger = Ledger::new(1, GROWTH_DELAY);
             ledger.set_share(Time::ZERO, 1, *part);
             ledger.extend_authority(START * 10);
             world.hosts.insert(*host, ledger);
@@ -80,24 +80,25 @@
         self.hosts.get_mut(&host).expect("a host of the case")
     }
 
-    fn apply(&mut self, event: &Happening) -> Option<String> {
+    fn apply(&mut self, event: &TimedEvent) -> Option<String> {
         let now = START + Duration::from_millis(event.at);
         let name = event.name.clone();
         match event.on.as_str() {
             "ask" => {
-                let asked = self.host(event.host).request_loan(now, event.lender, event.total);
-                let request = request(event.host, event.total, asked.sequence);
-                self.asked.insert(name, (asked, request));
+                let loan_request =
+                    self.host(event.host).request_loan(now, event.lender, event.total);
+                let request = request(event.host, event.total, loan_request.sequence);
+                self.requests.insert(name, (loan_request, request));
             }
             "lend" => {
-                let (asked, request) = self.asked[&name];
-                let total = self.host(asked.lender).lend(now, &request, event.spare);
+                let (loan_request, request) = self.requests[&name];
+                let total = self.host(loan_request.lender).lend(now, &request, event.spare);
                 self.totals.insert(name, total);
             }
             "granted" => {
-                let (asked, request) = self.asked[&name];
+                let (loan_request, request) = self.requests[&name];
                 let total = self.totals[&name];
-                self.host(request.host).record_grant(now, asked, total);
+                self.host(request.host).record_grant(now, loan_request, total);
             }
             "give_back" => {
                 let sequence = self.host(event.host).return_loans(event.lender, event.total);
--- a/crates/core/tests/slot_search.rs
+++ b/crates/core/tests/slot_search.rs
@@ -1,8 +1,8 @@
-//! Seeded search: loans of connection slots under lost, late and repeated messages, pauses, and
-//! hosts that leave and come back.
+//! Randomized search for violations of a target's connection limit.
 //!
-//! What all hosts may use together must never exceed the limit. Deliberately broken variants show
-//! that the check can fail.
+//! Hosts lend slots to each other while messages are lost, delayed and repeated, hosts pause, and
+//! members leave and rejoin. The slots that all hosts may use must never exceed the limit.
+//! Variants with a deliberate defect show that the check detects violations.
 
 use bergamotvale_core::id::{Epoch, HostId, Time};
 use bergamotvale_core::peer::SlotRequest;
@@ -13,33 +13,33 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-const RUNS: u64 = 1_500;
+const SEEDS: u64 = 1_500;
 const STEPS: u32 = 600;
-/// Messages that are under way at most; the oldest is lost.
-const MESSAGES: usize = 12;
-const SELDOM: u64 = 200;
-const OFTEN: u64 = 1_000;
+/// Maximum number of messages in flight; the oldest is dropped.
+const MAX_MESSAGES: usize = 12;
+const LOW_CHURN: u64 = 200;
+const HIGH_CHURN: u64 = 1_000;
 const HOSTS: HostId = 4;
-const AUTHORITY: Duration = Duration::from_millis(1_500);
+const AUTHORITY_LIFETIME: Duration = Duration::from_millis(1_500);
 
-/// A deliberate defect.
+/// A defect that is deliberately added to the protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Defect {
     None,
-    /// The borrower counts its lease from the answer.
+    /// The borrower measures its lease from the response instead of the request.
     LeaseFromAnswer,
-    /// A part grows before the old division is out of force.
+    /// A share grows while the old division is still valid.
     GrowAtOnce,
-    /// A host that missed a member table goes on as if there had been none.
+    /// A host does not notice that it has missed a member table.
     MissedTable,
-    /// A late return counts although a newer loan has been asked for.
+    /// A delayed return is applied although a newer loan was requested.
     LateReturn,
 }
 
 #[derive(Debug, Clone, Copy)]
 enum Message {
-    Ask { to: HostId, asked: LoanRequest, request: SlotRequest },
-    Answer { to: HostId, asked: LoanRequest, total: u32 },
+    Request { to: HostId, loan_request: LoanRequest, request: SlotRequest },
+    Response { to: HostId, loan_request: LoanRequest, total: u32 },
     Return { to: HostId, request: SlotRequest },
 }
 
@@ -47,7 +47,7 @@
     random: Source,
     defect: Defect,
     limit: u32,
-    /// Chance, in thousandths, that a member changes when it may.
+    /// Probability, in thousandths, that a chosen host leaves or rejoins.
     churn: u64,
     now: Time,
     hosts: BTreeMap<HostId, Ledger>,
@@ -56,21 +56,21 @@
     members: BTreeSet<HostId>,
     seen: BTreeMap<HostId, DivisionCounter>,
     messages: Vec<Message>,
-    lent: u32,
+    loans_made: u32,
 }
 
 impl World {
     fn new(seed: u64, limit: u32, defect: Defect) -> World {
-        let settle = match defect {
+        let growth_delay = match defect {
             Defect::GrowAtOnce => Duration::ZERO,
-            _ => growth_delay(AUTHORITY),
+            _ => growth_delay(AUTHORITY_LIFETIME),
         };
-        let hosts = (1..=HOSTS).map(|host| (host, Ledger::new(1, settle))).collect();
+        let hosts = (1..=HOSTS).map(|host| (host, Ledger::new(1, growth_delay))).collect();
         let mut world = World {
             random: Source::new(seed),
             defect,
             limit,
-            churn: if seed.is_multiple_of(2) { SELDOM } else { OFTEN },
+            churn: if seed.is_multiple_of(2) { LOW_CHURN } else { HIGH_CHURN },
             now: Time::ZERO,
             hosts,
             paused: BTreeMap::new(),
@@ -78,7 +78,7 @@
             members: (1..=HOSTS).collect(),
             seen: (1..=HOSTS).map(|host| (host, DivisionCounter::default())).collect(),
             messages: Vec::new(),
-            lent: 0,
+            loans_made: 0,
         };
         (1..=HOSTS).for_each(|host| world.refresh(host));
         world
@@ -88,24 +88,24 @@
         self.now += self.random.time_below(Duration::from_millis(60));
         let host = 1 + self.random.below(u64::from(HOSTS)) as HostId;
         match self.random.below(100) {
-            0..=24 if self.runs(host) => self.ask(host),
-            25..=34 if self.runs(host) => self.give_back(host),
+            0..=24 if self.is_running(host) => self.request_loan(host),
+            25..=34 if self.is_running(host) => self.return_loans(host),
             35..=79 => self.deliver(),
-            80..=93 if self.runs(host) => self.refresh(host),
+            80..=93 if self.is_running(host) => self.refresh(host),
             94..=96 => self.pause(host),
-            97 if self.random.chance(self.churn) => self.toggle(host),
+            97 if self.random.chance(self.churn) => self.change_membership(host),
             _ => {}
         }
     }
 
-    fn runs(&self, host: HostId) -> bool {
+    fn is_running(&self, host: HostId) -> bool {
         self.paused.get(&host).is_none_or(|until| self.now >= *until)
     }
 
-    /// The host reads the members and so renews its authority.
+    /// The host reads the members, which renews its authority.
     fn refresh(&mut self, host: HostId) {
         let subject = Subject::Connection(1);
-        let part = match self.members.contains(&host) {
+        let share = match self.members.contains(&host) {
             true => share::share_of(u64::from(self.limit), &self.members, host, subject, 64),
             false => 0,
         };
@@ -117,27 +117,27 @@
         seen.adopt(epoch, &self.members);
         let generation = seen.generation();
         let ledger = self.hosts.get_mut(&host).expect("a host of the world");
-        ledger.set_share(self.now, generation, part as u32);
-        ledger.extend_authority(self.now + AUTHORITY);
+        ledger.set_share(self.now, generation, share as u32);
+        ledger.extend_authority(self.now + AUTHORITY_LIFETIME);
     }
 
     fn request(host: HostId, count: u32, sequence: u64) -> SlotRequest {
         SlotRequest { host, service: 1, target: 1, count, sequence }
     }
 
-    fn ask(&mut self, host: HostId) {
+    fn request_loan(&mut self, host: HostId) {
         let lender = 1 + self.random.below(u64::from(HOSTS)) as HostId;
         if lender == host {
             return;
         }
         let total = self.random.below(u64::from(self.limit) + 1) as u32;
         let ledger = self.hosts.get_mut(&host).expect("a host of the world");
-        let asked = ledger.request_loan(self.now, lender, total);
-        let request = World::request(host, total, asked.sequence);
-        self.messages.push(Message::Ask { to: lender, asked, request });
+        let loan_request = ledger.request_loan(self.now, lender, total);
+        let request = World::request(host, total, loan_request.sequence);
+        self.messages.push(Message::Request { to: lender, loan_request, request });
     }
 
-    fn give_back(&mut self, host: HostId) {
+    fn return_loans(&mut self, host: HostId) {
         let ledger = self.hosts.get_mut(&host).expect("a host of the world");
         let Some((lender, held)) = ledger.borrowed(self.now).into_iter().next() else { return };
         let total = self.random.below(u64::from(held)) as u32;
@@ -146,19 +146,20 @@
         self.messages.push(Message::Return { to: lender, request });
     }
 
-    /// Delivers a message of any age, unless it is lost or its receiver is paused.
+    /// Delivers a random message, unless it is lost or its receiver is paused.
     fn deliver(&mut self) {
         if self.messages.is_empty() {
             return;
         }
-        if self.messages.len() > MESSAGES {
+        if self.messages.len() > MAX_MESSAGES {
             self.messages.remove(0);
         }
         let at = self.random.below(self.messages.len() as u64) as usize;
         let message = self.messages[at];
-        let (Message::Ask { to, .. } | Message::Answer { to, .. } | Message::Return { to, .. }) =
-            message;
-        if !self.runs(to) {
+        let (Message::Request { to, .. }
+        | Message::Response { to, .. }
+        | Message::Return { to, .. }) = message;
+        if !self.is_running(to) {
             return;
         }
         let repeated = self.random.chance(50);
@@ -172,15 +173,15 @@
         let spare = self.random.below(u64::from(self.limit) + 1) as u32;
         let ledger = self.hosts.get_mut(&to).expect("a host of the world");
         match message {
-            Message::Ask { asked, request, .. } => {
+            Message::Request { loan_request, request, .. } => {
                 let total = ledger.lend(now, &request, spare);
-                self.lent += u32::from(total > 0);
-                self.messages.push(Message::Answer { to: request.host, asked, total });
+                self.loans_made += u32::from(total > 0);
+                self.messages.push(Message::Response { to: request.host, loan_request, total });
             }
-            Message::Answer { asked, total, .. } => {
+            Message::Response { loan_request, total, .. } => {
                 let sent_at =
-                    if self.defect == Defect::LeaseFromAnswer { now } else { asked.sent_at };
-                ledger.record_grant(now, LoanRequest { sent_at, ..asked }, total);
+                    if self.defect == Defect::LeaseFromAnswer { now } else { loan_request.sent_at };
+                ledger.record_grant(now, LoanRequest { sent_at, ..loan_request }, total);
             }
             Message::Return { mut request, .. } => {
                 if self.defect == Defect::LateReturn {
@@ -196,7 +197,7 @@
         self.paused.insert(host, self.now + time);
     }
 
-    fn toggle(&mut self, host: HostId) {
+    fn change_membership(&mut self, host: HostId) {
         self.epoch += 1;
         if !self.members.remove(&host) {
             self.members.insert(host);
@@ -211,7 +212,7 @@
 
 fn search(limit: u32, defect: Defect) -> (Option<String>, u32) {
     let mut lent = 0;
-    for seed in 0..RUNS {
+    for seed in 0..SEEDS {
         let mut world = World::new(seed, limit, defect);
         for step in 0..STEPS {
             world.step();
@@ -220,7 +221,7 @@
                 return (Some(format!("seed {seed}, step {step}: {used} of {limit}")), lent);
             }
         }
-        lent += world.lent;
+        lent += world.loans_made;
     }
     (None, lent)
 }
--- a/crates/core/tests/sql.rs
+++ b/crates/core/tests/sql.rs
@@ -1,4 +1,4 @@
-//! What callers' statements may not contain.
+//! Checks of callers' statements, of secrets in them, and of idempotency keys and digests.
 
 use bergamotvale_core::idempotency;
 use bergamotvale_core::sql;
--- a/crates/core/tests/transaction.rs
+++ b/crates/core/tests/transaction.rs
@@ -1,4 +1,4 @@
-//! Faults at each step of an interactive transaction.
+//! Cases of faults at each step of an interactive transaction.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -14,7 +14,7 @@
 const HOST: u32 = 3;
 const SERVICE: u32 = 1;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, TimedEvent>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,10 +24,10 @@
     per_account: usize,
 }
 
-/// An event; `id` counts the transactions of the case from 1.
+/// An event; `id` is the number of the transaction within the case, from 1.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct TimedEvent {
     at: u64,
     on: String,
     id: Option<u32>,
@@ -35,8 +35,8 @@
     key: Option<KeyId>,
 }
 
-fn id(happening: &Happening) -> TransactionId {
-    (u64::from(HOST) << 32) | u64::from(happening.id.unwrap_or(1))
+fn id(event: &TimedEvent) -> TransactionId {
+    (u64::from(HOST) << 32) | u64::from(event.id.unwrap_or(1))
 }
 
 fn result<T>(result: Result<T, Refusal>) -> String {
@@ -50,23 +50,23 @@
     format!("close {}", ids.len())
 }
 
-fn apply(table: &mut Table, happening: &Happening, now: Time) -> String {
-    let account = happening.account.unwrap_or(1);
-    let key = happening.key.unwrap_or(1);
+fn apply(table: &mut Table, event: &TimedEvent, now: Time) -> String {
+    let account = event.account.unwrap_or(1);
+    let key = event.key.unwrap_or(1);
     let end = |table: &mut Table, end| {
-        table.end(id(happening), end);
+        table.end(id(event), end);
         "ended".to_owned()
     };
-    match happening.on.as_str() {
+    match event.on.as_str() {
         "begin" => {
             let begun = table.begin(account, key, SERVICE, now);
             assert!(begun.as_ref().is_ok_and(|id| owner(*id) == HOST) || begun.is_err());
             result(begun)
         }
-        "run" => result(table.start_step(id(happening), account, Step::Run, now)),
-        "commit" => result(table.start_step(id(happening), account, Step::Commit, now)),
-        "rollback" => result(table.start_step(id(happening), account, Step::Rollback, now)),
-        "answered" => format!("goes on: {}", table.finish_step(id(happening), now)),
+        "run" => result(table.start_step(id(event), account, Step::Run, now)),
+        "commit" => result(table.start_step(id(event), account, Step::Commit, now)),
+        "rollback" => result(table.start_step(id(event), account, Step::Rollback, now)),
+        "answered" => format!("goes on: {}", table.finish_step(id(event), now)),
         "committed" => end(table, End::Committed),
         "rolled_back" => end(table, End::RolledBack),
         "lost_commit" => end(table, End::Unknown),
--- a/crates/core/tests/write.rs
+++ b/crates/core/tests/write.rs
@@ -1,4 +1,4 @@
-//! Faults at each step of a write.
+//! Cases of faults at each step of a write; the trace is checked for false claims and repeats.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -16,7 +16,7 @@
 
 const DIGEST: &str = "digest";
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, TimedEvent>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,7 +33,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct TimedEvent {
     at: u64,
     on: String,
     position: Option<String>,
@@ -42,23 +42,23 @@
     digest: Option<String>,
 }
 
-fn event(happening: &Happening) -> Option<Event> {
-    let at = || position(happening.position.as_deref().unwrap_or("0.0"));
-    let reason = || happening.reason.unwrap_or(Reason::ConnectionRefused);
+fn write_event(timed: &TimedEvent) -> Option<Event> {
+    let at = || position(timed.position.as_deref().unwrap_or("0.0"));
+    let reason = || timed.reason.unwrap_or(Reason::ConnectionRefused);
     let row = |digest: &String| Row { digest: digest.clone(), outcome: "first".into() };
-    Some(match happening.on.as_str() {
+    Some(match timed.on.as_str() {
         "sent" => return None,
         "leased" => Event::Leased,
         "no_connection" => Event::NoConnection(reason()),
         "executed" => Event::Executed,
         "conflict" => Event::Conflict,
         "failed" => {
-            let code = happening.state.as_deref().expect("an SQLSTATE");
+            let code = timed.state.as_deref().expect("an SQLSTATE");
             Event::Failed(Failure::new(code), code.into())
         }
-        "committed" => Event::Committed(happening.position.as_ref().map(|_| at())),
+        "committed" => Event::Committed(timed.position.as_ref().map(|_| at())),
         "confirmed" => Event::Confirmed(at()),
-        "found" => Event::Found(happening.digest.as_ref().map(row), at()),
+        "found" => Event::Found(timed.digest.as_ref().map(row), at()),
         "connection_lost" => Event::ConnectionLost,
         "timed_out" => Event::TimedOut,
         "denied" => Event::Denied(Refusal::new(reason(), "denied")),
@@ -101,9 +101,9 @@
         trace.push(Step::Action(write.start(expected, Duration::ZERO)));
     }
 
-    for happening in &case.events {
-        let now = Duration::from_millis(happening.at);
-        let Some(event) = event(happening) else {
+    for timed in &case.events {
+        let now = Duration::from_millis(timed.at);
+        let Some(event) = write_event(timed) else {
             write.record_sent();
             trace.push(Step::Sent);
             continue;
