core: name the host's failure domain in routing; plain code spans for private constants

route: home -> host_domain; outlier: is_due -> is_suspect (local). Two doc links to private constants became code spans, so that they no longer fail the documentation build.

--- a/crates/core/src/outlier.rs
+++ b/crates/core/src/outlier.rs
@@ -79,9 +79,9 @@
 
     /// Whether the target fails requests, and is not ejected because of the ceiling.
     pub fn is_suspect(&self, target: TargetId) -> bool {
-        let is_due =
+        let is_suspect =
             |r: &Record| r.ejected_until.is_none() && r.failures >= self.policy.failure_threshold;
-        self.records.get(&target).is_some_and(is_due)
+        self.records.get(&target).is_some_and(is_suspect)
     }
 
     /// Whether the target is currently ejected.
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -139,7 +139,7 @@
         Budgets::default()
     }
 
-    /// Records a new request, which adds [`BUDGET_RATIO`] to the budget.
+    /// Records a new request, which adds `BUDGET_RATIO` to the budget.
     pub fn deposit(&mut self, service: ServiceId, account: AccountId, now: Time) {
         let budget = self.budget(service, account, now);
         budget.retries = BUDGET_CAPACITY.min(budget.retries + BUDGET_RATIO);
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -122,7 +122,7 @@
 pub fn candidates(
     requirement: &Requirement,
     views: &BTreeMap<TargetId, View>,
-    home: FailureDomainId,
+    host_domain: FailureDomainId,
     bounds: &Bounds,
     now: Time,
     random: u64,
@@ -133,7 +133,7 @@
         .filter(|(_, view)| is_eligible(requirement, view))
         .map(|(id, view)| {
             let preference = preference(requirement, view, primary, bounds, now);
-            let penalty = if view.failure_domain == home { 0 } else { LOCAL_PREFERENCE };
+            let penalty = if view.failure_domain == host_domain { 0 } else { LOCAL_PREFERENCE };
             let tie = (random ^ u64::from(*id)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             (preference, view.in_flight + penalty, tie, *id)
         })
--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -167,7 +167,7 @@
     ///
     /// Without an idempotency key nothing can be retried, so the statement and COMMIT may use all
     /// of the caller's time. With one, COMMIT is limited to the attempt timeout, and the statement
-    /// leaves a part of the time ([`RETRY_RESERVE_DIVISOR`]) for another attempt: a connection that
+    /// leaves a part of the time (`RETRY_RESERVE_DIVISOR`) for another attempt: a connection that
     /// went silent can only be detected by a timeout.
     pub fn exchange_deadline(&self, now: Time) -> Time {
         match self.state {
