--- a/crates/core/src/authority.rs
+++ b/crates/core/src/authority.rs
@@ -1,28 +1,30 @@
-//! How long a host may act on its copy of the shared state.
+//! Authority: how long a host may act on its copy of the shared state.
 //!
-//! Everything that hosts share and that must not be acted on when stale (keys, configuration, rate
-//! shares, connection shares) hangs on one row of the platform's table, whose *epoch* grows with
-//! each accepted change. A [`Holder`] keeps a proof of the form
+//! Shared state that must not be used when stale (keys, configuration, rate shares, connection
+//! shares) is versioned by one row of the platform's table, whose *epoch* grows with each accepted
+//! change. A [`Holder`] knows the latest time `s` for which it is certain that
 //!
-//! > no epoch above mine had been accepted at time `s`
+//! > no epoch above its own had been accepted at time `s`
 //!
-//! and holds authority while that proof is at most its validity old. Proofs come from three places:
+//! and has authority, like the holder of a lease, until the validity has passed since `s`. There
+//! are three ways to renew it:
 //!
-//! * A read of the row, sent at `s`, that shows an epoch this host has.
-//! * A peer's answer to a request sent at `s`: the peer's own proof, of age `a`, proves `s - a`
-//!   here when this host's epoch is at least the peer's.
-//! * A majority of the epoch's voters, each confirming in answer to a request sent at `s` or later
-//!   that it has this epoch and has noted no announcement of a higher one.
+//! * A read of the row, sent at `s`, that shows no epoch above this host's.
+//! * A peer's answer to a request sent at `s`: the peer's own renewal, of age `a`, is valid here
+//!   as of `s - a` if this host's epoch is at least the peer's.
+//! * A majority of the epoch's voters, each of which confirms in its answer to a request sent at
+//!   `s` or later that it has this epoch and has recorded no announcement of a higher one.
 //!
-//! The last needs the writers' cooperation: before the conditional write of epoch `e + 1` a writer
-//! has [`announcement_quorum`] voters of epoch `e` note it, and a voter that noted `e + 1` confirms
-//! `e` no more, ever. Each majority shares a voter with each set of that size. If the shared voter
-//! noted first, it did not confirm; if it confirmed first, the write came later than `s`. A voter
-//! that restarts has a new incarnation, which is not the recorded one, so its confirmation does
-//! not count. The proof therefore holds while the store is down, and for any number of minutes.
+//! The last way needs the cooperation of writers: before the conditional write of epoch `e + 1`, a
+//! writer has [`announcement_quorum`] voters of epoch `e` record the announcement, and a voter that
+//! recorded `e + 1` never confirms `e` again. Each majority shares a voter with each set of that
+//! size. If the shared voter recorded the announcement first, it did not confirm; if it confirmed
+//! first, the write came later than `s`. A voter that restarts has a new incarnation, which is not
+//! the recorded one, so its confirmation does not count. Authority can therefore be renewed without
+//! limit while the store is down.
 //!
-//! Removal works the same way: the host that was removed is not in the higher epoch, so that it has
-//! lost its authority one validity after the removal was accepted, whether it heard or not.
+//! Removal works the same way: a removed host is not in the higher epoch, so it loses its authority
+//! at most one validity after the removal was accepted, whether or not it was notified.
 
 use crate::id::{Epoch, HostId, Incarnation, Time};
 use crate::peer::{Heartbeat, Member};
@@ -31,23 +33,23 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Age at which a proof ends.
+/// Time after a renewal at which authority expires.
 pub const VALIDITY: Duration = Duration::from_millis(1500);
 
-/// Where the present proof comes from.
+/// Origin of the latest renewal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Source {
     /// A read of the platform's table.
     Store,
-    /// A peer's proof.
+    /// A peer's own renewal.
     Peer,
     /// A majority of the voters.
     Voters,
 }
 
-/// One host's authority.
+/// Tracks the authority of one host.
 #[derive(Debug, Clone)]
 pub struct Holder {
     own: (HostId, Incarnation),
@@ -55,38 +57,38 @@
     epoch: Epoch,
     recorded: bool,
     voters: BTreeMap<HostId, Incarnation>,
-    proven: Option<(Time, Source)>,
-    pending: Option<Proof>,
+    renewed: Option<(Time, Source)>,
+    pending: Option<Renewal>,
     confirmed: BTreeMap<HostId, Time>,
-    noted: Option<Note>,
+    pending_announcement: Option<PendingAnnouncement>,
 }
 
-/// That no epoch above `epoch` had been accepted at `at`.
+/// Fact that no epoch above `epoch` had been accepted at `at`.
 #[derive(Debug, Clone, Copy)]
-struct Proof {
+struct Renewal {
     epoch: Epoch,
     at: Time,
 }
 
 /// An announcement whose outcome is unknown here.
 #[derive(Debug, Clone, Copy)]
-struct Note {
+struct PendingAnnouncement {
     epoch: Epoch,
     since: Time,
 }
 
-/// Voters that make a majority of `voters`.
+/// Number of voters that form a majority of `voters`.
 pub fn majority(voters: usize) -> usize {
     voters / 2 + 1
 }
 
-/// Voters that have to note an announcement: each majority includes one of them.
+/// Number of voters that must record an announcement, so that each majority includes one of them.
 pub fn announcement_quorum(voters: usize) -> usize {
     (voters + 1).saturating_sub(majority(voters))
 }
 
 impl Holder {
-    /// A host that knows nothing yet.
+    /// Creates a holder without authority: at epoch 0 and not recorded.
     pub fn new(host: HostId, incarnation: Incarnation) -> Holder {
         Holder {
             own: (host, incarnation),
@@ -94,14 +96,14 @@
             epoch: 0,
             recorded: false,
             voters: BTreeMap::new(),
-            proven: None,
+            renewed: None,
             pending: None,
             confirmed: BTreeMap::new(),
-            noted: None,
+            pending_announcement: None,
         }
     }
 
-    /// The same host with proofs that end at another age.
+    /// Sets the time after a renewal at which authority expires.
     pub fn with_validity(mut self, validity: Duration) -> Holder {
         self.validity = validity;
         self
@@ -112,12 +114,12 @@
         self.epoch
     }
 
-    /// Whether this run of the host is in the epoch's member table.
+    /// Whether this incarnation of the host is in the epoch's member table.
     pub fn is_recorded(&self) -> bool {
         self.recorded
     }
 
-    /// Moves to a higher epoch, whose members and voters are given.
+    /// Moves to a higher epoch with these members and voters; a lower one is ignored.
     pub fn adopt(
         &mut self,
         epoch: Epoch,
@@ -132,22 +134,23 @@
         self.recorded = members.get(&host).is_some_and(|m| m.incarnation == incarnation);
         self.voters = voters;
         self.confirmed.clear();
-        self.noted = self.noted.filter(|note| note.epoch > epoch);
-        if let Some(proof) = self.pending.take_if(|proof| proof.epoch <= epoch) {
-            self.renew(proof.at, Source::Store);
+        self.pending_announcement =
+            self.pending_announcement.filter(|pending| pending.epoch > epoch);
+        if let Some(renewal) = self.pending.take_if(|renewal| renewal.epoch <= epoch) {
+            self.renew(renewal.at, Source::Store);
         }
     }
 
-    /// Takes the epoch that a read of the store, sent at `sent`, found.
+    /// Records the epoch found by a read of the store that was sent at `sent`.
     pub fn record_read(&mut self, sent: Time, epoch: Epoch) {
         if epoch <= self.epoch {
             self.renew(sent, Source::Store);
         } else if self.pending.is_none_or(|pending| pending.epoch <= epoch) {
-            self.pending = Some(Proof { epoch, at: sent });
+            self.pending = Some(Renewal { epoch, at: sent });
         }
     }
 
-    /// Takes a peer's answer to a heartbeat that was sent at `sent`.
+    /// Records a peer's answer to a heartbeat that was sent at `sent`.
     pub fn record_answer(&mut self, sent: Time, answer: &Heartbeat) {
         if answer.epoch > self.epoch {
             return;
@@ -163,57 +166,57 @@
         }
     }
 
-    /// Notes that `epoch` is about to be written; says whether it lies above this host's.
+    /// Records that `epoch` is about to be written; returns whether it is above this host's epoch.
     pub fn record_announcement(&mut self, now: Time, epoch: Epoch) -> bool {
         if epoch <= self.epoch {
             return false;
         }
-        match &mut self.noted {
-            Some(note) => note.epoch = note.epoch.max(epoch),
-            None => self.noted = Some(Note { epoch, since: now }),
+        match &mut self.pending_announcement {
+            Some(pending) => pending.epoch = pending.epoch.max(epoch),
+            None => self.pending_announcement = Some(PendingAnnouncement { epoch, since: now }),
         }
         true
     }
 
-    /// Announced epoch whose outcome is unknown here.
+    /// Highest announced epoch whose outcome this host does not know.
     pub fn announced(&self) -> Option<Epoch> {
-        self.noted.map(|note| note.epoch)
+        self.pending_announcement.map(|pending| pending.epoch)
     }
 
-    /// Time since which an announcement's outcome has been unknown here.
+    /// Time of the first announcement whose outcome this host does not know.
     pub fn unresolved_since(&self) -> Option<Time> {
-        self.noted.map(|note| note.since)
+        self.pending_announcement.map(|pending| pending.since)
     }
 
-    /// Whether this host may act on its epoch.
+    /// Whether this host has authority, that is, may act on its epoch.
     pub fn is_held(&self, now: Time) -> bool {
         self.recorded && self.age(now).is_some_and(|age| age <= self.validity)
     }
 
-    /// Age of the newest proof.
+    /// Time since the latest renewal; `None` if there was none.
     pub fn age(&self, now: Time) -> Option<Duration> {
         self.latest_renewal(now).map(|(at, _)| now.saturating_sub(at))
     }
 
-    /// Where the newest proof comes from.
+    /// Origin of the latest renewal; `None` without authority.
     pub fn source(&self, now: Time) -> Option<Source> {
         self.latest_renewal(now).filter(|_| self.is_held(now)).map(|(_, source)| source)
     }
 
     fn latest_renewal(&self, now: Time) -> Option<(Time, Source)> {
-        self.proven.max(self.renewed_by_voters(now).map(|at| (at, Source::Voters)))
+        self.renewed.max(self.renewed_by_voters(now).map(|at| (at, Source::Voters)))
     }
 
     fn renew(&mut self, at: Time, source: Source) {
-        self.proven = self.proven.max(Some((at, source)));
+        self.renewed = self.renewed.max(Some((at, source)));
     }
 
-    /// Time by which a majority of the voters had confirmed the epoch.
+    /// Latest time as of which a majority of the voters confirmed the epoch.
     fn renewed_by_voters(&self, now: Time) -> Option<Time> {
         let (host, incarnation) = self.own;
         let mut times: Vec<Time> = self.confirmed.values().copied().collect();
         if self.voters.get(&host) == Some(&incarnation) {
-            times.push(self.noted.map_or(now, |note| note.since));
+            times.push(self.pending_announcement.map_or(now, |pending| pending.since));
         }
         times.sort_unstable_by(|a, b| b.cmp(a));
         times.get(majority(self.voters.len()) - 1).copied()
--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -1,8 +1,8 @@
 //! One attempt to move the fleet row to its next epoch.
 //!
-//! Steps: announce the epoch until enough voters noted it, write conditionally, and, when the
-//! answer is lost, read back before anything is said. A repeated conditional write is idempotent:
-//! it succeeds once, and afterwards the row names its author.
+//! Steps: announce the epoch until a quorum of voters acknowledged it, write conditionally, and,
+//! if the answer is lost, read the row back before reporting an outcome. A repeated conditional
+//! write is idempotent: it succeeds once, and afterwards the row names its author.
 
 use crate::authority::announcement_quorum;
 use crate::distribute::{Author, Row};
@@ -17,22 +17,22 @@
     Announce(BTreeSet<HostId>),
     /// Write the row, on condition that the base row is unchanged.
     Write,
-    /// Read the row.
+    /// Read the row to learn the outcome of the write.
     ReadBack,
-    /// Say the outcome.
+    /// Report the outcome; the attempt has ended.
     Finish(Outcome),
 }
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Outcome {
-    /// The row is the accepted one.
+    /// The row of this attempt was accepted.
     #[display("accepted")]
     Accepted,
-    /// Another change of the base row was accepted; this one never will be.
+    /// Another change of the base row was accepted, so this one never will be.
     #[display("overtaken by another change")]
     Overtaken,
-    /// The write was never sent.
+    /// No write was sent, or each that was sent is known to have failed.
     #[display("not written")]
     NotWritten,
     /// The write may or may not take effect.
@@ -40,46 +40,46 @@
     Unknown,
 }
 
-/// What came of a conditional write.
+/// Result of a conditional write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
-    /// It took effect.
+    /// The write took effect.
     Accepted,
-    /// The row had changed; as it is now.
+    /// The row had changed; the present row, if it was returned.
     Conflict(Option<Box<Row>>),
-    /// It certainly did not take effect.
+    /// The write certainly did not take effect.
     Refused,
-    /// No answer.
+    /// No answer; the write may or may not take effect.
     Lost,
 }
 
-/// What may have become of the conditional write.
+/// State of the conditional write as far as this host knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Write {
     /// None was sent, or each that was sent is known to have failed.
     Unsent,
-    /// One is on its way.
+    /// One is in flight.
     Sent,
     /// One was sent and its answer lost.
     Lost,
 }
 
-/// An attempt.
+/// State machine of one attempt.
 #[derive(Debug, Clone)]
 pub struct Writer {
     row: Row,
     author: Author,
     voters: BTreeSet<HostId>,
-    noted: BTreeSet<HostId>,
+    acknowledged: BTreeSet<HostId>,
     deadline: Time,
     write: Write,
 }
 
 impl Writer {
-    /// An attempt to write `row`, whose base epoch had `voters`.
+    /// Creates an attempt to write `row`, whose base epoch had `voters`.
     pub fn new(row: Row, author: Author, voters: BTreeSet<HostId>, deadline: Time) -> Writer {
-        let noted = BTreeSet::new();
-        Writer { row, author, voters, noted, deadline, write: Write::Unsent }
+        let acknowledged = BTreeSet::new();
+        Writer { row, author, voters, acknowledged, deadline, write: Write::Unsent }
     }
 
     /// The row to write.
@@ -87,27 +87,27 @@
         &self.row
     }
 
-    /// Begins.
+    /// Starts the attempt.
     pub fn start(&mut self) -> Action {
         self.announce_or_write()
     }
 
-    /// A voter noted the epoch.
+    /// Records that a voter acknowledged the announcement.
     pub fn record_acknowledgement(&mut self, host: HostId) {
         if self.voters.contains(&host) {
-            self.noted.insert(host);
+            self.acknowledged.insert(host);
         }
     }
 
-    /// A host already knows this or a higher epoch.
+    /// Ends the attempt if a host already has this or a higher epoch.
     ///
-    /// Says something about this attempt only while its own write cannot be that epoch.
+    /// Returns `None` once a write was sent, since that epoch may then be this attempt's own.
     pub fn observe_epoch(&self, epoch: Epoch) -> Option<Action> {
-        let overtaken = epoch >= self.row.epoch && self.write == Write::Unsent;
-        overtaken.then_some(Action::Finish(Outcome::Overtaken))
+        let is_overtaken = epoch >= self.row.epoch && self.write == Write::Unsent;
+        is_overtaken.then_some(Action::Finish(Outcome::Overtaken))
     }
 
-    /// A round of announcements ended.
+    /// Ends a round of announcements: announces again, writes, or gives up after the deadline.
     pub fn finish_announcements(&mut self, now: Time) -> Action {
         if now >= self.deadline && !self.has_quorum() {
             return Action::Finish(Outcome::NotWritten);
@@ -115,7 +115,7 @@
         self.announce_or_write()
     }
 
-    /// The conditional write came back.
+    /// Records the result of the conditional write.
     pub fn record_write(&mut self, now: Time, reply: Reply) -> Action {
         match reply {
             Reply::Accepted => Action::Finish(Outcome::Accepted),
@@ -133,7 +133,7 @@
         }
     }
 
-    /// The row was read; none when the read failed.
+    /// Records the row as read back; `None` if the read failed.
     pub fn record_read(&mut self, now: Time, row: Option<&Row>) -> Action {
         match row {
             Some(row) if row.epoch >= self.row.epoch => self.conclude(now, Some(row)),
@@ -147,7 +147,7 @@
         if self.has_quorum() {
             return self.send();
         }
-        Action::Announce(self.voters.difference(&self.noted).copied().collect())
+        Action::Announce(self.voters.difference(&self.acknowledged).copied().collect())
     }
 
     fn send(&mut self) -> Action {
@@ -157,9 +157,9 @@
         Action::Write
     }
 
-    /// Whether enough voters noted the epoch.
+    /// Whether a quorum of voters acknowledged the announcement; always true without voters.
     pub fn has_quorum(&self) -> bool {
-        self.voters.is_empty() || self.noted.len() >= announcement_quorum(self.voters.len())
+        self.voters.is_empty() || self.acknowledged.len() >= announcement_quorum(self.voters.len())
     }
 
     fn conclude(&self, now: Time, row: Option<&Row>) -> Action {
--- a/crates/core/src/distribute.rs
+++ b/crates/core/src/distribute.rs
@@ -1,14 +1,14 @@
-//! How an accepted epoch reaches every host.
+//! Distribution of accepted epochs to all hosts.
 //!
-//! The platform's table holds one [`Row`]: epoch, configuration version, digest of the
-//! configuration document (whose body lies in the object store) and the member table. Each change
-//! of either is one conditional write of this row. A host keeps a [`Replica`] of it, which only ever
-//! moves to higher epochs, so that a slow answer of an earlier read cannot take a host back.
+//! The platform's table contains one [`Row`]: epoch, configuration version, digest of the
+//! configuration document (whose body is in the object store) and the member table. Each change of
+//! any of these is one conditional write of this row. Each host keeps a [`Replica`] of the row,
+//! which only moves to higher epochs, so that a delayed answer to an earlier read cannot revert it.
 //!
-//! After acceptance the row is pushed along a tree of bounded fan-out over the members. What the
-//! push misses, anti-entropy mends: heartbeats name epochs, and a host that sees a higher one
-//! fetches it. [`Adoption`] says when an epoch is in force everywhere, which is another fact than
-//! its acceptance.
+//! After acceptance the row is pushed along a tree of bounded fan-out over the members. Hosts that
+//! the push misses catch up by anti-entropy: heartbeats carry epochs, and a host that receives a
+//! higher one fetches it. [`Adoption`] tracks when an epoch is in force on every host, which is
+//! later than its acceptance.
 
 use crate::authority;
 use crate::config::{self, Change, Document, Edit};
@@ -19,42 +19,42 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Peers to which one host pushes an update.
+/// Largest number of peers to which one host pushes an update.
 pub const FAN_OUT: usize = 16;
-/// Epochs whose author a row remembers.
+/// Number of latest epochs whose author the row records.
 pub const MAX_AUTHORS: usize = 32;
-/// Changes that a replica keeps to bring others up to date.
+/// Number of latest changes that a replica keeps to update other hosts.
 pub const MAX_CHANGES: usize = 32;
 
 /// The fleet row of the platform's table.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Row {
-    /// Grows by one with each accepted write of the row; 0 in one that no host has written.
+    /// Grows by one with each accepted write of the row; 0 before the first write.
     pub epoch: Epoch,
     /// Version of the configuration.
     pub version: Version,
     /// SHA-256 of the configuration document, hexadecimal; empty while there is none.
     pub digest: String,
-    /// Recorded hosts.
+    /// Member table.
     pub members: BTreeMap<HostId, Member>,
-    /// Who wrote the latest epochs.
+    /// Authors of the latest epochs.
     pub authors: BTreeMap<Epoch, Author>,
 }
 
-/// One attempt to write an epoch.
+/// Identity of one attempt to write an epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Author {
-    /// Host that wrote.
+    /// Host that made the attempt.
     pub host: HostId,
-    /// Its run.
+    /// Incarnation of that host.
     pub incarnation: Incarnation,
-    /// Number of the attempt within the run.
+    /// Number of the attempt within the incarnation.
     pub attempt: u64,
 }
 
 impl Row {
-    /// The row that follows this one, by `author`.
+    /// Returns the row of the next epoch, written by `author`.
     pub fn successor(&self, author: Author) -> Row {
         let mut next = self.clone();
         next.epoch += 1;
@@ -65,36 +65,36 @@
         next
     }
 
-    /// The same row with another configuration.
+    /// Sets the configuration version and digest.
     pub fn with_config(mut self, version: Version, digest: impl Into<String>) -> Row {
         self.version = version;
         self.digest = digest.into();
         self
     }
 
-    /// The same row with `member` added or replaced.
+    /// Adds or replaces `member`.
     pub fn with_member(mut self, member: Member) -> Row {
         self.members.insert(member.host, member);
         self
     }
 
-    /// The same row without `host`.
+    /// Removes `host` from the member table.
     pub fn without_member(mut self, host: HostId) -> Row {
         self.members.remove(&host);
         self
     }
 }
 
-/// Why an update was not taken.
+/// Reason why an update was not adopted.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error, From)]
 pub enum Fault {
-    /// Its epoch is not above the replica's.
+    /// The epoch is not above the replica's.
     #[display("epoch is not newer")]
     Stale,
-    /// The document that it builds on is not here.
+    /// The update is based on a document that the replica does not have.
     #[display("the update builds on another version")]
     Gap,
-    /// The document cannot hold.
+    /// The document is invalid.
     #[display("{_0}")]
     Config(config::Fault),
 }
@@ -108,22 +108,22 @@
 }
 
 impl Replica {
-    /// A copy that knows nothing yet.
+    /// Creates a replica at epoch 0 with an empty document.
     pub fn new() -> Replica {
         Replica::default()
     }
 
-    /// The row in force here.
+    /// Row that this host acts on.
     pub fn row(&self) -> &Row {
         &self.row
     }
 
-    /// The document in force here.
+    /// Document that this host acts on.
     pub fn document(&self) -> &Document {
         &self.document
     }
 
-    /// Moves to a higher epoch.
+    /// Moves to the epoch of `row`, if it is higher.
     pub fn adopt(&mut self, row: Row, body: Body) -> Result<(), Fault> {
         if row.epoch <= self.row.epoch || row.version < self.document.version {
             return Err(Fault::Stale);
@@ -136,7 +136,8 @@
         Ok(())
     }
 
-    /// What brings a host from `epoch` and `version` to this replica's.
+    /// Returns the update from `epoch` and `version` to this replica's, or `None` if the replica's
+    /// epoch is not higher.
     pub fn update(&self, origin: HostId, epoch: Epoch, version: Version) -> Option<Update> {
         if epoch >= self.row.epoch {
             return None;
@@ -154,7 +155,7 @@
         Some(Update { origin, row: self.row.clone(), body })
     }
 
-    /// The change from this replica's version by `edits`, and the document after it.
+    /// Returns the change that applies `edits` to this replica's version, and the resulting document.
     pub fn propose(&self, edits: Vec<Edit>) -> Result<(Change, Document), config::Fault> {
         let change = Change { version: self.document.version + 1, edits };
         let document = self.document.with_change(&change)?;
@@ -187,10 +188,10 @@
     }
 }
 
-/// Members to which `own` passes on an update that spreads from `origin`.
+/// Members to which `own` forwards an update that was pushed by `origin`.
 ///
 /// The members, in order of id and rotated so that `origin` comes first, form a heap of arity
-/// `fan_out`; with at most `fan_out` peers the origin reaches everyone itself.
+/// `fan_out`; with at most `fan_out` peers the origin pushes to all of them itself.
 pub fn children(
     members: &BTreeMap<HostId, Member>,
     origin: HostId,
@@ -209,7 +210,7 @@
     order.into_iter().skip(index * fan_out + 1).take(fan_out).collect()
 }
 
-/// How far an accepted epoch has come.
+/// Tracks which accepted epochs all hosts act on.
 #[derive(Debug, Clone)]
 pub struct Adoption {
     validity: Duration,
@@ -220,9 +221,9 @@
 #[derive(Debug, Clone)]
 struct Accepted {
     version: Version,
-    known: Time,
+    adopted_at: Time,
     waiting: BTreeSet<(HostId, Incarnation)>,
-    /// Whether hosts that cannot confirm may act on an older epoch.
+    /// Whether hosts outside the member table, which cannot confirm, may act on an older epoch.
     has_unlisted_hosts: bool,
 }
 
@@ -233,56 +234,57 @@
 }
 
 impl Adoption {
-    /// Nothing accepted yet.
+    /// Creates a tracker without accepted epochs.
     pub fn new() -> Adoption {
         Adoption { validity: authority::VALIDITY, accepted: BTreeMap::new(), in_force: (0, 0) }
     }
 
-    /// The same with another lifetime of authority.
+    /// Sets the time after which authority expires.
     pub fn with_validity(mut self, validity: Duration) -> Adoption {
         self.validity = validity;
         self
     }
 
-    /// Takes a row that this host moved to at `now`, from `previous`.
+    /// Records a row that this host moved to at `now`, from `previous`.
     ///
-    /// A host that the row no longer has cannot confirm it, and may act on an older epoch until
-    /// its authority has lapsed. So may one that was added and removed in epochs that this host
-    /// never saw.
+    /// A host that was removed by the row does not confirm it, and may act on an older epoch until
+    /// its authority has expired. So may one that was added and removed in epochs that this host
+    /// skipped.
     pub fn record_accepted(&mut self, now: Time, row: &Row, previous: &Row, own: HostId) {
-        let of = |row: &Row| -> BTreeSet<(HostId, Incarnation)> {
+        let members_of = |row: &Row| -> BTreeSet<(HostId, Incarnation)> {
             let members = row.members.values().filter(|member| member.host != own);
             members.map(|member| (member.host, member.incarnation)).collect()
         };
-        let waiting = of(row);
-        let has_strangers = row.epoch > previous.epoch + 1 || !of(previous).is_subset(&waiting);
+        let waiting = members_of(row);
+        let has_strangers =
+            row.epoch > previous.epoch + 1 || !members_of(previous).is_subset(&waiting);
         let accepted = Accepted {
             version: row.version,
-            known: now,
+            adopted_at: now,
             waiting,
             has_unlisted_hosts: has_strangers,
         };
         self.accepted.insert(row.epoch, accepted);
     }
 
-    /// Takes word that a run of a host acts on `epoch`.
+    /// Records that an incarnation of a host acts on `epoch`.
     pub fn record_confirmed(&mut self, host: HostId, incarnation: Incarnation, epoch: Epoch) {
         for accepted in self.accepted.range_mut(..=epoch).map(|(_, accepted)| accepted) {
             accepted.waiting.remove(&(host, incarnation));
         }
     }
 
-    /// Highest epoch, and its version, that every live host acts on.
+    /// Highest epoch, with its configuration version, that every live host acts on.
     ///
-    /// A host that has not confirmed an epoch one validity after its acceptance has lost its
-    /// authority over the older one.
+    /// A host that has not confirmed an epoch one validity after its acceptance no longer has
+    /// authority to act on the older one.
     pub fn in_force(&mut self, now: Time) -> (Epoch, Version) {
-        let lapsed = |accepted: &Accepted| now.saturating_sub(accepted.known) > self.validity;
+        let expired = |accepted: &Accepted| now.saturating_sub(accepted.adopted_at) > self.validity;
         let done = self
             .accepted
             .iter()
-            .take_while(|(_, accepted)| !accepted.has_unlisted_hosts || lapsed(accepted))
-            .filter(|(_, accepted)| accepted.waiting.is_empty() || lapsed(accepted))
+            .take_while(|(_, accepted)| !accepted.has_unlisted_hosts || expired(accepted))
+            .filter(|(_, accepted)| accepted.waiting.is_empty() || expired(accepted))
             .map(|(epoch, accepted)| (*epoch, accepted.version))
             .last();
         if let Some(done) = done {
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -1,12 +1,12 @@
-//! Planned promotion: moves a group's primary to a chosen target and loses no request.
+//! Planned promotion: moves a group's primary to a chosen target without losing a request.
 //!
-//! First every host stops sending the primary anything new and lets what runs there end; requests
-//! wait in the hosts. Then the primary itself is held, which turns away, as not run, the writes of
-//! a host that did not hear. Once the candidate holds the primary's last entry, and
-//! that entry is confirmed and no longer moves, the ordinary promotion runs with the candidate preferred. Until the
-//! fence every step can be taken back by releasing the hold, and the hold ends by itself when the
-//! host that set it dies. From the fence on the promotion has to be carried through, by this host
-//! or by any other that finds the group without a primary.
+//! First every host stops sending new work to the primary and lets running work complete; new
+//! requests wait in the hosts. Then the primary itself is put on hold: it rejects, as not run, the
+//! writes of a host that missed the notification. Once the candidate has the primary's last entry
+//! and that entry is confirmed and stable, the ordinary promotion runs with the candidate
+//! preferred. Until the fence every step can be undone by releasing the hold, and the hold expires
+//! by itself if the host that set it dies. After the fence the promotion must be completed, by
+//! this host or by any other that finds the group without a primary.
 
 use crate::group::Status;
 use crate::id::{TargetId, Time};
@@ -14,58 +14,59 @@
 use derive_more::Display;
 use std::time::Duration;
 
-/// Time after which the primary takes writes again by itself.
+/// Time after which the primary accepts writes again unless it is released earlier.
 pub const PRIMARY_HOLD_DURATION: Duration = Duration::from_millis(1_500);
-/// Time for which hosts send the primary nothing new.
+/// Longest time for which hosts send the primary no new work.
 pub const HOST_HOLD_DURATION: Duration = Duration::from_millis(2_500);
-/// Time for work on the primary to end.
+/// Longest time for work on the primary to complete.
 pub const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time for the candidate to hold all that the primary wrote, once it is held.
+/// Longest time for the candidate to replicate all entries of the primary once that is on hold;
+/// also for the answer to the hold itself.
 pub const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time for which the primary's last entry must stay the same.
+/// Time for which the primary's last entry must stay the same to count as stable.
 pub const STABLE_ENTRY_DURATION: Duration = Duration::from_millis(60);
-/// Time between two looks at both.
+/// Interval at which the status of primary and candidate is polled.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Why a planned promotion was taken back; nothing has changed then.
+/// Why a planned promotion was aborted; the group is unchanged in that case.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
 pub enum Abort {
-    /// Work on the primary did not end in time.
+    /// Work on the primary did not complete in time.
     NotDrained,
     /// The primary is not the one that the plan names.
     Superseded,
-    /// The primary did not let itself be held.
+    /// The primary refused the hold or did not answer.
     NotHeld,
     /// The candidate did not catch up in time.
     NotCaughtUp,
 }
 
-/// What the caller has to do.
+/// What the caller has to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
-    /// Turn writes away at `target` for `time`; zero releases.
+    /// Make `target` reject writes for `time`; zero releases the hold.
     Hold {
         /// The primary.
         target: TargetId,
-        /// How long.
+        /// Duration of the hold.
         time: Duration,
     },
-    /// Ask `target` for its last entry.
+    /// Query the status of `target`.
     ReadStatus {
-        /// Whom to ask.
+        /// Target to query.
         target: TargetId,
     },
     /// Promote `candidate` over the primary of `term`.
     Promote {
-        /// The candidate.
+        /// Target to promote.
         candidate: TargetId,
-        /// The primary's term.
+        /// Term of the present primary.
         term: Term,
     },
-    /// Taken back.
+    /// The promotion was aborted.
     Aborted {
-        /// Why.
+        /// Cause of the abort.
         reason: Abort,
     },
 }
@@ -78,7 +79,7 @@
     Ended,
 }
 
-/// One planned promotion, up to the fence.
+/// State machine of one planned promotion, up to the fence.
 #[derive(Debug)]
 pub struct Handover {
     primary: TargetId,
@@ -86,14 +87,14 @@
     candidate: TargetId,
     state: State,
     started: Time,
-    looked: Time,
-    last: Option<(Time, Position)>,
+    polled: Time,
+    last_entry: Option<(Time, Position)>,
     reached: Position,
     confirmed: Position,
 }
 
 impl Handover {
-    /// Starts to move the primary of `term` to `candidate`.
+    /// Starts a move of the primary of `term` to `candidate`; waits for the drain first.
     pub fn new(now: Time, primary: TargetId, term: Term, candidate: TargetId) -> Handover {
         Handover {
             primary,
@@ -101,14 +102,14 @@
             candidate,
             state: State::Draining,
             started: now,
-            looked: now,
-            last: None,
+            polled: now,
+            last_entry: None,
             reached: Position::default(),
             confirmed: Position::default(),
         }
     }
 
-    /// No host uses the primary any more.
+    /// Records that no host uses the primary any more.
     pub fn record_drained(&mut self, now: Time) -> Vec<Action> {
         if self.state != State::Draining {
             return Vec::new();
@@ -118,12 +119,12 @@
         vec![Action::Hold { target: self.primary, time: PRIMARY_HOLD_DURATION }]
     }
 
-    /// Whether it has come to an end, one way or the other.
+    /// Whether the handover has reached the promotion or was aborted.
     pub fn is_ended(&self) -> bool {
         self.state == State::Ended
     }
 
-    /// The primary answered the hold, or could not be asked.
+    /// Records the primary's last entry from its answer to the hold; `None` if the hold failed.
     pub fn record_hold(&mut self, now: Time, entry: Option<Position>) -> Vec<Action> {
         if self.state != State::Holding {
             return Vec::new();
@@ -137,13 +138,13 @@
         }
     }
 
-    /// `target` told its status.
+    /// Records the answer of `target` to a status query.
     pub fn record_status(&mut self, now: Time, target: TargetId, status: &Status) -> Vec<Action> {
         if self.state != State::CatchingUp {
             return Vec::new();
         }
         if target == self.candidate {
-            // The last answer counts alone: a target that was rebuilt has gone back.
+            // Only the latest answer counts, since a rebuilt target may have a shorter log.
             self.reached = status.entry;
         }
         if target == self.primary {
@@ -151,14 +152,14 @@
                 return self.abort(Abort::Superseded);
             }
             self.confirmed = status.confirmed;
-            if self.last.is_none_or(|(_, known)| known != status.entry) {
-                self.last = Some((now, status.entry));
+            if self.last_entry.is_none_or(|(_, known)| known != status.entry) {
+                self.last_entry = Some((now, status.entry));
             }
         }
         self.advance(now)
     }
 
-    /// Time passes: looks again, and gives up at the bound.
+    /// Advances time: polls again, and aborts at the timeout of the current phase.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         if self.is_ended() {
             return Vec::new();
@@ -171,21 +172,21 @@
         if now.saturating_sub(self.started) >= timeout {
             return self.abort(reason);
         }
-        if self.state == State::CatchingUp && now.saturating_sub(self.looked) >= POLL_INTERVAL {
+        if self.state == State::CatchingUp && now.saturating_sub(self.polled) >= POLL_INTERVAL {
             return self.poll(now);
         }
         Vec::new()
     }
 
     fn poll(&mut self, now: Time) -> Vec<Action> {
-        self.looked = now;
+        self.polled = now;
         [self.primary, self.candidate].map(|target| Action::ReadStatus { target }).to_vec()
     }
 
     fn advance(&mut self, now: Time) -> Vec<Action> {
-        let Some((since, entry)) = self.last else { return Vec::new() };
-        let settled = now.saturating_sub(since) >= STABLE_ENTRY_DURATION;
-        if !settled || self.reached < entry || self.confirmed < entry {
+        let Some((since, entry)) = self.last_entry else { return Vec::new() };
+        let stable = now.saturating_sub(since) >= STABLE_ENTRY_DURATION;
+        if !stable || self.reached < entry || self.confirmed < entry {
             return Vec::new();
         }
         self.state = State::Ended;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -1,15 +1,16 @@
-//! Who belongs to the fleet, and who is still there.
+//! Membership of the fleet and liveness of its members.
 //!
-//! Three sources are joined. The member table of the fleet row says who may hold shares and vote;
-//! it changes only by conditional writes. The platform's list says who started or is leaving, a
-//! second or more late. Heartbeats say who answers now. A host is proposed for removal when no
-//! host that answers hears it and one of two facts is there: its address refuses connections, or
-//! it is off the platform's list. A host that merely cannot reach its peers stays: it reads the
-//! store, so that it keeps its authority and its shares.
+//! Combines three sources. The member table of the fleet row defines which hosts may have shares
+//! and vote; it changes only by conditional writes. The platform's list shows which hosts started
+//! or are leaving, with a delay of a second or more. Heartbeats show which hosts answer now. A host
+//! is proposed for removal if none of its watchers that answer receives its heartbeats and either
+//! its address refuses connections or it is not on the platform's list. A host that merely cannot
+//! reach its peers stays a member: it reads the store, and so keeps its authority and its shares.
 //!
-//! With few peers every host probes all of them. With more, the hosts form a ring in pseudo-random
-//! order on which each watches a fixed number of successors, so that all watchers of a host watch
-//! or hear each other; and a tree rooted in the voters along which proofs of authority travel.
+//! In a small fleet every host probes all others. In a larger one the hosts form a ring in
+//! pseudo-random order on which each watches a fixed number of successors, so that all watchers of
+//! a host watch or receive heartbeats from each other, and a tree rooted at the voters along which
+//! renewals of authority are passed on.
 
 use crate::id::{Epoch, HostId, Incarnation, Time, Version};
 use crate::peer::{Heartbeat, Member};
@@ -17,61 +18,62 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time between rounds of heartbeats.
+/// Interval between rounds of heartbeats.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
-/// Peers that a host watches; with no more peers than that, all.
+/// Number of peers that a host watches; it watches all peers if there are no more than this.
 pub const WATCHED_PEERS: usize = 8;
-/// Hosts that take their proofs of authority from the same host of the tree.
+/// Children of a host in the tree along which renewals of authority are passed on.
 pub const TREE_ARITY: usize = 16;
-/// Hosts of the tree from which each host takes its proofs.
+/// Parents of a host in that tree.
 pub const TREE_PARENTS: usize = 2;
-/// Silence after which a peer is suspected.
+/// Time without a heartbeat after which a peer is suspected.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1500);
-/// Silence after which a suspected peer that is off the list, or refuses connections, is removed.
+/// Time without a heartbeat after which a peer that is not on the platform's list, or refuses
+/// connections, is removed.
 pub const REMOVE_AFTER: Duration = Duration::from_secs(2);
-/// Voters of an epoch.
+/// Largest number of voters of an epoch.
 pub const MAX_VOTERS: usize = 9;
-/// Hosts of one failure domain that poll the store.
+/// Number of hosts in each failure domain that poll the store.
 pub const POLLERS_PER_DOMAIN: usize = 2;
 
-/// Time for which the platform's list counts as evidence.
+/// Age up to which the platform's list is used as evidence.
 pub const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
-/// Order of hosts on the ring, among voters and among pollers.
+/// Hash subject for the order of hosts on the ring, among voters and among pollers.
 const RING: Subject = Subject::Store(0);
 
-/// What a failed probe says about a peer.
+/// Outcome of a failed probe of a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
-    /// No answer in time: it may be alive behind a partition.
+    /// No answer in time: the peer may be alive behind a partition.
     Timeout,
-    /// Its address refuses connections: the process is gone.
+    /// The address refuses connections: the process has exited.
     Refused,
 }
 
-/// What is known of one peer.
+/// State of one peer as this host knows it.
 #[derive(Debug, Clone)]
 pub struct Peer {
-    /// Latest identity.
+    /// Latest known incarnation of the peer.
     pub member: Member,
-    /// Time of its last answer, or when this host began to look.
+    /// Time of the last heartbeat received, or at which this host learned of the peer.
     pub last_received: Time,
-    /// Whether it ever answered.
+    /// Whether any heartbeat of this incarnation was received.
     pub has_answered: bool,
-    /// Epoch that it last said it acts on.
+    /// Highest epoch that the peer reported to act on.
     pub epoch: Epoch,
-    /// Configuration version that it last said it acts on.
+    /// Highest configuration version that the peer reported to act on.
     pub version: Version,
-    /// Hosts that it does not hear.
+    /// Members whose heartbeats the peer does not receive.
     pub silent: BTreeSet<HostId>,
     refused: bool,
 }
 
-/// The platform's list as last read.
+/// The platform's list of hosts as last read.
 #[derive(Debug, Clone)]
 struct List {
     at: Time,
-    runs: BTreeMap<HostId, Incarnation>,
+    incarnations: BTreeMap<HostId, Incarnation>,
 }
 
 /// One host's view of its peers.
@@ -80,31 +82,31 @@
     own: HostId,
     peers: BTreeMap<HostId, Peer>,
     recorded: BTreeMap<HostId, Incarnation>,
-    listed: Option<List>,
+    platform_list: Option<List>,
     voters: Vec<HostId>,
     watched: usize,
 }
 
 impl View {
-    /// Knows nobody yet.
+    /// Creates a view without peers.
     pub fn new(own: HostId) -> View {
         View {
             own,
             peers: BTreeMap::new(),
             recorded: BTreeMap::new(),
-            listed: None,
+            platform_list: None,
             voters: Vec::new(),
             watched: WATCHED_PEERS,
         }
     }
 
-    /// The same view with another number of watched peers.
+    /// Sets the number of peers that each host watches.
     pub fn with_watched(mut self, watched: usize) -> View {
         self.watched = watched;
         self
     }
 
-    /// Takes the member table of an adopted epoch.
+    /// Records the member table of an adopted epoch.
     pub fn record_members(&mut self, now: Time, members: &BTreeMap<HostId, Member>) {
         self.recorded = members.iter().map(|(id, m)| (*id, m.incarnation)).collect();
         self.voters = voters(members).into_keys().collect();
@@ -114,17 +116,17 @@
         self.drop_unknown_peers();
     }
 
-    /// Takes the platform's list.
+    /// Records the platform's list as read at `now`.
     pub fn record_platform_list(&mut self, now: Time, list: &[Member]) {
-        let runs = list.iter().map(|m| (m.host, m.incarnation)).collect();
-        self.listed = Some(List { at: now, runs });
+        let incarnations = list.iter().map(|m| (m.host, m.incarnation)).collect();
+        self.platform_list = Some(List { at: now, incarnations });
         for member in list {
             self.add_peer(now, member);
         }
         self.drop_unknown_peers();
     }
 
-    /// Takes a peer's heartbeat or its answer to one.
+    /// Records a peer's heartbeat or its answer to one; those of older incarnations are ignored.
     pub fn record_heartbeat(&mut self, now: Time, heartbeat: &Heartbeat) {
         self.add_peer(now, &heartbeat.member);
         let Some(peer) = self.peers.get_mut(&heartbeat.member.host) else { return };
@@ -140,19 +142,19 @@
         peer.silent.clone_from(&heartbeat.silent);
     }
 
-    /// Takes a failed probe.
+    /// Records a failed probe of `host`.
     pub fn record_probe_failure(&mut self, host: HostId, failure: Failure) {
         if let Some(peer) = self.peers.get_mut(&host) {
             peer.refused = failure == Failure::Refused;
         }
     }
 
-    /// Peers by id.
+    /// All known peers by id, without this host.
     pub fn peers(&self) -> &BTreeMap<HostId, Peer> {
         &self.peers
     }
 
-    /// Peers to probe in each round.
+    /// Peers to send a heartbeat to in each round.
     pub fn probes(&self) -> Vec<Member> {
         let mut chosen = self.watched_by(self.own);
         if self.peers.len() > self.watched {
@@ -166,12 +168,13 @@
             .collect()
     }
 
-    /// Recorded peers that this host does not hear.
+    /// Watched members whose heartbeats this host no longer receives.
     pub fn silent(&self, now: Time) -> BTreeSet<HostId> {
         self.silent_for(now, SUSPECT_AFTER)
     }
 
-    /// Recorded peers that have been gone for `time`.
+    /// Watched members without a heartbeat for `time` that have certainly stopped and that none of
+    /// their live watchers can reach.
     pub fn removable(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
         let mut silent = self.silent_for(now, time);
         silent.retain(|host| {
@@ -180,13 +183,13 @@
         silent
     }
 
-    /// Whether to read the platform's list: the task of those that poll, and of whoever misses a
-    /// peer and so needs the list as evidence.
+    /// Whether to read the platform's list: done by the pollers, and by a host that suspects a peer
+    /// and needs the list as evidence.
     pub fn reads_list(&self, now: Time, members: &BTreeMap<HostId, Member>) -> bool {
         is_poller(members, self.own, POLLERS_PER_DOMAIN) || !self.silent(now).is_empty()
     }
 
-    /// Recorded peers with a smaller id that answer.
+    /// Number of live peers with a smaller id; used to order actions that any host may take.
     pub fn rank(&self, now: Time) -> u32 {
         let before = self.peers.range(..self.own).map(|(_, peer)| peer);
         before.filter(|peer| self.is_answering(now, peer)).count() as u32
@@ -197,23 +200,24 @@
     }
 
     fn silent_for(&self, now: Time, time: Duration) -> BTreeSet<HostId> {
-        let quiet = |peer: &Peer| now.saturating_sub(peer.last_received) >= time;
+        let is_silent = |peer: &Peer| now.saturating_sub(peer.last_received) >= time;
         let mut silent = self.watched_by(self.own);
         silent.retain(|host| self.recorded.contains_key(host));
-        silent.retain(|host| self.peers.get(host).is_some_and(quiet));
+        silent.retain(|host| self.peers.get(host).is_some_and(is_silent));
         silent
     }
 
     fn is_known_stopped(&self, now: Time, host: HostId) -> bool {
         let refused = self.peers.get(&host).is_some_and(|peer| peer.refused);
-        // A host that was recorded after an old list was read is not on that list.
-        let listed = self.listed.as_ref();
+        // A list that is too old would lack a host that became a member after it was read.
+        let listed = self.platform_list.as_ref();
         let listed = listed.filter(|list| now.saturating_sub(list.at) < MAX_LIST_AGE);
-        let unlisted = listed.is_some_and(|list| list.runs.get(&host) != self.recorded.get(&host));
+        let unlisted =
+            listed.is_some_and(|list| list.incarnations.get(&host) != self.recorded.get(&host));
         refused || unlisted
     }
 
-    /// Whether every live watcher of `host` misses it too.
+    /// Whether every other live watcher of `host` reports it as silent too.
     fn is_missed_by_all_watchers(&self, now: Time, host: HostId) -> bool {
         let others = self.peers.values().filter(|peer| peer.member.host != host);
         others
@@ -222,7 +226,7 @@
             .all(|peer| peer.silent.contains(&host))
     }
 
-    /// The hosts that follow `watcher` on the ring.
+    /// Hosts that follow `watcher` on the ring.
     fn watched_by(&self, watcher: HostId) -> BTreeSet<HostId> {
         let mut ring: Vec<HostId> = self.peers.keys().copied().chain([self.own]).collect();
         ring.sort_by_key(|host| (weight(*host, RING), *host));
@@ -231,7 +235,7 @@
         ring.iter().cycle().skip(start).take(count).copied().collect()
     }
 
-    /// The hosts above this one in the tree of proofs; for a voter, the other voters.
+    /// Parents of this host in the tree of renewals; for a voter, all voters.
     fn tree_parents(&self) -> Vec<HostId> {
         if self.voters.contains(&self.own) {
             return self.voters.clone();
@@ -248,7 +252,7 @@
         (0..TREE_PARENTS).map(|n| order[(parent + n) % above]).collect()
     }
 
-    /// Adds a peer, or replaces an earlier run of it.
+    /// Adds a peer, or replaces an earlier incarnation of it.
     fn add_peer(&mut self, now: Time, member: &Member) {
         if member.host == self.own {
             return;
@@ -268,17 +272,17 @@
         }
     }
 
-    /// Drops peers that are neither recorded nor listed.
+    /// Removes peers that are neither members nor on the platform's list.
     fn drop_unknown_peers(&mut self) {
-        let Some(List { runs, .. }) = &self.listed else { return };
+        let Some(List { incarnations, .. }) = &self.platform_list else { return };
         let recorded = &self.recorded;
-        self.peers.retain(|host, _| recorded.contains_key(host) || runs.contains_key(host));
+        self.peers.retain(|host, _| recorded.contains_key(host) || incarnations.contains_key(host));
     }
 }
 
-/// Voters of an epoch with these members: at most [`VOTERS`], spread over failure domains.
+/// Voters of an epoch with these members: at most [`MAX_VOTERS`], spread over failure domains.
 ///
-/// Depends on nothing but the members, so that every host computes the same.
+/// Depends only on the members, so every host computes the same voters.
 pub fn voters(members: &BTreeMap<HostId, Member>) -> BTreeMap<HostId, Incarnation> {
     let staying = || members.values().filter(|member| !member.leaving);
     let mut by_weight: Vec<&Member> = staying().collect();
@@ -291,7 +295,8 @@
     chosen.map(|host| (host, members[&host].incarnation)).collect()
 }
 
-/// Whether `own` is among the hosts of its failure domain that poll the store.
+/// Whether `own` is among the `per_domain` hosts of its failure domain that poll the store; true
+/// for a host that is not a member.
 pub fn is_poller(members: &BTreeMap<HostId, Member>, own: HostId, per_domain: usize) -> bool {
     let Some(member) = members.get(&own) else { return true };
     let rank = members
--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -1,23 +1,23 @@
-//! Promotion of a target to primary, through the group's own terms.
+//! Promotion of a target to primary, by an election over the group's terms.
 //!
-//! An attempt chooses a term above all seen, asks every target for it under a promoter id that is
-//! unique to the attempt (the fence), and promotes the target with the highest last entry among
-//! the granters once a majority of the group, counting voters only, has granted. A target grants a
-//! term once, a granter takes nothing of lower terms any more, and an acknowledged entry is on a
-//! majority in its own term. So any two majorities meet, and the highest granter holds every
-//! acknowledged entry, whatever clocks and messages do.
+//! An attempt picks a term above all terms seen and requests it from every target under a promoter
+//! id that is unique to the attempt (the fence). Once a majority of the group, counting voters
+//! only, has granted the term, it promotes the granter with the highest last entry. A target
+//! grants a term once, a granter rejects everything of lower terms from then on, and an
+//! acknowledged entry is on a majority in its own term. Any two majorities intersect, so the
+//! highest granter has every acknowledged entry regardless of clocks and message order.
 //!
-//! Four rules keep that argument whole:
+//! The argument depends on four rules:
 //! - the choice compares last entries, never granted terms;
 //! - a target that is being rebuilt counts for no majority and is never chosen;
-//! - an attempt asks one target only to become primary; when that fails, the next attempt takes a
+//! - an attempt asks only one target to become primary; if that fails, the next attempt uses a
 //!   new term;
-//! - an attempt sends a target one fence. A second one could be granted after the target has been
-//!   rebuilt, and let it be promoted for the log that it no longer has.
+//! - an attempt sends each target one fence. A second one could be granted after the target has
+//!   been rebuilt, and the target would be promoted for a log that it no longer has.
 //!
-//! Nothing of an attempt has to survive it: any host may start anew with a higher term after any
-//! step, and a promoter that wakes late finds its term outdated. Starts are staggered by rank and
-//! repeated with a random backoff, so that promoters rarely meet.
+//! An attempt needs no durable state: any host may start over with a higher term after any step,
+//! and a promoter that resumes late finds its term outdated. Starts are staggered by rank and
+//! repeated with a random backoff, so that promoters rarely compete.
 
 use crate::group::{Answer, Status, majority};
 use crate::id::{FailureDomainId, HostId, PromoterId, TargetId, Time};
@@ -26,69 +26,69 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Delay between the starts of hosts that follow each other in rank.
+/// Delay between the starts of hosts of consecutive ranks.
 pub const RANK_START_DELAY: Duration = Duration::from_millis(150);
-/// Time between two sendings of an unanswered request to become primary.
+/// Interval at which an unanswered request to become primary is resent.
 pub const RESEND_INTERVAL: Duration = Duration::from_millis(150);
-/// Time for grants beyond the majority, which may allow a better choice.
+/// Wait for grants beyond the majority, which may allow a better choice.
 pub const EXTRA_GRANTS_WAIT: Duration = Duration::from_millis(40);
-/// The same while the majority counts the target that is being replaced.
+/// Wait for further grants while the majority needs the target that is being replaced.
 pub const OTHER_MAJORITY_WAIT: Duration = Duration::from_millis(400);
-/// Longest time to gather grants.
+/// Longest time to collect grants.
 pub const FENCE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest time for the chosen target to become primary.
 pub const PROMOTE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time that another host's promotion gets to come to its end.
+/// Wait for another host's promotion to complete before starting one.
 pub const OTHER_PROMOTION_WAIT: Duration = Duration::from_millis(400);
-/// First bound of the random backoff; doubles with each attempt.
+/// Initial upper bound of the random backoff; doubles with each attempt.
 pub const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
-/// Doublings of the backoff.
+/// Attempts after which the bound of the backoff no longer doubles.
 pub const MAX_BACKOFF_DOUBLINGS: u32 = 3;
-/// Bits of a promoter id that are random; the rest is the host.
+/// Number of random bits in a promoter id; the remaining bits are the host.
 const RANDOM_BITS: u32 = 39;
 
-/// What a choice among equals considers.
+/// Properties of a target that break ties between granters with the same last entry.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Candidate {
-    /// Its failure domain.
+    /// Failure domain of the target.
     pub failure_domain: FailureDomainId,
-    /// Whether it is leaving.
+    /// Whether the target is being drained, which makes it a last choice.
     pub draining: bool,
-    /// Hosts in its failure domain.
+    /// Number of hosts in the target's failure domain; more is better.
     pub hosts_in_domain: u32,
 }
 
-/// What the caller has to do.
+/// What the caller has to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
-    /// Ask `target` for `term`.
+    /// Request `term` from `target`.
     Fence {
-        /// Whom to ask.
+        /// Target to send the request to.
         target: TargetId,
-        /// The term.
+        /// Term of the attempt.
         term: Term,
-        /// On whose behalf.
+        /// Id of the attempt.
         promoter: PromoterId,
     },
     /// Ask `target` to become the primary of `term`.
     Promote {
-        /// Whom to ask.
+        /// Target to send the request to.
         target: TargetId,
-        /// The term.
+        /// Term of the attempt.
         term: Term,
-        /// On whose behalf.
+        /// Id of the attempt.
         promoter: PromoterId,
     },
-    /// `target` is the primary of `term`; the store may note it.
+    /// `target` is the primary of `term`; the store may record it.
     Done {
         /// The new primary.
         target: TargetId,
-        /// Its term.
+        /// Term of the new primary.
         term: Term,
     },
     /// The attempt for `term` has ended without a primary.
     Failed {
-        /// The term.
+        /// Term of the attempt.
         term: Term,
     },
 }
@@ -96,19 +96,29 @@
 #[derive(Debug, Clone)]
 enum State {
     Idle,
-    Waiting { until: Time, deposed: Replacement },
-    Fencing { attempt: Attempt, answers: BTreeMap<TargetId, Option<Answer>>, enough: Option<Time> },
-    Promoting { attempt: Attempt, target: TargetId },
+    Waiting {
+        start: Time,
+        replacement: Replacement,
+    },
+    Fencing {
+        attempt: Attempt,
+        answers: BTreeMap<TargetId, Option<Answer>>,
+        majority_since: Option<Time>,
+    },
+    Promoting {
+        attempt: Attempt,
+        target: TargetId,
+    },
 }
 
-/// The primary that is to be replaced.
+/// A primary that is to be replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Replacement {
-    /// Its term, or the highest one granted where there is no primary.
+    /// Term of the primary, or the highest granted term if there is no primary.
     pub term: Term,
-    /// A target that is not to be chosen while the others suffice.
+    /// Target that is chosen only if the others do not form a majority.
     pub avoid: Option<TargetId>,
-    /// A target to choose among equals.
+    /// Target to choose among granters with the same last entry.
     pub preferred: Option<TargetId>,
 }
 
@@ -116,7 +126,7 @@
 struct Attempt {
     term: Term,
     promoter: PromoterId,
-    deposed: Replacement,
+    replacement: Replacement,
     started: Time,
     sent: Time,
 }
@@ -128,17 +138,17 @@
     random: Source,
     targets: BTreeMap<TargetId, Candidate>,
     state: State,
-    accepted: Term,
+    highest_accepted: Term,
     attempts: u32,
 }
 
 impl Promoter {
-    /// A promoter for a group with these targets.
+    /// Creates an idle promoter for a group with these targets.
     pub fn new(host: HostId, targets: BTreeMap<TargetId, Candidate>, random: Source) -> Promoter {
-        Promoter { host, random, targets, state: State::Idle, accepted: 0, attempts: 0 }
+        Promoter { host, random, targets, state: State::Idle, highest_accepted: 0, attempts: 0 }
     }
 
-    /// Sets what is known of the targets; the members of a group do not change during an attempt.
+    /// Updates the tie-breaking properties; a change of the set of targets cancels the attempt.
     pub fn set_targets(&mut self, targets: BTreeMap<TargetId, Candidate>) {
         let same = targets.keys().eq(self.targets.keys());
         self.targets = targets;
@@ -147,59 +157,59 @@
         }
     }
 
-    /// Whether nothing is under way.
+    /// Whether no promotion is waiting or in progress.
     pub fn is_idle(&self) -> bool {
         matches!(self.state, State::Idle)
     }
 
-    /// A primary is to be replaced; this host is `rank` in the order of starts.
-    pub fn replace_primary(&mut self, now: Time, deposed: Replacement, rank: u32) {
-        self.accepted = self.accepted.max(deposed.term);
+    /// Schedules a promotion after the delay of this host's `rank`, unless one is in progress.
+    pub fn replace_primary(&mut self, now: Time, replacement: Replacement, rank: u32) {
+        self.highest_accepted = self.highest_accepted.max(replacement.term);
         if self.is_idle() {
             self.attempts = 0;
-            let until = now + RANK_START_DELAY * rank;
-            self.state = State::Waiting { until, deposed };
+            let start = now + RANK_START_DELAY * rank;
+            self.state = State::Waiting { start, replacement };
         }
     }
 
-    /// A planned promotion of `preferred`, whose log holds all that the primary of `term` wrote.
+    /// Starts a planned promotion of `preferred`, whose log has all entries of the primary of `term`.
     pub fn start_planned(&mut self, now: Time, term: Term, preferred: TargetId) -> Vec<Action> {
-        self.accepted = self.accepted.max(term);
+        self.highest_accepted = self.highest_accepted.max(term);
         self.attempts = 0;
         self.start(now, Replacement { term, avoid: None, preferred: Some(preferred) })
     }
 
-    /// A target told its status.
+    /// Records a target's status; a primary of the attempt's term or above ends the attempt.
     pub fn record_status(&mut self, now: Time, status: &Status) -> Vec<Action> {
-        let raised = status.accepted_term > self.accepted;
-        self.accepted = self.accepted.max(status.accepted_term);
-        let led = status.leads().then_some(status.entry.term);
-        let (term, ended) = match &mut self.state {
+        let raised = status.accepted_term > self.highest_accepted;
+        self.highest_accepted = self.highest_accepted.max(status.accepted_term);
+        let primary_term = status.leads().then_some(status.entry.term);
+        let (term, end) = match &mut self.state {
             State::Idle => return Vec::new(),
-            State::Waiting { deposed, until } => {
+            State::Waiting { replacement, start } => {
                 if raised {
-                    *until = (*until).max(now + OTHER_PROMOTION_WAIT);
+                    *start = (*start).max(now + OTHER_PROMOTION_WAIT);
                 }
-                (deposed.term + 1, None)
+                (replacement.term + 1, None)
             }
             State::Fencing { attempt, .. } => {
                 (attempt.term, Some(Action::Failed { term: attempt.term }))
             }
-            State::Promoting { attempt, target } if led == Some(attempt.term) => {
+            State::Promoting { attempt, target } if primary_term == Some(attempt.term) => {
                 (attempt.term, Some(Action::Done { target: *target, term: attempt.term }))
             }
             State::Promoting { attempt, .. } => {
                 (attempt.term, Some(Action::Failed { term: attempt.term }))
             }
         };
-        if led.is_none_or(|led| led < term) {
+        if primary_term.is_none_or(|primary_term| primary_term < term) {
             return Vec::new();
         }
         self.state = State::Idle;
-        ended.into_iter().collect()
+        end.into_iter().collect()
     }
 
-    /// `target` answered the fence for `term`, or could not be asked.
+    /// Records the answer of `target` to the fence for `term`; `None` if it could not be reached.
     pub fn record_fence(
         &mut self,
         now: Time,
@@ -219,7 +229,8 @@
         self.decide(now)
     }
 
-    /// `target` answered the request to become primary of `term`, or could not be asked.
+    /// Records the answer of `target` to the request to become primary of `term`; `None` if it could
+    /// not be reached, in which case the request is resent.
     pub fn record_promotion(
         &mut self,
         now: Time,
@@ -242,27 +253,27 @@
         }
     }
 
-    /// Time passes: starts, repeats and ends attempts.
+    /// Advances time: starts attempts, resends requests and ends attempts that timed out.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         match &self.state {
             State::Idle => Vec::new(),
-            State::Waiting { until, deposed } if now >= *until => self.start(now, *deposed),
+            State::Waiting { start, replacement } if now >= *start => self.start(now, *replacement),
             State::Waiting { .. } => Vec::new(),
             State::Fencing { .. } => self.tick_fencing(now),
             State::Promoting { .. } => self.tick_promoting(now),
         }
     }
 
-    fn start(&mut self, now: Time, deposed: Replacement) -> Vec<Action> {
-        self.accepted += 1;
+    fn start(&mut self, now: Time, replacement: Replacement) -> Vec<Action> {
+        self.highest_accepted += 1;
         let host = i64::from(self.host) & ((1 << (63 - RANDOM_BITS)) - 1);
         let random = self.random.below(1 << RANDOM_BITS) as PromoterId;
         let promoter = (host << RANDOM_BITS) | random;
-        let term = self.accepted;
-        let attempt = Attempt { term, promoter, deposed, started: now, sent: now };
+        let term = self.highest_accepted;
+        let attempt = Attempt { term, promoter, replacement, started: now, sent: now };
         self.attempts += 1;
-        self.state = State::Fencing { attempt, answers: BTreeMap::new(), enough: None };
-        fence(self.targets.keys().copied(), attempt)
+        self.state = State::Fencing { attempt, answers: BTreeMap::new(), majority_since: None };
+        fence_actions(self.targets.keys().copied(), attempt)
     }
 
     fn tick_fencing(&mut self, now: Time) -> Vec<Action> {
@@ -286,9 +297,9 @@
         vec![Action::Promote { target: *target, term, promoter }]
     }
 
-    /// Chooses once a majority has granted and the rest has had its time.
+    /// Chooses a target once a majority has granted and the wait for further grants has passed.
     fn decide(&mut self, now: Time) -> Vec<Action> {
-        let State::Fencing { attempt, answers, enough } = &mut self.state else {
+        let State::Fencing { attempt, answers, majority_since } = &mut self.state else {
             return Vec::new();
         };
         let refusals =
@@ -302,17 +313,17 @@
         if granters.len() < needed {
             return if all { self.back_off(now) } else { Vec::new() };
         }
-        let others = without(&granters, attempt.deposed.avoid);
+        let others = without_target(&granters, attempt.replacement.avoid);
         let (granters, grace) = match others.len() >= needed {
             true => (others, EXTRA_GRANTS_WAIT),
-            false if attempt.deposed.avoid.is_some() => (granters, OTHER_MAJORITY_WAIT),
+            false if attempt.replacement.avoid.is_some() => (granters, OTHER_MAJORITY_WAIT),
             false => (granters, EXTRA_GRANTS_WAIT),
         };
-        let since = *enough.get_or_insert(now);
+        let since = *majority_since.get_or_insert(now);
         if !all && now.saturating_sub(since) < grace {
             return Vec::new();
         }
-        let Some(target) = choose(&self.targets, &granters, attempt.deposed.preferred) else {
+        let Some(target) = choose(&self.targets, &granters, attempt.replacement.preferred) else {
             return self.back_off(now);
         };
         let attempt = Attempt { started: now, sent: now, ..*attempt };
@@ -325,26 +336,26 @@
         else {
             return Vec::new();
         };
-        let (term, deposed) = (attempt.term, attempt.deposed);
-        let overtaken = self.accepted > term;
+        let (term, replacement) = (attempt.term, attempt.replacement);
+        let superseded = self.highest_accepted > term;
         let doublings = self.attempts.min(MAX_BACKOFF_DOUBLINGS);
         let jitter = self.random.time_below(INITIAL_BACKOFF * (1 << doublings));
-        let patience = if overtaken { OTHER_PROMOTION_WAIT } else { Duration::ZERO };
-        self.state = State::Waiting { until: now + patience + jitter, deposed };
+        let max_wait = if superseded { OTHER_PROMOTION_WAIT } else { Duration::ZERO };
+        self.state = State::Waiting { start: now + max_wait + jitter, replacement };
         vec![Action::Failed { term }]
     }
 
     fn record_accepted_term(&mut self, answer: Option<Answer>) {
-        self.accepted = self.accepted.max(answer.map_or(0, |answer| answer.accepted));
+        self.highest_accepted =
+            self.highest_accepted.max(answer.map_or(0, |answer| answer.accepted));
     }
 }
 
-/// Whether `answer` counts for a majority.
 fn counts_for_majority(answer: &Answer) -> bool {
     answer.granted && answer.voter
 }
 
-fn fence(targets: impl Iterator<Item = TargetId>, attempt: Attempt) -> Vec<Action> {
+fn fence_actions(targets: impl Iterator<Item = TargetId>, attempt: Attempt) -> Vec<Action> {
     let (term, promoter) = (attempt.term, attempt.promoter);
     targets.map(|target| Action::Fence { target, term, promoter }).collect()
 }
@@ -354,7 +365,7 @@
     answers.filter(|(_, answer)| counts_for_majority(answer)).collect()
 }
 
-fn without(
+fn without_target(
     granters: &BTreeMap<TargetId, Answer>,
     avoid: Option<TargetId>,
 ) -> BTreeMap<TargetId, Answer> {
@@ -362,9 +373,10 @@
     kept.map(|(id, answer)| (*id, *answer)).collect()
 }
 
-/// The granter to promote: highest last entry first, then the best placed.
+/// Chooses the granter with the highest last entry; ties are broken by the preferred target, then
+/// by the properties of the [`Candidate`]s.
 ///
-/// `granters` has to be a majority; any majority will do.
+/// `granters` must be a majority of the group; any majority is safe.
 pub fn choose(
     targets: &BTreeMap<TargetId, Candidate>,
     granters: &BTreeMap<TargetId, Answer>,
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -1,17 +1,17 @@
-//! Which hosts watch a group.
+//! Chooses the hosts that watch a group's primary.
 //!
-//! Every host computes the same set from the same members, and a host that comes or goes changes
-//! only the sets that it is in. Failure domains take turns, so that the loss of one never takes a
-//! majority of a set that spans three or more of like size.
+//! Every host computes the same set from the same members, and a host that joins or leaves changes
+//! only the sets that it is in. Hosts are taken from the failure domains in turn, so the loss of
+//! one domain never removes a majority of a set that spans three or more domains of similar size.
 
 use crate::id::{FailureDomainId, HostId, ServiceId};
 use crate::rendezvous::{self, Subject};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Hosts that watch a group where there are more.
+/// Largest number of hosts that watch one group.
 pub const MAX_WATCHERS: usize = 5;
 
-/// The hosts that watch `service`, at most `count`, best first.
+/// Returns at most `count` hosts that watch `service`, in order of rank.
 pub fn choose(
     service: ServiceId,
     members: &BTreeMap<HostId, FailureDomainId>,
