Reword detection, peer messages and configuration of the core

Private renames: led -> leader_since, told -> sent_opinion, ticked -> last_tick, asked -> unanswered_since, Run -> Series, well -> succeeded.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,8 +1,8 @@
-//! The configuration that all hosts share: one document with one monotone version.
+//! The configuration shared by all hosts: one document with one monotonic version.
 //!
-//! The document lives in the platform. [`Edit`]s lead from a version to the next; a host that has
-//! version `n` applies the edits of `n + 1` or fetches the document whole. [`verify`] says whether
-//! a document can hold, apart from how it came about.
+//! The document is stored in the platform. [`Edit`]s lead from one version to the next; a host at
+//! version `n` applies the edits of `n + 1` or fetches the whole document. [`verify`] checks that
+//! a document is valid, independent of the changes that led to it.
 
 use crate::id::{AccountId, FailureDomainId, KeyId, ServiceId, TargetId, Version};
 use derive_more::{Display, Error};
@@ -15,7 +15,7 @@
 /// Bytes of a key's salt and digest.
 pub const DIGEST_BYTES: usize = 32;
 
-/// Everything that hosts share.
+/// The configuration document.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
@@ -25,9 +25,9 @@
     pub services: BTreeMap<ServiceId, Service>,
     /// Client accounts by id.
     pub accounts: BTreeMap<AccountId, Account>,
-    /// Keys of client accounts; withdrawn ones stay until pruned.
+    /// Keys of client accounts; withdrawn keys stay until pruned.
     pub keys: BTreeMap<KeyId, Key>,
-    /// Routes open to all, by name.
+    /// Open routes by name; they need no key.
     pub routes: BTreeMap<String, Route>,
 }
 
@@ -36,11 +36,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
-    /// Name in callers' paths.
+    /// Name in the paths of callers' requests.
     pub name: String,
     /// Members of the group by id; the ids are the group's own target numbers.
     pub targets: BTreeMap<TargetId, Target>,
-    /// Time that an outcome stays known under its idempotency key, ms.
+    /// Time for which outcomes are kept under their idempotency key, ms.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub retention: Duration,
 }
@@ -49,13 +49,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Target {
-    /// Where it listens.
+    /// Address that the target listens on.
     pub address: SocketAddr,
-    /// Its failure domain.
+    /// Failure domain of the target.
     pub failure_domain: FailureDomainId,
-    /// Connections that all hosts together may hold to it.
+    /// Largest number of connections of all hosts together.
     pub connections: u32,
-    /// Whether it may receive new work.
+    /// Whether the target may receive new work.
     pub state: TargetState,
 }
 
@@ -66,7 +66,7 @@
 pub enum TargetState {
     /// Receives work.
     Active,
-    /// Leaving: no new work.
+    /// Being drained: receives no new work.
     Draining,
 }
 
@@ -74,60 +74,60 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
-    /// Name that operators use.
+    /// Name used by operators.
     pub name: String,
-    /// Requests a second over all hosts.
+    /// Requests per second over all hosts.
     pub rate: u32,
-    /// Requests above the rate at once, over all hosts.
+    /// Size of a burst above the rate, in requests over all hosts.
     pub burst: u32,
-    /// Share of contended connection slots, relative to other accounts.
+    /// Weight relative to other accounts when connection slots are contended.
     pub weight: u32,
-    /// Services that it may use.
+    /// Services that the account may use.
     pub services: BTreeSet<ServiceId>,
 }
 
-/// A key of a client account; the secret itself is stored nowhere.
+/// A key of a client account; the secret itself is not stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
-    /// Whose it is.
+    /// Account that the key belongs to.
     pub account: AccountId,
     /// Salt, hexadecimal.
     pub salt: String,
     /// SHA-256 of salt and secret, hexadecimal.
     pub digest: String,
-    /// Whether it still works.
+    /// Whether the key is accepted.
     pub state: KeyState,
 }
 
-/// Whether a key works.
+/// Whether a key is accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum KeyState {
-    /// Works.
+    /// Accepted.
     Active,
-    /// Works no more, also for callers already connected.
+    /// Rejected, also for callers that are already connected.
     Withdrawn,
 }
 
-/// A fixed read-only statement that anyone may run.
+/// A fixed read-only statement that callers may run without a key.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
-    /// Service that it reads.
+    /// Service that the statement reads.
     pub service: ServiceId,
-    /// The statement; takes no parameters.
+    /// Statement without parameters.
     pub sql: String,
-    /// Age that its data may have, ms.
+    /// Largest permitted age of the data, ms.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub max_age: Duration,
-    /// Client account whose rate pays for it.
+    /// Client account whose rate is charged.
     pub account: AccountId,
 }
 
-/// One step from a version to the next.
+/// One edit of the document.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Edit {
@@ -135,32 +135,32 @@
     PutService(ServiceId, Service),
     /// Adds or replaces a client account.
     PutAccount(AccountId, Account),
-    /// Adds a key, or withdraws it by its state.
+    /// Adds or replaces a key; a key is withdrawn by replacing its state.
     PutKey(KeyId, Key),
     /// Adds or replaces an open route.
     PutRoute(String, Route),
     /// Removes an open route.
     DeleteRoute(String),
-    /// Forgets a key.
+    /// Removes a key.
     DeleteKey(KeyId),
 }
 
-/// The edits that lead to `version` from the one before.
+/// The edits that lead to `version` from the version before.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// Version after the edits.
     pub version: Version,
-    /// What changed.
+    /// Edits in order.
     pub edits: Vec<Edit>,
 }
 
-/// What is wrong with a document.
+/// Reason why a document or change is invalid.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum Fault {
     /// Two services have the same name.
     #[display("services {_0} and {_1} have the same name")]
     ServiceName(#[error(not(source))] ServiceId, ServiceId),
-    /// A service has too few targets for a majority that survives a loss.
+    /// A service has too few targets to keep a majority after the loss of one.
     #[display("service {_0} has fewer than {MIN_TARGETS} targets")]
     Targets(#[error(not(source))] ServiceId),
     /// Two targets share an address.
@@ -169,31 +169,32 @@
     /// A target allows no connections.
     #[display("target {_1} of service {_0} allows no connections")]
     Connections(#[error(not(source))] ServiceId, TargetId),
-    /// A client account without rate, burst or weight.
+    /// A client account has a zero rate, burst or weight.
     #[display("client account {_0} needs a rate, a burst and a weight above zero")]
     Account(#[error(not(source))] AccountId),
     /// Two client accounts have the same name.
     #[display("client accounts {_0} and {_1} have the same name")]
     AccountName(#[error(not(source))] AccountId, AccountId),
-    /// Something names a service that is not there.
+    /// An account or route refers to a service that does not exist.
     #[display("service {_0} does not exist")]
     NoService(#[error(not(source))] ServiceId),
-    /// Something names a client account that is not there.
+    /// A key or route refers to a client account that does not exist.
     #[display("client account {_0} does not exist")]
     NoAccount(#[error(not(source))] AccountId),
-    /// A key whose salt or digest is not hexadecimal of the right length.
+    /// The salt or digest of a key is not hexadecimal or has the wrong length.
     #[display("key {_0} has a malformed salt or digest")]
     Digest(#[error(not(source))] KeyId),
-    /// A change that does not follow the document's version.
+    /// A change does not lead to the version after the document's.
     #[display("change {_1} does not follow version {_0}")]
     Order(#[error(not(source))] Version, Version),
 }
 
-/// Targets of a group below which no majority survives a loss.
+/// Smallest number of targets with which a majority remains after the loss of one.
 pub const MIN_TARGETS: usize = 3;
 
 impl Document {
-    /// The document after `change`, which must be the next version and lead to one that holds.
+    /// Returns the document after `change`, which must have the next version and lead to a valid
+    /// document.
     pub fn with_change(&self, change: &Change) -> Result<Document, Fault> {
         if change.version != self.version + 1 {
             return Err(Fault::Order(self.version, change.version));
@@ -207,12 +208,12 @@
         Ok(next)
     }
 
-    /// Id of the service that callers call `name`.
+    /// Id of the service with this name.
     pub fn service_named(&self, name: &str) -> Option<ServiceId> {
         self.services.iter().find(|(_, service)| service.name == name).map(|(id, _)| *id)
     }
 
-    /// Id of the client account that operators call `name`.
+    /// Id of the client account with this name.
     pub fn account_named(&self, name: &str) -> Option<AccountId> {
         self.accounts.iter().find(|(_, account)| account.name == name).map(|(id, _)| *id)
     }
@@ -229,7 +230,7 @@
     }
 }
 
-/// Says whether `document` can hold.
+/// Checks that `document` is valid; returns the first fault found.
 pub fn verify(document: &Document) -> Result<(), Fault> {
     verify_services(document)?;
     verify_accounts(document)?;
--- a/crates/core/src/detect/health.rs
+++ b/crates/core/src/detect/health.rs
@@ -1,47 +1,47 @@
-//! What is known of one target.
+//! Evidence about the health of one target.
 
 use crate::group::Status;
 use crate::id::Time;
 use std::time::Duration;
 
-/// Failures of work in a row that make a target poisoned.
+/// Consecutive failures of work after which a target counts as poisoned.
 pub(super) const MIN_WORK_FAILURES: u32 = 3;
-/// Time for which any probe may take.
+/// Time for which an unanswered probe does not count as silence.
 pub(super) const MIN_SILENCE: Duration = Duration::from_millis(200);
-/// Refusals in a row that show that nothing listens.
+/// Consecutive refusals after which a target counts as refusing connections.
 pub(super) const MIN_REFUSALS: u32 = 2;
 
-/// A run of one kind of failure.
+/// A series of consecutive failures of one kind.
 #[derive(Debug, Clone, Copy)]
-struct Run {
+struct Series {
     since: Time,
     last: Time,
     count: u32,
 }
 
-/// What is known of one target.
+/// Evidence about one target.
 #[derive(Debug, Clone, Default)]
 pub struct Health {
-    /// Its last answer.
+    /// Last answer to a probe.
     pub status: Option<Status>,
-    /// When that answer came.
+    /// Time of that answer.
     pub answered_at: Time,
-    /// Whether work has failed on it since the last that went well.
+    /// Whether work has failed or timed out since the last success.
     pub suspected: bool,
-    asked: Option<Time>,
-    refused: Option<Run>,
-    failed: Option<Run>,
+    unanswered_since: Option<Time>,
+    refused: Option<Series>,
+    failed: Option<Series>,
 }
 
 impl Health {
     pub(super) fn record_probe_sent(&mut self, now: Time) {
-        self.asked.get_or_insert(now);
+        self.unanswered_since.get_or_insert(now);
     }
 
     pub(super) fn record_probe_answer(&mut self, now: Time, status: Status) {
         self.status = Some(status);
         self.answered_at = now;
-        self.asked = None;
+        self.unanswered_since = None;
         self.refused = None;
     }
 
@@ -50,39 +50,39 @@
     }
 
     pub(super) fn record_overload(&mut self) {
-        self.asked = None;
+        self.unanswered_since = None;
         self.refused = None;
     }
 
-    pub(super) fn record_work(&mut self, now: Time, well: bool) {
-        self.suspected = !well;
-        if well {
+    pub(super) fn record_work(&mut self, now: Time, succeeded: bool) {
+        self.suspected = !succeeded;
+        if succeeded {
             self.failed = None;
         } else {
             extend(&mut self.failed, now);
         }
     }
 
-    /// Whether a probe is unanswered.
+    /// Whether a probe is outstanding.
     pub(super) fn is_waiting(&self) -> bool {
-        self.asked.is_some()
+        self.unanswered_since.is_some()
     }
 
-    /// Since when it has left probes unanswered.
+    /// Time since which probes are unanswered, if that is long enough to count.
     pub(super) fn silent_since(&self, now: Time) -> Option<Time> {
-        self.asked.filter(|asked| now.saturating_sub(*asked) >= MIN_SILENCE)
+        self.unanswered_since.filter(|since| now.saturating_sub(*since) >= MIN_SILENCE)
     }
 
-    /// Since when it has refused connections.
+    /// Time since which connections are refused, if often enough to count.
     pub(super) fn refusing_since(&self) -> Option<Time> {
-        self.refused.filter(|run| run.count >= MIN_REFUSALS).map(|run| run.since)
+        self.refused.filter(|series| series.count >= MIN_REFUSALS).map(|series| series.since)
     }
 
-    /// Since when it has failed its work, if it still did so within `recent`.
+    /// Time since which work fails, if often enough to count and last within `recent`.
     pub(super) fn failing_since(&self, now: Time, recent: Duration) -> Option<Time> {
-        let going_on = |run: &Run| now.saturating_sub(run.last) <= recent;
-        let failed = self.failed.filter(going_on);
-        failed.filter(|run| run.count >= MIN_WORK_FAILURES).map(|run| run.since)
+        let is_recent = |series: &Series| now.saturating_sub(series.last) <= recent;
+        let failed = self.failed.filter(is_recent);
+        failed.filter(|series| series.count >= MIN_WORK_FAILURES).map(|series| series.since)
     }
 
     pub(super) fn forget_work(&mut self) {
@@ -90,14 +90,14 @@
     }
 
     pub(super) fn forget_failures(&mut self) {
-        self.asked = None;
+        self.unanswered_since = None;
         self.refused = None;
         self.failed = None;
     }
 }
 
-fn extend(run: &mut Option<Run>, now: Time) {
-    let run = run.get_or_insert(Run { since: now, last: now, count: 0 });
-    run.last = now;
-    run.count += 1;
+fn extend(series: &mut Option<Series>, now: Time) {
+    let series = series.get_or_insert(Series { since: now, last: now, count: 0 });
+    series.last = now;
+    series.count += 1;
 }
--- a/crates/core/src/detect/mod.rs
+++ b/crates/core/src/detect/mod.rs
@@ -1,18 +1,18 @@
-//! Whether a group's primary has failed.
+//! Failure detection for a group's primary.
 //!
-//! One [`Detector`] per group and host. Its evidence is the answers to probes and the outcomes of
-//! work, since a target may answer probes and fail its work. A host that has seen the primary
-//! fail for the threshold of the [`Cause`] holds it failed, and tells the group's other watchers.
-//! The primary is deposed when a majority of the watchers hold it failed, or, where too few of
-//! them can be heard, when a majority of the group's own targets have lost it too: such a primary
-//! can have nothing confirmed any more.
+//! There is one [`Detector`] per group and host. Its evidence is the answers to probes and the
+//! outcomes of work, since a target may answer probes and still fail its work. A host that has
+//! seen the primary fail for the threshold of the [`Cause`] considers it failed and notifies the
+//! group's other watchers. The primary is replaced when a majority of the watchers consider it
+//! failed, or, if too few of them can be reached, when a majority of the group's own targets have
+//! lost contact with it too: such a primary can no longer get any entry confirmed.
 //!
-//! A host that was itself stalled has seen nothing: [`Detector::tick`] notices and discards what
-//! it gathered. Nothing counts that is older than the primary's own term, so that a new primary is
-//! judged by what it does itself. Work that timed out does not count, since the statement may be
-//! slow; but it makes the target suspect, and the caller tries it with work of its own.
-//! Nothing here decides what is safe; that is the terms' business (see
-//! [`crate::promotion`]). A wrong verdict costs availability only.
+//! A host that was itself stalled has no evidence for that time: [`Detector::tick`] detects the
+//! stall and discards what was collected. Evidence from before the primary's term is ignored, so
+//! that a new primary is judged only by its own behavior. Work that timed out is no evidence, since
+//! the statement may be slow, but it marks the target as suspected, and the caller tests the target
+//! with work of its own. Safety does not depend on this module but on terms (see
+//! [`crate::promotion`]): a wrong decision only costs availability.
 
 mod health;
 mod settings;
@@ -28,21 +28,22 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Age of a primary's acknowledgement below which it is usual.
+/// Age of the last majority acknowledgement from which on a primary may be isolated; lower ages
+/// are normal.
 pub const MIN_ISOLATED_AGE: Duration = Duration::from_millis(400);
-/// Shortest time for which a group counts as without a primary.
+/// Lower bound of the reported time without a primary, so that it is never reported as zero.
 const MIN_LEADERLESS_TIME: Duration = Duration::from_millis(1);
 
-/// What the caller has to do.
+/// What the caller has to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
-    /// Tell the other watchers at once.
+    /// Send this opinion to the other watchers at once.
     SendOpinion(Opinion),
-    /// A primary is to be replaced.
+    /// Replace the primary.
     ReplacePrimary(Replacement),
 }
 
-/// Judges one group's primary.
+/// Detects failures of one group's primary.
 #[derive(Debug)]
 pub struct Detector {
     host: HostId,
@@ -51,13 +52,13 @@
     targets: BTreeMap<TargetId, Health>,
     opinions: BTreeMap<HostId, (Time, Opinion)>,
     leaderless: Option<(Term, Time)>,
-    led: Option<(Term, Time)>,
-    ticked: Option<Time>,
-    told: Option<Opinion>,
+    leader_since: Option<(Term, Time)>,
+    last_tick: Option<Time>,
+    sent_opinion: Option<Opinion>,
 }
 
 impl Detector {
-    /// A detector that knows nothing yet.
+    /// Creates a detector without evidence; `host` is the only watcher.
     pub fn new(
         host: HostId,
         targets: impl IntoIterator<Item = TargetId>,
@@ -70,78 +71,80 @@
             targets: targets.into_iter().map(|id| (id, Health::default())).collect(),
             opinions: BTreeMap::new(),
             leaderless: None,
-            led: None,
-            ticked: None,
-            told: None,
+            leader_since: None,
+            last_tick: None,
+            sent_opinion: None,
         }
     }
 
-    /// Sets the hosts whose opinions count.
+    /// Sets the hosts whose opinions are counted.
     pub fn set_watchers(&mut self, watchers: BTreeSet<HostId>) {
         self.watchers = watchers;
     }
 
-    /// What is known of each target.
+    /// Evidence about each target.
     pub fn targets(&self) -> &BTreeMap<TargetId, Health> {
         &self.targets
     }
 
-    /// The primary of the highest term that any target or peer speaks of.
+    /// Primary of the highest term that any target or peer reports.
     ///
-    /// A peer's word counts while it holds nothing at all against that primary.
+    /// A peer's report is used only while the peer sees no failure of that primary.
     pub fn primary(&self) -> Option<(TargetId, Term)> {
         let own = self.leader().map(|(id, status)| (id, status.entry.term));
         let peers = self.opinions.values().map(|(_, opinion)| opinion);
-        let told = peers.filter(|opinion| opinion.failing.is_zero());
-        let told = told.map(|opinion| (opinion.primary, opinion.term));
-        own.into_iter().chain(told).max_by_key(|(_, term)| *term)
+        let reported = peers.filter(|opinion| opinion.failing.is_zero());
+        let reported = reported.map(|opinion| (opinion.primary, opinion.term));
+        own.into_iter().chain(reported).max_by_key(|(_, term)| *term)
     }
 
-    /// A probe was sent.
+    /// Records that a probe was sent.
     pub fn record_probe_sent(&mut self, now: Time, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
             health.record_probe_sent(now);
         }
     }
 
-    /// A probe was answered.
+    /// Records the answer to a probe.
     pub fn record_probe_answer(&mut self, now: Time, target: TargetId, status: Status) {
         if let Some(health) = self.targets.get_mut(&target) {
             health.record_probe_answer(now, status);
         }
     }
 
-    /// Nothing listens at the target's address, or it reset the connection.
+    /// Records that the target refused or reset the connection.
     pub fn record_probe_refused(&mut self, now: Time, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
             health.record_refusal(now);
         }
     }
 
-    /// The target is alive but has no connection free: no evidence either way.
+    /// Records that the target has no free connection: it is alive, but this says nothing about its
+    /// work.
     pub fn record_probe_overloaded(&mut self, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
             health.record_overload();
         }
     }
 
-    /// Work on the target timed out, which may be the statement's fault: no evidence by itself.
+    /// Marks the target as suspected after work on it timed out. This is no evidence by itself,
+    /// since the statement may be slow.
     pub fn suspect(&mut self, target: TargetId) {
         if let Some(health) = self.targets.get_mut(&target) {
             health.suspected = true;
         }
     }
 
-    /// Work on the target ended, well or by the target's own fault.
+    /// Records whether work on the target succeeded or failed because of the target.
     ///
-    /// Errors that are the caller's fault count as well done.
-    pub fn record_work(&mut self, now: Time, target: TargetId, well: bool) {
+    /// Errors caused by the caller count as success.
+    pub fn record_work(&mut self, now: Time, target: TargetId, succeeded: bool) {
         if let Some(health) = self.targets.get_mut(&target) {
-            health.record_work(now, well);
+            health.record_work(now, succeeded);
         }
     }
 
-    /// A peer told its opinion.
+    /// Records a peer's opinion, unless one on a higher term is known.
     pub fn record_opinion(&mut self, now: Time, host: HostId, opinion: Opinion) {
         let newer = self.opinions.get(&host).is_none_or(|(_, known)| known.term <= opinion.term);
         if newer {
@@ -149,16 +152,16 @@
         }
     }
 
-    /// Time passes: notices stalls of this host, changes of opinion and failed primaries.
+    /// Advances time: detects stalls of this host, changes of its opinion and failed primaries.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         self.discard_after_stall(now);
         self.update_leaderless(now);
         self.update_leader(now);
         let Some(opinion) = self.opinion(now) else { return Vec::new() };
         let mut actions = Vec::new();
-        let gist = |opinion: &Opinion| (opinion.primary, opinion.term, opinion.failed);
-        if self.told.as_ref().map(gist) != Some(gist(&opinion)) {
-            self.told = Some(opinion);
+        let reported_parts = |opinion: &Opinion| (opinion.primary, opinion.term, opinion.failed);
+        if self.sent_opinion.as_ref().map(reported_parts) != Some(reported_parts(&opinion)) {
+            self.sent_opinion = Some(opinion);
             actions.push(Action::SendOpinion(opinion));
         }
         if opinion.failed && self.should_replace(now, opinion.term) {
@@ -167,7 +170,7 @@
         actions
     }
 
-    /// What this host holds against the primary; none before it knows the group.
+    /// This host's opinion of the primary; `None` before it knows the group.
     pub fn opinion(&self, now: Time) -> Option<Opinion> {
         let (primary, term) = self.subject()?;
         let worst = self
@@ -182,7 +185,7 @@
         Some(Opinion { primary, term, failing, failed, confirmed, hold: None, busy: 0 })
     }
 
-    /// Each present sign of failure and how long it has lasted.
+    /// Present signs of failure and how long each has lasted.
     pub fn signs(&self, now: Time) -> BTreeMap<Cause, Duration> {
         let mut signs = BTreeMap::new();
         if let Some((_, since)) = self.leaderless {
@@ -192,10 +195,10 @@
         }
         let Some((id, status)) = self.leader() else { return signs };
         let health = &self.targets[&id];
-        let led = self.led.map_or(now, |(_, since)| since);
-        let lasting = |since: Time| now.saturating_sub(since.max(led));
-        if let Some(asked) = health.silent_since(now) {
-            signs.insert(Cause::Silent, lasting(asked));
+        let leader_since = self.leader_since.map_or(now, |(_, since)| since);
+        let lasting = |since: Time| now.saturating_sub(since.max(leader_since));
+        if let Some(since) = health.silent_since(now) {
+            signs.insert(Cause::Silent, lasting(since));
         }
         if let Some(since) = health.refusing_since() {
             signs.insert(Cause::Refused, lasting(since));
@@ -204,7 +207,7 @@
             signs.insert(Cause::Poisoned, lasting(since));
         }
         if status.age >= MIN_ISOLATED_AGE {
-            signs.insert(Cause::Isolated, status.age.min(now.saturating_sub(led)));
+            signs.insert(Cause::Isolated, status.age.min(now.saturating_sub(leader_since)));
         }
         signs
     }
@@ -234,7 +237,7 @@
     }
 
     fn discard_after_stall(&mut self, now: Time) {
-        let last = self.ticked.replace(now);
+        let last = self.last_tick.replace(now);
         if last.is_none_or(|last| now.saturating_sub(last) <= self.settings.stall) {
             return;
         }
@@ -245,9 +248,9 @@
 
     fn update_leaderless(&mut self, now: Time) {
         let accepted = self.accepted();
-        let led = self.leader().is_some_and(|(_, status)| status.entry.term >= accepted);
+        let has_leader = self.leader().is_some_and(|(_, status)| status.entry.term >= accepted);
         let known = self.targets.values().filter(|health| health.status.is_some()).count();
-        if led || known < majority(self.targets.len()) {
+        if has_leader || known < majority(self.targets.len()) {
             self.leaderless = None;
         } else if self.leaderless.is_none_or(|(term, _)| term != accepted) {
             self.leaderless = Some((accepted, now));
@@ -259,12 +262,12 @@
         Replacement { term: opinion.term, avoid, preferred: None }
     }
 
-    /// A new primary starts without a record.
+    /// Discards recorded failures of work when a new primary appears.
     fn update_leader(&mut self, now: Time) {
         let Some((id, status)) = self.leader() else { return };
         let term = status.entry.term;
-        if self.led.is_none_or(|(known, _)| known != term) {
-            self.led = Some((term, now));
+        if self.leader_since.is_none_or(|(known, _)| known != term) {
+            self.leader_since = Some((term, now));
             self.targets.entry(id).or_default().forget_work();
         }
     }
@@ -273,7 +276,7 @@
         self.has_majority_against(now, term) || self.is_abandoned(now)
     }
 
-    /// Whether a majority of the watchers hold the primary of `term` failed.
+    /// Whether a majority of the watchers consider the primary of `term` failed.
     fn has_majority_against(&self, now: Time, term: Term) -> bool {
         let recent = |at: Time| now.saturating_sub(at) <= self.settings.recent;
         let peers = self.watchers.iter().filter(|host| **host != self.host);
@@ -283,7 +286,7 @@
         against + own >= majority(self.watchers.len())
     }
 
-    /// Whether a majority of the group's targets say that they have lost their primary.
+    /// Whether a majority of the group's targets report that they lost contact with their primary.
     fn is_abandoned(&self, now: Time) -> bool {
         let lost = self.targets.values().filter(|health| self.has_lost_primary(now, health));
         lost.count() >= majority(self.targets.len())
--- a/crates/core/src/detect/settings.rs
+++ b/crates/core/src/detect/settings.rs
@@ -1,44 +1,44 @@
-//! How long each sign of failure must last.
+//! Thresholds of failure detection.
 
 use derive_more::Display;
 use std::time::Duration;
 
-/// Why a primary counts as failing.
+/// Kind of evidence that a primary is failing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
 #[display(rename_all = "snake_case")]
 pub enum Cause {
-    /// It leaves probes unanswered.
+    /// The primary leaves probes unanswered.
     Silent,
-    /// It refuses connections.
+    /// The primary refuses connections.
     Refused,
-    /// It answers probes and fails its work.
+    /// The primary answers probes but fails its work.
     Poisoned,
-    /// No majority of the group acknowledges it.
+    /// No majority of the group acknowledges the primary's entries.
     Isolated,
     /// No target is the primary of the highest term.
     Leaderless,
 }
 
-/// How long each sign must last, and how often hosts look.
+/// How long each sign of failure must last before the primary counts as failed, and related times.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Time between two calls of [`Detector::tick`].
+    /// Interval between calls of [`Detector::tick`].
     pub tick: Duration,
-    /// A gap between ticks that shows that this host was stalled.
+    /// Gap between ticks above which this host counts as stalled.
     pub stall: Duration,
-    /// Unanswered probes.
+    /// Threshold for [`Cause::Silent`].
     pub silent: Duration,
-    /// Refused connections.
+    /// Threshold for [`Cause::Refused`].
     pub refused: Duration,
-    /// Failed work with answered probes.
+    /// Threshold for [`Cause::Poisoned`].
     pub poisoned: Duration,
-    /// A primary that no majority acknowledges.
+    /// Threshold for [`Cause::Isolated`].
     pub isolated: Duration,
-    /// No primary of the highest term.
+    /// Threshold for [`Cause::Leaderless`].
     pub leaderless: Duration,
-    /// Age of the replicas' data that shows that they too have lost the primary.
+    /// Age of a replica's data at which it counts as having lost contact with the primary.
     pub abandoned: Duration,
-    /// Time for which a status or a peer's opinion counts.
+    /// Age up to which a status, a failure of work or a peer's opinion is used.
     pub recent: Duration,
 }
 
@@ -49,9 +49,10 @@
 }
 
 impl Settings {
-    /// Settings that depose a primary which has given no sign of life for `after`.
+    /// Settings under which a primary is replaced once it has been silent for `after`.
     ///
-    /// Where nothing listens any more, a fraction of it is enough.
+    /// A fraction of `after` suffices for refused connections and for a missing primary, since
+    /// these are stronger evidence.
     pub fn new(after: Duration) -> Settings {
         Settings {
             tick: Duration::from_millis(50),
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -1,6 +1,7 @@
-//! What hosts say to each other, as plain data.
+//! Messages between hosts, as plain data.
 //!
-//! The `wire` crate carries these over RPC; the machines of this crate produce and consume them.
+//! The `wire` crate sends these over RPC; the state machines of this crate produce and consume
+//! them.
 
 use crate::config::{Change, Document};
 use crate::distribute::Row;
@@ -17,122 +18,123 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A host as the platform's list and its peers know it.
+/// Identity and address of a host, as in the member table and on the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
-    /// Its id.
+    /// Id of the host; the same across restarts.
     pub host: HostId,
-    /// Its present run.
+    /// Present incarnation of the host.
     pub incarnation: Incarnation,
-    /// Where peers reach it.
+    /// Address that peers connect to.
     pub peer_address: SocketAddr,
-    /// Its failure domain.
+    /// Failure domain of the host.
     pub failure_domain: FailureDomainId,
-    /// Whether it is on its way out.
+    /// Whether the host is shutting down gracefully.
     pub leaving: bool,
 }
 
-/// What a host tells a peer at each heartbeat, and is told back.
+/// A heartbeat; the answer to one has the same form.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// Sender.
+    /// Host that sends the heartbeat.
     pub member: Member,
-    /// Version of the configuration that it acts on.
+    /// Version of the configuration that the sender acts on.
     pub version: Version,
-    /// Epoch of the fleet row that it acts on.
+    /// Epoch of the fleet row that the sender acts on.
     pub epoch: Epoch,
-    /// Age of its proof that no higher epoch was accepted; none when it never had one.
+    /// Time since the sender's latest renewal, as of which no higher epoch had been accepted; `None`
+    /// if there was none.
     pub age: Option<Duration>,
-    /// Highest epoch that it heard announced and knows no outcome of.
+    /// Highest announced epoch whose outcome the sender does not know.
     pub announced: Option<Epoch>,
-    /// Hosts that it has not heard for a while.
+    /// Members whose heartbeats the sender no longer receives.
     pub silent: BTreeSet<HostId>,
-    /// What it holds against primaries, by service.
+    /// The sender's opinions of primaries, by service.
     pub opinions: BTreeMap<ServiceId, Opinion>,
 }
 
-/// What a host sees of a group's primary.
+/// A host's opinion of a group's primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Opinion {
-    /// The primary that it means.
+    /// Primary that the opinion is about.
     pub primary: TargetId,
-    /// Its term.
+    /// Term of that primary.
     pub term: Term,
-    /// Time for which it has been failing; zero when it works.
+    /// Time for which the primary has been failing; zero while it works.
     pub failing: Duration,
-    /// Whether that is long enough, for what the host sees, to hold it failed.
+    /// Whether that time exceeds the threshold, so that the host considers the primary failed.
     pub failed: bool,
-    /// Last confirmed position that the host saw.
+    /// Highest confirmed position that the host has seen.
     pub confirmed: Position,
-    /// The host whose planned promotion of the group this host waits for, sending the primary
-    /// nothing new.
+    /// Host whose planned promotion of the group the sender waits for, while it sends the primary no
+    /// new work.
     pub hold: Option<HostId>,
-    /// Requests of this host that still use the primary meanwhile, or wait to.
+    /// Requests of the sender that use the primary, or wait for it, during that time.
     pub busy: u32,
 }
 
 /// Notice that an epoch is about to be written to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
-    /// Who writes it.
+    /// Host that is about to write.
     pub host: HostId,
-    /// The epoch.
+    /// Epoch to be written.
     pub epoch: Epoch,
 }
 
-/// An accepted epoch passed between hosts.
+/// An accepted epoch that one host sends to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
-    /// Host from which it spreads.
+    /// Host that started the push.
     pub origin: HostId,
-    /// The fleet row as accepted.
+    /// Fleet row of the epoch.
     pub row: Row,
-    /// What turns the receiver's document into the row's.
+    /// Changes from the receiver's document to that of the row.
     pub body: Body,
 }
 
-/// The configuration that comes with an epoch.
+/// Configuration sent with an epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     /// The configuration did not change.
     None,
-    /// The edits of one version.
+    /// Edits that lead from the version before to the row's.
     Change(Change),
-    /// The document whole.
+    /// The whole document.
     Whole(Document),
 }
 
-/// Asks for rate tokens of a client account.
+/// Requests rate tokens of a client account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenRequest {
     /// Borrower.
     pub host: HostId,
-    /// Whose rate.
+    /// Account whose tokens are requested.
     pub account: AccountId,
-    /// Tokens wanted.
+    /// Number of tokens requested.
     pub count: u32,
     /// Version of the configuration that the borrower acts on.
     pub version: Version,
-    /// Number among the borrower's asks; grows over its runs.
+    /// Number of the request; grows across the borrower's restarts.
     pub sequence: u64,
 }
 
-/// Asks for connection slots to a target, or gives them back.
+/// Requests connection slots of a target, or returns them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotRequest {
     /// Borrower.
     pub host: HostId,
     /// Service of the target.
     pub service: ServiceId,
-    /// The target.
+    /// Target that the slots are for.
     pub target: TargetId,
-    /// Slots that the borrower wants to hold, or still holds, from this lender in all.
+    /// Total number of slots that the borrower wants to have, or still has, from this lender.
     pub count: u32,
-    /// Grows with each request of the borrower, also over its restarts.
+    /// Number of the request; grows across the borrower's restarts.
     pub sequence: u64,
 }
 
-/// What an owner of a transaction is asked to do.
+/// Operation that the owner of a transaction is requested to perform.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Step {
     /// Runs a statement.
@@ -146,27 +148,27 @@
 /// A step of a transaction, forwarded to the host that owns it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Forward {
-    /// The transaction.
+    /// Transaction that the step belongs to.
     pub transaction: TransactionId,
-    /// Client account of the key that came with the step.
+    /// Client account of the key that the caller presented with the step.
     pub account: AccountId,
-    /// The step.
+    /// Operation to perform.
     pub step: Step,
-    /// Time that the caller has left.
+    /// Time left until the caller's deadline.
     pub timeout: Duration,
 }
 
 /// The owner's answer to a forwarded step.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Outcome {
-    /// Rows, or the refusal.
+    /// Rows on success, otherwise the refusal.
     pub result: Result<Rows, Refusal>,
-    /// Position to merge into the session token; given by a commit.
+    /// Position to merge into the session token; present after a commit.
     pub position: Option<(ServiceId, Position)>,
 }
 
 impl Outcome {
-    /// An outcome that advances no token.
+    /// Creates an outcome without a position.
     pub fn new(result: Result<Rows, Refusal>) -> Outcome {
         Outcome { result, position: None }
     }
