--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -1,9 +1,9 @@
-//! Planned change: an intent becomes a plan, a confirmed plan is run step by step.
+//! Planned changes: an intent is turned into a plan, and a confirmed plan is run step by step.
 //!
-//! A plan changes nothing until it is confirmed, and it is confirmed by one conditional write on
-//! condition that the configuration still has the version that the plan was made from. Every step
-//! is idempotent: its operation first looks whether its effect is there. Progress is written after
-//! each step, so that another host continues where a lost runner stopped.
+//! A plan changes nothing until it is confirmed. The confirmation is one conditional write that
+//! requires the configuration to have still the version that the plan was made from. Every step is
+//! idempotent: its operation first checks whether its effect is already present. Progress is
+//! written after each step, so that another host can continue after the runner has failed.
 
 use crate::config::TargetState;
 use crate::distribute::Row;
@@ -21,7 +21,7 @@
 /// Time for which an old and a new key both work during a rotation.
 pub const KEY_OVERLAP: Duration = Duration::from_secs(30);
 
-/// What an operator wants.
+/// Change requested by an operator.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Intent {
@@ -29,56 +29,56 @@
     Promote {
         /// Name of the service.
         service: String,
-        /// The candidate.
+        /// Target to promote.
         target: TargetId,
     },
-    /// Give a target no new work.
+    /// Stop sending new work to a target.
     DrainTarget {
         /// Name of the service.
         service: String,
-        /// The target.
+        /// Target to drain.
         target: TargetId,
     },
-    /// Give a drained target work again.
+    /// Send work to a drained target again.
     RestoreTarget {
         /// Name of the service.
         service: String,
-        /// The target.
+        /// Target to restore.
         target: TargetId,
     },
-    /// Let a host stop gracefully.
+    /// Stop a host gracefully.
     DrainHost {
-        /// The host.
+        /// Host to stop.
         host: HostId,
     },
-    /// Replace a key.
+    /// Replace a key by a new one; both work for [`KEY_OVERLAP`].
     Rotate {
         /// Name of the client account.
         account: String,
         /// The key to replace.
         key_id: KeyId,
     },
-    /// Set a client account's rate.
+    /// Set a client account's rate and burst.
     Rate {
         /// Name of the client account.
         account: String,
-        /// Requests a second.
+        /// Requests per second.
         rate: u32,
-        /// Requests above the rate at once.
+        /// Size of a burst above the rate, in requests.
         burst: u32,
     },
 }
 
-/// How far a plan has come.
+/// State of a plan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum State {
-    /// Waits for an operator.
+    /// Waits for confirmation by an operator.
     Proposed,
-    /// Confirmed; no step has begun.
+    /// Confirmed; no step has started.
     Confirmed,
-    /// A step has begun.
+    /// At least one step has started.
     Running,
     /// All steps are done.
     Done,
@@ -86,70 +86,70 @@
     Failed,
 }
 
-/// How far a step has come.
+/// State of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Progress {
-    /// Has not begun.
+    /// Not started.
     Pending,
-    /// Has begun; may have had its effect.
+    /// Started; may already have had its effect.
     Running,
-    /// Its check passed.
+    /// The check of the step passed.
     Done,
-    /// It cannot be done.
+    /// The step cannot be completed.
     Failed,
 }
 
 /// A step as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
-    /// From 1.
+    /// Number of the step, starting at 1.
     pub number: u32,
     /// Command line that does the same by hand.
     pub command: String,
-    /// What it changes.
+    /// Description of what the step changes.
     pub touches: String,
-    /// What has to be true afterwards.
+    /// Condition that must be true after the step.
     pub check: String,
-    /// How far it has come.
+    /// State of the step.
     pub state: Progress,
-    /// What was seen.
+    /// Last result or error of the step.
     pub detail: String,
 }
 
 /// A plan as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Plan {
-    /// Its id.
+    /// Id of the plan.
     pub id: PlanId,
-    /// Version of the configuration that it was made from.
+    /// Version of the configuration that the plan was made from.
     pub version: Version,
-    /// What it is for.
+    /// Intent that the plan implements.
     pub intent: Intent,
-    /// How far it has come.
+    /// State of the plan.
     pub state: State,
-    /// Steps, in order.
+    /// Steps in order of execution.
     pub steps: Vec<Step>,
-    /// Who confirmed it.
+    /// Operator who confirmed the plan; `None` before that.
     pub confirmed_by: Option<String>,
 }
 
-/// What a step does.
+/// Operation of a step.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Operation {
-    /// Promotes the target without losing a request.
+    /// Promotes the target by a planned handover, without losing a request.
     Promote(ServiceId, TargetId),
-    /// Moves the primary off the target, if it is there.
+    /// Moves the primary to another target, if this target is the primary.
     MovePrimary(ServiceId, TargetId),
-    /// Sets whether a target receives work.
+    /// Sets whether a target receives new work.
     SetTarget(ServiceId, TargetId, TargetState),
     /// Sets a client account's rate and burst.
     SetRate(AccountId, u32, u32),
-    /// Issues the key that the confirmation made.
+    /// Issues the key that was created by the confirmation.
     IssueKey(AccountId),
-    /// Lets both keys work for a time.
+    /// Waits for [`KEY_OVERLAP`] while both keys work.
     Overlap,
     /// Withdraws a key.
     WithdrawKey(KeyId),
@@ -164,82 +164,84 @@
 /// The host that runs a plan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Runner {
-    /// The host.
+    /// Id of the host.
     pub host: HostId,
-    /// Its run.
+    /// Incarnation of the host.
     pub incarnation: Incarnation,
 }
 
-/// The key that a confirmation made; the secret is in no record.
+/// Key created by a confirmation; the secret is not part of any record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Issued {
-    /// The new key.
+    /// Id of the new key.
     pub key_id: KeyId,
     /// Salt, hexadecimal.
     pub salt: String,
-    /// Digest, hexadecimal.
+    /// SHA-256 of salt and secret, hexadecimal.
     pub digest: String,
 }
 
-/// A plan as the platform's table holds it.
+/// A plan as stored in the platform's table.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// What operators see.
+    /// Part of the record that operators see.
     pub plan: Plan,
-    /// What each step does.
+    /// Operations of the steps, in the same order.
     pub operations: Vec<Operation>,
     /// Digest of the document that the plan was made from.
     pub base: String,
-    /// Who runs it.
+    /// Host that runs the plan; `None` before the confirmation.
     pub runner: Option<Runner>,
-    /// Key to issue.
+    /// Key to issue; `None` if no step issues one or the plan is not confirmed.
     pub issued: Option<Issued>,
-    /// Random number of the confirmation, by which a lost answer is told from another's.
+    /// Random number of the confirmation. After a lost answer, it distinguishes this confirmation
+    /// from another one.
     pub confirmation: u64,
 }
 
-/// Why there is no plan for an intent.
+/// Reason why no plan can be made for an intent.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum Fault {
-    /// No such service.
+    /// The service does not exist.
     #[display("service {_0} does not exist")]
     NoService(#[error(not(source))] String),
-    /// No such target.
+    /// The target does not exist.
     #[display("target {_0} does not exist")]
     NoTarget(#[error(not(source))] TargetId),
-    /// No such client account.
+    /// The client account does not exist.
     #[display("client account {_0} does not exist")]
     NoAccount(#[error(not(source))] String),
-    /// No such key of the account.
+    /// The account has no active key with this id.
     #[display("key {_0} is no active key of the account")]
     NoKey(#[error(not(source))] KeyId),
-    /// No such host.
+    /// The host is not in the member table.
     #[display("host {_0} is not a member")]
     NoHost(#[error(not(source))] HostId),
-    /// A target that receives no work cannot become primary.
+    /// The target is draining and so cannot become primary.
     #[display("target {_0} is draining")]
     Draining(#[error(not(source))] TargetId),
-    /// Too few targets would be left.
+    /// Draining the target would leave no majority of active targets.
     #[display("draining target {_0} leaves no majority of active targets")]
     TooFew(#[error(not(source))] TargetId),
-    /// A rate or burst of zero.
+    /// The rate or burst is zero.
     #[display("rate and burst must be above zero")]
     Zero,
 }
 
-/// Why a plan was not confirmed.
+/// Reason why a plan was not confirmed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum Refusal {
-    /// The configuration has moved on.
+    /// The configuration has changed since the plan was made.
     #[display("stale")]
     Stale,
-    /// Somebody confirmed it before.
+    /// The plan was already confirmed.
     #[display("confirmed")]
     Confirmed,
 }
 
 impl Record {
-    /// The record once `operator` confirmed it, to be run by `runner`.
+    /// Returns the record as confirmed by `operator` and to be run by `runner`; `version` is the
+    /// present version of the configuration.
     pub fn confirm(
         &self,
         version: Version,
@@ -261,39 +263,39 @@
         Ok(next)
     }
 
-    /// The record with the key that it is to issue.
+    /// Sets the key to issue.
     pub fn with_issued(mut self, issued: Issued) -> Record {
         self.issued = Some(issued);
         self
     }
 
-    /// Whether a confirmation has to make a key.
+    /// Whether a confirmation must create a key.
     pub fn issues_key(&self) -> bool {
         self.operations.iter().any(|operation| matches!(operation, Operation::IssueKey(_)))
     }
 
-    /// Whether it has steps to run.
+    /// Whether the plan is confirmed and has steps left to run.
     pub fn is_unfinished(&self) -> bool {
         matches!(self.plan.state, State::Confirmed | State::Running)
     }
 
-    /// Whether its runner is no member any more, so that another host may continue it.
+    /// Whether the plan's runner is no longer a member, so that another host may continue the plan.
     ///
-    /// Sound only for a host whose `row` was adopted one validity of authority ago.
+    /// Safe only for a host that adopted `row` at least one validity of authority ago.
     pub fn is_abandoned(&self, row: &Row) -> bool {
-        let member = |runner: Runner| {
+        let is_member = |runner: Runner| {
             row.members.get(&runner.host).is_some_and(|m| m.incarnation == runner.incarnation)
         };
-        self.is_unfinished() && !self.runner.is_some_and(member)
+        self.is_unfinished() && !self.runner.is_some_and(is_member)
     }
 
-    /// The record once `runner` took it over.
+    /// Sets the host that runs the plan.
     pub fn with_runner(mut self, runner: Runner) -> Record {
         self.runner = Some(runner);
         self
     }
 
-    /// The step to run next, with its operation.
+    /// Returns the index and operation of the next step to run; `None` if there is nothing to run.
     pub fn next_step(&self) -> Option<(usize, &Operation)> {
         if !self.is_unfinished() {
             return None;
@@ -302,15 +304,15 @@
         Some((index, &self.operations[index]))
     }
 
-    /// The record with the step at `index` moved on.
+    /// Sets the state of the step at `index`, and the state of the plan accordingly.
     pub fn with_progress(mut self, index: usize, progress: Progress, detail: &str) -> Record {
         let step = &mut self.plan.steps[index];
         step.state = progress;
         step.detail = detail.to_owned();
-        let done = self.plan.steps.iter().all(|step| step.state == Progress::Done);
+        let all_done = self.plan.steps.iter().all(|step| step.state == Progress::Done);
         self.plan.state = match progress {
             Progress::Failed => State::Failed,
-            Progress::Done if done => State::Done,
+            Progress::Done if all_done => State::Done,
             _ => State::Running,
         };
         self
--- a/crates/core/src/plan/edit.rs
+++ b/crates/core/src/plan/edit.rs
@@ -1,4 +1,4 @@
-//! From a step to the edits that carry it out, and what differs between two documents.
+//! Converts steps to the edits that implement them, and lists the differences of documents.
 
 use super::{Fault, Issued, Operation, Record};
 use crate::config::{Document, Edit, TargetState};
@@ -6,7 +6,7 @@
 use crate::key;
 
 impl Record {
-    /// Edits by which a step changes the configuration; empty when its effect is there already.
+    /// Returns the edits of the configuration for a step; empty if their effect is already present.
     pub fn edits(&self, document: &Document, operation: &Operation) -> Result<Vec<Edit>, Fault> {
         let edit = match operation {
             Operation::SetTarget(service, target, state) => {
@@ -39,11 +39,11 @@
         .get(&service)
         .cloned()
         .ok_or_else(|| Fault::NoService(service.to_string()))?;
-    let found = next.targets.get_mut(&target).ok_or(Fault::NoTarget(target))?;
-    if found.state == state {
+    let entry = next.targets.get_mut(&target).ok_or(Fault::NoTarget(target))?;
+    if entry.state == state {
         return Ok(None);
     }
-    found.state = state;
+    entry.state = state;
     Ok(Some(Edit::PutService(service, next)))
 }
 
@@ -66,7 +66,7 @@
     Ok(Some(Edit::PutAccount(account, next)))
 }
 
-/// What differs between two documents, as text for operators; names no digest.
+/// Lists the objects that differ between two documents, as text for operators; shows no digests.
 pub fn differences(old: &Document, new: &Document) -> Vec<String> {
     let mut found = Vec::new();
     let mut compare = |kind: &str, name: String, same: bool| {
--- a/crates/core/src/plan/outline.rs
+++ b/crates/core/src/plan/outline.rs
@@ -1,4 +1,4 @@
-//! From an intent to the steps of its plan.
+//! Builds the steps of a plan from an intent.
 
 use super::{Fault, Intent, Operation, Plan, Progress, Record, State, Step};
 use crate::config::{Document, Target, TargetState};
@@ -6,7 +6,7 @@
 use crate::id::{AccountId, HostId, KeyId, PlanId, ServiceId, TargetId};
 use crate::key;
 
-/// Makes a plan.
+/// Makes a plan for `intent` from the present document and row; nothing is stored.
 pub fn propose(
     id: PlanId,
     document: &Document,
@@ -71,7 +71,7 @@
         )
     }
 
-    fn done(self) -> Steps {
+    fn into_steps(self) -> Steps {
         (self.steps, self.operations)
     }
 }
@@ -88,7 +88,7 @@
             format!("primary of service {service}"),
             "the target is the primary of a higher term and confirms writes",
         )
-        .done())
+        .into_steps())
 }
 
 fn drain_target(document: &Document, service: &str, target: TargetId) -> Result<Steps, Fault> {
@@ -114,7 +114,7 @@
             "the target is draining in the accepted configuration",
         )
         .with_await_in_force()
-        .done())
+        .into_steps())
 }
 
 fn restore_target(document: &Document, service: &str, target: TargetId) -> Result<Steps, Fault> {
@@ -127,7 +127,7 @@
             "the target is active in the accepted configuration",
         )
         .with_await_in_force()
-        .done())
+        .into_steps())
 }
 
 fn drain_host(row: &Row, host: HostId) -> Result<Steps, Fault> {
@@ -147,21 +147,21 @@
             format!("shares of host {host}"),
             "the host has finished its work and is no member",
         )
-        .done())
+        .into_steps())
 }
 
 fn rotate(document: &Document, account: &str, key_id: KeyId) -> Result<Steps, Fault> {
     let id = find_account(document, account)?;
-    let holds = document.keys.get(&key_id).is_some_and(|key| key.account == id);
-    if !holds || !key::active(document, key_id) {
+    let is_own = document.keys.get(&key_id).is_some_and(|key| key.account == id);
+    if !is_own || !key::active(document, key_id) {
         return Err(Fault::NoKey(key_id));
     }
-    let both = format!("keys of client account {account}");
+    let touches = format!("keys of client account {account}");
     Ok(Outline::default()
         .with_step(
             Operation::IssueKey(id),
             format!("bergamotvale key issue {account}"),
-            both.clone(),
+            touches.clone(),
             "the new key is in the accepted configuration",
         )
         .with_await_in_force()
@@ -174,11 +174,11 @@
         .with_step(
             Operation::WithdrawKey(key_id),
             format!("bergamotvale key withdraw {key_id}"),
-            both,
+            touches,
             "the old key is withdrawn in the accepted configuration",
         )
         .with_await_in_force()
-        .done())
+        .into_steps())
 }
 
 fn set_rate(document: &Document, account: &str, rate: u32, burst: u32) -> Result<Steps, Fault> {
@@ -194,7 +194,7 @@
             "the rate is in the accepted configuration",
         )
         .with_await_in_force()
-        .done())
+        .into_steps())
 }
 
 fn find_target(
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -1,14 +1,16 @@
 //! Admission of requests against the rates of their client accounts.
 //!
-//! A request takes a token of its host's bucket. Without one it waits for a loan, at most
-//! [`MAX_LOAN_WAIT`] and only while some peer may have tokens; a peer that had none is not asked again
-//! for [`LENDER_RETRY_DELAY`]. A host whose tokens run low asks ahead, so that most requests do not wait. It
-//! asks no more peers than it can keep tokens of: what neither waits for nor fits is lost to all.
+//! A request takes a token from its host's bucket. If there is none, it waits for a loan, at most
+//! [`MAX_LOAN_WAIT`] and only while some peer may have tokens; a peer that had none is not asked
+//! again for [`LENDER_RETRY_DELAY`]. A host with few tokens borrows in advance, so that most
+//! requests do not wait. It requests loans from no more peers than it can use tokens of: a token
+//! that no request waits for and that exceeds the capacity is lost to all hosts.
 //!
-//! A borrower asks a peer again only after the answer before it was taken or given up, and only
-//! while no borrowed token stands above its capacity. So an ask tells the lender that all earlier
-//! loans to this borrower have arrived or are lost, and that it may fill their room again. Asks
-//! carry a sequence number: one that was overtaken tells nothing.
+//! A borrower sends a peer another request only after the answer to the previous one was received
+//! or given up, and only while no borrowed token exceeds its capacity. A request therefore means
+//! to the lender that all earlier loans to this borrower have arrived or are lost, and that their
+//! capacity may be refilled. Requests have sequence numbers, so that one that arrives after a
+//! later one ends no loans.
 
 use super::bucket::{Amount, Bucket, MICRO};
 use crate::id::{AccountId, HostId, Time};
@@ -17,38 +19,38 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time that a request may wait for a loan.
+/// Longest time that a request waits for a loan.
 pub const MAX_LOAN_WAIT: Duration = Duration::from_millis(60);
-/// Time for which a peer without tokens is not asked again.
+/// Time for which a peer that had no tokens is not asked again.
 pub const LENDER_RETRY_DELAY: Duration = Duration::from_millis(15);
-/// Time that a loan should last at the present demand.
+/// Time ahead for which tokens are borrowed, at the present demand.
 const BORROW_HORIZON: Duration = Duration::from_millis(50);
-/// Time constant of the demand estimate.
+/// Time constant of the exponential average of demand.
 const DEMAND_WINDOW: Duration = Duration::from_millis(500);
 /// Requests of one client account that may wait for a loan.
 const MAX_WAITING: u32 = 1024;
 
-/// What becomes of a request.
+/// Decision on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
     /// Admitted; a token was taken.
     Admit,
-    /// Waits for a loan; decide again when one arrived, and at this time at the latest.
+    /// Waits for a loan; call [`Meter::retry`] when one arrives, and at this time at the latest.
     Wait(Time),
-    /// Refused; asking again makes sense after this time.
+    /// Refused; a retry may succeed after this time.
     Refuse(Duration),
 }
 
-/// A loan to ask for.
+/// A loan to request from a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoanRequest {
-    /// Whose tokens.
+    /// Account whose tokens are requested.
     pub account: AccountId,
-    /// Whom to ask.
+    /// Lender.
     pub peer: HostId,
-    /// Tokens wanted.
+    /// Number of tokens requested.
     pub count: u32,
-    /// Number among this run's asks.
+    /// Number of the request; grows within the incarnation.
     pub sequence: u64,
 }
 
@@ -67,27 +69,27 @@
     rate: Part,
     burst: Part,
     bucket: Bucket,
-    /// Who may have tokens; all peers if empty.
+    /// Hosts that may have tokens; all peers if empty.
     holders: BTreeSet<HostId>,
     waiting: u32,
     demand: Demand,
     lenders: BTreeMap<HostId, Lender>,
-    /// Highest sequence number heard of each borrower.
-    heard: BTreeMap<HostId, u64>,
+    /// Highest sequence number received from each borrower.
+    last_sequences: BTreeMap<HostId, u64>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Lender {
-    /// Tokens asked for and not answered yet.
-    asked: u32,
-    /// Number of the last ask; an answer to an earlier one is lost.
+    /// Tokens of the request in flight; zero if there is none.
+    in_flight: u32,
+    /// Number of the last request; answers to earlier ones are ignored.
     sequence: u64,
     retry_at: Time,
-    /// Whether the last answer brought tokens.
-    gave: bool,
+    /// Whether the last answer contained tokens.
+    has_lent: bool,
 }
 
-/// Requests a second, as an exponential average.
+/// Requests per second, as an exponential average.
 #[derive(Debug, Clone, Copy)]
 struct Demand {
     per_second: f64,
@@ -109,13 +111,13 @@
 }
 
 impl Meter {
-    /// No client account yet. `settle` is the lifetime of authority with its margin; without
-    /// `lending` every host has its fixed part.
+    /// Creates a meter without accounts. `settle` is the lifetime of authority plus its margin, after
+    /// which a grown share may be used; without `lending` every host has only its fixed share.
     pub fn new(settle: Duration, lending: bool) -> Meter {
         Meter { settle, lending, peers: BTreeSet::new(), accounts: BTreeMap::new(), sequence: 0 }
     }
 
-    /// Sets whom loans are asked of.
+    /// Sets the peers that loans may be requested from.
     pub fn set_peers(&mut self, peers: BTreeSet<HostId>) {
         for state in self.accounts.values_mut() {
             state.lenders.retain(|host, _| peers.contains(host));
@@ -123,14 +125,14 @@
         self.peers = peers;
     }
 
-    /// Sets which hosts have parts of an account's rate, so that only they are asked for loans.
+    /// Sets which hosts have a share of an account's rate; only these are asked for loans.
     pub fn set_holders(&mut self, account: AccountId, holders: BTreeSet<HostId>) {
         if let Some(state) = self.accounts.get_mut(&account) {
             state.holders = holders;
         }
     }
 
-    /// Sets this host's part of an account's rate, per second, and burst, in micro-tokens.
+    /// Sets this host's share of an account's rate, per second, and burst, in micro-tokens.
     pub fn set_share(&mut self, account: AccountId, rate: Amount, burst: Amount, now: Time) {
         let settle = self.settle;
         let state = self.accounts.entry(account).or_insert_with(|| State::new(settle, now));
@@ -139,11 +141,11 @@
         state.refresh(now);
     }
 
-    /// As [`Meter::set_share`]; an account that is new here has its part at once, with `opening`
-    /// micro-tokens.
+    /// Like [`Meter::set_share`], but the share of an account that is new here is usable at once, and
+    /// its bucket starts with `opening` micro-tokens.
     ///
-    /// For a host that had the same part before, or an account that is new to all hosts. What
-    /// `opening` adds to the account's burst, summed over hosts and runs, is the caller's to bound.
+    /// For a host that had the same share before, or an account that is new to all hosts. The caller
+    /// must bound what `opening` adds to the account's burst, summed over hosts and incarnations.
     pub fn open_share(
         &mut self,
         account: AccountId,
@@ -166,14 +168,14 @@
         state.refresh(now);
     }
 
-    /// Puts the token of a request back that was admitted and then certainly did not run.
+    /// Returns the token of a request that was admitted but certainly did not run.
     pub fn refund(&mut self, account: AccountId, now: Time) {
         if let Some(state) = self.accounts.get_mut(&account) {
             state.bucket.add(MICRO, now);
         }
     }
 
-    /// Notes that a division of the rates was missed.
+    /// Records that a division of the rates was missed, so that no share is usable for `settle`.
     pub fn record_missed_division(&mut self, now: Time) {
         for state in self.accounts.values_mut() {
             state.rate.interrupt(now);
@@ -182,39 +184,39 @@
         }
     }
 
-    /// Forgets accounts that are not in `known`.
+    /// Removes accounts for which `known` is false.
     pub fn retain(&mut self, known: impl Fn(AccountId) -> bool) {
         self.accounts.retain(|account, _| known(*account));
     }
 
-    /// Takes up parts that have come into force; to be called a few times a second.
+    /// Applies shares that have become usable; to be called a few times a second.
     pub fn tick(&mut self, now: Time) {
         for state in self.accounts.values_mut() {
             state.refresh(now);
         }
     }
 
-    /// Decides about a request that has just come.
+    /// Decides on a request that has just arrived.
     pub fn request(&mut self, account: AccountId, now: Time) -> Decision {
         let Some(state) = self.accounts.get_mut(&account) else {
             return Decision::Refuse(MAX_LOAN_WAIT);
         };
         state.demand.record(now);
         state.refresh(now);
-        // Waiting requests go first: an arrival must not pass them.
+        // Waiting requests come first: a new request must not overtake them.
         if state.waiting == 0 && state.bucket.take(now) {
             return Decision::Admit;
         }
-        let may_come = self.lending && state.may_get_token(&self.peers, now);
-        if !may_come || state.waiting >= MAX_WAITING {
+        let may_get_token = self.lending && state.may_get_token(&self.peers, now);
+        if !may_get_token || state.waiting >= MAX_WAITING {
             return state.refuse(now);
         }
         state.waiting += 1;
         Decision::Wait(now + MAX_LOAN_WAIT)
     }
 
-    /// Decides again about a request that waits since before `until`.
-    pub fn retry(&mut self, account: AccountId, until: Time, now: Time) -> Decision {
+    /// Decides again on a request that waits until `deadline`.
+    pub fn retry(&mut self, account: AccountId, deadline: Time, now: Time) -> Decision {
         let Some(state) = self.accounts.get_mut(&account) else {
             return Decision::Refuse(MAX_LOAN_WAIT);
         };
@@ -223,21 +225,21 @@
             state.waiting = state.waiting.saturating_sub(1);
             return Decision::Admit;
         }
-        if now < until && state.may_get_token(&self.peers, now) {
-            return Decision::Wait(until);
+        if now < deadline && state.may_get_token(&self.peers, now) {
+            return Decision::Wait(deadline);
         }
         state.waiting = state.waiting.saturating_sub(1);
         state.refuse(now)
     }
 
-    /// A request that waited is gone with its caller.
+    /// Records that a waiting request ended because its caller disconnected.
     pub fn abandon(&mut self, account: AccountId) {
         if let Some(state) = self.accounts.get_mut(&account) {
             state.waiting = state.waiting.saturating_sub(1);
         }
     }
 
-    /// Loans to ask for now; each is marked as asked until [`Meter::receive`].
+    /// Returns the loans to request now; each is in flight until [`Meter::receive`] is called.
     pub fn loan_requests(&mut self, account: AccountId, now: Time) -> Vec<LoanRequest> {
         if !self.lending {
             return Vec::new();
@@ -250,35 +252,35 @@
         }
         let lenders = state.lenders_to_ask(&self.peers, self.sequence, now);
         let each = missing.div_ceil(u32::try_from(lenders.len()).unwrap_or(1).max(1));
-        let mut asks = Vec::new();
+        let mut requests = Vec::new();
         for peer in lenders {
             self.sequence += 1;
             let lender = state.lenders.entry(peer).or_default();
-            lender.asked = each;
+            lender.in_flight = each;
             lender.sequence = self.sequence;
-            asks.push(LoanRequest { account, peer, count: each, sequence: self.sequence });
+            requests.push(LoanRequest { account, peer, count: each, sequence: self.sequence });
         }
-        asks
+        requests
     }
 
-    /// Takes the answer to an ask sent at `asked`; no answer counts as zero.
-    pub fn receive(&mut self, ask: LoanRequest, count: u32, asked: Time, now: Time) {
-        let Some(state) = self.accounts.get_mut(&ask.account) else { return };
-        let lender = state.lenders.entry(ask.peer).or_default();
-        if lender.sequence != ask.sequence {
+    /// Records the answer to a request sent at `sent`; pass zero if there was none.
+    pub fn receive(&mut self, request: LoanRequest, count: u32, sent: Time, now: Time) {
+        let Some(state) = self.accounts.get_mut(&request.account) else { return };
+        let lender = state.lenders.entry(request.peer).or_default();
+        if lender.sequence != request.sequence {
             return;
         }
-        lender.asked = 0;
-        lender.gave = count > 0;
+        lender.in_flight = 0;
+        lender.has_lent = count > 0;
         if count == 0 {
             lender.retry_at = now + LENDER_RETRY_DELAY;
         }
         if count > 0 {
-            state.bucket.receive(count, state.waiting, asked, now);
+            state.bucket.receive(count, state.waiting, sent, now);
         }
     }
 
-    /// Lends tokens to a peer: half of what is here, more when there is little demand.
+    /// Lends tokens to a peer: up to half of those available, or more if demand is low.
     pub fn lend(&mut self, request: &TokenRequest, now: Time) -> u32 {
         let Some(state) = self.accounts.get_mut(&request.account) else { return 0 };
         state.refresh(now);
@@ -291,7 +293,7 @@
         state.bucket.lend(request.host, request.count.min(tokens - kept), now)
     }
 
-    /// Part of rate, per second, and burst of an account at this host, in micro-tokens.
+    /// This host's share of an account's rate, per second, and burst, in micro-tokens.
     pub fn share(&self, account: AccountId) -> (Amount, Amount) {
         self.accounts.get(&account).map(|state| state.bucket.share()).unwrap_or_default()
     }
@@ -307,40 +309,40 @@
             waiting: 0,
             demand: Demand { per_second: 0.0, at: now },
             lenders: BTreeMap::new(),
-            heard: BTreeMap::new(),
+            last_sequences: BTreeMap::new(),
         }
     }
 
-    /// Ends the loans that the borrower had before this ask, unless the ask was overtaken.
+    /// Ends earlier loans to the borrower, unless a later request was received before this one.
     fn record_request(&mut self, request: &TokenRequest, now: Time) {
-        let heard = self.heard.entry(request.host).or_default();
-        if request.sequence > *heard {
-            *heard = request.sequence;
+        let last = self.last_sequences.entry(request.host).or_default();
+        if request.sequence > *last {
+            *last = request.sequence;
             self.bucket.end_loans(request.host, now);
         }
     }
 
     fn refresh(&mut self, now: Time) {
-        let part = (self.rate.usable(now), self.burst.usable(now));
-        if part != self.bucket.share() {
-            self.bucket.set_share(part.0, part.1, now);
+        let share = (self.rate.usable(now), self.burst.usable(now));
+        if share != self.bucket.share() {
+            self.bucket.set_share(share.0, share.1, now);
         }
     }
 
-    /// Whether a token may come in time: by a loan, or by the bucket's own part of the rate.
+    /// Whether a token may become available in time, by a loan or by the bucket's own rate.
     fn may_get_token(&mut self, peers: &BTreeSet<HostId>, now: Time) -> bool {
-        let asked = self.lenders.values().any(|lender| lender.asked > 0);
-        asked || self.ready_lenders(peers, now).next().is_some() || self.refills_in_time(now)
+        let in_flight = self.lenders.values().any(|lender| lender.in_flight > 0);
+        in_flight || self.ready_lenders(peers, now).next().is_some() || self.refills_in_time(now)
     }
 
-    /// Peers that may have tokens and can be asked now.
+    /// Peers that may have tokens and that a request may be sent to now.
     fn ready_lenders(&self, peers: &BTreeSet<HostId>, now: Time) -> impl Iterator<Item = HostId> {
         let may_have = |peer: &&HostId| self.holders.is_empty() || self.holders.contains(*peer);
         peers.iter().filter(may_have).copied().filter(move |peer| self.is_ready(*peer, now))
     }
 
-    /// Whom to ask: those that gave last time first, then in turns, as many as this host can keep
-    /// tokens of.
+    /// Peers to request loans from: first those that lent last time, then the others in rotation, and
+    /// no more than this host can use tokens of.
     fn lenders_to_ask(&self, peers: &BTreeSet<HostId>, turn: u64, now: Time) -> Vec<HostId> {
         let mut ready: Vec<HostId> = self.ready_lenders(peers, now).collect();
         let count = ready.len();
@@ -348,13 +350,13 @@
             return ready;
         }
         ready.rotate_left(usize::try_from(turn).unwrap_or(0) % count);
-        ready.sort_by_key(|peer| !self.lenders.get(peer).is_some_and(|lender| lender.gave));
+        ready.sort_by_key(|peer| !self.lenders.get(peer).is_some_and(|lender| lender.has_lent));
         let kept = self.waiting + self.bucket.room();
         ready.truncate(usize::try_from(kept).unwrap_or(usize::MAX).max(1));
         ready
     }
 
-    /// Whether the requests that wait, and one more, get tokens of the bucket's own in time.
+    /// Whether the bucket's own rate yields tokens in time for the waiting requests and one more.
     fn refills_in_time(&mut self, now: Time) -> bool {
         let rate = self.bucket.share().0;
         let next = self.bucket.next_token(now);
@@ -364,7 +366,7 @@
 
     fn is_ready(&self, peer: HostId, now: Time) -> bool {
         let lender = self.lenders.get(&peer).copied().unwrap_or_default();
-        lender.asked == 0 && lender.retry_at <= now
+        lender.in_flight == 0 && lender.retry_at <= now
     }
 
     fn demand_now(&self, now: Time) -> u32 {
@@ -374,9 +376,9 @@
         demand.within(BORROW_HORIZON)
     }
 
-    /// Tokens to borrow: for those that wait, and ahead when the level is low.
+    /// Number of tokens to borrow: for waiting requests, and in advance if the level is low.
     fn tokens_to_borrow(&mut self, now: Time) -> u32 {
-        // An ask would end loans that still stand above the capacity.
+        // A request would end loans at the lender whose tokens still exceed the capacity here.
         if self.bucket.has_excess(now) {
             return 0;
         }
@@ -384,8 +386,8 @@
         let ahead = self.demand_now(now);
         let short = ahead.saturating_sub(tokens).min(self.bucket.room());
         let low = self.waiting > 0 || tokens < ahead.div_ceil(2);
-        let asked: u32 = self.lenders.values().map(|lender| lender.asked).sum();
-        if low { (self.waiting + short).saturating_sub(asked) } else { 0 }
+        let in_flight: u32 = self.lenders.values().map(|lender| lender.in_flight).sum();
+        if low { (self.waiting + short).saturating_sub(in_flight) } else { 0 }
     }
 
     fn refuse(&mut self, now: Time) -> Decision {
@@ -393,7 +395,7 @@
     }
 }
 
-/// Micro-tokens in `count` tokens.
+/// Converts `count` tokens to micro-tokens.
 pub fn micro(count: u32) -> Amount {
     u64::from(count) * MICRO
 }
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -1,10 +1,10 @@
 //! Rates of client accounts, counted over all hosts together.
 //!
-//! Each holder of a client account has a part of its rate and burst, see [`crate::share`], in a
-//! token [`bucket`]. Hosts lend tokens to each other: the lender takes them out of its bucket
-//! before it answers, the borrower counts them only if the answer is quick. A lost answer loses
-//! tokens and never mints any. [`meter`] decides whether a request is admitted, waits for a loan
-//! or is refused.
+//! Each holder of a client account has a share of its rate and burst, see [`crate::share`], in a
+//! token [`bucket`]. Hosts lend tokens to each other: the lender removes them from its bucket
+//! before it answers, and the borrower accepts them only if the answer arrives in time. A lost
+//! answer loses tokens but never creates any. [`meter`] decides whether a request is admitted,
+//! waits for a loan or is refused.
 
 pub mod bucket;
 pub mod meter;
@@ -19,12 +19,13 @@
 use bucket::{Amount, MICRO};
 use std::collections::BTreeSet;
 
-/// Hosts among which the rate of one client account is divided, at most.
+/// Largest number of hosts among which the rate of one client account is divided.
 ///
-/// Others borrow. A part of a burst is whole tokens, so there are no more holders than those.
+/// Other hosts borrow. A share of a burst is a whole number of tokens, so there are also no more
+/// holders than the burst has tokens.
 pub const MAX_HOLDERS: usize = 16;
 
-/// Part of an account's rate, per second, and burst that `host` has, in micro-tokens.
+/// Share that `host` has of an account's rate, per second, and burst, in micro-tokens.
 pub fn account_share(
     id: AccountId,
     account: &Account,
@@ -34,7 +35,7 @@
     rate_share(id, (account.rate, account.burst), members, host, MAX_HOLDERS)
 }
 
-/// Hosts that have parts of an account with this burst, `limit` at most.
+/// Hosts that have a share of an account with this burst, at most `limit`.
 pub fn holders(
     id: AccountId,
     burst: u32,
@@ -45,7 +46,7 @@
     choose(members, Subject::Rate(id.into()), count).into_iter().collect()
 }
 
-/// As [`part`], of a rate, per second, and a burst given as such, among `limit` hosts at most.
+/// Like [`account_share`], for a given rate, per second, and burst among at most `limit` hosts.
 pub fn rate_share(
     id: AccountId,
     (rate, burst): (u32, u32),
