Reword the tests of promotion, detection, authority, distribution, plans and rates

Heads name the failure that a test guards against. Renames in tests: carry_out -> execute_step, BOUND -> MAX_HANDOVER_TIME, settled -> steady, parts -> shares, ask -> token_request.

--- a/crates/core/src/distribute.rs
+++ b/crates/core/src/distribute.rs
@@ -256,14 +256,10 @@
             members.map(|member| (member.host, member.incarnation)).collect()
         };
         let waiting = members_of(row);
-        let has_strangers =
+        let has_unlisted_hosts =
             row.epoch > previous.epoch + 1 || !members_of(previous).is_subset(&waiting);
-        let accepted = Accepted {
-            version: row.version,
-            adopted_at: now,
-            waiting,
-            has_unlisted_hosts: has_strangers,
-        };
+        let accepted =
+            Accepted { version: row.version, adopted_at: now, waiting, has_unlisted_hosts };
         self.accepted.insert(row.epoch, accepted);
     }
 
--- a/crates/core/tests/authority.rs
+++ b/crates/core/tests/authority.rs
@@ -1,4 +1,8 @@
-//! Seeded search over faults of every kind at any moment, against the checkers.
+//! Seeded random search over faults of the fleet: partitions, pauses, restarts, and outages, delays
+//! and lost answers of the store.
+//!
+//! Checks that no host acts on an outdated epoch and that reported outcomes are true. Deliberate
+//! defects show that each check can fail.
 
 mod fleet;
 
@@ -8,7 +12,8 @@
 use std::time::Duration;
 
 const SEEDS: u64 = 50;
-/// Found by wider searches; 157: a late note made a writer deny its own accepted write.
+/// Seeds that found faults in wider searches. 157: an announcement recorded late made a writer
+/// report its own accepted write as not accepted.
 const REGRESSIONS: [u64; 1] = [157];
 const DEFECT_SEEDS: u64 = 200;
 const RUN: Duration = Duration::from_secs(40);
@@ -82,7 +87,7 @@
     assert!(fleet.nodes.values().all(|node| node.acts(fleet.now)));
 }
 
-/// Each checker finds the defect that it is there for.
+/// Checks that the search finds `defect` with a violation that contains `words`.
 fn found(defect: Defect, words: &str) {
     let violation = (0..DEFECT_SEEDS).find_map(|seed| search(seed, Some(defect)));
 
@@ -133,7 +138,10 @@
     fleet.store.down = true;
     for second in 0..600 {
         fleet.run(Duration::from_secs(1));
-        assert!(fleet.nodes.values().all(|node| node.acts(fleet.now)), "lapsed after {second} s");
+        assert!(
+            fleet.nodes.values().all(|node| node.acts(fleet.now)),
+            "no authority after {second} s"
+        );
     }
     fleet.store.down = false;
     withdraw(&mut fleet, 2);
--- a/crates/core/tests/detection.rs
+++ b/crates/core/tests/detection.rs
@@ -1,4 +1,5 @@
-//! Cases of detection: what deposes a primary, and what must not.
+//! Cases of failure detection: evidence that must lead to the replacement of a primary, and evidence
+//! that must not.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -29,7 +30,7 @@
     targets: BTreeMap<TargetId, Vec<Span>>,
 }
 
-/// From `from_ms` on the target does this.
+/// Behavior of a target from `from_ms` on.
 #[derive(Deserialize, Clone)]
 #[serde(deny_unknown_fields)]
 struct Span {
@@ -84,7 +85,8 @@
 }
 
 fn probe(detector: &mut Detector, now: u64, id: TargetId, spans: &[Span]) {
-    let span = spans.iter().rfind(|span| span.from_ms <= now).expect("one starts at 0");
+    let span =
+        spans.iter().rfind(|span| span.from_ms <= now).expect("each target has a span from 0 on");
     detector.record_probe_sent(millis(now), id);
     match span.answers.as_str() {
         "silent" => {}
@@ -124,7 +126,7 @@
     stalls.into_iter().any(|stall| stall.at <= now && stall.until.is_some_and(|end| now < end))
 }
 
-/// The primary that the host knows, where the case asks for it.
+/// The primary that the host knows, if the event queries it.
 fn primary(detector: &Detector, event: &Happening) -> Option<String> {
     let (id, term) = detector.primary().filter(|_| event.on == "primary")?;
     Some(format!("{}: primary {id} in {term}", event.at))
@@ -153,7 +155,9 @@
             let line = match action {
                 Action::SendOpinion(opinion) if opinion.failed => format!("{now}: failed"),
                 Action::SendOpinion(_) => format!("{now}: works"),
-                Action::ReplacePrimary(deposed) => format!("{now}: depose term {}", deposed.term),
+                Action::ReplacePrimary(replacement) => {
+                    format!("{now}: depose term {}", replacement.term)
+                }
             };
             let deposing = lines.last().is_some_and(|last: &String| last.contains("depose"));
             if !(deposing && line.contains("depose")) {
--- a/crates/core/tests/distribute.rs
+++ b/crates/core/tests/distribute.rs
@@ -1,4 +1,5 @@
-//! The tree of pushes, what is in force, and the constant cost of membership in a large fleet.
+//! Tests of the push tree, of the epoch in force on all hosts, and of the bounded cost of membership
+//! in a large fleet.
 
 mod fleet;
 
@@ -88,7 +89,7 @@
     assert_eq!(probed, [1, 3, 4]);
 }
 
-/// A view whose recorded peers all answered at `NOW`.
+/// A view in which all members became known at `NOW`.
 fn view_of(own: HostId, members: &BTreeMap<HostId, Member>) -> View {
     let mut view = View::new(own);
     view.record_members(NOW, members);
@@ -109,7 +110,7 @@
     assert_eq!(pollers.len(), POLLERS_PER_DOMAIN * domains(&members));
     assert!(pollers.iter().all(|host| reads(**host, NOW)));
     assert!(others.iter().step_by(101).all(|host| !reads(**host, NOW)));
-    assert!(reads(*others[0], NOW + REMOVE_AFTER), "whoever misses a peer needs the list");
+    assert!(reads(*others[0], NOW + REMOVE_AFTER), "a host that suspects a peer needs the list");
 }
 
 #[test]
@@ -135,39 +136,43 @@
 
 #[test]
 fn an_epoch_is_in_force_once_every_member_confirmed_it() {
-    let mut spread = Adoption::new();
-    spread.record_accepted(NOW, &row(5, &[1, 2, 3]), &row(4, &[1, 2, 3]), 1);
-    assert_eq!(spread.in_force(NOW), (0, 0));
-
-    spread.record_confirmed(2, 1, 5);
-    spread.record_confirmed(3, 0, 5);
-    assert_eq!(spread.in_force(NOW), (0, 0), "another run of host 3 is not host 3");
-    spread.record_confirmed(3, 1, 6);
-
-    assert_eq!(spread.in_force(NOW), (5, 5));
+    let mut adoption = Adoption::new();
+    adoption.record_accepted(NOW, &row(5, &[1, 2, 3]), &row(4, &[1, 2, 3]), 1);
+    assert_eq!(adoption.in_force(NOW), (0, 0));
+
+    adoption.record_confirmed(2, 1, 5);
+    adoption.record_confirmed(3, 0, 5);
+    assert_eq!(
+        adoption.in_force(NOW),
+        (0, 0),
+        "another incarnation of host 3 does not confirm for it"
+    );
+    adoption.record_confirmed(3, 1, 6);
+
+    assert_eq!(adoption.in_force(NOW), (5, 5));
 }
 
 #[test]
 fn an_epoch_that_removes_a_host_is_in_force_once_its_authority_has_lapsed() {
     for previous in [row(4, &[1, 2, 3]), row(3, &[1, 2])] {
-        let mut spread = Adoption::new();
-        spread.record_accepted(NOW, &row(5, &[1, 2]), &previous, 1);
-        spread.record_confirmed(2, 1, 5);
+        let mut adoption = Adoption::new();
+        adoption.record_accepted(NOW, &row(5, &[1, 2]), &previous, 1);
+        adoption.record_confirmed(2, 1, 5);
 
-        assert_eq!(spread.in_force(NOW + VALIDITY), (0, 0));
+        assert_eq!(adoption.in_force(NOW + VALIDITY), (0, 0));
 
-        assert_eq!(spread.in_force(NOW + VALIDITY + Duration::from_millis(1)), (5, 5));
+        assert_eq!(adoption.in_force(NOW + VALIDITY + Duration::from_millis(1)), (5, 5));
     }
 }
 
 #[test]
 fn a_later_epoch_waits_for_the_host_that_an_earlier_one_removed() {
-    let mut spread = Adoption::new();
-    spread.record_accepted(NOW, &row(5, &[1, 2]), &row(4, &[1, 2, 3]), 1);
-    spread.record_accepted(NOW, &row(6, &[1, 2]), &row(5, &[1, 2]), 1);
-    spread.record_confirmed(2, 1, 6);
+    let mut adoption = Adoption::new();
+    adoption.record_accepted(NOW, &row(5, &[1, 2]), &row(4, &[1, 2, 3]), 1);
+    adoption.record_accepted(NOW, &row(6, &[1, 2]), &row(5, &[1, 2]), 1);
+    adoption.record_confirmed(2, 1, 6);
 
-    assert_eq!(spread.in_force(NOW + VALIDITY), (0, 0));
+    assert_eq!(adoption.in_force(NOW + VALIDITY), (0, 0));
 
-    assert_eq!(spread.in_force(NOW + VALIDITY + Duration::from_millis(1)), (6, 6));
+    assert_eq!(adoption.in_force(NOW + VALIDITY + Duration::from_millis(1)), (6, 6));
 }
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -1,4 +1,4 @@
-//! Draining targets and hosts, and restoring them.
+//! Cases of draining targets and hosts and of restoring targets.
 
 mod fleet;
 mod plan;
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -1,4 +1,4 @@
-//! Cases of planned promotions, up to the fence: each fault at each step.
+//! Cases of planned promotions up to the fence, with each fault at each step.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -35,14 +35,14 @@
 }
 
 fn status(happening: &Happening) -> Status {
-    let place = |text: &Option<String>| text.as_deref().map(position);
-    let entry = place(&happening.entry).expect("a status has an entry");
+    let parse = |text: &Option<String>| text.as_deref().map(position);
+    let entry = parse(&happening.entry).expect("a status has an entry");
     Status {
         role: if happening.leads { Role::Primary } else { Role::Replica },
         accepted_term: entry.term,
         entry,
         applied: entry,
-        confirmed: place(&happening.confirmed).unwrap_or(Position::default()),
+        confirmed: parse(&happening.confirmed).unwrap_or(Position::default()),
         age: Duration::ZERO,
         primary: None,
         term_start: 0,
@@ -59,7 +59,7 @@
         "drained" => handover.record_drained(now),
         "held" => handover.record_hold(now, happening.entry.as_deref().map(position)),
         "looked" => {
-            let target = happening.target.expect("somebody was asked");
+            let target = happening.target.expect("a status answer names its target");
             handover.record_status(now, target, &status(happening))
         }
         "tick" => handover.tick(now),
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -1,4 +1,4 @@
-//! Faults at each step of lending rate tokens between hosts.
+//! Cases of lending rate tokens between hosts, with each fault at each step.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -11,7 +11,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Time by which every part is in force and every bucket full; cases count from here.
+/// Time by which every share is usable and every bucket full; the times of cases are relative to it.
 const START: Duration = Duration::from_millis(8_000);
 
 type Case = case::Case<Given, Happening, Expect>;
@@ -25,7 +25,7 @@
     until_ms: u64,
 }
 
-/// Requests of the whole case, on all hosts.
+/// Number of requests admitted and refused on all hosts over the whole case.
 #[derive(Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Expect {
--- a/crates/core/tests/plan/mod.rs
+++ b/crates/core/tests/plan/mod.rs
@@ -1,4 +1,4 @@
-//! Runs a plan over a fake table by hosts that each act on what they last read.
+//! Runs a plan against a simulated table, by hosts that each act on what they last read.
 
 mod targets;
 
@@ -34,50 +34,50 @@
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Action {
-    /// Reads the plan's row and the configuration.
+    /// The host reads the plan's row and the configuration.
     Read,
-    /// Confirms what it read.
+    /// The host confirms the plan that it read.
     Confirm,
-    /// The same, and the answer is lost.
+    /// Like `Confirm`, but the answer is lost.
     ConfirmLost,
-    /// Carries out the step that is next.
+    /// Executes the next step.
     Perform,
-    /// The same, and the table takes so long over the change that its caller gives up.
+    /// Like `Perform`, but the table delays the change until after the caller's timeout.
     PerformSlow,
-    /// Writes that the step is done.
+    /// Records that the step is done.
     Finish,
-    /// The same, and the answer is lost.
+    /// Like `Finish`, but the answer is lost.
     FinishLost,
-    /// The same, and the table takes so long that its caller gives up.
+    /// Like `Finish`, but the table delays the write until after the caller's timeout.
     FinishSlow,
-    /// Writes that the step failed.
+    /// Records that the step failed.
     Fail,
-    /// Takes the plan over, if its runner is no member.
+    /// Takes over the plan, if its runner is not a member.
     TakeOver,
-    /// Is removed from the members.
+    /// The host is removed from the member table.
     Remove,
-    /// Publishes a change of its own.
+    /// An unrelated change of the configuration is accepted.
     Change,
-    /// The table refuses every call from now on.
+    /// The table becomes unavailable.
     StoreDown,
-    /// The table works again.
+    /// The table becomes available again.
     StoreUp,
-    /// What the table took so long over happens now.
+    /// The delayed calls take effect.
     Arrive,
 }
 
 #[derive(Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Outcome {
-    /// What each event but reads came to.
+    /// Result of each event except reads.
     results: Vec<String>,
-    /// State of the plan in the end.
+    /// Final state of the plan.
     state: String,
-    /// Configuration version in the end.
+    /// Final version of the configuration.
     version: Version,
 }
 
-/// The fake table.
+/// The simulated table.
 struct Table {
     version: u64,
     record: Record,
@@ -87,7 +87,7 @@
     targets: Targets,
 }
 
-/// A call that the table is slow to carry out.
+/// A call whose effect the table delays.
 enum Late {
     Write(u64, Box<Record>),
     Publish(Version, Vec<Edit>),
@@ -137,11 +137,11 @@
     None
 }
 
-/// What a host does with what it last read.
+/// Performs a host's event on the copy that it last read.
 fn act(table: &mut Table, copies: &mut Copies, event: &Event) -> String {
     let host = event.host;
     let runner = Runner { host, incarnation: 1 };
-    let (version, record, config) = copies.get(&host).cloned().expect("it has read");
+    let (version, record, config) = copies.get(&host).cloned().expect("the host has read the plan");
     let current = table.replica.document().version;
     match event.on {
         Action::Confirm | Action::ConfirmLost => {
@@ -154,8 +154,8 @@
             let stored = config == current && store(table, version, &next);
             answer(copies, table, host, stored, lost)
         }
-        Action::Perform => carry_out(table, &record, false),
-        Action::PerformSlow => carry_out(table, &record, true),
+        Action::Perform => execute_step(table, &record, false),
+        Action::PerformSlow => execute_step(table, &record, true),
         Action::Finish | Action::FinishLost | Action::FinishSlow | Action::Fail => {
             let Some((index, _)) = record.next_step() else { return "nothing to do".to_owned() };
             let failed = matches!(event.on, Action::Fail);
@@ -207,7 +207,7 @@
     if stored { "stored".to_owned() } else { "conflict".to_owned() }
 }
 
-/// Carries out what the table was slow to do; it is on condition like any other call.
+/// Applies the delayed calls, which are conditional like any other.
 fn arrive(table: &mut Table) -> String {
     let done = std::mem::take(&mut table.late).into_iter().map(|late| match late {
         Late::Write(version, record) => store(table, version, &record),
@@ -223,8 +223,8 @@
     done.join(", ")
 }
 
-/// Does what the step that is next asks for.
-fn carry_out(table: &mut Table, record: &Record, slow: bool) -> String {
+/// Executes the operation of the next step.
+fn execute_step(table: &mut Table, record: &Record, slow: bool) -> String {
     let Some((_, operation)) = record.next_step() else { return "nothing to do".to_owned() };
     match operation {
         Operation::Promote(_, target) => return table.targets.promote(*target),
@@ -253,7 +253,7 @@
 }
 
 fn publish(table: &mut Table, edits: Vec<Edit>) {
-    let (change, document) = table.replica.propose(edits).expect("it holds");
+    let (change, document) = table.replica.propose(edits).expect("the change is valid");
     let mut row = table.replica.row().clone().with_config(document.version, "digest");
     row.epoch += 1;
     table.replica.adopt(row, Body::Change(change)).expect("the next epoch");
--- a/crates/core/tests/plan/targets.rs
+++ b/crates/core/tests/plan/targets.rs
@@ -1,4 +1,4 @@
-//! Targets under a plan's promotion step: drives the core's handover against them.
+//! Simulated targets for the promotion step of a plan, against which the handover is run.
 
 use bergamotvale_core::group::{Role, Status};
 use bergamotvale_core::handover::{Action, Handover, POLL_INTERVAL};
@@ -9,30 +9,30 @@
 use std::time::Duration;
 
 const TERM: Term = 1;
-/// Last index that the primary has written.
+/// Index of the primary's last entry.
 const INDEX: u64 = 9;
-/// Time by which every handover has ended, one way or the other.
-const BOUND: Time = Duration::from_secs(3);
+/// Time by which every handover must have completed or aborted.
+const MAX_HANDOVER_TIME: Time = Duration::from_secs(3);
 
 /// How the targets answer.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct Targets {
     primary: TargetId,
-    /// Target that the primary's work goes to.
+    /// Target to hand over to.
     candidate: TargetId,
-    /// New connections to them are refused.
+    /// Targets that refuse new connections.
     cut_off: BTreeSet<TargetId>,
-    /// They accept and never answer.
+    /// Targets that accept requests but never answer.
     silent: BTreeSet<TargetId>,
-    /// Statements on the primary that never end.
+    /// Whether statements on the primary never end.
     stuck: bool,
-    /// They lack the primary's last entry.
+    /// Targets that lack the primary's last entry.
     behind: BTreeSet<TargetId>,
 }
 
 impl Targets {
-    /// Moves the primary off `target`, if it is there.
+    /// Moves the primary to the candidate, if `target` is the primary.
     pub(crate) fn move_off(&self, target: TargetId) -> String {
         if self.primary != target {
             return "another target is the primary".to_owned();
@@ -40,7 +40,7 @@
         self.promote(self.candidate)
     }
 
-    /// Hands the primary's work over to `candidate`; says how it ended.
+    /// Runs the handover to `candidate`; returns its outcome as text.
     pub(crate) fn promote(&self, candidate: TargetId) -> String {
         let mut handover = Handover::new(Time::ZERO, self.primary, TERM, candidate);
         let mut now = Time::ZERO;
@@ -49,7 +49,7 @@
         if !self.stuck {
             due.extend(handover.record_drained(now));
         }
-        while now < BOUND {
+        while now < MAX_HANDOVER_TIME {
             while let Some(action) = due.pop_front() {
                 match action {
                     Action::Hold { time: Duration::ZERO, .. } => held = false,
--- a/crates/core/tests/plan_step.rs
+++ b/crates/core/tests/plan_step.rs
@@ -1,4 +1,4 @@
-//! Steps of plans: races, lost answers, runners that go away, stale versions.
+//! Cases of plan steps: races, lost answers, failed runners and stale versions.
 
 mod fleet;
 mod plan;
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -1,4 +1,4 @@
-//! Cases of unplanned promotions: each fault at each step.
+//! Cases of unplanned promotions, with each fault at each step of an attempt.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -75,8 +75,8 @@
     let target = happening.target.unwrap_or(0);
     match happening.on.as_str() {
         "depose" => {
-            let deposed = Replacement { term, avoid: given.avoid, preferred: None };
-            promoter.replace_primary(now, deposed, given.rank);
+            let replacement = Replacement { term, avoid: given.avoid, preferred: None };
+            promoter.replace_primary(now, replacement, given.rank);
             Vec::new()
         }
         "plan" => promoter.start_planned(now, term, target),
--- a/crates/core/tests/promotion_search.rs
+++ b/crates/core/tests/promotion_search.rs
@@ -1,7 +1,8 @@
-//! Seeded search: promoters, crashes, pauses, lost messages and rebuilds in any order.
+//! Seeded random search over promotions with crashes, pauses, lost messages and rebuilds.
 //!
-//! No acknowledged entry may be missing on the primary of a higher term, and no term may have two
-//! primaries. Deliberately broken variants show that the checks can fail.
+//! Guards against an acknowledged entry that is missing on the primary of a higher term, and
+//! against two primaries in one term. Deliberately broken variants show that the checks detect
+//! both.
 
 mod group;
 
@@ -17,17 +18,17 @@
 const STEPS: u32 = 400;
 const PROMOTERS: u32 = 3;
 
-/// A deliberate defect, applied to what the promoters hear and say.
+/// A deliberate defect, applied to the messages that promoters send and receive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Defect {
     None,
-    /// Compares granted terms instead of last entries.
+    /// Compares granted terms instead of last entries when choosing a target.
     ChooseByAccepted,
-    /// Counts a target that is being rebuilt.
+    /// Counts a target that is being rebuilt for the majority.
     CountRebuilding,
-    /// Sends a fence again.
+    /// Sends a fence to a target more than once.
     RepeatFence,
-    /// All attempts bear the same promoter id.
+    /// All attempts use the same promoter id.
     SharedPromoter,
 }
 
@@ -80,7 +81,7 @@
         }
     }
 
-    /// Its connections end: what is on its way to or from it is lost.
+    /// Rebuilds a target; its connections end, so all messages in flight to or from it are lost.
     fn rebuild(&mut self, id: TargetId) {
         if self.group.rebuild(id) {
             self.messages.retain(|message| match message {
@@ -96,7 +97,7 @@
         self.messages.extend(self.group.append(from, to));
     }
 
-    /// Delivers a message of any age; some are lost, some come twice.
+    /// Delivers a message of any age; some are lost or duplicated.
     fn message(&mut self) {
         let Some(message) = pick(&mut self.random, &mut self.messages) else { return };
         if self.random.chance(50) {
@@ -173,8 +174,8 @@
         let by = self.random.below(u64::from(PROMOTERS)) as usize;
         let term = self.random.below(4);
         let avoid = self.random.chance(300).then_some(0);
-        let deposed = Replacement { term, avoid, preferred: None };
-        self.promoters[by].0.replace_primary(self.now, deposed, by as u32);
+        let replacement = Replacement { term, avoid, preferred: None };
+        self.promoters[by].0.replace_primary(self.now, replacement, by as u32);
     }
 
     fn tick(&mut self) {
@@ -226,7 +227,7 @@
     (!from.is_empty()).then(|| from.swap_remove(at))
 }
 
-/// The first violation that a run with `seed` shows, and the promotions that it saw.
+/// Runs one seed; returns the first violation and the number of completed promotions.
 fn run(seed: u64, targets: TargetId, defect: Defect) -> (Option<String>, u32) {
     let mut world = World::new(seed, targets, defect);
     for step in 0..STEPS {
@@ -257,14 +258,14 @@
 fn three_targets_hold() {
     let (violation, promotions) = search(3, Defect::None);
     assert_eq!(violation, None);
-    assert!(promotions > 1_000, "only {promotions} promotions came to their end");
+    assert!(promotions > 1_000, "only {promotions} promotions completed");
 }
 
 #[test]
 fn five_targets_hold() {
     let (violation, promotions) = search(5, Defect::None);
     assert_eq!(violation, None);
-    assert!(promotions > 1_000, "only {promotions} promotions came to their end");
+    assert!(promotions > 1_000, "only {promotions} promotions completed");
 }
 
 #[test]
--- a/crates/core/tests/rate.rs
+++ b/crates/core/tests/rate.rs
@@ -1,4 +1,7 @@
-//! Rates over a small fake fleet: lossy, slow links, pauses, uneven load, members that change.
+//! Rates over a small simulated fleet with lossy and slow links, pauses, uneven load and changing
+//! members.
+//!
+//! Guards against admission above rate and burst, and against refusals within the rate.
 
 mod meters;
 
@@ -82,7 +85,8 @@
     }
 }
 
-/// Slow links on which asks overtake each other, since borrowers give up and ask again.
+/// A fleet with slow links on which loan requests overtake each other, since borrowers give up and
+/// send new ones.
 fn overtaken(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(4, 400, 160, seed);
     fleet.loss = 0.2;
@@ -105,16 +109,16 @@
     }
 }
 
-/// A lender with a full part of 20 tokens that has just lent all of them in answer to ask 2.
+/// A lender that had its full share of 20 tokens and has just lent all of them for request 2.
 fn lender_without_tokens(now: Time) -> Meter {
     let mut meter = Meter::new(SETTLE, true);
     meter.set_share(ACCOUNT, micro(100), micro(20), now - SETTLE * 2);
     meter.tick(now - SETTLE);
-    assert_eq!(meter.lend(&ask(1, 2), now), 20);
+    assert_eq!(meter.lend(&token_request(1, 2), now), 20);
     meter
 }
 
-fn ask(host: HostId, sequence: u64) -> TokenRequest {
+fn token_request(host: HostId, sequence: u64) -> TokenRequest {
     TokenRequest { host, account: ACCOUNT, count: 20, version: 1, sequence }
 }
 
@@ -123,8 +127,8 @@
     let (start, later) = (SETTLE * 3, SETTLE * 3 + Duration::from_millis(50));
     let lent = [("overtaken", 1, 0), ("repeated", 2, 0), ("newer", 3, 4)].map(|case| {
         let mut meter = lender_without_tokens(start);
-        let at_once = meter.lend(&ask(1, case.1), start);
-        (case, at_once, meter.lend(&ask(2, 1), later))
+        let at_once = meter.lend(&token_request(1, case.1), start);
+        (case, at_once, meter.lend(&token_request(2, 1), later))
     });
 
     for ((name, _, expected), at_once, lent) in lent {
--- a/crates/core/tests/rate_loss.rs
+++ b/crates/core/tests/rate_loss.rs
@@ -1,11 +1,11 @@
-//! Wrongful refusals of a client account within its rate: over a host's death, and over a minute
-//! without the store.
+//! Wrongful refusals of a client account within its rate, after the crash of a host and during a
+//! minute without the store.
 //!
-//! Until the authority of a silent host has lapsed, that host may be spending its part. So while
-//! its part is idle, no limiter that keeps the bound admits more than one bucket would that has the
-//! other hosts' parts: that bucket, offered the same requests, says what the bound allows. Without
-//! the store the members stay and parts need nothing else, so an outage is a minute in which no
-//! host learns anything; that authority is kept meanwhile, `authority.rs` shows.
+//! Until the authority of a silent host has expired, that host may be using its share. During that
+//! time no limiter that keeps the bound can admit more than a single bucket that has the shares of
+//! the other hosts. Such a bucket is offered the same requests as a reference. Without the store
+//! the members do not change, and shares depend on nothing else, so an outage is simulated as a
+//! minute without updates; `authority.rs` tests that authority is kept during that time.
 
 mod meters;
 
@@ -19,18 +19,18 @@
 const RATE: u32 = 200;
 const BURST: u32 = 100;
 const SEEDS: u64 = 3;
-/// Load in parts of the rate.
+/// Load as a fraction of the rate.
 const LOADS: [f64; 3] = [0.5, 0.9, 1.0];
-/// Part of the load that goes to host 1: even, most of it, all of it.
+/// Fraction of the load that goes to host 1: an even share, most of it, all of it.
 const BALANCES: [f64; 3] = [0.25, 0.8, 1.0];
 const DEAD: HostId = 4;
-/// From a death to its removal in force at the others, with a margin.
+/// Time from a crash until the removal is in force on the other hosts, with a margin.
 const REMOVAL: Duration = Duration::from_millis(2_500);
 const MINUTE: Duration = Duration::from_secs(60);
-/// Stated bound on wrongful refusals, as a part of the requests.
+/// Stated bound on wrongful refusals, as a fraction of the requests.
 const STATED: f64 = 0.001;
 
-/// One bucket that has the parts of the hosts that live.
+/// Reference: a single bucket that has the shares of the live hosts.
 struct Central {
     rate: f64,
     burst: f64,
@@ -44,11 +44,11 @@
         Central { rate, burst, level: burst, at: Time::ZERO }
     }
 
-    /// Has `part` of rate and burst from now on.
-    fn set_part(&mut self, part: f64, now: Time) {
+    /// Sets the fraction of rate and burst that the bucket has from `now` on.
+    fn set_share(&mut self, share: f64, now: Time) {
         self.refill(now);
-        self.rate = f64::from(RATE) * part;
-        self.burst = f64::from(BURST) * part;
+        self.rate = f64::from(RATE) * share;
+        self.burst = f64::from(BURST) * share;
         self.level = self.level.min(self.burst);
     }
 
@@ -60,13 +60,13 @@
 
     fn take(&mut self, now: Time) -> bool {
         self.refill(now);
-        let enough = self.level >= 1.0;
-        self.level -= f64::from(u32::from(enough));
-        enough
+        let has_token = self.level >= 1.0;
+        self.level -= f64::from(u32::from(has_token));
+        has_token
     }
 }
 
-/// What became of the requests offered.
+/// Number of requests by outcome.
 #[derive(Debug, Default)]
 struct Count {
     offered: u32,
@@ -85,13 +85,13 @@
 }
 
 impl Run {
-    /// A fleet whose parts are in force and whose load is steady.
-    fn settled(load: f64, favourite: f64, seed: u64) -> (Run, Time) {
+    /// Returns a fleet whose shares are in force and whose load is steady, and the time reached.
+    fn steady(load: f64, favourite: f64, seed: u64) -> (Run, Time) {
         let mut fleet = Fleet::new(HOSTS, RATE, BURST, seed);
         fleet.learn_members(Time::ZERO);
         let count = Count::default();
         let mut run = Run { fleet, central: Central::full(), load, favourite, last: HOSTS, count };
-        // Parts come into force and buckets fill before the load begins.
+        // Shares come into force and buckets fill before the load starts.
         run.fleet.drive(Time::ZERO, SETTLE * 3, 0.0, |_| 1);
         run.drive(SETTLE * 3, SETTLE * 6);
         run.fleet.offered = 0;
@@ -118,7 +118,7 @@
         }
     }
 
-    fn end(self) -> Count {
+    fn into_count(self) -> Count {
         self.fleet.verify().expect("never above the bound");
         Count {
             offered: self.fleet.offered,
@@ -130,26 +130,26 @@
 }
 
 fn outage(load: f64, favourite: f64, seed: u64) -> Count {
-    let (mut run, start) = Run::settled(load, favourite, seed);
+    let (mut run, start) = Run::steady(load, favourite, seed);
     run.drive(start, start + MINUTE);
-    run.end()
+    run.into_count()
 }
 
 fn death(load: f64, favourite: f64, seed: u64) -> Count {
-    let (mut run, start) = Run::settled(load, favourite, seed);
+    let (mut run, start) = Run::steady(load, favourite, seed);
     run.fleet.hosts.remove(&DEAD);
     run.last = HOSTS - 1;
-    run.central.set_part(f64::from(HOSTS - 1) / f64::from(HOSTS), start);
+    run.central.set_share(f64::from(HOSTS - 1) / f64::from(HOSTS), start);
     run.drive(start, start + REMOVAL);
     run.fleet.members.remove(&DEAD);
     run.fleet.learn_members(start + REMOVAL);
     run.drive(start + REMOVAL, start + REMOVAL + SETTLE);
-    run.central.set_part(1.0, start + REMOVAL + SETTLE);
+    run.central.set_share(1.0, start + REMOVAL + SETTLE);
     run.drive(start + REMOVAL + SETTLE, start + MINUTE);
-    run.end()
+    run.into_count()
 }
 
-/// Sums over the seeds, for each load and balance.
+/// Runs `case` for each load and balance, and sums the counts over the seeds.
 fn measure(name: &str, case: impl Fn(f64, f64, u64) -> Count) -> Vec<(f64, Count)> {
     let mut counts = Vec::new();
     for load in LOADS {
@@ -169,7 +169,7 @@
     counts
 }
 
-/// Whether the wrongful refusals are within the stated part of the requests.
+/// Whether the wrongful refusals are within the stated bound.
 fn is_within_stated(count: &Count) -> bool {
     f64::from(count.wrongly_refused) <= STATED * f64::from(count.offered)
 }
@@ -190,6 +190,6 @@
     for (load, count) in counts.iter().filter(|(load, _)| *load < 0.75) {
         assert!(is_within_stated(count), "load {load}: {count:?}");
     }
-    // A checker that sees nothing would find nothing at the full rate either.
+    // At the full rate the bound must be exceeded; otherwise the check detects nothing.
     assert!(counts.iter().any(|(load, count)| *load == 1.0 && !is_within_stated(count)));
 }
--- a/crates/core/tests/rate_many_hosts.rs
+++ b/crates/core/tests/rate_many_hosts.rs
@@ -1,4 +1,4 @@
-//! Rates in fleets of many hosts, where the callers of one client account reach a few of them.
+//! Rates in fleets of many hosts, where the callers of one client account use only some of them.
 
 mod meters;
 
@@ -9,19 +9,19 @@
 use std::time::Duration;
 
 const HOSTS: HostId = 26;
-/// Hosts that the account's callers reach.
+/// Number of hosts that the account's callers use.
 const REACHED: HostId = 5;
 const RATE: u32 = 20;
-/// Share of the rate that callers ask for.
+/// Load as a fraction of the rate.
 const USE: f64 = 0.625;
 const HOLDERS: usize = 4;
-/// Hosts of the fleet that is rolled, and the rate of a larger account there.
+/// Number of hosts of the fleet in the rolling restart, and the rate of a larger account there.
 const ROLLED: HostId = 4;
 const ROLL_RATE: u32 = 100;
-/// Tokens that a restarted host begins with: a quarter of what is permitted beyond rate and burst in
-/// five seconds, over four hosts.
+/// Initial tokens of a restarted host: a quarter of the permitted excess over rate and burst in five
+/// seconds, divided by four hosts.
 const OPENING: u32 = 5;
-/// Time that a host is away, and until the next one is.
+/// Time for which a host is down, and time until the next one stops.
 const DOWN: Time = Duration::from_millis(800);
 const UP: Time = Duration::from_millis(1500);
 const START: Time = Duration::from_secs(10);
@@ -38,7 +38,8 @@
     fleet
 }
 
-/// Pattern: many hosts, callers of a small account at a few of them.
+/// Guards against refusals within a small rate when only a few hosts have a share of it and the
+/// callers use other hosts.
 #[test]
 fn callers_within_the_rate_are_not_refused_where_most_hosts_have_no_part() {
     for seed in 1..=5 {
@@ -50,7 +51,7 @@
     }
 }
 
-/// Pattern: a hot account in a fleet of many hosts.
+/// Guards against an account under overload that is served much less than its rate, or more.
 #[test]
 fn a_hot_account_gets_its_rate_and_no_more() {
     for seed in 1..=5 {
@@ -63,14 +64,16 @@
     }
 }
 
-/// Pattern: one of the hosts that have parts dies under load.
+/// Guards against the loss of most of the rate when a host that has a share of it crashes under
+/// load.
 #[test]
 fn most_of_the_rate_is_left_when_a_holder_dies() {
     for seed in 1..=5 {
         let mut fleet = fleet(seed);
         let holders =
             bergamotvale_core::rate::holders(meters::ACCOUNT, RATE, &fleet.members, HOLDERS);
-        let dead = *holders.iter().find(|host| **host > REACHED).expect("a holder apart");
+        let dead =
+            *holders.iter().find(|host| **host > REACHED).expect("a holder that no caller uses");
         fleet.hosts.remove(&dead);
         fleet.drive(START, END, f64::from(RATE) * USE, reached);
         fleet.verify().expect("the rate holds");
@@ -79,8 +82,9 @@
     }
 }
 
-/// Pattern: reconnect storm after a roll. Hosts restart one after the other, and all callers of each
-/// are at the others meanwhile and come back at once.
+/// Guards against refusals within the rate in the reconnect storms of a rolling restart. Hosts
+/// restart one after the other; the callers of each use the other hosts in the meantime and
+/// reconnect at once.
 #[test]
 fn callers_within_the_rate_are_served_through_a_roll() {
     for seed in 1..=5 {
@@ -99,7 +103,7 @@
             now += DOWN;
             fleet.refused += u32::try_from(stopped.waiting.len()).unwrap();
             fleet.restart(down, OPENING, now);
-            // Everybody whose session had ended comes to the host that is back.
+            // All callers whose session had ended connect to the restarted host.
             let back = move |random: &mut SmallRng| {
                 if random.random_bool(0.5) { down } else { random.random_range(1..=ROLLED) }
             };
--- a/crates/core/tests/rate_restart.rs
+++ b/crates/core/tests/rate_restart.rs
@@ -1,4 +1,5 @@
-//! Rates when hosts come back: parts that hold at once, tokens to begin with, tokens given back.
+//! Rates after restarts of hosts: shares that are usable at once, initial tokens and refunded
+//! tokens.
 
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::rate::bucket::{Amount, MICRO};
@@ -12,21 +13,21 @@
 const BURST: u32 = 120;
 const HOSTS: HostId = 4;
 const SETTLE: Duration = Duration::from_millis(1260);
-/// Tokens that each host begins with.
+/// Initial tokens of each host.
 const OPENING: Amount = 6 * MICRO;
 
 fn ms(millis: u64) -> Time {
     Duration::from_millis(millis)
 }
 
-fn parts(host: HostId) -> (Amount, Amount) {
+fn shares(host: HostId) -> (Amount, Amount) {
     let members: BTreeSet<HostId> = (1..=HOSTS).collect();
     rate_share(ACCOUNT, (RATE, BURST), &members, host, 4)
 }
 
-/// A host that comes back and had its part before.
+/// A restarted host that had the same share before.
 fn restarted(host: HostId, now: Time) -> Meter {
-    let (rate, burst) = parts(host);
+    let (rate, burst) = shares(host);
     let mut meter = Meter::new(SETTLE, false);
     meter.open_share(ACCOUNT, rate, burst, OPENING, now);
     meter
@@ -36,24 +37,26 @@
     meter.request(ACCOUNT, now) == Decision::Admit
 }
 
-/// Pattern: all hosts back at once, callers with them.
+/// Guards against refusals after all hosts and their callers restart at once.
 #[test]
 fn hosts_that_come_back_serve_at_once() {
     for host in 1..=HOSTS {
         let mut meter = restarted(host, ms(0));
         let admitted = (0..20).filter(|_| admits(&mut meter, ms(0))).count();
         assert_eq!(admitted, 6, "host {host}");
-        // A quarter of the rate: one token in a thirtieth of a second.
+        // Each host has a quarter of the rate: one token per 1/30 s.
         assert!(admits(&mut meter, ms(40)), "host {host}");
     }
 }
 
-/// Pattern: all hosts back at once, a hot account with them.
+/// Guards against admission above the permitted excess when all hosts restart twice within one
+/// window while an account is under overload.
 #[test]
 fn two_restarts_in_one_window_stay_within_what_is_permitted() {
     let mut admitted = 0;
     for host in 1..=HOSTS {
-        // It had spent its burst, runs, dies, comes back, dies and comes back again.
+        // The host had spent its burst before; it restarts three times in the window, each time with
+        // the initial tokens.
         for (from, until) in [(0, 1500), (2000, 3000), (3500, 5000)] {
             let mut meter = restarted(host, ms(from));
             admitted += (from..until).filter(|at| admits(&mut meter, ms(*at))).count();
@@ -66,7 +69,7 @@
 
 #[test]
 fn a_host_that_is_new_waits_until_the_others_have_made_room() {
-    let (rate, burst) = parts(1);
+    let (rate, burst) = shares(1);
     let mut meter = Meter::new(SETTLE, false);
     meter.set_share(ACCOUNT, rate, burst, ms(0));
     assert!(!admits(&mut meter, ms(1200)));
@@ -77,7 +80,7 @@
 #[test]
 fn a_part_that_grows_after_the_start_waits_like_any_other() {
     let mut meter = restarted(1, ms(0));
-    let (rate, burst) = parts(1);
+    let (rate, burst) = shares(1);
     meter.open_share(ACCOUNT, 2 * rate, 2 * burst, OPENING, ms(10));
     meter.tick(ms(20));
     assert_eq!(meter.share(ACCOUNT), (rate, burst));
@@ -85,7 +88,8 @@
     assert_eq!(meter.share(ACCOUNT), (2 * rate, 2 * burst));
 }
 
-/// Pattern: lost primary with full queues. What reached no target costs no token.
+/// Guards against tokens lost to requests that reached no target, as when the primary fails while
+/// queues are full.
 #[test]
 fn a_token_that_is_put_back_serves_another_request() {
     let mut meter = restarted(1, ms(0));
@@ -101,7 +105,7 @@
     for _ in 0..1000 {
         meter.refund(ACCOUNT, ms(0));
     }
-    let (_, burst) = parts(1);
+    let (_, burst) = shares(1);
     let admitted = (0..1000).filter(|_| admits(&mut meter, ms(0))).count();
     assert_eq!(admitted as u64, burst / MICRO);
 }
--- a/crates/core/tests/survey.rs
+++ b/crates/core/tests/survey.rs
@@ -1,4 +1,4 @@
-//! Cases of the search for the target that holds every acknowledged commit.
+//! Cases of the survey, which determines the target that has every acknowledged commit.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -22,7 +22,7 @@
     named: String,
 }
 
-/// A target's answer, or a look at what is known then.
+/// A target's answer, or a query of the best target so far.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, tag = "on", rename_all = "snake_case")]
 enum Happening {
