--- a/crates/core/src/detect/mod.rs
+++ b/crates/core/src/detect/mod.rs
@@ -159,8 +159,8 @@
         self.update_leader(now);
         let Some(opinion) = self.opinion(now) else { return Vec::new() };
         let mut actions = Vec::new();
-        let reported_parts = |opinion: &Opinion| (opinion.primary, opinion.term, opinion.failed);
-        if self.sent_opinion.as_ref().map(reported_parts) != Some(reported_parts(&opinion)) {
+        let compared_fields = |opinion: &Opinion| (opinion.primary, opinion.term, opinion.failed);
+        if self.sent_opinion.as_ref().map(compared_fields) != Some(compared_fields(&opinion)) {
             self.sent_opinion = Some(opinion);
             actions.push(Action::SendOpinion(opinion));
         }
--- a/crates/core/src/detect/settings.rs
+++ b/crates/core/src/detect/settings.rs
@@ -51,8 +51,8 @@
 impl Settings {
     /// Settings under which a primary is replaced once it has been silent for `after`.
     ///
-    /// A fraction of `after` suffices for refused connections and for a missing primary, since
-    /// these are stronger evidence.
+    /// A quarter of it is enough for refused connections, since nothing listens any more, and half
+    /// of it for a group without a primary.
     pub fn new(after: Duration) -> Settings {
         Settings {
             tick: Duration::from_millis(50),
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -168,7 +168,7 @@
         state.refresh(now);
     }
 
-    /// Returns the token of a request that was admitted but certainly did not run.
+    /// Gives back the token of a request that was admitted but certainly did not run.
     pub fn refund(&mut self, account: AccountId, now: Time) {
         if let Some(state) = self.accounts.get_mut(&account) {
             state.bucket.add(MICRO, now);
@@ -351,8 +351,8 @@
         }
         ready.rotate_left(usize::try_from(turn).unwrap_or(0) % count);
         ready.sort_by_key(|peer| !self.lenders.get(peer).is_some_and(|lender| lender.has_lent));
-        let kept = self.waiting + self.bucket.room();
-        ready.truncate(usize::try_from(kept).unwrap_or(usize::MAX).max(1));
+        let usable = self.waiting + self.bucket.room();
+        ready.truncate(usize::try_from(usable).unwrap_or(usize::MAX).max(1));
         ready
     }
 
--- a/crates/core/tests/detection.rs
+++ b/crates/core/tests/detection.rs
@@ -19,7 +19,7 @@
 const TICK_MS: u64 = 50;
 const PROBE_MS: u64 = 150;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, Event>;
 
 /// How targets answer their probes; target 0 is the primary of term 1.
 #[derive(Deserialize)]
@@ -50,7 +50,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct Event {
     at: u64,
     on: String,
     #[serde(default)]
@@ -96,7 +96,7 @@
     }
 }
 
-fn happen(detector: &mut Detector, event: &Happening) {
+fn apply(detector: &mut Detector, event: &Event) {
     let now = millis(event.at);
     match event.on.as_str() {
         "against" | "doubt" | "for" => {
@@ -121,13 +121,13 @@
     }
 }
 
-fn stalled(events: &[Happening], now: u64) -> bool {
+fn stalled(events: &[Event], now: u64) -> bool {
     let stalls = events.iter().filter(|event| event.on == "stall");
     stalls.into_iter().any(|stall| stall.at <= now && stall.until.is_some_and(|end| now < end))
 }
 
 /// The primary that the host knows, if the event queries it.
-fn primary(detector: &Detector, event: &Happening) -> Option<String> {
+fn primary(detector: &Detector, event: &Event) -> Option<String> {
     let (id, term) = detector.primary().filter(|_| event.on == "primary")?;
     Some(format!("{}: primary {id} in {term}", event.at))
 }
@@ -143,7 +143,7 @@
             continue;
         }
         for event in case.events.iter().filter(|e| e.at <= now && now < e.at + TICK_MS) {
-            happen(&mut detector, event);
+            apply(&mut detector, event);
             lines.extend(primary(&detector, event));
         }
         if now % PROBE_MS == 0 {
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -12,7 +12,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, Event>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,7 +24,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct Event {
     at: u64,
     on: String,
     target: Option<TargetId>,
@@ -34,15 +34,15 @@
     confirmed: Option<String>,
 }
 
-fn status(happening: &Happening) -> Status {
+fn status(event: &Event) -> Status {
     let parse = |text: &Option<String>| text.as_deref().map(position);
-    let entry = parse(&happening.entry).expect("a status has an entry");
+    let entry = parse(&event.entry).expect("a status has an entry");
     Status {
-        role: if happening.leads { Role::Primary } else { Role::Replica },
+        role: if event.leads { Role::Primary } else { Role::Replica },
         accepted_term: entry.term,
         entry,
         applied: entry,
-        confirmed: parse(&happening.confirmed).unwrap_or(Position::default()),
+        confirmed: parse(&event.confirmed).unwrap_or(Position::default()),
         age: Duration::ZERO,
         primary: None,
         term_start: 0,
@@ -53,14 +53,14 @@
     Handover::new(now, given.primary, given.term, given.candidate)
 }
 
-fn apply(handover: &mut Handover, given: &Given, happening: &Happening) -> Vec<Action> {
-    let now: Time = Duration::from_millis(happening.at);
-    match happening.on.as_str() {
+fn apply(handover: &mut Handover, given: &Given, event: &Event) -> Vec<Action> {
+    let now: Time = Duration::from_millis(event.at);
+    match event.on.as_str() {
         "drained" => handover.record_drained(now),
-        "held" => handover.record_hold(now, happening.entry.as_deref().map(position)),
+        "held" => handover.record_hold(now, event.entry.as_deref().map(position)),
         "looked" => {
-            let target = happening.target.expect("a status answer names its target");
-            handover.record_status(now, target, &status(happening))
+            let target = event.target.expect("a status answer names its target");
+            handover.record_status(now, target, &status(event))
         }
         "tick" => handover.tick(now),
         "restart" => {
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -14,7 +14,7 @@
 /// Time by which every share is usable and every bucket full; the times of cases are relative to it.
 const START: Duration = Duration::from_millis(8_000);
 
-type Case = case::Case<Given, Happening, Expect>;
+type Case = case::Case<Given, Event, Expect>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -35,7 +35,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct Event {
     at: u64,
     on: String,
     #[serde(default)]
@@ -58,7 +58,7 @@
     START + Duration::from_millis(ms)
 }
 
-fn apply(fleet: &mut Fleet, event: &Happening, now: Time) {
+fn apply(fleet: &mut Fleet, event: &Event, now: Time) {
     match event.on.as_str() {
         "request" => (0..event.times).for_each(|_| fleet.offer(event.host, now)),
         "pause" => fleet.host(event.host).paused_until = time(event.until),
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -17,7 +17,7 @@
 const SEED: u64 = 7;
 const HOST: u32 = 3;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, Event>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -34,7 +34,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct Event {
     at: u64,
     on: String,
     term: Option<Term>,
@@ -45,21 +45,21 @@
     voter: Option<bool>,
 }
 
-fn answer(happening: &Happening, term: Term) -> Option<Answer> {
-    let granted = happening.granted?;
+fn answer(event: &Event, term: Term) -> Option<Answer> {
+    let granted = event.granted?;
     Some(Answer {
         granted,
-        accepted: happening.accepted.unwrap_or(term),
-        entry: happening.entry.as_deref().map(position).unwrap_or_default(),
-        voter: happening.voter.unwrap_or(true),
+        accepted: event.accepted.unwrap_or(term),
+        entry: event.entry.as_deref().map(position).unwrap_or_default(),
+        voter: event.voter.unwrap_or(true),
     })
 }
 
-fn status(happening: &Happening, term: Term) -> Status {
-    let entry = happening.entry.as_deref().map(position).unwrap_or_default();
+fn status(event: &Event, term: Term) -> Status {
+    let entry = event.entry.as_deref().map(position).unwrap_or_default();
     Status {
-        role: if happening.granted == Some(true) { Role::Primary } else { Role::Replica },
-        accepted_term: happening.accepted.unwrap_or(term),
+        role: if event.granted == Some(true) { Role::Primary } else { Role::Replica },
+        accepted_term: event.accepted.unwrap_or(term),
         entry,
         applied: entry,
         confirmed: Position::default(),
@@ -69,11 +69,11 @@
     }
 }
 
-fn apply(promoter: &mut Promoter, given: &Given, happening: &Happening) -> Vec<Action> {
-    let now: Time = Duration::from_millis(happening.at);
-    let term = happening.term.unwrap_or(1);
-    let target = happening.target.unwrap_or(0);
-    match happening.on.as_str() {
+fn apply(promoter: &mut Promoter, given: &Given, event: &Event) -> Vec<Action> {
+    let now: Time = Duration::from_millis(event.at);
+    let term = event.term.unwrap_or(1);
+    let target = event.target.unwrap_or(0);
+    match event.on.as_str() {
         "depose" => {
             let replacement = Replacement { term, avoid: given.avoid, preferred: None };
             promoter.replace_primary(now, replacement, given.rank);
@@ -81,9 +81,9 @@
         }
         "plan" => promoter.start_planned(now, term, target),
         "tick" => promoter.tick(now),
-        "fenced" => promoter.record_fence(now, target, term, answer(happening, term)),
-        "promoted" => promoter.record_promotion(now, target, term, answer(happening, term)),
-        "observe" => promoter.record_status(now, &status(happening, term)),
+        "fenced" => promoter.record_fence(now, target, term, answer(event, term)),
+        "promoted" => promoter.record_promotion(now, target, term, answer(event, term)),
+        "observe" => promoter.record_status(now, &status(event, term)),
         other => panic!("unknown event {other}"),
     }
 }
--- a/crates/core/tests/survey.rs
+++ b/crates/core/tests/survey.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use std::path::Path;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, Event>;
 
 /// A group in term 1.
 #[derive(Deserialize)]
@@ -25,7 +25,7 @@
 /// A target's answer, or a query of the best target so far.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, tag = "on", rename_all = "snake_case")]
-enum Happening {
+enum Event {
     Stopped { target: String, position: u64 },
     Deposed { target: String, position: u64 },
     Look,
@@ -41,9 +41,9 @@
     let mut seen = Vec::new();
     for event in &case.events {
         match event {
-            Happening::Stopped { target, position: at } => survey.stop(target, position(*at)),
-            Happening::Deposed { target, position: at } => survey.depose(target, position(*at)),
-            Happening::Look => {
+            Event::Stopped { target, position: at } => survey.stop(target, position(*at)),
+            Event::Deposed { target, position: at } => survey.depose(target, position(*at)),
+            Event::Look => {
                 seen.push(survey.best(named).cloned().unwrap_or_else(|| "none".to_owned()));
             }
         }
