--- a/crates/core/src/detect/settings.rs
+++ b/crates/core/src/detect/settings.rs
@@ -22,7 +22,7 @@
 /// How long each sign of failure must last before the primary counts as failed, and related times.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Interval between calls of [`Detector::tick`].
+    /// Interval between calls of [`Detector::tick`](super::Detector::tick).
     pub tick: Duration,
     /// Gap between ticks above which this host counts as stalled.
     pub stall: Duration,
