--- a/crates/core/tests/detection.rs
+++ b/crates/core/tests/detection.rs
@@ -1,4 +1,5 @@
-//! Cases of detection: what deposes a primary, and what must not.
+//! Cases of failure detection: evidence that must lead to the replacement of a primary, and evidence
+//! that must not.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -18,7 +19,7 @@
 const TICK_MS: u64 = 50;
 const PROBE_MS: u64 = 150;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, Event>;
 
 /// How targets answer their probes; target 0 is the primary of term 1.
 #[derive(Deserialize)]
@@ -29,7 +30,7 @@
     targets: BTreeMap<TargetId, Vec<Span>>,
 }
 
-/// From `from_ms` on the target does this.
+/// Behavior of a target from `from_ms` on.
 #[derive(Deserialize, Clone)]
 #[serde(deny_unknown_fields)]
 struct Span {
@@ -49,7 +50,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct Event {
     at: u64,
     on: String,
     #[serde(default)]
@@ -84,7 +85,8 @@
 }
 
 fn probe(detector: &mut Detector, now: u64, id: TargetId, spans: &[Span]) {
-    let span = spans.iter().rfind(|span| span.from_ms <= now).expect("one starts at 0");
+    let span =
+        spans.iter().rfind(|span| span.from_ms <= now).expect("each target has a span from 0 on");
     detector.record_probe_sent(millis(now), id);
     match span.answers.as_str() {
         "silent" => {}
@@ -94,7 +96,7 @@
     }
 }
 
-fn happen(detector: &mut Detector, event: &Happening) {
+fn apply(detector: &mut Detector, event: &Event) {
     let now = millis(event.at);
     match event.on.as_str() {
         "against" | "doubt" | "for" => {
@@ -119,13 +121,13 @@
     }
 }
 
-fn stalled(events: &[Happening], now: u64) -> bool {
+fn stalled(events: &[Event], now: u64) -> bool {
     let stalls = events.iter().filter(|event| event.on == "stall");
     stalls.into_iter().any(|stall| stall.at <= now && stall.until.is_some_and(|end| now < end))
 }
 
-/// The primary that the host knows, where the case asks for it.
-fn primary(detector: &Detector, event: &Happening) -> Option<String> {
+/// The primary that the host knows, if the event queries it.
+fn primary(detector: &Detector, event: &Event) -> Option<String> {
     let (id, term) = detector.primary().filter(|_| event.on == "primary")?;
     Some(format!("{}: primary {id} in {term}", event.at))
 }
@@ -141,7 +143,7 @@
             continue;
         }
         for event in case.events.iter().filter(|e| e.at <= now && now < e.at + TICK_MS) {
-            happen(&mut detector, event);
+            apply(&mut detector, event);
             lines.extend(primary(&detector, event));
         }
         if now % PROBE_MS == 0 {
@@ -153,7 +155,9 @@
             let line = match action {
                 Action::SendOpinion(opinion) if opinion.failed => format!("{now}: failed"),
                 Action::SendOpinion(_) => format!("{now}: works"),
-                Action::ReplacePrimary(deposed) => format!("{now}: depose term {}", deposed.term),
+                Action::ReplacePrimary(replacement) => {
+                    format!("{now}: depose term {}", replacement.term)
+                }
             };
             let deposing = lines.last().is_some_and(|last: &String| last.contains("depose"));
             if !(deposing && line.contains("depose")) {
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -1,4 +1,4 @@
-//! Faults at each step of lending rate tokens between hosts.
+//! Cases of lending rate tokens between hosts, with each fault at each step.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -11,10 +11,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Time by which every part is in force and every bucket full; cases count from here.
+/// Time by which every share is usable and every bucket full; the times of cases are relative to it.
 const START: Duration = Duration::from_millis(8_000);
 
-type Case = case::Case<Given, Happening, Expect>;
+type Case = case::Case<Given, Event, Expect>;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,7 +25,7 @@
     until_ms: u64,
 }
 
-/// Requests of the whole case, on all hosts.
+/// Number of requests admitted and refused on all hosts over the whole case.
 #[derive(Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Expect {
@@ -35,7 +35,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Happening {
+struct Event {
     at: u64,
     on: String,
     #[serde(default)]
@@ -58,7 +58,7 @@
     START + Duration::from_millis(ms)
 }
 
-fn apply(fleet: &mut Fleet, event: &Happening, now: Time) {
+fn apply(fleet: &mut Fleet, event: &Event, now: Time) {
     match event.on.as_str() {
         "request" => (0..event.times).for_each(|_| fleet.offer(event.host, now)),
         "pause" => fleet.host(event.host).paused_until = time(event.until),
--- a/crates/core/tests/survey.rs
+++ b/crates/core/tests/survey.rs
@@ -1,4 +1,4 @@
-//! Cases of the search for the target that holds every acknowledged commit.
+//! Cases of the survey, which determines the target that has every acknowledged commit.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use std::path::Path;
 
-type Case = case::Case<Given, Happening>;
+type Case = case::Case<Given, Event>;
 
 /// A group in term 1.
 #[derive(Deserialize)]
@@ -22,10 +22,10 @@
     named: String,
 }
 
-/// A target's answer, or a look at what is known then.
+/// A target's answer, or a query of the best target so far.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, tag = "on", rename_all = "snake_case")]
-enum Happening {
+enum Event {
     Stopped { target: String, position: u64 },
     Deposed { target: String, position: u64 },
     Look,
@@ -41,13 +41,13 @@
     let mut seen = Vec::new();
     for event in &case.events {
         match event {
-            Happening::Stopped { target, position: at } => {
+            Event::Stopped { target, position: at } => {
                 survey.record_stopped(target, position(*at))
             }
-            Happening::Deposed { target, position: at } => {
+            Event::Deposed { target, position: at } => {
                 survey.record_deposed(target, position(*at))
             }
-            Happening::Look => {
+            Event::Look => {
                 seen.push(
                     survey.most_advanced(named).cloned().unwrap_or_else(|| "none".to_owned()),
                 );
