--- a/crates/core/tests/survey.rs
+++ b/crates/core/tests/survey.rs
@@ -41,12 +41,8 @@
     let mut seen = Vec::new();
     for event in &case.events {
         match event {
-            Event::Stopped { target, position: at } => {
-                survey.record_stopped(target, position(*at))
-            }
-            Event::Deposed { target, position: at } => {
-                survey.record_deposed(target, position(*at))
-            }
+            Event::Stopped { target, position: at } => survey.record_stopped(target, position(*at)),
+            Event::Deposed { target, position: at } => survey.record_deposed(target, position(*at)),
             Event::Look => {
                 seen.push(
                     survey.most_advanced(named).cloned().unwrap_or_else(|| "none".to_owned()),
