rename: shared state, peers and maintenance of a session host

Only names change: state::Absence -> state::Unavailable, its Lost -> Unreachable, word -> label state::Use -> state::WorkGuard Host::use_primary -> Host::register_work Host::wait_change -> Host::wait_for_change Host::is_planned -> Host::has_planned_promotion Peers::ask_loans -> Peers::request_loans Peers::closing -> Peers::idle_close module upkeep -> maintenance

--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -165,7 +165,7 @@
             tokio::select! {
                 biased;
                 request = reader.next() => return request,
-                () = host.peers.closing.wait(), if is_idle => return None,
+                () = host.peers.idle_close.wait(), if is_idle => return None,
                 () = sleep_until(limit), if limit.is_some() => {
                     if limit.is_some_and(|limit| limit <= Instant::now()) {
                         self.end_transaction().await;
--- a/crates/sessions/src/connection.rs
+++ b/crates/sessions/src/connection.rs
@@ -205,7 +205,7 @@
             }
             if let Some((service, fence)) = bounds.fence
                 && host.fence(service) != fence
-                && !host.is_planned(service)
+                && !host.has_planned_promotion(service)
             {
                 return Err(Failure::Superseded);
             }
--- a/crates/sessions/src/http.rs
+++ b/crates/sessions/src/http.rs
@@ -1,7 +1,7 @@
 //! Answers the balancer's question, and serves metrics and the host's state.
 
 use crate::state::Host;
-use crate::{status, upkeep};
+use crate::{maintenance, status};
 use bergamotvale_platform::ready;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -45,7 +45,7 @@
 
 fn respond(host: &Host, path: &str) -> Response<Full<Bytes>> {
     let (status, body) = match path {
-        ready::PATH if upkeep::is_ready(host) => (StatusCode::OK, String::new()),
+        ready::PATH if maintenance::is_ready(host) => (StatusCode::OK, String::new()),
         ready::PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         METRICS => (StatusCode::OK, host.metrics.render()),
         STATUS => match serde_json::to_string(&status::of(host)) {
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -3,7 +3,7 @@
 //! One thread runs everything: callers' sessions ([`caller`]), the work they ask for ([`work`],
 //! [`transaction`]), connections to targets ([`connection`], [`pool`]), the copies of the
 //! platform's tables ([`follow`], [`feed`], [`member`]), heartbeats between hosts ([`peer`]), promotions ([`promote`],
-//! [`survey`]) and the upkeep of all that ([`upkeep`]). [`state::Host`] is what they share; [`run`] starts and
+//! [`survey`]) and the maintenance of all that ([`maintenance`]). [`state::Host`] is what they share; [`run`] starts and
 //! stops them.
 
 pub mod boot_clock;
@@ -13,6 +13,7 @@
 pub mod feed;
 pub mod follow;
 pub mod http;
+pub mod maintenance;
 pub mod member;
 pub mod metric;
 pub mod peer;
@@ -26,5 +27,4 @@
 pub mod survey;
 pub mod target;
 pub mod transaction;
-pub mod upkeep;
 pub mod work;
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -115,7 +115,7 @@
     /// Asks for a heartbeat at once.
     pub beat_now: Notify,
     /// Opens when idle sessions are to be closed.
-    pub closing: Gate,
+    pub idle_close: Gate,
     socket: RefCell<Option<Rc<UdpSocket>>>,
     peers: RefCell<BTreeMap<HostId, Peer>>,
     number: Cell<u64>,
@@ -183,7 +183,7 @@
     }
 
     /// Asks peers for tokens of an account that runs short.
-    pub fn ask_loans(&self, host: &Host, account: AccountId) {
+    pub fn request_loans(&self, host: &Host, account: AccountId) {
         let now = boot_clock::now();
         self.expire_asks(host, now);
         let asks = host.quota.meter.borrow_mut().loan_requests(account, now);
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -8,7 +8,7 @@
 use crate::peer;
 use crate::state::{Host, LEASE, Stored};
 use crate::target::hash;
-use crate::{survey, upkeep};
+use crate::{maintenance, survey};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Entry, Role, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
@@ -230,7 +230,7 @@
     /// Has the platform promote the candidate, and records it.
     async fn carry_through(&self, revision: Revision) {
         // Until the effect of the call is known, this host has not settled any later record.
-        let _pending = self.host.use_primary(self.service, self.record.fence);
+        let _pending = self.host.register_work(self.service, self.record.fence);
         if !self.call().await {
             return;
         }
@@ -270,7 +270,7 @@
             Err(Error::Conflict) => {
                 self.log("announce", "lost the race");
                 // The feed brings the record that won.
-                self.host.wait_change(Instant::now() + READ_BACK_LIMIT).await;
+                self.host.wait_for_change(Instant::now() + READ_BACK_LIMIT).await;
                 None
             }
             Err(error) => {
@@ -288,7 +288,7 @@
             match stored {
                 Some(stored) if stored.record == self.record => return Some(stored.revision),
                 Some(stored) if stored.record.fence >= self.record.fence => return None,
-                _ => self.host.wait_change(until).await,
+                _ => self.host.wait_for_change(until).await,
             }
         }
         None
@@ -318,7 +318,7 @@
             if boot_clock::now().saturating_sub(self.began) > limit {
                 return false;
             }
-            self.host.wait_change(Instant::now() + STEP).await;
+            self.host.wait_for_change(Instant::now() + STEP).await;
         }
     }
 
@@ -328,7 +328,7 @@
 
     async fn status(&self, target: &TargetName) -> Result<Status, Failure> {
         let entry = self.entry(target).ok_or(Failure::Lost)?;
-        upkeep::status(self.host, &entry, Instant::now() + PROMOTE_PAUSE * 2).await
+        maintenance::status(self.host, &entry, Instant::now() + PROMOTE_PAUSE * 2).await
     }
 
     /// Waits until the candidate has what the primary before has acknowledged.
@@ -358,7 +358,7 @@
         let (host, term) = (self.host.clone(), self.record.next_term());
         tokio::task::spawn_local(async move {
             let until = Instant::now() + PROMOTE_TIMEOUT;
-            if let Err(failure) = upkeep::demote(&host, &entry, term, until).await {
+            if let Err(failure) = maintenance::demote(&host, &entry, term, until).await {
                 log::debug!("{} was not demoted: {failure:?}", entry.name);
             }
         });
--- a/crates/sessions/src/quota.rs
+++ b/crates/sessions/src/quota.rs
@@ -100,7 +100,7 @@
             Decision::Admit => return Ok(()),
             Decision::Refuse(after) => return Err(after),
             Decision::Wait(until) => {
-                host.peers.ask_loans(host, id);
+                host.peers.request_loans(host, id);
                 drop(tokio::time::timeout(LOOK, host.changed.notified()).await);
                 let now = boot_clock::now();
                 decision = host.quota.meter.borrow_mut().retry(id, until, now);
--- a/crates/sessions/src/run.rs
+++ b/crates/sessions/src/run.rs
@@ -3,7 +3,7 @@
 use crate::event::Event;
 use crate::settings::Settings;
 use crate::state::Host;
-use crate::{caller, follow, http, member, peer, promote, upkeep};
+use crate::{caller, follow, http, maintenance, member, peer, promote};
 use anyhow::Context;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -61,7 +61,7 @@
     spawn_local(follow::table(host.clone()));
     spawn_local(peer::beat(host.clone()));
     spawn_local(promote::watch(host.clone()));
-    spawn_local(upkeep::run(host.clone()));
+    spawn_local(maintenance::run(host.clone()));
     spawn_local(http::serve(host.clone(), readiness));
     spawn_local(http::serve(host.clone(), metrics));
     spawn_local(accept(host.clone(), callers));
@@ -135,8 +135,8 @@
     let count = u32::try_from(host.sessions.get()).unwrap_or(u32::MAX);
     let pause = SPREAD / count.max(1);
     for _ in 0..count {
-        host.peers.closing.admit_one();
+        host.peers.idle_close.admit_one();
         tokio::time::sleep(pause).await;
     }
-    host.peers.closing.open();
+    host.peers.idle_close.open();
 }
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -47,22 +47,22 @@
 
 /// Why a group's primary may not be used now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Absence {
+pub enum Unavailable {
     /// This host does not hold the lease.
     NoLease,
     /// No primary is established.
     Promoting,
     /// The primary does not answer.
-    Lost,
+    Unreachable,
 }
 
-impl Absence {
+impl Unavailable {
     /// Word for logs.
-    pub fn word(self) -> &'static str {
+    pub fn label(self) -> &'static str {
         match self {
-            Absence::NoLease => "lease_lapsed",
-            Absence::Promoting => "no_primary",
-            Absence::Lost => "primary_lost",
+            Unavailable::NoLease => "lease_lapsed",
+            Unavailable::Promoting => "no_primary",
+            Unavailable::Unreachable => "primary_lost",
         }
     }
 }
@@ -179,19 +179,19 @@
     }
 
     /// The primary of a group, if this host may use it now.
-    pub fn primary(&self, service: &str) -> Result<Primary, Absence> {
+    pub fn primary(&self, service: &str) -> Result<Primary, Unavailable> {
         if !self.holds_lease() {
-            return Err(Absence::NoLease);
+            return Err(Unavailable::NoLease);
         }
         let records = self.records.borrow();
-        let stored = records.get(service).ok_or(Absence::Promoting)?;
+        let stored = records.get(service).ok_or(Unavailable::Promoting)?;
         if !stored.record.established {
-            return Err(Absence::Promoting);
+            return Err(Unavailable::Promoting);
         }
         let target = &stored.record.primary;
         let is_listed = self.directory.borrow().contains_key(target);
         if !is_listed || self.has_drained(target) || self.targets.view(target) == View::Lost {
-            return Err(Absence::Lost);
+            return Err(Unavailable::Unreachable);
         }
         Ok(Primary { target: target.clone(), fence: stored.record.fence })
     }
@@ -227,7 +227,7 @@
     }
 
     /// Whether the group's promotion under way waits for open work at the primary.
-    pub fn is_planned(&self, service: &str) -> bool {
+    pub fn has_planned_promotion(&self, service: &str) -> bool {
         self.records
             .borrow()
             .get(service)
@@ -256,11 +256,11 @@
     }
 
     /// Registers work that rests on a group's primary, until the guard is dropped.
-    pub fn use_primary(self: &Rc<Host>, service: &str, fence: Fence) -> Use {
+    pub fn register_work(self: &Rc<Host>, service: &str, fence: Fence) -> WorkGuard {
         let number = self.next_use.get();
         self.next_use.set(number + 1);
         self.uses.borrow_mut().insert(number, (service.to_owned(), fence));
-        Use { host: self.clone(), number }
+        WorkGuard { host: self.clone(), number }
     }
 
     /// Revision below which no work of this host is under way.
@@ -273,7 +273,7 @@
     }
 
     /// Waits for a change of the shared state, at most until `until` on the runtime's clock.
-    pub async fn wait_change(&self, until: tokio::time::Instant) {
+    pub async fn wait_for_change(&self, until: tokio::time::Instant) {
         drop(tokio::time::timeout_at(until, self.changed.notified()).await);
     }
 
@@ -284,12 +284,12 @@
 }
 
 /// Work that rests on a primary.
-pub struct Use {
+pub struct WorkGuard {
     host: Rc<Host>,
     number: u64,
 }
 
-impl Drop for Use {
+impl Drop for WorkGuard {
     fn drop(&mut self) {
         self.host.uses.borrow_mut().remove(&self.number);
     }
--- a/crates/sessions/src/status.rs
+++ b/crates/sessions/src/status.rs
@@ -2,9 +2,9 @@
 
 use crate::boot_clock;
 use crate::event::millis;
+use crate::maintenance;
 use crate::quota::account_id;
 use crate::state::Host;
-use crate::upkeep;
 use bergamotvale_core::id::{HostId, Incarnation, Version};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::lease::Revision;
@@ -114,7 +114,7 @@
         host: host.settings.name.clone(),
         domain: host.settings.domain.clone(),
         incarnation: host.incarnation,
-        ready: upkeep::is_ready(host),
+        ready: maintenance::is_ready(host),
         sessions: host.sessions.get(),
         version: host.catalog.borrow().version,
         lease: LeaseState {
--- a/crates/sessions/src/survey.rs
+++ b/crates/sessions/src/survey.rs
@@ -3,8 +3,8 @@
 //! No host uses the primary before any more. Commits that were sent to it and are held up on the way
 //! could still be acknowledged, so replicas stop receiving before their positions count.
 
+use crate::maintenance;
 use crate::state::Host;
-use crate::upkeep;
 use bergamotvale_core::proxy::directory::{Entry, TargetName, of_service};
 use bergamotvale_core::proxy::record::Record;
 use bergamotvale_core::proxy::survey::Survey;
@@ -58,7 +58,7 @@
     let until = Instant::now() + ANSWER_TIMEOUT;
     let missing = replicas.iter().filter(|entry| !survey.has_stopped(&entry.name));
     let asked = missing.map(|entry| async move {
-        (entry, upkeep::pause(host, entry, record.next_term(), until).await)
+        (entry, maintenance::pause(host, entry, record.next_term(), until).await)
     });
     for (entry, answer) in join_all(asked).await {
         match answer {
@@ -72,7 +72,7 @@
     let Some(previous) = &record.previous else { return };
     let Some(entry) = host.directory.borrow().get(previous).cloned() else { return };
     let until = Instant::now() + ANSWER_TIMEOUT;
-    match upkeep::demote(host, &entry, record.next_term(), until).await {
+    match maintenance::demote(host, &entry, record.next_term(), until).await {
         Ok(status) => survey.record_deposed(previous, status.received),
         Err(failure) => log::info!("{previous} does not step down: {failure:?}"),
     }
--- a/crates/sessions/src/transaction.rs
+++ b/crates/sessions/src/transaction.rs
@@ -6,7 +6,7 @@
 
 use crate::connection::{Bounds, Failure, is_clean};
 use crate::pool::{Leased, acquire};
-use crate::state::{Host, Use};
+use crate::state::{Host, WorkGuard};
 use crate::work::{self, Context, Place, Refused, Task, outcome, word};
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::catalog::Consistency;
@@ -35,7 +35,7 @@
     leased: Leased,
     place: Place,
     /// Keeps promotions from going ahead while this host relies on the old primary.
-    _use: Option<Use>,
+    _use: Option<WorkGuard>,
 }
 
 impl Transaction {
@@ -63,7 +63,7 @@
             return true;
         };
         let fence = host.fence(service);
-        let is_handed_over = fence == primary.fence + 1 && host.is_planned(service);
+        let is_handed_over = fence == primary.fence + 1 && host.has_planned_promotion(service);
         (fence == primary.fence || is_handed_over) && host.holds_lease()
     }
 
@@ -130,7 +130,7 @@
             let place = match place {
                 Ok(place) => place,
                 Err(_) if !tried.is_empty() => return Err(last),
-                Err(absence) => return Err(Refused::new(Code::Aborted, absence.word())),
+                Err(absence) => return Err(Refused::new(Code::Aborted, absence.label())),
             };
             let name = place.entry.name.clone();
             let rests_on_primary = place.primary.is_some();
@@ -147,7 +147,7 @@
                         if failure == Failure::Refused(Code::ReadOnly) {
                             host.targets.get(&name).depose();
                         }
-                        host.wait_change(Instant::now() + BEGIN_PAUSE).await;
+                        host.wait_for_change(Instant::now() + BEGIN_PAUSE).await;
                     } else {
                         tried.push(name);
                     }
@@ -169,7 +169,7 @@
         let wish = context.wish(task.until, task.patience);
         let mut leased = acquire(host, &place.entry, wish).await?;
         let fence = place.primary.as_ref().map(|p| (service, p.fence));
-        let guard = fence.map(|(service, fence)| host.use_primary(service, fence));
+        let guard = fence.map(|(service, fence)| host.register_work(service, fence));
         let bounds = Bounds { until: task.until, fence };
         let target = leased.target.clone();
         let shape = task.shape.as_ref();
--- a/crates/sessions/src/work.rs
+++ b/crates/sessions/src/work.rs
@@ -3,7 +3,7 @@
 use crate::connection::{Bounds, Failure, is_clean};
 use crate::event::Event;
 use crate::pool::{Leased, Wish, acquire};
-use crate::state::{Absence, Host, Primary};
+use crate::state::{Host, Primary, Unavailable};
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::catalog::Consistency;
@@ -141,7 +141,7 @@
 }
 
 /// Chooses the target for a read, but for those in `tried`.
-pub fn place(host: &Host, context: &Context, tried: &[TargetName]) -> Result<Place, Absence> {
+pub fn place(host: &Host, context: &Context, tried: &[TargetName]) -> Result<Place, Unavailable> {
     let Some(floor) = floor(host, context) else {
         return primary_place(host, &context.service);
     };
@@ -152,14 +152,15 @@
         .filter(|entry| host.targets.view(&entry.name) != View::Lost)
         .map(|entry| candidate(host, context, entry, leader.as_ref()))
         .collect();
-    let chosen = select::choose(&candidates, floor, tried).ok_or(Absence::Lost)?;
-    let entry = directory.get(&chosen.name).cloned().ok_or(Absence::Lost)?;
+    let chosen = select::choose(&candidates, floor, tried).ok_or(Unavailable::Unreachable)?;
+    let entry = directory.get(&chosen.name).cloned().ok_or(Unavailable::Unreachable)?;
     Ok(Place { entry, floor: Some(floor), primary: None })
 }
 
-fn primary_place(host: &Host, service: &str) -> Result<Place, Absence> {
+fn primary_place(host: &Host, service: &str) -> Result<Place, Unavailable> {
     let primary = host.primary(service)?;
-    let entry = host.directory.borrow().get(&primary.target).cloned().ok_or(Absence::Lost)?;
+    let entry =
+        host.directory.borrow().get(&primary.target).cloned().ok_or(Unavailable::Unreachable)?;
     Ok(Place { entry, floor: None, primary: Some(primary) })
 }
 
@@ -187,15 +188,19 @@
 /// Waits until this host may use the group's primary, at most until `until`.
 ///
 /// A lease that has lapsed is waited for only shortly: callers ask other hosts.
-pub async fn wait_primary(host: &Host, service: &str, until: Instant) -> Result<Place, Absence> {
+pub async fn wait_primary(
+    host: &Host,
+    service: &str,
+    until: Instant,
+) -> Result<Place, Unavailable> {
     wait_for(host, until, || primary_place(host, service)).await
 }
 
 async fn wait_for(
     host: &Host,
     until: Instant,
-    place: impl Fn() -> Result<Place, Absence>,
-) -> Result<Place, Absence> {
+    place: impl Fn() -> Result<Place, Unavailable>,
+) -> Result<Place, Unavailable> {
     let began = Instant::now();
     loop {
         let absence = match place() {
@@ -203,13 +208,13 @@
             Err(absence) => absence,
         };
         let limit = match absence {
-            Absence::Promoting | Absence::Lost => until,
-            Absence::NoLease => until.min(began + LEASE_PATIENCE),
+            Unavailable::Promoting | Unavailable::Unreachable => until,
+            Unavailable::NoLease => until.min(began + LEASE_PATIENCE),
         };
         if Instant::now() >= limit {
             return Err(absence);
         }
-        host.wait_change(limit.min(Instant::now() + PRIMARY_LOOK)).await;
+        host.wait_for_change(limit.min(Instant::now() + PRIMARY_LOOK)).await;
     }
 }
 
@@ -219,7 +224,7 @@
     context: &Context,
     tried: &[TargetName],
     until: Instant,
-) -> Result<Place, Absence> {
+) -> Result<Place, Unavailable> {
     wait_for(host, until, || place(host, context, tried)).await
 }
 
@@ -244,7 +249,7 @@
         let place = match wait_place(host, context, &tried, task.until).await {
             Ok(place) => place,
             Err(_) if !tried.is_empty() => return Err(last),
-            Err(absence) => return Err(Refused::new(Code::Busy, absence.word())),
+            Err(absence) => return Err(Refused::new(Code::Busy, absence.label())),
         };
         match read_at(host, context, values, task, &place).await {
             Ok(answer) => return Ok(answer),
@@ -264,7 +269,7 @@
                 if place.primary.is_none() {
                     tried.push(place.entry.name);
                 } else {
-                    host.wait_change(Instant::now() + Duration::from_millis(10)).await;
+                    host.wait_for_change(Instant::now() + Duration::from_millis(10)).await;
                 }
             }
         }
@@ -294,7 +299,7 @@
     let wish = context.wish(try_until, task.patience);
     let mut leased = acquire(host, &place.entry, wish).await?;
     let fence = place.primary.as_ref().map(|p| (context.service.as_str(), p.fence));
-    let guard = fence.map(|(service, fence)| host.use_primary(service, fence));
+    let guard = fence.map(|(service, fence)| host.register_work(service, fence));
     let bounds = Bounds { until: try_until, fence };
     let target = leased.target.clone();
     let shape = task.shape.as_ref();
@@ -351,7 +356,7 @@
 ) -> Result<Answer, Refused> {
     loop {
         let waited = wait_primary(host, &context.service, task.until).await;
-        let place = waited.map_err(|absence| Refused::new(Code::Busy, absence.word()))?;
+        let place = waited.map_err(|absence| Refused::new(Code::Busy, absence.label()))?;
         let mut sent = Sent::No;
         let failure = match write_at(host, context, values, task, &place, &mut sent).await {
             Ok(answer) => return Ok(answer),
@@ -374,7 +379,7 @@
             return Err(Refused::new(code, word(failure)).with_target(&place.entry.name));
         }
         host.metrics.count("write_retries");
-        host.wait_change(Instant::now() + Duration::from_millis(20)).await;
+        host.wait_for_change(Instant::now() + Duration::from_millis(20)).await;
     }
 }
 
@@ -405,7 +410,7 @@
     let service = context.service.as_str();
     let wish = context.wish(task.until, task.patience);
     let mut leased = acquire(host, &place.entry, wish).await?;
-    let _guard = host.use_primary(service, primary.fence);
+    let _guard = host.register_work(service, primary.fence);
     let bounds = Bounds { until: task.until, fence: Some((service, primary.fence)) };
     let target = leased.target.clone();
     let shape = task.shape.as_ref();
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -3,7 +3,7 @@
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_sessions::connection::Failure;
 use bergamotvale_sessions::event::{Event, Journal};
-use bergamotvale_sessions::state::Absence;
+use bergamotvale_sessions::state::Unavailable;
 use bergamotvale_sessions::work::word;
 use log::{LevelFilter, Log, Metadata, Record};
 use serde_json::Value;
@@ -58,9 +58,9 @@
         Failure::Superseded,
         Failure::Full,
     ];
-    let absences = [Absence::NoLease, Absence::Promoting, Absence::Lost];
+    let absences = [Unavailable::NoLease, Unavailable::Promoting, Unavailable::Unreachable];
     let denials = ["no such database", "no client account holds this key", "rate"];
-    let words = failures.into_iter().map(word).chain(absences.into_iter().map(Absence::word));
+    let words = failures.into_iter().map(word).chain(absences.into_iter().map(Unavailable::label));
     words.chain(denials).collect()
 }
 
