rename: pools, targets and rates of session hosts to the terms of the field

pool::Lane -> Pool pool::Wish -> ConnectionRequest (until -> deadline, patience -> max_wait) pool::Leased -> Checkout, Leased::give_back -> Checkout::release Lane::clear -> Pool::close_idle, Lane::open -> Pool::open_count connection::Bounds::until -> deadline target::hash -> name_hash Target::lane -> pool, Target::is_silent -> needs_probe Target::lead, Targets::lead -> record_primary quota::Quota::divide -> update_shares work::observe -> record_observation work::Context::wish -> request, work::Task::until -> deadline, patience -> max_wait

--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -443,8 +443,8 @@
             id: id.to_owned(),
             text,
             shape,
-            until: Instant::now() + limit,
-            patience: self.latency_target.min(limit),
+            deadline: Instant::now() + limit,
+            max_wait: self.latency_target.min(limit),
         }
     }
 
--- a/crates/sessions/src/connection.rs
+++ b/crates/sessions/src/connection.rs
@@ -49,7 +49,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds<'a> {
     /// Time by which the answer has to be there.
-    pub until: Instant,
+    pub deadline: Instant,
     /// Service and fence that the exchange rests on, if it is one with a primary.
     pub fence: Option<(&'a str, Fence)>,
 }
@@ -73,12 +73,12 @@
         target: &Target,
         entry: &Entry,
         account: &str,
-        until: Instant,
+        deadline: Instant,
     ) -> Result<Connection, Failure> {
-        let until = until.min(Instant::now() + CONNECT_TIMEOUT);
+        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         host.metrics.count("target_connections_opened");
         target.ask();
-        let opened = tokio::time::timeout_at(until, Self::connect(entry, account)).await;
+        let opened = tokio::time::timeout_at(deadline, Self::connect(entry, account)).await;
         target.end();
         match opened {
             Ok(Ok(connection)) => {
@@ -171,7 +171,7 @@
         message: &[u8],
         bounds: Bounds<'_>,
     ) -> Result<Answer, Failure> {
-        let sent = tokio::time::timeout_at(bounds.until, self.stream.write_all(message)).await;
+        let sent = tokio::time::timeout_at(bounds.deadline, self.stream.write_all(message)).await;
         match sent {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return Err(Failure::Lost),
@@ -193,11 +193,11 @@
         bounds: Bounds<'_>,
     ) -> Result<Answer, Failure> {
         loop {
-            let look = bounds.until.min(Instant::now() + LOOK);
+            let look = bounds.deadline.min(Instant::now() + LOOK);
             if let Ok(result) = tokio::time::timeout_at(look, self.receive()).await {
                 return result;
             }
-            if Instant::now() >= bounds.until {
+            if Instant::now() >= bounds.deadline {
                 return Err(Failure::Late);
             }
             if target.view() == View::Lost {
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -89,7 +89,7 @@
     if host.member_since.get().is_none() {
         host.member_since.set(Some(now));
     }
-    host.quota.divide(now, host.id, &members, &catalog, has_part, &host.settings.rates);
+    host.quota.update_shares(now, host.id, &members, &catalog, has_part, &host.settings.rates);
 }
 
 fn log_unreadable(host: &Host, table: &str, key: &str, error: &Error) {
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -354,7 +354,7 @@
         && !stored.record.established
     {
         stored.record = stored.record.establish(term);
-        host.targets.lead(&stored.record.primary);
+        host.targets.record_primary(&stored.record.primary);
         host.changed.notify_waiters();
         host.peers.beat_now.notify_one();
     }
--- a/crates/sessions/src/pool.rs
+++ b/crates/sessions/src/pool.rs
@@ -6,7 +6,7 @@
 
 use crate::connection::{Connection, Failure};
 use crate::state::Host;
-use crate::target::{Target, hash};
+use crate::target::{Target, name_hash};
 use bergamotvale_core::id::{HostId, Version};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::directory::Entry;
@@ -29,7 +29,7 @@
 
 /// Connections to one target.
 #[derive(Debug, Default)]
-pub struct Lane {
+pub struct Pool {
     idle: Vec<Connection>,
     open: u32,
     limit: u32,
@@ -56,7 +56,7 @@
     Room,
 }
 
-/// How a wish for a connection was met.
+/// How a request for a connection was met.
 enum Offer {
     Connection(Connection),
     Room,
@@ -64,7 +64,7 @@
     Full,
 }
 
-impl Lane {
+impl Pool {
     /// Whether an idle connection of the account is there.
     pub fn has_idle(&self, account: &str) -> bool {
         self.idle.iter().any(|connection| connection.account == account)
@@ -87,7 +87,7 @@
     }
 
     /// Connections that are open or being opened.
-    pub fn open(&self) -> u32 {
+    pub fn open_count(&self) -> u32 {
         self.open
     }
 
@@ -97,7 +97,7 @@
     }
 
     /// Closes all idle connections: the target is gone.
-    pub fn clear(&mut self) {
+    pub fn close_idle(&mut self) {
         self.open -= u32::try_from(self.idle.len()).unwrap_or(self.open);
         self.idle.clear();
     }
@@ -119,9 +119,9 @@
         None
     }
 
-    /// Meets a wish at once, or queues it if it may be met within `patience`.
-    fn offer(&mut self, wish: &Wish<'_>, work: Duration) -> Offer {
-        let Wish { account, priority, .. } = *wish;
+    /// Meets a request at once, or queues it if it may be met within `max_wait`.
+    fn offer(&mut self, request: &ConnectionRequest<'_>, work: Duration) -> Offer {
+        let ConnectionRequest { account, priority, .. } = *request;
         if let Some(connection) = self.take_idle(account) {
             return Offer::Connection(connection);
         }
@@ -134,7 +134,7 @@
             drop(self.idle.remove(0));
             return Offer::Room;
         }
-        if self.expected_wait(work) > wish.patience {
+        if self.expected_wait(work) > request.max_wait {
             return Offer::Full;
         }
         let (sender, receiver) = oneshot::channel();
@@ -147,7 +147,7 @@
     }
 
     /// Takes a connection back, for the first that waits or to rest.
-    fn give_back(&mut self, connection: Connection) {
+    fn release(&mut self, connection: Connection) {
         if self.open > self.limit {
             self.open -= 1;
             return;
@@ -199,31 +199,31 @@
     }
 }
 
-/// A connection in use; dropped without [`Leased::give_back`], it is closed.
-pub struct Leased {
+/// A connection in use; dropped without [`Checkout::release`], it is closed.
+pub struct Checkout {
     /// Its target.
     pub target: Rc<Target>,
     connection: Option<Connection>,
 }
 
-impl Leased {
+impl Checkout {
     /// The connection.
     pub fn connection(&mut self) -> &mut Connection {
         self.connection.as_mut().expect("only giving back takes it out")
     }
 
     /// Returns the connection, which is in a clean state, for other sessions.
-    pub fn give_back(mut self) {
+    pub fn release(mut self) {
         if let Some(connection) = self.connection.take() {
-            self.target.lane.borrow_mut().give_back(connection);
+            self.target.pool.borrow_mut().release(connection);
         }
     }
 }
 
-impl Drop for Leased {
+impl Drop for Checkout {
     fn drop(&mut self) {
         if self.connection.take().is_some() {
-            self.target.lane.borrow_mut().give_room();
+            self.target.pool.borrow_mut().give_room();
         }
     }
 }
@@ -237,29 +237,33 @@
 impl Drop for Room {
     fn drop(&mut self) {
         if !self.used {
-            self.target.lane.borrow_mut().give_room();
+            self.target.pool.borrow_mut().give_room();
         }
     }
 }
 
 /// Whom a connection is for.
 #[derive(Debug, Clone, Copy)]
-pub struct Wish<'a> {
+pub struct ConnectionRequest<'a> {
     /// Client account.
     pub account: &'a str,
     /// 0 goes first.
     pub priority: u32,
     /// Time until which to wait.
-    pub until: Instant,
-    /// Time that waiting may be expected to take; beyond it the wish is refused at once.
-    pub patience: Duration,
+    pub deadline: Instant,
+    /// Time that waiting may be expected to take; beyond it the request is refused at once.
+    pub max_wait: Duration,
 }
 
 /// Takes a connection to a target.
-pub async fn acquire(host: &Host, entry: &Entry, wish: Wish<'_>) -> Result<Leased, Failure> {
+pub async fn acquire(
+    host: &Host,
+    entry: &Entry,
+    request: ConnectionRequest<'_>,
+) -> Result<Checkout, Failure> {
     let target = host.targets.get(&entry.name);
     set_limit(host, &target, &entry.service);
-    let offer = target.lane.borrow_mut().offer(&wish, target.work());
+    let offer = target.pool.borrow_mut().offer(&request, target.work());
     let grant = match offer {
         Offer::Connection(connection) => Grant::Connection(connection),
         Offer::Room => Grant::Room,
@@ -270,7 +274,7 @@
         Offer::Wait(receiver) => {
             host.metrics.count("connection_waits");
             let began = Instant::now();
-            let granted = tokio::time::timeout_at(wish.until, receiver).await;
+            let granted = tokio::time::timeout_at(request.deadline, receiver).await;
             host.metrics.time("queue_wait", began.elapsed());
             match granted {
                 Ok(Ok(grant)) => grant,
@@ -279,19 +283,20 @@
         }
     };
     match grant {
-        Grant::Connection(connection) => Ok(Leased { target, connection: Some(connection) }),
+        Grant::Connection(connection) => Ok(Checkout { target, connection: Some(connection) }),
         Grant::Room => {
             let mut room = Room { target: target.clone(), used: false };
             let began = Instant::now();
-            let opened = Connection::open(host, &target, entry, wish.account, wish.until).await;
+            let opened =
+                Connection::open(host, &target, entry, request.account, request.deadline).await;
             host.metrics.time("connection_open", began.elapsed());
             if matches!(opened, Err(Failure::Refused(Code::TooManyConnections))) {
-                let until = Instant::now() + FULL_TIME;
-                target.lane.borrow_mut().full_until = Some(until);
+                let deadline = Instant::now() + FULL_TIME;
+                target.pool.borrow_mut().full_until = Some(deadline);
             }
             let connection = opened?;
             room.used = true;
-            Ok(Leased { target, connection: Some(connection) })
+            Ok(Checkout { target, connection: Some(connection) })
         }
     }
 }
@@ -299,15 +304,15 @@
 /// Brings the host's share of the target's limit up to date.
 fn set_limit(host: &Host, target: &Target, service: &str) {
     let basis = (host.lease.borrow().revision(), host.catalog.borrow().version);
-    if target.lane.borrow().basis == Some(basis) {
+    if target.pool.borrow().basis == Some(basis) {
         return;
     }
     let total = host.catalog.borrow().groups.get(service).map_or(1, |g| g.connection_limit);
     let members: BTreeSet<HostId> = host.lease.borrow().members().keys().copied().collect();
     let used = u64::from(total * USED_PERCENT / 100);
-    let subject = Subject::Connection(hash(&target.name));
+    let subject = Subject::Connection(name_hash(&target.name));
     let part = share_of(used, &members, host.id, subject, members.len());
-    let mut lane = target.lane.borrow_mut();
-    lane.limit = u32::try_from(part).unwrap_or(u32::MAX).max(1);
-    lane.basis = Some(basis);
+    let mut pool = target.pool.borrow_mut();
+    pool.limit = u32::try_from(part).unwrap_or(u32::MAX).max(1);
+    pool.basis = Some(basis);
 }
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -7,7 +7,7 @@
 use crate::follow::{TABLE, group_key};
 use crate::peer;
 use crate::state::{Host, LEASE, Stored};
-use crate::target::hash;
+use crate::target::name_hash;
 use crate::{survey, upkeep};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Entry, Role, TargetName, of_service};
@@ -112,7 +112,7 @@
     let mut alive: BTreeSet<HostId> =
         host.lease.borrow().live_peers(now, host.peer_limit()).into_iter().collect();
     alive.insert(host.id);
-    let ranked = choose(&alive, Subject::Watch(hash(service)), alive.len());
+    let ranked = choose(&alive, Subject::Watch(name_hash(service)), alive.len());
     ranked.iter().position(|id| *id == host.id).unwrap_or_default()
 }
 
--- a/crates/sessions/src/quota.rs
+++ b/crates/sessions/src/quota.rs
@@ -3,7 +3,7 @@
 use crate::boot_clock;
 use crate::settings::Rates;
 use crate::state::Host;
-use crate::target::hash;
+use crate::target::name_hash;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::proxy::catalog::{Account, Catalog};
 use bergamotvale_core::rate::bucket::{Amount, MICRO};
@@ -32,7 +32,7 @@
 
 /// Id under which hosts speak of a client account to each other.
 pub fn account_id(name: &str) -> AccountId {
-    hash(name) as AccountId
+    name_hash(name) as AccountId
 }
 
 impl Quota {
@@ -45,7 +45,7 @@
     ///
     /// `has_part` says that this host, perhaps in an earlier run, had its part already, so that
     /// accounts that are new here have theirs at once.
-    pub fn divide(
+    pub fn update_shares(
         &self,
         now: Time,
         own: HostId,
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -241,7 +241,7 @@
             return;
         }
         if record.established {
-            self.targets.lead(&record.primary);
+            self.targets.record_primary(&record.primary);
         }
         self.journal.write(&Event::Primary {
             service,
--- a/crates/sessions/src/status.rs
+++ b/crates/sessions/src/status.rs
@@ -150,14 +150,14 @@
     let directory = host.directory.borrow();
     let states = directory.values().map(|entry| {
         let target = host.targets.get(&entry.name);
-        let lane = target.lane.borrow();
+        let pool = target.pool.borrow();
         let state = TargetState {
             service: entry.service.clone(),
             view: view_word(target.view()).to_owned(),
             leaving: entry.is_leaving,
             position: target.position().to_string(),
-            connections: lane.open(),
-            connection_limit: lane.limit(),
+            connections: pool.open_count(),
+            connection_limit: pool.limit(),
             running: target.in_flight.get(),
         };
         (entry.name.clone(), state)
--- a/crates/sessions/src/target.rs
+++ b/crates/sessions/src/target.rs
@@ -1,7 +1,7 @@
 //! What this host knows of each target from its own work.
 
 use crate::boot_clock;
-use crate::pool::Lane;
+use crate::pool::Pool;
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::directory::TargetName;
 use bergamotvale_core::proxy::evidence::{Evidence, View};
@@ -24,7 +24,7 @@
     /// Its name.
     pub name: TargetName,
     /// Connections to it.
-    pub lane: RefCell<Lane>,
+    pub pool: RefCell<Pool>,
     /// Statements of this host that run or wait there.
     pub in_flight: Cell<u32>,
     evidence: RefCell<Evidence>,
@@ -36,7 +36,7 @@
     fn new(name: &TargetName) -> Target {
         Target {
             name: name.clone(),
-            lane: RefCell::default(),
+            pool: RefCell::default(),
             in_flight: Cell::new(0),
             evidence: RefCell::default(),
             position: Cell::default(),
@@ -72,7 +72,7 @@
     }
 
     /// It is the primary.
-    pub fn lead(&self) {
+    pub fn record_primary(&self) {
         self.evidence.borrow_mut().clear_deposed();
     }
 
@@ -82,7 +82,7 @@
     }
 
     /// Whether a question has been open for so long that its life should be checked.
-    pub fn is_silent(&self, now: Time) -> bool {
+    pub fn needs_probe(&self, now: Time) -> bool {
         self.evidence.borrow().needs_probe(now)
     }
 
@@ -108,7 +108,7 @@
 }
 
 /// A number for a name, the same on every host.
-pub fn hash(name: &str) -> u64 {
+pub fn name_hash(name: &str) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(name.as_bytes());
     hasher.finish()
@@ -133,8 +133,8 @@
     }
 
     /// The target is the primary.
-    pub fn lead(&self, name: &TargetName) {
-        self.get(name).lead();
+    pub fn record_primary(&self, name: &TargetName) {
+        self.get(name).record_primary();
     }
 
     /// Positions that targets were last seen at.
--- a/crates/sessions/src/transaction.rs
+++ b/crates/sessions/src/transaction.rs
@@ -5,7 +5,7 @@
 //! is answered as rolled back.
 
 use crate::connection::{Bounds, Failure, is_clean};
-use crate::pool::{Leased, acquire};
+use crate::pool::{Checkout, acquire};
 use crate::state::{Host, Use};
 use crate::work::{self, Context, Place, Refused, Task, outcome, word};
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
@@ -32,7 +32,7 @@
 }
 
 struct Open {
-    leased: Leased,
+    checkout: Checkout,
     place: Place,
     /// Keeps promotions from going ahead while this host relies on the old primary.
     _use: Option<Use>,
@@ -94,7 +94,7 @@
         if let Some(open) = self.open.take()
             && is_clean(&answer)
         {
-            open.leased.give_back();
+            open.checkout.release();
         }
         Ok(answer)
     }
@@ -102,13 +102,13 @@
     /// Rolls back; without an answer of the target the connection is closed, which does the same.
     pub async fn rollback(mut self, host: &Host) {
         let Some(mut open) = self.open.take() else { return };
-        let until = Instant::now() + HANDOVER_LIMIT;
-        let target = open.leased.target.clone();
+        let deadline = Instant::now() + HANDOVER_LIMIT;
+        let target = open.checkout.target.clone();
         let message = line::query(line::HOST_STATEMENT_ID, text::ROLLBACK);
-        let bounds = Bounds { until, fence: None };
-        let answer = open.leased.connection().exchange(host, &target, &message, bounds).await;
+        let bounds = Bounds { deadline, fence: None };
+        let answer = open.checkout.connection().exchange(host, &target, &message, bounds).await;
         if answer.is_ok_and(|answer| is_clean(&answer)) {
-            open.leased.give_back();
+            open.checkout.release();
         }
     }
 
@@ -123,9 +123,9 @@
         let mut last = Refused::new(Code::Aborted, "no_target");
         while self.open.is_none() {
             let place = if self.read_only && context.consistency != Consistency::Primary {
-                work::wait_place(host, context, &tried, task.until).await
+                work::wait_place(host, context, &tried, task.deadline).await
             } else {
-                work::wait_primary(host, &context.service, task.until).await
+                work::wait_primary(host, &context.service, task.deadline).await
             };
             let place = match place {
                 Ok(place) => place,
@@ -139,7 +139,7 @@
                 Err(failure) => {
                     last = Refused::new(Code::Aborted, word(failure)).with_target(&name);
                     let is_full = failure == Failure::Full && rests_on_primary;
-                    if is_full || Instant::now() + BEGIN_PAUSE >= task.until {
+                    if is_full || Instant::now() + BEGIN_PAUSE >= task.deadline {
                         return Err(last);
                     }
                     host.metrics.count("begin_retries");
@@ -166,32 +166,32 @@
         place: Place,
     ) -> Result<Open, Failure> {
         let service = context.service.as_str();
-        let wish = context.wish(task.until, task.patience);
-        let mut leased = acquire(host, &place.entry, wish).await?;
+        let request = context.request(task.deadline, task.max_wait);
+        let mut checkout = acquire(host, &place.entry, request).await?;
         let fence = place.primary.as_ref().map(|p| (service, p.fence));
         let guard = fence.map(|(service, fence)| host.use_primary(service, fence));
-        let bounds = Bounds { until: task.until, fence };
-        let target = leased.target.clone();
+        let bounds = Bounds { deadline: task.deadline, fence };
+        let target = checkout.target.clone();
         let shape = task.shape.as_ref();
-        leased.connection().match_session(host, &target, values, shape, bounds).await?;
+        checkout.connection().match_session(host, &target, values, shape, bounds).await?;
         if let Some((service, fence)) = fence
             && !host.is_current(service, fence)
         {
-            leased.give_back();
+            checkout.release();
             return Err(Failure::Superseded);
         }
         let floor = if fence.is_some() { None } else { work::floor(host, context) };
         if fence.is_none() && floor.is_none() {
-            leased.give_back();
+            checkout.release();
             return Err(Failure::Superseded);
         }
         let begin = text::with_floor(floor, text::begin(self.read_only));
         let message = line::query(line::HOST_STATEMENT_ID, &begin);
         let sent = host.now();
-        let answer = leased.connection().exchange(host, &target, &message, bounds).await?;
+        let answer = checkout.connection().exchange(host, &target, &message, bounds).await?;
         if answer.end != End::Done || answer.state != State::Open {
             if is_clean(&answer) {
-                leased.give_back();
+                checkout.release();
             }
             return Err(match answer.end {
                 End::Error(code) => Failure::Refused(code),
@@ -201,9 +201,9 @@
         if let Some((service, fence)) = fence
             && host.is_current(service, fence)
         {
-            work::observe(host, service, sent, &answer);
+            work::record_observation(host, service, sent, &answer);
         }
-        Ok(Open { leased, place, _use: guard })
+        Ok(Open { checkout, place, _use: guard })
     }
 
     /// Sends one statement on the pinned connection; on failure the connection is closed.
@@ -223,10 +223,10 @@
         let Some(open) = &mut self.open else {
             return Err(Refused::new(Code::Aborted, "superseded"));
         };
-        let target = open.leased.target.clone();
+        let target = open.checkout.target.clone();
         let fence = open.place.primary.as_ref().map(|p| (service, p.fence));
-        let bounds = Bounds { until: task.until, fence };
-        let connection = open.leased.connection();
+        let bounds = Bounds { deadline: task.deadline, fence };
+        let connection = open.checkout.connection();
         let shape = task.shape.as_ref();
         if let Err(failure) = connection.match_session(host, &target, values, shape, bounds).await {
             self.open = None;
--- a/crates/sessions/src/upkeep.rs
+++ b/crates/sessions/src/upkeep.rs
@@ -4,7 +4,7 @@
 use crate::boot_clock;
 use crate::connection::{Bounds, Connection, Failure, is_clean};
 use crate::event::{Event, millis};
-use crate::pool::{Wish, acquire};
+use crate::pool::{ConnectionRequest, acquire};
 use crate::state::Host;
 use crate::status::view_word;
 use crate::work;
@@ -126,7 +126,7 @@
 
 fn due_probe(host: &Host, entry: &Entry) -> Option<Probe> {
     let target = host.targets.get(&entry.name);
-    if target.view() == View::Lost || target.is_silent(boot_clock::now()) {
+    if target.view() == View::Lost || target.needs_probe(boot_clock::now()) {
         return Some(Probe::Life);
     }
     let is_primary = host.primary(&entry.service).is_ok_and(|p| p.target == entry.name);
@@ -153,7 +153,7 @@
     if let Ok(answer) = answer
         && host.is_current(&entry.service, primary.fence)
     {
-        work::observe(host, &entry.service, sent, &answer);
+        work::record_observation(host, &entry.service, sent, &answer);
         host.changed.notify_waiters();
     }
 }
@@ -161,14 +161,19 @@
 /// Sends a statement of the host's own to a target.
 async fn ask(host: &Host, entry: &Entry, text: &str, until: Instant) -> Result<Answer, Failure> {
     let account = any_account(host, entry);
-    let wish = Wish { account: &account, priority: OWN_PRIORITY, until, patience: PROBE_TIMEOUT };
-    let mut leased = acquire(host, entry, wish).await?;
-    let target = leased.target.clone();
+    let request = ConnectionRequest {
+        account: &account,
+        priority: OWN_PRIORITY,
+        deadline: until,
+        max_wait: PROBE_TIMEOUT,
+    };
+    let mut checkout = acquire(host, entry, request).await?;
+    let target = checkout.target.clone();
     let message = line::query(line::HOST_STATEMENT_ID, text);
-    let bounds = Bounds { until, fence: None };
-    let answer = leased.connection().exchange(host, &target, &message, bounds).await?;
+    let bounds = Bounds { deadline: until, fence: None };
+    let answer = checkout.connection().exchange(host, &target, &message, bounds).await?;
     if is_clean(&answer) {
-        leased.give_back();
+        checkout.release();
     }
     Ok(answer)
 }
@@ -215,7 +220,7 @@
 /// An account that has an idle connection there, or any.
 fn any_account(host: &Host, entry: &Entry) -> String {
     let target = host.targets.get(&entry.name);
-    if let Some(account) = target.lane.borrow().idle_account() {
+    if let Some(account) = target.pool.borrow().idle_account() {
         return account.to_owned();
     }
     let catalog = host.catalog.borrow();
@@ -227,7 +232,7 @@
     let directory = host.directory.borrow();
     for target in host.targets.all() {
         if !directory.contains_key(&target.name) {
-            target.lane.borrow_mut().clear();
+            target.pool.borrow_mut().close_idle();
         }
     }
     host.targets.retain(|name| directory.contains_key(name));
--- a/crates/sessions/src/work.rs
+++ b/crates/sessions/src/work.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::{Bounds, Failure, is_clean};
 use crate::event::Event;
-use crate::pool::{Leased, Wish, acquire};
+use crate::pool::{Checkout, ConnectionRequest, acquire};
 use crate::state::{Absence, Host, Primary};
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
@@ -48,9 +48,9 @@
 }
 
 impl Context {
-    /// The wish for a connection.
-    pub fn wish(&self, until: Instant, patience: Duration) -> Wish<'_> {
-        Wish { account: &self.account, priority: self.priority, until, patience }
+    /// The request for a connection.
+    pub fn request(&self, deadline: Instant, max_wait: Duration) -> ConnectionRequest<'_> {
+        ConnectionRequest { account: &self.account, priority: self.priority, deadline, max_wait }
     }
 }
 
@@ -64,9 +64,9 @@
     /// Shape that has to be prepared.
     pub shape: Option<Shape>,
     /// Time by which it has to be answered.
-    pub until: Instant,
+    pub deadline: Instant,
     /// Time that it may be expected to wait for a connection.
-    pub patience: Duration,
+    pub max_wait: Duration,
 }
 
 /// A statement that was not answered with success.
@@ -170,15 +170,15 @@
     leader: Option<&TargetName>,
 ) -> Candidate {
     let target = host.targets.get(&entry.name);
-    let lane = target.lane.borrow();
+    let pool = target.pool.borrow();
     Candidate {
         name: entry.name.clone(),
         round_trip: if entry.domain == host.settings.domain { NEAR } else { FAR },
         in_flight: target.in_flight.get(),
         slots: entry.slots,
         statement_time: target.work(),
-        has_connection: lane.has_idle(&context.account),
-        can_connect: lane.has_room(),
+        has_connection: pool.has_idle(&context.account),
+        can_connect: pool.has_room(),
         position: target.position(),
         is_primary: leader == Some(&entry.name),
     }
@@ -187,13 +187,13 @@
 /// Waits until this host may use the group's primary, at most until `until`.
 ///
 /// A lease that has lapsed is waited for only shortly: callers ask other hosts.
-pub async fn wait_primary(host: &Host, service: &str, until: Instant) -> Result<Place, Absence> {
-    wait_for(host, until, || primary_place(host, service)).await
+pub async fn wait_primary(host: &Host, service: &str, deadline: Instant) -> Result<Place, Absence> {
+    wait_for(host, deadline, || primary_place(host, service)).await
 }
 
 async fn wait_for(
     host: &Host,
-    until: Instant,
+    deadline: Instant,
     place: impl Fn() -> Result<Place, Absence>,
 ) -> Result<Place, Absence> {
     let began = Instant::now();
@@ -203,8 +203,8 @@
             Err(absence) => absence,
         };
         let limit = match absence {
-            Absence::Promoting | Absence::Lost => until,
-            Absence::NoLease => until.min(began + LEASE_PATIENCE),
+            Absence::Promoting | Absence::Lost => deadline,
+            Absence::NoLease => deadline.min(began + LEASE_PATIENCE),
         };
         if Instant::now() >= limit {
             return Err(absence);
@@ -218,13 +218,13 @@
     host: &Host,
     context: &Context,
     tried: &[TargetName],
-    until: Instant,
+    deadline: Instant,
 ) -> Result<Place, Absence> {
-    wait_for(host, until, || place(host, context, tried)).await
+    wait_for(host, deadline, || place(host, context, tried)).await
 }
 
 /// Notes what an answer of the leased primary, to a question sent at `sent`, says of its log.
-pub fn observe(host: &Host, service: &str, sent: Time, answer: &Answer) {
+pub fn record_observation(host: &Host, service: &str, sent: Time, answer: &Answer) {
     let Some(position) = answer.position else { return };
     let mut histories = host.histories.borrow_mut();
     let history = histories.entry(service.to_owned()).or_default();
@@ -241,7 +241,7 @@
     let mut tried = Vec::new();
     let mut last = Refused::new(Code::Busy, "no_target");
     loop {
-        let place = match wait_place(host, context, &tried, task.until).await {
+        let place = match wait_place(host, context, &tried, task.deadline).await {
             Ok(place) => place,
             Err(_) if !tried.is_empty() => return Err(last),
             Err(absence) => return Err(Refused::new(Code::Busy, absence.word())),
@@ -252,7 +252,7 @@
                 let code = response_code(Effect::None, false, Sent::Maybe, outcome(failure));
                 last = Refused::new(code, word(failure)).with_target(&place.entry.name);
                 let is_full = failure == Failure::Full && place.primary.is_some();
-                if !may_retry(failure) || is_full || Instant::now() >= task.until {
+                if !may_retry(failure) || is_full || Instant::now() >= task.deadline {
                     return Err(last);
                 }
                 host.metrics.count("read_retries");
@@ -287,47 +287,47 @@
     place: &Place,
 ) -> Result<Answer, Failure> {
     let try_until = if place.primary.is_some() {
-        task.until
+        task.deadline
     } else {
-        task.until.min(Instant::now() + READ_TRY)
+        task.deadline.min(Instant::now() + READ_TRY)
     };
-    let wish = context.wish(try_until, task.patience);
-    let mut leased = acquire(host, &place.entry, wish).await?;
+    let request = context.request(try_until, task.max_wait);
+    let mut checkout = acquire(host, &place.entry, request).await?;
     let fence = place.primary.as_ref().map(|p| (context.service.as_str(), p.fence));
     let guard = fence.map(|(service, fence)| host.use_primary(service, fence));
-    let bounds = Bounds { until: try_until, fence };
-    let target = leased.target.clone();
+    let bounds = Bounds { deadline: try_until, fence };
+    let target = checkout.target.clone();
     let shape = task.shape.as_ref();
-    leased.connection().match_session(host, &target, values, shape, bounds).await?;
+    checkout.connection().match_session(host, &target, values, shape, bounds).await?;
     // Waiting for the connection took time: the floor is that of now, the lease too.
     let floor = if place.primary.is_some() { None } else { floor(host, context) };
     if place.primary.is_none() && floor.is_none() {
-        leased.give_back();
+        checkout.release();
         return Err(Failure::Superseded);
     }
     if let Some((service, fence)) = fence
         && !host.is_current(service, fence)
     {
-        leased.give_back();
+        checkout.release();
         return Err(Failure::Superseded);
     }
     let message = line::query(&task.id, &text::with_floor(floor, &task.text));
     let sent = host.now();
-    let answer = leased.connection().exchange(host, &target, &message, bounds).await?;
+    let answer = checkout.connection().exchange(host, &target, &message, bounds).await?;
     drop(guard);
     if let Some((service, fence)) = fence
         && host.is_current(service, fence)
     {
-        observe(host, service, sent, &answer);
+        record_observation(host, service, sent, &answer);
     }
-    finish(host, leased, answer, sent)
+    finish(host, checkout, answer, sent)
 }
 
 /// Gives the connection back if it is clean, and tells success from refusal.
-fn finish(host: &Host, leased: Leased, answer: Answer, sent: Time) -> Result<Answer, Failure> {
-    let target = leased.target.clone();
+fn finish(host: &Host, checkout: Checkout, answer: Answer, sent: Time) -> Result<Answer, Failure> {
+    let target = checkout.target.clone();
     if is_clean(&answer) {
-        leased.give_back();
+        checkout.release();
     }
     match answer.end {
         End::Done => {
@@ -350,7 +350,7 @@
     task: &Task,
 ) -> Result<Answer, Refused> {
     loop {
-        let waited = wait_primary(host, &context.service, task.until).await;
+        let waited = wait_primary(host, &context.service, task.deadline).await;
         let place = waited.map_err(|absence| Refused::new(Code::Busy, absence.word()))?;
         let mut sent = Sent::No;
         let failure = match write_at(host, context, values, task, &place, &mut sent).await {
@@ -369,7 +369,7 @@
             host.targets.get(&place.entry.name).depose();
         }
         let is_full = failure == Failure::Full;
-        if !not_run || is_full || Instant::now() + PRIMARY_LOOK >= task.until {
+        if !not_run || is_full || Instant::now() + PRIMARY_LOOK >= task.deadline {
             let code = response_code(Effect::Lasting, false, sent, outcome(failure));
             return Err(Refused::new(code, word(failure)).with_target(&place.entry.name));
         }
@@ -403,27 +403,27 @@
 ) -> Result<Answer, Failed> {
     let Some(primary) = &place.primary else { return Err(Failure::Superseded.into()) };
     let service = context.service.as_str();
-    let wish = context.wish(task.until, task.patience);
-    let mut leased = acquire(host, &place.entry, wish).await?;
+    let request = context.request(task.deadline, task.max_wait);
+    let mut checkout = acquire(host, &place.entry, request).await?;
     let _guard = host.use_primary(service, primary.fence);
-    let bounds = Bounds { until: task.until, fence: Some((service, primary.fence)) };
-    let target = leased.target.clone();
+    let bounds = Bounds { deadline: task.deadline, fence: Some((service, primary.fence)) };
+    let target = checkout.target.clone();
     let shape = task.shape.as_ref();
-    leased.connection().match_session(host, &target, values, shape, bounds).await?;
+    checkout.connection().match_session(host, &target, values, shape, bounds).await?;
     if !host.is_current(service, primary.fence) {
-        leased.give_back();
+        checkout.release();
         return Err(Failure::Superseded.into());
     }
     let message = line::query(&task.id, &task.text);
     let sent = host.now();
     *progress = Sent::Maybe;
-    let answer = leased.connection().exchange(host, &target, &message, bounds).await?;
+    let answer = checkout.connection().exchange(host, &target, &message, bounds).await?;
     if host.is_current(service, primary.fence) {
-        observe(host, service, sent, &answer);
+        record_observation(host, service, sent, &answer);
     } else if answer.end == End::Done && !may_acknowledge(host, service) {
         return Err(Failed::Unproven);
     }
-    Ok(finish(host, leased, answer, sent)?)
+    Ok(finish(host, checkout, answer, sent)?)
 }
 
 /// Whether a commit at a primary that is being replaced may be acknowledged: the promotion waits
