rename: data path of the hosts to the terms of the field

shared: Host::asks -> loan_requests auth: holder -> identify_ignoring_state limit: Limiter::interrupt -> record_missed_division, part -> share, receive -> record_loan metric: Registry::refusal -> count_refusal, retry -> count_retry exec: permit::authority -> verify_authority; read::Rest -> ResultStream, Rest::part -> next_rows; state::Standing -> Health, State::standings -> update_health; transaction::Owned::stop -> roll_back_all target: Pools::take_back -> record_return, wants -> due_transfers, granted -> record_grant; share::Want -> Transfer, share::Asked -> PendingLoan; probe::Failure::Crowded -> TooManyConnections, Control::work -> probe_work

--- a/crates/host/src/admin/status.rs
+++ b/crates/host/src/admin/status.rs
@@ -89,7 +89,8 @@
     let primary = host.pools.primary(id);
     let replicas = service.targets.keys().copied().filter(|id| Some(*id) != primary);
     let targets: Vec<TargetId> = replicas.collect();
-    let ejected = host.data.standings(id, &targets, now).get(&target).is_some_and(|s| s.ejected);
+    let ejected =
+        host.data.update_health(id, &targets, now).get(&target).is_some_and(|s| s.ejected);
     json!({
         "target": target,
         "role": view.map(|view| format!("{:?}", view.status.role).to_lowercase()),
@@ -106,7 +107,7 @@
     let accounts = document.accounts.iter();
     accounts
         .map(|(id, account)| {
-            let (held_rate, held_burst) = host.limiter.part(*id);
+            let (held_rate, held_burst) = host.limiter.share(*id);
             json!({
                 "account": id,
                 "name": account.name,
--- a/crates/host/src/auth.rs
+++ b/crates/host/src/auth.rs
@@ -23,7 +23,7 @@
 
 /// The identity behind `presented`, the text after `Bearer`.
 pub fn identify(document: &Document, presented: &str) -> Result<Identity, Reason> {
-    let identity = holder(document, presented)?;
+    let identity = identify_ignoring_state(document, presented)?;
     match stands(document, identity) {
         true => Ok(identity),
         false => Err(Reason::KeyWithdrawn),
@@ -31,7 +31,7 @@
 }
 
 /// The identity behind `presented`, whether or not its key still works.
-pub fn holder(document: &Document, presented: &str) -> Result<Identity, Reason> {
+pub fn identify_ignoring_state(document: &Document, presented: &str) -> Result<Identity, Reason> {
     let (id, secret) = split(presented).ok_or(Reason::KeyUnknown)?;
     let key = document.keys.get(&id).ok_or(Reason::KeyUnknown)?;
     let digest = digest(&key.salt, secret);
--- a/crates/host/src/exec/permit.rs
+++ b/crates/host/src/exec/permit.rs
@@ -48,7 +48,7 @@
 
 /// Says whether `caller` may use `service` now.
 pub fn verify(host: &Host, caller: &Caller, service: ServiceId) -> Result<(), Refusal> {
-    authority(host)?;
+    verify_authority(host)?;
     let document = host.document();
     match caller {
         Caller::Key(identity) if !host.key_stands(identity.key) => {
@@ -68,7 +68,7 @@
 }
 
 /// Says whether this host may act on its copy of the shared state now.
-pub fn authority(host: &Host) -> Result<(), Refusal> {
+pub fn verify_authority(host: &Host) -> Result<(), Refusal> {
     if host.authority() {
         return Ok(());
     }
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -26,7 +26,7 @@
 const STREAM_AFTER: usize = 256 * 1024;
 
 /// The rest of a long result, with the connection that it comes over.
-pub struct Rest {
+pub struct ResultStream {
     lease: Lease,
     stream: Pin<Box<RowStream>>,
     deadline: Time,
@@ -36,11 +36,11 @@
 /// What one try brought.
 struct Served {
     rows: Rows,
-    rest: Option<Rest>,
+    rest: Option<ResultStream>,
 }
 
 /// Reads on the best target that is fresh enough; a long result comes with its rest.
-pub async fn run(host: &Arc<Host>, job: Job) -> Result<(Answer, Option<Rest>), Refusal> {
+pub async fn run(host: &Arc<Host>, job: Job) -> Result<(Answer, Option<ResultStream>), Refusal> {
     let now = host.clock.now();
     let account = job.caller.account();
     host.data.budgets().deposit(job.service, account, now);
@@ -61,7 +61,7 @@
             }
             Action::Attempt(id, reason) => {
                 if let Some(reason) = reason {
-                    host.metric.retry(reason);
+                    host.metric.count_retry(reason);
                 }
                 target = (id, role(host, &job, id));
                 match attempt(host, &job, id, &read).await {
@@ -90,7 +90,7 @@
     (target, role): (TargetId, Role),
     position: Option<bergamotvale_core::log::Position>,
     served: Served,
-) -> (Answer, Option<Rest>) {
+) -> (Answer, Option<ResultStream>) {
     let mut token = job.token;
     if let Some(position) = position {
         token.observe(job.service, position);
@@ -135,7 +135,7 @@
     let known = host.pools.views(job.service);
     let replicas: Vec<_> = known.keys().copied().filter(|id| Some(*id) != primary).collect();
     let standings = match host.settings.policy.ejection {
-        true => host.data.standings(job.service, &replicas, now),
+        true => host.data.update_health(job.service, &replicas, now),
         false => BTreeMap::new(),
     };
     let views = known.iter().filter_map(|(id, seen)| {
@@ -217,7 +217,7 @@
     };
     let deadline = job.deadline;
     let left = host.settings.limits.result;
-    let mut rest = Rest { lease, stream: Box::pin(stream), deadline, left };
+    let mut rest = ResultStream { lease, stream: Box::pin(stream), deadline, left };
     match rest.next(host, STREAM_AFTER, limits.1).await {
         Ok((mut rows, true)) => {
             let described = value::describe(rest.lease.client(), &job.statement, &mut rows);
@@ -236,7 +236,7 @@
     }
 }
 
-impl Rest {
+impl ResultStream {
     /// The next rows, about `bytes` of them, and whether they were the last.
     async fn next(&mut self, host: &Host, bytes: usize, until: Time) -> Result<(Rows, bool), Loss> {
         let mut rows = Rows::default();
@@ -259,7 +259,7 @@
     }
 
     /// The next part of the result, and whether it was the last; checks authority first.
-    pub async fn part(&mut self, host: &Host, job: &Job) -> Result<(Rows, bool), Loss> {
+    pub async fn next_rows(&mut self, host: &Host, job: &Job) -> Result<(Rows, bool), Loss> {
         permit::verify(host, &job.caller, job.service).map_err(Loss::Unusable)?;
         self.next(host, STREAM_AFTER, self.deadline).await
     }
--- a/crates/host/src/exec/state.rs
+++ b/crates/host/src/exec/state.rs
@@ -28,7 +28,7 @@
 
 /// What a target's work says about it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Standing {
+pub struct Health {
     /// It is out for now.
     pub ejected: bool,
     /// It fails, but is in.
@@ -94,19 +94,19 @@
         if well { group.record_success(target) } else { group.record_failure(target, now) }
     }
 
-    /// Standing of the `replicas` of `service`; begins and ends ejections when it is time.
-    pub fn standings(
+    /// Health of the `replicas` of `service`; begins and ends ejections when it is time.
+    pub fn update_health(
         &self,
         service: ServiceId,
         replicas: &[TargetId],
         now: Time,
-    ) -> BTreeMap<TargetId, Standing> {
+    ) -> BTreeMap<TargetId, Health> {
         let mut outliers = lock(&self.outliers);
         let group = outliers.entry(service).or_insert_with(new_group);
         for target in group.sweep(replicas, now) {
             log::warn!("target {target} of service {service} fails its work and is passed over");
         }
-        let standing = |target: &TargetId| Standing {
+        let standing = |target: &TargetId| Health {
             ejected: group.is_ejected(*target),
             suspect: group.is_suspect(*target),
         };
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -135,7 +135,7 @@
     }
 
     /// Ends every transaction.
-    pub fn stop(&self) {
+    pub fn roll_back_all(&self) {
         let ended = lock(&self.table).roll_back_all();
         self.close(ended);
     }
@@ -148,7 +148,7 @@
 
 impl Drop for Sweeper {
     fn drop(&mut self) {
-        self.0.data.transactions.stop();
+        self.0.data.transactions.roll_back_all();
     }
 }
 
--- a/crates/host/src/exec/write.rs
+++ b/crates/host/src/exec/write.rs
@@ -111,7 +111,7 @@
             let event = match action {
                 Action::Lease(at, reason) => {
                     if let Some(reason) = reason {
-                        self.host.metric.retry(reason);
+                        self.host.metric.count_retry(reason);
                     }
                     self.lease(at).await
                 }
--- a/crates/host/src/failover/driver.rs
+++ b/crates/host/src/failover/driver.rs
@@ -104,7 +104,7 @@
     let (actions, suspected) = noted.flatten().unwrap_or_default();
     carry_out(&host, service, actions);
     let worked = match suspected {
-        true => control.work(&host.settings).await,
+        true => control.probe_work(&host.settings).await,
         false => Ok(()),
     };
     let now = host.clock.now();
@@ -116,7 +116,7 @@
         match answer {
             Ok(_) => {}
             Err(Failure::Refused) => group.detector.record_probe_refused(now, target),
-            Err(Failure::Crowded) => group.detector.record_probe_overloaded(target),
+            Err(Failure::TooManyConnections) => group.detector.record_probe_overloaded(target),
             Err(Failure::Failed) => group.detector.record_work(now, target, false),
             Err(Failure::Silent) => {}
         }
--- a/crates/host/src/fleet/leave.rs
+++ b/crates/host/src/fleet/leave.rs
@@ -34,7 +34,7 @@
     if left > 0 {
         log::warn!("{left} transactions are open past the stop timeout: rolled back");
     }
-    host.data.transactions.stop();
+    host.data.transactions.roll_back_all();
 }
 
 /// Leaves the member table, so that others take this host's shares over.
--- a/crates/host/src/fleet/loan.rs
+++ b/crates/host/src/fleet/loan.rs
@@ -1,7 +1,7 @@
 //! Asks peers for rate tokens and connection slots.
 
 use crate::shared::Host;
-use crate::target::share::{Asked, Want};
+use crate::target::share::{PendingLoan, Transfer};
 use bergamotvale_core::id::HostId;
 use bergamotvale_core::peer::{SlotRequest, TokenRequest};
 use bergamotvale_core::rate::meter::LoanRequest;
@@ -16,7 +16,7 @@
 
 /// Asks for the tokens that the limiter wants, until the task is dropped.
 pub async fn tokens(host: Arc<Host>) {
-    let taken = host.asks.lock().expect("no holder of the lock panics").take();
+    let taken = host.loan_requests.lock().expect("no holder of the lock panics").take();
     let Some(mut asks) = taken else { return };
     let mut calls = JoinSet::new();
     while let Some(ask) = asks.recv().await {
@@ -37,7 +37,7 @@
     let call =
         |client: PeerClient, context| async move { client.lend_tokens(context, request).await };
     let count = host.peers.call(ask.peer, host.settings.timeouts.peer, call).await;
-    host.limiter.receive(ask, count.ok(), asked);
+    host.limiter.record_loan(ask, count.ok(), asked);
 }
 
 /// Moves connection slots to demand, until the task is dropped.
@@ -48,7 +48,7 @@
     loop {
         ticks.tick().await;
         let peers = lenders(&host);
-        for (want, asked) in host.pools.wants(&host, &peers) {
+        for (want, asked) in host.pools.due_transfers(&host, &peers) {
             calls.spawn(carry_out(host.clone(), want, asked));
         }
         while calls.try_join_next().is_some() {}
@@ -61,15 +61,15 @@
     row.members.into_keys().filter(|peer| *peer != host.settings.host).collect()
 }
 
-async fn carry_out(host: Arc<Host>, want: Want, asked: Option<Asked>) {
+async fn carry_out(host: Arc<Host>, want: Transfer, asked: Option<PendingLoan>) {
     match want {
-        Want::Borrow(peer, request) => {
+        Transfer::Borrow(peer, request) => {
             let total = borrow_slots(&host, peer, request).await;
             if let Some(asked) = asked {
-                host.pools.granted(&host, &asked, total);
+                host.pools.record_grant(&host, &asked, total);
             }
         }
-        Want::Return(peer, request) => {
+        Transfer::Return(peer, request) => {
             let call = |client: PeerClient, context| async move {
                 client.return_slots(context, request).await
             };
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -330,7 +330,7 @@
             // A leaving host keeps its part: callers come until they have seen that it leaves.
             let hosts: BTreeSet<HostId> = row.members.keys().copied().collect();
             if state.divisions.adopt(row.epoch, &hosts) {
-                self.limiter.interrupt();
+                self.limiter.record_missed_division();
             }
             self.limiter.divide(&document, &hosts, self.settings.host);
         }
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -159,7 +159,7 @@
 fn respond(ctx: &Context<'_>, answer: std::result::Result<WebResponse, Refusal>) -> WebResponse {
     let host = &ctx.state().host;
     let mut response = answer.unwrap_or_else(|refusal| {
-        host.metric.refusal(refusal.reason);
+        host.metric.count_refusal(refusal.reason);
         problem::response(&refusal)
     });
     if host.is_stopping() || *host.leaving.borrow() {
--- a/crates/host/src/front/request.rs
+++ b/crates/host/src/front/request.rs
@@ -36,11 +36,11 @@
         let detail = format!("headers over {} bytes", host.settings.limits.headers);
         return Err(Refusal::new(Reason::TooLarge, detail));
     }
-    permit::authority(host)?;
+    permit::verify_authority(host)?;
     let presented = text(headers, AUTHORIZATION)?.and_then(|v| v.strip_prefix("Bearer "));
     let presented = presented.ok_or_else(|| Refusal::new(Reason::KeyUnknown, "no key"))?;
     let ignored = host.settings.policy.defects.contains(&Defect::IgnoreWithdrawal);
-    let identify = if ignored { auth::holder } else { auth::identify };
+    let identify = if ignored { auth::identify_ignoring_state } else { auth::identify };
     let identity = identify(&host.document(), presented)
         .map_err(|reason| Refusal::new(reason, "the key is refused"))?;
     Ok(Presented { identity, text: presented.to_owned() })
--- a/crates/host/src/front/stream.rs
+++ b/crates/host/src/front/stream.rs
@@ -5,7 +5,7 @@
 
 use super::body;
 use super::gone::{Callers, Request};
-use crate::exec::read::Rest;
+use crate::exec::read::ResultStream;
 use crate::exec::{Answer, Job};
 use crate::shared::Host;
 use bergamotvale_core::statement::Rows;
@@ -21,7 +21,7 @@
     callers: Callers,
     address: SocketAddr,
     job: Job,
-    rest: Option<Rest>,
+    rest: Option<ResultStream>,
     _request: Request,
     first: Option<String>,
 }
@@ -32,7 +32,7 @@
     (callers, address): (Callers, SocketAddr),
     job: Job,
     answer: &Answer,
-    rest: Rest,
+    rest: ResultStream,
 ) -> ResponseBody {
     let first = Some(body::opening(&answer.rows));
     let _request = callers.request(address);
@@ -50,7 +50,7 @@
             return Some(Ok(Bytes::from(first)));
         }
         let mut rest = self.rest.take()?;
-        match rest.part(&self.host, &self.job).await {
+        match rest.next_rows(&self.host, &self.job).await {
             Ok((rows, false)) => {
                 self.rest = Some(rest);
                 Some(Ok(Bytes::from(body::continuation(&rows))))
--- a/crates/host/src/limit.rs
+++ b/crates/host/src/limit.rs
@@ -77,7 +77,7 @@
     }
 
     /// Notes that a division was missed: members or configuration skipped an epoch here.
-    pub fn interrupt(&self) {
+    pub fn record_missed_division(&self) {
         let now = self.clock.now();
         self.lock().meter.record_missed_division(now);
     }
@@ -105,7 +105,7 @@
     }
 
     /// Takes the answer to an ask sent at `asked`; none counts as zero.
-    pub fn receive(&self, ask: LoanRequest, count: Option<u32>, asked: Time) {
+    pub fn record_loan(&self, ask: LoanRequest, count: Option<u32>, asked: Time) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.meter.receive(ask, count.unwrap_or(0), asked, now);
@@ -113,7 +113,7 @@
     }
 
     /// Part of rate, per second, and burst of `account` at this host, in whole tokens.
-    pub fn part(&self, account: AccountId) -> (u64, u64) {
+    pub fn share(&self, account: AccountId) -> (u64, u64) {
         let (rate, burst) = self.lock().meter.share(account);
         (rate / rate::bucket::MICRO, burst / rate::bucket::MICRO)
     }
--- a/crates/host/src/metric.rs
+++ b/crates/host/src/metric.rs
@@ -96,12 +96,12 @@
     }
 
     /// Counts a refusal under its reason.
-    pub fn refusal(&self, reason: refusal::Reason) {
+    pub fn count_refusal(&self, reason: refusal::Reason) {
         self.count(&format!("refusal.{reason}"));
     }
 
     /// Counts a retry under its reason.
-    pub fn retry(&self, reason: retry::Reason) {
+    pub fn count_retry(&self, reason: retry::Reason) {
         self.count(&format!("retry.{reason}"));
     }
 
--- a/crates/host/src/peer/server.rs
+++ b/crates/host/src/peer/server.rs
@@ -79,7 +79,7 @@
     }
 
     async fn return_slots(self, _: Context, request: SlotRequest) {
-        self.host.pools.take_back(&self.host, &request);
+        self.host.pools.record_return(&self.host, &request);
     }
 
     async fn forward(self, _: Context, forward: Forward) -> Outcome {
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -38,7 +38,7 @@
     /// Rates of the client accounts.
     pub limiter: Limiter,
     /// Loans of rate tokens to ask for; taken by the task that asks.
-    pub asks: Mutex<Option<mpsc::UnboundedReceiver<LoanRequest>>>,
+    pub loan_requests: Mutex<Option<mpsc::UnboundedReceiver<LoanRequest>>>,
     /// What is known of the groups' primaries.
     pub failover: Arc<Failover>,
     /// Connections to the targets, and what is known of them.
@@ -62,7 +62,7 @@
         let metric = Registry::new(settings.metrics.statsd)?;
         let incarnation = incarnation();
         let clock = Clock::new();
-        let (limiter, asks) = Limiter::new(&settings.policy, clock);
+        let (limiter, loan_requests) = Limiter::new(&settings.policy, clock);
         let failover = Arc::new(Failover::new(&settings, incarnation));
         Ok(Host {
             fleet: Fleet::new(&settings, incarnation),
@@ -70,7 +70,7 @@
             incarnation,
             clock,
             limiter,
-            asks: Mutex::new(Some(asks)),
+            loan_requests: Mutex::new(Some(loan_requests)),
             data: exec::State::new(&settings, incarnation),
             metric,
             platform,
--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -8,7 +8,7 @@
 //! - [`Pools::views`] and [`Pools::primary`] tell what the targets last said of themselves.
 //! - [`Pools::worked`] and [`Pools::timed_out`] take outcomes of work, [`Pools::superseded`] the news that a target is
 //!   no longer the primary.
-//! - [`Pools::lend`], [`Pools::take_back`], [`Pools::wants`] and [`Pools::granted`] are the two
+//! - [`Pools::lend`], [`Pools::record_return`], [`Pools::due_transfers`] and [`Pools::record_grant`] are the two
 //!   sides of loans between hosts.
 
 pub mod connection;
@@ -24,7 +24,7 @@
 use bergamotvale_core::peer::SlotRequest;
 use bergamotvale_core::refusal::Refusal;
 pub use lease::Lease;
-use share::{Asked, Want};
+use share::{PendingLoan, Transfer};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -102,17 +102,21 @@
     }
 
     /// A peer gave slots back.
-    pub fn take_back(&self, host: &Arc<Host>, request: &SlotRequest) {
-        share::take_back(host, request);
+    pub fn record_return(&self, host: &Arc<Host>, request: &SlotRequest) {
+        share::record_return(host, request);
     }
 
-    /// Requests to send to `peers` now; each loan is answered through [`Pools::granted`].
-    pub fn wants(&self, host: &Host, peers: &[HostId]) -> Vec<(Want, Option<Asked>)> {
-        share::wants(host, peers)
+    /// Requests to send to `peers` now; each loan is answered through [`Pools::record_grant`].
+    pub fn due_transfers(
+        &self,
+        host: &Host,
+        peers: &[HostId],
+    ) -> Vec<(Transfer, Option<PendingLoan>)> {
+        share::due_transfers(host, peers)
     }
 
     /// A peer answered a request for a loan, or did not.
-    pub fn granted(&self, host: &Arc<Host>, asked: &Asked, total: Option<u32>) {
-        share::granted(host, asked, total);
+    pub fn record_grant(&self, host: &Arc<Host>, asked: &PendingLoan, total: Option<u32>) {
+        share::record_grant(host, asked, total);
     }
 }
--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -263,7 +263,7 @@
         }
         Err(error) => {
             let refused = match failure(&error) {
-                Failure::Crowded => OpenError::TargetFull,
+                Failure::TooManyConnections => OpenError::TargetFull,
                 _ => OpenError::Unreachable,
             };
             host.metric.count("target.not_opened");
--- a/crates/host/src/target/probe.rs
+++ b/crates/host/src/target/probe.rs
@@ -33,7 +33,7 @@
     /// Nothing listens, or the connection was reset.
     Refused,
     /// It is alive but has no connection free.
-    Crowded,
+    TooManyConnections,
     /// It answered with an error.
     Failed,
 }
@@ -62,7 +62,7 @@
     }
 
     /// Gives the target a trifle of work, which one that fails its work does not get done.
-    pub async fn work(&self, settings: &Settings) -> std::result::Result<(), Failure> {
+    pub async fn probe_work(&self, settings: &Settings) -> std::result::Result<(), Failure> {
         self.exchange(settings, WORK, &[]).await.map(drop)
     }
 
@@ -142,7 +142,7 @@
         Error::Io(e) if e.kind() == std::io::ErrorKind::TimedOut => Failure::Silent,
         Error::Io(_) => Failure::Refused,
         Error::Target(e) => match e.code() {
-            Some(code) if *code == SqlState::TOO_MANY_CONNECTIONS => Failure::Crowded,
+            Some(code) if *code == SqlState::TOO_MANY_CONNECTIONS => Failure::TooManyConnections,
             Some(_) => Failure::Failed,
             None => Failure::Refused,
         },
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -113,7 +113,7 @@
 }
 
 /// A peer gave slots back.
-pub(super) fn take_back(host: &Arc<Host>, request: &SlotRequest) {
+pub(super) fn record_return(host: &Arc<Host>, request: &SlotRequest) {
     let key = (request.service, request.target);
     let now = host.clock.now();
     let actions = host.pools.inner.with(key, |entry| {
@@ -125,15 +125,15 @@
 
 /// What a host wants of its peers for one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Want {
+pub enum Transfer {
     /// To hold this total from the lender.
     Borrow(HostId, SlotRequest),
     /// To have given back down to this total.
     Return(HostId, SlotRequest),
 }
 
-/// Requests to send to peers now; each [`Want::Borrow`] is answered through [`granted`].
-pub(super) fn wants(host: &Host, peers: &[HostId]) -> Vec<(Want, Option<Asked>)> {
+/// Requests to send to peers now; each [`Transfer::Borrow`] is answered through [`record_grant`].
+pub(super) fn due_transfers(host: &Host, peers: &[HostId]) -> Vec<(Transfer, Option<PendingLoan>)> {
     if host.settings.policy.connections == Connections::Static {
         return Vec::new();
     }
@@ -148,7 +148,7 @@
 
 /// A loan that was asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Asked {
+pub struct PendingLoan {
     key: Key,
     asked: bergamotvale_core::slot::LoanRequest,
 }
@@ -159,7 +159,7 @@
     entry: &mut pool::Entry,
     now: Time,
     peers: &[HostId],
-) -> Vec<(Want, Option<Asked>)> {
+) -> Vec<(Transfer, Option<PendingLoan>)> {
     let request = |count, sequence| SlotRequest {
         host: host.settings.host,
         service: key.0,
@@ -169,7 +169,7 @@
     };
     if let Some((lender, total)) = idle_loan(entry, now) {
         let sequence = entry.ledger.return_loans(lender, total);
-        return vec![(Want::Return(lender, request(total, sequence)), None)];
+        return vec![(Transfer::Return(lender, request(total, sequence)), None)];
     }
     let mut totals: Vec<(HostId, u32)> = Vec::new();
     for lender in entry.ledger.loans_to_renew(now) {
@@ -188,8 +188,8 @@
         .into_iter()
         .map(|(lender, total)| {
             let asked = entry.ledger.request_loan(now, lender, total);
-            let want = Want::Borrow(lender, request(total, asked.sequence));
-            (want, Some(Asked { key, asked }))
+            let want = Transfer::Borrow(lender, request(total, asked.sequence));
+            (want, Some(PendingLoan { key, asked }))
         })
         .collect()
 }
@@ -215,7 +215,7 @@
 }
 
 /// The lender answered, or did not.
-pub(super) fn granted(host: &Arc<Host>, asked: &Asked, total: Option<u32>) {
+pub(super) fn record_grant(host: &Arc<Host>, asked: &PendingLoan, total: Option<u32>) {
     let now = host.clock.now();
     let actions = host.pools.inner.with(asked.key, |entry| {
         entry.asking = false;
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -154,7 +154,7 @@
     /// A new host lives on loans until the old division is out of force.
     async fn warm_up(&self) {
         let deadline = tokio::time::Instant::now() + PATIENCE;
-        let has_part = || self.daemon.host.limiter.part(ACCOUNT).0 > 0;
+        let has_part = || self.daemon.host.limiter.share(ACCOUNT).0 > 0;
         until("the host has a part of the rates", has_part).await;
         while self.read("SELECT 1").send().await.status != 200 {
             assert!(tokio::time::Instant::now() < deadline, "the host serves no read");
--- a/crates/host/tests/fleet_stop.rs
+++ b/crates/host/tests/fleet_stop.rs
@@ -67,7 +67,7 @@
     while !is_listed(http, platform).await {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    let part = |host: usize| fleet.host(host).limiter.part(common::ACCOUNT).0;
+    let part = |host: usize| fleet.host(host).limiter.share(common::ACCOUNT).0;
     let before: u64 = (0..3).map(part).sum();
     let callers: Vec<_> =
         (0..CALLERS).map(|_| tokio::spawn(ask_while_listed(stopping.address, platform))).collect();
