rename: platform responses, host list entries and the stop of a daemon

Old -> new: Daemon::told_to_leave -> leave_requested; Daemon::requests, front::Listener::requests, front::gone::Callers::requests -> requests_in_flight; platform::Answer -> platform::Response and its variant Done -> Committed; platform::Listed -> platform::HostEntry; platform::is_lost -> has_unknown_outcome; front::body::statement -> parse_statement.

--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -281,7 +281,7 @@
     let (stop, stopped) = oneshot::channel();
     let task = runtime.spawn(async move {
         tokio::select! {
-            () = daemon.told_to_leave() => {}
+            () = daemon.leave_requested() => {}
             _ = stopped => {}
         }
         daemon.stop().await;
--- a/crates/host/src/admin/plan.rs
+++ b/crates/host/src/admin/plan.rs
@@ -1,7 +1,7 @@
 //! Plans: proposed, shown, confirmed. Each is a row of the platform's table.
 
 use super::{Answer, Call, Fault, audit, config, ok, runner};
-use crate::platform::{self, Answer as Stored, CONFIG_ROW, Check, Put, Transaction};
+use crate::platform::{self, CONFIG_ROW, Check, Put, Response as Stored, Transaction};
 use crate::shared::Host;
 use bergamotvale_core::config::Document;
 use bergamotvale_core::distribute::Row;
@@ -59,7 +59,7 @@
         let checks = vec![Check { key: put.key.clone(), version: 0 }];
         let transaction = Transaction { checks, puts: vec![put], deletes: Vec::new() };
         // An answer that was lost leaves behind a proposal that nobody confirms.
-        if let Ok(Stored::Done(_)) = host.platform.transact(&transaction).await {
+        if let Ok(Stored::Committed(_)) = host.platform.transact(&transaction).await {
             return Ok((StatusCode::CREATED, json!(record.plan)));
         }
         tokio::time::sleep(PAUSE).await;
@@ -95,10 +95,10 @@
             deletes: Vec::new(),
         };
         match host.platform.transact(&transaction).await {
-            Ok(Stored::Done(_)) => return Ok(confirmed(host, next, &key_text)),
+            Ok(Stored::Committed(_)) => return Ok(confirmed(host, next, &key_text)),
             // Another change came first: look again at what it was.
             Ok(Stored::Conflict(_)) => {}
-            Err(error) if platform::is_lost(&error) => tokio::time::sleep(PAUSE).await,
+            Err(error) if platform::has_unknown_outcome(&error) => tokio::time::sleep(PAUSE).await,
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
--- a/crates/host/src/admin/runner.rs
+++ b/crates/host/src/admin/runner.rs
@@ -3,7 +3,7 @@
 use super::{audit, plan};
 use crate::failover::planned;
 use crate::fleet::change;
-use crate::platform::{self, Answer, Check, Put, Transaction};
+use crate::platform::{self, Check, Put, Response, Transaction};
 use crate::shared::Host;
 use bergamotvale_core::config::TargetState;
 use bergamotvale_core::id::{HostId, PlanId, ServiceId, TargetId};
@@ -127,15 +127,15 @@
     let transaction = Transaction { checks, puts, deletes: Vec::new() };
     for _ in 0..TRIES {
         match host.platform.transact(&transaction).await {
-            Ok(Answer::Done(rows)) => {
+            Ok(Response::Committed(rows)) => {
                 return rows.into_iter().find(|row| row.key == key).map(|row| row.version);
             }
-            Ok(Answer::Conflict(rows)) => {
+            Ok(Response::Conflict(rows)) => {
                 // An earlier try of the same write may have taken effect.
                 let row = rows.into_iter().find(|row| row.key == key)?;
                 return (row.value == value).then_some(row.version);
             }
-            Err(error) if platform::is_lost(&error) => {
+            Err(error) if platform::has_unknown_outcome(&error) => {
                 log::info!("plan {}: the platform did not answer", record.plan.id);
             }
             Err(_) => {}
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -52,12 +52,12 @@
     }
 
     /// Callers' requests under way.
-    pub fn requests(&self) -> u32 {
-        self.front.requests()
+    pub fn requests_in_flight(&self) -> u32 {
+        self.front.requests_in_flight()
     }
 
     /// Waits until the host is told to leave the fleet.
-    pub async fn told_to_leave(&self) {
+    pub async fn leave_requested(&self) {
         let mut leaving = self.host.leaving.subscribe();
         // The sender lives as long as the host.
         drop(leaving.wait_for(|leaving| *leaving).await);
--- a/crates/host/src/fleet/change.rs
+++ b/crates/host/src/fleet/change.rs
@@ -2,7 +2,7 @@
 
 use super::follow;
 use crate::error::Result as HostResult;
-use crate::platform::{self, Answer, CONFIG_ROW, Check, Put, Transaction};
+use crate::platform::{self, CONFIG_ROW, Check, Put, Response, Transaction};
 use crate::shared::Host;
 use bergamotvale_core::change::{Action, Outcome, Reply, Writer};
 use bergamotvale_core::config::{self, Document, Edit};
@@ -248,13 +248,13 @@
         deletes: Vec::new(),
     };
     match host.platform.transact(&transaction).await {
-        Ok(Answer::Done(_)) => Reply::Accepted,
-        Ok(Answer::Conflict(rows)) => {
+        Ok(Response::Committed(_)) => Reply::Accepted,
+        Ok(Response::Conflict(rows)) => {
             let row = rows.into_iter().next().map(|row| row.value);
             let row = row.and_then(|value| serde_json::from_value(value).ok());
             Reply::Conflict(row.map(Box::new))
         }
-        Err(error) if platform::is_lost(&error) => {
+        Err(error) if platform::has_unknown_outcome(&error) => {
             host.metric.count("platform.lost_writes");
             log::info!("the platform did not answer a write: {error}");
             Reply::Lost
--- a/crates/host/src/fleet/follow.rs
+++ b/crates/host/src/fleet/follow.rs
@@ -1,7 +1,7 @@
 //! Reads of the platform: the fleet row, the document, the list of hosts.
 
 use crate::error::Result;
-use crate::platform::{CONFIG_ROW, Listed};
+use crate::platform::{CONFIG_ROW, HostEntry};
 use crate::shared::Host;
 use bergamotvale_core::distribute::Row;
 use bergamotvale_core::peer::{Body, Update};
@@ -73,7 +73,7 @@
         if own.leaving {
             continue;
         }
-        let listed = Listed::new(&own, host.settings.listen.callers);
+        let listed = HostEntry::new(&own, host.settings.listen.callers);
         if let Err(error) = host.platform.put_host(&listed).await {
             log::debug!("entry in the platform's list of hosts: {error}");
         }
@@ -97,7 +97,7 @@
 
 async fn read_list(host: &Host) -> Result<()> {
     let hosts = host.platform.hosts().await?;
-    let members: Vec<_> = hosts.iter().filter_map(Listed::member).collect();
+    let members: Vec<_> = hosts.iter().filter_map(HostEntry::member).collect();
     host.fleet.listed(host.clock.now(), &members);
     Ok(())
 }
--- a/crates/host/src/front/body.rs
+++ b/crates/host/src/front/body.rs
@@ -29,7 +29,7 @@
 }
 
 /// The statement in a request's body.
-pub fn statement(body: &[u8]) -> Result<Statement, String> {
+pub fn parse_statement(body: &[u8]) -> Result<Statement, String> {
     let body: Body = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     let params = body.params.into_iter().map(param).collect::<Result<_, _>>()?;
     Ok(Statement { sql: body.sql, params })
--- a/crates/host/src/front/gone.rs
+++ b/crates/host/src/front/gone.rs
@@ -73,7 +73,7 @@
     }
 
     /// Requests under way on all connections.
-    pub fn requests(&self) -> u32 {
+    pub fn requests_in_flight(&self) -> u32 {
         lock(&self.connections).values().map(|connection| connection.requests).sum()
     }
 
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -93,8 +93,8 @@
 
 impl Listener {
     /// Requests under way.
-    pub fn requests(&self) -> u32 {
-        self.callers.requests()
+    pub fn requests_in_flight(&self) -> u32 {
+        self.callers.requests_in_flight()
     }
 
     /// Stops the listener after what runs has finished, or cuts it after `limit`.
--- a/crates/host/src/front/request.rs
+++ b/crates/host/src/front/request.rs
@@ -80,7 +80,7 @@
 ) -> Result<Statement, Refusal> {
     let limits = &host.settings.limits;
     let body = read_body(ctx, limits.body).await?;
-    let statement = body::statement(&body).map_err(|e| Refusal::new(Reason::Malformed, e))?;
+    let statement = body::parse_statement(&body).map_err(|e| Refusal::new(Reason::Malformed, e))?;
     if statement.sql.len() > limits.statement {
         let detail = format!("statement over {} bytes", limits.statement);
         return Err(Refusal::new(Reason::TooLarge, detail));
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -102,7 +102,7 @@
     let daemon = Daemon::start(settings).await.context("cannot start the host")?;
     drop(daemon.host.log_control.set(control));
     tokio::select! {
-        () = daemon.told_to_leave() => log::info!("told to leave: stopping"),
+        () = daemon.leave_requested() => log::info!("told to leave: stopping"),
         _ = terminate.recv() => log::info!("SIGTERM: stopping"),
         _ = interrupt.recv() => log::info!("SIGINT: stopping"),
     }
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -1,14 +1,14 @@
 //! Client of the platform's table service, object store and list of hosts.
 //!
 //! Every call passes a gate (see [`bergamotvale_core::store`]) and has a deadline. A failed write
-//! is either certainly not done, or lost: [`is_lost`] tells which, and a lost one has to be read
+//! is either certainly not done, or lost: [`has_unknown_outcome`] tells which, and a lost one has to be read
 //! back before anything is said of it.
 
 mod call;
 mod hosts;
 
 pub use call::Traffic;
-pub use hosts::Listed;
+pub use hosts::HostEntry;
 
 use crate::error::{Error, Result};
 use crate::settings::Settings;
@@ -73,9 +73,9 @@
 
 /// How a transaction went.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Answer {
+pub enum Response {
     /// It took effect; the rows with their new versions.
-    Done(Vec<Row>),
+    Committed(Vec<Row>),
     /// A check failed; the rows as they are.
     Conflict(Vec<Row>),
 }
@@ -115,14 +115,14 @@
         Ok(self.read(request).await?.json::<Rows>().await?.rows)
     }
 
-    /// Runs `transaction`. See [`is_lost`] for what an error means.
-    pub async fn transact(&self, transaction: &Transaction) -> Result<Answer> {
+    /// Runs `transaction`. See [`has_unknown_outcome`] for what an error means.
+    pub async fn transact(&self, transaction: &Transaction) -> Result<Response> {
         let request = self.http.post(format!("{}/table/transactions", self.base));
         let response = self.write(request.json(transaction)).await?;
         if response.status() == StatusCode::CONFLICT {
-            return Ok(Answer::Conflict(response.json::<Rows>().await?.rows));
+            return Ok(Response::Conflict(response.json::<Rows>().await?.rows));
         }
-        Ok(Answer::Done(response.json::<Rows>().await?.rows))
+        Ok(Response::Committed(response.json::<Rows>().await?.rows))
     }
 
     /// Stores `body` under its digest, which is returned.
@@ -141,7 +141,7 @@
 }
 
 /// Whether a write that failed with `error` may have taken effect all the same.
-pub fn is_lost(error: &Error) -> bool {
+pub fn has_unknown_outcome(error: &Error) -> bool {
     match error {
         Error::Platform(error) => !error.is_connect() && !error.is_status(),
         Error::Gate(_) => false,
--- a/crates/host/src/platform/hosts.rs
+++ b/crates/host/src/platform/hosts.rs
@@ -9,7 +9,7 @@
 
 /// An entry of the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Listed {
+pub struct HostEntry {
     /// Name of the host.
     pub host: String,
     /// Its run.
@@ -36,13 +36,13 @@
 
 #[derive(Deserialize)]
 struct List {
-    hosts: Vec<Listed>,
+    hosts: Vec<HostEntry>,
 }
 
-impl Listed {
+impl HostEntry {
     /// The entry of `member`, which serves callers at `callers`.
-    pub fn new(member: &Member, callers: SocketAddr) -> Listed {
-        Listed {
+    pub fn new(member: &Member, callers: SocketAddr) -> HostEntry {
+        HostEntry {
             host: member.host.to_string(),
             incarnation: member.incarnation,
             address: callers.to_string(),
@@ -66,13 +66,13 @@
 
 impl Client {
     /// Hosts as the platform lists them, a second or more late.
-    pub async fn hosts(&self) -> Result<Vec<Listed>> {
+    pub async fn hosts(&self) -> Result<Vec<HostEntry>> {
         let request = self.http.get(format!("{}/hosts", self.base));
         Ok(self.read(request).await?.json::<List>().await?.hosts)
     }
 
     /// Says that a host is there.
-    pub async fn put_host(&self, listed: &Listed) -> Result<()> {
+    pub async fn put_host(&self, listed: &HostEntry) -> Result<()> {
         let request = self.http.put(format!("{}/hosts/{}", self.base, listed.host));
         self.write(request.json(listed)).await?;
         Ok(())
--- a/crates/host/tests/outside.rs
+++ b/crates/host/tests/outside.rs
@@ -6,7 +6,7 @@
 use bergamotvale_core::distribute;
 use bergamotvale_host::auth;
 use bergamotvale_host::front::body;
-use bergamotvale_host::platform::{Listed, Row};
+use bergamotvale_host::platform::{HostEntry, Row};
 use bergamotvale_host::settings::Settings;
 use common::{Fixture, KEY, PATIENCE};
 use proptest::collection::vec;
@@ -118,7 +118,7 @@
     }
     drop(serde_json::from_value::<distribute::Row>(value.clone()));
     drop(serde_json::from_value::<Row>(value.clone()));
-    if let Ok(listed) = serde_json::from_value::<Listed>(value.clone()) {
+    if let Ok(listed) = serde_json::from_value::<HostEntry>(value.clone()) {
         let member = listed.member();
         assert!(member.is_none_or(|member| member.host.to_string().len() <= listed.host.len()));
     }
@@ -146,11 +146,11 @@
 
     #[test]
     fn any_body_is_read_or_refused(bytes in vec(any::<u8>(), 0..400), value in value()) {
-        drop(body::statement(&bytes));
-        drop(body::statement(value.to_string().as_bytes()));
+        drop(body::parse_statement(&bytes));
+        drop(body::parse_statement(value.to_string().as_bytes()));
         let statement = json!({"sql": "SELECT $1", "params": [value]});
 
-        if let Err(detail) = body::statement(statement.to_string().as_bytes()) {
+        if let Err(detail) = body::parse_statement(statement.to_string().as_bytes()) {
             prop_assert!(!detail.is_empty());
         }
     }
@@ -180,7 +180,7 @@
     let document: Document = serde_json::from_value(document).expect("a document");
     let row: distribute::Row = serde_json::from_value(row).expect("a fleet row");
     let table_row: Row = serde_json::from_value(table_row).expect("a row");
-    let listed: Listed = serde_json::from_value(listed).expect("an entry");
+    let listed: HostEntry = serde_json::from_value(listed).expect("an entry");
 
     assert_eq!(config::verify(&document), Ok(()));
     assert_eq!((row.epoch, table_row.version), (4, 7));
--- a/crates/host/tests/tls.rs
+++ b/crates/host/tests/tls.rs
@@ -189,7 +189,7 @@
     let (_fixture, host) = start("stop", |_| ()).await;
     let slow = host.read("SELECT pg_sleep(1)").with_header("bergamotvale-timeout", "20s");
     let running = tokio::spawn(slow.send());
-    until("the statement runs", || host.daemon.requests() > 0).await;
+    until("the statement runs", || host.daemon.requests_in_flight() > 0).await;
 
     host.daemon.stop().await;
     let answer = running.await.expect("no panic");
