--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -187,7 +187,7 @@
     async fn try_found(&self) -> Result<()> {
         match self.hosts[0].running.as_ref() {
             Some(running) => {
-                let founded = change::found(&running.host, self.document.clone()).await;
+                let founded = change::bootstrap(&running.host, self.document.clone()).await;
                 founded.map(drop).map_err(start)
             }
             None => {
--- a/crates/host/examples/in_force.rs
+++ b/crates/host/examples/in_force.rs
@@ -33,7 +33,7 @@
     let start = Instant::now();
     wait(|| daemons.iter().all(|d| d.host.fleet.row().members.len() == HOSTS as usize)).await?;
     println!("four hosts joined an empty fleet in {} ms", start.elapsed().as_millis());
-    while change::found(&daemons[0].host, document()).await.is_err() {
+    while change::bootstrap(&daemons[0].host, document()).await.is_err() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let cut = BTreeSet::from([HOSTS.to_string()]);
@@ -111,7 +111,7 @@
         let start = Instant::now();
         let joiner = Daemon::start(settings(HOSTS + 1 + host, platform.address())).await?;
         let version = daemons[0].host.document().version;
-        wait(|| joiner.host.authority() && joiner.host.document().version >= version).await?;
+        wait(|| joiner.host.has_authority() && joiner.host.document().version >= version).await?;
         times.push(start.elapsed());
         joiner.stop().await;
     }
--- a/crates/host/src/admin/config.rs
+++ b/crates/host/src/admin/config.rs
@@ -63,7 +63,7 @@
     if host.fleet.row().version > 0 {
         return Err(Fault::Exists);
     }
-    let accepted = change::found(host, document).await.map_err(|fault| match fault {
+    let accepted = change::bootstrap(host, document).await.map_err(|fault| match fault {
         change::Fault::Overtaken => Fault::Exists,
         fault => fault.into(),
     })?;
--- a/crates/host/src/admin/plan.rs
+++ b/crates/host/src/admin/plan.rs
@@ -69,7 +69,7 @@
 
 pub(super) async fn confirm(call: Call, id: PlanId) -> Answer {
     let host = &call.host;
-    let own = host.fleet.own();
+    let own = host.fleet.own_member();
     let runner = Runner { host: own.host, incarnation: own.incarnation };
     let confirmation = rand::random();
     let (issued, key_text) = config::new_key();
@@ -78,7 +78,7 @@
         if record.confirmation == confirmation {
             return Ok(confirmed(host, record, &key_text));
         }
-        let (config_version, row) = crate::fleet::follow::read(host).await?;
+        let (config_version, row) = crate::fleet::follow::read_row(host).await?;
         let next = match record.confirm(row.version, &call.operator, runner, confirmation) {
             Ok(next) if next.issues_key() => next.with_issued(issued.clone()),
             Ok(next) => next,
--- a/crates/host/src/admin/runner.rs
+++ b/crates/host/src/admin/runner.rs
@@ -33,9 +33,9 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let settled = host.clock.now().saturating_sub(host.fleet.adopted());
+        let settled = host.clock.now().saturating_sub(host.fleet.adopted_at());
         let lapsed = settled > host.settings.policy.authority;
-        if !host.fleet.polls() || !host.authority() || !lapsed {
+        if !host.fleet.is_poller() || !host.has_authority() || !lapsed {
             continue;
         }
         match plan::load_all(&host).await {
@@ -61,7 +61,7 @@
 }
 
 fn own(host: &Host) -> Runner {
-    let own = host.fleet.own();
+    let own = host.fleet.own_member();
     Runner { host: own.host, incarnation: own.incarnation }
 }
 
@@ -226,7 +226,7 @@
 }
 
 async fn mark_leaving(host: &Arc<Host>, leaving: HostId) -> Outcome {
-    let marked = change::run(host, |row| {
+    let marked = change::apply(host, |row| {
         let Some(member) = row.members.get(&leaving).filter(|member| !member.leaving) else {
             return Ok(None);
         };
--- a/crates/host/src/admin/status.rs
+++ b/crates/host/src/admin/status.rs
@@ -11,7 +11,7 @@
 pub(super) fn status(host: &Host) -> Value {
     let now = host.clock.now();
     let document = host.document();
-    let standing = host.fleet.standing(now);
+    let authority = host.fleet.authority(now);
     let row = host.fleet.row();
     let (_, in_force) = host.fleet.in_force(now);
     let services = document.services.iter();
@@ -21,9 +21,9 @@
         "version": row.version,
         "epoch": row.epoch,
         "authority": {
-            "held": standing.held,
-            "age_ms": standing.age.map(|age| age.as_millis() as u64),
-            "by": standing.source.map(|source| source.to_string()),
+            "held": authority.held,
+            "age_ms": authority.age.map(|age| age.as_millis() as u64),
+            "by": authority.source.map(|source| source.to_string()),
         },
         "members": members(host, now),
         "services": services.map(|(id, service)| show(host, now, *id, service)).collect::<Vec<_>>(),
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Runs one host: binds its listeners, starts its tasks, stops them in order.
 
 use crate::error::Result;
-use crate::fleet::{beat, follow, leave, loan, upkeep};
+use crate::fleet::{follow, heartbeat, leave, loan, maintenance};
 use crate::settings::{Defect, Settings};
 use crate::shared::Host;
 use crate::{admin, exec, failover, front, peer, target};
@@ -37,14 +37,14 @@
         tasks.spawn(exec::transaction::run(host.clone()));
         peers.set_nonblocking(true)?;
         tasks.spawn(peer::server::run(host.clone(), tokio::net::TcpListener::from_std(peers)?));
-        tasks.spawn(follow::run(host.clone()));
-        tasks.spawn(follow::enter(host.clone()));
-        tasks.spawn(follow::list(host.clone()));
-        tasks.spawn(beat::run(host.clone()));
-        tasks.spawn(upkeep::run(host.clone()));
+        tasks.spawn(follow::poll_row(host.clone()));
+        tasks.spawn(follow::register(host.clone()));
+        tasks.spawn(follow::poll_host_list(host.clone()));
+        tasks.spawn(heartbeat::run(host.clone()));
+        tasks.spawn(maintenance::run(host.clone()));
         tasks.spawn(admin::runner::watch(host.clone()));
-        tasks.spawn(loan::tokens(host.clone()));
-        tasks.spawn(loan::slots(host.clone()));
+        tasks.spawn(loan::request_tokens(host.clone()));
+        tasks.spawn(loan::balance_slots(host.clone()));
         let limited = host.clone();
         tasks.spawn(async move { limited.limiter.run().await });
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
@@ -74,9 +74,9 @@
         tokio::time::sleep(host.settings.timeouts.leave).await;
         host.stopping.send_replace(true);
         let timeout = host.settings.timeouts.stop;
-        leave::finish(&host, timeout).await;
+        leave::finish_transactions(&host, timeout).await;
         self.front.stop(timeout).await;
-        leave::hand_over(&host).await;
+        leave::remove_member(&host).await;
         self.admin.stop().await;
         self.tasks.shutdown().await;
     }
--- a/crates/host/src/exec/permit.rs
+++ b/crates/host/src/exec/permit.rs
@@ -51,7 +51,7 @@
     authority(host)?;
     let document = host.document();
     match caller {
-        Caller::Key(identity) if !host.key_stands(identity.key) => {
+        Caller::Key(identity) if !host.accepts_key(identity.key) => {
             return Err(Refusal::new(Reason::KeyWithdrawn, "the key was withdrawn"));
         }
         Caller::Open(route, _) if !document.routes.contains_key(route) => {
@@ -69,7 +69,7 @@
 
 /// Says whether this host may act on its copy of the shared state now.
 pub fn authority(host: &Host) -> Result<(), Refusal> {
-    if host.authority() {
+    if host.has_authority() {
         return Ok(());
     }
     let detail = "this host's copy of keys and rates is too old to act on";
--- a/crates/host/src/failover/hold.rs
+++ b/crates/host/src/failover/hold.rs
@@ -103,7 +103,7 @@
         self.with(service, |group| group.is_held(now, target)).unwrap_or(false)
     }
 
-    /// The target of `service` whose use has to be reported by [`Failover::used`].
+    /// The target of `service` whose use has to be reported by [`Failover::set_busy`].
     pub(crate) fn held_target(&self, now: Time, service: ServiceId) -> Option<TargetId> {
         self.with(service, |group| {
             let hold = group.hold.as_ref()?;
@@ -118,7 +118,7 @@
     }
 
     /// So many requests use the held target of `service` here, or wait to.
-    pub(crate) fn used(&self, service: ServiceId, busy: u32) {
+    pub(crate) fn set_busy(&self, service: ServiceId, busy: u32) {
         let changed = self.with(service, |group| {
             let hold = group.hold.as_mut()?;
             let changed = (hold.busy == 0) != (busy == 0);
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! [`Failover`] holds, per service, the core's detector and promoter behind one lock. The driver
 //! (see [`driver`]) probes the targets and carries out the machines' actions. The rest of the host
-//! reports the outcomes of work with [`Failover::worked`], tells peers [`Failover::opinions`] with
-//! each heartbeat and at once when [`Failover::changed`] says so, and hands what it hears to
-//! [`Failover::heard`].
+//! reports the outcomes of work with [`Failover::record_work`], tells peers [`Failover::opinions`] with
+//! each heartbeat and at once when [`Failover::opinion_changed`] says so, and hands what it hears to
+//! [`Failover::record_opinions`].
 
 pub mod driver;
 pub mod hold;
@@ -90,12 +90,17 @@
     }
 
     /// Waits until an opinion has changed in a way that peers should hear at once.
-    pub async fn changed(&self) {
+    pub async fn opinion_changed(&self) {
         self.changed.notified().await;
     }
 
     /// Takes what a peer holds against primaries.
-    pub fn heard(&self, now: Time, host: HostId, opinions: &BTreeMap<ServiceId, Opinion>) {
+    pub fn record_opinions(
+        &self,
+        now: Time,
+        host: HostId,
+        opinions: &BTreeMap<ServiceId, Opinion>,
+    ) {
         let mut state = self.lock();
         for (service, opinion) in opinions {
             if let Some(group) = state.groups.get_mut(service) {
@@ -110,7 +115,7 @@
     /// Work on a target ended, well or by the target's own fault.
     ///
     /// An error that the database gives for the statement's sake counts as well done.
-    pub fn worked(&self, now: Time, (service, target): Key, well: bool) {
+    pub fn record_work(&self, now: Time, (service, target): Key, well: bool) {
         if let Some(group) = self.lock().groups.get_mut(&service) {
             group.detector.record_work(now, target, well);
         }
--- a/crates/host/src/fleet/change.rs
+++ b/crates/host/src/fleet/change.rs
@@ -58,7 +58,7 @@
 /// Makes the change that `compose` makes of the base row; none when there is nothing to change.
 ///
 /// `compose` is asked again when another change was accepted first.
-pub async fn run(
+pub async fn apply(
     host: &Arc<Host>,
     mut compose: impl FnMut(Row) -> Result<Option<Proposal>, config::Fault>,
 ) -> Result<Accepted, Fault> {
@@ -69,7 +69,7 @@
             return Err(Fault::NotWritten);
         };
         *turn += 1;
-        let own = host.fleet.own();
+        let own = host.fleet.own_member();
         let author = Author { host: own.host, incarnation: own.incarnation, attempt: *turn };
         let next = base.successor(author);
         let Some(proposal) = compose(next)? else {
@@ -103,7 +103,7 @@
         let next = document.with_change(&change)?;
         let digest = store_document(host, &next).await?;
         let body = Body::Change(change);
-        let accepted = run(host, |row| {
+        let accepted = apply(host, |row| {
             let same = row.version == document.version;
             let row = row.with_config(next.version, digest.clone());
             Ok(same.then(|| Proposal { row, body: body.clone() }))
@@ -117,11 +117,11 @@
 }
 
 /// Publishes a whole document, while there is none.
-pub async fn found(host: &Arc<Host>, document: Document) -> Result<Accepted, Fault> {
+pub async fn bootstrap(host: &Arc<Host>, document: Document) -> Result<Accepted, Fault> {
     config::verify(&document)?;
     let digest = store_document(host, &document).await?;
     let version = document.version;
-    let accepted = run(host, |row| {
+    let accepted = apply(host, |row| {
         let none = row.version == 0;
         let row = row.with_config(version, digest.clone());
         Ok(none.then(|| Proposal { row, body: Body::Whole(document.clone()) }))
@@ -154,7 +154,7 @@
     deadline: bergamotvale_core::id::Time,
 ) -> HostResult<(u64, Row)> {
     loop {
-        match follow::read(host).await {
+        match follow::read_row(host).await {
             Ok((version, row)) if row.epoch >= host.fleet.epoch() => return Ok((version, row)),
             Err(error) if host.clock.now() >= deadline => return Err(error),
             _ => tokio::time::sleep(ROUND).await,
--- a/crates/host/src/fleet/follow.rs
+++ b/crates/host/src/fleet/follow.rs
@@ -15,15 +15,15 @@
 const ENTRY_PERIOD: Duration = Duration::from_secs(2);
 
 /// Polls the fleet row until the task is dropped.
-pub async fn run(host: Arc<Host>) {
+pub async fn poll_row(host: Arc<Host>) {
     let mut ticks = interval(host.settings.platform.period);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        if !host.fleet.polls() && host.authority() {
+        if !host.fleet.is_poller() && host.has_authority() {
             continue;
         }
-        if let Err(error) = read(&host).await {
+        if let Err(error) = read_row(&host).await {
             log::debug!("cannot read the fleet row: {error}");
             host.metric.count("platform.poll_failures");
         }
@@ -31,7 +31,7 @@
 }
 
 /// Reads the fleet row and moves to it. Answers the row's version in the table, and the row.
-pub async fn read(host: &Arc<Host>) -> Result<(u64, Row)> {
+pub async fn read_row(host: &Arc<Host>) -> Result<(u64, Row)> {
     let sent = host.clock.now();
     let found = host.platform.row(CONFIG_ROW).await?;
     let version = found.as_ref().map_or(0, |row| row.version);
@@ -39,7 +39,7 @@
         Some(found) => serde_json::from_value(found.value)?,
         None => Row::default(),
     };
-    host.fleet.read(sent, row.epoch);
+    host.fleet.record_read(sent, row.epoch);
     if row.epoch > host.fleet.epoch() {
         move_to(host, row.clone()).await?;
     }
@@ -64,12 +64,12 @@
 }
 
 /// Keeps this host on the platform's list until the task is dropped.
-pub async fn enter(host: Arc<Host>) {
+pub async fn register(host: Arc<Host>) {
     let mut ticks = interval(ENTRY_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let own = host.fleet.own();
+        let own = host.fleet.own_member();
         if own.leaving {
             continue;
         }
@@ -81,7 +81,7 @@
 }
 
 /// Follows the platform's list, as far as it is this host's task, until the task is dropped.
-pub async fn list(host: Arc<Host>) {
+pub async fn poll_host_list(host: Arc<Host>) {
     let mut ticks = interval(LIST_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
--- a/crates/host/src/fleet/beat.rs
+++ b/crates/host/src/fleet/heartbeat.rs
@@ -22,10 +22,10 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
-            () = host.failover.changed() => {}
+            () = host.failover.opinion_changed() => {}
         }
         for member in host.fleet.probes() {
-            host.peers.meet(&member);
+            host.peers.update_address(&member);
             if begin(&outstanding, member.host) {
                 beats.spawn(beat(host.clone(), member.host, outstanding.clone()));
             }
@@ -56,7 +56,7 @@
         Ok(answer) => {
             let now = host.clock.now();
             host.fleet.answered(now, sent, &answer);
-            host.took(now, &answer);
+            host.process_heartbeat(now, &answer);
         }
         Err(fault) => {
             log::debug!("heartbeat to host {peer}: {fault}");
--- a/crates/host/src/fleet/leave.rs
+++ b/crates/host/src/fleet/leave.rs
@@ -15,7 +15,7 @@
 pub async fn announce(host: &Arc<Host>) {
     host.fleet.leave();
     host.leaving.send_replace(true);
-    let own = host.fleet.own();
+    let own = host.fleet.own_member();
     let delete = host.platform.delete_host(own.host, own.incarnation);
     match tokio::time::timeout(TIMEOUT, delete).await {
         Ok(Ok(())) => {}
@@ -25,7 +25,7 @@
 }
 
 /// Waits until open transactions have ended, at most for `timeout`.
-pub async fn finish(host: &Host, timeout: Duration) {
+pub async fn finish_transactions(host: &Host, timeout: Duration) {
     let until = host.clock.now() + timeout;
     while !host.data.transactions.is_empty() && host.clock.now() < until {
         tokio::time::sleep(PERIOD).await;
@@ -38,9 +38,9 @@
 }
 
 /// Leaves the member table, so that others take this host's shares over.
-pub async fn hand_over(host: &Arc<Host>) {
-    let own = host.fleet.own();
-    let leave = change::run(host, |row| {
+pub async fn remove_member(host: &Arc<Host>) {
+    let own = host.fleet.own_member();
+    let leave = change::apply(host, |row| {
         let recorded = row.members.get(&own.host);
         if recorded.is_none_or(|member| member.incarnation != own.incarnation) {
             return Ok(None);
--- a/crates/host/src/fleet/loan.rs
+++ b/crates/host/src/fleet/loan.rs
@@ -15,7 +15,7 @@
 const PERIOD: Duration = Duration::from_millis(25);
 
 /// Asks for the tokens that the limiter wants, until the task is dropped.
-pub async fn tokens(host: Arc<Host>) {
+pub async fn request_tokens(host: Arc<Host>) {
     let taken = host.asks.lock().expect("no holder of the lock panics").take();
     let Some(mut asks) = taken else { return };
     let mut calls = JoinSet::new();
@@ -41,7 +41,7 @@
 }
 
 /// Moves connection slots to demand, until the task is dropped.
-pub async fn slots(host: Arc<Host>) {
+pub async fn balance_slots(host: Arc<Host>) {
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut calls = JoinSet::new();
--- a/crates/host/src/fleet/upkeep.rs
+++ b/crates/host/src/fleet/maintenance.rs
@@ -32,7 +32,7 @@
 /// Makes the change that is due now, if any.
 async fn perform(host: &Arc<Host>) -> Result<(), change::Fault> {
     // A row that no host has written names a document that is not here yet.
-    let seeded = match follow::read(host).await {
+    let seeded = match follow::read_row(host).await {
         Ok((_, row)) if row.epoch == 0 && row.version > 0 => {
             let document = follow::document(host, &row).await;
             Some(document.map_err(|_| change::Fault::NotWritten)?)
@@ -40,10 +40,10 @@
         Ok(_) => None,
         Err(_) => return Err(change::Fault::NotWritten),
     };
-    change::run(host, |next| {
+    change::apply(host, |next| {
         let Some(duty) = host.fleet.duty(host.clock.now()) else { return Ok(None) };
         log::info!("{duty:?} due at epoch {}", next.epoch);
-        let row = duty.apply(next, &host.fleet.own());
+        let row = duty.apply(next, &host.fleet.own_member());
         let body = match &seeded {
             Some(document) if row.epoch == 1 => Body::Whole(document.clone()),
             _ => Body::None,
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -1,17 +1,17 @@
 //! This host's part in the fleet: membership, configuration, authority.
 //!
-//! [`Fleet`] keeps the core's machines behind one lock. [`beat`] exchanges heartbeats, [`follow`]
+//! [`Fleet`] keeps the core's machines behind one lock. [`heartbeat`] exchanges heartbeats, [`follow`]
 //! reads the platform, [`push`] spreads what was accepted, [`change`] writes the fleet row,
-//! [`upkeep`] makes the changes that hosts make on their own, and [`loan`] asks peers for tokens
+//! [`maintenance`] makes the changes that hosts make on their own, and [`loan`] asks peers for tokens
 //! and connection slots.
 
-pub mod beat;
 pub mod change;
 pub mod follow;
+pub mod heartbeat;
 pub mod leave;
 pub mod loan;
+pub mod maintenance;
 pub mod push;
-pub mod upkeep;
 
 use crate::settings::{Defect, Settings};
 use crate::shared::Host;
@@ -55,12 +55,12 @@
     /// Count of divisions, see [`Count`].
     pub generation: u64,
     /// End of the present authority.
-    pub until: Time,
+    pub deadline: Time,
 }
 
 /// This host's authority, as operators see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Standing {
+pub struct Authority {
     /// Whether it may act.
     pub held: bool,
     /// Age of its newest proof.
@@ -71,7 +71,7 @@
 
 /// A member as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Seen {
+pub struct MemberStatus {
     /// Who.
     pub member: Member,
     /// Version that it last said it acts on.
@@ -110,7 +110,7 @@
     }
 
     /// This host as its peers know it.
-    pub fn own(&self) -> Member {
+    pub fn own_member(&self) -> Member {
         self.lock().own.clone()
     }
 
@@ -135,7 +135,7 @@
     }
 
     /// Time at which the row in force here was adopted.
-    pub fn adopted(&self) -> Time {
+    pub fn adopted_at(&self) -> Time {
         self.lock().adopted
     }
 
@@ -145,9 +145,9 @@
     }
 
     /// This host's authority.
-    pub fn standing(&self, now: Time) -> Standing {
+    pub fn authority(&self, now: Time) -> Authority {
         let state = self.lock();
-        Standing {
+        Authority {
             held: state.holder.is_held(now),
             age: state.holder.age(now),
             source: state.holder.source(now),
@@ -163,7 +163,7 @@
         Division {
             members: state.divisions.members().clone(),
             generation: state.divisions.generation(),
-            until: age.map_or(Time::ZERO, |age| now.saturating_sub(age) + self.validity),
+            deadline: age.map_or(Time::ZERO, |age| now.saturating_sub(age) + self.validity),
         }
     }
 
@@ -173,20 +173,20 @@
     }
 
     /// Recorded members with what is seen of them; this host first.
-    pub fn members(&self, now: Time) -> Vec<Seen> {
+    pub fn members(&self, now: Time) -> Vec<MemberStatus> {
         let state = self.lock();
         let row = state.replica.row();
         let seen = |member: &Member| {
             if member.host == state.own.host {
                 let silence = Some(Duration::ZERO);
-                return Seen { member: state.own.clone(), version: row.version, silence };
+                return MemberStatus { member: state.own.clone(), version: row.version, silence };
             }
             let peer = state.view.peers().get(&member.host);
             let silence =
                 peer.filter(|p| p.has_answered).map(|p| now.saturating_sub(p.last_received));
             let mut member = member.clone();
             member.leaving |= peer.is_some_and(|p| p.member.leaving);
-            Seen { member, version: peer.map_or(0, |p| p.version), silence }
+            MemberStatus { member, version: peer.map_or(0, |p| p.version), silence }
         };
         row.members.values().map(seen).collect()
     }
@@ -203,7 +203,7 @@
     }
 
     /// A read of the store, sent at `sent`, found `epoch`.
-    fn read(&self, sent: Time, epoch: Epoch) {
+    fn record_read(&self, sent: Time, epoch: Epoch) {
         self.lock().holder.record_read(sent, epoch);
     }
 
@@ -234,7 +234,7 @@
     }
 
     /// Whether this host is among those that poll the store.
-    pub fn polls(&self) -> bool {
+    pub fn is_poller(&self) -> bool {
         let state = self.lock();
         let members = &state.replica.row().members;
         member::is_poller(members, state.own.host, member::POLLERS_PER_DOMAIN)
@@ -258,15 +258,15 @@
 
 impl Host {
     /// Whether this host may act on the shared state now.
-    pub fn authority(&self) -> bool {
+    pub fn has_authority(&self) -> bool {
         self.fleet.held(self.clock.now())
     }
 
     /// Whether the key still works and this host may say so; to be asked right before any byte of
     /// a request leaves for a target.
-    pub fn key_stands(&self, id: KeyId) -> bool {
+    pub fn accepts_key(&self, id: KeyId) -> bool {
         let ignored = self.settings.policy.defects.contains(&Defect::IgnoreWithdrawal);
-        ignored || (self.authority() && key::is_active(&self.document(), id))
+        ignored || (self.has_authority() && key::is_active(&self.document(), id))
     }
 
     /// This host's heartbeat.
@@ -286,16 +286,16 @@
     }
 
     /// Takes a peer's heartbeat.
-    pub fn heard(self: &Arc<Host>, heartbeat: &Heartbeat) {
+    pub fn record_heartbeat(self: &Arc<Host>, heartbeat: &Heartbeat) {
         let now = self.clock.now();
         self.fleet.lock().view.record_heartbeat(now, heartbeat);
-        self.took(now, heartbeat);
+        self.process_heartbeat(now, heartbeat);
     }
 
     /// What follows from any heartbeat, sent or answered.
-    fn took(self: &Arc<Host>, now: Time, heartbeat: &Heartbeat) {
-        self.peers.meet(&heartbeat.member);
-        self.failover.heard(now, heartbeat.member.host, &heartbeat.opinions);
+    fn process_heartbeat(self: &Arc<Host>, now: Time, heartbeat: &Heartbeat) {
+        self.peers.update_address(&heartbeat.member);
+        self.failover.record_opinions(now, heartbeat.member.host, &heartbeat.opinions);
         if heartbeat.epoch > self.fleet.epoch() {
             push::catch_up(self, heartbeat.member.host);
         }
@@ -349,7 +349,7 @@
     /// Tells peers' connections and failover who the members are.
     fn divide(&self, members: &BTreeMap<HostId, Member>) {
         for member in members.values().filter(|m| m.host != self.settings.host) {
-            self.peers.meet(member);
+            self.peers.update_address(member);
         }
         let domains = members.values().map(|m| (m.host, m.failure_domain)).collect();
         self.failover.set_members(domains);
--- a/crates/host/src/peer/mod.rs
+++ b/crates/host/src/peer/mod.rs
@@ -54,7 +54,7 @@
 #[derive(Default)]
 pub struct Peers {
     links: Mutex<BTreeMap<HostId, Link>>,
-    cut: Mutex<BTreeSet<HostId>>,
+    blocked: Mutex<BTreeSet<HostId>>,
 }
 
 struct Link {
@@ -71,7 +71,7 @@
     }
 
     /// Notes where a peer is; a later run of it replaces an earlier one.
-    pub fn meet(&self, member: &Member) {
+    pub fn update_address(&self, member: &Member) {
         let mut links = self.lock();
         let known = links.get(&member.host);
         if known.is_some_and(|link| link.incarnation >= member.incarnation) {
@@ -87,8 +87,8 @@
     }
 
     /// Loses every call to these peers, as a partition would; for tests.
-    pub fn set_cut(&self, cut: BTreeSet<HostId>) {
-        *self.cut.lock().expect("no holder of the lock panics") = cut;
+    pub fn set_blocked(&self, blocked: BTreeSet<HostId>) {
+        *self.blocked.lock().expect("no holder of the lock panics") = blocked;
     }
 
     /// Calls `host`, at most for `timeout`.
@@ -102,7 +102,7 @@
         F: FnOnce(PeerClient, Context) -> Fut,
         Fut: Future<Output = std::result::Result<T, RpcError>>,
     {
-        if self.cut.lock().expect("no holder of the lock panics").contains(&host) {
+        if self.blocked.lock().expect("no holder of the lock panics").contains(&host) {
             tokio::time::sleep(timeout).await;
             return Err(Fault::Call(RpcError::DeadlineExceeded));
         }
--- a/crates/host/src/peer/server.rs
+++ b/crates/host/src/peer/server.rs
@@ -47,7 +47,7 @@
 
 impl Peer for Server {
     async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
-        self.host.heard(&heartbeat);
+        self.host.record_heartbeat(&heartbeat);
         self.host.heartbeat()
     }
 
@@ -65,14 +65,14 @@
     }
 
     async fn lend_tokens(self, _: Context, request: TokenRequest) -> u32 {
-        if !self.host.authority() || self.host.is_stopping() {
+        if !self.host.has_authority() || self.host.is_stopping() {
             return 0;
         }
         self.host.limiter.lend(&request)
     }
 
     async fn lend_slots(self, _: Context, request: SlotRequest) -> u32 {
-        if !self.host.authority() {
+        if !self.host.has_authority() {
             return 0;
         }
         self.host.pools.lend(&self.host, &request)
--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -78,7 +78,7 @@
     /// A broken connection and an internal error are the target's fault; an error for the
     /// statement's sake is not, and counts as well done.
     pub fn worked(&self, now: Time, key: Key, well: bool) {
-        self.failover.worked(now, key, well);
+        self.failover.record_work(now, key, well);
     }
 
     /// Work on a target timed out, which may be the statement's fault.
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -55,7 +55,7 @@
             host.pools.inner.ensure(host, key, target);
             let part = part(host, key, target, &division.members);
             host.pools.inner.with(key, |entry| {
-                entry.ledger.extend_authority(division.until);
+                entry.ledger.extend_authority(division.deadline);
                 entry.ledger.set_share(now, division.generation, part);
             });
         }
@@ -89,7 +89,7 @@
     pool::perform(host, key, actions.unwrap_or_default());
     if host.failover.held_target(now, key.0) == Some(key.1) {
         let busy = host.pools.inner.with(key, |entry| entry.in_use()).unwrap_or(0);
-        host.failover.used(key.0, u32::try_from(busy).unwrap_or(u32::MAX));
+        host.failover.set_busy(key.0, u32::try_from(busy).unwrap_or(u32::MAX));
     }
 }
 
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -21,7 +21,7 @@
 pub(crate) const KEY: &str = "bv_1_s3cret-of-the-mill";
 pub(crate) const OTHER_KEY: &str = "bv_2_s3cret-of-the-glove";
 /// Time within which anything that should happen has happened.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 const SALT: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 const SCHEMA: &str = "CREATE TABLE bolts (id bigint PRIMARY KEY, metres bigint NOT NULL)";
@@ -78,17 +78,22 @@
     }
 
     pub(crate) async fn host_with(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
-        let host = self.bare_host(id, change).await;
+        let host = self.unconfigured_host(id, change).await;
         self.found(&host).await;
-        until("a primary is known", || host.daemon.host.pools.primary(SERVICE).is_some()).await;
+        wait_until("a primary is known", || host.daemon.host.pools.primary(SERVICE).is_some())
+            .await;
         let views = || host.daemon.host.pools.views(SERVICE).len() == 3;
-        until("all targets are known", views).await;
+        wait_until("all targets are known", views).await;
         host.warm_up().await;
         host
     }
 
     /// A host that has only just started.
-    pub(crate) async fn bare_host(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
+    pub(crate) async fn unconfigured_host(
+        &self,
+        id: u32,
+        change: impl FnOnce(&mut Settings),
+    ) -> Host {
         let mut settings = settings(id, self.platform.address());
         change(&mut settings);
         let scheme = if settings.tls.callers.is_some() { "https" } else { "http" };
@@ -109,8 +114,8 @@
 
     /// Publishes the first configuration, unless it is there.
     async fn found(&self, host: &Host) {
-        let deadline = tokio::time::Instant::now() + PATIENCE;
-        while let Err(fault) = change::found(&host.daemon.host, self.document.clone()).await {
+        let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
+        while let Err(fault) = change::bootstrap(&host.daemon.host, self.document.clone()).await {
             if host.daemon.host.document().version > 0 {
                 return;
             }
@@ -153,9 +158,9 @@
     ///
     /// A new host lives on loans until the old division is out of force.
     async fn warm_up(&self) {
-        let deadline = tokio::time::Instant::now() + PATIENCE;
+        let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
         let has_part = || self.daemon.host.limiter.part(ACCOUNT).0 > 0;
-        until("the host has a part of the rates", has_part).await;
+        wait_until("the host has a part of the rates", has_part).await;
         while self.read("SELECT 1").send().await.status != 200 {
             assert!(tokio::time::Instant::now() < deadline, "the host serves no read");
         }
@@ -258,8 +263,8 @@
 }
 
 /// Waits until `holds`.
-pub(crate) async fn until(what: &str, holds: impl Fn() -> bool) {
-    let deadline = tokio::time::Instant::now() + PATIENCE;
+pub(crate) async fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
     while !holds() {
         assert!(tokio::time::Instant::now() < deadline, "in vain: {what}");
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -286,7 +291,7 @@
         (number as u16, target)
     });
     let service =
-        Service { name: "mill".into(), targets: targets.collect(), retention: PATIENCE * 100 };
+        Service { name: "mill".into(), targets: targets.collect(), retention: WAIT_TIMEOUT * 100 };
     let account = |name: &str| Account {
         name: name.into(),
         rate: 100_000,
--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bergamotvale_host::settings::{Defect, Failover, Settings};
-use common::{Answer, Call, Fixture, Host, KEY, SERVICE, until};
+use common::{Answer, Call, Fixture, Host, KEY, SERVICE, wait_until};
 use serde_json::json;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -88,7 +88,7 @@
     with_one_bolt(&first).await;
     fixture.group.target(0).drop_commit_responses(1);
     let sending = tokio::spawn(next_bolt(&first, Some("bolt-1")).try_send());
-    until("the write is committed", || fixture.bolts() == 2).await;
+    wait_until("the write is committed", || fixture.bolts() == 2).await;
     drop(first);
     let lost = sending.await.expect("a result");
 
@@ -106,7 +106,7 @@
 
     let call = host.write(SLOW_INSERT).with_header("bergamotvale-timeout", "3s");
     let sending = tokio::spawn(call.send());
-    until("the statement runs", || host.daemon.host.data.in_flight((1, 0)) > 0).await;
+    wait_until("the statement runs", || host.daemon.host.data.in_flight((1, 0)) > 0).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     fixture.group.target(0).silence_connections();
     let answer = sending.await.expect("an answer");
@@ -125,7 +125,7 @@
     let taken = || host.daemon.host.data.in_flight((SERVICE, 0)) as usize;
     let slow = || host.write(SLOW_INSERT).with_header("bergamotvale-timeout", "30s").try_send();
     let fillers: Vec<_> = (0..limit).map(|_| tokio::spawn(slow())).collect();
-    until("all connections are taken", || taken() >= limit).await;
+    wait_until("all connections are taken", || taken() >= limit).await;
 
     primary.partition(&[1, 2]);
     primary.set_callers_blocked(true);
@@ -159,7 +159,7 @@
         reasons.push((answer.reason().to_owned(), answer.ran().to_owned()));
     }
     let fresh = host.read(COUNT).with_header("bergamotvale-timeout", "500ms");
-    until("the primary's authority is old", || {
+    wait_until("the primary's authority is old", || {
         let views = host.daemon.host.pools.views(1);
         views[&0].status.age > Duration::from_secs(1)
     })
@@ -171,8 +171,10 @@
     assert_eq!((stale.status, stale.reason()), (503, "not_fresh"));
 
     fixture.group.target(0).heal();
-    until("writes are confirmed again", || fixture.group.target(0).confirmed_position().index > 2)
-        .await;
+    wait_until("writes are confirmed again", || {
+        fixture.group.target(0).confirmed_position().index > 2
+    })
+    .await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     host.write(INSERT).with_param(json!(9)).send().await.ok();
 }
@@ -295,9 +297,9 @@
     let host = fixture.host(1).await;
 
     let socket = open_request(&host, "/v1/services/mill/write", SLOW_INSERT).await;
-    until("the statement runs", || host.daemon.host.data.in_flight((1, 0)) > 0).await;
+    wait_until("the statement runs", || host.daemon.host.data.in_flight((1, 0)) > 0).await;
     drop(socket);
-    until("the caller is missed", || host.counter("caller.gone") == 1).await;
+    wait_until("the caller is missed", || host.counter("caller.gone") == 1).await;
     // The stand-in runs one write at a time: this one would wait for a minute.
     host.write(INSERT).with_param(json!(2)).send().await.ok();
 
@@ -342,7 +344,7 @@
     host.step(&id, "run").with_sql("INSERT INTO bolts VALUES (1, 40)").send().await.ok();
 
     fixture.withdraw(&host, 1).await;
-    until("the transaction is ended", || host.daemon.host.data.transactions.is_empty()).await;
+    wait_until("the transaction is ended", || host.daemon.host.data.transactions.is_empty()).await;
     let step = host.step(&id, "commit").send().await;
     let read = host.read(COUNT).send().await;
     let other = host.write(INSERT).with_param(json!(2)).with_key(common::OTHER_KEY).send().await;
@@ -361,7 +363,7 @@
     let id = host.begin().await;
     host.step(&id, "run").with_sql("INSERT INTO bolts VALUES (1, 40)").send().await.ok();
 
-    until("the transaction is ended", || host.daemon.host.data.transactions.is_empty()).await;
+    wait_until("the transaction is ended", || host.daemon.host.data.transactions.is_empty()).await;
     let commit = host.step(&id, "commit").send().await;
     host.write(INSERT).with_param(json!(2)).send().await.ok();
 
@@ -442,7 +444,7 @@
     let id = first.begin().await;
     let slow = "INSERT INTO bolts (id, metres) SELECT 1, length(pg_sleep(1))";
     let running = tokio::spawn(second.write(slow).send());
-    until("the statement runs", || second.daemon.host.data.in_flight((1, 0)) > 0).await;
+    wait_until("the statement runs", || second.daemon.host.data.in_flight((1, 0)) > 0).await;
     let commit = first.step(&id, "commit").with_header("bergamotvale-timeout", "9s");
     let begun = second.begin().await;
 
--- a/crates/host/tests/failover/mod.rs
+++ b/crates/host/tests/failover/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses the part that it needs")]
 
-use crate::common::{Fixture, Host, KEY, PATIENCE, SERVICE, until};
+use crate::common::{Fixture, Host, KEY, SERVICE, WAIT_TIMEOUT, wait_until};
 use bergamotvale_host::settings::Settings;
 use bergamotvale_standin::group::{Options, Value as Cell};
 use futures::future::join_all;
@@ -32,7 +32,7 @@
 /// Callers that are in a hurry.
 const HURRIED: Patience = Patience { timeout: "1s", give_up: Duration::from_secs(3) };
 /// Callers that outwait whatever a slow machine does.
-const PATIENT: Patience = Patience { timeout: "30s", give_up: PATIENCE };
+const PATIENT: Patience = Patience { timeout: "30s", give_up: WAIT_TIMEOUT };
 /// Patient callers of each host.
 const CALLERS: i64 = 4;
 /// Time between two writes of the callers together.
@@ -56,10 +56,10 @@
     hosts.extend(join_all((2..=HOSTS).map(|id| fixture.host_with(id, change))).await);
     let fleet = Fleet { fixture, hosts };
     let all = |host: &Host| host.daemon.host.failover.members().len() == HOSTS as usize;
-    until("all hosts know each other", || fleet.hosts.iter().all(all)).await;
+    wait_until("all hosts know each other", || fleet.hosts.iter().all(all)).await;
     let shares =
         |host: &Host| (0..3).all(|id| host.daemon.host.pools.share((SERVICE, id)) >= SHARE);
-    until("all hosts have their shares", || fleet.hosts.iter().all(shares)).await;
+    wait_until("all hosts have their shares", || fleet.hosts.iter().all(shares)).await;
     fleet
 }
 
@@ -83,7 +83,7 @@
             let leads = self.fixture.group.target(usize::from(first)).is_primary();
             (agree && leads).then_some(usize::from(first))
         };
-        until("all hosts know one primary", || agreed().is_some()).await;
+        wait_until("all hosts know one primary", || agreed().is_some()).await;
         agreed().expect("they agree")
     }
 
@@ -98,7 +98,7 @@
             let targets = self.fixture.group.targets().iter();
             targets.map(|target| target.accepted_term()).collect::<BTreeSet<_>>()
         };
-        until("all targets follow one term", || terms().len() == 1).await;
+        wait_until("all targets follow one term", || terms().len() == 1).await;
     }
 
     /// Starts callers that write one row after the other, on all hosts in turn.
@@ -162,7 +162,11 @@
         let before = self.lock().acknowledged.len();
         let start = Instant::now();
         while self.lock().acknowledged.len() < before + count {
-            assert!(start.elapsed() < PATIENCE, "writes are refused: {:?}", self.lock().refused);
+            assert!(
+                start.elapsed() < WAIT_TIMEOUT,
+                "writes are refused: {:?}",
+                self.lock().refused
+            );
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
--- a/crates/host/tests/failover_promotion.rs
+++ b/crates/host/tests/failover_promotion.rs
@@ -4,7 +4,7 @@
 mod failover;
 
 use bergamotvale_host::failover::planned;
-use common::{SERVICE, until};
+use common::{SERVICE, wait_until};
 use failover::{Fleet, Log, Writers, fleet, lenient_fleet, steady_fleet};
 use std::time::{Duration, Instant};
 
@@ -121,7 +121,7 @@
     rebuilt.rebuild();
     // The target itself is asked: what hosts know of it may be older than the rebuild, and without
     // its vote the last replica alone is no majority.
-    until("the rebuilt target counts again", || rebuilt.is_voter()).await;
+    wait_until("the rebuilt target counts again", || rebuilt.is_voter()).await;
     fleet.fixture.group.target(0).kill();
     writers.progress(100).await;
 
--- a/crates/host/tests/failover_races.rs
+++ b/crates/host/tests/failover_races.rs
@@ -8,7 +8,7 @@
 use bergamotvale_host::settings;
 use bergamotvale_standin::group::Options;
 use bergamotvale_standin::link::Relay;
-use common::{PATIENCE, SERVICE};
+use common::{SERVICE, WAIT_TIMEOUT};
 use failover::{Fleet, HOSTS, Writers, fleet, fleet_with, lenient_fleet};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -32,7 +32,7 @@
     let peers = HOSTS as usize - 1;
     // A connection that was being opened directly may still come in: then once more.
     while relays.iter().any(|relay| relay.connections() < peers) {
-        assert!(start.elapsed() < PATIENCE, "hosts do not use the relays");
+        assert!(start.elapsed() < WAIT_TIMEOUT, "hosts do not use the relays");
         relay_all(fleet, &relays);
         tokio::time::sleep(Duration::from_millis(500)).await;
     }
@@ -47,7 +47,7 @@
             if peer.settings.host == host.daemon.host.settings.host {
                 continue;
             }
-            host.daemon.host.peers.meet(&Member {
+            host.daemon.host.peers.update_address(&Member {
                 host: peer.settings.host,
                 incarnation: peer.incarnation,
                 peer_address: relay.address(),
--- a/crates/host/tests/fleet/mod.rs
+++ b/crates/host/tests/fleet/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses the part that it needs")]
 
-use crate::common::{Fixture, Host, PATIENCE};
+use crate::common::{Fixture, Host, WAIT_TIMEOUT};
 use bergamotvale_host::auth;
 use bergamotvale_host::settings::{Operator, Settings};
 use bergamotvale_host::shared;
@@ -51,7 +51,7 @@
 pub(crate) async fn bare() -> Fleet {
     let turn = TURNS.acquire().await.expect("never closed");
     let fixture = Fixture::new().await;
-    let host = fixture.bare_host(1, operated).await;
+    let host = fixture.unconfigured_host(1, operated).await;
     let fleet = Fleet { _turn: turn, fixture, hosts: vec![host] };
     fleet.settle().await;
     fleet
@@ -76,8 +76,9 @@
     /// Waits until every host has authority and sees every host in the member table.
     pub(crate) async fn settle(&self) {
         let count = self.hosts.len();
-        let ready =
-            |host: &Arc<shared::Host>| host.authority() && host.fleet.row().members.len() == count;
+        let ready = |host: &Arc<shared::Host>| {
+            host.has_authority() && host.fleet.row().members.len() == count
+        };
         self.wait("all hosts with authority", || self.all().all(ready)).await;
     }
 
@@ -107,7 +108,7 @@
     pub(crate) async fn wait(&self, what: &str, mut done: impl FnMut() -> bool) {
         let start = Instant::now();
         while !done() {
-            assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
+            assert!(start.elapsed() < WAIT_TIMEOUT, "waited in vain for {what}");
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
@@ -158,7 +159,7 @@
                 true => all.filter(|host| *host != own).collect(),
                 false => BTreeSet::from([own]),
             };
-            host.peers.set_cut(if cut { lost } else { BTreeSet::new() });
+            host.peers.set_blocked(if cut { lost } else { BTreeSet::new() });
         }
     }
 
@@ -186,7 +187,7 @@
             if got == (status, reason.to_owned()) {
                 return;
             }
-            assert!(start.elapsed() < PATIENCE, "host {number}: still {got:?}, not {reason}");
+            assert!(start.elapsed() < WAIT_TIMEOUT, "host {number}: still {got:?}, not {reason}");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
@@ -199,7 +200,7 @@
             if plan["state"] == "done" || plan["state"] == "failed" {
                 return plan;
             }
-            assert!(start.elapsed() < PATIENCE, "plan did not end: {plan}");
+            assert!(start.elapsed() < WAIT_TIMEOUT, "plan did not end: {plan}");
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
--- a/crates/host/tests/fleet_authority.rs
+++ b/crates/host/tests/fleet_authority.rs
@@ -65,8 +65,8 @@
 
     fleet.fault(|fault| fault.outage = true);
     let by_peers = || {
-        let standing = fleet.host(1).fleet.standing(fleet.host(1).clock.now());
-        standing.held && standing.source.is_some_and(|source| source != Source::Store)
+        let authority = fleet.host(1).fleet.authority(fleet.host(1).clock.now());
+        authority.held && authority.source.is_some_and(|source| source != Source::Store)
     };
     fleet.wait("authority without the store", by_peers).await;
     let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
@@ -89,7 +89,7 @@
     fleet.fault(|fault| fault.hang = true);
     tokio::time::sleep(std::time::Duration::from_secs(3)).await;
 
-    assert!(fleet.all().all(|host| host.authority()));
+    assert!(fleet.all().all(|host| host.has_authority()));
     fleet.fault(|fault| fault.hang = false);
     let (status, body) = fleet.post_as_alice(0, WITHDRAW_OTHER, json!({})).await;
     assert_eq!(status, 200, "{body}");
--- a/crates/host/tests/limits.rs
+++ b/crates/host/tests/limits.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bergamotvale_host::settings::Settings;
-use common::{Fixture, Host, KEY, PATIENCE};
+use common::{Fixture, Host, KEY, WAIT_TIMEOUT};
 use serde_json::json;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -26,7 +26,7 @@
 /// Everything that the host sends until it closes the connection.
 async fn read_to_close(stream: &mut TcpStream) -> String {
     let mut text = Vec::new();
-    let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut text)).await;
+    let read = tokio::time::timeout(WAIT_TIMEOUT, stream.read_to_end(&mut text)).await;
     // A reset closes as well.
     let _ = read.expect("the host closes the connection");
     String::from_utf8_lossy(&text).into_owned()
--- a/crates/host/tests/outside.rs
+++ b/crates/host/tests/outside.rs
@@ -8,7 +8,7 @@
 use bergamotvale_host::front::body;
 use bergamotvale_host::platform::{Listed, Row};
 use bergamotvale_host::settings::Settings;
-use common::{Fixture, KEY, PATIENCE};
+use common::{Fixture, KEY, WAIT_TIMEOUT};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::Index;
@@ -335,7 +335,7 @@
             let mut stream = TcpStream::connect(address).await.expect("a connection");
             stream.write_all(beginning.as_bytes()).await.expect("sent");
             let mut answer = Vec::new();
-            let ended = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+            let ended = tokio::time::timeout(WAIT_TIMEOUT, stream.read_to_end(&mut answer)).await;
 
             assert!(ended.is_ok(), "{address} keeps the connection after {beginning:?}");
         }
--- a/crates/host/tests/path.rs
+++ b/crates/host/tests/path.rs
@@ -25,7 +25,7 @@
     let host = fixture.host(1).await;
     let slow = host.read("SELECT pg_sleep(1)").with_header("bergamotvale-timeout", "20s");
     let running = tokio::spawn(slow.send());
-    common::until("the statement runs", || host.daemon.requests() > 0).await;
+    common::wait_until("the statement runs", || host.daemon.requests() > 0).await;
 
     host.daemon.stop().await;
     let answer = running.await.expect("no panic");
--- a/crates/host/tests/process/mod.rs
+++ b/crates/host/tests/process/mod.rs
@@ -1,6 +1,6 @@
 //! Hosts as processes of their own, over stand-ins in the test's process.
 
-use crate::support::{self, KEY, OTHER_KEY, PATIENCE, SERVICE};
+use crate::support::{self, KEY, OTHER_KEY, SERVICE, WAIT_TIMEOUT};
 use bergamotvale_host::auth;
 use bergamotvale_standin::group::{self, Group};
 use bergamotvale_standin::platform;
@@ -99,7 +99,7 @@
             if let Some(status) = self.child.try_wait().expect("the process is ours") {
                 return status;
             }
-            assert!(start.elapsed() < PATIENCE, "the process does not end");
+            assert!(start.elapsed() < WAIT_TIMEOUT, "the process does not end");
             tokio::time::sleep(PAUSE).await;
         }
     }
@@ -143,7 +143,7 @@
             if matches!(put, Some(200..=299)) {
                 return;
             }
-            assert!(start.elapsed() < PATIENCE, "no first configuration: {put:?}");
+            assert!(start.elapsed() < WAIT_TIMEOUT, "no first configuration: {put:?}");
             tokio::time::sleep(PAUSE).await;
         }
     }
@@ -165,7 +165,7 @@
         let path = "keys/2/withdraw";
         let start = Instant::now();
         while self.operate(number, reqwest::Method::POST, path, &json!({})).await != Some(200) {
-            assert!(start.elapsed() < PATIENCE, "the key is not withdrawn");
+            assert!(start.elapsed() < WAIT_TIMEOUT, "the key is not withdrawn");
             tokio::time::sleep(PAUSE).await;
         }
     }
@@ -215,7 +215,7 @@
                 if reply.status == 200 {
                     return reply;
                 }
-                assert!(start.elapsed() < PATIENCE, "{id}: {reply:?}");
+                assert!(start.elapsed() < WAIT_TIMEOUT, "{id}: {reply:?}");
             }
             tokio::time::sleep(PAUSE).await;
         }
@@ -238,7 +238,7 @@
             if got == wanted {
                 return;
             }
-            assert!(start.elapsed() < PATIENCE, "host {number}: {got:?}, not {wanted:?}");
+            assert!(start.elapsed() < WAIT_TIMEOUT, "host {number}: {got:?}, not {wanted:?}");
             tokio::time::sleep(PAUSE).await;
         }
     }
--- a/crates/host/tests/process_faults.rs
+++ b/crates/host/tests/process_faults.rs
@@ -12,7 +12,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
-use support::{KEY, OTHER_KEY, PATIENCE, SERVICE};
+use support::{KEY, OTHER_KEY, SERVICE, WAIT_TIMEOUT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -94,7 +94,7 @@
     system.processes[0].signal(Signal::TERM);
     let start = Instant::now();
     while system.is_listed(1).await {
-        assert!(start.elapsed() < PATIENCE, "the host does not leave the list");
+        assert!(start.elapsed() < WAIT_TIMEOUT, "the host does not leave the list");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     listed.set(false);
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -23,7 +23,7 @@
 /// A second client account's key.
 pub const OTHER_KEY: &str = "bv_2_secret-of-another";
 /// Time that a test waits for something that must come.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 const SALT: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
 /// A platform, a database group and hosts.
@@ -104,8 +104,8 @@
 /// Publishes the first configuration, once the host may.
 async fn found(daemon: &Daemon, document: Document) {
     let start = Instant::now();
-    while let Err(fault) = change::found(&daemon.host, document.clone()).await {
-        assert!(start.elapsed() < PATIENCE, "no first configuration: {fault}");
+    while let Err(fault) = change::bootstrap(&daemon.host, document.clone()).await {
+        assert!(start.elapsed() < WAIT_TIMEOUT, "no first configuration: {fault}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
@@ -144,7 +144,7 @@
         let start = Instant::now();
         loop {
             let reply = self.post(number, &path, body.clone(), &[("idempotency-key", id)]).await;
-            if reply.status == 200 || start.elapsed() > PATIENCE {
+            if reply.status == 200 || start.elapsed() > WAIT_TIMEOUT {
                 return reply;
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/host/tests/tls.rs
+++ b/crates/host/tests/tls.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bergamotvale_host::settings::{Identity, Settings};
-use common::{Fixture, Host, PATIENCE, until};
+use common::{Fixture, Host, WAIT_TIMEOUT, wait_until};
 use rcgen::{CertifiedKey, KeyPair, generate_simple_self_signed};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -85,7 +85,7 @@
     stream.write_all(request).await.expect("sent");
     let mut answer = Vec::new();
     // A reset is an end as well.
-    let ended = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+    let ended = tokio::time::timeout(WAIT_TIMEOUT, stream.read_to_end(&mut answer)).await;
     assert!(ended.is_ok(), "the connection stays open");
     String::from_utf8_lossy(&answer).into_owned()
 }
@@ -108,7 +108,7 @@
     let (_fixture, host) = start("silent", quick).await;
 
     let mut stream = TcpStream::connect(host.address).await.expect("a connection");
-    let ended = tokio::time::timeout(PATIENCE, stream.read_u8()).await;
+    let ended = tokio::time::timeout(WAIT_TIMEOUT, stream.read_u8()).await;
 
     assert!(matches!(ended, Ok(Err(_))), "{ended:?}");
 }
@@ -144,9 +144,9 @@
     let slow = host.write(SLOW).with_header("bergamotvale-timeout", "20s");
 
     let running = tokio::spawn(slow.try_send());
-    until("the statement runs", || host.daemon.host.data.in_flight((1, 0)) > 0).await;
+    wait_until("the statement runs", || host.daemon.host.data.in_flight((1, 0)) > 0).await;
     running.abort();
-    until("the caller is missed", || host.counter("caller.gone") == 1).await;
+    wait_until("the caller is missed", || host.counter("caller.gone") == 1).await;
     // The stand-in runs one write at a time: this one would wait for a minute.
     host.write("INSERT INTO bolts VALUES (1, 40)").send().await.ok();
 
@@ -189,7 +189,7 @@
     let (_fixture, host) = start("stop", |_| ()).await;
     let slow = host.read("SELECT pg_sleep(1)").with_header("bergamotvale-timeout", "20s");
     let running = tokio::spawn(slow.send());
-    until("the statement runs", || host.daemon.requests() > 0).await;
+    wait_until("the statement runs", || host.daemon.requests() > 0).await;
 
     host.daemon.stop().await;
     let answer = running.await.expect("no panic");
