--- a/crates/sessions/src/work.rs
+++ b/crates/sessions/src/work.rs
@@ -190,7 +190,8 @@
 /// A lease that has lapsed is waited for only shortly: callers ask other hosts.
 pub async fn wait_primary(
     host: &Host,
-    service: &str, deadline: Instant,
+    service: &str,
+    deadline: Instant,
 ) -> Result<Place, Unavailable> {
     wait_for(host, deadline, || primary_place(host, service)).await
 }
