--- a/crates/host/src/auth.rs
+++ b/crates/host/src/auth.rs
@@ -1,7 +1,7 @@
-//! Checks presented keys against the configuration.
+//! Authenticates callers: checks presented keys against the configuration.
 //!
-//! A key reads `bv_<id>_<secret>`. The configuration holds salt and digest; the comparison takes
-//! the same time wherever the digests differ. A presented key is never logged.
+//! A key has the form `bv_<id>_<secret>`. The configuration holds a salt and a digest; digests are
+//! compared in constant time. A presented key is never logged.
 
 use crate::platform::hex;
 use bergamotvale_core::config::{Document, KeyState};
@@ -12,25 +12,26 @@
 
 const PREFIX: &str = "bv_";
 
-/// Who a presented key speaks for.
+/// The key and client account that a caller has authenticated as.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Identity {
-    /// The key.
+    /// Id of the presented key.
     pub key: KeyId,
-    /// Its client account.
+    /// Client account of the key.
     pub account: AccountId,
 }
 
-/// The identity behind `presented`, the text after `Bearer`.
+/// Identifies the caller by `presented`, the text after `Bearer`; fails if the key is unknown or
+/// withdrawn.
 pub fn identify(document: &Document, presented: &str) -> Result<Identity, Reason> {
     let identity = identify_ignoring_state(document, presented)?;
-    match stands(document, identity) {
+    match is_active(document, identity) {
         true => Ok(identity),
         false => Err(Reason::KeyWithdrawn),
     }
 }
 
-/// The identity behind `presented`, whether or not its key still works.
+/// Identifies the caller like [`identify`], but accepts withdrawn keys.
 pub fn identify_ignoring_state(document: &Document, presented: &str) -> Result<Identity, Reason> {
     let (id, secret) = split(presented).ok_or(Reason::KeyUnknown)?;
     let key = document.keys.get(&id).ok_or(Reason::KeyUnknown)?;
@@ -41,12 +42,12 @@
     Ok(Identity { key: id, account: key.account })
 }
 
-/// Whether `identity` still stands in `document`.
-pub fn stands(document: &Document, identity: Identity) -> bool {
+/// Whether the key of `identity` exists in `document` and is not withdrawn.
+pub fn is_active(document: &Document, identity: Identity) -> bool {
     document.keys.get(&identity.key).is_some_and(|key| key.state == KeyState::Active)
 }
 
-/// SHA-256 of salt and secret, hexadecimal. The salt is hashed as its text.
+/// SHA-256 over the text of the salt and the secret, in hexadecimal.
 pub fn digest(salt: &str, secret: &str) -> String {
     let mut hash = Sha256::new();
     hash.update(salt.as_bytes());
@@ -54,7 +55,7 @@
     hex(&hash.finalize())
 }
 
-/// The secret part of a presented key.
+/// The secret part of a presented key; `None` if the text does not have the form of a key.
 pub fn secret(presented: &str) -> Option<&str> {
     split(presented).map(|(_, secret)| secret)
 }
--- a/crates/host/src/clock.rs
+++ b/crates/host/src/clock.rs
@@ -1,30 +1,30 @@
-//! Monotone time since the process's epoch, as the core counts it.
+//! Monotonic clock, which provides the time in the form that the core uses.
 
 use bergamotvale_core::id::Time;
 use std::time::Instant;
 
-/// Source of [`Time`].
+/// Monotonic clock that counts [`Time`] from its creation.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     epoch: Instant,
 }
 
 impl Clock {
-    /// A clock that starts now.
+    /// A clock whose epoch is now; times of different clocks cannot be compared.
     #[allow(
         clippy::new_without_default,
-        reason = "a clock that is made twice counts from two epochs"
+        reason = "each clock has its own epoch, so construction is to be explicit"
     )]
     pub fn new() -> Clock {
         Clock { epoch: Instant::now() }
     }
 
-    /// Time now.
+    /// Time since the clock's epoch.
     pub fn now(&self) -> Time {
         self.epoch.elapsed()
     }
 
-    /// `time` as the runtime's timers count it.
+    /// Converts `time` to an instant for the runtime's timers.
     pub fn instant(&self, time: Time) -> Instant {
         self.epoch + time
     }
--- a/crates/host/src/exec/confirm.rs
+++ b/crates/host/src/exec/confirm.rs
@@ -1,12 +1,12 @@
-//! Waits until written positions are on a majority.
+//! Waits until committed log positions are confirmed, that is, on a majority of the group.
 //!
-//! All waits of one host for one target share one connection, which asks for the lowest position
-//! that is still waited for; the answer names the highest confirmed one and so settles all below.
-//! The first write to wait hands its own connection over, so that no acknowledgement queues for a
-//! slot; the others give theirs back to the pool before they wait.
+//! All waits of one host for one target share one task and one connection. The task queries for
+//! the lowest position that is still awaited; the response is the highest confirmed position, which
+//! completes all waits up to it. The first write to wait hands its connection to the task, so that
+//! no acknowledgement queues for a slot; later writes release theirs to the pool before waiting.
 
 use super::exchange::position;
-use super::exchange::{self, Loss};
+use super::exchange::{self, Error};
 use super::state::lock;
 use crate::shared::Host;
 use crate::target::{Key, Lease};
@@ -22,22 +22,22 @@
 use tokio::sync::{Notify, oneshot};
 
 const CONFIRMED: &str = "SELECT * FROM group_confirmed($1, $2, $3)";
-/// Time that the target may keep one question.
-const ASK: Duration = Duration::from_millis(100);
-/// Time beyond it after which the connection counts as silent.
-const SILENCE: Duration = Duration::from_millis(400);
-/// Time after which a connection that nobody needs goes back to the pool.
-const IDLE: Duration = Duration::from_millis(100);
+/// Time for which the target may hold one query until the position is confirmed.
+const SERVER_WAIT: Duration = Duration::from_millis(100);
+/// Time beyond the server's wait after which the connection counts as silent.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
+/// Time without waits after which the task ends and its connection returns to the pool.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The waits of one host.
+/// The waits for confirmation of one host, by target.
 #[derive(Default)]
-pub struct Waits {
-    targets: Mutex<BTreeMap<Key, Arc<Waiting>>>,
+pub struct Tracker {
+    targets: Mutex<BTreeMap<Key, Arc<TargetWaits>>>,
 }
 
-/// The waits for one target.
+/// The waits for one target, shared with the task that queries it.
 #[derive(Default)]
-struct Waiting {
+struct TargetWaits {
     state: Mutex<State>,
     wake: Notify,
 }
@@ -46,29 +46,30 @@
 struct State {
     waiters: BTreeMap<(Position, u64), Waiter>,
     sequence: u64,
-    is_asking: bool,
-    /// Handed over by a write, for the task to take.
-    offered: Option<Lease>,
+    is_task_running: bool,
+    /// Connection that a write has handed over and the task has not taken yet.
+    offered_lease: Option<Lease>,
     is_connected: bool,
     lag: Lag,
 }
 
 struct Waiter {
     account: AccountId,
-    until: Time,
-    answer: oneshot::Sender<Event>,
+    deadline: Time,
+    reply: oneshot::Sender<Event>,
 }
 
-impl Waits {
-    /// No wait.
+impl Tracker {
+    /// A tracker without waits.
     #[allow(clippy::new_without_default, reason = "construction is by `new` throughout")]
-    pub fn new() -> Waits {
-        Waits::default()
+    pub fn new() -> Tracker {
+        Tracker::default()
     }
 
-    /// Waits until `position` is confirmed or known not to be, at most until the given time.
+    /// Waits until `position` is confirmed or known never to be, at most until `deadline`.
     ///
-    /// `lease` is a clean connection to the target that the caller no longer needs.
+    /// `lease` is a clean connection to the target that the caller no longer needs; the task may
+    /// take it over.
     pub async fn wait(
         &self,
         host: &Arc<Host>,
@@ -76,27 +77,29 @@
         account: AccountId,
         position: Position,
         lease: Option<Lease>,
-        until: Time,
+        deadline: Time,
     ) -> Event {
-        let waiting = self.waiting(key);
-        let answer = waiting.enter(position, account, host.clock.now(), until);
+        let target_waits = self.target_waits(key);
+        let reply = target_waits.add_waiter(position, account, host.clock.now(), deadline);
         if let Some(lease) = lease.filter(|lease| lease.key() == key) {
-            waiting.offer(lease);
+            target_waits.offer_lease(lease);
         }
-        waiting.ask(host, key);
-        let deadline = host.clock.instant(until).into();
-        match tokio::time::timeout_at(deadline, answer).await {
+        target_waits.ensure_task(host, key);
+        let deadline = host.clock.instant(deadline).into();
+        match tokio::time::timeout_at(deadline, reply).await {
             Ok(Ok(event)) => event,
             Ok(Err(_)) => Event::ConnectionLost,
             Err(_) => Event::TimedOut,
         }
     }
 
-    /// Least time that a write begun now has to expect until its confirmation.
-    pub fn expected(&self, host: &Host, key: Key, now: Time) -> Duration {
-        let waiting = self.waiting(key);
-        let mut state = lock(&waiting.state);
-        // The probes go on when writes are refused, so that a refusal never feeds on itself.
+    /// Minimum time until confirmation that a write started now must expect, from the replication
+    /// lag of the target.
+    pub fn expected_delay(&self, host: &Host, key: Key, now: Time) -> Duration {
+        let target_waits = self.target_waits(key);
+        let mut state = lock(&target_waits.state);
+        // Probes update the lag even while writes are refused, so that refusing writes does not
+        // keep the lag estimate, and with it the refusals, in place.
         if let Some(view) = host.pools.views(key.0).get(&key.1) {
             state.lag.record_written(view.status.entry, view.at);
             state.lag.record_confirmed(view.status.confirmed, view.at);
@@ -104,181 +107,183 @@
         state.lag.expected_delay(now)
     }
 
-    fn waiting(&self, key: Key) -> Arc<Waiting> {
+    fn target_waits(&self, key: Key) -> Arc<TargetWaits> {
         lock(&self.targets).entry(key).or_default().clone()
     }
 }
 
-impl Waiting {
-    fn enter(
+impl TargetWaits {
+    fn add_waiter(
         &self,
         position: Position,
         account: AccountId,
         now: Time,
-        until: Time,
+        deadline: Time,
     ) -> oneshot::Receiver<Event> {
         let (sender, receiver) = oneshot::channel();
         let mut state = lock(&self.state);
         state.lag.record_written(position, now);
         state.sequence += 1;
         let sequence = state.sequence;
-        state.waiters.insert((position, sequence), Waiter { account, until, answer: sender });
+        state.waiters.insert((position, sequence), Waiter { account, deadline, reply: sender });
         receiver
     }
 
-    /// Takes the connection for the task, or gives it back when the task has one.
-    fn offer(&self, lease: Lease) {
+    /// Hands a connection to the task, or releases it if the task has one already.
+    fn offer_lease(&self, lease: Lease) {
         let mut state = lock(&self.state);
-        if state.is_connected || state.offered.is_some() {
+        if state.is_connected || state.offered_lease.is_some() {
             drop(state);
             lease.release_clean();
         } else {
-            state.offered = Some(lease);
+            state.offered_lease = Some(lease);
         }
     }
 
-    /// Notes whether the task has a connection; answers the offered one if it has no use for it.
+    /// Records whether the task has a connection; if so, returns the offered one as unused.
     fn set_connected(&self, is_connected: bool) -> Option<Lease> {
         let mut state = lock(&self.state);
         state.is_connected = is_connected;
-        state.offered.take_if(|_| is_connected)
+        state.offered_lease.take_if(|_| is_connected)
     }
 
-    fn take_offered(&self) -> Option<Lease> {
-        lock(&self.state).offered.take()
+    fn take_offered_lease(&self) -> Option<Lease> {
+        lock(&self.state).offered_lease.take()
     }
 
-    /// Makes sure that a task asks for what is waited for.
-    fn ask(self: &Arc<Self>, host: &Arc<Host>, key: Key) {
-        let was_asking = std::mem::replace(&mut lock(&self.state).is_asking, true);
-        if was_asking {
+    /// Wakes the task of this target, or starts it if it is not running.
+    fn ensure_task(self: &Arc<Self>, host: &Arc<Host>, key: Key) {
+        let was_running = std::mem::replace(&mut lock(&self.state).is_task_running, true);
+        if was_running {
             self.wake.notify_one();
         } else {
             tokio::spawn(run(self.clone(), host.clone(), key));
         }
     }
 
-    /// The lowest position that someone still waits for, who that is, and until when anyone waits.
-    fn next(&self, now: Time) -> Option<Question> {
+    /// Query for the lowest awaited position, on behalf of the account that awaits it, with the
+    /// latest deadline of all waits. `None` if there are no waits.
+    fn next_query(&self, now: Time) -> Option<Query> {
         let mut state = lock(&self.state);
-        state.waiters.retain(|_, waiter| !waiter.answer.is_closed() && waiter.until > now);
-        let until = state.waiters.values().map(|waiter| waiter.until).max()?;
+        state.waiters.retain(|_, waiter| !waiter.reply.is_closed() && waiter.deadline > now);
+        let deadline = state.waiters.values().map(|waiter| waiter.deadline).max()?;
         let ((position, _), waiter) = state.waiters.first_key_value()?;
-        Some(Question { position: *position, account: waiter.account, until })
+        Some(Query { position: *position, account: waiter.account, deadline })
     }
 
-    fn confirmed(&self, confirmed: Position, now: Time) {
+    fn record_confirmed(&self, confirmed: Position, now: Time) {
         let mut state = lock(&self.state);
         state.lag.record_confirmed(confirmed, now);
-        let is_settled = |position| ack::verify(position, confirmed) != Verdict::Pending;
-        let settled = state.waiters.extract_if(.., |(position, _), _| is_settled(*position));
-        for (_, waiter) in settled.collect::<Vec<_>>() {
-            // A waiter that is gone needs no answer.
-            drop(waiter.answer.send(Event::Confirmed(confirmed)));
+        let is_decided = |position| ack::verify(position, confirmed) != Verdict::Pending;
+        let decided = state.waiters.extract_if(.., |(position, _), _| is_decided(*position));
+        for (_, waiter) in decided.collect::<Vec<_>>() {
+            // Sending fails if the waiter has given up.
+            drop(waiter.reply.send(Event::Confirmed(confirmed)));
         }
     }
 
-    fn failed(&self, loss: &Loss, term: u64) {
-        let event = match loss {
-            Loss::Failed(code, detail) => Event::Failed(Failure::new(code), detail.clone()),
-            Loss::TimedOut => Event::TimedOut,
+    fn fail_waiters(&self, failure: &Error, term: u64) {
+        let event = match failure {
+            Error::Failed(code, detail) => Event::Failed(Failure::new(code), detail.clone()),
+            Error::TimedOut => Event::TimedOut,
             _ => Event::ConnectionLost,
         };
-        let concerns_term = matches!(event, Event::Failed(Failure::Superseded, _));
+        let is_term_specific = matches!(event, Event::Failed(Failure::Superseded, _));
         let mut state = lock(&self.state);
         let failed = state
             .waiters
-            .extract_if(.., |(position, _), _| !concerns_term || position.term == term)
+            .extract_if(.., |(position, _), _| !is_term_specific || position.term == term)
             .collect::<Vec<_>>();
         for (_, waiter) in failed {
-            drop(waiter.answer.send(event.clone()));
+            drop(waiter.reply.send(event.clone()));
         }
     }
 
-    /// Ends the task unless someone came meanwhile; what was offered to it goes with it.
-    fn rest(&self) -> Option<Rest> {
+    /// Marks the task as ended and returns what it has to release; `None` if there are new waits.
+    fn finish_if_idle(&self) -> Option<Finished> {
         let mut state = lock(&self.state);
-        state.is_asking = !state.waiters.is_empty();
-        state.is_connected &= state.is_asking;
-        let is_over = !state.is_asking;
-        is_over.then(|| Rest { offered: state.offered.take() })
+        state.is_task_running = !state.waiters.is_empty();
+        state.is_connected &= state.is_task_running;
+        let is_idle = !state.is_task_running;
+        is_idle.then(|| Finished { offered_lease: state.offered_lease.take() })
     }
 }
 
-/// What is left of a task that has ended.
-struct Rest {
-    offered: Option<Lease>,
+/// What an ended task has to release.
+struct Finished {
+    offered_lease: Option<Lease>,
 }
 
-/// What is asked next.
+/// A query for the confirmation of a position.
 #[derive(Debug, Clone, Copy)]
-struct Question {
+struct Query {
     position: Position,
     account: AccountId,
-    until: Time,
+    deadline: Time,
 }
 
-async fn run(waiting: Arc<Waiting>, host: Arc<Host>, key: Key) {
+async fn run(target_waits: Arc<TargetWaits>, host: Arc<Host>, key: Key) {
     let mut lease = None;
-    let rest = loop {
-        let Some(question) = waiting.next(host.clock.now()) else {
-            let woken = tokio::time::timeout(IDLE, waiting.wake.notified()).await;
+    let finished = loop {
+        let Some(query) = target_waits.next_query(host.clock.now()) else {
+            let woken = tokio::time::timeout(IDLE_TIMEOUT, target_waits.wake.notified()).await;
             if woken.is_err()
-                && let Some(rest) = waiting.rest()
+                && let Some(finished) = target_waits.finish_if_idle()
             {
-                break rest;
+                break finished;
             }
             continue;
         };
         if lease.is_none() {
-            lease = waiting.take_offered();
+            lease = target_waits.take_offered_lease();
         }
-        let result = ask(&host, key, &mut lease, question).await;
-        if let Some(unused) = waiting.set_connected(lease.is_some()) {
+        let result = query_confirmed(&host, key, &mut lease, query).await;
+        if let Some(unused) = target_waits.set_connected(lease.is_some()) {
             unused.release_clean();
         }
         match result {
-            Ok(confirmed) => waiting.confirmed(confirmed, host.clock.now()),
-            Err(loss) => waiting.failed(&loss, question.position.term),
+            Ok(confirmed) => target_waits.record_confirmed(confirmed, host.clock.now()),
+            Err(failure) => target_waits.fail_waiters(&failure, query.position.term),
         }
     };
-    [lease, rest.offered].into_iter().flatten().for_each(Lease::release_clean);
+    [lease, finished.offered_lease].into_iter().flatten().for_each(Lease::release_clean);
 }
 
-/// Asks over the connection in `lease`, which is gone when it fails.
-async fn ask(
+/// Sends the query over the connection in `lease`, or over a new one if there is none. `lease` is
+/// empty after a failure.
+async fn query_confirmed(
     host: &Arc<Host>,
     key: Key,
     lease: &mut Option<Lease>,
-    question: Question,
-) -> Result<Position, Loss> {
+    query: Query,
+) -> Result<Position, Error> {
     let open = match lease.take() {
         Some(open) => open,
-        None => acquire(host, key, question).await?,
+        None => acquire(host, key, query).await?,
     };
     let now = host.clock.now();
-    let wait = ASK.min(question.until.saturating_sub(now));
-    let wanted = question.position;
-    let numbers = [wanted.term, wanted.index, wait.as_millis() as u64];
+    let server_wait = SERVER_WAIT.min(query.deadline.saturating_sub(now));
+    let requested = query.position;
+    let numbers = [requested.term, requested.index, server_wait.as_millis() as u64];
     let [term, index, millis] = numbers.map(|n| i64::try_from(n).unwrap_or(i64::MAX));
     let params: [(&(dyn ToSql + Sync), Type); 3] =
         [(&term, Type::INT8), (&index, Type::INT8), (&millis, Type::INT8)];
     let work = open.client().query_typed_one(CONFIRMED, &params);
-    let row = match exchange::run(host, &open, now + wait + SILENCE, work).await {
+    let row = match exchange::run(host, &open, now + server_wait + RESPONSE_MARGIN, work).await {
         Ok(row) => row,
-        Err(loss) => {
-            exchange::worked(host, key, Some(&loss));
-            if matches!(loss, Loss::Failed(..)) {
+        Err(failure) => {
+            exchange::record_work(host, key, Some(&failure));
+            if matches!(failure, Error::Failed(..)) {
                 open.release_clean();
             }
-            return Err(loss);
+            return Err(failure);
         }
     };
     *lease = Some(open);
-    position(&row, "confirmed_term", "confirmed_index").map_err(|_| Loss::ConnectionLost)
+    position(&row, "confirmed_term", "confirmed_index").map_err(|_| Error::ConnectionLost)
 }
 
-async fn acquire(host: &Arc<Host>, key: Key, question: Question) -> Result<Lease, Loss> {
-    let lease = host.pools.acquire(host, key, question.account, question.until).await;
-    lease.map_err(|_| Loss::ConnectionLost)
+async fn acquire(host: &Arc<Host>, key: Key, query: Query) -> Result<Lease, Error> {
+    let lease = host.pools.acquire(host, key, query.account, query.deadline).await;
+    lease.map_err(|_| Error::ConnectionLost)
 }
--- a/crates/host/src/exec/exchange.rs
+++ b/crates/host/src/exec/exchange.rs
@@ -1,4 +1,5 @@
-//! One exchange with a target: its deadline, and what its failure means.
+//! One exchange with a target: runs it up to a deadline, classifies its failure and records the
+//! outcome for ejection and failover.
 
 use crate::shared::Host;
 use crate::target::{Key, Lease};
@@ -12,133 +13,139 @@
 use std::sync::Arc;
 use tokio_postgres::Row;
 
-/// How an exchange failed.
+/// Why an exchange failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Loss {
+pub enum Error {
     /// The target answered with an error; its SQLSTATE and text.
     Failed(String, String),
-    /// The connection broke.
+    /// The connection broke, or the target did not respond to a probe.
     ConnectionLost,
-    /// No answer came in time.
+    /// The response did not arrive by the deadline.
     TimedOut,
-    /// The row of the idempotency key exists already.
+    /// A row for the idempotency key exists already.
     Conflict,
     /// The table of outcomes does not exist.
     NoTable,
-    /// The answer cannot go to the caller; the rest of it is still on its way.
+    /// The response cannot be passed to the caller, or the caller is no longer authorized. The
+    /// rest of the response may still be in flight on the connection.
     Unusable(Refusal),
 }
 
-impl Loss {
-    /// Whether it counts against the target's health.
+impl Error {
+    /// Whether the failure counts against the target's health.
     pub fn is_target_fault(&self) -> bool {
         match self {
-            Loss::Failed(code, _) => Failure::new(code).is_target_fault(),
-            Loss::ConnectionLost | Loss::TimedOut => true,
-            Loss::Conflict | Loss::NoTable | Loss::Unusable(_) => false,
+            Error::Failed(code, _) => Failure::new(code).is_target_fault(),
+            Error::ConnectionLost | Error::TimedOut => true,
+            Error::Conflict | Error::NoTable | Error::Unusable(_) => false,
         }
     }
 
-    /// Whether the target says that it is no longer the primary.
+    /// Whether the target reported that it is no longer the primary.
     pub fn is_superseded(&self) -> bool {
-        matches!(self, Loss::Failed(code, _) if Failure::new(code) == Failure::Superseded)
+        matches!(self, Error::Failed(code, _) if Failure::new(code) == Failure::Superseded)
     }
 }
 
-impl From<tokio_postgres::Error> for Loss {
-    fn from(error: tokio_postgres::Error) -> Loss {
+impl From<tokio_postgres::Error> for Error {
+    fn from(error: tokio_postgres::Error) -> Error {
         match error.as_db_error() {
-            Some(error) => Loss::Failed(error.code().code().into(), error.message().into()),
-            // A value that does not fit its parameter never left for the target.
+            Some(error) => Error::Failed(error.code().code().into(), error.message().into()),
+            // A parameter that could not be encoded: nothing was sent to the target.
             None if std::error::Error::source(&error).is_some_and(is_conversion) => {
-                Loss::Failed(CONVERSION.into(), error.to_string())
+                Error::Failed(CONVERSION.into(), error.to_string())
             }
-            None => Loss::ConnectionLost,
+            None => Error::ConnectionLost,
         }
     }
 }
 
-/// SQLSTATE of a value that does not fit its type.
+/// SQLSTATE of a value that is not valid for its type.
 const CONVERSION: &str = "22P02";
 
 fn is_conversion(source: &(dyn std::error::Error + 'static)) -> bool {
     source.is::<postgres_types::WrongType>()
 }
 
-/// Runs an exchange on `lease` until the given time.
+/// Runs an exchange on `lease` up to `deadline`.
 ///
-/// The connection is settled when the whole answer is here, an error of the target included.
+/// The connection is clean again only if the complete response has arrived, which includes an
+/// error response of the target.
 pub async fn run<T, E>(
     host: &Host,
     lease: &Lease,
-    time: Time,
+    deadline: Time,
     work: impl Future<Output = Result<T, E>>,
-) -> Result<T, Loss>
+) -> Result<T, Error>
 where
-    Loss: From<E>,
+    Error: From<E>,
 {
-    lease.start();
-    let result = until(host, time, work).await;
-    if result.is_ok() || matches!(result, Err(Loss::Failed(..) | Loss::Conflict | Loss::NoTable)) {
-        lease.settle();
+    lease.start_exchange();
+    let result = with_deadline(host, deadline, work).await;
+    if result.is_ok() || matches!(result, Err(Error::Failed(..) | Error::Conflict | Error::NoTable))
+    {
+        lease.finish_exchange();
     }
     result
 }
 
-/// Sends `sign` and `work` at once. `sign` asks what a healthy target answers at once, so that a
-/// connection that went silent is told from a statement that takes its time.
-pub async fn signed<S, T>(
+/// Sends `probe` and `work` in one round trip.
+///
+/// A healthy target responds to `probe` immediately, which distinguishes a silent connection
+/// (no response to `probe` by `probe_by`: [`Error::ConnectionLost`]) from a slow statement
+/// (no response to `work` by `work_by`: [`Error::TimedOut`]).
+pub async fn run_with_probe<S, T>(
     host: &Host,
-    (sign_by, work_by): (Time, Time),
-    sign: impl Future<Output = Result<S, tokio_postgres::Error>>,
+    (probe_by, work_by): (Time, Time),
+    probe: impl Future<Output = Result<S, tokio_postgres::Error>>,
     work: impl Future<Output = T>,
-) -> Result<(S, T), Loss> {
-    let (sign, work) = (pin!(sign), pin!(work));
-    let deadline = host.clock.instant(sign_by).into();
-    // Polled in order: what `sign` sends goes first.
-    match tokio::time::timeout_at(deadline, select(sign, work)).await {
-        Err(_) => Err(Loss::ConnectionLost),
-        Ok(Either::Left((signed, work))) => {
-            let signed = signed?;
+) -> Result<(S, T), Error> {
+    let (probe, work) = (pin!(probe), pin!(work));
+    let deadline = host.clock.instant(probe_by).into();
+    // `select` polls in order, so `probe` is sent first.
+    match tokio::time::timeout_at(deadline, select(probe, work)).await {
+        Err(_) => Err(Error::ConnectionLost),
+        Ok(Either::Left((probed, work))) => {
+            let probed = probed?;
             let deadline = host.clock.instant(work_by).into();
             let done = tokio::time::timeout_at(deadline, work).await;
-            Ok((signed, done.map_err(|_| Loss::TimedOut)?))
+            Ok((probed, done.map_err(|_| Error::TimedOut)?))
         }
-        Ok(Either::Right((done, sign))) => Ok((until(host, sign_by, sign).await?, done)),
+        Ok(Either::Right((done, probe))) => Ok((with_deadline(host, probe_by, probe).await?, done)),
     }
 }
 
-/// Waits for `work` until the given time.
-pub async fn until<T, E>(
+/// Waits for `work` up to `deadline`.
+pub async fn with_deadline<T, E>(
     host: &Host,
-    time: Time,
+    deadline: Time,
     work: impl Future<Output = Result<T, E>>,
-) -> Result<T, Loss>
+) -> Result<T, Error>
 where
-    Loss: From<E>,
+    Error: From<E>,
 {
-    let deadline = host.clock.instant(time).into();
+    let deadline = host.clock.instant(deadline).into();
     match tokio::time::timeout_at(deadline, work).await {
-        Ok(result) => result.map_err(Loss::from),
-        Err(_) => Err(Loss::TimedOut),
+        Ok(result) => result.map_err(Error::from),
+        Err(_) => Err(Error::TimedOut),
     }
 }
 
-/// Notes how a target did its work, for ejection and for failover.
-pub fn worked(host: &Arc<Host>, key: Key, loss: Option<&Loss>) {
-    let well = !loss.is_some_and(Loss::is_target_fault);
+/// Records the outcome of an exchange with a target, as input for ejection and failover.
+pub fn record_work(host: &Arc<Host>, key: Key, failure: Option<&Error>) {
+    let succeeded = !failure.is_some_and(Error::is_target_fault);
     let now = host.clock.now();
-    host.data.worked(key, well, now);
-    match loss {
-        Some(Loss::TimedOut) => host.pools.timed_out(key),
-        _ => host.pools.worked(now, key, well),
+    host.data.record_work(key, succeeded, now);
+    match failure {
+        Some(Error::TimedOut) => host.pools.record_timeout(key),
+        _ => host.pools.record_work(now, key, succeeded),
     }
-    if loss.is_some_and(Loss::is_superseded) {
-        host.pools.superseded(host, key.0);
+    if failure.is_some_and(Error::is_superseded) {
+        host.pools.record_superseded(host, key.0);
     }
 }
 
-/// The position in two columns.
+/// Reads a log position from the columns `term` and `index`.
 pub fn position(row: &Row, term: &str, index: &str) -> crate::Result<Position> {
     let number = |column| row.try_get::<_, i64>(column).map(i64::unsigned_abs);
     Ok(Position::new(number(term)?, number(index)?))
--- a/crates/host/src/exec/forward.rs
+++ b/crates/host/src/exec/forward.rs
@@ -1,4 +1,5 @@
-//! Steps of transactions that another host owns: forwarded to it, one hop.
+//! Forwards steps of transactions to the host that owns them, over one hop, and serves the steps
+//! that peers forward to this host.
 
 use super::{Caller, transaction};
 use crate::peer::Fault;
@@ -10,8 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Part of the caller's time that is kept for the way back.
-const WAY_BACK: Duration = Duration::from_millis(20);
+/// Part of the caller's remaining time that is reserved for the response to travel back.
+const RETURN_MARGIN: Duration = Duration::from_millis(20);
 
 /// Forwards a step to the owner of `id`.
 pub async fn step(
@@ -25,25 +26,28 @@
     let timeout = deadline.saturating_sub(host.clock.now());
     let is_commit = step == Step::Commit;
     let account = caller.account();
-    let timeout_there = timeout.saturating_sub(WAY_BACK);
-    let forward = Forward { transaction: id, account, step, timeout: timeout_there };
+    let owner_timeout = timeout.saturating_sub(RETURN_MARGIN);
+    let forward = Forward { transaction: id, account, step, timeout: owner_timeout };
     host.metric.count("transaction.forwarded");
     let call = |peer: PeerClient, context| async move { peer.forward(context, forward).await };
     host.peers.call(owner, timeout, call).await.map_err(|fault| {
         let refusal = Refusal::new(Reason::PeerUnreachable, fault.to_string());
-        // Only COMMIT takes effect by itself; without it the owner rolls back in the end.
+        // Only COMMIT has a lasting effect; a transaction without one is rolled back by its owner.
         let may_have_run = is_commit && matches!(fault, Fault::Call(_));
         refusal.with_ran(if may_have_run { Ran::Unknown } else { Ran::No })
     })
 }
 
-/// Runs a step that a peer has forwarded; what the peers' listener calls.
+/// Executes a step that a peer forwarded; called by the listener for peers.
 pub async fn serve(host: &Arc<Host>, forward: Forward) -> Outcome {
     let deadline = host.clock.now() + forward.timeout;
     let caller = Caller::Peer(forward.account);
     let id = forward.transaction;
     if transaction::owner(id) != host.settings.host {
-        return Outcome::new(Err(Refusal::new(Reason::NotFound, "not this host's transaction")));
+        return Outcome::new(Err(Refusal::new(
+            Reason::NotFound,
+            "the transaction belongs to another host",
+        )));
     }
     transaction::step(host, id, &caller, forward.step, deadline).await
 }
--- a/crates/host/src/exec/mod.rs
+++ b/crates/host/src/exec/mod.rs
@@ -1,8 +1,8 @@
-//! Runs callers' statements on targets.
+//! Executes callers' statements on targets.
 //!
-//! The decisions are the core's ([`bergamotvale_core::read`], [`bergamotvale_core::write`],
-//! [`bergamotvale_core::transaction`]); the modules here carry out their actions on leased
-//! connections and tell them what came back.
+//! The state machines of the core decide ([`bergamotvale_core::read`],
+//! [`bergamotvale_core::write`], [`bergamotvale_core::transaction`]). The modules here perform
+//! their actions on leased connections and report the results back as events.
 
 pub mod confirm;
 pub mod exact;
@@ -23,36 +23,36 @@
 use bergamotvale_core::session::Token;
 use bergamotvale_core::statement::{Freshness, Rows, Statement};
 
-/// A statement with all that decides how it runs.
+/// A request to execute one statement, with everything that decides how it is executed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Job {
-    /// On whose behalf.
+    /// Who sent the request.
     pub caller: Caller,
-    /// Service that it is for.
+    /// Service whose database executes the statement.
     pub service: ServiceId,
-    /// The statement.
+    /// SQL text and bound parameters.
     pub statement: Statement,
-    /// What the caller's session has seen.
+    /// Session token: per service, the lowest log position that a read may be served at.
     pub token: Token,
-    /// How fresh a read has to be.
+    /// Freshness that a read requires; ignored for writes.
     pub freshness: Freshness,
-    /// Idempotency key of a write.
+    /// Idempotency key of a write; `None` for reads and for writes that are not to be deduplicated.
     pub idempotency_key: Option<String>,
-    /// When the caller stops waiting.
+    /// Time at which the caller stops waiting.
     pub deadline: Time,
 }
 
-/// A result with what the caller's session learns from it.
+/// The result of a statement, with the session token that follows from it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
-    /// The rows.
+    /// Columns, rows and number of affected rows; only the first rows when the result is streamed.
     pub rows: Rows,
     /// Token for the caller's next request.
     pub token: Token,
-    /// Target that served.
+    /// Target that executed the statement.
     pub target: TargetId,
-    /// Whether it was the primary.
+    /// Whether that target was the primary.
     pub primary: bool,
-    /// Whether it is the outcome of an earlier request.
+    /// Whether this is the stored outcome of an earlier request with the same idempotency key.
     pub replayed: bool,
 }
--- a/crates/host/src/exec/outcome.rs
+++ b/crates/host/src/exec/outcome.rs
@@ -1,6 +1,9 @@
-//! The table of outcomes in each service's database.
+//! Reads and writes the table `bergamotvale_outcomes` in each service's database.
+//!
+//! The table holds the outcome of each write with an idempotency key, in the same transaction as
+//! the write, so that a repeated request can be answered with the first outcome.
 
-use super::exchange::Loss;
+use super::exchange::Error;
 use super::value::{self, Fault};
 use bergamotvale_core::id::AccountId;
 use bergamotvale_core::idempotency::{self, Row};
@@ -13,9 +16,9 @@
 
 /// SQLSTATE of a missing table.
 const NO_TABLE: &str = "42P01";
-/// Rows that one pruning removes at most.
-const PRUNE_ROWS: i64 = 2000;
-/// Bytes of an encoded outcome.
+/// Maximum number of rows that one call of [`prune`] removes.
+const MAX_PRUNED_ROWS: i64 = 2000;
+/// Maximum size of an encoded outcome, in bytes.
 pub const MAX_BYTES: usize = 256 * 1024;
 
 const CREATE: &str = "CREATE TABLE IF NOT EXISTS bergamotvale_outcomes (\
@@ -31,26 +34,28 @@
     (SELECT account, key FROM bergamotvale_outcomes WHERE at < $1 LIMIT $2)";
 const STATUS: &str = "SELECT * FROM group_status()";
 
-/// Identity of a row.
+/// The write that a row belongs to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Id {
-    /// Client account.
+    /// Client account that sent the write; keys of different accounts are independent.
     pub account: AccountId,
     /// Idempotency key.
     pub key: String,
-    /// Digest of the request.
+    /// Digest of the request; a repeat of the key with another digest is a mismatch.
     pub digest: String,
 }
 
-/// Makes the table, in a transaction of its own.
+/// Creates the table, in a separate transaction.
 pub async fn create(client: &Client) -> Result<(), tokio_postgres::Error> {
     client.batch_execute("BEGIN READ WRITE").await?;
     client.batch_execute(CREATE).await?;
     client.batch_execute("COMMIT").await
 }
 
-/// Claims the key, inside the write's transaction.
-pub async fn insert(client: &Client, id: &Id) -> Result<(), Loss> {
+/// Claims the key by inserting its row within the write's transaction.
+///
+/// Fails with [`Error::Conflict`] if the row exists and [`Error::NoTable`] if the table does not.
+pub async fn insert(client: &Client, id: &Id) -> Result<(), Error> {
     let (account, at) = (i64::from(id.account), i64::try_from(unix_time().as_secs()).unwrap_or(0));
     let params: [(&(dyn ToSql + Sync), Type); 4] = [
         (&account, Type::INT8),
@@ -58,15 +63,15 @@
         (&id.digest, Type::TEXT),
         (&at, Type::INT8),
     ];
-    match client.execute_typed(INSERT, &params).await.map_err(Loss::from) {
+    match client.execute_typed(INSERT, &params).await.map_err(Error::from) {
         Ok(_) => Ok(()),
-        Err(Loss::Failed(code, _)) if code == UNIQUE_VIOLATION => Err(Loss::Conflict),
-        Err(Loss::Failed(code, _)) if code == NO_TABLE => Err(Loss::NoTable),
-        Err(loss) => Err(loss),
+        Err(Error::Failed(code, _)) if code == UNIQUE_VIOLATION => Err(Error::Conflict),
+        Err(Error::Failed(code, _)) if code == NO_TABLE => Err(Error::NoTable),
+        Err(failure) => Err(failure),
     }
 }
 
-/// Writes the outcome into the claimed row.
+/// Writes the outcome into the claimed row; returns the number of updated rows.
 pub async fn update(client: &Client, id: &Id, outcome: &str) -> Result<u64, tokio_postgres::Error> {
     let account = i64::from(id.account);
     let params: [(&(dyn ToSql + Sync), Type); 3] =
@@ -74,7 +79,7 @@
     client.execute_typed(UPDATE, &params).await
 }
 
-/// The row, and the last entry of the log, which is at or past the row's own.
+/// Finds the row, and the position of the last log entry, which is at or after the row's entry.
 pub async fn find(
     client: &Client,
     id: &Id,
@@ -92,11 +97,11 @@
     Ok((row, Position::new(entry.0.unsigned_abs(), entry.1.unsigned_abs())))
 }
 
-/// Removes some rows that are older than `retention`.
+/// Removes a limited number of rows that are older than `retention`; returns their number.
 pub async fn prune(client: &Client, retention: Duration) -> Result<u64, tokio_postgres::Error> {
     let before = idempotency::prune_before(unix_time(), retention);
     let params: [(&(dyn ToSql + Sync), Type); 2] =
-        [(&before, Type::INT8), (&PRUNE_ROWS, Type::INT8)];
+        [(&before, Type::INT8), (&MAX_PRUNED_ROWS, Type::INT8)];
     client.batch_execute("SET default_transaction_read_only = off").await?;
     client.batch_execute("BEGIN READ WRITE").await?;
     let pruned = client.execute_typed(PRUNE, &params).await?;
@@ -104,7 +109,7 @@
     Ok(pruned)
 }
 
-/// The text that is stored for `rows`.
+/// Encodes `rows` as the text that is stored; fails if it exceeds [`MAX_BYTES`].
 pub fn encode(rows: &Rows) -> Result<String, Fault> {
     let text = serde_json::to_string(rows)?;
     if text.len() > MAX_BYTES {
@@ -113,7 +118,7 @@
     Ok(text)
 }
 
-/// The rows behind a stored text.
+/// Decodes the rows from a stored text.
 pub fn decode(text: &str) -> Result<Rows, value::Fault> {
     Ok(serde_json::from_str(text)?)
 }
--- a/crates/host/src/exec/permit.rs
+++ b/crates/host/src/exec/permit.rs
@@ -1,7 +1,7 @@
-//! Whether a caller may still do what it does.
+//! Checks that a caller is authorized and within its rate.
 //!
-//! Asked when a request arrives and again right before its bytes leave for a target, so that a key
-//! withdrawn in between stops the request.
+//! [`verify`] runs when a request arrives and again right before its bytes are sent to a target,
+//! so that a key withdrawn in between stops the request.
 
 use crate::auth::Identity;
 use crate::shared::Host;
@@ -9,22 +9,23 @@
 use bergamotvale_core::refusal::{Reason, Refusal};
 use std::time::Duration;
 
-/// Time after which a host may have its authority back.
-const LAPSE_RETRY: Duration = Duration::from_secs(1);
+/// Delay that is suggested to the caller while the host's authority has expired; the host may
+/// have renewed it by then.
+const AUTHORITY_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// On whose behalf a statement runs.
+/// The sender of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Caller {
-    /// The client account of a key.
+    /// A caller that presented a key, which this host checked.
     Key(Identity),
-    /// Anyone, on a route open to all; the client account that pays for it.
+    /// An anonymous caller of an open route: the route, and the client account it is charged to.
     Open(String, AccountId),
-    /// A client account whose key another host has checked.
+    /// A client account whose key was checked by the host that forwarded the request.
     Peer(AccountId),
 }
 
 impl Caller {
-    /// Client account that it runs for.
+    /// Client account that the request is charged to.
     pub fn account(&self) -> AccountId {
         match self {
             Caller::Key(identity) => identity.account,
@@ -32,7 +33,7 @@
         }
     }
 
-    /// The key, when this host has checked one.
+    /// The key that this host checked; `None` on open routes and for forwarded requests.
     pub fn key(&self) -> Option<KeyId> {
         match self {
             Caller::Key(identity) => Some(identity.key),
@@ -41,12 +42,13 @@
     }
 }
 
-/// Waits until the rate of the caller's client account admits one more request.
+/// Waits until the rate of the caller's client account admits one more request, at most until
+/// `deadline`; refuses a request over the rate.
 pub async fn admit(host: &Host, caller: &Caller, deadline: Time) -> Result<(), Refusal> {
     host.limiter.admit(caller.account(), deadline).await
 }
 
-/// Says whether `caller` may use `service` now.
+/// Refuses unless `caller` may use `service` now.
 pub fn verify(host: &Host, caller: &Caller, service: ServiceId) -> Result<(), Refusal> {
     verify_authority(host)?;
     let document = host.document();
@@ -67,11 +69,11 @@
     Ok(())
 }
 
-/// Says whether this host may act on its copy of the shared state now.
+/// Refuses unless this host may act on its copy of the shared state (keys, rates) now.
 pub fn verify_authority(host: &Host) -> Result<(), Refusal> {
     if host.authority() {
         return Ok(());
     }
     let detail = "this host's copy of keys and rates is too old to act on";
-    Err(Refusal::new(Reason::AuthorityLapsed, detail).with_retry_after(LAPSE_RETRY))
+    Err(Refusal::new(Reason::AuthorityLapsed, detail).with_retry_after(AUTHORITY_RETRY_DELAY))
 }
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -1,7 +1,8 @@
-//! Single read-only statements.
+//! Executes single read-only statements on the best target that is fresh enough, and streams long
+//! results.
 
 use super::exchange::position;
-use super::exchange::{self, Loss};
+use super::exchange::{self, Error};
 use super::{Answer, Job, permit, value};
 use crate::settings::{Defect, Reads};
 use crate::shared::Host;
@@ -20,44 +21,48 @@
 use std::time::Duration;
 use tokio_postgres::RowStream;
 
-const READ_ONLY: &str = "SET default_transaction_read_only = on";
-const POSITION: &str = "SELECT * FROM group_position()";
-/// Bytes of a result that are gathered before the rest is streamed.
-const STREAM_AFTER: usize = 256 * 1024;
+const SET_READ_ONLY: &str = "SET default_transaction_read_only = on";
+const POSITION_QUERY: &str = "SELECT * FROM group_position()";
+/// Bytes of a result that are collected before they are passed on; a longer result is streamed in
+/// chunks of about this size.
+const CHUNK_BYTES: usize = 256 * 1024;
 
-/// The rest of a long result, with the connection that it comes over.
+/// The remaining rows of a long result, with the leased connection that delivers them.
 pub struct ResultStream {
     lease: Lease,
     stream: Pin<Box<RowStream>>,
     deadline: Time,
-    left: usize,
+    bytes_left: usize,
 }
 
-/// What one try brought.
-struct Served {
+/// Result of one attempt: the first rows, and the stream of the remaining ones if there are more.
+struct Fetched {
     rows: Rows,
     rest: Option<ResultStream>,
 }
 
-/// Reads on the best target that is fresh enough; a long result comes with its rest.
+/// Reads on the best target that is fresh enough. A long result is returned as its first rows and
+/// the stream of the remaining ones.
 pub async fn run(host: &Arc<Host>, job: Job) -> Result<(Answer, Option<ResultStream>), Refusal> {
     let now = host.clock.now();
     let account = job.caller.account();
     host.data.budgets().deposit(job.service, account, now);
-    let demand = demand(host, &job);
-    let mut read = Read::new(job.service, account, demand, job.deadline, host.data.seed());
-    let mut served = None;
+    let requirement = requirement(host, &job);
+    let mut read =
+        Read::new(job.service, account, requirement, job.deadline, host.data.next_seed());
+    let mut fetched = None;
     let mut target = (0, Role::Replica);
-    let seen = views(host, &job, now);
-    let shared = route::counts_towards_replica_share(&demand, &seen, now);
-    let mut event = Event::Candidates(rank(host, &demand, seen, now));
+    let current_views = views(host, &job, now);
+    let counts_towards_share =
+        route::counts_towards_replica_share(&requirement, &current_views, now);
+    let mut event = Event::Candidates(rank(host, &requirement, current_views, now));
     loop {
         let action = read.on(event, &mut host.data.budgets(), host.clock.now());
         event = match action {
             Action::Choose(at) => {
                 tokio::time::sleep_until(host.clock.instant(at).into()).await;
                 let now = host.clock.now();
-                Event::Candidates(rank(host, &demand, views(host, &job, now), now))
+                Event::Candidates(rank(host, &requirement, views(host, &job, now), now))
             }
             Action::Attempt(id, reason) => {
                 if let Some(reason) = reason {
@@ -65,31 +70,31 @@
                 }
                 target = (id, role(host, &job, id));
                 match attempt(host, &job, id, &read).await {
-                    Ok((answer, found)) => {
-                        served = Some(found);
-                        Event::Answered(target.1, answer)
+                    Ok((report, attempt_result)) => {
+                        fetched = Some(attempt_result);
+                        Event::Answered(target.1, report)
                     }
                     Err(event) => event,
                 }
             }
             Action::Serve(position) => {
-                let served = served.ok_or_else(internal)?;
-                if shared {
+                let fetched = fetched.ok_or_else(missing_result)?;
+                if counts_towards_share {
                     host.metric.count(&format!("read.share.{}", target.1));
                 }
-                return Ok(serve(host, job, target, position, served));
+                return Ok(build_answer(host, job, target, position, fetched));
             }
             Action::Refuse(refusal) => return Err(refusal),
         };
     }
 }
 
-fn serve(
+fn build_answer(
     host: &Host,
     job: Job,
     (target, role): (TargetId, Role),
     position: Option<bergamotvale_core::log::Position>,
-    served: Served,
+    fetched: Fetched,
 ) -> (Answer, Option<ResultStream>) {
     let mut token = job.token;
     if let Some(position) = position {
@@ -100,28 +105,36 @@
         host.metric.count(&format!("read.aged.{role}"));
     }
     let primary = role == Role::Primary;
-    (Answer { rows: served.rows, token, target, primary, replayed: false }, served.rest)
+    (Answer { rows: fetched.rows, token, target, primary, replayed: false }, fetched.rest)
 }
 
-fn demand(host: &Host, job: &Job) -> Requirement {
-    let demand = Requirement { token: job.token.position(job.service), freshness: job.freshness };
+fn requirement(host: &Host, job: &Job) -> Requirement {
+    let requirement =
+        Requirement { token: job.token.position(job.service), freshness: job.freshness };
     if host.settings.policy.defects.contains(&Defect::IgnoreToken) {
         return Requirement { token: None, freshness: Freshness::MaxAge(Duration::MAX) };
     }
-    demand
+    requirement
 }
 
 fn rank(
     host: &Host,
-    demand: &Requirement,
+    requirement: &Requirement,
     mut views: BTreeMap<TargetId, View>,
     now: Time,
 ) -> Vec<TargetId> {
     if host.settings.policy.reads == Reads::Primary {
         views.retain(|_, view| view.role == Role::Primary);
     }
-    let home = host.settings.failure_domain;
-    route::candidates(demand, &views, home, &Bounds::default(), now, host.data.seed())
+    let own_domain = host.settings.failure_domain;
+    route::candidates(
+        requirement,
+        &views,
+        own_domain,
+        &Bounds::default(),
+        now,
+        host.data.next_seed(),
+    )
 }
 
 fn role(host: &Host, job: &Job, target: TargetId) -> Role {
@@ -134,22 +147,22 @@
     let primary = host.pools.primary(job.service);
     let known = host.pools.views(job.service);
     let replicas: Vec<_> = known.keys().copied().filter(|id| Some(*id) != primary).collect();
-    let standings = match host.settings.policy.ejection {
+    let health_by_target = match host.settings.policy.ejection {
         true => host.data.update_health(job.service, &replicas, now),
         false => BTreeMap::new(),
     };
     let views = known.iter().filter_map(|(id, seen)| {
         let target = service.targets.get(id)?;
-        let standing = standings.get(id).copied().unwrap_or_default();
+        let health = health_by_target.get(id).copied().unwrap_or_default();
         let view = View {
-            role: present_role(seen.status.role, Some(*id) == primary),
+            role: effective_role(seen.status.role, Some(*id) == primary),
             applied: seen.status.applied,
             age: seen.status.age,
             observed: seen.at,
             in_flight: host.data.in_flight((job.service, *id)),
             failure_domain: target.failure_domain,
-            ejected: standing.ejected,
-            suspect: standing.suspect,
+            ejected: health.ejected,
+            suspect: health.suspect,
             draining: target.state == TargetState::Draining,
         };
         Some((*id, view))
@@ -157,126 +170,137 @@
     views.collect()
 }
 
-/// A target that still takes itself for the primary, in a term that was passed, serves nothing.
-fn present_role(role: Role, is_primary: bool) -> Role {
+/// Role that reads assume for a target. One that reports itself primary but was superseded in a
+/// later term counts as rebuilding, so that no read goes to it.
+fn effective_role(role: Role, is_primary: bool) -> Role {
     match role {
         Role::Primary if !is_primary => Role::Rebuilding,
         role => role,
     }
 }
 
-/// One try: position and statement in one round trip.
+/// One attempt on `target`: queries its position and executes the statement in one round trip.
 async fn attempt(
     host: &Arc<Host>,
     job: &Job,
     target: TargetId,
     read: &Read,
-) -> Result<(route::Report, Served), Event> {
+) -> Result<(route::Report, Fetched), Event> {
     let key = (job.service, target);
-    let _flight = host.data.fly(key);
+    let _in_flight = host.data.track_in_flight(key);
     let account = job.caller.account();
     let wait_until = read.statement_deadline(host.clock.now());
     let lease = host.pools.acquire(host, key, account, wait_until).await;
     let lease = lease.map_err(|refusal| Event::NoConnection(refusal.reason))?;
     permit::verify(host, &job.caller, job.service).map_err(Event::Denied)?;
     let now = host.clock.now();
-    let limits = (read.first_response_deadline(now), read.statement_deadline(now));
-    let result = exchange(host, job, lease, limits).await;
-    exchange::worked(host, key, result.as_ref().err());
+    let deadlines = (read.first_response_deadline(now), read.statement_deadline(now));
+    let result = execute(host, job, lease, deadlines).await;
+    exchange::record_work(host, key, result.as_ref().err());
     result.map_err(event)
 }
 
-async fn exchange(
+async fn execute(
     host: &Host,
     job: &Job,
     lease: Lease,
-    limits: (Time, Time),
-) -> Result<(route::Report, Served), Loss> {
+    deadlines: (Time, Time),
+) -> Result<(route::Report, Fetched), Error> {
     let client = lease.client();
     let params = value::bind(&job.statement);
-    let sign = async {
-        let mode = client.batch_execute(READ_ONLY);
-        let position = client.query_typed_one(POSITION, &[]);
+    let probe = async {
+        let mode = client.batch_execute(SET_READ_ONLY);
+        let position = client.query_typed_one(POSITION_QUERY, &[]);
         let (mode, position) = futures::join!(mode, position);
         mode.and(position)
     };
     let rows = client.query_typed_raw(&job.statement.sql, params);
-    lease.start();
-    let (before, rows) = exchange::signed(host, limits, sign, rows).await?;
-    let answer = answer(&before).map_err(|_| Loss::ConnectionLost)?;
+    lease.start_exchange();
+    let (before, rows) = exchange::run_with_probe(host, deadlines, probe, rows).await?;
+    let report = parse_report(&before).map_err(|_| Error::ConnectionLost)?;
     let stream = match rows {
         Ok(stream) => stream,
         Err(error) => {
-            let loss = Loss::from(error);
-            if matches!(loss, Loss::Failed(..)) {
-                lease.settle();
+            let failure = Error::from(error);
+            if matches!(failure, Error::Failed(..)) {
+                lease.finish_exchange();
                 lease.release_clean();
             }
-            return Err(loss);
+            return Err(failure);
         }
     };
     let deadline = job.deadline;
-    let left = host.settings.limits.result;
-    let mut rest = ResultStream { lease, stream: Box::pin(stream), deadline, left };
-    match rest.next(host, STREAM_AFTER, limits.1).await {
+    let bytes_left = host.settings.limits.result;
+    let mut rest = ResultStream { lease, stream: Box::pin(stream), deadline, bytes_left };
+    match rest.read_rows(host, CHUNK_BYTES, deadlines.1).await {
         Ok((mut rows, true)) => {
             let described = value::describe(rest.lease.client(), &job.statement, &mut rows);
-            exchange::until(host, limits.1, described).await?;
+            exchange::with_deadline(host, deadlines.1, described).await?;
             rest.finish();
-            Ok((answer, Served { rows, rest: None }))
+            Ok((report, Fetched { rows, rest: None }))
         }
-        Ok((rows, false)) => Ok((answer, Served { rows, rest: Some(rest) })),
-        Err(loss) => {
-            // An error of the target ends its answer; any other leaves some of it on its way.
-            if matches!(loss, Loss::Failed(..)) {
+        Ok((rows, false)) => Ok((report, Fetched { rows, rest: Some(rest) })),
+        Err(failure) => {
+            // An error of the target completes its response. After any other failure a part of the
+            // response may still be in flight, so the connection must be closed.
+            if matches!(failure, Error::Failed(..)) {
                 rest.finish();
             }
-            Err(loss)
+            Err(failure)
         }
     }
 }
 
 impl ResultStream {
-    /// The next rows, about `bytes` of them, and whether they were the last.
-    async fn next(&mut self, host: &Host, bytes: usize, until: Time) -> Result<(Rows, bool), Loss> {
+    /// Reads rows until they amount to at least `bytes` bytes; also returns whether they were the
+    /// last.
+    async fn read_rows(
+        &mut self,
+        host: &Host,
+        bytes: usize,
+        deadline: Time,
+    ) -> Result<(Rows, bool), Error> {
         let mut rows = Rows::default();
         let mut size = 0;
         while size < bytes {
-            let row = exchange::until(host, until, async { self.stream.next().await.transpose() });
+            let row = exchange::with_deadline(host, deadline, async {
+                self.stream.next().await.transpose()
+            });
             let Some(row) = row.await? else {
                 rows.affected = self.stream.rows_affected().unwrap_or(0);
                 return Ok((rows, true));
             };
             size += row.raw_size_bytes();
-            if size > self.left {
+            if size > self.bytes_left {
                 let detail = format!("the result is over {} bytes", host.settings.limits.result);
-                return Err(Loss::Unusable(Refusal::new(Reason::TooLarge, detail)));
+                return Err(Error::Unusable(Refusal::new(Reason::TooLarge, detail)));
             }
-            value::push(&mut rows, &row).map_err(unusable)?;
+            value::push(&mut rows, &row).map_err(unsupported_result)?;
         }
-        self.left -= size;
+        self.bytes_left -= size;
         Ok((rows, false))
     }
 
-    /// The next part of the result, and whether it was the last; checks authority first.
-    pub async fn next_rows(&mut self, host: &Host, job: &Job) -> Result<(Rows, bool), Loss> {
-        permit::verify(host, &job.caller, job.service).map_err(Loss::Unusable)?;
-        self.next(host, STREAM_AFTER, self.deadline).await
+    /// Returns the next rows and whether they were the last, after checking that the caller is
+    /// still authorized.
+    pub async fn next_rows(&mut self, host: &Host, job: &Job) -> Result<(Rows, bool), Error> {
+        permit::verify(host, &job.caller, job.service).map_err(Error::Unusable)?;
+        self.read_rows(host, CHUNK_BYTES, self.deadline).await
     }
 
-    /// Gives the connection back after the end of the answer.
+    /// Releases the connection; to be called only after the last row or an error of the target.
     pub fn finish(self) {
-        self.lease.settle();
+        self.lease.finish_exchange();
         self.lease.release_clean();
     }
 }
 
-/// A result of a type that the interface cannot carry.
-pub(super) fn unusable(fault: value::Fault) -> Loss {
-    Loss::Unusable(Refusal::new(Reason::StatementFailed, fault.to_string()))
+/// Error for a result with a column type that the interface cannot represent.
+pub(super) fn unsupported_result(fault: value::Fault) -> Error {
+    Error::Unusable(Refusal::new(Reason::StatementFailed, fault.to_string()))
 }
 
-fn answer(row: &tokio_postgres::Row) -> crate::Result<route::Report> {
+fn parse_report(row: &tokio_postgres::Row) -> crate::Result<route::Report> {
     let age: i64 = row.try_get("age_ms")?;
     Ok(route::Report {
         applied: position(row, "applied_term", "applied_index")?,
@@ -285,15 +309,15 @@
     })
 }
 
-fn event(loss: Loss) -> Event {
-    match loss {
-        Loss::Unusable(refusal) => Event::Denied(refusal),
-        Loss::Failed(code, detail) => Event::Failed(Failure::new(&code), detail),
-        Loss::ConnectionLost | Loss::Conflict | Loss::NoTable => Event::ConnectionLost,
-        Loss::TimedOut => Event::TimedOut,
+fn event(failure: Error) -> Event {
+    match failure {
+        Error::Unusable(refusal) => Event::Denied(refusal),
+        Error::Failed(code, detail) => Event::Failed(Failure::new(&code), detail),
+        Error::ConnectionLost | Error::Conflict | Error::NoTable => Event::ConnectionLost,
+        Error::TimedOut => Event::TimedOut,
     }
 }
 
-fn internal() -> Refusal {
-    Refusal::new(Reason::ConnectionLost, "no answer to serve")
+fn missing_result() -> Refusal {
+    Refusal::new(Reason::ConnectionLost, "the read ended without a result")
 }
--- a/crates/host/src/exec/state.rs
+++ b/crates/host/src/exec/state.rs
@@ -1,4 +1,5 @@
-//! What the requests of one host share.
+//! State of the data path that all requests of one host share: retry budgets, idempotency keys
+//! in use, health of replicas, requests in flight and open transactions.
 
 use super::{confirm, transaction};
 use crate::settings::Settings;
@@ -12,89 +13,94 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
-/// State of the data path of one host.
+/// Shared state of the data path of one host.
 pub struct State {
-    /// Waits for confirmation.
-    pub confirm: confirm::Waits,
+    /// Commits that wait until a majority has them.
+    pub confirm: confirm::Tracker,
     /// Transactions that this host owns.
-    pub transactions: transaction::Owned,
+    pub transactions: transaction::Registry,
     budgets: Mutex<Budgets>,
-    running: Mutex<InFlight>,
+    keys_in_use: Mutex<InFlight>,
     outliers: Mutex<BTreeMap<ServiceId, outlier::Detector>>,
     in_flight: Mutex<BTreeMap<Key, u32>>,
-    jitter: Mutex<Source>,
+    random: Mutex<Source>,
     keyed_writes: AtomicU64,
 }
 
-/// What a target's work says about it.
+/// Health of a target as judged by the outcomes of its work.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Health {
-    /// It is out for now.
+    /// The target is ejected: reads skip it for the time being.
     pub ejected: bool,
-    /// It fails, but is in.
+    /// The target fails requests but is not ejected.
     pub suspect: bool,
 }
 
-/// A request in flight on a target.
-pub struct Flight<'a> {
+/// Counts a request as in flight on a target until it is dropped.
+pub struct InFlightGuard<'a> {
     state: &'a State,
     key: Key,
 }
 
 impl State {
-    /// State of a host that has served nothing.
+    /// State of a host that has served no request yet.
     pub fn new(settings: &Settings, incarnation: Incarnation) -> State {
         State {
-            confirm: confirm::Waits::new(),
-            transactions: transaction::Owned::new(settings, incarnation),
+            confirm: confirm::Tracker::new(),
+            transactions: transaction::Registry::new(settings, incarnation),
             budgets: Mutex::default(),
-            running: Mutex::default(),
+            keys_in_use: Mutex::default(),
             outliers: Mutex::default(),
             in_flight: Mutex::default(),
-            jitter: Mutex::new(Source::new(settings.policy.seed ^ u64::from(settings.host))),
+            random: Mutex::new(Source::new(settings.policy.seed ^ u64::from(settings.host))),
             keyed_writes: AtomicU64::new(0),
         }
     }
 
-    /// Retry budgets.
+    /// Retry budgets by service and client account.
     pub fn budgets(&self) -> MutexGuard<'_, Budgets> {
         lock(&self.budgets)
     }
 
-    /// Idempotency keys in use here.
-    pub fn running(&self) -> MutexGuard<'_, InFlight> {
-        lock(&self.running)
+    /// Idempotency keys of the writes in progress on this host.
+    pub fn keys_in_use(&self) -> MutexGuard<'_, InFlight> {
+        lock(&self.keys_in_use)
     }
 
-    /// A new seed.
-    pub fn seed(&self) -> u64 {
-        lock(&self.jitter).bits()
+    /// A new seed, for the choice of targets and the jitter of retry delays.
+    pub fn next_seed(&self) -> u64 {
+        lock(&self.random).bits()
     }
 
-    /// Counts a write with an idempotency key; answers with their number.
-    pub fn keyed_write(&self) -> u64 {
+    /// Counts a write with an idempotency key and returns the number of such writes so far.
+    pub fn count_keyed_write(&self) -> u64 {
         self.keyed_writes.fetch_add(1, Ordering::Relaxed) + 1
     }
 
-    /// Notes a request that leaves for a target, until the result is dropped.
-    pub fn fly(&self, key: Key) -> Flight<'_> {
+    /// Counts a request as in flight on a target until the returned guard is dropped.
+    pub fn track_in_flight(&self, key: Key) -> InFlightGuard<'_> {
         *lock(&self.in_flight).entry(key).or_default() += 1;
-        Flight { state: self, key }
+        InFlightGuard { state: self, key }
     }
 
-    /// Requests in flight on a target.
+    /// Number of requests in flight on a target.
     pub fn in_flight(&self, key: Key) -> u32 {
         lock(&self.in_flight).get(&key).copied().unwrap_or(0)
     }
 
-    /// Notes how a target did its work.
-    pub fn worked(&self, (service, target): Key, well: bool, now: Time) {
+    /// Records whether a target executed a request, as input for ejection.
+    pub fn record_work(&self, (service, target): Key, succeeded: bool, now: Time) {
         let mut outliers = lock(&self.outliers);
-        let group = outliers.entry(service).or_insert_with(new_group);
-        if well { group.record_success(target) } else { group.record_failure(target, now) }
+        let detector = outliers.entry(service).or_insert_with(new_detector);
+        if succeeded {
+            detector.record_success(target)
+        } else {
+            detector.record_failure(target, now)
+        }
     }
 
-    /// Health of the `replicas` of `service`; begins and ends ejections when it is time.
+    /// Starts and ends the ejections that are due among the `replicas` of `service`, and returns
+    /// the health of each.
     pub fn update_health(
         &self,
         service: ServiceId,
@@ -102,19 +108,19 @@
         now: Time,
     ) -> BTreeMap<TargetId, Health> {
         let mut outliers = lock(&self.outliers);
-        let group = outliers.entry(service).or_insert_with(new_group);
-        for target in group.sweep(replicas, now) {
-            log::warn!("target {target} of service {service} fails its work and is passed over");
+        let detector = outliers.entry(service).or_insert_with(new_detector);
+        for target in detector.sweep(replicas, now) {
+            log::warn!("target {target} of service {service} fails requests and is ejected");
         }
-        let standing = |target: &TargetId| Health {
-            ejected: group.is_ejected(*target),
-            suspect: group.is_suspect(*target),
+        let health = |target: &TargetId| Health {
+            ejected: detector.is_ejected(*target),
+            suspect: detector.is_suspect(*target),
         };
-        replicas.iter().map(|target| (*target, standing(target))).collect()
+        replicas.iter().map(|target| (*target, health(target))).collect()
     }
 }
 
-impl Drop for Flight<'_> {
+impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
         let mut in_flight = lock(&self.state.in_flight);
         if let Some(count) = in_flight.get_mut(&self.key) {
@@ -123,11 +129,11 @@
     }
 }
 
-/// Locks `mutex`.
+/// Locks `mutex`; panics if a thread panicked while it held the lock.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("no holder of the lock panics")
 }
 
-fn new_group() -> outlier::Detector {
+fn new_detector() -> outlier::Detector {
     outlier::Detector::new(outlier::Policy::default())
 }
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -1,11 +1,12 @@
 //! Interactive transactions that this host owns.
 //!
-//! The core's table decides; the connections lie beside it. A transaction's connection is either
-//! here, idle, or in the hands of the one step that runs. Whatever ends a transaction but an
-//! answered COMMIT or ROLLBACK drops the connection, and the target rolls back.
+//! The core's [`Table`] decides which steps are valid; [`Registry`] adds the connections. The
+//! connection of a transaction is idle in the registry, or held by the one step in progress. If a
+//! transaction ends in any way other than an answered COMMIT or ROLLBACK, its connection is
+//! closed and the target rolls back.
 
 use super::exchange::position;
-use super::exchange::{self, Loss};
+use super::exchange::{self, Error};
 use super::state::lock;
 use super::write::{collect, commit};
 use super::{Caller, permit, value};
@@ -28,96 +29,99 @@
 
 const READ_WRITE: &str = "SET default_transaction_read_only = off";
 const BEGIN: &str = "BEGIN READ WRITE";
-const COMMITTED: &str = "SELECT * FROM group_commit()";
+const LAST_COMMIT: &str = "SELECT * FROM group_commit()";
 const ROLLBACK: &str = "ROLLBACK";
-/// Time between two sweeps over the limits and keys of open transactions.
-const SWEEP: Duration = Duration::from_millis(100);
-/// Time between two tries to begin.
-const BEGIN_AGAIN: Duration = Duration::from_millis(20);
+/// Interval at which open transactions are checked for expired limits and withdrawn keys.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay between two attempts to begin a transaction.
+const BEGIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// The transactions of one host.
-pub struct Owned {
+/// The open transactions of one host, with their connections.
+pub struct Registry {
     table: Mutex<Table>,
-    live: Mutex<BTreeMap<TransactionId, Live>>,
-    stops: Mutex<BTreeMap<TransactionId, Arc<Notify>>>,
+    idle: Mutex<BTreeMap<TransactionId, OpenTransaction>>,
+    stop_signals: Mutex<BTreeMap<TransactionId, Arc<Notify>>>,
 }
 
 /// The connection of an open transaction.
-struct Live {
+struct OpenTransaction {
     lease: Lease,
     target: Key,
-    /// Entry of the connection's last commit before the transaction.
-    before: Position,
-    /// Whether no statement has run yet.
-    is_fresh: bool,
+    /// Log entry of the connection's last commit before the transaction.
+    previous_commit: Position,
+    /// Whether no statement has been executed yet.
+    is_unused: bool,
 }
 
-/// A step under way; dropped before its end it ends the transaction.
-struct Running<'a> {
-    owned: &'a Owned,
+/// Guards a step in progress: when dropped, ends the transaction as `end` says; `None` leaves it
+/// open.
+struct StepGuard<'a> {
+    registry: &'a Registry,
     id: TransactionId,
     end: Option<End>,
 }
 
-impl Drop for Running<'_> {
+impl Drop for StepGuard<'_> {
     fn drop(&mut self) {
         if let Some(end) = self.end {
-            self.owned.end(self.id, end);
+            self.registry.end(self.id, end);
         }
     }
 }
 
-impl Owned {
-    /// No transaction.
-    pub fn new(settings: &Settings, incarnation: Incarnation) -> Owned {
+impl Registry {
+    /// A registry without transactions, with the time limits from `settings`.
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Registry {
         let limits = Limits {
             idle: settings.timeouts.transaction_idle,
             total: settings.timeouts.transaction_total,
             ..Limits::default()
         };
-        // Different in each run, so that no id of an earlier run is taken for one of this.
+        // Each incarnation starts at a different id, so that an id of an earlier incarnation is
+        // not mistaken for one of this incarnation.
         let first = incarnation as u32;
-        Owned {
+        Registry {
             table: Mutex::new(Table::new(settings.host, first, limits)),
-            live: Mutex::default(),
-            stops: Mutex::default(),
+            idle: Mutex::default(),
+            stop_signals: Mutex::default(),
         }
     }
 
-    /// Open transactions.
+    /// Number of open transactions.
     pub fn len(&self) -> usize {
         lock(&self.table).len()
     }
 
-    /// Whether none is open.
+    /// Whether no transaction is open.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
     fn end(&self, id: TransactionId, end: End) {
         lock(&self.table).end(id, end);
-        lock(&self.stops).remove(&id);
-        drop(lock(&self.live).remove(&id));
+        lock(&self.stop_signals).remove(&id);
+        drop(lock(&self.idle).remove(&id));
     }
 
-    /// Drops the connections of transactions that the table has ended.
-    fn close(&self, ids: Vec<TransactionId>) {
+    /// Closes the connections of transactions that the table has ended, and stops their steps in
+    /// progress.
+    fn drop_connections(&self, ids: Vec<TransactionId>) {
         for id in ids {
-            if let Some(stop) = lock(&self.stops).remove(&id) {
+            if let Some(stop) = lock(&self.stop_signals).remove(&id) {
                 stop.notify_one();
             }
-            drop(lock(&self.live).remove(&id));
+            drop(lock(&self.idle).remove(&id));
         }
     }
 
-    fn keep(&self, id: TransactionId, live: Live, now: Time) -> bool {
-        // The table's lock is held, so that no sweep comes between the two.
+    fn store(&self, id: TransactionId, transaction: OpenTransaction, now: Time) -> bool {
+        // The table stays locked until the connection is stored, so that no sweep runs in between.
         let mut table = lock(&self.table);
-        let goes_on = table.finish_step(id, now);
-        if goes_on {
-            lock(&self.live).insert(id, live);
+        let is_open = table.finish_step(id, now);
+        if is_open {
+            lock(&self.idle).insert(id, transaction);
         }
-        goes_on
+        is_open
     }
 
     fn sweep(&self, host: &Host) {
@@ -125,25 +129,25 @@
         let mut table = lock(&self.table);
         let mut ended = table.roll_back_expired(host.clock.now());
         for key in table.keys() {
-            let stands = document.keys.get(&key).is_some_and(|k| k.state == ACTIVE);
-            if !stands {
+            let is_active = document.keys.get(&key).is_some_and(|k| k.state == ACTIVE);
+            if !is_active {
                 ended.extend(table.roll_back_key(key));
             }
         }
         drop(table);
-        self.close(ended);
+        self.drop_connections(ended);
     }
 
-    /// Ends every transaction.
+    /// Rolls back every open transaction.
     pub fn roll_back_all(&self) {
         let ended = lock(&self.table).roll_back_all();
-        self.close(ended);
+        self.drop_connections(ended);
     }
 }
 
 const ACTIVE: bergamotvale_core::config::KeyState = bergamotvale_core::config::KeyState::Active;
 
-/// Ends what is open when the sweeping ends, however.
+/// Rolls back the open transactions when the sweep task ends or is aborted.
 struct Sweeper(Arc<Host>);
 
 impl Drop for Sweeper {
@@ -152,39 +156,39 @@
     }
 }
 
-/// Sweeps over the open transactions until the host stops, and then ends them.
+/// Checks the open transactions periodically until the task is dropped, then rolls them back.
 pub async fn run(host: Arc<Host>) {
     let sweeper = Sweeper(host);
-    let mut ticks = tokio::time::interval(SWEEP);
+    let mut ticks = tokio::time::interval(SWEEP_INTERVAL);
     loop {
         ticks.tick().await;
         sweeper.0.data.transactions.sweep(&sweeper.0);
     }
 }
 
-/// Begins a transaction.
+/// Begins a transaction on the primary of `service` and returns its id.
 pub async fn begin(
     host: &Arc<Host>,
     identity: Identity,
     service: ServiceId,
     deadline: Time,
 ) -> Result<TransactionId, Refusal> {
-    let owned = &host.data.transactions;
+    let registry = &host.data.transactions;
     let caller = Caller::Key(identity);
     permit::verify(host, &caller, service)?;
     let now = host.clock.now();
-    let id = lock(&owned.table).begin(identity.account, identity.key, service, now)?;
-    let mut running = Running { owned, id, end: Some(End::RolledBack) };
-    let live = open(host, &caller, service, deadline).await?;
-    lock(&owned.stops).insert(id, Arc::new(Notify::new()));
-    if !owned.keep(id, live, host.clock.now()) {
-        return Err(lost("the transaction has ended"));
+    let id = lock(&registry.table).begin(identity.account, identity.key, service, now)?;
+    let mut guard = StepGuard { registry, id, end: Some(End::RolledBack) };
+    let transaction = open_on_primary(host, &caller, service, deadline).await?;
+    lock(&registry.stop_signals).insert(id, Arc::new(Notify::new()));
+    if !registry.store(id, transaction, host.clock.now()) {
+        return Err(transaction_lost("the transaction has ended"));
     }
-    running.end = None;
+    guard.end = None;
     Ok(id)
 }
 
-/// Runs a step for the client account of `caller`.
+/// Executes a step of a transaction for the client account of `caller`.
 pub async fn step(
     host: &Arc<Host>,
     id: TransactionId,
@@ -192,120 +196,127 @@
     step: Step,
     deadline: Time,
 ) -> Outcome {
-    let kind = match &step {
+    let step_kind = match &step {
         Step::Run(_) => core::Step::Run,
         Step::Commit => core::Step::Commit,
         Step::Rollback => core::Step::Rollback,
     };
-    let owned = &host.data.transactions;
+    let registry = &host.data.transactions;
     let now = host.clock.now();
-    let started = lock(&owned.table).start_step(id, caller.account(), kind, now);
+    let started = lock(&registry.table).start_step(id, caller.account(), step_kind, now);
     let service = match started {
         Ok(service) => service,
         Err(refusal) => return Outcome::new(Err(refusal)),
     };
-    let mut running = Running { owned, id, end: Some(End::RolledBack) };
+    let mut guard = StepGuard { registry, id, end: Some(End::RolledBack) };
     if let Err(refusal) = permit::verify(host, caller, service) {
         return Outcome::new(Err(refusal));
     }
-    let Some(live) = lock(&owned.live).remove(&id) else {
-        return Outcome::new(Err(lost("the transaction has ended")));
+    let Some(transaction) = lock(&registry.idle).remove(&id) else {
+        return Outcome::new(Err(transaction_lost("the transaction has ended")));
     };
     match step {
         Step::Run(statement) => Outcome::new(
-            run_statement(host, &mut running, caller, live, &statement, deadline).await,
+            run_statement(host, &mut guard, caller, transaction, &statement, deadline).await,
         ),
-        Step::Commit => finish(host, &mut running, caller, live, deadline).await,
-        Step::Rollback => Outcome::new(roll_back(host, live, deadline).await),
+        Step::Commit => commit_transaction(host, &mut guard, caller, transaction, deadline).await,
+        Step::Rollback => Outcome::new(roll_back(host, transaction, deadline).await),
     }
 }
 
 async fn run_statement(
     host: &Arc<Host>,
-    running: &mut Running<'_>,
+    guard: &mut StepGuard<'_>,
     caller: &Caller,
-    mut live: Live,
+    mut transaction: OpenTransaction,
     statement: &Statement,
     deadline: Time,
 ) -> Result<Rows, Refusal> {
-    let owned = running.owned;
-    let stop = lock(&owned.stops).get(&running.id).cloned();
-    let stop = stop.ok_or_else(|| lost("the transaction has ended"))?;
+    let registry = guard.registry;
+    let stop = lock(&registry.stop_signals).get(&guard.id).cloned();
+    let stop = stop.ok_or_else(|| transaction_lost("the transaction has ended"))?;
     loop {
         let result = tokio::select! {
-            result = run_on(host, &live.lease, statement, deadline) => result,
-            () = stop.notified() => return Err(lost("the transaction was ended")),
+            result = run_on_lease(host, &transaction.lease, statement, deadline) => result,
+            () = stop.notified() => return Err(transaction_lost("the transaction was ended")),
         };
-        let loss = match result {
+        let failure = match result {
             Ok(rows) => {
-                live.is_fresh = false;
-                if !owned.keep(running.id, live, host.clock.now()) {
-                    return Err(lost("the transaction has ended"));
+                transaction.is_unused = false;
+                if !registry.store(guard.id, transaction, host.clock.now()) {
+                    return Err(transaction_lost("the transaction has ended"));
                 }
-                running.end = None;
+                guard.end = None;
                 return Ok(rows);
             }
-            Err(loss) => loss,
+            Err(failure) => failure,
         };
-        // A target that refused the first statement has run none: begin on the next primary.
-        let is_elsewhere = matches!(&loss, Loss::Failed(code, _) if is_moved(code));
-        if !(live.is_fresh && is_elsewhere && host.clock.now() + BEGIN_AGAIN < deadline) {
-            return Err(failed(host, live, loss, deadline).await);
+        // A target that refused the first statement as superseded or held has executed nothing,
+        // so the transaction can begin again on the current primary.
+        let has_moved = matches!(&failure, Error::Failed(code, _) if is_primary_moved(code));
+        if !(transaction.is_unused && has_moved && host.clock.now() + BEGIN_RETRY_DELAY < deadline)
+        {
+            return Err(roll_back_failed(host, transaction, failure, deadline).await);
         }
-        drop(live);
-        tokio::time::sleep(BEGIN_AGAIN).await;
-        live = open(host, caller, statement_service(owned, running.id)?, deadline).await?;
+        drop(transaction);
+        tokio::time::sleep(BEGIN_RETRY_DELAY).await;
+        transaction =
+            open_on_primary(host, caller, transaction_service(registry, guard.id)?, deadline)
+                .await?;
     }
 }
 
-fn is_moved(code: &str) -> bool {
+fn is_primary_moved(code: &str) -> bool {
     matches!(Failure::new(code), Failure::Superseded | Failure::Held)
 }
 
-fn statement_service(owned: &Owned, id: TransactionId) -> Result<ServiceId, Refusal> {
-    lock(&owned.table).service(id).ok_or_else(|| lost("the transaction has ended"))
+fn transaction_service(registry: &Registry, id: TransactionId) -> Result<ServiceId, Refusal> {
+    lock(&registry.table).service(id).ok_or_else(|| transaction_lost("the transaction has ended"))
 }
 
-/// Commits, and waits until a majority has the entry.
-async fn finish(
+/// Commits, and waits until a majority of the group has the log entry.
+async fn commit_transaction(
     host: &Arc<Host>,
-    running: &mut Running<'_>,
+    guard: &mut StepGuard<'_>,
     caller: &Caller,
-    live: Live,
+    transaction: OpenTransaction,
     deadline: Time,
 ) -> Outcome {
-    let service = live.target.0;
-    let target = live.target;
-    let before = live.before;
-    let mut lease = Some(live.lease);
-    let mut spare = None;
-    let mut write = Write::new_commit(service, caller.account(), deadline, host.data.seed());
+    let service = transaction.target.0;
+    let target = transaction.target;
+    let previous_commit = transaction.previous_commit;
+    let mut lease = Some(transaction.lease);
+    let mut clean_lease = None;
+    let mut write = Write::new_commit(service, caller.account(), deadline, host.data.next_seed());
     let mut action = Action::Commit;
     loop {
         let event = match action {
             Action::Commit => match lease.take() {
                 Some(lease) => {
-                    running.end = Some(End::Unknown);
+                    guard.end = Some(End::Unknown);
                     write.record_sent();
-                    let (event, clean) = committed(host, lease, before, deadline).await;
-                    spare = clean;
+                    let (event, clean) = send_commit(host, lease, previous_commit, deadline).await;
+                    clean_lease = clean;
                     event
                 }
                 None => Event::ConnectionLost,
             },
             Action::Confirm(position, at) => {
-                running.end = Some(End::Committed);
+                guard.end = Some(End::Committed);
                 tokio::time::sleep_until(host.clock.instant(at).into()).await;
-                let until = write.exchange_deadline(host.clock.now());
+                let confirm_deadline = write.exchange_deadline(host.clock.now());
                 let account = caller.account();
-                let lease = spare.take();
-                host.data.confirm.wait(host, target, account, position, lease, until).await
+                let lease = clean_lease.take();
+                host.data
+                    .confirm
+                    .wait(host, target, account, position, lease, confirm_deadline)
+                    .await
             }
             Action::Acknowledge(position) => {
-                if let Some(lease) = spare {
+                if let Some(lease) = clean_lease {
                     lease.release_clean();
                 }
-                running.end = Some(End::Committed);
+                guard.end = Some(End::Committed);
                 host.metric.count("transaction.committed");
                 let mut outcome = Outcome::new(Ok(Rows::default()));
                 outcome.position = position.map(|position| (service, position));
@@ -313,7 +324,7 @@
             }
             Action::Refuse(refusal) => {
                 if refusal.ran == Ran::No {
-                    running.end = Some(End::RolledBack);
+                    guard.end = Some(End::RolledBack);
                 }
                 return Outcome::new(Err(refusal));
             }
@@ -326,37 +337,41 @@
     }
 }
 
-/// Sends COMMIT; the connection comes back when it is clean.
-async fn committed(
+/// Sends COMMIT; also returns the connection if it is clean.
+async fn send_commit(
     host: &Host,
     lease: Lease,
-    before: Position,
+    previous_commit: Position,
     deadline: Time,
 ) -> (Event, Option<Lease>) {
-    let event = match commit(host, &lease, None, before, deadline).await {
+    let event = match commit(host, &lease, None, previous_commit, deadline).await {
         Ok(position) => return (Event::Committed(position), Some(lease)),
-        Err(Loss::Failed(code, detail)) => Event::Failed(Failure::new(&code), detail),
-        Err(Loss::TimedOut) => Event::TimedOut,
+        Err(Error::Failed(code, detail)) => Event::Failed(Failure::new(&code), detail),
+        Err(Error::TimedOut) => Event::TimedOut,
         Err(_) => Event::ConnectionLost,
     };
     (event, None)
 }
 
-async fn roll_back(host: &Host, live: Live, deadline: Time) -> Result<Rows, Refusal> {
-    let rollback = live.lease.client().batch_execute(ROLLBACK);
-    if exchange::run(host, &live.lease, deadline, rollback).await.is_ok() {
-        live.lease.release_clean();
+async fn roll_back(
+    host: &Host,
+    transaction: OpenTransaction,
+    deadline: Time,
+) -> Result<Rows, Refusal> {
+    let rollback = transaction.lease.client().batch_execute(ROLLBACK);
+    if exchange::run(host, &transaction.lease, deadline, rollback).await.is_ok() {
+        transaction.lease.release_clean();
     }
-    // Where the answer is lost the connection is closed, which rolls back too.
+    // If the response is lost, the connection is closed, which rolls back as well.
     Ok(Rows::default())
 }
 
-async fn run_on(
+async fn run_on_lease(
     host: &Host,
     lease: &Lease,
     statement: &Statement,
     deadline: Time,
-) -> Result<Rows, Loss> {
+) -> Result<Rows, Error> {
     let params = value::bind(statement);
     let rows = lease.client().query_typed_raw(&statement.sql, params);
     let limit = host.settings.limits.result;
@@ -364,14 +379,19 @@
     exchange::run(host, lease, deadline, work).await
 }
 
-/// The refusal of a step that failed; the transaction is rolled back.
-async fn failed(host: &Arc<Host>, live: Live, loss: Loss, deadline: Time) -> Refusal {
-    let key = live.target;
-    exchange::worked(host, key, Some(&loss));
-    match loss {
-        Loss::Failed(code, detail) => {
-            // The refusal is the same whether the rollback is answered or the connection closed.
-            drop(roll_back(host, live, deadline).await);
+/// Rolls the transaction back after a failed step, and returns the refusal of that step.
+async fn roll_back_failed(
+    host: &Arc<Host>,
+    transaction: OpenTransaction,
+    failure: Error,
+    deadline: Time,
+) -> Refusal {
+    let key = transaction.target;
+    exchange::record_work(host, key, Some(&failure));
+    match failure {
+        Error::Failed(code, detail) => {
+            // The refusal does not depend on whether ROLLBACK is answered or the connection closed.
+            drop(roll_back(host, transaction, deadline).await);
             let reason = match Failure::new(&code) {
                 Failure::Superseded => Reason::Superseded,
                 Failure::Held => Reason::WritesHeld,
@@ -379,42 +399,42 @@
             };
             Refusal::new(reason, format!("{detail}; the transaction was rolled back"))
         }
-        Loss::ConnectionLost | Loss::Conflict | Loss::NoTable => {
+        Error::ConnectionLost | Error::Conflict | Error::NoTable => {
             Refusal::new(Reason::ConnectionLost, ROLLED_BACK)
         }
-        Loss::TimedOut => Refusal::new(Reason::DeadlineExceeded, ROLLED_BACK),
-        Loss::Unusable(refusal) => refusal,
+        Error::TimedOut => Refusal::new(Reason::DeadlineExceeded, ROLLED_BACK),
+        Error::Unusable(refusal) => refusal,
     }
 }
 
 const ROLLED_BACK: &str = "the target's answer was lost; the transaction was rolled back";
 
-/// Leases a connection to the primary and begins.
-async fn open(
+/// Begins a transaction on the primary, with retries until `deadline`.
+async fn open_on_primary(
     host: &Arc<Host>,
     caller: &Caller,
     service: ServiceId,
     deadline: Time,
-) -> Result<Live, Refusal> {
+) -> Result<OpenTransaction, Refusal> {
     loop {
-        let refusal = match try_open(host, caller, service, deadline).await {
-            Ok(live) => return Ok(live),
+        let refusal = match try_open_on_primary(host, caller, service, deadline).await {
+            Ok(transaction) => return Ok(transaction),
             Err(refusal) => refusal,
         };
         let is_final = matches!(refusal.reason, Reason::QueueTimeout | Reason::QueueFull);
-        if is_final || host.clock.now() + BEGIN_AGAIN >= deadline {
+        if is_final || host.clock.now() + BEGIN_RETRY_DELAY >= deadline {
             return Err(refusal);
         }
-        tokio::time::sleep(BEGIN_AGAIN).await;
+        tokio::time::sleep(BEGIN_RETRY_DELAY).await;
     }
 }
 
-async fn try_open(
+async fn try_open_on_primary(
     host: &Arc<Host>,
     caller: &Caller,
     service: ServiceId,
     deadline: Time,
-) -> Result<Live, Refusal> {
+) -> Result<OpenTransaction, Refusal> {
     let primary = host.pools.primary(service);
     let primary = primary.ok_or_else(|| Refusal::new(Reason::NoPrimary, "no primary is known"))?;
     let target = (service, primary);
@@ -424,21 +444,23 @@
     let work = async {
         let mode = client.batch_execute(READ_WRITE);
         let begin = client.batch_execute(BEGIN);
-        let before = client.query_typed_one(COMMITTED, &[]);
-        let (mode, begin, before) = futures::join!(mode, begin, before);
-        mode.and(begin).and(before)
+        let previous_commit = client.query_typed_one(LAST_COMMIT, &[]);
+        let (mode, begin, previous_commit) = futures::join!(mode, begin, previous_commit);
+        mode.and(begin).and(previous_commit)
     };
-    let lost = |loss: Loss| Refusal::new(Reason::ConnectionLost, format!("{loss:?}"));
-    let before = exchange::run(host, &lease, deadline, work).await.map_err(lost)?;
-    let before = position(&before, "term", "index").unwrap_or_default();
-    Ok(Live { lease, target, before, is_fresh: true })
+    let connection_lost =
+        |failure: Error| Refusal::new(Reason::ConnectionLost, format!("{failure:?}"));
+    let previous_commit =
+        exchange::run(host, &lease, deadline, work).await.map_err(connection_lost)?;
+    let previous_commit = position(&previous_commit, "term", "index").unwrap_or_default();
+    Ok(OpenTransaction { lease, target, previous_commit, is_unused: true })
 }
 
-fn lost(detail: &str) -> Refusal {
+fn transaction_lost(detail: &str) -> Refusal {
     Refusal::new(Reason::TransactionLost, detail)
 }
 
-/// Host that owns a transaction.
+/// The host that owns a transaction, which is encoded in the id.
 pub fn owner(id: TransactionId) -> HostId {
     core::owner(id)
 }
--- a/crates/host/src/exec/value.rs
+++ b/crates/host/src/exec/value.rs
@@ -1,4 +1,4 @@
-//! Values between the core's plain data and the database's forms.
+//! Converts values between the core's types and PostgreSQL's wire formats.
 
 use super::exact::Exact;
 use bergamotvale_core::statement::{Column, Rows, Statement, Value};
@@ -7,14 +7,15 @@
 use std::error::Error;
 use tokio_postgres::{Client, Row};
 
-/// What is wrong with a result.
+/// Why a value or result cannot be converted.
 pub type Fault = Box<dyn Error + Sync + Send>;
 
-/// First words of statements that have no result unless they are `RETURNING` one.
-const PLAIN: [&str; 8] =
+/// First words of statements that return rows only if they have a `RETURNING` clause.
+const WRITE_KEYWORDS: [&str; 8] =
     ["alter", "create", "delete", "drop", "insert", "merge", "truncate", "update"];
 
-/// A parameter; text goes untyped, so that the database infers its type from where it stands.
+/// A bound parameter. Text is sent without a type, so that the database infers it from the
+/// context.
 #[derive(Debug)]
 pub struct Param<'a>(&'a Value);
 
@@ -45,7 +46,7 @@
     to_sql_checked!();
 }
 
-/// Bound parameters with the types that they are sent as.
+/// The parameters of `statement` with the types that they are sent as.
 pub fn bind(statement: &Statement) -> Vec<(Param<'_>, Type)> {
     statement.params.iter().map(|value| (Param(value), kind(value))).collect()
 }
@@ -60,7 +61,7 @@
     }
 }
 
-/// Adds a row to `rows`; the first one brings the columns.
+/// Appends a row to `rows`; the first one also sets the columns.
 pub fn push(rows: &mut Rows, row: &Row) -> Result<(), Fault> {
     if rows.columns.is_empty() {
         rows.columns = columns(row.columns());
@@ -70,13 +71,13 @@
     Ok(())
 }
 
-/// Gives a result without rows its columns, which the target is asked for.
+/// Sets the columns of a result without rows, by preparing the statement on the target.
 pub async fn describe(
     client: &Client,
     statement: &Statement,
     rows: &mut Rows,
 ) -> Result<(), tokio_postgres::Error> {
-    if !rows.columns.is_empty() || !may_return(&statement.sql) {
+    if !rows.columns.is_empty() || !may_return_rows(&statement.sql) {
         return Ok(());
     }
     let kinds: Vec<Type> = statement.params.iter().map(kind).collect();
@@ -84,11 +85,12 @@
     Ok(())
 }
 
-/// Whether a statement may have a result; a plain write is spared the question.
-fn may_return(sql: &str) -> bool {
+/// Whether a statement may return rows. False for a plain write, which saves the round trip of
+/// [`describe`].
+fn may_return_rows(sql: &str) -> bool {
     let sql = sql.trim_start().to_ascii_lowercase();
     let first = sql.split(|c: char| !c.is_ascii_alphabetic()).next().unwrap_or_default();
-    !PLAIN.contains(&first) || sql.contains("returning")
+    !WRITE_KEYWORDS.contains(&first) || sql.contains("returning")
 }
 
 fn columns(columns: &[tokio_postgres::Column]) -> Vec<Column> {
@@ -117,16 +119,16 @@
         ref kind if <String as FromSql>::accepts(kind) => {
             row.try_get::<_, Option<String>>(index)?.map(Value::Text)
         }
-        ref kind => return Err(refused(row.columns()[index].name(), kind)),
+        ref kind => return Err(unsupported_type(row.columns()[index].name(), kind)),
     };
     Ok(value.unwrap_or(Value::Null))
 }
 
-fn refused(column: &str, kind: &Type) -> Fault {
-    format!("column {column}: the type {kind} is not answered; cast it to text").into()
+fn unsupported_type(column: &str, kind: &Type) -> Fault {
+    format!("column {column}: results of type {kind} are not supported; cast it to text").into()
 }
 
-/// JSON has no number for what is not finite.
+/// A float as a value; text if it is not finite, which JSON numbers cannot represent.
 fn float(value: f64) -> Value {
     if value.is_finite() { Value::Float(value) } else { Value::Text(value.to_string()) }
 }
--- a/crates/host/src/exec/write.rs
+++ b/crates/host/src/exec/write.rs
@@ -1,9 +1,12 @@
-//! Single writes, each in a transaction of its own.
+//! Executes single writes, each in its own transaction on the primary.
+//!
+//! A write with an idempotency key records its outcome in the same transaction
+//! ([`super::outcome`]), so that a repeated request gets the first outcome.
 
 use super::exchange::position;
-use super::exchange::{self, Loss};
+use super::exchange::{self, Error};
 use super::outcome::{self, Id};
-use super::read::unusable;
+use super::read::unsupported_result;
 use super::{Answer, Job, permit, value};
 use crate::settings::Defect;
 use crate::shared::Host;
@@ -23,15 +26,15 @@
 const BEGIN: &str = "BEGIN READ WRITE";
 const COMMIT: &str = "COMMIT";
 const ROLLBACK: &str = "ROLLBACK";
-const COMMITTED: &str = "SELECT * FROM group_commit()";
-/// Time between two looks for another primary.
-const LOOK: Duration = Duration::from_millis(5);
-/// Keyed writes after which some old outcomes are removed.
-const PRUNE_EVERY: u64 = 1000;
-/// Time that removing old outcomes may take.
+const LAST_COMMIT: &str = "SELECT * FROM group_commit()";
+/// Interval at which a retry checks whether the primary has changed.
+const PRIMARY_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Number of writes with an idempotency key between two prunings of old outcomes.
+const WRITES_PER_PRUNE: u64 = 1000;
+/// Time limit for one pruning.
 const PRUNE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A write in the hands of this host.
+/// A write in progress on this host: the core's state machine with the connection it uses.
 struct Task<'a> {
     host: &'a Arc<Host>,
     job: &'a Job,
@@ -39,35 +42,35 @@
     write: Write,
     lease: Option<Lease>,
     target: Key,
-    /// Entry of the connection's last commit before this write.
-    before: Position,
+    /// Log entry of the connection's last commit before this write.
+    previous_commit: Position,
     rows: Rows,
     /// Whether a transaction is open on the leased connection.
-    is_open: bool,
+    is_transaction_open: bool,
 }
 
-/// Leaves the idempotency keys in use when the write has ended, however.
-struct Entered<'a> {
+/// Removes the idempotency key from the keys in use when the write ends, for whatever reason.
+struct KeyGuard<'a> {
     host: &'a Host,
     job: &'a Job,
 }
 
-impl Drop for Entered<'_> {
+impl Drop for KeyGuard<'_> {
     fn drop(&mut self) {
         if let Some(key) = &self.job.idempotency_key {
             let account = self.job.caller.account();
-            self.host.data.running().finish(self.job.service, account, key);
+            self.host.data.keys_in_use().finish(self.job.service, account, key);
         }
     }
 }
 
-/// Writes on the primary and answers once a majority has the entry.
+/// Writes on the primary and returns once a majority of the group has the log entry.
 pub async fn run(host: &Arc<Host>, job: Job) -> Result<Answer, Refusal> {
     let account = job.caller.account();
     if let Some(key) = &job.idempotency_key {
-        host.data.running().start(job.service, account, key)?;
+        host.data.keys_in_use().start(job.service, account, key)?;
     }
-    let _entered = Entered { host, job: &job };
+    let _key_guard = KeyGuard { host, job: &job };
     host.data.budgets().deposit(job.service, account, host.clock.now());
     let id = job.idempotency_key.as_ref().map(|key| {
         let digest = idempotency::digest(account, job.service, &job.statement);
@@ -82,11 +85,11 @@
         if host.settings.policy.defects.contains(&Defect::RetryUnkeyed) {
             digest = digest.or(Some(String::new()));
         }
-        let seed = host.data.seed();
+        let seed = host.data.next_seed();
         let account = job.caller.account();
         let write = Write::new(job.service, account, digest, job.deadline, seed);
         let target = (job.service, 0);
-        let before = Position::default();
+        let previous_commit = Position::default();
         Task {
             host,
             job,
@@ -94,19 +97,19 @@
             write,
             lease: None,
             target,
-            before,
+            previous_commit,
             rows: Rows::default(),
-            is_open: false,
+            is_transaction_open: false,
         }
     }
 
     async fn run(mut self) -> Result<Answer, Refusal> {
         let now = self.host.clock.now();
         let primary = self.host.pools.primary(self.job.service);
-        let expected = primary.map_or(Duration::ZERO, |primary| {
-            self.host.data.confirm.expected(self.host, (self.job.service, primary), now)
+        let expected_delay = primary.map_or(Duration::ZERO, |primary| {
+            self.host.data.confirm.expected_delay(self.host, (self.job.service, primary), now)
         });
-        let mut action = self.write.start(expected, now);
+        let mut action = self.write.start(expected_delay, now);
         loop {
             let event = match action {
                 Action::Lease(at, reason) => {
@@ -118,38 +121,39 @@
                 Action::Execute => self.execute().await,
                 Action::Commit => self.commit().await,
                 Action::Confirm(position, at) => self.confirm(position, at).await,
-                Action::Lookup => self.look_up().await,
-                Action::Acknowledge(position) => return Ok(self.answer(position, None)),
+                Action::Lookup => self.find_outcome().await,
+                Action::Acknowledge(position) => return Ok(self.acknowledge(position, None)),
                 Action::Replay(outcome, position) => return self.replay(&outcome, position),
                 Action::Refuse(refusal) => return Err(refusal),
             };
             let now = self.host.clock.now();
             action = self.write.on(event, &mut self.host.data.budgets(), now);
-            let keeps = matches!(
+            let keeps_lease = matches!(
                 action,
                 Action::Execute | Action::Commit | Action::Lookup | Action::Confirm(..)
             );
-            if !keeps {
-                self.give_back();
+            if !keeps_lease {
+                self.release_lease();
             }
         }
     }
 
-    /// Gives a connection back after a COMMIT or a lookup that needs no confirmation.
-    fn give_back(&mut self) {
-        if let Some(lease) = self.lease.take_if(|_| !self.is_open) {
+    /// Ends the lease. The connection returns to the pool if no transaction is open on it (after a
+    /// COMMIT or a lookup), and is closed otherwise.
+    fn release_lease(&mut self) {
+        if let Some(lease) = self.lease.take_if(|_| !self.is_transaction_open) {
             lease.release_clean();
         }
         self.lease = None;
     }
 
-    /// Leases a connection to the primary, at the given time or as soon as there is another one.
+    /// Leases a connection to the primary: at the time `at`, or earlier if the primary changes.
     async fn lease(&mut self, at: Time) -> Event {
         self.lease = None;
         let service = self.job.service;
         let failed = self.host.pools.primary(service);
         while self.host.clock.now() < at && self.host.pools.primary(service) == failed {
-            tokio::time::sleep(LOOK).await;
+            tokio::time::sleep(PRIMARY_POLL_INTERVAL).await;
         }
         let Some(primary) = self.host.pools.primary(service) else {
             return Event::NoConnection(Reason::NoPrimary);
@@ -171,26 +175,26 @@
             return Event::Denied(refusal);
         }
         let Some(lease) = self.lease.take() else { return Event::ConnectionLost };
-        let _flight = self.host.data.fly(self.target);
-        let until = self.write.exchange_deadline(self.host.clock.now());
+        let _in_flight = self.host.data.track_in_flight(self.target);
+        let deadline = self.write.exchange_deadline(self.host.clock.now());
         self.write.record_sent();
-        let mut result = self.statement(&lease, until).await;
-        if result == Err(Loss::NoTable) {
-            result = self.create_and_repeat(&lease, until).await;
+        let mut result = self.begin_and_execute(&lease, deadline).await;
+        if result == Err(Error::NoTable) {
+            result = self.create_table_and_retry(&lease, deadline).await;
         }
-        exchange::worked(self.host, self.target, result.as_ref().err());
+        exchange::record_work(self.host, self.target, result.as_ref().err());
         match result {
             Ok(()) => {
                 self.lease = Some(lease);
-                self.is_open = true;
+                self.is_transaction_open = true;
                 Event::Executed
             }
-            Err(loss) => self.failed(lease, loss, until).await,
+            Err(failure) => self.roll_back(lease, failure, deadline).await,
         }
     }
 
-    /// Sends BEGIN, the idempotency row and the statement in one round trip.
-    async fn statement(&mut self, lease: &Lease, until: Time) -> Result<(), Loss> {
+    /// Sends BEGIN, the insert of the idempotency row and the statement in one round trip.
+    async fn begin_and_execute(&mut self, lease: &Lease, deadline: Time) -> Result<(), Error> {
         let client = lease.client();
         let params = value::bind(&self.job.statement);
         let limit = self.host.settings.limits.result;
@@ -200,56 +204,57 @@
                 None => Ok(()),
             }
         };
-        let sign = async {
-            let (mode, begin, before) = futures::join!(
+        let probe = async {
+            let (mode, begin, previous_commit) = futures::join!(
                 client.batch_execute(READ_WRITE),
                 client.batch_execute(BEGIN),
-                client.query_typed_one(COMMITTED, &[]),
+                client.query_typed_one(LAST_COMMIT, &[]),
             );
-            mode.and(begin).and(before)
+            mode.and(begin).and(previous_commit)
         };
         let work = async {
-            // Joined and not tried: whatever fails, every answer is read.
+            // `join!` rather than `try_join!`, so that every response is read even if one fails.
             let rows = client.query_typed_raw(&self.job.statement.sql, params);
             let (insert, rows) = futures::join!(insert, rows);
             insert?;
             collect(client, &self.job.statement, rows?, limit).await
         };
-        let limits = (self.write.first_response_deadline(self.host.clock.now()), until);
+        let deadlines = (self.write.first_response_deadline(self.host.clock.now()), deadline);
         let both = Box::pin(async {
-            let (before, rows) = exchange::signed(self.host, limits, sign, Box::pin(work)).await?;
-            Ok::<_, Loss>((before, rows?))
+            let (previous_commit, rows) =
+                exchange::run_with_probe(self.host, deadlines, probe, Box::pin(work)).await?;
+            Ok::<_, Error>((previous_commit, rows?))
         });
-        let (before, rows) = exchange::run(self.host, lease, until, both).await?;
-        self.before = position(&before, "term", "index").unwrap_or_default();
+        let (previous_commit, rows) = exchange::run(self.host, lease, deadline, both).await?;
+        self.previous_commit = position(&previous_commit, "term", "index").unwrap_or_default();
         self.rows = rows;
         Ok(())
     }
 
-    async fn create_and_repeat(&mut self, lease: &Lease, until: Time) -> Result<(), Loss> {
+    async fn create_table_and_retry(&mut self, lease: &Lease, deadline: Time) -> Result<(), Error> {
         let create = async {
             lease.client().batch_execute(ROLLBACK).await?;
             outcome::create(lease.client()).await
         };
-        exchange::run(self.host, lease, until, create).await?;
-        self.statement(lease, until).await
+        exchange::run(self.host, lease, deadline, create).await?;
+        self.begin_and_execute(lease, deadline).await
     }
 
-    /// Rolls back after an error, so that the connection is clean.
-    async fn failed(&mut self, lease: Lease, loss: Loss, until: Time) -> Event {
-        if !matches!(loss, Loss::Failed(..) | Loss::Conflict) {
-            return event(loss);
+    /// Rolls back after an error of the target, so that the connection can be reused.
+    async fn roll_back(&mut self, lease: Lease, failure: Error, deadline: Time) -> Event {
+        if !matches!(failure, Error::Failed(..) | Error::Conflict) {
+            return event(failure);
         }
         let rollback = lease.client().batch_execute(ROLLBACK);
-        let is_clean = exchange::run(self.host, &lease, until, rollback).await.is_ok();
-        if loss == Loss::Conflict {
+        let is_clean = exchange::run(self.host, &lease, deadline, rollback).await.is_ok();
+        if failure == Error::Conflict {
             self.lease = is_clean.then_some(lease);
             return Event::Conflict;
         }
         if is_clean {
             lease.release_clean();
         }
-        event(loss)
+        event(failure)
     }
 
     async fn commit(&mut self) -> Event {
@@ -266,18 +271,18 @@
             },
             None => None,
         };
-        let until = self.write.exchange_deadline(self.host.clock.now());
+        let deadline = self.write.exchange_deadline(self.host.clock.now());
         self.write.record_sent();
         let row = row.as_ref().map(|(id, outcome)| (*id, outcome.as_str()));
-        match commit(self.host, &lease, row, self.before, until).await {
+        match commit(self.host, &lease, row, self.previous_commit, deadline).await {
             Ok(position) => {
                 self.lease = Some(lease);
-                self.is_open = false;
+                self.is_transaction_open = false;
                 Event::Committed(position)
             }
-            Err(loss) => {
-                exchange::worked(self.host, self.target, Some(&loss));
-                event(loss)
+            Err(failure) => {
+                exchange::record_work(self.host, self.target, Some(&failure));
+                event(failure)
             }
         }
     }
@@ -287,34 +292,35 @@
             return Event::Confirmed(position);
         }
         tokio::time::sleep_until(self.host.clock.instant(at).into()).await;
-        let until = self.write.exchange_deadline(self.host.clock.now());
+        let deadline = self.write.exchange_deadline(self.host.clock.now());
         let account = self.job.caller.account();
         let lease = self.lease.take();
         let waits = &self.host.data.confirm;
-        waits.wait(self.host, self.target, account, position, lease, until).await
+        waits.wait(self.host, self.target, account, position, lease, deadline).await
     }
 
-    async fn look_up(&mut self) -> Event {
+    async fn find_outcome(&mut self) -> Event {
         let (Some(lease), Some(id)) = (self.lease.take(), &self.id) else {
             return Event::ConnectionLost;
         };
-        let until = self.write.exchange_deadline(self.host.clock.now());
-        match exchange::run(self.host, &lease, until, outcome::find(lease.client(), id)).await {
+        let deadline = self.write.exchange_deadline(self.host.clock.now());
+        match exchange::run(self.host, &lease, deadline, outcome::find(lease.client(), id)).await {
             Ok((row, position)) => {
                 self.lease = Some(lease);
                 Event::Found(row, position)
             }
-            Err(loss) => event(loss),
+            Err(failure) => event(failure),
         }
     }
 
-    fn answer(self, position: Option<Position>, replayed: Option<Rows>) -> Answer {
+    fn acknowledge(self, position: Option<Position>, replayed: Option<Rows>) -> Answer {
         let mut token = self.job.token.clone();
         if let Some(position) = position {
             token.observe(self.job.service, position);
         }
         self.host.metric.count("write.acknowledged");
-        if self.id.is_some() && self.host.data.keyed_write().is_multiple_of(PRUNE_EVERY) {
+        if self.id.is_some() && self.host.data.count_keyed_write().is_multiple_of(WRITES_PER_PRUNE)
+        {
             tokio::spawn(prune(self.host.clone(), self.target, self.job.caller.account()));
         }
         let is_replay = replayed.is_some();
@@ -327,33 +333,35 @@
             Refusal::new(Reason::ConnectionLost, fault.to_string()).with_ran(Ran::Unknown)
         })?;
         self.host.metric.count("write.replayed");
-        Ok(self.answer(Some(position), Some(rows)))
+        Ok(self.acknowledge(Some(position), Some(rows)))
     }
 }
 
-/// Removes some outcomes that are past the service's retention.
+/// Removes outcomes that are older than the service's retention.
 async fn prune(host: Arc<Host>, key: Key, account: AccountId) {
     let Some(retention) = host.document().services.get(&key.0).map(|s| s.retention) else { return };
-    let until = host.clock.now() + PRUNE_TIMEOUT;
-    let Ok(lease) = host.pools.acquire(&host, key, account, until).await else { return };
-    match exchange::run(&host, &lease, until, outcome::prune(lease.client(), retention)).await {
+    let deadline = host.clock.now() + PRUNE_TIMEOUT;
+    let Ok(lease) = host.pools.acquire(&host, key, account, deadline).await else { return };
+    match exchange::run(&host, &lease, deadline, outcome::prune(lease.client(), retention)).await {
         Ok(count) => {
             lease.release_clean();
             host.metric.add("outcome.pruned", i64::try_from(count).unwrap_or(i64::MAX));
         }
-        Err(loss) => log::warn!("cannot prune outcomes of service {}: {loss:?}", key.0),
+        Err(failure) => log::warn!("cannot prune outcomes of service {}: {failure:?}", key.0),
     }
 }
 
-/// Sends the outcome's row, COMMIT and the question for the entry in one round trip; answers with
-/// the entry, if one was made since `before`.
+/// Sends the update of the outcome's row, COMMIT and the query for the last commit's log entry in
+/// one round trip.
+///
+/// Returns the entry, or `None` if COMMIT created none, that is, if it is still `previous_commit`.
 pub(super) async fn commit(
     host: &Host,
     lease: &Lease,
     row: Option<(&Id, &str)>,
-    before: Position,
-    until: Time,
-) -> Result<Option<Position>, Loss> {
+    previous_commit: Position,
+    deadline: Time,
+) -> Result<Option<Position>, Error> {
     let client = lease.client();
     let update = async {
         match row {
@@ -365,31 +373,31 @@
         let (updated, committed, entry) = futures::join!(
             update,
             client.batch_execute(COMMIT),
-            client.query_typed_one(COMMITTED, &[]),
+            client.query_typed_one(LAST_COMMIT, &[]),
         );
-        // Where the row fails, COMMIT is answered as a rollback.
+        // If the update fails, the target answers COMMIT with a rollback.
         let updated = updated?;
         committed?;
         Ok::<_, tokio_postgres::Error>((updated, entry))
     };
-    let (updated, entry) = exchange::run(host, lease, until, work).await?;
-    // COMMIT was answered: an error from here on denies nothing.
-    let entry = entry.map_err(|_| Loss::ConnectionLost)?;
-    let entry = position(&entry, "term", "index").map_err(|_| Loss::ConnectionLost)?;
-    let is_made = entry != before;
-    if updated != 1 || (row.is_some() && !is_made) {
-        return Err(Loss::ConnectionLost);
+    let (updated, entry) = exchange::run(host, lease, deadline, work).await?;
+    // COMMIT has succeeded, so a later error must not report that the write did not run.
+    let entry = entry.map_err(|_| Error::ConnectionLost)?;
+    let entry = position(&entry, "term", "index").map_err(|_| Error::ConnectionLost)?;
+    let is_new = entry != previous_commit;
+    if updated != 1 || (row.is_some() && !is_new) {
+        return Err(Error::ConnectionLost);
     }
-    Ok(is_made.then_some(entry))
+    Ok(is_new.then_some(entry))
 }
 
-/// Reads a whole result of at most `limit` bytes.
+/// Reads a complete result; fails if it exceeds `limit` bytes.
 pub(super) async fn collect(
     client: &tokio_postgres::Client,
     statement: &Statement,
     stream: tokio_postgres::RowStream,
     limit: usize,
-) -> Result<Rows, Loss> {
+) -> Result<Rows, Error> {
     let mut stream = std::pin::pin!(stream);
     let mut rows = Rows::default();
     let mut size = 0;
@@ -398,21 +406,21 @@
         size += row.raw_size_bytes();
         if size > limit {
             let detail = format!("the result is over {limit} bytes");
-            return Err(Loss::Unusable(Refusal::new(Reason::TooLarge, detail)));
+            return Err(Error::Unusable(Refusal::new(Reason::TooLarge, detail)));
         }
-        value::push(&mut rows, &row).map_err(unusable)?;
+        value::push(&mut rows, &row).map_err(unsupported_result)?;
     }
     rows.affected = stream.rows_affected().unwrap_or(0);
     value::describe(client, statement, &mut rows).await?;
     Ok(rows)
 }
 
-fn event(loss: Loss) -> Event {
-    match loss {
-        Loss::Failed(code, detail) => Event::Failed(Failure::new(&code), detail),
-        Loss::Conflict => Event::Conflict,
-        Loss::ConnectionLost | Loss::NoTable => Event::ConnectionLost,
-        Loss::TimedOut => Event::TimedOut,
-        Loss::Unusable(refusal) => Event::Denied(refusal),
+fn event(failure: Error) -> Event {
+    match failure {
+        Error::Failed(code, detail) => Event::Failed(Failure::new(&code), detail),
+        Error::Conflict => Event::Conflict,
+        Error::ConnectionLost | Error::NoTable => Event::ConnectionLost,
+        Error::TimedOut => Event::TimedOut,
+        Error::Unusable(refusal) => Event::Denied(refusal),
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,7 +1,8 @@
-//! The daemon: sockets, timers and tasks round the decisions of the core.
+//! The daemon of the HTTP product: the sockets, timers and tasks that execute the decisions of
+//! `bergamotvale_core`.
 //!
-//! [`daemon::Daemon`] runs one host; a process may run several, which `bergamotvale try` does.
-//! [`shared::Host`] is what the tasks of one host share.
+//! [`daemon::Daemon`] runs one host; a process may run several, as `bergamotvale try` does.
+//! [`shared::Host`] is the state that the tasks of one host share.
 
 pub mod admin;
 pub mod auth;
--- a/crates/host/src/limit.rs
+++ b/crates/host/src/limit.rs
@@ -1,7 +1,7 @@
 //! Admits requests against the rates of their client accounts.
 //!
-//! The decisions are [`bergamotvale_core::rate`]'s; this module wakes the requests that wait for a
-//! loan and hands the asks to the task that calls peers.
+//! [`bergamotvale_core::rate`] decides; this module wakes the requests that wait for a loan of rate
+//! tokens and passes the loan requests to the task that calls peers.
 
 use crate::clock::Clock;
 use crate::settings::{Defect, Policy, Rates};
@@ -17,17 +17,18 @@
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
 
-/// Time by which a growing part waits longer than authority lives.
-const SETTLE_MARGIN: Duration = Duration::from_millis(100);
-/// Time between two looks at what waits and what has come into force.
-const TICK: Duration = Duration::from_millis(20);
+/// Margin added to the validity of authority before a larger share comes into force: by then every
+/// host whose share shrinks has adopted the new division or stopped admitting requests.
+const SHARE_GROWTH_MARGIN: Duration = Duration::from_millis(100);
+/// Interval at which shares come into force and waiting requests are woken.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Rates of all client accounts at this host.
+/// Rate limiter for all client accounts at this host.
 pub struct Limiter {
     clock: Clock,
-    whole_rate: bool,
+    undivided_rate: bool,
     state: Mutex<State>,
-    asks: mpsc::UnboundedSender<LoanRequest>,
+    loan_requests: mpsc::UnboundedSender<LoanRequest>,
 }
 
 struct State {
@@ -35,40 +36,40 @@
     wakers: BTreeMap<AccountId, Arc<Notify>>,
 }
 
-/// A request that waits for a token; gives its place up when dropped.
-struct Place<'a> {
+/// Removes a request that waits for a token from the meter's count when dropped.
+struct WaitGuard<'a> {
     limiter: &'a Limiter,
     account: AccountId,
-    held: bool,
+    is_waiting: bool,
 }
 
-impl Drop for Place<'_> {
+impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
-        if self.held {
+        if self.is_waiting {
             self.limiter.lock().meter.abandon(self.account);
         }
     }
 }
 
 impl Limiter {
-    /// A limiter without client accounts, and the loans that it wants asked for.
+    /// A limiter without client accounts, and the receiver of the loan requests to send to peers.
     pub fn new(policy: &Policy, clock: Clock) -> (Limiter, mpsc::UnboundedReceiver<LoanRequest>) {
-        let (asks, receiver) = mpsc::unbounded_channel();
+        let (loan_requests, receiver) = mpsc::unbounded_channel();
         let lending = policy.rates == Rates::Escrow;
-        let meter = Meter::new(policy.authority + SETTLE_MARGIN, lending);
+        let meter = Meter::new(policy.authority + SHARE_GROWTH_MARGIN, lending);
         let state = Mutex::new(State { meter, wakers: BTreeMap::new() });
-        let whole_rate = policy.defects.contains(&Defect::LocalRate);
-        (Limiter { clock, whole_rate, state, asks }, receiver)
+        let undivided_rate = policy.defects.contains(&Defect::LocalRate);
+        (Limiter { clock, undivided_rate, state, loan_requests }, receiver)
     }
 
-    /// Takes up the parts that `own` has of the document's rates among `members`.
+    /// Sets the shares that the host `own` has of the rates in `document` among `members`.
     pub fn divide(&self, document: &Document, members: &BTreeSet<HostId>, own: HostId) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.meter.set_peers(members.iter().copied().filter(|host| *host != own).collect());
         state.meter.retain(|account| document.accounts.contains_key(&account));
         for (id, account) in &document.accounts {
-            let (rate, burst) = match self.whole_rate {
+            let (rate, burst) = match self.undivided_rate {
                 true => (micro(account.rate), micro(account.burst)),
                 false => rate::account_share(*id, account, members, own),
             };
@@ -76,51 +77,54 @@
         }
     }
 
-    /// Notes that a division was missed: members or configuration skipped an epoch here.
+    /// Records that this host missed a division, because it skipped an epoch of the fleet row.
     pub fn record_missed_division(&self) {
         let now = self.clock.now();
         self.lock().meter.record_missed_division(now);
     }
 
-    /// Waits until a request of `account` is admitted.
+    /// Waits until a request of `account` is admitted, at most until `deadline`; refuses a request
+    /// over the rate.
     pub async fn admit(&self, account: AccountId, deadline: Time) -> Result<(), Refusal> {
         let mut decision = self.decide(account, |meter, now| meter.request(account, now));
-        let mut place = Place { limiter: self, account, held: false };
+        let mut wait_guard = WaitGuard { limiter: self, account, is_waiting: false };
         loop {
-            place.held = matches!(decision, Decision::Wait(_));
-            let until = match decision {
+            wait_guard.is_waiting = matches!(decision, Decision::Wait(_));
+            let wait_deadline = match decision {
                 Decision::Admit => return Ok(()),
-                Decision::Refuse(after) => return Err(refusal(after)),
-                Decision::Wait(until) => until.min(deadline),
+                Decision::Refuse(retry_after) => return Err(refusal(retry_after)),
+                Decision::Wait(wait_deadline) => wait_deadline.min(deadline),
             };
-            decision = self.wait(account, until).await;
-            place.held = false;
+            decision = self.wait(account, wait_deadline).await;
+            wait_guard.is_waiting = false;
         }
     }
 
-    /// Lends tokens to a peer.
+    /// Lends rate tokens to a peer; returns the number lent.
     pub fn lend(&self, request: &TokenRequest) -> u32 {
         let now = self.clock.now();
         self.lock().meter.lend(request, now)
     }
 
-    /// Takes the answer to an ask sent at `asked`; none counts as zero.
-    pub fn record_loan(&self, ask: LoanRequest, count: Option<u32>, asked: Time) {
+    /// Records the response to a loan request that was sent at `sent_at`; no response counts as 0
+    /// tokens.
+    pub fn record_loan(&self, request: LoanRequest, count: Option<u32>, sent_at: Time) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.meter.receive(ask, count.unwrap_or(0), asked, now);
-        state.wake(ask.account);
+        state.meter.receive(request, count.unwrap_or(0), sent_at, now);
+        state.wake(request.account);
     }
 
-    /// Part of rate, per second, and burst of `account` at this host, in whole tokens.
+    /// This host's share of the rate (per second) and of the burst of `account`, in whole tokens.
     pub fn share(&self, account: AccountId) -> (u64, u64) {
         let (rate, burst) = self.lock().meter.share(account);
         (rate / rate::bucket::MICRO, burst / rate::bucket::MICRO)
     }
 
-    /// Brings parts into force, wakes what waits, asks for loans; until the task is dropped.
+    /// Periodically brings shares into force, wakes waiting requests and requests loans, until the
+    /// task is dropped.
     pub async fn run(&self) {
-        let mut ticks = tokio::time::interval(TICK);
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
@@ -134,7 +138,7 @@
         state.meter.tick(now);
         for account in state.wakers.keys().copied().collect::<Vec<_>>() {
             state.wake(account);
-            self.ask(&mut state, account, now);
+            self.send_loan_requests(&mut state, account, now);
         }
         state.wakers.retain(|_, waker| Arc::strong_count(waker) > 1);
     }
@@ -147,31 +151,32 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let decision = decide(&mut state.meter, now);
-        self.ask(&mut state, account, now);
+        self.send_loan_requests(&mut state, account, now);
         decision
     }
 
-    fn ask(&self, state: &mut State, account: AccountId, now: Time) {
-        for ask in state.meter.loan_requests(account, now) {
-            if self.asks.send(ask).is_err() {
-                log::debug!("nobody asks for loans any more: the host is stopping");
+    fn send_loan_requests(&self, state: &mut State, account: AccountId, now: Time) {
+        for request in state.meter.loan_requests(account, now) {
+            if self.loan_requests.send(request).is_err() {
+                log::debug!("a loan request was not sent: the host is stopping");
             }
         }
     }
 
-    /// Waits for a loan and decides again.
-    async fn wait(&self, account: AccountId, until: Time) -> Decision {
+    /// Waits for a loan, at most until `deadline`, and decides again.
+    async fn wait(&self, account: AccountId, deadline: Time) -> Decision {
         let waker = self.lock().wakers.entry(account).or_default().clone();
-        let mut woken = pin!(waker.notified());
-        // Listens before the second look, so that no loan arrives between the two unheard.
-        woken.as_mut().enable();
-        let decision = self.decide(account, |meter, now| meter.retry(account, until, now));
+        let mut notified = pin!(waker.notified());
+        // Registered before the next decision, so that a loan that arrives after that decision
+        // still wakes this request.
+        notified.as_mut().enable();
+        let decision = self.decide(account, |meter, now| meter.retry(account, deadline, now));
         if !matches!(decision, Decision::Wait(_)) {
             return decision;
         }
-        let left = until.saturating_sub(self.clock.now());
-        drop(tokio::time::timeout(left, woken).await);
-        self.decide(account, |meter, now| meter.retry(account, until, now))
+        let time_left = deadline.saturating_sub(self.clock.now());
+        drop(tokio::time::timeout(time_left, notified).await);
+        self.decide(account, |meter, now| meter.retry(account, deadline, now))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -187,7 +192,7 @@
     }
 }
 
-fn refusal(after: Duration) -> Refusal {
+fn refusal(retry_after: Duration) -> Refusal {
     Refusal::new(Reason::RateExceeded, "the client account is over its rate")
-        .with_retry_after(after)
+        .with_retry_after(retry_after)
 }
--- a/crates/host/src/metric.rs
+++ b/crates/host/src/metric.rs
@@ -1,6 +1,7 @@
-//! Counters and gauges through cadence, readable in process and sent on to statsd if asked.
+//! Counters and gauges, readable in process and sent to a statsd server if one is configured.
 //!
-//! Each refusal and each retry reason has a counter of its own, present from the start with zero.
+//! Each refusal reason and each retry reason has its own counter, which exists with value zero from
+//! the start.
 
 use bergamotvale_core::{refusal, retry};
 use cadence::{Counted, Gauged, MetricSink, StatsdClient};
@@ -10,12 +11,12 @@
 
 const PREFIX: &str = "bergamotvale";
 
-/// Counters and gauges by name.
+/// Values of all counters and gauges, by name without the prefix `bergamotvale.`.
 #[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Snapshot {
-    /// Sums since the start.
+    /// Sums since the host started.
     pub counters: BTreeMap<String, i64>,
-    /// Last values.
+    /// Most recent values.
     pub gauges: BTreeMap<String, i64>,
 }
 
@@ -40,7 +41,7 @@
     }
 }
 
-/// Adds one line of the statsd protocol, `prefix.name:value|kind`, to `totals`.
+/// Applies one line of the statsd protocol, `prefix.name:value|kind`, to `totals`.
 fn record(totals: &mut Snapshot, metric: &str) {
     let Some((name, rest)) = metric.split_once(':') else { return };
     let name = name.strip_prefix(PREFIX).and_then(|n| n.strip_prefix('.')).unwrap_or(name);
@@ -68,57 +69,58 @@
 }
 
 impl Registry {
-    /// A registry with all reason counters at zero.
+    /// A registry with all reason counters at zero. Fails if the socket for `statsd` cannot be
+    /// bound.
     pub fn new(statsd: Option<SocketAddr>) -> std::io::Result<Registry> {
         let statsd = match statsd {
-            Some(address) => Some((UdpSocket::bind((unspecified(address), 0))?, address)),
+            Some(address) => Some((UdpSocket::bind((unspecified_address(address), 0))?, address)),
             None => None,
         };
-        let totals = Arc::new(Mutex::new(zeroed()));
+        let totals = Arc::new(Mutex::new(zero_counters()));
         let sink = Sink { totals: totals.clone(), statsd };
         Ok(Registry { client: StatsdClient::from_sink(PREFIX, sink), totals })
     }
 
-    /// Adds one.
+    /// Adds one to the counter `name`.
     pub fn count(&self, name: &str) {
         self.add(name, 1);
     }
 
-    /// Adds `value`.
+    /// Adds `value` to the counter `name`.
     pub fn add(&self, name: &str, value: i64) {
-        // A statsd server that cannot be reached must not disturb the work that is counted.
+        // Sending to the statsd server is best effort: a failure must not affect the caller.
         drop(self.client.count(name, value));
     }
 
-    /// Sets a gauge.
-    pub fn gauge(&self, name: &str, value: u64) {
+    /// Sets the gauge `name`.
+    pub fn set_gauge(&self, name: &str, value: u64) {
         drop(self.client.gauge(name, value));
     }
 
-    /// Counts a refusal under its reason.
+    /// Adds one to the counter `refusal.<reason>`.
     pub fn count_refusal(&self, reason: refusal::Reason) {
         self.count(&format!("refusal.{reason}"));
     }
 
-    /// Counts a retry under its reason.
+    /// Adds one to the counter `retry.<reason>`.
     pub fn count_retry(&self, reason: retry::Reason) {
         self.count(&format!("retry.{reason}"));
     }
 
-    /// Everything counted so far.
+    /// A copy of all current values.
     pub fn snapshot(&self) -> Snapshot {
         self.totals.lock().expect("no holder of the lock panics").clone()
     }
 }
 
-fn zeroed() -> Snapshot {
+fn zero_counters() -> Snapshot {
     let refusals = refusal::Reason::ALL.iter().map(|reason| format!("refusal.{reason}"));
     let retries = retry::Reason::ALL.iter().map(|reason| format!("retry.{reason}"));
     let counters = refusals.chain(retries).map(|name| (name, 0)).collect();
     Snapshot { counters, gauges: BTreeMap::new() }
 }
 
-fn unspecified(address: SocketAddr) -> std::net::IpAddr {
+fn unspecified_address(address: SocketAddr) -> std::net::IpAddr {
     match address {
         SocketAddr::V4(_) => std::net::Ipv4Addr::UNSPECIFIED.into(),
         SocketAddr::V6(_) => std::net::Ipv6Addr::UNSPECIFIED.into(),
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -1,4 +1,4 @@
-//! What the tasks of one host share.
+//! State that all tasks of one host share.
 
 use crate::clock::Clock;
 use crate::error::Result;
@@ -19,44 +19,44 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
 
-/// One host of the fleet.
+/// Shared state of one host of the fleet.
 pub struct Host {
-    /// Its settings, with the addresses that it really listens on.
+    /// Settings, with the actual listen addresses in place of port 0.
     pub settings: Settings,
-    /// Its present run.
+    /// Identifies this run of the host among its earlier and later runs.
     pub incarnation: Incarnation,
-    /// Monotone time.
+    /// Monotonic clock.
     pub clock: Clock,
     /// Counters and gauges.
     pub metric: Registry,
-    /// The platform's service.
+    /// Client of the platform's service.
     pub platform: platform::Client,
-    /// What is known of the fleet.
+    /// Members of the fleet and this host's authority, as far as this host knows them.
     pub fleet: Fleet,
     /// Connections to the other hosts.
     pub peers: Peers,
-    /// Rates of the client accounts.
+    /// Rate limiter for the client accounts.
     pub limiter: Limiter,
-    /// Loans of rate tokens to ask for; taken by the task that asks.
+    /// Loan requests for rate tokens; `None` once taken by the task that sends them to peers.
     pub loan_requests: Mutex<Option<mpsc::UnboundedReceiver<LoanRequest>>>,
-    /// What is known of the groups' primaries.
+    /// State of the database groups and their primaries, as this host knows it.
     pub failover: Arc<Failover>,
-    /// Connections to the targets, and what is known of them.
+    /// Connection pools of the targets.
     pub pools: Pools,
-    /// What the requests share.
+    /// State of the data path that all requests share.
     pub data: exec::State,
-    /// The configuration in force here.
+    /// The configuration in force on this host.
     pub document: watch::Sender<Arc<Document>>,
     /// Whether the host is stopping.
     pub stopping: watch::Sender<bool>,
-    /// Whether the host was told to leave the fleet, by a signal or by a plan.
+    /// Whether the host has to leave the fleet, because of a signal or a plan.
     pub leaving: watch::Sender<bool>,
-    /// Level of the log; none in a process that logs by other means.
+    /// Control of the log level; unset in a process that configures its own logger.
     pub log_control: OnceLock<logging::Control>,
 }
 
 impl Host {
-    /// A host that has not started its tasks.
+    /// A host whose tasks have not been started.
     pub fn new(settings: Settings) -> Result<Host> {
         let platform = platform::Client::new(&settings)?;
         let metric = Registry::new(settings.metrics.statsd)?;
@@ -84,7 +84,7 @@
         })
     }
 
-    /// The configuration in force here.
+    /// The configuration in force on this host.
     pub fn document(&self) -> Arc<Document> {
         self.document.borrow().clone()
     }
@@ -95,7 +95,8 @@
     }
 }
 
-/// Wall-clock microseconds: only tells runs of one host apart, enters no decision about time.
+/// Wall-clock microseconds. Only distinguishes incarnations of one host; no decision depends on it
+/// as a time.
 fn incarnation() -> Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
--- a/crates/host/src/target/connection.rs
+++ b/crates/host/src/target/connection.rs
@@ -1,9 +1,10 @@
-//! One connection to a target, and exchanges on it that end in time.
+//! One connection to a target, and exchanges on it with a timeout.
 //!
-//! An exchange that is dropped or runs out of time leaves an answer on its way that belongs to
-//! nobody else: the connection counts as dirty from the moment the exchange starts until its whole
-//! answer is here, and whoever holds a dirty connection closes it. Closing it while a statement
-//! runs also sends a cancel request, so that the target does not work on for nobody.
+//! An exchange that is dropped or times out leaves a response in flight that must not reach the
+//! next user of the connection. A connection is therefore dirty from the start of an exchange until
+//! the complete response has arrived, and a dirty connection is closed instead of reused. Closing
+//! it while a statement is in progress also sends a cancel request, so that the target does not
+//! keep executing a statement whose result nobody reads.
 
 use crate::error::{Error, Result};
 use crate::settings::Settings;
@@ -16,14 +17,14 @@
 use tokio::task::JoinHandle;
 use tokio_postgres::{CancelToken, Client, Config, NoTls};
 
-/// Idle time after which the kernel asks whether the other end is still there.
+/// Idle time after which the kernel sends the first TCP keepalive probe.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(10);
-/// Time between two such questions.
+/// Time between two TCP keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
-/// Time that a cancel request may take.
+/// Timeout of a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// An open connection; closing it ends its task.
+/// An open connection; dropping it closes it and ends the task that drives it.
 pub struct Connection {
     client: Client,
     task: JoinHandle<()>,
@@ -32,50 +33,51 @@
 }
 
 impl Connection {
-    /// Opens a connection within the connect timeout of the settings.
+    /// Opens a connection and logs in, within the connect timeout of the settings.
     pub async fn open(address: SocketAddr, settings: &Settings) -> Result<Connection> {
         let timeout = settings.timeouts.connect;
         tokio::time::timeout(timeout, connect(address, settings)).await.map_err(|_| timed_out())?
     }
 
-    /// The protocol client.
+    /// Client for exchanges on the connection; wrap them in [`Connection::exchange`] or between
+    /// [`Connection::start_exchange`] and [`Connection::finish_exchange`].
     pub fn client(&self) -> &Client {
         &self.client
     }
 
-    /// Whether an answer may still be on its way, or the other end is gone.
+    /// Whether a response may still be in flight, or the connection is closed.
     pub fn is_dirty(&self) -> bool {
         self.dirty.load(Ordering::Acquire) || self.client.is_closed()
     }
 
-    /// An exchange starts: dirty from now on.
-    pub fn start(&self) {
+    /// Marks the start of an exchange: the connection is dirty from now on.
+    pub fn start_exchange(&self) {
         self.dirty.store(true, Ordering::Release);
     }
 
-    /// The whole answer of the exchange is here.
-    pub fn settle(&self) {
+    /// Marks the end of an exchange: its complete response has arrived.
+    pub fn finish_exchange(&self) {
         self.dirty.store(false, Ordering::Release);
     }
 
-    /// Runs `work` on the connection; dirty unless it ends within `timeout`.
+    /// Runs `work` on the connection, which stays dirty if `work` does not finish within `timeout`.
     pub async fn exchange<T>(
         &self,
         timeout: Duration,
         work: impl Future<Output = std::result::Result<T, tokio_postgres::Error>>,
     ) -> Result<T> {
-        self.start();
+        self.start_exchange();
         let answer = tokio::time::timeout(timeout, work).await.map_err(|_| timed_out())?;
-        self.settle();
+        self.finish_exchange();
         Ok(answer?)
     }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        let running = self.dirty.load(Ordering::Acquire) && !self.client.is_closed();
+        let is_in_progress = self.dirty.load(Ordering::Acquire) && !self.client.is_closed();
         self.task.abort();
-        if running && tokio::runtime::Handle::try_current().is_ok() {
+        if is_in_progress && tokio::runtime::Handle::try_current().is_ok() {
             tokio::spawn(cancel(self.client.cancel_token(), self.address));
         }
     }
@@ -88,7 +90,9 @@
         Ok::<(), Error>(())
     });
     if !matches!(sent.await, Ok(Ok(()))) {
-        log::debug!("no cancel request reached {address}");
+        log::debug!(
+            "cannot send a cancel request to {address}; the statement may keep running there"
+        );
     }
 }
 
--- a/crates/host/src/target/lease.rs
+++ b/crates/host/src/target/lease.rs
@@ -1,4 +1,4 @@
-//! A leased connection.
+//! Exclusive use of a pooled connection by one owner.
 
 use super::connection::Connection;
 use super::{Key, pool};
@@ -6,7 +6,7 @@
 use bergamotvale_core::pool::ConnectionId;
 use std::sync::Arc;
 
-/// A connection with its one owner; closed on drop unless given back clean.
+/// A leased connection: closed on drop unless it was released with [`Lease::release_clean`].
 pub struct Lease {
     host: Arc<Host>,
     key: Key,
@@ -24,32 +24,33 @@
         Lease { host, key, id, connection: Some(connection) }
     }
 
-    /// The target that it leads to.
+    /// Target of the connection.
     pub fn key(&self) -> Key {
         self.key
     }
 
-    /// The protocol client.
+    /// Client for exchanges on the connection, to be marked with [`Lease::start_exchange`] and
+    /// [`Lease::finish_exchange`].
     pub fn client(&self) -> &tokio_postgres::Client {
         self.connection().client()
     }
 
-    /// An exchange starts that may outlast a call; dropping the lease before it is settled cancels
-    /// the statement.
-    pub fn start(&self) {
-        self.connection().start();
+    /// Marks the start of an exchange, which may extend over several calls; dropping the lease
+    /// before the exchange is finished cancels the statement.
+    pub fn start_exchange(&self) {
+        self.connection().start_exchange();
     }
 
-    /// The whole answer of the exchange is here.
-    pub fn settle(&self) {
-        self.connection().settle();
+    /// Marks the end of an exchange: its complete response has arrived.
+    pub fn finish_exchange(&self) {
+        self.connection().finish_exchange();
     }
 
-    /// Gives the connection back; the owner vouches that no transaction and no answer is left on
-    /// it. One with an exchange that did not end is closed all the same.
+    /// Returns the connection to the pool. The owner must ensure that no transaction is open on it.
+    /// A connection with an unfinished exchange is closed instead.
     pub fn release_clean(mut self) {
-        let kept = self.connection.take().filter(|connection| !connection.is_dirty());
-        pool::released(&self.host, self.key, self.id, kept);
+        let clean_connection = self.connection.take().filter(|connection| !connection.is_dirty());
+        pool::record_release(&self.host, self.key, self.id, clean_connection);
     }
 
     fn connection(&self) -> &Connection {
@@ -61,7 +62,7 @@
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
             drop(connection);
-            pool::released(&self.host, self.key, self.id, None);
+            pool::record_release(&self.host, self.key, self.id, None);
         }
     }
 }
--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -1,15 +1,16 @@
-//! Connections to the targets, and what is known of the targets.
+//! Connections to the targets, and the state of the targets as this host knows it.
 //!
-//! What the rest of the host needs:
+//! The interface for the rest of the host:
 //! - [`Pools::acquire`] leases a connection to one owner at a time. The owner marks its exchanges
-//!   with [`Lease::start`] and [`Lease::settle`], and ends with [`Lease::release_clean`] when
-//!   nothing is left on the connection; every other end closes it and cancels what runs on it. A
-//!   lease that is refused has sent nothing.
-//! - [`Pools::views`] and [`Pools::primary`] tell what the targets last said of themselves.
-//! - [`Pools::worked`] and [`Pools::timed_out`] take outcomes of work, [`Pools::superseded`] the news that a target is
-//!   no longer the primary.
-//! - [`Pools::lend`], [`Pools::record_return`], [`Pools::due_transfers`] and [`Pools::record_grant`] are the two
-//!   sides of loans between hosts.
+//!   with [`Lease::start_exchange`] and [`Lease::finish_exchange`], and ends the lease with
+//!   [`Lease::release_clean`] if no transaction and no response is left on the connection.
+//!   Dropping the lease closes the connection and cancels the statement in progress on it. If no
+//!   lease is granted, nothing was sent to the target.
+//! - [`Pools::views`] and [`Pools::primary`] return what the targets last reported.
+//! - [`Pools::record_work`] and [`Pools::record_timeout`] record the outcomes of work;
+//!   [`Pools::record_superseded`] records that a target is no longer the primary.
+//! - [`Pools::lend`] and [`Pools::record_return`] are the lender's side of slot loans between
+//!   hosts, [`Pools::due_transfers`] and [`Pools::record_grant`] the borrower's side.
 
 pub mod connection;
 pub mod lease;
@@ -28,15 +29,15 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// A target of a service.
+/// Identifies a target of a service.
 pub type Key = (ServiceId, TargetId);
 
-/// What is known of a target.
+/// State of a target as this host knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct View {
-    /// What it last said.
+    /// The status that the target last reported.
     pub status: Status,
-    /// When it said so.
+    /// Time of that report.
     pub at: Time,
 }
 
@@ -47,7 +48,7 @@
 }
 
 impl Pools {
-    /// No connection yet.
+    /// Pools without connections; the first request to a target or the first tick creates its pool.
     pub fn new(failover: Arc<Failover>) -> Pools {
         Pools { failover, inner: pool::Pools::default() }
     }
@@ -63,50 +64,52 @@
         pool::acquire(host, key, account, deadline).await
     }
 
-    /// What is known of the targets of `service`.
+    /// Last report of each target of `service`; targets that have not reported are missing.
     pub fn views(&self, service: ServiceId) -> BTreeMap<TargetId, View> {
         self.failover.views(service)
     }
 
-    /// Target that says, in the highest term, that it is the primary.
+    /// The target that reported itself primary in the highest term; `None` if none has.
     pub fn primary(&self, service: ServiceId) -> Option<TargetId> {
         self.failover.primary(service).map(|(target, _)| target)
     }
 
-    /// Work on a target ended, well or by the target's own fault.
+    /// Records whether work on a target succeeded or failed because of the target.
     ///
-    /// A broken connection and an internal error are the target's fault; an error for the
-    /// statement's sake is not, and counts as well done.
-    pub fn worked(&self, now: Time, key: Key, well: bool) {
-        self.failover.worked(now, key, well);
+    /// A broken connection and an internal error are faults of the target. An error that the
+    /// statement caused is not: it counts as success.
+    pub fn record_work(&self, now: Time, key: Key, succeeded: bool) {
+        self.failover.worked(now, key, succeeded);
     }
 
-    /// Work on a target timed out, which may be the statement's fault.
-    pub fn timed_out(&self, key: Key) {
+    /// Records that work on a target timed out, which may be caused by the statement.
+    pub fn record_timeout(&self, key: Key) {
         self.failover.suspect(key);
     }
 
-    /// A target said that it is no longer the primary: looks at the group at once.
-    pub fn superseded(&self, host: &Arc<Host>, service: ServiceId) {
+    /// Probes the whole group immediately, after a target reported that it is no longer the
+    /// primary.
+    pub fn record_superseded(&self, host: &Arc<Host>, service: ServiceId) {
         driver::probe_all(host, service);
     }
 
-    /// Connections that this host may hold to a target.
+    /// Number of connections that this host may hold to a target; 0 if there is no pool for it.
     pub fn share(&self, key: Key) -> usize {
         self.inner.with(key, |entry| entry.pool.limit()).unwrap_or(0)
     }
 
-    /// A peer asks for slots; answers the total that it holds from this host now.
+    /// Lends slots to a peer; returns the total that it holds from this host now.
     pub fn lend(&self, host: &Arc<Host>, request: &SlotRequest) -> u32 {
         share::lend(host, request)
     }
 
-    /// A peer gave slots back.
+    /// Records that a peer returned slots.
     pub fn record_return(&self, host: &Arc<Host>, request: &SlotRequest) {
         share::record_return(host, request);
     }
 
-    /// Requests to send to `peers` now; each loan is answered through [`Pools::record_grant`].
+    /// Loan requests and returns to send to `peers` now. The result of each loan request is to be
+    /// passed to [`Pools::record_grant`].
     pub fn due_transfers(
         &self,
         host: &Host,
@@ -115,7 +118,7 @@
         share::due_transfers(host, peers)
     }
 
-    /// A peer answered a request for a loan, or did not.
+    /// Records the response of a peer to a loan request; `None` if there was none.
     pub fn record_grant(&self, host: &Arc<Host>, asked: &PendingLoan, total: Option<u32>) {
         share::record_grant(host, asked, total);
     }
--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -1,18 +1,21 @@
-//! Leases of connections: the core's pool and ledger of each target, with sockets and waiters.
+//! Connection pools: combines the core's pool and slot ledger of each target with the sockets and
+//! the waiting requests.
 //!
-//! All state is behind one lock, which is never held while something is awaited. An action of the
-//! core that takes time runs in a task of its own and reports back.
+//! All state is behind one lock, which is never held across an await point. An action of the core
+//! that takes time runs in a separate task, which reports the result back to the pool.
 
 use super::Key;
 use super::connection::Connection;
 use super::lease::Lease;
-use super::probe::{Failure, failure};
+use super::probe::{Failure, classify};
 use crate::shared::Host;
 use bergamotvale_core::config::Target;
 use bergamotvale_core::fair::{Order, Queue, Waiter};
 use bergamotvale_core::id::{AccountId, RequestId, TargetId, Time};
 use bergamotvale_core::log::Term;
-use bergamotvale_core::pool::{Action, ConnectionId, OpenError, Pool, Settings, State as Stage};
+use bergamotvale_core::pool::{
+    Action, ConnectionId, OpenError, Pool, Settings, State as ConnectionState,
+};
 use bergamotvale_core::refusal::{Reason, Refusal};
 use bergamotvale_core::slot::{self, Ledger};
 use std::collections::BTreeMap;
@@ -21,15 +24,15 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Time that the other end of an idle connection has to give a sign of life.
+/// Time within which the target must respond to the check of an idle connection.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time between two looks of a waiting request whether its primary was replaced.
-const REPLACED_LOOK: Duration = Duration::from_millis(20);
-/// Time between two looks whether a planned promotion has ended.
-const LOOK: Duration = Duration::from_millis(5);
+/// Interval at which a waiting request checks whether its primary was replaced.
+const PRIMARY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which a request checks whether a planned promotion has ended.
+const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(5);
 const CHECK: &str = "SELECT 1";
 
-/// State of all pools.
+/// The pools of all targets.
 #[derive(Default)]
 pub(crate) struct Pools {
     state: Mutex<State>,
@@ -41,12 +44,14 @@
     targets: BTreeMap<Key, Entry>,
 }
 
-/// Connections to one target.
+/// The pool of one target, its sockets and its waiting requests.
 pub(crate) struct Entry {
     pub(crate) pool: Pool,
     pub(crate) ledger: Ledger,
-    pub(crate) lenders: usize,
-    pub(crate) asking: bool,
+    /// Index, modulo the number of peers, of the peer that receives the next loan request.
+    pub(crate) next_lender: usize,
+    pub(crate) is_loan_pending: bool,
+    /// Since when borrowed slots have been idle; `None` if they are in use.
     pub(crate) idle_since: Option<Time>,
     address: SocketAddr,
     connections: BTreeMap<ConnectionId, Connection>,
@@ -58,7 +63,7 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
-    /// Runs `work` on the connections to `key`, if there are any.
+    /// Runs `work` on the pool of `key`; `None` if there is none.
     pub(crate) fn with<T>(&self, key: Key, work: impl FnOnce(&mut Entry) -> T) -> Option<T> {
         self.lock().targets.get_mut(&key).map(work)
     }
@@ -68,16 +73,16 @@
         self.lock().targets.keys().copied().collect()
     }
 
-    /// Makes a pool for the target at `key`, unless it is there.
+    /// Creates the pool of the target at `key` if it is missing or the target's address changed.
     pub(crate) fn ensure(&self, host: &Host, key: Key, target: &Target) {
         let mut state = self.lock();
-        let known = state.targets.get(&key).is_some_and(|e| e.address == target.address);
-        if !known {
+        let is_current = state.targets.get(&key).is_some_and(|e| e.address == target.address);
+        if !is_current {
             state.targets.insert(key, Entry::new(host, target));
         }
     }
 
-    /// Forgets the targets that `keep` does not want.
+    /// Removes the pools for which `keep` is false.
     pub(crate) fn retain(&self, keep: impl Fn(&Key) -> bool) {
         self.lock().targets.retain(|key, _| keep(key));
     }
@@ -90,12 +95,12 @@
             crate::settings::Slots::Arrival => Order::Arrival,
         };
         let queue = Queue::new(host.settings.limits.queue).with_order(order);
-        let settle = slot::growth_delay(host.settings.policy.authority);
+        let growth_delay = slot::growth_delay(host.settings.policy.authority);
         Entry {
             pool: Pool::new(0, queue, Settings::default()),
-            ledger: Ledger::new(host.incarnation, settle),
-            lenders: 0,
-            asking: false,
+            ledger: Ledger::new(host.incarnation, growth_delay),
+            next_lender: 0,
+            is_loan_pending: false,
             idle_since: None,
             address: target.address,
             connections: BTreeMap::new(),
@@ -103,19 +108,19 @@
         }
     }
 
-    /// Requests that have a connection or wait for one.
+    /// Number of requests that hold a connection or wait for one.
     pub(crate) fn in_use(&self) -> usize {
         self.pool.leased() + self.pool.waiting()
     }
 
-    /// Drops the idle connections that the other end has closed.
+    /// Removes the idle connections that the target has closed.
     pub(crate) fn drop_closed(&mut self, now: Time) -> Vec<Action> {
         let closed: Vec<ConnectionId> = self
             .connections
             .iter()
             .filter(|(_, connection)| connection.is_dirty())
             .map(|(id, _)| *id)
-            .filter(|id| matches!(self.pool.state(*id), Some(Stage::Idle { .. })))
+            .filter(|id| matches!(self.pool.state(*id), Some(ConnectionState::Idle { .. })))
             .collect();
         let mut actions = Vec::new();
         for id in closed {
@@ -125,14 +130,14 @@
         actions
     }
 
-    /// Lets the pool hold what the ledger allows now.
+    /// Sets the pool's limit to the number of slots that the ledger allows now.
     pub(crate) fn apply_share(&mut self, now: Time) -> Vec<Action> {
         let usable = self.ledger.usable(now) as usize;
         if usable == self.pool.limit() { Vec::new() } else { self.pool.set_limit(now, usable) }
     }
 }
 
-/// Waits for a connection to `key` on behalf of `account`, until `deadline`.
+/// Waits for a connection to `key` on behalf of `account`, at most until `deadline`.
 pub(crate) async fn acquire(
     host: &Arc<Host>,
     key: Key,
@@ -149,43 +154,53 @@
     let mut sender = Some(sender);
     let (request, actions) = loop {
         let waiter = |request| Waiter { request, account, weight, deadline };
-        if let Some(entered) = enter(host, key, waiter, &mut sender)? {
-            break entered;
+        if let Some(enqueued) = enqueue(host, key, waiter, &mut sender)? {
+            break enqueued;
         }
         if host.clock.now() >= deadline {
             return Err(refusal(Reason::QueueTimeout));
         }
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(HOLD_POLL_INTERVAL).await;
         if host.failover.primary(key.0) != primary {
-            return Err(Refusal::new(Reason::WritesHeld, "the primary was replaced by plan"));
+            return Err(Refusal::new(
+                Reason::WritesHeld,
+                "the primary was replaced by a planned promotion",
+            ));
         }
     };
     perform(host, key, actions);
-    let _place = Place { host: host.clone(), key, request };
-    let led = primary.filter(|(target, _)| *target == key.1);
-    granted(host, key, led, deadline, receiver).await
+    let _queue_guard = QueueGuard { host: host.clone(), key, request };
+    let expected_primary = primary.filter(|(target, _)| *target == key.1);
+    wait_for_lease(host, key, expected_primary, deadline, receiver).await
 }
 
-/// Waits in the queue; leaves it when the primary that it is for, if any, is replaced.
+/// Waits in the queue for a lease; gives up if `expected_primary` is replaced.
 ///
-/// The connections of a primary that is cut off stay taken until their owners give up, so that
-/// whoever waits on for one misses the new primary.
-async fn granted(
+/// The connections to a partitioned primary stay leased until their owners time out. A request
+/// that kept waiting for one of them would not get to the new primary.
+async fn wait_for_lease(
     host: &Host,
     key: Key,
-    led: Option<(TargetId, Term)>,
+    expected_primary: Option<(TargetId, Term)>,
     deadline: Time,
     mut receiver: oneshot::Receiver<Result<Lease, Reason>>,
 ) -> Result<Lease, Refusal> {
     loop {
-        let left = deadline.saturating_sub(host.clock.now());
-        let time = if led.is_some() { left.min(REPLACED_LOOK) } else { left };
-        match tokio::time::timeout(time, &mut receiver).await {
+        let time_left = deadline.saturating_sub(host.clock.now());
+        let poll_timeout = if expected_primary.is_some() {
+            time_left.min(PRIMARY_POLL_INTERVAL)
+        } else {
+            time_left
+        };
+        match tokio::time::timeout(poll_timeout, &mut receiver).await {
             Ok(Ok(Ok(lease))) => return Ok(lease),
             Ok(Ok(Err(reason))) => return Err(refusal(reason)),
             Ok(Err(_)) => return Err(refusal(Reason::QueueTimeout)),
-            Err(_) if left.is_zero() => return Err(refusal(Reason::QueueTimeout)),
-            Err(_) if led.is_some() && host.failover.primary(key.0) != led => {
+            Err(_) if time_left.is_zero() => return Err(refusal(Reason::QueueTimeout)),
+            Err(_)
+                if expected_primary.is_some()
+                    && host.failover.primary(key.0) != expected_primary =>
+            {
                 return Err(Refusal::new(Reason::Superseded, "the primary was replaced"));
             }
             Err(_) => {}
@@ -193,8 +208,8 @@
     }
 }
 
-/// Puts a request into the queue, unless its target is held.
-fn enter(
+/// Puts a request into the queue; `None` if the target is held for a planned promotion.
+fn enqueue(
     host: &Host,
     key: Key,
     waiter: impl FnOnce(RequestId) -> Waiter,
@@ -202,7 +217,8 @@
 ) -> Result<Option<(RequestId, Vec<Action>)>, Refusal> {
     let mut state = host.pools.inner.lock();
     let now = host.clock.now();
-    // Asked under the lock: who counts what is in use after a hold began misses nobody.
+    // Checked under the lock, so that a count of the requests in use after the hold began includes
+    // every request that was let through before.
     if host.failover.is_held(now, key) {
         return Ok(None);
     }
@@ -217,14 +233,14 @@
     Ok(Some((request, actions)))
 }
 
-/// A request's place in the queue; leaves it on drop.
-struct Place {
+/// Removes a request from the queue when dropped.
+struct QueueGuard {
     host: Arc<Host>,
     key: Key,
     request: RequestId,
 }
 
-impl Drop for Place {
+impl Drop for QueueGuard {
     fn drop(&mut self) {
         self.host.pools.inner.with(self.key, |entry| {
             if entry.waiting.remove(&self.request).is_some() {
@@ -234,7 +250,7 @@
     }
 }
 
-/// Carries out what a pool decided.
+/// Performs the actions that a pool decided on.
 pub(crate) fn perform(host: &Arc<Host>, key: Key, actions: Vec<Action>) {
     for action in actions {
         match action {
@@ -247,7 +263,7 @@
     }
 }
 
-fn step(host: &Arc<Host>, key: Key, work: impl FnOnce(&mut Entry) -> Vec<Action>) {
+fn update(host: &Arc<Host>, key: Key, work: impl FnOnce(&mut Entry) -> Vec<Action>) {
     let actions = host.pools.inner.with(key, work);
     perform(host, key, actions.unwrap_or_default());
 }
@@ -256,13 +272,13 @@
     let Some(address) = host.pools.inner.with(key, |entry| entry.address) else { return };
     let opened = Connection::open(address, &host.settings).await;
     let now = host.clock.now();
-    step(&host, key, |entry| match opened {
+    update(&host, key, |entry| match opened {
         Ok(open) => {
             entry.connections.insert(connection, open);
             entry.pool.opened(now, connection)
         }
         Err(error) => {
-            let refused = match failure(&error) {
+            let refused = match classify(&error) {
                 Failure::TooManyConnections => OpenError::TargetFull,
                 _ => OpenError::Unreachable,
             };
@@ -277,7 +293,7 @@
     let Some(open) = taken.flatten() else { return };
     let alive = open.exchange(CHECK_TIMEOUT, open.client().batch_execute(CHECK)).await.is_ok();
     let now = host.clock.now();
-    step(&host, key, |entry| {
+    update(&host, key, |entry| {
         if alive {
             entry.connections.insert(connection, open);
         } else {
@@ -289,21 +305,21 @@
 
 fn close(host: &Arc<Host>, key: Key, connection: ConnectionId) {
     let now = host.clock.now();
-    // The socket goes first; only then does the slot count as free.
+    // The socket is closed before the slot counts as free.
     drop(host.pools.inner.with(key, |entry| entry.connections.remove(&connection)));
-    step(host, key, |entry| entry.pool.closed(now, connection));
+    update(host, key, |entry| entry.pool.closed(now, connection));
 }
 
 fn lease(host: &Arc<Host>, key: Key, request: RequestId, connection: ConnectionId) {
-    let handed = host.pools.inner.with(key, |entry| {
+    let taken = host.pools.inner.with(key, |entry| {
         let open = entry.connections.remove(&connection)?;
         Some((entry.waiting.remove(&request), open))
     });
-    let Some((waiter, open)) = handed.flatten() else { return };
+    let Some((waiter, open)) = taken.flatten() else { return };
     let lease = Lease::new(host.clone(), key, connection, open);
     let Some(waiter) = waiter else { return lease.release_clean() };
     if let Err(Ok(lease)) = waiter.send(Ok(lease)) {
-        // Nobody waits any more, and nothing has happened on the connection.
+        // The request no longer waits, and the connection is unused.
         lease.release_clean();
     }
 }
@@ -311,22 +327,23 @@
 fn refuse(host: &Arc<Host>, key: Key, request: RequestId, reason: Reason) {
     let waiter = host.pools.inner.with(key, |entry| entry.waiting.remove(&request));
     if let Some(waiter) = waiter.flatten() {
-        // A waiter that is gone needs no answer.
+        // Sending fails if the request no longer waits.
         drop(waiter.send(Err(reason)));
     }
 }
 
-/// The owner of a connection is done with it.
-pub(crate) fn released(
+/// Records that the owner of a connection released it; `clean_connection` is `None` if it was
+/// closed.
+pub(crate) fn record_release(
     host: &Arc<Host>,
     key: Key,
     connection: ConnectionId,
-    kept: Option<Connection>,
+    clean_connection: Option<Connection>,
 ) {
     let now = host.clock.now();
-    let clean = kept.is_some();
-    step(host, key, |entry| {
-        if let Some(open) = kept {
+    let clean = clean_connection.is_some();
+    update(host, key, |entry| {
+        if let Some(open) = clean_connection {
             entry.connections.insert(connection, open);
         }
         entry.pool.released(now, connection, clean)
--- a/crates/host/src/target/probe.rs
+++ b/crates/host/src/target/probe.rs
@@ -1,8 +1,8 @@
-//! The control connection of each target: probes, and the steps of promotions.
+//! The control connection to each target, for probes and the steps of promotions.
 //!
-//! A target's control connection is apart from the leased ones, so that a promotion does not wait
-//! behind callers. Its exchanges may overlap: they are answered in order. One that does not come
-//! back in time takes the connection with it, and the next exchange opens another.
+//! The control connection is separate from the leased ones, so that a promotion does not queue
+//! behind callers. Its exchanges may overlap; they are answered in order. If an exchange times out,
+//! the connection is closed and the next exchange opens a new one.
 
 use super::connection::Connection;
 use super::{Role, Status};
@@ -20,53 +20,54 @@
 use tokio_postgres::types::{ToSql, Type};
 
 const STATUS: &str = "SELECT * FROM group_status()";
-const WORK: &str = "SELECT 1 + 1 AS work";
+const PROBE_WORK: &str = "SELECT 1 + 1 AS work";
 const FENCE: &str = "SELECT * FROM group_fence($1, $2)";
 const PROMOTE: &str = "SELECT * FROM group_promote($1, $2)";
 const HOLD: &str = "SELECT * FROM group_hold($1)";
 
-/// Why a target did not answer.
+/// Why an exchange on a control connection failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
-    /// Nothing came back in time.
+    /// The target did not respond before the timeout.
     Silent,
-    /// Nothing listens, or the connection was reset.
+    /// The connection was refused or reset.
     Refused,
-    /// It is alive but has no connection free.
+    /// The target is alive but has reached its connection limit.
     TooManyConnections,
-    /// It answered with an error.
+    /// The target responded with an error, or with a row that cannot be read.
     Failed,
 }
 
-/// The control connection to one target.
+/// The control connection to one target, opened on demand.
 pub struct Control {
     address: SocketAddr,
     connection: Mutex<Option<Arc<Connection>>>,
 }
 
 impl Control {
-    /// A control connection that is not open yet.
+    /// A control connection that the first exchange opens.
     pub fn new(address: SocketAddr) -> Control {
         Control { address, connection: Mutex::new(None) }
     }
 
-    /// Where the target listens.
+    /// Address that the target listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Asks for the target's status.
+    /// Queries the target's status.
     pub async fn status(&self, settings: &Settings) -> std::result::Result<Status, Failure> {
         let row = self.exchange(settings, STATUS, &[]).await?;
         status(&row).map_err(|_| Failure::Failed)
     }
 
-    /// Gives the target a trifle of work, which one that fails its work does not get done.
+    /// Executes a trivial statement, to detect a target that reports its status but fails to execute
+    /// statements.
     pub async fn probe_work(&self, settings: &Settings) -> std::result::Result<(), Failure> {
-        self.exchange(settings, WORK, &[]).await.map(drop)
+        self.exchange(settings, PROBE_WORK, &[]).await.map(drop)
     }
 
-    /// Asks the target for a term.
+    /// Requests that the target accept `term`, which fences all earlier terms.
     pub async fn fence(
         &self,
         settings: &Settings,
@@ -74,10 +75,10 @@
         promoter: PromoterId,
     ) -> std::result::Result<TermResponse, Failure> {
         let row = self.exchange(settings, FENCE, &[signed(term), promoter]).await?;
-        answer(&row, "granted").map_err(|_| Failure::Failed)
+        term_response(&row, "granted").map_err(|_| Failure::Failed)
     }
 
-    /// Asks the target to become the primary of a term.
+    /// Requests that the target become the primary of `term`.
     pub async fn promote(
         &self,
         settings: &Settings,
@@ -85,10 +86,11 @@
         promoter: PromoterId,
     ) -> std::result::Result<TermResponse, Failure> {
         let row = self.exchange(settings, PROMOTE, &[signed(term), promoter]).await?;
-        answer(&row, "promoted").map_err(|_| Failure::Failed)
+        term_response(&row, "promoted").map_err(|_| Failure::Failed)
     }
 
-    /// Lets the target turn writes away for `time`; answers its last entry once it does.
+    /// Requests that the target refuse writes for `time`. Returns its last log entry, or `None` if
+    /// it did not agree.
     pub async fn hold(
         &self,
         settings: &Settings,
@@ -107,15 +109,15 @@
         params: &[i64],
     ) -> std::result::Result<Row, Failure> {
         let timeout = settings.timeouts.connect;
-        let connection = self.connection(settings).await.map_err(|e| failure(&e))?;
+        let connection = self.connection(settings).await.map_err(|e| classify(&e))?;
         let params: Vec<(&(dyn ToSql + Sync), Type)> =
             params.iter().map(|p| (p as &(dyn ToSql + Sync), Type::INT8)).collect();
         let query = connection.client().query_typed_one(sql, &params);
         let answer = connection.exchange(timeout, query).await;
         if answer.is_err() {
-            self.forget(&connection).await;
+            self.discard(&connection).await;
         }
-        answer.map_err(|e| failure(&e))
+        answer.map_err(|e| classify(&e))
     }
 
     async fn connection(&self, settings: &Settings) -> Result<Arc<Connection>> {
@@ -128,7 +130,7 @@
         Ok(connection)
     }
 
-    async fn forget(&self, connection: &Arc<Connection>) {
+    async fn discard(&self, connection: &Arc<Connection>) {
         let mut slot = self.connection.lock().await;
         if slot.as_ref().is_some_and(|known| Arc::ptr_eq(known, connection)) {
             *slot = None;
@@ -136,8 +138,8 @@
     }
 }
 
-/// What kind of failure an error is.
-pub fn failure(error: &Error) -> Failure {
+/// Classifies the error of an exchange or of opening a connection.
+pub fn classify(error: &Error) -> Failure {
     match error {
         Error::Io(e) if e.kind() == std::io::ErrorKind::TimedOut => Failure::Silent,
         Error::Io(_) => Failure::Refused,
@@ -164,7 +166,7 @@
     })
 }
 
-fn answer(row: &Row, granted: &str) -> Result<TermResponse> {
+fn term_response(row: &Row, granted: &str) -> Result<TermResponse> {
     let columns = row.columns().iter();
     let names_voter = columns.into_iter().any(|column| column.name() == "voter");
     Ok(TermResponse {
@@ -183,7 +185,7 @@
     }
 }
 
-/// The position in two columns.
+/// Reads a log position from the columns `term` and `index`.
 pub fn position(row: &Row, term: &str, index: &str) -> Result<Position> {
     Ok(Position::new(unsigned(row, term)?, unsigned(row, index)?))
 }
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -1,8 +1,9 @@
-//! Keeps each pool to this host's share of its target, and moves shares to demand.
+//! Limits each pool to this host's share of the target's connection limit, and moves slots between
+//! hosts by demand.
 //!
-//! The part of the limit follows from the members; what is missing is borrowed from peers, and
-//! given back once it lies idle. The control connection of each target counts against the limit
-//! too: [`control_slots`] are set aside before the rest is divided.
+//! The share follows from the members of the fleet. Missing slots are borrowed from peers and
+//! returned once they are idle. Control connections count against the target's limit too:
+//! [`control_slots`] are set aside before the rest is divided.
 
 use super::{Key, pool};
 use crate::settings::Connections;
@@ -17,32 +18,32 @@
 use std::time::Duration;
 use tokio::time::{MissedTickBehavior, interval};
 
-/// Time between two looks at all pools.
-const TICK: Duration = Duration::from_millis(25);
-/// Hosts that have a part of one target's limit.
-const HOLDERS: usize = 64;
-/// Slots that a lender keeps for itself beyond those in use.
-const RESERVE: usize = 1;
-/// Time for which borrowed slots must lie idle before they are given back.
-const IDLE_BEFORE_RETURN: Duration = Duration::from_millis(300);
-/// Connections that are kept open without demand.
-const WARM: usize = 1;
-
-/// Keeps the pools to their shares until the host stops.
+/// Interval at which all pools are updated.
+const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// Maximum number of hosts among which one target's limit is divided.
+const MAX_HOLDERS: usize = 64;
+/// Slots beyond those in use that a host neither lends nor returns.
+const RESERVED_SLOTS: usize = 1;
+/// Time for which borrowed slots must be idle before they are returned.
+const IDLE_RETURN_DELAY: Duration = Duration::from_millis(300);
+/// Number of connections per pool that are kept open without demand.
+const WARM_CONNECTIONS: usize = 1;
+
+/// Updates the pools' limits periodically until the task is dropped.
 pub async fn run(host: Arc<Host>) {
-    let mut ticks = interval(TICK);
+    let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         let document = host.document();
-        follow(&host, &document);
+        apply_document(&host, &document);
         for key in host.pools.inner.keys() {
             tick(&host, key);
         }
     }
 }
 
-fn follow(host: &Host, document: &Document) {
+fn apply_document(host: &Host, document: &Document) {
     let now = host.clock.now();
     let division = host.fleet.division(now);
     host.pools.inner.retain(|(service, target)| {
@@ -53,25 +54,27 @@
         for (target_id, target) in &service.targets {
             let key = (*service_id, *target_id);
             host.pools.inner.ensure(host, key, target);
-            let part = part(host, key, target, &division.members);
+            let own_share = share_of_limit(host, key, target, &division.members);
             host.pools.inner.with(key, |entry| {
                 entry.ledger.extend_authority(division.until);
-                entry.ledger.set_share(now, division.generation, part);
+                entry.ledger.set_share(now, division.generation, own_share);
             });
         }
     }
 }
 
-fn part(host: &Host, key: Key, target: &Target, members: &BTreeSet<HostId>) -> u32 {
+fn share_of_limit(host: &Host, key: Key, target: &Target, members: &BTreeSet<HostId>) -> u32 {
     let subject = Subject::Connection(u64::from(key.0) << u16::BITS | u64::from(key.1));
     let total = target.connections - control_slots(target.connections, members.len());
-    let part = share::share_of(u64::from(total), members, host.settings.host, subject, HOLDERS);
-    u32::try_from(part).unwrap_or(u32::MAX)
+    let own_share =
+        share::share_of(u64::from(total), members, host.settings.host, subject, MAX_HOLDERS);
+    u32::try_from(own_share).unwrap_or(u32::MAX)
 }
 
-/// Slots set aside for the control connections of `hosts` hosts.
+/// Slots of a target's limit that are set aside for the control connections of `hosts` hosts.
 ///
-/// Where the limit leaves no room for one each, they are opened as room is found.
+/// 0 if they would take more than half of the limit: a control connection is then opened when the
+/// target has a free one.
 pub fn control_slots(limit: u32, hosts: usize) -> u32 {
     let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
     if hosts <= limit / 2 { hosts } else { 0 }
@@ -80,7 +83,7 @@
 fn tick(host: &Arc<Host>, key: Key) {
     let now = host.clock.now();
     let actions = host.pools.inner.with(key, |entry| {
-        entry.pool.set_warm(WARM);
+        entry.pool.set_warm(WARM_CONNECTIONS);
         let mut actions = entry.drop_closed(now);
         actions.extend(entry.apply_share(now));
         actions.extend(entry.pool.tick(now));
@@ -93,7 +96,7 @@
     }
 }
 
-/// A peer asks for slots; answers the total that it holds from this host now.
+/// Lends slots to a peer; returns the total that it holds from this host now.
 pub(super) fn lend(host: &Arc<Host>, request: &SlotRequest) -> u32 {
     if host.settings.policy.connections == Connections::Static || host.is_stopping() {
         return 0;
@@ -101,18 +104,18 @@
     let key = (request.service, request.target);
     let now = host.clock.now();
     let lent = host.pools.inner.with(key, |entry| {
-        let spare = entry.pool.spare().saturating_sub(RESERVE);
+        let spare = entry.pool.spare().saturating_sub(RESERVED_SLOTS);
         let spare = u32::try_from(spare).unwrap_or(u32::MAX);
         let total = entry.ledger.lend(now, request, spare);
         (total, entry.apply_share(now))
     });
     let (total, actions) = lent.unwrap_or_default();
-    // Idle connections above the new share are closed here, before the borrower hears.
+    // Idle connections above the new limit are closed before the borrower receives the response.
     pool::perform(host, key, actions);
     total
 }
 
-/// A peer gave slots back.
+/// Records that a peer returned slots.
 pub(super) fn record_return(host: &Arc<Host>, request: &SlotRequest) {
     let key = (request.service, request.target);
     let now = host.clock.now();
@@ -123,37 +126,39 @@
     pool::perform(host, key, actions.unwrap_or_default());
 }
 
-/// What a host wants of its peers for one target.
+/// A transfer of slots of one target between this host and a lender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Transfer {
-    /// To hold this total from the lender.
+    /// Request to hold the given total from the lender.
     Borrow(HostId, SlotRequest),
-    /// To have given back down to this total.
+    /// Return of slots to the lender, down to the given total.
     Return(HostId, SlotRequest),
 }
 
-/// Requests to send to peers now; each [`Transfer::Borrow`] is answered through [`record_grant`].
+/// Transfers to send to `peers` now. The response to each [`Transfer::Borrow`] is to be passed to
+/// [`record_grant`].
 pub(super) fn due_transfers(host: &Host, peers: &[HostId]) -> Vec<(Transfer, Option<PendingLoan>)> {
     if host.settings.policy.connections == Connections::Static {
         return Vec::new();
     }
     let now = host.clock.now();
-    let mut wants = Vec::new();
+    let mut transfers = Vec::new();
     for key in host.pools.inner.keys() {
-        let found = host.pools.inner.with(key, |entry| want(host, key, entry, now, peers));
-        wants.extend(found.unwrap_or_default());
+        let due =
+            host.pools.inner.with(key, |entry| target_transfers(host, key, entry, now, peers));
+        transfers.extend(due.unwrap_or_default());
     }
-    wants
+    transfers
 }
 
-/// A loan that was asked for.
+/// A loan request that was sent and not answered yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PendingLoan {
     key: Key,
-    asked: bergamotvale_core::slot::LoanRequest,
+    loan: bergamotvale_core::slot::LoanRequest,
 }
 
-fn want(
+fn target_transfers(
     host: &Host,
     key: Key,
     entry: &mut pool::Entry,
@@ -175,21 +180,21 @@
     for lender in entry.ledger.loans_to_renew(now) {
         totals.push((lender, entry.ledger.borrowed(now)[&lender]));
     }
-    let short = entry.pool.waiting().saturating_sub(entry.pool.limit() - busy(entry));
-    if short > 0 && !entry.asking && !peers.is_empty() {
-        let lender = peers[entry.lenders % peers.len()];
-        entry.lenders += 1;
-        entry.asking = true;
+    let shortage = entry.pool.waiting().saturating_sub(entry.pool.limit() - busy(entry));
+    if shortage > 0 && !entry.is_loan_pending && !peers.is_empty() {
+        let lender = peers[entry.next_lender % peers.len()];
+        entry.next_lender += 1;
+        entry.is_loan_pending = true;
         let held = entry.ledger.borrowed(now).get(&lender).copied().unwrap_or(0);
         totals.retain(|(due, _)| *due != lender);
-        totals.push((lender, held + u32::try_from(short).unwrap_or(u32::MAX)));
+        totals.push((lender, held + u32::try_from(shortage).unwrap_or(u32::MAX)));
     }
     totals
         .into_iter()
         .map(|(lender, total)| {
-            let asked = entry.ledger.request_loan(now, lender, total);
-            let want = Transfer::Borrow(lender, request(total, asked.sequence));
-            (want, Some(PendingLoan { key, asked }))
+            let loan = entry.ledger.request_loan(now, lender, total);
+            let transfer = Transfer::Borrow(lender, request(total, loan.sequence));
+            (transfer, Some(PendingLoan { key, loan }))
         })
         .collect()
 }
@@ -198,31 +203,32 @@
     entry.pool.busy().min(entry.pool.limit())
 }
 
-/// A loan that has lain idle for long enough, and what is to be left of it.
+/// A loan that has been idle for [`IDLE_RETURN_DELAY`], as its lender and the total to keep.
 fn idle_loan(entry: &mut pool::Entry, now: Time) -> Option<(HostId, u32)> {
-    let spare = u32::try_from(entry.pool.spare().saturating_sub(RESERVE)).unwrap_or(u32::MAX);
+    let spare =
+        u32::try_from(entry.pool.spare().saturating_sub(RESERVED_SLOTS)).unwrap_or(u32::MAX);
     let (lender, held) = entry.ledger.borrowed(now).into_iter().next()?;
     if spare == 0 {
         entry.idle_since = None;
         return None;
     }
-    let since = *entry.idle_since.get_or_insert(now);
-    if now.saturating_sub(since) < IDLE_BEFORE_RETURN {
+    let idle_since = *entry.idle_since.get_or_insert(now);
+    if now.saturating_sub(idle_since) < IDLE_RETURN_DELAY {
         return None;
     }
     entry.idle_since = None;
     Some((lender, held.saturating_sub(spare)))
 }
 
-/// The lender answered, or did not.
-pub(super) fn record_grant(host: &Arc<Host>, asked: &PendingLoan, total: Option<u32>) {
+/// Records the response of the lender to a loan request; `None` if there was none.
+pub(super) fn record_grant(host: &Arc<Host>, pending: &PendingLoan, total: Option<u32>) {
     let now = host.clock.now();
-    let actions = host.pools.inner.with(asked.key, |entry| {
-        entry.asking = false;
+    let actions = host.pools.inner.with(pending.key, |entry| {
+        entry.is_loan_pending = false;
         if let Some(total) = total {
-            entry.ledger.record_grant(now, asked.asked, total);
+            entry.ledger.record_grant(now, pending.loan, total);
         }
         entry.apply_share(now)
     });
-    pool::perform(host, asked.key, actions.unwrap_or_default());
+    pool::perform(host, pending.key, actions.unwrap_or_default());
 }
--- a/crates/host/src/unit.rs
+++ b/crates/host/src/unit.rs
@@ -1,13 +1,15 @@
-//! Units in settings: times such as `250ms`, sizes such as `64KiB`.
+//! Formats of values with units in settings: durations such as `250ms`, sizes such as `64KiB`.
 
 use serde::{Deserialize, Deserializer, Serializer};
 use serde_with::{DeserializeAs, SerializeAs};
 use std::time::Duration;
 
-/// Suffixes of sizes with their bytes, longest first.
-const SIZES: [(&str, usize); 4] = [("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10), ("B", 1)];
+/// Suffixes of sizes with their number of bytes, largest first; `B` is a suffix of all others and
+/// must come last.
+const SIZE_SUFFIXES: [(&str, usize); 4] =
+    [("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10), ("B", 1)];
 
-/// A time with its unit.
+/// Serializes a [`Duration`] as text with a unit.
 pub struct Span;
 
 impl SerializeAs<Duration> for Span {
@@ -24,12 +26,12 @@
     }
 }
 
-/// A size in bytes with its unit.
+/// Serializes a number of bytes as text with a unit.
 pub struct Size;
 
 impl SerializeAs<usize> for Size {
     fn serialize_as<S: Serializer>(source: &usize, serializer: S) -> Result<S::Ok, S::Error> {
-        let (suffix, bytes) = SIZES
+        let (suffix, bytes) = SIZE_SUFFIXES
             .iter()
             .find(|(_, bytes)| source.is_multiple_of(*bytes))
             .expect("one byte divides any size");
@@ -47,7 +49,7 @@
 }
 
 fn parse_size(text: &str) -> Option<usize> {
-    let (suffix, bytes) = SIZES.iter().find(|(suffix, _)| text.ends_with(suffix))?;
+    let (suffix, bytes) = SIZE_SUFFIXES.iter().find(|(suffix, _)| text.ends_with(suffix))?;
     let number = text.strip_suffix(suffix)?.trim_end();
     number.parse::<usize>().ok()?.checked_mul(*bytes)
 }
