--- a/crates/host/src/exec/confirm.rs
+++ b/crates/host/src/exec/confirm.rs
@@ -98,8 +98,8 @@
     pub fn expected_delay(&self, host: &Host, key: Key, now: Time) -> Duration {
         let target_waits = self.target_waits(key);
         let mut state = lock(&target_waits.state);
-        // Probes update the lag even while writes are refused, so that refusing writes does not
-        // keep the lag estimate, and with it the refusals, in place.
+        // Probes update the lag even while writes are refused; otherwise nothing would lower the
+        // estimate again and the refusals would not end.
         if let Some(view) = host.pools.views(key.0).get(&key.1) {
             state.lag.record_written(view.status.entry, view.at);
             state.lag.record_confirmed(view.status.confirmed, view.at);
@@ -182,6 +182,7 @@
         }
     }
 
+    /// Fails the waits after a failed query; if the target was superseded, only those in `term`.
     fn fail_waiters(&self, failure: &Error, term: u64) {
         let event = match failure {
             Error::Failed(code, detail) => Event::Failed(Failure::new(code), detail.clone()),
--- a/crates/host/tests/data_basic.rs
+++ b/crates/host/tests/data_basic.rs
@@ -1,4 +1,5 @@
-//! Reads, writes and transactions end to end, without faults.
+//! End-to-end tests of reads, writes and transactions without injected faults: session
+//! consistency, idempotency keys, routing by freshness, and refusals of malformed requests.
 
 mod common;
 
--- a/crates/host/tests/data_ejection.rs
+++ b/crates/host/tests/data_ejection.rs
@@ -1,4 +1,4 @@
-//! What passing over a target that fails its work saves, with and without it.
+//! Compares retries and refusals with and without ejection of a replica that fails all its work.
 
 mod common;
 
@@ -8,13 +8,13 @@
 const COUNT: &str = "SELECT count(*) AS bolts FROM bolts";
 const READS: i64 = 400;
 
-/// Retries and refusals of reads while one replica fails all its work.
+/// Number of retries and refusals of [`READS`] reads.
 struct Cost {
     retries: i64,
     refused: i64,
 }
 
-async fn cost(host: &Host) -> Cost {
+async fn measure_reads(host: &Host) -> Cost {
     let before = host.counter("retry.target_failed");
     let mut refused = 0;
     for _ in 0..READS {
@@ -24,22 +24,22 @@
     Cost { retries: host.counter("retry.target_failed") - before, refused }
 }
 
-async fn poisoned(ejection: bool) -> Cost {
+async fn measure_with_poisoned_replica(ejection: bool) -> Cost {
     let fixture = Fixture::new().await;
     let host = fixture.host_with(1, |settings| settings.policy.ejection = ejection).await;
     fixture.group.target(1).set_poisoned(true);
-    // Past the first sweep.
+    // Waits until the first ejection sweep has run.
     for _ in 0..40 {
         host.read(COUNT).with_header("bergamotvale-max-age", "5s").send().await;
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
-    cost(&host).await
+    measure_reads(&host).await
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_poisoned_replica_costs_less_with_ejection() {
-    let with = poisoned(true).await;
-    let without = poisoned(false).await;
+    let with = measure_with_poisoned_replica(true).await;
+    let without = measure_with_poisoned_replica(false).await;
 
     println!("with: {} retries, {} refused of {READS}", with.retries, with.refused);
     println!("without: {} retries, {} refused of {READS}", without.retries, without.refused);
--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -1,4 +1,5 @@
-//! Faults in the middle of reads, writes and transactions.
+//! Faults during reads, writes and transactions: lost COMMIT responses, partitioned and failing
+//! targets, lagging replicas, stopped hosts, and callers that disconnect.
 
 mod common;
 
@@ -11,10 +12,10 @@
 const INSERT: &str = "INSERT INTO bolts (id, metres) VALUES ($1, 40)";
 const COUNT: &str = "SELECT count(*) AS bolts FROM bolts";
 const SLOW_INSERT: &str = "INSERT INTO bolts (id, metres) SELECT 1, length(pg_sleep(60))";
-const LONG: &str = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 40000) \
+const LONG_SELECT: &str = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 40000) \
     SELECT i, 'a bolt of blue and white wool for the hotels of the coast' AS text FROM n";
 
-fn alone(settings: &mut Settings) {
+fn with_single_failover(settings: &mut Settings) {
     settings.policy.failover = Failover::Single;
 }
 
@@ -24,7 +25,7 @@
 
 const NEXT_BOLT: &str = "INSERT INTO bolts (id, metres) SELECT count(*), 40 FROM bolts";
 
-/// A write of the next bolt, with an idempotency key or without.
+/// A write that inserts the next row, with or without an idempotency key.
 fn next_bolt(host: &Host, key: Option<&str>) -> Call {
     let call = host.write(NEXT_BOLT).with_header("bergamotvale-timeout", "8s");
     match key {
@@ -33,14 +34,14 @@
     }
 }
 
-/// A group with one bolt. The first keyed write has made the table of outcomes, so that the next
-/// COMMIT is that of the next write.
+/// Inserts one row with an idempotency key. This creates the table of outcomes in a separate
+/// transaction, so that the next COMMIT on the target belongs to the next write.
 async fn with_one_bolt(host: &Host) {
     next_bolt(host, Some("bolt-0")).send().await.ok();
 }
 
-/// A write whose answer to COMMIT is lost after the effect.
-async fn lose_commit_answer(fixture: &Fixture, host: &Host, key: Option<&str>) -> Answer {
+/// Sends a write whose COMMIT takes effect but whose response to COMMIT is lost.
+async fn lose_commit_response(fixture: &Fixture, host: &Host, key: Option<&str>) -> Answer {
     with_one_bolt(host).await;
     fixture.group.target(0).drop_commit_responses(1);
     next_bolt(host, key).send().await
@@ -51,7 +52,7 @@
     let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
 
-    let answer = lose_commit_answer(&fixture, &host, None).await;
+    let answer = lose_commit_response(&fixture, &host, None).await;
 
     assert_eq!((answer.status, answer.ran()), (504, "unknown"), "{answer:?}");
     assert_eq!(fixture.bolts(), 2);
@@ -62,7 +63,7 @@
     let fixture = Fixture::new().await;
     let host = fixture.host_with(1, with_defect(Defect::RetryUnkeyed)).await;
 
-    lose_commit_answer(&fixture, &host, None).await;
+    lose_commit_response(&fixture, &host, None).await;
 
     assert_eq!(fixture.bolts(), 3);
 }
@@ -72,7 +73,7 @@
     let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
 
-    let answer = lose_commit_answer(&fixture, &host, Some("bolt-1")).await;
+    let answer = lose_commit_response(&fixture, &host, Some("bolt-1")).await;
 
     assert_eq!(answer.status, 200, "{answer:?}");
     assert_eq!(answer.headers["bergamotvale-replayed"], "true");
@@ -115,17 +116,18 @@
     assert_eq!(fixture.bolts(), 0);
 }
 
-/// The connections of a primary that is cut off stay taken for longer than a request may wait.
+/// A request that waits for a connection to a partitioned primary must move on to the new primary:
+/// the connections to the old one stay in use for longer than the request may wait.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_wait_for_a_cut_off_primary_go_on_with_the_next_one() {
     let fixture = Fixture::new().await;
-    let host = fixture.host_with(1, alone).await;
+    let host = fixture.host_with(1, with_single_failover).await;
     let primary = fixture.group.target(0);
     let limit = host.daemon.host.pools.share((SERVICE, 0));
-    let taken = || host.daemon.host.data.in_flight((SERVICE, 0)) as usize;
+    let used_connections = || host.daemon.host.data.in_flight((SERVICE, 0)) as usize;
     let slow = || host.write(SLOW_INSERT).with_header("bergamotvale-timeout", "30s").try_send();
     let fillers: Vec<_> = (0..limit).map(|_| tokio::spawn(slow())).collect();
-    until("all connections are taken", || taken() >= limit).await;
+    until("all connections are used_connections", || used_connections() >= limit).await;
 
     primary.partition(&[1, 2]);
     primary.set_callers_blocked(true);
@@ -159,7 +161,7 @@
         reasons.push((answer.reason().to_owned(), answer.ran().to_owned()));
     }
     let fresh = host.read(COUNT).with_header("bergamotvale-timeout", "500ms");
-    until("the primary's authority is old", || {
+    until("the primary was last acknowledged over a second ago", || {
         let views = host.daemon.host.pools.views(1);
         views[&0].status.age > Duration::from_secs(1)
     })
@@ -197,7 +199,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn acknowledged_writes_survive_the_primary() {
     let fixture = Fixture::new().await;
-    let host = fixture.host_with(1, alone).await;
+    let host = fixture.host_with(1, with_single_failover).await;
 
     let mut acknowledged = Vec::new();
     for id in 0..60 {
@@ -275,7 +277,7 @@
     assert!(stale > 0);
 }
 
-/// Sends a request over a socket of its own.
+/// Sends a request over a separate socket and returns the socket without reading the response.
 async fn open_request(host: &Host, path: &str, sql: &str) -> tokio::net::TcpStream {
     let body = json!({ "sql": sql }).to_string();
     let head = format!(
@@ -297,8 +299,9 @@
     let socket = open_request(&host, "/v1/services/mill/write", SLOW_INSERT).await;
     until("the statement runs", || host.daemon.host.data.in_flight((1, 0)) > 0).await;
     drop(socket);
-    until("the caller is missed", || host.counter("caller.gone") == 1).await;
-    // The stand-in runs one write at a time: this one would wait for a minute.
+    until("the host notices the disconnect", || host.counter("caller.gone") == 1).await;
+    // The stand-in executes one write at a time: if the slow statement were not cancelled, this
+    // write would wait for a minute.
     host.write(INSERT).with_param(json!(2)).send().await.ok();
 
     assert_eq!(fixture.bolts(), 1);
@@ -309,7 +312,8 @@
     let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
 
-    let answer = host.read(LONG).with_header("bergamotvale-timeout", "20s").send().await.ok();
+    let answer =
+        host.read(LONG_SELECT).with_header("bergamotvale-timeout", "20s").send().await.ok();
 
     assert_eq!(answer.headers["transfer-encoding"], "chunked");
     let rows = answer.body["rows"].as_array().expect("rows");
@@ -322,9 +326,9 @@
     let fixture = Fixture::new().await;
     let host = fixture.host_with(1, |settings| settings.limits.result = 1 << 20).await;
 
-    let mut socket = open_request(&host, "/v1/services/mill/read", LONG).await;
+    let mut socket = open_request(&host, "/v1/services/mill/read", LONG_SELECT).await;
     let mut text = Vec::new();
-    // A reset connection fails here, after some of the answer.
+    // Reading ends with an error if the connection is reset, after a part of the response.
     let ended = socket.read_to_end(&mut text).await;
 
     let text = String::from_utf8_lossy(&text);
--- a/crates/host/tests/data_types.rs
+++ b/crates/host/tests/data_types.rs
@@ -1,4 +1,5 @@
-//! Columns and cells of results: their names, their types, their exact values.
+//! Results name their columns and types, also without rows, and carry exact values: numerics, dates
+//! and timestamps must not lose precision on the way from the target to the caller.
 
 mod common;
 
@@ -13,7 +14,7 @@
 const TABLE: &str = "CREATE TABLE dyes (id bigint PRIMARY KEY, grams numeric, mixed timestamp, \
     sold timestamptz, due date, batch uuid, recipe jsonb, label json, swatch bytea, took interval)";
 const INSERT: &str = "INSERT INTO dyes VALUES (1, $1, $2, $3, $4, $5, $6, $7, $8, NULL)";
-const KNOWN: &str = "id, grams, mixed, sold, due, batch, recipe, label, swatch";
+const SUPPORTED_COLUMNS: &str = "id, grams, mixed, sold, due, batch, recipe, label, swatch";
 
 fn cells() -> Vec<Value> {
     vec![
@@ -54,7 +55,7 @@
     call.send().await.ok();
 }
 
-/// A read that covers what `host` wrote.
+/// Reads on the primary, so that the result includes all writes through `host`.
 async fn read(host: &Host, sql: &str) -> Value {
     let begin = host.begin().await;
     let answer = host.step(&begin, "run").with_sql(sql).send().await.ok();
@@ -68,7 +69,7 @@
     let host = with_dyes(&fixture).await;
 
     insert(&host).await;
-    let body = read(&host, &format!("SELECT {KNOWN} FROM dyes")).await;
+    let body = read(&host, &format!("SELECT {SUPPORTED_COLUMNS} FROM dyes")).await;
 
     let mut row = vec![json!(1)];
     row.extend(cells());
@@ -80,8 +81,9 @@
 async fn a_result_without_rows_has_its_columns() {
     let fixture = Fixture::new().await;
     let host = with_dyes(&fixture).await;
-    let select = format!("SELECT {KNOWN} FROM dyes WHERE batch = $1");
-    let returning = format!("UPDATE dyes SET grams = 1 WHERE batch = $1 RETURNING {KNOWN}");
+    let select = format!("SELECT {SUPPORTED_COLUMNS} FROM dyes WHERE batch = $1");
+    let returning =
+        format!("UPDATE dyes SET grams = 1 WHERE batch = $1 RETURNING {SUPPORTED_COLUMNS}");
     let written = host.write(&returning).with_param(json!("none")).send().await.ok();
     let written_at = written.session().to_owned();
 
@@ -118,7 +120,8 @@
     insert(&host).await;
 
     for filter in ["id=1", "id=2"] {
-        let sql = format!("UPDATE dyes SET label = '[7]' WHERE {filter} RETURNING {KNOWN}");
+        let sql =
+            format!("UPDATE dyes SET label = '[7]' WHERE {filter} RETURNING {SUPPORTED_COLUMNS}");
         let call = || host.write(&sql).with_header("idempotency-key", filter);
         let first = call().send().await.ok();
         let again = call().send().await.ok();
--- a/crates/host/tests/limits.rs
+++ b/crates/host/tests/limits.rs
@@ -1,4 +1,5 @@
-//! Limits on what a caller may send, and on how long it may take.
+//! Limits on the sizes of requests and results, and on the time that a caller may take to send a
+//! request or keep a connection idle.
 
 mod common;
 
@@ -9,25 +10,25 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const BODY: usize = 4_096;
-const HEADERS: usize = 2_048;
-const STATEMENT: usize = 1_024;
-const RESULT: usize = 1_024;
-/// Short, so that a test sees it pass.
-const SHORT: Duration = Duration::from_millis(300);
-
-fn small(settings: &mut Settings) {
-    settings.limits.body = BODY;
-    settings.limits.headers = HEADERS;
-    settings.limits.statement = STATEMENT;
-    settings.limits.result = RESULT;
+const MAX_BODY: usize = 4_096;
+const MAX_HEADERS: usize = 2_048;
+const MAX_STATEMENT: usize = 1_024;
+const MAX_RESULT: usize = 1_024;
+/// Short enough for a test to wait until it has passed.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+fn with_low_limits(settings: &mut Settings) {
+    settings.limits.body = MAX_BODY;
+    settings.limits.headers = MAX_HEADERS;
+    settings.limits.statement = MAX_STATEMENT;
+    settings.limits.result = MAX_RESULT;
 }
 
-/// Everything that the host sends until it closes the connection.
+/// Reads everything that the host sends until it closes the connection.
 async fn read_to_close(stream: &mut TcpStream) -> String {
     let mut text = Vec::new();
     let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut text)).await;
-    // A reset closes as well.
+    // A reset counts as closing, so the result of the read is ignored.
     let _ = read.expect("the host closes the connection");
     String::from_utf8_lossy(&text).into_owned()
 }
@@ -39,14 +40,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn each_size_over_its_limit_is_refused() {
     let fixture = Fixture::new().await;
-    let host = fixture.host_with(1, small).await;
+    let host = fixture.host_with(1, with_low_limits).await;
     let long = |bytes: usize| "a".repeat(bytes);
     let select = |bytes: usize| format!("SELECT '{}' AS text", long(bytes));
     let insert = "INSERT INTO bolts (id, metres) VALUES (1, 40) RETURNING hex(zeroblob(2000))";
     let cases = [
-        ("body", host.read("SELECT $1 AS text").with_param(json!(long(BODY)))),
-        ("headers", host.read("SELECT 1").with_header("x-note", &long(HEADERS))),
-        ("statement", host.read(&select(STATEMENT))),
+        ("body", host.read("SELECT $1 AS text").with_param(json!(long(MAX_BODY)))),
+        ("headers", host.read("SELECT 1").with_header("x-note", &long(MAX_HEADERS))),
+        ("statement", host.read(&select(MAX_STATEMENT))),
         ("result", host.write(insert)),
     ];
 
@@ -63,13 +64,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn sizes_at_their_limits_are_served() {
     let fixture = Fixture::new().await;
-    let host = fixture.host_with(1, small).await;
-    let select = format!("SELECT '{}' AS text", "a".repeat(STATEMENT - 17));
+    let host = fixture.host_with(1, with_low_limits).await;
+    let select = format!("SELECT '{}' AS text", "a".repeat(MAX_STATEMENT - 17));
 
     let statement = host.read(&select).send().await;
     let body = host.read("SELECT length($1) AS size").with_param(json!("a".repeat(3_900)));
 
-    assert_eq!(select.len(), STATEMENT);
+    assert_eq!(select.len(), MAX_STATEMENT);
     statement.ok();
     assert_eq!(body.send().await.ok().body["rows"], json!([[3_900]]));
 }
@@ -77,7 +78,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idle_connection_is_closed() {
     let fixture = Fixture::new().await;
-    let host = fixture.host_with(1, |settings| settings.limits.idle = SHORT).await;
+    let host = fixture.host_with(1, |settings| settings.limits.idle = SHORT_TIMEOUT).await;
     let mut stream = connect(&host).await;
 
     let request = "GET /v1/open/stock HTTP/1.1\r\nhost: mill\r\n\r\n";
@@ -90,11 +91,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn headers_that_take_too_long_are_refused() {
     let fixture = Fixture::new().await;
-    let host = fixture.host_with(1, |settings| settings.limits.header_time = SHORT).await;
+    let host = fixture.host_with(1, |settings| settings.limits.header_time = SHORT_TIMEOUT).await;
     let mut stream = connect(&host).await;
 
-    let begun = format!("POST /v1/services/mill/write HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n");
-    stream.write_all(begun.as_bytes()).await.expect("a part sent");
+    let partial_request =
+        format!("POST /v1/services/mill/write HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n");
+    stream.write_all(partial_request.as_bytes()).await.expect("a part sent");
     let text = read_to_close(&mut stream).await;
 
     assert!(text.starts_with("HTTP/1.1 408"), "{text:?}");
--- a/crates/host/tests/outside.rs
+++ b/crates/host/tests/outside.rs
@@ -1,4 +1,5 @@
-//! What comes from outside, in any form: a value or a clear error, never a panic.
+//! Input from outside the process (settings, requests, keys, responses of the platform) is parsed
+//! or refused with an error, and never causes a panic.
 
 mod common;
 
@@ -32,7 +33,7 @@
 limits:
   body: 64KiB
 ";
-/// Requests that the live host gets.
+/// Number of random requests that are sent to the host.
 const REQUESTS: usize = 300;
 
 fn config() -> ProptestConfig {
@@ -44,7 +45,7 @@
     }
 }
 
-/// Any JSON value of a few levels.
+/// Generates any JSON value of a few nesting levels.
 fn value() -> impl Strategy<Value = Value> {
     let leaf = prop_oneof![
         Just(Value::Null),
@@ -63,8 +64,8 @@
     })
 }
 
-/// The rows and entries that the platform holds for hosts.
-fn kept() -> Vec<Value> {
+/// Valid examples of the rows and entries that the platform stores for hosts.
+fn stored_values() -> Vec<Value> {
     let account = json!({"name": "mill", "rate": 10, "burst": 5, "weight": 1, "services": []});
     let member = json!({"host": 1, "incarnation": 3, "peer_address": "127.0.0.1:7102",
         "failure_domain": 2, "leaving": false});
@@ -79,24 +80,24 @@
     ]
 }
 
-/// Puts `new` in the place of the value that `at` chooses.
+/// Replaces the nested value that `at` selects by `new`.
 fn replace(value: &mut Value, at: Index, new: Value) {
-    let mut places = 0;
-    count(value, &mut places);
-    let mut left = at.index(places);
-    put(value, &mut left, &mut Some(new));
+    let mut nodes = 0;
+    count_nodes(value, &mut nodes);
+    let mut left = at.index(nodes);
+    set_nth(value, &mut left, &mut Some(new));
 }
 
-fn count(value: &Value, places: &mut usize) {
-    *places += 1;
+fn count_nodes(value: &Value, nodes: &mut usize) {
+    *nodes += 1;
     match value {
-        Value::Array(items) => items.iter().for_each(|item| count(item, places)),
-        Value::Object(fields) => fields.values().for_each(|field| count(field, places)),
+        Value::Array(items) => items.iter().for_each(|item| count_nodes(item, nodes)),
+        Value::Object(fields) => fields.values().for_each(|field| count_nodes(field, nodes)),
         _ => {}
     }
 }
 
-fn put(value: &mut Value, left: &mut usize, new: &mut Option<Value>) {
+fn set_nth(value: &mut Value, left: &mut usize, new: &mut Option<Value>) {
     if *left == 0
         && let Some(new) = new.take()
     {
@@ -105,14 +106,14 @@
     }
     *left = left.saturating_sub(1);
     match value {
-        Value::Array(items) => items.iter_mut().for_each(|item| put(item, left, new)),
-        Value::Object(fields) => fields.values_mut().for_each(|field| put(field, left, new)),
+        Value::Array(items) => items.iter_mut().for_each(|item| set_nth(item, left, new)),
+        Value::Object(fields) => fields.values_mut().for_each(|field| set_nth(field, left, new)),
         _ => {}
     }
 }
 
-/// Reads `value` as everything that the platform may answer with.
-fn read_as_all(value: &Value) {
+/// Parses `value` as each type that the platform may respond with.
+fn parse_as_all(value: &Value) {
     if let Ok(document) = serde_json::from_value::<Document>(value.clone()) {
         drop(config::verify(&document));
     }
@@ -164,18 +165,18 @@
 
     #[test]
     fn any_answer_of_the_platform_is_read_or_refused(value in value(), at in any::<Index>()) {
-        read_as_all(&value);
-        for mut kept in kept() {
-            replace(&mut kept, at, value.clone());
-            read_as_all(&kept);
+        parse_as_all(&value);
+        for mut stored in stored_values() {
+            replace(&mut stored, at, value.clone());
+            parse_as_all(&stored);
         }
     }
 }
 
-/// The unchanged values are read, so that the changed ones are near to them.
+/// The unchanged examples are valid, so that the mutated ones differ from valid input in one value.
 #[test]
 fn kept_values_are_valid() {
-    let [document, row, table_row, listed] = kept().try_into().expect("four of them");
+    let [document, row, table_row, listed] = stored_values().try_into().expect("four of them");
 
     let document: Document = serde_json::from_value(document).expect("a document");
     let row: distribute::Row = serde_json::from_value(row).expect("a fleet row");
@@ -204,12 +205,12 @@
     (name.prop_map(str::to_owned), value)
 }
 
-/// Whatever a caller sends is answered, a refusal gives its reason, and the host goes on.
+/// Every request gets a response, a refusal states its reason, and the host keeps serving.
 #[tokio::test(flavor = "multi_thread")]
 async fn any_request_is_answered() {
     let fixture = Fixture::new().await;
     let host = fixture.host(1).await;
-    // Connections are kept: one that the host closes has to say so before.
+    // The client reuses connections, so the host must announce when it closes one.
     let http = reqwest::Client::new();
     let mut runner = TestRunner::deterministic();
     let call = prop::sample::select(vec![
@@ -251,8 +252,9 @@
     host.read("SELECT count(*) FROM bolts").send().await.ok();
 }
 
-/// The first answer on a new connection to a request with a body, and whether the host then closed.
-async fn ask(address: std::net::SocketAddr, path: &str) -> (String, bool) {
+/// Sends a request with a body on a new connection; returns the head of the response, and whether
+/// the host then closed the connection.
+async fn send_request(address: std::net::SocketAddr, path: &str) -> (String, bool) {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let request = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody");
     stream.write_all(request.as_bytes()).await.expect("sent");
@@ -265,7 +267,8 @@
     (answer, matches!(read, Ok(Err(_))))
 }
 
-/// A caller must not send its next request on a connection that the host is about to close.
+/// A response before the host closes the connection has the header `connection: close`; otherwise
+/// the caller would send its next request on a connection that is about to close.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_that_closes_says_so() {
     let fixture = Fixture::new().await;
@@ -284,13 +287,16 @@
     ];
 
     for (address, path) in calls {
-        let (answer, closed) = ask(address, path).await;
-        let says_so = answer.contains("connection: close");
-        assert!(says_so || !closed, "{path}: closed without a word after {answer}");
+        let (answer, closed) = send_request(address, path).await;
+        let is_announced = answer.contains("connection: close");
+        assert!(
+            is_announced || !closed,
+            "{path}: closed without `connection: close` after {answer}"
+        );
     }
 }
 
-/// A path or method that nobody serves is refused like anything else.
+/// A path or method without a handler is refused with a problem document, like any other refusal.
 #[tokio::test(flavor = "multi_thread")]
 async fn what_no_handler_takes_is_a_problem_document() {
     let fixture = Fixture::new().await;
@@ -319,7 +325,8 @@
     }
 }
 
-/// A caller that stays silent, at the start or within a head, loses its connection.
+/// The host closes the connection of a caller that stays silent, before a request or within its
+/// headers.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections_are_closed() {
     let fixture = Fixture::new().await;
--- a/crates/host/tests/path.rs
+++ b/crates/host/tests/path.rs
@@ -1,4 +1,5 @@
-//! The whole path: a caller's write and read through two hosts to a database group.
+//! End-to-end path through the hosts to a database group: a session that moves between two hosts,
+//! and a host that stops while a request is in flight.
 
 mod common;
 
--- a/crates/host/tests/read_share.rs
+++ b/crates/host/tests/read_share.rs
@@ -1,4 +1,4 @@
-//! Which reads count towards the replicas' share.
+//! The counters `read.share.*` include exactly the reads that allow an age of a second or more.
 
 mod common;
 
@@ -6,7 +6,7 @@
 
 const COUNT: &str = "SELECT count(*) FROM bolts";
 
-/// Answers [`COUNT`] from `host` for a stated age, and says whether a replica served it.
+/// Reads [`COUNT`] through `host` with the maximum age `age`; returns whether a replica served it.
 async fn read(host: &common::Host, age: &str) -> bool {
     let read = host.read(COUNT).with_header("bergamotvale-max-age", age).send().await.ok();
     read.target().ends_with("replica")
