--- a/crates/host/src/error.rs
+++ b/crates/host/src/error.rs
@@ -42,5 +42,5 @@
     Core(bergamotvale_core::Error),
 }
 
-/// Result with [`Error`] as the error type.
+/// Result with [`enum@Error`] as the error type.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/host/src/exec/exchange.rs
+++ b/crates/host/src/exec/exchange.rs
@@ -18,7 +18,7 @@
 pub enum Error {
     /// The target answered with an error; its SQLSTATE and text.
     Failed(String, String),
-    /// The connection broke, or the target did not respond to a probe.
+    /// The connection broke or is silent.
     ConnectionLost,
     /// The response did not arrive by the deadline.
     TimedOut,
@@ -92,8 +92,8 @@
 /// Sends `probe` and `work` in one round trip.
 ///
 /// A healthy target responds to `probe` immediately, which distinguishes a silent connection
-/// (no response to `probe` by `probe_by`: [`Error::ConnectionLost`]) from a slow statement
-/// (no response to `work` by `work_by`: [`Error::TimedOut`]).
+/// (no response to either by `probe_by`: [`Error::ConnectionLost`]) from a slow statement (a
+/// response to `probe`, but none to `work` by `work_by`: [`Error::TimedOut`]).
 pub async fn run_with_probe<S, T>(
     host: &Host,
     (probe_by, work_by): (Time, Time),
--- a/crates/host/src/exec/transaction.rs
+++ b/crates/host/src/exec/transaction.rs
@@ -49,7 +49,7 @@
     target: Key,
     /// Log entry of the connection's last commit before the transaction.
     previous_commit: Position,
-    /// Whether no statement has been executed yet.
+    /// Whether no statement has been executed in the transaction yet.
     is_unused: bool,
 }
 
@@ -114,6 +114,8 @@
         }
     }
 
+    /// Finishes a step and keeps the connection for the next one; false, and the connection is
+    /// closed, if the transaction has ended meanwhile.
     fn store(&self, id: TransactionId, transaction: OpenTransaction, now: Time) -> bool {
         // The table stays locked until the connection is stored, so that no sweep runs in between.
         let mut table = lock(&self.table);
