--- a/crates/host/tests/data_faults.rs
+++ b/crates/host/tests/data_faults.rs
@@ -127,7 +127,7 @@
     let used_connections = || host.daemon.host.data.in_flight((SERVICE, 0)) as usize;
     let slow = || host.write(SLOW_INSERT).with_header("bergamotvale-timeout", "30s").try_send();
     let fillers: Vec<_> = (0..limit).map(|_| tokio::spawn(slow())).collect();
-    until("all connections are used_connections", || used_connections() >= limit).await;
+    until("all connections are in use", || used_connections() >= limit).await;
 
     primary.partition(&[1, 2]);
     primary.set_callers_blocked(true);
