--- a/crates/sessions/src/boot_clock.rs
+++ b/crates/sessions/src/boot_clock.rs
@@ -1,12 +1,12 @@
-//! Monotone time that also counts while the machine is suspended.
+//! Monotonic clock that also counts while the system is suspended.
 //!
-//! Leases and ages rest on it: a host that was suspended must find its lease ended.
+//! Leases and ages are measured with it, so that a host finds its lease expired after a suspension.
 
 use bergamotvale_core::id::Time;
 use nix::time::{ClockId, clock_gettime};
 
-/// Time since the machine started.
+/// Returns the time since the system was booted.
 pub fn now() -> Time {
-    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has this clock");
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux supports CLOCK_BOOTTIME");
     Time::from(time)
 }
--- a/crates/sessions/src/feed.rs
+++ b/crates/sessions/src/feed.rs
@@ -1,12 +1,13 @@
-//! One feed of a table of the platform.
+//! Feed of one table of the platform.
 //!
-//! It reads its whole table once and then waits for changes. What fails is asked again, after pauses
-//! that grow; what hangs is asked again once something shows that it does.
+//! A feed reads the whole table once and then polls for changes. Failed calls are retried with
+//! backoff. A poll that hangs is abandoned and repeated once a peer has seen a change that the poll
+//! should have returned.
 
 use crate::boot_clock;
 use crate::event::{Event, millis};
-use crate::follow::is_lowest;
-use crate::peer::{FEW, Source};
+use crate::follow::has_lowest_live_id;
+use crate::peer::{MAX_SMALL_FLEET, Source};
 use crate::state::Host;
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::lease::Revision;
@@ -14,108 +15,128 @@
 use bergamotvale_platform::{Error, Result};
 use std::time::Duration;
 
-/// Time that a feed has to bring a change which a peer has seen.
-const BEHIND_LIMIT: Duration = Duration::from_millis(500);
-/// Time between looks at whether a feed is behind.
-const BEHIND_LOOK: Duration = Duration::from_millis(250);
-/// Pause after news in a larger fleet, so that changes which come together are fetched in one call.
-const GATHER: Duration = Duration::from_millis(300);
-/// Time that a question waits for changes while the store is lost.
-const LOST_WAIT: Duration = Duration::from_millis(150);
-/// Time beyond its wait in which a call has to be answered.
+/// Time in which a feed has to return a change that a peer has seen.
+const BEHIND_PEERS_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between checks whether a feed is behind its peers.
+const BEHIND_PEERS_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay before the poll that follows a change, in a fleet that is not small: it batches changes
+/// that come close together into one call.
+const BATCH_DELAY: Duration = Duration::from_millis(300);
+/// Longest time that a poll waits for changes while the store counts as unreachable. The early
+/// answer shows soon that the store is back.
+const MAX_OUTAGE_POLL_WAIT: Duration = Duration::from_millis(150);
+/// Time beyond its wait for changes in which a call has to be answered.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Pause after a call that failed.
-pub const PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause: it doubles with each call that fails, but for the host whose proofs others use.
-const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Delay before the first retry of a failed call.
+pub const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Upper bound of the retry delay, which doubles with each failed call. The host that renews the
+/// lease for others keeps [`RETRY_DELAY`].
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// One feed.
+/// Feed of one table.
 pub struct Feed {
     store: Store,
     table: &'static str,
-    /// Where peers' changes are looked up; none for the table that peers copy to each other.
+    /// Table whose changes peers announce; `None` for the table of records and members, which hosts
+    /// copy to each other.
     source: Option<Source>,
-    /// Time that a question waits for changes.
-    pub wait: Duration,
+    /// Longest time that a poll waits for changes.
+    pub max_wait: Duration,
+    /// Revision up to which the table has been read; `None` before the first read.
     revision: Option<u64>,
-    lost_since: Option<Time>,
-    /// When the store last answered.
-    pub answered: Time,
-    /// Whether the last answer brought changes.
-    has_news: bool,
-    /// Pause after the next call that fails.
-    pause: Duration,
+    unreachable_since: Option<Time>,
+    /// When the store last answered; the creation of the feed before the first answer.
+    pub last_answer: Time,
+    /// Whether the last answer had changes.
+    had_changes: bool,
+    /// Delay after the next failed call.
+    retry_delay: Duration,
 }
 
-/// What one step of a feed brought.
-pub struct News {
-    /// Rows that changed, or all.
+/// Result of one call of [`Feed::next`].
+pub struct Update {
+    /// Changed rows, or all rows of the table; may be empty.
     pub rows: Vec<Row>,
     /// Whether `rows` is the whole table.
-    pub is_whole: bool,
-    /// When the question was sent.
+    pub is_full_table: bool,
+    /// When the request was sent: a lower bound of the time of the answer's content.
     pub sent: Time,
-    /// The platform's clock when it answered.
+    /// The platform's clock at the time of the answer.
     pub platform_now: Duration,
 }
 
 impl Feed {
-    /// A feed that has read nothing yet.
-    pub fn new(host: &Host, table: &'static str, source: Option<Source>, wait: Duration) -> Feed {
+    /// Returns a feed that has read nothing yet.
+    pub fn new(
+        host: &Host,
+        table: &'static str,
+        source: Option<Source>,
+        max_wait: Duration,
+    ) -> Feed {
         let store = Store::new(host.settings.store);
-        let answered = boot_clock::now();
-        let (revision, lost_since) = (None, None);
-        let (has_news, pause) = (false, PAUSE);
-        Feed { store, table, source, wait, revision, lost_since, answered, has_news, pause }
+        let last_answer = boot_clock::now();
+        let (revision, unreachable_since) = (None, None);
+        let (had_changes, retry_delay) = (false, RETRY_DELAY);
+        Feed {
+            store,
+            table,
+            source,
+            max_wait,
+            revision,
+            unreachable_since,
+            last_answer,
+            had_changes,
+            retry_delay,
+        }
     }
 
-    /// Waits for the next news; retries until the store answers.
-    pub async fn next(&mut self, host: &Host) -> News {
-        if self.has_news && host.lease.borrow().members().len() > FEW {
-            tokio::time::sleep(GATHER).await;
+    /// Waits for the next changes. Retries until the store answers.
+    pub async fn next(&mut self, host: &Host) -> Update {
+        if self.had_changes && host.lease.borrow().members().len() > MAX_SMALL_FLEET {
+            tokio::time::sleep(BATCH_DELAY).await;
         }
-        self.has_news = false;
+        self.had_changes = false;
         loop {
             let sent = boot_clock::now();
             let (source, revision) = (self.source, self.revision);
             let answer = tokio::select! {
-                answer = self.ask(host) => answer,
-                () = falls_behind(host, source, revision) => {
+                answer = self.fetch(host) => answer,
+                () = wait_until_behind(host, source, revision) => {
                     host.metrics.count("feed_behind_peers");
                     continue;
                 }
             };
             match answer {
-                Ok((rows, is_whole)) => {
-                    self.note_answer(host);
+                Ok((rows, is_full_table)) => {
+                    self.record_answer(host);
                     self.revision = Some(rows.revision);
                     if let Some(source) = self.source {
                         let newest = rows.rows.iter().map(|row| row.revision).max();
-                        host.peers.note_change(source, newest.unwrap_or_default());
+                        host.peers.record_change(source, newest.unwrap_or_default());
                     }
-                    self.has_news = !is_whole && !rows.rows.is_empty();
+                    self.had_changes = !is_full_table && !rows.rows.is_empty();
                     let Rows { rows, now: platform_now, .. } = rows;
-                    return News { rows, is_whole, sent, platform_now };
+                    return Update { rows, is_full_table, sent, platform_now };
                 }
                 Err(Error::HistoryGone) => {
                     host.metrics.count("feed_history_gone");
                     self.revision = None;
                 }
                 Err(error) => {
-                    self.note_failure(host, &error);
-                    tokio::time::sleep(self.pause).await;
-                    self.pause = self.next_pause(host);
+                    self.record_failure(host, &error);
+                    tokio::time::sleep(self.retry_delay).await;
+                    self.retry_delay = self.next_retry_delay(host);
                 }
             }
         }
     }
 
-    fn next_pause(&self, host: &Host) -> Duration {
-        let proves = self.source.is_none() && is_lowest(host);
-        if proves { PAUSE } else { (self.pause * 2).min(MAX_PAUSE) }
+    fn next_retry_delay(&self, host: &Host) -> Duration {
+        let renews_for_others = self.source.is_none() && has_lowest_live_id(host);
+        if renews_for_others { RETRY_DELAY } else { (self.retry_delay * 2).min(MAX_RETRY_DELAY) }
     }
 
-    async fn ask(&mut self, host: &Host) -> Result<(Rows, bool)> {
+    async fn fetch(&mut self, host: &Host) -> Result<(Rows, bool)> {
         match self.revision {
             None => {
                 let began = boot_clock::now();
@@ -124,47 +145,52 @@
                 Ok((rows?, true))
             }
             Some(revision) => {
-                // After a failure an early answer tells that the store is back.
-                let is_lost = self.lost_since.is_some();
-                let wait = if is_lost { self.wait.min(LOST_WAIT) } else { self.wait };
-                let follow = self.store.poll_changes(self.table, revision, wait, CALL_TIMEOUT);
-                Ok((follow.await?, false))
+                let is_unreachable = self.unreachable_since.is_some();
+                let max_wait = if is_unreachable {
+                    self.max_wait.min(MAX_OUTAGE_POLL_WAIT)
+                } else {
+                    self.max_wait
+                };
+                let changes = self.store.poll_changes(self.table, revision, max_wait, CALL_TIMEOUT);
+                Ok((changes.await?, false))
             }
         }
     }
 
-    fn note_answer(&mut self, host: &Host) {
+    fn record_answer(&mut self, host: &Host) {
         let now = boot_clock::now();
-        if let Some(since) = self.lost_since.take() {
+        if let Some(since) = self.unreachable_since.take() {
             let after_ms = millis(now.saturating_sub(since));
             host.journal.write(&Event::DependencyRegained { dependency: self.table, after_ms });
         }
-        self.answered = now;
-        self.pause = PAUSE;
+        self.last_answer = now;
+        self.retry_delay = RETRY_DELAY;
     }
 
-    fn note_failure(&mut self, host: &Host, error: &Error) {
+    fn record_failure(&mut self, host: &Host, error: &Error) {
         host.metrics.count("feed_failures");
-        if self.lost_since.is_none() {
-            self.lost_since = Some(boot_clock::now());
+        if self.unreachable_since.is_none() {
+            self.unreachable_since = Some(boot_clock::now());
             let error = error.to_string();
             host.journal.write(&Event::DependencyLost { dependency: self.table, error: &error });
         }
     }
 }
 
-/// Waits until a peer has seen a change above `revision` for longer than this host's feed may take
-/// to bring it.
-async fn falls_behind(host: &Host, source: Option<Source>, revision: Option<Revision>) {
+/// Waits until a peer has seen a change above `revision` for so long that this host's feed should
+/// have returned it. Never returns for a feed without a source or one that has read nothing.
+async fn wait_until_behind(host: &Host, source: Option<Source>, revision: Option<Revision>) {
     let (Some(source), Some(revision)) = (source, revision) else {
         return std::future::pending().await;
     };
     let mut since = None;
     loop {
-        tokio::time::sleep(BEHIND_LOOK).await;
+        tokio::time::sleep(BEHIND_PEERS_POLL_INTERVAL).await;
         if host.peers.newest_change(source) <= revision {
             since = None;
-        } else if boot_clock::now() >= *since.get_or_insert_with(boot_clock::now) + BEHIND_LIMIT {
+        } else if boot_clock::now()
+            >= *since.get_or_insert_with(boot_clock::now) + BEHIND_PEERS_TIMEOUT
+        {
             return;
         }
     }
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -1,12 +1,14 @@
 //! Copies of the platform's tables, each kept up to date by one feed.
 //!
-//! The records' feed waits for changes for a short time each at the host that proves the lease for
-//! others, so that every answer also is a proof. A copy never goes back.
+//! Each answer to the feed of the table of records and members renews the lease. One host polls it
+//! with a short wait and so renews the lease for the others, which receive the renewals in
+//! heartbeats: the host with the lowest id of those alive. A copy is never replaced by an older
+//! one.
 
 use crate::boot_clock;
 use crate::event::Event;
-use crate::feed::{Feed, News};
-use crate::member::{join_again, note_earlier_run};
+use crate::feed::{Feed, Update};
+use crate::member::{record_earlier_incarnation, rejoin};
 use crate::peer::Source;
 use crate::state::Host;
 use bergamotvale_core::id::{HostId, Time};
@@ -22,35 +24,38 @@
 
 /// Table of the groups' records and the members.
 pub const TABLE: &str = "bergamotvale";
-/// Prefix of the keys of members' rows.
-pub const MEMBER: &str = "host.";
-/// Prefix of the keys of groups' rows.
-const GROUP: &str = "group.";
-/// Time that the feed of records waits for changes at the host that proves the lease for others.
-const LEASE_WAIT: Duration = Duration::from_millis(250);
-/// Age of the lease's proof at which a host stops relying on the one that proves it for others.
-const PROOF_LIMIT: Duration = Duration::from_millis(900);
-/// Time between looks at the age of the proof.
-const PROOF_LOOK: Duration = Duration::from_millis(100);
-/// Time that other feeds wait for changes. One that missed a change which a peer has seen asks again
-/// sooner.
-const WAIT: Duration = Duration::from_secs(12);
-/// Time after the store is back in which entries that lapsed meanwhile are kept.
-const LAPSE: Duration = Duration::from_millis(2500);
-/// Time without the store from which on entries may have lapsed.
-const OUTAGE: Duration = Duration::from_millis(1500);
+/// Prefix of the key of a member's row; the host's id follows.
+pub const MEMBER_PREFIX: &str = "host.";
+/// Prefix of the key of a group's row; the service follows.
+const GROUP_PREFIX: &str = "group.";
+/// Longest time that a poll of the table of records and members waits for changes on a host that
+/// renews the lease.
+const MAX_RENEWAL_WAIT: Duration = Duration::from_millis(250);
+/// Age of the lease's renewal above which a host no longer relies on the host that renews for
+/// others. A peer silent for as long no longer counts as alive when that host is determined.
+const MAX_RELAYED_RENEWAL_AGE: Duration = Duration::from_millis(900);
+/// Time between checks of the renewal's age.
+const RENEWAL_AGE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time that other polls wait for changes. A feed that missed a change which a peer has seen
+/// polls again sooner.
+const MAX_WAIT: Duration = Duration::from_secs(12);
+/// Time after the end of an outage of the store for which entries that expired during it are kept,
+/// so that their targets can write them again.
+const EXPIRED_ENTRY_RETENTION: Duration = Duration::from_millis(2500);
+/// Shortest outage of the store in which entries may expire.
+const MIN_OUTAGE: Duration = Duration::from_millis(1500);
 
-/// Key of a group's row.
+/// Returns the key of a group's row.
 pub fn group_key(service: &str) -> String {
-    format!("{GROUP}{service}")
+    format!("{GROUP_PREFIX}{service}")
 }
 
-/// Follows the configuration.
+/// Keeps the configuration up to date until the process ends.
 pub async fn catalog(host: Rc<Host>) {
-    let mut feed = Feed::new(&host, catalog::TABLE, Some(Source::Catalog), WAIT);
+    let mut feed = Feed::new(&host, catalog::TABLE, Some(Source::Catalog), MAX_WAIT);
     loop {
-        let news = feed.next(&host).await;
-        for row in news.rows.iter().filter(|row| row.key == catalog::KEY) {
+        let update = feed.next(&host).await;
+        for row in update.rows.iter().filter(|row| row.key == catalog::KEY) {
             if let Some(value) = &row.value {
                 adopt_catalog(&host, value);
             }
@@ -59,11 +64,11 @@
 }
 
 fn adopt_catalog(host: &Host, value: &Bytes) {
-    let (catalog, odd) = match catalog::decode(value) {
+    let (catalog, invalid) = match catalog::decode(value) {
         Ok(decoded) => decoded,
         Err(error) => return log_unreadable(host, catalog::TABLE, catalog::KEY, &error),
     };
-    for route in odd {
+    for route in invalid {
         let error = Error::Unreadable("kind of route".into());
         log_unreadable(host, catalog::TABLE, &route, &error);
     }
@@ -74,22 +79,23 @@
         (catalog.version, catalog.routes.len(), catalog.accounts.len());
     host.journal.write(&Event::Configured { version, routes, accounts });
     *host.catalog.borrow_mut() = Rc::new(catalog);
-    divide(host);
+    divide_rates(host);
     host.changed.notify_waiters();
 }
 
-/// Divides the accounts' rates anew.
-fn divide(host: &Host) {
+/// Computes this host's shares of the accounts' rates anew. Does nothing while the host is not a
+/// member.
+fn divide_rates(host: &Host) {
     let members: BTreeSet<HostId> = host.lease.borrow().members().keys().copied().collect();
     if !members.contains(&host.id) {
         return;
     }
     let catalog = host.catalog.borrow().clone();
-    let (now, has_part) = (boot_clock::now(), host.was_member.get());
-    if host.member_since.get().is_none() {
-        host.member_since.set(Some(now));
+    let (now, has_shares) = (boot_clock::now(), host.was_member.get());
+    if host.shares_since.get().is_none() {
+        host.shares_since.set(Some(now));
     }
-    host.quota.divide(now, host.id, &members, &catalog, has_part, &host.settings.rates);
+    host.quota.divide(now, host.id, &members, &catalog, has_shares, &host.settings.rates);
 }
 
 fn log_unreadable(host: &Host, table: &str, key: &str, error: &Error) {
@@ -97,40 +103,46 @@
     host.journal.write(&Event::RowUnreadable { table, key, error: &error.to_string() });
 }
 
-/// Follows the targets' entries.
+/// Keeps the targets' entries up to date until the process ends.
 pub async fn directory(host: Rc<Host>) {
-    let mut feed = Feed::new(&host, directory::TABLE, Some(Source::Directory), WAIT);
-    let lapsed: Rc<RefCell<BTreeSet<String>>> = Rc::default();
-    let mut keep_until = Time::ZERO;
+    let mut feed = Feed::new(&host, directory::TABLE, Some(Source::Directory), MAX_WAIT);
+    let expired: Rc<RefCell<BTreeSet<String>>> = Rc::default();
+    let mut retain_deadline = Time::ZERO;
     loop {
-        let since = feed.answered;
-        let news = feed.next(&host).await;
+        let last_answer = feed.last_answer;
+        let update = feed.next(&host).await;
         let now = boot_clock::now();
-        if now.saturating_sub(since) > OUTAGE + feed.wait {
-            keep_until = now + LAPSE;
+        if now.saturating_sub(last_answer) > MIN_OUTAGE + feed.max_wait {
+            retain_deadline = now + EXPIRED_ENTRY_RETENTION;
         }
-        let is_lapse = now < keep_until.max(host.store_away_at.get() + LAPSE);
-        adopt_entries(&host, &news, is_lapse, &lapsed);
-        if is_lapse && !lapsed.borrow().is_empty() {
-            tokio::task::spawn_local(drop_lapsed(host.clone(), lapsed.clone()));
+        let retains_expired =
+            now < retain_deadline.max(host.last_store_outage.get() + EXPIRED_ENTRY_RETENTION);
+        adopt_entries(&host, &update, retains_expired, &expired);
+        if retains_expired && !expired.borrow().is_empty() {
+            tokio::task::spawn_local(drop_expired(host.clone(), expired.clone()));
         }
         host.changed.notify_waiters();
     }
 }
 
-fn adopt_entries(host: &Host, news: &News, is_lapse: bool, lapsed: &RefCell<BTreeSet<String>>) {
+fn adopt_entries(
+    host: &Host,
+    update: &Update,
+    retains_expired: bool,
+    expired: &RefCell<BTreeSet<String>>,
+) {
     let mut entries: Directory = host.directory.borrow().clone();
-    let mut gone: BTreeSet<String> = BTreeSet::new();
-    if news.is_whole {
-        gone = entries.keys().cloned().collect();
+    let mut removed: BTreeSet<String> = BTreeSet::new();
+    if update.is_full_table {
+        removed = entries.keys().cloned().collect();
     }
-    for row in &news.rows {
-        gone.remove(&row.key);
+    for row in &update.rows {
+        removed.remove(&row.key);
         let Some(value) = &row.value else {
-            gone.insert(row.key.clone());
+            removed.insert(row.key.clone());
             continue;
         };
-        lapsed.borrow_mut().remove(&row.key);
+        expired.borrow_mut().remove(&row.key);
         match directory::decode(&row.key, value) {
             Ok(entry) => {
                 let known = entries.get(&row.key);
@@ -146,23 +158,23 @@
                 }
                 entries.insert(row.key.clone(), entry);
             }
-            // Entries that were good before hold; one that never was names no target.
+            // The previous valid entry stays in use. A target without one remains unknown.
             Err(error) => log_unreadable(host, directory::TABLE, &row.key, &error),
         }
     }
-    for name in gone {
-        if is_lapse {
-            lapsed.borrow_mut().insert(name);
+    for name in removed {
+        if retains_expired {
+            expired.borrow_mut().insert(name);
         } else if let Some(entry) = entries.remove(&name) {
-            log_gone(host, &entry.name, &entry.service);
+            log_removed(host, &entry.name, &entry.service);
         }
     }
-    note_leaving(host, &entries);
+    record_leaving(host, &entries);
     *host.directory.borrow_mut() = entries;
 }
 
-/// Notes since when targets leave.
-fn note_leaving(host: &Host, entries: &Directory) {
+/// Records since when targets have been leaving.
+fn record_leaving(host: &Host, entries: &Directory) {
     let mut since = host.leaving_since.borrow_mut();
     since.retain(|name, _| entries.get(name).is_some_and(|entry| entry.is_leaving));
     for entry in entries.values().filter(|entry| entry.is_leaving) {
@@ -170,45 +182,46 @@
     }
 }
 
-fn log_gone(host: &Host, target: &str, service: &str) {
+fn log_removed(host: &Host, target: &str, service: &str) {
     host.journal.write(&Event::Target { target, service, view: "gone", leaving: false });
 }
 
-/// Drops the entries that have not come back after an outage of the store.
-async fn drop_lapsed(host: Rc<Host>, lapsed: Rc<RefCell<BTreeSet<String>>>) {
-    tokio::time::sleep(LAPSE).await;
-    for name in std::mem::take(&mut *lapsed.borrow_mut()) {
+/// Removes entries that were not written again after an outage of the store.
+async fn drop_expired(host: Rc<Host>, expired: Rc<RefCell<BTreeSet<String>>>) {
+    tokio::time::sleep(EXPIRED_ENTRY_RETENTION).await;
+    for name in std::mem::take(&mut *expired.borrow_mut()) {
         if let Some(entry) = host.directory.borrow_mut().remove(&name) {
-            log_gone(&host, &entry.name, &entry.service);
+            log_removed(&host, &entry.name, &entry.service);
         }
     }
     host.changed.notify_waiters();
 }
 
-/// A copy of the table of records and members.
+/// Copy of the table of records and members.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
-    /// Rows by key.
+    /// Value and revision of each row, by key.
     pub rows: BTreeMap<String, (Bytes, Revision)>,
     /// Revision of the newest change.
     pub revision: Revision,
 }
 
-/// Follows the table of records and members; its answers prove the lease.
+/// Keeps the table of records and members up to date until the process ends; each answer renews the
+/// lease.
 pub async fn table(host: Rc<Host>) {
-    let mut feed = Feed::new(&host, TABLE, None, LEASE_WAIT);
+    let mut feed = Feed::new(&host, TABLE, None, MAX_RENEWAL_WAIT);
     loop {
-        feed.wait = if is_prover(&host) { LEASE_WAIT } else { WAIT };
-        let news = tokio::select! {
-            news = feed.next(&host) => news,
-            () = proof_grows_old(&host), if feed.wait == WAIT => continue,
+        feed.max_wait = if is_renewer(&host) { MAX_RENEWAL_WAIT } else { MAX_WAIT };
+        let update = tokio::select! {
+            update = feed.next(&host) => update,
+            () = wait_for_old_renewal(&host), if feed.max_wait == MAX_WAIT => continue,
         };
         {
             let mut table = host.peers.table.borrow_mut();
-            if news.is_whole {
+            if update.is_full_table {
                 table.rows.clear();
             }
-            for row in news.rows {
+            for row in update.rows {
                 table.revision = table.revision.max(row.revision);
                 match row.value {
                     Some(value) => drop(table.rows.insert(row.key, (value, row.revision))),
@@ -220,49 +233,52 @@
         let revision = host.peers.table.borrow().revision;
         {
             let mut lease = host.lease.borrow_mut();
-            lease.set_platform_clock(boot_clock::now(), news.platform_now);
-            lease.renew(news.sent, revision);
+            lease.set_platform_clock(boot_clock::now(), update.platform_now);
+            lease.renew(update.sent, revision);
         }
-        join_again(&host);
+        rejoin(&host);
         host.holds_lease();
         host.changed.notify_waiters();
     }
 }
 
-/// Whether this host proves the lease for others, or has to do it for itself.
-pub fn is_prover(host: &Host) -> bool {
+/// Whether this host renews the lease itself: for all hosts, or for want of a recent renewal from a
+/// peer.
+pub fn is_renewer(host: &Host) -> bool {
     let age = host.lease.borrow().renewal_age(boot_clock::now());
-    age.is_none_or(|age| age > PROOF_LIMIT) || is_lowest(host)
+    age.is_none_or(|age| age > MAX_RELAYED_RENEWAL_AGE) || has_lowest_live_id(host)
 }
 
-/// Whether this host has the lowest id of those that are alive.
-pub fn is_lowest(host: &Host) -> bool {
-    let alive = host.lease.borrow().live_peers(boot_clock::now(), PROOF_LIMIT);
+/// Whether this host has the lowest id of the hosts that are alive.
+pub fn has_lowest_live_id(host: &Host) -> bool {
+    let alive = host.lease.borrow().live_peers(boot_clock::now(), MAX_RELAYED_RENEWAL_AGE);
     alive.iter().all(|peer| *peer > host.id)
 }
 
-/// Notes that the store is away if neither this host nor a peer has heard of it for long.
-pub fn note_outage(host: &Host, heard: &mut Time) {
+/// Records an outage of the store if neither this host nor a peer has read it for [`MIN_OUTAGE`].
+///
+/// `last_read` is the time of the last known read; the renewal of the lease advances it.
+pub fn record_outage(host: &Host, last_read: &mut Time) {
     let now = boot_clock::now();
-    let proof_age = host.lease.borrow().renewal_age(now);
-    *heard = proof_age.map_or(*heard, |age| now.saturating_sub(age).max(*heard));
-    if now.saturating_sub(*heard) > OUTAGE {
-        host.store_away_at.set(now);
+    let renewal_age = host.lease.borrow().renewal_age(now);
+    *last_read = renewal_age.map_or(*last_read, |age| now.saturating_sub(age).max(*last_read));
+    if now.saturating_sub(*last_read) > MIN_OUTAGE {
+        host.last_store_outage.set(now);
     }
 }
 
-/// Waits until the proof that peers pass on is too old to rely on.
-async fn proof_grows_old(host: &Host) {
+/// Waits until the renewal that peers pass on is too old to rely on.
+async fn wait_for_old_renewal(host: &Host) {
     loop {
-        tokio::time::sleep(PROOF_LOOK).await;
+        tokio::time::sleep(RENEWAL_AGE_POLL_INTERVAL).await;
         let age = host.lease.borrow().renewal_age(boot_clock::now());
-        if age.is_none_or(|age| age > PROOF_LIMIT) {
+        if age.is_none_or(|age| age > MAX_RELAYED_RENEWAL_AGE) {
             return;
         }
     }
 }
 
-/// Acts on the present copy of the table.
+/// Applies the current copy of the table: the records, then the members.
 pub fn adopt_table(host: &Host) {
     let table = host.peers.table.borrow().clone();
     let known = host.lease.borrow().revision();
@@ -272,12 +288,12 @@
     let mut members: BTreeMap<HostId, Member> = BTreeMap::new();
     let mut records: Vec<(String, Record, Revision)> = Vec::new();
     for (key, (value, revision)) in &table.rows {
-        if let Some(id) = key.strip_prefix(MEMBER) {
+        if let Some(id) = key.strip_prefix(MEMBER_PREFIX) {
             match (id.parse(), serde_json::from_slice(value)) {
                 (Ok(id), Ok(member)) => drop(members.insert(id, member)),
                 _ => log_unreadable(host, TABLE, key, &Error::Unreadable("member".into())),
             }
-        } else if let Some(service) = key.strip_prefix(GROUP) {
+        } else if let Some(service) = key.strip_prefix(GROUP_PREFIX) {
             match serde_json::from_slice(value) {
                 Ok(record) => records.push((service.to_owned(), record, *revision)),
                 Err(error) => log_unreadable(host, TABLE, key, &error.into()),
@@ -285,8 +301,8 @@
         }
     }
     let changed = *host.lease.borrow().members() != members;
-    note_earlier_run(host, members.get(&host.id));
-    // Records go first: a revision counts as known only once nothing older is used.
+    record_earlier_incarnation(host, members.get(&host.id));
+    // Records first: the lease may reach the new revision only when older records are out of use.
     for (service, record, revision) in records {
         host.adopt_record(&service, record, revision);
     }
@@ -294,7 +310,7 @@
     if changed {
         let count = host.lease.borrow().members().len();
         host.journal.write(&Event::Members { count, revision: table.revision });
-        divide(host);
+        divide_rates(host);
     }
-    host.peers.beat_now.notify_one();
+    host.peers.heartbeat_now.notify_one();
 }
--- a/crates/sessions/src/http.rs
+++ b/crates/sessions/src/http.rs
@@ -24,7 +24,7 @@
             Ok((stream, _)) => drop(tokio::task::spawn_local(connection(host.clone(), stream))),
             Err(error) => {
                 log::warn!("a connection to the HTTP listener failed: {error}");
-                tokio::time::sleep(crate::run::ACCEPT_PAUSE).await;
+                tokio::time::sleep(crate::run::ACCEPT_RETRY_DELAY).await;
             }
         }
     }
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -6,7 +6,7 @@
 use crate::event::{Event, millis};
 use crate::pool::{Wish, acquire};
 use crate::state::Host;
-use crate::status::view_word;
+use crate::status::view_label;
 use crate::work;
 use crate::{feed, follow, member};
 use bergamotvale_core::id::{HostId, Time};
@@ -43,7 +43,7 @@
     let mut store_heard = started;
     loop {
         tokio::time::sleep(ROUND).await;
-        follow::note_outage(&host, &mut store_heard);
+        follow::record_outage(&host, &mut store_heard);
         probe_targets(&host, &probing);
         forget_targets(&host);
         log_views(&host, &mut views);
@@ -56,7 +56,7 @@
 /// Whether the host may take new sessions.
 pub fn is_ready(host: &Host) -> bool {
     let is_configured = host.catalog.borrow().version > 0 && !host.directory.borrow().is_empty();
-    is_configured && host.has_parts() && !host.stopping.get() && host.holds_lease()
+    is_configured && host.has_shares() && !host.stopping.get() && host.holds_lease()
 }
 
 fn log_readiness(host: &Host, known: &mut bool) {
@@ -85,13 +85,13 @@
         host.journal.write(&Event::Target {
             target,
             service: entry.map_or("", |entry| entry.service.as_str()),
-            view: view_word(*view),
+            view: view_label(*view),
             leaving: entry.is_some_and(|entry| entry.is_leaving),
         });
     }
     if views != *known {
         host.changed.notify_waiters();
-        host.peers.beat_now.notify_one();
+        host.peers.heartbeat_now.notify_one();
     }
     *known = views;
 }
@@ -240,7 +240,7 @@
         return;
     }
     let silent = |id: &HostId| {
-        let heard = host.peers.heard(*id).unwrap_or(started);
+        let heard = host.peers.last_received(*id).unwrap_or(started);
         *id != host.id && now.saturating_sub(heard) > MEMBER_LIMIT
     };
     let gone = host.lease.borrow().members().keys().copied().find(silent);
--- a/crates/sessions/src/member.rs
+++ b/crates/sessions/src/member.rs
@@ -1,7 +1,7 @@
-//! This host's row, and others', in the table of members.
+//! Rows of the members' table: writes this host's row, removes the rows of others.
 
-use crate::feed::{CALL_TIMEOUT, PAUSE};
-use crate::follow::{MEMBER, TABLE};
+use crate::feed::{CALL_TIMEOUT, RETRY_DELAY};
+use crate::follow::{MEMBER_PREFIX, TABLE};
 use crate::state::Host;
 use bergamotvale_core::id::HostId;
 use bergamotvale_core::proxy::lease::{Member, Revision};
@@ -11,21 +11,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Key of a member's row.
 fn member_key(host: HostId) -> String {
-    format!("{MEMBER}{host}")
+    format!("{MEMBER_PREFIX}{host}")
 }
 
-/// Notes that the table holds a row of an earlier run of this host: its parts of the rates are this
-/// run's.
-pub fn note_earlier_run(host: &Host, row: Option<&Member>) {
+/// Records that the table holds a row of an earlier incarnation of this host. The shares of the
+/// rates that it had are this incarnation's at once.
+pub fn record_earlier_incarnation(host: &Host, row: Option<&Member>) {
     if row.is_some_and(|row| row.incarnation != host.incarnation) {
         host.was_member.set(true);
     }
 }
 
-/// Enters again if others, who had not heard of this host for long, have removed its row.
-pub fn join_again(host: &Rc<Host>) {
+/// Writes this host's row again if peers have removed it because they received no heartbeat for
+/// long.
+pub fn rejoin(host: &Rc<Host>) {
     let is_member = host.lease.borrow().members().contains_key(&host.id);
     if is_member || host.stopping.get() || !host.has_joined.replace(false) {
         return;
@@ -35,20 +35,20 @@
     tokio::task::spawn_local(async move { join(&host).await });
 }
 
-/// Writes this host's member row, until the store has it.
+/// Writes this host's row, retrying until the store has it and the copy of the table shows it.
 pub async fn join(host: &Host) {
     let mut store = Store::new(host.settings.store);
     loop {
         match write_member(host, &mut store).await {
             Ok(revision) => {
-                // The feed may not have shown it yet.
+                // Without this wait `rejoin` could take the older copy for a removal.
                 wait_for_revision(host, revision).await;
                 host.has_joined.set(true);
                 return;
             }
             Err(error) => {
-                log::warn!("cannot enter the table of members, trying again: {error}");
-                tokio::time::sleep(PAUSE).await;
+                log::warn!("cannot write this host's member row; retrying: {error}");
+                tokio::time::sleep(RETRY_DELAY).await;
             }
         }
     }
@@ -66,7 +66,7 @@
     let earlier = before.rows.iter().find(|row| row.key == key);
     let earlier: Option<Member> =
         earlier.and_then(|row| row.value.as_ref()).and_then(|v| serde_json::from_slice(v).ok());
-    note_earlier_run(host, earlier.as_ref());
+    record_earlier_incarnation(host, earlier.as_ref());
     let member = Member {
         incarnation: host.incarnation,
         address: host.settings.listen.peers,
@@ -78,7 +78,8 @@
     store.change(change, CALL_TIMEOUT).await
 }
 
-/// Removes a member's row if it is still the one that `host` knows.
+/// Removes a member's row unless it has changed since this host's copy of the table. Does nothing
+/// if the copy has no such row.
 pub async fn remove_member(host: &Host, member: HostId, timeout: Duration) -> Result<()> {
     let key = member_key(member);
     let known = host.peers.table.borrow().rows.get(&key).map(|(_, revision)| *revision);
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -1,9 +1,10 @@
-//! Datagrams between hosts.
+//! Datagrams between hosts: heartbeats, copies of the table of records and members, and loans of
+//! rate tokens.
 //!
-//! Everything that hosts tell each other is state that the next message repeats, so a lost datagram
-//! does no harm. A heartbeat echoes the number of the receiver's last heartbeat and how long ago it
-//! came: so the receiver knows a time before which the heartbeat cannot have been made, and all ages
-//! in it err upwards.
+//! Every message carries state that later messages repeat, so a lost datagram does no harm. A
+//! heartbeat echoes the number of the receiver's last heartbeat and the time since it arrived. From
+//! these the receiver computes a lower bound of the time at which the heartbeat was created; ages
+//! in the heartbeat are counted from that bound and thus only overestimated.
 
 use crate::boot_clock;
 use crate::follow::{self, Table};
@@ -25,106 +26,105 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-/// Time between heartbeats among a few hosts.
-const INTERVAL: Duration = Duration::from_millis(200);
-/// Hosts up to which heartbeats come at [`INTERVAL`] and every change is fetched as soon as it shows.
-pub const FEW: usize = 8;
-/// Heartbeats whose time of sending is remembered for echoes.
-const REMEMBERED: usize = 32;
-/// Least time between two copies of the table sent to the same peer.
-const TABLE_INTERVAL: Duration = Duration::from_millis(300);
-/// Largest datagram.
+/// Time between heartbeats in a small fleet.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of hosts up to which every host sends heartbeats at [`HEARTBEAT_INTERVAL`] and fetches
+/// each change of a table at once, without batching.
+pub const MAX_SMALL_FLEET: usize = 8;
+/// Sent heartbeats whose time of sending is kept to interpret echoes.
+const MAX_SENT_HEARTBEATS: usize = 32;
+/// Shortest time between two copies of the table sent to the same peer.
+const MIN_TABLE_INTERVAL: Duration = Duration::from_millis(300);
+/// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 60 << 10;
 
-/// A table that operators or targets write.
+/// A platform table that operators or targets write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Source {
-    /// The configuration.
+    /// Configuration, written by operators.
     Catalog,
-    /// The targets' entries.
+    /// Entries that targets write about themselves.
     Directory,
 }
 
-/// What one host tells another of a group.
+/// One host's state of a group, as it reports it to others.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct GroupWord {
-    /// Its fence.
+pub struct GroupReport {
+    /// Newest fence that the sender knows.
     pub fence: Fence,
-    /// The host's view of the primary named under that fence.
+    /// The sender's view of the primary named under that fence.
     pub view: View,
-    /// Term of the primary, if the record is known to be established.
+    /// Term of the primary if the sender knows it to be established.
     pub established: Option<Term>,
-    /// Age and position of the newest observation.
+    /// Age and position of the sender's newest observation of the primary. `None` without one, or
+    /// if the sender leaves reports of positions to the host that renews the lease for others.
     pub observed: Option<(Duration, Position)>,
 }
 
-/// A heartbeat.
+/// State that a host sends to every other member at an interval, and at once after some changes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Beat {
-    /// The sender's lease.
-    pub vouch: Attestation,
-    /// Number of this heartbeat among the sender's.
+pub struct Heartbeat {
+    /// Revision and renewal age of the sender's lease.
+    #[serde(rename = "vouch")]
+    pub attestation: Attestation,
+    /// Sequence number among the heartbeats of the sender's incarnation.
     pub number: u64,
-    /// Number of the receiver's last heartbeat, and how long ago it came.
+    /// Number of the last heartbeat received from this receiver, and the time since it arrived.
     pub echo: Option<(u64, Duration)>,
-    /// Newest changes of tables that the sender knows of.
+    /// Newest revision known of each table that operators or targets write.
     pub newest: BTreeMap<Source, Revision>,
-    /// Groups by service.
-    pub groups: BTreeMap<String, GroupWord>,
+    /// Reports on groups by service.
+    pub groups: BTreeMap<String, GroupReport>,
 }
 
-/// A datagram.
+/// Content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
-    Beat(Beat),
-    /// A copy of the table, for a peer that is behind.
-    Table {
-        revision: Revision,
-        rows: Vec<(String, Vec<u8>, Revision)>,
-    },
-    /// Asks for tokens of an account's rate.
-    Ask {
-        host: HostId,
-        account: AccountId,
-        count: u32,
-        sequence: u64,
-    },
-    /// Answers an ask.
-    Loan {
-        host: HostId,
-        account: AccountId,
-        count: u32,
-        sequence: u64,
-    },
+    #[serde(rename = "Beat")]
+    Heartbeat(Heartbeat),
+    /// Copy of the table of records and members, for a peer with an older revision.
+    Table { revision: Revision, rows: Vec<(String, Vec<u8>, Revision)> },
+    /// Requests tokens of an account's rate.
+    #[serde(rename = "Ask")]
+    LoanRequest { host: HostId, account: AccountId, count: u32, sequence: u64 },
+    /// Answers the loan request with the same sequence number; `count` may be 0.
+    Loan { host: HostId, account: AccountId, count: u32, sequence: u64 },
 }
 
-/// What is remembered of one peer.
+/// What this host has received from one peer.
 #[derive(Debug, Default)]
 struct Peer {
-    last: Option<(u64, u64, Time)>,
+    /// Incarnation and number of the newest heartbeat, and when it arrived.
+    last_heartbeat: Option<(u64, u64, Time)>,
+    /// The peer's view of each group's primary, by service.
     views: BTreeMap<String, (Fence, View)>,
-    heard: Time,
-    table_sent: Time,
+    /// When any heartbeat last arrived, also one that was overtaken.
+    last_received: Time,
+    table_sent_at: Time,
 }
 
-/// Other hosts.
+/// State of the other hosts, and of the exchange with them.
 #[derive(Default)]
 pub struct Peers {
-    /// Copy of the table of records and members.
+    /// This host's copy of the table of records and members; peers receive copies of it.
     pub table: RefCell<Table>,
-    /// Asks for a heartbeat at once.
-    pub beat_now: Notify,
-    /// Opens when idle sessions are to be closed.
+    /// Makes the next heartbeat go out at once.
+    pub heartbeat_now: Notify,
+    /// Tells idle sessions to close while the host stops.
     pub idle_close: Gate,
+    /// Bound once [`receive`] runs; nothing is sent before.
     socket: RefCell<Option<Rc<UdpSocket>>>,
     peers: RefCell<BTreeMap<HostId, Peer>>,
+    /// Number of the last heartbeat sent.
     number: Cell<u64>,
+    /// Numbers of the last heartbeats sent, and when.
     sent: RefCell<VecDeque<(u64, Time)>>,
     newest: RefCell<BTreeMap<Source, Revision>>,
-    asks: RefCell<BTreeMap<(AccountId, HostId), (LoanRequest, Time)>>,
+    /// Unanswered loan requests, and when they were sent.
+    loan_requests: RefCell<BTreeMap<(AccountId, HostId), (LoanRequest, Time)>>,
 }
 
-/// A door that opens once for some, then for all.
+/// Releases tasks that wait on it one at a time, until it is opened for all.
 #[derive(Default)]
 pub struct Gate {
     open: Cell<bool>,
@@ -132,18 +132,18 @@
 }
 
 impl Gate {
-    /// Lets one waiter through.
+    /// Releases one waiting task, or the next one that waits.
     pub fn admit_one(&self) {
         self.notify.notify_one();
     }
 
-    /// Lets all through, now and later.
+    /// Releases all tasks that wait, now and later.
     pub fn open(&self) {
         self.open.set(true);
         self.notify.notify_waiters();
     }
 
-    /// Waits to be let through.
+    /// Waits until the gate is open or releases this task.
     pub async fn wait(&self) {
         if !self.open.get() {
             self.notify.notified().await;
@@ -152,11 +152,13 @@
 }
 
 impl Peers {
-    /// Peers' views of the primary under `fence`, of those heard within `within`.
+    /// Returns the views of the primary under `fence` that peers reported. Peers whose last
+    /// heartbeat is older than `within`, or that know another fence, are left out.
     pub fn views(&self, service: &str, fence: Fence, within: Duration) -> BTreeMap<HostId, View> {
         let now = boot_clock::now();
         let peers = self.peers.borrow();
-        let fresh = peers.iter().filter(|(_, peer)| now.saturating_sub(peer.heard) <= within);
+        let fresh =
+            peers.iter().filter(|(_, peer)| now.saturating_sub(peer.last_received) <= within);
         fresh
             .filter_map(|(host, peer)| match peer.views.get(service) {
                 Some((known, view)) if *known == fence => Some((*host, *view)),
@@ -165,50 +167,50 @@
             .collect()
     }
 
-    /// Notes that a table has changed at a revision.
-    pub fn note_change(&self, source: Source, revision: Revision) {
+    /// Records that a table has changed at a revision.
+    pub fn record_change(&self, source: Source, revision: Revision) {
         let mut newest = self.newest.borrow_mut();
         let known = newest.entry(source).or_default();
         *known = revision.max(*known);
     }
 
-    /// Newest change of a table that this host or a peer has seen.
+    /// Returns the newest revision of a table that this host or a peer has seen; 0 before any.
     pub fn newest_change(&self, source: Source) -> Revision {
         self.newest.borrow().get(&source).copied().unwrap_or_default()
     }
 
-    /// Time at which a peer was last heard of.
-    pub fn heard(&self, host: HostId) -> Option<Time> {
-        self.peers.borrow().get(&host).map(|peer| peer.heard)
+    /// Returns when the last heartbeat of a peer arrived; `None` if none has.
+    pub fn last_received(&self, host: HostId) -> Option<Time> {
+        self.peers.borrow().get(&host).map(|peer| peer.last_received)
     }
 
-    /// Asks peers for tokens of an account that runs short.
+    /// Requests tokens of an account whose share runs short from the peers that the meter selects.
     pub fn request_loans(&self, host: &Host, account: AccountId) {
         let now = boot_clock::now();
-        self.expire_asks(host, now);
-        let asks = host.quota.meter.borrow_mut().loan_requests(account, now);
-        for ask in asks {
-            self.asks.borrow_mut().insert((ask.account, ask.peer), (ask, now));
-            let LoanRequest { account, count, sequence, peer } = ask;
-            let message = Message::Ask { host: host.id, account, count, sequence };
-            if let Some(address) = address(host, peer) {
+        self.expire_loan_requests(host, now);
+        let loan_requests = host.quota.meter.borrow_mut().loan_requests(account, now);
+        for request in loan_requests {
+            self.loan_requests.borrow_mut().insert((request.account, request.peer), (request, now));
+            let LoanRequest { account, count, sequence, peer } = request;
+            let message = Message::LoanRequest { host: host.id, account, count, sequence };
+            if let Some(address) = peer_address(host, peer) {
                 self.send(&message, address);
             }
         }
     }
 
-    /// Gives up asks that were not answered.
-    fn expire_asks(&self, host: &Host, now: Time) {
+    /// Treats requests without an answer as loans of no tokens once the lifetime of a loan is over.
+    fn expire_loan_requests(&self, host: &Host, now: Time) {
         let limit = bergamotvale_core::rate::bucket::LOAN_LIFETIME;
-        let mut asks = self.asks.borrow_mut();
-        let late: Vec<_> = asks
+        let mut loan_requests = self.loan_requests.borrow_mut();
+        let expired: Vec<_> = loan_requests
             .iter()
             .filter(|(_, (_, at))| now.saturating_sub(*at) > limit)
             .map(|(key, _)| *key)
             .collect();
-        for key in late {
-            if let Some((ask, at)) = asks.remove(&key) {
-                host.quota.meter.borrow_mut().receive(ask, 0, at, now);
+        for key in expired {
+            if let Some((request, at)) = loan_requests.remove(&key) {
+                host.quota.meter.borrow_mut().receive(request, 0, at, now);
             }
         }
     }
@@ -217,29 +219,34 @@
         let Some(socket) = self.socket.borrow().clone() else { return };
         match postcard::to_stdvec(message) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
-                // A full link drops datagrams too; the next message repeats the state.
+                // Not retried: the network may lose it as well, and a later message repeats the
+                // state.
                 if let Err(error) = socket.try_send_to(&bytes, address) {
-                    log::debug!("datagram to {address} not sent: {error}");
+                    log::debug!("cannot send a datagram to {address}: {error}");
                 }
             }
-            Ok(bytes) => log::warn!("datagram of {} bytes is too large", bytes.len()),
-            Err(error) => log::error!("datagram cannot be encoded: {error}"),
+            Ok(bytes) => log::warn!(
+                "dropping a datagram of {} bytes to {address}: larger than {MAX_DATAGRAM} bytes",
+                bytes.len()
+            ),
+            Err(error) => log::error!("cannot encode a datagram to {address}: {error}"),
         }
     }
 
-    fn remember_sent(&self, now: Time) -> u64 {
+    fn record_sent(&self, now: Time) -> u64 {
         let number = self.number.get() + 1;
         self.number.set(number);
         let mut sent = self.sent.borrow_mut();
         sent.push_back((number, now));
-        if sent.len() > REMEMBERED {
+        if sent.len() > MAX_SENT_HEARTBEATS {
             sent.pop_front();
         }
         number
     }
 
-    /// Time before which a heartbeat with this echo cannot have been made.
-    fn made_after(&self, echo: Option<(u64, Duration)>) -> Option<Time> {
+    /// Returns a lower bound of the time at which a heartbeat with this echo was created. `None` if
+    /// it echoes nothing, or a heartbeat whose time of sending is no longer known.
+    fn earliest_creation(&self, echo: Option<(u64, Duration)>) -> Option<Time> {
         let (number, delay) = echo?;
         let sent = self.sent.borrow();
         let (_, at) = sent.iter().find(|(known, _)| *known == number)?;
@@ -247,97 +254,101 @@
     }
 }
 
-fn address(host: &Host, peer: HostId) -> Option<SocketAddr> {
+fn peer_address(host: &Host, peer: HostId) -> Option<SocketAddr> {
     host.lease.borrow().members().get(&peer).map(|member| member.address)
 }
 
-/// Opens the socket and receives datagrams until the process ends.
+/// Binds the socket and handles received datagrams until the process ends. Fails only if the socket
+/// cannot be bound.
 pub async fn receive(host: Rc<Host>) -> std::io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(host.settings.listen.peers).await?);
     *host.peers.socket.borrow_mut() = Some(socket.clone());
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
-                log::debug!("a datagram could not be delivered: {error}");
+                log::debug!("cannot receive a datagram: {error}");
                 continue;
             }
         };
         match postcard::from_bytes(&buffer[..length]) {
-            Ok(message) => take(&host, message, from),
-            Err(error) => log::warn!("unreadable datagram from {from}: {error}"),
+            Ok(message) => handle_message(&host, message, sender),
+            Err(error) => log::warn!("dropping an invalid datagram from {sender}: {error}"),
         }
     }
 }
 
-fn take(host: &Host, message: Message, from: SocketAddr) {
+fn handle_message(host: &Host, message: Message, sender: SocketAddr) {
     match message {
-        Message::Beat(beat) => take_beat(host, beat, from),
-        Message::Table { revision, rows } => take_table(host, revision, rows),
-        Message::Ask { host: peer, account, count, sequence } => {
+        Message::Heartbeat(heartbeat) => handle_heartbeat(host, heartbeat, sender),
+        Message::Table { revision, rows } => handle_table(host, revision, rows),
+        Message::LoanRequest { host: peer, account, count, sequence } => {
             let version = host.catalog.borrow().version;
             let request = TokenRequest { host: peer, account, count, version, sequence };
             let now = boot_clock::now();
             let count = host.quota.meter.borrow_mut().lend(&request, now);
             let loan = Message::Loan { host: host.id, account, count, sequence };
-            host.peers.send(&loan, from);
+            host.peers.send(&loan, sender);
         }
         Message::Loan { host: peer, account, count, sequence } => {
-            let known = host.peers.asks.borrow_mut().remove(&(account, peer));
-            if let Some((ask, asked)) = known
-                && ask.sequence == sequence
+            let known = host.peers.loan_requests.borrow_mut().remove(&(account, peer));
+            if let Some((request, requested_at)) = known
+                && request.sequence == sequence
             {
                 let now = boot_clock::now();
-                host.quota.meter.borrow_mut().receive(ask, count, asked, now);
+                host.quota.meter.borrow_mut().receive(request, count, requested_at, now);
                 host.changed.notify_waiters();
             }
         }
     }
 }
 
-fn take_beat(host: &Host, beat: Beat, from: SocketAddr) {
+fn handle_heartbeat(host: &Host, heartbeat: Heartbeat, sender: SocketAddr) {
     let now = boot_clock::now();
-    let id = beat.vouch.host;
-    let is_behind = beat.vouch.revision < host.lease.borrow().revision();
+    let id = heartbeat.attestation.host;
+    let is_behind = heartbeat.attestation.revision < host.lease.borrow().revision();
     let sends_table = {
         let mut peers = host.peers.peers.borrow_mut();
         let peer = peers.entry(id).or_default();
-        peer.heard = now;
-        let run = beat.vouch.incarnation;
-        if peer.last.is_none_or(|(known, number, _)| known != run || number < beat.number) {
-            peer.last = Some((run, beat.number, now));
+        peer.last_received = now;
+        let incarnation = heartbeat.attestation.incarnation;
+        if peer
+            .last_heartbeat
+            .is_none_or(|(known, number, _)| known != incarnation || number < heartbeat.number)
+        {
+            peer.last_heartbeat = Some((incarnation, heartbeat.number, now));
         }
-        peer.views = beat.groups.iter().map(|(s, g)| (s.clone(), (g.fence, g.view))).collect();
-        let sends = is_behind && now.saturating_sub(peer.table_sent) > TABLE_INTERVAL;
-        if sends {
-            peer.table_sent = now;
+        peer.views = heartbeat.groups.iter().map(|(s, g)| (s.clone(), (g.fence, g.view))).collect();
+        let is_table_due = is_behind && now.saturating_sub(peer.table_sent_at) > MIN_TABLE_INTERVAL;
+        if is_table_due {
+            peer.table_sent_at = now;
         }
-        sends
+        is_table_due
     };
     if sends_table {
-        send_table(host, from);
+        send_table(host, sender);
     }
-    for (source, revision) in &beat.newest {
-        host.peers.note_change(*source, *revision);
+    for (source, revision) in &heartbeat.newest {
+        host.peers.record_change(*source, *revision);
     }
-    let Some(made) = host.peers.made_after(beat.echo) else { return };
-    host.lease.borrow_mut().record_attestation(made, beat.vouch);
-    for (service, word) in beat.groups {
-        take_word(host, &service, &word, made, now);
+    let Some(made) = host.peers.earliest_creation(heartbeat.echo) else { return };
+    host.lease.borrow_mut().record_attestation(made, heartbeat.attestation);
+    for (service, report) in heartbeat.groups {
+        handle_group_report(host, &service, &report, made, now);
     }
     host.holds_lease();
     host.changed.notify_waiters();
 }
 
-fn take_word(host: &Host, service: &str, word: &GroupWord, made: Time, now: Time) {
-    if host.fence(service) != word.fence {
+fn handle_group_report(host: &Host, service: &str, report: &GroupReport, made: Time, now: Time) {
+    if host.fence(service) != report.fence {
         return;
     }
-    if let Some(term) = word.established {
-        establish(host, service, word.fence, term);
+    if let Some(term) = report.established {
+        establish(host, service, report.fence, term);
     }
-    if let Some((age, position)) = word.observed
+    if let Some((age, position)) = report.observed
         && let Some(at) = made.checked_sub(age)
     {
         let mut histories = host.histories.borrow_mut();
@@ -346,7 +357,8 @@
     }
 }
 
-/// Takes it that the candidate under `fence` was seen to lead.
+/// Marks the record of a group as established in `term`, if it still is the one under `fence`. Only
+/// this host's copy changes; the next heartbeat passes it on.
 pub fn establish(host: &Host, service: &str, fence: Fence, term: Term) {
     let mut records = host.records.borrow_mut();
     if let Some(stored) = records.get_mut(service)
@@ -356,11 +368,11 @@
         stored.record = stored.record.establish(term);
         host.targets.lead(&stored.record.primary);
         host.changed.notify_waiters();
-        host.peers.beat_now.notify_one();
+        host.peers.heartbeat_now.notify_one();
     }
 }
 
-fn take_table(host: &Host, revision: Revision, rows: Vec<(String, Vec<u8>, Revision)>) {
+fn handle_table(host: &Host, revision: Revision, rows: Vec<(String, Vec<u8>, Revision)>) {
     {
         let mut table = host.peers.table.borrow_mut();
         if revision <= table.revision {
@@ -383,75 +395,77 @@
         .map(|(key, (value, revision))| (key.clone(), value.to_vec(), *revision))
         .collect();
     host.peers.send(&Message::Table { revision: table.revision, rows }, address);
-    // The proof that goes with the new revision travels in the heartbeat.
-    host.peers.beat_now.notify_one();
+    // The receiver needs the renewal of the new revision too, which the heartbeat carries.
+    host.peers.heartbeat_now.notify_one();
 }
 
-/// Time between heartbeats of most hosts: each sends about as many datagrams a second in a fleet of
-/// any size.
-pub fn interval(host: &Host) -> Duration {
+/// Returns the time between heartbeats of an ordinary host. It grows with the fleet, so that a host
+/// sends about as many datagrams a second in a fleet of any size.
+pub fn heartbeat_interval(host: &Host) -> Duration {
     let count = host.lease.borrow().members().len();
-    INTERVAL * u32::try_from(count.div_ceil(FEW).max(1)).unwrap_or(1)
+    HEARTBEAT_INTERVAL * u32::try_from(count.div_ceil(MAX_SMALL_FLEET).max(1)).unwrap_or(1)
 }
 
-/// Time between heartbeats of this host. Others' leases rest on the one that proves them.
+/// Returns the time between heartbeats of this host. The host that renews the lease for others
+/// keeps the short interval, because their leases depend on its heartbeats.
 fn own_interval(host: &Host) -> Duration {
-    if follow::is_prover(host) { INTERVAL } else { interval(host) }
+    if follow::is_renewer(host) { HEARTBEAT_INTERVAL } else { heartbeat_interval(host) }
 }
 
-/// Sends heartbeats until the process ends.
-pub async fn beat(host: Rc<Host>) {
+/// Sends heartbeats to all members until the process ends.
+pub async fn send_heartbeats(host: Rc<Host>) {
     loop {
-        drop(tokio::time::timeout(own_interval(&host), host.peers.beat_now.notified()).await);
-        send_beats(&host);
+        drop(tokio::time::timeout(own_interval(&host), host.peers.heartbeat_now.notified()).await);
+        broadcast_heartbeat(&host);
     }
 }
 
-fn send_beats(host: &Host) {
+fn broadcast_heartbeat(host: &Host) {
     let now = boot_clock::now();
-    let number = host.peers.remember_sent(now);
-    let settled = host.settled();
-    let (vouch, members) = {
+    let number = host.peers.record_sent(now);
+    let quiesced_revision = host.quiesced_revision();
+    let (attestation, members) = {
         let lease = host.lease.borrow();
-        let vouch = Attestation {
+        let attestation = Attestation {
             host: host.id,
             incarnation: host.incarnation,
             revision: lease.revision(),
-            quiesced: settled,
+            quiesced: quiesced_revision,
             renewal_age: lease.renewal_age(now),
         };
-        (vouch, lease.members().clone())
+        (attestation, lease.members().clone())
     };
-    let groups = words(host, now);
+    let groups = group_reports(host, now);
     let newest = host.peers.newest.borrow().clone();
     for (id, member) in members.iter().filter(|(id, _)| **id != host.id) {
         let echo = host.peers.peers.borrow().get(id).and_then(|peer| {
-            peer.last
-                .filter(|(run, _, _)| *run == member.incarnation)
+            peer.last_heartbeat
+                .filter(|(incarnation, _, _)| *incarnation == member.incarnation)
                 .map(|(_, number, at)| (number, now.saturating_sub(at)))
         });
         let (newest, groups) = (newest.clone(), groups.clone());
-        let beat = Beat { vouch, number, echo, newest, groups };
-        host.peers.send(&Message::Beat(beat), member.address);
+        let heartbeat = Heartbeat { attestation, number, echo, newest, groups };
+        host.peers.send(&Message::Heartbeat(heartbeat), member.address);
     }
 }
 
-fn words(host: &Host, now: Time) -> BTreeMap<String, GroupWord> {
+fn group_reports(host: &Host, now: Time) -> BTreeMap<String, GroupReport> {
     let records = host.records.borrow();
     let histories = host.histories.borrow();
-    // In a larger fleet those of the host that beats most often are enough.
-    let is_small = host.lease.borrow().members().len() <= FEW;
-    let tells_positions = is_small || follow::is_prover(host);
-    let word = |service: &String| {
+    // In a larger fleet the positions that the host with the most frequent heartbeats reports are
+    // enough.
+    let is_small = host.lease.borrow().members().len() <= MAX_SMALL_FLEET;
+    let reports_positions = is_small || follow::is_renewer(host);
+    let report = |service: &String| {
         let record = &records[service].record;
         let newest = histories.get(service).and_then(|history| history.newest());
-        let observed = newest.filter(|_| tells_positions);
-        GroupWord {
+        let observed = newest.filter(|_| reports_positions);
+        GroupReport {
             fence: record.fence,
             view: host.targets.view(&record.primary),
             established: record.established.then_some(record.term),
             observed: observed.map(|o| (now.saturating_sub(o.at), o.position)),
         }
     };
-    records.keys().map(|service| (service.clone(), word(service))).collect()
+    records.keys().map(|service| (service.clone(), report(service))).collect()
 }
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -6,7 +6,7 @@
 use crate::feed::CALL_TIMEOUT;
 use crate::follow::{TABLE, group_key};
 use crate::peer;
-use crate::state::{Host, LEASE, Stored};
+use crate::state::{Host, LEASE_LIMITS, StoredRecord};
 use crate::target::hash;
 use crate::{maintenance, survey};
 use bergamotvale_core::id::{HostId, Time};
@@ -77,7 +77,7 @@
     /// The group has no record yet.
     First(Record),
     /// Its primary has to be replaced.
-    Change(Stored, Replacement),
+    Change(StoredRecord, Replacement),
 }
 
 fn due(host: &Host, service: &str, watch: &mut Monitor) -> Option<Due> {
@@ -92,7 +92,7 @@
         record: &stored.record,
         directory: &directory,
         views: &host.targets.views(),
-        peer_views: &host.peers.views(service, stored.record.fence, host.peer_limit()),
+        peer_views: &host.peers.views(service, stored.record.fence, host.peer_timeout()),
         positions: &host.targets.positions(),
         is_holder_active: is_alive(host, stored.record.holder),
     };
@@ -102,7 +102,7 @@
 
 /// Whether another host is alive. This one is not at the work of a group that it looks at.
 fn is_alive(host: &Host, other: HostId) -> bool {
-    let alive = host.lease.borrow().live_peers(boot_clock::now(), host.peer_limit());
+    let alive = host.lease.borrow().live_peers(boot_clock::now(), host.peer_timeout());
     alive.contains(&other)
 }
 
@@ -110,7 +110,7 @@
 fn rank(host: &Host, service: &str) -> usize {
     let now = boot_clock::now();
     let mut alive: BTreeSet<HostId> =
-        host.lease.borrow().live_peers(now, host.peer_limit()).into_iter().collect();
+        host.lease.borrow().live_peers(now, host.peer_timeout()).into_iter().collect();
     alive.insert(host.id);
     let ranked = choose(&alive, Subject::Watch(hash(service)), alive.len());
     ranked.iter().position(|id| *id == host.id).unwrap_or_default()
@@ -197,7 +197,7 @@
         }
     }
 
-    /// Announces the promotion and waits until nobody uses the primary before.
+    /// Announces the promotion and waits until nobody in_flight_work the primary before.
     async fn prepare(&self, expected: Revision) -> Option<Revision> {
         let revision = self.announce(expected).await?;
         if !self.wait_in_force(revision).await {
@@ -229,7 +229,7 @@
 
     /// Has the platform promote the candidate, and records it.
     async fn carry_through(&self, revision: Revision) {
-        // Until the effect of the call is known, this host has not settled any later record.
+        // Until the effect of the call is known, this host has not quiesced_revision any later record.
         let _pending = self.host.register_work(self.service, self.record.fence);
         if !self.call().await {
             return;
@@ -264,7 +264,7 @@
             Ok(revision) => {
                 self.log("announce", OK);
                 self.host.adopt_record(self.service, self.record.clone(), revision);
-                self.host.peers.beat_now.notify_one();
+                self.host.peers.heartbeat_now.notify_one();
                 Some(revision)
             }
             Err(Error::Conflict) => {
@@ -305,16 +305,18 @@
         is_mine && self.host.holds_lease()
     }
 
-    /// Waits until no host uses the primary before.
+    /// Waits until no host in_flight_work the primary before.
     async fn wait_in_force(&self, revision: Revision) -> bool {
         let mut wait = Barrier::new(revision, boot_clock::now());
         loop {
-            let own = self.host.settled() >= revision;
+            let own = self.host.quiesced_revision() >= revision;
             let others = wait.has_passed(&self.host.lease.borrow(), boot_clock::now());
             if own && others {
                 return self.is_mine();
             }
-            let limit = LEASE.validity + LEASE.max_attested_age + LEASE.clock_drift_margin * 2;
+            let limit = LEASE_LIMITS.validity
+                + LEASE_LIMITS.max_attested_age
+                + LEASE_LIMITS.clock_drift_margin * 2;
             if boot_clock::now().saturating_sub(self.began) > limit {
                 return false;
             }
--- a/crates/sessions/src/run.rs
+++ b/crates/sessions/src/run.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 /// Pause after an accept that failed, for example for want of descriptors.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time after the signal to stop in which the balancer certainly has noticed.
 const NOTICE: Duration = Duration::from_millis(2400);
 /// Time over which idle sessions are closed.
@@ -59,7 +59,7 @@
     spawn_local(follow::catalog(host.clone()));
     spawn_local(follow::directory(host.clone()));
     spawn_local(follow::table(host.clone()));
-    spawn_local(peer::beat(host.clone()));
+    spawn_local(peer::send_heartbeats(host.clone()));
     spawn_local(promote::watch(host.clone()));
     spawn_local(maintenance::run(host.clone()));
     spawn_local(http::serve(host.clone(), readiness));
@@ -88,7 +88,7 @@
             Ok((stream, _)) => drop(spawn_local(caller::serve(host.clone(), stream))),
             Err(error) => {
                 log::warn!("a caller's connection failed: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -1,4 +1,7 @@
-//! What the tasks of one host share.
+//! State that the tasks of one session host share: its copies of the platform's tables, its lease,
+//! and what it knows of targets and peers.
+//!
+//! All tasks run on one thread, so cells suffice. Tasks wait for changes on [`Host::changed`].
 
 use crate::boot_clock;
 use crate::event::{Event, Journal, millis};
@@ -22,42 +25,42 @@
 use tokio::sync::Notify;
 
 /// Limits of the lease on the table of groups and members.
-pub const LEASE: Limits = Limits {
+pub const LEASE_LIMITS: Limits = Limits {
     validity: Duration::from_millis(1200),
     max_attested_age: Duration::from_secs(12),
     clock_drift_margin: Duration::from_millis(60),
 };
 
-/// Time before the end of a target's drain at which it gets no more work: statements take time to
-/// reach it.
+/// Time before the end of a target's drain from which it gets no more work, because statements take
+/// time to reach it.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1000);
-/// Heartbeats that a peer may miss before it has no say.
-const MISSED_BEATS: u32 = 3;
-/// Time that a heartbeat may be on its way.
-const BEAT_DELAY: Duration = Duration::from_millis(100);
+/// Heartbeats that a peer may miss before it no longer counts as alive.
+const MAX_MISSED_HEARTBEATS: u32 = 3;
+/// Longest expected transmission time of a heartbeat.
+const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(100);
 
-/// A group's record with the revision that wrote it.
+/// A group's record and the revision at which it was written.
 #[derive(Debug, Clone)]
-pub struct Stored {
-    /// The record.
+pub struct StoredRecord {
+    /// The decoded row.
     pub record: Record,
-    /// Revision of its row.
+    /// Revision of the row; the next conditional write of the record expects it.
     pub revision: Revision,
 }
 
-/// Why a group's primary may not be used now.
+/// Why a group's primary, or any target of the group, may not be used now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unavailable {
     /// This host does not hold the lease.
     NoLease,
-    /// No primary is established.
+    /// The group has no record, or its promotion is in progress.
     Promoting,
-    /// The primary does not answer.
+    /// The target does not answer, has left the directory or is at the end of its drain.
     Unreachable,
 }
 
 impl Unavailable {
-    /// Word for logs.
+    /// Reason as written to log lines and answers.
     pub fn label(self) -> &'static str {
         match self {
             Unavailable::NoLease => "lease_lapsed",
@@ -67,68 +70,68 @@
     }
 }
 
-/// A primary that may be used, under the fence that made it one.
+/// A primary that this host may use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Primary {
-    /// Its name.
+    /// Name of the target.
     pub target: TargetName,
-    /// Fence of its record.
+    /// Fence of the promotion that made it the primary.
     pub fence: Fence,
 }
 
 /// State of one host.
 pub struct Host {
-    /// Its settings.
+    /// Settings as read at the start; a later change of the file does not alter them.
     pub settings: Settings,
-    /// Its id.
+    /// Id among the members, derived from the address for peers.
     pub id: HostId,
-    /// Its run.
+    /// Incarnation of this process.
     pub incarnation: Incarnation,
-    /// Its log.
+    /// Log of events.
     pub journal: Journal,
-    /// Its counters and times.
+    /// Counters and latencies.
     pub metrics: Registry,
-    /// The configuration.
+    /// Newest configuration; version 0 until one has been read.
     pub catalog: RefCell<Rc<Catalog>>,
-    /// The targets.
+    /// Entries of all targets.
     pub directory: RefCell<Directory>,
-    /// When targets that leave were first seen to say so.
+    /// When this host first saw that a target is leaving; holds leaving targets only.
     pub leaving_since: RefCell<BTreeMap<TargetName, Time>>,
-    /// The groups' records.
-    pub records: RefCell<BTreeMap<String, Stored>>,
-    /// The lease on the records and the members.
+    /// Records of the groups by service.
+    pub records: RefCell<BTreeMap<String, StoredRecord>>,
+    /// Lease on the records and the members.
     pub lease: RefCell<Lease>,
-    /// What the primaries' logs held.
+    /// Observed positions of each group's primary, by service.
     pub histories: RefCell<BTreeMap<String, History>>,
-    /// Connections and evidence by target.
+    /// Connections to targets and evidence of their health.
     pub targets: Targets,
-    /// Other hosts.
+    /// State of other hosts, and the socket to reach them.
     pub peers: Peers,
-    /// Rates of client accounts.
+    /// This host's shares of the client accounts' rates.
     pub quota: Quota,
-    /// Work under way that rests on a primary: service and fence by number.
-    uses: RefCell<BTreeMap<u64, (String, Fence)>>,
-    next_use: Cell<u64>,
-    settled: Cell<Revision>,
-    /// Whether the host was told to stop.
+    /// Work in flight that depends on a primary: service and fence, by number.
+    in_flight_work: RefCell<BTreeMap<u64, (String, Fence)>>,
+    next_work_number: Cell<u64>,
+    quiesced_revision: Cell<Revision>,
+    /// Whether the process is stopping.
     pub stopping: Cell<bool>,
-    /// Sessions that are open.
+    /// Number of open sessions.
     pub sessions: Cell<usize>,
-    /// Wakes whoever waits for a change of any of this.
+    /// Notifies the tasks that wait for a change of this state.
     pub changed: Notify,
-    /// Whether the members' table held a row of an earlier run of this host.
+    /// Whether the members' table held a row of an earlier incarnation of this host.
     pub was_member: Cell<bool>,
-    /// When this run first had a part of the rates.
-    pub member_since: Cell<Option<Time>>,
-    /// Whether this run's row has been seen in the members' table.
+    /// When this incarnation first had shares of the rates; `None` before.
+    pub shares_since: Cell<Option<Time>>,
+    /// Whether this incarnation's row has been seen in the members' table.
     pub has_joined: Cell<bool>,
-    /// When the store was last found to be away for everybody.
-    pub store_away_at: Cell<Time>,
-    lease_known: Cell<bool>,
+    /// When the store was last found to be unreachable for this host and its peers; zero before.
+    pub last_store_outage: Cell<Time>,
+    logged_lease_state: Cell<bool>,
 }
 
 impl Host {
-    /// A host that knows nothing yet.
+    /// Returns the state of a host that has read no table and received no heartbeat.
     pub fn new(settings: Settings, incarnation: Incarnation) -> Rc<Host> {
         let id = match settings.listen.peers.ip() {
             IpAddr::V4(address) => HostId::from(address),
@@ -143,34 +146,34 @@
             directory: RefCell::default(),
             leaving_since: RefCell::default(),
             records: RefCell::default(),
-            lease: RefCell::new(Lease::new(id, incarnation, LEASE)),
+            lease: RefCell::new(Lease::new(id, incarnation, LEASE_LIMITS)),
             histories: RefCell::default(),
             targets: Targets::default(),
             peers: Peers::default(),
-            quota: Quota::new(LEASE.validity + LEASE.clock_drift_margin),
-            uses: RefCell::default(),
-            next_use: Cell::new(0),
-            settled: Cell::new(0),
+            quota: Quota::new(LEASE_LIMITS.validity + LEASE_LIMITS.clock_drift_margin),
+            in_flight_work: RefCell::default(),
+            next_work_number: Cell::new(0),
+            quiesced_revision: Cell::new(0),
             stopping: Cell::new(false),
             sessions: Cell::new(0),
             changed: Notify::new(),
             was_member: Cell::new(false),
-            member_since: Cell::new(None),
+            shares_since: Cell::new(None),
             has_joined: Cell::new(false),
-            store_away_at: Cell::default(),
-            lease_known: Cell::new(false),
+            last_store_outage: Cell::default(),
+            logged_lease_state: Cell::new(false),
             settings,
         })
     }
 
-    /// Whether the host may act on its copy of the table, now.
+    /// Whether the host may act on its copy of the records and members now. Logs each change.
     pub fn holds_lease(&self) -> bool {
         let now = boot_clock::now();
         let (held, revision, age) = {
             let lease = self.lease.borrow();
             (lease.is_held(now), lease.revision(), lease.renewal_age(now))
         };
-        if self.lease_known.replace(held) != held {
+        if self.logged_lease_state.replace(held) != held {
             self.metrics.count(if held { "lease_gained" } else { "lease_lost" });
             let proof_age_ms = age.map(millis);
             self.journal.write(&Event::Lease { held, revision, proof_age_ms });
@@ -178,7 +181,7 @@
         held
     }
 
-    /// The primary of a group, if this host may use it now.
+    /// Returns the primary of a group if this host may use it now.
     pub fn primary(&self, service: &str) -> Result<Primary, Unavailable> {
         if !self.holds_lease() {
             return Err(Unavailable::NoLease);
@@ -196,37 +199,40 @@
         Ok(Primary { target: target.clone(), fence: stored.record.fence })
     }
 
-    /// Whether the host's parts of the rates are in force: at once for one that had them in an
-    /// earlier run, else once all others have made room.
-    pub fn has_parts(&self) -> bool {
-        let settle = LEASE.validity + LEASE.clock_drift_margin;
-        let since = self.member_since.get();
-        since.is_some_and(|at| self.was_member.get() || self.now().saturating_sub(at) >= settle)
+    /// Whether the host's shares of the rates are in force: at once if an earlier incarnation had
+    /// them, otherwise once all other hosts have reduced theirs.
+    pub fn has_shares(&self) -> bool {
+        let settling_time = LEASE_LIMITS.validity + LEASE_LIMITS.clock_drift_margin;
+        let since = self.shares_since.get();
+        since.is_some_and(|at| {
+            self.was_member.get() || self.now().saturating_sub(at) >= settling_time
+        })
     }
 
-    /// Whether a target said so long ago that it leaves that it may get no more work.
+    /// Whether a target has been leaving for so long that it may get no more work.
     fn has_drained(&self, target: &TargetName) -> bool {
         let limit = self.settings.times.drain.saturating_sub(DRAIN_MARGIN);
         let since = self.leaving_since.borrow().get(target).copied();
         since.is_some_and(|at| self.now().saturating_sub(at) >= limit)
     }
 
-    /// Time within which a peer has to have been heard of to have a say.
-    pub fn peer_limit(&self) -> Duration {
-        peer::interval(self) * MISSED_BEATS + BEAT_DELAY
+    /// Age of a peer's last heartbeat above which the peer does not count as alive.
+    pub fn peer_timeout(&self) -> Duration {
+        peer::heartbeat_interval(self) * MAX_MISSED_HEARTBEATS + MAX_HEARTBEAT_DELAY
     }
 
-    /// Whether `fence` still is the newest that this host knows for the group, and the lease holds.
+    /// Whether `fence` is the newest that this host knows for the group, and it holds the lease.
     pub fn is_current(&self, service: &str, fence: Fence) -> bool {
         self.fence(service) == fence && self.holds_lease()
     }
 
-    /// Newest fence of a group.
+    /// Returns the newest known fence of a group; 0 without a record.
     pub fn fence(&self, service: &str) -> Fence {
         self.records.borrow().get(service).map_or(0, |stored| stored.record.fence)
     }
 
-    /// Whether the group's promotion under way waits for open work at the primary.
+    /// Whether a planned promotion of the group is in progress, one that lets open work at the
+    /// previous primary finish.
     pub fn has_planned_promotion(&self, service: &str) -> bool {
         self.records
             .borrow()
@@ -234,7 +240,8 @@
             .is_some_and(|stored| !stored.record.established && stored.record.planned)
     }
 
-    /// Takes a newer record, and wakes whoever rests on the older one.
+    /// Stores a record if it is newer than the known one, and wakes the tasks that depend on the
+    /// older one.
     pub fn adopt_record(&self, service: &str, record: Record, revision: Revision) {
         let known = self.records.borrow().get(service).map(|stored| stored.revision);
         if known.is_some_and(|known| known >= revision) {
@@ -251,39 +258,42 @@
             term: record.term,
             revision,
         });
-        self.records.borrow_mut().insert(service.to_owned(), Stored { record, revision });
+        self.records.borrow_mut().insert(service.to_owned(), StoredRecord { record, revision });
         self.changed.notify_waiters();
     }
 
-    /// Registers work that rests on a group's primary, until the guard is dropped.
+    /// Registers work that depends on the group's primary under `fence`, until the guard is dropped.
+    ///
+    /// [`Host::quiesced_revision`] does not advance past a newer record while the work is
+    /// registered.
     pub fn register_work(self: &Rc<Host>, service: &str, fence: Fence) -> WorkGuard {
-        let number = self.next_use.get();
-        self.next_use.set(number + 1);
-        self.uses.borrow_mut().insert(number, (service.to_owned(), fence));
+        let number = self.next_work_number.get();
+        self.next_work_number.set(number + 1);
+        self.in_flight_work.borrow_mut().insert(number, (service.to_owned(), fence));
         WorkGuard { host: self.clone(), number }
     }
 
-    /// Revision below which no work of this host is under way.
-    pub fn settled(&self) -> Revision {
+    /// Returns the revision below which this host has no work in flight. Heartbeats report it.
+    pub fn quiesced_revision(&self) -> Revision {
         let is_outdated = |(service, fence): &(String, Fence)| *fence < self.fence(service);
-        if !self.uses.borrow().values().any(is_outdated) {
-            self.settled.set(self.lease.borrow().revision());
+        if !self.in_flight_work.borrow().values().any(is_outdated) {
+            self.quiesced_revision.set(self.lease.borrow().revision());
         }
-        self.settled.get()
+        self.quiesced_revision.get()
     }
 
-    /// Waits for a change of the shared state, at most until `until` on the runtime's clock.
-    pub async fn wait_for_change(&self, until: tokio::time::Instant) {
-        drop(tokio::time::timeout_at(until, self.changed.notified()).await);
+    /// Waits until the shared state changes or the deadline has passed.
+    pub async fn wait_for_change(&self, deadline: tokio::time::Instant) {
+        drop(tokio::time::timeout_at(deadline, self.changed.notified()).await);
     }
 
-    /// Time now.
+    /// Returns the current time on the clock of [`boot_clock`].
     pub fn now(&self) -> Time {
         boot_clock::now()
     }
 }
 
-/// Work that rests on a primary.
+/// Keeps work that depends on a primary registered with the host.
 pub struct WorkGuard {
     host: Rc<Host>,
     number: u64,
@@ -291,6 +301,6 @@
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.host.uses.borrow_mut().remove(&self.number);
+        self.host.in_flight_work.borrow_mut().remove(&self.number);
     }
 }
--- a/crates/sessions/src/status.rs
+++ b/crates/sessions/src/status.rs
@@ -97,7 +97,7 @@
 }
 
 /// Word for a view.
-pub fn view_word(view: View) -> &'static str {
+pub fn view_label(view: View) -> &'static str {
     match view {
         View::Alive => "alive",
         View::Lost => "lost",
@@ -153,7 +153,7 @@
         let lane = target.lane.borrow();
         let state = TargetState {
             service: entry.service.clone(),
-            view: view_word(target.view()).to_owned(),
+            view: view_label(target.view()).to_owned(),
             leaving: entry.is_leaving,
             position: target.position().to_string(),
             connections: lane.open(),
--- a/crates/sessions/src/survey.rs
+++ b/crates/sessions/src/survey.rs
@@ -1,6 +1,6 @@
 //! Finds the target of a group with synchronous replicas that holds every acknowledged commit.
 //!
-//! No host uses the primary before any more. Commits that were sent to it and are held up on the way
+//! No host in_flight_work the primary before any more. Commits that were sent to it and are held up on the way
 //! could still be acknowledged, so replicas stop receiving before their positions count.
 
 use crate::maintenance;
