--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -255,7 +255,7 @@
     alive.iter().all(|peer| *peer > host.id)
 }
 
-/// Records an outage of the store if neither this host nor a peer has read it for [`MIN_OUTAGE`].
+/// Records an outage of the store if neither this host nor a peer has read it for `MIN_OUTAGE`.
 ///
 /// `last_read` is the time of the last known read; the renewal of the lease advances it.
 pub fn record_outage(host: &Host, last_read: &mut Time) {
--- a/crates/sessions/src/http.rs
+++ b/crates/sessions/src/http.rs
@@ -1,4 +1,4 @@
-//! Answers the balancer's question, and serves metrics and the host's state.
+//! HTTP server for the balancer's readiness checks, metrics and the host's status.
 
 use crate::state::Host;
 use crate::{maintenance, status};
@@ -12,34 +12,33 @@
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Path of the metrics.
-const METRICS: &str = "/metrics";
-/// Path of the host's state.
-const STATUS: &str = "/status";
+const METRICS_PATH: &str = "/metrics";
+const STATUS_PATH: &str = "/status";
 
-/// Serves one listener until the process ends.
+/// Serves the connections of one listener until the process ends. All paths are served on every
+/// listener.
 pub async fn serve(host: Rc<Host>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::task::spawn_local(connection(host.clone(), stream))),
+            Ok((stream, _)) => drop(tokio::task::spawn_local(serve_stream(host.clone(), stream))),
             Err(error) => {
-                log::warn!("a connection to the HTTP listener failed: {error}");
+                log::warn!("cannot accept an HTTP connection; retrying: {error}");
                 tokio::time::sleep(crate::run::ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn connection(host: Rc<Host>, stream: TcpStream) {
-    let answer = service_fn(|request: Request<hyper::body::Incoming>| {
+async fn serve_stream(host: Rc<Host>, stream: TcpStream) {
+    let service = service_fn(|request: Request<hyper::body::Incoming>| {
         let response = respond(&host, request.uri().path());
         async move { Ok::<_, Infallible>(response) }
     });
     let served = hyper::server::conn::http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), answer)
+        .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(error) = served {
-        log::debug!("an HTTP connection ended: {error}");
+        log::debug!("HTTP connection failed: {error}");
     }
 }
 
@@ -47,8 +46,8 @@
     let (status, body) = match path {
         ready::PATH if maintenance::is_ready(host) => (StatusCode::OK, String::new()),
         ready::PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-        METRICS => (StatusCode::OK, host.metrics.render()),
-        STATUS => match serde_json::to_string(&status::of(host)) {
+        METRICS_PATH => (StatusCode::OK, host.metrics.render()),
+        STATUS_PATH => match serde_json::to_string(&status::of(host)) {
             Ok(text) => (StatusCode::OK, text),
             Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
         },
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -1,10 +1,14 @@
-//! A host of sessions over open connections.
+//! Session host: serves callers' sessions over connections that stay open.
 //!
-//! One thread runs everything: callers' sessions ([`caller`]), the work they ask for ([`work`],
-//! [`transaction`]), connections to targets ([`connection`], [`pool`]), the copies of the
-//! platform's tables ([`follow`], [`feed`], [`member`]), heartbeats between hosts ([`peer`]), promotions ([`promote`],
-//! [`survey`]) and the maintenance of all that ([`maintenance`]). [`state::Host`] is what they share; [`run`] starts and
-//! stops them.
+//! All tasks run on one thread and share [`state::Host`]; [`run`] starts and stops them.
+//!
+//! - Requests: [`caller`] serves sessions, [`work`] and [`transaction`] execute their statements,
+//!   [`connection`] and [`pool`] hold connections to targets, [`quota`] limits rates.
+//! - Copies of the platform's tables: [`feed`], [`follow`] and [`member`].
+//! - Other hosts: [`peer`] exchanges heartbeats and loans of rate tokens.
+//! - Groups: [`promote`] replaces primaries, with a [`survey`] of the targets' logs where replicas
+//!   are synchronous.
+//! - Operation: [`maintenance`], [`status`], [`http`], [`event`] and [`metric`].
 
 pub mod boot_clock;
 pub mod caller;
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -1,5 +1,5 @@
-//! What has to be looked after all the time: signs of life of targets, observations of primaries,
-//! members that are gone, parts of rates, readiness.
+//! Periodic maintenance of a session host: probes of targets, observations of primaries, removal of
+//! silent members, shares of rates, readiness. Also the host's own statements to targets.
 
 use crate::boot_clock;
 use crate::connection::{Bounds, Connection, Failure, is_clean};
@@ -21,31 +21,32 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time between rounds.
-const ROUND: Duration = Duration::from_millis(100);
-/// Age of the newest observation at which the primary is asked for its position.
-const OBSERVE_AFTER: Duration = Duration::from_millis(400);
+/// Time between rounds of maintenance.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Age of the newest observation from which the primary is probed for its position.
+const MAX_OBSERVATION_AGE: Duration = Duration::from_millis(400);
 /// Time in which a probe has to be answered.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Silence of a member after which its row is removed: longer than others could vouch for it.
-const MEMBER_LIMIT: Duration = Duration::from_secs(15);
-/// Priority of the host's own statements: ahead of callers'.
+/// Silence of a member after which its row is removed. Longer than a lease can last on
+/// attestations of peers.
+const MEMBER_SILENCE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Priority of the host's own statements, ahead of all statements of callers.
 const OWN_PRIORITY: u32 = 0;
-/// Account under which probes connect where no client account is configured.
+/// Account under which probes connect if no client account is configured.
 const NO_ACCOUNT: &str = "-";
 
-/// Looks after everything until the process ends.
+/// Runs rounds of maintenance until the process ends.
 pub async fn run(host: Rc<Host>) {
     let probing: Rc<RefCell<BTreeSet<String>>> = Rc::default();
     let mut views = host.targets.views();
     let started = boot_clock::now();
     let mut ready = false;
-    let mut store_heard = started;
+    let mut last_store_read = started;
     loop {
-        tokio::time::sleep(ROUND).await;
-        follow::record_outage(&host, &mut store_heard);
+        tokio::time::sleep(INTERVAL).await;
+        follow::record_outage(&host, &mut last_store_read);
         probe_targets(&host, &probing);
-        forget_targets(&host);
+        remove_unlisted_targets(&host);
         log_views(&host, &mut views);
         host.quota.meter.borrow_mut().tick(boot_clock::now());
         remove_silent_members(&host, started).await;
@@ -53,7 +54,8 @@
     }
 }
 
-/// Whether the host may take new sessions.
+/// Whether the host may accept new sessions: it has a configuration, targets, its shares of the
+/// rates and the lease, and is not stopping.
 pub fn is_ready(host: &Host) -> bool {
     let is_configured = host.catalog.borrow().version > 0 && !host.directory.borrow().is_empty();
     is_configured && host.has_shares() && !host.stopping.get() && host.holds_lease()
@@ -96,7 +98,7 @@
     *known = views;
 }
 
-/// Starts the probes that are due.
+/// Starts the probes that are due, at most one per target at a time.
 fn probe_targets(host: &Rc<Host>, probing: &Rc<RefCell<BTreeSet<String>>>) {
     let directory = host.directory.borrow().clone();
     for entry in directory.values() {
@@ -108,18 +110,18 @@
         tokio::task::spawn_local(async move {
             host.metrics.count("probes");
             match probe {
-                Probe::Life => connect(&host, &entry).await,
-                Probe::Position => observe(&host, &entry).await,
+                Probe::Liveness => probe_liveness(&host, &entry).await,
+                Probe::Position => probe_position(&host, &entry).await,
             }
             probing.borrow_mut().remove(&entry.name);
         });
     }
 }
 
-/// What a probe asks.
+/// What a probe checks.
 enum Probe {
     /// Whether a new connection is answered.
-    Life,
+    Liveness,
     /// The position of a primary.
     Position,
 }
@@ -127,29 +129,29 @@
 fn due_probe(host: &Host, entry: &Entry) -> Option<Probe> {
     let target = host.targets.get(&entry.name);
     if target.view() == View::Lost || target.is_silent(boot_clock::now()) {
-        return Some(Probe::Life);
+        return Some(Probe::Liveness);
     }
     let is_primary = host.primary(&entry.service).is_ok_and(|p| p.target == entry.name);
     let newest = host.histories.borrow().get(&entry.service).and_then(|h| h.newest());
-    let is_old = newest.is_none_or(|o| host.now().saturating_sub(o.at) >= OBSERVE_AFTER);
+    let is_old = newest.is_none_or(|o| host.now().saturating_sub(o.at) >= MAX_OBSERVATION_AGE);
     (is_primary && is_old).then_some(Probe::Position)
 }
 
-/// Opens a connection; its outcome is a sign of life or of death.
-async fn connect(host: &Host, entry: &Entry) {
+/// Opens a connection to a target; the outcome becomes evidence of its health.
+async fn probe_liveness(host: &Host, entry: &Entry) {
     let target = host.targets.get(&entry.name);
     let account = any_account(host, entry);
-    let until = Instant::now() + PROBE_TIMEOUT;
-    // The outcome is noted with the target.
-    drop(Connection::open(host, &target, entry, &account, until).await);
+    let deadline = Instant::now() + PROBE_TIMEOUT;
+    // `open` records the outcome with the target.
+    drop(Connection::open(host, &target, entry, &account, deadline).await);
 }
 
-/// Asks the primary for its position.
-async fn observe(host: &Rc<Host>, entry: &Entry) {
+/// Queries a primary's status and records its position as an observation.
+async fn probe_position(host: &Rc<Host>, entry: &Entry) {
     let Ok(primary) = host.primary(&entry.service) else { return };
-    let until = Instant::now() + PROBE_TIMEOUT;
+    let deadline = Instant::now() + PROBE_TIMEOUT;
     let sent = host.now();
-    let answer = ask(host, entry, text::STATUS, until).await;
+    let answer = query(host, entry, text::STATUS, deadline).await;
     if let Ok(answer) = answer
         && host.is_current(&entry.service, primary.fence)
     {
@@ -159,7 +161,7 @@
 }
 
 /// Sends a statement of the host's own to a target.
-async fn ask(host: &Host, entry: &Entry, text: &str, until: Instant) -> Result<Answer, Failure> {
+async fn query(host: &Host, entry: &Entry, text: &str, until: Instant) -> Result<Answer, Failure> {
     let account = any_account(host, entry);
     let wish = Wish { account: &account, priority: OWN_PRIORITY, until, patience: PROBE_TIMEOUT };
     let mut leased = acquire(host, entry, wish).await?;
@@ -173,19 +175,19 @@
     Ok(answer)
 }
 
-/// Asks a target for its status.
-pub async fn status(host: &Host, entry: &Entry, until: Instant) -> Result<Status, Failure> {
-    command(host, entry, text::STATUS, until).await
+/// Queries a target's status.
+pub async fn status(host: &Host, entry: &Entry, deadline: Instant) -> Result<Status, Failure> {
+    command(host, entry, text::STATUS, deadline).await
 }
 
-/// Sends a command to a target that answers with its status then.
+/// Sends a command that the target answers with its status after executing it.
 async fn command(
     host: &Host,
     entry: &Entry,
     text: &str,
-    until: Instant,
+    deadline: Instant,
 ) -> Result<Status, Failure> {
-    let answer = ask(host, entry, text, until).await?;
+    let answer = query(host, entry, text, deadline).await?;
     if let End::Error(code) = answer.end {
         return Err(Failure::Refused(code));
     }
@@ -197,22 +199,22 @@
     host: &Host,
     entry: &Entry,
     term: Term,
-    until: Instant,
+    deadline: Instant,
 ) -> Result<Status, Failure> {
-    command(host, entry, &text::demote(term), until).await
+    command(host, entry, &text::demote(term), deadline).await
 }
 
-/// Stops a replica from receiving in terms below `term`.
+/// Stops a replica from receiving commits of terms below `term`.
 pub async fn pause(
     host: &Host,
     entry: &Entry,
     term: Term,
-    until: Instant,
+    deadline: Instant,
 ) -> Result<Status, Failure> {
-    command(host, entry, &text::pause(term), until).await
+    command(host, entry, &text::pause(term), deadline).await
 }
 
-/// An account that has an idle connection there, or any.
+/// Returns an account that has an idle connection to the target, or else any account.
 fn any_account(host: &Host, entry: &Entry) -> String {
     let target = host.targets.get(&entry.name);
     if let Some(account) = target.lane.borrow().idle_account() {
@@ -222,8 +224,8 @@
     catalog.accounts.keys().next().map_or(NO_ACCOUNT, String::as_str).to_owned()
 }
 
-/// Forgets targets that left the directory.
-fn forget_targets(host: &Host) {
+/// Removes the state of targets that have left the directory, and their idle connections.
+fn remove_unlisted_targets(host: &Host) {
     let directory = host.directory.borrow();
     for target in host.targets.all() {
         if !directory.contains_key(&target.name) {
@@ -233,20 +235,21 @@
     host.targets.retain(|name| directory.contains_key(name));
 }
 
-/// Removes the rows of members that nobody has heard of for long.
+/// Removes the row of a member that has sent this host no heartbeat for [`MEMBER_SILENCE_TIMEOUT`];
+/// at most one per round.
 async fn remove_silent_members(host: &Host, started: Time) {
     let now = boot_clock::now();
-    if !host.holds_lease() || now.saturating_sub(started) < MEMBER_LIMIT {
+    if !host.holds_lease() || now.saturating_sub(started) < MEMBER_SILENCE_TIMEOUT {
         return;
     }
-    let silent = |id: &HostId| {
-        let heard = host.peers.last_received(*id).unwrap_or(started);
-        *id != host.id && now.saturating_sub(heard) > MEMBER_LIMIT
+    let is_silent = |id: &HostId| {
+        let last_received = host.peers.last_received(*id).unwrap_or(started);
+        *id != host.id && now.saturating_sub(last_received) > MEMBER_SILENCE_TIMEOUT
     };
-    let gone = host.lease.borrow().members().keys().copied().find(silent);
-    let Some(gone) = gone else { return };
-    match member::remove_member(host, gone, feed::CALL_TIMEOUT).await {
+    let silent_member = host.lease.borrow().members().keys().copied().find(is_silent);
+    let Some(silent_member) = silent_member else { return };
+    match member::remove_member(host, silent_member, feed::CALL_TIMEOUT).await {
         Ok(()) => host.metrics.count("members_removed"),
-        Err(error) => log::info!("silent member {gone} not removed: {error}"),
+        Err(error) => log::info!("cannot remove silent member {silent_member}: {error}"),
     }
 }
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -28,7 +28,7 @@
 
 /// Time between heartbeats in a small fleet.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
-/// Number of hosts up to which every host sends heartbeats at [`HEARTBEAT_INTERVAL`] and fetches
+/// Number of hosts up to which every host sends heartbeats at `HEARTBEAT_INTERVAL` and fetches
 /// each change of a table at once, without batching.
 pub const MAX_SMALL_FLEET: usize = 8;
 /// Sent heartbeats whose time of sending is kept to interpret echoes.
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -1,4 +1,9 @@
-//! Replaces primaries: watches every group, and carries out the promotions that this host wins.
+//! Replaces primaries: monitors every group and executes the promotions that this host wins.
+//!
+//! A promotion writes a record that names the candidate under a higher fence, waits until no host
+//! uses the previous primary, has the platform promote the candidate and records it as established
+//! once it leads. All hosts may start one; the conditional write of the record lets one of them
+//! win.
 
 use crate::boot_clock;
 use crate::connection::Failure;
@@ -27,31 +32,31 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Outcome of a step that was done.
+/// Outcome logged for a completed step.
 const OK: &str = "ok";
-/// Time between looks at all groups.
-const LOOK: Duration = Duration::from_millis(50);
-/// Time between steps of a wait inside a promotion.
-const STEP: Duration = Duration::from_millis(15);
+/// Time between checks of all groups.
+const GROUP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between checks of a condition that a promotion waits for.
+const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(15);
 /// Time in which the platform has to answer a promotion call.
 const PROMOTE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Pause before a promotion call that failed is made again.
-const PROMOTE_PAUSE: Duration = Duration::from_millis(100);
-/// Time in which a promoted target has to lead.
-const LEAD_LIMIT: Duration = Duration::from_secs(3);
-/// Time after which a call that the platform took has had its effect.
-const TAKEN_EFFECT: Duration = Duration::from_secs(2);
-/// Time that a planned promotion waits for its candidate to catch up.
-const CATCH_UP_LIMIT: Duration = Duration::from_millis(600);
-/// Time in which the result of a conditional write that was not answered shows in the feed.
-const READ_BACK_LIMIT: Duration = Duration::from_millis(1500);
+/// Delay before a failed promotion call is retried.
+const PROMOTE_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time in which the platform has to accept the promotion call, and then the candidate to lead.
+const LEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a call that the platform accepted has taken effect.
+const MAX_CALL_EFFECT_DELAY: Duration = Duration::from_secs(2);
+/// Longest time that a planned promotion waits for its candidate to catch up.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time in which the feed shows the result of a conditional write that got no answer.
+const READ_BACK_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Looks at all groups until the process ends.
+/// Checks all groups until the process ends; runs at most one task per group at a time.
 pub async fn watch(host: Rc<Host>) {
-    let mut watches: BTreeMap<String, Monitor> = BTreeMap::new();
+    let mut monitors: BTreeMap<String, Monitor> = BTreeMap::new();
     let running: Rc<RefCell<BTreeSet<String>>> = Rc::default();
     loop {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(GROUP_POLL_INTERVAL).await;
         if host.stopping.get() || !host.holds_lease() {
             continue;
         }
@@ -60,32 +65,33 @@
             if running.borrow().contains(&service) {
                 continue;
             }
-            let watch = watches.entry(service.clone()).or_default();
-            let Some(task) = due(&host, &service, watch) else { continue };
+            let monitor = monitors.entry(service.clone()).or_default();
+            let Some(task) = due_task(&host, &service, monitor) else { continue };
             running.borrow_mut().insert(service.clone());
             let (host, running) = (host.clone(), running.clone());
             tokio::task::spawn_local(async move {
-                carry_out(&host, &service, task).await;
+                execute(&host, &service, task).await;
                 running.borrow_mut().remove(&service);
             });
         }
     }
 }
 
-/// Work on a group's record that is due.
-enum Due {
-    /// The group has no record yet.
-    First(Record),
-    /// Its primary has to be replaced.
-    Change(StoredRecord, Replacement),
+/// Change of a group's record.
+enum Task {
+    /// Writes the first record of a group.
+    Create(Record),
+    /// Replaces the primary of the stored record.
+    Replace(StoredRecord, Replacement),
 }
 
-fn due(host: &Host, service: &str, watch: &mut Monitor) -> Option<Due> {
+/// Returns the task that this host should execute for a group now.
+fn due_task(host: &Host, service: &str, monitor: &mut Monitor) -> Option<Task> {
     let stored = host.records.borrow().get(service).cloned();
     let directory = host.directory.borrow();
     let Some(stored) = stored else {
         let is_first = rank(host, service) == 0;
-        return Record::first(&directory, service, host.id).filter(|_| is_first).map(Due::First);
+        return Record::first(&directory, service, host.id).filter(|_| is_first).map(Task::Create);
     };
     let snapshot = Snapshot {
         service,
@@ -96,17 +102,19 @@
         positions: &host.targets.positions(),
         is_holder_active: is_alive(host, stored.record.holder),
     };
-    let change = watch.decide(boot_clock::now(), rank(host, service), &snapshot)?;
-    Some(Due::Change(stored.clone(), change))
+    let change = monitor.decide(boot_clock::now(), rank(host, service), &snapshot)?;
+    Some(Task::Replace(stored.clone(), change))
 }
 
-/// Whether another host is alive. This one is not at the work of a group that it looks at.
+/// Whether another host is alive. False for this host, which executes nothing for a group that it
+/// is checking.
 fn is_alive(host: &Host, other: HostId) -> bool {
     let alive = host.lease.borrow().live_peers(boot_clock::now(), host.peer_timeout());
     alive.contains(&other)
 }
 
-/// This host's place among those that are alive, for a group.
+/// Returns this host's rank among the hosts that are alive, in the order in which they act on a
+/// group.
 fn rank(host: &Host, service: &str) -> usize {
     let now = boot_clock::now();
     let mut alive: BTreeSet<HostId> =
@@ -116,27 +124,27 @@
     ranked.iter().position(|id| *id == host.id).unwrap_or_default()
 }
 
-async fn carry_out(host: &Rc<Host>, service: &str, due: Due) {
-    match due {
-        Due::First(record) => {
+async fn execute(host: &Rc<Host>, service: &str, task: Task) {
+    match task {
+        Task::Create(record) => {
             if let Err(error) = write_record(host, service, &record, 0).await {
-                log::info!("first record of {service} not written: {error}");
+                log::info!("cannot write the first record of {service}: {error}");
             }
         }
-        Due::Change(stored, change) => {
+        Task::Replace(stored, change) => {
             let planned = change.cause == Cause::Leaving;
-            let seen = seen_term(host, service);
+            let seen = highest_seen_term(host, service);
             let record = stored.record.promote(&change.candidate, host.id, planned, seen);
             let (cause, began) = (change.cause, boot_clock::now());
-            let mut run = Run { host, service, record, cause, began };
+            let mut promotion = Promotion { host, service, record, cause, began };
             host.metrics.count(&format!("promotions_begun_{}", change.cause));
-            run.all(stored.revision).await;
+            promotion.execute(stored.revision).await;
         }
     }
 }
 
-/// Highest term that this host has seen a target of the group in.
-fn seen_term(host: &Host, service: &str) -> Term {
+/// Returns the highest term in which this host has seen a target of the group; 0 if none.
+fn highest_seen_term(host: &Host, service: &str) -> Term {
     let observed = host.histories.borrow().get(service).map_or(0, |history| history.term());
     let positions = host.targets.positions();
     let directory = host.directory.borrow();
@@ -144,7 +152,8 @@
     terms.map(|position| position.term).max().unwrap_or_default().max(observed)
 }
 
-/// Writes a record under the condition that its row has revision `expected`.
+/// Writes a group's record if its row is at revision `expected`, or absent for 0. Returns the new
+/// revision; fails with [`Error::Conflict`] if the row has another revision.
 async fn write_record(
     host: &Host,
     service: &str,
@@ -160,8 +169,8 @@
     written
 }
 
-/// One promotion carried out by this host.
-struct Run<'a> {
+/// A promotion that this host executes.
+struct Promotion<'a> {
     host: &'a Rc<Host>,
     service: &'a str,
     record: Record,
@@ -169,26 +178,28 @@
     began: Time,
 }
 
-/// Whether the candidate of a promotion has all that has to be kept.
-enum Choice {
-    /// It has.
-    Keep,
-    /// Another target has more.
-    Better(TargetName),
-    /// Too few targets answer to tell.
+/// Whether the candidate of a promotion has every acknowledged commit.
+enum Candidacy {
+    /// No target has more of the log, or the group has no synchronous replicas.
+    Best,
+    /// This other target has more of the log.
+    Behind(TargetName),
+    /// Too few targets answered.
     Unknown,
 }
 
-impl Run<'_> {
-    async fn all(&mut self, expected: Revision) {
+impl Promotion<'_> {
+    /// Executes the promotion, with another candidate if the survey finds one that has more of the
+    /// log. `expected` is the revision of the record that it replaces.
+    async fn execute(&mut self, expected: Revision) {
         let Some(mut revision) = self.prepare(expected).await else { return };
         loop {
             let better = match self.check_candidate().await {
-                Choice::Keep => return self.carry_through(revision).await,
-                Choice::Unknown => return self.log("surveyed", "too few targets answer"),
-                Choice::Better(target) => target,
+                Candidacy::Best => return self.promote_candidate(revision).await,
+                Candidacy::Unknown => return self.log("surveyed", "too few targets answer"),
+                Candidacy::Behind(target) => target,
             };
-            let seen = seen_term(self.host, self.service);
+            let seen = highest_seen_term(self.host, self.service);
             self.record = self.record.promote(&better, self.host.id, false, seen);
             match self.prepare(revision).await {
                 Some(newer) => revision = newer,
@@ -197,49 +208,51 @@
         }
     }
 
-    /// Announces the promotion and waits until nobody in_flight_work the primary before.
+    /// Announces the promotion and waits until no host uses the previous primary. Returns the
+    /// revision of the record; `None` if the promotion was superseded or failed.
     async fn prepare(&self, expected: Revision) -> Option<Revision> {
         let revision = self.announce(expected).await?;
-        if !self.wait_in_force(revision).await {
+        if !self.wait_for_barrier(revision).await {
             self.log("in_force", "superseded");
             return None;
         }
         self.log("in_force", OK);
         if self.record.planned {
-            self.wait_caught_up().await;
+            self.wait_for_catch_up().await;
         } else {
             self.demote_previous();
         }
         Some(revision)
     }
 
-    /// Looks for a target that has more of what was acknowledged than the candidate.
-    async fn check_candidate(&self) -> Choice {
+    /// Checks whether a target has more of the log than the candidate, in a group with synchronous
+    /// replicas.
+    async fn check_candidate(&self) -> Candidacy {
         let groups = &self.host.catalog.borrow().clone().groups;
         let sync_replicas = groups.get(self.service).map_or(0, |group| group.sync_replicas);
         if sync_replicas == 0 {
-            return Choice::Keep;
+            return Candidacy::Best;
         }
         match survey::run(self.host, self.service, &self.record, sync_replicas).await {
-            None => Choice::Unknown,
-            Some(best) if best == self.record.primary => Choice::Keep,
-            Some(best) => Choice::Better(best),
+            None => Candidacy::Unknown,
+            Some(best) if best == self.record.primary => Candidacy::Best,
+            Some(best) => Candidacy::Behind(best),
         }
     }
 
-    /// Has the platform promote the candidate, and records it.
-    async fn carry_through(&self, revision: Revision) {
-        // Until the effect of the call is known, this host has not quiesced_revision any later record.
+    /// Has the platform promote the candidate and records that it leads.
+    async fn promote_candidate(&self, revision: Revision) {
+        // While the effect of the call is unknown, no later record may count as quiesced here.
         let _pending = self.host.register_work(self.service, self.record.fence);
-        if !self.call().await {
+        if !self.call_platform().await {
             return;
         }
-        let Some(status) = self.wait_leads().await else {
+        let Some(status) = self.wait_until_leading().await else {
             return self.log("leads", "timeout");
         };
         self.log("leads", OK);
         peer::establish(self.host, self.service, self.record.fence, status.term);
-        self.finish(revision, status).await;
+        self.record_leader(revision, status).await;
     }
 
     fn log(&self, step: &str, outcome: &str) {
@@ -258,7 +271,7 @@
         });
     }
 
-    /// Writes the record; answers with its revision if this host won.
+    /// Writes the record; returns its revision if this host won.
     async fn announce(&self, expected: Revision) -> Option<Revision> {
         match write_record(self.host, self.service, &self.record, expected).await {
             Ok(revision) => {
@@ -269,8 +282,8 @@
             }
             Err(Error::Conflict) => {
                 self.log("announce", "lost the race");
-                // The feed brings the record that won.
-                self.host.wait_for_change(Instant::now() + READ_BACK_LIMIT).await;
+                // The feed returns the record that won.
+                self.host.wait_for_change(Instant::now() + READ_BACK_TIMEOUT).await;
                 None
             }
             Err(error) => {
@@ -280,47 +293,48 @@
         }
     }
 
-    /// Whether a write that was not answered took effect, as the feed shows.
+    /// Returns the revision of a write that got no answer if the feed shows that it took effect.
     async fn read_back(&self) -> Option<Revision> {
-        let until = Instant::now() + READ_BACK_LIMIT;
-        while Instant::now() < until {
+        let deadline = Instant::now() + READ_BACK_TIMEOUT;
+        while Instant::now() < deadline {
             let stored = self.host.records.borrow().get(self.service).cloned();
             match stored {
                 Some(stored) if stored.record == self.record => return Some(stored.revision),
                 Some(stored) if stored.record.fence >= self.record.fence => return None,
-                _ => self.host.wait_for_change(until).await,
+                _ => self.host.wait_for_change(deadline).await,
             }
         }
         None
     }
 
-    /// Whether the record that this run wrote still is the newest, and the lease is held.
-    fn is_mine(&self) -> bool {
+    /// Whether the record that this promotion wrote is the newest, and the lease is held.
+    fn owns_record(&self) -> bool {
         let records = self.host.records.borrow();
         let stored = records.get(self.service);
-        let is_mine = stored.is_some_and(|stored| {
+        let is_own = stored.is_some_and(|stored| {
             stored.record.fence == self.record.fence && stored.record.holder == self.host.id
         });
         drop(records);
-        is_mine && self.host.holds_lease()
+        is_own && self.host.holds_lease()
     }
 
-    /// Waits until no host in_flight_work the primary before.
-    async fn wait_in_force(&self, revision: Revision) -> bool {
-        let mut wait = Barrier::new(revision, boot_clock::now());
+    /// Waits until no host uses the previous primary. Returns false if the promotion was superseded,
+    /// or if that took longer than any lease can last.
+    async fn wait_for_barrier(&self, revision: Revision) -> bool {
+        let mut barrier = Barrier::new(revision, boot_clock::now());
         loop {
-            let own = self.host.quiesced_revision() >= revision;
-            let others = wait.has_passed(&self.host.lease.borrow(), boot_clock::now());
-            if own && others {
-                return self.is_mine();
+            let is_quiesced = self.host.quiesced_revision() >= revision;
+            let has_passed = barrier.has_passed(&self.host.lease.borrow(), boot_clock::now());
+            if is_quiesced && has_passed {
+                return self.owns_record();
             }
-            let limit = LEASE_LIMITS.validity
+            let timeout = LEASE_LIMITS.validity
                 + LEASE_LIMITS.max_attested_age
                 + LEASE_LIMITS.clock_drift_margin * 2;
-            if boot_clock::now().saturating_sub(self.began) > limit {
+            if boot_clock::now().saturating_sub(self.began) > timeout {
                 return false;
             }
-            self.host.wait_for_change(Instant::now() + STEP).await;
+            self.host.wait_for_change(Instant::now() + WAIT_POLL_INTERVAL).await;
         }
     }
 
@@ -330,14 +344,15 @@
 
     async fn status(&self, target: &TargetName) -> Result<Status, Failure> {
         let entry = self.entry(target).ok_or(Failure::Lost)?;
-        maintenance::status(self.host, &entry, Instant::now() + PROMOTE_PAUSE * 2).await
+        maintenance::status(self.host, &entry, Instant::now() + PROMOTE_RETRY_DELAY * 2).await
     }
 
-    /// Waits until the candidate has what the primary before has acknowledged.
-    async fn wait_caught_up(&self) {
-        let until = Instant::now() + CATCH_UP_LIMIT;
+    /// Waits until the candidate has received all that the previous primary has. After the timeout
+    /// the promotion goes on.
+    async fn wait_for_catch_up(&self) {
+        let deadline = Instant::now() + CATCH_UP_TIMEOUT;
         let Some(previous) = &self.record.previous else { return };
-        while Instant::now() < until {
+        while Instant::now() < deadline {
             let ahead = self.status(previous).await;
             let own = self.status(&self.record.primary).await;
             if let (Ok(ahead), Ok(own)) = (ahead, own)
@@ -345,12 +360,13 @@
             {
                 return self.log("caught_up", OK);
             }
-            tokio::time::sleep(STEP).await;
+            tokio::time::sleep(WAIT_POLL_INTERVAL).await;
         }
         self.log("caught_up", "timeout");
     }
 
-    /// Makes the primary before a replica if it can be reached; nothing waits for it.
+    /// Demotes the previous primary in the background if it is reachable. The promotion does not
+    /// depend on it.
     fn demote_previous(&self) {
         let previous = self.record.previous.as_ref().filter(|name| **name != self.record.primary);
         let Some(entry) = previous.and_then(|name| self.entry(name)) else { return };
@@ -359,17 +375,18 @@
         }
         let (host, term) = (self.host.clone(), self.record.next_term());
         tokio::task::spawn_local(async move {
-            let until = Instant::now() + PROMOTE_TIMEOUT;
-            if let Err(failure) = maintenance::demote(&host, &entry, term, until).await {
-                log::debug!("{} was not demoted: {failure:?}", entry.name);
+            let deadline = Instant::now() + PROMOTE_TIMEOUT;
+            if let Err(failure) = maintenance::demote(&host, &entry, term, deadline).await {
+                log::debug!("cannot demote {}: {failure:?}", entry.name);
             }
         });
     }
 
-    /// Makes the call to the platform, again if it was refused or not answered.
-    async fn call(&self) -> bool {
-        let until = Instant::now() + LEAD_LIMIT;
-        while self.is_mine() && Instant::now() < until {
+    /// Calls the platform to promote the candidate. Retries if the call is refused or gets no answer;
+    /// returns whether the platform accepted it.
+    async fn call_platform(&self) -> bool {
+        let deadline = Instant::now() + LEAD_TIMEOUT;
+        while self.owns_record() && Instant::now() < deadline {
             let address = self.host.settings.promotion;
             let Record { primary, fence, .. } = &self.record;
             let name = &self.host.settings.name;
@@ -381,36 +398,37 @@
                 }
                 Err(error) => self.log("call", &error.to_string()),
             }
-            tokio::time::sleep(PROMOTE_PAUSE).await;
+            tokio::time::sleep(PROMOTE_RETRY_DELAY).await;
         }
         false
     }
 
-    /// Waits until the candidate says that it leads.
+    /// Waits until the candidate reports that it leads by this promotion.
     ///
-    /// One that led an older term says so too. It leads by this promotion once its term is higher
-    /// than all that were seen, or if it says so long after the platform took the call: then it was
-    /// the primary already.
-    async fn wait_leads(&self) -> Option<Status> {
+    /// A target that led an older term may still report that it leads. The report counts if its term
+    /// is higher than all terms seen before, or if it comes [`MAX_CALL_EFFECT_DELAY`] after the
+    /// platform accepted the call: then the candidate was the primary already.
+    async fn wait_until_leading(&self) -> Option<Status> {
         let called = Instant::now();
-        while called.elapsed() < LEAD_LIMIT {
+        while called.elapsed() < LEAD_TIMEOUT {
             if let Ok(status) = self.status(&self.record.primary).await
                 && status.role == Role::Primary
-                && (self.record.accepts_term(status.term) || called.elapsed() >= TAKEN_EFFECT)
+                && (self.record.accepts_term(status.term)
+                    || called.elapsed() >= MAX_CALL_EFFECT_DELAY)
             {
                 return Some(status);
             }
-            tokio::time::sleep(STEP).await;
+            tokio::time::sleep(WAIT_POLL_INTERVAL).await;
         }
         None
     }
 
     /// Records that the candidate leads.
-    async fn finish(&self, revision: Revision, status: Status) {
+    async fn record_leader(&self, revision: Revision, status: Status) {
         let record = self.record.establish(status.term);
         match write_record(self.host, self.service, &record, revision).await {
             Ok(_) => self.log("recorded", OK),
-            // Peers know from heartbeats; whoever promotes next goes on from the older row.
+            // Peers learn it from heartbeats; the next promotion starts from the older row.
             Err(error) => self.log("recorded", &error.to_string()),
         }
     }
--- a/crates/sessions/src/run.rs
+++ b/crates/sessions/src/run.rs
@@ -14,20 +14,21 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 
-/// Pause after an accept that failed, for example for want of descriptors.
+/// Delay before the next accept after a failed one, for example when file descriptors run out.
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time after the signal to stop in which the balancer certainly has noticed.
-const NOTICE: Duration = Duration::from_millis(2400);
-/// Time over which idle sessions are closed.
-const SPREAD: Duration = Duration::from_millis(1200);
-/// Left of the grace period when the process ends.
-const RESERVE: Duration = Duration::from_millis(900);
-/// Time in which the store has to take the host out of the members at the end.
+/// Time after the stop signal by which the balancer has noticed that the host is not ready.
+const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2400);
+/// Time over which the closing of idle sessions is spread.
+const IDLE_CLOSE_PERIOD: Duration = Duration::from_millis(1200);
+/// Part of the grace period that is left after the wait for sessions, to remove the member row and
+/// to exit.
+const GRACE_RESERVE: Duration = Duration::from_millis(900);
+/// Time in which the store has to remove the member row of a stopping host.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time between looks at whether all sessions have ended.
-const LOOK: Duration = Duration::from_millis(50);
+/// Time between checks whether all sessions have ended.
+const SESSION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Runs a host until it is told to stop.
+/// Runs a host until it receives SIGTERM and has stopped.
 pub fn run(settings: Settings, path: &Path) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -36,9 +37,9 @@
     LocalSet::new().block_on(&runtime, serve(settings, path))
 }
 
-/// Number of this run of the host: later runs have higher ones unless the clock was set back, and
-/// no two are the same.
-fn incarnation() -> u64 {
+/// Returns the number of this incarnation of the host, from the time of day. No two incarnations
+/// have the same; a later one has a higher number unless the clock was set back.
+fn new_incarnation() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_micros()).unwrap_or_default()
 }
@@ -49,7 +50,7 @@
     let callers = bind(settings.listen.callers).await?;
     let readiness = bind(settings.listen.readiness).await?;
     let metrics = bind(settings.listen.metrics).await?;
-    let host = Host::new(settings, incarnation());
+    let host = Host::new(settings, new_incarnation());
     host.journal.write(&Event::Started {
         host: &host.settings.name,
         domain: &host.settings.domain,
@@ -65,8 +66,8 @@
     spawn_local(http::serve(host.clone(), readiness));
     spawn_local(http::serve(host.clone(), metrics));
     spawn_local(accept(host.clone(), callers));
-    let entering = host.clone();
-    spawn_local(async move { member::join(&entering).await });
+    let joining = host.clone();
+    spawn_local(async move { member::join(&joining).await });
     wait_for_stop(&host, path, &mut terminate, &mut reload).await;
     stop(&host).await;
     Ok(())
@@ -78,7 +79,7 @@
 
 async fn receive_datagrams(host: Rc<Host>) {
     if let Err(error) = peer::receive(host).await {
-        log::error!("cannot hear other hosts: {error}");
+        log::error!("cannot receive datagrams from other hosts: {error}");
     }
 }
 
@@ -87,7 +88,7 @@
         match listener.accept().await {
             Ok((stream, _)) => drop(spawn_local(caller::serve(host.clone(), stream))),
             Err(error) => {
-                log::warn!("a caller's connection failed: {error}");
+                log::warn!("cannot accept a caller's connection; retrying: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -98,13 +99,14 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => return,
-            _ = reload.recv() => read_again(host, path),
+            _ = reload.recv() => check_settings_file(host, path),
         }
     }
 }
 
-/// Reads the settings file again. Addresses and names stay those of the start.
-fn read_again(host: &Host, path: &Path) {
+/// Reads the settings file and logs whether it is valid. A change takes effect at the next start
+/// only.
+fn check_settings_file(host: &Host, path: &Path) {
     let outcome = match Settings::read(path) {
         Ok(settings) if settings == host.settings => "unchanged".to_owned(),
         Ok(_) => "changed; in force after the next start".to_owned(),
@@ -113,30 +115,30 @@
     host.journal.write(&Event::SettingsRead { outcome: &outcome });
 }
 
-/// Stops: not ready at once, serves until the balancer has noticed, closes idle sessions one after
-/// the other, lets transactions end, leaves the members.
+/// Stops the host: reports not ready at once, serves until the balancer has noticed, closes idle
+/// sessions one after the other, waits for open transactions and removes the member row.
 async fn stop(host: &Rc<Host>) {
     let began = Instant::now();
     host.stopping.set(true);
     host.journal.write(&Event::Stopping { sessions: host.sessions.get() });
-    tokio::time::sleep(NOTICE).await;
-    close_idle(host).await;
-    let until = began + host.settings.times.grace.saturating_sub(RESERVE);
-    while host.sessions.get() > 0 && Instant::now() < until {
-        tokio::time::sleep(LOOK).await;
+    tokio::time::sleep(BALANCER_NOTICE_TIME).await;
+    close_idle_sessions(host).await;
+    let deadline = began + host.settings.times.grace.saturating_sub(GRACE_RESERVE);
+    while host.sessions.get() > 0 && Instant::now() < deadline {
+        tokio::time::sleep(SESSION_POLL_INTERVAL).await;
     }
     if let Err(error) = member::remove_member(host, host.id, LEAVE_TIMEOUT).await {
-        log::info!("not taken out of the members: {error}");
+        log::info!("cannot remove this host's member row: {error}");
     }
     host.journal.write(&Event::Stopped { sessions: host.sessions.get() });
 }
 
-async fn close_idle(host: &Host) {
+async fn close_idle_sessions(host: &Host) {
     let count = u32::try_from(host.sessions.get()).unwrap_or(u32::MAX);
-    let pause = SPREAD / count.max(1);
+    let interval = IDLE_CLOSE_PERIOD / count.max(1);
     for _ in 0..count {
         host.peers.idle_close.admit_one();
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(interval).await;
     }
     host.peers.idle_close.open();
 }
--- a/crates/sessions/src/settings.rs
+++ b/crates/sessions/src/settings.rs
@@ -1,6 +1,6 @@
-//! Settings of a session host: one YAML file.
+//! Settings of a session host, read from one YAML file.
 //!
-//! Unknown fields and bad addresses are errors that name the field and the line.
+//! Unknown, missing and invalid fields are errors that name the field and the line.
 
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
@@ -12,53 +12,53 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
-    /// Name of the host, as the platform knows it.
+    /// Name under which the platform knows the host.
     pub name: String,
-    /// Its failure domain.
+    /// Failure domain of the host; targets in other ones count as having a longer round trip.
     pub domain: String,
-    /// Where it listens.
+    /// Addresses on which the host listens.
     pub listen: Listen,
-    /// The platform's table service.
+    /// Address of the platform's table service.
     pub store: SocketAddr,
-    /// The platform's promotion service.
+    /// Address of the platform's promotion service.
     pub promotion: SocketAddr,
-    /// Time limits.
+    /// Durations given by the environment.
     pub times: Times,
-    /// What rates may be exceeded by.
+    /// Amount by which client accounts may exceed their rates.
     pub rates: Rates,
-    /// File descriptors that the process may open.
+    /// Number of file descriptors that the process may open.
     pub descriptors: u32,
 }
 
-/// Where the host listens.
+/// Addresses on which the host listens.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
-    /// For callers.
+    /// TCP, sessions of callers.
     pub callers: SocketAddr,
-    /// For the balancer's question whether the host is ready.
+    /// HTTP, readiness checks of the balancer.
     pub readiness: SocketAddr,
-    /// For other hosts, UDP.
+    /// UDP, datagrams of other hosts. Its IP address is the host's id.
     pub peers: SocketAddr,
-    /// For metrics.
+    /// HTTP, metrics and status.
     pub metrics: SocketAddr,
 }
 
-/// Time limits.
+/// Durations given by the environment.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Times {
-    /// After it has said that it leaves, a target may still get work for this time, in
+    /// Time for which a target may still get work after it reports that it is leaving, in
     /// milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub drain: Duration,
-    /// Between the signal to stop and the kill, in seconds.
+    /// Time between the stop signal and the kill of the process, in seconds.
     #[serde_as(as = "DurationSeconds<u64>")]
     pub grace: Duration,
 }
 
-/// What a client account's rate may be exceeded by, over all hosts, in any window.
+/// Amount by which a client account may exceed its rate over all hosts, in any window.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -66,18 +66,19 @@
     /// Length of the window, in seconds.
     #[serde_as(as = "DurationSeconds<u64>")]
     pub window: Duration,
-    /// Fraction of rate and burst.
+    /// Permitted excess as a fraction of what rate and burst allow in a window.
     pub overage: f64,
-    /// Operations.
+    /// Further permitted excess, in operations.
     pub slack: u32,
 }
 
 impl Settings {
-    /// Reads the file at `path`. The error names file, field and line.
+    /// Reads the file at `path`. Errors name the file, and the field and line of an invalid value.
     pub fn read(path: &Path) -> anyhow::Result<Settings> {
         use anyhow::Context;
         let name = path.display();
         let text = std::fs::read_to_string(path).with_context(|| format!("cannot read {name}"))?;
-        serde_yaml_ng::from_str(&text).with_context(|| format!("{name} does not hold"))
+        serde_yaml_ng::from_str(&text)
+            .with_context(|| format!("{name} is not a valid settings file"))
     }
 }
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -202,11 +202,9 @@
     /// Whether the host's shares of the rates are in force: at once if an earlier incarnation had
     /// them, otherwise once all other hosts have reduced theirs.
     pub fn has_shares(&self) -> bool {
-        let settling_time = LEASE_LIMITS.validity + LEASE_LIMITS.clock_drift_margin;
+        let delay = LEASE_LIMITS.validity + LEASE_LIMITS.clock_drift_margin;
         let since = self.shares_since.get();
-        since.is_some_and(|at| {
-            self.was_member.get() || self.now().saturating_sub(at) >= settling_time
-        })
+        since.is_some_and(|at| self.was_member.get() || self.now().saturating_sub(at) >= delay)
     }
 
     /// Whether a target has been leaving for so long that it may get no more work.
--- a/crates/sessions/src/status.rs
+++ b/crates/sessions/src/status.rs
@@ -1,4 +1,4 @@
-//! What a host believes, for operators: one JSON document.
+//! State as the host knows it, for operators: one JSON document.
 
 use crate::boot_clock;
 use crate::event::millis;
@@ -16,87 +16,87 @@
 /// State of one host.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
-    /// Its name.
+    /// Name from the settings.
     pub host: String,
-    /// Its failure domain.
+    /// Failure domain of the host.
     pub domain: String,
-    /// Its run.
+    /// Incarnation of the process.
     pub incarnation: Incarnation,
-    /// Whether it takes new sessions.
+    /// Whether the host accepts new sessions.
     pub ready: bool,
-    /// Sessions that are open.
+    /// Number of open sessions.
     pub sessions: usize,
-    /// Version of the configuration in force.
+    /// Version of the configuration in force; 0 before the first.
     pub version: Version,
-    /// The lease on groups and members.
+    /// Lease on the records and members.
     pub lease: LeaseState,
-    /// Recorded hosts.
+    /// Ids of the hosts in the members' table.
     pub members: Vec<HostId>,
     /// Groups by service.
     pub groups: BTreeMap<String, GroupState>,
-    /// Targets by name.
+    /// Listed targets by name.
     pub targets: BTreeMap<String, TargetState>,
-    /// Client accounts by name.
+    /// Configured client accounts by name.
     pub accounts: BTreeMap<String, AccountState>,
 }
 
-/// Whether the host may act on its copy of groups and members.
+/// Lease on the host's copy of the records and members.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaseState {
-    /// Whether it may.
+    /// Whether the host may act on the copy.
     pub held: bool,
     /// Revision of the copy.
     pub revision: Revision,
-    /// Age of the proof that nothing newer exists, in milliseconds; none without one.
+    /// Age of the lease's renewal, in milliseconds; `None` if this revision was never renewed.
     pub proof_age_ms: Option<u64>,
 }
 
-/// Who leads a group.
+/// Record of one group, and what was observed of its primary.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GroupState {
-    /// The primary, or the candidate of a promotion under way.
+    /// Primary, or candidate of a promotion in progress.
     pub primary: String,
-    /// Number of the promotion.
+    /// Number of the last promotion.
     pub fence: Fence,
-    /// Term of the log.
+    /// Term in which the primary leads; while not established, the highest term before.
     pub term: Term,
-    /// Whether the primary was seen to lead.
+    /// Whether the primary was seen to lead; false while a promotion is in progress.
     pub established: bool,
-    /// Newest position seen at the primary.
+    /// Newest observed position of the primary's log; `None` before the first observation.
     pub position: Option<String>,
 }
 
-/// One target as the host sees it.
+/// One target as this host knows it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetState {
-    /// Its service.
+    /// Service that the target belongs to.
     pub service: String,
-    /// Whether it answers: alive, lost or deposed.
+    /// `alive`, `lost` if it does not answer, `deposed` if it answers that it is not the primary.
     pub view: String,
-    /// Whether it is about to stop.
+    /// Whether the target is about to stop.
     pub leaving: bool,
-    /// Position that it was last seen at.
+    /// Position that the target last reported.
     pub position: String,
-    /// Connections of this host.
+    /// Open connections from this host.
     pub connections: u32,
-    /// Connections that this host may have.
+    /// Number of connections that this host may open to the target.
     pub connection_limit: u32,
-    /// Statements of this host that run or wait there.
+    /// Statements from this host that run or wait at the target.
     pub running: u32,
 }
 
-/// Part of a client account's rate that this host has.
+/// Rate of a client account, and this host's share of it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountState {
-    /// Requests a second, over all hosts.
+    /// Requests per second over all hosts.
     pub rate: u32,
-    /// Requests a second, of this host.
+    /// This host's share of the rate, in requests per second.
     pub rate_part: f64,
-    /// Requests at once, of this host.
+    /// This host's share of the burst, in requests.
     pub burst_part: f64,
 }
 
-/// Word for a view.
+/// Returns the label of a view in logs and in the status.
 pub fn view_label(view: View) -> &'static str {
     match view {
         View::Alive => "alive",
@@ -105,7 +105,7 @@
     }
 }
 
-/// State of a host now.
+/// Returns the present state of a host.
 pub fn of(host: &Host) -> Status {
     let now = boot_clock::now();
     let held = host.holds_lease();
--- a/crates/sessions/src/survey.rs
+++ b/crates/sessions/src/survey.rs
@@ -1,7 +1,8 @@
 //! Finds the target of a group with synchronous replicas that holds every acknowledged commit.
 //!
-//! No host in_flight_work the primary before any more. Commits that were sent to it and are held up on the way
-//! could still be acknowledged, so replicas stop receiving before their positions count.
+//! At this point of a promotion no host uses the previous primary. Commits that were sent to it and
+//! are delayed on the way could still be acknowledged, so replicas stop receiving before their
+//! positions count.
 
 use crate::maintenance;
 use crate::state::Host;
@@ -12,14 +13,15 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time in which enough targets have to answer.
-const LIMIT: Duration = Duration::from_secs(3);
+/// Time in which enough targets have to answer for the survey to succeed.
+const SURVEY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time in which one target has to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Pause before targets that did not answer are asked again.
-const PAUSE: Duration = Duration::from_millis(50);
+/// Delay before targets that did not answer are asked again.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Asks until it is known which target has most of the log; none if too few answer in time.
+/// Stops the replicas, or else demotes the previous primary, until it is known which target has most
+/// of the log. Returns that target; `None` if too few answer in time.
 pub async fn run(
     host: &Host,
     service: &str,
@@ -31,23 +33,24 @@
     let reached = newest.map(|observation| observation.position).unwrap_or_default();
     let sync_replicas = usize::try_from(sync_replicas).unwrap_or(usize::MAX);
     let mut survey = Survey::new(sync_replicas, replicas.len(), reached);
-    let limit = Instant::now() + LIMIT;
+    let deadline = Instant::now() + SURVEY_TIMEOUT;
     loop {
         stop_replicas(host, &replicas, record, &mut survey).await;
         if !survey.is_complete() {
-            depose(host, record, &mut survey).await;
+            demote_previous(host, record, &mut survey).await;
         }
         if let Some(best) = survey.most_advanced(&record.primary) {
             return Some(best.clone());
         }
-        if Instant::now() >= limit {
+        if Instant::now() >= deadline {
             return None;
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(RETRY_DELAY).await;
     }
 }
 
-/// Targets of the group besides the primary before; those that leave receive commits to the end.
+/// Returns the targets of the group except the previous primary. Leaving targets are included,
+/// because they receive commits until they stop.
 fn replicas(host: &Host, service: &str, record: &Record) -> Vec<Entry> {
     let directory = host.directory.borrow();
     let is_replica = |entry: &&Entry| record.previous.as_ref() != Some(&entry.name);
@@ -55,25 +58,25 @@
 }
 
 async fn stop_replicas(host: &Host, replicas: &[Entry], record: &Record, survey: &mut Survey) {
-    let until = Instant::now() + ANSWER_TIMEOUT;
+    let deadline = Instant::now() + ANSWER_TIMEOUT;
     let missing = replicas.iter().filter(|entry| !survey.has_stopped(&entry.name));
-    let asked = missing.map(|entry| async move {
-        (entry, maintenance::pause(host, entry, record.next_term(), until).await)
+    let pauses = missing.map(|entry| async move {
+        (entry, maintenance::pause(host, entry, record.next_term(), deadline).await)
     });
-    for (entry, answer) in join_all(asked).await {
-        match answer {
+    for (entry, result) in join_all(pauses).await {
+        match result {
             Ok(status) => survey.record_stopped(&entry.name, status.received),
-            Err(failure) => log::info!("{} does not stop receiving: {failure:?}", entry.name),
+            Err(failure) => log::info!("cannot stop {} from receiving: {failure:?}", entry.name),
         }
     }
 }
 
-async fn depose(host: &Host, record: &Record, survey: &mut Survey) {
+async fn demote_previous(host: &Host, record: &Record, survey: &mut Survey) {
     let Some(previous) = &record.previous else { return };
     let Some(entry) = host.directory.borrow().get(previous).cloned() else { return };
-    let until = Instant::now() + ANSWER_TIMEOUT;
-    match maintenance::demote(host, &entry, record.next_term(), until).await {
+    let deadline = Instant::now() + ANSWER_TIMEOUT;
+    match maintenance::demote(host, &entry, record.next_term(), deadline).await {
         Ok(status) => survey.record_deposed(previous, status.received),
-        Err(failure) => log::info!("{previous} does not step down: {failure:?}"),
+        Err(failure) => log::info!("cannot demote {previous}: {failure:?}"),
     }
 }
