--- a/crates/host/src/admin/mod.rs
+++ b/crates/host/src/admin/mod.rs
@@ -128,7 +128,7 @@
 pub fn start(host: Arc<Host>, listener: TcpListener) -> Result<Listener> {
     let address = listener.local_addr()?;
     let bounds = serve::Bounds::new(1, &host.settings.limits);
-    let tls = host.settings.tls.for_operators()?;
+    let tls = host.settings.tls.operators_config()?;
     let state = State { host, runtime: Handle::current() };
     let app = App::new()
         .with_state(state)
@@ -142,7 +142,7 @@
         .at("/v1/plans/{id}", get(handler_service(get_plan)))
         .at("/v1/plans/{id}/confirm", post(handler_service(post_confirm)))
         .at("/v1/audit", get(handler_service(get_audit)))
-        .enclosed_fn(unrouted::settle)
+        .enclosed_fn(unrouted::respond)
         .finish();
     let mut server = serve::run(app, listener, (tls, |_| ()), &bounds);
     let handle = server.handle()?;
--- a/crates/host/src/admin/runner.rs
+++ b/crates/host/src/admin/runner.rs
@@ -28,7 +28,7 @@
 type Outcome = Result<String, String>;
 
 /// Looks for plans that nobody runs any more, until the task is dropped.
-pub async fn watch(host: Arc<Host>) {
+pub async fn poll_abandoned(host: Arc<Host>) {
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -1,4 +1,4 @@
-//! Runs one host: binds its listeners, starts its tasks, stops them in order.
+//! Runs one host: binds its listeners, starts its tasks and stops them in order.
 
 use crate::error::Result;
 use crate::fleet::{beat, follow, leave, loan, upkeep};
@@ -12,7 +12,7 @@
 
 /// A running host.
 pub struct Daemon {
-    /// What its tasks share.
+    /// State that the host's tasks share.
     pub host: Arc<Host>,
     front: front::Listener,
     admin: admin::Listener,
@@ -20,14 +20,16 @@
 }
 
 impl Daemon {
-    /// Binds the listeners and starts the tasks. Port 0 in the settings takes any free port.
+    /// Binds the listeners and starts the tasks. Port 0 in the settings binds any free port.
+    ///
+    /// Fails if the settings are invalid or an address cannot be bound.
     pub async fn start(mut settings: Settings) -> Result<Daemon> {
         crate::settings::verify(&settings)?;
         let callers = bind(&mut settings.listen.callers)?;
         let peers = bind(&mut settings.listen.peers)?;
         let operators = bind(&mut settings.listen.operators)?;
         let host = Arc::new(Host::new(settings)?);
-        // Shares are for recorded members only; this host is none yet.
+        // Only recorded members get a share of a limit; this host is not recorded yet.
         host.failover.set_members(BTreeMap::new());
         let front = front::start(host.clone(), callers)?;
         let admin = admin::start(host.clone(), operators)?;
@@ -42,29 +44,32 @@
         tasks.spawn(follow::list(host.clone()));
         tasks.spawn(beat::run(host.clone()));
         tasks.spawn(upkeep::run(host.clone()));
-        tasks.spawn(admin::runner::watch(host.clone()));
+        tasks.spawn(admin::runner::poll_abandoned(host.clone()));
         tasks.spawn(loan::tokens(host.clone()));
         tasks.spawn(loan::slots(host.clone()));
-        let limited = host.clone();
-        tasks.spawn(async move { limited.limiter.run().await });
+        let limiter_host = host.clone();
+        tasks.spawn(async move { limiter_host.limiter.run().await });
         log::info!("host {} serves callers on {}", host.settings.host, front.address);
         Ok(Daemon { host, front, admin, tasks })
     }
 
-    /// Callers' requests under way.
+    /// Callers' requests in flight on this host.
     pub fn requests_in_flight(&self) -> u32 {
         self.front.requests_in_flight()
     }
 
-    /// Waits until the host is told to leave the fleet.
+    /// Waits until the host is notified that it must leave the fleet, as when a plan drains it.
     pub async fn leave_requested(&self) {
         let mut leaving = self.host.leaving.subscribe();
-        // The sender lives as long as the host.
+        // The wait cannot fail: the host owns the sender.
         drop(leaving.wait_for(|leaving| *leaving).await);
     }
 
-    /// Leaves the platform's list, serves on until others have seen that, then takes no new work,
-    /// finishes what runs, hands its shares over and ends.
+    /// Stops the host gracefully.
+    ///
+    /// Withdraws it from the platform's list and keeps serving for `timeouts.leave`, until others
+    /// have seen the change. Then refuses new work, finishes the requests in flight within
+    /// `timeouts.stop`, hands its shares over and stops the tasks.
     pub async fn stop(mut self) {
         let host = self.host.clone();
         leave::announce(&host).await;
@@ -82,7 +87,7 @@
     }
 }
 
-/// Binds `address` and notes the port that was taken.
+/// Binds `address` and stores the port that was bound in it.
 fn bind(address: &mut std::net::SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(*address)?;
     *address = listener.local_addr()?;
--- a/crates/host/src/front/problem.rs
+++ b/crates/host/src/front/problem.rs
@@ -7,12 +7,12 @@
 
 const CONTENT: HeaderValue = HeaderValue::from_static("application/problem+json");
 
-/// The answer that carries `refusal`.
+/// The response that reports `refusal`, with the status of its reason.
 pub fn response(refusal: &Refusal) -> WebResponse {
     with_status(refusal, status(refusal.reason))
 }
 
-/// The answer that carries `refusal`, with a status code of its own.
+/// The response that reports `refusal`, with this status instead of the one of its reason.
 pub fn with_status(refusal: &Refusal, status: StatusCode) -> WebResponse {
     let document = json!({
         "type": format!("urn:bergamotvale:refusal:{}", refusal.reason),
@@ -33,7 +33,7 @@
     response
 }
 
-/// Status code of a reason, as `docs/design/callers.md` lists it.
+/// Status code of a reason, as listed in `docs/design/callers.md`.
 pub fn status(reason: Reason) -> StatusCode {
     match reason {
         Reason::Malformed | Reason::KeyInStatement => StatusCode::BAD_REQUEST,
--- a/crates/host/src/front/route.rs
+++ b/crates/host/src/front/route.rs
@@ -1,6 +1,6 @@
-//! Handlers of the callers' routes.
+//! Handlers of the callers' routes: reads, writes and the steps of transactions.
 
-use super::{Context, State, attend, body, request, respond, stream};
+use super::{Context, State, body, request, respond, run_while_connected, stream};
 use crate::exec::{self, Caller, Job, forward, permit};
 use bergamotvale_core::id::{Time, TransactionId};
 use bergamotvale_core::peer::{Outcome, Step};
@@ -14,7 +14,7 @@
 
 pub(super) async fn read(ctx: &Context<'_>, Params(service): Params<String>) -> WebResponse {
     let host = &ctx.state().host;
-    let answer = match request::job(ctx, host, &service).await {
+    let answer = match request::read_job(ctx, host, &service).await {
         Ok(job) => serve_read(ctx, job).await,
         Err(refusal) => Err(refusal),
     };
@@ -51,7 +51,7 @@
     permit::admit(host, &job.caller, job.deadline).await?;
     let (worker, work) = (host.clone(), job.clone());
     let read = async move { exec::read::run(&worker, work).await };
-    let (answer, rest) = attend(ctx, read).await?;
+    let (answer, rest) = run_while_connected(ctx, read).await?;
     let Some(rest) = rest else { return Ok(body::response(&answer)) };
     let caller = (callers.clone(), *ctx.req().body().socket_addr());
     let body = stream::body(host.clone(), caller, job, &answer, rest);
@@ -60,7 +60,7 @@
 
 pub(super) async fn write(ctx: &Context<'_>, Params(service): Params<String>) -> WebResponse {
     let host = &ctx.state().host;
-    let answer = match request::job(ctx, host, &service).await {
+    let answer = match request::read_job(ctx, host, &service).await {
         Ok(job) => serve_write(ctx, job).await,
         Err(refusal) => Err(refusal),
     };
@@ -71,7 +71,8 @@
     let host = ctx.state().host.clone();
     permit::verify(&host, &job.caller, job.service)?;
     permit::admit(&host, &job.caller, job.deadline).await?;
-    let answer = attend(ctx, async move { exec::write::run(&host, job).await }).await?;
+    let answer =
+        run_while_connected(ctx, async move { exec::write::run(&host, job).await }).await?;
     Ok(body::response(&answer))
 }
 
@@ -84,15 +85,15 @@
     if host.is_stopping() {
         return Err(Refusal::new(Reason::Stopping, "this host is stopping"));
     }
-    let identity = request::identify(ctx, &host)?.identity;
-    let service = request::service(&host, identity, service)?;
+    let identity = request::authenticate(ctx, &host)?.identity;
+    let service = request::find_service(&host, identity, service)?;
     let deadline = request::deadline(ctx.req().headers(), &host)?;
-    request::discard(ctx, &host).await?;
+    request::discard_body(ctx, &host).await?;
     permit::admit(&host, &Caller::Key(identity), deadline).await?;
     let begin = async move { exec::transaction::begin(&host, identity, service, deadline).await };
-    let id = attend(ctx, begin).await?;
+    let id = run_while_connected(ctx, begin).await?;
     let body = json!({"transaction": format!("{id:016x}")});
-    Ok(body::plain(StatusCode::CREATED, &body, None))
+    Ok(body::without_rows(StatusCode::CREATED, &body, None))
 }
 
 pub(super) async fn run(ctx: &Context<'_>, Params(id): Params<String>) -> WebResponse {
@@ -101,16 +102,16 @@
 
 async fn serve_run(ctx: &Context<'_>, id: &str) -> Result<WebResponse, Refusal> {
     let host = &ctx.state().host;
-    let presented = request::identify(ctx, host)?;
-    let id = transaction(id)?;
+    let presented = request::authenticate(ctx, host)?;
+    let id = parse_transaction_id(id)?;
     let deadline = request::deadline(ctx.req().headers(), host)?;
-    let statement = request::statement(ctx, host, &presented).await?;
+    let statement = request::read_statement(ctx, host, &presented).await?;
     let caller = Caller::Key(presented.identity);
     permit::admit(host, &caller, deadline).await?;
     let outcome = step(ctx, id, caller, Step::Run(statement), deadline).await?;
     let rows = outcome.result?;
-    let mut response = WebResponse::new(body::rows(&rows).into());
-    response.headers_mut().insert(body::CONTENT_TYPE, body::CONTENT);
+    let mut response = WebResponse::new(body::result(&rows).into());
+    response.headers_mut().insert(body::CONTENT_TYPE, body::JSON);
     Ok(response)
 }
 
@@ -124,19 +125,19 @@
 
 async fn serve_end(ctx: &Context<'_>, id: &str, end: Step) -> Result<WebResponse, Refusal> {
     let host = &ctx.state().host;
-    let identity = request::identify(ctx, host)?.identity;
-    let id = transaction(id)?;
+    let identity = request::authenticate(ctx, host)?.identity;
+    let id = parse_transaction_id(id)?;
     let headers = ctx.req().headers();
     let deadline = request::deadline(headers, host)?;
-    request::discard(ctx, host).await?;
+    request::discard_body(ctx, host).await?;
     let mut token = request::token(headers)?;
     let outcome = step(ctx, id, Caller::Key(identity), end, deadline).await?;
     outcome.advance(&mut token);
     outcome.result?;
-    Ok(body::plain(StatusCode::OK, &json!({}), Some(&token)))
+    Ok(body::without_rows(StatusCode::OK, &json!({}), Some(&token)))
 }
 
-/// Runs a step here or on the host that owns the transaction.
+/// Runs a step of a transaction, on this host or on the one that owns the transaction.
 async fn step(
     ctx: &Context<'_>,
     id: TransactionId,
@@ -151,10 +152,10 @@
         }
         forward::step(&host, id, &caller, step, deadline).await
     };
-    attend(ctx, work).await
+    run_while_connected(ctx, work).await
 }
 
-fn transaction(id: &str) -> Result<TransactionId, Refusal> {
+fn parse_transaction_id(id: &str) -> Result<TransactionId, Refusal> {
     let id = Some(id).filter(|id| id.len() == 16);
     let id = id.and_then(|id| TransactionId::from_str_radix(id, 16).ok());
     id.ok_or_else(|| Refusal::new(Reason::NotFound, "no such transaction"))
--- a/crates/host/src/front/serve.rs
+++ b/crates/host/src/front/serve.rs
@@ -1,7 +1,8 @@
-//! An HTTP server on a listener, over TLS where there is a certificate.
+//! Runs an HTTP server on a listener, over TLS if it has a certificate.
 //!
-//! The framework's own server takes TLS only together with an address to bind, which leaves no
-//! place for a listener that watches its connections; so its parts are put together here.
+//! The framework's server supports TLS only when it binds the address itself, which excludes a
+//! listener that watches its connections. This module therefore assembles the server from the
+//! framework's parts.
 
 use crate::settings::Limits;
 use rustls::ServerConfig;
@@ -20,28 +21,29 @@
 use xitca_web::service::ready::ReadyService;
 use xitca_web::service::{Service, ServiceExt};
 
-/// What bounds a server.
+/// Threads and timeouts of a server.
 pub struct Bounds {
-    /// Threads that serve.
+    /// Number of threads that serve.
     pub workers: usize,
-    /// Time that a connection may be idle.
+    /// Time that a connection may be idle before it is closed.
     pub idle: Duration,
-    /// Time for a handshake, and for a request's head.
+    /// Timeout of a TLS handshake, and of reading a request's head.
     pub header_time: Duration,
 }
 
 impl Bounds {
-    /// The bounds of a listener with so many threads.
+    /// Bounds of a server with `workers` threads and the timeouts in `limits`.
     pub fn new(workers: usize, limits: &Limits) -> Bounds {
         Bounds { workers, idle: limits.idle, header_time: limits.header_time }
     }
 }
 
-/// Serves `app` on `listener`; `failed` hears of each TLS connection that ended with an error.
+/// Serves `app` on `listener`; `on_error` is called with the caller's address for each TLS connection
+/// that ends with an error.
 pub fn run<S, L, B, F>(
     app: S,
     listener: L,
-    (tls, failed): (Option<Arc<ServerConfig>>, F),
+    (tls, on_error): (Option<Arc<ServerConfig>>, F),
     bounds: &Bounds,
 ) -> ServerFuture
 where
@@ -63,7 +65,7 @@
     let builder = Builder::new().disable_signal().worker_threads(bounds.workers);
     let builder = match tls {
         Some(tls) => {
-            let https = app.enclosed(http.rustls(tls)).enclosed(Watch(failed));
+            let https = app.enclosed(http.rustls(tls)).enclosed(ReportErrors(on_error));
             builder.listen("https", listener, https)
         }
         None => builder.listen("http", listener, app.enclosed(http)),
@@ -71,25 +73,28 @@
     builder.build()
 }
 
-/// Tells how connections end: after a failed handshake the framework just drops its socket.
-struct Watch<F>(F);
+/// Reports connections that end with an error.
+///
+/// After a failed handshake the framework only drops its socket, which does not close the
+/// connection while a second handle to the socket is open.
+struct ReportErrors<F>(F);
 
-/// The same around the service of one thread.
-struct Watched<S, F> {
+/// [`ReportErrors`] around the service of one thread.
+struct Reporting<S, F> {
     service: S,
-    failed: F,
+    on_error: F,
 }
 
-impl<S, E, F: Clone> Service<Result<S, E>> for Watch<F> {
-    type Response = Watched<S, F>;
+impl<S, E, F: Clone> Service<Result<S, E>> for ReportErrors<F> {
+    type Response = Reporting<S, F>;
     type Error = E;
 
-    async fn call(&self, service: Result<S, E>) -> Result<Watched<S, F>, E> {
-        service.map(|service| Watched { service, failed: self.0.clone() })
+    async fn call(&self, service: Result<S, E>) -> Result<Reporting<S, F>, E> {
+        service.map(|service| Reporting { service, on_error: self.0.clone() })
     }
 }
 
-impl<S, F> Service<Stream> for Watched<S, F>
+impl<S, F> Service<Stream> for Reporting<S, F>
 where
     S: Service<Stream>,
     F: Fn(SocketAddr),
@@ -102,15 +107,15 @@
             Stream::Tcp(_, address) => Some(*address),
             _ => None,
         };
-        let ended = self.service.call(stream).await;
-        if let (Err(_), Some(address)) = (&ended, address) {
-            (self.failed)(address);
+        let result = self.service.call(stream).await;
+        if let (Err(_), Some(address)) = (&result, address) {
+            (self.on_error)(address);
         }
-        ended
+        result
     }
 }
 
-impl<S: ReadyService, F> ReadyService for Watched<S, F> {
+impl<S: ReadyService, F> ReadyService for Reporting<S, F> {
     type Ready = S::Ready;
 
     async fn ready(&self) -> S::Ready {
--- a/crates/host/src/front/stream.rs
+++ b/crates/host/src/front/stream.rs
@@ -1,10 +1,11 @@
-//! Long results, sent as they come.
+//! Streams long results to the caller.
 //!
-//! The body is chunked and its JSON closes only at the end. When a part cannot be had, the
-//! connection is cut before the last chunk, so that no caller takes a part for the whole.
+//! The body is chunked, and its JSON is complete only with the last chunk. If reading the result
+//! fails, the connection is closed before the last chunk, so that no caller takes a truncated result
+//! for a whole one.
 
 use super::body;
-use super::gone::{Callers, Request};
+use super::connection::{Callers, Request};
 use crate::exec::read::Rest;
 use crate::exec::{Answer, Job};
 use crate::shared::Host;
@@ -15,7 +16,7 @@
 use xitca_web::body::{ResponseBody, StreamDataBody};
 use xitca_web::bytes::Bytes;
 
-/// A result under way.
+/// A result that is being sent.
 struct Stream {
     host: Arc<Host>,
     callers: Callers,
@@ -23,10 +24,10 @@
     job: Job,
     rest: Option<Rest>,
     _request: Request,
-    first: Option<String>,
+    opening: Option<String>,
 }
 
-/// The body of a long result.
+/// The body of a long result: the rows of `answer`, then the parts that `rest` reads.
 pub fn body(
     host: Arc<Host>,
     (callers, address): (Callers, SocketAddr),
@@ -34,20 +35,20 @@
     answer: &Answer,
     rest: Rest,
 ) -> ResponseBody {
-    let first = Some(body::opening(&answer.rows));
-    let _request = callers.request(address);
-    let stream = Stream { host, callers, address, job, rest: Some(rest), _request, first };
-    let parts = futures::stream::unfold(stream, |mut stream| async move {
-        let part = stream.next().await?;
-        Some((part, stream))
+    let opening = Some(body::opening(&answer.rows));
+    let _request = callers.start_request(address);
+    let stream = Stream { host, callers, address, job, rest: Some(rest), _request, opening };
+    let chunks = futures::stream::unfold(stream, |mut stream| async move {
+        let chunk = stream.next().await?;
+        Some((chunk, stream))
     });
-    ResponseBody::boxed(StreamDataBody::new(parts))
+    ResponseBody::boxed(StreamDataBody::new(chunks))
 }
 
 impl Stream {
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        if let Some(first) = self.first.take() {
-            return Some(Ok(Bytes::from(first)));
+        if let Some(opening) = self.opening.take() {
+            return Some(Ok(Bytes::from(opening)));
         }
         let mut rest = self.rest.take()?;
         match rest.part(&self.host, &self.job).await {
@@ -57,18 +58,20 @@
             }
             Ok((rows, true)) => {
                 rest.finish();
-                Some(Ok(Bytes::from(closing(&rows))))
+                Some(Ok(Bytes::from(last_part(&rows))))
             }
-            Err(loss) => {
-                log::warn!("a result was cut: {loss:?}");
+            Err(error) => {
+                log::warn!(
+                    "cannot read the rest of a result: {error:?}; closing the caller's connection"
+                );
                 self.host.metric.count("read.cut");
-                self.callers.cut(self.address);
+                self.callers.abort(self.address);
                 Some(Err(io::ErrorKind::ConnectionAborted.into()))
             }
         }
     }
 }
 
-fn closing(rows: &Rows) -> String {
+fn last_part(rows: &Rows) -> String {
     format!("{}],\"affected\":{}}}", body::continuation(rows), rows.affected)
 }
--- a/crates/host/src/front/unrouted.rs
+++ b/crates/host/src/front/unrouted.rs
@@ -1,7 +1,8 @@
-//! What no handler answers: a path or method without one, and parameters of a path that are none.
+//! Responds to requests that no handler accepts: an unknown path or method, or a path with malformed
+//! parameters.
 //!
-//! It stands round both listeners' handlers, and says too where the connection closes: the
-//! framework closes one on which a body was left unread.
+//! Middleware of both listeners. It also adds `connection: close` to a response if the request's
+//! body was not read to the end, because the framework then closes the connection.
 
 use super::problem;
 use bergamotvale_core::refusal::{Reason, Refusal};
@@ -11,11 +12,12 @@
 use xitca_web::http::{StatusCode, WebResponse};
 use xitca_web::service::Service;
 
-/// Tells the caller that no request after this one is read.
+/// Value of the `connection` header that tells the caller that the connection closes after the
+/// response.
 pub const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
-/// Answers through `service`, or with a problem document where no handler takes the request.
-pub async fn settle<S, C>(service: &S, mut ctx: WebContext<'_, C>) -> Result<WebResponse, Error>
+/// Responds through `service`, or with a problem document if no handler accepts the request.
+pub async fn respond<S, C>(service: &S, mut ctx: WebContext<'_, C>) -> Result<WebResponse, Error>
 where
     S: for<'r> Service<WebContext<'r, C>, Response = WebResponse, Error = Error>,
     C: 'static,
@@ -24,7 +26,7 @@
         Ok(response) => response,
         Err(error) => {
             let Ok(bare) = Service::call(&error, ctx.reborrow()).await;
-            explain(bare)
+            with_problem(bare)
         }
     };
     if is_unread(&ctx) {
@@ -37,8 +39,8 @@
     !matches!(&*ctx.body(), xitca_web::body::RequestBody::None)
 }
 
-/// The framework's answer with a problem document; its status and headers stay.
-fn explain(bare: WebResponse) -> WebResponse {
+/// The framework's response with a problem document as its body; status and headers are kept.
+fn with_problem(bare: WebResponse) -> WebResponse {
     let status = bare.status();
     let (reason, detail) = match status {
         StatusCode::NOT_FOUND => (Reason::NotFound, "no such path"),
--- a/crates/host/src/logging.rs
+++ b/crates/host/src/logging.rs
@@ -1,4 +1,7 @@
-//! Structured logs through log4rs: JSON lines or text on standard error, level changeable.
+//! Structured logging through log4rs.
+//!
+//! A host writes JSON lines or text to standard error, at a level that can change while it runs. A
+//! session host writes its events to standard output.
 
 use crate::error::Result;
 use crate::settings::{Format, Log};
@@ -9,15 +12,15 @@
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
 
-const APPENDER: &str = "stderr";
-const EVENTS: &str = "stdout";
-/// Events are JSON lines already.
+const LOG_APPENDER: &str = "stderr";
+const EVENT_APPENDER: &str = "stdout";
+/// Events are formatted as JSON lines by their writer.
 const EVENT_PATTERN: &str = "{m}{n}";
-const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)} {l:5} {t} {m}{n}";
-/// Libraries that log more than operators need.
-const QUIET: [&str; 4] = ["tarpc", "hyper_util", "reqwest", "tokio_postgres"];
+const LOG_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)} {l:5} {t} {m}{n}";
+/// Libraries that are logged at `warn` at most, since they log more than operators need.
+const QUIET_LIBRARIES: [&str; 4] = ["tarpc", "hyper_util", "reqwest", "tokio_postgres"];
 
-/// Changes what is logged while the process runs.
+/// Changes the log level while the process runs.
 #[derive(Clone)]
 pub struct Control {
     handle: std::sync::Arc<log4rs::Handle>,
@@ -25,41 +28,41 @@
 }
 
 impl Control {
-    /// Starts logging; once in a process.
+    /// Starts logging. Fails if the process has a logger already.
     pub fn new(log: &Log) -> Result<Control> {
-        let handle = log4rs::init_config(config(log.level, log.format))?;
+        let handle = log4rs::init_config(log_config(log.level, log.format))?;
         Ok(Control { handle: std::sync::Arc::new(handle), format: log.format })
     }
 
-    /// Writes lines of `level` and above from now on.
+    /// From now on logs records of `level` or more severe.
     pub fn set_level(&self, level: LevelFilter) {
-        self.handle.set_config(config(level, self.format));
+        self.handle.set_config(log_config(level, self.format));
     }
 }
 
-fn config(level: LevelFilter, format: Format) -> Config {
+fn log_config(level: LevelFilter, format: Format) -> Config {
     let encoder: Box<dyn Encode> = match format {
         Format::Json => Box::new(JsonEncoder::new()),
-        Format::Text => Box::new(PatternEncoder::new(PATTERN)),
+        Format::Text => Box::new(PatternEncoder::new(LOG_PATTERN)),
     };
     let appender = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
     let mut builder =
-        Config::builder().appender(Appender::builder().build(APPENDER, Box::new(appender)));
-    for library in QUIET {
+        Config::builder().appender(Appender::builder().build(LOG_APPENDER, Box::new(appender)));
+    for library in QUIET_LIBRARIES {
         builder = builder.logger(Logger::builder().build(library, level.min(LevelFilter::Warn)));
     }
     builder
-        .build(Root::builder().appender(APPENDER).build(level))
+        .build(Root::builder().appender(LOG_APPENDER).build(level))
         .expect("the appender that the root names was added above")
 }
 
-/// Starts writing the events of a session host, as they are, to standard output.
+/// Starts writing the events of a session host, unchanged, to standard output.
 pub fn start_events() -> Result<()> {
     let encoder = Box::new(PatternEncoder::new(EVENT_PATTERN));
     let appender = ConsoleAppender::builder().target(Target::Stdout).encoder(encoder).build();
     let config = Config::builder()
-        .appender(Appender::builder().build(EVENTS, Box::new(appender)))
-        .build(Root::builder().appender(EVENTS).build(LevelFilter::Info))
+        .appender(Appender::builder().build(EVENT_APPENDER, Box::new(appender)))
+        .build(Root::builder().appender(EVENT_APPENDER).build(LevelFilter::Info))
         .expect("the appender that the root names was added above");
     log4rs::init_config(config)?;
     Ok(())
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -1,7 +1,8 @@
-//! `bergamotvaled`, the daemon of one host.
+//! `bergamotvaled`, the daemon that runs one host.
 //!
-//! Exit status: 0 after a graceful stop, 1 when the host cannot run, 2 when the settings do not
-//! hold.
+//! Parses the command line, reads the settings and runs the host until SIGTERM, SIGINT or a plan
+//! that drains it. Exit status: 0 after a graceful stop, 1 when the host cannot run, 2 when the
+//! settings are invalid.
 
 use anyhow::Context;
 use bergamotvale_host::daemon::Daemon;
@@ -44,7 +45,7 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let path: &PathBuf = matches.get_one("config").expect("clap requires it");
+    let path: &PathBuf = matches.get_one("config").expect("--config is a required argument");
     let check = matches.get_flag("check");
     if matches.get_flag("sessions") {
         return run_sessions(path, check);
@@ -57,7 +58,7 @@
         }
     };
     if check {
-        println!("{}: settings hold", path.display());
+        println!("{}: settings are valid", path.display());
         return ExitCode::SUCCESS;
     }
     match run(settings) {
@@ -69,7 +70,7 @@
     }
 }
 
-/// Runs a host of sessions, or only verifies its settings.
+/// Runs a session host, or only verifies its settings if `check` is set.
 fn run_sessions(path: &Path, check: bool) -> ExitCode {
     let settings = match sessions::settings::Settings::read(path) {
         Ok(settings) => settings,
@@ -79,7 +80,7 @@
         }
     };
     if check {
-        println!("{}: settings hold", path.display());
+        println!("{}: settings are valid", path.display());
         return ExitCode::SUCCESS;
     }
     let result = logging::start_events()
@@ -102,7 +103,7 @@
     let daemon = Daemon::start(settings).await.context("cannot start the host")?;
     drop(daemon.host.log_control.set(control));
     tokio::select! {
-        () = daemon.leave_requested() => log::info!("told to leave: stopping"),
+        () = daemon.leave_requested() => log::info!("a plan drains this host: stopping"),
         _ = terminate.recv() => log::info!("SIGTERM: stopping"),
         _ = interrupt.recv() => log::info!("SIGINT: stopping"),
     }
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -1,8 +1,8 @@
 //! Client of the platform's table service, object store and list of hosts.
 //!
-//! Every call passes a gate (see [`bergamotvale_core::store`]) and has a deadline. A failed write
-//! is either certainly not done, or lost: [`has_unknown_outcome`] tells which, and a lost one has to be read
-//! back before anything is said of it.
+//! Every call is admitted by a gate (see [`bergamotvale_core::store`]) and has a timeout. A write
+//! that fails has either not taken effect or has an unknown outcome; [`has_unknown_outcome`] tells
+//! which. The caller must read an unknown outcome back before it acts on it or reports it.
 
 mod call;
 mod hosts;
@@ -17,9 +17,9 @@
 use serde_json::Value;
 use sha2::{Digest, Sha256};
 
-/// Row that names the configuration in force.
+/// Key of the row that names the current configuration.
 pub const CONFIG_ROW: &str = "config.current";
-/// Tells the platform which host calls.
+/// Header that names the calling host.
 const HOST_HEADER: &str = "bergamotvale-host";
 
 /// Client of the platform.
@@ -33,50 +33,50 @@
 /// A row of the table service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Row {
-    /// Its key.
+    /// Key, unique in the table.
     pub key: String,
-    /// Its version; 0 when it is absent.
+    /// Version, which each write increases; 0 if the row is absent.
     pub version: u64,
-    /// Its value.
+    /// Value; null if the row is absent.
     #[serde(default)]
     pub value: Value,
 }
 
-/// A condition of a transaction.
+/// A condition of a transaction: the version that a row must have.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Check {
-    /// Row.
+    /// Key of the row.
     pub key: String,
-    /// Version that it must have.
+    /// Expected version; 0 if the row must be absent.
     pub version: u64,
 }
 
-/// A row to be written.
+/// A row that a transaction writes.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Put {
-    /// Row.
+    /// Key of the row.
     pub key: String,
-    /// Its new value.
+    /// New value.
     pub value: Value,
 }
 
-/// A transaction over rows: all or nothing.
+/// An atomic transaction over rows.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Transaction {
-    /// Conditions.
+    /// Conditions, all of which must be met.
     pub checks: Vec<Check>,
     /// Rows to write.
     pub puts: Vec<Put>,
-    /// Rows to delete.
+    /// Keys of the rows to delete.
     pub deletes: Vec<String>,
 }
 
-/// How a transaction went.
+/// The platform's response to a transaction.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Response {
-    /// It took effect; the rows with their new versions.
+    /// The transaction took effect; the rows with their new versions.
     Committed(Vec<Row>),
-    /// A check failed; the rows as they are.
+    /// A check failed and nothing was written; the rows as they are.
     Conflict(Vec<Row>),
 }
 
@@ -86,7 +86,7 @@
 }
 
 impl Client {
-    /// A client with the deadline of the settings.
+    /// A client that calls the platform with the address and timeout in `settings`.
     pub fn new(settings: &Settings) -> Result<Client> {
         let http = reqwest::Client::builder().timeout(settings.platform.timeout).build()?;
         let base = format!("http://{}", settings.platform.address);
@@ -94,12 +94,12 @@
         Ok(Client { http, base, host: settings.host.to_string(), calls })
     }
 
-    /// Calls made so far.
+    /// Counts of the calls since the client was created.
     pub fn traffic(&self) -> Traffic {
         self.calls.traffic()
     }
 
-    /// The row under `key`.
+    /// Reads the row with this key; `None` if it is absent.
     pub async fn row(&self, key: &str) -> Result<Option<Row>> {
         let request = self.http.get(format!("{}/table/rows/{key}", self.base));
         let response = self.read(request).await?;
@@ -109,13 +109,14 @@
         Ok(Some(response.json().await?))
     }
 
-    /// Rows whose key begins with `prefix`, in order of key.
+    /// Reads the rows whose key starts with `prefix`, in key order.
     pub async fn rows(&self, prefix: &str) -> Result<Vec<Row>> {
         let request = self.http.get(format!("{}/table/rows?prefix={prefix}", self.base));
         Ok(self.read(request).await?.json::<Rows>().await?.rows)
     }
 
-    /// Runs `transaction`. See [`has_unknown_outcome`] for what an error means.
+    /// Runs `transaction`. After an error, [`has_unknown_outcome`] tells whether it may have taken
+    /// effect.
     pub async fn transact(&self, transaction: &Transaction) -> Result<Response> {
         let request = self.http.post(format!("{}/table/transactions", self.base));
         let response = self.write(request.json(transaction)).await?;
@@ -125,7 +126,7 @@
         Ok(Response::Committed(response.json::<Rows>().await?.rows))
     }
 
-    /// Stores `body` under its digest, which is returned.
+    /// Stores `body` under its SHA-256 digest and returns the digest.
     pub async fn put_object(&self, body: Vec<u8>) -> Result<String> {
         let digest = hex(&Sha256::digest(&body));
         let request = self.http.put(format!("{}/objects/{digest}", self.base));
@@ -133,14 +134,14 @@
         Ok(digest)
     }
 
-    /// The object under `digest`.
+    /// Reads the object with this digest.
     pub async fn object(&self, digest: &str) -> Result<Vec<u8>> {
         let request = self.http.get(format!("{}/objects/{digest}", self.base));
         Ok(self.read(request).await?.bytes().await?.to_vec())
     }
 }
 
-/// Whether a write that failed with `error` may have taken effect all the same.
+/// Whether a write that failed with `error` may have taken effect nevertheless.
 pub fn has_unknown_outcome(error: &Error) -> bool {
     match error {
         Error::Platform(error) => !error.is_connect() && !error.is_status(),
@@ -149,7 +150,7 @@
     }
 }
 
-/// Lower-case hexadecimal.
+/// Encodes `bytes` in lower-case hexadecimal.
 pub fn hex(bytes: &[u8]) -> String {
     use std::fmt::Write;
     bytes.iter().fold(String::with_capacity(2 * bytes.len()), |mut text, byte| {
--- a/crates/host/src/platform/call.rs
+++ b/crates/host/src/platform/call.rs
@@ -1,4 +1,5 @@
-//! One call to the platform: admitted, counted, judged.
+//! Sends calls to the platform: each is admitted by the gate, counted, and reported to the gate as a
+//! success or a failure.
 
 use super::{Client, HOST_HEADER};
 use crate::clock::Clock;
@@ -8,20 +9,20 @@
 use serde::Serialize;
 use std::sync::{Mutex, MutexGuard};
 
-/// Calls made so far.
+/// Counts of calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Traffic {
-    /// Reads of rows, objects and the list of hosts.
+    /// Reads of rows, objects and the list of hosts that were admitted.
     pub reads: u64,
-    /// Transactions, objects stored and entries of the list of hosts.
+    /// Admitted writes: transactions, objects and entries of the list of hosts.
     pub writes: u64,
-    /// Calls without an answer, or answered with an outage.
+    /// Admitted calls without a response, or with a server error or status 429.
     pub failures: u64,
     /// Calls that the gate did not admit.
     pub refused: u64,
 }
 
-/// Gate and counts.
+/// Gate and counts that all calls of a client share.
 pub(super) struct Calls {
     clock: Clock,
     state: Mutex<State>,
@@ -33,10 +34,10 @@
     traffic: Traffic,
 }
 
-/// An admitted call; failed unless said otherwise.
-struct Pass<'a> {
+/// An admitted call; dropping it records a failure unless `succeeded` is set.
+struct Admission<'a> {
     calls: &'a Calls,
-    answered: bool,
+    succeeded: bool,
 }
 
 impl Calls {
@@ -48,7 +49,7 @@
         self.lock().traffic
     }
 
-    fn admit(&self, write: bool) -> Result<Pass<'_>> {
+    fn admit(&self, write: bool) -> Result<Admission<'_>> {
         let now = self.clock.now();
         let mut state = self.lock();
         if let Err(refusal) = state.gate.admit(now) {
@@ -59,19 +60,19 @@
             true => state.traffic.writes += 1,
             false => state.traffic.reads += 1,
         }
-        Ok(Pass { calls: self, answered: false })
+        Ok(Admission { calls: self, succeeded: false })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no holder of the lock panics")
+        self.state.lock().expect("no thread panics while it holds the lock")
     }
 }
 
-impl Drop for Pass<'_> {
+impl Drop for Admission<'_> {
     fn drop(&mut self) {
         let now = self.calls.clock.now();
         let mut state = self.calls.lock();
-        if self.answered {
+        if self.succeeded {
             state.gate.record_success();
         } else {
             state.gate.record_failure(now);
@@ -90,10 +91,10 @@
     }
 
     async fn call(&self, request: RequestBuilder, write: bool) -> Result<Response> {
-        let mut pass = self.calls.admit(write)?;
+        let mut admission = self.calls.admit(write)?;
         let response = request.header(HOST_HEADER, &self.host).send().await?;
         let status = response.status();
-        pass.answered = !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS;
+        admission.succeeded = !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS;
         if matches!(status, StatusCode::CONFLICT | StatusCode::NOT_FOUND) {
             return Ok(response);
         }
--- a/crates/host/src/platform/hosts.rs
+++ b/crates/host/src/platform/hosts.rs
@@ -1,4 +1,4 @@
-//! The platform's lagging list of hosts.
+//! The platform's list of hosts, which lags behind changes.
 
 use super::Client;
 use crate::error::Result;
@@ -7,30 +7,30 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// An entry of the list.
+/// An entry of the platform's list of hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostEntry {
-    /// Name of the host.
+    /// Id of the host, as text.
     pub host: String,
-    /// Its run.
+    /// Incarnation of the host's process.
     pub incarnation: Incarnation,
-    /// Where it serves callers.
+    /// Address of its callers' listener.
     pub address: String,
-    /// Where peers reach it.
+    /// Address of its peers' listener.
     pub peer_address: String,
-    /// Its failure domain.
+    /// Failure domain of the host, as text.
     pub failure_domain: String,
-    /// `live` or `leaving`.
+    /// Whether the host stays or leaves.
     pub state: State,
 }
 
-/// Whether a listed host goes on.
+/// State of a listed host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
-    /// It does.
+    /// The host serves.
     Live,
-    /// It is about to leave.
+    /// The host is about to leave the fleet.
     Leaving,
 }
 
@@ -40,7 +40,7 @@
 }
 
 impl HostEntry {
-    /// The entry of `member`, which serves callers at `callers`.
+    /// The entry of `member`, whose callers' listener is at `callers`.
     pub fn new(member: &Member, callers: SocketAddr) -> HostEntry {
         HostEntry {
             host: member.host.to_string(),
@@ -52,7 +52,8 @@
         }
     }
 
-    /// The host, if the entry is one of this system's.
+    /// The entry as a member of the fleet; `None` if a field does not parse, as in an entry of
+    /// another system.
     pub fn member(&self) -> Option<Member> {
         Some(Member {
             host: self.host.parse().ok()?,
@@ -65,20 +66,20 @@
 }
 
 impl Client {
-    /// Hosts as the platform lists them, a second or more late.
+    /// Reads the list of hosts; it lags by a second or more.
     pub async fn hosts(&self) -> Result<Vec<HostEntry>> {
         let request = self.http.get(format!("{}/hosts", self.base));
         Ok(self.read(request).await?.json::<List>().await?.hosts)
     }
 
-    /// Says that a host is there.
-    pub async fn put_host(&self, listed: &HostEntry) -> Result<()> {
-        let request = self.http.put(format!("{}/hosts/{}", self.base, listed.host));
-        self.write(request.json(listed)).await?;
+    /// Adds or replaces the entry of a host.
+    pub async fn put_host(&self, entry: &HostEntry) -> Result<()> {
+        let request = self.http.put(format!("{}/hosts/{}", self.base, entry.host));
+        self.write(request.json(entry)).await?;
         Ok(())
     }
 
-    /// Takes a run of a host off the list.
+    /// Removes the entry of a host, if it is of this incarnation.
     pub async fn delete_host(&self, host: HostId, incarnation: Incarnation) -> Result<()> {
         let url = format!("{}/hosts/{host}?incarnation={incarnation}", self.base);
         self.write(self.http.delete(url)).await?;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -1,16 +1,16 @@
-//! Settings of one host: a YAML file, strictly checked.
+//! Settings of one host, read from a YAML file.
 //!
-//! Unknown fields and wrong units are found while reading, sums and addresses that cannot hold by
-//! [`verify`]. Each error names the field and its place. What all hosts share is not here but in
-//! the configuration that the platform keeps.
+//! Parsing rejects unknown fields and wrong units; [`verify`] rejects values that contradict each
+//! other. Each error names the field and its line. Settings belong to one host; what all hosts
+//! share is in the configuration, which the platform stores.
 
 mod access;
 mod limits;
+mod line;
 mod listen;
-mod place;
 mod platform;
 mod policy;
-mod report;
+mod telemetry;
 mod tls;
 mod verify;
 
@@ -19,7 +19,7 @@
 pub use listen::Listen;
 pub use platform::Platform;
 pub use policy::{Connections, Defect, Failover, Policy, Rates, Reads, Slots};
-pub use report::{Format, Log, Metrics};
+pub use telemetry::{Format, Log, Metrics};
 pub use tls::{Identity, Tls};
 pub use verify::{Fault, verify};
 
@@ -32,39 +32,39 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
-    /// Its id, unique in the fleet.
+    /// Id of the host, unique in the fleet.
     pub host: HostId,
-    /// Its failure domain.
+    /// Failure domain that the host runs in.
     pub failure_domain: FailureDomainId,
-    /// Where it listens.
+    /// Addresses that the host listens on.
     pub listen: Listen,
-    /// Certificates of the listeners; plain HTTP without.
+    /// Certificates of the listeners; a listener without one serves plain HTTP.
     #[serde(default)]
     pub tls: Tls,
-    /// The platform's service.
+    /// Address and timeouts of the platform's service.
     pub platform: Platform,
-    /// Login to the targets.
+    /// Credentials for the targets.
     #[serde(default)]
     pub login: Login,
-    /// Who may use the operators' listener.
+    /// Operators who may use the operators' listener.
     #[serde(default)]
     pub operators: Vec<Operator>,
-    /// Limits of callers' requests.
+    /// Size and connection limits of callers' requests.
     #[serde(default)]
     pub limits: Limits,
-    /// Times that bound work.
+    /// Timeouts of requests, transactions, calls and the stop.
     #[serde(default)]
     pub timeouts: Timeouts,
-    /// How decisions are taken.
+    /// How the host routes, limits and fails over.
     #[serde(default)]
     pub policy: Policy,
-    /// What is logged and how.
+    /// Level and format of the log.
     #[serde(default)]
     pub log: Log,
-    /// Where counters go besides the operators' listener.
+    /// Where counters are sent, in addition to the operators' listener.
     #[serde(default)]
     pub metrics: Metrics,
-    /// Threads that serve callers.
+    /// Number of threads that serve callers.
     #[serde(default = "default_workers")]
     pub workers: usize,
 }
@@ -74,7 +74,7 @@
 }
 
 impl Settings {
-    /// Settings with all defaults for a host at these addresses.
+    /// Settings of a host at these addresses, with the default for every other field.
     pub fn new(
         host: HostId,
         failure_domain: FailureDomainId,
@@ -98,25 +98,26 @@
         }
     }
 
-    /// Reads and verifies the settings in `path`.
+    /// Reads and verifies the settings in the file `path`.
     pub fn read(path: &Path) -> Result<Settings, Fault> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| Fault::File { path: path.to_owned(), source })?;
         Settings::parse(&text)
     }
 
-    /// Reads and verifies the settings in `text`.
+    /// Parses and verifies the settings in the YAML `text`.
     pub fn parse(text: &str) -> Result<Settings, Fault> {
         let settings: Settings = serde_yaml_ng::from_str(text).map_err(Fault::Syntax)?;
-        verify(&settings).map_err(|fault| located(fault, text))?;
+        verify(&settings).map_err(|fault| with_line(fault, text))?;
         Ok(settings)
     }
 }
 
-fn located(fault: Fault, text: &str) -> Fault {
+/// Adds the line in `text` to a fault of a field.
+fn with_line(fault: Fault, text: &str) -> Fault {
     match fault {
         Fault::Field { field, reason, .. } => {
-            Fault::Field { field, reason, line: place::line_of(text, field) }
+            Fault::Field { field, reason, line: line::find(text, field) }
         }
         other => other,
     }
--- a/crates/host/src/settings/access.rs
+++ b/crates/host/src/settings/access.rs
@@ -1,26 +1,26 @@
-//! Who logs in: the host to the targets, operators to the host.
+//! Credentials: those of the host at the targets, and those of operators at the host.
 
 use serde::{Deserialize, Serialize};
 
-/// Login to the targets.
+/// Credentials of the host at the targets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Login {
-    /// Database user.
+    /// Database user that the host connects as.
     pub user: String,
-    /// Database name.
+    /// Database that the host connects to.
     pub database: String,
-    /// Password, when the targets ask for one.
+    /// Password; `None` if the targets require none.
     pub password: Option<String>,
 }
 
-/// Who may use the operators' listener.
+/// An operator who may use the operators' listener.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
-    /// Name, as the audit trail shows it.
+    /// Name in keys (`op_<name>_<secret>`) and in the audit trail; must not contain an underscore.
     pub name: String,
-    /// Salt, hexadecimal.
+    /// Salt of `digest`, hexadecimal.
     pub salt: String,
     /// SHA-256 of salt and secret, hexadecimal.
     pub digest: String,
--- a/crates/host/src/settings/limits.rs
+++ b/crates/host/src/settings/limits.rs
@@ -1,4 +1,4 @@
-//! Bounds of requests, in size and in time.
+//! Size limits and timeouts of requests.
 
 use crate::unit::{Size, Span};
 use bergamotvale_core::plan;
@@ -6,63 +6,64 @@
 use serde_with::serde_as;
 use std::time::Duration;
 
-/// Limits of callers' requests.
+/// Size and connection limits of callers' requests; sizes are in bytes.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
-    /// Bytes of a request's body.
+    /// Maximum size of a request's body.
     #[serde_as(as = "Size")]
     pub body: usize,
-    /// Bytes of all of a request's headers.
+    /// Maximum size of a request's headers in total.
     #[serde_as(as = "Size")]
     pub headers: usize,
-    /// Bytes of a statement's text.
+    /// Maximum size of a statement's text.
     #[serde_as(as = "Size")]
     pub statement: usize,
-    /// Bytes of a result.
+    /// Maximum size of a result.
     #[serde_as(as = "Size")]
     pub result: usize,
-    /// Time that a caller's connection may idle.
+    /// Time that a connection of a caller may be idle before it is closed.
     #[serde_as(as = "Span")]
     pub idle: Duration,
-    /// Time that a caller may take to send its headers.
+    /// Time that a caller may take for the TLS handshake, and for sending a request's headers.
     #[serde_as(as = "Span")]
     pub header_time: Duration,
-    /// Requests of one client account that may wait for a connection.
+    /// Maximum number of requests of one client account that wait for a connection.
     pub queue: usize,
 }
 
-/// Times that bound work.
+/// Timeouts of requests, transactions, calls and the stop.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Timeouts {
-    /// A request that states no timeout.
+    /// Timeout of a request that does not state one.
     #[serde_as(as = "Span")]
     pub request: Duration,
-    /// The longest that a caller may state.
+    /// Maximum timeout of a request; a longer one that a caller states is lowered to it.
     #[serde_as(as = "Span")]
     pub request_ceiling: Duration,
-    /// A new connection to a target.
+    /// Timeout of connecting to a target.
     #[serde_as(as = "Span")]
     pub connect: Duration,
-    /// A transaction between two of its steps.
+    /// Time that a transaction may be idle between two steps.
     #[serde_as(as = "Span")]
     pub transaction_idle: Duration,
-    /// A transaction in all.
+    /// Maximum duration of a transaction.
     #[serde_as(as = "Span")]
     pub transaction_total: Duration,
-    /// A call to another host.
+    /// Timeout of a call to another host.
     #[serde_as(as = "Span")]
     pub peer: Duration,
-    /// Taking requests all the same after the host began to leave.
+    /// Time for which a leaving host keeps accepting requests, while callers learn that it leaves.
     #[serde_as(as = "Span")]
     pub leave: Duration,
-    /// Finishing what runs while the host stops; covers any deadline, so that a stop cuts nothing.
+    /// Time for which a stopping host lets requests and transactions finish. It covers every
+    /// deadline, so that a stop interrupts none of them.
     #[serde_as(as = "Span")]
     pub stop: Duration,
-    /// Time for which the old and the new key both work during a rotation.
+    /// Time for which the old and the new key are both valid during a rotation.
     #[serde_as(as = "Span")]
     pub key_overlap: Duration,
 }
--- a/crates/host/src/settings/listen.rs
+++ b/crates/host/src/settings/listen.rs
@@ -1,16 +1,16 @@
-//! Where a host listens.
+//! Addresses that a host listens on.
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Addresses of a host.
+/// Listen addresses of a host, one for each kind of client. Port 0 binds any free port.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
-    /// Callers' requests.
+    /// HTTP interface for callers.
     pub callers: SocketAddr,
-    /// Operators' requests.
+    /// HTTP API for operators.
     pub operators: SocketAddr,
-    /// Other hosts.
+    /// Protocol between hosts.
     pub peers: SocketAddr,
 }
--- a/crates/host/src/settings/platform.rs
+++ b/crates/host/src/settings/platform.rs
@@ -1,4 +1,4 @@
-//! How a host calls the platform's service.
+//! Address and timeouts of the platform's service.
 
 use crate::unit::Span;
 use serde::{Deserialize, Serialize};
@@ -6,25 +6,25 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The platform's service and how it is called.
+/// Where the platform's service is and how it is called.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
-    /// Where it listens.
+    /// Address that the service listens on.
     pub address: SocketAddr,
-    /// Time that one call may take.
+    /// Timeout of one call.
     #[serde_as(as = "Span")]
     #[serde(default = "default_timeout")]
     pub timeout: Duration,
-    /// Time between two reads of the shared state.
+    /// Interval between two reads of the shared state.
     #[serde_as(as = "Span")]
     #[serde(default = "default_period")]
     pub period: Duration,
 }
 
 impl Platform {
-    /// The service at `address`, called with the default times.
+    /// The service at `address`, with the default timeout and interval.
     pub(super) fn new(address: SocketAddr) -> Platform {
         Platform { address, timeout: default_timeout(), period: default_period() }
     }
--- a/crates/host/src/settings/policy.rs
+++ b/crates/host/src/settings/policy.rs
@@ -1,4 +1,4 @@
-//! How decisions are taken, on the data path and between hosts.
+//! How a host routes, limits and fails over.
 
 use crate::unit::Span;
 use serde::{Deserialize, Serialize};
@@ -6,114 +6,117 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// How decisions are taken; the defaults are what the project stands for, the others baselines.
+/// How a host routes, limits and fails over.
+///
+/// The default of each alternative is the intended behaviour; the others are baselines for
+/// comparison.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policy {
-    /// Where reads go.
+    /// Targets that serve reads.
     pub reads: Reads,
-    /// How rates are counted over hosts.
+    /// How the rate of a client account is divided between hosts.
     pub rates: Rates,
-    /// How connections are divided between hosts.
+    /// How connections to targets are divided between hosts.
     pub connections: Connections,
-    /// How slots are handed to client accounts.
+    /// In which order client accounts get free slots.
     pub slots: Slots,
-    /// Whose word deposes a primary.
+    /// Which hosts decide that a primary is deposed.
     pub failover: Failover,
-    /// Time for which a primary must be failing before it is deposed.
+    /// Time for which a primary must fail before it is deposed.
     #[serde_as(as = "Span")]
     pub failover_after: Duration,
     /// Time between two probes of a target.
     #[serde_as(as = "Span")]
     pub probe: Duration,
-    /// Whether targets that fail their work are passed over.
+    /// Whether targets that fail requests are skipped for a while.
     pub ejection: bool,
-    /// Whether safe requests are sent again.
+    /// Whether requests that are safe to repeat are retried.
     pub retries: bool,
     /// Time between two heartbeats to a peer.
     #[serde_as(as = "Span")]
     pub heartbeat: Duration,
-    /// Time for which knowledge of the shared state may be acted on.
+    /// Time for which the host may act on the shared state after it last confirmed it.
     #[serde_as(as = "Span")]
     pub authority: Duration,
-    /// Peers that one host probes and pushes to; all of them in a fleet of no more.
+    /// Maximum number of peers that the host probes and pushes to.
     pub fan_out: usize,
-    /// Seed of jitter and tie breaks.
+    /// Random seed of jitter and tie breaking.
     pub seed: u64,
-    /// Deliberate defects, for showing that checks can fail; settings cannot name them.
+    /// Injected defects, which show that checks can fail; a settings file cannot set them.
     #[serde(skip)]
     pub defects: BTreeSet<Defect>,
 }
 
-/// Where reads go.
+/// Targets that serve reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reads {
-    /// To any target that is fresh enough.
+    /// Any target that is fresh enough.
     Replicas,
-    /// To the primary only.
+    /// The primary only.
     Primary,
 }
 
-/// How rates are counted over hosts.
+/// How the rate of a client account is divided between hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rates {
-    /// Shares that hosts lend to each other.
+    /// Shares that hosts lend to each other on demand.
     Escrow,
     /// Fixed equal shares.
     Static,
 }
 
-/// How connections are divided between hosts.
+/// How connections to targets are divided between hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Connections {
-    /// Shares that move to demand.
+    /// Shares that follow demand.
     Shared,
     /// Fixed equal shares.
     Static,
 }
 
-/// How slots are handed to client accounts.
+/// In which order client accounts get free slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Slots {
-    /// Weighted max-min between client accounts.
+    /// Weighted max-min fairness between client accounts.
     Fair,
-    /// First come, first served.
+    /// In order of arrival.
     Arrival,
 }
 
-/// Whose word deposes a primary.
+/// Which hosts decide that a primary is deposed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Failover {
-    /// A majority of the hosts that watch the group.
+    /// A majority of the hosts that observe the group.
     Review,
-    /// Any host's own.
+    /// Any single host.
     Single,
-    /// Nobody's.
+    /// None: a failed primary is not replaced automatically.
     Off,
 }
 
-/// A deliberate defect.
+/// A defect that a test injects, to show that its checks can fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Defect {
-    /// Acknowledges a write that only the primary holds.
+    /// Acknowledges a write that only the primary has stored.
     AcknowledgeUnconfirmed,
-    /// Serves session reads from any target.
+    /// Serves session reads from any target, whatever the session token requires.
     IgnoreToken,
-    /// Sends an unkeyed write again after a lost answer.
+    /// Retries a write without an idempotency key when its response is lost.
     RetryUnkeyed,
-    /// Gives every host the whole rate.
+    /// Gives every host the whole rate of an account instead of a share.
     LocalRate,
-    /// Promotes without asking for a term.
+    /// Promotes a target without acquiring a term first.
     SkipFence,
-    /// Goes on accepting withdrawn keys.
+    /// Keeps accepting withdrawn keys.
     IgnoreWithdrawal,
-    /// Cuts what runs when the host stops.
+    /// Aborts the requests in flight when the host stops.
     AbruptStop,
 }
 
--- a/crates/host/src/settings/report.rs
+++ b/crates/host/src/settings/telemetry.rs
@@ -1,33 +1,33 @@
-//! What a host tells of itself: log and counters.
+//! Logging and metrics of a host.
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// What is logged and how.
+/// Level and format of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
-    /// Least severe level that is written: `error`, `warn`, `info`, `debug` or `trace`.
+    /// Least severe level that is logged: `off`, `error`, `warn`, `info`, `debug` or `trace`.
     pub level: log::LevelFilter,
-    /// Form of a line.
+    /// Format of a log line.
     pub format: Format,
 }
 
-/// Form of a log line.
+/// Format of a log line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Format {
-    /// A JSON object.
+    /// One JSON object per line.
     Json,
-    /// Text for people.
+    /// Plain text for people to read.
     Text,
 }
 
-/// Where counters go besides the operators' listener.
+/// Where counters are sent, in addition to the operators' listener.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Metrics {
-    /// A statsd server, UDP.
+    /// Address of a statsd server, over UDP; `None` sends no counters.
     pub statsd: Option<SocketAddr>,
 }
 
--- a/crates/host/src/settings/verify.rs
+++ b/crates/host/src/settings/verify.rs
@@ -1,4 +1,4 @@
-//! What settings cannot hold although they can be read.
+//! Checks that settings are consistent: addresses, times and sizes that must fit each other.
 
 use super::{Operator, Settings, tls};
 use derive_more::{Display, Error};
@@ -6,33 +6,33 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// What is wrong with settings.
+/// Why settings are rejected.
 #[derive(Debug, Display, Error)]
 pub enum Fault {
     /// The file cannot be read.
     #[display("{}: {source}", path.display())]
     File {
-        /// The file.
+        /// Path of the file.
         path: PathBuf,
-        /// Why.
+        /// Error of the read.
         source: std::io::Error,
     },
-    /// The text is not settings; names field and place.
+    /// The text does not parse as settings; the error names the field and the line.
     #[display("settings: {_0}")]
     Syntax(serde_yaml_ng::Error),
-    /// A field that cannot hold.
+    /// The value of a field is invalid.
     #[display("settings: {field}: {reason}{}", line.map(|l| format!(" at line {l}")).unwrap_or_default())]
     Field {
-        /// Path of the field.
+        /// Dotted path of the field.
         field: &'static str,
-        /// What is wrong.
+        /// What is wrong with the value.
         reason: String,
-        /// Line of the field, when the settings come from a text.
+        /// Line of the field; `None` if the settings were not parsed from a text that sets it.
         line: Option<usize>,
     },
 }
 
-/// Says whether `settings` can hold.
+/// Checks that `settings` are consistent; returns the first fault found.
 pub fn verify(settings: &Settings) -> Result<(), Fault> {
     verify_addresses(settings)?;
     verify_times(settings)?;
@@ -74,11 +74,14 @@
     if policy.probe.is_zero() || policy.probe * 2 > policy.failover_after {
         return field(
             "policy.probe",
-            "must be above zero and fit twice into policy.failover_after",
+            "must be above zero and at most half of policy.failover_after",
         );
     }
     if policy.heartbeat.is_zero() || policy.heartbeat * 2 > policy.authority {
-        return field("policy.heartbeat", "must be above zero and fit twice into policy.authority");
+        return field(
+            "policy.heartbeat",
+            "must be above zero and at most half of policy.authority",
+        );
     }
     if settings.platform.period + settings.platform.timeout > policy.authority {
         return field("platform.period", "with platform.timeout exceeds policy.authority");
@@ -107,7 +110,7 @@
     let mut names = BTreeSet::new();
     for operator in operators {
         if !names.insert(&operator.name) {
-            return field("operators", &format!("{} stands twice", operator.name));
+            return field("operators", &format!("{} is listed twice", operator.name));
         }
         if operator.name.is_empty() || operator.name.contains('_') {
             return field("operators", "a name must not be empty nor contain an underscore");
@@ -120,7 +123,7 @@
     Err(Fault::Field { field, reason: reason.to_owned(), line: None })
 }
 
-/// Whether two listeners cannot both be had. Port 0 asks for any free port.
+/// Whether two addresses cannot both be bound. Port 0 never overlaps: it binds any free port.
 fn overlaps(a: SocketAddr, b: SocketAddr) -> bool {
     let same_ip = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
     a.port() != 0 && a.port() == b.port() && same_ip
