host: reword the operators' API, the process and TLS tests and the in_force example

Comments and log texts say what happens next after a failure. The TLS test now looks for "does not match" in the text for a foreign key, was "fit".

--- a/crates/host/examples/in_force.rs
+++ b/crates/host/examples/in_force.rs
@@ -1,9 +1,10 @@
-//! Measures the time from the acceptance of a change to its being in force on every host.
+//! Measures how long a configuration change takes from its acceptance until every host acts on it.
 //!
-//! Four hosts on loopback, fifty changes a scenario: platform quick, platform slow, one host cut
-//! off from the platform, and both. "call" is the whole change as its publisher sees it; "to every
-//! host" runs from the first host that acts on the version, which is the publisher when it learns
-//! of the acceptance, to the last; "said in force" is how much later the publisher knows so.
+//! Runs four hosts on loopback, with fifty changes per scenario: the platform fast or slow, and all
+//! hosts or all but one connected to it. "call" is the duration of the whole change for its
+//! publisher. "to every host" is the time from the first host that acts on the version, which is the
+//! publisher when it learns of the acceptance, until the last one does. "said in force" is the time
+//! from then until the publisher knows it.
 
 use anyhow::{Context, Result};
 use bergamotvale_core::config::{
@@ -20,7 +21,7 @@
 
 const HOSTS: u32 = 4;
 const CHANGES: u64 = 50;
-const SLOW: Duration = Duration::from_millis(400);
+const SLOW_DELAY: Duration = Duration::from_millis(400);
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 #[tokio::main]
@@ -36,20 +37,20 @@
     while change::found(&daemons[0].host, document()).await.is_err() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    let cut = BTreeSet::from([HOSTS.to_string()]);
+    let blocked = BTreeSet::from([HOSTS.to_string()]);
     let scenarios = [
         ("platform quick", Duration::ZERO, BTreeSet::new()),
-        ("one host cut off from it", Duration::ZERO, cut.clone()),
-        ("platform slow", SLOW, BTreeSet::new()),
-        ("platform slow, one host cut off from it", SLOW, cut),
+        ("one host cut off from it", Duration::ZERO, blocked.clone()),
+        ("platform slow", SLOW_DELAY, BTreeSet::new()),
+        ("platform slow, one host cut off from it", SLOW_DELAY, blocked),
     ];
     println!(
         "scenario | call ms median/max | to every host ms median/max | said in force ms median/max"
     );
-    for (name, delay, cut) in scenarios {
+    for (name, delay, blocked) in scenarios {
         let fault = |fault: &mut Fault| {
             fault.delay = delay;
-            fault.blocked_hosts = cut;
+            fault.blocked_hosts = blocked;
         };
         platform.faults().set(fault).map_err(|error| anyhow::anyhow!("{error}"))?;
         measure(name, &daemons).await?;
@@ -65,13 +66,13 @@
 }
 
 async fn measure(name: &str, daemons: &[Daemon]) -> Result<()> {
-    let (mut calls, mut spreads, mut said) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut calls, mut spreads, mut confirmations) = (Vec::new(), Vec::new(), Vec::new());
     for number in 0..CHANGES {
         let publisher = &daemons[number as usize % (daemons.len() - 1)].host;
         let next = publisher.document().version + 1;
         let call = Instant::now();
         let watched: Vec<_> = daemons.iter().map(|daemon| daemon.host.clone()).collect();
-        let seen = tokio::spawn(async move { in_force(&watched, next).await });
+        let adoptions = tokio::spawn(async move { wait_for_adoption(&watched, next).await });
         let withdraw = |document: &Document| {
             let mut key = document.keys[&1].clone();
             key.state = match key.state {
@@ -83,19 +84,19 @@
         let accepted = change::publish(publisher, withdraw).await.context(name.to_owned())?;
         anyhow::ensure!(accepted.version == next, "a version was skipped");
         calls.push(call.elapsed());
-        let (first, last) = seen.await??;
+        let (first, last) = adoptions.await??;
         spreads.push(last - first);
-        let known = Instant::now();
+        let adopted_everywhere = Instant::now();
         let publisher = publisher.clone();
         wait(|| publisher.fleet.in_force(publisher.clock.now()).1 >= next).await?;
-        said.push(known.elapsed());
+        confirmations.push(adopted_everywhere.elapsed());
     }
-    println!("{name} | {} | {} | {}", show(calls), show(spreads), show(said));
+    println!("{name} | {} | {} | {}", show(calls), show(spreads), show(confirmations));
     Ok(())
 }
 
-/// Times at which the first and the last host act on `version`.
-async fn in_force(
+/// Waits until all hosts act on `version`; the times at which the first and the last one did.
+async fn wait_for_adoption(
     hosts: &[Arc<bergamotvale_host::shared::Host>],
     version: u64,
 ) -> Result<(Instant, Instant)> {
@@ -141,7 +142,7 @@
 async fn wait(mut done: impl FnMut() -> bool) -> Result<()> {
     let start = Instant::now();
     while !done() {
-        anyhow::ensure!(start.elapsed() < TIMEOUT, "waited in vain");
+        anyhow::ensure!(start.elapsed() < TIMEOUT, "timed out waiting for a condition");
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
     Ok(())
--- a/crates/host/src/admin/access.rs
+++ b/crates/host/src/admin/access.rs
@@ -1,4 +1,5 @@
-//! Checks operators' keys: `op_<name>_<secret>`, against the salted digests of the settings.
+//! Authenticates operators: checks keys of the form `op_<name>_<secret>` against the salted digests
+//! in the settings.
 
 use super::Fault;
 use crate::auth;
@@ -9,7 +10,7 @@
 
 const PREFIX: &str = "Bearer op_";
 
-/// Name of the operator who calls.
+/// Name of the operator whose key is in `headers`. The digests are compared in constant time.
 pub(super) fn identify(operators: &[Operator], headers: &HeaderMap) -> Result<String, Fault> {
     let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
     let presented = value.and_then(|value| value.strip_prefix(PREFIX));
--- a/crates/host/src/admin/audit.rs
+++ b/crates/host/src/admin/audit.rs
@@ -1,6 +1,6 @@
-//! The audit trail: who changed what, in rows of the platform's table.
+//! The audit trail: records which operator changed what, in rows of the platform's table.
 
-use super::{Answer, Call, ok};
+use super::{Call, CallResult, ok};
 use crate::platform::{Put, Transaction};
 use crate::shared::Host;
 use bergamotvale_core::id::PlanId;
@@ -9,29 +9,29 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Prefix of the rows' keys; the rest sorts by wall-clock time, for people.
+/// Prefix of the rows' keys. The rest of the key starts with the wall-clock time in milliseconds, so
+/// that people read the list in order of time.
 const PREFIX: &str = "audit.";
-/// Tries to write an entry.
-const TRIES: u32 = 5;
-/// Pause between them.
-const PAUSE: Duration = Duration::from_millis(200);
+/// Attempts to write an entry before it is given up.
+const MAX_ATTEMPTS: u32 = 5;
+const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// One entry.
+/// An entry of the audit trail.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// Wall-clock time, RFC 3339.
+    /// Wall-clock time of the action, RFC 3339.
     pub at: String,
-    /// Who.
+    /// Name of the operator.
     pub operator: String,
-    /// What.
+    /// What the operator did.
     pub action: String,
-    /// Plan that it belongs to.
+    /// Plan that the action belongs to, if any.
     pub plan: Option<PlanId>,
-    /// How it ended.
+    /// Outcome of the action.
     pub outcome: String,
 }
 
-/// The row that adds an entry.
+/// The row that adds an entry, for a transaction that also writes other rows.
 pub(super) fn put(
     host: &Host,
     operator: &str,
@@ -56,21 +56,21 @@
     }
 }
 
-/// Adds an entry that stands alone; idempotent, since the key is its own.
+/// Writes an entry in a transaction of its own. Retries are idempotent, because the key is unique.
 pub(super) async fn add(host: &Host, operator: &str, action: &str, outcome: &str) {
     let puts = vec![put(host, operator, action, None, outcome)];
     let transaction = Transaction { puts, ..Transaction::default() };
-    for _ in 0..TRIES {
+    for _ in 0..MAX_ATTEMPTS {
         match host.platform.transact(&transaction).await {
             Ok(_) => return,
-            Err(error) => log::warn!("audit entry not written: {error}"),
+            Err(error) => log::warn!("cannot write an audit entry: {error}; retrying"),
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(RETRY_DELAY).await;
     }
-    log::error!("audit entry lost: operator {operator}: {action}: {outcome}");
+    log::error!("gave up writing an audit entry: operator {operator}: {action}: {outcome}");
 }
 
-pub(super) async fn list(call: Call) -> Answer {
+pub(super) async fn list(call: Call) -> CallResult {
     let rows = call.host.platform.rows(PREFIX).await?;
     let entries: Vec<Value> = rows.into_iter().map(|row| row.value).collect();
     ok(json!({ "entries": entries }))
--- a/crates/host/src/admin/config.rs
+++ b/crates/host/src/admin/config.rs
@@ -1,6 +1,6 @@
-//! Configuration, keys and the log level.
+//! Calls that change the configuration, the keys or the log level.
 
-use super::{Answer, Call, Fault, audit, ok};
+use super::{Call, CallResult, Fault, audit, ok};
 use crate::auth;
 use crate::fleet::change;
 use crate::platform::hex;
@@ -16,10 +16,10 @@
 use serde_json::{Value, json};
 use xitca_web::http::StatusCode;
 
-/// Bytes of a key's secret.
+/// Random bytes in a key's secret.
 const SECRET_BYTES: usize = 32;
-/// Key ids are below this, so that every JSON reader holds them exactly.
-const MAX_KEY_ID: KeyId = 1 << 48;
+/// Key ids are below this limit, so that JSON readers which use doubles represent them exactly.
+const KEY_ID_LIMIT: KeyId = 1 << 48;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,7 +33,7 @@
     account: String,
 }
 
-pub(super) async fn set_log_level(call: Call) -> Answer {
+pub(super) async fn set_log_level(call: Call) -> CallResult {
     let Level { level } = call.parse()?;
     let level: LevelFilter =
         level.parse().map_err(|_| Fault::Malformed("no such log level".to_owned()))?;
@@ -44,19 +44,20 @@
     ok(json!({ "level": level.to_string().to_lowercase() }))
 }
 
-/// The document without salts and digests.
-pub(super) fn shown(host: &Host) -> Value {
-    let mut shown = json!(*host.document());
-    for key in shown["keys"].as_object_mut().into_iter().flat_map(|keys| keys.values_mut()) {
+/// The configuration without salts and digests.
+pub(super) fn redacted(host: &Host) -> Value {
+    let mut document = json!(*host.document());
+    for key in document["keys"].as_object_mut().into_iter().flat_map(|keys| keys.values_mut()) {
         if let Some(key) = key.as_object_mut() {
             key.remove("salt");
             key.remove("digest");
         }
     }
-    shown
+    document
 }
 
-pub(super) async fn found(call: Call) -> Answer {
+/// Publishes the first configuration.
+pub(super) async fn create(call: Call) -> CallResult {
     let mut document: Document = call.parse()?;
     document.version = 1;
     let host = &call.host;
@@ -71,14 +72,14 @@
     ok(json!({ "accepted": accepted.version }))
 }
 
-pub(super) async fn issue_key(call: Call) -> Answer {
+pub(super) async fn issue_key(call: Call) -> CallResult {
     let Account { account } = call.parse()?;
     let host = &call.host;
     let id = host.document().account_named(&account).ok_or(Fault::NotFound)?;
     let (issued, text) = new_key();
-    let wanted = issued.clone();
+    let requested = issued.clone();
     change::publish(host, |document| {
-        let Issued { key_id, salt, digest } = wanted.clone();
+        let Issued { key_id, salt, digest } = requested.clone();
         if document.keys.contains_key(&key_id) {
             return Ok(Vec::new());
         }
@@ -93,7 +94,7 @@
     Ok((StatusCode::CREATED, json!({ "key_id": issued.key_id, "key": text })))
 }
 
-pub(super) async fn withdraw_key(call: Call, id: KeyId) -> Answer {
+pub(super) async fn withdraw_key(call: Call, id: KeyId) -> CallResult {
     let host = &call.host;
     if !host.document().keys.contains_key(&id) {
         return Err(Fault::NotFound);
@@ -107,12 +108,12 @@
     ok(json!({ "accepted": accepted.version }))
 }
 
-/// A new key: what the configuration holds of it, and the text that is shown once.
+/// Generates a key: the part that the configuration stores, and the text that is shown only once.
 pub(super) fn new_key() -> (Issued, String) {
     let secret = URL_SAFE_NO_PAD.encode(rand::random::<[u8; SECRET_BYTES]>());
     let salt = hex(&rand::random::<[u8; config::DIGEST_BYTES]>());
     let digest = auth::digest(&salt, &secret);
-    let key_id = 1 + rand::random::<u64>() % (MAX_KEY_ID - 1);
+    let key_id = 1 + rand::random::<u64>() % (KEY_ID_LIMIT - 1);
     let text = key::format(key_id, &secret);
     (Issued { key_id, salt, digest }, text)
 }
--- a/crates/host/src/admin/mod.rs
+++ b/crates/host/src/admin/mod.rs
@@ -1,4 +1,4 @@
-//! The operators' listener: every call is authenticated, carried out, and logged with its operator.
+//! The operators' HTTP API: authenticates each call, executes it and logs it with its operator.
 
 pub mod access;
 pub mod audit;
@@ -28,16 +28,16 @@
 use xitca_web::route::{get, post, put};
 use xitca_web::{App, WebContext};
 
-/// Bytes of a request's body.
+/// Maximum size of a request's body.
 const MAX_BODY_BYTES: usize = 8 << 20;
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 /// A running listener.
 pub struct Listener {
-    /// Where it listens.
+    /// Address that the listener is bound to.
     pub address: SocketAddr,
     handle: xitca_server::ServerHandle,
-    ended: oneshot::Receiver<()>,
+    terminated: oneshot::Receiver<()>,
 }
 
 /// State of the application's handlers.
@@ -49,41 +49,41 @@
 
 type Context<'a> = WebContext<'a, State>;
 
-/// A call that was not carried out, or not to its end.
+/// Why a call failed; its text is the `detail` of the response.
 #[derive(Debug, Display, Error, From)]
 pub enum Fault {
-    /// No operator's key.
+    /// The call carries no valid operator key.
     #[display("no operator holds the key")]
     Unauthorized,
-    /// The body cannot be read, or makes no sense.
+    /// The body cannot be read or does not parse.
     #[display("{_0}")]
     #[from(ignore)]
     Malformed(#[error(not(source))] String),
-    /// No such thing.
+    /// The plan, key or client account does not exist.
     #[display("not found")]
     NotFound,
-    /// There is a configuration already.
+    /// The fleet already has a configuration, so a first one cannot be published.
     #[display("there is a configuration already")]
     Exists,
-    /// The plan's version has passed.
+    /// The configuration has changed since the plan was proposed; lists the differences.
     #[display("stale")]
     #[from(ignore)]
     Stale(#[error(not(source))] Vec<String>),
-    /// The plan was confirmed before.
+    /// The plan is already confirmed.
     #[display("confirmed")]
     Confirmed,
-    /// There is no plan for the intent.
+    /// No plan can be made for the intent.
     #[from]
     Plan(core_plan::Fault),
-    /// The change was not accepted.
+    /// The change to the configuration was not accepted, or its outcome is unknown.
     #[from]
     Change(change::Fault),
-    /// The platform failed.
+    /// A call to the platform failed.
     #[from]
     Host(crate::Error),
 }
 
-type Answer = std::result::Result<(StatusCode, Value), Fault>;
+type CallResult = std::result::Result<(StatusCode, Value), Fault>;
 
 impl Fault {
     fn status(&self) -> StatusCode {
@@ -146,23 +146,23 @@
         .finish();
     let mut server = serve::run(app, listener, (tls, |_| ()), &bounds);
     let handle = server.handle()?;
-    let (sender, ended) = oneshot::channel::<()>();
-    // The server brings a runtime of its own, which may only be dropped on a plain thread.
+    let (sender, terminated) = oneshot::channel::<()>();
+    // The server owns a runtime, which must not be dropped inside another runtime.
     let wait = move || {
         if let Err(error) = server.wait() {
-            log::error!("operators' listener ended: {error}");
+            log::error!("operators' listener failed: {error}");
         }
         drop(sender);
     };
     std::thread::Builder::new().name("operators".to_owned()).spawn(wait)?;
-    Ok(Listener { address, handle, ended })
+    Ok(Listener { address, handle, terminated })
 }
 
 impl Listener {
-    /// Stops the listener; what an operator's call began is carried out all the same.
+    /// Stops the listener. Calls in progress still run to their end, on the host's runtime.
     pub async fn stop(mut self) {
         self.handle.stop(false);
-        drop((&mut self.ended).await);
+        drop((&mut self.terminated).await);
     }
 }
 
@@ -185,11 +185,11 @@
 }
 
 async fn get_config(ctx: &Context<'_>) -> WebResponse {
-    serve(ctx, "show configuration", |call| async move { ok(config::shown(&call.host)) }).await
+    serve(ctx, "show configuration", |call| async move { ok(config::redacted(&call.host)) }).await
 }
 
 async fn put_config(ctx: &Context<'_>) -> WebResponse {
-    serve(ctx, "put configuration", config::found).await
+    serve(ctx, "put configuration", config::create).await
 }
 
 async fn post_key(ctx: &Context<'_>) -> WebResponse {
@@ -230,29 +230,32 @@
 }
 
 impl Call {
-    /// The body as JSON of a known form.
+    /// Parses the body as JSON.
     fn parse<T: serde::de::DeserializeOwned>(&self) -> std::result::Result<T, Fault> {
         serde_json::from_slice(&self.body).map_err(|error| Fault::Malformed(error.to_string()))
     }
 }
 
-fn ok(value: Value) -> Answer {
+fn ok(value: Value) -> CallResult {
     Ok((StatusCode::OK, value))
 }
 
-/// Authenticates a call, runs it on the host's runtime, logs it and answers.
+/// Authenticates a call, runs `work` on the host's runtime, logs the call and responds.
+///
+/// The work is a task of its own, so it completes even if the operator disconnects.
 async fn serve<F, Fut>(ctx: &Context<'_>, action: &str, work: F) -> WebResponse
 where
     F: FnOnce(Call) -> Fut + Send + 'static,
-    Fut: Future<Output = Answer> + Send + 'static,
+    Fut: Future<Output = CallResult> + Send + 'static,
 {
     let State { host, runtime } = ctx.state();
-    let (operator, answer) = match admit(ctx, host).await {
+    let (operator, answer) = match authenticate(ctx, host).await {
         Ok(call) => {
             let operator = call.operator.clone();
-            let work = runtime.spawn(work(call)).await;
-            let failed = |error| Err(Fault::Malformed(format!("the call failed inside: {error}")));
-            (operator, work.unwrap_or_else(failed))
+            let result = runtime.spawn(work(call)).await;
+            let task_failed =
+                |error| Err(Fault::Malformed(format!("the call failed inside: {error}")));
+            (operator, result.unwrap_or_else(task_failed))
         }
         Err(fault) => ("nobody".to_owned(), Err(fault)),
     };
@@ -268,7 +271,7 @@
     response
 }
 
-async fn admit(ctx: &Context<'_>, host: &Arc<Host>) -> std::result::Result<Call, Fault> {
+async fn authenticate(ctx: &Context<'_>, host: &Arc<Host>) -> std::result::Result<Call, Fault> {
     let operator = access::identify(&host.settings.operators, ctx.req().headers())?;
     let body = read_body(ctx).await?;
     Ok(Call { host: host.clone(), operator, body })
@@ -280,7 +283,7 @@
     while let Some(chunk) = Pin::new(&mut body).data().await {
         let chunk = chunk.map_err(|_| Fault::Malformed("the body cannot be read".to_owned()))?;
         if bytes.len() + chunk.len() > MAX_BODY_BYTES {
-            // What is left of it is seen to be unread.
+            // Put the rest back: the connection closes if the body is left unread.
             *ctx.body_borrow_mut() = body;
             return Err(Fault::Malformed(format!("body over {MAX_BODY_BYTES} bytes")));
         }
--- a/crates/host/src/admin/status.rs
+++ b/crates/host/src/admin/status.rs
@@ -1,17 +1,18 @@
-//! What a host tells operators of itself and of what it sees.
+//! Status and metrics of a host, for operators: its authority, and the members, services and client
+//! accounts as the host knows them.
 
 use crate::shared::Host;
 use bergamotvale_core::config::Service;
 use bergamotvale_core::id::{ServiceId, TargetId, Time};
 use serde_json::{Value, json};
 
-/// Probe periods without an answer after which a target is shown as not healthy.
+/// Probe intervals without a response after which a target is shown as unhealthy.
 const MISSED_PROBES: u32 = 4;
 
 pub(super) fn status(host: &Host) -> Value {
     let now = host.clock.now();
     let document = host.document();
-    let standing = host.fleet.standing(now);
+    let authority = host.fleet.standing(now);
     let row = host.fleet.row();
     let (_, in_force) = host.fleet.in_force(now);
     let services = document.services.iter();
@@ -21,9 +22,9 @@
         "version": row.version,
         "epoch": row.epoch,
         "authority": {
-            "held": standing.held,
-            "age_ms": standing.age.map(|age| age.as_millis() as u64),
-            "by": standing.source.map(|source| source.to_string()),
+            "held": authority.held,
+            "age_ms": authority.age.map(|age| age.as_millis() as u64),
+            "by": authority.source.map(|source| source.to_string()),
         },
         "members": members(host, now),
         "services": services.map(|(id, service)| show(host, now, *id, service)).collect::<Vec<_>>(),
@@ -32,7 +33,7 @@
     })
 }
 
-/// Counters and gauges, the platform's traffic among them.
+/// Counters and gauges, including the counts of calls to the platform.
 pub(super) fn metrics(host: &Host) -> Value {
     let mut snapshot = host.metric.snapshot();
     let traffic = host.platform.traffic();
@@ -84,12 +85,12 @@
 ) -> Value {
     let views = host.failover.views(id);
     let view = views.get(&target);
-    let missed = host.settings.policy.probe * MISSED_PROBES;
-    let healthy = view.is_some_and(|view| now.saturating_sub(view.at) <= missed);
+    let max_silence = host.settings.policy.probe * MISSED_PROBES;
+    let healthy = view.is_some_and(|view| now.saturating_sub(view.at) <= max_silence);
     let primary = host.pools.primary(id);
-    let replicas = service.targets.keys().copied().filter(|id| Some(*id) != primary);
-    let targets: Vec<TargetId> = replicas.collect();
-    let ejected = host.data.standings(id, &targets, now).get(&target).is_some_and(|s| s.ejected);
+    let replica_ids = service.targets.keys().copied().filter(|id| Some(*id) != primary);
+    let replicas: Vec<TargetId> = replica_ids.collect();
+    let ejected = host.data.standings(id, &replicas, now).get(&target).is_some_and(|s| s.ejected);
     json!({
         "target": target,
         "role": view.map(|view| format!("{:?}", view.status.role).to_lowercase()),
--- a/crates/host/tests/process/mod.rs
+++ b/crates/host/tests/process/mod.rs
@@ -1,4 +1,4 @@
-//! Hosts as processes of their own, over stand-ins in the test's process.
+//! Runs hosts as separate processes, with the stand-ins of platform and group in the test's process.
 
 use crate::support::{self, KEY, OTHER_KEY, PATIENCE, SERVICE};
 use bergamotvale_host::auth;
@@ -14,20 +14,19 @@
 
 const OPERATOR: &str = "op_alice_secret-of-alice";
 const SALT: &str = "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100";
-/// Time between two looks.
-const PAUSE: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-static SERIAL: AtomicU32 = AtomicU32::new(0);
+static NEXT_SERIAL: AtomicU32 = AtomicU32::new(0);
 
-/// A process of `bergamotvaled`; killed when dropped.
+/// A `bergamotvaled` process, killed when dropped.
 pub(crate) struct Process {
     child: Child,
-    folder: PathBuf,
+    directory: PathBuf,
     pub(crate) callers: SocketAddr,
     pub(crate) operators: SocketAddr,
 }
 
-/// Platform, group and processes.
+/// Stand-ins of platform and group, and host processes that use them.
 pub(crate) struct System {
     pub(crate) processes: Vec<Process>,
     pub(crate) group: Group,
@@ -35,7 +34,7 @@
     pub(crate) http: reqwest::Client,
 }
 
-/// What a caller got.
+/// A response to a caller.
 #[derive(Debug)]
 pub(crate) struct Reply {
     pub(crate) status: u16,
@@ -43,8 +42,10 @@
     pub(crate) body: Value,
 }
 
-/// Addresses of loopback for the process with this serial number alone: a port that is free when it
-/// is looked for may be taken, by an outgoing connection for one, before the daemon binds it.
+/// Loopback addresses that only the process with this serial number uses.
+///
+/// Searching for free ports does not work: another socket, such as that of an outgoing connection,
+/// may take a port before the daemon binds it.
 fn addresses(serial: u32) -> [SocketAddr; 3] {
     let [.., high, low] = std::process::id().to_be_bytes();
     let last = u8::try_from(serial % 250 + 1).expect("at most 250");
@@ -53,10 +54,10 @@
 
 impl Process {
     fn start(host: u32, platform: SocketAddr) -> Process {
-        let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
+        let serial = NEXT_SERIAL.fetch_add(1, Ordering::Relaxed);
         let name = format!("bergamotvale-test-{}-{serial}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder).expect("a folder");
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory).expect("a directory");
         let [callers, operators, peers] = addresses(serial);
         let secret = OPERATOR.rsplit('_').next().expect("a key has three parts");
         let settings = json!({
@@ -66,7 +67,7 @@
             "platform": {"address": platform},
             "operators": [{"name": "alice", "salt": SALT, "digest": auth::digest(SALT, secret)}],
         });
-        let path = folder.join("settings.yaml");
+        let path = directory.join("settings.yaml");
         let text = serde_yaml_ng::to_string(&settings).expect("settings are YAML");
         std::fs::write(&path, text).expect("settings are written");
         let child = Command::new(env!("CARGO_BIN_EXE_bergamotvaled"))
@@ -76,46 +77,47 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the daemon starts");
-        Process { child, folder, callers, operators }
+        Process { child, directory, callers, operators }
     }
 
-    /// Sends a signal to this process alone.
+    /// Sends a signal to this process.
     pub(crate) fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id");
         let id = Pid::from_raw(id).expect("a process id is above 0");
-        kill_process(id, signal).expect("the process is there");
+        kill_process(id, signal).expect("the process is running");
     }
 
-    /// Ends it by SIGKILL.
+    /// Kills the process with SIGKILL and waits until it has exited.
     pub(crate) fn kill(&mut self) {
-        self.child.kill().expect("the process is there");
-        self.child.wait().expect("the process ends");
+        self.child.kill().expect("the process is running");
+        self.child.wait().expect("the process exits");
     }
 
-    /// Waits until it has ended by itself.
-    pub(crate) async fn ended(&mut self) -> ExitStatus {
+    /// Waits until the process exits on its own.
+    pub(crate) async fn wait_for_exit(&mut self) -> ExitStatus {
         let start = Instant::now();
         loop {
-            if let Some(status) = self.child.try_wait().expect("the process is ours") {
+            if let Some(status) = self.child.try_wait().expect("the process is a child of the test")
+            {
                 return status;
             }
-            assert!(start.elapsed() < PATIENCE, "the process does not end");
-            tokio::time::sleep(PAUSE).await;
+            assert!(start.elapsed() < PATIENCE, "the process does not exit");
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
-        // It may have ended already, which is as good.
+        // These fail if the process has already exited, which is fine.
         drop(self.child.kill());
         drop(self.child.wait());
-        drop(std::fs::remove_dir_all(&self.folder));
+        drop(std::fs::remove_dir_all(&self.directory));
     }
 }
 
 impl System {
-    /// Starts `hosts` processes and waits until each serves.
+    /// Starts `hosts` processes and waits until each of them serves reads.
     pub(crate) async fn start(hosts: u32) -> System {
         let schema = vec!["CREATE TABLE bolts (id TEXT PRIMARY KEY, lot BIGINT NOT NULL)".into()];
         let options = group::Options { schema, ..group::Options::default() };
@@ -123,32 +125,34 @@
         let platform = platform::Server::start(platform::Options::default()).expect("platform");
         let start = |host| Process::start(host, platform.address());
         let processes = (1..=hosts).map(start).collect();
-        // A connection each: a request is never sent on one that its host has just closed.
+        // One connection per request, so that no request is sent on a connection that its host has
+        // just closed.
         let builder = reqwest::Client::builder().pool_max_idle_per_host(0);
         let http = builder.build().expect("a client");
         let system = System { processes, group, platform, http };
-        system.found().await;
+        system.publish_config().await;
         for number in 0..hosts as usize {
-            system.answers(number, KEY, 200, "").await;
+            system.wait_for_read(number, KEY, 200, "").await;
         }
         system
     }
 
-    /// Publishes the first configuration.
-    async fn found(&self) {
+    /// Publishes the first configuration, retrying until it is accepted.
+    async fn publish_config(&self) {
         let document = json!(support::document(&self.group.addresses()));
         let start = Instant::now();
         loop {
-            let put = self.operate(0, reqwest::Method::PUT, "config", &document).await;
+            let put = self.call_operators(0, reqwest::Method::PUT, "config", &document).await;
             if matches!(put, Some(200..=299)) {
                 return;
             }
-            assert!(start.elapsed() < PATIENCE, "no first configuration: {put:?}");
-            tokio::time::sleep(PAUSE).await;
+            assert!(start.elapsed() < PATIENCE, "the first configuration is not accepted: {put:?}");
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    async fn operate(
+    /// Calls the operators' API of host `number`; the status, or `None` without a response.
+    async fn call_operators(
         &self,
         number: usize,
         method: reqwest::Method,
@@ -161,16 +165,18 @@
     }
 
     /// Withdraws the other client account's key through host `number`.
-    pub(crate) async fn withdraw_other(&self, number: usize) {
+    pub(crate) async fn withdraw_other_key(&self, number: usize) {
         let path = "keys/2/withdraw";
         let start = Instant::now();
-        while self.operate(number, reqwest::Method::POST, path, &json!({})).await != Some(200) {
+        while self.call_operators(number, reqwest::Method::POST, path, &json!({})).await
+            != Some(200)
+        {
             assert!(start.elapsed() < PATIENCE, "the key is not withdrawn");
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    /// Posts a statement as the first client account; an error when no whole answer came.
+    /// Posts a request as the first client account; an error if no complete response arrives.
     pub(crate) async fn post(
         &self,
         number: usize,
@@ -201,13 +207,13 @@
         Ok(Reply { status, replayed, body: response.json().await? })
     }
 
-    /// Logs a bolt with an idempotency key.
+    /// Inserts a bolt, with its id as the idempotency key.
     pub(crate) async fn log_bolt(&self, number: usize, id: &str) -> reqwest::Result<Reply> {
         self.post(number, &format!("services/{SERVICE}/write"), insert(id), Some(id)).await
     }
 
-    /// The same, asked again until it is taken.
-    pub(crate) async fn log_bolt_until_taken(&self, number: usize, id: &str) -> Reply {
+    /// Inserts a bolt as [`System::log_bolt`] does, and retries until the write succeeds.
+    pub(crate) async fn log_bolt_until_accepted(&self, number: usize, id: &str) -> Reply {
         let start = Instant::now();
         loop {
             let reply = self.log_bolt(number, id).await;
@@ -217,44 +223,44 @@
                 }
                 assert!(start.elapsed() < PATIENCE, "{id}: {reply:?}");
             }
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    /// Status and reason of a read with `key`; none when no whole answer came.
-    pub(crate) async fn ask(&self, number: usize, key: &str) -> Option<(u16, String)> {
+    /// Status and reason of a read with `key`; `None` if no complete response arrives.
+    pub(crate) async fn probe_read(&self, number: usize, key: &str) -> Option<(u16, String)> {
         let body = json!({"sql": "SELECT count(*) FROM bolts", "params": []});
         let path = format!("services/{SERVICE}/read");
         let reply = self.post_as(key, number, &path, body, None).await.ok()?;
         Some((reply.status, reply.body["reason"].as_str().unwrap_or_default().to_owned()))
     }
 
-    /// Waits until a read with `key` is answered so.
-    pub(crate) async fn answers(&self, number: usize, key: &str, status: u16, reason: &str) {
-        let wanted = Some((status, reason.to_owned()));
+    /// Waits until a read with `key` returns this status and reason.
+    pub(crate) async fn wait_for_read(&self, number: usize, key: &str, status: u16, reason: &str) {
+        let expected = Some((status, reason.to_owned()));
         let start = Instant::now();
         loop {
-            let got = self.ask(number, key).await;
-            if got == wanted {
+            let got = self.probe_read(number, key).await;
+            if got == expected {
                 return;
             }
-            assert!(start.elapsed() < PATIENCE, "host {number}: {got:?}, not {wanted:?}");
-            tokio::time::sleep(PAUSE).await;
+            assert!(start.elapsed() < PATIENCE, "host {number}: {got:?}, not {expected:?}");
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    /// The raw bytes of a read with the other client account's key.
-    pub(crate) fn other_request() -> String {
+    /// The HTTP request of a read with the other client account's key, as it is sent.
+    pub(crate) fn other_key_request() -> String {
         let body = json!({"sql": "SELECT count(*) FROM bolts", "params": []}).to_string();
         let head = format!("POST /v1/services/{SERVICE}/read HTTP/1.1\r\nhost: test\r\n");
         let length = body.len();
         format!("{head}authorization: Bearer {OTHER_KEY}\r\ncontent-length: {length}\r\n\r\n{body}")
     }
 
-    /// Bolts on the present primary, by how often each is there.
-    pub(crate) fn bolts(&self, id: &str) -> usize {
-        let leads = |target: &&group::Target| target.is_primary();
-        let primaries = self.group.targets().iter().filter(leads);
+    /// Number of rows with this id on the current primary.
+    pub(crate) fn count_bolts(&self, id: &str) -> usize {
+        let is_primary = |target: &&group::Target| target.is_primary();
+        let primaries = self.group.targets().iter().filter(is_primary);
         let primary = primaries.max_by_key(|target| target.accepted_term()).expect("a primary");
         let query = format!("SELECT id FROM bolts WHERE id = '{id}'");
         primary.query(&query).expect("rows").len()
@@ -270,7 +276,7 @@
     }
 }
 
-/// The statement that logs a bolt.
+/// The body of a request that inserts a bolt.
 pub(crate) fn insert(id: &str) -> Value {
     json!({"sql": "INSERT INTO bolts (id, lot) VALUES ($1, $2)", "params": [id, 7]})
 }
--- a/crates/host/tests/settings.rs
+++ b/crates/host/tests/settings.rs
@@ -1,12 +1,13 @@
-//! Settings files with the message that each must give; `ok` for those that hold.
+//! Checks that each settings text in `cases/settings` is accepted (`ok`) or rejected with the expected
+//! message.
 
 use bergamotvale_host::settings::Settings;
 use std::path::Path;
 
-/// A case is a settings text, a line `---`, and the expected outcome.
-fn case(path: &Path) -> datatest_stable::Result<()> {
+/// Checks one case file: a settings text, a line `---`, and the expected outcome.
+fn check_case(path: &Path) -> datatest_stable::Result<()> {
     let case = std::fs::read_to_string(path)?;
-    let (text, expected) = case.split_once("\n---\n").ok_or("no line --- in the case")?;
+    let (text, expected) = case.split_once("\n---\n").ok_or("the case has no line `---`")?;
 
     let outcome = match Settings::parse(text) {
         Ok(_) => "ok".to_owned(),
@@ -20,5 +21,5 @@
 }
 
 datatest_stable::harness! {
-    { test = case, root = "tests/cases/settings", pattern = r"\.case$" },
+    { test = check_case, root = "tests/cases/settings", pattern = r"\.case$" },
 }
--- a/crates/host/tests/tls.rs
+++ b/crates/host/tests/tls.rs
@@ -1,4 +1,5 @@
-//! Listeners over TLS.
+//! The callers' and operators' listeners over TLS: service, limits, disconnects, graceful stop, and
+//! settings whose files cannot be used.
 
 mod common;
 
@@ -12,29 +13,31 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const LONG: &str = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 40000) \
+const LONG_QUERY: &str = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 40000) \
     SELECT i, 'one more line of the long result' AS line FROM n";
-const SLOW: &str = "INSERT INTO bolts SELECT 7, 1 WHERE pg_sleep(60) IS NOT NULL";
+const SLOW_INSERT: &str = "INSERT INTO bolts SELECT 7, 1 WHERE pg_sleep(60) IS NOT NULL";
 
-/// A certificate for 127.0.0.1 with its files, which `name` tells from other tests'.
-struct Made {
+/// A self-signed certificate for 127.0.0.1, with its files.
+struct TestIdentity {
     identity: Identity,
     pem: String,
 }
 
-fn file(name: &str, content: &str) -> PathBuf {
+fn write_file(name: &str, content: &str) -> PathBuf {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, content).expect("a file");
     path
 }
 
-fn made(name: &str) -> Made {
+/// Creates an identity; `name` keeps its files apart from those of other tests.
+fn make_identity(name: &str) -> TestIdentity {
     let names = vec!["127.0.0.1".to_owned()];
-    let CertifiedKey { cert, signing_key } = generate_simple_self_signed(names).expect("made");
+    let CertifiedKey { cert, signing_key } =
+        generate_simple_self_signed(names).expect("a generated certificate");
     let pem = cert.pem();
-    let certificate = file(&format!("{name}.crt"), &pem);
-    let key = file(&format!("{name}.key"), &signing_key.serialize_pem());
-    Made { identity: Identity { certificate, key }, pem }
+    let certificate = write_file(&format!("{name}.crt"), &pem);
+    let key = write_file(&format!("{name}.key"), &signing_key.serialize_pem());
+    TestIdentity { identity: Identity { certificate, key }, pem }
 }
 
 fn client(pem: &str) -> reqwest::Client {
@@ -44,7 +47,7 @@
 }
 
 async fn start(name: &str, change: impl FnOnce(&mut Settings)) -> (Fixture, Host) {
-    let made = made(name);
+    let made = make_identity(name);
     let mut fixture = Fixture::new().await;
     fixture.http = client(&made.pem);
     let host = fixture.host_with(1, |settings| {
@@ -61,7 +64,7 @@
     let (fixture, host) = start("served", |_| ()).await;
 
     host.write("INSERT INTO bolts VALUES (1, 40)").send().await.ok();
-    let long = host.read(LONG).with_header("bergamotvale-timeout", "20s").send().await.ok();
+    let long = host.read(LONG_QUERY).with_header("bergamotvale-timeout", "20s").send().await.ok();
 
     assert_eq!(fixture.bolts(), 1);
     assert_eq!(long.body["rows"].as_array().map(Vec::len), Some(40_000));
@@ -78,15 +81,15 @@
     assert_eq!(answer.expect("an answer").status(), 401);
 }
 
-/// All that a plain caller on `address` gets until the host closes.
-async fn plain(address: SocketAddr) -> String {
+/// Sends a request without TLS; returns what the host sends until it closes the connection.
+async fn send_plain(address: SocketAddr) -> String {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let request = b"GET /v1/open/stock HTTP/1.1\r\nhost: a\r\n\r\n";
     stream.write_all(request).await.expect("sent");
     let mut answer = Vec::new();
-    // A reset is an end as well.
+    // A reset also closes the connection.
     let ended = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
-    assert!(ended.is_ok(), "the connection stays open");
+    assert!(ended.is_ok(), "the host did not close the connection");
     String::from_utf8_lossy(&answer).into_owned()
 }
 
@@ -96,7 +99,7 @@
     let operators = host.daemon.host.settings.listen.operators;
 
     for address in [host.address, operators] {
-        let answer = plain(address).await;
+        let answer = send_plain(address).await;
         assert!(!answer.contains("HTTP"), "{answer}");
     }
     host.read("SELECT 1").send().await.ok();
@@ -104,8 +107,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_handshake_that_does_not_come_ends_its_connection() {
-    let quick = |settings: &mut Settings| settings.limits.header_time = Duration::from_secs(1);
-    let (_fixture, host) = start("silent", quick).await;
+    let short_timeout =
+        |settings: &mut Settings| settings.limits.header_time = Duration::from_secs(1);
+    let (_fixture, host) = start("silent", short_timeout).await;
 
     let mut stream = TcpStream::connect(host.address).await.expect("a connection");
     let ended = tokio::time::timeout(PATIENCE, stream.read_u8()).await;
@@ -131,9 +135,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_that_do_not_trust_the_certificate_are_not_served() {
     let (_fixture, host) = start("distrust", |_| ()).await;
-    let stranger = client(&made("stranger").pem);
+    let distrusting_client = client(&make_identity("stranger").pem);
 
-    let answer = stranger.get(format!("https://{}/v1/open/stock", host.address)).send().await;
+    let answer =
+        distrusting_client.get(format!("https://{}/v1/open/stock", host.address)).send().await;
 
     assert!(answer.is_err(), "{answer:?}");
 }
@@ -141,13 +146,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_statement_ends_with_its_caller_over_tls() {
     let (fixture, host) = start("gone", |_| ()).await;
-    let slow = host.write(SLOW).with_header("bergamotvale-timeout", "20s");
+    let slow = host.write(SLOW_INSERT).with_header("bergamotvale-timeout", "20s");
 
     let running = tokio::spawn(slow.try_send());
     until("the statement runs", || host.daemon.host.data.in_flight((1, 0)) > 0).await;
     running.abort();
-    until("the caller is missed", || host.counter("caller.gone") == 1).await;
-    // The stand-in runs one write at a time: this one would wait for a minute.
+    until("the host detects the disconnect", || host.counter("caller.gone") == 1).await;
+    // The stand-in runs one write at a time: this write would wait a minute if the slow statement
+    // were still running.
     host.write("INSERT INTO bolts VALUES (1, 40)").send().await.ok();
 
     assert_eq!(fixture.bolts(), 1);
@@ -157,7 +163,7 @@
 async fn a_cut_result_is_seen_to_be_cut_over_tls() {
     let (_fixture, host) = start("cut", |settings| settings.limits.result = 1 << 20).await;
 
-    let answer = host.read(LONG).with_header("bergamotvale-timeout", "20s").try_send().await;
+    let answer = host.read(LONG_QUERY).with_header("bergamotvale-timeout", "20s").try_send().await;
 
     assert!(answer.is_err(), "{answer:?}");
     assert_eq!(host.counter("read.cut"), 1);
@@ -215,12 +221,12 @@
 
 #[test]
 fn files_that_cannot_serve_are_refused_with_field_and_place() {
-    let good = made("good").identity;
-    let other = made("other").identity;
+    let good = make_identity("good").identity;
+    let other = make_identity("other").identity;
     let missing = PathBuf::from("missing.pem");
-    let empty = file("empty.pem", "no certificate");
-    let foreign = KeyPair::generate().expect("a key").serialize_pem();
-    let foreign = file("foreign.key", &foreign);
+    let empty = write_file("empty.pem", "no certificate");
+    let unmatched_key = KeyPair::generate().expect("a key").serialize_pem();
+    let unmatched_key = write_file("unmatched.key", &unmatched_key);
     let with = |certificate: &PathBuf, key: &PathBuf| {
         Settings::parse(&settings(&Identity { certificate: certificate.clone(), key: key.clone() }))
     };
@@ -229,14 +235,19 @@
         (with(&good.certificate, &missing), "tls.operators.key", "at line 8", "missing.pem"),
         (with(&empty, &good.key), "tls.operators.certificate", "at line 7", "empty.pem"),
         (with(&good.certificate, &empty), "tls.operators.key", "at line 8", "empty.pem"),
-        (with(&good.certificate, &other.key), "tls.operators.key", "at line 8", "fit"),
-        (with(&good.certificate, &foreign), "tls.operators.key", "at line 8", "fit"),
+        (with(&good.certificate, &other.key), "tls.operators.key", "at line 8", "does not match"),
+        (
+            with(&good.certificate, &unmatched_key),
+            "tls.operators.key",
+            "at line 8",
+            "does not match",
+        ),
     ];
 
-    for (outcome, field, place, word) in cases {
+    for (outcome, field, line, text) in cases {
         let fault = outcome.expect_err("a refusal").to_string();
         assert!(fault.starts_with(&format!("settings: {field}: ")), "{fault}");
-        assert!(fault.contains(word) && fault.ends_with(place), "{fault}");
+        assert!(fault.contains(text) && fault.ends_with(line), "{fault}");
     }
     assert!(with(&good.certificate, &good.key).is_ok());
 }
