--- a/crates/host/tests/fleet_stop.rs
+++ b/crates/host/tests/fleet_stop.rs
@@ -1,4 +1,5 @@
-//! A graceful stop while callers go on, sent there by a balancer that follows the platform's list.
+//! A graceful stop under load: a load balancer keeps sending callers to the host until the platform no
+//! longer lists it.
 
 mod common;
 mod fleet;
@@ -12,15 +13,15 @@
 const CALLERS: usize = 8;
 const LEAVE: Duration = Duration::from_secs(2);
 
-/// What one caller met until the host was gone.
+/// Results of one caller's requests until the platform no longer listed the host.
 #[derive(Debug, Default)]
-struct Met {
+struct Tally {
     answered: u32,
     refused: u32,
-    cut: Vec<String>,
+    failed: Vec<String>,
 }
 
-/// Whether the platform lists the host; the list is a second late.
+/// Whether the platform lists the host; the list lags by a second.
 async fn is_listed(http: &reqwest::Client, platform: SocketAddr) -> bool {
     let url = format!("http://{platform}/hosts");
     let answer = http.get(url).send().await.expect("the platform answers");
@@ -29,12 +30,12 @@
     hosts.any(|host| host["host"] == "4")
 }
 
-/// Asks again and again, as long as the balancer sends callers there.
-async fn ask_while_listed(address: SocketAddr, platform: SocketAddr) -> Met {
+/// Sends requests for as long as the load balancer sends callers to the host.
+async fn request_while_listed(address: SocketAddr, platform: SocketAddr) -> Tally {
     let http = reqwest::Client::new();
     let url = format!("http://{address}/v1/services/mill/read");
     let body = json!({"sql": "SELECT count(*) FROM bolts", "params": []});
-    let mut met = Met::default();
+    let mut tally = Tally::default();
     while is_listed(&http, platform).await {
         match http.post(&url).bearer_auth(KEY).json(&body).send().await {
             Ok(response) => {
@@ -42,20 +43,20 @@
                 let answer: serde_json::Value = match response.json().await {
                     Ok(answer) => answer,
                     Err(error) => {
-                        met.cut.push(error.to_string());
+                        tally.failed.push(error.to_string());
                         continue;
                     }
                 };
                 match (status, answer["ran"].as_str()) {
-                    (200, _) => met.answered += 1,
-                    (503, Some("no")) => met.refused += 1,
-                    _ => met.cut.push(answer.to_string()),
+                    (200, _) => tally.answered += 1,
+                    (503, Some("no")) => tally.refused += 1,
+                    _ => tally.failed.push(answer.to_string()),
                 }
             }
-            Err(error) => met.cut.push(format!("{error:?}")),
+            Err(error) => tally.failed.push(format!("{error:?}")),
         }
     }
-    met
+    tally
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -67,22 +68,23 @@
     while !is_listed(http, platform).await {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    let part = |host: usize| fleet.host(host).limiter.part(common::ACCOUNT).0;
-    let before: u64 = (0..3).map(part).sum();
-    let callers: Vec<_> =
-        (0..CALLERS).map(|_| tokio::spawn(ask_while_listed(stopping.address, platform))).collect();
+    let share = |host: usize| fleet.host(host).limiter.part(common::ACCOUNT).0;
+    let before: u64 = (0..3).map(share).sum();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| tokio::spawn(request_while_listed(stopping.address, platform)))
+        .collect();
     tokio::time::sleep(Duration::from_millis(300)).await;
 
     stopping.daemon.stop().await;
 
     for caller in callers {
-        let met = caller.await.expect("the caller ends");
-        assert!(met.answered > 0, "{met:?}");
-        assert_eq!(met.cut, Vec::<String>::new(), "{met:?}");
+        let tally = caller.await.expect("the caller does not panic");
+        assert!(tally.answered > 0, "{tally:?}");
+        assert_eq!(tally.failed, Vec::<String>::new(), "{tally:?}");
     }
-    let three = || fleet.all().all(|host| host.fleet.row().members.len() == 3);
-    fleet.wait("three members", three).await;
-    let whole = || (0..3).map(part).sum::<u64>() > before;
-    fleet.wait("the shares of the host that left", whole).await;
+    let has_left = || fleet.all().all(|host| host.fleet.row().members.len() == 3);
+    fleet.wait("three members", has_left).await;
+    let shares_returned = || (0..3).map(share).sum::<u64>() > before;
+    fleet.wait("the shares of the host that left", shares_returned).await;
     fleet.stop().await;
 }
--- a/crates/host/tests/tls.rs
+++ b/crates/host/tests/tls.rs
@@ -13,8 +13,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const LONG_QUERY: &str = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 40000) \
-    SELECT i, 'one more line of the long result' AS line FROM n";
+const LONG_QUERY: &str = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n \
+    WHERE i < 40000) SELECT i, 'one more line of the long result' AS line FROM n";
 const SLOW_INSERT: &str = "INSERT INTO bolts SELECT 7, 1 WHERE pg_sleep(60) IS NOT NULL";
 
 /// A self-signed certificate for 127.0.0.1, with its files.
