--- a/crates/host/tests/fleet_change.rs
+++ b/crates/host/tests/fleet_change.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// Makes the platform execute the next `responses` calls without responding to them.
+/// Makes the platform execute the next `responses` writes without responding to them.
 fn lose_responses(fleet: &Fleet, responses: u64) {
     fleet.fault(|fault| fault.lost_responses = responses);
 }
--- a/crates/host/tests/settings.rs
+++ b/crates/host/tests/settings.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 /// Checks one case file: a settings text, a line `---`, and the expected outcome.
-fn check_case(path: &Path) -> datatest_stable::Result<()> {
+fn case(path: &Path) -> datatest_stable::Result<()> {
     let case = std::fs::read_to_string(path)?;
     let (text, expected) = case.split_once("\n---\n").ok_or("the case has no line `---`")?;
 
@@ -21,5 +21,5 @@
 }
 
 datatest_stable::harness! {
-    { test = check_case, root = "tests/cases/settings", pattern = r"\.case$" },
+    { test = case, root = "tests/cases/settings", pattern = r"\.case$" },
 }
