--- a/crates/host/tests/process/mod.rs
+++ b/crates/host/tests/process/mod.rs
@@ -146,7 +146,10 @@
             if matches!(put, Some(200..=299)) {
                 return;
             }
-            assert!(start.elapsed() < WAIT_TIMEOUT, "the first configuration is not accepted: {put:?}");
+            assert!(
+                start.elapsed() < WAIT_TIMEOUT,
+                "the first configuration is not accepted: {put:?}"
+            );
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
