--- a/crates/host/src/failover/driver.rs
+++ b/crates/host/src/failover/driver.rs
@@ -1,8 +1,8 @@
-//! Probes the targets and carries out what the machines of the core decide.
+//! Probes the targets and executes the actions of the core's detector and promoter.
 //!
-//! One task a service ticks its machines. Each exchange with a target runs in a task of its own,
-//! so that a silent target delays nothing; what it brings back goes into the machines under the
-//! lock, and the actions that follow are carried out in the same way.
+//! One task per service ticks these state machines. Each exchange with a target runs in a task of
+//! its own, so that a target that does not answer delays nothing else. The result is recorded under
+//! the lock, and the resulting actions are executed in the same way.
 
 use super::planned;
 use crate::platform::{Put, Transaction};
@@ -19,18 +19,18 @@
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
-/// Rows that note the primary of each service, for people.
+/// Prefix of the rows in the platform's table that show operators the primary of each service.
 pub const PRIMARY_ROW: &str = "primary";
-/// Time between two ticks of the machines.
-const TICK: Duration = Duration::from_millis(25);
+/// Interval at which the state machines are ticked.
+const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Watches every service of the configuration until the host stops.
+/// Runs a watch task for every service of the configuration until the host stops.
 pub async fn run(host: Arc<Host>) {
     let mut document = host.document.subscribe();
     let mut tasks = JoinSet::new();
     loop {
         let services = document.borrow_and_update().services.clone();
-        for service in host.failover.follow(&services) {
+        for service in host.failover.set_services(&services) {
             tasks.spawn(watch(host.clone(), service));
         }
         while tasks.try_join_next().is_some() {}
@@ -40,16 +40,16 @@
     }
 }
 
-/// Watches one service until it leaves the configuration.
+/// Ticks and probes one service until it is removed from the configuration.
 async fn watch(host: Arc<Host>, service: ServiceId) {
-    let mut ticks = interval(TICK);
+    let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut probed = None;
-    while host.failover.with(service, |_| ()).is_some() {
+    let mut last_probed = None;
+    while host.failover.with_group(service, |_| ()).is_some() {
         ticks.tick().await;
         let now = host.clock.now();
-        if probed.is_none_or(|at| now.saturating_sub(at) >= host.settings.policy.probe) {
-            probed = Some(now);
+        if last_probed.is_none_or(|at| now.saturating_sub(at) >= host.settings.policy.probe) {
+            last_probed = Some(now);
             probe_all(&host, service);
         }
         tick(&host, service);
@@ -59,7 +59,7 @@
 fn tick(host: &Arc<Host>, service: ServiceId) {
     let now = host.clock.now();
     let off = host.settings.policy.failover == Policy::Off;
-    let promotions = host.failover.with(service, |group| {
+    let promotions = host.failover.with_group(service, |group| {
         for action in group.detector.tick(now) {
             match action {
                 detect::Action::SendOpinion(opinion) => {
@@ -74,14 +74,14 @@
         }
         group.promoter.tick(now)
     });
-    carry_out(host, service, promotions.unwrap_or_default());
+    execute(host, service, promotions.unwrap_or_default());
     planned::tick(host, service);
 }
 
-/// Probes every target of `service` that has no probe under way.
+/// Probes every target of `service` that has no probe in flight.
 pub(crate) fn probe_all(host: &Arc<Host>, service: ServiceId) {
     let now = host.clock.now();
-    let due = host.failover.with(service, |group| {
+    let due = host.failover.with_group(service, |group| {
         let controls = group.controls.clone();
         let due = controls.into_iter().filter(|(id, _)| group.probing.insert(*id));
         let due: Vec<_> = due.collect();
@@ -93,24 +93,26 @@
     }
 }
 
+/// Queries the status of one target and records the result. A suspected target is also tested with
+/// work, since it may answer probes and still fail its work.
 async fn probe(host: Arc<Host>, service: ServiceId, target: TargetId, control: Arc<Control>) {
     let answer = control.status(&host.settings).await;
     let now = host.clock.now();
-    let noted = host.failover.with(service, |group| {
+    let recorded = host.failover.with_group(service, |group| {
         let status = answer.ok()?;
-        let actions = group.answered(now, target, status);
+        let actions = group.record_probe_answer(now, target, status);
         Some((actions, group.detector.targets()[&target].suspected))
     });
-    let (actions, suspected) = noted.flatten().unwrap_or_default();
-    carry_out(&host, service, actions);
-    let worked = match suspected {
+    let (actions, suspected) = recorded.flatten().unwrap_or_default();
+    execute(&host, service, actions);
+    let work_result = match suspected {
         true => control.work(&host.settings).await,
         false => Ok(()),
     };
     let now = host.clock.now();
-    host.failover.with(service, |group| {
+    host.failover.with_group(service, |group| {
         group.probing.remove(&target);
-        if let Err(Failure::Silent | Failure::Failed) = worked {
+        if let Err(Failure::Silent | Failure::Failed) = work_result {
             group.detector.record_work(now, target, false);
         }
         match answer {
@@ -123,51 +125,53 @@
     });
 }
 
-/// Carries out the promoter's actions.
-pub(crate) fn carry_out(
+/// Executes the promoter's actions.
+pub(crate) fn execute(
     host: &Arc<Host>,
     service: ServiceId,
     actions: impl IntoIterator<Item = promotion::Action>,
 ) {
     for action in actions {
         match action {
-            promotion::Action::Done { target, term } => done(host, service, target, term),
+            promotion::Action::Done { target, term } => complete(host, service, target, term),
             promotion::Action::Failed { term } => {
                 host.metric.count("failover.attempts_failed");
-                log::info!("service {service}: no primary came of term {term}");
+                log::info!("service {service}: promotion attempt for term {term} failed");
             }
-            action => drop(tokio::spawn(exchange(host.clone(), service, action))),
+            action => drop(tokio::spawn(send_request(host.clone(), service, action))),
         }
     }
 }
 
-async fn exchange(host: Arc<Host>, service: ServiceId, action: promotion::Action) {
+/// Sends one fence or promotion request to a target and records the answer.
+async fn send_request(host: Arc<Host>, service: ServiceId, action: promotion::Action) {
     let (promotion::Action::Fence { target, term, promoter }
     | promotion::Action::Promote { target, term, promoter }) = action
     else {
         return;
     };
-    let control = host.failover.with(service, |group| group.controls.get(&target).cloned());
+    let control = host.failover.with_group(service, |group| group.controls.get(&target).cloned());
     let Some(control) = control.flatten() else { return };
-    let fencing = matches!(action, promotion::Action::Fence { .. });
-    let unfenced = host.settings.policy.defects.contains(&Defect::SkipFence);
-    let answer = match fencing {
-        true if unfenced => pretend_grant(&host, &control, term).await,
+    let is_fence = matches!(action, promotion::Action::Fence { .. });
+    let skips_fence = host.settings.policy.defects.contains(&Defect::SkipFence);
+    let answer = match is_fence {
+        true if skips_fence => fabricate_grant(&host, &control, term).await,
         true => control.fence(&host.settings, term, promoter).await,
-        false if unfenced => promote_unfenced(&host, &control, term, promoter).await,
+        false if skips_fence => promote_unfenced(&host, &control, term, promoter).await,
         false => control.promote(&host.settings, term, promoter).await,
     };
     log::debug!("service {service}: {action:?}: {answer:?}");
     let now = host.clock.now();
-    let actions = host.failover.with(service, |group| match fencing {
+    let actions = host.failover.with_group(service, |group| match is_fence {
         true => group.promoter.record_fence(now, target, term, answer.ok()),
         false => group.promoter.record_promotion(now, target, term, answer.ok()),
     });
-    carry_out(&host, service, actions.unwrap_or_default());
+    execute(&host, service, actions.unwrap_or_default());
 }
 
-/// The deliberate defect: a grant that the target was not asked for.
-async fn pretend_grant(
+/// Deliberate defect [`Defect::SkipFence`]: makes up a grant without sending the fence to the
+/// target.
+async fn fabricate_grant(
     host: &Host,
     control: &Control,
     term: Term,
@@ -176,7 +180,8 @@
     Ok(TermResponse { granted: true, accepted: term, entry: status.entry, voter: true })
 }
 
-/// The deliberate defect: only the target that is promoted grants the term.
+/// Deliberate defect [`Defect::SkipFence`]: fences only the target that is promoted, so that the
+/// other targets never grant the term.
 async fn promote_unfenced(
     host: &Host,
     control: &Control,
@@ -187,20 +192,22 @@
     control.promote(&host.settings, term, promoter).await
 }
 
-fn done(host: &Arc<Host>, service: ServiceId, target: TargetId, term: u64) {
+fn complete(host: &Arc<Host>, service: ServiceId, target: TargetId, term: u64) {
     host.metric.count("failover.promotions");
     log::info!("service {service}: target {target} is the primary of term {term}");
-    planned::done(host, service, target, term);
+    planned::complete(host, service, target, term);
     probe_all(host, service);
-    tokio::spawn(record(host.clone(), service, target, term));
+    tokio::spawn(record_primary(host.clone(), service, target, term));
 }
 
-/// Notes the new primary in the store, where operators find it; nothing depends on it.
-async fn record(host: Arc<Host>, service: ServiceId, target: TargetId, term: u64) {
+/// Records the new primary in the platform's table for operators; nothing depends on it.
+async fn record_primary(host: Arc<Host>, service: ServiceId, target: TargetId, term: u64) {
     let key = format!("{PRIMARY_ROW}.{service}");
     let value = json!({ "target": target, "term": term });
     let transaction = Transaction { puts: vec![Put { key, value }], ..Transaction::default() };
     if let Err(error) = host.platform.transact(&transaction).await {
-        log::info!("service {service}: the store did not note term {term}: {error}");
+        log::info!(
+            "service {service}: cannot record the primary of term {term} in the store: {error}"
+        );
     }
 }
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -1,10 +1,10 @@
-//! Failover: what this host knows of each group, and what it does when a primary fails.
+//! Failover: detects failed primaries and promotes replacements.
 //!
-//! [`Failover`] holds, per service, the core's detector and promoter behind one lock. The driver
-//! (see [`driver`]) probes the targets and carries out the machines' actions. The rest of the host
-//! reports the outcomes of work with [`Failover::record_work`], tells peers [`Failover::opinions`] with
-//! each heartbeat and at once when [`Failover::opinion_changed`] says so, and hands what it hears to
-//! [`Failover::record_opinions`].
+//! [`Failover`] holds the core's detector and promoter of each service behind one lock. The
+//! [`driver`] probes the targets and executes the actions of these state machines. The rest of the
+//! host reports the outcomes of work with [`Failover::record_work`], sends [`Failover::opinions`]
+//! to peers with each heartbeat and at once after [`Failover::opinion_changed`], and passes the
+//! peers' opinions to [`Failover::record_opinions`].
 
 pub mod driver;
 pub mod hold;
@@ -25,13 +25,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::Notify;
 
-/// What this host knows of all groups.
+/// State of all groups as this host knows it.
 pub struct Failover {
     host: HostId,
     incarnation: u64,
     policy: settings::Policy,
     state: Mutex<State>,
-    changed: Notify,
+    opinion_changed: Notify,
 }
 
 #[derive(Default)]
@@ -40,19 +40,23 @@
     groups: BTreeMap<ServiceId, Group>,
 }
 
-/// What this host knows of one group.
+/// State of one group as this host knows it.
 pub(crate) struct Group {
     pub(crate) detector: Detector,
     pub(crate) promoter: Promoter,
-    pub(crate) planned: Option<planned::Running>,
+    /// Planned promotion that this host runs.
+    pub(crate) planned: Option<planned::Promotion>,
+    /// Planned promotion of this or another host, for which requests to the primary are held.
     pub(crate) hold: Option<hold::Hold>,
     pub(crate) controls: BTreeMap<TargetId, Arc<Control>>,
+    /// Targets with a probe in flight.
     pub(crate) probing: BTreeSet<TargetId>,
+    /// Rank of this host among the group's watchers, which staggers promotions.
     pub(crate) rank: u32,
 }
 
 impl Failover {
-    /// Knows nothing yet.
+    /// Creates the state of a host without services; it is the only member.
     pub fn new(settings: &Settings, incarnation: u64) -> Failover {
         let members = BTreeMap::from([(settings.host, settings.failure_domain)]);
         Failover {
@@ -60,11 +64,11 @@
             incarnation,
             policy: settings.policy.clone(),
             state: Mutex::new(State { members, groups: BTreeMap::new() }),
-            changed: Notify::new(),
+            opinion_changed: Notify::new(),
         }
     }
 
-    /// Sets the live hosts; some of them watch each group.
+    /// Sets the members of the fleet, from which the watchers of each group are chosen.
     pub fn set_members(&self, members: BTreeMap<HostId, FailureDomainId>) {
         let mut state = self.lock();
         if state.members == members {
@@ -77,24 +81,24 @@
         }
     }
 
-    /// The live hosts, as last set.
+    /// Members of the fleet and their failure domains, as last set.
     pub fn members(&self) -> BTreeMap<HostId, FailureDomainId> {
         self.lock().members.clone()
     }
 
-    /// What this host holds against primaries, for its heartbeats.
+    /// This host's opinions of the primaries, for its heartbeats.
     pub fn opinions(&self, now: Time) -> BTreeMap<ServiceId, Opinion> {
         let state = self.lock();
         let groups = state.groups.iter();
         groups.filter_map(|(id, group)| Some((*id, group.opinion(now)?))).collect()
     }
 
-    /// Waits until an opinion has changed in a way that peers should hear at once.
+    /// Waits until an opinion has changed that peers should receive at once.
     pub async fn opinion_changed(&self) {
-        self.changed.notified().await;
+        self.opinion_changed.notified().await;
     }
 
-    /// Takes what a peer holds against primaries.
+    /// Records a peer's opinions of the primaries.
     pub fn record_opinions(
         &self,
         now: Time,
@@ -105,30 +109,30 @@
         for (service, opinion) in opinions {
             if let Some(group) = state.groups.get_mut(service) {
                 group.detector.record_opinion(now, host, *opinion);
-                if group.follow_hold(now, host, opinion) {
+                if group.observe_hold(now, host, opinion) {
                     self.notify_peers();
                 }
             }
         }
     }
 
-    /// Work on a target ended, well or by the target's own fault.
+    /// Records whether work on a target succeeded or failed because of the target.
     ///
-    /// An error that the database gives for the statement's sake counts as well done.
-    pub fn record_work(&self, now: Time, (service, target): Key, well: bool) {
+    /// Errors that the statement caused count as success.
+    pub fn record_work(&self, now: Time, (service, target): Key, succeeded: bool) {
         if let Some(group) = self.lock().groups.get_mut(&service) {
-            group.detector.record_work(now, target, well);
+            group.detector.record_work(now, target, succeeded);
         }
     }
 
-    /// Work on a target timed out: the next probes try it with work of their own.
+    /// Records that work on a target timed out: the next probes test it with work of their own.
     pub fn suspect(&self, (service, target): Key) {
         if let Some(group) = self.lock().groups.get_mut(&service) {
             group.detector.suspect(target);
         }
     }
 
-    /// What the targets of `service` last said.
+    /// Last status of each target of `service`; targets that never answered are left out.
     pub fn views(&self, service: ServiceId) -> BTreeMap<TargetId, View> {
         let state = self.lock();
         let Some(group) = state.groups.get(&service) else { return BTreeMap::new() };
@@ -140,24 +144,25 @@
             .collect()
     }
 
-    /// The primary of the highest term that any target or peer speaks of, and its term.
+    /// Primary of the highest term that any target or peer has reported, and that term.
     pub fn primary(&self, service: ServiceId) -> Option<(TargetId, Term)> {
         self.lock().groups.get(&service)?.detector.primary()
     }
 
-    /// Whether this host holds the primary of `service` failed.
+    /// Whether this host considers the primary of `service` failed.
     pub fn is_failed(&self, now: Time, service: ServiceId) -> bool {
         let state = self.lock();
         let opinion = state.groups.get(&service).and_then(|g| g.detector.opinion(now));
         opinion.is_some_and(|opinion| opinion.failed)
     }
 
+    /// Makes the next heartbeats go out at once.
     pub(crate) fn notify_peers(&self) {
-        self.changed.notify_one();
+        self.opinion_changed.notify_one();
     }
 
-    /// Runs `work` on the state of `service`, if it has any.
-    pub(crate) fn with<T>(
+    /// Calls `work` with the group of `service` under the lock; `None` if there is no such group.
+    pub(crate) fn with_group<T>(
         &self,
         service: ServiceId,
         work: impl FnOnce(&mut Group) -> T,
@@ -165,32 +170,34 @@
         self.lock().groups.get_mut(&service).map(work)
     }
 
-    /// Follows the configuration; answers the services that are new.
-    pub(crate) fn follow(&self, services: &BTreeMap<ServiceId, Service>) -> Vec<ServiceId> {
+    /// Sets the configured services; returns those that are new.
+    ///
+    /// A group whose target addresses changed starts over without evidence.
+    pub(crate) fn set_services(&self, services: &BTreeMap<ServiceId, Service>) -> Vec<ServiceId> {
         let mut state = self.lock();
         let State { members, groups, .. } = &mut *state;
         groups.retain(|id, _| services.contains_key(id));
-        let mut new = Vec::new();
+        let mut added = Vec::new();
         for (id, service) in services {
             let candidates = candidates(members, service);
             let addresses = service.targets.iter().map(|(t, target)| (*t, target.address));
-            let same = groups.get(id).is_some_and(|group| {
+            let is_unchanged = groups.get(id).is_some_and(|group| {
                 let known = group.controls.iter().map(|(t, control)| (*t, control.address()));
                 known.eq(addresses.clone())
             });
-            if same {
-                let group = groups.get_mut(id).expect("it was just found");
+            if is_unchanged {
+                let group = groups.get_mut(id).expect("the group was found above");
                 group.promoter.set_targets(candidates);
                 continue;
             }
             if !groups.contains_key(id) {
-                new.push(*id);
+                added.push(*id);
             }
             let mut group = self.new_group(*id, candidates, addresses.collect());
             self.set_watchers(members, *id, &mut group);
             groups.insert(*id, group);
         }
-        new
+        added
     }
 
     fn new_group(
@@ -234,14 +241,14 @@
 }
 
 impl Group {
-    /// What this host holds against the primary, and whether it waits for a planned promotion.
+    /// Opinion of the primary, with the hold for a planned promotion.
     fn opinion(&self, now: Time) -> Option<Opinion> {
         let opinion = self.detector.opinion(now)?;
         Some(self.with_hold(opinion))
     }
 
-    /// A target answered a probe.
-    pub(crate) fn answered(
+    /// Records a target's answer to a probe.
+    pub(crate) fn record_probe_answer(
         &mut self,
         now: Time,
         target: TargetId,
@@ -256,14 +263,14 @@
     members: &BTreeMap<HostId, FailureDomainId>,
     service: &Service,
 ) -> BTreeMap<TargetId, Candidate> {
-    let near = |domain: FailureDomainId| members.values().filter(|d| **d == domain).count();
+    let hosts_in = |domain: FailureDomainId| members.values().filter(|d| **d == domain).count();
     let targets = service.targets.iter();
     targets
         .map(|(id, target)| {
             let candidate = Candidate {
                 failure_domain: target.failure_domain,
                 draining: target.state == TargetState::Draining,
-                hosts_in_domain: u32::try_from(near(target.failure_domain)).unwrap_or(u32::MAX),
+                hosts_in_domain: u32::try_from(hosts_in(target.failure_domain)).unwrap_or(u32::MAX),
             };
             (*id, candidate)
         })
--- a/crates/host/src/failover/planned.rs
+++ b/crates/host/src/failover/planned.rs
@@ -1,4 +1,4 @@
-//! Planned promotions: drives the core's [`Handover`] and then the promoter.
+//! Planned promotions: drives the core's [`Handover`] up to the fence, and then the promoter.
 
 use super::driver;
 use super::hold::Hold;
@@ -11,44 +11,45 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Time for the whole of a planned promotion.
-pub const TIMEOUT: Duration = Duration::from_secs(5);
+/// Timeout of a planned promotion as a whole.
+pub const PROMOTION_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time for the end of the promoter's work to be told.
-const GRACE: Duration = Duration::from_millis(100);
+/// Time for the outcome to be recorded after the promoter has become idle.
+const OUTCOME_GRACE_PERIOD: Duration = Duration::from_millis(100);
 
-/// Why a planned promotion did not come to its end.
+/// Reason why a planned promotion did not make the candidate the primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum Failure {
-    /// The service has no known primary, or no such target.
+    /// The service, its primary or the candidate is not known.
     #[display("no such service, target or primary")]
     Unknown,
-    /// Another planned promotion of the group runs.
+    /// Another promotion of the group is in progress.
     #[display("another planned promotion runs")]
     Busy,
-    /// Taken back; nothing has changed.
+    /// Aborted before the fence; the group is unchanged.
     #[display("taken back: {_0}")]
     Aborted(#[error(not(source))] Abort),
     /// Another target than the candidate became primary.
     #[display("target {_0} became primary")]
     Other(#[error(not(source))] TargetId),
-    /// Not known to have ended in time; the group decides by itself.
+    /// The outcome was not known in time; the promotion may still complete.
     #[display("not ended in time")]
     TimedOut,
 }
 
-/// A planned promotion under way.
-pub(crate) struct Running {
+/// A planned promotion in progress.
+pub(crate) struct Promotion {
     handover: Handover,
+    /// Reports the new primary and its term, or the failure, to the caller of [`promote`].
     reply: oneshot::Sender<Result<(TargetId, Term), Failure>>,
     started: Time,
-    /// Term of the primary that it replaces.
+    /// Term of the primary that is being replaced.
     term: Term,
-    /// When the promoter was last seen at work, once it has taken over.
-    promoting: Option<Time>,
+    /// Time at which the promoter was last seen active; `None` until the handover has started it.
+    promoter_active_at: Option<Time>,
 }
 
-/// Makes `candidate` the primary of `service`; answers its term.
+/// Makes `candidate` the primary of `service` and returns its term.
 pub async fn promote(
     host: &Arc<Host>,
     service: ServiceId,
@@ -56,7 +57,7 @@
 ) -> Result<Term, Failure> {
     let (reply, answer) = oneshot::channel();
     let now = host.clock.now();
-    let started = host.failover.with(service, |group| {
+    let started = host.failover.with_group(service, |group| {
         let (primary, term) = group.detector.primary().ok_or(Failure::Unknown)?;
         if !group.controls.contains_key(&candidate) {
             return Err(Failure::Unknown);
@@ -69,7 +70,8 @@
             return Err(Failure::Busy);
         }
         let handover = Handover::new(now, primary, term, candidate);
-        group.planned = Some(Running { handover, reply, started: now, term, promoting: None });
+        group.planned =
+            Some(Promotion { handover, reply, started: now, term, promoter_active_at: None });
         group.hold = Some(Hold::new(now, host.settings.host, primary, term));
         Ok(None)
     });
@@ -81,102 +83,109 @@
     if target == candidate { Ok(term) } else { Err(Failure::Other(target)) }
 }
 
+/// Advances the planned promotion of `service`, if this host runs one; ends it on a timeout.
 pub(crate) fn tick(host: &Arc<Host>, service: ServiceId) {
     let now = host.clock.now();
     let (own, members) = (host.settings.host, host.failover.members());
     let members: Vec<HostId> = members.into_keys().collect();
-    let actions = host.failover.with(service, |group| {
-        let running = group.planned.as_mut()?;
-        let late = now.saturating_sub(running.started) >= TIMEOUT;
+    let actions = host.failover.with_group(service, |group| {
+        let promotion = group.planned.as_mut()?;
+        let is_late = now.saturating_sub(promotion.started) >= PROMOTION_TIMEOUT;
         if !group.promoter.is_idle() {
-            running.promoting = running.promoting.map(|_| now);
+            promotion.promoter_active_at = promotion.promoter_active_at.map(|_| now);
         }
-        let over = running.promoting.is_some_and(|at| now.saturating_sub(at) >= GRACE);
-        if !late && !over {
+        let is_over = promotion
+            .promoter_active_at
+            .is_some_and(|at| now.saturating_sub(at) >= OUTCOME_GRACE_PERIOD);
+        if !is_late && !is_over {
             let others = members.iter().copied().filter(|member| *member != own);
             let drained = group.hold.as_ref().is_some_and(|hold| hold.is_drained(others));
-            let mut actions = running.handover.tick(now);
+            let mut actions = promotion.handover.tick(now);
             if drained {
-                actions.extend(running.handover.record_drained(now));
+                actions.extend(promotion.handover.record_drained(now));
             }
             return Some(actions);
         }
-        let running = group.planned.take()?;
+        let promotion = group.planned.take()?;
         // Another host's promotion may have come first.
-        let primary = group.detector.primary().filter(|(_, term)| *term > running.term);
-        // The caller may have gone; the group's state does not depend on its hearing this.
-        let _ = running.reply.send(primary.ok_or(Failure::TimedOut));
+        let primary = group.detector.primary().filter(|(_, term)| *term > promotion.term);
+        // The caller may no longer wait; the group's state does not depend on the reply.
+        let _ = promotion.reply.send(primary.ok_or(Failure::TimedOut));
         None
     });
-    carry_out(host, service, actions.flatten().unwrap_or_default());
+    execute(host, service, actions.flatten().unwrap_or_default());
 }
 
-/// A promotion of `service` has ended with `target` as the primary.
-pub(crate) fn done(host: &Host, service: ServiceId, target: TargetId, term: Term) {
-    // The hold goes on until this host has seen the new primary.
-    let running = host.failover.with(service, |group| group.planned.take());
-    if let Some(running) = running.flatten() {
-        let _ = running.reply.send(Ok((target, term)));
+/// Replies to the caller of [`promote`], if any, that `target` is the primary of `term`.
+pub(crate) fn complete(host: &Host, service: ServiceId, target: TargetId, term: Term) {
+    // The hold remains until this host's probes have shown it the new primary.
+    let promotion = host.failover.with_group(service, |group| group.planned.take());
+    if let Some(promotion) = promotion.flatten() {
+        let _ = promotion.reply.send(Ok((target, term)));
     }
 }
 
-fn carry_out(host: &Arc<Host>, service: ServiceId, actions: Vec<handover::Action>) {
+fn execute(host: &Arc<Host>, service: ServiceId, actions: Vec<handover::Action>) {
     for action in actions {
         match action {
             handover::Action::Hold { target, time } => {
                 tokio::spawn(hold(host.clone(), service, target, time));
             }
             handover::Action::ReadStatus { target } => {
-                tokio::spawn(look(host.clone(), service, target));
+                tokio::spawn(read_status(host.clone(), service, target));
             }
             handover::Action::Promote { candidate, term } => {
                 let now = host.clock.now();
-                let plan = host.failover.with(service, |group| {
-                    let running = group.planned.as_mut()?;
-                    running.promoting = Some(now);
+                let plan = host.failover.with_group(service, |group| {
+                    let promotion = group.planned.as_mut()?;
+                    promotion.promoter_active_at = Some(now);
                     Some(group.promoter.start_planned(now, term, candidate))
                 });
-                driver::carry_out(host, service, plan.flatten().unwrap_or_default());
+                driver::execute(host, service, plan.flatten().unwrap_or_default());
             }
             handover::Action::Aborted { reason } => {
-                let running = host.failover.with(service, |group| {
+                let promotion = host.failover.with_group(service, |group| {
                     group.hold = None;
                     group.planned.take()
                 });
                 host.failover.notify_peers();
-                if let Some(running) = running.flatten() {
-                    let _ = running.reply.send(Err(Failure::Aborted(reason)));
+                if let Some(promotion) = promotion.flatten() {
+                    let _ = promotion.reply.send(Err(Failure::Aborted(reason)));
                 }
             }
         }
     }
 }
 
+/// Puts the primary on hold for `time`, or releases it if that is zero.
 async fn hold(host: Arc<Host>, service: ServiceId, target: TargetId, time: Duration) {
-    let control = host.failover.with(service, |group| group.controls.get(&target).cloned());
+    let control = host.failover.with_group(service, |group| group.controls.get(&target).cloned());
     let Some(control) = control.flatten() else { return };
     let entry = control.hold(&host.settings, time).await.ok().flatten();
     if time.is_zero() {
         return;
     }
     let now = host.clock.now();
-    let actions = host.failover.with(service, |group| {
-        group.planned.as_mut().map(|running| running.handover.record_hold(now, entry))
+    let actions = host.failover.with_group(service, |group| {
+        group.planned.as_mut().map(|promotion| promotion.handover.record_hold(now, entry))
     });
-    carry_out(&host, service, actions.flatten().unwrap_or_default());
+    execute(&host, service, actions.flatten().unwrap_or_default());
 }
 
-async fn look(host: Arc<Host>, service: ServiceId, target: TargetId) {
-    let control = host.failover.with(service, |group| group.controls.get(&target).cloned());
+async fn read_status(host: Arc<Host>, service: ServiceId, target: TargetId) {
+    let control = host.failover.with_group(service, |group| group.controls.get(&target).cloned());
     let Some(control) = control.flatten() else { return };
     let Ok(status) = control.status(&host.settings).await else { return };
     let now = host.clock.now();
-    let actions = host.failover.with(service, |group| {
-        let ended = group.answered(now, target, status);
-        let running = group.planned.as_mut();
-        (ended, running.map(|running| running.handover.record_status(now, target, &status)))
+    let actions = host.failover.with_group(service, |group| {
+        let promoter_actions = group.record_probe_answer(now, target, status);
+        let promotion = group.planned.as_mut();
+        (
+            promoter_actions,
+            promotion.map(|promotion| promotion.handover.record_status(now, target, &status)),
+        )
     });
-    let Some((ended, actions)) = actions else { return };
-    driver::carry_out(&host, service, ended);
-    carry_out(&host, service, actions.unwrap_or_default());
+    let Some((promoter_actions, actions)) = actions else { return };
+    driver::execute(&host, service, promoter_actions);
+    execute(&host, service, actions.unwrap_or_default());
 }
--- a/crates/host/src/fleet/change.rs
+++ b/crates/host/src/fleet/change.rs
@@ -1,4 +1,4 @@
-//! Writes the fleet row: drives the core's [`Writer`] over peers and platform.
+//! Changes of the fleet row: drives the core's [`Writer`] with calls to peers and the platform.
 
 use super::follow;
 use crate::error::Result as HostResult;
@@ -16,68 +16,69 @@
 use std::time::Duration;
 use tokio::task::JoinSet;
 
-/// Times that a change is made anew after another was accepted first.
-const ATTEMPTS: usize = 16;
-/// Time between two rounds of announcements, reads or writes of one attempt.
-const ROUND: Duration = Duration::from_millis(100);
+/// Largest number of attempts at a change while other changes are accepted first.
+const MAX_ATTEMPTS: usize = 16;
+/// Delay between rounds of announcements, and after failed reads or writes.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// A row to write, and what leads to its document.
+/// A row to write, with the changes to its document.
 pub struct Proposal {
-    /// The successor of the base row.
+    /// Changed successor of the base row.
     pub row: Row,
-    /// What changes the document.
+    /// Changes from the document of the base row to that of `row`.
     pub body: Body,
 }
 
 /// An accepted change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Accepted {
-    /// Its epoch.
+    /// Epoch of the accepted row.
     pub epoch: Epoch,
-    /// Configuration version after it.
+    /// Configuration version of the accepted row.
     pub version: Version,
 }
 
 /// Why a change was not accepted.
 #[derive(Debug, Display, Error, From)]
 pub enum Fault {
-    /// It cannot hold.
+    /// The resulting configuration is invalid.
     #[from]
     Config(config::Fault),
-    /// Others were accepted first, again and again.
+    /// Other changes were accepted first in each attempt.
     #[display("other changes were accepted first")]
     Overtaken,
     /// The platform or the peers could not be reached; nothing was written.
     #[display("not written: platform or peers cannot be reached")]
     NotWritten,
-    /// The platform did not say whether it was accepted.
+    /// The platform did not report whether the change was accepted.
     #[display("outcome unknown: the platform did not say whether the change was accepted")]
     Unknown,
 }
 
-/// Makes the change that `compose` makes of the base row; none when there is nothing to change.
+/// Writes the change that `compose` makes to the successor of the base row.
 ///
-/// `compose` is asked again when another change was accepted first.
+/// `compose` is called again if another change was accepted first. If it returns `None`, nothing is
+/// written, and the result names the base row. Changes of one host are made one at a time.
 pub async fn apply(
     host: &Arc<Host>,
     mut compose: impl FnMut(Row) -> Result<Option<Proposal>, config::Fault>,
 ) -> Result<Accepted, Fault> {
-    let mut turn = host.fleet.turn.lock().await;
+    let mut attempts = host.fleet.attempts.lock().await;
     let deadline = host.clock.now() + store::CHANGE_TIMEOUT;
-    for _ in 0..ATTEMPTS {
+    for _ in 0..MAX_ATTEMPTS {
         let Ok((table_version, base)) = read_base(host, deadline).await else {
             return Err(Fault::NotWritten);
         };
-        *turn += 1;
+        *attempts += 1;
         let own = host.fleet.own_member();
-        let author = Author { host: own.host, incarnation: own.incarnation, attempt: *turn };
+        let author = Author { host: own.host, incarnation: own.incarnation, attempt: *attempts };
         let next = base.successor(author);
         let Some(proposal) = compose(next)? else {
             return Ok(Accepted { epoch: base.epoch, version: base.version });
         };
         let voters = member::voters(&base.members).into_keys().collect();
         let writer = Writer::new(proposal.row.clone(), author, voters, deadline);
-        match attempt(host, writer, table_version).await {
+        match execute(host, writer, table_version).await {
             Outcome::Accepted => return Ok(accept(host, proposal)),
             Outcome::Overtaken => {}
             Outcome::NotWritten => return Err(Fault::NotWritten),
@@ -87,44 +88,46 @@
     Err(Fault::Overtaken)
 }
 
-/// Publishes the change that `edits` makes of the document; none when there is nothing to change.
+/// Publishes the edits that `edits` returns for the present document; none means no change.
+///
+/// `edits` is called again if the configuration changed before the write.
 pub async fn publish(
     host: &Arc<Host>,
     mut edits: impl FnMut(&Document) -> Result<Vec<Edit>, config::Fault>,
 ) -> Result<Accepted, Fault> {
     loop {
         let document = host.document();
-        let wanted = edits(&document)?;
-        if wanted.is_empty() && document.version == host.fleet.row().version {
+        let new_edits = edits(&document)?;
+        if new_edits.is_empty() && document.version == host.fleet.row().version {
             let row = host.fleet.row();
             return Ok(Accepted { epoch: row.epoch, version: row.version });
         }
-        let change = config::Change { version: document.version + 1, edits: wanted };
+        let change = config::Change { version: document.version + 1, edits: new_edits };
         let next = document.with_change(&change)?;
         let digest = store_document(host, &next).await?;
         let body = Body::Change(change);
         let accepted = apply(host, |row| {
-            let same = row.version == document.version;
+            let is_unchanged = row.version == document.version;
             let row = row.with_config(next.version, digest.clone());
-            Ok(same.then(|| Proposal { row, body: body.clone() }))
+            Ok(is_unchanged.then(|| Proposal { row, body: body.clone() }))
         })
         .await?;
-        // A lower or other version means that the document moved on before the write.
+        // Any other version or digest means that the document changed before the write: try again.
         if accepted.version == next.version && host.fleet.row().digest == digest {
             return Ok(accepted);
         }
     }
 }
 
-/// Publishes a whole document, while there is none.
+/// Publishes the first configuration document; [`Fault::Overtaken`] if there is another already.
 pub async fn bootstrap(host: &Arc<Host>, document: Document) -> Result<Accepted, Fault> {
     config::verify(&document)?;
     let digest = store_document(host, &document).await?;
     let version = document.version;
     let accepted = apply(host, |row| {
-        let none = row.version == 0;
+        let is_first = row.version == 0;
         let row = row.with_config(version, digest.clone());
-        Ok(none.then(|| Proposal { row, body: Body::Whole(document.clone()) }))
+        Ok(is_first.then(|| Proposal { row, body: Body::Whole(document.clone()) }))
     })
     .await?;
     match host.fleet.row().digest == digest {
@@ -133,7 +136,7 @@
     }
 }
 
-/// Stores a document under its digest; idempotent.
+/// Stores a document under its digest, with retries; idempotent.
 async fn store_document(host: &Host, document: &Document) -> Result<String, Fault> {
     let body = serde_json::to_vec(document).expect("a document is JSON");
     let deadline = host.clock.now() + store::CHANGE_TIMEOUT;
@@ -141,14 +144,15 @@
         match host.platform.put_object(body.clone()).await {
             Ok(digest) => return Ok(digest),
             Err(error) if host.clock.now() >= deadline => {
-                log::warn!("cannot store the configuration: {error}");
+                log::warn!("cannot store the configuration document; giving up: {error}");
                 return Err(Fault::NotWritten);
             }
-            Err(_) => tokio::time::sleep(ROUND).await,
+            Err(_) => tokio::time::sleep(RETRY_DELAY).await,
         }
     }
 }
 
+/// Reads the row to base a change on, which must not be older than the one that this host acts on.
 async fn read_base(
     host: &Arc<Host>,
     deadline: bergamotvale_core::id::Time,
@@ -157,12 +161,12 @@
         match follow::read_row(host).await {
             Ok((version, row)) if row.epoch >= host.fleet.epoch() => return Ok((version, row)),
             Err(error) if host.clock.now() >= deadline => return Err(error),
-            _ => tokio::time::sleep(ROUND).await,
+            _ => tokio::time::sleep(RETRY_DELAY).await,
         }
     }
 }
 
-/// Takes an accepted proposal into force here and spreads it.
+/// Adopts an accepted proposal on this host, which also pushes it to peers.
 fn accept(host: &Arc<Host>, proposal: Proposal) -> Accepted {
     let Proposal { row, body } = proposal;
     let accepted = Accepted { epoch: row.epoch, version: row.version };
@@ -170,7 +174,8 @@
     accepted
 }
 
-async fn attempt(host: &Arc<Host>, mut writer: Writer, table_version: u64) -> Outcome {
+/// Executes the writer's actions until the attempt ends.
+async fn execute(host: &Arc<Host>, mut writer: Writer, table_version: u64) -> Outcome {
     let mut action = writer.start();
     loop {
         action = match action {
@@ -179,14 +184,14 @@
             Action::Write => {
                 let reply = write(host, writer.row(), table_version).await;
                 if reply == Reply::Refused {
-                    tokio::time::sleep(ROUND).await;
+                    tokio::time::sleep(RETRY_DELAY).await;
                 }
                 writer.record_write(host.clock.now(), reply)
             }
             Action::ReadBack => {
                 let row = read_back(host).await;
                 if row.is_none() {
-                    tokio::time::sleep(ROUND).await;
+                    tokio::time::sleep(RETRY_DELAY).await;
                 }
                 writer.record_read(host.clock.now(), row.as_ref())
             }
@@ -194,7 +199,8 @@
     }
 }
 
-/// One round: ends when enough voters noted the epoch, or all have answered or timed out.
+/// One round of announcements: ends once a quorum of voters has recorded the epoch, or all have
+/// answered or timed out.
 async fn announce(host: &Arc<Host>, writer: &mut Writer, voters: BTreeSet<HostId>) -> Action {
     let own = host.settings.host;
     let epoch = writer.row().epoch;
@@ -203,7 +209,7 @@
     for voter in voters {
         if voter != own {
             calls.spawn(announce_to(host.clone(), voter, announcement));
-        } else if host.fleet.announce(host.clock.now(), epoch) {
+        } else if host.fleet.record_announcement(host.clock.now(), epoch) {
             writer.record_acknowledgement(own);
         } else {
             return Action::Finish(Outcome::Overtaken);
@@ -219,7 +225,7 @@
             }
             Some(_) => {}
             None => {
-                tokio::time::sleep(ROUND).await;
+                tokio::time::sleep(RETRY_DELAY).await;
                 break;
             }
         }
@@ -256,7 +262,7 @@
         }
         Err(error) if platform::is_lost(&error) => {
             host.metric.count("platform.lost_writes");
-            log::info!("the platform did not answer a write: {error}");
+            log::info!("no answer to a write of the fleet row; its outcome is unknown: {error}");
             Reply::Lost
         }
         Err(_) => Reply::Refused,
--- a/crates/host/src/fleet/follow.rs
+++ b/crates/host/src/fleet/follow.rs
@@ -1,4 +1,5 @@
-//! Reads of the platform: the fleet row, the document, the list of hosts.
+//! Polls the platform for the fleet row, the configuration document and the list of hosts, and
+//! keeps this host on that list.
 
 use crate::error::Result;
 use crate::platform::{CONFIG_ROW, Listed};
@@ -9,12 +10,15 @@
 use std::time::Duration;
 use tokio::time::{MissedTickBehavior, interval};
 
-/// Time between two looks at the platform's list of hosts.
-const LIST_PERIOD: Duration = Duration::from_secs(1);
-/// Time between two entries in it; it drops a host after 5 s without one.
-const ENTRY_PERIOD: Duration = Duration::from_secs(2);
+/// Interval at which the platform's list of hosts is polled.
+const LIST_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which this host renews its entry in the list; the platform drops a host after 5 s
+/// without a renewal.
+const LIST_RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Polls the fleet row until the task is dropped.
+///
+/// A host that is not a poller reads the row only while it has no authority, to renew it.
 pub async fn poll_row(host: Arc<Host>) {
     let mut ticks = interval(host.settings.platform.period);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -24,13 +28,16 @@
             continue;
         }
         if let Err(error) = read_row(&host).await {
-            log::debug!("cannot read the fleet row: {error}");
+            log::debug!("cannot read the fleet row; retrying at the next poll: {error}");
             host.metric.count("platform.poll_failures");
         }
     }
 }
 
-/// Reads the fleet row and moves to it. Answers the row's version in the table, and the row.
+/// Reads the fleet row and adopts it if its epoch is higher.
+///
+/// Returns the row's version in the platform's table, which conditional writes refer to, and the
+/// row.
 pub async fn read_row(host: &Arc<Host>) -> Result<(u64, Row)> {
     let sent = host.clock.now();
     let found = host.platform.row(CONFIG_ROW).await?;
@@ -41,12 +48,12 @@
     };
     host.fleet.record_read(sent, row.epoch);
     if row.epoch > host.fleet.epoch() {
-        move_to(host, row.clone()).await?;
+        adopt_row(host, row.clone()).await?;
     }
     Ok((version, row))
 }
 
-async fn move_to(host: &Arc<Host>, row: Row) -> Result<()> {
+async fn adopt_row(host: &Arc<Host>, row: Row) -> Result<()> {
     let known = host.fleet.row().version;
     let body =
         if row.version == known { Body::None } else { Body::Whole(document(host, &row).await?) };
@@ -54,7 +61,7 @@
     Ok(())
 }
 
-/// The document that `row` names.
+/// Reads the configuration document whose digest `row` names.
 pub(super) async fn document(
     host: &Host,
     row: &Row,
@@ -63,9 +70,10 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
-/// Keeps this host on the platform's list until the task is dropped.
+/// Keeps this host on the platform's list until the task is dropped; once it is leaving, its entry
+/// is no longer renewed.
 pub async fn register(host: Arc<Host>) {
-    let mut ticks = interval(ENTRY_PERIOD);
+    let mut ticks = interval(LIST_RENEWAL_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
@@ -75,22 +83,22 @@
         }
         let listed = Listed::new(&own, host.settings.listen.callers);
         if let Err(error) = host.platform.put_host(&listed).await {
-            log::debug!("entry in the platform's list of hosts: {error}");
+            log::debug!("cannot renew the entry in the platform's list of hosts: {error}");
         }
     }
 }
 
-/// Follows the platform's list, as far as it is this host's task, until the task is dropped.
+/// Polls the platform's list of hosts whenever this host has to, until the task is dropped.
 pub async fn poll_host_list(host: Arc<Host>) {
-    let mut ticks = interval(LIST_PERIOD);
+    let mut ticks = interval(LIST_POLL_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        if !host.fleet.reads_list(host.clock.now()) {
+        if !host.fleet.should_read_list(host.clock.now()) {
             continue;
         }
         if let Err(error) = read_list(&host).await {
-            log::debug!("platform's list of hosts: {error}");
+            log::debug!("cannot read the platform's list of hosts: {error}");
         }
     }
 }
@@ -98,6 +106,6 @@
 async fn read_list(host: &Host) -> Result<()> {
     let hosts = host.platform.hosts().await?;
     let members: Vec<_> = hosts.iter().filter_map(Listed::member).collect();
-    host.fleet.listed(host.clock.now(), &members);
+    host.fleet.record_platform_list(host.clock.now(), &members);
     Ok(())
 }
--- a/crates/host/src/fleet/heartbeat.rs
+++ b/crates/host/src/fleet/heartbeat.rs
@@ -1,4 +1,4 @@
-//! Heartbeats to the peers.
+//! Sends heartbeats to peers and processes their answers.
 
 use crate::shared::Host;
 use bergamotvale_core::id::HostId;
@@ -7,44 +7,46 @@
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
-/// Heartbeats to one peer that may wait for their answers at once.
-const MAX_OUTSTANDING: u32 = 3;
+/// Largest number of heartbeats in flight to one peer.
+const MAX_IN_FLIGHT: u32 = 3;
 
-/// Heartbeats that wait for their answers, by peer.
-type Outstanding = Arc<Mutex<BTreeMap<HostId, u32>>>;
+/// Number of heartbeats in flight, by peer.
+type InFlight = Arc<Mutex<BTreeMap<HostId, u32>>>;
 
-/// Exchanges heartbeats until the task is dropped.
+/// Sends heartbeats at the configured interval, and at once after an opinion of a primary has
+/// changed, until the task is dropped.
 pub async fn run(host: Arc<Host>) {
     let mut ticks = interval(host.settings.policy.heartbeat);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let outstanding = Outstanding::default();
-    let mut beats = JoinSet::new();
+    let in_flight = InFlight::default();
+    let mut calls = JoinSet::new();
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
             () = host.failover.opinion_changed() => {}
         }
-        for member in host.fleet.probes() {
+        for member in host.fleet.peers_to_probe() {
             host.peers.update_address(&member);
-            if begin(&outstanding, member.host) {
-                beats.spawn(beat(host.clone(), member.host, outstanding.clone()));
+            if try_begin(&in_flight, member.host) {
+                calls.spawn(send(host.clone(), member.host, in_flight.clone()));
             }
         }
-        while beats.try_join_next().is_some() {}
+        while calls.try_join_next().is_some() {}
     }
 }
 
-fn begin(outstanding: &Outstanding, peer: HostId) -> bool {
-    let mut outstanding = outstanding.lock().expect("no holder of the lock panics");
-    let count = outstanding.entry(peer).or_default();
-    let allowed = *count < MAX_OUTSTANDING;
+/// Counts one more heartbeat to `peer`; false if too many are in flight.
+fn try_begin(in_flight: &InFlight, peer: HostId) -> bool {
+    let mut in_flight = in_flight.lock().expect("no holder of the lock panics");
+    let count = in_flight.entry(peer).or_default();
+    let allowed = *count < MAX_IN_FLIGHT;
     if allowed {
         *count += 1;
     }
     allowed
 }
 
-async fn beat(host: Arc<Host>, peer: HostId, outstanding: Outstanding) {
+async fn send(host: Arc<Host>, peer: HostId, in_flight: InFlight) {
     let sent = host.clock.now();
     let heartbeat = host.heartbeat();
     let timeout = host.settings.timeouts.peer;
@@ -55,17 +57,17 @@
     match answer {
         Ok(answer) => {
             let now = host.clock.now();
-            host.fleet.answered(now, sent, &answer);
+            host.fleet.record_answer(now, sent, &answer);
             host.process_heartbeat(now, &answer);
         }
         Err(fault) => {
-            log::debug!("heartbeat to host {peer}: {fault}");
-            host.fleet.failed(peer, fault.failure());
+            log::debug!("heartbeat to host {peer} failed: {fault}");
+            host.fleet.record_failure(peer, fault.failure());
             host.metric.count("peer.heartbeat_failures");
         }
     }
-    let mut outstanding = outstanding.lock().expect("no holder of the lock panics");
-    if let Some(count) = outstanding.get_mut(&peer) {
+    let mut in_flight = in_flight.lock().expect("no holder of the lock panics");
+    if let Some(count) = in_flight.get_mut(&peer) {
         *count -= 1;
     }
 }
--- a/crates/host/src/fleet/leave.rs
+++ b/crates/host/src/fleet/leave.rs
@@ -1,4 +1,4 @@
-//! Leaving the fleet: a graceful stop, step by step.
+//! Steps of a graceful stop, by which this host leaves the fleet.
 
 use super::change::{self, Proposal};
 use crate::shared::Host;
@@ -6,38 +6,46 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between two looks whether work has finished.
-const PERIOD: Duration = Duration::from_millis(20);
-/// Time for each exchange with the platform on the way out.
-const TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval at which open transactions are polled.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Timeout of each exchange with the platform while leaving.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Says to platform and peers that this host is leaving.
+/// Reports to the platform and to peers that this host is leaving.
+///
+/// A platform that cannot be reached does not stop the host: its entry expires.
 pub async fn announce(host: &Arc<Host>) {
-    host.fleet.leave();
+    host.fleet.mark_leaving();
     host.leaving.send_replace(true);
     let own = host.fleet.own_member();
     let delete = host.platform.delete_host(own.host, own.incarnation);
-    match tokio::time::timeout(TIMEOUT, delete).await {
+    match tokio::time::timeout(PLATFORM_TIMEOUT, delete).await {
         Ok(Ok(())) => {}
-        Ok(Err(error)) => log::warn!("still on the platform's list: {error}"),
-        Err(_) => log::warn!("still on the platform's list: no answer"),
+        Ok(Err(error)) => log::warn!(
+            "cannot remove this host from the platform's list; its entry will expire: {error}"
+        ),
+        Err(_) => log::warn!(
+            "cannot remove this host from the platform's list; its entry will expire: timed out"
+        ),
     }
 }
 
-/// Waits until open transactions have ended, at most for `timeout`.
+/// Waits for up to `timeout` until open transactions have ended, then rolls back the others.
 pub async fn finish_transactions(host: &Host, timeout: Duration) {
-    let until = host.clock.now() + timeout;
-    while !host.data.transactions.is_empty() && host.clock.now() < until {
-        tokio::time::sleep(PERIOD).await;
+    let deadline = host.clock.now() + timeout;
+    while !host.data.transactions.is_empty() && host.clock.now() < deadline {
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
-    let left = host.data.transactions.len();
-    if left > 0 {
-        log::warn!("{left} transactions are open past the stop timeout: rolled back");
+    let open_count = host.data.transactions.len();
+    if open_count > 0 {
+        log::warn!("stop timeout expired: rolling back {open_count} open transactions");
     }
     host.data.transactions.stop();
 }
 
-/// Leaves the member table, so that others take this host's shares over.
+/// Removes this host from the member table, so that other hosts take over its shares.
+///
+/// If that fails, other members remove the host once its heartbeats stop.
 pub async fn remove_member(host: &Arc<Host>) {
     let own = host.fleet.own_member();
     let leave = change::apply(host, |row| {
@@ -47,9 +55,13 @@
         }
         Ok(Some(Proposal { row: row.without_member(own.host), body: Body::None }))
     });
-    match tokio::time::timeout(TIMEOUT, leave).await {
+    match tokio::time::timeout(PLATFORM_TIMEOUT, leave).await {
         Ok(Ok(_)) => log::info!("left the fleet"),
-        Ok(Err(fault)) => log::warn!("still in the member table: {fault}"),
-        Err(_) => log::warn!("still in the member table: no answer"),
+        Ok(Err(fault)) => log::warn!(
+            "cannot leave the member table; other members will remove this host: {fault}"
+        ),
+        Err(_) => log::warn!(
+            "cannot leave the member table; other members will remove this host: timed out"
+        ),
     }
 }
--- a/crates/host/src/fleet/loan.rs
+++ b/crates/host/src/fleet/loan.rs
@@ -1,4 +1,4 @@
-//! Asks peers for rate tokens and connection slots.
+//! Borrows rate tokens and connection slots from peers, and returns idle slots.
 
 use crate::shared::Host;
 use crate::target::share::{Asked, Want};
@@ -11,57 +11,60 @@
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
-/// Time between two looks at the pools.
-const PERIOD: Duration = Duration::from_millis(25);
+/// Interval at which the pools are polled for slots to borrow or return.
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Asks for the tokens that the limiter wants, until the task is dropped.
+/// Sends the limiter's requests for rate tokens until the task is dropped.
+///
+/// Takes the receiving end of the limiter's channel, so only the first call does anything.
 pub async fn request_tokens(host: Arc<Host>) {
-    let taken = host.asks.lock().expect("no holder of the lock panics").take();
-    let Some(mut asks) = taken else { return };
+    let receiver = host.asks.lock().expect("no holder of the lock panics").take();
+    let Some(mut requests) = receiver else { return };
     let mut calls = JoinSet::new();
-    while let Some(ask) = asks.recv().await {
-        calls.spawn(borrow_tokens(host.clone(), ask));
+    while let Some(loan) = requests.recv().await {
+        calls.spawn(borrow_tokens(host.clone(), loan));
         while calls.try_join_next().is_some() {}
     }
 }
 
-async fn borrow_tokens(host: Arc<Host>, ask: LoanRequest) {
+async fn borrow_tokens(host: Arc<Host>, loan: LoanRequest) {
     let request = TokenRequest {
         host: host.settings.host,
-        account: ask.account,
-        count: ask.count,
+        account: loan.account,
+        count: loan.count,
         version: host.document().version,
-        sequence: host.incarnation + ask.sequence,
+        sequence: host.incarnation + loan.sequence,
     };
-    let asked = host.clock.now();
+    let sent_at = host.clock.now();
     let call =
         |client: PeerClient, context| async move { client.lend_tokens(context, request).await };
-    let count = host.peers.call(ask.peer, host.settings.timeouts.peer, call).await;
-    host.limiter.receive(ask, count.ok(), asked);
+    let count = host.peers.call(loan.peer, host.settings.timeouts.peer, call).await;
+    host.limiter.receive(loan, count.ok(), sent_at);
 }
 
-/// Moves connection slots to demand, until the task is dropped.
+/// Borrows the connection slots that pools need and returns those that they no longer need, until
+/// the task is dropped.
 pub async fn balance_slots(host: Arc<Host>) {
-    let mut ticks = interval(PERIOD);
+    let mut ticks = interval(POLL_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut calls = JoinSet::new();
     loop {
         ticks.tick().await;
         let peers = lenders(&host);
         for (want, asked) in host.pools.wants(&host, &peers) {
-            calls.spawn(carry_out(host.clone(), want, asked));
+            calls.spawn(send_request(host.clone(), want, asked));
         }
         while calls.try_join_next().is_some() {}
     }
 }
 
-/// Peers that may lend.
+/// Peers that may lend slots: all other members.
 fn lenders(host: &Host) -> Vec<HostId> {
     let row = host.fleet.row();
     row.members.into_keys().filter(|peer| *peer != host.settings.host).collect()
 }
 
-async fn carry_out(host: Arc<Host>, want: Want, asked: Option<Asked>) {
+async fn send_request(host: Arc<Host>, want: Want, asked: Option<Asked>) {
     match want {
         Want::Borrow(peer, request) => {
             let total = borrow_slots(&host, peer, request).await;
@@ -74,7 +77,7 @@
                 client.return_slots(context, request).await
             };
             if let Err(fault) = host.peers.call(peer, host.settings.timeouts.peer, call).await {
-                log::debug!("slots were not given back to host {peer}: {fault}");
+                log::debug!("cannot return slots to host {peer}: {fault}");
             }
         }
     }
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -1,9 +1,9 @@
-//! This host's part in the fleet: membership, configuration, authority.
+//! Fleet membership, configuration and authority of this host.
 //!
-//! [`Fleet`] keeps the core's machines behind one lock. [`heartbeat`] exchanges heartbeats, [`follow`]
-//! reads the platform, [`push`] spreads what was accepted, [`change`] writes the fleet row,
-//! [`maintenance`] makes the changes that hosts make on their own, and [`loan`] asks peers for tokens
-//! and connection slots.
+//! [`Fleet`] keeps the core's state machines behind one lock. [`heartbeat`] exchanges heartbeats
+//! with peers, [`follow`] polls the platform, [`push`] distributes accepted epochs, [`change`]
+//! writes the fleet row, [`maintenance`] makes changes that need no operator, [`leave`] removes
+//! this host from the fleet, and [`loan`] borrows rate tokens and connection slots from peers.
 
 pub mod change;
 pub mod follow;
@@ -28,13 +28,14 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// What this host knows of the fleet.
+/// State of the fleet as this host knows it.
 pub struct Fleet {
     validity: Duration,
     fan_out: usize,
     state: Mutex<State>,
     epoch: watch::Sender<Epoch>,
-    turn: tokio::sync::Mutex<u64>,
+    /// Attempts of this incarnation to write the row; the lock serializes its changes.
+    attempts: tokio::sync::Mutex<u64>,
 }
 
 struct State {
@@ -42,46 +43,46 @@
     holder: Holder,
     replica: Replica,
     view: View,
-    spread: Adoption,
+    adoption: Adoption,
     divisions: DivisionCounter,
-    adopted: Time,
+    adopted_at: Time,
 }
 
-/// Among whom connections are divided, and how long this host may act on that.
+/// Members between which connections are divided, and how long this host may act on that.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Division {
-    /// Recorded members.
+    /// Recorded members of the epoch in force here.
     pub members: BTreeSet<HostId>,
-    /// Count of divisions, see [`Count`].
+    /// Number of divisions so far, see [`DivisionCounter::generation`].
     pub generation: u64,
-    /// End of the present authority.
+    /// Time at which this host's authority expires; zero while this incarnation is not recorded.
     pub deadline: Time,
 }
 
-/// This host's authority, as operators see it.
+/// This host's authority to act on its copy of the shared state, as shown to operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Authority {
-    /// Whether it may act.
+    /// Whether the authority is unexpired.
     pub held: bool,
-    /// Age of its newest proof.
+    /// Time since the latest renewal; `None` if there was none.
     pub age: Option<Duration>,
-    /// Where that comes from.
+    /// Origin of the latest renewal.
     pub source: Option<Source>,
 }
 
-/// A member as operators see it.
+/// A member of the fleet, as shown to operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberStatus {
-    /// Who.
+    /// Entry of the member table, marked as leaving as soon as the host reports that it leaves.
     pub member: Member,
-    /// Version that it last said it acts on.
+    /// Configuration version that the member last reported to act on.
     pub version: Version,
-    /// Time since it was last heard; none if it never was.
+    /// Time since its last heartbeat; `None` if none was received.
     pub silence: Option<Duration>,
 }
 
 impl Fleet {
-    /// Knows nobody yet.
+    /// Creates the state of a host that knows no peers and has no authority.
     pub fn new(settings: &Settings, incarnation: Incarnation) -> Fleet {
         let own = Member {
             host: settings.host,
@@ -95,9 +96,9 @@
             holder: Holder::new(own.host, incarnation).with_validity(validity),
             replica: Replica::new(),
             view: View::new(own.host).with_watched(settings.policy.fan_out),
-            spread: Adoption::new().with_validity(validity),
+            adoption: Adoption::new().with_validity(validity),
             divisions: DivisionCounter::default(),
-            adopted: Time::ZERO,
+            adopted_at: Time::ZERO,
             own,
         };
         Fleet {
@@ -105,46 +106,46 @@
             fan_out: settings.policy.fan_out,
             state: Mutex::new(state),
             epoch: watch::Sender::new(0),
-            turn: tokio::sync::Mutex::new(0),
+            attempts: tokio::sync::Mutex::new(0),
         }
     }
 
-    /// This host as its peers know it.
+    /// This host's entry for the member table.
     pub fn own_member(&self) -> Member {
         self.lock().own.clone()
     }
 
-    /// Says from now on that this host is leaving.
-    pub fn leave(&self) {
+    /// Reports to peers from now on that this host is leaving.
+    pub fn mark_leaving(&self) {
         self.lock().own.leaving = true;
     }
 
-    /// Epoch in force here.
+    /// Epoch that this host acts on.
     pub fn epoch(&self) -> Epoch {
         self.lock().replica.row().epoch
     }
 
-    /// Follows the epoch in force here.
-    pub fn epochs(&self) -> watch::Receiver<Epoch> {
+    /// Subscribes to the epoch that this host acts on.
+    pub fn subscribe_epoch(&self) -> watch::Receiver<Epoch> {
         self.epoch.subscribe()
     }
 
-    /// The fleet row in force here.
+    /// Fleet row that this host acts on.
     pub fn row(&self) -> Row {
         self.lock().replica.row().clone()
     }
 
-    /// Time at which the row in force here was adopted.
+    /// Time at which that row was adopted.
     pub fn adopted_at(&self) -> Time {
-        self.lock().adopted
+        self.lock().adopted_at
     }
 
-    /// Whether this host may act on what it knows.
-    pub fn held(&self, now: Time) -> bool {
+    /// Whether this host may act on its copy of the shared state at `now`.
+    pub fn has_authority(&self, now: Time) -> bool {
         self.lock().holder.is_held(now)
     }
 
-    /// This host's authority.
+    /// Authority of this host at `now`.
     pub fn authority(&self, now: Time) -> Authority {
         let state = self.lock();
         Authority {
@@ -154,9 +155,10 @@
         }
     }
 
-    /// The division in force here.
+    /// Division that this host acts on.
     ///
-    /// Members and authority are of one epoch: those of an older one must not be used for longer.
+    /// Members and deadline are read under one lock, so that they belong to the same epoch: members
+    /// of an older epoch must not be used under the authority of a newer one.
     pub fn division(&self, now: Time) -> Division {
         let state = self.lock();
         let age = state.holder.age(now).filter(|_| state.holder.is_recorded());
@@ -167,16 +169,16 @@
         }
     }
 
-    /// Epoch and configuration version that every live host acts on.
+    /// Latest epoch and configuration version that are known to be in force on every live host.
     pub fn in_force(&self, now: Time) -> (Epoch, Version) {
-        self.lock().spread.in_force(now)
+        self.lock().adoption.in_force(now)
     }
 
-    /// Recorded members with what is seen of them; this host first.
+    /// Status of the recorded members, in the order of their ids.
     pub fn members(&self, now: Time) -> Vec<MemberStatus> {
         let state = self.lock();
         let row = state.replica.row();
-        let seen = |member: &Member| {
+        let status = |member: &Member| {
             if member.host == state.own.host {
                 let silence = Some(Duration::ZERO);
                 return MemberStatus { member: state.own.clone(), version: row.version, silence };
@@ -188,65 +190,65 @@
             member.leaving |= peer.is_some_and(|p| p.member.leaving);
             MemberStatus { member, version: peer.map_or(0, |p| p.version), silence }
         };
-        row.members.values().map(seen).collect()
+        row.members.values().map(status).collect()
     }
 
-    /// Notes that `epoch` is about to be written; says whether it was still unknown here.
-    pub fn announce(&self, now: Time, epoch: Epoch) -> bool {
+    /// Records that `epoch` is about to be written; false if this host already has that epoch.
+    pub fn record_announcement(&self, now: Time, epoch: Epoch) -> bool {
         self.lock().holder.record_announcement(now, epoch)
     }
 
-    /// What leads from `epoch` and `version` to those in force here.
+    /// Update from `epoch` and `version` to those of this host; `None` if its epoch is not higher.
     pub fn update(&self, epoch: Epoch, version: Version) -> Option<Update> {
         let state = self.lock();
         state.replica.update(state.own.host, epoch, version)
     }
 
-    /// A read of the store, sent at `sent`, found `epoch`.
+    /// Records that a read of the store, sent at `sent`, found `epoch`.
     fn record_read(&self, sent: Time, epoch: Epoch) {
         self.lock().holder.record_read(sent, epoch);
     }
 
-    /// A peer answered a heartbeat that was sent at `sent`.
-    fn answered(&self, now: Time, sent: Time, answer: &Heartbeat) {
+    /// Records a peer's answer to a heartbeat that was sent at `sent`.
+    fn record_answer(&self, now: Time, sent: Time, answer: &Heartbeat) {
         let mut state = self.lock();
         state.view.record_heartbeat(now, answer);
         state.holder.record_answer(sent, answer);
         let Member { host, incarnation, .. } = answer.member;
-        state.spread.record_confirmed(host, incarnation, answer.epoch);
+        state.adoption.record_confirmed(host, incarnation, answer.epoch);
     }
 
-    /// The recorded run of `host` answered a push with `epoch`.
-    fn confirmed(&self, host: HostId, incarnation: Incarnation, epoch: Epoch) {
-        self.lock().spread.record_confirmed(host, incarnation, epoch);
+    /// Records that `incarnation` of `host` confirmed `epoch` in its answer to a push.
+    fn record_confirmation(&self, host: HostId, incarnation: Incarnation, epoch: Epoch) {
+        self.lock().adoption.record_confirmed(host, incarnation, epoch);
     }
 
-    fn failed(&self, host: HostId, failure: Failure) {
+    fn record_failure(&self, host: HostId, failure: Failure) {
         self.lock().view.record_probe_failure(host, failure);
     }
 
-    fn listed(&self, now: Time, list: &[Member]) {
+    fn record_platform_list(&self, now: Time, list: &[Member]) {
         self.lock().view.record_platform_list(now, list);
     }
 
-    fn probes(&self) -> Vec<Member> {
+    fn peers_to_probe(&self) -> Vec<Member> {
         self.lock().view.probes()
     }
 
-    /// Whether this host is among those that poll the store.
+    /// Whether this host is among those that poll the store for their failure domain.
     pub fn is_poller(&self) -> bool {
         let state = self.lock();
         let members = &state.replica.row().members;
         member::is_poller(members, state.own.host, member::POLLERS_PER_DOMAIN)
     }
 
-    /// Whether this host has to read the platform's list now.
-    fn reads_list(&self, now: Time) -> bool {
+    /// Whether this host has to read the platform's list of hosts now.
+    fn should_read_list(&self, now: Time) -> bool {
         let state = self.lock();
         state.view.reads_list(now, &state.replica.row().members)
     }
 
-    fn duty(&self, now: Time) -> Option<Task> {
+    fn due_task(&self, now: Time) -> Option<Task> {
         let state = self.lock();
         due_task(now, &state.own, &state.holder, &state.view, state.replica.row())
     }
@@ -257,19 +259,21 @@
 }
 
 impl Host {
-    /// Whether this host may act on the shared state now.
+    /// Whether this host may act on its copy of the shared state now.
     pub fn has_authority(&self) -> bool {
-        self.fleet.held(self.clock.now())
+        self.fleet.has_authority(self.clock.now())
     }
 
-    /// Whether the key still works and this host may say so; to be asked right before any byte of
-    /// a request leaves for a target.
+    /// Whether the key is active and this host has the authority to say so.
+    ///
+    /// Must be called immediately before any byte of a request is sent to a target, so that no
+    /// request runs under a withdrawn key.
     pub fn accepts_key(&self, id: KeyId) -> bool {
         let ignored = self.settings.policy.defects.contains(&Defect::IgnoreWithdrawal);
         ignored || (self.has_authority() && key::is_active(&self.document(), id))
     }
 
-    /// This host's heartbeat.
+    /// Creates a heartbeat with the present state of this host.
     pub fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
         let opinions = self.failover.opinions(now);
@@ -285,23 +289,23 @@
         }
     }
 
-    /// Takes a peer's heartbeat.
+    /// Processes a heartbeat that a peer sent.
     pub fn record_heartbeat(self: &Arc<Host>, heartbeat: &Heartbeat) {
         let now = self.clock.now();
         self.fleet.lock().view.record_heartbeat(now, heartbeat);
         self.process_heartbeat(now, heartbeat);
     }
 
-    /// What follows from any heartbeat, sent or answered.
+    /// Processes what heartbeats and the answers to them have in common.
     fn process_heartbeat(self: &Arc<Host>, now: Time, heartbeat: &Heartbeat) {
         self.peers.update_address(&heartbeat.member);
         self.failover.record_opinions(now, heartbeat.member.host, &heartbeat.opinions);
         if heartbeat.epoch > self.fleet.epoch() {
-            push::catch_up(self, heartbeat.member.host);
+            push::fetch_update(self, heartbeat.member.host);
         }
     }
 
-    /// Moves to the update's epoch if it is higher; says whether it did.
+    /// Moves to the update's epoch and pushes it on; false if it was rejected.
     pub fn adopt(self: &Arc<Host>, update: Update) -> bool {
         let now = self.clock.now();
         let Update { origin, row, body } = update;
@@ -309,25 +313,25 @@
             let mut state = self.fleet.lock();
             let previous = state.replica.row().clone();
             if let Err(fault) = state.replica.adopt(row.clone(), body.clone()) {
-                log::debug!("epoch {} not taken: {fault}", row.epoch);
+                log::debug!("rejected update to epoch {}: {fault}", row.epoch);
                 return false;
             }
-            let State { holder, view, spread, own, .. } = &mut *state;
+            let State { holder, view, adoption, own, .. } = &mut *state;
             holder.adopt(row.epoch, &row.members, member::voters(&row.members));
             view.record_members(now, &row.members);
-            spread.record_accepted(now, &row, &previous, own.host);
-            state.adopted = now;
+            adoption.record_accepted(now, &row, &previous, own.host);
+            state.adopted_at = now;
             // Published under the lock, so that no lower version is published after a higher one.
             let document = Arc::new(state.replica.document().clone());
             self.document.send_if_modified(|current| {
-                let newer = current.version < document.version;
-                if newer {
+                let is_newer = current.version < document.version;
+                if is_newer {
                     *current = document.clone();
                 }
-                newer
+                is_newer
             });
-            // Under the lock too: an older division must not replace a newer one.
-            // A leaving host keeps its part: callers come until they have seen that it leaves.
+            // Under the lock too, so that an older division cannot replace a newer one. A leaving
+            // host keeps its share, since callers use it until they have seen that it is leaving.
             let hosts: BTreeSet<HostId> = row.members.keys().copied().collect();
             if state.divisions.adopt(row.epoch, &hosts) {
                 self.limiter.interrupt();
@@ -336,18 +340,18 @@
         }
         let own = row.members.get(&self.settings.host);
         if own.is_some_and(|m| m.leaving && m.incarnation == self.incarnation) {
-            self.fleet.leave();
+            self.fleet.mark_leaving();
             self.leaving.send_replace(true);
         }
-        log::info!("epoch {} with configuration {} in force here", row.epoch, row.version);
-        self.divide(&row.members);
+        log::info!("adopted epoch {} with configuration version {}", row.epoch, row.version);
+        self.apply_members(&row.members);
         self.fleet.epoch.send_replace(row.epoch);
-        push::spread(self, Update { origin, row, body });
+        push::push_to_children(self, Update { origin, row, body });
         true
     }
 
-    /// Tells peers' connections and failover who the members are.
-    fn divide(&self, members: &BTreeMap<HostId, Member>) {
+    /// Passes the members on to the connections to peers and to failover.
+    fn apply_members(&self, members: &BTreeMap<HostId, Member>) {
         for member in members.values().filter(|m| m.host != self.settings.host) {
             self.peers.update_address(member);
         }
--- a/crates/host/src/fleet/push.rs
+++ b/crates/host/src/fleet/push.rs
@@ -1,4 +1,5 @@
-//! Spreads accepted epochs: pushes along the tree, fetches from a peer that is ahead.
+//! Distributes accepted epochs: pushes them along the tree, and fetches from a peer with a higher
+//! epoch what a push did not deliver.
 
 use crate::shared::Host;
 use bergamotvale_core::distribute;
@@ -7,42 +8,44 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time that one push or fetch may take.
-const TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of one push or fetch.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Passes an update on to this host's children in the tree.
-pub(super) fn spread(host: &Arc<Host>, update: Update) {
+/// Pushes an update to this host's children in the tree.
+///
+/// A failed push is not retried: the peer fetches the update once a heartbeat shows it the epoch.
+pub(super) fn push_to_children(host: &Arc<Host>, update: Update) {
     let own = host.settings.host;
     let fan_out = host.fleet.fan_out;
     let children = distribute::children(&update.row.members, update.origin, own, fan_out);
     let update = Arc::new(update);
     for peer in children.into_iter().filter(|peer| *peer != own) {
-        tokio::spawn(push(host.clone(), peer, update.clone()));
+        tokio::spawn(push_to(host.clone(), peer, update.clone()));
     }
 }
 
-async fn push(host: Arc<Host>, peer: HostId, update: Arc<Update>) {
+async fn push_to(host: Arc<Host>, peer: HostId, update: Arc<Update>) {
     let call = |client: bergamotvale_wire::peer::PeerClient, context| async move {
         client.push(context, Update::clone(&update)).await
     };
-    match host.peers.call(peer, TIMEOUT, call).await {
-        Ok((incarnation, epoch)) => host.fleet.confirmed(peer, incarnation, epoch),
-        Err(fault) => log::debug!("push to host {peer}: {fault}"),
+    match host.peers.call(peer, CALL_TIMEOUT, call).await {
+        Ok((incarnation, epoch)) => host.fleet.record_confirmation(peer, incarnation, epoch),
+        Err(fault) => log::debug!("push to host {peer} failed: {fault}"),
     }
 }
 
-/// Fetches what a peer is ahead by.
-pub(super) fn catch_up(host: &Arc<Host>, peer: HostId) {
+/// Fetches and adopts the update to the epoch of a peer that has a higher one.
+pub(super) fn fetch_update(host: &Arc<Host>, peer: HostId) {
     let host = host.clone();
     tokio::spawn(async move {
         let known = host.fleet.row();
         let call = |client: bergamotvale_wire::peer::PeerClient, context| async move {
             client.fetch(context, known.epoch, known.version).await
         };
-        match host.peers.call(peer, TIMEOUT, call).await {
+        match host.peers.call(peer, CALL_TIMEOUT, call).await {
             Ok(Some(update)) => drop(host.adopt(update)),
             Ok(None) => {}
-            Err(fault) => log::debug!("fetch from host {peer}: {fault}"),
+            Err(fault) => log::debug!("fetch from host {peer} failed: {fault}"),
         }
     });
 }
--- a/crates/host/src/peer/mod.rs
+++ b/crates/host/src/peer/mod.rs
@@ -1,7 +1,7 @@
-//! Calls to other hosts: one connection a peer, made when needed, with a deadline a call.
+//! RPC to other hosts: one connection per peer, opened on demand, and a deadline per call.
 //!
-//! A connection that fails is dropped and made anew by the next call. So is one on which several
-//! calls in a row found no answer in time, since it may have gone silent while new ones work.
+//! A connection that fails is dropped, and the next call opens another. So is a connection on which
+//! several calls in a row timed out, since it may be dead while new connections work.
 
 pub mod server;
 
@@ -19,25 +19,25 @@
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 
-/// Calls without an answer after which a connection is taken for silent.
-const SILENT_CALLS: u32 = 2;
+/// Number of calls in a row that time out before their connection is dropped.
+const MAX_TIMED_OUT_CALLS: u32 = 2;
 
-/// Why a call to a peer brought nothing.
+/// Reason why a call to a peer failed.
 #[derive(Debug, Display, Error)]
 pub enum Fault {
-    /// No such peer is known.
+    /// The peer's address is not known.
     #[display("no such peer")]
     Unknown,
-    /// No connection could be made.
+    /// No connection could be opened; the call was not sent.
     #[display("{_0}")]
     Connect(bergamotvale_wire::Error),
-    /// No answer in time, or the connection broke: the call may have been carried out.
+    /// The call timed out or the connection failed; the peer may have executed the call.
     #[display("{_0}")]
     Call(RpcError),
 }
 
 impl Fault {
-    /// What the fault says about the peer.
+    /// Classifies the fault as the outcome of a failed probe of the peer.
     pub fn failure(&self) -> Failure {
         match self {
             Fault::Connect(bergamotvale_wire::Error::Io(error))
@@ -61,16 +61,16 @@
     address: SocketAddr,
     incarnation: Incarnation,
     client: Option<PeerClient>,
-    silent: u32,
+    timed_out_calls: u32,
 }
 
 impl Peers {
-    /// No peer yet.
+    /// Creates a set without known peers.
     pub fn new() -> Peers {
         Peers::default()
     }
 
-    /// Notes where a peer is; a later run of it replaces an earlier one.
+    /// Records the address of a peer; a later incarnation replaces an earlier one.
     pub fn update_address(&self, member: &Member) {
         let mut links = self.lock();
         let known = links.get(&member.host);
@@ -78,20 +78,20 @@
             return;
         }
         let (address, incarnation) = (member.peer_address, member.incarnation);
-        links.insert(member.host, Link { address, incarnation, client: None, silent: 0 });
+        links.insert(member.host, Link { address, incarnation, client: None, timed_out_calls: 0 });
     }
 
-    /// Forgets the peers that are not among `known`.
+    /// Removes the peers for which `known` is false, with their connections.
     pub fn retain(&self, known: impl Fn(HostId) -> bool) {
         self.lock().retain(|host, _| known(*host));
     }
 
-    /// Loses every call to these peers, as a partition would; for tests.
+    /// Lets every call to these peers time out, as in a partition; for tests.
     pub fn set_blocked(&self, blocked: BTreeSet<HostId>) {
         *self.blocked.lock().expect("no holder of the lock panics") = blocked;
     }
 
-    /// Calls `host`, at most for `timeout`.
+    /// Calls `host`; opening the connection and the call itself may each take `timeout`.
     pub async fn call<T, F, Fut>(
         &self,
         host: HostId,
@@ -108,7 +108,7 @@
         }
         let (client, incarnation) = self.client(host, timeout).await?;
         let answer = call(client, peer::context(timeout)).await;
-        self.ended(host, incarnation, answer.as_ref().err());
+        self.record_result(host, incarnation, answer.as_ref().err());
         answer.map_err(Fault::Call)
     }
 
@@ -129,24 +129,24 @@
         let mut links = self.lock();
         if let Some(link) = links.get_mut(&host).filter(|link| link.incarnation == incarnation) {
             link.client.get_or_insert(client.clone());
-            link.silent = 0;
+            link.timed_out_calls = 0;
         }
         Ok((client, incarnation))
     }
 
-    fn ended(&self, host: HostId, incarnation: Incarnation, error: Option<&RpcError>) {
+    fn record_result(&self, host: HostId, incarnation: Incarnation, error: Option<&RpcError>) {
         let mut links = self.lock();
         let Some(link) = links.get_mut(&host).filter(|link| link.incarnation == incarnation) else {
             return;
         };
         match error {
-            None => link.silent = 0,
-            Some(RpcError::DeadlineExceeded) => link.silent += 1,
-            Some(_) => link.silent = SILENT_CALLS,
+            None => link.timed_out_calls = 0,
+            Some(RpcError::DeadlineExceeded) => link.timed_out_calls += 1,
+            Some(_) => link.timed_out_calls = MAX_TIMED_OUT_CALLS,
         }
-        if link.silent >= SILENT_CALLS {
+        if link.timed_out_calls >= MAX_TIMED_OUT_CALLS {
             link.client = None;
-            link.silent = 0;
+            link.timed_out_calls = 0;
         }
     }
 
--- a/crates/host/src/peer/server.rs
+++ b/crates/host/src/peer/server.rs
@@ -1,4 +1,4 @@
-//! What this host does for its peers.
+//! RPC service that this host offers to its peers.
 
 use crate::exec::forward;
 use crate::shared::Host;
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-/// The service, one a connection.
+/// Service of one connection.
 #[derive(Clone)]
 struct Server {
     host: Arc<Host>,
@@ -26,7 +26,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(connections.spawn(serve(host.clone(), stream))),
-            Err(error) => log::warn!("peers' listener: {error}"),
+            Err(error) => log::warn!("cannot accept a peer's connection: {error}"),
         }
         while connections.try_join_next().is_some() {}
     }
@@ -35,7 +35,7 @@
 async fn serve(host: Arc<Host>, stream: TcpStream) {
     let channel = match peer::accept(stream) {
         Ok(channel) => channel,
-        Err(error) => return log::debug!("peer connection: {error}"),
+        Err(error) => return log::debug!("cannot set up a peer's connection: {error}"),
     };
     let mut responses = std::pin::pin!(channel.execute(Server { host }.serve()));
     let mut running = JoinSet::new();
@@ -52,7 +52,7 @@
     }
 
     async fn announce(self, _: Context, announcement: Announcement) -> bool {
-        self.host.fleet.announce(self.host.clock.now(), announcement.epoch)
+        self.host.fleet.record_announcement(self.host.clock.now(), announcement.epoch)
     }
 
     async fn push(self, _: Context, update: Update) -> (Incarnation, Epoch) {
