Reword the host's fleet and failover tests and their fixtures

- fleet: four -> start_four, ask -> read_as, ask_until -> wait_for_answer, cut_peers -> block_peers, cut_store -> block_store, plan_ended -> wait_for_plan
- failover: fleet -> start_fleet, steady_fleet -> fleet_with_long_authority, lenient_fleet -> fleet_with_slow_detection, patient_writers -> sequential_writers, progress -> wait_for_writes, settled -> wait_for_common_term, CEILING -> MAX_GAP
- common, support: found -> bootstrap, write_until_taken -> write_until_accepted

--- a/crates/host/src/failover/hold.rs
+++ b/crates/host/src/failover/hold.rs
@@ -4,8 +4,8 @@
 //! hosts join at once and report in their opinions how many requests still use the primary or wait
 //! for a connection to it. They end the hold when the planner no longer announces it, when there is
 //! a primary of a higher term, or after [`HOST_HOLD_DURATION`]. The planner announces the hold
-//! until its own probes have shown it the new primary, and the opinion that ends the hold names that
-//! primary: a host that ended the hold without knowing it would continue with the old one.
+//! until its own probes have shown it the new primary, and the opinion that ends the hold names
+//! that primary: a host that ended the hold without knowing it would continue with the old one.
 
 use super::{Failover, Group};
 use crate::target::Key;
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! One database group, one platform and hosts in this process.
+//! Fixture with a database group, a platform and hosts, all in the test process.
 
 #![allow(dead_code, reason = "each test file uses the part that it needs")]
 
@@ -20,13 +20,13 @@
 pub(crate) const OTHER_ACCOUNT: u32 = 2;
 pub(crate) const KEY: &str = "bv_1_s3cret-of-the-mill";
 pub(crate) const OTHER_KEY: &str = "bv_2_s3cret-of-the-glove";
-/// Time within which anything that should happen has happened.
+/// Longest time that a test waits for an expected event.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 const SALT: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 const SCHEMA: &str = "CREATE TABLE bolts (id bigint PRIMARY KEY, metres bigint NOT NULL)";
 
-/// Everything that a test needs; dropping it ends it.
+/// A database group, a platform and the configuration; dropping it stops the group and platform.
 pub(crate) struct Fixture {
     pub(crate) group: Group,
     pub(crate) platform: Server,
@@ -34,7 +34,7 @@
     document: Document,
 }
 
-/// One host with its address.
+/// A running host with its address for callers.
 pub(crate) struct Host {
     pub(crate) daemon: Daemon,
     pub(crate) address: SocketAddr,
@@ -49,7 +49,7 @@
     params: Vec<Value>,
 }
 
-/// An answer.
+/// Answer to a request.
 #[derive(Debug, Clone)]
 pub(crate) struct Answer {
     pub(crate) status: u16,
@@ -64,22 +64,23 @@
 
     pub(crate) async fn with_options(options: Options) -> Fixture {
         let schema = vec![SCHEMA.to_owned()];
-        // Hosts that do not know each other each take the whole limit of the configuration.
+        // Hosts that do not know each other yet each use the whole connection limit.
         let connection_limit = 100;
-        let group = Group::start(Options { schema, connection_limit, ..options }).expect("a group");
-        let platform = Server::start(Default::default()).expect("a platform");
+        let group = Group::start(Options { schema, connection_limit, ..options })
+            .expect("the group starts");
+        let platform = Server::start(Default::default()).expect("the platform starts");
         let document = document(&group.addresses());
         Fixture { group, platform, http: reqwest::Client::new(), document }
     }
 
-    /// A host that knows its configuration and the group's primary.
+    /// Starts a host and waits until it knows its configuration and all targets, and serves.
     pub(crate) async fn host(&self, id: u32) -> Host {
         self.host_with(id, |_| ()).await
     }
 
     pub(crate) async fn host_with(&self, id: u32, change: impl FnOnce(&mut Settings)) -> Host {
         let host = self.unconfigured_host(id, change).await;
-        self.found(&host).await;
+        self.bootstrap(&host).await;
         wait_until("a primary is known", || host.daemon.host.pools.primary(SERVICE).is_some())
             .await;
         let views = || host.daemon.host.pools.views(SERVICE).len() == 3;
@@ -88,7 +89,7 @@
         host
     }
 
-    /// A host that has only just started.
+    /// Starts a host without publishing a configuration or waiting for it.
     pub(crate) async fn unconfigured_host(
         &self,
         id: u32,
@@ -97,29 +98,32 @@
         let mut settings = settings(id, self.platform.address());
         change(&mut settings);
         let scheme = if settings.tls.callers.is_some() { "https" } else { "http" };
-        let daemon = Daemon::start(settings).await.expect("a host");
+        let daemon = Daemon::start(settings).await.expect("the host starts");
         let address = daemon.host.settings.listen.callers;
         Host { daemon, address, scheme, http: self.http.clone() }
     }
 
-    /// The configuration that the first host publishes.
+    /// Configuration that the first host publishes.
     pub(crate) fn document(&self) -> &Document {
         &self.document
     }
 
-    /// The same, to be changed before there is a host.
+    /// Configuration that the first host publishes; to be changed before a host starts.
     pub(crate) fn document_mut(&mut self) -> &mut Document {
         &mut self.document
     }
 
-    /// Publishes the first configuration, unless it is there.
-    async fn found(&self, host: &Host) {
+    /// Publishes the first configuration unless there is one.
+    async fn bootstrap(&self, host: &Host) {
         let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
         while let Err(fault) = change::bootstrap(&host.daemon.host, self.document.clone()).await {
             if host.daemon.host.document().version > 0 {
                 return;
             }
-            assert!(tokio::time::Instant::now() < deadline, "no configuration: {fault}");
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "timed out publishing the configuration: {fault}"
+            );
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
@@ -131,7 +135,7 @@
             key.state = KeyState::Withdrawn;
             Ok(vec![Edit::PutKey(id, key)])
         };
-        change::publish(&host.daemon.host, withdraw).await.expect("a change");
+        change::publish(&host.daemon.host, withdraw).await.expect("the change is accepted");
     }
 
     /// Number of the present primary.
@@ -139,30 +143,33 @@
         let leads = |target: &&bergamotvale_standin::group::Target| target.is_primary();
         let targets = self.group.targets().iter().filter(leads);
         let highest = targets.max_by_key(|target| target.accepted_term());
-        highest.expect("a primary").number()
+        highest.expect("the group has a primary").number()
     }
 
-    /// Rows of a query on the present primary, past all faults.
+    /// Rows of a query on the present primary, regardless of injected faults.
     pub(crate) fn rows(&self, sql: &str) -> Vec<Vec<rusqlite::types::Value>> {
-        self.group.target(self.primary()).query(sql).expect("rows")
+        self.group.target(self.primary()).query(sql).expect("the query runs")
     }
 
-    /// How many bolts the group has.
+    /// Number of rows in the table `bolts`.
     pub(crate) fn bolts(&self) -> usize {
         self.rows("SELECT id FROM bolts").len()
     }
 }
 
 impl Host {
-    /// Waits until the host may hold connections to all targets and has its part of the rates.
+    /// Waits until the host has its share of the rates and serves a read.
     ///
-    /// A new host lives on loans until the old division is out of force.
+    /// A new host uses only loans until the old division is no longer valid.
     async fn warm_up(&self) {
         let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
-        let has_part = || self.daemon.host.limiter.part(ACCOUNT).0 > 0;
-        wait_until("the host has a part of the rates", has_part).await;
+        let has_share = || self.daemon.host.limiter.part(ACCOUNT).0 > 0;
+        wait_until("the host has a share of the rates", has_share).await;
         while self.read("SELECT 1").send().await.status != 200 {
-            assert!(tokio::time::Instant::now() < deadline, "the host serves no read");
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "timed out waiting for the host to serve a read"
+            );
         }
     }
 
@@ -183,7 +190,7 @@
     pub(crate) async fn begin(&self) -> String {
         let answer = self.call("/v1/services/mill/transactions").send().await;
         assert_eq!(answer.status, 201, "{answer:?}");
-        answer.body["transaction"].as_str().expect("an id").to_owned()
+        answer.body["transaction"].as_str().expect("the answer has a transaction id").to_owned()
     }
 
     pub(crate) fn step(&self, id: &str, step: &str) -> Call {
@@ -214,15 +221,15 @@
 
     pub(crate) fn with_key(mut self, key: &str) -> Call {
         let (client, request) = self.request.build_split();
-        let mut request = request.expect("a request");
-        let value = format!("Bearer {key}").parse().expect("a header");
+        let mut request = request.expect("the request is valid");
+        let value = format!("Bearer {key}").parse().expect("the key is a valid header value");
         request.headers_mut().insert("authorization", value);
         self.request = reqwest::RequestBuilder::from_parts(client, request);
         self
     }
 
     pub(crate) async fn send(self) -> Answer {
-        self.try_send().await.expect("an answer")
+        self.try_send().await.expect("the host answers")
     }
 
     pub(crate) async fn try_send(self) -> reqwest::Result<Answer> {
@@ -255,18 +262,18 @@
         &self.headers["bergamotvale-target"]
     }
 
-    /// Asserts that the request was answered with its result.
+    /// Asserts that the status is 200.
     pub(crate) fn ok(self) -> Answer {
         assert_eq!(self.status, 200, "{self:?}");
         self
     }
 }
 
-/// Waits until `holds`.
+/// Waits until `holds` returns true.
 pub(crate) async fn wait_until(what: &str, holds: impl Fn() -> bool) {
     let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
     while !holds() {
-        assert!(tokio::time::Instant::now() < deadline, "in vain: {what}");
+        assert!(tokio::time::Instant::now() < deadline, "timed out waiting until {what}");
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
@@ -302,7 +309,7 @@
     let key = |account, text: &str| Key {
         account,
         salt: SALT.into(),
-        digest: auth::digest(SALT, auth::secret(text).expect("a secret")),
+        digest: auth::digest(SALT, auth::secret(text).expect("the key contains a secret")),
         state: KeyState::Active,
     };
     let route = Route {
--- a/crates/host/tests/failover/mod.rs
+++ b/crates/host/tests/failover/mod.rs
@@ -1,4 +1,4 @@
-//! A fleet, and callers that write all the time.
+//! A fleet with callers that write continuously and log the answers.
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses the part that it needs")]
 
@@ -13,44 +13,46 @@
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
-/// Hosts of a fleet.
+/// Number of hosts of a fleet.
 pub const HOSTS: u32 = 4;
-/// Connections to each target that every host has in the end.
-const SHARE: usize = 4;
-/// Time that no slow machine exceeds.
-const STEADY: Duration = Duration::from_secs(5);
+/// Lower bound of every host's share of the connections to each target once all hosts have joined.
+const MIN_SHARE: usize = 4;
+/// Duration longer than any stall of a slow machine.
+const MAX_STALL: Duration = Duration::from_secs(5);
 
-/// How long callers wait.
+/// Timeouts of a caller.
 #[derive(Debug, Clone, Copy)]
-struct Patience {
-    /// Time that a caller lets the host try.
-    timeout: &'static str,
-    /// Time after which the caller gives up by itself.
-    give_up: Duration,
+struct CallerTimeouts {
+    /// Timeout that the caller gives the host in the request.
+    host_timeout: &'static str,
+    /// Timeout of the caller's HTTP client.
+    client_timeout: Duration,
 }
 
-/// Callers that are in a hurry.
-const HURRIED: Patience = Patience { timeout: "1s", give_up: Duration::from_secs(3) };
-/// Callers that outwait whatever a slow machine does.
-const PATIENT: Patience = Patience { timeout: "30s", give_up: WAIT_TIMEOUT };
-/// Patient callers of each host.
-const CALLERS: i64 = 4;
-/// Time between two writes of the callers together.
-const PERIOD: Duration = Duration::from_millis(5);
+/// Timeouts that end requests during a failover.
+const SHORT_TIMEOUTS: CallerTimeouts =
+    CallerTimeouts { host_timeout: "1s", client_timeout: Duration::from_secs(3) };
+/// Timeouts longer than any stall of a slow machine.
+const LONG_TIMEOUTS: CallerTimeouts =
+    CallerTimeouts { host_timeout: "30s", client_timeout: WAIT_TIMEOUT };
+/// Number of sequential callers of each host.
+const CALLERS_PER_HOST: i64 = 4;
+/// Interval between writes: of all concurrent callers together, of each sequential caller.
+const WRITE_INTERVAL: Duration = Duration::from_millis(5);
 
-/// A fleet that serves.
+/// A fleet whose hosts all serve.
 pub struct Fleet {
     pub fixture: Fixture,
     pub hosts: Vec<Host>,
 }
 
-/// Starts a fleet of hosts that know each other.
-pub async fn fleet() -> Fleet {
-    fleet_with(Options::default(), |_| ()).await
+/// Starts a fleet and waits until all hosts know each other and have their shares.
+pub async fn start_fleet() -> Fleet {
+    start_fleet_with(Options::default(), |_| ()).await
 }
 
-/// The same with another group and changed settings.
-pub async fn fleet_with(options: Options, change: fn(&mut Settings)) -> Fleet {
+/// Like [`start_fleet`], with these options for the group and changed settings for the hosts.
+pub async fn start_fleet_with(options: Options, change: fn(&mut Settings)) -> Fleet {
     let fixture = Fixture::with_options(options).await;
     let mut hosts = vec![fixture.host_with(1, change).await];
     hosts.extend(join_all((2..=HOSTS).map(|id| fixture.host_with(id, change))).await);
@@ -58,23 +60,24 @@
     let all = |host: &Host| host.daemon.host.failover.members().len() == HOSTS as usize;
     wait_until("all hosts know each other", || fleet.hosts.iter().all(all)).await;
     let shares =
-        |host: &Host| (0..3).all(|id| host.daemon.host.pools.share((SERVICE, id)) >= SHARE);
+        |host: &Host| (0..3).all(|id| host.daemon.host.pools.share((SERVICE, id)) >= MIN_SHARE);
     wait_until("all hosts have their shares", || fleet.hosts.iter().all(shares)).await;
     fleet
 }
 
-/// A fleet whose hosts keep their authority although the machine is slow.
-pub async fn steady_fleet() -> Fleet {
-    fleet_with(Options::default(), |settings| settings.policy.authority = STEADY).await
+/// Starts a fleet whose hosts keep their authority even if the machine stalls.
+pub async fn fleet_with_long_authority() -> Fleet {
+    start_fleet_with(Options::default(), |settings| settings.policy.authority = MAX_STALL).await
 }
 
-/// A fleet that deposes no primary for being slow for a while.
-pub async fn lenient_fleet() -> Fleet {
-    fleet_with(Options::default(), |settings| settings.policy.failover_after = STEADY).await
+/// Starts a fleet that does not depose a primary for stalls of a few seconds.
+pub async fn fleet_with_slow_detection() -> Fleet {
+    start_fleet_with(Options::default(), |settings| settings.policy.failover_after = MAX_STALL)
+        .await
 }
 
 impl Fleet {
-    /// Number of the target that the hosts take for the primary, once they all agree.
+    /// Waits until all hosts agree on the primary, and returns its number.
     pub async fn primary(&self) -> usize {
         let agreed = || {
             let mut seen = self.hosts.iter().map(|h| h.daemon.host.pools.primary(SERVICE));
@@ -84,16 +87,16 @@
             (agree && leads).then_some(usize::from(first))
         };
         wait_until("all hosts know one primary", || agreed().is_some()).await;
-        agreed().expect("they agree")
+        agreed().expect("all hosts agreed above")
     }
 
-    /// Promotions that the hosts have carried out.
+    /// Number of promotions by all hosts.
     pub fn promotions(&self) -> i64 {
         self.hosts.iter().map(|host| host.counter("failover.promotions")).sum()
     }
 
     /// Waits until every target has accepted the same term.
-    pub async fn settled(&self) {
+    pub async fn wait_for_common_term(&self) {
         let terms = || {
             let targets = self.fixture.group.targets().iter();
             targets.map(|target| target.accepted_term()).collect::<BTreeSet<_>>()
@@ -101,29 +104,30 @@
         wait_until("all targets follow one term", || terms().len() == 1).await;
     }
 
-    /// Starts callers that write one row after the other, on all hosts in turn.
+    /// Starts a caller that sends concurrent writes of one row each to all hosts in turn.
     pub fn writers(&self) -> Writers {
         let hosts: Vec<SocketAddr> = self.hosts.iter().map(|host| host.address).collect();
         let log = Arc::new(Mutex::new(Log::default()));
         let mut tasks = JoinSet::new();
-        tasks.spawn(write_all(hosts, self.fixture.http.clone(), log.clone()));
+        tasks.spawn(write_concurrently(hosts, self.fixture.http.clone(), log.clone()));
         Writers { log, tasks }
     }
 
-    /// Starts callers that each wait for their answer before they write again, so that a slow
-    /// machine brings no overload.
-    pub fn patient_writers(&self) -> Writers {
+    /// Starts callers that each wait for the answer before the next write, so that a slow machine
+    /// is not overloaded.
+    pub fn sequential_writers(&self) -> Writers {
         let log = Arc::new(Mutex::new(Log::default()));
         let mut tasks = JoinSet::new();
-        let callers = self.hosts.iter().flat_map(|host| (0..CALLERS).map(|_| host.address));
+        let callers =
+            self.hosts.iter().flat_map(|host| (0..CALLERS_PER_HOST).map(|_| host.address));
         for (number, host) in callers.enumerate() {
-            let ids = (number as i64..).step_by(self.hosts.len() * CALLERS as usize);
-            tasks.spawn(write_in_turn(ids, host, self.fixture.http.clone(), log.clone()));
+            let ids = (number as i64..).step_by(self.hosts.len() * CALLERS_PER_HOST as usize);
+            tasks.spawn(write_sequentially(ids, host, self.fixture.http.clone(), log.clone()));
         }
         Writers { log, tasks }
     }
 
-    /// Rows that the present primary holds.
+    /// Ids of the rows that the present primary has.
     pub async fn stored(&self) -> BTreeSet<i64> {
         let primary = self.primary().await;
         let rows = self.fixture.group.target(primary).query("SELECT id FROM bolts");
@@ -135,22 +139,22 @@
 fn id(cell: Cell) -> i64 {
     match cell {
         Cell::Integer(id) => id,
-        other => panic!("{other:?} is no id"),
+        other => panic!("{other:?} is not an id"),
     }
 }
 
-/// What became of the writes.
+/// Outcomes of the writes.
 #[derive(Default)]
 pub struct Log {
-    /// Acknowledged ones, with the time of the answer.
+    /// Times of the answers and ids of acknowledged writes.
     pub acknowledged: Vec<(Instant, i64)>,
-    /// Refused ones, by reason and whether they ran.
+    /// Number of refused writes by reason and by whether they ran.
     pub refused: BTreeMap<String, u32>,
     /// Ids of writes that were refused as not run.
     pub not_run: BTreeSet<i64>,
 }
 
-/// Callers that write.
+/// Running callers.
 pub struct Writers {
     log: Arc<Mutex<Log>>,
     tasks: JoinSet<()>,
@@ -158,20 +162,20 @@
 
 impl Writers {
     /// Waits until `count` more writes have been acknowledged.
-    pub async fn progress(&self, count: usize) {
+    pub async fn wait_for_writes(&self, count: usize) {
         let before = self.lock().acknowledged.len();
         let start = Instant::now();
         while self.lock().acknowledged.len() < before + count {
             assert!(
                 start.elapsed() < WAIT_TIMEOUT,
-                "writes are refused: {:?}",
+                "timed out waiting for acknowledged writes; refused: {:?}",
                 self.lock().refused
             );
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
 
-    /// The longest time without an acknowledged write.
+    /// Longest time between two acknowledged writes.
     pub fn longest_gap(&self) -> Duration {
         let log = self.lock();
         let mut times: Vec<Instant> = log.acknowledged.iter().map(|(at, _)| *at).collect();
@@ -179,8 +183,8 @@
         times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or_default()
     }
 
-    /// Ends the callers and answers what became of their writes.
-    pub async fn end(mut self) -> Log {
+    /// Stops the callers and returns the outcomes of their writes.
+    pub async fn stop(mut self) -> Log {
         self.tasks.shutdown().await;
         std::mem::take(&mut *self.lock())
     }
@@ -190,42 +194,42 @@
     }
 }
 
-/// Sends a write every [`PERIOD`], whatever became of those before.
-async fn write_all(hosts: Vec<SocketAddr>, http: reqwest::Client, log: Arc<Mutex<Log>>) {
-    let mut ticks = tokio::time::interval(PERIOD);
+/// Sends a write every [`WRITE_INTERVAL`] without waiting for earlier answers.
+async fn write_concurrently(hosts: Vec<SocketAddr>, http: reqwest::Client, log: Arc<Mutex<Log>>) {
+    let mut ticks = tokio::time::interval(WRITE_INTERVAL);
     let mut writes = JoinSet::new();
     for id in 0.. {
         ticks.tick().await;
         let host = hosts[id as usize % hosts.len()];
-        writes.spawn(write(id, host, HURRIED, http.clone(), log.clone()));
+        writes.spawn(write(id, host, SHORT_TIMEOUTS, http.clone(), log.clone()));
         while writes.try_join_next().is_some() {}
     }
 }
 
-/// Sends a write once the one before is answered.
-async fn write_in_turn(
+/// Sends each write after the previous one is answered.
+async fn write_sequentially(
     ids: impl Iterator<Item = i64>,
     host: SocketAddr,
     http: reqwest::Client,
     log: Arc<Mutex<Log>>,
 ) {
     for id in ids {
-        write(id, host, PATIENT, http.clone(), log.clone()).await;
-        tokio::time::sleep(PERIOD).await;
+        write(id, host, LONG_TIMEOUTS, http.clone(), log.clone()).await;
+        tokio::time::sleep(WRITE_INTERVAL).await;
     }
 }
 
 async fn write(
     id: i64,
     host: SocketAddr,
-    patience: Patience,
+    timeouts: CallerTimeouts,
     http: reqwest::Client,
     log: Arc<Mutex<Log>>,
 ) {
     let body = json!({"sql": "INSERT INTO bolts (id, metres) VALUES ($1, 7)", "params": [id]});
     let request = http.post(format!("http://{host}/v1/services/mill/write")).json(&body);
-    let request = request.bearer_auth(KEY).timeout(patience.give_up);
-    let answer = request.header("bergamotvale-timeout", patience.timeout).send().await;
+    let request = request.bearer_auth(KEY).timeout(timeouts.client_timeout);
+    let answer = request.header("bergamotvale-timeout", timeouts.host_timeout).send().await;
     let at = Instant::now();
     let (status, body) = match answer {
         Ok(response) => {
@@ -234,21 +238,25 @@
         }
         Err(_) => (0, json!({})),
     };
-    log.lock().expect("no writer panics").note(at, id, status, &body);
+    log.lock().expect("no writer panics").record(at, id, status, &body);
 }
 
 impl Log {
-    /// What must hold after every fault: no acknowledged write lost, no false "not run".
+    /// Asserts what must hold after every fault: no acknowledged write is lost, and no write that
+    /// was refused as not run is stored.
     pub fn verify(&self, stored: &BTreeSet<i64>) {
         let is_lost = |write: &&(Instant, i64)| !stored.contains(&write.1);
         let lost: Vec<_> = self.acknowledged.iter().filter(is_lost).collect();
-        assert!(lost.is_empty(), "lost {lost:?}");
+        assert!(lost.is_empty(), "acknowledged writes were lost: {lost:?}");
         let false_not_run: Vec<_> = self.not_run.intersection(stored).collect();
-        assert!(false_not_run.is_empty(), "ran all the same: {false_not_run:?}");
+        assert!(
+            false_not_run.is_empty(),
+            "writes refused as not run are stored: {false_not_run:?}"
+        );
     }
 
-    /// Notes one answer.
-    fn note(&mut self, at: Instant, id: i64, status: u16, body: &Value) {
+    /// Records one answer.
+    fn record(&mut self, at: Instant, id: i64, status: u16, body: &Value) {
         if status == 200 {
             return self.acknowledged.push((at, id));
         }
--- a/crates/host/tests/failover_gap.rs
+++ b/crates/host/tests/failover_gap.rs
@@ -1,20 +1,20 @@
-//! The failover gap at the mill's delays, over many runs. Run it in release:
+//! Measures the failover gap at the delays of a mill's network over many runs. Run it in release:
 //! `cargo test --release -p bergamotvale-host --test failover_gap -- --ignored --nocapture`
 
 mod common;
 mod failover;
 
 use bergamotvale_standin::group::Options;
-use failover::{Fleet, fleet_with};
+use failover::{Fleet, start_fleet_with};
 use std::time::Duration;
 
 const RUNS: usize = 10;
-/// Longest time without a write that any fault may cause.
-const CEILING: Duration = Duration::from_secs(7);
-const MEDIAN: Duration = Duration::from_millis(1_500);
-const WORST: Duration = Duration::from_secs(3);
+/// Longest time without an acknowledged write after any fault.
+const MAX_GAP: Duration = Duration::from_secs(7);
+const MAX_MEDIAN_GAP: Duration = Duration::from_millis(1_500);
+const MAX_WORST_GAP: Duration = Duration::from_secs(3);
 
-fn mill() -> Options {
+fn mill_options() -> Options {
     Options {
         replication_delay: Duration::from_micros(1_500),
         network_delay: Duration::from_millis(1),
@@ -22,15 +22,15 @@
     }
 }
 
-/// Breaks the primary with `fault` in a fresh fleet, and answers the gap and what was refused.
-async fn gap(fault: fn(&Fleet, usize)) -> (Duration, String) {
-    let fleet = fleet_with(mill(), |_| ()).await;
+/// Applies `fault` to the primary of a new fleet; returns the longest gap and the refused writes.
+async fn measure_gap(fault: fn(&Fleet, usize)) -> (Duration, String) {
+    let fleet = start_fleet_with(mill_options(), |_| ()).await;
     let writers = fleet.writers();
-    writers.progress(100).await;
+    writers.wait_for_writes(100).await;
     fault(&fleet, fleet.primary().await);
-    writers.progress(200).await;
+    writers.wait_for_writes(200).await;
     let gap = writers.longest_gap();
-    let log = writers.end().await;
+    let log = writers.stop().await;
     let stored = fleet.stored().await;
     log.verify(&stored);
     (gap, format!("{:?}", log.refused))
@@ -39,14 +39,14 @@
 async fn measure(name: &str, fault: fn(&Fleet, usize)) {
     let mut gaps = Vec::new();
     for run in 0..RUNS {
-        let (gap, refused) = gap(fault).await;
+        let (gap, refused) = measure_gap(fault).await;
         println!("{name} {run}: {gap:?}, refused {refused}");
         gaps.push(gap);
     }
     gaps.sort_unstable();
     let (median, worst) = (gaps[gaps.len() / 2], gaps[gaps.len() - 1]);
     println!("{name}: median {median:?}, worst {worst:?} of {RUNS}");
-    assert!(worst < CEILING && worst < WORST && median < MEDIAN);
+    assert!(worst < MAX_GAP && worst < MAX_WORST_GAP && median < MAX_MEDIAN_GAP);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -79,20 +79,20 @@
         .await;
 }
 
-/// Pauses of a second at the settings' defaults depose nobody.
+/// Pauses of one second must not depose a primary at the default settings.
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "a measurement: a busy machine makes pauses longer"]
 async fn one_second_pauses() {
-    let fleet = fleet_with(mill(), |_| ()).await;
+    let fleet = start_fleet_with(mill_options(), |_| ()).await;
     let writers = fleet.writers();
     for _ in 0..RUNS {
-        writers.progress(100).await;
+        writers.wait_for_writes(100).await;
         let primary = fleet.fixture.group.target(0);
         primary.pause();
         tokio::time::sleep(Duration::from_secs(1)).await;
         primary.resume();
     }
-    writers.progress(100).await;
+    writers.wait_for_writes(100).await;
 
     println!("promotions after {RUNS} pauses: {}", fleet.promotions());
     assert_eq!(fleet.promotions(), 0);
--- a/crates/host/tests/failover_races.rs
+++ b/crates/host/tests/failover_races.rs
@@ -1,4 +1,4 @@
-//! Failovers over bad links between hosts, and promoters that race.
+//! Failovers with lossy links between hosts, and concurrent promoters.
 
 mod common;
 mod failover;
@@ -9,37 +9,41 @@
 use bergamotvale_standin::group::Options;
 use bergamotvale_standin::link::Relay;
 use common::{SERVICE, WAIT_TIMEOUT};
-use failover::{Fleet, HOSTS, Writers, fleet, fleet_with, lenient_fleet};
+use failover::{Fleet, HOSTS, Writers, fleet_with_slow_detection, start_fleet, start_fleet_with};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-/// Part of the messages between hosts that come late.
-const LOSS: f64 = 0.05;
-/// By how much they come late, as over a TCP connection that sends again.
-const STALL: Duration = Duration::from_millis(300);
-/// Time between two looks at who leads.
-const LOOK: Duration = Duration::from_millis(1);
+/// Fraction of the messages between hosts that are delayed.
+const DELAYED_FRACTION: f64 = 0.05;
+/// Delay of these messages, as after a retransmission by TCP.
+const MESSAGE_DELAY: Duration = Duration::from_millis(300);
+/// Interval at which the targets are polled for who leads.
+const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
-/// Terms, and the targets that were seen to lead them.
+/// Targets that were observed to lead, by term.
 type Leaders = BTreeMap<i64, BTreeSet<usize>>;
 
-/// Puts a relay before each host's peer address; dropping them cuts the hosts off.
-async fn relays(fleet: &Fleet) -> Vec<Relay> {
+/// Puts a relay in front of each host's peer address; dropping the relays partitions the hosts.
+async fn start_relays(fleet: &Fleet) -> Vec<Relay> {
     let address = |id: usize| fleet.hosts[id].daemon.host.settings.listen.peers;
-    let relays: Vec<Relay> =
-        (0..fleet.hosts.len()).map(|id| Relay::start(address(id)).expect("a relay")).collect();
+    let relays: Vec<Relay> = (0..fleet.hosts.len())
+        .map(|id| Relay::start(address(id)).expect("the relay starts"))
+        .collect();
     let start = Instant::now();
     let peers = HOSTS as usize - 1;
-    // A connection that was being opened directly may still come in: then once more.
+    // A direct connection that was being opened may still be used instead of the relay's: try again.
     while relays.iter().any(|relay| relay.connections() < peers) {
-        assert!(start.elapsed() < WAIT_TIMEOUT, "hosts do not use the relays");
-        relay_all(fleet, &relays);
+        assert!(
+            start.elapsed() < WAIT_TIMEOUT,
+            "timed out waiting for the hosts to use the relays"
+        );
+        route_through_relays(fleet, &relays);
         tokio::time::sleep(Duration::from_millis(500)).await;
     }
     relays
 }
 
-fn relay_all(fleet: &Fleet, relays: &[Relay]) {
+fn route_through_relays(fleet: &Fleet, relays: &[Relay]) {
     for host in &fleet.hosts {
         host.daemon.host.peers.retain(|_| false);
         for (peer, relay) in fleet.hosts.iter().zip(relays) {
@@ -58,32 +62,32 @@
     }
 }
 
-/// Notes who leads which term, for ever.
-async fn watch(fleet: &Fleet, leaders: &mut Leaders) {
+/// Records who leads which term, until the future is dropped.
+async fn record_leaders(fleet: &Fleet, leaders: &mut Leaders) {
     loop {
         for target in fleet.fixture.group.targets() {
             let term = target.accepted_term();
             let leads = target.is_primary();
-            // A term that moved meanwhile says nothing of who leads it.
+            // If the term changed meanwhile, it is unknown which of the two the target leads.
             if leads && target.accepted_term() == term {
                 leaders.entry(term).or_default().insert(target.number());
             }
         }
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(LEADER_POLL_INTERVAL).await;
     }
 }
 
-/// Waits for `count` more acknowledged writes, and notes who leads meanwhile.
-async fn progress(fleet: &Fleet, writers: &Writers, count: usize, leaders: &mut Leaders) {
+/// Waits for `count` more acknowledged writes, and records who leads meanwhile.
+async fn wait_for_writes(fleet: &Fleet, writers: &Writers, count: usize, leaders: &mut Leaders) {
     tokio::select! {
-        () = writers.progress(count) => {}
-        () = watch(fleet, leaders) => {}
+        () = writers.wait_for_writes(count) => {}
+        () = record_leaders(fleet, leaders) => {}
     }
 }
 
-/// What must hold after every fault.
+/// Asserts what must hold after every fault, and that every term had one leader.
 async fn verify(fleet: &Fleet, writers: Writers, leaders: &Leaders) {
-    let log = writers.end().await;
+    let log = writers.stop().await;
     let stored = fleet.stored().await;
 
     println!("leaders {leaders:?}, refused {:?}", log.refused);
@@ -93,28 +97,28 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn lossy_links_and_pauses_promote_nobody() {
-    let fleet = lenient_fleet().await;
-    let relays = relays(&fleet).await;
+    let fleet = fleet_with_slow_detection().await;
+    let relays = start_relays(&fleet).await;
     for relay in &relays {
         let lossy = |fault: &mut bergamotvale_standin::link::Fault| {
-            fault.loss = LOSS;
-            fault.stall = STALL;
+            fault.loss = DELAYED_FRACTION;
+            fault.stall = MESSAGE_DELAY;
         };
-        relay.set(lossy).expect("a fault");
+        relay.set(lossy).expect("the relay accepts the fault");
     }
     let writers = fleet.writers();
     let mut leaders = Leaders::new();
 
     for relay in &relays {
-        progress(&fleet, &writers, 100, &mut leaders).await;
-        // One host's connections are cut while the primary stands still.
+        wait_for_writes(&fleet, &writers, 100, &mut leaders).await;
+        // One host's connections are reset while the primary is paused.
         let primary = fleet.fixture.group.target(0);
         primary.pause();
         relay.reset();
         tokio::time::sleep(Duration::from_secs(1)).await;
         primary.resume();
     }
-    progress(&fleet, &writers, 200, &mut leaders).await;
+    wait_for_writes(&fleet, &writers, 200, &mut leaders).await;
 
     assert_eq!(fleet.promotions(), 0);
     assert_eq!(fleet.primary().await, 0);
@@ -124,21 +128,21 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn all_hosts_promote_at_once() {
-    // Each host goes by its own word, and none waits for another.
-    let alone = |settings: &mut settings::Settings| {
+    // Each host acts on its own opinion alone, without waiting for the others.
+    let single = |settings: &mut settings::Settings| {
         settings.policy.failover = settings::Failover::Single;
     };
-    let fleet = fleet_with(Options::default(), alone).await;
+    let fleet = start_fleet_with(Options::default(), single).await;
     let writers = fleet.writers();
     let mut leaders = Leaders::new();
 
     for _ in 0..3 {
-        progress(&fleet, &writers, 100, &mut leaders).await;
+        wait_for_writes(&fleet, &writers, 100, &mut leaders).await;
         let primary = fleet.fixture.group.target(fleet.primary().await);
         primary.kill();
-        progress(&fleet, &writers, 100, &mut leaders).await;
-        primary.restart().expect("the address is still there");
-        fleet.settled().await;
+        wait_for_writes(&fleet, &writers, 100, &mut leaders).await;
+        primary.restart().expect("the target restarts on its address");
+        fleet.wait_for_common_term().await;
     }
 
     assert!(fleet.promotions() >= 3);
@@ -147,19 +151,19 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn two_planned_promotions_at_once() {
-    let fleet = fleet().await;
+    let fleet = start_fleet().await;
     let writers = fleet.writers();
     let mut leaders = Leaders::new();
-    progress(&fleet, &writers, 100, &mut leaders).await;
+    wait_for_writes(&fleet, &writers, 100, &mut leaders).await;
 
     let plan = |host: usize, candidate| {
         planned::promote(&fleet.hosts[host].daemon.host, SERVICE, candidate)
     };
     let (one, other) = tokio::join!(plan(0, 1), plan(1, 2));
-    progress(&fleet, &writers, 200, &mut leaders).await;
+    wait_for_writes(&fleet, &writers, 200, &mut leaders).await;
 
     println!("planned at once: {one:?}, {other:?}");
-    // At most one of them can have replaced the first primary.
+    // At most one of them can have replaced the initial primary.
     assert!(one != Ok(2) || other != Ok(2), "{one:?}, {other:?}");
     verify(&fleet, writers, &leaders).await;
 }
--- a/crates/host/tests/fleet/mod.rs
+++ b/crates/host/tests/fleet/mod.rs
@@ -1,4 +1,4 @@
-//! Four hosts with operators, and faults of their network.
+//! A fleet of hosts with operators, and faults of its network and platform.
 
 #![allow(dead_code, reason = "each test file uses the part that it needs")]
 
@@ -17,84 +17,84 @@
 /// Keys of the two operators of every fleet.
 pub(crate) const ALICE: &str = "op_alice_secret-of-alice";
 pub(crate) const BRUNO: &str = "op_bruno_secret-of-bruno";
-const LEAVE: Duration = Duration::from_millis(50);
+const LEAVE_DELAY: Duration = Duration::from_millis(50);
 const SALT: &str = "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100";
 
-/// Settings with both operators, quick to stop and to rotate.
-pub(crate) fn operated(settings: &mut Settings) {
+/// Adds both operators, and makes hosts stop and rotate keys quickly.
+pub(crate) fn configure_host(settings: &mut Settings) {
     for key in [ALICE, BRUNO] {
         let mut parts = key.splitn(3, '_').skip(1);
         let (name, secret) = (parts.next().expect("name"), parts.next().expect("secret"));
         let digest = auth::digest(SALT, secret);
         settings.operators.push(Operator { name: name.into(), salt: SALT.into(), digest });
     }
-    settings.timeouts.leave = LEAVE;
+    settings.timeouts.leave = LEAVE_DELAY;
     settings.timeouts.key_overlap = Duration::from_millis(300);
 }
 
-/// Fleets that run at once in one test binary; more starve each other on a busy machine.
-static TURNS: Semaphore = Semaphore::const_new(2);
+/// Permits for fleets that run concurrently in one test binary; more of them starve each other on a
+/// busy machine.
+static FLEET_PERMITS: Semaphore = Semaphore::const_new(2);
 
-/// Hosts in order of id from 1.
+/// A platform, a database group and hosts in the order of their ids, which start at 1.
 pub(crate) struct Fleet {
-    _turn: SemaphorePermit<'static>,
+    _permit: SemaphorePermit<'static>,
     pub(crate) fixture: Fixture,
     pub(crate) hosts: Vec<Host>,
 }
 
-/// A fleet of four whose hosts all have authority and serve.
-pub(crate) async fn four() -> Fleet {
-    four_with_leave(LEAVE).await
+/// Starts four hosts and waits until all of them have authority and serve.
+pub(crate) async fn start_four() -> Fleet {
+    start_four_with_leave(LEAVE_DELAY).await
 }
 
-/// One host without configuration.
-pub(crate) async fn bare() -> Fleet {
-    let turn = TURNS.acquire().await.expect("never closed");
+/// Starts one host without a configuration.
+pub(crate) async fn start_unconfigured() -> Fleet {
+    let permit = FLEET_PERMITS.acquire().await.expect("never closed");
     let fixture = Fixture::new().await;
-    let host = fixture.unconfigured_host(1, operated).await;
-    let fleet = Fleet { _turn: turn, fixture, hosts: vec![host] };
-    fleet.settle().await;
+    let host = fixture.unconfigured_host(1, configure_host).await;
+    let fleet = Fleet { _permit: permit, fixture, hosts: vec![host] };
+    fleet.wait_until_ready().await;
     fleet
 }
 
-/// The same with hosts that serve on for this long after they began to leave.
-pub(crate) async fn four_with_leave(leave: Duration) -> Fleet {
-    let turn = TURNS.acquire().await.expect("never closed");
+/// Starts four hosts that continue to serve for `leave` after they began to leave.
+pub(crate) async fn start_four_with_leave(leave: Duration) -> Fleet {
+    let permit = FLEET_PERMITS.acquire().await.expect("never closed");
     let fixture = Fixture::new().await;
     let change = |settings: &mut Settings| {
-        operated(settings);
+        configure_host(settings);
         settings.timeouts.leave = leave;
     };
     let starts = (1..=4).map(|id| fixture.host_with(id, change));
     let hosts = futures::future::join_all(starts).await;
-    let fleet = Fleet { _turn: turn, fixture, hosts };
-    fleet.settle().await;
+    let fleet = Fleet { _permit: permit, fixture, hosts };
+    fleet.wait_until_ready().await;
     fleet
 }
 
 impl Fleet {
     /// Waits until every host has authority and sees every host in the member table.
-    pub(crate) async fn settle(&self) {
+    pub(crate) async fn wait_until_ready(&self) {
         let count = self.hosts.len();
-        let ready = |host: &Arc<shared::Host>| {
-            host.has_authority() && host.fleet.row().members.len() == count
-        };
-        self.wait("all hosts with authority", || self.all().all(ready)).await;
+        let ready =
+            |h: &Arc<shared::Host>| h.has_authority() && h.fleet.row().members.len() == count;
+        self.wait_for("all hosts with authority", || self.all_hosts().all(ready)).await;
     }
 
-    /// What host `number`, from 0, shares among its tasks.
+    /// Shared state of host `number`, counted from 0.
     pub(crate) fn host(&self, number: usize) -> &Arc<shared::Host> {
         &self.hosts[number].daemon.host
     }
 
-    /// The same of every host.
-    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<shared::Host>> {
+    /// Shared state of every host.
+    pub(crate) fn all_hosts(&self) -> impl Iterator<Item = &Arc<shared::Host>> {
         self.hosts.iter().map(|host| &host.daemon.host)
     }
 
-    /// Changes the platform's faults.
-    pub(crate) fn fault(&self, change: impl FnOnce(&mut Fault)) {
-        self.fixture.platform.faults().set(change).expect("the platform takes a fault");
+    /// Changes the faults that the platform injects.
+    pub(crate) fn set_fault(&self, change: impl FnOnce(&mut Fault)) {
+        self.fixture.platform.faults().set(change).expect("the platform accepts the fault");
     }
 
     /// Stops all hosts.
@@ -104,16 +104,16 @@
         }
     }
 
-    /// Waits until `done`.
-    pub(crate) async fn wait(&self, what: &str, mut done: impl FnMut() -> bool) {
+    /// Waits until `done` returns true.
+    pub(crate) async fn wait_for(&self, what: &str, mut done: impl FnMut() -> bool) {
         let start = Instant::now();
         while !done() {
-            assert!(start.elapsed() < WAIT_TIMEOUT, "waited in vain for {what}");
+            assert!(start.elapsed() < WAIT_TIMEOUT, "timed out waiting for {what}");
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
 
-    /// Calls the operators' interface of host `number` as `key`.
+    /// Calls the operators' interface of host `number` with `key`.
     pub(crate) async fn operate(
         &self,
         number: usize,
@@ -133,7 +133,7 @@
         (status, response.json().await.expect("the answer is JSON"))
     }
 
-    /// Posts as Alice.
+    /// Posts to the operators' interface as Alice.
     pub(crate) async fn post_as_alice(
         &self,
         number: usize,
@@ -143,64 +143,76 @@
         self.operate(number, ALICE, Method::POST, path, Some(body)).await
     }
 
-    /// Gets as Alice.
+    /// Gets from the operators' interface as Alice; panics unless the status is 200.
     pub(crate) async fn get_as_alice(&self, number: usize, path: &str) -> Value {
         let (status, body) = self.operate(number, ALICE, Method::GET, path, None).await;
         assert_eq!(status, 200, "{path}: {body}");
         body
     }
 
-    /// Cuts host `number` off from all peers, or joins it again.
-    pub(crate) fn cut_peers(&self, number: usize, cut: bool) {
+    /// Blocks or unblocks calls between host `number` and all its peers.
+    pub(crate) fn block_peers(&self, number: usize, blocked: bool) {
         let own = number as u32 + 1;
-        for (place, host) in self.all().enumerate() {
+        for (index, host) in self.all_hosts().enumerate() {
             let all = 1..=self.hosts.len() as u32;
-            let lost: BTreeSet<u32> = match place == number {
+            let peers: BTreeSet<u32> = match index == number {
                 true => all.filter(|host| *host != own).collect(),
                 false => BTreeSet::from([own]),
             };
-            host.peers.set_blocked(if cut { lost } else { BTreeSet::new() });
+            host.peers.set_blocked(if blocked { peers } else { BTreeSet::new() });
         }
     }
 
-    /// Cuts host `number` off from the platform, or joins it again.
-    pub(crate) fn cut_store(&self, number: usize, cut: bool) {
+    /// Blocks or unblocks the platform for host `number`.
+    pub(crate) fn block_store(&self, number: usize, blocked: bool) {
         let name = (number + 1).to_string();
-        self.fault(|fault| match cut {
+        self.set_fault(|fault| match blocked {
             true => drop(fault.blocked_hosts.insert(name)),
             false => drop(fault.blocked_hosts.remove(&name)),
         });
     }
 
-    /// Status and reason that a caller with `key` gets from host `number`.
-    pub(crate) async fn ask(&self, number: usize, key: &str) -> (u16, String) {
+    /// Sends a read with `key` to host `number`; returns status and reason of the answer.
+    pub(crate) async fn read_as(&self, number: usize, key: &str) -> (u16, String) {
         let call = self.hosts[number].read("SELECT count(*) FROM bolts").with_key(key);
         let answer = call.send().await;
         (answer.status, answer.body["reason"].as_str().unwrap_or_default().to_owned())
     }
 
-    /// Waits until host `number` answers a caller with `key` so.
-    pub(crate) async fn ask_until(&self, number: usize, key: &str, status: u16, reason: &str) {
+    /// Waits until host `number` answers a read with `key` with this status and reason.
+    pub(crate) async fn wait_for_answer(
+        &self,
+        number: usize,
+        key: &str,
+        status: u16,
+        reason: &str,
+    ) {
         let start = Instant::now();
         loop {
-            let got = self.ask(number, key).await;
+            let got = self.read_as(number, key).await;
             if got == (status, reason.to_owned()) {
                 return;
             }
-            assert!(start.elapsed() < WAIT_TIMEOUT, "host {number}: still {got:?}, not {reason}");
+            assert!(
+                start.elapsed() < WAIT_TIMEOUT,
+                "host {number}: expected {reason}, last answer {got:?}"
+            );
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
 
-    /// Waits until a plan has ended, as host `number` sees it.
-    pub(crate) async fn plan_ended(&self, number: usize, id: &Value) -> Value {
+    /// Waits until host `number` reports that a plan has ended, and returns the plan.
+    pub(crate) async fn wait_for_plan(&self, number: usize, id: &Value) -> Value {
         let start = Instant::now();
         loop {
             let plan = self.get_as_alice(number, &format!("plans/{id}")).await;
             if plan["state"] == "done" || plan["state"] == "failed" {
                 return plan;
             }
-            assert!(start.elapsed() < WAIT_TIMEOUT, "plan did not end: {plan}");
+            assert!(
+                start.elapsed() < WAIT_TIMEOUT,
+                "timed out waiting for the plan to end: {plan}"
+            );
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
--- a/crates/host/tests/fleet_secret.rs
+++ b/crates/host/tests/fleet_secret.rs
@@ -1,14 +1,15 @@
-//! A caller's key stands in no log line, status, metric, configuration or error.
+//! Guards against a caller's key, its digest or an operator's key leaking into log lines, status,
+//! metrics, configuration or errors.
 
 mod common;
 mod fleet;
 
-use fleet::{ALICE, four};
+use fleet::{ALICE, start_four};
 use reqwest::Method;
 use serde_json::json;
 use std::sync::{Mutex, PoisonError};
 
-/// Keeps every line of the log.
+/// Logger that collects all lines.
 struct Lines(Mutex<String>);
 
 static LINES: Lines = Lines(Mutex::new(String::new()));
@@ -30,28 +31,28 @@
 async fn a_key_is_shown_once_and_stands_nowhere_else() {
     log::set_logger(&LINES).expect("the only logger of this test binary");
     log::set_max_level(log::LevelFilter::Trace);
-    let fleet = four().await;
+    let fleet = start_four().await;
     let (_, issued) = fleet.post_as_alice(0, "keys", json!({"account": "mill"})).await;
     let key = issued["key"].as_str().expect("shown once").to_owned();
     let secret = key.splitn(3, '_').nth(2).expect("three parts").to_owned();
 
-    fleet.ask_until(1, &key, 200, "").await;
-    let mut seen = format!("{:?}", fleet.ask(1, &format!("{key}x")).await);
+    fleet.wait_for_answer(1, &key, 200, "").await;
+    let mut returned = format!("{:?}", fleet.read_as(1, &format!("{key}x")).await);
     let path = format!("keys/{}/withdraw", issued["key_id"]);
     fleet.post_as_alice(2, &path, json!({})).await;
-    fleet.ask_until(3, &key, 401, "key_withdrawn").await;
+    fleet.wait_for_answer(3, &key, 401, "key_withdrawn").await;
     for host in 0..4 {
         for path in ["status", "metrics", "config", "plans", "audit"] {
             let (_, body) = fleet.operate(host, ALICE, Method::GET, path, None).await;
-            seen.push_str(&body.to_string());
+            returned.push_str(&body.to_string());
         }
     }
     let digest = fleet.host(0).document().keys[&1].digest.clone();
     fleet.stop().await;
 
     let lines = LINES.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    assert!(lines.contains("operator alice: issue key"), "the log is seen");
-    assert!(!seen.contains(&secret) && !lines.contains(&secret));
-    assert!(!seen.contains(&digest), "not even a digest");
-    assert!(!lines.contains("secret-of-alice"), "nor an operator's key");
+    assert!(lines.contains("operator alice: issue key"), "the logger collects the log");
+    assert!(!returned.contains(&secret) && !lines.contains(&secret));
+    assert!(!returned.contains(&digest), "a digest was returned");
+    assert!(!lines.contains("secret-of-alice"), "an operator's key was logged");
 }
--- a/crates/host/tests/support/mod.rs
+++ b/crates/host/tests/support/mod.rs
@@ -14,36 +14,36 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// The service of every fleet.
+/// Name of the service.
 pub const SERVICE: &str = "stock";
-/// The client account of every fleet, and its key.
+/// Client account to which [`KEY`] belongs.
 pub const ACCOUNT: u32 = 1;
-/// Key of the account.
+/// Key of [`ACCOUNT`].
 pub const KEY: &str = "bv_1_secret-of-the-mill";
-/// A second client account's key.
+/// Key of a second client account.
 pub const OTHER_KEY: &str = "bv_2_secret-of-another";
-/// Time that a test waits for something that must come.
+/// Longest time that a test waits for an expected event.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 const SALT: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
 /// A platform, a database group and hosts.
 pub struct Fleet {
-    /// The platform.
+    /// Platform that the hosts use.
     pub platform: platform::Server,
-    /// The database group.
+    /// Group of the one service.
     pub group: Group,
-    /// The hosts, in order of id from 1.
+    /// Hosts in the order of their ids, which start at 1.
     pub daemons: Vec<Daemon>,
-    /// HTTP client of a caller.
+    /// HTTP client for requests of callers.
     pub http: reqwest::Client,
 }
 
-/// Starts a platform with the configuration, a group, and `hosts` hosts that serve.
+/// Starts a platform, a database group and `hosts` hosts, and publishes the configuration.
 pub async fn fleet(hosts: u32) -> Fleet {
     fleet_with(hosts, |_| {}).await
 }
 
-/// The same with changed settings.
+/// Like [`fleet`], with changed settings for the hosts.
 pub async fn fleet_with(hosts: u32, change: impl Fn(&mut Settings)) -> Fleet {
     let schema = vec!["CREATE TABLE bolts (id TEXT PRIMARY KEY, lot BIGINT NOT NULL)".to_owned()];
     let options = group::Options { schema, ..group::Options::default() };
@@ -55,7 +55,7 @@
         change(&mut settings);
         daemons.push(Daemon::start(settings).await.expect("host starts"));
     }
-    found(&daemons[0], document(&group.addresses())).await;
+    bootstrap(&daemons[0], document(&group.addresses())).await;
     let http = reqwest::Client::new();
     Fleet { platform, group, daemons, http }
 }
@@ -67,7 +67,7 @@
     Settings::new(host, host as u16 % 3, listen, platform)
 }
 
-/// The configuration: one service, two client accounts with a key each.
+/// Configuration with one service and two client accounts with one key each.
 pub fn document(addresses: &[SocketAddr]) -> Document {
     let targets = addresses.iter().enumerate().map(|(number, address)| {
         let failure_domain = number as u16;
@@ -101,22 +101,25 @@
     Key { account, salt: SALT.into(), digest, state: KeyState::Active }
 }
 
-/// Publishes the first configuration, once the host may.
-async fn found(daemon: &Daemon, document: Document) {
+/// Publishes the first configuration as soon as the host accepts it.
+async fn bootstrap(daemon: &Daemon, document: Document) {
     let start = Instant::now();
     while let Err(fault) = change::bootstrap(&daemon.host, document.clone()).await {
-        assert!(start.elapsed() < WAIT_TIMEOUT, "no first configuration: {fault}");
+        assert!(
+            start.elapsed() < WAIT_TIMEOUT,
+            "timed out publishing the first configuration: {fault}"
+        );
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
 
 impl Fleet {
-    /// Address where host `number`, from 0, serves callers.
+    /// Address at which host `number`, counted from 0, serves callers.
     pub fn callers(&self, number: usize) -> SocketAddr {
         self.daemons[number].host.settings.listen.callers
     }
 
-    /// Posts a statement to host `number`.
+    /// Posts a statement with [`KEY`] to host `number`.
     pub async fn post(
         &self,
         number: usize,
@@ -137,8 +140,9 @@
         Reply { status, token, body }
     }
 
-    /// Logs a bolt through host `number`, asking again until it is taken.
-    pub async fn write_until_taken(&self, number: usize, id: &str) -> Reply {
+    /// Inserts a bolt through host `number`, with retries under one idempotency key until the write
+    /// is accepted or [`WAIT_TIMEOUT`] has passed; returns the last reply.
+    pub async fn write_until_accepted(&self, number: usize, id: &str) -> Reply {
         let path = format!("services/{SERVICE}/write");
         let body = json!({"sql": "INSERT INTO bolts (id, lot) VALUES ($1, $2)", "params": [id, 7]});
         let start = Instant::now();
@@ -166,13 +170,13 @@
     }
 }
 
-/// What a caller got.
+/// Answer to a caller.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
-    /// Status code.
+    /// HTTP status code.
     pub status: u16,
-    /// Session token.
+    /// Session token, if the answer has one.
     pub token: Option<String>,
-    /// JSON body.
+    /// Body of the answer.
     pub body: Value,
 }
