--- a/crates/host/src/fleet/loan.rs
+++ b/crates/host/src/fleet/loan.rs
@@ -51,8 +51,8 @@
     loop {
         ticks.tick().await;
         let peers = lenders(&host);
-        for (want, asked) in host.pools.wants(&host, &peers) {
-            calls.spawn(send_request(host.clone(), want, asked));
+        for (want, loan) in host.pools.wants(&host, &peers) {
+            calls.spawn(send_request(host.clone(), want, loan));
         }
         while calls.try_join_next().is_some() {}
     }
@@ -64,12 +64,12 @@
     row.members.into_keys().filter(|peer| *peer != host.settings.host).collect()
 }
 
-async fn send_request(host: Arc<Host>, want: Want, asked: Option<Asked>) {
+async fn send_request(host: Arc<Host>, want: Want, loan: Option<Asked>) {
     match want {
         Want::Borrow(peer, request) => {
             let total = borrow_slots(&host, peer, request).await;
-            if let Some(asked) = asked {
-                host.pools.granted(&host, &asked, total);
+            if let Some(loan) = loan {
+                host.pools.granted(&host, &loan, total);
             }
         }
         Want::Return(peer, request) => {
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -55,18 +55,19 @@
     pub members: BTreeSet<HostId>,
     /// Number of divisions so far, see [`DivisionCounter::generation`].
     pub generation: u64,
-    /// Time at which this host's authority expires; zero while this incarnation is not recorded.
+    /// Time at which this host's authority expires; zero while this incarnation is not recorded or
+    /// without a renewal.
     pub deadline: Time,
 }
 
 /// This host's authority to act on its copy of the shared state, as shown to operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Authority {
-    /// Whether the authority is unexpired.
+    /// Whether this incarnation is recorded and its latest renewal has not expired.
     pub held: bool,
     /// Time since the latest renewal; `None` if there was none.
     pub age: Option<Duration>,
-    /// Origin of the latest renewal.
+    /// Origin of the latest renewal; `None` without authority.
     pub source: Option<Source>,
 }
 
--- a/crates/host/tests/failover_races.rs
+++ b/crates/host/tests/failover_races.rs
@@ -31,7 +31,8 @@
         .collect();
     let start = Instant::now();
     let peers = HOSTS as usize - 1;
-    // A direct connection that was being opened may still be used instead of the relay's: try again.
+    // A direct connection that was being opened may still be used instead of the relay's. In that
+    // case try again.
     while relays.iter().any(|relay| relay.connections() < peers) {
         assert!(
             start.elapsed() < WAIT_TIMEOUT,
--- a/crates/host/tests/fleet/mod.rs
+++ b/crates/host/tests/fleet/mod.rs
@@ -24,7 +24,10 @@
 pub(crate) fn configure_host(settings: &mut Settings) {
     for key in [ALICE, BRUNO] {
         let mut parts = key.splitn(3, '_').skip(1);
-        let (name, secret) = (parts.next().expect("name"), parts.next().expect("secret"));
+        let (name, secret) = (
+            parts.next().expect("the key has a name"),
+            parts.next().expect("the key has a secret"),
+        );
         let digest = auth::digest(SALT, secret);
         settings.operators.push(Operator { name: name.into(), salt: SALT.into(), digest });
     }
@@ -50,7 +53,7 @@
 
 /// Starts one host without a configuration.
 pub(crate) async fn start_unconfigured() -> Fleet {
-    let permit = FLEET_PERMITS.acquire().await.expect("never closed");
+    let permit = FLEET_PERMITS.acquire().await.expect("the semaphore is never closed");
     let fixture = Fixture::new().await;
     let host = fixture.unconfigured_host(1, configure_host).await;
     let fleet = Fleet { _permit: permit, fixture, hosts: vec![host] };
@@ -60,7 +63,7 @@
 
 /// Starts four hosts that continue to serve for `leave` after they began to leave.
 pub(crate) async fn start_four_with_leave(leave: Duration) -> Fleet {
-    let permit = FLEET_PERMITS.acquire().await.expect("never closed");
+    let permit = FLEET_PERMITS.acquire().await.expect("the semaphore is never closed");
     let fixture = Fixture::new().await;
     let change = |settings: &mut Settings| {
         configure_host(settings);
--- a/crates/host/tests/fleet_change.rs
+++ b/crates/host/tests/fleet_change.rs
@@ -38,7 +38,7 @@
     lose_responses(&fleet, 2);
     let (status, issued) = fleet.post_as_alice(1, "keys", json!({"account": "mill"})).await;
     assert_eq!(status, 201, "{issued}");
-    let key = issued["key"].as_str().expect("shown once").to_owned();
+    let key = issued["key"].as_str().expect("the response contains the key").to_owned();
     fleet.wait_for_answer(2, &key, 200, "").await;
     lose_responses(&fleet, 1);
     let path = format!("keys/{}/withdraw", issued["key_id"]);
@@ -92,7 +92,7 @@
     let (status, body) = fleet.post_as_alice(0, &path, json!({})).await;
     assert_eq!((status, &body["reason"]), (409, &json!("confirmed")));
     let audit = fleet.get_as_alice(3, "audit").await;
-    let entries = audit["entries"].as_array().expect("entries");
+    let entries = audit["entries"].as_array().expect("the audit log has entries");
     let confirmed = entries.iter().filter(|entry| entry["action"] == "confirm");
     assert_eq!(confirmed.count(), 1, "{audit}");
     fleet.stop().await;
@@ -121,7 +121,7 @@
 
     let (status, body) = fleet.post_as_alice(0, &confirm_path(&plan), json!({})).await;
     assert_eq!(status, 200, "{body}");
-    let new = body["issued"]["key"].as_str().expect("shown once").to_owned();
+    let new = body["issued"]["key"].as_str().expect("the response contains the key").to_owned();
     fleet.wait_for_answer(1, &new, 200, "").await;
     let ended = fleet.wait_for_plan(2, &plan["id"]).await;
 
@@ -216,7 +216,8 @@
     }
     let (status, _) = fleet.post_as_alice(0, "keys", json!({"account": "nobody"})).await;
     assert_eq!(status, 404);
-    let whole = serde_json::to_value(fleet.host(0).document().as_ref()).expect("JSON");
+    let whole =
+        serde_json::to_value(fleet.host(0).document().as_ref()).expect("a document is JSON");
     let (status, body) = fleet.operate(0, ALICE, Method::PUT, "config", Some(whole)).await;
     assert_eq!((status, &body["reason"]), (409, &json!("exists")));
 
@@ -227,7 +228,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_first_configuration_that_cannot_hold_is_refused() {
     let fleet = fleet::start_unconfigured().await;
-    let good = serde_json::to_value(fleet.fixture.document()).expect("JSON");
+    let good = serde_json::to_value(fleet.fixture.document()).expect("a document is JSON");
     let with_value = |path: &str, value: Value| {
         let mut document = good.clone();
         *document.pointer_mut(path).expect(path) = value;
--- a/crates/host/tests/fleet_secret.rs
+++ b/crates/host/tests/fleet_secret.rs
@@ -33,8 +33,8 @@
     log::set_max_level(log::LevelFilter::Trace);
     let fleet = start_four().await;
     let (_, issued) = fleet.post_as_alice(0, "keys", json!({"account": "mill"})).await;
-    let key = issued["key"].as_str().expect("shown once").to_owned();
-    let secret = key.splitn(3, '_').nth(2).expect("three parts").to_owned();
+    let key = issued["key"].as_str().expect("the response contains the key").to_owned();
+    let secret = key.splitn(3, '_').nth(2).expect("a key has three parts").to_owned();
 
     fleet.wait_for_answer(1, &key, 200, "").await;
     let mut returned = format!("{:?}", fleet.read_as(1, &format!("{key}x")).await);
--- a/crates/host/tests/fleet_stop.rs
+++ b/crates/host/tests/fleet_stop.rs
@@ -28,8 +28,8 @@
 async fn is_listed(http: &reqwest::Client, platform: SocketAddr) -> bool {
     let url = format!("http://{platform}/hosts");
     let answer = http.get(url).send().await.expect("the platform answers");
-    let list: serde_json::Value = answer.json().await.expect("a list");
-    let mut hosts = list["hosts"].as_array().expect("hosts").iter();
+    let list: serde_json::Value = answer.json().await.expect("the answer is JSON");
+    let mut hosts = list["hosts"].as_array().expect("the list has hosts").iter();
     hosts.any(|host| host["host"] == "4")
 }
 
@@ -80,7 +80,7 @@
     stopping.daemon.stop().await;
 
     for caller in callers {
-        let answers = caller.await.expect("the caller ends");
+        let answers = caller.await.expect("the caller does not panic");
         assert!(answers.answered > 0, "{answers:?}");
         assert_eq!(answers.failed, Vec::<String>::new(), "{answers:?}");
     }
