--- a/crates/host/tests/fleet_change.rs
+++ b/crates/host/tests/fleet_change.rs
@@ -1,25 +1,4 @@
-//! Changes through the operators' API: <<<<<<<
-plans
-=======
-concurrent changes
->>>>>>>
-, concurrent <<<<<<<
-confirmations
-=======
-responses
->>>>>>>
-, <<<<<<<
-lost
-=======
-invalid input,
->>>>>>>
- responses, <<<<<<<
-invalid input
-//! and authentication
-=======
-and permissions
->>>>>>>
-.
+//! Changes by operators: concurrent changes, lost responses, invalid input, plans and permissions.
 
 mod common;
 mod fleet;
@@ -33,9 +12,8 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// Makes the platform execute the next `responses` writes without responding to them.
-fn lose_responses(fleet: &Fleet, responses: u64) {
-    fleet.set_fault(|fault| fault.lost_responses = responses);
+fn lose_responses(fleet: &Fleet, answers: u64) {
+    fleet.set_fault(|fault| fault.lost_responses = answers);
 }
 
 async fn propose(fleet: &Fleet, intent: Value) -> Value {
@@ -68,27 +46,7 @@
 
     assert_eq!(status, 200, "{body}");
     let version = body["accepted"].clone();
-    assert_eq!(version, json!(3), "each change <<<<<<<
-made
-=======
-is
->>>>>>>
- <<<<<<<
-exactly
-=======
-accepted
->>>>>>>
- <<<<<<<
-one
-=======
-exactly
->>>>>>>
- <<<<<<<
-version
-=======
-once
->>>>>>>
-");
+    assert_eq!(version, json!(3), "each change is accepted exactly once");
     for host in 0..4 {
         fleet.wait_for_answer(host, &key, 401, "key_withdrawn").await;
     }
@@ -178,22 +136,7 @@
 async fn a_plan_goes_on_after_its_runner_is_gone() {
     let fleet = start_four().await;
     let plan = propose(&fleet, json!({"rotate": {"account": "mill", "key_id": 1}})).await;
-    // Partition the <<<<<<<
-is cut off
-=======
-runner
->>>>>>>
- between two steps: it can neither store its progress nor <<<<<<<
-reach its
-=======
-reach a
->>>>>>>
- <<<<<<<
-peers
-=======
-peer
->>>>>>>
-.
+    // Partition the runner between two steps: it can neither write its progress nor reach a peer.
     let (status, body) = fleet.post_as_alice(3, &confirm_path(&plan), json!({})).await;
     assert_eq!(status, 200, "{body}");
     fleet.block_store(3, true);
@@ -205,17 +148,7 @@
     let withdrawn = |host: &Arc<Host>| host.document().keys[&1].state == KeyState::Withdrawn;
     fleet.wait_for("the old key withdrawn", || fleet.all_hosts().take(3).all(withdrawn)).await;
     let keys: BTreeSet<u64> = fleet.host(0).document().keys.keys().copied().collect();
-    assert_eq!(keys.len(), 3, "both runners <<<<<<<
-together
-=======
-key in total,
->>>>>>>
- issued exactly one <<<<<<<
-new
-=======
-per
->>>>>>>
- key");
+    assert_eq!(keys.len(), 3, "one new key in total, not one per runner");
     fleet.block_store(3, false);
     fleet.block_peers(3, false);
     fleet.stop().await;
@@ -226,17 +159,7 @@
     let fleet = start_four().await;
     let primary = || fleet.host(0).pools.primary(1);
     fleet.wait_for("a primary", || primary().is_some()).await;
-    let target = (primary().expect("<<<<<<<
-a
-=======
-a primary was found
->>>>>>>
- <<<<<<<
-primary
-=======
-above
->>>>>>>
-") + 1) % 3;
+    let target = (primary().expect("a primary was found above") + 1) % 3;
 
     for (intent, state) in [("drain_target", "draining"), ("restore_target", "active")] {
         let intent = json!({ intent: {"service": "mill", "target": target} });
@@ -262,7 +185,7 @@
     assert_eq!(status, 200, "{body}");
 
     let leaving = fleet.hosts.remove(3).daemon;
-    leaving.leave_requested().await;
+    leaving.told_to_leave().await;
     leaving.stop().await;
 
     let ended = fleet.wait_for_plan(0, &plan["id"]).await;
@@ -293,9 +216,9 @@
     }
     let (status, _) = fleet.post_as_alice(0, "keys", json!({"account": "nobody"})).await;
     assert_eq!(status, 404);
-    let document =
+    let whole =
         serde_json::to_value(fleet.host(0).document().as_ref()).expect("a document is JSON");
-    let (status, body) = fleet.operate(0, ALICE, Method::PUT, "config", Some(document)).await;
+    let (status, body) = fleet.operate(0, ALICE, Method::PUT, "config", Some(whole)).await;
     assert_eq!((status, &body["reason"]), (409, &json!("exists")));
 
     assert_eq!(fleet.host(0).fleet.row().version, version);
@@ -305,9 +228,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_first_configuration_that_cannot_hold_is_refused() {
     let fleet = fleet::start_unconfigured().await;
-    let valid = serde_json::to_value(fleet.fixture.document()).expect("a document is JSON");
+    let good = serde_json::to_value(fleet.fixture.document()).expect("a document is JSON");
     let with_value = |path: &str, value: Value| {
-        let mut document = valid.clone();
+        let mut document = good.clone();
         *document.pointer_mut(path).expect(path) = value;
         document
     };
@@ -330,7 +253,7 @@
             fleet.operate(0, ALICE, Method::PUT, "config", Some(document.clone())).await;
         assert_eq!(status, 400, "{document}: {body}");
     }
-    let (status, body) = fleet.operate(0, ALICE, Method::PUT, "config", Some(valid)).await;
+    let (status, body) = fleet.operate(0, ALICE, Method::PUT, "config", Some(good)).await;
 
     assert_eq!((status, &body["accepted"]), (200, &json!(1)), "{body}");
     fleet.stop().await;
@@ -361,16 +284,6 @@
         }
     }
     fleet.wait_for_answer(0, KEY, 200, "").await;
-    assert_eq!(fleet.read_as(0, ALICE).await.0, 401, "an operator's key is <<<<<<<
-not accepted from a
-=======
-not valid
->>>>>>>
- <<<<<<<
-caller
-=======
-for callers
->>>>>>>
-");
+    assert_eq!(fleet.read_as(0, ALICE).await.0, 401, "an operator's key is not valid for callers");
     fleet.stop().await;
 }
