--- a/crates/host/tests/fleet_change.rs
+++ b/crates/host/tests/fleet_change.rs
@@ -185,7 +185,7 @@
     assert_eq!(status, 200, "{body}");
 
     let leaving = fleet.hosts.remove(3).daemon;
-    leaving.told_to_leave().await;
+    leaving.leave_requested().await;
     leaving.stop().await;
 
     let ended = fleet.wait_for_plan(0, &plan["id"]).await;
