--- a/crates/cli/src/bench/admission.rs
+++ b/crates/cli/src/bench/admission.rs
@@ -160,7 +160,7 @@
 impl Account {
     fn judge(&mut self, attempt: &Attempt, phase: Phase, bucket: &mut Bucket) {
         if attempt.verdict() != Verdict::NotRun {
-            bucket.take(attempt.sent);
+            bucket.charge(attempt.sent);
         }
         match attempt.outcome {
             Outcome::Done { .. } => {}
--- a/crates/cli/src/bench/check.rs
+++ b/crates/cli/src/bench/check.rs
@@ -9,7 +9,7 @@
 use crate::bench::admission;
 use crate::bench::history::{AccountIndex, History, Kind, Mark, Op, OpId, Verdict};
 use bergamotvale_core::id::{AccountId, TargetId};
-use bergamotvale_core::invariant::{Broken, account, answer, write};
+use bergamotvale_core::invariant::{Violation, account, answer, write};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::slice;
@@ -73,12 +73,12 @@
 
 /// Acknowledged writes that at least one target of their service lacks.
 pub fn lost(history: &History) -> BTreeSet<OpId> {
-    breaking(records(history), write::verify_kept, |write| write.op)
+    breaking(records(history), write::verify_durable, |write| write.op)
 }
 
 /// Writes with more than one row on any target.
 pub fn duplicated(history: &History) -> BTreeSet<OpId> {
-    breaking(records(history), write::verify_once, |write| write.op)
+    breaking(records(history), write::verify_at_most_once, |write| write.op)
 }
 
 /// Writes that every attempt called not run, and that left a row nevertheless.
@@ -101,11 +101,11 @@
         history.ops.iter().filter(|op| op.kind.reads() && op.verdict() == Verdict::Acknowledged);
     let answers = answered.map(|op| answer::Answer {
         op: op.id,
-        of: op.seen.map_or(op.id, |seen| seen.op),
+        named_op: op.seen.map_or(op.id, |seen| seen.op),
         sent_rows: 1,
         received_rows: op.seen.iter().len(),
     });
-    breaking(answers, answer::verify_whole, |answer| answer.op)
+    breaking(answers, answer::verify_complete, |answer| answer.op)
 }
 
 /// Foreign requests that were answered, and rows under another account or of no known write.
@@ -115,7 +115,7 @@
     let owners: BTreeMap<_, _> = writes(history).map(|op| (op.id, op.account)).collect();
     let rows = history.remains.iter().flat_map(|remains| &remains.rows);
     let left = rows.map(|(id, mark)| run(*id, owners.get(id).copied(), mark.account));
-    breaking(foreign.chain(left), account::verify_owner, |run| run.op)
+    breaking(foreign.chain(left), account::verify_account, |run| run.op)
 }
 
 /// Accounts above rate and burst in some window.
@@ -131,16 +131,16 @@
 /// Records that break `rule`, each by itself.
 fn breaking<T>(
     records: impl Iterator<Item = T>,
-    rule: impl Fn(&[T]) -> Result<(), Broken>,
+    rule: impl Fn(&[T]) -> Result<(), Violation>,
     id: impl Fn(&T) -> OpId,
 ) -> BTreeSet<OpId> {
     records.filter(|record| rule(slice::from_ref(record)).is_err()).map(|r| id(&r)).collect()
 }
 
 /// An operation that ran for `account`; `owner` is that of the key that came with it.
-fn run(op: OpId, owner: Option<AccountIndex>, account: AccountIndex) -> account::Run {
+fn run(op: OpId, owner: Option<AccountIndex>, account: AccountIndex) -> account::Execution {
     let id = |index: AccountIndex| index as AccountId;
-    account::Run { op, presented: owner.map(id), account: id(account), is_open: false }
+    account::Execution { op, key_account: owner.map(id), account: id(account), is_open: false }
 }
 
 /// Every write, with what each target of its service holds of it.
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -6,17 +6,17 @@
 //! | invariant | check |
 //! |---|---|
 //! | a session reads its own writes on any host | [`session::verify`] |
-//! | a superseded primary acknowledges nothing | [`write::verify_kept`], [`write::verify_terms`] |
-//! | transactions don't mix on a connection | [`target::verify_unmixed`] |
-//! | a request runs for its key's account only | [`account::verify_owner`] |
-//! | no target sees a key | [`target::verify_keyless`] |
+//! | a superseded primary acknowledges nothing | [`write::verify_durable`], [`write::verify_single_primary`] |
+//! | transactions don't mix on a connection | [`target::verify_not_interleaved`] |
+//! | a request runs for its key's account only | [`account::verify_account`] |
+//! | no target sees a key | [`target::verify_no_keys`] |
 //! | a withdrawn key stops working | [`account::verify_withdrawn`] |
 //! | no account exceeds rate and burst | [`admission::verify`] |
-//! | each caller gets its own whole answer | [`answer::verify_whole`] |
+//! | each caller gets its own whole answer | [`answer::verify_complete`] |
 //! | "not run" is true | [`write::verify_not_run`] |
-//! | at most once | [`write::verify_once`] |
-//! | a leaving target receives no new work | [`target::verify_leaving`] |
-//! | a planned stop cuts no request | [`answer::verify_uncut`] |
+//! | at most once | [`write::verify_at_most_once`] |
+//! | a leaving target receives no new work | [`target::verify_draining`] |
+//! | a planned stop cuts no request | [`answer::verify_uninterrupted`] |
 //! | an accepted configuration comes into force and never reverts | [`change::verify`] |
 
 pub mod account;
@@ -36,7 +36,7 @@
 
 /// An invariant that a history broke, and where.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-pub enum Broken {
+pub enum Violation {
     /// A read missed an acknowledged write of its session.
     #[display("read {op} misses a write of its session")]
     StaleRead {
@@ -51,13 +51,13 @@
     },
     /// Two targets acknowledged in one term.
     #[display("two targets acknowledged in term {term}")]
-    SplitTerm {
+    SplitBrain {
         /// The term.
         term: Term,
     },
     /// A write took effect more than once.
     #[display("write {op} ran more than once")]
-    RepeatedWrite {
+    DuplicateWrite {
         /// The write.
         op: OpId,
     },
@@ -69,19 +69,19 @@
     },
     /// Statements of two transactions met on one connection, or one transaction used two.
     #[display("statement of transaction {transaction} mixed with another")]
-    MixedTransactions {
+    InterleavedTransactions {
         /// The transaction.
         transaction: u64,
     },
     /// A target saw a caller's key.
     #[display("target {target} saw a caller's key")]
-    KeySeen {
+    KeyExposed {
         /// The target.
         target: TargetId,
     },
     /// A leaving target received new work.
     #[display("target {target} received new work while leaving")]
-    WorkWhileLeaving {
+    WorkWhileDraining {
         /// The target.
         target: TargetId,
     },
@@ -105,7 +105,7 @@
     },
     /// A planned stop cut a request.
     #[display("request {op} was cut by a planned stop")]
-    CutRequest {
+    InterruptedRequest {
         /// The request.
         op: OpId,
     },
@@ -131,8 +131,8 @@
 fn first<T>(
     records: &[T],
     is_offender: impl Fn(&T) -> bool,
-    broken: impl Fn(&T) -> Broken,
-) -> Result<(), Broken> {
+    broken: impl Fn(&T) -> Violation,
+) -> Result<(), Violation> {
     match records.iter().find(|record| is_offender(record)) {
         Some(record) => Err(broken(record)),
         None => Ok(()),
--- a/crates/core/src/invariant/account.rs
+++ b/crates/core/src/invariant/account.rs
@@ -1,17 +1,17 @@
 //! Requests run for the account of their key, and only while the key is active.
 
-use super::{Broken, OpId, first};
+use super::{OpId, Violation, first};
 use crate::id::{AccountId, KeyId, Time};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A request that ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Run {
+pub struct Execution {
     /// The request.
     pub op: OpId,
     /// Account of the key that came with it, if one did.
-    pub presented: Option<AccountId>,
+    pub key_account: Option<AccountId>,
     /// Account that it ran for.
     pub account: AccountId,
     /// Whether its route is open to all.
@@ -20,7 +20,7 @@
 
 /// A use of a key that a host accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Use {
+pub struct KeyUse {
     /// The key.
     pub key: KeyId,
     /// When a host accepted it.
@@ -28,17 +28,17 @@
 }
 
 /// Except on open routes, a request runs for the account of its key only.
-pub fn verify_owner(runs: &[Run]) -> Result<(), Broken> {
-    let is_foreign = |run: &Run| !run.is_open && run.presented != Some(run.account);
-    first(runs, is_foreign, |run| Broken::WrongAccount { op: run.op })
+pub fn verify_account(executions: &[Execution]) -> Result<(), Violation> {
+    let is_foreign = |run: &Execution| !run.is_open && run.key_account != Some(run.account);
+    first(executions, is_foreign, |run| Violation::WrongAccount { op: run.op })
 }
 
 /// No key is accepted later than `bound` after its withdrawal.
 pub fn verify_withdrawn(
-    uses: &[Use],
+    uses: &[KeyUse],
     withdrawn: &BTreeMap<KeyId, Time>,
     bound: Duration,
-) -> Result<(), Broken> {
-    let is_late = |used: &Use| withdrawn.get(&used.key).is_some_and(|at| used.at > *at + bound);
-    first(uses, is_late, |used| Broken::WithdrawnKey { key: used.key })
+) -> Result<(), Violation> {
+    let is_late = |used: &KeyUse| withdrawn.get(&used.key).is_some_and(|at| used.at > *at + bound);
+    first(uses, is_late, |used| Violation::WithdrawnKey { key: used.key })
 }
--- a/crates/core/src/invariant/admission.rs
+++ b/crates/core/src/invariant/admission.rs
@@ -6,10 +6,10 @@
 
 /// An admission above burst + rate × window for some window that ends with it.
 #[derive(Debug, Clone, Copy, PartialEq, Display, Error)]
-#[display("admission {number} at {at:?} is {excess:.3} tokens above rate and burst")]
+#[display("admission {index} at {at:?} is {excess:.3} tokens above rate and burst")]
 pub struct Excess {
     /// Place of the admission in time order.
-    pub number: usize,
+    pub index: usize,
     /// When.
     pub at: Time,
     /// Tokens missing.
@@ -45,15 +45,15 @@
 
     /// Takes a token if there is one.
     pub fn admit(&mut self, now: Time) -> bool {
-        let there = self.level(now) >= 1.0;
-        if there {
+        let has_token = self.level(now) >= 1.0;
+        if has_token {
             self.level -= 1.0;
         }
-        there
+        has_token
     }
 
     /// Takes a token, also below zero; answers the level after.
-    pub fn take(&mut self, now: Time) -> f64 {
+    pub fn charge(&mut self, now: Time) -> f64 {
         self.level = self.level(now) - 1.0;
         self.level
     }
@@ -65,10 +65,10 @@
 /// Checks the admissions of all hosts together, in order of time.
 pub fn verify(admissions: &[Time], rate: u32, burst: u32) -> Result<(), Excess> {
     let mut bucket = Bucket::new(rate, burst);
-    for (number, at) in admissions.iter().enumerate() {
-        let level = bucket.take(*at);
+    for (index, at) in admissions.iter().enumerate() {
+        let level = bucket.charge(*at);
         if level < -TOLERANCE {
-            return Err(Excess { number, at: *at, excess: -level });
+            return Err(Excess { index, at: *at, excess: -level });
         }
     }
     Ok(())
--- a/crates/core/src/invariant/answer.rs
+++ b/crates/core/src/invariant/answer.rs
@@ -1,6 +1,6 @@
 //! Callers get whole answers to their own requests, also while a host stops as planned.
 
-use super::{Broken, OpId, first};
+use super::{OpId, Violation, first};
 use crate::id::{HostId, Time};
 use std::collections::BTreeMap;
 
@@ -10,7 +10,7 @@
     /// The request that waited for it.
     pub op: OpId,
     /// The request that it names.
-    pub of: OpId,
+    pub named_op: OpId,
     /// Rows that the target gave.
     pub sent_rows: usize,
     /// Rows that the caller received.
@@ -19,13 +19,13 @@
 
 /// How a request to a host ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
+pub enum Completion {
     /// Answered with a result or a refusal.
     Answered,
     /// The answer is missing or incomplete.
-    Cut,
+    Interrupted,
     /// The connection was not made: the host had nothing of it.
-    Unsent,
+    NotSent,
 }
 
 /// A request to a host.
@@ -36,22 +36,26 @@
     /// The host.
     pub host: HostId,
     /// When it ended.
-    pub ended: Time,
+    pub ended_at: Time,
     /// How.
-    pub end: End,
+    pub completion: Completion,
 }
 
 /// Every answer is the whole one to the request that waited for it.
-pub fn verify_whole(answers: &[Answer]) -> Result<(), Broken> {
-    let is_wrong = |a: &Answer| a.of != a.op || a.received_rows != a.sent_rows;
-    first(answers, is_wrong, |answer| Broken::WrongAnswer { op: answer.op })
+pub fn verify_complete(answers: &[Answer]) -> Result<(), Violation> {
+    let is_wrong = |a: &Answer| a.named_op != a.op || a.received_rows != a.sent_rows;
+    first(answers, is_wrong, |answer| Violation::WrongAnswer { op: answer.op })
 }
 
 /// No request to a host is cut once its planned stop began.
-pub fn verify_uncut(requests: &[Request], stopping: &BTreeMap<HostId, Time>) -> Result<(), Broken> {
+pub fn verify_uninterrupted(
+    requests: &[Request],
+    stopping: &BTreeMap<HostId, Time>,
+) -> Result<(), Violation> {
     let is_cut = |request: &Request| {
         let since = stopping.get(&request.host);
-        request.end == End::Cut && since.is_some_and(|since| request.ended >= *since)
+        request.completion == Completion::Interrupted
+            && since.is_some_and(|since| request.ended_at >= *since)
     };
-    first(requests, is_cut, |request| Broken::CutRequest { op: request.op })
+    first(requests, is_cut, |request| Violation::InterruptedRequest { op: request.op })
 }
--- a/crates/core/src/invariant/session.rs
+++ b/crates/core/src/invariant/session.rs
@@ -1,6 +1,6 @@
 //! A session reads its own writes, whatever hosts and targets served it.
 
-use super::{Broken, OpId};
+use super::{OpId, Violation};
 use crate::id::ServiceId;
 use crate::log::Position;
 use std::collections::BTreeMap;
@@ -18,12 +18,12 @@
     /// The service that it used.
     pub service: ServiceId,
     /// What the session learnt.
-    pub seen: Seen,
+    pub kind: EventKind,
 }
 
 /// What a session learnt from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Seen {
+pub enum EventKind {
     /// A write was acknowledged at this position.
     Acknowledged(Position),
     /// A read was served from a log that reached this position.
@@ -31,16 +31,16 @@
 }
 
 /// Every read covers the acknowledged writes that its session made before.
-pub fn verify(events: &[Event]) -> Result<(), Broken> {
+pub fn verify(events: &[Event]) -> Result<(), Violation> {
     let mut floors: BTreeMap<(SessionId, ServiceId), Position> = BTreeMap::new();
     for event in events {
         let floor = floors.entry((event.session, event.service)).or_default();
-        match event.seen {
-            Seen::Acknowledged(position) => *floor = position.max(*floor),
-            Seen::Read(applied) if applied < *floor => {
-                return Err(Broken::StaleRead { op: event.op });
+        match event.kind {
+            EventKind::Acknowledged(position) => *floor = position.max(*floor),
+            EventKind::Read(applied) if applied < *floor => {
+                return Err(Violation::StaleRead { op: event.op });
             }
-            Seen::Read(_) => {}
+            EventKind::Read(_) => {}
         }
     }
     Ok(())
--- a/crates/core/src/invariant/write.rs
+++ b/crates/core/src/invariant/write.rs
@@ -3,7 +3,7 @@
 //! Effects are counted in the surviving log, once all faults are healed: what only a superseded
 //! primary had is gone and counts as nothing.
 
-use super::{Broken, OpId, first};
+use super::{OpId, Violation, first};
 use crate::id::TargetId;
 use crate::log::Term;
 use std::collections::BTreeMap;
@@ -31,33 +31,33 @@
 }
 
 /// No acknowledged write is missing on any target.
-pub fn verify_kept(writes: &[Write]) -> Result<(), Broken> {
+pub fn verify_durable(writes: &[Write]) -> Result<(), Violation> {
     let is_lost = |write: &Write| {
         write.verdict == Verdict::Acknowledged && write.effects.values().any(|count| *count == 0)
     };
-    first(writes, is_lost, |write| Broken::LostWrite { op: write.op })
+    first(writes, is_lost, |write| Violation::LostWrite { op: write.op })
 }
 
 /// No write that was refused as not run took effect.
-pub fn verify_not_run(writes: &[Write]) -> Result<(), Broken> {
+pub fn verify_not_run(writes: &[Write]) -> Result<(), Violation> {
     let is_false = |write: &Write| {
         write.verdict == Verdict::NotRun && write.effects.values().any(|count| *count > 0)
     };
-    first(writes, is_false, |write| Broken::FalseNotRun { op: write.op })
+    first(writes, is_false, |write| Violation::FalseNotRun { op: write.op })
 }
 
 /// No write took effect twice.
-pub fn verify_once(writes: &[Write]) -> Result<(), Broken> {
+pub fn verify_at_most_once(writes: &[Write]) -> Result<(), Violation> {
     let is_repeated = |write: &Write| write.effects.values().any(|count| *count > 1);
-    first(writes, is_repeated, |write| Broken::RepeatedWrite { op: write.op })
+    first(writes, is_repeated, |write| Violation::DuplicateWrite { op: write.op })
 }
 
 /// One target at most acknowledges in each term.
-pub fn verify_terms(acknowledgements: &[(Term, TargetId)]) -> Result<(), Broken> {
+pub fn verify_single_primary(acknowledgements: &[(Term, TargetId)]) -> Result<(), Violation> {
     let mut primaries = BTreeMap::new();
     for (term, target) in acknowledgements {
         if *primaries.entry(*term).or_insert(*target) != *target {
-            return Err(Broken::SplitTerm { term: *term });
+            return Err(Violation::SplitBrain { term: *term });
         }
     }
     Ok(())
--- a/crates/core/tests/authority.rs
+++ b/crates/core/tests/authority.rs
@@ -41,14 +41,14 @@
     let other = fleet.random.random_range(1..=4u32);
     let link = (host.min(other), host.max(other));
     match fleet.random.random_range(0..20) {
-        0 | 1 => drop(fleet.cut.insert(link)),
-        2 => fleet.cut_off(host),
-        3 | 4 => fleet.cut.clear(),
-        5 => drop(fleet.store.cut.insert(host)),
-        6 | 7 => fleet.store.cut.clear(),
+        0 | 1 => drop(fleet.partitioned.insert(link)),
+        2 => fleet.partition_from_peers(host),
+        3 | 4 => fleet.partitioned.clear(),
+        5 => drop(fleet.store.partitioned.insert(host)),
+        6 | 7 => fleet.store.partitioned.clear(),
         8 => fleet.store.down = true,
         9 | 10 => fleet.store.down = false,
-        11 => fleet.store.lose_answers = 2,
+        11 => fleet.store.answers_to_lose = 2,
         12 => fleet.store.delay = Duration::from_millis(fleet.random.random_range(10..900)),
         13 => fleet.store.delay = fleet::STEP,
         14 => drop(fleet.nodes.get_mut(&host).map(|node| node.paused = true)),
@@ -61,7 +61,8 @@
 fn withdraw(fleet: &mut Fleet, host: u32) {
     let id = fleet.random.random_range(1..=fleet::KEYS);
     if let Some(node) = fleet.nodes.get_mut(&host) {
-        node.wanted.extend(key::withdraw(node.replica.document(), id).map(|edit| vec![edit]));
+        node.pending_edits
+            .extend(key::withdraw(node.replica.document(), id).map(|edit| vec![edit]));
     }
 }
 
@@ -84,7 +85,7 @@
 
     let versions: Vec<u64> = fleet.nodes.values().map(|n| n.replica.row().version).collect();
     assert_eq!(versions, [2, 2, 2, 2]);
-    assert!(fleet.nodes.values().all(|node| node.acts(fleet.now)));
+    assert!(fleet.nodes.values().all(|node| node.is_active(fleet.now)));
 }
 
 /// Checks that the search finds `defect` with a violation that contains `words`.
@@ -102,17 +103,17 @@
 
 #[test]
 fn a_late_answer_that_overwrites_is_found() {
-    found(Defect::LateAnswerOverwrites, "back to");
+    found(Defect::LateReadOverwrites, "back to");
 }
 
 #[test]
 fn a_forgotten_note_is_found() {
-    found(Defect::ForgetNote, "acts on");
+    found(Defect::ForgetAnnouncement, "acts on");
 }
 
 #[test]
 fn authority_that_never_lapses_is_found() {
-    found(Defect::NeverLapse, "acts on");
+    found(Defect::NeverExpire, "acts on");
 }
 
 #[test]
@@ -122,12 +123,12 @@
 
 #[test]
 fn a_false_acceptance_is_found() {
-    found(Defect::SayAcceptedWhenLost, "said accepted");
+    found(Defect::ReportLostAsAccepted, "said accepted");
 }
 
 #[test]
 fn a_premature_in_force_is_found() {
-    found(Defect::InForceAtOnce, "said in force");
+    found(Defect::ReportInForceAtOnce, "said in force");
 }
 
 #[test]
@@ -139,7 +140,7 @@
     for second in 0..600 {
         fleet.run(Duration::from_secs(1));
         assert!(
-            fleet.nodes.values().all(|node| node.acts(fleet.now)),
+            fleet.nodes.values().all(|node| node.is_active(fleet.now)),
             "no authority after {second} s"
         );
     }
@@ -158,10 +159,10 @@
     fleet.run(Duration::from_secs(3));
 
     fleet.store.down = true;
-    fleet.cut_off(4);
+    fleet.partition_from_peers(4);
     fleet.run(Duration::from_secs(5));
 
     let acting: Vec<u32> =
-        fleet.nodes.iter().filter(|(_, n)| n.acts(fleet.now)).map(|(id, _)| *id).collect();
+        fleet.nodes.iter().filter(|(_, n)| n.is_active(fleet.now)).map(|(id, _)| *id).collect();
     assert_eq!(acting, [1, 2, 3]);
 }
--- a/crates/core/tests/checks.rs
+++ b/crates/core/tests/checks.rs
@@ -8,7 +8,9 @@
 use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::write::{Action, Event};
 use common::case;
-use common::write::{Step, acknowledged_is_confirmed, not_run_is_true, unkeyed_is_sent_once};
+use common::write::{
+    Step, verify_acknowledgement_confirmed, verify_not_run_true, verify_unkeyed_sent_once,
+};
 use serde_yaml_ng::Value;
 use std::path::Path;
 use std::time::Duration;
@@ -24,14 +26,14 @@
 #[test]
 fn acknowledgement_without_confirmation_is_seen() {
     let trace = [Step::Action(Action::Acknowledge(Some(position())))];
-    assert!(acknowledged_is_confirmed(&trace).is_err());
+    assert!(verify_acknowledgement_confirmed(&trace).is_err());
 }
 
 #[test]
 fn acknowledgement_by_a_later_term_is_seen() {
     let later = Step::Event(Event::Confirmed(common::position("4.11")));
     let trace = [later, Step::Action(Action::Replay("first".into(), position()))];
-    assert!(acknowledged_is_confirmed(&trace).is_err());
+    assert!(verify_acknowledgement_confirmed(&trace).is_err());
 }
 
 #[test]
@@ -42,7 +44,7 @@
         Step::Event(Event::Failed(Failure::Target, "58030".into())),
         refused(),
     ];
-    assert!(not_run_is_true(&trace).is_err());
+    assert!(verify_not_run_true(&trace).is_err());
 }
 
 #[test]
@@ -53,7 +55,7 @@
         Step::Event(Event::Failed(Failure::Superseded, "BV001".into())),
         refused(),
     ];
-    assert!(not_run_is_true(&trace).is_ok());
+    assert!(verify_not_run_true(&trace).is_ok());
 }
 
 #[test]
@@ -65,7 +67,7 @@
         Step::Action(Action::Lease(Duration::ZERO, None)),
         Step::Action(Action::Execute),
     ];
-    assert!(unkeyed_is_sent_once(&trace).is_err());
+    assert!(verify_unkeyed_sent_once(&trace).is_err());
 }
 
 #[test]
--- a/crates/core/tests/combined.rs
+++ b/crates/core/tests/combined.rs
@@ -29,9 +29,9 @@
         let mut world = World::new(seed, defect);
         let verdict = world.run();
         tally.add(&world.tally());
-        if let Err(broken) = verdict {
+        if let Err(violation) = verdict {
             let least = shrink(seed, defect).expect("it breaks again");
-            return (Some(format!("BERGAMOTVALE_SEED={seed}: {broken}; {least}")), tally);
+            return (Some(format!("BERGAMOTVALE_SEED={seed}: {violation}; {least}")), tally);
         }
     }
     (None, tally)
@@ -41,10 +41,10 @@
 fn no_seed_breaks_an_invariant() {
     let (first, runs) = (setting("BERGAMOTVALE_SEED", SEED), setting("BERGAMOTVALE_RUNS", RUNS));
 
-    let (broken, tally) = search(first, runs, Defect::None);
+    let (violation, tally) = search(first, runs, Defect::None);
 
     println!("{runs} runs from seed {first}: {tally:?}");
-    assert_eq!(broken, None);
+    assert_eq!(violation, None);
 }
 
 /// Found by a wider search while a rebuilt target of the fake forgot the terms that it had granted:
@@ -83,7 +83,7 @@
 
     let least = shrink(seed, defect).expect("it breaks");
 
-    assert_eq!(least.replay().run(), Err(least.broken.clone()));
+    assert_eq!(least.replay().run(), Err(least.violation.clone()));
     let whole = World::new(seed, defect);
     assert!(least.end < whole.end(), "{least}");
     assert!(!least.kept.is_empty() && least.kept.len() < whole.fault_count(), "{least}");
--- a/crates/core/tests/common/case.rs
+++ b/crates/core/tests/common/case.rs
@@ -37,14 +37,17 @@
     Expect: DeserializeOwned + PartialEq + Debug,
 {
     let case: Case<Given, Event, Expect> = read(path)?;
-    let got = drive(&case).map_err(|error| at(&case, &error.to_string()))?;
+    let got = drive(&case).map_err(|error| describe(&case, &error.to_string()))?;
     if got == case.expect {
         return Ok(());
     }
-    Err(at(&case, &format!("expected {:#?}\ngot {got:#?}", case.expect)).into())
+    Err(describe(&case, &format!("expected {:#?}\ngot {got:#?}", case.expect)).into())
 }
 
 /// `text` with the fault and step of the case that it tells of.
-pub(crate) fn at<Given, Event, Expect>(case: &Case<Given, Event, Expect>, text: &str) -> String {
+pub(crate) fn describe<Given, Event, Expect>(
+    case: &Case<Given, Event, Expect>,
+    text: &str,
+) -> String {
     format!("{} at {}: {text}", case.fault, case.step)
 }
--- a/crates/core/tests/common/write.rs
+++ b/crates/core/tests/common/write.rs
@@ -16,7 +16,7 @@
 }
 
 /// An acknowledged position was confirmed in its own term.
-pub(crate) fn acknowledged_is_confirmed(trace: &[Step]) -> Result<(), String> {
+pub(crate) fn verify_acknowledgement_confirmed(trace: &[Step]) -> Result<(), String> {
     let mut confirmed: Option<Position> = None;
     for step in trace {
         match step {
@@ -34,7 +34,7 @@
 }
 
 /// A refusal that says "not run" follows no COMMIT whose outcome the target did not deny.
-pub(crate) fn not_run_is_true(trace: &[Step]) -> Result<(), String> {
+pub(crate) fn verify_not_run_true(trace: &[Step]) -> Result<(), String> {
     let mut commit_due = false;
     let mut may_have_run = false;
     for step in trace {
@@ -57,7 +57,7 @@
 }
 
 /// A write without an idempotency key is not sent again after a lost answer.
-pub(crate) fn unkeyed_is_sent_once(trace: &[Step]) -> Result<(), String> {
+pub(crate) fn verify_unkeyed_sent_once(trace: &[Step]) -> Result<(), String> {
     let mut sent = false;
     let mut lost = false;
     for step in trace {
--- a/crates/core/tests/fleet/checker.rs
+++ b/crates/core/tests/fleet/checker.rs
@@ -22,7 +22,7 @@
 /// No host acts on an epoch one validity after the next one was accepted.
 fn stale_action(fleet: &mut Fleet) {
     let now = fleet.now;
-    for (host, node) in fleet.nodes.iter().filter(|(_, node)| node.acts(now)) {
+    for (host, node) in fleet.nodes.iter().filter(|(_, node)| node.is_active(now)) {
         let epoch = node.replica.row().epoch;
         if let Some((at, _)) = fleet.store.accepted.get(&(epoch + 1))
             && now - *at > VALIDITY
@@ -48,16 +48,16 @@
 /// What a host says is in force everywhere is acted on by every host that acts.
 fn in_force(fleet: &mut Fleet) {
     let now = fleet.now;
-    let at_once = fleet.defects.contains(&Defect::InForceAtOnce);
-    let mut said: Epoch = 0;
+    let at_once = fleet.defects.contains(&Defect::ReportInForceAtOnce);
+    let mut reported: Epoch = 0;
     for node in fleet.nodes.values_mut().filter(|node| !node.paused) {
-        let epoch = if at_once { node.replica.row().epoch } else { node.spread.in_force(now).0 };
-        said = said.max(epoch);
+        let epoch = if at_once { node.replica.row().epoch } else { node.adoption.in_force(now).0 };
+        reported = reported.max(epoch);
     }
-    for (host, node) in fleet.nodes.iter().filter(|(_, node)| node.acts(now)) {
+    for (host, node) in fleet.nodes.iter().filter(|(_, node)| node.is_active(now)) {
         let epoch = node.replica.row().epoch;
-        if epoch < said {
-            let text = format!("{now:?}: {said} said in force, host {host} acts on {epoch}");
+        if epoch < reported {
+            let text = format!("{now:?}: {reported} said in force, host {host} acts on {epoch}");
             fleet.violations.push(text);
         }
     }
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -24,27 +24,27 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Defect {
     SkipAnnouncement,
-    LateAnswerOverwrites,
-    ForgetNote,
-    NeverLapse,
+    LateReadOverwrites,
+    ForgetAnnouncement,
+    NeverExpire,
     AnyIncarnationVotes,
-    SayAcceptedWhenLost,
-    InForceAtOnce,
+    ReportLostAsAccepted,
+    ReportInForceAtOnce,
 }
 
 /// What travels; `Store` messages go to and from the store.
 #[derive(Debug, Clone)]
 pub(crate) enum Message {
-    Beat { sent: Time, heartbeat: Heartbeat },
-    BeatAnswer { sent: Time, heartbeat: Heartbeat },
+    Heartbeat { sent: Time, heartbeat: Heartbeat },
+    HeartbeatAnswer { sent: Time, heartbeat: Heartbeat },
     Announce { attempt: u64, epoch: Epoch },
-    Noted { attempt: u64, above: bool, epoch: Epoch },
+    AnnounceAnswer { attempt: u64, above: bool, epoch: Epoch },
     Push(Update),
     Fetch { epoch: Epoch, version: u64 },
     Read { attempt: Option<u64>, sent: Time },
-    Found { attempt: Option<u64>, sent: Time, row: Option<(Row, Document)> },
+    ReadAnswer { attempt: Option<u64>, sent: Time, row: Option<(Row, Document)> },
     Write { attempt: u64, row: Row, document: Document },
-    Written { attempt: u64, accepted: bool, row: Option<Row> },
+    WriteAnswer { attempt: u64, accepted: bool, row: Option<Row> },
 }
 
 /// The fake table service.
@@ -54,8 +54,8 @@
     pub(crate) accepted: BTreeMap<Epoch, (Time, Author)>,
     pub(crate) down: bool,
     pub(crate) delay: Duration,
-    pub(crate) lose_answers: u32,
-    pub(crate) cut: BTreeSet<HostId>,
+    pub(crate) answers_to_lose: u32,
+    pub(crate) partitioned: BTreeSet<HostId>,
 }
 
 /// A message on its way; the store has no id. Answers reach only the run that asked.
@@ -63,7 +63,7 @@
 pub(crate) struct Envelope {
     from: Option<(HostId, Incarnation)>,
     to: Option<HostId>,
-    run: Option<Incarnation>,
+    incarnation: Option<Incarnation>,
     message: Message,
 }
 
@@ -71,7 +71,7 @@
     pub(crate) now: Time,
     pub(crate) nodes: BTreeMap<HostId, Node>,
     pub(crate) store: Store,
-    pub(crate) cut: BTreeSet<(HostId, HostId)>,
+    pub(crate) partitioned: BTreeSet<(HostId, HostId)>,
     pub(crate) defects: BTreeSet<Defect>,
     pub(crate) random: StdRng,
     pub(crate) violations: Vec<String>,
@@ -122,7 +122,7 @@
             now: Duration::ZERO,
             nodes: BTreeMap::new(),
             store: Store { delay: STEP, ..Store::default() },
-            cut: BTreeSet::new(),
+            partitioned: BTreeSet::new(),
             defects: BTreeSet::new(),
             random: StdRng::seed_from_u64(seed),
             violations: Vec::new(),
@@ -203,14 +203,15 @@
         &mut self,
         from: HostId,
         sends: Vec<(Option<HostId>, Message)>,
-        asked: Option<(HostId, Incarnation)>,
+        requester: Option<(HostId, Incarnation)>,
     ) {
         let own = self.nodes[&from].member.incarnation;
         for (to, message) in sends {
             let delay = if to.is_none() { self.store.delay } else { STEP };
-            let answer = matches!(message, Message::BeatAnswer { .. } | Message::Noted { .. });
-            let run = asked.filter(|_| answer).map(|(_, run)| run);
-            self.send(delay, Envelope { from: Some((from, own)), to, run, message });
+            let answer =
+                matches!(message, Message::HeartbeatAnswer { .. } | Message::AnnounceAnswer { .. });
+            let incarnation = requester.filter(|_| answer).map(|(_, incarnation)| incarnation);
+            self.send(delay, Envelope { from: Some((from, own)), to, incarnation, message });
         }
     }
 
@@ -226,64 +227,69 @@
     fn deliver(&mut self, envelope: Envelope) {
         let (from, to) = (envelope.from.map(|(host, _)| host), envelope.to);
         match (from, to) {
-            (Some(_), None) => self.serve(envelope),
+            (Some(_), None) => self.handle_store_request(envelope),
             (from, Some(to)) => {
                 let cut = match from {
-                    Some(from) => self.cut.contains(&(from.min(to), from.max(to))),
-                    None => self.store.cut.contains(&to),
+                    Some(from) => self.partitioned.contains(&(from.min(to), from.max(to))),
+                    None => self.store.partitioned.contains(&to),
                 };
                 if !cut {
-                    self.hand_over(to, envelope);
+                    self.deliver_to(to, envelope);
                 }
             }
             (None, None) => {}
         }
     }
 
-    fn hand_over(&mut self, to: HostId, envelope: Envelope) {
+    fn deliver_to(&mut self, to: HostId, envelope: Envelope) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&to) else {
             let sender = envelope.from.and_then(|(from, _)| self.nodes.get_mut(&from));
-            sender.into_iter().for_each(|sender| sender.refused(to));
+            sender.into_iter().for_each(|sender| sender.record_refused(to));
             return;
         };
-        if envelope.run.is_some_and(|run| run != node.member.incarnation) {
+        if envelope.incarnation.is_some_and(|incarnation| incarnation != node.member.incarnation) {
             return;
         }
         if node.paused {
-            node.held_back.push(envelope);
+            node.deferred.push(envelope);
             return;
         }
-        let sends = node.take(now, envelope.from.map(|(host, _)| host), envelope.message);
+        let sends = node.receive(now, envelope.from.map(|(host, _)| host), envelope.message);
         self.send_all(to, sends, envelope.from);
     }
 
-    fn serve(&mut self, envelope: Envelope) {
-        let Some((from, run)) = envelope.from else { return };
-        if self.store.down || self.store.cut.contains(&from) {
+    fn handle_store_request(&mut self, envelope: Envelope) {
+        let Some((from, incarnation)) = envelope.from else { return };
+        if self.store.down || self.store.partitioned.contains(&from) {
             return;
         }
         let answer = match envelope.message {
             Message::Read { attempt, sent } => {
-                Message::Found { attempt, sent, row: self.store.row.clone() }
+                Message::ReadAnswer { attempt, sent, row: self.store.row.clone() }
             }
             Message::Write { attempt, row, document } => {
-                let accepted = self.accept(&row, document);
+                let accepted = self.apply_write(&row, document);
                 let row = self.store.row.as_ref().map(|(row, _)| row.clone());
-                Message::Written { attempt, accepted, row }
+                Message::WriteAnswer { attempt, accepted, row }
             }
             _ => return,
         };
-        let write = matches!(answer, Message::Written { accepted: true, .. });
-        if write && self.store.lose_answers > 0 {
-            self.store.lose_answers -= 1;
+        let write = matches!(answer, Message::WriteAnswer { accepted: true, .. });
+        if write && self.store.answers_to_lose > 0 {
+            self.store.answers_to_lose -= 1;
             return;
         }
-        let envelope = Envelope { from: None, to: Some(from), run: Some(run), message: answer };
+        let envelope = Envelope {
+            from: None,
+            to: Some(from),
+            incarnation: Some(incarnation),
+            message: answer,
+        };
         self.send(self.store.delay, envelope);
     }
 
-    fn accept(&mut self, row: &Row, document: Document) -> bool {
+    fn apply_write(&mut self, row: &Row, document: Document) -> bool {
         let current = self.store.row.as_ref().map_or(0, |(row, _)| row.epoch);
         if row.epoch != current + 1 {
             return false;
@@ -300,17 +306,17 @@
             return;
         }
         node.paused = false;
-        let held_back = std::mem::take(&mut node.held_back);
+        let deferred = std::mem::take(&mut node.deferred);
         checker::check(self);
-        for envelope in held_back {
-            self.hand_over(host, envelope);
+        for envelope in deferred {
+            self.deliver_to(host, envelope);
         }
     }
 
-    pub(crate) fn cut_off(&mut self, host: HostId) {
+    pub(crate) fn partition_from_peers(&mut self, host: HostId) {
         let others: Vec<HostId> = self.nodes.keys().copied().filter(|h| *h != host).collect();
         for other in others {
-            self.cut.insert((host.min(other), host.max(other)));
+            self.partitioned.insert((host.min(other), host.max(other)));
         }
     }
 }
--- a/crates/core/tests/fleet/node.rs
+++ b/crates/core/tests/fleet/node.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-const ROUND: Duration = Duration::from_millis(200);
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(200);
 
 type Sends = Vec<(Option<HostId>, Message)>;
 
@@ -32,59 +32,59 @@
     pub(crate) holder: Holder,
     pub(crate) replica: Replica,
     pub(crate) view: View,
-    pub(crate) spread: Adoption,
+    pub(crate) adoption: Adoption,
     pub(crate) paused: bool,
-    pub(crate) held_back: Vec<Envelope>,
+    pub(crate) deferred: Vec<Envelope>,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) outcomes: BTreeMap<u64, (Row, Outcome)>,
     pub(crate) defects: BTreeSet<Defect>,
-    pub(crate) wanted: Vec<Vec<Edit>>,
+    pub(crate) pending_edits: Vec<Vec<Edit>>,
     pub(crate) stopped: bool,
-    last_wanted: Option<u64>,
+    last_edit_attempt: Option<u64>,
     number: u64,
-    next_beat: Time,
+    next_heartbeat: Time,
     next_poll: Time,
 }
 
 impl Node {
     pub(crate) fn new(member: Member, now: Time, defects: &BTreeSet<Defect>) -> Node {
         let mut holder = Holder::new(member.host, member.incarnation);
-        if defects.contains(&Defect::NeverLapse) {
+        if defects.contains(&Defect::NeverExpire) {
             holder = holder.with_validity(Duration::from_secs(3600));
         }
         Node {
             holder,
             replica: Replica::new(),
             view: View::new(member.host),
-            spread: Adoption::new(),
+            adoption: Adoption::new(),
             paused: false,
-            held_back: Vec::new(),
+            deferred: Vec::new(),
             attempt: None,
             outcomes: BTreeMap::new(),
             defects: defects.clone(),
-            wanted: Vec::new(),
+            pending_edits: Vec::new(),
             stopped: false,
-            last_wanted: None,
+            last_edit_attempt: None,
             number: 0,
-            next_beat: now,
+            next_heartbeat: now,
             next_poll: now,
             member,
         }
     }
 
     /// Whether the host acts on its epoch.
-    pub(crate) fn acts(&self, now: Time) -> bool {
+    pub(crate) fn is_active(&self, now: Time) -> bool {
         !self.paused && self.holder.is_held(now)
     }
 
     /// Whether a caller's key works here.
-    pub(crate) fn serves(&self, now: Time, id: u64) -> bool {
-        self.acts(now) && !self.member.leaving && key::is_active(self.replica.document(), id)
+    pub(crate) fn accepts_key(&self, now: Time, id: u64) -> bool {
+        self.is_active(now) && !self.member.leaving && key::is_active(self.replica.document(), id)
     }
 
     /// Outcome of the latest change that was asked for here.
     pub(crate) fn outcome(&self) -> Option<Outcome> {
-        self.last_wanted.and_then(|n| self.outcomes.get(&n)).map(|(_, outcome)| *outcome)
+        self.last_edit_attempt.and_then(|n| self.outcomes.get(&n)).map(|(_, outcome)| *outcome)
     }
 
     pub(crate) fn heartbeat(&self, now: Time) -> Heartbeat {
@@ -93,13 +93,16 @@
             version: self.replica.row().version,
             epoch: self.holder.epoch(),
             age: self.holder.age(now),
-            announced: self.holder.announced().filter(|_| !self.has(Defect::ForgetNote)),
+            announced: self
+                .holder
+                .announced()
+                .filter(|_| !self.has_defect(Defect::ForgetAnnouncement)),
             silent: self.view.silent(now),
             opinions: BTreeMap::new(),
         }
     }
 
-    pub(crate) fn refused(&mut self, host: HostId) {
+    pub(crate) fn record_refused(&mut self, host: HostId) {
         self.view.record_probe_failure(host, Failure::Refused);
     }
 
@@ -108,59 +111,59 @@
         if self.stopped {
             return sends;
         }
-        if now >= self.next_beat {
-            self.next_beat = now + HEARTBEAT_PERIOD;
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now + HEARTBEAT_PERIOD;
             let heartbeat = self.heartbeat(now);
-            let beat = Message::Beat { sent: now, heartbeat };
-            sends.extend(self.view.probes().iter().map(|m| (Some(m.host), beat.clone())));
+            let message = Message::Heartbeat { sent: now, heartbeat };
+            sends.extend(self.view.probes().iter().map(|m| (Some(m.host), message.clone())));
         }
         if now >= self.next_poll {
             self.next_poll = now + store::POLL_INTERVAL;
             sends.push((None, Message::Read { attempt: None, sent: now }));
         }
         self.stopped = self.member.leaving && !self.holder.is_recorded();
-        self.begin(now);
-        sends.extend(self.timers(now));
+        self.begin_attempt(now);
+        sends.extend(self.fire_timer(now));
         sends
     }
 
-    pub(crate) fn take(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
+    pub(crate) fn receive(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
         match message {
-            Message::Beat { sent, heartbeat } => {
+            Message::Heartbeat { sent, heartbeat } => {
                 self.view.record_heartbeat(now, &heartbeat);
-                let answer = Message::BeatAnswer { sent, heartbeat: self.heartbeat(now) };
+                let answer = Message::HeartbeatAnswer { sent, heartbeat: self.heartbeat(now) };
                 let mut sends = vec![(from, answer)];
                 sends.extend(self.catch_up(from, &heartbeat));
                 sends
             }
-            Message::BeatAnswer { sent, heartbeat } => {
+            Message::HeartbeatAnswer { sent, heartbeat } => {
                 self.view.record_heartbeat(now, &heartbeat);
                 let mut answer = heartbeat.clone();
                 let recorded = self.replica.row().members.get(&heartbeat.member.host);
-                if let Some(m) = recorded.filter(|_| self.has(Defect::AnyIncarnationVotes)) {
+                if let Some(m) = recorded.filter(|_| self.has_defect(Defect::AnyIncarnationVotes)) {
                     answer.member.incarnation = m.incarnation;
                     answer.epoch = self.holder.epoch();
                 }
                 self.holder.record_answer(sent, &answer);
                 let member = &heartbeat.member;
-                self.spread.record_confirmed(member.host, member.incarnation, heartbeat.epoch);
+                self.adoption.record_confirmed(member.host, member.incarnation, heartbeat.epoch);
                 self.catch_up(from, &heartbeat)
             }
             Message::Announce { attempt, epoch } => {
                 let above = self.holder.record_announcement(now, epoch);
-                vec![(from, Message::Noted { attempt, above, epoch: self.holder.epoch() })]
+                vec![(from, Message::AnnounceAnswer { attempt, above, epoch: self.holder.epoch() })]
             }
             Message::Push(update) => self.adopt(now, update.origin, update.row, update.body),
             Message::Fetch { epoch, version } => {
                 let update = self.replica.update(self.member.host, epoch, version);
                 update.map(|update| (from, Message::Push(update))).into_iter().collect()
             }
-            Message::Found { attempt: None, sent, row } => self.found(now, sent, row),
+            Message::ReadAnswer { attempt: None, sent, row } => self.record_poll(now, sent, row),
             other => self.advance(now, from, other),
         }
     }
 
-    fn has(&self, defect: Defect) -> bool {
+    fn has_defect(&self, defect: Defect) -> bool {
         self.defects.contains(&defect)
     }
 
@@ -172,12 +175,12 @@
         vec![(from, Message::Fetch { epoch, version })]
     }
 
-    fn found(&mut self, now: Time, sent: Time, found: Option<(Row, Document)>) -> Sends {
+    fn record_poll(&mut self, now: Time, sent: Time, found: Option<(Row, Document)>) -> Sends {
         let Some((row, document)) = found else {
             return Sends::new();
         };
         self.holder.record_read(sent, row.epoch);
-        if self.has(Defect::LateAnswerOverwrites) && row.epoch < self.replica.row().epoch {
+        if self.has_defect(Defect::LateReadOverwrites) && row.epoch < self.replica.row().epoch {
             self.replica = Replica::new();
         }
         self.adopt(now, self.member.host, row, Body::Whole(document))
@@ -190,7 +193,7 @@
         }
         self.holder.adopt(row.epoch, &row.members, member::voters(&row.members));
         self.view.record_members(now, &row.members);
-        self.spread.record_accepted(now, &row, &previous, self.member.host);
+        self.adoption.record_accepted(now, &row, &previous, self.member.host);
         let own = self.member.host;
         let children = distribute::children(&row.members, origin, own, distribute::FAN_OUT);
         let update = Update { origin, row, body };
@@ -201,7 +204,7 @@
     }
 
     /// Starts an attempt when one is due.
-    fn begin(&mut self, now: Time) {
+    fn begin_attempt(&mut self, now: Time) {
         if self.attempt.is_some() || (self.replica.row().epoch == 0 && self.next_poll == now) {
             return;
         }
@@ -209,17 +212,17 @@
         let own = (self.member.host, self.member.incarnation);
         let author = Author { host: own.0, incarnation: own.1, attempt: self.number + 1 };
         let next = row.successor(author);
-        let duty = maintenance::due_task(now, &self.member, &self.holder, &self.view, row);
+        let task = maintenance::due_task(now, &self.member, &self.holder, &self.view, row);
         let mut wanted = None;
-        let (row, document, body) = if let Some(duty) = duty {
-            (duty.apply(next, &self.member), self.replica.document().clone(), Body::None)
+        let (row, document, body) = if let Some(task) = task {
+            (task.apply(next, &self.member), self.replica.document().clone(), Body::None)
         } else if self.member.leaving && row.members.contains_key(&self.member.host) {
             let document = self.replica.document().clone();
             (next.without_member(self.member.host), document, Body::None)
-        } else if let Some(edits) = self.wanted.pop() {
+        } else if let Some(edits) = self.pending_edits.pop() {
             wanted = Some(edits.clone());
             let Ok((change, document)) = self.replica.propose(edits) else { return };
-            self.last_wanted = Some(self.number + 1);
+            self.last_edit_attempt = Some(self.number + 1);
             (next.with_config(change.version, "digest"), document, Body::Change(change))
         } else {
             return;
@@ -239,7 +242,7 @@
         self.attempt = Some(Attempt { number, writer, document, body, edits, timer, writing });
     }
 
-    fn timers(&mut self, now: Time) -> Sends {
+    fn fire_timer(&mut self, now: Time) -> Sends {
         let Some(attempt) = &mut self.attempt else { return Sends::new() };
         if now < attempt.timer {
             return Sends::new();
@@ -258,18 +261,20 @@
     fn advance(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
         let Some(attempt) = &mut self.attempt else { return Sends::new() };
         let action = match message {
-            Message::Noted { attempt: number, above, epoch } if number == attempt.number => {
+            Message::AnnounceAnswer { attempt: number, above, epoch }
+                if number == attempt.number =>
+            {
                 if above {
                     attempt.writer.record_acknowledgement(from.unwrap());
                 }
                 attempt.writer.observe_epoch(epoch)
             }
-            Message::Written { attempt: number, accepted, row } if number == attempt.number => {
+            Message::WriteAnswer { attempt: number, accepted, row } if number == attempt.number => {
                 let reply =
                     if accepted { Reply::Accepted } else { Reply::Conflict(row.map(Box::new)) };
                 Some(attempt.writer.record_write(now, reply))
             }
-            Message::Found { attempt: Some(number), row, .. } if number == attempt.number => {
+            Message::ReadAnswer { attempt: Some(number), row, .. } if number == attempt.number => {
                 Some(attempt.writer.record_read(now, row.as_ref().map(|(row, _)| row)))
             }
             _ => None,
@@ -283,7 +288,7 @@
         let row = attempt.writer.row().clone();
         match action {
             Action::Announce(voters) => {
-                attempt.timer = now + ROUND;
+                attempt.timer = now + ANNOUNCE_TIMEOUT;
                 if voters.contains(&self.member.host)
                     && self.holder.record_announcement(now, row.epoch)
                 {
@@ -310,16 +315,18 @@
     fn finish(&mut self, now: Time, outcome: Outcome) -> Sends {
         let attempt = self.attempt.as_ref().unwrap();
         let row = attempt.writer.row().clone();
-        let said = match outcome {
-            Outcome::Unknown | Outcome::Overtaken if self.has(Defect::SayAcceptedWhenLost) => {
+        let reported = match outcome {
+            Outcome::Unknown | Outcome::Overtaken
+                if self.has_defect(Defect::ReportLostAsAccepted) =>
+            {
                 Outcome::Accepted
             }
             other => other,
         };
-        self.outcomes.insert(attempt.number, (row.clone(), said));
+        self.outcomes.insert(attempt.number, (row.clone(), reported));
         let body = attempt.body.clone();
         if outcome == Outcome::Overtaken {
-            self.wanted.extend(attempt.edits.clone());
+            self.pending_edits.extend(attempt.edits.clone());
         }
         let sends = match outcome {
             Outcome::Accepted => self.adopt(now, self.member.host, row, body),
--- a/crates/core/tests/fleet/script.rs
+++ b/crates/core/tests/fleet/script.rs
@@ -89,8 +89,8 @@
 struct Run {
     fleet: Fleet,
     publisher: HostId,
-    key_served: Option<Time>,
-    target_used: Option<Time>,
+    key_accepted_at: Option<Time>,
+    target_used_at: Option<Time>,
     accepted: Option<Time>,
     in_force: Option<Time>,
     started: Option<(HostId, Time)>,
@@ -104,21 +104,21 @@
     let mut run = Run {
         fleet,
         publisher: 1,
-        key_served: None,
-        target_used: None,
+        key_accepted_at: None,
+        target_used_at: None,
         accepted: None,
         in_force: None,
         started: None,
         joined: None,
     };
 
-    run.play(&case);
+    run.apply_events(&case);
 
-    run.verify(&case).map_err(|text| case::at(&case, &text).into())
+    run.verify(&case).map_err(|text| case::describe(&case, &text).into())
 }
 
 impl Run {
-    fn play(&mut self, case: &Case) {
+    fn apply_events(&mut self, case: &Case) {
         let start = self.fleet.now;
         let mut waiting: Vec<&Event> = case.events.iter().collect();
         while self.fleet.now < start + Duration::from_millis(case.given.time) {
@@ -167,18 +167,18 @@
                     Action::Withdraw => key::withdraw(document, KEY).expect("a key"),
                     _ => drain(document),
                 };
-                node.wanted.push(vec![edit]);
+                node.pending_edits.push(vec![edit]);
             }
-            Action::CutStore => drop(fleet.store.cut.insert(host)),
-            Action::CutPeers => fleet.cut_off(host),
+            Action::CutStore => drop(fleet.store.partitioned.insert(host)),
+            Action::CutPeers => fleet.partition_from_peers(host),
             Action::Heal => {
-                fleet.store.cut.clear();
-                fleet.cut.clear();
+                fleet.store.partitioned.clear();
+                fleet.partitioned.clear();
             }
             Action::StoreDown => fleet.store.down = true,
             Action::StoreUp => fleet.store.down = false,
             Action::StoreSlow => fleet.store.delay = Duration::from_millis(value),
-            Action::LoseAnswers => fleet.store.lose_answers = value as u32,
+            Action::LoseAnswers => fleet.store.answers_to_lose = value as u32,
             Action::Pause => fleet.nodes.get_mut(&host).expect("it runs").paused = true,
             Action::Resume => fleet.resume(host),
             Action::Kill => fleet.kill(host),
@@ -196,18 +196,23 @@
         if stored >= 2 {
             self.accepted.get_or_insert(now);
         }
-        if self.fleet.nodes.values().any(|node| node.serves(now, KEY)) {
-            self.key_served = Some(now);
+        if self.fleet.nodes.values().any(|node| node.accepts_key(now, KEY)) {
+            self.key_accepted_at = Some(now);
         }
-        if self.fleet.nodes.values().any(|node| node.acts(now) && uses(node.replica.document())) {
-            self.target_used = Some(now);
+        if self
+            .fleet
+            .nodes
+            .values()
+            .any(|node| node.is_active(now) && is_target_active(node.replica.document()))
+        {
+            self.target_used_at = Some(now);
         }
         let live = self.fleet.nodes.values_mut().filter(|node| !node.paused);
-        if live.map(|node| node.spread.in_force(now).1).max() >= Some(2) {
+        if live.map(|node| node.adoption.in_force(now).1).max() >= Some(2) {
             self.in_force.get_or_insert(now);
         }
         let joined = |(host, _): (HostId, Time)| {
-            self.fleet.nodes.get(&host).is_some_and(|node| node.acts(now))
+            self.fleet.nodes.get(&host).is_some_and(|node| node.is_active(now))
         };
         if self.joined.is_none() && self.started.is_some_and(joined) {
             self.joined = Some(now);
@@ -222,23 +227,27 @@
         let outcome = self.fleet.nodes.get(&self.publisher).and_then(|node| node.outcome());
         if let Some(allowed) = &expect.outcome {
             let got = outcome.map_or("none".to_owned(), |outcome| outcome.to_string());
-            hold(allowed.contains(&got), || format!("outcome {got}"))?;
+            ensure(allowed.contains(&got), || format!("outcome {got}"))?;
         }
         let since =
             |at: Option<Time>, start: Option<Time>| at.zip(start).map(|(a, s)| a - s.min(a));
-        within("key served", since(self.key_served, self.accepted), expect.key_dead_within)?;
-        let used = since(self.target_used, self.accepted);
-        hold(expect.target_idle_within.is_none() || self.accepted.is_some(), || {
+        ensure_within(
+            "key served",
+            since(self.key_accepted_at, self.accepted),
+            expect.key_dead_within,
+        )?;
+        let used = since(self.target_used_at, self.accepted);
+        ensure(expect.target_idle_within.is_none() || self.accepted.is_some(), || {
             "not accepted".into()
         })?;
-        within("target used", used, expect.target_idle_within)?;
-        within("in force", since(self.in_force, self.accepted), expect.in_force_within)?;
+        ensure_within("target used", used, expect.target_idle_within)?;
+        ensure_within("in force", since(self.in_force, self.accepted), expect.in_force_within)?;
         let started = self.started.map(|(_, at)| at);
-        hold(expect.in_force_within.is_none() || self.in_force.is_some(), || {
+        ensure(expect.in_force_within.is_none() || self.in_force.is_some(), || {
             "not in force".into()
         })?;
-        hold(expect.joined_within.is_none() || self.joined.is_some(), || "not joined".into())?;
-        within("joined", since(self.joined, started), expect.joined_within)?;
+        ensure(expect.joined_within.is_none() || self.joined.is_some(), || "not joined".into())?;
+        ensure_within("joined", since(self.joined, started), expect.joined_within)?;
         self.verify_end(expect)
     }
 
@@ -246,13 +255,13 @@
         let now = self.fleet.now;
         let row = self.fleet.store.row.as_ref().map(|(row, _)| row.clone()).unwrap_or_default();
         let members: Vec<HostId> = row.members.keys().copied().collect();
-        hold(members == expect.members, || format!("members {members:?}"))?;
-        let acting = self.fleet.nodes.iter().filter(|(_, node)| node.acts(now));
+        ensure(members == expect.members, || format!("members {members:?}"))?;
+        let acting = self.fleet.nodes.iter().filter(|(_, node)| node.is_active(now));
         let acting: Vec<HostId> = acting.map(|(host, _)| *host).collect();
-        hold(acting == expect.acting, || format!("acting {acting:?}"))?;
+        ensure(acting == expect.acting, || format!("acting {acting:?}"))?;
         for host in acting {
             let version = self.fleet.nodes[&host].replica.row().version;
-            hold(version == expect.version, || format!("host {host} has version {version}"))?;
+            ensure(version == expect.version, || format!("host {host} has version {version}"))?;
         }
         Ok(())
     }
@@ -267,17 +276,17 @@
 }
 
 /// Whether a host that acts on `document` gives [`TARGET`] work.
-fn uses(document: &Document) -> bool {
+fn is_target_active(document: &Document) -> bool {
     let (service, target) = TARGET;
     let service = document.services.get(&service);
     service.is_some_and(|service| service.targets[&target].state == TargetState::Active)
 }
 
-fn within(what: &str, took: Option<Duration>, limit: Option<u64>) -> Result<(), String> {
+fn ensure_within(what: &str, took: Option<Duration>, limit: Option<u64>) -> Result<(), String> {
     let Some(limit) = limit.map(Duration::from_millis) else { return Ok(()) };
-    hold(took.unwrap_or_default() <= limit, || format!("{what} took {took:?}"))
+    ensure(took.unwrap_or_default() <= limit, || format!("{what} took {took:?}"))
 }
 
-fn hold(condition: bool, text: impl FnOnce() -> String) -> Result<(), String> {
+fn ensure(condition: bool, text: impl FnOnce() -> String) -> Result<(), String> {
     if condition { Ok(()) } else { Err(text()) }
 }
--- a/crates/core/tests/group/mod.rs
+++ b/crates/core/tests/group/mod.rs
@@ -18,22 +18,22 @@
     pub(crate) log: Vec<Entry>,
     pub(crate) accepted: Term,
     pub(crate) promoter: Option<PromoterId>,
-    pub(crate) leads: Option<Term>,
+    pub(crate) leading_term: Option<Term>,
     pub(crate) voter: bool,
-    pub(crate) up: bool,
+    pub(crate) is_up: bool,
     /// Highest position that it knows to be on a majority.
     pub(crate) confirmed: Position,
     /// On a primary: what each follower is known to hold in this term.
-    holds: BTreeMap<TargetId, usize>,
+    replicated: BTreeMap<TargetId, usize>,
     /// On a primary: writes that wait for a majority, by the length of log that has them.
-    waiting: BTreeMap<usize, Entry>,
+    unconfirmed: BTreeMap<usize, Entry>,
 }
 
 /// A copy of a primary's log on its way to a follower, or its acknowledgement.
 #[derive(Debug, Clone)]
 pub(crate) enum Message {
     Append { from: TargetId, to: TargetId, term: Term, log: Vec<Entry>, confirmed: Position },
-    Held { from: TargetId, to: TargetId, term: Term, length: usize },
+    Appended { from: TargetId, to: TargetId, term: Term, length: usize },
 }
 
 #[derive(Debug)]
@@ -42,19 +42,19 @@
     pub(crate) acknowledged: BTreeSet<Entry>,
     /// Targets that acknowledged in each term.
     pub(crate) acknowledgers: BTreeMap<Term, BTreeSet<TargetId>>,
-    next: u64,
+    next_value: u64,
 }
 
 impl Target {
-    pub(crate) fn entry(&self) -> Position {
+    pub(crate) fn last_entry(&self) -> Position {
         let term = self.log.last().map_or(0, |entry| entry.term);
         Position::new(term, self.log.len() as u64)
     }
 
     /// On a primary of a group of `count`: highest entry of its term that a majority holds.
-    fn on_majority(&self, count: usize) -> Option<Position> {
-        let term = self.leads?;
-        let mut lengths: Vec<usize> = self.holds.values().copied().collect();
+    fn majority_position(&self, count: usize) -> Option<Position> {
+        let term = self.leading_term?;
+        let mut lengths: Vec<usize> = self.replicated.values().copied().collect();
         lengths.push(self.log.len());
         lengths.sort_unstable();
         let length = *lengths.iter().rev().nth(majority(count) - 1)?;
@@ -62,8 +62,13 @@
         (entry.term == term).then(|| Position::new(term, length as u64))
     }
 
-    fn answer(&self, granted: bool) -> TermResponse {
-        TermResponse { granted, accepted: self.accepted, entry: self.entry(), voter: self.voter }
+    fn response(&self, granted: bool) -> TermResponse {
+        TermResponse {
+            granted,
+            accepted: self.accepted,
+            entry: self.last_entry(),
+            voter: self.voter,
+        }
     }
 }
 
@@ -72,11 +77,16 @@
     pub(crate) fn new(count: TargetId) -> Group {
         let first = Entry { term: 1, value: 0 };
         let target =
-            Target { log: vec![first], accepted: 1, voter: true, up: true, ..Target::default() };
+            Target { log: vec![first], accepted: 1, voter: true, is_up: true, ..Target::default() };
         let mut targets: BTreeMap<TargetId, Target> =
             (0..count).map(|id| (id, target.clone())).collect();
-        targets.get_mut(&0).expect("it is there").leads = Some(1);
-        Group { targets, acknowledged: BTreeSet::new(), acknowledgers: BTreeMap::new(), next: 1 }
+        targets.get_mut(&0).expect("it is there").leading_term = Some(1);
+        Group {
+            targets,
+            acknowledged: BTreeSet::new(),
+            acknowledgers: BTreeMap::new(),
+            next_value: 1,
+        }
     }
 
     pub(crate) fn fence(
@@ -85,15 +95,15 @@
         term: Term,
         promoter: PromoterId,
     ) -> Option<TermResponse> {
-        let target = self.targets.get_mut(&id).filter(|target| target.up)?;
-        let again = term == target.accepted && target.promoter == Some(promoter);
-        let granted = term > target.accepted || again;
-        if granted && !again {
+        let target = self.targets.get_mut(&id).filter(|target| target.is_up)?;
+        let repeated = term == target.accepted && target.promoter == Some(promoter);
+        let granted = term > target.accepted || repeated;
+        if granted && !repeated {
             target.accepted = term;
             target.promoter = Some(promoter);
-            stop_leading(target);
+            step_down(target);
         }
-        Some(target.answer(granted))
+        Some(target.response(granted))
     }
 
     pub(crate) fn promote(
@@ -102,35 +112,35 @@
         term: Term,
         promoter: PromoterId,
     ) -> Option<TermResponse> {
-        let target = self.targets.get_mut(&id).filter(|target| target.up)?;
+        let target = self.targets.get_mut(&id).filter(|target| target.is_up)?;
         let granted = target.accepted == term && target.promoter == Some(promoter);
-        if granted && target.leads != Some(term) {
-            target.leads = Some(term);
+        if granted && target.leading_term != Some(term) {
+            target.leading_term = Some(term);
             target.log.push(Entry { term, value: 0 });
         }
-        Some(target.answer(granted))
+        Some(target.response(granted))
     }
 
     /// A caller writes on a target that holds itself the primary.
     pub(crate) fn write(&mut self, id: TargetId) {
-        if self.commit(id, self.next).is_some() {
-            self.next += 1;
+        if self.commit(id, self.next_value).is_some() {
+            self.next_value += 1;
         }
     }
 
     /// Commits `value` on a target that holds itself the primary; answers with its position.
     pub(crate) fn commit(&mut self, id: TargetId, value: u64) -> Option<Position> {
-        let target = self.targets.get_mut(&id).filter(|target| target.up)?;
-        let entry = Entry { term: target.leads?, value };
+        let target = self.targets.get_mut(&id).filter(|target| target.is_up)?;
+        let entry = Entry { term: target.leading_term?, value };
         target.log.push(entry);
-        target.waiting.insert(target.log.len(), entry);
-        Some(target.entry())
+        target.unconfirmed.insert(target.log.len(), entry);
+        Some(target.last_entry())
     }
 
     /// What a primary sends to a follower now.
-    pub(crate) fn append(&self, from: TargetId, to: TargetId) -> Option<Message> {
+    pub(crate) fn append_message(&self, from: TargetId, to: TargetId) -> Option<Message> {
         let source = &self.targets[&from];
-        let term = source.leads.filter(|_| source.up && from != to)?;
+        let term = source.leading_term.filter(|_| source.is_up && from != to)?;
         let (log, confirmed) = (source.log.clone(), source.confirmed);
         Some(Message::Append { from, to, term, log, confirmed })
     }
@@ -138,21 +148,21 @@
     pub(crate) fn deliver(&mut self, message: Message) -> Option<Message> {
         match message {
             Message::Append { from, to, term, log, confirmed } => {
-                let held = self.follow(from, to, term, log);
-                if held.is_some() {
+                let reply = self.receive_append(from, to, term, log);
+                if reply.is_some() {
                     let target = self.targets.get_mut(&to).expect("it held the log");
                     target.confirmed = confirmed.max(target.confirmed);
                 }
-                held
+                reply
             }
-            Message::Held { from, to, term, length } => {
-                self.held(from, to, term, length);
+            Message::Appended { from, to, term, length } => {
+                self.record_appended(from, to, term, length);
                 None
             }
         }
     }
 
-    fn follow(
+    fn receive_append(
         &mut self,
         from: TargetId,
         to: TargetId,
@@ -163,65 +173,66 @@
         // once it holds all that this term's primary holds.
         let newest = self.targets.values().filter(|t| t.voter).map(|t| t.accepted).max();
         let caught_up = log.len() >= self.targets[&from].log.len();
-        let target = self.targets.get_mut(&to).filter(|target| target.up)?;
+        let target = self.targets.get_mut(&to).filter(|target| target.is_up)?;
         if term < target.accepted || (!target.voter && (Some(term) != newest || !caught_up)) {
             return None;
         }
         if term > target.accepted {
             target.accepted = term;
             target.promoter = None;
-            stop_leading(target);
+            step_down(target);
         }
-        if target.leads.is_some() {
+        if target.leading_term.is_some() {
             return None;
         }
-        let stale = target.log.len() >= log.len() && target.log[..log.len()] == log[..];
-        if !stale {
+        let is_stale = target.log.len() >= log.len() && target.log[..log.len()] == log[..];
+        if !is_stale {
             target.log = log.clone();
         }
         target.voter = true;
-        Some(Message::Held { from: to, to: from, term, length: log.len() })
+        Some(Message::Appended { from: to, to: from, term, length: log.len() })
     }
 
-    fn held(&mut self, from: TargetId, to: TargetId, term: Term, length: usize) {
+    fn record_appended(&mut self, from: TargetId, to: TargetId, term: Term, length: usize) {
         let count = self.targets.len();
-        let Some(primary) = self.targets.get_mut(&to).filter(|target| target.up) else { return };
-        if primary.leads != Some(term) {
+        let Some(primary) = self.targets.get_mut(&to).filter(|target| target.is_up) else { return };
+        if primary.leading_term != Some(term) {
             return;
         }
-        let known = primary.holds.entry(from).or_insert(0);
+        let known = primary.replicated.entry(from).or_insert(0);
         *known = length.max(*known);
-        primary.confirmed = primary.confirmed.max(primary.on_majority(count).unwrap_or_default());
-        let waiting = std::mem::take(&mut primary.waiting);
-        for (length, entry) in waiting {
-            let holders = 1 + primary.holds.values().filter(|known| **known >= length).count();
+        primary.confirmed =
+            primary.confirmed.max(primary.majority_position(count).unwrap_or_default());
+        let unconfirmed = std::mem::take(&mut primary.unconfirmed);
+        for (length, entry) in unconfirmed {
+            let holders = 1 + primary.replicated.values().filter(|known| **known >= length).count();
             if holders >= majority(count) {
                 self.acknowledged.insert(entry);
                 self.acknowledgers.entry(term).or_default().insert(to);
             } else {
-                primary.waiting.insert(length, entry);
+                primary.unconfirmed.insert(length, entry);
             }
         }
     }
 
     pub(crate) fn kill(&mut self, id: TargetId) {
         let target = self.targets.get_mut(&id).expect("a target of the group");
-        target.up = false;
-        stop_leading(target);
+        target.is_up = false;
+        step_down(target);
     }
 
     pub(crate) fn restart(&mut self, id: TargetId) {
-        self.targets.get_mut(&id).expect("a target of the group").up = true;
+        self.targets.get_mut(&id).expect("a target of the group").is_up = true;
     }
 
     /// The target loses all that it kept, unless another is in that state; says whether.
     pub(crate) fn rebuild(&mut self, id: TargetId) -> bool {
         if self.targets.values().all(|target| target.voter) {
-            let target = Target { up: true, ..Target::default() };
+            let target = Target { is_up: true, ..Target::default() };
             self.targets.insert(id, target);
             // Its connections end with it: what it acknowledged before counts no more.
             for target in self.targets.values_mut() {
-                target.holds.remove(&id);
+                target.replicated.remove(&id);
             }
             return true;
         }
@@ -229,30 +240,30 @@
     }
 
     /// The same, but it keeps apart what it granted, as the targets of the platform do.
-    pub(crate) fn rebuild_data(&mut self, id: TargetId) -> bool {
+    pub(crate) fn rebuild_keeping_grants(&mut self, id: TargetId) -> bool {
         let Target { accepted, promoter, .. } = self.targets[&id];
-        let done = self.rebuild(id);
-        if done {
+        let rebuilt = self.rebuild(id);
+        if rebuilt {
             let target = self.targets.get_mut(&id).expect("a target of the group");
             (target.accepted, target.promoter) = (accepted, promoter);
         }
-        done
+        rebuilt
     }
 
     /// An acknowledged entry that the primary of the highest term lacks.
-    pub(crate) fn lost(&self) -> Option<Entry> {
-        let primaries = self.targets.values().filter(|target| target.leads.is_some());
-        let primary = primaries.max_by_key(|target| target.leads)?;
-        let term = primary.leads?;
-        let due = self.acknowledged.iter().filter(|entry| entry.term < term);
-        due.copied().find(|entry| !primary.log.contains(entry))
+    pub(crate) fn lost_entry(&self) -> Option<Entry> {
+        let primaries = self.targets.values().filter(|target| target.leading_term.is_some());
+        let primary = primaries.max_by_key(|target| target.leading_term)?;
+        let term = primary.leading_term?;
+        let expected = self.acknowledged.iter().filter(|entry| entry.term < term);
+        expected.copied().find(|entry| !primary.log.contains(entry))
     }
 
     /// A term in which more than one target acknowledged or leads.
-    pub(crate) fn split(&self) -> Option<Term> {
+    pub(crate) fn split_term(&self) -> Option<Term> {
         let mut primaries = self.acknowledgers.clone();
         for (id, target) in &self.targets {
-            if let Some(term) = target.leads {
+            if let Some(term) = target.leading_term {
                 primaries.entry(term).or_default().insert(*id);
             }
         }
@@ -260,8 +271,8 @@
     }
 }
 
-fn stop_leading(target: &mut Target) {
-    target.leads = None;
-    target.holds.clear();
-    target.waiting.clear();
+fn step_down(target: &mut Target) {
+    target.leading_term = None;
+    target.replicated.clear();
+    target.unconfirmed.clear();
 }
--- a/crates/core/tests/invariants.rs
+++ b/crates/core/tests/invariants.rs
@@ -1,13 +1,13 @@
 //! Each check of the thirteen invariants passes on a good history and fails on a broken one.
 
 use bergamotvale_core::id::Time;
-use bergamotvale_core::invariant::account::{self, Run, Use};
-use bergamotvale_core::invariant::answer::{self, Answer, End, Request};
-use bergamotvale_core::invariant::change::{self, Act};
-use bergamotvale_core::invariant::session::{self, Event, Seen};
+use bergamotvale_core::invariant::account::{self, Execution, KeyUse};
+use bergamotvale_core::invariant::answer::{self, Answer, Completion, Request};
+use bergamotvale_core::invariant::change::{self, Action};
+use bergamotvale_core::invariant::session::{self, Event, EventKind};
 use bergamotvale_core::invariant::target::{self, Statement};
 use bergamotvale_core::invariant::write::{self, Verdict, Write};
-use bergamotvale_core::invariant::{Broken, admission};
+use bergamotvale_core::invariant::{Violation, admission};
 use bergamotvale_core::log::Position;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,12 +19,12 @@
 }
 
 fn acknowledged(op: u64, session: u64, index: u64) -> Event {
-    let seen = Seen::Acknowledged(Position::new(2, index));
-    Event { op, session, service: 1, seen }
+    let kind = EventKind::Acknowledged(Position::new(2, index));
+    Event { op, session, service: 1, kind }
 }
 
 fn read(op: u64, session: u64, index: u64) -> Event {
-    Event { seen: Seen::Read(Position::new(2, index)), ..acknowledged(op, session, 0) }
+    Event { kind: EventKind::Read(Position::new(2, index)), ..acknowledged(op, session, 0) }
 }
 
 #[test]
@@ -35,16 +35,16 @@
 
     assert_eq!(session::verify(&good), Ok(()));
     assert_eq!(session::verify(&other_service), Ok(()));
-    assert_eq!(session::verify(&broken), Err(Broken::StaleRead { op: 2 }));
+    assert_eq!(session::verify(&broken), Err(Violation::StaleRead { op: 2 }));
 }
 
 #[test]
 fn read_on_a_fork_of_a_lower_term_is_seen() {
-    let on_fork = Event { seen: Seen::Read(Position::new(1, 99)), ..read(2, 1, 0) };
+    let on_fork = Event { kind: EventKind::Read(Position::new(1, 99)), ..read(2, 1, 0) };
 
     let verdict = session::verify(&[acknowledged(1, 1, 5), on_fork]);
 
-    assert_eq!(verdict, Err(Broken::StaleRead { op: 2 }));
+    assert_eq!(verdict, Err(Violation::StaleRead { op: 2 }));
 }
 
 fn write(verdict: Verdict, effects: [usize; 3]) -> Write {
@@ -56,8 +56,8 @@
     let good = [write(Verdict::Acknowledged, [1; 3]), write(Verdict::Unknown, [0; 3])];
     let broken = [write(Verdict::Acknowledged, [1, 0, 1])];
 
-    assert_eq!(write::verify_kept(&good), Ok(()));
-    assert_eq!(write::verify_kept(&broken), Err(Broken::LostWrite { op: 7 }));
+    assert_eq!(write::verify_durable(&good), Ok(()));
+    assert_eq!(write::verify_durable(&broken), Err(Violation::LostWrite { op: 7 }));
 }
 
 #[test]
@@ -65,8 +65,8 @@
     let good = [(1, 0), (1, 0), (2, 1), (1, 0)];
     let broken = [(1, 0), (2, 1), (2, 2)];
 
-    assert_eq!(write::verify_terms(&good), Ok(()));
-    assert_eq!(write::verify_terms(&broken), Err(Broken::SplitTerm { term: 2 }));
+    assert_eq!(write::verify_single_primary(&good), Ok(()));
+    assert_eq!(write::verify_single_primary(&broken), Err(Violation::SplitBrain { term: 2 }));
 }
 
 #[test]
@@ -75,7 +75,7 @@
     let broken = [write(Verdict::NotRun, [0, 0, 1])];
 
     assert_eq!(write::verify_not_run(&good), Ok(()));
-    assert_eq!(write::verify_not_run(&broken), Err(Broken::FalseNotRun { op: 7 }));
+    assert_eq!(write::verify_not_run(&broken), Err(Violation::FalseNotRun { op: 7 }));
 }
 
 #[test]
@@ -83,13 +83,13 @@
     let good = [write(Verdict::Unknown, [1; 3])];
     let broken = [write(Verdict::Unknown, [2; 3])];
 
-    assert_eq!(write::verify_once(&good), Ok(()));
-    assert_eq!(write::verify_once(&broken), Err(Broken::RepeatedWrite { op: 7 }));
+    assert_eq!(write::verify_at_most_once(&good), Ok(()));
+    assert_eq!(write::verify_at_most_once(&broken), Err(Violation::DuplicateWrite { op: 7 }));
 }
 
-fn statement(connection: u64, transaction: u64, ends: bool) -> Statement {
+fn statement(connection: u64, transaction: u64, ends_transaction: bool) -> Statement {
     let text = "INSERT INTO bolts VALUES (1)".into();
-    Statement { at: secs(1), target: 0, connection, transaction, ends, text }
+    Statement { at: secs(1), target: 0, connection, transaction, ends_transaction, text }
 }
 
 #[test]
@@ -99,10 +99,16 @@
     let shared = [statement(1, 1, false), statement(1, 2, true)];
     let spread = [statement(1, 1, false), statement(2, 1, true)];
 
-    assert_eq!(target::verify_unmixed(&good), Ok(()));
-    assert_eq!(target::verify_unmixed(&reused), Ok(()));
-    assert_eq!(target::verify_unmixed(&shared), Err(Broken::MixedTransactions { transaction: 2 }));
-    assert_eq!(target::verify_unmixed(&spread), Err(Broken::MixedTransactions { transaction: 1 }));
+    assert_eq!(target::verify_not_interleaved(&good), Ok(()));
+    assert_eq!(target::verify_not_interleaved(&reused), Ok(()));
+    assert_eq!(
+        target::verify_not_interleaved(&shared),
+        Err(Violation::InterleavedTransactions { transaction: 2 })
+    );
+    assert_eq!(
+        target::verify_not_interleaved(&spread),
+        Err(Violation::InterleavedTransactions { transaction: 1 })
+    );
 }
 
 #[test]
@@ -110,8 +116,11 @@
     let good = [statement(1, 1, true)];
     let broken = [Statement { text: "SELECT 's3cret'".into(), ..statement(1, 1, true) }];
 
-    assert_eq!(target::verify_keyless(&good, &["s3cret"]), Ok(()));
-    assert_eq!(target::verify_keyless(&broken, &["s3cret"]), Err(Broken::KeySeen { target: 0 }));
+    assert_eq!(target::verify_no_keys(&good, &["s3cret"]), Ok(()));
+    assert_eq!(
+        target::verify_no_keys(&broken, &["s3cret"]),
+        Err(Violation::KeyExposed { target: 0 })
+    );
 }
 
 #[test]
@@ -121,35 +130,35 @@
     let good = [statement(1, 1, false), late(1)];
     let broken = [statement(1, 1, true), late(2)];
 
-    assert_eq!(target::verify_leaving(&good, &leaving, BOUND), Ok(()));
+    assert_eq!(target::verify_draining(&good, &leaving, BOUND), Ok(()));
     assert_eq!(
-        target::verify_leaving(&broken, &leaving, BOUND),
-        Err(Broken::WorkWhileLeaving { target: 0 })
+        target::verify_draining(&broken, &leaving, BOUND),
+        Err(Violation::WorkWhileDraining { target: 0 })
     );
 }
 
 #[test]
 fn request_for_another_account_is_seen() {
-    let run = Run { op: 4, presented: Some(1), account: 1, is_open: false };
-    let good = [run, Run { presented: None, is_open: true, ..run }];
-    let foreign = [Run { account: 2, ..run }];
-    let keyless = [Run { presented: None, ..run }];
+    let run = Execution { op: 4, key_account: Some(1), account: 1, is_open: false };
+    let good = [run, Execution { key_account: None, is_open: true, ..run }];
+    let foreign = [Execution { account: 2, ..run }];
+    let keyless = [Execution { key_account: None, ..run }];
 
-    assert_eq!(account::verify_owner(&good), Ok(()));
-    assert_eq!(account::verify_owner(&foreign), Err(Broken::WrongAccount { op: 4 }));
-    assert_eq!(account::verify_owner(&keyless), Err(Broken::WrongAccount { op: 4 }));
+    assert_eq!(account::verify_account(&good), Ok(()));
+    assert_eq!(account::verify_account(&foreign), Err(Violation::WrongAccount { op: 4 }));
+    assert_eq!(account::verify_account(&keyless), Err(Violation::WrongAccount { op: 4 }));
 }
 
 #[test]
 fn use_of_a_withdrawn_key_is_seen() {
     let withdrawn = BTreeMap::from([(1, secs(10))]);
-    let good = [Use { key: 1, at: secs(13) }, Use { key: 2, at: secs(90) }];
-    let broken = [Use { key: 1, at: secs(14) }];
+    let good = [KeyUse { key: 1, at: secs(13) }, KeyUse { key: 2, at: secs(90) }];
+    let broken = [KeyUse { key: 1, at: secs(14) }];
 
     assert_eq!(account::verify_withdrawn(&good, &withdrawn, BOUND), Ok(()));
     assert_eq!(
         account::verify_withdrawn(&broken, &withdrawn, BOUND),
-        Err(Broken::WithdrawnKey { key: 1 })
+        Err(Violation::WithdrawnKey { key: 1 })
     );
 }
 
@@ -159,50 +168,53 @@
     let broken = [secs(0), secs(0), secs(0)];
 
     assert_eq!(admission::verify(&good, 1, 2), Ok(()));
-    assert_eq!(admission::verify(&broken, 1, 2).map_err(|excess| excess.number), Err(2));
+    assert_eq!(admission::verify(&broken, 1, 2).map_err(|excess| excess.index), Err(2));
 }
 
 #[test]
 fn wrong_answer_is_seen() {
-    let answer = Answer { op: 3, of: 3, sent_rows: 2, received_rows: 2 };
-    let foreign = Answer { of: 4, ..answer };
+    let answer = Answer { op: 3, named_op: 3, sent_rows: 2, received_rows: 2 };
+    let foreign = Answer { named_op: 4, ..answer };
     let part = Answer { received_rows: 1, ..answer };
 
-    assert_eq!(answer::verify_whole(&[answer]), Ok(()));
-    assert_eq!(answer::verify_whole(&[foreign]), Err(Broken::WrongAnswer { op: 3 }));
-    assert_eq!(answer::verify_whole(&[part]), Err(Broken::WrongAnswer { op: 3 }));
+    assert_eq!(answer::verify_complete(&[answer]), Ok(()));
+    assert_eq!(answer::verify_complete(&[foreign]), Err(Violation::WrongAnswer { op: 3 }));
+    assert_eq!(answer::verify_complete(&[part]), Err(Violation::WrongAnswer { op: 3 }));
 }
 
 #[test]
 fn request_cut_by_a_planned_stop_is_seen() {
     let stopping = BTreeMap::from([(1, secs(5))]);
-    let cut = Request { op: 6, host: 1, ended: secs(6), end: End::Cut };
+    let cut = Request { op: 6, host: 1, ended_at: secs(6), completion: Completion::Interrupted };
     let good = [
-        Request { end: End::Answered, ..cut },
-        Request { end: End::Unsent, ..cut },
+        Request { completion: Completion::Answered, ..cut },
+        Request { completion: Completion::NotSent, ..cut },
         Request { host: 2, ..cut },
-        Request { ended: secs(4), ..cut },
+        Request { ended_at: secs(4), ..cut },
     ];
 
-    assert_eq!(answer::verify_uncut(&good, &stopping), Ok(()));
-    assert_eq!(answer::verify_uncut(&[cut], &stopping), Err(Broken::CutRequest { op: 6 }));
+    assert_eq!(answer::verify_uninterrupted(&good, &stopping), Ok(()));
+    assert_eq!(
+        answer::verify_uninterrupted(&[cut], &stopping),
+        Err(Violation::InterruptedRequest { op: 6 })
+    );
 }
 
 #[test]
 fn reverted_or_late_configuration_is_seen() {
     let accepted = BTreeMap::from([(1, secs(0)), (2, secs(10))]);
-    let act = |host, at, version| Act { host, at: secs(at), version };
-    let good = [act(1, 11, 1), act(2, 11, 2), act(1, 13, 1), act(1, 14, 2)];
-    let reverted = [act(1, 11, 2), act(1, 12, 1)];
-    let late = [act(1, 14, 1)];
+    let action = |host, at, version| Action { host, at: secs(at), version };
+    let good = [action(1, 11, 1), action(2, 11, 2), action(1, 13, 1), action(1, 14, 2)];
+    let reverted = [action(1, 11, 2), action(1, 12, 1)];
+    let late = [action(1, 14, 1)];
 
     assert_eq!(change::verify(&good, &accepted, BOUND), Ok(()));
     assert_eq!(
         change::verify(&reverted, &accepted, BOUND),
-        Err(Broken::Reverted { host: 1, version: 1 })
+        Err(Violation::Reverted { host: 1, version: 1 })
     );
     assert_eq!(
         change::verify(&late, &accepted, BOUND),
-        Err(Broken::NotInForce { host: 1, version: 1 })
+        Err(Violation::NotInForce { host: 1, version: 1 })
     );
 }
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -6,7 +6,7 @@
 
 use bergamotvale_core::id::{HostId, Time};
 use common::case;
-use meters::{Fleet, LOST, SETTLE, fresh_host};
+use meters::{Fleet, LOSS_DELAY, SETTLE, fresh_host};
 use serde::Deserialize;
 use std::path::Path;
 use std::time::Duration;
@@ -64,11 +64,11 @@
         "pause" => fleet.host(event.host).paused_until = time(event.until),
         "kill" => drop(fleet.hosts.remove(&event.host)),
         "start" => drop(fleet.hosts.insert(event.host, fresh_host())),
-        "answers_lost" => fleet.mute = event.hosts.iter().copied().collect(),
+        "answers_lost" => fleet.lossy_lenders = event.hosts.iter().copied().collect(),
         "delay" => fleet.delay = Duration::from_millis(event.ms),
         "members" => {
             fleet.members = event.hosts.iter().copied().collect();
-            fleet.learn_members(now);
+            fleet.apply_members(now);
         }
         other => panic!("unknown event {other}"),
     }
@@ -76,8 +76,8 @@
 
 fn drive(case: &Case) -> datatest_stable::Result<Expect> {
     let mut fleet = Fleet::new(case.given.hosts, case.given.rate, case.given.burst, 1);
-    fleet.learn_members(Time::ZERO);
-    assert!(SETTLE + LOST < START);
+    fleet.apply_members(Time::ZERO);
+    assert!(SETTLE + LOSS_DELAY < START);
     fleet.drive(Time::ZERO, START, 0.0, |_| 1);
 
     for ms in 0..=case.given.until_ms {
--- a/crates/core/tests/meters/mod.rs
+++ b/crates/core/tests/meters/mod.rs
@@ -14,9 +14,9 @@
 
 pub(crate) const ACCOUNT: u32 = 7;
 pub(crate) const SETTLE: Duration = Duration::from_millis(1600);
-pub(crate) const AUTHORITY: Duration = Duration::from_millis(1500);
+pub(crate) const AUTHORITY_VALIDITY: Duration = Duration::from_millis(1500);
 pub(crate) const STEP: Duration = Duration::from_millis(1);
-pub(crate) const LOST: Duration = Duration::from_millis(200);
+pub(crate) const LOSS_DELAY: Duration = Duration::from_millis(200);
 
 pub(crate) struct Fleet {
     pub(crate) account: Account,
@@ -32,27 +32,27 @@
     pub(crate) loss: f64,
     pub(crate) delay: Duration,
     /// Lenders whose answers are lost after they took effect.
-    pub(crate) mute: BTreeSet<HostId>,
+    pub(crate) lossy_lenders: BTreeSet<HostId>,
     /// Time after which a borrower gives an ask up, if it does; the ask travels on.
-    pub(crate) give_up: Option<Duration>,
+    pub(crate) loan_timeout: Option<Duration>,
     /// Hosts among which the rate is divided, at most.
-    pub(crate) holders: usize,
+    pub(crate) max_holders: usize,
 }
 
 pub(crate) struct Host {
     pub(crate) meter: Meter,
     pub(crate) waiting: Vec<Time>,
     pub(crate) paused_until: Time,
-    pub(crate) local_only: bool,
+    pub(crate) has_whole_rate: bool,
 }
 
 pub(crate) struct Call {
-    pub(crate) ask: LoanRequest,
+    pub(crate) request: LoanRequest,
     pub(crate) borrower: HostId,
-    pub(crate) asked: Time,
-    pub(crate) arrives: Time,
+    pub(crate) sent_at: Time,
+    pub(crate) arrives_at: Time,
     pub(crate) answer: Option<u32>,
-    pub(crate) given_up: bool,
+    pub(crate) timed_out: bool,
 }
 
 impl Fleet {
@@ -72,9 +72,9 @@
             random: SmallRng::seed_from_u64(seed),
             loss: 0.0,
             delay: Duration::from_millis(1),
-            mute: BTreeSet::new(),
-            give_up: None,
-            holders: rate::MAX_HOLDERS,
+            lossy_lenders: BTreeSet::new(),
+            loan_timeout: None,
+            max_holders: rate::MAX_HOLDERS,
         }
     }
 
@@ -82,21 +82,21 @@
         self.hosts.get_mut(&id).expect("known host")
     }
 
-    pub(crate) fn learn_members(&mut self, now: Time) {
+    pub(crate) fn apply_members(&mut self, now: Time) {
         for id in self.hosts.keys().copied().collect::<Vec<_>>() {
-            self.learn_members_at(id, now);
+            self.apply_members_at(id, now);
         }
     }
 
-    pub(crate) fn learn_members_at(&mut self, id: HostId, now: Time) {
+    pub(crate) fn apply_members_at(&mut self, id: HostId, now: Time) {
         let Account { rate, burst, .. } = self.account;
-        let holders = rate::holders(ACCOUNT, burst, &self.members, self.holders);
+        let holders = rate::holders(ACCOUNT, burst, &self.members, self.max_holders);
         let (rate, burst) =
-            rate::rate_share(ACCOUNT, (rate, burst), &self.members, id, self.holders);
+            rate::rate_share(ACCOUNT, (rate, burst), &self.members, id, self.max_holders);
         let whole = (rate::meter::micro(self.account.rate), rate::meter::micro(self.account.burst));
         let peers = self.members.iter().copied().filter(|peer| *peer != id).collect();
         let host = self.host(id);
-        let (rate, burst) = if host.local_only { whole } else { (rate, burst) };
+        let (rate, burst) = if host.has_whole_rate { whole } else { (rate, burst) };
         host.meter.set_peers(peers);
         host.meter.set_share(ACCOUNT, rate, burst, now);
         host.meter.set_holders(ACCOUNT, holders);
@@ -106,11 +106,11 @@
     /// tokens.
     pub(crate) fn restart(&mut self, id: HostId, opening: u32, now: Time) {
         let total = (self.account.rate, self.account.burst);
-        let (rate, burst) = rate::rate_share(ACCOUNT, total, &self.members, id, self.holders);
+        let (rate, burst) = rate::rate_share(ACCOUNT, total, &self.members, id, self.max_holders);
         let mut host = fresh_host();
         host.meter.open_share(ACCOUNT, rate, burst, rate::meter::micro(opening), now);
         self.hosts.insert(id, host);
-        self.learn_members_at(id, now);
+        self.apply_members_at(id, now);
     }
 
     pub(crate) fn offer(&mut self, id: HostId, now: Time) {
@@ -125,26 +125,26 @@
                 self.wrongly_refused += u32::from(within_rate);
             }
         }
-        self.ask(id, now);
+        self.send_loan_requests(id, now);
     }
 
     pub(crate) fn admit(&mut self, now: Time) {
         self.admitted.push(now);
-        self.ideal.take(now);
+        self.ideal.charge(now);
     }
 
-    pub(crate) fn ask(&mut self, id: HostId, now: Time) {
-        for ask in self.host(id).meter.loan_requests(ACCOUNT, now) {
-            let arrives = now + self.random_delay();
-            let (borrower, asked) = (id, now);
-            let (answer, given_up) = (None, false);
-            self.calls.push(Call { ask, borrower, asked, arrives, answer, given_up });
+    pub(crate) fn send_loan_requests(&mut self, id: HostId, now: Time) {
+        for request in self.host(id).meter.loan_requests(ACCOUNT, now) {
+            let arrives_at = now + self.random_delay();
+            let (borrower, sent_at) = (id, now);
+            let (answer, timed_out) = (None, false);
+            self.calls.push(Call { request, borrower, sent_at, arrives_at, answer, timed_out });
         }
     }
 
     pub(crate) fn random_delay(&mut self) -> Duration {
         if self.random.random_bool(self.loss) {
-            return LOST;
+            return LOSS_DELAY;
         }
         self.delay.mul_f64(self.random.random_range(0.5..2.0))
     }
@@ -160,13 +160,14 @@
     }
 
     /// Borrowers that run give up what they asked for too long ago.
-    fn give_up(&mut self, now: Time) {
-        let Some(time) = self.give_up else { return };
+    fn expire_calls(&mut self, now: Time) {
+        let Some(timeout) = self.loan_timeout else { return };
         let mut calls = std::mem::take(&mut self.calls);
-        for call in calls.iter_mut().filter(|call| !call.given_up && call.asked + time <= now) {
+        for call in calls.iter_mut().filter(|call| !call.timed_out && call.sent_at + timeout <= now)
+        {
             let borrower = self.hosts.get(&call.borrower);
             if borrower.is_some_and(|host| host.paused_until <= now) {
-                call.given_up = true;
+                call.timed_out = true;
                 self.receive(call, 0, now);
             }
         }
@@ -174,17 +175,17 @@
     }
 
     pub(crate) fn deliver(&mut self, now: Time) {
-        self.give_up(now);
+        self.expire_calls(now);
         for call in std::mem::take(&mut self.calls) {
-            if call.given_up && call.answer.is_some() {
+            if call.timed_out && call.answer.is_some() {
                 continue;
             }
-            let at = if call.answer.is_none() { call.ask.peer } else { call.borrower };
-            let Some(host) = self.hosts.get(&at) else {
-                self.fail(&call, now);
+            let recipient = if call.answer.is_none() { call.request.peer } else { call.borrower };
+            let Some(host) = self.hosts.get(&recipient) else {
+                self.fail_call(&call, now);
                 continue;
             };
-            if call.arrives > now || host.paused_until > now {
+            if call.arrives_at > now || host.paused_until > now {
                 self.calls.push(call);
                 continue;
             }
@@ -196,27 +197,27 @@
     }
 
     /// The peer is gone: the borrower hears nothing and counts zero.
-    pub(crate) fn fail(&mut self, call: &Call, now: Time) {
+    pub(crate) fn fail_call(&mut self, call: &Call, now: Time) {
         if self.hosts.contains_key(&call.borrower) {
             self.receive(call, 0, now);
         }
     }
 
     pub(crate) fn lend(&mut self, mut call: Call, now: Time) {
-        let LoanRequest { account, peer, count, sequence } = call.ask;
+        let LoanRequest { account, peer, count, sequence } = call.request;
         let request = TokenRequest { host: call.borrower, account, count, version: 1, sequence };
         let lent = self.host(peer).meter.lend(&request, now);
         call.answer = Some(lent);
-        call.arrives = now + self.random_delay();
-        if self.mute.contains(&call.ask.peer) {
-            call.arrives = now + LOST;
+        call.arrives_at = now + self.random_delay();
+        if self.lossy_lenders.contains(&call.request.peer) {
+            call.arrives_at = now + LOSS_DELAY;
             call.answer = Some(0);
         }
         self.calls.push(call);
     }
 
     pub(crate) fn receive(&mut self, call: &Call, count: u32, now: Time) {
-        self.host(call.borrower).meter.receive(call.ask, count, call.asked, now);
+        self.host(call.borrower).meter.receive(call.request, count, call.sent_at, now);
         self.retry_waiting(call.borrower, now);
     }
 
@@ -233,7 +234,7 @@
             }
         }
         if !self.hosts[&id].waiting.is_empty() {
-            self.ask(id, now);
+            self.send_loan_requests(id, now);
         }
     }
 
@@ -270,6 +271,6 @@
         meter: Meter::new(SETTLE, true),
         waiting: Vec::new(),
         paused_until: Time::ZERO,
-        local_only: false,
+        has_whole_rate: false,
     }
 }
--- a/crates/core/tests/promotion_search.rs
+++ b/crates/core/tests/promotion_search.rs
@@ -85,7 +85,7 @@
     fn rebuild(&mut self, id: TargetId) {
         if self.group.rebuild(id) {
             self.messages.retain(|message| match message {
-                Message::Append { from, to, .. } | Message::Held { from, to, .. } => {
+                Message::Append { from, to, .. } | Message::Appended { from, to, .. } => {
                     *from != id && *to != id
                 }
             });
@@ -94,7 +94,7 @@
 
     fn replicate(&mut self, from: TargetId) {
         let to = self.random.below(self.group.targets.len() as u64) as TargetId;
-        self.messages.extend(self.group.append(from, to));
+        self.messages.extend(self.group.append_message(from, to));
     }
 
     /// Delivers a message of any age; some are lost or duplicated.
@@ -211,10 +211,10 @@
 
 fn status(target: &Target) -> Status {
     Status {
-        role: if target.leads.is_some() { Role::Primary } else { Role::Replica },
+        role: if target.leading_term.is_some() { Role::Primary } else { Role::Replica },
         accepted_term: target.accepted,
-        entry: target.entry(),
-        applied: target.entry(),
+        entry: target.last_entry(),
+        applied: target.last_entry(),
         confirmed: Position::default(),
         age: Duration::ZERO,
         primary: None,
@@ -232,10 +232,10 @@
     let mut world = World::new(seed, targets, defect);
     for step in 0..STEPS {
         world.step();
-        if let Some(entry) = world.group.lost() {
+        if let Some(entry) = world.group.lost_entry() {
             return (Some(format!("seed {seed}, step {step}: lost {entry:?}")), world.promotions);
         }
-        if let Some(term) = world.group.split() {
+        if let Some(term) = world.group.split_term() {
             return (Some(format!("seed {seed}, step {step}: split {term}")), world.promotions);
         }
     }
--- a/crates/core/tests/rate.rs
+++ b/crates/core/tests/rate.rs
@@ -9,7 +9,7 @@
 use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::rate::Meter;
 use bergamotvale_core::rate::meter::micro;
-use meters::{ACCOUNT, AUTHORITY, Fleet, SETTLE, fresh_host};
+use meters::{ACCOUNT, AUTHORITY_VALIDITY, Fleet, SETTLE, fresh_host};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 fn admits_at_any_balance_without_wrongful_refusals() {
     for (name, favourite) in [("even", 0.25), ("uneven", 0.8), ("one host", 1.0)] {
         let mut fleet = Fleet::new(4, 200, 100, 1);
-        fleet.learn_members(Time::ZERO);
+        fleet.apply_members(Time::ZERO);
         fleet.drive(Time::ZERO, SETTLE * 3, 0.0, any_host);
         let pick = move |random: &mut SmallRng| {
             if random.random_bool(favourite) { 1 } else { random.random_range(2..=4) }
@@ -40,7 +40,7 @@
     for seed in 0..40 {
         let mut fleet = Fleet::new(4, 100, 40, seed);
         fleet.loss = 0.05;
-        fleet.learn_members(Time::ZERO);
+        fleet.apply_members(Time::ZERO);
         let round = Duration::from_millis(800);
 
         for number in 0..12 {
@@ -60,25 +60,27 @@
 fn members_that_change_never_hold_more_than_the_total() {
     for seed in 0..40 {
         let mut fleet = Fleet::new(4, 100, 40, seed);
-        fleet.learn_members(Time::ZERO);
+        fleet.apply_members(Time::ZERO);
         let change = SETTLE * 2;
         fleet.drive(Time::ZERO, change, 400.0, any_host);
         fleet.members.remove(&4);
         let mut learned: Vec<(Time, HostId)> = (1..=4)
-            .map(|id| (change + AUTHORITY.mul_f64(fleet.random.random_range(0.0..1.0)), id))
+            .map(|id| {
+                (change + AUTHORITY_VALIDITY.mul_f64(fleet.random.random_range(0.0..1.0)), id)
+            })
             .collect();
         learned.sort();
 
         let mut now = change;
         for (at, id) in learned {
             fleet.drive(now, at, 400.0, any_host);
-            fleet.learn_members_at(id, at);
+            fleet.apply_members_at(id, at);
             now = at;
         }
         fleet.drive(now, now + SETTLE * 2, 400.0, any_host);
         fleet.members.insert(4);
         fleet.hosts.insert(4, fresh_host());
-        fleet.learn_members(now + SETTLE * 2);
+        fleet.apply_members(now + SETTLE * 2);
         fleet.drive(now + SETTLE * 2, now + SETTLE * 5, 400.0, any_host);
 
         fleet.verify().unwrap_or_else(|e| panic!("seed {seed}: {e}"));
@@ -91,8 +93,8 @@
     let mut fleet = Fleet::new(4, 400, 160, seed);
     fleet.loss = 0.2;
     fleet.delay = Duration::from_millis(25);
-    fleet.give_up = Some(Duration::from_millis(60));
-    fleet.learn_members(Time::ZERO);
+    fleet.loan_timeout = Some(Duration::from_millis(60));
+    fleet.apply_members(Time::ZERO);
     fleet.drive(Time::ZERO, SETTLE * 3, 0.0, any_host);
     fleet.drive(SETTLE * 3, SETTLE * 5, 2_000.0, |random| {
         if random.random_bool(0.9) { 1 } else { random.random_range(2..=4) }
@@ -141,9 +143,9 @@
 fn the_check_catches_a_limiter_that_counts_alone() {
     let mut fleet = Fleet::new(4, 100, 40, 1);
     for host in fleet.hosts.values_mut() {
-        host.local_only = true;
+        host.has_whole_rate = true;
     }
-    fleet.learn_members(Time::ZERO);
+    fleet.apply_members(Time::ZERO);
 
     fleet.drive(SETTLE, SETTLE * 3, 500.0, any_host);
 
--- a/crates/core/tests/rate_loss.rs
+++ b/crates/core/tests/rate_loss.rs
@@ -88,7 +88,7 @@
     /// Returns a fleet whose shares are in force and whose load is steady, and the time reached.
     fn steady(load: f64, favourite: f64, seed: u64) -> (Run, Time) {
         let mut fleet = Fleet::new(HOSTS, RATE, BURST, seed);
-        fleet.learn_members(Time::ZERO);
+        fleet.apply_members(Time::ZERO);
         let count = Count::default();
         let mut run = Run { fleet, central: Central::full(), load, favourite, last: HOSTS, count };
         // Shares come into force and buckets fill before the load starts.
@@ -142,7 +142,7 @@
     run.central.set_share(f64::from(HOSTS - 1) / f64::from(HOSTS), start);
     run.drive(start, start + REMOVAL);
     run.fleet.members.remove(&DEAD);
-    run.fleet.learn_members(start + REMOVAL);
+    run.fleet.apply_members(start + REMOVAL);
     run.drive(start + REMOVAL, start + REMOVAL + SETTLE);
     run.central.set_share(1.0, start + REMOVAL + SETTLE);
     run.drive(start + REMOVAL + SETTLE, start + MINUTE);
--- a/crates/core/tests/rate_many_hosts.rs
+++ b/crates/core/tests/rate_many_hosts.rs
@@ -33,8 +33,8 @@
 
 fn fleet(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(HOSTS, RATE, RATE, seed);
-    fleet.holders = HOLDERS;
-    fleet.learn_members(Time::ZERO);
+    fleet.max_holders = HOLDERS;
+    fleet.apply_members(Time::ZERO);
     fleet
 }
 
@@ -89,8 +89,8 @@
 fn callers_within_the_rate_are_served_through_a_roll() {
     for seed in 1..=5 {
         let mut fleet = Fleet::new(ROLLED, ROLL_RATE, ROLL_RATE, seed);
-        fleet.holders = HOLDERS;
-        fleet.learn_members(Time::ZERO);
+        fleet.max_holders = HOLDERS;
+        fleet.apply_members(Time::ZERO);
         let demand = f64::from(ROLL_RATE) * USE;
         let mut now = START;
         for down in 1..=ROLLED {
--- a/crates/core/tests/search.rs
+++ b/crates/core/tests/search.rs
@@ -10,7 +10,9 @@
 use bergamotvale_core::retry::Budgets;
 use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::write::{Action, Event, Write};
-use common::write::{Step, acknowledged_is_confirmed, not_run_is_true, unkeyed_is_sent_once};
+use common::write::{
+    Step, verify_acknowledgement_confirmed, verify_not_run_true, verify_unkeyed_sent_once,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
@@ -226,9 +228,9 @@
     if matches!(last, Action::Refuse(refusal) if refusal.ran == Ran::No) && runs > 0 {
         return Err("ran, and refused as not run".into());
     }
-    acknowledged_is_confirmed(trace)?;
-    not_run_is_true(trace)?;
-    if keyed { Ok(()) } else { unkeyed_is_sent_once(trace) }
+    verify_acknowledgement_confirmed(trace)?;
+    verify_not_run_true(trace)?;
+    if keyed { Ok(()) } else { verify_unkeyed_sent_once(trace) }
 }
 
 fn first_fault(defect: Defect) -> Option<String> {
--- a/crates/core/tests/world/fault.rs
+++ b/crates/core/tests/world/fault.rs
@@ -14,13 +14,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
     /// A target is cut off from all hosts.
-    CutFromHosts(TargetId),
+    IsolatedFromHosts(TargetId),
     /// A target is cut off from the other targets.
-    CutFromTargets(TargetId),
+    IsolatedFromTargets(TargetId),
     /// A target is cut off from everything.
-    CutOff(TargetId),
+    Isolated(TargetId),
     /// One host does not reach one target.
-    CutLink(HostId, TargetId),
+    LinkBlocked(HostId, TargetId),
     /// A replica receives nothing.
     Lag(TargetId),
     /// A target is down.
@@ -30,7 +30,7 @@
     /// Answers are lost after their effect.
     AnswersLost,
     /// A host starts anew.
-    HostDies(HostId),
+    HostRestarted(HostId),
     /// A host stands still.
     HostPaused(HostId),
 }
@@ -40,7 +40,7 @@
     pub kind: Kind,
     pub from: Time,
     pub until: Time,
-    struck: bool,
+    started: bool,
 }
 
 impl Fault {
@@ -66,28 +66,28 @@
     let target = if random.chance(500) { 0 } else { random.below(TARGETS.into()) as TargetId };
     let host = random.below(HOSTS.into()) as HostId;
     let kind = match random.below(10) {
-        0 => Kind::CutFromHosts(target),
-        1 => Kind::CutFromTargets(target),
-        2 => Kind::CutOff(target),
-        3 => Kind::CutLink(host, target),
+        0 => Kind::IsolatedFromHosts(target),
+        1 => Kind::IsolatedFromTargets(target),
+        2 => Kind::Isolated(target),
+        3 => Kind::LinkBlocked(host, target),
         4 => Kind::Lag(target),
         5 => Kind::Killed(target),
         6 => Kind::Rebuilt(target),
         7 => Kind::AnswersLost,
-        8 => Kind::HostDies(host),
+        8 => Kind::HostRestarted(host),
         _ => Kind::HostPaused(host),
     };
     let from = random.time_below(BEGIN_WITHIN);
     let until = from + random.time_below(LONGEST);
-    Fault { kind, from, until, struck: false }
+    Fault { kind, from, until, started: false }
 }
 
 /// Faults that begin now.
-pub fn due(scene: &mut Scene) -> Vec<Fault> {
+pub fn take_due(scene: &mut Scene) -> Vec<Fault> {
     let now = scene.now;
-    let due = scene.faults.iter_mut().filter(|fault| !fault.struck && fault.from <= now);
+    let due = scene.faults.iter_mut().filter(|fault| !fault.started && fault.from <= now);
     due.map(|fault| {
-        fault.struck = true;
+        fault.started = true;
         *fault
     })
     .collect()
@@ -98,7 +98,7 @@
     let mut targets = Vec::new();
     for (id, target) in &scene.group.targets {
         let is_down = scene.is_active(|kind| *kind == Kind::Killed(*id));
-        if !target.up && !is_down {
+        if !target.is_up && !is_down {
             targets.push(*id);
         }
     }
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -10,7 +10,7 @@
 use crate::group::{Entry, Group, Message};
 use bergamotvale_core::id::{HostId, TargetId, Time};
 use bergamotvale_core::invariant::write::{self, Verdict};
-use bergamotvale_core::invariant::{Broken, OpId};
+use bergamotvale_core::invariant::{OpId, Violation};
 use bergamotvale_core::log::Position;
 use bergamotvale_core::random::Source;
 use bergamotvale_core::retry::Budgets;
@@ -66,7 +66,7 @@
 
 /// A transaction that is open on a target, under the term in which it began.
 #[derive(Debug, Clone, Copy)]
-pub struct Open {
+pub struct OpenTransaction {
     pub attempt: u64,
     pub op: OpId,
     pub term: u64,
@@ -77,7 +77,7 @@
     pub budgets: Budgets,
     pub primary: Option<TargetId>,
     pub paused_until: Time,
-    pub run: u64,
+    pub incarnation: u64,
 }
 
 /// What sessions and hosts see of the world.
@@ -87,14 +87,14 @@
     pub defect: Defect,
     pub group: Group,
     pub hosts: BTreeMap<HostId, Host>,
-    pub open: BTreeMap<TargetId, Vec<Open>>,
+    pub open: BTreeMap<TargetId, Vec<OpenTransaction>>,
     /// COMMITs on their way whose host has given up.
-    pub late: Vec<(TargetId, Open)>,
+    pub late_commits: Vec<(TargetId, OpenTransaction)>,
     pub faults: Vec<Fault>,
     pub tally: Tally,
     pub writes: BTreeMap<OpId, Option<Verdict>>,
-    pub broken: Option<Broken>,
-    pub next: u64,
+    pub violation: Option<Violation>,
+    pub last_id: u64,
 }
 
 pub struct World {
@@ -107,16 +107,16 @@
 
 impl Scene {
     /// A number that was not used before.
-    pub fn number(&mut self) -> u64 {
-        self.next += 1;
-        self.next
+    pub fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
     }
 
-    pub fn any_target(&mut self) -> TargetId {
+    pub fn random_target(&mut self) -> TargetId {
         self.random.below(TARGETS.into()) as TargetId
     }
 
-    pub fn any_host(&mut self) -> HostId {
+    pub fn random_host(&mut self) -> HostId {
         self.random.below(HOSTS.into()) as HostId
     }
 
@@ -125,10 +125,10 @@
     }
 
     /// Whether `host` does not reach `target`.
-    pub fn is_cut(&self, host: HostId, target: TargetId) -> bool {
+    pub fn is_blocked(&self, host: HostId, target: TargetId) -> bool {
         self.is_active(|kind| match kind {
-            Kind::CutFromHosts(cut) | Kind::CutOff(cut) => *cut == target,
-            Kind::CutLink(h, t) => (*h, *t) == (host, target),
+            Kind::IsolatedFromHosts(cut) | Kind::Isolated(cut) => *cut == target,
+            Kind::LinkBlocked(h, t) => (*h, *t) == (host, target),
             _ => false,
         })
     }
@@ -150,15 +150,15 @@
     /// Ends the open transactions of a target, and COMMITs on their way to it.
     pub fn close(&mut self, target: TargetId) {
         self.open.remove(&target);
-        self.late.retain(|(to, _)| *to != target);
+        self.late_commits.retain(|(to, _)| *to != target);
     }
 
     /// Commits an open transaction; none when it or its term is gone.
-    pub fn commit(&mut self, target: TargetId, open: Open) -> Option<Position> {
+    pub fn commit(&mut self, target: TargetId, open: OpenTransaction) -> Option<Position> {
         let transactions = self.open.entry(target).or_default();
         let at = transactions.iter().position(|other| other.attempt == open.attempt)?;
         let open = transactions.remove(at);
-        if self.group.targets[&target].leads != Some(open.term) {
+        if self.group.targets[&target].leading_term != Some(open.term) {
             return None;
         }
         self.group.commit(target, open.op)
@@ -173,7 +173,7 @@
             budgets: Budgets::new(),
             primary: Some(0),
             paused_until: Time::ZERO,
-            run: 0,
+            incarnation: 0,
         };
         let scene = Scene {
             now: Time::ZERO,
@@ -182,12 +182,12 @@
             group: Group::new(TARGETS),
             hosts: (0..HOSTS).map(|id| (id, host(id))).collect(),
             open: BTreeMap::new(),
-            late: Vec::new(),
+            late_commits: Vec::new(),
             faults,
             tally: Tally::default(),
             writes: BTreeMap::new(),
-            broken: None,
-            next: 0,
+            violation: None,
+            last_id: 0,
         };
         let sessions = (0..SESSIONS).map(|_| Session::new()).collect();
         let promotions = Promotions::new(seed);
@@ -197,7 +197,7 @@
     /// The same world, of whose faults only those at the places `kept` happen.
     pub fn with_faults(mut self, kept: &[usize]) -> World {
         let faults = std::mem::take(&mut self.scene.faults).into_iter().enumerate();
-        let left = faults.filter(|(place, _)| kept.contains(place));
+        let left = faults.filter(|(index, _)| kept.contains(index));
         self.scene.faults = left.map(|(_, fault)| fault).collect();
         self
     }
@@ -226,32 +226,32 @@
     pub fn tally(&self) -> Tally {
         let mut tally = Tally::default();
         tally.add(&self.scene.tally);
-        tally.promotions = self.promotions.done;
+        tally.promotions = self.promotions.completed;
         tally
     }
 
     /// Runs to the end; answers with the first invariant that broke.
-    pub fn run(&mut self) -> Result<(), Broken> {
-        while self.scene.now < self.end && self.scene.broken.is_none() {
+    pub fn run(&mut self) -> Result<(), Violation> {
+        while self.scene.now < self.end && self.scene.violation.is_none() {
             self.step();
         }
-        if let Some(broken) = &self.scene.broken {
-            return Err(broken.clone());
+        if let Some(violation) = &self.scene.violation {
+            return Err(violation.clone());
         }
         self.heal();
-        self.judge()
+        self.verify()
     }
 
     fn step(&mut self) {
         self.scene.now += self.scene.random.time_below(STEP);
-        self.strike();
+        self.start_faults();
         match self.scene.random.below(100) {
             0..=44 => self.advance(),
             45..=59 => self.replicate(),
             60..=79 => self.deliver(),
             80..=84 => self.observe(),
             85..=86 => self.late_commit(),
-            87 => self.reap(),
+            87 => self.roll_back_orphans(),
             _ => self.promotions.step(&mut self.scene),
         }
     }
@@ -262,16 +262,16 @@
     }
 
     fn replicate(&mut self) {
-        let (from, to) = (self.scene.any_target(), self.scene.any_target());
+        let (from, to) = (self.scene.random_target(), self.scene.random_target());
         let lags = self.scene.is_active(|kind| *kind == Kind::Lag(to));
-        if !lags && !self.is_apart(from, to) {
-            self.messages.extend(self.scene.group.append(from, to));
+        if !lags && !self.are_partitioned(from, to) {
+            self.messages.extend(self.scene.group.append_message(from, to));
         }
     }
 
-    fn is_apart(&self, one: TargetId, other: TargetId) -> bool {
+    fn are_partitioned(&self, one: TargetId, other: TargetId) -> bool {
         self.scene.is_active(|kind| match kind {
-            Kind::CutFromTargets(cut) | Kind::CutOff(cut) => *cut == one || *cut == other,
+            Kind::IsolatedFromTargets(cut) | Kind::Isolated(cut) => *cut == one || *cut == other,
             _ => false,
         })
     }
@@ -283,8 +283,8 @@
         }
         let at = self.scene.random.below(self.messages.len() as u64) as usize;
         let message = self.messages.swap_remove(at);
-        let (Message::Append { from, to, .. } | Message::Held { from, to, .. }) = message;
-        if !self.is_apart(from, to) && !self.scene.random.chance(30) {
+        let (Message::Append { from, to, .. } | Message::Appended { from, to, .. }) = message;
+        if !self.are_partitioned(from, to) && !self.scene.random.chance(30) {
             let reply = self.scene.group.deliver(message);
             self.messages.extend(reply);
         }
@@ -292,11 +292,11 @@
 
     /// A host learns which primary of those that it reaches has the highest term.
     fn observe(&mut self) {
-        let id = self.scene.any_host();
-        let reached = (0..TARGETS).filter(|target| !self.scene.is_cut(id, *target));
+        let id = self.scene.random_host();
+        let reached = (0..TARGETS).filter(|target| !self.scene.is_blocked(id, *target));
         let targets = reached.map(|target| (target, &self.scene.group.targets[&target]));
-        let primaries = targets.filter(|(_, target)| target.up && target.leads.is_some());
-        let primary = primaries.max_by_key(|(_, target)| target.leads).map(|(id, _)| id);
+        let primaries = targets.filter(|(_, target)| target.is_up && target.leading_term.is_some());
+        let primary = primaries.max_by_key(|(_, target)| target.leading_term).map(|(id, _)| id);
         let host = self.scene.hosts.get_mut(&id).expect("one of the hosts");
         if host.paused_until <= self.scene.now && primary.is_some() {
             host.primary = primary;
@@ -305,30 +305,31 @@
 
     /// A COMMIT arrives whose host has given up.
     fn late_commit(&mut self) {
-        if let Some((target, open)) = self.scene.late.pop() {
+        if let Some((target, open)) = self.scene.late_commits.pop() {
             self.scene.commit(target, open);
         }
     }
 
     /// A target notices that a connection is gone and rolls its transaction back.
-    fn reap(&mut self) {
-        let target = self.scene.any_target();
+    fn roll_back_orphans(&mut self) {
+        let target = self.scene.random_target();
         let used: BTreeSet<u64> = self.sessions.iter().filter_map(Session::attempt).collect();
-        let late: BTreeSet<u64> = self.scene.late.iter().map(|(_, open)| open.attempt).collect();
+        let late_commits: BTreeSet<u64> =
+            self.scene.late_commits.iter().map(|(_, open)| open.attempt).collect();
         let open = self.scene.open.entry(target).or_default();
-        open.retain(|open| used.contains(&open.attempt) || late.contains(&open.attempt));
+        open.retain(|open| used.contains(&open.attempt) || late_commits.contains(&open.attempt));
     }
 
     /// Begins the faults that are due and happen at once.
-    fn strike(&mut self) {
-        for fault in fault::due(&mut self.scene) {
+    fn start_faults(&mut self) {
+        for fault in fault::take_due(&mut self.scene) {
             match fault.kind {
                 Kind::Killed(target) => {
                     self.scene.group.kill(target);
                     self.scene.close(target);
                 }
                 Kind::Rebuilt(target) => self.rebuild(target),
-                Kind::HostDies(host) => self.restart_host(host),
+                Kind::HostRestarted(host) => self.restart_host(host),
                 Kind::HostPaused(host) => {
                     let host = self.scene.hosts.get_mut(&host).expect("one of the hosts");
                     host.paused_until = fault.until;
@@ -342,23 +343,23 @@
     }
 
     fn rebuild(&mut self, id: TargetId) {
-        if !self.scene.group.targets[&id].up || !self.scene.group.rebuild_data(id) {
+        if !self.scene.group.targets[&id].is_up || !self.scene.group.rebuild_keeping_grants(id) {
             return;
         }
         self.scene.close(id);
         self.messages.retain(|message| {
-            let (Message::Append { from, to, .. } | Message::Held { from, to, .. }) = message;
+            let (Message::Append { from, to, .. } | Message::Appended { from, to, .. }) = message;
             *from != id && *to != id
         });
     }
 
     fn restart_host(&mut self, id: HostId) {
         let host = self.scene.hosts.get_mut(&id).expect("one of the hosts");
-        host.run += 1;
+        host.incarnation += 1;
         host.budgets = Budgets::new();
-        self.promotions.restart(id, host.run);
+        self.promotions.restart(id, host.incarnation);
         for session in &mut self.sessions {
-            session.host_died(id, &mut self.scene);
+            session.abort_on_host(id, &mut self.scene);
         }
     }
 
@@ -368,7 +369,7 @@
         for session in &mut self.sessions {
             session.end(&mut self.scene);
         }
-        while !self.scene.late.is_empty() {
+        while !self.scene.late_commits.is_empty() {
             self.late_commit();
         }
         for target in 0..TARGETS {
@@ -377,27 +378,31 @@
         self.promotions.finish(&mut self.scene);
         for _ in 0..HEALING_ROUNDS {
             for (from, to) in (0..TARGETS).flat_map(|from| (0..TARGETS).map(move |to| (from, to))) {
-                let append = self.scene.group.append(from, to);
+                let append = self.scene.group.append_message(from, to);
                 let held = append.and_then(|append| self.scene.group.deliver(append));
                 held.and_then(|held| self.scene.group.deliver(held));
             }
         }
     }
 
-    fn judge(&self) -> Result<(), Broken> {
-        let writes: Vec<_> =
-            self.scene.writes.iter().map(|(op, verdict)| self.record(*op, *verdict)).collect();
-        write::verify_kept(&writes)?;
-        write::verify_once(&writes)?;
+    fn verify(&self) -> Result<(), Violation> {
+        let writes: Vec<_> = self
+            .scene
+            .writes
+            .iter()
+            .map(|(op, verdict)| self.write_record(*op, *verdict))
+            .collect();
+        write::verify_durable(&writes)?;
+        write::verify_at_most_once(&writes)?;
         write::verify_not_run(&writes)?;
         let terms = self.scene.group.acknowledgers.iter();
         let acknowledged: Vec<_> = terms
             .flat_map(|(term, targets)| targets.iter().map(|target| (*term, *target)))
             .collect();
-        write::verify_terms(&acknowledged)
+        write::verify_single_primary(&acknowledged)
     }
 
-    fn record(&self, op: OpId, verdict: Option<Verdict>) -> write::Write {
+    fn write_record(&self, op: OpId, verdict: Option<Verdict>) -> write::Write {
         let count = |target| {
             let entries = self.scene.entries(target).iter();
             entries.filter(|entry| entry.value == op).count()
--- a/crates/core/tests/world/promoter.rs
+++ b/crates/core/tests/world/promoter.rs
@@ -13,7 +13,7 @@
 
 struct Call {
     host: HostId,
-    run: u64,
+    incarnation: u64,
     action: Action,
     /// What came back, once it did.
     answer: Option<Option<TermResponse>>,
@@ -23,7 +23,7 @@
     seed: u64,
     promoters: BTreeMap<HostId, (u64, Promoter)>,
     calls: Vec<Call>,
-    pub done: u64,
+    pub completed: u64,
 }
 
 fn promoter(host: HostId, seed: u64) -> Promoter {
@@ -34,32 +34,33 @@
 impl Promotions {
     pub fn new(seed: u64) -> Promotions {
         let promoters = (0..HOSTS).map(|host| (host, (0, promoter(host, seed ^ u64::from(host)))));
-        Promotions { seed, promoters: promoters.collect(), calls: Vec::new(), done: 0 }
+        Promotions { seed, promoters: promoters.collect(), calls: Vec::new(), completed: 0 }
     }
 
     /// A new run of a host knows nothing of the attempts of the one before.
-    pub fn restart(&mut self, host: HostId, run: u64) {
-        let seed = self.seed ^ u64::from(host) ^ (run << 32);
-        self.promoters.insert(host, (run, promoter(host, seed)));
+    pub fn restart(&mut self, host: HostId, incarnation: u64) {
+        let seed = self.seed ^ u64::from(host) ^ (incarnation << 32);
+        self.promoters.insert(host, (incarnation, promoter(host, seed)));
     }
 
     pub fn step(&mut self, scene: &mut Scene) {
         match scene.random.below(10) {
             0 => self.depose(scene),
-            1..=4 => self.carry(scene),
-            5..=7 => self.hear(scene),
+            1..=4 => self.deliver_call(scene),
+            5..=7 => self.deliver_response(scene),
             _ => self.tick(scene),
         }
     }
 
     /// A host that sees no healthy primary deposes it; now and then one does so wrongly.
     fn depose(&mut self, scene: &mut Scene) {
-        let host = scene.any_host();
+        let host = scene.random_host();
         let Some(primary) = scene.hosts[&host].primary else { return };
         let target = &scene.group.targets[&primary];
-        let is_well = target.up && target.leads.is_some() && !scene.is_cut(host, primary);
+        let is_healthy =
+            target.is_up && target.leading_term.is_some() && !scene.is_blocked(host, primary);
         let (term, wrongly) = (target.accepted, scene.random.chance(50));
-        if is_well && !wrongly || scene.hosts[&host].paused_until > scene.now {
+        if is_healthy && !wrongly || scene.hosts[&host].paused_until > scene.now {
             return;
         }
         let deposed = Replacement { term, avoid: None, preferred: None };
@@ -70,21 +71,21 @@
     }
 
     fn tick(&mut self, scene: &mut Scene) {
-        let host = scene.any_host();
+        let host = scene.random_host();
         if scene.hosts[&host].paused_until <= scene.now {
             let now = scene.now;
             let actions = self.promoters.get_mut(&host).expect("one of the hosts").1.tick(now);
-            self.take(host, actions);
+            self.enqueue(host, actions);
         }
     }
 
     /// A call reaches its target, or is lost.
-    fn carry(&mut self, scene: &mut Scene) {
+    fn deliver_call(&mut self, scene: &mut Scene) {
         let waiting = |call: &Call| call.answer.is_none();
         let Some(at) = pick(&mut scene.random, &self.calls, waiting) else { return };
         let call = &self.calls[at];
         let (target, host) = (target_of(&call.action), call.host);
-        if scene.is_cut(host, target) || scene.random.chance(20) {
+        if scene.is_blocked(host, target) || scene.random.chance(20) {
             self.calls[at].answer = Some(None);
             return;
         }
@@ -102,14 +103,14 @@
     }
 
     /// A host hears the answer to one of its calls, or that none came.
-    fn hear(&mut self, scene: &mut Scene) {
+    fn deliver_response(&mut self, scene: &mut Scene) {
         let now = scene.now;
         let hosts = &scene.hosts;
         let ready = |call: &Call| call.answer.is_some() && hosts[&call.host].paused_until <= now;
         let Some(at) = pick(&mut scene.random, &self.calls, ready) else { return };
-        let Call { host, run, action, answer } = self.calls.swap_remove(at);
+        let Call { host, incarnation, action, answer } = self.calls.swap_remove(at);
         let (current, promoter) = self.promoters.get_mut(&host).expect("one of the hosts");
-        if *current != run {
+        if *current != incarnation {
             return;
         }
         let answer = answer.flatten();
@@ -120,16 +121,16 @@
             }
             Action::Done { .. } | Action::Failed { .. } => Vec::new(),
         };
-        self.take(host, actions);
+        self.enqueue(host, actions);
     }
 
-    fn take(&mut self, host: HostId, actions: Vec<Action>) {
-        let run = self.promoters[&host].0;
+    fn enqueue(&mut self, host: HostId, actions: Vec<Action>) {
+        let incarnation = self.promoters[&host].0;
         for action in actions {
             match action {
-                Action::Done { .. } => self.done += 1,
+                Action::Done { .. } => self.completed += 1,
                 Action::Failed { .. } => {}
-                action => self.calls.push(Call { host, run, action, answer: None }),
+                action => self.calls.push(Call { host, incarnation, action, answer: None }),
             }
         }
     }
@@ -138,8 +139,8 @@
     pub fn finish(&mut self, scene: &mut Scene) {
         self.calls.clear();
         for host in 0..HOSTS {
-            let run = self.promoters[&host].0 + 1;
-            self.restart(host, run);
+            let incarnation = self.promoters[&host].0 + 1;
+            self.restart(host, incarnation);
             scene.hosts.get_mut(&host).expect("one of the hosts").paused_until = Duration::ZERO;
         }
         let terms = scene.group.targets.values().map(|target| target.accepted);
@@ -147,13 +148,13 @@
         let deposed = Replacement { term, avoid: None, preferred: None };
         let promoter = &mut self.promoters.get_mut(&0).expect("one of the hosts").1;
         promoter.replace_primary(scene.now, deposed, 0);
-        let done = self.done;
+        let completed_before = self.completed;
         for _ in 0..FINISH_ROUNDS {
             scene.now += Duration::from_millis(5);
             self.tick(scene);
-            self.carry(scene);
-            self.hear(scene);
-            if self.done > done {
+            self.deliver_call(scene);
+            self.deliver_response(scene);
+            if self.completed > completed_before {
                 return;
             }
         }
@@ -169,7 +170,7 @@
 }
 
 fn pick(random: &mut Source, calls: &[Call], wanted: impl Fn(&Call) -> bool) -> Option<usize> {
-    let places: Vec<usize> = (0..calls.len()).filter(|at| wanted(&calls[*at])).collect();
-    let chosen = random.below(places.len() as u64) as usize;
-    places.get(chosen).copied()
+    let indices: Vec<usize> = (0..calls.len()).filter(|at| wanted(&calls[*at])).collect();
+    let chosen = random.below(indices.len() as u64) as usize;
+    indices.get(chosen).copied()
 }
--- a/crates/core/tests/world/request.rs
+++ b/crates/core/tests/world/request.rs
@@ -1,10 +1,10 @@
 //! One request on one host: the core's machine, and what the world answers to its actions.
 
-use super::{Defect, Open, Scene};
+use super::{Defect, OpenTransaction, Scene};
 use bergamotvale_core::group::Role;
 use bergamotvale_core::id::{HostId, TargetId, Time};
 use bergamotvale_core::idempotency::Row;
-use bergamotvale_core::invariant::{Broken, OpId};
+use bergamotvale_core::invariant::{OpId, Violation};
 use bergamotvale_core::log::Position;
 use bergamotvale_core::read::{self, Read};
 use bergamotvale_core::refusal::{Ran, Reason};
@@ -25,13 +25,13 @@
     pub host: HostId,
     pub attempt: u64,
     target: TargetId,
-    pub left: u32,
+    pub attempts_left: u32,
     pub keyed: bool,
     pub work: Work,
     /// Whether what was read misses an acknowledged write of the session.
-    misses: bool,
+    misses_write: bool,
     /// What the host hears, and when.
-    hears: Option<(Time, Heard)>,
+    pending_event: Option<(Time, HostEvent)>,
 }
 
 pub enum Work {
@@ -39,27 +39,43 @@
     Read(Box<Read>, read::Action),
 }
 
-pub enum Heard {
+pub enum HostEvent {
     Write(write::Event),
     Read(read::Event),
 }
 
 /// How a request ended for its caller.
-pub enum End {
+pub enum Outcome {
     Acknowledged(Option<Position>),
     Refused(Ran),
     Served(Option<Position>),
 }
 
 impl Request {
-    pub fn write(op: OpId, host: HostId, keyed: bool, left: u32, scene: &mut Scene) -> Request {
+    pub fn write(
+        op: OpId,
+        host: HostId,
+        keyed: bool,
+        attempts_left: u32,
+        scene: &mut Scene,
+    ) -> Request {
         let digest = keyed.then(|| "digest".to_owned());
         let seed = scene.random.bits();
         let mut write = Write::new(SERVICE, ACCOUNT, digest, scene.now + TIMEOUT, seed);
         let action = write.start(Duration::ZERO, scene.now);
         let work = Work::Write(Box::new(write), action);
-        let attempt = scene.number();
-        Request { op, host, attempt, target: 0, left, keyed, work, misses: false, hears: None }
+        let attempt = scene.next_id();
+        Request {
+            op,
+            host,
+            attempt,
+            target: 0,
+            attempts_left,
+            keyed,
+            work,
+            misses_write: false,
+            pending_event: None,
+        }
     }
 
     pub fn read(op: OpId, host: HostId, token: Option<Position>, scene: &mut Scene) -> Request {
@@ -67,37 +83,37 @@
         let demand = Requirement { token, freshness: Freshness::Session };
         let read = Read::new(SERVICE, ACCOUNT, demand, scene.now + TIMEOUT, scene.random.bits());
         let work = Work::Read(Box::new(read), read::Action::Choose(scene.now));
-        let attempt = scene.number();
+        let attempt = scene.next_id();
         Request {
             op,
             host,
             attempt,
             target: 0,
-            left: 1,
+            attempts_left: 1,
             keyed: false,
             work,
-            misses: false,
-            hears: None,
+            misses_write: false,
+            pending_event: None,
         }
     }
 
-    pub fn advance(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) -> Option<End> {
-        if let Some((at, heard)) = self.hears.take() {
+    pub fn advance(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) -> Option<Outcome> {
+        if let Some((at, event)) = self.pending_event.take() {
             if at > scene.now {
-                self.hears = Some((at, heard));
+                self.pending_event = Some((at, event));
                 return None;
             }
-            self.hear(heard, scene);
+            self.handle_event(event, scene);
             return self.end(scene);
         }
-        if self.due() <= scene.now {
-            self.act(scene, acknowledged);
+        if self.action_due() <= scene.now {
+            self.perform(scene, acknowledged);
         }
         None
     }
 
     /// When the present action may be carried out.
-    fn due(&self) -> Time {
+    fn action_due(&self) -> Time {
         match &self.work {
             Work::Write(_, write::Action::Lease(at, _) | write::Action::Confirm(_, at)) => *at,
             Work::Read(_, read::Action::Choose(at)) => *at,
@@ -105,60 +121,60 @@
         }
     }
 
-    fn hear(&mut self, heard: Heard, scene: &mut Scene) {
+    fn handle_event(&mut self, event: HostEvent, scene: &mut Scene) {
         let now = scene.now;
         let budgets = &mut scene.hosts.get_mut(&self.host).expect("one of the hosts").budgets;
-        match (&mut self.work, heard) {
-            (Work::Write(write, action), Heard::Write(event)) => {
+        match (&mut self.work, event) {
+            (Work::Write(write, action), HostEvent::Write(event)) => {
                 *action = write.on(event, budgets, now);
             }
-            (Work::Read(read, action), Heard::Read(event)) => {
+            (Work::Read(read, action), HostEvent::Read(event)) => {
                 *action = read.on(event, budgets, now);
             }
             _ => unreachable!("each kind hears its own events"),
         }
     }
 
-    fn end(&self, scene: &mut Scene) -> Option<End> {
+    fn end(&self, scene: &mut Scene) -> Option<Outcome> {
         match &self.work {
             Work::Write(_, write::Action::Acknowledge(position)) => {
-                Some(End::Acknowledged(*position))
+                Some(Outcome::Acknowledged(*position))
             }
             Work::Write(_, write::Action::Replay(_, position)) => {
                 scene.tally.replayed += 1;
-                Some(End::Acknowledged(Some(*position)))
+                Some(Outcome::Acknowledged(Some(*position)))
             }
             Work::Write(_, write::Action::Refuse(refusal))
-            | Work::Read(_, read::Action::Refuse(refusal)) => Some(End::Refused(refusal.ran)),
+            | Work::Read(_, read::Action::Refuse(refusal)) => Some(Outcome::Refused(refusal.ran)),
             Work::Read(_, read::Action::Serve(position)) => {
-                if self.misses {
-                    scene.broken = Some(Broken::StaleRead { op: self.op });
+                if self.misses_write {
+                    scene.violation = Some(Violation::StaleRead { op: self.op });
                 }
-                Some(End::Served(*position))
+                Some(Outcome::Served(*position))
             }
             _ => None,
         }
     }
 
     /// Carries the present action out; what the host hears of it may be late.
-    fn act(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) {
-        let heard = match &self.work {
+    fn perform(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) {
+        let event = match &self.work {
             Work::Read(read, action) => {
                 let (until, action) = (read.first_response_deadline(scene.now), action.clone());
-                let (at, event) = self.act_read(&action, until, scene);
-                self.misses = acknowledged.iter().any(|op| !scene.has(self.target, *op));
-                (at, Heard::Read(event))
+                let (at, event) = self.perform_read(&action, until, scene);
+                self.misses_write = acknowledged.iter().any(|op| !scene.has(self.target, *op));
+                (at, HostEvent::Read(event))
             }
             Work::Write(_, action) => {
                 let action = action.clone();
-                let (at, event) = self.act_write(&action, scene);
-                (at, Heard::Write(event))
+                let (at, event) = self.perform_write(&action, scene);
+                (at, HostEvent::Write(event))
             }
         };
-        self.hears = Some(heard);
+        self.pending_event = Some(event);
     }
 
-    fn act_read(
+    fn perform_read(
         &mut self,
         action: &read::Action,
         until: Time,
@@ -167,28 +183,28 @@
         match action {
             read::Action::Attempt(target, _) => {
                 self.target = *target;
-                self.try_read(*target, until, scene)
+                self.attempt_read(*target, until, scene)
             }
             _ => (scene.now, read::Event::Candidates(shuffled(scene))),
         }
     }
 
-    fn try_read(&self, id: TargetId, until: Time, scene: &mut Scene) -> (Time, read::Event) {
+    fn attempt_read(&self, id: TargetId, until: Time, scene: &mut Scene) -> (Time, read::Event) {
         let now = scene.now;
-        if scene.is_cut(self.host, id) || scene.loses_answer() {
+        if scene.is_blocked(self.host, id) || scene.loses_answer() {
             return (until, read::Event::TimedOut);
         }
         let target = &scene.group.targets[&id];
-        if !target.up {
+        if !target.is_up {
             return (now, read::Event::ConnectionLost);
         }
-        let role = if target.leads.is_some() { Role::Primary } else { Role::Replica };
-        let (applied, confirmed) = (target.entry(), target.confirmed);
+        let role = if target.leading_term.is_some() { Role::Primary } else { Role::Replica };
+        let (applied, confirmed) = (target.last_entry(), target.confirmed);
         let answer = Report { applied, confirmed, age: Duration::ZERO };
         (now, read::Event::Answered(role, answer))
     }
 
-    fn act_write(&mut self, action: &write::Action, scene: &mut Scene) -> (Time, write::Event) {
+    fn perform_write(&mut self, action: &write::Action, scene: &mut Scene) -> (Time, write::Event) {
         match action {
             write::Action::Lease(..) => (scene.now, self.lease(scene)),
             write::Action::Execute => self.execute(scene),
@@ -198,7 +214,7 @@
         }
     }
 
-    fn machine(&mut self) -> &mut Write {
+    fn write_mut(&mut self) -> &mut Write {
         match &mut self.work {
             Work::Write(write, _) => write,
             Work::Read(..) => unreachable!("a write"),
@@ -207,12 +223,12 @@
 
     fn lease(&mut self, scene: &mut Scene) -> write::Event {
         // Each lease is a new connection, and so a transaction of its own.
-        self.attempt = scene.number();
+        self.attempt = scene.next_id();
         let Some(target) = scene.hosts[&self.host].primary else {
             return write::Event::NoConnection(Reason::NoPrimary);
         };
         self.target = target;
-        if scene.is_cut(self.host, target) || !scene.group.targets[&target].up {
+        if scene.is_blocked(self.host, target) || !scene.group.targets[&target].is_up {
             return write::Event::NoConnection(Reason::ConnectionRefused);
         }
         write::Event::Leased
@@ -220,9 +236,9 @@
 
     fn execute(&mut self, scene: &mut Scene) -> (Time, write::Event) {
         let now = scene.now;
-        let deadline = self.machine().exchange_deadline(now);
-        self.machine().record_sent();
-        if scene.is_cut(self.host, self.target) {
+        let deadline = self.write_mut().exchange_deadline(now);
+        self.write_mut().record_sent();
+        if scene.is_blocked(self.host, self.target) {
             return (deadline, write::Event::TimedOut);
         }
         let event = self.insert(scene);
@@ -231,10 +247,10 @@
 
     fn insert(&self, scene: &mut Scene) -> write::Event {
         let target = &scene.group.targets[&self.target];
-        if !target.up {
+        if !target.is_up {
             return write::Event::ConnectionLost;
         }
-        let Some(term) = target.leads else {
+        let Some(term) = target.leading_term else {
             return write::Event::Failed(Failure::Superseded, "25006".into());
         };
         let unique = self.keyed && scene.defect != Defect::NoUniqueKey;
@@ -245,22 +261,22 @@
         if unique && open.iter().any(|open| open.op == self.op) {
             return write::Event::Failed(Failure::Locked, "55P03".into());
         }
-        open.push(Open { attempt: self.attempt, op: self.op, term });
+        open.push(OpenTransaction { attempt: self.attempt, op: self.op, term });
         write::Event::Executed
     }
 
     fn commit(&mut self, scene: &mut Scene) -> (Time, write::Event) {
         let now = scene.now;
-        let deadline = self.machine().exchange_deadline(now);
+        let deadline = self.write_mut().exchange_deadline(now);
         if scene.defect != Defect::CommitUnsaid {
-            self.machine().record_sent();
+            self.write_mut().record_sent();
         }
         let open = scene.open.entry(self.target).or_default();
         let open = open.iter().find(|open| open.attempt == self.attempt).copied();
         let Some(open) = open else { return (now, write::Event::ConnectionLost) };
-        if scene.is_cut(self.host, self.target) {
+        if scene.is_blocked(self.host, self.target) {
             if scene.random.chance(500) {
-                scene.late.push((self.target, open));
+                scene.late_commits.push((self.target, open));
             }
             return (deadline, write::Event::TimedOut);
         }
@@ -274,14 +290,14 @@
     /// Asks the primary that the host knows now.
     fn confirm(&mut self, position: Position, scene: &mut Scene) -> (Time, write::Event) {
         let now = scene.now;
-        let deadline = self.machine().exchange_deadline(now);
+        let deadline = self.write_mut().exchange_deadline(now);
         let asked = scene.hosts[&self.host].primary.unwrap_or(self.target);
-        if scene.is_cut(self.host, asked) || scene.loses_answer() {
+        if scene.is_blocked(self.host, asked) || scene.loses_answer() {
             return (deadline, write::Event::TimedOut);
         }
         let target = &scene.group.targets[&asked];
-        let event = match target.leads {
-            _ if !target.up => write::Event::ConnectionLost,
+        let event = match target.leading_term {
+            _ if !target.is_up => write::Event::ConnectionLost,
             _ if scene.defect == Defect::FalseConfirmation => write::Event::Confirmed(position),
             Some(term) if term == position.term => write::Event::Confirmed(target.confirmed),
             _ => write::Event::Failed(Failure::Superseded, "BV001".into()),
@@ -291,17 +307,17 @@
 
     fn look_up(&mut self, scene: &mut Scene) -> (Time, write::Event) {
         let now = scene.now;
-        let deadline = self.machine().exchange_deadline(now);
-        if scene.is_cut(self.host, self.target) || scene.loses_answer() {
+        let deadline = self.write_mut().exchange_deadline(now);
+        if scene.is_blocked(self.host, self.target) || scene.loses_answer() {
             return (deadline, write::Event::TimedOut);
         }
         let target = &scene.group.targets[&self.target];
-        if !target.up {
+        if !target.is_up {
             return (now, write::Event::ConnectionLost);
         }
         let row = Row { digest: "digest".into(), outcome: "first".into() };
         let found = scene.has(self.target, self.op).then_some(row);
-        (now, write::Event::Found(found, target.entry()))
+        (now, write::Event::Found(found, target.last_entry()))
     }
 }
 
--- a/crates/core/tests/world/session.rs
+++ b/crates/core/tests/world/session.rs
@@ -1,7 +1,7 @@
 //! A caller's session: writes, repeats and reads through any host, one request at a time.
 
 use super::Scene;
-use super::request::{End, Request, Work};
+use super::request::{Outcome, Request, Work};
 use bergamotvale_core::id::HostId;
 use bergamotvale_core::invariant::OpId;
 use bergamotvale_core::invariant::write::Verdict;
@@ -17,12 +17,12 @@
     acknowledged: BTreeSet<OpId>,
     request: Option<Request>,
     /// A keyed write to be asked again, and the attempts left.
-    again: Option<(OpId, u32)>,
+    retry: Option<(OpId, u32)>,
 }
 
 impl Session {
     pub fn new() -> Session {
-        Session { token: None, acknowledged: BTreeSet::new(), request: None, again: None }
+        Session { token: None, acknowledged: BTreeSet::new(), request: None, retry: None }
     }
 
     /// The attempt whose connection is in use.
@@ -38,18 +38,18 @@
         if scene.hosts[&request.host].paused_until <= scene.now
             && let Some(end) = request.advance(scene, &self.acknowledged)
         {
-            self.ended(&request, end, scene);
+            self.record_outcome(&request, end, scene);
             return;
         }
         self.request = Some(request);
     }
 
     /// The host of the request under way is gone: its caller knows nothing.
-    pub fn host_died(&mut self, host: HostId, scene: &mut Scene) {
+    pub fn abort_on_host(&mut self, host: HostId, scene: &mut Scene) {
         if let Some(request) = self.request.take_if(|request| request.host == host)
             && matches!(request.work, Work::Write(..))
         {
-            self.ended(&request, End::Refused(Ran::Unknown), scene);
+            self.record_outcome(&request, Outcome::Refused(Ran::Unknown), scene);
         }
     }
 
@@ -58,16 +58,16 @@
         if let Some(request) = self.request.take()
             && matches!(request.work, Work::Write(..))
         {
-            self.ended(&request, End::Refused(Ran::Unknown), scene);
+            self.record_outcome(&request, Outcome::Refused(Ran::Unknown), scene);
         }
     }
 
     fn begin(&mut self, scene: &mut Scene) -> Request {
-        let host = scene.any_host();
-        if let Some((op, left)) = self.again.take() {
-            return Request::write(op, host, true, left, scene);
+        let host = scene.random_host();
+        if let Some((op, attempts_left)) = self.retry.take() {
+            return Request::write(op, host, true, attempts_left, scene);
         }
-        let op = scene.number();
+        let op = scene.next_id();
         match scene.random.below(4) {
             0 | 1 => Request::write(op, host, true, ATTEMPTS, scene),
             2 => Request::write(op, host, false, 1, scene),
@@ -75,21 +75,21 @@
         }
     }
 
-    fn ended(&mut self, request: &Request, end: End, scene: &mut Scene) {
+    fn record_outcome(&mut self, request: &Request, end: Outcome, scene: &mut Scene) {
         let op = request.op;
         match end {
-            End::Served(position) => {
+            Outcome::Served(position) => {
                 self.token = self.token.max(position);
                 scene.tally.served += 1;
             }
-            End::Acknowledged(position) => {
+            Outcome::Acknowledged(position) => {
                 self.token = self.token.max(position);
                 self.acknowledged.insert(op);
                 scene.tally.acknowledged += 1;
                 scene.writes.insert(op, Some(Verdict::Acknowledged));
             }
-            End::Refused(_) if matches!(request.work, Work::Read(..)) => {}
-            End::Refused(ran) => self.refused(request, ran, scene),
+            Outcome::Refused(_) if matches!(request.work, Work::Read(..)) => {}
+            Outcome::Refused(ran) => self.refused(request, ran, scene),
         }
     }
 
@@ -109,8 +109,8 @@
             Some(Verdict::NotRun) if verdict == Verdict::NotRun => Some(Verdict::NotRun),
             Some(_) => Some(Verdict::Unknown),
         };
-        if request.keyed && request.left > 1 {
-            self.again = Some((request.op, request.left - 1));
+        if request.keyed && request.attempts_left > 1 {
+            self.retry = Some((request.op, request.attempts_left - 1));
         }
     }
 }
--- a/crates/core/tests/world/shrink.rs
+++ b/crates/core/tests/world/shrink.rs
@@ -5,11 +5,11 @@
 
 use super::{Defect, STEP, World};
 use bergamotvale_core::id::Time;
-use bergamotvale_core::invariant::Broken;
+use bergamotvale_core::invariant::Violation;
 use std::fmt;
 
 /// The least of a seed that still breaks an invariant.
-pub struct Least {
+pub struct Reproducer {
     pub seed: u64,
     pub defect: Defect,
     /// Places of the faults that are needed.
@@ -17,37 +17,37 @@
     /// When the run ends.
     pub end: Time,
     /// What breaks.
-    pub broken: Broken,
+    pub violation: Violation,
 }
 
-impl Least {
+impl Reproducer {
     /// The world that breaks.
     pub fn replay(&self) -> World {
         World::new(self.seed, self.defect).with_faults(&self.kept).with_end(self.end)
     }
 
     /// Takes `kept` and `end` over if that breaks too; says whether it did.
-    fn try_less(&mut self, kept: Vec<usize>, end: Time) -> bool {
+    fn try_smaller(&mut self, kept: Vec<usize>, end: Time) -> bool {
         let world = World::new(self.seed, self.defect);
-        let Err(broken) = world.with_faults(&kept).with_end(end).run() else { return false };
-        (self.kept, self.end, self.broken) = (kept, end, broken);
+        let Err(violation) = world.with_faults(&kept).with_end(end).run() else { return false };
+        (self.kept, self.end, self.violation) = (kept, end, violation);
         true
     }
 
     /// Leaves out a fault that is not needed.
     fn drop_fault(&mut self) -> bool {
-        (0..self.kept.len()).any(|place| {
+        (0..self.kept.len()).any(|index| {
             let mut fewer = self.kept.clone();
-            fewer.remove(place);
-            self.try_less(fewer, self.end)
+            fewer.remove(index);
+            self.try_smaller(fewer, self.end)
         })
     }
 
     /// Ends the run earlier, by as much as may be.
-    fn end_earlier(&mut self) -> bool {
+    fn shorten(&mut self) -> bool {
         let mut cut = self.end / 2;
         while cut >= STEP {
-            if self.try_less(self.kept.clone(), self.end - cut) {
+            if self.try_smaller(self.kept.clone(), self.end - cut) {
                 return true;
             }
             cut /= 2;
@@ -56,20 +56,20 @@
     }
 }
 
-impl fmt::Display for Least {
+impl fmt::Display for Reproducer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let faults = self.replay().faults();
-        let Least { end, broken, .. } = self;
-        write!(f, "least: {broken}; ends after {} ms; faults: {faults}", end.as_millis())
+        let Reproducer { end, violation, .. } = self;
+        write!(f, "least: {violation}; ends after {} ms; faults: {faults}", end.as_millis())
     }
 }
 
 /// Shrinks `seed`; none when it breaks nothing.
-pub fn shrink(seed: u64, defect: Defect) -> Option<Least> {
+pub fn shrink(seed: u64, defect: Defect) -> Option<Reproducer> {
     let mut world = World::new(seed, defect);
     let (kept, end) = ((0..world.fault_count()).collect(), world.end());
-    let broken = world.run().err()?;
-    let mut least = Least { seed, defect, kept, end, broken };
-    while least.drop_fault() || least.end_earlier() {}
+    let violation = world.run().err()?;
+    let mut least = Reproducer { seed, defect, kept, end, violation };
+    while least.drop_fault() || least.shorten() {}
     Some(least)
 }
--- a/crates/core/tests/write.rs
+++ b/crates/core/tests/write.rs
@@ -8,7 +8,9 @@
 use bergamotvale_core::retry::Budgets;
 use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::write::{Action, Event, Write};
-use common::write::{Step, acknowledged_is_confirmed, not_run_is_true, unkeyed_is_sent_once};
+use common::write::{
+    Step, verify_acknowledgement_confirmed, verify_not_run_true, verify_unkeyed_sent_once,
+};
 use common::{case, position};
 use serde::Deserialize;
 use std::path::Path;
@@ -112,10 +114,10 @@
         trace.push(Step::Action(write.on(event, &mut budgets, now)));
     }
 
-    acknowledged_is_confirmed(&trace)?;
-    not_run_is_true(&trace)?;
+    verify_acknowledgement_confirmed(&trace)?;
+    verify_not_run_true(&trace)?;
     if !case.given.keyed {
-        unkeyed_is_sent_once(&trace)?;
+        verify_unkeyed_sent_once(&trace)?;
     }
     let actions = trace.iter().filter_map(|step| match step {
         Step::Action(action) => Some(describe(action)),
--- a/crates/host/tests/process_faults.rs
+++ b/crates/host/tests/process_faults.rs
@@ -4,7 +4,7 @@
 mod process;
 mod support;
 
-use bergamotvale_core::invariant::answer::{self, End, Request};
+use bergamotvale_core::invariant::answer::{self, Completion, Request};
 use bergamotvale_core::invariant::write::{self, Verdict, Write};
 use process::{System, insert};
 use rustix::process::Signal;
@@ -69,8 +69,8 @@
         Write { op, verdict: Verdict::Acknowledged, effects }
     };
     let writes: Vec<_> = (0..).zip(&ids).map(acknowledged).collect();
-    assert_eq!(write::verify_once(&writes), Ok(()));
-    assert_eq!(write::verify_kept(&writes), Ok(()));
+    assert_eq!(write::verify_at_most_once(&writes), Ok(()));
+    assert_eq!(write::verify_durable(&writes), Ok(()));
 }
 
 /// Logs bolts through host 0 for as long as it is listed.
@@ -78,12 +78,12 @@
     let mut requests = Vec::new();
     while listed.get() {
         let op = next.replace(next.get() + 1);
-        let end = match system.log_bolt(0, &format!("bolt-{op}")).await {
-            Ok(_) => End::Answered,
-            Err(error) if error.is_connect() => End::Unsent,
-            Err(_) => End::Cut,
+        let completion = match system.log_bolt(0, &format!("bolt-{op}")).await {
+            Ok(_) => Completion::Answered,
+            Err(error) if error.is_connect() => Completion::NotSent,
+            Err(_) => Completion::Interrupted,
         };
-        requests.push(Request { op, host: 1, ended: Duration::ZERO, end });
+        requests.push(Request { op, host: 1, ended_at: Duration::ZERO, completion });
     }
     requests
 }
@@ -111,8 +111,14 @@
 
     let requests = requests.concat();
     assert!(status.success(), "{status}");
-    assert!(requests.iter().filter(|request| request.end == End::Answered).count() > CALLERS);
-    assert_eq!(answer::verify_uncut(&requests, &BTreeMap::from([(1, Duration::ZERO)])), Ok(()));
+    assert!(
+        requests.iter().filter(|request| request.completion == Completion::Answered).count()
+            > CALLERS
+    );
+    assert_eq!(
+        answer::verify_uninterrupted(&requests, &BTreeMap::from([(1, Duration::ZERO)])),
+        Ok(())
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
