--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -1,23 +1,24 @@
-//! Checks of what must always hold, over recorded histories.
+//! Invariants of the system, checked over recorded histories.
 //!
-//! The checks know nothing of how the history came about; searches and tests share them. A check
-//! takes plain records and answers with the first one that broke its invariant. The thirteen:
+//! The checks don't depend on how a history was recorded, so randomized searches, tests and the
+//! benchmark share them. Each check takes plain records and returns the first violation. There are
+//! thirteen invariants:
 //!
 //! | invariant | check |
 //! |---|---|
 //! | a session reads its own writes on any host | [`session::verify`] |
 //! | a superseded primary acknowledges nothing | [`write::verify_durable`], [`write::verify_single_primary`] |
-//! | transactions don't mix on a connection | [`target::verify_not_interleaved`] |
-//! | a request runs for its key's account only | [`account::verify_account`] |
-//! | no target sees a key | [`target::verify_no_keys`] |
-//! | a withdrawn key stops working | [`account::verify_withdrawn`] |
-//! | no account exceeds rate and burst | [`admission::verify`] |
-//! | each caller gets its own whole answer | [`answer::verify_complete`] |
-//! | "not run" is true | [`write::verify_not_run`] |
-//! | at most once | [`write::verify_at_most_once`] |
-//! | a leaving target receives no new work | [`target::verify_draining`] |
-//! | a planned stop cuts no request | [`answer::verify_uninterrupted`] |
-//! | an accepted configuration comes into force and never reverts | [`change::verify`] |
+//! | a connection carries one transaction at a time | [`target::verify_not_interleaved`] |
+//! | a request runs only for the account of its key | [`account::verify_account`] |
+//! | no target receives a caller's key | [`target::verify_no_keys`] |
+//! | a withdrawn key is rejected | [`account::verify_withdrawn`] |
+//! | no account exceeds its rate and burst | [`admission::verify`] |
+//! | a caller receives the complete answer to its request | [`answer::verify_complete`] |
+//! | a write refused as not run did not run | [`write::verify_not_run`] |
+//! | a write takes effect at most once | [`write::verify_at_most_once`] |
+//! | a draining target receives no new transactions | [`target::verify_draining`] |
+//! | a graceful stop interrupts no request | [`answer::verify_uninterrupted`] |
+//! | an accepted configuration comes into force and is never reverted | [`change::verify`] |
 
 pub mod account;
 pub mod admission;
@@ -31,110 +32,111 @@
 use crate::log::Term;
 use derive_more::{Display, Error};
 
-/// Number of a request within its history.
+/// Identifies a request within its history.
 pub type OpId = u64;
 
-/// An invariant that a history broke, and where.
+/// An invariant that a history violates, with the offending record.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum Violation {
-    /// A read missed an acknowledged write of its session.
+    /// A read did not see a write that its session had acknowledged before.
     #[display("read {op} misses a write of its session")]
     StaleRead {
-        /// The read.
+        /// Request of the read.
         op: OpId,
     },
-    /// An acknowledged write is gone.
+    /// An acknowledged write is missing on a target.
     #[display("write {op} was acknowledged and is lost")]
     LostWrite {
-        /// The write.
+        /// Request of the write.
         op: OpId,
     },
-    /// Two targets acknowledged in one term.
+    /// Two targets acknowledged writes in the same term.
     #[display("two targets acknowledged in term {term}")]
     SplitBrain {
-        /// The term.
+        /// Term that both used.
         term: Term,
     },
     /// A write took effect more than once.
     #[display("write {op} ran more than once")]
     DuplicateWrite {
-        /// The write.
+        /// Request of the write.
         op: OpId,
     },
-    /// A write was refused as not run and took effect.
+    /// A write that was refused as not run took effect.
     #[display("write {op} ran and was refused as not run")]
     FalseNotRun {
-        /// The write.
+        /// Request of the write.
         op: OpId,
     },
-    /// Statements of two transactions met on one connection, or one transaction used two.
-    #[display("statement of transaction {transaction} mixed with another")]
+    /// A connection carried statements of two open transactions, or a transaction used two
+    /// connections.
+    #[display("transaction {transaction} shared its connection or used more than one")]
     InterleavedTransactions {
-        /// The transaction.
+        /// Transaction of the first such statement.
         transaction: u64,
     },
-    /// A target saw a caller's key.
-    #[display("target {target} saw a caller's key")]
+    /// A statement that a target received contained a caller's key.
+    #[display("target {target} received a caller's key")]
     KeyExposed {
-        /// The target.
+        /// Target that received it.
         target: TargetId,
     },
-    /// A leaving target received new work.
-    #[display("target {target} received new work while leaving")]
+    /// A draining target received a new transaction.
+    #[display("target {target} received a new transaction while draining")]
     WorkWhileDraining {
-        /// The target.
+        /// Target that is draining.
         target: TargetId,
     },
-    /// A request ran for an account whose key did not come with it.
-    #[display("request {op} ran for another account than its key's")]
+    /// A request ran for an account other than that of the key it presented.
+    #[display("request {op} ran for an account other than its key's")]
     WrongAccount {
-        /// The request.
+        /// Request that ran.
         op: OpId,
     },
-    /// A withdrawn key was accepted.
-    #[display("key {key} worked after its withdrawal")]
+    /// A host accepted a key too long after its withdrawal.
+    #[display("key {key} was accepted after its withdrawal")]
     WithdrawnKey {
-        /// The key.
+        /// Key that was accepted.
         key: KeyId,
     },
-    /// A caller got another request's answer, or a part of its own.
-    #[display("request {op} got an answer that is not wholly its own")]
+    /// A caller received the answer to another request, or an incomplete answer.
+    #[display("request {op} received another request's answer or an incomplete one")]
     WrongAnswer {
-        /// The request.
+        /// Request that received it.
         op: OpId,
     },
-    /// A planned stop cut a request.
-    #[display("request {op} was cut by a planned stop")]
+    /// A graceful stop of a host interrupted a request.
+    #[display("request {op} was interrupted by a graceful stop")]
     InterruptedRequest {
-        /// The request.
+        /// Request that was interrupted.
         op: OpId,
     },
-    /// A host went back to an earlier configuration.
+    /// A host returned to an earlier configuration version.
     #[display("host {host} reverted to version {version}")]
     Reverted {
-        /// The host.
+        /// Host that returned to it.
         host: HostId,
-        /// The version that it went back to.
+        /// Version that it returned to.
         version: Version,
     },
-    /// A host acted on an old configuration for too long.
+    /// A host acted on a superseded configuration version for too long.
     #[display("host {host} still acts on version {version}")]
     NotInForce {
-        /// The host.
+        /// Host that acted on it.
         host: HostId,
-        /// The version that it acted on.
+        /// Superseded version that it acted on.
         version: Version,
     },
 }
 
-/// Answers with the first of `records` that is an offender.
-fn first<T>(
+/// Returns the violation of the first record that `is_violation` accepts.
+fn check_each<T>(
     records: &[T],
-    is_offender: impl Fn(&T) -> bool,
-    broken: impl Fn(&T) -> Violation,
+    is_violation: impl Fn(&T) -> bool,
+    violation: impl Fn(&T) -> Violation,
 ) -> Result<(), Violation> {
-    match records.iter().find(|record| is_offender(record)) {
-        Some(record) => Err(broken(record)),
+    match records.iter().find(|record| is_violation(record)) {
+        Some(record) => Err(violation(record)),
         None => Ok(()),
     }
 }
--- a/crates/core/src/invariant/account.rs
+++ b/crates/core/src/invariant/account.rs
@@ -1,6 +1,6 @@
-//! Requests run for the account of their key, and only while the key is active.
+//! Checks that requests run for the account of their key, and only while that key is active.
 
-use super::{OpId, Violation, first};
+use super::{OpId, Violation, check_each};
 use crate::id::{AccountId, KeyId, Time};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -8,37 +8,37 @@
 /// A request that ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Execution {
-    /// The request.
+    /// Request that ran.
     pub op: OpId,
-    /// Account of the key that came with it, if one did.
+    /// Account of the key that the request presented; `None` if it presented none.
     pub key_account: Option<AccountId>,
-    /// Account that it ran for.
+    /// Account that the request ran for.
     pub account: AccountId,
-    /// Whether its route is open to all.
+    /// Whether its route is open, that is, requires no key.
     pub is_open: bool,
 }
 
-/// A use of a key that a host accepted.
+/// Acceptance of a key by a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KeyUse {
-    /// The key.
+    /// Key that the host accepted.
     pub key: KeyId,
-    /// When a host accepted it.
+    /// Time of the acceptance.
     pub at: Time,
 }
 
-/// Except on open routes, a request runs for the account of its key only.
+/// Checks that each request ran for the account of its key; open routes are exempt.
 pub fn verify_account(executions: &[Execution]) -> Result<(), Violation> {
-    let is_foreign = |run: &Execution| !run.is_open && run.key_account != Some(run.account);
-    first(executions, is_foreign, |run| Violation::WrongAccount { op: run.op })
+    let is_foreign = |e: &Execution| !e.is_open && e.key_account != Some(e.account);
+    check_each(executions, is_foreign, |e| Violation::WrongAccount { op: e.op })
 }
 
-/// No key is accepted later than `bound` after its withdrawal.
+/// Checks that no host accepted a key later than `bound` after its withdrawal.
 pub fn verify_withdrawn(
     uses: &[KeyUse],
     withdrawn: &BTreeMap<KeyId, Time>,
     bound: Duration,
 ) -> Result<(), Violation> {
     let is_late = |used: &KeyUse| withdrawn.get(&used.key).is_some_and(|at| used.at > *at + bound);
-    first(uses, is_late, |used| Violation::WithdrawnKey { key: used.key })
+    check_each(uses, is_late, |used| Violation::WithdrawnKey { key: used.key })
 }
--- a/crates/core/src/invariant/answer.rs
+++ b/crates/core/src/invariant/answer.rs
@@ -1,61 +1,62 @@
-//! Callers get whole answers to their own requests, also while a host stops as planned.
+//! Checks that callers receive complete answers to their own requests, also during a graceful stop.
 
-use super::{OpId, Violation, first};
+use super::{OpId, Violation, check_each};
 use crate::id::{HostId, Time};
 use std::collections::BTreeMap;
 
 /// An answer as its caller received it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Answer {
-    /// The request that waited for it.
+    /// Request whose caller received the answer.
     pub op: OpId,
-    /// The request that it names.
+    /// Request that the answer names.
     pub named_op: OpId,
-    /// Rows that the target gave.
+    /// Number of rows that the target sent.
     pub sent_rows: usize,
-    /// Rows that the caller received.
+    /// Number of rows that the caller received.
     pub received_rows: usize,
 }
 
-/// How a request to a host ended.
+/// How a request to a host ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Completion {
-    /// Answered with a result or a refusal.
+    /// The caller received a result or a refusal.
     Answered,
-    /// The answer is missing or incomplete.
+    /// The request was sent and its answer is missing or incomplete.
     Interrupted,
-    /// The connection was not made: the host had nothing of it.
+    /// No connection was established, so the host received no part of the request.
     NotSent,
 }
 
 /// A request to a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Request {
-    /// The request.
+    /// Identifies the request.
     pub op: OpId,
-    /// The host.
+    /// Host that it was sent to.
     pub host: HostId,
-    /// When it ended.
+    /// Time at which its caller saw it end.
     pub ended_at: Time,
-    /// How.
+    /// How it ended.
     pub completion: Completion,
 }
 
-/// Every answer is the whole one to the request that waited for it.
+/// Checks that every answer is complete and names the request whose caller received it.
 pub fn verify_complete(answers: &[Answer]) -> Result<(), Violation> {
     let is_wrong = |a: &Answer| a.named_op != a.op || a.received_rows != a.sent_rows;
-    first(answers, is_wrong, |answer| Violation::WrongAnswer { op: answer.op })
+    check_each(answers, is_wrong, |answer| Violation::WrongAnswer { op: answer.op })
 }
 
-/// No request to a host is cut once its planned stop began.
+/// Checks that no request to a host is interrupted after its graceful stop began at the time in
+/// `stopping`.
 pub fn verify_uninterrupted(
     requests: &[Request],
     stopping: &BTreeMap<HostId, Time>,
 ) -> Result<(), Violation> {
-    let is_cut = |request: &Request| {
+    let is_interrupted = |request: &Request| {
         let since = stopping.get(&request.host);
         request.completion == Completion::Interrupted
             && since.is_some_and(|since| request.ended_at >= *since)
     };
-    first(requests, is_cut, |request| Violation::InterruptedRequest { op: request.op })
+    check_each(requests, is_interrupted, |request| Violation::InterruptedRequest { op: request.op })
 }
--- a/crates/core/src/invariant/change.rs
+++ b/crates/core/src/invariant/change.rs
@@ -1,24 +1,27 @@
-//! An accepted configuration comes into force on every host in time and stays so.
+//! Checks that each accepted configuration comes into force on every host within a bound and is
+//! never reverted.
 
 use super::Violation;
 use crate::id::{HostId, Time, Version};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// A host acted on a version: it admitted a request, leased a connection or ran a step under it.
+/// A host admitted a request, leased a connection or executed a plan step under a configuration
+/// version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Action {
-    /// The host.
+    /// Host that acted.
     pub host: HostId,
-    /// When.
+    /// Time of the action.
     pub at: Time,
-    /// The version that it acted on.
+    /// Configuration version that the host acted on.
     pub version: Version,
 }
 
-/// Hosts never go back, and act on a version accepted before `bound` ago or on a later one.
+/// Checks that no host returns to an earlier version, and that each acts on the newest version that
+/// was accepted more than `bound` before, or on a later one.
 ///
-/// `actions` are in order of time; `accepted` has when each version was accepted.
+/// `actions` are ordered by time; `accepted` holds the time at which each version was accepted.
 pub fn verify(
     actions: &[Action],
     accepted: &BTreeMap<Version, Time>,
--- a/crates/core/src/invariant/session.rs
+++ b/crates/core/src/invariant/session.rs
@@ -1,27 +1,28 @@
-//! A session reads its own writes, whatever hosts and targets served it.
+//! Checks that a session reads its own writes regardless of the hosts and targets that served it.
 
 use super::{OpId, Violation};
 use crate::id::ServiceId;
 use crate::log::Position;
 use std::collections::BTreeMap;
 
-/// Number of a session within its history.
+/// Identifies a session within its history.
 pub type SessionId = u64;
 
-/// What a session saw, in its own order.
+/// Answer to a request of a session. Checks expect the events of each session in the order in which
+/// it received them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Event {
-    /// The request.
+    /// Request that was answered.
     pub op: OpId,
-    /// Its session.
+    /// Session that made the request.
     pub session: SessionId,
-    /// The service that it used.
+    /// Service that it addressed.
     pub service: ServiceId,
-    /// What the session learnt.
+    /// What the answer reported.
     pub kind: EventKind,
 }
 
-/// What a session learnt from an answer.
+/// What an answer reported to its session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventKind {
     /// A write was acknowledged at this position.
@@ -30,7 +31,7 @@
     Read(Position),
 }
 
-/// Every read covers the acknowledged writes that its session made before.
+/// Checks that every read covers the writes that were acknowledged to its session before, per service.
 pub fn verify(events: &[Event]) -> Result<(), Violation> {
     let mut floors: BTreeMap<(SessionId, ServiceId), Position> = BTreeMap::new();
     for event in events {
--- a/crates/core/src/invariant/write.rs
+++ b/crates/core/src/invariant/write.rs
@@ -1,58 +1,58 @@
-//! What the log keeps of a write agrees with what its caller was told.
+//! Checks that the effects of each write in the log agree with the outcome that its caller received.
 //!
-//! Effects are counted in the surviving log, once all faults are healed: what only a superseded
-//! primary had is gone and counts as nothing.
+//! Effects are counted in the surviving log after all faults have ended. Entries that only a
+//! superseded primary held are not part of it and don't count.
 
-use super::{OpId, Violation, first};
+use super::{OpId, Violation, check_each};
 use crate::id::TargetId;
 use crate::log::Term;
 use std::collections::BTreeMap;
 
-/// What the caller of a write was told, over all its attempts.
+/// Outcome that the caller of a write received, over all its attempts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// It was acknowledged at least once.
+    /// At least one attempt was acknowledged.
     Acknowledged,
     /// Every attempt was refused as not run.
     NotRun,
-    /// It may have run.
+    /// No attempt was acknowledged and the write may have run.
     Unknown,
 }
 
-/// A write and what is left of it.
+/// A write with its outcome and its effects.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Write {
-    /// The request.
+    /// Request of the write.
     pub op: OpId,
-    /// What its caller was told.
+    /// Outcome that its caller received.
     pub verdict: Verdict,
-    /// Effects in the surviving log, by target.
+    /// Number of effects in the surviving log, by target.
     pub effects: BTreeMap<TargetId, usize>,
 }
 
-/// No acknowledged write is missing on any target.
+/// Checks that no acknowledged write is missing on any target.
 pub fn verify_durable(writes: &[Write]) -> Result<(), Violation> {
     let is_lost = |write: &Write| {
         write.verdict == Verdict::Acknowledged && write.effects.values().any(|count| *count == 0)
     };
-    first(writes, is_lost, |write| Violation::LostWrite { op: write.op })
+    check_each(writes, is_lost, |write| Violation::LostWrite { op: write.op })
 }
 
-/// No write that was refused as not run took effect.
+/// Checks that no write that was refused as not run took effect.
 pub fn verify_not_run(writes: &[Write]) -> Result<(), Violation> {
     let is_false = |write: &Write| {
         write.verdict == Verdict::NotRun && write.effects.values().any(|count| *count > 0)
     };
-    first(writes, is_false, |write| Violation::FalseNotRun { op: write.op })
+    check_each(writes, is_false, |write| Violation::FalseNotRun { op: write.op })
 }
 
-/// No write took effect twice.
+/// Checks that no write took effect more than once.
 pub fn verify_at_most_once(writes: &[Write]) -> Result<(), Violation> {
     let is_repeated = |write: &Write| write.effects.values().any(|count| *count > 1);
-    first(writes, is_repeated, |write| Violation::DuplicateWrite { op: write.op })
+    check_each(writes, is_repeated, |write| Violation::DuplicateWrite { op: write.op })
 }
 
-/// One target at most acknowledges in each term.
+/// Checks that at most one target acknowledged writes in each term.
 pub fn verify_single_primary(acknowledgements: &[(Term, TargetId)]) -> Result<(), Violation> {
     let mut primaries = BTreeMap::new();
     for (term, target) in acknowledgements {
