--- a/crates/core/src/invariant/session.rs
+++ b/crates/core/src/invariant/session.rs
@@ -31,7 +31,7 @@
     Read(Position),
 }
 
-/// Checks that every read covers the writes that were acknowledged to its session before, per service.
+/// Checks that every read covers the writes of its session and service acknowledged before it.
 pub fn verify(events: &[Event]) -> Result<(), Violation> {
     let mut floors: BTreeMap<(SessionId, ServiceId), Position> = BTreeMap::new();
     for event in events {
--- a/crates/core/src/invariant/target.rs
+++ b/crates/core/src/invariant/target.rs
@@ -1,5 +1,5 @@
-//! Checks on the statements that targets receive: transactions don't share a connection, no statement
-//! contains a key, and a draining target receives no new transaction.
+//! Checks on the statements that targets receive: transactions don't share a connection, no
+//! statement contains a key, and a draining target receives no new transaction.
 
 use super::{Violation, check_each};
 use crate::id::{TargetId, Time};
--- a/crates/core/src/invariant/write.rs
+++ b/crates/core/src/invariant/write.rs
@@ -1,4 +1,4 @@
-//! Checks that the effects of each write in the log agree with the outcome that its caller received.
+//! Checks that the effects of each write in the log agree with the outcome that its caller saw.
 //!
 //! Effects are counted in the surviving log after all faults have ended. Entries that only a
 //! superseded primary held are not part of it and don't count.
--- a/crates/core/tests/checks.rs
+++ b/crates/core/tests/checks.rs
@@ -1,4 +1,4 @@
-//! Each check of the data path fails on a trace that breaks its invariant.
+//! Checks that each verification of a write's trace fails on a trace that violates it.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -19,7 +19,7 @@
     common::position("3.10")
 }
 
-fn refused() -> Step {
+fn refused_as_not_run() -> Step {
     Step::Action(Action::Refuse(Refusal::new(Reason::ConnectionLost, "lost")))
 }
 
@@ -42,7 +42,7 @@
         Step::Action(Action::Commit),
         Step::Sent,
         Step::Event(Event::Failed(Failure::Target, "58030".into())),
-        refused(),
+        refused_as_not_run(),
     ];
     assert!(verify_not_run_true(&trace).is_err());
 }
@@ -53,7 +53,7 @@
         Step::Action(Action::Commit),
         Step::Sent,
         Step::Event(Event::Failed(Failure::Superseded, "BV001".into())),
-        refused(),
+        refused_as_not_run(),
     ];
     assert!(verify_not_run_true(&trace).is_ok());
 }
--- a/crates/core/tests/combined.rs
+++ b/crates/core/tests/combined.rs
@@ -1,8 +1,8 @@
-//! Two and three faults at a time: sessions that write and read through hosts, over a group that
-//! is cut, killed, rebuilt and promoted.
+//! Seeded random search over two or three concurrent faults: sessions write and read through hosts
+//! while the targets of a group are partitioned, killed, rebuilt and promoted.
 //!
-//! `BERGAMOTVALE_SEED` and `BERGAMOTVALE_RUNS` choose other seeds and more of them. A seed that breaks
-//! an invariant is shrunk: what is printed is the least that still breaks one.
+//! `BERGAMOTVALE_SEED` and `BERGAMOTVALE_RUNS` set the first seed and the number of runs. A seed
+//! that violates an invariant is shrunk, and the minimal run that still violates one is printed.
 
 mod group;
 mod world;
@@ -17,12 +17,12 @@
 
 fn setting(name: &str, default: u64) -> u64 {
     match env::var(name) {
-        Ok(text) => text.parse().unwrap_or_else(|_| panic!("{name} is a number")),
+        Ok(text) => text.parse().unwrap_or_else(|_| panic!("{name} must be a number")),
         Err(_) => default,
     }
 }
 
-/// The first seed that breaks an invariant, and what the runs did.
+/// Returns the first seed that violates an invariant, shrunk, and the tally of the runs.
 fn search(first: u64, runs: u64, defect: Defect) -> (Option<String>, Tally) {
     let mut tally = Tally::default();
     for seed in first..first.saturating_add(runs) {
@@ -30,8 +30,8 @@
         let verdict = world.run();
         tally.add(&world.tally());
         if let Err(violation) = verdict {
-            let least = shrink(seed, defect).expect("it breaks again");
-            return (Some(format!("BERGAMOTVALE_SEED={seed}: {violation}; {least}")), tally);
+            let reproducer = shrink(seed, defect).expect("the violation recurs");
+            return (Some(format!("BERGAMOTVALE_SEED={seed}: {violation}; {reproducer}")), tally);
         }
     }
     (None, tally)
@@ -47,14 +47,14 @@
     assert_eq!(violation, None);
 }
 
-/// Found by a wider search while a rebuilt target of the fake forgot the terms that it had granted:
-/// it acknowledged for the primary that its own grant was about to depose.
+/// Guards against a rebuilt target of the model that forgets the terms that it granted: it then
+/// acknowledged entries of the primary that its own grant was about to depose.
 #[test]
 fn a_rebuilt_target_stands_by_its_grant() {
     assert_eq!(search(1_056_676, 1, Defect::None).0, None);
 }
 
-/// The runs reach what they are meant to reach.
+/// Guards against runs in which too little happens for the search to find anything.
 #[test]
 fn runs_are_not_idle() {
     let (_, tally) = search(SEED, 300, Defect::None);
@@ -67,30 +67,33 @@
     assert!(tally.promotions > 100, "{tally:?}");
 }
 
-/// Some seed shows the defect by the check that is there for it.
+/// Checks that some seed shows the defect with a violation whose text contains `words`.
 fn found(defect: Defect, words: &str) {
-    let shows = |seed| World::new(seed, defect).run().is_err_and(|b| b.to_string().contains(words));
+    let shows = |seed| World::new(seed, defect).run().is_err_and(|v| v.to_string().contains(words));
 
     assert!((SEED..SEED + DEFECT_RUNS).any(shows), "{defect:?} was not found");
 }
 
-/// A seed that shows a defect is shrunk to what still shows it, and to no less.
+/// Checks that a shrunk run still violates the invariant, and that it needs each remaining fault.
 #[test]
 fn a_broken_seed_is_shrunk() {
     let defect = Defect::FalseConfirmation;
     let seed = (SEED..SEED + DEFECT_RUNS).find(|seed| World::new(*seed, defect).run().is_err());
-    let seed = seed.expect("the defect shows");
+    let seed = seed.expect("the defect is found");
 
-    let least = shrink(seed, defect).expect("it breaks");
+    let reproducer = shrink(seed, defect).expect("the violation recurs");
 
-    assert_eq!(least.replay().run(), Err(least.violation.clone()));
+    assert_eq!(reproducer.replay().run(), Err(reproducer.violation.clone()));
     let whole = World::new(seed, defect);
-    assert!(least.end < whole.end(), "{least}");
-    assert!(!least.kept.is_empty() && least.kept.len() < whole.fault_count(), "{least}");
-    for left_out in &least.kept {
-        let kept: Vec<_> = least.kept.iter().copied().filter(|kept| kept != left_out).collect();
-        let fewer = World::new(seed, defect).with_faults(&kept).with_end(least.end).run();
-        assert_eq!(fewer, Ok(()), "{least}");
+    assert!(reproducer.end < whole.end(), "{reproducer}");
+    assert!(
+        !reproducer.kept.is_empty() && reproducer.kept.len() < whole.fault_count(),
+        "{reproducer}"
+    );
+    for omitted in &reproducer.kept {
+        let kept: Vec<_> = reproducer.kept.iter().copied().filter(|kept| kept != omitted).collect();
+        let fewer = World::new(seed, defect).with_faults(&kept).with_end(reproducer.end).run();
+        assert_eq!(fewer, Ok(()), "{reproducer}");
     }
 }
 
@@ -116,5 +119,5 @@
 
 #[test]
 fn unsaid_commit_is_found() {
-    found(Defect::CommitUnsaid, "as not run");
+    found(Defect::CommitUnrecorded, "as not run");
 }
--- a/crates/core/tests/common/case.rs
+++ b/crates/core/tests/common/case.rs
@@ -1,5 +1,5 @@
-//! The frame of every file-driven test: a case is loaded, driven, and what came of it compared with
-//! what the file expects.
+//! Frame of the tests that run case files: loads a case, drives the code under test with its events
+//! and compares the result with the expectation in the file.
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -9,7 +9,8 @@
 
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
-/// A fault at a step: what is given, what happens, and what must come of it.
+/// A case: a fault at a step of a protocol, with the initial state, the events and the expected
+/// result.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Case<Given, Event, Expect = Vec<String>> {
@@ -20,13 +21,14 @@
     pub(crate) expect: Expect,
 }
 
-/// Reads a case.
+/// Reads a YAML file, such as a case.
 pub(crate) fn read<T: DeserializeOwned>(path: &Path) -> Result<T> {
     let text = std::fs::read_to_string(path)?;
     Ok(serde_yaml_ng::from_str(&text)?)
 }
 
-/// Fails unless `drive` makes of the case just what the case expects; both are then printed.
+/// Runs `drive` on the case and returns an error with both results unless its result is exactly the
+/// expected one.
 pub(crate) fn check<Given, Event, Expect>(
     path: &Path,
     drive: impl FnOnce(&Case<Given, Event, Expect>) -> Result<Expect>,
@@ -37,14 +39,14 @@
     Expect: DeserializeOwned + PartialEq + Debug,
 {
     let case: Case<Given, Event, Expect> = read(path)?;
-    let got = drive(&case).map_err(|error| describe(&case, &error.to_string()))?;
-    if got == case.expect {
+    let result = drive(&case).map_err(|error| describe(&case, &error.to_string()))?;
+    if result == case.expect {
         return Ok(());
     }
-    Err(describe(&case, &format!("expected {:#?}\ngot {got:#?}", case.expect)).into())
+    Err(describe(&case, &format!("expected {:#?}\ngot {result:#?}", case.expect)).into())
 }
 
-/// `text` with the fault and step of the case that it tells of.
+/// Prefixes `text` with the fault and step of the case that it is about.
 pub(crate) fn describe<Given, Event, Expect>(
     case: &Case<Given, Event, Expect>,
     text: &str,
--- a/crates/core/tests/common/write.rs
+++ b/crates/core/tests/common/write.rs
@@ -1,4 +1,4 @@
-//! The invariants of a write, stated over its trace.
+//! Invariants of a write, checked over the trace of its state machine.
 
 use bergamotvale_core::log::Position;
 use bergamotvale_core::refusal::Ran;
@@ -7,23 +7,24 @@
 /// One step of a write's trace.
 #[derive(Debug, Clone)]
 pub(crate) enum Step {
-    /// What the machine was told.
+    /// Input of the state machine.
     Event(Event),
-    /// The bytes of the last action were handed to the connection.
+    /// The statement of the last action was written to the connection.
     Sent,
-    /// What the machine answered.
+    /// Output of the state machine.
     Action(Action),
 }
 
-/// An acknowledged position was confirmed in its own term.
+/// Checks that an acknowledged position was confirmed in its own term before.
 pub(crate) fn verify_acknowledgement_confirmed(trace: &[Step]) -> Result<(), String> {
     let mut confirmed: Option<Position> = None;
     for step in trace {
         match step {
             Step::Event(Event::Confirmed(position)) => confirmed = Some(*position),
             Step::Action(Action::Acknowledge(Some(p)) | Action::Replay(_, p)) => {
-                let holds = confirmed.is_some_and(|c| c.term == p.term && c.index >= p.index);
-                if !holds {
+                let is_confirmed =
+                    confirmed.is_some_and(|c| c.term == p.term && c.index >= p.index);
+                if !is_confirmed {
                     return Err(format!("acknowledged {p}, confirmed {confirmed:?}"));
                 }
             }
@@ -33,15 +34,16 @@
     Ok(())
 }
 
-/// A refusal that says "not run" follows no COMMIT whose outcome the target did not deny.
+/// Checks that no refusal reports "not run" after a COMMIT was sent, unless the target answered
+/// that it rolled back.
 pub(crate) fn verify_not_run_true(trace: &[Step]) -> Result<(), String> {
-    let mut commit_due = false;
+    let mut commit_pending = false;
     let mut may_have_run = false;
     for step in trace {
         match step {
-            Step::Action(action) => commit_due = *action == Action::Commit,
-            Step::Sent => may_have_run |= commit_due,
-            Step::Event(Event::Failed(failure, _)) if commit_due => {
+            Step::Action(action) => commit_pending = *action == Action::Commit,
+            Step::Sent => may_have_run |= commit_pending,
+            Step::Event(Event::Failed(failure, _)) if commit_pending => {
                 may_have_run &= !failure.proves_rollback();
             }
             Step::Event(_) => {}
@@ -56,16 +58,18 @@
     Ok(())
 }
 
-/// A write without an idempotency key is not sent again after a lost answer.
+/// Checks that a write without an idempotency key is not sent again after its answer was lost.
 pub(crate) fn verify_unkeyed_sent_once(trace: &[Step]) -> Result<(), String> {
-    let mut sent = false;
-    let mut lost = false;
+    let mut is_sent = false;
+    let mut is_lost = false;
     for step in trace {
         match step {
-            Step::Sent => sent = true,
-            Step::Event(Event::ConnectionLost | Event::TimedOut) => lost |= sent,
-            Step::Event(Event::Failed(..)) if !lost => sent = false,
-            Step::Action(Action::Execute) if lost => return Err("sent again".into()),
+            Step::Sent => is_sent = true,
+            Step::Event(Event::ConnectionLost | Event::TimedOut) => is_lost |= is_sent,
+            Step::Event(Event::Failed(..)) if !is_lost => is_sent = false,
+            Step::Action(Action::Execute) if is_lost => {
+                return Err("write sent again".into());
+            }
             _ => {}
         }
     }
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -1,4 +1,5 @@
-//! Distribution of a configuration: every fault at every step, with what is said of it.
+//! Cases of distributing a configuration with each fault at each step, and the outcome that its
+//! publisher reports.
 
 mod fleet;
 
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -1,4 +1,4 @@
-//! Cases of draining targets and hosts and of restoring targets.
+//! Cases of draining targets and hosts and of restoring drained targets.
 
 mod fleet;
 mod plan;
--- a/crates/core/tests/fleet/checker.rs
+++ b/crates/core/tests/fleet/checker.rs
@@ -1,4 +1,4 @@
-//! What must hold in every run of the fake fleet, stated once.
+//! Invariants of the simulated fleet, checked at every step of every run.
 
 use super::{Defect, Fleet};
 use bergamotvale_core::authority::VALIDITY;
@@ -11,16 +11,16 @@
     epochs: BTreeMap<(HostId, u64), Epoch>,
 }
 
-/// Adds every violation of this instant.
+/// Records the violations in the present state of the fleet.
 pub(crate) fn check(fleet: &mut Fleet) {
-    stale_action(fleet);
-    reverted(fleet);
-    in_force(fleet);
-    outcomes(fleet);
+    check_stale_epochs(fleet);
+    check_reverted_epochs(fleet);
+    check_in_force(fleet);
+    check_outcomes(fleet);
 }
 
-/// No host acts on an epoch one validity after the next one was accepted.
-fn stale_action(fleet: &mut Fleet) {
+/// Checks that no host acts on an epoch more than one validity after the next one was accepted.
+fn check_stale_epochs(fleet: &mut Fleet) {
     let now = fleet.now;
     for (host, node) in fleet.nodes.iter().filter(|(_, node)| node.is_active(now)) {
         let epoch = node.replica.row().epoch;
@@ -33,8 +33,8 @@
     }
 }
 
-/// No host moves back to a lower epoch.
-fn reverted(fleet: &mut Fleet) {
+/// Checks that no incarnation of a host returns to a lower epoch.
+fn check_reverted_epochs(fleet: &mut Fleet) {
     for (host, node) in &fleet.nodes {
         let epoch = node.replica.row().epoch;
         let known = fleet.history.epochs.entry((*host, node.member.incarnation)).or_default();
@@ -45,13 +45,14 @@
     }
 }
 
-/// What a host says is in force everywhere is acted on by every host that acts.
-fn in_force(fleet: &mut Fleet) {
+/// Checks that no host acts on an epoch below one that some host reports as in force everywhere.
+fn check_in_force(fleet: &mut Fleet) {
     let now = fleet.now;
-    let at_once = fleet.defects.contains(&Defect::ReportInForceAtOnce);
+    let reports_at_once = fleet.defects.contains(&Defect::ReportInForceAtOnce);
     let mut reported: Epoch = 0;
     for node in fleet.nodes.values_mut().filter(|node| !node.paused) {
-        let epoch = if at_once { node.replica.row().epoch } else { node.adoption.in_force(now).0 };
+        let epoch =
+            if reports_at_once { node.replica.row().epoch } else { node.adoption.in_force(now).0 };
         reported = reported.max(epoch);
     }
     for (host, node) in fleet.nodes.iter().filter(|(_, node)| node.is_active(now)) {
@@ -63,19 +64,19 @@
     }
 }
 
-/// What a writer said of its attempt is true.
-fn outcomes(fleet: &mut Fleet) {
+/// Checks that the outcome that a writer reported for its attempt is true.
+fn check_outcomes(fleet: &mut Fleet) {
     for (host, node) in &fleet.nodes {
         for (row, outcome) in node.outcomes.values() {
             let author = row.authors[&row.epoch];
-            let taken = fleet.store.accepted.get(&row.epoch).map(|(_, author)| *author);
-            let is_own = taken == Some(author);
-            let wrong = match outcome {
+            let accepted_author = fleet.store.accepted.get(&row.epoch).map(|(_, author)| *author);
+            let is_own = accepted_author == Some(author);
+            let is_false = match outcome {
                 Outcome::Accepted => !is_own,
                 Outcome::Overtaken | Outcome::NotWritten => is_own,
                 Outcome::Unknown => false,
             };
-            if wrong {
+            if is_false {
                 let text = format!("host {host} said {outcome} of epoch {}", row.epoch);
                 fleet.violations.push(text);
             }
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -1,4 +1,5 @@
-//! A fleet of the core's machines over a fake store and a fake network, with a manual clock.
+//! Simulated fleet: the state machines of the core over a fake store and a fake network, with a
+//! manual clock.
 #![allow(dead_code, clippy::unwrap_used, reason = "shared by several test binaries")]
 
 #[path = "../common/case.rs"]
@@ -20,19 +21,26 @@
 pub(crate) const STEP: Duration = Duration::from_millis(10);
 pub(crate) const KEYS: u64 = 64;
 
-/// Deliberate defects, to show that the checkers can fail.
+/// A deliberate defect, which shows that a check can fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Defect {
+    /// Writers write a row without announcing its epoch first.
     SkipAnnouncement,
+    /// An answer of the store with an older epoch replaces the replica.
     LateReadOverwrites,
+    /// Heartbeats don't report announced epochs.
     ForgetAnnouncement,
+    /// The authority of a host never expires.
     NeverExpire,
+    /// A heartbeat answer of any incarnation, at any epoch, renews the authority.
     AnyIncarnationVotes,
+    /// Writers report attempts with an unknown outcome, or overtaken ones, as accepted.
     ReportLostAsAccepted,
+    /// A host reports an epoch as in force everywhere as soon as it has adopted it.
     ReportInForceAtOnce,
 }
 
-/// What travels; `Store` messages go to and from the store.
+/// A message between hosts, or between a host and the store (`Read`, `Write` and their answers).
 #[derive(Debug, Clone)]
 pub(crate) enum Message {
     Heartbeat { sent: Time, heartbeat: Heartbeat },
@@ -47,7 +55,7 @@
     WriteAnswer { attempt: u64, accepted: bool, row: Option<Row> },
 }
 
-/// The fake table service.
+/// Fake of the table service that keeps the row of the configuration and the members.
 #[derive(Default)]
 pub(crate) struct Store {
     pub(crate) row: Option<(Row, Document)>,
@@ -58,7 +66,8 @@
     pub(crate) partitioned: BTreeSet<HostId>,
 }
 
-/// A message on its way; the store has no id. Answers reach only the run that asked.
+/// A message in flight. `from` or `to` is `None` for the store. An answer has the incarnation that
+/// requested it and is dropped by any other.
 #[derive(Debug, Clone)]
 pub(crate) struct Envelope {
     from: Option<(HostId, Incarnation)>,
@@ -90,7 +99,7 @@
     }
 }
 
-/// One service, one client account, [`KEYS`] keys.
+/// Returns a configuration with one service, one client account and [`KEYS`] keys.
 pub(crate) fn document() -> Document {
     let target = |n: u16| Target {
         address: format!("127.0.0.1:{}", 5000 + n).parse().unwrap(),
@@ -141,13 +150,13 @@
         self
     }
 
-    /// Starts a host, or a new run of it.
+    /// Starts a host, or a new incarnation of it.
     pub(crate) fn start(&mut self, host: HostId) {
         let incarnation = self.now.as_millis() as u64 + 1;
         self.nodes.insert(host, Node::new(member(host, incarnation), self.now, &self.defects));
     }
 
-    /// Ends a run at once.
+    /// Removes a host at once, without a graceful stop.
     pub(crate) fn kill(&mut self, host: HostId) {
         self.nodes.remove(&host);
     }
@@ -159,7 +168,7 @@
         }
     }
 
-    /// Runs until `done`, at most `time`; says whether it came about.
+    /// Runs until `done`, for at most `time`; returns whether the condition was met.
     pub(crate) fn run_until(
         &mut self,
         time: Duration,
@@ -198,7 +207,8 @@
         checker::check(self);
     }
 
-    /// Sends what `from` says; answers among it go to the run that `asked`.
+    /// Sends messages of `from`; answers among them are addressed to the incarnation in
+    /// `requester`.
     fn send_all(
         &mut self,
         from: HostId,
@@ -208,19 +218,19 @@
         let own = self.nodes[&from].member.incarnation;
         for (to, message) in sends {
             let delay = if to.is_none() { self.store.delay } else { STEP };
-            let answer =
+            let is_answer =
                 matches!(message, Message::HeartbeatAnswer { .. } | Message::AnnounceAnswer { .. });
-            let incarnation = requester.filter(|_| answer).map(|(_, incarnation)| incarnation);
+            let incarnation = requester.filter(|_| is_answer).map(|(_, incarnation)| incarnation);
             self.send(delay, Envelope { from: Some((from, own)), to, incarnation, message });
         }
     }
 
     fn send(&mut self, delay: Duration, envelope: Envelope) {
         let jitter = Duration::from_millis(self.random.random_range(0..20));
-        let slow = self.random.random_bool(0.01);
-        let late = Duration::from_millis(self.random.random_range(0..3000));
+        let is_late = self.random.random_bool(0.01);
+        let late_delay = Duration::from_millis(self.random.random_range(0..3000));
         self.sequence += 1;
-        let at = self.now + delay + if slow { late } else { jitter };
+        let at = self.now + delay + if is_late { late_delay } else { jitter };
         self.queue.insert((at, self.sequence), envelope);
     }
 
@@ -229,11 +239,11 @@
         match (from, to) {
             (Some(_), None) => self.handle_store_request(envelope),
             (from, Some(to)) => {
-                let cut = match from {
+                let is_partitioned = match from {
                     Some(from) => self.partitioned.contains(&(from.min(to), from.max(to))),
                     None => self.store.partitioned.contains(&to),
                 };
-                if !cut {
+                if !is_partitioned {
                     self.deliver_to(to, envelope);
                 }
             }
@@ -275,8 +285,8 @@
             }
             _ => return,
         };
-        let write = matches!(answer, Message::WriteAnswer { accepted: true, .. });
-        if write && self.store.answers_to_lose > 0 {
+        let is_accepted_write = matches!(answer, Message::WriteAnswer { accepted: true, .. });
+        if is_accepted_write && self.store.answers_to_lose > 0 {
             self.store.answers_to_lose -= 1;
             return;
         }
@@ -299,7 +309,7 @@
         true
     }
 
-    /// Resumes a paused host; what waited for it comes at once.
+    /// Resumes a paused host and delivers the messages that arrived during the pause.
     pub(crate) fn resume(&mut self, host: HostId) {
         let Some(node) = self.nodes.get_mut(&host) else { return };
         if !node.paused {
--- a/crates/core/tests/fleet/node.rs
+++ b/crates/core/tests/fleet/node.rs
@@ -1,4 +1,4 @@
-//! One host of the fake fleet: the driver round the core's machines.
+//! One host of the simulated fleet: drives the state machines of the core.
 
 use super::{Defect, Envelope, Message};
 use bergamotvale_core::authority::Holder;
@@ -21,7 +21,7 @@
     pub(crate) writer: Writer,
     pub(crate) document: Document,
     pub(crate) body: Body,
-    /// What was wanted; wanted again when another change comes first.
+    /// Requested edits, which are requested again when another change is accepted first.
     edits: Option<Vec<Edit>>,
     timer: Time,
     pub(crate) writing: bool,
@@ -72,17 +72,17 @@
         }
     }
 
-    /// Whether the host acts on its epoch.
+    /// Whether the host has the authority to act on its epoch and isn't paused.
     pub(crate) fn is_active(&self, now: Time) -> bool {
         !self.paused && self.holder.is_held(now)
     }
 
-    /// Whether a caller's key works here.
+    /// Whether the host accepts requests with the key.
     pub(crate) fn accepts_key(&self, now: Time, id: u64) -> bool {
         self.is_active(now) && !self.member.leaving && key::is_active(self.replica.document(), id)
     }
 
-    /// Outcome of the latest change that was asked for here.
+    /// Outcome of the last attempt to make requested edits on this host; `None` while it has none.
     pub(crate) fn outcome(&self) -> Option<Outcome> {
         self.last_edit_attempt.and_then(|n| self.outcomes.get(&n)).map(|(_, outcome)| *outcome)
     }
@@ -203,7 +203,8 @@
         children.into_iter().map(|to| (Some(to), Message::Push(update.clone()))).collect()
     }
 
-    /// Starts an attempt when one is due.
+    /// Starts an attempt if none is in progress and there is a maintenance task, a departure or a
+    /// requested edit.
     fn begin_attempt(&mut self, now: Time) {
         if self.attempt.is_some() || (self.replica.row().epoch == 0 && self.next_poll == now) {
             return;
@@ -257,7 +258,7 @@
         self.perform(now, action)
     }
 
-    /// Moves the attempt on with an answer that belongs to it.
+    /// Passes an answer to the attempt that requested it and performs the resulting action.
     fn advance(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
         let Some(attempt) = &mut self.attempt else { return Sends::new() };
         let action = match message {
--- a/crates/core/tests/fleet/script.rs
+++ b/crates/core/tests/fleet/script.rs
@@ -1,4 +1,5 @@
-//! Runs a case: a fault at a step of a protocol, against the checkers and what the case expects.
+//! Runs a case, a fault at a step of a protocol, against the checks of the fleet and the
+//! expectation of the case.
 
 use super::{Fleet, case};
 use bergamotvale_core::config::{Document, Edit, TargetState};
@@ -8,11 +9,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Time in which the fleet forms.
-const START: Duration = Duration::from_secs(3);
-/// The key that cases withdraw.
+/// Time that the fleet takes to form before the events of a case.
+const FORMATION_TIME: Duration = Duration::from_secs(3);
+/// Key that cases withdraw.
 const KEY: u64 = 7;
-/// The target that cases drain.
+/// Target that cases drain.
 const TARGET: (ServiceId, TargetId) = (1, 1);
 const SEED: u64 = 11;
 
@@ -22,11 +23,11 @@
 #[serde(deny_unknown_fields)]
 struct Given {
     hosts: u32,
-    /// Time that the case runs, ms.
+    /// Duration of the case in ms.
     time: u64,
 }
 
-/// Happens at a time after the start, or once a step is reached.
+/// An event that occurs at a time in ms after the start, or when the publisher reaches a step.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Event {
@@ -68,21 +69,21 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Expect {
-    /// Outcomes that the publisher may report; none when it may be gone.
+    /// Outcomes that the publisher may report; `None` if any outcome is valid.
     outcome: Option<Vec<String>>,
-    /// Time after acceptance within which no host serves the key, ms.
+    /// Time in ms after acceptance from which no host accepts the key.
     key_dead_within: Option<u64>,
-    /// Time after acceptance within which no host gives the drained target work, ms.
+    /// Time in ms after acceptance from which no host sends work to the drained target.
     target_idle_within: Option<u64>,
-    /// Time after acceptance within which the change is said to be in force everywhere, ms.
+    /// Time in ms after acceptance by which the change is reported as in force everywhere.
     in_force_within: Option<u64>,
-    /// Time after its start within which the last host to start serves, ms.
+    /// Time in ms after its start by which the host that was started last is active.
     joined_within: Option<u64>,
-    /// Members in the end.
+    /// Members at the end of the case.
     members: Vec<HostId>,
-    /// Hosts that act in the end.
+    /// Hosts that are active at the end.
     acting: Vec<HostId>,
-    /// Configuration version of those hosts in the end.
+    /// Configuration version of the active hosts at the end.
     version: u64,
 }
 
@@ -100,7 +101,7 @@
 pub(crate) fn run(path: &Path) -> datatest_stable::Result<()> {
     let case: Case = case::read(path)?;
     let mut fleet = Fleet::new(case.given.hosts, SEED);
-    fleet.run(START);
+    fleet.run(FORMATION_TIME);
     let mut run = Run {
         fleet,
         publisher: 1,
@@ -122,34 +123,34 @@
         let start = self.fleet.now;
         let mut waiting: Vec<&Event> = case.events.iter().collect();
         while self.fleet.now < start + Duration::from_millis(case.given.time) {
-            let passed = self.fleet.now - start;
+            let elapsed = self.fleet.now - start;
             let (due, later): (Vec<_>, Vec<_>) =
-                waiting.into_iter().partition(|event| self.is_due(event, passed));
+                waiting.into_iter().partition(|event| self.is_due(event, elapsed));
             due.into_iter().for_each(|event| self.perform(event));
             waiting = later;
             self.fleet.step();
             self.observe();
         }
-        assert!(waiting.is_empty(), "never due: {waiting:?}");
+        assert!(waiting.is_empty(), "events that never became due: {waiting:?}");
     }
 
-    fn is_due(&self, event: &Event, passed: Duration) -> bool {
-        let at = event.at.is_none_or(|at| passed >= Duration::from_millis(at));
-        at && event.when.is_none_or(|step| self.reached(step))
+    fn is_due(&self, event: &Event, elapsed: Duration) -> bool {
+        let is_time = event.at.is_none_or(|at| elapsed >= Duration::from_millis(at));
+        is_time && event.when.is_none_or(|step| self.is_reached(step))
     }
 
-    fn reached(&self, step: Step) -> bool {
+    fn is_reached(&self, step: Step) -> bool {
         let publisher = self.fleet.nodes.get(&self.publisher);
         let attempt = publisher.and_then(|node| node.attempt.as_ref());
         match step {
             Step::Announced => attempt.is_some(),
             Step::Written => attempt.is_some_and(|attempt| attempt.writing),
             Step::Accepted => self.accepted.is_some(),
-            Step::Spread => self.holders().any(|host| host != self.publisher),
+            Step::Spread => self.adopters().any(|host| host != self.publisher),
         }
     }
 
-    fn holders(&self) -> impl Iterator<Item = HostId> {
+    fn adopters(&self) -> impl Iterator<Item = HostId> {
         let nodes = self.fleet.nodes.iter();
         nodes.filter(|(_, node)| node.replica.row().version >= 2).map(|(host, _)| *host)
     }
@@ -161,11 +162,11 @@
         match event.on {
             Action::Withdraw | Action::DrainTarget => {
                 self.publisher = host;
-                let node = fleet.nodes.get_mut(&host).expect("the publisher runs");
+                let node = fleet.nodes.get_mut(&host).expect("the publisher is running");
                 let document = node.replica.document();
                 let edit = match event.on {
-                    Action::Withdraw => key::withdraw(document, KEY).expect("a key"),
-                    _ => drain(document),
+                    Action::Withdraw => key::withdraw(document, KEY).expect("known key"),
+                    _ => drain_edit(document),
                 };
                 node.pending_edits.push(vec![edit]);
             }
@@ -179,14 +180,16 @@
             Action::StoreUp => fleet.store.down = false,
             Action::StoreSlow => fleet.store.delay = Duration::from_millis(value),
             Action::LoseAnswers => fleet.store.answers_to_lose = value as u32,
-            Action::Pause => fleet.nodes.get_mut(&host).expect("it runs").paused = true,
+            Action::Pause => fleet.nodes.get_mut(&host).expect("running host").paused = true,
             Action::Resume => fleet.resume(host),
             Action::Kill => fleet.kill(host),
             Action::Start => {
                 fleet.start(host);
                 self.started = Some((host, fleet.now));
             }
-            Action::Leave => fleet.nodes.get_mut(&host).expect("it runs").member.leaving = true,
+            Action::Leave => {
+                fleet.nodes.get_mut(&host).expect("running host").member.leaving = true
+            }
         }
     }
 
@@ -236,15 +239,15 @@
             since(self.key_accepted_at, self.accepted),
             expect.key_dead_within,
         )?;
-        let used = since(self.target_used_at, self.accepted);
+        let target_used = since(self.target_used_at, self.accepted);
         ensure(expect.target_idle_within.is_none() || self.accepted.is_some(), || {
-            "not accepted".into()
+            "the change was not accepted".into()
         })?;
-        ensure_within("target used", used, expect.target_idle_within)?;
+        ensure_within("target used", target_used, expect.target_idle_within)?;
         ensure_within("in force", since(self.in_force, self.accepted), expect.in_force_within)?;
         let started = self.started.map(|(_, at)| at);
         ensure(expect.in_force_within.is_none() || self.in_force.is_some(), || {
-            "not in force".into()
+            "the change was not reported as in force".into()
         })?;
         ensure(expect.joined_within.is_none() || self.joined.is_some(), || "not joined".into())?;
         ensure_within("joined", since(self.joined, started), expect.joined_within)?;
@@ -267,15 +270,16 @@
     }
 }
 
-/// The edit that drains [`TARGET`].
-fn drain(document: &Document) -> Edit {
+/// Returns the edit that drains [`TARGET`].
+fn drain_edit(document: &Document) -> Edit {
     let (service, target) = TARGET;
     let mut next = document.services[&service].clone();
-    next.targets.get_mut(&target).expect("a target").state = TargetState::Draining;
+    next.targets.get_mut(&target).expect("the service has the target").state =
+        TargetState::Draining;
     Edit::PutService(service, next)
 }
 
-/// Whether a host that acts on `document` gives [`TARGET`] work.
+/// Whether a host that acts on `document` sends work to [`TARGET`].
 fn is_target_active(document: &Document) -> bool {
     let (service, target) = TARGET;
     let service = document.services.get(&service);
--- a/crates/core/tests/group/mod.rs
+++ b/crates/core/tests/group/mod.rs
@@ -1,4 +1,5 @@
-//! A small database group for seeded searches: targets with terms, logs and lost messages.
+//! Model of a database group for seeded searches: targets with terms and logs that exchange
+//! messages, which the search may delay, reorder or lose.
 #![allow(dead_code, reason = "not every test uses all of it")]
 
 use bergamotvale_core::group::{TermResponse, majority};
@@ -6,7 +7,7 @@
 use bergamotvale_core::log::{Position, Term};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// An entry of a log; two are the same only if all of it is.
+/// A log entry. Entries of different terms are different even if their values are equal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Entry {
     pub(crate) term: Term,
@@ -21,15 +22,15 @@
     pub(crate) leading_term: Option<Term>,
     pub(crate) voter: bool,
     pub(crate) is_up: bool,
-    /// Highest position that it knows to be on a majority.
+    /// Highest position that it knows a majority to hold.
     pub(crate) confirmed: Position,
-    /// On a primary: what each follower is known to hold in this term.
+    /// On a primary: length of log that each follower is known to hold in this term.
     replicated: BTreeMap<TargetId, usize>,
-    /// On a primary: writes that wait for a majority, by the length of log that has them.
+    /// On a primary: writes that no majority holds yet, by the length of log that includes them.
     unconfirmed: BTreeMap<usize, Entry>,
 }
 
-/// A copy of a primary's log on its way to a follower, or its acknowledgement.
+/// Replication message: the whole log of a primary, or a follower's acknowledgement of it.
 #[derive(Debug, Clone)]
 pub(crate) enum Message {
     Append { from: TargetId, to: TargetId, term: Term, log: Vec<Entry>, confirmed: Position },
@@ -40,7 +41,7 @@
 pub(crate) struct Group {
     pub(crate) targets: BTreeMap<TargetId, Target>,
     pub(crate) acknowledged: BTreeSet<Entry>,
-    /// Targets that acknowledged in each term.
+    /// Targets that acknowledged writes in each term.
     pub(crate) acknowledgers: BTreeMap<Term, BTreeSet<TargetId>>,
     next_value: u64,
 }
@@ -51,7 +52,8 @@
         Position::new(term, self.log.len() as u64)
     }
 
-    /// On a primary of a group of `count`: highest entry of its term that a majority holds.
+    /// On a primary of a group of `count` targets: position of the last entry that a majority
+    /// holds, if that entry is of its term.
     fn majority_position(&self, count: usize) -> Option<Position> {
         let term = self.leading_term?;
         let mut lengths: Vec<usize> = self.replicated.values().copied().collect();
@@ -73,14 +75,14 @@
 }
 
 impl Group {
-    /// A group of `count` targets in which target 0 is the primary of term 1.
+    /// Creates a group of `count` targets in which target 0 is the primary of term 1.
     pub(crate) fn new(count: TargetId) -> Group {
         let first = Entry { term: 1, value: 0 };
         let target =
             Target { log: vec![first], accepted: 1, voter: true, is_up: true, ..Target::default() };
         let mut targets: BTreeMap<TargetId, Target> =
             (0..count).map(|id| (id, target.clone())).collect();
-        targets.get_mut(&0).expect("it is there").leading_term = Some(1);
+        targets.get_mut(&0).expect("a group has a target 0").leading_term = Some(1);
         Group {
             targets,
             acknowledged: BTreeSet::new(),
@@ -121,14 +123,15 @@
         Some(target.response(granted))
     }
 
-    /// A caller writes on a target that holds itself the primary.
+    /// Commits the next unused value on a target that considers itself the primary.
     pub(crate) fn write(&mut self, id: TargetId) {
         if self.commit(id, self.next_value).is_some() {
             self.next_value += 1;
         }
     }
 
-    /// Commits `value` on a target that holds itself the primary; answers with its position.
+    /// Commits `value` on a target and returns its position; `None` if the target is down or
+    /// doesn't consider itself the primary.
     pub(crate) fn commit(&mut self, id: TargetId, value: u64) -> Option<Position> {
         let target = self.targets.get_mut(&id).filter(|target| target.is_up)?;
         let entry = Entry { term: target.leading_term?, value };
@@ -137,7 +140,8 @@
         Some(target.last_entry())
     }
 
-    /// What a primary sends to a follower now.
+    /// Returns the append message that `from` would send to `to`; `None` unless `from` is up and
+    /// considers itself the primary.
     pub(crate) fn append_message(&self, from: TargetId, to: TargetId) -> Option<Message> {
         let source = &self.targets[&from];
         let term = source.leading_term.filter(|_| source.is_up && from != to)?;
@@ -150,7 +154,7 @@
             Message::Append { from, to, term, log, confirmed } => {
                 let reply = self.receive_append(from, to, term, log);
                 if reply.is_some() {
-                    let target = self.targets.get_mut(&to).expect("it held the log");
+                    let target = self.targets.get_mut(&to).expect("the target appended the log");
                     target.confirmed = confirmed.max(target.confirmed);
                 }
                 reply
@@ -169,8 +173,8 @@
         term: Term,
         log: Vec<Entry>,
     ) -> Option<Message> {
-        // A rebuilt target has forgotten what it granted: it joins the newest term only, and votes
-        // once it holds all that this term's primary holds.
+        // A rebuilt target has lost its record of the terms that it granted. It follows only the
+        // newest term, and becomes a voter once it holds all that the primary of this term holds.
         let newest = self.targets.values().filter(|t| t.voter).map(|t| t.accepted).max();
         let caught_up = log.len() >= self.targets[&from].log.len();
         let target = self.targets.get_mut(&to).filter(|target| target.is_up)?;
@@ -199,14 +203,14 @@
         if primary.leading_term != Some(term) {
             return;
         }
-        let known = primary.replicated.entry(from).or_insert(0);
-        *known = length.max(*known);
+        let length_known = primary.replicated.entry(from).or_insert(0);
+        *length_known = length.max(*length_known);
         primary.confirmed =
             primary.confirmed.max(primary.majority_position(count).unwrap_or_default());
         let unconfirmed = std::mem::take(&mut primary.unconfirmed);
         for (length, entry) in unconfirmed {
-            let holders = 1 + primary.replicated.values().filter(|known| **known >= length).count();
-            if holders >= majority(count) {
+            let copies = 1 + primary.replicated.values().filter(|known| **known >= length).count();
+            if copies >= majority(count) {
                 self.acknowledged.insert(entry);
                 self.acknowledgers.entry(term).or_default().insert(to);
             } else {
@@ -225,12 +229,13 @@
         self.targets.get_mut(&id).expect("a target of the group").is_up = true;
     }
 
-    /// The target loses all that it kept, unless another is in that state; says whether.
+    /// Erases all state of the target, unless some target is being rebuilt already; returns whether
+    /// it did.
     pub(crate) fn rebuild(&mut self, id: TargetId) -> bool {
         if self.targets.values().all(|target| target.voter) {
             let target = Target { is_up: true, ..Target::default() };
             self.targets.insert(id, target);
-            // Its connections end with it: what it acknowledged before counts no more.
+            // Its connections end as well, so its earlier acknowledgements no longer count.
             for target in self.targets.values_mut() {
                 target.replicated.remove(&id);
             }
@@ -239,7 +244,8 @@
         false
     }
 
-    /// The same, but it keeps apart what it granted, as the targets of the platform do.
+    /// Like [`Group::rebuild`], but keeps the granted term and promoter, which targets of the
+    /// platform store apart from their data.
     pub(crate) fn rebuild_keeping_grants(&mut self, id: TargetId) -> bool {
         let Target { accepted, promoter, .. } = self.targets[&id];
         let rebuilt = self.rebuild(id);
@@ -250,7 +256,7 @@
         rebuilt
     }
 
-    /// An acknowledged entry that the primary of the highest term lacks.
+    /// Returns an acknowledged entry that is missing on the primary of the highest term.
     pub(crate) fn lost_entry(&self) -> Option<Entry> {
         let primaries = self.targets.values().filter(|target| target.leading_term.is_some());
         let primary = primaries.max_by_key(|target| target.leading_term)?;
@@ -259,7 +265,7 @@
         expected.copied().find(|entry| !primary.log.contains(entry))
     }
 
-    /// A term in which more than one target acknowledged or leads.
+    /// Returns a term in which more than one target acknowledged writes or is the primary.
     pub(crate) fn split_term(&self) -> Option<Term> {
         let mut primaries = self.acknowledgers.clone();
         for (id, target) in &self.targets {
--- a/crates/core/tests/invariants.rs
+++ b/crates/core/tests/invariants.rs
@@ -1,4 +1,5 @@
-//! Each check of the thirteen invariants passes on a good history and fails on a broken one.
+//! Checks that the check of each invariant accepts a valid history and rejects one that violates
+//! it.
 
 use bergamotvale_core::id::Time;
 use bergamotvale_core::invariant::account::{self, Execution, KeyUse};
@@ -29,13 +30,13 @@
 
 #[test]
 fn stale_session_read_is_seen() {
-    let good = [acknowledged(1, 1, 5), read(2, 1, 5), read(3, 2, 4)];
+    let valid = [acknowledged(1, 1, 5), read(2, 1, 5), read(3, 2, 4)];
     let other_service = [acknowledged(1, 1, 5), Event { service: 2, ..read(2, 1, 1) }];
-    let broken = [acknowledged(1, 1, 5), read(2, 1, 4)];
+    let invalid = [acknowledged(1, 1, 5), read(2, 1, 4)];
 
-    assert_eq!(session::verify(&good), Ok(()));
+    assert_eq!(session::verify(&valid), Ok(()));
     assert_eq!(session::verify(&other_service), Ok(()));
-    assert_eq!(session::verify(&broken), Err(Violation::StaleRead { op: 2 }));
+    assert_eq!(session::verify(&invalid), Err(Violation::StaleRead { op: 2 }));
 }
 
 #[test]
@@ -53,38 +54,38 @@
 
 #[test]
 fn lost_write_is_seen() {
-    let good = [write(Verdict::Acknowledged, [1; 3]), write(Verdict::Unknown, [0; 3])];
-    let broken = [write(Verdict::Acknowledged, [1, 0, 1])];
+    let valid = [write(Verdict::Acknowledged, [1; 3]), write(Verdict::Unknown, [0; 3])];
+    let invalid = [write(Verdict::Acknowledged, [1, 0, 1])];
 
-    assert_eq!(write::verify_durable(&good), Ok(()));
-    assert_eq!(write::verify_durable(&broken), Err(Violation::LostWrite { op: 7 }));
+    assert_eq!(write::verify_durable(&valid), Ok(()));
+    assert_eq!(write::verify_durable(&invalid), Err(Violation::LostWrite { op: 7 }));
 }
 
 #[test]
 fn acknowledgements_of_two_primaries_are_seen() {
-    let good = [(1, 0), (1, 0), (2, 1), (1, 0)];
-    let broken = [(1, 0), (2, 1), (2, 2)];
+    let valid = [(1, 0), (1, 0), (2, 1), (1, 0)];
+    let invalid = [(1, 0), (2, 1), (2, 2)];
 
-    assert_eq!(write::verify_single_primary(&good), Ok(()));
-    assert_eq!(write::verify_single_primary(&broken), Err(Violation::SplitBrain { term: 2 }));
+    assert_eq!(write::verify_single_primary(&valid), Ok(()));
+    assert_eq!(write::verify_single_primary(&invalid), Err(Violation::SplitBrain { term: 2 }));
 }
 
 #[test]
 fn false_not_run_is_seen() {
-    let good = [write(Verdict::NotRun, [0; 3]), write(Verdict::Unknown, [1; 3])];
-    let broken = [write(Verdict::NotRun, [0, 0, 1])];
+    let valid = [write(Verdict::NotRun, [0; 3]), write(Verdict::Unknown, [1; 3])];
+    let invalid = [write(Verdict::NotRun, [0, 0, 1])];
 
-    assert_eq!(write::verify_not_run(&good), Ok(()));
-    assert_eq!(write::verify_not_run(&broken), Err(Violation::FalseNotRun { op: 7 }));
+    assert_eq!(write::verify_not_run(&valid), Ok(()));
+    assert_eq!(write::verify_not_run(&invalid), Err(Violation::FalseNotRun { op: 7 }));
 }
 
 #[test]
 fn repeated_write_is_seen() {
-    let good = [write(Verdict::Unknown, [1; 3])];
-    let broken = [write(Verdict::Unknown, [2; 3])];
+    let valid = [write(Verdict::Unknown, [1; 3])];
+    let invalid = [write(Verdict::Unknown, [2; 3])];
 
-    assert_eq!(write::verify_at_most_once(&good), Ok(()));
-    assert_eq!(write::verify_at_most_once(&broken), Err(Violation::DuplicateWrite { op: 7 }));
+    assert_eq!(write::verify_at_most_once(&valid), Ok(()));
+    assert_eq!(write::verify_at_most_once(&invalid), Err(Violation::DuplicateWrite { op: 7 }));
 }
 
 fn statement(connection: u64, transaction: u64, ends_transaction: bool) -> Statement {
@@ -94,12 +95,12 @@
 
 #[test]
 fn mixed_transactions_are_seen() {
-    let good = [statement(1, 1, false), statement(2, 2, true), statement(1, 1, true)];
+    let valid = [statement(1, 1, false), statement(2, 2, true), statement(1, 1, true)];
     let reused = [statement(1, 1, true), statement(1, 2, true)];
     let shared = [statement(1, 1, false), statement(1, 2, true)];
     let spread = [statement(1, 1, false), statement(2, 1, true)];
 
-    assert_eq!(target::verify_not_interleaved(&good), Ok(()));
+    assert_eq!(target::verify_not_interleaved(&valid), Ok(()));
     assert_eq!(target::verify_not_interleaved(&reused), Ok(()));
     assert_eq!(
         target::verify_not_interleaved(&shared),
@@ -113,26 +114,26 @@
 
 #[test]
 fn key_in_a_statement_is_seen() {
-    let good = [statement(1, 1, true)];
-    let broken = [Statement { text: "SELECT 's3cret'".into(), ..statement(1, 1, true) }];
+    let valid = [statement(1, 1, true)];
+    let invalid = [Statement { text: "SELECT 's3cret'".into(), ..statement(1, 1, true) }];
 
-    assert_eq!(target::verify_no_keys(&good, &["s3cret"]), Ok(()));
+    assert_eq!(target::verify_no_keys(&valid, &["s3cret"]), Ok(()));
     assert_eq!(
-        target::verify_no_keys(&broken, &["s3cret"]),
+        target::verify_no_keys(&invalid, &["s3cret"]),
         Err(Violation::KeyExposed { target: 0 })
     );
 }
 
 #[test]
 fn new_work_on_a_leaving_target_is_seen() {
-    let leaving = BTreeMap::from([(0, secs(2))]);
+    let draining = BTreeMap::from([(0, secs(2))]);
     let late = |transaction| Statement { at: secs(9), ..statement(1, transaction, true) };
-    let good = [statement(1, 1, false), late(1)];
-    let broken = [statement(1, 1, true), late(2)];
+    let valid = [statement(1, 1, false), late(1)];
+    let invalid = [statement(1, 1, true), late(2)];
 
-    assert_eq!(target::verify_draining(&good, &leaving, BOUND), Ok(()));
+    assert_eq!(target::verify_draining(&valid, &draining, BOUND), Ok(()));
     assert_eq!(
-        target::verify_draining(&broken, &leaving, BOUND),
+        target::verify_draining(&invalid, &draining, BOUND),
         Err(Violation::WorkWhileDraining { target: 0 })
     );
 }
@@ -140,11 +141,11 @@
 #[test]
 fn request_for_another_account_is_seen() {
     let run = Execution { op: 4, key_account: Some(1), account: 1, is_open: false };
-    let good = [run, Execution { key_account: None, is_open: true, ..run }];
+    let valid = [run, Execution { key_account: None, is_open: true, ..run }];
     let foreign = [Execution { account: 2, ..run }];
     let keyless = [Execution { key_account: None, ..run }];
 
-    assert_eq!(account::verify_account(&good), Ok(()));
+    assert_eq!(account::verify_account(&valid), Ok(()));
     assert_eq!(account::verify_account(&foreign), Err(Violation::WrongAccount { op: 4 }));
     assert_eq!(account::verify_account(&keyless), Err(Violation::WrongAccount { op: 4 }));
 }
@@ -152,50 +153,51 @@
 #[test]
 fn use_of_a_withdrawn_key_is_seen() {
     let withdrawn = BTreeMap::from([(1, secs(10))]);
-    let good = [KeyUse { key: 1, at: secs(13) }, KeyUse { key: 2, at: secs(90) }];
-    let broken = [KeyUse { key: 1, at: secs(14) }];
+    let valid = [KeyUse { key: 1, at: secs(13) }, KeyUse { key: 2, at: secs(90) }];
+    let invalid = [KeyUse { key: 1, at: secs(14) }];
 
-    assert_eq!(account::verify_withdrawn(&good, &withdrawn, BOUND), Ok(()));
+    assert_eq!(account::verify_withdrawn(&valid, &withdrawn, BOUND), Ok(()));
     assert_eq!(
-        account::verify_withdrawn(&broken, &withdrawn, BOUND),
+        account::verify_withdrawn(&invalid, &withdrawn, BOUND),
         Err(Violation::WithdrawnKey { key: 1 })
     );
 }
 
 #[test]
 fn admission_above_the_rate_is_seen() {
-    let good = [secs(0), secs(0), secs(1), secs(2)];
-    let broken = [secs(0), secs(0), secs(0)];
+    let valid = [secs(0), secs(0), secs(1), secs(2)];
+    let invalid = [secs(0), secs(0), secs(0)];
 
-    assert_eq!(admission::verify(&good, 1, 2), Ok(()));
-    assert_eq!(admission::verify(&broken, 1, 2).map_err(|excess| excess.index), Err(2));
+    assert_eq!(admission::verify(&valid, 1, 2), Ok(()));
+    assert_eq!(admission::verify(&invalid, 1, 2).map_err(|excess| excess.index), Err(2));
 }
 
 #[test]
 fn wrong_answer_is_seen() {
     let answer = Answer { op: 3, named_op: 3, sent_rows: 2, received_rows: 2 };
     let foreign = Answer { named_op: 4, ..answer };
-    let part = Answer { received_rows: 1, ..answer };
+    let partial = Answer { received_rows: 1, ..answer };
 
     assert_eq!(answer::verify_complete(&[answer]), Ok(()));
     assert_eq!(answer::verify_complete(&[foreign]), Err(Violation::WrongAnswer { op: 3 }));
-    assert_eq!(answer::verify_complete(&[part]), Err(Violation::WrongAnswer { op: 3 }));
+    assert_eq!(answer::verify_complete(&[partial]), Err(Violation::WrongAnswer { op: 3 }));
 }
 
 #[test]
 fn request_cut_by_a_planned_stop_is_seen() {
     let stopping = BTreeMap::from([(1, secs(5))]);
-    let cut = Request { op: 6, host: 1, ended_at: secs(6), completion: Completion::Interrupted };
-    let good = [
-        Request { completion: Completion::Answered, ..cut },
-        Request { completion: Completion::NotSent, ..cut },
-        Request { host: 2, ..cut },
-        Request { ended_at: secs(4), ..cut },
+    let interrupted =
+        Request { op: 6, host: 1, ended_at: secs(6), completion: Completion::Interrupted };
+    let valid = [
+        Request { completion: Completion::Answered, ..interrupted },
+        Request { completion: Completion::NotSent, ..interrupted },
+        Request { host: 2, ..interrupted },
+        Request { ended_at: secs(4), ..interrupted },
     ];
 
-    assert_eq!(answer::verify_uninterrupted(&good, &stopping), Ok(()));
+    assert_eq!(answer::verify_uninterrupted(&valid, &stopping), Ok(()));
     assert_eq!(
-        answer::verify_uninterrupted(&[cut], &stopping),
+        answer::verify_uninterrupted(&[interrupted], &stopping),
         Err(Violation::InterruptedRequest { op: 6 })
     );
 }
@@ -204,11 +206,11 @@
 fn reverted_or_late_configuration_is_seen() {
     let accepted = BTreeMap::from([(1, secs(0)), (2, secs(10))]);
     let action = |host, at, version| Action { host, at: secs(at), version };
-    let good = [action(1, 11, 1), action(2, 11, 2), action(1, 13, 1), action(1, 14, 2)];
+    let valid = [action(1, 11, 1), action(2, 11, 2), action(1, 13, 1), action(1, 14, 2)];
     let reverted = [action(1, 11, 2), action(1, 12, 1)];
     let late = [action(1, 14, 1)];
 
-    assert_eq!(change::verify(&good, &accepted, BOUND), Ok(()));
+    assert_eq!(change::verify(&valid, &accepted, BOUND), Ok(()));
     assert_eq!(
         change::verify(&reverted, &accepted, BOUND),
         Err(Violation::Reverted { host: 1, version: 1 })
--- a/crates/core/tests/join.rs
+++ b/crates/core/tests/join.rs
@@ -1,4 +1,4 @@
-//! Joining: a host starts, or starts anew at the same address, under every fault.
+//! Cases of a host that joins the fleet, new or restarted at the same address, under each fault.
 
 mod fleet;
 
--- a/crates/core/tests/key_withdrawal.rs
+++ b/crates/core/tests/key_withdrawal.rs
@@ -1,4 +1,5 @@
-//! Withdrawal of a key: every fault at every step, with a bound on how long the key works.
+//! Cases of a key withdrawal with each fault at each step, and a bound on the time for which hosts
+//! still accept the key.
 
 mod fleet;
 
--- a/crates/core/tests/matrix.rs
+++ b/crates/core/tests/matrix.rs
@@ -1,10 +1,11 @@
-//! The fault matrix in docs/FAULTS.md agrees with the cases and tests that exist.
+//! Checks that the fault matrix in docs/FAULTS.md names every case file, and that every case and
+//! test that it names exists.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::path::{Path, PathBuf};
 
-/// What fails.
+/// Faults, the sections of the page.
 const FAULTS: [&str; 12] = [
     "Partition of a primary",
     "Replica far behind",
@@ -19,7 +20,7 @@
     "Two together",
     "Other faults",
 ];
-/// Families of steps.
+/// Steps, the lines of each section.
 const STEPS: [&str; 13] = [
     "read",
     "write",
@@ -35,10 +36,10 @@
     "join",
     "stop",
 ];
-/// Shortest text that is a reason.
-const LEAST_REASON: usize = 15;
+/// Shortest text, in bytes, that is accepted as a reason for a cell without a case.
+const MIN_REASON_LENGTH: usize = 15;
 
-/// The cells, by fault and step.
+/// Text of each cell, by fault and step.
 type Matrix = BTreeMap<(String, String), String>;
 
 fn root() -> PathBuf {
@@ -66,26 +67,28 @@
     matrix
 }
 
-/// Names between backticks.
-fn names(text: &str) -> BTreeSet<String> {
+/// Returns the names between backticks.
+fn quoted_names(text: &str) -> BTreeSet<String> {
     text.split('`').skip(1).step_by(2).map(str::to_owned).collect()
 }
 
+/// Returns `protocol/case` of every case file.
 fn cases() -> BTreeSet<String> {
     let cases = root().join("crates/core/tests/cases");
     let mut names = BTreeSet::new();
     for protocol in fs::read_dir(cases).expect("cases exist") {
-        let protocol = protocol.expect("a directory").path();
-        for case in fs::read_dir(&protocol).expect("a protocol's cases") {
-            let case = case.expect("a file").path();
-            let part = |path: &Path| path.file_stem().expect("a name").display().to_string();
-            names.insert(format!("{}/{}", part(&protocol), part(&case)));
+        let protocol = protocol.expect("the directory of a protocol").path();
+        for case in fs::read_dir(&protocol).expect("the cases of a protocol") {
+            let case = case.expect("a case file").path();
+            let stem =
+                |path: &Path| path.file_stem().expect("the file has a name").display().to_string();
+            names.insert(format!("{}/{}", stem(&protocol), stem(&case)));
         }
     }
     names
 }
 
-/// Whether `name` is `crate::file::function` of a test that exists.
+/// Whether `name` has the form `crate::file::function` and names an existing test.
 fn is_test(name: &str) -> bool {
     let parts: Vec<_> = name.split("::").collect();
     let [member, file, function] = parts[..] else { return false };
@@ -102,32 +105,32 @@
     })
 }
 
-/// What is wrong with the cells.
-fn faults_of(matrix: &Matrix, cases: &BTreeSet<String>) -> Vec<String> {
-    let mut wrong = Vec::new();
+/// Returns a message for each missing, unknown or invalid cell and each case that no cell names.
+fn matrix_errors(matrix: &Matrix, cases: &BTreeSet<String>) -> Vec<String> {
+    let mut errors = Vec::new();
     for (fault, step) in FAULTS.iter().flat_map(|f| STEPS.iter().map(move |s| (f, s))) {
         match matrix.get(&((*fault).to_owned(), (*step).to_owned())) {
-            None => wrong.push(format!("{fault}: the line `| {step} | … |` is missing")),
-            Some(cell) => wrong.extend(wrong_cell(fault, step, cell, cases)),
+            None => errors.push(format!("{fault}: the line `| {step} | … |` is missing")),
+            Some(cell) => errors.extend(cell_errors(fault, step, cell, cases)),
         }
     }
     for (fault, step) in matrix.keys() {
         if !FAULTS.contains(&fault.as_str()) || !STEPS.contains(&step.as_str()) {
-            wrong.push(format!("{fault}: {step} is no cell of the matrix"));
+            errors.push(format!("{fault}: {step} is no cell of the matrix"));
         }
     }
-    let listed: BTreeSet<_> = matrix.values().flat_map(|cell| names(cell)).collect();
+    let listed: BTreeSet<_> = matrix.values().flat_map(|cell| quoted_names(cell)).collect();
     for case in cases.difference(&listed) {
         let section = "the section of its fault, in the line of its step";
-        wrong.push(format!("docs/FAULTS.md lacks `{case}`: add it to {section}"));
+        errors.push(format!("docs/FAULTS.md lacks `{case}`: add it to {section}"));
     }
-    wrong
+    errors
 }
 
-fn wrong_cell(fault: &str, step: &str, cell: &str, cases: &BTreeSet<String>) -> Vec<String> {
-    let names = names(cell);
+fn cell_errors(fault: &str, step: &str, cell: &str, cases: &BTreeSet<String>) -> Vec<String> {
+    let names = quoted_names(cell);
     let reason = cell.strip_prefix("none: ").or_else(|| cell.strip_prefix("open: "));
-    if names.is_empty() && reason.is_none_or(|reason| reason.len() < LEAST_REASON) {
+    if names.is_empty() && reason.is_none_or(|reason| reason.len() < MIN_REASON_LENGTH) {
         return vec![format!("{fault}, {step}: neither a case nor a reason")];
     }
     let missing = names.iter().filter(|name| !cases.contains(*name) && !is_test(name));
@@ -136,9 +139,9 @@
 
 #[test]
 fn page_and_cases_agree() {
-    let wrong = faults_of(&parse(&page()), &cases());
+    let errors = matrix_errors(&parse(&page()), &cases());
 
-    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert!(errors.is_empty(), "{}", errors.join("\n"));
 }
 
 #[test]
@@ -146,23 +149,23 @@
     let mut cases = cases();
     cases.insert("read/brand_new".into());
 
-    let wrong = faults_of(&parse(&page()), &cases);
+    let errors = matrix_errors(&parse(&page()), &cases);
 
-    assert_eq!(wrong.len(), 1, "{wrong:?}");
-    assert!(wrong[0].contains("lacks `read/brand_new`"));
+    assert_eq!(errors.len(), 1, "{errors:?}");
+    assert!(errors[0].contains("lacks `read/brand_new`"));
 }
 
 #[test]
 fn missing_case_test_line_and_reason_are_seen() {
-    let good = parse(&page());
+    let valid = parse(&page());
     let key = ("Store down".to_owned(), "read".to_owned());
     for cell in ["`read/nonsense`", "`core::search::nonsense`", "none: no", ""] {
-        let mut matrix = good.clone();
+        let mut matrix = valid.clone();
         matrix.insert(key.clone(), cell.into());
-        assert!(!faults_of(&matrix, &cases()).is_empty(), "{cell}");
+        assert!(!matrix_errors(&matrix, &cases()).is_empty(), "{cell}");
     }
-    let mut matrix = good;
+    let mut matrix = valid;
     matrix.remove(&key);
 
-    assert!(!faults_of(&matrix, &cases()).is_empty());
+    assert!(!matrix_errors(&matrix, &cases()).is_empty());
 }
--- a/crates/core/tests/meters/mod.rs
+++ b/crates/core/tests/meters/mod.rs
@@ -1,4 +1,5 @@
-//! A small fake fleet of rate meters: lossy, slow links, pauses, deaths, members that change.
+//! Simulated fleet of rate meters with slow and lossy links, paused and dead hosts and changes of
+//! membership.
 #![allow(dead_code, reason = "not every test uses all of it")]
 
 use bergamotvale_core::config::Account;
@@ -13,9 +14,13 @@
 use std::time::Duration;
 
 pub(crate) const ACCOUNT: u32 = 7;
+/// Time after which a grown share may be used: the validity of authority plus its margin.
 pub(crate) const SETTLE: Duration = Duration::from_millis(1600);
+/// Validity of a host's authority: each host adopts a change of the members within this time.
 pub(crate) const AUTHORITY_VALIDITY: Duration = Duration::from_millis(1500);
 pub(crate) const STEP: Duration = Duration::from_millis(1);
+/// Delay of a message that the link loses, and time after which a borrower notices that an answer
+/// is lost.
 pub(crate) const LOSS_DELAY: Duration = Duration::from_millis(200);
 
 pub(crate) struct Fleet {
@@ -31,11 +36,12 @@
     pub(crate) random: SmallRng,
     pub(crate) loss: f64,
     pub(crate) delay: Duration,
-    /// Lenders whose answers are lost after they took effect.
+    /// Lenders whose answers are lost after the loan took effect.
     pub(crate) lossy_lenders: BTreeSet<HostId>,
-    /// Time after which a borrower gives an ask up, if it does; the ask travels on.
+    /// Time after which a borrower abandons a loan request, which still reaches its lender; `None`
+    /// if borrowers wait for every answer.
     pub(crate) loan_timeout: Option<Duration>,
-    /// Hosts among which the rate is divided, at most.
+    /// Maximum number of hosts among which the rate is divided.
     pub(crate) max_holders: usize,
 }
 
@@ -79,7 +85,7 @@
     }
 
     pub(crate) fn host(&mut self, id: HostId) -> &mut Host {
-        self.hosts.get_mut(&id).expect("known host")
+        self.hosts.get_mut(&id).expect("the host is part of the fleet")
     }
 
     pub(crate) fn apply_members(&mut self, now: Time) {
@@ -93,17 +99,18 @@
         let holders = rate::holders(ACCOUNT, burst, &self.members, self.max_holders);
         let (rate, burst) =
             rate::rate_share(ACCOUNT, (rate, burst), &self.members, id, self.max_holders);
-        let whole = (rate::meter::micro(self.account.rate), rate::meter::micro(self.account.burst));
+        let whole_rate =
+            (rate::meter::micro(self.account.rate), rate::meter::micro(self.account.burst));
         let peers = self.members.iter().copied().filter(|peer| *peer != id).collect();
         let host = self.host(id);
-        let (rate, burst) = if host.has_whole_rate { whole } else { (rate, burst) };
+        let (rate, burst) = if host.has_whole_rate { whole_rate } else { (rate, burst) };
         host.meter.set_peers(peers);
         host.meter.set_share(ACCOUNT, rate, burst, now);
         host.meter.set_holders(ACCOUNT, holders);
     }
 
-    /// Puts a new run of a host in, which had its part in the run before and begins with `opening`
-    /// tokens.
+    /// Replaces a host by a new incarnation, which has the same share and starts with
+    /// `opening` tokens.
     pub(crate) fn restart(&mut self, id: HostId, opening: u32, now: Time) {
         let total = (self.account.rate, self.account.burst);
         let (rate, burst) = rate::rate_share(ACCOUNT, total, &self.members, id, self.max_holders);
@@ -115,14 +122,14 @@
 
     pub(crate) fn offer(&mut self, id: HostId, now: Time) {
         self.offered += 1;
-        let within_rate = self.ideal.level(now) >= 1.0;
+        let is_within_rate = self.ideal.level(now) >= 1.0;
         let host = self.host(id);
         match host.meter.request(ACCOUNT, now) {
             Decision::Admit => self.admit(now),
-            Decision::Wait(until) => host.waiting.push(until),
+            Decision::Wait(deadline) => host.waiting.push(deadline),
             Decision::Refuse(_) => {
                 self.refused += 1;
-                self.wrongly_refused += u32::from(within_rate);
+                self.wrongly_refused += u32::from(is_within_rate);
             }
         }
         self.send_loan_requests(id, now);
@@ -159,7 +166,7 @@
         }
     }
 
-    /// Borrowers that run give up what they asked for too long ago.
+    /// Makes borrowers that aren't paused abandon the loan requests that exceed the timeout.
     fn expire_calls(&mut self, now: Time) {
         let Some(timeout) = self.loan_timeout else { return };
         let mut calls = std::mem::take(&mut self.calls);
@@ -196,7 +203,7 @@
         }
     }
 
-    /// The peer is gone: the borrower hears nothing and counts zero.
+    /// Records a loan of zero tokens at the borrower of a call to a host that no longer exists.
     pub(crate) fn fail_call(&mut self, call: &Call, now: Time) {
         if self.hosts.contains_key(&call.borrower) {
             self.receive(call, 0, now);
@@ -222,11 +229,11 @@
     }
 
     pub(crate) fn retry_waiting(&mut self, id: HostId, now: Time) {
-        for until in std::mem::take(&mut self.host(id).waiting) {
+        for deadline in std::mem::take(&mut self.host(id).waiting) {
             let host = self.host(id);
-            match host.meter.retry(ACCOUNT, until, now) {
+            match host.meter.retry(ACCOUNT, deadline, now) {
                 Decision::Admit => self.admit(now),
-                Decision::Wait(until) => host.waiting.push(until),
+                Decision::Wait(deadline) => host.waiting.push(deadline),
                 Decision::Refuse(_) => {
                     self.refused += 1;
                     self.wrongly_refused += u32::from(self.ideal.level(now) >= 1.0);
@@ -238,7 +245,7 @@
         }
     }
 
-    /// Offers `per_second` requests to hosts that `pick` names.
+    /// Offers `per_second` requests on average, each to the host that `pick` returns.
     pub(crate) fn drive(
         &mut self,
         from: Time,
--- a/crates/core/tests/plan_step.rs
+++ b/crates/core/tests/plan_step.rs
@@ -1,4 +1,4 @@
-//! Cases of plan steps: races, lost answers, failed runners and stale versions.
+//! Cases of plan steps: concurrent runners, lost answers, failed runners and stale versions.
 
 mod fleet;
 mod plan;
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -1,8 +1,9 @@
-//! The sequence of a seed is the same in every build.
+//! Guards against a change of the pseudo-random sequence of a seed, which would make recorded seeds
+//! reproduce nothing.
 
 use bergamotvale_core::random::Source;
 
-/// Reference values of SplitMix64 for the seed 0.
+/// Reference output of SplitMix64 for seed 0.
 const REFERENCE: [u64; 3] = [0xe220_a839_7b1d_cdaf, 0x6e78_9e6a_a1b9_65f4, 0x06c4_5d18_8009_454f];
 
 #[test]
--- a/crates/core/tests/search.rs
+++ b/crates/core/tests/search.rs
@@ -1,5 +1,8 @@
-//! Seeded search over writes against a small model of a group that loses answers, connections and
-//! primaries.
+//! Seeded random search over single writes against a model of a database group that loses answers,
+//! connections and primaries.
+//!
+//! Guards against writes that are acknowledged and lost, run twice, or refused as not run although
+//! they ran. Deliberate defects show that each check can fail.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -20,35 +23,36 @@
 const SEEDS: u64 = 20_000;
 const DEADLINE: Duration = Duration::from_secs(2);
 
-/// A way in which the model or its driver breaks the rules on purpose.
+/// A deliberate defect of the model or its driver.
 #[derive(Clone, Copy, PartialEq)]
 enum Defect {
     None,
-    /// The group says that everything is confirmed.
+    /// The group confirms every position at once.
     FalseConfirmation,
-    /// The database lets two rows with one idempotency key in.
+    /// The database accepts two rows with the same idempotency key.
     NoUniqueKey,
-    /// The driver forgets to say that COMMIT was sent.
-    CommitUnsaid,
+    /// The driver doesn't record that COMMIT was sent.
+    CommitUnrecorded,
 }
 
-/// An entry of the log: whether the write under test made it.
+/// A log entry; `is_ours` if the write under test created it.
 #[derive(Clone, Copy)]
 struct Entry {
     position: Position,
     is_ours: bool,
 }
 
-/// The log of the present primary, and that of one that was superseded and does not know.
+/// A group: the log of the current primary, and in `fork` the term and log of a superseded primary
+/// that has not noticed it yet.
 struct Group {
     rng: StdRng,
     defect: Defect,
     term: u64,
     log: Vec<Entry>,
-    confirmed: usize,
+    confirmed_count: usize,
     fork: Option<(u64, Vec<Entry>)>,
     is_on_fork: bool,
-    is_open: bool,
+    is_leased: bool,
 }
 
 impl Group {
@@ -59,10 +63,10 @@
             defect,
             term: 1,
             log: vec![first],
-            confirmed: 1,
+            confirmed_count: 1,
             fork: None,
             is_on_fork: false,
-            is_open: false,
+            is_leased: false,
         }
     }
 
@@ -70,15 +74,15 @@
         self.rng.random_range(0..100) < percent
     }
 
-    /// Promotes: everything confirmed survives, and of the rest a part.
+    /// Promotes another target, which has all confirmed entries and a random prefix of the rest.
     fn promote(&mut self) {
-        let kept = self.rng.random_range(self.confirmed..=self.log.len());
+        let kept = self.rng.random_range(self.confirmed_count..=self.log.len());
         self.fork = Some((self.term, self.log.clone()));
         self.log.truncate(kept);
         self.term += 1;
         self.append(false);
-        self.confirmed = self.log.len();
-        self.is_on_fork = self.is_open;
+        self.confirmed_count = self.log.len();
+        self.is_on_fork = self.is_leased;
     }
 
     fn append(&mut self, is_ours: bool) -> Position {
@@ -87,8 +91,8 @@
         position
     }
 
-    /// The log behind the leased connection, with its term.
-    fn leased(&mut self) -> (u64, &mut Vec<Entry>) {
+    /// Returns the term and log of the primary behind the leased connection.
+    fn leased_log(&mut self) -> (u64, &mut Vec<Entry>) {
         match &mut self.fork {
             Some((term, log)) if self.is_on_fork => (*term, log),
             _ => (self.term, &mut self.log),
@@ -100,16 +104,16 @@
             return Event::NoConnection(Reason::NoPrimary);
         }
         self.is_on_fork = self.fork.is_some() && self.chance(20);
-        self.is_open = true;
+        self.is_leased = true;
         Event::Leased
     }
 
     fn execute(&mut self, keyed: bool) -> Event {
         if self.chance(20) {
-            return self.fail();
+            return self.fail_statement();
         }
         let unique = keyed && self.defect != Defect::NoUniqueKey;
-        if unique && self.leased().1.iter().any(|entry| entry.is_ours) {
+        if unique && self.leased_log().1.iter().any(|entry| entry.is_ours) {
             return Event::Conflict;
         }
         Event::Executed
@@ -117,17 +121,17 @@
 
     fn commit(&mut self) -> Event {
         if self.chance(15) {
-            return self.fail();
+            return self.fail_statement();
         }
         if self.is_on_fork && self.chance(50) {
             return Event::Failed(Failure::Superseded, "BV001".into());
         }
-        let (term, log) = self.leased();
+        let (term, log) = self.leased_log();
         let position = Position::new(term, log.len() as u64 + 1);
         log.push(Entry { position, is_ours: true });
-        self.is_open = false;
+        self.is_leased = false;
         match self.chance(30) {
-            true => self.lose(),
+            true => self.lose_answer(),
             false => Event::Committed(Some(position)),
         }
     }
@@ -137,41 +141,41 @@
             return Event::Confirmed(position);
         }
         if self.chance(20) {
-            return self.lose();
+            return self.lose_answer();
         }
         if position.term < self.term {
             return Event::Failed(Failure::Superseded, "BV001".into());
         }
-        self.confirmed = self.rng.random_range(self.confirmed..=self.log.len());
-        Event::Confirmed(self.log[self.confirmed - 1].position)
+        self.confirmed_count = self.rng.random_range(self.confirmed_count..=self.log.len());
+        Event::Confirmed(self.log[self.confirmed_count - 1].position)
     }
 
     fn look_up(&mut self) -> Event {
         if self.chance(20) {
-            return self.lose();
+            return self.lose_answer();
         }
-        let (_, log) = self.leased();
+        let (_, log) = self.leased_log();
         let row = Row { digest: "digest".into(), outcome: "first".into() };
         let found = log.iter().any(|entry| entry.is_ours).then_some(row);
         let last = log[log.len() - 1].position;
         Event::Found(found, last)
     }
 
-    fn fail(&mut self) -> Event {
+    fn fail_statement(&mut self) -> Event {
         let codes = ["BV002", "25006", "58030", "23514", "53300"];
         let code = codes[self.rng.random_range(0..codes.len())];
         match self.chance(50) {
-            true => self.lose(),
+            true => self.lose_answer(),
             false => Event::Failed(Failure::new(code), code.into()),
         }
     }
 
-    fn lose(&mut self) -> Event {
-        self.is_open = false;
+    fn lose_answer(&mut self) -> Event {
+        self.is_leased = false;
         if self.chance(50) { Event::ConnectionLost } else { Event::TimedOut }
     }
 
-    fn event(&mut self, action: &Action, keyed: bool) -> Option<Event> {
+    fn respond(&mut self, action: &Action, keyed: bool) -> Option<Event> {
         if self.chance(10) {
             self.promote();
         }
@@ -201,9 +205,9 @@
     let mut now = Duration::ZERO;
     let mut action = write.start(Duration::ZERO, now);
     let mut trace = vec![Step::Action(action.clone())];
-    while let Some(event) = group.event(&action, keyed) {
-        let unsaid = defect == Defect::CommitUnsaid && action == Action::Commit;
-        if matches!(action, Action::Execute | Action::Commit) && !unsaid {
+    while let Some(event) = group.respond(&action, keyed) {
+        let is_unrecorded = defect == Defect::CommitUnrecorded && action == Action::Commit;
+        if matches!(action, Action::Execute | Action::Commit) && !is_unrecorded {
             write.record_sent();
             trace.push(Step::Sent);
         }
@@ -213,10 +217,10 @@
         trace.push(Step::Action(action.clone()));
     }
     group.promote();
-    judge(&group, &action, &trace, keyed).map_err(|fault| format!("seed {seed}: {fault}"))
+    verify(&group, &action, &trace, keyed).map_err(|violation| format!("seed {seed}: {violation}"))
 }
 
-fn judge(group: &Group, last: &Action, trace: &[Step], keyed: bool) -> Result<(), String> {
+fn verify(group: &Group, last: &Action, trace: &[Step], keyed: bool) -> Result<(), String> {
     let runs = group.log.iter().filter(|entry| entry.is_ours).count();
     if runs > 1 {
         return Err(format!("ran {runs} times"));
@@ -233,29 +237,29 @@
     if keyed { Ok(()) } else { verify_unkeyed_sent_once(trace) }
 }
 
-fn first_fault(defect: Defect) -> Option<String> {
+fn first_violation(defect: Defect) -> Option<String> {
     (0..SEEDS).find_map(|seed| run(seed, defect).err())
 }
 
 #[test]
 fn no_seed_breaks_an_invariant() {
-    assert_eq!(first_fault(Defect::None), None);
+    assert_eq!(first_violation(Defect::None), None);
 }
 
 #[test]
 fn false_confirmation_is_seen() {
-    let fault = first_fault(Defect::FalseConfirmation).expect("a fault");
-    assert!(fault.contains("acknowledged and lost"), "{fault}");
+    let violation = first_violation(Defect::FalseConfirmation).expect("the defect is found");
+    assert!(violation.contains("acknowledged and lost"), "{violation}");
 }
 
 #[test]
 fn missing_unique_key_is_seen() {
-    let fault = first_fault(Defect::NoUniqueKey).expect("a fault");
-    assert!(fault.contains("ran 2 times"), "{fault}");
+    let violation = first_violation(Defect::NoUniqueKey).expect("the defect is found");
+    assert!(violation.contains("ran 2 times"), "{violation}");
 }
 
 #[test]
 fn unsaid_commit_is_seen() {
-    let fault = first_fault(Defect::CommitUnsaid).expect("a fault");
-    assert!(fault.contains("not run"), "{fault}");
+    let violation = first_violation(Defect::CommitUnrecorded).expect("the defect is found");
+    assert!(violation.contains("not run"), "{violation}");
 }
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -1,4 +1,4 @@
-//! A graceful stop under every fault.
+//! Cases of a graceful stop of a host under each fault.
 
 mod fleet;
 
--- a/crates/core/tests/world/fault.rs
+++ b/crates/core/tests/world/fault.rs
@@ -1,4 +1,4 @@
-//! The faults of a run: two or three, each with a beginning and an end.
+//! Faults of a run: two or three, each with a start and an end.
 
 use super::{HOSTS, Scene, TARGETS};
 use bergamotvale_core::id::{HostId, TargetId, Time};
@@ -6,32 +6,32 @@
 use std::fmt;
 use std::time::Duration;
 
-/// Faults begin within this time.
-const BEGIN_WITHIN: Duration = Duration::from_millis(3_500);
-/// Longest fault.
-const LONGEST: Duration = Duration::from_millis(2_500);
+/// Time within which all faults start.
+const MAX_START: Duration = Duration::from_millis(3_500);
+/// Upper bound of the duration of a fault.
+const MAX_DURATION: Duration = Duration::from_millis(2_500);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// A target is cut off from all hosts.
+    /// A target is partitioned from all hosts.
     IsolatedFromHosts(TargetId),
-    /// A target is cut off from the other targets.
+    /// A target is partitioned from the other targets.
     IsolatedFromTargets(TargetId),
-    /// A target is cut off from everything.
+    /// A target is partitioned from all hosts and targets.
     Isolated(TargetId),
-    /// One host does not reach one target.
+    /// The link between one host and one target is blocked.
     LinkBlocked(HostId, TargetId),
-    /// A replica receives nothing.
+    /// A target receives no part of the log.
     Lag(TargetId),
     /// A target is down.
     Killed(TargetId),
-    /// A target loses its data.
+    /// A target loses its data but not the terms that it granted.
     Rebuilt(TargetId),
-    /// Answers are lost after their effect.
+    /// Many answers are lost after their request took effect.
     AnswersLost,
-    /// A host starts anew.
+    /// A host dies and is replaced by a new incarnation.
     HostRestarted(HostId),
-    /// A host stands still.
+    /// A host makes no progress.
     HostPaused(HostId),
 }
 
@@ -55,14 +55,14 @@
     }
 }
 
-/// Two or three faults.
+/// Draws two or three faults.
 pub fn schedule(random: &mut Source) -> Vec<Fault> {
     let count = 2 + random.below(2);
-    (0..count).map(|_| draw(random)).collect()
+    (0..count).map(|_| draw_fault(random)).collect()
 }
 
-fn draw(random: &mut Source) -> Fault {
-    // The primary is struck more often than each replica.
+fn draw_fault(random: &mut Source) -> Fault {
+    // Target 0, the first primary, is hit more often than each replica.
     let target = if random.chance(500) { 0 } else { random.below(TARGETS.into()) as TargetId };
     let host = random.below(HOSTS.into()) as HostId;
     let kind = match random.below(10) {
@@ -77,12 +77,12 @@
         8 => Kind::HostRestarted(host),
         _ => Kind::HostPaused(host),
     };
-    let from = random.time_below(BEGIN_WITHIN);
-    let until = from + random.time_below(LONGEST);
+    let from = random.time_below(MAX_START);
+    let until = from + random.time_below(MAX_DURATION);
     Fault { kind, from, until, started: false }
 }
 
-/// Faults that begin now.
+/// Marks the faults that are due as started and returns them.
 pub fn take_due(scene: &mut Scene) -> Vec<Fault> {
     let now = scene.now;
     let due = scene.faults.iter_mut().filter(|fault| !fault.started && fault.from <= now);
@@ -93,8 +93,8 @@
     .collect()
 }
 
-/// Targets that were killed and come back now.
-pub fn restarts(scene: &mut Scene) -> Vec<TargetId> {
+/// Returns the targets that are down and whose faults have ended.
+pub fn restartable_targets(scene: &mut Scene) -> Vec<TargetId> {
     let mut targets = Vec::new();
     for (id, target) in &scene.group.targets {
         let is_down = scene.is_active(|kind| *kind == Kind::Killed(*id));
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -1,4 +1,4 @@
-//! A world of sessions, hosts and one group under a schedule of faults.
+//! Simulation of sessions, hosts and one database group under a schedule of faults.
 #![allow(unreachable_pub, reason = "a module of one test")]
 
 mod fault;
@@ -23,26 +23,26 @@
 pub const HOSTS: HostId = 3;
 pub const TARGETS: TargetId = 3;
 const SESSIONS: u64 = 4;
-const RUN: Duration = Duration::from_secs(6);
+const DURATION: Duration = Duration::from_secs(6);
 const STEP: Duration = Duration::from_millis(10);
-/// Rounds of replication after which a healed group has caught up.
+/// Number of replication rounds after which a healed group has caught up.
 const HEALING_ROUNDS: u32 = 6;
 
-/// A deliberate defect, to show that the checks can fail.
+/// A deliberate defect, which shows that a check can fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Defect {
     None,
-    /// The group says that everything is confirmed.
+    /// The group confirms every position at once.
     FalseConfirmation,
-    /// Reads don't look at the session's token.
+    /// Reads ignore the session token.
     IgnoredToken,
-    /// The database lets two rows with one idempotency key in.
+    /// The database accepts two rows with the same idempotency key.
     NoUniqueKey,
-    /// The host forgets that it sent COMMIT.
-    CommitUnsaid,
+    /// The host doesn't record that it sent COMMIT.
+    CommitUnrecorded,
 }
 
-/// What runs did.
+/// Counts of what happened in one or more runs.
 #[derive(Debug, Default)]
 pub struct Tally {
     pub acknowledged: u64,
@@ -64,7 +64,7 @@
     }
 }
 
-/// A transaction that is open on a target, under the term in which it began.
+/// A transaction that is open on a target, with the term in which it began.
 #[derive(Debug, Clone, Copy)]
 pub struct OpenTransaction {
     pub attempt: u64,
@@ -72,7 +72,7 @@
     pub term: u64,
 }
 
-/// One run of a host.
+/// The present incarnation of a host.
 pub struct Host {
     pub budgets: Budgets,
     pub primary: Option<TargetId>,
@@ -80,7 +80,7 @@
     pub incarnation: u64,
 }
 
-/// What sessions and hosts see of the world.
+/// The part of the simulation that sessions and promoters act on.
 pub struct Scene {
     pub now: Time,
     pub random: Source,
@@ -88,7 +88,7 @@
     pub group: Group,
     pub hosts: BTreeMap<HostId, Host>,
     pub open: BTreeMap<TargetId, Vec<OpenTransaction>>,
-    /// COMMITs on their way whose host has given up.
+    /// COMMITs in flight whose host has stopped waiting for the answer.
     pub late_commits: Vec<(TargetId, OpenTransaction)>,
     pub faults: Vec<Fault>,
     pub tally: Tally,
@@ -106,7 +106,7 @@
 }
 
 impl Scene {
-    /// A number that was not used before.
+    /// Returns an unused id for a request or an attempt.
     pub fn next_id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
@@ -124,16 +124,16 @@
         self.faults.iter().any(|fault| fault.is_active(self.now) && wanted(&fault.kind))
     }
 
-    /// Whether `host` does not reach `target`.
+    /// Whether a fault blocks the link between `host` and `target`.
     pub fn is_blocked(&self, host: HostId, target: TargetId) -> bool {
         self.is_active(|kind| match kind {
-            Kind::IsolatedFromHosts(cut) | Kind::Isolated(cut) => *cut == target,
+            Kind::IsolatedFromHosts(id) | Kind::Isolated(id) => *id == target,
             Kind::LinkBlocked(h, t) => (*h, *t) == (host, target),
             _ => false,
         })
     }
 
-    /// Whether an answer is lost after its effect.
+    /// Draws whether an answer is lost after its request took effect.
     pub fn loses_answer(&mut self) -> bool {
         let chance = if self.is_active(|kind| *kind == Kind::AnswersLost) { 400 } else { 5 };
         self.random.chance(chance)
@@ -147,13 +147,14 @@
         self.entries(target).iter().any(|entry| entry.value == op)
     }
 
-    /// Ends the open transactions of a target, and COMMITs on their way to it.
+    /// Rolls back the open transactions of a target and drops the COMMITs in flight to it.
     pub fn close(&mut self, target: TargetId) {
         self.open.remove(&target);
         self.late_commits.retain(|(to, _)| *to != target);
     }
 
-    /// Commits an open transaction; none when it or its term is gone.
+    /// Commits an open transaction and returns its position; `None` if the transaction has ended or
+    /// the target no longer leads the term in which it began.
     pub fn commit(&mut self, target: TargetId, open: OpenTransaction) -> Option<Position> {
         let transactions = self.open.entry(target).or_default();
         let at = transactions.iter().position(|other| other.attempt == open.attempt)?;
@@ -191,29 +192,29 @@
         };
         let sessions = (0..SESSIONS).map(|_| Session::new()).collect();
         let promotions = Promotions::new(seed);
-        World { scene, sessions, promotions, messages: Vec::new(), end: RUN }
+        World { scene, sessions, promotions, messages: Vec::new(), end: DURATION }
     }
 
-    /// The same world, of whose faults only those at the places `kept` happen.
+    /// Keeps only the faults with the indices `kept`.
     pub fn with_faults(mut self, kept: &[usize]) -> World {
         let faults = std::mem::take(&mut self.scene.faults).into_iter().enumerate();
-        let left = faults.filter(|(index, _)| kept.contains(index));
-        self.scene.faults = left.map(|(_, fault)| fault).collect();
+        let remaining = faults.filter(|(index, _)| kept.contains(index));
+        self.scene.faults = remaining.map(|(_, fault)| fault).collect();
         self
     }
 
-    /// The same world, which ends at `end`.
+    /// Ends the run at `end`.
     pub fn with_end(mut self, end: Time) -> World {
         self.end = end;
         self
     }
 
-    /// Faults of the run.
+    /// Returns the number of scheduled faults.
     pub fn fault_count(&self) -> usize {
         self.scene.faults.len()
     }
 
-    /// When it ends.
+    /// Returns the time at which the run ends.
     pub fn end(&self) -> Time {
         self.end
     }
@@ -230,7 +231,7 @@
         tally
     }
 
-    /// Runs to the end; answers with the first invariant that broke.
+    /// Runs to the end, heals the group and returns the first violation.
     pub fn run(&mut self) -> Result<(), Violation> {
         while self.scene.now < self.end && self.scene.violation.is_none() {
             self.step();
@@ -246,19 +247,19 @@
         self.scene.now += self.scene.random.time_below(STEP);
         self.start_faults();
         match self.scene.random.below(100) {
-            0..=44 => self.advance(),
+            0..=44 => self.advance_session(),
             45..=59 => self.replicate(),
             60..=79 => self.deliver(),
             80..=84 => self.observe(),
-            85..=86 => self.late_commit(),
+            85..=86 => self.deliver_late_commit(),
             87 => self.roll_back_orphans(),
             _ => self.promotions.step(&mut self.scene),
         }
     }
 
-    fn advance(&mut self) {
-        let at = self.scene.random.below(SESSIONS) as usize;
-        self.sessions[at].advance(&mut self.scene);
+    fn advance_session(&mut self) {
+        let index = self.scene.random.below(SESSIONS) as usize;
+        self.sessions[index].advance(&mut self.scene);
     }
 
     fn replicate(&mut self) {
@@ -271,12 +272,12 @@
 
     fn are_partitioned(&self, one: TargetId, other: TargetId) -> bool {
         self.scene.is_active(|kind| match kind {
-            Kind::IsolatedFromTargets(cut) | Kind::Isolated(cut) => *cut == one || *cut == other,
+            Kind::IsolatedFromTargets(id) | Kind::Isolated(id) => *id == one || *id == other,
             _ => false,
         })
     }
 
-    /// Delivers a message of any age, unless it is lost.
+    /// Delivers a random message in flight, unless it is lost.
     fn deliver(&mut self) {
         if self.messages.is_empty() {
             return;
@@ -290,37 +291,37 @@
         }
     }
 
-    /// A host learns which primary of those that it reaches has the highest term.
+    /// Makes a host adopt the primary of the highest term among the targets that it reaches.
     fn observe(&mut self) {
         let id = self.scene.random_host();
         let reached = (0..TARGETS).filter(|target| !self.scene.is_blocked(id, *target));
         let targets = reached.map(|target| (target, &self.scene.group.targets[&target]));
         let primaries = targets.filter(|(_, target)| target.is_up && target.leading_term.is_some());
         let primary = primaries.max_by_key(|(_, target)| target.leading_term).map(|(id, _)| id);
-        let host = self.scene.hosts.get_mut(&id).expect("one of the hosts");
+        let host = self.scene.hosts.get_mut(&id).expect("known host");
         if host.paused_until <= self.scene.now && primary.is_some() {
             host.primary = primary;
         }
     }
 
-    /// A COMMIT arrives whose host has given up.
-    fn late_commit(&mut self) {
+    /// Executes a COMMIT whose host has stopped waiting for the answer.
+    fn deliver_late_commit(&mut self) {
         if let Some((target, open)) = self.scene.late_commits.pop() {
             self.scene.commit(target, open);
         }
     }
 
-    /// A target notices that a connection is gone and rolls its transaction back.
+    /// Makes a target roll back the transactions whose connections are closed.
     fn roll_back_orphans(&mut self) {
         let target = self.scene.random_target();
-        let used: BTreeSet<u64> = self.sessions.iter().filter_map(Session::attempt).collect();
+        let in_use: BTreeSet<u64> = self.sessions.iter().filter_map(Session::attempt).collect();
         let late_commits: BTreeSet<u64> =
             self.scene.late_commits.iter().map(|(_, open)| open.attempt).collect();
         let open = self.scene.open.entry(target).or_default();
-        open.retain(|open| used.contains(&open.attempt) || late_commits.contains(&open.attempt));
+        open.retain(|open| in_use.contains(&open.attempt) || late_commits.contains(&open.attempt));
     }
 
-    /// Begins the faults that are due and happen at once.
+    /// Starts the faults that are due and restarts the targets whose fault has ended.
     fn start_faults(&mut self) {
         for fault in fault::take_due(&mut self.scene) {
             match fault.kind {
@@ -331,13 +332,13 @@
                 Kind::Rebuilt(target) => self.rebuild(target),
                 Kind::HostRestarted(host) => self.restart_host(host),
                 Kind::HostPaused(host) => {
-                    let host = self.scene.hosts.get_mut(&host).expect("one of the hosts");
+                    let host = self.scene.hosts.get_mut(&host).expect("known host");
                     host.paused_until = fault.until;
                 }
                 _ => {}
             }
         }
-        for target in fault::restarts(&mut self.scene) {
+        for target in fault::restartable_targets(&mut self.scene) {
             self.scene.group.restart(target);
         }
     }
@@ -354,7 +355,7 @@
     }
 
     fn restart_host(&mut self, id: HostId) {
-        let host = self.scene.hosts.get_mut(&id).expect("one of the hosts");
+        let host = self.scene.hosts.get_mut(&id).expect("known host");
         host.incarnation += 1;
         host.budgets = Budgets::new();
         self.promotions.restart(id, host.incarnation);
@@ -363,14 +364,14 @@
         }
     }
 
-    /// Ends all faults, promotes, and lets the group catch up.
+    /// Ends all faults, promotes a target and lets the group catch up, so that one log survives.
     fn heal(&mut self) {
         self.scene.faults.clear();
         for session in &mut self.sessions {
             session.end(&mut self.scene);
         }
         while !self.scene.late_commits.is_empty() {
-            self.late_commit();
+            self.deliver_late_commit();
         }
         for target in 0..TARGETS {
             self.scene.group.restart(target);
--- a/crates/core/tests/world/promoter.rs
+++ b/crates/core/tests/world/promoter.rs
@@ -1,4 +1,4 @@
-//! The promoters of all hosts, with calls that are lost, late or cut.
+//! The promoters of all hosts, whose calls to targets may be lost, late or blocked.
 
 use super::{HOSTS, Scene, TARGETS};
 use bergamotvale_core::group::TermResponse;
@@ -8,14 +8,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Most rounds of the promotion at the end.
-const FINISH_ROUNDS: u32 = 10_000;
+/// Maximum number of rounds of the promotion at the end of a run.
+const MAX_FINISH_ROUNDS: u32 = 10_000;
 
 struct Call {
     host: HostId,
     incarnation: u64,
     action: Action,
-    /// What came back, once it did.
+    /// Outer `None` while the call is in flight, inner `None` if the call or its answer was lost.
     answer: Option<Option<TermResponse>>,
 }
 
@@ -37,7 +37,8 @@
         Promotions { seed, promoters: promoters.collect(), calls: Vec::new(), completed: 0 }
     }
 
-    /// A new run of a host knows nothing of the attempts of the one before.
+    /// Replaces the promoter of a host by one of a new incarnation, without state of earlier
+    /// attempts.
     pub fn restart(&mut self, host: HostId, incarnation: u64) {
         let seed = self.seed ^ u64::from(host) ^ (incarnation << 32);
         self.promoters.insert(host, (incarnation, promoter(host, seed)));
@@ -52,19 +53,20 @@
         }
     }
 
-    /// A host that sees no healthy primary deposes it; now and then one does so wrongly.
+    /// Makes a host replace its primary if it is unhealthy, and in 5% of the attempts also if it is
+    /// healthy.
     fn depose(&mut self, scene: &mut Scene) {
         let host = scene.random_host();
         let Some(primary) = scene.hosts[&host].primary else { return };
         let target = &scene.group.targets[&primary];
         let is_healthy =
             target.is_up && target.leading_term.is_some() && !scene.is_blocked(host, primary);
-        let (term, wrongly) = (target.accepted, scene.random.chance(50));
-        if is_healthy && !wrongly || scene.hosts[&host].paused_until > scene.now {
+        let (term, by_mistake) = (target.accepted, scene.random.chance(50));
+        if is_healthy && !by_mistake || scene.hosts[&host].paused_until > scene.now {
             return;
         }
         let deposed = Replacement { term, avoid: None, preferred: None };
-        let promoter = &mut self.promoters.get_mut(&host).expect("one of the hosts").1;
+        let promoter = &mut self.promoters.get_mut(&host).expect("known host").1;
         if promoter.is_idle() {
             promoter.replace_primary(scene.now, deposed, host);
         }
@@ -74,15 +76,15 @@
         let host = scene.random_host();
         if scene.hosts[&host].paused_until <= scene.now {
             let now = scene.now;
-            let actions = self.promoters.get_mut(&host).expect("one of the hosts").1.tick(now);
+            let actions = self.promoters.get_mut(&host).expect("known host").1.tick(now);
             self.enqueue(host, actions);
         }
     }
 
-    /// A call reaches its target, or is lost.
+    /// Delivers a call to its target, or loses it.
     fn deliver_call(&mut self, scene: &mut Scene) {
-        let waiting = |call: &Call| call.answer.is_none();
-        let Some(at) = pick(&mut scene.random, &self.calls, waiting) else { return };
+        let is_in_flight = |call: &Call| call.answer.is_none();
+        let Some(at) = pick_call(&mut scene.random, &self.calls, is_in_flight) else { return };
         let call = &self.calls[at];
         let (target, host) = (target_of(&call.action), call.host);
         if scene.is_blocked(host, target) || scene.random.chance(20) {
@@ -91,25 +93,25 @@
         }
         let answer = match call.action {
             Action::Fence { target, term, promoter } => scene.group.fence(target, term, promoter),
-            // A target that is being rebuilt does not become the primary.
+            // A target that is being rebuilt rejects a promotion.
             Action::Promote { target, .. } if !scene.group.targets[&target].voter => None,
             Action::Promote { target, term, promoter } => {
                 scene.group.promote(target, term, promoter)
             }
             Action::Done { .. } | Action::Failed { .. } => None,
         };
-        let lost = scene.loses_answer();
-        self.calls[at].answer = Some(answer.filter(|_| !lost));
+        let is_lost = scene.loses_answer();
+        self.calls[at].answer = Some(answer.filter(|_| !is_lost));
     }
 
-    /// A host hears the answer to one of its calls, or that none came.
+    /// Delivers the answer to a call, or its absence, to the host that made the call.
     fn deliver_response(&mut self, scene: &mut Scene) {
         let now = scene.now;
         let hosts = &scene.hosts;
         let ready = |call: &Call| call.answer.is_some() && hosts[&call.host].paused_until <= now;
-        let Some(at) = pick(&mut scene.random, &self.calls, ready) else { return };
+        let Some(at) = pick_call(&mut scene.random, &self.calls, ready) else { return };
         let Call { host, incarnation, action, answer } = self.calls.swap_remove(at);
-        let (current, promoter) = self.promoters.get_mut(&host).expect("one of the hosts");
+        let (current, promoter) = self.promoters.get_mut(&host).expect("known host");
         if *current != incarnation {
             return;
         }
@@ -135,21 +137,21 @@
         }
     }
 
-    /// Promotes once more, without faults, so that one log survives.
+    /// Promotes a target once more, without faults, so that one log survives.
     pub fn finish(&mut self, scene: &mut Scene) {
         self.calls.clear();
         for host in 0..HOSTS {
             let incarnation = self.promoters[&host].0 + 1;
             self.restart(host, incarnation);
-            scene.hosts.get_mut(&host).expect("one of the hosts").paused_until = Duration::ZERO;
+            scene.hosts.get_mut(&host).expect("known host").paused_until = Duration::ZERO;
         }
         let terms = scene.group.targets.values().map(|target| target.accepted);
         let term = terms.max().expect("a group has targets");
         let deposed = Replacement { term, avoid: None, preferred: None };
-        let promoter = &mut self.promoters.get_mut(&0).expect("one of the hosts").1;
+        let promoter = &mut self.promoters.get_mut(&0).expect("known host").1;
         promoter.replace_primary(scene.now, deposed, 0);
         let completed_before = self.completed;
-        for _ in 0..FINISH_ROUNDS {
+        for _ in 0..MAX_FINISH_ROUNDS {
             scene.now += Duration::from_millis(5);
             self.tick(scene);
             self.deliver_call(scene);
@@ -158,7 +160,7 @@
                 return;
             }
         }
-        panic!("a healed group can be promoted");
+        panic!("no promotion completed on a healed group");
     }
 }
 
@@ -169,7 +171,7 @@
     }
 }
 
-fn pick(random: &mut Source, calls: &[Call], wanted: impl Fn(&Call) -> bool) -> Option<usize> {
+fn pick_call(random: &mut Source, calls: &[Call], wanted: impl Fn(&Call) -> bool) -> Option<usize> {
     let indices: Vec<usize> = (0..calls.len()).filter(|at| wanted(&calls[*at])).collect();
     let chosen = random.below(indices.len() as u64) as usize;
     indices.get(chosen).copied()
--- a/crates/core/tests/world/request.rs
+++ b/crates/core/tests/world/request.rs
@@ -1,4 +1,5 @@
-//! One request on one host: the core's machine, and what the world answers to its actions.
+//! One request on one host: the state machine of the core, and the simulated result of each of its
+//! actions.
 
 use super::{Defect, OpenTransaction, Scene};
 use bergamotvale_core::group::Role;
@@ -19,7 +20,7 @@
 const ACCOUNT: u32 = 1;
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A request under way.
+/// A request in progress.
 pub struct Request {
     pub op: OpId,
     pub host: HostId,
@@ -28,9 +29,9 @@
     pub attempts_left: u32,
     pub keyed: bool,
     pub work: Work,
-    /// Whether what was read misses an acknowledged write of the session.
+    /// Whether the last read did not see an acknowledged write of the session.
     misses_write: bool,
-    /// What the host hears, and when.
+    /// Result of the last action, with the time at which the host receives it.
     pending_event: Option<(Time, HostEvent)>,
 }
 
@@ -44,7 +45,7 @@
     Read(read::Event),
 }
 
-/// How a request ended for its caller.
+/// Outcome of a request as its caller sees it.
 pub enum Outcome {
     Acknowledged(Option<Position>),
     Refused(Ran),
@@ -112,7 +113,7 @@
         None
     }
 
-    /// When the present action may be carried out.
+    /// Returns the time from which the pending action may be performed.
     fn action_due(&self) -> Time {
         match &self.work {
             Work::Write(_, write::Action::Lease(at, _) | write::Action::Confirm(_, at)) => *at,
@@ -123,7 +124,7 @@
 
     fn handle_event(&mut self, event: HostEvent, scene: &mut Scene) {
         let now = scene.now;
-        let budgets = &mut scene.hosts.get_mut(&self.host).expect("one of the hosts").budgets;
+        let budgets = &mut scene.hosts.get_mut(&self.host).expect("known host").budgets;
         match (&mut self.work, event) {
             (Work::Write(write, action), HostEvent::Write(event)) => {
                 *action = write.on(event, budgets, now);
@@ -131,7 +132,7 @@
             (Work::Read(read, action), HostEvent::Read(event)) => {
                 *action = read.on(event, budgets, now);
             }
-            _ => unreachable!("each kind hears its own events"),
+            _ => unreachable!("an event of the other kind of request"),
         }
     }
 
@@ -156,12 +157,12 @@
         }
     }
 
-    /// Carries the present action out; what the host hears of it may be late.
+    /// Performs the pending action and schedules its result, which may arrive late.
     fn perform(&mut self, scene: &mut Scene, acknowledged: &BTreeSet<OpId>) {
         let event = match &self.work {
             Work::Read(read, action) => {
-                let (until, action) = (read.first_response_deadline(scene.now), action.clone());
-                let (at, event) = self.perform_read(&action, until, scene);
+                let (deadline, action) = (read.first_response_deadline(scene.now), action.clone());
+                let (at, event) = self.perform_read(&action, deadline, scene);
                 self.misses_write = acknowledged.iter().any(|op| !scene.has(self.target, *op));
                 (at, HostEvent::Read(event))
             }
@@ -177,22 +178,22 @@
     fn perform_read(
         &mut self,
         action: &read::Action,
-        until: Time,
+        deadline: Time,
         scene: &mut Scene,
     ) -> (Time, read::Event) {
         match action {
             read::Action::Attempt(target, _) => {
                 self.target = *target;
-                self.attempt_read(*target, until, scene)
+                self.attempt_read(*target, deadline, scene)
             }
             _ => (scene.now, read::Event::Candidates(shuffled(scene))),
         }
     }
 
-    fn attempt_read(&self, id: TargetId, until: Time, scene: &mut Scene) -> (Time, read::Event) {
+    fn attempt_read(&self, id: TargetId, deadline: Time, scene: &mut Scene) -> (Time, read::Event) {
         let now = scene.now;
         if scene.is_blocked(self.host, id) || scene.loses_answer() {
-            return (until, read::Event::TimedOut);
+            return (deadline, read::Event::TimedOut);
         }
         let target = &scene.group.targets[&id];
         if !target.is_up {
@@ -217,12 +218,12 @@
     fn write_mut(&mut self) -> &mut Write {
         match &mut self.work {
             Work::Write(write, _) => write,
-            Work::Read(..) => unreachable!("a write"),
+            Work::Read(..) => unreachable!("reads have no write state machine"),
         }
     }
 
     fn lease(&mut self, scene: &mut Scene) -> write::Event {
-        // Each lease is a new connection, and so a transaction of its own.
+        // Each lease is a new connection and hence a new transaction.
         self.attempt = scene.next_id();
         let Some(target) = scene.hosts[&self.host].primary else {
             return write::Event::NoConnection(Reason::NoPrimary);
@@ -268,7 +269,7 @@
     fn commit(&mut self, scene: &mut Scene) -> (Time, write::Event) {
         let now = scene.now;
         let deadline = self.write_mut().exchange_deadline(now);
-        if scene.defect != Defect::CommitUnsaid {
+        if scene.defect != Defect::CommitUnrecorded {
             self.write_mut().record_sent();
         }
         let open = scene.open.entry(self.target).or_default();
@@ -287,15 +288,15 @@
         if scene.loses_answer() { (deadline, write::Event::TimedOut) } else { (now, event) }
     }
 
-    /// Asks the primary that the host knows now.
+    /// Queries the present primary of the host, which may not be the one that committed.
     fn confirm(&mut self, position: Position, scene: &mut Scene) -> (Time, write::Event) {
         let now = scene.now;
         let deadline = self.write_mut().exchange_deadline(now);
-        let asked = scene.hosts[&self.host].primary.unwrap_or(self.target);
-        if scene.is_blocked(self.host, asked) || scene.loses_answer() {
+        let queried = scene.hosts[&self.host].primary.unwrap_or(self.target);
+        if scene.is_blocked(self.host, queried) || scene.loses_answer() {
             return (deadline, write::Event::TimedOut);
         }
-        let target = &scene.group.targets[&asked];
+        let target = &scene.group.targets[&queried];
         let event = match target.leading_term {
             _ if !target.is_up => write::Event::ConnectionLost,
             _ if scene.defect == Defect::FalseConfirmation => write::Event::Confirmed(position),
--- a/crates/core/tests/world/session.rs
+++ b/crates/core/tests/world/session.rs
@@ -1,4 +1,5 @@
-//! A caller's session: writes, repeats and reads through any host, one request at a time.
+//! Session of a caller: writes, retries of keyed writes and reads through any host, one request at
+//! a time.
 
 use super::Scene;
 use super::request::{Outcome, Request, Work};
@@ -9,14 +10,14 @@
 use bergamotvale_core::refusal::Ran;
 use std::collections::BTreeSet;
 
-/// Requests that a caller makes for one keyed write.
-const ATTEMPTS: u32 = 3;
+/// Maximum number of requests that a caller makes for one keyed write.
+const MAX_ATTEMPTS: u32 = 3;
 
 pub struct Session {
     token: Option<Position>,
     acknowledged: BTreeSet<OpId>,
     request: Option<Request>,
-    /// A keyed write to be asked again, and the attempts left.
+    /// Keyed write to retry, with the number of attempts left.
     retry: Option<(OpId, u32)>,
 }
 
@@ -25,7 +26,7 @@
         Session { token: None, acknowledged: BTreeSet::new(), request: None, retry: None }
     }
 
-    /// The attempt whose connection is in use.
+    /// Returns the attempt whose connection is in use.
     pub fn attempt(&self) -> Option<u64> {
         self.request.as_ref().map(|request| request.attempt)
     }
@@ -44,7 +45,8 @@
         self.request = Some(request);
     }
 
-    /// The host of the request under way is gone: its caller knows nothing.
+    /// Ends the request in progress if it is on `host`, which died; the outcome of a write is
+    /// unknown to its caller.
     pub fn abort_on_host(&mut self, host: HostId, scene: &mut Scene) {
         if let Some(request) = self.request.take_if(|request| request.host == host)
             && matches!(request.work, Work::Write(..))
@@ -53,7 +55,8 @@
         }
     }
 
-    /// The run is over: the caller of the request under way learns nothing.
+    /// Ends the request in progress at the end of the run; the outcome of a write is unknown to its
+    /// caller.
     pub fn end(&mut self, scene: &mut Scene) {
         if let Some(request) = self.request.take()
             && matches!(request.work, Work::Write(..))
@@ -69,7 +72,7 @@
         }
         let op = scene.next_id();
         match scene.random.below(4) {
-            0 | 1 => Request::write(op, host, true, ATTEMPTS, scene),
+            0 | 1 => Request::write(op, host, true, MAX_ATTEMPTS, scene),
             2 => Request::write(op, host, false, 1, scene),
             _ => Request::read(op, host, self.token, scene),
         }
@@ -102,7 +105,8 @@
             Verdict::NotRun => scene.tally.not_run += 1,
             _ => scene.tally.unknown += 1,
         }
-        // "Not run" speaks of one attempt: the write is not run only if all of them are.
+        // A refusal as not run covers one attempt: the write did not run only if all attempts are
+        // refused so.
         let known = scene.writes.entry(request.op).or_insert(None);
         *known = match *known {
             None => Some(verdict),
