--- a/crates/core/tests/common/write.rs
+++ b/crates/core/tests/common/write.rs
@@ -60,16 +60,14 @@
 
 /// Checks that a write without an idempotency key is not sent again after its answer was lost.
 pub(crate) fn verify_unkeyed_sent_once(trace: &[Step]) -> Result<(), String> {
-    let mut is_sent = false;
-    let mut is_lost = false;
+    let mut sent = false;
+    let mut lost = false;
     for step in trace {
         match step {
-            Step::Sent => is_sent = true,
-            Step::Event(Event::ConnectionLost | Event::TimedOut) => is_lost |= is_sent,
-            Step::Event(Event::Failed(..)) if !is_lost => is_sent = false,
-            Step::Action(Action::Execute) if is_lost => {
-                return Err("write sent again".into());
-            }
+            Step::Sent => sent = true,
+            Step::Event(Event::ConnectionLost | Event::TimedOut) => lost |= sent,
+            Step::Event(Event::Failed(..)) if !lost => sent = false,
+            Step::Action(Action::Execute) if lost => return Err("sent again".into()),
             _ => {}
         }
     }
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -46,7 +46,7 @@
     Heartbeat { sent: Time, heartbeat: Heartbeat },
     HeartbeatAnswer { sent: Time, heartbeat: Heartbeat },
     Announce { attempt: u64, epoch: Epoch },
-    AnnounceAnswer { attempt: u64, above: bool, epoch: Epoch },
+    AnnounceAnswer { attempt: u64, acknowledged: bool, epoch: Epoch },
     Push(Update),
     Fetch { epoch: Epoch, version: u64 },
     Read { attempt: Option<u64>, sent: Time },
@@ -201,8 +201,8 @@
             if node.paused {
                 continue;
             }
-            let sends = node.tick(now);
-            self.send_all(host, sends, None);
+            let outgoing = node.tick(now);
+            self.send_all(host, outgoing, None);
         }
         checker::check(self);
     }
@@ -212,11 +212,11 @@
     fn send_all(
         &mut self,
         from: HostId,
-        sends: Vec<(Option<HostId>, Message)>,
+        outgoing: Vec<(Option<HostId>, Message)>,
         requester: Option<(HostId, Incarnation)>,
     ) {
         let own = self.nodes[&from].member.incarnation;
-        for (to, message) in sends {
+        for (to, message) in outgoing {
             let delay = if to.is_none() { self.store.delay } else { STEP };
             let is_answer =
                 matches!(message, Message::HeartbeatAnswer { .. } | Message::AnnounceAnswer { .. });
@@ -265,8 +265,8 @@
             node.deferred.push(envelope);
             return;
         }
-        let sends = node.receive(now, envelope.from.map(|(host, _)| host), envelope.message);
-        self.send_all(to, sends, envelope.from);
+        let outgoing = node.receive(now, envelope.from.map(|(host, _)| host), envelope.message);
+        self.send_all(to, outgoing, envelope.from);
     }
 
     fn handle_store_request(&mut self, envelope: Envelope) {
--- a/crates/core/tests/fleet/node.rs
+++ b/crates/core/tests/fleet/node.rs
@@ -14,7 +14,7 @@
 
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(200);
 
-type Sends = Vec<(Option<HostId>, Message)>;
+type Outgoing = Vec<(Option<HostId>, Message)>;
 
 pub(crate) struct Attempt {
     pub(crate) number: u64,
@@ -106,35 +106,40 @@
         self.view.record_probe_failure(host, Failure::Refused);
     }
 
-    pub(crate) fn tick(&mut self, now: Time) -> Sends {
-        let mut sends = Sends::new();
+    pub(crate) fn tick(&mut self, now: Time) -> Outgoing {
+        let mut outgoing = Outgoing::new();
         if self.stopped {
-            return sends;
+            return outgoing;
         }
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + HEARTBEAT_PERIOD;
             let heartbeat = self.heartbeat(now);
             let message = Message::Heartbeat { sent: now, heartbeat };
-            sends.extend(self.view.probes().iter().map(|m| (Some(m.host), message.clone())));
+            outgoing.extend(self.view.probes().iter().map(|m| (Some(m.host), message.clone())));
         }
         if now >= self.next_poll {
             self.next_poll = now + store::POLL_INTERVAL;
-            sends.push((None, Message::Read { attempt: None, sent: now }));
+            outgoing.push((None, Message::Read { attempt: None, sent: now }));
         }
         self.stopped = self.member.leaving && !self.holder.is_recorded();
         self.begin_attempt(now);
-        sends.extend(self.fire_timer(now));
-        sends
+        outgoing.extend(self.fire_timer(now));
+        outgoing
     }
 
-    pub(crate) fn receive(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
+    pub(crate) fn receive(
+        &mut self,
+        now: Time,
+        from: Option<HostId>,
+        message: Message,
+    ) -> Outgoing {
         match message {
             Message::Heartbeat { sent, heartbeat } => {
                 self.view.record_heartbeat(now, &heartbeat);
                 let answer = Message::HeartbeatAnswer { sent, heartbeat: self.heartbeat(now) };
-                let mut sends = vec![(from, answer)];
-                sends.extend(self.catch_up(from, &heartbeat));
-                sends
+                let mut outgoing = vec![(from, answer)];
+                outgoing.extend(self.catch_up(from, &heartbeat));
+                outgoing
             }
             Message::HeartbeatAnswer { sent, heartbeat } => {
                 self.view.record_heartbeat(now, &heartbeat);
@@ -150,8 +155,11 @@
                 self.catch_up(from, &heartbeat)
             }
             Message::Announce { attempt, epoch } => {
-                let above = self.holder.record_announcement(now, epoch);
-                vec![(from, Message::AnnounceAnswer { attempt, above, epoch: self.holder.epoch() })]
+                let acknowledged = self.holder.record_announcement(now, epoch);
+                vec![(
+                    from,
+                    Message::AnnounceAnswer { attempt, acknowledged, epoch: self.holder.epoch() },
+                )]
             }
             Message::Push(update) => self.adopt(now, update.origin, update.row, update.body),
             Message::Fetch { epoch, version } => {
@@ -167,17 +175,17 @@
         self.defects.contains(&defect)
     }
 
-    fn catch_up(&self, from: Option<HostId>, heartbeat: &Heartbeat) -> Sends {
+    fn catch_up(&self, from: Option<HostId>, heartbeat: &Heartbeat) -> Outgoing {
         let (epoch, version) = (self.holder.epoch(), self.replica.row().version);
         if heartbeat.epoch <= epoch {
-            return Sends::new();
+            return Outgoing::new();
         }
         vec![(from, Message::Fetch { epoch, version })]
     }
 
-    fn record_poll(&mut self, now: Time, sent: Time, found: Option<(Row, Document)>) -> Sends {
+    fn record_poll(&mut self, now: Time, sent: Time, found: Option<(Row, Document)>) -> Outgoing {
         let Some((row, document)) = found else {
-            return Sends::new();
+            return Outgoing::new();
         };
         self.holder.record_read(sent, row.epoch);
         if self.has_defect(Defect::LateReadOverwrites) && row.epoch < self.replica.row().epoch {
@@ -186,10 +194,10 @@
         self.adopt(now, self.member.host, row, Body::Whole(document))
     }
 
-    fn adopt(&mut self, now: Time, origin: HostId, row: Row, body: Body) -> Sends {
+    fn adopt(&mut self, now: Time, origin: HostId, row: Row, body: Body) -> Outgoing {
         let previous = self.replica.row().clone();
         if self.replica.adopt(row.clone(), body.clone()).is_err() {
-            return Sends::new();
+            return Outgoing::new();
         }
         self.holder.adopt(row.epoch, &row.members, member::voters(&row.members));
         self.view.record_members(now, &row.members);
@@ -198,7 +206,7 @@
         let children = distribute::children(&row.members, origin, own, distribute::FAN_OUT);
         let update = Update { origin, row, body };
         if origin == own && self.attempt.is_none() {
-            return Sends::new();
+            return Outgoing::new();
         }
         children.into_iter().map(|to| (Some(to), Message::Push(update.clone()))).collect()
     }
@@ -214,14 +222,14 @@
         let author = Author { host: own.0, incarnation: own.1, attempt: self.number + 1 };
         let next = row.successor(author);
         let task = maintenance::due_task(now, &self.member, &self.holder, &self.view, row);
-        let mut wanted = None;
+        let mut requested = None;
         let (row, document, body) = if let Some(task) = task {
             (task.apply(next, &self.member), self.replica.document().clone(), Body::None)
         } else if self.member.leaving && row.members.contains_key(&self.member.host) {
             let document = self.replica.document().clone();
             (next.without_member(self.member.host), document, Body::None)
         } else if let Some(edits) = self.pending_edits.pop() {
-            wanted = Some(edits.clone());
+            requested = Some(edits.clone());
             let Ok((change, document)) = self.replica.propose(edits) else { return };
             self.last_edit_attempt = Some(self.number + 1);
             (next.with_config(change.version, "digest"), document, Body::Change(change))
@@ -238,15 +246,15 @@
         let voters = base.into_keys().collect();
         let writer = Writer::new(row, author, voters, now + store::CHANGE_TIMEOUT);
         let number = self.number;
-        let edits = wanted;
+        let edits = requested;
         let (timer, writing) = (now, false);
         self.attempt = Some(Attempt { number, writer, document, body, edits, timer, writing });
     }
 
-    fn fire_timer(&mut self, now: Time) -> Sends {
-        let Some(attempt) = &mut self.attempt else { return Sends::new() };
+    fn fire_timer(&mut self, now: Time) -> Outgoing {
+        let Some(attempt) = &mut self.attempt else { return Outgoing::new() };
         if now < attempt.timer {
-            return Sends::new();
+            return Outgoing::new();
         }
         let action = if attempt.writing {
             attempt.writer.record_write(now, Reply::Lost)
@@ -259,13 +267,13 @@
     }
 
     /// Passes an answer to the attempt that requested it and performs the resulting action.
-    fn advance(&mut self, now: Time, from: Option<HostId>, message: Message) -> Sends {
-        let Some(attempt) = &mut self.attempt else { return Sends::new() };
+    fn advance(&mut self, now: Time, from: Option<HostId>, message: Message) -> Outgoing {
+        let Some(attempt) = &mut self.attempt else { return Outgoing::new() };
         let action = match message {
-            Message::AnnounceAnswer { attempt: number, above, epoch }
+            Message::AnnounceAnswer { attempt: number, acknowledged, epoch }
                 if number == attempt.number =>
             {
-                if above {
+                if acknowledged {
                     attempt.writer.record_acknowledgement(from.unwrap());
                 }
                 attempt.writer.observe_epoch(epoch)
@@ -283,8 +291,8 @@
         action.map(|action| self.perform(now, action)).unwrap_or_default()
     }
 
-    fn perform(&mut self, now: Time, action: Action) -> Sends {
-        let Some(attempt) = &mut self.attempt else { return Sends::new() };
+    fn perform(&mut self, now: Time, action: Action) -> Outgoing {
+        let Some(attempt) = &mut self.attempt else { return Outgoing::new() };
         let number = attempt.number;
         let row = attempt.writer.row().clone();
         match action {
@@ -313,7 +321,7 @@
         }
     }
 
-    fn finish(&mut self, now: Time, outcome: Outcome) -> Sends {
+    fn finish(&mut self, now: Time, outcome: Outcome) -> Outgoing {
         let attempt = self.attempt.as_ref().unwrap();
         let row = attempt.writer.row().clone();
         let reported = match outcome {
@@ -329,11 +337,11 @@
         if outcome == Outcome::Overtaken {
             self.pending_edits.extend(attempt.edits.clone());
         }
-        let sends = match outcome {
+        let outgoing = match outcome {
             Outcome::Accepted => self.adopt(now, self.member.host, row, body),
-            _ => Sends::new(),
+            _ => Outgoing::new(),
         };
         self.attempt = None;
-        sends
+        outgoing
     }
 }
--- a/crates/core/tests/fleet/script.rs
+++ b/crates/core/tests/fleet/script.rs
@@ -180,16 +180,14 @@
             Action::StoreUp => fleet.store.down = false,
             Action::StoreSlow => fleet.store.delay = Duration::from_millis(value),
             Action::LoseAnswers => fleet.store.answers_to_lose = value as u32,
-            Action::Pause => fleet.nodes.get_mut(&host).expect("running host").paused = true,
+            Action::Pause => fleet.nodes.get_mut(&host).expect("running").paused = true,
             Action::Resume => fleet.resume(host),
             Action::Kill => fleet.kill(host),
             Action::Start => {
                 fleet.start(host);
                 self.started = Some((host, fleet.now));
             }
-            Action::Leave => {
-                fleet.nodes.get_mut(&host).expect("running host").member.leaving = true
-            }
+            Action::Leave => fleet.nodes.get_mut(&host).expect("running").member.leaving = true,
         }
     }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -87,7 +87,7 @@
     pub defect: Defect,
     pub group: Group,
     pub hosts: BTreeMap<HostId, Host>,
-    pub open: BTreeMap<TargetId, Vec<OpenTransaction>>,
+    pub open_transactions: BTreeMap<TargetId, Vec<OpenTransaction>>,
     /// COMMITs in flight whose host has stopped waiting for the answer.
     pub late_commits: Vec<(TargetId, OpenTransaction)>,
     pub faults: Vec<Fault>,
@@ -149,14 +149,14 @@
 
     /// Rolls back the open transactions of a target and drops the COMMITs in flight to it.
     pub fn close(&mut self, target: TargetId) {
-        self.open.remove(&target);
+        self.open_transactions.remove(&target);
         self.late_commits.retain(|(to, _)| *to != target);
     }
 
     /// Commits an open transaction and returns its position; `None` if the transaction has ended or
     /// the target no longer leads the term in which it began.
     pub fn commit(&mut self, target: TargetId, open: OpenTransaction) -> Option<Position> {
-        let transactions = self.open.entry(target).or_default();
+        let transactions = self.open_transactions.entry(target).or_default();
         let at = transactions.iter().position(|other| other.attempt == open.attempt)?;
         let open = transactions.remove(at);
         if self.group.targets[&target].leading_term != Some(open.term) {
@@ -182,7 +182,7 @@
             defect,
             group: Group::new(TARGETS),
             hosts: (0..HOSTS).map(|id| (id, host(id))).collect(),
-            open: BTreeMap::new(),
+            open_transactions: BTreeMap::new(),
             late_commits: Vec::new(),
             faults,
             tally: Tally::default(),
@@ -317,7 +317,7 @@
         let in_use: BTreeSet<u64> = self.sessions.iter().filter_map(Session::attempt).collect();
         let late_commits: BTreeSet<u64> =
             self.scene.late_commits.iter().map(|(_, open)| open.attempt).collect();
-        let open = self.scene.open.entry(target).or_default();
+        let open = self.scene.open_transactions.entry(target).or_default();
         open.retain(|open| in_use.contains(&open.attempt) || late_commits.contains(&open.attempt));
     }
 
--- a/crates/core/tests/world/request.rs
+++ b/crates/core/tests/world/request.rs
@@ -258,7 +258,7 @@
         if unique && scene.has(self.target, self.op) {
             return write::Event::Conflict;
         }
-        let open = scene.open.entry(self.target).or_default();
+        let open = scene.open_transactions.entry(self.target).or_default();
         if unique && open.iter().any(|open| open.op == self.op) {
             return write::Event::Failed(Failure::Locked, "55P03".into());
         }
@@ -272,7 +272,7 @@
         if scene.defect != Defect::CommitUnrecorded {
             self.write_mut().record_sent();
         }
-        let open = scene.open.entry(self.target).or_default();
+        let open = scene.open_transactions.entry(self.target).or_default();
         let open = open.iter().find(|open| open.attempt == self.attempt).copied();
         let Some(open) = open else { return (now, write::Event::ConnectionLost) };
         if scene.is_blocked(self.host, self.target) {
