--- a/crates/core/src/invariant/change.rs
+++ b/crates/core/src/invariant/change.rs
@@ -1,40 +1,43 @@
-//! An accepted configuration comes into force on every host in time and stays so.
+//! Checks that each accepted configuration comes into force on every host within a bound and is
+//! never reverted.
 
-use super::Broken;
+use super::Violation;
 use crate::id::{HostId, Time, Version};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// A host acted on a version: it admitted a request, leased a connection or ran a step under it.
+/// A host admitted a request, leased a connection or executed a plan step under a configuration
+/// version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Act {
-    /// The host.
+pub struct Action {
+    /// Host that acted.
     pub host: HostId,
-    /// When.
+    /// Time of the action.
     pub at: Time,
-    /// The version that it acted on.
+    /// Configuration version that the host acted on.
     pub version: Version,
 }
 
-/// Hosts never go back, and act on a version accepted before `bound` ago or on a later one.
+/// Checks that no host returns to an earlier version, and that each acts on the newest version that
+/// was accepted more than `bound` before, or on a later one.
 ///
-/// `acts` are in order of time; `accepted` has when each version was accepted.
+/// `actions` are ordered by time; `accepted` holds the time at which each version was accepted.
 pub fn verify(
-    acts: &[Act],
+    actions: &[Action],
     accepted: &BTreeMap<Version, Time>,
     bound: Duration,
-) -> Result<(), Broken> {
-    let mut reached: BTreeMap<HostId, Version> = BTreeMap::new();
-    for act in acts {
-        let Act { host, at, version } = *act;
-        let known = reached.entry(host).or_default();
-        if version < *known {
-            return Err(Broken::Reverted { host, version });
+) -> Result<(), Violation> {
+    let mut latest: BTreeMap<HostId, Version> = BTreeMap::new();
+    for action in actions {
+        let Action { host, at, version } = *action;
+        let seen = latest.entry(host).or_default();
+        if version < *seen {
+            return Err(Violation::Reverted { host, version });
         }
-        *known = version;
-        let due = accepted.iter().filter(|(_, since)| at > **since + bound);
-        if due.map(|(version, _)| *version).max().is_some_and(|due| due > version) {
-            return Err(Broken::NotInForce { host, version });
+        *seen = version;
+        let expected = accepted.iter().filter(|(_, since)| at > **since + bound);
+        if expected.map(|(version, _)| *version).max().is_some_and(|expected| expected > version) {
+            return Err(Violation::NotInForce { host, version });
         }
     }
     Ok(())
--- a/crates/core/src/invariant/session.rs
+++ b/crates/core/src/invariant/session.rs
@@ -1,46 +1,47 @@
-//! A session reads its own writes, whatever hosts and targets served it.
+//! Checks that a session reads its own writes regardless of the hosts and targets that served it.
 
-use super::{Broken, OpId};
+use super::{OpId, Violation};
 use crate::id::ServiceId;
 use crate::log::Position;
 use std::collections::BTreeMap;
 
-/// Number of a session within its history.
+/// Identifies a session within its history.
 pub type SessionId = u64;
 
-/// What a session saw, in its own order.
+/// Answer to a request of a session. Checks expect the events of each session in the order in which
+/// it received them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Event {
-    /// The request.
+    /// Request that was answered.
     pub op: OpId,
-    /// Its session.
+    /// Session that made the request.
     pub session: SessionId,
-    /// The service that it used.
+    /// Service that it addressed.
     pub service: ServiceId,
-    /// What the session learnt.
-    pub seen: Seen,
+    /// What the answer reported.
+    pub kind: EventKind,
 }
 
-/// What a session learnt from an answer.
+/// What an answer reported to its session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Seen {
+pub enum EventKind {
     /// A write was acknowledged at this position.
     Acknowledged(Position),
     /// A read was served from a log that reached this position.
     Read(Position),
 }
 
-/// Every read covers the acknowledged writes that its session made before.
-pub fn verify(events: &[Event]) -> Result<(), Broken> {
+/// Checks that every read covers the writes of its session and service acknowledged before it.
+pub fn verify(events: &[Event]) -> Result<(), Violation> {
     let mut floors: BTreeMap<(SessionId, ServiceId), Position> = BTreeMap::new();
     for event in events {
         let floor = floors.entry((event.session, event.service)).or_default();
-        match event.seen {
-            Seen::Acknowledged(position) => *floor = position.max(*floor),
-            Seen::Read(applied) if applied < *floor => {
-                return Err(Broken::StaleRead { op: event.op });
+        match event.kind {
+            EventKind::Acknowledged(position) => *floor = position.max(*floor),
+            EventKind::Read(applied) if applied < *floor => {
+                return Err(Violation::StaleRead { op: event.op });
             }
-            Seen::Read(_) => {}
+            EventKind::Read(_) => {}
         }
     }
     Ok(())
--- a/crates/core/tests/checks.rs
+++ b/crates/core/tests/checks.rs
@@ -1,4 +1,4 @@
-//! Each check of the data path fails on a trace that breaks its invariant.
+//! Checks that each verification of a write's trace fails on a trace that violates it.
 
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod common;
@@ -8,7 +8,9 @@
 use bergamotvale_core::sqlstate::Failure;
 use bergamotvale_core::write::{Action, Event};
 use common::case;
-use common::write::{Step, acknowledged_is_confirmed, not_run_is_true, unkeyed_is_sent_once};
+use common::write::{
+    Step, verify_acknowledgement_confirmed, verify_not_run_true, verify_unkeyed_sent_once,
+};
 use serde_yaml_ng::Value;
 use std::path::Path;
 use std::time::Duration;
@@ -17,21 +19,21 @@
     common::position("3.10")
 }
 
-fn refused() -> Step {
+fn refused_as_not_run() -> Step {
     Step::Action(Action::Refuse(Refusal::new(Reason::ConnectionLost, "lost")))
 }
 
 #[test]
 fn acknowledgement_without_confirmation_is_seen() {
     let trace = [Step::Action(Action::Acknowledge(Some(position())))];
-    assert!(acknowledged_is_confirmed(&trace).is_err());
+    assert!(verify_acknowledgement_confirmed(&trace).is_err());
 }
 
 #[test]
 fn acknowledgement_by_a_later_term_is_seen() {
     let later = Step::Event(Event::Confirmed(common::position("4.11")));
     let trace = [later, Step::Action(Action::Replay("first".into(), position()))];
-    assert!(acknowledged_is_confirmed(&trace).is_err());
+    assert!(verify_acknowledgement_confirmed(&trace).is_err());
 }
 
 #[test]
@@ -40,9 +42,9 @@
         Step::Action(Action::Commit),
         Step::Sent,
         Step::Event(Event::Failed(Failure::Target, "58030".into())),
-        refused(),
+        refused_as_not_run(),
     ];
-    assert!(not_run_is_true(&trace).is_err());
+    assert!(verify_not_run_true(&trace).is_err());
 }
 
 #[test]
@@ -51,9 +53,9 @@
         Step::Action(Action::Commit),
         Step::Sent,
         Step::Event(Event::Failed(Failure::Superseded, "BV001".into())),
-        refused(),
+        refused_as_not_run(),
     ];
-    assert!(not_run_is_true(&trace).is_ok());
+    assert!(verify_not_run_true(&trace).is_ok());
 }
 
 #[test]
@@ -65,7 +67,7 @@
         Step::Action(Action::Lease(Duration::ZERO, None)),
         Step::Action(Action::Execute),
     ];
-    assert!(unkeyed_is_sent_once(&trace).is_err());
+    assert!(verify_unkeyed_sent_once(&trace).is_err());
 }
 
 #[test]
--- a/crates/core/tests/common/write.rs
+++ b/crates/core/tests/common/write.rs
@@ -1,4 +1,4 @@
-//! The invariants of a write, stated over its trace.
+//! Invariants of a write, checked over the trace of its state machine.
 
 use bergamotvale_core::log::Position;
 use bergamotvale_core::refusal::Ran;
@@ -7,23 +7,24 @@
 /// One step of a write's trace.
 #[derive(Debug, Clone)]
 pub(crate) enum Step {
-    /// What the machine was told.
+    /// Input of the state machine.
     Event(Event),
-    /// The bytes of the last action were handed to the connection.
+    /// The statement of the last action was written to the connection.
     Sent,
-    /// What the machine answered.
+    /// Output of the state machine.
     Action(Action),
 }
 
-/// An acknowledged position was confirmed in its own term.
-pub(crate) fn acknowledged_is_confirmed(trace: &[Step]) -> Result<(), String> {
+/// Checks that an acknowledged position was confirmed in its own term before.
+pub(crate) fn verify_acknowledgement_confirmed(trace: &[Step]) -> Result<(), String> {
     let mut confirmed: Option<Position> = None;
     for step in trace {
         match step {
             Step::Event(Event::Confirmed(position)) => confirmed = Some(*position),
             Step::Action(Action::Acknowledge(Some(p)) | Action::Replay(_, p)) => {
-                let holds = confirmed.is_some_and(|c| c.term == p.term && c.index >= p.index);
-                if !holds {
+                let is_confirmed =
+                    confirmed.is_some_and(|c| c.term == p.term && c.index >= p.index);
+                if !is_confirmed {
                     return Err(format!("acknowledged {p}, confirmed {confirmed:?}"));
                 }
             }
@@ -33,15 +34,16 @@
     Ok(())
 }
 
-/// A refusal that says "not run" follows no COMMIT whose outcome the target did not deny.
-pub(crate) fn not_run_is_true(trace: &[Step]) -> Result<(), String> {
-    let mut commit_due = false;
+/// Checks that no refusal reports "not run" after a COMMIT was sent, unless the target answered
+/// that it rolled back.
+pub(crate) fn verify_not_run_true(trace: &[Step]) -> Result<(), String> {
+    let mut commit_pending = false;
     let mut may_have_run = false;
     for step in trace {
         match step {
-            Step::Action(action) => commit_due = *action == Action::Commit,
-            Step::Sent => may_have_run |= commit_due,
-            Step::Event(Event::Failed(failure, _)) if commit_due => {
+            Step::Action(action) => commit_pending = *action == Action::Commit,
+            Step::Sent => may_have_run |= commit_pending,
+            Step::Event(Event::Failed(failure, _)) if commit_pending => {
                 may_have_run &= !failure.proves_rollback();
             }
             Step::Event(_) => {}
@@ -56,8 +58,8 @@
     Ok(())
 }
 
-/// A write without an idempotency key is not sent again after a lost answer.
-pub(crate) fn unkeyed_is_sent_once(trace: &[Step]) -> Result<(), String> {
+/// Checks that a write without an idempotency key is not sent again after its answer was lost.
+pub(crate) fn verify_unkeyed_sent_once(trace: &[Step]) -> Result<(), String> {
     let mut sent = false;
     let mut lost = false;
     for step in trace {
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -1,4 +1,5 @@
-//! A fleet of the core's machines over a fake store and a fake network, with a manual clock.
+//! Simulated fleet: the state machines of the core over a fake store and a fake network, with a
+//! manual clock.
 #![allow(dead_code, clippy::unwrap_used, reason = "shared by several test binaries")]
 
 #[path = "../common/case.rs"]
@@ -20,50 +21,58 @@
 pub(crate) const STEP: Duration = Duration::from_millis(10);
 pub(crate) const KEYS: u64 = 64;
 
-/// Deliberate defects, to show that the checkers can fail.
+/// A deliberate defect, which shows that a check can fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Defect {
+    /// Writers write a row without announcing its epoch first.
     SkipAnnouncement,
-    LateAnswerOverwrites,
-    ForgetNote,
-    NeverLapse,
+    /// An answer of the store with an older epoch replaces the replica.
+    LateReadOverwrites,
+    /// Heartbeats don't report announced epochs.
+    ForgetAnnouncement,
+    /// The authority of a host never expires.
+    NeverExpire,
+    /// A heartbeat answer of any incarnation, at any epoch, renews the authority.
     AnyIncarnationVotes,
-    SayAcceptedWhenLost,
-    InForceAtOnce,
+    /// Writers report attempts with an unknown outcome, or overtaken ones, as accepted.
+    ReportLostAsAccepted,
+    /// A host reports an epoch as in force everywhere as soon as it has adopted it.
+    ReportInForceAtOnce,
 }
 
-/// What travels; `Store` messages go to and from the store.
+/// A message between hosts, or between a host and the store (`Read`, `Write` and their answers).
 #[derive(Debug, Clone)]
 pub(crate) enum Message {
-    Beat { sent: Time, heartbeat: Heartbeat },
-    BeatAnswer { sent: Time, heartbeat: Heartbeat },
+    Heartbeat { sent: Time, heartbeat: Heartbeat },
+    HeartbeatAnswer { sent: Time, heartbeat: Heartbeat },
     Announce { attempt: u64, epoch: Epoch },
-    Noted { attempt: u64, above: bool, epoch: Epoch },
+    AnnounceAnswer { attempt: u64, acknowledged: bool, epoch: Epoch },
     Push(Update),
     Fetch { epoch: Epoch, version: u64 },
     Read { attempt: Option<u64>, sent: Time },
-    Found { attempt: Option<u64>, sent: Time, row: Option<(Row, Document)> },
+    ReadAnswer { attempt: Option<u64>, sent: Time, row: Option<(Row, Document)> },
     Write { attempt: u64, row: Row, document: Document },
-    Written { attempt: u64, accepted: bool, row: Option<Row> },
+    WriteAnswer { attempt: u64, accepted: bool, row: Option<Row> },
 }
 
-/// The fake table service.
+/// Fake of the table service that keeps the row of the configuration and the members.
 #[derive(Default)]
 pub(crate) struct Store {
     pub(crate) row: Option<(Row, Document)>,
     pub(crate) accepted: BTreeMap<Epoch, (Time, Author)>,
     pub(crate) down: bool,
     pub(crate) delay: Duration,
-    pub(crate) lose_answers: u32,
-    pub(crate) cut: BTreeSet<HostId>,
+    pub(crate) answers_to_lose: u32,
+    pub(crate) partitioned: BTreeSet<HostId>,
 }
 
-/// A message on its way; the store has no id. Answers reach only the run that asked.
+/// A message in flight. `from` or `to` is `None` for the store. An answer has the incarnation that
+/// requested it and is dropped by any other.
 #[derive(Debug, Clone)]
 pub(crate) struct Envelope {
     from: Option<(HostId, Incarnation)>,
     to: Option<HostId>,
-    run: Option<Incarnation>,
+    incarnation: Option<Incarnation>,
     message: Message,
 }
 
@@ -71,7 +80,7 @@
     pub(crate) now: Time,
     pub(crate) nodes: BTreeMap<HostId, Node>,
     pub(crate) store: Store,
-    pub(crate) cut: BTreeSet<(HostId, HostId)>,
+    pub(crate) partitioned: BTreeSet<(HostId, HostId)>,
     pub(crate) defects: BTreeSet<Defect>,
     pub(crate) random: StdRng,
     pub(crate) violations: Vec<String>,
@@ -90,7 +99,7 @@
     }
 }
 
-/// One service, one client account, [`KEYS`] keys.
+/// Returns a configuration with one service, one client account and [`KEYS`] keys.
 pub(crate) fn document() -> Document {
     let target = |n: u16| Target {
         address: format!("127.0.0.1:{}", 5000 + n).parse().unwrap(),
@@ -122,7 +131,7 @@
             now: Duration::ZERO,
             nodes: BTreeMap::new(),
             store: Store { delay: STEP, ..Store::default() },
-            cut: BTreeSet::new(),
+            partitioned: BTreeSet::new(),
             defects: BTreeSet::new(),
             random: StdRng::seed_from_u64(seed),
             violations: Vec::new(),
@@ -141,13 +150,13 @@
         self
     }
 
-    /// Starts a host, or a new run of it.
+    /// Starts a host, or a new incarnation of it.
     pub(crate) fn start(&mut self, host: HostId) {
         let incarnation = self.now.as_millis() as u64 + 1;
         self.nodes.insert(host, Node::new(member(host, incarnation), self.now, &self.defects));
     }
 
-    /// Ends a run at once.
+    /// Removes a host at once, without a graceful stop.
     pub(crate) fn kill(&mut self, host: HostId) {
         self.nodes.remove(&host);
     }
@@ -159,7 +168,7 @@
         }
     }
 
-    /// Runs until `done`, at most `time`; says whether it came about.
+    /// Runs until `done`, for at most `time`; returns whether the condition was met.
     pub(crate) fn run_until(
         &mut self,
         time: Duration,
@@ -192,98 +201,105 @@
             if node.paused {
                 continue;
             }
-            let sends = node.tick(now);
-            self.send_all(host, sends, None);
+            let outgoing = node.tick(now);
+            self.send_all(host, outgoing, None);
         }
         checker::check(self);
     }
 
-    /// Sends what `from` says; answers among it go to the run that `asked`.
+    /// Sends messages of `from`; answers among them are addressed to the incarnation in
+    /// `requester`.
     fn send_all(
         &mut self,
         from: HostId,
-        sends: Vec<(Option<HostId>, Message)>,
-        asked: Option<(HostId, Incarnation)>,
+        outgoing: Vec<(Option<HostId>, Message)>,
+        requester: Option<(HostId, Incarnation)>,
     ) {
         let own = self.nodes[&from].member.incarnation;
-        for (to, message) in sends {
+        for (to, message) in outgoing {
             let delay = if to.is_none() { self.store.delay } else { STEP };
-            let answer = matches!(message, Message::BeatAnswer { .. } | Message::Noted { .. });
-            let run = asked.filter(|_| answer).map(|(_, run)| run);
-            self.send(delay, Envelope { from: Some((from, own)), to, run, message });
+            let is_answer =
+                matches!(message, Message::HeartbeatAnswer { .. } | Message::AnnounceAnswer { .. });
+            let incarnation = requester.filter(|_| is_answer).map(|(_, incarnation)| incarnation);
+            self.send(delay, Envelope { from: Some((from, own)), to, incarnation, message });
         }
     }
 
     fn send(&mut self, delay: Duration, envelope: Envelope) {
         let jitter = Duration::from_millis(self.random.random_range(0..20));
-        let slow = self.random.random_bool(0.01);
-        let late = Duration::from_millis(self.random.random_range(0..3000));
+        let is_late = self.random.random_bool(0.01);
+        let late_delay = Duration::from_millis(self.random.random_range(0..3000));
         self.sequence += 1;
-        let at = self.now + delay + if slow { late } else { jitter };
+        let at = self.now + delay + if is_late { late_delay } else { jitter };
         self.queue.insert((at, self.sequence), envelope);
     }
 
     fn deliver(&mut self, envelope: Envelope) {
         let (from, to) = (envelope.from.map(|(host, _)| host), envelope.to);
         match (from, to) {
-            (Some(_), None) => self.serve(envelope),
+            (Some(_), None) => self.handle_store_request(envelope),
             (from, Some(to)) => {
-                let cut = match from {
-                    Some(from) => self.cut.contains(&(from.min(to), from.max(to))),
-                    None => self.store.cut.contains(&to),
+                let is_partitioned = match from {
+                    Some(from) => self.partitioned.contains(&(from.min(to), from.max(to))),
+                    None => self.store.partitioned.contains(&to),
                 };
-                if !cut {
-                    self.hand_over(to, envelope);
+                if !is_partitioned {
+                    self.deliver_to(to, envelope);
                 }
             }
             (None, None) => {}
         }
     }
 
-    fn hand_over(&mut self, to: HostId, envelope: Envelope) {
+    fn deliver_to(&mut self, to: HostId, envelope: Envelope) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&to) else {
             let sender = envelope.from.and_then(|(from, _)| self.nodes.get_mut(&from));
-            sender.into_iter().for_each(|sender| sender.refused(to));
+            sender.into_iter().for_each(|sender| sender.record_refused(to));
             return;
         };
-        if envelope.run.is_some_and(|run| run != node.member.incarnation) {
+        if envelope.incarnation.is_some_and(|incarnation| incarnation != node.member.incarnation) {
             return;
         }
         if node.paused {
-            node.held_back.push(envelope);
+            node.deferred.push(envelope);
             return;
         }
-        let sends = node.take(now, envelope.from.map(|(host, _)| host), envelope.message);
-        self.send_all(to, sends, envelope.from);
+        let outgoing = node.receive(now, envelope.from.map(|(host, _)| host), envelope.message);
+        self.send_all(to, outgoing, envelope.from);
     }
 
-    fn serve(&mut self, envelope: Envelope) {
-        let Some((from, run)) = envelope.from else { return };
-        if self.store.down || self.store.cut.contains(&from) {
+    fn handle_store_request(&mut self, envelope: Envelope) {
+        let Some((from, incarnation)) = envelope.from else { return };
+        if self.store.down || self.store.partitioned.contains(&from) {
             return;
         }
         let answer = match envelope.message {
             Message::Read { attempt, sent } => {
-                Message::Found { attempt, sent, row: self.store.row.clone() }
+                Message::ReadAnswer { attempt, sent, row: self.store.row.clone() }
             }
             Message::Write { attempt, row, document } => {
-                let accepted = self.accept(&row, document);
+                let accepted = self.apply_write(&row, document);
                 let row = self.store.row.as_ref().map(|(row, _)| row.clone());
-                Message::Written { attempt, accepted, row }
+                Message::WriteAnswer { attempt, accepted, row }
             }
             _ => return,
         };
-        let write = matches!(answer, Message::Written { accepted: true, .. });
-        if write && self.store.lose_answers > 0 {
-            self.store.lose_answers -= 1;
+        let is_accepted_write = matches!(answer, Message::WriteAnswer { accepted: true, .. });
+        if is_accepted_write && self.store.answers_to_lose > 0 {
+            self.store.answers_to_lose -= 1;
             return;
         }
-        let envelope = Envelope { from: None, to: Some(from), run: Some(run), message: answer };
+        let envelope = Envelope {
+            from: None,
+            to: Some(from),
+            incarnation: Some(incarnation),
+            message: answer,
+        };
         self.send(self.store.delay, envelope);
     }
 
-    fn accept(&mut self, row: &Row, document: Document) -> bool {
+    fn apply_write(&mut self, row: &Row, document: Document) -> bool {
         let current = self.store.row.as_ref().map_or(0, |(row, _)| row.epoch);
         if row.epoch != current + 1 {
             return false;
@@ -293,24 +309,24 @@
         true
     }
 
-    /// Resumes a paused host; what waited for it comes at once.
+    /// Resumes a paused host and delivers the messages that arrived during the pause.
     pub(crate) fn resume(&mut self, host: HostId) {
         let Some(node) = self.nodes.get_mut(&host) else { return };
         if !node.paused {
             return;
         }
         node.paused = false;
-        let held_back = std::mem::take(&mut node.held_back);
+        let deferred = std::mem::take(&mut node.deferred);
         checker::check(self);
-        for envelope in held_back {
-            self.hand_over(host, envelope);
+        for envelope in deferred {
+            self.deliver_to(host, envelope);
         }
     }
 
-    pub(crate) fn cut_off(&mut self, host: HostId) {
+    pub(crate) fn partition_from_peers(&mut self, host: HostId) {
         let others: Vec<HostId> = self.nodes.keys().copied().filter(|h| *h != host).collect();
         for other in others {
-            self.cut.insert((host.min(other), host.max(other)));
+            self.partitioned.insert((host.min(other), host.max(other)));
         }
     }
 }
