Reword the tests of session hosts and their fixture

Says in plain terms what the fixture starts, waits for and returns, and which failure a test guards against where its code does not show it.

--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -1,4 +1,5 @@
-//! Session hosts as processes of their own, over the line-protocol stand-ins.
+//! Fixture of the session tests: hosts as separate processes over the line-protocol stand-ins, and
+//! a blocking client for them.
 
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Group, Route};
@@ -20,21 +21,21 @@
 pub(crate) const SERVICE: &str = "orders";
 pub(crate) const KEY: &str = "k-mill";
 pub(crate) const OTHER_KEY: &str = "k-shop";
-/// Database whose reads see every commit.
-pub(crate) const STRICT: &str = "strict";
-/// Database whose reads may be old.
-pub(crate) const OLD: &str = "old";
-/// Database whose reads see the session's own commits.
-pub(crate) const OWN: &str = "own";
-/// Bound on the age of reads.
-pub(crate) const BOUND: Duration = Duration::from_millis(1500);
-/// Time after which a test gives up waiting.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
-const PAUSE: Duration = Duration::from_millis(20);
+/// Database whose reads see every commit (consistency `Primary`).
+pub(crate) const STRICT_DB: &str = "strict";
+/// Database whose reads may be up to `MAX_READ_AGE` old (consistency `Bounded`).
+pub(crate) const BOUNDED_DB: &str = "old";
+/// Database whose reads see the session's own commits (consistency `ReadYourWrites`).
+pub(crate) const READ_YOUR_WRITES_DB: &str = "own";
+/// Maximum age of reads from replicas.
+pub(crate) const MAX_READ_AGE: Duration = Duration::from_millis(1500);
+/// Time after which a wait or a read from a host fails the test.
+pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 static SERIAL: AtomicU32 = AtomicU32::new(0);
 
-/// A process of the daemon; killed when dropped.
+/// A host process; killed when dropped.
 pub(crate) struct Process {
     child: Child,
     folder: PathBuf,
@@ -44,38 +45,41 @@
     metrics: SocketAddr,
 }
 
-/// Platform, group and processes.
+/// The stand-ins for platform and group, the published configuration and the host processes.
 pub(crate) struct Fleet {
     pub(crate) hosts: Vec<Process>,
     pub(crate) system: System,
     pub(crate) catalog: Catalog,
 }
 
-/// A caller's session.
+/// A caller with an open session.
 pub(crate) struct Caller {
     stream: TcpStream,
     codec: TargetCodec,
     buffer: BytesMut,
-    next: u32,
+    /// Number of the last statement, sent as its request id.
+    last_id: u32,
 }
 
-/// File of a process's events: one that outlives it if the variable names a folder.
-fn log_path(folder: &std::path::Path) -> PathBuf {
+/// File for a process's log events. It is removed with the process, unless
+/// `BERGAMOTVALE_TEST_LOGS` names a folder for it.
+fn event_log_path(folder: &std::path::Path) -> PathBuf {
     match std::env::var_os("BERGAMOTVALE_TEST_LOGS") {
-        Some(kept) => PathBuf::from(kept).join(folder.file_name().expect("the folder has a name")),
+        Some(dir) => PathBuf::from(dir).join(folder.file_name().expect("the folder has a name")),
         None => folder.join("events.log"),
     }
 }
 
 impl Process {
-    /// Starts host `number` of a fleet. Hosts go by their addresses.
+    /// Starts host `number` of a fleet, without waiting until it is ready. A host's id derives from
+    /// the address that it listens on.
     pub(crate) fn start(number: u8, platform: SocketAddr) -> Process {
         let [high, low] = platform.port().to_be_bytes();
         let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
         let name = format!("bergamotvale-sessions-{}-{serial}", std::process::id());
         let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder).expect("a folder");
-        // An address of loopback for each process, so that no port is taken by chance.
+        std::fs::create_dir_all(&folder).expect("the folder is created");
+        // Each process has a loopback address of its own, so that no other socket holds its ports.
         let address = |port| SocketAddr::from(([127, high, low, number], port));
         let (callers, readiness, metrics, peers) =
             (address(7001), address(7002), address(7003), address(7004));
@@ -92,10 +96,10 @@
             "descriptors": 1000,
         });
         let path = folder.join("settings.yaml");
-        let text = serde_yaml_ng::to_string(&settings).expect("settings are YAML");
-        std::fs::write(&path, text).expect("settings are written");
-        let log = log_path(&folder);
-        let events = std::fs::File::create(&log).expect("a log file");
+        let text = serde_yaml_ng::to_string(&settings).expect("the settings serialize to YAML");
+        std::fs::write(&path, text).expect("the settings are written");
+        let log = event_log_path(&folder);
+        let events = std::fs::File::create(&log).expect("the log file is created");
         let child = Command::new(env!("CARGO_BIN_EXE_bergamotvaled"))
             .arg("--sessions")
             .arg("--config")
@@ -107,43 +111,42 @@
         Process { child, folder, log, callers, readiness, metrics }
     }
 
-    /// Whether the host says that it takes new sessions.
+    /// Whether the host reports that it accepts new sessions.
     pub(crate) fn is_ready(&self) -> bool {
-        get(self.readiness, bergamotvale_platform::ready::PATH).is_some()
+        http_get(self.readiness, bergamotvale_platform::ready::PATH).is_some()
     }
 
-    /// Its metrics.
     pub(crate) fn metrics(&self) -> String {
-        get(self.metrics, "/metrics").expect("the host serves its metrics")
+        http_get(self.metrics, "/metrics").expect("the host serves its metrics")
     }
 
-    /// Its state.
     pub(crate) fn status(&self) -> Status {
-        let text = get(self.metrics, "/status").expect("the host serves its state");
-        serde_json::from_str(&text).expect("the state is as declared")
+        let text = http_get(self.metrics, "/status").expect("the host serves its status");
+        serde_json::from_str(&text).expect("the status matches its type")
     }
 
-    /// Its events so far, whose `event` is `name`.
+    /// Log events so far whose `event` field is `name`.
     pub(crate) fn events(&self, name: &str) -> Vec<Value> {
-        let text = std::fs::read_to_string(&self.log).expect("the log is a file");
+        let text = std::fs::read_to_string(&self.log).expect("the log is readable");
         let values = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
         values.filter(|value| value["event"] == name).collect()
     }
 
-    /// Sends a signal to this process alone.
+    /// Sends a signal to the host process only.
     pub(crate) fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).expect("process ids are small");
-        kill_process(Pid::from_raw(pid).expect("a process id"), signal).expect("it runs");
+        let pid = i32::try_from(self.child.id()).expect("a process id fits an i32");
+        kill_process(Pid::from_raw(pid).expect("a process id is not 0"), signal)
+            .expect("the process is running");
     }
 
-    /// Waits until the process has ended by itself.
-    pub(crate) fn wait(&mut self) -> bool {
-        let until = Instant::now() + PATIENCE;
-        while Instant::now() < until {
+    /// Waits until the process exits; false on a timeout or an exit status other than 0.
+    pub(crate) fn wait_for_exit(&mut self) -> bool {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        while Instant::now() < deadline {
             if let Ok(Some(status)) = self.child.try_wait() {
                 return status.success();
             }
-            std::thread::sleep(PAUSE);
+            std::thread::sleep(POLL_INTERVAL);
         }
         false
     }
@@ -151,15 +154,15 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        // It may have ended already.
+        // The process may have exited already.
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
-/// Body of an answer of success.
-fn get(address: SocketAddr, path: &str) -> Option<String> {
+/// Body of a response with status 200; None on any other status or failure.
+fn http_get(address: SocketAddr, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
     let mut answer = String::new();
@@ -169,12 +172,12 @@
     head.starts_with("HTTP/1.1 200").then(|| body.to_owned())
 }
 
-/// Waits until `holds`, or fails the test.
-pub(crate) fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !holds() {
-        assert!(Instant::now() < until, "not in time: {what}");
-        std::thread::sleep(PAUSE);
+/// Waits until `condition` holds; panics after `WAIT_TIMEOUT`.
+pub(crate) fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "timed out waiting: {what}");
+        std::thread::sleep(POLL_INTERVAL);
     }
 }
 
@@ -193,12 +196,12 @@
     Account { name: name.into(), rate: 10_000, burst: 10_000 }
 }
 
-/// The configuration of most tests: three databases, two client accounts.
+/// The configuration of most tests: a database for each consistency, and two client accounts.
 pub(crate) fn catalog() -> Catalog {
     let routes = [
-        (STRICT, Consistency::Primary),
-        (OLD, Consistency::Bounded(BOUND)),
-        (OWN, Consistency::ReadYourWrites(BOUND)),
+        (STRICT_DB, Consistency::Primary),
+        (BOUNDED_DB, Consistency::Bounded(MAX_READ_AGE)),
+        (READ_YOUR_WRITES_DB, Consistency::ReadYourWrites(MAX_READ_AGE)),
     ];
     Catalog {
         version: 1,
@@ -211,12 +214,13 @@
 }
 
 impl Fleet {
-    /// A platform, one group and `count` hosts that are ready.
+    /// Starts the stand-ins and `count` hosts with the default catalog, and waits until all hosts
+    /// are ready.
     pub(crate) fn start(count: u8) -> Fleet {
         Fleet::start_with(count, catalog())
     }
 
-    /// The same with a configuration of one's own.
+    /// Like `start`, with another configuration.
     pub(crate) fn start_with(count: u8, catalog: Catalog) -> Fleet {
         let system = System::start(&[SERVICE]).expect("the stand-ins start");
         system.configure(&catalog);
@@ -227,68 +231,71 @@
         fleet
     }
 
-    /// Writes a newer configuration.
+    /// Publishes the edited configuration under a newer version.
     pub(crate) fn reconfigure(&mut self, edit: impl FnOnce(&mut Catalog)) {
         edit(&mut self.catalog);
         self.catalog.version += 1;
         self.system.configure(&self.catalog);
     }
 
-    /// A session at a host, by its index.
-    pub(crate) fn session(&self, host: usize, database: &str) -> Caller {
+    /// Opens a session at the host with this index.
+    pub(crate) fn open_session(&self, host: usize, database: &str) -> Caller {
         Caller::connect(self.hosts[host].callers, database, KEY).expect("the session opens")
     }
 }
 
 impl Caller {
-    /// Opens a session; the error is the code of the refusal.
+    /// Opens a session; the error is the code of the host's refusal.
     pub(crate) fn connect(address: SocketAddr, database: &str, key: &str) -> Result<Caller, Code> {
         let stream = TcpStream::connect(address).expect("the host listens");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("the read timeout is set");
         let codec = TargetCodec::default();
-        let mut caller = Caller { stream, codec, buffer: BytesMut::new(), next: 0 };
+        let mut caller = Caller { stream, codec, buffer: BytesMut::new(), last_id: 0 };
         caller.send(&caller::connect(database, key));
         match caller.receive() {
             Some(answer) => {
                 assert_eq!(answer.end, End::Ready);
                 Ok(caller)
             }
-            None => Err(caller.codec.pending_error().expect("a refusal names its code")),
+            None => Err(caller.codec.pending_error().expect("a refusal has a code")),
         }
     }
 
-    /// Opens a session that is given up after `patience` without an answer; none if it cannot be.
+    /// Opens a session whose reads fail after `timeout` without a response. None if the host cannot
+    /// be reached, does not respond or refuses.
     pub(crate) fn try_connect(
         address: SocketAddr,
         database: &str,
         key: &str,
-        patience: Duration,
+        timeout: Duration,
     ) -> Option<Caller> {
-        let stream = TcpStream::connect_timeout(&address, patience).ok()?;
-        stream.set_read_timeout(Some(patience)).ok()?;
+        let stream = TcpStream::connect_timeout(&address, timeout).ok()?;
+        stream.set_read_timeout(Some(timeout)).ok()?;
         let codec = TargetCodec::default();
-        let mut caller = Caller { stream, codec, buffer: BytesMut::new(), next: 0 };
+        let mut caller = Caller { stream, codec, buffer: BytesMut::new(), last_id: 0 };
         caller.stream.write_all(&caller::connect(database, key)).ok()?;
         caller.receive().filter(|answer| answer.end == End::Ready).map(|_| caller)
     }
 
-    /// Runs a statement at a host that may vanish; none without an answer.
+    /// Runs a statement at a host that may fail; None if there is no answer.
     pub(crate) fn try_run(&mut self, text: &str) -> Option<Answer> {
-        self.next += 1;
-        let id = format!("{:016x}", self.next);
+        self.last_id += 1;
+        let id = format!("{:016x}", self.last_id);
         self.stream.write_all(&line::query(&id, text)).ok()?;
         self.receive()
     }
 
-    /// Sends bytes as they are.
+    /// Sends raw bytes.
     pub(crate) fn send(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).expect("the host takes it");
+        self.stream.write_all(bytes).expect("the host accepts the bytes");
     }
 
-    /// The next answer; none if the session ended.
+    /// Receives the next answer; None if the session has ended or the read timed out.
     pub(crate) fn receive(&mut self) -> Option<Answer> {
         loop {
-            if let Some(answer) = self.codec.decode(&mut self.buffer).expect("a readable answer") {
+            if let Some(answer) =
+                self.codec.decode(&mut self.buffer).expect("the answer is well-formed")
+            {
                 return Some(answer);
             }
             let mut bytes = [0; 4096];
@@ -299,16 +306,17 @@
         }
     }
 
-    /// Runs a statement.
+    /// Runs a statement and returns its answer, which may be a refusal.
     pub(crate) fn run(&mut self, text: &str) -> Answer {
-        self.next += 1;
-        let id = format!("{:016x}", self.next);
+        self.last_id += 1;
+        let id = format!("{:016x}", self.last_id);
         self.send(&line::query(&id, text));
-        self.receive().expect("an answer")
+        self.receive().expect("the host answers the statement")
     }
 
-    /// Runs a statement that has to succeed; its first row's data and the connection's values.
-    pub(crate) fn row(&mut self, text: &str) -> (String, String) {
+    /// Runs a statement that has to succeed. Returns the data of its first row and the session's
+    /// values on the connection that served it.
+    pub(crate) fn expect_row(&mut self, text: &str) -> (String, String) {
         let answer = self.run(text);
         assert_eq!(answer.end, End::Done, "{text}");
         let row = answer.first_row().unwrap_or_default();
@@ -316,18 +324,19 @@
         (data.to_owned(), values.to_owned())
     }
 
-    /// Runs a statement that has to succeed and leave the session in `state`.
-    pub(crate) fn done(&mut self, text: &str, state: State) {
+    /// Runs a statement that has to succeed and to leave the session in `state`.
+    pub(crate) fn expect_done(&mut self, text: &str, state: State) {
         let answer = self.run(text);
         assert_eq!((answer.end, answer.state), (End::Done, state), "{text}");
     }
 
-    /// Runs a statement that has to be refused.
-    pub(crate) fn refused(&mut self, text: &str) -> (Code, State) {
+    /// Runs a statement that has to be refused. Returns the code of the refusal and the session's
+    /// state after it.
+    pub(crate) fn expect_refusal(&mut self, text: &str) -> (Code, State) {
         let answer = self.run(text);
         match answer.end {
             End::Error(code) => (code, answer.state),
-            end => panic!("{text}: {end:?} where a refusal was due"),
+            end => panic!("{text}: expected a refusal, got {end:?}"),
         }
     }
 }
