Restore texts that callers and clients read

Details of refusals are part of the answers to callers, are forwarded between hosts and may be matched by tools, so their texts stay letter for letter. The rewording had changed some of them; they go back to what they were:

- host: unsupported or malformed column values, a step that came to the wrong host, a read without a result, a replaced primary
- stand-in: SQL error messages for parameters, savepoints and settings

Log lines, panics and errors that a command prints locally keep their new wording. No test quotes the restored texts.

--- a/crates/host/src/exec/exact.rs
+++ b/crates/host/src/exec/exact.rs
@@ -45,11 +45,11 @@
     let (Some(count), Some(weight), Some(sign), Some(scale), true) =
         (words.next(), words.next(), words.next(), words.next(), rest.is_empty())
     else {
-        return Err("a numeric value is truncated".into());
+        return Err("a numeric is cut".into());
     };
     let digits: Vec<u16> = words.collect();
     if digits.len() != usize::from(count) || digits.iter().any(|digit| *digit > 9999) {
-        return Err("a numeric value is malformed".into());
+        return Err("a numeric is malformed".into());
     }
     let weight = i64::from(weight.cast_signed());
     Ok(match sign {
--- a/crates/host/src/exec/forward.rs
+++ b/crates/host/src/exec/forward.rs
@@ -44,10 +44,7 @@
     let caller = Caller::Peer(forward.account);
     let id = forward.transaction;
     if transaction::owner(id) != host.settings.host {
-        return Outcome::new(Err(Refusal::new(
-            Reason::NotFound,
-            "the transaction belongs to another host",
-        )));
+        return Outcome::new(Err(Refusal::new(Reason::NotFound, "not this host's transaction")));
     }
     transaction::step(host, id, &caller, forward.step, deadline).await
 }
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -319,5 +319,5 @@
 }
 
 fn missing_result() -> Refusal {
-    Refusal::new(Reason::ConnectionLost, "the read ended without a result")
+    Refusal::new(Reason::ConnectionLost, "no answer to serve")
 }
--- a/crates/host/src/exec/value.rs
+++ b/crates/host/src/exec/value.rs
@@ -125,7 +125,7 @@
 }
 
 fn unsupported_type(column: &str, kind: &Type) -> Fault {
-    format!("column {column}: results of type {kind} are not supported; cast it to text").into()
+    format!("column {column}: the type {kind} is not answered; cast it to text").into()
 }
 
 /// A float as a value; text if it is not finite, which JSON numbers cannot represent.
--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -162,10 +162,7 @@
         }
         tokio::time::sleep(HOLD_POLL_INTERVAL).await;
         if host.failover.primary(key.0) != primary {
-            return Err(Refusal::new(
-                Reason::WritesHeld,
-                "the primary was replaced by a planned promotion",
-            ));
+            return Err(Refusal::new(Reason::WritesHeld, "the primary was replaced by plan"));
         }
     };
     perform(host, key, actions);
--- a/crates/standin/src/group/row.rs
+++ b/crates/standin/src/group/row.rs
@@ -186,10 +186,7 @@
         BYTEA => Value::Blob(bytes.to_vec()),
         0 | TEXT | VARCHAR | BPCHAR | UNKNOWN => Value::Text(text(bytes)?),
         _ => {
-            return Err(Error::new(
-                sqlstate::UNSUPPORTED,
-                format!("parameters of type {oid} are not supported"),
-            ));
+            return Err(Error::new(sqlstate::UNSUPPORTED, format!("parameter of type {oid}")));
         }
     };
     Ok(value)
@@ -208,7 +205,7 @@
 }
 
 fn array<const N: usize>(bytes: &[u8]) -> Result<[u8; N]> {
-    bytes.try_into().map_err(|_| invalid_input("binary parameter has the wrong length"))
+    bytes.try_into().map_err(|_| invalid_input("length of a binary parameter"))
 }
 
 fn text(bytes: &[u8]) -> Result<String> {
--- a/crates/standin/src/group/statement.rs
+++ b/crates/standin/src/group/statement.rs
@@ -104,7 +104,7 @@
         ["begin", ..] | ["start", "transaction", ..] => Command::Begin { read_only },
         ["commit", ..] | ["end", ..] => Command::Commit,
         ["rollback", "to", ..] | ["savepoint", ..] | ["release", ..] => {
-            return Err(Error::new(sqlstate::UNSUPPORTED, "savepoints are not supported"));
+            return Err(Error::new(sqlstate::UNSUPPORTED, "savepoints"));
         }
         ["rollback", ..] | ["abort", ..] => Command::Rollback,
         ["set", rest @ ..] => Command::Set(parse_setting(&rest.join(" "))?),
@@ -200,7 +200,7 @@
 }
 
 fn invalid_setting(value: &str) -> Error {
-    Error::new("22023", format!("invalid value for a setting: {value}"))
+    Error::new("22023", format!("invalid value of a setting: {value}"))
 }
 
 /// Strips leading comments, trailing semicolons, and whitespace at both ends.
