rename: responses of the callers' client and the description of a system

Old -> new: client::caller::Answer -> Response; client::caller::Served -> Target, its fields target -> number and replica -> is_replica, and Response::served -> target; client::caller::Failure::Cut -> Incomplete; system::Plan -> system::Spec, since a plan is what operators confirm; System::adopt_host -> add_external_host.

--- a/crates/cli/src/bench/cost/external.rs
+++ b/crates/cli/src/bench/cost/external.rs
@@ -35,7 +35,7 @@
         pid_file.display()
     );
     let pid = wait_for_pid(&pid_file).await?;
-    system.adopt_host(settings).await?;
+    system.add_external_host(settings).await?;
     let used = || process::used(pid);
     statement::compare(scenario, &system, 0, used, "the daemon's process").await
 }
--- a/crates/cli/src/bench/cost/statement.rs
+++ b/crates/cli/src/bench/cost/statement.rs
@@ -7,7 +7,7 @@
 use crate::client::caller::{Client, Operation, Request};
 use crate::error::{Error, Result};
 use crate::output::table;
-use crate::system::{Plan, System};
+use crate::system::{Spec, System};
 use bergamotvale_core::config::Account;
 use bergamotvale_core::statement::{Statement, Value};
 use bergamotvale_host::settings::Policy;
@@ -54,7 +54,7 @@
 }
 
 /// A fleet of `hosts` without distances, with `accounts` and `groups`.
-pub fn plan(seed: u64, hosts: usize, accounts: usize, groups: usize) -> Plan {
+pub fn plan(seed: u64, hosts: usize, accounts: usize, groups: usize) -> Spec {
     let options = group::Options { schema: vec![SCHEMA.to_owned()], ..group::Options::default() };
     let limit = options.connection_limit.max(hosts as u64 * CONNECTIONS_PER_HOST);
     let options = group::Options { connection_limit: limit, ..options };
@@ -69,7 +69,7 @@
         weight: 1,
         services: (1..=groups as u32).collect::<BTreeSet<_>>(),
     };
-    Plan {
+    Spec {
         seed,
         hosts,
         failure_domains: 3,
@@ -124,7 +124,7 @@
 }
 
 /// Starts `plan` with its hosts on `runtime`; the threads that are not its hosts' come with it.
-pub async fn start_apart(plan: Plan, runtime: &Runtime) -> Result<(System, Threads)> {
+pub async fn start_apart(plan: Spec, runtime: &Runtime) -> Result<(System, Threads)> {
     let mut system = System::prepare(plan).await?;
     let mut others = process::threads(std::process::id())?;
     others.retain(|_, thread| thread.name != process::HOST_THREAD);
--- a/crates/cli/src/bench/load.rs
+++ b/crates/cli/src/bench/load.rs
@@ -9,7 +9,7 @@
 use crate::bench::history::{Attempt, Kind, Op, Outcome, Seen, Step, Verdict};
 use crate::bench::progress::Progress;
 use crate::bench::session::Session;
-use crate::client::caller::{Answer, Client, Failure, Operation, Request};
+use crate::client::caller::{Client, Failure, Operation, Request, Response};
 use bergamotvale_core::statement::{Statement, Value};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -244,7 +244,7 @@
         host: usize,
         step: Step,
         request: &Request,
-    ) -> Option<Answer> {
+    ) -> Option<Response> {
         let host = self.setup.balancer.pick(host);
         let answer = self.attempt(arrival, op, host, step, request).await;
         let is_unsent = op.last().is_some_and(|last| last.outcome == Outcome::Unsent);
@@ -262,23 +262,23 @@
         host: usize,
         step: Step,
         request: &Request,
-    ) -> Option<Answer> {
+    ) -> Option<Response> {
         let sent = self.now();
         let client = &self.setup.callers[arrival.account][host];
         let limit = self.setup.timeout + ANSWER_MARGIN;
         let result = match tokio::time::timeout(limit, self.travel(client, request)).await {
             Ok(result) => result,
-            Err(_) => Err(Failure::Cut("no answer in time".to_owned())),
+            Err(_) => Err(Failure::Incomplete("no answer in time".to_owned())),
         };
         let ended = self.now();
-        if let Ok(Answer { session: Some(token), .. }) = &result {
+        if let Ok(Response { session: Some(token), .. }) = &result {
             self.session(arrival).merge(token);
         }
         op.attempts.push(Attempt { step, host, sent, ended, outcome: outcome(&result) });
         result.ok()
     }
 
-    async fn travel(&self, client: &Client, request: &Request) -> Result<Answer, Failure> {
+    async fn travel(&self, client: &Client, request: &Request) -> Result<Response, Failure> {
         if self.setup.way.is_zero() {
             return client.send(request).await;
         }
@@ -324,21 +324,21 @@
     format!("{id}_{secret}")
 }
 
-fn outcome(result: &Result<Answer, Failure>) -> Outcome {
+fn outcome(result: &Result<Response, Failure>) -> Outcome {
     match result {
         Ok(answer) => Outcome::Done {
-            replica: answer.served.as_ref().map(|served| served.replica),
+            replica: answer.target.as_ref().map(|target| target.is_replica),
             replayed: answer.replayed,
         },
         Err(failure @ Failure::Refused(problem)) => {
             Outcome::Refused { reason: problem.known_reason(), ran: failure.ran() }
         }
         Err(Failure::Unsent(_)) => Outcome::Unsent,
-        Err(Failure::Cut(_)) => Outcome::Cut,
+        Err(Failure::Incomplete(_)) => Outcome::Cut,
     }
 }
 
-fn seen(answer: &Answer) -> Option<Seen> {
+fn seen(answer: &Response) -> Option<Seen> {
     let row = answer.rows.rows.first()?;
     Some(Seen { op: number(row.first()?)?, seq: number(row.get(1)?)? })
 }
--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -16,7 +16,7 @@
 use crate::client::caller::Client;
 use crate::error::{Error, Result};
 use crate::output;
-use crate::system::{Plan, System};
+use crate::system::{Spec, System};
 use bergamotvale_core::config::Account;
 use bergamotvale_core::id::ServiceId;
 use bergamotvale_host::settings::Defect;
@@ -135,7 +135,7 @@
     }
 }
 
-fn plan(scenario: &Scenario, seed: u64, variant: Variant, defects: &BTreeSet<Defect>) -> Plan {
+fn plan(scenario: &Scenario, seed: u64, variant: Variant, defects: &BTreeSet<Defect>) -> Spec {
     let mut policy = scenario.policy.clone();
     (variant.edit)(&mut policy);
     policy.defects = defects.clone();
@@ -162,7 +162,7 @@
             .map(|place| place as ServiceId + 1)
             .collect(),
     });
-    Plan {
+    Spec {
         seed,
         hosts: scenario.places.hosts,
         failure_domains: scenario.places.failure_domains,
--- a/crates/cli/src/client/caller.rs
+++ b/crates/cli/src/client/caller.rs
@@ -126,22 +126,22 @@
 
 /// Who served a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Served {
+pub struct Target {
     /// The target's number, as the host gave it.
-    pub target: String,
+    pub number: String,
     /// Whether it was a replica.
-    pub replica: bool,
+    pub is_replica: bool,
 }
 
 /// A whole answer.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct Answer {
+pub struct Response {
     /// The result.
     pub rows: Rows,
     /// Token for the session's next request.
     pub session: Option<Token>,
     /// Who served it.
-    pub served: Option<Served>,
+    pub target: Option<Target>,
     /// Whether it is the outcome of an earlier request.
     pub replayed: bool,
     /// The transaction that was begun.
@@ -161,7 +161,7 @@
     /// The answer is missing or incomplete: the outcome is open.
     #[display("answer: {_0}")]
     #[from(ignore)]
-    Cut(#[error(not(source))] String),
+    Incomplete(#[error(not(source))] String),
 }
 
 impl Failure {
@@ -170,7 +170,7 @@
         match self {
             Failure::Refused(problem) => problem.ran.unwrap_or(Ran::Unknown),
             Failure::Unsent(_) => Ran::No,
-            Failure::Cut(_) => Ran::Unknown,
+            Failure::Incomplete(_) => Ran::Unknown,
         }
     }
 }
@@ -195,11 +195,12 @@
     }
 
     /// Sends `request` once and waits for its whole answer.
-    pub async fn send(&self, request: &Request) -> Result<Answer, Failure> {
+    pub async fn send(&self, request: &Request) -> Result<Response, Failure> {
         let response = self.build(request).send().await.map_err(failure)?;
         let status = response.status().as_u16();
         let headers = response.headers().clone();
-        let body = response.bytes().await.map_err(|error| Failure::Cut(error.to_string()))?;
+        let body =
+            response.bytes().await.map_err(|error| Failure::Incomplete(error.to_string()))?;
         match status {
             200 if request.ends_transaction() => Ok(headers_only(&headers)),
             200 => answer(&headers, &body),
@@ -244,36 +245,36 @@
     if error.is_connect() || error.is_builder() {
         return Failure::Unsent(error);
     }
-    Failure::Cut(error.to_string())
+    Failure::Incomplete(error.to_string())
 }
 
-fn answer(headers: &HeaderMap, body: &[u8]) -> Result<Answer, Failure> {
+fn answer(headers: &HeaderMap, body: &[u8]) -> Result<Response, Failure> {
     let rows = match value::rows(body) {
         Some(rows) => rows,
-        None => return Err(Failure::Cut("the body is not a whole result".to_owned())),
+        None => return Err(Failure::Incomplete("the body is not a whole result".to_owned())),
     };
-    Ok(Answer { rows, ..headers_only(headers) })
+    Ok(Response { rows, ..headers_only(headers) })
 }
 
-fn begun(headers: &HeaderMap, body: &[u8]) -> Result<Answer, Failure> {
+fn begun(headers: &HeaderMap, body: &[u8]) -> Result<Response, Failure> {
     let begun: Begun =
-        serde_json::from_slice(body).map_err(|error| Failure::Cut(error.to_string()))?;
-    Ok(Answer { transaction: Some(begun.transaction), ..headers_only(headers) })
+        serde_json::from_slice(body).map_err(|error| Failure::Incomplete(error.to_string()))?;
+    Ok(Response { transaction: Some(begun.transaction), ..headers_only(headers) })
 }
 
-fn headers_only(headers: &HeaderMap) -> Answer {
-    Answer {
+fn headers_only(headers: &HeaderMap) -> Response {
+    Response {
         rows: Rows::default(),
         session: text(headers, SESSION).and_then(|text| text.parse().ok()),
-        served: text(headers, TARGET).and_then(served),
+        target: text(headers, TARGET).and_then(parse_target),
         replayed: text(headers, REPLAYED) == Some("true"),
         transaction: None,
     }
 }
 
-fn served(text: &str) -> Option<Served> {
-    let (target, role) = text.split_once(' ')?;
-    Some(Served { target: target.to_owned(), replica: role == "replica" })
+fn parse_target(text: &str) -> Option<Target> {
+    let (number, role) = text.split_once(' ')?;
+    Some(Target { number: number.to_owned(), is_replica: role == "replica" })
 }
 
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -1,6 +1,6 @@
 //! A whole system in this process: platform, database groups and hosts on loopback.
 //!
-//! [`Plan`] says what to bring up, [`System`] is it running. Each part keeps its address when it
+//! [`Spec`] says what to bring up, [`System`] is it running. Each part keeps its address when it
 //! is stopped and started again. Keys come from a seed: the system lives no longer than the
 //! process and listens on loopback only.
 
@@ -42,7 +42,7 @@
 
 /// What to bring up.
 #[derive(Debug, Clone)]
-pub struct Plan {
+pub struct Spec {
     /// Seed of the keys.
     pub seed: u64,
     /// Number of hosts.
@@ -77,7 +77,7 @@
     pub operator_key: String,
     http: reqwest::Client,
     operators: Vec<Operator>,
-    plan: Plan,
+    plan: Spec,
 }
 
 /// A host of the system.
@@ -96,14 +96,14 @@
 
 impl System {
     /// Brings up `plan` and waits until every host serves every service.
-    pub async fn start(plan: Plan) -> Result<System> {
+    pub async fn start(plan: Spec) -> Result<System> {
         let mut system = System::prepare(plan).await?;
         system.start_hosts(None).await?;
         Ok(system)
     }
 
     /// Brings up what is outside of the hosts: platform and groups.
-    pub async fn prepare(plan: Plan) -> Result<System> {
+    pub async fn prepare(plan: Spec) -> Result<System> {
         let mut rng = StdRng::seed_from_u64(plan.seed);
         let platform = platform::Server::start(platform::Options::default()).map_err(start)?;
         let groups = start_groups(&plan)?;
@@ -134,7 +134,7 @@
     }
 
     /// Takes in a host that runs in another process, and waits until it serves.
-    pub async fn adopt_host(&mut self, settings: Settings) -> Result<()> {
+    pub async fn add_external_host(&mut self, settings: Settings) -> Result<()> {
         self.hosts.push(Host { settings, running: None });
         self.found().await?;
         self.wait_until_served().await
@@ -293,12 +293,12 @@
     Error::Start(error.to_string())
 }
 
-fn start_groups(plan: &Plan) -> Result<Vec<Group>> {
+fn start_groups(plan: &Spec) -> Result<Vec<Group>> {
     let options = plan.groups.iter().map(|(_, options)| options.clone());
     options.map(|options| Group::start(options).map_err(start)).collect()
 }
 
-fn settings(plan: &Plan, place: usize, platform: SocketAddr, operators: &[Operator]) -> Settings {
+fn settings(plan: &Spec, place: usize, platform: SocketAddr, operators: &[Operator]) -> Settings {
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
     let listen = Listen { callers: free, operators: free, peers: free };
     let failure_domain = place as FailureDomainId % plan.failure_domains;
@@ -310,7 +310,7 @@
 }
 
 /// The configuration and the keys of its accounts, in the order of the accounts.
-fn document(plan: &Plan, groups: &[Group], rng: &mut StdRng) -> (Document, Vec<String>) {
+fn document(plan: &Spec, groups: &[Group], rng: &mut StdRng) -> (Document, Vec<String>) {
     let mut document = Document { version: 1, ..Document::default() };
     for (place, (group, (name, options))) in groups.iter().zip(&plan.groups).enumerate() {
         let service = service(plan, group, name, options);
@@ -328,7 +328,7 @@
     (document, keys)
 }
 
-fn service(plan: &Plan, group: &Group, name: &str, options: &group::Options) -> Service {
+fn service(plan: &Spec, group: &Group, name: &str, options: &group::Options) -> Service {
     let target = |(place, address): (usize, SocketAddr)| {
         let target = Target {
             address,
--- a/crates/cli/src/trial/bolt.rs
+++ b/crates/cli/src/trial/bolt.rs
@@ -61,11 +61,11 @@
         let answer = story.system.caller(host).send(&request).await;
         let answer = answer.map_err(|failure| format!("read on host {}: {failure}", host + 1))?;
         if first_number(&answer) != Some(1) {
-            let served = answer.served.map(|served| served.target).unwrap_or_default();
+            let served = answer.target.map(|target| target.number).unwrap_or_default();
             let host = host + 1;
             return Err(format!("host {host} answered from target {served} without bolt {bolt}"));
         }
-        by_replicas += usize::from(answer.served.is_some_and(|served| served.replica));
+        by_replicas += usize::from(answer.target.is_some_and(|target| target.is_replica));
     }
     if story.rows(ORDERS, lagging, bolt)? != 0 {
         return Err(format!("target {lagging} did not lag, so that nothing was shown"));
--- a/crates/cli/src/trial/story.rs
+++ b/crates/cli/src/trial/story.rs
@@ -1,9 +1,9 @@
 //! The system of the story, and what the story knows of its bolts.
 
 use super::Outcome;
-use crate::client::caller::{Answer, Failure, Operation, Request};
+use crate::client::caller::{Failure, Operation, Request, Response};
 use crate::error::{Error, Result};
-use crate::system::{Plan, System};
+use crate::system::{Spec, System};
 use bergamotvale_core::config::Account;
 use bergamotvale_core::id::ServiceId;
 use bergamotvale_core::refusal::Ran;
@@ -66,7 +66,7 @@
         };
         let groups = SERVICES.map(|name| (name.to_owned(), options.clone()));
         let accounts = ACCOUNTS.map(account);
-        let plan = Plan {
+        let plan = Spec {
             seed,
             hosts: HOSTS,
             failure_domains: FAILURE_DOMAINS,
@@ -114,7 +114,7 @@
         &mut self,
         host: usize,
         service: usize,
-    ) -> (Bolt, std::result::Result<Answer, Failure>) {
+    ) -> (Bolt, std::result::Result<Response, Failure>) {
         let bolt = self.new_bolt();
         let request = self.log_request(service, bolt);
         let result = self.system.caller(host).send(&request).await;
@@ -262,7 +262,7 @@
 }
 
 /// The number in the first cell of an answer.
-pub(super) fn first_number(answer: &Answer) -> Option<i64> {
+pub(super) fn first_number(answer: &Response) -> Option<i64> {
     match answer.rows.rows.first()?.first()? {
         Value::Int(number) => Some(*number),
         _ => None,
--- a/crates/cli/src/trial/transaction.rs
+++ b/crates/cli/src/trial/transaction.rs
@@ -2,7 +2,7 @@
 
 use super::Outcome;
 use super::story::{LOOM, ORDERS, Story, insert};
-use crate::client::caller::{Answer, Operation, Request};
+use crate::client::caller::{Operation, Request, Response};
 
 /// Host that begins.
 const FIRST: usize = 1;
@@ -42,7 +42,7 @@
     Ok(())
 }
 
-async fn send(story: &Story, host: usize, request: &Request) -> Result<Answer, String> {
+async fn send(story: &Story, host: usize, request: &Request) -> Result<Response, String> {
     let result = story.system.caller(host).send(request).await;
     result.map_err(|failure| format!("transaction on host {}: {failure}", host + 1))
 }
--- a/crates/cli/tests/client.rs
+++ b/crates/cli/tests/client.rs
@@ -52,7 +52,7 @@
 
     assert_eq!(answer.rows.rows, vec![vec![Value::Int(7)]]);
     assert_eq!(answer.session.map(|token| token.to_string()).as_deref(), Some("1;1=3.9"));
-    assert!(answer.served.expect("served").replica);
+    assert!(answer.target.expect("target").is_replica);
     assert!(!answer.replayed);
 }
 
@@ -62,7 +62,7 @@
 
     let failure = client(address).send(&read()).await.expect_err("cut");
 
-    assert!(matches!(failure, Failure::Cut(_)), "{failure}");
+    assert!(matches!(failure, Failure::Incomplete(_)), "{failure}");
     assert_eq!(failure.ran(), Ran::Unknown);
 }
 
