--- a/crates/cli/src/client/caller.rs
+++ b/crates/cli/src/client/caller.rs
@@ -1,4 +1,4 @@
-//! Client of the callers' interface.
+//! Client of the callers' API.
 
 use crate::client::problem::Problem;
 use crate::client::value;
@@ -11,51 +11,51 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const SESSION: &str = "bergamotvale-session";
-const TARGET: &str = "bergamotvale-target";
-const REPLAYED: &str = "bergamotvale-replayed";
-const MAX_AGE: &str = "bergamotvale-max-age";
-const TIMEOUT: &str = "bergamotvale-timeout";
-const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const SESSION_HEADER: &str = "bergamotvale-session";
+const TARGET_HEADER: &str = "bergamotvale-target";
+const REPLAYED_HEADER: &str = "bergamotvale-replayed";
+const MAX_AGE_HEADER: &str = "bergamotvale-max-age";
+const TIMEOUT_HEADER: &str = "bergamotvale-timeout";
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
-/// What a request is about.
+/// Endpoint of a request with its arguments.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Operation {
-    /// A read-only statement on the named service.
+    /// Runs a read-only statement on the named service.
     Read(String, Statement),
-    /// A statement in a transaction of its own on the named service.
+    /// Runs a statement in its own transaction on the named service.
     Write(String, Statement),
-    /// Begins a transaction on the named service.
+    /// Begins an interactive transaction on the named service.
     Begin(String),
-    /// A statement in the transaction.
+    /// Runs a statement in the transaction with this id.
     Run(String, Statement),
-    /// Ends the transaction with its effects.
+    /// Commits the transaction with this id.
     Commit(String),
-    /// Ends the transaction without effects.
+    /// Rolls back the transaction with this id.
     Rollback(String),
-    /// A route open to all.
+    /// Calls the route of this name, which needs no key.
     Open(String),
 }
 
-/// A request with what travels in its headers.
+/// An operation with the headers of its request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Request {
-    /// What it is about.
+    /// Operation to request.
     pub operation: Operation,
-    /// The client account's key.
+    /// Key of the client account; None sends no authorization.
     pub key: Option<String>,
-    /// What the session has seen.
+    /// Session token: the response reflects at least the state that the session has seen.
     pub session: Option<Token>,
-    /// Age that a read accepts.
+    /// Maximum age of the data that a read accepts; the host's default if None.
     pub max_age: Option<Duration>,
-    /// Time that the caller waits.
+    /// Time for which the caller waits for the response; the host's default if None.
     pub timeout: Option<Duration>,
-    /// Under which a write runs at most once.
+    /// Key under which a write takes effect at most once, also if it is retried.
     pub idempotency_key: Option<String>,
 }
 
 impl Request {
-    /// A request without key or other headers.
+    /// Creates a request without optional headers.
     pub fn new(operation: Operation) -> Request {
         Request {
             operation,
@@ -67,31 +67,31 @@
         }
     }
 
-    /// The same request under `key`.
+    /// Sets the client account's key.
     pub fn with_key(mut self, key: &str) -> Request {
         self.key = Some(key.to_owned());
         self
     }
 
-    /// The same request of a session that has seen `token`.
+    /// Sets the session token.
     pub fn with_session(mut self, token: &Token) -> Request {
         self.session = Some(token.clone());
         self
     }
 
-    /// The same request accepting data of `age`.
+    /// Sets the maximum age of the data that a read accepts.
     pub fn with_max_age(mut self, age: Duration) -> Request {
         self.max_age = Some(age);
         self
     }
 
-    /// The same request waiting for `timeout`.
+    /// Sets the time for which the caller waits.
     pub fn with_timeout(mut self, timeout: Duration) -> Request {
         self.timeout = Some(timeout);
         self
     }
 
-    /// The same request, at most once under `key`.
+    /// Sets the idempotency key.
     pub fn with_idempotency_key(mut self, key: &str) -> Request {
         self.idempotency_key = Some(key.to_owned());
         self
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Whether its answer has no rows.
+    /// Returns whether the request ends a transaction; its response has no body.
     fn ends_transaction(&self) -> bool {
         matches!(self.operation, Operation::Commit(_) | Operation::Rollback(_))
     }
@@ -124,48 +124,50 @@
     }
 }
 
-/// Who served a request.
+/// Target that served a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
-    /// The target's number, as the host gave it.
+    /// Id of the target within its service, as the host sent it.
     pub number: String,
-    /// Whether it was a replica.
+    /// Whether the target was a replica at that time.
     pub is_replica: bool,
 }
 
-/// A whole answer.
+/// Complete response to a successful request.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Response {
-    /// The result.
+    /// Result of the statement; empty if the request has none.
     pub rows: Rows,
-    /// Token for the session's next request.
+    /// Token to send with the next request of the session.
     pub session: Option<Token>,
-    /// Who served it.
+    /// Target that served the request, if the host named it.
     pub target: Option<Target>,
-    /// Whether it is the outcome of an earlier request.
+    /// Whether this is the stored outcome of an earlier request with the same idempotency key.
     pub replayed: bool,
-    /// The transaction that was begun.
+    /// Id of the transaction that the request began.
     pub transaction: Option<String>,
 }
 
-/// A request without a whole answer.
+/// Reason for which a request has no complete response.
 #[derive(Debug, Display, Error, From)]
 pub enum Failure {
-    /// The host refused.
+    /// The host refused the request.
     #[display("{_0}")]
     Refused(Problem),
-    /// The connection was not made: certainly not run.
+    /// No connection was established, so the request did not run.
     #[display("connection: {_0}")]
     #[from(ignore)]
     Unsent(reqwest::Error),
-    /// The answer is missing or incomplete: the outcome is open.
+    /// The response is missing or incomplete, so the outcome is unknown.
     #[display("answer: {_0}")]
     #[from(ignore)]
     Incomplete(#[error(not(source))] String),
 }
 
 impl Failure {
-    /// What is known about the request's effect.
+    /// Returns whether the request may have run.
+    ///
+    /// A refusal that does not state it, such as one by a proxy, counts as unknown.
     pub fn ran(&self) -> Ran {
         match self {
             Failure::Refused(problem) => problem.ran.unwrap_or(Ran::Unknown),
@@ -175,13 +177,13 @@
     }
 }
 
-/// A transaction's id as `begin` answers it.
+/// Body of the response to [`Operation::Begin`].
 #[derive(Debug, Deserialize)]
 struct Begun {
     transaction: String,
 }
 
-/// A caller of one host.
+/// Client that sends requests to one host.
 #[derive(Debug, Clone)]
 pub struct Client {
     http: reqwest::Client,
@@ -189,27 +191,27 @@
 }
 
 impl Client {
-    /// A caller of the host at `address`, over the connections of `http`.
+    /// Creates a client for the callers' listener at `address` that uses the connections of `http`.
     pub fn new(http: reqwest::Client, address: SocketAddr) -> Client {
         Client { http, base: format!("http://{address}") }
     }
 
-    /// Sends `request` once and waits for its whole answer.
+    /// Sends `request` once, without retries, and waits for the complete response.
     pub async fn send(&self, request: &Request) -> Result<Response, Failure> {
-        let response = self.build(request).send().await.map_err(failure)?;
+        let response = self.build_request(request).send().await.map_err(send_failure)?;
         let status = response.status().as_u16();
         let headers = response.headers().clone();
         let body =
             response.bytes().await.map_err(|error| Failure::Incomplete(error.to_string()))?;
         match status {
-            200 if request.ends_transaction() => Ok(headers_only(&headers)),
-            200 => answer(&headers, &body),
-            201 => begun(&headers, &body),
-            _ => Err(Problem::new(status, retry_after(&headers), &body).into()),
+            200 if request.ends_transaction() => Ok(parse_headers(&headers)),
+            200 => parse_result(&headers, &body),
+            201 => parse_begun(&headers, &body),
+            _ => Err(Problem::new(status, parse_retry_after(&headers), &body).into()),
         }
     }
 
-    fn build(&self, request: &Request) -> reqwest::RequestBuilder {
+    fn build_request(&self, request: &Request) -> reqwest::RequestBuilder {
         let url = format!("{}{}", self.base, request.path());
         let mut builder = match request.operation {
             Operation::Open(_) => self.http.get(url),
@@ -219,16 +221,16 @@
             builder = builder.header(AUTHORIZATION, format!("Bearer {key}"));
         }
         if let Some(token) = &request.session {
-            builder = builder.header(SESSION, token.to_string());
+            builder = builder.header(SESSION_HEADER, token.to_string());
         }
         if let Some(age) = request.max_age {
-            builder = builder.header(MAX_AGE, millis(age));
+            builder = builder.header(MAX_AGE_HEADER, format_millis(age));
         }
         if let Some(timeout) = request.timeout {
-            builder = builder.header(TIMEOUT, millis(timeout));
+            builder = builder.header(TIMEOUT_HEADER, format_millis(timeout));
         }
         if let Some(key) = &request.idempotency_key {
-            builder = builder.header(IDEMPOTENCY_KEY, key);
+            builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
         }
         match request.statement() {
             Some(statement) => builder.json(&value::statement_body(statement)),
@@ -237,37 +239,37 @@
     }
 }
 
-fn millis(time: Duration) -> String {
+fn format_millis(time: Duration) -> String {
     format!("{}ms", time.as_millis())
 }
 
-fn failure(error: reqwest::Error) -> Failure {
+fn send_failure(error: reqwest::Error) -> Failure {
     if error.is_connect() || error.is_builder() {
         return Failure::Unsent(error);
     }
     Failure::Incomplete(error.to_string())
 }
 
-fn answer(headers: &HeaderMap, body: &[u8]) -> Result<Response, Failure> {
-    let rows = match value::rows(body) {
+fn parse_result(headers: &HeaderMap, body: &[u8]) -> Result<Response, Failure> {
+    let rows = match value::parse_rows(body) {
         Some(rows) => rows,
-        None => return Err(Failure::Incomplete("the body is not a whole result".to_owned())),
+        None => return Err(Failure::Incomplete("the body is not a complete result".to_owned())),
     };
-    Ok(Response { rows, ..headers_only(headers) })
+    Ok(Response { rows, ..parse_headers(headers) })
 }
 
-fn begun(headers: &HeaderMap, body: &[u8]) -> Result<Response, Failure> {
+fn parse_begun(headers: &HeaderMap, body: &[u8]) -> Result<Response, Failure> {
     let begun: Begun =
         serde_json::from_slice(body).map_err(|error| Failure::Incomplete(error.to_string()))?;
-    Ok(Response { transaction: Some(begun.transaction), ..headers_only(headers) })
+    Ok(Response { transaction: Some(begun.transaction), ..parse_headers(headers) })
 }
 
-fn headers_only(headers: &HeaderMap) -> Response {
+fn parse_headers(headers: &HeaderMap) -> Response {
     Response {
         rows: Rows::default(),
-        session: text(headers, SESSION).and_then(|text| text.parse().ok()),
-        target: text(headers, TARGET).and_then(parse_target),
-        replayed: text(headers, REPLAYED) == Some("true"),
+        session: header_text(headers, SESSION_HEADER).and_then(|text| text.parse().ok()),
+        target: header_text(headers, TARGET_HEADER).and_then(parse_target),
+        replayed: header_text(headers, REPLAYED_HEADER) == Some("true"),
         transaction: None,
     }
 }
@@ -277,11 +279,11 @@
     Some(Target { number: number.to_owned(), is_replica: role == "replica" })
 }
 
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+fn parse_retry_after(headers: &HeaderMap) -> Option<Duration> {
     let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
     Some(Duration::from_secs(seconds))
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
--- a/crates/cli/src/client/mod.rs
+++ b/crates/cli/src/client/mod.rs
@@ -1,7 +1,8 @@
-//! Clients of a host: [`caller`] for requests, [`operator`] for planned change.
+//! HTTP clients of a host: [`caller`] for the callers' API, [`operator`] for the operators' API.
 //!
-//! Both answer with typed data; a refusal is a [`problem::Problem`], and whatever leaves the
-//! outcome open is told apart from a refusal that promises "not run".
+//! Both return typed responses. A refusal is a [`problem::Problem`], which states whether the
+//! request may have run. The callers' client reports failures that leave the outcome unknown
+//! separately from those after which the request certainly did not run.
 
 pub mod caller;
 pub mod operator;
@@ -11,10 +12,12 @@
 
 use std::time::Duration;
 
-/// Time that a connection to a host may take.
+/// Timeout for connecting to a host.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// An HTTP client without proxies, with connections kept alive.
+/// Returns a builder for an HTTP/1.1 client that keeps connections alive.
+///
+/// It uses no proxy and follows no redirect, so that requests go to the given host only.
 pub fn http() -> reqwest::ClientBuilder {
     reqwest::Client::builder()
         .no_proxy()
--- a/crates/cli/src/client/operator.rs
+++ b/crates/cli/src/client/operator.rs
@@ -1,7 +1,7 @@
-//! Client of the operators' interface.
+//! Client of the operators' API.
 
 use crate::client::problem::Problem;
-use crate::client::report::{Audit, Confirmed, Issued, Metrics, Status};
+use crate::client::report::{Audit, ConfirmedPlan, IssuedKey, Metrics, Status};
 use crate::error::{Error, Result};
 use bergamotvale_core::id::{KeyId, PlanId};
 use bergamotvale_core::plan::{Intent, Plan, State};
@@ -11,12 +11,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time that an operator's call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
-/// Time between two looks at a running plan.
-const PLAN_POLL_PERIOD: Duration = Duration::from_millis(200);
+const PLAN_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// An operator of the fleet, through one host.
+/// Client that acts for one operator, through one host of the fleet.
 #[derive(Debug, Clone)]
 pub struct Client {
     http: reqwest::Client,
@@ -25,92 +23,92 @@
 }
 
 impl Client {
-    /// An operator with `key` at the host's listener `address`.
+    /// Creates a client that sends `key` to the operators' listener at `address`.
     pub fn new(http: reqwest::Client, address: SocketAddr, key: &str) -> Client {
         Client { http, base: format!("http://{address}"), key: key.to_owned() }
     }
 
-    /// The same client over TLS.
+    /// Switches the client to TLS.
     pub fn with_tls(mut self) -> Client {
         self.base = self.base.replacen("http://", "https://", 1);
         self
     }
 
-    /// The host's view of the fleet.
+    /// Returns the fleet's state as the host knows it.
     pub async fn status(&self) -> Result<Status> {
         self.call(Method::GET, "/v1/status", None).await
     }
 
-    /// Counters and gauges.
+    /// Returns the host's counters and gauges.
     pub async fn metrics(&self) -> Result<Metrics> {
         self.call(Method::GET, "/v1/metrics", None).await
     }
 
-    /// Sets the log level.
+    /// Sets the host's log level, by its lower-case name.
     pub async fn set_log_level(&self, level: &str) -> Result<()> {
         self.send(Method::PUT, "/v1/log-level", Some(json!({ "level": level }))).await?;
         Ok(())
     }
 
-    /// The configuration, key digests left out.
+    /// Returns the configuration without the digests of keys.
     pub async fn config(&self) -> Result<Value> {
         self.call(Method::GET, "/v1/config", None).await
     }
 
-    /// Puts the first configuration.
+    /// Publishes the first configuration; the host refuses if there is one already.
     pub async fn put_config(&self, document: Value) -> Result<()> {
         self.send(Method::PUT, "/v1/config", Some(document)).await?;
         Ok(())
     }
 
-    /// Issues a key to the client account of this name.
-    pub async fn issue_key(&self, account: &str) -> Result<Issued> {
+    /// Issues a key to the client account with the name `account`.
+    pub async fn issue_key(&self, account: &str) -> Result<IssuedKey> {
         self.call(Method::POST, "/v1/keys", Some(json!({ "account": account }))).await
     }
 
-    /// Withdraws a key; answers with the version that does so.
+    /// Withdraws a key and returns the version of the configuration that does so.
     pub async fn withdraw_key(&self, key: KeyId) -> Result<Value> {
         self.call(Method::POST, &format!("/v1/keys/{key}/withdraw"), None).await
     }
 
-    /// States an intent.
+    /// Proposes an intent and returns its plan, which changes nothing until it is confirmed.
     pub async fn propose(&self, intent: &Intent) -> Result<Plan> {
         self.call(Method::POST, "/v1/plans", Some(json!(intent))).await
     }
 
-    /// Every plan.
+    /// Returns all plans that the host knows.
     pub async fn plans(&self) -> Result<Vec<Plan>> {
-        let answer: Value = self.call(Method::GET, "/v1/plans", None).await?;
-        let plans = answer.get("plans").cloned().unwrap_or(answer);
-        serde_json::from_value(plans).map_err(unreadable)
+        let body: Value = self.call(Method::GET, "/v1/plans", None).await?;
+        let plans = body.get("plans").cloned().unwrap_or(body);
+        serde_json::from_value(plans).map_err(parse_error)
     }
 
-    /// One plan.
+    /// Returns the plan with its progress.
     pub async fn plan(&self, plan: PlanId) -> Result<Plan> {
         self.call(Method::GET, &format!("/v1/plans/{plan}"), None).await
     }
 
-    /// Confirms a plan; a key that it issues is answered this once.
-    pub async fn confirm(&self, plan: PlanId) -> Result<Confirmed> {
+    /// Confirms a plan, which the fleet then executes. Only this response contains a new key.
+    pub async fn confirm(&self, plan: PlanId) -> Result<ConfirmedPlan> {
         self.call(Method::POST, &format!("/v1/plans/{plan}/confirm"), None).await
     }
 
-    /// Waits until a plan is done or has failed.
+    /// Polls a plan until it is done or has failed; fails if it is still running after `timeout`.
     pub async fn wait(&self, plan: PlanId, timeout: Duration) -> Result<Plan> {
         let deadline = std::time::Instant::now() + timeout;
         loop {
-            let seen = self.plan(plan).await?;
-            if matches!(seen.state, State::Done | State::Failed) {
-                return Ok(seen);
+            let current = self.plan(plan).await?;
+            if matches!(current.state, State::Done | State::Failed) {
+                return Ok(current);
             }
             if std::time::Instant::now() >= deadline {
-                return Err(Error::Verdict(format!("plan {plan} is still {}", seen.state)));
+                return Err(Error::Verdict(format!("plan {plan} is still {}", current.state)));
             }
-            tokio::time::sleep(PLAN_POLL_PERIOD).await;
+            tokio::time::sleep(PLAN_POLL_INTERVAL).await;
         }
     }
 
-    /// What operators did.
+    /// Returns the audit log.
     pub async fn audit(&self) -> Result<Audit> {
         self.call(Method::GET, "/v1/audit", None).await
     }
@@ -120,7 +118,7 @@
         T: DeserializeOwned,
     {
         let body = self.send(method, path, body).await?;
-        serde_json::from_slice(&body).map_err(unreadable)
+        serde_json::from_slice(&body).map_err(parse_error)
     }
 
     async fn send(&self, method: Method, path: &str, body: Option<Value>) -> Result<Vec<u8>> {
@@ -142,6 +140,6 @@
     }
 }
 
-fn unreadable(error: serde_json::Error) -> Error {
-    Error::Unreachable(format!("the host's answer can't be read: {error}"))
+fn parse_error(error: serde_json::Error) -> Error {
+    Error::Unreachable(format!("failed to parse the host's response: {error}"))
 }
--- a/crates/cli/src/client/problem.rs
+++ b/crates/cli/src/client/problem.rs
@@ -1,4 +1,4 @@
-//! Refusals as problem documents (RFC 9457).
+//! Refusals of a host as problem documents (RFC 9457).
 
 use bergamotvale_core::refusal::{Ran, Reason};
 use derive_more::Error;
@@ -6,44 +6,44 @@
 use std::fmt;
 use std::time::Duration;
 
-/// Characters of a foreign answer that are shown.
+/// Maximum length of the detail that is taken from a body that is no problem document.
 const MAX_DETAIL_CHARS: usize = 300;
 
-/// A refusal of a host.
+/// Refusal of a request by a host.
 ///
-/// `reason` stays text, so that a newer host's reasons can be shown too.
+/// `reason` is a string, so that reasons which only a newer host knows can be printed too.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub struct Problem {
-    /// HTTP status.
+    /// HTTP status code of the response.
     #[serde(default)]
     pub status: u16,
-    /// Stable reason.
+    /// Name of the reason as in [`Reason`]; empty if the body is no problem document.
     #[serde(default)]
     pub reason: String,
-    /// Whether the request took effect.
+    /// Whether the request may have run; None if the host did not state it.
     #[serde(default)]
     pub ran: Option<Ran>,
-    /// One sentence for people.
+    /// Explanation for people.
     #[serde(default)]
     pub detail: String,
-    /// What changed since a stale plan was made.
+    /// Changes of the configuration since the refused plan was made.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub changed: Vec<String>,
-    /// When asking again makes sense.
+    /// Time after which a retry makes sense, from the header `Retry-After`.
     #[serde(skip)]
     pub retry_after: Option<Duration>,
 }
 
 impl Problem {
-    /// Reads the body of an answer with `status`.
+    /// Parses the body of a response with `status`; a foreign body becomes the detail.
     pub fn new(status: u16, retry_after: Option<Duration>, body: &[u8]) -> Problem {
-        let mut problem = serde_json::from_slice(body).unwrap_or_else(|_| foreign(body));
+        let mut problem = serde_json::from_slice(body).unwrap_or_else(|_| from_foreign_body(body));
         problem.status = status;
         problem.retry_after = retry_after;
         problem
     }
 
-    /// The reason, when this version knows it.
+    /// Returns the reason. None if this version doesn't know it.
     pub fn known_reason(&self) -> Option<Reason> {
         Reason::ALL.into_iter().find(|reason| reason.to_string() == self.reason)
     }
@@ -66,8 +66,8 @@
     }
 }
 
-/// A body that is no problem document.
-fn foreign(body: &[u8]) -> Problem {
+/// Makes a problem of a body that is no problem document, such as that of a proxy.
+fn from_foreign_body(body: &[u8]) -> Problem {
     let detail = String::from_utf8_lossy(body).chars().take(MAX_DETAIL_CHARS).collect();
     Problem { detail, ..Problem::default() }
 }
--- a/crates/cli/src/client/report.rs
+++ b/crates/cli/src/client/report.rs
@@ -1,6 +1,7 @@
-//! What the operators' interface answers, as plain data.
+//! Responses of the operators' API.
 //!
-//! Fields that a newer host adds are passed over. Plans are those of [`bergamotvale_core::plan`].
+//! Unknown fields, which a newer host may add, are ignored. Plans are those of
+//! [`bergamotvale_core::plan`].
 
 use bergamotvale_core::id::{
     AccountId, HostId, Incarnation, KeyId, PlanId, ServiceId, TargetId, Version,
@@ -12,112 +13,112 @@
 /// A host's view of the fleet.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
-    /// The host that answers.
+    /// Host that sent this view.
     pub host: HostId,
-    /// Its present run.
+    /// Current incarnation of the host.
     pub incarnation: Incarnation,
-    /// Version of the configuration that it acts on.
+    /// Version of the configuration that the host acts on.
     pub version: Version,
-    /// Whether it may act on it.
+    /// Whether the host's copy of the shared state is recent enough to act on.
     pub authority: Authority,
-    /// Hosts that it knows.
+    /// Members of the fleet.
     pub members: Vec<Member>,
-    /// Services and their targets.
+    /// Services of the configuration.
     pub services: Vec<Service>,
-    /// Client accounts.
+    /// Client accounts of the configuration.
     pub accounts: Vec<Account>,
-    /// Newest change.
+    /// Newest change of the configuration.
     pub change: Change,
 }
 
-/// Whether a host's shared state is recent enough to act on.
+/// Authority of a host: whether its copy of the shared state is recent enough to act on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Authority {
-    /// Whether it is.
+    /// Whether the host has authority.
     pub held: bool,
-    /// Age of the last confirmation, ms.
+    /// Age of the last renewal, in milliseconds.
     pub age_ms: Option<u64>,
-    /// What confirmed it: the store or peers.
+    /// What renewed the authority last: the store or peers.
     pub by: Option<String>,
 }
 
-/// A host as another sees it.
+/// A member of the fleet as the responding host knows it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Member {
-    /// Its number.
+    /// Id of the member.
     pub host: HostId,
-    /// Its present run.
+    /// Current incarnation of the member.
     pub incarnation: Incarnation,
-    /// Version that it acts on.
+    /// Version of the configuration that the member acts on.
     pub version: Version,
-    /// Whether it is on its way out.
+    /// Whether the member is leaving the fleet.
     pub leaving: bool,
-    /// Time since it was heard, ms.
+    /// Time since its last heartbeat was received, in milliseconds; None before the first.
     pub last_heard_ms: Option<u64>,
 }
 
 /// A service and its targets.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
-    /// Its number.
+    /// Id of the service.
     pub service: ServiceId,
-    /// Its name.
+    /// Name in the configuration, which operators and callers use.
     pub name: String,
-    /// Its primary, when one is known.
+    /// Primary of the group; None if none is known.
     pub primary: Option<TargetId>,
-    /// Term of the primary.
+    /// Term of the primary; 0 if none is known.
     pub term: u64,
-    /// Its targets.
+    /// Targets of the group.
     pub targets: Vec<Target>,
 }
 
-/// A target as the host sees it.
+/// A target as the responding host knows it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Target {
-    /// Its number.
+    /// Id of the target within its service.
     pub target: TargetId,
-    /// Its role in the group.
+    /// Role that the target last reported; None before the first report.
     #[serde(default)]
     pub role: Option<String>,
-    /// Whether it may receive new work.
+    /// Configured state: `active` if the target receives new work.
     pub state: String,
-    /// Whether it answers.
+    /// Whether the host has received a recent probe response, its own or through a peer.
     pub healthy: bool,
-    /// Age of its data, ms.
+    /// Age of the target's data, in milliseconds; None if unknown.
     pub age_ms: Option<u64>,
-    /// Position that it has applied.
+    /// Log position up to which the target has applied.
     pub applied: serde_json::Value,
-    /// Whether the host keeps work from it.
+    /// Whether the host has ejected the target and sends it no work.
     pub ejected: bool,
 }
 
 /// A client account and the host's share of its rate.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Account {
-    /// Its number.
+    /// Id of the account.
     pub account: AccountId,
-    /// Its name.
+    /// Name in the configuration.
     pub name: String,
-    /// Requests a second over all hosts.
+    /// Rate over all hosts, in requests per second.
     pub rate: f64,
-    /// Requests above the rate at once.
+    /// Number of requests over the rate that may arrive at once, over all hosts.
     pub burst: f64,
-    /// The host's share of the rate.
+    /// Share of the rate that the responding host holds.
     pub held_rate: f64,
-    /// The host's share of the burst.
+    /// Share of the burst that the responding host holds.
     pub held_burst: f64,
 }
 
 /// Newest change of the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Change {
-    /// Newest accepted version.
+    /// Newest version that was accepted.
     pub accepted: Version,
-    /// Whether, or up to which version, it is in force everywhere.
+    /// Newest version that every live host acts on.
     pub in_force: serde_json::Value,
 }
 
-/// Counters and gauges.
+/// Metrics of the responding host.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Metrics {
     /// Counters by name.
@@ -127,45 +128,45 @@
     pub gauges: BTreeMap<String, f64>,
 }
 
-/// A key that was just issued.
+/// A newly issued key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Issued {
-    /// Its number.
+pub struct IssuedKey {
+    /// Id of the key.
     pub key_id: KeyId,
-    /// The key, shown this once.
+    /// The key itself, which the host returns only here.
     pub key: String,
 }
 
-/// A plan that was confirmed.
+/// A confirmed plan.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Confirmed {
-    /// The plan.
+pub struct ConfirmedPlan {
+    /// The plan, whose fields are at the top level of the JSON object.
     #[serde(flatten)]
     pub plan: Plan,
-    /// The key that it issues.
+    /// New key of a rotation, which only the response to the confirmation contains.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub issued: Option<Issued>,
+    pub issued: Option<IssuedKey>,
 }
 
-/// What operators did.
+/// Audit log of the operators' actions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Audit {
-    /// Entries, in order.
+    /// Entries, oldest first.
     pub entries: Vec<Entry>,
 }
 
-/// One thing that an operator did.
+/// One action of an operator.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
-    /// When.
+    /// Wall-clock time of the action, RFC 3339.
     pub at: serde_json::Value,
-    /// Who.
+    /// Name of the operator.
     pub operator: String,
-    /// What.
+    /// Name of the action.
     pub action: String,
-    /// Under which plan.
+    /// Plan that the action belongs to, if any.
     #[serde(default)]
     pub plan: Option<PlanId>,
-    /// How it ended.
+    /// Result of the action.
     pub outcome: String,
 }
--- a/crates/cli/src/client/value.rs
+++ b/crates/cli/src/client/value.rs
@@ -1,4 +1,4 @@
-//! Statements and results in the JSON of the callers' interface.
+//! JSON encoding of statements, and decoding of results, in the callers' API.
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde_json::json;
 
-/// A result as it comes over HTTP.
+/// Result in the body of a response.
 #[derive(Debug, Deserialize)]
 struct Table {
     columns: Vec<Header>,
@@ -15,7 +15,7 @@
     affected: u64,
 }
 
-/// A column as it comes over HTTP.
+/// Name and type of a column in the body of a response.
 #[derive(Debug, Deserialize)]
 struct Header {
     name: String,
@@ -23,28 +23,28 @@
     kind: String,
 }
 
-/// The body that carries `statement`.
+/// Encodes `statement` as the body of a request.
 pub fn statement_body(statement: &Statement) -> serde_json::Value {
     let params: Vec<_> = statement.params.iter().map(to_json).collect();
     json!({ "sql": statement.sql, "params": params })
 }
 
-/// Reads a result; none when `body` is not one.
-pub fn rows(body: &[u8]) -> Option<Rows> {
+/// Parses a result. None if `body` is malformed or a row has another width than the header.
+pub fn parse_rows(body: &[u8]) -> Option<Rows> {
     let table: Table = serde_json::from_slice(body).ok()?;
     let columns: Vec<_> = table
         .columns
         .into_iter()
         .map(|header| Column { name: header.name, kind: header.kind })
         .collect();
-    let rows = table.rows.into_iter().map(row).collect::<Option<Vec<_>>>()?;
+    let rows = table.rows.into_iter().map(parse_row).collect::<Option<Vec<_>>>()?;
     if rows.iter().any(|row| row.len() != columns.len()) {
         return None;
     }
     Some(Rows { columns, rows, affected: table.affected })
 }
 
-fn row(cells: Vec<serde_json::Value>) -> Option<Vec<Value>> {
+fn parse_row(cells: Vec<serde_json::Value>) -> Option<Vec<Value>> {
     cells.into_iter().map(from_json).collect()
 }
 
@@ -64,20 +64,20 @@
         serde_json::Value::Null => Some(Value::Null),
         serde_json::Value::Bool(value) => Some(Value::Bool(value)),
         serde_json::Value::String(value) => Some(Value::Text(value)),
-        serde_json::Value::Number(value) => number(&value),
-        serde_json::Value::Object(fields) => bytes(&fields),
+        serde_json::Value::Number(value) => parse_number(&value),
+        serde_json::Value::Object(fields) => parse_bytes(&fields),
         serde_json::Value::Array(_) => None,
     }
 }
 
-fn number(value: &serde_json::Number) -> Option<Value> {
+fn parse_number(value: &serde_json::Number) -> Option<Value> {
     match value.as_i64() {
         Some(int) => Some(Value::Int(int)),
         None => value.as_f64().map(Value::Float),
     }
 }
 
-fn bytes(fields: &serde_json::Map<String, serde_json::Value>) -> Option<Value> {
+fn parse_bytes(fields: &serde_json::Map<String, serde_json::Value>) -> Option<Value> {
     let text = fields.get("bytes")?.as_str()?;
     STANDARD.decode(text).ok().map(Value::Bytes)
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,8 +1,9 @@
-//! The operators' command: plans, status and keys against a running host; a demonstration and a
-//! bench that bring up a whole system in one process.
+//! The operators' command.
 //!
-//! [`args`] turns a command line into an [`args::Invocation`]; [`run`] carries it out. Everything
-//! that talks to a host goes through [`client`].
+//! It manages plans, keys and the configuration through the operators' API of a host, explains
+//! requests from logs, and runs a demonstration and benchmarks against a complete system in one
+//! process. [`args`] parses a command line into an [`args::Invocation`], and [`run`] executes it.
+//! Hosts are accessed through [`client`].
 
 pub mod args;
 pub mod bench;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,4 +1,4 @@
-//! The operators' command.
+//! Entry point of the operators' command: prints errors and maps them to an exit status.
 
 use bergamotvale_cli::{args, run};
 use std::process::ExitCode;
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,7 +1,7 @@
-//! Results on standard output: tables for people, or one JSON document.
+//! Prints results on standard output, as tables or as one JSON document.
 
 use crate::args::Output;
-use crate::client::report::{Audit, Confirmed, Issued, Status};
+use crate::client::report::{Audit, ConfirmedPlan, IssuedKey, Status};
 use crate::error::{Error, Result};
 use bergamotvale_core::plan::{Intent, Plan};
 use bergamotvale_sessions::status as sessions;
@@ -9,10 +9,10 @@
 use std::fmt::Write;
 use std::io::Write as _;
 
-/// Spaces between two columns.
-const GUTTER: usize = 2;
+/// Number of spaces between two columns.
+const COLUMN_GAP: usize = 2;
 
-/// Prints `result`, for people through `render`.
+/// Prints `result` as JSON, or as the text that `render` returns for [`Output::Human`].
 pub fn print<T>(output: Output, result: &T, render: fn(&T) -> String) -> Result<()>
 where
     T: Serialize + ?Sized,
@@ -26,22 +26,22 @@
     Ok(())
 }
 
-/// `value` as indented JSON.
+/// Formats `value` as indented JSON.
 pub fn json<T: Serialize + ?Sized>(value: &T) -> Result<String> {
     serde_json::to_string_pretty(value).map_err(|error| Error::Io(error.into()))
 }
 
-/// Lines up `rows` under `header`; every cell but the last is padded.
+/// Formats `rows` as left-aligned columns under `header`, without trailing spaces.
 pub fn table(header: &[&str], rows: &[Vec<String>]) -> String {
-    let widths = widths(header, rows);
-    let mut text = line(header.iter().copied(), &widths);
+    let widths = column_widths(header, rows);
+    let mut text = format_line(header.iter().copied(), &widths);
     for row in rows {
-        text.push_str(&line(row.iter().map(String::as_str), &widths));
+        text.push_str(&format_line(row.iter().map(String::as_str), &widths));
     }
     text
 }
 
-fn widths(header: &[&str], rows: &[Vec<String>]) -> Vec<usize> {
+fn column_widths(header: &[&str], rows: &[Vec<String>]) -> Vec<usize> {
     let mut widths: Vec<usize> = header.iter().map(|cell| cell.chars().count()).collect();
     for row in rows {
         for (width, cell) in widths.iter_mut().zip(row) {
@@ -51,36 +51,36 @@
     widths
 }
 
-fn line<'a>(cells: impl Iterator<Item = &'a str>, widths: &[usize]) -> String {
+fn format_line<'a>(cells: impl Iterator<Item = &'a str>, widths: &[usize]) -> String {
     let mut text = String::new();
     for (cell, width) in cells.zip(widths) {
         text.push_str(cell);
-        let padding = width - cell.chars().count() + GUTTER;
+        let padding = width - cell.chars().count() + COLUMN_GAP;
         text.push_str(&" ".repeat(padding));
     }
     format!("{}\n", text.trim_end())
 }
 
-/// The fleet, for people.
-pub fn status(status: &Status) -> String {
-    let mut text = summary(status);
+/// Renders a host's view of the fleet: a summary and tables of hosts, targets and accounts.
+pub fn render_status(status: &Status) -> String {
+    let mut text = render_summary(status);
     text.push('\n');
-    text.push_str(&members(status));
+    text.push_str(&render_members(status));
     text.push('\n');
-    text.push_str(&targets(status));
+    text.push_str(&render_targets(status));
     text.push('\n');
-    text.push_str(&accounts(status));
+    text.push_str(&render_accounts(status));
     text
 }
 
-/// The state of a session host, for people.
-pub fn sessions(status: &sessions::Status) -> String {
+/// Renders the state of a session host: a summary and tables of groups, targets and accounts.
+pub fn render_sessions(status: &sessions::Status) -> String {
     let lease = if status.lease.held { "held" } else { "lapsed" };
     let ready = if status.ready { "ready" } else { "not ready" };
-    let proof = optional(status.lease.proof_age_ms.map(|age| format!("{age} ms")));
+    let proof_age = text_or_dash(status.lease.proof_age_ms.map(|age| format!("{age} ms")));
     let mut text = format!(
         "host {} in {}, {ready}, {} sessions, configuration {}\n\
-         lease {lease} at revision {}, proof {proof} old, {} hosts\n\n",
+         lease {lease} at revision {}, proof {proof_age} old, {} hosts\n\n",
         status.host,
         status.domain,
         status.sessions,
@@ -88,19 +88,19 @@
         status.lease.revision,
         status.members.len(),
     );
-    text.push_str(&session_groups(status));
+    text.push_str(&render_session_groups(status));
     text.push('\n');
-    text.push_str(&session_targets(status));
+    text.push_str(&render_session_targets(status));
     text.push('\n');
-    text.push_str(&session_accounts(status));
+    text.push_str(&render_session_accounts(status));
     text
 }
 
-fn optional(value: Option<String>) -> String {
+fn text_or_dash(value: Option<String>) -> String {
     value.unwrap_or_else(|| "-".to_owned())
 }
 
-fn session_groups(status: &sessions::Status) -> String {
+fn render_session_groups(status: &sessions::Status) -> String {
     let row = |(service, group): (&String, &sessions::GroupState)| {
         let state = if group.established { "leads" } else { "promoting" };
         vec![
@@ -109,14 +109,14 @@
             state.to_owned(),
             group.fence.to_string(),
             group.term.to_string(),
-            optional(group.position.clone()),
+            text_or_dash(group.position.clone()),
         ]
     };
     let rows: Vec<_> = status.groups.iter().map(row).collect();
     table(&["SERVICE", "PRIMARY", "STATE", "FENCE", "TERM", "POSITION"], &rows)
 }
 
-fn session_targets(status: &sessions::Status) -> String {
+fn render_session_targets(status: &sessions::Status) -> String {
     let row = |(name, target): (&String, &sessions::TargetState)| {
         let state = if target.leaving { "leaving" } else { target.view.as_str() };
         vec![
@@ -132,7 +132,7 @@
     table(&["TARGET", "SERVICE", "STATE", "POSITION", "CONNECTIONS", "RUNNING"], &rows)
 }
 
-fn session_accounts(status: &sessions::Status) -> String {
+fn render_session_accounts(status: &sessions::Status) -> String {
     let row = |(name, account): (&String, &sessions::AccountState)| {
         vec![
             name.clone(),
@@ -145,7 +145,7 @@
     table(&["ACCOUNT", "RATE", "RATE HERE", "BURST HERE"], &rows)
 }
 
-fn summary(status: &Status) -> String {
+fn render_summary(status: &Status) -> String {
     let authority = if status.authority.held { "held" } else { "lapsed" };
     let by = status.authority.by.as_deref().unwrap_or("nobody");
     let mut text = String::new();
@@ -157,7 +157,7 @@
     text
 }
 
-fn members(status: &Status) -> String {
+fn render_members(status: &Status) -> String {
     let rows: Vec<_> = status
         .members
         .iter()
@@ -167,14 +167,14 @@
                 member.incarnation.to_string(),
                 member.version.to_string(),
                 if member.leaving { "leaving" } else { "live" }.to_owned(),
-                maybe(member.last_heard_ms),
+                value_or_dash(member.last_heard_ms),
             ]
         })
         .collect();
     table(&["HOST", "INCARNATION", "VERSION", "STATE", "HEARD MS AGO"], &rows)
 }
 
-fn targets(status: &Status) -> String {
+fn render_targets(status: &Status) -> String {
     let mut rows = Vec::new();
     for service in &status.services {
         for target in &service.targets {
@@ -186,9 +186,9 @@
                 target.role.clone().unwrap_or_else(|| role.to_owned()),
                 service.term.to_string(),
                 target.state.clone(),
-                health(target.healthy, target.ejected).to_owned(),
-                maybe(target.age_ms),
-                text(&target.applied),
+                health_label(target.healthy, target.ejected).to_owned(),
+                value_or_dash(target.age_ms),
+                plain_text(&target.applied),
             ]);
         }
     }
@@ -196,7 +196,7 @@
     table(&header, &rows)
 }
 
-fn health(healthy: bool, ejected: bool) -> &'static str {
+fn health_label(healthy: bool, ejected: bool) -> &'static str {
     match (healthy, ejected) {
         (_, true) => "ejected",
         (true, false) => "good",
@@ -204,7 +204,7 @@
     }
 }
 
-fn accounts(status: &Status) -> String {
+fn render_accounts(status: &Status) -> String {
     let rows: Vec<_> = status
         .accounts
         .iter()
@@ -221,11 +221,11 @@
     table(&["ACCOUNT", "RATE", "BURST", "HELD RATE", "HELD BURST"], &rows)
 }
 
-/// A plan with its steps, for people.
-pub fn plan(plan: &Plan) -> String {
+/// Renders a plan with its intent and a table of its steps.
+pub fn render_plan(plan: &Plan) -> String {
     let mut out = String::new();
     let _ = writeln!(out, "plan {} ({}), from version {}", plan.id, plan.state, plan.version);
-    let _ = writeln!(out, "intent: {}", intent(&plan.intent));
+    let _ = writeln!(out, "intent: {}", format_intent(&plan.intent));
     if let Some(operator) = &plan.confirmed_by {
         let _ = writeln!(out, "confirmed by {operator}");
     }
@@ -247,19 +247,19 @@
     out
 }
 
-/// A confirmed plan with the key that it issues, for people.
-pub fn confirmed(confirmed: &Confirmed) -> String {
-    let key = confirmed.issued.as_ref().map(issued).unwrap_or_default();
-    format!("{}{key}", plan(&confirmed.plan))
+/// Renders a confirmed plan with the key that it issued, if any.
+pub fn render_confirmed(confirmed: &ConfirmedPlan) -> String {
+    let key = confirmed.issued.as_ref().map(render_issued).unwrap_or_default();
+    format!("{}{key}", render_plan(&confirmed.plan))
 }
 
-/// A new key, for people.
-pub fn issued(issued: &Issued) -> String {
+/// Renders a new key, which the host returns only once.
+pub fn render_issued(issued: &IssuedKey) -> String {
     format!("key {}\n{}\nIt is not shown again.\n", issued.key_id, issued.key)
 }
 
-/// An intent as it is typed.
-fn intent(intent: &Intent) -> String {
+/// Formats an intent like the command line that states it.
+fn format_intent(intent: &Intent) -> String {
     match intent {
         Intent::Promote { service, target } => format!("promote {service} {target}"),
         Intent::DrainTarget { service, target } => format!("drain target {service} {target}"),
@@ -274,17 +274,17 @@
     }
 }
 
-/// A plan that waits for confirmation, for people.
-pub fn proposal(proposal: &Plan) -> String {
+/// Renders a plan that is not confirmed yet, with the command that confirms it.
+pub fn render_proposal(proposal: &Plan) -> String {
     format!(
         "{}\nNothing has changed. To carry it out: bergamotvale confirm {}\n",
-        plan(proposal),
+        render_plan(proposal),
         proposal.id
     )
 }
 
-/// Plans, for people.
-pub fn plans(plans: &[Plan]) -> String {
+/// Renders a table of plans without their steps.
+pub fn render_plans(plans: &[Plan]) -> String {
     let rows: Vec<_> = plans
         .iter()
         .map(|plan| {
@@ -293,24 +293,24 @@
                 plan.state.to_string(),
                 plan.version.to_string(),
                 plan.confirmed_by.clone().unwrap_or_default(),
-                intent(&plan.intent),
+                format_intent(&plan.intent),
             ]
         })
         .collect();
     table(&["PLAN", "STATE", "VERSION", "CONFIRMED BY", "INTENT"], &rows)
 }
 
-/// What operators did, for people.
-pub fn audit(audit: &Audit) -> String {
+/// Renders the audit log as a table.
+pub fn render_audit(audit: &Audit) -> String {
     let rows: Vec<_> = audit
         .entries
         .iter()
         .map(|entry| {
             vec![
-                text(&entry.at),
+                plain_text(&entry.at),
                 entry.operator.clone(),
                 entry.action.clone(),
-                maybe(entry.plan),
+                value_or_dash(entry.plan),
                 entry.outcome.clone(),
             ]
         })
@@ -318,12 +318,12 @@
     table(&["AT", "OPERATOR", "ACTION", "PLAN", "OUTCOME"], &rows)
 }
 
-fn maybe<T: ToString>(value: Option<T>) -> String {
+fn value_or_dash<T: ToString>(value: Option<T>) -> String {
     value.map_or_else(|| "-".to_owned(), |value| value.to_string())
 }
 
-/// A string without its quotes, anything else as JSON.
-fn text(value: &serde_json::Value) -> String {
+/// Formats a JSON string without quotes, and any other value as JSON.
+fn plain_text(value: &serde_json::Value) -> String {
     match value.as_str() {
         Some(text) => text.to_owned(),
         None => value.to_string(),
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -1,7 +1,7 @@
-//! A whole system in this process: platform, database groups and hosts on loopback.
+//! A complete system in one process: platform, database groups and hosts on loopback.
 //!
-//! [`Spec`] says what to bring up, [`System`] is it running. Each part keeps its address when it
-//! is stopped and started again. Keys come from a seed: the system lives no longer than the
+//! [`Spec`] describes the system, [`System`] is the running system. Each part keeps its address
+//! across a restart. Keys are derived from a seed, which is safe because the system ends with the
 //! process and listens on loopback only.
 
 use crate::client;
@@ -29,65 +29,63 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
-/// Time that the system may take to serve its first requests.
+/// Timeout for publishing the first configuration, and for the first successful requests.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time between two looks whether it does.
-const START_PERIOD: Duration = Duration::from_millis(50);
-/// Time for which an outcome stays known under its idempotency key.
-const RETENTION: Duration = Duration::from_secs(3600);
-/// Name of the system's operator.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which the outcome of a write is kept under its idempotency key.
+const IDEMPOTENCY_RETENTION: Duration = Duration::from_secs(3600);
+/// Name of the only operator.
 const OPERATOR: &str = "operator";
-/// Bytes of a secret.
 const SECRET_BYTES: usize = 16;
 
-/// What to bring up.
+/// Describes a system to start.
 #[derive(Debug, Clone)]
 pub struct Spec {
-    /// Seed of the keys.
+    /// Seed from which the secrets and salts of keys are derived.
     pub seed: u64,
-    /// Number of hosts.
+    /// Number of hosts; their ids start at 1.
     pub hosts: usize,
-    /// Failure domains that hosts and targets are spread over.
+    /// Number of failure domains, to which hosts and targets are assigned round-robin.
     pub failure_domains: FailureDomainId,
-    /// Database groups with their names.
+    /// Database groups, each with the name of its service; service ids start at 1.
     pub groups: Vec<(String, group::Options)>,
-    /// Client accounts; each gets one key.
+    /// Client accounts, each of which gets one key; account ids start at 1.
     pub accounts: Vec<Account>,
-    /// Routes open to all.
+    /// Routes that are served without a key, by name.
     pub routes: BTreeMap<String, Route>,
-    /// How hosts decide.
+    /// Policy of every host.
     pub policy: Policy,
-    /// Threads of each host that serve callers.
+    /// Number of threads that serve callers, per host.
     pub workers: usize,
 }
 
-/// A running system; dropping it ends it.
+/// A running system. Dropping it stops all parts.
 pub struct System {
-    /// The platform.
+    /// Stand-in for the platform, which stores the shared state.
     pub platform: platform::Server,
-    /// Database groups, by the place of their service.
+    /// Database groups, in the order of the specification.
     pub groups: Vec<Group>,
-    /// Hosts.
+    /// Hosts, in the order of their ids.
     pub hosts: Vec<Host>,
-    /// The configuration that it started with.
+    /// The first configuration that was published.
     pub document: Document,
-    /// Keys, by the place of their account.
+    /// Keys, in the order of their accounts.
     pub keys: Vec<String>,
-    /// The operator's key.
+    /// Key for the operators' API of every host.
     pub operator_key: String,
     http: reqwest::Client,
     operators: Vec<Operator>,
-    plan: Spec,
+    spec: Spec,
 }
 
-/// A host of the system.
+/// A host of the system, running or stopped.
 pub struct Host {
-    /// Its settings, with the addresses that it listens on.
+    /// Settings with the actual listener addresses, which a restart uses again.
     pub settings: Settings,
     running: Option<Running>,
 }
 
-/// A daemon of this process, run as its program runs it.
+/// A running host in this process.
 struct Running {
     host: Arc<bergamotvale_host::shared::Host>,
     stop: oneshot::Sender<()>,
@@ -95,21 +93,22 @@
 }
 
 impl System {
-    /// Brings up `plan` and waits until every host serves every service.
-    pub async fn start(plan: Spec) -> Result<System> {
-        let mut system = System::prepare(plan).await?;
+    /// Starts the system and waits until every host serves every service.
+    pub async fn start(spec: Spec) -> Result<System> {
+        let mut system = System::prepare(spec).await?;
         system.start_hosts(None).await?;
         Ok(system)
     }
 
-    /// Brings up what is outside of the hosts: platform and groups.
-    pub async fn prepare(plan: Spec) -> Result<System> {
-        let mut rng = StdRng::seed_from_u64(plan.seed);
-        let platform = platform::Server::start(platform::Options::default()).map_err(start)?;
-        let groups = start_groups(&plan)?;
-        let (document, keys) = document(&plan, &groups, &mut rng);
-        let secret = secret(&mut rng);
-        let operators = vec![operator(&secret, &mut rng)];
+    /// Starts the platform and the database groups, but no hosts.
+    pub async fn prepare(spec: Spec) -> Result<System> {
+        let mut rng = StdRng::seed_from_u64(spec.seed);
+        let platform =
+            platform::Server::start(platform::Options::default()).map_err(start_error)?;
+        let groups = start_groups(&spec)?;
+        let (document, keys) = build_document(&spec, &groups, &mut rng);
+        let secret = random_secret(&mut rng);
+        let operators = vec![build_operator(&secret, &mut rng)];
         Ok(System {
             platform,
             groups,
@@ -119,51 +118,55 @@
             operator_key: format!("op_{OPERATOR}_{secret}"),
             http: client::http().build()?,
             operators,
-            plan,
+            spec,
         })
     }
 
-    /// Starts the hosts, on a runtime of their own if one is given, and waits until they serve.
+    /// Starts the hosts on `runtime`, or on the current one, and waits until they serve.
     pub async fn start_hosts(&mut self, runtime: Option<&Handle>) -> Result<()> {
-        for place in 0..self.plan.hosts {
-            let settings = self.settings(place);
+        for index in 0..self.spec.hosts {
+            let settings = self.settings(index);
             self.hosts.push(Host::start(settings, runtime).await?);
         }
-        self.found().await?;
-        self.wait_until_served().await
+        self.bootstrap().await?;
+        self.wait_until_serving().await
     }
 
-    /// Takes in a host that runs in another process, and waits until it serves.
+    /// Adds a host that runs in another process, and waits until it serves.
     pub async fn add_external_host(&mut self, settings: Settings) -> Result<()> {
         self.hosts.push(Host { settings, running: None });
-        self.found().await?;
-        self.wait_until_served().await
+        self.bootstrap().await?;
+        self.wait_until_serving().await
     }
 
-    /// Settings of the host at `place`, on free ports.
-    pub fn settings(&self, place: usize) -> Settings {
-        settings(&self.plan, place, self.platform.address(), &self.operators)
+    /// Returns settings for the host at `index` in which all listeners take free ports.
+    pub fn settings(&self, index: usize) -> Settings {
+        build_settings(&self.spec, index, self.platform.address(), &self.operators)
     }
 
-    /// A caller of the host at `place`, over connections of its own.
-    pub fn caller(&self, place: usize) -> caller::Client {
-        caller::Client::new(self.http.clone(), self.hosts[place].settings.listen.callers)
+    /// Returns a client of the callers' API of the host at `index`.
+    ///
+    /// All of these clients share one connection pool.
+    pub fn caller(&self, index: usize) -> caller::Client {
+        caller::Client::new(self.http.clone(), self.hosts[index].settings.listen.callers)
     }
 
-    /// The operator at the host at `place`.
-    pub fn operator(&self, place: usize) -> operator::Client {
-        let address = self.hosts[place].settings.listen.operators;
+    /// Returns a client of the operators' API of the host at `index`.
+    pub fn operator(&self, index: usize) -> operator::Client {
+        let address = self.hosts[index].settings.listen.operators;
         operator::Client::new(self.http.clone(), address, &self.operator_key)
     }
 
-    /// The primary of the group at `service`, if one leads.
+    /// Returns the number of the primary in the group at `service`, if it has one.
+    ///
+    /// Of several targets that act as primary, the one with the highest accepted term counts.
     pub fn primary(&self, service: usize) -> Option<usize> {
         let targets = self.groups[service].targets().iter();
         let leading = targets.filter(|target| target.is_primary());
         leading.max_by_key(|target| target.accepted_term()).map(group::Target::number)
     }
 
-    /// Stops every host, then the rest.
+    /// Stops all hosts gracefully, then the platform and the database groups.
     pub async fn stop(mut self) {
         let hosts = std::mem::take(&mut self.hosts);
         futures::future::join_all(hosts.into_iter().map(|mut host| async move {
@@ -172,111 +175,123 @@
         .await;
     }
 
-    /// Publishes the first configuration, once a host may.
-    async fn found(&self) -> Result<()> {
+    /// Publishes the first configuration through the first host, with retries until it accepts.
+    async fn bootstrap(&self) -> Result<()> {
         let deadline = Instant::now() + START_TIMEOUT;
         loop {
-            match self.try_found().await {
+            match self.try_bootstrap().await {
                 Ok(()) => return Ok(()),
                 Err(error) if Instant::now() > deadline => return Err(error),
-                Err(_) => tokio::time::sleep(START_PERIOD).await,
+                Err(_) => tokio::time::sleep(START_POLL_INTERVAL).await,
             }
         }
     }
 
-    async fn try_found(&self) -> Result<()> {
+    async fn try_bootstrap(&self) -> Result<()> {
         match self.hosts[0].running.as_ref() {
             Some(running) => {
-                let founded = change::bootstrap(&running.host, self.document.clone()).await;
-                founded.map(drop).map_err(start)
+                let published = change::bootstrap(&running.host, self.document.clone()).await;
+                published.map(drop).map_err(start_error)
             }
             None => {
-                let document = serde_json::to_value(&self.document).map_err(start)?;
+                let document = serde_json::to_value(&self.document).map_err(start_error)?;
                 self.operator(0).put_config(document).await
             }
         }
     }
 
-    async fn wait_until_served(&self) -> Result<()> {
+    async fn wait_until_serving(&self) -> Result<()> {
         let deadline = Instant::now() + START_TIMEOUT;
         for host in 0..self.hosts.len() {
             for (id, service) in &self.document.services {
-                let key = self.key_for(*id).ok_or_else(|| start("a service without account"))?;
+                let key = self
+                    .key_for(*id)
+                    .ok_or_else(|| start_error("a service has no account with access to it"))?;
                 let statement = Statement { sql: "SELECT 1".to_owned(), params: Vec::new() };
                 let operation = Operation::Read(service.name.clone(), statement);
                 let request = Request::new(operation).with_key(key);
-                self.wait_for(host, &request, deadline).await?;
+                self.wait_for_success(host, &request, deadline).await?;
             }
         }
         Ok(())
     }
 
-    async fn wait_for(&self, host: usize, request: &Request, deadline: Instant) -> Result<()> {
+    async fn wait_for_success(
+        &self,
+        host: usize,
+        request: &Request,
+        deadline: Instant,
+    ) -> Result<()> {
         loop {
             let failure = match self.caller(host).send(request).await {
                 Ok(_) => return Ok(()),
                 Err(failure) => failure,
             };
             if Instant::now() > deadline {
-                return Err(start(format!("host {host} does not serve: {failure}")));
+                return Err(start_error(format!(
+                    "host at index {host} does not serve reads: {failure}"
+                )));
             }
-            tokio::time::sleep(START_PERIOD).await;
+            tokio::time::sleep(START_POLL_INTERVAL).await;
         }
     }
 
-    /// Key of an account that may use `service`.
+    /// Returns the key of an account that has access to `service`.
     fn key_for(&self, service: ServiceId) -> Option<&str> {
         let mut accounts = self.document.accounts.values();
-        let place = accounts.position(|account| account.services.contains(&service))?;
-        self.keys.get(place).map(String::as_str)
+        let index = accounts.position(|account| account.services.contains(&service))?;
+        self.keys.get(index).map(String::as_str)
     }
 }
 
 impl Host {
     async fn start(settings: Settings, runtime: Option<&Handle>) -> Result<Host> {
-        let running = run(settings, runtime).await?;
+        let running = run_daemon(settings, runtime).await?;
         Ok(Host { settings: running.host.settings.clone(), running: Some(running) })
     }
 
-    /// Where it serves callers.
+    /// Returns the address of the callers' listener.
     pub fn address(&self) -> SocketAddr {
         self.settings.listen.callers
     }
 
-    /// Whether it runs.
+    /// Returns whether the host runs in this process and has not exited.
     pub fn is_running(&self) -> bool {
         self.running.as_ref().is_some_and(|running| !running.task.is_finished())
     }
 
-    /// Stops it as planned; ends when what ran has ended.
+    /// Stops the host gracefully and waits until it has exited.
     pub async fn stop(&mut self) {
         if let Some(stopping) = self.begin_stop() {
-            // A host that was told to leave may have ended already.
+            // The host may already have exited because it was asked to leave.
             drop(stopping.await);
         }
     }
 
-    /// Begins to stop it as planned; the handle ends when what ran has ended.
+    /// Starts a graceful stop; the handle completes when the host has exited.
+    ///
+    /// None if the host does not run in this process.
     pub fn begin_stop(&mut self) -> Option<JoinHandle<()>> {
         let Running { stop, task, .. } = self.running.take()?;
-        // Nobody listens when it was told to leave before.
+        // The receiver is dropped if the host was asked to leave before.
         let _ = stop.send(());
         Some(task)
     }
 
-    /// Starts it again where it was.
+    /// Starts a stopped host again on the same addresses.
     pub async fn restart(&mut self) -> Result<()> {
         if self.running.is_none() {
-            self.running = Some(run(self.settings.clone(), None).await?);
+            self.running = Some(run_daemon(self.settings.clone(), None).await?);
         }
         Ok(())
     }
 }
 
-/// Runs a daemon until it is stopped or told to leave, as its program does.
-async fn run(settings: Settings, runtime: Option<&Handle>) -> Result<Running> {
+/// Starts a daemon and a task that stops it on request or once it is asked to leave the fleet.
+async fn run_daemon(settings: Settings, runtime: Option<&Handle>) -> Result<Running> {
     let runtime = runtime.cloned().unwrap_or_else(Handle::current);
-    let daemon = runtime.spawn(Daemon::start(settings)).await.map_err(start)?.map_err(start)?;
+    let daemon =
+        runtime.spawn(Daemon::start(settings)).await.map_err(start_error)?.map_err(start_error)?;
     let host = daemon.host.clone();
     let (stop, stopped) = oneshot::channel();
     let task = runtime.spawn(async move {
@@ -289,75 +304,80 @@
     Ok(Running { host, stop, task })
 }
 
-fn start(error: impl ToString) -> Error {
+fn start_error(error: impl ToString) -> Error {
     Error::Start(error.to_string())
 }
 
-fn start_groups(plan: &Spec) -> Result<Vec<Group>> {
-    let options = plan.groups.iter().map(|(_, options)| options.clone());
-    options.map(|options| Group::start(options).map_err(start)).collect()
+fn start_groups(spec: &Spec) -> Result<Vec<Group>> {
+    let options = spec.groups.iter().map(|(_, options)| options.clone());
+    options.map(|options| Group::start(options).map_err(start_error)).collect()
 }
 
-fn settings(plan: &Spec, place: usize, platform: SocketAddr, operators: &[Operator]) -> Settings {
+fn build_settings(
+    spec: &Spec,
+    index: usize,
+    platform: SocketAddr,
+    operators: &[Operator],
+) -> Settings {
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
     let listen = Listen { callers: free, operators: free, peers: free };
-    let failure_domain = place as FailureDomainId % plan.failure_domains;
-    let mut settings = Settings::new(place as HostId + 1, failure_domain, listen, platform);
+    let failure_domain = index as FailureDomainId % spec.failure_domains;
+    let mut settings = Settings::new(index as HostId + 1, failure_domain, listen, platform);
     settings.operators = operators.to_vec();
-    settings.policy = plan.policy.clone();
-    settings.workers = plan.workers;
+    settings.policy = spec.policy.clone();
+    settings.workers = spec.workers;
     settings
 }
 
-/// The configuration and the keys of its accounts, in the order of the accounts.
-fn document(plan: &Spec, groups: &[Group], rng: &mut StdRng) -> (Document, Vec<String>) {
+/// Builds the first configuration, and the keys of its accounts in the order of the accounts.
+fn build_document(spec: &Spec, groups: &[Group], rng: &mut StdRng) -> (Document, Vec<String>) {
     let mut document = Document { version: 1, ..Document::default() };
-    for (place, (group, (name, options))) in groups.iter().zip(&plan.groups).enumerate() {
-        let service = service(plan, group, name, options);
-        document.services.insert(place as ServiceId + 1, service);
+    for (index, (group, (name, options))) in groups.iter().zip(&spec.groups).enumerate() {
+        let service = build_service(spec, group, name, options);
+        document.services.insert(index as ServiceId + 1, service);
     }
     let mut keys = Vec::new();
-    for (place, account) in plan.accounts.iter().enumerate() {
-        let (account_id, key_id) = (place as AccountId + 1, place as KeyId + 1);
+    for (index, account) in spec.accounts.iter().enumerate() {
+        let (account_id, key_id) = (index as AccountId + 1, index as KeyId + 1);
         document.accounts.insert(account_id, account.clone());
-        let secret = secret(rng);
-        document.keys.insert(key_id, key(account_id, &secret, rng));
+        let secret = random_secret(rng);
+        document.keys.insert(key_id, build_key(account_id, &secret, rng));
         keys.push(format!("bv_{key_id}_{secret}"));
     }
-    document.routes = plan.routes.clone();
+    document.routes = spec.routes.clone();
     (document, keys)
 }
 
-fn service(plan: &Spec, group: &Group, name: &str, options: &group::Options) -> Service {
-    let target = |(place, address): (usize, SocketAddr)| {
+fn build_service(spec: &Spec, group: &Group, name: &str, options: &group::Options) -> Service {
+    let target = |(index, address): (usize, SocketAddr)| {
         let target = Target {
             address,
-            failure_domain: place as FailureDomainId % plan.failure_domains,
+            failure_domain: index as FailureDomainId % spec.failure_domains,
             connections: options.connection_limit as u32,
             state: TargetState::Active,
         };
-        (place as TargetId, target)
+        (index as TargetId, target)
     };
     let targets = group.addresses().into_iter().enumerate().map(target).collect();
-    Service { name: name.to_owned(), targets, retention: RETENTION }
+    Service { name: name.to_owned(), targets, retention: IDEMPOTENCY_RETENTION }
 }
 
-fn key(account: AccountId, secret: &str, rng: &mut StdRng) -> Key {
-    let salt = salt(rng);
+fn build_key(account: AccountId, secret: &str, rng: &mut StdRng) -> Key {
+    let salt = random_salt(rng);
     let digest = auth::digest(&salt, secret);
     Key { account, salt, digest, state: KeyState::Active }
 }
 
-fn operator(secret: &str, rng: &mut StdRng) -> Operator {
-    let salt = salt(rng);
+fn build_operator(secret: &str, rng: &mut StdRng) -> Operator {
+    let salt = random_salt(rng);
     let digest = auth::digest(&salt, secret);
     Operator { name: OPERATOR.to_owned(), salt, digest }
 }
 
-fn salt(rng: &mut StdRng) -> String {
+fn random_salt(rng: &mut StdRng) -> String {
     bergamotvale_host::platform::hex(&rng.random::<[u8; 32]>())
 }
 
-fn secret(rng: &mut StdRng) -> String {
+fn random_secret(rng: &mut StdRng) -> String {
     bergamotvale_host::platform::hex(&rng.random::<[u8; SECRET_BYTES]>())
 }
--- a/crates/cli/tests/client.rs
+++ b/crates/cli/tests/client.rs
@@ -130,7 +130,7 @@
 fn row_of_another_width_is_no_result() {
     let body = br#"{"columns":[{"name":"n","type":"int8"}],"rows":[[7,8]],"affected":0}"#;
 
-    assert_eq!(value::rows(body), None);
+    assert_eq!(value::parse_rows(body), None);
 }
 
 #[test]
@@ -155,7 +155,7 @@
     let confirmed = operator::Client::new(http, address, "op_alice_s").confirm(5).await;
 
     let confirmed = confirmed.expect("a confirmed plan");
-    let shown = output::confirmed(&confirmed);
+    let shown = output::render_confirmed(&confirmed);
     assert!(shown.starts_with("plan 5 (confirmed)"), "{shown}");
     assert!(shown.ends_with("key 18\nbv_18_new\nIt is not shown again.\n"), "{shown}");
     let json = output::json(&confirmed).expect("json");
@@ -174,14 +174,14 @@
     let confirmed = operator::Client::new(http, address, "op_alice_s").confirm(5).await;
 
     let confirmed = confirmed.expect("a confirmed plan");
-    assert!(!output::confirmed(&confirmed).contains("shown again"));
+    assert!(!output::render_confirmed(&confirmed).contains("shown again"));
     assert!(!output::json(&confirmed).expect("json").contains("issued"));
 }
 
 proptest! {
     #[test]
     fn foreign_bodies_are_no_panic(body in proptest::collection::vec(any::<u8>(), 0..400)) {
-        let _ = value::rows(&body);
+        let _ = value::parse_rows(&body);
         let _ = Problem::new(500, None, &body).to_string();
     }
 }
