Reword the demonstration, explain, the command line and their tests

- explain: story -> timeline, APART -> OMITTED_FIELDS, BEFORE_MS -> LOOKBACK_MS, AFTER_MS -> LOOKAHEAD_MS
- texts: reasons why a step of the demonstration fails, and a request that no log line names

--- a/crates/cli/src/args/grammar.rs
+++ b/crates/cli/src/args/grammar.rs
@@ -1,4 +1,4 @@
-//! What may be typed, through clap's builder.
+//! Grammar of the command line, made with clap's builder.
 
 use bergamotvale_core::id::{HostId, KeyId, PlanId, TargetId};
 use clap::builder::{PathBufValueParser, PossibleValuesParser};
@@ -6,13 +6,13 @@
 use clap_complete::Shell;
 use std::net::SocketAddr;
 
-/// Operators' listener that is asked when nothing else is said.
+/// Operators' listener that is used without `--host`.
 const DEFAULT_HOST: &str = "127.0.0.1:7380";
 
-/// Environment variable that holds the operator's key.
+/// Environment variable that holds the operator's key if there is no `--key-file`.
 pub const KEY_VARIABLE: &str = "BERGAMOTVALE_OPERATOR_KEY";
 
-const EXIT_STATUS: &str = "\
+const AFTER_HELP: &str = "\
 Operator key:
   Read from the file of --key-file, else from the variable BERGAMOTVALE_OPERATOR_KEY. It is never
   an argument.
@@ -26,12 +26,12 @@
 Nothing changes before a plan is confirmed: promote, drain, rate and key rotate print a plan, and
 `bergamotvale confirm ID` carries it out.";
 
-/// The whole grammar.
+/// Returns the command with all of its subcommands and arguments.
 pub fn command() -> Command {
     Command::new("bergamotvale")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Operates bergamotvale hosts")
-        .after_help(EXIT_STATUS)
+        .after_help(AFTER_HELP)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .disable_help_subcommand(true)
@@ -97,7 +97,7 @@
             .about("Issues, withdraws and rotates client accounts' keys")
             .subcommand_required(true)
             .disable_help_subcommand(true)
-            .subcommands([issue(), withdraw(), rotate().arg(yes())]),
+            .subcommands([key_issue(), key_withdraw(), rotate().arg(yes())]),
         Command::new("config")
             .about("Puts the first configuration, or shows the one in force")
             .subcommand_required(true)
@@ -119,7 +119,7 @@
 fn local_commands() -> Vec<Command> {
     vec![
         Command::new("try")
-            .about("Brings up a whole system on loopback and tells a story with verdicts")
+            .about("Starts a whole system on loopback and runs a walkthrough with verdicts")
             .arg(flag("keep", "Leaves the system up and prints its addresses")),
         bench(),
         explain(),
@@ -134,7 +134,7 @@
     ]
 }
 
-/// `parent` is what is typed before the command's own name.
+/// Builds the command `promote`; `parent` is the part of the command line before its name.
 fn promote(parent: &str) -> Command {
     let away = Arg::new("away-from")
         .long("away-from")
@@ -186,11 +186,11 @@
     Command::new("rate")
         .about("Sets a client account's rate and burst over all hosts")
         .arg(account())
-        .arg(positive("rate", "Requests a second"))
-        .arg(positive("burst", "Requests above the rate at once"))
+        .arg(positive_number("rate", "Requests a second"))
+        .arg(positive_number("burst", "Requests above the rate at once"))
 }
 
-fn positive(name: &'static str, help: &'static str) -> Arg {
+fn positive_number(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
         .value_name("N")
@@ -199,11 +199,11 @@
         .value_parser(value_parser!(u32).range(1..))
 }
 
-fn issue() -> Command {
+fn key_issue() -> Command {
     Command::new("issue").about("Issues a key and prints it this once").arg(account())
 }
 
-fn withdraw() -> Command {
+fn key_withdraw() -> Command {
     Command::new("withdraw")
         .about("Withdraws a key at once, also from callers already connected")
         .arg(key_id())
@@ -254,7 +254,7 @@
 
 fn explain() -> Command {
     Command::new("explain")
-        .about("Tells a request's story from the logs of session hosts")
+        .about("Explains a request from the logs of session hosts")
         .arg(Arg::new("request").value_name("ID").required(true).help("The request's id"))
         .arg(
             Arg::new("logs")
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -1,7 +1,7 @@
-//! The command line as data.
+//! Parses the command line.
 //!
-//! [`grammar`] declares what may be typed; this module says what it means. A key is never an
-//! argument, since arguments show in the list of processes.
+//! [`grammar`] declares commands and arguments; this module turns the matches into data. A key is
+//! never an argument, since arguments are visible in the list of processes.
 
 pub mod grammar;
 
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// How results are printed.
+/// Output format of results.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Output {
     /// Tables for people.
@@ -22,108 +22,112 @@
     Json,
 }
 
-/// Where the host is and which key opens it.
+/// Address of a host and credentials for its operators' API.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Access {
-    /// The operators' listener of any host.
+    /// Operators' listener of any host, or the metrics listener of a session host.
     pub host: SocketAddr,
-    /// File that holds the operator's key; the environment otherwise.
+    /// File that holds the operator's key; if None, the key comes from the environment.
     pub key_file: Option<PathBuf>,
-    /// Certificate authority in PEM; its presence asks for TLS.
+    /// Certificate authority of the listener in PEM; TLS is used if it is set.
     pub ca: Option<PathBuf>,
 }
 
-/// A whole command line.
+/// A parsed command line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Invocation {
-    /// How results are printed.
+    /// Output format of results.
     pub output: Output,
-    /// The host to speak to.
+    /// Host that the command is sent to.
     pub access: Access,
-    /// What to do.
+    /// Command to execute.
     pub command: Command,
 }
 
-/// What to do.
+/// Command with its arguments.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
     /// Shows members, services, targets and client accounts.
     Status,
-    /// States an intent; confirms the plan at once when `yes`.
+    /// Proposes an intent and prints its plan.
     Propose {
-        /// The intent.
+        /// Change that the plan is made for.
         intent: Intent,
-        /// Whether to confirm the plan and wait for its end.
+        /// Whether to confirm the plan at once and wait until it is done or has failed.
         yes: bool,
     },
-    /// Promotes the replica that lags least, other than a target.
+    /// Promotes the replica that lags least, other than `target`.
+    ///
+    /// If another target is the primary, that one is proposed.
     PromoteAway {
         /// Name of the service.
         service: String,
-        /// The target that is not to be primary.
+        /// Target that must not be the primary.
         target: TargetId,
-        /// Whether to confirm the plan and wait for its end.
+        /// Whether to confirm the plan at once and wait until it is done or has failed.
         yes: bool,
     },
-    /// Confirms a plan.
+    /// Confirms a plan, which the fleet then executes.
     Confirm {
-        /// The plan.
+        /// Id of the plan.
         plan: PlanId,
-        /// Whether to wait for its end.
+        /// Whether to wait until the plan is done or has failed.
         wait: bool,
     },
-    /// Lists plans, or shows one.
+    /// Lists all plans, or shows one with its steps.
     Plans(Option<PlanId>),
-    /// Issues a key to the client account of this name.
+    /// Issues a key to the client account with this name.
     KeyIssue(String),
-    /// Withdraws a key.
+    /// Withdraws a key at once.
     KeyWithdraw(KeyId),
-    /// Puts the first configuration from a file.
+    /// Publishes the first configuration from a file in YAML or JSON.
     ConfigPut(PathBuf),
-    /// Shows the configuration.
+    /// Shows the configuration without the digests of keys.
     ConfigShow,
-    /// Lists what operators did.
+    /// Lists the operators' actions.
     Audit,
-    /// Sets the log level.
+    /// Sets the log level of the host.
     LogLevel(String),
-    /// Runs the demonstration.
+    /// Runs the demonstration, see [`crate::trial`].
     Try {
-        /// Whether to leave the system up.
+        /// Whether to leave the system running until an interrupt.
         keep: bool,
     },
-    /// Runs a load scenario.
+    /// Runs a load scenario, see [`crate::bench`].
     Bench(Bench),
-    /// Tells a request's story from the logs of session hosts.
+    /// Explains a request from the logs of session hosts.
     Explain {
-        /// The request's id.
+        /// Id of the request.
         request: String,
-        /// Logs, one of each host; standard input if none.
+        /// Log files, one per host; standard input is read if empty.
         logs: Vec<PathBuf>,
     },
     /// Shows the state of a session host.
     Sessions,
-    /// Prints a shell's completions.
+    /// Prints the completion script of a shell.
     Completions(Shell),
 }
 
 /// Arguments of `bench`.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Bench {
-    /// The scenario.
+    /// File of the scenario.
     pub scenario: PathBuf,
-    /// Whether to run the plain variants too.
+    /// Whether to run the baseline variants too, for comparison.
     pub baseline: bool,
-    /// Where the JSON report goes.
+    /// File for the JSON report; None writes none.
     pub json: Option<PathBuf>,
-    /// Where the HTML report goes.
+    /// File for the HTML report; None writes none.
     pub html: Option<PathBuf>,
-    /// Seed in place of the scenario's.
+    /// Seed that replaces that of the scenario.
     pub seed: Option<u64>,
-    /// Folder for settings and process ids of hosts that are started apart.
+    /// Directory for settings and process ids of hosts that run in other processes.
     pub external: Option<PathBuf>,
 }
 
-/// Reads a command line; the error prints itself, `--help` included.
+/// Parses a command line with the name of the program first.
+///
+/// The error renders usage errors and the output of `--help` and `--version`.
 pub fn parse<I, T>(line: I) -> Result<Invocation, clap::Error>
 where
     I: IntoIterator<Item = T>,
@@ -203,7 +207,7 @@
 }
 
 fn drain(matches: &ArgMatches) -> Intent {
-    let (name, matches) = matches.subcommand().expect("clap requires what to drain");
+    let (name, matches) = matches.subcommand().expect("clap requires a drain command");
     if name == "host" {
         return Intent::DrainHost { host: required(matches, "id") };
     }
--- a/crates/cli/src/client/caller.rs
+++ b/crates/cli/src/client/caller.rs
@@ -46,7 +46,7 @@
     pub key: Option<String>,
     /// Session token: the response reflects at least the state that the session has seen.
     pub session: Option<Token>,
-    /// Maximum age of the data that a read accepts; the host's default if None.
+    /// Maximum age of the data that a read accepts; if None, only the session token counts.
     pub max_age: Option<Duration>,
     /// Time for which the caller waits for the response; the host's default if None.
     pub timeout: Option<Duration>,
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,5 +1,7 @@
-//! A request's story from the logs of session hosts: its own lines, and what the hosts came to
-//! believe around them.
+//! Explains a request from the logs of session hosts.
+//!
+//! The timeline of a request has the log lines that name it, and the state changes of the hosts and
+//! database groups around that time which may explain its outcome.
 
 use crate::error::{Error, Result};
 use serde::Serialize;
@@ -9,11 +11,11 @@
 use std::io::Read;
 use std::path::PathBuf;
 
-/// Time before a request in which changes of belief may explain it, in milliseconds.
-const BEFORE_MS: u64 = 3_000;
-/// The same after its last line, in milliseconds.
-const AFTER_MS: u64 = 500;
-/// Events of a single host that touch all its requests.
+/// Time before the start of a request from which state changes are included.
+const LOOKBACK_MS: u64 = 3_000;
+/// Time after the last line of a request up to which state changes are included.
+const LOOKAHEAD_MS: u64 = 500;
+/// Events of a single host that may affect all of its requests.
 const HOST_EVENTS: [&str; 9] = [
     "started",
     "stopping",
@@ -25,29 +27,30 @@
     "dependency_lost",
     "dependency_regained",
 ];
-/// Events that tell who leads a group, on any host.
+/// Events about the primary of a group, which count on any host.
 const GROUP_EVENTS: [&str; 2] = ["primary", "promotion"];
-/// Fields that the story shows apart, or not at all.
-const APART: [&str; 3] = ["at_ms", "unix_ms", "event"];
+/// Fields that are not printed as `name=value`: shown in a column of their own, or not at all.
+const OMITTED_FIELDS: [&str; 3] = ["at_ms", "unix_ms", "event"];
 
-/// One line of a log.
+/// Event in one line of a log.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Line {
-    /// Host that wrote it.
+    /// Name of the host that wrote the line; `-` if unknown.
     pub host: String,
-    /// Its time of day, in milliseconds since 1970.
+    /// Wall-clock time of the event, in milliseconds since 1970.
     pub unix_ms: u64,
-    /// What happened.
+    /// Name of the event.
     pub event: String,
-    /// Whether it names the request.
+    /// Whether the line names the explained request.
     pub is_own: bool,
-    /// Everything that it says.
+    /// All fields of the line.
     pub fields: Map<String, Value>,
 }
 
 impl Line {
-    /// Reads a line; what stands before the JSON object names the host if `host` is none. None if
-    /// it is no event.
+    /// Parses a line. None if it contains no event.
+    ///
+    /// If `host` is None, the last word before the JSON object is the name of the host.
     pub fn parse(text: &str, host: Option<&str>) -> Option<Line> {
         let (prefix, rest) = text.split_at(text.find('{')?);
         let fields: Map<String, Value> = serde_json::from_str(rest).ok()?;
@@ -70,10 +73,10 @@
     }
 }
 
-/// What a request's own lines say of where to look further.
+/// Time span, hosts, services and targets that the lines of a request refer to.
 struct Scope {
-    from: u64,
-    to: u64,
+    from_ms: u64,
+    to_ms: u64,
     hosts: BTreeSet<String>,
     services: BTreeSet<String>,
     targets: BTreeSet<String>,
@@ -86,57 +89,59 @@
             own.iter().filter_map(|line| line.text(field)).map(str::to_owned).collect()
         };
         Scope {
-            from: own.iter().map(began).min().unwrap_or_default().saturating_sub(BEFORE_MS),
-            to: own.iter().map(|line| line.unix_ms).max().unwrap_or_default() + AFTER_MS,
+            from_ms: own.iter().map(began).min().unwrap_or_default().saturating_sub(LOOKBACK_MS),
+            to_ms: own.iter().map(|line| line.unix_ms).max().unwrap_or_default() + LOOKAHEAD_MS,
             hosts: own.iter().map(|line| line.host.clone()).collect(),
             services: texts("service"),
             targets: texts("target"),
         }
     }
 
-    /// Whether a line that does not name the request may explain it.
+    /// Returns whether a line that does not name the request may explain its outcome.
     fn covers(&self, line: &Line) -> bool {
-        if line.unix_ms < self.from || line.unix_ms > self.to {
+        if line.unix_ms < self.from_ms || line.unix_ms > self.to_ms {
             return false;
         }
         let is_of_group = line.text("service").is_some_and(|s| self.services.contains(s));
         let is_of_target = line.text("target").is_some_and(|t| self.targets.contains(t));
-        let is_here = self.hosts.contains(&line.host);
+        let is_on_host = self.hosts.contains(&line.host);
         let event = line.event.as_str();
         (GROUP_EVENTS.contains(&event) && is_of_group)
-            || (event == "target" && is_here && (is_of_group || is_of_target))
-            || (HOST_EVENTS.contains(&event) && is_here)
+            || (event == "target" && is_on_host && (is_of_group || is_of_target))
+            || (HOST_EVENTS.contains(&event) && is_on_host)
     }
 }
 
-/// The lines that tell a request's story, in order of their time of day; empty if none names it.
-pub fn story(request: &str, lines: &[Line]) -> Vec<Line> {
+/// Selects the lines that explain a request, by wall-clock time. Empty if no line names it.
+pub fn timeline(request: &str, lines: &[Line]) -> Vec<Line> {
     let is_own = |line: &&Line| line.text("request") == Some(request);
     let own: Vec<&Line> = lines.iter().filter(is_own).collect();
     if own.is_empty() {
         return Vec::new();
     }
     let scope = Scope::new(&own);
-    let mut story: Vec<Line> = lines
+    let mut timeline: Vec<Line> = lines
         .iter()
         .filter(|line| is_own(line) || scope.covers(line))
         .map(|line| Line { is_own: is_own(&line), ..line.clone() })
         .collect();
-    story.sort_by_key(|line| line.unix_ms);
-    story
+    timeline.sort_by_key(|line| line.unix_ms);
+    timeline
 }
 
-/// The story for people: times are relative to the request's last line, whose lines are marked.
-pub fn render(story: &[Line]) -> String {
-    let end = story.iter().filter(|line| line.is_own).map(|line| line.unix_ms).max();
+/// Renders a timeline. Times are relative to the last line that names the request; the lines that
+/// name it are marked with `>`.
+pub fn render(timeline: &[Line]) -> String {
+    let end = timeline.iter().filter(|line| line.is_own).map(|line| line.unix_ms).max();
     let end = i128::from(end.unwrap_or_default());
     let mut text = String::new();
-    for line in story {
+    for line in timeline {
         let mark = if line.is_own { '>' } else { ' ' };
         let offset = i128::from(line.unix_ms) - end;
-        // Writing to a string does not fail.
+        // Writing to a string can't fail.
         let _ = write!(text, "{mark} {offset:>7} ms  {}  {}", line.host, line.event);
-        for (name, value) in line.fields.iter().filter(|(name, _)| !APART.contains(&name.as_str()))
+        for (name, value) in
+            line.fields.iter().filter(|(name, _)| !OMITTED_FIELDS.contains(&name.as_str()))
         {
             let _ = match value {
                 Value::String(value) => write!(text, " {name}={value}"),
@@ -148,7 +153,9 @@
     text
 }
 
-/// Reads logs, or standard input without any, and finds a request's story in them.
+/// Reads `logs`, or standard input if there are none, and returns the timeline of a request.
+///
+/// Lines of a file belong to the host that the file is named after.
 pub fn explain(request: &str, logs: &[PathBuf]) -> Result<Vec<Line>> {
     let mut lines = Vec::new();
     if logs.is_empty() {
@@ -162,12 +169,12 @@
         let host = path.file_stem().map(|stem| stem.to_string_lossy().into_owned());
         lines.extend(text.lines().filter_map(|line| Line::parse(line, host.as_deref())));
     }
-    let story = story(request, &lines);
-    if story.is_empty() {
+    let timeline = timeline(request, &lines);
+    if timeline.is_empty() {
         return Err(Error::Verdict(format!(
-            "no line names request {request}: it was answered at its first try, or its line was \
-             left out under load (left_out)"
+            "no log line names request {request}: it succeeded at its first attempt, or its line \
+             was dropped under load (counted in left_out)"
         )));
     }
-    Ok(story)
+    Ok(timeline)
 }
--- a/crates/cli/src/trial/transaction.rs
+++ b/crates/cli/src/trial/transaction.rs
@@ -1,27 +1,32 @@
-//! An interactive transaction that begins on one host and commits through another.
+//! Step that begins interactive transactions on one host and ends them through another.
 
 use super::Outcome;
-use super::story::{LOOM, ORDERS, Story, insert};
+use super::walkthrough::{LOOM, ORDERS, Walkthrough, insert_statement};
 use crate::client::caller::{Operation, Request, Response};
 
-/// Host that begins.
-const FIRST: usize = 1;
-/// Host that commits.
-const SECOND: usize = 3;
+/// Index of the host that begins the transactions.
+const BEGIN_HOST: usize = 1;
+/// Index of the host that ends the transactions.
+const END_HOST: usize = 3;
 
-pub(super) async fn commit_elsewhere(story: &mut Story) -> Outcome {
-    let committed = story.new_bolt();
-    let rolled_back = story.new_bolt();
-    end(story, committed, Operation::Commit).await?;
-    story.note(ORDERS, committed, None);
-    end(story, rolled_back, Operation::Rollback).await?;
-    story.wait_until_same(ORDERS).await?;
-    for target in 0..story.system.groups[ORDERS].targets().len() {
-        let kept = story.rows(ORDERS, target, committed)?;
-        let gone = story.rows(ORDERS, target, rolled_back)?;
-        if (kept, gone) != (1, 0) {
-            let seen = format!("{kept} rows of {committed} and {gone} of {rolled_back}");
-            return Err(format!("target {target} has {seen}"));
+/// Checks that the row of the committed transaction is on all targets, and that of the transaction
+/// that was rolled back on none.
+pub(super) async fn commit_elsewhere(walkthrough: &mut Walkthrough) -> Outcome {
+    let committed = walkthrough.new_bolt();
+    let rolled_back = walkthrough.new_bolt();
+    run_transaction(walkthrough, committed, Operation::Commit).await?;
+    walkthrough.record_outcome(ORDERS, committed, None);
+    run_transaction(walkthrough, rolled_back, Operation::Rollback).await?;
+    walkthrough.wait_until_caught_up(ORDERS).await?;
+    for target in 0..walkthrough.system.groups[ORDERS].targets().len() {
+        let committed_rows = walkthrough.count_rows(ORDERS, target, committed)?;
+        let rolled_back_rows = walkthrough.count_rows(ORDERS, target, rolled_back)?;
+        if (committed_rows, rolled_back_rows) != (1, 0) {
+            let found = format!(
+                "{committed_rows} rows of committed bolt {committed}, {rolled_back_rows} of rolled \
+                 back bolt {rolled_back}"
+            );
+            return Err(format!("target {target} has {found}"));
         }
     }
     Ok(format!(
@@ -30,19 +35,28 @@
     ))
 }
 
-/// Begins, inserts and ends through another host.
-async fn end(story: &Story, bolt: u64, how: fn(String) -> Operation) -> Result<(), String> {
-    let begin = story.request(LOOM, Operation::Begin(story.service_name(ORDERS).to_owned()));
-    let begun = send(story, FIRST, &begin).await?;
-    let id = begun.transaction.ok_or("begin answered no transaction")?;
-    let run = story.request(LOOM, Operation::Run(id.clone(), insert(bolt)));
-    send(story, FIRST, &run).await?;
-    let end = story.request(LOOM, how(id));
-    send(story, SECOND, &end).await?;
+/// Begins a transaction, inserts `bolt` and ends the transaction through another host.
+async fn run_transaction(
+    walkthrough: &Walkthrough,
+    bolt: u64,
+    ending: fn(String) -> Operation,
+) -> Result<(), String> {
+    let begin =
+        walkthrough.request(LOOM, Operation::Begin(walkthrough.service_name(ORDERS).to_owned()));
+    let begun = send(walkthrough, BEGIN_HOST, &begin).await?;
+    let id = begun.transaction.ok_or("the response to begin contains no transaction")?;
+    let run = walkthrough.request(LOOM, Operation::Run(id.clone(), insert_statement(bolt)));
+    send(walkthrough, BEGIN_HOST, &run).await?;
+    let end = walkthrough.request(LOOM, ending(id));
+    send(walkthrough, END_HOST, &end).await?;
     Ok(())
 }
 
-async fn send(story: &Story, host: usize, request: &Request) -> Result<Response, String> {
-    let result = story.system.caller(host).send(request).await;
+async fn send(
+    walkthrough: &Walkthrough,
+    host: usize,
+    request: &Request,
+) -> Result<Response, String> {
+    let result = walkthrough.system.caller(host).send(request).await;
     result.map_err(|failure| format!("transaction on host {}: {failure}", host + 1))
 }
--- a/crates/cli/tests/args.rs
+++ b/crates/cli/tests/args.rs
@@ -1,20 +1,20 @@
-//! Help text, argument errors and meanings of command lines, one case a file.
+//! Help texts, usage errors and parsed commands, one command line per file.
 
 use bergamotvale_cli::args;
 use serde::Deserialize;
 use std::path::Path;
 
-/// A command line and what is expected of it.
+/// A command line and its expected outcome.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Case {
-    /// Arguments after the program's name.
+    /// Arguments after the name of the program.
     line: Vec<String>,
-    /// The command that it means.
+    /// Debug output of the parsed command, if parsing succeeds.
     means: Option<String>,
-    /// Exit status when it is not carried out.
+    /// Exit status, if there is no command to execute.
     status: Option<i32>,
-    /// What is printed then, whole.
+    /// Complete help or error text that is printed in that case.
     prints: Option<String>,
 }
 
--- a/crates/cli/tests/client.rs
+++ b/crates/cli/tests/client.rs
@@ -1,4 +1,5 @@
-//! The clients against canned answers.
+//! Clients against canned responses: what counts as a result, a refusal or an unknown outcome, and
+//! how statements, intents and new keys are encoded and printed.
 
 use bergamotvale_cli::client;
 use bergamotvale_cli::client::caller::{Client, Failure, Operation, Request};
@@ -17,15 +18,15 @@
 
 const ROWS: &str = r#"{"columns":[{"name":"n","type":"int8"}],"rows":[[7]],"affected":0}"#;
 
-/// A listener that answers its first connection with `answer` and closes it.
-async fn canned(answer: String) -> SocketAddr {
+/// Starts a listener that sends `response` on its first connection and closes it.
+async fn serve_once(response: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let address = listener.local_addr().expect("address");
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("accept");
         let mut buffer = [0; 4096];
         let _ = stream.read(&mut buffer).await;
-        let _ = stream.write_all(answer.as_bytes()).await;
+        let _ = stream.write_all(response.as_bytes()).await;
     });
     address
 }
@@ -46,21 +47,21 @@
 #[tokio::test]
 async fn whole_answer_carries_session_and_target() {
     let headers = "bergamotvale-session: 1;1=3.9\r\nbergamotvale-target: 2 replica\r\n";
-    let address = canned(response("200 OK", headers, ROWS.len(), ROWS)).await;
+    let address = serve_once(response("200 OK", headers, ROWS.len(), ROWS)).await;
 
-    let answer = client(address).send(&read()).await.expect("answer");
+    let response = client(address).send(&read()).await.expect("response");
 
-    assert_eq!(answer.rows.rows, vec![vec![Value::Int(7)]]);
-    assert_eq!(answer.session.map(|token| token.to_string()).as_deref(), Some("1;1=3.9"));
-    assert!(answer.target.expect("target").is_replica);
-    assert!(!answer.replayed);
+    assert_eq!(response.rows.rows, vec![vec![Value::Int(7)]]);
+    assert_eq!(response.session.map(|token| token.to_string()).as_deref(), Some("1;1=3.9"));
+    assert!(response.target.expect("target").is_replica);
+    assert!(!response.replayed);
 }
 
 #[tokio::test]
 async fn cut_answer_leaves_the_outcome_open() {
-    let address = canned(response("200 OK", "", ROWS.len() + 10, ROWS)).await;
+    let address = serve_once(response("200 OK", "", ROWS.len() + 10, ROWS)).await;
 
-    let failure = client(address).send(&read()).await.expect_err("cut");
+    let failure = client(address).send(&read()).await.expect_err("incomplete response");
 
     assert!(matches!(failure, Failure::Incomplete(_)), "{failure}");
     assert_eq!(failure.ran(), Ran::Unknown);
@@ -72,7 +73,7 @@
     let address = listener.local_addr().expect("address");
     drop(listener);
 
-    let failure = client(address).send(&read()).await.expect_err("unsent");
+    let failure = client(address).send(&read()).await.expect_err("refused connection");
 
     assert!(matches!(failure, Failure::Unsent(_)), "{failure}");
     assert_eq!(failure.ran(), Ran::No);
@@ -81,7 +82,7 @@
 #[tokio::test]
 async fn refusal_is_typed() {
     let body = r#"{"type":"urn:bergamotvale:refusal:rate_exceeded","title":"t","status":429,"detail":"d","reason":"rate_exceeded","ran":"no"}"#;
-    let address = canned(response("429 X", "retry-after: 2\r\n", body.len(), body)).await;
+    let address = serve_once(response("429 X", "retry-after: 2\r\n", body.len(), body)).await;
 
     let failure = client(address).send(&read()).await.expect_err("refusal");
 
@@ -149,15 +150,15 @@
 
 #[tokio::test]
 async fn a_rotation_shows_its_new_key() {
-    let address = canned(response("200 OK", "", ROTATION.len(), ROTATION)).await;
+    let address = serve_once(response("200 OK", "", ROTATION.len(), ROTATION)).await;
     let http = client::http().build().expect("client");
 
     let confirmed = operator::Client::new(http, address, "op_alice_s").confirm(5).await;
 
     let confirmed = confirmed.expect("a confirmed plan");
-    let shown = output::render_confirmed(&confirmed);
-    assert!(shown.starts_with("plan 5 (confirmed)"), "{shown}");
-    assert!(shown.ends_with("key 18\nbv_18_new\nIt is not shown again.\n"), "{shown}");
+    let rendered = output::render_confirmed(&confirmed);
+    assert!(rendered.starts_with("plan 5 (confirmed)"), "{rendered}");
+    assert!(rendered.ends_with("key 18\nbv_18_new\nIt is not shown again.\n"), "{rendered}");
     let json = output::json(&confirmed).expect("json");
     let json: serde_json::Value = serde_json::from_str(&json).expect("one document");
     assert_eq!(json, serde_json::from_str::<serde_json::Value>(ROTATION).expect("json"));
@@ -165,10 +166,10 @@
 
 #[tokio::test]
 async fn a_plan_without_a_new_key_shows_none() {
-    let mut answer: serde_json::Value = serde_json::from_str(ROTATION).expect("json");
-    answer.as_object_mut().expect("an object").remove("issued");
-    let body = answer.to_string();
-    let address = canned(response("200 OK", "", body.len(), &body)).await;
+    let mut body: serde_json::Value = serde_json::from_str(ROTATION).expect("json");
+    body.as_object_mut().expect("an object").remove("issued");
+    let body = body.to_string();
+    let address = serve_once(response("200 OK", "", body.len(), &body)).await;
     let http = client::http().build().expect("client");
 
     let confirmed = operator::Client::new(http, address, "op_alice_s").confirm(5).await;
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -1,4 +1,5 @@
-//! Every step of a plan names a command that this grammar knows.
+//! Each step of a plan names the command line with the same effect, which the grammar must accept.
+//! The two diverge if a command is renamed in only one of them.
 
 use bergamotvale_cli::args;
 use bergamotvale_core::config::{Account, Document, Key, KeyState, Service, Target, TargetState};
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -1,18 +1,18 @@
-//! Stories of requests from logs, one case a file.
+//! Timelines of requests from logs, one case per file: which lines of which hosts are selected.
 
-use bergamotvale_cli::explain::{Line, render, story};
+use bergamotvale_cli::explain::{Line, render, timeline};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::path::Path;
 
-/// Logs, a request, and the story that they tell.
+/// Logs, a request, and its expected timeline.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Case {
     request: String,
-    /// Lines by host.
+    /// Log lines by host.
     logs: BTreeMap<String, Vec<String>>,
-    /// What is printed.
+    /// Lines that are printed.
     expect: Vec<String>,
 }
 
@@ -24,9 +24,9 @@
         .flat_map(|(host, lines)| lines.iter().filter_map(|line| Line::parse(line, Some(host))))
         .collect();
 
-    let told = render(&story(&case.request, &lines));
+    let rendered = render(&timeline(&case.request, &lines));
 
-    assert_eq!(told.lines().collect::<Vec<_>>(), case.expect);
+    assert_eq!(rendered.lines().collect::<Vec<_>>(), case.expect);
     Ok(())
 }
 
--- a/crates/cli/tests/tls.rs
+++ b/crates/cli/tests/tls.rs
@@ -1,4 +1,5 @@
-//! The operators' command against a listener over TLS.
+//! The operators' command against a listener that requires TLS: only the given certificate
+//! authority is trusted, and the exit status tells an unreachable host from an unreadable file.
 
 use bergamotvale_cli::{args, run};
 use bergamotvale_core::id::HostId;
@@ -15,13 +16,14 @@
 
 fn file(name: &str, content: &str) -> PathBuf {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, content).expect("a file");
+    std::fs::write(&path, content).expect("write the file");
     path
 }
 
 fn identity(name: &str) -> Identity {
     let names = vec!["127.0.0.1".to_owned()];
-    let CertifiedKey { cert, signing_key } = generate_simple_self_signed(names).expect("made");
+    let CertifiedKey { cert, signing_key } =
+        generate_simple_self_signed(names).expect("generate a certificate");
     let certificate = file(&format!("{name}.crt"), &cert.pem());
     let key = file(&format!("{name}.key"), &signing_key.serialize_pem());
     Identity { certificate, key }
@@ -37,28 +39,28 @@
     settings
 }
 
-/// Runs `status` with `more` arguments.
-async fn status(address: SocketAddr, more: &[&str]) -> Result<(), u8> {
+/// Runs the command `status` with extra arguments; the error is the exit status.
+async fn run_status(address: SocketAddr, extra_args: &[&str]) -> Result<(), u8> {
     let key = file("operator.key", "op_alice_secret\n");
     let (address, key) = (address.to_string(), key.display().to_string());
     let line = ["bergamotvale", "status", "--host", &address, "--key-file", &key];
-    let line = line.iter().chain(more).copied();
-    let invocation = args::parse(line).expect("a command line");
+    let line = line.iter().chain(extra_args).copied();
+    let invocation = args::parse(line).expect("a valid command line");
     run::run(invocation).await.map_err(|error| error.exit_status())
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_authority_of_the_listener_is_trusted_and_no_other() {
-    let platform = Server::start(Default::default()).expect("a platform");
+    let platform = Server::start(Default::default()).expect("start the platform");
     let (own, other) = (identity("own"), identity("other"));
-    let host = Daemon::start(settings(platform.address(), &own)).await.expect("a host");
+    let host = Daemon::start(settings(platform.address(), &own)).await.expect("start the host");
     let address = host.host.settings.listen.operators;
     let path = |path: &PathBuf| path.display().to_string();
 
-    let trusted = status(address, &["--ca", &path(&own.certificate)]).await;
-    let distrusted = status(address, &["--ca", &path(&other.certificate)]).await;
-    let plain = status(address, &[]).await;
-    let unreadable = status(address, &["--ca", "missing.pem"]).await;
+    let trusted = run_status(address, &["--ca", &path(&own.certificate)]).await;
+    let distrusted = run_status(address, &["--ca", &path(&other.certificate)]).await;
+    let plain = run_status(address, &[]).await;
+    let unreadable = run_status(address, &["--ca", "missing.pem"]).await;
 
     assert_eq!((trusted, distrusted, plain, unreadable), (Ok(()), Err(3), Err(3), Err(2)));
 }
