--- a/crates/cli/src/client/caller.rs
+++ b/crates/cli/src/client/caller.rs
@@ -159,7 +159,7 @@
     #[from(ignore)]
     Unsent(reqwest::Error),
     /// The response is missing or incomplete, so the outcome is unknown.
-    #[display("answer: {_0}")]
+    #[display("response: {_0}")]
     #[from(ignore)]
     Incomplete(#[error(not(source))] String),
 }
