--- a/crates/core/src/read.rs
+++ b/crates/core/src/read.rs
@@ -103,7 +103,7 @@
             Event::Answered(role, report) => self.on_report(role, &report, budgets, now),
             Event::Failed(failure, detail) => self.on_failure(failure, detail, budgets, now),
             Event::NoConnection(Reason::QueueFull) => {
-                Action::Refuse(Refusal::new(Reason::QueueFull, "the connection queue is too long"))
+                Action::Refuse(Refusal::new(Reason::QueueFull, "no connection comes free in time"))
             }
             Event::NoConnection(reason) => {
                 self.retry(retry::Reason::ConnectionRefused, reason, budgets, now)
@@ -209,6 +209,6 @@
 
     fn refuse(&self) -> Action {
         let reason = self.last_refusal.unwrap_or(Reason::DeadlineExceeded);
-        Action::Refuse(Refusal::new(reason, "no target could serve the read before the deadline"))
+        Action::Refuse(Refusal::new(reason, "no target could serve the read in time"))
     }
 }
--- a/crates/core/src/sql.rs
+++ b/crates/core/src/sql.rs
@@ -65,12 +65,10 @@
         return Err(malformed("the statement controls a transaction or a session"));
     }
     if words.windows(2).any(is_temporary) {
-        return Err(malformed("the statement creates a temporary object"));
+        return Err(malformed("the statement makes a temporary object"));
     }
     if words.iter().any(|word| is_forbidden(word)) {
-        return Err(malformed(
-            "the statement uses a name that is reserved for the proxy or the database group",
-        ));
+        return Err(malformed("the statement names what belongs to the database group"));
     }
     Ok(())
 }
--- a/crates/core/src/transaction.rs
+++ b/crates/core/src/transaction.rs
@@ -150,7 +150,7 @@
             }
         }
         if exceeds_limits(entry, &limits, now) {
-            return Err(transaction_lost("the transaction exceeded its time limit"));
+            return Err(transaction_lost("the transaction is over its time limit"));
         }
         entry.state = if step == Step::Commit { State::Committing } else { State::Running };
         entry.last_active = now;
@@ -235,13 +235,12 @@
             Some((owner, _)) if *owner != account => foreign_account(),
             Some((_, End::RolledBack)) => transaction_lost("the transaction was rolled back"),
             Some((_, End::Committed)) if step == Step::Commit => {
-                transaction_lost("the transaction was already committed").with_ran(Ran::Unknown)
+                transaction_lost("the transaction was committed before").with_ran(Ran::Unknown)
             }
-            Some((_, End::Committed)) => transaction_lost("the transaction was already committed"),
+            Some((_, End::Committed)) => transaction_lost("the transaction was committed before"),
             // From an earlier incarnation, or no longer kept: COMMIT may have been sent.
             Some((_, End::Unknown)) | None if step == Step::Commit => {
-                transaction_lost("it is unknown whether the transaction was committed")
-                    .with_ran(Ran::Unknown)
+                transaction_lost("the transaction's end is unknown").with_ran(Ran::Unknown)
             }
             Some((_, End::Unknown)) | None => transaction_lost("the transaction has ended"),
         }
--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -151,7 +151,7 @@
     /// Refuses the write if that delay alone exceeds the time left.
     pub fn start(&mut self, expected: Duration, now: Time) -> Action {
         if now + expected >= self.deadline {
-            let detail = "replication lag exceeds the time left to confirm the write";
+            let detail = "confirmation by a majority takes longer than the time left";
             let refusal = Refusal::new(Reason::ReplicationLag, detail);
             return Action::Refuse(refusal.with_retry_after(expected));
         }
@@ -317,7 +317,7 @@
                 self.confirm(position, now)
             }
             Decision::Mismatch => {
-                let detail = "the idempotency key was used before with a different request";
+                let detail = "the idempotency key came with another request before";
                 self.give_up(Reason::IdempotencyMismatch, detail)
             }
         }
@@ -326,7 +326,7 @@
     fn on_no_connection(&mut self, reason: Reason, now: Time) -> Action {
         let final_reasons = [Reason::QueueTimeout, Reason::QueueFull, Reason::Stopping];
         if final_reasons.contains(&reason) {
-            return self.give_up(reason, "no connection to the primary became available in time");
+            return self.give_up(reason, "no connection came free in time");
         }
         // Nothing was sent, so waiting for a primary is limited only by the deadline.
         self.schedule_retry(retry::Reason::ConnectionRefused, reason, now)
@@ -342,7 +342,7 @@
         self.stage = Stage::Unsent;
         match failure {
             Failure::Locked if self.is_keyed() => {
-                self.give_up(Reason::IdempotencyInProgress, "the same request is already running")
+                self.give_up(Reason::IdempotencyInProgress, "the same request is running")
             }
             Failure::Superseded => {
                 self.retry(retry::Reason::Superseded, Reason::Superseded, budgets, now)
@@ -382,7 +382,7 @@
         self.ran = self.ran.max(self.stage.ran());
         self.stage = Stage::Unsent;
         if was_sent && !self.is_keyed() {
-            return self.give_up(reason, "the target's response was lost");
+            return self.give_up(reason, "the target's answer was lost");
         }
         self.retry(retry, reason, budgets, now)
     }
@@ -397,7 +397,7 @@
         let is_exhausted = !self.is_retryable || self.attempts >= self.policy.max_attempts;
         if is_exhausted || retry.is_budgeted() && !budgets.withdraw(self.service, self.account, now)
         {
-            return self.give_up(reason, "no attempts or retry budget left");
+            return self.give_up(reason, "no retry is left");
         }
         self.schedule_retry(retry, reason, now)
     }
@@ -406,7 +406,7 @@
         let at = now + self.policy.retry_delay(self.attempts, self.jitter.bits());
         self.attempts += 1;
         if at >= self.deadline {
-            return self.give_up(reason, "the deadline leaves no time for another attempt");
+            return self.give_up(reason, "the time that the caller gave has run out");
         }
         self.state = State::Leasing;
         Action::Lease(at, Some(retry))
@@ -427,5 +427,5 @@
 fn unexpected_event(state: State, event: &Event, ran: Ran) -> Action {
     let detail = format!("unexpected {event:?} while {state:?}");
     debug_assert!(false, "{detail}");
-    Action::Refuse(Refusal::new(Reason::ConnectionLost, "internal error").with_ran(ran))
+    Action::Refuse(Refusal::new(Reason::ConnectionLost, "internal fault").with_ran(ran))
 }
