Correct comments and names that the code contradicts

The turns before a waiting request are not its own, the first backoff bound is already doubled, the catch-up timeout starts with the request to hold, and one decision does use wall-clock time. Two comments named a field where they meant a verb. A growing share waits for the same growth delay in the meter and in the slot ledger.

--- a/crates/core/src/authority.rs
+++ b/crates/core/src/authority.rs
@@ -58,7 +58,7 @@
     recorded: bool,
     voters: BTreeMap<HostId, Incarnation>,
     renewed: Option<(Time, Source)>,
-    pending: Option<Renewal>,
+    pending_renewal: Option<Renewal>,
     confirmed: BTreeMap<HostId, Time>,
     pending_announcement: Option<PendingAnnouncement>,
 }
@@ -97,7 +97,7 @@
             recorded: false,
             voters: BTreeMap::new(),
             renewed: None,
-            pending: None,
+            pending_renewal: None,
             confirmed: BTreeMap::new(),
             pending_announcement: None,
         }
@@ -119,7 +119,7 @@
         self.recorded
     }
 
-    /// Moves to a higher epoch with these members and voters; a lower one is ignored.
+    /// Moves to a higher epoch with these members and voters; ignores any other epoch.
     pub fn adopt(
         &mut self,
         epoch: Epoch,
@@ -136,7 +136,7 @@
         self.confirmed.clear();
         self.pending_announcement =
             self.pending_announcement.filter(|pending| pending.epoch > epoch);
-        if let Some(renewal) = self.pending.take_if(|renewal| renewal.epoch <= epoch) {
+        if let Some(renewal) = self.pending_renewal.take_if(|renewal| renewal.epoch <= epoch) {
             self.renew(renewal.at, Source::Store);
         }
     }
@@ -145,8 +145,8 @@
     pub fn record_read(&mut self, sent: Time, epoch: Epoch) {
         if epoch <= self.epoch {
             self.renew(sent, Source::Store);
-        } else if self.pending.is_none_or(|pending| pending.epoch <= epoch) {
-            self.pending = Some(Renewal { epoch, at: sent });
+        } else if self.pending_renewal.is_none_or(|pending| pending.epoch <= epoch) {
+            self.pending_renewal = Some(Renewal { epoch, at: sent });
         }
     }
 
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Bytes of a key's salt and digest.
+/// Length of a key's salt, and of its digest, in bytes.
 pub const DIGEST_BYTES: usize = 32;
 
 /// The configuration document.
--- a/crates/core/src/detect/health.rs
+++ b/crates/core/src/detect/health.rs
@@ -6,7 +6,7 @@
 
 /// Consecutive failures of work after which a target counts as poisoned.
 pub(super) const MIN_WORK_FAILURES: u32 = 3;
-/// Time for which an unanswered probe does not count as silence.
+/// Time that any probe may take; a target counts as silent only after it.
 pub(super) const MIN_SILENCE: Duration = Duration::from_millis(200);
 /// Consecutive refusals after which a target counts as refusing connections.
 pub(super) const MIN_REFUSALS: u32 = 2;
--- a/crates/core/src/detect/mod.rs
+++ b/crates/core/src/detect/mod.rs
@@ -28,7 +28,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Age of the last majority acknowledgement from which on a primary may be isolated; lower ages
+/// Minimum age of the last majority acknowledgement at which a primary may be isolated; lower ages
 /// are normal.
 pub const MIN_ISOLATED_AGE: Duration = Duration::from_millis(400);
 /// Lower bound of the reported time without a primary, so that it is never reported as zero.
--- a/crates/core/src/distribute.rs
+++ b/crates/core/src/distribute.rs
@@ -224,7 +224,7 @@
     adopted_at: Time,
     waiting: BTreeSet<(HostId, Incarnation)>,
     /// Whether hosts outside the member table, which cannot confirm, may act on an older epoch.
-    has_unlisted_hosts: bool,
+    has_unrecorded_hosts: bool,
 }
 
 impl Default for Adoption {
@@ -256,10 +256,10 @@
             members.map(|member| (member.host, member.incarnation)).collect()
         };
         let waiting = members_of(row);
-        let has_unlisted_hosts =
+        let has_unrecorded_hosts =
             row.epoch > previous.epoch + 1 || !members_of(previous).is_subset(&waiting);
         let accepted =
-            Accepted { version: row.version, adopted_at: now, waiting, has_unlisted_hosts };
+            Accepted { version: row.version, adopted_at: now, waiting, has_unrecorded_hosts };
         self.accepted.insert(row.epoch, accepted);
     }
 
@@ -279,7 +279,7 @@
         let done = self
             .accepted
             .iter()
-            .take_while(|(_, accepted)| !accepted.has_unlisted_hosts || expired(accepted))
+            .take_while(|(_, accepted)| !accepted.has_unrecorded_hosts || expired(accepted))
             .filter(|(_, accepted)| accepted.waiting.is_empty() || expired(accepted))
             .map(|(epoch, accepted)| (*epoch, accepted.version))
             .last();
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -1,18 +1,18 @@
-//! The core's one error.
+//! Error type of this crate.
 
 use crate::config;
 use derive_more::{Display, Error, From};
 
-/// What the core can find wrong with its input.
+/// Reason why an input is rejected.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error, From)]
 pub enum Error {
-    /// A session token that this version cannot read.
+    /// The session token is malformed, too long or of an unknown format version.
     #[display("malformed session token")]
     MalformedToken,
-    /// A configuration that cannot hold.
+    /// The configuration is invalid.
     #[from]
     Config(config::Fault),
 }
 
-/// The core's result.
+/// Result with this crate's [`Error`].
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -134,8 +134,9 @@
         let share = |account: &Account| match self.order {
             Order::Arrival => account.waiting.len(),
             Order::Fair => {
-                let own_turns = (own + 1) * account.weight as usize / waiter.weight.max(1) as usize;
-                account.waiting.len().min(own_turns)
+                let turns_before =
+                    (own + 1) * account.weight as usize / waiter.weight.max(1) as usize;
+                account.waiting.len().min(turns_before)
             }
         };
         let before: usize = own + others.map(|(_, account)| share(account)).sum::<usize>();
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -20,8 +20,8 @@
 pub const HOST_HOLD_DURATION: Duration = Duration::from_millis(2_500);
 /// Longest time for work on the primary to complete.
 pub const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Longest time for the candidate to replicate all entries of the primary once that is on hold;
-/// also for the answer to the hold itself.
+/// Longest time from the request to hold the primary until the candidate has replicated all of the
+/// primary's entries.
 pub const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for which the primary's last entry must stay the same to count as stable.
 pub const STABLE_ENTRY_DURATION: Duration = Duration::from_millis(60);
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -33,5 +33,5 @@
 
 /// Monotonic time since a starting point that is private to the process.
 ///
-/// Decisions never use wall-clock time.
+/// Decisions never use wall-clock time, except [`prune_before`](crate::idempotency::prune_before).
 pub type Time = Duration;
--- a/crates/core/src/idempotency.rs
+++ b/crates/core/src/idempotency.rs
@@ -90,7 +90,7 @@
 }
 
 impl InFlight {
-    /// No request is in flight.
+    /// Creates an empty set of requests.
     pub fn new() -> InFlight {
         InFlight::default()
     }
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -18,7 +18,7 @@
 /// Implements neither `Debug` nor `Display`, so that it cannot be logged by accident.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub struct Credential<'a> {
-    /// Id of the key, which is public.
+    /// Id of the key in the configuration.
     pub id: KeyId,
     /// The secret part, to be checked against the salted digest.
     pub secret: &'a str,
--- a/crates/core/src/maintenance.rs
+++ b/crates/core/src/maintenance.rs
@@ -26,7 +26,7 @@
     /// Remove hosts that have stopped.
     Remove(BTreeSet<HostId>),
     /// Resolve an announcement by an epoch without other changes.
-    Settle,
+    Resolve,
 }
 
 /// Returns the change that the host `own` should make now, if any.
@@ -44,7 +44,7 @@
         return Some(Task::Remove(stopped));
     }
     let since = holder.unresolved_since()?;
-    (now.saturating_sub(since) >= MAX_ANNOUNCEMENT_AGE + wait).then_some(Task::Settle)
+    (now.saturating_sub(since) >= MAX_ANNOUNCEMENT_AGE + wait).then_some(Task::Resolve)
 }
 
 impl Task {
@@ -53,7 +53,7 @@
         match self {
             Task::Record => next.with_member(own.clone()),
             Task::Remove(hosts) => hosts.iter().fold(next, |row, host| row.without_member(*host)),
-            Task::Settle => next,
+            Task::Resolve => next,
         }
     }
 }
--- a/crates/core/src/outlier.rs
+++ b/crates/core/src/outlier.rs
@@ -5,9 +5,9 @@
 //! that doubles with each ejection. A ceiling prevents a common cause from ejecting everything: at
 //! most half of a group's replicas are ejected, and never the last target. The scheme and its
 //! ceiling follow "Ready, Running, and Serving Nothing but 500s"; `docs/design/retries.md` has the
-//! comparison. A target that fails but is not ejected because of the ceiling is suspect for the
-//! length of a first ejection: it is chosen after the primary, which may be the only target that
-//! works.
+//! comparison. A target that fails, but that the ceiling keeps from being ejected, is suspect for
+//! the length of a first ejection: it is chosen after the primary, which may be the only target
+//! that works.
 
 use crate::id::{TargetId, Time};
 use std::collections::BTreeMap;
@@ -77,7 +77,7 @@
         record.last_failure = now;
     }
 
-    /// Whether the target fails requests, and is not ejected because of the ceiling.
+    /// Whether the target fails requests, but the ceiling keeps it from being ejected.
     pub fn is_suspect(&self, target: TargetId) -> bool {
         let is_suspect =
             |r: &Record| r.ejected_until.is_none() && r.failures >= self.policy.failure_threshold;
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -1,7 +1,7 @@
 //! Planned changes: an intent is turned into a plan, and a confirmed plan is run step by step.
 //!
 //! A plan changes nothing until it is confirmed. The confirmation is one conditional write that
-//! requires the configuration to have still the version that the plan was made from. Every step is
+//! requires the configuration to still have the version that the plan was made from. Every step is
 //! idempotent: its operation first checks whether its effect is already present. Progress is
 //! written after each step, so that another host can continue after the runner has failed.
 
--- a/crates/core/src/plan/edit.rs
+++ b/crates/core/src/plan/edit.rs
@@ -1,4 +1,4 @@
-//! Converts steps to the edits that implement them, and lists the differences of documents.
+//! Converts steps to the edits that implement them, and lists the differences between documents.
 
 use super::{Fault, Issued, Operation, Record};
 use crate::config::{Document, Edit, TargetState};
--- a/crates/core/src/plan/outline.rs
+++ b/crates/core/src/plan/outline.rs
@@ -152,8 +152,8 @@
 
 fn rotate(document: &Document, account: &str, key_id: KeyId) -> Result<Steps, Fault> {
     let id = find_account(document, account)?;
-    let is_own = document.keys.get(&key_id).is_some_and(|key| key.account == id);
-    if !is_own || !key::is_active(document, key_id) {
+    let is_of_account = document.keys.get(&key_id).is_some_and(|key| key.account == id);
+    if !is_of_account || !key::is_active(document, key_id) {
         return Err(Fault::NoKey(key_id));
     }
     let touches = format!("keys of client account {account}");
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -198,7 +198,7 @@
         if let Some(grant) = grant {
             self.queue.refund(grant.charge);
         }
-        let refusal = grant.map(|t| Action::Refuse(t.request, Reason::ConnectionRefused));
+        let refusal = grant.map(|grant| Action::Refuse(grant.request, Reason::ConnectionRefused));
         refusal.into_iter().chain(self.dispatch(now)).collect()
     }
 
--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -40,9 +40,9 @@
 pub const PROMOTE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Wait for another host's promotion to complete before starting one.
 pub const OTHER_PROMOTION_WAIT: Duration = Duration::from_millis(400);
-/// Initial upper bound of the random backoff; doubles with each attempt.
-pub const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
-/// Attempts after which the bound of the backoff no longer doubles.
+/// Base of the random backoff's upper bound, which doubles with each attempt, the first included.
+pub const BASE_BACKOFF: Duration = Duration::from_millis(100);
+/// Maximum number of times that the bound of the backoff is doubled.
 pub const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 /// Number of random bits in a promoter id; the remaining bits are the host.
 const RANDOM_BITS: u32 = 39;
@@ -111,10 +111,10 @@
     },
 }
 
-/// A primary that is to be replaced.
+/// Describes the replacement of a primary: whose term it ends, and which target to choose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Replacement {
-    /// Term of the primary, or the highest granted term if there is no primary.
+    /// Term of the primary to replace, or the highest granted term if there is no primary.
     pub term: Term,
     /// Target that is chosen only if the others do not form a majority.
     pub avoid: Option<TargetId>,
@@ -339,9 +339,9 @@
         let (term, replacement) = (attempt.term, attempt.replacement);
         let superseded = self.highest_accepted > term;
         let doublings = self.attempts.min(MAX_BACKOFF_DOUBLINGS);
-        let jitter = self.random.time_below(INITIAL_BACKOFF * (1 << doublings));
-        let max_wait = if superseded { OTHER_PROMOTION_WAIT } else { Duration::ZERO };
-        self.state = State::Waiting { start: now + max_wait + jitter, replacement };
+        let jitter = self.random.time_below(BASE_BACKOFF * (1 << doublings));
+        let wait = if superseded { OTHER_PROMOTION_WAIT } else { Duration::ZERO };
+        self.state = State::Waiting { start: now + wait + jitter, replacement };
         vec![Action::Failed { term }]
     }
 
--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -133,7 +133,7 @@
         u32::try_from(self.level / MICRO).unwrap_or(u32::MAX)
     }
 
-    /// Number of whole tokens up to the capacity.
+    /// Number of whole tokens that can be added before the capacity is reached.
     pub fn room(&self) -> u32 {
         u32::try_from(self.capacity().saturating_sub(self.level) / MICRO).unwrap_or(u32::MAX)
     }
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -3,8 +3,8 @@
 //! A request takes a token from its host's bucket. If there is none, it waits for a loan, at most
 //! [`MAX_LOAN_WAIT`] and only while some peer may have tokens; a peer that had none is not asked
 //! again for [`LENDER_RETRY_DELAY`]. A host with few tokens borrows in advance, so that most
-//! requests do not wait. It requests loans from no more peers than it can use tokens of: a token
-//! that no request waits for and that exceeds the capacity is lost to all hosts.
+//! requests do not wait. It requests loans from no more peers than the number of tokens that it can
+//! use: a token that no request waits for and that exceeds the capacity is lost to all hosts.
 //!
 //! A borrower sends a peer another request only after the answer to the previous one was received
 //! or given up, and only while no borrowed token exceeds its capacity. A request therefore means
@@ -57,7 +57,7 @@
 /// Rates of all client accounts at one host.
 #[derive(Debug, Clone)]
 pub struct Meter {
-    settle: Duration,
+    growth_delay: Duration,
     lending: bool,
     peers: BTreeSet<HostId>,
     accounts: BTreeMap<AccountId, State>,
@@ -111,10 +111,18 @@
 }
 
 impl Meter {
-    /// Creates a meter without accounts. `settle` is the lifetime of authority plus its margin, after
-    /// which a grown share may be used; without `lending` every host has only its fixed share.
-    pub fn new(settle: Duration, lending: bool) -> Meter {
-        Meter { settle, lending, peers: BTreeSet::new(), accounts: BTreeMap::new(), sequence: 0 }
+    /// Creates a meter without accounts.
+    ///
+    /// `growth_delay` is the lifetime of authority plus its margin, after which a grown share may be
+    /// used; without `lending` every host has only its fixed share.
+    pub fn new(growth_delay: Duration, lending: bool) -> Meter {
+        Meter {
+            growth_delay,
+            lending,
+            peers: BTreeSet::new(),
+            accounts: BTreeMap::new(),
+            sequence: 0,
+        }
     }
 
     /// Sets the peers that loans may be requested from.
@@ -134,8 +142,8 @@
 
     /// Sets this host's share of an account's rate, per second, and burst, in micro-tokens.
     pub fn set_share(&mut self, account: AccountId, rate: Amount, burst: Amount, now: Time) {
-        let settle = self.settle;
-        let state = self.accounts.entry(account).or_insert_with(|| State::new(settle, now));
+        let growth_delay = self.growth_delay;
+        let state = self.accounts.entry(account).or_insert_with(|| State::new(growth_delay, now));
         state.rate.update(rate, now);
         state.burst.update(burst, now);
         state.refresh(now);
@@ -154,11 +162,11 @@
         opening: Amount,
         now: Time,
     ) {
-        let settle = self.settle;
+        let growth_delay = self.growth_delay;
         let state = self.accounts.entry(account).or_insert_with(|| {
-            let mut state = State::new(settle, now);
-            state.rate = Share::with_value(settle, rate);
-            state.burst = Share::with_value(settle, burst);
+            let mut state = State::new(growth_delay, now);
+            state.rate = Share::with_value(growth_delay, rate);
+            state.burst = Share::with_value(growth_delay, burst);
             state.refresh(now);
             state.bucket.add(opening, now);
             state
@@ -175,7 +183,8 @@
         }
     }
 
-    /// Records that a division of the rates was missed, so that no share is usable for `settle`.
+    /// Records that a division of the rates was missed, so that no share is usable for the growth
+    /// delay.
     pub fn record_missed_division(&mut self, now: Time) {
         for state in self.accounts.values_mut() {
             state.rate.record_missed_division(now);
@@ -300,10 +309,10 @@
 }
 
 impl State {
-    fn new(settle: Duration, now: Time) -> State {
+    fn new(growth_delay: Duration, now: Time) -> State {
         State {
-            rate: Share::new(settle),
-            burst: Share::new(settle),
+            rate: Share::new(growth_delay),
+            burst: Share::new(growth_delay),
             bucket: Bucket::new(now),
             holders: BTreeSet::new(),
             waiting: 0,
@@ -342,7 +351,7 @@
     }
 
     /// Peers to request loans from: first those that lent last time, then the others in rotation, and
-    /// no more than this host can use tokens of.
+    /// no more peers than the number of tokens that this host can use.
     fn lenders_to_ask(&self, peers: &BTreeSet<HostId>, turn: u64, now: Time) -> Vec<HostId> {
         let mut ready: Vec<HostId> = self.ready_lenders(peers, now).collect();
         let count = ready.len();
--- a/crates/core/src/transaction.rs
+++ b/crates/core/src/transaction.rs
@@ -200,12 +200,12 @@
         self.open.get(&id).map(|entry| entry.service)
     }
 
-    /// Keys with which the open transactions were begun_at.
+    /// Keys with which the open transactions were begun.
     pub fn keys(&self) -> BTreeSet<KeyId> {
         self.open.values().map(|entry| entry.key).collect()
     }
 
-    /// Whether the transaction has begun_at and not ended.
+    /// Whether the transaction has begun and not ended.
     pub fn is_open(&self, id: TransactionId) -> bool {
         self.open.contains_key(&id)
     }
