--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -101,8 +101,8 @@
 
     /// Ends the attempt if a host already has this or a higher epoch.
     ///
-    /// Returns `None` while a write that was sent may take effect, since that epoch may then be this
-    /// attempt's own.
+    /// Returns `None` while a write that was sent may take effect, since that epoch may then be
+    /// this attempt's own.
     pub fn observe_epoch(&self, epoch: Epoch) -> Option<Action> {
         let is_overtaken = epoch >= self.row.epoch && self.write == Write::Unsent;
         is_overtaken.then_some(Action::Finish(Outcome::Overtaken))
--- a/crates/core/src/detect/mod.rs
+++ b/crates/core/src/detect/mod.rs
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Records a peer's opinion, unless one on a higher term is known.
+    /// Records a peer's opinion, unless that peer has already sent one on a higher term.
     pub fn record_opinion(&mut self, now: Time, host: HostId, opinion: Opinion) {
         let newer = self.opinions.get(&host).is_none_or(|(_, known)| known.term <= opinion.term);
         if newer {
--- a/crates/core/src/distribute.rs
+++ b/crates/core/src/distribute.rs
@@ -155,7 +155,8 @@
         Some(Update { origin, row: self.row.clone(), body })
     }
 
-    /// Returns the change that applies `edits` to this replica's version, and the resulting document.
+    /// Returns the change that applies `edits` to this replica's version, and the resulting
+    /// document.
     pub fn propose(&self, edits: Vec<Edit>) -> Result<(Change, Document), config::Fault> {
         let change = Change { version: self.document.version + 1, edits };
         let document = self.document.with_change(&change)?;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -60,9 +60,9 @@
     pub last_received: Time,
     /// Whether any heartbeat of this incarnation was received.
     pub has_answered: bool,
-    /// Highest epoch that the peer reported to act on.
+    /// Highest epoch that the peer reported acting on.
     pub epoch: Epoch,
-    /// Highest configuration version that the peer reported to act on.
+    /// Highest configuration version that the peer reported acting on.
     pub version: Version,
     /// Members whose heartbeats the peer does not receive.
     pub silent: BTreeSet<HostId>,
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -42,8 +42,8 @@
     pub version: Version,
     /// Epoch of the fleet row that the sender acts on.
     pub epoch: Epoch,
-    /// Time since the sender's latest renewal, as of which no higher epoch had been accepted; `None`
-    /// if there was none.
+    /// Time since the sender's latest renewal, as of which no higher epoch had been accepted;
+    /// `None` if there was none.
     pub age: Option<Duration>,
     /// Highest announced epoch whose outcome the sender does not know.
     pub announced: Option<Epoch>,
@@ -66,8 +66,8 @@
     pub failed: bool,
     /// Highest confirmed position that the host has seen.
     pub confirmed: Position,
-    /// Host whose planned promotion of the group the sender waits for, while it sends the primary no
-    /// new work.
+    /// Host whose planned promotion of the group the sender waits for, while it sends the primary
+    /// no new work.
     pub hold: Option<HostId>,
     /// Requests of the sender that use the primary, or wait for it, during that time.
     pub busy: u32,
--- a/crates/core/src/promotion.rs
+++ b/crates/core/src/promotion.rs
@@ -172,7 +172,8 @@
         }
     }
 
-    /// Starts a planned promotion of `preferred`, whose log has all entries of the primary of `term`.
+    /// Starts a planned promotion of `preferred`, whose log has all entries of the primary of
+    /// `term`.
     pub fn start_planned(&mut self, now: Time, term: Term, preferred: TargetId) -> Vec<Action> {
         self.highest_accepted = self.highest_accepted.max(term);
         self.attempts = 0;
@@ -229,8 +230,8 @@
         self.decide(now)
     }
 
-    /// Records the answer of `target` to the request to become primary of `term`; `None` if it could
-    /// not be reached, in which case the request is resent.
+    /// Records the answer of `target` to the request to become primary of `term`; `None` if it
+    /// could not be reached, in which case the request is resent.
     pub fn record_promotion(
         &mut self,
         now: Time,
--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -158,8 +158,8 @@
 
     /// Refills the level up to `now`.
     ///
-    /// Capacity freed by the expiry of a loan fills only from that time on, so each interval between
-    /// two expiries is computed separately.
+    /// Capacity freed by the expiry of a loan fills only from that time on, so each interval
+    /// between two expiries is computed separately.
     fn refill(&mut self, now: Time) {
         while let Some(loan) = self.lent.front().copied().filter(|loan| loan.deadline <= now) {
             self.refill_until(loan.deadline);
--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -113,8 +113,8 @@
 impl Meter {
     /// Creates a meter without accounts.
     ///
-    /// `growth_delay` is the lifetime of authority plus its margin, after which a grown share may be
-    /// used; without `lending` every host has only its fixed share.
+    /// `growth_delay` is the lifetime of authority plus its margin, after which a grown share may
+    /// be used; without `lending` every host has only its fixed share.
     pub fn new(growth_delay: Duration, lending: bool) -> Meter {
         Meter {
             growth_delay,
@@ -149,11 +149,12 @@
         state.refresh(now);
     }
 
-    /// Like [`Meter::set_share`], but the share of an account that is new here is usable at once, and
-    /// its bucket starts with `opening` micro-tokens.
+    /// Like [`Meter::set_share`], but the share of an account that is new here is usable at once,
+    /// and its bucket starts with `opening` micro-tokens.
     ///
-    /// For a host that had the same share before, or an account that is new to all hosts. The caller
-    /// must bound what `opening` adds to the account's burst, summed over hosts and incarnations.
+    /// For a host that had the same share before, or an account that is new to all hosts. The
+    /// caller must bound what `opening` adds to the account's burst, summed over hosts and
+    /// incarnations.
     pub fn open_share(
         &mut self,
         account: AccountId,
@@ -350,8 +351,8 @@
         peers.iter().filter(may_have).copied().filter(move |peer| self.is_ready(*peer, now))
     }
 
-    /// Peers to request loans from: first those that lent last time, then the others in rotation, and
-    /// no more peers than the number of tokens that this host can use.
+    /// Peers to request loans from: first those that lent last time, then the others in rotation,
+    /// and no more peers than the number of tokens that this host can use.
     fn lenders_to_ask(&self, peers: &BTreeSet<HostId>, turn: u64, now: Time) -> Vec<HostId> {
         let mut ready: Vec<HostId> = self.ready_lenders(peers, now).collect();
         let count = ready.len();
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -53,8 +53,8 @@
 /// How fresh the data for a read has to be, besides covering its session token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Freshness {
-    /// No maximum age: any target that covers the session token may serve the read. Without a token,
-    /// or if no such target is found, the primary serves it.
+    /// No maximum age: any target that covers the session token may serve the read. Without a
+    /// token, or if no such target is found, the primary serves it.
     Session,
     /// The data must be at most this old.
     MaxAge(Duration),
