--- a/crates/core/src/ack.rs
+++ b/crates/core/src/ack.rs
@@ -69,7 +69,8 @@
         }
     }
 
-    /// Records that a majority has `position`, and samples the delay of the oldest pending entry.
+    /// Records that a majority has `position`, and samples the delay of the oldest entry that this
+    /// confirms.
     pub fn record_confirmed(&mut self, position: Position, now: Time) {
         if position <= self.confirmed {
             return;
--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -124,7 +124,7 @@
         self.state == State::Ended
     }
 
-    /// Records the primary's last entry from its answer to the hold; `None` if the hold failed.
+    /// Records the primary's answer to the hold: its last entry, or `None` if the hold failed.
     pub fn record_hold(&mut self, now: Time, entry: Option<Position>) -> Vec<Action> {
         if self.state != State::Holding {
             return Vec::new();
--- a/crates/core/src/invariant/answer.rs
+++ b/crates/core/src/invariant/answer.rs
@@ -47,8 +47,8 @@
     check_each(answers, is_wrong, |answer| Violation::WrongAnswer { op: answer.op })
 }
 
-/// Checks that no request to a host is interrupted after its graceful stop began at the time in
-/// `stopping`.
+/// Checks that no request to a host is interrupted after the host's graceful stop began; `stopping`
+/// holds the time at which each stop began.
 pub fn verify_uninterrupted(
     requests: &[Request],
     stopping: &BTreeMap<HostId, Time>,
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -62,7 +62,7 @@
     pub term: Term,
     /// Time for which the primary has been failing; zero while it works.
     pub failing: Duration,
-    /// Whether that time exceeds the threshold, so that the host considers the primary failed.
+    /// Whether that time has reached the threshold, so that the host considers the primary failed.
     pub failed: bool,
     /// Highest confirmed position that the host has seen.
     pub confirmed: Position,
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -68,7 +68,7 @@
     Close(ConnectionId),
     /// Check that the other end of a connection responds, then call [`Pool::checked`].
     Check(ConnectionId),
-    /// Give a connection to a request, which ends with [`Pool::released`].
+    /// Give a connection to a request, until [`Pool::released`] is called.
     Lease(RequestId, ConnectionId),
     /// Refuse a request; it gets no connection.
     Refuse(RequestId, Reason),
