--- a/crates/core/src/detect/mod.rs
+++ b/crates/core/src/detect/mod.rs
@@ -28,7 +28,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Age of the last majority acknowledgement from which on a primary may be isolated; lower ages
+/// Minimum age of the last majority acknowledgement at which a primary may be isolated; lower ages
 /// are normal.
 pub const MIN_ISOLATED_AGE: Duration = Duration::from_millis(400);
 /// Lower bound of the reported time without a primary, so that it is never reported as zero.
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Records a peer's opinion, unless one on a higher term is known.
+    /// Records a peer's opinion, unless that peer has already sent one on a higher term.
     pub fn record_opinion(&mut self, now: Time, host: HostId, opinion: Opinion) {
         let newer = self.opinions.get(&host).is_none_or(|(_, known)| known.term <= opinion.term);
         if newer {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -68,7 +68,7 @@
     Close(ConnectionId),
     /// Check that the other end of a connection responds, then call [`Pool::checked`].
     Check(ConnectionId),
-    /// Give a connection to a request, which ends with [`Pool::released`].
+    /// Give a connection to a request, until [`Pool::released`] is called.
     Lease(RequestId, ConnectionId),
     /// Refuse a request; it gets no connection.
     Refuse(RequestId, Reason),
@@ -198,7 +198,7 @@
         if let Some(grant) = grant {
             self.queue.refund(grant.charge);
         }
-        let refusal = grant.map(|t| Action::Refuse(t.request, Reason::ConnectionRefused));
+        let refusal = grant.map(|grant| Action::Refuse(grant.request, Reason::ConnectionRefused));
         refusal.into_iter().chain(self.dispatch(now)).collect()
     }
 
--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -133,7 +133,7 @@
         u32::try_from(self.level / MICRO).unwrap_or(u32::MAX)
     }
 
-    /// Number of whole tokens up to the capacity.
+    /// Number of whole tokens that can be added before the capacity is reached.
     pub fn room(&self) -> u32 {
         u32::try_from(self.capacity().saturating_sub(self.level) / MICRO).unwrap_or(u32::MAX)
     }
@@ -158,8 +158,8 @@
 
     /// Refills the level up to `now`.
     ///
-    /// Capacity freed by the expiry of a loan fills only from that time on, so each interval between
-    /// two expiries is computed separately.
+    /// Capacity freed by the expiry of a loan fills only from that time on, so each interval
+    /// between two expiries is computed separately.
     fn refill(&mut self, now: Time) {
         while let Some(loan) = self.lent.front().copied().filter(|loan| loan.deadline <= now) {
             self.refill_until(loan.deadline);
