--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -11,7 +11,7 @@
 use crate::bench::report::{self, Report, Run};
 use crate::bench::scenario::Scenario;
 use crate::bench::variant::{self, Variant};
-use crate::bench::{cost, html, remains};
+use crate::bench::{cost, final_rows, html};
 use crate::client;
 use crate::client::caller::Client;
 use crate::error::{Error, Result};
@@ -113,7 +113,7 @@
     let ops = loading.await.map_err(|error| Error::Start(error.to_string()))?;
     helpers.iter().for_each(JoinHandle::abort);
     fault::heal_all(&system)?;
-    let remains = remains::read(&system).await?;
+    let remains = final_rows::read(&system).await?;
     stop(system).await;
     let accounts = scenario.accounts.iter().map(|account| history::Account {
         name: account.name.clone(),
--- a/crates/cli/src/trial/story.rs
+++ b/crates/cli/src/trial/story.rs
@@ -209,7 +209,7 @@
         let group = &self.system.groups[service];
         let deadline = Instant::now() + CATCH_UP_TIMEOUT;
         loop {
-            if crate::bench::remains::is_caught_up(group) {
+            if crate::bench::final_rows::is_caught_up(group) {
                 return Ok(());
             }
             if Instant::now() > deadline {
