--- a/crates/cli/src/bench/admission.rs
+++ b/crates/cli/src/bench/admission.rs
@@ -1,95 +1,100 @@
-//! The account's rate, judged from outside.
+//! Checks the hosts' rate limits from the callers' observations.
 //!
-//! A host decides about a request somewhere between the moments at which its caller sent it and
-//! had its answer. [`excess`] therefore counts, for every window, only requests that lie whole in
-//! it: whatever it finds was certainly above burst + rate × window. [`wrongful`] plays the ideal
-//! limiter: one bucket over all hosts, charged with what was really let through.
+//! A host decides on a request at some time between its sending and its response. [`excess`]
+//! therefore counts, for every window, only the requests that lie entirely within it, so what it
+//! reports was certainly above burst + rate × window. [`assess`] simulates an ideal limiter: one
+//! token bucket over all hosts, charged with the requests that were actually admitted.
 
 use crate::bench::history::{AccountIndex, Attempt, History, Kind, Op, Outcome, Step, Verdict};
-use crate::bench::phase::{Count, Phase, Phases};
+use crate::bench::phase::{Phase, PhaseCounts, Phases};
 use bergamotvale_core::invariant::admission::Bucket;
 use bergamotvale_core::refusal::{Ran, Reason};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// When a request was sent and when its outcome was known.
+/// The time for which a request was in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Span {
-    /// Sent.
+pub struct Interval {
+    /// Time at which it was sent.
     pub sent: Duration,
-    /// Known.
+    /// Time at which the caller knew its outcome.
     pub ended: Duration,
 }
 
-/// Requests of an account that were let through for certain.
-pub fn admitted(history: &History, account: AccountIndex) -> Vec<Span> {
-    let attempts = charged(history, account).map(|charge| charge.attempt);
+/// Requests of an account that were certainly admitted.
+pub fn admitted(history: &History, account: AccountIndex) -> Vec<Interval> {
+    let attempts = charged_attempts(history, account).map(|charged| charged.attempt);
     let admitted = attempts.filter(|attempt| attempt.was_admitted());
-    admitted.map(|attempt| Span { sent: attempt.sent, ended: attempt.ended }).collect()
+    admitted.map(|attempt| Interval { sent: attempt.sent, ended: attempt.ended }).collect()
 }
 
-/// Requests that the account's rate pays for: of a transaction, its beginning.
-fn charged(history: &History, account: AccountIndex) -> impl Iterator<Item = Charge<'_>> {
+/// Requests that are charged to the account's rate; of a transaction only its begin.
+fn charged_attempts(
+    history: &History,
+    account: AccountIndex,
+) -> impl Iterator<Item = ChargedAttempt<'_>> {
     let is_own = move |op: &&Op| op.account == account && op.kind != Kind::Foreign;
     let ops = history.ops.iter().filter(is_own);
     ops.flat_map(|op| {
-        let paid = |attempt: &&Attempt| matches!(attempt.step, Step::Whole | Step::Begin);
-        let attempts = op.attempts.iter().filter(paid).enumerate();
-        attempts.map(move |(place, attempt)| Charge { op, attempt, is_first: place == 0 })
+        let is_charged = |attempt: &&Attempt| matches!(attempt.step, Step::Whole | Step::Begin);
+        let attempts = op.attempts.iter().filter(is_charged).enumerate();
+        attempts.map(move |(index, attempt)| ChargedAttempt { op, attempt, is_first: index == 0 })
     })
 }
 
-/// A request that the account's rate pays for.
-struct Charge<'a> {
+/// A request that is charged to its account's rate.
+struct ChargedAttempt<'a> {
     op: &'a Op,
     attempt: &'a Attempt,
-    /// Whether it is its operation's first, not a repeat.
+    /// Whether it is the first request of its operation and not a repeat.
     is_first: bool,
 }
 
-/// Most requests by which any window holds more than `burst` + `rate` × its length; 0 at best.
+/// The largest number of requests by which any window exceeds `burst` + `rate` × its length; 0 if
+/// none does.
 ///
-/// Windows run from the sending of one request to the end of another. Over the windows' starts,
-/// a tree of maxima keeps the requests counted so far plus `rate` × start.
-pub fn excess(spans: &[Span], rate: f64, burst: f64) -> f64 {
-    let mut starts: Vec<_> = spans.iter().map(|span| span.sent).collect();
+/// Windows run from the sending of one request to the end of another. For each possible start, a
+/// max tree holds the requests counted so far plus `rate` × start, so that each end needs one query
+/// of the maximum instead of a pass over all starts.
+pub fn excess(intervals: &[Interval], rate: f64, burst: f64) -> f64 {
+    let mut starts: Vec<_> = intervals.iter().map(|interval| interval.sent).collect();
     starts.sort();
     starts.dedup();
-    let mut by_end = spans.to_vec();
-    by_end.sort_by_key(|span| span.ended);
-    let mut tree = Tree::new(starts.len());
+    let mut by_end = intervals.to_vec();
+    by_end.sort_by_key(|interval| interval.ended);
+    let mut tree = MaxTree::new(starts.len());
     let mut opened = 0;
     let mut worst = 0.0_f64;
-    for span in by_end {
-        let place = starts.partition_point(|start| *start <= span.sent);
-        // A window that starts later than everything counted so far holds nothing yet.
-        for (leaf, start) in starts.iter().enumerate().take(place).skip(opened) {
-            tree.open(leaf, rate * start.as_secs_f64());
+    for interval in by_end {
+        let start_count = starts.partition_point(|start| *start <= interval.sent);
+        // Starts that come after all requests counted so far begin with a count of zero.
+        for (leaf, start) in starts.iter().enumerate().take(start_count).skip(opened) {
+            tree.set_leaf(leaf, rate * start.as_secs_f64());
         }
-        opened = opened.max(place);
-        tree.add_below(place);
-        let held = tree.max() - rate * span.ended.as_secs_f64();
-        worst = worst.max(held - burst);
+        opened = opened.max(start_count);
+        tree.add_to_prefix(start_count);
+        let count_above_rate = tree.max() - rate * interval.ended.as_secs_f64();
+        worst = worst.max(count_above_rate - burst);
     }
-    // Sums of floats may be off by far less than one request.
+    // Rounding errors of the sums are far smaller than one request.
     if worst < 1e-6 { 0.0 } else { worst }
 }
 
-/// A complete binary tree of maxima that adds one to a prefix of its leaves.
-struct Tree {
+/// A segment tree of maxima that can add one to a prefix of its leaves.
+struct MaxTree {
     leaves: usize,
     max: Vec<f64>,
     pending: Vec<f64>,
 }
 
-impl Tree {
-    fn new(count: usize) -> Tree {
+impl MaxTree {
+    fn new(count: usize) -> MaxTree {
         let leaves = count.next_power_of_two();
-        Tree { leaves, max: vec![f64::NEG_INFINITY; 2 * leaves], pending: vec![0.0; 2 * leaves] }
+        MaxTree { leaves, max: vec![f64::NEG_INFINITY; 2 * leaves], pending: vec![0.0; 2 * leaves] }
     }
 
-    /// Gives a leaf, to which nothing was added before, its first value.
-    fn open(&mut self, leaf: usize, value: f64) {
+    /// Sets the initial value of a leaf that no addition has covered yet.
+    fn set_leaf(&mut self, leaf: usize, value: f64) {
         let mut node = self.leaves + leaf;
         self.max[node] = value;
         while node > 1 {
@@ -103,11 +108,11 @@
     }
 
     /// Adds one to the first `count` leaves.
-    fn add_below(&mut self, count: usize) {
-        self.add(1, 0, self.leaves, count);
+    fn add_to_prefix(&mut self, count: usize) {
+        self.add_to_node(1, 0, self.leaves, count);
     }
 
-    fn add(&mut self, node: usize, from: usize, to: usize, count: usize) {
+    fn add_to_node(&mut self, node: usize, from: usize, to: usize, count: usize) {
         if from >= count {
             return;
         }
@@ -117,48 +122,48 @@
             return;
         }
         let middle = usize::midpoint(from, to);
-        self.add(2 * node, from, middle, count);
-        self.add(2 * node + 1, middle, to, count);
+        self.add_to_node(2 * node, from, middle, count);
+        self.add_to_node(2 * node + 1, middle, to, count);
         self.max[node] = self.max[2 * node].max(self.max[2 * node + 1]) + self.pending[node];
     }
 }
 
-/// How an account's requests went against the ideal limiter.
+/// The requests of an account, compared with an ideal limiter.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Account {
-    /// Operations.
+pub struct Assessment {
+    /// Operations that the account sent.
     pub offered: u64,
-    /// Operations that the ideal limiter would have let through, had it decided alone.
+    /// Operations that the ideal limiter would have admitted if it alone had decided.
     pub within: u64,
-    /// Of those, the ones in steady state.
+    /// Operations counted in `within` that were sent in steady state.
     pub within_steady: u64,
-    /// Refusals of requests for which there was a token, or which may have run, by reason.
-    pub wrongful: BTreeMap<Reason, Count>,
-    /// Requests without a whole answer or a known reason.
-    pub failed: Count,
+    /// Refusals, by reason, of requests for which the bucket had a token or that may have run.
+    pub wrongful: BTreeMap<Reason, PhaseCounts>,
+    /// Requests without a complete response, or refused without a known reason.
+    pub failed: PhaseCounts,
 }
 
-/// Plays the ideal limiter over the requests of an account.
-pub fn wrongful(history: &History, phases: &Phases, account: AccountIndex) -> Account {
-    let known = &history.accounts[account];
-    let mut charges: Vec<_> = charged(history, account).collect();
-    charges.sort_by_key(|charge| charge.attempt.sent);
-    let mut alone = Bucket::new(known.rate, known.burst);
-    let mut real = Bucket::new(known.rate, known.burst);
-    let mut found = Account::default();
-    for Charge { op, attempt, is_first } in charges {
-        let phase = phases.of(op, attempt);
-        let is_within = alone.admit(attempt.sent) && is_first;
-        found.offered += u64::from(is_first);
-        found.within += u64::from(is_within);
-        found.within_steady += u64::from(is_within && phase == Phase::Steady);
-        found.judge(attempt, phase, &mut real);
+/// Compares the outcomes of an account's requests with an ideal limiter.
+pub fn assess(history: &History, phases: &Phases, account: AccountIndex) -> Assessment {
+    let limits = &history.accounts[account];
+    let mut charges: Vec<_> = charged_attempts(history, account).collect();
+    charges.sort_by_key(|charged| charged.attempt.sent);
+    let mut ideal = Bucket::new(limits.rate, limits.burst);
+    let mut actual = Bucket::new(limits.rate, limits.burst);
+    let mut assessment = Assessment::default();
+    for ChargedAttempt { op, attempt, is_first } in charges {
+        let phase = phases.of_attempt(op, attempt);
+        let is_within = ideal.admit(attempt.sent) && is_first;
+        assessment.offered += u64::from(is_first);
+        assessment.within += u64::from(is_within);
+        assessment.within_steady += u64::from(is_within && phase == Phase::Steady);
+        assessment.record(attempt, phase, &mut actual);
     }
-    found
+    assessment
 }
 
-impl Account {
-    fn judge(&mut self, attempt: &Attempt, phase: Phase, bucket: &mut Bucket) {
+impl Assessment {
+    fn record(&mut self, attempt: &Attempt, phase: Phase, bucket: &mut Bucket) {
         if attempt.verdict() != Verdict::NotRun {
             bucket.take(attempt.sent);
         }
--- a/crates/cli/src/bench/arrival.rs
+++ b/crates/cli/src/bench/arrival.rs
@@ -1,8 +1,8 @@
-//! Draws every operation of a run ahead, from a seed.
+//! Generates all operations of a run in advance, from a seed.
 //!
-//! Arrivals of each account are a Poisson process of its own generator, so that a change to one
-//! account leaves the others' arrivals alone. When an operation is due does not depend on how the
-//! ones before it went.
+//! The arrivals of each account are a Poisson process with a random generator of its own, so a change
+//! to one account does not change the arrivals of the others. The load is open-loop: due times do not
+//! depend on the outcomes of earlier operations.
 
 use crate::bench::history::{AccountIndex, Kind, OpId, ServiceIndex, SessionId};
 use crate::bench::scenario::{Account, Scenario};
@@ -11,38 +11,40 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// An operation that is due.
+/// A scheduled operation.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Arrival {
-    /// Its number: its place in the order of arrivals.
+    /// Number of the operation: its rank in the order of arrivals over all accounts.
     pub id: OpId,
-    /// When it is due.
+    /// Time at which it is due, from the start of the run.
     pub at: Duration,
-    /// Whose it is.
+    /// Account that sends it.
     pub account: AccountIndex,
-    /// Its session; unique over accounts.
+    /// Session that sends it, numbered over all accounts.
     pub session: SessionId,
-    /// Place of its session among its account's.
-    pub place: SessionId,
-    /// What it does.
+    /// The same session, numbered within its account.
+    pub account_session: SessionId,
+    /// Kind of the operation.
     pub kind: Kind,
-    /// The service that it uses.
+    /// Service that it addresses.
     pub service: ServiceIndex,
-    /// Host that it goes to first.
+    /// Index of the host that its first request goes to.
     pub host: usize,
-    /// Host that a second request of the operation goes to.
+    /// Index of the host that a later request of the operation goes to; differs from `host` if
+    /// there is more than one.
     pub other_host: usize,
-    /// Whether the caller sends an acknowledged keyed write again.
-    pub repeats: bool,
+    /// Whether the caller sends the operation again after it was acknowledged; only used for keyed
+    /// writes.
+    pub is_repeated: bool,
 }
 
-/// Every arrival of `scenario` under `seed`, in order of time.
-pub fn draw(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
+/// All arrivals of `scenario` under `seed`, in order of time.
+pub fn generate(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
     let mut arrivals = Vec::new();
     let mut first_session = 0;
-    for (place, account) in scenario.accounts.iter().enumerate() {
-        let mut source = Source::new(scenario, account, place, first_session, seed);
-        while let Some(arrival) = source.next() {
+    for (index, account) in scenario.accounts.iter().enumerate() {
+        let mut generator = Generator::new(scenario, account, index, first_session, seed);
+        while let Some(arrival) = generator.next() {
             arrivals.push(arrival);
         }
         first_session += account.sessions;
@@ -54,11 +56,11 @@
     arrivals
 }
 
-/// Draws the arrivals of one account.
-struct Source<'a> {
+/// Generates the arrivals of one account.
+struct Generator<'a> {
     scenario: &'a Scenario,
     account: &'a Account,
-    place: AccountIndex,
+    account_index: AccountIndex,
     first_session: SessionId,
     services: Vec<ServiceIndex>,
     hosts: BTreeMap<SessionId, usize>,
@@ -66,21 +68,21 @@
     now: f64,
 }
 
-impl<'a> Source<'a> {
+impl<'a> Generator<'a> {
     fn new(
         scenario: &'a Scenario,
         account: &'a Account,
-        place: AccountIndex,
+        account_index: AccountIndex,
         first_session: SessionId,
         seed: u64,
-    ) -> Source<'a> {
+    ) -> Generator<'a> {
         let mut rng = StdRng::seed_from_u64(seed);
-        // Distinct streams for distinct accounts.
-        let stream = rng.next_u64().wrapping_add(place as u64);
-        Source {
+        // Gives each account a random stream of its own.
+        let stream = rng.next_u64().wrapping_add(account_index as u64);
+        Generator {
             scenario,
             account,
-            place,
+            account_index,
             first_session,
             services: scenario.services_of(account),
             hosts: BTreeMap::new(),
@@ -98,43 +100,44 @@
         if self.now >= self.scenario.duration.as_secs_f64() {
             return None;
         }
-        let place = self.rng.random_range(0..self.account.sessions);
-        let session = self.first_session + place;
-        let host = self.roam(session);
+        let account_session = self.rng.random_range(0..self.account.sessions);
+        let session = self.first_session + account_session;
+        let host = self.choose_host(session);
         Some(Arrival {
             id: 0,
             at: Duration::from_secs_f64(self.now),
-            account: self.place,
+            account: self.account_index,
             session,
-            place,
-            kind: self.kind(),
+            account_session,
+            kind: self.random_kind(),
             service: self.services[self.rng.random_range(0..self.services.len())],
             host,
-            other_host: self.other(host),
-            repeats: self.rng.random_bool(self.scenario.repeats),
+            other_host: self.random_other_host(host),
+            is_repeated: self.rng.random_bool(self.scenario.repeats),
         })
     }
 
-    /// The session's host, after it has perhaps moved.
-    fn roam(&mut self, session: SessionId) -> usize {
+    /// The session's current host; moves the session with the probability that the account's
+    /// `roaming` states.
+    fn choose_host(&mut self, session: SessionId) -> usize {
         let moves = self.rng.random_bool(self.account.roaming);
-        let known = self.hosts.get(&session).copied();
-        let host = match known {
+        let current = self.hosts.get(&session).copied();
+        let host = match current {
             Some(host) if !moves => host,
-            _ => self.any_host(),
+            _ => self.random_host(),
         };
         self.hosts.insert(session, host);
         host
     }
 
-    fn any_host(&mut self) -> usize {
+    fn random_host(&mut self) -> usize {
         if self.rng.random_bool(self.account.skew) {
             return 0;
         }
         self.rng.random_range(0..self.scenario.places.hosts)
     }
 
-    fn other(&mut self, host: usize) -> usize {
+    fn random_other_host(&mut self, host: usize) -> usize {
         let hosts = self.scenario.places.hosts;
         if hosts == 1 {
             return host;
@@ -142,7 +145,7 @@
         (host + self.rng.random_range(1..hosts)) % hosts
     }
 
-    fn kind(&mut self) -> Kind {
+    fn random_kind(&mut self) -> Kind {
         let total = self.scenario.mix.values().sum();
         let mut drawn = self.rng.random_range(0..total);
         for (kind, share) in &self.scenario.mix {
@@ -151,6 +154,6 @@
             }
             drawn -= share;
         }
-        unreachable!("the shares add up to the total")
+        unreachable!("shares must add up to the total")
     }
 }
--- a/crates/cli/src/bench/balancer.rs
+++ b/crates/cli/src/bench/balancer.rs
@@ -1,7 +1,7 @@
-//! The platform's balancer, as the load plays it: requests go to hosts on the platform's list.
+//! Simulates the platform's load balancer: requests go to the hosts that the platform lists as live.
 //!
-//! The list lags. A host that was never on it takes requests too, so that a system whose hosts do
-//! not enrol is loaded all the same.
+//! The list is polled and therefore lags. A host that has never been listed gets requests too, so
+//! that a system whose hosts don't register with the platform can be loaded.
 
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -9,12 +9,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Time between two looks at the list.
-const LOOK_PERIOD: Duration = Duration::from_millis(250);
-/// Time that a look may take.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Which hosts take requests.
+/// Chooses hosts for requests; clones share their state.
 #[derive(Debug, Clone)]
 pub struct Balancer {
     inner: Arc<Mutex<Rotation>>,
@@ -23,46 +21,47 @@
 #[derive(Debug, Default)]
 struct Rotation {
     hosts: Vec<String>,
-    seen: BTreeSet<String>,
+    ever_listed: BTreeSet<String>,
     live: BTreeSet<String>,
 }
 
-/// The platform's list.
+/// The platform's list of hosts.
 #[derive(Debug, Deserialize)]
-struct List {
-    hosts: Vec<Entry>,
+struct HostList {
+    hosts: Vec<HostEntry>,
 }
 
 #[derive(Debug, Deserialize)]
-struct Entry {
+struct HostEntry {
     host: serde_json::Value,
     state: String,
 }
 
 impl Balancer {
-    /// A balancer over hosts that enrol under these names.
+    /// A balancer over hosts that register with the platform under these names.
     pub fn new(hosts: Vec<String>) -> Balancer {
         let rotation = Rotation { hosts, ..Rotation::default() };
         Balancer { inner: Arc::new(Mutex::new(rotation)) }
     }
 
-    /// The host at `place` if it takes requests, else the next one that does.
-    pub fn pick(&self, place: usize) -> usize {
+    /// Index of the host at `index`, wrapped to the number of hosts, if it accepts requests, else of
+    /// the next one that does. If none does, the host at `index` itself.
+    pub fn pick(&self, index: usize) -> usize {
         let rotation = self.rotation();
         let count = rotation.hosts.len();
-        let mut places = (0..count).map(|step| (place + step) % count);
-        places.find(|place| rotation.takes(*place)).unwrap_or(place % count)
+        let mut indexes = (0..count).map(|step| (index + step) % count);
+        indexes.find(|index| rotation.accepts_requests(*index)).unwrap_or(index % count)
     }
 
-    /// Follows the platform's list for ever.
+    /// Polls the platform's list; never returns.
     pub async fn follow(self, http: reqwest::Client, platform: SocketAddr) {
         let url = format!("http://{platform}/hosts");
         loop {
-            // While the platform is away, the last list stands.
-            if let Ok(list) = look(&http, &url).await {
+            // Keeps the last list while the platform is unreachable.
+            if let Ok(list) = fetch_hosts(&http, &url).await {
                 self.rotation().update(list);
             }
-            tokio::time::sleep(LOOK_PERIOD).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -72,22 +71,22 @@
 }
 
 impl Rotation {
-    fn takes(&self, place: usize) -> bool {
-        let name = &self.hosts[place];
-        self.live.contains(name) || !self.seen.contains(name)
+    fn accepts_requests(&self, index: usize) -> bool {
+        let name = &self.hosts[index];
+        self.live.contains(name) || !self.ever_listed.contains(name)
     }
 
-    fn update(&mut self, list: List) {
+    fn update(&mut self, list: HostList) {
         let live = list.hosts.iter().filter(|entry| entry.state == "live");
-        self.live = live.map(|entry| name(&entry.host)).collect();
-        self.seen.extend(list.hosts.iter().map(|entry| name(&entry.host)));
+        self.live = live.map(|entry| host_name(&entry.host)).collect();
+        self.ever_listed.extend(list.hosts.iter().map(|entry| host_name(&entry.host)));
     }
 }
 
-fn name(host: &serde_json::Value) -> String {
+fn host_name(host: &serde_json::Value) -> String {
     host.as_str().map_or_else(|| host.to_string(), str::to_owned)
 }
 
-async fn look(http: &reqwest::Client, url: &str) -> reqwest::Result<List> {
-    http.get(url).timeout(LOOK_TIMEOUT).send().await?.error_for_status()?.json().await
+async fn fetch_hosts(http: &reqwest::Client, url: &str) -> reqwest::Result<HostList> {
+    http.get(url).timeout(POLL_TIMEOUT).send().await?.error_for_status()?.json().await
 }
--- a/crates/cli/src/bench/check.rs
+++ b/crates/cli/src/bench/check.rs
@@ -1,43 +1,44 @@
-//! What may never happen, checked on a recorded history.
+//! Checks a recorded history for violations of the invariants that hold under every fault.
 //!
-//! Each checker is a pure function over a [`History`] and answers with the operations that broke
-//! its rule. All of them must come back empty on every run, whatever faults were set. Where a rule is
-//! one of the core's invariants, the history is put into the core's records and judged there, record
-//! by record, since the core names only the first that breaks one. The rest differs: reads are judged
-//! by what their session knew when they were sent, and admissions by spans of time.
+//! Each checker is a pure function over a [`History`] that returns the operations (or accounts)
+//! violating its rule; on every run, whatever faults were injected, all results must be empty. Where
+//! a rule is one of the core's invariants, the history is converted to the core's records and checked
+//! there, one record at a time, since the core names only the first violation. Two rules are checked
+//! here instead: reads against what their session knew when they were sent, and admissions by
+//! intervals of time.
 
 use crate::bench::admission;
-use crate::bench::history::{AccountIndex, History, Kind, Mark, Op, OpId, Verdict};
+use crate::bench::history::{AccountIndex, History, Kind, Op, OpId, OpRows, Verdict};
 use bergamotvale_core::id::{AccountId, TargetId};
 use bergamotvale_core::invariant::{Broken, account, answer, write};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::slice;
 
-/// Operations that broke each rule.
+/// Violations of each rule; all sets are empty on a correct run.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Findings {
-    /// Acknowledged writes that some target lacks.
+    /// Acknowledged writes that are missing on some target.
     pub lost: BTreeSet<OpId>,
     /// Writes that left more than one row.
     pub duplicated: BTreeSet<OpId>,
     /// Writes refused as not run that left a row.
     pub false_not_run: BTreeSet<OpId>,
-    /// Session reads that missed a write of their session.
+    /// Session reads that missed an acknowledged write of their session.
     pub stale_session: BTreeSet<OpId>,
-    /// Aged reads that missed a write older than their age.
+    /// Aged reads that missed a write acknowledged longer ago than their maximum age.
     pub stale_aged: BTreeSet<OpId>,
-    /// Reads that got another request's answer, or one without its row.
+    /// Reads that got the response to another request, or a response without a row.
     pub mixed: BTreeSet<OpId>,
-    /// Operations that ran for an account whose key they did not come with.
+    /// Operations that ran for an account other than that of their key.
     pub wrong_account: BTreeSet<OpId>,
-    /// Accounts that were let through above rate and burst in some window.
+    /// Accounts for which more requests were admitted in some window than rate and burst allow.
     pub above_rate: BTreeSet<AccountIndex>,
 }
 
 impl Findings {
-    /// Rules with how often each was broken.
+    /// Name of each rule with the number of its violations, as the report prints them.
     pub fn counts(&self) -> [(&'static str, usize); 8] {
         [
             ("lost acknowledged writes", self.lost.len()),
@@ -51,7 +52,7 @@
         ]
     }
 
-    /// Whether no rule was broken.
+    /// Whether there are no violations.
     pub fn is_clean(&self) -> bool {
         self.counts().iter().all(|(_, count)| *count == 0)
     }
@@ -71,22 +72,22 @@
     }
 }
 
-/// Acknowledged writes that at least one target of their service lacks.
+/// Acknowledged writes that are missing on at least one target of their service.
 pub fn lost(history: &History) -> BTreeSet<OpId> {
-    breaking(records(history), write::verify_kept, |write| write.op)
+    violations(write_records(history), write::verify_kept, |write| write.op)
 }
 
 /// Writes with more than one row on any target.
 pub fn duplicated(history: &History) -> BTreeSet<OpId> {
-    breaking(records(history), write::verify_once, |write| write.op)
+    violations(write_records(history), write::verify_once, |write| write.op)
 }
 
-/// Writes that every attempt called not run, and that left a row nevertheless.
+/// Writes that left a row although every attempt reported that it did not run.
 pub fn false_not_run(history: &History) -> BTreeSet<OpId> {
-    breaking(records(history), write::verify_not_run, |write| write.op)
+    violations(write_records(history), write::verify_not_run, |write| write.op)
 }
 
-/// Reads of `kind` whose answer lies below what they had to see.
+/// Reads of `kind` whose result is older than the lowest write that they must include.
 pub fn stale(history: &History, kind: Kind) -> BTreeSet<OpId> {
     let is_stale = |op: &&Op| match (op.floor, op.seen) {
         (Some(floor), Some(seen)) => seen.seq < floor,
@@ -95,30 +96,31 @@
     history.ops.iter().filter(|op| op.kind == kind).filter(is_stale).map(|op| op.id).collect()
 }
 
-/// Answered reads whose answer is missing or names another operation.
+/// Answered reads whose response has no row or carries the number of another operation.
 pub fn mixed(history: &History) -> BTreeSet<OpId> {
     let answered =
-        history.ops.iter().filter(|op| op.kind.reads() && op.verdict() == Verdict::Acknowledged);
+        history.ops.iter().filter(|op| op.kind.is_read() && op.verdict() == Verdict::Acknowledged);
     let answers = answered.map(|op| answer::Answer {
         op: op.id,
         of: op.seen.map_or(op.id, |seen| seen.op),
         sent_rows: 1,
         received_rows: op.seen.iter().len(),
     });
-    breaking(answers, answer::verify_whole, |answer| answer.op)
+    violations(answers, answer::verify_whole, |answer| answer.op)
 }
 
-/// Foreign requests that were answered, and rows under another account or of no known write.
+/// Foreign requests that were answered, and rows that name another account than their write's or
+/// that no write of the run has made.
 pub fn wrong_account(history: &History) -> BTreeSet<OpId> {
     let answered = |op: &&Op| op.kind == Kind::Foreign && op.verdict() == Verdict::Acknowledged;
-    let foreign = history.ops.iter().filter(answered).map(|op| run(op.id, None, op.account));
+    let foreign = history.ops.iter().filter(answered).map(|op| run_record(op.id, None, op.account));
     let owners: BTreeMap<_, _> = writes(history).map(|op| (op.id, op.account)).collect();
-    let rows = history.remains.iter().flat_map(|remains| &remains.rows);
-    let left = rows.map(|(id, mark)| run(*id, owners.get(id).copied(), mark.account));
-    breaking(foreign.chain(left), account::verify_owner, |run| run.op)
+    let rows = history.final_rows.iter().flat_map(|target| &target.rows);
+    let written = rows.map(|(id, rows)| run_record(*id, owners.get(id).copied(), rows.account));
+    violations(foreign.chain(written), account::verify_owner, |run| run.op)
 }
 
-/// Accounts above rate and burst in some window.
+/// Accounts for which more requests were admitted in some window than rate and burst allow.
 pub fn above_rate(history: &History) -> BTreeSet<AccountIndex> {
     let accounts = history.accounts.iter().enumerate();
     let above = accounts.filter(|(index, account)| {
@@ -128,8 +130,8 @@
     above.map(|(index, _)| index).collect()
 }
 
-/// Records that break `rule`, each by itself.
-fn breaking<T>(
+/// Ids of the records that violate `rule`, each checked on its own.
+fn violations<T>(
     records: impl Iterator<Item = T>,
     rule: impl Fn(&[T]) -> Result<(), Broken>,
     id: impl Fn(&T) -> OpId,
@@ -137,16 +139,17 @@
     records.filter(|record| rule(slice::from_ref(record)).is_err()).map(|r| id(&r)).collect()
 }
 
-/// An operation that ran for `account`; `owner` is that of the key that came with it.
-fn run(op: OpId, owner: Option<AccountIndex>, account: AccountIndex) -> account::Run {
+/// The core's record of an operation that ran for `account`; `owner` is the account of the key that
+/// was presented, none if it is unknown.
+fn run_record(op: OpId, owner: Option<AccountIndex>, account: AccountIndex) -> account::Run {
     let id = |index: AccountIndex| index as AccountId;
     account::Run { op, presented: owner.map(id), account: id(account), is_open: false }
 }
 
-/// Every write, with what each target of its service holds of it.
-fn records(history: &History) -> impl Iterator<Item = write::Write> + '_ {
+/// The core's record of every write, with the number of its rows on each target of its service.
+fn write_records(history: &History) -> impl Iterator<Item = write::Write> + '_ {
     writes(history).map(|op| {
-        let effects = (0 as TargetId..).zip(marks(history, op).map(effects)).collect();
+        let effects = (0 as TargetId..).zip(rows_by_target(history, op).map(row_count)).collect();
         let verdict = match op.verdict() {
             Verdict::Acknowledged => write::Verdict::Acknowledged,
             Verdict::NotRun => write::Verdict::NotRun,
@@ -156,18 +159,18 @@
     })
 }
 
-/// Rows of a mark; a mark that is there stands for one at least.
-fn effects(mark: Option<&Mark>) -> usize {
-    mark.map_or(0, |mark| mark.count.max(1) as usize)
+/// Number of rows; an entry that is present counts as at least one row.
+fn row_count(rows: Option<&OpRows>) -> usize {
+    rows.map_or(0, |rows| rows.count.max(1) as usize)
 }
 
 fn writes(history: &History) -> impl Iterator<Item = &Op> {
-    history.ops.iter().filter(|op| op.kind.writes())
+    history.ops.iter().filter(|op| op.kind.is_write())
 }
 
-/// What each target of the operation's service holds of it.
-fn marks<'a>(history: &'a History, op: &Op) -> impl Iterator<Item = Option<&'a Mark>> {
+/// The operation's rows on each target of its service; none where the target has no row of it.
+fn rows_by_target<'a>(history: &'a History, op: &Op) -> impl Iterator<Item = Option<&'a OpRows>> {
     let (id, service) = (op.id, op.service);
-    let targets = history.remains.iter().filter(move |remains| remains.service == service);
-    targets.map(move |remains| remains.rows.get(&id))
+    let targets = history.final_rows.iter().filter(move |target| target.service == service);
+    targets.map(move |target| target.rows.get(&id))
 }
--- a/crates/cli/src/bench/fault.rs
+++ b/crates/cli/src/bench/fault.rs
@@ -1,4 +1,4 @@
-//! Sets and heals the faults of a scenario when they are due.
+//! Injects and heals the faults of a scenario at their due times.
 
 use crate::bench::history;
 use crate::bench::progress::Progress;
@@ -12,66 +12,68 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// Drives the faults of one run.
-pub struct Driver<'a> {
+/// Injects the faults of one run.
+pub struct Injector<'a> {
     system: &'a mut System,
     scenario: &'a Scenario,
     start: Instant,
     progress: Arc<Progress>,
-    /// Targets of the faults that are set, by the fault's place.
+    /// Targets of the faults in effect, by the index of the fault. Stored because the primary, which
+    /// a fault may address, can change before the fault is healed.
     targets: BTreeMap<usize, Target>,
-    /// Hosts on their way out, by their place.
+    /// Hosts that are stopping, by index.
     stopping: BTreeMap<usize, JoinHandle<()>>,
-    recorded: Vec<history::Fault>,
+    injected: Vec<history::Fault>,
 }
 
-/// Something to do at a time.
+/// The injection or the healing of a fault at its due time. The order of the fields is the order of
+/// execution.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Due {
+struct Event {
     at: Duration,
-    place: usize,
-    heals: bool,
+    fault_index: usize,
+    is_healing: bool,
 }
 
-impl<'a> Driver<'a> {
-    /// A driver for a run that began at `start`.
+impl<'a> Injector<'a> {
+    /// An injector for a run that begins at `start`.
     pub fn new(
         system: &'a mut System,
         scenario: &'a Scenario,
         start: Instant,
         progress: Arc<Progress>,
-    ) -> Driver<'a> {
-        Driver {
+    ) -> Injector<'a> {
+        Injector {
             system,
             scenario,
             start,
             progress,
             targets: BTreeMap::new(),
             stopping: BTreeMap::new(),
-            recorded: Vec::new(),
+            injected: Vec::new(),
         }
     }
 
-    /// Sets and heals all faults; answers with the record of those that were set.
+    /// Injects and heals all faults at their times; returns the record of the injected ones.
     pub async fn run(mut self) -> Result<Vec<history::Fault>> {
-        for due in schedule(&self.scenario.faults) {
-            tokio::time::sleep_until(self.start + due.at).await;
-            let fault = &self.scenario.faults[due.place];
-            if due.heals {
-                self.heal(due.place, fault).await?;
+        for event in schedule(&self.scenario.faults) {
+            tokio::time::sleep_until(self.start + event.at).await;
+            let fault = &self.scenario.faults[event.fault_index];
+            if event.is_healing {
+                self.heal(event.fault_index, fault).await?;
             } else {
-                self.set(due.place, fault)?;
+                self.inject(event.fault_index, fault)?;
             }
         }
-        Ok(self.recorded)
+        Ok(self.injected)
     }
 
-    fn set(&mut self, place: usize, fault: &Fault) -> Result<()> {
+    fn inject(&mut self, index: usize, fault: &Fault) -> Result<()> {
         let begun = self.start.elapsed();
         let (name, primary_of) = if fault.kind.is_target() {
-            self.set_target(place, fault)?
+            self.inject_target_fault(index, fault)?
         } else if fault.kind.is_store() {
-            self.set_store(fault, true)?;
+            self.set_store_fault(fault, true)?;
             (fault.kind.to_string(), None)
         } else {
             let host = fault.host.unwrap_or_default();
@@ -79,52 +81,58 @@
             (format!("stop_host {host}"), None)
         };
         let done = self.start.elapsed();
-        self.progress.note(name.clone());
-        self.recorded.push(history::Fault { name, primary_of, begun, done });
+        self.progress.record_fault(name.clone());
+        self.injected.push(history::Fault { name, primary_of, begun, done });
         Ok(())
     }
 
-    fn set_target(&mut self, place: usize, fault: &Fault) -> Result<(String, Option<usize>)> {
+    fn inject_target_fault(
+        &mut self,
+        index: usize,
+        fault: &Fault,
+    ) -> Result<(String, Option<usize>)> {
         let service = self.service(fault)?;
         let primary = self.system.primary(service);
         let number = fault.target.or(primary).unwrap_or_default();
         let target = self.system.groups[service].target(number).clone();
-        apply(&target, fault, self.scenario.services[service].targets);
-        self.targets.insert(place, target);
-        let takes_primary = fault.kind.takes_primary() && primary == Some(number);
+        inject_into_target(&target, fault, self.scenario.services[service].targets);
+        self.targets.insert(index, target);
+        let disables_primary = fault.kind.disables_primary() && primary == Some(number);
         let name = format!("{} {} {number}", fault.kind, self.scenario.services[service].name);
-        Ok((name, takes_primary.then_some(service)))
+        Ok((name, disables_primary.then_some(service)))
     }
 
-    async fn heal(&mut self, place: usize, fault: &Fault) -> Result<()> {
-        self.progress.note(format!("{} ends", fault.kind));
+    async fn heal(&mut self, index: usize, fault: &Fault) -> Result<()> {
+        self.progress.record_fault(format!("{} ends", fault.kind));
         if fault.kind.is_store() {
-            return self.set_store(fault, false);
+            return self.set_store_fault(fault, false);
         }
         if fault.kind == FaultKind::StopHost {
             return self.restart_host(fault.host.unwrap_or_default()).await;
         }
         let lag = self.scenario.services[self.service(fault)?].lag;
-        match self.targets.remove(&place) {
-            Some(target) => undo(&target, fault.kind, lag),
+        match self.targets.remove(&index) {
+            Some(target) => heal_target(&target, fault.kind, lag),
             None => Ok(()),
         }
     }
 
     fn service(&self, fault: &Fault) -> Result<usize> {
         let name = fault.service.as_deref().unwrap_or_default();
-        self.scenario.service(name).ok_or_else(|| Error::Usage(format!("no service {name}")))
+        self.scenario
+            .service(name)
+            .ok_or_else(|| Error::Usage(format!("there is no service {name}")))
     }
 
-    fn set_store(&self, fault: &Fault, on: bool) -> Result<()> {
+    fn set_store_fault(&self, fault: &Fault, on: bool) -> Result<()> {
         let delay = if on { fault.delay.unwrap_or_default() } else { Duration::ZERO };
         let faults = self.system.platform.faults();
-        let set = faults.set(|store| match fault.kind {
+        let result = faults.set(|store| match fault.kind {
             FaultKind::StoreDown => store.outage = on,
             FaultKind::StoreHang => store.hang = on,
             _ => store.delay = delay,
         });
-        set.map_err(broken)
+        result.map_err(start_error)
     }
 
     fn stop_host(&mut self, host: usize) {
@@ -135,30 +143,31 @@
 
     async fn restart_host(&mut self, host: usize) -> Result<()> {
         if let Some(stopping) = self.stopping.remove(&host) {
-            stopping.await.map_err(broken)?;
+            stopping.await.map_err(start_error)?;
         }
         self.system.hosts[host].restart().await
     }
 }
 
-fn broken(error: impl ToString) -> Error {
+fn start_error(error: impl ToString) -> Error {
     Error::Start(error.to_string())
 }
 
-/// What is to be done, in order; a fault without an end is healed after the others, by the run.
-fn schedule(faults: &[Fault]) -> Vec<Due> {
-    let mut due = Vec::new();
-    for (place, fault) in faults.iter().enumerate() {
-        due.push(Due { at: fault.at, place, heals: false });
+/// Injections and healings in order of time. A fault without a duration has no healing here: the run
+/// heals it at the end by [`heal_all`].
+fn schedule(faults: &[Fault]) -> Vec<Event> {
+    let mut events = Vec::new();
+    for (fault_index, fault) in faults.iter().enumerate() {
+        events.push(Event { at: fault.at, fault_index, is_healing: false });
         if let Some(lasts) = fault.lasts {
-            due.push(Due { at: fault.at + lasts, place, heals: true });
+            events.push(Event { at: fault.at + lasts, fault_index, is_healing: true });
         }
     }
-    due.sort();
-    due
+    events.sort();
+    events
 }
 
-fn apply(target: &Target, fault: &Fault, targets: usize) {
+fn inject_into_target(target: &Target, fault: &Fault, targets: usize) {
     let others: Vec<usize> = (0..targets).filter(|other| *other != target.number()).collect();
     match fault.kind {
         FaultKind::Kill => target.kill(),
@@ -180,9 +189,9 @@
     }
 }
 
-fn undo(target: &Target, kind: FaultKind, lag: Duration) -> Result<()> {
+fn heal_target(target: &Target, kind: FaultKind, lag: Duration) -> Result<()> {
     match kind {
-        FaultKind::Kill => target.restart().map_err(broken)?,
+        FaultKind::Kill => target.restart().map_err(start_error)?,
         FaultKind::Pause => target.resume(),
         FaultKind::Partition => target.heal(),
         FaultKind::Isolate => {
@@ -197,7 +206,8 @@
     Ok(())
 }
 
-/// Heals every target of the system, so that replication can catch up.
+/// Heals all faults of the targets and the platform, so that replication can catch up. Stopped
+/// hosts stay stopped.
 pub fn heal_all(system: &System) -> Result<()> {
     for target in system.groups.iter().flat_map(|group| group.targets()) {
         target.resume();
@@ -206,7 +216,7 @@
         target.set_poisoned(false);
         target.drop_commit_responses(0);
         target.set_lag(Duration::ZERO);
-        target.restart().map_err(broken)?;
+        target.restart().map_err(start_error)?;
     }
     let faults = system.platform.faults();
     faults
@@ -215,5 +225,5 @@
             store.hang = false;
             store.delay = Duration::ZERO;
         })
-        .map_err(broken)
+        .map_err(start_error)
 }
--- a/crates/cli/src/bench/history.rs
+++ b/crates/cli/src/bench/history.rs
@@ -1,8 +1,8 @@
-//! What a run did and what it left behind, as plain data.
+//! The recorded history of a run: its operations, its faults and the rows on the targets at the end.
 //!
-//! The load generator writes a history; checkers and measures read it and nothing else, so that a
-//! history from a file is judged like one that was just recorded. Times count from the start of
-//! the run.
+//! The load generator writes a history. Checkers and measures read nothing else, so a history that
+//! is loaded from a file gives the same results as one that was just recorded. All times count from
+//! the start of the run.
 
 use bergamotvale_core::refusal::{Ran, Reason};
 use serde::{Deserialize, Serialize};
@@ -10,71 +10,72 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Number of an operation within its run.
+/// Number of an operation, unique within its run.
 pub type OpId = u64;
-/// Number of a session within its run.
+/// Number of a session, unique within its run over all accounts.
 pub type SessionId = u32;
-/// Place of a write within its session, from 1.
+/// Sequence number of a write within its session and service, from 1.
 pub type Seq = u64;
-/// Place of an account in [`History::accounts`].
+/// Index of an account in [`History::accounts`].
 pub type AccountIndex = usize;
-/// Place of a service in [`History::services`].
+/// Index of a service in [`History::services`].
 pub type ServiceIndex = usize;
 
-/// A whole run.
+/// Everything that is recorded about one run.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct History {
-    /// Client accounts.
+    /// Client accounts, indexed by [`AccountIndex`].
     pub accounts: Vec<Account>,
-    /// Names of the services.
+    /// Names of the services, indexed by [`ServiceIndex`].
     pub services: Vec<String>,
     /// Operations, in the order in which they were scheduled.
     #[serde(default)]
     pub ops: Vec<Op>,
-    /// Faults that were set.
+    /// Faults that were injected, in order of time.
     #[serde(default)]
     pub faults: Vec<Fault>,
-    /// What every target held at the end.
-    #[serde(default)]
-    pub remains: Vec<Remains>,
+    /// Rows of every target at the end of the run.
+    #[serde(default, rename = "remains")]
+    pub final_rows: Vec<TargetRows>,
 }
 
-/// A client account as the run knew it.
+/// A client account and the limits that were configured for it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
-    /// Its name.
+    /// Unique name.
     pub name: String,
-    /// Requests a second over all hosts.
+    /// Admitted requests per second over all hosts.
     pub rate: f64,
-    /// Requests above the rate at once.
+    /// Requests that may exceed the rate at one time: the bucket's capacity.
     pub burst: f64,
 }
 
-/// What an operation does.
+/// The kind of an operation.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display, Serialize, Deserialize,
 )]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Kind {
-    /// A write that runs at most once.
+    /// A write with an idempotency key, which runs at most once however often it is sent.
     KeyedWrite,
-    /// A write without idempotency key, sent once by the caller.
+    /// A write without an idempotency key, which the caller sends once.
     UnkeyedWrite,
-    /// A read that covers what its session has seen.
+    /// A read that must include everything its session has seen.
     SessionRead,
-    /// A read that states an age.
+    /// A read that accepts results up to a maximum age.
     AgedRead,
     /// An interactive transaction that writes.
     Transaction,
-    /// A request with a key that does not allow it.
+    /// A request whose key combines the id of one account with the secret of another; it must be
+    /// refused.
     Foreign,
 }
 
 impl Kind {
-    /// Every kind.
+    /// Every kind, in declaration order.
     pub const ALL: [Kind; 6] = [
         Kind::KeyedWrite,
         Kind::UnkeyedWrite,
@@ -84,13 +85,13 @@
         Kind::Foreign,
     ];
 
-    /// Whether it leaves a row when it takes effect.
-    pub fn writes(self) -> bool {
+    /// Whether the operation leaves a row when it takes effect.
+    pub fn is_write(self) -> bool {
         matches!(self, Kind::KeyedWrite | Kind::UnkeyedWrite | Kind::Transaction)
     }
 
-    /// Whether it only reads.
-    pub fn reads(self) -> bool {
+    /// Whether the operation is a plain read.
+    pub fn is_read(self) -> bool {
         matches!(self, Kind::SessionRead | Kind::AgedRead)
     }
 }
@@ -100,47 +101,47 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Op {
-    /// Its number; a write leaves it in its row.
+    /// Number of the operation; a write stores it in its row.
     pub id: OpId,
-    /// Whose it is.
+    /// Account that sent it.
     pub account: AccountIndex,
-    /// Its session.
+    /// Session that sent it.
     #[serde(default)]
     pub session: SessionId,
-    /// The service that it uses.
+    /// Service that it addresses.
     #[serde(default)]
     pub service: ServiceIndex,
-    /// What it does.
+    /// Kind of the operation.
     pub kind: Kind,
-    /// When it was due; latency counts from here.
+    /// Time at which it was due; latency counts from here.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     #[serde(rename = "scheduled_us")]
     pub scheduled: Duration,
-    /// Requests that it took, in order.
+    /// Requests that were sent for it, in order.
     pub attempts: Vec<Attempt>,
-    /// Least write of the session that a read has to see.
+    /// Lowest write of the session that a read must include; none when every result is valid.
     #[serde(default)]
     pub floor: Option<Seq>,
-    /// What the read answered.
+    /// Result of a read; none without a response or when the response has no valid row.
     #[serde(default)]
     pub seen: Option<Seen>,
 }
 
-/// What a read answered.
+/// The row that a read returned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Seen {
-    /// The operation whose answer it says it is.
+    /// Operation number that the read sent as a parameter and the database returned.
     pub op: OpId,
-    /// Last write of the session.
+    /// Highest write of the session that the read saw; 0 for none.
     pub seq: Seq,
 }
 
-/// Which request of its operation an attempt is.
+/// The part of its operation that an attempt performs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Step {
-    /// The only one.
+    /// All of the operation.
     #[default]
     Whole,
     /// Begins a transaction.
@@ -151,111 +152,111 @@
     Commit,
 }
 
-/// One request and how it ended.
+/// One request and its outcome.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Attempt {
-    /// Which request of the operation.
+    /// Part of the operation that the request performs.
     #[serde(default)]
     pub step: Step,
-    /// Place of the host.
+    /// Index of the host that it was sent to.
     #[serde(default)]
     pub host: usize,
-    /// When it was sent.
+    /// Time at which it was sent.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     #[serde(rename = "sent_us")]
     pub sent: Duration,
-    /// When its outcome was known.
+    /// Time at which its outcome was known to the caller.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     #[serde(rename = "ended_us")]
     pub ended: Duration,
-    /// How it ended.
+    /// Its outcome.
     pub outcome: Outcome,
 }
 
-/// How a request ended.
+/// The outcome of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "is", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Outcome {
-    /// Answered.
+    /// The host answered it.
     Done {
-        /// Whether a replica served it; none when the answer does not say.
+        /// Whether a replica served it; none when the response does not state it.
         #[serde(default)]
         replica: Option<bool>,
-        /// Whether it is the outcome of an earlier request.
+        /// Whether the host replayed the stored outcome of an earlier request with the same key.
         #[serde(default)]
         replayed: bool,
     },
-    /// Refused.
+    /// The host refused it.
     Refused {
-        /// Why; none when the reason is not a known one.
+        /// Reason of the refusal; none when this version doesn't know it.
         reason: Option<Reason>,
-        /// Whether it took effect.
+        /// Whether it may have taken effect, as the host reports it.
         ran: Ran,
     },
-    /// The answer is missing or incomplete.
+    /// The response is missing or incomplete, so the request may have run.
     Cut,
-    /// The connection was not made.
+    /// No connection could be made, so nothing was sent.
     Unsent,
 }
 
-/// A fault that was set.
+/// A fault that was injected.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
-    /// What it is, for people.
+    /// Description for reports: kind, and service and target or host.
     pub name: String,
-    /// The service whose primary it takes away, if it does.
+    /// Service whose primary it makes unavailable; none if it does not affect a primary.
     #[serde(default)]
     pub primary_of: Option<ServiceIndex>,
-    /// When setting it began.
+    /// Time at which its injection began.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     #[serde(rename = "begun_us")]
     pub begun: Duration,
-    /// When it was set.
+    /// Time from which the fault was in effect.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     #[serde(rename = "done_us")]
     pub done: Duration,
 }
 
-/// What a target held at the end, all faults healed and replication caught up.
+/// Rows of a target after all faults were healed and replication had caught up.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Remains {
+pub struct TargetRows {
     /// Service of the target.
     pub service: ServiceIndex,
-    /// Number of the target.
+    /// Number of the target within its group.
     pub target: usize,
-    /// Rows by the operation that left them.
+    /// Rows by the operation that wrote them.
     #[serde(default)]
-    pub rows: BTreeMap<OpId, Mark>,
+    pub rows: BTreeMap<OpId, OpRows>,
 }
 
-/// The rows that one operation left on a target.
+/// Rows that one operation left on a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Mark {
+pub struct OpRows {
     /// Account that the rows name.
     pub account: AccountIndex,
-    /// How many there are.
+    /// Number of rows.
     pub count: u64,
 }
 
-/// What its caller knows about an operation.
+/// What the caller knows about the effect of a request or an operation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// It took effect, whole.
+    /// It took effect completely.
     Acknowledged,
     /// It took no effect.
     NotRun,
-    /// Either.
+    /// It may or may not have taken effect.
     Unknown,
 }
 
 impl Attempt {
-    /// What the attempt alone says about its effect.
+    /// What this attempt alone shows about its effect.
     pub fn verdict(&self) -> Verdict {
         match self.outcome {
             Outcome::Done { .. } => Verdict::Acknowledged,
@@ -264,14 +265,14 @@
         }
     }
 
-    /// Whether the request was let through and used its account's rate for certain.
+    /// Whether the request was certainly admitted and charged to its account's rate.
     pub fn was_admitted(&self) -> bool {
         self.verdict() == Verdict::Acknowledged
     }
 }
 
 impl Op {
-    /// What the caller knows at the end.
+    /// What the caller knows about the operation after its last attempt.
     pub fn verdict(&self) -> Verdict {
         match self.kind {
             Kind::Transaction => self.transaction_verdict(),
@@ -279,13 +280,14 @@
         }
     }
 
-    /// The last attempt.
+    /// The last attempt, if any was made.
     pub fn last(&self) -> Option<&Attempt> {
         self.attempts.last()
     }
 
-    /// The attempt that settled it: the first that was answered, else the last.
-    pub fn settled(&self) -> Option<&Attempt> {
+    /// The attempt that determined the outcome: the first that was answered, else the last; for a
+    /// transaction always the last.
+    pub fn decisive_attempt(&self) -> Option<&Attempt> {
         if self.kind == Kind::Transaction {
             return self.last();
         }
@@ -293,12 +295,13 @@
         self.attempts.iter().find(is_answered).or_else(|| self.last())
     }
 
-    /// Time from when it was due until it was settled.
+    /// Time from the due time to the end of the decisive attempt.
     pub fn latency(&self) -> Option<Duration> {
-        self.settled().map(|attempt| attempt.ended.saturating_sub(self.scheduled))
+        self.decisive_attempt().map(|attempt| attempt.ended.saturating_sub(self.scheduled))
     }
 
-    /// An earlier attempt of unknown outcome keeps a later "not run" unknown.
+    /// The verdict of an operation of single requests. A "not run" after an attempt of unknown
+    /// outcome does not settle that attempt, so the verdict stays unknown.
     fn single_verdict(&self) -> Verdict {
         let verdicts: Vec<_> = self.attempts.iter().map(Attempt::verdict).collect();
         if verdicts.contains(&Verdict::Acknowledged) {
@@ -310,7 +313,7 @@
         Verdict::NotRun
     }
 
-    /// Only a commit can leave the outcome open.
+    /// The verdict of a transaction, which can only take effect by its commit.
     fn transaction_verdict(&self) -> Verdict {
         match self.last() {
             Some(last) if last.step == Step::Commit => last.verdict(),
--- a/crates/cli/src/bench/load.rs
+++ b/crates/cli/src/bench/load.rs
@@ -1,8 +1,8 @@
-//! The load generator: sends each operation when it is due, whatever became of the others.
+//! The load generator: sends each operation at its due time, regardless of the outcomes of others.
 //!
-//! The way between callers and hosts is a pause on either side of a request; times are taken at
-//! the caller's end of it. Like the platform's balancer, a caller sends to hosts that the
-//! platform's list names, and to another when a connection can't be made.
+//! The network delay between callers and hosts is simulated by a delay before and after a request;
+//! times are taken at the caller's side of it. Like the platform's balancer, a caller sends to hosts
+//! that the platform lists, and to another one when a connection can't be made.
 
 use crate::bench::arrival::Arrival;
 use crate::bench::balancer::Balancer;
@@ -16,43 +16,44 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// Statements of the schema that the load works on.
+/// Statements that create the schema of the load.
 pub const SCHEMA: [&str; 2] = [
     "CREATE TABLE bolts (op BIGINT NOT NULL, account BIGINT NOT NULL, session BIGINT NOT NULL, \
      seq BIGINT NOT NULL)",
     "CREATE INDEX bolts_of_session ON bolts (session, seq)",
 ];
-/// Leaves the row of a write.
+/// Inserts the row of a write.
 const INSERT: &str = "INSERT INTO bolts (op, account, session, seq) VALUES ($1, $2, $3, $4)";
-/// Reads the last write of a session, with the number of the operation that asks.
+/// Reads the last write of a session; also returns the number of the reading operation, so that a
+/// response to another request is recognized.
 const SELECT: &str =
     "SELECT CAST($1 AS BIGINT) AS op, COALESCE(MAX(seq), 0) AS seq FROM bolts WHERE session = $2";
-/// Time after the caller's timeout at which an answer is given up.
-const ANSWER_MARGIN: Duration = Duration::from_secs(1);
-/// Requests of a keyed write whose outcome stays unknown.
-const MAX_TRIES: usize = 5;
-/// Time before an operation of unknown outcome is asked about again.
-const REPEAT_PAUSE: Duration = Duration::from_millis(200);
-/// Operations on their way at once; more are recorded as not sent.
-const MAX_OUTSTANDING: usize = 10_000;
+/// Time beyond the timeout that a request states after which the caller gives up on its response.
+const RESPONSE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+/// Maximum number of attempts of a keyed write while its outcome is unknown.
+const MAX_KEYED_WRITE_ATTEMPTS: usize = 5;
+/// Delay before a keyed write of unknown outcome is sent again.
+const UNKNOWN_OUTCOME_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Maximum number of operations in flight; further ones are recorded as not sent.
+const MAX_IN_FLIGHT: usize = 10_000;
 
-/// What the load runs against and with.
+/// The system under load and the parameters of the load.
 pub struct Setup {
-    /// Callers by account and host.
+    /// Clients by account and host index.
     pub callers: Vec<Vec<Client>>,
-    /// Keys by account.
+    /// Key of each account.
     pub keys: Vec<String>,
     /// Names of the services.
     pub services: Vec<String>,
-    /// Sessions.
+    /// Number of sessions over all accounts.
     pub sessions: usize,
-    /// Time that callers wait.
+    /// Timeout that callers send with a request.
     pub timeout: Duration,
-    /// Age that aged reads accept.
+    /// Maximum age that aged reads accept.
     pub max_age: Duration,
-    /// Way between callers and hosts.
-    pub way: Duration,
-    /// Hosts that take requests.
+    /// One-way network delay between callers and hosts.
+    pub network_delay: Duration,
+    /// Chooses among the hosts that accept requests.
     pub balancer: Balancer,
 }
 
@@ -64,7 +65,7 @@
     progress: Arc<Progress>,
 }
 
-/// Sends `arrivals` from `start` on; answers when all of them have ended.
+/// Sends `arrivals`, timed from `start`, and returns their operations, in order, once all have ended.
 pub async fn run(
     setup: Setup,
     arrivals: Vec<Arrival>,
@@ -80,12 +81,12 @@
         while let Some(ended) = running.try_join_next() {
             ops.extend(ended);
         }
-        if running.len() >= MAX_OUTSTANDING {
-            ops.push(load.drop_arrival(&arrival));
+        if running.len() >= MAX_IN_FLIGHT {
+            ops.push(load.record_unsent(&arrival));
             continue;
         }
         let load = load.clone();
-        running.spawn(async move { load.operate(arrival).await });
+        running.spawn(async move { load.run_operation(arrival).await });
     }
     while let Some(ended) = running.join_next().await {
         ops.extend(ended);
@@ -104,7 +105,7 @@
         session.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn drop_arrival(&self, arrival: &Arrival) -> Op {
+    fn record_unsent(&self, arrival: &Arrival) -> Op {
         let now = self.now();
         let outcome = Outcome::Unsent;
         let attempt =
@@ -112,8 +113,8 @@
         Op { attempts: vec![attempt], ..new_op(arrival) }
     }
 
-    async fn operate(&self, arrival: Arrival) -> Op {
-        self.progress.begin();
+    async fn run_operation(&self, arrival: Arrival) -> Op {
+        self.progress.record_start();
         let mut op = new_op(&arrival);
         match arrival.kind {
             Kind::KeyedWrite => self.keyed_write(&arrival, &mut op).await,
@@ -123,24 +124,24 @@
             Kind::Transaction => self.transaction(&arrival, &mut op).await,
             Kind::Foreign => self.foreign(&arrival, &mut op).await,
         }
-        self.progress.end(&op);
+        self.progress.record_end(&op);
         op
     }
 
     async fn keyed_write(&self, arrival: &Arrival, op: &mut Op) {
         let seq = self.session(arrival).next_seq(arrival.service);
-        // Keys of different accounts are alike on purpose.
-        let key = format!("write-{}-{seq}", arrival.place);
+        // Different accounts use equal keys, to check that idempotency keys are scoped by account.
+        let key = format!("write-{}-{seq}", arrival.account_session);
         let request = self.write(arrival, seq).with_idempotency_key(&key);
-        for place in 0..MAX_TRIES {
-            let host = if place % 2 == 0 { arrival.host } else { arrival.other_host };
+        for attempt in 0..MAX_KEYED_WRITE_ATTEMPTS {
+            let host = if attempt % 2 == 0 { arrival.host } else { arrival.other_host };
             self.send_write(arrival, op, host, &request, seq).await;
             if op.verdict() != Verdict::Unknown {
                 break;
             }
-            tokio::time::sleep(REPEAT_PAUSE).await;
+            tokio::time::sleep(UNKNOWN_OUTCOME_RETRY_DELAY).await;
         }
-        if arrival.repeats && op.verdict() == Verdict::Acknowledged {
+        if arrival.is_repeated && op.verdict() == Verdict::Acknowledged {
             self.send_write(arrival, op, arrival.other_host, &request, seq).await;
         }
     }
@@ -161,7 +162,7 @@
     ) {
         let answer = self.send(arrival, op, host, Step::Whole, request).await;
         if answer.is_some() {
-            self.session(arrival).acknowledge(arrival.service, seq, self.now());
+            self.session(arrival).record_acknowledged(arrival.service, seq, self.now());
         }
     }
 
@@ -173,46 +174,47 @@
         };
         op.floor = floor;
         let answer = self.send(arrival, op, arrival.host, Step::Whole, &request).await;
-        op.seen = answer.as_ref().and_then(seen);
+        op.seen = answer.as_ref().and_then(read_result);
     }
 
     async fn aged_read(&self, arrival: &Arrival, op: &mut Op) {
         let request = self.read(arrival).with_max_age(self.setup.max_age);
-        // Everything that was acknowledged longer ago than the age has to be there.
-        let since = self.now().checked_sub(self.setup.max_age);
-        op.floor = since.and_then(|since| self.session(arrival).floor(arrival.service, since));
+        // The read must include all writes that were acknowledged longer ago than the maximum age.
+        let covered_until = self.now().checked_sub(self.setup.max_age);
+        op.floor =
+            covered_until.and_then(|time| self.session(arrival).floor(arrival.service, time));
         let answer = self.send(arrival, op, arrival.host, Step::Whole, &request).await;
-        op.seen = answer.as_ref().and_then(seen);
+        op.seen = answer.as_ref().and_then(read_result);
     }
 
     async fn transaction(&self, arrival: &Arrival, op: &mut Op) {
         let seq = self.session(arrival).next_seq(arrival.service);
         let begin = self.request(arrival, Operation::Begin(self.service(arrival)));
-        let Some(begun) = self.send(arrival, op, arrival.host, Step::Begin, &begin).await else {
+        let Some(response) = self.send(arrival, op, arrival.host, Step::Begin, &begin).await else {
             return;
         };
-        let id = begun.transaction.unwrap_or_default();
+        let id = response.transaction.unwrap_or_default();
         let run = self.request(arrival, Operation::Run(id.clone(), insert(arrival, seq)));
         let ran = self.send(arrival, op, arrival.host, Step::Run, &run).await;
         if ran.is_none() {
             let rollback = self.request(arrival, Operation::Rollback(id));
-            // The host ends the transaction by itself when this is lost.
+            // If this request fails, the host ends the idle transaction by itself.
             let _ = self.setup.callers[arrival.account][arrival.host].send(&rollback).await;
             return;
         }
         let commit = self.request(arrival, Operation::Commit(id));
         let committed = self.send(arrival, op, arrival.other_host, Step::Commit, &commit).await;
         if committed.is_some() {
-            self.session(arrival).acknowledge(arrival.service, seq, self.now());
+            self.session(arrival).record_acknowledged(arrival.service, seq, self.now());
         }
     }
 
-    /// A write under the key id of another account, and with a secret that is not its own.
+    /// Sends a write with the key id of another account and the caller's own secret.
     async fn foreign(&self, arrival: &Arrival, op: &mut Op) {
         let own = &self.setup.keys[arrival.account];
         let other = &self.setup.keys[(arrival.account + 1) % self.setup.keys.len()];
         let operation = Operation::Write(self.service(arrival), insert(arrival, 0));
-        let request = self.request(arrival, operation).with_key(&crossed(other, own));
+        let request = self.request(arrival, operation).with_key(&mismatched_key(other, own));
         self.send(arrival, op, arrival.host, Step::Whole, &request).await;
     }
 
@@ -235,8 +237,8 @@
         self.request(arrival, Operation::Read(self.service(arrival), statement))
     }
 
-    /// Sends a request and records it; a connection that can't be made is tried elsewhere once,
-    /// except for the steps of a transaction that has begun.
+    /// Sends a request and records the attempt. If no connection can be made, sends it once more, to
+    /// another host.
     async fn send(
         &self,
         arrival: &Arrival,
@@ -265,11 +267,12 @@
     ) -> Option<Answer> {
         let sent = self.now();
         let client = &self.setup.callers[arrival.account][host];
-        let limit = self.setup.timeout + ANSWER_MARGIN;
-        let result = match tokio::time::timeout(limit, self.travel(client, request)).await {
-            Ok(result) => result,
-            Err(_) => Err(Failure::Cut("no answer in time".to_owned())),
-        };
+        let timeout = self.setup.timeout + RESPONSE_TIMEOUT_MARGIN;
+        let result =
+            match tokio::time::timeout(timeout, self.send_with_delay(client, request)).await {
+                Ok(result) => result,
+                Err(_) => Err(Failure::Cut("response timed out".to_owned())),
+            };
         let ended = self.now();
         if let Ok(Answer { session: Some(token), .. }) = &result {
             self.session(arrival).merge(token);
@@ -278,13 +281,13 @@
         result.ok()
     }
 
-    async fn travel(&self, client: &Client, request: &Request) -> Result<Answer, Failure> {
-        if self.setup.way.is_zero() {
+    async fn send_with_delay(&self, client: &Client, request: &Request) -> Result<Answer, Failure> {
+        if self.setup.network_delay.is_zero() {
             return client.send(request).await;
         }
-        tokio::time::sleep(self.setup.way).await;
+        tokio::time::sleep(self.setup.network_delay).await;
         let result = client.send(request).await;
-        tokio::time::sleep(self.setup.way).await;
+        tokio::time::sleep(self.setup.network_delay).await;
         result
     }
 }
@@ -317,8 +320,8 @@
     Value::Int(i64::try_from(number).unwrap_or(i64::MAX))
 }
 
-/// The id of `key` with the secret of `other`.
-fn crossed(key: &str, other: &str) -> String {
+/// A key that combines the id of `key` with the secret of `other`.
+fn mismatched_key(key: &str, other: &str) -> String {
     let id = key.rsplit_once('_').map_or(key, |(id, _)| id);
     let secret = other.rsplit_once('_').map_or(other, |(_, secret)| secret);
     format!("{id}_{secret}")
@@ -338,7 +341,7 @@
     }
 }
 
-fn seen(answer: &Answer) -> Option<Seen> {
+fn read_result(answer: &Answer) -> Option<Seen> {
     let row = answer.rows.rows.first()?;
     Some(Seen { op: number(row.first()?)?, seq: number(row.get(1)?)? })
 }
--- a/crates/cli/src/bench/phase.rs
+++ b/crates/cli/src/bench/phase.rs
@@ -1,42 +1,43 @@
-//! When a request was sent: in steady state, in a failover gap, or soon after a fault.
+//! Assigns requests to a phase of the run: steady state, a failover gap, or the time after a fault.
 //!
-//! A gap of a service begins when a fault takes its primary away and ends with the first good write
-//! that was sent after the fault; without one it lasts to the end of the run. What is sent within
-//! [`SETTLING`] of a gap's end, or of a fault that takes no primary away, comes after it. All else
-//! is steady state, also while such a fault lasts: it should pass unnoticed by then.
+//! A service's gap begins when a fault makes its primary unavailable and ends with the first
+//! acknowledged write that was sent after the fault; if there is none, it lasts to the end of the run.
+//! Requests within [`RECOVERY_TIME`] of the end of a gap, or of the injection of a fault that leaves
+//! the primaries available, belong to the time after the fault. Everything else is steady state, even
+//! while a fault of the latter kind lasts, since callers should no longer notice it by then.
 
 use crate::bench::history::{Attempt, Fault, History, Op, ServiceIndex, Verdict};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Time for which a fault may still be felt after its gap.
-const SETTLING: Duration = Duration::from_secs(2);
+/// Time after a gap, or after a fault without a gap, during which requests may still be affected.
+const RECOVERY_TIME: Duration = Duration::from_secs(2);
 
-/// A part of a run.
+/// Phase of a run, as seen by the requests of one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
-    /// No fault is felt.
+    /// No fault affects requests.
     Steady,
-    /// The service has no primary that takes writes.
+    /// The service has no primary that acknowledges writes.
     Gap,
-    /// A fault or its gap has just ended.
+    /// A gap has just ended, or a fault without a gap was just injected.
     After,
 }
 
-/// Numbers by phase.
+/// Number of requests by phase.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Count {
-    /// In steady state.
+pub struct PhaseCounts {
+    /// Requests in steady state.
     pub steady: u64,
-    /// In a gap.
+    /// Requests in a failover gap.
     pub gap: u64,
-    /// Soon after a fault.
+    /// Requests within the recovery time after a fault.
     pub after: u64,
 }
 
-impl Count {
-    /// Adds one.
+impl PhaseCounts {
+    /// Counts one request in `phase`.
     pub fn add(&mut self, phase: Phase) {
         match phase {
             Phase::Steady => self.steady += 1,
@@ -45,8 +46,8 @@
         }
     }
 
-    /// Adds the numbers of `other`.
-    pub fn merge(&mut self, other: Count) {
+    /// Adds the counts of `other`, phase by phase.
+    pub fn merge(&mut self, other: PhaseCounts) {
         self.steady += other.steady;
         self.gap += other.gap;
         self.after += other.after;
@@ -58,55 +59,61 @@
     }
 }
 
-/// The faults of a run with their gaps.
+/// The times at which the faults of a run affect requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Phases(Vec<Reach>);
+pub struct Phases(Vec<FaultWindow>);
 
-/// Whom a fault concerns and for how long.
+/// The requests that a fault affects, by service and time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Reach {
-    /// The service that lost its primary; none concerns all.
+struct FaultWindow {
+    /// Service whose primary is unavailable; none for a fault without a gap, which affects every
+    /// service.
     service: Option<ServiceIndex>,
     begun: Duration,
     ended: Duration,
 }
 
 impl Phases {
-    /// The phases of `history`.
+    /// Derives the phases from the faults and writes of `history`.
     pub fn new(history: &History) -> Phases {
-        Phases(history.faults.iter().map(|fault| reach(history, fault)).collect())
+        Phases(history.faults.iter().map(|fault| fault_window(history, fault)).collect())
     }
 
-    /// The phase of a request that was on its way from `sent` to `ended`.
-    pub fn at(&self, service: ServiceIndex, sent: Duration, ended: Duration) -> Phase {
-        let concerns = |reach: &&Reach| reach.service.is_none_or(|known| known == service);
-        let reaches = || self.0.iter().filter(concerns);
-        let is_in_gap =
-            |reach: &Reach| reach.service.is_some() && sent < reach.ended && ended > reach.begun;
-        let is_after =
-            |reach: &Reach| ended > reach.begun && sent < reach.ended.saturating_add(SETTLING);
-        if reaches().any(is_in_gap) {
+    /// The phase of a request to `service` that was in flight from `sent` to `ended`.
+    pub fn of_interval(&self, service: ServiceIndex, sent: Duration, ended: Duration) -> Phase {
+        let affects =
+            |window: &&FaultWindow| window.service.is_none_or(|affected| affected == service);
+        let windows = || self.0.iter().filter(affects);
+        let is_in_gap = |window: &FaultWindow| {
+            window.service.is_some() && sent < window.ended && ended > window.begun
+        };
+        let is_after = |window: &FaultWindow| {
+            ended > window.begun && sent < window.ended.saturating_add(RECOVERY_TIME)
+        };
+        if windows().any(is_in_gap) {
             return Phase::Gap;
         }
-        if reaches().any(is_after) { Phase::After } else { Phase::Steady }
+        if windows().any(is_after) { Phase::After } else { Phase::Steady }
     }
 
-    /// The phase of an attempt of `op`.
-    pub fn of(&self, op: &Op, attempt: &Attempt) -> Phase {
-        self.at(op.service, attempt.sent, attempt.ended)
+    /// The phase of an attempt of `op`, by the time it was in flight.
+    pub fn of_attempt(&self, op: &Op, attempt: &Attempt) -> Phase {
+        self.of_interval(op.service, attempt.sent, attempt.ended)
     }
 }
 
-fn reach(history: &History, fault: &Fault) -> Reach {
+fn fault_window(history: &History, fault: &Fault) -> FaultWindow {
     let service = fault.primary_of;
-    let ended = service.map_or(Some(fault.done), |service| first_good(history, fault, service));
-    Reach { service, begun: fault.begun, ended: ended.unwrap_or(Duration::MAX) }
+    let ended = service.map_or(Some(fault.done), |service| recovery_end(history, fault, service));
+    FaultWindow { service, begun: fault.begun, ended: ended.unwrap_or(Duration::MAX) }
 }
 
-/// End of the first good write that was sent after `fault`.
-pub fn first_good(history: &History, fault: &Fault, service: ServiceIndex) -> Option<Duration> {
-    let writes = history.ops.iter().filter(|op| op.service == service && op.kind.writes());
-    let good = writes.filter(|op| op.verdict() == Verdict::Acknowledged);
-    let sent_after = good.filter_map(Op::settled).filter(|attempt| attempt.sent >= fault.done);
+/// End of the first acknowledged write to `service` that was sent once `fault` was in effect; none
+/// if the service did not recover.
+pub fn recovery_end(history: &History, fault: &Fault, service: ServiceIndex) -> Option<Duration> {
+    let writes = history.ops.iter().filter(|op| op.service == service && op.kind.is_write());
+    let acknowledged = writes.filter(|op| op.verdict() == Verdict::Acknowledged);
+    let sent_after =
+        acknowledged.filter_map(Op::decisive_attempt).filter(|attempt| attempt.sent >= fault.done);
     sent_after.map(|attempt| attempt.ended).min()
 }
--- a/crates/cli/src/bench/progress.rs
+++ b/crates/cli/src/bench/progress.rs
@@ -1,30 +1,29 @@
-//! Progress of a run, a line a second on standard error.
+//! Prints the progress of a run to standard error, one line per second.
 
 use crate::bench::history::{Op, Verdict};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// Time between two lines.
-const PERIOD: Duration = Duration::from_secs(1);
+const PRINT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Counters of a running load.
+/// Counters of a running load, and faults that have not been printed yet.
 #[derive(Debug, Default)]
 pub struct Progress {
-    begun: AtomicU64,
+    started: AtomicU64,
     answered: AtomicU64,
     other: AtomicU64,
     faults: Mutex<Vec<String>>,
 }
 
 impl Progress {
-    /// An operation begins.
-    pub fn begin(&self) {
-        self.begun.fetch_add(1, Ordering::Relaxed);
+    /// Counts an operation that starts.
+    pub fn record_start(&self) {
+        self.started.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// An operation has ended.
-    pub fn end(&self, op: &Op) {
+    /// Counts an operation that has ended, by its verdict.
+    pub fn record_end(&self, op: &Op) {
         let counter = match op.verdict() {
             Verdict::Acknowledged => &self.answered,
             Verdict::NotRun | Verdict::Unknown => &self.other,
@@ -32,14 +31,14 @@
         counter.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// A fault was set or healed; shown with the next line.
-    pub fn note(&self, fault: String) {
+    /// Records that a fault was injected or healed; the next line shows it.
+    pub fn record_fault(&self, fault: String) {
         self.faults.lock().unwrap_or_else(PoisonError::into_inner).push(fault);
     }
 
-    /// Prints a line a second, for ever.
+    /// Prints a line per second with the changes since the last one; never returns.
     pub async fn print(self: Arc<Progress>, name: String) {
-        let mut ticks = tokio::time::interval(PERIOD);
+        let mut ticks = tokio::time::interval(PRINT_INTERVAL);
         ticks.tick().await;
         let (mut second, mut answered, mut other) = (0_u64, 0, 0);
         loop {
@@ -47,7 +46,7 @@
             second += 1;
             let now_answered = self.answered.load(Ordering::Relaxed);
             let now_other = self.other.load(Ordering::Relaxed);
-            let running = self.begun.load(Ordering::Relaxed) - now_answered - now_other;
+            let running = self.started.load(Ordering::Relaxed) - now_answered - now_other;
             let faults =
                 std::mem::take(&mut *self.faults.lock().unwrap_or_else(PoisonError::into_inner));
             eprintln!(
--- a/crates/cli/src/bench/report.rs
+++ b/crates/cli/src/bench/report.rs
@@ -1,7 +1,7 @@
 //! The report of a bench: the three measures first, the worst-served account on top.
 
 use crate::bench::measure::{self, Measures};
-use crate::bench::phase::Count;
+use crate::bench::phase::PhaseCounts;
 use crate::bench::scenario::{Goals, Scenario};
 use crate::bench::variant::Variant;
 use crate::output::table;
@@ -204,14 +204,14 @@
     table(&header, &rows)
 }
 
-fn missed(causes: &BTreeMap<measure::Cause, Count>) -> String {
-    let row = |name: &str, count: Count| {
+fn missed(causes: &BTreeMap<measure::Cause, PhaseCounts>) -> String {
+    let row = |name: &str, count: PhaseCounts| {
         let numbers = [count.steady, count.gap, count.after, count.total()];
         let mut row = vec![name.to_owned()];
         row.extend(numbers.map(|number| number.to_string()));
         row
     };
-    let mut sum = Count::default();
+    let mut sum = PhaseCounts::default();
     causes.values().for_each(|count| sum.merge(*count));
     let mut rows: Vec<_> = causes.iter().map(|(cause, count)| row(cause, *count)).collect();
     rows.push(row("all", sum));
--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -1,9 +1,10 @@
-//! Runs a scenario: brings the system up, loads it, sets faults, measures what was recorded.
+//! Runs a scenario: starts the system, applies the load, injects faults and evaluates the recorded
+//! history.
 
 use crate::args::{Bench, Output};
 use crate::bench::arrival;
 use crate::bench::balancer::Balancer;
-use crate::bench::fault::{self, Driver};
+use crate::bench::fault::{self, Injector};
 use crate::bench::history::{self, History};
 use crate::bench::load::{self, Setup};
 use crate::bench::measure::{self, Measures};
@@ -28,25 +29,26 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// Time between the system's start and the first arrival.
-const SETTLE: Duration = Duration::from_millis(500);
+/// Time between the start of the system and the first arrival.
+const START_DELAY: Duration = Duration::from_millis(500);
 /// Threads of each host that serve callers.
-const WORKERS: usize = 1;
-/// Time that hosts may take to stop after a run.
+const CALLER_THREADS: usize = 1;
 const STOP_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Runs `bench` as it was typed, prints the report and fails when a goal is not kept.
+/// Runs the `bench` command: runs the scenario, with its baselines if asked for, prints the report and
+/// writes its files. Fails when a goal is not met or an invariant is violated.
 pub async fn run(bench: &Bench, output: Output) -> Result<()> {
     let text = std::fs::read_to_string(&bench.scenario);
-    let text = text.map_err(|error| named(&bench.scenario, error))?;
-    if is_cost(&text) {
+    let text = text.map_err(|error| scenario_error(&bench.scenario, error))?;
+    if is_cost_scenario(&text) {
         return cost::run(&text, bench, output).await;
     }
-    let scenario = Scenario::parse(&text).map_err(|error| named(&bench.scenario, error))?;
+    let scenario =
+        Scenario::parse(&text).map_err(|error| scenario_error(&bench.scenario, error))?;
     let seed = bench.seed.unwrap_or(scenario.seed);
-    let mut variants = vec![variant::FULL];
+    let mut variants = vec![variant::UNCHANGED];
     if bench.baseline {
-        variants.extend(scenario.baselines.iter().filter_map(|name| variant::named(name)));
+        variants.extend(scenario.baselines.iter().filter_map(|name| variant::find_baseline(name)));
     }
     let mut runs = Vec::new();
     for variant in variants {
@@ -55,32 +57,32 @@
     }
     let report = Report::new(&scenario, seed, runs);
     output::print(output, &report, report::human)?;
-    write(bench.json.as_deref(), || output::json(&report))?;
-    write(bench.html.as_deref(), || Ok(html::page(&report)))?;
+    write_file(bench.json.as_deref(), || output::json(&report))?;
+    write_file(bench.html.as_deref(), || Ok(html::page(&report)))?;
     match report.broken.is_empty() {
         true => Ok(()),
         false => Err(Error::Verdict(report.broken.join("; "))),
     }
 }
 
-fn named(path: &Path, error: impl std::fmt::Display) -> Error {
+fn scenario_error(path: &Path, error: impl std::fmt::Display) -> Error {
     Error::Usage(format!("{}: {error}", path.display()))
 }
 
-/// Whether the scenario in `text` is one of cost: it states statements in place of a mix.
-fn is_cost(text: &str) -> bool {
+/// Whether `text` is a cost scenario, which has a field `statements` instead of a mix.
+fn is_cost_scenario(text: &str) -> bool {
     let document = serde_yaml_ng::from_str::<serde_yaml_ng::Value>(text);
     document.is_ok_and(|document| document.get("statements").is_some())
 }
 
-fn write(path: Option<&Path>, text: impl Fn() -> Result<String>) -> Result<()> {
+fn write_file(path: Option<&Path>, text: impl Fn() -> Result<String>) -> Result<()> {
     if let Some(path) = path {
         std::fs::write(path, text()?)?;
     }
     Ok(())
 }
 
-/// Runs one variant of `scenario` and measures it.
+/// Runs one variant of `scenario` on hosts with `defects` and computes its measures.
 pub async fn run_variant(
     scenario: &Scenario,
     seed: u64,
@@ -91,29 +93,31 @@
     Ok(measure::measure(&history, scenario.on_time))
 }
 
-/// Runs one variant of `scenario` and records it.
+/// Runs one variant of `scenario` on hosts with `defects` and returns the recorded history.
+///
+/// Fails if a host can't be started or the targets don't converge after the run.
 pub async fn record(
     scenario: &Scenario,
     seed: u64,
     variant: Variant,
     defects: &BTreeSet<Defect>,
 ) -> Result<History> {
-    let mut system = System::start(plan(scenario, seed, variant, defects)).await?;
+    let mut system = System::start(system_plan(scenario, seed, variant, defects)).await?;
     set_lags(&system, scenario);
     let progress = Arc::new(Progress::default());
-    let setup = setup(&system, scenario)?;
+    let setup = load_setup(&system, scenario)?;
     let platform = system.platform.address();
-    let following = setup.balancer.clone().follow(client::http().build()?, platform);
+    let polling = setup.balancer.clone().follow(client::http().build()?, platform);
     let printing = progress.clone().print(format!("{} {}", scenario.name, variant.name));
-    let helpers = [tokio::spawn(following), tokio::spawn(printing)];
-    let arrivals = arrival::draw(scenario, seed);
-    let start = Instant::now() + SETTLE;
+    let background_tasks = [tokio::spawn(polling), tokio::spawn(printing)];
+    let arrivals = arrival::generate(scenario, seed);
+    let start = Instant::now() + START_DELAY;
     let loading = tokio::spawn(load::run(setup, arrivals, start, progress.clone()));
-    let faults = Driver::new(&mut system, scenario, start, progress).run().await;
+    let faults = Injector::new(&mut system, scenario, start, progress).run().await;
     let ops = loading.await.map_err(|error| Error::Start(error.to_string()))?;
-    helpers.iter().for_each(JoinHandle::abort);
+    background_tasks.iter().for_each(JoinHandle::abort);
     fault::heal_all(&system)?;
-    let remains = final_rows::read(&system).await?;
+    let final_rows = final_rows::read(&system).await?;
     stop(system).await;
     let accounts = scenario.accounts.iter().map(|account| history::Account {
         name: account.name.clone(),
@@ -125,17 +129,22 @@
         services: scenario.services.iter().map(|service| service.name.clone()).collect(),
         ops,
         faults: faults?,
-        remains,
+        final_rows,
     })
 }
 
 async fn stop(system: System) {
     if tokio::time::timeout(STOP_TIMEOUT, system.stop()).await.is_err() {
-        log::warn!("hosts still run {STOP_TIMEOUT:?} after they were stopped");
+        log::warn!("hosts did not stop within {STOP_TIMEOUT:?}; continuing");
     }
 }
 
-fn plan(scenario: &Scenario, seed: u64, variant: Variant, defects: &BTreeSet<Defect>) -> Plan {
+fn system_plan(
+    scenario: &Scenario,
+    seed: u64,
+    variant: Variant,
+    defects: &BTreeSet<Defect>,
+) -> Plan {
     let mut policy = scenario.policy.clone();
     (variant.edit)(&mut policy);
     policy.defects = defects.clone();
@@ -159,7 +168,7 @@
         services: scenario
             .services_of(account)
             .into_iter()
-            .map(|place| place as ServiceId + 1)
+            .map(|index| index as ServiceId + 1)
             .collect(),
     });
     Plan {
@@ -170,7 +179,7 @@
         accounts: accounts.collect(),
         routes: BTreeMap::new(),
         policy,
-        workers: WORKERS,
+        workers: CALLER_THREADS,
     }
 }
 
@@ -182,8 +191,8 @@
     }
 }
 
-/// Each account's callers share connections of their own.
-fn setup(system: &System, scenario: &Scenario) -> Result<Setup> {
+/// The setup of the load. Each account gets an HTTP client, and so connections, of its own.
+fn load_setup(system: &System, scenario: &Scenario) -> Result<Setup> {
     let mut callers = Vec::new();
     for _ in &scenario.accounts {
         let http = client::http().build()?;
@@ -201,7 +210,7 @@
         sessions: sessions as usize,
         timeout: scenario.timeout,
         max_age: scenario.max_age,
-        way: scenario.places.to_clients,
+        network_delay: scenario.places.to_clients,
         balancer: Balancer::new(hosts),
     })
 }
--- a/crates/cli/src/bench/variant.rs
+++ b/crates/cli/src/bench/variant.rs
@@ -1,27 +1,27 @@
-//! Plain ways of deciding, to compare against.
+//! Simplified policies that a run is compared with.
 
 use bergamotvale_host::settings::{Connections, Failover, Policy, Rates, Reads, Slots};
 
-/// A variant: a name and what it changes in the policy of every host.
+/// A named change to the policy of every host.
 #[derive(Debug, Clone, Copy)]
 pub struct Variant {
-    /// Its name.
+    /// Name in scenario files and reports.
     pub name: &'static str,
-    /// What it does, for people.
+    /// Description in reports.
     pub about: &'static str,
-    /// Changes the policy.
+    /// Applies the change to a policy.
     pub edit: fn(&mut Policy),
 }
 
-/// What the project stands for.
-pub const FULL: Variant =
+/// The policy of the scenario without changes.
+pub const UNCHANGED: Variant =
     Variant { name: "bergamotvale", about: "the policy of the scenario", edit: |_| {} };
 
-/// The plain variants.
+/// The simplified policies, each without one of the project's mechanisms.
 pub const BASELINES: [Variant; 5] = [
     Variant {
         name: "static_limits",
-        about: "rates and connections in fixed equal shares, slots by arrival",
+        about: "rates and connections in fixed equal shares, slots in order of arrival",
         edit: |policy| {
             policy.rates = Rates::Static;
             policy.connections = Connections::Static;
@@ -30,27 +30,27 @@
     },
     Variant {
         name: "primary_reads",
-        about: "every read on the primary",
+        about: "all reads on the primary",
         edit: |policy| policy.reads = Reads::Primary,
     },
     Variant {
         name: "fixed_timeouts",
-        about: "one try within the caller's timeout, nothing sent again",
+        about: "one attempt within the caller's timeout, no retries",
         edit: |policy| policy.retries = false,
     },
     Variant {
         name: "single_word",
-        about: "any one host's word deposes a primary",
+        about: "a single host can depose a primary",
         edit: |policy| policy.failover = Failover::Single,
     },
     Variant {
         name: "no_ejection",
-        about: "targets that fail their work are not passed over",
+        about: "failing targets are not ejected",
         edit: |policy| policy.ejection = false,
     },
 ];
 
-/// The baseline of this name.
-pub fn named(name: &str) -> Option<Variant> {
+/// The baseline of this name; none if it is unknown.
+pub fn find_baseline(name: &str) -> Option<Variant> {
     BASELINES.into_iter().find(|variant| variant.name == name)
 }
--- a/crates/cli/tests/admission.rs
+++ b/crates/cli/tests/admission.rs
@@ -1,17 +1,18 @@
 //! The oracle over every window against a plain count of all of them.
 
-use bergamotvale_cli::bench::admission::{self, Span};
+use bergamotvale_cli::bench::admission::{self, Interval};
 use bergamotvale_core::invariant::admission::Bucket;
 use proptest::prelude::*;
 use std::time::Duration;
 
 /// Counts every window, one by one.
-fn excess_of_all_windows(spans: &[Span], rate: f64, burst: f64) -> f64 {
+fn excess_of_all_windows(intervals: &[Interval], rate: f64, burst: f64) -> f64 {
     let mut worst = 0.0_f64;
-    for first in spans {
-        for last in spans.iter().filter(|last| last.ended >= first.sent) {
-            let lies_within = |span: &&Span| span.sent >= first.sent && span.ended <= last.ended;
-            let held = spans.iter().filter(lies_within).count() as f64;
+    for first in intervals {
+        for last in intervals.iter().filter(|last| last.ended >= first.sent) {
+            let lies_within =
+                |interval: &&Interval| interval.sent >= first.sent && interval.ended <= last.ended;
+            let held = intervals.iter().filter(lies_within).count() as f64;
             let length = (last.ended - first.sent).as_secs_f64();
             worst = worst.max(held - burst - rate * length);
         }
@@ -19,8 +20,8 @@
     worst
 }
 
-fn span() -> impl Strategy<Value = Span> {
-    (0..3_000_u64, 0..400_u64).prop_map(|(sent, length)| Span {
+fn interval() -> impl Strategy<Value = Interval> {
+    (0..3_000_u64, 0..400_u64).prop_map(|(sent, length)| Interval {
         sent: Duration::from_millis(sent),
         ended: Duration::from_millis(sent + length),
     })
@@ -29,15 +30,15 @@
 proptest! {
     #[test]
     fn oracle_agrees_with_all_windows(
-        spans in proptest::collection::vec(span(), 0..60),
+        intervals in proptest::collection::vec(interval(), 0..60),
         rate in 1..40_u32,
         burst in 1..10_u32,
     ) {
         let (rate, burst) = (f64::from(rate), f64::from(burst));
 
-        let fast = admission::excess(&spans, rate, burst);
+        let fast = admission::excess(&intervals, rate, burst);
 
-        let plain = excess_of_all_windows(&spans, rate, burst);
+        let plain = excess_of_all_windows(&intervals, rate, burst);
         prop_assert!((fast - plain).abs() < 1e-6, "{fast} against {plain}");
     }
 
@@ -53,7 +54,7 @@
 
         let admitted: Vec<_> = sent.filter(|time| bucket.admit(*time)).collect();
 
-        let spans: Vec<_> = admitted.iter().map(|t| Span { sent: *t, ended: *t }).collect();
-        prop_assert_eq!(admission::excess(&spans, f64::from(rate), f64::from(burst)), 0.0);
+        let intervals: Vec<_> = admitted.iter().map(|t| Interval { sent: *t, ended: *t }).collect();
+        prop_assert_eq!(admission::excess(&intervals, f64::from(rate), f64::from(burst)), 0.0);
     }
 }
--- a/crates/cli/tests/defects.rs
+++ b/crates/cli/tests/defects.rs
@@ -40,7 +40,8 @@
 async fn findings(scenario: &Scenario, defects: &[Defect]) -> Findings {
     let _turn = TURN.lock().await;
     let defects = BTreeSet::from_iter(defects.iter().copied());
-    let history = run::record(scenario, SEED, variant::FULL, &defects).await.expect("a history");
+    let history =
+        run::record(scenario, SEED, variant::UNCHANGED, &defects).await.expect("a history");
     check::check(&history)
 }
 
--- a/crates/cli/tests/histories.rs
+++ b/crates/cli/tests/histories.rs
@@ -4,7 +4,7 @@
 
 use bergamotvale_cli::bench::check::{self, Findings};
 use bergamotvale_cli::bench::history::History;
-use bergamotvale_cli::bench::phase::Count;
+use bergamotvale_cli::bench::phase::PhaseCounts;
 use bergamotvale_cli::bench::{admission, measure};
 use bergamotvale_core::refusal::Reason;
 use serde::Deserialize;
@@ -27,7 +27,7 @@
     #[serde(default)]
     wrongful: BTreeMap<Reason, u64>,
     /// Requests not served well, by cause and phase.
-    missed: Option<BTreeMap<measure::Cause, Count>>,
+    missed: Option<BTreeMap<measure::Cause, PhaseCounts>>,
     /// Steady share of the worst-served account.
     steady_share: Option<f64>,
     /// Failover gaps, ms.
@@ -69,8 +69,8 @@
         let accounts = case.history.accounts.iter().enumerate();
         let seen: Vec<_> = accounts
             .map(|(index, account)| {
-                let spans = admission::admitted(&case.history, index);
-                admission::excess(&spans, account.rate, account.burst)
+                let intervals = admission::admitted(&case.history, index);
+                admission::excess(&intervals, account.rate, account.burst)
             })
             .collect();
         assert_eq!(seen.len(), excess.len());
--- a/crates/cli/tests/scenarios.rs
+++ b/crates/cli/tests/scenarios.rs
@@ -36,10 +36,10 @@
     }
     let scenario = Scenario::parse(&text)?;
 
-    let arrivals = arrival::draw(&scenario, 7);
+    let arrivals = arrival::generate(&scenario, 7);
 
-    assert_eq!(arrivals, arrival::draw(&scenario, 7));
-    assert_ne!(arrivals, arrival::draw(&scenario, 8));
+    assert_eq!(arrivals, arrival::generate(&scenario, 7));
+    assert_ne!(arrivals, arrival::generate(&scenario, 8));
     assert!(arrivals.windows(2).all(|pair| pair[0].at <= pair[1].at));
     for (place, account) in scenario.accounts.iter().enumerate() {
         let sent = arrivals.iter().filter(|arrival| arrival.account == place).count() as f64;
@@ -55,7 +55,7 @@
 fn page_needs_nothing_else(scenario: &Scenario) {
     let history = Default::default();
     let measures = bergamotvale_cli::bench::measure::measure(&history, scenario.on_time);
-    let runs = vec![report::Run::new(variant::FULL, measures)];
+    let runs = vec![report::Run::new(variant::UNCHANGED, measures)];
 
     let page = html::page(&report::Report::new(scenario, 1, runs));
 
