--- a/crates/cli/src/bench/cost/connection.rs
+++ b/crates/cli/src/bench/cost/connection.rs
@@ -1,4 +1,4 @@
-//! What an idle caller connection costs in memory.
+//! Measures the memory of an idle caller connection.
 
 use super::Scenario;
 use super::process;
@@ -13,36 +13,37 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Time after the last connection before memory is read.
-const SETTLE: Duration = Duration::from_millis(500);
-/// Bytes of an answer.
-const ANSWER_BYTES: usize = 4096;
-/// A request that any host answers at once, and after which the connection stays open.
+/// Time between opening the last connection and reading the memory.
+const SETTLE_DELAY: Duration = Duration::from_millis(500);
+/// Size of the buffer for a response.
+const RESPONSE_BUFFER_BYTES: usize = 4096;
+/// A request that every host answers at once and that leaves the connection open.
 const REQUEST: &str = "GET /v1/open/none HTTP/1.1\r\nhost: bench\r\n\r\n";
 
-/// What an idle connection costs.
+/// The memory of idle connections.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Cost {
-    /// Connections and resident memory, bytes.
+    /// Pairs of the number of connections and the resident memory of the process, in bytes.
     pub points: Vec<(usize, u64)>,
-    /// Growth with each connection, its caller's end included.
+    /// Bytes per connection, both ends included since the caller runs in the same process.
     pub bytes: f64,
 }
 
-/// Opens connections, each with one answered request, and reads resident memory.
+/// Opens connections, sends one request on each, and reads the resident memory at each of the
+/// scenario's numbers of connections.
 pub async fn measure(scenario: &Scenario) -> Result<Cost> {
     let system = System::start(statement::plan(scenario.seed, 1, 1, 1)).await?;
     let address = system.hosts[0].address();
-    let mut open = Vec::new();
+    let mut connections = Vec::new();
     let mut points = Vec::new();
     for count in &scenario.idle_connections {
-        while open.len() < *count {
-            open.push(connect(address).await?);
+        while connections.len() < *count {
+            connections.push(connect(address).await?);
         }
-        tokio::time::sleep(SETTLE).await;
-        points.push((*count, process::resident()?));
+        tokio::time::sleep(SETTLE_DELAY).await;
+        points.push((*count, process::resident_bytes()?));
     }
-    drop(open);
+    drop(connections);
     system.stop().await;
     let line: Vec<_> = points.iter().map(|(count, bytes)| (*count as f64, *bytes as f64)).collect();
     let Line { slope, .. } = slope::fit(&line);
@@ -52,19 +53,19 @@
 async fn connect(address: SocketAddr) -> Result<TcpStream> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(REQUEST.as_bytes()).await?;
-    let mut answer = vec![0; ANSWER_BYTES];
+    let mut answer = vec![0; RESPONSE_BUFFER_BYTES];
     if stream.read(&mut answer).await? == 0 {
-        return Err(Error::Start("the host closed an idle connection".to_owned()));
+        return Err(Error::Start("host closed the connection instead of answering".to_owned()));
     }
     Ok(stream)
 }
 
-/// The cost for people.
+/// Renders the cost as plain text.
 pub fn human(cost: &Cost) -> String {
     let mut out = String::new();
     for (count, bytes) in &cost.points {
         let _ = writeln!(out, "{count:>6} idle connections  {:>8} KiB resident", bytes / 1024);
     }
-    let _ = writeln!(out, "{:.0} bytes an idle connection, both ends\n", cost.bytes);
+    let _ = writeln!(out, "{:.0} bytes per idle connection, both ends\n", cost.bytes);
     out
 }
--- a/crates/cli/src/bench/cost/external.rs
+++ b/crates/cli/src/bench/cost/external.rs
@@ -1,7 +1,7 @@
-//! Statements through a daemon in a process of its own.
+//! Measures statements through a daemon that runs in a process of its own.
 //!
-//! The bench starts the stand-ins, writes the daemon's settings and waits for whoever runs the
-//! bench to start it; no process starts another.
+//! The bench starts the stand-ins and writes the daemon's settings. The operator then starts the daemon,
+//! since the bench starts no processes; the bench waits for its process id.
 
 use super::Scenario;
 use super::process;
@@ -12,12 +12,13 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-/// Time that the daemon may take to be started.
+/// Time allowed for the operator to start the daemon.
 const START_TIMEOUT: Duration = Duration::from_secs(120);
-/// Time between two looks whether it is.
-const LOOK_PERIOD: Duration = Duration::from_millis(100);
+const PID_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Measures the daemon whose settings are written to `folder`.
+/// Writes the daemon's settings to `folder`, waits for the daemon and measures it.
+///
+/// Fails if no process id is found in `folder` within `START_TIMEOUT`.
 pub async fn measure(scenario: &Scenario, folder: &Path) -> Result<Cost> {
     let mut system = System::prepare(statement::plan(scenario.seed, 1, 1, 1)).await?;
     let mut settings = system.settings(0);
@@ -25,19 +26,19 @@
     settings.listen.operators.set_port(free_port()?);
     settings.listen.peers.set_port(free_port()?);
     let text = serde_yaml_ng::to_string(&settings)
-        .map_err(|error| Error::Start(format!("settings: {error}")))?;
+        .map_err(|error| Error::Start(format!("daemon settings: {error}")))?;
     std::fs::create_dir_all(folder)?;
     let (file, pid_file) = (folder.join("host1.yaml"), folder.join("host1.pid"));
     std::fs::write(&file, text)?;
     eprintln!(
-        "start it: bergamotvaled --config {} & echo $! > {}",
+        "start the daemon: bergamotvaled --config {} & echo $! > {}",
         file.display(),
         pid_file.display()
     );
     let pid = wait_for_pid(&pid_file).await?;
     system.adopt_host(settings).await?;
-    let used = || process::used(pid);
-    statement::compare(scenario, &system, 0, used, "the daemon's process").await
+    let cpu_time = || process::cpu_time(pid);
+    statement::compare(scenario, &system, 0, cpu_time, "the daemon's process").await
 }
 
 fn free_port() -> Result<u16> {
@@ -51,7 +52,7 @@
         if let Ok(pid) = text.trim().parse() {
             return Ok(pid);
         }
-        tokio::time::sleep(LOOK_PERIOD).await;
+        tokio::time::sleep(PID_POLL_INTERVAL).await;
     }
-    Err(Error::Start(format!("no process id in {}", file.display())))
+    Err(Error::Start(format!("daemon was not started: no process id in {}", file.display())))
 }
--- a/crates/cli/src/bench/cost/mod.rs
+++ b/crates/cli/src/bench/cost/mod.rs
@@ -1,9 +1,10 @@
-//! What a host costs: per statement, per idle connection, and standing still.
+//! Measures the cost of a host: per statement, per idle connection, and of a fleet without load.
 //!
-//! Each figure is measured against its own zero in the same run: a statement through a host
-//! against the same statement on a direct connection, connections and hosts as slopes. Hosts run
-//! on threads of their own names, so that their processor time is told apart from the load's and
-//! the stand-ins'; `--external` measures daemons in processes of their own.
+//! Each figure is relative to a baseline from the same run: statements through a host are compared
+//! with the same statements on a direct connection, and the costs of connections and fleets are slopes
+//! over their number. Hosts run on threads with names of their own, so that their CPU time can be
+//! separated from that of the load and the stand-ins. `--external` measures a daemon in a process of
+//! its own instead.
 
 pub mod connection;
 pub mod control;
@@ -21,45 +22,44 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-/// Most hosts in one process.
+/// Maximum number of hosts, since all run in one process.
 const MAX_HOSTS: usize = 64;
-/// Most idle connections.
 const MAX_CONNECTIONS: usize = 8_000;
 
 /// A cost scenario.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
-    /// Name in the report.
+    /// Name of the scenario in reports.
     pub name: String,
-    /// Seed of keys.
+    /// Seed of the system, from which its keys are generated.
     pub seed: u64,
-    /// Statements, through a host and direct.
+    /// Number of statements to measure.
     pub statements: Statements,
-    /// Numbers of idle connections, from none.
+    /// Numbers of idle connections to measure, in increasing order; the first is usually 0.
     pub idle_connections: Vec<usize>,
-    /// What stands still.
+    /// Fleets without load to measure.
     pub control: Control,
-    /// Bounds.
+    /// Bounds that the measured costs must meet.
     pub goals: Goals,
 }
 
-/// Statements through a host and direct, in turns.
+/// Numbers of statements, which are sent through a host and directly in alternation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Statements {
-    /// Turns.
+    /// Number of alternations.
     pub rounds: usize,
-    /// Statements in a turn on either way.
+    /// Statements of one alternation on each of the two paths.
     pub per_round: usize,
 }
 
-/// What a fleet without load costs.
+/// Fleets without load; each list is the values of one number, while the others stay fixed.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Control {
-    /// Time that each point is measured for.
+    /// Duration of the measurement of each point.
     #[serde_as(as = "Span")]
     pub window: Duration,
     /// Numbers of hosts.
@@ -68,47 +68,47 @@
     pub accounts: Vec<usize>,
     /// Numbers of database groups.
     pub groups: Vec<usize>,
-    /// Numbers of configuration changes in a window.
+    /// Numbers of configuration changes within a window.
     pub changes: Vec<usize>,
 }
 
-/// Bounds of the cost.
+/// Upper bounds of the measured costs.
 #[serde_as]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Goals {
-    /// Processor time that a statement costs on top.
+    /// CPU time of the host per statement.
     #[serde_as(as = "Span")]
     pub cpu: Duration,
-    /// Latency that the median statement takes on top.
+    /// Latency that the host adds to the median.
     #[serde_as(as = "Span")]
     pub latency: Duration,
-    /// Memory of an idle connection.
+    /// Memory of an idle connection, both ends together.
     #[serde_as(as = "Size")]
     pub connection: usize,
 }
 
-/// What was measured.
+/// The measured costs.
 #[derive(Debug, Clone, Serialize)]
 pub struct Report {
     /// Name of the scenario.
     pub scenario: String,
-    /// Build profile.
+    /// Build profile: `debug` or `release`.
     pub profile: &'static str,
-    /// Commit of the working tree, when it is a clone.
+    /// Commit that the working directory has checked out; none if it is not a Git working tree.
     pub commit: Option<String>,
     /// Cost of a statement.
     pub statement: statement::Cost,
-    /// Cost of an idle connection.
+    /// Cost of an idle connection; none for an external daemon.
     pub connection: Option<connection::Cost>,
-    /// Cost of standing still.
-    pub control: Vec<control::Line>,
-    /// Goals that were not kept.
+    /// Cost of fleets without load; empty for an external daemon.
+    pub control: Vec<control::Sweep>,
+    /// Goals that were not met and points that could not be measured; empty on success.
     pub broken: Vec<String>,
 }
 
 impl Scenario {
-    /// Reads and verifies the scenario in `text`.
+    /// Parses and verifies a scenario; the error names the field or the line.
     pub fn parse(text: &str) -> std::result::Result<Scenario, String> {
         let scenario: Scenario = serde_yaml_ng::from_str(text).map_err(|e| e.to_string())?;
         verify(&scenario)?;
@@ -116,7 +116,7 @@
     }
 }
 
-/// Says whether `scenario` can be run.
+/// Verifies that `scenario` can be run; the error names the offending field.
 pub fn verify(scenario: &Scenario) -> std::result::Result<(), String> {
     if scenario.statements.rounds == 0 || scenario.statements.per_round == 0 {
         return Err("statements: rounds and per_round must be above zero".to_owned());
@@ -133,7 +133,8 @@
     Ok(())
 }
 
-/// Runs the scenario in `text`, prints the report and fails when a goal is not kept.
+/// Runs the cost scenario in `text` and prints the report. Fails when a goal is not met or a point
+/// could not be measured.
 pub async fn run(text: &str, bench: &Bench, output: Output) -> Result<()> {
     let scenario = Scenario::parse(text).map_err(Error::Usage)?;
     let report = match &bench.external {
@@ -163,14 +164,14 @@
         scenario: &Scenario,
         statement: statement::Cost,
         connection: Option<connection::Cost>,
-        control: Vec<control::Line>,
+        control: Vec<control::Sweep>,
     ) -> Report {
         Report {
             scenario: scenario.name.clone(),
             profile: if cfg!(debug_assertions) { "debug" } else { "release" },
             commit: crate::bench::report::commit(std::path::Path::new(".")),
             broken: [
-                broken(&scenario.goals, &statement, connection.as_ref()),
+                broken_goals(&scenario.goals, &statement, connection.as_ref()),
                 control::unmeasured(&control),
             ]
             .concat(),
@@ -181,8 +182,8 @@
     }
 }
 
-/// Goals that were not kept.
-pub fn broken(
+/// Describes the goals that the costs do not meet.
+pub fn broken_goals(
     goals: &Goals,
     statement: &statement::Cost,
     connection: Option<&connection::Cost>,
@@ -190,22 +191,24 @@
     let mut broken = Vec::new();
     let (cpu, goal) = (statement.cpu_micros, goals.cpu.as_secs_f64() * 1e6);
     if cpu > goal {
-        broken.push(format!("{cpu:.1} us of processor time a statement are above {goal:.0} us"));
+        broken.push(format!("CPU time per statement {cpu:.1} us is above {goal:.0} us"));
     }
     let (latency, goal) = (statement.added_micros, goals.latency.as_secs_f64() * 1e6);
     if latency > goal {
-        broken.push(format!("{latency:.0} us added at the median are above {goal:.0} us"));
+        broken.push(format!("added median latency {latency:.0} us is above {goal:.0} us"));
     }
     if let Some(connection) = connection {
         let (bytes, goal) = (connection.bytes, goals.connection as f64);
         if bytes > goal {
-            broken.push(format!("{bytes:.0} bytes an idle connection are above {goal:.0}"));
+            broken.push(format!(
+                "memory per idle connection {bytes:.0} bytes is above {goal:.0} bytes"
+            ));
         }
     }
     broken
 }
 
-/// The report for people.
+/// Renders the report as plain text.
 pub fn human(report: &Report) -> String {
     let mut out = String::new();
     let commit = report.commit.as_deref().unwrap_or("unknown");
@@ -219,9 +222,9 @@
         out.push_str(&control::human(&report.control));
     }
     match report.broken.is_empty() {
-        true => out.push_str("\nEvery goal is kept.\n"),
+        true => out.push_str("\nAll goals are met.\n"),
         false => {
-            let _ = writeln!(out, "\nNot kept: {}", report.broken.join("; "));
+            let _ = writeln!(out, "\nNot met: {}", report.broken.join("; "));
         }
     }
     out
--- a/crates/cli/src/bench/cost/process.rs
+++ b/crates/cli/src/bench/cost/process.rs
@@ -1,34 +1,34 @@
-//! Processor time and memory, from the kernel's own books.
+//! Reads CPU time, memory and network counters from the kernel, in `/proc`.
 
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
-/// Names of threads are cut to this length.
-const NAME_BYTES: usize = 15;
-/// Name of the threads that run hosts' tasks.
+/// Length to which the kernel truncates thread names.
+const MAX_THREAD_NAME_BYTES: usize = 15;
+/// Name of the runtime threads that run the hosts' tasks.
 pub const HOST_THREAD: &str = "bv-host";
-/// Name of the threads of the HTTP listeners.
+/// Name of the hosts' HTTP listener threads, which xitca-server sets.
 const LISTENER_THREAD: &str = "xitca-server-worker";
 
-/// A thread and the processor time that it has used.
+/// A thread and its CPU time.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Thread {
-    /// Its name, cut.
+    /// Name, truncated by the kernel.
     pub name: String,
-    /// Time on a processor.
-    pub used: Duration,
+    /// CPU time since the thread started.
+    pub cpu_time: Duration,
 }
 
-/// Threads by id.
+/// Threads of a process by thread id.
 pub type Threads = BTreeMap<u32, Thread>;
 
-/// The threads of process `pid`.
+/// Reads the threads of process `pid`.
 pub fn threads(pid: u32) -> std::io::Result<Threads> {
     let mut threads = Threads::new();
     for entry in std::fs::read_dir(format!("/proc/{pid}/task"))? {
         let path = entry?.path();
-        // A thread may end while it is looked at.
+        // A thread that ends meanwhile is skipped.
         if let Some((id, thread)) = thread(&path) {
             threads.insert(id, thread);
         }
@@ -41,36 +41,38 @@
     let name = std::fs::read_to_string(path.join("comm")).ok()?.trim().to_owned();
     let statistics = std::fs::read_to_string(path.join("schedstat")).ok()?;
     let nanos = statistics.split_whitespace().next()?.parse().ok()?;
-    Some((id, Thread { name, used: Duration::from_nanos(nanos) }))
+    Some((id, Thread { name, cpu_time: Duration::from_nanos(nanos) }))
 }
 
-/// Time that hosts' threads of this process have used, but for the threads in `others`.
-pub fn hosts_used(others: &Threads) -> std::io::Result<Duration> {
-    let names = [HOST_THREAD, LISTENER_THREAD].map(|name| &name[..name.len().min(NAME_BYTES)]);
+/// CPU time of the hosts' threads of this process, without the threads in `others`.
+pub fn hosts_cpu_time(others: &Threads) -> std::io::Result<Duration> {
+    let names =
+        [HOST_THREAD, LISTENER_THREAD].map(|name| &name[..name.len().min(MAX_THREAD_NAME_BYTES)]);
     let threads = threads(std::process::id())?;
     let hosts = threads
         .iter()
         .filter(|(id, thread)| names.contains(&thread.name.as_str()) && !others.contains_key(id));
-    Ok(hosts.map(|(_, thread)| thread.used).sum())
+    Ok(hosts.map(|(_, thread)| thread.cpu_time).sum())
 }
 
-/// Time that all threads of process `pid` have used.
-pub fn used(pid: u32) -> std::io::Result<Duration> {
-    Ok(threads(pid)?.values().map(|thread| thread.used).sum())
+/// CPU time of all threads of process `pid`; threads that have ended are not included.
+pub fn cpu_time(pid: u32) -> std::io::Result<Duration> {
+    Ok(threads(pid)?.values().map(|thread| thread.cpu_time).sum())
 }
 
-/// Resident memory of this process, bytes.
-pub fn resident() -> std::io::Result<u64> {
+/// Resident memory of this process, in bytes.
+pub fn resident_bytes() -> std::io::Result<u64> {
     let status = std::fs::read_to_string("/proc/self/status")?;
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-    kib.map(|kib| kib * 1024).ok_or_else(|| std::io::Error::other("no VmRSS"))
+    kib.map(|kib| kib * 1024)
+        .ok_or_else(|| std::io::Error::other("/proc/self/status has no VmRSS line"))
 }
 
-/// Bytes that the loopback interface has carried, headers included, by whichever process.
+/// Bytes that all processes have sent over the loopback interface, headers included.
 pub fn loopback_bytes() -> std::io::Result<u64> {
     let devices = std::fs::read_to_string("/proc/self/net/dev")?;
     let line = devices.lines().find_map(|line| line.trim_start().strip_prefix("lo:"));
     let bytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-    bytes.ok_or_else(|| std::io::Error::other("no loopback interface"))
+    bytes.ok_or_else(|| std::io::Error::other("/proc/self/net/dev has no loopback interface"))
 }
--- a/crates/cli/src/bench/cost/slope.rs
+++ b/crates/cli/src/bench/cost/slope.rs
@@ -1,17 +1,17 @@
-//! Straight lines through measured points.
+//! Linear regression over measured points.
 
 use serde::Serialize;
 
-/// A line by least squares.
+/// A line fitted by least squares.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct Line {
-    /// Value at zero.
+    /// Value at x = 0.
     pub base: f64,
-    /// Growth with each one more.
+    /// Increase per unit of x.
     pub slope: f64,
 }
 
-/// The line through `points`; flat when they don't differ in x.
+/// Fits a line to `points`, as (x, y). The slope is 0 when they don't differ in x.
 pub fn fit(points: &[(f64, f64)]) -> Line {
     let count = points.len().max(1) as f64;
     let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
--- a/crates/cli/src/bench/cost/statement.rs
+++ b/crates/cli/src/bench/cost/statement.rs
@@ -1,4 +1,4 @@
-//! What a statement costs on top of a direct connection.
+//! Measures the cost that a host adds to a statement, compared with a direct connection.
 
 use super::Scenario;
 use super::process::{self, Threads};
@@ -24,48 +24,48 @@
 
 const SERVICE: &str = "orders";
 const SCHEMA: &str = "CREATE TABLE bolts (number BIGINT PRIMARY KEY, metres BIGINT NOT NULL)";
-/// The statement that is sent on either way.
+/// The statement that is sent on both paths.
 const SQL: &str = "SELECT metres FROM bolts WHERE number = $1";
-/// Rate that no part of the measurement reaches.
-const RATE: u32 = 1_000_000;
-/// Connections of each target for each host at least, the control connection included: with fewer
-/// than two, hosts starve before anything can be measured.
-const CONNECTIONS_PER_HOST: u64 = 4;
-/// Statements on either way before the first that counts.
-const WARM_UP: usize = 200;
-/// Age that reads accept: any.
+/// Rate and burst of the accounts, which no measurement reaches.
+const UNLIMITED_RATE: u32 = 1_000_000;
+/// Minimum connection limit of a target per host, the control connection included. With fewer than two
+/// hosts have no connection left for statements, and nothing can be measured.
+const MIN_CONNECTIONS_PER_HOST: u64 = 4;
+/// Statements on each path before the measurement starts.
+const WARM_UP_STATEMENTS: usize = 200;
+/// Maximum age that reads accept; long enough to accept every replica.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
-/// What a statement costs.
+/// The cost of a statement.
 #[derive(Debug, Clone, Serialize)]
 pub struct Cost {
-    /// Statements on either way.
+    /// Number of measured statements on each path.
     pub statements: usize,
-    /// Processor time of the host, µs a statement.
+    /// CPU time of the host, in µs per statement.
     pub cpu_micros: f64,
-    /// Difference of the medians, µs.
+    /// Median latency through the host minus that on the direct connection, in µs.
     pub added_micros: f64,
     /// Latency through the host.
     pub through: Latency,
     /// Latency on a direct connection.
     pub direct: Latency,
-    /// Where the host's processor time was counted.
+    /// Threads or process whose CPU time was counted, for reports.
     pub counted: &'static str,
 }
 
-/// A fleet of `hosts` without distances, with `accounts` and `groups`.
+/// Plan of a system without network delays, with these numbers of hosts, accounts and groups.
 pub fn plan(seed: u64, hosts: usize, accounts: usize, groups: usize) -> Plan {
     let options = group::Options { schema: vec![SCHEMA.to_owned()], ..group::Options::default() };
-    let limit = options.connection_limit.max(hosts as u64 * CONNECTIONS_PER_HOST);
+    let limit = options.connection_limit.max(hosts as u64 * MIN_CONNECTIONS_PER_HOST);
     let options = group::Options { connection_limit: limit, ..options };
-    let name = |place: usize| match place {
+    let name = |index: usize| match index {
         0 => SERVICE.to_owned(),
-        place => format!("{SERVICE}_{place}"),
+        index => format!("{SERVICE}_{index}"),
     };
-    let account = |place: usize| Account {
-        name: format!("account_{place}"),
-        rate: RATE,
-        burst: RATE,
+    let account = |index: usize| Account {
+        name: format!("account_{index}"),
+        rate: UNLIMITED_RATE,
+        burst: UNLIMITED_RATE,
         weight: 1,
         services: (1..=groups as u32).collect::<BTreeSet<_>>(),
     };
@@ -73,7 +73,7 @@
         seed,
         hosts,
         failure_domains: 3,
-        groups: (0..groups).map(|place| (name(place), options.clone())).collect(),
+        groups: (0..groups).map(|index| (name(index), options.clone())).collect(),
         accounts: (0..accounts).map(account).collect(),
         routes: BTreeMap::new(),
         policy: Policy::default(),
@@ -81,33 +81,33 @@
     }
 }
 
-/// The read that is measured.
+/// The measured read, under `key`.
 pub fn request(key: &str) -> Request {
     let statement = Statement { sql: SQL.to_owned(), params: vec![Value::Int(1)] };
     let operation = Operation::Read(SERVICE.to_owned(), statement);
     Request::new(operation).with_key(key).with_max_age(MAX_AGE)
 }
 
-/// Measures a host in this process, on threads of its own.
+/// Measures a host that runs in this process, on threads of its own.
 pub async fn measure(scenario: &Scenario) -> Result<Cost> {
-    let runtime = Runtime::new()?;
+    let runtime = HostRuntime::new()?;
     let plan = plan(scenario.seed, 1, 1, 1);
-    let (system, others) = start_apart(plan, &runtime).await?;
-    let used = || process::hosts_used(&others);
-    let cost = compare(scenario, &system, 0, used, "threads of the host").await;
+    let (system, others) = start_on_runtime(plan, &runtime).await?;
+    let cpu_time = || process::hosts_cpu_time(&others);
+    let cost = compare(scenario, &system, 0, cpu_time, "threads of the host").await;
     system.stop().await;
     cost
 }
 
-/// A runtime whose threads are told apart by name; dropping it waits for nobody.
-pub struct Runtime(Option<tokio::runtime::Runtime>);
+/// A runtime for hosts, whose threads are recognized by name. Dropping it does not wait for tasks.
+pub struct HostRuntime(Option<tokio::runtime::Runtime>);
 
-impl Runtime {
-    /// A runtime for hosts.
-    pub fn new() -> Result<Runtime> {
+impl HostRuntime {
+    /// Starts a runtime with two worker threads.
+    pub fn new() -> Result<HostRuntime> {
         let mut builder = tokio::runtime::Builder::new_multi_thread();
         builder.thread_name(process::HOST_THREAD).worker_threads(2).enable_all();
-        Ok(Runtime(Some(builder.build()?)))
+        Ok(HostRuntime(Some(builder.build()?)))
     }
 
     fn handle(&self) -> Option<&Handle> {
@@ -115,7 +115,7 @@
     }
 }
 
-impl Drop for Runtime {
+impl Drop for HostRuntime {
     fn drop(&mut self) {
         if let Some(runtime) = self.0.take() {
             runtime.shutdown_background();
@@ -123,8 +123,9 @@
     }
 }
 
-/// Starts `plan` with its hosts on `runtime`; the threads that are not its hosts' come with it.
-pub async fn start_apart(plan: Plan, runtime: &Runtime) -> Result<(System, Threads)> {
+/// Starts the system of `plan` with its hosts on `runtime`. Also returns the threads that existed
+/// before its hosts were started, other than runtime threads, so that their CPU time can be left out.
+pub async fn start_on_runtime(plan: Plan, runtime: &HostRuntime) -> Result<(System, Threads)> {
     let mut system = System::prepare(plan).await?;
     let mut others = process::threads(std::process::id())?;
     others.retain(|_, thread| thread.name != process::HOST_THREAD);
@@ -132,36 +133,39 @@
     Ok((system, others))
 }
 
-/// Sends the statement through host `host` and direct, in turns.
+/// Measures the statement through the host at index `host` and directly, in alternation.
+///
+/// `cpu_time` returns the host's CPU time so far; `counted` names what it covers.
 pub async fn compare(
     scenario: &Scenario,
     system: &System,
     host: usize,
-    used: impl Fn() -> std::io::Result<Duration>,
+    cpu_time: impl Fn() -> std::io::Result<Duration>,
     counted: &'static str,
 ) -> Result<Cost> {
     let client = Client::new(client::http().build()?, system.hosts[host].address());
     let request = request(&system.keys[0]);
     let direct = connect(system.groups[0].addresses()[0]).await?;
-    through(&client, &request, WARM_UP, &mut measure::histogram()).await?;
-    directly(&direct, WARM_UP, &mut measure::histogram()).await?;
-    let (mut by_host, mut alone) = (measure::histogram(), measure::histogram());
-    let mut host_used = Duration::ZERO;
+    send_through_host(&client, &request, WARM_UP_STATEMENTS, &mut measure::histogram()).await?;
+    send_directly(&direct, WARM_UP_STATEMENTS, &mut measure::histogram()).await?;
+    let (mut host_latency, mut direct_latency) = (measure::histogram(), measure::histogram());
+    let mut host_cpu_time = Duration::ZERO;
     let count = scenario.statements.per_round;
     for _ in 0..scenario.statements.rounds {
-        let before = used()?;
-        through(&client, &request, count, &mut by_host).await?;
-        host_used += used()?.saturating_sub(before);
-        directly(&direct, count, &mut alone).await?;
+        let before = cpu_time()?;
+        send_through_host(&client, &request, count, &mut host_latency).await?;
+        host_cpu_time += cpu_time()?.saturating_sub(before);
+        send_directly(&direct, count, &mut direct_latency).await?;
     }
     let statements = count * scenario.statements.rounds;
-    let (by_host, alone) = (measure::summary(&by_host), measure::summary(&alone));
+    let (host_latency, direct_latency) =
+        (measure::summary(&host_latency), measure::summary(&direct_latency));
     Ok(Cost {
         statements,
-        cpu_micros: host_used.as_secs_f64() * 1e6 / statements as f64,
-        added_micros: (by_host.p50_ms - alone.p50_ms) * 1e3,
-        through: by_host,
-        direct: alone,
+        cpu_micros: host_cpu_time.as_secs_f64() * 1e6 / statements as f64,
+        added_micros: (host_latency.p50_ms - direct_latency.p50_ms) * 1e3,
+        through: host_latency,
+        direct: direct_latency,
         counted,
     })
 }
@@ -169,16 +173,16 @@
 async fn connect(address: SocketAddr) -> Result<tokio_postgres::Client> {
     let mut config = tokio_postgres::Config::new();
     config.host(address.ip().to_string()).port(address.port()).user("bench").dbname("bench");
-    let (client, connection) = config.connect(NoTls).await.map_err(broken)?;
+    let (client, connection) = config.connect(NoTls).await.map_err(measurement_error)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
-            log::warn!("direct connection: {error}");
+            log::warn!("direct connection to the target failed: {error}");
         }
     });
     Ok(client)
 }
 
-async fn through(
+async fn send_through_host(
     client: &Client,
     request: &Request,
     count: usize,
@@ -186,30 +190,30 @@
 ) -> Result<()> {
     for _ in 0..count {
         let sent = Instant::now();
-        client.send(request).await.map_err(broken)?;
+        client.send(request).await.map_err(measurement_error)?;
         histogram.saturating_record(sent.elapsed().as_micros() as u64);
     }
     Ok(())
 }
 
-async fn directly(
+async fn send_directly(
     client: &tokio_postgres::Client,
     count: usize,
     histogram: &mut Histogram<u64>,
 ) -> Result<()> {
     for _ in 0..count {
         let sent = Instant::now();
-        client.query_typed(SQL, &[(&1_i64, Type::INT8)]).await.map_err(broken)?;
+        client.query_typed(SQL, &[(&1_i64, Type::INT8)]).await.map_err(measurement_error)?;
         histogram.saturating_record(sent.elapsed().as_micros() as u64);
     }
     Ok(())
 }
 
-fn broken(error: impl ToString) -> Error {
+fn measurement_error(error: impl ToString) -> Error {
     Error::Start(error.to_string())
 }
 
-/// The cost for people.
+/// Renders the cost as plain text.
 pub fn human(cost: &Cost) -> String {
     let row = |name: &str, latency: &Latency| {
         vec![
@@ -224,7 +228,7 @@
     let mut out = table(&["STATEMENT, US", "COUNT", "P50", "P90", "P99"], &rows);
     let _ = writeln!(
         out,
-        "added at the median {:.0} us; processor time {:.1} us a statement ({})\n",
+        "added median latency {:.0} us; CPU time {:.1} us per statement ({})\n",
         cost.added_micros, cost.cpu_micros, cost.counted
     );
     out
--- a/crates/cli/src/bench/history.rs
+++ b/crates/cli/src/bench/history.rs
@@ -36,7 +36,8 @@
     #[serde(default)]
     pub faults: Vec<Fault>,
     /// Rows of every target at the end of the run.
-    #[serde(default, rename = "remains")]
+    #[serde(default)]
+    #[serde(rename = "remains")]
     pub final_rows: Vec<TargetRows>,
 }
 
--- a/crates/cli/src/bench/html.rs
+++ b/crates/cli/src/bench/html.rs
@@ -1,4 +1,4 @@
-//! The report as one HTML page that needs nothing else: styles and plots are inline.
+//! Renders the report as a self-contained HTML page, with inline styles and plots.
 
 use crate::bench::measure::Measures;
 use crate::bench::plot::{self, Axis, Series};
@@ -9,7 +9,7 @@
 padding:0 1em;color:#222}pre{background:#f5f5f2;padding:1em;overflow-x:auto}\
 h2{margin-top:2em}svg{max-width:100%}.bad{color:#a1260d}.good{color:#2b6a30}";
 
-/// The page.
+/// Renders `report` as a page; it refers to no other file.
 pub fn page(report: &Report) -> String {
     let title = escape(&format!("bergamotvale bench: {}", report.scenario));
     let mut out = format!(
@@ -27,10 +27,10 @@
 
 fn verdict(report: &Report) -> String {
     match report.broken.is_empty() {
-        true => "<p class=\"good\">Every goal is kept.</p>\n".to_owned(),
+        true => "<p class=\"good\">All goals are met.</p>\n".to_owned(),
         false => {
             let broken = escape(&report.broken.join("; "));
-            format!("<p class=\"bad\">Not kept: {broken}</p>\n")
+            format!("<p class=\"bad\">Not met: {broken}</p>\n")
         }
     }
 }
@@ -56,8 +56,8 @@
         series("refused otherwise", |point| point.refused),
     ];
     let values = lines.iter().flat_map(|line| &line.points).map(|point| point.1);
-    let x = Axis::even("time since the start, s", points.iter().map(|point| point.at_s));
-    let y = Axis::even("operations", values);
+    let x = Axis::linear("time since the start, s", points.iter().map(|point| point.at_s));
+    let y = Axis::linear("operations", values);
     plot::lines("Operations per quarter second, with the faults", &x, &y, &lines, &measures.faults)
 }
 
@@ -67,24 +67,28 @@
         .iter()
         .map(|(kind, latency)| Series {
             name: kind.to_string(),
-            points: latency.curve.iter().map(|(share, ms)| (nines(*share), tens(*ms))).collect(),
+            points: latency
+                .curve
+                .iter()
+                .map(|(share, ms)| (quantile_position(*share), latency_position(*ms)))
+                .collect(),
         })
         .collect();
-    let x = Axis::marked(
+    let x = Axis::from_labels(
         "share of the operations below",
         &["0 %", "90 %", "99 %", "99.9 %", "99.99 %"],
     );
-    let y = Axis::marked("ms, by tens", &["0.1", "1", "10", "100", "1,000", "10,000"]);
+    let y = Axis::from_labels("ms, log scale", &["0.1", "1", "10", "100", "1,000", "10,000"]);
     plot::lines("Latency from the due time", &x, &y, &curves, &[])
 }
 
-/// 0.1 ms is 0, 1 ms is 1, 10 ms is 2 and so on, up to the last mark.
-fn tens(millis: f64) -> f64 {
+/// Position on the logarithmic axis: 0.1 ms is 0, 1 ms is 1, 10 ms is 2 and so on, at most 5.
+fn latency_position(millis: f64) -> f64 {
     (millis.max(0.1).log10() + 1.0).min(5.0)
 }
 
-/// 0.9 is 1, 0.99 is 2 and so on, so that the tail takes its room.
-fn nines(share: f64) -> f64 {
+/// Position on an axis that stretches the tail: 0.9 is 1, 0.99 is 2 and so on, at most 4.
+fn quantile_position(share: f64) -> f64 {
     -(1.0 - share.min(0.9999)).log10()
 }
 
@@ -94,7 +98,7 @@
     plot::bars("Share served correctly and on time, worst first", &bars)
 }
 
-/// Text safe between tags.
+/// Escapes text for use between tags and in attributes.
 pub fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
 }
--- a/crates/cli/src/bench/phase.rs
+++ b/crates/cli/src/bench/phase.rs
@@ -61,11 +61,11 @@
 
 /// The times at which the faults of a run affect requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Phases(Vec<FaultWindow>);
+pub struct Phases(Vec<Window>);
 
 /// The requests that a fault affects, by service and time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct FaultWindow {
+struct Window {
     /// Service whose primary is unavailable; none for a fault without a gap, which affects every
     /// service.
     service: Option<ServiceIndex>,
@@ -81,15 +81,10 @@
 
     /// The phase of a request to `service` that was in flight from `sent` to `ended`.
     pub fn of_interval(&self, service: ServiceIndex, sent: Duration, ended: Duration) -> Phase {
-        let affects =
-            |window: &&FaultWindow| window.service.is_none_or(|affected| affected == service);
+        let affects = |window: &&Window| window.service.is_none_or(|affected| affected == service);
         let windows = || self.0.iter().filter(affects);
-        let is_in_gap = |window: &FaultWindow| {
-            window.service.is_some() && sent < window.ended && ended > window.begun
-        };
-        let is_after = |window: &FaultWindow| {
-            ended > window.begun && sent < window.ended.saturating_add(RECOVERY_TIME)
-        };
+        let is_in_gap = |w: &Window| w.service.is_some() && sent < w.ended && ended > w.begun;
+        let is_after = |w: &Window| ended > w.begun && sent < w.ended.saturating_add(RECOVERY_TIME);
         if windows().any(is_in_gap) {
             return Phase::Gap;
         }
@@ -102,10 +97,10 @@
     }
 }
 
-fn fault_window(history: &History, fault: &Fault) -> FaultWindow {
+fn fault_window(history: &History, fault: &Fault) -> Window {
     let service = fault.primary_of;
     let ended = service.map_or(Some(fault.done), |service| recovery_end(history, fault, service));
-    FaultWindow { service, begun: fault.begun, ended: ended.unwrap_or(Duration::MAX) }
+    Window { service, begun: fault.begun, ended: ended.unwrap_or(Duration::MAX) }
 }
 
 /// End of the first acknowledged write to `service` that was sent once `fault` was in effect; none
--- a/crates/cli/src/bench/plot.rs
+++ b/crates/cli/src/bench/plot.rs
@@ -1,4 +1,4 @@
-//! Plots as inline SVG.
+//! Renders plots as inline SVG.
 
 use crate::bench::html::escape;
 use std::fmt::Write;
@@ -9,45 +9,45 @@
 const BOTTOM: f64 = 40.0;
 const TOP: f64 = 46.0;
 const RIGHT: f64 = 30.0;
-/// Marks on an axis.
+/// Intervals between the marks of a linear axis.
 const TICKS: u32 = 5;
-/// Rows for the names of upright lines.
-const NAME_ROWS: usize = 4;
+/// Rows over which the labels of vertical lines are staggered.
+const LABEL_ROWS: usize = 4;
 const BAR_HEIGHT: f64 = 22.0;
 const BAR_LEFT: f64 = 140.0;
 const COLOURS: [&str; 6] = ["#1f6f8b", "#b5532a", "#5a7d2a", "#7a4b94", "#8a6d1d", "#444444"];
 
-/// A line of a plot.
+/// A data series, drawn as a line.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Series {
-    /// Its name in the legend.
+    /// Name in the legend.
     pub name: String,
-    /// Its points, in order of x.
+    /// Points as (x, y), in order of x.
     pub points: Vec<(f64, f64)>,
 }
 
 /// An axis that starts at zero.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Axis {
-    /// What it shows, with its unit.
+    /// Label of the axis, with the unit.
     pub name: String,
-    /// Marks with their text, in order; the last ends the axis.
+    /// Marks as pairs of value and text, in increasing order; the last one is the end of the axis.
     pub marks: Vec<(f64, String)>,
 }
 
 impl Axis {
-    /// An axis with even marks up to the highest of `values`.
-    pub fn even(name: &str, values: impl Iterator<Item = f64>) -> Axis {
-        let max = ceiling(values);
-        let place = |tick: u32| max * f64::from(tick) / f64::from(TICKS);
-        let marks = (0..=TICKS).map(|tick| (place(tick), short(place(tick)))).collect();
+    /// An axis with evenly spaced marks up to the highest of `values`.
+    pub fn linear(name: &str, values: impl Iterator<Item = f64>) -> Axis {
+        let max = axis_end(values);
+        let value = |tick: u32| max * f64::from(tick) / f64::from(TICKS);
+        let marks = (0..=TICKS).map(|tick| (value(tick), format_mark(value(tick)))).collect();
         Axis { name: name.to_owned(), marks }
     }
 
-    /// An axis with one mark after the other, from 0.
-    pub fn marked(name: &str, marks: &[&str]) -> Axis {
+    /// An axis with `marks` at 0, 1, 2 and so on.
+    pub fn from_labels(name: &str, marks: &[&str]) -> Axis {
         let marks = marks.iter().enumerate();
-        let marks = marks.map(|(place, text)| (place as f64, (*text).to_owned())).collect();
+        let marks = marks.map(|(index, text)| (index as f64, (*text).to_owned())).collect();
         Axis { name: name.to_owned(), marks }
     }
 
@@ -56,34 +56,41 @@
     }
 }
 
-/// A plot of lines, with upright lines at named places of x.
-pub fn lines(title: &str, x: &Axis, y: &Axis, series: &[Series], at: &[(f64, String)]) -> String {
-    let mut out = open(title, HEIGHT);
+/// Renders a line plot, with labelled vertical lines at the x values of `events`.
+pub fn lines(
+    title: &str,
+    x: &Axis,
+    y: &Axis,
+    series: &[Series],
+    events: &[(f64, String)],
+) -> String {
+    let mut out = open_svg(title, HEIGHT);
     axes(&mut out, x, y);
-    uprights(&mut out, x, at);
-    for (place, series) in series.iter().enumerate() {
-        let colour = COLOURS[place % COLOURS.len()];
+    vertical_lines(&mut out, x, events);
+    for (index, series) in series.iter().enumerate() {
+        let colour = COLOURS[index % COLOURS.len()];
         let path: Vec<_> = series
             .points
             .iter()
-            .map(|point| format!("{:.1},{:.1}", across(point.0, x.max()), down(point.1, y.max())))
+            .map(|point| format!("{:.1},{:.1}", to_x(point.0, x.max()), to_y(point.1, y.max())))
             .collect();
         let path = path.join(" ");
         let _ = writeln!(
             out,
             "<polyline fill=\"none\" stroke=\"{colour}\" stroke-width=\"1.5\" points=\"{path}\"/>"
         );
-        legend(&mut out, place, colour, &series.name);
+        legend(&mut out, index, colour, &series.name);
     }
     out.push_str("</svg>\n");
     out
 }
 
-/// Names stand one below the other, so that those of close places can be read.
-fn uprights(out: &mut String, axis: &Axis, at: &[(f64, String)]) {
-    for (place, (value, name)) in at.iter().enumerate() {
-        let x = across(value.min(axis.max()), axis.max());
-        let y = TOP + 12.0 + 12.0 * (place % NAME_ROWS) as f64;
+/// Draws labelled vertical lines. Labels are staggered over rows, so that those of close lines don't
+/// overlap.
+fn vertical_lines(out: &mut String, axis: &Axis, events: &[(f64, String)]) {
+    for (index, (value, name)) in events.iter().enumerate() {
+        let x = to_x(value.min(axis.max()), axis.max());
+        let y = TOP + 12.0 + 12.0 * (index % LABEL_ROWS) as f64;
         let _ = writeln!(
             out,
             "<line x1=\"{x:.1}\" x2=\"{x:.1}\" y1=\"{TOP}\" y2=\"{:.1}\" stroke=\"#999\" \
@@ -96,14 +103,14 @@
     }
 }
 
-/// Horizontal bars of shares from 0 to 1.
+/// Renders a bar chart of shares from 0 to 1, one horizontal bar for each.
 pub fn bars(title: &str, bars: &[(String, f64)]) -> String {
     let height = TOP + BAR_HEIGHT * bars.len() as f64 + RIGHT;
-    let mut out = open(title, height);
-    let room = WIDTH - BAR_LEFT - 90.0;
-    for (place, (name, share)) in bars.iter().enumerate() {
-        let y = TOP + BAR_HEIGHT * place as f64;
-        let length = room * share.clamp(0.0, 1.0);
+    let mut out = open_svg(title, height);
+    let max_length = WIDTH - BAR_LEFT - 90.0;
+    for (index, (name, share)) in bars.iter().enumerate() {
+        let y = TOP + BAR_HEIGHT * index as f64;
+        let length = max_length * share.clamp(0.0, 1.0);
         let _ = writeln!(
             out,
             "<text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>\
@@ -123,7 +130,7 @@
     out
 }
 
-fn open(title: &str, height: f64) -> String {
+fn open_svg(title: &str, height: f64) -> String {
     format!(
         "<svg viewBox=\"0 0 {WIDTH} {height}\" width=\"{WIDTH}\" height=\"{height}\" \
          font-size=\"12\" role=\"img\"><text x=\"0\" y=\"14\" font-size=\"14\">{}</text>\n",
@@ -132,12 +139,12 @@
 }
 
 fn axes(out: &mut String, x_axis: &Axis, y_axis: &Axis) {
-    let (floor, end) = (HEIGHT - BOTTOM, WIDTH - RIGHT);
+    let (bottom, right) = (HEIGHT - BOTTOM, WIDTH - RIGHT);
     for (value, text) in &y_axis.marks {
-        let y = down(*value, y_axis.max());
+        let y = to_y(*value, y_axis.max());
         let _ = writeln!(
             out,
-            "<line x1=\"{LEFT}\" x2=\"{end}\" y1=\"{y:.1}\" y2=\"{y:.1}\" stroke=\"#ddd\"/>\
+            "<line x1=\"{LEFT}\" x2=\"{right}\" y1=\"{y:.1}\" y2=\"{y:.1}\" stroke=\"#ddd\"/>\
              <text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>",
             LEFT - 6.0,
             y + 4.0,
@@ -148,24 +155,24 @@
         let _ = writeln!(
             out,
             "<text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"middle\">{}</text>",
-            across(*value, x_axis.max()),
-            floor + 16.0,
+            to_x(*value, x_axis.max()),
+            bottom + 16.0,
             escape(text)
         );
     }
     let _ = writeln!(
         out,
-        "<text x=\"{end}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>\
+        "<text x=\"{right}\" y=\"{:.1}\" text-anchor=\"end\">{}</text>\
          <text x=\"0\" y=\"{:.1}\">{}</text>",
-        floor + 34.0,
+        bottom + 34.0,
         escape(&x_axis.name),
         TOP - 8.0,
         escape(&y_axis.name)
     );
 }
 
-fn legend(out: &mut String, place: usize, colour: &str, name: &str) {
-    let x = LEFT + 100.0 + 125.0 * place as f64;
+fn legend(out: &mut String, index: usize, colour: &str, name: &str) {
+    let x = LEFT + 100.0 + 125.0 * index as f64;
     let y = TOP - 12.0;
     let _ = writeln!(
         out,
@@ -178,21 +185,21 @@
     );
 }
 
-fn across(x: f64, max: f64) -> f64 {
+fn to_x(x: f64, max: f64) -> f64 {
     LEFT + (WIDTH - LEFT - RIGHT) * x / max
 }
 
-fn down(y: f64, max: f64) -> f64 {
+fn to_y(y: f64, max: f64) -> f64 {
     HEIGHT - BOTTOM - (HEIGHT - BOTTOM - TOP) * y / max
 }
 
-/// The highest value; 1 when there is none above zero.
-fn ceiling(values: impl Iterator<Item = f64>) -> f64 {
+/// The highest value; 1 if none is above zero, so that the axis has a length.
+fn axis_end(values: impl Iterator<Item = f64>) -> f64 {
     let highest = values.fold(0.0, f64::max);
     if highest > 0.0 { highest } else { 1.0 }
 }
 
-fn short(value: f64) -> String {
+fn format_mark(value: f64) -> String {
     match value {
         value if value >= 100.0 => format!("{value:.0}"),
         value if value >= 10.0 => format!("{value:.1}"),
--- a/crates/cli/src/bench/report.rs
+++ b/crates/cli/src/bench/report.rs
@@ -1,4 +1,5 @@
-//! The report of a bench: the three measures first, the worst-served account on top.
+//! The report of a load bench: the share of reads from replicas, the failover gaps and the accounts
+//! come first, with the worst-served account at the top.
 
 use crate::bench::measure::{self, Measures};
 use crate::bench::phase::PhaseCounts;
@@ -10,46 +11,46 @@
 use std::fmt::Write;
 use std::path::Path;
 
-/// Everything that a bench reports.
+/// Everything that a load bench reports.
 #[derive(Debug, Clone, Serialize)]
 pub struct Report {
     /// Name of the scenario.
     pub scenario: String,
-    /// Seed that was used.
+    /// Seed of the run.
     pub seed: u64,
-    /// Commit of the working tree, when it is a clone.
+    /// Commit that the working directory has checked out; none if it is not a Git working tree.
     pub commit: Option<String>,
-    /// Build profile.
+    /// Build profile: `debug` or `release`.
     pub profile: &'static str,
-    /// The project's run first, then the plain variants.
+    /// Runs of the variants; the first is the scenario's own policy, baselines follow.
     pub runs: Vec<Run>,
-    /// Goals that the first run did not keep.
+    /// Invariants that the first run violated and goals that it did not meet; empty on success.
     pub broken: Vec<String>,
 }
 
-/// A variant and what was measured of it.
+/// A variant and its measures.
 #[derive(Debug, Clone, Serialize)]
 pub struct Run {
-    /// Its name.
+    /// Name of the variant.
     pub name: &'static str,
-    /// What it does.
+    /// Description of the variant.
     pub about: &'static str,
-    /// What was measured.
+    /// Measures of its run.
     pub measures: Measures,
 }
 
 impl Run {
-    /// A run of `variant`.
+    /// The run of `variant` with its measures.
     pub fn new(variant: Variant, measures: Measures) -> Run {
         Run { name: variant.name, about: variant.about, measures }
     }
 }
 
 impl Report {
-    /// A report; the first of `runs` is judged by the scenario's goals.
+    /// Builds the report; only the first of `runs` has to meet the scenario's goals.
     pub fn new(scenario: &Scenario, seed: u64, runs: Vec<Run>) -> Report {
         let broken =
-            runs.first().map_or_else(Vec::new, |run| broken(&scenario.goals, &run.measures));
+            runs.first().map_or_else(Vec::new, |run| violations(&scenario.goals, &run.measures));
         Report {
             scenario: scenario.name.clone(),
             seed,
@@ -61,8 +62,8 @@
     }
 }
 
-/// Goals, and rules without exception, that `measures` do not keep.
-pub fn broken(goals: &Goals, measures: &Measures) -> Vec<String> {
+/// Describes the invariants that `measures` violate and the goals that they do not meet.
+pub fn violations(goals: &Goals, measures: &Measures) -> Vec<String> {
     let counts = measures.findings.counts().into_iter();
     let mut broken: Vec<String> = counts
         .filter(|(_, count)| *count > 0)
@@ -72,7 +73,7 @@
         let goal = goal.as_secs_f64() * 1e3;
         match measure::gap_summary(&measures.gaps) {
             None if measures.gaps.is_empty() => {}
-            None => broken.push("a failover gap has no end".to_owned()),
+            None => broken.push("a failover gap did not end".to_owned()),
             Some((_, worst)) if worst > goal => {
                 broken.push(format!("failover gap {worst:.0} ms is above {goal:.0} ms"));
             }
@@ -81,7 +82,8 @@
     }
     let worst_share = measures.accounts.first().map_or(1.0, |account| account.share);
     if let Some(goal) = goals.worst_share.filter(|goal| worst_share < *goal) {
-        broken.push(format!("worst-served account {worst_share:.4} is below {goal:.4}"));
+        broken
+            .push(format!("share of the worst-served account {worst_share:.4} is below {goal:.4}"));
     }
     if let Some(goal) = goals.replica_share.filter(|goal| measures.replica_share < *goal) {
         broken.push(format!("replica share {:.3} is below {goal:.3}", measures.replica_share));
@@ -93,21 +95,23 @@
     broken
 }
 
-/// The commit that `folder` has checked out, read from its files.
+/// The commit that is checked out in `folder`, read from the files of its Git directory or of the one
+/// that it links to as a worktree; none if they can't be read.
 pub fn commit(folder: &Path) -> Option<String> {
-    let git = folder.join(".git");
-    let git = match std::fs::read_to_string(&git) {
+    let git_dir = folder.join(".git");
+    let git_dir = match std::fs::read_to_string(&git_dir) {
         Ok(link) => link.trim().strip_prefix("gitdir: ")?.into(),
-        Err(_) => git,
+        Err(_) => git_dir,
     };
-    let head = std::fs::read_to_string(git.join("HEAD")).ok()?;
+    let head = std::fs::read_to_string(git_dir.join("HEAD")).ok()?;
     let Some(name) = head.trim().strip_prefix("ref: ") else { return Some(head.trim().to_owned()) };
-    let common = std::fs::read_to_string(git.join("commondir")).unwrap_or_else(|_| ".".to_owned());
-    let reference = git.join(common.trim()).join(name);
+    let common =
+        std::fs::read_to_string(git_dir.join("commondir")).unwrap_or_else(|_| ".".to_owned());
+    let reference = git_dir.join(common.trim()).join(name);
     Some(std::fs::read_to_string(reference).ok()?.trim().to_owned())
 }
 
-/// The report for people.
+/// Renders the report as plain text.
 pub fn human(report: &Report) -> String {
     let mut out = String::new();
     let commit = report.commit.as_deref().unwrap_or("unknown");
@@ -117,46 +121,48 @@
         report.scenario, report.seed, report.profile
     );
     if let Some(run) = report.runs.first() {
-        out.push_str(&measures(&run.measures));
+        out.push_str(&render_measures(&run.measures));
     }
     if report.runs.len() > 1 {
-        out.push_str("\nAgainst plain variants (ratio to bergamotvale):\n");
-        out.push_str(&variants(&report.runs));
+        out.push_str("\nBaselines (ratio to bergamotvale):\n");
+        out.push_str(&variants_table(&report.runs));
     }
     match report.broken.is_empty() {
-        true => out.push_str("\nEvery goal is kept.\n"),
+        true => out.push_str("\nAll goals are met.\n"),
         false => {
-            let _ = writeln!(out, "\nNot kept: {}", report.broken.join("; "));
+            let _ = writeln!(out, "\nNot met: {}", report.broken.join("; "));
         }
     }
     out
 }
 
-fn measures(measures: &Measures) -> String {
+fn render_measures(measures: &Measures) -> String {
     let mut out = String::new();
     let _ = writeln!(out, "{} operations, {} answered", measures.offered, measures.answered);
     let shares = [measures.replica_share, measures.aged_replica_share].map(|share| share * 100.0);
     let _ = writeln!(out, "\nReads from replicas: {:.1} %; aged: {:.1} %", shares[0], shares[1]);
-    out.push_str(&gaps(measures));
+    out.push_str(&render_gaps(measures));
     out.push_str("\nAccounts, worst served first:\n");
-    out.push_str(&accounts(measures));
-    out.push_str("\nWithin the rate and not served well, by cause and phase:\n");
-    out.push_str(&missed(&measures.missed));
+    out.push_str(&accounts_table(measures));
+    out.push_str(
+        "\nRequests within the rate that were refused, late or unanswered, by cause and phase:\n",
+    );
+    out.push_str(&missed_table(&measures.missed));
     out.push_str("\nLatency from the due time, ms:\n");
-    out.push_str(&latency(measures));
+    out.push_str(&latency_table(measures));
     let _ = writeln!(out, "\nWrites of unknown outcome: {}", measures.unknown);
-    out.push_str("Must be nil:\n");
+    out.push_str("Invariant violations (must be 0):\n");
     for (rule, count) in measures.findings.counts() {
         let _ = writeln!(out, "  {count:>6}  {rule}");
     }
     out
 }
 
-fn gaps(measures: &Measures) -> String {
+fn render_gaps(measures: &Measures) -> String {
     let mut out = String::new();
     match measure::gap_summary(&measures.gaps) {
-        None if measures.gaps.is_empty() => out.push_str("Failover gap: no fault took a primary\n"),
-        None => out.push_str("Failover gap: at least one has no end\n"),
+        None if measures.gaps.is_empty() => out.push_str("Failover gap: no primary failed\n"),
+        None => out.push_str("Failover gap: at least one did not end\n"),
         Some((median, worst)) => {
             let count = measures.gaps.len();
             let _ = writeln!(
@@ -172,7 +178,7 @@
     out
 }
 
-fn accounts(measures: &Measures) -> String {
+fn accounts_table(measures: &Measures) -> String {
     let rows: Vec<_> = measures
         .accounts
         .iter()
@@ -204,7 +210,7 @@
     table(&header, &rows)
 }
 
-fn missed(causes: &BTreeMap<measure::Cause, PhaseCounts>) -> String {
+fn missed_table(causes: &BTreeMap<measure::Cause, PhaseCounts>) -> String {
     let row = |name: &str, count: PhaseCounts| {
         let numbers = [count.steady, count.gap, count.after, count.total()];
         let mut row = vec![name.to_owned()];
@@ -218,7 +224,7 @@
     table(&["CAUSE", "STEADY", "GAP", "AFTER", "ALL"], &rows)
 }
 
-fn latency(measures: &Measures) -> String {
+fn latency_table(measures: &Measures) -> String {
     let rows: Vec<_> = measures
         .latency
         .iter()
@@ -237,23 +243,23 @@
     table(&["KIND", "COUNT", "P50", "P90", "P99", "P99.9", "MAX"], &rows)
 }
 
-/// Figures by which variants are compared.
+/// Figures for the comparison of variants.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct Figures {
-    /// Share of reads from replicas.
+    /// Share of the answered reads that replicas served.
     pub replica_share: f64,
-    /// Longest failover gap, ms; none without faults or without an end.
+    /// Longest failover gap, in ms; none if there was no gap or one did not end.
     pub worst_gap_ms: Option<f64>,
-    /// Share of the worst-served account.
+    /// Share of the worst-served account; see [`measure::Account::share`].
     pub worst_share: f64,
-    /// Wrongful refusals and requests without answer.
+    /// Number of wrongful refusals and of requests without a response.
     pub wrongful: f64,
-    /// Operations that broke a rule without exception.
+    /// Number of invariant violations.
     pub broken: usize,
 }
 
 impl Figures {
-    /// The figures of `measures`.
+    /// Extracts the figures from `measures`.
     pub fn new(measures: &Measures) -> Figures {
         let wrongful = measures.wrongful.values().sum::<u64>() + measures.failed;
         Figures {
@@ -266,15 +272,15 @@
     }
 }
 
-fn variants(runs: &[Run]) -> String {
+fn variants_table(runs: &[Run]) -> String {
     let Some(first) = runs.first() else { return String::new() };
     let base = Figures::new(&first.measures);
-    let rows: Vec<_> = runs.iter().map(|run| variant(run, base)).collect();
+    let rows: Vec<_> = runs.iter().map(|run| variant_row(run, base)).collect();
     let header = ["VARIANT", "REPLICA SHARE", "WORST GAP MS", "WORST SERVED", "WRONGFUL", "BROKEN"];
     table(&header, &rows)
 }
 
-fn variant(run: &Run, base: Figures) -> Vec<String> {
+fn variant_row(run: &Run, base: Figures) -> Vec<String> {
     let figures = Figures::new(&run.measures);
     let gap = match (figures.worst_gap_ms, base.worst_gap_ms) {
         (Some(gap), Some(base)) => format!("{gap:.0} ({})", ratio(gap, base)),
@@ -296,7 +302,7 @@
     ]
 }
 
-/// `value` as a multiple of `base`.
+/// Formats `value` as a multiple of `base`.
 fn ratio(value: f64, base: f64) -> String {
     if base == 0.0 {
         return if value == 0.0 { "1.00x".to_owned() } else { "from 0".to_owned() };
--- a/crates/cli/tests/admission.rs
+++ b/crates/cli/tests/admission.rs
@@ -1,20 +1,21 @@
-//! The oracle over every window against a plain count of all of them.
+//! Checks `admission::excess`, which judges the hosts' rate limits, against a count over all windows,
+//! and against an ideal limiter, for which it must find no excess.
 
 use bergamotvale_cli::bench::admission::{self, Interval};
 use bergamotvale_core::invariant::admission::Bucket;
 use proptest::prelude::*;
 use std::time::Duration;
 
-/// Counts every window, one by one.
+/// The reference implementation: counts the requests of each window separately.
 fn excess_of_all_windows(intervals: &[Interval], rate: f64, burst: f64) -> f64 {
     let mut worst = 0.0_f64;
     for first in intervals {
         for last in intervals.iter().filter(|last| last.ended >= first.sent) {
             let lies_within =
                 |interval: &&Interval| interval.sent >= first.sent && interval.ended <= last.ended;
-            let held = intervals.iter().filter(lies_within).count() as f64;
+            let count = intervals.iter().filter(lies_within).count() as f64;
             let length = (last.ended - first.sent).as_secs_f64();
-            worst = worst.max(held - burst - rate * length);
+            worst = worst.max(count - burst - rate * length);
         }
     }
     worst
@@ -38,8 +39,8 @@
 
         let fast = admission::excess(&intervals, rate, burst);
 
-        let plain = excess_of_all_windows(&intervals, rate, burst);
-        prop_assert!((fast - plain).abs() < 1e-6, "{fast} against {plain}");
+        let reference = excess_of_all_windows(&intervals, rate, burst);
+        prop_assert!((fast - reference).abs() < 1e-6, "excess is {fast}, expected {reference}");
     }
 
     #[test]
--- a/crates/cli/tests/cost.rs
+++ b/crates/cli/tests/cost.rs
@@ -1,4 +1,4 @@
-//! Cost: lines through points, goals, and the scenario that is shipped.
+//! Tests of the cost measurements: line fitting, goals, kernel counters and the shipped scenario.
 
 use bergamotvale_cli::bench::cost::slope::{self, Line};
 use bergamotvale_cli::bench::cost::{
@@ -49,8 +49,8 @@
 
 #[test]
 fn bytes_count_only_while_others_are_quiet() {
-    let quiet = control::own_bytes(100_000.0, 5_000.0);
-    let busy = control::own_bytes(100_000.0, 5_001.0);
+    let quiet = control::fleet_bytes(100_000.0, 5_000.0);
+    let busy = control::fleet_bytes(100_000.0, 5_001.0);
 
     assert_eq!((quiet, busy), (Some(100_000.0), None));
 }
@@ -59,12 +59,13 @@
 fn more_hosts_than_one_process_carries_are_refused() {
     let text = SHIPPED.replace("32, 64]", "32, 65]");
 
-    let error = Scenario::parse(&text).expect_err("too many hosts");
+    let error = Scenario::parse(&text).expect_err("65 hosts should be rejected");
 
     assert!(error.contains("control.hosts"), "{error}");
 }
 
-/// Below half of a target's connections, each host has room for its control connection and a part.
+/// Half of a target's connections must hold a control connection and a share for each host. A limit
+/// that does not grow with the fleet would leave hosts without connections for statements.
 #[test]
 fn fleet_of_any_size_has_connections_to_serve_with() {
     for hosts in [1, 4, 16, 64] {
@@ -72,20 +73,20 @@
 
         let limit = plan.groups[0].1.connection_limit;
 
-        assert!(limit >= 4 * hosts as u64, "{limit} for {hosts}");
+        assert!(limit >= 4 * hosts as u64, "connection limit {limit} is too low for {hosts} hosts");
     }
 }
 
 #[test]
 fn loopback_traffic_is_counted() {
-    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
-    let before = process::loopback_bytes().expect("an interface");
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("failed to bind a UDP socket");
+    let before = process::loopback_bytes().expect("failed to read the loopback counter");
 
-    let address = socket.local_addr().expect("an address");
-    let sent = socket.send_to(&[0; 1_000], address).expect("room for a packet");
+    let address = socket.local_addr().expect("socket has no address");
+    let sent = socket.send_to(&[0; 1_000], address).expect("failed to send a packet");
 
-    let carried = process::loopback_bytes().expect("an interface") - before;
-    assert!(carried >= sent as u64, "{carried}");
+    let carried = process::loopback_bytes().expect("failed to read the loopback counter") - before;
+    assert!(carried >= sent as u64, "counted only {carried} bytes");
 }
 
 #[test]
@@ -105,7 +106,7 @@
 #[test]
 fn cost_at_its_goals_is_kept() {
     let broken =
-        cost::broken(&goals(), &statement_cost(50.0, 250.0), Some(&connection_cost(16384.0)));
+        cost::broken_goals(&goals(), &statement_cost(50.0, 250.0), Some(&connection_cost(16384.0)));
 
     assert_eq!(broken, Vec::<String>::new());
 }
@@ -113,14 +114,14 @@
 #[test]
 fn each_goal_can_be_broken() {
     let broken =
-        cost::broken(&goals(), &statement_cost(50.1, 250.5), Some(&connection_cost(16385.0)));
+        cost::broken_goals(&goals(), &statement_cost(50.1, 250.5), Some(&connection_cost(16385.0)));
 
     assert_eq!(broken.len(), 3, "{broken:?}");
 }
 
 #[test]
 fn shipped_scenario_states_the_goals() {
-    let scenario = Scenario::parse(SHIPPED).expect("a scenario");
+    let scenario = Scenario::parse(SHIPPED).expect("shipped scenario should be valid");
 
     assert_eq!(scenario.goals, goals());
 }
@@ -129,21 +130,21 @@
 fn unknown_field_is_named() {
     let text = SHIPPED.replace("idle_connections", "idle_conections");
 
-    let error = Scenario::parse(&text).expect_err("an unknown field");
+    let error = Scenario::parse(&text).expect_err("unknown field should be rejected");
 
     assert!(error.contains("idle_conections"), "{error}");
 }
 
 #[test]
 fn working_thread_uses_its_time() {
-    let before = process::used(std::process::id()).expect("threads");
+    let before = process::cpu_time(std::process::id()).expect("failed to read CPU time");
     let mut sum = 0_u64;
     for number in 0..20_000_000_u64 {
         sum = std::hint::black_box(sum.wrapping_add(number));
     }
 
-    let after = process::used(std::process::id()).expect("threads");
+    let after = process::cpu_time(std::process::id()).expect("failed to read CPU time");
 
     assert!(after > before);
-    assert!(process::resident().expect("memory") > 0);
+    assert!(process::resident_bytes().expect("failed to read resident memory") > 0);
 }
--- a/crates/cli/tests/defects.rs
+++ b/crates/cli/tests/defects.rs
@@ -1,4 +1,5 @@
-//! The counts that must be nil catch hosts that are broken on purpose.
+//! Checks that the invariant checkers detect hosts with deliberate defects, and find nothing on hosts
+//! without. A checker that detects nothing would let every load bench pass.
 
 use bergamotvale_cli::bench::check::{self, Findings};
 use bergamotvale_cli::bench::run;
@@ -11,7 +12,7 @@
 
 const SEED: u64 = 5;
 
-/// A short run of few accounts on one service.
+/// A short scenario of two accounts on one service.
 fn scenario(mix: &str, load: u32, faults: &str) -> Scenario {
     let text = format!(
         "
@@ -31,17 +32,18 @@
 faults: {faults}
 "
     );
-    Scenario::parse(&text).expect("a scenario")
+    Scenario::parse(&text).expect("scenario should be valid")
 }
 
-/// One system at a time: several starve each other, and then no rule is put to the test.
-static TURN: Mutex<()> = Mutex::const_new(());
+/// Runs one system at a time. Several at once starve each other of CPU time, and the requests that
+/// would show a violation don't run.
+static RUN_LOCK: Mutex<()> = Mutex::const_new(());
 
 async fn findings(scenario: &Scenario, defects: &[Defect]) -> Findings {
-    let _turn = TURN.lock().await;
+    let _lock = RUN_LOCK.lock().await;
     let defects = BTreeSet::from_iter(defects.iter().copied());
     let history =
-        run::record(scenario, SEED, variant::UNCHANGED, &defects).await.expect("a history");
+        run::record(scenario, SEED, variant::UNCHANGED, &defects).await.expect("run failed");
     check::check(&history)
 }
 
--- a/crates/cli/tests/histories.rs
+++ b/crates/cli/tests/histories.rs
@@ -1,6 +1,7 @@
-//! Checkers and measures on recorded histories, one case a file.
+//! Runs the checkers and measures on recorded histories, one case per file.
 //!
-//! Each rule has a history that breaks it alone, and one close by that keeps it.
+//! Each rule has a history that violates only this rule, and a similar one that satisfies it, so a
+//! checker that is too lax or too strict is noticed.
 
 use bergamotvale_cli::bench::check::{self, Findings};
 use bergamotvale_cli::bench::history::History;
@@ -12,11 +13,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Error of sums of floats.
+/// Tolerance for rounding errors of sums.
 const ROUNDING: f64 = 1e-6;
 const ON_TIME: Duration = Duration::from_millis(500);
 
-/// A history and what has to be found in it.
+/// A history and the expected results.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Case {
@@ -26,18 +27,18 @@
     /// Wrongful refusals by reason.
     #[serde(default)]
     wrongful: BTreeMap<Reason, u64>,
-    /// Requests not served well, by cause and phase.
+    /// Requests within the rate that were refused, late or unanswered, by cause and phase.
     missed: Option<BTreeMap<measure::Cause, PhaseCounts>>,
     /// Steady share of the worst-served account.
     steady_share: Option<f64>,
-    /// Failover gaps, ms.
+    /// Failover gaps, in ms; null for one that does not end.
     #[serde(default)]
     gaps: Vec<Option<f64>>,
-    /// Accounts, worst first, with their share.
+    /// Accounts with their share, the worst-served first.
     shares: Option<Vec<(String, f64)>>,
-    /// Share of reads from replicas.
+    /// Share of the answered reads that replicas served.
     replica_share: Option<f64>,
-    /// Requests above rate and burst, by account.
+    /// Largest number of requests above rate and burst in any window, by account.
     excess: Option<Vec<f64>>,
 }
 
@@ -75,7 +76,7 @@
             .collect();
         assert_eq!(seen.len(), excess.len());
         for (seen, excess) in seen.iter().zip(&excess) {
-            assert!((seen - excess).abs() < ROUNDING, "{seen} is not {excess}");
+            assert!((seen - excess).abs() < ROUNDING, "excess is {seen}, expected {excess}");
         }
     }
     Ok(())
