--- a/crates/cli/src/bench/arrival.rs
+++ b/crates/cli/src/bench/arrival.rs
@@ -1,8 +1,8 @@
 //! Generates all operations of a run in advance, from a seed.
 //!
-//! The arrivals of each account are a Poisson process with a random generator of its own, so a change
-//! to one account does not change the arrivals of the others. The load is open-loop: due times do not
-//! depend on the outcomes of earlier operations.
+//! The arrivals of each account are a Poisson process with a random generator of its own, so a
+//! change to one account does not change the arrivals of the others. The load is open-loop: due
+//! times do not depend on the outcomes of earlier operations.
 
 use crate::bench::history::{AccountIndex, Kind, OpId, ServiceIndex, SessionId};
 use crate::bench::scenario::{Account, Scenario};
--- a/crates/cli/src/bench/balancer.rs
+++ b/crates/cli/src/bench/balancer.rs
@@ -1,4 +1,5 @@
-//! Simulates the platform's load balancer: requests go to the hosts that the platform lists as live.
+//! Simulates the platform's load balancer: requests go to the hosts that the platform lists as
+//! live.
 //!
 //! The list is polled and therefore lags. A host that has never been listed gets requests too, so
 //! that a system whose hosts don't register with the platform can be loaded.
@@ -44,8 +45,8 @@
         Balancer { inner: Arc::new(Mutex::new(rotation)) }
     }
 
-    /// Index of the host at `index`, wrapped to the number of hosts, if it accepts requests, else of
-    /// the next one that does. If none does, the host at `index` itself.
+    /// Index of the host at `index`, wrapped to the number of hosts, if it accepts requests, else
+    /// of the next one that does. If none does, the host at `index` itself.
     pub fn pick(&self, index: usize) -> usize {
         let rotation = self.rotation();
         let count = rotation.hosts.len();
--- a/crates/cli/src/bench/check.rs
+++ b/crates/cli/src/bench/check.rs
@@ -1,11 +1,11 @@
 //! Checks a recorded history for violations of the invariants that hold under every fault.
 //!
 //! Each checker is a pure function over a [`History`] that returns the operations (or accounts)
-//! violating its rule; on every run, whatever faults were injected, all results must be empty. Where
-//! a rule is one of the core's invariants, the history is converted to the core's records and checked
-//! there, one record at a time, since the core names only the first violation. Two rules are checked
-//! here instead: reads against what their session knew when they were sent, and admissions by
-//! intervals of time.
+//! violating its rule; on every run, whatever faults were injected, all results must be empty.
+//! Where a rule is one of the core's invariants, the history is converted to the core's records and
+//! checked there, one record at a time, since the core names only the first violation. Two rules
+//! are checked here instead: reads against what their session knew when they were sent, and
+//! admissions by intervals of time.
 
 use crate::bench::admission;
 use crate::bench::history::{AccountIndex, History, Kind, Op, OpId, OpRows, Verdict};
--- a/crates/cli/src/bench/cost/control.rs
+++ b/crates/cli/src/bench/cost/control.rs
@@ -1,12 +1,13 @@
-//! Measures the cost of a fleet without load, as slopes over its size and its configuration changes.
+//! Measures the cost of a fleet without load, as slopes over its size and its configuration
+//! changes.
 //!
-//! A point whose fleet does not start or that misses a deadline is reported as failed, and the others
-//! are still measured; lines are fitted to the measured points.
+//! A point whose fleet does not start or that misses a deadline is reported as failed, and the
+//! others are still measured; lines are fitted to the measured points.
 //!
-//! Bytes are those of the loopback interface, headers included: the traffic with peers, platform and
-//! targets, each packet counted once. Other processes' traffic on the interface would be included, so
-//! it is measured before a fleet starts and after it has stopped. If it exceeds a small share of the
-//! total, the point has no value for bytes.
+//! Bytes are those of the loopback interface, headers included: the traffic with peers, platform
+//! and targets, each packet counted once. Other processes' traffic on the interface would be
+//! included, so it is measured before a fleet starts and after it has stopped. If it exceeds a
+//! small share of the total, the point has no value for bytes.
 
 use super::Scenario;
 use super::process::{self, Threads};
--- a/crates/cli/src/bench/cost/external.rs
+++ b/crates/cli/src/bench/cost/external.rs
@@ -1,7 +1,7 @@
 //! Measures statements through a daemon that runs in a process of its own.
 //!
-//! The bench starts the stand-ins and writes the daemon's settings. The operator then starts the daemon,
-//! since the bench starts no processes; the bench waits for its process id.
+//! The bench starts the stand-ins and writes the daemon's settings. The operator then starts the
+//! daemon, since the bench starts no processes; the bench waits for its process id.
 
 use super::Scenario;
 use super::process;
--- a/crates/cli/src/bench/cost/mod.rs
+++ b/crates/cli/src/bench/cost/mod.rs
@@ -1,10 +1,10 @@
 //! Measures the cost of a host: per statement, per idle connection, and of a fleet without load.
 //!
 //! Each figure is relative to a baseline from the same run: statements through a host are compared
-//! with the same statements on a direct connection, and the costs of connections and fleets are slopes
-//! over their number. Hosts run on threads with names of their own, so that their CPU time can be
-//! separated from that of the load and the stand-ins. `--external` measures a daemon in a process of
-//! its own instead.
+//! with the same statements on a direct connection, and the costs of connections and fleets are
+//! slopes over their number. Hosts run on threads with names of their own, so that their CPU time
+//! can be separated from that of the load and the stand-ins. `--external` measures a daemon in a
+//! process of its own instead.
 
 pub mod connection;
 pub mod control;
--- a/crates/cli/src/bench/cost/statement.rs
+++ b/crates/cli/src/bench/cost/statement.rs
@@ -28,8 +28,8 @@
 const SQL: &str = "SELECT metres FROM bolts WHERE number = $1";
 /// Rate and burst of the accounts, which no measurement reaches.
 const UNLIMITED_RATE: u32 = 1_000_000;
-/// Minimum connection limit of a target per host, the control connection included. With fewer than two
-/// hosts have no connection left for statements, and nothing can be measured.
+/// Minimum connection limit of a target per host, the control connection included. With fewer than
+/// two connections each, hosts starve before anything can be measured.
 const MIN_CONNECTIONS_PER_HOST: u64 = 4;
 /// Statements on each path before the measurement starts.
 const WARM_UP_STATEMENTS: usize = 200;
@@ -124,7 +124,8 @@
 }
 
 /// Starts the system of `plan` with its hosts on `runtime`. Also returns the threads that existed
-/// before its hosts were started, other than runtime threads, so that their CPU time can be left out.
+/// before its hosts were started, other than runtime threads, so that their CPU time can be left
+/// out.
 pub async fn start_on_runtime(plan: Plan, runtime: &HostRuntime) -> Result<(System, Threads)> {
     let mut system = System::prepare(plan).await?;
     let mut others = process::threads(std::process::id())?;
--- a/crates/cli/src/bench/fault.rs
+++ b/crates/cli/src/bench/fault.rs
@@ -18,8 +18,8 @@
     scenario: &'a Scenario,
     start: Instant,
     progress: Arc<Progress>,
-    /// Targets of the faults in effect, by the index of the fault. Stored because the primary, which
-    /// a fault may address, can change before the fault is healed.
+    /// Targets of the faults in effect, by the index of the fault. Stored because the primary,
+    /// which a fault may address, can change before the fault is healed.
     targets: BTreeMap<usize, Target>,
     /// Hosts that are stopping, by index.
     stopping: BTreeMap<usize, JoinHandle<()>>,
@@ -153,8 +153,8 @@
     Error::Start(error.to_string())
 }
 
-/// Injections and healings in order of time. A fault without a duration has no healing here: the run
-/// heals it at the end by [`heal_all`].
+/// Injections and healings in order of time. A fault without a duration has no healing here: the
+/// run heals it at the end by [`heal_all`].
 fn schedule(faults: &[Fault]) -> Vec<Event> {
     let mut events = Vec::new();
     for (fault_index, fault) in faults.iter().enumerate() {
--- a/crates/cli/src/bench/history.rs
+++ b/crates/cli/src/bench/history.rs
@@ -1,4 +1,5 @@
-//! The recorded history of a run: its operations, its faults and the rows on the targets at the end.
+//! The recorded history of a run: its operations, its faults and the rows on the targets at the
+//! end.
 //!
 //! The load generator writes a history. Checkers and measures read nothing else, so a history that
 //! is loaded from a file gives the same results as one that was just recorded. All times count from
--- a/crates/cli/src/bench/load.rs
+++ b/crates/cli/src/bench/load.rs
@@ -1,8 +1,8 @@
 //! The load generator: sends each operation at its due time, regardless of the outcomes of others.
 //!
 //! The network delay between callers and hosts is simulated by a delay before and after a request;
-//! times are taken at the caller's side of it. Like the platform's balancer, a caller sends to hosts
-//! that the platform lists, and to another one when a connection can't be made.
+//! times are taken at the caller's side of it. Like the platform's balancer, a caller sends to
+//! hosts that the platform lists, and to another one when a connection can't be made.
 
 use crate::bench::arrival::Arrival;
 use crate::bench::balancer::Balancer;
@@ -65,7 +65,8 @@
     progress: Arc<Progress>,
 }
 
-/// Sends `arrivals`, timed from `start`, and returns their operations, in order, once all have ended.
+/// Sends `arrivals`, timed from `start`, and returns their operations, in order, once all have
+/// ended.
 pub async fn run(
     setup: Setup,
     arrivals: Vec<Arrival>,
@@ -237,8 +238,8 @@
         self.request(arrival, Operation::Read(self.service(arrival), statement))
     }
 
-    /// Sends a request and records the attempt. If no connection can be made, sends it once more, to
-    /// another host.
+    /// Sends a request and records the attempt. If no connection can be made, sends it once more,
+    /// to another host.
     async fn send(
         &self,
         arrival: &Arrival,
--- a/crates/cli/src/bench/measure.rs
+++ b/crates/cli/src/bench/measure.rs
@@ -96,8 +96,8 @@
     pub p99_ms: f64,
 }
 
-/// Quantiles of a latency, in ms. For the operations of a run it counts from their due time; the cost
-/// measurements count from the sending.
+/// Quantiles of a latency, in ms. For the operations of a run it counts from their due time; the
+/// cost measurements count from the sending.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Latency {
     /// Number of samples.
--- a/crates/cli/src/bench/phase.rs
+++ b/crates/cli/src/bench/phase.rs
@@ -1,10 +1,11 @@
 //! Assigns requests to a phase of the run: steady state, a failover gap, or the time after a fault.
 //!
 //! A service's gap begins when a fault makes its primary unavailable and ends with the first
-//! acknowledged write that was sent after the fault; if there is none, it lasts to the end of the run.
-//! Requests within [`RECOVERY_TIME`] of the end of a gap, or of the injection of a fault that leaves
-//! the primaries available, belong to the time after the fault. Everything else is steady state, even
-//! while a fault of the latter kind lasts, since callers should no longer notice it by then.
+//! acknowledged write that was sent after the fault; if there is none, it lasts to the end of the
+//! run. Requests within [`RECOVERY_TIME`] of the end of a gap, or of the injection of a fault that
+//! leaves the primaries available, belong to the time after the fault. Everything else is steady
+//! state, even while a fault of the latter kind lasts, since callers should no longer notice it by
+//! then.
 
 use crate::bench::history::{Attempt, Fault, History, Op, ServiceIndex, Verdict};
 use serde::{Deserialize, Serialize};
--- a/crates/cli/src/bench/plot.rs
+++ b/crates/cli/src/bench/plot.rs
@@ -85,8 +85,8 @@
     out
 }
 
-/// Draws labelled vertical lines. Labels are staggered over rows, so that those of close lines don't
-/// overlap.
+/// Draws labelled vertical lines. Labels are staggered over rows, so that those of close lines
+/// don't overlap.
 fn vertical_lines(out: &mut String, axis: &Axis, events: &[(f64, String)]) {
     for (index, (value, name)) in events.iter().enumerate() {
         let x = to_x(value.min(axis.max()), axis.max());
--- a/crates/cli/src/bench/report.rs
+++ b/crates/cli/src/bench/report.rs
@@ -95,8 +95,8 @@
     broken
 }
 
-/// The commit that is checked out in `folder`, read from the files of its Git directory or of the one
-/// that it links to as a worktree; none if they can't be read.
+/// The commit that is checked out in `folder`, read from the files of its Git directory or of the
+/// one that it links to as a worktree; none if they can't be read.
 pub fn commit(folder: &Path) -> Option<String> {
     let git_dir = folder.join(".git");
     let git_dir = match std::fs::read_to_string(&git_dir) {
--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -35,8 +35,8 @@
 const CALLER_THREADS: usize = 1;
 const STOP_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Runs the `bench` command: runs the scenario, with its baselines if asked for, prints the report and
-/// writes its files. Fails when a goal is not met or an invariant is violated.
+/// Runs the `bench` command: runs the scenario, with its baselines if asked for, prints the report
+/// and writes its files. Fails when a goal is not met or an invariant is violated.
 pub async fn run(bench: &Bench, output: Output) -> Result<()> {
     let text = std::fs::read_to_string(&bench.scenario);
     let text = text.map_err(|error| scenario_error(&bench.scenario, error))?;
--- a/crates/cli/src/bench/scenario.rs
+++ b/crates/cli/src/bench/scenario.rs
@@ -1,7 +1,7 @@
 //! The scenario of a load bench: a YAML file that is validated strictly.
 //!
-//! Parsing rejects unknown fields and wrong units; [`verify`] rejects values that are out of range or
-//! contradict each other.
+//! Parsing rejects unknown fields and wrong units; [`verify`] rejects values that are out of range
+//! or contradict each other.
 
 use crate::bench::history::Kind;
 use crate::bench::variant;
--- a/crates/cli/src/bench/session.rs
+++ b/crates/cli/src/bench/session.rs
@@ -38,8 +38,8 @@
         writes.last_seq
     }
 
-    /// Records that write `seq` was acknowledged at `now`; acknowledgements of lower writes than the
-    /// highest so far are ignored.
+    /// Records that write `seq` was acknowledged at `now`; acknowledgements of lower writes than
+    /// the highest so far are ignored.
     pub fn record_acknowledged(&mut self, service: ServiceIndex, seq: Seq, now: Duration) {
         let writes = self.writes.entry(service).or_default();
         if writes.acknowledged.last().is_none_or(|(_, highest)| seq > *highest) {
--- a/crates/cli/tests/admission.rs
+++ b/crates/cli/tests/admission.rs
@@ -1,5 +1,5 @@
-//! Checks `admission::excess`, which judges the hosts' rate limits, against a count over all windows,
-//! and against an ideal limiter, for which it must find no excess.
+//! Checks `admission::excess`, which judges the hosts' rate limits, against a count over all
+//! windows, and against an ideal limiter, for which it must find no excess.
 
 use bergamotvale_cli::bench::admission::{self, Interval};
 use bergamotvale_core::invariant::admission::Bucket;
--- a/crates/cli/tests/defects.rs
+++ b/crates/cli/tests/defects.rs
@@ -1,5 +1,5 @@
-//! Checks that the invariant checkers detect hosts with deliberate defects, and find nothing on hosts
-//! without. A checker that detects nothing would let every load bench pass.
+//! Checks that the invariant checkers detect hosts with deliberate defects, and find nothing on
+//! hosts without. A checker that detects nothing would let every load bench pass.
 
 use bergamotvale_cli::bench::check::{self, Findings};
 use bergamotvale_cli::bench::run;
--- a/crates/cli/tests/scenarios.rs
+++ b/crates/cli/tests/scenarios.rs
@@ -1,5 +1,5 @@
-//! Tests of scenario files: those in `bench/` are valid, and the error for each kind of mistake names
-//! the field.
+//! Tests of scenario files: those in `bench/` are valid, and the error for each kind of mistake
+//! names the field.
 
 use bergamotvale_cli::bench::scenario::Scenario;
 use bergamotvale_cli::bench::{arrival, html, report, variant};
@@ -29,8 +29,8 @@
     Ok(())
 }
 
-/// Checks that equal seeds generate equal arrivals, and that each account sends about as many operations
-/// as its load states: within six standard deviations.
+/// Checks that equal seeds generate equal arrivals, and that each account sends about as many
+/// operations as its load states: within six standard deviations.
 fn shipped(path: &Path) -> datatest_stable::Result<()> {
     let text = std::fs::read_to_string(path)?;
     if !text.contains("mix:") {
