--- a/crates/cli/src/bench/mod.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -1,8 +1,10 @@
-//! Open-loop load against a whole system, and what it measured.
+//! The load bench: runs an open-loop load against a whole system and reports what it measured.
 //!
-//! [`scenario`] says what to run, [`arrival`] draws every operation ahead from a seed, [`load`]
-//! sends them when they are due, whatever became of the ones before, and writes a [`history`].
-//! [`check`] and [`measure`] judge the history, [`report`] and [`html`] show it; [`run`] does all of it.
+//! A [`scenario`] describes the run. [`arrival`] generates all operations in advance from a seed,
+//! and [`load`] sends each at its due time, regardless of the outcomes of earlier ones, and records
+//! a [`history`]. [`fault`] injects the scenario's faults meanwhile. [`check`] and [`measure`]
+//! evaluate the history, [`report`] and [`html`] render the results, and [`run`] combines these
+//! steps. [`cost`] measures the overhead of hosts instead.
 
 pub mod admission;
 pub mod arrival;
@@ -10,6 +12,7 @@
 pub mod check;
 pub mod cost;
 pub mod fault;
+pub mod final_rows;
 pub mod history;
 pub mod html;
 pub mod load;
@@ -17,7 +20,6 @@
 pub mod phase;
 pub mod plot;
 pub mod progress;
-pub mod remains;
 pub mod report;
 pub mod run;
 pub mod scenario;
