--- a/crates/cli/src/bench/load.rs
+++ b/crates/cli/src/bench/load.rs
@@ -282,7 +282,11 @@
         result.ok()
     }
 
-    async fn send_with_delay(&self, client: &Client, request: &Request) -> Result<Response, Failure> {
+    async fn send_with_delay(
+        &self,
+        client: &Client,
+        request: &Request,
+    ) -> Result<Response, Failure> {
         if self.setup.network_delay.is_zero() {
             return client.send(request).await;
         }
