--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -154,8 +154,8 @@
         self.platform_clock.map(|(at, platform)| platform + now.saturating_sub(at))
     }
 
-    /// Renews the lease as of `sent`, when a read of the table was sent that showed nothing above
-    /// `revision`; ignored unless `revision` is that of this host's copy.
+    /// Renews the lease as of `sent`, the time at which a read of the table was sent that showed
+    /// nothing above `revision`. Ignored unless `revision` is that of this host's copy.
     pub fn renew(&mut self, sent: Time, revision: Revision) {
         if revision == self.revision {
             self.renewed_at = self.renewed_at.max(Some(sent));
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -38,7 +38,7 @@
 const RENEWAL_AGE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time that other polls wait for changes. A feed that missed a change which a peer has seen
 /// polls again sooner.
-const MAX_WAIT: Duration = Duration::from_secs(12);
+const MAX_POLL_WAIT: Duration = Duration::from_secs(12);
 /// Time after the end of an outage of the store for which entries that expired during it are kept,
 /// so that their targets can write them again.
 const EXPIRED_ENTRY_RETENTION: Duration = Duration::from_millis(2500);
@@ -52,7 +52,7 @@
 
 /// Keeps the configuration up to date until the process ends.
 pub async fn catalog(host: Rc<Host>) {
-    let mut feed = Feed::new(&host, catalog::TABLE, Some(Source::Catalog), MAX_WAIT);
+    let mut feed = Feed::new(&host, catalog::TABLE, Some(Source::Catalog), MAX_POLL_WAIT);
     loop {
         let update = feed.next(&host).await;
         for row in update.rows.iter().filter(|row| row.key == catalog::KEY) {
@@ -105,7 +105,7 @@
 
 /// Keeps the targets' entries up to date until the process ends.
 pub async fn directory(host: Rc<Host>) {
-    let mut feed = Feed::new(&host, directory::TABLE, Some(Source::Directory), MAX_WAIT);
+    let mut feed = Feed::new(&host, directory::TABLE, Some(Source::Directory), MAX_POLL_WAIT);
     let expired: Rc<RefCell<BTreeSet<String>>> = Rc::default();
     let mut retain_deadline = Time::ZERO;
     loop {
@@ -211,10 +211,10 @@
 pub async fn table(host: Rc<Host>) {
     let mut feed = Feed::new(&host, TABLE, None, MAX_RENEWAL_WAIT);
     loop {
-        feed.max_wait = if is_renewer(&host) { MAX_RENEWAL_WAIT } else { MAX_WAIT };
+        feed.max_wait = if is_renewer(&host) { MAX_RENEWAL_WAIT } else { MAX_POLL_WAIT };
         let update = tokio::select! {
             update = feed.next(&host) => update,
-            () = wait_until_renewal_is_old(&host), if feed.max_wait == MAX_WAIT => continue,
+            () = wait_until_renewal_is_old(&host), if feed.max_wait == MAX_POLL_WAIT => continue,
         };
         {
             let mut table = host.peers.table.borrow_mut();
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 /// Time between rounds of maintenance.
-const INTERVAL: Duration = Duration::from_millis(100);
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Age of the newest observation from which the primary is probed for its position.
 const MAX_OBSERVATION_AGE: Duration = Duration::from_millis(400);
 /// Time in which a probe has to be answered.
@@ -43,7 +43,7 @@
     let mut ready = false;
     let mut last_store_read = started;
     loop {
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         follow::record_outage(&host, &mut last_store_read);
         probe_targets(&host, &probing);
         remove_unlisted_targets(&host);
