--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -154,28 +154,31 @@
         self.platform_clock.map(|(at, platform)| platform + now.saturating_sub(at))
     }
 
-    /// Renews the lease as of `sent`, when a read of the table was sent that showed nothing above
-    /// `revision`; ignored unless `revision` is that of this host's copy.
+    /// Renews the lease as of `sent`, the time at which a read of the table was sent that showed
+    /// nothing above `revision`. Ignored unless `revision` is that of this host's copy.
     pub fn renew(&mut self, sent: Time, revision: Revision) {
         if revision == self.revision {
             self.renewed_at = self.renewed_at.max(Some(sent));
         }
     }
 
-    /// Records the attestation in a peer's heartbeat that cannot have been made before `made`.
+    /// Records the attestation in a peer's heartbeat, which was created at `created_after` at the
+    /// earliest.
     ///
     /// Its renewal by the platform renews this host's lease too if both are at the same revision.
     /// An attestation that is older than the recorded one does not replace it.
-    pub fn record_attestation(&mut self, made: Time, attestation: Attestation) {
+    pub fn record_attestation(&mut self, created_after: Time, attestation: Attestation) {
         if attestation.revision == self.revision
-            && let Some(at) = attestation.renewal_age.and_then(|age| made.checked_sub(age))
+            && let Some(at) = attestation.renewal_age.and_then(|age| created_after.checked_sub(age))
         {
             self.renewed_at = self.renewed_at.max(Some(at));
         }
-        let received =
-            self.attestations.entry(attestation.host).or_insert(Received { attestation, at: made });
-        if made >= received.at {
-            *received = Received { attestation, at: made };
+        let received = self
+            .attestations
+            .entry(attestation.host)
+            .or_insert(Received { attestation, at: created_after });
+        if created_after >= received.at {
+            *received = Received { attestation, at: created_after };
         }
     }
 
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 /// Time between rounds of maintenance.
-const INTERVAL: Duration = Duration::from_millis(100);
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Age of the newest observation from which the primary is probed for its position.
 const MAX_OBSERVATION_AGE: Duration = Duration::from_millis(400);
 /// Time in which a probe has to be answered.
@@ -43,7 +43,7 @@
     let mut ready = false;
     let mut last_store_read = started;
     loop {
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         follow::record_outage(&host, &mut last_store_read);
         probe_targets(&host, &probing);
         remove_unlisted_targets(&host);
@@ -161,18 +161,23 @@
 }
 
 /// Sends a statement of the host's own to a target.
-async fn query(host: &Host, entry: &Entry, text: &str, until: Instant) -> Result<Answer, Failure> {
+async fn query(
+    host: &Host,
+    entry: &Entry,
+    text: &str,
+    deadline: Instant,
+) -> Result<Answer, Failure> {
     let account = any_account(host, entry);
     let request = ConnectionRequest {
         account: &account,
         priority: OWN_PRIORITY,
-        deadline: until,
+        deadline,
         max_wait: PROBE_TIMEOUT,
     };
     let mut checkout = acquire(host, entry, request).await?;
     let target = checkout.target.clone();
     let message = line::query(line::HOST_STATEMENT_ID, text);
-    let bounds = Bounds { deadline: until, fence: None };
+    let bounds = Bounds { deadline, fence: None };
     let answer = checkout.connection().exchange(host, &target, &message, bounds).await?;
     if is_clean(&answer) {
         checkout.release();
