host: correct comments and locals after the rewording

Say what the data path, the fleet and the settings do where a comment was ambiguous or not what the code does: an announced leave goes on without the platform, the SkipFence defect fences only the promoted target, the audit does not retry after its last attempt.

--- a/crates/host/src/admin/audit.rs
+++ b/crates/host/src/admin/audit.rs
@@ -63,7 +63,7 @@
     for _ in 0..MAX_ATTEMPTS {
         match host.platform.transact(&transaction).await {
             Ok(_) => return,
-            Err(error) => log::warn!("cannot write an audit entry: {error}; retrying"),
+            Err(error) => log::warn!("cannot write an audit entry: {error}"),
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
--- a/crates/host/src/admin/runner.rs
+++ b/crates/host/src/admin/runner.rs
@@ -26,7 +26,7 @@
 /// Time within which a leaving host must finish its work and be removed from the members.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// Result of a step: what was seen, in the words that operators read.
+/// Result of a step; the text of either variant is the detail that operators are shown.
 type StepResult = Result<String, String>;
 
 /// Takes over abandoned plans, until the task is dropped.
--- a/crates/host/src/clock.rs
+++ b/crates/host/src/clock.rs
@@ -13,7 +13,7 @@
     /// A clock whose epoch is now; times of different clocks cannot be compared.
     #[allow(
         clippy::new_without_default,
-        reason = "each clock has its own epoch, so construction is to be explicit"
+        reason = "each clock has its own epoch, so construction must be explicit"
     )]
     pub fn new() -> Clock {
         Clock { epoch: Instant::now() }
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -29,7 +29,7 @@
         let peers = bind(&mut settings.listen.peers)?;
         let operators = bind(&mut settings.listen.operators)?;
         let host = Arc::new(Host::new(settings)?);
-        // Only recorded members get a share of a limit; this host is not recorded yet.
+        // Only recorded members take part in failover; this host is not recorded yet.
         host.failover.set_members(BTreeMap::new());
         let front = front::start(host.clone(), callers)?;
         let admin = admin::start(host.clone(), operators)?;
--- a/crates/host/src/exec/exact.rs
+++ b/crates/host/src/exec/exact.rs
@@ -16,8 +16,8 @@
 const NAN: u16 = 0xC000;
 const INFINITY: u16 = 0xD000;
 const NEGATIVE_INFINITY: u16 = 0xF000;
-/// Decimal digits in one base-10000 digit of the binary format.
-const DECIMALS_PER_DIGIT: usize = 4;
+/// Decimal digits in one group, a base-10000 digit of the binary format.
+const DIGITS_PER_GROUP: usize = 4;
 
 /// Text of a `numeric`, `date`, `timestamp` or `timestamptz` value, without loss of precision.
 #[derive(Debug, PartialEq, Eq)]
@@ -75,7 +75,7 @@
     if scale == 0 {
         return whole.to_owned();
     }
-    let groups = scale.div_ceil(DECIMALS_PER_DIGIT);
+    let groups = scale.div_ceil(DIGITS_PER_GROUP);
     let fraction: String =
         (1..).take(groups).map(|power: i64| format!("{:04}", group(-power))).collect();
     format!("{whole}.{}", &fraction[..scale])
--- a/crates/host/src/exec/read.rs
+++ b/crates/host/src/exec/read.rs
@@ -189,8 +189,8 @@
     let key = (job.service, target);
     let _in_flight = host.data.track_in_flight(key);
     let account = job.caller.account();
-    let wait_until = read.statement_deadline(host.clock.now());
-    let lease = host.pools.acquire(host, key, account, wait_until).await;
+    let deadline = read.statement_deadline(host.clock.now());
+    let lease = host.pools.acquire(host, key, account, deadline).await;
     let lease = lease.map_err(|refusal| Event::NoConnection(refusal.reason))?;
     permit::verify(host, &job.caller, job.service).map_err(Event::Denied)?;
     let now = host.clock.now();
@@ -216,8 +216,8 @@
     };
     let rows = client.query_typed_raw(&job.statement.sql, params);
     lease.start_exchange();
-    let (before, rows) = exchange::run_with_probe(host, deadlines, probe, rows).await?;
-    let report = parse_report(&before).map_err(|_| Error::ConnectionLost)?;
+    let (position_row, rows) = exchange::run_with_probe(host, deadlines, probe, rows).await?;
+    let report = parse_report(&position_row).map_err(|_| Error::ConnectionLost)?;
     let stream = match rows {
         Ok(stream) => stream,
         Err(error) => {
--- a/crates/host/src/exec/write.rs
+++ b/crates/host/src/exec/write.rs
@@ -295,8 +295,8 @@
         let deadline = self.write.exchange_deadline(self.host.clock.now());
         let account = self.job.caller.account();
         let lease = self.lease.take();
-        let waits = &self.host.data.confirm;
-        waits.wait(self.host, self.target, account, position, lease, deadline).await
+        let tracker = &self.host.data.confirm;
+        tracker.wait(self.host, self.target, account, position, lease, deadline).await
     }
 
     async fn find_outcome(&mut self) -> Event {
--- a/crates/host/src/failover/mod.rs
+++ b/crates/host/src/failover/mod.rs
@@ -56,7 +56,7 @@
 }
 
 impl Failover {
-    /// Creates the state of a host without services; it is the only member.
+    /// Creates the state of a host that has no services and knows itself as the only member.
     pub fn new(settings: &Settings, incarnation: u64) -> Failover {
         let members = BTreeMap::from([(settings.host, settings.failure_domain)]);
         Failover {
--- a/crates/host/src/fleet/leave.rs
+++ b/crates/host/src/fleet/leave.rs
@@ -13,7 +13,8 @@
 
 /// Reports to the platform and to peers that this host is leaving.
 ///
-/// A platform that cannot be reached does not stop the host: its entry expires.
+/// If the platform cannot be reached, the host leaves all the same, and its entry in the list
+/// expires.
 pub async fn announce(host: &Arc<Host>) {
     host.fleet.mark_leaving();
     host.leaving.send_replace(true);
--- a/crates/host/src/fleet/loan.rs
+++ b/crates/host/src/fleet/loan.rs
@@ -51,8 +51,8 @@
     loop {
         ticks.tick().await;
         let peers = lenders(&host);
-        for (want, loan) in host.pools.due_transfers(&host, &peers) {
-            calls.spawn(send_request(host.clone(), want, loan));
+        for (transfer, loan) in host.pools.due_transfers(&host, &peers) {
+            calls.spawn(send_request(host.clone(), transfer, loan));
         }
         while calls.try_join_next().is_some() {}
     }
@@ -64,8 +64,8 @@
     row.members.into_keys().filter(|peer| *peer != host.settings.host).collect()
 }
 
-async fn send_request(host: Arc<Host>, want: Transfer, loan: Option<PendingLoan>) {
-    match want {
+async fn send_request(host: Arc<Host>, transfer: Transfer, loan: Option<PendingLoan>) {
+    match transfer {
         Transfer::Borrow(peer, request) => {
             let total = borrow_slots(&host, peer, request).await;
             if let Some(loan) = loan {
--- a/crates/host/src/fleet/mod.rs
+++ b/crates/host/src/fleet/mod.rs
@@ -265,7 +265,7 @@
         self.fleet.has_authority(self.clock.now())
     }
 
-    /// Whether the key is active and this host has the authority to say so.
+    /// Whether the key is active and this host has the authority to rely on that.
     ///
     /// Must be called immediately before any byte of a request is sent to a target, so that no
     /// request runs under a withdrawn key.
@@ -306,7 +306,8 @@
         }
     }
 
-    /// Moves to the update's epoch and pushes it on; false if it was rejected.
+    /// Moves to the update's epoch if it is higher, and pushes the update on; false if the update
+    /// was rejected.
     pub fn adopt(self: &Arc<Host>, update: Update) -> bool {
         let now = self.clock.now();
         let Update { origin, row, body } = update;
--- a/crates/host/src/front/connection.rs
+++ b/crates/host/src/front/connection.rs
@@ -36,7 +36,7 @@
     is_closing: bool,
 }
 
-/// A request in flight on a connection; dropping it ends the request.
+/// Counts a request as in flight on a connection until it is dropped.
 pub struct Request {
     callers: Callers,
     address: SocketAddr,
@@ -48,7 +48,7 @@
     }
 }
 
-/// A listener that watches the connections it accepts, before the server has started.
+/// A listener that watches the connections it accepts, in the form that the server is built from.
 pub struct WatchedListener {
     listener: std::net::TcpListener,
     callers: Callers,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,5 +1,5 @@
-//! The daemon of the HTTP product: the sockets, timers and tasks that execute the decisions of
-//! `bergamotvale_core`.
+//! The daemon that serves callers over HTTP: the sockets, timers and tasks that execute the
+//! decisions of `bergamotvale_core`.
 //!
 //! [`daemon::Daemon`] runs one host; a process may run several, as `bergamotvale try` does.
 //! [`shared::Host`] is the state that the tasks of one host share.
--- a/crates/host/src/main.rs
+++ b/crates/host/src/main.rs
@@ -58,7 +58,7 @@
         }
     };
     if check {
-        println!("{}: settings are valid", path.display());
+        println!("{}: settings hold", path.display());
         return ExitCode::SUCCESS;
     }
     match run(settings) {
@@ -80,7 +80,7 @@
         }
     };
     if check {
-        println!("{}: settings are valid", path.display());
+        println!("{}: settings hold", path.display());
         return ExitCode::SUCCESS;
     }
     let result = logging::start_events()
--- a/crates/host/src/platform/call.rs
+++ b/crates/host/src/platform/call.rs
@@ -64,7 +64,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no thread panics while it holds the lock")
+        self.state.lock().expect("no holder of the lock panics")
     }
 }
 
--- a/crates/host/src/settings/policy.rs
+++ b/crates/host/src/settings/policy.rs
@@ -37,7 +37,7 @@
     /// Time between two heartbeats to a peer.
     #[serde_as(as = "Span")]
     pub heartbeat: Duration,
-    /// Time for which the host may act on the shared state after it last confirmed it.
+    /// Time for which the host may act on its copy of the shared state after a renewal.
     #[serde_as(as = "Span")]
     pub authority: Duration,
     /// Maximum number of peers that the host probes and pushes to.
@@ -93,7 +93,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Failover {
-    /// A majority of the hosts that observe the group.
+    /// A majority of the hosts that watch the group.
     Review,
     /// Any single host.
     Single,
@@ -112,7 +112,7 @@
     RetryUnkeyed,
     /// Gives every host the whole rate of an account instead of a share.
     LocalRate,
-    /// Promotes a target without acquiring a term first.
+    /// Promotes a target without fencing the other targets first.
     SkipFence,
     /// Keeps accepting withdrawn keys.
     IgnoreWithdrawal,
--- a/crates/host/src/settings/tls.rs
+++ b/crates/host/src/settings/tls.rs
@@ -83,8 +83,7 @@
     let builder = versions.map_err(|error| LoadError::Certificate(error.to_string()))?;
     // This fails if the key does not match the certificate or is of an unsupported type.
     let config = builder.with_no_client_auth().with_single_cert(chain, key);
-    let mut config = config
-        .map_err(|error| LoadError::Key(format!("does not match the certificate: {error}")))?;
+    let mut config = config.map_err(|error| LoadError::Key(format!("does not fit: {error}")))?;
     config.alpn_protocols = vec![HTTP_1_1.to_vec()];
     Ok(Arc::new(config))
 }
@@ -93,7 +92,7 @@
     let certificates = CertificateDer::pem_file_iter(path).and_then(Iterator::collect);
     let chain: Vec<_> = certificates.map_err(|error| read_error(path, &error))?;
     match chain.is_empty() {
-        true => Err(format!("{} contains no certificate", path.display())),
+        true => Err(format!("{} holds no certificate", path.display())),
         false => Ok(chain),
     }
 }
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -31,7 +31,7 @@
     pub metric: Registry,
     /// Client of the platform's service.
     pub platform: platform::Client,
-    /// Members of the fleet and this host's authority, as far as this host knows them.
+    /// State of the fleet as this host knows it: members, configuration and authority.
     pub fleet: Fleet,
     /// Connections to the other hosts.
     pub peers: Peers,
--- a/crates/host/src/target/mod.rs
+++ b/crates/host/src/target/mod.rs
@@ -69,7 +69,7 @@
         self.failover.views(service)
     }
 
-    /// The target that reported itself primary in the highest term; `None` if none has.
+    /// Primary of the highest term that any target or peer has reported; `None` if there is none.
     pub fn primary(&self, service: ServiceId) -> Option<TargetId> {
         self.failover.primary(service).map(|(target, _)| target)
     }
@@ -119,7 +119,7 @@
     }
 
     /// Records the response of a peer to a loan request; `None` if there was none.
-    pub fn record_grant(&self, host: &Arc<Host>, asked: &PendingLoan, total: Option<u32>) {
-        share::record_grant(host, asked, total);
+    pub fn record_grant(&self, host: &Arc<Host>, pending: &PendingLoan, total: Option<u32>) {
+        share::record_grant(host, pending, total);
     }
 }
--- a/crates/host/src/target/pool.rs
+++ b/crates/host/src/target/pool.rs
@@ -275,12 +275,12 @@
             entry.pool.opened(now, connection)
         }
         Err(error) => {
-            let refused = match classify(&error) {
+            let open_error = match classify(&error) {
                 Failure::TooManyConnections => OpenError::TargetFull,
                 _ => OpenError::Unreachable,
             };
             host.metric.count("target.not_opened");
-            entry.pool.open_failed(now, connection, refused)
+            entry.pool.open_failed(now, connection, open_error)
         }
     });
 }
--- a/crates/host/src/target/share.rs
+++ b/crates/host/src/target/share.rs
@@ -73,8 +73,8 @@
 
 /// Slots of a target's limit that are set aside for the control connections of `hosts` hosts.
 ///
-/// 0 if they would take more than half of the limit: a control connection is then opened when the
-/// target has a free one.
+/// 0 if they would take more than half of the limit: control connections then compete with leased
+/// ones, and one is opened when the target has a connection free.
 pub fn control_slots(limit: u32, hosts: usize) -> u32 {
     let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
     if hosts <= limit / 2 { hosts } else { 0 }
