standin: correct comments and locals after the rewording

Describe the poisoned locks, the heartbeat round, the poll of a closed port and the age bound of a group of one by what the code does. Name the primary and replicas of a line group, the start time of a target and the expiry of a host as the rest of the crate does.

--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -1,11 +1,11 @@
-//! The error of the stand-ins' own interface.
+//! Error of the functions that start and inspect stand-ins.
 
 use derive_more::{Display, Error, From};
 
-/// What can go wrong when a stand-in is started or inspected.
+/// Why starting or inspecting a stand-in failed.
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
-    /// A socket or a thread could not be had.
+    /// A socket or a thread could not be created.
     #[display("I/O: {_0}")]
     Io(std::io::Error),
     /// SQLite could not be set up.
@@ -16,5 +16,5 @@
     Statement(crate::group::sqlstate::Error),
 }
 
-/// Result of the stand-ins' own interface.
+/// Result with [`enum@Error`] as the error type.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/standin/src/group/listener.rs
+++ b/crates/standin/src/group/listener.rs
@@ -20,7 +20,7 @@
 use super::wire::Wire;
 use crate::port::Port;
 
-/// How often a thread checks for new connections and for the end of a fault.
+/// Interval at which a closed port, or a fault that blocks the target, is checked again.
 const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 const CONNECTION_STACK_BYTES: usize = 1 << 20;
 /// Longest wait for the next message of the startup handshake.
--- a/crates/standin/src/group/log.rs
+++ b/crates/standin/src/group/log.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use rusqlite::types::Value;
 
-/// Number of a promotion; each term has at most one primary.
+/// Number of a term; each term has at most one primary.
 pub type Term = i64;
 /// Index in the log, counted from 1.
 pub type Index = i64;
--- a/crates/standin/src/group/replication.rs
+++ b/crates/standin/src/group/replication.rs
@@ -193,7 +193,8 @@
     }
 }
 
-/// Sends each follower its pending entries, or a heartbeat if one is due.
+/// Sends each follower its pending entries; if a heartbeat is due, also followers without any get a
+/// message.
 fn send_to_followers(target: &Target, heartbeat: bool) {
     let now = Instant::now();
     for follower in 0..target.group.size() {
--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -287,6 +287,7 @@
         age.and_then(|age| i64::try_from(age).ok()).unwrap_or(i64::MAX)
     }
 
+    /// Latest time, as of `now`, at which a majority is known to have followed this target. That is
     /// `now` in a group of one target, which needs no acknowledgement.
     fn majority_acknowledged_by(&self, now: Instant) -> Option<Instant> {
         if self.size == 1 && self.is_primary() { Some(now) } else { self.majority_acknowledged_at }
--- a/crates/standin/src/group/statement.rs
+++ b/crates/standin/src/group/statement.rs
@@ -249,11 +249,11 @@
     parts
 }
 
-#[derive(Clone, Copy)]
 /// Lexical context of a byte; `Line` and `Block` are comments.
+#[derive(Clone, Copy)]
 enum Scan {
     Plain,
-    /// Between two of these quote bytes.
+    /// Inside a literal or name that is quoted with this byte.
     Quote(u8),
     Line,
     Block,
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -56,7 +56,8 @@
     pub(super) paused_below: Term,
     lag: Duration,
     sequence: u64,
-    born: u64,
+    /// Creation of the target, in milliseconds since the Unix epoch.
+    start_time: u64,
 }
 
 impl State {
@@ -135,16 +136,16 @@
 
     /// The primary of the highest term.
     pub fn primary(&self) -> Arc<Target> {
-        let leads = |target: &&Arc<Target>| lock(&target.state).role == Role::Primary;
-        let leaders = self.targets.iter().filter(leads);
-        let leader = leaders.max_by_key(|target| lock(&target.state).term);
-        leader.unwrap_or(&self.targets[0]).clone()
+        let is_primary = |target: &&Arc<Target>| lock(&target.state).role == Role::Primary;
+        let primaries = self.targets.iter().filter(is_primary);
+        let primary = primaries.max_by_key(|target| lock(&target.state).term);
+        primary.unwrap_or(&self.targets[0]).clone()
     }
 
     /// A target that is a replica.
     pub fn replica(&self) -> Arc<Target> {
-        let follows = |target: &&Arc<Target>| lock(&target.state).role == Role::Replica;
-        let replica = self.targets.iter().find(follows);
+        let is_replica = |target: &&Arc<Target>| lock(&target.state).role == Role::Replica;
+        let replica = self.targets.iter().find(is_replica);
         replica.unwrap_or(&self.targets[1]).clone()
     }
 
@@ -222,7 +223,7 @@
         }
     }
 
-    /// Updates how far enough replicas have received the primary's log.
+    /// Updates the number of commits in the primary's log that enough replicas have received.
     fn update_replicated(&self, primary: &Target) {
         let log = lock(&primary.state).log.clone();
         // Counts common commits only: a replica's log may have diverged in an earlier term.
@@ -254,7 +255,8 @@
         store: Arc<Store>,
         sync_replicas: Arc<AtomicUsize>,
     ) -> crate::Result<Target> {
-        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let start_time =
+            SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let state = State {
             role,
             term: 1,
@@ -267,7 +269,7 @@
             paused_below: 0,
             lag: DEFAULT_LAG,
             sequence: 0,
-            born: u64::try_from(born.as_millis()).unwrap_or_default(),
+            start_time: u64::try_from(start_time.as_millis()).unwrap_or_default(),
         };
         let port = Port::new(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         Ok(Target {
@@ -299,7 +301,7 @@
                 slots: SLOTS,
                 is_leaving: state.is_leaving,
                 role: state.role,
-                start_time: state.born,
+                start_time: state.start_time,
             };
             (entry, state.sequence)
         };
@@ -347,8 +349,8 @@
 
     /// Sets whether the target closes a connection instead of answering a commit, which still takes
     /// effect.
-    pub fn drop_commit_responses(&self, loses: bool) {
-        lock(&self.state).drops_commit_responses = loses;
+    pub fn drop_commit_responses(&self, drops: bool) {
+        lock(&self.state).drops_commit_responses = drops;
     }
 
     /// Sets the connection limit for new connections; open ones stay.
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -24,13 +24,14 @@
 pub struct Row {
     /// Key of the row.
     pub key: Key,
-    /// Version of the transaction that wrote the row; it grows over all rows.
+    /// Version of the transaction that wrote the row; each transaction on any row has a higher one
+    /// than those before it.
     pub version: Version,
     /// Arbitrary JSON.
     pub value: Value,
 }
 
-/// Condition of a transaction: a row must have a version.
+/// Condition of a transaction: a row must have a given version.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Check {
@@ -206,13 +207,13 @@
         loop {
             let oldest = self.hosts.iter().min_by_key(|(_, entry)| entry.registered_at);
             let Some((host, entry)) = oldest else { return };
-            let ends = entry.registered_at + REGISTRATION_TIMEOUT;
-            if ends > now {
+            let expires_at = entry.registered_at + REGISTRATION_TIMEOUT;
+            if expires_at > now {
                 return;
             }
             let host = host.clone();
             self.hosts.remove(&host);
-            self.record_list(ends);
+            self.record_list(expires_at);
         }
     }
 
--- a/crates/standin/src/sync.rs
+++ b/crates/standin/src/sync.rs
@@ -1,14 +1,14 @@
-//! Locks that outlive a panic of their holder's thread.
+//! Locking and waiting that ignore the poisoning of a mutex by a panic.
 
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Locks; what a panicking thread left is taken as it is.
+/// Locks `mutex`; after a panic of an earlier holder the data is used as that holder left it.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Waits for a change, at most for a time.
+/// Waits until `changed` is notified, for at most `time`.
 pub(crate) fn wait<'a, T>(
     changed: &Condvar,
     guard: MutexGuard<'a, T>,
