--- a/crates/host/src/admin/plan.rs
+++ b/crates/host/src/admin/plan.rs
@@ -1,7 +1,7 @@
 //! Calls that propose, list, show and confirm plans. Each plan is a row of the platform's table.
 
 use super::{Call, CallResult, Fault, audit, config, ok, runner};
-use crate::platform::{self, CONFIG_ROW, Check, Put, Response as Stored, Transaction};
+use crate::platform::{self, CONFIG_ROW, Check, Put, Response, Transaction};
 use crate::shared::Host;
 use bergamotvale_core::config::Document;
 use bergamotvale_core::distribute::Row;
@@ -61,7 +61,7 @@
         let checks = vec![Check { key: put.key.clone(), version: 0 }];
         let transaction = Transaction { checks, puts: vec![put], deletes: Vec::new() };
         // If the response is lost, a proposal may remain that nobody confirms.
-        if let Ok(Stored::Committed(_)) = host.platform.transact(&transaction).await {
+        if let Ok(Response::Committed(_)) = host.platform.transact(&transaction).await {
             return Ok((StatusCode::CREATED, json!(record.plan)));
         }
         tokio::time::sleep(RETRY_DELAY).await;
@@ -97,9 +97,9 @@
             deletes: Vec::new(),
         };
         match host.platform.transact(&transaction).await {
-            Ok(Stored::Committed(_)) => return Ok(start(host, next, &key_text)),
+            Ok(Response::Committed(_)) => return Ok(start(host, next, &key_text)),
             // Another change was written first: read it and try again.
-            Ok(Stored::Conflict(_)) => {}
+            Ok(Response::Conflict(_)) => {}
             Err(error) if platform::has_unknown_outcome(&error) => {
                 tokio::time::sleep(RETRY_DELAY).await
             }
