--- a/crates/host/src/settings/tls.rs
+++ b/crates/host/src/settings/tls.rs
@@ -93,7 +93,7 @@
     let certificates = CertificateDer::pem_file_iter(path).and_then(Iterator::collect);
     let chain: Vec<_> = certificates.map_err(|error| read_error(path, &error))?;
     match chain.is_empty() {
-        true => Err(format!("{} contains no certificate", path.display())),
+        true => Err(format!("{} holds no certificate", path.display())),
         false => Ok(chain),
     }
 }
