Restore texts that go into the reports of the bench

The goals in 'broken', the descriptions of variants and the reasons of points that could not be measured are values of the JSON report, so they keep their former wording. That includes the errors that can become such a reason.

--- a/crates/cli/src/bench/cost/control.rs
+++ b/crates/cli/src/bench/cost/control.rs
@@ -162,13 +162,13 @@
     let plan = statement::plan(scenario.seed, size.hosts, size.accounts, size.groups);
     let background = measure_background().await?;
     let (system, others) =
-        with_timeout(START_TIMEOUT, "fleet start", start_on_runtime(plan, &runtime)).await?;
+        with_timeout(START_TIMEOUT, "the fleet's start", start_on_runtime(plan, &runtime)).await?;
     tokio::time::sleep(SETTLE_DELAY).await;
     let before = Reading::take(&system, &others)?;
     let begun = Instant::now();
     let window = scenario.control.window;
     let changing = issue_keys(&system, size.changes, window);
-    with_timeout(window + CHANGE_TIMEOUT, "configuration changes", changing).await?;
+    with_timeout(window + CHANGE_TIMEOUT, "the window's changes", changing).await?;
     let seconds = begun.elapsed().as_secs_f64();
     let after = Reading::take(&system, &others)?;
     let resident = process::resident_bytes()? as f64;
--- a/crates/cli/src/bench/cost/mod.rs
+++ b/crates/cli/src/bench/cost/mod.rs
@@ -191,18 +191,16 @@
     let mut broken = Vec::new();
     let (cpu, goal) = (statement.cpu_micros, goals.cpu.as_secs_f64() * 1e6);
     if cpu > goal {
-        broken.push(format!("CPU time per statement {cpu:.1} us is above {goal:.0} us"));
+        broken.push(format!("{cpu:.1} us of processor time a statement are above {goal:.0} us"));
     }
     let (latency, goal) = (statement.added_micros, goals.latency.as_secs_f64() * 1e6);
     if latency > goal {
-        broken.push(format!("added median latency {latency:.0} us is above {goal:.0} us"));
+        broken.push(format!("{latency:.0} us added at the median are above {goal:.0} us"));
     }
     if let Some(connection) = connection {
         let (bytes, goal) = (connection.bytes, goals.connection as f64);
         if bytes > goal {
-            broken.push(format!(
-                "memory per idle connection {bytes:.0} bytes is above {goal:.0} bytes"
-            ));
+            broken.push(format!("{bytes:.0} bytes an idle connection are above {goal:.0}"));
         }
     }
     broken
--- a/crates/cli/src/bench/cost/process.rs
+++ b/crates/cli/src/bench/cost/process.rs
@@ -65,8 +65,7 @@
     let status = std::fs::read_to_string("/proc/self/status")?;
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-    kib.map(|kib| kib * 1024)
-        .ok_or_else(|| std::io::Error::other("/proc/self/status has no VmRSS line"))
+    kib.map(|kib| kib * 1024).ok_or_else(|| std::io::Error::other("no VmRSS"))
 }
 
 /// Bytes that all processes have sent over the loopback interface, headers included.
@@ -74,5 +73,5 @@
     let devices = std::fs::read_to_string("/proc/self/net/dev")?;
     let line = devices.lines().find_map(|line| line.trim_start().strip_prefix("lo:"));
     let bytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-    bytes.ok_or_else(|| std::io::Error::other("/proc/self/net/dev has no loopback interface"))
+    bytes.ok_or_else(|| std::io::Error::other("no loopback interface"))
 }
--- a/crates/cli/src/bench/report.rs
+++ b/crates/cli/src/bench/report.rs
@@ -73,7 +73,7 @@
         let goal = goal.as_secs_f64() * 1e3;
         match measure::gap_summary(&measures.gaps) {
             None if measures.gaps.is_empty() => {}
-            None => broken.push("a failover gap did not end".to_owned()),
+            None => broken.push("a failover gap has no end".to_owned()),
             Some((_, worst)) if worst > goal => {
                 broken.push(format!("failover gap {worst:.0} ms is above {goal:.0} ms"));
             }
@@ -82,8 +82,7 @@
     }
     let worst_share = measures.accounts.first().map_or(1.0, |account| account.share);
     if let Some(goal) = goals.worst_share.filter(|goal| worst_share < *goal) {
-        broken
-            .push(format!("share of the worst-served account {worst_share:.4} is below {goal:.4}"));
+        broken.push(format!("worst-served account {worst_share:.4} is below {goal:.4}"));
     }
     if let Some(goal) = goals.replica_share.filter(|goal| measures.replica_share < *goal) {
         broken.push(format!("replica share {:.3} is below {goal:.3}", measures.replica_share));
--- a/crates/cli/src/bench/variant.rs
+++ b/crates/cli/src/bench/variant.rs
@@ -21,7 +21,7 @@
 pub const BASELINES: [Variant; 5] = [
     Variant {
         name: "static_limits",
-        about: "rates and connections in fixed equal shares, slots in order of arrival",
+        about: "rates and connections in fixed equal shares, slots by arrival",
         edit: |policy| {
             policy.rates = Rates::Static;
             policy.connections = Connections::Static;
@@ -30,22 +30,22 @@
     },
     Variant {
         name: "primary_reads",
-        about: "all reads on the primary",
+        about: "every read on the primary",
         edit: |policy| policy.reads = Reads::Primary,
     },
     Variant {
         name: "fixed_timeouts",
-        about: "one attempt within the caller's timeout, no retries",
+        about: "one try within the caller's timeout, nothing sent again",
         edit: |policy| policy.retries = false,
     },
     Variant {
         name: "single_word",
-        about: "a single host can depose a primary",
+        about: "any one host's word deposes a primary",
         edit: |policy| policy.failover = Failover::Single,
     },
     Variant {
         name: "no_ejection",
-        about: "failing targets are not ejected",
+        about: "targets that fail their work are not passed over",
         edit: |policy| policy.ejection = false,
     },
 ];
--- a/crates/cli/src/client/caller.rs
+++ b/crates/cli/src/client/caller.rs
@@ -159,7 +159,7 @@
     #[from(ignore)]
     Unsent(reqwest::Error),
     /// The response is missing or incomplete, so the outcome is unknown.
-    #[display("response: {_0}")]
+    #[display("answer: {_0}")]
     #[from(ignore)]
     Incomplete(#[error(not(source))] String),
 }
@@ -253,7 +253,7 @@
 fn parse_result(headers: &HeaderMap, body: &[u8]) -> Result<Response, Failure> {
     let rows = match value::parse_rows(body) {
         Some(rows) => rows,
-        None => return Err(Failure::Incomplete("the body is not a complete result".to_owned())),
+        None => return Err(Failure::Incomplete("the body is not a whole result".to_owned())),
     };
     Ok(Response { rows, ..parse_headers(headers) })
 }
--- a/crates/cli/src/client/operator.rs
+++ b/crates/cli/src/client/operator.rs
@@ -141,5 +141,5 @@
 }
 
 fn parse_error(error: serde_json::Error) -> Error {
-    Error::Unreachable(format!("failed to parse the host's response: {error}"))
+    Error::Unreachable(format!("the host's answer can't be read: {error}"))
 }
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -204,9 +204,8 @@
         let deadline = Instant::now() + START_TIMEOUT;
         for host in 0..self.hosts.len() {
             for (id, service) in &self.document.services {
-                let key = self
-                    .key_for(*id)
-                    .ok_or_else(|| start_error("a service has no account with access to it"))?;
+                let key =
+                    self.key_for(*id).ok_or_else(|| start_error("a service without account"))?;
                 let statement = Statement { sql: "SELECT 1".to_owned(), params: Vec::new() };
                 let operation = Operation::Read(service.name.clone(), statement);
                 let request = Request::new(operation).with_key(key);
@@ -228,9 +227,7 @@
                 Err(failure) => failure,
             };
             if Instant::now() > deadline {
-                return Err(start_error(format!(
-                    "host at index {host} does not serve reads: {failure}"
-                )));
+                return Err(start_error(format!("host {host} does not serve: {failure}")));
             }
             tokio::time::sleep(START_POLL_INTERVAL).await;
         }
