Correct comments and old names in the bench and the demonstration

A system's description is a spec everywhere, a response is not an answer, and the two tests that run one system at a time name their lock alike. The texts on targets that did not catch up claim no more than the check shows, and the floor of a read says what it bounds.

--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -115,9 +115,9 @@
     pub scenario: PathBuf,
     /// Whether to run the baseline variants too, for comparison.
     pub baseline: bool,
-    /// File for the JSON report; None writes none.
+    /// File for the JSON report; not written if None.
     pub json: Option<PathBuf>,
-    /// File for the HTML report; None writes none.
+    /// File for the HTML report; not written if None.
     pub html: Option<PathBuf>,
     /// Seed that replaces that of the scenario.
     pub seed: Option<u64>,
--- a/crates/cli/src/bench/check.rs
+++ b/crates/cli/src/bench/check.rs
@@ -87,7 +87,7 @@
     violations(write_records(history), write::verify_not_run, |write| write.op)
 }
 
-/// Reads of `kind` whose result is older than the lowest write that they must include.
+/// Reads of `kind` whose result is below their floor, so that it misses a write it must include.
 pub fn stale(history: &History, kind: Kind) -> BTreeSet<OpId> {
     let is_stale = |op: &&Op| match (op.floor, op.seen) {
         (Some(floor), Some(seen)) => seen.seq < floor,
--- a/crates/cli/src/bench/cost/connection.rs
+++ b/crates/cli/src/bench/cost/connection.rs
@@ -32,7 +32,7 @@
 /// Opens connections, sends one request on each, and reads the resident memory at each of the
 /// scenario's numbers of connections.
 pub async fn measure(scenario: &Scenario) -> Result<Cost> {
-    let system = System::start(statement::plan(scenario.seed, 1, 1, 1)).await?;
+    let system = System::start(statement::spec(scenario.seed, 1, 1, 1)).await?;
     let address = system.hosts[0].address();
     let mut connections = Vec::new();
     let mut points = Vec::new();
@@ -53,8 +53,8 @@
 async fn connect(address: SocketAddr) -> Result<TcpStream> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(REQUEST.as_bytes()).await?;
-    let mut answer = vec![0; RESPONSE_BUFFER_BYTES];
-    if stream.read(&mut answer).await? == 0 {
+    let mut response = vec![0; RESPONSE_BUFFER_BYTES];
+    if stream.read(&mut response).await? == 0 {
         return Err(Error::Start("host closed the connection instead of answering".to_owned()));
     }
     Ok(stream)
--- a/crates/cli/src/bench/cost/control.rs
+++ b/crates/cli/src/bench/cost/control.rs
@@ -159,10 +159,10 @@
 
 async fn measure_point(scenario: &Scenario, at: usize, size: Size) -> Result<Point> {
     let runtime = HostRuntime::new()?;
-    let plan = statement::plan(scenario.seed, size.hosts, size.accounts, size.groups);
+    let spec = statement::spec(scenario.seed, size.hosts, size.accounts, size.groups);
     let background = measure_background().await?;
     let (system, others) =
-        with_timeout(START_TIMEOUT, "the fleet's start", start_on_runtime(plan, &runtime)).await?;
+        with_timeout(START_TIMEOUT, "the fleet's start", start_on_runtime(spec, &runtime)).await?;
     tokio::time::sleep(SETTLE_DELAY).await;
     let before = Reading::take(&system, &others)?;
     let begun = Instant::now();
--- a/crates/cli/src/bench/cost/external.rs
+++ b/crates/cli/src/bench/cost/external.rs
@@ -20,7 +20,7 @@
 ///
 /// Fails if no process id is found in `folder` within `START_TIMEOUT`.
 pub async fn measure(scenario: &Scenario, folder: &Path) -> Result<Cost> {
-    let mut system = System::prepare(statement::plan(scenario.seed, 1, 1, 1)).await?;
+    let mut system = System::prepare(statement::spec(scenario.seed, 1, 1, 1)).await?;
     let mut settings = system.settings(0);
     settings.listen.callers.set_port(free_port()?);
     settings.listen.operators.set_port(free_port()?);
--- a/crates/cli/src/bench/cost/mod.rs
+++ b/crates/cli/src/bench/cost/mod.rs
@@ -24,7 +24,7 @@
 
 /// Maximum number of hosts, since all run in one process.
 const MAX_HOSTS: usize = 64;
-const MAX_CONNECTIONS: usize = 8_000;
+const MAX_IDLE_CONNECTIONS: usize = 8_000;
 
 /// A cost scenario.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -121,8 +121,8 @@
     if scenario.statements.rounds == 0 || scenario.statements.per_round == 0 {
         return Err("statements: rounds and per_round must be above zero".to_owned());
     }
-    if scenario.idle_connections.iter().any(|count| *count > MAX_CONNECTIONS) {
-        return Err(format!("idle_connections: must be at most {MAX_CONNECTIONS}"));
+    if scenario.idle_connections.iter().any(|count| *count > MAX_IDLE_CONNECTIONS) {
+        return Err(format!("idle_connections: must be at most {MAX_IDLE_CONNECTIONS}"));
     }
     if scenario.control.hosts.iter().any(|count| !(1..=MAX_HOSTS).contains(count)) {
         return Err(format!("control.hosts: must be 1 to {MAX_HOSTS}"));
--- a/crates/cli/src/bench/cost/statement.rs
+++ b/crates/cli/src/bench/cost/statement.rs
@@ -53,8 +53,8 @@
     pub counted: &'static str,
 }
 
-/// Plan of a system without network delays, with these numbers of hosts, accounts and groups.
-pub fn plan(seed: u64, hosts: usize, accounts: usize, groups: usize) -> Spec {
+/// Describes a system without network delays, with these numbers of hosts, accounts and groups.
+pub fn spec(seed: u64, hosts: usize, accounts: usize, groups: usize) -> Spec {
     let options = group::Options { schema: vec![SCHEMA.to_owned()], ..group::Options::default() };
     let limit = options.connection_limit.max(hosts as u64 * MIN_CONNECTIONS_PER_HOST);
     let options = group::Options { connection_limit: limit, ..options };
@@ -91,8 +91,8 @@
 /// Measures a host that runs in this process, on threads of its own.
 pub async fn measure(scenario: &Scenario) -> Result<Cost> {
     let runtime = HostRuntime::new()?;
-    let plan = plan(scenario.seed, 1, 1, 1);
-    let (system, others) = start_on_runtime(plan, &runtime).await?;
+    let spec = spec(scenario.seed, 1, 1, 1);
+    let (system, others) = start_on_runtime(spec, &runtime).await?;
     let cpu_time = || process::hosts_cpu_time(&others);
     let cost = compare(scenario, &system, 0, cpu_time, "threads of the host").await;
     system.stop().await;
@@ -123,11 +123,11 @@
     }
 }
 
-/// Starts the system of `plan` with its hosts on `runtime`. Also returns the threads that existed
+/// Starts the system of `spec` with its hosts on `runtime`. Also returns the threads that existed
 /// before its hosts were started, other than runtime threads, so that their CPU time can be left
 /// out.
-pub async fn start_on_runtime(plan: Spec, runtime: &HostRuntime) -> Result<(System, Threads)> {
-    let mut system = System::prepare(plan).await?;
+pub async fn start_on_runtime(spec: Spec, runtime: &HostRuntime) -> Result<(System, Threads)> {
+    let mut system = System::prepare(spec).await?;
     let mut others = process::threads(std::process::id())?;
     others.retain(|_, thread| thread.name != process::HOST_THREAD);
     system.start_hosts(runtime.handle()).await?;
--- a/crates/cli/src/bench/final_rows.rs
+++ b/crates/cli/src/bench/final_rows.rs
@@ -34,8 +34,7 @@
     let deadline = Instant::now() + CATCH_UP_TIMEOUT;
     while !is_caught_up(group) {
         if Instant::now() > deadline {
-            let reason =
-                format!("targets of service {service} still hold different logs after the run");
+            let reason = format!("targets of service {service} still differ after the run");
             return Err(Error::Verdict(reason));
         }
         tokio::time::sleep(CATCH_UP_POLL_INTERVAL).await;
--- a/crates/cli/src/bench/history.rs
+++ b/crates/cli/src/bench/history.rs
@@ -121,7 +121,7 @@
     pub scheduled: Duration,
     /// Requests that were sent for it, in order.
     pub attempts: Vec<Attempt>,
-    /// Lowest write of the session that a read must include; none when every result is valid.
+    /// Lowest [`Seen::seq`] that a read may return; none when every result is valid.
     #[serde(default)]
     pub floor: Option<Seq>,
     /// Result of a read; none without a response or when the response has no valid row.
--- a/crates/cli/src/bench/load.rs
+++ b/crates/cli/src/bench/load.rs
@@ -161,8 +161,8 @@
         request: &Request,
         seq: u64,
     ) {
-        let answer = self.send(arrival, op, host, Step::Whole, request).await;
-        if answer.is_some() {
+        let response = self.send(arrival, op, host, Step::Whole, request).await;
+        if response.is_some() {
             self.session(arrival).record_acknowledged(arrival.service, seq, self.now());
         }
     }
@@ -174,8 +174,8 @@
             (request, session.floor(arrival.service, self.now()))
         };
         op.floor = floor;
-        let answer = self.send(arrival, op, arrival.host, Step::Whole, &request).await;
-        op.seen = answer.as_ref().and_then(read_result);
+        let response = self.send(arrival, op, arrival.host, Step::Whole, &request).await;
+        op.seen = response.as_ref().and_then(read_result);
     }
 
     async fn aged_read(&self, arrival: &Arrival, op: &mut Op) {
@@ -184,8 +184,8 @@
         let covered_until = self.now().checked_sub(self.setup.max_age);
         op.floor =
             covered_until.and_then(|time| self.session(arrival).floor(arrival.service, time));
-        let answer = self.send(arrival, op, arrival.host, Step::Whole, &request).await;
-        op.seen = answer.as_ref().and_then(read_result);
+        let response = self.send(arrival, op, arrival.host, Step::Whole, &request).await;
+        op.seen = response.as_ref().and_then(read_result);
     }
 
     async fn transaction(&self, arrival: &Arrival, op: &mut Op) {
@@ -249,10 +249,10 @@
         request: &Request,
     ) -> Option<Response> {
         let host = self.setup.balancer.pick(host);
-        let answer = self.attempt(arrival, op, host, step, request).await;
+        let response = self.attempt(arrival, op, host, step, request).await;
         let is_unsent = op.last().is_some_and(|last| last.outcome == Outcome::Unsent);
         if !is_unsent {
-            return answer;
+            return response;
         }
         let next = self.setup.balancer.pick(host + 1);
         self.attempt(arrival, op, next, step, request).await
@@ -334,9 +334,9 @@
 
 fn outcome(result: &Result<Response, Failure>) -> Outcome {
     match result {
-        Ok(answer) => Outcome::Done {
-            replica: answer.target.as_ref().map(|target| target.is_replica),
-            replayed: answer.replayed,
+        Ok(response) => Outcome::Done {
+            replica: response.target.as_ref().map(|target| target.is_replica),
+            replayed: response.replayed,
         },
         Err(failure @ Failure::Refused(problem)) => {
             Outcome::Refused { reason: problem.known_reason(), ran: failure.ran() }
@@ -346,8 +346,8 @@
     }
 }
 
-fn read_result(answer: &Response) -> Option<Seen> {
-    let row = answer.rows.rows.first()?;
+fn read_result(response: &Response) -> Option<Seen> {
+    let row = response.rows.rows.first()?;
     Some(Seen { op: number(row.first()?)?, seq: number(row.get(1)?)? })
 }
 
--- a/crates/cli/src/bench/measure.rs
+++ b/crates/cli/src/bench/measure.rs
@@ -290,7 +290,7 @@
     index: AccountIndex,
     on_time: Duration,
 ) -> Account {
-    let limits = &history.accounts[index];
+    let account = &history.accounts[index];
     let ops = || history.ops.iter().filter(|op| op.account == index && op.kind != Kind::Foreign);
     let good = ops().filter(|op| is_good(op, findings, on_time)).count() as u64;
     let within = admission.within;
@@ -298,13 +298,13 @@
     let answered = ops().filter(|op| op.verdict() == Verdict::Acknowledged);
     let intervals = admission::admitted(history, index);
     Account {
-        name: limits.name.clone(),
+        name: account.name.clone(),
         offered: admission.offered,
         within,
         good,
         share,
         steady_share: 1.0,
-        excess: admission::excess(&intervals, limits.rate, limits.burst),
+        excess: admission::excess(&intervals, account.rate, account.burst),
         wrongful: admission.wrongful.values().map(|count| count.total()).sum(),
         p99_ms: latency(answered).p99_ms,
     }
--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -102,7 +102,7 @@
     variant: Variant,
     defects: &BTreeSet<Defect>,
 ) -> Result<History> {
-    let mut system = System::start(system_plan(scenario, seed, variant, defects)).await?;
+    let mut system = System::start(system_spec(scenario, seed, variant, defects)).await?;
     set_lags(&system, scenario);
     let progress = Arc::new(Progress::default());
     let setup = load_setup(&system, scenario)?;
@@ -139,7 +139,7 @@
     }
 }
 
-fn system_plan(
+fn system_spec(
     scenario: &Scenario,
     seed: u64,
     variant: Variant,
--- a/crates/cli/src/trial/drain.rs
+++ b/crates/cli/src/trial/drain.rs
@@ -107,7 +107,7 @@
     tally
 }
 
-/// Fails if a request failed, or if only one of the drained host and the others served requests.
+/// Fails if a request failed, or if the drained host served none or all of the requests.
 fn evaluate(tallies: &[Tally]) -> Outcome {
     let succeeded: usize = tallies.iter().map(|tally| tally.succeeded).sum();
     let on_drained: usize = tallies.iter().map(|tally| tally.on_drained).sum();
--- a/crates/cli/src/trial/walkthrough.rs
+++ b/crates/cli/src/trial/walkthrough.rs
@@ -34,7 +34,7 @@
 /// Connection limit of each target.
 const CONNECTION_LIMIT: u64 = 20;
 /// Number of threads that serve callers, per host.
-const WORKERS: usize = 1;
+const CALLER_THREADS: usize = 1;
 const CALLER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for all targets of a group to apply the same log.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(15);
@@ -52,7 +52,7 @@
     next_bolt: Bolt,
     /// Acknowledged bolts by service.
     acknowledged: BTreeMap<usize, BTreeSet<Bolt>>,
-    /// Bolts of which an attempt was refused as not run, by service.
+    /// Bolts whose write certainly did not run, by service.
     not_run: BTreeMap<usize, BTreeSet<Bolt>>,
 }
 
@@ -74,7 +74,7 @@
             accounts: accounts.to_vec(),
             routes: BTreeMap::new(),
             policy,
-            workers: WORKERS,
+            workers: CALLER_THREADS,
         };
         Ok(Walkthrough {
             system: System::start(spec).await?,
@@ -224,7 +224,7 @@
                 return Ok(());
             }
             if Instant::now() > deadline {
-                return Err(format!("logs of the targets of {} still differ", SERVICES[service]));
+                return Err(format!("targets of {} still differ", SERVICES[service]));
             }
             tokio::time::sleep(CATCH_UP_POLL_INTERVAL).await;
         }
--- a/crates/cli/tests/cost.rs
+++ b/crates/cli/tests/cost.rs
@@ -69,9 +69,9 @@
 #[test]
 fn fleet_of_any_size_has_connections_to_serve_with() {
     for hosts in [1, 4, 16, 64] {
-        let plan = statement::plan(1, hosts, 1, 1);
+        let spec = statement::spec(1, hosts, 1, 1);
 
-        let limit = plan.groups[0].1.connection_limit;
+        let limit = spec.groups[0].1.connection_limit;
 
         assert!(limit >= 4 * hosts as u64, "connection limit {limit} is too low for {hosts} hosts");
     }
--- a/crates/cli/tests/trial.rs
+++ b/crates/cli/tests/trial.rs
@@ -7,10 +7,10 @@
 use tokio::sync::Mutex;
 
 /// Serializes the tests: several systems at once would starve each other.
-static EXCLUSIVE: Mutex<()> = Mutex::const_new(());
+static RUN_LOCK: Mutex<()> = Mutex::const_new(());
 
 async fn run_walkthrough(defects: &[Defect]) -> Vec<Verdict> {
-    let _guard = EXCLUSIVE.lock().await;
+    let _lock = RUN_LOCK.lock().await;
     let options = Options { keep: false, defects: BTreeSet::from_iter(defects.iter().copied()) };
     let mut print = |verdict: &Verdict| println!("{verdict:?}");
     trial::run_steps(&options, &mut print).await.expect("the system starts")
