Say what bounds a transaction's outcome and a wrongful refusal

The comments name the bucket that refusals are judged by and why only a commit can leave a transaction unknown.

--- a/crates/cli/src/bench/admission.rs
+++ b/crates/cli/src/bench/admission.rs
@@ -137,7 +137,8 @@
     pub within: u64,
     /// Operations counted in `within` that were sent in steady state.
     pub within_steady: u64,
-    /// Refusals, by reason, of requests for which the bucket had a token or that may have run.
+    /// Refusals, by reason, of requests that may have run or for which a bucket charged with the
+    /// admitted requests had a token.
     pub wrongful: BTreeMap<Reason, PhaseCounts>,
     /// Requests without a complete response, or refused without a known reason.
     pub failed: PhaseCounts,
--- a/crates/cli/src/bench/history.rs
+++ b/crates/cli/src/bench/history.rs
@@ -315,7 +315,8 @@
         Verdict::NotRun
     }
 
-    /// The verdict of a transaction, which can only take effect by its commit.
+    /// The verdict of a transaction. It takes effect only by its commit, so no other step can leave its
+    /// outcome unknown.
     fn transaction_verdict(&self) -> Verdict {
         match self.last() {
             Some(last) if last.step == Step::Commit => last.verdict(),
--- a/crates/cli/tests/cost.rs
+++ b/crates/cli/tests/cost.rs
@@ -41,10 +41,10 @@
 fn failed_point_is_named_and_the_rest_is_fitted() {
     let failed = vec![control::Failure { at: 16, reason: "too late".to_owned() }];
 
-    let line = control::fit("hosts", vec![point(4, 10.0), point(8, 18.0)], failed);
+    let sweep = control::fit("hosts", vec![point(4, 10.0), point(8, 18.0)], failed);
 
-    assert_eq!(line.cpu, Line { base: 2.0, slope: 2.0 });
-    assert_eq!(control::unmeasured(&[line]), ["16 hosts: too late"]);
+    assert_eq!(sweep.cpu, Line { base: 2.0, slope: 2.0 });
+    assert_eq!(control::unmeasured(&[sweep]), ["16 hosts: too late"]);
 }
 
 #[test]
