--- a/crates/cli/src/bench/cost/mod.rs
+++ b/crates/cli/src/bench/cost/mod.rs
@@ -24,7 +24,7 @@
 
 /// Maximum number of hosts, since all run in one process.
 const MAX_HOSTS: usize = 64;
-const MAX_CONNECTIONS: usize = 8_000;
+const MAX_IDLE_CONNECTIONS: usize = 8_000;
 
 /// A cost scenario.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -121,8 +121,8 @@
     if scenario.statements.rounds == 0 || scenario.statements.per_round == 0 {
         return Err("statements: rounds and per_round must be above zero".to_owned());
     }
-    if scenario.idle_connections.iter().any(|count| *count > MAX_CONNECTIONS) {
-        return Err(format!("idle_connections: must be at most {MAX_CONNECTIONS}"));
+    if scenario.idle_connections.iter().any(|count| *count > MAX_IDLE_CONNECTIONS) {
+        return Err(format!("idle_connections: must be at most {MAX_IDLE_CONNECTIONS}"));
     }
     if scenario.control.hosts.iter().any(|count| !(1..=MAX_HOSTS).contains(count)) {
         return Err(format!("control.hosts: must be 1 to {MAX_HOSTS}"));
@@ -191,18 +191,16 @@
     let mut broken = Vec::new();
     let (cpu, goal) = (statement.cpu_micros, goals.cpu.as_secs_f64() * 1e6);
     if cpu > goal {
-        broken.push(format!("CPU time per statement {cpu:.1} us is above {goal:.0} us"));
+        broken.push(format!("{cpu:.1} us of processor time a statement are above {goal:.0} us"));
     }
     let (latency, goal) = (statement.added_micros, goals.latency.as_secs_f64() * 1e6);
     if latency > goal {
-        broken.push(format!("added median latency {latency:.0} us is above {goal:.0} us"));
+        broken.push(format!("{latency:.0} us added at the median are above {goal:.0} us"));
     }
     if let Some(connection) = connection {
         let (bytes, goal) = (connection.bytes, goals.connection as f64);
         if bytes > goal {
-            broken.push(format!(
-                "memory per idle connection {bytes:.0} bytes is above {goal:.0} bytes"
-            ));
+            broken.push(format!("{bytes:.0} bytes an idle connection are above {goal:.0}"));
         }
     }
     broken
--- a/crates/cli/tests/cost.rs
+++ b/crates/cli/tests/cost.rs
@@ -41,10 +41,10 @@
 fn failed_point_is_named_and_the_rest_is_fitted() {
     let failed = vec![control::Failure { at: 16, reason: "too late".to_owned() }];
 
-    let line = control::fit("hosts", vec![point(4, 10.0), point(8, 18.0)], failed);
+    let sweep = control::fit("hosts", vec![point(4, 10.0), point(8, 18.0)], failed);
 
-    assert_eq!(line.cpu, Line { base: 2.0, slope: 2.0 });
-    assert_eq!(control::unmeasured(&[line]), ["16 hosts: too late"]);
+    assert_eq!(sweep.cpu, Line { base: 2.0, slope: 2.0 });
+    assert_eq!(control::unmeasured(&[sweep]), ["16 hosts: too late"]);
 }
 
 #[test]
@@ -69,9 +69,9 @@
 #[test]
 fn fleet_of_any_size_has_connections_to_serve_with() {
     for hosts in [1, 4, 16, 64] {
-        let plan = statement::plan(1, hosts, 1, 1);
+        let spec = statement::spec(1, hosts, 1, 1);
 
-        let limit = plan.groups[0].1.connection_limit;
+        let limit = spec.groups[0].1.connection_limit;
 
         assert!(limit >= 4 * hosts as u64, "connection limit {limit} is too low for {hosts} hosts");
     }
