Wrap long comments and reword the error for an unusable TLS key

The settings error for a TLS key also covers a key of an unsupported type and a certificate that cannot be used with it; its text now says so and still contains "does not match the certificate". An arm in the stand-in's parameter decoding is back on one line.

--- a/crates/host/src/admin/audit.rs
+++ b/crates/host/src/admin/audit.rs
@@ -9,8 +9,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Prefix of the rows' keys. The rest of the key starts with the wall-clock time in milliseconds, so
-/// that people read the list in order of time.
+/// Prefix of the rows' keys. The rest of the key starts with the wall-clock time in milliseconds,
+/// so that people read the list in order of time.
 const PREFIX: &str = "audit.";
 /// Attempts to write an entry before it is given up.
 const MAX_ATTEMPTS: u32 = 5;
--- a/crates/host/src/admin/plan.rs
+++ b/crates/host/src/admin/plan.rs
@@ -18,8 +18,8 @@
 /// change.
 const MAX_ATTEMPTS: u32 = 10;
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Number of plan ids per millisecond of wall-clock time; a host draws one of them at random, so that
-/// two hosts rarely choose the same id.
+/// Number of plan ids per millisecond of wall-clock time; a host draws one of them at random, so
+/// that two hosts rarely choose the same id.
 const IDS_PER_MILLISECOND: u64 = 64;
 
 /// Key of the row of a plan.
--- a/crates/host/src/admin/runner.rs
+++ b/crates/host/src/admin/runner.rs
@@ -31,8 +31,8 @@
 
 /// Takes over abandoned plans, until the task is dropped.
 ///
-/// Looks only once this host has acted on the present row for longer than authority lasts: by then a
-/// runner that is no member of it has lost its authority and no longer acts.
+/// Looks only once this host has acted on the present row for longer than authority lasts: by then
+/// a runner that is no member of it has lost its authority and no longer acts.
 pub async fn poll_abandoned(host: Arc<Host>) {
     let mut ticks = interval(ABANDONED_POLL_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -117,7 +117,8 @@
 
 /// Stores `record` if its row still has `version`, and an audit entry if `ended` has an outcome.
 ///
-/// Returns the row's new version; `None` if another host has written the row or all attempts failed.
+/// Returns the row's new version; `None` if another host has written the row or all attempts
+/// failed.
 async fn store(
     host: &Host,
     version: u64,
--- a/crates/host/src/front/body.rs
+++ b/crates/host/src/front/body.rs
@@ -1,4 +1,5 @@
-//! Encodes and decodes the JSON bodies of requests and responses, and sets the headers of responses.
+//! Encodes and decodes the JSON bodies of requests and responses, and sets the headers of
+//! responses.
 
 use crate::exec::Answer;
 use base64::Engine;
@@ -77,7 +78,8 @@
     response
 }
 
-/// The response to a request that returns no rows, with the session token if the request advances it.
+/// The response to a request that returns no rows, with the session token if the request advances
+/// it.
 pub fn without_rows(
     status: StatusCode,
     body: &serde_json::Value,
--- a/crates/host/src/front/connection.rs
+++ b/crates/host/src/front/connection.rs
@@ -1,9 +1,10 @@
 //! Detects when a caller closes its connection.
 //!
 //! The HTTP framework does not read a connection while a request on it is in flight. Each accepted
-//! socket is therefore watched through a duplicate handle, so that a request ends, and its statement
-//! is cancelled, as soon as its caller disconnects. The duplicate keeps the socket open after the
-//! framework has dropped its own handle; use [`Callers::abort`] to close a connection on purpose.
+//! socket is therefore watched through a duplicate handle, so that a request ends, and its
+//! statement is cancelled, as soon as its caller disconnects. The duplicate keeps the socket open
+//! after the framework has dropped its own handle; use [`Callers::abort`] to close a connection on
+//! purpose.
 
 use crate::exec::state::lock;
 use std::collections::BTreeMap;
--- a/crates/host/src/front/serve.rs
+++ b/crates/host/src/front/serve.rs
@@ -38,8 +38,8 @@
     }
 }
 
-/// Serves `app` on `listener`; `on_error` is called with the caller's address for each TLS connection
-/// that ends with an error.
+/// Serves `app` on `listener`; `on_error` is called with the caller's address for each TLS
+/// connection that ends with an error.
 pub fn run<S, L, B, F>(
     app: S,
     listener: L,
--- a/crates/host/src/front/stream.rs
+++ b/crates/host/src/front/stream.rs
@@ -1,8 +1,8 @@
 //! Streams long results to the caller.
 //!
 //! The body is chunked, and its JSON is complete only with the last chunk. If reading the result
-//! fails, the connection is closed before the last chunk, so that no caller takes a truncated result
-//! for a whole one.
+//! fails, the connection is closed before the last chunk, so that no caller takes a truncated
+//! result for a whole one.
 
 use super::body;
 use super::connection::{Callers, Request};
--- a/crates/host/src/front/unrouted.rs
+++ b/crates/host/src/front/unrouted.rs
@@ -1,5 +1,5 @@
-//! Responds to requests that no handler accepts: an unknown path or method, or a path with malformed
-//! parameters.
+//! Responds to requests that no handler accepts: an unknown path or method, or a path with
+//! malformed parameters.
 //!
 //! Middleware of both listeners. It also adds `connection: close` to a response if the request's
 //! body was not read to the end, because the framework then closes the connection.
--- a/crates/host/src/platform/call.rs
+++ b/crates/host/src/platform/call.rs
@@ -1,5 +1,5 @@
-//! Sends calls to the platform: each is admitted by the gate, counted, and reported to the gate as a
-//! success or a failure.
+//! Sends calls to the platform: each is admitted by the gate, counted, and reported to the gate as
+//! a success or a failure.
 
 use super::{Client, HOST_HEADER};
 use crate::clock::Clock;
--- a/crates/host/src/settings/line.rs
+++ b/crates/host/src/settings/line.rs
@@ -1,6 +1,7 @@
 //! Finds the line of a field in a YAML text, for error messages.
 
-/// Line, counted from 1, of the field at the dotted `path`; `None` if `text` does not set the field.
+/// Line, counted from 1, of the field at the dotted `path`; `None` if `text` does not set the
+/// field.
 pub(super) fn find(text: &str, path: &str) -> Option<usize> {
     let mut segments = path.split('.').peekable();
     let mut min_indent = 0;
--- a/crates/host/src/settings/tls.rs
+++ b/crates/host/src/settings/tls.rs
@@ -83,8 +83,11 @@
     let builder = versions.map_err(|error| LoadError::Certificate(error.to_string()))?;
     // This fails if the key does not match the certificate or is of an unsupported type.
     let config = builder.with_no_client_auth().with_single_cert(chain, key);
-    let mut config = config
-        .map_err(|error| LoadError::Key(format!("does not match the certificate: {error}")))?;
+    let mut config = config.map_err(|error| {
+        LoadError::Key(format!(
+            "does not match the certificate, or one of the two cannot be used: {error}"
+        ))
+    })?;
     config.alpn_protocols = vec![HTTP_1_1.to_vec()];
     Ok(Arc::new(config))
 }
--- a/crates/host/src/target/probe.rs
+++ b/crates/host/src/target/probe.rs
@@ -61,8 +61,8 @@
         status(&row).map_err(|_| Failure::Failed)
     }
 
-    /// Executes a trivial statement, to detect a target that reports its status but fails to execute
-    /// statements.
+    /// Executes a trivial statement, to detect a target that reports its status but fails to
+    /// execute statements.
     pub async fn probe_work(&self, settings: &Settings) -> std::result::Result<(), Failure> {
         self.exchange(settings, PROBE_WORK, &[]).await.map(drop)
     }
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -36,8 +36,8 @@
 const MAX_RELAYED_RENEWAL_AGE: Duration = Duration::from_millis(900);
 /// Time between checks of the renewal's age.
 const RENEWAL_AGE_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest time that other polls wait for changes. A feed that missed a change which a peer has seen
-/// polls again sooner.
+/// Longest time that other polls wait for changes. A feed that missed a change which a peer has
+/// seen polls again sooner.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(12);
 /// Time after the end of an outage of the store for which entries that expired during it are kept,
 /// so that their targets can write them again.
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -318,8 +318,8 @@
         is_own && self.host.holds_lease()
     }
 
-    /// Waits until no host uses the previous primary. Returns false if the promotion was superseded,
-    /// or has taken longer than any lease can last.
+    /// Waits until no host uses the previous primary. Returns false if the promotion was
+    /// superseded, or has taken longer than any lease can last.
     async fn wait_for_barrier(&self, revision: Revision) -> bool {
         let mut barrier = Barrier::new(revision, boot_clock::now());
         loop {
@@ -382,8 +382,8 @@
         });
     }
 
-    /// Calls the platform to promote the candidate. Retries if the call is refused or gets no answer;
-    /// returns whether the platform accepted it.
+    /// Calls the platform to promote the candidate. Retries if the call is refused or gets no
+    /// answer; returns whether the platform accepted it.
     async fn call_platform(&self) -> bool {
         let deadline = Instant::now() + LEAD_TIMEOUT;
         while self.owns_record() && Instant::now() < deadline {
@@ -405,9 +405,9 @@
 
     /// Waits until the candidate reports that it leads by this promotion.
     ///
-    /// A target that led an older term may still report that it leads. The report counts if its term
-    /// is higher than all terms seen before, or if it comes [`MAX_CALL_EFFECT_DELAY`] after the
-    /// platform accepted the call: then the candidate was the primary already.
+    /// A target that led an older term may still report that it leads. The report counts if its
+    /// term is higher than all terms seen before, or if it comes [`MAX_CALL_EFFECT_DELAY`] after
+    /// the platform accepted the call: then the candidate was the primary already.
     async fn wait_until_leading(&self) -> Option<Status> {
         let called = Instant::now();
         while called.elapsed() < LEAD_TIMEOUT {
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -260,7 +260,8 @@
         self.changed.notify_waiters();
     }
 
-    /// Registers work that depends on the group's primary under `fence`, until the guard is dropped.
+    /// Registers work that depends on the group's primary under `fence`, until the guard is
+    /// dropped.
     ///
     /// [`Host::quiesced_revision`] does not advance past a newer record while the work is
     /// registered.
--- a/crates/standin/src/group/row.rs
+++ b/crates/standin/src/group/row.rs
@@ -185,9 +185,7 @@
         BOOL => Value::Integer(i64::from(array::<1>(bytes)?[0] != 0)),
         BYTEA => Value::Blob(bytes.to_vec()),
         0 | TEXT | VARCHAR | BPCHAR | UNKNOWN => Value::Text(text(bytes)?),
-        _ => {
-            return Err(Error::new(sqlstate::UNSUPPORTED, format!("parameter of type {oid}")));
-        }
+        _ => return Err(Error::new(sqlstate::UNSUPPORTED, format!("parameter of type {oid}"))),
     };
     Ok(value)
 }
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -182,8 +182,8 @@
         target.register();
     }
 
-    /// Brings every replica that has neither crashed nor paused up to the primary, as far as its lag
-    /// allows. Commits that the primary's log lacks are discarded.
+    /// Brings every replica that has neither crashed nor paused up to the primary, as far as its
+    /// lag allows. Commits that the primary's log lacks are discarded.
     fn replicate_once(&self) {
         let primary = self.primary();
         let (term, log) = {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -25,8 +25,8 @@
     async fn announce(announcement: Announcement) -> bool;
     /// Receives an update; returns this host's incarnation and the epoch in force here afterwards.
     async fn push(update: Update) -> (Incarnation, Epoch);
-    /// Returns the update from `epoch` and `version` to those in force here, `None` unless the latter
-    /// are higher.
+    /// Returns the update from `epoch` and `version` to those in force here, `None` unless the
+    /// latter are higher.
     async fn fetch(epoch: Epoch, version: Version) -> Option<Update>;
     /// Lends rate tokens; returns the number lent, possibly 0.
     async fn lend_tokens(request: TokenRequest) -> u32;
