--- a/crates/standin/src/group/statement.rs
+++ b/crates/standin/src/group/statement.rs
@@ -21,7 +21,7 @@
     Commit,
     /// `ROLLBACK` or `ABORT`.
     Rollback,
-    /// `SET`, `RESET`, `DISCARD` or `DEALLOCATE`.
+    /// A statement that changes or resets session settings, such as `SET`, `RESET` or `DISCARD`.
     Set(Setting),
     /// `SELECT * FROM group_...(...)`.
     Call(Call),
