core tests: use one name for the same constant and reword unclear comments

The growth delay of shares, the validity of authority and the initial tokens of a restarted host have one name in all tests. Loan requests in the proxy search are no longer called asks. The restarts test states that a host restarts twice in the window, as its name says.

--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -6,7 +6,7 @@
 
 use bergamotvale_core::id::{HostId, Time};
 use common::case;
-use meters::{Fleet, LOSS_DELAY, SETTLE, fresh_host};
+use meters::{Fleet, GROWTH_DELAY, LOSS_DELAY, fresh_host};
 use serde::Deserialize;
 use std::path::Path;
 use std::time::Duration;
@@ -77,7 +77,7 @@
 fn drive(case: &Case) -> datatest_stable::Result<Expect> {
     let mut fleet = Fleet::new(case.given.hosts, case.given.rate, case.given.burst, 1);
     fleet.apply_members(Time::ZERO);
-    assert!(SETTLE + LOSS_DELAY < START);
+    assert!(GROWTH_DELAY + LOSS_DELAY < START);
     fleet.drive(Time::ZERO, START, 0.0, |_| 1);
 
     for ms in 0..=case.given.until_ms {
--- a/crates/core/tests/meters/mod.rs
+++ b/crates/core/tests/meters/mod.rs
@@ -15,7 +15,7 @@
 
 pub(crate) const ACCOUNT: u32 = 7;
 /// Time after which a grown share may be used: the validity of authority plus its margin.
-pub(crate) const SETTLE: Duration = Duration::from_millis(1600);
+pub(crate) const GROWTH_DELAY: Duration = Duration::from_millis(1600);
 /// Validity of a host's authority: each host adopts a change of the members within this time.
 pub(crate) const AUTHORITY_VALIDITY: Duration = Duration::from_millis(1500);
 pub(crate) const STEP: Duration = Duration::from_millis(1);
@@ -275,7 +275,7 @@
 
 pub(crate) fn fresh_host() -> Host {
     Host {
-        meter: Meter::new(SETTLE, true),
+        meter: Meter::new(GROWTH_DELAY, true),
         waiting: Vec::new(),
         paused_until: Time::ZERO,
         has_whole_rate: false,
--- a/crates/core/tests/promotion_search.rs
+++ b/crates/core/tests/promotion_search.rs
@@ -24,7 +24,7 @@
     None,
     /// Compares granted terms instead of last entries when choosing a target.
     ChooseByAccepted,
-    /// Counts a target that is being rebuilt for the majority.
+    /// Counts a target that is being rebuilt towards the majority.
     CountRebuilding,
     /// Sends a fence to a target more than once.
     RepeatFence,
--- a/crates/core/tests/proxy_lease.rs
+++ b/crates/core/tests/proxy_lease.rs
@@ -178,9 +178,9 @@
     assert!(lease.has_majority_quiesced(ms(20), 6));
 }
 
-/// Fault: all hosts but one restart, and the last never returns. Members that keep the time of
-/// their previous incarnation must not count as new, or a promotion waits for the maximum attested
-/// age.
+/// Fault: four of five hosts restart at once, and the fifth never returns. Members that keep the
+/// entry time of their previous incarnation must not count as new, or a promotion waits for the
+/// maximum attested age.
 #[test]
 fn hosts_that_were_all_restarted_settle_a_promotion_without_the_vouch_limit() {
     let mut lease = Lease::new(1, 2, LIMITS);
--- a/crates/core/tests/proxy_search.rs
+++ b/crates/core/tests/proxy_search.rs
@@ -117,12 +117,12 @@
     },
     Borrow {
         from: HostId,
-        ask: LoanRequest,
-        asked: Time,
+        request: LoanRequest,
+        sent_at: Time,
     },
     Loan {
-        ask: LoanRequest,
-        asked: Time,
+        request: LoanRequest,
+        sent_at: Time,
         count: u32,
     },
 }
@@ -145,7 +145,7 @@
     next_read: Time,
     meter: Meter,
     /// Loan requests in flight, and when they were sent.
-    asks: Vec<(LoanRequest, Time)>,
+    loan_requests: Vec<(LoanRequest, Time)>,
     /// Deadlines of requests that wait for a loan.
     waiting: Vec<Time>,
 }
@@ -220,7 +220,7 @@
             history: History::default(),
             next_read: Time::ZERO,
             meter: meter(id, Time::ZERO, defect),
-            asks: Vec::new(),
+            loan_requests: Vec::new(),
             waiting: Vec::new(),
         };
         let target = |index| Target { alive: true, term: 1, leads: index == 0, log: Vec::new() };
@@ -325,7 +325,7 @@
         host.last_heartbeats.clear();
         host.sent.clear();
         host.meter = meter(id, now, defect);
-        host.asks.clear();
+        host.loan_requests.clear();
         host.waiting.clear();
         // The new incarnation is recorded, as a change of the table, before it reads.
         self.members.insert(id, member(incarnation));
@@ -343,10 +343,12 @@
                     self.call(host, fence, target, sent)
                 }
                 message if !self.is_awake(to) => self.messages.push((now + 1, to, message)),
-                Message::Borrow { from, ask, asked } => {
-                    self.with_rate_rng(|world| world.lend(to, from, ask, asked));
+                Message::Borrow { from, request, sent_at } => {
+                    self.with_rate_rng(|world| world.lend(to, from, request, sent_at));
+                }
+                Message::Loan { request, sent_at, count } => {
+                    self.borrow(to, request, sent_at, count)
                 }
-                Message::Loan { ask, asked, count } => self.borrow(to, ask, asked, count),
                 message => self.receive(to, message),
             }
         }
@@ -455,7 +457,7 @@
     fn apply_decision(&mut self, id: HostId, decision: Decision) {
         match decision {
             Decision::Admit => self.admit(id),
-            Decision::Wait(until) => self.host(id).waiting.push(until),
+            Decision::Wait(deadline) => self.host(id).waiting.push(deadline),
             Decision::Refuse(_) => {}
         }
     }
@@ -475,35 +477,35 @@
         let now = ms(self.now);
         let host = self.host(id);
         host.meter.tick(now);
-        let late = |(_, asked): &mut (LoanRequest, Time)| *asked + LOAN_LIFETIME < now;
-        for (ask, asked) in host.asks.extract_if(.., late).collect::<Vec<_>>() {
-            host.meter.receive(ask, 0, asked, now);
+        let late = |(_, sent_at): &mut (LoanRequest, Time)| *sent_at + LOAN_LIFETIME < now;
+        for (request, sent_at) in host.loan_requests.extract_if(.., late).collect::<Vec<_>>() {
+            host.meter.receive(request, 0, sent_at, now);
         }
-        for until in std::mem::take(&mut self.host(id).waiting) {
-            let decision = self.host(id).meter.retry(ACCOUNT, until, now);
+        for deadline in std::mem::take(&mut self.host(id).waiting) {
+            let decision = self.host(id).meter.retry(ACCOUNT, deadline, now);
             self.apply_decision(id, decision);
         }
-        for ask in self.host(id).meter.loan_requests(ACCOUNT, now) {
-            self.host(id).asks.push((ask, now));
-            self.send(ask.peer, Message::Borrow { from: id, ask, asked: now });
+        for request in self.host(id).meter.loan_requests(ACCOUNT, now) {
+            self.host(id).loan_requests.push((request, now));
+            self.send(request.peer, Message::Borrow { from: id, request, sent_at: now });
         }
     }
 
-    fn lend(&mut self, id: HostId, borrower: HostId, ask: LoanRequest, asked: Time) {
-        let LoanRequest { account, count, sequence, .. } = ask;
-        let request = TokenRequest { host: borrower, account, count, version: 1, sequence };
+    fn lend(&mut self, id: HostId, borrower: HostId, request: LoanRequest, sent_at: Time) {
+        let LoanRequest { account, count, sequence, .. } = request;
+        let token_request = TokenRequest { host: borrower, account, count, version: 1, sequence };
         let now = ms(self.now);
-        let count = self.host(id).meter.lend(&request, now);
-        self.send(borrower, Message::Loan { ask, asked, count });
+        let count = self.host(id).meter.lend(&token_request, now);
+        self.send(borrower, Message::Loan { request, sent_at, count });
     }
 
-    fn borrow(&mut self, id: HostId, ask: LoanRequest, asked: Time, count: u32) {
+    fn borrow(&mut self, id: HostId, request: LoanRequest, sent_at: Time, count: u32) {
         let now = ms(self.now);
         let host = self.host(id);
-        let known = host.asks.len();
-        host.asks.retain(|(other, _)| *other != ask);
-        if host.asks.len() < known {
-            host.meter.receive(ask, count, asked, now);
+        let known = host.loan_requests.len();
+        host.loan_requests.retain(|(other, _)| *other != request);
+        if host.loan_requests.len() < known {
+            host.meter.receive(request, count, sent_at, now);
         }
     }
 
--- a/crates/core/tests/rate.rs
+++ b/crates/core/tests/rate.rs
@@ -9,7 +9,7 @@
 use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::rate::Meter;
 use bergamotvale_core::rate::meter::micro;
-use meters::{ACCOUNT, AUTHORITY_VALIDITY, Fleet, SETTLE, fresh_host};
+use meters::{ACCOUNT, AUTHORITY_VALIDITY, Fleet, GROWTH_DELAY, fresh_host};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use std::time::Duration;
@@ -23,12 +23,12 @@
     for (name, favourite) in [("even", 0.25), ("uneven", 0.8), ("one host", 1.0)] {
         let mut fleet = Fleet::new(4, 200, 100, 1);
         fleet.apply_members(Time::ZERO);
-        fleet.drive(Time::ZERO, SETTLE * 3, 0.0, any_host);
+        fleet.drive(Time::ZERO, GROWTH_DELAY * 3, 0.0, any_host);
         let pick = move |random: &mut SmallRng| {
             if random.random_bool(favourite) { 1 } else { random.random_range(2..=4) }
         };
 
-        fleet.drive(SETTLE * 3, Duration::from_secs(40), 180.0, pick);
+        fleet.drive(GROWTH_DELAY * 3, Duration::from_secs(40), 180.0, pick);
 
         fleet.verify().expect(name);
         assert_eq!(fleet.wrongly_refused, 0, "{name}: of {}", fleet.offered);
@@ -61,7 +61,7 @@
     for seed in 0..40 {
         let mut fleet = Fleet::new(4, 100, 40, seed);
         fleet.apply_members(Time::ZERO);
-        let change = SETTLE * 2;
+        let change = GROWTH_DELAY * 2;
         fleet.drive(Time::ZERO, change, 400.0, any_host);
         fleet.members.remove(&4);
         let mut learned: Vec<(Time, HostId)> = (1..=4)
@@ -77,26 +77,26 @@
             fleet.apply_members_at(id, at);
             now = at;
         }
-        fleet.drive(now, now + SETTLE * 2, 400.0, any_host);
+        fleet.drive(now, now + GROWTH_DELAY * 2, 400.0, any_host);
         fleet.members.insert(4);
         fleet.hosts.insert(4, fresh_host());
-        fleet.apply_members(now + SETTLE * 2);
-        fleet.drive(now + SETTLE * 2, now + SETTLE * 5, 400.0, any_host);
+        fleet.apply_members(now + GROWTH_DELAY * 2);
+        fleet.drive(now + GROWTH_DELAY * 2, now + GROWTH_DELAY * 5, 400.0, any_host);
 
         fleet.verify().unwrap_or_else(|e| panic!("seed {seed}: {e}"));
     }
 }
 
-/// A fleet with slow links on which loan requests overtake each other, since borrowers give up and
-/// send new ones.
+/// A fleet with slow links on which loan requests overtake each other, since borrowers time out and
+/// send new requests.
 fn overtaken(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(4, 400, 160, seed);
     fleet.loss = 0.2;
     fleet.delay = Duration::from_millis(25);
     fleet.loan_timeout = Some(Duration::from_millis(60));
     fleet.apply_members(Time::ZERO);
-    fleet.drive(Time::ZERO, SETTLE * 3, 0.0, any_host);
-    fleet.drive(SETTLE * 3, SETTLE * 5, 2_000.0, |random| {
+    fleet.drive(Time::ZERO, GROWTH_DELAY * 3, 0.0, any_host);
+    fleet.drive(GROWTH_DELAY * 3, GROWTH_DELAY * 5, 2_000.0, |random| {
         if random.random_bool(0.9) { 1 } else { random.random_range(2..=4) }
     });
     fleet
@@ -113,9 +113,9 @@
 
 /// A lender that had its full share of 20 tokens and has just lent all of them for request 2.
 fn lender_without_tokens(now: Time) -> Meter {
-    let mut meter = Meter::new(SETTLE, true);
-    meter.set_share(ACCOUNT, micro(100), micro(20), now - SETTLE * 2);
-    meter.tick(now - SETTLE);
+    let mut meter = Meter::new(GROWTH_DELAY, true);
+    meter.set_share(ACCOUNT, micro(100), micro(20), now - GROWTH_DELAY * 2);
+    meter.tick(now - GROWTH_DELAY);
     assert_eq!(meter.lend(&token_request(1, 2), now), 20);
     meter
 }
@@ -126,7 +126,7 @@
 
 #[test]
 fn only_a_newer_ask_says_that_a_loan_has_arrived() {
-    let (start, later) = (SETTLE * 3, SETTLE * 3 + Duration::from_millis(50));
+    let (start, later) = (GROWTH_DELAY * 3, GROWTH_DELAY * 3 + Duration::from_millis(50));
     let lent = [("overtaken", 1, 0), ("repeated", 2, 0), ("newer", 3, 4)].map(|case| {
         let mut meter = lender_without_tokens(start);
         let at_once = meter.lend(&token_request(1, case.1), start);
@@ -147,7 +147,7 @@
     }
     fleet.apply_members(Time::ZERO);
 
-    fleet.drive(SETTLE, SETTLE * 3, 500.0, any_host);
+    fleet.drive(GROWTH_DELAY, GROWTH_DELAY * 3, 500.0, any_host);
 
     assert!(fleet.verify().is_err());
 }
--- a/crates/core/tests/rate_loss.rs
+++ b/crates/core/tests/rate_loss.rs
@@ -3,14 +3,15 @@
 //!
 //! Until the authority of a silent host has expired, that host may be using its share. During that
 //! time no limiter that keeps the bound can admit more than a single bucket that has the shares of
-//! the other hosts. Such a bucket is offered the same requests as a reference. Without the store
-//! the members do not change, and shares depend on nothing else, so an outage is simulated as a
-//! minute without updates; `authority.rs` tests that authority is kept during that time.
+//! the other hosts. Such a bucket, offered the same requests, is the reference for the refusals that
+//! the bound requires. Without the store the members do not change, and shares depend on nothing
+//! else, so an outage is simulated as a minute without updates; `authority.rs` tests that authority
+//! is kept during that time.
 
 mod meters;
 
 use bergamotvale_core::id::{HostId, Time};
-use meters::{Fleet, SETTLE};
+use meters::{Fleet, GROWTH_DELAY};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use std::time::Duration;
@@ -92,13 +93,13 @@
         let count = Count::default();
         let mut run = Run { fleet, central: Central::full(), load, favourite, last: HOSTS, count };
         // Shares come into force and buckets fill before the load starts.
-        run.fleet.drive(Time::ZERO, SETTLE * 3, 0.0, |_| 1);
-        run.drive(SETTLE * 3, SETTLE * 6);
+        run.fleet.drive(Time::ZERO, GROWTH_DELAY * 3, 0.0, |_| 1);
+        run.drive(GROWTH_DELAY * 3, GROWTH_DELAY * 6);
         run.fleet.offered = 0;
         run.fleet.refused = 0;
         run.fleet.wrongly_refused = 0;
         run.count = Count::default();
-        (run, SETTLE * 6)
+        (run, GROWTH_DELAY * 6)
     }
 
     fn drive(&mut self, from: Time, to: Time) {
@@ -143,9 +144,9 @@
     run.drive(start, start + REMOVAL);
     run.fleet.members.remove(&DEAD);
     run.fleet.apply_members(start + REMOVAL);
-    run.drive(start + REMOVAL, start + REMOVAL + SETTLE);
-    run.central.set_share(1.0, start + REMOVAL + SETTLE);
-    run.drive(start + REMOVAL + SETTLE, start + MINUTE);
+    run.drive(start + REMOVAL, start + REMOVAL + GROWTH_DELAY);
+    run.central.set_share(1.0, start + REMOVAL + GROWTH_DELAY);
+    run.drive(start + REMOVAL + GROWTH_DELAY, start + MINUTE);
     run.into_count()
 }
 
--- a/crates/core/tests/rate_many_hosts.rs
+++ b/crates/core/tests/rate_many_hosts.rs
@@ -20,7 +20,7 @@
 const ROLL_RATE: u32 = 100;
 /// Initial tokens of a restarted host: a quarter of the permitted excess over rate and burst in five
 /// seconds, divided by four hosts.
-const OPENING: u32 = 5;
+const INITIAL_TOKENS: u32 = 5;
 /// Time for which a host is down, and time until the next one stops.
 const DOWN: Time = Duration::from_millis(800);
 const UP: Time = Duration::from_millis(1500);
@@ -102,7 +102,7 @@
             fleet.drive(now, now + DOWN, demand, others);
             now += DOWN;
             fleet.refused += u32::try_from(stopped.waiting.len()).unwrap();
-            fleet.restart(down, OPENING, now);
+            fleet.restart(down, INITIAL_TOKENS, now);
             // All callers whose session had ended connect to the restarted host.
             let back = move |random: &mut SmallRng| {
                 if random.random_bool(0.5) { down } else { random.random_range(1..=ROLLED) }
--- a/crates/core/tests/rate_restart.rs
+++ b/crates/core/tests/rate_restart.rs
@@ -12,9 +12,9 @@
 const RATE: u32 = 120;
 const BURST: u32 = 120;
 const HOSTS: HostId = 4;
-const SETTLE: Duration = Duration::from_millis(1260);
+const GROWTH_DELAY: Duration = Duration::from_millis(1260);
 /// Initial tokens of each host.
-const OPENING: Amount = 6 * MICRO;
+const INITIAL_TOKENS: Amount = 6 * MICRO;
 
 fn ms(millis: u64) -> Time {
     Duration::from_millis(millis)
@@ -28,8 +28,8 @@
 /// A restarted host that had the same share before.
 fn restarted(host: HostId, now: Time) -> Meter {
     let (rate, burst) = shares(host);
-    let mut meter = Meter::new(SETTLE, false);
-    meter.open_share(ACCOUNT, rate, burst, OPENING, now);
+    let mut meter = Meter::new(GROWTH_DELAY, false);
+    meter.open_share(ACCOUNT, rate, burst, INITIAL_TOKENS, now);
     meter
 }
 
@@ -55,8 +55,8 @@
 fn two_restarts_in_one_window_stay_within_what_is_permitted() {
     let mut admitted = 0;
     for host in 1..=HOSTS {
-        // The host had spent its burst before; it restarts three times in the window, each time with
-        // the initial tokens.
+        // The host starts with its burst spent and restarts twice in the window. It has the initial
+        // tokens at the start of each of the three periods.
         for (from, until) in [(0, 1500), (2000, 3000), (3500, 5000)] {
             let mut meter = restarted(host, ms(from));
             admitted += (from..until).filter(|at| admits(&mut meter, ms(*at))).count();
@@ -70,21 +70,21 @@
 #[test]
 fn a_host_that_is_new_waits_until_the_others_have_made_room() {
     let (rate, burst) = shares(1);
-    let mut meter = Meter::new(SETTLE, false);
+    let mut meter = Meter::new(GROWTH_DELAY, false);
     meter.set_share(ACCOUNT, rate, burst, ms(0));
     assert!(!admits(&mut meter, ms(1200)));
-    meter.tick(SETTLE);
-    assert!(admits(&mut meter, SETTLE + ms(100)));
+    meter.tick(GROWTH_DELAY);
+    assert!(admits(&mut meter, GROWTH_DELAY + ms(100)));
 }
 
 #[test]
 fn a_part_that_grows_after_the_start_waits_like_any_other() {
     let mut meter = restarted(1, ms(0));
     let (rate, burst) = shares(1);
-    meter.open_share(ACCOUNT, 2 * rate, 2 * burst, OPENING, ms(10));
+    meter.open_share(ACCOUNT, 2 * rate, 2 * burst, INITIAL_TOKENS, ms(10));
     meter.tick(ms(20));
     assert_eq!(meter.share(ACCOUNT), (rate, burst));
-    meter.tick(ms(10) + SETTLE);
+    meter.tick(ms(10) + GROWTH_DELAY);
     assert_eq!(meter.share(ACCOUNT), (2 * rate, 2 * burst));
 }
 
--- a/crates/core/tests/slot.rs
+++ b/crates/core/tests/slot.rs
@@ -67,9 +67,9 @@
 impl World {
     fn new(given: &Given) -> World {
         let mut world = World::default();
-        for (host, part) in &given.parts {
+        for (host, share) in &given.parts {
             let mut ledger = Ledger::new(1, GROWTH_DELAY);
-            ledger.set_share(Time::ZERO, 1, *part);
+            ledger.set_share(Time::ZERO, 1, *share);
             ledger.extend_authority(START * 10);
             world.hosts.insert(*host, ledger);
         }
--- a/crates/core/tests/slot_search.rs
+++ b/crates/core/tests/slot_search.rs
@@ -1,4 +1,4 @@
-//! Randomized search for violations of a target's connection limit.
+//! Seeded random search for violations of a target's connection limit.
 //!
 //! Hosts lend slots to each other while messages are lost, delayed and repeated, hosts pause, and
 //! members leave and rejoin. The slots that all hosts may use must never exceed the limit.
@@ -20,7 +20,7 @@
 const LOW_CHURN: u64 = 200;
 const HIGH_CHURN: u64 = 1_000;
 const HOSTS: HostId = 4;
-const AUTHORITY_LIFETIME: Duration = Duration::from_millis(1_500);
+const AUTHORITY_VALIDITY: Duration = Duration::from_millis(1_500);
 
 /// A defect that is deliberately added to the protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,7 +63,7 @@
     fn new(seed: u64, limit: u32, defect: Defect) -> World {
         let growth_delay = match defect {
             Defect::GrowAtOnce => Duration::ZERO,
-            _ => growth_delay(AUTHORITY_LIFETIME),
+            _ => growth_delay(AUTHORITY_VALIDITY),
         };
         let hosts = (1..=HOSTS).map(|host| (host, Ledger::new(1, growth_delay))).collect();
         let mut world = World {
@@ -118,7 +118,7 @@
         let generation = seen.generation();
         let ledger = self.hosts.get_mut(&host).expect("a host of the world");
         ledger.set_share(self.now, generation, share as u32);
-        ledger.extend_authority(self.now + AUTHORITY_LIFETIME);
+        ledger.extend_authority(self.now + AUTHORITY_VALIDITY);
     }
 
     fn request(host: HostId, count: u32, sequence: u64) -> SlotRequest {
--- a/crates/core/tests/world/promoter.rs
+++ b/crates/core/tests/world/promoter.rs
@@ -65,10 +65,10 @@
         if is_healthy && !by_mistake || scene.hosts[&host].paused_until > scene.now {
             return;
         }
-        let deposed = Replacement { term, avoid: None, preferred: None };
+        let replacement = Replacement { term, avoid: None, preferred: None };
         let promoter = &mut self.promoters.get_mut(&host).expect("known host").1;
         if promoter.is_idle() {
-            promoter.replace_primary(scene.now, deposed, host);
+            promoter.replace_primary(scene.now, replacement, host);
         }
     }
 
@@ -147,9 +147,9 @@
         }
         let terms = scene.group.targets.values().map(|target| target.accepted);
         let term = terms.max().expect("a group has targets");
-        let deposed = Replacement { term, avoid: None, preferred: None };
+        let replacement = Replacement { term, avoid: None, preferred: None };
         let promoter = &mut self.promoters.get_mut(&0).expect("known host").1;
-        promoter.replace_primary(scene.now, deposed, 0);
+        promoter.replace_primary(scene.now, replacement, 0);
         let completed_before = self.completed;
         for _ in 0..MAX_FINISH_ROUNDS {
             scene.now += Duration::from_millis(5);
--- a/crates/core/tests/world/session.rs
+++ b/crates/core/tests/world/session.rs
@@ -105,8 +105,8 @@
             Verdict::NotRun => scene.tally.not_run += 1,
             _ => scene.tally.unknown += 1,
         }
-        // A refusal as not run covers one attempt: the write did not run only if all attempts are
-        // refused so.
+        // A refusal as not run covers one attempt only: the write counts as not run only if every
+        // attempt was refused as not run.
         let known = scene.writes.entry(request.op).or_insert(None);
         *known = match *known {
             None => Some(verdict),
