tests: name results of blocked calls and describe the soak's restarts

Locals that hold the result of a call over a blocked link no longer have the name of the fault. The claimed counts of malformed frames and the goals for the failover gap are described as they are used.

--- a/crates/host/tests/failover_gap.rs
+++ b/crates/host/tests/failover_gap.rs
@@ -11,6 +11,7 @@
 const RUNS: usize = 10;
 /// Longest time without an acknowledged write after any fault.
 const MAX_GAP: Duration = Duration::from_secs(7);
+/// Goals for the median and the worst gap of the [`RUNS`] runs with one fault.
 const MAX_MEDIAN_GAP: Duration = Duration::from_millis(1_500);
 const MAX_WORST_GAP: Duration = Duration::from_secs(3);
 
--- a/crates/host/tests/sessions/soak/faults.rs
+++ b/crates/host/tests/sessions/soak/faults.rs
@@ -16,7 +16,7 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..2500;
 /// A replication stall is also injected with one draw in this many.
 const STALL_ONE_IN: u32 = 3;
-/// Lag of a stalled replica, which receives nothing during a run.
+/// Lag of a stalled replica: longer than a run, so that it receives nothing.
 const STALLED_LAG: Duration = Duration::from_secs(3600);
 const NORMAL_LAG: Duration = Duration::from_millis(5);
 /// Time between checks for faults that are due to be cleared or injected.
@@ -29,9 +29,10 @@
 /// Faults that are due at the same time are cleared in the order of the variants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Fault {
-    /// The host's process was killed by SIGKILL; it is started anew.
+    /// The host was killed by SIGKILL. It is restarted when the fault is cleared.
     Killed(u8),
-    /// The host was sent SIGTERM; it has to exit gracefully and is started anew.
+    /// The host was sent SIGTERM and has to exit gracefully. It is restarted when the fault is
+    /// cleared.
     Stopping(u8),
     /// The host's process is suspended by SIGSTOP.
     Paused(u8),
--- a/crates/standin/tests/group_terms.rs
+++ b/crates/standin/tests/group_terms.rs
@@ -152,12 +152,12 @@
     group.target(2).pause();
     insert(&client, 1).await.unwrap();
 
-    let alone = call(&client, "confirmed", &[1, 2, 100]).await.unwrap();
+    let minority = call(&client, "confirmed", &[1, 2, 100]).await.unwrap();
     group.target(2).resume();
     let majority = call(&client, "confirmed", &[1, 2, 20_000]).await.unwrap();
 
-    assert_eq!(alone.get("confirmed_index"), 1);
-    assert_eq!(alone.get("entry_index"), 2);
+    assert_eq!(minority.get("confirmed_index"), 1);
+    assert_eq!(minority.get("entry_index"), 2);
     assert_eq!(majority.get("confirmed_index"), 2);
 }
 
--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -99,10 +99,10 @@
     assert!(ping(&mut stream, MAX_WAIT).await);
 
     relay.set(|fault| fault.blocked = true).unwrap();
-    let cut = ping(&mut stream, OBSERVATION_TIME).await;
+    let echoed = ping(&mut stream, OBSERVATION_TIME).await;
     relay.set(|fault| fault.blocked = false).unwrap();
 
-    assert!(!cut);
+    assert!(!echoed);
     assert!(ping(&mut stream, MAX_WAIT).await);
 }
 
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -171,11 +171,11 @@
         client.get(url).header("bergamotvale-host", host).timeout(wait).send()
     };
 
-    let (cut, other) = (call("h1", OBSERVATION_TIME).await, call("h2", MAX_WAIT).await);
+    let (blocked, other) = (call("h1", OBSERVATION_TIME).await, call("h2", MAX_WAIT).await);
     faults.set(|fault| fault.blocked_hosts.clear()).unwrap();
     let healed = call("h1", MAX_WAIT).await;
 
-    assert!(cut.is_err_and(|error| error.is_timeout()));
+    assert!(blocked.is_err_and(|error| error.is_timeout()));
     assert_eq!(other.unwrap().status(), StatusCode::OK);
     assert_eq!(healed.unwrap().status(), StatusCode::OK);
 }
@@ -299,10 +299,10 @@
 
     register(&client, &server, "h1", 1).await;
     let at_once = list_hosts(&client, &server).await;
-    let asked = start.elapsed();
+    let listed_after = start.elapsed();
     let seen = wait_for_listing(&client, &server, "h1", true).await;
 
-    assert!(at_once.is_empty() || asked >= LAG);
+    assert!(at_once.is_empty() || listed_after >= LAG);
     assert!(seen);
     assert!(start.elapsed() >= LAG);
 }
--- a/crates/wire/tests/garbage.rs
+++ b/crates/wire/tests/garbage.rs
@@ -27,8 +27,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(60);
 /// Address space that threads of other tests may reserve during a measurement.
 const MEMORY_MARGIN_BYTES: usize = 1024 * 1024 * 1024;
-/// Element counts that an altered message claims: one needs far more than the margin, the other
-/// nearly the whole address space.
+/// Element counts that an altered message claims: either needs far more bytes than the margin, and
+/// the larger one more than any process can allocate.
 const CLAIMED_COUNTS: [u64; 2] = [1 << 33, u64::MAX >> 8];
 
 #[derive(Clone)]
