core tests: name the deliveries of the promotion search

Methods that deliver messages, requests and answers say so, as in the search over combined faults. An event of a fleet case states when it occurs if both conditions are given.

--- a/crates/core/tests/fleet/script.rs
+++ b/crates/core/tests/fleet/script.rs
@@ -27,7 +27,8 @@
     time: u64,
 }
 
-/// An event that occurs at a time in ms after the start, or when the publisher reaches a step.
+/// An event. It occurs once `at` ms have passed since the start and the step `when` is reached; each
+/// condition is optional.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Event {
--- a/crates/core/tests/promotion_search.rs
+++ b/crates/core/tests/promotion_search.rs
@@ -68,9 +68,9 @@
         match self.random.below(100) {
             0..=9 => self.group.write(target),
             10..=24 => self.replicate(target),
-            25..=49 => self.message(),
-            50..=64 => self.request(),
-            65..=79 => self.answer(),
+            25..=49 => self.deliver_message(),
+            50..=64 => self.deliver_request(),
+            65..=79 => self.deliver_answer(),
             80..=84 => self.depose(),
             85..=92 => self.tick(),
             93..=94 => self.observe(target),
@@ -98,7 +98,7 @@
     }
 
     /// Delivers a message of any age; some are lost or duplicated.
-    fn message(&mut self) {
+    fn deliver_message(&mut self) {
         let Some(message) = pick(&mut self.random, &mut self.messages) else { return };
         if self.random.chance(50) {
             return;
@@ -110,7 +110,7 @@
         self.messages.extend(reply);
     }
 
-    fn request(&mut self) {
+    fn deliver_request(&mut self) {
         let Some((by, action)) = pick(&mut self.random, &mut self.requests) else { return };
         if self.random.chance(50) {
             return;
@@ -156,7 +156,7 @@
         }
     }
 
-    fn answer(&mut self) {
+    fn deliver_answer(&mut self) {
         let Some((by, action, answer)) = pick(&mut self.random, &mut self.answers) else { return };
         let now = self.now;
         let promoter = &mut self.promoters[by].0;
@@ -167,7 +167,7 @@
             }
             Action::Done { .. } | Action::Failed { .. } => Vec::new(),
         };
-        self.take(by, actions);
+        self.enqueue(by, actions);
     }
 
     fn depose(&mut self) {
@@ -182,7 +182,7 @@
         let by = self.random.below(u64::from(PROMOTERS)) as usize;
         if self.now >= self.promoters[by].1 {
             let actions = self.promoters[by].0.tick(self.now);
-            self.take(by, actions);
+            self.enqueue(by, actions);
         }
     }
 
@@ -190,7 +190,7 @@
         let by = self.random.below(u64::from(PROMOTERS)) as usize;
         let status = status(&self.group.targets[&target]);
         let actions = self.promoters[by].0.record_status(self.now, &status);
-        self.take(by, actions);
+        self.enqueue(by, actions);
     }
 
     fn pause(&mut self) {
@@ -198,7 +198,7 @@
         self.promoters[by].1 = self.now + self.random.time_below(Duration::from_secs(5));
     }
 
-    fn take(&mut self, by: usize, actions: Vec<Action>) {
+    fn enqueue(&mut self, by: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Done { .. } => self.promotions += 1,
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -380,8 +380,8 @@
         for _ in 0..HEALING_ROUNDS {
             for (from, to) in (0..TARGETS).flat_map(|from| (0..TARGETS).map(move |to| (from, to))) {
                 let append = self.scene.group.append_message(from, to);
-                let held = append.and_then(|append| self.scene.group.deliver(append));
-                held.and_then(|held| self.scene.group.deliver(held));
+                let reply = append.and_then(|append| self.scene.group.deliver(append));
+                reply.and_then(|reply| self.scene.group.deliver(reply));
             }
         }
     }
