--- a/crates/core/src/proxy/cursor.rs
+++ b/crates/core/src/proxy/cursor.rs
@@ -5,7 +5,7 @@
 //! therefore reads the table instead of its history: an answer that took too long once would only
 //! take longer the next time.
 
-use super::lease::Revision;
+use super::revision::{Era, Revision};
 
 /// Next call that follows a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +39,11 @@
         self.revision = None;
     }
 
+    /// Whether the store has been restored since the revision up to which the table has been read.
+    pub fn is_before(&self, era: Era) -> bool {
+        self.revision.is_some_and(|revision| revision.era < era)
+    }
+
     /// Whether a poll is due to return a change at `newest`, which a peer has seen.
     pub fn is_behind(&self, newest: Revision) -> bool {
         self.revision.is_some_and(|revision| revision < newest)
--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -23,6 +23,7 @@
 //! Times come from a clock that also counts while the machine is suspended, so that a host that
 //! resumes finds its lease expired.
 
+use super::revision::{Era, Revision};
 use crate::id::{HostId, Incarnation, Time};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -30,9 +31,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Number of a change of the table; increases with each change.
-pub type Revision = u64;
-
 /// A host as the table records it.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +77,9 @@
     /// Age of its last renewal by the platform when it sent the heartbeat; none before the first.
     #[serde(rename = "proof_age")]
     pub renewal_age: Option<Duration>,
+    /// Newest era of the store whose table the host has read and completed with what it remembers
+    /// of the era before; none before the first.
+    pub reconciled: Option<Era>,
 }
 
 /// The latest attestation of a peer, with a time no later than that at which it was made.
@@ -107,7 +108,7 @@
         Lease {
             own: (host, incarnation),
             limits,
-            revision: 0,
+            revision: Revision::default(),
             members: BTreeMap::new(),
             platform_clock: None,
             renewed_at: None,
@@ -120,7 +121,7 @@
         self.limits
     }
 
-    /// Revision of this host's copy of the table; 0 before it was read.
+    /// Revision of this host's copy of the table; the default before it was read.
     pub fn revision(&self) -> Revision {
         self.revision
     }
@@ -229,11 +230,14 @@
         self.members.get(host).is_some_and(|member| member.incarnation == incarnation)
     }
 
-    /// Whether `host` has adopted `revision` and has no work in flight under an older one.
+    /// Whether `host` has adopted `revision` and has no work in flight under an older one. A later
+    /// era proves nothing: its table may lack the change.
     fn has_quiesced(&self, host: &HostId, revision: Revision) -> bool {
         self.attestations.get(host).is_some_and(|received| {
+            let quiesced = received.attestation.quiesced;
             self.is_current_incarnation(host, received.attestation.incarnation)
-                && received.attestation.quiesced >= revision
+                && quiesced.era == revision.era
+                && quiesced >= revision
         })
     }
 
@@ -250,16 +254,53 @@
     /// other hosts may still act on a table without them, in which a smaller number is a majority.
     /// False before the platform's clock was read.
     pub fn has_majority_quiesced(&self, now: Time, revision: Revision) -> bool {
+        self.breaks_majority(now, &self.members, |host| self.has_quiesced(host, revision))
+    }
+
+    /// Whether every other one of `members` has reconciled `era`.
+    pub fn is_reconciled_everywhere(&self, members: &BTreeMap<HostId, Member>, era: Era) -> bool {
+        let mut others = members.keys().filter(|host| **host != self.own.0);
+        others.all(|host| self.has_reconciled(members, host, era))
+    }
+
+    /// Whether so many of `members` have reconciled `era` that the rest can form no majority that
+    /// attests the era before. Members that entered lately are not counted, as for
+    /// [`Lease::has_majority_quiesced`].
+    pub fn is_majority_reconciled(
+        &self,
+        now: Time,
+        members: &BTreeMap<HostId, Member>,
+        era: Era,
+    ) -> bool {
+        self.breaks_majority(now, members, |host| self.has_reconciled(members, host, era))
+    }
+
+    fn has_reconciled(&self, members: &BTreeMap<HostId, Member>, host: &HostId, era: Era) -> bool {
+        let received = self.attestations.get(host);
+        received.zip(members.get(host)).is_some_and(|(received, member)| {
+            received.attestation.incarnation == member.incarnation
+                && received.attestation.reconciled.is_some_and(|reconciled| reconciled >= era)
+        })
+    }
+
+    /// Whether the members without `has_confirmed` can form no majority. Members that entered
+    /// within the longest time for which a lease may last do not count as confirmed.
+    fn breaks_majority(
+        &self,
+        now: Time,
+        members: &BTreeMap<HostId, Member>,
+        has_confirmed: impl Fn(&HostId) -> bool,
+    ) -> bool {
         let recent = self.limits.max_attested_age + self.limits.validity;
         let Some(platform_now) = self.platform_now(now) else { return false };
         let is_new = |host: &HostId| {
-            let entered = self.members.get(host).map(|member| member.entered);
+            let entered = members.get(host).map(|member| member.entered);
             entered.is_none_or(|entered| platform_now.saturating_sub(entered) < recent)
         };
-        let others = self.members.keys().filter(|host| **host != self.own.0);
-        let quiesced = others.filter(|host| !is_new(host) && self.has_quiesced(host, revision));
-        let count = quiesced.count() + usize::from(!is_new(&self.own.0));
-        count > self.members.len() - majority(self.members.len())
+        let others = members.keys().filter(|host| **host != self.own.0);
+        let confirmed = others.filter(|host| !is_new(host) && has_confirmed(host));
+        let count = confirmed.count() + usize::from(!is_new(&self.own.0));
+        count > members.len() - majority(members.len())
     }
 }
 
--- a/crates/core/src/proxy/record.rs
+++ b/crates/core/src/proxy/record.rs
@@ -6,14 +6,19 @@
 //! fence or its lease expires.
 
 use super::directory::{Directory, Role, TargetName, of_service};
+use super::revision::Era;
 use crate::id::HostId;
 use serde::{Deserialize, Serialize};
 
-/// Number of a promotion; increases with each.
+/// Number of a promotion; increases with each, also over a restore of the store.
 pub type Fence = u64;
 /// Term of a group's log; increases each time a target becomes the primary.
 pub type Term = u64;
 
+/// Number of fences of one era of the store. Promotions that a restore made the table forget have
+/// fences of an earlier era, so that none is given out twice.
+const FENCES_PER_ERA: Fence = 1_000_000;
+
 /// Primary of one group, or the promotion that is in progress.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -37,15 +42,15 @@
 
 impl Record {
     /// Creates the first record of a group, which names the only target that reports itself as the
-    /// primary; none unless there is exactly one.
-    pub fn first(directory: &Directory, service: &str, holder: HostId) -> Option<Record> {
+    /// primary; none unless there is exactly one. `era` is that of the table.
+    pub fn first(directory: &Directory, service: &str, holder: HostId, era: Era) -> Option<Record> {
         let mut primaries = of_service(directory, service).filter(|e| e.role == Role::Primary);
         let primary = primaries.next()?;
         if primaries.next().is_some() {
             return None;
         }
         Some(Record {
-            fence: 1,
+            fence: era * FENCES_PER_ERA + 1,
             primary: primary.name.clone(),
             previous: None,
             holder,
@@ -56,18 +61,20 @@
     }
 
     /// Returns the record that starts the promotion of `candidate` and follows this one. `seen` is
-    /// the highest term observed at any target of the group, 0 if none was.
+    /// the highest term observed at any target of the group, 0 if none was, and `era` that of the
+    /// table.
     pub fn promote(
         &self,
         candidate: &TargetName,
         holder: HostId,
         planned: bool,
         seen: Term,
+        era: Era,
     ) -> Record {
         let previous =
             if self.established { Some(self.primary.clone()) } else { self.previous.clone() };
         Record {
-            fence: self.fence + 1,
+            fence: self.fence.max(era * FENCES_PER_ERA) + 1,
             primary: candidate.clone(),
             previous,
             holder,
@@ -79,8 +86,13 @@
 
     /// Returns a term above all in which a target led before this promotion.
     pub fn next_term(&self) -> Term {
-        // If no term was observed yet, there were fewer terms than promotions started.
-        self.fence.max(self.term + 1)
+        // If no term was observed yet, there were fewer terms than promotions started in this era.
+        (self.fence % FENCES_PER_ERA).max(self.term + 1)
+    }
+
+    /// Whether this record describes a later state of its group than `other`.
+    pub fn supersedes(&self, other: &Record) -> bool {
+        (self.fence, self.established) > (other.fence, other.established)
     }
 
     /// Whether a target that reports itself as the primary in `term` leads because of this
--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -12,6 +12,7 @@
 use bergamotvale_core::proxy::floor::{History, Observation, Position};
 use bergamotvale_core::proxy::lease::{Attestation, Barrier, Lease, Limits, Member};
 use bergamotvale_core::proxy::record::Record;
+use bergamotvale_core::proxy::revision::Revision;
 use common::case;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -108,7 +109,7 @@
                 .into();
         let at = |number: &u64| Position { term: 1, number: *number };
         WatchedGroup {
-            record: Record::first(&directory, SERVICE, 1).expect("one primary"),
+            record: Record::first(&directory, SERVICE, 1, 0).expect("one primary"),
             directory,
             views: BTreeMap::new(),
             peers: given.peers.iter().map(|host| (*host, View::Alive)).collect(),
@@ -127,7 +128,7 @@
             }
             FailoverEvent::Gone { target } => drop(self.directory.remove(target)),
             FailoverEvent::Promote { target, planned } => {
-                self.record = self.record.promote(target, 1, *planned, 1);
+                self.record = self.record.promote(target, 1, *planned, 1, 0);
             }
             FailoverEvent::Abandoned => self.is_holder_active = false,
             FailoverEvent::Established { term } => self.record = self.record.establish(*term),
@@ -205,6 +206,10 @@
     1
 }
 
+fn first_era(version: u64) -> Revision {
+    Revision::new(0, version)
+}
+
 struct LeaseHolder {
     lease: Lease,
     hosts: HostId,
@@ -224,7 +229,7 @@
 impl LeaseHolder {
     fn new(given: &Members) -> LeaseHolder {
         let mut lease = Lease::new(1, 1, LIMITS);
-        lease.adopt(given.revision, members(given.hosts, &BTreeMap::new()));
+        lease.adopt(first_era(given.revision), members(given.hosts, &BTreeMap::new()));
         lease.set_platform_clock(Time::ZERO, PLATFORM);
         LeaseHolder { lease, hosts: given.hosts, barrier: None }
     }
@@ -232,21 +237,24 @@
     fn apply(&mut self, at: u64, event: &LeaseEvent) -> Option<String> {
         let now = ms(at);
         match event {
-            LeaseEvent::Prove { revision } => self.lease.renew(now, *revision),
+            LeaseEvent::Prove { revision } => self.lease.renew(now, first_era(*revision)),
             LeaseEvent::Hear { host, revision, settled, proof_age, run } => {
                 let attestation = Attestation {
                     host: *host,
                     incarnation: *run,
-                    revision: *revision,
-                    quiesced: settled.unwrap_or(*revision),
+                    revision: first_era(*revision),
+                    quiesced: first_era(settled.unwrap_or(*revision)),
                     renewal_age: proof_age.map(ms),
+                    reconciled: None,
                 };
                 self.lease.record_attestation(now, attestation);
             }
             LeaseEvent::Adopt { revision, runs } => {
-                self.lease.adopt(*revision, members(self.hosts, runs));
+                self.lease.adopt(first_era(*revision), members(self.hosts, runs));
+            }
+            LeaseEvent::Wrote { revision } => {
+                self.barrier = Some(Barrier::new(first_era(*revision), now))
             }
-            LeaseEvent::Wrote { revision } => self.barrier = Some(Barrier::new(*revision, now)),
             LeaseEvent::Look => {
                 let held = if self.lease.is_held(now) { "held" } else { "lapsed" };
                 let lease = &self.lease;
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -44,7 +44,7 @@
         let directory: Directory = entries.into_iter().map(|e| (e.name.clone(), e)).collect();
         let position = |number| Position { term: 1, number };
         World {
-            record: Record::first(&directory, SERVICE, 1).expect("one primary"),
+            record: Record::first(&directory, SERVICE, 1, 0).expect("one primary"),
             directory,
             views: BTreeMap::new(),
             peers: [(2, View::Alive), (3, View::Alive), (4, View::Alive)].into(),
@@ -114,7 +114,7 @@
     world.directory.get_mut("p").unwrap().is_leaving = true;
     let (cause, candidate) = world.decide(&mut Monitor::default(), 0, 0).unwrap();
     assert_eq!(cause, Cause::Leaving);
-    let record = world.record.promote(&candidate, 1, true, 1);
+    let record = world.record.promote(&candidate, 1, true, 1, 0);
     assert!(record.planned && !record.established);
     assert_eq!((record.fence, record.previous.as_deref()), (2, Some("p")));
 }
@@ -139,7 +139,7 @@
 #[test]
 fn a_promotion_under_way_is_left_alone_until_it_is_stuck() {
     let mut world = World::new();
-    world.record = world.record.promote(&"r".into(), 2, false, 1);
+    world.record = world.record.promote(&"r".into(), 2, false, 1, 0);
     let mut monitor = Monitor::default();
     assert_eq!(world.decide(&mut monitor, 0, 0), None);
     assert_eq!(world.decide(&mut monitor, 3999, 0), None);
@@ -150,7 +150,7 @@
 #[test]
 fn a_promotion_whose_candidate_is_lost_goes_on_with_another() {
     let mut world = World::new();
-    world.record = world.record.promote(&"s".into(), 2, false, 1);
+    world.record = world.record.promote(&"s".into(), 2, false, 1, 0);
     world.views.insert("s".into(), View::Lost);
     assert_eq!(world.decide(&mut Monitor::default(), 0, 0), Some((Cause::Stuck, "r".into())));
 }
@@ -159,7 +159,7 @@
 fn two_primaries_in_the_directory_make_no_first_record() {
     let mut world = World::new();
     world.directory.get_mut("r").unwrap().role = Role::Primary;
-    assert_eq!(Record::first(&world.directory, SERVICE, 1), None);
+    assert_eq!(Record::first(&world.directory, SERVICE, 1, 0), None);
 }
 
 #[test]
@@ -197,13 +197,13 @@
 #[test]
 fn a_candidate_that_still_leads_an_older_term_does_not_lead_by_its_promotion() {
     let world = World::new();
-    let first = world.record.promote(&"s".into(), 2, false, 1).establish(2);
-    let second = first.promote(&"p".into(), 3, false, 2);
+    let first = world.record.promote(&"s".into(), 2, false, 1, 0).establish(2);
+    let second = first.promote(&"p".into(), 3, false, 2, 0);
     assert!(!second.accepts_term(1));
     assert!(!second.accepts_term(2));
     assert!(second.accepts_term(3));
     // A host that takes the promotion over keeps the term that has to be exceeded.
-    let resumed = second.promote(&"p".into(), 4, false, 0);
+    let resumed = second.promote(&"p".into(), 4, false, 0, 0);
     assert!(!resumed.accepts_term(2));
 }
 
--- a/crates/core/tests/proxy_lease.rs
+++ b/crates/core/tests/proxy_lease.rs
@@ -3,6 +3,7 @@
 
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::lease::{Attestation, Barrier, Lease, Limits, Member};
+use bergamotvale_core::proxy::revision::Revision;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -16,6 +17,11 @@
     Duration::from_millis(millis)
 }
 
+/// Returns a revision of the store's first era.
+fn at(version: u64) -> Revision {
+    Revision::new(0, version)
+}
+
 /// The platform's clock at time 0 of the tests.
 const PLATFORM: Duration = Duration::from_secs(3600);
 
@@ -30,7 +36,7 @@
 
 fn lease(count: HostId) -> Lease {
     let mut lease = Lease::new(1, 1, LIMITS);
-    lease.adopt(5, members(count));
+    lease.adopt(at(5), members(count));
     lease.set_platform_clock(ms(0), PLATFORM);
     lease
 }
@@ -39,9 +45,10 @@
     Attestation {
         host,
         incarnation: 1,
-        revision,
-        quiesced: revision,
+        revision: at(revision),
+        quiesced: at(revision),
         renewal_age: renewal_age.map(ms),
+        reconciled: None,
     }
 }
 
@@ -49,7 +56,7 @@
 fn a_read_of_the_platform_proves_from_when_it_was_sent() {
     let mut lease = lease(4);
     assert!(!lease.is_held(ms(0)));
-    lease.renew(ms(100), 5);
+    lease.renew(ms(100), at(5));
     assert!(lease.is_held(ms(1100)));
     assert!(!lease.is_held(ms(1101)));
 }
@@ -57,17 +64,17 @@
 #[test]
 fn a_read_that_shows_a_newer_revision_proves_nothing() {
     let mut lease = lease(4);
-    lease.renew(ms(100), 6);
+    lease.renew(ms(100), at(6));
     assert!(!lease.is_held(ms(100)));
 }
 
 #[test]
 fn a_newer_revision_ends_the_proof_of_the_older() {
     let mut lease = lease(4);
-    lease.renew(ms(100), 5);
-    lease.adopt(6, members(4));
+    lease.renew(ms(100), at(5));
+    lease.adopt(at(6), members(4));
     assert!(!lease.is_held(ms(200)));
-    lease.renew(ms(200), 6);
+    lease.renew(ms(200), at(6));
     assert!(lease.is_held(ms(200)));
 }
 
@@ -84,27 +91,27 @@
 #[test]
 fn a_host_that_the_table_does_not_record_holds_nothing() {
     let mut lease = Lease::new(1, 2, LIMITS);
-    lease.adopt(5, members(4));
-    lease.renew(ms(0), 5);
+    lease.adopt(at(5), members(4));
+    lease.renew(ms(0), at(5));
     assert!(!lease.is_held(ms(0)));
 }
 
 #[test]
 fn a_majority_vouches_while_the_store_is_away_for_a_bounded_time() {
     let mut lease = lease(4);
-    lease.renew(ms(0), 5);
-    for at in [3000, 9500, 10_500] {
-        lease.record_attestation(ms(at), attestation(2, 5, None));
-        assert!(!lease.is_held(ms(at)), "two of four are no majority");
-        lease.record_attestation(ms(at), attestation(3, 5, None));
-        assert_eq!(lease.is_held(ms(at)), at < 10_000);
+    lease.renew(ms(0), at(5));
+    for now in [3000, 9500, 10_500] {
+        lease.record_attestation(ms(now), attestation(2, 5, None));
+        assert!(!lease.is_held(ms(now)), "two of four are no majority");
+        lease.record_attestation(ms(now), attestation(3, 5, None));
+        assert_eq!(lease.is_held(ms(now)), now < 10_000);
     }
 }
 
 #[test]
 fn a_host_that_knows_of_a_newer_revision_does_not_vouch() {
     let mut lease = lease(3);
-    lease.renew(ms(0), 5);
+    lease.renew(ms(0), at(5));
     lease.record_attestation(ms(3000), attestation(2, 5, None));
     assert!(lease.is_held(ms(3000)));
     lease.record_attestation(ms(3100), attestation(2, 6, None));
@@ -114,7 +121,7 @@
 #[test]
 fn an_earlier_run_of_a_host_does_not_vouch() {
     let mut lease = lease(3);
-    lease.renew(ms(0), 5);
+    lease.renew(ms(0), at(5));
     lease.record_attestation(ms(3000), Attestation { incarnation: 9, ..attestation(2, 5, None) });
     assert!(!lease.is_held(ms(3000)));
 }
@@ -122,7 +129,7 @@
 #[test]
 fn a_heartbeat_that_arrives_late_does_not_replace_a_later_one() {
     let mut lease = lease(3);
-    lease.renew(ms(0), 5);
+    lease.renew(ms(0), at(5));
     lease.record_attestation(ms(3100), attestation(2, 6, None));
     lease.record_attestation(ms(3000), attestation(2, 5, None));
     assert!(!lease.is_held(ms(3100)));
@@ -131,7 +138,7 @@
 #[test]
 fn a_wait_ends_at_once_when_every_member_has_settled() {
     let mut lease = lease(3);
-    let mut barrier = Barrier::new(5, ms(100));
+    let mut barrier = Barrier::new(at(5), ms(100));
     lease.record_attestation(ms(120), attestation(2, 5, None));
     assert!(!barrier.has_passed(&lease, ms(120)));
     lease.record_attestation(ms(125), attestation(3, 5, None));
@@ -141,15 +148,15 @@
 #[test]
 fn a_peer_with_older_work_under_way_is_waited_for() {
     let mut lease = lease(2);
-    let mut barrier = Barrier::new(5, ms(100));
-    lease.record_attestation(ms(120), Attestation { quiesced: 4, ..attestation(2, 5, None) });
+    let mut barrier = Barrier::new(at(5), ms(100));
+    lease.record_attestation(ms(120), Attestation { quiesced: at(4), ..attestation(2, 5, None) });
     assert!(!barrier.has_passed(&lease, ms(120)));
 }
 
 #[test]
 fn with_a_silent_host_the_wait_takes_the_validity_from_the_majoritys_word() {
     let mut lease = lease(4);
-    let mut barrier = Barrier::new(5, ms(100));
+    let mut barrier = Barrier::new(at(5), ms(100));
     lease.record_attestation(ms(300), attestation(2, 5, None));
     // Two of four have quiesced: the other two form no majority.
     assert!(!barrier.has_passed(&lease, ms(300)));
@@ -160,7 +167,7 @@
 #[test]
 fn with_a_silent_majority_the_wait_takes_the_vouch_limit_and_the_validity() {
     let lease = lease(4);
-    let mut barrier = Barrier::new(5, ms(100));
+    let mut barrier = Barrier::new(at(5), ms(100));
     assert!(!barrier.has_passed(&lease, ms(11_149)));
     assert!(barrier.has_passed(&lease, ms(11_150)));
 }
@@ -170,12 +177,12 @@
     let mut lease = lease(3);
     let mut with_new = members(3);
     with_new.insert(4, member(1, PLATFORM));
-    lease.adopt(6, with_new);
+    lease.adopt(at(6), with_new);
     // 2 and 3 may still attest for each other under the table without 4.
     lease.record_attestation(ms(10), attestation(4, 6, None));
-    assert!(!lease.has_majority_quiesced(ms(10), 6));
+    assert!(!lease.has_majority_quiesced(ms(10), at(6)));
     lease.record_attestation(ms(20), attestation(2, 6, None));
-    assert!(lease.has_majority_quiesced(ms(20), 6));
+    assert!(lease.has_majority_quiesced(ms(20), at(6)));
 }
 
 /// Fault: four of five hosts restart at once, and the fifth never returns. Members that keep the
@@ -188,10 +195,10 @@
     for host in 1..=4 {
         // They return one by one and keep the entry time of their previous incarnation.
         table.insert(host, member(2, ms(0)));
-        lease.adopt(5 + u64::from(host), table.clone());
+        lease.adopt(at(5 + u64::from(host)), table.clone());
     }
     lease.set_platform_clock(ms(0), PLATFORM);
-    let mut barrier = Barrier::new(9, ms(0));
+    let mut barrier = Barrier::new(at(9), ms(0));
     for host in 2..=4 {
         lease.record_attestation(
             ms(100),
@@ -205,9 +212,9 @@
 #[test]
 fn without_the_platforms_clock_every_member_counts_as_new() {
     let mut lease = Lease::new(1, 1, LIMITS);
-    lease.adopt(5, members(3));
+    lease.adopt(at(5), members(3));
     lease.record_attestation(ms(10), attestation(2, 5, None));
     lease.record_attestation(ms(10), attestation(3, 5, None));
-    assert!(!lease.has_majority_quiesced(ms(10), 5));
-    assert!(lease.has_quiesced_everywhere(5));
+    assert!(!lease.has_majority_quiesced(ms(10), at(5)));
+    assert!(lease.has_quiesced_everywhere(at(5)));
 }
--- a/crates/core/tests/proxy_search.rs
+++ b/crates/core/tests/proxy_search.rs
@@ -1,8 +1,9 @@
 //! A seeded search over promotions, leases, reads and rate limits together.
 //!
 //! It simulates hosts, a store and one group of targets on a manual clock. Messages are delayed and
-//! lost. Hosts are paused, restarted and partitioned from the store. Primaries die; hosts promote
-//! other targets, sometimes two hosts at once, and promotion calls arrive late. A client account
+//! lost. Hosts are paused, restarted and partitioned from the store, which in a search of its own is
+//! restored from older copies. Primaries die; hosts promote other targets, sometimes two hosts at
+//! once, and promotion calls arrive late. A client account
 //! requests several times its rate throughout, and hosts lend each other tokens.
 //!
 //! The invariants are checked on what targets and callers observe. For each of them a test shows
@@ -12,12 +13,14 @@
 use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::proxy::floor::{History, Observation, Position};
 use bergamotvale_core::proxy::lease::{Attestation, Barrier, Lease, Limits, Member};
+use bergamotvale_core::proxy::restore::Settlement;
+use bergamotvale_core::proxy::revision::{Era, Revision};
 use bergamotvale_core::rate::bucket::{Amount, LOAN_LIFETIME, MICRO};
 use bergamotvale_core::rate::meter::{Decision, LoanRequest, Meter, micro};
 use bergamotvale_core::rate::rate_share;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 const HOSTS: HostId = 4;
@@ -35,6 +38,11 @@
 const MAX_PROMOTION_TIME: u64 = 150;
 const STALENESS_BOUND: Duration = Duration::from_millis(200);
 const STEPS: u64 = 3000;
+/// Time in milliseconds between copies of the store, and number of copies that are kept.
+const COPY_INTERVAL: u64 = 50;
+const MAX_COPIES: usize = 8;
+/// Number of fences of one era, as in the record.
+const FENCES_PER_ERA: u64 = 1_000_000;
 const ACCOUNT: AccountId = 7;
 const RATE: u32 = 40;
 const BURST: u32 = 40;
@@ -68,11 +76,32 @@
     DatesObservationsLate,
     /// Uses a client account's whole rate instead of its own share.
     CountsAlone,
+    /// Acts on a restored table at once.
+    TrustsRestores,
+    /// Reports an era as reconciled without writing again what it remembers.
+    ForgetsRecords,
+    /// Numbers promotions by the restored record alone.
+    ReusesFences,
 }
 
 impl Host {
+    /// Takes over a table that is not settled, unless a newer one is known.
+    fn record_restored(&mut self, now: Time, table: Table) {
+        let (revision, era) = (table.row.revision, table.row.revision.era);
+        if self.lease.revision().era >= era {
+            return;
+        }
+        let known = self.restored.take();
+        let is_older = |known: &Table| known.row.revision > revision;
+        self.restored = match known {
+            Some((known, settlement)) if is_older(&known) => Some((known, settlement)),
+            Some((_, settlement)) if settlement.era() == era => Some((table, settlement)),
+            _ => Some((table, Settlement::new(era, now, self.row.is_some()))),
+        };
+    }
+
     /// Revision that this host has adopted, with no work in flight under an older one.
-    fn quiesced(&self, now: Time, defect: Defect) -> u64 {
+    fn quiesced(&self, now: Time, defect: Defect) -> Revision {
         let fence = self.row.map_or(0, |row| row.fence);
         let call_in_flight =
             self.call_in_flight.filter(|(row, until)| now < *until && row.fence < fence);
@@ -86,7 +115,7 @@
 /// The group's record, with the revision of the table that it was read in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Row {
-    revision: u64,
+    revision: Revision,
     fence: u64,
     primary: usize,
     established: bool,
@@ -101,13 +130,12 @@
         attestation: Attestation,
         echo: Option<(u64, Time)>,
         number: u64,
-        row: Row,
+        row: Option<Row>,
     },
     Read {
         to: HostId,
         sent: Time,
-        row: Row,
-        members: BTreeMap<HostId, Member>,
+        table: Table,
     },
     Promote {
         host: HostId,
@@ -127,7 +155,25 @@
     },
 }
 
+/// The store's table.
+#[derive(Debug, Clone)]
+struct Table {
+    row: Row,
+    members: BTreeMap<HostId, Member>,
+    /// Era in which the table was last settled.
+    settled: Era,
+}
+
+impl Table {
+    fn is_settled(&self) -> bool {
+        self.settled == self.row.revision.era
+    }
+}
+
 struct Host {
+    /// Table of an era that is not settled, and when this host first saw it.
+    restored: Option<(Table, Settlement)>,
+    reconciled: Option<Era>,
     lease: Lease,
     incarnation: u64,
     row: Option<Row>,
@@ -181,8 +227,14 @@
     takeover_delay: u64,
     hosts: Vec<Host>,
     targets: Vec<Target>,
-    row: Row,
-    members: BTreeMap<HostId, Member>,
+    table: Table,
+    /// Whether the store is restored from time to time, and copies of it, the oldest first.
+    has_restores: bool,
+    copies: VecDeque<Table>,
+    restore_rng: StdRng,
+    restores: u64,
+    /// Host that used each fence.
+    fences: BTreeMap<u64, HostId>,
     messages: Vec<(u64, HostId, Message)>,
     /// Promotions that the platform has accepted: when they take effect, and the target.
     accepted_promotions: Vec<(u64, usize)>,
@@ -202,10 +254,13 @@
 }
 
 impl World {
-    fn new(seed: u64, defect: Defect) -> World {
+    fn new(seed: u64, defect: Defect, has_restores: bool) -> World {
         let members: BTreeMap<HostId, Member> = (0..HOSTS).map(|id| (id, member(1))).collect();
-        let row = Row { revision: 1, fence: 1, primary: 0, established: true, term: 1 };
+        let revision = Revision::new(0, 1);
+        let row = Row { revision, fence: 1, primary: 0, established: true, term: 1 };
         let host = |id| Host {
+            restored: None,
+            reconciled: None,
             lease: Lease::new(id, 1, LIMITS),
             incarnation: 1,
             row: None,
@@ -232,8 +287,12 @@
             takeover_delay: if seed.is_multiple_of(2) { 400 } else { 50 },
             hosts: (0..HOSTS).map(host).collect(),
             targets: (0..TARGETS).map(target).collect(),
-            row,
-            members,
+            table: Table { row, members, settled: 0 },
+            has_restores,
+            copies: VecDeque::new(),
+            restore_rng: StdRng::seed_from_u64(seed),
+            restores: 0,
+            fences: BTreeMap::new(),
             messages: Vec::new(),
             accepted_promotions: Vec::new(),
             admitted: Vec::new(),
@@ -269,6 +328,9 @@
         while self.now < STEPS && self.violations.is_empty() {
             self.now += 1;
             self.inject_faults();
+            if self.has_restores {
+                self.copy_and_restore();
+            }
             self.deliver();
             self.replicate();
             for id in 0..HOSTS {
@@ -301,7 +363,7 @@
             self.restart(id);
         }
         if self.chance(300) {
-            let primary = self.row.primary;
+            let primary = self.table.row.primary;
             self.targets[primary].alive = false;
         }
         if self.chance(500) {
@@ -318,6 +380,8 @@
         host.incarnation = incarnation;
         host.lease = Lease::new(id, incarnation, LIMITS);
         host.row = None;
+        host.restored = None;
+        host.reconciled = None;
         host.promotion = None;
         host.call_in_flight = None;
         host.accepted_call = None;
@@ -328,8 +392,79 @@
         host.loan_requests.clear();
         host.waiting.clear();
         // The new incarnation is recorded, as a change of the table, before it reads.
-        self.members.insert(id, member(incarnation));
-        self.row.revision += 1;
+        self.table.members.insert(id, member(incarnation));
+        self.table.row.revision.version += 1;
+    }
+
+    /// Takes copies of the store, and now and then sets it back to one of them.
+    fn copy_and_restore(&mut self) {
+        if self.now.is_multiple_of(COPY_INTERVAL) {
+            self.copies.push_back(self.table.clone());
+            self.copies.truncate(MAX_COPIES);
+            if self.copies.len() == MAX_COPIES {
+                self.copies.pop_front();
+            }
+        }
+        if self.restore_rng.random_range(0..1200) != 0 {
+            return;
+        }
+        let Some(copy) = self.copies.front().cloned() else { return };
+        let era = self.table.row.revision.era + 1;
+        self.table = copy;
+        self.table.row.revision.era = era;
+        self.copies.clear();
+        self.restores += 1;
+        if self.restore_rng.random_range(0..3) == 0 {
+            (0..HOSTS).for_each(|id| self.restart(id));
+        }
+    }
+
+    /// Writes a change of the table if nothing else has changed since `expected`. Returns whether
+    /// it did.
+    fn write(&mut self, id: HostId, expected: Revision, change: impl FnOnce(&mut Table)) -> bool {
+        let is_partitioned = self.hosts[id as usize].partitioned_until > ms(self.now);
+        if is_partitioned || self.table.row.revision != expected {
+            return false;
+        }
+        change(&mut self.table);
+        self.table.row.revision.version += 1;
+        true
+    }
+
+    /// Completes a restored table with what this host remembers, and settles it.
+    fn reconcile(&mut self, id: HostId) {
+        let (now, defect) = (ms(self.now), self.defect);
+        let host = &mut self.hosts[id as usize];
+        let Some((restored, settlement)) = &mut host.restored else { return };
+        let (expected, era) = (restored.row.revision, restored.row.revision.era);
+        let mut members = host.lease.members().clone();
+        if members.get(&id).is_none_or(|own| own.incarnation != host.incarnation) {
+            members.insert(id, member(host.incarnation));
+        }
+        let is_lost = |(other, row): &(&HostId, &Member)| match restored.members.get(*other) {
+            None => true,
+            Some(known) => **other == id && known.incarnation != row.incarnation,
+        };
+        let lost: Vec<(HostId, Member)> =
+            members.iter().filter(is_lost).map(|(other, row)| (*other, row.clone())).collect();
+        let is_newer = |own: &Row| {
+            (own.fence, own.established) > (restored.row.fence, restored.row.established)
+        };
+        let own_row = host.row.filter(is_newer).filter(|_| defect != Defect::ForgetsRecords);
+        if !lost.is_empty() || own_row.is_some() {
+            self.write(id, expected, |table| {
+                table.members.extend(lost);
+                if let Some(own) = own_row {
+                    table.row = Row { revision: table.row.revision, ..own };
+                }
+            });
+            return;
+        }
+        host.reconciled = Some(era);
+        members.extend(restored.members.clone());
+        if settlement.is_due(now, &host.lease, &members) {
+            self.write(id, expected, |table| table.settled = era);
+        }
     }
 
     fn deliver(&mut self) {
@@ -367,6 +502,11 @@
     /// The platform accepts a promotion call, unless it was cancelled before it arrived.
     fn call(&mut self, host: HostId, fence: u64, target: usize, sent: Time) {
         let was_cancelled = ms(self.now) > sent + ms(CALL_TIMEOUT);
+        let first = *self.fences.entry(fence).or_insert(host);
+        if first != host {
+            let violation = format!("{}: hosts {first} and {host} use fence {fence}", self.now);
+            self.violations.push(violation);
+        }
         if was_cancelled || !self.targets[target].alive {
             return;
         }
@@ -428,6 +568,7 @@
         if self.now % 50 == u64::from(id) {
             self.send_heartbeat(id);
         }
+        self.reconcile(id);
         self.promote(id);
         if self.chance(3) {
             self.use_primary(id);
@@ -514,14 +655,17 @@
         if self.hosts[id as usize].partitioned_until > now {
             return;
         }
-        let (row, members) = (self.row, self.members.clone());
-        self.send(id, Message::Read { to: id, sent: now, row, members });
+        let table = self.table.clone();
+        self.send(id, Message::Read { to: id, sent: now, table });
     }
 
     fn send_heartbeat(&mut self, id: HostId) {
         let (now, defect) = (ms(self.now), self.defect);
         let host = self.host(id);
-        let Some(row) = host.row else { return };
+        let row = host.row;
+        if row.is_none() && host.restored.is_none() {
+            return;
+        }
         host.number += 1;
         let number = host.number;
         host.sent.insert(number, now);
@@ -531,6 +675,7 @@
             revision: host.lease.revision(),
             quiesced: host.quiesced(now, defect),
             renewal_age: host.lease.renewal_age(now),
+            reconciled: host.reconciled,
         };
         let last_heartbeats = host.last_heartbeats.clone();
         for peer in (0..HOSTS).filter(|peer| *peer != id) {
@@ -542,10 +687,20 @@
     fn receive(&mut self, id: HostId, message: Message) {
         let now = ms(self.now);
         let platform = now;
+        let defect = self.defect;
         let host = &mut self.hosts[id as usize];
         match message {
-            Message::Read { to, sent, row, members } => {
+            Message::Read { to, sent, table } => {
                 assert_eq!(to, id);
+                host.lease.set_platform_clock(now, platform + Duration::from_secs(60));
+                if !table.is_settled() && defect != Defect::TrustsRestores {
+                    return host.record_restored(now, table);
+                }
+                let Table { row, members, .. } = table;
+                host.restored = host
+                    .restored
+                    .take()
+                    .filter(|(restored, _)| restored.row.revision.era > row.revision.era);
                 if members.get(&id).is_none_or(|m| m.incarnation != host.incarnation) {
                     return;
                 }
@@ -553,7 +708,6 @@
                     host.row = Some(row);
                     host.lease.adopt(row.revision, members);
                 }
-                host.lease.set_platform_clock(now, platform + Duration::from_secs(60));
                 host.lease.renew(sent, row.revision);
             }
             Message::Heartbeat { from, attestation, echo, number, row } => {
@@ -569,7 +723,7 @@
                     host.lease.record_attestation(*sent + delay, attestation);
                 }
                 // The peer reports that the candidate leads, under the same fence.
-                if let Some(known) = &mut host.row
+                if let (Some(known), Some(row)) = (&mut host.row, row)
                     && known.fence == row.fence
                     && row.established
                 {
@@ -589,7 +743,11 @@
         let host = &mut self.hosts[id as usize];
         let Some(row) = host.row else { return };
         let holds_lease = host.lease.is_held(now);
-        if let Some((promoted, mut barrier)) = host.promotion.take() {
+        if let Some((mut promoted, mut barrier)) = host.promotion.take() {
+            if row.fence == promoted.fence && row.revision.era > promoted.revision.era {
+                promoted = Row { revision: row.revision, ..promoted };
+                barrier = Barrier::new(row.revision, now);
+            }
             let is_current = host.row.is_some_and(|r| r.fence == promoted.fence);
             if !is_current {
                 return;
@@ -613,9 +771,11 @@
                 if let Some(row) = &mut self.hosts[id as usize].row {
                     (row.established, row.term) = (true, term);
                 }
-                if !is_partitioned && self.row.fence == promoted.fence {
-                    (self.row.established, self.row.term) = (true, term);
-                    self.row.revision += 1;
+                let stored = &mut self.table.row;
+                let is_same_era = stored.revision.era == promoted.revision.era;
+                if !is_partitioned && is_same_era && stored.fence == promoted.fence {
+                    (stored.established, stored.term) = (true, term);
+                    stored.revision.version += 1;
                 }
                 return;
             }
@@ -633,17 +793,25 @@
         let is_dead = !self.targets[row.primary].alive || !self.targets[row.primary].leads;
         // A promotion in progress is not taken over at once; the delay differs between seeds.
         let takeover_delay = if row.established { 10 } else { self.takeover_delay };
-        let may_write = holds_lease && !is_partitioned && row.fence == self.row.fence;
+        let is_same_era = row.revision.era == self.table.row.revision.era;
+        let is_newest = is_same_era && row.fence == self.table.row.fence;
+        let may_write = holds_lease && !is_partitioned && is_newest && self.table.is_settled();
         if !may_write || !is_dead || !self.chance(takeover_delay) {
             return;
         }
         let candidate = (row.primary + 1 + self.rng.random_range(0..TARGETS - 1)) % TARGETS;
-        let revision = self.row.revision + 1;
+        let mut revision = self.table.row.revision;
+        revision.version += 1;
         let seen = self.targets.iter().map(|target| target.term).max();
-        let (fence, term) = (row.fence + 1, row.term.max(seen.unwrap_or_default()));
-        self.row = Row { revision, fence, primary: candidate, established: false, term };
-        let written = self.row;
-        let members = self.members.clone();
+        let first_fence = match self.defect {
+            Defect::ReusesFences => 0,
+            _ => revision.era * FENCES_PER_ERA,
+        };
+        let fence = row.fence.max(first_fence) + 1;
+        let term = row.term.max(seen.unwrap_or_default());
+        self.table.row = Row { revision, fence, primary: candidate, established: false, term };
+        let written = self.table.row;
+        let members = self.table.members.clone();
         let host = self.host(id);
         host.row = Some(written);
         host.lease.adopt(written.revision, members);
@@ -730,17 +898,28 @@
     served: u64,
     promotions: u64,
     admitted: usize,
+    restores: u64,
 }
 
 /// Runs the seeds up to the first violation.
 fn search(seeds: std::ops::Range<u64>, defect: Defect) -> SearchResult {
+    search_with(seeds, defect, false)
+}
+
+/// As [`search`], with restores of the store.
+fn search_restores(seeds: std::ops::Range<u64>, defect: Defect) -> SearchResult {
+    search_with(seeds, defect, true)
+}
+
+fn search_with(seeds: std::ops::Range<u64>, defect: Defect, has_restores: bool) -> SearchResult {
     let mut found = SearchResult::default();
     for seed in seeds {
-        let mut world = World::new(seed, defect);
+        let mut world = World::new(seed, defect, has_restores);
         world.run();
         found.served += world.served;
         found.promotions += world.promotions;
         found.admitted += world.admitted.len();
+        found.restores += world.restores;
         if let Some(violation) = world.violations.first() {
             found.violation = Some(format!("seed {seed}: {violation}"));
             return found;
@@ -751,7 +930,7 @@
 
 #[test]
 fn no_host_uses_a_superseded_primary_or_an_old_log_or_exceeds_a_rate() {
-    let SearchResult { violation, served, promotions, admitted } = search(0..150, Defect::None);
+    let SearchResult { violation, served, promotions, admitted, .. } = search(0..150, Defect::None);
     assert_eq!(violation, None);
     assert!(served > 10_000, "only {served} statements were served");
     assert!(promotions > 60, "only {promotions} promotions");
@@ -787,3 +966,30 @@
 fn a_host_that_counts_alone_is_found() {
     assert!(search(0..600, Defect::CountsAlone).violation.is_some());
 }
+
+/// Guards against a store that comes back from an older copy: records that it has lost must neither
+/// be forgotten by those that use them nor stop the next promotion.
+#[test]
+fn no_host_breaks_a_rule_while_the_store_is_restored() {
+    let SearchResult { violation, served, promotions, restores, .. } =
+        search_restores(0..300, Defect::None);
+    assert_eq!(violation, None);
+    assert!(served > 10_000, "only {served} statements were served");
+    assert!(promotions > 60, "only {promotions} promotions");
+    assert!(restores > 200, "only {restores} restores");
+}
+
+#[test]
+fn a_host_that_trusts_restored_tables_is_found() {
+    assert!(search_restores(0..600, Defect::TrustsRestores).violation.is_some());
+}
+
+#[test]
+fn a_host_that_forgets_its_records_is_found() {
+    assert!(search_restores(0..600, Defect::ForgetsRecords).violation.is_some());
+}
+
+#[test]
+fn a_host_that_reuses_fences_is_found() {
+    assert!(search_restores(0..600, Defect::ReusesFences).violation.is_some());
+}
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -7,8 +7,8 @@
 use crate::boot_clock;
 use bergamotvale_core::id::{Time, Version};
 use bergamotvale_core::proxy::answer::Code;
-use bergamotvale_core::proxy::lease::Revision;
 use bergamotvale_core::proxy::record::{Fence, Term};
+use bergamotvale_core::proxy::revision::{Era, Revision};
 use serde::Serialize;
 use std::cell::Cell;
 use std::time::{Duration, SystemTime};
@@ -44,6 +44,12 @@
     DependencyLost { dependency: &'a str, error: &'a str },
     /// A dependency answers again.
     DependencyRegained { dependency: &'a str, after_ms: u64 },
+    /// The store reports that it was restored from an older copy and lost acknowledged changes.
+    StoreRestored { era: Era },
+    /// This host has written again, as far as the restored table lacked it, what it remembers.
+    Reconciled { era: Era, elapsed_ms: u64 },
+    /// This host marked the restored table as complete.
+    Settled { era: Era, elapsed_ms: u64 },
     /// A poll of a table was abandoned because a peer has seen a newer change, after
     /// `received_bytes` of its answer.
     FeedAbandoned {
--- a/crates/sessions/src/feed.rs
+++ b/crates/sessions/src/feed.rs
@@ -2,7 +2,8 @@
 //!
 //! A feed reads the whole table once and then polls for changes. Failed calls are retried with
 //! backoff, and a poll is abandoned once a peer has seen a change that it should have returned. Both
-//! lead to a read of the whole table.
+//! lead to a read of the whole table, and so does a restore of the store, which any call or a peer
+//! may notice first.
 
 use crate::boot_clock;
 use crate::event::{Event, millis};
@@ -11,8 +12,11 @@
 use crate::state::Host;
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::cursor::{Cursor, Step};
-use bergamotvale_platform::store::{Row, Rows, Store};
+use bergamotvale_core::proxy::revision::Revision;
+use bergamotvale_core::proxy::table::Row;
+use bergamotvale_platform::store::{Rows, Store};
 use bergamotvale_platform::{Error, Result};
+use bytes::Bytes;
 use std::time::Duration;
 
 /// Time in which a feed has to return a change that a peer has seen.
@@ -52,7 +56,9 @@
 /// Result of one call of [`Feed::next`].
 pub struct Update {
     /// Changed rows, or all rows of the table; may be empty.
-    pub rows: Vec<Row>,
+    pub rows: Vec<Row<Bytes>>,
+    /// Revision of the store at the time of the answer.
+    pub revision: Revision,
     /// Whether `rows` is the whole table.
     pub is_full_table: bool,
     /// When the request was sent: a lower bound of the time of the answer's content.
@@ -106,6 +112,9 @@
             match answer {
                 Ok(rows) => {
                     self.record_answer(host);
+                    if !self.accept_era(host, step, rows.revision) {
+                        continue;
+                    }
                     self.cursor.record_answer(rows.revision);
                     let is_full_table = step == Step::ReadTable;
                     if let Some(source) = self.source {
@@ -113,8 +122,8 @@
                         host.peers.record_change(source, newest.unwrap_or_default());
                     }
                     self.had_changes = !is_full_table && !rows.rows.is_empty();
-                    let Rows { rows, now: platform_now, .. } = rows;
-                    return Update { rows, is_full_table, sent, platform_now };
+                    let Rows { rows, revision, now: platform_now } = rows;
+                    return Update { rows, revision, is_full_table, sent, platform_now };
                 }
                 Err(Error::HistoryGone) => {
                     host.metrics.count("feed_history_gone");
@@ -130,6 +139,19 @@
         }
     }
 
+    /// Whether an answer can be used: it is of the newest known era of the store and continues the
+    /// history that was asked for. Otherwise the table has to be read.
+    fn accept_era(&mut self, host: &Host, step: Step, answer: Revision) -> bool {
+        host.record_era(answer.era);
+        let is_stale = host.store_era.get().is_some_and(|newest| answer.era < newest);
+        let is_other_history = matches!(step, Step::Poll(after) if after.era != answer.era);
+        if is_stale || is_other_history {
+            host.metrics.count("feed_other_era");
+            self.cursor.record_unanswered();
+        }
+        !is_stale && !is_other_history
+    }
+
     fn next_retry_delay(&self, host: &Host) -> Duration {
         let renews_for_others = self.source.is_none() && has_lowest_live_id(host);
         if renews_for_others { RETRY_DELAY } else { (self.retry_delay * 2).min(MAX_RETRY_DELAY) }
@@ -187,13 +209,17 @@
 }
 
 /// Waits until a peer has seen a newer change for so long that this host's poll should have
-/// returned it. Never returns for a feed without a source or one that reads its whole table.
+/// returned it, or that the store was restored after the revision that the poll continues. Never
+/// returns for a feed that reads its whole table.
 async fn wait_until_behind(host: &Host, source: Option<Source>, cursor: &Cursor) {
-    let Some(source) = source else { return std::future::pending().await };
     let mut since = None;
     loop {
         tokio::time::sleep(BEHIND_PEERS_POLL_INTERVAL).await;
-        if !cursor.is_behind(host.peers.newest_change(source)) {
+        if host.store_era.get().is_some_and(|era| cursor.is_before(era)) {
+            return;
+        }
+        let newest = source.map(|source| host.peers.newest_change(source));
+        if !newest.is_some_and(|newest| cursor.is_behind(newest)) {
             since = None;
         } else if boot_clock::now()
             >= *since.get_or_insert_with(boot_clock::now) + BEHIND_PEERS_TIMEOUT
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -10,11 +10,13 @@
 use crate::feed::{Feed, Update};
 use crate::member::{record_earlier_incarnation, rejoin};
 use crate::peer::Source;
-use crate::state::Host;
+use crate::state::{Host, StoredRecord};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::Directory;
-use bergamotvale_core::proxy::lease::{Member, Revision};
+use bergamotvale_core::proxy::lease::Member;
 use bergamotvale_core::proxy::record::Record;
+use bergamotvale_core::proxy::revision::Revision;
+use bergamotvale_core::proxy::table::Table;
 use bergamotvale_platform::{Error, catalog, directory};
 use bytes::Bytes;
 use std::cell::RefCell;
@@ -197,15 +199,6 @@
     host.changed.notify_waiters();
 }
 
-/// Copy of the table of records and members.
-#[derive(Debug, Clone, Default)]
-pub struct Table {
-    /// Value and revision of each row, by key.
-    pub rows: BTreeMap<String, (Bytes, Revision)>,
-    /// Revision of the newest change.
-    pub revision: Revision,
-}
-
 /// Keeps the table of records and members up to date until the process ends; each answer renews the
 /// lease.
 pub async fn table(host: Rc<Host>) {
@@ -216,25 +209,24 @@
             update = feed.next(&host) => update,
             () = wait_until_renewal_is_old(&host), if feed.max_wait == MAX_POLL_WAIT => continue,
         };
+        let read = update.revision;
         {
-            let mut table = host.peers.table.borrow_mut();
+            let mut replica = host.peers.replica.borrow_mut();
             if update.is_full_table {
-                table.rows.clear();
-            }
-            for row in update.rows {
-                table.revision = table.revision.max(row.revision);
-                match row.value {
-                    Some(value) => drop(table.rows.insert(row.key, (value, row.revision))),
-                    None => drop(table.rows.remove(&row.key)),
-                }
+                replica.record_read(read, update.rows);
+            } else {
+                replica.record_changes(read.era, update.rows);
             }
         }
         adopt_table(&host);
-        let revision = host.peers.table.borrow().revision;
         {
             let mut lease = host.lease.borrow_mut();
             lease.set_platform_clock(boot_clock::now(), update.platform_now);
-            lease.renew(update.sent, revision);
+            let revision = lease.revision();
+            // A restored table says nothing about the era before, under which others still act.
+            if revision.era == read.era {
+                lease.renew(update.sent, revision);
+            }
         }
         rejoin(&host);
         host.holds_lease();
@@ -280,31 +272,18 @@
 
 /// Applies the current copy of the table: the records, then the members.
 pub fn adopt_table(host: &Host) {
-    let table = host.peers.table.borrow().clone();
+    adopt_restored_members(host);
+    let Some(table) = host.peers.replica.borrow().settled().cloned() else { return };
     let known = host.lease.borrow().revision();
-    if table.revision == known && known > 0 {
+    if table.revision == known && known > Revision::default() {
         return;
     }
-    let mut members: BTreeMap<HostId, Member> = BTreeMap::new();
-    let mut records: Vec<(String, Record, Revision)> = Vec::new();
-    for (key, (value, revision)) in &table.rows {
-        if let Some(id) = key.strip_prefix(MEMBER_PREFIX) {
-            match (id.parse(), serde_json::from_slice(value)) {
-                (Ok(id), Ok(member)) => drop(members.insert(id, member)),
-                _ => log_unreadable(host, TABLE, key, &Error::Unreadable("member".into())),
-            }
-        } else if let Some(service) = key.strip_prefix(GROUP_PREFIX) {
-            match serde_json::from_slice(value) {
-                Ok(record) => records.push((service.to_owned(), record, *revision)),
-                Err(error) => log_unreadable(host, TABLE, key, &error.into()),
-            }
-        }
-    }
+    let members = decode_members(host, &table);
     let changed = *host.lease.borrow().members() != members;
     record_earlier_incarnation(host, members.get(&host.id));
     // Records first: the lease may reach the new revision only when older records are out of use.
-    for (service, record, revision) in records {
-        host.adopt_record(&service, record, revision);
+    for (service, stored) in decode_records(host, &table) {
+        host.adopt_record(&service, stored.record, stored.revision);
     }
     host.lease.borrow_mut().adopt(table.revision, members);
     if changed {
@@ -314,3 +293,46 @@
     }
     host.peers.heartbeat_now.notify_one();
 }
+
+/// Takes over the members that a restored table names, so that hosts that remember nothing are
+/// reached before the table is settled.
+fn adopt_restored_members(host: &Host) {
+    let restored = host.peers.replica.borrow().restored().cloned();
+    if restored.is_some() {
+        host.restore_noticed.notify_one();
+    }
+    let members = restored.map(|table| decode_members(host, &table)).unwrap_or_default();
+    if *host.restored_members.borrow() != members {
+        *host.restored_members.borrow_mut() = members;
+        host.peers.heartbeat_now.notify_one();
+    }
+}
+
+/// Decodes the rows of members. Logs those that cannot be decoded.
+fn decode_members(host: &Host, table: &Table<Bytes>) -> BTreeMap<HostId, Member> {
+    let mut members = BTreeMap::new();
+    for (key, (value, _)) in &table.rows {
+        let Some(id) = key.strip_prefix(MEMBER_PREFIX) else { continue };
+        match (id.parse(), serde_json::from_slice(value)) {
+            (Ok(id), Ok(member)) => drop(members.insert(id, member)),
+            _ => log_unreadable(host, TABLE, key, &Error::Unreadable("member".into())),
+        }
+    }
+    members
+}
+
+/// Decodes the rows of groups. Logs those that cannot be decoded.
+pub fn decode_records(host: &Host, table: &Table<Bytes>) -> BTreeMap<String, StoredRecord> {
+    let mut records = BTreeMap::new();
+    for (key, (value, revision)) in &table.rows {
+        let Some(service) = key.strip_prefix(GROUP_PREFIX) else { continue };
+        match serde_json::from_slice::<Record>(value) {
+            Ok(record) => {
+                let stored = StoredRecord { record, revision: *revision };
+                records.insert(service.to_owned(), stored);
+            }
+            Err(error) => log_unreadable(host, TABLE, key, &error.into()),
+        }
+    }
+    records
+}
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -7,6 +7,7 @@
 //!   [`quota`] limits rates.
 //! - Copies of the platform's tables: [`feed`], [`follow`] and [`member`].
 //! - Other hosts: [`peer`] exchanges heartbeats and loans of rate tokens.
+//! - Store: [`feed`] and [`follow`] copy its tables, [`restore`] completes them after a restore.
 //! - Groups: [`promote`] replaces primaries, with a [`survey`] of the targets' logs where replicas
 //!   are synchronous.
 //! - Operation: [`maintenance`], [`status`], [`http`], [`event`] and [`metric`].
@@ -25,6 +26,7 @@
 pub mod pool;
 pub mod promote;
 pub mod quota;
+pub mod restore;
 pub mod run;
 pub mod settings;
 pub mod state;
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -249,7 +249,8 @@
 /// at most one per round.
 async fn remove_silent_members(host: &Host, started: Time) {
     let now = boot_clock::now();
-    if !host.holds_lease() || now.saturating_sub(started) < MEMBER_SILENCE_TIMEOUT {
+    let is_new = now.saturating_sub(started) < MEMBER_SILENCE_TIMEOUT;
+    if is_new || !host.holds_lease() || host.is_restoring() {
         return;
     }
     let is_silent = |id: &HostId| {
--- a/crates/sessions/src/member.rs
+++ b/crates/sessions/src/member.rs
@@ -5,14 +5,16 @@
 use crate::follow::{MEMBER_PREFIX, TABLE};
 use crate::state::Host;
 use bergamotvale_core::id::HostId;
-use bergamotvale_core::proxy::lease::{Member, Revision};
+use bergamotvale_core::proxy::lease::Member;
+use bergamotvale_core::proxy::revision::Revision;
 use bergamotvale_platform::Result;
-use bergamotvale_platform::store::{Change, Store};
+use bergamotvale_platform::store::{Change, Expected, Store};
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
 
-fn member_key(host: HostId) -> String {
+/// Returns the key of a member's row.
+pub fn member_key(host: HostId) -> String {
     format!("{MEMBER_PREFIX}{host}")
 }
 
@@ -83,9 +85,10 @@
 /// if the copy has no such row.
 pub async fn remove_member(host: &Host, member: HostId, timeout: Duration) -> Result<()> {
     let key = member_key(member);
-    let known = host.peers.table.borrow().rows.get(&key).map(|(_, revision)| *revision);
-    let Some(expected) = known else { return Ok(()) };
+    let known = host.peers.replica.borrow().settled().and_then(|table| table.revision_of(&key));
+    let Some(revision) = known else { return Ok(()) };
     let mut store = Store::new(host.settings.store);
-    let change = Change { table: TABLE, key: &key, expected: Some(expected), value: None };
+    let expected = Some(Expected::At(revision));
+    let change = Change { table: TABLE, key: &key, expected, value: None };
     store.change(change, timeout).await.map(drop)
 }
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -7,14 +7,16 @@
 //! in the heartbeat are counted from that bound and thus only overestimated.
 
 use crate::boot_clock;
-use crate::follow::{self, Table};
+use crate::follow;
 use crate::state::Host;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::{Observation, Position};
-use bergamotvale_core::proxy::lease::{Attestation, Revision};
+use bergamotvale_core::proxy::lease::Attestation;
 use bergamotvale_core::proxy::record::{Fence, Term};
+use bergamotvale_core::proxy::revision::Revision;
+use bergamotvale_core::proxy::table::{Replica, Table};
 use bergamotvale_core::rate::meter::LoanRequest;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -37,6 +39,9 @@
 const MIN_TABLE_INTERVAL: Duration = Duration::from_millis(300);
 /// Size limit of a datagram, for sending and receiving.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
+/// First byte of each datagram; differs between incompatible formats. Builds without it take the
+/// byte for an unknown message and drop the datagram.
+const DATAGRAM_FORMAT: u8 = 64;
 
 /// A platform table that operators or targets write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -107,7 +112,7 @@
 #[derive(Default)]
 pub struct Peers {
     /// This host's copy of the table of records and members; peers receive copies of it.
-    pub table: RefCell<Table>,
+    pub replica: RefCell<Replica<Bytes>>,
     /// Makes the next heartbeat go out at once.
     pub heartbeat_now: Notify,
     /// Tells idle sessions to close while the host stops.
@@ -217,7 +222,7 @@
 
     fn send(&self, message: &Message, address: SocketAddr) {
         let Some(socket) = self.socket.borrow().clone() else { return };
-        match postcard::to_stdvec(message) {
+        match postcard::to_extend(message, vec![DATAGRAM_FORMAT]) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => {
                 // Not retried: the network may lose it as well, and a later message repeats the
                 // state.
@@ -272,7 +277,11 @@
                 continue;
             }
         };
-        match postcard::from_bytes(&buffer[..length]) {
+        let Some((&DATAGRAM_FORMAT, message)) = buffer[..length].split_first() else {
+            log::debug!("dropping a datagram of another format from {sender}");
+            continue;
+        };
+        match postcard::from_bytes(message) {
             Ok(message) => handle_message(&host, message, sender),
             Err(error) => log::warn!("dropping an invalid datagram from {sender}: {error}"),
         }
@@ -332,6 +341,9 @@
     for (source, revision) in &heartbeat.newest {
         host.peers.record_change(*source, *revision);
     }
+    if let Some(era) = heartbeat.attestation.reconciled {
+        host.record_era(era);
+    }
     let Some(created_after) = host.peers.earliest_creation(heartbeat.echo) else { return };
     host.lease.borrow_mut().record_attestation(created_after, heartbeat.attestation);
     for (service, report) in heartbeat.groups {
@@ -379,22 +391,20 @@
 }
 
 fn handle_table(host: &Host, revision: Revision, rows: Vec<(String, Vec<u8>, Revision)>) {
-    {
-        let mut table = host.peers.table.borrow_mut();
-        if revision <= table.revision {
-            return;
-        }
-        table.revision = revision;
-        table.rows =
-            rows.into_iter().map(|(key, value, at)| (key, (Bytes::from(value), at))).collect();
+    let rows = rows.into_iter().map(|(key, value, at)| (key, (Bytes::from(value), at)));
+    let table = Table { rows: rows.collect(), revision };
+    if !host.peers.replica.borrow_mut().record_peer_copy(table) {
+        return;
     }
+    host.record_era(revision.era);
     host.metrics.count("tables_from_peers");
     follow::adopt_table(host);
     host.changed.notify_waiters();
 }
 
 fn send_table(host: &Host, address: SocketAddr) {
-    let table = host.peers.table.borrow();
+    let replica = host.peers.replica.borrow();
+    let Some(table) = replica.settled() else { return };
     let rows = table
         .rows
         .iter()
@@ -438,8 +448,9 @@
             revision: lease.revision(),
             quiesced: quiesced_revision,
             renewal_age: lease.renewal_age(now),
+            reconciled: host.reconciled.get(),
         };
-        (attestation, lease.members().clone())
+        (attestation, host.known_members())
     };
     let groups = group_reports(host, now);
     let newest = host.peers.newest.borrow().clone();
--- a/crates/sessions/src/pool.rs
+++ b/crates/sessions/src/pool.rs
@@ -11,7 +11,7 @@
 use bergamotvale_core::id::{HostId, Version};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::directory::Entry;
-use bergamotvale_core::proxy::lease::Revision;
+use bergamotvale_core::proxy::revision::Revision;
 use bergamotvale_core::rendezvous::Subject;
 use bergamotvale_core::share::share_of;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -18,12 +18,13 @@
 use bergamotvale_core::proxy::directory::{Entry, Role, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::failover::{Cause, Monitor, Replacement, Snapshot};
-use bergamotvale_core::proxy::lease::{Barrier, Revision};
+use bergamotvale_core::proxy::lease::Barrier;
 use bergamotvale_core::proxy::record::{Record, Term};
+use bergamotvale_core::proxy::revision::Revision;
 use bergamotvale_core::rendezvous::{Subject, choose};
 use bergamotvale_platform::Error;
 use bergamotvale_platform::promote::promote;
-use bergamotvale_platform::store::{self, Store};
+use bergamotvale_platform::store::{self, Expected, Store};
 use bergamotvale_platform::text::Status;
 use bytes::Bytes;
 use std::cell::RefCell;
@@ -57,7 +58,7 @@
     let running: Rc<RefCell<BTreeSet<String>>> = Rc::default();
     loop {
         tokio::time::sleep(GROUP_POLL_INTERVAL).await;
-        if host.stopping.get() || !host.holds_lease() {
+        if host.stopping.get() || !host.holds_lease() || host.is_restoring() {
             continue;
         }
         let services: Vec<String> = host.catalog.borrow().groups.keys().cloned().collect();
@@ -91,7 +92,9 @@
     let directory = host.directory.borrow();
     let Some(stored) = stored else {
         let is_first = rank(host, service) == 0;
-        return Record::first(&directory, service, host.id).filter(|_| is_first).map(Task::Create);
+        let era = host.lease.borrow().revision().era;
+        let first = Record::first(&directory, service, host.id, era);
+        return first.filter(|_| is_first).map(Task::Create);
     };
     let snapshot = Snapshot {
         service,
@@ -115,7 +118,7 @@
 
 /// Returns this host's rank among the hosts that are alive, in the order in which they act on a
 /// group.
-fn rank(host: &Host, service: &str) -> usize {
+pub fn rank(host: &Host, service: &str) -> usize {
     let now = boot_clock::now();
     let mut alive: BTreeSet<HostId> =
         host.lease.borrow().live_peers(now, host.peer_timeout()).into_iter().collect();
@@ -127,14 +130,16 @@
 async fn execute(host: &Rc<Host>, service: &str, task: Task) {
     match task {
         Task::Create(record) => {
-            if let Err(error) = write_record(host, service, &record, 0).await {
+            let expected = Expected::Absent(host.lease.borrow().revision().era);
+            if let Err(error) = write_record(host, service, &record, expected).await {
                 log::info!("cannot write the first record of {service}: {error}");
             }
         }
         Task::Replace(stored, replacement) => {
             let planned = replacement.cause == Cause::Leaving;
             let seen = highest_seen_term(host, service);
-            let record = stored.record.promote(&replacement.candidate, host.id, planned, seen);
+            let (candidate, era) = (&replacement.candidate, stored.revision.era);
+            let record = stored.record.promote(candidate, host.id, planned, seen, era);
             let (cause, began) = (replacement.cause, boot_clock::now());
             let mut promotion = Promotion { host, service, record, cause, began };
             host.metrics.count(&format!("promotions_begun_{}", replacement.cause));
@@ -152,13 +157,13 @@
     terms.map(|position| position.term).max().unwrap_or_default().max(observed)
 }
 
-/// Writes a group's record if its row is at revision `expected`, or absent for 0. Returns the new
-/// revision; fails with [`Error::Conflict`] if the row has another revision.
-async fn write_record(
+/// Writes a group's record if its row is as `expected`. Returns the new revision; fails with
+/// [`Error::Conflict`] if the row has another revision.
+pub async fn write_record(
     host: &Host,
     service: &str,
     record: &Record,
-    expected: Revision,
+    expected: Expected,
 ) -> Result<Revision, Error> {
     let key = group_key(service);
     let value = Some(Bytes::from(serde_json::to_vec(record)?));
@@ -200,7 +205,8 @@
                 Candidacy::Behind(target) => target,
             };
             let seen = highest_seen_term(self.host, self.service);
-            self.record = self.record.promote(&better, self.host.id, false, seen);
+            let era = revision.era;
+            self.record = self.record.promote(&better, self.host.id, false, seen, era);
             match self.prepare(revision).await {
                 Some(newer) => revision = newer,
                 None => return,
@@ -212,10 +218,10 @@
     /// revision of the record; `None` if the promotion was superseded or failed.
     async fn prepare(&self, expected: Revision) -> Option<Revision> {
         let revision = self.announce(expected).await?;
-        if !self.wait_for_barrier(revision).await {
+        let Some(revision) = self.wait_for_barrier(revision).await else {
             self.log("in_force", "superseded");
             return None;
-        }
+        };
         self.log("in_force", OK);
         if self.record.planned {
             self.wait_for_catch_up().await;
@@ -273,6 +279,7 @@
 
     /// Writes the record; returns its revision if this host won.
     async fn announce(&self, expected: Revision) -> Option<Revision> {
+        let expected = Expected::At(expected);
         match write_record(self.host, self.service, &self.record, expected).await {
             Ok(revision) => {
                 self.log("announce", OK);
@@ -307,6 +314,14 @@
         None
     }
 
+    /// Returns the revision of this promotion's record in a table that was restored and settled
+    /// since `revision`.
+    fn revision_of_later_era(&self, revision: Revision) -> Option<Revision> {
+        let stored = self.host.records.borrow().get(self.service).cloned()?;
+        let is_later = stored.revision.era > revision.era;
+        (is_later && stored.record.fence == self.record.fence).then_some(stored.revision)
+    }
+
     /// Whether the record that this promotion wrote is the newest, and the lease is held.
     fn owns_record(&self) -> bool {
         let records = self.host.records.borrow();
@@ -318,21 +333,27 @@
         is_own && self.host.holds_lease()
     }
 
-    /// Waits until no host uses the previous primary. Returns false if the promotion was
-    /// superseded, or has taken longer than any lease can last.
-    async fn wait_for_barrier(&self, revision: Revision) -> bool {
+    /// Waits until no host uses the previous primary. Returns the revision of the record, which a
+    /// restore of the store may have changed; `None` if the promotion was superseded, or has taken
+    /// longer than any lease can last.
+    async fn wait_for_barrier(&self, announced: Revision) -> Option<Revision> {
+        let mut revision = announced;
         let mut barrier = Barrier::new(revision, boot_clock::now());
         loop {
+            if let Some(rewritten) = self.revision_of_later_era(revision) {
+                revision = rewritten;
+                barrier = Barrier::new(revision, boot_clock::now());
+            }
             let is_quiesced = self.host.quiesced_revision() >= revision;
             let has_passed = barrier.has_passed(&self.host.lease.borrow(), boot_clock::now());
             if is_quiesced && has_passed {
-                return self.owns_record();
+                return self.owns_record().then_some(revision);
             }
             let timeout = LEASE_LIMITS.validity
                 + LEASE_LIMITS.max_attested_age
                 + LEASE_LIMITS.clock_drift_margin * 2;
             if boot_clock::now().saturating_sub(self.began) > timeout {
-                return false;
+                return None;
             }
             self.host.wait_for_change(Instant::now() + WAIT_POLL_INTERVAL).await;
         }
@@ -426,7 +447,7 @@
     /// Records that the candidate leads.
     async fn record_leader(&self, revision: Revision, status: Status) {
         let record = self.record.establish(status.term);
-        match write_record(self.host, self.service, &record, revision).await {
+        match write_record(self.host, self.service, &record, Expected::At(revision)).await {
             Ok(_) => self.log("recorded", OK),
             // Peers learn it from heartbeats; the next promotion starts from the older row.
             Err(error) => self.log("recorded", &error.to_string()),
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -15,8 +15,9 @@
 use bergamotvale_core::proxy::directory::{Directory, TargetName};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::History;
-use bergamotvale_core::proxy::lease::{Lease, Limits, Revision};
+use bergamotvale_core::proxy::lease::{Lease, Limits, Member};
 use bergamotvale_core::proxy::record::{Fence, Record};
+use bergamotvale_core::proxy::revision::{Era, Revision};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -125,8 +126,17 @@
     pub shares_since: Cell<Option<Time>>,
     /// Whether this incarnation's row has been seen in the table of members.
     pub has_joined: Cell<bool>,
-    /// When the store was last found to be unreachable for this host and its peers; zero before.
+    /// When the store was last found to be unreachable for this host and its peers, or restored;
+    /// zero before.
     pub last_store_outage: Cell<Time>,
+    /// Newest era of the store that this host knows of; `None` before the first answer.
+    pub store_era: Cell<Option<Era>>,
+    /// Newest era whose table this host has completed with what it remembers.
+    pub reconciled: Cell<Option<Era>>,
+    /// Members that a restored table names; empty while the table is settled.
+    pub restored_members: RefCell<BTreeMap<HostId, Member>>,
+    /// Notified when the copy of the table has a restored one that is not settled.
+    pub restore_noticed: Notify,
     logged_lease_state: Cell<bool>,
 }
 
@@ -153,7 +163,7 @@
             quota: Quota::new(LEASE_LIMITS.validity + LEASE_LIMITS.clock_drift_margin),
             in_flight_work: RefCell::default(),
             next_work_number: Cell::new(0),
-            quiesced_revision: Cell::new(0),
+            quiesced_revision: Cell::default(),
             stopping: Cell::new(false),
             sessions: Cell::new(0),
             changed: Notify::new(),
@@ -161,6 +171,10 @@
             shares_since: Cell::new(None),
             has_joined: Cell::new(false),
             last_store_outage: Cell::default(),
+            store_era: Cell::default(),
+            reconciled: Cell::default(),
+            restored_members: RefCell::default(),
+            restore_noticed: Notify::new(),
             logged_lease_state: Cell::new(false),
             settings,
         })
@@ -181,6 +195,35 @@
         held
     }
 
+    /// Records that the store has reported an era, to this host or to a peer.
+    pub fn record_era(&self, era: Era) {
+        let known = self.store_era.get();
+        if known.is_some_and(|known| known >= era) {
+            return;
+        }
+        self.store_era.set(Some(era));
+        if known.is_some() {
+            self.journal.write(&Event::StoreRestored { era });
+            self.metrics.count("store_restored");
+            self.last_store_outage.set(self.now());
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Whether the store was restored and its table is not settled yet. Until then no change of the
+    /// table that depends on this host's copy may be written.
+    pub fn is_restoring(&self) -> bool {
+        let copy = self.lease.borrow().revision().era;
+        self.store_era.get().is_some_and(|era| era > copy)
+    }
+
+    /// Members that this host's copy of the table records, and those that a restored table names.
+    pub fn known_members(&self) -> BTreeMap<HostId, Member> {
+        let mut members = self.lease.borrow().members().clone();
+        members.extend(self.restored_members.borrow().clone());
+        members
+    }
+
     /// Returns the primary of a group if this host may use it now.
     pub fn primary(&self, service: &str) -> Result<Primary, Unavailable> {
         if !self.holds_lease() {
@@ -274,7 +317,7 @@
 
     /// Returns the revision below which this host has no work in flight. Heartbeats report it.
     pub fn quiesced_revision(&self) -> Revision {
-        let is_outdated = |(service, fence): &(String, Fence)| *fence < self.fence(service);
+        let is_outdated = |(service, fence): &(String, Fence)| *fence != self.fence(service);
         if !self.in_flight_work.borrow().values().any(is_outdated) {
             self.quiesced_revision.set(self.lease.borrow().revision());
         }
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -2,6 +2,7 @@
 //! lines about requests is bounded.
 
 use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_core::proxy::revision::Revision;
 use bergamotvale_sessions::connection::Failure;
 use bergamotvale_sessions::event::{Event, Journal};
 use bergamotvale_sessions::state::Unavailable;
@@ -24,18 +25,28 @@
         Event::Configured { version: 1, routes: 1, accounts: 1 },
         Event::RowUnreadable { table: "t", key: "k", error: "e" },
         Event::Ready { ready: true, lease: true, proof_age_ms: None, configured: true },
-        Event::Lease { held: true, revision: 1, proof_age_ms: Some(1) },
+        Event::Lease { held: true, revision: Revision::new(0, 1), proof_age_ms: Some(1) },
         Event::FeedAbandoned {
             table: "t",
-            revision: 1,
-            peer_revision: 2,
+            revision: Revision::new(0, 1),
+            peer_revision: Revision::new(0, 2),
             received_bytes: 1,
             elapsed_ms: 1,
         },
+        Event::StoreRestored { era: 1 },
+        Event::Reconciled { era: 1, elapsed_ms: 1 },
+        Event::Settled { era: 1, elapsed_ms: 1 },
         Event::DependencyLost { dependency: "t", error: "e" },
         Event::DependencyRegained { dependency: "t", after_ms: 1 },
-        Event::Members { count: 1, revision: 1 },
-        Event::Primary { service, target, fence: 1, established: true, term: 1, revision: 1 },
+        Event::Members { count: 1, revision: Revision::new(0, 1) },
+        Event::Primary {
+            service,
+            target,
+            fence: 1,
+            established: true,
+            term: 1,
+            revision: Revision::new(0, 1),
+        },
         Event::Target { target, service, view: "lost", leaving: false },
         Event::Promotion { service, target, fence: 1, step: "call", cause, elapsed_ms: 1, outcome },
         refused("1"),
@@ -88,15 +99,18 @@
         Event::Ready { .. } => 6,
         Event::Lease { .. } => 7,
         Event::FeedAbandoned { .. } => 8,
-        Event::DependencyLost { .. } => 9,
-        Event::DependencyRegained { .. } => 10,
-        Event::Members { .. } => 11,
-        Event::Primary { .. } => 12,
-        Event::Target { .. } => 13,
-        Event::Promotion { .. } => 14,
-        Event::Refused { .. } => 15,
-        Event::Retried { .. } => 16,
-        Event::SessionClosed { .. } => 17,
+        Event::StoreRestored { .. } => 9,
+        Event::Reconciled { .. } => 10,
+        Event::Settled { .. } => 11,
+        Event::DependencyLost { .. } => 12,
+        Event::DependencyRegained { .. } => 13,
+        Event::Members { .. } => 14,
+        Event::Primary { .. } => 15,
+        Event::Target { .. } => 16,
+        Event::Promotion { .. } => 17,
+        Event::Refused { .. } => 18,
+        Event::Retried { .. } => 19,
+        Event::SessionClosed { .. } => 20,
     }
 }
 
@@ -159,7 +173,11 @@
     }
     let seconds = began.elapsed().as_secs() + 1;
     std::thread::sleep(Duration::from_millis(1100));
-    journal.write(&Event::Lease { held: true, revision: 1, proof_age_ms: Some(1) });
+    journal.write(&Event::Lease {
+        held: true,
+        revision: Revision::new(0, 1),
+        proof_age_ms: Some(1),
+    });
 
     let lines = LINES.lock().unwrap();
     let values: Vec<Value> = lines.iter().map(|line| serde_json::from_str(line).unwrap()).collect();
--- a/crates/standin/src/lines/store.rs
+++ b/crates/standin/src/lines/store.rs
@@ -2,8 +2,10 @@
 
 use super::group::Group;
 use crate::sync::lock;
-use bergamotvale_platform::counterpart::store::{Call, ERA_HEADER, RowKey, decode, encode};
-use bergamotvale_platform::store::Row;
+use bergamotvale_core::proxy::revision::Revision;
+use bergamotvale_core::proxy::table::Row;
+use bergamotvale_platform::call::ERA_HEADER;
+use bergamotvale_platform::counterpart::store::{Call, RowKey, decode, encode};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -199,20 +201,21 @@
     }
 
     /// Rows of a table in order of key, and the current revision.
-    fn rows(&self, table: &str) -> (Vec<Row>, u64) {
+    fn rows(&self, table: &str) -> (Vec<Row<Bytes>>, u64) {
         let state = lock(&self.state);
+        let era = state.era;
         let live = state.rows.iter().filter(|((name, _), row)| name == table && row.0.is_some());
-        (live.map(to_row).collect(), state.revision)
+        (live.map(|(key, row)| to_row(era, key, row)).collect(), state.revision)
     }
 
     /// Changes of a table after `after`, each as the row that it left, and the current revision. A
     /// row that changed several times is included several times.
-    fn changes(&self, table: &str, after: u64) -> (Vec<Row>, u64) {
+    fn changes(&self, table: &str, after: u64) -> (Vec<Row<Bytes>>, u64) {
         let state = lock(&self.state);
         let is_included =
             |((name, _), (_, revision)): &&(RowKey, Stored)| name == table && *revision > after;
         let changes = state.history.iter().filter(is_included);
-        (changes.map(|(key, stored)| to_row((key, stored))).collect(), state.revision)
+        (changes.map(|(key, row)| to_row(state.era, key, row)).collect(), state.revision)
     }
 
     /// Whether the changes after a revision are not available: they are discarded, or the store has
@@ -239,8 +242,9 @@
     }
 }
 
-fn to_row(((_, key), (value, revision)): (&RowKey, &Stored)) -> Row {
-    Row { key: key.clone(), value: value.clone(), revision: *revision }
+fn to_row(era: u64, (_, key): &RowKey, (value, revision): &Stored) -> Row<Bytes> {
+    let revision = Revision::new(era, *revision);
+    Row { key: key.clone(), value: value.clone(), revision }
 }
 
 /// Serves the platform's calls until the runtime shuts down.
