Count the time of a promotion anew after the judge was cut off

Cause: a host counts the age of an unfinished promotion from when it first saw the record, the time in which it was cut off itself included, so that the limits of 4 s and 600 ms have passed at the moment of its return. And it decides that the holder is not alive before a heartbeat of it could have come.

Change: a host that watches again after it had no lease or was suspended counts from then on, and takes a silent holder for gone only after the time in which a peer's heartbeat is due.

Tests judge_was_cut_off and holder_not_heard_yet fail without it ("6400: stuck s").

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -14,7 +14,8 @@
 
 /// Additional delay of each rank over the one before.
 const RANK_DELAY: Duration = Duration::from_millis(150);
-/// Time after which another host takes over an unfinished promotion whose holder is active.
+/// Time after which another host takes over an unfinished promotion whose holder may be executing
+/// it.
 const PROMOTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// As [`PROMOTION_TIMEOUT`], but for a promotion that no live host is known to execute.
 const ABANDONED_PROMOTION_TIMEOUT: Duration = Duration::from_millis(600);
@@ -59,9 +60,21 @@
     pub peer_views: &'a BTreeMap<HostId, View>,
     /// Last known log position of each target.
     pub positions: &'a BTreeMap<TargetName, Position>,
-    /// Whether the record's holder may be executing its promotion: it is another host that is
-    /// alive, or it is this host and the promotion is in progress here.
-    pub is_holder_active: bool,
+    /// What this host knows of the host that executes an unfinished promotion.
+    pub holder: Holder,
+    /// Silence after which a peer no longer counts as alive.
+    pub peer_timeout: Duration,
+}
+
+/// The host that executes an unfinished promotion, as another one sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Holder {
+    /// It is this host, which no longer executes the promotion.
+    Own,
+    /// It is another host that is alive.
+    Alive,
+    /// It is another host that does not count as alive.
+    Silent,
 }
 
 impl Snapshot<'_> {
@@ -114,11 +127,38 @@
 #[derive(Debug, Default)]
 pub struct Monitor {
     cause_since: Option<(Cause, Time)>,
-    /// Fence of the last record, whether it was established, and when it was first seen.
+    /// Fence of the last record, whether it was established, and from when on it counts.
     record_since: Option<(u64, bool, Time)>,
+    /// Since when this host has been watching without a break.
+    watching_since: Time,
 }
 
 impl Monitor {
+    /// Creates the monitor of a host that starts to watch at `now`.
+    pub fn new(now: Time) -> Monitor {
+        Monitor { watching_since: now, ..Monitor::default() }
+    }
+
+    /// Records that this host watches again after it was cut off or suspended. What others did
+    /// meanwhile it has not seen, so all times count from `now` on.
+    pub fn resume(&mut self, now: Time) {
+        self.watching_since = now;
+        self.cause_since = None;
+        if let Some((_, _, since)) = &mut self.record_since {
+            *since = now;
+        }
+    }
+
+    /// Whether the holder of an unfinished promotion may be executing it.
+    fn may_be_executing(&self, now: Time, snapshot: &Snapshot<'_>) -> bool {
+        match snapshot.holder {
+            Holder::Own => false,
+            Holder::Alive => true,
+            // Its heartbeat may still be on the way.
+            Holder::Silent => now.saturating_sub(self.watching_since) < snapshot.peer_timeout,
+        }
+    }
+
     /// Returns the replacement that this host should make now, if any. `rank` is this host's
     /// position, from 0, among the hosts that may act.
     pub fn decide(
@@ -135,7 +175,7 @@
             let is_candidate_unfit =
                 snapshot.directory.get(&record.primary).is_none_or(|e| e.is_leaving)
                     || snapshot.view(&record.primary) == View::Lost;
-            let timeout = if snapshot.is_holder_active {
+            let timeout = if self.may_be_executing(now, snapshot) {
                 PROMOTION_TIMEOUT
             } else {
                 ABANDONED_PROMOTION_TIMEOUT
--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -8,7 +8,7 @@
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Denial, Route};
 use bergamotvale_core::proxy::directory::{Directory, Entry, Role, TargetName};
 use bergamotvale_core::proxy::evidence::{Evidence, View};
-use bergamotvale_core::proxy::failover::{Monitor, Snapshot};
+use bergamotvale_core::proxy::failover::{Holder, Monitor, Snapshot};
 use bergamotvale_core::proxy::floor::{History, Observation, Position};
 use bergamotvale_core::proxy::lease::{Attestation, Barrier, Lease, Limits, Member};
 use bergamotvale_core::proxy::record::Record;
@@ -72,19 +72,26 @@
     },
     /// No live host is known to execute the promotion.
     Abandoned,
+    /// This host holds the record.
+    Own,
+    /// This host watches again after it was cut off or suspended.
+    Resume,
     /// Shows what a host of this rank decides.
     Look {
         rank: usize,
     },
 }
 
+/// Silence after which a peer no longer counts as alive.
+const PEER_TIMEOUT: Duration = Duration::from_millis(300);
+
 struct WatchedGroup {
     record: Record,
     directory: Directory,
     views: BTreeMap<TargetName, View>,
     peers: BTreeMap<HostId, View>,
     positions: BTreeMap<TargetName, Position>,
-    is_holder_active: bool,
+    holder: Holder,
     monitor: Monitor,
 }
 
@@ -114,7 +121,7 @@
             views: BTreeMap::new(),
             peers: given.peers.iter().map(|host| (*host, View::Alive)).collect(),
             positions: given.positions.iter().map(|(name, n)| (name.clone(), at(n))).collect(),
-            is_holder_active: true,
+            holder: Holder::Alive,
             monitor: Monitor::default(),
         }
     }
@@ -130,7 +137,9 @@
             FailoverEvent::Promote { target, planned } => {
                 self.record = self.record.promote(target, 1, *planned, 1, 0);
             }
-            FailoverEvent::Abandoned => self.is_holder_active = false,
+            FailoverEvent::Abandoned => self.holder = Holder::Silent,
+            FailoverEvent::Own => self.holder = Holder::Own,
+            FailoverEvent::Resume => self.monitor.resume(ms(at)),
             FailoverEvent::Established { term } => self.record = self.record.establish(*term),
             FailoverEvent::Look { rank } => {
                 let snapshot = Snapshot {
@@ -140,7 +149,8 @@
                     views: &self.views,
                     peer_views: &self.peers,
                     positions: &self.positions,
-                    is_holder_active: self.is_holder_active,
+                    holder: self.holder,
+                    peer_timeout: PEER_TIMEOUT,
                 };
                 let change = self.monitor.decide(ms(at), *rank, &snapshot);
                 let shown = change.map(|c| format!("{} {}", c.cause, c.candidate));
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -3,7 +3,9 @@
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Directory, Entry, Role, TargetName};
 use bergamotvale_core::proxy::evidence::{Evidence, FAILURE_TIMEOUT, RESPONSE_TIMEOUT, View};
-use bergamotvale_core::proxy::failover::{Cause, Monitor, Snapshot, is_reachable_by_majority};
+use bergamotvale_core::proxy::failover::{
+    Cause, Holder, Monitor, Snapshot, is_reachable_by_majority,
+};
 use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::record::Record;
 use std::collections::BTreeMap;
@@ -35,6 +37,7 @@
     views: BTreeMap<TargetName, View>,
     peers: BTreeMap<HostId, View>,
     positions: BTreeMap<TargetName, Position>,
+    holder: Holder,
 }
 
 impl World {
@@ -49,6 +52,7 @@
             views: BTreeMap::new(),
             peers: [(2, View::Alive), (3, View::Alive), (4, View::Alive)].into(),
             positions: [("r".into(), position(5)), ("s".into(), position(9))].into(),
+            holder: Holder::Alive,
         }
     }
 
@@ -60,7 +64,8 @@
             views: &self.views,
             peer_views: &self.peers,
             positions: &self.positions,
-            is_holder_active: true,
+            holder: self.holder,
+            peer_timeout: ms(300),
         }
     }
 
@@ -152,6 +157,7 @@
     let mut world = World::new();
     world.record = world.record.promote(&"s".into(), 2, false, 1, 0);
     world.views.insert("s".into(), View::Lost);
+    world.holder = Holder::Own;
     assert_eq!(world.decide(&mut Monitor::default(), 0, 0), Some((Cause::Stuck, "r".into())));
 }
 
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -17,7 +17,7 @@
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Entry, Role, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
-use bergamotvale_core::proxy::failover::{Cause, Monitor, Replacement, Snapshot};
+use bergamotvale_core::proxy::failover::{Cause, Holder, Monitor, Replacement, Snapshot};
 use bergamotvale_core::proxy::lease::Barrier;
 use bergamotvale_core::proxy::record::{Record, Term};
 use bergamotvale_core::proxy::revision::Revision;
@@ -37,6 +37,8 @@
 const OK: &str = "ok";
 /// Time between checks of all groups.
 const GROUP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two checks of all groups above which this host was suspended.
+const MAX_GROUP_POLL_GAP: Duration = Duration::from_millis(500);
 /// Time between checks of a condition that a promotion waits for.
 const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(15);
 /// Time in which the platform has to answer a promotion call.
@@ -56,17 +58,23 @@
 pub async fn watch(host: Rc<Host>) {
     let mut monitors: BTreeMap<String, Monitor> = BTreeMap::new();
     let running: Rc<RefCell<BTreeSet<String>>> = Rc::default();
+    let mut last_check = Time::ZERO;
     loop {
         tokio::time::sleep(GROUP_POLL_INTERVAL).await;
         if host.stopping.get() || !host.holds_lease() || host.is_restoring() {
             continue;
         }
+        let now = boot_clock::now();
+        if now.saturating_sub(last_check) > MAX_GROUP_POLL_GAP {
+            monitors.values_mut().for_each(|monitor| monitor.resume(now));
+        }
+        last_check = now;
         let services: Vec<String> = host.catalog.borrow().groups.keys().cloned().collect();
         for service in services {
             if running.borrow().contains(&service) {
                 continue;
             }
-            let monitor = monitors.entry(service.clone()).or_default();
+            let monitor = monitors.entry(service.clone()).or_insert_with(|| Monitor::new(now));
             let Some(task) = due_task(&host, &service, monitor) else { continue };
             running.borrow_mut().insert(service.clone());
             let (host, running) = (host.clone(), running.clone());
@@ -103,17 +111,22 @@
         views: &host.targets.views(),
         peer_views: &host.peers.views(service, stored.record.fence, host.peer_timeout()),
         positions: &host.targets.positions(),
-        is_holder_active: is_alive(host, stored.record.holder),
+        holder: holder(host, &stored.record),
+        peer_timeout: host.peer_timeout(),
     };
     let replacement = monitor.decide(boot_clock::now(), rank(host, service), &snapshot)?;
     Some(Task::Replace(stored.clone(), replacement))
 }
 
-/// Whether another host is alive. False for this host, which executes nothing for a group that it
+/// Returns what this host knows of a record's holder. It executes nothing itself for a group that it
 /// is checking.
-fn is_alive(host: &Host, other: HostId) -> bool {
+fn holder(host: &Host, record: &Record) -> Holder {
     let alive = host.lease.borrow().live_peers(boot_clock::now(), host.peer_timeout());
-    alive.contains(&other)
+    match record.holder {
+        own if own == host.id => Holder::Own,
+        other if alive.contains(&other) => Holder::Alive,
+        _ => Holder::Silent,
+    }
 }
 
 /// Returns this host's rank among the hosts that are alive, in the order in which they act on a
@@ -352,13 +365,20 @@
             let timeout = LEASE_LIMITS.validity
                 + LEASE_LIMITS.max_attested_age
                 + LEASE_LIMITS.clock_drift_margin * 2;
-            if boot_clock::now().saturating_sub(self.began) > timeout {
+            if boot_clock::now().saturating_sub(self.began) > timeout || self.has_lost_candidate() {
                 return None;
             }
             self.host.wait_for_change(Instant::now() + WAIT_POLL_INTERVAL).await;
         }
     }
 
+    /// Whether the candidate can no longer be promoted, so that this host goes on with another.
+    fn has_lost_candidate(&self) -> bool {
+        let candidate = &self.record.primary;
+        let is_listed = self.entry(candidate).is_some_and(|entry| !entry.is_leaving);
+        !is_listed || self.host.targets.view(candidate) == View::Lost
+    }
+
     fn entry(&self, target: &TargetName) -> Option<Entry> {
         self.host.directory.borrow().get(target).cloned()
     }
@@ -407,7 +427,7 @@
     /// answer; returns whether the platform accepted it.
     async fn call_platform(&self) -> bool {
         let deadline = Instant::now() + LEAD_TIMEOUT;
-        while self.owns_record() && Instant::now() < deadline {
+        while self.owns_record() && !self.has_lost_candidate() && Instant::now() < deadline {
             let address = self.host.settings.promotion;
             let Record { primary, fence, .. } = &self.record;
             let name = &self.host.settings.name;
@@ -431,7 +451,7 @@
     /// the platform accepted the call: then the candidate was the primary already.
     async fn wait_until_leading(&self) -> Option<Status> {
         let called = Instant::now();
-        while called.elapsed() < LEAD_TIMEOUT {
+        while called.elapsed() < LEAD_TIMEOUT && !self.has_lost_candidate() {
             if let Ok(status) = self.status(&self.record.primary).await
                 && status.role == Role::Primary
                 && (self.record.accepts_term(status.term)
