Leave an unfit candidate to the host that promotes it

Cause: an unfit candidate made every host due, whatever the holder did. Meanwhile the holder itself went on with its candidate until its own timeout.

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -175,12 +175,13 @@
             let is_candidate_unfit =
                 snapshot.directory.get(&record.primary).is_none_or(|e| e.is_leaving)
                     || snapshot.view(&record.primary) == View::Lost;
-            let timeout = if self.may_be_executing(now, snapshot) {
-                PROMOTION_TIMEOUT
+            // The holder itself goes on with another candidate: hosts do not take turns.
+            let is_due = if self.may_be_executing(now, snapshot) {
+                age >= PROMOTION_TIMEOUT
             } else {
-                ABANDONED_PROMOTION_TIMEOUT
+                age >= ABANDONED_PROMOTION_TIMEOUT || is_candidate_unfit
             };
-            (age >= timeout || is_candidate_unfit).then_some(Cause::Stuck)
+            is_due.then_some(Cause::Stuck)
         };
         let Some(cause) = cause else {
             self.cause_since = None;
