Keep the logs of a group without a primary in the stand-in

Cause, in the stand-in: between DEMOTE of a primary and the next promotion no target leads. The first target then counted as the primary, and the others cut their logs back to its log, also where it was far behind.

Change: replication does nothing while no target leads. The test a_group_without_a_primary_keeps_its_logs failed before: the commit was gone from all three logs.

--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -134,12 +134,15 @@
         tokio::spawn(replicate(self.clone()));
     }
 
-    /// The primary of the highest term.
+    /// The primary of the highest term, or the first target while none leads.
     pub fn primary(&self) -> Arc<Target> {
+        self.leader().unwrap_or(&self.targets[0]).clone()
+    }
+
+    fn leader(&self) -> Option<&Arc<Target>> {
         let is_primary = |target: &&Arc<Target>| lock(&target.state).role == Role::Primary;
         let primaries = self.targets.iter().filter(is_primary);
-        let primary = primaries.max_by_key(|target| lock(&target.state).term);
-        primary.unwrap_or(&self.targets[0]).clone()
+        primaries.max_by_key(|target| lock(&target.state).term)
     }
 
     /// A target that is a replica.
@@ -183,9 +186,10 @@
     }
 
     /// Brings every replica that has neither crashed nor paused up to the primary, as far as its
-    /// lag allows. Commits that the primary's log lacks are discarded.
+    /// lag allows. Commits that the primary's log lacks are discarded. Nothing changes while no
+    /// target leads.
     fn replicate_once(&self) {
-        let primary = self.primary();
+        let Some(primary) = self.leader() else { return };
         let (term, log) = {
             let state = lock(&primary.state);
             if state.is_crashed {
@@ -219,7 +223,7 @@
             }
         }
         if self.sync_replicas.load(Ordering::Relaxed) > 0 {
-            self.update_replicated(&primary);
+            self.update_replicated(primary);
         }
     }
 
