One wait for the leases of silent members

The settlement of a restored table waited by the same rule as the barrier of a promotion, written a second time: the validity after a majority has confirmed, or the longest time for which a lease may last. Both call `lease::Expiry` now.

--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -309,31 +309,56 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Barrier {
     revision: Revision,
-    written: Time,
-    majority_quiesced_at: Option<Time>,
+    expiry: Expiry,
 }
 
 impl Barrier {
     /// Creates the barrier for `revision`, whose write was confirmed at `written`.
     pub fn new(revision: Revision, written: Time) -> Barrier {
-        Barrier { revision, written, majority_quiesced_at: None }
+        Barrier { revision, expiry: Expiry::new(written) }
     }
 
     /// Whether the barrier is passed. It has to be polled: the time from which a majority had
     /// quiesced is taken from the calls.
     pub fn has_passed(&mut self, lease: &Lease, now: Time) -> bool {
-        if lease.has_quiesced_everywhere(self.revision) {
-            return true;
-        }
-        if self.majority_quiesced_at.is_none() && lease.has_majority_quiesced(now, self.revision) {
-            self.majority_quiesced_at = Some(now);
+        let revision = self.revision;
+        lease.has_quiesced_everywhere(revision)
+            || self
+                .expiry
+                .has_come(now, lease.limits(), || lease.has_majority_quiesced(now, revision))
+    }
+}
+
+/// Wait until the leases of members that do not confirm a change have expired.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Expiry {
+    /// When the change was made.
+    pub(super) since: Time,
+    majority_confirmed_at: Option<Time>,
+}
+
+impl Expiry {
+    /// Creates the wait for a change made at `since`.
+    pub(super) fn new(since: Time) -> Expiry {
+        Expiry { since, majority_confirmed_at: None }
+    }
+
+    /// Whether the leases have expired: the validity has passed since the members that do not
+    /// confirm form no majority, or the longest time for which a lease may last has passed. It has
+    /// to be polled.
+    pub(super) fn has_come(
+        &mut self,
+        now: Time,
+        limits: Limits,
+        is_majority_confirmed: impl FnOnce() -> bool,
+    ) -> bool {
+        if self.majority_confirmed_at.is_none() && is_majority_confirmed() {
+            self.majority_confirmed_at = Some(now);
         }
-        let limits = lease.limits();
         let validity = limits.validity + limits.clock_drift_margin;
-        let since_write = now.saturating_sub(self.written);
         let majority =
-            self.majority_quiesced_at.is_some_and(|at| now.saturating_sub(at) >= validity);
-        majority || since_write >= validity + limits.max_attested_age
+            self.majority_confirmed_at.is_some_and(|at| now.saturating_sub(at) >= validity);
+        majority || now.saturating_sub(self.since) >= validity + limits.max_attested_age
     }
 }
 
--- a/crates/core/src/proxy/restore.rs
+++ b/crates/core/src/proxy/restore.rs
@@ -14,7 +14,7 @@
 //!   validity of a lease has passed since;
 //! - the longest time for which a lease may last has passed since the restore was noticed.
 
-use super::lease::{Lease, Member};
+use super::lease::{Expiry, Lease, Member};
 use super::revision::Era;
 use crate::id::{HostId, Time};
 use std::collections::BTreeMap;
@@ -23,17 +23,16 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Settlement {
     era: Era,
-    noticed: Time,
+    expiry: Expiry,
     /// Whether this host remembers the table of an era before.
     has_memory: bool,
-    majority_reconciled_at: Option<Time>,
 }
 
 impl Settlement {
     /// Creates the settlement of `era`, whose table this host has read at `noticed`. `has_memory`
     /// tells whether it remembers the table of an era before.
     pub fn new(era: Era, noticed: Time, has_memory: bool) -> Settlement {
-        Settlement { era, noticed, has_memory, majority_reconciled_at: None }
+        Settlement { era, expiry: Expiry::new(noticed), has_memory }
     }
 
     /// Era of the restored table.
@@ -43,7 +42,7 @@
 
     /// Time for which the settlement has been under way.
     pub fn age(&self, now: Time) -> Time {
-        now.saturating_sub(self.noticed)
+        now.saturating_sub(self.expiry.since)
     }
 
     /// Whether a host that has reconciled the era itself may settle the table now. `members` are
@@ -53,16 +52,8 @@
         let limits = lease.limits();
         let validity = limits.validity + limits.clock_drift_margin;
         let has_waited = self.has_memory || self.age(now) >= validity;
-        if has_waited && lease.is_reconciled_everywhere(members, self.era) {
-            return true;
-        }
-        if self.majority_reconciled_at.is_none()
-            && lease.is_majority_reconciled(now, members, self.era)
-        {
-            self.majority_reconciled_at = Some(now);
-        }
-        let majority =
-            self.majority_reconciled_at.is_some_and(|at| now.saturating_sub(at) >= validity);
-        majority || self.age(now) >= validity + limits.max_attested_age
+        let era = self.era;
+        (has_waited && lease.is_reconciled_everywhere(members, era))
+            || self.expiry.has_come(now, limits, || lease.is_majority_reconciled(now, members, era))
     }
 }
