--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/follow.rs
@@ -272,17 +272,18 @@
 
 /// Applies the current copy of the table: the records, then the members.
 pub fn adopt_table(host: &Host) {
-    adopt_restored_members(host);
-    let Some(table) = host.peers.replica.borrow().settled().cloned() else { return };
+    let replica = host.peers.replica.borrow();
+    adopt_restored_members(host, replica.restored());
+    let Some(table) = replica.settled() else { return };
     let known = host.lease.borrow().revision();
     if table.revision == known && known > Revision::default() {
         return;
     }
-    let members = decode_members(host, &table);
+    let members = decode_members(host, table);
     let changed = *host.lease.borrow().members() != members;
     record_earlier_incarnation(host, members.get(&host.id));
     // Records first: the lease may reach the new revision only when older records are out of use.
-    for (service, stored) in decode_records(host, &table) {
+    for (service, stored) in decode_records(host, table) {
         host.adopt_record(&service, stored.record, stored.revision);
     }
     host.lease.borrow_mut().adopt(table.revision, members);
@@ -296,12 +297,11 @@
 
 /// Takes over the members that a restored table names, so that hosts that remember nothing are
 /// reached before the table is settled.
-fn adopt_restored_members(host: &Host) {
-    let restored = host.peers.replica.borrow().restored().cloned();
+fn adopt_restored_members(host: &Host, restored: Option<&Table<Bytes>>) {
     if restored.is_some() {
         host.restore_noticed.notify_one();
     }
-    let members = restored.map(|table| decode_members(host, &table)).unwrap_or_default();
+    let members = restored.map(|table| decode_members(host, table)).unwrap_or_default();
     if *host.restored_members.borrow() != members {
         *host.restored_members.borrow_mut() = members;
         host.peers.heartbeat_now.notify_one();
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -5,9 +5,9 @@
 //! - Requests: [`caller`] serves sessions, [`work`] and [`transaction`] execute their statements,
 //!   [`connection`] and [`pool`] hold connections to targets, [`target`] the state of each target,
 //!   [`quota`] limits rates.
-//! - Copies of the platform's tables: [`feed`], [`follow`] and [`member`].
+//! - Copies of the platform's tables: [`feed`], [`follow`] and [`member`]; [`restore`] completes
+//!   the table of records and members after the store was restored.
 //! - Other hosts: [`peer`] exchanges heartbeats and loans of rate tokens.
-//! - Store: [`feed`] and [`follow`] copy its tables, [`restore`] completes them after a restore.
 //! - Groups: [`promote`] replaces primaries, with a [`survey`] of the targets' logs where replicas
 //!   are synchronous.
 //! - Operation: [`maintenance`], [`status`], [`http`], [`event`] and [`metric`].
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -172,7 +172,7 @@
 
 /// Writes a group's record if its row is as `expected`. Returns the new revision; fails with
 /// [`Error::Conflict`] if the row has another revision.
-pub async fn write_record(
+async fn write_record(
     host: &Host,
     service: &str,
     record: &Record,
@@ -330,7 +330,8 @@
     /// Returns the revision of this promotion's record in a table that was restored and settled
     /// since `revision`.
     fn revision_of_later_era(&self, revision: Revision) -> Option<Revision> {
-        let stored = self.host.records.borrow().get(self.service).cloned()?;
+        let records = self.host.records.borrow();
+        let stored = records.get(self.service)?;
         let is_later = stored.revision.era > revision.era;
         (is_later && stored.record.fence == self.record.fence).then_some(stored.revision)
     }
--- a/crates/sessions/src/restore.rs
+++ b/crates/sessions/src/restore.rs
@@ -85,7 +85,6 @@
 /// Returns members without a row. A row of another incarnation is replaced for this host only:
 /// another host may have restarted.
 fn lost_members(host: &Host, restored: &Table<Bytes>) -> Vec<LostRow> {
-    let era = restored.revision.era;
     let lease = host.lease.borrow();
     let known = host.restored_members.borrow();
     let is_own_row = |id: &HostId, member: &Member| {
@@ -98,7 +97,7 @@
     let lost = lease.members().iter().filter(|(id, member)| is_lost(id, member));
     let to_row = |(id, member): (&HostId, &Member)| {
         let key = member_key(*id);
-        let expected = restored.revision_of(&key).map_or(Expected::Absent(era), Expected::At);
+        let expected = expected(restored, &key);
         let value = encode(&key, member)?;
         Some(LostRow { key, value, expected, is_shared: *id != host.id })
     };
@@ -114,14 +113,19 @@
     };
     let to_row = |service: &String| {
         let key = group_key(service);
-        let absent = Expected::Absent(restored.revision.era);
-        let expected = restored.revision_of(&key).map_or(absent, Expected::At);
+        let expected = expected(restored, &key);
         let value = encode(&key, &records[service].record)?;
         Some(LostRow { key, value, expected, is_shared: true })
     };
     records.keys().filter(|service| is_lost(service)).filter_map(to_row).collect()
 }
 
+/// Condition that the row is still as in the restored table.
+fn expected(restored: &Table<Bytes>, key: &str) -> Expected {
+    let absent = Expected::Absent(restored.revision.era);
+    restored.revision_of(key).map_or(absent, Expected::At)
+}
+
 fn encode(key: &str, value: &impl serde::Serialize) -> Option<Bytes> {
     match serde_json::to_vec(value) {
         Ok(bytes) => Some(Bytes::from(bytes)),
@@ -159,8 +163,7 @@
 /// Marks the restored table as complete.
 async fn settle(host: &Host, restored: &Table<Bytes>, settlement: &Settlement) {
     let era = settlement.era();
-    let absent = Expected::Absent(era);
-    let expected = Some(restored.revision_of(ERA_KEY).map_or(absent, Expected::At));
+    let expected = Some(expected(restored, ERA_KEY));
     let value = Some(Bytes::from(encode_era(era)));
     let change = Change { table: TABLE, key: ERA_KEY, expected, value };
     match Store::new(host.settings.store).change(change, CALL_TIMEOUT).await {
