Count every replica that may hold acknowledged commits, listed or not

Callers saw acknowledged writes vanish in a group with a synchronous replica: the replica that had them was cut from the store, its directory entry lapsed, the primary crashed, and the other replica was promoted.

Cause: the survey before a promotion took the number of replicas from the directory, which says whom the platform hears, not who exists. One listed replica of two was then enough.

Change: the group's record keeps a roster of all targets that were ever listed (core::proxy::roster), with address and start time. The survey counts and asks all of them. A target leaves the roster when another one is listed at its address, or when it has ended and enough others have received what it may have acknowledged. If the most advanced target is not listed it is promoted without serving anyone, and a listed replica follows by a second promotion once it has caught up.

Groups without synchronous replicas have no roster and write nothing more.

--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -17,6 +17,7 @@
 pub mod record;
 pub mod restore;
 pub mod revision;
+pub mod roster;
 pub mod select;
 pub mod session;
 pub mod statement;
--- a/crates/core/src/proxy/record.rs
+++ b/crates/core/src/proxy/record.rs
@@ -7,6 +7,7 @@
 
 use super::directory::{Directory, Role, TargetName, of_service};
 use super::revision::Era;
+use super::roster::Roster;
 use crate::id::HostId;
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +39,9 @@
     pub term: Term,
     /// Whether the previous primary still works, so that the promotion waits for its open work.
     pub planned: bool,
+    /// Targets that may hold acknowledged commits; kept for groups with synchronous replicas only.
+    #[serde(default, skip_serializing_if = "Roster::is_empty")]
+    pub roster: Roster,
 }
 
 impl Record {
@@ -57,6 +61,7 @@
             established: true,
             term: 0,
             planned: false,
+            roster: Roster::default(),
         })
     }
 
@@ -81,6 +86,7 @@
             established: false,
             term: self.term.max(seen),
             planned: planned && self.established,
+            roster: self.roster.clone(),
         }
     }
 
@@ -101,6 +107,11 @@
         term > self.term
     }
 
+    /// Returns this record with another roster. It describes the same state of the group.
+    pub fn with_roster(&self, roster: Roster) -> Record {
+        Record { roster, ..self.clone() }
+    }
+
     /// Returns this record as established, after the candidate was seen to lead in `term`.
     pub fn establish(&self, term: Term) -> Record {
         Record { established: true, term, ..self.clone() }
--- a/crates/host/tests/sessions/faults.rs
+++ b/crates/host/tests/sessions/faults.rs
@@ -8,8 +8,9 @@
 use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{End, State};
 use bergamotvale_platform::text;
-use bergamotvale_standin::lines::Outage;
+use bergamotvale_standin::lines::{Outage, Target};
 use rustix::process::Signal;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Writes until one succeeds. Every other write has to be refused with a code that guarantees no
@@ -357,6 +358,85 @@
     assert!(code.guarantees_no_effect(), "{code}");
 }
 
+/// A group with a synchronous replica in which only `unlisted` has received the last acknowledged
+/// write, "2" to "bolt", and the directory does not list it.
+struct UnlistedHolder {
+    fleet: Fleet,
+    session: Caller,
+    old_primary: Arc<Target>,
+    lagging: Arc<Target>,
+    unlisted: Arc<Target>,
+}
+
+fn unlisted_holder(hosts: u8) -> UnlistedHolder {
+    let fleet = synchronous_fleet(hosts);
+    let group = fleet.system.groups[0].clone();
+    let old_primary = group.primary();
+    let mut replicas = group.targets.iter().filter(|t| t.name != old_primary.name).cloned();
+    let (lagging, unlisted) = (replicas.next().unwrap(), replicas.next().unwrap());
+    let mut session = fleet.open_session(0, STRICT_DB);
+    session.expect_done(&caller::write("bolt", "1"), State::Idle);
+    std::thread::sleep(Duration::from_secs(1));
+    lagging.set_lag(Duration::from_secs(3600));
+    unlisted.cut_from_store();
+    std::thread::sleep(Duration::from_millis(500));
+    session.expect_done(&caller::write("bolt", "2"), State::Idle);
+    UnlistedHolder { fleet, session, old_primary, lagging, unlisted }
+}
+
+/// Guards against the loss of acknowledged commits that only a replica has which is cut from the
+/// store, and so is in no directory, but alive: the survey counted listed replicas only.
+#[test]
+fn a_commit_that_only_an_unlisted_replica_has_survives_the_primary() {
+    let UnlistedHolder { fleet, mut session, old_primary, lagging, .. } = unlisted_holder(2);
+
+    old_primary.crash();
+    lagging.set_lag(Duration::from_millis(5));
+
+    write_until_acknowledged(&mut session, "pallet", "3");
+    assert_eq!(session.expect_row(&caller::read("bolt")).0, "2");
+    // Callers are served by listed targets only.
+    assert_eq!(fleet.system.groups[0].primary().name, lagging.name);
+}
+
+/// Guards against the loss of acknowledged commits that only an unlisted replica has, while it does
+/// not answer either: the group waits for it.
+#[test]
+fn a_group_waits_for_an_unlisted_replica_that_may_have_more() {
+    let holder = unlisted_holder(2);
+    let UnlistedHolder { mut session, old_primary, lagging, unlisted, fleet: _fleet } = holder;
+
+    unlisted.crash();
+    old_primary.crash();
+    std::thread::sleep(Duration::from_secs(6));
+
+    assert!(!lagging.is_primary(), "a replica without an acknowledged commit was promoted");
+    unlisted.restart().expect("the target starts");
+    lagging.set_lag(Duration::from_millis(5));
+    write_until_acknowledged(&mut session, "pallet", "3");
+    assert_eq!(session.expect_row(&caller::read("bolt")).0, "2");
+}
+
+/// Guards against a group that waits for a replica which has ended for good, though the others have
+/// received all that it can have acknowledged.
+#[test]
+fn a_replica_that_has_ended_is_not_waited_for_once_others_have_its_commits() {
+    let holder = unlisted_holder(2);
+    let UnlistedHolder { mut session, old_primary, lagging, unlisted, fleet: _fleet } = holder;
+    lagging.set_lag(Duration::from_millis(5));
+
+    unlisted.crash();
+    session.expect_done(&caller::write("lot", "1"), State::Idle);
+    std::thread::sleep(Duration::from_secs(4));
+    old_primary.crash();
+
+    eventually("the replica with all commits is promoted", || lagging.is_primary());
+    // A commit of the new primary needs a replica.
+    old_primary.restart().expect("the target starts");
+    write_until_acknowledged(&mut session, "pallet", "3");
+    assert_eq!(session.expect_row(&caller::read("bolt")).0, "2");
+}
+
 /// Guards against a fault of the stand-in that the soak found with seed 8: a crashed target whose
 /// longer log had diverged was counted as a replica that had received a commit.
 #[test]
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -9,6 +9,7 @@
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::record::{Fence, Term};
 use bergamotvale_core::proxy::revision::{Era, Revision};
+use bergamotvale_core::proxy::roster::Roster;
 use serde::Serialize;
 use std::cell::Cell;
 use std::time::{Duration, SystemTime};
@@ -70,6 +71,9 @@
         term: Term,
         revision: Revision,
     },
+    /// This host changed the roster in a group's record: the targets that may hold acknowledged
+    /// commits, with their addresses and start times.
+    RosterChanged { service: &'a str, roster: &'a Roster },
     /// This host's view of a target changed, or the target's entry was added, changed or removed.
     Target { target: &'a str, service: &'a str, view: &'a str, leaving: bool },
     /// A promotion that this host executes reached or failed a step.
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -9,7 +9,7 @@
 //!   the table of records and members after the store was restored.
 //! - Other hosts: [`peer`] exchanges heartbeats and loans of rate tokens.
 //! - Groups: [`promote`] replaces primaries, with a [`survey`] of the targets' logs where replicas
-//!   are synchronous.
+//!   are synchronous; [`roster`] records which targets those are.
 //! - Operation: [`maintenance`], [`status`], [`http`], [`event`] and [`metric`].
 
 pub mod boot_clock;
@@ -27,6 +27,7 @@
 pub mod promote;
 pub mod quota;
 pub mod restore;
+pub mod roster;
 pub mod run;
 pub mod settings;
 pub mod state;
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -172,7 +172,7 @@
 
 /// Writes a group's record if its row is as `expected`. Returns the new revision; fails with
 /// [`Error::Conflict`] if the row has another revision.
-async fn write_record(
+pub async fn write_record(
     host: &Host,
     service: &str,
     record: &Record,
@@ -236,7 +236,7 @@
             return None;
         };
         self.log("in_force", OK);
-        if self.record.planned {
+        if self.record.planned || self.has_unlisted_previous() {
             self.wait_for_catch_up().await;
         } else {
             self.demote_previous();
@@ -380,8 +380,20 @@
         !is_listed || self.host.targets.view(candidate) == View::Lost
     }
 
+    /// Whether the previous primary is not listed and may still be reachable. It was promoted for
+    /// the commits that no listed target had, which the candidate receives from it.
+    fn has_unlisted_previous(&self) -> bool {
+        let directory = self.host.directory.borrow();
+        let previous = self.record.previous.as_ref();
+        previous.is_some_and(|name| {
+            !directory.contains_key(name)
+                && self.record.roster.contains(name)
+                && self.host.targets.view(name) != View::Lost
+        })
+    }
+
     fn entry(&self, target: &TargetName) -> Option<Entry> {
-        self.host.directory.borrow().get(target).cloned()
+        self.host.find_target(self.service, target)
     }
 
     async fn status(&self, target: &TargetName) -> Result<Status, Failure> {
@@ -389,13 +401,16 @@
         maintenance::status(self.host, &entry, Instant::now() + PROMOTE_RETRY_DELAY * 2).await
     }
 
-    /// Waits until the candidate has received all that the previous primary has. After the timeout
-    /// the promotion goes on.
+    /// Waits until the candidate has received all that the previous primary has. After the timeout,
+    /// or if an unplanned promotion finds the previous primary silent, the promotion goes on.
     async fn wait_for_catch_up(&self) {
         let deadline = Instant::now() + CATCH_UP_TIMEOUT;
         let Some(previous) = &self.record.previous else { return };
         while Instant::now() < deadline {
             let ahead = self.status(previous).await;
+            if ahead.is_err() && !self.record.planned {
+                return self.log("caught_up", "the previous primary does not answer");
+            }
             let own = self.status(&self.record.primary).await;
             if let (Ok(ahead), Ok(own)) = (ahead, own)
                 && own.received >= ahead.received
--- a/crates/sessions/src/run.rs
+++ b/crates/sessions/src/run.rs
@@ -3,7 +3,7 @@
 use crate::event::Event;
 use crate::settings::Settings;
 use crate::state::Host;
-use crate::{caller, follow, http, maintenance, member, peer, promote, restore};
+use crate::{caller, follow, http, maintenance, member, peer, promote, restore, roster};
 use anyhow::Context;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -63,6 +63,7 @@
     spawn_local(peer::send_heartbeats(host.clone()));
     spawn_local(promote::watch(host.clone()));
     spawn_local(restore::run(host.clone()));
+    spawn_local(roster::run(host.clone()));
     spawn_local(maintenance::run(host.clone()));
     spawn_local(http::serve(host.clone(), readiness));
     spawn_local(http::serve(host.clone(), metrics));
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -12,7 +12,7 @@
 use crate::target::Targets;
 use bergamotvale_core::id::{HostId, Incarnation, Time};
 use bergamotvale_core::proxy::catalog::Catalog;
-use bergamotvale_core::proxy::directory::{Directory, TargetName};
+use bergamotvale_core::proxy::directory::{Directory, Entry, TargetName};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::History;
 use bergamotvale_core::proxy::lease::{Lease, Limits, Member};
@@ -267,6 +267,13 @@
         self.fence(service) == fence && self.holds_lease()
     }
 
+    /// Returns the entry of a target of the group, also of one that only the group's roster has.
+    pub fn find_target(&self, service: &str, name: &TargetName) -> Option<Entry> {
+        let listed = self.directory.borrow().get(name).cloned();
+        let records = self.records.borrow();
+        listed.or_else(|| records.get(service)?.record.roster.entry(service, name))
+    }
+
     /// Returns the newest known fence of a group; 0 without a record.
     pub fn fence(&self, service: &str) -> Fence {
         self.records.borrow().get(service).map_or(0, |stored| stored.record.fence)
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -49,6 +49,8 @@
     pub(super) open_connections: u32,
     pub(super) is_leaving: bool,
     pub(super) is_crashed: bool,
+    /// Whether the store does not hear the target, so that the directory has no entry of it.
+    is_unlisted: bool,
     pub(super) drops_commit_responses: bool,
     /// Connections beyond this number are refused.
     pub(super) connection_limit: u32,
@@ -268,6 +270,7 @@
             open_connections: 0,
             is_leaving: false,
             is_crashed: false,
+            is_unlisted: false,
             drops_commit_responses: false,
             connection_limit: DEFAULT_CONNECTION_LIMIT,
             paused_below: 0,
@@ -292,10 +295,13 @@
         })
     }
 
-    /// Writes the target's entry into the platform's directory.
+    /// Writes the target's entry into the platform's directory, unless it is cut from the store.
     fn register(&self) {
         let (entry, sequence) = {
             let mut state = lock(&self.state);
+            if state.is_unlisted {
+                return;
+            }
             state.sequence += 1;
             let entry = Entry {
                 name: self.name.clone(),
@@ -319,6 +325,18 @@
         self.register();
     }
 
+    /// Cuts the target from the store, which removes its entry. It goes on serving and receiving.
+    pub fn cut_from_store(&self) {
+        lock(&self.state).is_unlisted = true;
+        self.store.write(directory::TABLE, &self.name, None);
+    }
+
+    /// Ends the cut from the store: the target is listed again.
+    pub fn reconnect_to_store(&self) {
+        lock(&self.state).is_unlisted = false;
+        self.register();
+    }
+
     /// Closes all connections and refuses new ones; the directory entry stays as it is.
     pub fn crash(&self) {
         lock(&self.state).is_crashed = true;
