Take a statement during a stop only if its whole timeout fits

Callers lost writes around a planned stop: a write sent 3.3 s after SIGTERM was passed on, and the host exited at 5.1 s and closed the connection without an answer, though the write was made.

Cause: the exit had a fixed time, a statement its own timeout, and nothing compared the two.

Change: one schedule (core::proxy::stop). After SIGTERM a statement is taken only if its timeout ends before the end of work, 0.8 s before the end of the grace period; else it is refused at once as not run and the session ends. What is still at work then is answered: writes and commits as unknown, reads as not kept. The closing of idle sessions ends at 3.2 s instead of 3.6 s, before statements with a timeout of 2 s are refused. The stop has a module of its own (sessions::stop), which takes the gate for idle sessions out of the state of peers.

--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -21,5 +21,6 @@
 pub mod select;
 pub mod session;
 pub mod statement;
+pub mod stop;
 pub mod survey;
 pub mod table;
--- a/crates/host/tests/sessions/main.rs
+++ b/crates/host/tests/sessions/main.rs
@@ -7,3 +7,4 @@
 mod path;
 mod restored;
 mod soak;
+mod stop;
--- /dev/null
+++ b/crates/host/tests/sessions/stop.rs
@@ -0,0 +1,73 @@
+//! Planned stops: everything that a stopping host has taken is answered.
+
+use crate::fixture::{Caller, Fleet, STRICT_DB, catalog};
+use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_platform::counterpart::caller;
+use bergamotvale_platform::line::{End, State};
+use rustix::process::Signal;
+use std::time::{Duration, Instant};
+
+/// Starts one host whose route has this statement timeout, over targets whose writes take
+/// `write_time`.
+fn fleet_with(statement_timeout: Duration, write_time: Duration) -> Fleet {
+    let mut catalog = catalog();
+    for route in catalog.routes.values_mut() {
+        route.statement_timeout = statement_timeout;
+    }
+    let fleet = Fleet::start_with(1, catalog);
+    let mut session = fleet.open_session(0, STRICT_DB);
+    session.expect_done(&caller::write("bolt", "0"), State::Idle);
+    for target in &fleet.system.groups[0].targets {
+        target.set_write_time(write_time);
+    }
+    fleet
+}
+
+/// Sends SIGTERM to the host; returns when that was.
+fn stop(fleet: &Fleet) -> Instant {
+    fleet.hosts[0].signal(Signal::TERM);
+    Instant::now()
+}
+
+/// Runs a write at `time` after `start`; returns the end of its answer and how long that took.
+fn write_at(session: &mut Caller, start: Instant, time: Duration) -> (End, Duration) {
+    std::thread::sleep(time.saturating_sub(start.elapsed()));
+    let sent = Instant::now();
+    let answer = session.try_run(&caller::write("bolt", "1"));
+    (answer.expect("the connection ended without an answer").end, sent.elapsed())
+}
+
+/// Guards against a write that is passed on so late in a stop that the process exits before its
+/// answer: it is either taken and has its whole timeout, or refused at once.
+#[test]
+fn a_write_that_a_stopping_host_takes_is_answered() {
+    let fleet = fleet_with(Duration::from_secs(3), Duration::from_millis(2900));
+    let mut early = fleet.open_session(0, STRICT_DB);
+    let mut late = fleet.open_session(0, STRICT_DB);
+    let start = stop(&fleet);
+
+    let early =
+        std::thread::spawn(move || write_at(&mut early, start, Duration::from_millis(1900)));
+    let (late_end, late_time) = write_at(&mut late, start, Duration::from_millis(2320));
+
+    assert_eq!(late_end, End::Error(Code::Busy));
+    assert!(late_time < Duration::from_millis(200), "refused after {late_time:?}");
+    let (early_end, _) = early.join().expect("the caller ends");
+    assert_eq!(early_end, End::Done);
+}
+
+/// Guards against a statement that is still at work when its host has to exit, and is cut off
+/// without an answer.
+#[test]
+fn a_write_at_work_at_the_end_of_a_stop_is_answered_as_unknown() {
+    let fleet = fleet_with(Duration::from_secs(20), Duration::from_secs(8));
+    let mut session = fleet.open_session(0, STRICT_DB);
+    let caller = std::thread::spawn(move || session.try_run(&caller::write("bolt", "1")));
+    std::thread::sleep(Duration::from_millis(300));
+
+    stop(&fleet);
+
+    let answer = caller.join().expect("the caller ends");
+    let end = answer.expect("the connection ended without an answer").end;
+    assert_eq!(end, End::Error(Code::Unknown));
+}
--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -32,6 +32,8 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 /// Account name sent to targets for a caller without a known key, on a public route.
 const NO_ACCOUNT: &str = "-";
+/// Reason of refusals by a host that is stopping.
+const STOPPING: &str = "stopping";
 /// Margin before the end of a statement's timeout at which the host replies, so that the reply
 /// reaches the caller in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
@@ -62,6 +64,8 @@
     context: Option<Context>,
     statement_timeout: Duration,
     latency_target: Duration,
+    /// Whether the session ends after the present reply, because the host is stopping.
+    is_ending: bool,
 }
 
 /// Encoded reply to a statement.
@@ -125,6 +129,7 @@
         context: None,
         statement_timeout: Duration::ZERO,
         latency_target: Duration::ZERO,
+        is_ending: false,
     })
 }
 
@@ -136,9 +141,18 @@
 }
 
 impl Caller {
+    /// Serves the session until it ends, at the latest when a stopping host ends all work.
     async fn run(&mut self, reader: &mut FramedRead<OwnedReadHalf, CallerCodec>) {
-        loop {
-            let request = match self.next_request(reader).await {
+        let host = self.host.clone();
+        let work_end = host.stop.work_end.wait();
+        tokio::pin!(work_end);
+        while !self.is_ending {
+            let next = tokio::select! {
+                biased;
+                request = self.next_request(reader) => request,
+                () = &mut work_end => return,
+            };
+            let request = match next {
                 Some(Ok(request)) => request,
                 Some(Err(error)) => {
                     log::debug!("closing a caller's session after an unreadable message: {error}");
@@ -149,7 +163,14 @@
                 None => return,
             };
             let reply = match request {
-                Request::Query { id, text } => self.run_query(&id, &text).await,
+                Request::Query { id, text } => {
+                    let arrived = host.now();
+                    tokio::select! {
+                        biased;
+                        reply = self.run_query(&id, &text, arrived) => reply,
+                        () = &mut work_end => self.cut_off(&id, &text, arrived),
+                    }
+                }
                 Request::Quit => return,
                 Request::Connect { .. } | Request::Malformed => {
                     line::error(Code::Malformed, "not a statement", self.state())
@@ -177,7 +198,7 @@
             tokio::select! {
                 biased;
                 request = reader.next() => return request,
-                () = host.peers.idle_close.wait(), if is_idle => return None,
+                () = host.stop.idle_close.wait(), if is_idle => return None,
                 () = sleep_until(deadline), if deadline.is_some() => {
                     if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
                         self.end_transaction().await;
@@ -219,8 +240,7 @@
     }
 
     /// Runs one statement of the caller and returns the reply.
-    async fn run_query(&mut self, id: &str, text: &str) -> Reply {
-        let arrived = self.host.now();
+    async fn run_query(&mut self, id: &str, text: &str, arrived: Time) -> Reply {
         let Some(statement) = text::parse_statement(text) else {
             return line::error(Code::Malformed, "not a statement", self.state());
         };
@@ -249,6 +269,37 @@
         }
     }
 
+    /// Replies to a statement that is still at work when a stopping host ends all work.
+    ///
+    /// Only a commit or a write of its own can have had a lasting effect. Closing the connection
+    /// rolls an open transaction back.
+    fn cut_off(&mut self, id: &str, text: &str, arrived: Time) -> Reply {
+        self.is_ending = true;
+        let is_read = match text::parse_statement(text) {
+            Some(Statement::Read | Statement::Begin { .. }) => true,
+            Some(Statement::Execute { name, .. }) => {
+                let shape = self.session.prepared.get(&name);
+                shape.is_some_and(|shape| shape.access == Access::Read)
+            }
+            _ => false,
+        };
+        let (code, state) = match self.phase {
+            Phase::Open(_) => (Code::Aborted, State::Failed),
+            _ if is_read => (Code::Busy, State::Idle),
+            _ => (Code::Unknown, State::Idle),
+        };
+        self.phase = Phase::Idle;
+        self.refusal_reply(id, &Refusal::new(code, STOPPING), arrived, state)
+    }
+
+    /// Refuses a statement that might not end before the host stops, and ends the session. Nothing
+    /// was sent for it; an open transaction is rolled back.
+    fn refuse_for_stop(&mut self, id: &str, code: Code, arrived: Time, state: State) -> Reply {
+        self.is_ending = true;
+        self.phase = Phase::Idle;
+        self.refusal_reply(id, &Refusal::new(code, STOPPING), arrived, state)
+    }
+
     /// Replies to a statement in a failed transaction: only commit and rollback end it.
     fn reply_after_failure(&mut self, statement: &Statement) -> Reply {
         let is_reported = matches!(self.phase, Phase::Failed { is_reported: true });
@@ -286,6 +337,9 @@
                 ));
             }
         };
+        if !self.host.stop.takes_statement(self.statement_timeout) {
+            return Err(self.refuse_for_stop(id, Code::Busy, arrived, State::Idle));
+        }
         if let Some(account) = account
             && let Err(after) = quota::admit(&self.host, &account).await
         {
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -10,7 +10,7 @@
 //! - Other hosts: [`peer`] exchanges heartbeats and loans of rate tokens.
 //! - Groups: [`promote`] replaces primaries, with a [`survey`] of the targets' logs where replicas
 //!   are synchronous; [`roster`] records which targets those are.
-//! - Operation: [`maintenance`], [`status`], [`http`], [`event`] and [`metric`].
+//! - Operation: [`maintenance`], [`stop`], [`status`], [`http`], [`event`] and [`metric`].
 
 pub mod boot_clock;
 pub mod caller;
@@ -32,6 +32,7 @@
 pub mod settings;
 pub mod state;
 pub mod status;
+pub mod stop;
 pub mod survey;
 pub mod target;
 pub mod transaction;
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -58,7 +58,7 @@
 /// rates and the lease, and is not stopping.
 pub fn is_ready(host: &Host) -> bool {
     let is_configured = host.catalog.borrow().version > 0 && !host.directory.borrow().is_empty();
-    is_configured && host.has_shares() && !host.stopping.get() && host.holds_lease()
+    is_configured && host.has_shares() && !host.stop.is_under_way() && host.holds_lease()
 }
 
 fn log_readiness(host: &Host, known: &mut bool) {
--- a/crates/sessions/src/member.rs
+++ b/crates/sessions/src/member.rs
@@ -30,7 +30,7 @@
 /// long.
 pub fn rejoin(host: &Rc<Host>) {
     let is_member = host.lease.borrow().members().contains_key(&host.id);
-    if is_member || host.stopping.get() || !host.has_joined.replace(false) {
+    if is_member || host.stop.is_under_way() || !host.has_joined.replace(false) {
         return;
     }
     host.metrics.count("joined_again");
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/peer.rs
@@ -115,8 +115,6 @@
     pub replica: RefCell<Replica<Bytes>>,
     /// Makes the next heartbeat go out at once.
     pub heartbeat_now: Notify,
-    /// Tells idle sessions to close while the host stops.
-    pub idle_close: Gate,
     /// Bound once [`receive`] runs; nothing is sent before.
     socket: RefCell<Option<Rc<UdpSocket>>>,
     peers: RefCell<BTreeMap<HostId, Peer>>,
@@ -129,33 +127,6 @@
     loan_requests: RefCell<BTreeMap<(AccountId, HostId), (LoanRequest, Time)>>,
 }
 
-/// Releases tasks that wait on it one at a time, until it is opened for all.
-#[derive(Default)]
-pub struct Gate {
-    open: Cell<bool>,
-    notify: Notify,
-}
-
-impl Gate {
-    /// Releases one waiting task, or the next one that waits.
-    pub fn admit_one(&self) {
-        self.notify.notify_one();
-    }
-
-    /// Releases all tasks that wait, now and later.
-    pub fn open(&self) {
-        self.open.set(true);
-        self.notify.notify_waiters();
-    }
-
-    /// Waits until the gate is open or releases this task.
-    pub async fn wait(&self) {
-        if !self.open.get() {
-            self.notify.notified().await;
-        }
-    }
-}
-
 impl Peers {
     /// Returns the views of the primary under `fence` that peers reported. Peers whose last
     /// heartbeat is older than `within`, or that know another fence, are left out.
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -61,7 +61,7 @@
     let mut last_check = Time::ZERO;
     loop {
         tokio::time::sleep(GROUP_POLL_INTERVAL).await;
-        if host.stopping.get() || !host.holds_lease() || host.is_restoring() {
+        if host.stop.is_under_way() || !host.holds_lease() || host.is_restoring() {
             continue;
         }
         let now = boot_clock::now();
--- a/crates/sessions/src/restore.rs
+++ b/crates/sessions/src/restore.rs
@@ -88,7 +88,7 @@
     let lease = host.lease.borrow();
     let known = host.restored_members.borrow();
     let is_own_row = |id: &HostId, member: &Member| {
-        *id == host.id && member.incarnation == host.incarnation && !host.stopping.get()
+        *id == host.id && member.incarnation == host.incarnation && !host.stop.is_under_way()
     };
     let is_lost = |id: &HostId, member: &Member| match known.get(id) {
         None => *id != host.id || is_own_row(id, member),
--- a/crates/sessions/src/roster.rs
+++ b/crates/sessions/src/roster.rs
@@ -55,7 +55,7 @@
     let mut watches: BTreeMap<String, Watch> = BTreeMap::new();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        if host.stopping.get() || !host.holds_lease() || host.is_restoring() {
+        if host.stop.is_under_way() || !host.holds_lease() || host.is_restoring() {
             continue;
         }
         let catalog = host.catalog.borrow().clone();
--- a/crates/sessions/src/run.rs
+++ b/crates/sessions/src/run.rs
@@ -3,7 +3,7 @@
 use crate::event::Event;
 use crate::settings::Settings;
 use crate::state::Host;
-use crate::{caller, follow, http, maintenance, member, peer, promote, restore, roster};
+use crate::{caller, follow, http, maintenance, member, peer, promote, restore, roster, stop};
 use anyhow::Context;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -12,21 +12,9 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::Instant;
 
 /// Delay before the next accept after a failed one, for example when file descriptors run out.
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time after the stop signal by which the balancer has noticed that the host is not ready.
-const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2400);
-/// Time over which the closing of idle sessions is spread.
-const IDLE_CLOSE_PERIOD: Duration = Duration::from_millis(1200);
-/// Part of the grace period that is left after the wait for sessions, to remove the member row and
-/// to exit.
-const GRACE_RESERVE: Duration = Duration::from_millis(900);
-/// Time in which the store has to remove the member row of a stopping host.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time between checks whether all sessions have ended.
-const SESSION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Runs a host until it receives SIGTERM and has stopped.
 pub fn run(settings: Settings, path: &Path) -> anyhow::Result<()> {
@@ -71,7 +59,7 @@
     let joining = host.clone();
     spawn_local(async move { member::join(&joining).await });
     wait_for_stop(&host, path, &mut terminate, &mut reload).await;
-    stop(&host).await;
+    stop::run(&host).await;
     Ok(())
 }
 
@@ -116,31 +104,3 @@
     };
     host.journal.write(&Event::SettingsRead { outcome: &outcome });
 }
-
-/// Stops the host: reports not ready at once, serves until the balancer has noticed, closes idle
-/// sessions one after the other, waits for open transactions and removes the member row.
-async fn stop(host: &Rc<Host>) {
-    let began = Instant::now();
-    host.stopping.set(true);
-    host.journal.write(&Event::Stopping { sessions: host.sessions.get() });
-    tokio::time::sleep(BALANCER_NOTICE_TIME).await;
-    close_idle_sessions(host).await;
-    let deadline = began + host.settings.times.grace.saturating_sub(GRACE_RESERVE);
-    while host.sessions.get() > 0 && Instant::now() < deadline {
-        tokio::time::sleep(SESSION_POLL_INTERVAL).await;
-    }
-    if let Err(error) = member::remove_member(host, host.id, LEAVE_TIMEOUT).await {
-        log::info!("cannot remove this host's member row: {error}");
-    }
-    host.journal.write(&Event::Stopped { sessions: host.sessions.get() });
-}
-
-async fn close_idle_sessions(host: &Host) {
-    let count = u32::try_from(host.sessions.get()).unwrap_or(u32::MAX);
-    let interval = IDLE_CLOSE_PERIOD / count.max(1);
-    for _ in 0..count {
-        host.peers.idle_close.admit_one();
-        tokio::time::sleep(interval).await;
-    }
-    host.peers.idle_close.open();
-}
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -9,6 +9,7 @@
 use crate::peer::{self, Peers};
 use crate::quota::Quota;
 use crate::settings::Settings;
+use crate::stop::Stop;
 use crate::target::Targets;
 use bergamotvale_core::id::{HostId, Incarnation, Time};
 use bergamotvale_core::proxy::catalog::Catalog;
@@ -114,8 +115,8 @@
     in_flight_work: RefCell<BTreeMap<u64, (String, Fence)>>,
     next_work_number: Cell<u64>,
     quiesced_revision: Cell<Revision>,
-    /// Whether the process is stopping.
-    pub stopping: Cell<bool>,
+    /// The planned stop of the process.
+    pub stop: Stop,
     /// Number of open sessions.
     pub sessions: Cell<usize>,
     /// Notifies the tasks that wait for a change of this state.
@@ -164,7 +165,7 @@
             in_flight_work: RefCell::default(),
             next_work_number: Cell::new(0),
             quiesced_revision: Cell::default(),
-            stopping: Cell::new(false),
+            stop: Stop::new(settings.times.grace),
             sessions: Cell::new(0),
             changed: Notify::new(),
             was_member: Cell::new(false),
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -27,6 +27,8 @@
 const PROMOTION_DELAY: Duration = Duration::from_millis(100);
 /// Interval between two replication steps.
 const REPLICATION_INTERVAL: Duration = Duration::from_millis(2);
+/// Execution time of a statement that occupies a slot, unless a test sets that of writes.
+pub(super) const EXECUTION_TIME: Duration = Duration::from_millis(2);
 /// Default replication lag.
 const DEFAULT_LAG: Duration = Duration::from_millis(5);
 
@@ -57,6 +59,7 @@
     /// Primaries of terms below this one are ignored; 0 if replication is not paused.
     pub(super) paused_below: Term,
     lag: Duration,
+    write_time: Duration,
     sequence: u64,
     /// Creation of the target, in milliseconds since the Unix epoch.
     start_time: u64,
@@ -275,6 +278,7 @@
             connection_limit: DEFAULT_CONNECTION_LIMIT,
             paused_below: 0,
             lag: DEFAULT_LAG,
+            write_time: EXECUTION_TIME,
             sequence: 0,
             start_time: u64::try_from(start_time.as_millis()).unwrap_or_default(),
         };
@@ -396,6 +400,15 @@
         lock(&self.state).lag = lag;
     }
 
+    /// Sets the execution time of writes and commits.
+    pub fn set_write_time(&self, time: Duration) {
+        lock(&self.state).write_time = time;
+    }
+
+    pub(super) fn write_time(&self) -> Duration {
+        lock(&self.state).write_time
+    }
+
     /// Whether the target considers itself the primary.
     pub fn is_primary(&self) -> bool {
         lock(&self.state).role == Role::Primary
--- a/crates/standin/src/lines/session.rs
+++ b/crates/standin/src/lines/session.rs
@@ -1,6 +1,6 @@
 //! A connection to a target and its session state.
 
-use super::group::{Target, Values};
+use super::group::{EXECUTION_TIME, Target, Values};
 use crate::sync::lock;
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::directory::Role;
@@ -12,14 +12,10 @@
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::codec::Decoder;
 
-/// Execution time of a statement that occupies a slot.
-const EXECUTION_TIME: Duration = Duration::from_millis(2);
-
 /// An open transaction and its uncommitted writes.
 #[derive(Debug)]
 struct Transaction {
@@ -231,7 +227,7 @@
     async fn write(&mut self, item: String, data: String) -> Option<Bytes> {
         let target = self.target.clone();
         let Some(_slot) = target.acquire_slot().await else { return self.error(Code::Busy) };
-        tokio::time::sleep(EXECUTION_TIME).await;
+        tokio::time::sleep(target.write_time()).await;
         if !self.target.is_primary() || self.transaction.as_ref().is_some_and(|t| t.read_only) {
             return self.error(Code::ReadOnly);
         }
@@ -245,7 +241,7 @@
     async fn commit(&mut self) -> Option<Bytes> {
         let target = self.target.clone();
         let Some(_slot) = target.acquire_slot().await else { return self.error(Code::Busy) };
-        tokio::time::sleep(EXECUTION_TIME).await;
+        tokio::time::sleep(target.write_time()).await;
         match self.transaction.take() {
             None => self.error(Code::Malformed),
             Some(transaction) if transaction.writes.is_empty() => self.done(&[]),
