Roll a transaction back that cannot end before the stop

Callers saw no answer to a commit around a planned stop, though it was made: a session in a transaction is never idle, so it stayed open until the exit and its statements were passed on until then.

Change: statements and the commit of an open transaction are taken only with their whole timeout left before the end of work; else the transaction is rolled back and the reply says so. No transaction begins once the balancer has noticed that the host stops.

--- a/crates/host/tests/sessions/stop.rs
+++ b/crates/host/tests/sessions/stop.rs
@@ -3,7 +3,8 @@
 use crate::fixture::{Caller, Fleet, STRICT_DB, catalog};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_platform::counterpart::caller;
-use bergamotvale_platform::line::{End, State};
+use bergamotvale_platform::line::{self, End, State};
+use bergamotvale_platform::text;
 use rustix::process::Signal;
 use std::time::{Duration, Instant};
 
@@ -29,9 +30,13 @@
     Instant::now()
 }
 
+fn sleep_until(start: Instant, time: Duration) {
+    std::thread::sleep(time.saturating_sub(start.elapsed()));
+}
+
 /// Runs a write at `time` after `start`; returns the end of its answer and how long that took.
 fn write_at(session: &mut Caller, start: Instant, time: Duration) -> (End, Duration) {
-    std::thread::sleep(time.saturating_sub(start.elapsed()));
+    sleep_until(start, time);
     let sent = Instant::now();
     let answer = session.try_run(&caller::write("bolt", "1"));
     (answer.expect("the connection ended without an answer").end, sent.elapsed())
@@ -71,3 +76,42 @@
     let end = answer.expect("the connection ended without an answer").end;
     assert_eq!(end, End::Error(Code::Unknown));
 }
+
+/// Guards against a commit that a transaction sends shortly before its host exits, and that is made
+/// but cut off without an answer.
+#[test]
+fn a_transaction_that_cannot_end_before_the_stop_is_rolled_back_and_said_so() {
+    let fleet = fleet_with(Duration::from_secs(2), Duration::from_secs(1));
+    let mut session = fleet.open_session(0, STRICT_DB);
+    session.expect_done(caller::begin(false), State::Open);
+    session.expect_done(&caller::write("lot", "1"), State::Open);
+    let start = stop(&fleet);
+    for time in [1500, 3000] {
+        sleep_until(start, Duration::from_millis(time));
+        session.expect_done(&caller::read("bolt"), State::Open);
+    }
+
+    sleep_until(start, Duration::from_millis(4600));
+    let answer = session.try_run(text::COMMIT).expect("the connection ended without an answer");
+
+    assert_eq!((answer.end, answer.state), (End::Error(Code::Aborted), State::Idle));
+    assert_eq!(fleet.system.groups[0].primary().count_writes("lot"), 0);
+}
+
+/// Guards against a transaction that is begun when the host cannot give it the time to end.
+#[test]
+fn a_transaction_that_begins_late_in_a_stop_is_refused() {
+    let fleet = fleet_with(Duration::from_millis(500), Duration::from_millis(100));
+    let mut session = fleet.open_session(0, STRICT_DB);
+    session.expect_done(caller::begin(false), State::Open);
+    let start = stop(&fleet);
+    sleep_until(start, Duration::from_millis(2700));
+
+    // In one message, so that the session is not closed between the two.
+    let statements = [text::ROLLBACK, caller::begin(false)];
+    let messages = statements.map(|text| line::query("000000000000000a", text));
+    session.send(&messages.concat());
+
+    assert_eq!(session.receive().map(|answer| answer.end), Some(End::Done));
+    assert_eq!(session.receive().map(|answer| answer.end), Some(End::Error(Code::Busy)));
+}
--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -377,6 +377,9 @@
         if matches!(self.phase, Phase::Open(_)) {
             return line::error(Code::Malformed, "a transaction is open", State::Open);
         }
+        if !self.host.stop.takes_sessions() {
+            return self.refuse_for_stop(id, Code::Busy, arrived, State::Idle);
+        }
         if let Err(reply) = self.admit(id, arrived).await {
             return reply;
         }
@@ -402,6 +405,9 @@
         let Phase::Open(mut transaction) = std::mem::replace(&mut self.phase, Phase::Idle) else {
             return line::error(Code::Malformed, "no transaction is open", State::Idle);
         };
+        if !self.host.stop.takes_statement(self.statement_timeout) {
+            return self.refuse_for_stop(id, Code::Aborted, arrived, State::Idle);
+        }
         let Some(context) = self.context.clone() else {
             return line::error(Code::Aborted, "no route", State::Idle);
         };
@@ -480,6 +486,9 @@
         if self.is_key_withdrawn() {
             return self.refuse_withdrawn_key(id, arrived, State::Failed);
         }
+        if !self.host.stop.takes_statement(self.statement_timeout) {
+            return self.refuse_for_stop(id, Code::Aborted, arrived, State::Failed);
+        }
         let task = self.new_task(id, text, shape);
         let Phase::Open(transaction) = &mut self.phase else {
             return line::error(Code::Malformed, "no transaction is open", State::Idle);
