Refuse sessions once the balancer has noticed the stop

A host that stops leaves the members once its last session has ended, and waits for the store meanwhile, 0.4 s at most. Callers that opened a session then were served, and cut off without an answer when the process exited.

Change: from the time at which the balancer has noticed, new sessions are refused as busy, so that none can follow the last one.

Evidence: in a_session_that_opens_while_the_host_leaves_is_refused, with a store that takes 350 ms, the session was opened before, 2.5 s after SIGTERM and shortly before the exit, also on; it is refused now.

--- a/crates/host/tests/sessions/stop.rs
+++ b/crates/host/tests/sessions/stop.rs
@@ -1,10 +1,11 @@
 //! Planned stops: everything that a stopping host has taken is answered.
 
-use crate::fixture::{Caller, Fleet, STRICT_DB, catalog};
+use crate::fixture::{Caller, Fleet, KEY, STRICT_DB, catalog};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{self, End, State};
 use bergamotvale_platform::text;
+use bergamotvale_standin::lines::Outage;
 use rustix::process::Signal;
 use std::time::{Duration, Instant};
 
@@ -115,3 +116,17 @@
     assert_eq!(session.receive().map(|answer| answer.end), Some(End::Done));
     assert_eq!(session.receive().map(|answer| answer.end), Some(End::Error(Code::Busy)));
 }
+
+/// Guards against a session that is opened after the last one has ended, while the host still
+/// leaves the members: its statement was passed on and cut off by the exit.
+#[test]
+fn a_session_that_opens_while_the_host_leaves_is_refused() {
+    let fleet = fleet_with(Duration::from_secs(2), Duration::from_secs(1));
+    let start = stop(&fleet);
+    fleet.system.store.set_outage(Outage::Slow(Duration::from_millis(350)));
+    sleep_until(start, Duration::from_millis(2500));
+
+    let refusal = Caller::connect(fleet.hosts[0].callers, STRICT_DB, KEY).err();
+
+    assert_eq!(refusal, Some(Code::Busy));
+}
--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -109,6 +109,7 @@
         // Without a configuration the host knows no routes or keys, so it must not report one as
         // unknown.
         catalog if catalog.version == 0 => Some((Code::Busy, "the host is not configured yet")),
+        _ if !host.stop.takes_sessions() => Some((Code::Busy, STOPPING)),
         catalog => catalog.authorize(&database, &key).err().map(denial_code),
     };
     if let Some((code, reason)) = denial {
