Close callers' connections without a reset

A connection that is closed with unread bytes is reset, and the reset can destroy a reply that is on its way: in the users' record a target had ended a write, and the caller saw its connection closed.

Change: a host ends its own direction first, discards what the caller still sends until it closes too, 250 ms at most, and closes then. It holds for sessions that end while the host stops, for idle ones and for refused ones.

Evidence: a_caller_that_has_sent_more_than_its_host_reads_still_receives_the_reply found the connection reset before (broken pipe as its pending error), not now. That a reply was lost by it could not be shown on loopback, where it always arrives first.

--- a/crates/host/tests/sessions/stop.rs
+++ b/crates/host/tests/sessions/stop.rs
@@ -7,8 +7,13 @@
 use bergamotvale_platform::text;
 use bergamotvale_standin::lines::Outage;
 use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+/// Bytes that a caller sends beyond its first message; more than a host reads at once.
+const UNREAD_BYTES: usize = 60_000;
+
 /// Starts one host whose route has this statement timeout, over targets whose writes take
 /// `write_time`.
 fn fleet_with(statement_timeout: Duration, write_time: Duration) -> Fleet {
@@ -130,3 +135,25 @@
 
     assert_eq!(refusal, Some(Code::Busy));
 }
+
+/// Guards against a reply that is destroyed on its way: a host that closes a connection with unread
+/// bytes resets it.
+#[test]
+fn a_caller_that_has_sent_more_than_its_host_reads_still_receives_the_reply() {
+    let fleet = fleet_with(Duration::from_secs(2), Duration::from_millis(2));
+    let mut stream = TcpStream::connect(fleet.hosts[0].callers).expect("the host listens");
+    let timeout = Some(Duration::from_secs(5));
+    stream.set_read_timeout(timeout).expect("the read timeout is set");
+    let mut bytes = caller::connect(STRICT_DB, "unknown").to_vec();
+    bytes.resize(bytes.len() + UNREAD_BYTES, b'x');
+    stream.write_all(&bytes).expect("the bytes are sent");
+    std::thread::sleep(Duration::from_millis(100));
+
+    let mut received = Vec::new();
+    let result = stream.read_to_end(&mut received);
+
+    result.expect("the connection ends in order");
+    let reset = stream.take_error().expect("the state of the connection is known");
+    assert!(reset.is_none(), "the host reset the connection: {reset:?}");
+    assert!(!received.is_empty(), "the refusal did not arrive");
+}
--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -20,7 +20,7 @@
 use futures::StreamExt;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::Instant;
@@ -30,6 +30,10 @@
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time that sending a reply to a caller may take before its connection is closed.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time that a caller has to close its connection after the host has closed it.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Size of the buffer for bytes that a caller sends after that.
+const DISCARD_CHUNK_BYTES: usize = 512;
 /// Account name sent to targets for a caller without a known key, on a public route.
 const NO_ACCOUNT: &str = "-";
 /// Reason of refusals by a host that is stopping.
@@ -80,29 +84,55 @@
     host.sessions.set(host.sessions.get() + 1);
     let (reader, writer) = stream.into_split();
     let mut reader = FramedRead::new(reader, CallerCodec::default());
-    if let Some(mut caller) = open(&host, &mut reader, writer).await {
-        caller.run(&mut reader).await;
-        if let Phase::Open(transaction) = std::mem::replace(&mut caller.phase, Phase::Idle) {
-            transaction.rollback(&host).await;
+    let writer = match open(&host, &mut reader, writer).await {
+        Ok(mut caller) => {
+            caller.run(&mut reader).await;
+            if let Phase::Open(transaction) = std::mem::replace(&mut caller.phase, Phase::Idle) {
+                transaction.rollback(&host).await;
+            }
+            caller.writer
         }
-    }
+        Err(writer) => writer,
+    };
+    close(reader.into_inner(), writer).await;
     host.sessions.set(host.sessions.get() - 1);
 }
 
-/// Reads the opening message and authorizes the caller; `None` if the session was refused or the
-/// connection failed.
+/// Closes a caller's connection so that it still receives what was sent to it.
+///
+/// Closing a connection with unread bytes resets it, which may destroy a reply on its way. So the
+/// host ends its own direction first and discards what the caller sends until it closes too, or
+/// until [`CLOSE_TIMEOUT`].
+async fn close(mut reader: OwnedReadHalf, mut writer: OwnedWriteHalf) {
+    if let Err(error) = writer.shutdown().await {
+        log::debug!("the caller's connection is gone: {error}");
+        return;
+    }
+    let discard = async {
+        let mut bytes = [0; DISCARD_CHUNK_BYTES];
+        while reader.read(&mut bytes).await.is_ok_and(|count| count > 0) {}
+    };
+    if tokio::time::timeout(CLOSE_TIMEOUT, discard).await.is_err() {
+        log::debug!("the caller does not close its connection");
+    }
+}
+
+/// Reads the opening message and authorizes the caller. Returns the connection if the session was
+/// refused or the connection failed.
 async fn open(
     host: &Rc<Host>,
     reader: &mut FramedRead<OwnedReadHalf, CallerCodec>,
     mut writer: OwnedWriteHalf,
-) -> Option<Caller> {
-    let first = tokio::time::timeout(OPEN_TIMEOUT, reader.next()).await.ok()??;
+) -> Result<Caller, OwnedWriteHalf> {
+    let Ok(Some(first)) = tokio::time::timeout(OPEN_TIMEOUT, reader.next()).await else {
+        return Err(writer);
+    };
     let (database, key) = match first {
         Ok(Request::Connect { database, key }) => (database, key),
         _ => {
             let refusal = line::refusal(Code::Malformed, "the session was not opened");
             drop(writer.write_all(&refusal).await);
-            return None;
+            return Err(writer);
         }
     };
     let denial = match host.catalog.borrow().clone() {
@@ -116,10 +146,12 @@
         host.metrics.count(&format!("sessions_refused_{code}"));
         host.journal.write(&Event::SessionClosed { database: &database, reason });
         drop(writer.write_all(&line::refusal(code, reason)).await);
-        return None;
+        return Err(writer);
+    }
+    if writer.write_all(line::ready(State::Idle, None).as_bytes()).await.is_err() {
+        return Err(writer);
     }
-    writer.write_all(line::ready(State::Idle, None).as_bytes()).await.ok()?;
-    Some(Caller {
+    Ok(Caller {
         host: host.clone(),
         writer,
         database,
