--- a/crates/host/tests/sessions/stop.rs
+++ b/crates/host/tests/sessions/stop.rs
@@ -14,6 +14,13 @@
 /// Bytes that a caller sends beyond its first message; more than a host reads at once.
 const UNREAD_BYTES: usize = 60_000;
 
+/// Number of sessions that use a host while it stops, several for each slot of the targets.
+const BUSY_SESSIONS: usize = 30;
+/// Pause of a caller between two statements.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Time for which a statement may have been on its way when its connection ends.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
 /// Starts one host whose route has this statement timeout, over targets whose writes take
 /// `write_time`.
 fn fleet_with(statement_timeout: Duration, write_time: Duration) -> Fleet {
@@ -157,3 +164,39 @@
     assert!(reset.is_none(), "the host reset the connection: {reset:?}");
     assert!(!received.is_empty(), "the refusal did not arrive");
 }
+
+/// Guards against any statement, whatever it waits for, that a stopping host leaves without an
+/// answer: more sessions than the targets have slots use their connections until they end.
+#[test]
+fn everything_that_is_sent_around_a_stop_is_answered() {
+    let fleet = fleet_with(Duration::from_secs(3), Duration::from_millis(400));
+    let sessions: Vec<Caller> =
+        (0..BUSY_SESSIONS).map(|_| fleet.open_session(0, STRICT_DB)).collect();
+    let callers: Vec<_> = sessions
+        .into_iter()
+        .enumerate()
+        .map(|(number, session)| std::thread::spawn(move || use_until_closed(session, number)))
+        .collect();
+    std::thread::sleep(Duration::from_secs(1));
+
+    stop(&fleet);
+
+    for caller in callers {
+        let unanswered_for = caller.join().expect("the caller ends");
+        assert!(unanswered_for < LOSS_SLACK, "no answer after {unanswered_for:?}");
+    }
+}
+
+/// Sends reads and, in every second caller, writes until the connection ends. Returns how long before
+/// that the last statement, which got no answer, was sent.
+fn use_until_closed(mut session: Caller, number: usize) -> Duration {
+    let statement =
+        if number.is_multiple_of(2) { caller::write("lot", "1") } else { caller::read("bolt") };
+    loop {
+        let sent = Instant::now();
+        if session.try_run(&statement).is_none() {
+            return sent.elapsed();
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
