--- a/crates/host/tests/sessions/faults.rs
+++ b/crates/host/tests/sessions/faults.rs
@@ -372,8 +372,9 @@
     let fleet = synchronous_fleet(hosts);
     let group = fleet.system.groups[0].clone();
     let old_primary = group.primary();
-    let mut replicas = group.targets.iter().filter(|t| t.name != old_primary.name).cloned();
-    let (lagging, unlisted) = (replicas.next().unwrap(), replicas.next().unwrap());
+    let replicas: Vec<_> =
+        group.targets.iter().filter(|t| t.name != old_primary.name).cloned().collect();
+    let (lagging, unlisted) = (replicas[0].clone(), replicas[1].clone());
     let mut session = fleet.open_session(0, STRICT_DB);
     session.expect_done(&caller::write("bolt", "1"), State::Idle);
     std::thread::sleep(Duration::from_secs(1));
--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller.rs
@@ -37,7 +37,7 @@
 /// Account name sent to targets for a caller without a known key, on a public route.
 const NO_ACCOUNT: &str = "-";
 /// Reason of refusals by a host that is stopping.
-const STOPPING: &str = "stopping";
+pub const STOPPING: &str = "stopping";
 /// Margin before the end of a statement's timeout at which the host replies, so that the reply
 /// reaches the caller in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -3,6 +3,8 @@
 
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::revision::Revision;
+use bergamotvale_core::proxy::roster::Roster;
+use bergamotvale_sessions::caller::STOPPING;
 use bergamotvale_sessions::connection::Failure;
 use bergamotvale_sessions::event::{Event, Journal};
 use bergamotvale_sessions::state::Unavailable;
@@ -15,7 +17,7 @@
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// One event of each kind, in the order of [`kind`].
-fn every_event() -> Vec<Event<'static>> {
+fn every_event(roster: &Roster) -> Vec<Event<'_>> {
     let (service, target, cause, outcome) = ("orders", "t", "lost", "ok");
     vec![
         Event::Started { host: "a", domain: "d", incarnation: 1 },
@@ -47,6 +49,7 @@
             term: 1,
             revision: Revision::new(0, 1),
         },
+        Event::RosterChanged { service, roster },
         Event::Target { target, service, view: "lost", leaving: false },
         Event::Promotion { service, target, fence: 1, step: "call", cause, elapsed_ms: 1, outcome },
         refused("1"),
@@ -78,7 +81,7 @@
         Failure::Full,
     ];
     let unavailable = [Unavailable::NoLease, Unavailable::Promoting, Unavailable::Unreachable];
-    let denials = ["no such database", "no client account holds this key", "rate"];
+    let denials = ["no such database", "no client account holds this key", "rate", STOPPING];
     let labels = failures
         .into_iter()
         .map(failure_label)
@@ -106,11 +109,12 @@
         Event::DependencyRegained { .. } => 13,
         Event::Members { .. } => 14,
         Event::Primary { .. } => 15,
-        Event::Target { .. } => 16,
-        Event::Promotion { .. } => 17,
-        Event::Refused { .. } => 18,
-        Event::Retried { .. } => 19,
-        Event::SessionClosed { .. } => 20,
+        Event::RosterChanged { .. } => 16,
+        Event::Target { .. } => 17,
+        Event::Promotion { .. } => 18,
+        Event::Refused { .. } => 19,
+        Event::Retried { .. } => 20,
+        Event::SessionClosed { .. } => 21,
     }
 }
 
@@ -133,7 +137,7 @@
 
 #[test]
 fn every_event_and_each_of_its_fields_is_explained() {
-    for (index, event) in every_event().iter().enumerate() {
+    for (index, event) in every_event(&Roster::default()).iter().enumerate() {
         assert_eq!(kind(event), index, "an event is missing");
         let value = serde_json::to_value(event).unwrap();
         let name = value["event"].as_str().unwrap();
