Leave a record that has just been seen to its holder

Three hosts promoted one group in turn after a cut: the second turn was 0.35 s after the first. Two holders that act in turn within a short time break ONE.

Cause: a host whose lease had outlived the cut, or that had watched for a while, took the holder of a record for gone because it had not heard it, as soon as the record arrived; with the candidate out of its own reach it took the promotion over at once. But a record that has just been seen shows that its holder was alive when it wrote it.

Change: the time in which a holder's heartbeat is due counts from the moment the host saw the fence, or began to watch again.

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -129,20 +129,22 @@
     cause_since: Option<(Cause, Time)>,
     /// Fence of the last record, whether it was established, and from when on it counts.
     record_since: Option<(u64, bool, Time)>,
-    /// Since when this host has been watching without a break.
-    watching_since: Time,
+    /// When this host's evidence started anew: when it began to watch or watches again, or saw
+    /// another fence. `None` if it never did. Views from before say nothing of the present primary,
+    /// and peers may not have been heard yet.
+    evidence_since: Option<Time>,
 }
 
 impl Monitor {
     /// Creates the monitor of a host that starts to watch at `now`.
     pub fn new(now: Time) -> Monitor {
-        Monitor { watching_since: now, ..Monitor::default() }
+        Monitor { evidence_since: Some(now), ..Monitor::default() }
     }
 
     /// Records that this host watches again after it was cut off or suspended. What others did
     /// meanwhile it has not seen, so all times count from `now` on.
     pub fn resume(&mut self, now: Time) {
-        self.watching_since = now;
+        self.evidence_since = Some(now);
         self.cause_since = None;
         if let Some((_, _, since)) = &mut self.record_since {
             *since = now;
@@ -154,11 +156,17 @@
         match snapshot.holder {
             Holder::Own => false,
             Holder::Alive => true,
-            // Its heartbeat may still be on the way.
-            Holder::Silent => now.saturating_sub(self.watching_since) < snapshot.peer_timeout,
+            // Its heartbeat may still be on the way: it was alive when it wrote the record.
+            Holder::Silent => !self.has_evidence(now, snapshot.peer_timeout),
         }
     }
 
+    /// Whether this host has had the time to hear from all its peers since its evidence started
+    /// anew.
+    fn has_evidence(&self, now: Time, peer_timeout: Duration) -> bool {
+        self.evidence_since.is_none_or(|since| now.saturating_sub(since) >= peer_timeout)
+    }
+
     /// Returns the replacement that this host should make now, if any. `rank` is this host's
     /// position, from 0, among the hosts that may act.
     pub fn decide(
@@ -206,7 +214,10 @@
             {
                 now.saturating_sub(since)
             }
-            _ => {
+            known => {
+                if known.is_some_and(|(fence, ..)| fence != record.fence) {
+                    self.evidence_since = Some(now);
+                }
                 self.record_since = Some((record.fence, record.established, now));
                 self.cause_since = None;
                 Duration::ZERO
