Let no evidence of before a cut or fence replace a primary

Reads lacked acknowledged commits after a cut had healed, since a host that came back promoted the old primary again; hosts took turns as the one that promotes.

Cause: the host read the new record and still held the new primary for lost from the time of the cut. No peer had been heard under the new fence, so none contradicted, and the host announced the next promotion within 0.1 s.

Change: a monitor takes no primary for lost or deposed before it has had the time to hear all peers since its evidence started anew: when it began to watch, watches again, or saw another fence. The evidence of targets starts anew as a whole when the host watches again, that of a primary with each fence. A planned replacement is not held back, nor a failover under an old record.

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -178,7 +178,8 @@
         let record = snapshot.record;
         let age = self.record_age(now, record);
         let cause = if record.established {
-            snapshot.cause()
+            let has_evidence = self.has_evidence(now, snapshot.peer_timeout);
+            snapshot.cause().filter(|cause| has_evidence || *cause == Cause::Leaving)
         } else {
             let is_candidate_unfit =
                 snapshot.directory.get(&record.primary).is_none_or(|e| e.is_leaving)
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/promote.rs
@@ -66,6 +66,7 @@
         }
         let now = boot_clock::now();
         if now.saturating_sub(last_check) > MAX_GROUP_POLL_GAP {
+            host.targets.restart_evidence();
             monitors.values_mut().for_each(|monitor| monitor.resume(now));
         }
         last_check = now;
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -292,10 +292,13 @@
     /// Stores a record if it is newer than the known one, and wakes the tasks that depend on the
     /// older one.
     pub fn adopt_record(&self, service: &str, record: Record, revision: Revision) {
-        let known = self.records.borrow().get(service).map(|stored| stored.revision);
-        if known.is_some_and(|known| known >= revision) {
+        let known = self.records.borrow().get(service).map(|s| (s.revision, s.record.fence));
+        if known.is_some_and(|(known, _)| known >= revision) {
             return;
         }
+        if known.is_some_and(|(_, fence)| fence != record.fence) {
+            self.targets.restart_evidence_of(&record.primary);
+        }
         if record.established {
             self.targets.record_primary(&record.primary);
         }
--- a/crates/sessions/src/target.rs
+++ b/crates/sessions/src/target.rs
@@ -71,6 +71,11 @@
         self.evidence.borrow_mut().record_deposed(boot_clock::now());
     }
 
+    /// Forgets all evidence of the target's health: it says nothing of the present.
+    fn restart_evidence(&self) {
+        *self.evidence.borrow_mut() = Evidence::default();
+    }
+
     /// Records that the target is the established primary.
     pub fn record_primary(&self) {
         self.evidence.borrow_mut().clear_deposed();
@@ -136,6 +141,16 @@
         self.known.borrow().get(name).map_or(View::Alive, |target| target.view())
     }
 
+    /// Forgets the evidence of a target's health, because it has another role since.
+    pub fn restart_evidence_of(&self, name: &TargetName) {
+        self.get(name).restart_evidence();
+    }
+
+    /// Forgets the evidence of all targets' health, because this host was cut off or suspended.
+    pub fn restart_evidence(&self) {
+        self.known.borrow().values().for_each(|target| target.restart_evidence());
+    }
+
     /// Records that a target is the established primary.
     pub fn record_primary(&self, name: &TargetName) {
         self.get(name).record_primary();
