Leave the next promotion of a group to the host that made the last

Cause: who acts first on a group depends on a hash and on who notices first, not on who acted last, and nothing kept a host from taking back a group that another one had taken over.

Change: for 3 s after a promotion has begun or ended, the host that made it acts first, and the others are one rank (150 ms) later while it is alive. A host that another one has taken over from promotes no target of the group for 3 s, unless the other one is silent.

A failover of a group that was not promoted within 3 s is as before.

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -19,6 +19,10 @@
 const PROMOTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// As [`PROMOTION_TIMEOUT`], but for a promotion that no live host is known to execute.
 const ABANDONED_PROMOTION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for which the host that promoted last is the first to promote again, and a host that
+/// another one has taken over from does not take the group back. Two hosts that act in turn within
+/// the users' lease time of 3 s count as two leaders.
+const HOLDER_TENURE: Duration = Duration::from_secs(3);
 
 /// Why a primary is replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -133,6 +137,12 @@
     /// another fence. `None` if it never did. Views from before say nothing of the present primary,
     /// and peers may not have been heard yet.
     evidence_since: Option<Time>,
+    /// When this host last saw a promotion begin or end.
+    promotion_seen: Option<Time>,
+    /// When this host last saw another host take over from it.
+    taken_over: Option<Time>,
+    /// Whether the last record seen was this host's own.
+    was_holder: bool,
 }
 
 impl Monitor {
@@ -177,6 +187,7 @@
     ) -> Option<Replacement> {
         let record = snapshot.record;
         let age = self.record_age(now, record);
+        self.record_holder(now, snapshot.holder);
         let cause = if record.established {
             let has_evidence = self.has_evidence(now, snapshot.peer_timeout);
             snapshot.cause().filter(|cause| has_evidence || *cause == Cause::Leaving)
@@ -201,13 +212,38 @@
             _ => now,
         };
         self.cause_since = Some((cause, since));
-        let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
-        if now.saturating_sub(since) < delay {
+        let rank = u32::try_from(self.order(now, rank, snapshot.holder)).unwrap_or(u32::MAX);
+        let delay = RANK_DELAY.saturating_mul(rank);
+        if now.saturating_sub(since) < delay || self.must_not_take_back(now, snapshot.holder) {
             return None;
         }
         snapshot.candidate().map(|entry| Replacement { cause, candidate: entry.name.clone() })
     }
 
+    /// Records whether the present record is this host's own.
+    fn record_holder(&mut self, now: Time, holder: Holder) {
+        let is_holder = holder == Holder::Own;
+        if self.was_holder && !is_holder {
+            self.taken_over = Some(now);
+        }
+        self.was_holder = is_holder;
+    }
+
+    /// Returns this host's place in the order in which hosts act: the host that promoted last comes
+    /// first for a while.
+    fn order(&self, now: Time, rank: usize, holder: Holder) -> usize {
+        match holder {
+            Holder::Own if is_recent(now, self.promotion_seen) => 0,
+            Holder::Alive if is_recent(now, self.promotion_seen) => rank + 1,
+            _ => rank,
+        }
+    }
+
+    /// Whether another host that is alive has taken over from this one a short while ago.
+    fn must_not_take_back(&self, now: Time, holder: Holder) -> bool {
+        holder == Holder::Alive && is_recent(now, self.taken_over)
+    }
+
     fn record_age(&mut self, now: Time, record: &Record) -> Duration {
         match self.record_since {
             Some((fence, established, since))
@@ -219,6 +255,9 @@
                 if known.is_some_and(|(fence, ..)| fence != record.fence) {
                     self.evidence_since = Some(now);
                 }
+                if known.is_some() {
+                    self.promotion_seen = Some(now);
+                }
                 self.record_since = Some((record.fence, record.established, now));
                 self.cause_since = None;
                 Duration::ZERO
@@ -226,3 +265,8 @@
         }
     }
 }
+
+/// Whether `seen` lies within [`HOLDER_TENURE`] before `now`.
+fn is_recent(now: Time, seen: Option<Time>) -> bool {
+    seen.is_some_and(|at| now.saturating_sub(at) < HOLDER_TENURE)
+}
--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -74,6 +74,8 @@
     Abandoned,
     /// This host holds the record.
     Own,
+    /// Another host, which is alive, holds the record.
+    Other,
     /// This host watches again after it was cut off or suspended.
     Resume,
     /// Shows what a host of this rank decides.
@@ -139,6 +141,7 @@
             }
             FailoverEvent::Abandoned => self.holder = Holder::Silent,
             FailoverEvent::Own => self.holder = Holder::Own,
+            FailoverEvent::Other => self.holder = Holder::Alive,
             FailoverEvent::Resume => self.monitor.resume(ms(at)),
             FailoverEvent::Established { term } => self.record = self.record.establish(*term),
             FailoverEvent::Look { rank } => {
