--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -64,16 +64,16 @@
     pub peer_views: &'a BTreeMap<HostId, View>,
     /// Last known log position of each target.
     pub positions: &'a BTreeMap<TargetName, Position>,
-    /// What this host knows of the host that executes an unfinished promotion.
+    /// What this host knows of the host that executes or has made the recorded promotion.
     pub holder: Holder,
     /// Silence after which a peer no longer counts as alive.
     pub peer_timeout: Duration,
 }
 
-/// The host that executes an unfinished promotion, as another one sees it.
+/// The host that executes the recorded promotion, or has made it, as another one sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Holder {
-    /// It is this host, which no longer executes the promotion.
+    /// It is this host, which executes the promotion no longer.
     Own,
     /// It is another host that is alive.
     Alive,
@@ -133,9 +133,9 @@
     cause_since: Option<(Cause, Time)>,
     /// Fence of the last record, whether it was established, and from when on it counts.
     record_since: Option<(u64, bool, Time)>,
-    /// When this host's evidence started anew: when it began to watch or watches again, or saw
-    /// another fence. `None` if it never did. Views from before say nothing of the present primary,
-    /// and peers may not have been heard yet.
+    /// When this host's evidence last started anew: it began to watch, watched again or saw another
+    /// fence. Views from before say nothing of the present primary, and peers may not have been
+    /// heard yet. `None` if there is no such time.
     evidence_since: Option<Time>,
     /// When this host last saw a promotion begin or end.
     promotion_seen: Option<Time>,
