Bound the time in which evidence of a new primary is gathered

Cause: the wait took the time of silence for the time in which peers are heard. But each host sends a heartbeat as soon as it adopts a record.

Change: the wait is 0.7 s at most, what it is in a small fleet.

Evidence: a_new_primary_that_dies_is_replaced_as_soon_in_a_large_fleet gave no replacement at 700 ms before. Fleets of up to 8 hosts behave as before.

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -19,6 +19,9 @@
 const PROMOTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// As [`PROMOTION_TIMEOUT`], but for a promotion that no live host is known to execute.
 const ABANDONED_PROMOTION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time for which evidence that started anew is gathered before a primary counts as lost.
+/// Every host sends a heartbeat as soon as it adopts a record, in a fleet of any size.
+const MAX_EVIDENCE_TIME: Duration = Duration::from_millis(700);
 /// Time for which the host that promoted last is the first to promote again, and a host that
 /// another one has taken over from does not take the group back. Two hosts that act in turn within
 /// the users' lease time of 3 s count as two leaders.
@@ -171,10 +174,9 @@
         }
     }
 
-    /// Whether this host has had the time to hear from all its peers since its evidence started
-    /// anew.
-    fn has_evidence(&self, now: Time, peer_timeout: Duration) -> bool {
-        self.evidence_since.is_none_or(|since| now.saturating_sub(since) >= peer_timeout)
+    /// Whether `time` has passed since this host's evidence started anew.
+    fn has_evidence(&self, now: Time, time: Duration) -> bool {
+        self.evidence_since.is_none_or(|since| now.saturating_sub(since) >= time)
     }
 
     /// Returns the replacement that this host should make now, if any. `rank` is this host's
@@ -189,7 +191,8 @@
         let age = self.record_age(now, record);
         self.record_holder(now, snapshot.holder);
         let cause = if record.established {
-            let has_evidence = self.has_evidence(now, snapshot.peer_timeout);
+            let evidence_time = snapshot.peer_timeout.min(MAX_EVIDENCE_TIME);
+            let has_evidence = self.has_evidence(now, evidence_time);
             snapshot.cause().filter(|cause| has_evidence || *cause == Cause::Leaving)
         } else {
             let is_candidate_unfit =
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -38,6 +38,7 @@
     peers: BTreeMap<HostId, View>,
     positions: BTreeMap<TargetName, Position>,
     holder: Holder,
+    peer_timeout: Duration,
 }
 
 impl World {
@@ -53,6 +54,7 @@
             peers: [(2, View::Alive), (3, View::Alive), (4, View::Alive)].into(),
             positions: [("r".into(), position(5)), ("s".into(), position(9))].into(),
             holder: Holder::Alive,
+            peer_timeout: ms(300),
         }
     }
 
@@ -65,7 +67,7 @@
             peer_views: &self.peers,
             positions: &self.positions,
             holder: self.holder,
-            peer_timeout: ms(300),
+            peer_timeout: self.peer_timeout,
         }
     }
 
@@ -213,6 +215,19 @@
     assert!(!resumed.accepts_term(2));
 }
 
+/// Guards against failovers that take seconds in a large fleet: there peers count as silent only
+/// after seconds, but they tell their view of a new primary at once.
+#[test]
+fn a_new_primary_that_dies_is_replaced_as_soon_in_a_large_fleet() {
+    let mut world = World::new();
+    let mut monitor = Monitor::new(ms(0));
+    assert_eq!(world.decide(&mut monitor, 0, 0), None);
+    world.set_unreachable(&[2, 3, 4]);
+    world.peer_timeout = ms(9100);
+    assert_eq!(world.decide(&mut monitor, 699, 0), None);
+    assert_eq!(world.decide(&mut monitor, 700, 0), Some((Cause::Lost, "s".into())));
+}
+
 /// Fault: the primary is partitioned from some hosts, but more than half of the peers
 /// reach it, so that it stays.
 #[test]
