Give the session host's modules a folder for each concept

The crate was one folder of 26 files around one state. Requests (caller), connections to targets (pool), promotions (group) and what hosts share (fleet) now have folders, so that new parts can get their own. Paths change, nothing else.

--- a/crates/sessions/src/caller.rs
+++ b/crates/sessions/src/caller/mod.rs
@@ -2,12 +2,16 @@
 //!
 //! A session reads statements one at a time and replies to each. It keeps the caller's values,
 //! prepared statements and open transaction, so that any connection to a target can serve it.
+//!
+//! [`work`] runs single statements, [`transaction`] those of an open transaction; [`quota`] limits
+//! the rates of client accounts.
+
+pub mod quota;
+pub mod transaction;
+pub mod work;
 
 use crate::event::{Event, millis};
-use crate::quota;
 use crate::state::Host;
-use crate::transaction::Transaction;
-use crate::work::{self, Context, Refusal, Task};
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Denial};
@@ -25,6 +29,8 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
+use transaction::Transaction;
+use work::{Context, Refusal, Task};
 
 /// Time that a caller has, once connected, to send the message that opens its session.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/sessions/src/quota.rs
+++ b/crates/sessions/src/caller/quota.rs
@@ -4,9 +4,9 @@
 //! [`Meter`] makes the decisions; this module computes the shares and waits for loans.
 
 use crate::boot_clock;
+use crate::pool::target::name_hash;
 use crate::settings::Rates;
 use crate::state::Host;
-use crate::target::name_hash;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::proxy::catalog::{Account, Catalog};
 use bergamotvale_core::rate::bucket::{Amount, MICRO};
--- a/crates/sessions/src/transaction.rs
+++ b/crates/sessions/src/caller/transaction.rs
@@ -4,10 +4,12 @@
 //! Until a commit is sent, closing the connection rolls everything back, so a transaction that
 //! cannot continue is reported as rolled back.
 
-use crate::connection::{Bounds, Failure, is_clean};
+use crate::caller::work::{
+    self, Context, Destination, Refusal, Task, failure_label, failure_outcome,
+};
+use crate::pool::connection::{Bounds, Failure, is_clean};
 use crate::pool::{Checkout, acquire};
 use crate::state::{Host, WorkGuard};
-use crate::work::{self, Context, Destination, Refusal, Task, failure_label, failure_outcome};
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::catalog::Consistency;
 use bergamotvale_core::proxy::session::Values;
--- a/crates/sessions/src/work.rs
+++ b/crates/sessions/src/caller/work.rs
@@ -4,8 +4,8 @@
 //! or to the primary. It is retried on other targets until its deadline. A write goes to the
 //! primary, and is retried only if the target cannot have run it.
 
-use crate::connection::{Bounds, Failure, is_clean};
 use crate::event::Event;
+use crate::pool::connection::{Bounds, Failure, is_clean};
 use crate::pool::{Checkout, ConnectionRequest, acquire};
 use crate::state::{Host, Primary, Unavailable};
 use bergamotvale_core::id::Time;
--- a/crates/sessions/src/feed.rs
+++ b/crates/sessions/src/fleet/feed.rs
@@ -7,8 +7,8 @@
 
 use crate::boot_clock;
 use crate::event::{Event, millis};
-use crate::follow::has_lowest_live_id;
-use crate::peer::{MAX_SMALL_FLEET, Source};
+use crate::fleet::follow::has_lowest_live_id;
+use crate::fleet::peer::{MAX_SMALL_FLEET, Source};
 use crate::state::Host;
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::cursor::{Cursor, Step};
--- a/crates/sessions/src/follow.rs
+++ b/crates/sessions/src/fleet/follow.rs
@@ -7,9 +7,9 @@
 
 use crate::boot_clock;
 use crate::event::Event;
-use crate::feed::{Feed, Update};
-use crate::member::{record_earlier_incarnation, rejoin};
-use crate::peer::Source;
+use crate::fleet::feed::{Feed, Update};
+use crate::fleet::member::{record_earlier_incarnation, rejoin};
+use crate::fleet::peer::Source;
 use crate::state::{Host, StoredRecord};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::Directory;
--- a/crates/sessions/src/member.rs
+++ b/crates/sessions/src/fleet/member.rs
@@ -1,8 +1,8 @@
 //! Member rows in the table of records and members: writes this host's row, and removes it when the
 //! host stops, or the row of a host that has fallen silent.
 
-use crate::feed::{CALL_TIMEOUT, RETRY_DELAY};
-use crate::follow::{MEMBER_PREFIX, TABLE};
+use crate::fleet::feed::{CALL_TIMEOUT, RETRY_DELAY};
+use crate::fleet::follow::{MEMBER_PREFIX, TABLE};
 use crate::state::Host;
 use bergamotvale_core::id::HostId;
 use bergamotvale_core::proxy::lease::Member;
--- a/crates/sessions/src/peer.rs
+++ b/crates/sessions/src/fleet/peer.rs
@@ -7,7 +7,7 @@
 //! in the heartbeat are counted from that bound and thus only overestimated.
 
 use crate::boot_clock;
-use crate::follow;
+use crate::fleet::follow;
 use crate::state::Host;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::peer::TokenRequest;
--- a/crates/sessions/src/restore.rs
+++ b/crates/sessions/src/fleet/restore.rs
@@ -6,10 +6,10 @@
 
 use crate::boot_clock;
 use crate::event::{Event, millis};
-use crate::feed::CALL_TIMEOUT;
-use crate::follow::{TABLE, decode_records, group_key};
-use crate::member::member_key;
-use crate::promote::rank;
+use crate::fleet::feed::CALL_TIMEOUT;
+use crate::fleet::follow::{TABLE, decode_records, group_key};
+use crate::fleet::member::member_key;
+use crate::group::promote::rank;
 use crate::state::Host;
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::lease::Member;
--- /dev/null
+++ b/crates/sessions/src/group/mod.rs
@@ -0,0 +1,5 @@
+//! Database groups: who leads them, and what replaces a primary.
+
+pub mod promote;
+pub mod roster;
+pub mod survey;
--- a/crates/sessions/src/promote.rs
+++ b/crates/sessions/src/group/promote.rs
@@ -6,14 +6,15 @@
 //! win.
 
 use crate::boot_clock;
-use crate::connection::Failure;
 use crate::event::{Event, millis};
-use crate::feed::CALL_TIMEOUT;
-use crate::follow::{TABLE, group_key};
-use crate::peer;
+use crate::fleet::feed::CALL_TIMEOUT;
+use crate::fleet::follow::{TABLE, group_key};
+use crate::fleet::peer;
+use crate::group::survey;
+use crate::maintenance;
+use crate::pool::connection::Failure;
+use crate::pool::target::name_hash;
 use crate::state::{Host, LEASE_LIMITS, StoredRecord};
-use crate::target::name_hash;
-use crate::{maintenance, survey};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Entry, Role, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
--- a/crates/sessions/src/roster.rs
+++ b/crates/sessions/src/group/roster.rs
@@ -5,8 +5,8 @@
 //! One that only does not answer stays.
 
 use crate::event::Event;
+use crate::group::promote::{rank, write_record};
 use crate::maintenance;
-use crate::promote::{rank, write_record};
 use crate::state::{Host, StoredRecord};
 use bergamotvale_core::proxy::directory::{Directory, TargetName, of_service};
 use bergamotvale_core::proxy::floor::Position;
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -2,13 +2,13 @@
 //! silent members, shares of rates, readiness. Also the host's own statements to targets.
 
 use crate::boot_clock;
-use crate::connection::{Bounds, Connection, Failure, is_clean};
+use crate::caller::work;
 use crate::event::{Event, millis};
+use crate::fleet::{feed, follow, member};
+use crate::pool::connection::{Bounds, Connection, Failure, is_clean};
 use crate::pool::{ConnectionRequest, acquire};
 use crate::state::Host;
 use crate::status::view_label;
-use crate::work;
-use crate::{feed, follow, member};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::Entry;
 use bergamotvale_core::proxy::evidence::View;
--- a/crates/sessions/src/connection.rs
+++ b/crates/sessions/src/pool/connection.rs
@@ -3,8 +3,8 @@
 //! After a failed exchange the connection is closed with a TCP reset, so that bytes that are still
 //! buffered or delayed in the network do not reach the target later.
 
+use crate::pool::target::Target;
 use crate::state::Host;
-use crate::target::Target;
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::directory::Entry;
 use bergamotvale_core::proxy::evidence::View;
--- a/crates/sessions/src/pool.rs
+++ b/crates/sessions/src/pool/mod.rs
@@ -3,20 +3,24 @@
 //! Each connection belongs to one client account. A session gets an idle connection of its account;
 //! otherwise it opens one if the host's share of the target's limit permits, replaces the longest
 //! idle connection of another account, or waits. Waiters are served by priority, then in order of
-//! arrival.
+//! arrival. [`connection`] has the exchanges on a connection, [`target`] what this host knows of a
+//! target.
+
+pub mod connection;
+pub mod target;
 
-use crate::connection::{Connection, Failure};
 use crate::state::Host;
-use crate::target::{Target, name_hash};
 use bergamotvale_core::id::{HostId, Version};
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::directory::Entry;
 use bergamotvale_core::proxy::revision::Revision;
 use bergamotvale_core::rendezvous::Subject;
 use bergamotvale_core::share::share_of;
+use connection::{Connection, Failure};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
+use target::{Target, name_hash};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -226,7 +230,7 @@
         self.connection.as_mut().expect("only release takes the connection")
     }
 
-    /// Returns the connection to the pool. It has to be clean, see [`crate::connection::is_clean`].
+    /// Returns the connection to the pool. It has to be clean, see [`crate::pool::connection::is_clean`].
     pub fn release(mut self) {
         if let Some(connection) = self.connection.take() {
             self.target.pool.borrow_mut().release(connection);
--- a/crates/sessions/src/run.rs
+++ b/crates/sessions/src/run.rs
@@ -1,9 +1,11 @@
 //! Starts and stops a session host.
 
 use crate::event::Event;
+use crate::fleet::{follow, member, peer, restore};
+use crate::group::{promote, roster};
 use crate::settings::Settings;
 use crate::state::Host;
-use crate::{caller, follow, http, maintenance, member, peer, promote, restore, roster, stop};
+use crate::{caller, http, maintenance, stop};
 use anyhow::Context;
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -4,13 +4,13 @@
 //! All tasks run on one thread, so cells suffice. Tasks wait for changes on [`Host::changed`].
 
 use crate::boot_clock;
+use crate::caller::quota::Quota;
 use crate::event::{Event, Journal, millis};
+use crate::fleet::peer::{self, Peers};
 use crate::metric::Registry;
-use crate::peer::{self, Peers};
-use crate::quota::Quota;
+use crate::pool::target::Targets;
 use crate::settings::Settings;
 use crate::stop::Stop;
-use crate::target::Targets;
 use bergamotvale_core::id::{HostId, Incarnation, Time};
 use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_core::proxy::directory::{Directory, Entry, TargetName};
--- a/crates/sessions/src/status.rs
+++ b/crates/sessions/src/status.rs
@@ -1,9 +1,9 @@
 //! State as the host knows it, for operators: one JSON document.
 
 use crate::boot_clock;
+use crate::caller::quota::account_id;
 use crate::event::millis;
 use crate::maintenance;
-use crate::quota::account_id;
 use crate::state::Host;
 use bergamotvale_core::id::{HostId, Incarnation, Version};
 use bergamotvale_core::proxy::evidence::View;
--- a/crates/sessions/src/stop.rs
+++ b/crates/sessions/src/stop.rs
@@ -3,7 +3,7 @@
 //! The times are those of [`bergamotvale_core::proxy::stop`].
 
 use crate::event::Event;
-use crate::member;
+use crate::fleet::member;
 use crate::state::Host;
 use bergamotvale_core::proxy::stop::Schedule;
 use std::cell::Cell;
