--- a/crates/sessions/src/caller/work.rs
+++ b/crates/sessions/src/caller/work.rs
@@ -164,8 +164,7 @@
     let directory = host.directory.borrow();
     let primary = host.records.borrow().get(&context.service).map(|s| s.record.primary.clone());
     let candidates: Vec<Candidate> = of_service(&directory, &context.service)
-        .filter(|entry| !entry.is_leaving)
-        .filter(|entry| host.targets.view(&entry.name) != View::Lost)
+        .filter(|entry| is_eligible(host, entry))
         .map(|entry| candidate(host, context, entry, primary.as_ref()))
         .collect();
     let chosen = select::choose(&candidates, floor, tried).ok_or(Unavailable::Unreachable)?;
@@ -173,6 +172,11 @@
     Ok(Destination { entry, floor: Some(floor), primary: None })
 }
 
+/// Whether a read may be sent to a target.
+fn is_eligible(host: &Host, entry: &Entry) -> bool {
+    !entry.is_leaving && host.targets.view(&entry.name) != View::Lost
+}
+
 fn primary_destination(host: &Host, service: &str) -> Result<Destination, Unavailable> {
     let primary = host.primary(service)?;
     let entry =
--- a/crates/sessions/src/settings.rs
+++ b/crates/sessions/src/settings.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -16,6 +17,12 @@
     pub name: String,
     /// Failure domain of the host; targets in other ones count as having a longer round trip.
     pub domain: String,
+    /// Region of the host; empty if the platform states none.
+    #[serde(default)]
+    pub region: String,
+    /// Region of each failure domain, by the domain's name.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Addresses on which the host listens.
     pub listen: Listen,
     /// Address of the platform's table service.
@@ -26,8 +33,17 @@
     pub times: Times,
     /// Amount by which client accounts may exceed their rates.
     pub rates: Rates,
+    /// Limits on requests to targets that have just started; `None` where none are in force.
+    #[serde(default)]
+    pub cold: Option<Cold>,
     /// Number of file descriptors that the process may open.
     pub descriptors: u32,
+    /// Memory that the process may use, in MB; `None` if the platform states none.
+    #[serde(default)]
+    pub memory: Option<u32>,
+    /// Capacity of the host's network link, in Mbit/s; `None` if the platform states none.
+    #[serde(default)]
+    pub link: Option<f64>,
 }
 
 /// Addresses on which the host listens.
@@ -56,6 +72,11 @@
     /// Time between the stop signal and the kill of the process, in seconds.
     #[serde_as(as = "DurationSeconds<u64>")]
     pub grace: Duration,
+    /// Time after which no statement may reach a target in an evacuated failure domain, in
+    /// milliseconds; `None` where no evacuations are in force.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    pub evacuation: Option<Duration>,
 }
 
 /// Amount by which a client account may exceed its rate over all hosts, in any window.
@@ -72,6 +93,17 @@
     pub slack: u32,
 }
 
+/// Excess over the rate that the configuration states for a cold target, over all hosts, in any
+/// second.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// Factor on the configured rate.
+    pub overage: f64,
+    /// Further permitted statements.
+    pub slack: u32,
+}
+
 impl Settings {
     /// Reads the file at `path`. Errors name the file, and the field and line of an invalid value.
     pub fn read(path: &Path) -> anyhow::Result<Settings> {
--- a/crates/sessions/tests/settings.rs
+++ b/crates/sessions/tests/settings.rs
@@ -42,6 +42,26 @@
     assert_eq!(settings.rates.slack, 20);
 }
 
+/// Guards against settings files of earlier deployments that stop being valid, and against fields
+/// whose units are misread.
+#[test]
+fn fields_that_some_deployments_lack_are_optional() {
+    let without = read("without", GOOD).expect("the settings are valid");
+    assert_eq!((without.memory, without.link), (None, None));
+    assert!(without.cold.is_none() && without.regions.is_empty() && without.region.is_empty());
+    assert_eq!(without.times.evacuation, None);
+    let text = GOOD.replace("  grace: 6\n", "  grace: 6\n  evacuation: 5000\n")
+        + "region: \"mu-north\"\nregions: {\"shed-a\": \"mu-north\"}\n"
+        + "cold:\n  overage: 1.5\n  slack: 5\nmemory: 512\nlink: 200.0\n";
+
+    let with = read("with", &text).expect("the settings are valid");
+
+    assert_eq!((with.memory, with.link), (Some(512), Some(200.0)));
+    assert_eq!(with.regions.get("shed-a").map(String::as_str), Some("mu-north"));
+    assert_eq!(with.times.evacuation, Some(Duration::from_secs(5)));
+    assert_eq!(with.cold.map(|cold| (cold.overage, cold.slack)), Some((1.5, 5)));
+}
+
 #[test]
 fn a_fault_names_its_field_and_line() {
     let cases = [
