Ask for what a copy of the table lacks instead of sending whole tables unasked

Cause: every host sent the whole table of records and members to every peer that was behind, every 300 ms, and each copy and each adopted change was followed by a heartbeat to all. 84 hosts that start together filled the link between two regions, the store's answers on it timed out, so hosts stayed behind and were sent more.

Change: a host that is behind asks one peer at a time, with a timeout that doubles, and gets the difference since its own revision with a digest; a table too large for a datagram is split. In fleets beyond eight hosts a new record is confirmed to its holder only, a change of members to nobody, and a view of a target is sent at once only if the target is a primary.

The test in core has a link with a rate and a queue; sending tables unasked fills it.

--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod catalog;
+pub mod catch_up;
 pub mod cursor;
 pub mod directory;
 pub mod evidence;
--- a/crates/core/tests/proxy_restore.rs
+++ b/crates/core/tests/proxy_restore.rs
@@ -106,7 +106,7 @@
 fn a_slow_answer_does_not_undo_what_a_peer_has_passed_on() {
     let mut replica = replica_of_first_era();
     let rows = [("a".to_owned(), ("newest".to_owned(), Revision::new(0, 12)))];
-    let copy = Table { rows: rows.into(), revision: Revision::new(0, 12) };
+    let copy = Table::new(rows.into(), Revision::new(0, 12));
     assert!(replica.record_peer_copy(copy));
 
     replica.record_read(Revision::new(0, 10), vec![row("a", Some("new"), 0, 8)]);
--- a/crates/sessions/src/fleet/follow.rs
+++ b/crates/sessions/src/fleet/follow.rs
@@ -9,7 +9,7 @@
 use crate::event::Event;
 use crate::fleet::feed::{Feed, Update};
 use crate::fleet::member::{record_earlier_incarnation, rejoin};
-use crate::fleet::peer::Source;
+use crate::fleet::peer::{self, Source};
 use crate::state::{Host, StoredRecord};
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::Directory;
@@ -292,7 +292,8 @@
         host.journal.write(&Event::Members { count, revision: table.revision });
         divide_rates(host);
     }
-    host.peers.heartbeat_now.notify_one();
+    host.peers.copies.record_progress();
+    peer::notify_change(host);
 }
 
 /// Takes over the members that a restored table names, so that hosts that remember nothing are
--- a/crates/sessions/src/fleet/mod.rs
+++ b/crates/sessions/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! The fleet as one host sees it: copies of the platform's tables, members and other hosts.
 
+mod copies;
 pub mod feed;
 pub mod follow;
 pub mod member;
--- a/crates/sessions/src/fleet/peer.rs
+++ b/crates/sessions/src/fleet/peer.rs
@@ -7,21 +7,21 @@
 //! in the heartbeat are counted from that bound and thus only overestimated.
 
 use crate::boot_clock;
-use crate::fleet::follow;
+use crate::fleet::{copies, follow};
 use crate::state::Host;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::peer::TokenRequest;
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::{Observation, Position};
-use bergamotvale_core::proxy::lease::Attestation;
+use bergamotvale_core::proxy::lease::{Attestation, Member};
 use bergamotvale_core::proxy::record::{Fence, Term};
 use bergamotvale_core::proxy::revision::Revision;
-use bergamotvale_core::proxy::table::{Replica, Table};
+use bergamotvale_core::proxy::table::Replica;
 use bergamotvale_core::rate::meter::LoanRequest;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,12 +33,12 @@
 /// Number of hosts up to which every host sends heartbeats at `HEARTBEAT_INTERVAL` and fetches
 /// each change of a table at once, without batching.
 pub const MAX_SMALL_FLEET: usize = 8;
+/// Shortest time between two heartbeats to all members in a fleet that is not small.
+const MIN_HEARTBEAT_SPACING: Duration = Duration::from_millis(100);
 /// Sent heartbeats whose time of sending is kept to interpret echoes.
 const MAX_SENT_HEARTBEATS: usize = 32;
-/// Shortest time between two copies of the table sent to the same peer.
-const MIN_TABLE_INTERVAL: Duration = Duration::from_millis(300);
 /// Size limit of a datagram, for sending and receiving.
-const MAX_DATAGRAM_BYTES: usize = 60 << 10;
+pub(super) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of each datagram; differs between incompatible formats. Builds without it take the
 /// byte for an unknown message and drop the datagram.
 const DATAGRAM_FORMAT: u8 = 64;
@@ -84,11 +84,16 @@
 
 /// Content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
-enum Message {
+pub(super) enum Message {
     #[serde(rename = "Beat")]
     Heartbeat(Heartbeat),
-    /// Copy of the table of records and members, for a peer with an older revision.
-    Table { revision: Revision, rows: Vec<(String, Vec<u8>, Revision)> },
+    /// Requests what has changed in the table of records and members since a revision; all of it if
+    /// that is the default one.
+    TableRequest { base: Revision },
+    /// Part of a copy of the table of records and members.
+    Table(copies::Part),
+    /// What has changed in that table, for a peer that has asked for it.
+    Difference(copies::WireDifference),
     /// Requests tokens of an account's rate.
     #[serde(rename = "Ask")]
     LoanRequest { host: HostId, account: AccountId, count: u32, sequence: u64 },
@@ -105,16 +110,18 @@
     views: BTreeMap<String, (Fence, View)>,
     /// When any heartbeat last arrived, also one that was overtaken.
     last_received: Time,
-    table_sent_at: Time,
 }
 
 /// State of the other hosts, and of the exchange with them.
-#[derive(Default)]
 pub struct Peers {
     /// This host's copy of the table of records and members; peers receive copies of it.
     pub replica: RefCell<Replica<Bytes>>,
-    /// Makes the next heartbeat go out at once.
+    /// Requests for what this host's copy lacks, and copies that have arrived in part.
+    pub(super) copies: copies::Copies,
+    /// Makes the next heartbeat go out to all members at once.
     pub heartbeat_now: Notify,
+    /// Makes a heartbeat go out at once to the hosts that wait for this host to confirm a revision.
+    pub confirm_now: Notify,
     /// Bound once [`receive`] runs; nothing is sent before.
     socket: RefCell<Option<Rc<UdpSocket>>>,
     peers: RefCell<BTreeMap<HostId, Peer>>,
@@ -128,6 +135,22 @@
 }
 
 impl Peers {
+    /// Creates the state of a host that has heard of no peer.
+    pub fn new(host: HostId) -> Peers {
+        Peers {
+            replica: RefCell::default(),
+            copies: copies::Copies::new(host),
+            heartbeat_now: Notify::new(),
+            confirm_now: Notify::new(),
+            socket: RefCell::default(),
+            peers: RefCell::default(),
+            number: Cell::default(),
+            sent: RefCell::default(),
+            newest: RefCell::default(),
+            loan_requests: RefCell::default(),
+        }
+    }
+
     /// Returns the views of the primary under `fence` that peers reported. Peers whose last
     /// heartbeat is older than `within`, or that know another fence, are left out.
     pub fn views(&self, service: &str, fence: Fence, within: Duration) -> BTreeMap<HostId, View> {
@@ -191,7 +214,7 @@
         }
     }
 
-    fn send(&self, message: &Message, address: SocketAddr) {
+    pub(super) fn send(&self, message: &Message, address: SocketAddr) {
         let Some(socket) = self.socket.borrow().clone() else { return };
         match postcard::to_extend(message, vec![DATAGRAM_FORMAT]) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => {
@@ -262,7 +285,13 @@
 fn handle_message(host: &Host, message: Message, sender: SocketAddr) {
     match message {
         Message::Heartbeat(heartbeat) => handle_heartbeat(host, heartbeat, sender),
-        Message::Table { revision, rows } => handle_table(host, revision, rows),
+        Message::TableRequest { base } => {
+            copies::send_changes(host, base, sender);
+            // The receiver needs the renewal of the new revision too, which the heartbeat carries.
+            send_heartbeat(host, |_, member| member.address == sender);
+        }
+        Message::Table(part) => copies::handle_part(host, part),
+        Message::Difference(difference) => copies::handle_difference(host, difference),
         Message::LoanRequest { host: peer, account, count, sequence } => {
             let version = host.catalog.borrow().version;
             let request = TokenRequest { host: peer, account, count, version, sequence };
@@ -287,8 +316,7 @@
 fn handle_heartbeat(host: &Host, heartbeat: Heartbeat, sender: SocketAddr) {
     let now = boot_clock::now();
     let id = heartbeat.attestation.host;
-    let is_behind = heartbeat.attestation.revision < host.lease.borrow().revision();
-    let sends_table = {
+    {
         let mut peers = host.peers.peers.borrow_mut();
         let peer = peers.entry(id).or_default();
         peer.last_received = now;
@@ -300,15 +328,8 @@
             peer.last_heartbeat = Some((incarnation, heartbeat.number, now));
         }
         peer.views = heartbeat.groups.iter().map(|(s, g)| (s.clone(), (g.fence, g.view))).collect();
-        let is_table_due = is_behind && now.saturating_sub(peer.table_sent_at) > MIN_TABLE_INTERVAL;
-        if is_table_due {
-            peer.table_sent_at = now;
-        }
-        is_table_due
-    };
-    if sends_table {
-        send_table(host, sender);
     }
+    copies::request_if_behind(host, heartbeat.attestation.revision, sender, now);
     for (source, revision) in &heartbeat.newest {
         host.peers.record_change(*source, *revision);
     }
@@ -357,33 +378,11 @@
         stored.record = stored.record.establish(term);
         host.targets.record_primary(&stored.record.primary);
         host.changed.notify_waiters();
-        host.peers.heartbeat_now.notify_one();
-    }
-}
-
-fn handle_table(host: &Host, revision: Revision, rows: Vec<(String, Vec<u8>, Revision)>) {
-    let rows = rows.into_iter().map(|(key, value, at)| (key, (Bytes::from(value), at)));
-    let table = Table { rows: rows.collect(), revision };
-    if !host.peers.replica.borrow_mut().record_peer_copy(table) {
-        return;
+        let is_holder = stored.record.holder == host.id;
+        if is_holder || is_small_fleet(host) {
+            host.peers.heartbeat_now.notify_one();
+        }
     }
-    host.record_era(revision.era);
-    host.metrics.count("tables_from_peers");
-    follow::adopt_table(host);
-    host.changed.notify_waiters();
-}
-
-fn send_table(host: &Host, address: SocketAddr) {
-    let replica = host.peers.replica.borrow();
-    let Some(table) = replica.settled() else { return };
-    let rows = table
-        .rows
-        .iter()
-        .map(|(key, (value, revision))| (key.clone(), value.to_vec(), *revision))
-        .collect();
-    host.peers.send(&Message::Table { revision: table.revision, rows }, address);
-    // The receiver needs the renewal of the new revision too, which the heartbeat carries.
-    host.peers.heartbeat_now.notify_one();
 }
 
 /// Returns the time between heartbeats of an ordinary host. It grows with the fleet, so that a host
@@ -399,15 +398,54 @@
     if follow::is_renewer(host) { HEARTBEAT_INTERVAL } else { heartbeat_interval(host) }
 }
 
-/// Sends heartbeats to all members until the process ends.
+/// Sends heartbeats until the process ends: to all members at an interval and after changes that
+/// concern all, and in between to the hosts that wait for this host's confirmation.
 pub async fn send_heartbeats(host: Rc<Host>) {
     loop {
-        drop(tokio::time::timeout(own_interval(&host), host.peers.heartbeat_now.notified()).await);
-        broadcast_heartbeat(&host);
+        let next = tokio::time::Instant::now() + own_interval(&host);
+        loop {
+            tokio::select! {
+                biased;
+                () = host.peers.heartbeat_now.notified() => break,
+                () = host.peers.confirm_now.notified() => confirm(&host),
+                () = tokio::time::sleep_until(next) => break,
+            }
+        }
+        send_heartbeat(&host, |_, _| true);
+        if !is_small_fleet(&host) {
+            tokio::time::sleep(MIN_HEARTBEAT_SPACING).await;
+        }
+    }
+}
+
+/// Whether the fleet is so small that every change is worth a heartbeat to all members.
+fn is_small_fleet(host: &Host) -> bool {
+    host.lease.borrow().members().len() <= MAX_SMALL_FLEET
+}
+
+/// Tells all members of a change at once in a small fleet, and in a larger one only those that wait
+/// for this host's confirmation: a heartbeat of each host to each other one would fill the links.
+pub fn notify_change(host: &Host) {
+    if is_small_fleet(host) {
+        host.peers.heartbeat_now.notify_one();
+    } else {
+        host.peers.confirm_now.notify_one();
+    }
+}
+
+/// Sends a heartbeat to the holders of unfinished promotions.
+fn confirm(host: &Host) {
+    let records = host.records.borrow();
+    let unfinished = records.values().filter(|stored| !stored.record.established);
+    let holders: BTreeSet<HostId> = unfinished.map(|stored| stored.record.holder).collect();
+    drop(records);
+    if !holders.is_empty() {
+        send_heartbeat(host, |id, _| holders.contains(&id));
     }
 }
 
-fn broadcast_heartbeat(host: &Host) {
+/// Sends a heartbeat to the members that `is_receiver` selects.
+fn send_heartbeat(host: &Host, is_receiver: impl Fn(HostId, &Member) -> bool) {
     let now = boot_clock::now();
     let number = host.peers.record_sent(now);
     let quiesced_revision = host.quiesced_revision();
@@ -425,7 +463,9 @@
     };
     let groups = group_reports(host, now);
     let newest = host.peers.newest.borrow().clone();
-    for (id, member) in members.iter().filter(|(id, _)| **id != host.id) {
+    let receivers =
+        members.iter().filter(|(id, member)| **id != host.id && is_receiver(**id, member));
+    for (id, member) in receivers {
         let echo = host.peers.peers.borrow().get(id).and_then(|peer| {
             peer.last_heartbeat
                 .filter(|(incarnation, _, _)| *incarnation == member.incarnation)
@@ -442,8 +482,7 @@
     let histories = host.histories.borrow();
     // In a larger fleet the positions that the host with the most frequent heartbeats reports are
     // enough.
-    let is_small = host.lease.borrow().members().len() <= MAX_SMALL_FLEET;
-    let reports_positions = is_small || follow::is_renewer(host);
+    let reports_positions = is_small_fleet(host) || follow::is_renewer(host);
     let report = |service: &String| {
         let record = &records[service].record;
         let newest = histories.get(service).and_then(|history| history.newest());
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -10,13 +10,13 @@
 use crate::state::Host;
 use crate::status::view_label;
 use bergamotvale_core::id::{HostId, Time};
-use bergamotvale_core::proxy::directory::Entry;
+use bergamotvale_core::proxy::directory::{Entry, TargetName};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::record::Term;
 use bergamotvale_platform::line::{self, Answer, End};
 use bergamotvale_platform::text::{self, Status};
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -76,7 +76,7 @@
     });
 }
 
-fn log_views(host: &Host, known: &mut std::collections::BTreeMap<String, View>) {
+fn log_views(host: &Host, known: &mut BTreeMap<TargetName, View>) {
     let views = host.targets.views();
     for (target, view) in &views {
         if known.get(target).copied().unwrap_or_default() == *view {
@@ -93,11 +93,24 @@
     }
     if views != *known {
         host.changed.notify_waiters();
-        host.peers.heartbeat_now.notify_one();
+        if is_any_primary(host, &views, known) {
+            host.peers.heartbeat_now.notify_one();
+        }
     }
     *known = views;
 }
 
+/// Whether the view of a group's primary is among those that differ: heartbeats report only these.
+fn is_any_primary(
+    host: &Host,
+    views: &BTreeMap<TargetName, View>,
+    known: &BTreeMap<TargetName, View>,
+) -> bool {
+    let records = host.records.borrow();
+    let mut primaries = records.values().map(|stored| &stored.record.primary);
+    primaries.any(|name| views.get(name) != known.get(name))
+}
+
 /// Starts the probes that are due, at most one per target at a time.
 fn probe_targets(host: &Rc<Host>, probing: &Rc<RefCell<BTreeSet<String>>>) {
     let directory = host.directory.borrow().clone();
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -160,7 +160,7 @@
             lease: RefCell::new(Lease::new(id, incarnation, LEASE_LIMITS)),
             histories: RefCell::default(),
             targets: Targets::default(),
-            peers: Peers::default(),
+            peers: Peers::new(id),
             quota: Quota::new(LEASE_LIMITS.validity + LEASE_LIMITS.clock_drift_margin),
             in_flight_work: RefCell::default(),
             next_work_number: Cell::new(0),
@@ -354,6 +354,10 @@
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.host.in_flight_work.borrow_mut().remove(&self.number);
+        let removed = self.host.in_flight_work.borrow_mut().remove(&self.number);
+        // A promotion may wait for the end of this work.
+        if removed.is_some_and(|(service, fence)| fence != self.host.fence(&service)) {
+            peer::notify_change(&self.host);
+        }
     }
 }
