Write the member row under a condition, and again if another incarnation replaced it

Nothing wrote it again, since only a missing row counted as a removal, and a host without a row holds no lease.

Change: the write names the row that was read; a row of another incarnation is written again. The timeout and the delay of failed attempts double, with jitter, because on a full link calls that are given up early load the link for nothing.

Both new tests of sessions/faults failed before.

--- a/crates/host/tests/sessions/faults.rs
+++ b/crates/host/tests/sessions/faults.rs
@@ -8,6 +8,7 @@
 use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{End, State};
 use bergamotvale_platform::text;
+use bergamotvale_sessions::fleet::follow::{MEMBER_PREFIX, TABLE};
 use bergamotvale_standin::lines::{Outage, Target};
 use rustix::process::Signal;
 use std::sync::Arc;
@@ -458,3 +459,64 @@
     group.set_sync_replicas(1);
     assert_ne!(session.run(&caller::write("lot", "2")).end, End::Done);
 }
+
+/// Changes the incarnation that a host's member row records, as a late write of another one does.
+fn overwrite_member_row(fleet: &Fleet) -> String {
+    let store = &fleet.system.store;
+    let copy = store.copy();
+    let key = copy.keys(TABLE).find(|key| key.starts_with(MEMBER_PREFIX)).expect("a member's row");
+    let row = store.value(TABLE, key).expect("the row has a value");
+    let mut row: serde_json::Value = serde_json::from_slice(&row).expect("the row is JSON");
+    row["incarnation"] = 1.into();
+    store.write(TABLE, key, Some(row.to_string().into()));
+    key.to_owned()
+}
+
+/// Guards against a host that stays out of service for good after a late write of an earlier
+/// incarnation has replaced its member row.
+#[test]
+fn a_member_row_of_an_earlier_incarnation_is_replaced() {
+    let fleet = Fleet::start(2);
+
+    let key = overwrite_member_row(&fleet);
+
+    let recorded = || {
+        let row = fleet.system.store.value(TABLE, &key).expect("the row stays");
+        let row: serde_json::Value = serde_json::from_slice(&row).expect("the row is JSON");
+        row["incarnation"].as_u64()
+    };
+    eventually("the running incarnation is recorded", || recorded() != Some(1));
+    eventually("hosts are ready", || fleet.hosts.iter().all(Process::is_ready));
+    for host in 0..2 {
+        fleet.open_session(host, STRICT_DB).expect_done(&caller::write("bolt", "1"), State::Idle);
+    }
+}
+
+/// Guards against an unconditional write of the member row: the store executes the write of a killed
+/// incarnation after its successor has written the row.
+#[test]
+fn a_member_row_written_late_does_not_replace_that_of_the_running_host() {
+    let delay = Duration::from_secs(3);
+    let mut fleet = Fleet::start(1);
+    let store = fleet.system.store.clone();
+    fleet.hosts.clear();
+    store.set_outage(Outage::DelayedWrites(delay));
+    let killed = Process::start(1, fleet.system.address);
+    // The host writes its row as soon as it has started.
+    std::thread::sleep(Duration::from_millis(600));
+    drop(killed);
+    store.set_outage(Outage::None);
+    fleet.hosts.push(Process::start(1, fleet.system.address));
+    eventually("the host is ready", || fleet.hosts[0].is_ready());
+    let row = || {
+        let key =
+            store.copy().keys(TABLE).find(|key| key.starts_with(MEMBER_PREFIX)).map(str::to_owned);
+        store.value(TABLE, &key.expect("the host's row"))
+    };
+    let written = row();
+
+    std::thread::sleep(delay);
+
+    assert_eq!(row(), written);
+    assert!(fleet.hosts[0].is_ready());
+}
--- a/crates/sessions/src/fleet/member.rs
+++ b/crates/sessions/src/fleet/member.rs
@@ -7,12 +7,18 @@
 use bergamotvale_core::id::HostId;
 use bergamotvale_core::proxy::lease::Member;
 use bergamotvale_core::proxy::revision::Revision;
+use bergamotvale_core::rendezvous::{Subject, weight};
 use bergamotvale_platform::Result;
 use bergamotvale_platform::store::{Change, Expected, Store};
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Number of times that timeouts and delays of the write of the own row are doubled.
+const MAX_DOUBLINGS: u32 = 3;
+/// Number of different retry delays that hosts have for the same attempt.
+const JITTER_STEPS: u64 = 64;
+
 /// Returns the key of a member's row.
 pub fn member_key(host: HostId) -> String {
     format!("{MEMBER_PREFIX}{host}")
@@ -26,11 +32,15 @@
     }
 }
 
-/// Writes this host's row again if peers have removed it because they received no heartbeat for
-/// long.
+/// Writes this host's row again if the table no longer records this incarnation: peers have removed
+/// the row because they received no heartbeat for long, or a late write of an earlier incarnation
+/// has replaced it.
 pub fn rejoin(host: &Rc<Host>) {
-    let is_member = host.lease.borrow().members().contains_key(&host.id);
-    if is_member || host.stop.is_under_way() || !host.has_joined.replace(false) {
+    let is_recorded = {
+        let lease = host.lease.borrow();
+        lease.members().get(&host.id).is_some_and(|row| row.incarnation == host.incarnation)
+    };
+    if is_recorded || host.stop.is_under_way() || !host.has_joined.replace(false) {
         return;
     }
     host.metrics.count("joined_again");
@@ -41,8 +51,9 @@
 /// Writes this host's row, retrying until the store has it and the copy of the table shows it.
 pub async fn join(host: &Host) {
     let mut store = Store::new(host.settings.store);
+    let mut attempt = 0;
     loop {
-        match write_member(host, &mut store).await {
+        match write_member(host, &mut store, call_timeout(attempt)).await {
             Ok(revision) => {
                 // Without this wait `rejoin` could take the older copy for a removal.
                 wait_for_revision(host, revision).await;
@@ -51,34 +62,58 @@
             }
             Err(error) => {
                 log::warn!("cannot write this host's member row; retrying: {error}");
-                tokio::time::sleep(RETRY_DELAY).await;
+                tokio::time::sleep(retry_delay(host.id, attempt)).await;
+                attempt += 1;
             }
         }
     }
 }
 
+/// Time in which the store has to answer a call of this attempt. It doubles, because on a full link
+/// a call that is given up early has loaded the link for nothing.
+fn call_timeout(attempt: u32) -> Duration {
+    CALL_TIMEOUT * 2_u32.pow(attempt.min(MAX_DOUBLINGS))
+}
+
+/// Delay after a failed attempt. It doubles, and differs between hosts that start together.
+fn retry_delay(host: HostId, attempt: u32) -> Duration {
+    let delay = RETRY_DELAY * 2_u32.pow(attempt.min(MAX_DOUBLINGS));
+    let position = weight(host, Subject::Store(attempt.into())) % JITTER_STEPS;
+    delay + delay * position as u32 / JITTER_STEPS as u32
+}
+
 async fn wait_for_revision(host: &Host, revision: Revision) {
     while host.lease.borrow().revision() < revision {
         host.changed.notified().await;
     }
 }
 
-async fn write_member(host: &Host, store: &mut Store) -> Result<Revision> {
+/// Writes this host's row, unless it is there already. Returns the revision of the row.
+///
+/// The write is conditional on the row that was read: the store may execute a write whose answer was
+/// lost seconds later, when a later incarnation has written the row.
+async fn write_member(host: &Host, store: &mut Store, timeout: Duration) -> Result<Revision> {
     let key = member_key(host.id);
-    let before = store.read(TABLE, CALL_TIMEOUT).await?;
-    let earlier = before.rows.iter().find(|row| row.key == key);
+    let table = store.read(TABLE, timeout).await?;
+    let row = table.rows.iter().find(|row| row.key == key && row.value.is_some());
     let earlier: Option<Member> =
-        earlier.and_then(|row| row.value.as_ref()).and_then(|v| serde_json::from_slice(v).ok());
+        row.and_then(|row| row.value.as_ref()).and_then(|v| serde_json::from_slice(v).ok());
+    if let Some((row, earlier)) = row.zip(earlier.as_ref())
+        && earlier.incarnation == host.incarnation
+    {
+        return Ok(row.revision);
+    }
     record_earlier_incarnation(host, earlier.as_ref());
     let member = Member {
         incarnation: host.incarnation,
         address: host.settings.listen.peers,
         domain: host.settings.domain.clone(),
-        entered: earlier.map_or(before.now, |member| member.entered),
+        entered: earlier.map_or(table.now, |member| member.entered),
     };
+    let expected = row.map_or(Expected::Absent(table.revision.era), |r| Expected::At(r.revision));
     let value = Some(Bytes::from(serde_json::to_vec(&member)?));
-    let change = Change { table: TABLE, key: &key, expected: None, value };
-    store.change(change, CALL_TIMEOUT).await
+    let change = Change { table: TABLE, key: &key, expected: Some(expected), value };
+    store.change(change, timeout).await
 }
 
 /// Removes a member's row unless it has changed since this host's copy of the table. Does nothing
--- a/crates/standin/src/lines/store.rs
+++ b/crates/standin/src/lines/store.rs
@@ -74,6 +74,14 @@
     revision: u64,
 }
 
+impl Copy {
+    /// Keys of the rows of a table, in order.
+    pub fn keys(&self, table: &str) -> impl Iterator<Item = &str> {
+        let rows = self.rows.iter().filter(move |(key, row)| key.0 == table && row.0.is_some());
+        rows.map(|(key, _)| key.1.as_str())
+    }
+}
+
 /// A stand-in of the platform's table service.
 #[derive(Debug)]
 pub struct Store {
