Let a promotion wait for work that a live host may finish at the old primary

Change: work under the older record ends when the lease on it would have ended, and 2 s later in a planned promotion; a planned promotion's wait for members that do not confirm includes these 2 s.

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -27,6 +27,14 @@
 /// the users' lease time of 3 s count as two leaders.
 const HOLDER_TENURE: Duration = Duration::from_secs(3);
 
+/// Time for which transactions that are open at the previous primary may go on in a planned
+/// promotion: about two statements and a pause between them.
+pub const HANDOVER_TIME: Duration = Duration::from_secs(2);
+/// Age of an unplanned promotion from which its evidence against the previous primary counts as
+/// outdated: hosts may have used that primary since, and acknowledged commits that the candidate
+/// lacks.
+pub const MAX_EVIDENCE_AGE: Duration = Duration::from_millis(800);
+
 /// Why a primary is replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -20,6 +20,9 @@
 //!   has passed since;
 //! - the maximum attested age plus the validity have passed since the write.
 //!
+//! In a planned handover hosts may finish open work under the older revision for a bounded time
+//! after that, which the latter two points then include.
+//!
 //! Times come from a clock that also counts while the machine is suspended, so that a host that
 //! resumes finds its lease expired.
 
@@ -99,6 +102,9 @@
     /// When the platform's clock was read, and what it showed.
     platform_clock: Option<(Time, Duration)>,
     renewed_at: Option<Time>,
+    /// Time of the newest renewal at any revision. The changes that this host has adopted since were
+    /// made after it.
+    last_renewed_at: Option<Time>,
     attestations: BTreeMap<HostId, Received>,
 }
 
@@ -112,6 +118,7 @@
             members: BTreeMap::new(),
             platform_clock: None,
             renewed_at: None,
+            last_renewed_at: None,
             attestations: BTreeMap::new(),
         }
     }
@@ -159,10 +166,22 @@
     /// nothing above `revision`. Ignored unless `revision` is that of this host's copy.
     pub fn renew(&mut self, sent: Time, revision: Revision) {
         if revision == self.revision {
-            self.renewed_at = self.renewed_at.max(Some(sent));
+            self.record_renewal(sent);
         }
     }
 
+    fn record_renewal(&mut self, at: Time) {
+        self.renewed_at = self.renewed_at.max(Some(at));
+        self.last_renewed_at = self.last_renewed_at.max(Some(at));
+    }
+
+    /// When a lease on the present copy of the table ends if a newer revision exists. The host may
+    /// finish work under the revision before until then although it knows of the newer one: who
+    /// writes a change waits for that long.
+    pub fn end_if_superseded(&self) -> Time {
+        self.last_renewed_at.map_or(Time::ZERO, |at| at + self.limits.validity)
+    }
+
     /// Records the attestation in a peer's heartbeat, which was created at `created_after` at the
     /// earliest.
     ///
@@ -172,7 +191,7 @@
         if attestation.revision == self.revision
             && let Some(at) = attestation.renewal_age.and_then(|age| created_after.checked_sub(age))
         {
-            self.renewed_at = self.renewed_at.max(Some(at));
+            self.record_renewal(at);
         }
         let received = self
             .attestations
@@ -318,6 +337,13 @@
         Barrier { revision, expiry: Expiry::new(written) }
     }
 
+    /// Has the barrier wait for the work that members may finish within `handover` after their lease
+    /// on the older revision has ended. They report it as long as they are heard.
+    pub fn with_handover(mut self, handover: Duration) -> Barrier {
+        self.expiry.handover = handover;
+        self
+    }
+
     /// Whether the barrier is passed. It has to be polled: the time from which a majority had
     /// quiesced is taken from the calls.
     pub fn has_passed(&mut self, lease: &Lease, now: Time) -> bool {
@@ -334,13 +360,15 @@
 pub(super) struct Expiry {
     /// When the change was made.
     pub(super) since: Time,
+    /// Time for which members may finish older work after the end of their lease.
+    handover: Duration,
     majority_confirmed_at: Option<Time>,
 }
 
 impl Expiry {
     /// Creates the wait for a change made at `since`.
     pub(super) fn new(since: Time) -> Expiry {
-        Expiry { since, majority_confirmed_at: None }
+        Expiry { since, handover: Duration::ZERO, majority_confirmed_at: None }
     }
 
     /// Whether the leases have expired: the validity has passed since the members that do not
@@ -355,7 +383,7 @@
         if self.majority_confirmed_at.is_none() && is_majority_confirmed() {
             self.majority_confirmed_at = Some(now);
         }
-        let validity = limits.validity + limits.clock_drift_margin;
+        let validity = limits.validity + limits.clock_drift_margin + self.handover;
         let majority =
             self.majority_confirmed_at.is_some_and(|at| now.saturating_sub(at) >= validity);
         majority || now.saturating_sub(self.since) >= validity + limits.max_attested_age
--- a/crates/core/tests/proxy_lease.rs
+++ b/crates/core/tests/proxy_lease.rs
@@ -164,6 +164,52 @@
     assert!(barrier.has_passed(&lease, ms(1350)));
 }
 
+/// Guards against a planned promotion that takes effect while a live host, which has adopted it and
+/// keeps its lease, may still commit at the previous primary.
+#[test]
+fn a_planned_change_waits_for_work_that_a_live_member_may_finish() {
+    let handover = ms(2000);
+    let mut lease = lease(4);
+    let mut barrier = Barrier::new(at(5), ms(100)).with_handover(handover);
+    for host in [2, 3] {
+        lease.record_attestation(ms(110), attestation(host, 5, Some(0)));
+    }
+    let busy = Attestation { quiesced: at(4), ..attestation(4, 5, Some(0)) };
+    lease.record_attestation(ms(1300), busy);
+    assert!(!barrier.has_passed(&lease, ms(300)));
+    assert!(!barrier.has_passed(&lease, ms(1400)));
+    lease.record_attestation(ms(1500), attestation(4, 5, Some(0)));
+
+    assert!(barrier.has_passed(&lease, ms(1510)));
+}
+
+/// Guards against a planned promotion that waits without bound for a host that has fallen silent.
+#[test]
+fn a_planned_change_waits_for_a_silent_member_until_its_work_has_to_end() {
+    let mut lease = lease(4);
+    let mut barrier = Barrier::new(at(5), ms(100)).with_handover(ms(2000));
+    for host in [2, 3] {
+        lease.record_attestation(ms(110), attestation(host, 5, Some(0)));
+    }
+    assert!(!barrier.has_passed(&lease, ms(300)));
+
+    assert!(!barrier.has_passed(&lease, ms(3349)));
+    assert!(barrier.has_passed(&lease, ms(3350)));
+}
+
+/// Guards against work under an older revision that goes on longer than the writer of the newer one
+/// waits.
+#[test]
+fn a_host_that_adopts_a_change_late_has_no_time_left_for_older_work() {
+    let mut lease = lease(4);
+    lease.renew(ms(100), at(5));
+    lease.adopt(at(6), members(4));
+    lease.renew(ms(4000), at(5));
+
+    assert_eq!(lease.end_if_superseded(), ms(1100));
+    assert!(lease.end_if_superseded() < ms(3000));
+}
+
 #[test]
 fn with_a_silent_majority_the_wait_takes_the_vouch_limit_and_the_validity() {
     let lease = lease(4);
--- a/crates/sessions/src/caller/work.rs
+++ b/crates/sessions/src/caller/work.rs
@@ -466,17 +466,8 @@
     let answer = checkout.connection().exchange(host, &target, &message, bounds).await?;
     if host.is_current(service, primary.fence) {
         record_observation(host, service, sent, &answer);
-    } else if answer.end == End::Done && !may_acknowledge(host, service) {
+    } else if answer.end == End::Done && !host.may_acknowledge(service) {
         return Err(WriteError::Unverified);
     }
     Ok(finish_exchange(host, checkout, answer, sent)?)
 }
-
-/// Whether a commit at a primary that is being replaced may be acknowledged.
-///
-/// It may while this host holds the lease: a promotion waits for each host that holds the lease and
-/// has registered work in progress at the previous primary, as it has for this commit.
-pub fn may_acknowledge(host: &Host, service: &str) -> bool {
-    let is_promoting = host.records.borrow().get(service).is_some_and(|s| !s.record.established);
-    is_promoting && host.holds_lease()
-}
--- a/crates/sessions/src/fleet/follow.rs
+++ b/crates/sessions/src/fleet/follow.rs
@@ -329,8 +329,7 @@
         let Some(service) = key.strip_prefix(GROUP_PREFIX) else { continue };
         match serde_json::from_slice::<Record>(value) {
             Ok(record) => {
-                let stored = StoredRecord { record, revision: *revision };
-                records.insert(service.to_owned(), stored);
+                records.insert(service.to_owned(), StoredRecord::new(record, *revision));
             }
             Err(error) => log_unreadable(host, TABLE, key, &error.into()),
         }
--- a/crates/sessions/src/group/promote.rs
+++ b/crates/sessions/src/group/promote.rs
@@ -18,7 +18,9 @@
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::directory::{Entry, Role, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
-use bergamotvale_core::proxy::failover::{Cause, Holder, Monitor, Replacement, Snapshot};
+use bergamotvale_core::proxy::failover::{
+    Cause, HANDOVER_TIME, Holder, MAX_EVIDENCE_AGE, Monitor, Replacement, Snapshot,
+};
 use bergamotvale_core::proxy::lease::Barrier;
 use bergamotvale_core::proxy::record::{Record, Term};
 use bergamotvale_core::proxy::revision::Revision;
@@ -209,12 +211,15 @@
 }
 
 impl Promotion<'_> {
-    /// Executes the promotion, with another candidate if the survey finds one that has more of the
-    /// log. `expected` is the revision of the record that it replaces.
+    /// Executes the promotion, with another candidate if one turns out to have more of the log.
+    /// `expected` is the revision of the record that it replaces.
     async fn execute(&mut self, expected: Revision) {
-        let Some(mut revision) = self.prepare(expected).await else { return };
+        let mut expected = expected;
         loop {
-            let better = match self.check_candidate().await {
+            let announced = boot_clock::now();
+            let Some(revision) = self.prepare(expected).await else { return };
+            let evidence_age = boot_clock::now().saturating_sub(announced);
+            let better = match self.check_candidate(evidence_age).await {
                 Candidacy::Best => return self.promote_candidate(revision).await,
                 Candidacy::Unknown => return self.log("surveyed", "too few targets answer"),
                 Candidacy::Behind(target) => target,
@@ -222,10 +227,7 @@
             let seen = highest_seen_term(self.host, self.service);
             let era = revision.era;
             self.record = self.record.promote(&better, self.host.id, false, seen, era);
-            match self.prepare(revision).await {
-                Some(newer) => revision = newer,
-                None => return,
-            }
+            expected = revision;
         }
     }
 
@@ -238,17 +240,34 @@
             return None;
         };
         self.log("in_force", OK);
-        if self.record.planned || self.has_unlisted_previous() {
-            self.wait_for_catch_up().await;
-        } else {
+        Some(revision)
+    }
+
+    /// Checks whether a target has more of the log than the candidate, after the candidate had time
+    /// to catch up with a previous primary that may still have more. `evidence_age` is the time
+    /// since the promotion was announced.
+    async fn check_candidate(&self, evidence_age: Duration) -> Candidacy {
+        // A barrier that lasted may have ended with a partition, in which other hosts used the
+        // previous primary: it is reachable again then.
+        let is_outdated = !self.record.planned && evidence_age > MAX_EVIDENCE_AGE;
+        let waits = self.record.planned || self.has_unlisted_previous() || is_outdated;
+        if waits {
+            let has_caught_up = self.wait_for_catch_up().await;
+            if let (false, true, Some(previous)) =
+                (has_caught_up, is_outdated, &self.record.previous)
+            {
+                return Candidacy::Behind(previous.clone());
+            }
+        }
+        if is_outdated || !waits {
             self.demote_previous();
         }
-        Some(revision)
+        self.survey_candidate().await
     }
 
     /// Checks whether a target has more of the log than the candidate, in a group with synchronous
     /// replicas.
-    async fn check_candidate(&self) -> Candidacy {
+    async fn survey_candidate(&self) -> Candidacy {
         let groups = &self.host.catalog.borrow().clone().groups;
         let sync_replicas = groups.get(self.service).map_or(0, |group| group.sync_replicas);
         if sync_replicas == 0 {
@@ -349,16 +368,22 @@
         is_own && self.host.holds_lease()
     }
 
+    /// Returns the barrier for the record, which is written at `revision` now.
+    fn new_barrier(&self, revision: Revision) -> Barrier {
+        let handover = if self.record.planned { HANDOVER_TIME } else { Duration::ZERO };
+        Barrier::new(revision, boot_clock::now()).with_handover(handover)
+    }
+
     /// Waits until no host uses the previous primary. Returns the revision of the record, which a
     /// restore of the store may have changed; `None` if the promotion was superseded, or has taken
     /// longer than any lease can last.
     async fn wait_for_barrier(&self, announced: Revision) -> Option<Revision> {
         let mut revision = announced;
-        let mut barrier = Barrier::new(revision, boot_clock::now());
+        let mut barrier = self.new_barrier(revision);
         loop {
             if let Some(rewritten) = self.revision_of_later_era(revision) {
                 revision = rewritten;
-                barrier = Barrier::new(revision, boot_clock::now());
+                barrier = self.new_barrier(revision);
             }
             let is_quiesced = self.host.quiesced_revision() >= revision;
             let has_passed = barrier.has_passed(&self.host.lease.borrow(), boot_clock::now());
@@ -403,25 +428,28 @@
         maintenance::status(self.host, &entry, Instant::now() + PROMOTE_RETRY_DELAY * 2).await
     }
 
-    /// Waits until the candidate has received all that the previous primary has. After the timeout,
-    /// or if an unplanned promotion finds the previous primary silent, the promotion goes on.
-    async fn wait_for_catch_up(&self) {
+    /// Waits until the candidate has received all that the previous primary has, or has nothing to
+    /// wait for because an unplanned promotion finds that one silent. False after the timeout.
+    async fn wait_for_catch_up(&self) -> bool {
         let deadline = Instant::now() + CATCH_UP_TIMEOUT;
-        let Some(previous) = &self.record.previous else { return };
+        let Some(previous) = &self.record.previous else { return true };
         while Instant::now() < deadline {
             let ahead = self.status(previous).await;
             if ahead.is_err() && !self.record.planned {
-                return self.log("caught_up", "the previous primary does not answer");
+                self.log("caught_up", "the previous primary does not answer");
+                return true;
             }
             let own = self.status(&self.record.primary).await;
             if let (Ok(ahead), Ok(own)) = (ahead, own)
                 && own.received >= ahead.received
             {
-                return self.log("caught_up", OK);
+                self.log("caught_up", OK);
+                return true;
             }
             tokio::time::sleep(WAIT_POLL_INTERVAL).await;
         }
         self.log("caught_up", "timeout");
+        false
     }
 
     /// Demotes the previous primary in the background if it is reachable. The promotion does not
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -15,6 +15,7 @@
 use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_core::proxy::directory::{Directory, Entry, TargetName};
 use bergamotvale_core::proxy::evidence::View;
+use bergamotvale_core::proxy::failover::HANDOVER_TIME;
 use bergamotvale_core::proxy::floor::History;
 use bergamotvale_core::proxy::lease::{Lease, Limits, Member};
 use bergamotvale_core::proxy::record::{Fence, Record};
@@ -48,6 +49,22 @@
     pub record: Record,
     /// Revision of the row; the next conditional write of the record expects it.
     pub revision: Revision,
+    /// When this host's lease on the record before ended, as far as it was held then.
+    superseded_lease_end: Time,
+}
+
+impl StoredRecord {
+    /// Creates a record that replaces none that this host has acted on.
+    pub fn new(record: Record, revision: Revision) -> StoredRecord {
+        StoredRecord { record, revision, superseded_lease_end: Time::ZERO }
+    }
+
+    /// Until when this host may finish work at the previous primary while the promotion is not
+    /// established.
+    fn handover_end(&self) -> Time {
+        let handover = if self.record.planned { HANDOVER_TIME } else { Duration::ZERO };
+        self.superseded_lease_end + handover
+    }
 }
 
 /// Why a group's primary, or any target of the group, may not be used now.
@@ -280,23 +297,44 @@
         self.records.borrow().get(service).map_or(0, |stored| stored.record.fence)
     }
 
-    /// Whether a planned promotion of the group is in progress, one that lets open work at the
-    /// previous primary finish.
+    /// Whether a planned promotion of the group is in progress, and open work at the previous primary
+    /// may still finish.
     pub fn has_planned_promotion(&self, service: &str) -> bool {
-        self.records
-            .borrow()
-            .get(service)
-            .is_some_and(|stored| !stored.record.established && stored.record.planned)
+        let records = self.records.borrow();
+        let stored = records.get(service).filter(|stored| stored.record.planned);
+        stored.is_some_and(|stored| self.may_finish_older_work(stored))
+    }
+
+    /// Whether a commit at a primary that is being replaced may be acknowledged.
+    ///
+    /// It may while this host holds the lease and within the time for which the promotion waits for
+    /// it, see [`bergamotvale_core::proxy::lease::Barrier`].
+    pub fn may_acknowledge(&self, service: &str) -> bool {
+        let may_finish = {
+            let records = self.records.borrow();
+            records.get(service).is_some_and(|stored| self.may_finish_older_work(stored))
+        };
+        may_finish && self.holds_lease()
+    }
+
+    fn may_finish_older_work(&self, stored: &StoredRecord) -> bool {
+        !stored.record.established && self.now() <= stored.handover_end()
     }
 
     /// Stores a record if it is newer than the known one, and wakes the tasks that depend on the
     /// older one.
     pub fn adopt_record(&self, service: &str, record: Record, revision: Revision) {
-        let known = self.records.borrow().get(service).map(|s| (s.revision, s.record.fence));
-        if known.is_some_and(|(known, _)| known >= revision) {
+        let known = self.records.borrow().get(service).cloned();
+        if known.as_ref().is_some_and(|known| known.revision >= revision) {
             return;
         }
-        if known.is_some_and(|(_, fence)| fence != record.fence) {
+        let is_same = known.as_ref().is_some_and(|known| known.record.fence == record.fence);
+        let superseded_lease_end = match &known {
+            Some(known) if is_same => known.superseded_lease_end,
+            Some(_) => self.lease.borrow().end_if_superseded(),
+            None => Time::ZERO,
+        };
+        if known.is_some() && !is_same {
             self.targets.restart_evidence_of(&record.primary);
         }
         if record.established {
@@ -310,7 +348,8 @@
             term: record.term,
             revision,
         });
-        self.records.borrow_mut().insert(service.to_owned(), StoredRecord { record, revision });
+        let stored = StoredRecord { record, revision, superseded_lease_end };
+        self.records.borrow_mut().insert(service.to_owned(), stored);
         self.changed.notify_waiters();
     }
 
