Have few hosts call the store and probe primaries in fleets that are not small

Change: a host whose lease is renewed by a peer gets the table's changes from peers, and probes a primary only if no observation has reached it for half of the shortest staleness bound.

--- a/crates/sessions/src/fleet/copies.rs
+++ b/crates/sessions/src/fleet/copies.rs
@@ -5,6 +5,7 @@
 //! difference cannot be told or did not match.
 
 use super::follow;
+use super::member::rejoin;
 use super::peer::{MAX_DATAGRAM_BYTES, Message};
 use crate::state::Host;
 use bergamotvale_core::id::{HostId, Time};
@@ -16,6 +17,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Size of the rows of one part of a table. One part fits into a datagram with all that surrounds
 /// its rows.
@@ -164,7 +166,7 @@
 }
 
 /// Takes over the whole table once all of its parts have arrived, if it is newer than the copy.
-pub(super) fn handle_part(host: &Host, part: Part) {
+pub(super) fn handle_part(host: &Rc<Host>, part: Part) {
     let revision = part.revision;
     let Some(rows) = host.peers.copies.parts.borrow_mut().add(part) else { return };
     let live =
@@ -177,7 +179,7 @@
 }
 
 /// Applies a difference to this host's copy of the table.
-pub(super) fn handle_difference(host: &Host, difference: WireDifference) {
+pub(super) fn handle_difference(host: &Rc<Host>, difference: WireDifference) {
     let WireDifference { base, revision, rows, digest } = difference;
     let changes = rows.into_iter().map(|row| Row {
         key: row.key,
@@ -199,8 +201,9 @@
     }
 }
 
-fn adopt(host: &Host, revision: Revision) {
+fn adopt(host: &Rc<Host>, revision: Revision) {
     host.record_era(revision.era);
     follow::adopt_table(host);
+    rejoin(host);
     host.changed.notify_waiters();
 }
--- a/crates/sessions/src/fleet/follow.rs
+++ b/crates/sessions/src/fleet/follow.rs
@@ -203,12 +203,17 @@
 /// lease.
 pub async fn table(host: Rc<Host>) {
     let mut feed = Feed::new(&host, TABLE, None, MAX_RENEWAL_WAIT);
+    let mut has_read = false;
     loop {
+        if has_read && relies_on_peers(&host) {
+            wait_until_renewal_is_old(&host).await;
+        }
         feed.max_wait = if is_renewer(&host) { MAX_RENEWAL_WAIT } else { MAX_POLL_WAIT };
         let update = tokio::select! {
             update = feed.next(&host) => update,
             () = wait_until_renewal_is_old(&host), if feed.max_wait == MAX_POLL_WAIT => continue,
         };
+        has_read = true;
         let read = update.revision;
         {
             let mut replica = host.peers.replica.borrow_mut();
@@ -234,6 +239,13 @@
     }
 }
 
+/// Whether this host gets the changes of the table of records and members from its peers, and not
+/// from the store: it is in a fleet that is not small, its lease is renewed by a peer, and the store
+/// was not restored since. Otherwise every host would call the store for every change.
+fn relies_on_peers(host: &Host) -> bool {
+    !peer::is_small_fleet(host) && !is_renewer(host) && !host.is_restoring()
+}
+
 /// Whether this host renews the lease itself: for all hosts, or because it has received no recent
 /// renewal from a peer.
 pub fn is_renewer(host: &Host) -> bool {
@@ -259,12 +271,12 @@
     }
 }
 
-/// Waits until the renewal that peers pass on is too old to rely on.
+/// Waits until the renewal that peers pass on is too old to rely on, or the store was restored.
 async fn wait_until_renewal_is_old(host: &Host) {
     loop {
         tokio::time::sleep(RENEWAL_AGE_POLL_INTERVAL).await;
         let age = host.lease.borrow().renewal_age(boot_clock::now());
-        if age.is_none_or(|age| age > MAX_RELAYED_RENEWAL_AGE) {
+        if age.is_none_or(|age| age > MAX_RELAYED_RENEWAL_AGE) || host.is_restoring() {
             return;
         }
     }
--- a/crates/sessions/src/fleet/peer.rs
+++ b/crates/sessions/src/fleet/peer.rs
@@ -282,7 +282,7 @@
     }
 }
 
-fn handle_message(host: &Host, message: Message, sender: SocketAddr) {
+fn handle_message(host: &Rc<Host>, message: Message, sender: SocketAddr) {
     match message {
         Message::Heartbeat(heartbeat) => handle_heartbeat(host, heartbeat, sender),
         Message::TableRequest { base } => {
@@ -419,7 +419,7 @@
 }
 
 /// Whether the fleet is so small that every change is worth a heartbeat to all members.
-fn is_small_fleet(host: &Host) -> bool {
+pub fn is_small_fleet(host: &Host) -> bool {
     host.lease.borrow().members().len() <= MAX_SMALL_FLEET
 }
 
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -4,12 +4,13 @@
 use crate::boot_clock;
 use crate::caller::work;
 use crate::event::{Event, millis};
-use crate::fleet::{feed, follow, member};
+use crate::fleet::{feed, follow, member, peer};
 use crate::pool::connection::{Bounds, Connection, Failure, is_clean};
 use crate::pool::{ConnectionRequest, acquire};
 use crate::state::Host;
 use crate::status::view_label;
 use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::proxy::catalog::Consistency;
 use bergamotvale_core::proxy::directory::{Entry, TargetName};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::record::Term;
@@ -25,6 +26,9 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Age of the newest observation from which the primary is probed for its position.
 const MAX_OBSERVATION_AGE: Duration = Duration::from_millis(400);
+/// Part of the shortest staleness bound of the routes that an observation may be old before a host
+/// probes for itself that gets the observations of the host that renews the lease.
+const RELAYED_AGE_DIVISOR: u32 = 2;
 /// Time in which a probe has to be answered.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Silence of a member after which its row is removed. Longer than a lease can last on
@@ -146,10 +150,26 @@
     }
     let is_primary = host.primary(&entry.service).is_ok_and(|p| p.target == entry.name);
     let newest = host.histories.borrow().get(&entry.service).and_then(|h| h.newest());
-    let is_old = newest.is_none_or(|o| host.now().saturating_sub(o.at) >= MAX_OBSERVATION_AGE);
+    let max_age = max_observation_age(host);
+    let is_old = newest.is_none_or(|o| host.now().saturating_sub(o.at) >= max_age);
     (is_primary && is_old).then_some(Probe::Position)
 }
 
+/// Age of the newest observation from which this host probes a primary for its position. In a fleet
+/// that is not small the host that renews the lease passes its observations on, so that few hosts
+/// probe.
+fn max_observation_age(host: &Host) -> Duration {
+    if peer::is_small_fleet(host) || follow::is_renewer(host) {
+        return MAX_OBSERVATION_AGE;
+    }
+    let catalog = host.catalog.borrow();
+    let bounds = catalog.routes.values().filter_map(|route| match route.consistency {
+        Consistency::Primary => None,
+        Consistency::Bounded(bound) | Consistency::ReadYourWrites(bound) => Some(bound),
+    });
+    bounds.min().map_or(MAX_OBSERVATION_AGE, |bound| bound / RELAYED_AGE_DIVISOR)
+}
+
 /// Opens a connection to a target; the outcome becomes evidence of its health.
 async fn probe_liveness(host: &Host, entry: &Entry) {
     let target = host.targets.get(&entry.name);
