Keep leases through outages and changes in fleets that are not small

Cause: with heartbeats between all members every 2.2 s, 84 hosts could not hear a majority within the validity of 1.2 s, so that in an outage of the store every host sent heartbeats to all others every 200 ms. A host that got a change from a peer without a renewal held no lease until the host that renews it was heard.

Change: in an outage members attest their revision to the peer with the lowest id, which passes the age of the majority on. Changes are asked for from peers that have a renewal, and the host that renews the lease announces a change at once. Polls wait up to 25 s in fleets that are not small.

--- a/crates/core/src/proxy/catch_up.rs
+++ b/crates/core/src/proxy/catch_up.rs
@@ -13,9 +13,9 @@
 const FIRST_TIMEOUT: Duration = Duration::from_millis(250);
 /// Upper bound of that time, which doubles with each request without an answer.
 const MAX_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time for which a host that is behind asks only hosts of its own region, so that one copy over a
-/// link between regions serves more than one host.
-const NEAR_ONLY_TIME: Duration = Duration::from_millis(150);
+/// Time for which a host that is behind asks only peers that can renew its lease at the new revision:
+/// from the change of the copy until then it holds none.
+const RENEWED_ONLY_TIME: Duration = Duration::from_millis(150);
 /// Part of a timeout that is spread over the hosts, so that they do not ask again together.
 const JITTER_DIVISOR: u32 = 2;
 /// Number of different timeouts that hosts have for the same request.
@@ -46,11 +46,12 @@
     }
 
     /// Returns the revision to state in a request to a peer that is ahead; `None` if no request is
-    /// due. `own` is the revision of this host's copy, `is_near` whether the peer is in its region.
-    pub fn request(&mut self, now: Time, own: Revision, is_near: bool) -> Option<Revision> {
+    /// due. `own` is the revision of this host's copy, `is_renewed` whether the peer has a renewal of
+    /// the lease at its revision.
+    pub fn request(&mut self, now: Time, own: Revision, is_renewed: bool) -> Option<Revision> {
         let behind_since = *self.behind_since.get_or_insert(now);
         let is_waiting = self.timeout_at.is_some_and(|at| now < at);
-        let may_ask = is_near || now.saturating_sub(behind_since) >= NEAR_ONLY_TIME;
+        let may_ask = is_renewed || now.saturating_sub(behind_since) >= RENEWED_ONLY_TIME;
         if is_waiting || !may_ask {
             return None;
         }
--- a/crates/core/src/proxy/lease.rs
+++ b/crates/core/src/proxy/lease.rs
@@ -7,7 +7,8 @@
 //! - the platform: a read sent at `s` that showed nothing newer renews the lease as of `s`;
 //! - a peer at the same revision: its own renewal from the platform, dated back by the reported
 //!   age;
-//! - a majority of the members, all at this revision. A writer changes the table before it notifies
+//! - a majority of the members, all at this revision, heard from them or from a peer that has heard
+//!   them. A writer changes the table before it notifies
 //!   any host, so a majority alone does not rule out a newer revision. It counts only while the
 //!   last renewal from the platform, direct or through peers, is no older than
 //!   [`Limits::max_attested_age`].
@@ -83,6 +84,9 @@
     /// Newest era of the store whose table the host has read and completed with what it remembers
     /// of the era before; none before the first.
     pub reconciled: Option<Era>,
+    /// Age of the newest time as of which the host knows that a majority of the members was at this
+    /// revision; none if it knows of no such time.
+    pub majority_age: Option<Duration>,
 }
 
 /// The latest attestation of a peer, with a time no later than that at which it was made.
@@ -105,6 +109,8 @@
     /// Time of the newest renewal at any revision. The changes that this host has adopted since were
     /// made after it.
     last_renewed_at: Option<Time>,
+    /// Newest time as of which a peer has reported that a majority was at this revision.
+    relayed_majority_at: Option<Time>,
     attestations: BTreeMap<HostId, Received>,
 }
 
@@ -119,6 +125,7 @@
             platform_clock: None,
             renewed_at: None,
             last_renewed_at: None,
+            relayed_majority_at: None,
             attestations: BTreeMap::new(),
         }
     }
@@ -146,6 +153,7 @@
         }
         if revision > self.revision {
             self.renewed_at = None;
+            self.relayed_majority_at = None;
         }
         self.revision = revision;
         self.attestations.retain(|host, _| members.contains_key(host));
@@ -193,6 +201,12 @@
         {
             self.record_renewal(at);
         }
+        if attestation.revision == self.revision
+            && let Some(at) =
+                attestation.majority_age.and_then(|age| created_after.checked_sub(age))
+        {
+            self.relayed_majority_at = self.relayed_majority_at.max(Some(at));
+        }
         let received = self
             .attestations
             .entry(attestation.host)
@@ -230,19 +244,34 @@
             .collect()
     }
 
-    /// Whether a majority of the members, this host included, was at this revision within the
-    /// validity.
+    /// Whether a majority of the members was at this revision within the validity, as far as this
+    /// host has heard it from them or from a peer that has.
     fn is_attested(&self, now: Time) -> bool {
+        self.majority_age(now).is_some_and(|age| age <= self.limits.validity)
+    }
+
+    /// Age of the newest time as of which a majority of the members is known to have been at this
+    /// revision; none if there is no such time.
+    ///
+    /// A peer's report of a majority counts like attestations of its members: who waits until no
+    /// majority attests an older revision has confirmations of members that no later majority can
+    /// do without.
+    pub fn majority_age(&self, now: Time) -> Option<Duration> {
         let agrees = |host: &HostId| {
-            self.attestations.get(host).is_some_and(|received| {
-                self.is_current_incarnation(host, received.attestation.incarnation)
-                    && received.attestation.revision == self.revision
-                    && now.saturating_sub(received.at) <= self.limits.validity
-            })
+            let received = self.attestations.get(host)?;
+            let is_same = received.attestation.revision == self.revision
+                && self.is_current_incarnation(host, received.attestation.incarnation);
+            is_same.then_some(received.at)
         };
         let others = self.members.keys().filter(|host| **host != self.own.0);
-        let count = 1 + others.filter(|host| agrees(host)).count();
-        count >= majority(self.members.len())
+        let mut times: Vec<Time> = others.filter_map(agrees).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        // This host itself agrees now.
+        let heard_at = match majority(self.members.len()) {
+            0 | 1 => Some(now),
+            majority => times.get(majority - 2).copied(),
+        };
+        heard_at.max(self.relayed_majority_at).map(|at| now.saturating_sub(at))
     }
 
     fn is_current_incarnation(&self, host: &HostId, incarnation: Incarnation) -> bool {
--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -259,6 +259,7 @@
                     quiesced: first_era(settled.unwrap_or(*revision)),
                     renewal_age: proof_age.map(ms),
                     reconciled: None,
+                    majority_age: None,
                 };
                 self.lease.record_attestation(now, attestation);
             }
--- a/crates/core/tests/proxy_lease.rs
+++ b/crates/core/tests/proxy_lease.rs
@@ -49,6 +49,7 @@
         quiesced: at(revision),
         renewal_age: renewal_age.map(ms),
         reconciled: None,
+        majority_age: None,
     }
 }
 
@@ -108,6 +109,42 @@
     }
 }
 
+/// Guards against a large fleet that loses its leases in an outage of the store because heartbeats
+/// between all of its members come too rarely.
+#[test]
+fn a_majority_that_a_peer_has_heard_counts_with_its_age() {
+    let mut lease = lease(5);
+    lease.renew(ms(0), at(5));
+    assert!(!lease.is_held(ms(2000)));
+
+    let relayed = Attestation { majority_age: Some(ms(300)), ..attestation(2, 5, None) };
+    lease.record_attestation(ms(2000), relayed);
+
+    assert!(lease.is_held(ms(2700)));
+    assert!(!lease.is_held(ms(2701)));
+}
+
+#[test]
+fn a_majority_at_another_revision_does_not_count() {
+    let mut lease = lease(5);
+    lease.renew(ms(0), at(5));
+
+    let older = Attestation { majority_age: Some(ms(0)), ..attestation(2, 4, None) };
+    lease.record_attestation(ms(2000), older);
+
+    assert!(!lease.is_held(ms(2000)));
+}
+
+#[test]
+fn the_age_of_a_majority_is_that_of_its_oldest_attestation() {
+    let mut lease = lease(5);
+    for (host, at) in [(2, 100), (3, 400), (4, 700)] {
+        lease.record_attestation(ms(at), attestation(host, 5, None));
+    }
+
+    assert_eq!(lease.majority_age(ms(1000)), Some(ms(600)));
+}
+
 #[test]
 fn a_host_that_knows_of_a_newer_revision_does_not_vouch() {
     let mut lease = lease(3);
--- a/crates/core/tests/proxy_search.rs
+++ b/crates/core/tests/proxy_search.rs
@@ -676,6 +676,7 @@
             quiesced: host.quiesced(now, defect),
             renewal_age: host.lease.renewal_age(now),
             reconciled: host.reconciled,
+            majority_age: host.lease.majority_age(now),
         };
         let last_heartbeats = host.last_heartbeats.clone();
         for peer in (0..HOSTS).filter(|peer| *peer != id) {
--- a/crates/sessions/src/fleet/copies.rs
+++ b/crates/sessions/src/fleet/copies.rs
@@ -10,6 +10,7 @@
 use crate::state::Host;
 use bergamotvale_core::id::{HostId, Time};
 use bergamotvale_core::proxy::catch_up::CatchUp;
+use bergamotvale_core::proxy::lease::Attestation;
 use bergamotvale_core::proxy::revision::Revision;
 use bergamotvale_core::proxy::table::{Applied, Difference, Digest, Row, Table};
 use bytes::Bytes;
@@ -98,28 +99,20 @@
     }
 }
 
-/// Asks a peer for what this host lacks if the peer has reported a newer revision.
-pub(super) fn request_if_behind(host: &Host, reported: Revision, peer: SocketAddr, now: Time) {
+/// Asks a peer for what this host lacks if the peer has attested a newer revision.
+pub(super) fn request_if_behind(host: &Host, peer: &Attestation, address: SocketAddr, now: Time) {
     let own = host.lease.borrow().revision();
-    if reported <= own {
+    if peer.revision <= own {
         return;
     }
-    let is_near = is_in_own_region(host, peer);
-    let base = host.peers.copies.catch_up.borrow_mut().request(now, own, is_near);
+    let is_renewed = peer.renewal_age.is_some();
+    let base = host.peers.copies.catch_up.borrow_mut().request(now, own, is_renewed);
     if let Some(base) = base {
         host.metrics.count("table_requests");
-        host.peers.send(&Message::TableRequest { base }, peer);
+        host.peers.send(&Message::TableRequest { base }, address);
     }
 }
 
-/// Whether a peer is in this host's region. True if its region is not known.
-fn is_in_own_region(host: &Host, peer: SocketAddr) -> bool {
-    let lease = host.lease.borrow();
-    let member = lease.members().values().find(|member| member.address == peer);
-    let region = member.and_then(|member| host.settings.regions.get(&member.domain));
-    region.is_none_or(|region| *region == host.settings.region)
-}
-
 /// Sends a peer what has changed since `base`, or the whole table if that cannot be told.
 pub(super) fn send_changes(host: &Host, base: Revision, peer: SocketAddr) {
     let replica = host.peers.replica.borrow();
--- a/crates/sessions/src/fleet/feed.rs
+++ b/crates/sessions/src/fleet/feed.rs
@@ -8,7 +8,7 @@
 use crate::boot_clock;
 use crate::event::{Event, millis};
 use crate::fleet::follow::has_lowest_live_id;
-use crate::fleet::peer::{MAX_SMALL_FLEET, Source};
+use crate::fleet::peer::{Source, is_small_fleet};
 use crate::state::Host;
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::cursor::{Cursor, Step};
@@ -23,8 +23,8 @@
 const BEHIND_PEERS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between checks whether a feed is behind its peers.
 const BEHIND_PEERS_POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// Delay before the poll that follows a change, in a fleet that is not small: it batches changes
-/// that come close together into one call.
+/// Default delay before the poll that follows a change, in a fleet that is not small: it batches
+/// changes that come close together into one call.
 const BATCH_DELAY: Duration = Duration::from_millis(300);
 /// Time beyond its wait for changes in which a call has to be answered.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -43,6 +43,8 @@
     source: Option<Source>,
     /// Longest time that a poll waits for changes.
     pub max_wait: Duration,
+    /// Delay before the poll that follows a change, in a fleet that is not small.
+    pub batch_delay: Duration,
     cursor: Cursor,
     unreachable_since: Option<Time>,
     /// When the store last answered; the creation of the feed before the first answer.
@@ -84,6 +86,7 @@
             table,
             source,
             max_wait,
+            batch_delay: BATCH_DELAY,
             cursor,
             unreachable_since,
             last_answer,
@@ -94,8 +97,8 @@
 
     /// Waits for the next changes. Retries until the store answers.
     pub async fn next(&mut self, host: &Host) -> Update {
-        if self.had_changes && host.lease.borrow().members().len() > MAX_SMALL_FLEET {
-            tokio::time::sleep(BATCH_DELAY).await;
+        if self.had_changes && !is_small_fleet(host) {
+            tokio::time::sleep(self.batch_delay).await;
         }
         self.had_changes = false;
         loop {
--- a/crates/sessions/src/fleet/follow.rs
+++ b/crates/sessions/src/fleet/follow.rs
@@ -35,12 +35,17 @@
 const MAX_RENEWAL_WAIT: Duration = Duration::from_millis(250);
 /// Age of the lease's renewal above which a host no longer relies on the host that renews for
 /// others. A peer silent for as long no longer counts as alive when that host is determined.
-const MAX_RELAYED_RENEWAL_AGE: Duration = Duration::from_millis(900);
+pub(super) const MAX_RELAYED_RENEWAL_AGE: Duration = Duration::from_millis(900);
 /// Time between checks of the renewal's age.
 const RENEWAL_AGE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time that other polls wait for changes. A feed that missed a change which a peer has
 /// seen polls again sooner.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(12);
+/// The same in a fleet that is not small, where calls of all hosts add up. The store permits 30 s.
+const MAX_LARGE_FLEET_POLL_WAIT: Duration = Duration::from_secs(25);
+/// Delay before the poll that follows a change of the targets' entries, in a fleet that is not small:
+/// targets that start together write their entries within some seconds.
+const DIRECTORY_BATCH_DELAY: Duration = Duration::from_millis(800);
 /// Time after the end of an outage of the store for which entries that expired during it are kept,
 /// so that their targets can write them again.
 const EXPIRED_ENTRY_RETENTION: Duration = Duration::from_millis(2500);
@@ -56,6 +61,7 @@
 pub async fn catalog(host: Rc<Host>) {
     let mut feed = Feed::new(&host, catalog::TABLE, Some(Source::Catalog), MAX_POLL_WAIT);
     loop {
+        feed.max_wait = max_poll_wait(&host);
         let update = feed.next(&host).await;
         for row in update.rows.iter().filter(|row| row.key == catalog::KEY) {
             if let Some(value) = &row.value {
@@ -108,9 +114,11 @@
 /// Keeps the targets' entries up to date until the process ends.
 pub async fn directory(host: Rc<Host>) {
     let mut feed = Feed::new(&host, directory::TABLE, Some(Source::Directory), MAX_POLL_WAIT);
+    feed.batch_delay = DIRECTORY_BATCH_DELAY;
     let expired: Rc<RefCell<BTreeSet<String>>> = Rc::default();
     let mut retain_deadline = Time::ZERO;
     loop {
+        feed.max_wait = max_poll_wait(&host);
         let last_answer = feed.last_answer;
         let update = feed.next(&host).await;
         let now = boot_clock::now();
@@ -208,12 +216,14 @@
         if has_read && relies_on_peers(&host) {
             wait_until_renewal_is_old(&host).await;
         }
-        feed.max_wait = if is_renewer(&host) { MAX_RENEWAL_WAIT } else { MAX_POLL_WAIT };
+        let renews = is_renewer(&host);
+        feed.max_wait = if renews { MAX_RENEWAL_WAIT } else { max_poll_wait(&host) };
         let update = tokio::select! {
             update = feed.next(&host) => update,
-            () = wait_until_renewal_is_old(&host), if feed.max_wait == MAX_POLL_WAIT => continue,
+            () = wait_until_renewal_is_old(&host), if !renews => continue,
         };
         has_read = true;
+        let has_changes = !update.rows.is_empty();
         let read = update.revision;
         {
             let mut replica = host.peers.replica.borrow_mut();
@@ -236,9 +246,18 @@
         rejoin(&host);
         host.holds_lease();
         host.changed.notify_waiters();
+        // The others get changes from this host, and their renewals with them.
+        if has_changes && has_lowest_live_id(&host) {
+            host.peers.heartbeat_now.notify_one();
+        }
     }
 }
 
+/// Longest time that this host's polls wait for changes.
+fn max_poll_wait(host: &Host) -> Duration {
+    if peer::is_small_fleet(host) { MAX_POLL_WAIT } else { MAX_LARGE_FLEET_POLL_WAIT }
+}
+
 /// Whether this host gets the changes of the table of records and members from its peers, and not
 /// from the store: it is in a fleet that is not small, its lease is renewed by a peer, and the store
 /// was not restored since. Otherwise every host would call the store for every change.
--- a/crates/sessions/src/fleet/peer.rs
+++ b/crates/sessions/src/fleet/peer.rs
@@ -33,6 +33,9 @@
 /// Number of hosts up to which every host sends heartbeats at `HEARTBEAT_INTERVAL` and fetches
 /// each change of a table at once, without batching.
 pub const MAX_SMALL_FLEET: usize = 8;
+/// Age of the renewal from which members attest their revision at the interval of small fleets: the
+/// store may be away.
+const MAX_ATTESTATION_PAUSE: Duration = Duration::from_millis(600);
 /// Shortest time between two heartbeats to all members in a fleet that is not small.
 const MIN_HEARTBEAT_SPACING: Duration = Duration::from_millis(100);
 /// Sent heartbeats whose time of sending is kept to interpret echoes.
@@ -41,7 +44,7 @@
 pub(super) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of each datagram; differs between incompatible formats. Builds without it take the
 /// byte for an unknown message and drop the datagram.
-const DATAGRAM_FORMAT: u8 = 64;
+const DATAGRAM_FORMAT: u8 = 65;
 
 /// A platform table that operators or targets write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -329,7 +332,7 @@
         }
         peer.views = heartbeat.groups.iter().map(|(s, g)| (s.clone(), (g.fence, g.view))).collect();
     }
-    copies::request_if_behind(host, heartbeat.attestation.revision, sender, now);
+    copies::request_if_behind(host, &heartbeat.attestation, sender, now);
     for (source, revision) in &heartbeat.newest {
         host.peers.record_change(*source, *revision);
     }
@@ -392,10 +395,28 @@
     HEARTBEAT_INTERVAL * u32::try_from(count.div_ceil(MAX_SMALL_FLEET).max(1)).unwrap_or(1)
 }
 
-/// Returns the time between heartbeats of this host. The host that renews the lease for others
-/// keeps the short interval, because their leases depend on its heartbeats.
+/// Returns the time between heartbeats of this host to all members. The host that renews the lease
+/// for others, and passes on what it hears of a majority, keeps the short interval, because their
+/// leases depend on its heartbeats.
 fn own_interval(host: &Host) -> Duration {
-    if follow::is_renewer(host) { HEARTBEAT_INTERVAL } else { heartbeat_interval(host) }
+    if follow::has_lowest_live_id(host) { HEARTBEAT_INTERVAL } else { heartbeat_interval(host) }
+}
+
+/// Attests this host's revision to the peer with the lowest id while the lease depends on a majority
+/// of the members: that peer passes the majority's age on to all.
+fn attest(host: &Host) {
+    let now = boot_clock::now();
+    let (is_renewed, collector) = {
+        let lease = host.lease.borrow();
+        let is_renewed = lease.renewal_age(now).is_some_and(|age| age <= MAX_ATTESTATION_PAUSE);
+        (is_renewed, lease.live_peers(now, follow::MAX_RELAYED_RENEWAL_AGE).into_iter().min())
+    };
+    if is_renewed || is_small_fleet(host) {
+        return;
+    }
+    if let Some(collector) = collector.filter(|id| *id < host.id) {
+        send_heartbeat(host, |id, _| id == collector);
+    }
 }
 
 /// Sends heartbeats until the process ends: to all members at an interval and after changes that
@@ -404,10 +425,12 @@
     loop {
         let next = tokio::time::Instant::now() + own_interval(&host);
         loop {
+            let tick = next.min(tokio::time::Instant::now() + HEARTBEAT_INTERVAL);
             tokio::select! {
                 biased;
                 () = host.peers.heartbeat_now.notified() => break,
                 () = host.peers.confirm_now.notified() => confirm(&host),
+                () = tokio::time::sleep_until(tick), if tick < next => attest(&host),
                 () = tokio::time::sleep_until(next) => break,
             }
         }
@@ -458,6 +481,7 @@
             quiesced: quiesced_revision,
             renewal_age: lease.renewal_age(now),
             reconciled: host.reconciled.get(),
+            majority_age: lease.majority_age(now),
         };
         (attestation, host.known_members())
     };
