Evacuate failure domains on an operator's order

Reads leave an evacuated domain at once, primaries by a planned promotion to a target elsewhere. Hosts that are cut off from the store learn of orders and of their end from peers.

--- a/crates/core/src/proxy/failover.rs
+++ b/crates/core/src/proxy/failover.rs
@@ -9,7 +9,7 @@
 use super::record::Record;
 use crate::id::{HostId, Time};
 use derive_more::Display;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Additional delay of each rank over the one before.
@@ -46,11 +46,20 @@
     Lost,
     /// The recorded primary responds that it is not the primary.
     Deposed,
-    /// A promotion did not finish in time, or its candidate is unreachable, about to stop or no
-    /// longer in the directory.
+    /// The primary is in a failure domain that is evacuated.
+    Evacuated,
+    /// A promotion did not finish in time, or its candidate is unreachable, about to stop, in an
+    /// evacuated failure domain or no longer in the directory.
     Stuck,
 }
 
+impl Cause {
+    /// Whether the primary still works, so that open work may end there first.
+    pub fn is_planned(self) -> bool {
+        matches!(self, Cause::Leaving | Cause::Evacuated)
+    }
+}
+
 /// A replacement of a group's primary that is due now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Replacement {
@@ -71,6 +80,8 @@
     pub directory: &'a Directory,
     /// This host's view of each target; a target without one counts as alive.
     pub views: &'a BTreeMap<TargetName, View>,
+    /// Failure domains that are evacuated; no target in them is promoted.
+    pub evacuated: &'a BTreeSet<String>,
     /// Live peers' views of the recorded primary.
     pub peer_views: &'a BTreeMap<HostId, View>,
     /// Last known log position of each target.
@@ -100,15 +111,23 @@
         match entry {
             None => Some(Cause::Lost),
             Some(entry) if entry.is_leaving => Some(Cause::Leaving),
-            Some(_) => match own_view {
-                View::Alive => None,
-                _ if is_reachable_by_majority(self.peer_views) => None,
+            Some(entry) => match own_view {
+                View::Alive => self.evacuation_cause(entry),
+                _ if is_reachable_by_majority(self.peer_views) => self.evacuation_cause(entry),
                 View::Lost => Some(Cause::Lost),
                 View::Deposed => Some(Cause::Deposed),
             },
         }
     }
 
+    fn evacuation_cause(&self, entry: &Entry) -> Option<Cause> {
+        self.is_evacuated(entry).then_some(Cause::Evacuated)
+    }
+
+    fn is_evacuated(&self, entry: &Entry) -> bool {
+        self.evacuated.contains(&entry.domain)
+    }
+
     fn view(&self, target: &TargetName) -> View {
         self.views.get(target).copied().unwrap_or_default()
     }
@@ -117,7 +136,9 @@
     /// the candidate of an unfinished promotion as long as that one is fit.
     pub fn candidate(&self) -> Option<&Entry> {
         let position = |entry: &Entry| self.positions.get(&entry.name).copied().unwrap_or_default();
-        let is_fit = |entry: &&Entry| !entry.is_leaving && self.view(&entry.name) != View::Lost;
+        let is_fit = |entry: &&Entry| {
+            !entry.is_leaving && !self.is_evacuated(entry) && self.view(&entry.name) != View::Lost
+        };
         of_service(self.directory, self.service)
             .filter(|entry| {
                 self.record.established != (entry.name == self.record.primary)
@@ -201,11 +222,12 @@
         let cause = if record.established {
             let evidence_time = snapshot.peer_timeout.min(MAX_EVIDENCE_TIME);
             let has_evidence = self.has_evidence(now, evidence_time);
-            snapshot.cause().filter(|cause| has_evidence || *cause == Cause::Leaving)
+            snapshot.cause().filter(|cause| has_evidence || cause.is_planned())
         } else {
-            let is_candidate_unfit =
-                snapshot.directory.get(&record.primary).is_none_or(|e| e.is_leaving)
-                    || snapshot.view(&record.primary) == View::Lost;
+            let entry = snapshot.directory.get(&record.primary);
+            let is_candidate_unfit = entry
+                .is_none_or(|entry| entry.is_leaving || snapshot.is_evacuated(entry))
+                || snapshot.view(&record.primary) == View::Lost;
             // The holder itself goes on with another candidate: hosts do not take turns.
             let is_due = if self.may_be_executing(now, snapshot) {
                 age >= PROMOTION_TIMEOUT
--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 pub mod catch_up;
 pub mod cursor;
 pub mod directory;
+pub mod evacuation;
 pub mod evidence;
 pub mod failover;
 pub mod floor;
--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -15,7 +15,7 @@
 use bergamotvale_core::proxy::revision::Revision;
 use common::case;
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::time::Duration;
 
@@ -150,6 +150,7 @@
                     record: &self.record,
                     directory: &self.directory,
                     views: &self.views,
+                    evacuated: &BTreeSet::new(),
                     peer_views: &self.peers,
                     positions: &self.positions,
                     holder: self.holder,
--- a/crates/core/tests/proxy_failover.rs
+++ b/crates/core/tests/proxy_failover.rs
@@ -8,7 +8,7 @@
 };
 use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::record::Record;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 const SERVICE: &str = "orders";
@@ -35,6 +35,7 @@
     record: Record,
     directory: Directory,
     views: BTreeMap<TargetName, View>,
+    evacuated: BTreeSet<String>,
     peers: BTreeMap<HostId, View>,
     positions: BTreeMap<TargetName, Position>,
     holder: Holder,
@@ -51,6 +52,7 @@
             record: Record::first(&directory, SERVICE, 1, 0).expect("one primary"),
             directory,
             views: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             peers: [(2, View::Alive), (3, View::Alive), (4, View::Alive)].into(),
             positions: [("r".into(), position(5)), ("s".into(), position(9))].into(),
             holder: Holder::Alive,
@@ -64,6 +66,7 @@
             record: &self.record,
             directory: &self.directory,
             views: &self.views,
+            evacuated: &self.evacuated,
             peer_views: &self.peers,
             positions: &self.positions,
             holder: self.holder,
@@ -126,6 +129,59 @@
     assert_eq!((record.fence, record.previous.as_deref()), (2, Some("p")));
 }
 
+/// The group with its primary `p` and replica `s` in domain `a`, which is evacuated, and `r` in `b`.
+fn evacuated_world() -> World {
+    let mut world = World::new();
+    world.directory.get_mut("r").expect("a target").domain = "b".into();
+    world.evacuated.insert("a".into());
+    world
+}
+
+/// Guards against a promotion to a target with more of the log in the domain that is evacuated.
+#[test]
+fn a_primary_in_an_evacuated_domain_is_replaced_by_a_target_elsewhere_as_planned_work() {
+    let world = evacuated_world();
+    let found = world.decide(&mut Monitor::new(ms(0)), 0, 0);
+    assert_eq!(found, Some((Cause::Evacuated, "r".into())));
+    assert!(Cause::Evacuated.is_planned());
+}
+
+#[test]
+fn a_group_whose_domains_are_all_evacuated_keeps_its_primary() {
+    let mut world = evacuated_world();
+    world.evacuated.insert("b".into());
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), None);
+    world.set_unreachable(&[2, 3, 4]);
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), None);
+}
+
+/// Guards against hosts that treat a dead primary in an evacuated domain as one that still works.
+#[test]
+fn a_lost_primary_in_an_evacuated_domain_is_replaced_as_lost() {
+    let mut world = evacuated_world();
+    world.set_unreachable(&[2, 3, 4]);
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), Some((Cause::Lost, "r".into())));
+}
+
+#[test]
+fn an_evacuation_that_ends_while_its_promotion_runs_does_not_stop_the_promotion() {
+    let mut world = evacuated_world();
+    world.record = world.record.promote(&"r".into(), 2, true, 1, 0);
+    world.evacuated.clear();
+    let mut monitor = Monitor::default();
+    assert_eq!(world.decide(&mut monitor, 0, 0), None);
+    world.record = world.record.establish(2);
+    assert_eq!(world.decide(&mut monitor, 1000, 0), None);
+}
+
+#[test]
+fn a_promotion_whose_candidate_is_evacuated_goes_on_with_another() {
+    let mut world = evacuated_world();
+    world.record = world.record.promote(&"s".into(), 2, true, 1, 0);
+    world.holder = Holder::Own;
+    assert_eq!(world.decide(&mut Monitor::default(), 0, 0), Some((Cause::Stuck, "r".into())));
+}
+
 #[test]
 fn a_primary_that_is_gone_from_the_directory_is_replaced() {
     let mut world = World::new();
--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -74,6 +74,15 @@
     /// Starts host `number` of a fleet, without waiting until it is ready. A host's id derives from
     /// the address that it listens on.
     pub(crate) fn start(number: u8, platform: SocketAddr) -> Process {
+        Process::start_with(number, platform, |_| {})
+    }
+
+    /// As `start`, with edited settings.
+    pub(crate) fn start_with(
+        number: u8,
+        platform: SocketAddr,
+        edit: impl FnOnce(&mut Value),
+    ) -> Process {
         let [high, low] = platform.port().to_be_bytes();
         let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
         let name = format!("bergamotvale-sessions-{}-{serial}", std::process::id());
@@ -83,7 +92,7 @@
         let address = |port| SocketAddr::from(([127, high, low, number], port));
         let (callers, readiness, metrics, peers) =
             (address(7001), address(7002), address(7003), address(7004));
-        let settings = json!({
+        let mut settings = json!({
             "name": format!("host-{number}"),
             "domain": "a",
             "listen": {
@@ -95,6 +104,7 @@
             "rates": {"window": 5, "overage": 0.1, "slack": 20},
             "descriptors": 1000,
         });
+        edit(&mut settings);
         let path = folder.join("settings.yaml");
         let text = serde_yaml_ng::to_string(&settings).expect("the settings serialize to YAML");
         std::fs::write(&path, text).expect("the settings are written");
@@ -222,10 +232,19 @@
 
     /// Like `start`, with another configuration.
     pub(crate) fn start_with(count: u8, catalog: Catalog) -> Fleet {
+        Fleet::start_edited(count, catalog, |_| {})
+    }
+
+    /// Like `start_with`, with edited settings of all hosts.
+    pub(crate) fn start_edited(
+        count: u8,
+        catalog: Catalog,
+        edit: impl Fn(&mut Value) + Copy,
+    ) -> Fleet {
         let system = System::start(&[SERVICE]).expect("the stand-ins start");
         system.configure(&catalog);
-        let hosts: Vec<Process> =
-            (1..=count).map(|number| Process::start(number, system.address)).collect();
+        let start = |number| Process::start_with(number, system.address, edit);
+        let hosts: Vec<Process> = (1..=count).map(start).collect();
         let fleet = Fleet { hosts, system, catalog };
         eventually("hosts are ready", || fleet.hosts.iter().all(Process::is_ready));
         fleet
--- a/crates/host/tests/sessions/main.rs
+++ b/crates/host/tests/sessions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of session hosts that run as processes over the line-protocol stand-ins.
 
 mod catch_up;
+mod evacuation;
 mod faults;
 mod fixture;
 mod on_call;
--- a/crates/sessions/src/caller/mod.rs
+++ b/crates/sessions/src/caller/mod.rs
@@ -10,6 +10,7 @@
 pub mod transaction;
 pub mod work;
 
+use crate::evacuation::{EVACUATED, RETRY_DELAY};
 use crate::event::{Event, millis};
 use crate::state::Host;
 use bergamotvale_core::id::Time;
@@ -249,14 +250,14 @@
     }
 
     /// Time at which the host ends the open transaction unless the caller sends a statement: its
-    /// idle timeout, or the deadline of a planned promotion if that is earlier.
+    /// idle timeout, or the deadline of a planned promotion or an evacuation if that is earlier.
     fn transaction_deadline(&mut self) -> Option<Instant> {
         let Phase::Open(transaction) = &mut self.phase else { return None };
         let timeout = self.host.catalog.borrow().transaction_idle_timeout;
         let idle_deadline = transaction.idle_since + timeout;
         let service = self.context.as_ref().map_or("", |context| context.service.as_str());
-        let handover = transaction.handover_deadline(&self.host, service);
-        Some(handover.map_or(idle_deadline, |handover| handover.min(idle_deadline)))
+        let end = transaction.end_deadline(&self.host, service);
+        Some(end.map_or(idle_deadline, |end| end.min(idle_deadline)))
     }
 
     /// Rolls the open transaction back. The reply to the next statement tells the caller.
@@ -617,6 +618,10 @@
 
     fn refusal_reply(&self, id: &str, refusal: &Refusal, arrived: Time, state: State) -> Reply {
         self.log_refusal(id, refusal, arrived);
+        if refusal.reason == EVACUATED {
+            let detail = format!("{EVACUATED}; retry after {} ms", millis(RETRY_DELAY));
+            return line::error(refusal.code, &detail, state);
+        }
         line::error(refusal.code, refusal.reason, state)
     }
 
--- a/crates/sessions/src/caller/transaction.rs
+++ b/crates/sessions/src/caller/transaction.rs
@@ -7,6 +7,7 @@
 use crate::caller::work::{
     self, Context, Destination, Refusal, Task, failure_label, failure_outcome,
 };
+use crate::evacuation::EVACUATED;
 use crate::pool::connection::{Bounds, Failure, is_clean};
 use crate::pool::{Checkout, acquire};
 use crate::state::{Host, WorkGuard};
@@ -49,11 +50,26 @@
         Transaction { read_only, pinned: None, idle_since: Instant::now(), handover_deadline: None }
     }
 
+    /// Time by which the transaction has to end because its primary is being replaced or its
+    /// target's failure domain is evacuated; `None` if neither is the case.
+    pub fn end_deadline(&mut self, host: &Host, service: &str) -> Option<Instant> {
+        let pinned = self.pinned.as_ref()?;
+        let evacuation = host.evacuation.deadline(&pinned.destination.entry);
+        let handover = self.handover_deadline(host, service);
+        [evacuation, handover].into_iter().flatten().min()
+    }
+
+    /// Whether the domain of the pinned target is evacuated, and nothing may be sent to it any more.
+    fn is_evacuated(&self, host: &Host) -> bool {
+        let pinned = self.pinned.as_ref();
+        pinned.is_some_and(|pinned| host.evacuation.is_closed(&pinned.destination.entry))
+    }
+
     /// Time by which the transaction has to end because its primary is being replaced.
     ///
     /// `None` while the primary's fence is current. Now if the transaction can no longer continue;
     /// otherwise `HANDOVER_TIMEOUT` after the planned promotion was first seen here.
-    pub fn handover_deadline(&mut self, host: &Host, service: &str) -> Option<Instant> {
+    fn handover_deadline(&mut self, host: &Host, service: &str) -> Option<Instant> {
         let primary = self.pinned.as_ref()?.destination.primary.as_ref()?;
         if host.fence(service) == primary.fence {
             return None;
@@ -111,6 +127,9 @@
 
     /// Rolls back. If the target does not answer, the connection is closed, which rolls back too.
     pub async fn rollback(mut self, host: &Host) {
+        if self.is_evacuated(host) {
+            return;
+        }
         let Some(mut pinned) = self.pinned.take() else { return };
         let deadline = Instant::now() + HANDOVER_TIMEOUT;
         let target = pinned.checkout.target.clone();
@@ -182,6 +201,10 @@
         let service = context.service.as_str();
         let request = context.request(task.deadline, task.max_wait);
         let mut checkout = acquire(host, &destination.entry, request).await?;
+        if !work::may_send(host, &destination) {
+            checkout.release();
+            return Err(Failure::Superseded);
+        }
         let fence = destination.primary.as_ref().map(|p| (service, p.fence));
         let work_guard = fence.map(|(service, fence)| host.register_work(service, fence));
         let bounds = Bounds { deadline: task.deadline, fence };
@@ -195,7 +218,7 @@
             return Err(Failure::Superseded);
         }
         let floor = if fence.is_some() { None } else { work::floor(host, context) };
-        if fence.is_none() && floor.is_none() {
+        if (fence.is_none() && floor.is_none()) || !work::may_send(host, &destination) {
             checkout.release();
             return Err(Failure::Superseded);
         }
@@ -234,6 +257,10 @@
             self.pinned = None;
             return Err(Refusal::new(Code::Aborted, "superseded"));
         }
+        if self.is_evacuated(host) {
+            self.pinned = None;
+            return Err(Refusal::new(Code::Aborted, EVACUATED));
+        }
         let Some(pinned) = &mut self.pinned else {
             return Err(Refusal::new(Code::Aborted, "superseded"));
         };
@@ -248,6 +275,11 @@
                 Refusal::new(Code::Aborted, failure_label(failure)).with_target(&target.name)
             );
         }
+        // Applying the session took time.
+        if host.evacuation.is_closed(&pinned.destination.entry) {
+            self.pinned = None;
+            return Err(Refusal::new(Code::Aborted, EVACUATED).with_target(&target.name));
+        }
         let message = line::query(&task.id, &task.text);
         let result = connection.exchange(host, &target, &message, bounds).await;
         let may_continue = self.may_continue(host, service);
--- a/crates/sessions/src/caller/work.rs
+++ b/crates/sessions/src/caller/work.rs
@@ -11,7 +11,7 @@
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::catalog::Consistency;
-use bergamotvale_core::proxy::directory::{Entry, TargetName, of_service};
+use bergamotvale_core::proxy::directory::{Directory, Entry, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::{Observation, Position};
 use bergamotvale_core::proxy::select::{self, Candidate};
@@ -167,6 +167,9 @@
         .filter(|entry| is_eligible(host, entry))
         .map(|entry| candidate(host, context, entry, primary.as_ref()))
         .collect();
+    if candidates.is_empty() && has_evacuated_target(host, &directory, &context.service) {
+        return Err(Unavailable::Evacuated);
+    }
     let chosen = select::choose(&candidates, floor, tried).ok_or(Unavailable::Unreachable)?;
     let entry = directory.get(&chosen.name).cloned().ok_or(Unavailable::Unreachable)?;
     Ok(Destination { entry, floor: Some(floor), primary: None })
@@ -174,9 +177,28 @@
 
 /// Whether a read may be sent to a target.
 fn is_eligible(host: &Host, entry: &Entry) -> bool {
+    is_usable(host, entry) && !host.evacuation.is_evacuated(entry)
+}
+
+fn is_usable(host: &Host, entry: &Entry) -> bool {
     !entry.is_leaving && host.targets.view(&entry.name) != View::Lost
 }
 
+/// Whether a target of the service could serve reads if its domain were not evacuated.
+fn has_evacuated_target(host: &Host, directory: &Directory, service: &str) -> bool {
+    of_service(directory, service)
+        .any(|entry| is_usable(host, entry) && host.evacuation.is_evacuated(entry))
+}
+
+/// Whether a statement may still be sent to a destination that was chosen earlier: its domain may
+/// have been evacuated while the statement waited for a connection.
+pub fn may_send(host: &Host, destination: &Destination) -> bool {
+    match destination.primary {
+        Some(_) => !host.evacuation.is_closed(&destination.entry),
+        None => !host.evacuation.is_evacuated(&destination.entry),
+    }
+}
+
 fn primary_destination(host: &Host, service: &str) -> Result<Destination, Unavailable> {
     let primary = host.primary(service)?;
     let entry =
@@ -233,6 +255,7 @@
         let wait_deadline = match unavailable {
             Unavailable::Promoting | Unavailable::Unreachable => deadline,
             Unavailable::NoLease => deadline.min(began + MAX_LEASE_WAIT),
+            Unavailable::Evacuated => began,
         };
         if Instant::now() >= wait_deadline {
             return Err(unavailable);
@@ -326,6 +349,10 @@
     };
     let request = context.request(attempt_deadline, task.max_wait);
     let mut checkout = acquire(host, &destination.entry, request).await?;
+    if !may_send(host, destination) {
+        checkout.release();
+        return Err(Failure::Superseded);
+    }
     let fence = destination.primary.as_ref().map(|p| (context.service.as_str(), p.fence));
     let work_guard = fence.map(|(service, fence)| host.register_work(service, fence));
     let bounds = Bounds { deadline: attempt_deadline, fence };
@@ -335,7 +362,7 @@
     // Getting the connection took time, so the floor is computed again, and the fence and the lease
     // are checked again.
     let floor = if destination.primary.is_some() { None } else { floor(host, context) };
-    if destination.primary.is_none() && floor.is_none() {
+    if (destination.primary.is_none() && floor.is_none()) || !may_send(host, destination) {
         checkout.release();
         return Err(Failure::Superseded);
     }
@@ -451,12 +478,16 @@
     let service = context.service.as_str();
     let request = context.request(task.deadline, task.max_wait);
     let mut checkout = acquire(host, &destination.entry, request).await?;
+    if !may_send(host, destination) {
+        checkout.release();
+        return Err(Failure::Superseded.into());
+    }
     let _work_guard = host.register_work(service, primary.fence);
     let bounds = Bounds { deadline: task.deadline, fence: Some((service, primary.fence)) };
     let target = checkout.target.clone();
     let shape = task.shape.as_ref();
     checkout.connection().apply_session(host, &target, values, shape, bounds).await?;
-    if !host.is_current(service, primary.fence) {
+    if !host.is_current(service, primary.fence) || !may_send(host, destination) {
         checkout.release();
         return Err(Failure::Superseded.into());
     }
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -76,6 +76,14 @@
     RosterChanged { service: &'a str, roster: &'a Roster },
     /// This host's view of a target changed, or the target's entry was added, changed or removed.
     Target { target: &'a str, service: &'a str, view: &'a str, leaving: bool },
+    /// An evacuation of a failure domain reached a step at this host.
+    Evacuation {
+        domain: &'a str,
+        step: &'a str,
+        targets: usize,
+        primaries: usize,
+        closes_in_ms: Option<u64>,
+    },
     /// A promotion that this host executes reached or failed a step.
     Promotion {
         service: &'a str,
--- a/crates/sessions/src/fleet/follow.rs
+++ b/crates/sessions/src/fleet/follow.rs
@@ -6,6 +6,7 @@
 //! one.
 
 use crate::boot_clock;
+use crate::evacuation;
 use crate::event::Event;
 use crate::fleet::feed::{Feed, Update};
 use crate::fleet::member::{record_earlier_incarnation, rejoin};
@@ -62,6 +63,7 @@
                 adopt_catalog(&host, value);
             }
         }
+        evacuation::adopt_rows(&host, &update);
     }
 }
 
@@ -100,7 +102,8 @@
     host.quota.update_shares(now, host.id, &members, &catalog, has_shares, &host.settings.rates);
 }
 
-fn log_unreadable(host: &Host, table: &str, key: &str, error: &Error) {
+/// Counts and logs a row that cannot be decoded.
+pub fn log_unreadable(host: &Host, table: &str, key: &str, error: &Error) {
     host.metrics.count("rows_unreadable");
     host.journal.write(&Event::RowUnreadable { table, key, error: &error.to_string() });
 }
--- a/crates/sessions/src/fleet/peer.rs
+++ b/crates/sessions/src/fleet/peer.rs
@@ -7,10 +7,12 @@
 //! in the heartbeat are counted from that bound and thus only overestimated.
 
 use crate::boot_clock;
+use crate::evacuation::{self, WireReport};
 use crate::fleet::{copies, follow};
 use crate::state::Host;
 use bergamotvale_core::id::{AccountId, HostId, Time};
 use bergamotvale_core::peer::TokenRequest;
+use bergamotvale_core::proxy::evacuation::Report;
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::{Observation, Position};
 use bergamotvale_core::proxy::lease::{Attestation, Member};
@@ -99,6 +101,8 @@
     LoanRequest { host: HostId, account: AccountId, count: u32, sequence: u64 },
     /// Answers the loan request with the same sequence number; `count` may be 0.
     Loan { host: HostId, account: AccountId, count: u32, sequence: u64 },
+    /// The evacuations that the sender knows of; follows each heartbeat once it knows of any.
+    Evacuations(WireReport),
 }
 
 /// What this host has received from one peer.
@@ -292,6 +296,10 @@
         }
         Message::Table(part) => copies::handle_part(host, part),
         Message::Difference(difference) => copies::handle_difference(host, difference),
+        Message::Evacuations(report) => {
+            let created_after = host.peers.earliest_creation(report.echo);
+            evacuation::adopt_report(host, report, created_after);
+        }
         Message::LoanRequest { host: peer, account, count, sequence } => {
             let version = host.catalog.borrow().version;
             let request = TokenRequest { host: peer, account, count, version, sequence };
@@ -463,6 +471,7 @@
     };
     let groups = group_reports(host, now);
     let newest = host.peers.newest.borrow().clone();
+    let evacuations = host.evacuation.report(now);
     let receivers =
         members.iter().filter(|(id, member)| **id != host.id && is_receiver(**id, member));
     for (id, member) in receivers {
@@ -474,6 +483,10 @@
         let (newest, groups) = (newest.clone(), groups.clone());
         let heartbeat = Heartbeat { attestation, number, echo, newest, groups };
         host.peers.send(&Message::Heartbeat(heartbeat), member.address);
+        if let Some(Report { revision, domains, unreadable }) = evacuations.clone() {
+            let report = WireReport { echo, revision, domains, unreadable };
+            host.peers.send(&Message::Evacuations(report), member.address);
+        }
     }
 }
 
--- a/crates/sessions/src/group/promote.rs
+++ b/crates/sessions/src/group/promote.rs
@@ -54,6 +54,9 @@
 const MAX_CALL_EFFECT_DELAY: Duration = Duration::from_secs(2);
 /// Longest time that a planned promotion waits for its candidate to catch up.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
+/// As [`CATCH_UP_TIMEOUT`], while the primary in an evacuated domain is not lost. Its commits are
+/// acknowledged, and the operator still has it running.
+const EVACUATION_CATCH_UP_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which the feed shows the result of a conditional write that got no answer.
 const READ_BACK_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -113,6 +116,7 @@
         record: &stored.record,
         directory: &directory,
         views: &host.targets.views(),
+        evacuated: &host.evacuation.domains(),
         peer_views: &host.peers.views(service, stored.record.fence, host.peer_timeout()),
         positions: &host.targets.positions(),
         holder: holder(host, &stored.record),
@@ -153,7 +157,7 @@
             }
         }
         Task::Replace(stored, replacement) => {
-            let planned = replacement.cause == Cause::Leaving;
+            let planned = replacement.cause.is_planned();
             let seen = highest_seen_term(host, service);
             let (candidate, era) = (&replacement.candidate, stored.revision.era);
             let record = stored.record.promote(candidate, host.id, planned, seen, era);
@@ -403,7 +407,8 @@
     /// Whether the candidate can no longer be promoted, so that this host goes on with another.
     fn has_lost_candidate(&self) -> bool {
         let candidate = &self.record.primary;
-        let is_listed = self.entry(candidate).is_some_and(|entry| !entry.is_leaving);
+        let is_fit = |entry: Entry| !entry.is_leaving && !self.host.evacuation.is_evacuated(&entry);
+        let is_listed = self.entry(candidate).is_some_and(is_fit);
         !is_listed || self.host.targets.view(candidate) == View::Lost
     }
 
@@ -431,9 +436,9 @@
     /// Waits until the candidate has received all that the previous primary has, or has nothing to
     /// wait for because an unplanned promotion finds that one silent. False after the timeout.
     async fn wait_for_catch_up(&self) -> bool {
-        let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+        let began = Instant::now();
         let Some(previous) = &self.record.previous else { return true };
-        while Instant::now() < deadline {
+        while began.elapsed() < self.catch_up_timeout(previous) {
             let ahead = self.status(previous).await;
             if ahead.is_err() && !self.record.planned {
                 self.log("caught_up", "the previous primary does not answer");
@@ -452,6 +457,16 @@
         false
     }
 
+    /// Longest time that the promotion waits for its candidate to catch up with `previous`.
+    fn catch_up_timeout(&self, previous: &TargetName) -> Duration {
+        let is_lost = self.host.targets.view(previous) == View::Lost;
+        if self.cause == Cause::Evacuated && !is_lost {
+            EVACUATION_CATCH_UP_TIMEOUT
+        } else {
+            CATCH_UP_TIMEOUT
+        }
+    }
+
     /// Demotes the previous primary in the background if it is reachable. The promotion does not
     /// depend on it.
     fn demote_previous(&self) {
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -6,12 +6,14 @@
 //! - [`pool`] holds connections to targets, and the state of each target.
 //! - [`group`] replaces primaries, with a survey of the targets' logs where replicas are
 //!   synchronous.
+//! - [`evacuation`] keeps statements from targets in evacuated failure domains.
 //! - [`fleet`] copies the platform's tables and exchanges heartbeats and loans of rate tokens with
 //!   other hosts.
 //! - Operation: [`maintenance`], [`stop`], [`status`], [`http`], [`event`] and [`metric`].
 
 pub mod boot_clock;
 pub mod caller;
+pub mod evacuation;
 pub mod event;
 pub mod fleet;
 pub mod group;
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -3,6 +3,7 @@
 
 use crate::boot_clock;
 use crate::caller::work;
+use crate::evacuation;
 use crate::event::{Event, millis};
 use crate::fleet::{feed, follow, member, peer};
 use crate::pool::connection::{Bounds, Connection, Failure, is_clean};
@@ -51,6 +52,7 @@
         follow::record_outage(&host, &mut last_store_read);
         probe_targets(&host, &probing);
         remove_unlisted_targets(&host);
+        evacuation::tick(&host);
         log_views(&host, &mut views);
         host.quota.meter.borrow_mut().tick(boot_clock::now());
         remove_silent_members(&host, started).await;
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -5,6 +5,7 @@
 
 use crate::boot_clock;
 use crate::caller::quota::Quota;
+use crate::evacuation::{EVACUATED, Evacuation};
 use crate::event::{Event, Journal, millis};
 use crate::fleet::peer::{self, Peers};
 use crate::metric::Registry;
@@ -76,6 +77,9 @@
     Promoting,
     /// The target does not answer, has left the directory or is at the end of its drain.
     Unreachable,
+    /// The target is in an evacuated failure domain. Waiting is of no use, because the domain is
+    /// evacuated until an operator ends it.
+    Evacuated,
 }
 
 impl Unavailable {
@@ -85,6 +89,7 @@
             Unavailable::NoLease => "lease_lapsed",
             Unavailable::Promoting => "no_primary",
             Unavailable::Unreachable => "primary_lost",
+            Unavailable::Evacuated => EVACUATED,
         }
     }
 }
@@ -126,6 +131,8 @@
     pub targets: Targets,
     /// State of other hosts, and the socket to reach them.
     pub peers: Peers,
+    /// Evacuations of failure domains.
+    pub evacuation: Evacuation,
     /// This host's shares of the client accounts' rates.
     pub quota: Quota,
     /// Work in flight that depends on a primary: service and fence, by number.
@@ -178,6 +185,7 @@
             histories: RefCell::default(),
             targets: Targets::default(),
             peers: Peers::new(id),
+            evacuation: Evacuation::new(settings.times.evacuation),
             quota: Quota::new(LEASE_LIMITS.validity + LEASE_LIMITS.clock_drift_margin),
             in_flight_work: RefCell::default(),
             next_work_number: Cell::new(0),
@@ -253,8 +261,11 @@
             return Err(Unavailable::Promoting);
         }
         let target = &stored.record.primary;
-        let is_listed = self.directory.borrow().contains_key(target);
-        if !is_listed || self.has_drained(target) || self.targets.view(target) == View::Lost {
+        let entry = self.directory.borrow().get(target).cloned();
+        if entry.as_ref().is_some_and(|entry| self.evacuation.is_closed(entry)) {
+            return Err(Unavailable::Evacuated);
+        }
+        if entry.is_none() || self.has_drained(target) || self.targets.view(target) == View::Lost {
             return Err(Unavailable::Unreachable);
         }
         Ok(Primary { target: target.clone(), fence: stored.record.fence })
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -52,6 +52,13 @@
         Event::RosterChanged { service, roster },
         Event::Target { target, service, view: "lost", leaving: false },
         Event::Promotion { service, target, fence: 1, step: "call", cause, elapsed_ms: 1, outcome },
+        Event::Evacuation {
+            domain: "d",
+            step: "ordered",
+            targets: 1,
+            primaries: 1,
+            closes_in_ms: Some(1),
+        },
         refused("1"),
         Event::Retried { request: "1", target, reason: "connection_lost" },
         Event::SessionClosed { database: "d", reason: "no such database" },
@@ -80,7 +87,12 @@
         Failure::Superseded,
         Failure::Full,
     ];
-    let unavailable = [Unavailable::NoLease, Unavailable::Promoting, Unavailable::Unreachable];
+    let unavailable = [
+        Unavailable::NoLease,
+        Unavailable::Promoting,
+        Unavailable::Unreachable,
+        Unavailable::Evacuated,
+    ];
     let denials = ["no such database", "no client account holds this key", "rate", STOPPING];
     let labels = failures
         .into_iter()
@@ -112,9 +124,10 @@
         Event::RosterChanged { .. } => 16,
         Event::Target { .. } => 17,
         Event::Promotion { .. } => 18,
-        Event::Refused { .. } => 19,
-        Event::Retried { .. } => 20,
-        Event::SessionClosed { .. } => 21,
+        Event::Evacuation { .. } => 19,
+        Event::Refused { .. } => 20,
+        Event::Retried { .. } => 21,
+        Event::SessionClosed { .. } => 22,
     }
 }
 
--- a/crates/standin/src/lines/group.rs
+++ b/crates/standin/src/lines/group.rs
@@ -50,6 +50,10 @@
     pub(super) log: Vec<Commit>,
     pub(super) open_connections: u32,
     pub(super) is_leaving: bool,
+    /// Failure domain in the directory entry.
+    domain: String,
+    /// When the last statement of a caller arrived; `None` before the first.
+    pub(super) last_statement: Option<std::time::Instant>,
     pub(super) is_crashed: bool,
     /// Whether the store does not hear the target, so that the directory has no entry of it.
     is_unlisted: bool,
@@ -272,6 +276,8 @@
             log: Vec::new(),
             open_connections: 0,
             is_leaving: false,
+            domain: "a".into(),
+            last_statement: None,
             is_crashed: false,
             is_unlisted: false,
             drops_commit_responses: false,
@@ -311,7 +317,7 @@
                 name: self.name.clone(),
                 service: self.service.clone(),
                 address: *lock(&self.published_address),
-                domain: "a".into(),
+                domain: state.domain.clone(),
                 slots: SLOTS,
                 is_leaving: state.is_leaving,
                 role: state.role,
@@ -323,6 +329,17 @@
         self.store.write(directory::TABLE, &self.name, Some(value));
     }
 
+    /// Moves the target to another failure domain in the directory.
+    pub fn set_domain(&self, domain: &str) {
+        lock(&self.state).domain = domain.into();
+        self.register();
+    }
+
+    /// When the last statement of a caller arrived at the target; `None` before the first.
+    pub fn last_statement(&self) -> Option<std::time::Instant> {
+        lock(&self.state).last_statement
+    }
+
     /// Marks the target as leaving in the directory.
     pub fn mark_leaving(&self) {
         lock(&self.state).is_leaving = true;
--- a/crates/standin/src/lines/session.rs
+++ b/crates/standin/src/lines/session.rs
@@ -142,6 +142,9 @@
         after: Option<Position>,
         command: Option<Command>,
     ) -> Option<Bytes> {
+        if id != HOST_STATEMENT_ID {
+            lock(&self.target.state).last_statement = Some(std::time::Instant::now());
+        }
         if after.is_some_and(|after| self.position() < after) {
             return self.error(Code::Lagging);
         }
