--- a/crates/host/tests/sessions/soak/faults.rs
+++ b/crates/host/tests/sessions/soak/faults.rs
@@ -1,9 +1,11 @@
 //! Fault injection of the soak: draws faults from a seed, one after another or overlapping, and
 //! clears each after a random time.
 
-use super::{HOSTS, Soak};
+use super::{HOSTS, Soak, domain};
 use crate::fixture::Process;
+use bergamotvale_platform::catalog;
 use bergamotvale_standin::lines::Outage;
+use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
@@ -16,6 +18,10 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..2500;
 /// A replication stall is also injected with one draw in this many.
 const STALL_ONE_IN: u32 = 3;
+/// An evacuation is also ordered with one draw in this many.
+const EVACUATION_ONE_IN: u32 = 4;
+/// Distinguishes the generator of evacuations from the other ones of a seed.
+const EVACUATION_SEED: u64 = 1 << 40;
 /// Lag of a stalled replica: longer than a run, so that it receives nothing.
 const STALLED_LAG: Duration = Duration::from_secs(3600);
 const NORMAL_LAG: Duration = Duration::from_millis(5);
@@ -52,6 +58,8 @@
     ResponsesLost(usize),
     /// The target receives no commits while it is a replica.
     ReplicationStalled(usize),
+    /// The failure domain of the target is evacuated.
+    Evacuated(usize),
 }
 
 /// Injects faults until `deadline`, then clears all active ones. Returns the number of faults.
@@ -60,6 +68,8 @@
     // Stalls have a generator of their own: seeds that failed before stalls were added to the soak
     // still draw the same other faults.
     let mut stall_rng = SmallRng::seed_from_u64(!seed);
+    // So do evacuations.
+    let mut evacuation_rng = SmallRng::seed_from_u64(seed ^ EVACUATION_SEED);
     let mut active: BTreeMap<Fault, Instant> = BTreeMap::new();
     let mut count = 0;
     let mut next_fault = Instant::now();
@@ -71,6 +81,7 @@
             let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
             count += usize::from(inject_random_fault(soak, &mut rng, &mut active, duration));
             count += usize::from(inject_random_stall(soak, &mut stall_rng, &mut active));
+            count += usize::from(inject_random_evacuation(soak, &mut evacuation_rng, &mut active));
         }
         std::thread::sleep(POLL_INTERVAL);
     }
@@ -136,6 +147,30 @@
     true
 }
 
+/// Evacuates the domain of a random target, with one draw in `EVACUATION_ONE_IN`. Returns whether
+/// an evacuation was ordered.
+fn inject_random_evacuation(
+    soak: &Soak,
+    rng: &mut SmallRng,
+    active: &mut BTreeMap<Fault, Instant>,
+) -> bool {
+    let fault = Fault::Evacuated(rng.random_range(0..soak.group.targets.len()));
+    let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+    if !rng.random_ratio(1, EVACUATION_ONE_IN) || active.contains_key(&fault) {
+        return false;
+    }
+    inject_fault(soak, rng, fault);
+    active.insert(fault, Instant::now() + duration);
+    true
+}
+
+/// Orders or ends the evacuation of a target's domain, as operators do.
+fn set_evacuated(soak: &Soak, target: usize, is_evacuated: bool) {
+    let key = catalog::evacuation_key(&domain(target));
+    let value = is_evacuated.then(|| Bytes::from_static(b"{}"));
+    soak.system.store.write(catalog::TABLE, &key, value);
+}
+
 /// Whether an active fault excludes `fault`: a host process has at most one fault, and at most one
 /// target is crashed at a time.
 fn conflicts(fault: Fault, active: &BTreeMap<Fault, Instant>) -> bool {
@@ -178,6 +213,7 @@
         }
         Fault::ResponsesLost(target) => soak.group.targets[target].drop_commit_responses(true),
         Fault::ReplicationStalled(target) => soak.group.targets[target].set_lag(STALLED_LAG),
+        Fault::Evacuated(target) => set_evacuated(soak, target, true),
     }
 }
 
@@ -250,6 +286,7 @@
         }
         Fault::ResponsesLost(target) => soak.group.targets[target].drop_commit_responses(false),
         Fault::ReplicationStalled(target) => soak.group.targets[target].set_lag(NORMAL_LAG),
+        Fault::Evacuated(target) => set_evacuated(soak, target, false),
     }
 }
 
--- a/crates/host/tests/sessions/soak/mod.rs
+++ b/crates/host/tests/sessions/soak/mod.rs
@@ -24,6 +24,9 @@
 use std::time::{Duration, Instant};
 
 const HOSTS: u8 = 3;
+/// Time limit of evacuations, in milliseconds. Hosts close a domain 2 s before it, so that domains
+/// close during the faults.
+const EVACUATION_LIMIT_MS: u64 = 2500;
 /// Number of callers that write, each to an item of its own.
 const WRITERS: u32 = 4;
 /// Number of callers that read the writers' items.
@@ -43,6 +46,11 @@
 /// Time for which each seed injects faults by default.
 const DEFAULT_SECONDS: u64 = 10;
 
+/// Failure domain of the target with this index.
+fn domain(target: usize) -> String {
+    format!("d{target}")
+}
+
 /// The system under test of one seed, its relays and the record of what callers observed.
 struct Soak {
     system: System,
@@ -70,6 +78,9 @@
             relay
         };
         let target_links = group.targets.iter().map(relay).collect();
+        for (index, target) in group.targets.iter().enumerate() {
+            target.set_domain(&domain(index));
+        }
         let store = system.address;
         let store_links: Vec<Relay> =
             (0..HOSTS).map(|_| Relay::start(store).expect("the relay starts")).collect();
@@ -103,7 +114,10 @@
 
     /// Starts host `index`, which listens on the same addresses after every restart.
     fn start_host(&self, index: u8) -> Process {
-        Process::start(index + 1, self.store_links[usize::from(index)].address())
+        let store = self.store_links[usize::from(index)].address();
+        Process::start_with(index + 1, store, |settings| {
+            settings["times"]["evacuation"] = EVACUATION_LIMIT_MS.into();
+        })
     }
 
     fn is_stopping(&self) -> bool {
