Keep operations in the home regions of their route and account

Targets elsewhere are not eligible, nor is a primary there. What no target may run is refused at once, and the reason names the route or the account.

--- a/crates/core/src/proxy/catalog.rs
+++ b/crates/core/src/proxy/catalog.rs
@@ -2,6 +2,7 @@
 //!
 //! A catalog is immutable. A newer version replaces it as a whole; an older version never does.
 
+use super::home::{Homes, Regions};
 use crate::id::Version;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -32,6 +33,8 @@
     pub priority: u32,
     /// Whether callers may use the database without a known key.
     pub is_public: bool,
+    /// Regions whose targets may serve the route; empty if all may.
+    pub home_regions: Regions,
 }
 
 /// Configuration of one database group.
@@ -52,6 +55,8 @@
     pub rate: u32,
     /// Maximum operations in one burst, over all hosts.
     pub burst: u32,
+    /// Regions whose targets may serve the account; empty if all may.
+    pub home_regions: Regions,
 }
 
 /// One version of the configuration.
@@ -89,6 +94,15 @@
     pub account: Option<&'a Account>,
 }
 
+impl Grant<'_> {
+    /// Home regions that apply to the caller's operations.
+    pub fn homes(&self) -> Homes {
+        let account = self.account.map(|account| account.home_regions.clone());
+        let route = self.route.home_regions.clone();
+        Homes { route, account: account.unwrap_or_default() }
+    }
+}
+
 impl Catalog {
     /// Authorizes a caller that presents `key` to use `database`.
     ///
--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 pub mod evidence;
 pub mod failover;
 pub mod floor;
+pub mod home;
 pub mod lease;
 pub mod record;
 pub mod restore;
--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -405,8 +405,14 @@
         latency_target: ms(500),
         priority: 1,
         is_public,
+        home_regions: BTreeSet::new(),
+    };
+    let account = |name: &String| Account {
+        name: name.clone(),
+        rate: 10,
+        burst: 10,
+        home_regions: BTreeSet::new(),
     };
-    let account = |name: &String| Account { name: name.clone(), rate: 10, burst: 10 };
     Catalog {
         version: 1,
         routes: given.databases.iter().map(|(name, open)| (name.clone(), route(*open))).collect(),
--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -3,6 +3,7 @@
 
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Group, Route};
+use bergamotvale_core::proxy::home::Regions;
 use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{self, Answer, End, State, TargetCodec};
 use bergamotvale_sessions::status::Status;
@@ -199,11 +200,12 @@
         latency_target: Duration::from_secs(2),
         priority: 1,
         is_public: false,
+        home_regions: Regions::new(),
     }
 }
 
 fn account(name: &str) -> Account {
-    Account { name: name.into(), rate: 10_000, burst: 10_000 }
+    Account { name: name.into(), rate: 10_000, burst: 10_000, home_regions: Regions::new() }
 }
 
 /// The configuration of most tests: a database for each consistency, and two client accounts.
--- a/crates/host/tests/sessions/main.rs
+++ b/crates/host/tests/sessions/main.rs
@@ -4,6 +4,7 @@
 mod evacuation;
 mod faults;
 mod fixture;
+mod home;
 mod on_call;
 mod path;
 mod restored;
--- a/crates/sessions/src/caller/mod.rs
+++ b/crates/sessions/src/caller/mod.rs
@@ -408,6 +408,7 @@
             consistency: grant.route.consistency,
             priority: grant.route.priority,
             account: grant.account.map_or(NO_ACCOUNT, |a| a.name.as_str()).to_owned(),
+            homes: grant.homes(),
             last_commit,
         });
         Ok(grant.account.cloned())
--- a/crates/sessions/src/caller/transaction.rs
+++ b/crates/sessions/src/caller/transaction.rs
@@ -156,7 +156,7 @@
             let destination = if self.read_only && context.consistency != Consistency::Primary {
                 work::wait_destination(host, context, &tried, task.deadline).await
             } else {
-                work::wait_primary(host, &context.service, task.deadline).await
+                work::wait_primary(host, context, task.deadline).await
             };
             let destination = match destination {
                 Ok(destination) => destination,
--- a/crates/sessions/src/caller/work.rs
+++ b/crates/sessions/src/caller/work.rs
@@ -14,6 +14,7 @@
 use bergamotvale_core::proxy::directory::{Directory, Entry, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::{Observation, Position};
+use bergamotvale_core::proxy::home::Homes;
 use bergamotvale_core::proxy::select::{self, Candidate};
 use bergamotvale_core::proxy::session::Values;
 use bergamotvale_core::proxy::statement::Shape;
@@ -51,6 +52,8 @@
     /// Name of the client account that is sent to targets; `-` on a public route without a known
     /// key.
     pub account: String,
+    /// Regions whose targets may serve the operation.
+    pub homes: Homes,
     /// Log position of the session's newest commit to this service.
     pub last_commit: Option<Position>,
 }
@@ -159,16 +162,16 @@
     tried: &[TargetName],
 ) -> Result<Destination, Unavailable> {
     let Some(floor) = floor(host, context) else {
-        return primary_destination(host, &context.service);
+        return primary_destination(host, context);
     };
     let directory = host.directory.borrow();
     let primary = host.records.borrow().get(&context.service).map(|s| s.record.primary.clone());
     let candidates: Vec<Candidate> = of_service(&directory, &context.service)
-        .filter(|entry| is_eligible(host, entry))
+        .filter(|entry| is_eligible(host, context, entry))
         .map(|entry| candidate(host, context, entry, primary.as_ref()))
         .collect();
-    if candidates.is_empty() && has_evacuated_target(host, &directory, &context.service) {
-        return Err(Unavailable::Evacuated);
+    if candidates.is_empty() {
+        return Err(no_target(host, context, &directory));
     }
     let chosen = select::choose(&candidates, floor, tried).ok_or(Unavailable::Unreachable)?;
     let entry = directory.get(&chosen.name).cloned().ok_or(Unavailable::Unreachable)?;
@@ -176,18 +179,26 @@
 }
 
 /// Whether a read may be sent to a target.
-fn is_eligible(host: &Host, entry: &Entry) -> bool {
-    is_usable(host, entry) && !host.evacuation.is_evacuated(entry)
+fn is_eligible(host: &Host, context: &Context, entry: &Entry) -> bool {
+    let is_at_home = context.homes.check(host.region(entry)).is_ok();
+    is_at_home && is_usable(host, entry) && !host.evacuation.is_evacuated(entry)
 }
 
 fn is_usable(host: &Host, entry: &Entry) -> bool {
     !entry.is_leaving && host.targets.view(&entry.name) != View::Lost
 }
 
-/// Whether a target of the service could serve reads if its domain were not evacuated.
-fn has_evacuated_target(host: &Host, directory: &Directory, service: &str) -> bool {
-    of_service(directory, service)
-        .any(|entry| is_usable(host, entry) && host.evacuation.is_evacuated(entry))
+/// Why no target of the service is eligible for a read.
+fn no_target(host: &Host, context: &Context, directory: &Directory) -> Unavailable {
+    let usable = || of_service(directory, &context.service).filter(|e| is_usable(host, e));
+    let checks: Vec<_> = usable().map(|e| context.homes.check(host.region(e))).collect();
+    if let Some(Err(owner)) = checks.iter().find(|check| check.is_err())
+        && checks.iter().all(Result::is_err)
+    {
+        return Unavailable::NotAtHome(*owner);
+    }
+    let is_evacuated = usable().any(|entry| host.evacuation.is_evacuated(entry));
+    if is_evacuated { Unavailable::Evacuated } else { Unavailable::Unreachable }
 }
 
 /// Whether a statement may still be sent to a destination that was chosen earlier: its domain may
@@ -199,10 +210,11 @@
     }
 }
 
-fn primary_destination(host: &Host, service: &str) -> Result<Destination, Unavailable> {
-    let primary = host.primary(service)?;
+fn primary_destination(host: &Host, context: &Context) -> Result<Destination, Unavailable> {
+    let primary = host.primary(&context.service)?;
     let entry =
         host.directory.borrow().get(&primary.target).cloned().ok_or(Unavailable::Unreachable)?;
+    context.homes.check(host.region(&entry)).map_err(Unavailable::NotAtHome)?;
     Ok(Destination { entry, floor: None, primary: Some(primary) })
 }
 
@@ -235,10 +247,10 @@
 /// lease at most `MAX_LEASE_WAIT`.
 pub async fn wait_primary(
     host: &Host,
-    service: &str,
+    context: &Context,
     deadline: Instant,
 ) -> Result<Destination, Unavailable> {
-    wait_for(host, deadline, || primary_destination(host, service)).await
+    wait_for(host, deadline, || primary_destination(host, context)).await
 }
 
 async fn wait_for(
@@ -255,7 +267,7 @@
         let wait_deadline = match unavailable {
             Unavailable::Promoting | Unavailable::Unreachable => deadline,
             Unavailable::NoLease => deadline.min(began + MAX_LEASE_WAIT),
-            Unavailable::Evacuated => began,
+            Unavailable::Evacuated | Unavailable::NotAtHome(_) => began,
         };
         if Instant::now() >= wait_deadline {
             return Err(unavailable);
@@ -418,7 +430,7 @@
     task: &Task,
 ) -> Result<Answer, Refusal> {
     loop {
-        let waited = wait_primary(host, &context.service, task.deadline).await;
+        let waited = wait_primary(host, context, task.deadline).await;
         let destination =
             waited.map_err(|unavailable| Refusal::new(Code::Busy, unavailable.label()))?;
         let mut sent = Sent::No;
--- a/crates/sessions/src/fleet/follow.rs
+++ b/crates/sessions/src/fleet/follow.rs
@@ -13,6 +13,7 @@
 use crate::fleet::peer::{self, Source};
 use crate::state::{Host, StoredRecord};
 use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_core::proxy::directory::Directory;
 use bergamotvale_core::proxy::lease::Member;
 use bergamotvale_core::proxy::record::Record;
@@ -82,11 +83,25 @@
     let (version, routes, accounts) =
         (catalog.version, catalog.routes.len(), catalog.accounts.len());
     host.journal.write(&Event::Configured { version, routes, accounts });
+    log_unknown_regions(host, &catalog);
     *host.catalog.borrow_mut() = Rc::new(catalog);
     divide_rates(host);
     host.changed.notify_waiters();
 }
 
+/// Logs home regions that are those of no failure domain in the settings: no target is in them.
+fn log_unknown_regions(host: &Host, catalog: &Catalog) {
+    let known: BTreeSet<&String> = host.settings.regions.values().collect();
+    let routes = catalog.routes.iter().map(|(database, route)| (database, &route.home_regions));
+    let accounts = catalog.accounts.iter().map(|(name, account)| (name, &account.home_regions));
+    for (name, homes) in routes.chain(accounts) {
+        for region in homes.iter().filter(|region| !known.contains(region)) {
+            let error = Error::Unreadable(format!("home region {region} has no failure domain"));
+            log_unreadable(host, catalog::TABLE, name, &error);
+        }
+    }
+}
+
 /// Computes this host's shares of the accounts' rates anew. Does nothing while the host is not a
 /// member.
 fn divide_rates(host: &Host) {
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -18,6 +18,7 @@
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::failover::HANDOVER_TIME;
 use bergamotvale_core::proxy::floor::History;
+use bergamotvale_core::proxy::home::Owner;
 use bergamotvale_core::proxy::lease::{Lease, Limits, Member};
 use bergamotvale_core::proxy::record::{Fence, Record};
 use bergamotvale_core::proxy::revision::{Era, Revision};
@@ -77,6 +78,8 @@
     Promoting,
     /// The target does not answer, has left the directory or is at the end of its drain.
     Unreachable,
+    /// The targets are in no home region of the route or the client account.
+    NotAtHome(Owner),
     /// The target is in an evacuated failure domain. Waiting is of no use, because the domain is
     /// evacuated until an operator ends it.
     Evacuated,
@@ -89,6 +92,8 @@
             Unavailable::NoLease => "lease_lapsed",
             Unavailable::Promoting => "no_primary",
             Unavailable::Unreachable => "primary_lost",
+            Unavailable::NotAtHome(Owner::Route) => "home_of_route",
+            Unavailable::NotAtHome(Owner::Account) => "home_of_account",
             Unavailable::Evacuated => EVACUATED,
         }
     }
@@ -271,6 +276,11 @@
         Ok(Primary { target: target.clone(), fence: stored.record.fence })
     }
 
+    /// Region of a target; `None` if the settings do not state it.
+    pub fn region(&self, entry: &Entry) -> Option<&str> {
+        self.settings.regions.get(&entry.domain).map(String::as_str)
+    }
+
     /// Whether the host's shares of the rates are in force: at once if an earlier incarnation had
     /// them, otherwise once all other hosts have reduced theirs.
     pub fn has_shares(&self) -> bool {
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -2,6 +2,7 @@
 //! lines about requests is bounded.
 
 use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_core::proxy::home::Owner;
 use bergamotvale_core::proxy::revision::Revision;
 use bergamotvale_core::proxy::roster::Roster;
 use bergamotvale_sessions::caller::STOPPING;
@@ -92,6 +93,8 @@
         Unavailable::Promoting,
         Unavailable::Unreachable,
         Unavailable::Evacuated,
+        Unavailable::NotAtHome(Owner::Route),
+        Unavailable::NotAtHome(Owner::Account),
     ];
     let denials = ["no such database", "no client account holds this key", "rate", STOPPING];
     let labels = failures
