--- a/crates/core/tests/proxy.rs
+++ b/crates/core/tests/proxy.rs
@@ -15,7 +15,7 @@
 use bergamotvale_core::proxy::revision::Revision;
 use common::case;
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::time::Duration;
 
@@ -150,6 +150,7 @@
                     record: &self.record,
                     directory: &self.directory,
                     views: &self.views,
+                    evacuated: &BTreeSet::new(),
                     peer_views: &self.peers,
                     positions: &self.positions,
                     holder: self.holder,
@@ -405,8 +406,14 @@
         latency_target: ms(500),
         priority: 1,
         is_public,
+        home_regions: BTreeSet::new(),
+    };
+    let account = |name: &String| Account {
+        name: name.clone(),
+        rate: 10,
+        burst: 10,
+        home_regions: BTreeSet::new(),
     };
-    let account = |name: &String| Account { name: name.clone(), rate: 10, burst: 10 };
     Catalog {
         version: 1,
         routes: given.databases.iter().map(|(name, open)| (name.clone(), route(*open))).collect(),
--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -3,6 +3,7 @@
 
 use bergamotvale_core::proxy::answer::Code;
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Group, Route};
+use bergamotvale_core::proxy::home::Regions;
 use bergamotvale_platform::counterpart::caller;
 use bergamotvale_platform::line::{self, Answer, End, State, TargetCodec};
 use bergamotvale_sessions::status::Status;
@@ -74,6 +75,15 @@
     /// Starts host `number` of a fleet, without waiting until it is ready. A host's id derives from
     /// the address that it listens on.
     pub(crate) fn start(number: u8, platform: SocketAddr) -> Process {
+        Process::start_with(number, platform, |_| {})
+    }
+
+    /// As `start`, with edited settings.
+    pub(crate) fn start_with(
+        number: u8,
+        platform: SocketAddr,
+        edit: impl FnOnce(&mut Value),
+    ) -> Process {
         let [high, low] = platform.port().to_be_bytes();
         let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
         let name = format!("bergamotvale-sessions-{}-{serial}", std::process::id());
@@ -83,7 +93,7 @@
         let address = |port| SocketAddr::from(([127, high, low, number], port));
         let (callers, readiness, metrics, peers) =
             (address(7001), address(7002), address(7003), address(7004));
-        let settings = json!({
+        let mut settings = json!({
             "name": format!("host-{number}"),
             "domain": "a",
             "listen": {
@@ -95,6 +105,7 @@
             "rates": {"window": 5, "overage": 0.1, "slack": 20},
             "descriptors": 1000,
         });
+        edit(&mut settings);
         let path = folder.join("settings.yaml");
         let text = serde_yaml_ng::to_string(&settings).expect("the settings serialize to YAML");
         std::fs::write(&path, text).expect("the settings are written");
@@ -189,11 +200,12 @@
         latency_target: Duration::from_secs(2),
         priority: 1,
         is_public: false,
+        home_regions: Regions::new(),
     }
 }
 
 fn account(name: &str) -> Account {
-    Account { name: name.into(), rate: 10_000, burst: 10_000 }
+    Account { name: name.into(), rate: 10_000, burst: 10_000, home_regions: Regions::new() }
 }
 
 /// The configuration of most tests: a database for each consistency, and two client accounts.
@@ -222,10 +234,19 @@
 
     /// Like `start`, with another configuration.
     pub(crate) fn start_with(count: u8, catalog: Catalog) -> Fleet {
+        Fleet::start_edited(count, catalog, |_| {})
+    }
+
+    /// Like `start_with`, with edited settings of all hosts.
+    pub(crate) fn start_edited(
+        count: u8,
+        catalog: Catalog,
+        edit: impl Fn(&mut Value) + Copy,
+    ) -> Fleet {
         let system = System::start(&[SERVICE]).expect("the stand-ins start");
         system.configure(&catalog);
-        let hosts: Vec<Process> =
-            (1..=count).map(|number| Process::start(number, system.address)).collect();
+        let start = |number| Process::start_with(number, system.address, edit);
+        let hosts: Vec<Process> = (1..=count).map(start).collect();
         let fleet = Fleet { hosts, system, catalog };
         eventually("hosts are ready", || fleet.hosts.iter().all(Process::is_ready));
         fleet
--- a/crates/host/tests/sessions/main.rs
+++ b/crates/host/tests/sessions/main.rs
@@ -1,8 +1,10 @@
 //! Tests of session hosts that run as processes over the line-protocol stand-ins.
 
 mod catch_up;
+mod evacuation;
 mod faults;
 mod fixture;
+mod home;
 mod on_call;
 mod path;
 mod restored;
--- a/crates/sessions/src/caller/work.rs
+++ b/crates/sessions/src/caller/work.rs
@@ -11,9 +11,10 @@
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::catalog::Consistency;
-use bergamotvale_core::proxy::directory::{Entry, TargetName, of_service};
+use bergamotvale_core::proxy::directory::{Directory, Entry, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::floor::{Observation, Position};
+use bergamotvale_core::proxy::home::Homes;
 use bergamotvale_core::proxy::select::{self, Candidate};
 use bergamotvale_core::proxy::session::Values;
 use bergamotvale_core::proxy::statement::Shape;
@@ -51,6 +52,8 @@
     /// Name of the client account that is sent to targets; `-` on a public route without a known
     /// key.
     pub account: String,
+    /// Regions whose targets may serve the operation.
+    pub homes: Homes,
     /// Log position of the session's newest commit to this service.
     pub last_commit: Option<Position>,
 }
@@ -159,28 +162,59 @@
     tried: &[TargetName],
 ) -> Result<Destination, Unavailable> {
     let Some(floor) = floor(host, context) else {
-        return primary_destination(host, &context.service);
+        return primary_destination(host, context);
     };
     let directory = host.directory.borrow();
     let primary = host.records.borrow().get(&context.service).map(|s| s.record.primary.clone());
     let candidates: Vec<Candidate> = of_service(&directory, &context.service)
-        .filter(|entry| is_eligible(host, entry))
+        .filter(|entry| is_eligible(host, context, entry))
         .map(|entry| candidate(host, context, entry, primary.as_ref()))
         .collect();
+    if candidates.is_empty() {
+        return Err(no_target(host, context, &directory));
+    }
     let chosen = select::choose(&candidates, floor, tried).ok_or(Unavailable::Unreachable)?;
     let entry = directory.get(&chosen.name).cloned().ok_or(Unavailable::Unreachable)?;
     Ok(Destination { entry, floor: Some(floor), primary: None })
 }
 
 /// Whether a read may be sent to a target.
-fn is_eligible(host: &Host, entry: &Entry) -> bool {
+fn is_eligible(host: &Host, context: &Context, entry: &Entry) -> bool {
+    let is_at_home = context.homes.check(host.region(entry)).is_ok();
+    is_at_home && is_usable(host, entry) && !host.evacuation.is_evacuated(entry)
+}
+
+fn is_usable(host: &Host, entry: &Entry) -> bool {
     !entry.is_leaving && host.targets.view(&entry.name) != View::Lost
 }
 
-fn primary_destination(host: &Host, service: &str) -> Result<Destination, Unavailable> {
-    let primary = host.primary(service)?;
+/// Why no target of the service is eligible for a read.
+fn no_target(host: &Host, context: &Context, directory: &Directory) -> Unavailable {
+    let usable = || of_service(directory, &context.service).filter(|e| is_usable(host, e));
+    let checks: Vec<_> = usable().map(|e| context.homes.check(host.region(e))).collect();
+    if let Some(Err(owner)) = checks.iter().find(|check| check.is_err())
+        && checks.iter().all(Result::is_err)
+    {
+        return Unavailable::NotAtHome(*owner);
+    }
+    let is_evacuated = usable().any(|entry| host.evacuation.is_evacuated(entry));
+    if is_evacuated { Unavailable::Evacuated } else { Unavailable::Unreachable }
+}
+
+/// Whether a statement may still be sent to a destination that was chosen earlier: its domain may
+/// have been evacuated while the statement waited for a connection.
+pub fn may_send(host: &Host, destination: &Destination) -> bool {
+    match destination.primary {
+        Some(_) => !host.evacuation.is_closed(&destination.entry),
+        None => !host.evacuation.is_evacuated(&destination.entry),
+    }
+}
+
+fn primary_destination(host: &Host, context: &Context) -> Result<Destination, Unavailable> {
+    let primary = host.primary(&context.service)?;
     let entry =
         host.directory.borrow().get(&primary.target).cloned().ok_or(Unavailable::Unreachable)?;
+    context.homes.check(host.region(&entry)).map_err(Unavailable::NotAtHome)?;
     Ok(Destination { entry, floor: None, primary: Some(primary) })
 }
 
@@ -213,10 +247,10 @@
 /// lease at most `MAX_LEASE_WAIT`.
 pub async fn wait_primary(
     host: &Host,
-    service: &str,
+    context: &Context,
     deadline: Instant,
 ) -> Result<Destination, Unavailable> {
-    wait_for(host, deadline, || primary_destination(host, service)).await
+    wait_for(host, deadline, || primary_destination(host, context)).await
 }
 
 async fn wait_for(
@@ -233,6 +267,7 @@
         let wait_deadline = match unavailable {
             Unavailable::Promoting | Unavailable::Unreachable => deadline,
             Unavailable::NoLease => deadline.min(began + MAX_LEASE_WAIT),
+            Unavailable::Evacuated | Unavailable::NotAtHome(_) => began,
         };
         if Instant::now() >= wait_deadline {
             return Err(unavailable);
@@ -326,6 +361,10 @@
     };
     let request = context.request(attempt_deadline, task.max_wait);
     let mut checkout = acquire(host, &destination.entry, request).await?;
+    if !may_send(host, destination) {
+        checkout.release();
+        return Err(Failure::Superseded);
+    }
     let fence = destination.primary.as_ref().map(|p| (context.service.as_str(), p.fence));
     let work_guard = fence.map(|(service, fence)| host.register_work(service, fence));
     let bounds = Bounds { deadline: attempt_deadline, fence };
@@ -335,7 +374,7 @@
     // Getting the connection took time, so the floor is computed again, and the fence and the lease
     // are checked again.
     let floor = if destination.primary.is_some() { None } else { floor(host, context) };
-    if destination.primary.is_none() && floor.is_none() {
+    if (destination.primary.is_none() && floor.is_none()) || !may_send(host, destination) {
         checkout.release();
         return Err(Failure::Superseded);
     }
@@ -391,7 +430,7 @@
     task: &Task,
 ) -> Result<Answer, Refusal> {
     loop {
-        let waited = wait_primary(host, &context.service, task.deadline).await;
+        let waited = wait_primary(host, context, task.deadline).await;
         let destination =
             waited.map_err(|unavailable| Refusal::new(Code::Busy, unavailable.label()))?;
         let mut sent = Sent::No;
@@ -451,12 +490,16 @@
     let service = context.service.as_str();
     let request = context.request(task.deadline, task.max_wait);
     let mut checkout = acquire(host, &destination.entry, request).await?;
+    if !may_send(host, destination) {
+        checkout.release();
+        return Err(Failure::Superseded.into());
+    }
     let _work_guard = host.register_work(service, primary.fence);
     let bounds = Bounds { deadline: task.deadline, fence: Some((service, primary.fence)) };
     let target = checkout.target.clone();
     let shape = task.shape.as_ref();
     checkout.connection().apply_session(host, &target, values, shape, bounds).await?;
-    if !host.is_current(service, primary.fence) {
+    if !host.is_current(service, primary.fence) || !may_send(host, destination) {
         checkout.release();
         return Err(Failure::Superseded.into());
     }
--- a/crates/sessions/src/fleet/follow.rs
+++ b/crates/sessions/src/fleet/follow.rs
@@ -6,12 +6,14 @@
 //! one.
 
 use crate::boot_clock;
+use crate::evacuation;
 use crate::event::Event;
 use crate::fleet::feed::{Feed, Update};
 use crate::fleet::member::{record_earlier_incarnation, rejoin};
 use crate::fleet::peer::{self, Source};
 use crate::state::{Host, StoredRecord};
 use bergamotvale_core::id::{HostId, Time};
+use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_core::proxy::directory::Directory;
 use bergamotvale_core::proxy::lease::Member;
 use bergamotvale_core::proxy::record::Record;
@@ -68,6 +70,7 @@
                 adopt_catalog(&host, value);
             }
         }
+        evacuation::adopt_rows(&host, &update);
     }
 }
 
@@ -86,11 +89,25 @@
     let (version, routes, accounts) =
         (catalog.version, catalog.routes.len(), catalog.accounts.len());
     host.journal.write(&Event::Configured { version, routes, accounts });
+    log_unknown_regions(host, &catalog);
     *host.catalog.borrow_mut() = Rc::new(catalog);
     divide_rates(host);
     host.changed.notify_waiters();
 }
 
+/// Logs home regions that are those of no failure domain in the settings: no target is in them.
+fn log_unknown_regions(host: &Host, catalog: &Catalog) {
+    let known: BTreeSet<&String> = host.settings.regions.values().collect();
+    let routes = catalog.routes.iter().map(|(database, route)| (database, &route.home_regions));
+    let accounts = catalog.accounts.iter().map(|(name, account)| (name, &account.home_regions));
+    for (name, homes) in routes.chain(accounts) {
+        for region in homes.iter().filter(|region| !known.contains(region)) {
+            let error = Error::Unreadable(format!("home region {region} has no failure domain"));
+            log_unreadable(host, catalog::TABLE, name, &error);
+        }
+    }
+}
+
 /// Computes this host's shares of the accounts' rates anew. Does nothing while the host is not a
 /// member.
 fn divide_rates(host: &Host) {
@@ -106,7 +123,8 @@
     host.quota.update_shares(now, host.id, &members, &catalog, has_shares, &host.settings.rates);
 }
 
-fn log_unreadable(host: &Host, table: &str, key: &str, error: &Error) {
+/// Counts and logs a row that cannot be decoded.
+pub fn log_unreadable(host: &Host, table: &str, key: &str, error: &Error) {
     host.metrics.count("rows_unreadable");
     host.journal.write(&Event::RowUnreadable { table, key, error: &error.to_string() });
 }
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -5,6 +5,7 @@
 
 use crate::boot_clock;
 use crate::caller::quota::Quota;
+use crate::evacuation::{EVACUATED, Evacuation};
 use crate::event::{Event, Journal, millis};
 use crate::fleet::peer::{self, Peers};
 use crate::metric::Registry;
@@ -17,6 +18,7 @@
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_core::proxy::failover::HANDOVER_TIME;
 use bergamotvale_core::proxy::floor::History;
+use bergamotvale_core::proxy::home::Owner;
 use bergamotvale_core::proxy::lease::{Lease, Limits, Member};
 use bergamotvale_core::proxy::record::{Fence, Record};
 use bergamotvale_core::proxy::revision::{Era, Revision};
@@ -76,6 +78,11 @@
     Promoting,
     /// The target does not answer, has left the directory or is at the end of its drain.
     Unreachable,
+    /// The targets are in no home region of the route or the client account.
+    NotAtHome(Owner),
+    /// The target is in an evacuated failure domain. Waiting is of no use, because the domain is
+    /// evacuated until an operator ends it.
+    Evacuated,
 }
 
 impl Unavailable {
@@ -85,6 +92,9 @@
             Unavailable::NoLease => "lease_lapsed",
             Unavailable::Promoting => "no_primary",
             Unavailable::Unreachable => "primary_lost",
+            Unavailable::NotAtHome(Owner::Route) => "home_of_route",
+            Unavailable::NotAtHome(Owner::Account) => "home_of_account",
+            Unavailable::Evacuated => EVACUATED,
         }
     }
 }
@@ -126,6 +136,8 @@
     pub targets: Targets,
     /// State of other hosts, and the socket to reach them.
     pub peers: Peers,
+    /// Evacuations of failure domains.
+    pub evacuation: Evacuation,
     /// This host's shares of the client accounts' rates.
     pub quota: Quota,
     /// Work in flight that depends on a primary: service and fence, by number.
@@ -178,6 +190,7 @@
             histories: RefCell::default(),
             targets: Targets::default(),
             peers: Peers::new(id),
+            evacuation: Evacuation::new(settings.times.evacuation),
             quota: Quota::new(LEASE_LIMITS.validity + LEASE_LIMITS.clock_drift_margin),
             in_flight_work: RefCell::default(),
             next_work_number: Cell::new(0),
@@ -253,13 +266,21 @@
             return Err(Unavailable::Promoting);
         }
         let target = &stored.record.primary;
-        let is_listed = self.directory.borrow().contains_key(target);
-        if !is_listed || self.has_drained(target) || self.targets.view(target) == View::Lost {
+        let entry = self.directory.borrow().get(target).cloned();
+        if entry.as_ref().is_some_and(|entry| self.evacuation.is_closed(entry)) {
+            return Err(Unavailable::Evacuated);
+        }
+        if entry.is_none() || self.has_drained(target) || self.targets.view(target) == View::Lost {
             return Err(Unavailable::Unreachable);
         }
         Ok(Primary { target: target.clone(), fence: stored.record.fence })
     }
 
+    /// Region of a target; `None` if the settings do not state it.
+    pub fn region(&self, entry: &Entry) -> Option<&str> {
+        self.settings.regions.get(&entry.domain).map(String::as_str)
+    }
+
     /// Whether the host's shares of the rates are in force: at once if an earlier incarnation had
     /// them, otherwise once all other hosts have reduced theirs.
     pub fn has_shares(&self) -> bool {
