Add tests of callers that misbehave

They run one host with 64 MB and 300 descriptors in its settings against crowds of 48 or 96 callers or floods of 400 connections.

--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -41,8 +41,10 @@
     folder: PathBuf,
     log: PathBuf,
     pub(crate) callers: SocketAddr,
-    readiness: SocketAddr,
-    metrics: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+    #[allow(dead_code, reason = "only the overload tests use it")]
+    pub(crate) peers: SocketAddr,
 }
 
 /// The stand-ins for platform and group, the published configuration and the host processes.
@@ -74,6 +76,11 @@
     /// Starts host `number` of a fleet, without waiting until it is ready. A host's id derives from
     /// the address that it listens on.
     pub(crate) fn start(number: u8, platform: SocketAddr) -> Process {
+        Process::start_with(number, platform, &json!({}))
+    }
+
+    /// Like `start`, with further settings that replace or extend the default ones.
+    pub(crate) fn start_with(number: u8, platform: SocketAddr, further: &Value) -> Process {
         let [high, low] = platform.port().to_be_bytes();
         let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
         let name = format!("bergamotvale-sessions-{}-{serial}", std::process::id());
@@ -83,7 +90,7 @@
         let address = |port| SocketAddr::from(([127, high, low, number], port));
         let (callers, readiness, metrics, peers) =
             (address(7001), address(7002), address(7003), address(7004));
-        let settings = json!({
+        let mut settings = json!({
             "name": format!("host-{number}"),
             "domain": "a",
             "listen": {
@@ -95,6 +102,9 @@
             "rates": {"window": 5, "overage": 0.1, "slack": 20},
             "descriptors": 1000,
         });
+        for (name, value) in further.as_object().expect("settings are an object") {
+            settings[name] = value.clone();
+        }
         let path = folder.join("settings.yaml");
         let text = serde_yaml_ng::to_string(&settings).expect("the settings serialize to YAML");
         std::fs::write(&path, text).expect("the settings are written");
@@ -108,7 +118,13 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the daemon starts");
-        Process { child, folder, log, callers, readiness, metrics }
+        Process { child, folder, log, callers, readiness, metrics, peers }
+    }
+
+    /// Process id of the host.
+    #[allow(dead_code, reason = "only the overload tests use it")]
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
     }
 
     /// Whether the host reports that it accepts new sessions.
@@ -222,10 +238,16 @@
 
     /// Like `start`, with another configuration.
     pub(crate) fn start_with(count: u8, catalog: Catalog) -> Fleet {
+        Fleet::start_limited(count, catalog, &json!({}))
+    }
+
+    /// Like `start_with`, with further settings of the hosts.
+    pub(crate) fn start_limited(count: u8, catalog: Catalog, further: &Value) -> Fleet {
         let system = System::start(&[SERVICE]).expect("the stand-ins start");
         system.configure(&catalog);
-        let hosts: Vec<Process> =
-            (1..=count).map(|number| Process::start(number, system.address)).collect();
+        let hosts: Vec<Process> = (1..=count)
+            .map(|number| Process::start_with(number, system.address, further))
+            .collect();
         let fleet = Fleet { hosts, system, catalog };
         eventually("hosts are ready", || fleet.hosts.iter().all(Process::is_ready));
         fleet
