Bound what callers make a session host hold

Callers could take any amount of memory and descriptors: each connection buffered a message of 1 MiB, kept a large reply that was not read, stored values and statements without a bound, and all connections were accepted. core::proxy::budget derives bounds from memory and descriptors, and sessions::overload applies them: memory for messages and large answers is waited for before more is read, connections that hold unread replies or the most session state are closed over their bound, and connections without a session make room for new ones. HTTP listeners serve 16 connections each and time out heads of requests.

--- a/crates/core/src/proxy/session.rs
+++ b/crates/core/src/proxy/session.rs
@@ -19,6 +19,62 @@
     pub values: Values,
     /// Shapes of prepared statements by the name that the session gave them.
     pub prepared: BTreeMap<String, Shape>,
+    bytes: usize,
+}
+
+/// Memory that a stored entry takes beside its texts.
+const ENTRY_BYTES: usize = 128;
+/// Number of statements prepared on a connection to a target from which it is reset before another
+/// one is prepared. Sessions with many different statements would otherwise fill it.
+const MAX_PREPARED: usize = 512;
+/// Bytes of the texts of statements prepared on a connection to a target from which it is reset.
+const MAX_PREPARED_BYTES: usize = 256 << 10;
+
+impl Session {
+    /// Memory that the values and prepared statements take.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Memory that they would take with a further entry, whose text has this length. An entry that
+    /// it replaces is counted as well.
+    pub fn bytes_with(&self, name: &str, text_bytes: usize) -> usize {
+        self.bytes + entry_bytes(name, text_bytes)
+    }
+
+    /// Number of values and prepared statements.
+    pub fn entries(&self) -> usize {
+        self.values.len() + self.prepared.len()
+    }
+
+    /// Sets a value.
+    pub fn set_value(&mut self, name: String, value: String) {
+        self.bytes += entry_bytes(&name, value.len());
+        let name_bytes = name.len();
+        if let Some(former) = self.values.insert(name, value) {
+            self.bytes -= name_bytes + former.len() + ENTRY_BYTES;
+        }
+    }
+
+    /// Stores a prepared statement.
+    pub fn prepare(&mut self, name: String, shape: Shape) {
+        self.bytes += entry_bytes(&name, shape.text.len());
+        let name_bytes = name.len();
+        if let Some(former) = self.prepared.insert(name, shape) {
+            self.bytes -= name_bytes + former.text.len() + ENTRY_BYTES;
+        }
+    }
+
+    /// Removes a prepared statement. Returns whether there was one of this name.
+    pub fn deallocate(&mut self, name: &str) -> bool {
+        let Some(former) = self.prepared.remove(name) else { return false };
+        self.bytes -= entry_bytes(name, former.text.len());
+        true
+    }
+}
+
+fn entry_bytes(name: &str, text_bytes: usize) -> usize {
+    name.len() + text_bytes + ENTRY_BYTES
 }
 
 /// What a connection to a target holds from the sessions that used it.
@@ -46,7 +102,8 @@
     /// `shape` prepared; empty if it already does.
     pub fn steps(&self, values: &Values, shape: Option<&Shape>) -> Vec<Step> {
         let mut steps = Vec::new();
-        let needs_reset = self.values.keys().any(|name| !values.contains_key(name));
+        let needs_reset = self.values.keys().any(|name| !values.contains_key(name))
+            || shape.is_some_and(|shape| !self.prepared.contains(shape) && self.is_full());
         if needs_reset {
             steps.push(Step::Reset);
         }
@@ -63,6 +120,11 @@
         steps
     }
 
+    fn is_full(&self) -> bool {
+        let bytes: usize = self.prepared.iter().map(|shape| shape.text.len()).sum();
+        self.prepared.len() >= MAX_PREPARED || bytes >= MAX_PREPARED_BYTES
+    }
+
     /// Updates the state after the target has confirmed a step.
     pub fn apply(&mut self, step: &Step) {
         match step {
--- a/crates/host/tests/overload/messages.rs
+++ b/crates/host/tests/overload/messages.rs
@@ -15,10 +15,8 @@
     line::query("a", &caller::write(&item, &data)).to_vec()
 }
 
-/// Guards against limits that a single message of the largest size meets.
-#[test]
-fn a_single_message_of_the_largest_size_is_served() {
-    let site = Site::start();
+/// Writes an item with a message of the largest size.
+fn serve_large_message(site: &Site) {
     let text = String::from_utf8(largest_message(0)).expect("the message is ASCII");
     let text = text.trim_end().strip_prefix("QUERY a ").expect("the message is a statement");
     // The fixture's own id is longer than that of the message.
@@ -30,6 +28,19 @@
     assert_eq!(answer.end, End::Done);
 }
 
+/// Guards against limits that a single message of the largest size meets.
+#[test]
+fn a_single_message_of_the_largest_size_is_served() {
+    serve_large_message(&Site::start());
+}
+
+/// Guards against receive buffers too small for a message of the largest size, on the smallest host
+/// that is deployed, where most connections share the memory.
+#[test]
+fn a_single_message_of_the_largest_size_is_served_by_the_smallest_host() {
+    serve_large_message(&Site::start_with(160, 4300));
+}
+
 /// Guards against a buffer of 1 MiB or more for every caller at the same time.
 #[test]
 fn many_large_messages_in_one_piece() {
--- a/crates/sessions/src/caller/mod.rs
+++ b/crates/sessions/src/caller/mod.rs
@@ -4,31 +4,34 @@
 //! prepared statements and open transaction, so that any connection to a target can serve it.
 //!
 //! [`work`] runs single statements, [`transaction`] those of an open transaction; [`quota`] limits
-//! the rates of client accounts.
+//! the rates of client accounts; [`reader`] reads messages within the bounds of
+//! [`overload`](crate::overload).
 
 pub mod quota;
+mod reader;
 pub mod transaction;
 pub mod work;
 
 use crate::event::{Event, millis};
+use crate::overload::Place;
 use crate::state::Host;
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_core::proxy::budget::{Bound, SMALL_BYTES};
 use bergamotvale_core::proxy::catalog::{Account, Catalog, Consistency, Denial};
 use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::session::Session;
 use bergamotvale_core::proxy::statement::{Access, Shape, Statement};
-use bergamotvale_platform::line::{self, Answer, CallerCodec, End, Request, State};
+use bergamotvale_platform::line::{self, Answer, End, Request, State};
 use bergamotvale_platform::text;
 use bytes::Bytes;
-use futures::StreamExt;
+use reader::{ReadError, Reader};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::Instant;
-use tokio_util::codec::FramedRead;
 use transaction::Transaction;
 use work::{Context, Refusal, Task};
 
@@ -76,32 +79,53 @@
     latency_target: Duration,
     /// Whether the session ends after the present reply, because the host is stopping.
     is_ending: bool,
+    place: Rc<Place>,
 }
 
 /// Encoded reply to a statement.
 type Reply = Bytes;
 
 /// Serves one caller's connection until it closes, then rolls back its open transaction.
-pub async fn serve(host: Rc<Host>, stream: TcpStream) {
+pub async fn serve(host: Rc<Host>, stream: TcpStream, place: Rc<Place>) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("caller disconnected before its session was opened: {error}");
         return;
     }
-    host.sessions.set(host.sessions.get() + 1);
+    let _open = OpenSession::new(&host);
     let (reader, writer) = stream.into_split();
-    let mut reader = FramedRead::new(reader, CallerCodec::default());
-    let writer = match open(&host, &mut reader, writer).await {
+    let mut reader = Reader::new(reader);
+    let writer = match open(&host, &mut reader, writer, place.clone()).await {
         Ok(mut caller) => {
+            place.set_in_session(true);
             caller.run(&mut reader).await;
-            if let Phase::Open(transaction) = std::mem::replace(&mut caller.phase, Phase::Idle) {
-                transaction.rollback(&host).await;
-            }
-            caller.writer
+            caller.end_session().await
         }
         Err(writer) => writer,
     };
+    place.set_in_session(false);
     close(reader.into_inner(), writer).await;
-    host.sessions.set(host.sessions.get() - 1);
+}
+
+/// Counts a connection among the open sessions until it is dropped.
+struct OpenSession(Rc<Host>);
+
+impl OpenSession {
+    fn new(host: &Rc<Host>) -> OpenSession {
+        host.sessions.set(host.sessions.get() + 1);
+        OpenSession(host.clone())
+    }
+}
+
+impl Drop for OpenSession {
+    fn drop(&mut self) {
+        self.0.sessions.set(self.0.sessions.get() - 1);
+    }
+}
+
+/// Counts and logs that a connection is closed, or a session refused, at a bound.
+pub(crate) fn record_bound(host: &Host, database: &str, bound: Bound) {
+    host.metrics.count(&format!("bound_{}", bound.label()));
+    host.journal.write(&Event::SessionClosed { database, reason: bound.label() });
 }
 
 /// Closes a caller's connection so that it still receives what was sent to it.
@@ -127,14 +151,25 @@
 /// refused or the connection failed.
 async fn open(
     host: &Rc<Host>,
-    reader: &mut FramedRead<OwnedReadHalf, CallerCodec>,
+    reader: &mut Reader,
     mut writer: OwnedWriteHalf,
+    place: Rc<Place>,
 ) -> Result<Caller, OwnedWriteHalf> {
-    let Ok(Some(first)) = tokio::time::timeout(OPEN_TIMEOUT, reader.next()).await else {
-        return Err(writer);
+    let first = match tokio::time::timeout(OPEN_TIMEOUT, reader.next(host)).await {
+        Ok(Some(first)) => first,
+        Ok(None) => return Err(writer),
+        Err(_) => {
+            record_bound(host, "", Bound::MessageTime);
+            return Err(writer);
+        }
     };
     let (database, key) = match first {
         Ok(Request::Connect { database, key }) => (database, key),
+        Err(ReadError::Bound(bound)) => {
+            record_bound(host, "", bound);
+            drop(writer.write_all(&bound_refusal(bound)).await);
+            return Err(writer);
+        }
         _ => {
             let refusal = line::refusal(Code::Malformed, "the session was not opened");
             drop(writer.write_all(&refusal).await);
@@ -169,9 +204,19 @@
         statement_timeout: Duration::ZERO,
         latency_target: Duration::ZERO,
         is_ending: false,
+        place,
     })
 }
 
+/// Encodes the refusal of a message that was not read to its end, and thus not run.
+fn bound_refusal(bound: Bound) -> Bytes {
+    let code = match bound {
+        Bound::MessageSize => Code::Malformed,
+        _ => Code::Busy,
+    };
+    line::refusal(code, bound.label())
+}
+
 fn denial_code(denial: Denial) -> (Code, &'static str) {
     match denial {
         Denial::UnknownDatabase => (Code::UnknownDatabase, "no such database"),
@@ -181,19 +226,26 @@
 
 impl Caller {
     /// Serves the session until it ends, at the latest when a stopping host ends all work.
-    async fn run(&mut self, reader: &mut FramedRead<OwnedReadHalf, CallerCodec>) {
+    async fn run(&mut self, reader: &mut Reader) {
         let host = self.host.clone();
+        let place = self.place.clone();
         let work_end = host.stop.work_end.wait();
         tokio::pin!(work_end);
         while !self.is_ending {
             let next = tokio::select! {
                 biased;
                 request = self.next_request(reader) => request,
+                bound = place.closed() => return record_bound(&host, &self.database, bound),
                 () = &mut work_end => return,
             };
             let request = match next {
                 Some(Ok(request)) => request,
-                Some(Err(error)) => {
+                Some(Err(ReadError::Bound(bound))) => {
+                    record_bound(&host, &self.database, bound);
+                    drop(self.writer.write_all(&bound_refusal(bound)).await);
+                    return;
+                }
+                Some(Err(ReadError::Failed(error))) => {
                     log::debug!("closing a caller's session after an unreadable message: {error}");
                     let refusal = line::refusal(Code::Malformed, "the message cannot be read");
                     drop(self.writer.write_all(&refusal).await);
@@ -215,28 +267,50 @@
                     line::error(Code::Malformed, "not a statement", self.state())
                 }
             };
-            let sent = tokio::time::timeout(SEND_TIMEOUT, self.writer.write_all(&reply)).await;
-            if !matches!(sent, Ok(Ok(()))) {
+            if !self.send_reply(&reply).await {
                 return;
             }
+            reader.finish_message();
+        }
+    }
+
+    /// Sends a reply; false if the connection failed or the caller did not read it in time.
+    async fn send_reply(&mut self, reply: &Reply) -> bool {
+        let _held = (reply.len() > SMALL_BYTES)
+            .then(|| self.host.overload.hold_reply(&self.place, reply.len(), self.host.now()));
+        let sent = tokio::time::timeout(SEND_TIMEOUT, self.writer.write_all(reply));
+        let bound = tokio::select! {
+            biased;
+            sent = sent => match sent {
+                Ok(sent) => return sent.is_ok(),
+                Err(_) => Bound::ReplyTime,
+            },
+            bound = self.place.closed() => bound,
+        };
+        record_bound(&self.host, &self.database, bound);
+        false
+    }
+
+    /// Rolls the open transaction back, and returns the connection.
+    async fn end_session(mut self) -> OwnedWriteHalf {
+        if let Phase::Open(transaction) = std::mem::replace(&mut self.phase, Phase::Idle) {
+            transaction.rollback(&self.host).await;
         }
+        self.writer
     }
 
     /// Reads the next message.
     ///
     /// Returns `None` if the caller disconnected, or if the session is idle and the host is
     /// stopping. Ends the open transaction when its deadline passes.
-    async fn next_request(
-        &mut self,
-        reader: &mut FramedRead<OwnedReadHalf, CallerCodec>,
-    ) -> Option<bergamotvale_platform::Result<Request>> {
+    async fn next_request(&mut self, reader: &mut Reader) -> Option<Result<Request, ReadError>> {
         loop {
             let host = self.host.clone();
             let is_idle = matches!(self.phase, Phase::Idle);
             let deadline = self.transaction_deadline();
             tokio::select! {
                 biased;
-                request = reader.next() => return request,
+                request = reader.next(&host) => return request,
                 () = host.stop.idle_close.wait(), if is_idle => return None,
                 () = sleep_until(deadline), if deadline.is_some() => {
                     if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
@@ -286,17 +360,28 @@
         match statement {
             _ if matches!(self.phase, Phase::Failed { .. }) => self.reply_after_failure(&statement),
             Statement::Set { name, value } => {
-                self.session.values.insert(name, value);
+                if let Err(bound) = self.may_store(&name, value.len()) {
+                    return self.bound_reply(id, bound, arrived);
+                }
+                self.session.set_value(name, value);
+                self.record_state();
                 line::done(self.state())
             }
             Statement::Prepare { name, shape } => {
-                self.session.prepared.insert(name, shape);
+                if let Err(bound) = self.may_store(&name, shape.text.len()) {
+                    return self.bound_reply(id, bound, arrived);
+                }
+                self.session.prepare(name, shape);
+                self.record_state();
+                line::done(self.state())
+            }
+            Statement::Deallocate { name } => {
+                if !self.session.deallocate(&name) {
+                    return line::error(Code::UnknownStatement, &name, self.state());
+                }
+                self.record_state();
                 line::done(self.state())
             }
-            Statement::Deallocate { name } => match self.session.prepared.remove(&name) {
-                Some(_) => line::done(self.state()),
-                None => line::error(Code::UnknownStatement, &name, self.state()),
-            },
             Statement::Begin { read_only } => self.begin(id, read_only, arrived).await,
             Statement::Rollback => self.rollback().await,
             Statement::Commit => self.commit(id, text, arrived).await,
@@ -308,6 +393,36 @@
         }
     }
 
+    /// Whether the session may store another value or statement. All sessions together may exceed
+    /// their bound only until the largest ones are closed; a session that holds more than its share
+    /// is refused.
+    fn may_store(&self, name: &str, text_bytes: usize) -> Result<(), Bound> {
+        let limits = &self.host.overload.limits;
+        let bytes = self.session.bytes_with(name, text_bytes);
+        if bytes > limits.session_state_bytes
+            || self.session.entries() >= limits.session_state_entries
+        {
+            return Err(Bound::SessionState);
+        }
+        let total = self.host.overload.state_bytes() + bytes - self.session.bytes();
+        if total > limits.state_bytes && bytes > limits.fair_state_bytes() {
+            return Err(Bound::HostState);
+        }
+        Ok(())
+    }
+
+    /// Records the size of what the session stores, and closes the sessions that store the most if
+    /// all of them store too much.
+    fn record_state(&self) {
+        self.host.overload.record_state(&self.place, self.session.bytes(), self.host.now());
+    }
+
+    /// Refuses a statement at a bound. Nothing was sent or stored for it.
+    fn bound_reply(&self, id: &str, bound: Bound, arrived: Time) -> Reply {
+        self.host.metrics.count(&format!("bound_{}", bound.label()));
+        self.refusal_reply(id, &Refusal::new(Code::Busy, bound.label()), arrived, self.state())
+    }
+
     /// Replies to a statement that is still at work when a stopping host ends all work.
     ///
     /// Only a commit or a write of its own can have had a lasting effect. Closing the connection
--- a/crates/sessions/src/fleet/peer.rs
+++ b/crates/sessions/src/fleet/peer.rs
@@ -27,6 +27,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Time between heartbeats in a small fleet.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
@@ -39,6 +40,8 @@
 const MAX_SENT_HEARTBEATS: usize = 32;
 /// Size limit of a datagram, for sending and receiving.
 pub(super) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
+/// Shortest time between two log lines about invalid datagrams; a flood of them would fill the log.
+const INVALID_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// First byte of each datagram; differs between incompatible formats. Builds without it take the
 /// byte for an unknown message and drop the datagram.
 const DATAGRAM_FORMAT: u8 = 64;
@@ -263,6 +266,7 @@
     let socket = Rc::new(UdpSocket::bind(host.settings.listen.peers).await?);
     *host.peers.socket.borrow_mut() = Some(socket.clone());
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut last_warning: Option<Instant> = None;
     loop {
         let (length, sender) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -272,12 +276,20 @@
             }
         };
         let Some((&DATAGRAM_FORMAT, message)) = buffer[..length].split_first() else {
+            host.metrics.count("datagrams_invalid");
             log::debug!("dropping a datagram of another format from {sender}");
             continue;
         };
         match postcard::from_bytes(message) {
             Ok(message) => handle_message(&host, message, sender),
-            Err(error) => log::warn!("dropping an invalid datagram from {sender}: {error}"),
+            Err(error) => {
+                host.metrics.count("datagrams_invalid");
+                let is_due = last_warning.is_none_or(|at| at.elapsed() >= INVALID_LOG_INTERVAL);
+                if is_due {
+                    last_warning = Some(Instant::now());
+                    log::warn!("dropping an invalid datagram from {sender}: {error}");
+                }
+            }
         }
     }
 }
--- a/crates/sessions/src/http.rs
+++ b/crates/sessions/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP server for the balancer's readiness checks, metrics and the host's status.
 
+use crate::event::Event;
 use crate::state::Host;
 use crate::{maintenance, status};
 use bergamotvale_platform::ready;
@@ -7,20 +8,48 @@
 use http_body_util::Full;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 
+/// Connections that one listener serves at a time.
+const MAX_CONNECTIONS: usize = 16;
+/// Time in which the head of a request has to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Size of the buffer for the head of a request.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+/// Reason of closing an HTTP connection for a new one.
+pub const HTTP_CONNECTIONS: &str = "http_connections";
 const METRICS_PATH: &str = "/metrics";
 const STATUS_PATH: &str = "/status";
 
 /// Serves the connections of one listener until the process ends. All paths are served on every
 /// listener.
+///
+/// At the limit the oldest connection is closed for a new one, so that readiness checks are answered
+/// during a flood.
 pub async fn serve(host: Rc<Host>, listener: TcpListener) {
+    let mut connections: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::task::spawn_local(serve_stream(host.clone(), stream))),
+            Ok((stream, _)) => {
+                connections.retain(|connection| !connection.is_finished());
+                if connections.len() >= MAX_CONNECTIONS
+                    && let Some(oldest) = connections.pop_front()
+                {
+                    host.metrics.count("bound_http_connections");
+                    host.journal
+                        .write(&Event::SessionClosed { database: "", reason: HTTP_CONNECTIONS });
+                    oldest.abort();
+                    // The descriptor is free once the task has ended; its result is the abort.
+                    drop(oldest.await);
+                }
+                connections.push_back(tokio::task::spawn_local(serve_stream(host.clone(), stream)));
+            }
             Err(error) => {
                 log::warn!("cannot accept an HTTP connection; retrying: {error}");
                 tokio::time::sleep(crate::run::ACCEPT_RETRY_DELAY).await;
@@ -35,6 +64,9 @@
         async move { Ok::<_, Infallible>(response) }
     });
     let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(error) = served {
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -8,6 +8,7 @@
 //!   synchronous.
 //! - [`fleet`] copies the platform's tables and exchanges heartbeats and loans of rate tokens with
 //!   other hosts.
+//! - [`overload`] bounds what callers make the host hold.
 //! - Operation: [`maintenance`], [`stop`], [`status`], [`http`], [`event`] and [`metric`].
 
 pub mod boot_clock;
@@ -18,6 +19,7 @@
 pub mod http;
 pub mod maintenance;
 pub mod metric;
+pub mod overload;
 pub mod pool;
 pub mod run;
 pub mod settings;
--- a/crates/sessions/src/pool/connection.rs
+++ b/crates/sessions/src/pool/connection.rs
@@ -3,6 +3,7 @@
 //! After a failed exchange the connection is closed with a TCP reset, so that bytes that are still
 //! buffered or delayed in the network do not reach the target later.
 
+use crate::overload::{AnswerGate, AnswerPermit};
 use crate::pool::target::Target;
 use crate::state::Host;
 use bergamotvale_core::proxy::answer::Code;
@@ -31,6 +32,9 @@
 const VIEW_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Spare capacity that the buffer has before each read.
 const READ_CHUNK_BYTES: usize = 8 << 10;
+/// Capacity above which the buffer of an idle connection is replaced: after a large answer it would
+/// keep that memory.
+const MAX_IDLE_BUFFER_BYTES: usize = 64 << 10;
 
 /// Why an exchange failed, or no connection for it could be obtained.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,7 +117,7 @@
         };
         let hello = line::connect(&entry.service, account, &entry.name);
         connection.stream.write_all(&hello).await.map_err(|_| Failure::Lost)?;
-        let answer = connection.receive().await?;
+        let answer = connection.receive(None, &mut AnswerPermit::default()).await?;
         match answer.end {
             End::Error(code) => Err(Failure::Refused(code)),
             _ => Ok(connection),
@@ -130,13 +134,27 @@
         }
     }
 
-    async fn receive(&mut self) -> Result<Answer, Failure> {
+    /// Receives an answer, with memory for a large one from `gate`.
+    async fn receive(
+        &mut self,
+        gate: Option<&AnswerGate>,
+        permit: &mut AnswerPermit,
+    ) -> Result<Answer, Failure> {
         loop {
             match self.codec.decode(&mut self.buffer) {
-                Ok(Some(answer)) => return Ok(answer),
+                Ok(Some(answer)) => {
+                    if self.buffer.is_empty() && self.buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
+                        self.buffer = BytesMut::with_capacity(READ_CHUNK_BYTES);
+                    }
+                    return Ok(answer);
+                }
                 Ok(None) => {}
                 Err(_) => return Err(Failure::Lost),
             }
+            let pending = self.buffer.len() + self.codec.body_bytes();
+            if let Some(gate) = gate {
+                permit.grow(gate, pending).await;
+            }
             self.buffer.reserve(READ_CHUNK_BYTES);
             let count = self.stream.read_buf(&mut self.buffer).await;
             if matches!(count, Ok(0) | Err(_)) {
@@ -201,9 +219,12 @@
         target: &Target,
         bounds: Bounds<'_>,
     ) -> Result<Answer, Failure> {
+        let gate = &host.overload.answers;
+        let mut permit = AnswerPermit::default();
         loop {
             let poll_deadline = bounds.deadline.min(Instant::now() + VIEW_POLL_INTERVAL);
-            if let Ok(result) = tokio::time::timeout_at(poll_deadline, self.receive()).await {
+            let answer = self.receive(Some(gate), &mut permit);
+            if let Ok(result) = tokio::time::timeout_at(poll_deadline, answer).await {
                 return result;
             }
             if Instant::now() >= bounds.deadline {
--- a/crates/sessions/src/run.rs
+++ b/crates/sessions/src/run.rs
@@ -7,11 +7,14 @@
 use crate::state::Host;
 use crate::{caller, http, maintenance, stop};
 use anyhow::Context;
+use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_core::proxy::budget::Bound;
+use bergamotvale_platform::line;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -76,9 +79,15 @@
 }
 
 async fn accept(host: Rc<Host>, listener: TcpListener) {
+    // Connections inherit the size of the listener's receive buffer. Without it the kernel keeps up
+    // to several megabytes for each of them, which count towards the memory of the host.
+    let receive_buffer = host.overload.limits.receive_buffer_bytes;
+    if let Err(error) = socket2::SockRef::from(&listener).set_recv_buffer_size(receive_buffer) {
+        log::warn!("cannot bound the receive buffers of callers: {error}");
+    }
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(spawn_local(caller::serve(host.clone(), stream))),
+            Ok((stream, _)) => admit(&host, stream).await,
             Err(error) => {
                 log::warn!("cannot accept a caller's connection; retrying: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -87,6 +96,22 @@
     }
 }
 
+/// Serves a connection if the host may have another one; otherwise refuses it.
+async fn admit(host: &Rc<Host>, stream: TcpStream) {
+    let Some(place) = host.overload.admit().await else {
+        caller::record_bound(host, "", Bound::Connections);
+        // The caller may not get the refusal: nothing waits for it to read.
+        drop(stream.try_write(&line::refusal(Code::Busy, Bound::Connections.label())));
+        return;
+    };
+    if place.has_replaced() {
+        caller::record_bound(host, "", Bound::Connections);
+    }
+    let place = Rc::new(place);
+    let task = spawn_local(caller::serve(host.clone(), stream, place.clone()));
+    place.set_task(task.abort_handle());
+}
+
 async fn wait_for_stop(host: &Host, path: &Path, terminate: &mut Signal, reload: &mut Signal) {
     loop {
         tokio::select! {
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -8,10 +8,12 @@
 use crate::event::{Event, Journal, millis};
 use crate::fleet::peer::{self, Peers};
 use crate::metric::Registry;
+use crate::overload::Overload;
 use crate::pool::target::Targets;
 use crate::settings::Settings;
 use crate::stop::Stop;
 use bergamotvale_core::id::{HostId, Incarnation, Time};
+use bergamotvale_core::proxy::budget;
 use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_core::proxy::directory::{Directory, Entry, TargetName};
 use bergamotvale_core::proxy::evidence::View;
@@ -132,6 +134,8 @@
     in_flight_work: RefCell<BTreeMap<u64, (String, Fence)>>,
     next_work_number: Cell<u64>,
     quiesced_revision: Cell<Revision>,
+    /// Bounds on what callers make this host hold.
+    pub overload: Overload,
     /// The planned stop of the process.
     pub stop: Stop,
     /// Number of open sessions.
@@ -182,6 +186,7 @@
             in_flight_work: RefCell::default(),
             next_work_number: Cell::new(0),
             quiesced_revision: Cell::default(),
+            overload: Overload::new(budget::Limits::new(settings.memory, settings.descriptors)),
             stop: Stop::new(settings.times.grace),
             sessions: Cell::new(0),
             changed: Notify::new(),
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -2,11 +2,13 @@
 //! lines about requests is bounded.
 
 use bergamotvale_core::proxy::answer::Code;
+use bergamotvale_core::proxy::budget::Bound;
 use bergamotvale_core::proxy::revision::Revision;
 use bergamotvale_core::proxy::roster::Roster;
 use bergamotvale_sessions::caller::STOPPING;
 use bergamotvale_sessions::caller::work::failure_label;
 use bergamotvale_sessions::event::{Event, Journal};
+use bergamotvale_sessions::http::HTTP_CONNECTIONS;
 use bergamotvale_sessions::pool::connection::Failure;
 use bergamotvale_sessions::state::Unavailable;
 use log::{LevelFilter, Log, Metadata, Record};
@@ -86,7 +88,8 @@
         .into_iter()
         .map(failure_label)
         .chain(unavailable.into_iter().map(Unavailable::label));
-    labels.chain(denials).collect()
+    let bounds = Bound::ALL.into_iter().map(Bound::label);
+    labels.chain(denials).chain(bounds).chain([HTTP_CONNECTIONS]).collect()
 }
 
 /// Index of an event in [`every_event`]. The match fails to compile when a kind of event is added
