--- a/crates/host/tests/sessions/fixture.rs
+++ b/crates/host/tests/sessions/fixture.rs
@@ -42,8 +42,10 @@
     folder: PathBuf,
     log: PathBuf,
     pub(crate) callers: SocketAddr,
-    readiness: SocketAddr,
-    metrics: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+    #[allow(dead_code, reason = "only the overload tests use it")]
+    pub(crate) peers: SocketAddr,
 }
 
 /// The stand-ins for platform and group, the published configuration and the host processes.
@@ -119,7 +121,13 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the daemon starts");
-        Process { child, folder, log, callers, readiness, metrics }
+        Process { child, folder, log, callers, readiness, metrics, peers }
+    }
+
+    /// Process id of the host.
+    #[allow(dead_code, reason = "only the overload tests use it")]
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
     }
 
     /// Whether the host reports that it accepts new sessions.
@@ -237,6 +245,16 @@
         Fleet::start_edited(count, catalog, |_| {})
     }
 
+    /// Like `start_with`, with further settings that replace or extend those of all hosts.
+    #[allow(dead_code, reason = "only the overload tests use it")]
+    pub(crate) fn start_limited(count: u8, catalog: Catalog, further: &Value) -> Fleet {
+        Fleet::start_edited(count, catalog, |settings| {
+            for (name, value) in further.as_object().expect("settings are an object") {
+                settings[name] = value.clone();
+            }
+        })
+    }
+
     /// Like `start_with`, with edited settings of all hosts.
     pub(crate) fn start_edited(
         count: u8,
