Learn limits of targets that are slower than others or fail requests

Reads are chosen by the expected time over a limit that each host learns from the times of one route's reads at the group's targets, and from the excess of a target's failures. Targets that get no reads by their cost are probed. The settings field learned_limits switches it off.

--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! in the crate `bergamotvale-sessions`.
 
 pub mod answer;
+pub mod capacity;
 pub mod catalog;
 pub mod catch_up;
 pub mod cursor;
--- a/crates/core/tests/proxy_reads.rs
+++ b/crates/core/tests/proxy_reads.rs
@@ -2,6 +2,7 @@
 //! have an unknown position.
 
 use bergamotvale_core::id::Time;
+use bergamotvale_core::proxy::capacity::Fraction;
 use bergamotvale_core::proxy::floor::{History, Observation, Position};
 use bergamotvale_core::proxy::select::{Candidate, choose};
 use std::time::Duration;
@@ -73,6 +74,8 @@
         in_flight: 0,
         slots: 3,
         statement_time: ms(24),
+        limit: Fraction::FULL,
+        group_time: ms(24),
         has_connection: true,
         can_connect: true,
         position: at(1, 10),
@@ -91,6 +94,20 @@
     assert_eq!(chosen(&Candidate { in_flight: 3, ..near }), "far");
 }
 
+/// Guards against a choice among equal, healthy targets that differs since limits are learned: at a
+/// full limit the cost depends on the target's own times alone.
+#[test]
+fn a_full_limit_leaves_the_cost_as_it_is() {
+    let plain = Candidate { in_flight: 5, ..candidate("plain") };
+    assert_eq!(plain.cost(at(1, 1)), ms(1 + 24 + 24 * 5 / 3));
+    assert_eq!(
+        Candidate { group_time: ms(1), ..plain.clone() }.cost(at(1, 1)),
+        plain.cost(at(1, 1))
+    );
+    let limit = Fraction::from_permille(500);
+    assert_eq!(Candidate { limit, ..plain }.cost(at(1, 1)), ms(1 + 48 + 48 * 5 / 3));
+}
+
 /// Fault: replicas receive nothing under load.
 #[test]
 fn deaf_replicas_are_left_out_while_another_target_has_the_log() {
--- a/crates/sessions/src/caller/mod.rs
+++ b/crates/sessions/src/caller/mod.rs
@@ -403,6 +403,7 @@
         self.statement_timeout = grant.route.statement_timeout;
         self.latency_target = grant.route.latency_target;
         self.context = Some(Context {
+            database: self.database.clone(),
             service: service.clone(),
             consistency: grant.route.consistency,
             priority: grant.route.priority,
--- a/crates/sessions/src/caller/work.rs
+++ b/crates/sessions/src/caller/work.rs
@@ -4,12 +4,15 @@
 //! or to the primary. It is retried on other targets until its deadline. A write goes to the
 //! primary, and is retried only if the target cannot have run it.
 
+use crate::boot_clock;
 use crate::event::Event;
 use crate::pool::connection::{Bounds, Failure, is_clean};
+use crate::pool::target::Target;
 use crate::pool::{Checkout, ConnectionRequest, acquire};
 use crate::state::{Host, Primary, Unavailable};
 use bergamotvale_core::id::Time;
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
+use bergamotvale_core::proxy::capacity::Fraction;
 use bergamotvale_core::proxy::catalog::Consistency;
 use bergamotvale_core::proxy::directory::{Entry, TargetName, of_service};
 use bergamotvale_core::proxy::evidence::View;
@@ -42,6 +45,8 @@
 /// The session and route that a statement runs under.
 #[derive(Debug, Clone)]
 pub struct Context {
+    /// Database name of the route; the times of its reads are compared among targets.
+    pub database: String,
     /// Service that the route leads to.
     pub service: String,
     /// Freshness that reads on the route require.
@@ -163,11 +168,15 @@
     };
     let directory = host.directory.borrow();
     let primary = host.records.borrow().get(&context.service).map(|s| s.record.primary.clone());
-    let candidates: Vec<Candidate> = of_service(&directory, &context.service)
+    let mut candidates: Vec<Candidate> = of_service(&directory, &context.service)
         .filter(|entry| is_eligible(host, entry))
         .map(|entry| candidate(host, context, entry, primary.as_ref()))
         .collect();
-    let chosen = select::choose(&candidates, floor, tried).ok_or(Unavailable::Unreachable)?;
+    let probed = apply_limits(host, &mut candidates, floor, tried);
+    let probed = candidates.iter().find(|c| probed.as_ref() == Some(&c.name));
+    let chosen = probed
+        .or_else(|| select::choose(&candidates, floor, tried))
+        .ok_or(Unavailable::Unreachable)?;
     let entry = directory.get(&chosen.name).cloned().ok_or(Unavailable::Unreachable)?;
     Ok(Destination { entry, floor: Some(floor), primary: None })
 }
@@ -202,6 +211,8 @@
         in_flight: target.in_flight.get(),
         slots: entry.slots,
         statement_time: target.statement_time(),
+        limit: Fraction::FULL,
+        group_time: target.statement_time(),
         has_connection: pool.has_idle(&context.account),
         can_connect: pool.can_connect(),
         position: target.position(),
@@ -209,6 +220,59 @@
     }
 }
 
+/// Sets the learned limits of a read's candidates. Returns the target that the read should probe, if
+/// it is the read's first attempt and a probe is due.
+fn apply_limits(
+    host: &Host,
+    candidates: &mut [Candidate],
+    floor: Position,
+    tried: &[TargetName],
+) -> Option<TargetName> {
+    if !host.settings.learned_limits {
+        return None;
+    }
+    let names: Vec<TargetName> = candidates.iter().map(|c| c.name.clone()).collect();
+    let now = boot_clock::now();
+    let mut capacity = host.targets.capacity.borrow_mut();
+    let changes = capacity.adjust(&names, now);
+    for candidate in candidates.iter_mut() {
+        candidate.limit = capacity.limit(&candidate.name);
+    }
+    select::set_group_times(candidates);
+    for change in changes {
+        let is_full = !change.limit.is_reduced();
+        host.metrics.count(if is_full { "limits_restored" } else { "limits_reduced" });
+        host.journal.write(&Event::TargetLimit {
+            target: &change.target,
+            limit_permille: change.limit.permille(),
+        });
+        if let Some(candidate) = candidates.iter_mut().find(|c| c.name == change.target && is_full)
+        {
+            // Its mean is that of the slow times before; few new samples would reach it.
+            candidate.statement_time = candidate.group_time;
+            host.targets.get(&change.target).set_statement_time(candidate.group_time);
+        }
+    }
+    if !tried.is_empty() {
+        return None;
+    }
+    let probed = capacity.count_read(&select::avoided(candidates, floor), now)?;
+    host.metrics.count("limit_probes");
+    Some(probed)
+}
+
+/// Records the time of a read that a target executed, to compare it with other targets.
+fn record_read_time(host: &Host, context: &Context, target: &Target, took: Duration) {
+    if !host.settings.learned_limits {
+        return;
+    }
+    let directory = host.directory.borrow();
+    let group: Vec<TargetName> =
+        of_service(&directory, &context.service).map(|entry| entry.name.clone()).collect();
+    let mut capacity = host.targets.capacity.borrow_mut();
+    capacity.record_time(&target.name, &group, &context.database, took, boot_clock::now());
+}
+
 /// Waits until this host may use the group's primary, at most until `deadline`, and for an expired
 /// lease at most `MAX_LEASE_WAIT`.
 pub async fn wait_primary(
@@ -354,7 +418,24 @@
     {
         record_observation(host, service, sent, &answer);
     }
-    finish_exchange(host, checkout, answer, sent)
+    let took = host.now().saturating_sub(sent);
+    let finished = finish_exchange(host, checkout, answer, sent);
+    match finished {
+        Ok(_) => record_read_time(host, context, &target, took),
+        Err(Failure::Refused(code)) if is_fault_of_target(code) => {
+            host.record_target_failure(&target);
+        }
+        Err(_) => {}
+    }
+    finished
+}
+
+/// Whether an error answer to a read shows that the target does not serve what others may serve.
+fn is_fault_of_target(code: Code) -> bool {
+    matches!(
+        code,
+        Code::Busy | Code::Aborted | Code::Misrouted | Code::Unknown | Code::Timeout | Code::Failed
+    )
 }
 
 /// Releases the connection if it is clean, and turns an error answer into a failure.
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -76,6 +76,8 @@
     RosterChanged { service: &'a str, roster: &'a Roster },
     /// This host's view of a target changed, or the target's entry was added, changed or removed.
     Target { target: &'a str, service: &'a str, view: &'a str, leaving: bool },
+    /// This host's learned limit of a target changed by a factor of two, or is full again.
+    TargetLimit { target: &'a str, limit_permille: u32 },
     /// A promotion that this host executes reached or failed a step.
     Promotion {
         service: &'a str,
--- a/crates/sessions/src/http.rs
+++ b/crates/sessions/src/http.rs
@@ -42,11 +42,19 @@
     }
 }
 
+/// Renders the reduced limits of targets as metrics.
+fn render_limits(host: &Host) -> String {
+    let reduced = host.targets.capacity.borrow().reduced();
+    let lines =
+        reduced.iter().map(|(name, limit)| format!("target_limit_{name} {}\n", limit.permille()));
+    lines.collect()
+}
+
 fn respond(host: &Host, path: &str) -> Response<Full<Bytes>> {
     let (status, body) = match path {
         ready::PATH if maintenance::is_ready(host) => (StatusCode::OK, String::new()),
         ready::PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-        METRICS_PATH => (StatusCode::OK, host.metrics.render()),
+        METRICS_PATH => (StatusCode::OK, host.metrics.render() + &render_limits(host)),
         STATUS_PATH => match serde_json::to_string(&status::of(host)) {
             Ok(text) => (StatusCode::OK, text),
             Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
--- a/crates/sessions/src/pool/connection.rs
+++ b/crates/sessions/src/pool/connection.rs
@@ -166,6 +166,9 @@
                 if *failure == Failure::Lost {
                     target.record_connection_failure();
                 }
+                if matches!(failure, Failure::Lost | Failure::Late) {
+                    host.record_target_failure(target);
+                }
                 self.reset_on_close();
             }
         }
--- a/crates/sessions/src/pool/target.rs
+++ b/crates/sessions/src/pool/target.rs
@@ -3,6 +3,7 @@
 use crate::boot_clock;
 use crate::pool::Pool;
 use bergamotvale_core::id::Time;
+use bergamotvale_core::proxy::capacity::Capacity;
 use bergamotvale_core::proxy::directory::TargetName;
 use bergamotvale_core::proxy::evidence::{Evidence, View};
 use bergamotvale_core::proxy::floor::Position;
@@ -107,6 +108,11 @@
         self.statement_time.get()
     }
 
+    /// Replaces the moving average, because the durations in it say nothing of the present.
+    pub fn set_statement_time(&self, mean: Duration) {
+        self.statement_time.set(mean);
+    }
+
     /// Adds the duration of a statement to the moving average.
     pub fn record_statement_time(&self, took: Duration) {
         self.statement_time.set(
@@ -126,6 +132,8 @@
 /// State of each target that this host has used or probed, by name.
 #[derive(Debug, Default)]
 pub struct Targets {
+    /// Limits that this host has learned for targets that are slower than others of their group.
+    pub capacity: RefCell<Capacity>,
     known: RefCell<BTreeMap<TargetName, Rc<Target>>>,
 }
 
@@ -171,6 +179,7 @@
     /// Forgets targets for which `keep` is false, but not those with requests in flight.
     pub fn retain(&self, keep: impl Fn(&TargetName) -> bool) {
         self.known.borrow_mut().retain(|name, target| keep(name) || target.in_flight.get() > 0);
+        self.capacity.borrow_mut().retain(keep);
     }
 
     /// All known targets, ordered by name.
--- a/crates/sessions/src/settings.rs
+++ b/crates/sessions/src/settings.rs
@@ -36,6 +36,9 @@
     /// Limits on requests to targets that have just started; `None` where none are in force.
     #[serde(default)]
     pub cold: Option<Cold>,
+    /// Whether reads are chosen by learned limits of targets that differ in speed.
+    #[serde(default = "default_learned_limits")]
+    pub learned_limits: bool,
     /// Number of file descriptors that the process may open.
     pub descriptors: u32,
     /// Memory that the process may use, in MB; `None` if the platform states none.
@@ -104,6 +107,10 @@
     pub slack: u32,
 }
 
+fn default_learned_limits() -> bool {
+    true
+}
+
 impl Settings {
     /// Reads the file at `path`. Errors name the file, and the field and line of an invalid value.
     pub fn read(path: &Path) -> anyhow::Result<Settings> {
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -8,7 +8,7 @@
 use crate::event::{Event, Journal, millis};
 use crate::fleet::peer::{self, Peers};
 use crate::metric::Registry;
-use crate::pool::target::Targets;
+use crate::pool::target::{Target, Targets};
 use crate::settings::Settings;
 use crate::stop::Stop;
 use bergamotvale_core::id::{HostId, Incarnation, Time};
@@ -228,6 +228,14 @@
         }
     }
 
+    /// Records that a target failed a request, or did not answer it, for its learned limit.
+    pub fn record_target_failure(&self, target: &Target) {
+        if self.settings.learned_limits {
+            self.metrics.count("limited_target_failures");
+            self.targets.capacity.borrow_mut().record_failure(&target.name, boot_clock::now());
+        }
+    }
+
     /// Whether the store was restored and its table is not settled yet. Until then no change of the
     /// table that depends on this host's copy may be written.
     pub fn is_restoring(&self) -> bool {
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -55,6 +55,7 @@
         refused("1"),
         Event::Retried { request: "1", target, reason: "connection_lost" },
         Event::SessionClosed { database: "d", reason: "no such database" },
+        Event::TargetLimit { target, limit_permille: 500 },
     ]
 }
 
@@ -115,6 +116,7 @@
         Event::Refused { .. } => 19,
         Event::Retried { .. } => 20,
         Event::SessionClosed { .. } => 21,
+        Event::TargetLimit { .. } => 22,
     }
 }
 
--- a/crates/sessions/tests/settings.rs
+++ b/crates/sessions/tests/settings.rs
@@ -62,12 +62,22 @@
     assert_eq!(with.cold.map(|cold| (cold.overage, cold.slack)), Some((1.5, 5)));
 }
 
+/// Guards against learned limits that are off unless the file names them, or that cannot be switched
+/// off to measure their effect.
+#[test]
+fn learned_limits_are_on_unless_switched_off() {
+    assert!(read("learned", GOOD).expect("the settings are valid").learned_limits);
+    let text = GOOD.to_owned() + "learned_limits: false\n";
+    assert!(!read("not-learned", &text).expect("the settings are valid").learned_limits);
+}
+
 #[test]
 fn a_fault_names_its_field_and_line() {
     let cases = [
         ("unknown", GOOD.replace("descriptors", "descriptor"), "descriptor"),
         ("missing", GOOD.replace("store: \"10.200.1.7:8466\"\n", ""), "store"),
         ("address", GOOD.replace("10.1.0.26:8465", "10.1.0.26"), "listen.callers"),
+        ("flag", GOOD.to_owned() + "learned_limits: 2\n", "learned_limits"),
         ("unit", GOOD.replace("grace: 6", "grace: \"6 s\""), "times.grace"),
         ("negative", GOOD.replace("slack: 20", "slack: -1"), "rates.slack"),
         ("not_yaml", "{".to_owned(), "line"),
