--- a/crates/core/src/proxy/capacity.rs
+++ b/crates/core/src/proxy/capacity.rs
@@ -32,6 +32,9 @@
 const RECOVERED_SHARE: f64 = 0.08;
 /// Consecutive samples below [`RECOVERED_RATIO`] after which older times of a target are dropped.
 const RECOVERY_SAMPLES: u32 = 4;
+/// Consecutive successes after which older failures of a target are dropped. A target that fails four
+/// of ten requests has so many in a row once in sixty times.
+const RECOVERY_SUCCESSES: u32 = 8;
 /// Time between two adjustments of a limit.
 const STEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the distance to its goal by which a limit moves in one adjustment.
@@ -40,7 +43,8 @@
 const MIN_FRACTION: f64 = 1.0 / 16.0;
 /// Reads of a group after which a target that gets none by its cost gets one as a probe.
 const READS_PER_PROBE: u32 = 16;
-/// Minimum number of reads between two probes where reads are rare.
+/// Minimum number of reads between two probes where reads are rare, or if the last sample showed a
+/// recovery.
 const MIN_READS_PER_PROBE: u32 = 4;
 /// Time without a sample after which [`MIN_READS_PER_PROBE`] reads suffice for a probe.
 const PROBE_INTERVAL: Duration = Duration::from_secs(5);
@@ -113,6 +117,8 @@
     failures: Mean,
     /// Consecutive samples that are as fast as those of the other targets.
     fast_samples: u32,
+    /// Consecutive requests that did not fail.
+    successes: u32,
     fraction: f64,
     reported: Fraction,
     adjusted_at: Time,
@@ -128,6 +134,7 @@
             times: BTreeMap::new(),
             failures: Mean::default(),
             fast_samples: 0,
+            successes: 0,
             fraction: 1.0,
             reported: Fraction::FULL,
             adjusted_at: Time::ZERO,
@@ -142,6 +149,12 @@
         // Lies between MIN_FRACTION and 1, so the conversion keeps the value.
         Fraction::from_permille((self.fraction * 1000.0).round() as u32)
     }
+
+    /// Whether the last sample speaks against what reduced the limit.
+    fn shows_recovery(&self) -> bool {
+        let was_failing = self.failures.value > RECOVERED_SHARE;
+        self.fast_samples > 0 || (was_failing && self.successes > 0)
+    }
 }
 
 /// Limits of all targets that this host sends requests to.
@@ -164,11 +177,15 @@
         let took = took.as_secs_f64();
         let reference = self.reference(target, group, kind, now);
         let record = self.records.entry(target.to_owned()).or_default();
+        record.successes = record.successes.saturating_add(1);
+        if record.successes == RECOVERY_SUCCESSES {
+            record.failures = Mean::default();
+        }
         record.failures.record(0.0, now);
         record.sampled_at = now;
         record.reads = 0;
         let is_fast = reference.is_some_and(|reference| took < reference * RECOVERED_RATIO);
-        record.fast_samples = if is_fast { record.fast_samples + 1 } else { 0 };
+        record.fast_samples = if is_fast { record.fast_samples.saturating_add(1) } else { 0 };
         if record.fast_samples == RECOVERY_SAMPLES && record.limit().is_reduced() {
             record.times.clear();
         }
@@ -180,6 +197,7 @@
         let record = self.records.entry(target.to_owned()).or_default();
         record.failures.record(1.0, now);
         record.fast_samples = 0;
+        record.successes = 0;
         record.sampled_at = now;
         record.reads = 0;
     }
@@ -228,8 +246,9 @@
             let Some(record) = self.records.get_mut(target) else { continue };
             record.reads = record.reads.saturating_add(1);
             let age = now.saturating_sub(record.sampled_at);
-            let is_due = (record.reads >= READS_PER_PROBE && age >= MIN_PROBE_SPACING)
-                || (record.reads >= MIN_READS_PER_PROBE && age >= PROBE_INTERVAL);
+            let is_soon = record.shows_recovery() || age >= PROBE_INTERVAL;
+            let reads = if is_soon { MIN_READS_PER_PROBE } else { READS_PER_PROBE };
+            let is_due = record.reads >= reads && age >= MIN_PROBE_SPACING;
             if is_due && due.is_none() {
                 record.reads = 0;
                 record.sampled_at = now;
--- a/crates/core/tests/proxy_capacity.rs
+++ b/crates/core/tests/proxy_capacity.rs
@@ -278,6 +278,23 @@
     }
 }
 
+/// Guards against a target that was dark for some seconds and gets little work long after, at a host
+/// with few reads: the failures of that time are dropped after a few successes.
+#[test]
+fn a_target_that_was_dark_is_used_again_soon() {
+    let dark = Behaviour { failing_percent: 100, ..HEALTHY };
+    let mut model = Model::new(4, 100, [HEALTHY; 3]);
+    model.run(10_000);
+    model.targets.insert("a".to_owned(), dark);
+    model.run(6000);
+    assert!((0..4).any(|host| model.limit(host, "a") < 1000), "the dark target is not noticed");
+    model.targets.insert("a".to_owned(), HEALTHY);
+    model.run(12_000);
+    for host in 0..4 {
+        assert_eq!(model.limit(host, "a"), 1000, "host {host}");
+    }
+}
+
 /// Guards against a target that attracts reads since it fails them fast.
 #[test]
 fn a_target_that_fails_a_part_gets_fewer_reads() {
