--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod budget;
+pub mod capacity;
 pub mod catalog;
 pub mod catch_up;
 pub mod cursor;
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -84,6 +84,8 @@
         primaries: usize,
         closes_in_ms: Option<u64>,
     },
+    /// This host's learned limit of a target changed by a factor of two, or is full again.
+    TargetLimit { target: &'a str, limit_permille: u32 },
     /// A promotion that this host executes reached or failed a step.
     Promotion {
         service: &'a str,
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -65,6 +65,7 @@
         refused("1"),
         Event::Retried { request: "1", target, reason: "connection_lost" },
         Event::SessionClosed { database: "d", reason: "no such database" },
+        Event::TargetLimit { target, limit_permille: 500 },
     ]
 }
 
@@ -134,6 +135,7 @@
         Event::Refused { .. } => 20,
         Event::Retried { .. } => 21,
         Event::SessionClosed { .. } => 22,
+        Event::TargetLimit { .. } => 23,
     }
 }
 
