Let holders of a rate keep a part of the slack, and spread the retry times of refused callers

A burst that is divided between four holders leaves each with fractions of a token, so accounts with small rates were refused up to a fifth of their requests near their rate. A host without a share told every refused caller to retry after one second.

--- a/crates/core/src/rate/meter.rs
+++ b/crates/core/src/rate/meter.rs
@@ -30,6 +30,9 @@
 /// Requests of one client account that may wait for a loan.
 const MAX_WAITING: u32 = 1024;
 
+/// Longest time after which a refused caller is told to retry.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Decision on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -72,6 +75,10 @@
     /// Hosts that may have tokens; all peers if empty.
     holders: BTreeSet<HostId>,
     waiting: u32,
+    /// Rate of one holder, in micro-tokens per second; zero if unknown.
+    holder_rate: Amount,
+    /// Time at which the last refused caller was told to retry.
+    last_retry_at: Time,
     demand: Demand,
     lenders: BTreeMap<HostId, Lender>,
     /// Highest sequence number received from each borrower.
@@ -140,6 +147,14 @@
         }
     }
 
+    /// Sets the rate of each holder of an account, in micro-tokens per second, from which a host
+    /// without a share derives when a refused caller should retry.
+    pub fn set_holder_rate(&mut self, account: AccountId, rate: Amount) {
+        if let Some(state) = self.accounts.get_mut(&account) {
+            state.holder_rate = rate;
+        }
+    }
+
     /// Sets this host's share of an account's rate, per second, and burst, in micro-tokens.
     pub fn set_share(&mut self, account: AccountId, rate: Amount, burst: Amount, now: Time) {
         let growth_delay = self.growth_delay;
@@ -317,6 +332,8 @@
             bucket: Bucket::new(now),
             holders: BTreeSet::new(),
             waiting: 0,
+            holder_rate: 0,
+            last_retry_at: now,
             demand: Demand { per_second: 0.0, at: now },
             lenders: BTreeMap::new(),
             last_sequences: BTreeMap::new(),
@@ -400,8 +417,21 @@
         if low { (self.waiting + short).saturating_sub(in_flight) } else { 0 }
     }
 
+    /// Refuses a request, with the time after which this host can expect a token for it.
+    ///
+    /// Callers that are refused one after another are told successive times, at which they do not
+    /// compete for one token.
     fn refuse(&mut self, now: Time) -> Decision {
-        Decision::Refuse(self.bucket.next_token(now).unwrap_or(Duration::from_secs(1)))
+        let own_rate = self.bucket.share().0;
+        let rate = if own_rate > 0 { own_rate } else { self.holder_rate };
+        if rate == 0 {
+            return Decision::Refuse(MAX_RETRY_AFTER);
+        }
+        let interval = Duration::from_micros((MICRO * MICRO).div_ceil(rate));
+        let next = now + self.bucket.next_token(now).unwrap_or(interval);
+        let retry_at = next.max(self.last_retry_at + interval).min(now + MAX_RETRY_AFTER);
+        self.last_retry_at = retry_at;
+        Decision::Refuse(retry_at - now)
     }
 }
 
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -25,6 +25,21 @@
 /// holders than the burst has tokens.
 pub const MAX_HOLDERS: usize = 16;
 
+/// Part of the permitted slack that the holders of an account may keep beyond its burst, as one part
+/// in this number. Initial tokens use up to two quarters; a quarter is left for changes of shares.
+const FRAGMENT_SLACK_DIVISOR: u64 = 4;
+
+/// Micro-tokens that each of several holders may keep beyond its share of a burst.
+///
+/// A token that is divided between holders serves nobody, and a small share overflows while another
+/// is empty: an account at 0.85 of its rate lost up to a fifth of its requests to that.
+pub fn fragment_allowance(slack: u32, holders: usize) -> Amount {
+    match holders as u64 {
+        0 | 1 => 0,
+        holders => u64::from(slack) * MICRO / FRAGMENT_SLACK_DIVISOR / holders,
+    }
+}
+
 /// Share that `host` has of an account's rate, per second, and burst, in micro-tokens.
 pub fn account_share(
     id: AccountId,
--- a/crates/core/tests/meters/mod.rs
+++ b/crates/core/tests/meters/mod.rs
@@ -43,6 +43,8 @@
     pub(crate) loan_timeout: Option<Duration>,
     /// Maximum number of hosts among which the rate is divided.
     pub(crate) max_holders: usize,
+    /// Micro-tokens that each holder may keep beyond its share of the burst.
+    pub(crate) allowance: u64,
 }
 
 pub(crate) struct Host {
@@ -81,6 +83,7 @@
             lossy_lenders: BTreeSet::new(),
             loan_timeout: None,
             max_holders: rate::MAX_HOLDERS,
+            allowance: 0,
         }
     }
 
@@ -99,6 +102,7 @@
         let holders = rate::holders(ACCOUNT, burst, &self.members, self.max_holders);
         let (rate, burst) =
             rate::rate_share(ACCOUNT, (rate, burst), &self.members, id, self.max_holders);
+        let burst = burst + if burst > 0 { self.allowance } else { 0 };
         let whole_rate =
             (rate::meter::micro(self.account.rate), rate::meter::micro(self.account.burst));
         let peers = self.members.iter().copied().filter(|peer| *peer != id).collect();
@@ -114,6 +118,7 @@
     pub(crate) fn restart(&mut self, id: HostId, opening: u32, now: Time) {
         let total = (self.account.rate, self.account.burst);
         let (rate, burst) = rate::rate_share(ACCOUNT, total, &self.members, id, self.max_holders);
+        let burst = burst + if burst > 0 { self.allowance } else { 0 };
         let mut host = fresh_host();
         host.meter.open_share(ACCOUNT, rate, burst, rate::meter::micro(opening), now);
         self.hosts.insert(id, host);
--- a/crates/sessions/src/caller/quota.rs
+++ b/crates/sessions/src/caller/quota.rs
@@ -11,7 +11,7 @@
 use bergamotvale_core::proxy::catalog::{Account, Catalog};
 use bergamotvale_core::rate::bucket::{Amount, MICRO};
 use bergamotvale_core::rate::meter::{Decision, Meter};
-use bergamotvale_core::rate::{holders, rate_share};
+use bergamotvale_core::rate::{fragment_allowance, holders, rate_share};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -65,8 +65,11 @@
             let id = account_id(&account.name);
             let total = (account.rate, account.burst);
             let (rate, burst) = rate_share(id, total, members, own, HOLDERS_PER_ACCOUNT);
-            let (rate, burst) = (widen(rate, rates), widen(burst, rates));
             let holders = holders(id, account.burst, members, HOLDERS_PER_ACCOUNT);
+            let allowance =
+                if burst > 0 { fragment_allowance(rates.slack, holders.len()) } else { 0 };
+            let (rate, burst) = (widen(rate, rates), widen(burst, rates) + allowance);
+            let holder_rate = u64::from(account.rate) * MICRO / holders.len().max(1) as u64;
             if has_share {
                 let initial_tokens = initial_tokens(account, holders.len(), rates);
                 meter.open_share(id, rate, burst, initial_tokens, now);
@@ -74,6 +77,7 @@
                 meter.set_share(id, rate, burst, now);
             }
             meter.set_holders(id, holders);
+            meter.set_holder_rate(id, holder_rate);
         }
         meter.tick(now);
     }
@@ -98,11 +102,23 @@
 pub async fn admit(host: &Host, account: &Account) -> Result<(), Duration> {
     let id = account_id(&account.name);
     let mut decision = host.quota.meter.borrow_mut().request(id, boot_clock::now());
+    let mut has_waited = false;
     loop {
         match decision {
-            Decision::Admit => return Ok(()),
-            Decision::Refuse(after) => return Err(after),
+            Decision::Admit => {
+                if has_waited {
+                    host.metrics.count("rate_admitted_after_wait");
+                }
+                return Ok(());
+            }
+            Decision::Refuse(after) => {
+                let counter =
+                    if has_waited { "rate_refused_after_wait" } else { "rate_refused_at_once" };
+                host.metrics.count(counter);
+                return Err(after);
+            }
             Decision::Wait(deadline) => {
+                has_waited = true;
                 host.peers.request_loans(host, id);
                 drop(tokio::time::timeout(LOAN_POLL_INTERVAL, host.changed.notified()).await);
                 let now = boot_clock::now();
