Forward operations to the hosts that own a target's connections

Where an even share of a target's connections is less than one for every eight accounts, only the hosts in the target's failure domain open connections, and each account has an owner among them to which other hosts send their attempts over TCP. Fleets with enough connections are served as before.

--- a/crates/core/src/proxy/answer.rs
+++ b/crates/core/src/proxy/answer.rs
@@ -5,10 +5,10 @@
 //! has left no effect; it is given only where that is certain.
 
 use derive_more::Display;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Error codes that callers receive.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum Code {
@@ -69,7 +69,7 @@
 }
 
 /// Effect of a statement on the data once it has run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// None: a read, or a statement in a transaction that is not committed yet.
     None,
@@ -78,7 +78,7 @@
 }
 
 /// Whether a statement may have reached a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Sent {
     /// No byte of it can have reached a target.
     No,
--- a/crates/core/src/proxy/catalog.rs
+++ b/crates/core/src/proxy/catalog.rs
@@ -3,11 +3,12 @@
 //! A catalog is immutable. A newer version replaces it as a whole; an older version never does.
 
 use crate::id::Version;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Which commits the reads of a route are guaranteed to see.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Consistency {
     /// Every acknowledged commit.
     Primary,
--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 pub mod failover;
 pub mod floor;
 pub mod lease;
+pub mod ownership;
 pub mod record;
 pub mod restore;
 pub mod revision;
--- a/crates/core/src/proxy/statement.rs
+++ b/crates/core/src/proxy/statement.rs
@@ -1,7 +1,9 @@
 //! Statements that a caller can send in a session.
 
+use serde::{Deserialize, Serialize};
+
 /// Whether a prepared statement reads or writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Access {
     /// Reads only.
     Read,
@@ -55,7 +57,7 @@
 
 /// A prepared statement without the session's name for it, so that sessions that prepare the same
 /// statement share it on a connection.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Shape {
     /// Whether it writes.
     pub access: Access,
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -18,6 +18,8 @@
     Watch(u64),
     /// Hosts that read the platform's store on behalf of others.
     Store(u64),
+    /// Hosts that own the connections of an account to a target.
+    Owner(u64),
 }
 
 impl Subject {
@@ -27,6 +29,7 @@
             Subject::Connection(id) => (1, id),
             Subject::Watch(id) => (2, id),
             Subject::Store(id) => (3, id),
+            Subject::Owner(id) => (4, id),
         }
     }
 }
--- a/crates/host/tests/sessions/main.rs
+++ b/crates/host/tests/sessions/main.rs
@@ -3,6 +3,7 @@
 mod catch_up;
 mod faults;
 mod fixture;
+mod forwarding;
 mod on_call;
 mod path;
 mod restored;
--- a/crates/host/tests/sessions/soak/mod.rs
+++ b/crates/host/tests/sessions/soak/mod.rs
@@ -15,6 +15,7 @@
 mod ledger;
 
 use crate::fixture::{Process, SERVICE, catalog, eventually};
+use crate::forwarding::many_accounts;
 use bergamotvale_core::proxy::catalog::Catalog;
 use bergamotvale_standin::lines::{Group, System};
 use bergamotvale_standin::link::Relay;
@@ -59,7 +60,7 @@
 }
 
 impl Soak {
-    fn new(sync_replicas: u32) -> Arc<Soak> {
+    fn new(sync_replicas: u32, mut catalog: Catalog) -> Arc<Soak> {
         let system = System::start(&[SERVICE]).expect("the stand-ins start");
         let group = system.groups[0].clone();
         group.set_sync_replicas(1);
@@ -73,7 +74,6 @@
         let store = system.address;
         let store_links: Vec<Relay> =
             (0..HOSTS).map(|_| Relay::start(store).expect("the relay starts")).collect();
-        let mut catalog = catalog();
         for group in catalog.groups.values_mut() {
             group.sync_replicas = sync_replicas;
         }
@@ -113,8 +113,8 @@
 
 /// Runs callers and injects faults for `duration`, clears the faults, waits until callers are
 /// served again and stops them. Returns the violations found.
-fn run_seed(seed: u64, duration: Duration, sync_replicas: u32) -> Vec<String> {
-    let soak = Soak::new(sync_replicas);
+fn run_seed(seed: u64, duration: Duration, sync_replicas: u32, catalog: Catalog) -> Vec<String> {
+    let soak = Soak::new(sync_replicas, catalog);
     let mut callers = caller::start(&soak);
     let faults = faults::inject(&soak, seed, Instant::now() + duration);
     let acknowledged_before = soak.ledger.acknowledged();
@@ -164,12 +164,25 @@
     Duration::from_secs(seconds.map_or(DEFAULT_SECONDS, |text| text.parse().expect("a number")))
 }
 
-#[test]
-fn promises_hold_while_everything_fails_at_random() {
+/// Runs all seeds with a configuration, and fails if there are any findings.
+fn run_seeds(catalog: &Catalog) {
     let mut failures = Vec::new();
     for seed in seeds_from_env() {
-        let findings = run_seed(seed, duration_from_env(), sync_replicas_from_env());
+        let findings =
+            run_seed(seed, duration_from_env(), sync_replicas_from_env(), catalog.clone());
         failures.extend(findings.into_iter().map(|finding| format!("seed {seed}: {finding}")));
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+#[test]
+fn promises_hold_while_everything_fails_at_random() {
+    run_seeds(&catalog());
+}
+
+/// The configuration makes the hosts forward operations to each other, so that faults of a host
+/// meet both ends of hops.
+#[test]
+fn promises_hold_while_hosts_forward_and_everything_fails_at_random() {
+    run_seeds(&many_accounts());
+}
--- a/crates/sessions/src/caller/mod.rs
+++ b/crates/sessions/src/caller/mod.rs
@@ -93,8 +93,10 @@
     let writer = match open(&host, &mut reader, writer).await {
         Ok(mut caller) => {
             caller.run(&mut reader).await;
-            if let Phase::Open(transaction) = std::mem::replace(&mut caller.phase, Phase::Idle) {
-                transaction.rollback(&host).await;
+            if let Phase::Open(transaction) = std::mem::replace(&mut caller.phase, Phase::Idle)
+                && let Some(context) = &caller.context
+            {
+                transaction.rollback(&host, context).await;
             }
             caller.writer
         }
@@ -429,8 +431,13 @@
     async fn rollback(&mut self) -> Reply {
         match std::mem::replace(&mut self.phase, Phase::Idle) {
             Phase::Open(transaction) => {
-                let host = self.host.clone();
-                tokio::task::spawn_local(async move { transaction.rollback(&host).await });
+                // An open transaction has the context that it was admitted with.
+                if let Some(context) = self.context.clone() {
+                    let host = self.host.clone();
+                    tokio::task::spawn_local(
+                        async move { transaction.rollback(&host, &context).await },
+                    );
+                }
                 line::done(State::Idle)
             }
             _ => line::error(Code::Malformed, "no transaction is open", State::Idle),
--- a/crates/sessions/src/caller/transaction.rs
+++ b/crates/sessions/src/caller/transaction.rs
@@ -5,13 +5,17 @@
 //! cannot continue is reported as rolled back.
 
 use crate::caller::work::{
-    self, Context, Destination, Refusal, Task, failure_label, failure_outcome,
+    self, Context, Destination, Refusal, Task, WriteError, failure_label, failure_outcome,
 };
+use crate::forward::client::Link;
+use crate::forward::protocol::{RemoteTask, Request};
+use crate::forward::{self, Hop, HopError, Place};
 use crate::pool::connection::{Bounds, Failure, is_clean};
 use crate::pool::{Checkout, acquire};
 use crate::state::{Host, WorkGuard};
 use bergamotvale_core::proxy::answer::{Code, Effect, Outcome, Sent, response_code};
 use bergamotvale_core::proxy::catalog::Consistency;
+use bergamotvale_core::proxy::floor::Position;
 use bergamotvale_core::proxy::session::Values;
 use bergamotvale_platform::line::{self, Answer, End, State};
 use bergamotvale_platform::text;
@@ -37,12 +41,20 @@
 
 /// The connection that a transaction is pinned to.
 struct Pinned {
-    checkout: Checkout,
+    place: Pin,
     destination: Destination,
     /// Registers the transaction as work at the primary, so that a promotion waits for its end.
     _work_guard: Option<WorkGuard>,
 }
 
+/// Where the connection is.
+enum Pin {
+    /// One of this host's connections to the target.
+    Local(Checkout),
+    /// At the owner of the account's connections, which keeps one for as long as this link is open.
+    Remote(Box<Link>),
+}
+
 impl Transaction {
     /// Creates a transaction that has not been begun at a target.
     pub fn new(read_only: bool) -> Transaction {
@@ -101,24 +113,46 @@
     ) -> Result<Answer, Refusal> {
         self.begin(host, context, values, task).await?;
         let answer = self.exchange(host, context, values, task, Effect::Lasting).await?;
-        if let Some(pinned) = self.pinned.take()
-            && is_clean(&answer)
-        {
-            pinned.checkout.release();
-        }
+        self.finish(host, &answer);
         Ok(answer)
     }
 
+    /// Returns the connection to the pool if the target has ended the transaction with `answer`.
+    pub fn finish(&mut self, host: &Host, answer: &Answer) {
+        match self.pinned.take().map(|pinned| pinned.place) {
+            Some(Pin::Local(checkout)) if is_clean(answer) => checkout.release(),
+            Some(Pin::Remote(link)) if is_clean(answer) => link.release(host),
+            _ => {}
+        }
+    }
+
     /// Rolls back. If the target does not answer, the connection is closed, which rolls back too.
-    pub async fn rollback(mut self, host: &Host) {
-        let Some(mut pinned) = self.pinned.take() else { return };
+    pub async fn rollback(mut self, host: &Host, context: &Context) {
+        let Some(Pinned { place, destination, _work_guard }) = self.pinned.take() else { return };
         let deadline = Instant::now() + HANDOVER_TIMEOUT;
-        let target = pinned.checkout.target.clone();
-        let message = line::query(line::HOST_STATEMENT_ID, text::ROLLBACK);
-        let bounds = Bounds { deadline, fence: None };
-        let answer = pinned.checkout.connection().exchange(host, &target, &message, bounds).await;
-        if answer.is_ok_and(|answer| is_clean(&answer)) {
-            pinned.checkout.release();
+        match place {
+            Pin::Local(mut checkout) => {
+                let target = checkout.target.clone();
+                let message = line::query(line::HOST_STATEMENT_ID, text::ROLLBACK);
+                let bounds = Bounds { deadline, fence: None };
+                let answer = checkout.connection().exchange(host, &target, &message, bounds).await;
+                if answer.is_ok_and(|answer| is_clean(&answer)) {
+                    checkout.release();
+                }
+            }
+            Pin::Remote(mut link) => {
+                let destination = Destination { primary: None, ..destination };
+                let hop = Hop {
+                    id: line::HOST_STATEMENT_ID,
+                    destination: &destination,
+                    context,
+                    deadline,
+                    ends_with_owner: true,
+                };
+                if hop.call(host, &mut link, &Request::Rollback).await.is_ok() {
+                    link.release(host);
+                }
+            }
         }
     }
 
@@ -170,7 +204,8 @@
         Ok(())
     }
 
-    /// Attempts to begin the transaction at one target.
+    /// Attempts to begin the transaction at one target, at the owner of the account's connections
+    /// if there is one.
     async fn begin_at(
         &self,
         host: &Rc<Host>,
@@ -179,8 +214,84 @@
         task: &Task,
         destination: Destination,
     ) -> Result<Pinned, Failure> {
+        let mut refused = Vec::new();
+        loop {
+            let place = forward::place(host, &destination.entry, &context.account, &refused).await;
+            let mut link = match place {
+                Place::Owner(link) => link,
+                Place::Local => {
+                    let begun = self.pin(host, context, values, task, destination).await;
+                    return begun.map(|(pinned, _)| pinned);
+                }
+                Place::LastResort => {
+                    let destination = Destination { is_last_resort: true, ..destination };
+                    let begun = self.pin(host, context, values, task, destination).await;
+                    return begun.map(|(pinned, _)| pinned);
+                }
+            };
+            let service = context.service.as_str();
+            let fence = destination.primary.as_ref().map(|p| (service, p.fence));
+            let work_guard = fence.map(|(service, fence)| host.register_work(service, fence));
+            let deadline = task.deadline;
+            let attempt = forward::attempt(context, values, task, &destination, deadline);
+            let request = Request::Begin { attempt, read_only: self.read_only };
+            let hop = Hop {
+                id: &task.id,
+                destination: &destination,
+                context,
+                deadline,
+                ends_with_owner: true,
+            };
+            let sent = host.now();
+            match hop.call(host, &mut link, &request).await {
+                Ok(answer) => {
+                    if let Some((service, fence)) = fence
+                        && host.is_current(service, fence)
+                    {
+                        work::record_observation(host, service, sent, &answer);
+                    }
+                    let place = Pin::Remote(link);
+                    return Ok(Pinned { place, destination, _work_guard: work_guard });
+                }
+                Err(HopError::NotRun) => {
+                    refused.push(link.owner);
+                    link.release(host);
+                }
+                Err(HopError::Failed { failure, .. }) => {
+                    let failure = failure.exchange_failure();
+                    forward::wait_after_disagreement(host, failure, deadline).await;
+                    return Err(failure);
+                }
+            }
+        }
+    }
+
+    /// Attempts to begin the transaction at one target, with this host's own connections. Returns
+    /// the position of the target's log.
+    pub async fn begin_local(
+        &mut self,
+        host: &Rc<Host>,
+        context: &Context,
+        values: &Values,
+        task: &Task,
+        destination: Destination,
+    ) -> Result<Option<Position>, Failure> {
+        let (pinned, position) = self.pin(host, context, values, task, destination).await?;
+        self.pinned = Some(pinned);
+        Ok(position)
+    }
+
+    /// Begins the transaction on one of this host's connections.
+    async fn pin(
+        &self,
+        host: &Rc<Host>,
+        context: &Context,
+        values: &Values,
+        task: &Task,
+        destination: Destination,
+    ) -> Result<(Pinned, Option<Position>), Failure> {
         let service = context.service.as_str();
-        let request = context.request(task.deadline, task.max_wait);
+        let request = context.request(&destination, task.deadline, task.max_wait);
         let mut checkout = acquire(host, &destination.entry, request).await?;
         let fence = destination.primary.as_ref().map(|p| (service, p.fence));
         let work_guard = fence.map(|(service, fence)| host.register_work(service, fence));
@@ -217,10 +328,11 @@
         {
             work::record_observation(host, service, sent, &answer);
         }
-        Ok(Pinned { checkout, destination, _work_guard: work_guard })
+        let place = Pin::Local(checkout);
+        Ok((Pinned { place, destination, _work_guard: work_guard }, answer.position))
     }
 
-    /// Sends a statement on the pinned connection; the connection is closed on failure.
+    /// Runs a statement on the pinned connection; the transaction ends on failure.
     async fn exchange(
         &mut self,
         host: &Rc<Host>,
@@ -229,39 +341,107 @@
         task: &Task,
         effect: Effect,
     ) -> Result<Answer, Refusal> {
-        let service = context.service.as_str();
-        if !self.may_continue(host, service) {
-            self.pinned = None;
-            return Err(Refusal::new(Code::Aborted, "superseded"));
-        }
-        let Some(pinned) = &mut self.pinned else {
-            return Err(Refusal::new(Code::Aborted, "superseded"));
-        };
-        let target = pinned.checkout.target.clone();
-        let fence = pinned.destination.primary.as_ref().map(|p| (service, p.fence));
-        let bounds = Bounds { deadline: task.deadline, fence };
-        let connection = pinned.checkout.connection();
-        let shape = task.shape.as_ref();
-        if let Err(failure) = connection.apply_session(host, &target, values, shape, bounds).await {
-            self.pinned = None;
-            return Err(
-                Refusal::new(Code::Aborted, failure_label(failure)).with_target(&target.name)
-            );
-        }
-        let message = line::query(&task.id, &task.text);
-        let result = connection.exchange(host, &target, &message, bounds).await;
-        let may_continue = self.may_continue(host, service);
-        let failure = match result {
-            Ok(answer) if effect == Effect::Lasting && answer.end == End::Done && !may_continue => {
+        let name = self.pinned.as_ref().map(|pinned| pinned.destination.entry.name.clone());
+        let name = match name {
+            Some(name) if self.may_continue(host, &context.service) => name,
+            _ => {
                 self.pinned = None;
-                let code = response_code(effect, true, Sent::Maybe, Outcome::Unverified);
-                return Err(Refusal::new(code, "lease_lapsed").with_target(&target.name));
+                return Err(Refusal::new(Code::Aborted, "superseded"));
             }
+        };
+        let mut sent = Sent::No;
+        let refusal = match self.step(host, context, values, task, effect, &mut sent).await {
             Ok(answer) => return Ok(answer),
-            Err(failure) => failure,
+            Err(WriteError::Unverified) => {
+                let code = response_code(effect, true, Sent::Maybe, Outcome::Unverified);
+                Refusal::new(code, "lease_lapsed")
+            }
+            Err(WriteError::Exchange(failure)) if sent == Sent::No => {
+                Refusal::new(Code::Aborted, failure_label(failure))
+            }
+            Err(WriteError::Exchange(failure)) => {
+                let code = response_code(effect, true, Sent::Maybe, failure_outcome(failure));
+                Refusal::new(code, failure_label(failure))
+            }
         };
-        self.pinned = None;
-        let code = response_code(effect, true, Sent::Maybe, failure_outcome(failure));
-        Err(Refusal::new(code, failure_label(failure)).with_target(&target.name))
+        Err(refusal.with_target(&name))
+    }
+
+    /// Sends a statement on the pinned connection, which is closed on failure. `sent` becomes
+    /// [`Sent::Maybe`] once bytes of the statement may have reached the target.
+    pub async fn step(
+        &mut self,
+        host: &Rc<Host>,
+        context: &Context,
+        values: &Values,
+        task: &Task,
+        effect: Effect,
+        sent: &mut Sent,
+    ) -> Result<Answer, WriteError> {
+        let may_continue = self.may_continue(host, &context.service);
+        let pinned = self.pinned.take().filter(|_| may_continue);
+        let mut pinned = pinned.ok_or(Failure::Superseded)?;
+        let answer = pinned.run(host, context, values, task, effect, sent).await?;
+        self.pinned = Some(pinned);
+        let is_committed = effect == Effect::Lasting && answer.end == End::Done;
+        if is_committed && !self.may_continue(host, &context.service) {
+            self.pinned = None;
+            return Err(WriteError::Unverified);
+        }
+        Ok(answer)
+    }
+}
+
+impl Pinned {
+    /// Runs a statement on the connection, or has its owner run it.
+    async fn run(
+        &mut self,
+        host: &Rc<Host>,
+        context: &Context,
+        values: &Values,
+        task: &Task,
+        effect: Effect,
+        sent: &mut Sent,
+    ) -> Result<Answer, WriteError> {
+        let service = context.service.as_str();
+        match &mut self.place {
+            Pin::Local(checkout) => {
+                let target = checkout.target.clone();
+                let fence = self.destination.primary.as_ref().map(|p| (service, p.fence));
+                let bounds = Bounds { deadline: task.deadline, fence };
+                let connection = checkout.connection();
+                let shape = task.shape.as_ref();
+                connection.apply_session(host, &target, values, shape, bounds).await?;
+                let message = line::query(&task.id, &task.text);
+                *sent = Sent::Maybe;
+                Ok(connection.exchange(host, &target, &message, bounds).await?)
+            }
+            Pin::Remote(link) => {
+                let deadline = task.deadline;
+                let request = Request::Statement {
+                    values: values.clone(),
+                    task: RemoteTask::new(task, deadline),
+                    effect,
+                };
+                let hop = Hop {
+                    id: &task.id,
+                    destination: &self.destination,
+                    context,
+                    deadline,
+                    ends_with_owner: effect == Effect::None,
+                };
+                *sent = Sent::Maybe;
+                hop.call(host, link, &request).await.map_err(|error| match error {
+                    HopError::NotRun => {
+                        *sent = Sent::No;
+                        Failure::Superseded.into()
+                    }
+                    HopError::Failed { failure, sent: got } => {
+                        *sent = got;
+                        failure
+                    }
+                })
+            }
+        }
     }
 }
--- a/crates/sessions/src/caller/work.rs
+++ b/crates/sessions/src/caller/work.rs
@@ -5,6 +5,8 @@
 //! primary, and is retried only if the target cannot have run it.
 
 use crate::event::Event;
+use crate::forward;
+use crate::forward::protocol::Load;
 use crate::pool::connection::{Bounds, Failure, is_clean};
 use crate::pool::{Checkout, ConnectionRequest, acquire};
 use crate::state::{Host, Primary, Unavailable};
@@ -19,6 +21,7 @@
 use bergamotvale_core::proxy::statement::Shape;
 use bergamotvale_platform::line::{self, Answer, End};
 use bergamotvale_platform::text;
+use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -40,7 +43,7 @@
 const PRIMARY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The session and route that a statement runs under.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Context {
     /// Service that the route leads to.
     pub service: String,
@@ -56,9 +59,20 @@
 }
 
 impl Context {
-    /// Returns a request for a connection on behalf of the session's account.
-    pub fn request(&self, deadline: Instant, max_wait: Duration) -> ConnectionRequest<'_> {
-        ConnectionRequest { account: &self.account, priority: self.priority, deadline, max_wait }
+    /// Returns a request for a connection to `destination` on behalf of the session's account.
+    pub fn request(
+        &self,
+        destination: &Destination,
+        deadline: Instant,
+        max_wait: Duration,
+    ) -> ConnectionRequest<'_> {
+        ConnectionRequest {
+            account: &self.account,
+            priority: self.priority,
+            deadline,
+            max_wait,
+            is_last_resort: destination.is_last_resort,
+        }
     }
 }
 
@@ -130,6 +144,8 @@
     pub floor: Option<Position>,
     /// The primary and its fence, if the statement is only valid there.
     pub primary: Option<Primary>,
+    /// Whether this host runs the statement because no owner of the target's connections can.
+    pub is_last_resort: bool,
 }
 
 /// Lowest log position that a read under this context accepts.
@@ -169,7 +185,7 @@
         .collect();
     let chosen = select::choose(&candidates, floor, tried).ok_or(Unavailable::Unreachable)?;
     let entry = directory.get(&chosen.name).cloned().ok_or(Unavailable::Unreachable)?;
-    Ok(Destination { entry, floor: Some(floor), primary: None })
+    Ok(Destination { entry, floor: Some(floor), primary: None, is_last_resort: false })
 }
 
 /// Whether a read may be sent to a target.
@@ -181,7 +197,7 @@
     let primary = host.primary(service)?;
     let entry =
         host.directory.borrow().get(&primary.target).cloned().ok_or(Unavailable::Unreachable)?;
-    Ok(Destination { entry, floor: None, primary: Some(primary) })
+    Ok(Destination { entry, floor: None, primary: Some(primary), is_last_resort: false })
 }
 
 fn candidate(
@@ -192,7 +208,7 @@
 ) -> Candidate {
     let target = host.targets.get(&entry.name);
     let pool = target.pool.borrow();
-    Candidate {
+    let candidate = Candidate {
         name: entry.name.clone(),
         round_trip: if entry.domain == host.settings.domain {
             SAME_DOMAIN_ROUND_TRIP
@@ -206,6 +222,27 @@
         can_connect: pool.can_connect(),
         position: target.position(),
         is_primary: primary == Some(&entry.name),
+    };
+    let owners = forward::ownership::owners(host, entry, &context.account).unwrap_or_default();
+    match owners.first() {
+        Some(owner) if *owner != host.id => {
+            let load = host.forward.expected_load(&entry.name, *owner, &context.account);
+            with_load(candidate, load)
+        }
+        _ => candidate,
+    }
+}
+
+/// Returns the candidate with the load that the owner of its connections has reported.
+fn with_load(candidate: Candidate, load: Load) -> Candidate {
+    let is_reported = load.statement_time > Duration::ZERO;
+    let statement_time = if is_reported { load.statement_time } else { candidate.statement_time };
+    Candidate {
+        in_flight: load.in_flight,
+        statement_time,
+        has_connection: load.has_connection,
+        can_connect: true,
+        ..candidate
     }
 }
 
@@ -276,7 +313,7 @@
             Err(_) if !tried.is_empty() => return Err(last_refusal),
             Err(unavailable) => return Err(Refusal::new(Code::Busy, unavailable.label())),
         };
-        match read_at(host, context, values, task, &destination).await {
+        match forward::read(host, context, values, task, &destination).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => {
                 let code =
@@ -311,20 +348,25 @@
     }
 }
 
-/// Attempts a read at one target.
-async fn read_at(
+/// Time by which an attempt of a read has to be answered.
+pub fn attempt_deadline(task: &Task, destination: &Destination) -> Instant {
+    if destination.primary.is_some() {
+        task.deadline
+    } else {
+        task.deadline.min(Instant::now() + READ_ATTEMPT_TIMEOUT)
+    }
+}
+
+/// Attempts a read at one target, with this host's own connections.
+pub async fn read_at(
     host: &Rc<Host>,
     context: &Context,
     values: &Values,
     task: &Task,
     destination: &Destination,
 ) -> Result<Answer, Failure> {
-    let attempt_deadline = if destination.primary.is_some() {
-        task.deadline
-    } else {
-        task.deadline.min(Instant::now() + READ_ATTEMPT_TIMEOUT)
-    };
-    let request = context.request(attempt_deadline, task.max_wait);
+    let attempt_deadline = attempt_deadline(task, destination);
+    let request = context.request(destination, attempt_deadline, task.max_wait);
     let mut checkout = acquire(host, &destination.entry, request).await?;
     let fence = destination.primary.as_ref().map(|p| (context.service.as_str(), p.fence));
     let work_guard = fence.map(|(service, fence)| host.register_work(service, fence));
@@ -395,7 +437,8 @@
         let destination =
             waited.map_err(|unavailable| Refusal::new(Code::Busy, unavailable.label()))?;
         let mut sent = Sent::No;
-        let failure = match write_at(host, context, values, task, &destination, &mut sent).await {
+        let attempt = forward::write(host, context, values, task, &destination, &mut sent);
+        let failure = match attempt.await {
             Ok(answer) => return Ok(answer),
             Err(WriteError::Exchange(failure)) => failure,
             Err(WriteError::Unverified) => {
@@ -431,15 +474,25 @@
     Unverified,
 }
 
+impl WriteError {
+    /// Returns the failure; an answer that could not be verified counts as none.
+    pub fn exchange_failure(self) -> Failure {
+        match self {
+            WriteError::Exchange(failure) => failure,
+            WriteError::Unverified => Failure::Superseded,
+        }
+    }
+}
+
 impl From<Failure> for WriteError {
     fn from(failure: Failure) -> WriteError {
         WriteError::Exchange(failure)
     }
 }
 
-/// Attempts a write at the primary. `progress` becomes [`Sent::Maybe`] before the first byte is
-/// sent.
-async fn write_at(
+/// Attempts a write at the primary, with this host's own connections. `progress` becomes
+/// [`Sent::Maybe`] before the first byte is sent.
+pub async fn write_at(
     host: &Rc<Host>,
     context: &Context,
     values: &Values,
@@ -449,7 +502,7 @@
 ) -> Result<Answer, WriteError> {
     let Some(primary) = &destination.primary else { return Err(Failure::Superseded.into()) };
     let service = context.service.as_str();
-    let request = context.request(task.deadline, task.max_wait);
+    let request = context.request(destination, task.deadline, task.max_wait);
     let mut checkout = acquire(host, &destination.entry, request).await?;
     let _work_guard = host.register_work(service, primary.fence);
     let bounds = Bounds { deadline: task.deadline, fence: Some((service, primary.fence)) };
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -99,6 +99,9 @@
     },
     /// A read is retried after a failed attempt at `target`.
     Retried { request: &'a str, target: &'a str, reason: &'a str },
+    /// A request that host `from` forwarded to host `to`, the owner of the target's connections,
+    /// was not run there or failed. Both hosts write a line.
+    HopFailed { request: &'a str, target: &'a str, from: &'a str, to: &'a str, reason: &'a str },
     /// A session was refused or closed by the host.
     SessionClosed { database: &'a str, reason: &'a str },
 }
@@ -106,7 +109,13 @@
 impl Event<'_> {
     /// Whether the event concerns a single request or session and may be dropped under load.
     fn is_about_request(&self) -> bool {
-        matches!(self, Event::Refused { .. } | Event::Retried { .. } | Event::SessionClosed { .. })
+        matches!(
+            self,
+            Event::Refused { .. }
+                | Event::Retried { .. }
+                | Event::HopFailed { .. }
+                | Event::SessionClosed { .. }
+        )
     }
 }
 
@@ -162,7 +171,7 @@
             self.lines_in_second.set(0);
         }
         let limit = match event {
-            Event::Retried { .. } => MAX_RETRY_LINES_PER_SECOND,
+            Event::Retried { .. } | Event::HopFailed { .. } => MAX_RETRY_LINES_PER_SECOND,
             _ => MAX_REQUEST_LINES_PER_SECOND,
         };
         let is_admitted = self.lines_in_second.get() < limit;
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`caller`] serves sessions: their statements, transactions and rates.
 //! - [`pool`] holds connections to targets, and the state of each target.
+//! - [`forward`] sends attempts to the hosts that own a target's connections.
 //! - [`group`] replaces primaries, with a survey of the targets' logs where replicas are
 //!   synchronous.
 //! - [`fleet`] copies the platform's tables and exchanges heartbeats and loans of rate tokens with
@@ -14,6 +15,7 @@
 pub mod caller;
 pub mod event;
 pub mod fleet;
+pub mod forward;
 pub mod group;
 pub mod http;
 pub mod maintenance;
--- a/crates/sessions/src/maintenance.rs
+++ b/crates/sessions/src/maintenance.rs
@@ -206,6 +206,7 @@
         priority: OWN_PRIORITY,
         deadline,
         max_wait: PROBE_TIMEOUT,
+        is_last_resort: true,
     };
     let mut checkout = acquire(host, entry, request).await?;
     let target = checkout.target.clone();
--- a/crates/sessions/src/pool/connection.rs
+++ b/crates/sessions/src/pool/connection.rs
@@ -14,6 +14,7 @@
 use bergamotvale_platform::line::{self, Answer, End, State, TargetCodec};
 use bergamotvale_platform::text;
 use bytes::BytesMut;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -33,7 +34,7 @@
 const READ_CHUNK_BYTES: usize = 8 << 10;
 
 /// Why an exchange failed, or no connection for it could be obtained.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Failure {
     /// The target answered with this error code.
     Refused(Code),
--- a/crates/sessions/src/pool/mod.rs
+++ b/crates/sessions/src/pool/mod.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 pub mod target;
 
+use crate::forward;
 use crate::state::Host;
 use bergamotvale_core::id::{HostId, Version};
 use bergamotvale_core::proxy::answer::Code;
@@ -47,6 +48,8 @@
     full_until: Option<Instant>,
     /// Revision of the members and version of the configuration from which `limit` was computed.
     limit_basis: Option<(Revision, Version)>,
+    /// Whether only the owners of the target's connections may open any, see [`crate::forward`].
+    is_forwarded: bool,
 }
 
 #[derive(Debug)]
@@ -83,14 +86,20 @@
 
     /// Whether a connection may be opened, possibly in place of an idle one.
     pub fn can_connect(&self) -> bool {
-        self.can_open() || !self.idle.is_empty()
+        self.can_open(self.limit) || !self.idle.is_empty()
+    }
+
+    /// Number of connections above which one is closed when it is returned. Waiters on a host that
+    /// owns none need one, or they would wait in vain.
+    fn retained(&self) -> u32 {
+        self.limit.max(u32::from(!self.waiting.is_empty()))
     }
 
     /// Whether one more connection may be opened. During the delay after too many connections, a
     /// host without any may still try to open one.
-    fn can_open(&self) -> bool {
+    fn can_open(&self, limit: u32) -> bool {
         let is_full = self.full_until.is_some_and(|until| Instant::now() < until);
-        self.open < self.limit && (self.open == 0 || !is_full)
+        self.open < limit && (self.open == 0 || !is_full)
     }
 
     /// Account of the most recently used idle connection.
@@ -114,6 +123,19 @@
         self.idle.clear();
     }
 
+    /// Closes idle connections, the longest idle first, while there are more than the limit.
+    fn close_idle_above_limit(&mut self) {
+        let excess = self.open.saturating_sub(self.limit) as usize;
+        let count = excess.min(self.idle.len());
+        drop(self.idle.drain(..count));
+        self.open -= u32::try_from(count).unwrap_or(self.open);
+    }
+
+    /// Number of requests that wait for a connection.
+    pub fn waiting_count(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
     /// Expected wait of a request that is queued now, given the mean duration of a statement.
     fn expected_wait(&self, statement_time: Duration) -> Duration {
         let ahead = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX).saturating_add(1);
@@ -138,7 +160,7 @@
         if let Some(connection) = self.take_idle(account) {
             return Decision::Connection(connection);
         }
-        if self.can_open() {
+        if self.can_open(self.limit.max(u32::from(request.is_last_resort))) {
             self.open += 1;
             return Decision::Permit;
         }
@@ -162,7 +184,7 @@
     /// Takes back a connection, and grants it to a waiter or keeps it idle. Closes it if the host
     /// is over its limit.
     fn release(&mut self, connection: Connection) {
-        if self.open > self.limit {
+        if self.open > self.retained() {
             self.open -= 1;
             return;
         }
@@ -183,7 +205,7 @@
 
     /// Accounts for a closed connection: a waiter may open another if the limit permits.
     fn release_permit(&mut self) {
-        if self.open > self.limit {
+        if self.open > self.retained() {
             self.open -= 1;
             return;
         }
@@ -271,6 +293,9 @@
     pub deadline: Instant,
     /// Expected wait above which the request is refused at once with [`Failure::Full`].
     pub max_wait: Duration,
+    /// Whether a host that may open no connection to the target opens one all the same: for its own
+    /// statements, and because no owner can be reached.
+    pub is_last_resort: bool,
 }
 
 /// Obtains a connection to a target, from its pool or by opening one.
@@ -280,7 +305,7 @@
     request: ConnectionRequest<'_>,
 ) -> Result<Checkout, Failure> {
     let target = host.targets.get(&entry.name);
-    update_limit(host, &target, &entry.service);
+    update_limit(host, &target, entry);
     let decision = target.pool.borrow_mut().admit(&request, target.statement_time());
     let grant = match decision {
         Decision::Connection(connection) => Grant::Connection(connection),
@@ -319,19 +344,34 @@
     }
 }
 
-/// Recomputes the host's share of the target's connection limit if the members or the configuration
-/// have changed. The share is at least 1.
-fn update_limit(host: &Host, target: &Target, service: &str) {
+/// Recomputes the number of connections that the host may have to the target if the members or the
+/// configuration have changed: its part as an owner if operations at the target are forwarded, 0 if
+/// it is no owner, and otherwise its share among all members, at least 1.
+pub fn update_limit(host: &Host, target: &Target, entry: &Entry) {
     let limit_basis = (host.lease.borrow().revision(), host.catalog.borrow().version);
-    if target.pool.borrow().limit_basis == Some(limit_basis) {
+    let is_known = target.pool.borrow().limit_basis == Some(limit_basis);
+    // Who the owners are depends on which hosts are alive as well.
+    if is_known && !target.pool.borrow().is_forwarded {
         return;
     }
-    let total = host.catalog.borrow().groups.get(service).map_or(1, |g| g.connection_limit);
-    let members: BTreeSet<HostId> = host.lease.borrow().members().keys().copied().collect();
-    let usable = u64::from(total * USABLE_PERCENT / 100);
-    let subject = Subject::Connection(name_hash(&target.name));
-    let share = share_of(usable, &members, host.id, subject, members.len());
+    let part = forward::ownership::part(host, entry);
+    let share = part.unwrap_or_else(|| {
+        let usable = usable_connections(host, &entry.service);
+        let subject = Subject::Connection(name_hash(&target.name));
+        let members: BTreeSet<HostId> = host.lease.borrow().members().keys().copied().collect();
+        share_of(usable, &members, host.id, subject, members.len()).max(1)
+    });
     let mut pool = target.pool.borrow_mut();
-    pool.limit = u32::try_from(share).unwrap_or(u32::MAX).max(1);
+    pool.limit = u32::try_from(share).unwrap_or(u32::MAX);
     pool.limit_basis = Some(limit_basis);
+    pool.is_forwarded = part.is_some();
+    if pool.is_forwarded {
+        pool.close_idle_above_limit();
+    }
+}
+
+/// Number of connections to a target of the service that all hosts use together.
+pub fn usable_connections(host: &Host, service: &str) -> u64 {
+    let total = host.catalog.borrow().groups.get(service).map_or(1, |g| g.connection_limit);
+    u64::from(total * USABLE_PERCENT / 100)
 }
--- a/crates/sessions/src/run.rs
+++ b/crates/sessions/src/run.rs
@@ -5,7 +5,7 @@
 use crate::group::{promote, roster};
 use crate::settings::Settings;
 use crate::state::Host;
-use crate::{caller, http, maintenance, stop};
+use crate::{caller, forward, http, maintenance, stop};
 use anyhow::Context;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -57,6 +57,7 @@
     spawn_local(maintenance::run(host.clone()));
     spawn_local(http::serve(host.clone(), readiness));
     spawn_local(http::serve(host.clone(), metrics));
+    spawn_local(forward::server::serve(host.clone()));
     spawn_local(accept(host.clone(), callers));
     let joining = host.clone();
     spawn_local(async move { member::join(&joining).await });
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -7,6 +7,7 @@
 use crate::caller::quota::Quota;
 use crate::event::{Event, Journal, millis};
 use crate::fleet::peer::{self, Peers};
+use crate::forward::Forward;
 use crate::metric::Registry;
 use crate::pool::target::Targets;
 use crate::settings::Settings;
@@ -132,6 +133,8 @@
     in_flight_work: RefCell<BTreeMap<u64, (String, Fence)>>,
     next_work_number: Cell<u64>,
     quiesced_revision: Cell<Revision>,
+    /// Hops to and from other hosts.
+    pub forward: Forward,
     /// The planned stop of the process.
     pub stop: Stop,
     /// Number of open sessions.
@@ -182,6 +185,7 @@
             in_flight_work: RefCell::default(),
             next_work_number: Cell::new(0),
             quiesced_revision: Cell::default(),
+            forward: Forward::default(),
             stop: Stop::new(settings.times.grace),
             sessions: Cell::new(0),
             changed: Notify::new(),
--- a/crates/sessions/src/stop.rs
+++ b/crates/sessions/src/stop.rs
@@ -123,7 +123,8 @@
 }
 
 async fn wait_for_sessions(host: &Host, deadline: Instant) {
-    while host.sessions.get() > 0 && Instant::now() < deadline {
+    let has_work = || host.sessions.get() > 0 || host.forward.active.get() > 0;
+    while has_work() && Instant::now() < deadline {
         tokio::time::sleep(SESSION_POLL_INTERVAL).await;
     }
 }
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -54,6 +54,7 @@
         Event::Promotion { service, target, fence: 1, step: "call", cause, elapsed_ms: 1, outcome },
         refused("1"),
         Event::Retried { request: "1", target, reason: "connection_lost" },
+        Event::HopFailed { request: "1", target, from: "a", to: "b", reason: "hop_lost" },
         Event::SessionClosed { database: "d", reason: "no such database" },
     ]
 }
@@ -114,7 +115,8 @@
         Event::Promotion { .. } => 18,
         Event::Refused { .. } => 19,
         Event::Retried { .. } => 20,
-        Event::SessionClosed { .. } => 21,
+        Event::HopFailed { .. } => 21,
+        Event::SessionClosed { .. } => 22,
     }
 }
 
