--- a/crates/host/tests/sessions/forwarding.rs
+++ b/crates/host/tests/sessions/forwarding.rs
@@ -276,6 +276,11 @@
     let (code, _) = session.expect_refusal(&caller::write("bolt", "1"));
     assert_eq!(code, Code::Unknown);
     fleet.system.groups[0].primary().drop_commit_responses(false);
+    // The lines of both hosts name the same request.
+    let refusals = fleet.hosts[entry].events("refused");
+    let id = refusals.last().expect("the refusal is logged")["request"].clone();
+    let failures = fleet.hosts[owner].events("hop_failed");
+    assert!(failures.iter().any(|line| line["request"] == id), "{failures:?}");
 }
 
 /// Guards against a listener that runs the operations of anyone: the test's own address is that of
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -100,7 +100,8 @@
     /// A read is retried after a failed attempt at `target`.
     Retried { request: &'a str, target: &'a str, reason: &'a str },
     /// A request that host `from` forwarded to host `to`, the owner of the target's connections,
-    /// was not run there or failed. Both hosts write a line.
+    /// was not run there or failed. The owner writes a line, and the other host too if it got no
+    /// reply or the request was not run.
     HopFailed { request: &'a str, target: &'a str, from: &'a str, to: &'a str, reason: &'a str },
     /// A session was refused or closed by the host.
     SessionClosed { database: &'a str, reason: &'a str },
--- a/crates/sessions/src/forward/server.rs
+++ b/crates/sessions/src/forward/server.rs
@@ -10,7 +10,7 @@
 use crate::pool::update_limit;
 use crate::run::ACCEPT_RETRY_DELAY;
 use crate::state::Host;
-use bergamotvale_core::proxy::answer::{Effect, Sent};
+use bergamotvale_core::proxy::answer::{Code, Effect, Sent};
 use bergamotvale_core::proxy::directory::TargetName;
 use bergamotvale_core::proxy::evidence::View;
 use bergamotvale_platform::line::Answer;
@@ -273,7 +273,10 @@
         let result = work::write_at(&self.host, context, values, &task, &destination, &mut sent);
         match result.await {
             Ok(answer) => answered(answer),
-            Err(error) => write_failed(error, sent),
+            Err(error) => {
+                record_refusal(&self.host, &attempt.target, error.exchange_failure());
+                write_failed(error, sent)
+            }
         }
     }
 
@@ -294,7 +297,10 @@
                 self.open = Some(Open { transaction, attempt, _active: active });
                 (Outcome::Done { position }, Bytes::new())
             }
-            Err(failure) => failed(failure, Sent::No),
+            Err(failure) => {
+                record_refusal(&self.host, &attempt.target, failure);
+                failed(failure, Sent::No)
+            }
         }
     }
 }
@@ -325,6 +331,13 @@
     Ok(Destination { entry, floor: None, primary, is_last_resort: false })
 }
 
+/// Records that a target refuses writes because it is not the primary, as evidence of this host too.
+fn record_refusal(host: &Host, target: &TargetName, failure: Failure) {
+    if failure == Failure::Refused(Code::ReadOnly) {
+        host.targets.get(target).record_deposed();
+    }
+}
+
 fn answered(answer: Answer) -> Served {
     (Outcome::answered(&answer), answer.body)
 }
