--- a/crates/core/src/proxy/catalog.rs
+++ b/crates/core/src/proxy/catalog.rs
@@ -4,11 +4,12 @@
 
 use super::home::{Homes, Regions};
 use crate::id::Version;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Which commits the reads of a route are guaranteed to see.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Consistency {
     /// Every acknowledged commit.
     Primary,
--- a/crates/core/src/proxy/home.rs
+++ b/crates/core/src/proxy/home.rs
@@ -1,5 +1,6 @@
 //! Home regions: outside them no target may serve the operations of a route or client account.
 
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
 /// Names of regions.
@@ -15,7 +16,7 @@
 }
 
 /// Home regions that apply to an operation; an empty set permits every region.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Homes {
     /// Those of the route.
     pub route: Regions,
--- a/crates/core/src/proxy/mod.rs
+++ b/crates/core/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 pub mod floor;
 pub mod home;
 pub mod lease;
+pub mod ownership;
 pub mod record;
 pub mod restore;
 pub mod revision;
--- a/crates/sessions/src/caller/mod.rs
+++ b/crates/sessions/src/caller/mod.rs
@@ -294,8 +294,10 @@
 
     /// Rolls the open transaction back, and returns the connection.
     async fn end_session(mut self) -> OwnedWriteHalf {
-        if let Phase::Open(transaction) = std::mem::replace(&mut self.phase, Phase::Idle) {
-            transaction.rollback(&self.host).await;
+        if let Phase::Open(transaction) = std::mem::replace(&mut self.phase, Phase::Idle)
+            && let Some(context) = &self.context
+        {
+            transaction.rollback(&self.host, context).await;
         }
         self.writer
     }
@@ -547,8 +549,13 @@
     async fn rollback(&mut self) -> Reply {
         match std::mem::replace(&mut self.phase, Phase::Idle) {
             Phase::Open(transaction) => {
-                let host = self.host.clone();
-                tokio::task::spawn_local(async move { transaction.rollback(&host).await });
+                // An open transaction has the context that it was admitted with.
+                if let Some(context) = self.context.clone() {
+                    let host = self.host.clone();
+                    tokio::task::spawn_local(
+                        async move { transaction.rollback(&host, &context).await },
+                    );
+                }
                 line::done(State::Idle)
             }
             _ => line::error(Code::Malformed, "no transaction is open", State::Idle),
--- a/crates/sessions/src/pool/connection.rs
+++ b/crates/sessions/src/pool/connection.rs
@@ -15,6 +15,7 @@
 use bergamotvale_platform::line::{self, Answer, End, State, TargetCodec};
 use bergamotvale_platform::text;
 use bytes::BytesMut;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -37,7 +38,7 @@
 const MAX_IDLE_BUFFER_BYTES: usize = 64 << 10;
 
 /// Why an exchange failed, or no connection for it could be obtained.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Failure {
     /// The target answered with this error code.
     Refused(Code),
--- a/crates/sessions/src/state.rs
+++ b/crates/sessions/src/state.rs
@@ -8,6 +8,7 @@
 use crate::evacuation::{EVACUATED, Evacuation};
 use crate::event::{Event, Journal, millis};
 use crate::fleet::peer::{self, Peers};
+use crate::forward::Forward;
 use crate::metric::Registry;
 use crate::overload::Overload;
 use crate::pool::target::{Target, Targets};
@@ -148,6 +149,8 @@
     quiesced_revision: Cell<Revision>,
     /// Bounds on what callers make this host hold.
     pub overload: Overload,
+    /// Hops to and from other hosts.
+    pub forward: Forward,
     /// The planned stop of the process.
     pub stop: Stop,
     /// Number of open sessions.
@@ -200,6 +203,7 @@
             next_work_number: Cell::new(0),
             quiesced_revision: Cell::default(),
             overload: Overload::new(budget::Limits::new(settings.memory, settings.descriptors)),
+            forward: Forward::default(),
             stop: Stop::new(settings.times.grace),
             sessions: Cell::new(0),
             changed: Notify::new(),
--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -64,6 +64,7 @@
         },
         refused("1"),
         Event::Retried { request: "1", target, reason: "connection_lost" },
+        Event::HopFailed { request: "1", target, from: "a", to: "b", reason: "hop_lost" },
         Event::SessionClosed { database: "d", reason: "no such database" },
         Event::TargetLimit { target, limit_permille: 500 },
     ]
@@ -136,6 +137,7 @@
         Event::Retried { .. } => 21,
         Event::SessionClosed { .. } => 22,
         Event::TargetLimit { .. } => 23,
+        Event::HopFailed { .. } => 24,
     }
 }
 
