Have a stopping owner take a forwarded statement only if it can end before the exit

An owner that stops refused new attempts by the time since the signal only, so that one with a long timeout could be cut off when all work ends. It now asks for the statement's whole remaining time, as the host does for its own callers, and rolls an open transaction back otherwise.

--- a/crates/sessions/src/forward/protocol.rs
+++ b/crates/sessions/src/forward/protocol.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Time that the owner has.
+    pub fn remaining(&self) -> Duration {
+        self.remaining
+    }
+
     /// Returns the task at the owner, where it arrived at `arrived`.
     pub fn into_task(self, arrived: Instant) -> Task {
         Task {
--- a/crates/sessions/src/forward/server.rs
+++ b/crates/sessions/src/forward/server.rs
@@ -220,6 +220,11 @@
                 let Some(mut open) = self.open.take() else {
                     return failed(Failure::Superseded, Sent::No);
                 };
+                // The statement might not end before this host stops, so the transaction is rolled
+                // back and the statement is not run.
+                if !self.host.stop.takes_statement(task.remaining()) {
+                    return failed(Failure::Superseded, Sent::No);
+                }
                 let context: &Context = &open.attempt.context;
                 let task = task.into_task(arrived);
                 let mut sent = Sent::No;
@@ -307,7 +312,8 @@
 
 /// Checks whether this host runs an attempt, and returns its target by this host's own state.
 fn accept(host: &Host, attempt: &Attempt) -> Result<Destination, Outcome> {
-    if !host.stop.takes_sessions() {
+    let takes_statement = host.stop.takes_statement(attempt.task.remaining());
+    if !host.stop.takes_sessions() || !takes_statement {
         return Err(Outcome::NotRun(Reason::Stopping));
     }
     let service = &attempt.context.service;
