--- a/crates/sessions/src/settings.rs
+++ b/crates/sessions/src/settings.rs
@@ -37,7 +37,7 @@
     #[serde(default)]
     pub cold: Option<Cold>,
     /// Whether reads are chosen by learned limits of targets that differ in speed.
-    #[serde(default = "default_learned_limits")]
+    #[serde(default)]
     pub learned_limits: bool,
     /// Number of file descriptors that the process may open.
     pub descriptors: u32,
@@ -107,10 +107,6 @@
     pub slack: u32,
 }
 
-fn default_learned_limits() -> bool {
-    true
-}
-
 impl Settings {
     /// Reads the file at `path`. Errors name the file, and the field and line of an invalid value.
     pub fn read(path: &Path) -> anyhow::Result<Settings> {
--- a/crates/sessions/tests/settings.rs
+++ b/crates/sessions/tests/settings.rs
@@ -62,13 +62,12 @@
     assert_eq!(with.cold.map(|cold| (cold.overage, cold.slack)), Some((1.5, 5)));
 }
 
-/// Guards against learned limits that are off unless the file names them, or that cannot be switched
-/// off to measure their effect.
+/// Guards against learned limits that act on deployments whose settings do not ask for them.
 #[test]
-fn learned_limits_are_on_unless_switched_off() {
-    assert!(read("learned", GOOD).expect("the settings are valid").learned_limits);
-    let text = GOOD.to_owned() + "learned_limits: false\n";
-    assert!(!read("not-learned", &text).expect("the settings are valid").learned_limits);
+fn learned_limits_are_off_unless_switched_on() {
+    assert!(!read("not-learned", GOOD).expect("the settings are valid").learned_limits);
+    let text = GOOD.to_owned() + "learned_limits: true\n";
+    assert!(read("learned", &text).expect("the settings are valid").learned_limits);
 }
 
 #[test]
