--- a/crates/sessions/tests/events.rs
+++ b/crates/sessions/tests/events.rs
@@ -135,9 +135,9 @@
         Event::Evacuation { .. } => 19,
         Event::Refused { .. } => 20,
         Event::Retried { .. } => 21,
-        Event::SessionClosed { .. } => 22,
-        Event::TargetLimit { .. } => 23,
-        Event::HopFailed { .. } => 24,
+        Event::HopFailed { .. } => 22,
+        Event::SessionClosed { .. } => 23,
+        Event::TargetLimit { .. } => 24,
     }
 }
 
